Lay out the project: interfaces, build, checks

Cause: the work is to be split by concern, so interfaces come before implementations. Change: CMake skeleton with one library and one test program per concern, shared ids, time, findings, events, peer messages, HTTP exchanges, engine protocol, consensus, cluster, rollout and gateway interfaces, nanopb bridge, package list and scripts.

--- /dev/null
+++ b/source/cluster/cluster_commands.h
@@ -0,0 +1,123 @@
+/// Commands and results of the cluster group's state machine.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "cluster/configuration.h"
+#include "common/ids.h"
+#include "common/time.h"
+#include "resources/resource.h"
+
+namespace millstair {
+
+/// Makes a resend answerable: the state machine keeps the last results of each client's session.
+struct SessionStamp {
+  ClientId client;
+  ClientSequence sequence;
+};
+
+/// Opens a session; the result's `session` names it. A stamp of a session that is not in the state
+/// is expired by definition, so a resend is never taken for something new.
+struct OpenSession {};
+
+/// Creates or replaces resources, all or none.
+struct PutResources {
+  struct Item {
+    Resource resource;
+    /// Version that must be stored now; 0 demands absence; none skips the test.
+    std::optional<Revision> expected;
+  };
+  std::vector<Item> items;
+};
+
+struct DeleteResource {
+  ResourceKey key;
+  std::optional<Revision> expected;
+};
+
+/// Takes the once-only claim on a key before a non-repeatable request is dispatched.
+struct ClaimKey {
+  std::string key;
+  NodeId gateway;
+  Incarnation incarnation;
+  /// Digest of the request; a different request under the same key is refused.
+  std::string request_digest;
+  /// When the caller made the key, if it said so; older than the retention is refused.
+  std::optional<WallTime> issued;
+};
+
+/// Settles a claim: done (never run again) or released (it truly did not run).
+struct SettleClaim {
+  std::string key;
+  NodeId gateway;
+  Incarnation incarnation;
+  bool released = false;
+  /// Status of the back end's answer, when done.
+  int answer_status = 0;
+};
+
+/// A trainer published weights. Versions count up; the same version with another digest is refused.
+struct PublishVersion {
+  ModelName model;
+  PublishedVersion version;
+};
+
+/// The leader decides that a version is to be staged or served.
+struct SetModelTarget {
+  ModelName model;
+  WeightVersion staged;
+  WeightVersion active;
+};
+
+/// Batched membership changes found by the leader.
+struct UpdateMembers {
+  std::vector<NodeRecord> nodes;
+  std::vector<MachineStatus> machines;
+  std::vector<EngineStatus> engines;
+  std::vector<NodeId> deleted_nodes;
+};
+
+using ClusterOperation = std::variant<OpenSession, PutResources, DeleteResource, ClaimKey,
+                                      SettleClaim, PublishVersion, SetModelTarget, UpdateMembers>;
+
+struct ClusterCommand {
+  ClusterOperation operation;
+  std::optional<SessionStamp> session;
+  /// Wall time of the proposing leader; the state machine's own clock takes the largest seen.
+  WallTime proposed_at;
+};
+
+enum class ClusterResultCode : uint8_t {
+  kOk = 1,
+  kConflict = 2,  ///< compare-and-set lost; `conflicting` holds the winner
+  kNotFound = 3,
+  kInvalid = 4,
+  kSessionExpired = 5,  ///< the resend is too old to be answered; nothing was done
+  kClaimHeld = 6,       ///< the key is claimed and its outcome not known
+  kClaimDone = 7,       ///< the key was used and ran
+  kClaimTooOld = 8,
+  kClaimMismatch = 9,  ///< another request used this key
+};
+
+struct ClusterResult {
+  ClusterResultCode code = ClusterResultCode::kOk;
+  /// Revision of the change, or the newest at a refusal.
+  Revision revision;
+  std::vector<Resource> conflicting;
+  /// The new session, for OpenSession.
+  ClientId session;
+  std::string message;
+};
+
+std::string EncodeCommand(const ClusterCommand& command);
+absl::StatusOr<ClusterCommand> DecodeCommand(std::string_view bytes);
+std::string EncodeResult(const ClusterResult& result);
+absl::StatusOr<ClusterResult> DecodeResult(std::string_view bytes);
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/configuration.h
@@ -0,0 +1,115 @@
+/// The configuration that every node holds: resources, published weights and members.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "common/ids.h"
+#include "resources/resource.h"
+
+namespace millstair {
+
+struct PublishedVersion {
+  WeightVersion version;
+  WeightDigest digest;
+  /// Path in the weight store.
+  std::string location;
+  friend bool operator==(const PublishedVersion&, const PublishedVersion&) = default;
+};
+
+/// Weights of one model. `published` is bounded: only the newest few are kept.
+struct ModelStatus {
+  ModelName model;
+  std::vector<PublishedVersion> published;
+  /// Version that engines fetch ahead; 0 is none.
+  WeightVersion staged;
+  /// Version that engines are to serve; 0 is none.
+  WeightVersion active;
+  /// Revisions at which `staged` and `active` were set: the fences of the orders they cause.
+  Revision staged_at;
+  Revision active_at;
+  friend bool operator==(const ModelStatus&, const ModelStatus&) = default;
+};
+
+enum class MemberState : uint8_t { kLive = 1, kLeaving = 2, kGone = 3 };
+
+/// A millstaird process.
+struct NodeRecord {
+  NodeId node;
+  Incarnation incarnation;
+  Zone zone;
+  /// Where it listens for peers, "ip:port".
+  std::string address;
+  bool control = false;
+  bool gateway = false;
+  MemberState state = MemberState::kLive;
+  friend bool operator==(const NodeRecord&, const NodeRecord&) = default;
+};
+
+/// What is known of a machine of back ends, merged from the platform list, the back ends' own
+/// words and the operators; the most cautious wins.
+struct MachineStatus {
+  std::string machine;
+  MemberState platform_state = MemberState::kLive;
+  friend bool operator==(const MachineStatus&, const MachineStatus&) = default;
+};
+
+/// A back end that itself said that it is leaving, as reported by a gateway.
+struct EngineStatus {
+  EngineName engine;
+  Incarnation incarnation;
+  MemberState state = MemberState::kLive;
+  friend bool operator==(const EngineStatus&, const EngineStatus&) = default;
+};
+
+/// Everything as of `revision`. Value type; a gateway holds one and applies deltas to it.
+struct Configuration {
+  Revision revision;
+  std::map<ResourceKey, Resource> resources;
+  std::map<ModelName, ModelStatus> models;
+  std::map<NodeId, NodeRecord> nodes;
+  std::map<std::string, MachineStatus> machines;
+  std::map<EngineName, EngineStatus> engines;
+
+  template <class Spec>
+  const Spec* FindSpec(ResourceKind kind, const std::string& name) const {
+    const auto found = resources.find(ResourceKey{kind, name});
+    return found == resources.end() ? nullptr : std::get_if<Spec>(&found->second.spec);
+  }
+};
+
+/// Changes from `from` (exclusive) to `to` (inclusive). With `full` set, `from` is ignored and the
+/// changes are the whole state.
+struct ConfigurationDelta {
+  Revision from;
+  Revision to;
+  bool full = false;
+  std::vector<Resource> changed_resources;
+  std::vector<ResourceKey> deleted_resources;
+  std::vector<ModelStatus> changed_models;
+  std::vector<ModelName> deleted_models;
+  std::vector<NodeRecord> changed_nodes;
+  std::vector<NodeId> deleted_nodes;
+  std::vector<MachineStatus> changed_machines;
+  std::vector<std::string> deleted_machines;
+  std::vector<EngineStatus> changed_engines;
+  std::vector<EngineName> deleted_engines;
+};
+
+/// Applies `delta`. False, with no change, if it does not start at or before the revision held or
+/// would go back.
+bool ApplyDelta(Configuration& configuration, const ConfigurationDelta& delta);
+
+std::string EncodeDelta(const ConfigurationDelta& delta);
+absl::StatusOr<ConfigurationDelta> DecodeDelta(std::string_view bytes);
+
+/// State of a back end, merged from all sources in `configuration` (machine drain, engine drain,
+/// platform list, own word). The most cautious wins; unknown engines are kGone.
+MemberState EffectiveState(const Configuration& configuration, const EngineName& engine);
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/configuration_client.h
@@ -0,0 +1,68 @@
+/// Keeps a node's configuration up to date and proves that it is fresh.
+///
+/// The node sends a heartbeat with its own send time to one control node. That node confirms a
+/// read with a quorum *after* it received the heartbeat, and answers with the revision. So the
+/// configuration held was the newest at some moment after the send time, without comparing the
+/// clocks of two machines. The lease runs from the send time. A control node that is cut off
+/// cannot confirm, and after a few unanswered heartbeats the node moves to another.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster/configuration.h"
+#include "common/environment.h"
+#include "common/ids.h"
+#include "common/peer_transport.h"
+
+namespace millstair {
+
+struct ConfigurationTiming {
+  Duration heartbeat = std::chrono::seconds(1);
+  /// How long after a confirmed heartbeat was sent the node may give out new work.
+  Duration lease = std::chrono::seconds(4);
+  /// Unanswered for this long: move to another control node.
+  Duration source_timeout = std::chrono::milliseconds(1500);
+};
+
+/// Report of a gateway about a back end or its own state, sent with heartbeats when it changed.
+struct EngineObservation {
+  EngineName engine;
+  Incarnation incarnation;
+  bool leaving = false;
+  WeightVersion staged;
+  WeightVersion active;
+  bool consistent = true;
+};
+
+/// Lives on the node's serial executor.
+class ConfigurationClient {
+ public:
+  virtual ~ConfigurationClient() = default;
+  virtual void Start() = 0;
+  virtual const Configuration& configuration() const = 0;
+  /// True while the configuration held is proven fresh.
+  virtual bool LeaseValid() const = 0;
+  /// Called after each applied change, on the executor. Several listeners may be added.
+  virtual void OnChange(std::function<void()> callback) = 0;
+  /// Tells the control nodes what this gateway saw; sent with the next heartbeat.
+  virtual void Report(EngineObservation observation) = 0;
+  /// Announces that this node is leaving; heartbeats go on until the process ends.
+  virtual void SetLeaving() = 0;
+  /// Messages of kinds kHeartbeatReply and kConfigurationPush.
+  virtual void Receive(const NodeId& from, const PeerMessage& message) = 0;
+};
+
+struct ControlEndpoint {
+  NodeId node;
+  std::string address;
+  Zone zone;
+};
+
+std::unique_ptr<ConfigurationClient> MakeConfigurationClient(
+    Environment& environment, PeerTransport& transport, NodeRecord self,
+    std::vector<ControlEndpoint> control_nodes, ConfigurationTiming timing);
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/control_client.h
@@ -0,0 +1,41 @@
+/// Sends commands of a node to the leader of a group, through any control node.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "cluster/configuration_client.h"
+#include "common/environment.h"
+#include "common/ids.h"
+#include "common/peer_transport.h"
+
+namespace millstair {
+
+/// How a command is treated by the control node that gets it.
+enum class CommandMode : uint8_t {
+  kPropose = 1,  ///< appended to the group's log; the answer is the state machine's result
+  kQuery = 2,    ///< read by the leader after it confirmed its leadership
+};
+
+/// Lives on the node's serial executor. Commands carry their own protection against a resend
+/// (session, key, step id, sample id), so an unanswered one is repeated until its deadline.
+class ControlClient {
+ public:
+  using Callback = std::function<void(absl::StatusOr<std::string>)>;
+
+  virtual ~ControlClient() = default;
+  /// `done` gets the encoded result; DeadlineExceeded means that the outcome is unknown.
+  virtual void Submit(const GroupId& group, CommandMode mode, std::string command, Duration timeout,
+                      Callback done) = 0;
+  /// Messages of kind kCommandReply.
+  virtual void Receive(const NodeId& from, const PeerMessage& message) = 0;
+};
+
+std::unique_ptr<ControlClient> MakeControlClient(Environment& environment, PeerTransport& transport,
+                                                 NodeId self,
+                                                 std::vector<ControlEndpoint> control_nodes);
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/control_node.h
@@ -0,0 +1,99 @@
+/// The control role of a node: replicas of the groups, membership, configuration distribution,
+/// commands of other nodes, and the operators' HTTP API.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster/cluster_commands.h"
+#include "cluster/configuration_client.h"
+#include "common/environment.h"
+#include "common/ids.h"
+#include "common/peer_transport.h"
+#include "consensus/group_host.h"
+#include "http/exchange.h"
+
+namespace millstair {
+
+/// A stream group's duties on a control node that are not in its state machine: leases of
+/// attempts, staleness at hand-on. Implemented in rollout/.
+class StreamLeader {
+ public:
+  virtual ~StreamLeader() = default;
+  /// Messages of kind kWorkRequest for this stream; only called while this node leads the group.
+  virtual void ReceiveWork(const NodeId& from, const PeerMessage& message) = 0;
+  /// Answers a command of mode kQuery for this stream.
+  virtual void Query(const std::string& query,
+                     std::function<void(absl::StatusOr<std::string>)> done) = 0;
+  /// The cluster configuration changed, or the leadership of the group did.
+  virtual void OnChange(const Configuration& configuration) = 0;
+};
+
+/// Makes what a stream needs; implemented in rollout/ so that cluster/ does not depend on it.
+class StreamFactory {
+ public:
+  virtual ~StreamFactory() = default;
+  virtual std::unique_ptr<StateMachine> MakeStateMachine(const GroupId& group) = 0;
+  virtual std::unique_ptr<StreamLeader> MakeLeader(RaftGroup& group, StateMachine& state) = 0;
+};
+
+/// A duty of the cluster leader alone, such as deciding weight targets. Implemented in weights/.
+class ClusterDuty {
+ public:
+  virtual ~ClusterDuty() = default;
+  /// Called about once a second on the leader, and after each change; proposes through `propose`.
+  virtual void Run(const Configuration& configuration) = 0;
+  /// An observation reported by a gateway.
+  virtual void Observe(const NodeId& gateway, const EngineObservation& observation) = 0;
+};
+
+struct MembershipTiming {
+  /// Without a heartbeat for this long a node is gone.
+  Duration node_lease = std::chrono::seconds(5);
+  Duration platform_poll = std::chrono::seconds(1);
+  /// A lost voter is replaced by a warm learner after this long.
+  Duration replace_voter_after = std::chrono::seconds(10);
+  /// A node that is gone is forgotten after this long.
+  Duration forget_after = std::chrono::hours(24);
+};
+
+struct ControlNodeOptions {
+  NodeRecord self;
+  std::string cluster_id;
+  std::vector<ControlEndpoint> control_nodes;
+  /// Founders of the cluster group; the same list on each control node.
+  std::vector<GroupMember> founders;
+  ConsensusTiming consensus_timing;
+  ConsensusLimits consensus_limits;
+  ConfigurationTiming configuration_timing;
+  MembershipTiming membership_timing;
+  /// How long a once-only key is remembered.
+  std::chrono::hours claim_retention{24};
+  /// "ip:port" of the platform's machine list; empty polls nothing.
+  std::string platform_list;
+};
+
+/// Lives on the node's serial executor.
+class ControlNode : public PeerReceiver, public RequestHandler {
+ public:
+  virtual absl::Status Start() = 0;
+  virtual GroupHost& groups() = 0;
+  /// The cluster state as applied on this replica; may be behind.
+  virtual const Configuration& configuration() const = 0;
+  virtual bool IsClusterLeader() const = 0;
+  virtual void AddDuty(std::unique_ptr<ClusterDuty> duty) = 0;
+  /// Proposes to the cluster group; Unavailable when not the leader.
+  virtual void Propose(ClusterCommand command,
+                       std::function<void(absl::StatusOr<ClusterResult>)> done) = 0;
+  /// Hands over all leaderships, then calls `done`. For a planned stop.
+  virtual void Drain(std::function<void()> done) = 0;
+};
+
+std::unique_ptr<ControlNode> MakeControlNode(Environment& environment, PeerTransport& transport,
+                                             FileSystem& files, HttpCaller& platform,
+                                             std::unique_ptr<StreamFactory> streams,
+                                             ControlNodeOptions options);
+
+}  // namespace millstair
--- /dev/null
+++ b/source/common/findings.h
@@ -0,0 +1,48 @@
+/// Findings: faults in input, each with its place, collected and reported together.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+
+namespace millstair {
+
+/// Where in the input a finding lies. Lines and columns count from 1; 0 is unknown.
+struct Place {
+  std::string file;
+  int line = 0;
+  int column = 0;
+
+  /// "file:line:column", leaving out what is unknown.
+  std::string ToString() const;
+  friend bool operator==(const Place&, const Place&) = default;
+};
+
+struct Finding {
+  Place place;
+  std::string message;
+
+  /// "file:line:column: message".
+  std::string ToString() const;
+};
+
+/// A list of findings. Empty means that the input is sound.
+class Findings {
+ public:
+  void Add(Place place, std::string message);
+  void Append(const Findings& other);
+
+  bool empty() const { return items_.empty(); }
+  const std::vector<Finding>& items() const { return items_; }
+
+  /// One finding a line.
+  std::string ToString() const;
+  /// OK if empty, else InvalidArgument with all findings in the message.
+  absl::Status ToStatus() const;
+
+ private:
+  std::vector<Finding> items_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/common/peer_transport.h
@@ -0,0 +1,48 @@
+/// Messages between the system's own processes, as decision code sends them.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "common/ids.h"
+
+namespace millstair {
+
+/// What the payload of a peer message is; each kind is one nanopb message of api/.
+enum class MessageKind : uint8_t {
+  kRaft = 1,               ///< RaftBatch (consensus): messages of all groups between two replicas
+  kHeartbeat = 2,          ///< node -> control: liveness, applied revision, backend reports
+  kHeartbeatReply = 3,     ///< control -> node: confirmed revision, configuration changes
+  kConfigurationPush = 4,  ///< control -> node: configuration changes, no lease
+  kCommand = 5,            ///< node -> control: a command for a group
+  kCommandReply = 6,       ///< control -> node
+  kWorkRequest = 7,        ///< gateway -> stream leader: asks for leased attempts
+  kWorkReply = 8,          ///< stream leader -> gateway
+  kEngineReport = 9,       ///< gateway -> gateways of its zone: observed engine state
+};
+
+struct PeerMessage {
+  MessageKind kind = MessageKind::kRaft;
+  /// Encoded nanopb message; each module encodes and decodes its own kinds.
+  std::string payload;
+};
+
+/// Sends messages to other nodes by name. Delivery is unreliable and may reorder across
+/// reconnections: decision code repeats what matters.
+class PeerTransport {
+ public:
+  virtual ~PeerTransport() = default;
+  /// Queues `message`; drops it when `to` is unknown or its queue is full.
+  virtual void Send(const NodeId& to, PeerMessage message) = 0;
+  /// Tells where `node` listens ("ip:port"). Nodes that dialled us are known without it.
+  virtual void SetAddress(const NodeId& node, const std::string& address) = 0;
+};
+
+/// Receives messages of other nodes, on the node's serial executor.
+class PeerReceiver {
+ public:
+  virtual ~PeerReceiver() = default;
+  virtual void Receive(const NodeId& from, const PeerMessage& message) = 0;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/common/time.h
@@ -0,0 +1,33 @@
+/// Time as decision code sees it: a node's own monotonic clock, and wall time for retention only.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace millstair {
+
+using Duration = std::chrono::microseconds;
+
+/// Clock of one node. Time points of two nodes are never compared.
+struct NodeClock {
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<NodeClock, Duration>;
+  static constexpr bool is_steady = true;
+};
+
+using TimePoint = NodeClock::time_point;
+
+/// Milliseconds since the Unix epoch. May jump; used for retention of hours, never for safety.
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
+constexpr double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+constexpr Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/gateway/gateway_node.h
@@ -0,0 +1,51 @@
+/// The gateway role of a node: live traffic, the trainers' front, rollout work, engine observation.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster/configuration_client.h"
+#include "cluster/control_client.h"
+#include "common/environment.h"
+#include "common/peer_transport.h"
+#include "engine/engine_types.h"
+#include "http/exchange.h"
+#include "routing/router.h"
+
+namespace millstair {
+
+struct GatewayTiming {
+  Duration report_poll = std::chrono::milliseconds(250);
+  Duration work_poll = std::chrono::milliseconds(200);
+  /// Live requests that still run this long after a drain began are cut.
+  Duration drain_limit = std::chrono::seconds(120);
+};
+
+struct GatewayNodeOptions {
+  NodeRecord self;
+  std::vector<ControlEndpoint> control_nodes;
+  ConfigurationTiming configuration_timing;
+  GatewayTiming timing;
+  RoutingPolicy routing_policy = RoutingPolicy::kEstimate;
+  /// Turns off tail handling (early issue of long samples, moves, re-issue); for the bench.
+  bool tail_handling = true;
+};
+
+/// Lives on the node's serial executor.
+class GatewayNode : public PeerReceiver, public RequestHandler {
+ public:
+  virtual void Start() = 0;
+  /// False while draining, without a configuration, or without a lease.
+  virtual bool Ready() const = 0;
+  /// Takes no new work, finishes or hands over what runs, then calls `done`.
+  virtual void Drain(std::function<void()> done) = 0;
+  virtual const Configuration& configuration() const = 0;
+};
+
+std::unique_ptr<GatewayNode> MakeGatewayNode(Environment& environment, PeerTransport& transport,
+                                             EngineClient& engines, HttpCaller& http,
+                                             GatewayNodeOptions options);
+
+}  // namespace millstair
--- /dev/null
+++ b/test/common/findings_test.cc
@@ -0,0 +1,19 @@
+#include "common/findings.h"
+
+#include <catch2/catch.hpp>
+
+namespace millstair {
+namespace {
+
+TEST_CASE("findings are reported together with their places") {
+  Findings findings;
+  REQUIRE(findings.ToStatus().ok());
+  findings.Add(Place{"a.yaml", 3, 7}, "unknown key 'zon'");
+  findings.Add(Place{"a.yaml", 9, 0}, "duplicate name");
+  const absl::Status status = findings.ToStatus();
+  REQUIRE(absl::IsInvalidArgument(status));
+  REQUIRE(status.message() == "a.yaml:3:7: unknown key 'zon'\na.yaml:9: duplicate name\n");
+}
+
+}  // namespace
+}  // namespace millstair
--- /dev/null
+++ b/test/wire/nanopb_message_test.cc
@@ -0,0 +1,33 @@
+#include "wire/nanopb_message.h"
+
+#include <catch2/catch.hpp>
+
+#include "api/generated/hello.pb.h"
+
+namespace millstair {
+namespace {
+
+TEST_CASE("a message survives encoding and decoding") {
+  WireArena arena;
+  millstair_Hello hello = millstair_Hello_init_zero;
+  hello.protocol_version = 7;
+  hello.node = arena.NewString("dar-msasani-1");
+  const std::string bytes = EncodeNanopb(millstair_Hello_fields, &hello);
+  auto decoded = DecodedMessage<millstair_Hello>::Decode(millstair_Hello_fields, bytes);
+  REQUIRE(decoded.ok());
+  REQUIRE((*decoded)->protocol_version == 7);
+  REQUIRE(ToString((*decoded)->node) == "dar-msasani-1");
+  REQUIRE(ToString((*decoded)->cluster_id).empty());
+}
+
+TEST_CASE("a truncated message is refused") {
+  WireArena arena;
+  millstair_Hello hello = millstair_Hello_init_zero;
+  hello.node = arena.NewString("dar-msasani-1");
+  const std::string bytes = EncodeNanopb(millstair_Hello_fields, &hello);
+  const std::string cut = bytes.substr(0, bytes.size() - 3);
+  REQUIRE_FALSE(DecodedMessage<millstair_Hello>::Decode(millstair_Hello_fields, cut).ok());
+}
+
+}  // namespace
+}  // namespace millstair
