Add virtual time: one event queue, an Environment per node

Cause: decision code is tested and simulated without real clocks, and every module needs the same stand-in for them.

--- /dev/null
+++ b/test/common/virtual_environment_test.cc
@@ -0,0 +1,77 @@
+#include "common/virtual_environment.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("events run by time, then in the order of scheduling") {
+  VirtualScheduler scheduler(1);
+  std::vector<int> order;
+  scheduler.Schedule(milliseconds(2), [&] { order.push_back(3); });
+  scheduler.Schedule(milliseconds(1), [&] { order.push_back(1); });
+  scheduler.Schedule(milliseconds(1), [&] { order.push_back(2); });
+  const TimerId cancelled = scheduler.Schedule(milliseconds(1), [&] { order.push_back(9); });
+  scheduler.Cancel(cancelled);
+  REQUIRE(scheduler.Run(100) == 3);
+  REQUIRE(order == std::vector<int>{1, 2, 3});
+  REQUIRE(scheduler.Now() == milliseconds(2));
+}
+
+TEST_CASE("RunUntil stops at the time and RunUntilTrue at the condition") {
+  VirtualScheduler scheduler(1);
+  int count = 0;
+  std::function<void()> tick = [&] {
+    ++count;
+    scheduler.Schedule(milliseconds(10), tick);
+  };
+  scheduler.Schedule(milliseconds(10), tick);
+  scheduler.RunUntil(milliseconds(95));
+  REQUIRE(count == 9);
+  REQUIRE(scheduler.Now() == milliseconds(95));
+  REQUIRE(scheduler.RunUntilTrue([&] { return count == 12; }, seconds(1)));
+  REQUIRE(scheduler.Now() == milliseconds(120));
+  REQUIRE_FALSE(scheduler.RunUntilTrue([&] { return count == 1000; }, seconds(1)));
+}
+
+TEST_CASE("a fast clock runs its timers early in true time") {
+  VirtualScheduler scheduler(1);
+  VirtualEnvironment fast(scheduler, 1, {.rate = 2.0});
+  const TimePoint start = fast.Now();
+  Duration fired{0};
+  fast.Schedule(seconds(2), [&] { fired = scheduler.Now(); });
+  scheduler.RunUntil(seconds(3));
+  REQUIRE(fired == seconds(1));
+  REQUIRE(fast.Now() - start == seconds(6));
+  fast.SetRate(1.0);
+  scheduler.RunUntil(seconds(4));
+  REQUIRE(fast.Now() - start == seconds(7));
+}
+
+TEST_CASE("a killed node runs no callback and frees what its callbacks held") {
+  VirtualScheduler scheduler(1);
+  VirtualEnvironment node(scheduler, 1);
+  auto held = std::make_shared<int>(0);
+  node.Schedule(seconds(1), [held] { ++*held; });
+  REQUIRE(held.use_count() == 2);
+  node.Kill();
+  REQUIRE(held.use_count() == 1);
+  node.Schedule(seconds(1), [held] { ++*held; });
+  scheduler.RunUntil(seconds(5));
+  REQUIRE(*held == 0);
+}
+
+TEST_CASE("the same seed gives a node the same randomness") {
+  VirtualScheduler scheduler(1);
+  VirtualEnvironment first(scheduler, 42);
+  VirtualEnvironment second(scheduler, 42);
+  REQUIRE(first.Random()() == second.Random()());
+}
+
+}  // namespace
+}  // namespace millstair
