--- a/source/engine/engine_types.h
+++ b/source/engine/engine_types.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -127,11 +128,14 @@
   BlockHash block = 0;
 };
 
+/// Answer to a reading of cache events.
 struct CacheEvents {
   Incarnation incarnation;
   std::vector<CacheEvent> events;
   /// Events before the first one here are lost; a resync (all blocks held) follows if asked for.
   bool gap = false;
+  /// Read on from here: the number up to which `events` reach.
+  uint64_t newest = 0;
 };
 
 /// Talks to model engines.
