--- /dev/null
+++ b/simulator/checks/linearizability.cc
@@ -0,0 +1,269 @@
+#include "simulator/checks/linearizability.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "fmt/format.h"
+
+namespace millstair::checks {
+namespace {
+
+constexpr uint64_t kAbsent = 0;
+/// Version of a stored value that no answer ever named.
+constexpr uint64_t kUnnamed = std::numeric_limits<uint64_t>::max();
+constexpr RunTime kNever = RunTime::max();
+
+/// What is stored under one name.
+struct Register {
+  uint64_t version = kAbsent;
+  /// Index of the operation that wrote it; -1 if nothing is stored.
+  int writer = -1;
+  /// Largest version that was ever stored; versions only grow.
+  uint64_t largest = 0;
+  auto operator<=>(const Register&) const = default;
+};
+
+enum class Verdict { kLinearizable, kBroken, kUndecided };
+
+/// Search over one resource's operations.
+class Search {
+ public:
+  Search(std::vector<ResourceOperation> operations, std::map<std::string, uint64_t> versions,
+         uint64_t max_states)
+      : operations_(std::move(operations)),
+        versions_(std::move(versions)),
+        max_states_(max_states),
+        done_(operations_.size(), false) {
+    for (const auto& [value, version] : versions_) named_.insert(version);
+    for (size_t i = 0; i < operations_.size(); ++i) {
+      if (operations_[i].action == ResourceAction::kPut) {
+        writer_of_[operations_[i].value] = static_cast<int>(i);
+      }
+    }
+  }
+
+  Verdict Run() {
+    std::vector<Step> path;
+    Register state;
+    size_t next = 0;
+    while (true) {
+      if (AllReturnedAreDone()) return Verdict::kLinearizable;
+      if (visited_.size() > max_states_) return Verdict::kUndecided;
+      if (TakeNext(path, state, next)) continue;
+      if (path.empty()) return Verdict::kBroken;
+      const Step& last = path.back();
+      done_[last.operation] = false;
+      state = last.before;
+      next = last.operation + 1;
+      path.pop_back();
+    }
+  }
+
+  /// Furthest point the search came to, for the report.
+  const ResourceOperation& stuck() const { return operations_[stuck_]; }
+
+ private:
+  struct Step {
+    size_t operation;
+    Register before;
+  };
+
+  bool AllReturnedAreDone() {
+    for (size_t i = 0; i < operations_.size(); ++i) {
+      if (done_[i] || !operations_[i].returned) continue;
+      stuck_ = std::max(stuck_, i);
+      return false;
+    }
+    return true;
+  }
+
+  /// Extends the path by the first candidate at or after `next` that leads to a new state.
+  bool TakeNext(std::vector<Step>& path, Register& state, size_t& next) {
+    const RunTime limit = FirstReturn();
+    for (size_t i = next; i < operations_.size(); ++i) {
+      if (operations_[i].invoked > limit) break;
+      if (done_[i]) continue;
+      Register after = state;
+      if (!Effect(i, after)) continue;
+      done_[i] = true;
+      if (visited_.emplace(done_, after).second) {
+        path.push_back({i, state});
+        state = after;
+        next = 0;
+        return true;
+      }
+      done_[i] = false;
+    }
+    return false;
+  }
+
+  /// An operation can only come next if it was sent before the first pending answer.
+  RunTime FirstReturn() const {
+    RunTime first = kNever;
+    for (size_t i = 0; i < operations_.size(); ++i) {
+      if (operations_[i].invoked > first) break;
+      if (!done_[i] && operations_[i].returned) first = std::min(first, *operations_[i].returned);
+    }
+    return first;
+  }
+
+  uint64_t VersionOf(const std::string& value) const {
+    const auto found = versions_.find(value);
+    return found == versions_.end() ? kUnnamed : found->second;
+  }
+
+  /// Applies operation `index` to `state`; false if its answer disagrees.
+  bool Effect(size_t index, Register& state) const {
+    const ResourceOperation& operation = operations_[index];
+    switch (operation.action) {
+      case ResourceAction::kRead:
+        return ReadAgrees(operation, state);
+      case ResourceAction::kPut:
+        return PutAgrees(index, state);
+      case ResourceAction::kDelete:
+        return DeleteAgrees(operation, state);
+    }
+    return false;
+  }
+
+  bool ReadAgrees(const ResourceOperation& operation, const Register& state) const {
+    if (operation.end == ResourceEnd::kMissing) return state.writer < 0;
+    const auto writer = writer_of_.find(operation.value);
+    return writer != writer_of_.end() && state.writer == writer->second;
+  }
+
+  /// Whether `state` may hold `version`: a stored value whose version no answer named can have any
+  /// version that belongs to no other value.
+  bool MayBe(uint64_t version, const Register& state) const {
+    if (state.version != kUnnamed) return state.version == version;
+    return version != kAbsent && !named_.contains(version);
+  }
+
+  bool ExpectationHolds(const ResourceOperation& operation, const Register& state) const {
+    return !operation.expected || MayBe(operation.expected->value(), state);
+  }
+
+  bool ConflictAgrees(const ResourceOperation& operation, const Register& state) const {
+    if (operation.expected && operation.expected->value() == state.version) return false;
+    return operation.version.value() == 0 || MayBe(operation.version.value(), state);
+  }
+
+  bool PutAgrees(size_t index, Register& state) const {
+    const ResourceOperation& operation = operations_[index];
+    if (operation.end == ResourceEnd::kConflict) return ConflictAgrees(operation, state);
+    if (operation.end == ResourceEnd::kMissing) return state.writer < 0;
+    if (!ExpectationHolds(operation, state)) return false;
+    state.version = VersionOf(operation.value);
+    state.writer = static_cast<int>(index);
+    if (state.version == kUnnamed) return true;
+    if (state.version <= state.largest) return false;
+    state.largest = state.version;
+    return true;
+  }
+
+  bool DeleteAgrees(const ResourceOperation& operation, Register& state) const {
+    if (operation.end == ResourceEnd::kConflict) return ConflictAgrees(operation, state);
+    if (operation.end == ResourceEnd::kMissing) return state.writer < 0;
+    if (state.writer < 0 || !ExpectationHolds(operation, state)) return false;
+    state.version = kAbsent;
+    state.writer = -1;
+    return true;
+  }
+
+  std::vector<ResourceOperation> operations_;
+  std::map<std::string, uint64_t> versions_;
+  std::map<std::string, int> writer_of_;
+  std::set<uint64_t> named_;
+  uint64_t max_states_;
+  std::vector<bool> done_;
+  std::set<std::pair<std::vector<bool>, Register>> visited_;
+  size_t stuck_ = 0;
+};
+
+std::string Describe(const ResourceOperation& operation) {
+  constexpr std::string_view kActions[] = {"put", "delete", "read"};
+  constexpr std::string_view kEnds[] = {"done", "conflict", "missing", "refused", "unanswered"};
+  return fmt::format("{} {} of {} '{}' at {} ms: {} version {}", operation.client.value(),
+                     kActions[static_cast<size_t>(operation.action)], operation.resource,
+                     operation.value, operation.invoked.count() / 1000,
+                     kEnds[static_cast<size_t>(operation.end)], operation.version.value());
+}
+
+/// The value whose version the answer names; empty if it names none.
+const std::string& NamedValue(const ResourceOperation& operation) {
+  static const std::string kNone;
+  if (operation.end == ResourceEnd::kConflict) return operation.found_value;
+  const bool names = operation.end == ResourceEnd::kDone;
+  return names && operation.action != ResourceAction::kDelete ? operation.value : kNone;
+}
+
+/// Version of each value, as answers named it. Breaks the result where they disagree.
+std::map<std::string, uint64_t> NamedVersions(const std::vector<ResourceOperation>& operations,
+                                              CheckResult& result) {
+  std::map<std::string, uint64_t> versions;
+  for (const ResourceOperation& operation : operations) {
+    const std::string& value = NamedValue(operation);
+    if (value.empty() || operation.version.value() == 0) continue;
+    const auto [named, added] = versions.emplace(value, operation.version.value());
+    if (!added && named->second != operation.version.value()) {
+      result.Break(fmt::format("'{}' was stored twice, as versions {} and {}: {}", value,
+                               named->second, operation.version.value(), Describe(operation)));
+    }
+  }
+  return versions;
+}
+
+void CheckRefusals(const std::vector<ResourceOperation>& operations,
+                   const std::map<std::string, uint64_t>& versions, CheckResult& result) {
+  for (const ResourceOperation& operation : operations) {
+    const bool refused =
+        operation.end == ResourceEnd::kRefused || operation.end == ResourceEnd::kConflict;
+    if (operation.action != ResourceAction::kPut || !refused) continue;
+    if (versions.contains(operation.value)) {
+      result.Break("told as not done, yet it was stored: " + Describe(operation));
+    }
+  }
+}
+
+void CheckResource(std::vector<ResourceOperation> operations, const LinearizabilityLimits& limits,
+                   CheckResult& result) {
+  ++result.tried;
+  const uint64_t broken_before = result.broken;
+  const std::map<std::string, uint64_t> versions = NamedVersions(operations, result);
+  CheckRefusals(operations, versions, result);
+  if (result.broken != broken_before) return;
+  std::erase_if(operations, [](const ResourceOperation& operation) {
+    const bool silent_read = operation.action == ResourceAction::kRead && !operation.returned;
+    return operation.end == ResourceEnd::kRefused || silent_read;
+  });
+  if (operations.empty()) return;
+  std::stable_sort(operations.begin(), operations.end(),
+                   [](const auto& a, const auto& b) { return a.invoked < b.invoked; });
+  Search search(std::move(operations), versions, limits.max_states);
+  const Verdict verdict = search.Run();
+  if (verdict == Verdict::kUndecided) ++result.undecided;
+  if (verdict == Verdict::kBroken) {
+    result.Break("no order agrees with all answers; stuck at " + Describe(search.stuck()));
+  }
+}
+
+}  // namespace
+
+CheckResult CheckLinearizability(const std::vector<ResourceOperation>& operations,
+                                 const LinearizabilityLimits& limits) {
+  CheckResult result{.name = "linearizable-resources"};
+  std::map<std::string, std::vector<ResourceOperation>> by_resource;
+  for (const ResourceOperation& operation : operations) {
+    by_resource[operation.resource].push_back(operation);
+  }
+  for (auto& [resource, of_resource] : by_resource) {
+    CheckResource(std::move(of_resource), limits, result);
+  }
+  return result;
+}
+
+}  // namespace millstair::checks
