--- a/source/http/exchange.h
+++ b/source/http/exchange.h
@@ -105,6 +105,10 @@
 class CallHandle {
  public:
   virtual ~CallHandle() = default;
+  /// Back-pressure: after a pause the caller stops reading from the back end, so that at most what
+  /// was read already still reaches the observer. No effect where answers are small.
+  virtual void PauseReading() {}
+  virtual void ResumeReading() {}
 };
 
 /// Calls plain HTTP back ends and platform services (weight store, scorer, machine list).
--- /dev/null
+++ b/source/limits/admission.cc
@@ -0,0 +1,136 @@
+#include "limits/admission.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace millstair {
+namespace {
+
+/// Weight of a new service time in the smoothed one.
+constexpr double kServiceSmoothing = 0.1;
+/// Told to callers when nothing is known about service times yet.
+constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
+
+}  // namespace
+
+Admission::~Admission() {
+  const auto controller = controller_.lock();
+  if (controller != nullptr) (*controller)->Withdraw(*this);
+}
+
+AdmissionController::AdmissionController(Environment& environment, AdmissionLimits limits)
+    : environment_(environment),
+      limits_(limits),
+      admit_timer_(environment),
+      expiry_timer_(environment),
+      self_(std::make_shared<AdmissionController*>(this)) {}
+
+AdmissionResult AdmissionController::Admit(
+    RequestPriority priority, TimePoint deadline,
+    std::function<void(std::optional<AdmissionRefused>)> later) {
+  std::unique_ptr<Admission> admission(new Admission(self_));
+  admission->deadline_ = deadline;
+  const TimePoint now = environment_.Now();
+  if (queue_.empty() && running_ < limits_.max_concurrent) {
+    ++running_;
+    admission->admitted_ = true;
+    admission->admitted_at_ = now;
+    return {std::move(admission), std::nullopt};
+  }
+  if (queue_.size() >= limits_.max_queued) return {nullptr, Refused(AdmissionRefusal::kQueueFull)};
+  admission->rank_ = {-static_cast<int>(priority), next_arrival_++};
+  const auto ahead = std::distance(queue_.begin(), queue_.lower_bound(admission->rank_));
+  if (now + ExpectedWaitBehind(static_cast<size_t>(ahead)) >= deadline) {
+    return {nullptr, Refused(AdmissionRefusal::kCannotMakeDeadline)};
+  }
+  admission->callback_ = std::move(later);
+  admission->queued_ = true;
+  queue_.emplace(admission->rank_, admission.get());
+  ArmExpiry(deadline);
+  return {std::move(admission), std::nullopt};
+}
+
+void AdmissionController::SetLimits(AdmissionLimits limits) {
+  limits_ = limits;
+  ScheduleAdmitting();
+}
+
+Duration AdmissionController::ExpectedWaitBehind(size_t queued) const {
+  if (running_ < limits_.max_concurrent) return Duration(0);
+  const double rounds =
+      static_cast<double>(queued + 1) / std::max<uint32_t>(1, limits_.max_concurrent);
+  return FromSeconds(rounds * service_seconds_);
+}
+
+AdmissionRefused AdmissionController::Refused(AdmissionRefusal reason) const {
+  const Duration wait = ExpectedWait();
+  return {reason, wait > Duration(0) ? wait : kDefaultRetryAfter};
+}
+
+void AdmissionController::Withdraw(Admission& admission) {
+  if (admission.queued_) {
+    queue_.erase(admission.rank_);
+    return;
+  }
+  if (!admission.admitted_) return;
+  --running_;
+  NoteServiceTime(environment_.Now() - admission.admitted_at_);
+  ScheduleAdmitting();
+}
+
+void AdmissionController::NoteServiceTime(Duration time) {
+  const double seconds = ToSeconds(time);
+  if (service_seconds_ == 0) {
+    service_seconds_ = seconds;
+    return;
+  }
+  service_seconds_ += kServiceSmoothing * (seconds - service_seconds_);
+}
+
+void AdmissionController::ScheduleAdmitting() {
+  if (queue_.empty() || admit_timer_.armed()) return;
+  admit_timer_.Arm(Duration(0), [this] { AdmitQueued(); });
+}
+
+void AdmissionController::AdmitQueued() {
+  // A callback may drop other places, or the controller itself.
+  const std::weak_ptr<AdmissionController*> alive = self_;
+  while (!alive.expired() && !queue_.empty() && running_ < limits_.max_concurrent) {
+    Admission& next = *queue_.begin()->second;
+    queue_.erase(queue_.begin());
+    next.queued_ = false;
+    next.admitted_ = true;
+    next.admitted_at_ = environment_.Now();
+    ++running_;
+    const Admission::Callback callback = std::move(next.callback_);
+    callback(std::nullopt);
+  }
+}
+
+void AdmissionController::ArmExpiry(TimePoint deadline) {
+  if (expiry_timer_.armed() && expiry_at_ <= deadline) return;
+  expiry_at_ = deadline;
+  const Duration wait = std::max(Duration(0), deadline - environment_.Now());
+  expiry_timer_.Arm(wait, [this] { ExpireQueued(); });
+}
+
+void AdmissionController::ExpireQueued() {
+  const std::weak_ptr<AdmissionController*> alive = self_;
+  const TimePoint now = environment_.Now();
+  while (!alive.expired()) {
+    const auto overdue = std::find_if(queue_.begin(), queue_.end(), [now](const auto& entry) {
+      return entry.second->deadline_ <= now;
+    });
+    if (overdue == queue_.end()) break;
+    Admission& admission = *overdue->second;
+    queue_.erase(overdue);
+    admission.queued_ = false;
+    const Admission::Callback callback = std::move(admission.callback_);
+    callback(Refused(AdmissionRefusal::kDeadlinePassed));
+  }
+  if (alive.expired()) return;
+  for (const auto& [rank, admission] : queue_) ArmExpiry(admission->deadline_);
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/limits/concurrency_limit.cc
@@ -0,0 +1,59 @@
+#include "limits/concurrency_limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace millstair {
+namespace {
+
+/// Weight of a new latency in the recent one.
+constexpr double kRecentSmoothing = 0.2;
+/// By how much of the distance a larger latency lifts the unloaded one, so that it is unlearned
+/// slowly when the back end has truly become slower.
+constexpr double kUnloadedDrift = 0.002;
+/// Weight of a new limit.
+constexpr double kLimitSmoothing = 0.2;
+/// Largest cut by one measured latency.
+constexpr double kSmallestGradient = 0.5;
+constexpr double kFailureCut = 0.9;
+
+}  // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(ConcurrencyLimitOptions options)
+    : options_(options), limit_(options.initial) {}
+
+void ConcurrencyLimit::NoteLatency(Duration latency, uint32_t outstanding) {
+  const double seconds = std::max(1e-6, ToSeconds(latency));
+  LearnUnloaded(seconds);
+  recent_seconds_ = recent_seconds_ == 0
+                        ? seconds
+                        : recent_seconds_ + kRecentSmoothing * (seconds - recent_seconds_);
+  const double gradient =
+      std::clamp(options_.tolerance * unloaded_seconds_ / recent_seconds_, kSmallestGradient, 1.0);
+  // Without use of the limit its growth would be unfounded.
+  const bool in_use = outstanding * 2 >= limit_;
+  if (gradient >= 1.0 && !in_use) return;
+  const double wanted = limit_ * gradient + std::sqrt(limit_);
+  limit_ += kLimitSmoothing * (wanted - limit_);
+  limit_ = std::clamp(limit_, options_.smallest, options_.largest);
+}
+
+void ConcurrencyLimit::NoteFailure() {
+  limit_ = std::max(options_.smallest, limit_ * kFailureCut);
+}
+
+void ConcurrencyLimit::Reset() {
+  limit_ = std::min(limit_, options_.initial);
+  unloaded_seconds_ = 0;
+  recent_seconds_ = 0;
+}
+
+void ConcurrencyLimit::LearnUnloaded(double seconds) {
+  if (unloaded_seconds_ == 0 || seconds < unloaded_seconds_) {
+    unloaded_seconds_ = seconds;
+    return;
+  }
+  unloaded_seconds_ += kUnloadedDrift * (seconds - unloaded_seconds_);
+}
+
+}  // namespace millstair
