Measure the unloaded latency anew in windows that begin with half the limit

Cause: under a standing queue the least latency was never seen, so with a drift the limit crept up: 59 for a back end that carries 4 (test 'settles near what the back end can carry'). Change: windowed least latency, probe by halving the limit, start from 4. Result: the limit stays within capacity and 3 x capacity + 4 at capacities 4 and 40.

--- a/source/limits/concurrency_limit.cc
+++ b/source/limits/concurrency_limit.cc
@@ -8,9 +8,9 @@
 
 /// Weight of a new latency in the recent one.
 constexpr double kRecentSmoothing = 0.2;
-/// By how much of the distance a larger latency lifts the unloaded one, so that it is unlearned
-/// slowly when the back end has truly become slower.
-constexpr double kUnloadedDrift = 0.002;
+/// Samples after which the unloaded latency is measured anew.
+constexpr uint32_t kWindowSamples = 200;
+constexpr double kProbeShare = 0.5;
 /// Weight of a new limit.
 constexpr double kLimitSmoothing = 0.2;
 /// Largest cut by one measured latency.
@@ -46,14 +46,19 @@
   limit_ = std::min(limit_, options_.initial);
   unloaded_seconds_ = 0;
   recent_seconds_ = 0;
+  window_samples_ = 0;
 }
 
 void ConcurrencyLimit::LearnUnloaded(double seconds) {
-  if (unloaded_seconds_ == 0 || seconds < unloaded_seconds_) {
-    unloaded_seconds_ = seconds;
-    return;
-  }
-  unloaded_seconds_ += kUnloadedDrift * (seconds - unloaded_seconds_);
+  const bool first = window_samples_ == 0;
+  window_least_seconds_ = first ? seconds : std::min(window_least_seconds_, seconds);
+  ++window_samples_;
+  const bool lower = unloaded_seconds_ == 0 || seconds < unloaded_seconds_;
+  if (lower) unloaded_seconds_ = seconds;
+  if (window_samples_ < kWindowSamples) return;
+  unloaded_seconds_ = window_least_seconds_;
+  window_samples_ = 0;
+  limit_ = std::max(options_.smallest, limit_ * kProbeShare);
 }
 
 }  // namespace millstair
--- a/source/limits/concurrency_limit.h
+++ b/source/limits/concurrency_limit.h
@@ -8,7 +8,7 @@
 namespace millstair {
 
 struct ConcurrencyLimitOptions {
-  double initial = 16;
+  double initial = 4;
   double smallest = 1;
   double largest = 512;
   /// Latency may rise to this multiple of the unloaded latency before the limit shrinks.
@@ -16,7 +16,9 @@
 };
 
 /// Gradient control: the limit is scaled by unloaded latency over recent latency, plus room for a
-/// short queue. A failure cuts it by a fixed share.
+/// short queue. A failure cuts it by a fixed share. The unloaded latency is the least of the last
+/// windows of samples; each window begins with half the limit, since under a standing queue the
+/// unloaded latency would never be seen.
 class ConcurrencyLimit {
  public:
   explicit ConcurrencyLimit(ConcurrencyLimitOptions options = {});
@@ -39,6 +41,9 @@
   double limit_;
   double unloaded_seconds_ = 0;
   double recent_seconds_ = 0;
+  /// Least latency of the window under way, and its samples so far.
+  double window_least_seconds_ = 0;
+  uint32_t window_samples_ = 0;
 };
 
 }  // namespace millstair
