--- a/source/common/alive_flag.h
+++ b/source/common/alive_flag.h
@@ -15,8 +15,8 @@
 
   template <class Callback>
   auto Guard(Callback callback) const {
-    return [alive = std::weak_ptr<char>(flag_), callback = std::move(callback)](
-               auto&&... arguments) mutable {
+    return [alive = std::weak_ptr<char>(flag_),
+            callback = std::move(callback)](auto&&... arguments) mutable {
       if (alive.expired()) return;
       callback(std::forward<decltype(arguments)>(arguments)...);
     };
--- a/source/http/problem.cc
+++ b/source/http/problem.cc
@@ -31,17 +31,17 @@
 }  // namespace
 
 std::string ProblemJson(const Problem& problem) {
-  return fmt::format(R"({{"type":"about:blank","title":{},"status":{},"detail":{},"outcome":"{}"}})",
-                     JsonString(problem.title), problem.status, JsonString(problem.detail),
-                     OutcomeName(problem.outcome));
+  return fmt::format(
+      R"({{"type":"about:blank","title":{},"status":{},"detail":{},"outcome":"{}"}})",
+      JsonString(problem.title), problem.status, JsonString(problem.detail),
+      OutcomeName(problem.outcome));
 }
 
 HttpResponseHead ProblemHead(const Problem& problem) {
   HttpResponseHead head;
   head.status = problem.status;
   head.headers.push_back({"Content-Type", "application/problem+json"});
-  head.headers.push_back(
-      {std::string(kOutcomeHeader), std::string(OutcomeName(problem.outcome))});
+  head.headers.push_back({std::string(kOutcomeHeader), std::string(OutcomeName(problem.outcome))});
   if (problem.retry_after.has_value()) {
     head.headers.push_back({"Retry-After", RetryAfterSeconds(*problem.retry_after)});
   }
--- a/source/limits/concurrency_limit.cc
+++ b/source/limits/concurrency_limit.cc
@@ -38,9 +38,7 @@
   limit_ = std::clamp(limit_, options_.smallest, options_.largest);
 }
 
-void ConcurrencyLimit::NoteFailure() {
-  limit_ = std::max(options_.smallest, limit_ * kFailureCut);
-}
+void ConcurrencyLimit::NoteFailure() { limit_ = std::max(options_.smallest, limit_ * kFailureCut); }
 
 void ConcurrencyLimit::Reset() {
   limit_ = std::min(limit_, options_.initial);
--- a/source/retry/retry_policy.cc
+++ b/source/retry/retry_policy.cc
@@ -19,7 +19,8 @@
   Duration bound = timing.first_backoff;
   for (int i = 1; i < tries && bound < timing.largest_backoff; ++i) bound *= 2;
   bound = std::min(bound, timing.largest_backoff);
-  return Duration(static_cast<Duration::rep>(DrawBelow(random, static_cast<uint64_t>(bound.count()) + 1)));
+  return Duration(
+      static_cast<Duration::rep>(DrawBelow(random, static_cast<uint64_t>(bound.count()) + 1)));
 }
 
 RetryDecision RetryPolicy::Decide(const FailedTry& failed) {
--- a/test/http/problem_test.cc
+++ b/test/http/problem_test.cc
@@ -13,9 +13,8 @@
   CHECK(FindHeader(head.headers, "millstair-outcome") == "not-run");
   CHECK(FindHeader(head.headers, "retry-after") == "2");
   CHECK(FindHeader(head.headers, "content-type") == "application/problem+json");
-  CHECK(ProblemJson(problem) ==
-        R"({"type":"about:blank","title":"Queue full","status":503,)"
-        R"("detail":"group \"gallery\"\u000a","outcome":"not-run"})");
+  CHECK(ProblemJson(problem) == R"({"type":"about:blank","title":"Queue full","status":503,)"
+                                R"("detail":"group \"gallery\"\u000a","outcome":"not-run"})");
 }
 
 }  // namespace
--- a/test/limits/admission_test.cc
+++ b/test/limits/admission_test.cc
@@ -43,8 +43,7 @@
   f.Run(milliseconds(1));
   first.admission.reset();
   f.Run(milliseconds(1));
-  CHECK(f.log ==
-        std::vector<std::string>{"urgent admitted", "first admitted", "second admitted"});
+  CHECK(f.log == std::vector<std::string>{"urgent admitted", "first admitted", "second admitted"});
 }
 
 TEST_CASE("a place that is given up leaves the queue") {
@@ -107,8 +106,7 @@
     ++admitted;
     neighbour.admission.reset();
   });
-  neighbour =
-      controller->Admit(RequestPriority::kLive, deadline, [&](const auto&) { ++admitted; });
+  neighbour = controller->Admit(RequestPriority::kLive, deadline, [&](const auto&) { ++admitted; });
   one.admission.reset();
   two.admission.reset();
   scheduler.RunFor(milliseconds(1));
