--- /dev/null
+++ b/simulator/network/connection.h
@@ -0,0 +1,69 @@
+/// A TCP-like connection of the simulated network: ordered and reliable in both directions until
+/// one end closes it, its process dies, or nothing gets through for long.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include "simulator/network/network.h"
+
+namespace millstair::simulator {
+
+/// Without progress for this long the operating system gives a connection up.
+inline constexpr Duration kConnectionTimeout = std::chrono::seconds(10);
+
+/// Events are closures that run at the other end. Held by shared_ptr; both ends and events under
+/// way own it together.
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  using Event = std::function<void()>;
+
+  Connection(Network& network, HostId client, HostId server);
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  HostId client() const { return to_server_.from; }
+  HostId server() const { return to_server_.to; }
+  bool client_open() const { return to_client_.receiver_open; }
+  bool server_open() const { return to_server_.receiver_open; }
+
+  /// Runs `event` at the server, behind all that was sent before; never if that end is closed.
+  void SendToServer(Event event) { Send(to_server_, std::move(event)); }
+  void SendToClient(Event event) { Send(to_client_, std::move(event)); }
+
+  /// Called once when the other end closed or broke the connection while this end was open.
+  void OnServerGone(Event callback) { to_client_.on_peer_gone = std::move(callback); }
+  void OnClientGone(Event callback) { to_server_.on_peer_gone = std::move(callback); }
+
+  /// Closes one end (also by the death of its process); the other hears it in order.
+  void CloseClient() { Close(to_client_, to_server_); }
+  void CloseServer() { Close(to_server_, to_client_); }
+
+ private:
+  /// Towards one end, the receiver.
+  struct Direction {
+    HostId from;
+    HostId to;
+    bool receiver_open = true;
+    Duration last_arrival{0};
+    /// Sent while the link was cut.
+    std::deque<Event> blocked;
+    Duration blocked_since{0};
+    Event on_peer_gone;
+  };
+
+  void Send(Direction& direction, Event event);
+  void Launch(Direction& direction, Event event);
+  void Retry(Direction& direction);
+  void Close(Direction& own, Direction& other);
+  void PeerGone(Direction& receiver);
+  /// Gives the connection up at both ends.
+  void Break();
+
+  Network& network_;
+  Direction to_server_;
+  Direction to_client_;
+};
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/network/fabric_call.h
@@ -0,0 +1,85 @@
+/// One HTTP exchange on a simulated connection: the caller's side and the answering side.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "simulator/network/http_fabric.h"
+
+namespace millstair::simulator {
+
+/// The caller's side. Lives as long as the handle; events under way hold it by weak_ptr.
+class FabricCall : public std::enable_shared_from_this<FabricCall> {
+ public:
+  FabricCall(HttpFabric& fabric, HostId from, std::string address, HttpRequest request,
+             HttpCallObserver& observer)
+      : fabric_(fabric),
+        from_(from),
+        address_(std::move(address)),
+        request_(std::move(request)),
+        observer_(&observer) {}
+
+  void Begin();
+  /// The handle was dropped: the observer hears no more.
+  void Cancel();
+
+  void OnHead(const HttpResponseHead& head);
+  void OnBody(std::string bytes);
+  void OnFinished();
+
+ private:
+  void Connected();
+  /// The request reached the other end; `life` is the listener that it was sent to.
+  static void Arrive(HttpFabric& fabric, const std::string& address, uint64_t life,
+                     HttpRequest request, const std::shared_ptr<Connection>& connection,
+                     std::weak_ptr<FabricCall> call);
+  void Broken();
+  void Fail(CallFailure failure, const std::string& reason);
+
+  HttpFabric& fabric_;
+  HostId from_;
+  std::string address_;
+  HttpRequest request_;
+  /// Null once the call has ended.
+  HttpCallObserver* observer_;
+  bool head_seen_ = false;
+  std::shared_ptr<Connection> connection_;
+};
+
+class FabricCallHandle : public CallHandle {
+ public:
+  explicit FabricCallHandle(std::shared_ptr<FabricCall> call) : call_(std::move(call)) {}
+  ~FabricCallHandle() override { call_->Cancel(); }
+
+ private:
+  std::shared_ptr<FabricCall> call_;
+};
+
+/// The answering side, held by the handler.
+class FabricWriter : public ResponseWriter, public std::enable_shared_from_this<FabricWriter> {
+ public:
+  FabricWriter(HttpFabric& fabric, std::shared_ptr<Connection> connection,
+               std::weak_ptr<FabricCall> call);
+  ~FabricWriter() override;
+
+  void SendHead(HttpResponseHead head) override;
+  void SendBody(std::string bytes) override;
+  void Finish() override;
+  void Abort() override;
+  size_t WritableBytes() const override;
+  void OnWritable(std::function<void()> callback) override { on_writable_ = std::move(callback); }
+  void OnCallerGone(std::function<void()> callback) override;
+
+ private:
+  void Drained(size_t bytes);
+  void End();
+
+  HttpFabric& fabric_;
+  std::shared_ptr<Connection> connection_;
+  std::weak_ptr<FabricCall> call_;
+  std::function<void()> on_writable_;
+  size_t in_flight_ = 0;
+  bool ended_ = false;
+};
+
+}  // namespace millstair::simulator
