--- a/simulator/faults/fault_plan.h
+++ b/simulator/faults/fault_plan.h
@@ -30,20 +30,20 @@
   kSlowDisk,
   kClockDrift,
   kEngineCrash,
-  kSwapFailure,  ///< weight swaps fail on some shards
-  kCacheEvents,  ///< cache events late and missing
-  kEngineDrain,  ///< an engine says itself that it leaves
+  kSwapFailure,    ///< weight swaps fail on some shards
+  kCacheEvents,    ///< cache events late and missing
+  kEngineDrain,    ///< an engine says itself that it leaves
   kMachineLeaves,  ///< the platform takes a machine out; its list tells so late
   kOperatorDrain,
   kServerCrash,  ///< a plain back end dies
   kCutAnswers,   ///< plain back ends execute and cut the answer
   kStoreOutage,
   kScorerFailure,
-  kOperatorRace,     ///< two operators change one resource from equal versions
-  kLostAnswers,      ///< answers to operators and trainers are lost; they resend
-  kLongRestart,      ///< a node is down while hundreds of changes go by
-  kRollingRestart,   ///< planned restart of every node in turn
-  kTrainerRestart,   ///< a trainer dies in a step and goes on from its cursor
+  kOperatorRace,    ///< two operators change one resource from equal versions
+  kLostAnswers,     ///< answers to operators and trainers are lost; they resend
+  kLongRestart,     ///< a node is down while hundreds of changes go by
+  kRollingRestart,  ///< planned restart of every node in turn
+  kTrainerRestart,  ///< a trainer dies in a step and goes on from its cursor
   kCount,
 };
 
--- a/simulator/network/connection.cc
+++ b/simulator/network/connection.cc
@@ -26,9 +26,8 @@
   }
   if (direction.blocked.empty()) {
     direction.blocked_since = network_.scheduler().Now();
-    network_.scheduler().Schedule(kRetryInterval, [self = shared_from_this(), &direction] {
-      self->Retry(direction);
-    });
+    network_.scheduler().Schedule(
+        kRetryInterval, [self = shared_from_this(), &direction] { self->Retry(direction); });
   }
   direction.blocked.push_back(std::move(event));
 }
--- a/simulator/network/engine_fabric.h
+++ b/simulator/network/engine_fabric.h
@@ -18,8 +18,8 @@
 class EngineFabric {
  public:
   /// Hears of each generation and order that reaches an engine.
-  using ArrivalRecorder = std::function<void(const std::string& address, EngineArrival kind,
-                                             const std::string& what)>;
+  using ArrivalRecorder =
+      std::function<void(const std::string& address, EngineArrival kind, const std::string& what)>;
 
   EngineFabric(HttpFabric& http, ArrivalRecorder recorder)
       : http_(http), recorder_(std::move(recorder)) {}
--- a/simulator/network/fabric_call.cc
+++ b/simulator/network/fabric_call.cc
@@ -36,7 +36,8 @@
   connection_->SendToServer([&fabric = fabric_, address = address_, life,
                              request = std::move(request_),
                              weak = std::weak_ptr<Connection>(connection_), self] {
-    if (const auto connection = weak.lock()) Arrive(fabric, address, life, request, connection, self);
+    if (const auto connection = weak.lock())
+      Arrive(fabric, address, life, request, connection, self);
   });
 }
 
--- a/simulator/network/http_fabric.cc
+++ b/simulator/network/http_fabric.cc
@@ -84,11 +84,11 @@
     });
     return connection;
   }
-  network_.scheduler().Schedule(Duration(0), [this, connection, address, deadline,
-                                              connected = std::move(connected),
-                                              failed = std::move(failed)]() mutable {
-    TryConnect(connection, address, deadline, std::move(connected), std::move(failed));
-  });
+  network_.scheduler().Schedule(
+      Duration(0), [this, connection, address, deadline, connected = std::move(connected),
+                    failed = std::move(failed)]() mutable {
+        TryConnect(connection, address, deadline, std::move(connected), std::move(failed));
+      });
   return connection;
 }
 
@@ -108,11 +108,11 @@
       fail("connect timed out");
       return;
     }
-    scheduler.Schedule(kSynRetry, [this, connection, address, deadline,
-                                   connected = std::move(connected),
-                                   failed = std::move(failed)]() mutable {
-      TryConnect(connection, address, deadline, std::move(connected), std::move(failed));
-    });
+    scheduler.Schedule(
+        kSynRetry, [this, connection, address, deadline, connected = std::move(connected),
+                    failed = std::move(failed)]() mutable {
+          TryConnect(connection, address, deadline, std::move(connected), std::move(failed));
+        });
     return;
   }
   if (!Find(address)->up) {
--- a/test/simulator/fault_plan_test.cc
+++ b/test/simulator/fault_plan_test.cc
@@ -36,7 +36,8 @@
       ++counts[fault.kind];
       CHECK(fault.begin + fault.length <= FaultsHealedBy(kLength));
     }
-    CHECK(std::any_of(counts.begin(), counts.end(), [](const auto& one) { return one.second > 1; }));
+    CHECK(
+        std::any_of(counts.begin(), counts.end(), [](const auto& one) { return one.second > 1; }));
     at_once += plan[0].begin == plan[1].begin ? 1 : 0;
   }
   CHECK(seen.size() == static_cast<size_t>(FaultKind::kCount));
