--- /dev/null
+++ b/emulator/model/kv_cache.h
@@ -0,0 +1,76 @@
+/// KV memory of an engine model: blocks of kPrefixBlockTokens tokens, shared by content, with the
+/// least recently used unreferenced ones given up first.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "engine/engine_types.h"
+
+namespace millstair {
+
+/// Position of a block in the memory.
+using BlockIndex = uint32_t;
+
+class KvCache {
+ public:
+  /// Hears of each prefix block that enters (`stored`) or leaves the cache.
+  using Listener = std::function<void(bool stored, BlockHash hash)>;
+
+  KvCache(uint32_t total_blocks, Listener listener);
+
+  /// A block without content, held once by the caller; evicts if needed. None if all are held.
+  std::optional<BlockIndex> Allocate();
+  /// Whether `count` blocks can be allocated now.
+  bool CanAllocate(uint32_t count) const { return count <= available(); }
+  /// Holds the block with content `hash` once more. None if it is not cached.
+  std::optional<BlockIndex> Share(BlockHash hash);
+  /// Gives a held block its content. If another block has it already, that one is held instead;
+  /// the block to hold from now on is returned.
+  BlockIndex Publish(BlockIndex index, BlockHash hash);
+  /// Gives up one hold. A cached block stays until it is evicted.
+  void Release(BlockIndex index);
+  /// Forgets all contents, as their weights have gone. Held blocks stay held, without content.
+  void ForgetContents();
+
+  bool Contains(BlockHash hash) const { return by_hash_.contains(hash); }
+  /// How many leading ones of `hashes` are cached.
+  uint32_t LeadingHits(const std::vector<BlockHash>& hashes) const;
+  /// All cached hashes, in the order of their blocks.
+  std::vector<BlockHash> Contents() const;
+
+  uint32_t total() const { return static_cast<uint32_t>(blocks_.size()); }
+  /// Blocks that nobody holds: free or evictable.
+  uint32_t available() const { return static_cast<uint32_t>(free_.size()) + evictable_; }
+  uint64_t evicted() const { return evicted_; }
+
+ private:
+  static constexpr BlockIndex kNoBlock = UINT32_MAX;
+
+  struct Block {
+    BlockHash hash = 0;
+    uint32_t holders = 0;
+    bool cached = false;
+    /// Neighbours in the list of unreferenced cached blocks, least recently used first.
+    BlockIndex previous = kNoBlock;
+    BlockIndex next = kNoBlock;
+  };
+
+  void PushRecent(BlockIndex index);
+  void Unlink(BlockIndex index);
+  void EvictOldest();
+
+  Listener listener_;
+  std::vector<Block> blocks_;
+  std::vector<BlockIndex> free_;
+  absl::flat_hash_map<BlockHash, BlockIndex> by_hash_;
+  BlockIndex oldest_ = kNoBlock;
+  BlockIndex newest_ = kNoBlock;
+  uint32_t evictable_ = 0;
+  uint64_t evicted_ = 0;
+};
+
+}  // namespace millstair
