--- a/emulator/model/engine_generate.cc
+++ b/emulator/model/engine_generate.cc
@@ -160,9 +160,8 @@
   chunk.finished = sequence.finished();
   const bool mixed = memory_->weights.mixed();
   if (mixed) counts_.mixed_tokens += count;
-  truth_.Produced(
-      sequence.request_id,
-      {{chunk.version, chunk.digest, incarnation_, chunk.first_token, count}, mixed});
+  truth_.Produced(sequence.request_id,
+                  {{chunk.version, chunk.digest, incarnation_, chunk.first_token, count}, mixed});
   return chunk;
 }
 
--- a/emulator/model/engine_model.cc
+++ b/emulator/model/engine_model.cc
@@ -28,11 +28,11 @@
 }
 
 void EngineModel::Impl::After(Duration delay, std::function<void()> callback) {
-  environment_.Schedule(delay, [weak = weak_from_this(), life = life_,
-                                callback = std::move(callback)] {
-    const std::shared_ptr<Impl> self = weak.lock();
-    if (self != nullptr && self->life_ == life) callback();
-  });
+  environment_.Schedule(delay,
+                        [weak = weak_from_this(), life = life_, callback = std::move(callback)] {
+                          const std::shared_ptr<Impl> self = weak.lock();
+                          if (self != nullptr && self->life_ == life) callback();
+                        });
 }
 
 LoadFigures EngineModel::Impl::Figures() const {
@@ -67,8 +67,7 @@
   return history_.At(environment_.Now());
 }
 
-absl::StatusOr<CacheEvents> EngineModel::Impl::CacheEventsAfter(uint64_t after,
-                                                                bool resync) const {
+absl::StatusOr<CacheEvents> EngineModel::Impl::CacheEventsAfter(uint64_t after, bool resync) const {
   if (!running_) return absl::UnavailableError("the engine does not run");
   if (!resync) return memory_->cache_events.Read(after, incarnation_);
   CacheEvents held;
@@ -87,8 +86,8 @@
   }
   const uint32_t hits = memory_->cache.LeadingHits(blocks);
   const WeightsId& active = memory_->weights.active();
-  return KvExport{incarnation_, active.model, active.version,
-                  {blocks.begin(), blocks.begin() + hits}};
+  return KvExport{
+      incarnation_, active.model, active.version, {blocks.begin(), blocks.begin() + hits}};
 }
 
 absl::Status EngineModel::Impl::ImportKv(const KvExport& exported) {
@@ -136,8 +135,8 @@
   RecordState();
   for (const auto& [id, generation] : open) {
     if (generation.accepted) ++counts_.failed_by_crash;
-    generation.observer->OnFailed(
-        generation.chunk_sent ? CallFailure::kCut : CallFailure::kUnknown, false, "crash");
+    generation.observer->OnFailed(generation.chunk_sent ? CallFailure::kCut : CallFailure::kUnknown,
+                                  false, "crash");
   }
   for (const auto& [id, done] : orders) done(absl::UnavailableError("the engine crashed"));
 }
--- a/emulator/model/engine_model_impl.h
+++ b/emulator/model/engine_model_impl.h
@@ -99,7 +99,8 @@
   void EndSwap(bool failed);
   void Unload(const EngineOrder& order);
   void LoadAdapter(const EngineOrder& order, OrderId id);
-  void FetchWeights(const std::string& location, std::function<void(absl::StatusOr<WeightDigest>)> done);
+  void FetchWeights(const std::string& location,
+                    std::function<void(absl::StatusOr<WeightDigest>)> done);
 
   // Reports (engine_model.cc).
   LoadFigures Figures() const;
--- a/emulator/model/engine_orders.cc
+++ b/emulator/model/engine_orders.cc
@@ -61,11 +61,10 @@
   RecordState();
 }
 
-void EngineModel::Impl::FetchWeights(
-    const std::string& location, std::function<void(absl::StatusOr<WeightDigest>)> done) {
+void EngineModel::Impl::FetchWeights(const std::string& location,
+                                     std::function<void(absl::StatusOr<WeightDigest>)> done) {
   if (!links_.fetch_weights) {
-    return After(options_.default_fetch_time,
-                 [done = std::move(done)] { done(WeightDigest()); });
+    return After(options_.default_fetch_time, [done = std::move(done)] { done(WeightDigest()); });
   }
   links_.fetch_weights(location, [weak = weak_from_this(), life = life_,
                                   done = std::move(done)](absl::StatusOr<WeightDigest> digest) {
@@ -92,9 +91,8 @@
 void EngineModel::Impl::FinishFetch(const WeightsId& weights,
                                     absl::StatusOr<WeightDigest> fetched) {
   std::vector<Fetch>& fetches = memory_->fetches;
-  const auto found = std::find_if(fetches.begin(), fetches.end(), [&](const Fetch& fetch) {
-    return fetch.weights == weights;
-  });
+  const auto found = std::find_if(fetches.begin(), fetches.end(),
+                                  [&](const Fetch& fetch) { return fetch.weights == weights; });
   if (found == fetches.end()) return;
   const std::vector<OrderId> orders = std::move(found->orders);
   fetches.erase(found);
--- a/emulator/model/generated_text.cc
+++ b/emulator/model/generated_text.cc
@@ -24,7 +24,9 @@
   return value ^ (value >> 31);
 }
 
-double UnitOf(uint64_t hash) { return static_cast<double>(hash >> 11) / static_cast<double>(1ULL << 53); }
+double UnitOf(uint64_t hash) {
+  return static_cast<double>(hash >> 11) / static_cast<double>(1ULL << 53);
+}
 
 /// Share of max_tokens that a generation uses.
 double LengthShare(uint64_t hash) {
@@ -68,7 +70,8 @@
 }
 
 WeightVersion MixedVersion(WeightVersion old_version, WeightVersion new_version) {
-  return WeightVersion(kMixedBit | Scramble(old_version.value() * kVersionStep + new_version.value()));
+  return WeightVersion(kMixedBit |
+                       Scramble(old_version.value() * kVersionStep + new_version.value()));
 }
 
 WeightDigest MixedDigest(WeightVersion old_version, WeightVersion new_version) {
--- a/emulator/model/plain_server_model.cc
+++ b/emulator/model/plain_server_model.cc
@@ -90,8 +90,7 @@
   return ++record.count;
 }
 
-std::string PlainServerModel::Impl::AnswerTo(const HttpRequest& request,
-                                             uint64_t execution) const {
+std::string PlainServerModel::Impl::AnswerTo(const HttpRequest& request, uint64_t execution) const {
   boost::json::object answer;
   answer["server"] = options_.name;
   answer["method"] = request.method;
@@ -150,9 +149,7 @@
 }
 
 bool PlainServerModel::running() const { return impl_->running_; }
-void PlainServerModel::SetOptions(const PlainServerOptions& options) {
-  impl_->options() = options;
-}
+void PlainServerModel::SetOptions(const PlainServerOptions& options) { impl_->options() = options; }
 
 const std::map<ExecutionKey, ExecutionRecord>& PlainServerModel::executions() const {
   return impl_->executions_;
@@ -160,9 +157,7 @@
 
 uint64_t PlainServerModel::refused() const { return impl_->refused_; }
 
-uint64_t PlainServerModel::arrived_while_draining() const {
-  return impl_->arrived_while_draining_;
-}
+uint64_t PlainServerModel::arrived_while_draining() const { return impl_->arrived_while_draining_; }
 
 TimePoint PlainServerModel::last_arrival_while_draining() const {
   return impl_->last_arrival_while_draining_;
--- a/emulator/model/truth_log.cc
+++ b/emulator/model/truth_log.cc
@@ -34,7 +34,8 @@
     ++first_position_;
   }
   positions_[request_id] = first_position_ + records_.size();
-  records_.push_back({.request_id = request_id, .prompt = prompt, .executions = 1, .accepted_at = now});
+  records_.push_back(
+      {.request_id = request_id, .prompt = prompt, .executions = 1, .accepted_at = now});
 }
 
 void TruthLog::Produced(const std::string& request_id, const TruthSpan& span) {
--- a/emulator/model/weight_state.cc
+++ b/emulator/model/weight_state.cc
@@ -29,9 +29,7 @@
   });
 }
 
-bool WeightState::IsActive(const WeightsId& weights) const {
-  return !mixed_ && active_ == weights;
-}
+bool WeightState::IsActive(const WeightsId& weights) const { return !mixed_ && active_ == weights; }
 
 bool WeightState::Holds(const WeightsId& weights) const {
   return IsActive(weights) || std::find(staged_.begin(), staged_.end(), weights) != staged_.end();
--- a/emulator/model/weight_store_model.cc
+++ b/emulator/model/weight_store_model.cc
@@ -69,8 +69,7 @@
 
 void WeightStoreModel::Impl::Refill() {
   const TimePoint now = environment_.Now();
-  const double gained =
-      ToSeconds(now - level_at_) * static_cast<double>(options_.bytes_per_second);
+  const double gained = ToSeconds(now - level_at_) * static_cast<double>(options_.bytes_per_second);
   level_ = std::min(level_ + gained, static_cast<double>(options_.burst_bytes));
   level_at_ = now;
 }
--- a/test/emulator/engine_batching_test.cc
+++ b/test/emulator/engine_batching_test.cc
@@ -157,8 +157,7 @@
   }
   for (size_t i = 0; i < observers.size(); ++i) {
     REQUIRE(fixture.RunUntilEnded(*observers[i]));
-    CHECK(observers[i]->tokens ==
-          Expected(prompts[i], 0, GenerationLength(prompts[i], 300), 1));
+    CHECK(observers[i]->tokens == Expected(prompts[i], 0, GenerationLength(prompts[i], 300), 1));
   }
   CHECK(fixture.engine.counts().preempted > 0);
   CHECK(fixture.engine.CurrentReport().free_kv_blocks == 24);
--- a/test/emulator/engine_orders_test.cc
+++ b/test/emulator/engine_orders_test.cc
@@ -96,8 +96,8 @@
   for (const GenerateChunk& chunk : observer.chunks) {
     const uint64_t version = chunk.first_token < old_span.token_count ? 1 : 2;
     CHECK(chunk.version == WeightVersion(version));
-    CHECK(chunk.tokens == Expected(prompt, chunk.first_token,
-                                   chunk.first_token + chunk.tokens.size(), version));
+    CHECK(chunk.tokens ==
+          Expected(prompt, chunk.first_token, chunk.first_token + chunk.tokens.size(), version));
   }
   CHECK(record.finished);
   CHECK(record.executions == 1);
@@ -115,8 +115,8 @@
   fixture.engine.ApplyOrder(fixture.Order(OrderKind::kActivate, 6, 2), [](absl::Status) {});
   fixture.engine.Generate(fixture.Request("b", prompt, 50), second);
   REQUIRE(fixture.RunUntilEnded(second));
-  CHECK(second.times.front() == begin + milliseconds(300) + milliseconds(10) +
-                                    64 * std::chrono::microseconds(100));
+  CHECK(second.times.front() ==
+        begin + milliseconds(300) + milliseconds(10) + 64 * std::chrono::microseconds(100));
   CHECK(second.tokens == Expected(prompt, 0, 10, 2));
   CHECK(fixture.engine.counts().prefix_blocks_reused == 0);
 }
--- a/test/emulator/generated_text_test.cc
+++ b/test/emulator/generated_text_test.cc
@@ -1,8 +1,8 @@
+#include "emulator/model/generated_text.h"
+
 #include <catch2/catch.hpp>
 #include <set>
 
-#include "emulator/model/generated_text.h"
-
 namespace millstair::testing {
 namespace {
 
