--- /dev/null
+++ b/source/engine/json_reader.h
@@ -0,0 +1,88 @@
+/// Reads members of a JSON object into typed fields and collects what is wrong with them.
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "boost/json.hpp"
+#include "common/strong_id.h"
+#include "common/time.h"
+
+namespace millstair {
+
+/// Hash as 16 lower-case hex digits.
+std::string HashToHex(uint64_t hash);
+/// The hash in a string of hex digits. False, and `hash` is undefined, if it is none.
+bool HashFromJson(const boost::json::value& value, uint64_t& hash);
+/// An integer from 0 to 2^64 - 1. False, and `number` is left alone, if it is none.
+bool UnsignedFromJson(const boost::json::value& value, uint64_t& number);
+
+/// Members are required unless the method says "Optional". A faulty one leaves its field alone.
+class JsonReader {
+ public:
+  /// Parses `json`, which must be an object. `what` begins each message.
+  JsonReader(std::string_view what, std::string_view json);
+
+  void Read(std::string_view name, std::string& field);
+  void Read(std::string_view name, bool& field);
+  void Read(std::string_view name, Duration& microseconds);
+  void Read(std::string_view name, std::vector<std::string>& field);
+  void ReadHashes(std::string_view name, std::vector<uint64_t>& field);
+  void ReadOptional(std::string_view name, std::string& field);
+  void ReadOptional(std::string_view name, std::vector<std::string>& field);
+
+  template <class Number>
+    requires std::is_unsigned_v<Number>
+  void Read(std::string_view name, Number& field) {
+    uint64_t value = field;
+    ReadNumber(name, std::numeric_limits<Number>::max(), value);
+    field = static_cast<Number>(value);
+  }
+
+  template <class Tag, class Rep>
+  void Read(std::string_view name, StrongId<Tag, Rep>& field) {
+    Rep value = field.value();
+    Read(name, value);
+    field = StrongId<Tag, Rep>(std::move(value));
+  }
+
+  template <class Tag, class Rep>
+  void Read(std::string_view name, std::vector<StrongId<Tag, Rep>>& field) {
+    std::vector<uint64_t> values;
+    ReadNumbers(name, values);
+    for (const uint64_t value : values) field.emplace_back(value);
+  }
+
+  /// An enumerator given by its number, first..last.
+  template <class Enum>
+  void ReadEnum(std::string_view name, Enum first, Enum last, Enum& field) {
+    uint64_t value = static_cast<uint64_t>(field);
+    ReadNumber(name, static_cast<uint64_t>(last), value);
+    if (value < static_cast<uint64_t>(first)) {
+      Fail(name, "out of range");
+    } else {
+      field = static_cast<Enum>(value);
+    }
+  }
+
+  /// The member as an array; none (and a fault) if it is no array.
+  const boost::json::array* Array(std::string_view name);
+  void Fail(std::string_view name, std::string_view problem);
+  absl::Status status() const;
+
+ private:
+  const boost::json::value* Member(std::string_view name);
+  void ReadNumber(std::string_view name, uint64_t largest, uint64_t& field);
+  void ReadNumbers(std::string_view name, std::vector<uint64_t>& field);
+
+  std::string what_;
+  boost::json::value parsed_;
+  const boost::json::object* object_ = nullptr;
+  std::string faults_;
+};
+
+}  // namespace millstair
