--- a/source/engine/json_reader.h
+++ b/source/engine/json_reader.h
@@ -36,7 +36,7 @@
   void ReadOptional(std::string_view name, std::vector<std::string>& field);
 
   template <class Number>
-    requires std::is_unsigned_v<Number>
+  requires std::is_unsigned_v<Number>
   void Read(std::string_view name, Number& field) {
     uint64_t value = field;
     ReadNumber(name, std::numeric_limits<Number>::max(), value);
--- a/test/engine/engine_codec_test.cc
+++ b/test/engine/engine_codec_test.cc
@@ -1,8 +1,9 @@
 #include "engine/engine_codec.h"
 
-#include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <catch2/catch.hpp>
+
 #include "common/random.h"
 
 namespace millstair {
@@ -35,8 +36,8 @@
 }
 
 TEST_CASE("a chunk and an order come back as they were") {
-  const GenerateChunk chunk{{"x", "y"}, 7, WeightVersion(UINT64_MAX), WeightDigest("d"),
-                            Incarnation(1ULL << 63), true};
+  const GenerateChunk chunk{
+      {"x", "y"}, 7, WeightVersion(UINT64_MAX), WeightDigest("d"), Incarnation(1ULL << 63), true};
   const GenerateChunk read = *DecodeGenerateChunk(EncodeGenerateChunk(chunk));
   CHECK(read.tokens == chunk.tokens);
   CHECK(read.first_token == 7);
