--- /dev/null
+++ b/source/cluster/change_history.cc
@@ -0,0 +1,87 @@
+#include "cluster/change_history.h"
+
+#include <algorithm>
+
+namespace millstair {
+namespace {
+
+/// Sorts the touched keys into changed values and deleted keys.
+template <class Keys, class Map, class Value, class Key>
+void Collect(const Keys& keys, const Map& current, std::vector<Value>& changed,
+             std::vector<Key>& deleted) {
+  for (const auto& key : keys) {
+    const auto found = current.find(key);
+    if (found == current.end()) {
+      deleted.push_back(key);
+    } else {
+      changed.push_back(found->second);
+    }
+  }
+}
+
+template <class Map, class Value>
+void CollectAll(const Map& current, std::vector<Value>& changed) {
+  changed.reserve(current.size());
+  for (const auto& [key, value] : current) changed.push_back(value);
+}
+
+}  // namespace
+
+bool ChangeSet::empty() const {
+  return resources.empty() && models.empty() && nodes.empty() && machines.empty() &&
+         engines.empty();
+}
+
+void ChangeSet::Merge(const ChangeSet& other) {
+  resources.insert(other.resources.begin(), other.resources.end());
+  models.insert(other.models.begin(), other.models.end());
+  nodes.insert(other.nodes.begin(), other.nodes.end());
+  machines.insert(other.machines.begin(), other.machines.end());
+  engines.insert(other.engines.begin(), other.engines.end());
+}
+
+void ChangeHistory::Add(Revision revision, ChangeSet changes) {
+  changes_.push_back({revision, std::move(changes)});
+  while (changes_.size() > max_changes_) {
+    start_ = changes_.front().revision;
+    changes_.pop_front();
+  }
+}
+
+void ChangeHistory::Reset(Revision revision) {
+  changes_.clear();
+  start_ = revision;
+}
+
+ConfigurationDelta ChangeHistory::Since(Revision from, const Configuration& configuration) const {
+  if (from < start_) return FullDelta(configuration);
+  ChangeSet touched;
+  const auto first =
+      std::upper_bound(changes_.begin(), changes_.end(), from,
+                       [](Revision value, const Change& change) { return value < change.revision; });
+  for (auto change = first; change != changes_.end(); ++change) touched.Merge(change->changes);
+  ConfigurationDelta delta;
+  delta.from = from;
+  delta.to = configuration.revision;
+  Collect(touched.resources, configuration.resources, delta.changed_resources,
+          delta.deleted_resources);
+  Collect(touched.models, configuration.models, delta.changed_models, delta.deleted_models);
+  Collect(touched.nodes, configuration.nodes, delta.changed_nodes, delta.deleted_nodes);
+  Collect(touched.machines, configuration.machines, delta.changed_machines, delta.deleted_machines);
+  Collect(touched.engines, configuration.engines, delta.changed_engines, delta.deleted_engines);
+  return delta;
+}
+
+ConfigurationDelta FullDelta(const Configuration& configuration) {
+  ConfigurationDelta delta;
+  delta.to = configuration.revision;
+  delta.full = true;
+  CollectAll(configuration.resources, delta.changed_resources);
+  CollectAll(configuration.models, delta.changed_models);
+  CollectAll(configuration.nodes, delta.changed_nodes);
+  CollectAll(configuration.machines, delta.changed_machines);
+  CollectAll(configuration.engines, delta.changed_engines);
+  return delta;
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/change_history.h
@@ -0,0 +1,50 @@
+/// Edits of the configuration and the bounded history from which deltas are made.
+#pragma once
+
+#include <deque>
+#include <set>
+#include <string>
+
+#include "cluster/configuration.h"
+
+namespace millstair {
+
+/// What one command touched. Values are looked up when a delta is made.
+struct ChangeSet {
+  std::set<ResourceKey> resources;
+  std::set<ModelName> models;
+  std::set<NodeId> nodes;
+  std::set<std::string> machines;
+  std::set<EngineName> engines;
+
+  bool empty() const;
+  void Merge(const ChangeSet& other);
+};
+
+/// The newest changes, oldest first.
+class ChangeHistory {
+ public:
+  explicit ChangeHistory(size_t max_changes) : max_changes_(max_changes) {}
+
+  void Add(Revision revision, ChangeSet changes);
+  /// Forgets everything up to `revision`: deltas from before it are full.
+  void Reset(Revision revision);
+  /// Changes of `configuration` since `from`; full if the history does not reach back to it.
+  ConfigurationDelta Since(Revision from, const Configuration& configuration) const;
+
+ private:
+  struct Change {
+    Revision revision;
+    ChangeSet changes;
+  };
+
+  size_t max_changes_;
+  /// Revision before the oldest change held.
+  Revision start_;
+  std::deque<Change> changes_;
+};
+
+/// The whole of `configuration` as a delta.
+ConfigurationDelta FullDelta(const Configuration& configuration);
+
+}  // namespace millstair
--- a/source/cluster/cluster_commands.h
+++ b/source/cluster/cluster_commands.h
@@ -50,6 +50,9 @@
   std::string request_digest;
   /// When the caller made the key, if it said so; older than the retention is refused.
   std::optional<WallTime> issued;
+  /// Drawn by the gateway for each request of a caller. A resend of this command with the same
+  /// attempt gets its first answer; with 0 each resend is told that the key is held.
+  uint64_t attempt = 0;
 };
 
 /// Settles a claim: done (never run again) or released (it truly did not run).
@@ -60,6 +63,8 @@
   bool released = false;
   /// Status of the back end's answer, when done.
   int answer_status = 0;
+  /// The attempt of the claim that it settles, so that a late copy never settles a later claim.
+  uint64_t attempt = 0;
 };
 
 /// A trainer published weights. Versions count up; the same version with another digest is refused.
--- /dev/null
+++ b/source/cluster/cluster_state_machine.cc
@@ -0,0 +1,123 @@
+#include "cluster/cluster_state_machine.h"
+
+#include <algorithm>
+
+#include "cluster/configuration_editor.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace millstair {
+namespace {
+
+/// Digest of what the command does, without its session and its time.
+uint64_t OperationDigest(const ClusterCommand& command) {
+  ClusterCommand bare;
+  bare.operation = command.operation;
+  const std::string bytes = EncodeCommand(bare);
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+}  // namespace
+
+ClusterStateMachine::ClusterStateMachine(ClusterLimits limits, ClusterFaults faults)
+    : limits_(limits),
+      faults_(faults),
+      sessions_(limits.sessions),
+      claims_(limits.claims),
+      history_(limits.max_history) {}
+
+std::string ClusterStateMachine::Apply(LogIndex index, std::string_view command) {
+  const auto decoded = DecodeCommand(command);
+  if (!decoded.ok()) {
+    ClusterResult result;
+    result.code = ClusterResultCode::kInvalid;
+    result.revision = configuration_.revision;
+    result.message = std::string(decoded.status().message());
+    return EncodeResult(result);
+  }
+  const Revision before = configuration_.revision;
+  AdvanceClock(decoded->proposed_at);
+  std::string answer = EncodeResult(Answer(index, *decoded));
+  if (configuration_.revision != before && on_change_) on_change_();
+  return answer;
+}
+
+void ClusterStateMachine::AdvanceClock(WallTime proposed_at) {
+  if (clock_ == WallTime()) {
+    clock_ = proposed_at;
+  } else {
+    clock_ = std::min(std::max(clock_, proposed_at), clock_ + limits_.max_clock_step);
+  }
+  sessions_.Expire(clock_);
+  claims_.Prune(clock_);
+}
+
+ClusterResult ClusterStateMachine::Answer(LogIndex index, const ClusterCommand& command) {
+  if (!command.session) return Run(index, command);
+  return RunOnce(index, command);
+}
+
+ClusterResult ClusterStateMachine::RunOnce(LogIndex index, const ClusterCommand& command) {
+  const uint64_t digest = OperationDigest(command);
+  std::string first_answer;
+  const SessionTable::Lookup lookup = sessions_.Find(*command.session, digest, &first_answer);
+  ClusterResult refusal;
+  refusal.revision = configuration_.revision;
+  switch (lookup) {
+    case SessionTable::Lookup::kAnswered: {
+      auto result = DecodeResult(first_answer);
+      if (result.ok()) return *std::move(result);
+      break;
+    }
+    case SessionTable::Lookup::kReused:
+      refusal.code = ClusterResultCode::kInvalid;
+      refusal.message = "the session used this sequence for another change";
+      return refusal;
+    case SessionTable::Lookup::kExpired:
+      if (faults_.sessions_not_in_snapshot) break;
+      refusal.code = ClusterResultCode::kSessionExpired;
+      refusal.message = "the session has expired";
+      return refusal;
+    case SessionTable::Lookup::kNew:
+      break;
+  }
+  ClusterResult result = Run(index, command);
+  sessions_.Store(*command.session, {digest, EncodeResult(result)}, clock_);
+  return result;
+}
+
+ClusterResult ClusterStateMachine::Run(LogIndex index, const ClusterCommand& command) {
+  const Revision revision(index.value());
+  ConfigurationEditor editor(configuration_, revision, limits_.max_published_versions, faults_);
+  ClusterResult result = std::visit(
+      [&](const auto& operation) -> ClusterResult {
+        using Operation = std::decay_t<decltype(operation)>;
+        if constexpr (std::is_same_v<Operation, OpenSession>) {
+          ClusterResult opened;
+          opened.session = ClientId("s" + std::to_string(index.value()));
+          sessions_.Open(opened.session, clock_);
+          return opened;
+        } else if constexpr (std::is_same_v<Operation, ClaimKey>) {
+          if (faults_.claim_skipped) return {};
+          return claims_.Take(operation, index, clock_);
+        } else if constexpr (std::is_same_v<Operation, SettleClaim>) {
+          return claims_.Settle(operation);
+        } else {
+          return editor.Run(operation);
+        }
+      },
+      command.operation);
+  if (!editor.changes().empty()) {
+    configuration_.revision = revision;
+    history_.Add(revision, editor.changes());
+  }
+  result.revision = configuration_.revision;
+  return result;
+}
+
+ConfigurationDelta ClusterStateMachine::DeltaSince(Revision from) const {
+  return history_.Since(from, configuration_);
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/cluster_state_machine.h
@@ -0,0 +1,65 @@
+/// State machine of the cluster group: resources, models, members, sessions and claims.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cluster/change_history.h"
+#include "cluster/claim_table.h"
+#include "cluster/cluster_commands.h"
+#include "cluster/cluster_faults.h"
+#include "cluster/configuration.h"
+#include "cluster/session_table.h"
+#include "consensus/state_machine.h"
+
+namespace millstair {
+
+struct ClusterLimits {
+  SessionLimits sessions;
+  ClaimLimits claims;
+  /// Published versions kept for each model, beside the staged and the active one.
+  size_t max_published_versions = 32;
+  /// Changes kept for deltas.
+  size_t max_history = 2000;
+  /// The clock moves at most this far with one command, so that a wall clock that is far ahead
+  /// does not expire everything at once.
+  std::chrono::milliseconds max_clock_step = std::chrono::minutes(1);
+};
+
+/// Deterministic and bounded. Its clock is the largest proposal time seen (see max_clock_step).
+class ClusterStateMachine : public StateMachine {
+ public:
+  explicit ClusterStateMachine(ClusterLimits limits = {}, ClusterFaults faults = {});
+
+  std::string Apply(LogIndex index, std::string_view command) override;
+  std::string TakeSnapshot() const override;
+  absl::Status Restore(LogIndex index, std::string_view snapshot) override;
+
+  const Configuration& configuration() const { return configuration_; }
+  /// Changes since `from`, as of the newest revision.
+  ConfigurationDelta DeltaSince(Revision from) const;
+  /// Called after each change of the configuration, and after a restore.
+  void OnChange(std::function<void()> callback) { on_change_ = std::move(callback); }
+
+  WallTime clock() const { return clock_; }
+  const SessionTable& sessions() const { return sessions_; }
+  const ClaimTable& claims() const { return claims_; }
+
+ private:
+  ClusterResult Answer(LogIndex index, const ClusterCommand& command);
+  ClusterResult RunOnce(LogIndex index, const ClusterCommand& command);
+  ClusterResult Run(LogIndex index, const ClusterCommand& command);
+  void AdvanceClock(WallTime proposed_at);
+
+  ClusterLimits limits_;
+  ClusterFaults faults_;
+  Configuration configuration_;
+  WallTime clock_;
+  SessionTable sessions_;
+  ClaimTable claims_;
+  ChangeHistory history_;
+  std::function<void()> on_change_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/command_codec.cc
@@ -0,0 +1,261 @@
+/// Codecs of commands and results of the cluster group.
+#include "cluster/cluster_commands.h"
+#include "cluster/configuration_wire.h"
+#include "cluster/resource_wire.h"
+
+namespace millstair {
+
+static std::optional<Revision> ExpectedFromWire(bool present, uint64_t value) {
+  if (!present) return std::nullopt;
+  return Revision(value);
+}
+
+// Not in the unnamed namespace, so that NewWireArray and FromWireArray find them.
+static millstair_PutItem ToWire(WireArena& arena, const PutResources::Item& item) {
+  millstair_PutItem wire = millstair_PutItem_init_zero;
+  wire.has_resource = true;
+  wire.resource = ToWire(arena, item.resource);
+  wire.has_expected = item.expected.has_value();
+  wire.expected = item.expected.value_or(Revision()).value();
+  return wire;
+}
+
+static bool FromWire(const millstair_PutItem& wire, PutResources::Item& item) {
+  if (!wire.has_resource) return false;
+  item.expected = ExpectedFromWire(wire.has_expected, wire.expected);
+  return FromWire(wire.resource, item.resource);
+}
+
+namespace {
+
+int64_t ToMilliseconds(WallTime time) { return time.time_since_epoch().count(); }
+WallTime FromMilliseconds(int64_t count) { return WallTime(std::chrono::milliseconds(count)); }
+
+/// Fills the operation of a wire command; one overload an operation.
+struct OperationWriter {
+  WireArena& arena;
+  millstair_ClusterCommand& wire;
+
+  void operator()(const OpenSession&) const {
+    wire.which_operation = millstair_ClusterCommand_open_session_tag;
+    wire.operation.open_session = millstair_OpenSession_init_zero;
+  }
+
+  void operator()(const PutResources& put) const {
+    wire.which_operation = millstair_ClusterCommand_put_resources_tag;
+    millstair_PutResources& target = wire.operation.put_resources;
+    target = millstair_PutResources_init_zero;
+    target.items = NewWireArray<millstair_PutItem>(arena, put.items, &target.items_count);
+  }
+
+  void operator()(const DeleteResource& erase) const {
+    wire.which_operation = millstair_ClusterCommand_delete_resource_tag;
+    millstair_DeleteResource& target = wire.operation.delete_resource;
+    target = millstair_DeleteResource_init_zero;
+    target.has_key = true;
+    target.key = ToWire(arena, erase.key);
+    target.has_expected = erase.expected.has_value();
+    target.expected = erase.expected.value_or(Revision()).value();
+  }
+
+  void operator()(const ClaimKey& claim) const {
+    wire.which_operation = millstair_ClusterCommand_claim_key_tag;
+    millstair_ClaimKey& target = wire.operation.claim_key;
+    target = millstair_ClaimKey_init_zero;
+    target.key = arena.NewBytes(claim.key);
+    target.gateway = arena.NewString(claim.gateway.value());
+    target.incarnation = claim.incarnation.value();
+    target.request_digest = arena.NewBytes(claim.request_digest);
+    target.has_issued = claim.issued.has_value();
+    target.issued_milliseconds = claim.issued ? ToMilliseconds(*claim.issued) : 0;
+    target.attempt = claim.attempt;
+  }
+
+  void operator()(const SettleClaim& settle) const {
+    wire.which_operation = millstair_ClusterCommand_settle_claim_tag;
+    millstair_SettleClaim& target = wire.operation.settle_claim;
+    target = millstair_SettleClaim_init_zero;
+    target.key = arena.NewBytes(settle.key);
+    target.gateway = arena.NewString(settle.gateway.value());
+    target.incarnation = settle.incarnation.value();
+    target.released = settle.released;
+    target.answer_status = settle.answer_status;
+    target.attempt = settle.attempt;
+  }
+
+  void operator()(const PublishVersion& publish) const {
+    wire.which_operation = millstair_ClusterCommand_publish_version_tag;
+    millstair_PublishVersion& target = wire.operation.publish_version;
+    target = millstair_PublishVersion_init_zero;
+    target.model = arena.NewString(publish.model.value());
+    target.has_version = true;
+    target.version = ToWire(arena, publish.version);
+  }
+
+  void operator()(const SetModelTarget& set) const {
+    wire.which_operation = millstair_ClusterCommand_set_model_target_tag;
+    millstair_SetModelTarget& target = wire.operation.set_model_target;
+    target = millstair_SetModelTarget_init_zero;
+    target.model = arena.NewString(set.model.value());
+    target.staged = set.staged.value();
+    target.active = set.active.value();
+  }
+
+  void operator()(const UpdateMembers& update) const {
+    wire.which_operation = millstair_ClusterCommand_update_members_tag;
+    millstair_UpdateMembers& target = wire.operation.update_members;
+    target = millstair_UpdateMembers_init_zero;
+    target.nodes = NewWireArray<millstair_NodeRecord>(arena, update.nodes, &target.nodes_count);
+    target.machines =
+        NewWireArray<millstair_MachineStatus>(arena, update.machines, &target.machines_count);
+    target.engines =
+        NewWireArray<millstair_EngineStatus>(arena, update.engines, &target.engines_count);
+    std::vector<std::string> deleted;
+    for (const NodeId& node : update.deleted_nodes) deleted.push_back(node.value());
+    target.deleted_nodes = NewStrings(arena, deleted, &target.deleted_nodes_count);
+  }
+};
+
+bool FromWire(const millstair_PutResources& wire, PutResources& put) {
+  return FromWireArray(wire.items, wire.items_count, put.items);
+}
+
+bool FromWire(const millstair_DeleteResource& wire, DeleteResource& erase) {
+  if (!wire.has_key) return false;
+  erase.expected = ExpectedFromWire(wire.has_expected, wire.expected);
+  return FromWire(wire.key, erase.key);
+}
+
+bool FromWire(const millstair_ClaimKey& wire, ClaimKey& claim) {
+  claim.key = ToString(wire.key);
+  claim.gateway = NodeId(ToString(wire.gateway));
+  claim.incarnation = Incarnation(wire.incarnation);
+  claim.request_digest = ToString(wire.request_digest);
+  if (wire.has_issued) claim.issued = FromMilliseconds(wire.issued_milliseconds);
+  claim.attempt = wire.attempt;
+  return !claim.key.empty();
+}
+
+bool FromWire(const millstair_SettleClaim& wire, SettleClaim& settle) {
+  settle.key = ToString(wire.key);
+  settle.gateway = NodeId(ToString(wire.gateway));
+  settle.incarnation = Incarnation(wire.incarnation);
+  settle.released = wire.released;
+  settle.answer_status = wire.answer_status;
+  settle.attempt = wire.attempt;
+  return !settle.key.empty();
+}
+
+bool FromWire(const millstair_PublishVersion& wire, PublishVersion& publish) {
+  if (!wire.has_version) return false;
+  publish.model = ModelName(ToString(wire.model));
+  return FromWire(wire.version, publish.version);
+}
+
+bool FromWire(const millstair_SetModelTarget& wire, SetModelTarget& set) {
+  set.model = ModelName(ToString(wire.model));
+  set.staged = WeightVersion(wire.staged);
+  set.active = WeightVersion(wire.active);
+  return true;
+}
+
+bool FromWire(const millstair_UpdateMembers& wire, UpdateMembers& update) {
+  for (const std::string& node : StringsFromWire(wire.deleted_nodes, wire.deleted_nodes_count)) {
+    update.deleted_nodes.emplace_back(node);
+  }
+  return FromWireArray(wire.nodes, wire.nodes_count, update.nodes) &&
+         FromWireArray(wire.machines, wire.machines_count, update.machines) &&
+         FromWireArray(wire.engines, wire.engines_count, update.engines);
+}
+
+bool OperationFromWire(const millstair_ClusterCommand& wire, ClusterOperation& operation) {
+  switch (wire.which_operation) {
+    case millstair_ClusterCommand_open_session_tag:
+      operation = OpenSession{};
+      return true;
+    case millstair_ClusterCommand_put_resources_tag:
+      return FromWire(wire.operation.put_resources, operation.emplace<PutResources>());
+    case millstair_ClusterCommand_delete_resource_tag:
+      return FromWire(wire.operation.delete_resource, operation.emplace<DeleteResource>());
+    case millstair_ClusterCommand_claim_key_tag:
+      return FromWire(wire.operation.claim_key, operation.emplace<ClaimKey>());
+    case millstair_ClusterCommand_settle_claim_tag:
+      return FromWire(wire.operation.settle_claim, operation.emplace<SettleClaim>());
+    case millstair_ClusterCommand_publish_version_tag:
+      return FromWire(wire.operation.publish_version, operation.emplace<PublishVersion>());
+    case millstair_ClusterCommand_set_model_target_tag:
+      return FromWire(wire.operation.set_model_target, operation.emplace<SetModelTarget>());
+    case millstair_ClusterCommand_update_members_tag:
+      return FromWire(wire.operation.update_members, operation.emplace<UpdateMembers>());
+    default:
+      return false;
+  }
+}
+
+bool CodeFromWire(uint32_t wire, ClusterResultCode& code) {
+  if (wire < static_cast<uint32_t>(ClusterResultCode::kOk)) return false;
+  if (wire > static_cast<uint32_t>(ClusterResultCode::kClaimMismatch)) return false;
+  code = static_cast<ClusterResultCode>(wire);
+  return true;
+}
+
+}  // namespace
+
+std::string EncodeCommand(const ClusterCommand& command) {
+  WireArena arena;
+  millstair_ClusterCommand wire = millstair_ClusterCommand_init_zero;
+  wire.has_session = command.session.has_value();
+  if (command.session) {
+    wire.client = arena.NewString(command.session->client.value());
+    wire.sequence = command.session->sequence.value();
+  }
+  wire.proposed_at_milliseconds = ToMilliseconds(command.proposed_at);
+  std::visit(OperationWriter{arena, wire}, command.operation);
+  return EncodeNanopb(millstair_ClusterCommand_fields, &wire);
+}
+
+absl::StatusOr<ClusterCommand> DecodeCommand(std::string_view bytes) {
+  auto decoded =
+      DecodedMessage<millstair_ClusterCommand>::Decode(millstair_ClusterCommand_fields, bytes);
+  if (!decoded.ok()) return decoded.status();
+  const millstair_ClusterCommand& wire = **decoded;
+  ClusterCommand command;
+  if (wire.has_session) {
+    command.session = SessionStamp{ClientId(ToString(wire.client)), ClientSequence(wire.sequence)};
+  }
+  command.proposed_at = FromMilliseconds(wire.proposed_at_milliseconds);
+  if (!OperationFromWire(wire, command.operation)) {
+    return absl::InvalidArgumentError("cluster command without a valid operation");
+  }
+  return command;
+}
+
+std::string EncodeResult(const ClusterResult& result) {
+  WireArena arena;
+  millstair_ClusterResult wire = millstair_ClusterResult_init_zero;
+  wire.code = static_cast<uint32_t>(result.code);
+  wire.revision = result.revision.value();
+  wire.conflicting =
+      NewWireArray<millstair_Resource>(arena, result.conflicting, &wire.conflicting_count);
+  wire.session = arena.NewString(result.session.value());
+  wire.message = arena.NewString(result.message);
+  return EncodeNanopb(millstair_ClusterResult_fields, &wire);
+}
+
+absl::StatusOr<ClusterResult> DecodeResult(std::string_view bytes) {
+  auto decoded =
+      DecodedMessage<millstair_ClusterResult>::Decode(millstair_ClusterResult_fields, bytes);
+  if (!decoded.ok()) return decoded.status();
+  const millstair_ClusterResult& wire = **decoded;
+  ClusterResult result;
+  result.revision = Revision(wire.revision);
+  result.session = ClientId(ToString(wire.session));
+  result.message = ToString(wire.message);
+  if (!CodeFromWire(wire.code, result.code) ||
+      !FromWireArray(wire.conflicting, wire.conflicting_count, result.conflicting)) {
+    return absl::InvalidArgumentError("cluster result with an unknown code or kind");
+  }
+  return result;
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/configuration.cc
@@ -0,0 +1,65 @@
+#include "cluster/configuration.h"
+
+#include <algorithm>
+
+namespace millstair {
+namespace {
+
+void ClearState(Configuration& configuration) {
+  configuration.resources.clear();
+  configuration.models.clear();
+  configuration.nodes.clear();
+  configuration.machines.clear();
+  configuration.engines.clear();
+}
+
+MemberState MoreCautious(MemberState a, MemberState b) { return std::max(a, b); }
+
+MemberState StateOfMachine(const Configuration& configuration, const std::string& machine) {
+  const auto* spec = configuration.FindSpec<MachineSpec>(ResourceKind::kMachine, machine);
+  if (spec == nullptr) return MemberState::kGone;
+  MemberState state = spec->drain ? MemberState::kLeaving : MemberState::kLive;
+  const auto status = configuration.machines.find(machine);
+  if (status == configuration.machines.end()) return state;
+  return MoreCautious(state, status->second.platform_state);
+}
+
+}  // namespace
+
+bool ApplyDelta(Configuration& configuration, const ConfigurationDelta& delta) {
+  if (delta.to < configuration.revision) return false;
+  if (!delta.full && delta.from > configuration.revision) return false;
+  if (delta.full) ClearState(configuration);
+  for (const Resource& resource : delta.changed_resources) {
+    configuration.resources[resource.key()] = resource;
+  }
+  for (const ResourceKey& key : delta.deleted_resources) configuration.resources.erase(key);
+  for (const ModelStatus& status : delta.changed_models) {
+    configuration.models[status.model] = status;
+  }
+  for (const ModelName& model : delta.deleted_models) configuration.models.erase(model);
+  for (const NodeRecord& record : delta.changed_nodes) configuration.nodes[record.node] = record;
+  for (const NodeId& node : delta.deleted_nodes) configuration.nodes.erase(node);
+  for (const MachineStatus& status : delta.changed_machines) {
+    configuration.machines[status.machine] = status;
+  }
+  for (const std::string& machine : delta.deleted_machines) configuration.machines.erase(machine);
+  for (const EngineStatus& status : delta.changed_engines) {
+    configuration.engines[status.engine] = status;
+  }
+  for (const EngineName& engine : delta.deleted_engines) configuration.engines.erase(engine);
+  configuration.revision = delta.to;
+  return true;
+}
+
+MemberState EffectiveState(const Configuration& configuration, const EngineName& engine) {
+  const auto* spec = configuration.FindSpec<EngineSpec>(ResourceKind::kEngine, engine.value());
+  if (spec == nullptr) return MemberState::kGone;
+  MemberState state = spec->drain ? MemberState::kLeaving : MemberState::kLive;
+  state = MoreCautious(state, StateOfMachine(configuration, spec->machine));
+  const auto own_word = configuration.engines.find(engine);
+  if (own_word == configuration.engines.end()) return state;
+  return MoreCautious(state, own_word->second.state);
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/configuration_client.cc
@@ -0,0 +1,198 @@
+#include "cluster/configuration_client.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+#include "cluster/control_endpoints.h"
+#include "cluster/control_messages.h"
+#include "common/event_log.h"
+#include "common/random.h"
+#include "common/scoped_timer.h"
+
+namespace millstair {
+namespace {
+
+/// All observations are sent again with each n-th heartbeat, in case a control node lost them.
+constexpr int kHeartbeatsPerFullReport = 5;
+/// How often a node that is attached to another zone tries its own again.
+constexpr Duration kReturnToOwnZone = std::chrono::seconds(30);
+constexpr double kHeartbeatJitter = 0.1;
+
+class HeartbeatingConfigurationClient : public ConfigurationClient {
+ public:
+  HeartbeatingConfigurationClient(Environment& environment, PeerTransport& transport,
+                                  NodeRecord self, std::vector<ControlEndpoint> control_nodes,
+                                  ConfigurationTiming timing, ClusterFaults faults)
+      : environment_(environment),
+        transport_(transport),
+        self_(std::move(self)),
+        sources_(std::move(control_nodes), self_.zone, environment.Random()),
+        timing_(timing),
+        faults_(faults),
+        timer_(environment) {}
+
+  void Start() override {
+    if (sources_.empty()) return;
+    for (const ControlEndpoint& endpoint : sources_.all()) {
+      transport_.SetAddress(endpoint.node, endpoint.address);
+    }
+    source_since_ = environment_.Now();
+    return_at_ = source_since_ + kReturnToOwnZone;
+    Beat();
+  }
+
+  const Configuration& configuration() const override { return configuration_; }
+
+  bool LeaseValid() const override { return leased_ && environment_.Now() < lease_until_; }
+
+  void OnChange(std::function<void()> callback) override {
+    listeners_.push_back(std::move(callback));
+  }
+
+  void Report(EngineObservation observation) override {
+    const EngineName engine = observation.engine;
+    unsent_.insert(engine);
+    observations_[engine] = std::move(observation);
+  }
+
+  void SetLeaving() override {
+    if (self_.state == MemberState::kLeaving) return;
+    self_.state = MemberState::kLeaving;
+    if (!sources_.empty()) Beat();
+  }
+
+  void Receive(const NodeId& from, const PeerMessage& message) override {
+    if (message.kind == MessageKind::kHeartbeatReply) ReceiveReply(message.payload);
+    if (message.kind == MessageKind::kConfigurationPush) ReceivePush(from, message.payload);
+  }
+
+ private:
+  void Beat() {
+    MoveIfUnanswered();
+    SendHeartbeat();
+    const double jitter = 1 + kHeartbeatJitter * (2 * DrawUnit(environment_.Random()) - 1);
+    timer_.Arm(FromSeconds(ToSeconds(timing_.heartbeat) * jitter), [this] { Beat(); });
+  }
+
+  void MoveIfUnanswered() {
+    const TimePoint now = environment_.Now();
+    if (now - source_since_ >= timing_.source_timeout) {
+      LogEvent(EventId::kConfigurationSourceLost, "node={} source={}", self_.node,
+               sources_.current().node);
+      sources_.MoveOn();
+      source_since_ = now;
+      return;
+    }
+    if (!sources_.AwayFromOwnZone() || now < return_at_) return;
+    return_at_ = now + kReturnToOwnZone;
+    sources_.ReturnToOwnZone();
+    source_since_ = now;
+  }
+
+  void SendHeartbeat() {
+    const TimePoint now = environment_.Now();
+    NodeHeartbeat heartbeat;
+    heartbeat.nonce = environment_.Random()() | 1;
+    heartbeat.sender.record = self_;
+    heartbeat.sender.applied = configuration_.revision;
+    heartbeat.observations = TakeObservations();
+    std::erase_if(unanswered_, [&](const auto& sent) { return now - sent.second > timing_.lease; });
+    unanswered_[heartbeat.nonce] = now;
+    transport_.Send(sources_.current().node,
+                    {MessageKind::kHeartbeat, EncodeHeartbeat(heartbeat)});
+  }
+
+  std::vector<ReportedObservation> TakeObservations() {
+    std::vector<ReportedObservation> taken;
+    const bool all = beats_++ % kHeartbeatsPerFullReport == 0;
+    for (auto it = observations_.begin(); it != observations_.end();) {
+      const bool configured =
+          configuration_.resources.contains({ResourceKind::kEngine, it->first.value()});
+      if (!configured && !unsent_.contains(it->first)) {
+        it = observations_.erase(it);
+        continue;
+      }
+      if (all || unsent_.contains(it->first)) taken.push_back({NodeId(), it->second});
+      ++it;
+    }
+    unsent_.clear();
+    return taken;
+  }
+
+  void ReceiveReply(const std::string& payload) {
+    const auto reply = DecodeHeartbeatReply(payload);
+    if (!reply.ok()) return;
+    const auto sent = unanswered_.find(reply->nonce);
+    if (sent == unanswered_.end()) return;
+    const TimePoint sent_at = sent->second;
+    unanswered_.erase(sent);
+    bool changed = false;
+    if (!reply->delta.empty()) {
+      const auto delta = DecodeDelta(reply->delta);
+      if (delta.ok()) changed = ApplyChanges(*delta);
+    }
+    if (configuration_.revision >= reply->confirmed) ExtendLease(sent_at);
+    if (changed) NotifyListeners();
+  }
+
+  void ReceivePush(const NodeId&, const std::string& payload) {
+    const auto delta = DecodeConfigurationPush(payload);
+    if (delta.ok() && ApplyChanges(*delta)) NotifyListeners();
+  }
+
+  /// Whether the configuration changed.
+  bool ApplyChanges(const ConfigurationDelta& delta) {
+    const Revision before = configuration_.revision;
+    if (faults_.smaller_revision_accepted && delta.to < before) {
+      configuration_.revision = delta.from;
+    }
+    return ApplyDelta(configuration_, delta) && configuration_.revision != before;
+  }
+
+  void ExtendLease(TimePoint sent_at) {
+    source_since_ = environment_.Now();
+    const TimePoint until = sent_at + timing_.lease;
+    if (leased_ && until <= lease_until_) return;
+    leased_ = true;
+    lease_until_ = until;
+  }
+
+  void NotifyListeners() {
+    // A listener may destroy this client.
+    const auto listeners = listeners_;
+    for (const auto& listener : listeners) listener();
+  }
+
+  Environment& environment_;
+  PeerTransport& transport_;
+  NodeRecord self_;
+  ControlEndpoints sources_;
+  const ConfigurationTiming timing_;
+  const ClusterFaults faults_;
+
+  Configuration configuration_;
+  std::vector<std::function<void()>> listeners_;
+  bool leased_ = false;
+  TimePoint lease_until_;
+  /// When the source last proved itself, or was chosen.
+  TimePoint source_since_;
+  TimePoint return_at_;
+  /// Send times of heartbeats, by nonce.
+  std::map<uint64_t, TimePoint> unanswered_;
+  int beats_ = 0;
+  std::map<EngineName, EngineObservation> observations_;
+  std::set<EngineName> unsent_;
+  ScopedTimer timer_;
+};
+
+}  // namespace
+
+std::unique_ptr<ConfigurationClient> MakeConfigurationClient(
+    Environment& environment, PeerTransport& transport, NodeRecord self,
+    std::vector<ControlEndpoint> control_nodes, ConfigurationTiming timing, ClusterFaults faults) {
+  return std::make_unique<HeartbeatingConfigurationClient>(
+      environment, transport, std::move(self), std::move(control_nodes), timing, faults);
+}
+
+}  // namespace millstair
--- a/source/cluster/configuration_client.h
+++ b/source/cluster/configuration_client.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/cluster_faults.h"
 #include "cluster/configuration.h"
 #include "common/environment.h"
 #include "common/ids.h"
@@ -63,6 +64,7 @@
 
 std::unique_ptr<ConfigurationClient> MakeConfigurationClient(
     Environment& environment, PeerTransport& transport, NodeRecord self,
-    std::vector<ControlEndpoint> control_nodes, ConfigurationTiming timing);
+    std::vector<ControlEndpoint> control_nodes, ConfigurationTiming timing,
+    ClusterFaults faults = {});
 
 }  // namespace millstair
--- /dev/null
+++ b/source/cluster/configuration_editor.cc
@@ -0,0 +1,211 @@
+#include "cluster/configuration_editor.h"
+
+#include <algorithm>
+
+#include "cluster/cluster_validation.h"
+
+namespace millstair {
+namespace {
+
+ClusterResult Refuse(ClusterResultCode code, std::string message) {
+  ClusterResult result;
+  result.code = code;
+  result.message = std::move(message);
+  return result;
+}
+
+bool SameContent(const Resource& a, const Resource& b) {
+  return a.labels == b.labels && a.spec == b.spec;
+}
+
+const PublishedVersion* FindPublished(const ModelStatus& status, WeightVersion version) {
+  for (const PublishedVersion& published : status.published) {
+    if (published.version == version) return &published;
+  }
+  return nullptr;
+}
+
+bool IsNoneOrPublished(const ModelStatus& status, WeightVersion version) {
+  return version == WeightVersion() || FindPublished(status, version) != nullptr;
+}
+
+}  // namespace
+
+bool ConfigurationEditor::ExpectedHolds(const ResourceKey& key,
+                                        const std::optional<Revision>& expected,
+                                        std::vector<Resource>& conflicting) const {
+  if (!expected || faults_.expected_version_ignored) return true;
+  const auto stored = configuration_.resources.find(key);
+  const bool present = stored != configuration_.resources.end();
+  const Revision version = present ? stored->second.version : Revision();
+  if (version == *expected) return true;
+  if (present) conflicting.push_back(stored->second);
+  return false;
+}
+
+ClusterResult ConfigurationEditor::Run(const PutResources& put) {
+  ClusterResult result;
+  Findings findings;
+  auto wanted = configuration_.resources;
+  std::set<ResourceKey> named;
+  bool expected = true;
+  for (const PutResources::Item& item : put.items) {
+    const ResourceKey key = item.resource.key();
+    if (!named.insert(key).second) findings.Add({}, key.name + ": named twice in one change");
+    if (!ExpectedHolds(key, item.expected, result.conflicting)) expected = false;
+    wanted[key] = item.resource;
+  }
+  if (!expected) {
+    result.code = ClusterResultCode::kConflict;
+    result.message = "a resource is not at the expected version";
+    return result;
+  }
+  for (const PutResources::Item& item : put.items) {
+    ValidateResource(wanted, item.resource, findings);
+  }
+  if (!findings.empty()) return Refuse(ClusterResultCode::kInvalid, findings.ToString());
+  for (const PutResources::Item& item : put.items) Store(item.resource);
+  return result;
+}
+
+ClusterResult ConfigurationEditor::Run(const DeleteResource& erase) {
+  ClusterResult result;
+  const bool present = configuration_.resources.contains(erase.key);
+  if (!ExpectedHolds(erase.key, erase.expected, result.conflicting)) {
+    if (!present) return Refuse(ClusterResultCode::kNotFound, erase.key.name + ": not found");
+    result.code = ClusterResultCode::kConflict;
+    result.message = "the resource is not at the expected version";
+    return result;
+  }
+  if (!present) return Refuse(ClusterResultCode::kNotFound, erase.key.name + ": not found");
+  Findings findings;
+  ValidateDeletion(configuration_.resources, erase.key, findings);
+  if (!findings.empty()) return Refuse(ClusterResultCode::kInvalid, findings.ToString());
+  Erase(erase.key);
+  return result;
+}
+
+void ConfigurationEditor::Store(const Resource& resource) {
+  const ResourceKey key = resource.key();
+  const auto stored = configuration_.resources.find(key);
+  if (stored != configuration_.resources.end() && SameContent(stored->second, resource)) return;
+  Resource& target = configuration_.resources[key];
+  target = resource;
+  target.version = index_;
+  changes_.resources.insert(key);
+}
+
+void ConfigurationEditor::Erase(const ResourceKey& key) {
+  configuration_.resources.erase(key);
+  changes_.resources.insert(key);
+  if (key.kind == ResourceKind::kModel && configuration_.models.erase(ModelName(key.name)) > 0) {
+    changes_.models.insert(ModelName(key.name));
+  }
+  if (key.kind == ResourceKind::kMachine && configuration_.machines.erase(key.name) > 0) {
+    changes_.machines.insert(key.name);
+  }
+  if (key.kind == ResourceKind::kEngine && configuration_.engines.erase(EngineName(key.name)) > 0) {
+    changes_.engines.insert(EngineName(key.name));
+  }
+}
+
+ClusterResult ConfigurationEditor::Run(const PublishVersion& publish) {
+  if (!configuration_.resources.contains({ResourceKind::kModel, publish.model.value()})) {
+    return Refuse(ClusterResultCode::kNotFound, "no such model");
+  }
+  const PublishedVersion& version = publish.version;
+  if (version.version == WeightVersion() || version.digest.value().empty()) {
+    return Refuse(ClusterResultCode::kInvalid, "a version from 1 and its digest are needed");
+  }
+  const auto stored = configuration_.models.find(publish.model);
+  if (stored != configuration_.models.end() && !stored->second.published.empty()) {
+    const PublishedVersion* same = FindPublished(stored->second, version.version);
+    if (same != nullptr && *same == version) return {};
+    if (same != nullptr) {
+      return Refuse(ClusterResultCode::kConflict, "the version was published with another digest");
+    }
+    if (version.version < stored->second.published.back().version) {
+      return Refuse(ClusterResultCode::kConflict, "a later version was published");
+    }
+  }
+  ModelStatus& status = configuration_.models[publish.model];
+  status.model = publish.model;
+  status.published.push_back(version);
+  BoundPublished(status);
+  changes_.models.insert(publish.model);
+  return {};
+}
+
+void ConfigurationEditor::BoundPublished(ModelStatus& status) const {
+  auto& published = status.published;
+  auto candidate = published.begin();
+  while (published.size() > max_published_versions_ && candidate != published.end()) {
+    const bool in_use =
+        candidate->version == status.staged || candidate->version == status.active;
+    candidate = in_use ? candidate + 1 : published.erase(candidate);
+  }
+}
+
+ClusterResult ConfigurationEditor::Run(const SetModelTarget& set) {
+  const auto found = configuration_.models.find(set.model);
+  if (found == configuration_.models.end()) {
+    return Refuse(ClusterResultCode::kNotFound, "no such model");
+  }
+  ModelStatus& status = found->second;
+  if (!IsNoneOrPublished(status, set.staged) || !IsNoneOrPublished(status, set.active)) {
+    return Refuse(ClusterResultCode::kInvalid, "the version was not published");
+  }
+  const bool stages_older = set.staged != WeightVersion() && set.staged < status.staged;
+  if (set.active < status.active || stages_older) {
+    return Refuse(ClusterResultCode::kInvalid, "a later version is staged or served");
+  }
+  if (set.staged == status.staged && set.active == status.active) return {};
+  if (set.staged != status.staged) status.staged_at = index_;
+  if (set.active != status.active) status.active_at = index_;
+  status.staged = set.staged;
+  status.active = set.active;
+  changes_.models.insert(set.model);
+  return {};
+}
+
+ClusterResult ConfigurationEditor::Run(const UpdateMembers& update) {
+  for (const NodeRecord& record : update.nodes) UpdateNode(record);
+  for (const MachineStatus& status : update.machines) UpdateMachine(status);
+  for (const EngineStatus& status : update.engines) UpdateEngine(status);
+  for (const NodeId& node : update.deleted_nodes) {
+    const auto found = configuration_.nodes.find(node);
+    if (found == configuration_.nodes.end() || found->second.state != MemberState::kGone) continue;
+    configuration_.nodes.erase(found);
+    changes_.nodes.insert(node);
+  }
+  return {};
+}
+
+void ConfigurationEditor::UpdateNode(const NodeRecord& record) {
+  const auto found = configuration_.nodes.find(record.node);
+  if (found != configuration_.nodes.end()) {
+    if (record.incarnation < found->second.incarnation || record == found->second) return;
+  }
+  configuration_.nodes[record.node] = record;
+  changes_.nodes.insert(record.node);
+}
+
+void ConfigurationEditor::UpdateMachine(const MachineStatus& status) {
+  if (!configuration_.resources.contains({ResourceKind::kMachine, status.machine})) return;
+  const auto found = configuration_.machines.find(status.machine);
+  if (found != configuration_.machines.end() && found->second == status) return;
+  configuration_.machines[status.machine] = status;
+  changes_.machines.insert(status.machine);
+}
+
+void ConfigurationEditor::UpdateEngine(const EngineStatus& status) {
+  if (!configuration_.resources.contains({ResourceKind::kEngine, status.engine.value()})) return;
+  const auto found = configuration_.engines.find(status.engine);
+  if (found != configuration_.engines.end()) {
+    if (status.incarnation < found->second.incarnation || status == found->second) return;
+  }
+  configuration_.engines[status.engine] = status;
+  changes_.engines.insert(status.engine);
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/configuration_editor.h
@@ -0,0 +1,48 @@
+/// Operations of the cluster group that change the configuration. Each runs as a whole or not at
+/// all, and notes what it touched.
+#pragma once
+
+#include "cluster/change_history.h"
+#include "cluster/cluster_commands.h"
+#include "cluster/cluster_faults.h"
+
+namespace millstair {
+
+/// Lives for one command.
+class ConfigurationEditor {
+ public:
+  /// `index` becomes the revision of what the command changes.
+  ConfigurationEditor(Configuration& configuration, Revision index, size_t max_published_versions,
+                      const ClusterFaults& faults)
+      : configuration_(configuration),
+        index_(index),
+        max_published_versions_(max_published_versions),
+        faults_(faults) {}
+
+  ClusterResult Run(const PutResources& put);
+  ClusterResult Run(const DeleteResource& erase);
+  ClusterResult Run(const PublishVersion& publish);
+  ClusterResult Run(const SetModelTarget& set);
+  ClusterResult Run(const UpdateMembers& update);
+
+  const ChangeSet& changes() const { return changes_; }
+
+ private:
+  /// Adds the stored resource to `conflicting` if it is not at `expected`; whether it is.
+  bool ExpectedHolds(const ResourceKey& key, const std::optional<Revision>& expected,
+                     std::vector<Resource>& conflicting) const;
+  void Store(const Resource& resource);
+  void Erase(const ResourceKey& key);
+  void UpdateNode(const NodeRecord& record);
+  void UpdateMachine(const MachineStatus& status);
+  void UpdateEngine(const EngineStatus& status);
+  void BoundPublished(ModelStatus& status) const;
+
+  Configuration& configuration_;
+  Revision index_;
+  size_t max_published_versions_;
+  const ClusterFaults& faults_;
+  ChangeSet changes_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/configuration_wire.cc
@@ -0,0 +1,175 @@
+#include "cluster/configuration_wire.h"
+
+#include "cluster/resource_wire.h"
+
+namespace millstair {
+namespace {
+
+bool StateFromWire(uint32_t wire, MemberState& state) {
+  if (wire < static_cast<uint32_t>(MemberState::kLive)) return false;
+  if (wire > static_cast<uint32_t>(MemberState::kGone)) return false;
+  state = static_cast<MemberState>(wire);
+  return true;
+}
+
+/// Values of strong string ids, for a `repeated string` field.
+template <class Id>
+char** NewIds(WireArena& arena, const std::vector<Id>& ids, pb_size_t* count) {
+  std::vector<std::string> strings;
+  strings.reserve(ids.size());
+  for (const Id& id : ids) strings.push_back(id.value());
+  return NewStrings(arena, strings, count);
+}
+
+template <class Id>
+std::vector<Id> IdsFromWire(char* const* strings, pb_size_t count) {
+  std::vector<Id> ids;
+  ids.reserve(count);
+  for (pb_size_t i = 0; i < count; ++i) ids.emplace_back(ToString(strings[i]));
+  return ids;
+}
+
+bool ChangesFromWire(const millstair_ConfigurationDelta& wire, ConfigurationDelta& delta) {
+  return FromWireArray(wire.changed_resources, wire.changed_resources_count,
+                       delta.changed_resources) &&
+         FromWireArray(wire.deleted_resources, wire.deleted_resources_count,
+                       delta.deleted_resources) &&
+         FromWireArray(wire.changed_models, wire.changed_models_count, delta.changed_models) &&
+         FromWireArray(wire.changed_nodes, wire.changed_nodes_count, delta.changed_nodes) &&
+         FromWireArray(wire.changed_machines, wire.changed_machines_count,
+                       delta.changed_machines) &&
+         FromWireArray(wire.changed_engines, wire.changed_engines_count, delta.changed_engines);
+}
+
+}  // namespace
+
+millstair_PublishedVersion ToWire(WireArena& arena, const PublishedVersion& version) {
+  millstair_PublishedVersion wire = millstair_PublishedVersion_init_zero;
+  wire.version = version.version.value();
+  wire.digest = arena.NewString(version.digest.value());
+  wire.location = arena.NewString(version.location);
+  return wire;
+}
+
+bool FromWire(const millstair_PublishedVersion& wire, PublishedVersion& version) {
+  version.version = WeightVersion(wire.version);
+  version.digest = WeightDigest(ToString(wire.digest));
+  version.location = ToString(wire.location);
+  return true;
+}
+
+millstair_ModelStatus ToWire(WireArena& arena, const ModelStatus& status) {
+  millstair_ModelStatus wire = millstair_ModelStatus_init_zero;
+  wire.model = arena.NewString(status.model.value());
+  wire.published =
+      NewWireArray<millstair_PublishedVersion>(arena, status.published, &wire.published_count);
+  wire.staged = status.staged.value();
+  wire.active = status.active.value();
+  wire.staged_at = status.staged_at.value();
+  wire.active_at = status.active_at.value();
+  return wire;
+}
+
+bool FromWire(const millstair_ModelStatus& wire, ModelStatus& status) {
+  status.model = ModelName(ToString(wire.model));
+  status.staged = WeightVersion(wire.staged);
+  status.active = WeightVersion(wire.active);
+  status.staged_at = Revision(wire.staged_at);
+  status.active_at = Revision(wire.active_at);
+  return FromWireArray(wire.published, wire.published_count, status.published);
+}
+
+millstair_NodeRecord ToWire(WireArena& arena, const NodeRecord& record) {
+  millstair_NodeRecord wire = millstair_NodeRecord_init_zero;
+  wire.node = arena.NewString(record.node.value());
+  wire.incarnation = record.incarnation.value();
+  wire.zone = arena.NewString(record.zone.value());
+  wire.address = arena.NewString(record.address);
+  wire.control = record.control;
+  wire.gateway = record.gateway;
+  wire.state = static_cast<uint32_t>(record.state);
+  return wire;
+}
+
+bool FromWire(const millstair_NodeRecord& wire, NodeRecord& record) {
+  record.node = NodeId(ToString(wire.node));
+  record.incarnation = Incarnation(wire.incarnation);
+  record.zone = Zone(ToString(wire.zone));
+  record.address = ToString(wire.address);
+  record.control = wire.control;
+  record.gateway = wire.gateway;
+  return StateFromWire(wire.state, record.state);
+}
+
+millstair_MachineStatus ToWire(WireArena& arena, const MachineStatus& status) {
+  millstair_MachineStatus wire = millstair_MachineStatus_init_zero;
+  wire.machine = arena.NewString(status.machine);
+  wire.platform_state = static_cast<uint32_t>(status.platform_state);
+  return wire;
+}
+
+bool FromWire(const millstair_MachineStatus& wire, MachineStatus& status) {
+  status.machine = ToString(wire.machine);
+  return StateFromWire(wire.platform_state, status.platform_state);
+}
+
+millstair_EngineStatus ToWire(WireArena& arena, const EngineStatus& status) {
+  millstair_EngineStatus wire = millstair_EngineStatus_init_zero;
+  wire.engine = arena.NewString(status.engine.value());
+  wire.incarnation = status.incarnation.value();
+  wire.state = static_cast<uint32_t>(status.state);
+  return wire;
+}
+
+bool FromWire(const millstair_EngineStatus& wire, EngineStatus& status) {
+  status.engine = EngineName(ToString(wire.engine));
+  status.incarnation = Incarnation(wire.incarnation);
+  return StateFromWire(wire.state, status.state);
+}
+
+std::string EncodeDelta(const ConfigurationDelta& delta) {
+  WireArena arena;
+  millstair_ConfigurationDelta wire = millstair_ConfigurationDelta_init_zero;
+  wire.from = delta.from.value();
+  wire.to = delta.to.value();
+  wire.full = delta.full;
+  wire.changed_resources = NewWireArray<millstair_Resource>(arena, delta.changed_resources,
+                                                            &wire.changed_resources_count);
+  wire.deleted_resources = NewWireArray<millstair_ResourceKey>(arena, delta.deleted_resources,
+                                                               &wire.deleted_resources_count);
+  wire.changed_models = NewWireArray<millstair_ModelStatus>(arena, delta.changed_models,
+                                                            &wire.changed_models_count);
+  wire.deleted_models = NewIds(arena, delta.deleted_models, &wire.deleted_models_count);
+  wire.changed_nodes =
+      NewWireArray<millstair_NodeRecord>(arena, delta.changed_nodes, &wire.changed_nodes_count);
+  wire.deleted_nodes = NewIds(arena, delta.deleted_nodes, &wire.deleted_nodes_count);
+  wire.changed_machines = NewWireArray<millstair_MachineStatus>(arena, delta.changed_machines,
+                                                                &wire.changed_machines_count);
+  wire.deleted_machines =
+      NewStrings(arena, delta.deleted_machines, &wire.deleted_machines_count);
+  wire.changed_engines = NewWireArray<millstair_EngineStatus>(arena, delta.changed_engines,
+                                                              &wire.changed_engines_count);
+  wire.deleted_engines = NewIds(arena, delta.deleted_engines, &wire.deleted_engines_count);
+  return EncodeNanopb(millstair_ConfigurationDelta_fields, &wire);
+}
+
+absl::StatusOr<ConfigurationDelta> DecodeDelta(std::string_view bytes) {
+  auto decoded = DecodedMessage<millstair_ConfigurationDelta>::Decode(
+      millstair_ConfigurationDelta_fields, bytes);
+  if (!decoded.ok()) return decoded.status();
+  const millstair_ConfigurationDelta& wire = **decoded;
+  ConfigurationDelta delta;
+  delta.from = Revision(wire.from);
+  delta.to = Revision(wire.to);
+  delta.full = wire.full;
+  if (!ChangesFromWire(wire, delta)) {
+    return absl::InvalidArgumentError("configuration delta with an unknown kind or state");
+  }
+  delta.deleted_models = IdsFromWire<ModelName>(wire.deleted_models, wire.deleted_models_count);
+  delta.deleted_nodes = IdsFromWire<NodeId>(wire.deleted_nodes, wire.deleted_nodes_count);
+  delta.deleted_machines = StringsFromWire(wire.deleted_machines, wire.deleted_machines_count);
+  delta.deleted_engines = IdsFromWire<EngineName>(wire.deleted_engines, wire.deleted_engines_count);
+  return delta;
+}
+
+}  // namespace millstair
--- a/source/cluster/control_client.h
+++ b/source/cluster/control_client.h
@@ -34,8 +34,10 @@
   virtual void Receive(const NodeId& from, const PeerMessage& message) = 0;
 };
 
+/// Control nodes of `own_zone` are tried first.
 std::unique_ptr<ControlClient> MakeControlClient(Environment& environment, PeerTransport& transport,
-                                                 NodeId self,
-                                                 std::vector<ControlEndpoint> control_nodes);
+                                                 const NodeId& self,
+                                                 std::vector<ControlEndpoint> control_nodes,
+                                                 const Zone& own_zone = Zone());
 
 }  // namespace millstair
--- /dev/null
+++ b/source/cluster/control_messages.h
@@ -0,0 +1,107 @@
+/// Typed messages of api/control.proto: heartbeats, pushes, commands and cluster queries.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "cluster/configuration.h"
+#include "cluster/configuration_client.h"
+#include "cluster/control_client.h"
+#include "common/ids.h"
+
+namespace millstair {
+
+/// An observation and the gateway that made it.
+struct ReportedObservation {
+  NodeId gateway;
+  EngineObservation observation;
+};
+
+/// A node as a control node heard it, passed on to the leader.
+struct ForwardedNode {
+  NodeRecord record;
+  Revision applied;
+  /// Identity of its disk; 0 without the control role.
+  ReplicaId replica;
+};
+
+/// Message of kind kHeartbeat.
+struct NodeHeartbeat {
+  /// Names the heartbeat in its reply; 0 wants none.
+  uint64_t nonce = 0;
+  ForwardedNode sender;
+  std::vector<ReportedObservation> observations;
+  /// Only from a control node to the leader.
+  std::vector<ForwardedNode> forwarded;
+};
+
+/// Message of kind kHeartbeatReply.
+struct NodeHeartbeatReply {
+  uint64_t nonce = 0;
+  /// The newest revision at some moment after the heartbeat was received.
+  Revision confirmed;
+  /// Encoded ConfigurationDelta; empty if the node holds `confirmed`.
+  std::string delta;
+};
+
+/// Message of kind kCommand.
+struct GroupCommand {
+  uint64_t id = 0;
+  GroupId group;
+  CommandMode mode = CommandMode::kPropose;
+  std::string command;
+  Duration timeout{0};
+  /// Node that asked, if a control node passed the command on.
+  NodeId origin;
+};
+
+/// Message of kind kCommandReply. Unavailable asks the sender to try again or elsewhere; any other
+/// code is final.
+struct GroupCommandReply {
+  uint64_t id = 0;
+  absl::StatusCode status = absl::StatusCode::kOk;
+  std::string message;
+  std::string result;
+  /// Where the reply is bound for, if it goes through another control node.
+  NodeId origin;
+};
+
+/// What the leader of the cluster group can be asked (command mode kQuery).
+enum class ClusterQueryKind : uint8_t {
+  kConfiguration = 1,  ///< answered with a full ConfigurationDelta
+  kLagging = 2,        ///< answered with the nodes that do not hold `revision`
+};
+
+struct ClusterQuery {
+  ClusterQueryKind kind = ClusterQueryKind::kConfiguration;
+  Revision revision;
+};
+
+/// A node and the revision it holds.
+struct NodeProgress {
+  NodeId node;
+  Revision revision;
+  /// Why it lags: "gone", "leaving" or "behind".
+  std::string reason;
+};
+
+std::string EncodeHeartbeat(const NodeHeartbeat& heartbeat);
+absl::StatusOr<NodeHeartbeat> DecodeHeartbeat(std::string_view bytes);
+std::string EncodeHeartbeatReply(const NodeHeartbeatReply& reply);
+absl::StatusOr<NodeHeartbeatReply> DecodeHeartbeatReply(std::string_view bytes);
+/// `delta` is an encoded ConfigurationDelta, so that one encoding serves all nodes.
+std::string EncodeConfigurationPush(std::string_view delta);
+absl::StatusOr<ConfigurationDelta> DecodeConfigurationPush(std::string_view bytes);
+std::string EncodeGroupCommand(const GroupCommand& command);
+absl::StatusOr<GroupCommand> DecodeGroupCommand(std::string_view bytes);
+std::string EncodeGroupCommandReply(const GroupCommandReply& reply);
+absl::StatusOr<GroupCommandReply> DecodeGroupCommandReply(std::string_view bytes);
+std::string EncodeClusterQuery(const ClusterQuery& query);
+absl::StatusOr<ClusterQuery> DecodeClusterQuery(std::string_view bytes);
+std::string EncodeLagging(const std::vector<NodeProgress>& nodes);
+absl::StatusOr<std::vector<NodeProgress>> DecodeLagging(std::string_view bytes);
+
+}  // namespace millstair
--- a/source/wire/nanopb_message.h
+++ b/source/wire/nanopb_message.h
@@ -63,7 +63,10 @@
 
  private:
   void* Allocate(size_t size) {
-    blocks_.push_back(std::make_unique<std::max_align_t[]>(size / sizeof(std::max_align_t) + 1));
+    const size_t elements = size / sizeof(std::max_align_t) + 1;
+    blocks_.push_back(std::make_unique<std::max_align_t[]>(elements));
+    // Value-initialization leaves the padding of max_align_t as it was.
+    std::memset(blocks_.back().get(), 0, elements * sizeof(std::max_align_t));
     return blocks_.back().get();
   }
 
--- /dev/null
+++ b/test/cluster/control_clients_test.cc
@@ -0,0 +1,231 @@
+/// ConfigurationClient and ControlClient against scripted control nodes, in virtual time.
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "cluster/configuration_client.h"
+#include "cluster/control_client.h"
+#include "cluster/control_messages.h"
+#include "common/virtual_environment.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct SentMessage {
+  NodeId to;
+  PeerMessage message;
+};
+
+class RecordingTransport : public PeerTransport {
+ public:
+  void Send(const NodeId& to, PeerMessage message) override {
+    sent.push_back({to, std::move(message)});
+  }
+  void SetAddress(const NodeId&, const std::string&) override {}
+
+  std::vector<SentMessage> sent;
+};
+
+const std::vector<ControlEndpoint> kControlNodes = {{NodeId("c1"), "1:1", Zone("a")},
+                                                    {NodeId("c2"), "1:2", Zone("b")},
+                                                    {NodeId("c3"), "1:3", Zone("c")}};
+
+struct ClientFixture {
+  explicit ClientFixture(ClusterFaults faults = {}) {
+    NodeRecord self;
+    self.node = NodeId("n");
+    self.zone = Zone("b");
+    client = MakeConfigurationClient(environment, transport, self, kControlNodes, {}, faults);
+    client->OnChange([this] { ++changes; });
+    client->Start();
+  }
+
+  NodeHeartbeat LastHeartbeat() const {
+    return *DecodeHeartbeat(transport.sent.back().message.payload);
+  }
+
+  void Answer(uint64_t nonce, uint64_t confirmed, const ConfigurationDelta* delta = nullptr) {
+    NodeHeartbeatReply reply{nonce, Revision(confirmed), delta ? EncodeDelta(*delta) : ""};
+    client->Receive(NodeId("c2"), {MessageKind::kHeartbeatReply, EncodeHeartbeatReply(reply)});
+  }
+
+  void Push(const ConfigurationDelta& delta) {
+    client->Receive(NodeId("c2"), {MessageKind::kConfigurationPush,
+                                   EncodeConfigurationPush(EncodeDelta(delta))});
+  }
+
+  VirtualScheduler scheduler{1};
+  VirtualEnvironment environment{scheduler, 2};
+  RecordingTransport transport;
+  std::unique_ptr<ConfigurationClient> client;
+  int changes = 0;
+};
+
+ConfigurationDelta DeltaTo(uint64_t from, uint64_t to, bool full = false) {
+  ConfigurationDelta delta;
+  delta.from = Revision(from);
+  delta.to = Revision(to);
+  delta.full = full;
+  return delta;
+}
+
+TEST_CASE("the lease runs from the send time of the answered heartbeat") {
+  ClientFixture fixture;
+  CHECK(fixture.transport.sent.back().to == NodeId("c2"));
+  CHECK_FALSE(fixture.client->LeaseValid());
+  const uint64_t nonce = fixture.LastHeartbeat().nonce;
+  fixture.scheduler.RunFor(milliseconds(800));
+  fixture.Answer(nonce, 0);
+  CHECK(fixture.client->LeaseValid());
+  fixture.scheduler.RunFor(milliseconds(3199));
+  CHECK(fixture.client->LeaseValid());
+  fixture.scheduler.RunFor(milliseconds(1));
+  CHECK_FALSE(fixture.client->LeaseValid());
+}
+
+TEST_CASE("no lease while the confirmed revision is not held, nor for a foreign nonce") {
+  ClientFixture fixture;
+  const uint64_t nonce = fixture.LastHeartbeat().nonce;
+  fixture.Answer(nonce + 2, 0);
+  CHECK_FALSE(fixture.client->LeaseValid());
+  fixture.Answer(nonce, 7);
+  CHECK_FALSE(fixture.client->LeaseValid());
+  fixture.scheduler.RunFor(seconds(1) + milliseconds(200));
+  const ConfigurationDelta delta = DeltaTo(0, 7, true);
+  fixture.Answer(fixture.LastHeartbeat().nonce, 7, &delta);
+  CHECK(fixture.client->LeaseValid());
+  CHECK(fixture.client->configuration().revision == Revision(7));
+  CHECK(fixture.changes == 1);
+}
+
+TEST_CASE("a push changes the configuration without a lease and never goes back") {
+  ClientFixture fixture;
+  fixture.Push(DeltaTo(0, 5, true));
+  CHECK(fixture.client->configuration().revision == Revision(5));
+  CHECK_FALSE(fixture.client->LeaseValid());
+  fixture.Push(DeltaTo(0, 4, true));
+  fixture.Push(DeltaTo(6, 7));
+  CHECK(fixture.client->configuration().revision == Revision(5));
+  CHECK(fixture.changes == 1);
+}
+
+TEST_CASE("the broken variant goes back to a smaller revision") {
+  ClusterFaults faults;
+  faults.smaller_revision_accepted = true;
+  ClientFixture fixture(faults);
+  fixture.Push(DeltaTo(0, 5, true));
+  fixture.Push(DeltaTo(3, 4));
+  CHECK(fixture.client->configuration().revision == Revision(4));
+}
+
+TEST_CASE("an unanswered control node is left for the next, round after round") {
+  ClientFixture fixture;
+  fixture.scheduler.RunFor(seconds(10));
+  std::map<NodeId, int> heartbeats;
+  for (const SentMessage& sent : fixture.transport.sent) ++heartbeats[sent.to];
+  CHECK(heartbeats.size() == 3);
+}
+
+TEST_CASE("a node that found another zone's control node returns to its own zone later") {
+  ClientFixture fixture;
+  const TimePoint start = fixture.environment.Now();
+  while (fixture.environment.Now() - start < seconds(60)) {
+    const size_t before = fixture.transport.sent.size();
+    fixture.scheduler.RunFor(milliseconds(50));
+    for (size_t i = before; i < fixture.transport.sent.size(); ++i) {
+      const SentMessage sent = fixture.transport.sent[i];
+      const bool healed = fixture.environment.Now() - start > seconds(10);
+      if (sent.to == NodeId("c2") && !healed) continue;
+      fixture.Answer(DecodeHeartbeat(sent.message.payload)->nonce, 0);
+    }
+    if (fixture.environment.Now() - start > seconds(5)) CHECK(fixture.client->LeaseValid());
+  }
+  CHECK(fixture.transport.sent.back().to == NodeId("c2"));
+}
+
+TEST_CASE("observations go with the next heartbeat and are repeated") {
+  ClientFixture fixture;
+  fixture.client->Report({EngineName("e"), Incarnation(3), true});
+  fixture.scheduler.RunFor(milliseconds(1200));
+  REQUIRE(fixture.LastHeartbeat().observations.size() == 1);
+  CHECK(fixture.LastHeartbeat().observations[0].observation.leaving);
+  fixture.scheduler.RunFor(milliseconds(1200));
+  CHECK(fixture.LastHeartbeat().observations.empty());
+  fixture.client->SetLeaving();
+  CHECK(fixture.LastHeartbeat().sender.record.state == MemberState::kLeaving);
+}
+
+struct ControlClientFixture {
+  ControlClientFixture() {
+    client = MakeControlClient(environment, transport, NodeId("n"), kControlNodes, Zone("b"));
+  }
+
+  void Submit(Duration timeout) {
+    client->Submit(GroupId("cluster"), CommandMode::kPropose, "command", timeout,
+                   [this](absl::StatusOr<std::string> result) { results.push_back(result); });
+  }
+
+  GroupCommand LastCommand() const {
+    return *DecodeGroupCommand(transport.sent.back().message.payload);
+  }
+
+  void Answer(uint64_t id, absl::StatusCode status, const std::string& result) {
+    const GroupCommandReply reply{id, status, "why", result, NodeId()};
+    client->Receive(transport.sent.back().to,
+                    {MessageKind::kCommandReply, EncodeGroupCommandReply(reply)});
+  }
+
+  VirtualScheduler scheduler{1};
+  VirtualEnvironment environment{scheduler, 2};
+  RecordingTransport transport;
+  std::unique_ptr<ControlClient> client;
+  std::vector<absl::StatusOr<std::string>> results;
+};
+
+TEST_CASE("an answered command ends once; copies of the answer are ignored") {
+  ControlClientFixture fixture;
+  fixture.Submit(seconds(5));
+  CHECK(fixture.transport.sent.back().to == NodeId("c2"));
+  const uint64_t id = fixture.LastCommand().id;
+  fixture.Answer(id, absl::StatusCode::kOk, "done");
+  fixture.Answer(id, absl::StatusCode::kOk, "again");
+  REQUIRE(fixture.results.size() == 1);
+  CHECK(*fixture.results[0] == "done");
+}
+
+TEST_CASE("an unanswered command is repeated elsewhere under its id until its deadline") {
+  ControlClientFixture fixture;
+  fixture.Submit(seconds(6));
+  const uint64_t id = fixture.LastCommand().id;
+  fixture.scheduler.RunFor(milliseconds(5999));
+  CHECK(fixture.results.empty());
+  std::map<NodeId, int> tries;
+  for (const SentMessage& sent : fixture.transport.sent) {
+    ++tries[sent.to];
+    CHECK(DecodeGroupCommand(sent.message.payload)->id == id);
+  }
+  CHECK(tries.size() == 3);
+  fixture.scheduler.RunFor(milliseconds(1));
+  REQUIRE(fixture.results.size() == 1);
+  CHECK(absl::IsDeadlineExceeded(fixture.results[0].status()));
+  const size_t sent = fixture.transport.sent.size();
+  fixture.scheduler.RunFor(seconds(5));
+  CHECK(fixture.transport.sent.size() == sent);
+}
+
+TEST_CASE("unavailable is tried again soon, other errors are final") {
+  ControlClientFixture fixture;
+  fixture.Submit(seconds(6));
+  fixture.Answer(fixture.LastCommand().id, absl::StatusCode::kUnavailable, "");
+  fixture.scheduler.RunFor(milliseconds(200));
+  CHECK(fixture.transport.sent.size() == 2);
+  CHECK(fixture.results.empty());
+  fixture.Answer(fixture.LastCommand().id, absl::StatusCode::kNotFound, "");
+  REQUIRE(fixture.results.size() == 1);
+  CHECK(absl::IsNotFound(fixture.results[0].status()));
+}
+
+}  // namespace
+}  // namespace millstair
--- a/test/wire/nanopb_message_test.cc
+++ b/test/wire/nanopb_message_test.cc
@@ -29,5 +29,17 @@
   REQUIRE_FALSE(DecodedMessage<millstair_Hello>::Decode(millstair_Hello_fields, cut).ok());
 }
 
+TEST_CASE("memory of an arena is zeroed to its last byte, also where the heap was used before") {
+  constexpr size_t kLength = 42;
+  for (int round = 0; round < 50; ++round) {
+    std::vector<std::unique_ptr<std::string>> garbage;
+    for (int i = 0; i < 20; ++i) garbage.push_back(std::make_unique<std::string>(kLength, 'x'));
+    garbage.clear();
+    WireArena arena;
+    const char* text = arena.NewString(std::string(kLength, 'y'));
+    CHECK(std::strlen(text) == kLength);
+  }
+}
+
 }  // namespace
 }  // namespace millstair
