--- a/source/cluster/change_history.cc
+++ b/source/cluster/change_history.cc
@@ -56,9 +56,9 @@
 ConfigurationDelta ChangeHistory::Since(Revision from, const Configuration& configuration) const {
   if (from < start_) return FullDelta(configuration);
   ChangeSet touched;
-  const auto first =
-      std::upper_bound(changes_.begin(), changes_.end(), from,
-                       [](Revision value, const Change& change) { return value < change.revision; });
+  const auto first = std::upper_bound(
+      changes_.begin(), changes_.end(), from,
+      [](Revision value, const Change& change) { return value < change.revision; });
   for (auto change = first; change != changes_.end(); ++change) touched.Merge(change->changes);
   ConfigurationDelta delta;
   delta.from = from;
--- a/source/cluster/cluster_snapshot.cc
+++ b/source/cluster/cluster_snapshot.cc
@@ -104,8 +104,8 @@
   WireArena arena;
   millstair_ClusterSnapshot wire = millstair_ClusterSnapshot_init_zero;
   wire.format = kSnapshotFormat;
-  wire.configuration = arena.NewChunkedBytes(EncodeDelta(FullDelta(configuration_)),
-                                             &wire.configuration_count);
+  wire.configuration =
+      arena.NewChunkedBytes(EncodeDelta(FullDelta(configuration_)), &wire.configuration_count);
   wire.clock_milliseconds = ToMilliseconds(clock_);
   if (!faults_.sessions_not_in_snapshot) {
     wire.sessions = arena.NewArray<millstair_ClientSession>(sessions_.sessions().size());
--- a/source/cluster/configuration_client.cc
+++ b/source/cluster/configuration_client.cc
@@ -99,8 +99,7 @@
     heartbeat.observations = TakeObservations();
     std::erase_if(unanswered_, [&](const auto& sent) { return now - sent.second > timing_.lease; });
     unanswered_[heartbeat.nonce] = now;
-    transport_.Send(sources_.current().node,
-                    {MessageKind::kHeartbeat, EncodeHeartbeat(heartbeat)});
+    transport_.Send(sources_.current().node, {MessageKind::kHeartbeat, EncodeHeartbeat(heartbeat)});
   }
 
   std::vector<ReportedObservation> TakeObservations() {
--- a/source/cluster/configuration_editor.cc
+++ b/source/cluster/configuration_editor.cc
@@ -140,8 +140,7 @@
   auto& published = status.published;
   auto candidate = published.begin();
   while (published.size() > max_published_versions_ && candidate != published.end()) {
-    const bool in_use =
-        candidate->version == status.staged || candidate->version == status.active;
+    const bool in_use = candidate->version == status.staged || candidate->version == status.active;
     candidate = in_use ? candidate + 1 : published.erase(candidate);
   }
 }
--- a/source/cluster/configuration_wire.cc
+++ b/source/cluster/configuration_wire.cc
@@ -137,16 +137,15 @@
                                                             &wire.changed_resources_count);
   wire.deleted_resources = NewWireArray<millstair_ResourceKey>(arena, delta.deleted_resources,
                                                                &wire.deleted_resources_count);
-  wire.changed_models = NewWireArray<millstair_ModelStatus>(arena, delta.changed_models,
-                                                            &wire.changed_models_count);
+  wire.changed_models =
+      NewWireArray<millstair_ModelStatus>(arena, delta.changed_models, &wire.changed_models_count);
   wire.deleted_models = NewIds(arena, delta.deleted_models, &wire.deleted_models_count);
   wire.changed_nodes =
       NewWireArray<millstair_NodeRecord>(arena, delta.changed_nodes, &wire.changed_nodes_count);
   wire.deleted_nodes = NewIds(arena, delta.deleted_nodes, &wire.deleted_nodes_count);
   wire.changed_machines = NewWireArray<millstair_MachineStatus>(arena, delta.changed_machines,
                                                                 &wire.changed_machines_count);
-  wire.deleted_machines =
-      NewStrings(arena, delta.deleted_machines, &wire.deleted_machines_count);
+  wire.deleted_machines = NewStrings(arena, delta.deleted_machines, &wire.deleted_machines_count);
   wire.changed_engines = NewWireArray<millstair_EngineStatus>(arena, delta.changed_engines,
                                                               &wire.changed_engines_count);
   wire.deleted_engines = NewIds(arena, delta.deleted_engines, &wire.deleted_engines_count);
--- a/source/cluster/control_client.cc
+++ b/source/cluster/control_client.cc
@@ -83,10 +83,9 @@
     if (endpoints_.empty()) return;
     pending.sent_to = endpoints_.current().node;
     pending.message.timeout = pending.deadline - environment_.Now();
-    transport_.Send(pending.sent_to,
-                    {MessageKind::kCommand, EncodeGroupCommand(pending.message)});
-    const Duration wait = DrawDuration(environment_.Random(), kReplyTimeout,
-                                       kReplyTimeout + kReplyTimeout / 4);
+    transport_.Send(pending.sent_to, {MessageKind::kCommand, EncodeGroupCommand(pending.message)});
+    const Duration wait =
+        DrawDuration(environment_.Random(), kReplyTimeout, kReplyTimeout + kReplyTimeout / 4);
     const uint64_t id = pending.message.id;
     pending.retry_timer.Arm(wait, [this, id] { SendElsewhere(id); });
   }
--- a/source/cluster/resource_wire.cc
+++ b/source/cluster/resource_wire.cc
@@ -3,7 +3,8 @@
 namespace millstair {
 
 // Not in the unnamed namespace, so that NewWireArray and FromWireArray find them.
-static millstair_SelectorRequirement ToWire(WireArena& arena, const SelectorRequirement& requirement) {
+static millstair_SelectorRequirement ToWire(WireArena& arena,
+                                            const SelectorRequirement& requirement) {
   millstair_SelectorRequirement wire = millstair_SelectorRequirement_init_zero;
   wire.key = arena.NewString(requirement.key);
   wire.op = static_cast<uint32_t>(requirement.op);
--- a/test/cluster/cluster_properties_test.cc
+++ b/test/cluster/cluster_properties_test.cc
@@ -32,13 +32,14 @@
       case 4:
         return ClaimKey{Name(), NodeId(Name()), Incarnation(Below(2)), "d", std::nullopt, Below(4)};
       case 5:
-        return SettleClaim{Name(), NodeId(Name()), Incarnation(Below(2)), Below(2) == 0, 200,
-                           Below(4)};
+        return SettleClaim{Name(), NodeId(Name()), Incarnation(Below(2)), Below(2) == 0,
+                           200,    Below(4)};
       case 6:
         return PublishVersion{ModelName(Name()),
                               {WeightVersion(Below(20)), WeightDigest(Name()), Name()}};
       case 7:
-        return SetModelTarget{ModelName(Name()), WeightVersion(Below(20)), WeightVersion(Below(20))};
+        return SetModelTarget{ModelName(Name()), WeightVersion(Below(20)),
+                              WeightVersion(Below(20))};
       default:
         return RandomMembers();
     }
--- a/test/cluster/cluster_state_machine_test.cc
+++ b/test/cluster/cluster_state_machine_test.cc
@@ -47,8 +47,8 @@
   StateMachineDriver driver;
   PutResources put;
   put.items.push_back({MakeResource("m", MachineAt("1")), std::nullopt});
-  put.items.push_back({MakeResource("e", EngineSpec{EngineType::kModel, "missing", "1:1", false}),
-                       std::nullopt});
+  put.items.push_back(
+      {MakeResource("e", EngineSpec{EngineType::kModel, "missing", "1:1", false}), std::nullopt});
   CHECK(driver.Apply(put).code == ClusterResultCode::kInvalid);
   CHECK(driver.state.configuration().resources.empty());
   CHECK(driver.state.configuration().revision == Revision());
@@ -81,9 +81,8 @@
   const ClusterResult second = driver.Apply(put, stamp);
   CHECK(second.code == ClusterResultCode::kOk);
   CHECK(second.revision == first.revision);
-  CHECK(driver.state.configuration()
-            .FindSpec<MachineSpec>(ResourceKind::kMachine, "m")
-            ->address == "2");
+  CHECK(driver.state.configuration().FindSpec<MachineSpec>(ResourceKind::kMachine, "m")->address ==
+        "2");
 }
 
 TEST_CASE("a sequence used for another change is refused") {
@@ -283,7 +282,8 @@
   ClusterLimits limits;
   limits.max_history = 2;
   StateMachineDriver driver(limits);
-  for (int i = 0; i < 4; ++i) driver.Apply(Put(MakeResource("m" + std::to_string(i), MachineSpec())));
+  for (int i = 0; i < 4; ++i)
+    driver.Apply(Put(MakeResource("m" + std::to_string(i), MachineSpec())));
   CHECK(driver.state.DeltaSince(Revision(1)).full);
   const ConfigurationDelta delta = driver.state.DeltaSince(Revision(2));
   CHECK_FALSE(delta.full);
--- a/test/cluster/control_clients_test.cc
+++ b/test/cluster/control_clients_test.cc
@@ -52,8 +52,8 @@
   }
 
   void Push(const ConfigurationDelta& delta) {
-    client->Receive(NodeId("c2"), {MessageKind::kConfigurationPush,
-                                   EncodeConfigurationPush(EncodeDelta(delta))});
+    client->Receive(NodeId("c2"),
+                    {MessageKind::kConfigurationPush, EncodeConfigurationPush(EncodeDelta(delta))});
   }
 
   VirtualScheduler scheduler{1};
