--- a/source/consensus/group_host.h
+++ b/source/consensus/group_host.h
@@ -11,6 +11,7 @@
 #include "common/environment.h"
 #include "common/ids.h"
 #include "common/peer_transport.h"
+#include "consensus/consensus_faults.h"
 #include "consensus/raft_group.h"
 #include "consensus/state_machine.h"
 #include "storage/file_system.h"
@@ -22,6 +23,8 @@
   Duration heartbeat = std::chrono::milliseconds(100);
   /// Elections start after a random time between this and twice this without a leader.
   Duration election_timeout = std::chrono::milliseconds(1000);
+  /// Proposals, reads and membership changes that take longer get DeadlineExceeded.
+  Duration request_timeout = std::chrono::milliseconds(5000);
 };
 
 struct ConsensusLimits {
@@ -30,7 +33,7 @@
   uint64_t snapshot_chunk_bytes = 256 * 1024;
 };
 
-/// Who this replica is: made once per disk by `InitializeReplica`, kept in the data folder.
+/// Who this replica is: made once per disk, kept in the data folder.
 struct ReplicaIdentity {
   ReplicaId replica;
   NodeId node;
@@ -79,6 +82,7 @@
 std::unique_ptr<GroupHost> MakeGroupHost(Environment& environment, PeerTransport& transport,
                                          FileSystem& files, ReplicaIdentity identity,
                                          ConsensusTiming timing, ConsensusLimits limits,
-                                         GroupHost::StateMachineFactory factory);
+                                         GroupHost::StateMachineFactory factory,
+                                         ConsensusFaults faults = {});
 
 }  // namespace millstair
--- /dev/null
+++ b/source/consensus/group_host_impl.cc
@@ -0,0 +1,268 @@
+#include "consensus/group_host_impl.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "common/event_log.h"
+#include "fmt/format.h"
+
+namespace millstair {
+namespace {
+
+constexpr char kGroupsFolder[] = "groups";
+/// A batch is sent once it holds about this much.
+constexpr uint64_t kBatchBytes = 512 * 1024;
+
+bool IsPlain(char letter) {
+  return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
+         (letter >= '0' && letter <= '9') || letter == '-' || letter == '_';
+}
+
+/// Group names may hold '/' and more; the folder's name may not.
+std::string FolderName(const GroupId& group) {
+  std::string name;
+  for (const char letter : group.value()) {
+    if (IsPlain(letter)) {
+      name.push_back(letter);
+    } else {
+      name += fmt::format("%{:02x}", static_cast<uint8_t>(letter));
+    }
+  }
+  return name;
+}
+
+GroupId GroupOfFolder(const std::string& name) {
+  std::string group;
+  for (size_t i = 0; i < name.size(); ++i) {
+    if (name[i] == '%' && i + 2 < name.size()) {
+      group.push_back(static_cast<char>(std::stoi(name.substr(i + 1, 2), nullptr, 16)));
+      i += 2;
+    } else {
+      group.push_back(name[i]);
+    }
+  }
+  return GroupId(group);
+}
+
+}  // namespace
+
+GroupHostImpl::GroupHostImpl(Environment& environment, PeerTransport& transport, FileSystem& files,
+                             ReplicaIdentity identity, ConsensusTiming timing,
+                             ConsensusLimits limits, StateMachineFactory factory,
+                             ConsensusFaults faults)
+    : environment_(environment),
+      transport_(transport),
+      files_(files),
+      identity_(std::move(identity)),
+      timing_(timing),
+      limits_(limits),
+      factory_(std::move(factory)),
+      faults_(faults),
+      tick_timer_(environment) {}
+
+absl::Status GroupHostImpl::Start() {
+  auto names = files_.List(kGroupsFolder);
+  if (!names.ok()) return names.status();
+  for (const std::string& name : *names) {
+    const GroupId group = GroupOfFolder(name);
+    auto replica = Open(group, {});
+    // The factory does not know the group any more; its files stay.
+    if (absl::IsNotFound(replica.status())) continue;
+    if (!replica.ok()) return replica.status();
+  }
+  Tick();
+  return absl::OkStatus();
+}
+
+absl::StatusOr<GroupReplica*> GroupHostImpl::Open(const GroupId& group,
+                                                  const std::vector<GroupMember>& initial_members) {
+  auto machine = factory_(group);
+  if (machine == nullptr) return absl::NotFoundError(absl::StrCat("no group ", group.value()));
+  Entry entry;
+  entry.context = std::make_unique<ReplicaContext>(
+      ReplicaContext{environment_, files_, identity_.replica, timing_, limits_, faults_,
+                     [this, group] { Mark(group); }});
+  auto replica = GroupReplica::Open(*entry.context, group,
+                                    absl::StrCat(kGroupsFolder, "/", FolderName(group)),
+                                    std::move(machine), initial_members);
+  if (!replica.ok()) return replica.status();
+  entry.replica = *std::move(replica);
+  GroupReplica* opened = entry.replica.get();
+  by_key_[opened->key()] = opened;
+  groups_[group] = std::move(entry);
+  LogEvent(EventId::kGroupOpened, "group={} term={} last_snapshot={}", group, opened->CurrentTerm(),
+           opened->AppliedIndex());
+  Mark(group);
+  return opened;
+}
+
+absl::StatusOr<RaftGroup*> GroupHostImpl::OpenGroup(
+    const GroupId& group, const std::vector<GroupMember>& initial_members) {
+  if (RaftGroup* existing = Find(group)) return existing;
+  auto replica = Open(group, initial_members);
+  if (!replica.ok()) return replica.status();
+  return *replica;
+}
+
+RaftGroup* GroupHostImpl::Find(const GroupId& group) {
+  const auto it = groups_.find(group);
+  return it == groups_.end() ? nullptr : it->second.replica.get();
+}
+
+StateMachine* GroupHostImpl::FindStateMachine(const GroupId& group) {
+  const auto it = groups_.find(group);
+  return it == groups_.end() ? nullptr : &it->second.replica->machine();
+}
+
+std::vector<RaftGroup*> GroupHostImpl::Groups() {
+  std::vector<RaftGroup*> groups;
+  for (auto& [id, entry] : groups_) groups.push_back(entry.replica.get());
+  return groups;
+}
+
+absl::Status GroupHostImpl::DropGroup(const GroupId& group) {
+  const auto it = groups_.find(group);
+  if (it == groups_.end()) return absl::NotFoundError(absl::StrCat("no group ", group.value()));
+  const std::string folder = it->second.replica->folder();
+  by_key_.erase(it->second.replica->key());
+  // The entry goes after the map is consistent: destructors may call back.
+  const auto dropped = groups_.extract(it);
+  auto names = files_.List(folder);
+  if (!names.ok()) return names.status();
+  for (const std::string& name : *names) {
+    absl::Status status = files_.Remove(absl::StrCat(folder, "/", name));
+    if (!status.ok()) return status;
+  }
+  return files_.Remove(folder);
+}
+
+void GroupHostImpl::Receive(const NodeId& from, const PeerMessage& message) {
+  auto messages = DecodeRaftBatch(message.payload);
+  if (!messages.ok()) {
+    LogEvent(EventId::kRaftBatchRefused, "from={} bytes={}", from, message.payload.size());
+    return;
+  }
+  for (AddressedRaftMessage& addressed : *messages) {
+    if (addressed.message.to != identity_.replica) continue;
+    GroupReplica* replica = FindForMessage(addressed);
+    if (replica == nullptr) continue;
+    replica->Receive(from, std::move(addressed.message));
+    Mark(replica->id());
+  }
+}
+
+GroupReplica* GroupHostImpl::FindForMessage(const AddressedRaftMessage& addressed) {
+  const auto it = by_key_.find(addressed.group_key);
+  if (it != by_key_.end()) return it->second;
+  const RaftMessageType type = addressed.message.type;
+  // Only a leader that counts this replica as a member makes it open the group.
+  const bool from_leader =
+      type == RaftMessageType::kAppend || type == RaftMessageType::kSnapshotChunk;
+  if (!from_leader || addressed.group.value().empty()) return nullptr;
+  auto replica = Open(addressed.group, {});
+  if (replica.ok()) return *replica;
+  if (!absl::IsNotFound(replica.status())) {
+    LogEvent(EventId::kReplicaHalted, "group={} error=\"{}\"", addressed.group,
+             std::string(replica.status().message()));
+  }
+  return nullptr;
+}
+
+void GroupHostImpl::Mark(const GroupId& group) {
+  marked_.insert(group);
+  if (work_scheduled_) return;
+  work_scheduled_ = true;
+  environment_.Schedule(Duration(0), alive_.Guard([this] { Work(); }));
+}
+
+void GroupHostImpl::Tick() {
+  // Elections are timed finer than heartbeats, so that candidates seldom collide.
+  tick_timer_.Arm(timing_.heartbeat / 2, [this] { Tick(); });
+  const TimePoint now = environment_.Now();
+  for (auto& [id, entry] : groups_) {
+    entry.replica->Tick(now);
+    Mark(id);
+  }
+}
+
+void GroupHostImpl::Work() {
+  work_scheduled_ = false;
+  ReplicaOutput output;
+  for (const GroupId& group : std::exchange(marked_, {})) {
+    const auto it = groups_.find(group);
+    if (it == groups_.end()) continue;
+    it->second.replica->Work(output);
+    NoteChanges(group, it->second);
+  }
+  SendAll(std::move(output.messages));
+  const auto changed = std::exchange(changed_, {});
+  const auto listeners = leadership_callbacks_;
+  // Any of the callbacks may destroy this host.
+  bool alive = true;
+  auto check = alive_.Guard([&alive] { alive = true; });
+  const auto still_alive = [&] {
+    alive = false;
+    check();
+    return alive;
+  };
+  for (const GroupId& group : changed) {
+    for (const auto& listener : listeners) {
+      if (!still_alive()) return;
+      listener(group);
+    }
+  }
+  for (auto& callback : output.callbacks) {
+    if (!still_alive()) return;
+    callback();
+  }
+}
+
+void GroupHostImpl::NoteChanges(const GroupId& group, Entry& entry) {
+  const bool leader = entry.replica->IsLeader();
+  const Term term = entry.replica->CurrentTerm();
+  const LogIndex configuration = entry.replica->ConfigurationIndex();
+  const bool role_changed = leader != entry.leader || (leader && term != entry.term);
+  const bool members_changed = configuration != entry.configuration;
+  entry.leader = leader;
+  entry.term = term;
+  entry.configuration = configuration;
+  if (members_changed) {
+    for (const GroupMember& member : entry.replica->Members()) {
+      if (member.node != identity_.node) transport_.SetAddress(member.node, member.address);
+    }
+  }
+  if (role_changed || members_changed) changed_.insert(group);
+}
+
+void GroupHostImpl::SendAll(std::vector<OutgoingMessage> messages) {
+  std::map<NodeId, std::vector<AddressedRaftMessage>> batches;
+  std::map<NodeId, uint64_t> sizes;
+  for (OutgoingMessage& message : messages) {
+    auto& batch = batches[message.node];
+    uint64_t& size = sizes[message.node];
+    size += EncodedSize(message.addressed.message);
+    batch.push_back(std::move(message.addressed));
+    if (size < kBatchBytes) continue;
+    SendBatch(message.node, batch);
+    batch.clear();
+    size = 0;
+  }
+  for (const auto& [node, batch] : batches) {
+    if (!batch.empty()) SendBatch(node, batch);
+  }
+}
+
+void GroupHostImpl::SendBatch(const NodeId& node, const std::vector<AddressedRaftMessage>& batch) {
+  transport_.Send(node, {MessageKind::kRaft, EncodeRaftBatch(batch)});
+}
+
+std::unique_ptr<GroupHost> MakeGroupHost(Environment& environment, PeerTransport& transport,
+                                         FileSystem& files, ReplicaIdentity identity,
+                                         ConsensusTiming timing, ConsensusLimits limits,
+                                         GroupHost::StateMachineFactory factory,
+                                         ConsensusFaults faults) {
+  return std::make_unique<GroupHostImpl>(environment, transport, files, std::move(identity), timing,
+                                         limits, std::move(factory), faults);
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/consensus/group_replica.cc
@@ -0,0 +1,384 @@
+#include "consensus/group_replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "common/event_log.h"
+
+namespace millstair {
+namespace {
+
+/// Entries are applied in pieces of about this size.
+constexpr uint64_t kApplyBytes = 1 << 20;
+/// The first entry of every group is its founders' configuration, in this term.
+constexpr Term kFoundingTerm(1);
+
+}  // namespace
+
+absl::StatusOr<std::unique_ptr<GroupReplica>> GroupReplica::Open(
+    const ReplicaContext& context, const GroupId& id, const std::string& folder,
+    std::unique_ptr<StateMachine> machine, const std::vector<GroupMember>& initial_members) {
+  auto log = SegmentedLog::Open(context.files, folder);
+  if (!log.ok()) return log.status();
+  std::unique_ptr<GroupReplica> replica(
+      new GroupReplica(context, id, std::move(machine), *std::move(log)));
+  if (absl::Status status = replica->Begin(initial_members); !status.ok()) return status;
+  return replica;
+}
+
+GroupReplica::GroupReplica(const ReplicaContext& context, const GroupId& id,
+                           std::unique_ptr<StateMachine> machine, std::unique_ptr<SegmentedLog> log)
+    : context_(context),
+      id_(id),
+      key_(GroupKey(id)),
+      machine_(std::move(machine)),
+      log_(std::move(log)) {
+  log_->OnDurable([this](const absl::Status& status) { HandleDurable(status); });
+  if (log_->torn_bytes() > 0) {
+    LogEvent(EventId::kLogTailCut, "folder={} bytes={}", log_->folder(), log_->torn_bytes());
+  }
+}
+
+absl::Status GroupReplica::Begin(const std::vector<GroupMember>& initial_members) {
+  const bool fresh = log_->last_index() == LogIndex(0) && log_->hard_state().term == Term(0);
+  const bool founder = std::any_of(
+      initial_members.begin(), initial_members.end(),
+      [&](const GroupMember& member) { return member.replica == context_.self; });
+  if (fresh && founder) {
+    const auto payload = std::make_shared<std::string>(EncodeMembers(initial_members));
+    log_->SaveHardState({kFoundingTerm, ReplicaId()});
+    log_->Append({{LogIndex(1), kFoundingTerm, EntryType::kConfiguration, payload}});
+  }
+  std::vector<GroupMember> members;
+  if (absl::Status status = RestoreSnapshot(members); !status.ok()) return status;
+  auto core = RaftCore::Create(CoreOptions(), *log_, context_.environment.Random(),
+                               context_.environment.Now(), std::move(members));
+  if (!core.ok()) return core.status();
+  core_ = *std::move(core);
+  return absl::OkStatus();
+}
+
+absl::Status GroupReplica::RestoreSnapshot(std::vector<GroupMember>& members) {
+  if (log_->snapshot().index == LogIndex(0)) return absl::OkStatus();
+  auto snapshot = log_->ReadSnapshot();
+  if (!snapshot.ok()) return snapshot.status();
+  auto decoded = DecodeGroupSnapshot(snapshot->state);
+  if (!decoded.ok()) return decoded.status();
+  applied_ = snapshot->position.index;
+  members = decoded->members;
+  return machine_->Restore(applied_, decoded->state);
+}
+
+RaftOptions GroupReplica::CoreOptions() const {
+  RaftOptions options;
+  options.self = context_.self;
+  options.heartbeat = context_.timing.heartbeat;
+  options.election_timeout = context_.timing.election_timeout;
+  options.max_batch_bytes = context_.limits.max_batch_bytes;
+  options.snapshot_chunk_bytes = context_.limits.snapshot_chunk_bytes;
+  options.faults = context_.faults;
+  return options;
+}
+
+std::optional<NodeId> GroupReplica::Leader() const {
+  const ReplicaId leader = core_->leader();
+  if (leader == ReplicaId()) return std::nullopt;
+  if (const GroupMember* member = core_->configuration().Find(leader)) return member->node;
+  const auto it = senders_.find(leader);
+  if (it == senders_.end()) return std::nullopt;
+  return it->second;
+}
+
+TimePoint GroupReplica::Deadline() const {
+  return context_.environment.Now() + context_.timing.request_timeout;
+}
+
+template <class Callback, class Result>
+void GroupReplica::Answer(Callback done, Result result) {
+  if (!done) return;
+  callbacks_.push_back([done = std::move(done), result = std::move(result)] { done(result); });
+  context_.wake();
+}
+
+void GroupReplica::Propose(std::string command, ProposeCallback done) {
+  if (!failure_.ok()) return Answer(std::move(done), absl::StatusOr<std::string>(failure_));
+  auto payload = std::make_shared<std::string>(std::move(command));
+  Await(core_->Propose(EntryType::kCommand, std::move(payload)), std::move(done));
+}
+
+void GroupReplica::Await(absl::StatusOr<LogPosition> position, ProposeCallback done) {
+  if (!position.ok()) {
+    return Answer(std::move(done), absl::StatusOr<std::string>(position.status()));
+  }
+  PendingProposal pending{position->term, Deadline(), std::move(done)};
+  // Leadership may be lost and regained before `NoteRole` sees it.
+  std::swap(proposals_[position->index], pending);
+  Answer(std::move(pending.done),
+         absl::StatusOr<std::string>(absl::UnavailableError("leadership was lost")));
+  context_.wake();
+}
+
+void GroupReplica::AwaitChange(absl::StatusOr<LogPosition> position, StatusCallback done) {
+  Await(std::move(position), [done = std::move(done)](const absl::StatusOr<std::string>& result) {
+    if (done) done(result.status());
+  });
+}
+
+void GroupReplica::ConfirmRead(ReadCallback done) {
+  if (!failure_.ok()) return Answer(std::move(done), absl::StatusOr<LogIndex>(failure_));
+  reads_[core_->RequestRead()] = {Deadline(), std::move(done)};
+  context_.wake();
+}
+
+void GroupReplica::AddLearner(GroupMember member, StatusCallback done) {
+  if (!failure_.ok()) return Answer(std::move(done), failure_);
+  if (core_->configuration().Find(member.replica) != nullptr) {
+    return Answer(std::move(done), absl::OkStatus());
+  }
+  AwaitChange(core_->AddLearner(std::move(member)), std::move(done));
+}
+
+void GroupReplica::Promote(ReplicaId replica, StatusCallback done) {
+  if (!failure_.ok()) return Answer(std::move(done), failure_);
+  if (core_->configuration().IsVoter(replica)) return Answer(std::move(done), absl::OkStatus());
+  AwaitChange(core_->Promote(replica), std::move(done));
+}
+
+void GroupReplica::RemoveMember(ReplicaId replica, StatusCallback done) {
+  if (!failure_.ok()) return Answer(std::move(done), failure_);
+  if (core_->IsLeader() && core_->configuration().Find(replica) == nullptr) {
+    return Answer(std::move(done), absl::OkStatus());
+  }
+  AwaitChange(core_->RemoveMember(replica), std::move(done));
+}
+
+void GroupReplica::TransferLeadership(StatusCallback done) {
+  if (!failure_.ok()) return Answer(std::move(done), failure_);
+  if (transfer_done_) {
+    return Answer(std::move(done), absl::FailedPreconditionError("a hand-over is under way"));
+  }
+  absl::Status status = core_->TransferLeadership(context_.environment.Now());
+  if (!status.ok()) return Answer(std::move(done), std::move(status));
+  transfer_done_ = done ? std::move(done) : [](const absl::Status&) {};
+  context_.wake();
+}
+
+void GroupReplica::Tick(TimePoint now) {
+  if (!failure_.ok()) return;
+  core_->Tick(now);
+  ExpireRequests(now);
+}
+
+void GroupReplica::Receive(const NodeId& from, RaftMessage message) {
+  if (!failure_.ok() || message.to != context_.self) return;
+  if (core_->configuration().Find(message.from) == nullptr) senders_[message.from] = from;
+  core_->Step(context_.environment.Now(), std::move(message));
+}
+
+void GroupReplica::HandleDurable(const absl::Status& status) {
+  if (!status.ok()) return Halt(status);
+  core_->LogBecameDurable();
+  context_.wake();
+}
+
+void GroupReplica::Work(ReplicaOutput& output) {
+  if (failure_.ok()) {
+    core_->Flush(context_.environment.Now());
+    log_->Flush();
+    InstallReceivedSnapshot();
+    ApplyCommitted();
+    SaveSnapshotIfDue();
+    CollectReads();
+    AnswerAppliedReads();
+    NoteRole();
+    if (failure_.ok() && !core_->failure().ok()) Halt(core_->failure());
+  }
+  if (failure_.ok()) CollectMessages(output);
+  for (auto& callback : callbacks_) output.callbacks.push_back(std::move(callback));
+  callbacks_.clear();
+}
+
+void GroupReplica::InstallReceivedSnapshot() {
+  auto received = core_->TakeSnapshot();
+  if (!received.has_value()) return;
+  auto snapshot = DecodeSnapshotFile("received snapshot", received->bytes);
+  auto decoded = snapshot.ok() ? DecodeGroupSnapshot(snapshot->state)
+                               : absl::StatusOr<GroupSnapshot>(snapshot.status());
+  if (!decoded.ok() || snapshot->position != received->position || log_->saving_snapshot()) {
+    return core_->SnapshotRefused();
+  }
+  const auto members = decoded->members;
+  const LogPosition position = snapshot->position;
+  const auto state = std::make_shared<const std::string>(std::move(snapshot->state));
+  log_->SaveSnapshot(position, *state,
+                     alive_.Guard([this, position, members, state](const absl::Status& status) {
+                       if (!status.ok()) return Halt(status);
+                       FinishInstall(position, members, *state);
+                     }));
+}
+
+void GroupReplica::FinishInstall(const LogPosition& position,
+                                 const std::vector<GroupMember>& members,
+                                 const std::string& state) {
+  auto decoded = DecodeGroupSnapshot(state);
+  absl::Status status = decoded.status();
+  if (status.ok()) status = machine_->Restore(position.index, decoded->state);
+  if (!status.ok()) return Halt(status);
+  applied_ = position.index;
+  core_->SnapshotInstalled(position, members);
+  LogEvent(EventId::kSnapshotInstalled, "group={} index={} bytes={}", id_, position.index,
+           state.size());
+  context_.wake();
+}
+
+void GroupReplica::ApplyCommitted() {
+  while (failure_.ok() && applied_ < core_->commit()) {
+    auto entries = log_->Read(Next(applied_), core_->commit(), kApplyBytes);
+    if (!entries.ok()) return Halt(entries.status());
+    for (const LogEntry& entry : *entries) ApplyEntry(entry);
+  }
+}
+
+void GroupReplica::ApplyEntry(const LogEntry& entry) {
+  std::string result;
+  if (entry.type == EntryType::kCommand) result = machine_->Apply(entry.index, *entry.payload);
+  applied_ = entry.index;
+  const auto it = proposals_.find(entry.index);
+  if (it == proposals_.end()) return;
+  PendingProposal pending = std::move(it->second);
+  proposals_.erase(it);
+  if (pending.term == entry.term) {
+    return Answer(std::move(pending.done), absl::StatusOr<std::string>(std::move(result)));
+  }
+  Answer(std::move(pending.done), absl::StatusOr<std::string>(absl::UnavailableError(
+                                      "another leader's entry took the place")));
+}
+
+void GroupReplica::SaveSnapshotIfDue() {
+  const uint64_t limit = context_.limits.snapshot_after_entries;
+  if (!failure_.ok() || log_->saving_snapshot()) return;
+  if (applied_.value() < log_->snapshot().index.value() + limit) return;
+  const LogPosition position{applied_, log_->TermAt(applied_).value_or(Term())};
+  const std::string state =
+      EncodeGroupSnapshot(core_->MembersAt(applied_), machine_->TakeSnapshot());
+  // Entries that followers may still need stay for a while: they are cheaper than a snapshot.
+  const LogIndex compact_to(position.index.value() - limit / 2);
+  log_->SaveSnapshot(position, state,
+                     alive_.Guard([this, position, compact_to](const absl::Status& status) {
+                       if (!status.ok()) return Halt(status);
+                       log_->Compact(compact_to);
+                       core_->Compacted(position.index);
+                     }));
+}
+
+void GroupReplica::CollectReads() {
+  for (const ConfirmedRead& read : core_->TakeReads()) {
+    const auto it = reads_.find(read.ticket);
+    if (it == reads_.end()) continue;
+    applying_reads_.emplace(read.index, std::move(it->second));
+    reads_.erase(it);
+  }
+}
+
+void GroupReplica::AnswerAppliedReads() {
+  while (!applying_reads_.empty() && applying_reads_.begin()->first <= applied_) {
+    const auto it = applying_reads_.begin();
+    Answer(std::move(it->second.done), absl::StatusOr<LogIndex>(it->first));
+    applying_reads_.erase(it);
+  }
+}
+
+void GroupReplica::ExpireRequests(TimePoint now) {
+  const auto late = absl::DeadlineExceededError("no quorum answered in time");
+  while (!proposals_.empty() && proposals_.begin()->second.deadline <= now) {
+    Answer(std::move(proposals_.begin()->second.done), absl::StatusOr<std::string>(late));
+    proposals_.erase(proposals_.begin());
+  }
+  while (!reads_.empty() && reads_.begin()->second.deadline <= now) {
+    core_->ForgetRead(reads_.begin()->first);
+    Answer(std::move(reads_.begin()->second.done), absl::StatusOr<LogIndex>(late));
+    reads_.erase(reads_.begin());
+  }
+  for (auto it = applying_reads_.begin(); it != applying_reads_.end();) {
+    if (it->second.deadline > now) {
+      ++it;
+      continue;
+    }
+    Answer(std::move(it->second.done), absl::StatusOr<LogIndex>(late));
+    it = applying_reads_.erase(it);
+  }
+}
+
+void GroupReplica::NoteRole() {
+  const bool leads = IsLeader();
+  if (transfer_done_ && !(leads && core_->transferring())) {
+    Answer(std::exchange(transfer_done_, nullptr),
+           leads ? absl::DeadlineExceededError("the hand-over did not finish") : absl::OkStatus());
+  }
+  if (led_ && !leads) {
+    for (auto& [index, pending] : proposals_) {
+      Answer(std::move(pending.done),
+             absl::StatusOr<std::string>(absl::UnavailableError("leadership was lost")));
+    }
+    proposals_.clear();
+  }
+  if (led_ != leads) {
+    LogEvent(leads ? EventId::kLeadershipGained : EventId::kLeadershipLost, "group={} term={}", id_,
+             CurrentTerm());
+  }
+  led_ = leads;
+}
+
+void GroupReplica::CollectMessages(ReplicaOutput& output) {
+  while (!gated_.empty() && gated_.front().after <= log_->durable_sequence()) {
+    Emit(std::move(gated_.front()), output);
+    gated_.pop_front();
+  }
+  for (RaftMessage& message : core_->TakeMessages()) {
+    if (message.after <= log_->durable_sequence()) {
+      Emit(std::move(message), output);
+    } else {
+      gated_.push_back(std::move(message));
+    }
+  }
+}
+
+void GroupReplica::Emit(RaftMessage message, ReplicaOutput& output) {
+  NodeId node;
+  if (const GroupMember* member = core_->configuration().Find(message.to)) {
+    node = member->node;
+  } else if (const auto it = senders_.find(message.to); it != senders_.end()) {
+    node = it->second;
+  } else {
+    return;
+  }
+  output.messages.push_back({std::move(node), {id_, key_, std::move(message)}});
+}
+
+void GroupReplica::FailAll(const absl::Status& status) {
+  for (auto& [index, pending] : proposals_) {
+    Answer(std::move(pending.done), absl::StatusOr<std::string>(status));
+  }
+  proposals_.clear();
+  for (auto& [ticket, pending] : reads_) {
+    Answer(std::move(pending.done), absl::StatusOr<LogIndex>(status));
+  }
+  reads_.clear();
+  for (auto& [index, pending] : applying_reads_) {
+    Answer(std::move(pending.done), absl::StatusOr<LogIndex>(status));
+  }
+  applying_reads_.clear();
+  if (transfer_done_) Answer(std::exchange(transfer_done_, nullptr), status);
+}
+
+void GroupReplica::Halt(const absl::Status& status) {
+  if (!failure_.ok()) return;
+  LogEvent(EventId::kReplicaHalted, "group={} error=\"{}\"", id_, std::string(status.message()));
+  failure_ = absl::UnavailableError(absl::StrCat("replica stopped: ", status.message()));
+  FailAll(failure_);
+  gated_.clear();
+  context_.wake();
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/consensus/group_replica.h
@@ -0,0 +1,150 @@
+/// One Raft group of this node: core, log and state machine put together, and the calls that wait
+/// for their results.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/alive_flag.h"
+#include "common/environment.h"
+#include "consensus/group_host.h"
+#include "consensus/raft_codec.h"
+#include "consensus/raft_core.h"
+#include "consensus/raft_group.h"
+#include "consensus/state_machine.h"
+#include "storage/segmented_log.h"
+
+namespace millstair {
+
+/// What a replica gets from its host; all of it outlives the replica.
+struct ReplicaContext {
+  Environment& environment;
+  FileSystem& files;
+  ReplicaId self;
+  ConsensusTiming timing;
+  ConsensusLimits limits;
+  ConsensusFaults faults;
+  /// Asks the host to call `Work` soon.
+  std::function<void()> wake;
+};
+
+/// A message and the node that it goes to.
+struct OutgoingMessage {
+  NodeId node;
+  AddressedRaftMessage addressed;
+};
+
+/// What `Work` hands to the host: messages to send, then callbacks to run. A callback may destroy
+/// the replica.
+struct ReplicaOutput {
+  std::vector<OutgoingMessage> messages;
+  std::vector<std::function<void()>> callbacks;
+};
+
+class GroupReplica : public RaftGroup {
+ public:
+  /// Opens the group's log in `folder`. A new log starts with `initial_members` if this replica is
+  /// one of them; else it waits for the leader. DataLoss names the damaged file.
+  static absl::StatusOr<std::unique_ptr<GroupReplica>> Open(
+      const ReplicaContext& context, const GroupId& id, const std::string& folder,
+      std::unique_ptr<StateMachine> machine, const std::vector<GroupMember>& initial_members);
+
+  void Tick(TimePoint now);
+  void Receive(const NodeId& from, RaftMessage message);
+  /// Does all that is due and adds to `output`.
+  void Work(ReplicaOutput& output);
+
+  StateMachine& machine() { return *machine_; }
+  uint64_t key() const { return key_; }
+  const std::string& folder() const { return log_->folder(); }
+  /// Index of the entry that holds the current members.
+  LogIndex ConfigurationIndex() const { return core_->configuration().index; }
+  /// Whether the replica stopped because of its disk; it answers nothing any more.
+  const absl::Status& failure() const { return failure_; }
+
+  const GroupId& id() const override { return id_; }
+  bool IsLeader() const override { return failure_.ok() && core_->IsLeader(); }
+  std::optional<NodeId> Leader() const override;
+  Term CurrentTerm() const override { return core_->term(); }
+  LogIndex AppliedIndex() const override { return applied_; }
+  std::vector<GroupMember> Members() const override { return core_->configuration().members; }
+  void Propose(std::string command,
+               std::function<void(absl::StatusOr<std::string>)> done) override;
+  void ConfirmRead(std::function<void(absl::StatusOr<LogIndex>)> done) override;
+  void AddLearner(GroupMember member, std::function<void(absl::Status)> done) override;
+  void Promote(ReplicaId replica, std::function<void(absl::Status)> done) override;
+  void RemoveMember(ReplicaId replica, std::function<void(absl::Status)> done) override;
+  void TransferLeadership(std::function<void(absl::Status)> done) override;
+
+ private:
+  using ProposeCallback = std::function<void(absl::StatusOr<std::string>)>;
+  using ReadCallback = std::function<void(absl::StatusOr<LogIndex>)>;
+  using StatusCallback = std::function<void(absl::Status)>;
+  struct PendingProposal {
+    Term term;
+    TimePoint deadline;
+    ProposeCallback done;
+  };
+  struct PendingRead {
+    TimePoint deadline;
+    ReadCallback done;
+  };
+
+  GroupReplica(const ReplicaContext& context, const GroupId& id,
+               std::unique_ptr<StateMachine> machine, std::unique_ptr<SegmentedLog> log);
+  absl::Status Begin(const std::vector<GroupMember>& initial_members);
+  absl::Status RestoreSnapshot(std::vector<GroupMember>& members);
+  RaftOptions CoreOptions() const;
+
+  void Await(absl::StatusOr<LogPosition> position, ProposeCallback done);
+  void AwaitChange(absl::StatusOr<LogPosition> position, StatusCallback done);
+  TimePoint Deadline() const;
+  template <class Callback, class Result>
+  void Answer(Callback done, Result result);
+
+  void HandleDurable(const absl::Status& status);
+  void InstallReceivedSnapshot();
+  void FinishInstall(const LogPosition& position, const std::vector<GroupMember>& members,
+                     const std::string& state);
+  void ApplyCommitted();
+  void ApplyEntry(const LogEntry& entry);
+  void SaveSnapshotIfDue();
+  void CollectReads();
+  void AnswerAppliedReads();
+  void ExpireRequests(TimePoint now);
+  void NoteRole();
+  void CollectMessages(ReplicaOutput& output);
+  void Emit(RaftMessage message, ReplicaOutput& output);
+  void FailAll(const absl::Status& status);
+  void Halt(const absl::Status& status);
+
+  const ReplicaContext& context_;
+  GroupId id_;
+  uint64_t key_;
+  std::unique_ptr<StateMachine> machine_;
+  std::unique_ptr<SegmentedLog> log_;
+  std::unique_ptr<RaftCore> core_;
+  absl::Status failure_;
+  LogIndex applied_;
+  bool led_ = false;
+
+  /// Deadlines grow with the index and with the ticket.
+  std::map<LogIndex, PendingProposal> proposals_;
+  std::map<uint64_t, PendingRead> reads_;
+  /// Confirmed reads that wait until their index is applied here.
+  std::multimap<LogIndex, PendingRead> applying_reads_;
+  StatusCallback transfer_done_;
+  /// Messages that wait for the log to become durable, by `after`.
+  std::deque<RaftMessage> gated_;
+  /// Nodes of replicas that wrote to us but are in no configuration we know.
+  std::map<ReplicaId, NodeId> senders_;
+  std::vector<std::function<void()>> callbacks_;
+  AliveFlag alive_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/consensus/raft_membership.cc
@@ -0,0 +1,81 @@
+/// Membership changes: one member at a time, each in an entry of its own.
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "consensus/raft_codec.h"
+#include "consensus/raft_core.h"
+
+namespace millstair {
+namespace {
+
+/// A learner counts as caught up when it lacks at most this many entries.
+constexpr uint64_t kPromotionLag = 64;
+
+}  // namespace
+
+absl::StatusOr<LogPosition> RaftCore::AddLearner(GroupMember member) {
+  if (!IsLeader()) return absl::UnavailableError("not the leader");
+  member.voter = false;
+  std::vector<GroupMember> members = configuration().members;
+  members.push_back(std::move(member));
+  return ProposeMembers(std::move(members));
+}
+
+absl::StatusOr<LogPosition> RaftCore::Promote(ReplicaId replica) {
+  if (!IsLeader()) return absl::UnavailableError("not the leader");
+  const auto it = progress_.find(replica);
+  if (it == progress_.end()) return absl::NotFoundError("no such member");
+  const Progress& progress = it->second;
+  const bool active = now_ - progress.last_active() < options_.election_timeout;
+  const bool near = progress.state() == ProgressState::kReplicate &&
+                    progress.match().value() + kPromotionLag >= log_.last_index().value();
+  if (!active || !near) {
+    return absl::FailedPreconditionError(absl::StrCat("learner is at entry ",
+                                                      progress.match().value(), " of ",
+                                                      log_.last_index().value()));
+  }
+  std::vector<GroupMember> members = configuration().members;
+  for (GroupMember& member : members) {
+    if (member.replica == replica) member.voter = true;
+  }
+  return ProposeMembers(std::move(members));
+}
+
+absl::StatusOr<LogPosition> RaftCore::RemoveMember(ReplicaId replica) {
+  if (!IsLeader()) return absl::UnavailableError("not the leader");
+  std::vector<GroupMember> members = configuration().members;
+  std::erase_if(members, [&](const GroupMember& member) { return member.replica == replica; });
+  return ProposeMembers(std::move(members));
+}
+
+absl::StatusOr<LogPosition> RaftCore::ProposeMembers(std::vector<GroupMember> members) {
+  if (transferee_.has_value()) return absl::UnavailableError("leadership is being handed over");
+  Configuration next{Next(log_.last_index()), members};
+  if (next.VoterCount() == 0) return absl::FailedPreconditionError("no voter would be left");
+  if (!options_.faults.unchecked_membership_change) {
+    if (commit_ < first_own_entry_) {
+      return absl::FailedPreconditionError("no entry of this term is committed yet");
+    }
+    if (configuration().index > commit_) {
+      return absl::FailedPreconditionError("another membership change is under way");
+    }
+    if (!QuorumActive(next)) {
+      return absl::FailedPreconditionError("the voters that answer would be no quorum");
+    }
+  }
+  AppendOwn(EntryType::kConfiguration, std::make_shared<std::string>(EncodeMembers(members)));
+  configurations_.Add(log_.last_index(), std::move(members));
+  SyncProgressWithMembers();
+  if (options_.faults.ack_before_sync) AdvanceCommit();
+  return LastPosition();
+}
+
+void RaftCore::HandleNonMember(const RaftMessage& message) {
+  if (!IsLeader() || configuration().index > commit_ || commit_ < first_own_entry_) return;
+  if (configuration().Find(message.from) != nullptr) return;
+  RaftMessage reply = MakeMessage(RaftMessageType::kRemoved, message.from);
+  Send(std::move(reply));
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/consensus/raft_reads.cc
@@ -0,0 +1,107 @@
+/// Confirmed reads: a leader has a quorum answer a heartbeat first, a follower asks the leader.
+#include <algorithm>
+#include <utility>
+
+#include "consensus/raft_core.h"
+
+namespace millstair {
+
+uint64_t RaftCore::RequestRead() {
+  const uint64_t ticket = next_ticket_++;
+  const bool stale_leader = IsLeader() && options_.faults.read_without_confirmation;
+  if (stale_leader || (!IsLeader() && options_.faults.local_follower_reads)) {
+    reads_.push_back({ticket, commit_});
+    return ticket;
+  }
+  waiting_reads_.push_back({ReplicaId(), ticket});
+  return ticket;
+}
+
+void RaftCore::ForgetRead(uint64_t ticket) {
+  const auto matches = [&](const WaitingRead& read) {
+    return read.from == ReplicaId() && read.ticket == ticket;
+  };
+  std::erase_if(waiting_reads_, matches);
+  std::erase_if(round_reads_, matches);
+  std::erase_if(asked_reads_, matches);
+}
+
+void RaftCore::StartReadRound() {
+  // Until an entry of the own term is committed, the leader does not know what is committed.
+  if (round_under_way_ || waiting_reads_.empty() || commit_ < first_own_entry_) return;
+  round_under_way_ = true;
+  ++round_;
+  round_index_ = commit_;
+  round_reads_ = std::exchange(waiting_reads_, {});
+  for (auto& [replica, progress] : progress_) SendHeartbeat(replica, progress);
+  FinishReadRound();
+}
+
+void RaftCore::FinishReadRound() {
+  if (!round_under_way_) return;
+  size_t confirmed = configuration().IsVoter(options_.self) ? 1 : 0;
+  for (const auto& [replica, progress] : progress_) {
+    const bool counts = configuration().IsVoter(replica) && progress.confirmed_round >= round_;
+    if (counts) ++confirmed;
+  }
+  if (confirmed < configuration().Quorum()) return;
+  round_under_way_ = false;
+  for (const WaitingRead& read : std::exchange(round_reads_, {})) CompleteRead(read, round_index_);
+  StartReadRound();
+}
+
+void RaftCore::CompleteRead(const WaitingRead& read, LogIndex index) {
+  if (read.from == ReplicaId()) {
+    reads_.push_back({read.ticket, index});
+    return;
+  }
+  RaftMessage reply = MakeMessage(RaftMessageType::kReadReply, read.from);
+  reply.context = read.ticket;
+  reply.position.index = index;
+  Send(std::move(reply));
+}
+
+void RaftCore::AskLeader() {
+  asked_reads_.insert(asked_reads_.end(), waiting_reads_.begin(), waiting_reads_.end());
+  waiting_reads_.clear();
+  ask_due_ = now_ + 2 * options_.heartbeat;
+  if (leader_ == ReplicaId()) return;
+  // A new number: the answer to an older request may predate the reads that were added.
+  ++ask_number_;
+  RaftMessage request = MakeMessage(RaftMessageType::kReadRequest, leader_);
+  request.context = ask_number_;
+  Send(std::move(request));
+}
+
+void RaftCore::HandleReadRequest(const RaftMessage& message) {
+  if (IsLeader()) {
+    waiting_reads_.push_back({message.from, message.context});
+    return;
+  }
+  RaftMessage reply = MakeMessage(RaftMessageType::kReadReply, message.from);
+  reply.context = message.context;
+  reply.reject = true;
+  Send(std::move(reply));
+}
+
+void RaftCore::HandleReadReply(const RaftMessage& message) {
+  // After a refusal the request is repeated when it is due, perhaps to another leader.
+  if (message.context != ask_number_ || message.reject) return;
+  const auto reads = std::exchange(asked_reads_, {});
+  for (const WaitingRead& read : reads) CompleteRead(read, message.position.index);
+}
+
+void RaftCore::MoveReadsToNewLeader() {
+  std::vector<WaitingRead> own;
+  for (auto* reads : {&asked_reads_, &round_reads_, &waiting_reads_}) {
+    for (const WaitingRead& read : *reads) {
+      if (read.from == ReplicaId()) own.push_back(read);
+    }
+    reads->clear();
+  }
+  waiting_reads_ = std::move(own);
+  round_under_way_ = false;
+  ++ask_number_;
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/storage/entry_index.h
@@ -0,0 +1,64 @@
+/// Index of the entries of one log: term and place on disk of each, and the payloads of the tail.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+#include "storage/log_entry.h"
+
+namespace millstair {
+
+/// Where an entry's payload lies; segment 0 while it is not written yet.
+struct EntryPlace {
+  uint64_t segment = 0;
+  uint64_t offset = 0;
+  uint32_t size = 0;
+};
+
+struct IndexedEntry {
+  Term term;
+  EntryType type = EntryType::kNoop;
+  EntryPlace place;
+  /// Null once it was dropped from memory.
+  EntryPayload payload;
+};
+
+/// Entries (base, last]. Indices outside are answered with "none".
+class EntryIndex {
+ public:
+  explicit EntryIndex(uint64_t cache_bytes) : cache_limit_(cache_bytes) {}
+
+  LogIndex base() const { return base_; }
+  LogIndex last() const { return LogIndex(base_.value() + entries_.size()); }
+  /// Also known at the base, unless the base was found by recovery in the middle of the log.
+  std::optional<Term> TermAt(LogIndex index) const;
+  /// Null outside of (base, last].
+  const IndexedEntry* Find(LogIndex index) const;
+
+  /// Adds `entry`, dropping all entries from its index on. It must not leave a gap.
+  void Put(const LogEntry& entry);
+  /// Forgets all entries and goes on after `base`.
+  void Reset(LogIndex base, std::optional<Term> term);
+  /// Drops the entries up to and including `index`, which becomes the base.
+  void DropPrefix(LogIndex index);
+  /// Tells where an entry was written; ignored if the entry is gone.
+  void SetPlace(LogIndex index, EntryPlace place);
+  /// Drops the oldest written payloads beyond the cache's limit.
+  void ShrinkCache();
+
+ private:
+  IndexedEntry& At(LogIndex index) { return entries_[index.value() - base_.value() - 1]; }
+  bool Contains(LogIndex index) const { return index > base_ && index <= last(); }
+  void ForgetPayload(IndexedEntry& entry);
+
+  uint64_t cache_limit_;
+  LogIndex base_;
+  std::optional<Term> base_term_ = Term(0);
+  std::deque<IndexedEntry> entries_;
+  uint64_t cached_bytes_ = 0;
+  /// All payloads at smaller indices were dropped.
+  LogIndex first_cached_{1};
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/storage/segmented_log.cc
@@ -0,0 +1,284 @@
+#include "storage/segmented_log.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "storage/log_record.h"
+
+namespace millstair {
+
+absl::StatusOr<std::unique_ptr<SegmentedLog>> SegmentedLog::Open(FileSystem& files,
+                                                                 const std::string& folder,
+                                                                 LogOptions options) {
+  std::unique_ptr<SegmentedLog> log(new SegmentedLog(files, folder, options));
+  if (absl::Status status = log->Recover(); !status.ok()) return status;
+  return log;
+}
+
+SegmentedLog::SegmentedLog(FileSystem& files, std::string folder, LogOptions options)
+    : files_(files), folder_(std::move(folder)), options_(options), index_(options.cache_bytes) {}
+
+absl::Status SegmentedLog::Recover() {
+  if (absl::Status status = files_.CreateFolder(folder_); !status.ok()) return status;
+  auto recovered = RecoverLog(files_, folder_, index_);
+  if (!recovered.ok()) return recovered.status();
+  hard_state_ = recovered->hard_state;
+  snapshot_ = recovered->snapshot;
+  segments_ = recovered->segments;
+  torn_bytes_ = recovered->torn_bytes;
+  durable_index_ = index_.last();
+  if (snapshot_.index > LogIndex(0)) {
+    auto bytes = files_.Read(SnapshotPath(folder_, snapshot_));
+    if (!bytes.ok()) return bytes.status();
+    snapshot_bytes_ = bytes->size();
+  }
+  if (segments_.empty()) return BeginSegment();
+  RemoveCoveredFiles();
+
+  const std::string path = SegmentPath(folder_, segments_.back().number);
+  if (torn_bytes_ > 0) {
+    absl::Status status = files_.Truncate(path, recovered->last_segment_bytes);
+    if (!status.ok()) return status;
+  }
+  auto file = files_.OpenAppend(path);
+  if (!file.ok()) return file.status();
+  active_ = *std::move(file);
+  // The head of the segment may have been torn off. The sync covers what was read too: it may have
+  // been in memory only when the process died.
+  if (absl::Status status = AppendSegmentHead(); !status.ok()) return status;
+  if (absl::Status status = active_->SyncNow(); !status.ok()) return status;
+  active_durable_ = active_->Size();
+  return absl::OkStatus();
+}
+
+absl::Status SegmentedLog::BeginSegment() {
+  const uint64_t number = segments_.empty() ? 1 : segments_.back().number + 1;
+  auto file = files_.OpenAppend(SegmentPath(folder_, number));
+  if (!file.ok()) return file.status();
+  active_ = *std::move(file);
+  active_durable_ = 0;
+  segments_.push_back({number, LogIndex(0)});
+  return AppendSegmentHead();
+}
+
+absl::Status SegmentedLog::AppendSegmentHead() {
+  const uint64_t number = segments_.back().number;
+  const uint64_t base = active_->Size();
+  std::string head;
+  AppendRecord(head, base, number, 0, RecordType::kHardState, EncodeHardState(hard_state_));
+  if (snapshot_.index > LogIndex(0) && snapshot_sequence_ == 0) {
+    AppendRecord(head, base, number, 0, RecordType::kSnapshot, EncodeLogPosition(snapshot_));
+  }
+  return active_->Append(head);
+}
+
+std::optional<EntryType> SegmentedLog::TypeAt(LogIndex index) const {
+  const IndexedEntry* entry = index_.Find(index);
+  if (entry == nullptr) return std::nullopt;
+  return entry->type;
+}
+
+absl::StatusOr<std::vector<LogEntry>> SegmentedLog::Read(LogIndex from, LogIndex to,
+                                                         uint64_t max_bytes) const {
+  std::vector<LogEntry> entries;
+  uint64_t bytes = 0;
+  for (LogIndex at = from; at <= to; at = Next(at)) {
+    const IndexedEntry* indexed = index_.Find(at);
+    if (indexed == nullptr) break;
+    const uint64_t size =
+        indexed->payload != nullptr ? indexed->payload->size() : indexed->place.size;
+    if (!entries.empty() && bytes + size > max_bytes) break;
+    bytes += size;
+    LogEntry entry{at, indexed->term, indexed->type, indexed->payload};
+    if (entry.payload == nullptr) {
+      if (absl::Status status = LoadPayload(at, *indexed, entry); !status.ok()) return status;
+    }
+    entries.push_back(std::move(entry));
+  }
+  if (entries.empty()) {
+    return absl::OutOfRangeError(absl::StrCat(folder_, ": no entry ", from.value()));
+  }
+  return entries;
+}
+
+absl::Status SegmentedLog::LoadPayload(LogIndex index, const IndexedEntry& entry,
+                                       LogEntry& out) const {
+  const std::string path = SegmentPath(folder_, entry.place.segment);
+  const uint64_t start = entry.place.offset - kEntryPrefixBytes - kRecordHeaderBytes;
+  auto bytes = files_.ReadRange(path, start, entry.place.offset + entry.place.size - start);
+  if (!bytes.ok()) {
+    return absl::DataLossError(absl::StrCat(path, ": ", bytes.status().message()));
+  }
+  const auto body = RecordBody(*bytes, entry.place.segment, start);
+  const auto decoded = DecodeEntryPrefix(body.value_or(std::string_view()));
+  if (!decoded.ok() || decoded->index != index || decoded->term != entry.term) {
+    return absl::DataLossError(absl::StrCat(path, ": damaged at offset ", start));
+  }
+  out.payload = std::make_shared<std::string>(body->substr(kEntryPrefixBytes));
+  return absl::OkStatus();
+}
+
+void SegmentedLog::Append(const std::vector<LogEntry>& entries) {
+  if (entries.empty()) return;
+  const LogIndex before(entries.front().index.value() - 1);
+  durable_index_ = std::min(durable_index_, before);
+  syncing_index_ = std::min(syncing_index_, before);
+  for (const LogEntry& entry : entries) {
+    index_.Put(entry);
+    AddRecord({RecordType::kEntry, entry, {}});
+  }
+}
+
+void SegmentedLog::SaveHardState(const HardState& state) {
+  hard_state_ = state;
+  AddRecord({RecordType::kHardState, {}, EncodeHardState(state)});
+}
+
+void SegmentedLog::AddRecord(Pending record) {
+  ++sequence_;
+  pending_.push_back(std::move(record));
+}
+
+void SegmentedLog::Flush() {
+  if (syncing_ || pending_.empty() || !failure_.ok()) return;
+  if (active_->Size() > options_.segment_bytes) {
+    if (absl::Status status = BeginSegment(); !status.ok()) return Fail(status);
+  }
+  std::string batch;
+  AppendPending(batch, active_->Size());
+  if (absl::Status status = active_->Append(batch); !status.ok()) return Fail(status);
+  index_.ShrinkCache();
+  syncing_ = true;
+  syncing_sequence_ = sequence_;
+  syncing_index_ = index_.last();
+  active_->Sync(alive_.Guard([this](absl::Status status) { FinishSync(status); }));
+}
+
+void SegmentedLog::AppendPending(std::string& batch, uint64_t base) {
+  SegmentInfo& segment = segments_.back();
+  for (const Pending& record : pending_) {
+    const uint64_t at = base + batch.size();
+    if (record.type != RecordType::kEntry) {
+      AppendRecord(batch, base, segment.number, active_durable_, record.type, record.body);
+      continue;
+    }
+    const LogEntry& entry = record.entry;
+    AppendRecord(batch, base, segment.number, active_durable_, record.type,
+                 EncodeEntryPrefix(entry), *entry.payload);
+    index_.SetPlace(entry.index, {segment.number, at + kRecordHeaderBytes + kEntryPrefixBytes,
+                                  static_cast<uint32_t>(entry.payload->size())});
+    segment.max_index = std::max(segment.max_index, entry.index);
+  }
+  pending_.clear();
+}
+
+void SegmentedLog::FinishSync(absl::Status status) {
+  syncing_ = false;
+  if (!status.ok()) return Fail(status);
+  active_durable_ = active_->Size();
+  durable_sequence_ = syncing_sequence_;
+  durable_index_ = syncing_index_;
+  if (snapshot_sequence_ != 0 && durable_sequence_ >= snapshot_sequence_) FinishSnapshot();
+  // The callback may append more and may destroy this log.
+  const auto alive = std::make_shared<bool>(false);
+  auto check = alive_.Guard([alive] { *alive = true; });
+  const auto callback = on_durable_;
+  if (callback) callback(absl::OkStatus());
+  check();
+  if (*alive) Flush();
+}
+
+void SegmentedLog::Fail(absl::Status status) {
+  failure_ = status;
+  const auto callback = on_durable_;
+  if (callback) callback(status);
+}
+
+void SegmentedLog::SaveSnapshot(const LogPosition& position, std::string_view state,
+                                std::function<void(absl::Status)> done) {
+  snapshot_sequence_ = 0;
+  snapshot_done_ = std::move(done);
+  const std::string path = SnapshotPath(folder_, position);
+  const std::string bytes = EncodeSnapshotFile(position, state);
+  const auto finish = [this](absl::Status status) {
+    const auto callback = std::exchange(snapshot_done_, nullptr);
+    callback(status);
+  };
+  // A leftover of an interrupted save.
+  if (absl::Status status = files_.Remove(path); !status.ok() && !absl::IsNotFound(status)) {
+    return finish(status);
+  }
+  auto file = files_.OpenAppend(path);
+  if (!file.ok()) return finish(file.status());
+  if (absl::Status status = (*file)->Append(bytes); !status.ok()) return finish(status);
+  snapshot_file_ = *std::move(file);
+  snapshot_file_->Sync(
+      alive_.Guard([this, finish, position, size = bytes.size()](absl::Status status) {
+        if (!status.ok()) return finish(status);
+        ReferToSnapshot(position, size);
+      }));
+}
+
+void SegmentedLog::ReferToSnapshot(const LogPosition& position, uint64_t bytes) {
+  snapshot_file_ = nullptr;
+  snapshot_ = position;
+  snapshot_bytes_ = bytes;
+  if (index_.TermAt(position.index) != position.term) {
+    index_.Reset(position.index, position.term);
+    durable_index_ = std::min(durable_index_, position.index);
+    syncing_index_ = std::min(syncing_index_, position.index);
+  }
+  AddRecord({RecordType::kSnapshot, {}, EncodeLogPosition(position)});
+  snapshot_sequence_ = sequence_;
+  Flush();
+}
+
+void SegmentedLog::FinishSnapshot() {
+  snapshot_sequence_ = 0;
+  const auto callback = std::exchange(snapshot_done_, nullptr);
+  RemoveCoveredFiles();
+  callback(absl::OkStatus());
+}
+
+absl::StatusOr<Snapshot> SegmentedLog::ReadSnapshot() const {
+  if (snapshot_.index == LogIndex(0)) return absl::NotFoundError("no snapshot");
+  const std::string path = SnapshotPath(folder_, snapshot_);
+  auto bytes = files_.Read(path);
+  if (!bytes.ok()) return bytes.status();
+  return DecodeSnapshotFile(path, *bytes);
+}
+
+absl::StatusOr<std::string> SegmentedLog::ReadSnapshotBytes(uint64_t offset, uint64_t size) const {
+  if (offset > snapshot_bytes_) return absl::OutOfRangeError("beyond the snapshot");
+  return files_.ReadRange(SnapshotPath(folder_, snapshot_), offset,
+                          std::min(size, snapshot_bytes_ - offset));
+}
+
+void SegmentedLog::Compact(LogIndex index) {
+  index_.DropPrefix(std::min(index, snapshot_.index));
+  RemoveCoveredFiles();
+}
+
+void SegmentedLog::RemoveCoveredFiles() {
+  // Until the record that refers to the new snapshot is durable, a restart needs the old files.
+  if (saving_snapshot()) return;
+  // The segment after a removed one must hold its head durably.
+  const size_t headed = active_durable_ > 0 ? segments_.size() : segments_.size() - 1;
+  size_t covered = 0;
+  while (covered + 1 < headed && segments_[covered].max_index <= index_.base()) {
+    // A file that stays behind is removed at the next start.
+    if (!files_.Remove(SegmentPath(folder_, segments_[covered].number)).ok()) break;
+    ++covered;
+  }
+  segments_.erase(segments_.begin(), segments_.begin() + static_cast<std::ptrdiff_t>(covered));
+  auto names = files_.List(folder_);
+  if (!names.ok()) return;
+  for (const std::string& name : *names) {
+    if (name.starts_with("snapshot-") && name != SnapshotFileName(snapshot_)) {
+      files_.Remove(absl::StrCat(folder_, "/", name)).IgnoreError();
+    }
+  }
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/storage/snapshot_file.h
@@ -0,0 +1,22 @@
+/// Format of a snapshot file: magic, log position, checksum, then the state as of that position.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "storage/log_entry.h"
+
+namespace millstair {
+
+struct Snapshot {
+  LogPosition position;
+  std::string state;
+};
+
+std::string SnapshotFileName(const LogPosition& position);
+std::string EncodeSnapshotFile(const LogPosition& position, std::string_view state);
+/// DataLoss naming `path` if the bytes are not a whole, undamaged snapshot.
+absl::StatusOr<Snapshot> DecodeSnapshotFile(const std::string& path, std::string_view bytes);
+
+}  // namespace millstair
