--- a/source/consensus/group_host_impl.cc
+++ b/source/consensus/group_host_impl.cc
@@ -82,9 +82,9 @@
   entry.context = std::make_unique<ReplicaContext>(
       ReplicaContext{environment_, files_, identity_.replica, timing_, limits_, faults_,
                      [this, group] { Mark(group); }});
-  auto replica = GroupReplica::Open(*entry.context, group,
-                                    absl::StrCat(kGroupsFolder, "/", FolderName(group)),
-                                    std::move(machine), initial_members);
+  auto replica =
+      GroupReplica::Open(*entry.context, group, absl::StrCat(kGroupsFolder, "/", FolderName(group)),
+                         std::move(machine), initial_members);
   if (!replica.ok()) return replica.status();
   entry.replica = *std::move(replica);
   GroupReplica* opened = entry.replica.get();
--- a/source/consensus/group_replica.cc
+++ b/source/consensus/group_replica.cc
@@ -42,9 +42,9 @@
 
 absl::Status GroupReplica::Begin(const std::vector<GroupMember>& initial_members) {
   const bool fresh = log_->last_index() == LogIndex(0) && log_->hard_state().term == Term(0);
-  const bool founder = std::any_of(
-      initial_members.begin(), initial_members.end(),
-      [&](const GroupMember& member) { return member.replica == context_.self; });
+  const bool founder =
+      std::any_of(initial_members.begin(), initial_members.end(),
+                  [&](const GroupMember& member) { return member.replica == context_.self; });
   if (fresh && founder) {
     const auto payload = std::make_shared<std::string>(EncodeMembers(initial_members));
     log_->SaveHardState({kFoundingTerm, ReplicaId()});
@@ -251,8 +251,9 @@
   if (pending.term == entry.term) {
     return Answer(std::move(pending.done), absl::StatusOr<std::string>(std::move(result)));
   }
-  Answer(std::move(pending.done), absl::StatusOr<std::string>(absl::UnavailableError(
-                                      "another leader's entry took the place")));
+  Answer(
+      std::move(pending.done),
+      absl::StatusOr<std::string>(absl::UnavailableError("another leader's entry took the place")));
 }
 
 void GroupReplica::SaveSnapshotIfDue() {
--- a/source/consensus/group_replica.h
+++ b/source/consensus/group_replica.h
@@ -73,8 +73,7 @@
   Term CurrentTerm() const override { return core_->term(); }
   LogIndex AppliedIndex() const override { return applied_; }
   std::vector<GroupMember> Members() const override { return core_->configuration().members; }
-  void Propose(std::string command,
-               std::function<void(absl::StatusOr<std::string>)> done) override;
+  void Propose(std::string command, std::function<void(absl::StatusOr<std::string>)> done) override;
   void ConfirmRead(std::function<void(absl::StatusOr<LogIndex>)> done) override;
   void AddLearner(GroupMember member, std::function<void(absl::Status)> done) override;
   void Promote(ReplicaId replica, std::function<void(absl::Status)> done) override;
--- a/source/consensus/raft_codec.cc
+++ b/source/consensus/raft_codec.cc
@@ -171,14 +171,14 @@
 }
 
 absl::StatusOr<std::vector<GroupMember>> DecodeMembers(std::string_view bytes) {
-  auto configuration =
-      DecodedMessage<millstair_RaftConfiguration>::Decode(millstair_RaftConfiguration_fields, bytes);
+  auto configuration = DecodedMessage<millstair_RaftConfiguration>::Decode(
+      millstair_RaftConfiguration_fields, bytes);
   if (!configuration.ok()) return configuration.status();
   std::vector<GroupMember> members;
   for (pb_size_t i = 0; i < (*configuration)->members_count; ++i) {
     const millstair_RaftMember& in = (*configuration)->members[i];
-    members.push_back({ReplicaId(in.replica), NodeId(ToString(in.node)), ToString(in.address),
-                       in.voter});
+    members.push_back(
+        {ReplicaId(in.replica), NodeId(ToString(in.node)), ToString(in.address), in.voter});
   }
   return members;
 }
--- a/source/consensus/raft_configuration.cc
+++ b/source/consensus/raft_configuration.cc
@@ -31,9 +31,8 @@
 
 void ConfigurationHistory::Add(LogIndex index, std::vector<GroupMember> members) {
   TruncateFrom(index);
-  std::sort(members.begin(), members.end(), [](const GroupMember& a, const GroupMember& b) {
-    return a.replica < b.replica;
-  });
+  std::sort(members.begin(), members.end(),
+            [](const GroupMember& a, const GroupMember& b) { return a.replica < b.replica; });
   history_.push_back({index, std::move(members)});
 }
 
--- a/source/consensus/raft_core.cc
+++ b/source/consensus/raft_core.cc
@@ -56,8 +56,7 @@
   if (!asked_reads_.empty() && now_ >= ask_due_) AskLeader();
   if (now_ < election_due_) return;
   ResetElectionTimer();
-  const bool may_campaign =
-      !installing_ && !removed_ && configuration().IsVoter(options_.self);
+  const bool may_campaign = !installing_ && !removed_ && configuration().IsVoter(options_.self);
   if (may_campaign) StartPreVote();
 }
 
@@ -105,9 +104,8 @@
       HandleNonMember(message);
       return false;
     }
-    const bool hypothetical =
-        message.type == RaftMessageType::kPreVote ||
-        (message.type == RaftMessageType::kPreVoteReply && !message.reject);
+    const bool hypothetical = message.type == RaftMessageType::kPreVote ||
+                              (message.type == RaftMessageType::kPreVoteReply && !message.reject);
     if (hypothetical) return true;
     BecomeFollower(message.term, ReplicaId());
     return true;
@@ -191,8 +189,8 @@
 }
 
 void RaftCore::ResetElectionTimer() {
-  election_due_ = now_ + DrawDuration(random_, options_.election_timeout,
-                                      2 * options_.election_timeout);
+  election_due_ =
+      now_ + DrawDuration(random_, options_.election_timeout, 2 * options_.election_timeout);
 }
 
 void RaftCore::NoteLeader(ReplicaId leader) {
--- a/source/consensus/raft_election.cc
+++ b/source/consensus/raft_election.cc
@@ -46,10 +46,10 @@
 void RaftCore::HandleVoteRequest(const RaftMessage& message) {
   const bool pre_vote = message.type == RaftMessageType::kPreVote;
   // A pre-vote is for a term still to come; at the own term it is out of date.
-  const bool free = pre_vote ? message.term > term()
-                             : log_.hard_state().vote == message.from ||
-                                   (log_.hard_state().vote == ReplicaId() &&
-                                    leader_ == ReplicaId());
+  const bool free = pre_vote
+                        ? message.term > term()
+                        : log_.hard_state().vote == message.from ||
+                              (log_.hard_state().vote == ReplicaId() && leader_ == ReplicaId());
   const bool granted = free && LogIsUpToDate(message.position);
   RaftMessage reply = MakeMessage(
       pre_vote ? RaftMessageType::kPreVoteReply : RaftMessageType::kVoteReply, message.from);
--- a/source/consensus/raft_membership.cc
+++ b/source/consensus/raft_membership.cc
@@ -31,9 +31,8 @@
   const bool near = progress.state() == ProgressState::kReplicate &&
                     progress.match().value() + kPromotionLag >= log_.last_index().value();
   if (!active || !near) {
-    return absl::FailedPreconditionError(absl::StrCat("learner is at entry ",
-                                                      progress.match().value(), " of ",
-                                                      log_.last_index().value()));
+    return absl::FailedPreconditionError(absl::StrCat(
+        "learner is at entry ", progress.match().value(), " of ", log_.last_index().value()));
   }
   std::vector<GroupMember> members = configuration().members;
   for (GroupMember& member : members) {
--- a/source/consensus/raft_replication.cc
+++ b/source/consensus/raft_replication.cc
@@ -24,9 +24,8 @@
 }
 
 void RaftCore::SyncProgressWithMembers() {
-  std::erase_if(progress_, [&](const auto& item) {
-    return configuration().Find(item.first) == nullptr;
-  });
+  std::erase_if(progress_,
+                [&](const auto& item) { return configuration().Find(item.first) == nullptr; });
   for (const GroupMember& member : configuration().members) {
     if (member.replica == options_.self) continue;
     progress_.try_emplace(member.replica, Next(log_.last_index()), now_);
@@ -108,8 +107,8 @@
   if (log_.TermAt(message.position.index) != message.position.term) {
     reply.reject = true;
     reply.position = message.position;
-    reply.hint = AgreementHint(std::min(message.position.index, log_.last_index()),
-                               message.position.term);
+    reply.hint =
+        AgreementHint(std::min(message.position.index, log_.last_index()), message.position.term);
     return SendDurable(std::move(reply));
   }
   const LogIndex last(message.position.index.value() + message.entries.size());
@@ -129,9 +128,9 @@
   if (entries.empty()) return;
   const LogIndex first = entries.front().index;
   if (first <= commit_) {
-    failure_ = absl::DataLossError(absl::StrCat("leader ", leader_.value(), " of term ",
-                                                term().value(), " contradicts committed entry ",
-                                                first.value()));
+    failure_ =
+        absl::DataLossError(absl::StrCat("leader ", leader_.value(), " of term ", term().value(),
+                                         " contradicts committed entry ", first.value()));
     return;
   }
   configurations_.TruncateFrom(first);
--- a/source/consensus/replica_identity.cc
+++ b/source/consensus/replica_identity.cc
@@ -72,9 +72,9 @@
   auto identity = DecodeIdentity(*bytes);
   if (!identity.ok()) return identity.status();
   if (identity->cluster_id != cluster_id || identity->node != node) {
-    return absl::FailedPreconditionError(
-        absl::StrCat("the data folder belongs to node ", identity->node.value(), " of cluster ",
-                     identity->cluster_id));
+    return absl::FailedPreconditionError(absl::StrCat("the data folder belongs to node ",
+                                                      identity->node.value(), " of cluster ",
+                                                      identity->cluster_id));
   }
   identity->address = address;
   return identity;
--- a/source/storage/segmented_log.h
+++ b/source/storage/segmented_log.h
@@ -35,7 +35,8 @@
   uint64_t cache_bytes = 1 << 20;
 };
 
-/// Counts records; what was appended up to a sequence is durable once `durable_sequence` reaches it.
+/// Counts records; what was appended up to a sequence is durable once `durable_sequence` reaches
+/// it.
 using LogSequence = uint64_t;
 
 class SegmentedLog {
--- a/test/consensus/consensus_fleet.h
+++ b/test/consensus/consensus_fleet.h
@@ -141,8 +141,7 @@
   RaftGroup* Leader(const GroupId& group = kTestGroup);
   NodeId LeaderNode(const GroupId& group = kTestGroup);
   /// Runs until a leader has committed a command in its term. Whether it did within `span`.
-  bool RunUntilLeader(Duration span = std::chrono::seconds(30),
-                      const GroupId& group = kTestGroup);
+  bool RunUntilLeader(Duration span = std::chrono::seconds(30), const GroupId& group = kTestGroup);
   /// Proposes at the current leader and runs until it is answered.
   absl::StatusOr<std::string> Propose(const std::string& command,
                                       const GroupId& group = kTestGroup);
--- a/test/consensus/group_host_test.cc
+++ b/test/consensus/group_host_test.cc
@@ -133,8 +133,8 @@
   REQUIRE(LoadOrCreateIdentity(files, environment.Random(), "c", node, "")->replica ==
           fresh->replica);
   REQUIRE(files.Damage("identity", 3, 4).ok());
-  REQUIRE(absl::IsDataLoss(
-      LoadOrCreateIdentity(files, environment.Random(), "c", node, "").status()));
+  REQUIRE(
+      absl::IsDataLoss(LoadOrCreateIdentity(files, environment.Random(), "c", node, "").status()));
 }
 
 }  // namespace
