--- /dev/null
+++ b/source/resources/resource_references.h
@@ -0,0 +1,18 @@
+/// Checks between resources: the same one in two files, and names that lead nowhere.
+#pragma once
+
+#include <vector>
+
+#include "common/findings.h"
+#include "resources/resource_codec.h"
+
+namespace millstair {
+
+/// Adds a finding for each resource that stands in more than one file.
+void CheckDuplicates(const std::vector<ParsedResource>& resources, Findings& findings);
+
+/// Warnings: references to resources that are not among `resources` (they may be stored already),
+/// and selectors that match none of them.
+Findings DanglingReferences(const std::vector<ParsedResource>& resources);
+
+}  // namespace millstair
--- /dev/null
+++ b/source/resources/yaml_fields.h
@@ -0,0 +1,70 @@
+/// Reads the fields of one YAML mapping and collects every fault with its place: unknown and
+/// repeated keys, missing ones, wrong types and units, values out of bounds.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "common/findings.h"
+#include "common/time.h"
+#include "yaml-cpp/yaml.h"
+
+namespace millstair {
+
+/// Place of `node` in `file`.
+Place PlaceOf(const std::string& file, const YAML::Node& node);
+
+/// Whether a key must be there.
+enum class Presence { kOptional, kRequired };
+
+/// Checks the text of a scalar; the status' message becomes the finding.
+using TextCheck = std::function<absl::Status(std::string_view)>;
+
+/// Fields of one mapping. Each getter leaves the value alone when its key is absent or faulty.
+/// Finish() reports the keys that nobody asked for.
+class YamlFields {
+ public:
+  /// `what` names the mapping in findings, for example "Machine" or "spec".
+  YamlFields(std::string file, YAML::Node node, std::string what, Findings& findings);
+
+  void Text(const std::string& key, std::string& value, Presence presence, const TextCheck& check);
+  void Flag(const std::string& key, bool& value);
+  void Whole(const std::string& key, uint64_t& value, uint64_t min, uint64_t max);
+  void Whole(const std::string& key, uint32_t& value, uint32_t min, uint32_t max);
+  void Real(const std::string& key, double& value, double min, double max);
+  void Bytes(const std::string& key, uint64_t& value, uint64_t min, uint64_t max);
+  void Time(const std::string& key, Duration& value, Duration min, Duration max);
+  void TextList(const std::string& key, std::vector<std::string>& value, const TextCheck& check);
+  void TextMap(const std::string& key, std::map<std::string, std::string>& value,
+               const TextCheck& check_key, const TextCheck& check_value);
+
+  /// The node under `key`, marked as known; an undefined node if absent.
+  YAML::Node Take(const std::string& key, Presence presence = Presence::kOptional);
+  /// Adds a finding at `node`.
+  void Fault(const YAML::Node& node, const std::string& message);
+  /// Reports unknown keys. Call once, last.
+  void Finish();
+
+ private:
+  struct Entry {
+    YAML::Node key;
+    YAML::Node value;
+    bool taken = false;
+  };
+
+  /// The scalar's text, or none with a finding when it is no scalar.
+  const std::string* ScalarText(const YAML::Node& node, const std::string& key);
+
+  std::string file_;
+  YAML::Node node_;
+  std::string what_;
+  Findings& findings_;
+  std::map<std::string, Entry> entries_;
+};
+
+}  // namespace millstair
