--- a/source/resources/resource_fields.h
+++ b/source/resources/resource_fields.h
@@ -14,14 +14,14 @@
 
 /// What a text field may hold.
 enum class TextForm {
-  kName,             ///< name of a resource, zone or model
-  kOptionalName,     ///< the same, or empty
-  kIpNumber,         ///< an IP number
-  kIpAndPort,        ///< "ip:port"
-  kOptionalIpAndPort,///< the same, or empty
-  kHostName,         ///< value of a Host header
-  kPathPrefix,       ///< begins with '/'
-  kFreeText,         ///< anything without control characters, not empty
+  kName,               ///< name of a resource, zone or model
+  kOptionalName,       ///< the same, or empty
+  kIpNumber,           ///< an IP number
+  kIpAndPort,          ///< "ip:port"
+  kOptionalIpAndPort,  ///< the same, or empty
+  kHostName,           ///< value of a Host header
+  kPathPrefix,         ///< begins with '/'
+  kFreeText,           ///< anything without control characters, not empty
 };
 
 inline constexpr uint64_t kMaxBytes = 1'000'000'000'000'000;
--- a/source/resources/resource_names.cc
+++ b/source/resources/resource_names.cc
@@ -30,8 +30,9 @@
 absl::StatusOr<ResourceKind> ParseKind(std::string_view name) {
   const std::optional<ResourceKind> kind = Find<ResourceKind>(kKindNames, name);
   if (kind) return *kind;
-  return absl::InvalidArgumentError(fmt::format(
-      "unknown kind '{}' (one of {})", name, fmt::join(kKindNames.begin(), kKindNames.end(), ", ")));
+  return absl::InvalidArgumentError(
+      fmt::format("unknown kind '{}' (one of {})", name,
+                  fmt::join(kKindNames.begin(), kKindNames.end(), ", ")));
 }
 
 std::string_view EngineTypeName(EngineType type) {
--- a/source/resources/resource_reader.cc
+++ b/source/resources/resource_reader.cc
@@ -72,8 +72,7 @@
     return requirement;
   }
   requirement.op = *parsed;
-  const bool takes_values =
-      *parsed == SelectorOperator::kIn || *parsed == SelectorOperator::kNotIn;
+  const bool takes_values = *parsed == SelectorOperator::kIn || *parsed == SelectorOperator::kNotIn;
   if (takes_values && requirement.values.empty()) {
     fields.Fault(node, fmt::format("operator {} needs values", op));
   } else if (!takes_values && !requirement.values.empty()) {
@@ -223,8 +222,7 @@
   std::vector<ParsedResource> resources = ParseResources("", text, findings);
   if (!findings.empty()) return findings.ToStatus();
   if (resources.size() != 1) {
-    return absl::InvalidArgumentError(
-        fmt::format("one resource is due, not {}", resources.size()));
+    return absl::InvalidArgumentError(fmt::format("one resource is due, not {}", resources.size()));
   }
   return std::move(resources.front().resource);
 }
--- a/source/resources/resource_references.cc
+++ b/source/resources/resource_references.cc
@@ -55,9 +55,8 @@
       return resource.kind() == ResourceKind::kPool ||
              resource.kind() == ResourceKind::kTrafficGroup;
     });
-    CheckSelector(from, "models", spec.models, [](const Resource& resource) {
-      return resource.kind() == ResourceKind::kModel;
-    });
+    CheckSelector(from, "models", spec.models,
+                  [](const Resource& resource) { return resource.kind() == ResourceKind::kModel; });
     CheckSelector(from, "engines", spec.engines, [](const Resource& resource) {
       return resource.kind() == ResourceKind::kEngine;
     });
@@ -98,9 +97,9 @@
   for (const ParsedResource& parsed : resources) {
     const auto [entry, added] = first.try_emplace(parsed.resource.key(), parsed.place);
     if (added || entry->second.file == parsed.place.file) continue;
-    findings.Add(parsed.place, fmt::format("{} '{}' stands also at {}",
-                                           KindName(parsed.resource.kind()), parsed.resource.name,
-                                           entry->second.ToString()));
+    findings.Add(parsed.place,
+                 fmt::format("{} '{}' stands also at {}", KindName(parsed.resource.kind()),
+                             parsed.resource.name, entry->second.ToString()));
   }
 }
 
--- a/source/resources/yaml_documents.cc
+++ b/source/resources/yaml_documents.cc
@@ -7,12 +7,12 @@
 namespace millstair {
 namespace {
 
-/// Watches that the parser moves on. yaml-cpp 0.7 yields empty documents without end when a closing
-/// bracket stands where a document is due.
+/// Watches that the parser moves on. yaml-cpp 0.7 yields empty documents without end when a token
+/// stands where no document can begin.
 class ProgressCheck : public YAML::EventHandler {
  public:
   void OnDocumentStart(const YAML::Mark& mark) override {
-    if (mark.pos == last_start_) throw YAML::ParserException(mark, "unexpected closing bracket");
+    if (mark.pos == last_start_) throw YAML::ParserException(mark, "unexpected token");
     last_start_ = mark.pos;
   }
   void OnDocumentEnd() override {}
