--- a/source/storage/posix_file_system.cc
+++ b/source/storage/posix_file_system.cc
@@ -119,8 +119,8 @@
   std::string bytes(size, '\0');
   uint64_t done = 0;
   while (done < size) {
-    const ssize_t count = ::pread(file.value(), bytes.data() + done, size - done,
-                                  static_cast<off_t>(offset + done));
+    const ssize_t count =
+        ::pread(file.value(), bytes.data() + done, size - done, static_cast<off_t>(offset + done));
     if (count < 0 && errno == EINTR) continue;
     if (count < 0) return LastError(path, "read");
     if (count == 0) return absl::DataLossError(absl::StrCat(path, ": became shorter"));
