--- a/cmake/MillstairTargets.cmake
+++ b/cmake/MillstairTargets.cmake
@@ -30,6 +30,7 @@
     return()
   endif()
   add_executable(${name}_test ${sources})
+  target_include_directories(${name}_test PRIVATE ${PROJECT_SOURCE_DIR}/test)
   target_link_libraries(${name}_test PRIVATE millstair_options Catch2::Catch2WithMain rapidcheck
     rapidcheck_catch ${ARG_DEPENDS})
   target_compile_definitions(${name}_test PRIVATE
--- /dev/null
+++ b/source/common/stats.h
@@ -0,0 +1,93 @@
+/// Counters and gauges by name. Incrementing is one atomic operation, so that decision code and I/O
+/// threads use them alike; names are registered once, when a module is made.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace millstair {
+
+/// Counts up. Thread-safe, lock-free.
+class Counter {
+ public:
+  void Add(uint64_t count = 1) { value_.fetch_add(count, std::memory_order_relaxed); }
+  uint64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<uint64_t> value_{0};
+};
+
+/// Holds the newest value. Thread-safe, lock-free.
+class Gauge {
+ public:
+  void Set(double value) { value_.store(value, std::memory_order_relaxed); }
+  double value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<double> value_{0};
+};
+
+/// Identity of one time series: "millstair_http_requests_total" with label outcome="ran".
+struct StatName {
+  std::string name;
+  std::string help;
+  /// Both empty if the series has no label.
+  std::string label;
+  std::string label_value;
+};
+
+/// One value as read by the metrics page.
+struct StatSample {
+  StatName name;
+  bool counter = false;
+  double value = 0;
+};
+
+/// Owns the stats of one node. Registration and reading lock; references stay valid for the life of
+/// the registry.
+class StatsRegistry {
+ public:
+  /// The counter of that name and label value, made at the first call.
+  Counter& NewCounter(StatName name) { return FindOrAdd(counters_, std::move(name)); }
+  Gauge& NewGauge(StatName name) { return FindOrAdd(gauges_, std::move(name)); }
+
+  /// All values, in the order of registration; counters first.
+  std::vector<StatSample> Read() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<StatSample> samples;
+    for (const auto& entry : counters_) {
+      samples.push_back({entry.name, true, static_cast<double>(entry.stat.value())});
+    }
+    for (const auto& entry : gauges_) samples.push_back({entry.name, false, entry.stat.value()});
+    return samples;
+  }
+
+ private:
+  template <class Stat>
+  struct Entry {
+    explicit Entry(StatName stat_name) : name(std::move(stat_name)) {}
+    StatName name;
+    Stat stat;
+  };
+
+  template <class Stat>
+  Stat& FindOrAdd(std::deque<Entry<Stat>>& entries, StatName name) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (Entry<Stat>& entry : entries) {
+      if (entry.name.name == name.name && entry.name.label_value == name.label_value) {
+        return entry.stat;
+      }
+    }
+    return entries.emplace_back(std::move(name)).stat;
+  }
+
+  mutable std::mutex mutex_;
+  std::deque<Entry<Counter>> counters_;
+  std::deque<Entry<Gauge>> gauges_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/http/beast_http_caller.cc
@@ -0,0 +1,322 @@
+#include "http/beast_http_caller.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <limits>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "fmt/format.h"
+#include "http/connection_pool.h"
+#include "http/header_rules.h"
+#include "runtime/endpoint.h"
+
+namespace millstair {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using ResponseParser = http::response_parser<http::buffer_body>;
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+
+/// The request as it goes over the wire; empty if it holds characters that don't belong there.
+std::string FormatRequest(const std::string& address, const HttpRequest& request) {
+  if (!IsToken(request.method) || !IsRequestTarget(request.target)) return "";
+  std::string text = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+  const HttpHeaders headers = WithoutHeader(EndToEndHeaders(request.headers), "Content-Length");
+  if (!FindHeader(headers, "Host").has_value()) text += fmt::format("Host: {}\r\n", address);
+  for (const HttpHeader& header : headers) {
+    if (!IsToken(header.name) || !IsFieldValue(header.value)) return "";
+    text += fmt::format("{}: {}\r\n", header.name, header.value);
+  }
+  const bool bodiless = request.method == "GET" || request.method == "HEAD";
+  if (!request.body.empty() || !bodiless) {
+    text += fmt::format("Content-Length: {}\r\n", request.body.size());
+  }
+  text += "\r\n";
+  text += request.body;
+  return text;
+}
+
+HttpResponseHead HeadOf(const ResponseParser& parser) {
+  HttpResponseHead head;
+  head.status = static_cast<int>(parser.get().result_int());
+  for (const auto& field : parser.get()) {
+    head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  head.headers = EndToEndHeaders(head.headers);
+  return head;
+}
+
+/// One call. The coroutine runs on `strand_`; what is marked so belongs to the serial executor.
+class Call : public std::enable_shared_from_this<Call> {
+ public:
+  Call(std::shared_ptr<HttpConnectionPool> pool, std::shared_ptr<SerialExecutor> executor,
+       std::string address, HttpRequest request, HttpCallObserver& observer)
+      : pool_(std::move(pool)),
+        executor_(std::move(executor)),
+        address_(std::move(address)),
+        request_(std::move(request)),
+        strand_(asio::make_strand(pool_->io().get_executor())),
+        watchdog_(strand_),
+        acknowledged_(strand_),
+        observer_(&observer) {}
+
+  void Start() {
+    pool_->stats().calls.Add();
+    asio::co_spawn(
+        strand_, [self = shared_from_this()] { return self->Run(); }, asio::detached);
+  }
+
+  /// On the executor: the observer hears no more.
+  void Cancel() {
+    observer_ = nullptr;
+    asio::post(strand_, [self = shared_from_this()] {
+      self->cancelled_ = true;
+      self->CloseSocket();
+      self->acknowledged_.cancel();
+    });
+  }
+
+  /// On the executor.
+  void Pause() { paused_ = true; }
+  void Resume() {
+    paused_ = false;
+    if (std::exchange(acknowledgement_owed_, false)) Acknowledge();
+  }
+
+ private:
+  // --- on the strand -------------------------------------------------------------------------
+
+  asio::awaitable<void> Run() {
+    const auto self = shared_from_this();
+    const std::string bytes = FormatRequest(address_, request_);
+    if (bytes.empty()) {
+      Fail(CallFailure::kNotSent, "the request holds characters that HTTP does not allow");
+      co_return;
+    }
+    if (!co_await SendRequest(bytes)) co_return;
+    ResponseParser parser;
+    parser.header_limit(static_cast<uint32_t>(pool_->options().max_header_bytes));
+    parser.body_limit(boost::none);
+    if (request_.method == "HEAD") parser.skip(true);
+    boost::beast::flat_buffer buffer;
+    if (!co_await ReadHead(buffer, parser)) co_return;
+    if (!co_await ReadBody(buffer, parser)) co_return;
+    if (parser.get().keep_alive() && buffer.size() == 0) {
+      pool_->Put(address_, std::move(*socket_));
+    }
+    Tell([](HttpCallObserver& observer) { observer.OnFinished(); });
+  }
+
+  /// Writes the request on a kept connection, or on a new one if not a byte went out there.
+  asio::awaitable<bool> SendRequest(const std::string& bytes) {
+    socket_ = pool_->Take(address_);
+    if (socket_.has_value() && !cancelled_) {
+      const size_t written = co_await Write(bytes);
+      if (written == bytes.size()) co_return true;
+      if (written > 0) {
+        Fail(CallFailure::kUnknown, "the connection broke while the request was written");
+        co_return false;
+      }
+    }
+    if (!co_await Connect()) co_return false;
+    const size_t written = co_await Write(bytes);
+    if (written == bytes.size()) co_return true;
+    Fail(written == 0 ? CallFailure::kNotSent : CallFailure::kUnknown,
+         "the connection broke while the request was written");
+    co_return false;
+  }
+
+  asio::awaitable<bool> Connect() {
+    const absl::StatusOr<Tcp::endpoint> endpoint = ParseEndpoint(address_);
+    if (!endpoint.ok()) {
+      Fail(CallFailure::kNotSent, std::string(endpoint.status().message()));
+      co_return false;
+    }
+    if (cancelled_) co_return false;
+    socket_.emplace(pool_->io());
+    Watch(pool_->options().connect_timeout);
+    const auto [error] = co_await socket_->async_connect(*endpoint, kUseTuple);
+    watchdog_.cancel();
+    if (error || cancelled_ || !socket_->is_open()) {
+      Fail(CallFailure::kNotSent, fmt::format("can't connect to {}: {}", address_,
+                                              error ? error.message() : "timed out"));
+      co_return false;
+    }
+    boost::system::error_code ignored;
+    socket_->set_option(Tcp::no_delay(true), ignored);
+    pool_->stats().connections_opened.Add();
+    co_return true;
+  }
+
+  /// Bytes handed to the kernel; fewer than all mean that the connection broke.
+  asio::awaitable<size_t> Write(const std::string& bytes) {
+    Watch(pool_->options().write_timeout);
+    const auto [error, count] = co_await asio::async_write(*socket_, asio::buffer(bytes), kUseTuple);
+    watchdog_.cancel();
+    co_return count;
+  }
+
+  asio::awaitable<bool> ReadHead(boost::beast::flat_buffer& buffer, ResponseParser& parser) {
+    Watch(pool_->options().read_timeout);
+    const auto [error, count] =
+        co_await http::async_read_header(*socket_, buffer, parser, kUseTuple);
+    watchdog_.cancel();
+    if (error) {
+      Fail(CallFailure::kUnknown, fmt::format("no answer from {}: {}", address_, error.message()));
+      co_return false;
+    }
+    if (!parser.is_done() && parser.need_eof()) {
+      Fail(CallFailure::kCut, "the answer has no length");
+      co_return false;
+    }
+    if (parser.get().result_int() < 200) {
+      // An interim answer that was not asked for; the final one can't be told apart for sure.
+      Fail(CallFailure::kUnknown, "unexpected interim answer");
+      co_return false;
+    }
+    Tell([head = HeadOf(parser)](HttpCallObserver& observer) { observer.OnHead(head); });
+    co_return true;
+  }
+
+  asio::awaitable<bool> ReadBody(boost::beast::flat_buffer& buffer, ResponseParser& parser) {
+    std::vector<char> piece(pool_->options().read_bytes);
+    while (!parser.is_done()) {
+      parser.get().body().data = piece.data();
+      parser.get().body().size = piece.size();
+      Watch(pool_->options().read_timeout);
+      const auto [error, read] =
+          co_await http::async_read_some(*socket_, buffer, parser, kUseTuple);
+      watchdog_.cancel();
+      const size_t count = piece.size() - parser.get().body().size;
+      if (count > 0) co_await Deliver(std::string(piece.data(), count));
+      if (cancelled_) co_return false;
+      if (error && error != http::error::need_buffer) {
+        Fail(CallFailure::kCut, fmt::format("the answer broke off: {}", error.message()));
+        co_return false;
+      }
+    }
+    co_return true;
+  }
+
+  /// Hands a piece to the observer and waits until it wants more.
+  asio::awaitable<void> Deliver(std::string bytes) {
+    delivered_ = false;
+    executor_->Post([self = shared_from_this(), bytes = std::move(bytes)]() mutable {
+      if (self->observer_ == nullptr) return;
+      self->observer_->OnBody(std::move(bytes));
+      if (self->paused_) {
+        self->acknowledgement_owed_ = true;
+      } else {
+        self->Acknowledge();
+      }
+    });
+    while (!delivered_ && !cancelled_) {
+      acknowledged_.expires_at(std::chrono::steady_clock::time_point::max());
+      co_await acknowledged_.async_wait(kUseTuple);
+    }
+  }
+
+  void Watch(Duration timeout) {
+    watchdog_.expires_after(timeout);
+    watchdog_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+      const auto self = weak.lock();
+      if (!error && self) self->CloseSocket();
+    });
+  }
+
+  void CloseSocket() {
+    boost::system::error_code ignored;
+    if (socket_.has_value()) socket_->close(ignored);
+  }
+
+  void Fail(CallFailure failure, std::string reason) {
+    CloseSocket();
+    if (cancelled_) return;
+    HttpCallerStats& stats = pool_->stats();
+    if (failure == CallFailure::kNotSent) stats.failed_not_sent.Add();
+    if (failure == CallFailure::kUnknown) stats.failed_unknown.Add();
+    if (failure == CallFailure::kCut) stats.failed_cut.Add();
+    Tell([failure, reason = std::move(reason)](HttpCallObserver& observer) {
+      observer.OnFailed(failure, reason);
+    });
+  }
+
+  // --- on the executor -----------------------------------------------------------------------
+
+  template <class Event>
+  void Tell(Event event) {
+    executor_->Post([self = shared_from_this(), event = std::move(event)] {
+      if (self->observer_ != nullptr) event(*self->observer_);
+    });
+  }
+
+  void Acknowledge() {
+    asio::post(strand_, [self = shared_from_this()] {
+      self->delivered_ = true;
+      self->acknowledged_.cancel();
+    });
+  }
+
+  const std::shared_ptr<HttpConnectionPool> pool_;
+  const std::shared_ptr<SerialExecutor> executor_;
+  const std::string address_;
+  const HttpRequest request_;
+  asio::strand<asio::io_context::executor_type> strand_;
+  asio::steady_timer watchdog_;
+  asio::steady_timer acknowledged_;
+  std::optional<Tcp::socket> socket_;
+  bool cancelled_ = false;
+  bool delivered_ = false;
+
+  /// Of the executor; null once the handle was dropped.
+  HttpCallObserver* observer_;
+  bool paused_ = false;
+  bool acknowledgement_owed_ = false;
+};
+
+class Handle : public CallHandle {
+ public:
+  explicit Handle(std::shared_ptr<Call> call) : call_(std::move(call)) {}
+  ~Handle() override { call_->Cancel(); }
+  void PauseReading() override { call_->Pause(); }
+  void ResumeReading() override { call_->Resume(); }
+
+ private:
+  std::shared_ptr<Call> call_;
+};
+
+}  // namespace
+
+BeastHttpCaller::BeastHttpCaller(Runtime& runtime, std::shared_ptr<SerialExecutor> executor,
+                                 HttpCallerOptions options, StatsRegistry* stats)
+    : runtime_(runtime),
+      executor_(std::move(executor)),
+      pool_(std::make_shared<HttpConnectionPool>(runtime_.io(), options, stats)) {}
+
+BeastHttpCaller::~BeastHttpCaller() { pool_->Close(); }
+
+std::unique_ptr<CallHandle> BeastHttpCaller::Start(const std::string& address, HttpRequest request,
+                                                   HttpCallObserver& observer) {
+  const auto call =
+      std::make_shared<Call>(pool_, executor_, address, std::move(request), observer);
+  call->Start();
+  return std::make_unique<Handle>(call);
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/http/header_rules.h
@@ -0,0 +1,25 @@
+/// Rules for header fields (RFC 9110, 9112) that both the server and the caller apply.
+#pragma once
+
+#include <string_view>
+
+#include "http/exchange.h"
+
+namespace millstair {
+
+/// Equal without regard to the case of ASCII letters.
+bool EqualsIgnoringCase(std::string_view left, std::string_view right);
+/// A non-empty token: a legal method or field name.
+bool IsToken(std::string_view text);
+/// A legal field value: no control characters except tab.
+bool IsFieldValue(std::string_view text);
+/// A legal request target: visible ASCII without spaces, and not empty.
+bool IsRequestTarget(std::string_view text);
+
+/// The headers that may pass a proxy: without Connection, what it names, Keep-Alive, TE, Trailer,
+/// Transfer-Encoding, Upgrade, Proxy-* and Expect. Content-Length is kept.
+HttpHeaders EndToEndHeaders(const HttpHeaders& headers);
+/// Without all headers of that name.
+HttpHeaders WithoutHeader(HttpHeaders headers, std::string_view name);
+
+}  // namespace millstair
--- /dev/null
+++ b/source/http/http_server.cc
@@ -0,0 +1,96 @@
+#include "http/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <utility>
+
+#include "common/event_log.h"
+#include "fmt/format.h"
+#include "http/server_connection.h"
+#include "runtime/endpoint.h"
+
+namespace millstair {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+void AcceptNext(const std::shared_ptr<HttpServerContext>& context) {
+  context->acceptor->async_accept(
+      [context](const boost::system::error_code& error, Tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted) return;
+        if (!error) StartServerConnection(std::move(socket), context);
+        if (context->acceptor->is_open()) AcceptNext(context);
+      });
+}
+
+absl::Status Bind(Tcp::acceptor& acceptor, const Tcp::endpoint& endpoint) {
+  boost::system::error_code error;
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor.bind(endpoint, error);
+  if (!error) acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+  if (!error) return absl::OkStatus();
+  return absl::UnavailableError(fmt::format("can't listen on {}: {}", FormatEndpoint(endpoint),
+                                            error.message()));
+}
+
+void RegisterStats(HttpServerContext& context) {
+  StatsRegistry& stats = *context.stats;
+  context.requests =
+      &stats.NewCounter({"millstair_http_requests_total", "Requests taken by the HTTP front."});
+  context.connections =
+      &stats.NewCounter({"millstair_http_connections_total", "Connections accepted."});
+  context.callers_gone = &stats.NewCounter(
+      {"millstair_http_callers_gone_total", "Callers that left before their answer was whole."});
+  context.open_connections =
+      &stats.NewGauge({"millstair_http_open_connections", "Connections open now."});
+}
+
+}  // namespace
+
+void HttpServerContext::CountRefused(const std::string& reason) {
+  stats
+      ->NewCounter({"millstair_http_refused_total", "Requests refused by the HTTP front.",
+                    "reason", reason})
+      .Add();
+  LogEvent(EventId::kHttpRequestRefused, "reason={}", reason);
+}
+
+absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::Listen(
+    Runtime& runtime, std::shared_ptr<SerialExecutor> executor, const std::string& address,
+    RequestHandler& handler, HttpServerOptions options, StatsRegistry* stats) {
+  const absl::StatusOr<Tcp::endpoint> endpoint = ParseEndpoint(address);
+  if (!endpoint.ok()) return endpoint.status();
+  auto context = std::make_shared<HttpServerContext>();
+  context->options = options;
+  context->executor = std::move(executor);
+  context->handler = &handler;
+  if (stats == nullptr) context->own_stats = std::make_unique<StatsRegistry>();
+  context->stats = stats != nullptr ? stats : context->own_stats.get();
+  RegisterStats(*context);
+  context->acceptor =
+      std::make_unique<Tcp::acceptor>(boost::asio::make_strand(runtime.io().get_executor()));
+  if (absl::Status bound = Bind(*context->acceptor, *endpoint); !bound.ok()) return bound;
+  const std::string local = FormatEndpoint(context->acceptor->local_endpoint());
+  boost::asio::post(context->acceptor->get_executor(), [context] { AcceptNext(context); });
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(context), local));
+}
+
+HttpServer::HttpServer(std::shared_ptr<HttpServerContext> context, std::string address)
+    : context_(std::move(context)), address_(std::move(address)) {}
+
+HttpServer::~HttpServer() { Stop(); }
+
+void HttpServer::BeginDrain() { context_->draining = true; }
+
+void HttpServer::Stop() {
+  context_->handler = nullptr;
+  boost::asio::post(context_->acceptor->get_executor(), [context = context_] {
+    boost::system::error_code ignored;
+    context->acceptor->close(ignored);
+  });
+  CloseServerConnections(*context_);
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/http/response_channel.h
@@ -0,0 +1,93 @@
+/// Bytes on their way from a response writer (serial executor) to its connection (I/O strand).
+#pragma once
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace millstair {
+
+/// What the connection finds in the channel.
+struct ChannelContent {
+  std::string bytes;
+  /// Nothing follows `bytes`.
+  bool finished = false;
+  /// The answer is to be cut; `bytes` is empty.
+  bool aborted = false;
+  /// Whether the connection may carry another request afterwards.
+  bool keep_alive = false;
+};
+
+/// Thread-safe. One writer, one connection.
+class ResponseChannel {
+ public:
+  /// `wake` is called, from the writer's thread, when there is something new.
+  ResponseChannel(size_t capacity, std::function<void()> wake)
+      : capacity_(capacity), wake_(std::move(wake)) {}
+
+  void Append(std::string_view bytes) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (content_.finished || content_.aborted) return;
+      content_.bytes += bytes;
+      unsent_ += bytes.size();
+    }
+    wake_();
+  }
+
+  void Finish(bool keep_alive) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (content_.aborted) return;
+      content_.finished = true;
+      content_.keep_alive = keep_alive;
+    }
+    wake_();
+  }
+
+  void Abort() {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (content_.finished) return;
+      content_.aborted = true;
+      content_.bytes.clear();
+    }
+    wake_();
+  }
+
+  /// Room for the writer; remembers that it was told of none.
+  size_t Room() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (unsent_ < capacity_) return capacity_ - unsent_;
+    starved_ = true;
+    return 0;
+  }
+
+  /// Takes what there is; `finished` and `aborted` stay set.
+  ChannelContent Take() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ChannelContent taken = content_;
+    content_.bytes.clear();
+    return taken;
+  }
+
+  /// `count` bytes have been sent. True if the writer waits for room that is there now.
+  bool Sent(size_t count) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    unsent_ -= count;
+    const bool tell = starved_ && unsent_ < capacity_;
+    if (tell) starved_ = false;
+    return tell;
+  }
+
+ private:
+  const size_t capacity_;
+  const std::function<void()> wake_;
+  std::mutex mutex_;
+  ChannelContent content_;
+  size_t unsent_ = 0;
+  bool starved_ = false;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/http/server_connection.cc
@@ -0,0 +1,397 @@
+#include "http/server_connection.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "http/header_rules.h"
+#include "http/problem.h"
+#include "http/request_head_check.h"
+#include "http/response_channel.h"
+#include "http/response_writer.h"
+
+namespace millstair {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using SteadyTime = std::chrono::steady_clock::time_point;
+using RequestParser = http::request_parser<http::string_body>;
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+/// Bytes of a client that are read ahead of what is being served.
+constexpr size_t kReadAheadBytes = 64 * 1024;
+constexpr size_t kReadBytes = 8 * 1024;
+/// How long a refused client may go on sending before the connection is closed.
+constexpr std::chrono::milliseconds kLingerTime{500};
+
+}  // namespace
+
+/// Lives on a strand. Two coroutines share it: one reads bytes ahead and notices that the client
+/// has gone, the other serves the requests.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(Tcp::socket socket, std::shared_ptr<HttpServerContext> context)
+      : context_(std::move(context)),
+        strand_(asio::make_strand(socket.get_executor())),
+        socket_(std::move(socket)),
+        news_(strand_),
+        room_(strand_),
+        watchdog_(strand_) {}
+
+  ~ServerConnection() {
+    const std::lock_guard<std::mutex> lock(context_->mutex);
+    context_->open.erase(this);
+    context_->open_connections->Set(static_cast<double>(context_->open.size()));
+  }
+
+  void Start() {
+    boost::system::error_code ignored;
+    socket_.set_option(Tcp::no_delay(true), ignored);
+    asio::co_spawn(
+        strand_, [self = shared_from_this()] { return self->ReadAhead(); }, asio::detached);
+    asio::co_spawn(
+        strand_, [self = shared_from_this()] { return self->ServeAll(); }, asio::detached);
+  }
+
+  void CloseSoon() {
+    asio::post(strand_, [self = shared_from_this()] { self->Close(); });
+  }
+
+ private:
+  // --- reading -------------------------------------------------------------------------------
+
+  asio::awaitable<void> ReadAhead() {
+    const auto self = shared_from_this();
+    std::array<char, kReadBytes> bytes;
+    while (!closed_) {
+      if (received_.size() >= ReadLimit()) {
+        room_.expires_at(SteadyTime::max());
+        co_await room_.async_wait(kUseTuple);
+        continue;
+      }
+      const auto [error, count] = co_await socket_.async_read_some(asio::buffer(bytes), kUseTuple);
+      if (error) break;
+      received_.append(bytes.data(), count);
+      news_.cancel();
+    }
+    client_ended_ = true;
+    news_.cancel();
+  }
+
+  size_t ReadLimit() const { return std::max(kReadAheadBytes, context_->options.max_header_bytes); }
+
+  /// Waits for bytes, the client's end, or the writer. False if `deadline` passed first.
+  asio::awaitable<bool> WaitForNews(SteadyTime deadline) {
+    news_.expires_at(deadline);
+    const auto [error] = co_await news_.async_wait(kUseTuple);
+    co_return error == asio::error::operation_aborted;
+  }
+
+  void Consume(size_t count) {
+    received_.erase(0, count);
+    room_.cancel();
+  }
+
+  // --- serving -------------------------------------------------------------------------------
+
+  asio::awaitable<void> ServeAll() {
+    const auto self = shared_from_this();
+    while (!closed_) {
+      if (!co_await ServeOne()) break;
+    }
+    Close();
+  }
+
+  /// Serves one request. False if the connection is to be closed.
+  asio::awaitable<bool> ServeOne() {
+    const std::optional<size_t> head_size = co_await ReadHead();
+    if (!head_size.has_value()) co_return false;
+    if (const auto fault = CheckRequestHead(std::string_view(received_).substr(0, *head_size))) {
+      co_await Refuse(fault->status, fault->reason);
+      co_return false;
+    }
+    RequestParser parser;
+    parser.header_limit(static_cast<uint32_t>(context_->options.max_header_bytes));
+    parser.body_limit(context_->options.max_body_bytes);
+    boost::system::error_code error;
+    Consume(parser.put(asio::buffer(received_.data(), *head_size), error));
+    if (error || !parser.is_header_done()) {
+      co_await Refuse(StatusOf(error), ReasonOf(error));
+      co_return false;
+    }
+    HttpRequest request = RequestOf(parser);
+    if (!co_await ReadBody(parser)) co_return false;
+    request.body = std::move(parser.get().body());
+    co_return co_await Answer(std::move(request), parser);
+  }
+
+  /// Size of the next request's head once all of it has been received.
+  asio::awaitable<std::optional<size_t>> ReadHead() {
+    const HttpServerOptions& options = context_->options;
+    SteadyTime deadline = std::chrono::steady_clock::now() + options.idle_timeout;
+    bool begun = false;
+    while (true) {
+      if (!begun && !received_.empty()) {
+        begun = true;
+        deadline = std::chrono::steady_clock::now() + options.header_timeout;
+      }
+      const size_t end = received_.find(kHeadEnd);
+      if (end != std::string::npos && end + kHeadEnd.size() <= options.max_header_bytes) {
+        co_return end + kHeadEnd.size();
+      }
+      if (received_.size() >= options.max_header_bytes) {
+        co_await Refuse(431, "header-too-large");
+        co_return std::nullopt;
+      }
+      if (client_ended_ || closed_) co_return std::nullopt;
+      if (!co_await WaitForNews(deadline)) {
+        if (begun) co_await Refuse(408, "header-timeout");
+        co_return std::nullopt;
+      }
+    }
+  }
+
+  /// Reads the body into `parser`. False if the connection is to be closed.
+  asio::awaitable<bool> ReadBody(RequestParser& parser) {
+    if (parser.is_done()) co_return true;
+    if (!co_await AnswerExpectation(parser)) co_return false;
+    parser.eager(true);
+    const SteadyTime deadline = std::chrono::steady_clock::now() + context_->options.body_timeout;
+    while (!parser.is_done()) {
+      boost::system::error_code error;
+      const size_t used = parser.put(asio::buffer(received_), error);
+      Consume(used);
+      if (error && error != http::error::need_more) {
+        co_await Refuse(StatusOf(error), ReasonOf(error));
+        co_return false;
+      }
+      if (parser.is_done()) break;
+      if (used > 0 && !received_.empty()) continue;
+      if (received_.size() >= ReadLimit()) {
+        co_await Refuse(400, "bad-chunk");
+        co_return false;
+      }
+      if (client_ended_ || closed_) co_return false;
+      if (!co_await WaitForNews(deadline)) {
+        co_await Refuse(408, "body-timeout");
+        co_return false;
+      }
+    }
+    co_return true;
+  }
+
+  asio::awaitable<bool> AnswerExpectation(const RequestParser& parser) {
+    const auto expect = parser.get().find(http::field::expect);
+    if (expect == parser.get().end()) co_return true;
+    if (!boost::beast::iequals(expect->value(), "100-continue")) {
+      co_await Refuse(417, "unknown-expectation");
+      co_return false;
+    }
+    co_return co_await Write(std::string(kContinue));
+  }
+
+  HttpRequest RequestOf(const RequestParser& parser) const {
+    HttpRequest request;
+    request.method = std::string(parser.get().method_string());
+    request.target = std::string(parser.get().target());
+    for (const auto& field : parser.get()) {
+      request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    request.headers = WithoutHeader(EndToEndHeaders(request.headers), "Content-Length");
+    return request;
+  }
+
+  // --- answering -----------------------------------------------------------------------------
+
+  asio::awaitable<bool> Answer(HttpRequest request, const RequestParser& parser) {
+    context_->requests->Add();
+    const auto channel = std::make_shared<ResponseChannel>(
+        context_->options.send_buffer_bytes,
+        [weak = weak_from_this()] {
+          if (const auto self = weak.lock()) self->NotifyNews();
+        });
+    ResponseFraming framing;
+    framing.head_request = request.method == "HEAD";
+    framing.http_1_1 = parser.get().version() == 11;
+    framing.keep_alive = parser.get().keep_alive() && !context_->draining;
+    auto writer = std::make_shared<FramedResponseWriter>(channel, framing);
+    const std::weak_ptr<FramedResponseWriter> weak_writer = writer;
+    context_->executor->Post([context = context_, request = std::move(request),
+                              writer = std::move(writer)]() mutable {
+      if (context->handler == nullptr) return;
+      context->handler->Handle(std::move(request), std::move(writer));
+    });
+    co_return co_await Relay(*channel, weak_writer);
+  }
+
+  /// Sends what the writer makes until the answer ends. False if the connection is to be closed.
+  asio::awaitable<bool> Relay(ResponseChannel& channel,
+                              std::weak_ptr<FramedResponseWriter> writer) {
+    while (true) {
+      ChannelContent content = channel.Take();
+      if (content.aborted) {
+        Reset();
+        co_return false;
+      }
+      if (closed_ || (client_ended_ && !content.finished)) {
+        ReportCallerGone(writer);
+        co_return false;
+      }
+      if (!content.bytes.empty()) {
+        const size_t count = content.bytes.size();
+        if (!co_await Write(std::move(content.bytes))) {
+          ReportCallerGone(writer);
+          co_return false;
+        }
+        if (channel.Sent(count)) {
+          context_->executor->Post([writer] {
+            if (const auto alive = writer.lock()) alive->NotifyWritable();
+          });
+        }
+        continue;
+      }
+      if (content.finished) co_return content.keep_alive;
+      co_await WaitForNews(SteadyTime::max());
+    }
+  }
+
+  void ReportCallerGone(const std::weak_ptr<FramedResponseWriter>& writer) {
+    context_->callers_gone->Add();
+    context_->executor->Post([writer] {
+      if (const auto alive = writer.lock()) alive->NotifyCallerGone();
+    });
+  }
+
+  /// Called by the writer, on its thread. Many wakes between two runs of the strand are one.
+  void NotifyNews() {
+    if (news_posted_.exchange(true)) return;
+    asio::post(strand_, [self = shared_from_this()] {
+      self->news_posted_ = false;
+      self->news_.cancel();
+    });
+  }
+
+  asio::awaitable<bool> Write(std::string bytes) {
+    watchdog_.expires_after(context_->options.write_timeout);
+    watchdog_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+      const auto self = weak.lock();
+      if (!error && self) self->Reset();
+    });
+    const auto [error, count] = co_await asio::async_write(socket_, asio::buffer(bytes), kUseTuple);
+    watchdog_.cancel();
+    co_return !error;
+  }
+
+  /// Sends a problem and lets the client read it before the connection is closed.
+  asio::awaitable<void> Refuse(int status, std::string reason) {
+    context_->CountRefused(reason);
+    const Problem problem{status, "request refused", reason, Outcome::kNotRun};
+    auto channel = std::make_shared<ResponseChannel>(SIZE_MAX, [] {});
+    FramedResponseWriter writer(channel, ResponseFraming{false, true, false});
+    RespondProblem(writer, problem);
+    if (!co_await Write(channel->Take().bytes)) co_return;
+    boost::system::error_code ignored;
+    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+    const SteadyTime deadline = std::chrono::steady_clock::now() + kLingerTime;
+    while (!client_ended_ && !closed_) {
+      Consume(received_.size());
+      if (!co_await WaitForNews(deadline)) break;
+    }
+  }
+
+  static int StatusOf(const boost::system::error_code& error) {
+    if (error == http::error::body_limit) return 413;
+    if (error == http::error::header_limit) return 431;
+    return 400;
+  }
+
+  static std::string ReasonOf(const boost::system::error_code& error) {
+    if (error == http::error::body_limit) return "body-too-large";
+    if (error == http::error::header_limit) return "header-too-large";
+    if (error == http::error::bad_chunk || error == http::error::bad_chunk_extension) {
+      return "bad-chunk";
+    }
+    return "bad-message";
+  }
+
+  // --- closing -------------------------------------------------------------------------------
+
+  /// Closes so that the client sees a reset: an answer cut here never looks complete.
+  void Reset() {
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
+
+  void Close() {
+    closed_ = true;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    news_.cancel();
+    room_.cancel();
+    watchdog_.cancel();
+  }
+
+  std::shared_ptr<HttpServerContext> context_;
+  asio::strand<asio::any_io_executor> strand_;
+  Tcp::socket socket_;
+  /// Cancelled to wake the serving coroutine.
+  asio::steady_timer news_;
+  /// Cancelled to wake the reading coroutine.
+  asio::steady_timer room_;
+  asio::steady_timer watchdog_;
+  std::string received_;
+  bool client_ended_ = false;
+  bool closed_ = false;
+  std::atomic<bool> news_posted_{false};
+};
+
+void StartServerConnection(Tcp::socket socket, std::shared_ptr<HttpServerContext> context) {
+  const auto connection = std::make_shared<ServerConnection>(std::move(socket), context);
+  {
+    const std::lock_guard<std::mutex> lock(context->mutex);
+    // A connection that is not served closes its socket as it goes.
+    if (context->stopped || context->open.size() >= context->options.max_connections) return;
+    context->open.insert(connection.get());
+    context->open_connections->Set(static_cast<double>(context->open.size()));
+  }
+  context->connections->Add();
+  connection->Start();
+}
+
+void CloseServerConnections(HttpServerContext& context) {
+  std::vector<std::shared_ptr<ServerConnection>> open;
+  {
+    const std::lock_guard<std::mutex> lock(context.mutex);
+    context.stopped = true;
+    for (ServerConnection* connection : context.open) {
+      if (auto alive = connection->weak_from_this().lock()) open.push_back(std::move(alive));
+    }
+  }
+  for (const auto& connection : open) connection->CloseSoon();
+}
+
+std::string_view ReasonPhrase(int status) {
+  const auto phrase = http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
+  return {phrase.data(), phrase.size()};
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/runtime/runtime_environment.cc
@@ -0,0 +1,117 @@
+#include "runtime/runtime_environment.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace millstair {
+namespace {
+
+TimePoint SteadyNow() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+}  // namespace
+
+/// Pending timers in the order of their deadlines, and the one Asio timer that waits for the first.
+/// Touched on the executor only; the Asio handler merely posts.
+class RuntimeEnvironment::TimerQueue : public std::enable_shared_from_this<TimerQueue> {
+ public:
+  TimerQueue(boost::asio::io_context& io, std::shared_ptr<SerialExecutor> executor)
+      : executor_(std::move(executor)), timer_(io) {}
+
+  uint64_t Add(Duration delay, std::function<void()> callback) {
+    const uint64_t id = ++last_id_;
+    const Key key{SteadyNow() + std::max(delay, Duration(0)), id};
+    callbacks_.emplace(key, std::move(callback));
+    deadlines_.emplace(id, key.deadline);
+    ArmForFirst();
+    return id;
+  }
+
+  void Remove(uint64_t id) {
+    const auto found = deadlines_.find(id);
+    if (found == deadlines_.end()) return;
+    // The callback is destroyed only after the queue is consistent again.
+    const auto removed = callbacks_.extract(Key{found->second, id});
+    deadlines_.erase(found);
+  }
+
+  void Close() {
+    closed_ = true;
+    timer_.cancel();
+    const auto dropped = std::move(callbacks_);
+    callbacks_.clear();
+    deadlines_.clear();
+  }
+
+ private:
+  struct Key {
+    TimePoint deadline;
+    uint64_t id = 0;
+    friend auto operator<=>(const Key&, const Key&) = default;
+  };
+
+  void ArmForFirst() {
+    if (callbacks_.empty()) return;
+    const TimePoint first = callbacks_.begin()->first.deadline;
+    if (armed_ && armed_for_ <= first) return;
+    armed_ = true;
+    armed_for_ = first;
+    timer_.expires_at(std::chrono::steady_clock::time_point(first.time_since_epoch()));
+    timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+      if (error) return;
+      self->executor_->Post([self] { self->RunDue(); });
+    });
+  }
+
+  void RunDue() {
+    if (closed_) return;
+    armed_ = false;
+    const TimePoint now = SteadyNow();
+    while (!closed_ && !callbacks_.empty() && callbacks_.begin()->first.deadline <= now) {
+      auto due = callbacks_.extract(callbacks_.begin());
+      deadlines_.erase(due.key().id);
+      due.mapped()();
+    }
+    if (!closed_) ArmForFirst();
+  }
+
+  std::shared_ptr<SerialExecutor> executor_;
+  boost::asio::steady_timer timer_;
+  std::map<Key, std::function<void()>> callbacks_;
+  std::unordered_map<uint64_t, TimePoint> deadlines_;
+  uint64_t last_id_ = 0;
+  bool armed_ = false;
+  bool closed_ = false;
+  TimePoint armed_for_;
+};
+
+RuntimeEnvironment::RuntimeEnvironment(Runtime& runtime, std::shared_ptr<SerialExecutor> executor)
+    : RuntimeEnvironment(runtime, std::move(executor),
+                         (static_cast<uint64_t>(std::random_device()()) << 32) ^
+                             std::random_device()()) {}
+
+RuntimeEnvironment::RuntimeEnvironment(Runtime& runtime, std::shared_ptr<SerialExecutor> executor,
+                                       uint64_t seed)
+    : random_(seed), timers_(std::make_shared<TimerQueue>(runtime.io(), std::move(executor))) {}
+
+RuntimeEnvironment::~RuntimeEnvironment() { timers_->Close(); }
+
+TimePoint RuntimeEnvironment::Now() const { return SteadyNow(); }
+
+WallTime RuntimeEnvironment::WallNow() const {
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+TimerId RuntimeEnvironment::Schedule(Duration delay, std::function<void()> callback) {
+  return TimerId(timers_->Add(delay, std::move(callback)));
+}
+
+void RuntimeEnvironment::Cancel(TimerId timer) { timers_->Remove(timer.value()); }
+
+}  // namespace millstair
--- /dev/null
+++ b/test/http/http_caller_test.cc
@@ -0,0 +1,242 @@
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <future>
+
+#include "http/beast_http_caller.h"
+#include "http/loopback.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::RawServer;
+using testing::RecordingObserver;
+using testing::Tcp;
+
+constexpr const char* kWhole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// A caller with its runtime; calls are started on the executor and waited for.
+struct Client {
+  explicit Client(HttpCallerOptions options = {})
+      : caller(std::make_unique<BeastHttpCaller>(runtime, executor, options, &stats)) {}
+  ~Client() {
+    executor->PostAndWait([this] {
+      handle.reset();
+      caller.reset();
+    });
+    executor->Stop();
+  }
+
+  void Start(const std::string& address, HttpRequest request, HttpCallObserver& observer) {
+    executor->PostAndWait([&] { handle = caller->Start(address, std::move(request), observer); });
+  }
+  void Call(const std::string& address, RecordingObserver& observer) {
+    Start(address, {"POST", "/x", {}, "body"}, observer);
+    observer.Wait();
+  }
+  uint64_t Stat(const std::string& name) { return stats.NewCounter({name}).value(); }
+
+  StatsRegistry stats;
+  Runtime runtime;
+  std::shared_ptr<SerialExecutor> executor = runtime.NewExecutor();
+  std::unique_ptr<BeastHttpCaller> caller;
+  std::unique_ptr<CallHandle> handle;
+};
+
+void ServeAll(Tcp::socket& socket, const std::string& answer) {
+  while (!RawServer::ReadRequest(socket).empty()) RawServer::Write(socket, answer);
+}
+
+TEST_CASE("Calls reuse a connection whose answer was read to the end") {
+  std::atomic<int> connections{0};
+  RawServer server([&](Tcp::socket& socket, int) {
+    ++connections;
+    ServeAll(socket, kWhole);
+  });
+  Client client;
+  for (int i = 0; i < 3; ++i) {
+    RecordingObserver observer;
+    client.Call(server.address(), observer);
+    CHECK(observer.finished());
+    CHECK(observer.status() == 200);
+    CHECK(observer.body() == "ok");
+  }
+  CHECK(connections == 1);
+  CHECK(client.Stat("millstair_http_call_connections_reused_total") == 2);
+}
+
+TEST_CASE("A connection with bytes behind the answer is never used again") {
+  std::atomic<int> connections{0};
+  RawServer server([&](Tcp::socket& socket, int) {
+    ++connections;
+    // The second answer belongs to nobody: it must reach no later call.
+    ServeAll(socket, std::string(kWhole) + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+  });
+  Client client;
+  for (int i = 0; i < 3; ++i) {
+    RecordingObserver observer;
+    client.Call(server.address(), observer);
+    CHECK(observer.finished());
+    CHECK(observer.body() == "ok");
+  }
+  CHECK(connections == 3);
+}
+
+TEST_CASE("A kept connection that got a late answer or was closed is dropped before its use") {
+  std::promise<void> spoilt;
+  RawServer server([&](Tcp::socket& socket, int number) {
+    if (number > 0) return ServeAll(socket, kWhole);
+    RawServer::ReadRequest(socket);
+    RawServer::Write(socket, kWhole);
+    std::this_thread::sleep_for(milliseconds(50));
+    RawServer::Write(socket, "HTTP/1.1 500 Late\r\nContent-Length: 0\r\n\r\n");
+    socket.close();
+    spoilt.set_value();
+  });
+  Client client;
+  RecordingObserver first;
+  client.Call(server.address(), first);
+  CHECK(first.finished());
+  spoilt.get_future().wait();
+  RecordingObserver second;
+  client.Call(server.address(), second);
+  CHECK(second.finished());
+  CHECK(second.status() == 200);
+  CHECK(client.Stat("millstair_http_call_connections_stale_total") == 1);
+}
+
+TEST_CASE("Failures say exactly how far the call came") {
+  Client client({.connect_timeout = milliseconds(500), .read_timeout = milliseconds(200)});
+  RecordingObserver observer;
+  SECTION("nobody listens") {
+    client.Call("127.0.0.1:1", observer);
+    CHECK(observer.failure() == CallFailure::kNotSent);
+  }
+  SECTION("a host name is no address") {
+    client.Call("localhost:80", observer);
+    CHECK(observer.failure() == CallFailure::kNotSent);
+  }
+  SECTION("a header that would split the request") {
+    client.Start("127.0.0.1:1", {"GET", "/x", {{"A", "b\r\nC: d"}}, ""}, observer);
+    observer.Wait();
+    CHECK(observer.failure() == CallFailure::kNotSent);
+    CHECK(observer.reason().find("characters") != std::string::npos);
+  }
+  SECTION("the back end closes without an answer") {
+    RawServer server([](Tcp::socket& socket, int) { RawServer::ReadRequest(socket); });
+    client.Call(server.address(), observer);
+    CHECK(observer.failure() == CallFailure::kUnknown);
+  }
+  SECTION("the back end resets in the middle of the head") {
+    RawServer server([](Tcp::socket& socket, int) {
+      RawServer::ReadRequest(socket);
+      RawServer::Write(socket, "HTTP/1.1 200 OK\r\nConte");
+      socket.set_option(boost::asio::socket_base::linger(true, 0));
+      socket.close();
+    });
+    client.Call(server.address(), observer);
+    CHECK(observer.failure() == CallFailure::kUnknown);
+  }
+  SECTION("no answer in time") {
+    RawServer server([](Tcp::socket& socket, int) {
+      RawServer::ReadRequest(socket);
+      RawServer::ReadRequest(socket);
+    });
+    client.Call(server.address(), observer);
+    CHECK(observer.failure() == CallFailure::kUnknown);
+  }
+  SECTION("the answer is shorter than its length") {
+    RawServer server([](Tcp::socket& socket, int) {
+      RawServer::ReadRequest(socket);
+      RawServer::Write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    });
+    client.Call(server.address(), observer);
+    CHECK(observer.failure() == CallFailure::kCut);
+    CHECK(observer.body() == "half");
+  }
+  SECTION("the last chunk is missing") {
+    RawServer server([](Tcp::socket& socket, int) {
+      RawServer::ReadRequest(socket);
+      RawServer::Write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+    });
+    client.Call(server.address(), observer);
+    CHECK(observer.failure() == CallFailure::kCut);
+  }
+  SECTION("an answer that ends by the close is not taken for whole") {
+    RawServer server([](Tcp::socket& socket, int) {
+      RawServer::ReadRequest(socket);
+      RawServer::Write(socket, "HTTP/1.1 200 OK\r\n\r\nmaybe whole");
+    });
+    client.Call(server.address(), observer);
+    CHECK(observer.failure() == CallFailure::kCut);
+  }
+  SECTION("lengths that contradict each other") {
+    RawServer server([](Tcp::socket& socket, int) {
+      RawServer::ReadRequest(socket);
+      RawServer::Write(socket,
+                       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk");
+    });
+    client.Call(server.address(), observer);
+    CHECK(observer.failure() == CallFailure::kUnknown);
+  }
+}
+
+TEST_CASE("Dropping the handle closes the connection and silences the observer") {
+  std::promise<void> answered;
+  std::promise<bool> closed;
+  RawServer server([&](Tcp::socket& socket, int) {
+    RawServer::ReadRequest(socket);
+    RawServer::Write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+    answered.set_value();
+    closed.set_value(RawServer::ReadRequest(socket).empty());
+  });
+  Client client;
+  RecordingObserver observer;
+  client.Start(server.address(), {"GET", "/x", {}, ""}, observer);
+  observer.WaitForBody("half");
+  client.executor->PostAndWait([&] { client.handle.reset(); });
+  CHECK(closed.get_future().get());
+  client.executor->PostAndWait([] {});
+  CHECK_FALSE(observer.failure().has_value());
+}
+
+TEST_CASE("A paused observer gets at most what was read already") {
+  constexpr size_t kBytes = 8 * 1024 * 1024;
+  RawServer server([&](Tcp::socket& socket, int) {
+    RawServer::ReadRequest(socket);
+    RawServer::Write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBytes) +
+                                 "\r\n\r\n" + std::string(kBytes, 'x'));
+  });
+  Client client;
+  RecordingObserver observer;
+  client.executor->PostAndWait([&] {
+    client.handle = client.caller->Start(server.address(), {"GET", "/x", {}, ""}, observer);
+    client.handle->PauseReading();
+  });
+  observer.WaitForBody("x");
+  std::this_thread::sleep_for(milliseconds(50));
+  client.executor->PostAndWait([&] {
+    CHECK(observer.body().size() <= HttpCallerOptions().read_bytes);
+    client.handle->ResumeReading();
+  });
+  observer.Wait();
+  CHECK(observer.finished());
+  CHECK(observer.body().size() == kBytes);
+}
+
+TEST_CASE("HEAD answers with a length but no body are whole") {
+  RawServer server([](Tcp::socket& socket, int) {
+    ServeAll(socket, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n");
+  });
+  Client client;
+  for (int i = 0; i < 2; ++i) {
+    RecordingObserver observer;
+    client.Start(server.address(), {"HEAD", "/x", {}, ""}, observer);
+    observer.Wait();
+    CHECK(observer.finished());
+    CHECK(FindHeader(observer.head().headers, "content-length") == "100");
+  }
+}
+
+}  // namespace
+}  // namespace millstair
--- /dev/null
+++ b/test/http/http_server_test.cc
@@ -0,0 +1,334 @@
+#include "http/http_server.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+#include <random>
+
+#include "http/loopback.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::RawClient;
+
+/// Answers with the request's own text; "/stream", "/cut", "/wait" and "/large" differ.
+class EchoHandler : public RequestHandler {
+ public:
+  void Handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer) override {
+    ++requests;
+    if (request.target == "/stream") {
+      writer->SendHead({200, {}});
+      writer->SendBody("one ");
+      writer->SendBody("two");
+      return writer->Finish();
+    }
+    if (request.target == "/cut") {
+      writer->SendHead({200, {}});
+      writer->SendBody("partial");
+      return writer->Abort();
+    }
+    if (request.target == "/short") {
+      writer->SendHead({200, {{"Content-Length", "10"}}});
+      writer->SendBody("four");
+      return writer->Finish();
+    }
+    if (request.target == "/wait") {
+      writer->OnCallerGone([this] { gone.set_value(); });
+      waiting = std::move(writer);
+      waits.set_value();
+      return;
+    }
+    if (request.target == "/large") return StartLarge(std::move(writer));
+    std::string text = request.method + " " + request.target + " " + request.body;
+    for (const HttpHeader& header : request.headers) text += " [" + header.name + "]";
+    Respond(*writer, {200, {}}, text);
+  }
+
+  void StartLarge(std::shared_ptr<ResponseWriter> writer) {
+    waiting = std::move(writer);
+    waiting->SendHead({200, {}});
+    waiting->OnWritable([this] { FillLarge(); });
+    FillLarge();
+  }
+
+  void FillLarge() {
+    while (large_sent < kLargeBytes && waiting->WritableBytes() > 0) {
+      waiting->SendBody(std::string(kPieceBytes, 'x'));
+      large_sent += kPieceBytes;
+    }
+    if (large_sent >= kLargeBytes) waiting->Finish();
+  }
+
+  static constexpr size_t kPieceBytes = 16 * 1024;
+  static constexpr size_t kLargeBytes = 64 * 1024 * 1024;
+
+  std::atomic<int> requests{0};
+  std::atomic<size_t> large_sent{0};
+  std::shared_ptr<ResponseWriter> waiting;
+  std::promise<void> waits;
+  std::promise<void> gone;
+};
+
+/// A server with its runtime, and its stats.
+struct Front {
+  explicit Front(HttpServerOptions options = {}) {
+    server = *HttpServer::Listen(runtime, executor, "127.0.0.1:0", handler, options, &stats);
+  }
+  ~Front() {
+    executor->PostAndWait([this] {
+      server.reset();
+      handler.waiting.reset();
+    });
+    executor->Stop();
+  }
+
+  double Stat(const std::string& name, const std::string& label_value = "") const {
+    for (const StatSample& sample : stats.Read()) {
+      if (sample.name.name == name && sample.name.label_value == label_value) return sample.value;
+    }
+    return 0;
+  }
+  const std::string& address() const { return server->address(); }
+
+  StatsRegistry stats;
+  EchoHandler handler;
+  Runtime runtime;
+  std::shared_ptr<SerialExecutor> executor = runtime.NewExecutor();
+  std::unique_ptr<HttpServer> server;
+};
+
+std::string Get(const std::string& target) {
+  return "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+TEST_CASE("A connection serves several requests, pipelined ones one after another") {
+  Front front;
+  RawClient client(front.address());
+  REQUIRE(client.Send(Get("/one")));
+  REQUIRE(client.ReadUntil("GET /one"));
+  REQUIRE(client.Send(Get("/two") + "POST /three HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody" +
+                      Get("/four")));
+  REQUIRE(client.ReadUntil("GET /four"));
+  const size_t two = client.received().find("GET /two");
+  const size_t three = client.received().find("POST /three body");
+  CHECK(two < three);
+  CHECK(three < client.received().find("GET /four"));
+  CHECK(front.Stat("millstair_http_connections_total") == 1);
+}
+
+TEST_CASE("Streams are chunked, and a cut or short answer is seen as cut") {
+  Front front;
+  {
+    RawClient client(front.address());
+    client.Send(Get("/stream"));
+    REQUIRE(client.ReadUntil("\r\n0\r\n\r\n"));
+    CHECK(client.received().find("Transfer-Encoding: chunked") != std::string::npos);
+    CHECK(client.received().find("4\r\none \r\n") != std::string::npos);
+  }
+  for (const std::string target : {"/cut", "/short"}) {
+    RawClient client(front.address());
+    client.Send(Get(target));
+    client.ReadAll();
+    INFO(target);
+    CHECK(client.reset());
+    CHECK(client.received().find("0\r\n\r\n") == std::string::npos);
+  }
+}
+
+TEST_CASE("Chunked requests are decoded and hop-by-hop headers don't reach the handler") {
+  Front front;
+  RawClient client(front.address());
+  client.Send(
+      "POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: keep-alive, X-Hop\r\n"
+      "X-Hop: 1\r\nX-End: 2\r\nTE: trailers\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  REQUIRE(client.ReadUntil("POST /c abcde"));
+  CHECK(client.received().find("[X-End]") != std::string::npos);
+  CHECK(client.received().find("[X-Hop]") == std::string::npos);
+  CHECK(client.received().find("[TE]") == std::string::npos);
+  CHECK(client.received().find("[Transfer-Encoding]") == std::string::npos);
+}
+
+struct RefusedCase {
+  std::string reason;
+  int status;
+  std::string bytes;
+};
+
+TEST_CASE("Smuggling attempts and malformed requests are refused, told and counted") {
+  const std::string start = "POST / HTTP/1.1\r\nHost: a\r\n";
+  const std::vector<RefusedCase> cases = {
+      {"duplicate-length", 400, start + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody"},
+      {"duplicate-length", 400, start + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody"},
+      {"bad-length", 400, start + "Content-Length: 4, 4\r\n\r\nbody"},
+      {"bad-length", 400, start + "Content-Length: +4\r\n\r\nbody"},
+      {"bad-length", 400, start + "Content-Length: 99999999999999999999\r\n\r\n"},
+      {"length-and-chunked", 400,
+       start + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+      {"bad-transfer-encoding", 501, start + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"},
+      {"bad-transfer-encoding", 501, start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"},
+      {"bad-character", 400, start + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n"},
+      {"obs-fold", 400, start + "X-A: 1\r\n folded: 2\r\n\r\n"},
+      {"bad-character", 400, start + "X-A: a\rb\r\n\r\n"},
+      {"bad-character", 400, start + "X-A: a\nX-B: b\r\n\r\n"},
+      {"bad-character", 400, start + std::string("X-A: a\0b\r\n\r\n", 12)},
+      {"bad-header", 400, start + "no colon here\r\n\r\n"},
+      {"bad-host", 400, "GET / HTTP/1.1\r\n\r\n"},
+      {"bad-host", 400, "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"},
+      {"bad-version", 505, "GET / HTTP/2.0\r\nHost: a\r\n\r\n"},
+      {"bad-request-line", 400, "GET / HTTP/1.1 \x01\r\nHost: a\r\n\r\n"},
+      {"bad-target", 400, "GET http://other/ HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"unsupported-method", 501, "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"bad-chunk", 400, start + "Transfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\n"},
+      {"bad-chunk", 400, start + "Transfer-Encoding: chunked\r\n\r\n-3\r\nabc\r\n0\r\n\r\n"},
+      {"bad-chunk", 400, start + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n"},
+  };
+  Front front;
+  for (const RefusedCase& refused : cases) {
+    INFO(refused.bytes);
+    const double before = front.Stat("millstair_http_refused_total", refused.reason);
+    RawClient client(front.address());
+    REQUIRE(client.Send(refused.bytes));
+    const std::string answer = client.ReadAll();
+    CHECK(answer.substr(0, 13) == "HTTP/1.1 " + std::to_string(refused.status) + " ");
+    CHECK(answer.find("application/problem+json") != std::string::npos);
+    CHECK(answer.find("Millstair-Outcome: not-run") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(front.Stat("millstair_http_refused_total", refused.reason) == before + 1);
+  }
+  CHECK(front.handler.requests == 0);
+}
+
+TEST_CASE("Limits of head, body and time are kept") {
+  HttpServerOptions options;
+  options.max_header_bytes = 1024;
+  options.max_body_bytes = 100;
+  options.header_timeout = milliseconds(50);
+  options.body_timeout = milliseconds(50);
+  options.idle_timeout = milliseconds(50);
+  Front front(options);
+  const auto answer_to = [&](const std::string& bytes) {
+    RawClient client(front.address());
+    client.Send(bytes);
+    return client.ReadAll().substr(0, 12);
+  };
+  CHECK(answer_to("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(2000, 'x') + "\r\n\r\n") ==
+        "HTTP/1.1 431");
+  CHECK(answer_to("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n") == "HTTP/1.1 413");
+  CHECK(answer_to("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n" +
+                  std::string(255, 'x') + "\r\n0\r\n\r\n") == "HTTP/1.1 413");
+  CHECK(answer_to("GET / HTTP/1.1\r\nHo") == "HTTP/1.1 408");
+  CHECK(answer_to("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf") == "HTTP/1.1 408");
+  CHECK(answer_to("").empty());
+  CHECK(front.handler.requests == 0);
+}
+
+TEST_CASE("A caller that goes away is reported to the handler") {
+  Front front;
+  RawClient client(front.address());
+  client.Send(Get("/wait"));
+  front.handler.waits.get_future().wait();
+  client.Close();
+  const auto gone = front.handler.gone.get_future().wait_for(std::chrono::seconds(10));
+  CHECK(gone == std::future_status::ready);
+  CHECK(front.Stat("millstair_http_callers_gone_total") == 1);
+}
+
+TEST_CASE("A slow reader holds the handler back; the whole answer arrives") {
+  HttpServerOptions options;
+  options.send_buffer_bytes = 64 * 1024;
+  Front front(options);
+  RawClient client(front.address());
+  client.Send(Get("/large"));
+  REQUIRE(client.ReadUntil("\r\n\r\n"));
+  // Nothing is read now: the handler stops once kernel buffers and the send buffer are full.
+  size_t before = 0;
+  do {
+    before = front.handler.large_sent;
+    std::this_thread::sleep_for(milliseconds(100));
+  } while (front.handler.large_sent != before);
+  CHECK(before < EchoHandler::kLargeBytes);
+  size_t total = 0;
+  std::string tail;
+  while (!tail.ends_with("\r\n0\r\n\r\n")) {
+    client.Forget();
+    REQUIRE(client.ReadSome());
+    total += client.received().size();
+    tail = (tail + client.received());
+    tail.erase(0, tail.size() - std::min<size_t>(tail.size(), 16));
+  }
+  CHECK(total >= EchoHandler::kLargeBytes);
+  CHECK(front.handler.large_sent == EchoHandler::kLargeBytes);
+}
+
+TEST_CASE("HEAD answers have no body, HTTP/1.0 closes, draining closes after the answer") {
+  Front front;
+  RawClient client(front.address());
+  client.Send("HEAD /h HTTP/1.1\r\nHost: a\r\n\r\n" + Get("/next"));
+  REQUIRE(client.ReadUntil("GET /next"));
+  CHECK(client.received().find("HEAD /h ") == std::string::npos);
+  RawClient old(front.address());
+  old.Send("GET /stream HTTP/1.0\r\n\r\n");
+  CHECK(old.ReadAll().ends_with("\r\n\r\none two"));
+  front.server->BeginDrain();
+  client.Send(Get("/last"));
+  CHECK(client.ReadAll().find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE("An awaited 100 Continue is sent") {
+  Front front;
+  RawClient client(front.address());
+  client.Send("PUT /e HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  REQUIRE(client.ReadUntil("HTTP/1.1 100 Continue\r\n\r\n"));
+  client.Send("ok");
+  CHECK(client.ReadUntil("PUT /e ok"));
+}
+
+TEST_CASE("Random and mutated bytes never stop the server") {
+  HttpServerOptions options;
+  options.header_timeout = milliseconds(20);
+  options.body_timeout = milliseconds(20);
+  Front front(options);
+  std::mt19937_64 random(20261202);
+  const std::string sound =
+      "POST /f HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nX-A: b\r\n\r\n"
+      "3\r\nabc\r\n0\r\n\r\n";
+  for (int round = 0; round < 300; ++round) {
+    std::string bytes = sound;
+    const size_t changes = 1 + random() % 4;
+    for (size_t change = 0; change < changes; ++change) {
+      const size_t place = random() % bytes.size();
+      switch (random() % 3) {
+        case 0:
+          bytes[place] = static_cast<char>(random() % 256);
+          break;
+        case 1:
+          bytes.erase(place, 1 + random() % 5);
+          break;
+        default:
+          bytes.insert(place, 1, "\r\n:;0 "[random() % 6]);
+      }
+      if (bytes.empty()) bytes = "x";
+    }
+    RawClient client(front.address());
+    client.Send(bytes);
+    client.socket().shutdown(testing::Tcp::socket::shutdown_send);
+    client.ReadAll();
+  }
+  RawClient client(front.address());
+  client.Send(Get("/alive"));
+  CHECK(client.ReadUntil("GET /alive"));
+}
+
+TEST_CASE("Addresses that can't be used are told apart") {
+  Front front;
+  EchoHandler handler;
+  const auto listen = [&](const std::string& address) {
+    return HttpServer::Listen(front.runtime, front.executor, address, handler).status().code();
+  };
+  CHECK(listen("localhost:1") == absl::StatusCode::kInvalidArgument);
+  CHECK(listen(front.address()) == absl::StatusCode::kUnavailable);
+}
+
+}  // namespace
+}  // namespace millstair
--- /dev/null
+++ b/test/runtime/runtime_test.cc
@@ -0,0 +1,106 @@
+#include "runtime/runtime.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <future>
+#include <vector>
+
+#include "runtime/endpoint.h"
+#include "runtime/runtime_environment.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("Tasks of one executor run one at a time and in order") {
+  Runtime runtime({.workers = 4});
+  const auto executor = runtime.NewExecutor();
+  std::vector<int> order;
+  std::atomic<int> inside{0};
+  std::atomic<int> overlaps{0};
+  constexpr int kTasks = 5000;
+  for (int i = 0; i < kTasks; ++i) {
+    executor->Post([&, i] {
+      if (inside.fetch_add(1) != 0) ++overlaps;
+      order.push_back(i);
+      inside.fetch_sub(1);
+    });
+  }
+  REQUIRE(executor->PostAndWait([] {}));
+  CHECK(overlaps == 0);
+  REQUIRE(order.size() == kTasks);
+  CHECK(std::is_sorted(order.begin(), order.end()));
+  executor->Stop();
+}
+
+TEST_CASE("Many executors share the arena and all make progress") {
+  Runtime runtime({.workers = 2});
+  std::vector<std::shared_ptr<SerialExecutor>> executors;
+  std::vector<int> counts(50, 0);
+  for (size_t i = 0; i < counts.size(); ++i) executors.push_back(runtime.NewExecutor());
+  for (int round = 0; round < 200; ++round) {
+    for (size_t i = 0; i < counts.size(); ++i) executors[i]->Post([&counts, i] { ++counts[i]; });
+  }
+  for (const auto& executor : executors) REQUIRE(executor->PostAndWait([] {}));
+  for (const int count : counts) CHECK(count == 200);
+  for (const auto& executor : executors) executor->Stop();
+}
+
+TEST_CASE("A stopped executor drops its tasks and runs no further ones") {
+  Runtime runtime;
+  const auto executor = runtime.NewExecutor();
+  std::atomic<bool> later{false};
+  std::promise<void> stopped;
+  executor->Post([&] {
+    executor->Post([&] { later = true; });
+    executor->Stop();
+    stopped.set_value();
+  });
+  stopped.get_future().wait();
+  executor->Stop();
+  CHECK_FALSE(later);
+  CHECK_FALSE(executor->PostAndWait([] {}));
+}
+
+TEST_CASE("Timers run on the executor in the order of their deadlines, cancelled ones never") {
+  Runtime runtime;
+  const auto executor = runtime.NewExecutor();
+  auto environment = std::make_unique<RuntimeEnvironment>(runtime, executor, 1);
+  std::vector<int> fired;
+  std::promise<void> last;
+  executor->Post([&] {
+    environment->Schedule(milliseconds(30), [&] {
+      fired.push_back(3);
+      last.set_value();
+    });
+    environment->Schedule(milliseconds(10), [&] { fired.push_back(1); });
+    const TimerId taken_back = environment->Schedule(milliseconds(15), [&] { fired.push_back(9); });
+    environment->Schedule(milliseconds(20), [&] { fired.push_back(2); });
+    environment->Cancel(taken_back);
+  });
+  last.get_future().wait();
+  REQUIRE(executor->PostAndWait([&] { environment.reset(); }));
+  CHECK(fired == std::vector<int>{1, 2, 3});
+  executor->Stop();
+}
+
+TEST_CASE("Background work runs, and Stop waits for it") {
+  std::atomic<int> done{0};
+  Runtime runtime;
+  for (int i = 0; i < 20; ++i) runtime.RunInBackground([&] { ++done; });
+  runtime.Stop();
+  CHECK(done == 20);
+}
+
+TEST_CASE("Endpoints are IP numbers with a port") {
+  CHECK(FormatEndpoint(*ParseEndpoint("127.0.0.1:80")) == "127.0.0.1:80");
+  CHECK(FormatEndpoint(*ParseEndpoint("[::1]:443")) == "[::1]:443");
+  CHECK_FALSE(ParseEndpoint("localhost:80").ok());
+  CHECK_FALSE(ParseEndpoint("127.0.0.1").ok());
+  CHECK_FALSE(ParseEndpoint("127.0.0.1:65536").ok());
+  CHECK_FALSE(ParseEndpoint("127.0.0.1:").ok());
+}
+
+}  // namespace
+}  // namespace millstair
