--- a/source/http/beast_http_caller.cc
+++ b/source/http/beast_http_caller.cc
@@ -154,8 +154,8 @@
     const auto [error] = co_await socket_->async_connect(*endpoint, kUseTuple);
     watchdog_.cancel();
     if (error || cancelled_ || !socket_->is_open()) {
-      Fail(CallFailure::kNotSent, fmt::format("can't connect to {}: {}", address_,
-                                              error ? error.message() : "timed out"));
+      Fail(CallFailure::kNotSent,
+           fmt::format("can't connect to {}: {}", address_, error ? error.message() : "timed out"));
       co_return false;
     }
     boost::system::error_code ignored;
@@ -167,7 +167,8 @@
   /// Bytes handed to the kernel; fewer than all mean that the connection broke.
   asio::awaitable<size_t> Write(const std::string& bytes) {
     Watch(pool_->options().write_timeout);
-    const auto [error, count] = co_await asio::async_write(*socket_, asio::buffer(bytes), kUseTuple);
+    const auto [error, count] =
+        co_await asio::async_write(*socket_, asio::buffer(bytes), kUseTuple);
     watchdog_.cancel();
     co_return count;
   }
@@ -313,8 +314,7 @@
 
 std::unique_ptr<CallHandle> BeastHttpCaller::Start(const std::string& address, HttpRequest request,
                                                    HttpCallObserver& observer) {
-  const auto call =
-      std::make_shared<Call>(pool_, executor_, address, std::move(request), observer);
+  const auto call = std::make_shared<Call>(pool_, executor_, address, std::move(request), observer);
   call->Start();
   return std::make_unique<Handle>(call);
 }
--- a/source/http/connection_pool.cc
+++ b/source/http/connection_pool.cc
@@ -27,8 +27,8 @@
     : calls(stats.NewCounter({"millstair_http_calls_total", "Calls to back ends."})),
       connections_opened(stats.NewCounter(
           {"millstair_http_call_connections_opened_total", "Connections opened to back ends."})),
-      connections_reused(stats.NewCounter({"millstair_http_call_connections_reused_total",
-                                           "Calls sent on a kept connection."})),
+      connections_reused(stats.NewCounter(
+          {"millstair_http_call_connections_reused_total", "Calls sent on a kept connection."})),
       connections_stale(stats.NewCounter({"millstair_http_call_connections_stale_total",
                                           "Kept connections found closed or with unread bytes."})),
       failed_not_sent(FailedCalls(stats, "not-sent")),
--- a/source/http/header_rules.cc
+++ b/source/http/header_rules.cc
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kHopByHop = {
-    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "TE",
-    "Trailer",    "Upgrade",    "Transfer-Encoding", "Expect"};
+    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+    "TE",         "Trailer",    "Upgrade",          "Transfer-Encoding",
+    "Expect"};
 
 char Lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; }
 
@@ -78,9 +79,8 @@
 }
 
 HttpHeaders WithoutHeader(HttpHeaders headers, std::string_view name) {
-  std::erase_if(headers, [name](const HttpHeader& header) {
-    return EqualsIgnoringCase(header.name, name);
-  });
+  std::erase_if(headers,
+                [name](const HttpHeader& header) { return EqualsIgnoringCase(header.name, name); });
   return headers;
 }
 
--- a/source/http/http_server.cc
+++ b/source/http/http_server.cc
@@ -31,8 +31,8 @@
   if (!error) acceptor.bind(endpoint, error);
   if (!error) acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
   if (!error) return absl::OkStatus();
-  return absl::UnavailableError(fmt::format("can't listen on {}: {}", FormatEndpoint(endpoint),
-                                            error.message()));
+  return absl::UnavailableError(
+      fmt::format("can't listen on {}: {}", FormatEndpoint(endpoint), error.message()));
 }
 
 void RegisterStats(HttpServerContext& context) {
@@ -51,8 +51,8 @@
 
 void HttpServerContext::CountRefused(const std::string& reason) {
   stats
-      ->NewCounter({"millstair_http_refused_total", "Requests refused by the HTTP front.",
-                    "reason", reason})
+      ->NewCounter(
+          {"millstair_http_refused_total", "Requests refused by the HTTP front.", "reason", reason})
       .Add();
   LogEvent(EventId::kHttpRequestRefused, "reason={}", reason);
 }
--- a/source/http/http_server.h
+++ b/source/http/http_server.h
@@ -38,7 +38,8 @@
 
 struct HttpServerContext;
 
-/// Made and destroyed on the serial executor, or while it does not run. `stats` outlives the runtime.
+/// Made and destroyed on the serial executor, or while it does not run. `stats` outlives the
+/// runtime.
 class HttpServer {
  public:
   /// Binds `address` ("ip:port"; port 0 picks a free one) and starts to serve. `handler` outlives
--- a/source/http/request_head_check.cc
+++ b/source/http/request_head_check.cc
@@ -42,9 +42,9 @@
 }
 
 std::optional<HeadFault> CheckLength(std::string_view value) {
-  const bool digits = !value.empty() && value.size() <= kMaxLengthDigits &&
-                      std::all_of(value.begin(), value.end(),
-                                  [](char c) { return c >= '0' && c <= '9'; });
+  const bool digits =
+      !value.empty() && value.size() <= kMaxLengthDigits &&
+      std::all_of(value.begin(), value.end(), [](char c) { return c >= '0' && c <= '9'; });
   if (!digits) return HeadFault{400, "bad-length"};
   return std::nullopt;
 }
--- a/source/http/server_connection.cc
+++ b/source/http/server_connection.cc
@@ -223,22 +223,22 @@
 
   asio::awaitable<bool> Answer(HttpRequest request, const RequestParser& parser) {
     context_->requests->Add();
-    const auto channel = std::make_shared<ResponseChannel>(
-        context_->options.send_buffer_bytes,
-        [weak = weak_from_this()] {
-          if (const auto self = weak.lock()) self->NotifyNews();
-        });
+    const auto channel = std::make_shared<ResponseChannel>(context_->options.send_buffer_bytes,
+                                                           [weak = weak_from_this()] {
+                                                             if (const auto self = weak.lock())
+                                                               self->NotifyNews();
+                                                           });
     ResponseFraming framing;
     framing.head_request = request.method == "HEAD";
     framing.http_1_1 = parser.get().version() == 11;
     framing.keep_alive = parser.get().keep_alive() && !context_->draining;
     auto writer = std::make_shared<FramedResponseWriter>(channel, framing);
     const std::weak_ptr<FramedResponseWriter> weak_writer = writer;
-    context_->executor->Post([context = context_, request = std::move(request),
-                              writer = std::move(writer)]() mutable {
-      if (context->handler == nullptr) return;
-      context->handler->Handle(std::move(request), std::move(writer));
-    });
+    context_->executor->Post(
+        [context = context_, request = std::move(request), writer = std::move(writer)]() mutable {
+          if (context->handler == nullptr) return;
+          context->handler->Handle(std::move(request), std::move(writer));
+        });
     co_return co_await Relay(*channel, weak_writer);
   }
 
--- a/source/runtime/runtime_environment.cc
+++ b/source/runtime/runtime_environment.cc
@@ -11,8 +11,8 @@
 namespace {
 
 TimePoint SteadyNow() {
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+  return TimePoint(
+      std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
 }  // namespace
@@ -92,9 +92,9 @@
 };
 
 RuntimeEnvironment::RuntimeEnvironment(Runtime& runtime, std::shared_ptr<SerialExecutor> executor)
-    : RuntimeEnvironment(runtime, std::move(executor),
-                         (static_cast<uint64_t>(std::random_device()()) << 32) ^
-                             std::random_device()()) {}
+    : RuntimeEnvironment(
+          runtime, std::move(executor),
+          (static_cast<uint64_t>(std::random_device()()) << 32) ^ std::random_device()()) {}
 
 RuntimeEnvironment::RuntimeEnvironment(Runtime& runtime, std::shared_ptr<SerialExecutor> executor,
                                        uint64_t seed)
--- a/test/http/http_caller_test.cc
+++ b/test/http/http_caller_test.cc
@@ -157,7 +157,8 @@
   SECTION("the last chunk is missing") {
     RawServer server([](Tcp::socket& socket, int) {
       RawServer::ReadRequest(socket);
-      RawServer::Write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+      RawServer::Write(socket,
+                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
     });
     client.Call(server.address(), observer);
     CHECK(observer.failure() == CallFailure::kCut);
--- a/test/http/http_server_test.cc
+++ b/test/http/http_server_test.cc
@@ -107,7 +107,8 @@
   RawClient client(front.address());
   REQUIRE(client.Send(Get("/one")));
   REQUIRE(client.ReadUntil("GET /one"));
-  REQUIRE(client.Send(Get("/two") + "POST /three HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody" +
+  REQUIRE(client.Send(Get("/two") +
+                      "POST /three HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody" +
                       Get("/four")));
   REQUIRE(client.ReadUntil("GET /four"));
   const size_t two = client.received().find("GET /two");
@@ -140,7 +141,8 @@
   Front front;
   RawClient client(front.address());
   client.Send(
-      "POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: keep-alive, X-Hop\r\n"
+      "POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: keep-alive, "
+      "X-Hop\r\n"
       "X-Hop: 1\r\nX-End: 2\r\nTE: trailers\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
   REQUIRE(client.ReadUntil("POST /c abcde"));
   CHECK(client.received().find("[X-End]") != std::string::npos);
@@ -218,7 +220,8 @@
   CHECK(answer_to("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n" +
                   std::string(255, 'x') + "\r\n0\r\n\r\n") == "HTTP/1.1 413");
   CHECK(answer_to("GET / HTTP/1.1\r\nHo") == "HTTP/1.1 408");
-  CHECK(answer_to("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf") == "HTTP/1.1 408");
+  CHECK(answer_to("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf") ==
+        "HTTP/1.1 408");
   CHECK(answer_to("").empty());
   CHECK(front.handler.requests == 0);
 }
