--- /dev/null
+++ b/test/emulator/recording_writer.h
@@ -0,0 +1,60 @@
+/// A ResponseWriter that records the answer.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "boost/json.hpp"
+#include "http/exchange.h"
+
+namespace millstair::testing {
+
+class RecordingWriter : public ResponseWriter {
+ public:
+  void SendHead(HttpResponseHead sent) override {
+    head = std::move(sent);
+    ++heads;
+  }
+  void SendBody(std::string bytes) override {
+    room -= std::min(room, bytes.size());
+    body += bytes;
+  }
+  void Finish() override { finished = true; }
+  void Abort() override { aborted = true; }
+  size_t WritableBytes() const override { return room; }
+  void OnWritable(std::function<void()> callback) override { on_writable = std::move(callback); }
+  void OnCallerGone(std::function<void()> callback) override { on_gone = std::move(callback); }
+
+  bool ended() const { return finished || aborted; }
+  boost::json::object json() const { return boost::json::parse(body).as_object(); }
+  std::string Header(std::string_view name) const {
+    return std::string(FindHeader(head.headers, name).value_or(""));
+  }
+  /// Gives the handler room again.
+  void MakeRoom(size_t bytes) {
+    room = bytes;
+    if (on_writable) on_writable();
+  }
+
+  HttpResponseHead head;
+  int heads = 0;
+  std::string body;
+  bool finished = false;
+  bool aborted = false;
+  size_t room = 1 << 20;
+  std::function<void()> on_writable;
+  std::function<void()> on_gone;
+};
+
+/// Hands a request to `handler`; the writer that gets the answer.
+inline std::shared_ptr<RecordingWriter> Send(RequestHandler& handler, std::string method,
+                                             std::string target, std::string body = "",
+                                             HttpHeaders headers = {}) {
+  auto writer = std::make_shared<RecordingWriter>();
+  handler.Handle({std::move(method), std::move(target), std::move(headers), std::move(body)},
+                 writer);
+  return writer;
+}
+
+}  // namespace millstair::testing
