--- a/test/emulator/platform_models_test.cc
+++ b/test/emulator/platform_models_test.cc
@@ -1,8 +1,9 @@
+#include "emulator/model/platform_models.h"
+
 #include <catch2/catch.hpp>
 #include <vector>
 
 #include "common/virtual_environment.h"
-#include "emulator/model/platform_models.h"
 #include "test/emulator/recording_writer.h"
 
 namespace millstair::testing {
@@ -97,10 +98,9 @@
 
 TEST_CASE("readings of the weight store take the time that its rate allows") {
   PlatformFixture fixture;
-  WeightStoreModel store(fixture.environment, {.bytes_per_second = 100,
-                                               .burst_bytes = 100,
-                                               .version_bytes = 100,
-                                               .max_waiting = 2});
+  WeightStoreModel store(
+      fixture.environment,
+      {.bytes_per_second = 100, .burst_bytes = 100, .version_bytes = 100, .max_waiting = 2});
   std::vector<Duration> done;
   int refused = 0;
   for (int i = 0; i < 4; ++i) {
@@ -121,9 +121,9 @@
 
 TEST_CASE("the weight store speaks HTTP") {
   PlatformFixture fixture;
-  WeightStoreModel store(fixture.environment,
-                         {.bytes_per_second = 100, .burst_bytes = 100, .version_bytes = 1000,
-                          .max_waiting = 1});
+  WeightStoreModel store(
+      fixture.environment,
+      {.bytes_per_second = 100, .burst_bytes = 100, .version_bytes = 1000, .max_waiting = 1});
   CHECK(Send(store, "PUT", "/weights/m/7", R"({"digest":"abc","bytes":50})")->head.status == 200);
   CHECK(Send(store, "PUT", "/weights/m/7", "{}")->head.status == 400);
   CHECK(Send(store, "GET", "/other")->head.status == 404);
@@ -183,7 +183,8 @@
 
 TEST_CASE("a late change never undoes a later one") {
   PlatformFixture fixture;
-  MachineListModel late(fixture.environment, {.lag = seconds(1), .late = 0.5, .late_lag = seconds(30)});
+  MachineListModel late(fixture.environment,
+                        {.lag = seconds(1), .late = 0.5, .late_lag = seconds(30)});
   for (int i = 0; i < 20; ++i) {
     const std::string address = "10.0.0." + std::to_string(i);
     late.Add({address, MachineState::kLive});
@@ -192,7 +193,8 @@
   }
   fixture.scheduler.RunFor(seconds(2));
   int gone_soon = 0;
-  for (const MachineEntry& machine : late.Listed()) gone_soon += machine.state == MachineState::kGone;
+  for (const MachineEntry& machine : late.Listed())
+    gone_soon += machine.state == MachineState::kGone;
   CHECK(gone_soon > 0);
   CHECK(gone_soon < 20);
   fixture.scheduler.RunFor(seconds(30));
