--- a/test/wire/nanopb_message_test.cc
+++ b/test/wire/nanopb_message_test.cc
@@ -20,6 +20,17 @@
   REQUIRE(ToString((*decoded)->cluster_id).empty());
 }
 
+TEST_CASE("memory of an arena is zeroed whatever was there before") {
+  for (size_t length = 0; length < 64; ++length) {
+    {
+      std::vector<char> dirty(length + 1, 'x');
+      REQUIRE(dirty.back() == 'x');
+    }
+    WireArena arena;
+    REQUIRE(ToString(arena.NewString(std::string(length, 'a'))) == std::string(length, 'a'));
+  }
+}
+
 TEST_CASE("a truncated message is refused") {
   WireArena arena;
   millstair_Hello hello = millstair_Hello_init_zero;
