--- a/source/rollout/attempt_table.cc
+++ b/source/rollout/attempt_table.cc
@@ -79,9 +79,8 @@
 std::vector<SampleKey> AttemptTable::DropLost(TimePoint now, const std::map<NodeId, bool>& gone) {
   std::vector<SampleKey> orphaned;
   for (auto at = attempts_.begin(); at != attempts_.end();) {
-    const size_t dropped = std::erase_if(at->second, [&](const LeasedAttempt& attempt) {
-      return Lost(now, attempt, gone);
-    });
+    const size_t dropped = std::erase_if(
+        at->second, [&](const LeasedAttempt& attempt) { return Lost(now, attempt, gone); });
     in_flight_ -= static_cast<uint32_t>(dropped);
     if (at->second.empty()) {
       orphaned.push_back(at->first);
--- a/source/rollout/rollout_wire.cc
+++ b/source/rollout/rollout_wire.cc
@@ -1,5 +1,7 @@
 #include "rollout/rollout_wire.h"
 
+#include "engine/prefix_blocks.h"
+
 namespace millstair {
 
 void FillSpans(WireArena& arena, const std::vector<VersionSpan>& spans, pb_size_t* count,
@@ -71,23 +73,8 @@
 
 std::vector<std::string> SplitTokens(std::string_view text) {
   std::vector<std::string> tokens;
-  size_t begin = 0;
-  while (begin < text.size()) {
-    const size_t end = std::min(text.find(' ', begin), text.size());
-    if (end > begin) tokens.emplace_back(text.substr(begin, end - begin));
-    begin = end + 1;
-  }
+  ForEachToken(text, [&tokens](std::string_view token) { tokens.emplace_back(token); });
   return tokens;
 }
 
-uint32_t CountTokens(std::string_view text) {
-  uint32_t count = 0;
-  bool in_word = false;
-  for (const char c : text) {
-    if (c != ' ' && !in_word) ++count;
-    in_word = c != ' ';
-  }
-  return count;
-}
-
 }  // namespace millstair
--- a/source/rollout/rollout_wire.h
+++ b/source/rollout/rollout_wire.h
@@ -24,7 +24,5 @@
 /// Words joined by single spaces, and back. No word may be empty or hold a space.
 std::string JoinTokens(const std::vector<std::string>& tokens);
 std::vector<std::string> SplitTokens(std::string_view text);
-/// Number of words of `text`.
-uint32_t CountTokens(std::string_view text);
 
 }  // namespace millstair
--- a/source/rollout/stream_commands.h
+++ b/source/rollout/stream_commands.h
@@ -172,9 +172,7 @@
 absl::StatusOr<CursorStatus> DecodeCursorStatus(std::string_view bytes);
 
 /// Group that holds the log of `stream`.
-inline GroupId StreamGroup(const StreamName& stream) {
-  return GroupId("stream/" + stream.value());
-}
+inline GroupId StreamGroup(const StreamName& stream) { return GroupId("stream/" + stream.value()); }
 /// Stream of `group`; empty if it is no stream group.
 inline StreamName StreamOfGroup(const GroupId& group) {
   constexpr std::string_view kPrefix = "stream/";
--- a/source/rollout/stream_data.h
+++ b/source/rollout/stream_data.h
@@ -56,7 +56,8 @@
 enum class EntryState : uint8_t {
   kHeld = 1,
   kWithdrawn = 2,
-  /// Holds no sample: it only makes the cursor behind a withdrawal larger than any given out before.
+  /// Holds no sample: it only makes the cursor behind a withdrawal larger than any given out
+  /// before.
   kMarker = 3,
 };
 
--- a/source/rollout/stream_leader.cc
+++ b/source/rollout/stream_leader.cc
@@ -53,9 +53,9 @@
 
 void StreamLeaderNode::OnChange(const Configuration& configuration) {
   const auto* stream = configuration.FindSpec<StreamSpec>(ResourceKind::kStream, stream_.value());
-  const PoolSpec* pool =
-      stream == nullptr ? nullptr
-                        : configuration.FindSpec<PoolSpec>(ResourceKind::kPool, stream->pool);
+  const PoolSpec* pool = stream == nullptr
+                             ? nullptr
+                             : configuration.FindSpec<PoolSpec>(ResourceKind::kPool, stream->pool);
   if (pool == nullptr) {
     settings_.reset();
   } else {
@@ -205,8 +205,8 @@
 
 std::string StreamLeaderNode::Status() const {
   const StreamData& data = state_.data();
-  return EncodeCursorStatus({data.acknowledged, data.last_offset, data.newest,
-                             static_cast<uint32_t>(data.open.size())});
+  return EncodeCursorStatus(
+      {data.acknowledged, data.last_offset, data.newest, static_cast<uint32_t>(data.open.size())});
 }
 
 void StreamLeaderNode::Query(const std::string& query,
--- a/source/rollout/stream_leader_work.cc
+++ b/source/rollout/stream_leader_work.cc
@@ -60,8 +60,7 @@
     const std::optional<SampleKey> key = state_.FindSample(running.sample);
     // A replica that has just become leader may not have applied the sample's step yet.
     if (!key && now - leads_since_ < options_.settle) continue;
-    if (!key || !state_.IsOpen(*key) ||
-        !attempts_.Hear(now, *key, request.gateway, running)) {
+    if (!key || !state_.IsOpen(*key) || !attempts_.Hear(now, *key, request.gateway, running)) {
       asker.cancelled.push_back({running.sample, running.epoch});
       continue;
     }
@@ -164,8 +163,8 @@
   const uint64_t oldest = attempts_.attempts().begin()->first.step_sequence;
   const auto step = state_.data().steps.find(oldest);
   if (step == state_.data().steps.end()) return std::nullopt;
-  const auto tail = std::max(kTailSamples,
-                             static_cast<uint32_t>(kTailShare * step->second.samples.size()));
+  const auto tail =
+      std::max(kTailSamples, static_cast<uint32_t>(kTailShare * step->second.samples.size()));
   uint32_t open = 0;
   std::optional<SampleKey> straggler;
   TimePoint stalled_since = environment_.Now() - kStalled;
--- a/source/rollout/stream_state.cc
+++ b/source/rollout/stream_state.cc
@@ -5,8 +5,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "engine/prefix_blocks.h"
 #include "fmt/format.h"
-#include "rollout/rollout_wire.h"
 
 namespace millstair {
 namespace {
--- a/source/rollout/stream_state.h
+++ b/source/rollout/stream_state.h
@@ -1,10 +1,10 @@
 /// State machine of a stream group: steps, accepted samples and what the trainer has read.
 ///
 /// Exactly once: an accepted sample gets one offset; the trainer's cursor is the only
-/// acknowledgement, and reading the same cursor again gives the same samples. A sample that has gone
-/// stale since it was read is withdrawn at its offset; the answer that shows this ends at a cursor
-/// larger than any given out before, so that the next cursor tells whether the trainer holds the
-/// sample or its withdrawal. Only in the second case is the sample generated again.
+/// acknowledgement, and reading the same cursor again gives the same samples. A sample that has
+/// gone stale since it was read is withdrawn at its offset; the answer that shows this ends at a
+/// cursor larger than any given out before, so that the next cursor tells whether the trainer holds
+/// the sample or its withdrawal. Only in the second case is the sample generated again.
 ///
 /// Memory: what is acknowledged is dropped. Ids of finished steps are kept for the newest
 /// kMaxFinishedSteps, so that a step that is put again long after is still recognized.
--- a/source/rollout/work_schedule.cc
+++ b/source/rollout/work_schedule.cc
@@ -64,8 +64,8 @@
   });
   auto at = order_.begin();
   while (at != order_.end()) {
-    const auto steps_before = static_cast<uint64_t>(
-        std::distance(steps.begin(), steps.lower_bound(at->step_sequence)));
+    const auto steps_before =
+        static_cast<uint64_t>(std::distance(steps.begin(), steps.lower_bound(at->step_sequence)));
     if (MayStart(situation, *at, steps_before)) {
       const SampleKey key{at->step_sequence, at->index};
       Remove(key);
@@ -99,8 +99,7 @@
 bool WorkSchedule::HoldOver(const ScheduleSituation& situation, const StepQueue& queue) const {
   if (situation.newest > queue.newest_at_put) return true;
   if (!publish_interval_ || !published_at_) return true;
-  const auto limit =
-      Duration(static_cast<Duration::rep>(kHoldSlack * publish_interval_->count()));
+  const auto limit = Duration(static_cast<Duration::rep>(kHoldSlack * publish_interval_->count()));
   return situation.now >= *published_at_ + limit;
 }
 
--- a/test/rollout/stream_property_test.cc
+++ b/test/rollout/stream_property_test.cc
@@ -1,4 +1,6 @@
 /// Random interleavings of everything that a stream can meet, judged by what its trainer holds.
+#include <rapidcheck/catch.h>
+
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <map>
@@ -6,8 +8,6 @@
 #include <random>
 #include <set>
 
-#include <rapidcheck/catch.h>
-
 #include "rollout/stream_state.h"
 #include "stream_test_support.h"
 
--- a/test/rollout/stream_state_test.cc
+++ b/test/rollout/stream_state_test.cc
@@ -191,8 +191,8 @@
   for (int i = 1; i <= steps; ++i) {
     Run(state, MakePublish(static_cast<uint64_t>(i)));
     Run(state, MakeStep("s" + std::to_string(i), 1));
-    Run(state, MakeSample("s" + std::to_string(i), 0, static_cast<uint64_t>(i),
-                          static_cast<uint64_t>(i)));
+    Run(state,
+        MakeSample("s" + std::to_string(i), 0, static_cast<uint64_t>(i), static_cast<uint64_t>(i)));
     cursor = state.Execute(HandOn{cursor, 10}).next;
   }
   REQUIRE(state.data().finished_steps.size() == kMaxFinishedSteps);
