--- a/source/gateway/completion_codec.cc
+++ b/source/gateway/completion_codec.cc
@@ -2,8 +2,8 @@
 
 #include <boost/json.hpp>
 
-#include "fmt/format.h"
 #include "absl/strings/str_join.h"
+#include "fmt/format.h"
 
 namespace millstair {
 namespace {
--- a/source/gateway/completion_flow.cc
+++ b/source/gateway/completion_flow.cc
@@ -23,8 +23,7 @@
       : flow_(flow), placement_(std::move(placement)), sent_at_(flow.context_.environment.Now()) {}
 
   void Start(GenerateRequest request) {
-    handle_ =
-        flow_.context_.engines.Generate(placement_.choice.address, std::move(request), *this);
+    handle_ = flow_.context_.engines.Generate(placement_.choice.address, std::move(request), *this);
   }
 
   void OnChunk(const GenerateChunk& chunk) override {
--- a/source/gateway/engine_observer.h
+++ b/source/gateway/engine_observer.h
@@ -38,7 +38,8 @@
   Duration summary_interval = std::chrono::milliseconds(500);
   /// An unchanged observation is told to the control nodes again after this long.
   Duration report_again = std::chrono::seconds(5);
-  /// A back end that said that it is leaving, and has no readiness page, gets work again after this.
+  /// A back end that said that it is leaving, and has no readiness page, gets work again after
+  /// this.
   Duration leaving_hold = std::chrono::seconds(30);
 };
 
--- a/source/gateway/gateway_node.cc
+++ b/source/gateway/gateway_node.cc
@@ -36,8 +36,8 @@
         configuration_(MakeConfigurationClient(environment, transport, options_.self,
                                                options_.control_nodes,
                                                options_.configuration_timing)),
-        control_(MakeControlClient(environment, transport, options_.self.node,
-                                   options_.control_nodes)),
+        control_(
+            MakeControlClient(environment, transport, options_.self.node, options_.control_nodes)),
         router_(environment, RouterOptionsOf(options_)),
         context_(environment, *configuration_, *control_, engines, http, router_, options_.self,
                  options_.faults),
--- a/source/gateway/hop_headers.cc
+++ b/source/gateway/hop_headers.cc
@@ -14,9 +14,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kHopHeaders = {
-    "Connection", "Keep-Alive",        "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",           "Transfer-Encoding",  "Upgrade",
-    "Proxy-Connection"};
+    "Connection",        "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer",
+    "Transfer-Encoding", "Upgrade",    "Proxy-Connection"};
 
 bool Contains(const std::vector<std::string>& names, const std::string& name) {
   return std::any_of(names.begin(), names.end(), [&name](const std::string& entry) {
--- a/source/gateway/live_service.cc
+++ b/source/gateway/live_service.cc
@@ -66,9 +66,8 @@
   }
   if (!ReadMeta(flow)) return;
   const uint64_t number = NextFlow();
-  StartFlow(number, std::make_unique<CompletionFlow>(context_, std::move(flow),
-                                                     *std::move(completion),
-                                                     EndedCallback(number)));
+  StartFlow(number, std::make_unique<CompletionFlow>(
+                        context_, std::move(flow), *std::move(completion), EndedCallback(number)));
 }
 
 void LiveService::HandlePlain(HttpRequest request, std::shared_ptr<ResponseWriter> writer) {
@@ -82,8 +81,7 @@
   }
   if (!ReadMeta(flow)) return;
   const uint64_t number = NextFlow();
-  StartFlow(number,
-            std::make_unique<PlainFlow>(context_, std::move(flow), EndedCallback(number)));
+  StartFlow(number, std::make_unique<PlainFlow>(context_, std::move(flow), EndedCallback(number)));
 }
 
 bool LiveService::ReadMeta(FlowRequest& request) {
--- a/source/gateway/once_claim.cc
+++ b/source/gateway/once_claim.cc
@@ -66,8 +66,8 @@
   }
   pending_ = true;
   ClusterCommand command;
-  command.operation = ClaimKey{key_,    context_.self.node, context_.self.incarnation,
-                               digest_, issued_,            attempt_};
+  command.operation =
+      ClaimKey{key_, context_.self.node, context_.self.incarnation, digest_, issued_, attempt_};
   command.proposed_at = context_.environment.WallNow();
   context_.control.Submit(
       ClusterGroup(), CommandMode::kPropose, EncodeCommand(command), timeout,
@@ -83,7 +83,9 @@
       }));
 }
 
-void OnceClaim::SettleDone(int status) { Settle(false, status, [](bool) {}); }
+void OnceClaim::SettleDone(int status) {
+  Settle(false, status, [](bool) {});
+}
 
 void OnceClaim::Release(std::function<void(bool)> released) {
   Settle(true, 0, std::move(released));
@@ -96,14 +98,12 @@
   }
   settled_ = true;
   ClusterCommand command;
-  command.operation = SettleClaim{key_,     context_.self.node, context_.self.incarnation,
-                                  released, status,             attempt_};
+  command.operation =
+      SettleClaim{key_, context_.self.node, context_.self.incarnation, released, status, attempt_};
   command.proposed_at = context_.environment.WallNow();
-  context_.control.Submit(ClusterGroup(), CommandMode::kPropose, EncodeCommand(command),
-                          kSettleTimeout,
-                          [done = std::move(done)](const absl::StatusOr<std::string>& reply) {
-                            done(reply.ok());
-                          });
+  context_.control.Submit(
+      ClusterGroup(), CommandMode::kPropose, EncodeCommand(command), kSettleTimeout,
+      [done = std::move(done)](const absl::StatusOr<std::string>& reply) { done(reply.ok()); });
 }
 
 std::string RequestDigest(const HttpRequest& request) {
--- a/source/gateway/request_flow.cc
+++ b/source/gateway/request_flow.cc
@@ -32,8 +32,7 @@
 
 }  // namespace
 
-RequestFlow::RequestFlow(GatewayContext& context, FlowRequest request,
-                         std::function<void()> ended)
+RequestFlow::RequestFlow(GatewayContext& context, FlowRequest request, std::function<void()> ended)
     : context_(context),
       request_(std::move(request)),
       on_ended_(std::move(ended)),
@@ -89,7 +88,7 @@
 void RequestFlow::OnClaim(ClaimAnswer answer) {
   switch (answer) {
     case ClaimAnswer::kGranted:
-        if (!CheckLease()) return;
+      if (!CheckLease()) return;
       Dispatch();
       return;
     case ClaimAnswer::kHeld:
--- a/source/gateway/request_meta.cc
+++ b/source/gateway/request_meta.cc
@@ -16,9 +16,8 @@
   return absl::InvalidArgumentError(fmt::format("{}: expected {}", header, expected));
 }
 
-absl::StatusOr<std::optional<int64_t>> ReadNumber(const HttpHeaders& headers,
-                                                  std::string_view name, int64_t low,
-                                                  int64_t high) {
+absl::StatusOr<std::optional<int64_t>> ReadNumber(const HttpHeaders& headers, std::string_view name,
+                                                  int64_t low, int64_t high) {
   const auto value = FindHeader(headers, name);
   if (!value) return std::optional<int64_t>();
   int64_t number = 0;
@@ -60,7 +59,8 @@
   if (!meta.repeatable && meta.idempotency_key.empty()) {
     return BadHeader(kIdempotencyHeader, "a key, since the request is not repeatable");
   }
-  const auto issued = ReadNumber(request.headers, kKeyIssuedHeader, 0, std::numeric_limits<int64_t>::max() / 2);
+  const auto issued =
+      ReadNumber(request.headers, kKeyIssuedHeader, 0, std::numeric_limits<int64_t>::max() / 2);
   if (!issued.ok()) return issued.status();
   if (*issued) meta.key_issued = WallTime(std::chrono::milliseconds(**issued));
   return meta;
--- a/source/routing/completion_estimate.cc
+++ b/source/routing/completion_estimate.cc
@@ -42,8 +42,8 @@
 CompletionEstimate EstimateCompletion(const EngineView& engine, const EstimatedWork& work,
                                       const FleetFigures& fleet, TimePoint now) {
   const EngineReport& report = engine.load.report();
-  const double largest = std::max<uint32_t>(
-      1, report.max_sequences == 0 ? kDefaultSequences : report.max_sequences);
+  const double largest =
+      std::max<uint32_t>(1, report.max_sequences == 0 ? kDefaultSequences : report.max_sequences);
   const double sequences = EstimatedSequences(engine, fleet, now) + 1;
   const double step = engine.step_time.Seconds(std::min(sequences, largest));
   const double slow = SlowStartFactor(engine, now);
--- a/source/routing/engine_choice.cc
+++ b/source/routing/engine_choice.cc
@@ -46,8 +46,9 @@
   return ChooseByEstimate(workload, request, desperate);
 }
 
-std::optional<EngineRouter::Candidate> EngineRouter::ChooseRoundRobin(
-    Workload& workload, const RoutingRequest& request, bool desperate) {
+std::optional<EngineRouter::Candidate> EngineRouter::ChooseRoundRobin(Workload& workload,
+                                                                      const RoutingRequest& request,
+                                                                      bool desperate) {
   for (size_t tried = 0; tried < workload.all.size(); ++tried) {
     const EngineSlot slot = workload.all[workload.next++ % workload.all.size()];
     if (Eligible(*engines_[slot], workload, request, desperate)) return Evaluate(slot, request);
@@ -76,8 +77,9 @@
   return Evaluate(*best, request);
 }
 
-std::optional<EngineRouter::Candidate> EngineRouter::ChooseByEstimate(
-    const Workload& workload, const RoutingRequest& request, bool desperate) {
+std::optional<EngineRouter::Candidate> EngineRouter::ChooseByEstimate(const Workload& workload,
+                                                                      const RoutingRequest& request,
+                                                                      bool desperate) {
   std::optional<Candidate> best;
   ConsiderHolders(workload, request, desperate, best);
   ConsiderSampled(workload.home, workload, request, desperate, best);
@@ -142,7 +144,8 @@
   Candidate candidate;
   candidate.slot = slot;
   if (engine.type == EngineType::kHttp) {
-    const double answer = engine.answer_seconds == 0 ? kUnknownAnswerSeconds : engine.answer_seconds;
+    const double answer =
+        engine.answer_seconds == 0 ? kUnknownAnswerSeconds : engine.answer_seconds;
     candidate.seconds = answer * (1 + engine.load.outstanding());
     candidate.has_room = engine.load.outstanding() < engine.concurrency.limit();
   } else {
@@ -166,8 +169,7 @@
   const uint32_t held = prefixes_.LeadingHeld(slot, request.prefix_blocks);
   if (held == 0) return work;
   work.cached_tokens = std::min<double>(
-      request.prompt_tokens,
-      held * kPrefixBlockTokens * prefixes_.Trust(slot, environment_.Now()));
+      request.prompt_tokens, held * kPrefixBlockTokens * prefixes_.Trust(slot, environment_.Now()));
   return work;
 }
 
--- a/source/routing/engine_router.cc
+++ b/source/routing/engine_router.cc
@@ -22,7 +22,9 @@
   return old == 0 ? sample : old + kSmoothing * (sample - old);
 }
 
-uint32_t BlocksOf(uint32_t tokens) { return (tokens + kPrefixBlockTokens - 1) / kPrefixBlockTokens; }
+uint32_t BlocksOf(uint32_t tokens) {
+  return (tokens + kPrefixBlockTokens - 1) / kPrefixBlockTokens;
+}
 
 bool CountsAgainstEngine(const PlacementOutcome& outcome) {
   if (outcome.end == PlacementEnd::kMixed) return true;
--- a/source/routing/engine_router.h
+++ b/source/routing/engine_router.h
@@ -135,8 +135,8 @@
   uint32_t RoomOf(const Workload& workload) const;
   std::optional<Candidate> ChooseByPolicy(Workload& workload, const RoutingRequest& request,
                                           bool desperate);
-  std::optional<Candidate> ChooseByEstimate(const Workload& workload,
-                                            const RoutingRequest& request, bool desperate);
+  std::optional<Candidate> ChooseByEstimate(const Workload& workload, const RoutingRequest& request,
+                                            bool desperate);
   std::optional<Candidate> ChooseRoundRobin(Workload& workload, const RoutingRequest& request,
                                             bool desperate);
   std::optional<Candidate> ChooseLeastOutstanding(const Workload& workload,
--- a/source/routing/lagged_load.cc
+++ b/source/routing/lagged_load.cc
@@ -46,7 +46,8 @@
 }
 
 double LaggedLoad::FreeKvBlocks() const {
-  return std::max(0.0, static_cast<double>(report_.free_kv_blocks) - static_cast<double>(kv_since_));
+  return std::max(0.0,
+                  static_cast<double>(report_.free_kv_blocks) - static_cast<double>(kv_since_));
 }
 
 void LaggedLoad::Add(const Change& change) {
--- a/source/routing/prefix_index.h
+++ b/source/routing/prefix_index.h
@@ -1,5 +1,5 @@
-/// Which prefix blocks each engine holds in its KV cache, as told by numbered cache events that come
-/// late and with gaps.
+/// Which prefix blocks each engine holds in its KV cache, as told by numbered cache events that
+/// come late and with gaps.
 #pragma once
 
 #include <cstdint>
