Share engines out over the life of a report, so that gateways do not herd

Cause: the best of three sampled engines by late reports herds: with 20 gateways, 40 engines and reports 300 to 800 ms old, the deviation of sequences per engine was 6.0 where random placement gives 3.5. Change: an engine is sampled with a probability that follows from how far its load, as it develops until the next report, lies below the mean; residence and report age are learned.

--- a/source/routing/completion_estimate.cc
+++ b/source/routing/completion_estimate.cc
@@ -1,15 +1,12 @@
 #include "routing/completion_estimate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace millstair {
 namespace {
 
-/// A report of this age counts half; the rest is the mean of the fleet.
-constexpr double kReportHalfLifeSeconds = 4;
-/// What an unseen start of ours says about each other gateway's, and how many are counted.
-constexpr double kPeerCorrelation = 0.25;
-constexpr uint32_t kMostPeersCounted = 8;
+constexpr double kShortestResidenceSeconds = 0.05;
 /// Share of waiting work that is ahead of a live request; rollouts wait behind it.
 constexpr double kWaitingAheadOfLive = 0.5;
 /// Slow start: the estimate begins at this multiple and falls to the plain one.
@@ -17,6 +14,8 @@
 constexpr double kSlowStartSeconds = 5;
 constexpr uint32_t kDefaultSequences = 32;
 
+}  // namespace
+
 double SlowStartFactor(const EngineView& engine, TimePoint now) {
   if (!engine.slow_starting) return 1;
   const double elapsed = ToSeconds(now - engine.serving_since);
@@ -24,6 +23,8 @@
   return 1 + (kSlowStartFactor - 1) * (1 - elapsed / kSlowStartSeconds);
 }
 
+namespace {
+
 /// Share of what waits that comes before `priority`.
 double AheadShare(RequestPriority priority) {
   return priority == RequestPriority::kRollout ? 1 : kWaitingAheadOfLive;
@@ -31,12 +32,19 @@
 
 }  // namespace
 
+double LoadBelief(const EngineView& engine, const FleetFigures& fleet, TimePoint now) {
+  // The gateways have to share out the engine over the whole life of a report, not just now.
+  const double age =
+      std::max(fleet.report_horizon_seconds, ToSeconds(now - engine.load.taken_at()));
+  const double residence = std::max(kShortestResidenceSeconds, fleet.mean_residence_seconds);
+  const double kept = std::exp(-age / residence);
+  const double others = 1 - 1.0 / std::max(1U, fleet.gateways);
+  return 1 - others * (1 - kept);
+}
+
 double EstimatedSequences(const EngineView& engine, const FleetFigures& fleet, TimePoint now) {
-  const uint32_t peers = std::min(fleet.gateways, kMostPeersCounted + 1) - 1;
-  const double unseen = engine.load.StartedSince() * peers * kPeerCorrelation;
-  const double age = std::max(0.0, ToSeconds(now - engine.load.taken_at()));
-  const double belief = kReportHalfLifeSeconds / (kReportHalfLifeSeconds + age);
-  return belief * (engine.load.Sequences() + unseen) + (1 - belief) * fleet.mean_sequences;
+  const double belief = LoadBelief(engine, fleet, now);
+  return belief * engine.load.Sequences() + (1 - belief) * fleet.mean_sequences;
 }
 
 CompletionEstimate EstimateCompletion(const EngineView& engine, const EstimatedWork& work,
--- a/source/routing/completion_estimate.h
+++ b/source/routing/completion_estimate.h
@@ -12,11 +12,15 @@
 struct FleetFigures {
   /// Mean sequences per engine of the fleet; old reports are drawn towards it.
   double mean_sequences = 0;
+  /// Learned mean time that a request stays on an engine.
+  double mean_residence_seconds = 2;
+  /// Learned age that a report reaches before the next one replaces it.
+  double report_horizon_seconds = 0.5;
   /// Learned time to process one prompt token.
   double prefill_seconds_per_token = 50e-6;
   /// Learned mean of generated tokens of a request.
   double mean_tokens = 64;
-  /// Gateways that send to the same engines; each unseen start of ours stands for some of theirs.
+  /// Gateways that send to the same engines.
   uint32_t gateways = 1;
 };
 
@@ -35,6 +39,13 @@
   double total() const { return wait_seconds + prefill_seconds + decode_seconds; }
 };
 
+/// By how much an engine that began to serve just now counts as slower than it is, from 1.
+double SlowStartFactor(const EngineView& engine, TimePoint now);
+
+/// How far the engine's load as known still holds, 0..1: what others changed since the report is
+/// not seen, and a request that was there may have ended. What this gateway did is known.
+double LoadBelief(const EngineView& engine, const FleetFigures& fleet, TimePoint now);
+
 /// Sequences that the engine is believed to have now.
 double EstimatedSequences(const EngineView& engine, const FleetFigures& fleet, TimePoint now);
 
--- a/source/routing/engine_choice.cc
+++ b/source/routing/engine_choice.cc
@@ -1,5 +1,6 @@
 // How EngineRouter chooses among the candidates of a workload.
 #include <algorithm>
+#include <limits>
 
 #include "common/random.h"
 #include "routing/engine_router.h"
@@ -12,6 +13,14 @@
 /// Plain back ends: time of an answer while nothing is known.
 constexpr double kUnknownAnswerSeconds = 0.01;
 
+/// Figures of a list's load are worked out anew after this long.
+constexpr Duration kLoadInterval = std::chrono::milliseconds(20);
+
+template <class Candidate>
+void KeepBetter(const Candidate& candidate, std::optional<Candidate>& best) {
+  if (!best || candidate.seconds < best->seconds) best = candidate;
+}
+
 }  // namespace
 
 bool EngineRouter::Eligible(const EngineView& engine, const Workload& workload,
@@ -77,9 +86,8 @@
   return Evaluate(*best, request);
 }
 
-std::optional<EngineRouter::Candidate> EngineRouter::ChooseByEstimate(const Workload& workload,
-                                                                      const RoutingRequest& request,
-                                                                      bool desperate) {
+std::optional<EngineRouter::Candidate> EngineRouter::ChooseByEstimate(
+    Workload& workload, const RoutingRequest& request, bool desperate) {
   std::optional<Candidate> best;
   ConsiderHolders(workload, request, desperate, best);
   ConsiderSampled(workload.home, workload, request, desperate, best);
@@ -89,30 +97,63 @@
   return best;
 }
 
-void EngineRouter::ConsiderSampled(const std::vector<EngineSlot>& slots, const Workload& workload,
+void EngineRouter::WorkOutLoad(CandidateList& list) const {
+  const TimePoint now = environment_.Now();
+  if (list.worked_out && now - list.worked_out_at < kLoadInterval) return;
+  list.worked_out = true;
+  list.worked_out_at = now;
+  double sum = 0;
+  double least = std::numeric_limits<double>::max();
+  for (const EngineSlot slot : list.slots) {
+    const double sequences = engines_[slot]->load.Sequences();
+    sum += sequences;
+    least = std::min(least, sequences);
+  }
+  list.mean_sequences = list.slots.empty() ? 0 : sum / static_cast<double>(list.slots.size());
+  list.least_sequences = list.slots.empty() ? 0 : least;
+}
+
+bool EngineRouter::DrawAccepted(const CandidateList& list, EngineSlot slot) {
+  const EngineView& engine = *engines_[slot];
+  const double belief = LoadBelief(engine, fleet_, environment_.Now());
+  const double most = list.mean_sequences - belief * list.least_sequences;
+  if (most <= 0) return true;
+  const double below = list.mean_sequences - belief * engine.load.Sequences();
+  const double slow = SlowStartFactor(engine, environment_.Now());
+  return DrawUnit(environment_.Random()) * most * slow < below;
+}
+
+void EngineRouter::ConsiderSampled(CandidateList& list, const Workload& workload,
                                    const RoutingRequest& request, bool desperate,
                                    std::optional<Candidate>& best) {
-  if (slots.empty()) return;
-  uint32_t considered = 0;
-  // With few engines all are looked at, from a random one on.
-  const bool all = slots.size() <= options_.sampled;
-  const uint64_t first = DrawBelow(environment_.Random(), slots.size());
-  const size_t draws = all ? slots.size() : size_t{options_.sampled} * kDrawsPerCandidate;
-  for (size_t i = 0; i < draws && considered < options_.sampled; ++i) {
-    const uint64_t position =
-        all || i == 0 ? first + i : DrawBelow(environment_.Random(), slots.size());
-    const EngineSlot slot = slots[position % slots.size()];
+  if (list.slots.empty()) return;
+  WorkOutLoad(list);
+  const size_t count = list.slots.size();
+  const bool all = count <= size_t{options_.sampled} * kDrawsPerCandidate;
+  const uint64_t first = DrawBelow(environment_.Random(), count);
+  const size_t draws = all ? count : size_t{options_.sampled} * kDrawsPerCandidate;
+  // Where other gateways choose too, to take the best of several would bring the herd back.
+  const uint32_t wanted = fleet_.gateways > 1 ? 1 : options_.sampled;
+  uint32_t accepted = 0;
+  std::optional<Candidate> best_accepted;
+  std::optional<Candidate> best_refused;
+  for (size_t i = 0; i < draws && accepted < wanted; ++i) {
+    const uint64_t position = all ? first + i : DrawBelow(environment_.Random(), count);
+    const EngineSlot slot = list.slots[position % count];
     if (!Eligible(*engines_[slot], workload, request, desperate)) continue;
-    ++considered;
-    Consider(slot, request, best);
+    const bool accept = DrawAccepted(list, slot);
+    if (accept) ++accepted;
+    KeepBetter(Evaluate(slot, request), accept ? best_accepted : best_refused);
   }
-  if (considered > 0 || all) return;
-  for (size_t i = 0; i < slots.size(); ++i) {
-    const EngineSlot slot = slots[(first + i) % slots.size()];
-    if (!Eligible(*engines_[slot], workload, request, desperate)) continue;
-    Consider(slot, request, best);
-    if (++considered >= options_.sampled) return;
+  if (!best_accepted && !best_refused && !all) {
+    for (size_t i = 0; i < count && !best_refused; ++i) {
+      const EngineSlot slot = list.slots[(first + i) % count];
+      if (!Eligible(*engines_[slot], workload, request, desperate)) continue;
+      KeepBetter(Evaluate(slot, request), best_refused);
+    }
   }
+  const std::optional<Candidate>& sampled = best_accepted ? best_accepted : best_refused;
+  if (sampled) KeepBetter(*sampled, best);
 }
 
 void EngineRouter::ConsiderHolders(const Workload& workload, const RoutingRequest& request,
@@ -128,16 +169,10 @@
     if (!std::binary_search(workload.all.begin(), workload.all.end(), slot)) continue;
     if (!Eligible(*engines_[slot], workload, request, desperate)) continue;
     ++considered;
-    Consider(slot, request, best);
+    KeepBetter(Evaluate(slot, request), best);
   }
 }
 
-void EngineRouter::Consider(EngineSlot slot, const RoutingRequest& request,
-                            std::optional<Candidate>& best) {
-  const Candidate candidate = Evaluate(slot, request);
-  if (!best || candidate.seconds < best->seconds) best = candidate;
-}
-
 EngineRouter::Candidate EngineRouter::Evaluate(EngineSlot slot,
                                                const RoutingRequest& request) const {
   const EngineView& engine = *engines_[slot];
--- a/source/routing/engine_router.cc
+++ b/source/routing/engine_router.cc
@@ -15,6 +15,8 @@
 constexpr uint32_t kLeastPrefillLearned = 64;
 constexpr double kLeastPrefillSeconds = 1e-6;
 constexpr double kMostPrefillSeconds = 5e-3;
+/// A report that is older says nothing of how often reports come.
+constexpr double kLongestHorizonSeconds = 5;
 /// A pool that placed nothing for this long leaves its share to others.
 constexpr Duration kPoolIdle = std::chrono::seconds(5);
 
@@ -104,7 +106,7 @@
       if (leaving && !options_.faults.choose_leaving) continue;
       workload.all.push_back(slot);
       const bool home = engines_[slot]->zone == options_.zone;
-      (home ? workload.home : workload.away).push_back(slot);
+      (home ? workload.home : workload.away).slots.push_back(slot);
     }
     std::sort(workload.all.begin(), workload.all.end());
     rebuilt.emplace(key, std::move(workload));
@@ -119,6 +121,7 @@
   EngineView& view = *engines_[*slot];
   const bool known = view.load.has_report();
   const EngineReport before = view.load.report();
+  const TimePoint before_taken_at = view.load.taken_at();
   if (!view.load.NoteReport(report, taken_at)) return false;
   const bool restarted = known && before.incarnation != report.incarnation;
   const bool swapped = known && before.active_version != report.active_version;
@@ -137,6 +140,10 @@
   } else if (view.said_leaving && taken_at > view.said_leaving_at) {
     NoteLeaving(engine, false);
   }
+  if (known) {
+    const double age = std::min(kLongestHorizonSeconds, ToSeconds(environment_.Now() - before_taken_at));
+    fleet_.report_horizon_seconds = Smooth(fleet_.report_horizon_seconds, age);
+  }
   view.step_time.Note(report.running_sequences, report.step_time);
   NoteFleetLoad();
   return true;
@@ -248,6 +255,8 @@
   }
   if (outcome.tokens == 0) return;
   fleet_.mean_tokens = Smooth(fleet_.mean_tokens, outcome.tokens);
+  fleet_.mean_residence_seconds =
+      Smooth(fleet_.mean_residence_seconds, ToSeconds(outcome.elapsed));
   if (placement.work.expected_tokens > 0) {
     const double ratio = outcome.tokens / static_cast<double>(placement.work.expected_tokens);
     const double sample = std::clamp(length_share_ * ratio, 0.01, 1.0);
@@ -274,7 +283,7 @@
 void EngineRouter::NoteLiveQueued(const ResourceKey& workload) {
   const auto found = workloads_.find(workload);
   if (found == workloads_.end()) return;
-  for (const EngineSlot slot : found->second.home) {
+  for (const EngineSlot slot : found->second.home.slots) {
     engines_[slot]->rollout_share.NoteLiveQueued(environment_.Now());
   }
 }
@@ -288,10 +297,10 @@
 uint32_t EngineRouter::RoomOf(const Workload& workload) const {
   RoutingRequest request;
   request.priority = RequestPriority::kLive;
-  const bool use_home = !workload.home.empty();
+  const bool use_home = !workload.home.slots.empty();
   const double sharers = use_home ? home_gateways_ : std::max(1U, observers_.gateway_count());
   double room = 0;
-  for (const EngineSlot slot : use_home ? workload.home : workload.away) {
+  for (const EngineSlot slot : use_home ? workload.home.slots : workload.away.slots) {
     const EngineView& engine = *engines_[slot];
     if (!Eligible(engine, workload, request, false)) continue;
     room += std::max(0.0, FreeForRollouts(engine)) / sharers;
--- a/source/routing/engine_router.h
+++ b/source/routing/engine_router.h
@@ -1,8 +1,10 @@
 /// The router of a gateway: one view of all back ends for live requests and rollouts.
 ///
 /// Candidates come from the configuration's matching. A few are sampled, the holders of the deepest
-/// cached prefix are added, and the one with the least estimated time to completion is taken; so
-/// many gateways with equally late reports do not all run to the same engine. The own zone comes
+/// cached prefix are added, and the one with the least estimated time to completion is taken. An
+/// engine is sampled with a probability that follows from how far its load, as it would have
+/// developed since the report, lies below the mean; so many gateways with equally late reports do
+/// not all run to the same engine. The own zone comes
 /// first; others are looked at when the own zone has no room.
 #pragma once
 
@@ -96,13 +98,22 @@
   void SetGate(std::function<bool()> may_give_work) { may_give_work_ = std::move(may_give_work); }
 
  private:
+  /// Engines of a workload in the own zone, or in others, with figures of their load that are
+  /// worked out anew every now and then.
+  struct CandidateList {
+    std::vector<EngineSlot> slots;
+    double mean_sequences = 0;
+    double least_sequences = 0;
+    TimePoint worked_out_at;
+    bool worked_out = false;
+  };
   struct Workload {
     ModelName model;
     bool plain = false;
     uint32_t max_in_flight = 0;
     double share = 1;
-    std::vector<EngineSlot> home;
-    std::vector<EngineSlot> away;
+    CandidateList home;
+    CandidateList away;
     std::vector<EngineSlot> all;
     /// Position of round robin.
     uint64_t next = 0;
@@ -135,18 +146,21 @@
   uint32_t RoomOf(const Workload& workload) const;
   std::optional<Candidate> ChooseByPolicy(Workload& workload, const RoutingRequest& request,
                                           bool desperate);
-  std::optional<Candidate> ChooseByEstimate(const Workload& workload, const RoutingRequest& request,
+  std::optional<Candidate> ChooseByEstimate(Workload& workload, const RoutingRequest& request,
                                             bool desperate);
   std::optional<Candidate> ChooseRoundRobin(Workload& workload, const RoutingRequest& request,
                                             bool desperate);
   std::optional<Candidate> ChooseLeastOutstanding(const Workload& workload,
                                                   const RoutingRequest& request, bool desperate);
-  void ConsiderSampled(const std::vector<EngineSlot>& slots, const Workload& workload,
+  void WorkOutLoad(CandidateList& list) const;
+  /// Draws whether an engine with this load should get its turn, so that over all gateways the
+  /// engines fill up evenly.
+  bool DrawAccepted(const CandidateList& list, EngineSlot slot);
+  void ConsiderSampled(CandidateList& list, const Workload& workload,
                        const RoutingRequest& request, bool desperate,
                        std::optional<Candidate>& best);
   void ConsiderHolders(const Workload& workload, const RoutingRequest& request, bool desperate,
                        std::optional<Candidate>& best);
-  void Consider(EngineSlot slot, const RoutingRequest& request, std::optional<Candidate>& best);
   Candidate Evaluate(EngineSlot slot, const RoutingRequest& request) const;
   EstimatedWork WorkOn(EngineSlot slot, const RoutingRequest& request) const;
   Placement Record(const ResourceKey& workload, const RoutingRequest& request,
