--- a/source/routing/engine_choice.cc
+++ b/source/routing/engine_choice.cc
@@ -86,8 +86,9 @@
   return Evaluate(*best, request);
 }
 
-std::optional<EngineRouter::Candidate> EngineRouter::ChooseByEstimate(
-    Workload& workload, const RoutingRequest& request, bool desperate) {
+std::optional<EngineRouter::Candidate> EngineRouter::ChooseByEstimate(Workload& workload,
+                                                                      const RoutingRequest& request,
+                                                                      bool desperate) {
   std::optional<Candidate> best;
   ConsiderHolders(workload, request, desperate, best);
   ConsiderSampled(workload.home, workload, request, desperate, best);
--- a/source/routing/engine_router.cc
+++ b/source/routing/engine_router.cc
@@ -141,7 +141,8 @@
     NoteLeaving(engine, false);
   }
   if (known) {
-    const double age = std::min(kLongestHorizonSeconds, ToSeconds(environment_.Now() - before_taken_at));
+    const double age =
+        std::min(kLongestHorizonSeconds, ToSeconds(environment_.Now() - before_taken_at));
     fleet_.report_horizon_seconds = Smooth(fleet_.report_horizon_seconds, age);
   }
   view.step_time.Note(report.running_sequences, report.step_time);
@@ -255,8 +256,7 @@
   }
   if (outcome.tokens == 0) return;
   fleet_.mean_tokens = Smooth(fleet_.mean_tokens, outcome.tokens);
-  fleet_.mean_residence_seconds =
-      Smooth(fleet_.mean_residence_seconds, ToSeconds(outcome.elapsed));
+  fleet_.mean_residence_seconds = Smooth(fleet_.mean_residence_seconds, ToSeconds(outcome.elapsed));
   if (placement.work.expected_tokens > 0) {
     const double ratio = outcome.tokens / static_cast<double>(placement.work.expected_tokens);
     const double sample = std::clamp(length_share_ * ratio, 0.01, 1.0);
--- a/source/routing/engine_router.h
+++ b/source/routing/engine_router.h
@@ -156,9 +156,8 @@
   /// Draws whether an engine with this load should get its turn, so that over all gateways the
   /// engines fill up evenly.
   bool DrawAccepted(const CandidateList& list, EngineSlot slot);
-  void ConsiderSampled(CandidateList& list, const Workload& workload,
-                       const RoutingRequest& request, bool desperate,
-                       std::optional<Candidate>& best);
+  void ConsiderSampled(CandidateList& list, const Workload& workload, const RoutingRequest& request,
+                       bool desperate, std::optional<Candidate>& best);
   void ConsiderHolders(const Workload& workload, const RoutingRequest& request, bool desperate,
                        std::optional<Candidate>& best);
   Candidate Evaluate(EngineSlot slot, const RoutingRequest& request) const;
--- a/test/routing/configuration_fixture.h
+++ b/test/routing/configuration_fixture.h
@@ -29,7 +29,8 @@
     TrafficGroupSpec pages;
     pages.path_prefix = "/";
     Put(MakeResource("pages", pages, {{"app", "pages"}}));
-    Put(MakeResource("captions", MatchSpec{Select("caption"), Select("caption"), Select("caption")}));
+    Put(MakeResource("captions",
+                     MatchSpec{Select("caption"), Select("caption"), Select("caption")}));
     Put(MakeResource("galleries", MatchSpec{Select("pages"), std::nullopt, Select("pages")}));
   }
 
