--- /dev/null
+++ b/simulator/clients/callers.cc
@@ -0,0 +1,240 @@
+#include "simulator/clients/callers.h"
+
+#include <cmath>
+#include <utility>
+
+#include "boost/json.hpp"
+#include "common/random.h"
+#include "fmt/format.h"
+#include "simulator/clients/completion_answer.h"
+
+namespace millstair::simulator {
+namespace {
+
+using checks::CallEnd;
+using checks::CallKind;
+using checks::CallTry;
+
+/// Callers give up after this long.
+constexpr Duration kPatience = std::chrono::seconds(40);
+constexpr Duration kResendAfter = std::chrono::seconds(1);
+constexpr uint32_t kBookingTries = 4;
+/// Share of bookings that are sent through two gateways at once.
+constexpr double kSentTwice = 0.05;
+/// Share of callers that go away before their answer.
+constexpr double kGoAway = 0.02;
+constexpr Duration kGoAwayAfter = std::chrono::milliseconds(300);
+constexpr double kStreaming = 0.5;
+/// Prompts share prefixes of this many words, of so many kinds.
+constexpr int kPrefixWords = 48;
+constexpr uint64_t kPrefixes = 12;
+constexpr uint64_t kSmallestMaxTokens = 8;
+
+std::string Slug(CallKind kind) {
+  switch (kind) {
+    case CallKind::kCompletion:
+      return "completion";
+    case CallKind::kPage:
+      return "page";
+    case CallKind::kLookup:
+      return "lookup";
+    case CallKind::kBooking:
+      break;
+  }
+  return "booking";
+}
+
+/// What a plain server's answer to this request says, without what the caller can't know.
+std::string ExpectedBody(const HttpRequest& request) {
+  return fmt::format("{}|{}|{}|{}|{}", request.method, request.target,
+                     FindHeader(request.headers, "Idempotency-Key").value_or(""),
+                     FindHeader(request.headers, "X-Request-Id").value_or(""), request.body);
+}
+
+/// The same of a received answer; the raw bytes if it is of no such form.
+std::string ComparableBody(const std::string& body) {
+  boost::json::error_code error;
+  const boost::json::value value = boost::json::parse(body, error);
+  if (error || !value.is_object()) return body;
+  std::string comparable;
+  for (const char* field : {"method", "path", "key", "request", "body"}) {
+    const boost::json::value* found = value.as_object().if_contains(field);
+    if (found == nullptr || !found->is_string()) return body;
+    if (!comparable.empty()) comparable += '|';
+    comparable += found->as_string().c_str();
+  }
+  return comparable;
+}
+
+void TakeAnswer(CallTry& call, const WholeAnswer& answer, Duration now) {
+  call.ended = now;
+  call.first_byte = answer.first_byte;
+  call.status = answer.status;
+  call.outcome = OutcomeIn(answer.headers);
+  switch (answer.end) {
+    case AnswerEnd::kWhole:
+      call.end = answer.status < 400 ? CallEnd::kComplete : CallEnd::kRefused;
+      break;
+    case AnswerEnd::kCut:
+      call.end = CallEnd::kCut;
+      break;
+    case AnswerEnd::kNone:
+    case AnswerEnd::kNotSent:
+      call.end = CallEnd::kUnanswered;
+      break;
+  }
+  if (call.end != CallEnd::kComplete) return;
+  if (call.kind == CallKind::kCompletion) {
+    ReadCompletion(answer, call);
+  } else {
+    call.body = ComparableBody(answer.body);
+  }
+}
+
+}  // namespace
+
+Callers::Callers(Surroundings& surroundings, const DeploymentPlan& plan, const LiveLoad& load,
+                 PromptRegistry& prompts)
+    : surroundings_(surroundings),
+      plan_(plan),
+      load_(load),
+      prompts_(prompts),
+      random_(surroundings.DrawSeed()),
+      client_(surroundings, surroundings.network.AddHost("callers", plan.latencies.clients)) {}
+
+void Callers::Start(Duration until) {
+  until_ = until;
+  ScheduleNext(CallKind::kCompletion, load_.completions);
+  ScheduleNext(CallKind::kPage, load_.pages);
+  ScheduleNext(CallKind::kLookup, load_.lookups);
+  ScheduleNext(CallKind::kBooking, load_.bookings);
+}
+
+void Callers::ScheduleNext(CallKind kind, double rate) {
+  if (rate <= 0) return;
+  const double wait = -std::log(1.0 - DrawUnit(random_)) / rate;
+  surroundings_.scheduler.Schedule(FromSeconds(wait), [this, kind, rate] {
+    if (surroundings_.Now() >= until_) return;
+    Arrive(kind);
+    ScheduleNext(kind, rate);
+  });
+}
+
+size_t Callers::DrawGateway() { return DrawBelow(random_, plan_.gateways.size()); }
+
+std::string Callers::NextTryId(std::string_view kind) {
+  return fmt::format("{}-{}", kind, next_try_++);
+}
+
+std::string Callers::NextPrompt() {
+  std::string prompt;
+  const uint64_t prefix = DrawBelow(random_, kPrefixes);
+  for (int i = 0; i < kPrefixWords; ++i) prompt += fmt::format("live{}w{} ", prefix, i);
+  return prompt + fmt::format("question {}", next_try_);
+}
+
+void Callers::Arrive(CallKind kind) {
+  switch (kind) {
+    case CallKind::kCompletion:
+      SendCompletion(NextPrompt());
+      return;
+    case CallKind::kPage:
+    case CallKind::kLookup:
+      SendPlain(kind);
+      return;
+    case CallKind::kBooking:
+      break;
+  }
+  const Booking booking{fmt::format("b{}", next_try_), 0};
+  const size_t gateway = DrawGateway();
+  SendBooking(booking, gateway);
+  if (!DrawChance(random_, kSentTwice)) return;
+  // The impatient one asks elsewhere at once, and no further.
+  SendBooking({booking.id, kBookingTries}, (gateway + 1) % plan_.gateways.size());
+}
+
+void Callers::SendCompletion(const std::string& prompt) {
+  CallTry call;
+  call.kind = CallKind::kCompletion;
+  call.try_id = NextTryId("completion");
+  call.prompt = prompt;
+  call.max_tokens = static_cast<uint32_t>(
+      kSmallestMaxTokens + DrawBelow(random_, load_.completion_max_tokens));
+  prompts_.Add(prompt);
+  HttpRequest request{"POST", "/v1/completions", {}, ""};
+  request.headers = {{"Host", "text.example"},
+                     {"Content-Type", "application/json"},
+                     {"X-Request-Id", call.try_id}};
+  request.body = boost::json::serialize(
+      boost::json::object{{"model", plan_.model.value()},
+                          {"prompt", prompt},
+                          {"max_tokens", call.max_tokens},
+                          {"stream", DrawChance(random_, kStreaming)}});
+  Send(std::move(call), DrawGateway(), std::move(request), nullptr);
+}
+
+void Callers::SendPlain(CallKind kind) {
+  CallTry call;
+  call.kind = kind;
+  call.try_id = NextTryId(Slug(kind));
+  const std::string folder = kind == CallKind::kPage ? "/gallery/" : "/lookup/";
+  HttpRequest request{"GET", folder + call.try_id, {}, ""};
+  request.headers = {{"Host", "web.example"}, {"X-Request-Id", call.try_id}};
+  call.expected_body = ExpectedBody(request);
+  Send(std::move(call), DrawGateway(), std::move(request), nullptr);
+}
+
+void Callers::SendBooking(Booking booking, size_t gateway) {
+  CallTry call;
+  call.kind = CallKind::kBooking;
+  call.try_id = NextTryId("booking");
+  call.key = "key-" + booking.id;
+  HttpRequest request{"POST", "/bookings/" + booking.id, {}, "confirm " + booking.id};
+  request.headers = {{"Host", "web.example"},
+                     {"Content-Type", "text/plain"},
+                     {"Idempotency-Key", call.key},
+                     {"X-Request-Id", call.try_id}};
+  call.expected_body = ExpectedBody(request);
+  ++booking.tries;
+  Send(std::move(call), gateway, std::move(request),
+       [this, booking, gateway](const CallTry& ended, const WholeAnswer& answer) {
+         BookingEnded(booking, gateway, ended, answer);
+       });
+}
+
+void Callers::BookingEnded(const Booking& booking, size_t gateway, const CallTry& call,
+                           const WholeAnswer& answer) {
+  constexpr int kConflict = 409;
+  const bool settled = call.end == CallEnd::kComplete || answer.status == kConflict;
+  if (settled || booking.tries >= kBookingTries) return;
+  surroundings_.scheduler.Schedule(kResendAfter, [this, booking, gateway] {
+    SendBooking(booking, (gateway + 1) % plan_.gateways.size());
+  });
+}
+
+void Callers::Send(CallTry call, size_t gateway, HttpRequest request,
+                   std::function<void(const CallTry&, const WholeAnswer&)> ended) {
+  const NodePlan& target = plan_.gateways[gateway];
+  call.gateway = target.node;
+  call.sent = surroundings_.Now();
+  const size_t index = surroundings_.history.calls.size();
+  surroundings_.history.calls.push_back(std::move(call));
+  const RequestClient::Id id =
+      client_.Send(target.http_address, std::move(request), kPatience,
+                   [this, index, ended = std::move(ended)](const WholeAnswer& answer) {
+                     CallTry& recorded = surroundings_.history.calls[index];
+                     TakeAnswer(recorded, answer, surroundings_.Now());
+                     const CallTry copy = recorded;
+                     if (ended) ended(copy, answer);
+                   });
+  if (!DrawChance(random_, kGoAway)) return;
+  surroundings_.scheduler.Schedule(kGoAwayAfter, [this, id, index] {
+    CallTry& recorded = surroundings_.history.calls[index];
+    if (recorded.ended) return;
+    recorded.end = CallEnd::kAbandoned;
+    recorded.ended = surroundings_.Now();
+    client_.Drop(id);
+  });
+}
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/clients/callers.h
@@ -0,0 +1,55 @@
+/// Callers of the fleet: completions, pages, lookups and bookings, open loop, through all gateways.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "simulator/clients/request_client.h"
+#include "simulator/fleet/back_ends.h"
+#include "simulator/fleet/deployment.h"
+#include "simulator/fleet/fleet.h"
+#include "simulator/fleet/surroundings.h"
+
+namespace millstair::simulator {
+
+class Callers {
+ public:
+  Callers(Surroundings& surroundings, const DeploymentPlan& plan, const LiveLoad& load,
+          PromptRegistry& prompts);
+
+  /// Calls arrive until `until`.
+  void Start(Duration until);
+
+ private:
+  /// One booking, over all its tries.
+  struct Booking {
+    std::string id;
+    uint32_t tries = 0;
+  };
+
+  void ScheduleNext(checks::CallKind kind, double rate);
+  void Arrive(checks::CallKind kind);
+  void SendCompletion(const std::string& prompt);
+  void SendPlain(checks::CallKind kind);
+  void SendBooking(Booking booking, size_t gateway);
+  void BookingEnded(const Booking& booking, size_t gateway, const checks::CallTry& call,
+                    const WholeAnswer& answer);
+  /// Sends `request` for `call` and records how it ended.
+  void Send(checks::CallTry call, size_t gateway, HttpRequest request,
+            std::function<void(const checks::CallTry&, const WholeAnswer&)> ended);
+  size_t DrawGateway();
+  std::string NextTryId(std::string_view kind);
+  std::string NextPrompt();
+
+  Surroundings& surroundings_;
+  const DeploymentPlan& plan_;
+  LiveLoad load_;
+  PromptRegistry& prompts_;
+  RandomEngine random_;
+  RequestClient client_;
+  Duration until_{0};
+  uint64_t next_try_ = 1;
+};
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/clients/operator_client.h
@@ -0,0 +1,80 @@
+/// An operator: opens a session, applies the deployment's resources, then reads and changes notes
+/// by compare-and-set through any control node, and sends again what stays without an answer.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "resources/resource.h"
+#include "simulator/clients/request_client.h"
+#include "simulator/fleet/deployment.h"
+#include "simulator/fleet/surroundings.h"
+
+namespace millstair::simulator {
+
+class OperatorClient {
+ public:
+  /// `name` must differ between operators; it makes their values unique.
+  OperatorClient(Surroundings& surroundings, const DeploymentPlan& plan, std::string name);
+
+  /// Applies `resources` all at once, without compare-and-set; `done` follows acceptance.
+  void Apply(const std::vector<Resource>& resources, std::function<void()> done);
+  /// Puts one resource without compare-and-set; `done` gets its revision.
+  void Put(const Resource& resource, std::function<void(Revision)> done);
+
+  /// Reads and changes one of `notes` notes about every `interval`, until `until`.
+  void StartNotes(Duration interval, uint32_t notes, Duration until);
+  void SetInterval(Duration interval) { interval_ = interval; }
+  /// One change of `note` as it was when last seen by this operator or `seen`.
+  void ChangeNote(uint32_t note, Revision seen);
+  Revision LastSeen(uint32_t note) const;
+
+  void SetAnswerLoss(double share) { client_.SetAnswerLoss(share); }
+
+ private:
+  /// A change that is sent until it is answered.
+  struct Change {
+    std::string method;
+    std::string target;
+    HttpHeaders headers;
+    std::string body;
+    uint64_t sequence = 0;
+    std::string session;
+    uint32_t sends = 0;
+    Duration first_sent{0};
+    /// Gets the answer; null if none came in time.
+    std::function<void(const WholeAnswer*)> done;
+  };
+
+  void OpenSession(std::function<void()> then);
+  void Begin(Change change);
+  void Send(Change change);
+  void Answered(Change change, const WholeAnswer& answer);
+  void NextNote();
+  void ReadNote(uint32_t note);
+  void PutNote(uint32_t note, Revision expected);
+  void DeleteNote(uint32_t note, Revision expected);
+  size_t Record(checks::ResourceAction action, uint32_t note, std::optional<Revision> expected,
+                std::string value);
+  void RecordEnd(size_t record, const WholeAnswer* answer);
+  void Accepted(Revision revision);
+  const std::string& DrawControl();
+
+  Surroundings& surroundings_;
+  const DeploymentPlan& plan_;
+  std::string name_;
+  RandomEngine random_;
+  RequestClient client_;
+  std::string session_;
+  uint64_t next_sequence_ = 1;
+  uint64_t next_value_ = 1;
+  Duration interval_{0};
+  Duration until_{0};
+  uint32_t notes_ = 1;
+  std::map<uint32_t, Revision> seen_;
+};
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/clients/request_client.cc
@@ -0,0 +1,85 @@
+#include "simulator/clients/request_client.h"
+
+#include <utility>
+
+namespace millstair::simulator {
+
+struct RequestClient::Call : HttpCallObserver {
+  Call(RequestClient& owner, Id id, Done done) : owner(owner), id(id), done(std::move(done)) {}
+  ~Call() override { owner.surroundings_.scheduler.Cancel(timer); }
+
+  void OnHead(const HttpResponseHead& head) override {
+    answer.status = head.status;
+    answer.headers = head.headers;
+    answer.first_byte = owner.surroundings_.Now();
+  }
+  void OnBody(std::string bytes) override { answer.body += bytes; }
+  void OnFinished() override {
+    answer.end = AnswerEnd::kWhole;
+    owner.End(id, std::move(answer));
+  }
+  void OnFailed(CallFailure failure, const std::string& reason) override {
+    (void)reason;
+    answer.end = failure == CallFailure::kCut       ? AnswerEnd::kCut
+                 : failure == CallFailure::kNotSent ? AnswerEnd::kNotSent
+                                                    : AnswerEnd::kNone;
+    owner.End(id, std::move(answer));
+  }
+
+  RequestClient& owner;
+  Id id;
+  Done done;
+  WholeAnswer answer;
+  std::unique_ptr<CallHandle> handle;
+  TimerId timer;
+};
+
+checks::ClaimedOutcome OutcomeIn(const HttpHeaders& headers) {
+  const auto outcome = FindHeader(headers, "Millstair-Outcome");
+  if (!outcome) return checks::ClaimedOutcome::kNone;
+  if (*outcome == "ran") return checks::ClaimedOutcome::kRan;
+  if (*outcome == "not-run") return checks::ClaimedOutcome::kNotRun;
+  return checks::ClaimedOutcome::kUnknown;
+}
+
+RequestClient::RequestClient(Surroundings& surroundings, HostId host)
+    : surroundings_(surroundings), host_(host) {}
+RequestClient::~RequestClient() { DropAll(); }
+
+RequestClient::Id RequestClient::Send(const std::string& address, HttpRequest request,
+                                      Duration time_limit, Done done) {
+  const Id id = next_++;
+  Call& call = *calls_.emplace(id, std::make_unique<Call>(*this, id, std::move(done)))
+                    .first->second;
+  call.timer = surroundings_.scheduler.Schedule(time_limit, [this, id] {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) return;
+    WholeAnswer answer = std::move(found->second->answer);
+    answer.end = answer.status == 0 ? AnswerEnd::kNone : AnswerEnd::kCut;
+    End(id, std::move(answer));
+  });
+  call.handle = surroundings_.http.Start(host_, address, std::move(request), call);
+  return id;
+}
+
+void RequestClient::Drop(Id id) {
+  const auto call = calls_.extract(id);
+  (void)call;
+}
+
+void RequestClient::DropAll() {
+  const auto calls = std::move(calls_);
+  calls_.clear();
+}
+
+void RequestClient::End(Id id, WholeAnswer answer) {
+  const auto call = calls_.extract(id);
+  if (call.empty()) return;
+  if (answer_loss_ > 0 && answer.end == AnswerEnd::kWhole &&
+      DrawChance(surroundings_.scheduler.Random(), answer_loss_)) {
+    answer = WholeAnswer();
+  }
+  call.mapped()->done(answer);
+}
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/clients/request_client.h
@@ -0,0 +1,65 @@
+/// An HTTP client of a party outside the system: sends requests, gathers whole answers, gives up
+/// after a time limit, and can lose answers on purpose.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "simulator/fleet/surroundings.h"
+
+namespace millstair::simulator {
+
+enum class AnswerEnd : uint8_t {
+  kWhole,    ///< a regular answer, whatever its status
+  kCut,      ///< began and broke off
+  kNone,     ///< no answer; the request may have run
+  kNotSent,  ///< no connection
+};
+
+struct WholeAnswer {
+  AnswerEnd end = AnswerEnd::kNone;
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+  std::optional<Duration> first_byte;
+};
+
+/// What `Millstair-Outcome` says in an answer.
+checks::ClaimedOutcome OutcomeIn(const HttpHeaders& headers);
+
+class RequestClient {
+ public:
+  using Done = std::function<void(const WholeAnswer&)>;
+  /// Handle of a request under way; 0 is none.
+  using Id = uint64_t;
+
+  RequestClient(Surroundings& surroundings, HostId host);
+  ~RequestClient();
+  RequestClient(const RequestClient&) = delete;
+  RequestClient& operator=(const RequestClient&) = delete;
+
+  /// `done` runs once, never within this call; not after `Drop` or destruction.
+  Id Send(const std::string& address, HttpRequest request, Duration time_limit, Done done);
+  /// Goes away: closes the connection.
+  void Drop(Id id);
+  void DropAll();
+  /// Share of answers that are lost on the way; the client then sees none.
+  void SetAnswerLoss(double share) { answer_loss_ = share; }
+
+ private:
+  struct Call;
+
+  void End(Id id, WholeAnswer answer);
+
+  Surroundings& surroundings_;
+  HostId host_;
+  Id next_ = 1;
+  double answer_loss_ = 0;
+  std::map<Id, std::unique_ptr<Call>> calls_;
+};
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/clients/trainer.cc
@@ -0,0 +1,308 @@
+#include "simulator/clients/trainer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/random.h"
+#include "fmt/format.h"
+#include "simulator/clients/span_json.h"
+
+namespace millstair::simulator {
+namespace {
+
+constexpr Duration kPatience = std::chrono::seconds(15);
+constexpr Duration kRetry = std::chrono::milliseconds(500);
+constexpr int kReadWaitSeconds = 2;
+constexpr int kReadMaxSamples = 64;
+constexpr int kPrefixWords = 64;
+/// Share of reads that are done again before their answer is used.
+constexpr double kReadAgain = 0.05;
+constexpr int kOk = 200;
+
+uint64_t StepNumberOf(const SampleId& sample) {
+  // Sample ids are "step-<number>/<index>".
+  constexpr size_t kNumberAt = 5;
+  return std::strtoull(sample.value().c_str() + kNumberAt, nullptr, 10);
+}
+
+checks::ReceivedSample ReadSample(const boost::json::object& json) {
+  checks::ReceivedSample sample;
+  sample.offset = StreamOffset(NumberIn(json, "offset"));
+  const boost::json::value* withdrawn = json.if_contains("withdrawn");
+  sample.withdrawn = withdrawn != nullptr && withdrawn->is_bool() && withdrawn->as_bool();
+  sample.sample = SampleId(TextIn(json, "sample"));
+  sample.step = StepId(TextIn(json, "step"));
+  sample.text = TextIn(json, "text");
+  sample.token_count = static_cast<uint32_t>(NumberIn(json, "token_count"));
+  const boost::json::value* score = json.if_contains("score");
+  if (score != nullptr && score->is_number()) sample.score = score->to_number<double>();
+  sample.spans = ReadSpans(json.if_contains("spans"));
+  return sample;
+}
+
+}  // namespace
+
+Trainer::Trainer(Surroundings& surroundings, Platform& platform, const DeploymentPlan& plan,
+                 const StreamPlan& stream, const TrainerLoad& load, PromptRegistry& prompts)
+    : surroundings_(surroundings),
+      platform_(platform),
+      plan_(plan),
+      stream_(stream),
+      load_(load),
+      prompts_(prompts),
+      random_(surroundings.DrawSeed()),
+      client_(surroundings, surroundings.network.AddHost("trainer-" + stream.name.value(),
+                                                         plan.zones[0])) {
+  surroundings_.history.streams.push_back({stream.name, stream.model, stream.staleness_bound});
+}
+
+void Trainer::Start(Duration until) {
+  until_ = until;
+  running_ = true;
+  waiting_since_ = surroundings_.Now();
+  if (stream_.publishes) {
+    Publish(WeightVersion(1));
+    return;
+  }
+  WaitForStep();
+}
+
+void Trainer::TakeDown() {
+  if (!running_) return;
+  running_ = false;
+  ++life_;
+  client_.DropAll();
+}
+
+void Trainer::BringUp() {
+  if (running_) return;
+  running_ = true;
+  // A step put without an answer is put again by id; the version being published likewise.
+  if (training_) {
+    Trained();
+    return;
+  }
+  if (published_ < publishing_) {
+    SendPublish();
+    return;
+  }
+  for (const auto& [number, step] : steps_) {
+    if (!step.acknowledged) SendStep(number);
+  }
+  WaitForStep();
+}
+
+void Trainer::After(Duration delay, std::function<void()> action) {
+  surroundings_.scheduler.Schedule(delay, [this, life = life_, action = std::move(action)] {
+    if (life == life_ && running_) action();
+  });
+}
+
+const std::string& Trainer::DrawGateway() {
+  return plan_.gateways[DrawBelow(random_, plan_.gateways.size())].http_address;
+}
+
+void Trainer::Publish(WeightVersion version) {
+  const WeightDigest digest = DigestOf(stream_.model, version);
+  platform_.store().Put(LocationOf(stream_.model, version), digest, plan_.version_bytes);
+  surroundings_.history.publishes.push_back(
+      {stream_.model, version, digest, surroundings_.Now(), std::nullopt});
+  surroundings_.history.demands.push_back(
+      {fmt::format("publishing version {}", version.value()), surroundings_.Now(), std::nullopt});
+  publishing_ = version;
+  publish_record_ = surroundings_.history.publishes.size() - 1;
+  publish_demand_ = surroundings_.history.demands.size() - 1;
+  SendPublish();
+}
+
+void Trainer::SendPublish() {
+  const WeightVersion version = publishing_;
+  HttpRequest request{
+      "PUT",
+      fmt::format("/v1/models/{}/versions/{}", stream_.model.value(), version.value()),
+      {{"Content-Type", "application/json"}},
+      boost::json::serialize(
+          boost::json::object{{"digest", DigestOf(stream_.model, version).value()},
+                              {"location", LocationOf(stream_.model, version)}})};
+  client_.Send(DrawGateway(), std::move(request), kPatience,
+               [this](const WholeAnswer& answer) {
+                 if (answer.end != AnswerEnd::kWhole || answer.status != kOk) {
+                   After(kRetry, [this] { SendPublish(); });
+                   return;
+                 }
+                 const Duration now = surroundings_.Now();
+                 surroundings_.history.publishes[publish_record_].acknowledged = now;
+                 surroundings_.history.demands[publish_demand_].done = now;
+                 published_ = publishing_;
+                 WaitForStep();
+               });
+}
+
+void Trainer::PutStepsAhead() {
+  while (next_put_ <= current_ + load_.steps_ahead) PutStep(next_put_++);
+}
+
+void Trainer::PutStep(uint64_t number) {
+  checks::StepPut put;
+  put.stream = stream_.name;
+  put.step = StepId(fmt::format("step-{}", number));
+  put.sent = surroundings_.Now();
+  Step& step = steps_[number];
+  for (uint32_t i = 0; i < load_.prompts_per_step; ++i) {
+    const uint32_t prefix = i / std::max(load_.prompts_per_prefix, 1U);
+    std::string text;
+    for (int word = 0; word < kPrefixWords; ++word) {
+      text += fmt::format("{}p{}w{} ", stream_.name.value().front(), prefix, word);
+    }
+    text += fmt::format("{} step {} sample {}", stream_.name.value(), number, i);
+    prompts_.Add(text);
+    const SampleId sample(fmt::format("{}/{}", put.step.value(), i));
+    step.missing.insert(sample);
+    put.prompts.push_back({sample, std::move(text), load_.max_tokens});
+  }
+  step.put_record = surroundings_.history.steps.size();
+  surroundings_.history.steps.push_back(std::move(put));
+  SendStep(number);
+}
+
+void Trainer::SendStep(uint64_t number) {
+  const auto found = steps_.find(number);
+  if (found == steps_.end()) return;
+  const checks::StepPut& put = surroundings_.history.steps[found->second.put_record];
+  boost::json::array prompts;
+  for (const checks::StepPut::Prompt& prompt : put.prompts) {
+    prompts.push_back(
+        boost::json::object{{"text", prompt.text}, {"max_tokens", prompt.max_tokens}});
+  }
+  HttpRequest request{
+      "PUT",
+      fmt::format("/v1/streams/{}/steps/{}", stream_.name.value(), put.step.value()),
+      {{"Content-Type", "application/json"}},
+      boost::json::serialize(boost::json::object{{"prompts", std::move(prompts)}})};
+  client_.Send(DrawGateway(), std::move(request), kPatience,
+               [this, number](const WholeAnswer& answer) {
+                 const auto step = steps_.find(number);
+                 if (step == steps_.end()) return;
+                 if (answer.end != AnswerEnd::kWhole || answer.status != kOk) {
+                   After(kRetry, [this, number] { SendStep(number); });
+                   return;
+                 }
+                 step->second.acknowledged = true;
+                 checks::StepPut& record = surroundings_.history.steps[step->second.put_record];
+                 if (!record.acknowledged) record.acknowledged = surroundings_.Now();
+               });
+}
+
+void Trainer::WaitForStep() {
+  if (surroundings_.Now() >= until_) return;
+  PutStepsAhead();
+  Step& step = steps_.at(current_);
+  if (!step.demand) {
+    waiting_since_ = surroundings_.Now();
+    step.demand = surroundings_.history.demands.size();
+    surroundings_.history.demands.push_back(
+        {fmt::format("step {} of {}", current_, stream_.name.value()), surroundings_.Now(),
+         std::nullopt});
+  }
+  if (step.missing.empty()) {
+    StepWhole();
+    return;
+  }
+  Read();
+}
+
+void Trainer::Read() {
+  HttpRequest request{"GET",
+                      fmt::format("/v1/streams/{}/samples?after={}&max={}&wait={}",
+                                  stream_.name.value(), cursor_.value(), kReadMaxSamples,
+                                  kReadWaitSeconds),
+                      {},
+                      ""};
+  client_.Send(DrawGateway(), std::move(request), kPatience,
+               [this, sent = surroundings_.Now()](const WholeAnswer& answer) {
+                 TakeAnswer(answer, sent);
+               });
+}
+
+void Trainer::TakeAnswer(const WholeAnswer& answer, Duration sent) {
+  boost::json::error_code error;
+  boost::json::value value;
+  if (answer.end == AnswerEnd::kWhole && answer.status == kOk) {
+    value = boost::json::parse(answer.body, error);
+  }
+  if (error || !value.is_object()) {
+    After(kRetry, [this] { Read(); });
+    return;
+  }
+  TakeSamples(value.as_object(), sent);
+  if (steps_.at(current_).missing.empty()) {
+    StepWhole();
+    return;
+  }
+  // Also a faulty fleet that answers at once and empty must not stop the run.
+  After(std::chrono::milliseconds(1), [this] { Read(); });
+}
+
+void Trainer::TakeSamples(const boost::json::object& answer, Duration sent) {
+  checks::CursorRead read{stream_.name, cursor_, StreamOffset(NumberIn(answer, "next")), {}, sent,
+                          surroundings_.Now()};
+  const boost::json::value* samples = answer.if_contains("samples");
+  if (samples != nullptr && samples->is_array()) {
+    for (const boost::json::value& sample : samples->as_array()) {
+      if (sample.is_object()) read.samples.push_back(ReadSample(sample.as_object()));
+    }
+  }
+  surroundings_.history.reads.push_back(read);
+  // An answer lost between receipt and use is read again at the same cursor.
+  if (DrawChance(random_, kReadAgain)) return;
+  for (const checks::ReceivedSample& sample : read.samples) TakeSample(sample);
+  cursor_ = std::max(cursor_, read.next);
+}
+
+void Trainer::TakeSample(const checks::ReceivedSample& sample) {
+  const auto step = steps_.find(StepNumberOf(sample.sample));
+  if (sample.withdrawn) {
+    ++record_.withdrawn;
+    if (held_.erase(sample.offset) > 0 && step != steps_.end()) {
+      step->second.missing.insert(sample.sample);
+    }
+    return;
+  }
+  held_[sample.offset] = sample.sample;
+  if (step != steps_.end()) step->second.missing.erase(sample.sample);
+  if (!seen_.insert(sample.sample).second) return;
+  WeightVersion newest;
+  for (const checks::VersionPublish& publish : surroundings_.history.publishes) {
+    if (publish.acknowledged) newest = std::max(newest, publish.version);
+  }
+  WeightVersion oldest = newest;
+  for (const checks::ClaimedSpan& span : sample.spans) oldest = std::min(oldest, span.version);
+  record_.staleness.push_back(newest.value() - oldest.value());
+}
+
+void Trainer::StepWhole() {
+  const Duration now = surroundings_.Now();
+  Step& step = steps_.at(current_);
+  surroundings_.history.steps[step.put_record].whole = now;
+  surroundings_.history.demands[*step.demand].done = now;
+  const Duration waited = now - waiting_since_;
+  record_.waited += waited;
+  ++record_.steps_whole;
+  record_.steps_in_time += waited <= load_.in_time ? 1 : 0;
+  record_.worked += load_.training_time;
+  training_ = true;
+  After(load_.training_time, [this] { Trained(); });
+}
+
+void Trainer::Trained() {
+  training_ = false;
+  steps_.erase(current_);
+  ++current_;
+  if (stream_.publishes) {
+    Publish(WeightVersion(current_));
+    return;
+  }
+  WaitForStep();
+}
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/faults/backend_faults.cc
@@ -0,0 +1,136 @@
+/// Faults of engines, plain servers and platform services.
+#include <memory>
+#include <utility>
+
+#include "common/random.h"
+#include "simulator/faults/fault_actions.h"
+
+namespace millstair::simulator {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kStopPause = milliseconds(500);
+
+/// Records that a back end leaves, seen from outside; its index in the history.
+size_t RecordLeaving(World& world, const EngineName& backend, checks::LeavingSource source) {
+  world.history().leaving.push_back({backend, source, world.scheduler().Now(), std::nullopt});
+  return world.history().leaving.size() - 1;
+}
+
+/// A back end that drained stops for a moment and starts anew.
+void RestartDrained(World& world, EngineMachine& engine) {
+  engine.TakeDown();
+  world.scheduler().Schedule(kStopPause, [&engine] {
+    engine.BringUp();
+    engine.Undrain();
+  });
+}
+
+}  // namespace
+
+void CrashEngine(FaultContext& fault) {
+  EngineMachine& engine = fault.Pick(fault.world.engines());
+  engine.TakeDown();
+  fault.heal = [&engine] { engine.BringUp(); };
+}
+
+void FailSwaps(FaultContext& fault) {
+  fault.Repeat(seconds(3), [&fault] { fault.Pick(fault.world.engines()).model().FailNextActivation(); });
+}
+
+void DrainEngine(FaultContext& fault) {
+  World& world = fault.world;
+  if (DrawChance(fault.random, 0.3)) {
+    ServerMachine& server = fault.Pick(world.servers());
+    server.Drain();
+    fault.heal = [&server] { server.Undrain(); };
+    return;
+  }
+  EngineMachine& engine = fault.Pick(world.engines());
+  engine.Drain();
+  fault.heal = [&world, &engine] {
+    // The planned stop of an engine: it ends once nothing runs on it.
+    if (engine.model().running() && engine.model().Idle()) {
+      RestartDrained(world, engine);
+    } else {
+      engine.Undrain();
+    }
+  };
+}
+
+void MachineLeaves(FaultContext& fault) {
+  World& world = fault.world;
+  EngineMachine& engine = fault.Pick(world.engines());
+  const std::string address = engine.plan().machine_address;
+  world.platform().list().SetState(address, MachineState::kLeaving);
+  auto shown = std::make_shared<std::optional<size_t>>();
+  fault.Repeat(milliseconds(100), [&world, &engine, address, shown] {
+    if (*shown) return;
+    for (const MachineEntry& entry : world.platform().list().Listed()) {
+      if (entry.address != address || entry.state == MachineState::kLive) continue;
+      *shown = RecordLeaving(world, engine.plan().name, checks::LeavingSource::kPlatformList);
+    }
+  });
+  fault.heal = [&world, &engine, address, shown] {
+    if (*shown) world.history().leaving[**shown].until = world.scheduler().Now();
+    world.platform().list().SetState(address, MachineState::kLive);
+    // The machine was taken and another came in its place.
+    engine.TakeDown();
+    engine.BringUp();
+  };
+}
+
+void OperatorDrain(FaultContext& fault) {
+  World& world = fault.world;
+  const bool plain = DrawChance(fault.random, 0.3);
+  const EngineName name = plain ? fault.Pick(world.servers()).plan().name
+                                : fault.Pick(world.engines()).plan().name;
+  Resource drained = world.InitialResource({ResourceKind::kEngine, name.value()});
+  const Resource restored = drained;
+  std::get<EngineSpec>(drained.spec).drain = true;
+  OperatorClient& client = *world.operators()[0];
+  client.Put(drained, [&fault, &world, &client, name, restored](Revision) {
+    const size_t leaving = RecordLeaving(world, name, checks::LeavingSource::kOperator);
+    const auto restore = [&world, &client, leaving, restored] {
+      world.history().leaving[leaving].until = world.scheduler().Now();
+      client.Put(restored, [](Revision) {});
+    };
+    if (fault.healed) {
+      restore();
+    } else {
+      fault.heal = restore;
+    }
+  });
+}
+
+void CrashServer(FaultContext& fault) {
+  ServerMachine& server = fault.Pick(fault.world.servers());
+  server.TakeDown();
+  fault.heal = [&server] { server.BringUp(); };
+}
+
+void CutAnswers(FaultContext& fault) {
+  World& world = fault.world;
+  for (auto& server : world.servers()) server->SetCutAnswers(0.1);
+  fault.heal = [&world] {
+    for (auto& server : world.servers()) server->SetCutAnswers(0);
+  };
+}
+
+void StoreOutage(FaultContext& fault) {
+  World& world = fault.world;
+  world.platform().store().SetAvailable(false);
+  fault.heal = [&world] { world.platform().store().SetAvailable(true); };
+}
+
+void ScorerFailure(FaultContext& fault) {
+  World& world = fault.world;
+  world.platform().SetScorerDown(true);
+  fault.heal = [&world] { world.platform().SetScorerDown(false); };
+}
+
+void DisturbCacheEvents(FaultContext& fault) { (void)fault; }
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/faults/fault_driver.cc
@@ -0,0 +1,96 @@
+#include "simulator/faults/fault_driver.h"
+
+#include <array>
+#include <utility>
+
+namespace millstair::simulator {
+namespace {
+
+/// How the history shows a fault.
+enum class Shown : uint8_t {
+  kDisturbance,  ///< an unplanned fault
+  kPlanned,      ///< a planned stop of a back end
+  kByAction,     ///< the action records windows of its own
+};
+
+struct ActionEntry {
+  FaultKind kind;
+  FaultAction action;
+  Shown shown = Shown::kDisturbance;
+  /// The action says itself when it came about.
+  bool counts_itself = false;
+};
+
+constexpr std::array<ActionEntry, static_cast<size_t>(FaultKind::kCount)> kActions{{
+    {FaultKind::kControlCrash, CrashControl},
+    {FaultKind::kControlCrashInSync, CrashControlInSync},
+    {FaultKind::kLostDisk, LoseDisk, Shown::kDisturbance, true},
+    {FaultKind::kSecondLoss, LoseTwoDisks, Shown::kDisturbance, true},
+    {FaultKind::kControlIsolated, IsolateControl},
+    {FaultKind::kGatewayCrash, CrashGateway},
+    {FaultKind::kGatewayIsolated, IsolateGateway},
+    {FaultKind::kCutOneWay, CutOneWay},
+    {FaultKind::kCutBothWays, CutBothWays},
+    {FaultKind::kZoneCut, CutZone},
+    {FaultKind::kDelay, DelayMessages},
+    {FaultKind::kReorder, ReorderMessages},
+    {FaultKind::kDuplicate, DuplicateMessages},
+    {FaultKind::kLoss, LoseMessages},
+    {FaultKind::kSlowDisk, SlowDisk},
+    {FaultKind::kClockDrift, DriftClocks},
+    {FaultKind::kEngineCrash, CrashEngine},
+    {FaultKind::kSwapFailure, FailSwaps},
+    {FaultKind::kCacheEvents, DisturbCacheEvents},
+    {FaultKind::kEngineDrain, DrainEngine, Shown::kPlanned},
+    {FaultKind::kMachineLeaves, MachineLeaves},
+    {FaultKind::kOperatorDrain, OperatorDrain, Shown::kPlanned},
+    {FaultKind::kServerCrash, CrashServer},
+    {FaultKind::kCutAnswers, CutAnswers},
+    {FaultKind::kStoreOutage, StoreOutage},
+    {FaultKind::kScorerFailure, ScorerFailure},
+    {FaultKind::kOperatorRace, RaceOperators},
+    {FaultKind::kLostAnswers, LoseAnswers},
+    {FaultKind::kLongRestart, RestartLong},
+    {FaultKind::kRollingRestart, RestartAll, Shown::kByAction},
+    {FaultKind::kTrainerRestart, RestartTrainer},
+}};
+
+}  // namespace
+
+void FaultContext::Repeat(Duration interval, std::function<void()> action) {
+  if (healed || world.scheduler().Now() >= until) return;
+  action();
+  world.scheduler().Schedule(interval, [this, interval, action] { Repeat(interval, action); });
+}
+
+void FaultDriver::Start() {
+  for (const PlannedFault& fault : world_.options().faults) {
+    world_.scheduler().Schedule(fault.begin, [this, fault] { Begin(fault); });
+  }
+}
+
+void FaultDriver::Begin(const PlannedFault& fault) {
+  const ActionEntry& entry = kActions[static_cast<size_t>(fault.kind)];
+  const std::string name(FaultName(fault.kind));
+  const auto count = [this, name] { ++tried_[name]; };
+  checks::History& history = world_.history();
+  const size_t window = history.faults.size();
+  if (entry.shown != Shown::kByAction) {
+    history.faults.push_back({.kind = name,
+                              .planned = entry.shown == Shown::kPlanned,
+                              .begin = world_.scheduler().Now()});
+  }
+  FaultContext& context = contexts_.emplace_back(
+      FaultContext{world_, RandomEngine(fault.seed), fault.begin + fault.length});
+  context.tried = count;
+  if (!entry.counts_itself) count();
+  world_.scheduler().Schedule(fault.length, [this, &context, &entry, window] {
+    context.healed = true;
+    if (context.heal) std::exchange(context.heal, nullptr)();
+    if (entry.shown == Shown::kByAction) return;
+    world_.history().faults[window].end = world_.scheduler().Now();
+  });
+  entry.action(context);
+}
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/faults/node_faults.cc
@@ -0,0 +1,213 @@
+/// Faults of control machines and gateways: crashes, disks, clocks, planned restarts.
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "common/random.h"
+#include "fmt/format.h"
+#include "simulator/faults/fault_actions.h"
+
+namespace millstair::simulator {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kSyncMin = std::chrono::microseconds(200);
+constexpr Duration kSyncMax = std::chrono::microseconds(800);
+constexpr Duration kPoll = milliseconds(500);
+/// A planned restart keeps the process down for this long.
+constexpr Duration kRestartPause = milliseconds(800);
+/// Between the restarts of two nodes.
+constexpr Duration kBetweenRestarts = milliseconds(1500);
+constexpr int kChangesWhileDown = 500;
+constexpr int kWriters = 4;
+
+/// Takes a machine down until the fault is healed.
+template <class Machine>
+void DownUntilHealed(FaultContext& fault, Machine& machine) {
+  machine.TakeDown();
+  fault.heal = [&machine] { machine.BringUp(); };
+}
+
+/// A voter of the cluster group, as far as the leader says; any machine without a leader.
+ControlMachine& PickVoter(FaultContext& fault) {
+  World& world = fault.world;
+  std::vector<ControlMachine*> voters;
+  if (ControlMachine* leader = world.ClusterLeader()) {
+    RaftGroup* group = leader->node()->groups().Find(GroupId("cluster"));
+    for (const GroupMember& member : group->Members()) {
+      for (auto& control : world.controls()) {
+        if (member.voter && control->plan().node == member.node) voters.push_back(control.get());
+      }
+    }
+  }
+  if (voters.empty()) return fault.Pick(world.controls());
+  return *voters[DrawBelow(fault.random, voters.size())];
+}
+
+void LoseDiskOf(ControlMachine& machine) {
+  machine.TakeDown();
+  machine.LoseDisk();
+}
+
+/// Waits until every group has its voters, so that a loss is one that the design must survive.
+/// `lose` runs at most once, before the fault is healed.
+void WhenReplicated(FaultContext& fault, std::function<void()> lose) {
+  if (fault.healed) return;
+  const bool all_running =
+      std::all_of(fault.world.controls().begin(), fault.world.controls().end(),
+                  [](const auto& control) { return control->running(); });
+  if (all_running && fault.world.FullyReplicated()) {
+    lose();
+    return;
+  }
+  fault.world.scheduler().Schedule(
+      kPoll, [&fault, lose = std::move(lose)] { WhenReplicated(fault, lose); });
+}
+
+}  // namespace
+
+void CrashControl(FaultContext& fault) { DownUntilHealed(fault, fault.Pick(fault.world.controls())); }
+
+void CrashControlInSync(FaultContext& fault) {
+  ControlMachine& machine = PickVoter(fault);
+  // Slow syncs make it likely that one is under way at the crash.
+  machine.disk().SetSyncTime(milliseconds(30), milliseconds(90));
+  const Duration wait = DrawDuration(fault.random, milliseconds(50), milliseconds(150));
+  auto down = std::make_shared<bool>(false);
+  fault.world.scheduler().Schedule(wait, [&fault, &machine, down] {
+    if (fault.healed) return;
+    machine.TakeDown();
+    *down = true;
+  });
+  fault.heal = [&machine, down] {
+    machine.disk().SetSyncTime(kSyncMin, kSyncMax);
+    if (*down) machine.BringUp();
+  };
+}
+
+void LoseDisk(FaultContext& fault) {
+  WhenReplicated(fault, [&fault] {
+    ControlMachine& machine = PickVoter(fault);
+    LoseDiskOf(machine);
+    fault.tried();
+    fault.heal = [&machine] { machine.BringUp(); };
+  });
+}
+
+void LoseTwoDisks(FaultContext& fault) {
+  WhenReplicated(fault, [&fault] {
+    ControlMachine& first = PickVoter(fault);
+    LoseDiskOf(first);
+    fault.world.scheduler().Schedule(seconds(2), [&fault, &first] {
+      first.BringUp();
+      // Right after the repair: nothing else is waited for.
+      WhenReplicated(fault, [&fault] {
+        ControlMachine& second = PickVoter(fault);
+        LoseDiskOf(second);
+        fault.tried();
+        fault.heal = [&second] { second.BringUp(); };
+      });
+    });
+  });
+}
+
+void SlowDisk(FaultContext& fault) {
+  ControlMachine& machine = fault.Pick(fault.world.controls());
+  const Duration slow = DrawDuration(fault.random, milliseconds(5), milliseconds(120));
+  machine.disk().SetSyncTime(slow / 2, slow);
+  fault.heal = [&machine] { machine.disk().SetSyncTime(kSyncMin, kSyncMax); };
+}
+
+void CrashGateway(FaultContext& fault) {
+  DownUntilHealed(fault, fault.Pick(fault.world.gateways()));
+}
+
+void DriftClocks(FaultContext& fault) {
+  constexpr double kLargestDrift = 0.02;
+  World& world = fault.world;
+  const auto draw = [&fault] { return 1.0 + kLargestDrift * (2 * DrawUnit(fault.random) - 1); };
+  for (auto& control : world.controls()) control->SetClockRate(draw());
+  for (auto& gateway : world.gateways()) gateway->SetClockRate(draw());
+  fault.heal = [&world] {
+    for (auto& control : world.controls()) control->SetClockRate(1.0);
+    for (auto& gateway : world.gateways()) gateway->SetClockRate(1.0);
+  };
+}
+
+void RestartLong(FaultContext& fault) {
+  World& world = fault.world;
+  if (DrawChance(fault.random, 0.5)) {
+    DownUntilHealed(fault, fault.Pick(world.controls()));
+  } else {
+    DownUntilHealed(fault, fault.Pick(world.gateways()));
+  }
+  struct Writer {
+    World& world;
+    FaultContext& fault;
+    int left = kChangesWhileDown / kWriters;
+    int number = 0;
+
+    void Next(const std::shared_ptr<Writer>& self) {
+      if (left-- <= 0 || fault.healed) return;
+      TrafficGroupSpec spec;
+      spec.path_prefix = "/bulk";
+      spec.hosts = {"bulk.example"};
+      spec.max_queued = static_cast<uint32_t>(left + 1);
+      world.operators()[0]->Put({fmt::format("bulk-{}", number), {}, spec, {}},
+                                [self](Revision) { self->Next(self); });
+    }
+  };
+  for (int number = 0; number < kWriters; ++number) {
+    auto writer = std::make_shared<Writer>(Writer{world, fault});
+    writer->number = number;
+    writer->Next(writer);
+  }
+}
+
+namespace {
+
+/// Restarts one node after the other.
+struct RollingRestart {
+  FaultContext& fault;
+  std::vector<std::function<void(std::function<void()>)>> restarts;
+  std::vector<NodeId> nodes;
+  size_t next = 0;
+
+  static void Next(const std::shared_ptr<RollingRestart>& self) {
+    if (self->next >= self->restarts.size() || self->fault.healed) return;
+    const size_t current = self->next++;
+    World& world = self->fault.world;
+    const size_t window = world.history().faults.size();
+    world.history().faults.push_back({.kind = "planned-restart",
+                                      .planned = true,
+                                      .node = self->nodes[current],
+                                      .begin = world.scheduler().Now()});
+    self->restarts[current]([self, window, &world] {
+      world.history().faults[window].end = world.scheduler().Now();
+      world.scheduler().Schedule(kBetweenRestarts, [self] { Next(self); });
+    });
+  }
+};
+
+}  // namespace
+
+void RestartAll(FaultContext& fault) {
+  auto rolling = std::make_shared<RollingRestart>(RollingRestart{fault, {}, {}});
+  for (auto& control : fault.world.controls()) {
+    rolling->nodes.push_back(control->plan().node);
+    rolling->restarts.push_back([&control](std::function<void()> done) {
+      control->RestartPlanned(kRestartPause, std::move(done));
+    });
+  }
+  for (auto& gateway : fault.world.gateways()) {
+    rolling->nodes.push_back(gateway->plan().node);
+    rolling->restarts.push_back([&gateway](std::function<void()> done) {
+      gateway->RestartPlanned(kRestartPause, std::move(done));
+    });
+  }
+  RollingRestart::Next(rolling);
+}
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/fleet/back_ends.cc
@@ -0,0 +1,216 @@
+#include "simulator/fleet/back_ends.h"
+
+#include <utility>
+
+namespace millstair::simulator {
+namespace {
+
+/// Incarnations of different engines never meet.
+constexpr uint64_t kIncarnationsPerEngine = 100000;
+
+MachineListOptions ListOptions() {
+  MachineListOptions options;
+  options.lag = std::chrono::seconds(3);
+  options.late = 0.2;
+  options.late_lag = std::chrono::seconds(15);
+  return options;
+}
+
+EngineModelOptions EngineOptions(const DeploymentPlan& plan, size_t index,
+                                 const FleetOptions& options,
+                                 const EngineDisturbance& disturbance) {
+  EngineModelOptions engine;
+  engine.step_time.base = options.step_time;
+  engine.activate_failure = disturbance.activate_failure;
+  engine.cache_event_loss = disturbance.cache_event_loss;
+  engine.cache_event_delay = disturbance.cache_event_delay;
+  const WeightVersion first(1);
+  engine.initial_weights = {plan.model, first, DigestOf(plan.model, first)};
+  engine.first_incarnation = Incarnation((index + 1) * kIncarnationsPerEngine + 1);
+  return engine;
+}
+
+}  // namespace
+
+Platform::Platform(Surroundings& surroundings, const DeploymentPlan& plan)
+    : surroundings_(surroundings),
+      scorer_address_(plan.scorer),
+      environment_(surroundings.scheduler, surroundings.DrawSeed()),
+      store_host_(surroundings.network.AddHost("weight-store", plan.zones[0])),
+      store_(environment_, {.bytes_per_second = plan.store_bytes_per_second,
+                            .burst_bytes = plan.store_bytes_per_second,
+                            .version_bytes = plan.version_bytes}),
+      scorer_(environment_, {}),
+      list_(environment_, ListOptions()) {
+  surroundings.http.AddAddress(plan.weight_store, store_host_);
+  surroundings.http.Listen(plan.weight_store, store_);
+  const HostId scorer_host = surroundings.network.AddHost("scorer", plan.zones[0]);
+  surroundings.http.AddAddress(plan.scorer, scorer_host);
+  surroundings.http.Listen(plan.scorer, scorer_);
+  const HostId list_host = surroundings.network.AddHost("machine-list", plan.zones[0]);
+  surroundings.http.AddAddress(plan.machine_list, list_host);
+  surroundings.http.Listen(plan.machine_list, list_);
+  for (const std::vector<BackendPlan>* backends : {&plan.engines, &plan.servers}) {
+    for (const BackendPlan& backend : *backends) list_.Add({backend.machine_address});
+  }
+}
+
+void Platform::SetScorerDown(bool down) {
+  if (down) {
+    surroundings_.http.StopListening(scorer_address_);
+  } else {
+    surroundings_.http.Listen(scorer_address_, scorer_);
+  }
+}
+
+EngineMachine::EngineMachine(Surroundings& surroundings, Platform& platform,
+                             const DeploymentPlan& plan, size_t index, const FleetOptions& options,
+                             const EngineDisturbance& disturbance)
+    : surroundings_(surroundings),
+      plan_(plan.engines[index]),
+      host_(surroundings.network.AddHost(plan_.name.value(), plan_.zone)),
+      environment_(surroundings.scheduler, surroundings.DrawSeed()),
+      model_(std::make_unique<EngineModel>(environment_,
+                                           EngineOptions(plan, index, options, disturbance),
+                                           Links(platform))) {
+  surroundings_.http.AddAddress(plan_.address, host_);
+  surroundings_.engines.Add(plan_.address, *model_);
+}
+
+EngineModelLinks EngineMachine::Links(Platform& platform) {
+  EngineModelLinks links;
+  links.fetch_weights = [this, &platform](
+                            const std::string& location,
+                            std::function<void(absl::StatusOr<WeightDigest>)> done) {
+    if (!surroundings_.network.OpenBothWays(host_, platform.store_host())) {
+      environment_.Schedule(kConnectTimeout, [done = std::move(done)] {
+        done(absl::UnavailableError("the weight store can't be reached"));
+      });
+      return;
+    }
+    platform.store().Fetch(location, std::move(done));
+  };
+  links.fetch_kv = [this](const std::string& address, const std::vector<BlockHash>& blocks,
+                          std::function<void(absl::StatusOr<KvExport>)> done) {
+    EngineModel* other = surroundings_.engines.Find(address);
+    const Duration there_and_back = std::chrono::milliseconds(2);
+    environment_.Schedule(there_and_back, [other, blocks, done = std::move(done)] {
+      if (other == nullptr) {
+        done(absl::UnavailableError("no such engine"));
+        return;
+      }
+      done(other->ExportKv(blocks));
+    });
+  };
+  return links;
+}
+
+void EngineMachine::TakeDown() {
+  if (down_reasons_++ > 0) return;
+  model_->Crash();
+  surroundings_.engines.Refresh(plan_.address);
+}
+
+void EngineMachine::BringUp() {
+  if (--down_reasons_ > 0) return;
+  model_->Restart();
+  surroundings_.engines.Refresh(plan_.address);
+}
+
+void EngineMachine::Drain() {
+  model_->Drain();
+  surroundings_.history.leaving.push_back(
+      {plan_.name, checks::LeavingSource::kOwnWord, surroundings_.Now(), std::nullopt});
+}
+
+void EngineMachine::Undrain() {
+  model_->Undrain();
+  for (checks::BackendLeaving& leaving : surroundings_.history.leaving) {
+    const bool own = leaving.source == checks::LeavingSource::kOwnWord;
+    if (leaving.backend == plan_.name && own && !leaving.until) leaving.until = surroundings_.Now();
+  }
+}
+
+namespace {
+
+std::string HeaderOf(const HttpRequest& request, std::string_view name) {
+  return std::string(FindHeader(request.headers, name).value_or(""));
+}
+
+}  // namespace
+
+ServerMachine::ServerMachine(Surroundings& surroundings, const DeploymentPlan& plan, size_t index)
+    : surroundings_(surroundings),
+      plan_(plan.servers[index]),
+      host_(surroundings.network.AddHost(plan_.name.value(), plan_.zone)),
+      environment_(surroundings.scheduler, surroundings.DrawSeed()),
+      model_(environment_, {.name = plan_.name.value()}) {
+  surroundings_.http.AddAddress(plan_.address, host_);
+  surroundings_.http.Listen(plan_.address, *this);
+}
+
+uint64_t ServerMachine::Executions(const ExecutionKey& key) const {
+  const auto found = model_.executions().find(key);
+  return found == model_.executions().end() ? 0 : found->second.count;
+}
+
+void ServerMachine::Handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer) {
+  const std::string try_id = HeaderOf(request, "X-Request-Id");
+  const ExecutionKey key{request.method, request.target.substr(0, request.target.find('?')),
+                         HeaderOf(request, "Idempotency-Key")};
+  surroundings_.history.arrivals.push_back({plan_.name, surroundings_.Now(), try_id});
+  // The model executes on arrival or never.
+  const uint64_t before = Executions(key);
+  model_.Handle(std::move(request), std::move(writer));
+  if (Executions(key) == before) return;
+  surroundings_.history.executions.push_back({plan_.name, try_id, key.key, surroundings_.Now()});
+}
+
+void ServerMachine::TakeDown() {
+  if (down_reasons_++ > 0) return;
+  surroundings_.http.StopListening(plan_.address);
+  model_.Crash();
+  surroundings_.http.ResetConnections(host_);
+}
+
+void ServerMachine::BringUp() {
+  if (--down_reasons_ > 0) return;
+  model_.Restart();
+  surroundings_.http.Listen(plan_.address, *this);
+}
+
+void ServerMachine::Drain() {
+  model_.Drain();
+  surroundings_.history.leaving.push_back(
+      {plan_.name, checks::LeavingSource::kOwnWord, surroundings_.Now(), std::nullopt});
+}
+
+void ServerMachine::Undrain() {
+  model_.Undrain();
+  for (checks::BackendLeaving& leaving : surroundings_.history.leaving) {
+    const bool own = leaving.source == checks::LeavingSource::kOwnWord;
+    if (leaving.backend == plan_.name && own && !leaving.until) leaving.until = surroundings_.Now();
+  }
+}
+
+void ServerMachine::SetCutAnswers(double share) {
+  PlainServerOptions options;
+  options.name = plan_.name.value();
+  options.cut_answer = share;
+  model_.SetOptions(options);
+}
+
+void PromptRegistry::Collect(const EngineMachine& engine, const TruthLog& truth,
+                             checks::History& history) const {
+  for (const TruthRecord& record : truth.records()) {
+    const auto prompt = prompts_.find(record.prompt.value);
+    if (prompt == prompts_.end()) continue;
+    for (const TruthSpan& span : record.spans) {
+      history.generated.push_back({engine.plan().name, span.span.engine_incarnation, prompt->second,
+                                   span.span.first_token, span.span.token_count, span.span.version,
+                                   span.span.digest});
+    }
+  }
+}
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/fleet/back_ends.h
@@ -0,0 +1,110 @@
+/// Engines, plain servers and platform services of the fleet, with what they saw recorded.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "common/virtual_environment.h"
+#include "emulator/model/engine_model.h"
+#include "emulator/model/platform_models.h"
+#include "simulator/fleet/deployment.h"
+#include "simulator/fleet/surroundings.h"
+
+namespace millstair::simulator {
+
+/// Weight store, scorer and the platform's machine list, each on a host of its own.
+class Platform {
+ public:
+  Platform(Surroundings& surroundings, const DeploymentPlan& plan);
+
+  WeightStoreModel& store() { return store_; }
+  MachineListModel& list() { return list_; }
+  HostId store_host() const { return store_host_; }
+  /// The scorer refuses connections while set.
+  void SetScorerDown(bool down);
+  uint64_t scored() const { return scorer_.scored(); }
+
+ private:
+  Surroundings& surroundings_;
+  std::string scorer_address_;
+  VirtualEnvironment environment_;
+  HostId store_host_;
+  WeightStoreModel store_;
+  ScorerModel scorer_;
+  MachineListModel list_;
+};
+
+/// Disturbances that engines have from their start; drawn before the run.
+struct EngineDisturbance {
+  double activate_failure = 0;
+  double cache_event_loss = 0;
+  Duration cache_event_delay = std::chrono::milliseconds(100);
+};
+
+class EngineMachine {
+ public:
+  EngineMachine(Surroundings& surroundings, Platform& platform, const DeploymentPlan& plan,
+                size_t index, const FleetOptions& options, const EngineDisturbance& disturbance);
+
+  EngineModel& model() { return *model_; }
+  const BackendPlan& plan() const { return plan_; }
+  HostId host() const { return host_; }
+
+  /// Reasons to be down add up.
+  void TakeDown();
+  void BringUp();
+  /// The engine says itself that it leaves.
+  void Drain();
+  void Undrain();
+
+ private:
+  EngineModelLinks Links(Platform& platform);
+
+  Surroundings& surroundings_;
+  BackendPlan plan_;
+  HostId host_;
+  VirtualEnvironment environment_;
+  std::unique_ptr<EngineModel> model_;
+  int down_reasons_ = 0;
+};
+
+class ServerMachine : public RequestHandler {
+ public:
+  ServerMachine(Surroundings& surroundings, const DeploymentPlan& plan, size_t index);
+
+  void Handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer) override;
+
+  const BackendPlan& plan() const { return plan_; }
+  HostId host() const { return host_; }
+  void TakeDown();
+  void BringUp();
+  void Drain();
+  void Undrain();
+  /// Share of requests that are executed and whose answer is then cut.
+  void SetCutAnswers(double share);
+
+ private:
+  uint64_t Executions(const ExecutionKey& key) const;
+
+  Surroundings& surroundings_;
+  BackendPlan plan_;
+  HostId host_;
+  VirtualEnvironment environment_;
+  PlainServerModel model_;
+  int down_reasons_ = 0;
+};
+
+/// Finds the prompts behind the seeds that engines log.
+class PromptRegistry {
+ public:
+  void Add(const std::string& prompt) { prompts_.emplace(SeedOf(prompt).value, prompt); }
+  /// Appends all that `engine` truly generated to `history`.
+  void Collect(const EngineMachine& engine, const TruthLog& truth, checks::History& history) const;
+
+ private:
+  std::unordered_map<uint64_t, std::string> prompts_;
+};
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/fleet/control_machine.cc
@@ -0,0 +1,110 @@
+#include "simulator/fleet/control_machine.h"
+
+#include <utility>
+
+namespace millstair::simulator {
+namespace {
+
+/// A process ends a moment after it has finished its work.
+constexpr Duration kExitTime = std::chrono::milliseconds(20);
+
+}  // namespace
+
+ControlMachine::ControlMachine(Surroundings& surroundings, const DeploymentPlan& plan, size_t index,
+                               std::shared_ptr<const ProductFaults> faults)
+    : surroundings_(surroundings),
+      deployment_(plan),
+      plan_(plan.controls[index]),
+      faults_(std::move(faults)),
+      host_(surroundings.network.AddHost(plan_.node.value(), plan_.zone)),
+      boot_environment_(surroundings.scheduler, surroundings.DrawSeed()),
+      disk_(boot_environment_, surroundings.DrawSeed()) {
+  surroundings_.http.AddAddress(plan_.http_address, host_);
+  surroundings_.peers.AddNode(plan_.node, plan_.peer_address, host_);
+  if (plan_.founder) {
+    (void)InitializeFounder(disk_, plan.cluster_id, plan_.node, plan_.peer_address);
+  }
+}
+
+ControlMachine::~ControlMachine() { KillProcess(); }
+
+void ControlMachine::TakeDown() {
+  if (down_reasons_++ == 0) KillProcess();
+}
+
+void ControlMachine::BringUp() {
+  if (--down_reasons_ == 0) StartProcess();
+}
+
+void ControlMachine::LoseDisk() { disk_.LoseDisk(); }
+
+void ControlMachine::RestartPlanned(Duration pause, std::function<void()> done) {
+  if (node_ == nullptr) {
+    done();
+    return;
+  }
+  const Incarnation stopping = incarnation_;
+  node_->Drain([this, stopping, pause, done = std::move(done)]() mutable {
+    surroundings_.scheduler.Schedule(kExitTime, [this, stopping, pause, done = std::move(done)] {
+      // A fault may have ended the process before it was drained.
+      if (node_ != nullptr && incarnation_ == stopping) {
+        TakeDown();
+        surroundings_.scheduler.Schedule(pause, [this] { BringUp(); });
+      }
+      surroundings_.scheduler.Schedule(pause, done);
+    });
+  });
+}
+
+void ControlMachine::SetClockRate(double rate) {
+  clock_rate_ = rate;
+  if (environment_) environment_->SetRate(rate);
+}
+
+ControlNodeOptions ControlMachine::Options() const {
+  ControlNodeOptions options;
+  options.self = {.node = plan_.node,
+                  .incarnation = incarnation_,
+                  .zone = plan_.zone,
+                  .address = plan_.peer_address,
+                  .control = true};
+  options.cluster_id = deployment_.cluster_id;
+  for (const NodePlan& control : deployment_.controls) {
+    options.control_nodes.push_back({control.node, control.peer_address, control.zone});
+    if (!control.founder) continue;
+    options.founders.push_back({FounderReplicaId(deployment_.cluster_id, control.node),
+                                control.node, control.peer_address, true});
+  }
+  options.platform_list = deployment_.machine_list;
+  return options;
+}
+
+void ControlMachine::StartProcess() {
+  incarnation_ = Incarnation(static_cast<uint64_t>(surroundings_.Now().count()) + 1);
+  environment_ = std::make_unique<VirtualEnvironment>(surroundings_.scheduler,
+                                                      surroundings_.DrawSeed(),
+                                                      VirtualClockOptions{.rate = clock_rate_});
+  disk_.Attach(*environment_);
+  transport_ = surroundings_.peers.MakeTransport(plan_.node);
+  platform_ = std::make_unique<FabricHttpCaller>(surroundings_.http, host_);
+  node_ = MakeControlNode(*environment_, *transport_, disk_, *platform_, nullptr, Options());
+  surroundings_.peers.SetReceiver(plan_.node, node_.get());
+  surroundings_.http.Listen(plan_.http_address, *node_);
+  (void)node_->Start();
+}
+
+void ControlMachine::KillProcess() {
+  if (node_ == nullptr) return;
+  environment_->Kill();
+  surroundings_.peers.SetReceiver(plan_.node, nullptr);
+  surroundings_.http.StopListening(plan_.http_address);
+  surroundings_.http.ResetConnections(host_);
+  node_.reset();
+  transport_.reset();
+  platform_.reset();
+  disk_.Crash();
+  disk_.Attach(boot_environment_);
+  environment_.reset();
+}
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/fleet/control_machine.h
@@ -0,0 +1,62 @@
+/// A control machine of the fleet: its disk, which survives its processes, and the process.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "cluster/control_node.h"
+#include "common/virtual_environment.h"
+#include "simulator/fleet/deployment.h"
+#include "simulator/fleet/product_faults.h"
+#include "simulator/fleet/surroundings.h"
+#include "storage/memory_file_system.h"
+
+namespace millstair::simulator {
+
+class ControlMachine {
+ public:
+  ControlMachine(Surroundings& surroundings, const DeploymentPlan& plan, size_t index,
+                 std::shared_ptr<const ProductFaults> faults);
+  ~ControlMachine();
+
+  /// Reasons to be down add up; the process runs while there is none.
+  void TakeDown();
+  void BringUp();
+  /// Planned stop: drains, ends the process, starts it again after `pause`; `done` follows.
+  void RestartPlanned(Duration pause, std::function<void()> done);
+  /// The disk is replaced by an empty one. Only while down.
+  void LoseDisk();
+
+  bool running() const { return node_ != nullptr; }
+  /// Null while down.
+  ControlNode* node() { return node_.get(); }
+  VirtualEnvironment& environment() { return *environment_; }
+  MemoryFileSystem& disk() { return disk_; }
+  const NodePlan& plan() const { return plan_; }
+  HostId host() const { return host_; }
+  Incarnation incarnation() const { return incarnation_; }
+  void SetClockRate(double rate);
+
+ private:
+  void StartProcess();
+  void KillProcess();
+  ControlNodeOptions Options() const;
+
+  Surroundings& surroundings_;
+  const DeploymentPlan& deployment_;
+  NodePlan plan_;
+  std::shared_ptr<const ProductFaults> faults_;
+  HostId host_;
+  /// Of the time before the first start, for the disk.
+  VirtualEnvironment boot_environment_;
+  MemoryFileSystem disk_;
+  Incarnation incarnation_;
+  double clock_rate_ = 1.0;
+  int down_reasons_ = 1;
+  std::unique_ptr<VirtualEnvironment> environment_;
+  std::unique_ptr<PeerTransport> transport_;
+  std::unique_ptr<FabricHttpCaller> platform_;
+  std::unique_ptr<ControlNode> node_;
+};
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/fleet/gateway_machine.h
@@ -0,0 +1,56 @@
+/// A gateway machine of the fleet and its process. It has no disk.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "common/virtual_environment.h"
+#include "gateway/gateway_node.h"
+#include "simulator/fleet/deployment.h"
+#include "simulator/fleet/product_faults.h"
+#include "simulator/fleet/surroundings.h"
+
+namespace millstair::simulator {
+
+class GatewayMachine {
+ public:
+  GatewayMachine(Surroundings& surroundings, const DeploymentPlan& plan, size_t index,
+                 const FleetOptions& options);
+  ~GatewayMachine();
+
+  /// Reasons to be down add up; the process runs while there is none.
+  void TakeDown();
+  void BringUp();
+  /// Planned stop: drains, ends the process, starts it again after `pause`; `done` follows. Records
+  /// answers that the stop cut.
+  void RestartPlanned(Duration pause, std::function<void()> done);
+
+  bool running() const { return node_ != nullptr; }
+  /// Null while down.
+  GatewayNode* node() { return node_.get(); }
+  const NodePlan& plan() const { return plan_; }
+  HostId host() const { return host_; }
+  Incarnation incarnation() const { return incarnation_; }
+  void SetClockRate(double rate);
+
+ private:
+  void StartProcess();
+  void KillProcess();
+  GatewayNodeOptions Options() const;
+
+  Surroundings& surroundings_;
+  const DeploymentPlan& deployment_;
+  const FleetOptions& options_;
+  NodePlan plan_;
+  HostId host_;
+  Incarnation incarnation_;
+  double clock_rate_ = 1.0;
+  int down_reasons_ = 1;
+  std::unique_ptr<VirtualEnvironment> environment_;
+  std::unique_ptr<PeerTransport> transport_;
+  std::unique_ptr<FabricHttpCaller> http_;
+  std::unique_ptr<FabricEngineClient> engines_;
+  std::unique_ptr<GatewayNode> node_;
+};
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/fleet/world.cc
@@ -0,0 +1,214 @@
+#include "simulator/fleet/world.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "common/random.h"
+
+namespace millstair::simulator {
+namespace {
+
+constexpr Duration kSampleInterval = std::chrono::milliseconds(100);
+/// Also without a change a sample is kept this often.
+constexpr Duration kSampleKept = std::chrono::milliseconds(500);
+constexpr Duration kNoteInterval = std::chrono::milliseconds(2500);
+/// Load ends before the run does, so that what was asked can be answered.
+constexpr Duration kLoadEndsBefore = std::chrono::seconds(4);
+/// Trainers begin no step that can't be done before the end.
+constexpr Duration kTrainersEndBefore = std::chrono::seconds(8);
+constexpr size_t kVoters = 3;
+
+bool Plans(const FaultPlan& plan, FaultKind kind) {
+  return std::any_of(plan.begin(), plan.end(),
+                     [kind](const PlannedFault& fault) { return fault.kind == kind; });
+}
+
+EngineDisturbance DisturbanceOf(const FaultPlan& plan) {
+  EngineDisturbance disturbance;
+  if (Plans(plan, FaultKind::kCacheEvents)) {
+    disturbance.cache_event_loss = 0.1;
+    disturbance.cache_event_delay = std::chrono::seconds(2);
+  }
+  return disturbance;
+}
+
+}  // namespace
+
+World::World(const FleetOptions& options)
+    : options_(options),
+      plan_(PlanDeployment(options)),
+      scheduler_(options.seed),
+      network_(scheduler_, plan_.latencies),
+      http_(network_),
+      peers_(network_),
+      engine_fabric_(http_,
+                     [this](const std::string& address, EngineArrival kind,
+                            const std::string& what) {
+                       for (const BackendPlan& engine : plan_.engines) {
+                         if (engine.address != address) continue;
+                         history_.arrivals.push_back(
+                             {engine.name, scheduler_.Now(),
+                              (kind == EngineArrival::kOrder ? "order " : "generation ") + what});
+                       }
+                     }),
+      surroundings_{scheduler_, network_, http_, peers_, engine_fabric_, history_},
+      initial_resources_(InitialResources(plan_, options)) {
+  BuildMachines();
+  BuildClients();
+}
+
+World::~World() {
+  // Events under way refer to the network, so they go before it.
+  callers_.reset();
+  trainers_.clear();
+  operators_.clear();
+  gateways_.clear();
+  controls_.clear();
+  scheduler_.Clear();
+}
+
+void World::BuildMachines() {
+  platform_ = std::make_unique<Platform>(surroundings_, plan_);
+  const EngineDisturbance disturbance = DisturbanceOf(options_.faults);
+  for (size_t i = 0; i < plan_.engines.size(); ++i) {
+    engines_.push_back(std::make_unique<EngineMachine>(surroundings_, *platform_, plan_, i,
+                                                       options_, disturbance));
+  }
+  for (size_t i = 0; i < plan_.servers.size(); ++i) {
+    servers_.push_back(std::make_unique<ServerMachine>(surroundings_, plan_, i));
+  }
+  for (size_t i = 0; i < plan_.controls.size(); ++i) {
+    controls_.push_back(
+        std::make_unique<ControlMachine>(surroundings_, plan_, i, options_.product_faults));
+  }
+  for (size_t i = 0; i < plan_.gateways.size(); ++i) {
+    gateways_.push_back(std::make_unique<GatewayMachine>(surroundings_, plan_, i, options_));
+  }
+}
+
+void World::BuildClients() {
+  callers_ = std::make_unique<Callers>(surroundings_, plan_, options_.live, prompts_);
+  if (options_.rollouts) {
+    for (const StreamPlan& stream : plan_.streams) {
+      trainers_.push_back(std::make_unique<Trainer>(surroundings_, *platform_, plan_, stream,
+                                                    options_.trainer, prompts_));
+    }
+  }
+  for (const char* name : {"amina", "baraka"}) {
+    operators_.push_back(std::make_unique<OperatorClient>(surroundings_, plan_, name));
+  }
+}
+
+void World::Start() {
+  for (auto& control : controls_) control->BringUp();
+  for (auto& gateway : gateways_) gateway->BringUp();
+  operators_[0]->Apply(initial_resources_, [this] { BeginLoad(); });
+  Sample();
+}
+
+void World::BeginLoad() {
+  callers_->Start(options_.length - kLoadEndsBefore);
+  for (auto& trainer : trainers_) trainer->Start(options_.length - kTrainersEndBefore);
+  for (auto& one : operators_) {
+    one->StartNotes(kNoteInterval, kNotes, options_.length - kLoadEndsBefore);
+  }
+}
+
+void World::RecordSeen(const NodeId& node, Incarnation incarnation, Revision revision,
+                       bool ready) {
+  const checks::ConfigurationSeen seen{node, incarnation, scheduler_.Now(), revision, ready};
+  checks::ConfigurationSeen& last = last_seen_[node];
+  const bool same = last.incarnation == incarnation && last.revision == revision &&
+                    last.ready == ready && seen.at - last.at < kSampleKept;
+  if (same) return;
+  last = seen;
+  history_.configurations.push_back(seen);
+}
+
+void World::Sample() {
+  Revision smallest(UINT64_MAX);
+  for (const auto& control : controls_) {
+    if (!control->running()) continue;
+    const Revision revision = control->node()->configuration().revision;
+    RecordSeen(control->plan().node, control->incarnation(), revision, false);
+    smallest = std::min(smallest, revision);
+  }
+  for (const auto& gateway : gateways_) {
+    if (!gateway->running()) continue;
+    const Revision revision = gateway->node()->configuration().revision;
+    RecordSeen(gateway->plan().node, gateway->incarnation(), revision, gateway->node()->Ready());
+    smallest = std::min(smallest, revision);
+  }
+  MeasureInForce(smallest);
+  scheduler_.Schedule(kSampleInterval, [this] { Sample(); });
+}
+
+void World::MeasureInForce(Revision smallest) {
+  while (awaited_from_ < history_.accepted.size()) {
+    const checks::RevisionAccepted& accepted = history_.accepted[awaited_from_];
+    if (accepted.revision > smallest) return;
+    in_force_times_.push_back(scheduler_.Now() - accepted.at);
+    ++awaited_from_;
+  }
+}
+
+std::vector<HostId> World::NodeHosts() const {
+  std::vector<HostId> hosts;
+  for (const auto& control : controls_) hosts.push_back(control->host());
+  for (const auto& gateway : gateways_) hosts.push_back(gateway->host());
+  return hosts;
+}
+
+std::vector<HostId> World::FleetHosts() const {
+  std::vector<HostId> hosts;
+  for (uint32_t i = 0; i < network_.host_count(); ++i) {
+    const HostId host(i);
+    if (network_.HostZone(host) != plan_.latencies.clients) hosts.push_back(host);
+  }
+  return hosts;
+}
+
+ControlMachine* World::ClusterLeader() {
+  for (auto& control : controls_) {
+    if (control->running() && control->node()->IsClusterLeader()) return control.get();
+  }
+  return nullptr;
+}
+
+bool World::FullyReplicated() const {
+  std::set<ReplicaId> disks;
+  for (const auto& control : controls_) {
+    if (control->running()) disks.insert(control->node()->groups().identity().replica);
+  }
+  std::map<GroupId, bool> replicated;
+  for (const auto& control : controls_) {
+    if (!control->running()) continue;
+    for (RaftGroup* group : control->node()->groups().Groups()) {
+      bool& full = replicated[group->id()];
+      if (!group->IsLeader()) continue;
+      size_t voters = 0;
+      for (const GroupMember& member : group->Members()) {
+        voters += member.voter && disks.contains(member.replica) ? 1 : 0;
+      }
+      full = full || voters >= kVoters;
+    }
+  }
+  return !replicated.empty() && std::all_of(replicated.begin(), replicated.end(),
+                                            [](const auto& group) { return group.second; });
+}
+
+Resource World::InitialResource(const ResourceKey& key) const {
+  for (const Resource& resource : initial_resources_) {
+    if (resource.key() == key) return resource;
+  }
+  return {};
+}
+
+void World::CloseHistory() {
+  for (const auto& engine : engines_) prompts_.Collect(*engine, engine->model().truth(), history_);
+  history_.healed = FaultsHealedBy(options_.length);
+  history_.end = scheduler_.Now();
+}
+
+}  // namespace millstair::simulator
--- /dev/null
+++ b/simulator/fleet/world.h
@@ -0,0 +1,102 @@
+/// The whole simulated fleet: all machines, platform services and clients of one run, and what
+/// faults may do to them.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "simulator/clients/callers.h"
+#include "simulator/clients/operator_client.h"
+#include "simulator/clients/trainer.h"
+#include "simulator/fleet/back_ends.h"
+#include "simulator/fleet/control_machine.h"
+#include "simulator/fleet/deployment.h"
+#include "simulator/fleet/fleet.h"
+#include "simulator/fleet/gateway_machine.h"
+#include "simulator/fleet/surroundings.h"
+
+namespace millstair::simulator {
+
+/// Resources that operators change for the sake of changing them.
+inline constexpr uint32_t kNotes = 4;
+
+class World {
+ public:
+  explicit World(const FleetOptions& options);
+  ~World();
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+
+  /// Starts all processes; load begins once the operators' resources are accepted.
+  void Start();
+  void RunUntil(Duration time) { scheduler_.RunUntil(time); }
+
+  const FleetOptions& options() const { return options_; }
+  const DeploymentPlan& plan() const { return plan_; }
+  VirtualScheduler& scheduler() { return scheduler_; }
+  Network& network() { return network_; }
+  checks::History& history() { return history_; }
+  Surroundings& surroundings() { return surroundings_; }
+  Platform& platform() { return *platform_; }
+  std::vector<std::unique_ptr<ControlMachine>>& controls() { return controls_; }
+  std::vector<std::unique_ptr<GatewayMachine>>& gateways() { return gateways_; }
+  std::vector<std::unique_ptr<EngineMachine>>& engines() { return engines_; }
+  std::vector<std::unique_ptr<ServerMachine>>& servers() { return servers_; }
+  std::vector<std::unique_ptr<Trainer>>& trainers() { return trainers_; }
+  std::vector<std::unique_ptr<OperatorClient>>& operators() { return operators_; }
+
+  /// Hosts of control machines and gateways.
+  std::vector<HostId> NodeHosts() const;
+  /// Hosts of everything but clients.
+  std::vector<HostId> FleetHosts() const;
+  /// Every group has three voters, all of them with the disk that they have now.
+  bool FullyReplicated() const;
+  /// The machine that leads the cluster group; null if none says so.
+  ControlMachine* ClusterLeader();
+  /// The resource as the operators applied it first.
+  Resource InitialResource(const ResourceKey& key) const;
+
+  /// Collects what engines truly generated, and the end of the run.
+  void CloseHistory();
+  /// Time from each acceptance until all running nodes held it, in seen order.
+  const std::vector<Duration>& in_force_times() const { return in_force_times_; }
+
+ private:
+  struct AwaitedRevision {
+    Revision revision;
+    Duration accepted{0};
+  };
+
+  void BuildMachines();
+  void BuildClients();
+  void BeginLoad();
+  void Sample();
+  void RecordSeen(const NodeId& node, Incarnation incarnation, Revision revision, bool ready);
+  void MeasureInForce(Revision smallest);
+
+  FleetOptions options_;
+  DeploymentPlan plan_;
+  VirtualScheduler scheduler_;
+  Network network_;
+  HttpFabric http_;
+  PeerFabric peers_;
+  checks::History history_;
+  EngineFabric engine_fabric_;
+  Surroundings surroundings_;
+  PromptRegistry prompts_;
+  std::unique_ptr<Platform> platform_;
+  std::vector<std::unique_ptr<EngineMachine>> engines_;
+  std::vector<std::unique_ptr<ServerMachine>> servers_;
+  std::vector<std::unique_ptr<ControlMachine>> controls_;
+  std::vector<std::unique_ptr<GatewayMachine>> gateways_;
+  std::unique_ptr<Callers> callers_;
+  std::vector<std::unique_ptr<Trainer>> trainers_;
+  std::vector<std::unique_ptr<OperatorClient>> operators_;
+  std::vector<Resource> initial_resources_;
+  std::map<NodeId, checks::ConfigurationSeen> last_seen_;
+  size_t awaited_from_ = 0;
+  std::vector<Duration> in_force_times_;
+};
+
+}  // namespace millstair::simulator
--- a/source/common/virtual_environment.cc
+++ b/source/common/virtual_environment.cc
@@ -43,6 +43,14 @@
   for (const uint64_t sequence : owned) Cancel(TimerId(sequence));
 }
 
+void VirtualScheduler::Clear() {
+  while (!pending_.empty()) {
+    const auto dropped = std::move(pending_);
+    pending_.clear();
+  }
+  heap_.clear();
+}
+
 bool VirtualScheduler::SkipCancelled() {
   while (!heap_.empty() && !pending_.contains(heap_.front().sequence)) {
     std::pop_heap(heap_.begin(), heap_.end(), std::greater<>());
--- a/source/common/virtual_environment.h
+++ b/source/common/virtual_environment.h
@@ -45,6 +45,9 @@
   /// Runs until `condition` holds, tested after each event, at most for `span`; whether it held.
   bool RunUntilTrue(const std::function<bool()>& condition, Duration span);
 
+  /// Drops all events, also those that the destruction of others schedules; for the end of a run.
+  void Clear();
+
   /// Events that have run so far.
   uint64_t events_run() const { return events_run_; }
   /// Events still waiting.
