--- a/simulator/clients/callers.cc
+++ b/simulator/clients/callers.cc
@@ -158,18 +158,18 @@
   call.kind = CallKind::kCompletion;
   call.try_id = NextTryId("completion");
   call.prompt = prompt;
-  call.max_tokens = static_cast<uint32_t>(
-      kSmallestMaxTokens + DrawBelow(random_, load_.completion_max_tokens));
+  call.max_tokens =
+      static_cast<uint32_t>(kSmallestMaxTokens + DrawBelow(random_, load_.completion_max_tokens));
   prompts_.Add(prompt);
   HttpRequest request{"POST", "/v1/completions", {}, ""};
   request.headers = {{"Host", "text.example"},
                      {"Content-Type", "application/json"},
                      {"X-Request-Id", call.try_id}};
-  request.body = boost::json::serialize(
-      boost::json::object{{"model", plan_.model.value()},
-                          {"prompt", prompt},
-                          {"max_tokens", call.max_tokens},
-                          {"stream", DrawChance(random_, kStreaming)}});
+  request.body =
+      boost::json::serialize(boost::json::object{{"model", plan_.model.value()},
+                                                 {"prompt", prompt},
+                                                 {"max_tokens", call.max_tokens},
+                                                 {"stream", DrawChance(random_, kStreaming)}});
   Send(std::move(call), DrawGateway(), std::move(request), nullptr);
 }
 
--- a/simulator/clients/operator_client.cc
+++ b/simulator/clients/operator_client.cc
@@ -119,10 +119,9 @@
       {"Idempotency-Key", fmt::format("{}/{}", change.session, change.sequence)});
   request.headers.push_back({"Content-Type", "application/json"});
   ++change.sends;
-  client_.Send(DrawControl(), std::move(request), kPatience,
-               [this, change = std::move(change)](const WholeAnswer& answer) {
-                 Answered(change, answer);
-               });
+  client_.Send(
+      DrawControl(), std::move(request), kPatience,
+      [this, change = std::move(change)](const WholeAnswer& answer) { Answered(change, answer); });
 }
 
 void OperatorClient::Answered(Change change, const WholeAnswer& answer) {
@@ -171,10 +170,10 @@
 }
 
 void OperatorClient::Put(const Resource& resource, std::function<void(Revision)> done) {
-  Change change{.method = "PUT",
-                .target = fmt::format("/v1/resources/{}/{}", KindName(resource.kind()),
-                                      resource.name),
-                .body = ToJson(resource)};
+  Change change{
+      .method = "PUT",
+      .target = fmt::format("/v1/resources/{}/{}", KindName(resource.kind()), resource.name),
+      .body = ToJson(resource)};
   const size_t demand = surroundings_.history.demands.size();
   surroundings_.history.demands.push_back(
       {"change of " + resource.name, surroundings_.Now(), std::nullopt});
--- a/simulator/clients/request_client.cc
+++ b/simulator/clients/request_client.cc
@@ -49,8 +49,8 @@
 RequestClient::Id RequestClient::Send(const std::string& address, HttpRequest request,
                                       Duration time_limit, Done done) {
   const Id id = next_++;
-  Call& call = *calls_.emplace(id, std::make_unique<Call>(*this, id, std::move(done)))
-                    .first->second;
+  Call& call =
+      *calls_.emplace(id, std::make_unique<Call>(*this, id, std::move(done))).first->second;
   call.timer = surroundings_.scheduler.Schedule(time_limit, [this, id] {
     const auto found = calls_.find(id);
     if (found == calls_.end()) return;
--- a/simulator/clients/trainer.cc
+++ b/simulator/clients/trainer.cc
@@ -51,8 +51,8 @@
       load_(load),
       prompts_(prompts),
       random_(surroundings.DrawSeed()),
-      client_(surroundings, surroundings.network.AddHost("trainer-" + stream.name.value(),
-                                                         plan.zones[0])) {
+      client_(surroundings,
+              surroundings.network.AddHost("trainer-" + stream.name.value(), plan.zones[0])) {
   surroundings_.history.streams.push_back({stream.name, stream.model, stream.staleness_bound});
 }
 
@@ -124,18 +124,17 @@
       boost::json::serialize(
           boost::json::object{{"digest", DigestOf(stream_.model, version).value()},
                               {"location", LocationOf(stream_.model, version)}})};
-  client_.Send(DrawGateway(), std::move(request), kPatience,
-               [this](const WholeAnswer& answer) {
-                 if (answer.end != AnswerEnd::kWhole || answer.status != kOk) {
-                   After(kRetry, [this] { SendPublish(); });
-                   return;
-                 }
-                 const Duration now = surroundings_.Now();
-                 surroundings_.history.publishes[publish_record_].acknowledged = now;
-                 surroundings_.history.demands[publish_demand_].done = now;
-                 published_ = publishing_;
-                 WaitForStep();
-               });
+  client_.Send(DrawGateway(), std::move(request), kPatience, [this](const WholeAnswer& answer) {
+    if (answer.end != AnswerEnd::kWhole || answer.status != kOk) {
+      After(kRetry, [this] { SendPublish(); });
+      return;
+    }
+    const Duration now = surroundings_.Now();
+    surroundings_.history.publishes[publish_record_].acknowledged = now;
+    surroundings_.history.demands[publish_demand_].done = now;
+    published_ = publishing_;
+    WaitForStep();
+  });
 }
 
 void Trainer::PutStepsAhead() {
@@ -212,16 +211,15 @@
 }
 
 void Trainer::Read() {
-  HttpRequest request{"GET",
-                      fmt::format("/v1/streams/{}/samples?after={}&max={}&wait={}",
-                                  stream_.name.value(), cursor_.value(), kReadMaxSamples,
-                                  kReadWaitSeconds),
-                      {},
-                      ""};
-  client_.Send(DrawGateway(), std::move(request), kPatience,
-               [this, sent = surroundings_.Now()](const WholeAnswer& answer) {
-                 TakeAnswer(answer, sent);
-               });
+  HttpRequest request{
+      "GET",
+      fmt::format("/v1/streams/{}/samples?after={}&max={}&wait={}", stream_.name.value(),
+                  cursor_.value(), kReadMaxSamples, kReadWaitSeconds),
+      {},
+      ""};
+  client_.Send(
+      DrawGateway(), std::move(request), kPatience,
+      [this, sent = surroundings_.Now()](const WholeAnswer& answer) { TakeAnswer(answer, sent); });
 }
 
 void Trainer::TakeAnswer(const WholeAnswer& answer, Duration sent) {
@@ -244,8 +242,8 @@
 }
 
 void Trainer::TakeSamples(const boost::json::object& answer, Duration sent) {
-  checks::CursorRead read{stream_.name, cursor_, StreamOffset(NumberIn(answer, "next")), {}, sent,
-                          surroundings_.Now()};
+  checks::CursorRead read{stream_.name, cursor_, StreamOffset(NumberIn(answer, "next")),
+                          {},           sent,    surroundings_.Now()};
   const boost::json::value* samples = answer.if_contains("samples");
   if (samples != nullptr && samples->is_array()) {
     for (const boost::json::value& sample : samples->as_array()) {
--- a/simulator/faults/backend_faults.cc
+++ b/simulator/faults/backend_faults.cc
@@ -37,7 +37,8 @@
 }
 
 void FailSwaps(FaultContext& fault) {
-  fault.Repeat(seconds(3), [&fault] { fault.Pick(fault.world.engines()).model().FailNextActivation(); });
+  fault.Repeat(seconds(3),
+               [&fault] { fault.Pick(fault.world.engines()).model().FailNextActivation(); });
 }
 
 void DrainEngine(FaultContext& fault) {
@@ -85,8 +86,8 @@
 void OperatorDrain(FaultContext& fault) {
   World& world = fault.world;
   const bool plain = DrawChance(fault.random, 0.3);
-  const EngineName name = plain ? fault.Pick(world.servers()).plan().name
-                                : fault.Pick(world.engines()).plan().name;
+  const EngineName name =
+      plain ? fault.Pick(world.servers()).plan().name : fault.Pick(world.engines()).plan().name;
   Resource drained = world.InitialResource({ResourceKind::kEngine, name.value()});
   const Resource restored = drained;
   std::get<EngineSpec>(drained.spec).drain = true;
--- a/simulator/faults/node_faults.cc
+++ b/simulator/faults/node_faults.cc
@@ -55,9 +55,8 @@
 /// `lose` runs at most once, before the fault is healed.
 void WhenReplicated(FaultContext& fault, std::function<void()> lose) {
   if (fault.healed) return;
-  const bool all_running =
-      std::all_of(fault.world.controls().begin(), fault.world.controls().end(),
-                  [](const auto& control) { return control->running(); });
+  const bool all_running = std::all_of(fault.world.controls().begin(), fault.world.controls().end(),
+                                       [](const auto& control) { return control->running(); });
   if (all_running && fault.world.FullyReplicated()) {
     lose();
     return;
@@ -68,7 +67,9 @@
 
 }  // namespace
 
-void CrashControl(FaultContext& fault) { DownUntilHealed(fault, fault.Pick(fault.world.controls())); }
+void CrashControl(FaultContext& fault) {
+  DownUntilHealed(fault, fault.Pick(fault.world.controls()));
+}
 
 void CrashControlInSync(FaultContext& fault) {
   ControlMachine& machine = PickVoter(fault);
--- a/simulator/fleet/back_ends.cc
+++ b/simulator/fleet/back_ends.cc
@@ -70,18 +70,16 @@
       plan_(plan.engines[index]),
       host_(surroundings.network.AddHost(plan_.name.value(), plan_.zone)),
       environment_(surroundings.scheduler, surroundings.DrawSeed()),
-      model_(std::make_unique<EngineModel>(environment_,
-                                           EngineOptions(plan, index, options, disturbance),
-                                           Links(platform))) {
+      model_(std::make_unique<EngineModel>(
+          environment_, EngineOptions(plan, index, options, disturbance), Links(platform))) {
   surroundings_.http.AddAddress(plan_.address, host_);
   surroundings_.engines.Add(plan_.address, *model_);
 }
 
 EngineModelLinks EngineMachine::Links(Platform& platform) {
   EngineModelLinks links;
-  links.fetch_weights = [this, &platform](
-                            const std::string& location,
-                            std::function<void(absl::StatusOr<WeightDigest>)> done) {
+  links.fetch_weights = [this, &platform](const std::string& location,
+                                          std::function<void(absl::StatusOr<WeightDigest>)> done) {
     if (!surroundings_.network.OpenBothWays(host_, platform.store_host())) {
       environment_.Schedule(kConnectTimeout, [done = std::move(done)] {
         done(absl::UnavailableError("the weight store can't be reached"));
--- a/simulator/fleet/control_machine.cc
+++ b/simulator/fleet/control_machine.cc
@@ -81,9 +81,8 @@
 
 void ControlMachine::StartProcess() {
   incarnation_ = Incarnation(static_cast<uint64_t>(surroundings_.Now().count()) + 1);
-  environment_ = std::make_unique<VirtualEnvironment>(surroundings_.scheduler,
-                                                      surroundings_.DrawSeed(),
-                                                      VirtualClockOptions{.rate = clock_rate_});
+  environment_ = std::make_unique<VirtualEnvironment>(
+      surroundings_.scheduler, surroundings_.DrawSeed(), VirtualClockOptions{.rate = clock_rate_});
   disk_.Attach(*environment_);
   transport_ = surroundings_.peers.MakeTransport(plan_.node);
   platform_ = std::make_unique<FabricHttpCaller>(surroundings_.http, host_);
--- a/simulator/fleet/deployment.cc
+++ b/simulator/fleet/deployment.cc
@@ -177,8 +177,7 @@
   resources.push_back({"text",
                        {},
                        MatchSpec{Labelled("workload", "text"),
-                                 Labelled("model", plan.model.value()),
-                                 Labelled("serves", "text")},
+                                 Labelled("model", plan.model.value()), Labelled("serves", "text")},
                        {}});
   resources.push_back(
       {"web", {}, MatchSpec{Labelled("workload", "web"), {}, Labelled("serves", "web")}, {}});
--- a/simulator/fleet/fleet.cc
+++ b/simulator/fleet/fleet.cc
@@ -166,14 +166,14 @@
   boost::json::object faults;
   for (const auto& [name, count] : result.faults_tried) faults[name] = count;
   const std::string_view deployment = Name(result.deployment);
-  return boost::json::serialize(
-      boost::json::object{{"deployment", boost::json::string_view(deployment.data(), deployment.size())},
-                          {"seed", result.seed},
-                          {"seconds", ToSeconds(result.virtual_time)},
-                          {"broken", result.Broken()},
-                          {"checks", std::move(checks)},
-                          {"faults", std::move(faults)},
-                          {"measures", MeasuresJson(result.measures)}});
+  return boost::json::serialize(boost::json::object{
+      {"deployment", boost::json::string_view(deployment.data(), deployment.size())},
+      {"seed", result.seed},
+      {"seconds", ToSeconds(result.virtual_time)},
+      {"broken", result.Broken()},
+      {"checks", std::move(checks)},
+      {"faults", std::move(faults)},
+      {"measures", MeasuresJson(result.measures)}});
 }
 
 }  // namespace millstair::simulator
--- a/simulator/fleet/gateway_machine.cc
+++ b/simulator/fleet/gateway_machine.cc
@@ -78,9 +78,8 @@
 
 void GatewayMachine::StartProcess() {
   incarnation_ = Incarnation(static_cast<uint64_t>(surroundings_.Now().count()) + 1);
-  environment_ = std::make_unique<VirtualEnvironment>(surroundings_.scheduler,
-                                                      surroundings_.DrawSeed(),
-                                                      VirtualClockOptions{.rate = clock_rate_});
+  environment_ = std::make_unique<VirtualEnvironment>(
+      surroundings_.scheduler, surroundings_.DrawSeed(), VirtualClockOptions{.rate = clock_rate_});
   transport_ = surroundings_.peers.MakeTransport(plan_.node);
   http_ = std::make_unique<FabricHttpCaller>(surroundings_.http, host_);
   engines_ = std::make_unique<FabricEngineClient>(surroundings_.engines, host_);
--- a/simulator/fleet/world.cc
+++ b/simulator/fleet/world.cc
@@ -42,16 +42,16 @@
       network_(scheduler_, plan_.latencies),
       http_(network_),
       peers_(network_),
-      engine_fabric_(http_,
-                     [this](const std::string& address, EngineArrival kind,
-                            const std::string& what) {
-                       for (const BackendPlan& engine : plan_.engines) {
-                         if (engine.address != address) continue;
-                         history_.arrivals.push_back(
-                             {engine.name, scheduler_.Now(),
-                              (kind == EngineArrival::kOrder ? "order " : "generation ") + what});
-                       }
-                     }),
+      engine_fabric_(
+          http_,
+          [this](const std::string& address, EngineArrival kind, const std::string& what) {
+            for (const BackendPlan& engine : plan_.engines) {
+              if (engine.address != address) continue;
+              history_.arrivals.push_back(
+                  {engine.name, scheduler_.Now(),
+                   (kind == EngineArrival::kOrder ? "order " : "generation ") + what});
+            }
+          }),
       surroundings_{scheduler_, network_, http_, peers_, engine_fabric_, history_},
       initial_resources_(InitialResources(plan_, options)) {
   BuildMachines();
@@ -115,8 +115,7 @@
   }
 }
 
-void World::RecordSeen(const NodeId& node, Incarnation incarnation, Revision revision,
-                       bool ready) {
+void World::RecordSeen(const NodeId& node, Incarnation incarnation, Revision revision, bool ready) {
   const checks::ConfigurationSeen seen{node, incarnation, scheduler_.Now(), revision, ready};
   checks::ConfigurationSeen& last = last_seen_[node];
   const bool same = last.incarnation == incarnation && last.revision == revision &&
--- a/simulator/main.cc
+++ b/simulator/main.cc
@@ -24,8 +24,8 @@
 po::options_description Options() {
   po::options_description options("options");
   options.add_options()("help", "print this")(
-      "deployment", po::value<std::string>()->default_value("association"),
-      "association or khosa")("seed", po::value<uint64_t>()->default_value(1), "seed of the run")(
+      "deployment", po::value<std::string>()->default_value("association"), "association or khosa")(
+      "seed", po::value<uint64_t>()->default_value(1), "seed of the run")(
       "seeds", po::value<std::string>()->default_value("1..100"), "seeds of the sweep, A..B")(
       "seconds", po::value<uint32_t>()->default_value(120), "virtual seconds, 60 to 86400")(
       "faults", po::value<std::string>()->default_value("default"), "default, none or names")(
--- a/simulator/run/sweep.cc
+++ b/simulator/run/sweep.cc
@@ -106,7 +106,8 @@
 }
 
 SweepResult RunSweep(const SweepOptions& options, std::ostream& progress) {
-  const int threads = options.threads > 0 ? options.threads : tbb::this_task_arena::max_concurrency();
+  const int threads =
+      options.threads > 0 ? options.threads : tbb::this_task_arena::max_concurrency();
   const tbb::global_control limit(tbb::global_control::max_allowed_parallelism,
                                   static_cast<size_t>(threads));
   const SteadyClock::time_point start = SteadyClock::now();
@@ -161,7 +162,8 @@
   }
   const double per_thread =
       result.busy_seconds > 0 ? result.virtual_seconds / result.busy_seconds : 0;
-  const double over_all = result.real_seconds > 0 ? result.virtual_seconds / result.real_seconds : 0;
+  const double over_all =
+      result.real_seconds > 0 ? result.virtual_seconds / result.real_seconds : 0;
   text += fmt::format(
       "{} runs, {} failed; {:.0f} virtual seconds in {:.1f} s: {:.0f} per real second, {:.0f} per "
       "thread\n",
--- a/simulator/run/trace.cc
+++ b/simulator/run/trace.cc
@@ -56,7 +56,8 @@
   trace.name = root["name"].as<std::string>();
   trace.replays = root["replays"].as<std::string>();
   const auto deployment = ParseDeployment(root["deployment"].as<std::string>());
-  if (!deployment.ok()) return Fault(root["deployment"], std::string(deployment.status().message()));
+  if (!deployment.ok())
+    return Fault(root["deployment"], std::string(deployment.status().message()));
   trace.fleet.deployment = *deployment;
   trace.fleet.seed = root["seed"].as<uint64_t>();
   trace.fleet.length = Seconds(root["seconds"]);
@@ -73,8 +74,7 @@
   try {
     return ReadTrace(YAML::Load(text));
   } catch (const YAML::Exception& error) {
-    return absl::InvalidArgumentError(
-        fmt::format("line {}: {}", error.mark.line + 1, error.msg));
+    return absl::InvalidArgumentError(fmt::format("line {}: {}", error.mark.line + 1, error.msg));
   }
 }
 
--- a/test/simulator/trace_test.cc
+++ b/test/simulator/trace_test.cc
@@ -48,11 +48,10 @@
   const StatedOutcome stated{
       .faults = {{"delay", 1}}, .tried = {{"staleness", 4}}, .steps_whole = 3, .cut = 0};
   CHECK(CompareOutcome(stated, result) ==
-        std::vector<std::string>{"staleness broken: old",
-                                 "cases of staleness: 3 instead of at least 4",
-                                 "fault delay: 0 instead of at least 1",
-                                 "whole steps: 2 instead of at least 3",
-                                 "1 answers cut instead of at most 0"});
+        std::vector<std::string>{
+            "staleness broken: old", "cases of staleness: 3 instead of at least 4",
+            "fault delay: 0 instead of at least 1", "whole steps: 2 instead of at least 3",
+            "1 answers cut instead of at most 0"});
 }
 
 TEST_CASE("Every recorded trace can be read", "[simulator]") {
