Add millstairctl and the blocking HTTP client

Change: subcommands over the control nodes' HTTP API; any of several servers answers; changes carry session and number and are resent under the same key after a lost answer; distinct exit codes; offline validation.

--- /dev/null
+++ b/source/ctl/apply_plan.h
@@ -0,0 +1,34 @@
+/// What an apply would change: wanted resources against stored ones.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "ctl/control_api.h"
+#include "resources/resource_codec.h"
+
+namespace millstair {
+
+enum class PlannedAction { kCreate, kChange, kKeep };
+
+std::string_view PlannedActionName(PlannedAction action);
+
+struct PlannedChange {
+  PlannedAction action = PlannedAction::kKeep;
+  Resource wanted;
+  /// Version stored now, or the one that the file demands; 0 demands absence.
+  Revision expected;
+  /// One line a difference: "spec.drain: false -> true".
+  std::vector<std::string> differences;
+};
+
+/// One entry per wanted resource, in their order. A `version` in a file is kept as the version that
+/// must be stored; otherwise the stored one is what the change builds on.
+std::vector<PlannedChange> PlanApply(const std::vector<Resource>& wanted,
+                                     const std::vector<Resource>& stored);
+
+/// The changes to send; those that keep everything are left out.
+std::vector<ApplyItem> ItemsOf(const std::vector<PlannedChange>& plan);
+
+}  // namespace millstair
