--- a/source/ctl/apply_plan.cc
+++ b/source/ctl/apply_plan.cc
@@ -42,7 +42,8 @@
   for (const std::string& key : keys) {
     const std::string old_value = show(before, key);
     const std::string new_value = show(after, key);
-    if (old_value != new_value) lines.push_back(fmt::format("{}: {} -> {}", key, old_value, new_value));
+    if (old_value != new_value)
+      lines.push_back(fmt::format("{}: {} -> {}", key, old_value, new_value));
   }
   return lines;
 }
--- a/source/ctl/blocking_client.cc
+++ b/source/ctl/blocking_client.cc
@@ -78,8 +78,7 @@
     reply_.failure = CallFailure::kCut;
     reply_.status = parser.get().result_int();
     for (const auto& field : parser.get()) {
-      reply_.headers.push_back(
-          {std::string(field.name_string()), std::string(field.value())});
+      reply_.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
     // An answer that ends with its connection can't be told from a cut one.
     const bool bounded = !parser.need_eof();
--- a/source/ctl/control_api.cc
+++ b/source/ctl/control_api.cc
@@ -110,8 +110,7 @@
       const std::string& server = options_.servers[current_ % options_.servers.size()];
       BlockingReply reply = caller_.Call(server, request, options_.try_timeout);
       if (!WorthAnotherTry(reply)) return reply;
-      last_fault =
-          fmt::format("{}: {}", server, reply.whole() ? DetailOf(reply) : reply.reason);
+      last_fault = fmt::format("{}: {}", server, reply.whole() ? DetailOf(reply) : reply.reason);
       ++current_;
     }
     if (std::chrono::steady_clock::now() - begin > options_.timeout) break;
@@ -158,8 +157,7 @@
 }
 
 absl::StatusOr<std::vector<Resource>> ControlApi::List(ResourceKind kind) {
-  const absl::StatusOr<json::object> page =
-      Read(fmt::format("/v1/resources/{}", KindName(kind)));
+  const absl::StatusOr<json::object> page = Read(fmt::format("/v1/resources/{}", KindName(kind)));
   if (!page.ok()) return page.status();
   return ParseList(*page, "resources");
 }
--- a/source/ctl/ctl_options.cc
+++ b/source/ctl/ctl_options.cc
@@ -21,9 +21,9 @@
 
 constexpr const char* kServersVariable = "MILLSTAIR_SERVERS";
 constexpr const char* kSettingsVariable = "MILLSTAIRCTL_SETTINGS";
-constexpr std::array<std::string_view, 11> kCommands = {
-    "apply", "get",   "delete",  "diff",  "validate", "status",
-    "wait",  "drain", "undrain", "watch", "replicas"};
+constexpr std::array<std::string_view, 11> kCommands = {"apply",    "get",    "delete",  "diff",
+                                                        "validate", "status", "wait",    "drain",
+                                                        "undrain",  "watch",  "replicas"};
 
 po::options_description VisibleOptions() {
   po::options_description options("Options");
@@ -147,10 +147,12 @@
           "  watch                       print each new revision\n"
           "  replicas list | add NODE ADDRESS REPLICA | remove NODE\n\n"
        << VisibleOptions()
-       << "\nServers come from --server, else MILLSTAIR_SERVERS (comma-separated), else the settings "
+       << "\nServers come from --server, else MILLSTAIR_SERVERS (comma-separated), else the "
+          "settings "
           "file\n(--settings or MILLSTAIRCTL_SETTINGS).\n\n"
           "Exit codes: 0 done, 1 diff found differences, 2 wrong command line, 3 invalid input,\n"
-          "4 conflict, 5 not found, 6 no answer (a change may have been made), 7 refused (no change\n"
+          "4 conflict, 5 not found, 6 no answer (a change may have been made), 7 refused (no "
+          "change\n"
           "was made), 8 wait: some node lacks the revision.\n";
   return page.str();
 }
--- a/source/ctl/resource_commands.cc
+++ b/source/ctl/resource_commands.cc
@@ -16,8 +16,8 @@
 namespace json = boost::json;
 
 constexpr std::array<ResourceKind, 8> kAllKinds = {
-    ResourceKind::kMachine, ResourceKind::kEngine, ResourceKind::kModel,
-    ResourceKind::kAdapter, ResourceKind::kPool,   ResourceKind::kStream,
+    ResourceKind::kMachine,      ResourceKind::kEngine, ResourceKind::kModel,
+    ResourceKind::kAdapter,      ResourceKind::kPool,   ResourceKind::kStream,
     ResourceKind::kTrafficGroup, ResourceKind::kMatch};
 constexpr int kDrainTries = 5;
 
--- a/source/ctl/resource_files.cc
+++ b/source/ctl/resource_files.cc
@@ -34,8 +34,7 @@
   return files;
 }
 
-void ReadFile(const std::string& file, std::vector<ParsedResource>& resources,
-              Findings& findings) {
+void ReadFile(const std::string& file, std::vector<ParsedResource>& resources, Findings& findings) {
   std::error_code error;
   const uintmax_t size = fs::file_size(file, error);
   std::ifstream stream(file, std::ios::binary);
--- a/test/ctl/control_api_test.cc
+++ b/test/ctl/control_api_test.cc
@@ -68,8 +68,8 @@
     absl::StatusOr<CtlOptions> parsed = ParseCtlOptions(line);
     REQUIRE(parsed.ok());
     Duration now{0};
-    CommandContext context{api, *parsed, out, err, [&](Duration time) { now += time; },
-                           [&] { return now; }};
+    CommandContext context{
+        api, *parsed, out, err, [&](Duration time) { now += time; }, [&] { return now; }};
     return RunCommand(context);
   }
 
@@ -155,8 +155,7 @@
 TEST_CASE("drain builds on the stored version and tries again after a conflict") {
   Fixture fixture;
   fixture.caller.replies = {
-      ScriptedCaller::Answer(200, kMachine),
-      ScriptedCaller::Answer(200, R"({"session":"s1"})"),
+      ScriptedCaller::Answer(200, kMachine), ScriptedCaller::Answer(200, R"({"session":"s1"})"),
       ScriptedCaller::Answer(412, fmt::format(R"({{"conflicting":[{}]}})", kMachine)),
       ScriptedCaller::Answer(200, kMachine), ScriptedCaller::Answer(200, R"({"revision":12})")};
   REQUIRE(fixture.Run({"drain", "Machine/m"}) == ExitCode::kOk);
