--- /dev/null
+++ b/source/gateway/completion_codec.h
@@ -0,0 +1,49 @@
+/// The OpenAI-style JSON of completions: requests in, events and whole answers out.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "common/ids.h"
+#include "engine/engine_types.h"
+
+namespace millstair {
+
+/// A completion as asked for by a caller.
+struct CompletionRequest {
+  ModelName model;
+  std::string prompt;
+  uint32_t max_tokens = 0;
+  bool stream = false;
+  /// Asked for through /v1/chat/completions.
+  bool chat = false;
+};
+
+inline constexpr char kCompletionsPath[] = "/v1/completions";
+inline constexpr char kChatCompletionsPath[] = "/v1/chat/completions";
+/// Last event of a stream.
+inline constexpr char kStreamEnd[] = "data: [DONE]\n\n";
+
+/// Parses the body. InvalidArgument names every field at fault.
+absl::StatusOr<CompletionRequest> ParseCompletion(std::string_view body, bool chat);
+
+/// A run of tokens as sent to the caller.
+struct CompletionPart {
+  std::string text;
+  std::vector<VersionSpan> spans;
+  bool finished = false;
+};
+
+/// One server-sent event.
+std::string CompletionEvent(const CompletionRequest& request, const std::string& id,
+                            const CompletionPart& part);
+/// The whole answer of a request that does not stream. `tokens` counts those generated.
+std::string CompletionAnswer(const CompletionRequest& request, const std::string& id,
+                             const CompletionPart& whole, uint32_t tokens);
+
+/// Number of words, which are the tokens.
+uint32_t CountTokens(std::string_view text);
+
+}  // namespace millstair
--- a/source/gateway/gateway_node.h
+++ b/source/gateway/gateway_node.h
@@ -11,6 +11,7 @@
 #include "common/environment.h"
 #include "common/peer_transport.h"
 #include "engine/engine_types.h"
+#include "gateway/gateway_faults.h"
 #include "http/exchange.h"
 #include "routing/router.h"
 
@@ -31,6 +32,8 @@
   RoutingPolicy routing_policy = RoutingPolicy::kEstimate;
   /// Turns off tail handling (early issue of long samples, moves, re-issue); for the bench.
   bool tail_handling = true;
+  /// Faults for tests and the simulator; all off in the product.
+  GatewayFaults faults;
 };
 
 /// Lives on the node's serial executor.
--- /dev/null
+++ b/source/gateway/live_service.h
@@ -0,0 +1,51 @@
+/// Live traffic of a gateway: finds the traffic group of each request and runs its flow.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "common/alive_flag.h"
+#include "gateway/gateway_context.h"
+#include "gateway/request_flow.h"
+#include "gateway/traffic_matcher.h"
+#include "http/exchange.h"
+
+namespace millstair {
+
+/// Lives on the node's serial executor.
+class LiveService : public RequestHandler {
+ public:
+  explicit LiveService(GatewayContext& context) : context_(context) {}
+
+  void Handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer) override;
+
+  /// Refuses new requests from now on.
+  void BeginDrain() { draining_ = true; }
+  /// Cuts what still runs.
+  void CutAll();
+  size_t running() const { return flows_.size(); }
+  /// Called whenever the last flow has ended.
+  void OnIdle(std::function<void()> callback) { on_idle_ = std::move(callback); }
+
+ private:
+  void HandleCompletion(HttpRequest request, std::shared_ptr<ResponseWriter> writer, bool chat);
+  void HandlePlain(HttpRequest request, std::shared_ptr<ResponseWriter> writer);
+  /// Fills in the headers' wishes; false if the request was refused for them.
+  bool ReadMeta(FlowRequest& request);
+  uint64_t NextFlow() { return next_flow_++; }
+  std::function<void()> EndedCallback(uint64_t flow);
+  void StartFlow(uint64_t number, std::unique_ptr<RequestFlow> flow);
+  void Remove(uint64_t flow);
+
+  GatewayContext& context_;
+  TrafficMatcher matcher_;
+  bool draining_ = false;
+  uint64_t next_flow_ = 1;
+  std::map<uint64_t, std::unique_ptr<RequestFlow>> flows_;
+  std::function<void()> on_idle_;
+  AliveFlag alive_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/routing/completion_estimate.cc
@@ -0,0 +1,87 @@
+#include "routing/completion_estimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace millstair {
+namespace {
+
+constexpr double kShortestResidenceSeconds = 0.05;
+/// Share of waiting work that is ahead of a live request; rollouts wait behind it.
+constexpr double kWaitingAheadOfLive = 0.5;
+/// Slow start: the estimate begins at this multiple and falls to the plain one.
+constexpr double kSlowStartFactor = 3;
+constexpr double kSlowStartSeconds = 5;
+constexpr uint32_t kDefaultSequences = 32;
+
+}  // namespace
+
+double SlowStartFactor(const EngineView& engine, TimePoint now) {
+  if (!engine.slow_starting) return 1;
+  const double elapsed = ToSeconds(now - engine.serving_since);
+  if (elapsed >= kSlowStartSeconds) return 1;
+  return 1 + (kSlowStartFactor - 1) * (1 - elapsed / kSlowStartSeconds);
+}
+
+namespace {
+
+/// Share of what waits that comes before `priority`.
+double AheadShare(RequestPriority priority) {
+  return priority == RequestPriority::kRollout ? 1 : kWaitingAheadOfLive;
+}
+
+}  // namespace
+
+double LoadBelief(const EngineView& engine, const FleetFigures& fleet, TimePoint now) {
+  // The gateways have to share out the engine over the whole life of a report, not just now.
+  const double age =
+      std::max(fleet.report_horizon_seconds, ToSeconds(now - engine.load.taken_at()));
+  const double residence = std::max(kShortestResidenceSeconds, fleet.mean_residence_seconds);
+  const double kept = std::exp(-age / residence);
+  const double others = 1 - 1.0 / std::max(1U, fleet.gateways);
+  return 1 - others * (1 - kept);
+}
+
+double EstimatedSequences(const EngineView& engine, const FleetFigures& fleet, TimePoint now) {
+  const double belief = LoadBelief(engine, fleet, now);
+  return belief * engine.load.Sequences() + (1 - belief) * fleet.mean_sequences;
+}
+
+CompletionEstimate EstimateCompletion(const EngineView& engine, const EstimatedWork& work,
+                                      const FleetFigures& fleet, TimePoint now) {
+  const EngineReport& report = engine.load.report();
+  const double largest =
+      std::max<uint32_t>(1, report.max_sequences == 0 ? kDefaultSequences : report.max_sequences);
+  const double sequences = EstimatedSequences(engine, fleet, now) + 1;
+  const double step = engine.step_time.Seconds(std::min(sequences, largest));
+  const double slow = SlowStartFactor(engine, now);
+  const double ahead = AheadShare(work.priority);
+  CompletionEstimate estimate;
+  if (sequences > largest) {
+    estimate.wait_seconds = ahead * (sequences - largest) * fleet.mean_tokens * step / largest;
+  }
+  const double blocks_needed =
+      (work.prompt_tokens + work.expected_tokens - work.cached_tokens) / kPrefixBlockTokens;
+  const double blocks_missing = blocks_needed - engine.load.FreeKvBlocks();
+  if (report.total_kv_blocks > 0 && blocks_missing > 0) {
+    const double share = std::min(1.0, blocks_missing / report.total_kv_blocks);
+    estimate.wait_seconds += ahead * share * fleet.mean_tokens * step;
+  }
+  const double uncached = std::max(0.0, work.prompt_tokens - work.cached_tokens);
+  estimate.prefill_seconds =
+      step + fleet.prefill_seconds_per_token *
+                 (ahead * std::max(0.0, engine.load.WaitingPrefillTokens()) + uncached);
+  estimate.decode_seconds = work.expected_tokens * step;
+  estimate.wait_seconds *= slow;
+  estimate.prefill_seconds *= slow;
+  estimate.decode_seconds *= slow;
+  return estimate;
+}
+
+Duration UnloadedFirstToken(const EngineView& engine, const EstimatedWork& work,
+                            const FleetFigures& fleet) {
+  const double uncached = std::max(0.0, work.prompt_tokens - work.cached_tokens);
+  return FromSeconds(engine.step_time.Seconds(1) + fleet.prefill_seconds_per_token * uncached);
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/routing/engine_choice.cc
@@ -0,0 +1,212 @@
+// How EngineRouter chooses among the candidates of a workload.
+#include <algorithm>
+#include <limits>
+
+#include "common/random.h"
+#include "routing/engine_router.h"
+
+namespace millstair {
+namespace {
+
+/// Draws per candidate wanted; some hit engines that may not take the work.
+constexpr uint32_t kDrawsPerCandidate = 4;
+/// Plain back ends: time of an answer while nothing is known.
+constexpr double kUnknownAnswerSeconds = 0.01;
+
+/// Figures of a list's load are worked out anew after this long.
+constexpr Duration kLoadInterval = std::chrono::milliseconds(20);
+
+template <class Candidate>
+void KeepBetter(const Candidate& candidate, std::optional<Candidate>& best) {
+  if (!best || candidate.seconds < best->seconds) best = candidate;
+}
+
+}  // namespace
+
+bool EngineRouter::Eligible(const EngineView& engine, const Workload& workload,
+                            const RoutingRequest& request, bool desperate) const {
+  if (engine.Leaving() && !options_.faults.choose_leaving) return false;
+  if (!request.excluded.empty() && request.excluded.contains(engine.name)) return false;
+  const TimePoint now = environment_.Now();
+  if (!desperate && engine.ejection.Ejected(now)) return false;
+  if (workload.plain) return desperate || engine.load.outstanding() < engine.concurrency.limit();
+  if (!engine.load.has_report()) return false;
+  const EngineReport& report = engine.load.report();
+  if (report.shards != ShardState::kConsistent || report.active_version == WeightVersion()) {
+    return false;
+  }
+  if (!report.model.value().empty() && report.model != workload.model) return false;
+  if (!desperate && now - engine.load.taken_at() > options_.report_stale) return false;
+  return request.priority != RequestPriority::kRollout || FreeForRollouts(engine) >= 1;
+}
+
+std::optional<EngineRouter::Candidate> EngineRouter::ChooseByPolicy(Workload& workload,
+                                                                    const RoutingRequest& request,
+                                                                    bool desperate) {
+  switch (options_.policy) {
+    case RoutingPolicy::kRoundRobin:
+      return ChooseRoundRobin(workload, request, desperate);
+    case RoutingPolicy::kLeastOutstanding:
+      return ChooseLeastOutstanding(workload, request, desperate);
+    case RoutingPolicy::kEstimate:
+    case RoutingPolicy::kEstimateWithoutPrefix:
+      break;
+  }
+  return ChooseByEstimate(workload, request, desperate);
+}
+
+std::optional<EngineRouter::Candidate> EngineRouter::ChooseRoundRobin(Workload& workload,
+                                                                      const RoutingRequest& request,
+                                                                      bool desperate) {
+  for (size_t tried = 0; tried < workload.all.size(); ++tried) {
+    const EngineSlot slot = workload.all[workload.next++ % workload.all.size()];
+    if (Eligible(*engines_[slot], workload, request, desperate)) return Evaluate(slot, request);
+  }
+  return std::nullopt;
+}
+
+std::optional<EngineRouter::Candidate> EngineRouter::ChooseLeastOutstanding(
+    const Workload& workload, const RoutingRequest& request, bool desperate) {
+  std::optional<EngineSlot> best;
+  double least = 0;
+  uint64_t ties = 0;
+  for (const EngineSlot slot : workload.all) {
+    const EngineView& engine = *engines_[slot];
+    if (!Eligible(engine, workload, request, desperate)) continue;
+    const double sequences = engine.load.Sequences();
+    if (!best || sequences < least) {
+      best = slot;
+      least = sequences;
+      ties = 1;
+    } else if (sequences == least && DrawBelow(environment_.Random(), ++ties) == 0) {
+      best = slot;
+    }
+  }
+  if (!best) return std::nullopt;
+  return Evaluate(*best, request);
+}
+
+std::optional<EngineRouter::Candidate> EngineRouter::ChooseByEstimate(Workload& workload,
+                                                                      const RoutingRequest& request,
+                                                                      bool desperate) {
+  std::optional<Candidate> best;
+  ConsiderHolders(workload, request, desperate, best);
+  ConsiderSampled(workload.home, workload, request, desperate, best);
+  if (!best || !best->has_room) {
+    ConsiderSampled(workload.away, workload, request, desperate, best);
+  }
+  return best;
+}
+
+void EngineRouter::WorkOutLoad(CandidateList& list) const {
+  const TimePoint now = environment_.Now();
+  if (list.worked_out && now - list.worked_out_at < kLoadInterval) return;
+  list.worked_out = true;
+  list.worked_out_at = now;
+  double sum = 0;
+  double least = std::numeric_limits<double>::max();
+  for (const EngineSlot slot : list.slots) {
+    const double sequences = engines_[slot]->load.Sequences();
+    sum += sequences;
+    least = std::min(least, sequences);
+  }
+  list.mean_sequences = list.slots.empty() ? 0 : sum / static_cast<double>(list.slots.size());
+  list.least_sequences = list.slots.empty() ? 0 : least;
+}
+
+bool EngineRouter::DrawAccepted(const CandidateList& list, EngineSlot slot) {
+  const EngineView& engine = *engines_[slot];
+  const double belief = LoadBelief(engine, fleet_, environment_.Now());
+  const double most = list.mean_sequences - belief * list.least_sequences;
+  if (most <= 0) return true;
+  const double below = list.mean_sequences - belief * engine.load.Sequences();
+  const double slow = SlowStartFactor(engine, environment_.Now());
+  return DrawUnit(environment_.Random()) * most * slow < below;
+}
+
+void EngineRouter::ConsiderSampled(CandidateList& list, const Workload& workload,
+                                   const RoutingRequest& request, bool desperate,
+                                   std::optional<Candidate>& best) {
+  if (list.slots.empty()) return;
+  WorkOutLoad(list);
+  const size_t count = list.slots.size();
+  const bool all = count <= size_t{options_.sampled} * kDrawsPerCandidate;
+  const uint64_t first = DrawBelow(environment_.Random(), count);
+  const size_t draws = all ? count : size_t{options_.sampled} * kDrawsPerCandidate;
+  // Where other gateways choose too, to take the best of several would bring the herd back.
+  const uint32_t wanted = fleet_.gateways > 1 ? 1 : options_.sampled;
+  uint32_t accepted = 0;
+  std::optional<Candidate> best_accepted;
+  std::optional<Candidate> best_refused;
+  for (size_t i = 0; i < draws && accepted < wanted; ++i) {
+    const uint64_t position = all ? first + i : DrawBelow(environment_.Random(), count);
+    const EngineSlot slot = list.slots[position % count];
+    if (!Eligible(*engines_[slot], workload, request, desperate)) continue;
+    const bool accept = DrawAccepted(list, slot);
+    if (accept) ++accepted;
+    KeepBetter(Evaluate(slot, request), accept ? best_accepted : best_refused);
+  }
+  if (!best_accepted && !best_refused && !all) {
+    for (size_t i = 0; i < count && !best_refused; ++i) {
+      const EngineSlot slot = list.slots[(first + i) % count];
+      if (!Eligible(*engines_[slot], workload, request, desperate)) continue;
+      KeepBetter(Evaluate(slot, request), best_refused);
+    }
+  }
+  const std::optional<Candidate>& sampled = best_accepted ? best_accepted : best_refused;
+  if (sampled) KeepBetter(*sampled, best);
+}
+
+void EngineRouter::ConsiderHolders(const Workload& workload, const RoutingRequest& request,
+                                   bool desperate, std::optional<Candidate>& best) {
+  if (options_.policy != RoutingPolicy::kEstimate || request.prefix_blocks.empty()) return;
+  const std::vector<EngineSlot>* holders = prefixes_.BestHolders(request.prefix_blocks);
+  if (holders == nullptr) return;
+  uint32_t considered = 0;
+  const uint64_t first = DrawBelow(environment_.Random(), holders->size());
+  const size_t draws = std::min<size_t>(holders->size(), size_t{options_.prefix_holders} * 2);
+  for (size_t i = 0; i < draws && considered < options_.prefix_holders; ++i) {
+    const EngineSlot slot = (*holders)[(first + i) % holders->size()];
+    if (!std::binary_search(workload.all.begin(), workload.all.end(), slot)) continue;
+    if (!Eligible(*engines_[slot], workload, request, desperate)) continue;
+    ++considered;
+    KeepBetter(Evaluate(slot, request), best);
+  }
+}
+
+EngineRouter::Candidate EngineRouter::Evaluate(EngineSlot slot,
+                                               const RoutingRequest& request) const {
+  const EngineView& engine = *engines_[slot];
+  Candidate candidate;
+  candidate.slot = slot;
+  if (engine.type == EngineType::kHttp) {
+    const double answer =
+        engine.answer_seconds == 0 ? kUnknownAnswerSeconds : engine.answer_seconds;
+    candidate.seconds = answer * (1 + engine.load.outstanding());
+    candidate.has_room = engine.load.outstanding() < engine.concurrency.limit();
+  } else {
+    const EstimatedWork work = WorkOn(slot, request);
+    const CompletionEstimate estimate =
+        EstimateCompletion(engine, work, fleet_, environment_.Now());
+    candidate.seconds = estimate.total();
+    candidate.has_room = estimate.wait_seconds == 0;
+    candidate.cached_tokens = work.cached_tokens;
+  }
+  if (engine.zone != options_.zone) candidate.seconds += ToSeconds(options_.other_zone_penalty);
+  return candidate;
+}
+
+EstimatedWork EngineRouter::WorkOn(EngineSlot slot, const RoutingRequest& request) const {
+  EstimatedWork work;
+  work.prompt_tokens = request.prompt_tokens;
+  work.expected_tokens = request.expected_tokens;
+  work.priority = request.priority;
+  if (options_.policy == RoutingPolicy::kEstimateWithoutPrefix) return work;
+  const uint32_t held = prefixes_.LeadingHeld(slot, request.prefix_blocks);
+  if (held == 0) return work;
+  work.cached_tokens = std::min<double>(
+      request.prompt_tokens, held * kPrefixBlockTokens * prefixes_.Trust(slot, environment_.Now()));
+  return work;
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/routing/engine_router.h
@@ -0,0 +1,189 @@
+/// The router of a gateway: one view of all back ends for live requests and rollouts.
+///
+/// Candidates come from the configuration's matching. A few are sampled, the holders of the deepest
+/// cached prefix are added, and the one with the least estimated time to completion is taken. An
+/// engine is sampled with a probability that follows from how far its load, as it would have
+/// developed since the report, lies below the mean; so many gateways with equally late reports do
+/// not all run to the same engine. The own zone comes
+/// first; others are looked at when the own zone has no room.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "cluster/configuration.h"
+#include "common/environment.h"
+#include "routing/completion_estimate.h"
+#include "routing/engine_placement.h"
+#include "routing/engine_view.h"
+#include "routing/observer_assignment.h"
+#include "routing/placement_rules.h"
+#include "routing/prefix_index.h"
+#include "routing/router.h"
+
+namespace millstair {
+
+/// Faults that a test switches on to prove that its checks notice them.
+struct RoutingFaults {
+  /// Sends work to engines that are leaving.
+  bool choose_leaving = false;
+};
+
+struct RouterOptions {
+  Zone zone;
+  RoutingPolicy policy = RoutingPolicy::kEstimate;
+  /// Candidates drawn at random, and prefix holders looked at beside them.
+  uint32_t sampled = 3;
+  uint32_t prefix_holders = 2;
+  /// An engine without a report for this long takes work only if no other can.
+  Duration report_stale = std::chrono::seconds(10);
+  /// Added to estimates in other zones.
+  Duration other_zone_penalty = std::chrono::milliseconds(4);
+  RoutingFaults faults;
+};
+
+/// Figures for /metrics.
+struct RouterCounters {
+  uint64_t decisions = 0;
+  uint64_t no_engine = 0;
+  uint64_t other_zone = 0;
+  uint64_t prefix_tokens_expected = 0;
+  uint64_t prompt_tokens = 0;
+};
+
+/// Lives on the node's serial executor.
+class EngineRouter : public EnginePlacement {
+ public:
+  EngineRouter(Environment& environment, RouterOptions options);
+
+  /// Takes over engines and matching; cheap if the revision is the one held.
+  void UpdateConfiguration(const Configuration& configuration);
+  /// A report of `engine` whose figures were taken at `taken_at`. False if it was not news.
+  bool NoteReport(const EngineName& engine, const EngineReport& report, TimePoint taken_at);
+  /// Cache events of `engine` read after event `after`.
+  void NoteCacheEvents(const EngineName& engine, uint64_t after, bool resync,
+                       const CacheEvents& events);
+  /// A poll found `engine` unreachable, or reachable again.
+  void NoteReachable(const EngineName& engine, bool reachable);
+  /// `engine` said that it is leaving, or is no longer.
+  void NoteLeaving(const EngineName& engine, bool leaving);
+
+  std::optional<Placement> Place(const ResourceKey& workload,
+                                 const RoutingRequest& request) override;
+  void End(PlacementId id, const PlacementOutcome& outcome) override;
+  uint32_t RolloutRoom(const ResourceKey& workload) const override;
+  /// First token of a live request arrived this long after it was sent.
+  void NoteFirstToken(PlacementId id, Duration latency);
+  /// A live request had to wait because no engine could take it.
+  void NoteLiveQueued(const ResourceKey& workload);
+
+  /// May the engine take work now? Tested again right before a queued request is sent.
+  bool MayTakeWork(const EngineName& engine) const;
+  const EngineView* FindEngine(const EngineName& engine) const;
+  const PrefixIndex& prefixes() const { return prefixes_; }
+  const PlacementRules& rules() const { return rules_; }
+  std::optional<EngineSlot> SlotOf(const EngineName& engine) const;
+  /// Learned share of `max_tokens` that requests generate, and their mean tokens.
+  uint32_t ExpectedTokens(uint32_t max_tokens) const;
+  const FleetFigures& fleet() const { return fleet_; }
+  const RouterCounters& counters() const { return counters_; }
+  const ObserverAssignment& observers() const { return observers_; }
+  /// Rollouts are only placed while this says so (lease, drain); live requests see to it
+  /// themselves, since their traffic group has a say. Default: always.
+  void SetGate(std::function<bool()> may_give_work) { may_give_work_ = std::move(may_give_work); }
+
+ private:
+  /// Engines of a workload in the own zone, or in others, with figures of their load that are
+  /// worked out anew every now and then.
+  struct CandidateList {
+    std::vector<EngineSlot> slots;
+    double mean_sequences = 0;
+    double least_sequences = 0;
+    TimePoint worked_out_at;
+    bool worked_out = false;
+  };
+  struct Workload {
+    ModelName model;
+    bool plain = false;
+    uint32_t max_in_flight = 0;
+    double share = 1;
+    CandidateList home;
+    CandidateList away;
+    std::vector<EngineSlot> all;
+    /// Position of round robin.
+    uint64_t next = 0;
+    /// Rollouts of this workload that this gateway has under way.
+    uint32_t in_flight = 0;
+    TimePoint last_placed;
+  };
+  struct OwnPlacement {
+    EngineSlot slot = 0;
+    ResourceKey workload;
+    TimePoint sent_at;
+    RequestPriority priority = RequestPriority::kLive;
+    uint32_t kv_blocks = 0;
+    EstimatedWork work;
+    bool plain = false;
+  };
+  struct Candidate {
+    EngineSlot slot = 0;
+    double seconds = 0;
+    bool has_room = false;
+    double cached_tokens = 0;
+  };
+
+  void RebuildEngines(const Configuration& configuration);
+  void RebuildWorkloads(const Configuration& configuration);
+  bool Eligible(const EngineView& engine, const Workload& workload, const RoutingRequest& request,
+                bool desperate) const;
+  /// Rollouts that the engine can take on top of what it has; may be negative.
+  double FreeForRollouts(const EngineView& engine) const;
+  uint32_t RoomOf(const Workload& workload) const;
+  std::optional<Candidate> ChooseByPolicy(Workload& workload, const RoutingRequest& request,
+                                          bool desperate);
+  std::optional<Candidate> ChooseByEstimate(Workload& workload, const RoutingRequest& request,
+                                            bool desperate);
+  std::optional<Candidate> ChooseRoundRobin(Workload& workload, const RoutingRequest& request,
+                                            bool desperate);
+  std::optional<Candidate> ChooseLeastOutstanding(const Workload& workload,
+                                                  const RoutingRequest& request, bool desperate);
+  void WorkOutLoad(CandidateList& list) const;
+  /// Draws whether an engine with this load should get its turn, so that over all gateways the
+  /// engines fill up evenly.
+  bool DrawAccepted(const CandidateList& list, EngineSlot slot);
+  void ConsiderSampled(CandidateList& list, const Workload& workload, const RoutingRequest& request,
+                       bool desperate, std::optional<Candidate>& best);
+  void ConsiderHolders(const Workload& workload, const RoutingRequest& request, bool desperate,
+                       std::optional<Candidate>& best);
+  Candidate Evaluate(EngineSlot slot, const RoutingRequest& request) const;
+  EstimatedWork WorkOn(EngineSlot slot, const RoutingRequest& request) const;
+  Placement Record(const ResourceKey& workload, const RoutingRequest& request,
+                   const Candidate& chosen);
+  void LearnFinished(EngineView& engine, const OwnPlacement& placement,
+                     const PlacementOutcome& outcome);
+  void NoteFleetLoad();
+
+  Environment& environment_;
+  RouterOptions options_;
+  std::function<bool()> may_give_work_;
+  PlacementRules rules_;
+  ObserverAssignment observers_;
+  std::vector<std::unique_ptr<EngineView>> engines_;
+  std::map<EngineName, EngineSlot> slots_;
+  std::map<ResourceKey, Workload> workloads_;
+  PrefixIndex prefixes_;
+  FleetFigures fleet_;
+  double length_share_ = 0.3;
+  bool configured_ = false;
+  uint32_t home_gateways_ = 1;
+  uint64_t next_placement_ = 1;
+  absl::flat_hash_map<uint64_t, OwnPlacement> placements_;
+  RouterCounters counters_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/routing/engine_view.h
@@ -0,0 +1,46 @@
+/// What the router knows of one back end.
+#pragma once
+
+#include <string>
+
+#include "cluster/configuration.h"
+#include "common/ids.h"
+#include "common/time.h"
+#include "limits/concurrency_limit.h"
+#include "limits/rollout_room.h"
+#include "resources/resource.h"
+#include "routing/lagged_load.h"
+#include "routing/outlier_ejection.h"
+#include "routing/step_time_model.h"
+
+namespace millstair {
+
+struct EngineView {
+  EngineName name;
+  std::string address;
+  EngineType type = EngineType::kModel;
+  /// Zone whose gateways observe it: its machine's, or of the gateways that stand in.
+  Zone zone;
+  /// Merged state from the configuration.
+  MemberState state = MemberState::kGone;
+  /// It said itself that it is leaving; newer than what the configuration may know.
+  bool said_leaving = false;
+  TimePoint said_leaving_at;
+
+  LaggedLoad load;
+  StepTimeModel step_time;
+  OutlierEjection ejection;
+  RolloutShare rollout_share;
+  /// Since when it serves with its present incarnation and weights; for slow start.
+  TimePoint serving_since;
+  bool slow_starting = false;
+
+  /// Plain back ends: smoothed time of an answer in seconds, and the bound on requests under way.
+  double answer_seconds = 0;
+  ConcurrencyLimit concurrency{ConcurrencyLimitOptions{.initial = 32}};
+
+  /// Takes no work, whatever its load: leaving, or gone.
+  bool Leaving() const { return state != MemberState::kLive || said_leaving; }
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/routing/outlier_ejection.h
@@ -0,0 +1,51 @@
+/// Takes a back end out of the choice for a while after failures in a row, longer each time.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include "common/time.h"
+
+namespace millstair {
+
+struct EjectionOptions {
+  /// Failures in a row that eject.
+  uint32_t failures = 3;
+  Duration first = std::chrono::seconds(1);
+  Duration largest = std::chrono::seconds(30);
+};
+
+class OutlierEjection {
+ public:
+  explicit OutlierEjection(EjectionOptions options = {}) : options_(options) {}
+
+  void NoteSuccess() {
+    failures_ = 0;
+    if (ejections_ > 0) --ejections_;
+  }
+  /// A call failed; `unreachable` ones (nothing could be sent) count double.
+  void NoteFailure(TimePoint now, bool unreachable) {
+    failures_ += unreachable ? 2 : 1;
+    if (failures_ < options_.failures || Ejected(now)) return;
+    Duration span = options_.first;
+    for (uint32_t i = 0; i < ejections_ && span < options_.largest; ++i) span *= 2;
+    until_ = now + std::min(span, options_.largest);
+    ++ejections_;
+    failures_ = 0;
+  }
+  /// The back end is known to be well again.
+  void Readmit() {
+    failures_ = 0;
+    until_ = TimePoint();
+  }
+
+  bool Ejected(TimePoint now) const { return now < until_; }
+
+ private:
+  EjectionOptions options_;
+  uint32_t failures_ = 0;
+  uint32_t ejections_ = 0;
+  TimePoint until_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/routing/step_time_model.h
@@ -0,0 +1,62 @@
+/// Learns how an engine's step time grows with the sequences in its batch.
+#pragma once
+
+#include <algorithm>
+
+#include "common/time.h"
+
+namespace millstair {
+
+/// Least squares with forgetting over (sequences, step time) as engines report them.
+class StepTimeModel {
+ public:
+  void Note(double sequences, Duration step_time) {
+    const double seconds = ToSeconds(step_time);
+    if (seconds <= 0) return;
+    const double x = std::max(1.0, sequences);
+    weight_ = weight_ * kKeep + 1;
+    x_ = x_ * kKeep + x;
+    y_ = y_ * kKeep + seconds;
+    xx_ = xx_ * kKeep + x * x;
+    xy_ = xy_ * kKeep + x * seconds;
+    Fit();
+  }
+
+  /// What was learned is void: the engine restarted.
+  void Reset() { *this = StepTimeModel(); }
+
+  bool known() const { return weight_ > 0; }
+  /// Expected step time in seconds with `sequences` in the batch.
+  double Seconds(double sequences) const {
+    if (!known()) return kUnknownSeconds;
+    return base_ + slope_ * std::max(1.0, sequences);
+  }
+
+ private:
+  static constexpr double kKeep = 0.98;
+  /// Taken while nothing is known.
+  static constexpr double kUnknownSeconds = 0.03;
+  /// With less spread than this the slope cannot be told; a small share of the mean is taken.
+  static constexpr double kLeastVariance = 1.0;
+  static constexpr double kDefaultSlopeShare = 0.01;
+
+  void Fit() {
+    const double mean_x = x_ / weight_;
+    const double mean_y = y_ / weight_;
+    const double variance = xx_ / weight_ - mean_x * mean_x;
+    slope_ = mean_y * kDefaultSlopeShare;
+    if (variance >= kLeastVariance) slope_ = (xy_ / weight_ - mean_x * mean_y) / variance;
+    slope_ = std::clamp(slope_, 0.0, mean_y / mean_x);
+    base_ = mean_y - slope_ * mean_x;
+  }
+
+  double weight_ = 0;
+  double x_ = 0;
+  double y_ = 0;
+  double xx_ = 0;
+  double xy_ = 0;
+  double base_ = 0;
+  double slope_ = 0;
+};
+
+}  // namespace millstair
