Add the rollout worker and the trainers' front

Cause: gateways have to run leased attempts and serve trainers. Change: worker with spans from the engines' own streams, resume on another engine, scoring, append with retries, return at drain; HTTP API of trainers with long polls; requests for work carry a sequence so that what was given back is not lost. Worker and front have no tests of their own yet.

--- a/source/rollout/attempt_table.cc
+++ b/source/rollout/attempt_table.cc
@@ -38,7 +38,6 @@
     attempt = &Grant(now, key, running.epoch, gateway);
   }
   attempt->heard_at = now;
-  attempt->listed = true;
   if (running.tokens_done != attempt->tokens_done) attempt->progress_at = now;
   attempt->tokens_done = running.tokens_done;
   attempt->oldest_version = running.oldest_version;
@@ -70,17 +69,20 @@
 }
 
 bool AttemptTable::Lost(TimePoint now, const LeasedAttempt& attempt,
-                        const std::map<NodeId, bool>& gone) const {
-  if (gone.contains(attempt.gateway)) return true;
+                        const std::map<NodeId, GatewayWord>& gateways) const {
   if (now - attempt.heard_at >= timing_.lease) return true;
-  return !attempt.listed && now - attempt.granted_at >= timing_.unlisted_grace;
+  const auto word = gateways.find(attempt.gateway);
+  if (word == gateways.end()) return false;
+  return word->second.gone || word->second.heard_at - attempt.heard_at >= timing_.unlisted_grace;
 }
 
-std::vector<SampleKey> AttemptTable::DropLost(TimePoint now, const std::map<NodeId, bool>& gone) {
+std::vector<SampleKey> AttemptTable::DropLost(TimePoint now,
+                                              const std::map<NodeId, GatewayWord>& gateways) {
   std::vector<SampleKey> orphaned;
   for (auto at = attempts_.begin(); at != attempts_.end();) {
-    const size_t dropped = std::erase_if(
-        at->second, [&](const LeasedAttempt& attempt) { return Lost(now, attempt, gone); });
+    const size_t dropped = std::erase_if(at->second, [&](const LeasedAttempt& attempt) {
+      return Lost(now, attempt, gateways);
+    });
     in_flight_ -= static_cast<uint32_t>(dropped);
     if (at->second.empty()) {
       orphaned.push_back(at->first);
--- a/source/rollout/attempt_table.h
+++ b/source/rollout/attempt_table.h
@@ -18,9 +18,8 @@
   AttemptEpoch epoch;
   NodeId gateway;
   TimePoint granted_at;
-  /// Last time that the gateway listed it.
+  /// When the gateway listed it last, or it was granted.
   TimePoint heard_at;
-  bool listed = false;
   uint32_t tokens_done = 0;
   TimePoint progress_at;
   WeightVersion oldest_version;
@@ -37,8 +36,8 @@
 struct AttemptTiming {
   /// Without a word of its gateway for this long an attempt is lost.
   Duration lease = std::chrono::seconds(5);
-  /// A gateway that does not list an attempt this long after it was granted or last listed does not
-  /// run it.
+  /// A gateway that is heard this long after an attempt was granted or last listed, and does not
+  /// list it, does not run it.
   Duration unlisted_grace = std::chrono::milliseconds(1500);
 };
 
@@ -58,8 +57,13 @@
   void Forget(const SampleKey& key);
   void Clear();
 
-  /// Drops lost attempts and those of `gone` gateways; the samples that no attempt is left of.
-  std::vector<SampleKey> DropLost(TimePoint now, const std::map<NodeId, bool>& gone);
+  /// What is known of a gateway.
+  struct GatewayWord {
+    TimePoint heard_at;
+    bool gone = false;
+  };
+  /// Drops lost attempts; the samples that no attempt is left of.
+  std::vector<SampleKey> DropLost(TimePoint now, const std::map<NodeId, GatewayWord>& gateways);
 
   const std::map<SampleKey, std::vector<LeasedAttempt>>& attempts() const { return attempts_; }
   bool Running(const SampleKey& key) const { return attempts_.contains(key); }
@@ -71,7 +75,8 @@
   void DropResumePoint(const SampleKey& key) { resume_points_.erase(key); }
 
  private:
-  bool Lost(TimePoint now, const LeasedAttempt& attempt, const std::map<NodeId, bool>& gone) const;
+  bool Lost(TimePoint now, const LeasedAttempt& attempt,
+            const std::map<NodeId, GatewayWord>& gateways) const;
 
   AttemptTiming timing_;
   std::map<SampleKey, std::vector<LeasedAttempt>> attempts_;
--- /dev/null
+++ b/source/rollout/rollout_worker.cc
@@ -0,0 +1,292 @@
+#include "rollout/rollout_worker.h"
+
+#include <algorithm>
+#include <map>
+
+#include "common/event_log.h"
+#include "rollout/attempt_run.h"
+#include "rollout/stream_commands.h"
+
+namespace millstair {
+namespace {
+
+/// After an attempt has ended, work is asked for this soon, so that ends close together share a
+/// request.
+constexpr Duration kAskSoon = std::chrono::milliseconds(20);
+/// Without an answer for this long another control node is asked.
+constexpr Duration kSourceTimeout = std::chrono::milliseconds(1500);
+/// A drain ends after this long, whatever is still under way.
+constexpr Duration kDrainLimit = std::chrono::seconds(20);
+/// Attempts taken beyond the room that was told, in case answers cross.
+constexpr uint32_t kMaxRunningPerStream = 4096;
+
+/// The work for one stream. Lives in the worker.
+class StreamWork {
+ public:
+  StreamWork(RolloutContext& context, PeerTransport& transport, StreamName stream,
+             std::function<NodeId()> control_node, std::function<uint32_t()> room,
+             std::function<void()> unanswered)
+      : context_(context),
+        transport_(transport),
+        stream_(std::move(stream)),
+        control_node_(std::move(control_node)),
+        room_(std::move(room)),
+        unanswered_(std::move(unanswered)),
+        timer_(context.environment),
+        reap_timer_(context.environment) {
+    Ask();
+  }
+
+  void Receive(const WorkReply& reply) {
+    answered_ = std::max(answered_, reply.answered);
+    std::erase_if(returned_, [&](const auto& returned) {
+      return returned.second.sent != 0 && returned.second.sent <= reply.answered;
+    });
+    for (const WorkReply::Cancelled& cancelled : reply.cancelled) Cancel(cancelled);
+    for (const Attempt& attempt : reply.attempts) Begin(attempt);
+  }
+
+  void BeginDrain() {
+    draining_ = true;
+    for (auto& [sample, run] : runs_) run->Stop();
+    AskSoon();
+  }
+
+  bool Idle() const { return runs_.empty() && returned_.empty(); }
+  uint32_t running() const { return static_cast<uint32_t>(runs_.size()); }
+
+ private:
+  struct Pending {
+    WorkRequest::Returned returned;
+    /// Request that it was sent with last; 0 if with none yet.
+    uint64_t sent = 0;
+  };
+
+  void Begin(const Attempt& attempt) {
+    const SampleId sample = attempt.prompt.sample;
+    if (draining_ || runs_.size() >= kMaxRunningPerStream) return Refuse(attempt);
+    const auto found = runs_.find(sample);
+    // A repeated answer, or an attempt that is older than the one that runs.
+    if (found != runs_.end() && found->second->attempt().epoch >= attempt.epoch) return;
+    if (returned_.contains({sample, attempt.epoch})) return;
+    ++context_.counts.attempts_started;
+    const AttemptEpoch epoch = attempt.epoch;
+    auto run = std::make_unique<AttemptRun>(
+        context_, stream_, attempt,
+        [this, sample, epoch](AttemptEnd end) { Ended(sample, epoch, end); });
+    AttemptRun& started = *run;
+    runs_[sample] = std::move(run);
+    started.Start();
+  }
+
+  void Refuse(const Attempt& attempt) {
+    GiveBack({attempt.prompt.sample, attempt.epoch, attempt.resume_tokens, attempt.resume_spans,
+              attempt.kv_source});
+    AskSoon();
+  }
+
+  void Cancel(const WorkReply::Cancelled& cancelled) {
+    const auto found = runs_.find(cancelled.sample);
+    if (found == runs_.end() || found->second->attempt().epoch > cancelled.epoch) return;
+    ++context_.counts.attempts_cancelled;
+    runs_.erase(found);
+    AskSoon();
+  }
+
+  void Ended(const SampleId& sample, AttemptEpoch epoch, AttemptEnd end) {
+    const auto found = runs_.find(sample);
+    if (found == runs_.end() || found->second->attempt().epoch != epoch) return;
+    const AttemptRun& run = *found->second;
+    if (end == AttemptEnd::kReturned) {
+      GiveBack({sample, epoch, run.collected().tokens(), run.collected().spans(),
+                run.kv_source()});
+    } else if (end == AttemptEnd::kAnew) {
+      GiveBack({sample, epoch, {}, {}, ""});
+    }
+    // The run is telling us this from its own timer: it goes after it has returned.
+    ended_.push_back(std::move(found->second));
+    runs_.erase(found);
+    reap_timer_.Arm(Duration(0), [this] { ended_.clear(); });
+    AskSoon();
+  }
+
+  void GiveBack(WorkRequest::Returned returned) {
+    ++context_.counts.attempts_returned;
+    const std::pair key{returned.sample, returned.epoch};
+    returned_[key] = {std::move(returned), 0};
+  }
+
+  void AskSoon() {
+    if (ask_soon_) return;
+    ask_soon_ = true;
+    timer_.Arm(kAskSoon, [this] { Ask(); });
+  }
+
+  void Ask() {
+    ask_soon_ = false;
+    const TimePoint now = context_.environment.Now();
+    if (answered_ < sequence_ && now - asked_since_ >= kSourceTimeout) {
+      unanswered_();
+      asked_since_ = now;
+    } else if (answered_ >= sequence_) {
+      asked_since_ = now;
+    }
+    WorkRequest request;
+    request.stream = stream_;
+    request.gateway = context_.options.self;
+    request.room = draining_ || !context_.configuration.LeaseValid() ? 0 : room_();
+    request.sequence = ++sequence_;
+    for (const auto& [sample, run] : runs_) {
+      request.running.push_back({sample, run->attempt().epoch, run->collected().token_count(),
+                                 OldestVersionOf(run->collected().spans())});
+    }
+    for (auto& [key, pending] : returned_) {
+      pending.sent = sequence_;
+      request.returned.push_back(pending.returned);
+    }
+    const bool busy = !runs_.empty() || !returned_.empty();
+    transport_.Send(control_node_(), {MessageKind::kWorkRequest, EncodeWorkRequest(request)});
+    timer_.Arm(busy && request.room > 0 ? context_.options.work_poll : context_.options.idle_poll,
+               [this] { Ask(); });
+  }
+
+  RolloutContext& context_;
+  PeerTransport& transport_;
+  StreamName stream_;
+  std::function<NodeId()> control_node_;
+  std::function<uint32_t()> room_;
+  std::function<void()> unanswered_;
+  std::map<SampleId, std::unique_ptr<AttemptRun>> runs_;
+  std::map<std::pair<SampleId, AttemptEpoch>, Pending> returned_;
+  std::vector<std::unique_ptr<AttemptRun>> ended_;
+  uint64_t sequence_ = 0;
+  uint64_t answered_ = 0;
+  TimePoint asked_since_;
+  bool ask_soon_ = false;
+  bool draining_ = false;
+  ScopedTimer timer_;
+  ScopedTimer reap_timer_;
+};
+
+class RolloutWorkerNode : public RolloutWorker {
+ public:
+  RolloutWorkerNode(Environment& environment, PeerTransport& transport, EngineClient& engines,
+                    HttpCaller& http, EnginePlacement& placement, ControlClient& control,
+                    ConfigurationClient& configuration, RolloutWorkerOptions options)
+      : context_{environment,   engines, http, placement, control,
+                 configuration, options, {}},
+        transport_(transport),
+        drain_timer_(environment) {
+    std::stable_partition(
+        context_.options.control_nodes.begin(), context_.options.control_nodes.end(),
+        [&](const ControlEndpoint& node) { return node.zone == options.zone; });
+  }
+
+  void Start() override {
+    context_.configuration.OnChange(alive_.Guard([this] { TakeStreams(); }));
+    TakeStreams();
+  }
+
+  void Receive(const NodeId&, const PeerMessage& message) override {
+    const absl::StatusOr<WorkReply> reply = DecodeWorkReply(message.payload);
+    if (!reply.ok()) return;
+    const auto found = streams_.find(reply->stream);
+    if (found != streams_.end()) found->second->Receive(*reply);
+  }
+
+  void Drain(std::function<void()> done) override {
+    draining_ = true;
+    drained_ = std::move(done);
+    drain_began_ = context_.environment.Now();
+    for (auto& [stream, work] : streams_) work->BeginDrain();
+    TestDrained();
+  }
+
+  const RolloutCounts& counts() const override { return context_.counts; }
+
+  uint32_t running() const override {
+    uint32_t count = 0;
+    for (const auto& [stream, work] : streams_) count += work->running();
+    return count;
+  }
+
+ private:
+  void TakeStreams() {
+    const Configuration& configuration = context_.configuration.configuration();
+    std::erase_if(streams_, [&](const auto& work) {
+      return !configuration.resources.contains({ResourceKind::kStream, work.first.value()});
+    });
+    if (draining_) return;
+    for (const auto& [key, resource] : configuration.resources) {
+      const auto* spec = std::get_if<StreamSpec>(&resource.spec);
+      if (spec == nullptr) continue;
+      const StreamName stream(resource.name);
+      if (streams_.contains(stream)) continue;
+      streams_[stream] = std::make_unique<StreamWork>(
+          context_, transport_, stream, [this] { return ControlNode(); },
+          [this, stream] { return Room(stream); }, [this] { ++control_index_; });
+    }
+  }
+
+  NodeId ControlNode() const {
+    const std::vector<ControlEndpoint>& nodes = context_.options.control_nodes;
+    return nodes.empty() ? NodeId() : nodes[control_index_ % nodes.size()].node;
+  }
+
+  /// Share of `stream` in the room of its pool, so that two streams do not fill the same room. The
+  /// remainder goes to the streams first by name.
+  uint32_t Room(const StreamName& stream) const {
+    const Configuration& configuration = context_.configuration.configuration();
+    const auto* spec =
+        configuration.FindSpec<StreamSpec>(ResourceKind::kStream, stream.value());
+    if (spec == nullptr) return 0;
+    uint32_t sharers = 0;
+    uint32_t position = 0;
+    for (const auto& [other, work] : streams_) {
+      const auto* other_spec =
+          configuration.FindSpec<StreamSpec>(ResourceKind::kStream, other.value());
+      if (other_spec == nullptr || other_spec->pool != spec->pool) continue;
+      if (other < stream) ++position;
+      ++sharers;
+    }
+    const uint32_t room =
+        context_.placement.RolloutRoom({ResourceKind::kPool, spec->pool});
+    sharers = std::max(sharers, 1U);
+    return room / sharers + (position < room % sharers ? 1 : 0);
+  }
+
+  void TestDrained() {
+    const bool idle = std::all_of(streams_.begin(), streams_.end(),
+                                  [](const auto& work) { return work.second->Idle(); });
+    if (!idle && context_.environment.Now() - drain_began_ < kDrainLimit) {
+      drain_timer_.Arm(std::chrono::milliseconds(50), [this] { TestDrained(); });
+      return;
+    }
+    const auto done = std::move(drained_);
+    if (done) done();
+  }
+
+  RolloutContext context_;
+  PeerTransport& transport_;
+  std::map<StreamName, std::unique_ptr<StreamWork>> streams_;
+  size_t control_index_ = 0;
+  bool draining_ = false;
+  TimePoint drain_began_;
+  std::function<void()> drained_;
+  ScopedTimer drain_timer_;
+  AliveFlag alive_;
+};
+
+}  // namespace
+
+std::unique_ptr<RolloutWorker> MakeRolloutWorker(Environment& environment, PeerTransport& transport,
+                                                 EngineClient& engines, HttpCaller& http,
+                                                 EnginePlacement& placement,
+                                                 ControlClient& control,
+                                                 ConfigurationClient& configuration,
+                                                 RolloutWorkerOptions options) {
+  return std::make_unique<RolloutWorkerNode>(environment, transport, engines, http, placement,
+                                             control, configuration, std::move(options));
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/rollout/sample_scorer.h
@@ -0,0 +1,46 @@
+/// Scores a text through the platform's scoring service.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "common/environment.h"
+#include "common/scoped_timer.h"
+#include "http/exchange.h"
+
+namespace millstair {
+
+/// One scoring with its retries. Lives on the node's serial executor; dropping it cancels.
+class SampleScorer : private HttpCallObserver {
+ public:
+  using Callback = std::function<void(absl::StatusOr<double>)>;
+
+  SampleScorer(Environment& environment, HttpCaller& http);
+  /// POST http://`address`/score {"text"} -> {"score"}, up to a few tries. Unavailable if none was
+  /// answered. Called once.
+  void Score(const std::string& address, const std::string& text, Callback done);
+
+ private:
+  void OnHead(const HttpResponseHead& head) override { status_ = head.status; }
+  void OnBody(std::string bytes) override { body_ += bytes; }
+  void OnFinished() override;
+  void OnFailed(CallFailure failure, const std::string& reason) override;
+  void Try();
+  void Retry(const std::string& reason);
+  void End(absl::StatusOr<double> result);
+
+  Environment& environment_;
+  HttpCaller& http_;
+  std::string address_;
+  std::string request_body_;
+  Callback done_;
+  int tries_ = 0;
+  int status_ = 0;
+  std::string body_;
+  ScopedTimer timer_;
+  std::unique_ptr<CallHandle> call_;
+};
+
+}  // namespace millstair
--- a/source/rollout/stream_commands.h
+++ b/source/rollout/stream_commands.h
@@ -106,6 +106,8 @@
   /// Who asks; the leader answers it directly, also when another control node passed this on.
   NodeId gateway;
   uint32_t room = 0;
+  /// Counts up over the requests of one gateway for this stream.
+  uint64_t sequence = 0;
   struct Running {
     SampleId sample;
     AttemptEpoch epoch;
@@ -148,6 +150,8 @@
     AttemptEpoch epoch;
   };
   std::vector<Cancelled> cancelled;
+  /// Newest request of the gateway that the leader had taken in; 0 if none.
+  uint64_t answered = 0;
 };
 
 /// Query of a stream: asks whether there is something to read behind `after`. The leader holds the
--- a/source/rollout/stream_leader.cc
+++ b/source/rollout/stream_leader.cc
@@ -109,7 +109,10 @@
   if (!Leads() || !settings_) return;
   Heal();
   const TimePoint now = environment_.Now();
-  for (const SampleKey& key : attempts_.DropLost(now, settings_->gone_gateways)) {
+  std::map<NodeId, AttemptTable::GatewayWord> gateways;
+  for (const auto& [node, asker] : askers_) gateways[node].heard_at = asker.asked_at;
+  for (const auto& [node, gone] : settings_->gone_gateways) gateways[node].gone = gone;
+  for (const SampleKey& key : attempts_.DropLost(now, gateways)) {
     if (!state_.IsOpen(key)) continue;
     LogEvent(EventId::kAttemptLost, "stream={} sample={}", stream_, state_.PromptOf(key).sample);
     MakeWaiting(key, true);
--- a/source/rollout/stream_leader_work.cc
+++ b/source/rollout/stream_leader_work.cc
@@ -48,6 +48,7 @@
   Asker& asker = askers_[request->gateway];
   asker.asked_at = environment_.Now();
   asker.room = request->room;
+  asker.sequence = request->sequence;
   asker.answer_due = true;
   TakeRunning(*request, asker);
   TakeReturned(*request);
@@ -105,7 +106,7 @@
   for (auto& [gateway, asker] : askers_) {
     if (!asker.answer_due && asker.granted.empty() && asker.cancelled.empty()) continue;
     asker.answer_due = false;
-    WorkReply reply{stream_, std::move(asker.granted), std::move(asker.cancelled)};
+    WorkReply reply{stream_, std::move(asker.granted), std::move(asker.cancelled), asker.sequence};
     asker.granted.clear();
     asker.cancelled.clear();
     transport_.Send(gateway, {MessageKind::kWorkReply, EncodeWorkReply(reply)});
--- /dev/null
+++ b/source/rollout/trainer_front.h
@@ -0,0 +1,30 @@
+/// The trainers' HTTP API on a gateway: steps, samples, published versions.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "cluster/configuration_client.h"
+#include "cluster/control_client.h"
+#include "common/environment.h"
+#include "http/exchange.h"
+
+namespace millstair {
+
+/// Lives on the node's serial executor.
+class TrainerFront : public RequestHandler {
+ public:
+  /// Whether `target` (path and query) belongs to the trainers' API.
+  static bool Serves(std::string_view target) {
+    return target.starts_with("/v1/streams/") || target.starts_with("/v1/models/");
+  }
+  /// Ends long polls with what there is, answers what is under way, then calls `done`. Bounded by
+  /// the time limits of the commands.
+  virtual void Drain(std::function<void()> done) = 0;
+};
+
+std::unique_ptr<TrainerFront> MakeTrainerFront(Environment& environment, ControlClient& control,
+                                               ConfigurationClient& configuration);
+
+}  // namespace millstair
--- a/source/rollout/work_codec.cc
+++ b/source/rollout/work_codec.cc
@@ -47,6 +47,7 @@
   message.stream = arena.NewString(request.stream.value());
   message.gateway = arena.NewString(request.gateway.value());
   message.room = request.room;
+  message.sequence = request.sequence;
   message.running = arena.NewArray<millstair_WorkRunning>(request.running.size());
   message.running_count = static_cast<pb_size_t>(request.running.size());
   for (size_t i = 0; i < request.running.size(); ++i) {
@@ -74,6 +75,7 @@
   request.stream = StreamName(ToString(message.stream));
   request.gateway = NodeId(ToString(message.gateway));
   request.room = message.room;
+  request.sequence = message.sequence;
   for (pb_size_t i = 0; i < message.running_count; ++i) {
     const millstair_WorkRunning& from = message.running[i];
     request.running.push_back({SampleId(ToString(from.sample)), AttemptEpoch(from.epoch),
@@ -92,6 +94,7 @@
   WireArena arena;
   millstair_WorkReplyMessage message = millstair_WorkReplyMessage_init_zero;
   message.stream = arena.NewString(reply.stream.value());
+  message.answered = reply.answered;
   message.attempts = arena.NewArray<millstair_WorkAttempt>(reply.attempts.size());
   message.attempts_count = static_cast<pb_size_t>(reply.attempts.size());
   for (size_t i = 0; i < reply.attempts.size(); ++i) {
@@ -113,6 +116,7 @@
   const millstair_WorkReplyMessage& message = **decoded;
   WorkReply reply;
   reply.stream = StreamName(ToString(message.stream));
+  reply.answered = message.answered;
   for (pb_size_t i = 0; i < message.attempts_count; ++i) {
     reply.attempts.push_back(ReadAttempt(message.attempts[i]));
   }
