--- a/source/rollout/attempt_run.cc
+++ b/source/rollout/attempt_run.cc
@@ -126,8 +126,8 @@
   tokens_at_begin_ = collected_.token_count();
   collected_.BeginStream();
   GenerateRequest request;
-  request.request_id = fmt::format("{}/{}/{}/{}", stream_, attempt_.prompt.sample,
-                                   attempt_.epoch, ++tries_);
+  request.request_id =
+      fmt::format("{}/{}/{}/{}", stream_, attempt_.prompt.sample, attempt_.epoch, ++tries_);
   if (const ModelStatus* model = Model()) request.model = model->model;
   request.prompt = attempt_.prompt.text;
   request.max_tokens = attempt_.prompt.max_tokens;
@@ -238,8 +238,7 @@
   const uint32_t done = collected_.token_count() - tokens_at_begin_;
   if (done == 0) return Duration(0);
   const Duration per_token = (progress_at_ - stream_began_at_) / done;
-  return per_token * LengthEstimate::Remaining(attempt_.expected_tokens,
-                                               attempt_.prompt.max_tokens,
+  return per_token * LengthEstimate::Remaining(attempt_.expected_tokens, attempt_.prompt.max_tokens,
                                                collected_.token_count());
 }
 
@@ -313,18 +312,16 @@
 
 void AttemptRun::Append() {
   ++appends_;
-  context_.control.Submit(StreamGroup(stream_), CommandMode::kPropose,
-                          EncodeStreamCommand(AppendSample{MakeSample(score_)}), kAppendTimeout,
-                          alive_.Guard([this](const absl::StatusOr<std::string>& answer) {
-                            TakeResult(answer);
-                          }));
+  context_.control.Submit(
+      StreamGroup(stream_), CommandMode::kPropose,
+      EncodeStreamCommand(AppendSample{MakeSample(score_)}), kAppendTimeout,
+      alive_.Guard([this](const absl::StatusOr<std::string>& answer) { TakeResult(answer); }));
 }
 
 void AttemptRun::TakeResult(const absl::StatusOr<std::string>& answer) {
   if (phase_ != Phase::kAppending) return;
-  absl::StatusOr<StreamResult> result = answer.ok()
-                                            ? DecodeStreamResult(*answer)
-                                            : absl::StatusOr<StreamResult>(answer.status());
+  absl::StatusOr<StreamResult> result =
+      answer.ok() ? DecodeStreamResult(*answer) : absl::StatusOr<StreamResult>(answer.status());
   if (!result.ok()) {
     // Unknown whether it was appended: the sample's id makes a repetition harmless.
     if (appends_ >= kMaxAppends) return End(AttemptEnd::kReturned);
@@ -357,9 +354,9 @@
   if (model == nullptr || appends_ > 2) return false;
   for (const PublishedVersion& version : model->published) {
     if (version.version <= result.newest) continue;
-    const bool used = std::any_of(
-        collected_.spans().begin(), collected_.spans().end(),
-        [&](const VersionSpan& span) { return span.version == version.version; });
+    const bool used =
+        std::any_of(collected_.spans().begin(), collected_.spans().end(),
+                    [&](const VersionSpan& span) { return span.version == version.version; });
     if (!used) continue;
     context_.control.Submit(StreamGroup(stream_), CommandMode::kPropose,
                             EncodeStreamCommand(NotePublished{version.version, version.digest}),
--- a/source/rollout/attempt_table.cc
+++ b/source/rollout/attempt_table.cc
@@ -80,9 +80,8 @@
                                               const std::map<NodeId, GatewayWord>& gateways) {
   std::vector<SampleKey> orphaned;
   for (auto at = attempts_.begin(); at != attempts_.end();) {
-    const size_t dropped = std::erase_if(at->second, [&](const LeasedAttempt& attempt) {
-      return Lost(now, attempt, gateways);
-    });
+    const size_t dropped = std::erase_if(
+        at->second, [&](const LeasedAttempt& attempt) { return Lost(now, attempt, gateways); });
     in_flight_ -= static_cast<uint32_t>(dropped);
     if (at->second.empty()) {
       orphaned.push_back(at->first);
--- a/source/rollout/rollout_worker.cc
+++ b/source/rollout/rollout_worker.cc
@@ -98,8 +98,7 @@
     if (found == runs_.end() || found->second->attempt().epoch != epoch) return;
     const AttemptRun& run = *found->second;
     if (end == AttemptEnd::kReturned) {
-      GiveBack({sample, epoch, run.collected().tokens(), run.collected().spans(),
-                run.kv_source()});
+      GiveBack({sample, epoch, run.collected().tokens(), run.collected().spans(), run.kv_source()});
     } else if (end == AttemptEnd::kAnew) {
       GiveBack({sample, epoch, {}, {}, ""});
     }
@@ -173,13 +172,12 @@
   RolloutWorkerNode(Environment& environment, PeerTransport& transport, EngineClient& engines,
                     HttpCaller& http, EnginePlacement& placement, ControlClient& control,
                     ConfigurationClient& configuration, RolloutWorkerOptions options)
-      : context_{environment,   engines, http, placement, control,
-                 configuration, options, {}},
+      : context_{environment, engines, http, placement, control, configuration, options, {}},
         transport_(transport),
         drain_timer_(environment) {
-    std::stable_partition(
-        context_.options.control_nodes.begin(), context_.options.control_nodes.end(),
-        [&](const ControlEndpoint& node) { return node.zone == options.zone; });
+    std::stable_partition(context_.options.control_nodes.begin(),
+                          context_.options.control_nodes.end(),
+                          [&](const ControlEndpoint& node) { return node.zone == options.zone; });
   }
 
   void Start() override {
@@ -237,8 +235,7 @@
   /// remainder goes to the streams first by name.
   uint32_t Room(const StreamName& stream) const {
     const Configuration& configuration = context_.configuration.configuration();
-    const auto* spec =
-        configuration.FindSpec<StreamSpec>(ResourceKind::kStream, stream.value());
+    const auto* spec = configuration.FindSpec<StreamSpec>(ResourceKind::kStream, stream.value());
     if (spec == nullptr) return 0;
     uint32_t sharers = 0;
     uint32_t position = 0;
@@ -249,8 +246,7 @@
       if (other < stream) ++position;
       ++sharers;
     }
-    const uint32_t room =
-        context_.placement.RolloutRoom({ResourceKind::kPool, spec->pool});
+    const uint32_t room = context_.placement.RolloutRoom({ResourceKind::kPool, spec->pool});
     sharers = std::max(sharers, 1U);
     return room / sharers + (position < room % sharers ? 1 : 0);
   }
@@ -281,8 +277,7 @@
 
 std::unique_ptr<RolloutWorker> MakeRolloutWorker(Environment& environment, PeerTransport& transport,
                                                  EngineClient& engines, HttpCaller& http,
-                                                 EnginePlacement& placement,
-                                                 ControlClient& control,
+                                                 EnginePlacement& placement, ControlClient& control,
                                                  ConfigurationClient& configuration,
                                                  RolloutWorkerOptions options) {
   return std::make_unique<RolloutWorkerNode>(environment, transport, engines, http, placement,
--- a/source/rollout/rollout_worker.h
+++ b/source/rollout/rollout_worker.h
@@ -63,8 +63,7 @@
 /// All references must outlive the worker.
 std::unique_ptr<RolloutWorker> MakeRolloutWorker(Environment& environment, PeerTransport& transport,
                                                  EngineClient& engines, HttpCaller& http,
-                                                 EnginePlacement& placement,
-                                                 ControlClient& control,
+                                                 EnginePlacement& placement, ControlClient& control,
                                                  ConfigurationClient& configuration,
                                                  RolloutWorkerOptions options);
 
--- a/source/rollout/trainer_front.cc
+++ b/source/rollout/trainer_front.cc
@@ -133,8 +133,8 @@
   }
 
   const StreamSpec* FindStream(const StreamName& stream, const SharedExchange& exchange) const {
-    const auto* spec = configuration_.configuration().FindSpec<StreamSpec>(ResourceKind::kStream,
-                                                                           stream.value());
+    const auto* spec =
+        configuration_.configuration().FindSpec<StreamSpec>(ResourceKind::kStream, stream.value());
     if (spec == nullptr) {
       exchange->Fail({404, "No such stream", stream.value(), Outcome::kNotRun, std::nullopt});
     }
@@ -172,13 +172,11 @@
       case StreamResultCode::kDuplicate:
         return exchange.Answer({{"step", step}, {"samples", samples}});
       case StreamResultCode::kConflict:
-        return exchange.Fail(
-            {409, "Step exists", result->message, Outcome::kNotRun, std::nullopt});
+        return exchange.Fail({409, "Step exists", result->message, Outcome::kNotRun, std::nullopt});
       case StreamResultCode::kFull:
         return exchange.Fail({503, "Stream is full", result->message, Outcome::kNotRun, kComeBack});
       default:
-        return exchange.Fail(
-            {400, "Bad request", result->message, Outcome::kNotRun, std::nullopt});
+        return exchange.Fail({400, "Bad request", result->message, Outcome::kNotRun, std::nullopt});
     }
   }
 
@@ -212,8 +210,7 @@
   void AskCursor(const std::shared_ptr<PendingRead>& read) {
     if (read->exchange.over) return;
     const TimePoint now = environment_.Now();
-    const auto left =
-        std::chrono::duration_cast<std::chrono::milliseconds>(read->until - now);
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(read->until - now);
     CursorQuery query{read->request.after,
                       std::clamp(left, std::chrono::milliseconds(0), kQueryWait)};
     // A plain read needs no hint: it is ordered at once.
@@ -236,9 +233,7 @@
     After(kRetryPause, [this, read] { AskCursor(read); });
   }
 
-  bool Over(const PendingRead& read) const {
-    return draining_ || environment_.Now() >= read.until;
-  }
+  bool Over(const PendingRead& read) const { return draining_ || environment_.Now() >= read.until; }
 
   void Read(const std::shared_ptr<PendingRead>& read) {
     read->handing_on = true;
@@ -295,15 +290,15 @@
            });
   }
 
-  void TakePublished(const std::shared_ptr<PendingPublish>& publish,
-                     const SharedExchange& exchange, const absl::StatusOr<std::string>& answer) {
+  void TakePublished(const std::shared_ptr<PendingPublish>& publish, const SharedExchange& exchange,
+                     const absl::StatusOr<std::string>& answer) {
     const absl::StatusOr<ClusterResult> result =
         answer.ok() ? DecodeResult(*answer) : absl::StatusOr<ClusterResult>(answer.status());
     if (!result.ok()) return exchange->Fail(OutcomeUnknown(result.status()));
     if (result->code != ClusterResultCode::kOk) {
       const bool bad = result->code == ClusterResultCode::kInvalid;
-      return exchange->Fail({bad ? 400 : 409, "Version refused", result->message,
-                             Outcome::kNotRun, std::nullopt});
+      return exchange->Fail(
+          {bad ? 400 : 409, "Version refused", result->message, Outcome::kNotRun, std::nullopt});
     }
     for (const StreamName& stream : StreamsOf(publish->model)) publish->left.insert(stream);
     if (publish->left.empty()) return AnswerPublish(*publish, *exchange);
@@ -354,16 +349,15 @@
   }
 
   void TestDrained() {
-    const bool idle =
-        std::all_of(exchanges_.begin(), exchanges_.end(),
-                    [](const auto& weak) {
-                      const auto exchange = weak.lock();
-                      return exchange == nullptr || exchange->over;
-                    }) &&
-        std::all_of(reads_.begin(), reads_.end(), [](const auto& weak) {
-          const auto read = weak.lock();
-          return read == nullptr || read->exchange.over;
-        });
+    const bool idle = std::all_of(exchanges_.begin(), exchanges_.end(),
+                                  [](const auto& weak) {
+                                    const auto exchange = weak.lock();
+                                    return exchange == nullptr || exchange->over;
+                                  }) &&
+                      std::all_of(reads_.begin(), reads_.end(), [](const auto& weak) {
+                        const auto read = weak.lock();
+                        return read == nullptr || read->exchange.over;
+                      });
     if (!idle) return drain_timer_.Arm(kRetryPause, [this] { TestDrained(); });
     const auto done = std::move(drained_);
     if (done) done();
--- a/source/rollout/trainer_requests.cc
+++ b/source/rollout/trainer_requests.cc
@@ -130,14 +130,13 @@
       if (!value || *value == 0 || *value > kMaxHandOnSamples) {
         findings.Add(At("max"), fmt::format("must be from 1 to {}", kMaxHandOnSamples));
       }
-      request.max_samples = static_cast<uint32_t>(
-          std::min<uint64_t>(value.value_or(1), kMaxHandOnSamples));
+      request.max_samples =
+          static_cast<uint32_t>(std::min<uint64_t>(value.value_or(1), kMaxHandOnSamples));
     } else if (name == "wait") {
       if (!value || *value > kLongestWaitSeconds) {
         findings.Add(At("wait"), fmt::format("must be from 0 to {} seconds", kLongestWaitSeconds));
       }
-      request.wait =
-          std::chrono::seconds(std::min(value.value_or(0), kLongestWaitSeconds));
+      request.wait = std::chrono::seconds(std::min(value.value_or(0), kLongestWaitSeconds));
     } else {
       findings.Add(At("query"), fmt::format("unknown parameter \"{}\"", name));
     }
@@ -200,12 +199,11 @@
   for (const HandedOn& item : result.handed_on) {
     boost::json::array spans;
     for (const VersionSpan& span : item.sample.spans) {
-      spans.push_back(boost::json::object{
-          {"version", span.version.value()},
-          {"digest", span.digest.value()},
-          {"engine_incarnation", span.engine_incarnation.value()},
-          {"first_token", span.first_token},
-          {"token_count", span.token_count}});
+      spans.push_back(boost::json::object{{"version", span.version.value()},
+                                          {"digest", span.digest.value()},
+                                          {"engine_incarnation", span.engine_incarnation.value()},
+                                          {"first_token", span.first_token},
+                                          {"token_count", span.token_count}});
     }
     samples.push_back(boost::json::object{{"offset", item.offset.value()},
                                           {"withdrawn", item.withdrawn},
