Try live flows on the simulated network against the models of the back ends

Cause: the gateway's flows had no tests, and the first runs showed faults: plain servers that had not answered yet were never tried, a server that refuses each time drew all requests.

--- a/emulator/model/plain_server_model.cc
+++ b/emulator/model/plain_server_model.cc
@@ -48,6 +48,8 @@
 
 namespace {
 
+constexpr std::string_view kReadinessPath = "/readyz";
+
 std::string HeaderOr(const HttpHeaders& headers, std::string_view name) {
   return std::string(FindHeader(headers, name).value_or(""));
 }
@@ -56,6 +58,11 @@
 
 void PlainServerModel::Impl::Handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer) {
   if (!running_) return writer->Abort();
+  if (PathOf(request.target) == kReadinessPath) {
+    // A question about the server is not work for it, so it is not counted.
+    if (draining_) return RespondNotRun(writer, 503, true, "the server is leaving");
+    return RespondJson(writer, R"({"ready":true})");
+  }
   if (draining_) {
     ++arrived_while_draining_;
     last_arrival_while_draining_ = environment_.Now();
--- a/emulator/model/platform_models.h
+++ b/emulator/model/platform_models.h
@@ -50,6 +50,7 @@
 /// A web or booking server. Answers 200 with JSON {"server", "method", "path", "key", "request"
 /// (value of X-Request-Id), "body", "execution"} so that callers can see that the answer is their
 /// own. Draining answers are 503 with Millstair-Outcome: not-run and Millstair-Draining: true.
+/// GET /readyz answers 200, or 503 while draining; it is not counted as a request.
 class PlainServerModel : public RequestHandler {
  public:
   PlainServerModel(Environment& environment, PlainServerOptions options);
--- a/source/gateway/completion_codec.cc
+++ b/source/gateway/completion_codec.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include "absl/strings/str_join.h"
+#include "engine/prefix_blocks.h"
 #include "fmt/format.h"
 
 namespace millstair {
@@ -146,15 +147,4 @@
   return json::serialize(body);
 }
 
-uint32_t CountTokens(std::string_view text) {
-  uint32_t words = 0;
-  bool in_word = false;
-  for (const char c : text) {
-    const bool space = c == ' ' || c == '\n' || c == '\t' || c == '\r';
-    if (!space && !in_word) ++words;
-    in_word = !space;
-  }
-  return words;
-}
-
 }  // namespace millstair
--- a/source/gateway/completion_codec.h
+++ b/source/gateway/completion_codec.h
@@ -43,7 +43,4 @@
 std::string CompletionAnswer(const CompletionRequest& request, const std::string& id,
                              const CompletionPart& whole, uint32_t tokens);
 
-/// Number of words, which are the tokens.
-uint32_t CountTokens(std::string_view text);
-
 }  // namespace millstair
--- a/source/gateway/completion_flow.cc
+++ b/source/gateway/completion_flow.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/event_log.h"
+#include "engine/prefix_blocks.h"
 
 namespace millstair {
 namespace {
--- a/source/routing/engine_choice.cc
+++ b/source/routing/engine_choice.cc
@@ -10,8 +10,10 @@
 
 /// Draws per candidate wanted; some hit engines that may not take the work.
 constexpr uint32_t kDrawsPerCandidate = 4;
-/// Plain back ends: time of an answer while nothing is known.
-constexpr double kUnknownAnswerSeconds = 0.01;
+/// Estimates of plain back ends are multiplied by a draw from this to this plus 1.
+constexpr double kLeastBlur = 0.5;
+/// Taken while the time of an answer is not known.
+constexpr double kLeastAnswerSeconds = 0.001;
 
 /// Figures of a list's load are worked out anew after this long.
 constexpr Duration kLoadInterval = std::chrono::milliseconds(20);
@@ -180,9 +182,10 @@
   Candidate candidate;
   candidate.slot = slot;
   if (engine.type == EngineType::kHttp) {
-    const double answer =
-        engine.answer_seconds == 0 ? kUnknownAnswerSeconds : engine.answer_seconds;
-    candidate.seconds = answer * (1 + engine.load.outstanding());
+    // Blurred, so that one that was slow once is tried again; one that is not known goes first.
+    const double blur = kLeastBlur + DrawUnit(environment_.Random());
+    const double answer = std::max(kLeastAnswerSeconds, engine.answer_seconds);
+    candidate.seconds = answer * (1 + engine.load.outstanding()) * blur;
     candidate.has_room = engine.load.outstanding() < engine.concurrency.limit();
   } else {
     const EstimatedWork work = WorkOn(slot, request);
--- a/source/routing/engine_router.cc
+++ b/source/routing/engine_router.cc
@@ -30,7 +30,8 @@
 
 bool CountsAgainstEngine(const PlacementOutcome& outcome) {
   if (outcome.end == PlacementEnd::kMixed) return true;
-  return outcome.end == PlacementEnd::kFailed && outcome.failure != CallFailure::kRefused;
+  // One that refuses again and again is left alone for a while, too; one that leaves is out anyway.
+  return outcome.end == PlacementEnd::kFailed && !outcome.leaving;
 }
 
 }  // namespace
--- /dev/null
+++ b/test/gateway/completion_flow_test.cc
@@ -0,0 +1,236 @@
+// Completions through a gateway: whole answers, resumes, cancels, deadlines.
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include "emulator/model/generated_text.h"
+#include "test/gateway/gateway_fixture.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kPrompt[] = "two people laugh under an old tree";
+
+std::string Text(const boost::json::value& value) { return std::string(value.as_string()); }
+
+/// What weights of `version` generate.
+std::string Expected(const std::string& prompt, uint32_t max_tokens, WeightVersion version) {
+  std::string text;
+  const uint32_t length = GenerationLength(prompt, max_tokens);
+  for (uint32_t i = 0; i < length; ++i) {
+    if (i > 0) text += ' ';
+    text += TokenText(prompt, i, version);
+  }
+  return text;
+}
+
+/// A prompt whose generation is at least `tokens` long.
+std::string LongPrompt(uint32_t max_tokens, uint32_t tokens) {
+  for (int i = 0;; ++i) {
+    const std::string prompt = "long prompt number " + std::to_string(i);
+    if (GenerationLength(prompt, max_tokens) >= tokens) return prompt;
+  }
+}
+
+TEST_CASE("a completion is answered whole, with the versions that produced it") {
+  GatewayFixture f;
+  f.AddEngine("a");
+  f.Begin();
+  const auto whole = f.Complete(kPrompt, 100, false);
+  REQUIRE(f.Await(*whole));
+  CHECK(whole->status() == 200);
+  const auto answer = boost::json::parse(whole->body);
+  CHECK(Text(answer.at("choices").at(0).at("text")) == Expected(kPrompt, 100, WeightVersion(1)));
+  const auto& spans = answer.at("millstair").at("spans").as_array();
+  REQUIRE(spans.size() == 1);
+  CHECK(spans[0].at("version").as_int64() == 1);
+  CHECK(spans[0].at("token_count").as_int64() == GenerationLength(kPrompt, 100));
+
+  const auto stream = f.Complete(kPrompt, 100, true);
+  REQUIRE(f.Await(*stream));
+  CHECK(stream->Header("Content-Type") == "text/event-stream");
+  CHECK(stream->StreamText() == Expected(kPrompt, 100, WeightVersion(1)));
+  CHECK(stream->StreamDone());
+}
+
+TEST_CASE("a stream goes on at the token reached when its engine crashes") {
+  GatewayFixture f;
+  f.AddEngine("a");
+  f.AddEngine("b");
+  f.Begin();
+  const std::string prompt = LongPrompt(200, 120);
+  const auto call = f.Complete(prompt, 200, true);
+  REQUIRE(f.scheduler.RunUntilTrue([&] { return call->body.size() > 3000; }, seconds(30)));
+  const std::string first = f.Arrivals("a") > 0 ? "a" : "b";
+  f.engines[first]->Crash();
+  f.engine_fabric.Refresh(first + ":1");
+  REQUIRE(f.Await(*call));
+  CHECK(call->finished);
+  CHECK(call->StreamText() == Expected(prompt, 200, WeightVersion(1)));
+  CHECK(f.context->counters.resumes == 1);
+  // The rest only: the other engine did not generate what was there already.
+  const std::string second = first == "a" ? "b" : "a";
+  CHECK(f.engines[second]->counts().tokens < GenerationLength(prompt, 200));
+}
+
+TEST_CASE("an answer that broke off is never shown as complete") {
+  const bool broken = GENERATE(false, true);
+  GatewayFaults faults;
+  faults.finish_truncated = broken;
+  GatewayFixture f(faults);
+  f.AddEngine("a");
+  f.Begin();
+  const std::string prompt = LongPrompt(200, 120);
+  const auto call = f.Complete(prompt, 200, true, {{"Millstair-Deadline-Ms", "8000"}});
+  REQUIRE(f.scheduler.RunUntilTrue([&] { return call->body.size() > 3000; }, seconds(30)));
+  f.engines["a"]->Crash();
+  f.engine_fabric.Refresh("a:1");
+  REQUIRE(f.Await(*call));
+  const bool whole = call->StreamText() == Expected(prompt, 200, WeightVersion(1));
+  CHECK_FALSE(whole);
+  // The broken variant is noticed by just this.
+  CHECK((call->finished && !whole) == broken);
+}
+
+TEST_CASE("the engine's work is cancelled when the caller leaves") {
+  GatewayFixture f;
+  f.AddEngine("a");
+  f.Begin();
+  auto call = f.Complete(LongPrompt(400, 300), 400, true);
+  REQUIRE(f.scheduler.RunUntilTrue([&] { return call->body.size() > 1000; }, seconds(30)));
+  CHECK_FALSE(f.engines["a"]->Idle());
+  call->handle.reset();
+  f.Run(milliseconds(500));
+  CHECK(f.engines["a"]->Idle());
+  CHECK(f.live->running() == 0);
+  CHECK(f.context->counters.callers_gone == 1);
+}
+
+TEST_CASE("work that can't make its deadline is refused at once, as not run") {
+  GatewayFixture f;
+  f.AddEngine("a");
+  f.Begin();
+  const auto call = f.Complete(kPrompt, 2000, false, {{"Millstair-Deadline-Ms", "200"}});
+  const Duration sent = f.scheduler.Now();
+  REQUIRE(f.Await(*call));
+  CHECK(f.scheduler.Now() - sent < milliseconds(20));
+  CHECK(call->status() == 503);
+  CHECK(call->outcome() == "not-run");
+  CHECK(call->Header("Retry-After") != "");
+  CHECK(f.Arrivals("a") == 0);
+}
+
+TEST_CASE("a request whose deadline passes is answered at once, with what is known of it") {
+  GatewayFixture f;
+  f.AddEngine("a");
+  f.Begin();
+  const std::string prompt = LongPrompt(100, 90);
+  // Expected to fit, but this one is longer than most.
+  const auto call = f.Complete(prompt, 100, false, {{"Millstair-Deadline-Ms", "1000"}});
+  const Duration sent = f.scheduler.Now();
+  REQUIRE(f.Await(*call));
+  CHECK(f.scheduler.Now() - sent < milliseconds(1010));
+  CHECK(call->status() == 504);
+  CHECK(call->outcome() == "ran");
+  f.Run(milliseconds(500));
+  CHECK(f.engines["a"]->Idle());
+}
+
+TEST_CASE("a draining engine gets no new work, and its running streams end whole") {
+  const bool broken = GENERATE(false, true);
+  GatewayFaults faults;
+  faults.work_to_leaving = broken;
+  GatewayFixture f(faults);
+  f.AddEngine("a");
+  f.AddEngine("b");
+  f.Begin();
+  std::vector<std::unique_ptr<Call>> calls;
+  for (int i = 0; i < 8; ++i) calls.push_back(f.Complete(LongPrompt(200, 100), 200, true));
+  f.Run(milliseconds(300));
+  f.engines["a"]->Drain();
+  f.Run(seconds(1));
+  const int before = f.Arrivals("a");
+  for (int i = 0; i < 20; ++i) {
+    calls.push_back(f.Complete(kPrompt, 50, true));
+    f.Run(milliseconds(50));
+  }
+  for (const auto& call : calls) {
+    REQUIRE(f.Await(*call));
+    if (!broken) CHECK(call->StreamDone());
+  }
+  CHECK((f.Arrivals("a") > before) == broken);
+}
+
+TEST_CASE("a gateway without a lease sends nothing, unless the group allows it") {
+  GatewayFaults faults;
+  faults.ignore_lease = GENERATE(false, true);
+  GatewayFixture f(faults);
+  f.AddEngine("a");
+  f.Begin();
+  f.configuration.lease = false;
+  const auto call = f.Complete(kPrompt, 50, false);
+  const Duration sent = f.scheduler.Now();
+  REQUIRE(f.Await(*call));
+  CHECK((f.Arrivals("a") > 0) == faults.ignore_lease);
+  if (faults.ignore_lease) return;
+  CHECK(f.scheduler.Now() - sent < milliseconds(20));
+  CHECK(call->status() == 503);
+  CHECK(call->outcome() == "not-run");
+  CHECK(call->Header("Retry-After") == "1");
+  f.ChangeGroup("live", [](TrafficGroupSpec& spec) { spec.serve_when_isolated = true; });
+  f.Configure();
+  const auto isolated = f.Complete(kPrompt, 50, false);
+  REQUIRE(f.Await(*isolated));
+  CHECK(isolated->status() == 200);
+}
+
+TEST_CASE("bad requests are told what is wrong with them") {
+  GatewayFixture f;
+  f.AddEngine("a");
+  f.Begin();
+  const auto call = f.Send({"POST", "/v1/completions", {}, R"({"prompt":7,"max_tokens":0})"});
+  REQUIRE(f.Await(*call));
+  CHECK(call->status() == 400);
+  CHECK(call->outcome() == "not-run");
+  for (const char* field : {"model", "prompt", "max_tokens"}) {
+    CHECK(call->body.find(field) != std::string::npos);
+  }
+  const auto unknown = f.Send({"POST", "/v1/completions", {}, R"({"model":"x","prompt":"y"})"});
+  REQUIRE(f.Await(*unknown));
+  CHECK(unknown->status() == 404);
+}
+
+TEST_CASE("tokens of weights that were never published are not shown") {
+  GatewayFixture f;
+  EngineModelOptions options;
+  f.AddEngine("a", options);
+  f.AddEngine("b", options);
+  ModelStatus model;
+  model.model = ModelName("caption");
+  model.published.push_back({WeightVersion(1), WeightDigest("digest-1"), "w/1"});
+  model.published.push_back({WeightVersion(2), WeightDigest("digest-2"), "w/2"});
+  f.builder.mutable_configuration().models[model.model] = model;
+  f.Begin();
+  // Engine a swaps on half of its shards only, without the gateway having heard of it.
+  EngineOrder order{OrderKind::kStage, Revision(1), model.model, WeightVersion(2),
+                    WeightDigest("digest-2"), "w/2", "", ""};
+  f.engines["a"]->ApplyOrder(order, [](const absl::Status&) {});
+  f.Run(seconds(2));
+  f.engines["a"]->FailNextActivation();
+  std::vector<std::unique_ptr<Call>> calls;
+  for (int i = 0; i < 12; ++i) calls.push_back(f.Complete(LongPrompt(200, 100), 200, true));
+  f.Run(milliseconds(200));
+  order.kind = OrderKind::kActivate;
+  f.engines["a"]->ApplyOrder(order, [](const absl::Status&) {});
+  for (const auto& call : calls) {
+    REQUIRE(f.Await(*call));
+    CHECK(call->StreamDone());
+    CHECK(call->body.find("mixed-") == std::string::npos);
+  }
+  CHECK(f.context->counters.resumes > 0);
+}
+
+}  // namespace
+}  // namespace millstair
