--- a/source/gateway/gateway_node.cc
+++ b/source/gateway/gateway_node.cc
@@ -36,8 +36,7 @@
         configuration_(MakeConfigurationClient(environment, transport, options_.self,
                                                options_.control_nodes,
                                                options_.configuration_timing)),
-        control_(
-            MakeControlClient(environment, transport, options_.self.node,
+        control_(MakeControlClient(environment, transport, options_.self.node,
                                    options_.control_nodes, options_.self.zone)),
         router_(environment, RouterOptionsOf(options_)),
         context_(environment, *configuration_, *control_, engines, http, router_, options_.self,
--- a/test/gateway/completion_flow_test.cc
+++ b/test/gateway/completion_flow_test.cc
@@ -214,8 +214,8 @@
   f.builder.mutable_configuration().models[model.model] = model;
   f.Begin();
   // Engine a swaps on half of its shards only, without the gateway having heard of it.
-  EngineOrder order{OrderKind::kStage, Revision(1), model.model, WeightVersion(2),
-                    WeightDigest("digest-2"), "w/2", "", ""};
+  EngineOrder order{OrderKind::kStage,        Revision(1), model.model, WeightVersion(2),
+                    WeightDigest("digest-2"), "w/2",       "",          ""};
   f.engines["a"]->ApplyOrder(order, [](const absl::Status&) {});
   f.Run(seconds(2));
   f.engines["a"]->FailNextActivation();
--- a/test/gateway/gateway_fixture.cc
+++ b/test/gateway/gateway_fixture.cc
@@ -48,9 +48,9 @@
   context = std::make_unique<GatewayContext>(environment, configuration, control, *gateway_engines,
                                              *gateway_http, *router, SelfRecord(), faults);
   live = std::make_unique<LiveService>(*context);
-  observer = std::make_unique<EngineObserver>(environment, transport, *gateway_engines,
-                                              *gateway_http, configuration, *router, SelfRecord(),
-                                              ObserverOptions{});
+  observer =
+      std::make_unique<EngineObserver>(environment, transport, *gateway_engines, *gateway_http,
+                                       configuration, *router, SelfRecord(), ObserverOptions{});
   http.AddAddress(kGatewayAddress, gateway_host);
   http.Listen(kGatewayAddress, *live);
 }
@@ -90,8 +90,8 @@
 
 void GatewayFixture::ChangeGroup(const std::string& name,
                                  const std::function<void(TrafficGroupSpec&)>& change) {
-  Resource& group = builder.mutable_configuration().resources.at(
-      ResourceKey{ResourceKind::kTrafficGroup, name});
+  Resource& group =
+      builder.mutable_configuration().resources.at(ResourceKey{ResourceKind::kTrafficGroup, name});
   change(std::get<TrafficGroupSpec>(group.spec));
 }
 
@@ -110,10 +110,8 @@
 
 std::unique_ptr<Call> GatewayFixture::Complete(const std::string& prompt, uint32_t max_tokens,
                                                bool stream, HttpHeaders headers) {
-  const boost::json::object body{{"model", "caption"},
-                                 {"prompt", prompt},
-                                 {"max_tokens", max_tokens},
-                                 {"stream", stream}};
+  const boost::json::object body{
+      {"model", "caption"}, {"prompt", prompt}, {"max_tokens", max_tokens}, {"stream", stream}};
   return Send({"POST", "/v1/completions", std::move(headers), boost::json::serialize(body)});
 }
 
