--- /dev/null
+++ b/source/transport/frame.h
@@ -0,0 +1,52 @@
+/// Frames on a peer connection: a 4-byte big-endian length, one byte of kind, the payload. The
+/// length counts kind and payload. Kind 0 is the hello; the others are MessageKind.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "common/peer_transport.h"
+
+namespace millstair {
+
+inline constexpr size_t kFrameHeaderBytes = 5;
+inline constexpr uint8_t kHelloKind = 0;
+
+struct Frame {
+  uint8_t kind = kHelloKind;
+  std::string payload;
+};
+
+/// The bytes of a frame.
+std::string EncodeFrame(uint8_t kind, std::string_view payload);
+/// True if `kind` is a MessageKind that this version knows.
+bool IsMessageKind(uint8_t kind);
+
+enum class FrameFault : uint8_t { kNone, kTooLarge, kEmpty, kUnknownKind };
+
+/// Cuts a stream of bytes into frames. After a fault it gives no further frames, since the stream
+/// can't be in step any more.
+class FrameReader {
+ public:
+  explicit FrameReader(size_t max_payload_bytes) : max_payload_bytes_(max_payload_bytes) {}
+
+  void Add(std::string_view bytes) { buffer_.append(bytes); }
+  void SetMaxPayload(size_t max_payload_bytes) { max_payload_bytes_ = max_payload_bytes; }
+  /// The next whole frame; none if bytes are missing or after a fault.
+  std::optional<Frame> Next();
+
+  FrameFault fault() const { return fault_; }
+  /// True if the stream stands in the middle of a frame.
+  bool partial() const { return begin_ < buffer_.size(); }
+
+ private:
+  size_t max_payload_bytes_;
+  std::string buffer_;
+  size_t begin_ = 0;
+  FrameFault fault_ = FrameFault::kNone;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/transport/peer_hub.cc
@@ -0,0 +1,441 @@
+#include "transport/peer_hub.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <random>
+#include <utility>
+
+#include "api/generated/hello.pb.h"
+#include "common/event_log.h"
+#include "fmt/format.h"
+#include "runtime/endpoint.h"
+#include "wire/nanopb_message.h"
+
+namespace millstair {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr size_t kReadBytes = 64 * 1024;
+/// Messages are joined up to this size for one write.
+constexpr size_t kBatchBytes = 256 * 1024;
+/// Connections beyond these are closed at once.
+constexpr size_t kMaxConnections = 8192;
+/// Wait after a failed accept (out of descriptors).
+constexpr std::chrono::milliseconds kAcceptPause{100};
+
+/// Finds out soon when the peer's machine has gone silently.
+void SetSocketOptions(PeerHub::Tcp::socket& socket, Duration timeout) {
+  boost::system::error_code ignored;
+  socket.set_option(PeerHub::Tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  const auto milliseconds =
+      static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds,
+               sizeof(milliseconds));
+}
+
+}  // namespace
+
+PeerHub::PeerHub(Runtime& runtime, std::shared_ptr<SerialExecutor> executor,
+                 PeerTransportOptions options, StatsRegistry* stats)
+    : executor_(std::move(executor)),
+      options_(std::move(options)),
+      own_stats_(stats == nullptr ? std::make_unique<StatsRegistry>() : nullptr),
+      stats_(stats == nullptr ? *own_stats_ : *stats),
+      strand_(asio::make_strand(runtime.io().get_executor())),
+      acceptor_(strand_),
+      random_(std::random_device()()) {}
+
+absl::StatusOr<std::string> PeerHub::Bind() {
+  const absl::StatusOr<Tcp::endpoint> endpoint = ParseEndpoint(options_.listen);
+  if (!endpoint.ok()) return endpoint.status();
+  boost::system::error_code error;
+  acceptor_.open(endpoint->protocol(), error);
+  if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(*endpoint, error);
+  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return absl::UnavailableError(
+        fmt::format("can't listen on {}: {}", options_.listen, error.message()));
+  }
+  return FormatEndpoint(acceptor_.local_endpoint());
+}
+
+void PeerHub::Start() {
+  asio::co_spawn(
+      strand_, [self = shared_from_this()] { return self->Accept(); }, asio::detached);
+}
+
+void PeerHub::Stop() {
+  asio::post(strand_, [self = shared_from_this()] {
+    self->stopped_ = true;
+    boost::system::error_code ignored;
+    self->acceptor_.close(ignored);
+    for (const ConnectionPointer& connection : self->connections_) connection->Close();
+    for (auto& [node, peer] : self->peers_) peer.backoff_timer.cancel();
+  });
+}
+
+void PeerHub::Send(NodeId to, PeerMessage message) {
+  if (message.payload.size() > options_.max_frame_bytes) {
+    stats_.CountDropped("too-large");
+    return;
+  }
+  if (to == options_.self) {
+    executor_->Post([self = shared_from_this(), message = std::move(message)] {
+      if (self->receiver != nullptr) self->receiver->Receive(self->options_.self, message);
+    });
+    return;
+  }
+  std::string frame = EncodeFrame(static_cast<uint8_t>(message.kind), message.payload);
+  asio::post(strand_, [self = shared_from_this(), to = std::move(to),
+                       frame = std::move(frame)]() mutable { self->Enqueue(to, std::move(frame)); });
+}
+
+void PeerHub::SetAddress(NodeId node, std::string address) {
+  asio::post(strand_, [self = shared_from_this(), node = std::move(node),
+                       address = std::move(address)]() mutable {
+    Peer& peer = self->PeerOf(node);
+    if (peer.address == address) return;
+    peer.address = std::move(address);
+    peer.backoff = Duration(0);
+    peer.backoff_timer.cancel();
+    if (peer.connection && peer.connection->dialled) peer.connection->Close();
+  });
+}
+
+PeerHub::Peer& PeerHub::PeerOf(const NodeId& node) {
+  return peers_.try_emplace(node, asio::any_io_executor(strand_)).first->second;
+}
+
+void PeerHub::Enqueue(const NodeId& to, std::string frame) {
+  if (stopped_) return;
+  Peer& peer = PeerOf(to);
+  if (!peer.connection && peer.address.empty()) return stats_.CountDropped("unknown-node");
+  if (peer.queue.size() >= options_.max_queue_messages ||
+      peer.queue_bytes + frame.size() > options_.max_queue_bytes) {
+    return stats_.CountDropped("queue-full");
+  }
+  peer.queue_bytes += frame.size();
+  peer.queue.push_back(std::move(frame));
+  if (peer.connection) {
+    peer.connection->news.cancel();
+  } else if (!peer.dialling) {
+    peer.dialling = true;
+    asio::co_spawn(
+        strand_, [self = shared_from_this(), to] { return self->Dial(to); }, asio::detached);
+  }
+}
+
+void PeerHub::DropQueue(Peer& peer, const std::string& reason) {
+  if (!peer.queue.empty()) stats_.CountDropped(reason, peer.queue.size());
+  peer.queue.clear();
+  peer.queue_bytes = 0;
+}
+
+std::string PeerHub::TakeBatch(Peer& peer) {
+  std::string batch;
+  while (!peer.queue.empty() && (batch.empty() || batch.size() < kBatchBytes)) {
+    peer.queue_bytes -= peer.queue.front().size();
+    batch += peer.queue.front();
+    peer.queue.pop_front();
+    stats_.messages_sent.Add();
+  }
+  return batch;
+}
+
+asio::awaitable<void> PeerHub::Accept() {
+  const auto self = shared_from_this();
+  asio::steady_timer pause(strand_);
+  while (!stopped_) {
+    auto [error, socket] = co_await acceptor_.async_accept(kUseTuple);
+    if (error || connections_.size() >= kMaxConnections) {
+      if (stopped_ || !acceptor_.is_open()) co_return;
+      pause.expires_after(kAcceptPause);
+      co_await pause.async_wait(kUseTuple);
+      continue;
+    }
+    const auto connection =
+        std::make_shared<PeerConnection>(std::move(socket), false);
+    Track(connection);
+    asio::co_spawn(
+        strand_, [self, connection] { return self->ServeAccepted(connection); }, asio::detached);
+  }
+}
+
+asio::awaitable<void> PeerHub::ServeAccepted(ConnectionPointer connection) {
+  const auto self = shared_from_this();
+  SetSocketOptions(connection->socket, options_.write_timeout);
+  const bool greeted = co_await ReadHello(connection) && co_await SendHello(connection);
+  if (!greeted || stopped_) {
+    Forget(connection);
+    co_return;
+  }
+  Adopt(connection);
+}
+
+asio::awaitable<void> PeerHub::Dial(NodeId node) {
+  const auto self = shared_from_this();
+  Peer& peer = PeerOf(node);
+  if (peer.backoff > Duration(0)) {
+    peer.backoff_timer.expires_after(peer.backoff);
+    co_await peer.backoff_timer.async_wait(kUseTuple);
+  }
+  if (!stopped_ && !peer.connection) {
+    stats_.dials.Add();
+    const ConnectionPointer connection = co_await Connect(node, peer.address);
+    if (connection && !stopped_) {
+      peer.backoff = Duration(0);
+      Adopt(connection);
+    } else if (!peer.connection) {
+      stats_.dials_failed.Add();
+      DropQueue(peer, "not-connected");
+      peer.backoff = NextBackoff(peer);
+    }
+  }
+  peer.dialling = false;
+}
+
+Duration PeerHub::NextBackoff(Peer& peer) {
+  const Duration full =
+      std::clamp(peer.backoff * 2, options_.first_backoff, options_.last_backoff);
+  return DrawDuration(random_, full / 2, full);
+}
+
+asio::awaitable<PeerHub::ConnectionPointer> PeerHub::Connect(NodeId node, std::string address) {
+  const absl::StatusOr<Tcp::endpoint> endpoint = ParseEndpoint(address);
+  if (!endpoint.ok()) co_return nullptr;
+  const auto connection =
+      std::make_shared<PeerConnection>(Tcp::socket(strand_), true);
+  connection->node = node;
+  Track(connection);
+  CloseAfter(connection, options_.connect_timeout);
+  const auto [error] = co_await connection->socket.async_connect(*endpoint, kUseTuple);
+  connection->watchdog.cancel();
+  if (!error && !connection->closed) {
+    SetSocketOptions(connection->socket, options_.write_timeout);
+    if (co_await SendHello(connection) && co_await ReadHello(connection)) co_return connection;
+  }
+  Forget(connection);
+  co_return nullptr;
+}
+
+asio::awaitable<bool> PeerHub::SendHello(ConnectionPointer connection) {
+  WireArena arena;
+  millstair_Hello hello = millstair_Hello_init_zero;
+  hello.protocol_version = kPeerProtocolVersion;
+  hello.cluster_id = arena.NewString(options_.cluster_id);
+  hello.node = arena.NewString(options_.self.value());
+  hello.incarnation = options_.incarnation.value();
+  const std::string frame = EncodeFrame(kHelloKind, EncodeNanopb(millstair_Hello_fields, &hello));
+  const auto [error, count] =
+      co_await asio::async_write(connection->socket, asio::buffer(frame), kUseTuple);
+  stats_.bytes_sent.Add(count);
+  co_return !error;
+}
+
+asio::awaitable<bool> PeerHub::ReadHello(ConnectionPointer connection) {
+  CloseAfter(connection, options_.hello_timeout);
+  std::array<char, 1024> bytes;
+  std::optional<Frame> frame;
+  while (!(frame = connection->reader.Next()).has_value()) {
+    if (connection->reader.fault() != FrameFault::kNone) break;
+    const auto [error, count] =
+        co_await connection->socket.async_read_some(asio::buffer(bytes), kUseTuple);
+    if (error) break;
+    stats_.bytes_received.Add(count);
+    connection->reader.Add({bytes.data(), count});
+  }
+  connection->watchdog.cancel();
+  if (frame.has_value()) co_return AcceptHello(*connection, *frame);
+  CountFault(*connection, true);
+  co_return false;
+}
+
+bool PeerHub::AcceptHello(PeerConnection& connection, const Frame& frame) {
+  const auto refuse = [this](const std::string& reason) {
+    stats_.CountRefused(reason);
+    return false;
+  };
+  if (frame.kind != kHelloKind) return refuse("no-hello");
+  const auto hello =
+      DecodedMessage<millstair_Hello>::Decode(millstair_Hello_fields, frame.payload);
+  if (!hello.ok()) return refuse("bad-hello");
+  if ((*hello)->protocol_version != kPeerProtocolVersion) return refuse("other-version");
+  if (ToString((*hello)->cluster_id) != options_.cluster_id) return refuse("other-cluster");
+  const NodeId node(ToString((*hello)->node));
+  if (node.value().empty() || node == options_.self) return refuse("bad-node");
+  if (connection.dialled && node != connection.node) return refuse("other-node");
+  connection.node = node;
+  connection.incarnation = Incarnation((*hello)->incarnation);
+  return true;
+}
+
+bool PeerHub::Crossed(const PeerConnection& connection, const PeerConnection& other) const {
+  return connection.dialled != other.dialled && connection.incarnation == other.incarnation &&
+         connection.established - other.established < options_.hello_timeout;
+}
+
+bool PeerHub::LosesTo(const PeerConnection& connection, const PeerConnection& other) const {
+  if (!Crossed(connection, other)) return false;
+  // The connection dialled by the smaller name stays.
+  return connection.dialled == (connection.node < options_.self);
+}
+
+void PeerHub::Adopt(const ConnectionPointer& connection) {
+  connection->established = std::chrono::steady_clock::now();
+  connection->reader.SetMaxPayload(options_.max_frame_bytes);
+  Peer& peer = PeerOf(connection->node);
+  const ConnectionPointer older = peer.connection;
+  const bool loses = older && LosesTo(*connection, *older);
+  const auto self = shared_from_this();
+  asio::co_spawn(
+      strand_, [self, connection] { return self->ReadFrames(connection); }, asio::detached);
+  // Of two crossed connections each node gives up only the one that it dialled itself.
+  if (loses) {
+    if (connection->dialled) Retire(connection);
+    return;
+  }
+  peer.connection = connection;
+  peer.backoff_timer.cancel();
+  LogEvent(EventId::kPeerConnected, "node={} dialled={}", connection->node, connection->dialled);
+  asio::co_spawn(
+      strand_, [self, connection] { return self->WriteQueue(connection); }, asio::detached);
+  if (!older) return;
+  if (!Crossed(*connection, *older)) return older->Close();
+  older->retiring = older->dialled;
+  older->news.cancel();
+}
+
+void PeerHub::Retire(const ConnectionPointer& connection) {
+  boost::system::error_code ignored;
+  connection->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  CloseAfter(connection, options_.hello_timeout);
+}
+
+asio::awaitable<void> PeerHub::ReadFrames(ConnectionPointer connection) {
+  const auto self = shared_from_this();
+  std::vector<char> bytes(kReadBytes);
+  bool ended = false;
+  while (!connection->closed) {
+    std::deque<Frame> frames;
+    while (std::optional<Frame> frame = connection->reader.Next()) {
+      if (frame->kind == kHelloKind) {
+        stats_.CountRefused("second-hello");
+        connection->Close();
+        break;
+      }
+      frames.push_back(*std::move(frame));
+    }
+    if (!frames.empty()) co_await Deliver(connection, std::move(frames));
+    if (connection->closed || connection->reader.fault() != FrameFault::kNone) break;
+    const auto [error, count] =
+        co_await connection->socket.async_read_some(asio::buffer(bytes), kUseTuple);
+    if (error) {
+      ended = true;
+      break;
+    }
+    stats_.bytes_received.Add(count);
+    connection->reader.Add({bytes.data(), count});
+  }
+  if (!connection->closed) CountFault(*connection, ended);
+  Forget(connection);
+}
+
+asio::awaitable<void> PeerHub::Deliver(ConnectionPointer connection, std::deque<Frame> frames) {
+  const auto self = shared_from_this();
+  stats_.messages_received.Add(frames.size());
+  connection->delivered = false;
+  executor_->Post([self, connection, frames = std::move(frames)]() mutable {
+    for (Frame& frame : frames) {
+      if (self->receiver == nullptr) break;
+      self->receiver->Receive(connection->node, PeerMessage{static_cast<MessageKind>(frame.kind),
+                                                            std::move(frame.payload)});
+    }
+    asio::post(self->strand_, [connection] {
+      connection->delivered = true;
+      connection->delivered_timer.cancel();
+    });
+  });
+  // The next bytes are read once these were taken, so that a slow node holds its peers back.
+  while (!connection->delivered && !connection->closed) {
+    connection->delivered_timer.expires_at(SteadyTime::max());
+    co_await connection->delivered_timer.async_wait(kUseTuple);
+  }
+}
+
+asio::awaitable<void> PeerHub::WriteQueue(ConnectionPointer connection) {
+  const auto self = shared_from_this();
+  Peer& peer = PeerOf(connection->node);
+  while (!connection->closed && peer.connection == connection) {
+    const std::string batch = TakeBatch(peer);
+    if (batch.empty()) {
+      connection->news.expires_at(SteadyTime::max());
+      co_await connection->news.async_wait(kUseTuple);
+      continue;
+    }
+    CloseAfter(connection, options_.write_timeout);
+    const auto [error, count] =
+        co_await asio::async_write(connection->socket, asio::buffer(batch), kUseTuple);
+    connection->watchdog.cancel();
+    stats_.bytes_sent.Add(count);
+    if (error) break;
+  }
+  if (peer.connection == connection) {
+    Forget(connection);
+    co_return;
+  }
+  if (connection->retiring && !connection->closed) Retire(connection);
+}
+
+void PeerHub::CountFault(const PeerConnection& connection, bool ended) {
+  switch (connection.reader.fault()) {
+    case FrameFault::kTooLarge:
+      return stats_.CountRefused("too-large");
+    case FrameFault::kEmpty:
+      return stats_.CountRefused("empty");
+    case FrameFault::kUnknownKind:
+      return stats_.CountRefused("unknown-kind");
+    case FrameFault::kNone:
+      break;
+  }
+  if (ended && connection.reader.partial()) stats_.CountRefused("truncated");
+}
+
+void PeerHub::Track(const ConnectionPointer& connection) {
+  connections_.insert(connection);
+  stats_.connections.Set(static_cast<double>(connections_.size()));
+}
+
+void PeerHub::Forget(const ConnectionPointer& connection) {
+  connection->Close();
+  connections_.erase(connection);
+  stats_.connections.Set(static_cast<double>(connections_.size()));
+  const auto peer = peers_.find(connection->node);
+  if (peer == peers_.end() || peer->second.connection != connection) return;
+  peer->second.connection = nullptr;
+  // A dial under way may still send what is queued.
+  if (!peer->second.dialling) DropQueue(peer->second, "disconnected");
+  LogEvent(EventId::kPeerDisconnected, "node={}", connection->node);
+}
+
+void PeerHub::CloseAfter(const ConnectionPointer& connection, Duration timeout) {
+  connection->watchdog.expires_after(timeout);
+  connection->watchdog.async_wait(
+      [weak = std::weak_ptr<PeerConnection>(connection)](const boost::system::error_code& error) {
+        const ConnectionPointer alive = weak.lock();
+        if (!error && alive) alive->Close();
+      });
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/transport/peer_stats.cc
@@ -0,0 +1,37 @@
+#include "transport/peer_stats.h"
+
+#include "common/event_log.h"
+
+namespace millstair {
+
+PeerStats::PeerStats(StatsRegistry& registry)
+    : stats(registry),
+      messages_sent(
+          stats.NewCounter({"millstair_peer_messages_sent_total", "Messages sent to peers."})),
+      messages_received(stats.NewCounter(
+          {"millstair_peer_messages_received_total", "Messages received from peers."})),
+      bytes_sent(stats.NewCounter({"millstair_peer_bytes_sent_total", "Bytes sent to peers."})),
+      bytes_received(
+          stats.NewCounter({"millstair_peer_bytes_received_total", "Bytes received from peers."})),
+      dials(stats.NewCounter({"millstair_peer_dials_total", "Connections tried to peers."})),
+      dials_failed(stats.NewCounter(
+          {"millstair_peer_dials_failed_total", "Connections to peers that did not come up."})),
+      connections(stats.NewGauge({"millstair_peer_connections", "Connections to peers open now."})) {
+}
+
+void PeerStats::CountRefused(const std::string& reason) {
+  stats
+      .NewCounter({"millstair_peer_refused_total", "Peer connections closed for a faulty frame.",
+                   "reason", reason})
+      .Add();
+  LogEvent(EventId::kPeerRefused, "reason={}", reason);
+}
+
+void PeerStats::CountDropped(const std::string& reason, uint64_t count) {
+  stats
+      .NewCounter({"millstair_peer_messages_dropped_total", "Messages to peers that were not sent.",
+                   "reason", reason})
+      .Add(count);
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/test/transport/tcp_peer_transport_test.cc
@@ -0,0 +1,269 @@
+#include "transport/tcp_peer_transport.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <vector>
+
+#include "api/generated/hello.pb.h"
+#include "runtime/endpoint.h"
+#include "transport/frame.h"
+#include "wire/nanopb_message.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct Received {
+  NodeId from;
+  std::string payload;
+};
+
+/// One node: a transport, and what arrived at it.
+class Node : public PeerReceiver {
+ public:
+  Node(Runtime& runtime, const std::string& name, const std::string& cluster = "c",
+       const std::string& listen = "127.0.0.1:0")
+      : executor_(runtime.NewExecutor()) {
+    PeerTransportOptions options;
+    options.self = NodeId(name);
+    options.incarnation = Incarnation(1);
+    options.cluster_id = cluster;
+    options.listen = listen;
+    options.max_frame_bytes = 1024 * 1024;
+    options.max_queue_messages = 1000;
+    options.hello_timeout = milliseconds(300);
+    transport_ = *TcpPeerTransport::Listen(runtime, executor_, options, &stats);
+    transport_->SetReceiver(this);
+  }
+  ~Node() override {
+    executor_->PostAndWait([this] { transport_.reset(); });
+    executor_->Stop();
+  }
+
+  void Receive(const NodeId& from, const PeerMessage& message) override {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    received_.push_back({from, message.payload});
+    changed_.notify_all();
+  }
+  void Send(const std::string& to, const std::string& payload) {
+    executor_->PostAndWait(
+        [&] { transport_->Send(NodeId(to), {MessageKind::kCommand, payload}); });
+  }
+  void Know(const Node& other, const std::string& name) {
+    executor_->PostAndWait([&] { transport_->SetAddress(NodeId(name), other.address()); });
+  }
+  /// Waits until `count` messages have arrived.
+  bool WaitFor(size_t count) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    return changed_.wait_for(lock, seconds(10), [&] { return received_.size() >= count; });
+  }
+  std::vector<Received> received() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return received_;
+  }
+  double Stat(const std::string& name, const std::string& label = "") const {
+    for (const StatSample& sample : stats.Read()) {
+      if (sample.name.name == name && sample.name.label_value == label) return sample.value;
+    }
+    return 0;
+  }
+  /// Waits until a stat has reached a value.
+  bool WaitForStat(const std::string& name, const std::string& label, double value) const {
+    for (int i = 0; i < 1000; ++i) {
+      if (Stat(name, label) >= value) return true;
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return false;
+  }
+  std::string address() const { return transport_->address(); }
+
+  mutable StatsRegistry stats;
+
+ private:
+  std::shared_ptr<SerialExecutor> executor_;
+  std::unique_ptr<TcpPeerTransport> transport_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<Received> received_;
+};
+
+std::string HelloFrame(const std::string& node, const std::string& cluster = "c",
+                       uint32_t version = kPeerProtocolVersion) {
+  WireArena arena;
+  millstair_Hello hello = millstair_Hello_init_zero;
+  hello.protocol_version = version;
+  hello.cluster_id = arena.NewString(cluster);
+  hello.node = arena.NewString(node);
+  return EncodeFrame(kHelloKind, EncodeNanopb(millstair_Hello_fields, &hello));
+}
+
+/// Sends raw bytes to a transport and waits until it closes the connection, or for a bounded time.
+void SendRaw(const std::string& address, const std::string& bytes, bool end = false) {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  socket.connect(*ParseEndpoint(address));
+  const timeval limit{5, 0};
+  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  boost::system::error_code ignored;
+  boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+  if (end) socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  char piece[4096];
+  while (::recv(socket.native_handle(), piece, sizeof(piece), 0) > 0) {
+  }
+}
+
+TEST_CASE("Messages arrive in order, and replies need no address") {
+  Runtime runtime({.workers = 4});
+  Node a(runtime, "a");
+  Node b(runtime, "b");
+  a.Know(b, "b");
+  for (int i = 0; i < 100; ++i) a.Send("b", std::to_string(i));
+  REQUIRE(b.WaitFor(100));
+  const std::vector<Received> received = b.received();
+  for (int i = 0; i < 100; ++i) {
+    CHECK(received[static_cast<size_t>(i)].from == NodeId("a"));
+    CHECK(received[static_cast<size_t>(i)].payload == std::to_string(i));
+  }
+  b.Send("a", std::string(500000, 'y'));
+  REQUIRE(a.WaitFor(1));
+  CHECK(a.received()[0].payload.size() == 500000);
+  CHECK(a.Stat("millstair_peer_dials_total") == 1);
+  CHECK(b.Stat("millstair_peer_dials_total") == 0);
+}
+
+TEST_CASE("A node reaches itself, and unknown nodes are counted") {
+  Runtime runtime;
+  Node a(runtime, "a");
+  a.Send("a", "self");
+  REQUIRE(a.WaitFor(1));
+  a.Send("nobody", "x");
+  CHECK(a.WaitForStat("millstair_peer_messages_dropped_total", "unknown-node", 1));
+  a.Send("a", std::string(1024 * 1024 + 1, 'x'));
+  CHECK(a.Stat("millstair_peer_messages_dropped_total", "too-large") == 1);
+}
+
+TEST_CASE("Two nodes that dial each other at once settle on one connection") {
+  Runtime runtime({.workers = 4});
+  for (int round = 0; round < 20; ++round) {
+    Node a(runtime, "a");
+    Node b(runtime, "b");
+    a.Know(b, "b");
+    b.Know(a, "a");
+    std::thread other([&] { b.Send("a", "from b"); });
+    a.Send("b", "from a");
+    other.join();
+    REQUIRE(a.WaitFor(1));
+    REQUIRE(b.WaitFor(1));
+    for (int i = 0; i < 500 && (a.Stat("millstair_peer_connections") > 1 ||
+                                b.Stat("millstair_peer_connections") > 1);
+         ++i) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(a.Stat("millstair_peer_connections") == 1);
+    CHECK(b.Stat("millstair_peer_connections") == 1);
+    a.Send("b", "again");
+    b.Send("a", "again");
+    CHECK(a.WaitFor(2));
+    CHECK(b.WaitFor(2));
+  }
+}
+
+TEST_CASE("A node is dialled again after its restart at the same address") {
+  Runtime runtime({.workers = 4});
+  Node a(runtime, "a");
+  auto b = std::make_unique<Node>(runtime, "b");
+  const std::string address = b->address();
+  a.Know(*b, "b");
+  a.Send("b", "first");
+  REQUIRE(b->WaitFor(1));
+  b.reset();
+  // Tries while nobody listens back off; they must not go on for each message.
+  for (int i = 0; i < 50; ++i) a.Send("b", "lost");
+  REQUIRE(a.WaitForStat("millstair_peer_dials_failed_total", "", 1));
+  CHECK(a.Stat("millstair_peer_dials_total") < 10);
+  Node again(runtime, "b", "c", address);
+  for (int i = 0; i < 500 && again.received().empty(); ++i) {
+    a.Send("b", "second");
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  REQUIRE_FALSE(again.received().empty());
+  CHECK(again.received().back().payload == "second");
+}
+
+TEST_CASE("Other clusters, versions, names and faulty frames are refused and counted") {
+  Runtime runtime;
+  Node a(runtime, "a");
+  const std::string command = EncodeFrame(static_cast<uint8_t>(MessageKind::kCommand), "x");
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"other-cluster", HelloFrame("b", "other")},
+      {"other-version", HelloFrame("b", "c", 99)},
+      {"bad-node", HelloFrame("")},
+      {"bad-node", HelloFrame("a")},
+      {"bad-hello", EncodeFrame(kHelloKind, "\xff\xff\xff")},
+      {"no-hello", command},
+      {"empty", std::string(5, '\0')},
+      {"unknown-kind", HelloFrame("b") + EncodeFrame(250, "x")},
+      {"second-hello", HelloFrame("b") + HelloFrame("b")},
+      {"too-large", std::string("\x00\x00\x20\x00\x00", 5)},
+      {"too-large", HelloFrame("b") + std::string("\x7f\xff\xff\xff\x05", 5)},
+  };
+  for (const auto& [reason, bytes] : cases) {
+    INFO(reason);
+    const double before = a.Stat("millstair_peer_refused_total", reason);
+    SendRaw(a.address(), bytes);
+    CHECK(a.WaitForStat("millstair_peer_refused_total", reason, before + 1));
+  }
+  SendRaw(a.address(), HelloFrame("b") + command.substr(0, 3), true);
+  CHECK(a.WaitForStat("millstair_peer_refused_total", "truncated", 1));
+  CHECK(a.received().empty());
+}
+
+TEST_CASE("A dialled node of another name or cluster gets nothing") {
+  Runtime runtime({.workers = 4});
+  Node a(runtime, "a");
+  Node b(runtime, "b");
+  Node stranger(runtime, "s", "other");
+  a.Know(b, "wrong-name");
+  a.Know(stranger, "s");
+  a.Send("wrong-name", "x");
+  a.Send("s", "x");
+  CHECK(a.WaitForStat("millstair_peer_refused_total", "other-node", 1));
+  CHECK(stranger.WaitForStat("millstair_peer_refused_total", "other-cluster", 1));
+  CHECK(b.received().empty());
+  CHECK(stranger.received().empty());
+}
+
+TEST_CASE("Random and mutated streams never stop the transport") {
+  Runtime runtime({.workers = 4});
+  Node a(runtime, "a");
+  std::mt19937_64 random(20261203);
+  std::string sound = HelloFrame("fuzz");
+  for (int i = 0; i < 5; ++i) {
+    sound += EncodeFrame(static_cast<uint8_t>(MessageKind::kHeartbeat), std::string(20, 'p'));
+  }
+  for (int round = 0; round < 300; ++round) {
+    std::string bytes = sound;
+    for (uint64_t change = 1 + random() % 6; change > 0; --change) {
+      bytes[random() % bytes.size()] = static_cast<char>(random() % 256);
+    }
+    if (random() % 4 == 0) bytes.resize(random() % bytes.size());
+    SendRaw(a.address(), bytes, true);
+  }
+  Node b(runtime, "b");
+  b.Know(a, "a");
+  const size_t before = a.received().size();
+  b.Send("a", "alive");
+  REQUIRE(a.WaitFor(before + 1));
+  CHECK(a.received().back().payload == "alive");
+}
+
+}  // namespace
+}  // namespace millstair
