--- a/source/http/http_engine_client.cc
+++ b/source/http/http_engine_client.cc
@@ -193,8 +193,8 @@
 void HttpEngineClient::Call(const std::string& address, HttpRequest request, Duration timeout,
                             std::function<void(absl::StatusOr<Answer>)> done) {
   const uint64_t id = ++last_call_;
-  const auto [entry, added] = calls_.emplace(
-      id, std::make_unique<SimpleEngineCall>(*this, id, std::move(done)));
+  const auto [entry, added] =
+      calls_.emplace(id, std::make_unique<SimpleEngineCall>(*this, id, std::move(done)));
   entry->second->Start(address, std::move(request), timeout);
 }
 
--- a/source/http/http_engine_client.h
+++ b/source/http/http_engine_client.h
@@ -26,10 +26,12 @@
 
 class SimpleEngineCall;
 
-/// Lives on the serial executor; `http` outlives it. Calls still under way when it goes are dropped.
+/// Lives on the serial executor; `http` outlives it. Calls still under way when it goes are
+/// dropped.
 class HttpEngineClient : public EngineClient {
  public:
-  HttpEngineClient(Environment& environment, HttpCaller& http, HttpEngineClientOptions options = {});
+  HttpEngineClient(Environment& environment, HttpCaller& http,
+                   HttpEngineClientOptions options = {});
   ~HttpEngineClient() override;
 
   std::unique_ptr<CallHandle> Generate(const std::string& address, GenerateRequest request,
--- a/source/transport/peer_hub.cc
+++ b/source/transport/peer_hub.cc
@@ -98,8 +98,10 @@
     return;
   }
   std::string frame = EncodeFrame(static_cast<uint8_t>(message.kind), message.payload);
-  asio::post(strand_, [self = shared_from_this(), to = std::move(to),
-                       frame = std::move(frame)]() mutable { self->Enqueue(to, std::move(frame)); });
+  asio::post(strand_,
+             [self = shared_from_this(), to = std::move(to), frame = std::move(frame)]() mutable {
+               self->Enqueue(to, std::move(frame));
+             });
 }
 
 void PeerHub::SetAddress(NodeId node, std::string address) {
@@ -165,8 +167,7 @@
       co_await pause.async_wait(kUseTuple);
       continue;
     }
-    const auto connection =
-        std::make_shared<PeerConnection>(std::move(socket), false);
+    const auto connection = std::make_shared<PeerConnection>(std::move(socket), false);
     Track(connection);
     asio::co_spawn(
         strand_, [self, connection] { return self->ServeAccepted(connection); }, asio::detached);
@@ -207,16 +208,14 @@
 }
 
 Duration PeerHub::NextBackoff(Peer& peer) {
-  const Duration full =
-      std::clamp(peer.backoff * 2, options_.first_backoff, options_.last_backoff);
+  const Duration full = std::clamp(peer.backoff * 2, options_.first_backoff, options_.last_backoff);
   return DrawDuration(random_, full / 2, full);
 }
 
 asio::awaitable<PeerHub::ConnectionPointer> PeerHub::Connect(NodeId node, std::string address) {
   const absl::StatusOr<Tcp::endpoint> endpoint = ParseEndpoint(address);
   if (!endpoint.ok()) co_return nullptr;
-  const auto connection =
-      std::make_shared<PeerConnection>(Tcp::socket(strand_), true);
+  const auto connection = std::make_shared<PeerConnection>(Tcp::socket(strand_), true);
   connection->node = node;
   Track(connection);
   CloseAfter(connection, options_.connect_timeout);
@@ -268,8 +267,7 @@
     return false;
   };
   if (frame.kind != kHelloKind) return refuse("no-hello");
-  const auto hello =
-      DecodedMessage<millstair_Hello>::Decode(millstair_Hello_fields, frame.payload);
+  const auto hello = DecodedMessage<millstair_Hello>::Decode(millstair_Hello_fields, frame.payload);
   if (!hello.ok()) return refuse("bad-hello");
   if ((*hello)->protocol_version != kPeerProtocolVersion) return refuse("other-version");
   if (ToString((*hello)->cluster_id) != options_.cluster_id) return refuse("other-cluster");
--- a/source/transport/peer_stats.cc
+++ b/source/transport/peer_stats.cc
@@ -16,8 +16,8 @@
       dials(stats.NewCounter({"millstair_peer_dials_total", "Connections tried to peers."})),
       dials_failed(stats.NewCounter(
           {"millstair_peer_dials_failed_total", "Connections to peers that did not come up."})),
-      connections(stats.NewGauge({"millstair_peer_connections", "Connections to peers open now."})) {
-}
+      connections(
+          stats.NewGauge({"millstair_peer_connections", "Connections to peers open now."})) {}
 
 void PeerStats::CountRefused(const std::string& reason) {
   stats
--- a/source/transport/tcp_peer_transport.cc
+++ b/source/transport/tcp_peer_transport.cc
@@ -9,8 +9,7 @@
 absl::StatusOr<std::unique_ptr<TcpPeerTransport>> TcpPeerTransport::Listen(
     Runtime& runtime, std::shared_ptr<SerialExecutor> executor, PeerTransportOptions options,
     StatsRegistry* stats) {
-  auto hub =
-      std::make_shared<PeerHub>(runtime, std::move(executor), std::move(options), stats);
+  auto hub = std::make_shared<PeerHub>(runtime, std::move(executor), std::move(options), stats);
   absl::StatusOr<std::string> address = hub->Bind();
   if (!address.ok()) return address.status();
   hub->Start();
--- a/test/transport/frame_test.cc
+++ b/test/transport/frame_test.cc
@@ -1,8 +1,9 @@
 #include "transport/frame.h"
 
-#include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <catch2/catch.hpp>
+
 namespace millstair {
 namespace {
 
