Add the load generator and the demo's driver

Cause: real processes need load that hides no wait, and a judge of what they did. Change: millstair-bench load (open loop, traces, whole answers checked) and millstair-bench demo (callers, trainer, racing operators, probes, faults by script; the history checks judge the run).

--- /dev/null
+++ b/bench/demo/demo_command.cc
@@ -0,0 +1,137 @@
+#include "bench/demo/demo_command.h"
+
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <thread>
+
+#include "bench/demo/demo_report.h"
+#include "bench/demo/demo_run.h"
+#include "bench/demo/fault_script.h"
+#include "bench/demo/live_traffic.h"
+#include "bench/demo/node_probe.h"
+#include "bench/demo/operators.h"
+#include "bench/demo/trainer.h"
+#include "bench/demo/truth_reader.h"
+#include "fmt/format.h"
+#include "fmt/ostream.h"
+#include "simulator/checks/all_checks.h"
+
+namespace millstair {
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr int kBroken = 1;
+constexpr int kUsage = 2;
+/// No run is longer, whatever the script does.
+constexpr Duration kLongestRun = std::chrono::minutes(10);
+constexpr Duration kFirstAnswerLimit = std::chrono::seconds(30);
+constexpr Duration kTrainerGrace = std::chrono::seconds(30);
+
+checks::AgreedBounds Bounds() {
+  checks::AgreedBounds bounds;
+  bounds.recovery = std::chrono::seconds(12);
+  return bounds;
+}
+
+/// Waits until the fleet answers a completion, so that the load starts on a whole fleet.
+bool WaitForFirstCompletion(DemoRun& run) {
+  LiveCall call;
+  call.kind = checks::CallKind::kCompletion;
+  call.model = run.fleet().model;
+  call.prompt = "is anyone there";
+  call.max_tokens = 4;
+  call.timeout = std::chrono::seconds(5);
+  while (run.clock().Now() < kFirstAnswerLimit) {
+    call.try_id = fmt::format("first-{}", run.clock().Now().count());
+    const checks::CallTry record =
+        PlaceCall(run.caller(), run.PickGateway(), call, run.clock());
+    if (record.end == checks::CallEnd::kComplete) return true;
+    run.Sleep(std::chrono::milliseconds(200));
+  }
+  return false;
+}
+
+/// Drives the fleet while the script's lines come in. False when the script failed.
+bool Drive(DemoRun& run, Trainer& trainer, LiveLatencies& latencies) {
+  std::thread traffic([&] { RunLiveTraffic(run, kLongestRun, latencies); });
+  std::thread operators([&] { RunOperators(run); });
+  std::thread training([&] { trainer.Run(kTrainerGrace); });
+  FaultScript script(run);
+  std::string fault;
+  const bool followed = script.Follow(std::cin, fault);
+  if (!followed) fmt::print(stderr, "the fault script failed at '{}'\n", fault);
+  run.Record([&](checks::History& history) { history.end = run.clock().Now(); });
+  run.Stop();
+  traffic.join();
+  operators.join();
+  training.join();
+  return followed;
+}
+
+bool JudgeAndPrint(DemoRun& run, const Trainer& trainer, const LiveLatencies& latencies) {
+  checks::History history = run.TakeHistory();
+  history.streams.push_back({StreamName(run.fleet().stream), ModelName(run.fleet().model),
+                             run.fleet().staleness_bound});
+  std::string fault;
+  if (!ReadTruth(run, history, fault)) {
+    fmt::print("{}\n", fault);
+    return false;
+  }
+  const std::vector<checks::CheckResult> results =
+      checks::RunAllChecks(history, Bounds(), EngineOracle());
+  fmt::print("\n{}\n{}\n", CheckTable(results),
+             MeasureTable(history, trainer.report(), latencies));
+  const bool held = AllHeld(results);
+  fmt::print("{}\n", held ? "every check held" : "NOT every check held");
+  return held;
+}
+
+int RunDemo(FleetFile fleet) {
+  DemoRun run(std::move(fleet));
+  std::thread probe([&run] { ProbeNodes(run); });
+  LiveLatencies latencies;
+  Trainer trainer(run);
+  run.Sleep(std::chrono::milliseconds(500));
+  const bool up = trainer.PublishFirst(kFirstAnswerLimit) && WaitForFirstCompletion(run);
+  if (!up) fmt::print("the fleet did not answer a first completion in time\n");
+  const bool driven = up && Drive(run, trainer, latencies);
+  run.Stop();
+  probe.join();
+  const bool held = up && JudgeAndPrint(run, trainer, latencies);
+  return driven && held ? 0 : kBroken;
+}
+
+}  // namespace
+
+int RunDemoCommand(const std::vector<std::string>& arguments) {
+  po::options_description description("millstair-bench demo");
+  description.add_options()("help", "print this page")(
+      "fleet", po::value<std::string>(), "fleet file (deploy/*/fleet.yaml)");
+  po::variables_map values;
+  try {
+    po::store(po::command_line_parser(arguments).options(description).run(), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    fmt::print(stderr, "{}\n", error.what());
+    return kUsage;
+  }
+  if (values.count("help") > 0 || values.count("fleet") == 0) {
+    fmt::print(stderr, "{}", fmt::streamed(description));
+    return values.count("help") > 0 ? 0 : kUsage;
+  }
+  const std::string path = values["fleet"].as<std::string>();
+  std::ifstream stream(path);
+  const std::string text(std::istreambuf_iterator<char>(stream), {});
+  Findings findings;
+  FleetFile fleet = ParseFleetFile(path, text, findings);
+  if (!findings.empty()) {
+    fmt::print(stderr, "{}", findings.ToString());
+    return kUsage;
+  }
+  return RunDemo(std::move(fleet));
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/bench/demo/fault_script.cc
@@ -0,0 +1,135 @@
+#include "bench/demo/fault_script.h"
+
+#include <cstdlib>
+#include <sstream>
+
+#include "bench/demo/truth_reader.h"
+#include "boost/json.hpp"
+#include "fmt/format.h"
+
+namespace millstair {
+namespace {
+
+namespace json = boost::json;
+
+constexpr Duration kHookTimeout = std::chrono::seconds(5);
+constexpr int kCrashMilliseconds = 4000;
+constexpr int kOk = 200;
+
+}  // namespace
+
+FaultScript::~FaultScript() {
+  for (std::thread& watch : watches_) watch.join();
+}
+
+bool FaultScript::Follow(std::istream& input, std::string& fault) {
+  std::string line;
+  while (std::getline(input, line)) {
+    std::istringstream words(line);
+    std::string command;
+    std::string argument;
+    words >> command >> argument;
+    if (command.empty()) continue;
+    if (command == "finish") return true;
+    fmt::print(stderr, "{:6.1f} s  {}\n", ToSeconds(run_.clock().Now()), line);
+    if (!Do(command, argument)) {
+      fault = line;
+      return false;
+    }
+  }
+  return true;
+}
+
+bool FaultScript::Do(const std::string& command, const std::string& argument) {
+  if (command == "wait") {
+    run_.Sleep(FromSeconds(std::strtod(argument.c_str(), nullptr)));
+  } else if (command == "stopping") {
+    Begin("planned-stop", argument, true);
+  } else if (command == "stopped") {
+    // The window stays open until the node runs again.
+  } else if (command == "killed") {
+    Begin("kill", argument, false);
+  } else if (command == "started") {
+    run_.BeginNextLife(argument);
+    End(argument);
+  } else if (command == "cut") {
+    Begin("zone-cut", argument, false);
+    return CutZone(argument, "cut");
+  } else if (command == "heal") {
+    const bool healed = CutZone(argument, "heal");
+    End(argument);
+    return healed;
+  } else if (command == "crash") {
+    return CrashEngine(argument);
+  } else if (command == "draining") {
+    return WatchDraining(argument);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void FaultScript::Begin(const std::string& kind, const std::string& node, bool planned) {
+  run_.Record([&](checks::History& history) {
+    history.faults.push_back({kind, planned, NodeId(node), run_.clock().Now(), std::nullopt});
+  });
+}
+
+void FaultScript::End(const std::string& node) {
+  run_.Record([&](checks::History& history) {
+    for (checks::FaultWindow& fault : history.faults) {
+      if (fault.node.value() == node && !fault.end) fault.end = run_.clock().Now();
+    }
+    history.healed = run_.clock().Now();
+  });
+}
+
+bool FaultScript::CutZone(const std::string& zone, const std::string& kind) {
+  std::vector<std::string> names = {zone + "/*"};
+  for (const std::string& other : run_.fleet().zones) {
+    if (other != zone) names.push_back(other + "/" + zone + "/*");
+  }
+  bool done = true;
+  for (const std::string& name : names) {
+    const std::string body = json::serialize(json::object{{"kind", kind}, {"name", name}});
+    const BlockingReply reply =
+        CallJson(run_, run_.fleet().link_control, "POST", "/fault", body, kHookTimeout);
+    done = done && reply.whole() && reply.status == kOk;
+  }
+  return done;
+}
+
+const FleetBackend* FaultScript::FindEngine(const std::string& name) const {
+  for (const FleetBackend& engine : run_.fleet().engines) {
+    if (engine.name == name) return &engine;
+  }
+  return nullptr;
+}
+
+bool FaultScript::CrashEngine(const std::string& name) {
+  const FleetBackend* engine = FindEngine(name);
+  if (engine == nullptr) return false;
+  Begin("engine-crash", name, false);
+  const std::string body =
+      json::serialize(json::object{{"kind", "crash"}, {"restart_after_ms", kCrashMilliseconds}});
+  const BlockingReply reply =
+      CallJson(run_, engine->address, "POST", "/fault", body, kHookTimeout);
+  watches_.emplace_back([this, name] {
+    run_.Sleep(std::chrono::milliseconds(kCrashMilliseconds));
+    End(name);
+  });
+  return reply.whole() && reply.status == kOk;
+}
+
+bool FaultScript::WatchDraining(const std::string& name) {
+  const FleetBackend* engine = FindEngine(name);
+  if (engine == nullptr) return false;
+  run_.Record([&](checks::History& history) {
+    history.leaving.push_back({EngineName(name), checks::LeavingSource::kOperator,
+                               run_.clock().Now(), std::nullopt});
+  });
+  watches_.emplace_back([this, engine] { WatchLeavingEngine(run_, *engine); });
+  return true;
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/bench/demo/live_traffic.cc
@@ -0,0 +1,130 @@
+#include "bench/demo/live_traffic.h"
+
+#include <atomic>
+#include <thread>
+
+#include "bench/load/open_loop.h"
+#include "fmt/format.h"
+
+namespace millstair {
+namespace {
+
+using checks::CallEnd;
+using checks::CallKind;
+using checks::CallTry;
+using checks::ClaimedOutcome;
+
+constexpr int kThreadsPerKind = 24;
+constexpr int kBookingTries = 6;
+constexpr Duration kCallTimeout = std::chrono::seconds(20);
+constexpr Duration kResendPause = std::chrono::milliseconds(700);
+constexpr int kPromptGroups = 6;
+constexpr int kSharedWords = 48;
+
+std::string LivePrompt(size_t index) {
+  std::string prompt;
+  for (int word = 0; word < kSharedWords; ++word) {
+    prompt += fmt::format("preamble{}w{} ", index % kPromptGroups, word);
+  }
+  return prompt + fmt::format("live{}", index);
+}
+
+/// Whether the caller of a booking may ask again: the answer is not known yet.
+bool AsksAgain(const CallTry& call) {
+  if (call.end == CallEnd::kComplete) return false;
+  return call.outcome == ClaimedOutcome::kNotRun || call.outcome == ClaimedOutcome::kNone;
+}
+
+class TrafficKind {
+ public:
+  TrafficKind(DemoRun& run, std::string name, LatencyHistogram& latency)
+      : run_(run), name_(std::move(name)), latency_(latency) {}
+
+  void Completion(size_t index, Duration due) {
+    LiveCall call;
+    call.kind = CallKind::kCompletion;
+    call.try_id = fmt::format("{}-{}", name_, index);
+    call.model = run_.fleet().model;
+    call.prompt = LivePrompt(index);
+    call.max_tokens = static_cast<uint32_t>(run_.fleet().max_tokens);
+    call.stream = index % 4 != 0;
+    call.timeout = kCallTimeout;
+    Finish(PlaceCall(run_.caller(), run_.PickGateway(), call, run_.clock()), due);
+  }
+
+  void Plain(const FleetTraffic& traffic, size_t index, Duration due) {
+    LiveCall call;
+    call.kind = traffic.kind;
+    call.host = traffic.host;
+    call.timeout = kCallTimeout;
+    const std::string id = fmt::format("{}-{}", name_, index);
+    call.path = traffic.path + "/" + id;
+    if (traffic.kind != CallKind::kBooking) {
+      call.try_id = id;
+      Finish(PlaceCall(run_.caller(), run_.PickGateway(), call, run_.clock()), due);
+      return;
+    }
+    call.key = id;
+    call.body = fmt::format(R"({{"order":"{}"}})", id);
+    Book(call, index, due);
+  }
+
+ private:
+  /// Sends a booking and, when no final answer came, sends it again elsewhere under its key. Every
+  /// eighth one is sent to two gateways at once.
+  void Book(LiveCall call, size_t index, Duration due) {
+    std::thread twin;
+    if (index % 8 == 0) {
+      LiveCall second = call;
+      second.try_id = call.key + "-twin";
+      twin = std::thread([this, second, due] {
+        Finish(PlaceCall(run_.caller(), run_.PickGateway(), second, run_.clock()), due);
+      });
+    }
+    for (int attempt = 0; attempt < kBookingTries; ++attempt) {
+      call.try_id = fmt::format("{}-try{}", call.key, attempt);
+      const CallTry record = PlaceCall(run_.caller(), run_.PickGateway(), call, run_.clock());
+      const bool again = AsksAgain(record);
+      Finish(record, due);
+      if (!again || run_.stopping()) break;
+      run_.Sleep(kResendPause);
+    }
+    if (twin.joinable()) twin.join();
+  }
+
+  void Finish(CallTry record, Duration due) {
+    if (record.end == CallEnd::kComplete) latency_.Add(*record.ended - due);
+    run_.Record([&](checks::History& history) { history.calls.push_back(std::move(record)); });
+  }
+
+  DemoRun& run_;
+  std::string name_;
+  LatencyHistogram& latency_;
+};
+
+}  // namespace
+
+void RunLiveTraffic(DemoRun& run, Duration length, LiveLatencies& latencies) {
+  std::vector<std::thread> kinds;
+  const Duration begin = run.clock().Now();
+  const auto stopped = [&run] { return run.stopping(); };
+  kinds.emplace_back([&, begin] {
+    TrafficKind kind(run, "completion", latencies.completions);
+    const auto due = PoissonArrivals(run.fleet().completion_rate, begin, length, 11);
+    RunOpenLoop(run.clock(), due, kThreadsPerKind,
+                [&](size_t index) { kind.Completion(index, due[index]); }, stopped);
+  });
+  uint64_t seed = 20;
+  for (const FleetTraffic& traffic : run.fleet().traffic) {
+    ++seed;
+    kinds.emplace_back([&, begin, seed] {
+      TrafficKind kind(run, fmt::format("plain{}", seed), latencies.plain);
+      const auto due = PoissonArrivals(traffic.rate, begin, length, seed);
+      RunOpenLoop(run.clock(), due, kThreadsPerKind,
+                  [&](size_t index) { kind.Plain(traffic, index, due[index]); }, stopped);
+    });
+  }
+  for (std::thread& kind : kinds) kind.join();
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/bench/demo/live_traffic.h
@@ -0,0 +1,18 @@
+/// Callers: completions, pages, lookups and bookings at a steady rate, open loop.
+#pragma once
+
+#include "bench/demo/demo_run.h"
+#include "bench/load/latency_histogram.h"
+
+namespace millstair {
+
+/// Latencies of complete calls, from their due time.
+struct LiveLatencies {
+  LatencyHistogram completions;
+  LatencyHistogram plain;
+};
+
+/// Calls until the run stops, at most for `length`. Blocks.
+void RunLiveTraffic(DemoRun& run, Duration length, LiveLatencies& latencies);
+
+}  // namespace millstair
