--- a/bench/demo/demo_command.cc
+++ b/bench/demo/demo_command.cc
@@ -46,8 +46,7 @@
   call.timeout = std::chrono::seconds(5);
   while (run.clock().Now() < kFirstAnswerLimit) {
     call.try_id = fmt::format("first-{}", run.clock().Now().count());
-    const checks::CallTry record =
-        PlaceCall(run.caller(), run.PickGateway(), call, run.clock());
+    const checks::CallTry record = PlaceCall(run.caller(), run.PickGateway(), call, run.clock());
     if (record.end == checks::CallEnd::kComplete) return true;
     run.Sleep(std::chrono::milliseconds(200));
   }
@@ -73,8 +72,8 @@
 
 bool JudgeAndPrint(DemoRun& run, const Trainer& trainer, const LiveLatencies& latencies) {
   checks::History history = run.TakeHistory();
-  history.streams.push_back({StreamName(run.fleet().stream), ModelName(run.fleet().model),
-                             run.fleet().staleness_bound});
+  history.streams.push_back(
+      {StreamName(run.fleet().stream), ModelName(run.fleet().model), run.fleet().staleness_bound});
   std::string fault;
   if (!ReadTruth(run, history, fault)) {
     fmt::print("{}\n", fault);
@@ -82,8 +81,7 @@
   }
   const std::vector<checks::CheckResult> results =
       checks::RunAllChecks(history, Bounds(), EngineOracle());
-  fmt::print("\n{}\n{}\n", CheckTable(results),
-             MeasureTable(history, trainer.report(), latencies));
+  fmt::print("\n{}\n{}\n", CheckTable(results), MeasureTable(history, trainer.report(), latencies));
   const bool held = AllHeld(results);
   fmt::print("{}\n", held ? "every check held" : "NOT every check held");
   return held;
@@ -108,8 +106,8 @@
 
 int RunDemoCommand(const std::vector<std::string>& arguments) {
   po::options_description description("millstair-bench demo");
-  description.add_options()("help", "print this page")(
-      "fleet", po::value<std::string>(), "fleet file (deploy/*/fleet.yaml)");
+  description.add_options()("help", "print this page")("fleet", po::value<std::string>(),
+                                                       "fleet file (deploy/*/fleet.yaml)");
   po::variables_map values;
   try {
     po::store(po::command_line_parser(arguments).options(description).run(), values);
--- a/bench/demo/fault_script.cc
+++ b/bench/demo/fault_script.cc
@@ -112,8 +112,7 @@
   Begin("engine-crash", name, false);
   const std::string body =
       json::serialize(json::object{{"kind", "crash"}, {"restart_after_ms", kCrashMilliseconds}});
-  const BlockingReply reply =
-      CallJson(run_, engine->address, "POST", "/fault", body, kHookTimeout);
+  const BlockingReply reply = CallJson(run_, engine->address, "POST", "/fault", body, kHookTimeout);
   watches_.emplace_back([this, name] {
     run_.Sleep(std::chrono::milliseconds(kCrashMilliseconds));
     End(name);
@@ -125,8 +124,8 @@
   const FleetBackend* engine = FindEngine(name);
   if (engine == nullptr) return false;
   run_.Record([&](checks::History& history) {
-    history.leaving.push_back({EngineName(name), checks::LeavingSource::kOperator,
-                               run_.clock().Now(), std::nullopt});
+    history.leaving.push_back(
+        {EngineName(name), checks::LeavingSource::kOperator, run_.clock().Now(), std::nullopt});
   });
   watches_.emplace_back([this, engine] { WatchLeavingEngine(run_, *engine); });
   return true;
--- a/bench/demo/live_traffic.cc
+++ b/bench/demo/live_traffic.cc
@@ -111,8 +111,9 @@
   kinds.emplace_back([&, begin] {
     TrafficKind kind(run, "completion", latencies.completions);
     const auto due = PoissonArrivals(run.fleet().completion_rate, begin, length, 11);
-    RunOpenLoop(run.clock(), due, kThreadsPerKind,
-                [&](size_t index) { kind.Completion(index, due[index]); }, stopped);
+    RunOpenLoop(
+        run.clock(), due, kThreadsPerKind,
+        [&](size_t index) { kind.Completion(index, due[index]); }, stopped);
   });
   uint64_t seed = 20;
   for (const FleetTraffic& traffic : run.fleet().traffic) {
@@ -120,8 +121,9 @@
     kinds.emplace_back([&, begin, seed] {
       TrafficKind kind(run, fmt::format("plain{}", seed), latencies.plain);
       const auto due = PoissonArrivals(traffic.rate, begin, length, seed);
-      RunOpenLoop(run.clock(), due, kThreadsPerKind,
-                  [&](size_t index) { kind.Plain(traffic, index, due[index]); }, stopped);
+      RunOpenLoop(
+          run.clock(), due, kThreadsPerKind,
+          [&](size_t index) { kind.Plain(traffic, index, due[index]); }, stopped);
     });
   }
   for (std::thread& kind : kinds) kind.join();
--- a/bench/demo/operators.cc
+++ b/bench/demo/operators.cc
@@ -76,8 +76,7 @@
   /// The version stored now; the last one known if nobody answered.
   Revision Read(Revision known) {
     ResourceOperation operation = Begin(ResourceAction::kRead);
-    const absl::StatusOr<Resource> resource =
-        api_.Get({ResourceKind::kMatch, kContested});
+    const absl::StatusOr<Resource> resource = api_.Get({ResourceKind::kMatch, kContested});
     if (resource.ok()) {
       operation.end = ResourceEnd::kDone;
       operation.value = ValueOf(*resource);
--- a/bench/demo/trainer.cc
+++ b/bench/demo/trainer.cc
@@ -57,7 +57,8 @@
       score != nullptr && score->is_number()) {
     sample.score = score->to_number<double>();
   }
-  if (const json::value* spans = object.if_contains("spans"); spans != nullptr && spans->is_array()) {
+  if (const json::value* spans = object.if_contains("spans");
+      spans != nullptr && spans->is_array()) {
     AppendSpans(spans->get_array(), sample.spans);
   }
   return sample;
@@ -92,7 +93,8 @@
     history.publishes.push_back({ModelName(fleet.model), WeightVersion(version_),
                                  WeightDigest(digest), run_.clock().Now(), std::nullopt});
   });
-  const std::string body = json::serialize(json::object{{"digest", digest}, {"location", location}});
+  const std::string body =
+      json::serialize(json::object{{"digest", digest}, {"location", location}});
   const std::string target = fmt::format("/v1/models/{}/versions/{}", fleet.model, version_);
   const Duration give_up = run_.clock().Now() + limit;
   do {
@@ -183,9 +185,8 @@
   read.stream = StreamName(fleet.stream);
   read.after = cursor_;
   read.sent = run_.clock().Now();
-  const std::string target =
-      fmt::format("/v1/streams/{}/samples?after={}&max={}&wait={}", fleet.stream, cursor_.value(),
-                  kReadMax, kReadWaitSeconds);
+  const std::string target = fmt::format("/v1/streams/{}/samples?after={}&max={}&wait={}",
+                                         fleet.stream, cursor_.value(), kReadMax, kReadWaitSeconds);
   const BlockingReply reply =
       CallJson(run_, run_.PickGateway().address, "GET", target, "", kReadTimeout);
   read.answered = run_.clock().Now();
--- a/bench/demo/truth_reader.cc
+++ b/bench/demo/truth_reader.cc
@@ -33,8 +33,7 @@
 
 std::optional<json::object> FetchTruth(DemoRun& run, const std::string& address,
                                        const std::string& query) {
-  const BlockingReply reply =
-      CallJson(run, address, "GET", "/truth" + query, "", kTruthTimeout);
+  const BlockingReply reply = CallJson(run, address, "GET", "/truth" + query, "", kTruthTimeout);
   json::error_code error;
   json::value page = json::parse(reply.body, error);
   if (!reply.whole() || error || !page.is_object()) return std::nullopt;
@@ -132,8 +131,8 @@
     const std::optional<json::object> page = FetchTruth(run, engine.address, "?counts=1");
     if (page) {
       const json::object& counts = page->at("counts").get_object();
-      const uint64_t arrived = counts.at("accepted").to_number<uint64_t>() +
-                               counts.at("refused").to_number<uint64_t>();
+      const uint64_t arrived =
+          counts.at("accepted").to_number<uint64_t>() + counts.at("refused").to_number<uint64_t>();
       if (last && arrived > *last) {
         run.Record([&](checks::History& history) {
           history.arrivals.push_back({EngineName(engine.name), run.clock().Now(),
--- a/bench/load/live_call.cc
+++ b/bench/load/live_call.cc
@@ -1,7 +1,7 @@
 #include "bench/load/live_call.h"
 
-#include "boost/json.hpp"
 #include "bench/load/completion_stream.h"
+#include "boost/json.hpp"
 #include "emulator/model/generated_text.h"
 #include "fmt/format.h"
 #include "http/outcome.h"
@@ -105,8 +105,7 @@
     if (!record.first_byte) record.first_byte = clock.Now();
     return true;
   };
-  const BlockingReply reply =
-      caller.Call(gateway.address, RequestOf(call), call.timeout, on_body);
+  const BlockingReply reply = caller.Call(gateway.address, RequestOf(call), call.timeout, on_body);
   record.ended = clock.Now();
   record.status = reply.status;
   record.outcome = OutcomeClaimed(reply);
--- a/bench/load/load_command.cc
+++ b/bench/load/load_command.cc
@@ -85,8 +85,9 @@
   void Run() {
     std::vector<Duration> due;
     for (const TraceCall& call : options_.calls) due.push_back(call.at);
-    RunOpenLoop(clock_, due, options_.threads, [&](size_t index) { One(index, due[index]); },
-                [] { return false; });
+    RunOpenLoop(
+        clock_, due, options_.threads, [&](size_t index) { One(index, due[index]); },
+        [] { return false; });
   }
 
   /// Prints the report; true if every answer was right.
