Add the settings with findings for all faults at once

Cause: a process learns its addresses, zone, timing and limits from a file or flags, and faults in them have to be clear. Change: settings/ (schema of all keys, YAML reader with places, flags over the file, units, cross checks), docs/CONFIGURATION.md from the schema. Result: settings_test 9 cases pass: 26 kinds of faults with file, line and column, 3000 mutated files, the page in step with the schema.

--- /dev/null
+++ b/source/settings/raw_settings.cc
@@ -0,0 +1,178 @@
+#include "settings/raw_settings.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <set>
+
+#include "absl/strings/str_split.h"
+#include "fmt/format.h"
+#include "settings/settings_schema.h"
+
+namespace millstair {
+namespace {
+
+bool IsList(SettingKind kind) { return kind == SettingKind::kNames || kind == SettingKind::kRoles; }
+
+/// Walks the document; keeps what the schema knows.
+class Reader {
+ public:
+  Reader(const std::string& file, RawSettings& raw, Findings& findings)
+      : file_(file), raw_(raw), findings_(findings) {}
+
+  void ReadMap(const YAML::Node& map, const std::string& prefix) {
+    std::set<std::string> seen;
+    for (const auto& entry : map) {
+      const std::string key = prefix + entry.first.Scalar();
+      if (!seen.insert(key).second) {
+        findings_.Add(PlaceOf(entry.first), fmt::format("the key \"{}\" is set twice", key));
+        continue;
+      }
+      ReadEntry(key, entry.first, entry.second);
+    }
+  }
+
+ private:
+  Place PlaceOf(const YAML::Node& node) const {
+    const YAML::Mark mark = node.Mark();
+    return {file_, mark.line + 1, mark.column + 1};
+  }
+
+  RawText TextOf(const YAML::Node& node) const { return {node.Scalar(), PlaceOf(node)}; }
+
+  static bool IsSection(const std::string& key) {
+    for (const SettingKey& entry : SettingKeys()) {
+      if (entry.key.substr(0, key.size() + 1) == key + ".") return true;
+    }
+    return false;
+  }
+
+  void ReadEntry(const std::string& key, const YAML::Node& name, const YAML::Node& value) {
+    if (IsSection(key)) {
+      if (value.IsMap()) return ReadMap(value, key + ".");
+      return findings_.Add(PlaceOf(value), fmt::format("\"{}\" has to be a map of keys", key));
+    }
+    const SettingKey* schema = FindSettingKey(key);
+    if (schema == nullptr) {
+      return findings_.Add(PlaceOf(name), fmt::format("unknown key \"{}\"", key));
+    }
+    RawSetting setting;
+    setting.place = PlaceOf(value);
+    bool sound = false;
+    if (schema->kind == SettingKind::kControlNodes) {
+      sound = ReadNodes(value, setting);
+    } else if (IsList(schema->kind)) {
+      sound = ReadList(value, setting);
+    } else {
+      sound = value.IsScalar();
+      if (sound) setting.text = TextOf(value);
+    }
+    if (!sound) {
+      return findings_.Add(PlaceOf(value),
+                           fmt::format("\"{}\" has to be a {}", key, KindText(schema->kind)));
+    }
+    raw_[key] = std::move(setting);
+  }
+
+  bool ReadList(const YAML::Node& value, RawSetting& setting) const {
+    if (!value.IsSequence()) return false;
+    for (const auto& item : value) {
+      if (!item.IsScalar()) return false;
+      setting.list.push_back(TextOf(item));
+    }
+    return true;
+  }
+
+  bool ReadNodes(const YAML::Node& value, RawSetting& setting) {
+    if (!value.IsSequence()) return false;
+    for (const auto& item : value) {
+      if (!item.IsMap()) return false;
+      RawSetting::Node node;
+      node.place = PlaceOf(item);
+      for (const auto& field : item) ReadNodeField(field.first, field.second, node);
+      setting.nodes.push_back(std::move(node));
+    }
+    return true;
+  }
+
+  void ReadNodeField(const YAML::Node& name, const YAML::Node& value, RawSetting::Node& node) {
+    const std::string key = name.Scalar();
+    RawText* field = nullptr;
+    if (key == "node") field = &node.node;
+    if (key == "address") field = &node.address;
+    if (key == "zone") field = &node.zone;
+    if (field == nullptr) {
+      findings_.Add(PlaceOf(name), fmt::format("unknown key \"control_nodes.{}\"", key));
+    } else if (!value.IsScalar()) {
+      findings_.Add(PlaceOf(value), fmt::format("\"control_nodes.{}\" has to be a word", key));
+    } else if (field->place.line != 0) {
+      findings_.Add(PlaceOf(name), fmt::format("the key \"control_nodes.{}\" is set twice", key));
+    } else {
+      *field = TextOf(value);
+    }
+  }
+
+  const std::string& file_;
+  RawSettings& raw_;
+  Findings& findings_;
+};
+
+/// "c1/127.0.0.1:7000/zone-a" of a flag.
+RawSetting::Node NodeOfFlag(absl::string_view text, const Place& place, Findings& findings) {
+  const std::vector<std::string> parts = absl::StrSplit(text, '/');
+  RawSetting::Node node;
+  node.place = place;
+  if (parts.size() != 3) {
+    findings.Add(place,
+                 fmt::format("\"{}\" is not of the form node/ip:port/zone", std::string(text)));
+    return node;
+  }
+  node.node = {parts[0], place};
+  node.address = {parts[1], place};
+  node.zone = {parts[2], place};
+  return node;
+}
+
+}  // namespace
+
+RawSettings ReadRawSettings(const std::string& file, const std::string& text, Findings& findings) {
+  RawSettings raw;
+  try {
+    const YAML::Node document = YAML::Load(text);
+    if (document.IsNull()) return raw;
+    if (!document.IsMap()) {
+      findings.Add({file, 1, 1}, "the settings have to be a map of keys");
+      return raw;
+    }
+    Reader(file, raw, findings).ReadMap(document, "");
+  } catch (const YAML::Exception& error) {
+    findings.Add({file, error.mark.line + 1, error.mark.column + 1}, error.msg);
+  }
+  return raw;
+}
+
+void ApplyOverrides(const SettingOverrides& overrides, RawSettings& raw, Findings& findings) {
+  for (const auto& [key, value] : overrides) {
+    const Place place{"--" + FlagName(key), 0, 0};
+    const SettingKey* schema = FindSettingKey(key);
+    if (schema == nullptr) {
+      findings.Add(place, fmt::format("unknown key \"{}\"", key));
+      continue;
+    }
+    RawSetting setting;
+    setting.place = place;
+    if (schema->kind == SettingKind::kControlNodes) {
+      for (const absl::string_view item : absl::StrSplit(value, ',', absl::SkipEmpty())) {
+        setting.nodes.push_back(NodeOfFlag(item, place, findings));
+      }
+    } else if (IsList(schema->kind)) {
+      for (const absl::string_view item : absl::StrSplit(value, ',', absl::SkipEmpty())) {
+        setting.list.push_back({std::string(item), place});
+      }
+    } else {
+      setting.text = {value, place};
+    }
+    raw[key] = std::move(setting);
+  }
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/settings/settings.cc
@@ -0,0 +1,283 @@
+#include "settings/settings.h"
+
+#include <algorithm>
+#include <set>
+
+#include "fmt/format.h"
+#include "runtime/endpoint.h"
+#include "settings/raw_settings.h"
+#include "settings/settings_schema.h"
+#include "settings/units.h"
+
+namespace millstair {
+namespace {
+
+bool IsName(const std::string& text) {
+  constexpr size_t kMaxNameBytes = 128;
+  return !text.empty() && text.size() <= kMaxNameBytes &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+         });
+}
+
+/// Turns raw values into settings, one key after another.
+class Converter {
+ public:
+  Converter(const RawSettings& raw, const std::string& file, Findings& findings)
+      : raw_(raw), file_(file), findings_(findings) {}
+
+  ServerSettings Convert() {
+    for (const SettingKey& key : SettingKeys()) {
+      const auto found = raw_.find(std::string(key.key));
+      if (found != raw_.end()) {
+        SetValue(key, found->second);
+      } else if (key.required) {
+        findings_.Add({file_, 0, 0}, fmt::format("the key \"{}\" is missing", key.key));
+      }
+    }
+    if (settings_.peer_address.empty()) settings_.peer_address = settings_.peer_listen;
+    if (settings_.http_operators == settings_.http_listen) settings_.http_operators.clear();
+    if (!raw_.contains("founders")) {
+      for (const ControlNodeSetting& node : settings_.control_nodes) {
+        settings_.founders.push_back(node.node);
+      }
+    }
+    CheckTogether();
+    return settings_;
+  }
+
+ private:
+  void SetValue(const SettingKey& key, const RawSetting& raw) {
+    switch (key.kind) {
+      case SettingKind::kName:
+      case SettingKind::kAddress:
+      case SettingKind::kPath:
+      case SettingKind::kChoice:
+        return SetText(key, raw.text);
+      case SettingKind::kDuration:
+      case SettingKind::kSize:
+      case SettingKind::kCount:
+        return SetNumber(key, raw.text);
+      case SettingKind::kNames:
+        return SetFounders(raw);
+      case SettingKind::kRoles:
+        return SetRoles(raw);
+      case SettingKind::kControlNodes:
+        return SetControlNodes(raw);
+    }
+  }
+
+  void SetText(const SettingKey& key, const RawText& raw) {
+    if (key.kind == SettingKind::kName && !CheckName(raw)) return;
+    if (key.kind == SettingKind::kAddress && !CheckAddress(raw)) return;
+    if (key.kind == SettingKind::kPath && raw.text.empty()) {
+      return findings_.Add(raw.place, fmt::format("\"{}\" is empty", key.key));
+    }
+    if (key.kind == SettingKind::kChoice &&
+        std::find(key.choices.begin(), key.choices.end(), raw.text) == key.choices.end()) {
+      return findings_.Add(
+          raw.place, fmt::format("\"{}\" is none of {}", raw.text, fmt::join(key.choices, ", ")));
+    }
+    key.text(settings_) = raw.text;
+  }
+
+  bool CheckName(const RawText& raw) {
+    if (IsName(raw.text)) return true;
+    findings_.Add(raw.place,
+                  fmt::format("\"{}\" is not a name: letters, digits, '-', '_' and '.'", raw.text));
+    return false;
+  }
+
+  bool CheckAddress(const RawText& raw) {
+    const auto endpoint = ParseEndpoint(raw.text);
+    if (endpoint.ok()) return true;
+    findings_.Add(raw.place, std::string(endpoint.status().message()));
+    return false;
+  }
+
+  void SetNumber(const SettingKey& key, const RawText& raw) {
+    uint64_t value = 0;
+    absl::Status status;
+    if (key.kind == SettingKind::kDuration) {
+      const absl::StatusOr<Duration> duration = ParseDuration(raw.text);
+      status = duration.status();
+      if (status.ok()) value = static_cast<uint64_t>(duration->count());
+    } else {
+      const absl::StatusOr<uint64_t> number =
+          key.kind == SettingKind::kSize ? ParseSize(raw.text) : ParseCount(raw.text);
+      status = number.status();
+      if (status.ok()) value = *number;
+    }
+    if (!status.ok()) return findings_.Add(raw.place, std::string(status.message()));
+    if (value < key.min || value > key.max) {
+      return findings_.Add(raw.place, fmt::format("{} is out of bounds for \"{}\": {}", raw.text,
+                                                  key.key, BoundsText(key)));
+    }
+    if (key.kind == SettingKind::kDuration) {
+      key.duration(settings_) = Duration(static_cast<Duration::rep>(value));
+    } else {
+      key.number(settings_) = value;
+    }
+  }
+
+  void SetRoles(const RawSetting& raw) {
+    for (const RawText& role : raw.list) {
+      bool* flag = nullptr;
+      if (role.text == "control") flag = &settings_.control;
+      if (role.text == "gateway") flag = &settings_.gateway;
+      if (flag == nullptr) {
+        findings_.Add(role.place, fmt::format("\"{}\" is none of control, gateway", role.text));
+      } else if (*flag) {
+        findings_.Add(role.place, fmt::format("the role \"{}\" is listed twice", role.text));
+      } else {
+        *flag = true;
+      }
+    }
+    if (raw.list.empty()) findings_.Add(raw.place, "no role is listed");
+  }
+
+  void SetFounders(const RawSetting& raw) {
+    std::set<std::string> seen;
+    for (const RawText& founder : raw.list) {
+      if (!CheckName(founder)) continue;
+      if (!seen.insert(founder.text).second) {
+        findings_.Add(founder.place, fmt::format("\"{}\" is listed twice", founder.text));
+        continue;
+      }
+      settings_.founders.push_back(founder.text);
+    }
+    if (raw.list.empty()) findings_.Add(raw.place, "no founder is listed");
+  }
+
+  void SetControlNodes(const RawSetting& raw) {
+    std::set<std::string> names;
+    std::set<std::string> addresses;
+    for (const RawSetting::Node& node : raw.nodes) {
+      if (!CheckNodeField(node, node.node, "node") ||
+          !CheckNodeField(node, node.address, "address") ||
+          !CheckNodeField(node, node.zone, "zone")) {
+        continue;
+      }
+      const bool name_sound = CheckName(node.node);
+      const bool address_sound = CheckAddress(node.address);
+      if (!CheckName(node.zone) || !name_sound || !address_sound) continue;
+      if (!names.insert(node.node.text).second) {
+        findings_.Add(node.node.place, fmt::format("\"{}\" is listed twice", node.node.text));
+      }
+      if (!addresses.insert(node.address.text).second) {
+        findings_.Add(node.address.place, fmt::format("{} is listed twice", node.address.text));
+      }
+      settings_.control_nodes.push_back({node.node.text, node.address.text, node.zone.text});
+    }
+    if (raw.nodes.empty()) findings_.Add(raw.place, "no control node is listed");
+  }
+
+  bool CheckNodeField(const RawSetting::Node& node, const RawText& field, std::string_view name) {
+    if (!field.text.empty()) return true;
+    // A flag that is no node at all was reported already.
+    if (node.place.line != 0) {
+      findings_.Add(node.place, fmt::format("the key \"control_nodes.{}\" is missing", name));
+    }
+    return false;
+  }
+
+  // --- what has to fit together --------------------------------------------------------------
+
+  Place PlaceOf(const std::string& key) const {
+    const auto found = raw_.find(key);
+    return found == raw_.end() ? Place{file_, 0, 0} : found->second.place;
+  }
+
+  void CheckTogether() {
+    CheckControlRole();
+    CheckListeners();
+    CheckFounders();
+    const TimingSettings& timing = settings_.timing;
+    CheckOrder("timing.heartbeat", timing.heartbeat, "timing.source_timeout",
+               timing.source_timeout);
+    CheckOrder("timing.source_timeout", timing.source_timeout, "timing.lease", timing.lease);
+    CheckOrder("timing.raft_heartbeat", 3 * timing.raft_heartbeat, "timing.election_timeout",
+               timing.election_timeout, "three times ");
+    if (timing.claim_retention % std::chrono::hours(1) != Duration(0)) {
+      findings_.Add(PlaceOf("timing.claim_retention"),
+                    "\"timing.claim_retention\" has to be in whole hours");
+    }
+  }
+
+  void CheckOrder(const std::string& small_key, Duration small, const std::string& large_key,
+                  Duration large, std::string_view factor = "") {
+    if (small < large) return;
+    const std::string key = raw_.contains(small_key) ? small_key : large_key;
+    findings_.Add(PlaceOf(key),
+                  fmt::format("{}\"{}\" ({}) has to be less than \"{}\" ({})", factor, small_key,
+                              FormatDuration(small), large_key, FormatDuration(large)));
+  }
+
+  void CheckControlRole() {
+    if (!settings_.control) return;
+    if (settings_.data_folder.empty() && !raw_.contains("data")) {
+      findings_.Add({file_, 0, 0}, "a control node needs the key \"data\"");
+    }
+    if (settings_.node.empty() || settings_.control_nodes.empty()) return;
+    const auto self = std::find_if(
+        settings_.control_nodes.begin(), settings_.control_nodes.end(),
+        [this](const ControlNodeSetting& node) { return node.node == settings_.node; });
+    if (self == settings_.control_nodes.end()) {
+      findings_.Add(PlaceOf("control_nodes"),
+                    fmt::format("the control node \"{}\" is not listed itself", settings_.node));
+    } else if (self->address != settings_.peer_address && !settings_.peer_address.empty()) {
+      findings_.Add(PlaceOf("control_nodes"),
+                    fmt::format("\"{}\" is listed with {}, but its peer address is {}",
+                                settings_.node, self->address, settings_.peer_address));
+    }
+  }
+
+  void CheckListeners() {
+    const std::vector<std::pair<std::string, std::string>> listeners = {
+        {"peer.listen", settings_.peer_listen},
+        {"http.listen", settings_.http_listen},
+        {"http.operators", settings_.http_operators}};
+    std::set<std::string> seen;
+    for (const auto& [key, address] : listeners) {
+      if (address.empty() || address.ends_with(":0")) continue;
+      if (seen.insert(address).second) continue;
+      findings_.Add(PlaceOf(key), fmt::format("{} is used by two listeners", address));
+    }
+    const auto endpoint = ParseEndpoint(settings_.peer_address);
+    if (!endpoint.ok()) return;
+    if (endpoint->address().is_unspecified()) {
+      findings_.Add(
+          PlaceOf(raw_.contains("peer.address") ? "peer.address" : "peer.listen"),
+          fmt::format("other nodes can't reach {}: set \"peer.address\"", settings_.peer_address));
+    }
+  }
+
+  void CheckFounders() {
+    if (!raw_.contains("founders")) return;
+    for (const std::string& founder : settings_.founders) {
+      const bool listed =
+          std::any_of(settings_.control_nodes.begin(), settings_.control_nodes.end(),
+                      [&founder](const ControlNodeSetting& node) { return node.node == founder; });
+      if (listed) continue;
+      findings_.Add(PlaceOf("founders"),
+                    fmt::format("the founder \"{}\" is not in \"control_nodes\"", founder));
+    }
+  }
+
+  const RawSettings& raw_;
+  const std::string& file_;
+  Findings& findings_;
+  ServerSettings settings_;
+};
+
+}  // namespace
+
+ServerSettings ReadSettings(const std::string& file, const std::string& text,
+                            const SettingOverrides& overrides, Findings& findings) {
+  RawSettings raw;
+  if (!text.empty()) raw = ReadRawSettings(file, text, findings);
+  ApplyOverrides(overrides, raw, findings);
+  return Converter(raw, file, findings).Convert();
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/settings/settings.h
@@ -0,0 +1,91 @@
+/// Settings of one millstaird process: a YAML file, and flags that win over it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/findings.h"
+#include "common/ids.h"
+#include "common/time.h"
+
+namespace millstair {
+
+/// A control node as listed in the settings of every node.
+struct ControlNodeSetting {
+  std::string node;
+  /// "ip:port" of its peer listener.
+  std::string address;
+  std::string zone;
+  friend bool operator==(const ControlNodeSetting&, const ControlNodeSetting&) = default;
+};
+
+struct TimingSettings {
+  Duration heartbeat = std::chrono::seconds(1);
+  Duration lease = std::chrono::seconds(4);
+  Duration source_timeout = std::chrono::milliseconds(1500);
+  Duration node_lease = std::chrono::seconds(5);
+  Duration platform_poll = std::chrono::seconds(1);
+  Duration replace_voter_after = std::chrono::seconds(10);
+  Duration forget_after = std::chrono::hours(24);
+  Duration raft_heartbeat = std::chrono::milliseconds(100);
+  Duration election_timeout = std::chrono::seconds(1);
+  Duration claim_retention = std::chrono::hours(24);
+  Duration report_poll = std::chrono::milliseconds(250);
+  Duration work_poll = std::chrono::milliseconds(200);
+  Duration drain_limit = std::chrono::seconds(120);
+  Duration http_header = std::chrono::seconds(10);
+  Duration http_body = std::chrono::seconds(60);
+  Duration http_idle = std::chrono::seconds(75);
+  Duration http_write = std::chrono::seconds(60);
+  Duration call_connect = std::chrono::seconds(2);
+  Duration call_read = std::chrono::seconds(120);
+};
+
+struct LimitSettings {
+  uint64_t http_header = 32 * 1024;
+  uint64_t http_body = 16 * 1024 * 1024;
+  uint64_t http_send_buffer = 256 * 1024;
+  uint64_t http_connections = 8192;
+  uint64_t peer_frame = 16 * 1024 * 1024;
+  uint64_t peer_queue = 32 * 1024 * 1024;
+  uint64_t snapshot_entries = 2000;
+  uint64_t raft_batch = 256 * 1024;
+  uint64_t snapshot_chunk = 256 * 1024;
+};
+
+struct ServerSettings {
+  std::string node;
+  std::string zone;
+  std::string cluster;
+  bool control = false;
+  bool gateway = false;
+  std::string peer_listen;
+  /// Where others reach the peer listener; `peer_listen` unless set.
+  std::string peer_address;
+  std::string http_listen;
+  /// Listener of the operators' API; empty if it is `http_listen`.
+  std::string http_operators;
+  std::vector<ControlNodeSetting> control_nodes;
+  /// Names of the founding members of the cluster group; all control nodes unless set.
+  std::vector<std::string> founders;
+  std::string data_folder;
+  /// "ip:port" of the platform's machine list; empty if there is none.
+  std::string platform_list;
+  std::string log_level = "info";
+  uint64_t workers = 2;
+  uint64_t io_threads = 1;
+  TimingSettings timing;
+  LimitSettings limits;
+};
+
+/// Values given on the command line, by settings key ("peer.listen"). They win over the file.
+using SettingOverrides = std::map<std::string, std::string>;
+
+/// Reads `text` (YAML, from `file`) and `overrides`; adds all that is wrong to `findings`. What was
+/// faulty keeps its default. Empty `text` is no file.
+ServerSettings ReadSettings(const std::string& file, const std::string& text,
+                            const SettingOverrides& overrides, Findings& findings);
+
+}  // namespace millstair
--- /dev/null
+++ b/source/settings/settings_schema.cc
@@ -0,0 +1,248 @@
+#include "settings/settings_schema.h"
+
+#include <algorithm>
+
+#include "fmt/format.h"
+#include "settings/units.h"
+
+namespace millstair {
+namespace {
+
+constexpr uint64_t kMillisecond = 1000;
+constexpr uint64_t kSecond = 1000 * kMillisecond;
+constexpr uint64_t kHour = 3600 * kSecond;
+constexpr uint64_t kKiB = 1024;
+constexpr uint64_t kMiB = 1024 * kKiB;
+
+SettingKey Text(std::string_view key, SettingKind kind, std::string ServerSettings::*member,
+                std::string_view meaning, std::string_view default_words = "none") {
+  SettingKey entry;
+  entry.key = key;
+  entry.kind = kind;
+  entry.meaning = meaning;
+  entry.default_words = default_words;
+  entry.text = [member](ServerSettings& settings) -> std::string& { return settings.*member; };
+  return entry;
+}
+
+SettingKey Required(SettingKey entry) {
+  entry.required = true;
+  entry.default_words = "required";
+  return entry;
+}
+
+SettingKey Time(std::string_view key, Duration TimingSettings::*member, uint64_t min, uint64_t max,
+                std::string_view meaning) {
+  SettingKey entry;
+  entry.key = key;
+  entry.kind = SettingKind::kDuration;
+  entry.min = min;
+  entry.max = max;
+  entry.meaning = meaning;
+  entry.duration = [member](ServerSettings& settings) -> Duration& {
+    return settings.timing.*member;
+  };
+  return entry;
+}
+
+SettingKey Limit(std::string_view key, SettingKind kind, uint64_t LimitSettings::*member,
+                 uint64_t min, uint64_t max, std::string_view meaning) {
+  SettingKey entry;
+  entry.key = key;
+  entry.kind = kind;
+  entry.min = min;
+  entry.max = max;
+  entry.meaning = meaning;
+  entry.number = [member](ServerSettings& settings) -> uint64_t& {
+    return settings.limits.*member;
+  };
+  return entry;
+}
+
+SettingKey Number(std::string_view key, uint64_t ServerSettings::*member, uint64_t min,
+                  uint64_t max, std::string_view meaning) {
+  SettingKey entry;
+  entry.key = key;
+  entry.kind = SettingKind::kCount;
+  entry.min = min;
+  entry.max = max;
+  entry.meaning = meaning;
+  entry.number = [member](ServerSettings& settings) -> uint64_t& { return settings.*member; };
+  return entry;
+}
+
+SettingKey List(std::string_view key, SettingKind kind, std::string_view meaning,
+                std::string_view default_words) {
+  SettingKey entry;
+  entry.key = key;
+  entry.kind = kind;
+  entry.meaning = meaning;
+  entry.default_words = default_words;
+  return entry;
+}
+
+SettingKey LogLevel() {
+  SettingKey entry = Text("log.level", SettingKind::kChoice, &ServerSettings::log_level,
+                          "Events below this level are not logged.", "info");
+  entry.choices = {"debug", "info", "warning", "error"};
+  return entry;
+}
+
+std::vector<SettingKey> MakeKeys() {
+  using Kind = SettingKind;
+  using S = ServerSettings;
+  using T = TimingSettings;
+  using L = LimitSettings;
+  return {
+      Required(Text("node", Kind::kName, &S::node,
+                    "Name of this node, unique in the cluster; stays the same across restarts.")),
+      Required(Text("zone", Kind::kName, &S::zone, "Zone that this node is in.")),
+      Required(Text("cluster", Kind::kName, &S::cluster,
+                    "Name of the cluster; peers of another are refused.")),
+      Required(List("roles", Kind::kRoles, "What this node does: control, gateway, or both.",
+                    "required")),
+      Required(Text("peer.listen", Kind::kAddress, &S::peer_listen, "Listener for other nodes.")),
+      Text("peer.address", Kind::kAddress, &S::peer_address,
+           "Where other nodes reach the peer listener.", "the value of peer.listen"),
+      Required(Text("http.listen", Kind::kAddress, &S::http_listen,
+                    "Listener for callers, trainers, /metrics, /livez and /readyz.")),
+      Text("http.operators", Kind::kAddress, &S::http_operators,
+           "Listener of the operators' API on a control node.", "the value of http.listen"),
+      Required(List("control_nodes", Kind::kControlNodes,
+                    "All control nodes: node, address (of its peer listener) and zone of each.",
+                    "required")),
+      List("founders", Kind::kNames,
+           "Control nodes that founded the cluster; the same list on each, never changed later.",
+           "all of control_nodes"),
+      Text("data", Kind::kPath, &S::data_folder, "Data folder; required on a control node."),
+      Text("platform.list", Kind::kAddress, &S::platform_list,
+           "The platform's machine list, polled by the leader."),
+      LogLevel(),
+      Number("threads.workers", &S::workers, 1, 64, "Workers that run decisions."),
+      Number("threads.io", &S::io_threads, 1, 16, "Threads that run sockets and timers."),
+      Time("timing.heartbeat", &T::heartbeat, 10 * kMillisecond, 60 * kSecond,
+           "Between two heartbeats of a node to its control node."),
+      Time("timing.lease", &T::lease, 50 * kMillisecond, 600 * kSecond,
+           "How long after a confirmed heartbeat was sent a node gives out new work."),
+      Time("timing.source_timeout", &T::source_timeout, 20 * kMillisecond, 300 * kSecond,
+           "Without an answer for this long a node moves to another control node."),
+      Time("timing.node_lease", &T::node_lease, 50 * kMillisecond, 600 * kSecond,
+           "Without a heartbeat for this long a node is gone."),
+      Time("timing.platform_poll", &T::platform_poll, 50 * kMillisecond, 600 * kSecond,
+           "Between two readings of the platform's machine list."),
+      Time("timing.replace_voter_after", &T::replace_voter_after, 100 * kMillisecond, 24 * kHour,
+           "A lost voter is replaced by a warm learner after this long."),
+      Time("timing.forget_after", &T::forget_after, kSecond, 8760 * kHour,
+           "A node that is gone is forgotten after this long."),
+      Time("timing.raft_heartbeat", &T::raft_heartbeat, kMillisecond, 10 * kSecond,
+           "Between two heartbeats of a leader of a replicated log."),
+      Time("timing.election_timeout", &T::election_timeout, 10 * kMillisecond, 60 * kSecond,
+           "Without a leader for this long, up to twice this, a replica stands for election."),
+      Time("timing.claim_retention", &T::claim_retention, kHour, 8760 * kHour,
+           "How long a once-only key is remembered; whole hours."),
+      Time("timing.report_poll", &T::report_poll, 10 * kMillisecond, 60 * kSecond,
+           "Between two readings of an engine's load report."),
+      Time("timing.work_poll", &T::work_poll, 10 * kMillisecond, 60 * kSecond,
+           "Between two requests of a gateway for rollout work."),
+      Time("timing.drain_limit", &T::drain_limit, kSecond, kHour,
+           "Requests that still run this long after a stop began are cut."),
+      Time("timing.http_header", &T::http_header, 10 * kMillisecond, 600 * kSecond,
+           "From the first byte of a request to the end of its head."),
+      Time("timing.http_body", &T::http_body, 10 * kMillisecond, kHour,
+           "From the head of a request to the end of its body."),
+      Time("timing.http_idle", &T::http_idle, 10 * kMillisecond, kHour,
+           "Between two requests on a connection."),
+      Time("timing.http_write", &T::http_write, 10 * kMillisecond, kHour,
+           "Without progress of an answer for this long its caller counts as gone."),
+      Time("timing.call_connect", &T::call_connect, 10 * kMillisecond, 60 * kSecond,
+           "Time to connect to a back end."),
+      Time("timing.call_read", &T::call_read, 10 * kMillisecond, kHour,
+           "Without a byte of a back end's answer for this long the call fails."),
+      Limit("limits.http_header", Kind::kSize, &L::http_header, kKiB, kMiB,
+            "Request line and headers."),
+      Limit("limits.http_body", Kind::kSize, &L::http_body, kKiB, 1024 * kMiB,
+            "Body of a request."),
+      Limit("limits.http_send_buffer", Kind::kSize, &L::http_send_buffer, 4 * kKiB, 64 * kMiB,
+            "Bytes of an answer held for a caller that reads slowly."),
+      Limit("limits.http_connections", Kind::kCount, &L::http_connections, 1, 100000,
+            "Connections of callers open at once."),
+      Limit("limits.peer_frame", Kind::kSize, &L::peer_frame, 64 * kKiB, 64 * kMiB,
+            "One message between nodes."),
+      Limit("limits.peer_queue", Kind::kSize, &L::peer_queue, 64 * kKiB, 1024 * kMiB,
+            "Messages that wait for one peer."),
+      Limit("limits.snapshot_entries", Kind::kCount, &L::snapshot_entries, 10, 1000000,
+            "Log entries after which a snapshot is taken."),
+      Limit("limits.raft_batch", Kind::kSize, &L::raft_batch, 4 * kKiB, 8 * kMiB,
+            "Log entries sent to a replica in one message."),
+      Limit("limits.snapshot_chunk", Kind::kSize, &L::snapshot_chunk, 4 * kKiB, 8 * kMiB,
+            "Part of a snapshot sent in one message."),
+  };
+}
+
+std::string NumberText(SettingKind kind, uint64_t value) {
+  if (kind == SettingKind::kDuration) return FormatDuration(Duration(value));
+  if (kind == SettingKind::kSize) return FormatSize(value);
+  return std::to_string(value);
+}
+
+}  // namespace
+
+const std::vector<SettingKey>& SettingKeys() {
+  static const std::vector<SettingKey> keys = MakeKeys();
+  return keys;
+}
+
+const SettingKey* FindSettingKey(std::string_view key) {
+  const std::vector<SettingKey>& keys = SettingKeys();
+  const auto found = std::find_if(keys.begin(), keys.end(),
+                                  [key](const SettingKey& entry) { return entry.key == key; });
+  return found == keys.end() ? nullptr : &*found;
+}
+
+std::string FlagName(std::string_view key) {
+  std::string name(key);
+  std::replace_if(
+      name.begin(), name.end(), [](char c) { return c == '.' || c == '_'; }, '-');
+  return name;
+}
+
+std::string DefaultText(const SettingKey& key) {
+  ServerSettings defaults;
+  if (key.duration) return FormatDuration(key.duration(defaults));
+  if (key.number) return NumberText(key.kind, key.number(defaults));
+  return std::string(key.default_words);
+}
+
+std::string BoundsText(const SettingKey& key) {
+  if (key.kind == SettingKind::kChoice) return fmt::format("{}", fmt::join(key.choices, ", "));
+  if (key.max == 0) return "";
+  return fmt::format("{} to {}", NumberText(key.kind, key.min), NumberText(key.kind, key.max));
+}
+
+std::string_view KindText(SettingKind kind) {
+  switch (kind) {
+    case SettingKind::kName:
+      return "name";
+    case SettingKind::kAddress:
+      return "ip:port";
+    case SettingKind::kPath:
+      return "folder";
+    case SettingKind::kChoice:
+      return "word";
+    case SettingKind::kDuration:
+      return "duration (us, ms, s, min, h)";
+    case SettingKind::kSize:
+      return "size (B, KiB, MiB, GiB)";
+    case SettingKind::kCount:
+      return "number";
+    case SettingKind::kNames:
+      return "list of names";
+    case SettingKind::kRoles:
+      return "list of roles";
+    case SettingKind::kControlNodes:
+      return "list of {node, address, zone}";
+  }
+  return "";
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/settings/settings_table.h
@@ -0,0 +1,11 @@
+/// The table of docs/CONFIGURATION.md, made from the schema.
+#pragma once
+
+#include <string>
+
+namespace millstair {
+
+/// One Markdown row for each key: key, value, default, bounds, meaning.
+std::string SettingsTable();
+
+}  // namespace millstair
--- /dev/null
+++ b/test/settings/settings_test.cc
@@ -0,0 +1,223 @@
+#include "settings/settings.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <random>
+#include <set>
+#include <sstream>
+
+#include "settings/settings_schema.h"
+#include "settings/settings_table.h"
+#include "settings/units.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kSound = R"(node: c1
+zone: z1
+cluster: test
+roles: [control, gateway]
+peer:
+  listen: 127.0.0.1:7001
+http:
+  listen: 127.0.0.1:8001
+control_nodes:
+  - {node: c1, address: "127.0.0.1:7001", zone: z1}
+  - {node: c2, address: "127.0.0.1:7002", zone: z2}
+data: /tmp/c1
+timing:
+  lease: 3s
+limits:
+  http_body: 1MiB
+)";
+
+std::string Replaced(std::string text, const std::string& from, const std::string& to) {
+  const size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+std::string FindingsOf(const std::string& text, const SettingOverrides& overrides = {}) {
+  Findings findings;
+  ReadSettings("f.yaml", text, overrides, findings);
+  return findings.ToString();
+}
+
+TEST_CASE("A sound file gives its values and the defaults") {
+  Findings findings;
+  const ServerSettings settings = ReadSettings("f.yaml", kSound, {}, findings);
+  CHECK(findings.ToString().empty());
+  CHECK(settings.node == "c1");
+  CHECK(settings.control);
+  CHECK(settings.gateway);
+  CHECK(settings.peer_address == "127.0.0.1:7001");
+  CHECK(settings.founders == std::vector<std::string>{"c1", "c2"});
+  REQUIRE(settings.control_nodes.size() == 2);
+  CHECK(settings.control_nodes[1] == ControlNodeSetting{"c2", "127.0.0.1:7002", "z2"});
+  CHECK(settings.timing.lease == std::chrono::seconds(3));
+  CHECK(settings.timing.heartbeat == std::chrono::seconds(1));
+  CHECK(settings.limits.http_body == 1024 * 1024);
+}
+
+TEST_CASE("Flags win over the file, and suffice without one") {
+  Findings findings;
+  ServerSettings settings = ReadSettings(
+      "f.yaml", kSound, {{"timing.lease", "5s"}, {"roles", "gateway"}, {"zone", "z9"}}, findings);
+  CHECK(findings.empty());
+  CHECK(settings.timing.lease == std::chrono::seconds(5));
+  CHECK_FALSE(settings.control);
+  CHECK(settings.zone == "z9");
+
+  settings = ReadSettings("", "",
+                          {{"node", "g"},
+                           {"zone", "z"},
+                           {"cluster", "c"},
+                           {"roles", "gateway"},
+                           {"peer.listen", "127.0.0.1:1"},
+                           {"http.listen", "127.0.0.1:2"},
+                           {"control_nodes", "c1/127.0.0.1:3/z,c2/127.0.0.1:4/y"}},
+                          findings);
+  CHECK(findings.ToString().empty());
+  REQUIRE(settings.control_nodes.size() == 2);
+  CHECK(settings.control_nodes[1].zone == "y");
+}
+
+struct FaultyCase {
+  std::string from;
+  std::string to;
+  std::string finding;
+};
+
+TEST_CASE("Each fault is one finding with its place") {
+  const std::vector<FaultyCase> cases = {
+      {"zone: z1\n", "zone: z1\nzome: z2\n", "f.yaml:3:1: unknown key \"zome\""},
+      {"  lease: 3s", "  leese: 3s", "f.yaml:14:3: unknown key \"timing.leese\""},
+      {"zone: z1\n", "zone: z1\nzone: z2\n", "f.yaml:3:1: the key \"zone\" is set twice"},
+      {"zone: z1\n", "", "f.yaml: the key \"zone\" is missing"},
+      {"lease: 3s", "lease: 3", "f.yaml:14:10: \"3\" has no unit: expected us, ms, s, min or h"},
+      {"lease: 3s", "lease: 3sec",
+       "f.yaml:14:10: \"3sec\" has the wrong unit \"sec\": expected us, ms, s, min or h"},
+      {"lease: 3s", "lease: 3MiB",
+       "f.yaml:14:10: \"3MiB\" has the wrong unit \"MiB\": expected us, ms, s, min or h"},
+      {"lease: 3s", "lease: soon",
+       "f.yaml:14:10: \"soon\" is not a duration: expected a number with unit us, ms, s, min or h"},
+      {"lease: 3s", "lease: 100h",
+       "f.yaml:14:10: 100h is out of bounds for \"timing.lease\": 50ms to 10min"},
+      {"http_body: 1MiB", "http_body: 1MB",
+       "f.yaml:16:14: \"1MB\" has the wrong unit \"MB\": expected B, KiB, MiB or GiB"},
+      {"http_body: 1MiB", "http_connections: 5s",
+       "f.yaml:16:21: \"5s\" is not a whole number without a unit"},
+      {"listen: 127.0.0.1:8001", "listen: localhost:8001",
+       "f.yaml:8:11: \"localhost\" in \"localhost:8001\" is not an IP number"},
+      {"listen: 127.0.0.1:8001", "listen: 127.0.0.1",
+       "f.yaml:8:11: \"127.0.0.1\" is not of the form ip:port"},
+      {"listen: 127.0.0.1:8001", "listen: 127.0.0.1:7001",
+       "f.yaml:8:11: 127.0.0.1:7001 is used by two listeners"},
+      {"node: c2", "node: c1", "f.yaml:11:12: \"c1\" is listed twice"},
+      {"address: \"127.0.0.1:7002\"", "address: \"127.0.0.1:7001\"",
+       "f.yaml:11:25: 127.0.0.1:7001 is listed twice"},
+      {"address: \"127.0.0.1:7002\", ", "",
+       "f.yaml:11:5: the key \"control_nodes.address\" is missing"},
+      {"node: c2,", "node: c2, port: 7,", "f.yaml:11:16: unknown key \"control_nodes.port\""},
+      {"node: c1\n", "node: c9\n",
+       "f.yaml:10:3: the control node \"c9\" is not listed itself"},
+      {"data: /tmp/c1\n", "", "f.yaml: a control node needs the key \"data\""},
+      {"data: /tmp/c1\n", "data: /tmp/c1\nfounders: [c1, c3]\n",
+       "f.yaml:13:11: the founder \"c3\" is not in \"control_nodes\""},
+      {"data: /tmp/c1\n", "data: /tmp/c1\nfounders: [c1, c1]\n",
+       "f.yaml:13:16: \"c1\" is listed twice"},
+      {"[control, gateway]", "[control, router]",
+       "f.yaml:4:18: \"router\" is none of control, gateway"},
+      {"[control, gateway]", "control", "f.yaml:4:8: \"roles\" has to be a list of roles"},
+      {"  listen: 127.0.0.1:7001", "  listen: 0.0.0.0:7001",
+       "f.yaml:6:11: other nodes can't reach 0.0.0.0:7001: set \"peer.address\""},
+      {"lease: 3s", "lease: 1s",
+       "f.yaml:14:10: \"timing.source_timeout\" (1500ms) has to be less than \"timing.lease\" (1s)"},
+  };
+  for (const FaultyCase& faulty : cases) {
+    INFO(faulty.finding);
+    const std::string findings = FindingsOf(Replaced(kSound, faulty.from, faulty.to));
+    CHECK(findings.find(faulty.finding + "\n") != std::string::npos);
+  }
+}
+
+TEST_CASE("All findings come at once, and those of flags name the flag") {
+  const std::string findings = FindingsOf(
+      "node: a b\nroles: [x]\npeer: 7\ntiming: {lease: 1}\n",
+      {{"http.listen", "here"}, {"control_nodes", "c1/127.0.0.1:1"}, {"log.level", "loud"}});
+  for (const char* expected :
+       {"f.yaml:1:7: \"a b\" is not a name", "f.yaml:2:9: \"x\" is none of",
+        "f.yaml:3:7: \"peer\" has to be a map", "f.yaml:4:17: \"1\" has no unit",
+        "--http-listen: \"here\" is not of the form ip:port",
+        "--control-nodes: \"c1/127.0.0.1:1\" is not of the form node/ip:port/zone",
+        "--log-level: \"loud\" is none of debug, info, warning, error", "\"zone\" is missing"}) {
+    INFO(expected);
+    CHECK(findings.find(expected) != std::string::npos);
+  }
+}
+
+TEST_CASE("Broken YAML is a finding with its place") {
+  CHECK(FindingsOf("node: [a\nzone: b\n").substr(0, 7) == "f.yaml:");
+  CHECK(FindingsOf("- a\n- b\n").substr(0, 11) == "f.yaml:1:1:");
+}
+
+TEST_CASE("Random changes of a sound file never stop the reader") {
+  std::mt19937_64 random(20261204);
+  const std::string marks = "[]{}:,-&*!|>'\"%@`# \n\t0a";
+  for (int round = 0; round < 3000; ++round) {
+    std::string text = kSound;
+    for (uint64_t change = 1 + random() % 5; change > 0; --change) {
+      const size_t place = random() % text.size();
+      if (random() % 2 == 0) {
+        text[place] = marks[random() % marks.size()];
+      } else {
+        text.erase(place, 1 + random() % 8);
+      }
+      if (text.empty()) text = "x";
+    }
+    Findings findings;
+    ReadSettings("f.yaml", text, {}, findings);
+    for (const Finding& finding : findings.items()) CHECK_FALSE(finding.message.empty());
+  }
+}
+
+TEST_CASE("Values with units are read exactly") {
+  CHECK(*ParseDuration("250ms") == milliseconds(250));
+  CHECK(*ParseDuration("1.5s") == milliseconds(1500));
+  CHECK(*ParseDuration("2min") == std::chrono::minutes(2));
+  CHECK_FALSE(ParseDuration("-1s").ok());
+  CHECK_FALSE(ParseDuration("1e3s").ok());
+  CHECK_FALSE(ParseDuration("").ok());
+  CHECK(*ParseSize("64MiB") == 64ULL << 20);
+  CHECK_FALSE(ParseSize("0.3B").ok());
+  CHECK_FALSE(ParseSize("9999999999GiB").ok());
+  CHECK_FALSE(ParseCount("1.5").ok());
+  CHECK(FormatDuration(milliseconds(1500)) == "1500ms");
+  CHECK(FormatSize(3 << 20) == "3MiB");
+}
+
+TEST_CASE("docs/CONFIGURATION.md lists every key as the schema has it") {
+  std::ifstream file(std::string(MILLSTAIR_SOURCE_DIR) + "/docs/CONFIGURATION.md");
+  std::stringstream page;
+  page << file.rdbuf();
+  CHECK(page.str().find(SettingsTable()) != std::string::npos);
+}
+
+TEST_CASE("Defaults lie within their bounds, and flags are distinct") {
+  std::set<std::string> flags;
+  ServerSettings defaults;
+  for (const SettingKey& key : SettingKeys()) {
+    INFO(key.key);
+    CHECK(flags.insert(FlagName(key.key)).second);
+    if (key.max == 0) continue;
+    const uint64_t value = key.duration ? static_cast<uint64_t>(key.duration(defaults).count())
+                                        : key.number(defaults);
+    CHECK(value >= key.min);
+    CHECK(value <= key.max);
+  }
+}
+
+}  // namespace
+}  // namespace millstair
