--- a/test/settings/settings_test.cc
+++ b/test/settings/settings_test.cc
@@ -121,8 +121,7 @@
       {"address: \"127.0.0.1:7002\", ", "",
        "f.yaml:11:5: the key \"control_nodes.address\" is missing"},
       {"node: c2,", "node: c2, port: 7,", "f.yaml:11:16: unknown key \"control_nodes.port\""},
-      {"node: c1\n", "node: c9\n",
-       "f.yaml:10:3: the control node \"c9\" is not listed itself"},
+      {"node: c1\n", "node: c9\n", "f.yaml:10:3: the control node \"c9\" is not listed itself"},
       {"data: /tmp/c1\n", "", "f.yaml: a control node needs the key \"data\""},
       {"data: /tmp/c1\n", "data: /tmp/c1\nfounders: [c1, c3]\n",
        "f.yaml:13:11: the founder \"c3\" is not in \"control_nodes\""},
@@ -134,7 +133,8 @@
       {"  listen: 127.0.0.1:7001", "  listen: 0.0.0.0:7001",
        "f.yaml:6:11: other nodes can't reach 0.0.0.0:7001: set \"peer.address\""},
       {"lease: 3s", "lease: 1s",
-       "f.yaml:14:10: \"timing.source_timeout\" (1500ms) has to be less than \"timing.lease\" (1s)"},
+       "f.yaml:14:10: \"timing.source_timeout\" (1500ms) has to be less than \"timing.lease\" "
+       "(1s)"},
   };
   for (const FaultyCase& faulty : cases) {
     INFO(faulty.finding);
@@ -212,8 +212,8 @@
     INFO(key.key);
     CHECK(flags.insert(FlagName(key.key)).second);
     if (key.max == 0) continue;
-    const uint64_t value = key.duration ? static_cast<uint64_t>(key.duration(defaults).count())
-                                        : key.number(defaults);
+    const uint64_t value =
+        key.duration ? static_cast<uint64_t>(key.duration(defaults).count()) : key.number(defaults);
     CHECK(value >= key.min);
     CHECK(value <= key.max);
   }
