--- /dev/null
+++ b/source/weights/weight_duty.h
@@ -0,0 +1,32 @@
+/// Decides on the cluster leader which version of a model engines fetch and which they serve.
+///
+/// A published version is staged at once, unless an earlier one is still on its way: that one is
+/// served first. It is served once enough engines hold it, or after a time that staging ought to
+/// have taken. An older version is never served again.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "cluster/cluster_commands.h"
+#include "cluster/control_node.h"
+#include "common/environment.h"
+
+namespace millstair {
+
+struct WeightDutyOptions {
+  /// Share of a model's live engines that must hold a version before it is served.
+  double staged_share = 0.9;
+  /// Least and largest time given to staging; in between it is twice what the store's rate asks.
+  Duration shortest_staging = std::chrono::seconds(5);
+  Duration longest_staging = std::chrono::seconds(120);
+  /// A proposal is repeated if it has had no effect after this long.
+  Duration propose_again = std::chrono::seconds(1);
+};
+
+/// `propose` proposes to the cluster group; whatever becomes of it shows in the configuration.
+std::unique_ptr<ClusterDuty> MakeWeightDuty(Environment& environment,
+                                            std::function<void(ClusterCommand)> propose,
+                                            WeightDutyOptions options = {});
+
+}  // namespace millstair
