--- a/source/weights/engine_reconciler.cc
+++ b/source/weights/engine_reconciler.cc
@@ -60,7 +60,8 @@
     TimePoint not_before;
     Duration backoff{0};
     std::optional<TimePoint> differs_since;
-    /// Adapters loaded by our orders, with the revision of their resources; reports don't list them.
+    /// Adapters loaded by our orders, with the revision of their resources; reports don't list
+    /// them.
     std::map<std::string, Revision> adapters;
     std::optional<EngineObservation> told;
     TimePoint told_at;
@@ -121,8 +122,7 @@
     known.ordered = false;
     if (now < known.not_before || !client_.LeaseValid()) return;
     const PlacementRules& rules = rules_.For(Configured());
-    std::optional<EngineWants> wants =
-        WantsOf(Configured(), rules, engine, known.report.model);
+    std::optional<EngineWants> wants = WantsOf(Configured(), rules, engine, known.report.model);
     if (!wants) return;
     // The engine follows a configuration that is newer than ours.
     if (known.report.last_fence > Configured().revision) return;
@@ -166,8 +166,8 @@
     return std::nullopt;
   }
 
-  static EngineOrder OtherOrder(const EngineWants& wants, OrderKind kind, const std::string& adapter,
-                                const std::string& role) {
+  static EngineOrder OtherOrder(const EngineWants& wants, OrderKind kind,
+                                const std::string& adapter, const std::string& role) {
     EngineOrder order;
     order.kind = kind;
     order.fence = wants.fence;
@@ -259,8 +259,8 @@
     known.ordered = false;
     if (!status.ok()) {
       ++counts_.orders_failed;
-      known.backoff = std::clamp(known.backoff * 2, options_.first_backoff,
-                                 options_.largest_backoff);
+      known.backoff =
+          std::clamp(known.backoff * 2, options_.first_backoff, options_.largest_backoff);
       known.not_before = environment_.Now() + known.backoff;
       LogEvent(EventId::kEngineOrderFailed, "engine={} order={} version={} reason=\"{}\"", engine,
                static_cast<int>(order.kind), order.version, std::string(status.message()));
--- a/source/weights/engine_wants.cc
+++ b/source/weights/engine_wants.cc
@@ -95,8 +95,8 @@
                             report.active_version > wants.active.version;
   if (wants_active && !newer_served && !Serves(report, wants, wants.active)) {
     if (report.shards == ShardState::kSwapping) return std::nullopt;
-    const OrderKind kind = Holds(report, wants.active.version) ? OrderKind::kActivate
-                                                               : OrderKind::kStage;
+    const OrderKind kind =
+        Holds(report, wants.active.version) ? OrderKind::kActivate : OrderKind::kStage;
     return WeightOrder(wants, kind, wants.active);
   }
   const bool fetch = wants.staged.version > report.active_version &&
--- a/source/weights/weight_duty.cc
+++ b/source/weights/weight_duty.cc
@@ -95,8 +95,8 @@
       ++engines;
       const auto observed = observed_.find(engine);
       if (observed == observed_.end()) continue;
-      const bool holds = observed->second.staged >= status.staged ||
-                         observed->second.active >= status.staged;
+      const bool holds =
+          observed->second.staged >= status.staged || observed->second.active >= status.staged;
       if (holds) ++holding;
     }
     if (holding >= options_.staged_share * engines) return true;
