--- a/source/storage/segmented_log.cc
+++ b/source/storage/segmented_log.cc
@@ -88,9 +88,8 @@
   for (LogIndex at = from; at <= to; at = Next(at)) {
     const IndexedEntry* indexed = index_.Find(at);
     if (indexed == nullptr) break;
-    const uint64_t size =
-        kEntryOverhead +
-        (indexed->payload != nullptr ? indexed->payload->size() : indexed->place.size);
+    const uint64_t size = kEntryOverhead + (indexed->payload != nullptr ? indexed->payload->size()
+                                                                        : indexed->place.size);
     if (!entries.empty() && bytes + size > max_bytes) break;
     bytes += size;
     LogEntry entry{at, indexed->term, indexed->type, indexed->payload};
--- a/test/consensus/chaos_run.cc
+++ b/test/consensus/chaos_run.cc
@@ -82,7 +82,8 @@
       ++counts_.acknowledged;
       const uint64_t position = std::stoull(*result);
       const auto [it, first] = acknowledged_.emplace(position, command);
-      if (!first) Violation(fmt::format("{} and {} got position {}", it->second, command, position));
+      if (!first)
+        Violation(fmt::format("{} and {} got position {}", it->second, command, position));
       visible_ = std::max(visible_, position);
     });
   }
@@ -206,7 +207,8 @@
   for (const GroupMember& member : leader->Members()) {
     if (member.voter) ++voters;
     RaftGroup* group = fleet_.Group(member.node);
-    if (group == nullptr || fleet_.nodes.at(member.node)->host->identity().replica != member.replica)
+    if (group == nullptr ||
+        fleet_.nodes.at(member.node)->host->identity().replica != member.replica)
       return;
     if (group->AppliedIndex().value() + 5 < leader->AppliedIndex().value()) return;
   }
--- a/test/consensus/chaos_test.cc
+++ b/test/consensus/chaos_test.cc
@@ -49,16 +49,16 @@
 
 struct Variant {
   std::string name;
-  bool ConsensusFaults::* fault;
+  bool ConsensusFaults::*fault;
 };
 
 TEST_CASE("broken variants are caught by random faults") {
-  const auto variant = GENERATE(
-      Variant{"ack_before_sync", &ConsensusFaults::ack_before_sync},
-      Variant{"read_without_confirmation", &ConsensusFaults::read_without_confirmation},
-      Variant{"local_follower_reads", &ConsensusFaults::local_follower_reads},
-      Variant{"vote_without_log_check", &ConsensusFaults::vote_without_log_check},
-      Variant{"count_learners", &ConsensusFaults::count_learners});
+  const auto variant =
+      GENERATE(Variant{"ack_before_sync", &ConsensusFaults::ack_before_sync},
+               Variant{"read_without_confirmation", &ConsensusFaults::read_without_confirmation},
+               Variant{"local_follower_reads", &ConsensusFaults::local_follower_reads},
+               Variant{"vote_without_log_check", &ConsensusFaults::vote_without_log_check},
+               Variant{"count_learners", &ConsensusFaults::count_learners});
   ConsensusFaults faults;
   faults.*variant.fault = true;
   const uint64_t seed = CatchingSeed(faults, 60);
--- a/test/consensus/consensus_fleet.cc
+++ b/test/consensus/consensus_fleet.cc
@@ -96,7 +96,8 @@
   }
   node.host = MakeGroupHost(
       *node.environment, *node.transport, *node.files, *identity, options_.timing, options_.limits,
-      [this](const GroupId& group) { return std::make_unique<ListMachine>(ledgers[group]); }, options_.faults);
+      [this](const GroupId& group) { return std::make_unique<ListMachine>(ledgers[group]); },
+      options_.faults);
   node.start_status = node.host->Start();
   if (!node.start_status.ok()) node.host.reset();
 }
--- a/test/consensus/fault_scenarios_test.cc
+++ b/test/consensus/fault_scenarios_test.cc
@@ -68,9 +68,7 @@
   fleet.network.Isolate(first);
   fleet.Group(first)->Propose(std::string(5000, 'a'), [](const absl::StatusOr<std::string>&) {});
   const LogIndex entry(fleet.Group(first)->AppliedIndex().value() + 1);
-  const auto other_leads = [&] {
-    return fleet.Leader() != nullptr && fleet.LeaderNode() != first;
-  };
+  const auto other_leads = [&] { return fleet.Leader() != nullptr && fleet.LeaderNode() != first; };
   if (!fleet.scheduler.RunUntilTrue(other_leads, seconds(10))) return false;
   // A second leader writes an entry of its own in that place and is cut off too.
   const NodeId second = fleet.LeaderNode();
@@ -110,9 +108,8 @@
     if (member.node != old) fleet.Group(old)->RemoveMember(member.replica, nullptr);
   }
   bool committed = false;
-  fleet.Group(old)->Propose("alone", [&](const absl::StatusOr<std::string>& result) {
-    committed = result.ok();
-  });
+  fleet.Group(old)->Propose(
+      "alone", [&](const absl::StatusOr<std::string>& result) { committed = result.ok(); });
   fleet.scheduler.RunFor(seconds(5));
   return committed;
 }
--- a/test/consensus/raft_codec_test.cc
+++ b/test/consensus/raft_codec_test.cc
@@ -18,8 +18,8 @@
   out.message.term = Term(7);
   out.message.position = {LogIndex(10), Term(6)};
   out.message.commit = LogIndex(9);
-  out.message.entries.push_back({LogIndex(11), Term(7), EntryType::kCommand,
-                                 std::make_shared<std::string>(payload)});
+  out.message.entries.push_back(
+      {LogIndex(11), Term(7), EntryType::kCommand, std::make_shared<std::string>(payload)});
   return out;
 }
 
--- a/test/storage/segmented_log_test.cc
+++ b/test/storage/segmented_log_test.cc
@@ -323,8 +323,9 @@
   }
   /// What was durable is there, unless a replacement that was under way got through.
   void CheckEntries(uint64_t durable, Term durable_term) {
-    const bool replaced = last() < durable || (store_.log->TermAt(LogIndex(durable)).has_value() &&
-                                               store_.log->TermAt(LogIndex(durable)) > durable_term);
+    const bool replaced =
+        last() < durable || (store_.log->TermAt(LogIndex(durable)).has_value() &&
+                             store_.log->TermAt(LogIndex(durable)) > durable_term);
     if (!replaced) REQUIRE(last() >= durable);
     const uint64_t checked = std::min(last(), durable);
     for (uint64_t index = store_.log->base_index().value() + 1; index <= checked; ++index) {
