--- a/source/ctl/control_api.cc
+++ b/source/ctl/control_api.cc
@@ -44,6 +44,9 @@
   if (reply.status == kNotFoundStatus) return absl::NotFoundError(detail);
   if (reply.status == kConflictStatus) return absl::AbortedError(detail);
   if (reply.status == 400 || reply.status == 422) return absl::InvalidArgumentError(detail);
+  const auto outcome = FindHeader(reply.headers, kOutcomeHeader);
+  // An earlier send of the same change may have run, as when its session expired meanwhile.
+  if (outcome && *outcome != OutcomeName(Outcome::kNotRun)) return absl::UnknownError(detail);
   return absl::FailedPreconditionError(detail);
 }
 
--- a/source/ctl/control_api.h
+++ b/source/ctl/control_api.h
@@ -46,7 +46,7 @@
 };
 
 /// Errors: NotFound, InvalidArgument, Aborted (conflict; message names the winner), Unavailable
-/// (nobody answered), FailedPrecondition (refused, did not run).
+/// (nobody answered), FailedPrecondition (refused, did not run), Unknown (it may have run).
 class ControlApi {
  public:
   /// `sleep` waits between rounds; tests put a fake in its place.
--- a/test/ctl/control_api_test.cc
+++ b/test/ctl/control_api_test.cc
@@ -126,6 +126,12 @@
                               ScriptedCaller::Answer(410, R"({"detail":"expired"})")};
     REQUIRE(fixture.Run({"delete", "Machine", "x"}) == ExitCode::kRefused);
   }
+  SECTION("session expired, and an earlier send may have run") {
+    BlockingReply expired = ScriptedCaller::Answer(410, R"({"detail":"expired"})");
+    expired.headers = {{"Millstair-Outcome", "unknown"}};
+    fixture.caller.replies = {ScriptedCaller::Answer(200, R"({"session":"s1"})"), expired};
+    REQUIRE(fixture.Run({"delete", "Machine", "x"}) == ExitCode::kUnanswered);
+  }
   SECTION("invalid") {
     fixture.caller.replies = {ScriptedCaller::Answer(400, R"({"detail":"bad"})")};
     REQUIRE(fixture.Run({"get", "Machine"}) == ExitCode::kInvalid);
