Add millstair-emulator: stand-ins in real time

Cause: the whole system is to be rehearsed on one machine against engines, plain servers, a weight store, a scorer, a machine list and links that fail. Change: HTTP side of the engine model (streams, orders, reports, cache events, KV export, /truth, /fault), hooks for the platform models, links to store and other engines over HTTP, delaying TCP relays that can be cut, half-cut, stalled and reset, one program with a subcommand each that drains on SIGTERM; status codes of order answers shared by both sides.

--- /dev/null
+++ b/emulator/delay_pipe.h
@@ -0,0 +1,66 @@
+/// One direction of a relayed TCP connection: bytes come out `latency` after they went in.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace millstair {
+
+/// All calls and handlers run on one thread.
+class DelayPipe : public std::enable_shared_from_this<DelayPipe> {
+ public:
+  using Socket = boost::asio::ip::tcp::socket;
+  /// Called once: `broken` is false for an end of stream that was passed on.
+  using Ended = std::function<void(bool broken)>;
+
+  /// The sockets outlive the pipe's handlers, as `owner` holds them.
+  DelayPipe(std::shared_ptr<void> owner, Socket& from, Socket& to,
+            std::chrono::microseconds latency, Ended ended);
+
+  /// Begins to read.
+  void Start();
+  /// While stalled nothing is read or written; bytes wait.
+  void SetStalled(bool stalled);
+  /// For bytes that go in from now on.
+  void SetLatency(std::chrono::microseconds latency) { latency_ = latency; }
+  /// No handler does anything any more.
+  void Close();
+
+ private:
+  using Clock = std::chrono::steady_clock;
+  struct Piece {
+    Clock::time_point due;
+    /// Empty is the end of the stream.
+    std::vector<char> bytes;
+  };
+  static constexpr size_t kReadBytes = 64 * 1024;
+  static constexpr size_t kMaxQueuedBytes = 4 * 1024 * 1024;
+
+  void Read();
+  void Write();
+  void WritePiece();
+  void End(bool broken);
+
+  std::shared_ptr<void> owner_;
+  Socket& from_;
+  Socket& to_;
+  std::chrono::microseconds latency_;
+  Ended ended_;
+  boost::asio::steady_timer timer_;
+  std::vector<char> buffer_;
+  std::deque<Piece> queue_;
+  size_t queued_bytes_ = 0;
+  bool reading_ = false;
+  bool writing_ = false;
+  bool stalled_ = false;
+  bool end_read_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace millstair
--- a/emulator/model/plain_server_model.cc
+++ b/emulator/model/plain_server_model.cc
@@ -21,6 +21,7 @@
     exchanges_.clear();
   }
 
+  bool Idle() const { return exchanges_.empty(); }
   PlainServerOptions& options() { return options_; }
 
   bool running_ = true;
@@ -156,6 +157,7 @@
 }
 
 bool PlainServerModel::running() const { return impl_->running_; }
+bool PlainServerModel::Idle() const { return impl_->Idle(); }
 void PlainServerModel::SetOptions(const PlainServerOptions& options) { impl_->options() = options; }
 
 const std::map<ExecutionKey, ExecutionRecord>& PlainServerModel::executions() const {
--- a/emulator/model/platform_models.h
+++ b/emulator/model/platform_models.h
@@ -63,6 +63,8 @@
   void Crash();
   void Restart();
   bool running() const;
+  /// No request runs.
+  bool Idle() const;
   void SetOptions(const PlainServerOptions& options);
 
   const std::map<ExecutionKey, ExecutionRecord>& executions() const;
--- /dev/null
+++ b/emulator/platform_services.h
@@ -0,0 +1,67 @@
+/// The models of the platform with the test hooks GET /truth and POST /fault in front.
+#pragma once
+
+#include <memory>
+
+#include "common/environment.h"
+#include "emulator/fault_request.h"
+#include "emulator/model/platform_models.h"
+#include "http/exchange.h"
+
+namespace millstair {
+
+/// Takes the hooks and hands all else to the model.
+class HookedService : public RequestHandler {
+ public:
+  explicit HookedService(RequestHandler& model) : model_(model) {}
+  void Handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer) final;
+
+ protected:
+  virtual std::string TruthJson() const { return "{}"; }
+  /// InvalidArgument for a kind that the stand-in does not know.
+  virtual absl::Status Apply(const FaultRequest& fault);
+
+ private:
+  RequestHandler& model_;
+};
+
+class PlainService : public HookedService {
+ public:
+  PlainService(Environment& environment, PlainServerModel& model, PlainServerOptions options)
+      : HookedService(model), environment_(environment), model_(model), options_(options) {}
+
+ private:
+  std::string TruthJson() const override;
+  absl::Status Apply(const FaultRequest& fault) override;
+
+  Environment& environment_;
+  PlainServerModel& model_;
+  PlainServerOptions options_;
+  std::shared_ptr<char> alive_ = std::make_shared<char>(0);
+};
+
+class StoreService : public HookedService {
+ public:
+  explicit StoreService(WeightStoreModel& model) : HookedService(model), model_(model) {}
+
+ private:
+  std::string TruthJson() const override;
+  absl::Status Apply(const FaultRequest& fault) override;
+
+  WeightStoreModel& model_;
+};
+
+class MachinesService : public HookedService {
+ public:
+  explicit MachinesService(MachineListModel& model) : HookedService(model), model_(model) {}
+
+ private:
+  absl::Status Apply(const FaultRequest& fault) override;
+
+  MachineListModel& model_;
+};
+
+/// "live", "leaving" or "gone"; InvalidArgument for others.
+absl::StatusOr<MachineState> MachineStateFromName(std::string_view name);
+
+}  // namespace millstair
--- a/source/engine/json_reader.h
+++ b/source/engine/json_reader.h
@@ -5,6 +5,7 @@
 #include <limits>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -35,6 +36,12 @@
   void ReadOptional(std::string_view name, std::string& field);
   void ReadOptional(std::string_view name, std::vector<std::string>& field);
 
+  template <class Number>
+  requires std::is_unsigned_v<Number>
+  void ReadOptional(std::string_view name, Number& field) {
+    if (object_ != nullptr && object_->contains(name)) Read(name, field);
+  }
+
   template <class Number>
   requires std::is_unsigned_v<Number>
   void Read(std::string_view name, Number& field) {
