--- a/scripts/generate_deploy.py
+++ b/scripts/generate_deploy.py
@@ -121,7 +121,7 @@
             text += f"platform:\n  list: \"{self.platform(MACHINES_PORT)}\"\n"
         text += "# Other zones are reached through the links between the zones.\nroutes:\n"
         for to, via in self.routes(z):
-            text += f"  - {{to: \"{to}\", via: \"{via}\"}}\n"
+            text += f"  - \"{to}={via}\"\n"
         return name, text
 
     def resources(self):
@@ -146,8 +146,8 @@
 labels: {{service: {self.model}}}
 spec:
   weight_store: "{self.platform(STORE_PORT)}"
-  store_bytes_per_second: 400MB
-  version_bytes: 50MB
+  store_bytes_per_second: 400MiB
+  version_bytes: 48MiB
   live_capacity_floor: 0.5
 ---
 kind: Pool
--- a/source/settings/units.cc
+++ b/source/common/units.cc
@@ -1,4 +1,4 @@
-#include "settings/units.h"
+#include "common/units.h"
 
 #include <array>
 #include <charconv>
--- a/source/settings/units.h
+++ b/source/common/units.h
@@ -1,4 +1,4 @@
-/// Values with units, as people write them in settings: "250ms", "64MiB".
+/// Values with units, as people write them in settings and resources: "250ms", "64MiB".
 #pragma once
 
 #include <cstdint>
--- a/source/ctl/ctl_options.cc
+++ b/source/ctl/ctl_options.cc
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "absl/strings/str_split.h"
+#include "common/units.h"
 #include "fmt/format.h"
 #include "resources/scalar_text.h"
 #include "resources/yaml_documents.h"
--- a/source/resources/resource_fields.h
+++ b/source/resources/resource_fields.h
@@ -24,7 +24,7 @@
   kFreeText,           ///< anything without control characters, not empty
 };
 
-inline constexpr uint64_t kMaxBytes = 1'000'000'000'000'000;
+inline constexpr uint64_t kMaxBytes = 1ULL << 50U;
 inline constexpr uint32_t kMaxTokensLimit = 1'000'000;
 inline constexpr uint32_t kMaxConcurrentLimit = 1'000'000;
 inline constexpr double kMaxPoolShare = 1'000.0;
--- a/source/resources/resource_writer.cc
+++ b/source/resources/resource_writer.cc
@@ -3,11 +3,11 @@
 #include <array>
 
 #include "boost/json.hpp"
+#include "common/units.h"
 #include "fmt/format.h"
 #include "resources/resource_codec.h"
 #include "resources/resource_fields.h"
 #include "resources/resource_names.h"
-#include "resources/scalar_text.h"
 
 namespace millstair {
 namespace {
@@ -63,7 +63,9 @@
     object_[key] = value;
   }
   void Real(const char* key, double value, double, double) { object_[key] = value; }
-  void Bytes(const char* key, uint64_t value, uint64_t, uint64_t) { object_[key] = value; }
+  void Bytes(const char* key, uint64_t value, uint64_t, uint64_t) {
+    object_[key] = FormatSize(value);
+  }
   void Time(const char* key, Duration value, Duration, Duration) {
     object_[key] = FormatDuration(value);
   }
--- a/source/resources/yaml_fields.cc
+++ b/source/resources/yaml_fields.cc
@@ -5,8 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "common/units.h"
 #include "fmt/format.h"
-#include "resources/scalar_text.h"
 
 namespace millstair {
 
@@ -130,11 +130,12 @@
   const YAML::Node node = Take(key);
   const std::string* text = ScalarText(node, key);
   if (text == nullptr) return;
-  const absl::StatusOr<uint64_t> bytes = ParseBytes(*text);
+  const absl::StatusOr<uint64_t> bytes = ParseSize(*text);
   if (!bytes.ok()) {
     Fault(node, fmt::format("'{}': {}", key, std::string(bytes.status().message())));
   } else if (*bytes < min || *bytes > max) {
-    Fault(node, fmt::format("'{}' is {} bytes, out of bounds {}..{}", key, *bytes, min, max));
+    Fault(node, fmt::format("'{}' is {}, out of bounds {}..{}", key, *text, FormatSize(min),
+                            FormatSize(max)));
   } else {
     value = *bytes;
   }
--- a/source/settings/raw_settings.cc
+++ b/source/settings/raw_settings.cc
@@ -11,7 +11,9 @@
 namespace millstair {
 namespace {
 
-bool IsList(SettingKind kind) { return kind == SettingKind::kNames || kind == SettingKind::kRoles; }
+bool IsList(SettingKind kind) {
+  return kind == SettingKind::kNames || kind == SettingKind::kRoles || kind == SettingKind::kRoutes;
+}
 
 /// Walks the document; keeps what the schema knows.
 class Reader {
--- a/source/settings/settings.cc
+++ b/source/settings/settings.cc
@@ -7,7 +7,7 @@
 #include "runtime/endpoint.h"
 #include "settings/raw_settings.h"
 #include "settings/settings_schema.h"
-#include "settings/units.h"
+#include "common/units.h"
 
 namespace millstair {
 namespace {
@@ -62,6 +62,8 @@
         return SetFounders(raw);
       case SettingKind::kRoles:
         return SetRoles(raw);
+      case SettingKind::kRoutes:
+        return SetRoutes(raw);
       case SettingKind::kControlNodes:
         return SetControlNodes(raw);
     }
@@ -149,6 +151,24 @@
     if (raw.list.empty()) findings_.Add(raw.place, "no founder is listed");
   }
 
+  void SetRoutes(const RawSetting& raw) {
+    for (const RawText& route : raw.list) {
+      const size_t equals = route.text.find('=');
+      if (equals == std::string::npos) {
+        findings_.Add(route.place,
+                      fmt::format("\"{}\" is not of the form ip:port=ip:port", route.text));
+        continue;
+      }
+      const RawText to{route.text.substr(0, equals), route.place};
+      const RawText via{route.text.substr(equals + 1), route.place};
+      const bool to_sound = CheckAddress(to);
+      if (!CheckAddress(via) || !to_sound) continue;
+      if (!settings_.routes.emplace(to.text, via.text).second) {
+        findings_.Add(route.place, fmt::format("{} has two routes", to.text));
+      }
+    }
+  }
+
   void SetControlNodes(const RawSetting& raw) {
     std::set<std::string> names;
     std::set<std::string> addresses;
--- a/source/settings/settings.h
+++ b/source/settings/settings.h
@@ -70,6 +70,8 @@
   std::vector<ControlNodeSetting> control_nodes;
   /// Names of the founding members of the cluster group; all control nodes unless set.
   std::vector<std::string> founders;
+  /// "ip:port" as others name it, to "ip:port" as this node reaches it.
+  std::map<std::string, std::string> routes;
   std::string data_folder;
   /// "ip:port" of the platform's machine list; empty if there is none.
   std::string platform_list;
--- a/source/settings/settings_schema.cc
+++ b/source/settings/settings_schema.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "fmt/format.h"
-#include "settings/units.h"
+#include "common/units.h"
 
 namespace millstair {
 namespace {
@@ -114,6 +114,10 @@
       List("founders", Kind::kNames,
            "Control nodes that founded the cluster; the same list on each, never changed later.",
            "all of control_nodes"),
+      List("routes", Kind::kRoutes,
+           "Addresses of peers and back ends that this node reaches elsewhere, as behind a "
+           "forwarder between zones.",
+           "none"),
       Text("data", Kind::kPath, &S::data_folder, "Data folder; required on a control node."),
       Text("platform.list", Kind::kAddress, &S::platform_list,
            "The platform's machine list, polled by the leader."),
@@ -239,6 +243,8 @@
       return "list of names";
     case SettingKind::kRoles:
       return "list of roles";
+    case SettingKind::kRoutes:
+      return "list of ip:port=ip:port";
     case SettingKind::kControlNodes:
       return "list of {node, address, zone}";
   }
--- a/source/settings/settings_schema.h
+++ b/source/settings/settings_schema.h
@@ -22,6 +22,7 @@
   kCount,         ///< whole number
   kNames,         ///< list of names
   kRoles,         ///< list of roles
+  kRoutes,        ///< list of ip:port=ip:port
   kControlNodes,  ///< list of node, address, zone
 };
 
--- a/test/settings/settings_test.cc
+++ b/test/settings/settings_test.cc
@@ -8,7 +8,7 @@
 
 #include "settings/settings_schema.h"
 #include "settings/settings_table.h"
-#include "settings/units.h"
+#include "common/units.h"
 
 namespace millstair {
 namespace {
@@ -61,6 +61,22 @@
   CHECK(settings.limits.http_body == 1024 * 1024);
 }
 
+TEST_CASE("Routes lead from one address to another, once each") {
+  const std::string sound = std::string(kSound) + "routes: [\"127.0.0.1:1=127.0.0.2:2\"]\n";
+  Findings findings;
+  const ServerSettings settings = ReadSettings("f.yaml", sound, {}, findings);
+  CHECK(findings.ToString().empty());
+  CHECK(settings.routes.at("127.0.0.1:1") == "127.0.0.2:2");
+  const std::string faulty = std::string(kSound) +
+                             "routes: [nowhere, \"127.0.0.1:1=host:2\", \"127.0.0.1:1=127.0.0.2:2\", "
+                             "\"127.0.0.1:1=127.0.0.2:3\"]\n";
+  findings = {};
+  ReadSettings("f.yaml", faulty, {}, findings);
+  REQUIRE(findings.items().size() == 3);
+  CHECK(findings.items()[0].message == "\"nowhere\" is not of the form ip:port=ip:port");
+  CHECK(findings.items()[2].message == "127.0.0.1:1 has two routes");
+}
+
 TEST_CASE("Flags win over the file, and suffice without one") {
   Findings findings;
   ServerSettings settings = ReadSettings(
