--- a/source/settings/settings.cc
+++ b/source/settings/settings.cc
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <set>
 
+#include "common/units.h"
 #include "fmt/format.h"
 #include "runtime/endpoint.h"
 #include "settings/raw_settings.h"
 #include "settings/settings_schema.h"
-#include "common/units.h"
 
 namespace millstair {
 namespace {
--- a/source/settings/settings_schema.cc
+++ b/source/settings/settings_schema.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "fmt/format.h"
 #include "common/units.h"
+#include "fmt/format.h"
 
 namespace millstair {
 namespace {
--- a/test/resources/configuration_page_test.cc
+++ b/test/resources/configuration_page_test.cc
@@ -35,8 +35,7 @@
     Add(key, "number", fmt::format("{}", value), fmt::format("{} to {}", min, max));
   }
   void Bytes(const char* key, uint64_t value, uint64_t min, uint64_t max) {
-    Add(key, "size", FormatSize(value),
-        fmt::format("{} to {}", FormatSize(min), FormatSize(max)));
+    Add(key, "size", FormatSize(value), fmt::format("{} to {}", FormatSize(min), FormatSize(max)));
   }
   void Time(const char* key, Duration value, Duration min, Duration max) {
     Add(key, "duration", FormatDuration(value),
--- a/test/settings/settings_test.cc
+++ b/test/settings/settings_test.cc
@@ -6,9 +6,9 @@
 #include <set>
 #include <sstream>
 
+#include "common/units.h"
 #include "settings/settings_schema.h"
 #include "settings/settings_table.h"
-#include "common/units.h"
 
 namespace millstair {
 namespace {
@@ -67,9 +67,10 @@
   const ServerSettings settings = ReadSettings("f.yaml", sound, {}, findings);
   CHECK(findings.ToString().empty());
   CHECK(settings.routes.at("127.0.0.1:1") == "127.0.0.2:2");
-  const std::string faulty = std::string(kSound) +
-                             "routes: [nowhere, \"127.0.0.1:1=host:2\", \"127.0.0.1:1=127.0.0.2:2\", "
-                             "\"127.0.0.1:1=127.0.0.2:3\"]\n";
+  const std::string faulty =
+      std::string(kSound) +
+      "routes: [nowhere, \"127.0.0.1:1=host:2\", \"127.0.0.1:1=127.0.0.2:2\", "
+      "\"127.0.0.1:1=127.0.0.2:3\"]\n";
   findings = {};
   ReadSettings("f.yaml", faulty, {}, findings);
   REQUIRE(findings.items().size() == 3);
