--- a/source/http/http_engine_client.cc
+++ b/source/http/http_engine_client.cc
@@ -5,6 +5,7 @@
 
 #include "common/scoped_timer.h"
 #include "engine/engine_codec.h"
+#include "engine/order_status.h"
 #include "fmt/format.h"
 #include "http/outcome.h"
 
@@ -12,8 +13,6 @@
 namespace {
 
 constexpr int kOk = 200;
-constexpr int kConflict = 409;
-constexpr int kServerError = 500;
 
 HttpRequest JsonPost(std::string target, std::string body) {
   return {"POST", std::move(target), {{"Content-Type", "application/json"}}, std::move(body)};
@@ -161,10 +160,7 @@
   Call(address, JsonPost("/v1/orders", EncodeEngineOrder(order)), options_.order_timeout,
        [done = std::move(done)](absl::StatusOr<Answer> answer) {
          if (!answer.ok()) return done(answer.status());
-         if (answer->status == kOk) return done(absl::OkStatus());
-         if (answer->status == kConflict) return done(absl::FailedPreconditionError(answer->body));
-         if (answer->status == kServerError) return done(absl::InternalError(answer->body));
-         done(absl::UnavailableError(fmt::format("the engine answered {}", answer->status)));
+         done(OrderStatusFromHttp(answer->status, answer->body));
        });
 }
 
