--- a/bench/engine_model/engine_model_bench.cc
+++ b/bench/engine_model/engine_model_bench.cc
@@ -29,7 +29,8 @@
     request.request_id = fmt::format("{}-{}", number_, asked_++);
     request.model = ModelName("m");
     for (int i = 0; i < kSharedWords; ++i) request.prompt += fmt::format("shared{} ", i);
-    for (int i = 0; i < kOwnWords; ++i) request.prompt += fmt::format("{}x{} ", request.request_id, i);
+    for (int i = 0; i < kOwnWords; ++i)
+      request.prompt += fmt::format("{}x{} ", request.request_id, i);
     request.max_tokens = kMaxTokens;
     engine_.Generate(std::move(request), *this);
   }
--- a/test/emulator/engine_process_test.cc
+++ b/test/emulator/engine_process_test.cc
@@ -160,8 +160,8 @@
 TEST_CASE("orders and reports go over a socket with the model's own answers") {
   EngineProcess process(FastOptions());
   CHECK(Order(process, EngineFixture::Order(OrderKind::kStage, 5, 2)).ok());
-  CHECK(absl::IsFailedPrecondition(
-      Order(process, EngineFixture::Order(OrderKind::kActivate, 4, 2))));
+  CHECK(
+      absl::IsFailedPrecondition(Order(process, EngineFixture::Order(OrderKind::kActivate, 4, 2))));
   process.OnExecutor([&] { process.engine->FailNextActivation(); });
   CHECK(absl::IsAborted(Order(process, EngineFixture::Order(OrderKind::kActivate, 5, 2))));
   EngineOrder other = EngineFixture::Order(OrderKind::kActivate, 5, 2);
