--- a/simulator/fleet/back_ends.cc
+++ b/simulator/fleet/back_ends.cc
@@ -5,6 +5,8 @@
 namespace millstair::simulator {
 namespace {
 
+constexpr std::string_view kReadinessPath = "/readyz";
+
 /// Incarnations of different engines never meet.
 constexpr uint64_t kIncarnationsPerEngine = 100000;
 
@@ -153,6 +155,11 @@
 }
 
 void ServerMachine::Handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer) {
+  if (request.target == kReadinessPath) {
+    // A question about the server is not work for it.
+    model_.Handle(std::move(request), std::move(writer));
+    return;
+  }
   const std::string try_id = HeaderOf(request, "X-Request-Id");
   const ExecutionKey key{request.method, request.target.substr(0, request.target.find('?')),
                          HeaderOf(request, "Idempotency-Key")};
--- a/source/gateway/gateway_context.h
+++ b/source/gateway/gateway_context.h
@@ -71,6 +71,8 @@
   std::map<std::string, std::unique_ptr<AdmissionController>> admission;
   /// Keys of non-repeatable requests that this gateway works on.
   std::set<std::string> once_keys;
+  /// The gateway goes away: nothing more is sent, as when the process is killed.
+  bool closing = false;
   /// Makes request ids and claims unique within this incarnation.
   uint64_t next_number = 1;
 
--- /dev/null
+++ b/source/gateway/gateway_stats.h
@@ -0,0 +1,41 @@
+/// Publishes a gateway's counts for /metrics.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "common/stats.h"
+
+namespace millstair {
+
+/// Copies counts, which decision code keeps as plain numbers, into a registry. Lives on the node's
+/// serial executor; the registry may be read from any thread.
+class GatewayStats {
+ public:
+  explicit GatewayStats(StatsRegistry& registry) : registry_(registry) {}
+
+  /// A count that only grows; `read` gives its present value. "millstair_gateway_" goes before.
+  void AddCounter(const std::string& name, const std::string& help, std::function<uint64_t()> read);
+  void AddGauge(const std::string& name, const std::string& help, std::function<double()> read);
+  /// Takes over the present values.
+  void Publish();
+
+ private:
+  struct CounterEntry {
+    Counter* counter = nullptr;
+    std::function<uint64_t()> read;
+    uint64_t published = 0;
+  };
+  struct GaugeEntry {
+    Gauge* gauge = nullptr;
+    std::function<double()> read;
+  };
+
+  StatsRegistry& registry_;
+  std::vector<CounterEntry> counters_;
+  std::vector<GaugeEntry> gauges_;
+};
+
+}  // namespace millstair
--- a/source/gateway/live_service.h
+++ b/source/gateway/live_service.h
@@ -18,6 +18,7 @@
 class LiveService : public RequestHandler {
  public:
   explicit LiveService(GatewayContext& context) : context_(context) {}
+  ~LiveService() override { context_.closing = true; }
 
   void Handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer) override;
 
--- a/source/gateway/once_claim.cc
+++ b/source/gateway/once_claim.cc
@@ -49,7 +49,7 @@
 
 OnceClaim::~OnceClaim() {
   // Given up before the answer came: nothing was sent, so the claim is given back.
-  if (pending_) Settle(true, 0, [](bool) {});
+  if (pending_ && !context_.closing) Settle(true, 0, [](bool) {});
   if (owns_key_) context_.once_keys.erase(key_);
 }
 
