--- a/source/gateway/engine_observer.cc
+++ b/source/gateway/engine_observer.cc
@@ -65,6 +65,19 @@
   return std::find(observers.begin(), observers.end(), self_.node) != observers.end();
 }
 
+std::map<EngineName, uint32_t> EngineObserver::ObservedRanks() const {
+  std::map<EngineName, uint32_t> ranks;
+  for (const auto& [key, resource] : configuration_.configuration().resources) {
+    if (key.kind != ResourceKind::kEngine) continue;
+    const EngineName engine(key.name);
+    if (!Observes(engine)) continue;
+    const std::vector<NodeId>& observers = router_.observers().Observers(engine);
+    const bool first = observers.empty() || observers.front() == self_.node;
+    ranks[engine] = first ? 0 : 1;
+  }
+  return ranks;
+}
+
 void EngineObserver::Tick() {
   const Duration jitter = DrawDuration(environment_.Random(), Duration(0), options_.poll / 10);
   timer_.Arm(options_.poll - options_.poll / 20 + jitter, [this] { Tick(); });
@@ -131,8 +144,10 @@
   observed.fresh = true;
   router_.NoteReport(engine, *report, observed.taken_at);
   router_.NoteReachable(engine, true);
-  Tell(engine, {engine, report->incarnation, report->draining, NewestStaged(*report),
-                report->active_version, report->shards == ShardState::kConsistent});
+  if (!listener_) {
+    Tell(engine, {engine, report->incarnation, report->draining, NewestStaged(*report),
+                  report->active_version, report->shards == ShardState::kConsistent});
+  }
   const auto slot = router_.SlotOf(engine);
   if (slot) {
     const bool resync = router_.prefixes().NeedsResync(*slot);
--- a/source/gateway/engine_observer.h
+++ b/source/gateway/engine_observer.h
@@ -56,6 +56,7 @@
 /// Lives on the node's serial executor.
 class EngineObserver {
  public:
+  /// Hears of each report of a model engine that this gateway polled.
   using ReportListener = std::function<void(const EngineName&, const EngineReport&)>;
 
   EngineObserver(Environment& environment, PeerTransport& transport, EngineClient& engines,
@@ -64,10 +65,12 @@
 
   void Start();
   void Stop();
-  /// Called with each report that this gateway itself polled.
+  /// With a listener, it is the listener that tells the control nodes of model engines.
   void OnReport(ReportListener listener) { listener_ = std::move(listener); }
   /// Messages of kind kEngineReport.
   void Receive(const NodeId& from, const PeerMessage& message);
+  /// Back ends that this gateway polls: 0 for those it is the first observer of, else 1.
+  std::map<EngineName, uint32_t> ObservedRanks() const;
   /// This gateway polls `engine`.
   bool Observes(const EngineName& engine) const;
   const ObserverCounters& counters() const { return counters_; }
--- a/source/gateway/gateway_node.h
+++ b/source/gateway/gateway_node.h
@@ -10,9 +10,11 @@
 #include "cluster/control_client.h"
 #include "common/environment.h"
 #include "common/peer_transport.h"
+#include "common/stats.h"
 #include "engine/engine_types.h"
 #include "gateway/gateway_faults.h"
 #include "http/exchange.h"
+#include "rollout/stream_faults.h"
 #include "routing/router.h"
 
 namespace millstair {
@@ -34,6 +36,9 @@
   bool tail_handling = true;
   /// Faults for tests and the simulator; all off in the product.
   GatewayFaults faults;
+  StreamFaults stream_faults;
+  /// Takes the gateway's counts for /metrics; null publishes none. Must outlive the node.
+  StatsRegistry* stats = nullptr;
 };
 
 /// Lives on the node's serial executor.
--- a/source/routing/engine_choice.cc
+++ b/source/routing/engine_choice.cc
@@ -32,7 +32,7 @@
   const TimePoint now = environment_.Now();
   if (!desperate && engine.ejection.Ejected(now)) return false;
   if (workload.plain) return desperate || engine.load.outstanding() < engine.concurrency.limit();
-  if (!engine.load.has_report()) return false;
+  if (!engine.load.has_report() || engine.in_doubt) return false;
   const EngineReport& report = engine.load.report();
   if (report.shards != ShardState::kConsistent || report.active_version == WeightVersion()) {
     return false;
--- a/source/routing/engine_router.cc
+++ b/source/routing/engine_router.cc
@@ -12,9 +12,9 @@
 /// Weight of a new observation in smoothed figures.
 constexpr double kSmoothing = 0.1;
 /// Prefill costs are learned only from prompts with at least this much to process.
-constexpr uint32_t kLeastPrefillLearned = 64;
+constexpr uint32_t kLeastPrefillLearned = 128;
 constexpr double kLeastPrefillSeconds = 1e-6;
-constexpr double kMostPrefillSeconds = 5e-3;
+constexpr double kMostPrefillSeconds = 500e-6;
 /// A report that is older says nothing of how often reports come.
 constexpr double kLongestHorizonSeconds = 5;
 /// A pool that placed nothing for this long leaves its share to others.
@@ -171,6 +171,11 @@
   ejection.NoteFailure(environment_.Now(), true);
 }
 
+void EngineRouter::SetInDoubt(const EngineName& engine, bool in_doubt) {
+  const auto slot = SlotOf(engine);
+  if (slot) engines_[*slot]->in_doubt = in_doubt;
+}
+
 void EngineRouter::NoteLeaving(const EngineName& engine, bool leaving) {
   const auto slot = SlotOf(engine);
   if (!slot) return;
@@ -219,6 +224,7 @@
     ++pool.in_flight;
     pool.last_placed = own.sent_at;
   }
+  if (request.priority != RequestPriority::kRollout) ++engine.live_outstanding;
   const PlacementId id(next_placement_++);
   placements_.emplace(id.value(), std::move(own));
   return {id, {engine.name, engine.address, FromSeconds(chosen.seconds)}};
@@ -237,6 +243,9 @@
       workload->second.in_flight > 0) {
     --workload->second.in_flight;
   }
+  if (placement.priority != RequestPriority::kRollout && engine.live_outstanding > 0) {
+    --engine.live_outstanding;
+  }
   if (outcome.leaving) NoteLeaving(engine.name, true);
   if (outcome.end == PlacementEnd::kFinished) {
     engine.ejection.NoteSuccess();
@@ -256,6 +265,9 @@
     return;
   }
   if (outcome.tokens == 0) return;
+  if (placement.priority != RequestPriority::kRollout) {
+    LearnLiveLatency(engine, placement, outcome);
+  }
   fleet_.mean_tokens = Smooth(fleet_.mean_tokens, outcome.tokens);
   fleet_.mean_residence_seconds = Smooth(fleet_.mean_residence_seconds, ToSeconds(outcome.elapsed));
   if (placement.work.expected_tokens > 0) {
@@ -265,18 +277,24 @@
   }
 }
 
-void EngineRouter::NoteFirstToken(PlacementId id, Duration latency) {
+void EngineRouter::LearnLiveLatency(EngineView& engine, const OwnPlacement& placement,
+                                    const PlacementOutcome& outcome) {
+  // What it would have taken with the live requests alone, as far as this gateway can tell.
+  const double live = 1.0 + engine.live_outstanding * static_cast<double>(home_gateways_);
+  const Duration alone = UnloadedFirstToken(engine, placement.work, fleet_) +
+                         FromSeconds(outcome.tokens * engine.step_time.Seconds(live));
+  engine.rollout_share.NoteLiveLatency(environment_.Now(), outcome.elapsed, alone);
+}
+
+void EngineRouter::NoteFirstTokens(PlacementId id, Duration latency, uint32_t tokens) {
   const auto found = placements_.find(id.value());
   if (found == placements_.end()) return;
   const OwnPlacement& placement = found->second;
-  EngineView& engine = *engines_[placement.slot];
-  const TimePoint now = environment_.Now();
-  const Duration unloaded = UnloadedFirstToken(engine, placement.work, fleet_);
-  engine.rollout_share.NoteLiveLatency(now, latency, unloaded);
+  const EngineView& engine = *engines_[placement.slot];
   const double uncached = placement.work.prompt_tokens - placement.work.cached_tokens;
   if (uncached < kLeastPrefillLearned || engine.load.report().waiting_sequences > 0) return;
-  const double spent =
-      ToSeconds(latency) - engine.step_time.Seconds(engine.load.report().running_sequences + 1);
+  const double step = engine.step_time.Seconds(engine.load.Sequences());
+  const double spent = ToSeconds(latency) - tokens * step;
   const double sample = std::clamp(spent / uncached, kLeastPrefillSeconds, kMostPrefillSeconds);
   fleet_.prefill_seconds_per_token = Smooth(fleet_.prefill_seconds_per_token, sample);
 }
--- a/source/routing/engine_router.h
+++ b/source/routing/engine_router.h
@@ -70,6 +70,8 @@
                        const CacheEvents& events);
   /// A poll found `engine` unreachable, or reachable again.
   void NoteReachable(const EngineName& engine, bool reachable);
+  /// The weights of `engine` are in doubt, or are no longer.
+  void SetInDoubt(const EngineName& engine, bool in_doubt);
   /// `engine` said that it is leaving, or is no longer.
   void NoteLeaving(const EngineName& engine, bool leaving);
 
@@ -77,8 +79,8 @@
                                  const RoutingRequest& request) override;
   void End(PlacementId id, const PlacementOutcome& outcome) override;
   uint32_t RolloutRoom(const ResourceKey& workload) const override;
-  /// First token of a live request arrived this long after it was sent.
-  void NoteFirstToken(PlacementId id, Duration latency);
+  /// The first `tokens` of a live request arrived together this long after it was sent.
+  void NoteFirstTokens(PlacementId id, Duration latency, uint32_t tokens);
   /// A live request had to wait because no engine could take it.
   void NoteLiveQueued(const ResourceKey& workload);
 
@@ -164,6 +166,8 @@
   EstimatedWork WorkOn(EngineSlot slot, const RoutingRequest& request) const;
   Placement Record(const ResourceKey& workload, const RoutingRequest& request,
                    const Candidate& chosen);
+  void LearnLiveLatency(EngineView& engine, const OwnPlacement& placement,
+                        const PlacementOutcome& outcome);
   void LearnFinished(EngineView& engine, const OwnPlacement& placement,
                      const PlacementOutcome& outcome);
   void NoteFleetLoad();
--- a/source/routing/engine_view.h
+++ b/source/routing/engine_view.h
@@ -25,12 +25,16 @@
   MemberState state = MemberState::kGone;
   /// It said itself that it is leaving; newer than what the configuration may know.
   bool said_leaving = false;
+  /// Its weights are not what was published; no work may go there.
+  bool in_doubt = false;
   TimePoint said_leaving_at;
 
   LaggedLoad load;
   StepTimeModel step_time;
   OutlierEjection ejection;
   RolloutShare rollout_share;
+  /// Live requests of this gateway under way there.
+  uint32_t live_outstanding = 0;
   /// Since when it serves with its present incarnation and weights; for slow start.
   TimePoint serving_since;
   bool slow_starting = false;
