--- a/source/gateway/gateway_node.cc
+++ b/source/gateway/gateway_node.cc
@@ -245,8 +245,7 @@
         live.refused_without_lease);
   count("refused_by_admission", "Requests refused by a traffic group's limits.",
         live.refused_by_admission);
-  count("refused_too_late", "Requests that no engine could finish in time.",
-        live.refused_too_late);
+  count("refused_too_late", "Requests that no engine could finish in time.", live.refused_too_late);
   count("claims_taken", "Once-only claims granted.", live.claims_taken);
   count("claims_refused", "Once-only claims refused.", live.claims_refused);
   count("tokens", "Tokens of live completions.", live.tokens);
--- a/test/gateway/engine_observer_test.cc
+++ b/test/gateway/engine_observer_test.cc
@@ -60,8 +60,7 @@
 /// Delivers to the other gateways of a test, at once but not within the call.
 class LinkedTransport : public PeerTransport {
  public:
-  LinkedTransport(Gateways& gateways, NodeId self)
-      : gateways_(gateways), self_(std::move(self)) {}
+  LinkedTransport(Gateways& gateways, NodeId self) : gateways_(gateways), self_(std::move(self)) {}
   void Send(const NodeId& to, PeerMessage message) override;
   void SetAddress(const NodeId&, const std::string&) override {}
 
