Try leader and workers together under failures; hold short samples for a swap

Cause: the leader and the worker had no tests; samples started right after a publish begin on the old weights. Change: a small fleet in virtual time with engine models: lost answers, crashes, swaps that fail partway, change of leader, dead and draining gateways. The schedule holds the shorter samples for up to (1 - w) * 5 s while engines swap.

--- a/source/rollout/stream_leader_work.cc
+++ b/source/rollout/stream_leader_work.cc
@@ -24,7 +24,7 @@
 constexpr double kHedgeWeight = 0.5;
 /// Engines take this long to swap once a version is to be served; attempts restarted earlier might
 /// begin on the old one again.
-constexpr Duration kSwapTime = std::chrono::seconds(3);
+constexpr Duration kSwapTime = std::chrono::seconds(2);
 /// Share of its expected tokens that an attempt may lose to fresher weights at weight 0.
 constexpr double kRestartShare = 0.5;
 
@@ -90,6 +90,8 @@
   situation.staleness_bound = state_.data().staleness_bound;
   situation.newest = state_.data().newest;
   situation.trainer_waits = TrainerWaits();
+  situation.swap_pending =
+      active_ < situation.newest || situation.now - active_since_ < kSwapTime;
   situation.tail_handling = options_.tail_handling;
   return situation;
 }
--- a/source/rollout/work_schedule.cc
+++ b/source/rollout/work_schedule.cc
@@ -9,6 +9,8 @@
 
 /// How far beyond the learned interval a held sample waits for a version that does not come.
 constexpr double kHoldSlack = 1.2;
+/// Longest hold for a swap, at weight 0.
+constexpr Duration kSwapHold = std::chrono::seconds(5);
 /// Weight of a new interval between versions.
 constexpr double kIntervalGain = 0.3;
 
@@ -89,13 +91,20 @@
   const auto by_weight = static_cast<uint64_t>(
       std::floor(weight * static_cast<double>(situation.staleness_bound + 1)));
   if (steps_before > std::min(situation.staleness_bound, by_weight)) return false;
-  if (situation.trainer_waits && steps_before == 0) return true;
   const StepQueue& queue = queues_.at(rank.step_sequence);
   const uint32_t started = queue.samples - std::min(queue.samples, queue.waiting);
   if (started < weight * queue.samples) return true;
+  if (HeldForSwap(situation)) return false;
+  if (situation.trainer_waits && steps_before == 0) return true;
   return HoldOver(situation, queue);
 }
 
+bool WorkSchedule::HeldForSwap(const ScheduleSituation& situation) const {
+  if (!situation.swap_pending || !published_at_) return false;
+  const double weight = std::clamp(situation.idle_time_weight, 0.0, 1.0);
+  return situation.now - *published_at_ < FromSeconds((1.0 - weight) * ToSeconds(kSwapHold));
+}
+
 bool WorkSchedule::HoldOver(const ScheduleSituation& situation, const StepQueue& queue) const {
   if (situation.newest > queue.newest_at_put) return true;
   if (!publish_interval_ || !published_at_) return true;
--- a/source/rollout/work_schedule.h
+++ b/source/rollout/work_schedule.h
@@ -6,6 +6,8 @@
 /// - Hold: of a step that the trainer does not wait for, the longest share w of the samples starts
 ///   at once; the shorter rest is held until the next version is out, but not beyond kHoldSlack
 ///   times the learned interval of publishing.
+/// - Swap: while engines are about to swap to a version that is out, the shorter rest is held for up
+///   to (1 - w) * kSwapHold even if the trainer waits.
 /// - Order: given back ones first, then older steps, then the longest expected.
 #pragma once
 
@@ -27,6 +29,8 @@
   WeightVersion newest;
   /// The trainer is reading and there is nothing to read.
   bool trainer_waits = false;
+  /// The newest version is not served by the engines yet.
+  bool swap_pending = false;
   /// False starts everything in order at once.
   bool tail_handling = true;
 };
@@ -65,6 +69,7 @@
   };
 
   bool MayStart(const ScheduleSituation& situation, const Rank& rank, uint64_t steps_before) const;
+  bool HeldForSwap(const ScheduleSituation& situation) const;
   bool HoldOver(const ScheduleSituation& situation, const StepQueue& queue) const;
 
   std::set<Rank> order_;
--- /dev/null
+++ b/test/rollout/rollout_flow_test.cc
@@ -0,0 +1,237 @@
+/// Leader and workers together, under what fails around them.
+#include <catch2/catch.hpp>
+
+#include "engine/prefix_blocks.h"
+#include "rollout_fleet.h"
+
+namespace millstair {
+namespace {
+
+/// All samples of step "a", read at once.
+std::vector<HandedOn> ReadAll(RolloutFleet& fleet) {
+  return fleet.Read(StreamOffset(0)).handed_on;
+}
+
+/// Each sample once, its text the engines' own words under the versions that it names.
+void RequireTrue(const std::vector<HandedOn>& items, uint32_t samples) {
+  std::set<SampleId> seen;
+  for (const HandedOn& item : items) {
+    REQUIRE_FALSE(item.withdrawn);
+    REQUIRE(seen.insert(item.sample.sample).second);
+    const std::string& id = item.sample.sample.value();
+    const std::string prompt = "prompt a " + id.substr(id.find('/') + 1);
+    std::string text;
+    for (const VersionSpan& span : item.sample.spans) {
+      REQUIRE(span.digest == DigestOfVersion(span.version.value()));
+      for (uint32_t i = 0; i < span.token_count; ++i) {
+        if (!text.empty()) text += ' ';
+        text += TokenText(prompt, span.first_token + i, span.version);
+      }
+    }
+    REQUIRE(item.sample.text == text);
+    REQUIRE(item.sample.score == Approx(ScoreOf(text)));
+    REQUIRE(item.sample.token_count == GenerationLength(prompt, 16));
+  }
+  REQUIRE(seen.size() == samples);
+}
+
+/// Prompts that generate long enough to be interrupted.
+PutStep LongStep(uint32_t samples) {
+  PutStep step = MakeStep("a", samples);
+  for (Prompt& prompt : step.prompts) prompt.max_tokens = 256;
+  return step;
+}
+
+bool RunUntilRunning(RolloutFleet& fleet, size_t gateway, uint32_t tokens) {
+  return fleet.scheduler.RunUntilTrue(
+      [&] {
+        return fleet.gateways[gateway]->worker->running() > 0 &&
+               fleet.gateways[gateway]->worker->counts().tokens >= tokens;
+      },
+      std::chrono::seconds(20));
+}
+
+TEST_CASE("a step is generated, scored and read once") {
+  RolloutFleet fleet;
+  fleet.Execute(MakeStep("a", 24));
+  REQUIRE(fleet.RunUntilWhole());
+  RequireTrue(ReadAll(fleet), 24);
+  for (const auto& gateway : fleet.gateways) {
+    REQUIRE(gateway->worker->counts().samples_appended > 0);
+  }
+  fleet.scheduler.RunFor(std::chrono::seconds(3));
+  for (const auto& gateway : fleet.gateways) REQUIRE(gateway->worker->running() == 0);
+}
+
+TEST_CASE("answers to appends get lost and nothing is doubled") {
+  RolloutFleet fleet;
+  for (auto& gateway : fleet.gateways) gateway->control.lose_answers = 5;
+  fleet.Execute(MakeStep("a", 12));
+  REQUIRE(fleet.RunUntilWhole());
+  fleet.scheduler.RunFor(std::chrono::seconds(20));
+  RequireTrue(ReadAll(fleet), 12);
+  for (const auto& gateway : fleet.gateways) REQUIRE(gateway->worker->running() == 0);
+}
+
+TEST_CASE("answers that lease work get lost and the samples are issued again") {
+  RolloutFleet fleet;
+  fleet.Execute(MakeStep("a", 12));
+  fleet.scheduler.RunFor(std::chrono::milliseconds(800));
+  fleet.lose_work_replies = 4;
+  REQUIRE(fleet.RunUntilWhole());
+  REQUIRE(fleet.lose_work_replies == 0);
+  RequireTrue(ReadAll(fleet), 12);
+}
+
+TEST_CASE("an engine crashes and its streams go on elsewhere in a new span") {
+  RolloutFleet fleet;
+  fleet.Execute(LongStep(8));
+  REQUIRE(RunUntilRunning(fleet, 0, 8));
+  fleet.models[0]->Crash();
+  for (auto& gateway : fleet.gateways) gateway->placement.closed.insert(EngineName("engine-0"));
+  REQUIRE(fleet.RunUntilWhole());
+  bool resumed = false;
+  for (const HandedOn& item : ReadAll(fleet)) {
+    std::set<Incarnation> lives;
+    for (const VersionSpan& span : item.sample.spans) lives.insert(span.engine_incarnation);
+    resumed = resumed || lives.size() > 1;
+    REQUIRE(item.sample.token_count == CountTokens(item.sample.text));
+  }
+  REQUIRE(resumed);
+}
+
+TEST_CASE("a swap that fails partway in the middle of a stream leaves no mixed sample") {
+  RolloutFleet fleet;
+  fleet.Execute(LongStep(8));
+  REQUIRE(RunUntilRunning(fleet, 0, 8));
+  fleet.configuration.held.models[kModel].published.push_back(
+      {WeightVersion(2), DigestOfVersion(2), "w"});
+  EngineOrder order{OrderKind::kStage, Revision(5),        kModel,
+                    WeightVersion(2),  DigestOfVersion(2), "w"};
+  fleet.models[0]->ApplyOrder(order, [](const absl::Status&) {});
+  fleet.scheduler.RunFor(std::chrono::milliseconds(550));
+  fleet.models[0]->FailNextActivation();
+  order.kind = OrderKind::kActivate;
+  absl::Status swapped;
+  fleet.models[0]->ApplyOrder(order, [&](const absl::Status& status) { swapped = status; });
+  REQUIRE(fleet.RunUntilWhole());
+  REQUIRE(absl::IsAborted(swapped));
+  REQUIRE(fleet.models[0]->counts().mixed_tokens > 0);
+  uint64_t voided = 0;
+  for (const auto& gateway : fleet.gateways) voided += gateway->worker->counts().samples_voided;
+  REQUIRE(voided > 0);
+  for (const HandedOn& item : ReadAll(fleet)) {
+    for (const VersionSpan& span : item.sample.spans) REQUIRE_FALSE(IsMixedDigest(span.digest));
+  }
+}
+
+TEST_CASE("versions come from the engines, not from what is to be served") {
+  StreamFaults faults;
+  const bool broken = GENERATE(false, true);
+  faults.spans_from_routing_belief = broken;
+  RolloutFleet fleet(faults);
+  fleet.PublishVersion(2);  // wanted, but no engine was told to swap
+  fleet.Execute(MakeStep("a", 4));
+  REQUIRE(fleet.RunUntilWhole());
+  for (const HandedOn& item : ReadAll(fleet)) {
+    REQUIRE((item.sample.spans.front().version == WeightVersion(1)) == !broken);
+  }
+}
+
+TEST_CASE("a new leader takes over what runs") {
+  RolloutFleet fleet;
+  fleet.Spec().idle_time_weight = 1;
+  fleet.Configure();
+  fleet.Execute(LongStep(12));
+  REQUIRE(RunUntilRunning(fleet, 0, 1));
+  const uint64_t started = fleet.gateways[0]->worker->counts().attempts_started +
+                           fleet.gateways[1]->worker->counts().attempts_started;
+  fleet.log.leader = fleet.controls[1]->node;
+  ++fleet.log.term;
+  for (auto& control : fleet.controls) control->leader->OnChange(fleet.configuration.held);
+  REQUIRE(fleet.RunUntilWhole());
+  const uint64_t after = fleet.gateways[0]->worker->counts().attempts_started +
+                         fleet.gateways[1]->worker->counts().attempts_started;
+  REQUIRE(started == 12);
+  REQUIRE(after == started);
+  REQUIRE(ReadAll(fleet).size() == 12);
+}
+
+TEST_CASE("a gateway dies and its samples are issued again") {
+  RolloutFleet fleet;
+  fleet.Execute(LongStep(12));
+  REQUIRE(RunUntilRunning(fleet, 0, 1));
+  const uint32_t lost = fleet.gateways[0]->worker->running();
+  fleet.down.insert(fleet.gateways[0]->node);
+  fleet.gateways[0]->environment.Kill();
+  fleet.gateways[0]->worker.reset();
+  REQUIRE(lost > 0);
+  REQUIRE(fleet.RunUntilWhole());
+  REQUIRE(ReadAll(fleet).size() == 12);
+}
+
+TEST_CASE("a gateway that drains gives its attempts back with their tokens") {
+  RolloutFleet fleet;
+  fleet.Execute(LongStep(12));
+  REQUIRE(RunUntilRunning(fleet, 0, 8));
+  fleet.engines.requests.clear();
+  bool drained = false;
+  fleet.gateways[0]->worker->Drain([&] { drained = true; });
+  REQUIRE(fleet.scheduler.RunUntilTrue([&] { return drained; }, std::chrono::seconds(5)));
+  REQUIRE(fleet.gateways[0]->worker->running() == 0);
+  REQUIRE(fleet.gateways[0]->worker->counts().attempts_returned > 0);
+  REQUIRE(fleet.RunUntilWhole());
+  const bool resumed = std::any_of(
+      fleet.engines.requests.begin(), fleet.engines.requests.end(),
+      [](const GenerateRequest& request) { return !request.resume_tokens.empty(); });
+  REQUIRE(resumed);
+  REQUIRE(ReadAll(fleet).size() == 12);
+}
+
+TEST_CASE("without a lease a gateway starts nothing") {
+  RolloutFleet fleet;
+  fleet.configuration.lease = false;
+  fleet.Execute(MakeStep("a", 4));
+  fleet.scheduler.RunFor(std::chrono::seconds(10));
+  REQUIRE(fleet.engines.requests.empty());
+  fleet.configuration.lease = true;
+  REQUIRE(fleet.RunUntilWhole());
+}
+
+TEST_CASE("a scorer that breaks off is asked again") {
+  RolloutFleet fleet;
+  fleet.scorer.failures = 5;
+  fleet.Execute(MakeStep("a", 3));
+  REQUIRE(fleet.RunUntilWhole());
+  RequireTrue(ReadAll(fleet), 3);
+  REQUIRE(fleet.scorer.calls == 8);
+}
+
+TEST_CASE("attempts that went beyond the bound are begun anew") {
+  RolloutFleet fleet;
+  fleet.Spec().staleness_bound = 0;
+  fleet.Configure();
+  fleet.Execute(LongStep(6));
+  REQUIRE(RunUntilRunning(fleet, 0, 8));
+  for (auto& model : fleet.models) {
+    EngineOrder order{OrderKind::kStage, Revision(5),        kModel,
+                      WeightVersion(2),  DigestOfVersion(2), "w"};
+    model->ApplyOrder(order, [&, order](const absl::Status&) mutable {
+      order.kind = OrderKind::kActivate;
+      model->ApplyOrder(order, [](const absl::Status&) {});
+    });
+  }
+  fleet.PublishVersion(2);
+  REQUIRE(fleet.RunUntilWhole());
+  REQUIRE(fleet.RunUntilWhole());
+  uint32_t fresh = 0;
+  for (const HandedOn& item : ReadAll(fleet)) {
+    if (item.withdrawn) continue;
+    ++fresh;
+    REQUIRE(item.sample.spans.front().version == WeightVersion(2));
+  }
+  REQUIRE(fresh == 6);
+}
+
+}  // namespace
+}  // namespace millstair
