--- a/source/rollout/stream_leader_work.cc
+++ b/source/rollout/stream_leader_work.cc
@@ -90,8 +90,7 @@
   situation.staleness_bound = state_.data().staleness_bound;
   situation.newest = state_.data().newest;
   situation.trainer_waits = TrainerWaits();
-  situation.swap_pending =
-      active_ < situation.newest || situation.now - active_since_ < kSwapTime;
+  situation.swap_pending = active_ < situation.newest || situation.now - active_since_ < kSwapTime;
   situation.tail_handling = options_.tail_handling;
   return situation;
 }
--- a/source/rollout/work_schedule.h
+++ b/source/rollout/work_schedule.h
@@ -6,7 +6,8 @@
 /// - Hold: of a step that the trainer does not wait for, the longest share w of the samples starts
 ///   at once; the shorter rest is held until the next version is out, but not beyond kHoldSlack
 ///   times the learned interval of publishing.
-/// - Swap: while engines are about to swap to a version that is out, the shorter rest is held for up
+/// - Swap: while engines are about to swap to a version that is out, the shorter rest is held for
+/// up
 ///   to (1 - w) * kSwapHold even if the trainer waits.
 /// - Order: given back ones first, then older steps, then the longest expected.
 #pragma once
--- a/test/rollout/rollout_fleet.h
+++ b/test/rollout/rollout_fleet.h
@@ -1,5 +1,6 @@
-/// A small fleet in virtual time around the real rollout code: replicas of one stream, gateways with
-/// workers, engine models, a scorer. Consensus, configuration and routing are simple stand-ins.
+/// A small fleet in virtual time around the real rollout code: replicas of one stream, gateways
+/// with workers, engine models, a scorer. Consensus, configuration and routing are simple
+/// stand-ins.
 #pragma once
 
 #include <algorithm>
@@ -312,9 +313,8 @@
     side->group = std::make_unique<FakeGroup>(log, side->node);
     side->state = std::make_unique<StreamState>(faults_);
     log.replicas.push_back(side->state.get());
-    side->leader = std::make_unique<StreamLeaderNode>(*side->environment, *side->transport,
-                                                      *side->group, *side->state,
-                                                      StreamLeaderOptions());
+    side->leader = std::make_unique<StreamLeaderNode>(
+        *side->environment, *side->transport, *side->group, *side->state, StreamLeaderOptions());
     controls.push_back(std::move(side));
   }
 
@@ -342,7 +342,8 @@
 
   void Deliver(const NodeId& from, const NodeId& to, const PeerMessage& message) {
     if (down.contains(from) || down.contains(to)) return;
-    if (message.kind == MessageKind::kWorkRequest) return Leader().leader->ReceiveWork(from, message);
+    if (message.kind == MessageKind::kWorkRequest)
+      return Leader().leader->ReceiveWork(from, message);
     if (message.kind == MessageKind::kWorkReply && lose_work_replies > 0) {
       --lose_work_replies;
       return;
@@ -433,13 +434,12 @@
     return done(EncodeResult(cluster_result));
   }
   if (mode == CommandMode::kQuery) return fleet_.Leader().leader->Query(command, std::move(done));
-  fleet_.log.Append(std::move(command),
-                    [this, timeout, done](const absl::StatusOr<std::string>& answer) {
-                      if (lose_answers <= 0) return done(answer);
-                      --lose_answers;
-                      fleet_.scheduler.Schedule(
-                          timeout, [done] { done(absl::DeadlineExceededError("lost")); });
-                    });
+  fleet_.log.Append(
+      std::move(command), [this, timeout, done](const absl::StatusOr<std::string>& answer) {
+        if (lose_answers <= 0) return done(answer);
+        --lose_answers;
+        fleet_.scheduler.Schedule(timeout, [done] { done(absl::DeadlineExceededError("lost")); });
+      });
 }
 
 inline GatewaySide::GatewaySide(RolloutFleet& fleet, VirtualScheduler& scheduler,
--- a/test/rollout/rollout_flow_test.cc
+++ b/test/rollout/rollout_flow_test.cc
@@ -8,9 +8,7 @@
 namespace {
 
 /// All samples of step "a", read at once.
-std::vector<HandedOn> ReadAll(RolloutFleet& fleet) {
-  return fleet.Read(StreamOffset(0)).handed_on;
-}
+std::vector<HandedOn> ReadAll(RolloutFleet& fleet) { return fleet.Read(StreamOffset(0)).handed_on; }
 
 /// Each sample once, its text the engines' own words under the versions that it names.
 void RequireTrue(const std::vector<HandedOn>& items, uint32_t samples) {
@@ -181,9 +179,9 @@
   REQUIRE(fleet.gateways[0]->worker->running() == 0);
   REQUIRE(fleet.gateways[0]->worker->counts().attempts_returned > 0);
   REQUIRE(fleet.RunUntilWhole());
-  const bool resumed = std::any_of(
-      fleet.engines.requests.begin(), fleet.engines.requests.end(),
-      [](const GenerateRequest& request) { return !request.resume_tokens.empty(); });
+  const bool resumed =
+      std::any_of(fleet.engines.requests.begin(), fleet.engines.requests.end(),
+                  [](const GenerateRequest& request) { return !request.resume_tokens.empty(); });
   REQUIRE(resumed);
   REQUIRE(ReadAll(fleet).size() == 12);
 }
--- a/test/rollout/trainer_front_test.cc
+++ b/test/rollout/trainer_front_test.cc
@@ -133,21 +133,21 @@
     const char* body;
     int status;
   };
-  const Bad bad = GENERATE(
-      Bad{"PUT", "/v1/streams/none/steps/s1", kStep, 404},
-      Bad{"POST", "/v1/streams/drafts/steps/s1", kStep, 405},
-      Bad{"PUT", "/v1/streams/drafts/steps/s%2f1", kStep, 400},
-      Bad{"PUT", "/v1/streams/drafts/steps/s1", "{", 400},
-      Bad{"PUT", "/v1/streams/drafts/steps/s1", "[]", 400},
-      Bad{"GET", "/v1/streams/drafts/samples?after=x", "", 400},
-      Bad{"GET", "/v1/streams/drafts/samples?max=0", "", 400},
-      Bad{"GET", "/v1/streams/drafts/samples?wait=1000", "", 400},
-      Bad{"GET", "/v1/streams/drafts/samples?cursor=1", "", 400},
-      Bad{"GET", "/v1/streams/drafts/samples?after=99", "", 409},
-      Bad{"GET", "/v1/streams/drafts", "", 404},
-      Bad{"PUT", "/v1/models/none/versions/2", R"({"digest":"d","location":"l"})", 404},
-      Bad{"PUT", "/v1/models/routing/versions/0", R"({"digest":"d","location":"l"})", 400},
-      Bad{"PUT", "/v1/models/routing/versions/2", R"({"digest":""})", 400});
+  const Bad bad =
+      GENERATE(Bad{"PUT", "/v1/streams/none/steps/s1", kStep, 404},
+               Bad{"POST", "/v1/streams/drafts/steps/s1", kStep, 405},
+               Bad{"PUT", "/v1/streams/drafts/steps/s%2f1", kStep, 400},
+               Bad{"PUT", "/v1/streams/drafts/steps/s1", "{", 400},
+               Bad{"PUT", "/v1/streams/drafts/steps/s1", "[]", 400},
+               Bad{"GET", "/v1/streams/drafts/samples?after=x", "", 400},
+               Bad{"GET", "/v1/streams/drafts/samples?max=0", "", 400},
+               Bad{"GET", "/v1/streams/drafts/samples?wait=1000", "", 400},
+               Bad{"GET", "/v1/streams/drafts/samples?cursor=1", "", 400},
+               Bad{"GET", "/v1/streams/drafts/samples?after=99", "", 409},
+               Bad{"GET", "/v1/streams/drafts", "", 404},
+               Bad{"PUT", "/v1/models/none/versions/2", R"({"digest":"d","location":"l"})", 404},
+               Bad{"PUT", "/v1/models/routing/versions/0", R"({"digest":"d","location":"l"})", 400},
+               Bad{"PUT", "/v1/models/routing/versions/2", R"({"digest":""})", 400});
   const auto answer = fixture.Call(bad.method, bad.target, bad.body);
   REQUIRE(answer->head.status == bad.status);
   REQUIRE(answer->Header("Millstair-Outcome") == "not-run");
--- a/test/weights/weight_fleet.h
+++ b/test/weights/weight_fleet.h
@@ -49,8 +49,8 @@
     if (unreachable == address) return;  // the answer never comes
     models.at(address)->ApplyOrder(order, std::move(done));
   }
-  void FetchReport(const std::string&,
-                   std::function<void(absl::StatusOr<EngineReport>)>) override {}
+  void FetchReport(const std::string&, std::function<void(absl::StatusOr<EngineReport>)>) override {
+  }
   void FetchCacheEvents(const std::string&, uint64_t, bool,
                         std::function<void(absl::StatusOr<CacheEvents>)>) override {}
 
