--- a/source/cluster/cluster_commands.h
+++ b/source/cluster/cluster_commands.h
@@ -12,6 +12,7 @@
 #include "cluster/configuration.h"
 #include "common/ids.h"
 #include "common/time.h"
+#include "consensus/raft_group.h"
 #include "resources/resource.h"
 
 namespace millstair {
@@ -88,8 +89,16 @@
   std::vector<NodeId> deleted_nodes;
 };
 
-using ClusterOperation = std::variant<OpenSession, PutResources, DeleteResource, ClaimKey,
-                                      SettleClaim, PublishVersion, SetModelTarget, UpdateMembers>;
+/// Fixes the founders of a stream's group, so that every replica opens it with the same list. The
+/// first one for a stream wins; it is forgotten with the Stream resource.
+struct FoundGroup {
+  StreamName stream;
+  std::vector<GroupMember> founders;
+};
+
+using ClusterOperation =
+    std::variant<OpenSession, PutResources, DeleteResource, ClaimKey, SettleClaim, PublishVersion,
+                 SetModelTarget, UpdateMembers, FoundGroup>;
 
 struct ClusterCommand {
   ClusterOperation operation;
--- /dev/null
+++ b/source/cluster/cluster_replica.h
@@ -0,0 +1,53 @@
+/// The cluster group on this node, if it has a replica of it.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "cluster/cluster_commands.h"
+#include "cluster/cluster_state_machine.h"
+#include "common/alive_flag.h"
+#include "common/environment.h"
+#include "consensus/group_host.h"
+
+namespace millstair {
+
+inline const GroupId kClusterGroup("cluster");
+
+/// Lives on the node's serial executor.
+class ClusterReplica {
+ public:
+  explicit ClusterReplica(Environment& environment) : environment_(environment) {}
+
+  /// The state machine for the group; called by the group host's factory.
+  std::unique_ptr<StateMachine> MakeStateMachine(ClusterLimits limits, ClusterFaults faults);
+  void Attach(GroupHost& groups) { groups_ = &groups; }
+  /// Called after each change of the configuration or of the founded groups.
+  void OnChange(std::function<void()> callback) { on_change_ = std::move(callback); }
+
+  /// Null until this node has a replica.
+  RaftGroup* group() const;
+  /// Null until this node has a replica.
+  const ClusterStateMachine* state() const;
+  /// Empty until this node has a replica.
+  const Configuration& configuration() const;
+  bool IsLeader() const;
+  std::optional<NodeId> Leader() const;
+
+  /// Unavailable when not the leader; the outcome is unknown if leadership is lost on the way.
+  void Propose(ClusterCommand command, std::function<void(absl::StatusOr<ClusterResult>)> done);
+  /// The same for an encoded command, whose time is set by this node.
+  void ProposeEncoded(std::string_view command,
+                      std::function<void(absl::StatusOr<std::string>)> done);
+  /// `done` once the state here holds everything committed before the call.
+  void ConfirmRead(std::function<void(absl::Status)> done);
+
+ private:
+  Environment& environment_;
+  GroupHost* groups_ = nullptr;
+  std::function<void()> on_change_;
+  AliveFlag alive_;
+};
+
+}  // namespace millstair
--- a/source/cluster/cluster_snapshot.cc
+++ b/source/cluster/cluster_snapshot.cc
@@ -1,6 +1,7 @@
 /// Snapshots of the cluster state machine.
 #include "api/generated/cluster.pb.h"
 #include "cluster/cluster_state_machine.h"
+#include "cluster/configuration_wire.h"
 #include "wire/nanopb_message.h"
 
 namespace millstair {
@@ -114,6 +115,10 @@
     }
   }
   ClaimsToWire(arena, claims_.claims(), wire);
+  wire.founded_groups = arena.NewArray<millstair_FoundGroup>(founded_groups_.size());
+  for (const auto& [stream, found] : founded_groups_) {
+    wire.founded_groups[wire.founded_groups_count++] = ToWire(arena, found);
+  }
   return EncodeNanopb(millstair_ClusterSnapshot_fields, &wire);
 }
 
@@ -131,7 +136,14 @@
   for (pb_size_t i = 0; i < wire.sessions_count; ++i) {
     sessions[ClientId(ToString(wire.sessions[i].client))] = FromWire(wire.sessions[i]);
   }
+  std::map<StreamName, FoundGroup> founded_groups;
+  for (pb_size_t i = 0; i < wire.founded_groups_count; ++i) {
+    FoundGroup found;
+    if (!FromWire(wire.founded_groups[i], found)) return absl::DataLossError("bad group");
+    founded_groups[found.stream] = std::move(found);
+  }
   configuration_ = Configuration();
+  founded_groups_ = std::move(founded_groups);
   ApplyDelta(configuration_, *delta);
   clock_ = FromMilliseconds(wire.clock_milliseconds);
   sessions_.Replace(std::move(sessions));
--- a/source/cluster/cluster_state_machine.cc
+++ b/source/cluster/cluster_state_machine.cc
@@ -37,9 +37,12 @@
     return EncodeResult(result);
   }
   const Revision before = configuration_.revision;
+  const size_t groups_before = founded_groups_.size();
   AdvanceClock(decoded->proposed_at);
   std::string answer = EncodeResult(Answer(index, *decoded));
-  if (configuration_.revision != before && on_change_) on_change_();
+  const bool changed =
+      configuration_.revision != before || founded_groups_.size() != groups_before;
+  if (changed && on_change_) on_change_();
   return answer;
 }
 
@@ -103,6 +106,8 @@
           return claims_.Take(operation, index, clock_);
         } else if constexpr (std::is_same_v<Operation, SettleClaim>) {
           return claims_.Settle(operation);
+        } else if constexpr (std::is_same_v<Operation, FoundGroup>) {
+          return Found(operation);
         } else {
           return editor.Run(operation);
         }
@@ -110,12 +115,30 @@
       command.operation);
   if (!editor.changes().empty()) {
     configuration_.revision = revision;
+    ForgetGroups(editor.changes());
     history_.Add(revision, editor.changes());
   }
   result.revision = configuration_.revision;
   return result;
 }
 
+ClusterResult ClusterStateMachine::Found(const FoundGroup& found) {
+  ClusterResult result;
+  if (!configuration_.resources.contains({ResourceKind::kStream, found.stream.value()})) {
+    result.code = ClusterResultCode::kNotFound;
+    return result;
+  }
+  founded_groups_.try_emplace(found.stream, found);
+  return result;
+}
+
+void ClusterStateMachine::ForgetGroups(const ChangeSet& changes) {
+  for (const ResourceKey& key : changes.resources) {
+    if (key.kind != ResourceKind::kStream || configuration_.resources.contains(key)) continue;
+    founded_groups_.erase(StreamName(key.name));
+  }
+}
+
 ConfigurationDelta ClusterStateMachine::DeltaSince(Revision from) const {
   return history_.Since(from, configuration_);
 }
--- a/source/cluster/cluster_state_machine.h
+++ b/source/cluster/cluster_state_machine.h
@@ -39,17 +39,22 @@
   const Configuration& configuration() const { return configuration_; }
   /// Changes since `from`, as of the newest revision.
   ConfigurationDelta DeltaSince(Revision from) const;
-  /// Called after each change of the configuration, and after a restore.
+  /// Called after each change of the configuration or of the founded groups, and after a restore.
   void OnChange(std::function<void()> callback) { on_change_ = std::move(callback); }
 
   WallTime clock() const { return clock_; }
   const SessionTable& sessions() const { return sessions_; }
   const ClaimTable& claims() const { return claims_; }
+  /// Founders of the groups of streams.
+  const std::map<StreamName, FoundGroup>& founded_groups() const { return founded_groups_; }
 
  private:
   ClusterResult Answer(LogIndex index, const ClusterCommand& command);
   ClusterResult RunOnce(LogIndex index, const ClusterCommand& command);
   ClusterResult Run(LogIndex index, const ClusterCommand& command);
+  ClusterResult Found(const FoundGroup& found);
+  /// Forgets the founders of streams that were deleted.
+  void ForgetGroups(const ChangeSet& changes);
   void AdvanceClock(WallTime proposed_at);
 
   ClusterLimits limits_;
@@ -58,6 +63,7 @@
   WallTime clock_;
   SessionTable sessions_;
   ClaimTable claims_;
+  std::map<StreamName, FoundGroup> founded_groups_;
   ChangeHistory history_;
   std::function<void()> on_change_;
 };
--- /dev/null
+++ b/source/cluster/cluster_submitter.h
@@ -0,0 +1,54 @@
+/// Sends commands and queries of this control node itself to the leader of the cluster group,
+/// wherever it is.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cluster/cluster_replica.h"
+#include "cluster/command_service.h"
+#include "cluster/control_client.h"
+#include "common/alive_flag.h"
+
+namespace millstair {
+
+class ClusterSubmitter {
+ public:
+  using EncodedCallback = std::function<void(absl::StatusOr<std::string>)>;
+  using ResultCallback = std::function<void(absl::StatusOr<ClusterResult>)>;
+
+  /// `others` reaches the other control nodes.
+  ClusterSubmitter(ClusterReplica& cluster, CommandService& commands,
+                   std::unique_ptr<ControlClient> others)
+      : cluster_(cluster), commands_(commands), others_(std::move(others)) {}
+
+  /// Runs `operation` once, also if it has to be sent again: without the caller's own stamp it gets
+  /// one of a session of this node. DeadlineExceeded or Unavailable leave the outcome unknown.
+  void Change(ClusterOperation operation, std::optional<SessionStamp> session, ResultCallback done);
+  /// Opens a session for a client.
+  void OpenSession(ResultCallback done);
+  void Query(const std::string& query, EncodedCallback done);
+  /// Messages of kind kCommandReply.
+  void Receive(const NodeId& from, const PeerMessage& message) { others_->Receive(from, message); }
+
+ private:
+  struct Waiting {
+    ClusterOperation operation;
+    ResultCallback done;
+  };
+
+  void Submit(CommandMode mode, const std::string& command, EncodedCallback done);
+  void SubmitCommand(ClusterCommand command, ResultCallback done);
+  void OpenOwnSession();
+
+  ClusterReplica& cluster_;
+  CommandService& commands_;
+  std::unique_ptr<ControlClient> others_;
+  ClientId own_session_;
+  ClientSequence own_sequence_;
+  std::vector<Waiting> waiting_;
+  AliveFlag alive_;
+};
+
+}  // namespace millstair
--- a/source/cluster/command_codec.cc
+++ b/source/cluster/command_codec.cc
@@ -114,6 +114,11 @@
     for (const NodeId& node : update.deleted_nodes) deleted.push_back(node.value());
     target.deleted_nodes = NewStrings(arena, deleted, &target.deleted_nodes_count);
   }
+
+  void operator()(const FoundGroup& found) const {
+    wire.which_operation = millstair_ClusterCommand_found_group_tag;
+    wire.operation.found_group = ToWire(arena, found);
+  }
 };
 
 bool FromWire(const millstair_PutResources& wire, PutResources& put) {
@@ -187,6 +192,8 @@
       return FromWire(wire.operation.set_model_target, operation.emplace<SetModelTarget>());
     case millstair_ClusterCommand_update_members_tag:
       return FromWire(wire.operation.update_members, operation.emplace<UpdateMembers>());
+    case millstair_ClusterCommand_found_group_tag:
+      return FromWire(wire.operation.found_group, operation.emplace<FoundGroup>());
     default:
       return false;
   }
--- /dev/null
+++ b/source/cluster/command_service.cc
@@ -0,0 +1,106 @@
+#include "cluster/command_service.h"
+
+#include <utility>
+
+namespace millstair {
+
+CommandService::CommandService(PeerTransport& transport, ClusterReplica& cluster,
+                               StreamHost& streams,
+                               const MembershipManager& membership, NodeId self)
+    : transport_(transport),
+      cluster_(cluster),
+      streams_(streams),
+      membership_(membership),
+      self_(std::move(self)) {}
+
+void CommandService::ReceiveCommand(const NodeId& from, const PeerMessage& message) {
+  auto command = DecodeGroupCommand(message.payload);
+  if (!command.ok() || groups_ == nullptr) return;
+  const RaftGroup* group = groups_->Find(command->group);
+  if (group == nullptr || !group->IsLeader()) return PassOn(from, *std::move(command));
+  const Running key{command->origin.value().empty() ? from : command->origin, command->id};
+  // A resend of a command that is under way is answered with it.
+  if (!running_.insert(key).second) return;
+  // The callback needs all but the body.
+  const std::string body = std::exchange(command->command, "");
+  auto reply = alive_.Guard(
+      [this, key, from, command = *command](const absl::StatusOr<std::string>& result) {
+        running_.erase(key);
+        Reply(from, command, result);
+      });
+  Run(command->group, command->mode, body, std::move(reply));
+}
+
+void CommandService::PassOn(const NodeId& from, GroupCommand command) {
+  const RaftGroup* group = groups_->Find(command.group);
+  const auto leader = group == nullptr ? std::nullopt : group->Leader();
+  const bool passed_on_before = !command.origin.value().empty();
+  if (passed_on_before || !leader || *leader == self_) {
+    return Reply(from, command, absl::UnavailableError("no leader of the group is known here"));
+  }
+  command.origin = from;
+  transport_.Send(*leader, {MessageKind::kCommand, EncodeGroupCommand(command)});
+}
+
+bool CommandService::PassOnReply(const PeerMessage& message) {
+  auto reply = DecodeGroupCommandReply(message.payload);
+  if (!reply.ok() || reply->origin.value().empty()) return false;
+  if (reply->origin == self_) return false;
+  const NodeId origin = std::exchange(reply->origin, NodeId());
+  transport_.Send(origin, {MessageKind::kCommandReply, EncodeGroupCommandReply(*reply)});
+  return true;
+}
+
+void CommandService::Run(const GroupId& group, CommandMode mode, const std::string& command,
+                         std::function<void(absl::StatusOr<std::string>)> done) {
+  RaftGroup* replica = groups_ == nullptr ? nullptr : groups_->Find(group);
+  if (replica == nullptr || !replica->IsLeader()) {
+    return done(absl::UnavailableError("not the leader"));
+  }
+  if (group == kClusterGroup) {
+    if (mode == CommandMode::kQuery) return QueryCluster(command, std::move(done));
+    return cluster_.ProposeEncoded(command, std::move(done));
+  }
+  if (mode == CommandMode::kPropose) return replica->Propose(command, std::move(done));
+  StreamLeader* leader = streams_.FindLeading(group);
+  if (leader == nullptr) return done(absl::UnavailableError("not the leader"));
+  leader->Query(command, std::move(done));
+}
+
+void CommandService::QueryCluster(const std::string& query,
+                                  std::function<void(absl::StatusOr<std::string>)> done) {
+  const auto decoded = DecodeClusterQuery(query);
+  if (!decoded.ok()) return done(decoded.status());
+  cluster_.ConfirmRead(alive_.Guard(
+      [this, query = *decoded, done = std::move(done)](const absl::Status& status) {
+        if (!status.ok()) return done(absl::UnavailableError(status.message()));
+        done(AnswerQuery(query));
+      }));
+}
+
+absl::StatusOr<std::string> CommandService::AnswerQuery(const ClusterQuery& query) const {
+  if (query.kind == ClusterQueryKind::kLagging) {
+    if (!cluster_.IsLeader()) return absl::UnavailableError("not the leader");
+    return EncodeLagging(membership_.Lagging(query.revision));
+  }
+  return EncodeDelta(FullDelta(cluster_.configuration()));
+}
+
+void CommandService::Reply(const NodeId& to, const GroupCommand& command,
+                           const absl::StatusOr<std::string>& result) {
+  GroupCommandReply reply;
+  reply.id = command.id;
+  reply.origin = command.origin;
+  if (result.ok()) {
+    reply.result = *result;
+  } else {
+    // Whether a proposal ran is not known then; the client repeats it under its own protection.
+    const bool try_again = absl::IsUnavailable(result.status()) ||
+                           absl::IsDeadlineExceeded(result.status());
+    reply.status = try_again ? absl::StatusCode::kUnavailable : result.status().code();
+    reply.message = std::string(result.status().message());
+  }
+  transport_.Send(to, {MessageKind::kCommandReply, EncodeGroupCommandReply(reply)});
+}
+
+}  // namespace millstair
--- a/source/cluster/configuration_editor.cc
+++ b/source/cluster/configuration_editor.cc
@@ -14,10 +14,6 @@
   return result;
 }
 
-bool SameContent(const Resource& a, const Resource& b) {
-  return a.labels == b.labels && a.spec == b.spec;
-}
-
 const PublishedVersion* FindPublished(const ModelStatus& status, WeightVersion version) {
   for (const PublishedVersion& published : status.published) {
     if (published.version == version) return &published;
@@ -87,8 +83,6 @@
 
 void ConfigurationEditor::Store(const Resource& resource) {
   const ResourceKey key = resource.key();
-  const auto stored = configuration_.resources.find(key);
-  if (stored != configuration_.resources.end() && SameContent(stored->second, resource)) return;
   Resource& target = configuration_.resources[key];
   target = resource;
   target.version = index_;
--- a/source/cluster/configuration_wire.cc
+++ b/source/cluster/configuration_wire.cc
@@ -127,6 +127,35 @@
   return StateFromWire(wire.state, status.state);
 }
 
+millstair_FoundingMember ToWire(WireArena& arena, const GroupMember& member) {
+  millstair_FoundingMember wire = millstair_FoundingMember_init_zero;
+  wire.replica = member.replica.value();
+  wire.node = arena.NewString(member.node.value());
+  wire.address = arena.NewString(member.address);
+  wire.voter = member.voter;
+  return wire;
+}
+
+bool FromWire(const millstair_FoundingMember& wire, GroupMember& member) {
+  member = {ReplicaId(wire.replica), NodeId(ToString(wire.node)), ToString(wire.address),
+            wire.voter};
+  return member.replica != ReplicaId();
+}
+
+millstair_FoundGroup ToWire(WireArena& arena, const FoundGroup& found) {
+  millstair_FoundGroup wire = millstair_FoundGroup_init_zero;
+  wire.stream = arena.NewString(found.stream.value());
+  wire.founders =
+      NewWireArray<millstair_FoundingMember>(arena, found.founders, &wire.founders_count);
+  return wire;
+}
+
+bool FromWire(const millstair_FoundGroup& wire, FoundGroup& found) {
+  found.stream = StreamName(ToString(wire.stream));
+  return FromWireArray(wire.founders, wire.founders_count, found.founders) &&
+         !found.founders.empty();
+}
+
 std::string EncodeDelta(const ConfigurationDelta& delta) {
   WireArena arena;
   millstair_ConfigurationDelta wire = millstair_ConfigurationDelta_init_zero;
--- a/source/cluster/configuration_wire.h
+++ b/source/cluster/configuration_wire.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "api/generated/cluster.pb.h"
+#include "cluster/cluster_commands.h"
 #include "cluster/configuration.h"
 #include "wire/nanopb_message.h"
 
@@ -12,6 +13,8 @@
 millstair_NodeRecord ToWire(WireArena& arena, const NodeRecord& record);
 millstair_MachineStatus ToWire(WireArena& arena, const MachineStatus& status);
 millstair_EngineStatus ToWire(WireArena& arena, const EngineStatus& status);
+millstair_FoundingMember ToWire(WireArena& arena, const GroupMember& member);
+millstair_FoundGroup ToWire(WireArena& arena, const FoundGroup& found);
 
 /// False if an enumerator is unknown.
 bool FromWire(const millstair_PublishedVersion& wire, PublishedVersion& version);
@@ -19,5 +22,7 @@
 bool FromWire(const millstair_NodeRecord& wire, NodeRecord& record);
 bool FromWire(const millstair_MachineStatus& wire, MachineStatus& status);
 bool FromWire(const millstair_EngineStatus& wire, EngineStatus& status);
+bool FromWire(const millstair_FoundingMember& wire, GroupMember& member);
+bool FromWire(const millstair_FoundGroup& wire, FoundGroup& found);
 
 }  // namespace millstair
--- a/source/cluster/control_messages.cc
+++ b/source/cluster/control_messages.cc
@@ -69,6 +69,14 @@
 
 }  // namespace
 
+absl::StatusOr<WorkRequestHead> DecodeWorkRequestHead(std::string_view bytes) {
+  auto decoded =
+      DecodedMessage<millstair_WorkRequestHead>::Decode(millstair_WorkRequestHead_fields, bytes);
+  if (!decoded.ok()) return decoded.status();
+  return WorkRequestHead{StreamName(ToString((*decoded)->stream)),
+                         NodeId(ToString((*decoded)->gateway))};
+}
+
 std::string EncodeHeartbeat(const NodeHeartbeat& heartbeat) {
   WireArena arena;
   millstair_NodeHeartbeat wire = millstair_NodeHeartbeat_init_zero;
--- a/source/cluster/control_messages.h
+++ b/source/cluster/control_messages.h
@@ -88,6 +88,13 @@
   std::string reason;
 };
 
+/// As much of a message of kind kWorkRequest as is needed to pass it on.
+struct WorkRequestHead {
+  StreamName stream;
+  NodeId gateway;
+};
+
+absl::StatusOr<WorkRequestHead> DecodeWorkRequestHead(std::string_view bytes);
 std::string EncodeHeartbeat(const NodeHeartbeat& heartbeat);
 absl::StatusOr<NodeHeartbeat> DecodeHeartbeat(std::string_view bytes);
 std::string EncodeHeartbeatReply(const NodeHeartbeatReply& reply);
--- /dev/null
+++ b/source/cluster/control_node.cc
@@ -0,0 +1,234 @@
+#include "cluster/control_node.h"
+
+#include <utility>
+#include <vector>
+
+#include "cluster/cluster_replica.h"
+#include "cluster/cluster_submitter.h"
+#include "cluster/command_service.h"
+#include "cluster/control_client.h"
+#include "cluster/heartbeat_service.h"
+#include "cluster/membership_manager.h"
+#include "cluster/operators_api.h"
+#include "cluster/push_service.h"
+#include "cluster/replica_manager.h"
+#include "cluster/stream_host.h"
+#include "common/event_log.h"
+
+namespace millstair {
+namespace {
+
+constexpr Duration kDutyInterval = std::chrono::seconds(1);
+constexpr Duration kDrainPoll = std::chrono::milliseconds(100);
+/// Leaderships that could not be handed over by then go with the process.
+constexpr Duration kDrainTimeout = std::chrono::seconds(10);
+
+std::vector<ControlEndpoint> WithoutSelf(std::vector<ControlEndpoint> endpoints,
+                                         const NodeId& self) {
+  std::erase_if(endpoints,
+                [&self](const ControlEndpoint& endpoint) { return endpoint.node == self; });
+  return endpoints;
+}
+
+class ReplicatedControlNode : public ControlNode {
+ public:
+  ReplicatedControlNode(Environment& environment, PeerTransport& transport, FileSystem& files,
+                        HttpCaller& platform, std::unique_ptr<StreamFactory> streams,
+                        ControlNodeOptions options)
+      : environment_(environment),
+        transport_(transport),
+        files_(files),
+        options_(std::move(options)),
+        cluster_(environment),
+        push_(environment, transport, cluster_),
+        heartbeats_(environment, transport, cluster_, push_, options_.faults),
+        membership_(environment, transport, platform, cluster_, options_),
+        streams_(environment, transport, cluster_, std::move(streams), options_.self.node),
+        commands_(transport, cluster_, streams_, membership_, options_.self.node),
+        submitter_(cluster_, commands_,
+                   MakeControlClient(environment, transport, options_.self.node,
+                                     WithoutSelf(options_.control_nodes, options_.self.node),
+                                     options_.self.zone)),
+        operators_(environment, cluster_, submitter_),
+        duty_timer_(environment),
+        drain_timer_(environment) {}
+
+  ~ReplicatedControlNode() override { streams_.Stop(); }
+
+  absl::Status Start() override {
+    auto identity = LoadOrCreateIdentity(files_, environment_.Random(), options_.cluster_id,
+                                         options_.self.node, options_.self.address);
+    if (!identity.ok()) return identity.status();
+    const ReplicaId own = identity->replica;
+    groups_ = MakeGroupHost(
+        environment_, transport_, files_, *std::move(identity), options_.consensus_timing,
+        options_.consensus_limits, [this](const GroupId& group) { return MakeStateMachine(group); },
+        options_.consensus_faults);
+    cluster_.Attach(*groups_);
+    cluster_.OnChange([this] { ConfigurationChanged(); });
+    groups_->OnLeadershipChange([this](const GroupId&) { LeadershipChanged(); });
+    if (absl::Status status = groups_->Start(); !status.ok()) return status;
+    if (absl::Status status = OpenClusterGroup(own); !status.ok()) return status;
+    commands_.Start(*groups_);
+    operators_.Start(*groups_);
+    streams_.Start(*groups_);
+    membership_.Start(own);
+    replicas_ = std::make_unique<ReplicaManager>(environment_, *groups_, cluster_,
+                                                 membership_.nodes(), options_);
+    replicas_->Start();
+    membership_.OnObservation(
+        [this](const NodeId& gateway, const EngineObservation& observation) {
+          for (const auto& duty : duties_) duty->Observe(gateway, observation);
+        });
+    RunDuties();
+    return absl::OkStatus();
+  }
+
+  GroupHost& groups() override { return *groups_; }
+  const Configuration& configuration() const override { return cluster_.configuration(); }
+  bool IsClusterLeader() const override { return cluster_.IsLeader(); }
+  void AddDuty(std::unique_ptr<ClusterDuty> duty) override { duties_.push_back(std::move(duty)); }
+
+  void Propose(ClusterCommand command,
+               std::function<void(absl::StatusOr<ClusterResult>)> done) override {
+    cluster_.Propose(std::move(command), std::move(done));
+  }
+
+  void Drain(std::function<void()> done) override {
+    membership_.SetLeaving();
+    operators_.Drain();
+    drain_until_ = environment_.Now() + kDrainTimeout;
+    HandOver(std::move(done));
+  }
+
+  void Receive(const NodeId& from, const PeerMessage& message) override {
+    if (groups_ == nullptr) return;
+    switch (message.kind) {
+      case MessageKind::kRaft:
+        return groups_->Receive(from, message);
+      case MessageKind::kHeartbeat:
+        return ReceiveHeartbeat(message);
+      case MessageKind::kCommand:
+        return commands_.ReceiveCommand(from, message);
+      case MessageKind::kCommandReply:
+        if (!commands_.PassOnReply(message)) submitter_.Receive(from, message);
+        return;
+      case MessageKind::kWorkRequest:
+        return streams_.ReceiveWork(from, message);
+      default:
+        return;  // meant for the gateway part of this process
+    }
+  }
+
+  void Handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer) override {
+    operators_.Handle(std::move(request), std::move(writer));
+  }
+
+ private:
+  std::unique_ptr<StateMachine> MakeStateMachine(const GroupId& group) {
+    if (group != kClusterGroup) return streams_.MakeStateMachine(group);
+    ClusterLimits limits;
+    limits.claims.retention = options_.claim_retention;
+    return cluster_.MakeStateMachine(limits, options_.faults);
+  }
+
+  /// A founder opens the group; any other node gets it from its leader once it has joined.
+  absl::Status OpenClusterGroup(ReplicaId own) {
+    for (const GroupMember& founder : options_.founders) {
+      if (founder.replica != own) continue;
+      return groups_->OpenGroup(kClusterGroup, options_.founders).status();
+    }
+    return absl::OkStatus();
+  }
+
+  void ReceiveHeartbeat(const PeerMessage& message) {
+    const auto heartbeat = DecodeHeartbeat(message.payload);
+    if (!heartbeat.ok()) return;
+    membership_.Hear(*heartbeat);
+    if (heartbeat->nonce != 0) heartbeats_.Answer(*heartbeat);
+  }
+
+  /// Called while an entry is applied: only notes and arms timers.
+  void ConfigurationChanged() {
+    push_.ConfigurationChanged();
+    operators_.ConfigurationChanged();
+    streams_.Update();
+    if (!duty_timer_soon_) {
+      duty_timer_soon_ = true;
+      duty_timer_.Arm(Duration(0), [this] { RunDuties(); });
+    }
+  }
+
+  void LeadershipChanged() {
+    streams_.Update();
+    duty_timer_.Arm(Duration(0), [this] { RunDuties(); });
+  }
+
+  void RunDuties() {
+    duty_timer_soon_ = false;
+    duty_timer_.Arm(kDutyInterval, [this] { RunDuties(); });
+    LearnAddresses();
+    if (!cluster_.IsLeader()) return;
+    for (const auto& duty : duties_) duty->Run(cluster_.configuration());
+  }
+
+  /// So that stream leaders can answer gateways that never called on this node.
+  void LearnAddresses() {
+    const Revision revision = cluster_.configuration().revision;
+    if (revision == addresses_of_) return;
+    addresses_of_ = revision;
+    for (const auto& [node, record] : cluster_.configuration().nodes) {
+      if (node == options_.self.node || record.state == MemberState::kGone) continue;
+      transport_.SetAddress(node, record.address);
+    }
+  }
+
+  void HandOver(std::function<void()> done) {
+    bool leads = false;
+    for (RaftGroup* group : groups_->Groups()) {
+      if (!group->IsLeader()) continue;
+      const auto members = group->Members();
+      size_t voters = 0;
+      for (const GroupMember& member : members) voters += member.voter ? 1 : 0;
+      if (voters < 2) continue;  // nobody to hand over to
+      leads = true;
+      group->TransferLeadership([](const absl::Status&) {});
+    }
+    if (!leads || environment_.Now() >= drain_until_) return done();
+    drain_timer_.Arm(kDrainPoll, [this, done = std::move(done)] { HandOver(done); });
+  }
+
+  Environment& environment_;
+  PeerTransport& transport_;
+  FileSystem& files_;
+  const ControlNodeOptions options_;
+
+  ClusterReplica cluster_;
+  PushService push_;
+  HeartbeatService heartbeats_;
+  MembershipManager membership_;
+  StreamHost streams_;
+  CommandService commands_;
+  ClusterSubmitter submitter_;
+  OperatorsApi operators_;
+  std::vector<std::unique_ptr<ClusterDuty>> duties_;
+  std::unique_ptr<GroupHost> groups_;
+  std::unique_ptr<ReplicaManager> replicas_;
+  Revision addresses_of_;
+  bool duty_timer_soon_ = false;
+  TimePoint drain_until_;
+  ScopedTimer duty_timer_;
+  ScopedTimer drain_timer_;
+};
+
+}  // namespace
+
+std::unique_ptr<ControlNode> MakeControlNode(Environment& environment, PeerTransport& transport,
+                                             FileSystem& files, HttpCaller& platform,
+                                             std::unique_ptr<StreamFactory> streams,
+                                             ControlNodeOptions options) {
+  return std::make_unique<ReplicatedControlNode>(environment, transport, files, platform,
+                                                 std::move(streams), std::move(options));
+}
+
+}  // namespace millstair
--- a/source/cluster/control_node.h
+++ b/source/cluster/control_node.h
@@ -8,10 +8,12 @@
 #include <vector>
 
 #include "cluster/cluster_commands.h"
+#include "cluster/cluster_faults.h"
 #include "cluster/configuration_client.h"
 #include "common/environment.h"
 #include "common/ids.h"
 #include "common/peer_transport.h"
+#include "consensus/consensus_faults.h"
 #include "consensus/group_host.h"
 #include "http/exchange.h"
 
@@ -73,6 +75,8 @@
   std::chrono::hours claim_retention{24};
   /// "ip:port" of the platform's machine list; empty polls nothing.
   std::string platform_list;
+  ClusterFaults faults;
+  ConsensusFaults consensus_faults;
 };
 
 /// Lives on the node's serial executor.
--- /dev/null
+++ b/source/cluster/membership_manager.cc
@@ -0,0 +1,278 @@
+#include "cluster/membership_manager.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/event_log.h"
+
+namespace millstair {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(250);
+/// How often a follower passes on what it heard.
+constexpr Duration kDigestInterval = std::chrono::seconds(1);
+/// Heartbeats come every second; a node silent for this long is told as such.
+constexpr Duration kSilentAfter = std::chrono::seconds(3);
+/// An observation that no gateway repeats counts no longer; the state found by it stays.
+constexpr Duration kObservationLife = std::chrono::seconds(15);
+
+MemberState StateOf(PlatformMachineState state) {
+  switch (state) {
+    case PlatformMachineState::kLive:
+      return MemberState::kLive;
+    case PlatformMachineState::kLeaving:
+      return MemberState::kLeaving;
+    case PlatformMachineState::kGone:
+      break;
+  }
+  return MemberState::kGone;
+}
+
+}  // namespace
+
+MembershipManager::MembershipManager(Environment& environment, PeerTransport& transport,
+                                     HttpCaller& platform, ClusterReplica& cluster,
+                                     const ControlNodeOptions& options)
+    : environment_(environment),
+      transport_(transport),
+      cluster_(cluster),
+      timing_(options.membership_timing),
+      control_nodes_(options.control_nodes),
+      self_(options.self),
+      poller_(environment, platform, options.platform_list, timing_.platform_poll,
+              [this](const PlatformMachines& machines) { platform_machines_ = machines; }),
+      timer_(environment) {}
+
+void MembershipManager::Start(ReplicaId own_replica) {
+  own_replica_ = own_replica;
+  for (const ControlEndpoint& endpoint : control_nodes_) {
+    if (endpoint.node != self_.node) transport_.SetAddress(endpoint.node, endpoint.address);
+  }
+  Tick();
+}
+
+void MembershipManager::Hear(const NodeHeartbeat& heartbeat) {
+  const TimePoint now = environment_.Now();
+  nodes_.Hear(heartbeat.sender, now);
+  for (const ForwardedNode& node : heartbeat.forwarded) {
+    // Only the leader listens to others' words, or a word could go round for ever.
+    if (cluster_.IsLeader()) nodes_.Hear(node, now);
+  }
+  for (const ReportedObservation& reported : heartbeat.observations) {
+    const NodeId gateway =
+        reported.gateway.value().empty() ? heartbeat.sender.record.node : reported.gateway;
+    if (cluster_.IsLeader()) {
+      NoteObservation(gateway, reported.observation);
+    } else if (heartbeat.nonce != 0) {
+      unsent_observations_.push_back({gateway, reported.observation});
+    }
+  }
+}
+
+void MembershipManager::Tick() {
+  timer_.Arm(kTick, [this] { Tick(); });
+  HearSelf();
+  const bool leads = cluster_.IsLeader();
+  if (leads && !led_) BecomeLeader();
+  if (!leads) poller_.Stop();
+  led_ = leads;
+  if (leads) return Decide();
+  const TimePoint now = environment_.Now();
+  if (now < next_digest_) return;
+  next_digest_ = now + kDigestInterval;
+  const auto leader = cluster_.Leader();
+  if (leader) return SendDigest(*leader);
+  BeatAsStranger();
+}
+
+void MembershipManager::HearSelf() {
+  nodes_.Hear({self_, cluster_.configuration().revision, own_replica_}, environment_.Now());
+}
+
+void MembershipManager::SendDigest(const NodeId& leader) {
+  const TimePoint since = std::exchange(last_digest_, environment_.Now());
+  NodeHeartbeat digest;
+  digest.sender = {self_, cluster_.configuration().revision, own_replica_};
+  for (const auto& [node, heard] : nodes_.nodes()) {
+    if (node != self_.node && heard.heard >= since) digest.forwarded.push_back(heard.latest);
+  }
+  digest.observations = std::exchange(unsent_observations_, {});
+  transport_.Send(leader, {MessageKind::kHeartbeat, EncodeHeartbeat(digest)});
+}
+
+void MembershipManager::BeatAsStranger() {
+  if (control_nodes_.empty()) return;
+  unsent_observations_.clear();
+  const ControlEndpoint& endpoint = control_nodes_[next_control_node_++ % control_nodes_.size()];
+  if (endpoint.node == self_.node) return;
+  NodeHeartbeat heartbeat;
+  heartbeat.nonce = environment_.Random()() | 1;
+  heartbeat.sender = {self_, cluster_.configuration().revision, own_replica_};
+  transport_.Send(endpoint.node, {MessageKind::kHeartbeat, EncodeHeartbeat(heartbeat)});
+}
+
+void MembershipManager::NoteObservation(const NodeId& gateway,
+                                        const EngineObservation& observation) {
+  observed_[observation.engine][gateway] = {observation, environment_.Now()};
+  if (listener_) listener_(gateway, observation);
+}
+
+void MembershipManager::BecomeLeader() {
+  leader_since_ = environment_.Now();
+  gone_since_.clear();
+  observed_.clear();
+  platform_machines_.reset();
+  proposing_ = false;
+  poller_.Start();
+}
+
+void MembershipManager::Decide() {
+  if (proposing_) return;
+  UpdateMembers update;
+  FindNodeChanges(update);
+  FindForgotten(update);
+  FindMachineChanges(update);
+  FindEngineChanges(update);
+  if (update.nodes.empty() && update.machines.empty() && update.engines.empty() &&
+      update.deleted_nodes.empty()) {
+    return;
+  }
+  proposing_ = true;
+  cluster_.Propose({std::move(update), std::nullopt, {}},
+                   alive_.Guard([this](const absl::StatusOr<ClusterResult>&) {
+                     // What did not get through is found again at the next tick.
+                     proposing_ = false;
+                   }));
+}
+
+void MembershipManager::FindNodeChanges(UpdateMembers& update) {
+  const TimePoint now = environment_.Now();
+  const TimePoint since = now - timing_.node_lease;
+  const auto& known = cluster_.configuration().nodes;
+  // The newest life at each address: another node that was there before is gone.
+  std::map<std::string, Incarnation> newest_at;
+  for (const auto& [node, heard] : nodes_.nodes()) {
+    if (heard.heard < since) continue;
+    Incarnation& newest = newest_at[heard.latest.record.address];
+    newest = std::max(newest, heard.latest.record.incarnation);
+  }
+  const auto replaced = [&](const NodeRecord& record) {
+    const auto newest = newest_at.find(record.address);
+    return newest != newest_at.end() && newest->second > record.incarnation;
+  };
+  for (const auto& [node, heard] : nodes_.nodes()) {
+    if (heard.heard < since || replaced(heard.latest.record)) continue;
+    gone_since_.erase(node);
+    const auto found = known.find(node);
+    if (found != known.end() && (found->second == heard.latest.record ||
+                                 found->second.incarnation > heard.latest.record.incarnation)) {
+      continue;
+    }
+    LogEvent(EventId::kNodeStateChanged, "node={} incarnation={} state={}", node,
+             heard.latest.record.incarnation, static_cast<int>(heard.latest.record.state));
+    update.nodes.push_back(heard.latest.record);
+  }
+  for (const auto& [node, record] : known) {
+    if (record.state == MemberState::kGone) continue;
+    const bool heard = nodes_.FindSince(node, since) != nullptr;
+    // A new leader waits until every node had the time to be heard.
+    const bool silent = !heard && now - leader_since_ > timing_.node_lease;
+    if (!silent && !replaced(record)) continue;
+    LogEvent(EventId::kNodeStateChanged, "node={} incarnation={} state=gone", node,
+             record.incarnation);
+    update.nodes.push_back(record);
+    update.nodes.back().state = MemberState::kGone;
+  }
+}
+
+void MembershipManager::FindForgotten(UpdateMembers& update) {
+  const TimePoint now = environment_.Now();
+  for (const auto& [node, record] : cluster_.configuration().nodes) {
+    if (record.state != MemberState::kGone) continue;
+    const TimePoint gone_since = gone_since_.try_emplace(node, now).first->second;
+    if (now - gone_since <= timing_.forget_after) continue;
+    update.deleted_nodes.push_back(node);
+    nodes_.Erase(node);
+    gone_since_.erase(node);
+  }
+}
+
+void MembershipManager::FindMachineChanges(UpdateMembers& update) const {
+  // An empty list is a fault of the platform, not the end of all machines.
+  if (!platform_machines_ || platform_machines_->empty()) return;
+  const Configuration& configuration = cluster_.configuration();
+  for (const auto& [key, resource] : configuration.resources) {
+    const auto* machine = std::get_if<MachineSpec>(&resource.spec);
+    if (machine == nullptr) continue;
+    const auto known = configuration.machines.find(key.name);
+    const auto listed = platform_machines_->find(machine->address);
+    // A machine that was never listed may be too new for the list.
+    if (listed == platform_machines_->end() && known == configuration.machines.end()) continue;
+    const MemberState state =
+        listed == platform_machines_->end() ? MemberState::kGone : StateOf(listed->second);
+    if (known != configuration.machines.end() && known->second.platform_state == state) continue;
+    LogEvent(EventId::kMachineStateChanged, "machine={} state={}", key.name,
+             static_cast<int>(state));
+    update.machines.push_back({key.name, state});
+  }
+}
+
+void MembershipManager::FindEngineChanges(UpdateMembers& update) {
+  const TimePoint since = environment_.Now() - kObservationLife;
+  const Configuration& configuration = cluster_.configuration();
+  for (auto it = observed_.begin(); it != observed_.end();) {
+    std::erase_if(it->second, [&](const auto& entry) { return entry.second.seen < since; });
+    if (it->second.empty()) {
+      it = observed_.erase(it);
+      continue;
+    }
+    const EngineName& engine = it->first;
+    ++it;
+    if (!configuration.resources.contains({ResourceKind::kEngine, engine.value()})) continue;
+    auto merged = MergedObservation(engine);
+    const auto known = configuration.engines.find(engine);
+    const bool of_unknown_life = merged && merged->incarnation == Incarnation();
+    if (of_unknown_life && known != configuration.engines.end()) {
+      merged->incarnation = known->second.incarnation;
+    }
+    if (!merged || (known != configuration.engines.end() &&
+                    (known->second == *merged || known->second.incarnation > merged->incarnation))) {
+      continue;
+    }
+    update.engines.push_back(*merged);
+  }
+}
+
+std::optional<EngineStatus> MembershipManager::MergedObservation(const EngineName& engine) const {
+  const auto found = observed_.find(engine);
+  if (found == observed_.end()) return std::nullopt;
+  EngineStatus status;
+  status.engine = engine;
+  for (const auto& [gateway, observed] : found->second) {
+    status.incarnation = std::max(status.incarnation, observed.observation.incarnation);
+  }
+  for (const auto& [gateway, observed] : found->second) {
+    // A back end that was seen leaving without a word of its incarnation counts as the present one.
+    const Incarnation seen = observed.observation.incarnation;
+    if (seen != status.incarnation && seen != Incarnation()) continue;
+    if (observed.observation.leaving) status.state = MemberState::kLeaving;
+  }
+  return status;
+}
+
+std::vector<NodeProgress> MembershipManager::Lagging(Revision revision) const {
+  std::vector<NodeProgress> lagging;
+  for (const auto& [node, record] : cluster_.configuration().nodes) {
+    if (record.state == MemberState::kGone) continue;
+    const auto heard = nodes_.nodes().find(node);
+    const Revision applied =
+        heard == nodes_.nodes().end() ? Revision() : heard->second.latest.applied;
+    if (applied >= revision) continue;
+    const bool silent =
+        nodes_.FindSince(node, environment_.Now() - kSilentAfter) == nullptr;
+    lagging.push_back({node, applied, silent ? "silent" : "behind"});
+  }
+  return lagging;
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/membership_manager.h
@@ -0,0 +1,84 @@
+/// Finds out which nodes, machines and back ends are live, leaving or gone. Followers pass on what
+/// they hear; the leader of the cluster group decides and writes changes to the log, batched.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "cluster/cluster_replica.h"
+#include "cluster/control_messages.h"
+#include "cluster/control_node.h"
+#include "cluster/node_table.h"
+#include "common/alive_flag.h"
+#include "membership/platform_list.h"
+
+namespace millstair {
+
+class MembershipManager {
+ public:
+  using ObservationListener = std::function<void(const NodeId&, const EngineObservation&)>;
+
+  MembershipManager(Environment& environment, PeerTransport& transport, HttpCaller& platform,
+                    ClusterReplica& cluster, const ControlNodeOptions& options);
+
+  /// Identity of this node's disk, known once the groups are open.
+  void Start(ReplicaId own_replica);
+  /// A heartbeat of a node, or a digest of another control node.
+  void Hear(const NodeHeartbeat& heartbeat);
+  /// Called on the leader for each observation of a gateway.
+  void OnObservation(ObservationListener listener) { listener_ = std::move(listener); }
+  /// This node is leaving.
+  void SetLeaving() { self_.state = MemberState::kLeaving; }
+
+  const NodeTable& nodes() const { return nodes_; }
+  /// Nodes that are not gone and hold less than `revision`, with the reason. On the leader only.
+  std::vector<NodeProgress> Lagging(Revision revision) const;
+
+ private:
+  struct Observed {
+    EngineObservation observation;
+    TimePoint seen;
+  };
+
+  void Tick();
+  void HearSelf();
+  void SendDigest(const NodeId& leader);
+  void BeatAsStranger();
+  void NoteObservation(const NodeId& gateway, const EngineObservation& observation);
+  void BecomeLeader();
+  void Decide();
+  void FindNodeChanges(UpdateMembers& update);
+  void FindForgotten(UpdateMembers& update);
+  void FindMachineChanges(UpdateMembers& update) const;
+  void FindEngineChanges(UpdateMembers& update);
+  std::optional<EngineStatus> MergedObservation(const EngineName& engine) const;
+
+  Environment& environment_;
+  PeerTransport& transport_;
+  ClusterReplica& cluster_;
+  const MembershipTiming timing_;
+  const std::vector<ControlEndpoint> control_nodes_;
+  NodeRecord self_;
+  ReplicaId own_replica_;
+
+  NodeTable nodes_;
+  bool led_ = false;
+  TimePoint leader_since_;
+  bool proposing_ = false;
+  size_t next_control_node_ = 0;
+  TimePoint next_digest_;
+  TimePoint last_digest_;
+  /// Since when this leader counts a node as gone.
+  std::map<NodeId, TimePoint> gone_since_;
+  std::map<EngineName, std::map<NodeId, Observed>> observed_;
+  std::vector<ReportedObservation> unsent_observations_;
+  std::optional<PlatformMachines> platform_machines_;
+  ObservationListener listener_;
+  PlatformPoller poller_;
+  ScopedTimer timer_;
+  AliveFlag alive_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/operators_api.h
@@ -0,0 +1,33 @@
+/// The operators' HTTP API of a control node: finds the route of each request.
+#pragma once
+
+#include "cluster/replica_routes.h"
+#include "cluster/resource_routes.h"
+#include "cluster/status_routes.h"
+#include "http/exchange.h"
+
+namespace millstair {
+
+class OperatorsApi : public RequestHandler {
+ public:
+  OperatorsApi(Environment& environment, ClusterReplica& cluster, ClusterSubmitter& submitter)
+      : resources_(cluster, submitter),
+        status_(environment, cluster, submitter),
+        replicas_(cluster) {}
+
+  void Start(GroupHost& groups) { status_.Start(groups); }
+  void Handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer) override;
+  void ConfigurationChanged() { status_.ConfigurationChanged(); }
+  /// Ends long polls, for a planned stop.
+  void Drain() { status_.EndWatches(); }
+
+ private:
+  void Watch(const OperatorsTarget& target, const SharedWriter& writer);
+  void Lagging(const OperatorsTarget& target, const SharedWriter& writer);
+
+  ResourceRoutes resources_;
+  StatusRoutes status_;
+  ReplicaRoutes replicas_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/push_service.cc
@@ -0,0 +1,57 @@
+#include "cluster/push_service.h"
+
+#include "cluster/control_messages.h"
+
+namespace millstair {
+namespace {
+
+/// Changes of so short a time go together.
+constexpr Duration kPushDelay = std::chrono::milliseconds(10);
+/// A node that was silent for so long has moved to another control node or died.
+constexpr Duration kAttachedFor = std::chrono::seconds(5);
+
+}  // namespace
+
+PushService::PushService(Environment& environment, PeerTransport& transport,
+                         const ClusterReplica& cluster)
+    : environment_(environment), transport_(transport), cluster_(cluster), timer_(environment) {}
+
+void PushService::Attach(const NodeId& node, Revision applied) {
+  // What the node says wins over what was sent to it: pushes may be lost.
+  attached_[node] = {applied, environment_.Now()};
+}
+
+void PushService::ConfigurationChanged() {
+  if (!timer_.armed()) timer_.Arm(kPushDelay, [this] { Push(); });
+}
+
+const std::string& PushService::ChangesFor(const NodeId& node, Revision from) {
+  const auto found = attached_.find(node);
+  if (found != attached_.end()) found->second.sent = cluster_.configuration().revision;
+  return EncodedSince(from);
+}
+
+void PushService::Push() {
+  const TimePoint now = environment_.Now();
+  std::erase_if(attached_, [&](const auto& entry) { return now - entry.second.heard > kAttachedFor; });
+  const Revision newest = cluster_.configuration().revision;
+  std::map<Revision, std::string> payloads;
+  for (auto& [node, attached] : attached_) {
+    if (attached.sent >= newest) continue;
+    std::string& payload = payloads[attached.sent];
+    if (payload.empty()) payload = EncodeConfigurationPush(EncodedSince(attached.sent));
+    attached.sent = newest;
+    transport_.Send(node, {MessageKind::kConfigurationPush, payload});
+  }
+}
+
+const std::string& PushService::EncodedSince(Revision from) {
+  const Revision newest = cluster_.configuration().revision;
+  if (newest != cached_revision_) cache_.clear();
+  cached_revision_ = newest;
+  const auto found = cache_.find(from);
+  if (found != cache_.end()) return found->second;
+  return cache_[from] = EncodeDelta(cluster_.state()->DeltaSince(from));
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/replica_manager.cc
@@ -0,0 +1,164 @@
+#include "cluster/replica_manager.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/event_log.h"
+
+namespace millstair {
+namespace {
+
+constexpr Duration kTick = std::chrono::seconds(1);
+
+const GroupMember* FindReplica(const std::vector<GroupMember>& members, ReplicaId replica) {
+  for (const GroupMember& member : members) {
+    if (member.replica == replica) return &member;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+ReplicaManager::ReplicaManager(Environment& environment, GroupHost& groups, ClusterReplica& cluster,
+                               const NodeTable& nodes, const ControlNodeOptions& options)
+    : environment_(environment),
+      groups_(groups),
+      cluster_(cluster),
+      nodes_(nodes),
+      replace_after_(options.membership_timing.replace_voter_after),
+      node_lease_(options.membership_timing.node_lease),
+      target_voters_(options.founders.size()),
+      self_(options.self.node),
+      timer_(environment) {}
+
+void ReplicaManager::Tick() {
+  timer_.Arm(kTick, [this] { Tick(); });
+  const bool leads = cluster_.IsLeader();
+  if (leads && !led_) leader_since_ = environment_.Now();
+  led_ = leads;
+  for (RaftGroup* group : groups_.Groups()) {
+    if (!group->IsLeader() || busy_.contains(group->id())) continue;
+    if (group->id() == kClusterGroup) {
+      ManageClusterGroup(*group);
+    } else {
+      ManageStreamGroup(*group);
+    }
+  }
+}
+
+void ReplicaManager::ManageClusterGroup(RaftGroup& group) {
+  const auto members = group.Members();
+  if (PromoteWhereShort(group, members)) return;
+  if (RemoveLost(group, members)) return;
+  AddStranger(group, members);
+}
+
+bool ReplicaManager::IsLost(const GroupMember& member,
+                            const std::vector<GroupMember>& members) const {
+  if (member.node == self_) return false;
+  const TimePoint now = environment_.Now();
+  const HeardNode* heard = nodes_.FindSince(member.node, now - replace_after_);
+  if (heard != nullptr) {
+    // The node is there with another disk, which is a member by now: this replica is gone.
+    const ReplicaId present = heard->latest.replica;
+    return present != ReplicaId() && present != member.replica &&
+           FindReplica(members, present) != nullptr;
+  }
+  return now - leader_since_ > replace_after_;
+}
+
+bool ReplicaManager::PromoteWhereShort(RaftGroup& group, const std::vector<GroupMember>& members) {
+  size_t sound_voters = 0;
+  for (const GroupMember& member : members) {
+    if (member.voter && !IsLost(member, members)) ++sound_voters;
+  }
+  if (sound_voters >= target_voters_) return false;
+  const TimePoint since = environment_.Now() - node_lease_;
+  for (const GroupMember& member : members) {
+    if (member.voter || IsLost(member, members)) continue;
+    const HeardNode* heard = nodes_.FindSince(member.node, since);
+    if (heard == nullptr || heard->latest.replica != member.replica) continue;
+    if (heard->latest.record.state != MemberState::kLive) continue;
+    Promote(group, member);
+    return true;
+  }
+  return false;
+}
+
+bool ReplicaManager::RemoveLost(RaftGroup& group, const std::vector<GroupMember>& members) {
+  size_t voters = 0;
+  for (const GroupMember& member : members) voters += member.voter ? 1 : 0;
+  for (const GroupMember& member : members) {
+    if (!IsLost(member, members)) continue;
+    // A lost voter stays until another has taken its place: the quorum must not shrink.
+    if (member.voter && voters <= target_voters_) continue;
+    // A learner that is away may come back with its log.
+    const HeardNode* heard = nodes_.FindSince(member.node, environment_.Now() - replace_after_);
+    if (!member.voter && heard == nullptr) continue;
+    Remove(group, member);
+    return true;
+  }
+  return false;
+}
+
+bool ReplicaManager::AddStranger(RaftGroup& group, const std::vector<GroupMember>& members) {
+  const TimePoint since = environment_.Now() - node_lease_;
+  for (const auto& [node, heard] : nodes_.nodes()) {
+    const ForwardedNode& latest = heard.latest;
+    if (heard.heard < since || latest.replica == ReplicaId() || !latest.record.control) continue;
+    if (latest.record.state != MemberState::kLive) continue;
+    if (FindReplica(members, latest.replica) != nullptr) continue;
+    Add(group, {latest.replica, node, latest.record.address, false});
+    return true;
+  }
+  return false;
+}
+
+void ReplicaManager::ManageStreamGroup(RaftGroup& group) {
+  const RaftGroup* cluster = cluster_.group();
+  if (cluster == nullptr) return;
+  const auto wanted = cluster->Members();
+  const auto members = group.Members();
+  for (const GroupMember& member : wanted) {
+    const GroupMember* present = FindReplica(members, member.replica);
+    if (present == nullptr) return Add(group, member);
+  }
+  for (const GroupMember& member : wanted) {
+    const GroupMember* present = FindReplica(members, member.replica);
+    if (member.voter && !present->voter) return Promote(group, member);
+  }
+  for (const GroupMember& member : members) {
+    if (FindReplica(wanted, member.replica) != nullptr || member.node == self_) continue;
+    return Remove(group, member);
+  }
+}
+
+void ReplicaManager::Add(RaftGroup& group, GroupMember member) {
+  const GroupId id = group.id();
+  busy_.insert(id);
+  LogEvent(EventId::kReplicaJoined, "group={} node={} replica={}", id, member.node, member.replica);
+  group.AddLearner(std::move(member),
+                   alive_.Guard([this, id](const absl::Status&) { busy_.erase(id); }));
+}
+
+void ReplicaManager::Promote(RaftGroup& group, const GroupMember& member) {
+  const GroupId id = group.id();
+  busy_.insert(id);
+  group.Promote(member.replica, alive_.Guard([this, id, member](const absl::Status& status) {
+    busy_.erase(id);
+    if (!status.ok()) return;
+    LogEvent(EventId::kReplicaPromoted, "group={} node={} replica={}", id, member.node,
+             member.replica);
+  }));
+}
+
+void ReplicaManager::Remove(RaftGroup& group, const GroupMember& member) {
+  const GroupId id = group.id();
+  busy_.insert(id);
+  LogEvent(EventId::kReplicaRemoved, "group={} node={} replica={}", id, member.node,
+           member.replica);
+  group.RemoveMember(member.replica,
+                     alive_.Guard([this, id](const absl::Status&) { busy_.erase(id); }));
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/replica_manager.h
@@ -0,0 +1,56 @@
+/// Keeps every group at its full number of voters. On the leader of a group: strangers with a disk
+/// join as learners, warm learners take the place of lost voters, lost replicas are removed. The
+/// members of stream groups follow those of the cluster group.
+#pragma once
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "cluster/cluster_replica.h"
+#include "cluster/control_node.h"
+#include "cluster/node_table.h"
+#include "common/alive_flag.h"
+#include "common/scoped_timer.h"
+
+namespace millstair {
+
+class ReplicaManager {
+ public:
+  ReplicaManager(Environment& environment, GroupHost& groups, ClusterReplica& cluster,
+                 const NodeTable& nodes, const ControlNodeOptions& options);
+
+  void Start() { Tick(); }
+
+ private:
+  void Tick();
+  void ManageClusterGroup(RaftGroup& group);
+  void ManageStreamGroup(RaftGroup& group);
+  /// Whether a step was taken.
+  bool AddStranger(RaftGroup& group, const std::vector<GroupMember>& members);
+  bool PromoteWhereShort(RaftGroup& group, const std::vector<GroupMember>& members);
+  bool RemoveLost(RaftGroup& group, const std::vector<GroupMember>& members);
+  bool IsLost(const GroupMember& member, const std::vector<GroupMember>& members) const;
+
+  void Add(RaftGroup& group, GroupMember member);
+  void Promote(RaftGroup& group, const GroupMember& member);
+  void Remove(RaftGroup& group, const GroupMember& member);
+
+  Environment& environment_;
+  GroupHost& groups_;
+  ClusterReplica& cluster_;
+  const NodeTable& nodes_;
+  const Duration replace_after_;
+  const Duration node_lease_;
+  const size_t target_voters_;
+  const NodeId self_;
+  /// Since when this node leads the cluster group; a new leader has not heard everyone yet.
+  TimePoint leader_since_;
+  bool led_ = false;
+  /// Groups with a membership change under way.
+  std::set<GroupId> busy_;
+  ScopedTimer timer_;
+  AliveFlag alive_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/stream_host.cc
@@ -0,0 +1,169 @@
+#include "cluster/stream_host.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cluster/control_messages.h"
+#include "common/event_log.h"
+
+namespace millstair {
+namespace {
+
+constexpr std::string_view kPrefix = "stream/";
+constexpr Duration kTick = std::chrono::seconds(1);
+
+bool HasStream(const Configuration& configuration, const StreamName& stream) {
+  return configuration.resources.contains({ResourceKind::kStream, stream.value()});
+}
+
+}  // namespace
+
+GroupId GroupOfStream(const StreamName& stream) {
+  return GroupId(std::string(kPrefix) + stream.value());
+}
+
+std::optional<StreamName> StreamOfGroupId(const GroupId& group) {
+  const std::string& name = group.value();
+  if (!name.starts_with(kPrefix) || name.size() == kPrefix.size()) return std::nullopt;
+  return StreamName(name.substr(kPrefix.size()));
+}
+
+StreamHost::StreamHost(Environment& environment, PeerTransport& transport, ClusterReplica& cluster,
+                       std::unique_ptr<StreamFactory> factory, NodeId self)
+    : transport_(transport),
+      cluster_(cluster),
+      factory_(std::move(factory)),
+      self_(std::move(self)),
+      timer_(environment),
+      update_timer_(environment) {}
+
+std::unique_ptr<StateMachine> StreamHost::MakeStateMachine(const GroupId& group) {
+  const auto stream = StreamOfGroupId(group);
+  if (!stream || factory_ == nullptr) return nullptr;
+  // While the groups are being opened the configuration is not known yet.
+  if (groups_ != nullptr && !HasStream(cluster_.configuration(), *stream)) return nullptr;
+  return factory_->MakeStateMachine(group);
+}
+
+void StreamHost::Start(GroupHost& groups) {
+  groups_ = &groups;
+  Tick();
+}
+
+void StreamHost::Stop() {
+  leaders_.clear();
+  groups_ = nullptr;
+}
+
+void StreamHost::Tick() {
+  timer_.Arm(kTick, [this] { Tick(); });
+  Update();
+}
+
+void StreamHost::Update() {
+  if (groups_ == nullptr || factory_ == nullptr || update_timer_.armed()) return;
+  // Later, because this is called while a group applies an entry.
+  update_timer_.Arm(Duration(0), [this] {
+    OpenFounded();
+    FoundMissing();
+    DropDeleted();
+    TellLeaders();
+  });
+}
+
+void StreamHost::OpenFounded() {
+  if (cluster_.state() == nullptr) return;
+  for (const auto& [stream, found] : cluster_.state()->founded_groups()) {
+    const GroupId group = GroupOfStream(stream);
+    if (groups_->Find(group) != nullptr) continue;
+    const ReplicaId own = groups_->identity().replica;
+    const bool founder =
+        std::any_of(found.founders.begin(), found.founders.end(),
+                    [own](const GroupMember& member) { return member.replica == own; });
+    // Others get the group from its leader, once they are members.
+    if (!founder) continue;
+    const auto opened = groups_->OpenGroup(group, found.founders);
+    if (opened.ok()) {
+      LogEvent(EventId::kStreamGroupOpened, "group={}", group);
+    } else {
+      LogEvent(EventId::kControlNodeFailed, "group={} error=\"{}\"", group,
+               std::string(opened.status().message()));
+    }
+  }
+}
+
+void StreamHost::FoundMissing() {
+  if (!cluster_.IsLeader() || founding_) return;
+  for (const auto& [key, resource] : cluster_.configuration().resources) {
+    const StreamName stream(key.name);
+    if (key.kind != ResourceKind::kStream) continue;
+    if (cluster_.state()->founded_groups().contains(stream)) continue;
+    FoundGroup found{stream, cluster_.group()->Members()};
+    std::erase_if(found.founders, [](const GroupMember& member) { return !member.voter; });
+    founding_ = true;
+    cluster_.Propose({std::move(found), std::nullopt, {}},
+                     alive_.Guard([this](const absl::StatusOr<ClusterResult>& result) {
+                       founding_ = false;
+                       if (result.ok()) Update();
+                     }));
+    return;
+  }
+}
+
+void StreamHost::DropDeleted() {
+  for (const RaftGroup* group : groups_->Groups()) {
+    const auto stream = StreamOfGroupId(group->id());
+    if (!stream || HasStream(cluster_.configuration(), *stream)) continue;
+    if (!dropping_.insert(*stream).second) continue;
+    // A replica that is still catching up may not know the stream yet, so the absence is confirmed.
+    cluster_.ConfirmRead(
+        alive_.Guard([this, stream = *stream](const absl::Status& status) {
+          dropping_.erase(stream);
+          if (status.ok()) DropIfStillDeleted(stream);
+        }));
+  }
+}
+
+void StreamHost::DropIfStillDeleted(const StreamName& stream) {
+  if (HasStream(cluster_.configuration(), stream)) return;
+  const GroupId group = GroupOfStream(stream);
+  leaders_.erase(group);
+  const absl::Status dropped = groups_->DropGroup(group);
+  LogEvent(EventId::kStreamGroupDropped, "group={} status=\"{}\"", group, dropped.ToString());
+}
+
+StreamLeader* StreamHost::LeaderOf(RaftGroup& group) {
+  if (!StreamOfGroupId(group.id())) return nullptr;
+  auto& leader = leaders_[group.id()];
+  if (leader == nullptr) {
+    leader = factory_->MakeLeader(group, *groups_->FindStateMachine(group.id()));
+  }
+  return leader.get();
+}
+
+void StreamHost::TellLeaders() {
+  for (RaftGroup* group : groups_->Groups()) {
+    StreamLeader* leader = LeaderOf(*group);
+    if (leader != nullptr) leader->OnChange(cluster_.configuration());
+  }
+}
+
+StreamLeader* StreamHost::FindLeading(const GroupId& group) {
+  RaftGroup* replica = groups_ == nullptr ? nullptr : groups_->Find(group);
+  if (replica == nullptr || !replica->IsLeader()) return nullptr;
+  return LeaderOf(*replica);
+}
+
+void StreamHost::ReceiveWork(const NodeId& from, const PeerMessage& message) {
+  const auto head = DecodeWorkRequestHead(message.payload);
+  if (!head.ok() || groups_ == nullptr) return;
+  const GroupId group = GroupOfStream(head->stream);
+  if (StreamLeader* leader = FindLeading(group)) return leader->ReceiveWork(from, message);
+  // Passed on once only, or it could go round while the leader changes.
+  if (from != head->gateway) return;
+  const RaftGroup* replica = groups_->Find(group);
+  const auto leader = replica == nullptr ? std::nullopt : replica->Leader();
+  if (leader && *leader != self_) transport_.Send(*leader, message);
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/stream_host.h
@@ -0,0 +1,63 @@
+/// The stream groups of this node: opens the group of each Stream resource, drops those of deleted
+/// streams, and hands work requests to the leader of a stream.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "cluster/cluster_replica.h"
+#include "cluster/control_node.h"
+#include "common/alive_flag.h"
+#include "common/scoped_timer.h"
+
+namespace millstair {
+
+/// "stream/<name>".
+GroupId GroupOfStream(const StreamName& stream);
+/// None if `group` is not that of a stream.
+std::optional<StreamName> StreamOfGroupId(const GroupId& group);
+
+class StreamHost {
+ public:
+  StreamHost(Environment& environment, PeerTransport& transport, ClusterReplica& cluster,
+             std::unique_ptr<StreamFactory> factory, NodeId self);
+
+  /// State machine of a stream's group; null for a stream that is known to be deleted.
+  std::unique_ptr<StateMachine> MakeStateMachine(const GroupId& group);
+  /// `groups` holds the groups found on disk.
+  void Start(GroupHost& groups);
+  /// Before the groups go.
+  void Stop();
+  /// The configuration, the founded groups or a leadership changed.
+  void Update();
+  /// A message of kind kWorkRequest.
+  void ReceiveWork(const NodeId& from, const PeerMessage& message);
+  /// Null unless this node leads the group of the stream.
+  StreamLeader* FindLeading(const GroupId& group);
+
+ private:
+  void Tick();
+  void OpenFounded();
+  void FoundMissing();
+  void DropDeleted();
+  void DropIfStillDeleted(const StreamName& stream);
+  void TellLeaders();
+  StreamLeader* LeaderOf(RaftGroup& group);
+
+  PeerTransport& transport_;
+  ClusterReplica& cluster_;
+  const std::unique_ptr<StreamFactory> factory_;
+  const NodeId self_;
+  GroupHost* groups_ = nullptr;
+  std::map<GroupId, std::unique_ptr<StreamLeader>> leaders_;
+  bool founding_ = false;
+  std::set<StreamName> dropping_;
+  ScopedTimer timer_;
+  ScopedTimer update_timer_;
+  AliveFlag alive_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/test/cluster/cluster_fleet.h
@@ -0,0 +1,117 @@
+/// A fleet of control nodes and gateways' clients in virtual time, for the tests of the cluster.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cluster/configuration_client.h"
+#include "cluster/control_client.h"
+#include "cluster/control_node.h"
+#include "common/virtual_environment.h"
+#include "storage/memory_file_system.h"
+
+namespace millstair {
+
+/// The answer to one request of an operator.
+struct RecordedAnswer {
+  bool finished = false;
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+  uint64_t revision = 0;
+};
+
+/// Answers every reading of the machine list from `list`.
+class ListCaller : public HttpCaller {
+ public:
+  explicit ListCaller(const std::string& list) : list_(list) {}
+  std::unique_ptr<CallHandle> Start(const std::string&, HttpRequest,
+                                    HttpCallObserver& observer) override;
+
+ private:
+  const std::string& list_;
+};
+
+struct FleetOptions {
+  uint64_t seed = 1;
+  int control_nodes = 3;
+  int gateways = 2;
+  double loss = 0;
+  ClusterFaults faults;
+  MembershipTiming membership;
+  uint64_t snapshot_after_entries = 2000;
+};
+
+/// One process.
+struct FleetProcess {
+  std::unique_ptr<VirtualEnvironment> environment;
+  std::unique_ptr<PeerTransport> transport;
+  std::unique_ptr<HttpCaller> platform;
+  std::unique_ptr<ControlNode> control;
+  std::unique_ptr<ConfigurationClient> configuration;
+  std::unique_ptr<ControlClient> commands;
+  Revision newest_seen;
+};
+
+class ClusterFleet {
+ public:
+  explicit ClusterFleet(FleetOptions options);
+  ~ClusterFleet();
+
+  /// "c1".. are control nodes, "g1".. gateways. Zones "z1".."z3" in turn.
+  void Start(const std::string& name);
+  void Crash(const std::string& name);
+  void LoseDisk(const std::string& name) { disks_.at(name)->LoseDisk(); }
+  FleetProcess& Process(const std::string& name) { return processes_.at(name); }
+  bool Running(const std::string& name) const { return processes_.contains(name); }
+
+  void Isolate(const std::string& name) { isolated_.insert(name); }
+  void Heal(const std::string& name) { isolated_.erase(name); }
+  void Cut(const std::string& a, const std::string& b) { cuts_.insert({a, b}); }
+
+  void RunFor(Duration span) { scheduler_.RunFor(span); }
+  bool RunUntil(const std::function<bool()>& condition, Duration span) {
+    return scheduler_.RunUntilTrue(condition, span);
+  }
+  /// Name of the process that leads the cluster group and is not isolated; empty if none.
+  std::string Leader();
+  /// Waits for a leader; its name.
+  std::string AwaitLeader();
+
+  /// Sends an operator's request to `node`; the answer fills in later.
+  std::shared_ptr<RecordedAnswer> Request(const std::string& node, const std::string& method,
+                                          const std::string& target, const std::string& body = "",
+                                          HttpHeaders headers = {});
+  /// The same, waiting for the answer.
+  RecordedAnswer Ask(const std::string& node, const std::string& method, const std::string& target,
+                     const std::string& body = "", HttpHeaders headers = {});
+  /// Puts a machine resource through any control node that runs; its revision.
+  Revision PutMachine(const std::string& name, bool drain = false);
+
+  std::string machine_list = "{\"machines\":[]}";
+  /// True once a node's configuration went back to a smaller revision.
+  bool went_back = false;
+
+ private:
+  friend class FleetTransport;
+
+  void Deliver(const NodeId& from, const NodeId& to, const PeerMessage& message);
+  bool Open(const std::string& from, const std::string& to) const;
+  std::vector<ControlEndpoint> Endpoints() const;
+  ControlNodeOptions ControlOptions(const NodeRecord& self) const;
+
+  FleetOptions options_;
+  VirtualScheduler scheduler_;
+  std::map<std::string, FleetProcess> processes_;
+  std::map<std::string, std::unique_ptr<MemoryFileSystem>> disks_;
+  std::unique_ptr<VirtualEnvironment> disk_environment_;
+  std::map<std::string, uint64_t> lives_;
+  uint64_t next_incarnation_ = 1;
+  std::set<std::string> isolated_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+};
+
+}  // namespace millstair
--- a/test/cluster/cluster_properties_test.cc
+++ b/test/cluster/cluster_properties_test.cc
@@ -21,7 +21,7 @@
   explicit CommandSource(uint64_t seed) : random_(seed) {}
 
   ClusterOperation Operation() {
-    switch (Below(9)) {
+    switch (Below(10)) {
       case 0:
         return OpenSession{};
       case 1:
@@ -40,6 +40,8 @@
       case 7:
         return SetModelTarget{ModelName(Name()), WeightVersion(Below(20)),
                               WeightVersion(Below(20))};
+      case 8:
+        return FoundGroup{StreamName(Name()), {{ReplicaId(1 + Below(3)), NodeId(Name()), Name()}}};
       default:
         return RandomMembers();
     }
--- /dev/null
+++ b/test/cluster/control_node_test.cc
@@ -0,0 +1,390 @@
+/// Control nodes and gateways' clients together, in virtual time.
+#include <catch2/catch.hpp>
+
+#include "cluster/control_messages.h"
+#include "fmt/format.h"
+#include "resources/resource_codec.h"
+#include "test/cluster/cluster_fleet.h"
+#include "test/cluster/cluster_test_support.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string MachineJson(const std::string& name, const std::string& address) {
+  return ToJson(MakeResource(name, MachineSpec{Zone("z1"), address, false}));
+}
+
+bool Holds(ClusterFleet& fleet, const std::string& gateway, Revision revision) {
+  return fleet.Process(gateway).configuration->configuration().revision >= revision;
+}
+
+const GroupMember* MemberOn(const std::vector<GroupMember>& members, const std::string& node) {
+  for (const GroupMember& member : members) {
+    if (member.node == NodeId(node)) return &member;
+  }
+  return nullptr;
+}
+
+std::vector<GroupMember> ClusterMembers(ClusterFleet& fleet) {
+  const std::string leader = fleet.Leader();
+  if (leader.empty()) return {};
+  return fleet.Process(leader).control->groups().Find(GroupId("cluster"))->Members();
+}
+
+size_t Voters(ClusterFleet& fleet) {
+  size_t voters = 0;
+  for (const GroupMember& member : ClusterMembers(fleet)) voters += member.voter ? 1 : 0;
+  return voters;
+}
+
+TEST_CASE("an accepted change is in force on every gateway within a second") {
+  ClusterFleet fleet({.gateways = 5});
+  fleet.AwaitLeader();
+  fleet.RunFor(seconds(5));
+  const Revision revision = fleet.PutMachine("m1");
+  const auto everywhere = [&] {
+    for (int i = 1; i <= 5; ++i) {
+      if (!Holds(fleet, fmt::format("g{}", i), revision)) return false;
+    }
+    return true;
+  };
+  CHECK(fleet.RunUntil(everywhere, milliseconds(1000)));
+  for (int i = 1; i <= 5; ++i) {
+    const auto& client = *fleet.Process(fmt::format("g{}", i)).configuration;
+    CHECK(client.LeaseValid());
+    CHECK(client.configuration().resources.size() == 1);
+  }
+  CHECK(fleet.Ask(fleet.Leader(), "GET", fmt::format("/v1/revisions/{}/lagging", revision))
+            .status == 200);
+}
+
+TEST_CASE("the lease of a gateway that is cut off lapses and comes back") {
+  ClusterFleet fleet({});
+  fleet.AwaitLeader();
+  fleet.RunFor(seconds(5));
+  const auto& client = *fleet.Process("g1").configuration;
+  REQUIRE(client.LeaseValid());
+  fleet.Isolate("g1");
+  fleet.RunFor(seconds(4));
+  CHECK_FALSE(client.LeaseValid());
+  const Revision revision = fleet.PutMachine("m1");
+  fleet.RunFor(seconds(10));
+  CHECK_FALSE(Holds(fleet, "g1", revision));
+  const RecordedAnswer lagging =
+      fleet.Ask(fleet.Leader(), "GET", fmt::format("/v1/revisions/{}/lagging", revision));
+  CHECK(lagging.body == "{\"lagging\":[]}");
+  fleet.Heal("g1");
+  CHECK(fleet.RunUntil([&] { return client.LeaseValid() && Holds(fleet, "g1", revision); },
+                       seconds(5)));
+}
+
+TEST_CASE("a control machine cut off silently gives no lease; its gateways move on") {
+  for (const bool broken : {false, true}) {
+    ClusterFaults faults;
+    faults.heartbeat_unconfirmed = broken;
+    ClusterFleet fleet({.faults = faults});
+    fleet.AwaitLeader();
+    fleet.RunFor(seconds(5));
+    // Only the control machines lose sight of c1; g1 of the same zone still reaches it.
+    for (const char* other : {"c2", "c3"}) {
+      fleet.Cut("c1", other);
+      fleet.Cut(other, "c1");
+    }
+    REQUIRE(fleet.RunUntil(
+        [&] {
+          for (const char* node : {"c2", "c3"}) {
+            if (fleet.Process(node).control->IsClusterLeader()) return true;
+          }
+          return false;
+        },
+        seconds(20)));
+    const std::string leader = fleet.Process("c2").control->IsClusterLeader() ? "c2" : "c3";
+    const RecordedAnswer put =
+        fleet.Ask(leader, "PUT", "/v1/resources/Machine/m1", MachineJson("m1", "10.0.0.1"));
+    REQUIRE(put.status == 200);
+    fleet.RunFor(seconds(10));
+    const bool in_force = Holds(fleet, "g1", Revision(put.revision));
+    const bool leased = fleet.Process("g1").configuration->LeaseValid();
+    CHECK(leased);
+    CHECK(in_force == !broken);
+  }
+}
+
+TEST_CASE("a gateway that was down for 500 changes holds them all soon after its start") {
+  ClusterFleet fleet({.snapshot_after_entries = 200});
+  fleet.AwaitLeader();
+  fleet.RunFor(seconds(3));
+  fleet.Crash("g2");
+  fleet.Crash("c2");
+  Revision newest;
+  for (int i = 0; i < 500; ++i) newest = fleet.PutMachine(fmt::format("m{}", i % 50));
+  fleet.Start("g2");
+  fleet.Start("c2");
+  CHECK(fleet.RunUntil(
+      [&] {
+        return Holds(fleet, "g2", newest) && fleet.Process("g2").configuration->LeaseValid() &&
+               fleet.Process("c2").control->configuration().revision >= newest;
+      },
+      seconds(5)));
+  CHECK(fleet.Process("g2").configuration->configuration().resources.size() == 50);
+  CHECK(fleet.Process("c2").control->configuration().resources ==
+        fleet.Process(fleet.Leader()).control->configuration().resources);
+}
+
+TEST_CASE("of two operators with the same version, on two control nodes, one wins") {
+  ClusterFleet fleet({});
+  fleet.AwaitLeader();
+  const Revision version = fleet.PutMachine("m1");
+  const HttpHeaders match = {{"If-Match", fmt::format("\"{}\"", version)}};
+  const auto first = fleet.Request("c1", "PUT", "/v1/resources/Machine/m1",
+                                   MachineJson("m1", "10.0.0.2"), match);
+  const auto second = fleet.Request("c2", "PUT", "/v1/resources/Machine/m1",
+                                    MachineJson("m1", "10.0.0.3"), match);
+  REQUIRE(fleet.RunUntil([&] { return first->finished && second->finished; }, seconds(20)));
+  const RecordedAnswer& won = first->status == 200 ? *first : *second;
+  const RecordedAnswer& lost = first->status == 200 ? *second : *first;
+  INFO(lost.body);
+  CHECK(won.status == 200);
+  REQUIRE(lost.status == 412);
+  const RecordedAnswer stored = fleet.Ask("c3", "GET", "/v1/resources/Machine/m1");
+  CHECK(lost.body.find("\"conflicting\":[" + stored.body + "]") != std::string::npos);
+  CHECK(stored.revision == 0);
+  CHECK(FindHeader(stored.headers, "ETag") == fmt::format("\"{}\"", won.revision));
+  CHECK(FindHeader(lost.headers, "Millstair-Outcome") == "not-run");
+}
+
+TEST_CASE("a change sent again after the leader died gets its first answer") {
+  ClusterFleet fleet({});
+  const std::string first_leader = fleet.AwaitLeader();
+  const RecordedAnswer opened = fleet.Ask(first_leader, "POST", "/v1/sessions", "{}");
+  REQUIRE(opened.status == 200);
+  const std::string session = opened.body.substr(12, opened.body.size() - 14);
+  const HttpHeaders headers = {{"Idempotency-Key", session + "/1"}, {"If-None-Match", "*"}};
+  const std::string body = MachineJson("m1", "10.0.0.2");
+  const RecordedAnswer first =
+      fleet.Ask(first_leader, "PUT", "/v1/resources/Machine/m1", body, headers);
+  REQUIRE(first.status == 200);
+  fleet.Crash(first_leader);
+  const std::string second_leader = fleet.AwaitLeader();
+  fleet.PutMachine("m2");
+  const RecordedAnswer again =
+      fleet.Ask(second_leader, "PUT", "/v1/resources/Machine/m1", body, headers);
+  CHECK(again.status == 200);
+  CHECK(again.revision == first.revision);
+  const RecordedAnswer expired =
+      fleet.Ask(second_leader, "PUT", "/v1/resources/Machine/m1", body,
+                {{"Idempotency-Key", "nobody/1"}});
+  CHECK(expired.status == 410);
+}
+
+TEST_CASE("a silent node is gone, and live again in its next life") {
+  ClusterFleet fleet({});
+  fleet.AwaitLeader();
+  fleet.RunFor(seconds(3));
+  const auto state = [&](const std::string& node) {
+    const auto& nodes = fleet.Process(fleet.AwaitLeader()).control->configuration().nodes;
+    const auto found = nodes.find(NodeId(node));
+    return found == nodes.end() ? MemberState::kGone : found->second.state;
+  };
+  CHECK(state("g1") == MemberState::kLive);
+  CHECK(state("c3") == MemberState::kLive);
+  fleet.Crash("g1");
+  CHECK(fleet.RunUntil([&] { return state("g1") == MemberState::kGone; }, seconds(7)));
+  fleet.Start("g1");
+  CHECK(fleet.RunUntil([&] { return state("g1") == MemberState::kLive; }, seconds(3)));
+  fleet.Process("g2").configuration->SetLeaving();
+  CHECK(fleet.RunUntil([&] { return state("g2") == MemberState::kLeaving; }, seconds(3)));
+}
+
+TEST_CASE("machines follow the platform's list; an empty list changes nothing") {
+  ClusterFleet fleet({});
+  fleet.AwaitLeader();
+  fleet.PutMachine("m1");
+  const auto state = [&] {
+    const auto& machines = fleet.Process("g1").configuration->configuration().machines;
+    const auto found = machines.find("m1");
+    return found == machines.end() ? MemberState::kLive : found->second.platform_state;
+  };
+  fleet.machine_list = "{\"machines\":[{\"address\":\"10.0.0.1\",\"state\":\"leaving\"}]}";
+  CHECK(fleet.RunUntil([&] { return state() == MemberState::kLeaving; }, seconds(4)));
+  fleet.machine_list = "{\"machines\":[]}";
+  fleet.RunFor(seconds(5));
+  CHECK(state() == MemberState::kLeaving);
+  fleet.machine_list = "{\"machines\":[{\"address\":\"10.0.0.9\",\"state\":\"live\"}]}";
+  CHECK(fleet.RunUntil([&] { return state() == MemberState::kGone; }, seconds(4)));
+}
+
+TEST_CASE("a back end's own word reaches every gateway") {
+  ClusterFleet fleet({});
+  fleet.AwaitLeader();
+  fleet.PutMachine("m1");
+  const Resource engine = MakeResource("e1", EngineSpec{EngineType::kHttp, "m1", "10.0.0.1:80", false});
+  for (const char* node : {"c1", "c2", "c3"}) {
+    const RecordedAnswer put = fleet.Ask(node, "PUT", "/v1/resources/Engine/e1", ToJson(engine));
+    INFO(put.body);
+    REQUIRE(put.status == 200);
+  }
+  const auto state = [&] {
+    return EffectiveState(fleet.Process("g2").configuration->configuration(), EngineName("e1"));
+  };
+  REQUIRE(fleet.RunUntil([&] { return state() == MemberState::kLive; }, seconds(3)));
+  fleet.Process("g1").configuration->Report({EngineName("e1"), Incarnation(4), true});
+  CHECK(fleet.RunUntil([&] { return state() == MemberState::kLeaving; }, seconds(4)));
+  fleet.Process("g1").configuration->Report({EngineName("e1"), Incarnation(5), false});
+  CHECK(fleet.RunUntil([&] { return state() == MemberState::kLive; }, seconds(4)));
+}
+
+TEST_CASE("a warm learner takes a lost voter's place, and then a second machine may be lost") {
+  ClusterFleet fleet({.control_nodes = 4});
+  fleet.AwaitLeader();
+  fleet.Start("c4");
+  REQUIRE(fleet.RunUntil(
+      [&] { return MemberOn(ClusterMembers(fleet), "c4") != nullptr; }, seconds(10)));
+  CHECK_FALSE(MemberOn(ClusterMembers(fleet), "c4")->voter);
+  const std::string lost = fleet.Leader() == "c1" ? "c2" : "c1";
+  fleet.Crash(lost);
+  REQUIRE(fleet.RunUntil(
+      [&] {
+        // On every machine that is left, so that the last change is committed.
+        for (const std::string node : {"c1", "c2", "c3", "c4"}) {
+          if (node == lost) continue;
+          const auto members =
+              fleet.Process(node).control->groups().Find(GroupId("cluster"))->Members();
+          const GroupMember* c4 = MemberOn(members, "c4");
+          if (c4 == nullptr || !c4->voter || MemberOn(members, lost) != nullptr) return false;
+        }
+        return true;
+      },
+      seconds(25)));
+  CHECK(Voters(fleet) == 3);
+  fleet.Crash(fleet.Leader());
+  const Revision revision = fleet.PutMachine("m1");
+  CHECK(fleet.RunUntil([&] { return Holds(fleet, "g1", revision) && Holds(fleet, "g2", revision); },
+                       seconds(8)));
+}
+
+TEST_CASE("a control machine that lost its disk comes back as another replica") {
+  ClusterFleet fleet({});
+  const std::string leader = fleet.AwaitLeader();
+  const std::string lost = leader == "c1" ? "c2" : "c1";
+  const Revision revision = fleet.PutMachine("m1");
+  const ReplicaId before = MemberOn(ClusterMembers(fleet), lost)->replica;
+  fleet.Crash(lost);
+  fleet.LoseDisk(lost);
+  fleet.Start(lost);
+  REQUIRE(fleet.RunUntil(
+      [&] {
+        const auto members = ClusterMembers(fleet);
+        const GroupMember* back = MemberOn(members, lost);
+        return members.size() == 3 && back != nullptr && back->voter && back->replica != before;
+      },
+      seconds(40)));
+  CHECK(fleet.Process(lost).control->configuration().revision >= revision);
+}
+
+TEST_CASE("a planned stop hands leadership over and ends long polls") {
+  ClusterFleet fleet({});
+  const std::string leader = fleet.AwaitLeader();
+  fleet.RunFor(seconds(3));
+  const auto watch = fleet.Request(leader, "GET", "/v1/watch?after=100000&wait=50");
+  fleet.RunFor(seconds(1));
+  CHECK_FALSE(watch->finished);
+  bool drained = false;
+  fleet.Process(leader).control->Drain([&] { drained = true; });
+  REQUIRE(fleet.RunUntil([&] { return drained; }, seconds(5)));
+  CHECK(watch->finished);
+  CHECK(watch->status == 200);
+  CHECK(fleet.AwaitLeader() != leader);
+}
+
+TEST_CASE("commands of a gateway reach the leader through a follower") {
+  ClusterFleet fleet({.loss = 0.05});
+  fleet.AwaitLeader();
+  int claimed = 0;
+  constexpr int kKeys = 30;
+  for (int i = 0; i < kKeys; ++i) {
+    const std::string gateway = i % 2 == 0 ? "g1" : "g2";
+    ClaimKey claim;
+    claim.key = fmt::format("k{}", i);
+    claim.gateway = NodeId(gateway);
+    claim.incarnation = Incarnation(1);
+    claim.attempt = 1;
+    fleet.Process(gateway).commands->Submit(
+        GroupId("cluster"), CommandMode::kPropose, EncodeCommand({claim, std::nullopt, {}}),
+        seconds(20), [&](const absl::StatusOr<std::string>& result) {
+          if (result.ok() && DecodeResult(*result)->code == ClusterResultCode::kOk) ++claimed;
+        });
+  }
+  CHECK(fleet.RunUntil([&] { return claimed == kKeys; }, seconds(20)));
+}
+
+TEST_CASE("revisions never go back under crashes, cuts and loss") {
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    ClusterFleet fleet({.seed = seed, .gateways = 4, .loss = 0.05});
+    Revision newest;
+    for (int round = 0; round < 6; ++round) {
+      newest = fleet.PutMachine(fmt::format("m{}", round));
+      const std::string victim = fmt::format("c{}", 1 + (seed + round) % 3);
+      if (round % 2 == 0) {
+        fleet.Crash(victim);
+        fleet.RunFor(seconds(2));
+        fleet.PutMachine("other");
+        fleet.Start(victim);
+      } else {
+        fleet.Isolate(victim);
+        fleet.RunFor(seconds(6));
+        fleet.PutMachine("other");
+        fleet.Heal(victim);
+      }
+    }
+    CHECK(fleet.RunUntil(
+        [&] {
+          for (int i = 1; i <= 4; ++i) {
+            if (!Holds(fleet, fmt::format("g{}", i), newest)) return false;
+          }
+          return true;
+        },
+        seconds(10)));
+    CHECK_FALSE(fleet.went_back);
+  }
+}
+
+TEST_CASE("faulty requests of operators are refused with a reason") {
+  ClusterFleet fleet({});
+  const std::string leader = fleet.AwaitLeader();
+  struct Case {
+    const char* method;
+    const char* target;
+    const char* body;
+    HttpHeaders headers;
+    int status;
+  };
+  const std::vector<Case> cases = {
+      {"GET", "/v1/resources/Machine/none", "", {}, 404},
+      {"GET", "/v1/resources/Nonsense", "", {}, 404},
+      {"GET", "/nowhere", "", {}, 404},
+      {"PUT", "/v1/resources/Machine/m", "{", {}, 400},
+      {"POST", "/v1/apply", "[]", {}, 400},
+      {"POST", "/v1/apply", "{\"items\":[{}]}", {}, 400},
+      {"DELETE", "/v1/resources/Machine/m", "", {{"If-Match", "5"}}, 400},
+      {"DELETE", "/v1/resources/Machine/m", "", {{"Idempotency-Key", "x"}}, 400},
+      {"DELETE", "/v1/resources/Machine/m", "", {}, 404},
+      {"GET", "/v1/watch?after=x", "", {}, 400},
+      {"GET", "/v1/%zz", "", {}, 400},
+      {"POST", "/v1/replicas", "{}", {}, 400},
+      {"DELETE", "/v1/replicas/none", "", {}, 404},
+  };
+  for (const Case& test : cases) {
+    const RecordedAnswer answer =
+        fleet.Ask(leader, test.method, test.target, test.body, test.headers);
+    INFO(test.method << " " << test.target << " " << answer.body);
+    CHECK(answer.status == test.status);
+    CHECK(FindHeader(answer.headers, "Millstair-Outcome") == "not-run");
+  }
+}
+
+}  // namespace
+}  // namespace millstair
