--- a/source/cluster/cluster_state_machine.cc
+++ b/source/cluster/cluster_state_machine.cc
@@ -40,8 +40,7 @@
   const size_t groups_before = founded_groups_.size();
   AdvanceClock(decoded->proposed_at);
   std::string answer = EncodeResult(Answer(index, *decoded));
-  const bool changed =
-      configuration_.revision != before || founded_groups_.size() != groups_before;
+  const bool changed = configuration_.revision != before || founded_groups_.size() != groups_before;
   if (changed && on_change_) on_change_();
   return answer;
 }
--- a/source/cluster/cluster_submitter.cc
+++ b/source/cluster/cluster_submitter.cc
@@ -51,15 +51,14 @@
   }
   own_sequence_ = Next(own_sequence_);
   const SessionStamp stamp{own_session_, own_sequence_};
-  SubmitCommand({std::move(operation), stamp, {}},
-                alive_.Guard([this, stamp, done = std::move(done)](
-                                 absl::StatusOr<ClusterResult> result) {
-                  const bool expired =
-                      result.ok() && result->code == ClusterResultCode::kSessionExpired;
-                  if (expired && own_session_ == stamp.client) own_session_ = ClientId();
-                  if (expired) result = absl::UnavailableError("the session has expired");
-                  done(std::move(result));
-                }));
+  SubmitCommand(
+      {std::move(operation), stamp, {}},
+      alive_.Guard([this, stamp, done = std::move(done)](absl::StatusOr<ClusterResult> result) {
+        const bool expired = result.ok() && result->code == ClusterResultCode::kSessionExpired;
+        if (expired && own_session_ == stamp.client) own_session_ = ClientId();
+        if (expired) result = absl::UnavailableError("the session has expired");
+        done(std::move(result));
+      }));
 }
 
 void ClusterSubmitter::OpenOwnSession() {
--- a/source/cluster/command_service.cc
+++ b/source/cluster/command_service.cc
@@ -5,8 +5,8 @@
 namespace millstair {
 
 CommandService::CommandService(PeerTransport& transport, ClusterReplica& cluster,
-                               StreamHost& streams,
-                               const MembershipManager& membership, NodeId self)
+                               StreamHost& streams, const MembershipManager& membership,
+                               NodeId self)
     : transport_(transport),
       cluster_(cluster),
       streams_(streams),
@@ -71,8 +71,8 @@
                                   std::function<void(absl::StatusOr<std::string>)> done) {
   const auto decoded = DecodeClusterQuery(query);
   if (!decoded.ok()) return done(decoded.status());
-  cluster_.ConfirmRead(alive_.Guard(
-      [this, query = *decoded, done = std::move(done)](const absl::Status& status) {
+  cluster_.ConfirmRead(
+      alive_.Guard([this, query = *decoded, done = std::move(done)](const absl::Status& status) {
         if (!status.ok()) return done(absl::UnavailableError(status.message()));
         done(AnswerQuery(query));
       }));
@@ -95,8 +95,8 @@
     reply.result = *result;
   } else {
     // Whether a proposal ran is not known then; the client repeats it under its own protection.
-    const bool try_again = absl::IsUnavailable(result.status()) ||
-                           absl::IsDeadlineExceeded(result.status());
+    const bool try_again =
+        absl::IsUnavailable(result.status()) || absl::IsDeadlineExceeded(result.status());
     reply.status = try_again ? absl::StatusCode::kUnavailable : result.status().code();
     reply.message = std::string(result.status().message());
   }
--- a/source/cluster/control_node.cc
+++ b/source/cluster/control_node.cc
@@ -76,10 +76,9 @@
     replicas_ = std::make_unique<ReplicaManager>(environment_, *groups_, cluster_,
                                                  membership_.nodes(), options_);
     replicas_->Start();
-    membership_.OnObservation(
-        [this](const NodeId& gateway, const EngineObservation& observation) {
-          for (const auto& duty : duties_) duty->Observe(gateway, observation);
-        });
+    membership_.OnObservation([this](const NodeId& gateway, const EngineObservation& observation) {
+      for (const auto& duty : duties_) duty->Observe(gateway, observation);
+    });
     RunDuties();
     return absl::OkStatus();
   }
--- a/source/cluster/heartbeat_service.cc
+++ b/source/cluster/heartbeat_service.cc
@@ -12,11 +12,7 @@
 
 HeartbeatService::HeartbeatService(Environment& environment, PeerTransport& transport,
                                    ClusterReplica& cluster, PushService& push, ClusterFaults faults)
-    : transport_(transport),
-      cluster_(cluster),
-      push_(push),
-      faults_(faults),
-      timer_(environment) {}
+    : transport_(transport), cluster_(cluster), push_(push), faults_(faults), timer_(environment) {}
 
 void HeartbeatService::Answer(const NodeHeartbeat& heartbeat) {
   const NodeRecord& record = heartbeat.sender.record;
@@ -32,10 +28,9 @@
 
 void HeartbeatService::ConfirmBatch() {
   auto batch = std::exchange(waiting_, {});
-  cluster_.ConfirmRead(
-      alive_.Guard([this, batch = std::move(batch)](const absl::Status& status) {
-        if (status.ok()) Reply(batch);
-      }));
+  cluster_.ConfirmRead(alive_.Guard([this, batch = std::move(batch)](const absl::Status& status) {
+    if (status.ok()) Reply(batch);
+  }));
 }
 
 void HeartbeatService::Reply(const std::vector<Waiting>& batch) {
--- a/source/cluster/membership_manager.cc
+++ b/source/cluster/membership_manager.cc
@@ -235,8 +235,9 @@
     if (of_unknown_life && known != configuration.engines.end()) {
       merged->incarnation = known->second.incarnation;
     }
-    if (!merged || (known != configuration.engines.end() &&
-                    (known->second == *merged || known->second.incarnation > merged->incarnation))) {
+    if (!merged ||
+        (known != configuration.engines.end() &&
+         (known->second == *merged || known->second.incarnation > merged->incarnation))) {
       continue;
     }
     update.engines.push_back(*merged);
@@ -268,8 +269,7 @@
     const Revision applied =
         heard == nodes_.nodes().end() ? Revision() : heard->second.latest.applied;
     if (applied >= revision) continue;
-    const bool silent =
-        nodes_.FindSince(node, environment_.Now() - kSilentAfter) == nullptr;
+    const bool silent = nodes_.FindSince(node, environment_.Now() - kSilentAfter) == nullptr;
     lagging.push_back({node, applied, silent ? "silent" : "behind"});
   }
   return lagging;
--- a/source/cluster/operators_answer.cc
+++ b/source/cluster/operators_answer.cc
@@ -48,8 +48,8 @@
 
 void RespondUnavailable(ResponseWriter& writer, const absl::Status& status, Outcome outcome) {
   const int code = absl::IsDeadlineExceeded(status) ? 504 : 503;
-  RespondProblem(writer, {code, "no control quorum", std::string(status.message()), outcome,
-                          kComeBackAfter});
+  RespondProblem(
+      writer, {code, "no control quorum", std::string(status.message()), outcome, kComeBackAfter});
 }
 
 void RespondResult(ResponseWriter& writer, const ClusterResult& result) {
--- a/source/cluster/push_service.cc
+++ b/source/cluster/push_service.cc
@@ -33,7 +33,8 @@
 
 void PushService::Push() {
   const TimePoint now = environment_.Now();
-  std::erase_if(attached_, [&](const auto& entry) { return now - entry.second.heard > kAttachedFor; });
+  std::erase_if(attached_,
+                [&](const auto& entry) { return now - entry.second.heard > kAttachedFor; });
   const Revision newest = cluster_.configuration().revision;
   std::map<Revision, std::string> payloads;
   for (auto& [node, attached] : attached_) {
--- a/source/cluster/status_routes.cc
+++ b/source/cluster/status_routes.cc
@@ -56,8 +56,7 @@
 boost::json::array ModelsToJson(const Configuration& configuration) {
   boost::json::array models;
   for (const auto& [name, model] : configuration.models) {
-    const uint64_t newest =
-        model.published.empty() ? 0 : model.published.back().version.value();
+    const uint64_t newest = model.published.empty() ? 0 : model.published.back().version.value();
     models.push_back(boost::json::object{{"model", name.value()},
                                          {"published", newest},
                                          {"staged", model.staged.value()},
@@ -90,12 +89,10 @@
     const Configuration& configuration = cluster_.configuration();
     boost::json::array groups;
     for (const RaftGroup* group : groups_->Groups()) groups.push_back(GroupToJson(*group));
-    const boost::json::object body{{"revision", configuration.revision.value()},
-                                   {"confirmed", status.ok()},
-                                   {"nodes", NodesToJson(configuration)},
-                                   {"engines", EnginesToJson(configuration)},
-                                   {"models", ModelsToJson(configuration)},
-                                   {"groups", std::move(groups)}};
+    const boost::json::object body{
+        {"revision", configuration.revision.value()}, {"confirmed", status.ok()},
+        {"nodes", NodesToJson(configuration)},        {"engines", EnginesToJson(configuration)},
+        {"models", ModelsToJson(configuration)},      {"groups", std::move(groups)}};
     RespondJson(*writer, boost::json::serialize(body));
   }));
 }
@@ -134,7 +131,8 @@
   if (found == watches_.end()) return;
   const auto watch = std::move(found->second);
   watches_.erase(found);
-  RespondJson(*watch->writer, fmt::format("{{\"revision\":{}}}", cluster_.configuration().revision));
+  RespondJson(*watch->writer,
+              fmt::format("{{\"revision\":{}}}", cluster_.configuration().revision));
 }
 
 void StatusRoutes::ConfigurationChanged() {
--- a/source/cluster/stream_host.cc
+++ b/source/cluster/stream_host.cc
@@ -116,11 +116,10 @@
     if (!stream || HasStream(cluster_.configuration(), *stream)) continue;
     if (!dropping_.insert(*stream).second) continue;
     // A replica that is still catching up may not know the stream yet, so the absence is confirmed.
-    cluster_.ConfirmRead(
-        alive_.Guard([this, stream = *stream](const absl::Status& status) {
-          dropping_.erase(stream);
-          if (status.ok()) DropIfStillDeleted(stream);
-        }));
+    cluster_.ConfirmRead(alive_.Guard([this, stream = *stream](const absl::Status& status) {
+      dropping_.erase(stream);
+      if (status.ok()) DropIfStillDeleted(stream);
+    }));
   }
 }
 
--- a/source/membership/platform_list.cc
+++ b/source/membership/platform_list.cc
@@ -116,7 +116,8 @@
 
 void PlatformPoller::Finish(absl::StatusOr<std::string> body) {
   // The call ends in its own callback, so it is destroyed later.
-  auto machines = body.ok() ? ParsePlatformList(*body) : absl::StatusOr<PlatformMachines>(body.status());
+  auto machines =
+      body.ok() ? ParsePlatformList(*body) : absl::StatusOr<PlatformMachines>(body.status());
   if (!machines.ok()) {
     LogEvent(EventId::kPlatformListUnread, "address={} error=\"{}\"", address_,
              std::string(machines.status().message()));
--- a/source/membership/platform_list.h
+++ b/source/membership/platform_list.h
@@ -27,8 +27,8 @@
   using Listener = std::function<void(const PlatformMachines&)>;
 
   /// Polls nothing if `address` is empty.
-  PlatformPoller(Environment& environment, HttpCaller& http, std::string address,
-                 Duration interval, Listener listener);
+  PlatformPoller(Environment& environment, HttpCaller& http, std::string address, Duration interval,
+                 Listener listener);
   ~PlatformPoller();
 
   void Start();
--- a/test/cluster/cluster_fleet.cc
+++ b/test/cluster/cluster_fleet.cc
@@ -62,8 +62,8 @@
   void Send(const NodeId& to, PeerMessage message) override {
     auto& random = fleet_.scheduler_.Random();
     if (DrawChance(random, fleet_.options_.loss)) return;
-    const Duration delay = DrawDuration(random, std::chrono::microseconds(300),
-                                        std::chrono::microseconds(1500));
+    const Duration delay =
+        DrawDuration(random, std::chrono::microseconds(300), std::chrono::microseconds(1500));
     fleet_.scheduler_.Schedule(
         delay, [&fleet = fleet_, self = self_, life = life_, to, message = std::move(message)] {
           if (fleet.lives_[self] != life) return;
@@ -78,8 +78,7 @@
   const uint64_t life_;
 };
 
-ClusterFleet::ClusterFleet(FleetOptions options)
-    : options_(options), scheduler_(options.seed) {
+ClusterFleet::ClusterFleet(FleetOptions options) : options_(options), scheduler_(options.seed) {
   SetEventThreshold(EventLevel::kError);
   disk_environment_ = std::make_unique<VirtualEnvironment>(scheduler_, options.seed);
   for (int i = 1; i <= options.control_nodes; ++i) {
--- a/test/cluster/control_node_test.cc
+++ b/test/cluster/control_node_test.cc
@@ -57,8 +57,9 @@
     CHECK(client.LeaseValid());
     CHECK(client.configuration().resources.size() == 1);
   }
-  CHECK(fleet.Ask(fleet.Leader(), "GET", fmt::format("/v1/revisions/{}/lagging", revision))
-            .status == 200);
+  CHECK(
+      fleet.Ask(fleet.Leader(), "GET", fmt::format("/v1/revisions/{}/lagging", revision)).status ==
+      200);
 }
 
 TEST_CASE("the lease of a gateway that is cut off lapses and comes back") {
@@ -139,10 +140,10 @@
   fleet.AwaitLeader();
   const Revision version = fleet.PutMachine("m1");
   const HttpHeaders match = {{"If-Match", fmt::format("\"{}\"", version)}};
-  const auto first = fleet.Request("c1", "PUT", "/v1/resources/Machine/m1",
-                                   MachineJson("m1", "10.0.0.2"), match);
-  const auto second = fleet.Request("c2", "PUT", "/v1/resources/Machine/m1",
-                                    MachineJson("m1", "10.0.0.3"), match);
+  const auto first =
+      fleet.Request("c1", "PUT", "/v1/resources/Machine/m1", MachineJson("m1", "10.0.0.2"), match);
+  const auto second =
+      fleet.Request("c2", "PUT", "/v1/resources/Machine/m1", MachineJson("m1", "10.0.0.3"), match);
   REQUIRE(fleet.RunUntil([&] { return first->finished && second->finished; }, seconds(20)));
   const RecordedAnswer& won = first->status == 200 ? *first : *second;
   const RecordedAnswer& lost = first->status == 200 ? *second : *first;
@@ -174,9 +175,8 @@
       fleet.Ask(second_leader, "PUT", "/v1/resources/Machine/m1", body, headers);
   CHECK(again.status == 200);
   CHECK(again.revision == first.revision);
-  const RecordedAnswer expired =
-      fleet.Ask(second_leader, "PUT", "/v1/resources/Machine/m1", body,
-                {{"Idempotency-Key", "nobody/1"}});
+  const RecordedAnswer expired = fleet.Ask(second_leader, "PUT", "/v1/resources/Machine/m1", body,
+                                           {{"Idempotency-Key", "nobody/1"}});
   CHECK(expired.status == 410);
 }
 
@@ -221,7 +221,8 @@
   ClusterFleet fleet({});
   fleet.AwaitLeader();
   fleet.PutMachine("m1");
-  const Resource engine = MakeResource("e1", EngineSpec{EngineType::kHttp, "m1", "10.0.0.1:80", false});
+  const Resource engine =
+      MakeResource("e1", EngineSpec{EngineType::kHttp, "m1", "10.0.0.1:80", false});
   for (const char* node : {"c1", "c2", "c3"}) {
     const RecordedAnswer put = fleet.Ask(node, "PUT", "/v1/resources/Engine/e1", ToJson(engine));
     INFO(put.body);
@@ -241,8 +242,8 @@
   ClusterFleet fleet({.control_nodes = 4});
   fleet.AwaitLeader();
   fleet.Start("c4");
-  REQUIRE(fleet.RunUntil(
-      [&] { return MemberOn(ClusterMembers(fleet), "c4") != nullptr; }, seconds(10)));
+  REQUIRE(fleet.RunUntil([&] { return MemberOn(ClusterMembers(fleet), "c4") != nullptr; },
+                         seconds(10)));
   CHECK_FALSE(MemberOn(ClusterMembers(fleet), "c4")->voter);
   const std::string lost = fleet.Leader() == "c1" ? "c2" : "c1";
   fleet.Crash(lost);
