--- /dev/null
+++ b/test/rollout/work_schedule_test.cc
@@ -0,0 +1,177 @@
+#include "rollout/work_schedule.h"
+
+#include <catch2/catch.hpp>
+
+#include "rollout/attempt_table.h"
+#include "rollout/length_estimate.h"
+
+namespace millstair {
+namespace {
+
+constexpr uint32_t kSamples = 10;
+
+/// Two steps of ten samples; sample i of a step is expected to have 10 * (i + 1) tokens.
+struct ScheduleFixture {
+  ScheduleFixture() {
+    for (uint64_t step = 1; step <= 2; ++step) {
+      steps[step].samples.resize(kSamples);
+      for (uint32_t i = 0; i < kSamples; ++i) {
+        schedule.Add(at, {step, i}, 10 * (i + 1), kSamples, false);
+      }
+    }
+    situation.now = at;
+    situation.staleness_bound = 3;
+  }
+
+  /// Two versions an interval of 100 s apart, the second one just now.
+  void LearnInterval() {
+    schedule.NotePublished(at, WeightVersion(1));
+    at += std::chrono::seconds(100);
+    schedule.NotePublished(at, WeightVersion(2));
+    situation.newest = WeightVersion(2);
+    situation.now = at;
+    // Steps that come now are put under the version just out.
+    schedule.Clear();
+    for (uint64_t step = 1; step <= 2; ++step) {
+      for (uint32_t i = 0; i < kSamples; ++i) {
+        schedule.Add(at, {step, i}, 10 * (i + 1), kSamples, false);
+      }
+    }
+  }
+
+  std::vector<SampleKey> TakeAll() {
+    std::vector<SampleKey> taken;
+    while (const std::optional<SampleKey> key = schedule.Take(situation, steps)) {
+      taken.push_back(*key);
+    }
+    return taken;
+  }
+
+  TimePoint at{std::chrono::hours(1)};
+  WorkSchedule schedule;
+  ScheduleSituation situation;
+  std::map<uint64_t, StepRecord> steps;
+};
+
+TEST_CASE("older steps come first, and in a step the longest") {
+  ScheduleFixture fixture;
+  fixture.situation.idle_time_weight = 1;
+  const std::vector<SampleKey> taken = fixture.TakeAll();
+  REQUIRE(taken.size() == 20);
+  REQUIRE(taken.front() == SampleKey{1, 9});
+  REQUIRE(taken[9] == SampleKey{1, 0});
+  REQUIRE(taken[10] == SampleKey{2, 9});
+}
+
+TEST_CASE("what was given back goes before everything else") {
+  ScheduleFixture fixture;
+  fixture.schedule.Add(fixture.at, {2, 0}, 10, kSamples, true);
+  REQUIRE(fixture.schedule.Take(fixture.situation, fixture.steps) == SampleKey{2, 0});
+}
+
+TEST_CASE("the weight bounds how many steps run ahead") {
+  ScheduleFixture fixture;
+  fixture.situation.idle_time_weight = 0.1;  // floor(0.1 * 4) = 0 steps ahead
+  REQUIRE(fixture.TakeAll().size() == kSamples);
+  fixture.situation.idle_time_weight = 0.3;  // floor(0.3 * 4) = 1 step ahead
+  REQUIRE(fixture.TakeAll().size() == kSamples);
+}
+
+TEST_CASE("a bound of zero runs no step ahead whatever the weight") {
+  ScheduleFixture fixture;
+  fixture.situation.idle_time_weight = 1;
+  fixture.situation.staleness_bound = 0;
+  REQUIRE(fixture.TakeAll().size() == kSamples);
+}
+
+TEST_CASE("the shorter rest of a step waits for the next version") {
+  ScheduleFixture fixture;
+  fixture.LearnInterval();
+  fixture.situation.idle_time_weight = 0.3;
+  // The longest three of each step, as one step may run ahead.
+  REQUIRE(fixture.TakeAll().size() == 6);
+  SECTION("until it is out") {
+    fixture.situation.newest = WeightVersion(3);
+    REQUIRE(fixture.TakeAll().size() == 14);
+  }
+  SECTION("but not if the trainer waits for the step") {
+    fixture.situation.trainer_waits = true;
+    REQUIRE(fixture.TakeAll().size() == 7);
+  }
+  SECTION("and not for ever") {
+    fixture.situation.now += std::chrono::seconds(119);
+    REQUIRE(fixture.TakeAll().empty());
+    fixture.situation.now += std::chrono::seconds(2);
+    REQUIRE(fixture.TakeAll().size() == 14);
+  }
+  SECTION("unless tails are not handled at all") {
+    fixture.situation.tail_handling = false;
+    REQUIRE(fixture.TakeAll().size() == 14);
+  }
+}
+
+TEST_CASE("while engines swap, the rest waits even if the trainer does") {
+  ScheduleFixture fixture;
+  fixture.LearnInterval();
+  fixture.situation.idle_time_weight = 0.2;
+  fixture.situation.trainer_waits = true;
+  fixture.situation.swap_pending = true;
+  REQUIRE(fixture.TakeAll().size() == 2);
+  fixture.situation.now += std::chrono::milliseconds(4100);  // (1 - 0.2) * 5 s are over
+  REQUIRE(fixture.TakeAll().size() == 8);
+}
+
+TEST_CASE("lengths are learned by prompt, and the mean serves for unknown ones") {
+  LengthEstimate lengths;
+  for (int i = 0; i < 8; ++i) lengths.Learn("long one", 100, 90);
+  REQUIRE(lengths.Expected("long one", 100) == 90);
+  REQUIRE(lengths.Expected("unknown", 100) >= 30);
+  REQUIRE(lengths.Expected("unknown", 100) < 60);
+  lengths.Learn("long one", 100, 10);
+  REQUIRE(lengths.Expected("long one", 100) == 50);
+  REQUIRE(LengthEstimate::Remaining(50, 100, 20) == 30);
+  REQUIRE(LengthEstimate::Remaining(50, 100, 60) == 20);
+  REQUIRE(LengthEstimate::Remaining(50, 100, 100) == 0);
+}
+
+TEST_CASE("attempts are lost by silence, by not being listed, and with their gateway") {
+  AttemptTable table({std::chrono::seconds(5), std::chrono::milliseconds(1500)});
+  const TimePoint begin{std::chrono::hours(1)};
+  const NodeId silent("silent");
+  const NodeId talking("talking");
+  const NodeId dead("dead");
+  table.Grant(begin, {1, 0}, AttemptEpoch(1), silent);
+  table.Grant(begin, {1, 1}, AttemptEpoch(2), talking);
+  table.Grant(begin, {1, 2}, AttemptEpoch(3), dead);
+  std::map<NodeId, AttemptTable::GatewayWord> words;
+  words[silent] = {begin, false};
+  words[talking] = {begin + std::chrono::milliseconds(1400), false};
+  REQUIRE(table.DropLost(begin + std::chrono::seconds(2), words).empty());
+  words[talking].heard_at = begin + std::chrono::milliseconds(1600);
+  REQUIRE(table.DropLost(begin + std::chrono::seconds(2), words) ==
+          std::vector<SampleKey>{{1, 1}});
+  words[dead] = {begin, true};
+  REQUIRE(table.DropLost(begin + std::chrono::seconds(2), words) ==
+          std::vector<SampleKey>{{1, 2}});
+  REQUIRE(table.DropLost(begin + std::chrono::seconds(5), words) ==
+          std::vector<SampleKey>{{1, 0}});
+  REQUIRE(table.in_flight() == 0);
+}
+
+TEST_CASE("a third attempt at a sample is stopped, an unknown one is taken over") {
+  AttemptTable table({});
+  const TimePoint now{std::chrono::hours(1)};
+  const WorkRequest::Running first{SampleId("a/0"), AttemptEpoch(1), 4, WeightVersion(1)};
+  const WorkRequest::Running second{SampleId("a/0"), AttemptEpoch(2), 4, WeightVersion(1)};
+  const WorkRequest::Running third{SampleId("a/0"), AttemptEpoch(3), 4, WeightVersion(1)};
+  REQUIRE(table.Hear(now, {1, 0}, NodeId("g1"), first));
+  REQUIRE(table.Hear(now, {1, 0}, NodeId("g2"), second));
+  REQUIRE_FALSE(table.Hear(now, {1, 0}, NodeId("g3"), third));
+  REQUIRE(table.in_flight() == 2);
+  REQUIRE(table.End({1, 0}, AttemptEpoch(1)));
+  REQUIRE_FALSE(table.End({1, 0}, AttemptEpoch(1)));
+  REQUIRE(table.in_flight() == 1);
+}
+
+}  // namespace
+}  // namespace millstair
