--- a/test/rollout/work_schedule_test.cc
+++ b/test/rollout/work_schedule_test.cc
@@ -148,13 +148,10 @@
   words[talking] = {begin + std::chrono::milliseconds(1400), false};
   REQUIRE(table.DropLost(begin + std::chrono::seconds(2), words).empty());
   words[talking].heard_at = begin + std::chrono::milliseconds(1600);
-  REQUIRE(table.DropLost(begin + std::chrono::seconds(2), words) ==
-          std::vector<SampleKey>{{1, 1}});
+  REQUIRE(table.DropLost(begin + std::chrono::seconds(2), words) == std::vector<SampleKey>{{1, 1}});
   words[dead] = {begin, true};
-  REQUIRE(table.DropLost(begin + std::chrono::seconds(2), words) ==
-          std::vector<SampleKey>{{1, 2}});
-  REQUIRE(table.DropLost(begin + std::chrono::seconds(5), words) ==
-          std::vector<SampleKey>{{1, 0}});
+  REQUIRE(table.DropLost(begin + std::chrono::seconds(2), words) == std::vector<SampleKey>{{1, 2}});
+  REQUIRE(table.DropLost(begin + std::chrono::seconds(5), words) == std::vector<SampleKey>{{1, 0}});
   REQUIRE(table.in_flight() == 0);
 }
 
