--- /dev/null
+++ b/bench/micro/routing_benchmark.cc
@@ -0,0 +1,101 @@
+/// Time of a routing decision over the engines of the target size.
+#include <benchmark/benchmark.h>
+#include <fmt/core.h>
+
+#include "common/virtual_environment.h"
+#include "routing/engine_router.h"
+
+namespace millstair {
+namespace {
+
+constexpr char kZone[] = "zone-a";
+constexpr char kPool[] = "pool";
+constexpr char kModel[] = "model";
+
+Resource MakeResource(const std::string& name, Labels labels, ResourceSpec spec) {
+  Resource resource;
+  resource.name = name;
+  resource.labels = std::move(labels);
+  resource.spec = std::move(spec);
+  resource.version = Revision(1);
+  return resource;
+}
+
+void AddResource(Configuration& configuration, Resource resource) {
+  const ResourceKey key = resource.key();
+  configuration.resources.emplace(key, std::move(resource));
+}
+
+/// `engines` model engines of one zone that all serve one pool.
+Configuration MakeConfiguration(int64_t engines) {
+  Configuration configuration;
+  configuration.revision = Revision(1);
+  const Labels labels = {{"tier", "model"}};
+  MachineSpec machine;
+  machine.zone = Zone(kZone);
+  machine.address = "127.0.1.1";
+  AddResource(configuration, MakeResource("machine", {}, machine));
+  for (int64_t i = 0; i < engines; ++i) {
+    EngineSpec engine;
+    engine.machine = "machine";
+    engine.address = fmt::format("127.0.1.1:{}", 10000 + i);
+    AddResource(configuration, MakeResource(fmt::format("engine-{:04}", i), labels, engine));
+  }
+  AddResource(configuration, MakeResource(kModel, labels, ModelSpec{}));
+  PoolSpec pool;
+  pool.model = ModelName(kModel);
+  pool.max_in_flight = 1u << 30;
+  AddResource(configuration, MakeResource(kPool, labels, pool));
+  MatchSpec match;
+  match.engines = Selector{labels, {}};
+  match.models = Selector{labels, {}};
+  match.workloads = Selector{labels, {}};
+  AddResource(configuration, MakeResource("match", {}, match));
+  return configuration;
+}
+
+EngineReport MakeReport() {
+  EngineReport report;
+  report.incarnation = Incarnation(1);
+  report.model = ModelName(kModel);
+  report.active_version = WeightVersion(1);
+  report.running_sequences = 10;
+  report.max_sequences = 64;
+  report.free_kv_blocks = 3000;
+  report.total_kv_blocks = 4096;
+  report.step_time = std::chrono::milliseconds(15);
+  return report;
+}
+
+void BM_RoutingDecision(benchmark::State& state) {
+  VirtualScheduler scheduler(1);
+  VirtualEnvironment environment(scheduler, 2);
+  RouterOptions options;
+  options.zone = Zone(kZone);
+  EngineRouter router(environment, options);
+  const Configuration configuration = MakeConfiguration(state.range(0));
+  router.UpdateConfiguration(configuration);
+  for (const auto& [key, resource] : configuration.resources) {
+    if (key.kind != ResourceKind::kEngine) continue;
+    router.NoteReport(EngineName(key.name), MakeReport(), environment.Now());
+  }
+  RoutingRequest request;
+  request.model = ModelName(kModel);
+  request.prompt_tokens = 512;
+  request.expected_tokens = 128;
+  request.prefix_blocks.assign(request.prompt_tokens / kPrefixBlockTokens, 7);
+  const ResourceKey workload{ResourceKind::kPool, kPool};
+  uint64_t placed = 0;
+  for (auto _ : state) {
+    const auto placement = router.Place(workload, request);
+    if (placement.has_value()) {
+      ++placed;
+      router.End(placement->id, PlacementOutcome{});
+    }
+  }
+  if (placed == 0) state.SkipWithError("no engine took the work");
+}
+BENCHMARK(BM_RoutingDecision)->Arg(9)->Arg(131)->Arg(920);
+
+}  // namespace
+}  // namespace millstair
