Activate weights as soon as they are staged; order nothing to engines that leave

Change: the reconciler passes leaving engines by; the duty judges at each observation and forgives a tenth of the engines; an observation that changed hastens the next heartbeat.

--- a/source/cluster/configuration_client.cc
+++ b/source/cluster/configuration_client.cc
@@ -18,6 +18,8 @@
 /// How often a node that is attached to another zone tries its own again.
 constexpr Duration kReturnToOwnZone = std::chrono::seconds(30);
 constexpr double kHeartbeatJitter = 0.1;
+/// An observation that changed is sent at most this much later, together with others by then.
+constexpr Duration kReportDelay = std::chrono::milliseconds(150);
 
 class HeartbeatingConfigurationClient : public ConfigurationClient {
  public:
@@ -54,6 +56,8 @@
     const EngineName engine = observation.engine;
     unsent_.insert(engine);
     observations_[engine] = std::move(observation);
+    const bool beats = timer_.armed();
+    if (beats && next_beat_ - environment_.Now() > kReportDelay) BeatAfter(kReportDelay);
   }
 
   void SetLeaving() override {
@@ -72,7 +76,12 @@
     MoveIfUnanswered();
     SendHeartbeat();
     const double jitter = 1 + kHeartbeatJitter * (2 * DrawUnit(environment_.Random()) - 1);
-    timer_.Arm(FromSeconds(ToSeconds(timing_.heartbeat) * jitter), [this] { Beat(); });
+    BeatAfter(FromSeconds(ToSeconds(timing_.heartbeat) * jitter));
+  }
+
+  void BeatAfter(Duration delay) {
+    next_beat_ = environment_.Now() + delay;
+    timer_.Arm(delay, [this] { Beat(); });
   }
 
   void MoveIfUnanswered() {
@@ -180,6 +189,7 @@
   /// Send times of heartbeats, by nonce.
   std::map<uint64_t, TimePoint> unanswered_;
   int beats_ = 0;
+  TimePoint next_beat_;
   std::map<EngineName, EngineObservation> observations_;
   std::set<EngineName> unsent_;
   ScopedTimer timer_;
--- a/source/weights/engine_reconciler.cc
+++ b/source/weights/engine_reconciler.cc
@@ -64,7 +64,6 @@
     /// them.
     std::map<std::string, Revision> adapters;
     std::optional<EngineObservation> told;
-    TimePoint told_at;
   };
 
   void Tick() {
@@ -76,10 +75,6 @@
     for (const auto& [engine, rank] : ranks_) {
       const auto known = known_.find(engine);
       if (known == known_.end()) continue;
-      if (environment_.Now() - known->second.told_at >= options_.repeat_observation) {
-        known->second.told.reset();
-        Tell(engine, known->second);
-      }
       Reconcile(engine, known->second);
     }
   }
@@ -112,7 +107,6 @@
                       told->consistent == observation.consistent;
     if (same) return;
     known.told = observation;
-    known.told_at = environment_.Now();
     client_.Report(observation);
   }
 
@@ -121,6 +115,8 @@
     if (known.ordered && now < known.ordered_until) return;
     known.ordered = false;
     if (now < known.not_before || !client_.LeaseValid()) return;
+    // An engine that leaves gets no new work, orders included.
+    if (known.report.draining || EffectiveState(Configured(), engine) != MemberState::kLive) return;
     const PlacementRules& rules = rules_.For(Configured());
     std::optional<EngineWants> wants = WantsOf(Configured(), rules, engine, known.report.model);
     if (!wants) return;
--- a/source/weights/engine_reconciler.h
+++ b/source/weights/engine_reconciler.h
@@ -30,8 +30,6 @@
   Duration stage_timeout = std::chrono::seconds(60);
   Duration first_backoff = std::chrono::milliseconds(250);
   Duration largest_backoff = std::chrono::seconds(4);
-  /// Observations are told to the control nodes again after this long, for a new leader.
-  Duration repeat_observation = std::chrono::seconds(5);
 };
 
 /// Counts since the start; for metrics.
--- a/source/weights/weight_duty.cc
+++ b/source/weights/weight_duty.cc
@@ -31,7 +31,11 @@
     std::erase_if(progress_, [&](const auto& progress) {
       return !configuration.models.contains(progress.first);
     });
-    for (const auto& [model, status] : configuration.models) RunModel(configuration, status);
+    const PlacementRules& rules = rules_.For(configuration);
+    for (const auto& [model, status] : configuration.models) {
+      TakeModel(configuration, rules, status);
+      RunModel(progress_[model]);
+    }
   }
 
   void Observe(const NodeId&, const EngineObservation& observation) override {
@@ -39,10 +43,17 @@
     // Reports of two observers may cross; a later life of the engine replaces an earlier one.
     if (observation.incarnation < known.incarnation) return;
     known = observation;
+    for (auto& [model, progress] : progress_) {
+      if (progress.status.active < progress.status.staged) RunModel(progress);
+    }
   }
 
  private:
   struct Progress {
+    /// As of the last run.
+    ModelStatus status;
+    std::vector<EngineName> live_engines;
+    Duration staging_limit{0};
     /// Staged version that is waited for, since when.
     WeightVersion staged;
     TimePoint staged_since;
@@ -52,18 +63,28 @@
     TimePoint proposed_at;
   };
 
-  void RunModel(const Configuration& configuration, const ModelStatus& status) {
+  void TakeModel(const Configuration& configuration, const PlacementRules& rules,
+                 const ModelStatus& status) {
     Progress& progress = progress_[status.model];
-    const TimePoint now = environment_.Now();
-    if (progress.staged != status.staged) {
-      progress.staged = status.staged;
-      progress.staged_since = now;
+    progress.status = status;
+    progress.live_engines.clear();
+    for (const EngineName& engine : rules.EnginesForModel(status.model)) {
+      if (EffectiveState(configuration, engine) == MemberState::kLive) {
+        progress.live_engines.push_back(engine);
+      }
     }
+    progress.staging_limit =
+        StagingLimit(configuration, status.model, progress.live_engines.size());
+    if (progress.staged == status.staged) return;
+    progress.staged = status.staged;
+    progress.staged_since = environment_.Now();
+  }
+
+  void RunModel(Progress& progress) {
+    const ModelStatus& status = progress.status;
     WeightVersion staged = status.staged;
     WeightVersion active = status.active;
-    if (status.active < status.staged) {
-      if (StagedEnough(configuration, status, now - progress.staged_since)) active = status.staged;
-    }
+    if (status.active < status.staged && StagedEnough(progress)) active = status.staged;
     // A further version is fetched only once the one before is served, so that a quick publisher
     // can't keep all of them from being served.
     if (active >= status.staged) staged = std::max(staged, NewestPublished(status));
@@ -86,28 +107,32 @@
     propose_(std::move(command));
   }
 
-  bool StagedEnough(const Configuration& configuration, const ModelStatus& status,
-                    Duration waited) {
-    uint32_t engines = 0;
-    uint32_t holding = 0;
-    for (const EngineName& engine : rules_.For(configuration).EnginesForModel(status.model)) {
-      if (EffectiveState(configuration, engine) != MemberState::kLive) continue;
-      ++engines;
+  bool StagedEnough(const Progress& progress) const {
+    const WeightVersion wanted = progress.status.staged;
+    size_t holding = 0;
+    for (const EngineName& engine : progress.live_engines) {
       const auto observed = observed_.find(engine);
       if (observed == observed_.end()) continue;
-      const bool holds =
-          observed->second.staged >= status.staged || observed->second.active >= status.staged;
+      const bool holds = observed->second.staged >= wanted || observed->second.active >= wanted;
       if (holds) ++holding;
     }
-    if (holding >= options_.staged_share * engines) return true;
-    return waited >= StagingLimit(configuration, status.model, engines);
+    const size_t engines = progress.live_engines.size();
+    constexpr size_t kSpareFrom = 3;
+    size_t spare = 0;
+    if (engines >= kSpareFrom) {
+      const double share = options_.unstaged_share * static_cast<double>(engines);
+      spare = std::max<size_t>(1, static_cast<size_t>(share));
+    }
+    if (holding + spare >= engines) return true;
+    return environment_.Now() - progress.staged_since >= progress.staging_limit;
   }
 
   Duration StagingLimit(const Configuration& configuration, const ModelName& model,
-                        uint32_t engines) const {
+                        size_t engines) const {
     const auto* spec = configuration.FindSpec<ModelSpec>(ResourceKind::kModel, model.value());
     if (spec == nullptr || spec->store_bytes_per_second == 0) return options_.shortest_staging;
-    const double seconds = 2.0 * engines * static_cast<double>(spec->version_bytes) /
+    const double seconds = 2.0 * static_cast<double>(engines) *
+                           static_cast<double>(spec->version_bytes) /
                            static_cast<double>(spec->store_bytes_per_second);
     const Duration longest = options_.longest_staging;
     if (seconds >= ToSeconds(longest)) return longest;
--- a/source/weights/weight_duty.h
+++ b/source/weights/weight_duty.h
@@ -15,8 +15,9 @@
 namespace millstair {
 
 struct WeightDutyOptions {
-  /// Share of a model's live engines that must hold a version before it is served.
-  double staged_share = 0.9;
+  /// Share of a model's live engines that need not hold a version before it is served; at least one
+  /// of three or more, so that a dead engine that still counts as live holds nobody up.
+  double unstaged_share = 0.1;
   /// Least and largest time given to staging; in between it is twice what the store's rate asks.
   Duration shortest_staging = std::chrono::seconds(5);
   Duration longest_staging = std::chrono::seconds(120);
--- a/test/weights/reconciler_test.cc
+++ b/test/weights/reconciler_test.cc
@@ -126,6 +126,24 @@
   REQUIRE(fleet.RunUntilServing(1));
 }
 
+TEST_CASE("an engine that leaves gets no order") {
+  WeightFleet fleet(3);
+  fleet.Publish(1);
+  REQUIRE(fleet.RunUntilServing(1));
+  SECTION("by its own word") { fleet.models[1]->Drain(); }
+  SECTION("by the operators' wish") {
+    auto& engine = fleet.configuration.held.resources.at({ResourceKind::kEngine, "engine-1"});
+    std::get<EngineSpec>(engine.spec).drain = true;
+  }
+  fleet.scheduler.RunFor(std::chrono::seconds(1));
+  const uint64_t before = fleet.models[1]->counts().orders_accepted;
+  fleet.Publish(2);
+  REQUIRE(fleet.scheduler.RunUntilTrue([&] { return fleet.Serving(2) == 2; },
+                                       std::chrono::seconds(30)));
+  fleet.scheduler.RunFor(std::chrono::seconds(10));
+  REQUIRE(fleet.models[1]->counts().orders_accepted == before);
+}
+
 TEST_CASE("without a lease a gateway orders nothing") {
   WeightFleet fleet(2);
   fleet.configuration.lease = false;
