Add millstaird

Cause: the parts of a node have to run as a process, and say clearly what keeps them from it. Change: server/ (command line, checks of the machine with distinct exit codes, founder's identity, one front for callers, operators and health, metrics, drain on a stop signal and at once on the second); the HTTP front counts running answers and waits after a failed accept.

--- a/source/http/http_server.cc
+++ b/source/http/http_server.cc
@@ -2,7 +2,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <chrono>
 #include <utility>
 
 #include "common/event_log.h"
@@ -15,12 +17,25 @@
 
 using Tcp = boost::asio::ip::tcp;
 
+constexpr std::chrono::milliseconds kAcceptPause{100};
+
+void AcceptNext(const std::shared_ptr<HttpServerContext>& context);
+
+/// Goes on after a failure such as a lack of descriptors, without taking a whole processor.
+void AcceptLater(const std::shared_ptr<HttpServerContext>& context) {
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(context->acceptor->get_executor(), kAcceptPause);
+  timer->async_wait([context, timer](const boost::system::error_code&) { AcceptNext(context); });
+}
+
 void AcceptNext(const std::shared_ptr<HttpServerContext>& context) {
+  if (!context->acceptor->is_open()) return;
   context->acceptor->async_accept(
       [context](const boost::system::error_code& error, Tcp::socket socket) {
         if (error == boost::asio::error::operation_aborted) return;
-        if (!error) StartServerConnection(std::move(socket), context);
-        if (context->acceptor->is_open()) AcceptNext(context);
+        if (error) return AcceptLater(context);
+        StartServerConnection(std::move(socket), context);
+        AcceptNext(context);
       });
 }
 
@@ -84,6 +99,8 @@
 
 void HttpServer::BeginDrain() { context_->draining = true; }
 
+size_t HttpServer::running() const { return context_->running; }
+
 void HttpServer::Stop() {
   context_->handler = nullptr;
   boost::asio::post(context_->acceptor->get_executor(), [context = context_] {
--- a/source/http/http_server.h
+++ b/source/http/http_server.h
@@ -55,6 +55,8 @@
   /// From now on each answer closes its connection, so that callers go elsewhere. New connections
   /// are still served.
   void BeginDrain();
+  /// Requests whose answer has not been sent to its end.
+  size_t running() const;
   /// Closes the listener and all connections; running requests are cut.
   void Stop();
 
--- a/source/http/server_connection.cc
+++ b/source/http/server_connection.cc
@@ -223,6 +223,7 @@
 
   asio::awaitable<bool> Answer(HttpRequest request, const RequestParser& parser) {
     context_->requests->Add();
+    ++context_->running;
     const auto channel = std::make_shared<ResponseChannel>(context_->options.send_buffer_bytes,
                                                            [weak = weak_from_this()] {
                                                              if (const auto self = weak.lock())
@@ -239,7 +240,9 @@
           if (context->handler == nullptr) return;
           context->handler->Handle(std::move(request), std::move(writer));
         });
-    co_return co_await Relay(*channel, weak_writer);
+    const bool keep = co_await Relay(*channel, weak_writer);
+    --context_->running;
+    co_return keep;
   }
 
   /// Sends what the writer makes until the answer ends. False if the connection is to be closed.
--- /dev/null
+++ b/source/server/command_line.h
@@ -0,0 +1,25 @@
+/// Command line of millstaird.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "settings/settings.h"
+
+namespace millstair {
+
+enum class ServerMode { kRun, kCheck, kInitialize, kVersion, kHelp, kDescribeSettings };
+
+struct CommandLine {
+  ServerMode mode = ServerMode::kRun;
+  /// Empty if all comes by flags.
+  std::string settings_file;
+  SettingOverrides overrides;
+  /// What is wrong with the command line; empty if nothing is.
+  std::string fault;
+};
+
+CommandLine ParseCommandLine(const std::vector<std::string>& arguments);
+std::string HelpText();
+
+}  // namespace millstair
--- /dev/null
+++ b/source/server/counting_writer.h
@@ -0,0 +1,37 @@
+/// Counts the answers that pass through it, by status and by what they say of the outcome.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "common/stats.h"
+#include "http/exchange.h"
+
+namespace millstair {
+
+/// Wraps a ResponseWriter; everything else is passed on.
+class CountingWriter : public ResponseWriter {
+ public:
+  CountingWriter(std::shared_ptr<ResponseWriter> next, StatsRegistry& stats)
+      : next_(std::move(next)), stats_(stats) {}
+
+  void SendHead(HttpResponseHead head) override;
+  void SendBody(std::string bytes) override { next_->SendBody(std::move(bytes)); }
+  void Finish() override { next_->Finish(); }
+  void Abort() override;
+  size_t WritableBytes() const override { return next_->WritableBytes(); }
+  void OnWritable(std::function<void()> callback) override {
+    next_->OnWritable(std::move(callback));
+  }
+  void OnCallerGone(std::function<void()> callback) override {
+    next_->OnCallerGone(std::move(callback));
+  }
+
+ private:
+  std::shared_ptr<ResponseWriter> next_;
+  StatsRegistry& stats_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/server/node_options.cc
@@ -0,0 +1,103 @@
+#include "server/node_options.h"
+
+#include <algorithm>
+
+namespace millstair {
+namespace {
+
+std::vector<ControlEndpoint> EndpointsOf(const ServerSettings& settings) {
+  std::vector<ControlEndpoint> endpoints;
+  for (const ControlNodeSetting& node : settings.control_nodes) {
+    endpoints.push_back({NodeId(node.node), node.address, Zone(node.zone)});
+  }
+  return endpoints;
+}
+
+std::vector<GroupMember> FoundersOf(const ServerSettings& settings) {
+  std::vector<GroupMember> founders;
+  for (const ControlNodeSetting& node : settings.control_nodes) {
+    const auto& names = settings.founders;
+    if (std::find(names.begin(), names.end(), node.node) == names.end()) continue;
+    const NodeId id(node.node);
+    founders.push_back({FounderReplicaId(settings.cluster, id), id, node.address, true});
+  }
+  return founders;
+}
+
+ConfigurationTiming ConfigurationTimingOf(const TimingSettings& timing) {
+  return {timing.heartbeat, timing.lease, timing.source_timeout};
+}
+
+}  // namespace
+
+NodeRecord NodeRecordOf(const ServerSettings& settings, Incarnation incarnation) {
+  NodeRecord self;
+  self.node = NodeId(settings.node);
+  self.incarnation = incarnation;
+  self.zone = Zone(settings.zone);
+  self.address = settings.peer_address;
+  self.control = settings.control;
+  self.gateway = settings.gateway;
+  return self;
+}
+
+ControlNodeOptions ControlOptionsOf(const ServerSettings& settings, const NodeRecord& self) {
+  const TimingSettings& timing = settings.timing;
+  ControlNodeOptions options;
+  options.self = self;
+  options.cluster_id = settings.cluster;
+  options.control_nodes = EndpointsOf(settings);
+  options.founders = FoundersOf(settings);
+  options.consensus_timing = {timing.raft_heartbeat, timing.election_timeout};
+  options.consensus_limits = {settings.limits.snapshot_entries, settings.limits.raft_batch,
+                              settings.limits.snapshot_chunk};
+  options.configuration_timing = ConfigurationTimingOf(timing);
+  options.membership_timing = {timing.node_lease, timing.platform_poll, timing.replace_voter_after,
+                               timing.forget_after};
+  options.claim_retention = std::chrono::duration_cast<std::chrono::hours>(timing.claim_retention);
+  options.platform_list = settings.platform_list;
+  return options;
+}
+
+GatewayNodeOptions GatewayOptionsOf(const ServerSettings& settings, const NodeRecord& self) {
+  const TimingSettings& timing = settings.timing;
+  GatewayNodeOptions options;
+  options.self = self;
+  options.control_nodes = EndpointsOf(settings);
+  options.configuration_timing = ConfigurationTimingOf(timing);
+  options.timing = {timing.report_poll, timing.work_poll, timing.drain_limit};
+  return options;
+}
+
+PeerTransportOptions TransportOptionsOf(const ServerSettings& settings, Incarnation incarnation) {
+  PeerTransportOptions options;
+  options.self = NodeId(settings.node);
+  options.incarnation = incarnation;
+  options.cluster_id = settings.cluster;
+  options.listen = settings.peer_listen;
+  options.max_frame_bytes = settings.limits.peer_frame;
+  options.max_queue_bytes = settings.limits.peer_queue;
+  return options;
+}
+
+HttpServerOptions HttpServerOptionsOf(const ServerSettings& settings) {
+  HttpServerOptions options;
+  options.max_header_bytes = settings.limits.http_header;
+  options.max_body_bytes = settings.limits.http_body;
+  options.send_buffer_bytes = settings.limits.http_send_buffer;
+  options.max_connections = settings.limits.http_connections;
+  options.header_timeout = settings.timing.http_header;
+  options.body_timeout = settings.timing.http_body;
+  options.idle_timeout = settings.timing.http_idle;
+  options.write_timeout = settings.timing.http_write;
+  return options;
+}
+
+HttpCallerOptions HttpCallerOptionsOf(const ServerSettings& settings) {
+  HttpCallerOptions options;
+  options.connect_timeout = settings.timing.call_connect;
+  options.read_timeout = settings.timing.call_read;
+  return options;
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/server/node_options.h
@@ -0,0 +1,20 @@
+/// Options of a node's parts, made from its settings.
+#pragma once
+
+#include "cluster/control_node.h"
+#include "gateway/gateway_node.h"
+#include "http/beast_http_caller.h"
+#include "http/http_server.h"
+#include "settings/settings.h"
+#include "transport/tcp_peer_transport.h"
+
+namespace millstair {
+
+NodeRecord NodeRecordOf(const ServerSettings& settings, Incarnation incarnation);
+ControlNodeOptions ControlOptionsOf(const ServerSettings& settings, const NodeRecord& self);
+GatewayNodeOptions GatewayOptionsOf(const ServerSettings& settings, const NodeRecord& self);
+PeerTransportOptions TransportOptionsOf(const ServerSettings& settings, Incarnation incarnation);
+HttpServerOptions HttpServerOptionsOf(const ServerSettings& settings);
+HttpCallerOptions HttpCallerOptionsOf(const ServerSettings& settings);
+
+}  // namespace millstair
--- /dev/null
+++ b/source/server/server_node.cc
@@ -0,0 +1,224 @@
+#include "server/server_node.h"
+
+#include <chrono>
+#include <utility>
+
+#include "common/event_log.h"
+#include "rollout/stream_factory.h"
+#include "server/metrics_page.h"
+#include "server/node_options.h"
+#include "weights/weight_duty.h"
+
+namespace millstair {
+namespace {
+
+constexpr char kClusterGroupName[] = "cluster";
+constexpr Duration kAnswerPoll = std::chrono::milliseconds(20);
+/// Answers that are not sent this long after all work ended go with the process.
+constexpr Duration kAnswerLimit = std::chrono::seconds(10);
+
+/// Grows from one start to the next as long as the wall clock does.
+Incarnation NewIncarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return Incarnation(
+      static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count()));
+}
+
+StartFault FaultOf(ExitCode code, const absl::Status& status) {
+  return {code, std::string(status.message())};
+}
+
+}  // namespace
+
+ServerNode::ServerNode(Runtime& runtime, StatsRegistry& stats, ServerSettings settings)
+    : runtime_(runtime),
+      stats_(stats),
+      settings_(std::move(settings)),
+      executor_(runtime.NewExecutor()) {}
+
+ServerNode::~ServerNode() { Close(); }
+
+StartFault ServerNode::Start() {
+  StartFault fault;
+  executor_->PostAndWait([this, &fault] { fault = StartParts(); });
+  return fault;
+}
+
+StartFault ServerNode::StartParts() {
+  environment_ = std::make_unique<RuntimeEnvironment>(runtime_, executor_);
+  stop_timer_ = std::make_unique<ScopedTimer>(*environment_);
+  caller_ = std::make_unique<BeastHttpCaller>(runtime_, executor_, HttpCallerOptionsOf(settings_),
+                                              &stats_);
+  back_ends_ = std::make_unique<RoutedHttpCaller>(*caller_, AddressRoutes(settings_.routes));
+  engines_ = std::make_unique<HttpEngineClient>(*environment_, *back_ends_);
+  StartFault fault = OpenFolder();
+  if (fault.code == ExitCode::kOk) fault = StartTransport();
+  if (fault.code == ExitCode::kOk) fault = StartControl();
+  if (fault.code != ExitCode::kOk) return fault;
+  StartGateway();
+  return StartListeners();
+}
+
+StartFault ServerNode::OpenFolder() {
+  if (!settings_.control) return {};
+  BackgroundExecutor background;
+  background.run = [this](std::function<void()> work) {
+    runtime_.RunInBackground(std::move(work));
+  };
+  background.post_back = [executor = executor_](std::function<void()> work) {
+    executor->Post(std::move(work));
+  };
+  auto files = PosixFileSystem::Open(settings_.data_folder, std::move(background));
+  if (files.ok()) {
+    files_ = *std::move(files);
+    return {};
+  }
+  const bool locked = files.status().code() == absl::StatusCode::kFailedPrecondition;
+  return FaultOf(locked ? ExitCode::kFolderLocked : ExitCode::kFolderUnusable, files.status());
+}
+
+StartFault ServerNode::StartTransport() {
+  auto transport = TcpPeerTransport::Listen(
+      runtime_, executor_, TransportOptionsOf(settings_, NewIncarnation()), &stats_);
+  if (!transport.ok()) return FaultOf(ExitCode::kAddressTaken, transport.status());
+  transport_ = *std::move(transport);
+  transport_->SetReceiver(this);
+  peers_ = std::make_unique<RoutedPeerTransport>(*transport_, AddressRoutes(settings_.routes));
+  return {};
+}
+
+StartFault ServerNode::StartControl() {
+  if (!settings_.control) return {};
+  const NodeRecord self = NodeRecordOf(settings_, NewIncarnation());
+  control_ =
+      MakeControlNode(*environment_, *peers_, *files_, *back_ends_,
+                      MakeStreamFactory(*environment_, *peers_), ControlOptionsOf(settings_, self));
+  control_->AddDuty(MakeWeightDuty(*environment_, [this](ClusterCommand command) {
+    control_->Propose(std::move(command), [](const absl::StatusOr<ClusterResult>&) {});
+  }));
+  const absl::Status started = control_->Start();
+  if (started.ok()) return {};
+  const bool damaged = started.code() == absl::StatusCode::kDataLoss;
+  return FaultOf(damaged ? ExitCode::kDataDamaged : ExitCode::kFault, started);
+}
+
+void ServerNode::StartGateway() {
+  if (!settings_.gateway) return;
+  const NodeRecord self = NodeRecordOf(settings_, NewIncarnation());
+  GatewayNodeOptions options = GatewayOptionsOf(settings_, self);
+  options.stats = &stats_;
+  gateway_ = MakeGatewayNode(*environment_, *peers_, *engines_, *back_ends_, std::move(options));
+  gateway_->Start();
+}
+
+StartFault ServerNode::StartListeners() {
+  FrontTargets targets;
+  targets.ready = [this] { return Ready(); };
+  targets.update_stats = [this] { UpdateStats(); };
+  FrontTargets operators_targets = targets;
+  targets.gateway = gateway_.get();
+  operators_targets.operators = control_.get();
+  const bool apart = !settings_.http_operators.empty() && control_ != nullptr;
+  if (!apart) targets.operators = control_.get();
+  front_ = std::make_unique<Front>(targets, stats_);
+  auto http = ListenHttp(settings_.http_listen, *front_);
+  if (!http.ok()) return FaultOf(ExitCode::kAddressTaken, http.status());
+  http_ = *std::move(http);
+  if (!apart) return {};
+  operators_front_ = std::make_unique<Front>(operators_targets, stats_);
+  auto operators_http = ListenHttp(settings_.http_operators, *operators_front_);
+  if (!operators_http.ok()) return FaultOf(ExitCode::kAddressTaken, operators_http.status());
+  operators_http_ = *std::move(operators_http);
+  return {};
+}
+
+absl::StatusOr<std::unique_ptr<HttpServer>> ServerNode::ListenHttp(const std::string& address,
+                                                                   RequestHandler& handler) {
+  return HttpServer::Listen(runtime_, executor_, address, handler, HttpServerOptionsOf(settings_),
+                            &stats_);
+}
+
+void ServerNode::Receive(const NodeId& from, const PeerMessage& message) {
+  // Each part takes the kinds that are its own.
+  if (control_ != nullptr) control_->Receive(from, message);
+  if (gateway_ != nullptr) gateway_->Receive(from, message);
+}
+
+bool ServerNode::Ready() const {
+  if (stopping_) return false;
+  if (gateway_ != nullptr && !gateway_->Ready()) return false;
+  if (control_ == nullptr) return true;
+  RaftGroup* cluster = control_->groups().Find(GroupId(kClusterGroupName));
+  return cluster != nullptr && cluster->Leader().has_value();
+}
+
+void ServerNode::UpdateStats() {
+  UpdateProcessStats(stats_);
+  stats_.NewGauge({"millstair_ready", "1 while the node takes work."}).Set(Ready() ? 1 : 0);
+  if (gateway_ != nullptr) {
+    stats_.NewGauge({"millstair_configuration_revision", "Revision that the gateway holds."})
+        .Set(static_cast<double>(gateway_->configuration().revision.value()));
+    stats_.NewGauge({"millstair_lease_valid", "1 while the gateway may give out new work."})
+        .Set(gateway_->Ready() ? 1 : 0);
+  }
+  if (control_ == nullptr) return;
+  stats_.NewGauge({"millstair_cluster_revision", "Revision applied by this control node."})
+      .Set(static_cast<double>(control_->configuration().revision.value()));
+  for (RaftGroup* group : control_->groups().Groups()) {
+    const std::string name = group->id().value();
+    stats_.NewGauge({"millstair_raft_leader", "1 on the group's leader.", "group", name})
+        .Set(group->IsLeader() ? 1 : 0);
+    stats_.NewGauge({"millstair_raft_term", "Term of the group.", "group", name})
+        .Set(static_cast<double>(group->CurrentTerm().value()));
+    stats_.NewGauge({"millstair_raft_applied_index", "Last applied entry.", "group", name})
+        .Set(static_cast<double>(group->AppliedIndex().value()));
+  }
+}
+
+void ServerNode::BeginStop(std::function<void()> done) {
+  executor_->Post([this, done = std::move(done)]() mutable {
+    if (stopping_) return;
+    stopping_ = true;
+    on_stopped_ = std::move(done);
+    http_->BeginDrain();
+    if (operators_http_ != nullptr) operators_http_->BeginDrain();
+    if (gateway_ == nullptr) return DrainControl();
+    gateway_->Drain([this] { DrainControl(); });
+  });
+}
+
+void ServerNode::DrainControl() {
+  const auto wait = [this] { WaitForAnswers(environment_->Now() + kAnswerLimit); };
+  if (control_ == nullptr) return wait();
+  control_->Drain(wait);
+}
+
+void ServerNode::WaitForAnswers(TimePoint until) {
+  size_t running = http_->running();
+  if (operators_http_ != nullptr) running += operators_http_->running();
+  if (running == 0 || environment_->Now() >= until) {
+    const std::function<void()> done = std::move(on_stopped_);
+    return done();
+  }
+  stop_timer_->Arm(kAnswerPoll, [this, until] { WaitForAnswers(until); });
+}
+
+void ServerNode::Close() {
+  executor_->PostAndWait([this] {
+    http_.reset();
+    operators_http_.reset();
+    gateway_.reset();
+    control_.reset();
+    engines_.reset();
+    back_ends_.reset();
+    caller_.reset();
+    peers_.reset();
+    transport_.reset();
+    files_.reset();
+    stop_timer_.reset();
+    environment_.reset();
+  });
+  executor_->Stop();
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/server/server_node.h
@@ -0,0 +1,91 @@
+/// One node of millstair in this process: its storage, transport, roles and listeners.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cluster/control_node.h"
+#include "common/peer_transport.h"
+#include "common/scoped_timer.h"
+#include "common/stats.h"
+#include "gateway/gateway_node.h"
+#include "http/beast_http_caller.h"
+#include "http/http_engine_client.h"
+#include "http/http_server.h"
+#include "runtime/runtime.h"
+#include "runtime/runtime_environment.h"
+#include "server/exit_code.h"
+#include "server/front.h"
+#include "settings/settings.h"
+#include "storage/posix_file_system.h"
+#include "transport/address_routes.h"
+#include "transport/tcp_peer_transport.h"
+
+namespace millstair {
+
+/// Why a node did not start.
+struct StartFault {
+  ExitCode code = ExitCode::kOk;
+  std::string message;
+};
+
+/// Everything but the constructor, Start, BeginStop and Close lives on the node's serial executor.
+class ServerNode : public PeerReceiver {
+ public:
+  /// `stats` outlives `runtime`, and that the node.
+  ServerNode(Runtime& runtime, StatsRegistry& stats, ServerSettings settings);
+  ~ServerNode() override;
+
+  /// Starts all parts and waits for it. A code other than kOk says what stood in the way.
+  StartFault Start();
+  /// Finishes what runs, hands over leaderships, then calls `done` on the executor.
+  void BeginStop(std::function<void()> done);
+  /// Ends all parts and waits for it.
+  void Close();
+
+  void Receive(const NodeId& from, const PeerMessage& message) override;
+
+  /// Where the listeners are, with the ports picked. Known once started.
+  const std::string& http_address() const { return http_->address(); }
+  const std::string& peer_address() const { return transport_->address(); }
+
+ private:
+  StartFault StartParts();
+  StartFault OpenFolder();
+  StartFault StartTransport();
+  StartFault StartControl();
+  void StartGateway();
+  StartFault StartListeners();
+  absl::StatusOr<std::unique_ptr<HttpServer>> ListenHttp(const std::string& address,
+                                                         RequestHandler& handler);
+
+  bool Ready() const;
+  void UpdateStats();
+  void DrainControl();
+  /// Waits until the last answers are sent.
+  void WaitForAnswers(TimePoint until);
+
+  Runtime& runtime_;
+  StatsRegistry& stats_;
+  const ServerSettings settings_;
+  const std::shared_ptr<SerialExecutor> executor_;
+  std::unique_ptr<RuntimeEnvironment> environment_;
+  std::unique_ptr<PosixFileSystem> files_;
+  std::unique_ptr<TcpPeerTransport> transport_;
+  std::unique_ptr<RoutedPeerTransport> peers_;
+  std::unique_ptr<BeastHttpCaller> caller_;
+  std::unique_ptr<RoutedHttpCaller> back_ends_;
+  std::unique_ptr<HttpEngineClient> engines_;
+  std::unique_ptr<ControlNode> control_;
+  std::unique_ptr<GatewayNode> gateway_;
+  std::unique_ptr<Front> front_;
+  std::unique_ptr<Front> operators_front_;
+  std::unique_ptr<HttpServer> http_;
+  std::unique_ptr<HttpServer> operators_http_;
+  std::unique_ptr<ScopedTimer> stop_timer_;
+  bool stopping_ = false;
+  std::function<void()> on_stopped_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/server/server_process.cc
@@ -0,0 +1,175 @@
+#include "server/server_process.h"
+
+#include <sys/resource.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <future>
+#include <sstream>
+
+#include "common/event_log.h"
+#include "fmt/format.h"
+#include "server/command_line.h"
+#include "server/host_check.h"
+#include "server/server_node.h"
+#include "settings/settings_table.h"
+
+namespace millstair {
+namespace {
+
+constexpr char kVersion[] = "millstaird 0.1.0\n";
+
+struct LoadedSettings {
+  ServerSettings settings;
+  Findings findings;
+};
+
+LoadedSettings LoadSettings(const CommandLine& line) {
+  LoadedSettings loaded;
+  std::string text;
+  if (!line.settings_file.empty()) {
+    std::ifstream file(line.settings_file);
+    std::ostringstream content;
+    if (!file || !(content << file.rdbuf())) {
+      loaded.findings.Add({line.settings_file, 0, 0}, "the settings file can't be read");
+      return loaded;
+    }
+    text = content.str();
+  }
+  loaded.settings = ReadSettings(line.settings_file, text, line.overrides, loaded.findings);
+  return loaded;
+}
+
+/// Prints every finding; the code of the gravest kind.
+ExitCode Check(const LoadedSettings& loaded) {
+  ExitCode code = ExitCode::kOk;
+  const auto report = [&code](ExitCode kind, const Finding& finding) {
+    fmt::print("{}\n", finding.ToString());
+    if (code == ExitCode::kOk || kind < code) code = kind;
+  };
+  for (const Finding& finding : loaded.findings.items()) report(ExitCode::kSettings, finding);
+  for (const HostFinding& found : CheckHost(loaded.settings)) report(found.code, found.finding);
+  if (code == ExitCode::kOk) fmt::print("the settings are sound\n");
+  return code;
+}
+
+ExitCode Initialize(const ServerSettings& settings) {
+  const auto fail = [](ExitCode code, std::string_view message) {
+    LogEvent(EventId::kInitializeFailed, "{}", message);
+    return code;
+  };
+  const auto& founders = settings.founders;
+  if (!settings.control ||
+      std::find(founders.begin(), founders.end(), settings.node) == founders.end()) {
+    return fail(ExitCode::kSettings, "only a founder has an identity to write");
+  }
+  auto files = PosixFileSystem::Open(settings.data_folder, {});
+  if (!files.ok()) {
+    const bool locked = files.status().code() == absl::StatusCode::kFailedPrecondition;
+    return fail(locked ? ExitCode::kFolderLocked : ExitCode::kFolderUnusable,
+                std::string(files.status().message()));
+  }
+  const absl::Status written =
+      InitializeFounder(**files, settings.cluster, NodeId(settings.node), settings.peer_address);
+  if (written.ok()) {
+    LogEvent(EventId::kFounderInitialized, "node={} data={}", settings.node, settings.data_folder);
+    return ExitCode::kOk;
+  }
+  const bool known = written.code() == absl::StatusCode::kFailedPrecondition;
+  return fail(known ? ExitCode::kAlreadyInitialized : ExitCode::kFolderUnusable,
+              std::string(written.message()));
+}
+
+void SetLogLevel(const std::string& level) {
+  if (level == "debug") SetEventThreshold(EventLevel::kDebug);
+  if (level == "warning") SetEventThreshold(EventLevel::kWarning);
+  if (level == "error") SetEventThreshold(EventLevel::kError);
+}
+
+/// Each connection takes a descriptor; the usual soft limit is far too small for that.
+void RaiseDescriptorLimit() {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+/// Waits for a stop signal; a second one ends the process at once.
+class StopSignals {
+ public:
+  explicit StopSignals(boost::asio::io_context& io) : signals_(io, SIGTERM, SIGINT) {}
+
+  void Wait(std::function<void()> first) {
+    signals_.async_wait(
+        [this, first = std::move(first)](const boost::system::error_code& error, int) {
+          if (error) return;
+          first();
+          signals_.async_wait([](const boost::system::error_code& second_error, int) {
+            if (!second_error) std::_Exit(static_cast<int>(ExitCode::kFault));
+          });
+        });
+  }
+
+ private:
+  boost::asio::signal_set signals_;
+};
+
+ExitCode Run(const ServerSettings& settings) {
+  StatsRegistry stats;  // outlives the runtime
+  RuntimeOptions options;
+  options.io_threads = static_cast<int>(settings.io_threads);
+  options.workers = static_cast<int>(settings.workers);
+  Runtime runtime(options);
+  ServerNode node(runtime, stats, settings);
+  std::promise<void> stopped;
+  StopSignals signals(runtime.io());
+  const StartFault fault = node.Start();
+  if (fault.code != ExitCode::kOk) {
+    LogEvent(EventId::kServerNotStarted, "{}", fault.message);
+    return fault.code;
+  }
+  LogEvent(EventId::kServerStarted, "node={} zone={} peer={} http={}", settings.node, settings.zone,
+           node.peer_address(), node.http_address());
+  signals.Wait([&] {
+    LogEvent(EventId::kServerDraining, "node={}", settings.node);
+    node.BeginStop([&stopped] { stopped.set_value(); });
+  });
+  stopped.get_future().wait();
+  node.Close();
+  LogEvent(EventId::kServerStopped, "node={}", settings.node);
+  runtime.Stop();
+  return ExitCode::kOk;
+}
+
+}  // namespace
+
+ExitCode RunServer(const std::vector<std::string>& arguments) {
+  const CommandLine line = ParseCommandLine(arguments);
+  if (!line.fault.empty()) {
+    fmt::print(stderr, "millstaird: {}; see millstaird --help\n", line.fault);
+    return ExitCode::kUsage;
+  }
+  if (line.mode == ServerMode::kHelp) fmt::print("{}", HelpText());
+  if (line.mode == ServerMode::kVersion) fmt::print("{}", kVersion);
+  if (line.mode == ServerMode::kDescribeSettings) fmt::print("{}", SettingsTable());
+  if (line.mode != ServerMode::kRun && line.mode != ServerMode::kCheck &&
+      line.mode != ServerMode::kInitialize) {
+    return ExitCode::kOk;
+  }
+  const LoadedSettings loaded = LoadSettings(line);
+  if (line.mode == ServerMode::kCheck) return Check(loaded);
+  for (const Finding& finding : loaded.findings.items()) {
+    LogEvent(EventId::kSettingsFaulty, "{}", finding.ToString());
+  }
+  if (!loaded.findings.empty()) return ExitCode::kSettings;
+  SetLogLevel(loaded.settings.log_level);
+  if (line.mode == ServerMode::kInitialize) return Initialize(loaded.settings);
+  RaiseDescriptorLimit();
+  return Run(loaded.settings);
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/test/server/command_line_test.cc
@@ -0,0 +1,35 @@
+#include "server/command_line.h"
+
+#include <catch2/catch.hpp>
+
+namespace millstair {
+namespace {
+
+TEST_CASE("Flags become overrides by settings key") {
+  const CommandLine line = ParseCommandLine({"--settings", "f.yaml", "--peer-listen=127.0.0.1:1",
+                                             "--timing-source-timeout", "2s", "--check"});
+  CHECK(line.fault.empty());
+  CHECK(line.mode == ServerMode::kCheck);
+  CHECK(line.settings_file == "f.yaml");
+  CHECK(line.overrides == SettingOverrides{{"peer.listen", "127.0.0.1:1"},
+                                           {"timing.source_timeout", "2s"}});
+}
+
+TEST_CASE("What can't be read is a fault, never a guess") {
+  CHECK_FALSE(ParseCommandLine({"--peer-lis", "127.0.0.1:1"}).fault.empty());
+  CHECK_FALSE(ParseCommandLine({"--unknown"}).fault.empty());
+  CHECK_FALSE(ParseCommandLine({"--settings"}).fault.empty());
+  CHECK_FALSE(ParseCommandLine({"f.yaml"}).fault.empty());
+  CHECK_FALSE(ParseCommandLine({"--node", "a", "--node", "b"}).fault.empty());
+  CHECK_FALSE(ParseCommandLine({"--check", "--initialize"}).fault.empty());
+  CHECK(ParseCommandLine({}).fault.empty());
+}
+
+TEST_CASE("The help names every key") {
+  const std::string help = HelpText();
+  CHECK(help.find("--limits-http-body") != std::string::npos);
+  CHECK(help.find("--control-nodes") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace millstair
--- /dev/null
+++ b/test/server/front_test.cc
@@ -0,0 +1,118 @@
+#include "server/front.h"
+
+#include <catch2/catch.hpp>
+
+#include "http/problem.h"
+#include "server/metrics_page.h"
+
+namespace millstair {
+namespace {
+
+class RecordingWriter : public ResponseWriter {
+ public:
+  void SendHead(HttpResponseHead new_head) override { head = std::move(new_head); }
+  void SendBody(std::string bytes) override { body += bytes; }
+  void Finish() override { finished = true; }
+  void Abort() override { aborted = true; }
+  size_t WritableBytes() const override { return 100; }
+  void OnWritable(std::function<void()>) override {}
+  void OnCallerGone(std::function<void()>) override {}
+
+  HttpResponseHead head;
+  std::string body;
+  bool finished = false;
+  bool aborted = false;
+};
+
+class NamedHandler : public RequestHandler {
+ public:
+  explicit NamedHandler(std::string name) : name_(std::move(name)) {}
+  void Handle(HttpRequest, std::shared_ptr<ResponseWriter> writer) override {
+    if (name_ == "cutting") return writer->Abort();
+    Respond(*writer, {200, {{std::string(kOutcomeHeader), "ran"}}}, name_);
+  }
+
+ private:
+  std::string name_;
+};
+
+struct Fixture {
+  RecordingWriter& Ask(const std::string& target) {
+    Front front(targets, stats);
+    writer = std::make_shared<RecordingWriter>();
+    front.Handle({"GET", target, {}, ""}, writer);
+    return *writer;
+  }
+
+  StatsRegistry stats;
+  NamedHandler gateway{"gateway"};
+  NamedHandler operators{"operators"};
+  bool ready = true;
+  FrontTargets targets{&gateway, &operators, [this] { return ready; }, [] {}};
+  std::shared_ptr<RecordingWriter> writer;
+};
+
+TEST_CASE("Operators' paths go to the control role, all else to the gateway") {
+  Fixture fixture;
+  for (const char* path : {"/v1/sessions", "/v1/resources", "/v1/resources/Pool/a", "/v1/apply",
+                           "/v1/status?x=1", "/v1/revisions/7/lagging", "/v1/watch?after=1",
+                           "/v1/replicas/c4"}) {
+    INFO(path);
+    CHECK(fixture.Ask(path).body == "operators");
+  }
+  for (const char* path : {"/", "/v1/completions", "/v1/resourcesful", "/v1/streams/s/samples",
+                           "/gallery", "/v1/models/m/versions/1", "/livez/x"}) {
+    INFO(path);
+    CHECK(fixture.Ask(path).body == "gateway");
+  }
+}
+
+TEST_CASE("A node without a role leaves its requests to the other, or refuses them") {
+  Fixture fixture;
+  fixture.targets.gateway = nullptr;
+  CHECK(fixture.Ask("/anything").body == "operators");
+  fixture.targets.operators = nullptr;
+  const RecordingWriter& refused = fixture.Ask("/anything");
+  CHECK(refused.head.status == 404);
+  CHECK(FindHeader(refused.head.headers, kOutcomeHeader) == "not-run");
+  fixture.targets.gateway = &fixture.gateway;
+  CHECK(fixture.Ask("/v1/apply").body == "gateway");
+}
+
+TEST_CASE("The node answers for its own health") {
+  Fixture fixture;
+  CHECK(fixture.Ask("/livez").head.status == 200);
+  CHECK(fixture.Ask("/readyz").head.status == 200);
+  fixture.ready = false;
+  CHECK(fixture.Ask("/livez").head.status == 200);
+  const RecordingWriter& unready = fixture.Ask("/readyz?verbose");
+  CHECK(unready.head.status == 503);
+  CHECK(FindHeader(unready.head.headers, "Retry-After").has_value());
+}
+
+TEST_CASE("Answers are counted by status and outcome, and shown on the metrics page") {
+  Fixture fixture;
+  NamedHandler cutting("cutting");
+  fixture.Ask("/a");
+  fixture.Ask("/b");
+  fixture.targets.gateway = &cutting;
+  CHECK(fixture.Ask("/c").aborted);
+  fixture.stats.NewGauge({"millstair_test", "A gauge.", "group", "cluster"}).Set(2.5);
+  const std::string page = fixture.Ask("/metrics").body;
+  CHECK(page.find("# TYPE millstair_answers_total counter") != std::string::npos);
+  CHECK(page.find("millstair_answers_total{status=\"200\"} 2") != std::string::npos);
+  CHECK(page.find("millstair_outcomes_total{outcome=\"ran\"} 2") != std::string::npos);
+  CHECK(page.find("millstair_answers_cut_total 1") != std::string::npos);
+  CHECK(page.find("millstair_test{group=\"cluster\"} 2.5") != std::string::npos);
+}
+
+TEST_CASE("The process reports its own cost") {
+  StatsRegistry stats;
+  UpdateProcessStats(stats);
+  const std::string page = MetricsPage(stats);
+  CHECK(page.find("process_cpu_seconds_total") != std::string::npos);
+  CHECK(stats.NewGauge({"process_resident_memory_bytes"}).value() > 1024 * 1024);
+}
+
+}  // namespace
+}  // namespace millstair
