--- a/test/server/command_line_test.cc
+++ b/test/server/command_line_test.cc
@@ -11,8 +11,8 @@
   CHECK(line.fault.empty());
   CHECK(line.mode == ServerMode::kCheck);
   CHECK(line.settings_file == "f.yaml");
-  CHECK(line.overrides == SettingOverrides{{"peer.listen", "127.0.0.1:1"},
-                                           {"timing.source_timeout", "2s"}});
+  CHECK(line.overrides ==
+        SettingOverrides{{"peer.listen", "127.0.0.1:1"}, {"timing.source_timeout", "2s"}});
 }
 
 TEST_CASE("What can't be read is a fault, never a guess") {
--- a/test/server/front_test.cc
+++ b/test/server/front_test.cc
@@ -54,9 +54,9 @@
 
 TEST_CASE("Operators' paths go to the control role, all else to the gateway") {
   Fixture fixture;
-  for (const char* path : {"/v1/sessions", "/v1/resources", "/v1/resources/Pool/a", "/v1/apply",
-                           "/v1/status?x=1", "/v1/revisions/7/lagging", "/v1/watch?after=1",
-                           "/v1/replicas/c4"}) {
+  for (const char* path :
+       {"/v1/sessions", "/v1/resources", "/v1/resources/Pool/a", "/v1/apply", "/v1/status?x=1",
+        "/v1/revisions/7/lagging", "/v1/watch?after=1", "/v1/replicas/c4"}) {
     INFO(path);
     CHECK(fixture.Ask(path).body == "operators");
   }
--- a/test/server/host_check_test.cc
+++ b/test/server/host_check_test.cc
@@ -42,8 +42,7 @@
 TEST_CASE("Taken and foreign addresses are found, all at once") {
   const TemporaryFolder folder;
   boost::asio::io_context io;
-  boost::asio::ip::tcp::acceptor taken(
-      io, {boost::asio::ip::address_v4::loopback(), 0});
+  boost::asio::ip::tcp::acceptor taken(io, {boost::asio::ip::address_v4::loopback(), 0});
   ServerSettings settings = Sound(folder);
   settings.peer_listen = FormatEndpoint(taken.local_endpoint());
   settings.http_listen = "203.0.113.1:80";
--- a/test/server/server_node_test.cc
+++ b/test/server/server_node_test.cc
@@ -84,8 +84,8 @@
     {
       const auto files = PosixFileSystem::Open(settings.data_folder, {});
       REQUIRE(files.ok());
-      REQUIRE(InitializeFounder(**files, "test", NodeId(settings.node), settings.peer_address)
-                  .ok());
+      REQUIRE(
+          InitializeFounder(**files, "test", NodeId(settings.node), settings.peer_address).ok());
     }
     nodes.push_back(std::make_unique<ServerNode>(runtime, stats[index], settings));
     REQUIRE(nodes.back()->Start().message.empty());
@@ -121,9 +121,7 @@
   for (const auto& node : fleet.nodes) CHECK(WaitUntil([&] { return IsReady(*node); }));
 
   const std::string& control = fleet.nodes[0]->http_address();
-  CHECK(WaitUntil([&] {
-    return Get(control, "/v1/status").find("\"g1\"") != std::string::npos;
-  }));
+  CHECK(WaitUntil([&] { return Get(control, "/v1/status").find("\"g1\"") != std::string::npos; }));
   const std::string& gateway = fleet.nodes[3]->http_address();
   CHECK(Get(gateway, "/metrics").find("millstair_lease_valid 1") != std::string::npos);
   CHECK(Get(control, "/metrics").find("millstair_raft_applied_index{group=\"cluster\"}") !=
