Tell the commit index without asking for an answer

Cause: a lone proposal cost eight messages between three replicas; two were replies to heartbeats that only told a commit index. Change: a heartbeat with context 0 gets no reply.

--- a/source/consensus/raft_core.cc
+++ b/source/consensus/raft_core.cc
@@ -230,7 +230,7 @@
   for (auto& [replica, progress] : progress_) {
     SendEntries(replica, progress);
     const LogIndex known = std::min(progress.match(), commit_);
-    if (progress.told_commit < known) SendHeartbeat(replica, progress);
+    if (progress.told_commit < known) SendHeartbeat(replica, progress, 0);
   }
   StartReadRound();
 }
--- a/source/consensus/raft_core.h
+++ b/source/consensus/raft_core.h
@@ -148,7 +148,8 @@
   void AppendOwn(EntryType type, EntryPayload payload);
   void SendAppend(ReplicaId to, Progress& progress, uint64_t max_bytes);
   void SendEntries(ReplicaId to, Progress& progress);
-  void SendHeartbeat(ReplicaId to, Progress& progress);
+  /// With `context` 0 it only tells the commit index and gets no reply.
+  void SendHeartbeat(ReplicaId to, Progress& progress, uint64_t context);
   void BroadcastHeartbeats();
   void HandleAppend(RaftMessage message);
   void StoreEntries(std::vector<LogEntry> entries);
@@ -210,7 +211,8 @@
   std::vector<WaitingRead> waiting_reads_;
   std::vector<WaitingRead> round_reads_;
   LogIndex round_index_;
-  uint64_t round_ = 0;
+  /// Numbers of rounds start after 1, so that every heartbeat with a reply has a context.
+  uint64_t round_ = 1;
   bool round_under_way_ = false;
   /// Follower: reads covered by the request under way.
   std::vector<WaitingRead> asked_reads_;
--- a/source/consensus/raft_reads.cc
+++ b/source/consensus/raft_reads.cc
@@ -33,7 +33,7 @@
   ++round_;
   round_index_ = commit_;
   round_reads_ = std::exchange(waiting_reads_, {});
-  for (auto& [replica, progress] : progress_) SendHeartbeat(replica, progress);
+  for (auto& [replica, progress] : progress_) SendHeartbeat(replica, progress, round_);
   FinishReadRound();
 }
 
--- a/source/consensus/raft_replication.cc
+++ b/source/consensus/raft_replication.cc
@@ -69,10 +69,10 @@
   Send(std::move(message));
 }
 
-void RaftCore::SendHeartbeat(ReplicaId to, Progress& progress) {
+void RaftCore::SendHeartbeat(ReplicaId to, Progress& progress, uint64_t context) {
   RaftMessage message = MakeMessage(RaftMessageType::kHeartbeat, to);
   message.commit = std::min(progress.match(), commit_);
-  message.context = round_;
+  message.context = context;
   progress.told_commit = message.commit;
   Send(std::move(message));
 }
@@ -83,7 +83,7 @@
       // Also tells a replica that lacks the group of it: a heartbeat names no group.
       SendAppend(replica, progress, 0);
     }
-    SendHeartbeat(replica, progress);
+    SendHeartbeat(replica, progress, round_);
     const Duration patience = options_.election_timeout / 2;
     if (progress.state() == ProgressState::kSnapshot && now_ - progress.chunk_sent > patience) {
       SendSnapshotChunk(replica, progress);
@@ -174,6 +174,7 @@
   if (IsLeader()) return;
   NoteLeader(message.from);
   if (!installing_) SetCommit(std::min(message.commit, log_.last_index()));
+  if (message.context == 0) return;
   RaftMessage reply = MakeMessage(RaftMessageType::kHeartbeatReply, message.from);
   reply.context = message.context;
   Send(std::move(reply));
