--- a/source/consensus/group_host.h
+++ b/source/consensus/group_host.h
@@ -28,6 +28,7 @@
 };
 
 struct ConsensusLimits {
+  /// A snapshot is taken after this many entries, later if the state is larger than they are.
   uint64_t snapshot_after_entries = 2000;
   uint64_t max_batch_bytes = 256 * 1024;
   uint64_t snapshot_chunk_bytes = 256 * 1024;
--- a/source/consensus/group_replica.cc
+++ b/source/consensus/group_replica.cc
@@ -11,6 +11,8 @@
 
 /// Entries are applied in pieces of about this size.
 constexpr uint64_t kApplyBytes = 1 << 20;
+/// A snapshot is taken at the latest after this many times the wanted number of entries.
+constexpr uint64_t kMostSnapshotIntervals = 8;
 /// The first entry of every group is its founders' configuration, in this term.
 constexpr Term kFoundingTerm(1);
 
@@ -244,6 +246,7 @@
   std::string result;
   if (entry.type == EntryType::kCommand) result = machine_->Apply(entry.index, *entry.payload);
   applied_ = entry.index;
+  applied_bytes_ += entry.payload->size();
   const auto it = proposals_.find(entry.index);
   if (it == proposals_.end()) return;
   PendingProposal pending = std::move(it->second);
@@ -259,7 +262,13 @@
 void GroupReplica::SaveSnapshotIfDue() {
   const uint64_t limit = context_.limits.snapshot_after_entries;
   if (!failure_.ok() || log_->saving_snapshot()) return;
-  if (applied_.value() < log_->snapshot().index.value() + limit) return;
+  const uint64_t entries = applied_.value() - log_->snapshot().index.value();
+  // A state much larger than the entries since the last snapshot is written less often, so that
+  // snapshots never cost more than the log itself.
+  const bool worthwhile = applied_bytes_ >= log_->snapshot_file_bytes() ||
+                          entries >= kMostSnapshotIntervals * limit;
+  if (entries < limit || !worthwhile) return;
+  applied_bytes_ = 0;
   const LogPosition position{applied_, log_->TermAt(applied_).value_or(Term())};
   const std::string state =
       EncodeGroupSnapshot(core_->MembersAt(applied_), machine_->TakeSnapshot());
--- a/source/consensus/group_replica.h
+++ b/source/consensus/group_replica.h
@@ -130,6 +130,8 @@
   std::unique_ptr<RaftCore> core_;
   absl::Status failure_;
   LogIndex applied_;
+  /// Bytes of commands applied since the last snapshot.
+  uint64_t applied_bytes_ = 0;
   bool led_ = false;
 
   /// Deadlines grow with the index and with the ticket.
--- a/source/consensus/raft_core.cc
+++ b/source/consensus/raft_core.cc
@@ -8,6 +8,12 @@
 #include "consensus/raft_codec.h"
 
 namespace millstair {
+namespace {
+
+/// A quiet group sends only every so many heartbeats; well below the election timeout.
+constexpr int kQuietHeartbeats = 3;
+
+}  // namespace
 
 absl::StatusOr<std::unique_ptr<RaftCore>> RaftCore::Create(RaftOptions options, SegmentedLog& log,
                                                            RandomEngine& random, TimePoint now,
@@ -193,9 +199,22 @@
       now_ + DrawDuration(random_, options_.election_timeout, 2 * options_.election_timeout);
 }
 
+void RaftCore::NoteActivity() {
+  last_activity_ = now_;
+  heartbeat_due_ = std::min(heartbeat_due_, now_ + options_.heartbeat);
+}
+
+bool RaftCore::IsQuiet() const {
+  if (now_ - last_activity_ < options_.election_timeout || commit_ != log_.last_index()) return false;
+  return std::all_of(progress_.begin(), progress_.end(), [&](const auto& item) {
+    return item.second.match() == log_.last_index() && item.second.told_commit == commit_;
+  });
+}
+
 TimePoint RaftCore::NextHeartbeat() const {
   const Duration since_epoch = now_.time_since_epoch();
-  return TimePoint((since_epoch / options_.heartbeat + 1) * options_.heartbeat);
+  const Duration period = IsQuiet() ? kQuietHeartbeats * options_.heartbeat : options_.heartbeat;
+  return TimePoint((since_epoch / period + 1) * period);
 }
 
 void RaftCore::NoteLeader(ReplicaId leader) {
--- a/source/consensus/raft_core.h
+++ b/source/consensus/raft_core.h
@@ -128,6 +128,10 @@
   void ResetElectionTimer();
   /// Heartbeats of all groups of a node fall due together, so that they travel in one batch.
   TimePoint NextHeartbeat() const;
+  /// A quiet group beats at its normal pace again.
+  void NoteActivity();
+  /// Nothing was asked for a while and all members have everything.
+  bool IsQuiet() const;
   void NoteLeader(ReplicaId leader);
   bool HearsLeader() const;
 
@@ -191,6 +195,8 @@
   TimePoint election_due_;
   TimePoint heartbeat_due_;
   TimePoint led_since_;
+  /// Last entry or read, while leader.
+  TimePoint last_activity_;
   LogIndex commit_;
   ConfigurationHistory configurations_;
   bool removed_ = false;
--- a/source/consensus/raft_reads.cc
+++ b/source/consensus/raft_reads.cc
@@ -30,6 +30,7 @@
   // Until an entry of the own term is committed, the leader does not know what is committed.
   if (round_under_way_ || waiting_reads_.empty() || commit_ < first_own_entry_) return;
   round_under_way_ = true;
+  NoteActivity();
   ++round_;
   round_index_ = commit_;
   round_reads_ = std::exchange(waiting_reads_, {});
--- a/source/consensus/raft_replication.cc
+++ b/source/consensus/raft_replication.cc
@@ -15,6 +15,7 @@
 }  // namespace
 
 void RaftCore::AppendOwn(EntryType type, EntryPayload payload) {
+  NoteActivity();
   log_.Append({{Next(log_.last_index()), term(), type, std::move(payload)}});
   if (options_.faults.ack_before_sync) AdvanceCommit();
 }
--- a/test/consensus/fault_scenarios_test.cc
+++ b/test/consensus/fault_scenarios_test.cc
@@ -57,6 +57,33 @@
   REQUIRE(VoterForgets(faults));
 }
 
+/// All nodes lose power while their disks are slow. Whether an acknowledged command was lost.
+bool AcknowledgedIsLost(const ConsensusFaults& faults) {
+  ConsensusFleet fleet(3, 14, WithFaults(faults));
+  if (!fleet.RunUntilLeader()) return false;
+  bool acknowledged = false;
+  fleet.scheduler.RunFor(seconds(1));
+  for (auto& [id, node] : fleet.nodes) node->files->SetSyncTime(seconds(2), seconds(2));
+  fleet.Leader()->Propose("kept", [&](const absl::StatusOr<std::string>& result) {
+    acknowledged = result.ok();
+  });
+  fleet.scheduler.RunFor(milliseconds(500));
+  for (const auto& [id, node] : fleet.nodes) fleet.Crash(id);
+  for (const auto& [id, node] : fleet.nodes) {
+    node->files->SetSyncTime(milliseconds(1), milliseconds(1));
+    fleet.Restart(id);
+  }
+  if (!fleet.RunUntilLeader()) return false;
+  return acknowledged && fleet.Machine(fleet.LeaderNode())->commands.empty();
+}
+
+TEST_CASE("entries are durable before they are acknowledged") {
+  ConsensusFaults faults;
+  REQUIRE_FALSE(AcknowledgedIsLost(faults));
+  faults.ack_before_sync = true;
+  REQUIRE(AcknowledgedIsLost(faults));
+}
+
 /// Figure 8 of the Raft paper with three replicas: an entry of an earlier term reaches a quorum and
 /// is overwritten later. Whether an applied command was lost.
 bool EarlierTermIsOverwritten(const ConsensusFaults& faults) {
