--- a/source/consensus/group_replica.cc
+++ b/source/consensus/group_replica.cc
@@ -265,8 +265,8 @@
   const uint64_t entries = applied_.value() - log_->snapshot().index.value();
   // A state much larger than the entries since the last snapshot is written less often, so that
   // snapshots never cost more than the log itself.
-  const bool worthwhile = applied_bytes_ >= log_->snapshot_file_bytes() ||
-                          entries >= kMostSnapshotIntervals * limit;
+  const bool worthwhile =
+      applied_bytes_ >= log_->snapshot_file_bytes() || entries >= kMostSnapshotIntervals * limit;
   if (entries < limit || !worthwhile) return;
   applied_bytes_ = 0;
   const LogPosition position{applied_, log_->TermAt(applied_).value_or(Term())};
--- a/source/consensus/raft_core.cc
+++ b/source/consensus/raft_core.cc
@@ -205,7 +205,8 @@
 }
 
 bool RaftCore::IsQuiet() const {
-  if (now_ - last_activity_ < options_.election_timeout || commit_ != log_.last_index()) return false;
+  if (now_ - last_activity_ < options_.election_timeout || commit_ != log_.last_index())
+    return false;
   return std::all_of(progress_.begin(), progress_.end(), [&](const auto& item) {
     return item.second.match() == log_.last_index() && item.second.told_commit == commit_;
   });
--- a/test/consensus/fault_scenarios_test.cc
+++ b/test/consensus/fault_scenarios_test.cc
@@ -64,9 +64,8 @@
   bool acknowledged = false;
   fleet.scheduler.RunFor(seconds(1));
   for (auto& [id, node] : fleet.nodes) node->files->SetSyncTime(seconds(2), seconds(2));
-  fleet.Leader()->Propose("kept", [&](const absl::StatusOr<std::string>& result) {
-    acknowledged = result.ok();
-  });
+  fleet.Leader()->Propose(
+      "kept", [&](const absl::StatusOr<std::string>& result) { acknowledged = result.ok(); });
   fleet.scheduler.RunFor(milliseconds(500));
   for (const auto& [id, node] : fleet.nodes) fleet.Crash(id);
   for (const auto& [id, node] : fleet.nodes) {
