Look at further engines before refusing for the deadline; keep the limit of plain back ends

Cause: the one engine drawn decided over a refusal for the deadline; a plain back end beyond its adaptive limit got work when all were; a hedge could go to the very server it hedged against; engines that may take no work pulled the mean load down. Change: up to three further engines are looked at; the limit holds and the request waits; a hedge goes elsewhere or not at all; only engines that may take work count for the mean; rollouts do not teach the length of live requests.

--- a/source/gateway/completion_flow.cc
+++ b/source/gateway/completion_flow.cc
@@ -12,6 +12,8 @@
 /// How often a request that no engine can take looks again, and for how long.
 constexpr Duration kWaitInterval = std::chrono::milliseconds(20);
 constexpr Duration kLongestWait = std::chrono::seconds(3);
+/// Further engines that are looked at before a request is refused for its deadline.
+constexpr int kFurtherLooks = 3;
 /// How often a broken generation looks whether the lease is back.
 constexpr Duration kLeaseInterval = std::chrono::milliseconds(100);
 
@@ -100,6 +102,7 @@
   }
   if (placement) {
     waiting_ = false;
+    placement = LookFurther(*std::move(placement));
     if (!RefusedAsTooLate(*placement)) StartAttempt(*std::move(placement));
     return;
   }
@@ -116,6 +119,22 @@
   retry_timer_.Arm(kWaitInterval, [this] { PlaceOrWait(); });
 }
 
+Placement CompletionFlow::LookFurther(Placement placement) {
+  if (may_have_run()) return placement;
+  const std::set<EngineName> excluded = routing_.excluded;
+  for (int i = 0; i < kFurtherLooks && placement.choice.estimate > TimeLeft(); ++i) {
+    routing_.excluded.insert(placement.choice.engine);
+    std::optional<Placement> other = context_.router.Place(request_.group->key(), routing_);
+    if (!other) break;
+    const bool better = other->choice.estimate < placement.choice.estimate;
+    if (better) std::swap(placement, *other);
+    context_.router.End(other->id, {.end = PlacementEnd::kCancelled});
+    if (!better) routing_.excluded.insert(other->choice.engine);
+  }
+  routing_.excluded = excluded;
+  return placement;
+}
+
 bool CompletionFlow::RefusedAsTooLate(const Placement& placement) {
   if (may_have_run() || placement.choice.estimate <= TimeLeft()) return false;
   const Duration excess = placement.choice.estimate - TimeLeft();
--- a/source/gateway/completion_flow.h
+++ b/source/gateway/completion_flow.h
@@ -30,6 +30,8 @@
 
   void PlaceOrWait();
   void StartAttempt(Placement placement);
+  /// A better engine, if the estimate of the one drawn goes beyond the deadline.
+  Placement LookFurther(Placement placement);
   /// The engine's estimate goes beyond the deadline; the request was refused.
   bool RefusedAsTooLate(const Placement& placement);
   void OnChunk(const GenerateChunk& chunk);
--- a/source/gateway/plain_flow.cc
+++ b/source/gateway/plain_flow.cc
@@ -107,7 +107,7 @@
 
 void PlainFlow::TryOrWait() {
   if (!CheckLease()) return;
-  if (SendTry()) {
+  if (SendTry(true)) {
     waiting_ = false;
     ArmHedge();
     return;
@@ -123,12 +123,12 @@
   retry_timer_.Arm(kWaitInterval, [this] { TryOrWait(); });
 }
 
-bool PlainFlow::SendTry() {
+bool PlainFlow::SendTry(bool again) {
   RoutingRequest routing;
   routing.priority = request_.meta.priority;
   routing.excluded = tried_;
   std::optional<Placement> placement = context_.router.Place(request_.group->key(), routing);
-  if (!placement && !tried_.empty()) {
+  if (!placement && again && !tried_.empty()) {
     routing.excluded.clear();
     placement = context_.router.Place(request_.group->key(), routing);
   }
@@ -146,7 +146,7 @@
   hedge_timer_.Arm(after, [this] {
     if (ended() || head_sent_ || calls_.size() != 1) return;
     if (!LeaseHeld() || !context_.retry_budget.Spend()) return;
-    if (SendTry()) ++context_.counters.hedges;
+    if (SendTry(false)) ++context_.counters.hedges;
   });
 }
 
--- a/source/gateway/plain_flow.h
+++ b/source/gateway/plain_flow.h
@@ -25,8 +25,9 @@
  private:
   class BackEndCall;
 
-  /// Sends one try; false if no back end may take it now.
-  bool SendTry();
+  /// Sends one try; false if no back end may take it now. A back end that was tried already is
+  /// taken again only if `again`.
+  bool SendTry(bool again);
   void TryOrWait();
   void ArmHedge();
   void OnHead(BackEndCall& call, const HttpResponseHead& head);
--- a/source/routing/engine_choice.cc
+++ b/source/routing/engine_choice.cc
@@ -31,7 +31,7 @@
   if (!request.excluded.empty() && request.excluded.contains(engine.name)) return false;
   const TimePoint now = environment_.Now();
   if (!desperate && engine.ejection.Ejected(now)) return false;
-  if (workload.plain) return desperate || engine.load.outstanding() < engine.concurrency.limit();
+  if (workload.plain) return engine.load.outstanding() < engine.concurrency.limit();
   if (!engine.load.has_report() || engine.in_doubt) return false;
   const EngineReport& report = engine.load.report();
   if (report.shards != ShardState::kConsistent || report.active_version == WeightVersion()) {
@@ -107,13 +107,18 @@
   list.worked_out_at = now;
   double sum = 0;
   double least = std::numeric_limits<double>::max();
+  double counted = 0;
   for (const EngineSlot slot : list.slots) {
-    const double sequences = engines_[slot]->load.Sequences();
+    const EngineView& engine = *engines_[slot];
+    if (engine.Leaving() || engine.in_doubt || engine.ejection.Ejected(now)) continue;
+    if (engine.type == EngineType::kModel && !engine.load.has_report()) continue;
+    const double sequences = engine.load.Sequences();
     sum += sequences;
     least = std::min(least, sequences);
+    ++counted;
   }
-  list.mean_sequences = list.slots.empty() ? 0 : sum / static_cast<double>(list.slots.size());
-  list.least_sequences = list.slots.empty() ? 0 : least;
+  list.mean_sequences = counted == 0 ? 0 : sum / counted;
+  list.least_sequences = counted == 0 ? 0 : least;
 }
 
 bool EngineRouter::DrawAccepted(const CandidateList& list, EngineSlot slot) {
--- a/source/routing/engine_router.cc
+++ b/source/routing/engine_router.cc
@@ -49,6 +49,12 @@
   fleet_.gateways = home_gateways_;
   RebuildEngines(configuration);
   RebuildWorkloads(configuration);
+  const bool engines_here =
+      std::any_of(engines_.begin(), engines_.end(), [this](const auto& engine) {
+        return engine->zone == options_.zone && engine->state == MemberState::kLive;
+      });
+  // A zone without engines uses those of others, with all the other gateways.
+  if (!engines_here) fleet_.gateways = std::max(1U, observers_.gateway_count());
 }
 
 void EngineRouter::RebuildEngines(const Configuration& configuration) {
@@ -270,7 +276,8 @@
   }
   fleet_.mean_tokens = Smooth(fleet_.mean_tokens, outcome.tokens);
   fleet_.mean_residence_seconds = Smooth(fleet_.mean_residence_seconds, ToSeconds(outcome.elapsed));
-  if (placement.work.expected_tokens > 0) {
+  // Rollouts bring an expectation of their own.
+  if (placement.priority != RequestPriority::kRollout && placement.work.expected_tokens > 0) {
     const double ratio = outcome.tokens / static_cast<double>(placement.work.expected_tokens);
     const double sample = std::clamp(length_share_ * ratio, 0.01, 1.0);
     length_share_ += kSmoothing * 0.2 * (sample - length_share_);
