--- a/source/weights/weight_duty.cc
+++ b/source/weights/weight_duty.cc
@@ -40,9 +40,12 @@
 
   void Observe(const NodeId&, const EngineObservation& observation) override {
     EngineObservation& known = observed_[observation.engine];
-    // Reports of two observers may cross; a later life of the engine replaces an earlier one.
     if (observation.incarnation < known.incarnation) return;
-    known = observation;
+    if (observation.incarnation > known.incarnation) known = observation;
+    // Gateways repeat what they saw long ago. Versions count up, so within one life of the engine
+    // the largest ones are the newest word.
+    known.staged = std::max(known.staged, observation.staged);
+    known.active = std::max(known.active, observation.active);
     for (auto& [model, progress] : progress_) {
       if (progress.status.active < progress.status.staged) RunModel(progress);
     }
--- a/test/weights/reconciler_test.cc
+++ b/test/weights/reconciler_test.cc
@@ -55,6 +55,29 @@
   }
 }
 
+TEST_CASE("a gateway that repeats an old observation does not hold a version up") {
+  WeightFleet fleet(4);
+  fleet.Publish(1);
+  REQUIRE(fleet.RunUntilServing(1));
+  fleet.Publish(2);
+  const Duration published = fleet.scheduler.Now();
+  const auto repeat_old = [&] {
+    for (int i = 0; i < 4; ++i) {
+      EngineObservation old;
+      old.engine = WeightFleet::Name(i);
+      old.incarnation = fleet.models[static_cast<size_t>(i)]->incarnation();
+      old.active = WeightVersion(1);
+      fleet.duty->Observe(NodeId("other"), old);
+    }
+  };
+  for (int i = 0; i < 40 && fleet.Serving(2) < 4; ++i) {
+    fleet.scheduler.RunFor(std::chrono::milliseconds(100));
+    repeat_old();
+  }
+  REQUIRE(fleet.Serving(2) == 4);
+  REQUIRE(fleet.activated_at - published < std::chrono::seconds(3));
+}
+
 TEST_CASE("the live capacity floor is kept while engines swap") {
   WeightFleet fleet(8);
   fleet.Publish(1);
