Let ceil(w * bound) steps run ahead

Cause: at a small idle time weight no step ran ahead at all, so that trainers waited for whole steps. Change: ceil(w * bound) steps ahead; the hold of the shorter samples keeps them fresh.

--- a/source/rollout/work_schedule.cc
+++ b/source/rollout/work_schedule.cc
@@ -89,8 +89,8 @@
   if (!situation.tail_handling || !rank.not_urgent) return true;
   const double weight = std::clamp(situation.idle_time_weight, 0.0, 1.0);
   const auto by_weight = static_cast<uint64_t>(
-      std::floor(weight * static_cast<double>(situation.staleness_bound + 1)));
-  if (steps_before > std::min(situation.staleness_bound, by_weight)) return false;
+      std::ceil(weight * static_cast<double>(situation.staleness_bound)));
+  if (steps_before > by_weight) return false;
   const StepQueue& queue = queues_.at(rank.step_sequence);
   const uint32_t started = queue.samples - std::min(queue.samples, queue.waiting);
   if (started < weight * queue.samples) return true;
