--- a/source/rollout/work_schedule.cc
+++ b/source/rollout/work_schedule.cc
@@ -88,8 +88,8 @@
                             uint64_t steps_before) const {
   if (!situation.tail_handling || !rank.not_urgent) return true;
   const double weight = std::clamp(situation.idle_time_weight, 0.0, 1.0);
-  const auto by_weight = static_cast<uint64_t>(
-      std::ceil(weight * static_cast<double>(situation.staleness_bound)));
+  const auto by_weight =
+      static_cast<uint64_t>(std::ceil(weight * static_cast<double>(situation.staleness_bound)));
   if (steps_before > by_weight) return false;
   const StepQueue& queue = queues_.at(rank.step_sequence);
   const uint32_t started = queue.samples - std::min(queue.samples, queue.waiting);
--- a/source/rollout/work_schedule.h
+++ b/source/rollout/work_schedule.h
@@ -1,7 +1,8 @@
 /// Which open sample is started next, and which are held back for fresher weights.
 ///
 /// One setting drives it: w = StreamSpec.idle_time_weight, 0..1.
-/// - Steps ahead: a step may start while at most ceil(w * staleness bound) older ones are unfinished.
+/// - Steps ahead: a step may start while at most ceil(w * staleness bound) older ones are
+/// unfinished.
 /// - Hold: of a step that the trainer does not wait for, the longest share w of the samples starts
 ///   at once; the shorter rest is held until the next version is out, but not beyond kHoldSlack
 ///   times the learned interval of publishing.
