--- a/emulator/model/batch_scheduler.h
+++ b/emulator/model/batch_scheduler.h
@@ -98,7 +98,7 @@
   struct WaitKey {
     uint8_t reverse_priority = 0;
     SequenceId id = 0;
-    friend auto operator<=>(const WaitKey&, const WaitKey&) = default;
+    friend auto operator<=>(const WaitKey&, const WaitKey&) = default;  // NOLINT
   };
   static WaitKey KeyOf(const Sequence& sequence);
 
--- a/emulator/model/platform_models.h
+++ b/emulator/model/platform_models.h
@@ -38,7 +38,7 @@
   std::string path;
   /// Idempotency-Key; empty without one.
   std::string key;
-  friend auto operator<=>(const ExecutionKey&, const ExecutionKey&) = default;
+  friend auto operator<=>(const ExecutionKey&, const ExecutionKey&) = default;  // NOLINT
 };
 
 struct ExecutionRecord {
--- a/simulator/checks/linearizability.cc
+++ b/simulator/checks/linearizability.cc
@@ -24,7 +24,7 @@
   int writer = -1;
   /// Largest version that was ever stored; versions only grow.
   uint64_t largest = 0;
-  auto operator<=>(const Register&) const = default;
+  auto operator<=>(const Register&) const = default;  // NOLINT
 };
 
 enum class Verdict { kLinearizable, kBroken, kUndecided };
--- a/source/cluster/command_service.h
+++ b/source/cluster/command_service.h
@@ -31,7 +31,7 @@
   struct Running {
     NodeId from;
     uint64_t id = 0;
-    friend auto operator<=>(const Running&, const Running&) = default;
+    friend auto operator<=>(const Running&, const Running&) = default;  // NOLINT
   };
 
   void PassOn(const NodeId& from, GroupCommand command);
--- a/source/cluster/session_table.h
+++ b/source/cluster/session_table.h
@@ -65,7 +65,7 @@
   struct Use {
     WallTime last_used;
     ClientId client;
-    friend auto operator<=>(const Use&, const Use&) = default;
+    friend auto operator<=>(const Use&, const Use&) = default;  // NOLINT
   };
 
   void Touch(const ClientId& client, Session& session, WallTime now);
--- a/source/common/strong_id.h
+++ b/source/common/strong_id.h
@@ -24,7 +24,7 @@
 
   constexpr const Rep& value() const { return value_; }
 
-  friend constexpr auto operator<=>(const StrongId&, const StrongId&) = default;
+  friend constexpr auto operator<=>(const StrongId&, const StrongId&) = default;  // NOLINT
   friend constexpr bool operator==(const StrongId&, const StrongId&) = default;
 
   template <class H>
--- a/source/limits/admission.h
+++ b/source/limits/admission.h
@@ -49,7 +49,7 @@
   struct Rank {
     int negative_priority = 0;
     uint64_t arrival = 0;
-    friend auto operator<=>(const Rank&, const Rank&) = default;
+    friend auto operator<=>(const Rank&, const Rank&) = default;  // NOLINT
   };
   using Callback = std::function<void(std::optional<AdmissionRefused>)>;
 
--- a/source/limits/fair_share.cc
+++ b/source/limits/fair_share.cc
@@ -14,7 +14,7 @@
 struct Candidate {
   double filled = 0;
   size_t index = 0;
-  friend auto operator<=>(const Candidate&, const Candidate&) = default;
+  friend auto operator<=>(const Candidate&, const Candidate&) = default;  // NOLINT
 };
 
 double Filled(const FairClaim& claim, uint32_t granted) {
--- a/source/resources/resource.h
+++ b/source/resources/resource.h
@@ -129,7 +129,7 @@
 struct ResourceKey {
   ResourceKind kind = ResourceKind::kMachine;
   std::string name;
-  friend auto operator<=>(const ResourceKey&, const ResourceKey&) = default;
+  friend auto operator<=>(const ResourceKey&, const ResourceKey&) = default;  // NOLINT
 };
 
 struct Resource {
--- a/source/rollout/stream_data.h
+++ b/source/rollout/stream_data.h
@@ -21,7 +21,7 @@
 struct SampleKey {
   uint64_t step_sequence = 0;
   uint32_t index = 0;
-  friend auto operator<=>(const SampleKey&, const SampleKey&) = default;
+  friend auto operator<=>(const SampleKey&, const SampleKey&) = default;  // NOLINT
 };
 
 enum class SampleState : uint8_t {
--- a/source/rollout/work_schedule.h
+++ b/source/rollout/work_schedule.h
@@ -60,7 +60,7 @@
     uint64_t step_sequence = 0;
     uint32_t shortness = 0;
     uint32_t index = 0;
-    friend auto operator<=>(const Rank&, const Rank&) = default;
+    friend auto operator<=>(const Rank&, const Rank&) = default;  // NOLINT
   };
   struct StepQueue {
     uint32_t samples = 0;
--- a/source/runtime/runtime_environment.cc
+++ b/source/runtime/runtime_environment.cc
@@ -53,7 +53,7 @@
   struct Key {
     TimePoint deadline;
     uint64_t id = 0;
-    friend auto operator<=>(const Key&, const Key&) = default;
+    friend auto operator<=>(const Key&, const Key&) = default;  // NOLINT
   };
 
   void ArmForFirst() {
