--- a/source/runtime/runtime.h
+++ b/source/runtime/runtime.h
@@ -34,7 +34,7 @@
   std::shared_ptr<SerialExecutor> NewExecutor();
   /// Runs blocking work off the decision arena.
   void RunInBackground(std::function<void()> work);
-  /// Ends the I/O threads, and waits for background work. Executors are stopped by their owners.
+  /// Waits for what is queued and ends all threads. Executors are stopped by their owners before.
   void Stop();
 
  private:
--- a/test/runtime/runtime_test.cc
+++ b/test/runtime/runtime_test.cc
@@ -47,6 +47,22 @@
   for (const auto& executor : executors) executor->Stop();
 }
 
+TEST_CASE("Several runtimes of one process don't take each other's workers") {
+  std::vector<std::unique_ptr<Runtime>> runtimes;
+  std::vector<std::shared_ptr<SerialExecutor>> executors;
+  for (int i = 0; i < 8; ++i) {
+    runtimes.push_back(std::make_unique<Runtime>(RuntimeOptions{.workers = 4}));
+    executors.push_back(runtimes.back()->NewExecutor());
+  }
+  for (size_t i = 0; i < executors.size(); ++i) {
+    std::promise<void> background;
+    runtimes[i]->RunInBackground([&background] { background.set_value(); });
+    background.get_future().wait();
+    CHECK(executors[i]->PostAndWait([] {}));
+    executors[i]->Stop();
+  }
+}
+
 TEST_CASE("A stopped executor drops its tasks and runs no further ones") {
   Runtime runtime;
   const auto executor = runtime.NewExecutor();
