Run whole fleets: real control nodes, gateways and rollouts under seeded faults

Change: control machines run stream leaders and the weight duty; product faults reach all parts; fault lists may name time and target, so that a reduced failure can be run again; `--show` prints a history. Clients: a caller whose connection is refused goes to the next gateway, an operator opens one session at a time (two answers had reset the sequence and reused it for another change), and a planned stop closes the listener before the process ends. A repair counts as done once the lost voter is no member any more. A machine that is live again in the platform's list ends all that was said of it before.

--- a/simulator/clients/callers.cc
+++ b/simulator/clients/callers.cc
@@ -83,7 +83,10 @@
       call.end = CallEnd::kUnanswered;
       break;
   }
-  if (call.end != CallEnd::kComplete) return;
+  if (call.end != CallEnd::kComplete) {
+    call.body = answer.body;
+    return;
+  }
   if (call.kind == CallKind::kCompletion) {
     ReadCompletion(answer, call);
   } else {
@@ -214,27 +217,39 @@
 
 void Callers::Send(CallTry call, size_t gateway, HttpRequest request,
                    std::function<void(const CallTry&, const WholeAnswer&)> ended) {
-  const NodePlan& target = plan_.gateways[gateway];
-  call.gateway = target.node;
   call.sent = surroundings_.Now();
   const size_t index = surroundings_.history.calls.size();
   surroundings_.history.calls.push_back(std::move(call));
-  const RequestClient::Id id =
-      client_.Send(target.http_address, std::move(request), kPatience,
-                   [this, index, ended = std::move(ended)](const WholeAnswer& answer) {
-                     CallTry& recorded = surroundings_.history.calls[index];
-                     TakeAnswer(recorded, answer, surroundings_.Now());
-                     const CallTry copy = recorded;
-                     if (ended) ended(copy, answer);
-                   });
+  Connect(index, gateway, plan_.gateways.size() - 1, std::move(request), std::move(ended));
   if (!DrawChance(random_, kGoAway)) return;
-  surroundings_.scheduler.Schedule(kGoAwayAfter, [this, id, index] {
+  surroundings_.scheduler.Schedule(kGoAwayAfter, [this, index] {
     CallTry& recorded = surroundings_.history.calls[index];
     if (recorded.ended) return;
     recorded.end = CallEnd::kAbandoned;
     recorded.ended = surroundings_.Now();
-    client_.Drop(id);
+    client_.Drop(under_way_[index]);
+    under_way_.erase(index);
   });
 }
 
+void Callers::Connect(size_t index, size_t gateway, size_t left, HttpRequest request,
+                      std::function<void(const CallTry&, const WholeAnswer&)> ended) {
+  const NodePlan& target = plan_.gateways[gateway];
+  surroundings_.history.calls[index].gateway = target.node;
+  HttpRequest copy = request;
+  under_way_[index] = client_.Send(
+      target.http_address, std::move(copy), kPatience,
+      [this, index, gateway, left, request = std::move(request),
+       ended = std::move(ended)](const WholeAnswer& answer) {
+        if (answer.end == AnswerEnd::kNotSent && left > 0) {
+          Connect(index, (gateway + 1) % plan_.gateways.size(), left - 1, request, ended);
+          return;
+        }
+        under_way_.erase(index);
+        TakeAnswer(surroundings_.history.calls[index], answer, surroundings_.Now());
+        const CallTry recorded = surroundings_.history.calls[index];
+        if (ended) ended(recorded, answer);
+      });
+}
+
 }  // namespace millstair::simulator
--- a/simulator/clients/callers.h
+++ b/simulator/clients/callers.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -38,6 +40,9 @@
   /// Sends `request` for `call` and records how it ended.
   void Send(checks::CallTry call, size_t gateway, HttpRequest request,
             std::function<void(const checks::CallTry&, const WholeAnswer&)> ended);
+  /// Sends to `gateway`, and to the others in turn while no connection comes about.
+  void Connect(size_t index, size_t gateway, size_t left, HttpRequest request,
+               std::function<void(const checks::CallTry&, const WholeAnswer&)> ended);
   size_t DrawGateway();
   std::string NextTryId(std::string_view kind);
   std::string NextPrompt();
@@ -48,6 +53,8 @@
   PromptRegistry& prompts_;
   RandomEngine random_;
   RequestClient client_;
+  /// Request under way of each call in the history, for callers that go away.
+  std::map<size_t, RequestClient::Id> under_way_;
   Duration until_{0};
   uint64_t next_try_ = 1;
 };
--- a/simulator/clients/operator_client.cc
+++ b/simulator/clients/operator_client.cc
@@ -92,9 +92,14 @@
                  boost::json::error_code error;
                  boost::json::value value;
                  if (Accepts(answer)) value = boost::json::parse(answer.body, error);
-                 if (!error && value.is_object()) session_ = TextIn(value.as_object(), "session");
-                 if (!session_.empty()) {
+                 std::string opened;
+                 if (!error && value.is_object()) opened = TextIn(value.as_object(), "session");
+                 // Another change may have opened one meanwhile; its numbers go on.
+                 if (session_.empty() && !opened.empty()) {
+                   session_ = opened;
                    next_sequence_ = 1;
+                 }
+                 if (!session_.empty()) {
                    then();
                    return;
                  }
@@ -177,8 +182,18 @@
   const size_t demand = surroundings_.history.demands.size();
   surroundings_.history.demands.push_back(
       {"change of " + resource.name, surroundings_.Now(), std::nullopt});
-  change.done = [this, demand, done = std::move(done)](const WholeAnswer* answer) {
-    if (answer == nullptr || !Accepts(*answer)) return;
+  SendPut(std::move(change), demand, std::move(done));
+}
+
+void OperatorClient::SendPut(Change change, size_t demand, std::function<void(Revision)> done) {
+  const Change again = change;
+  change.done = [this, again, demand, done = std::move(done)](const WholeAnswer* answer) {
+    if (answer == nullptr || answer->status == kGone) {
+      // Its session expired before it was answered. It can be done twice, so it is done anew.
+      SendPut(again, demand, done);
+      return;
+    }
+    if (!Accepts(*answer)) return;
     surroundings_.history.demands[demand].done = surroundings_.Now();
     const Revision revision = VersionIn(answer->headers);
     Accepted(revision);
--- a/simulator/clients/operator_client.h
+++ b/simulator/clients/operator_client.h
@@ -49,6 +49,7 @@
     std::function<void(const WholeAnswer*)> done;
   };
 
+  void SendPut(Change change, size_t demand, std::function<void(Revision)> done);
   void OpenSession(std::function<void()> then);
   void Begin(Change change);
   void Send(Change change);
--- a/simulator/faults/backend_faults.cc
+++ b/simulator/faults/backend_faults.cc
@@ -74,8 +74,14 @@
       *shown = RecordLeaving(world, engine.plan().name, checks::LeavingSource::kPlatformList);
     }
   });
-  fault.heal = [&world, &engine, address, shown] {
-    if (*shown) world.history().leaving[**shown].until = world.scheduler().Now();
+  fault.heal = [&world, &engine, address] {
+    // Also ends what another fault of this kind said of the same machine.
+    for (checks::BackendLeaving& leaving : world.history().leaving) {
+      const bool listed = leaving.source == checks::LeavingSource::kPlatformList;
+      if (listed && leaving.backend == engine.plan().name && !leaving.until) {
+        leaving.until = world.scheduler().Now();
+      }
+    }
     world.platform().list().SetState(address, MachineState::kLive);
     // The machine was taken and another came in its place.
     engine.TakeDown();
--- a/simulator/faults/fault_plan.cc
+++ b/simulator/faults/fault_plan.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <map>
 #include <random>
 
@@ -123,19 +125,54 @@
   return plan;
 }
 
+std::string FormatFault(const PlannedFault& fault) {
+  return fmt::format("{}@{}+{}/{}", FaultName(fault.kind), fault.begin.count(),
+                     fault.length.count(), fault.seed);
+}
+
+namespace {
+
+/// Reads "name@begin+length/seed".
+absl::StatusOr<PlannedFault> ParseWholeFault(std::string_view text) {
+  const size_t at = text.find('@');
+  const absl::StatusOr<FaultKind> kind = ParseFault(text.substr(0, at));
+  if (!kind.ok()) return kind.status();
+  uint64_t begin = 0;
+  uint64_t length = 0;
+  uint64_t seed = 0;
+  int end = 0;
+  const std::string numbers(text.substr(at));
+  const int read = std::sscanf(numbers.c_str(), "@%" SCNu64 "+%" SCNu64 "/%" SCNu64 "%n", &begin,
+                               &length, &seed, &end);
+  if (read != 3 || static_cast<size_t>(end) != numbers.size()) {
+    return absl::InvalidArgumentError(fmt::format("'{}' is not name@begin+length/seed", text));
+  }
+  return PlannedFault{*kind, Duration(begin), Duration(length), seed};
+}
+
+}  // namespace
+
 absl::StatusOr<FaultPlan> ParseFaultList(std::string_view list, uint64_t seed, Duration length) {
   if (list == "none" || list.empty()) return FaultPlan();
   if (list == "default") return DrawDefaultFaults(seed, length);
-  std::vector<FaultKind> kinds;
+  FaultPlan plan;
+  std::map<FaultKind, uint64_t> instances;
   size_t begin = 0;
   while (begin <= list.size()) {
     const size_t end = std::min(list.find(',', begin), list.size());
-    const absl::StatusOr<FaultKind> kind = ParseFault(list.substr(begin, end - begin));
-    if (!kind.ok()) return kind.status();
-    kinds.push_back(*kind);
+    const std::string_view item = list.substr(begin, end - begin);
     begin = end + 1;
+    if (item.find('@') != std::string_view::npos) {
+      const absl::StatusOr<PlannedFault> fault = ParseWholeFault(item);
+      if (!fault.ok()) return fault.status();
+      plan.push_back(*fault);
+      continue;
+    }
+    const absl::StatusOr<FaultKind> kind = ParseFault(item);
+    if (!kind.ok()) return kind.status();
+    plan.push_back(DrawFault(seed, length, *kind, instances[*kind]++));
   }
-  return DrawFaults(seed, length, kinds);
+  return plan;
 }
 
 }  // namespace millstair::simulator
--- a/simulator/faults/fault_plan.h
+++ b/simulator/faults/fault_plan.h
@@ -74,7 +74,11 @@
 /// One fault of each of `kinds`, in order; a kind may stand in the list several times.
 FaultPlan DrawFaults(uint64_t seed, Duration length, const std::vector<FaultKind>& kinds);
 
-/// Comma-separated names, "default" for the default mix, or "none".
+/// Comma-separated faults, "default" for the default mix, or "none". A fault is a name, whose time
+/// and target are drawn, or all of it as `FormatFault` writes it.
 absl::StatusOr<FaultPlan> ParseFaultList(std::string_view list, uint64_t seed, Duration length);
 
+/// "name@begin+length/seed", times in microseconds; `ParseFaultList` reads it back.
+std::string FormatFault(const PlannedFault& fault);
+
 }  // namespace millstair::simulator
--- a/simulator/fleet/control_machine.cc
+++ b/simulator/fleet/control_machine.cc
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include "rollout/stream_factory.h"
+#include "weights/weight_duty.h"
+
 namespace millstair::simulator {
 namespace {
 
@@ -11,11 +14,13 @@
 }  // namespace
 
 ControlMachine::ControlMachine(Surroundings& surroundings, const DeploymentPlan& plan, size_t index,
-                               std::shared_ptr<const ProductFaults> faults)
+                               const FleetOptions& options)
     : surroundings_(surroundings),
       deployment_(plan),
       plan_(plan.controls[index]),
-      faults_(std::move(faults)),
+      faults_(options.product_faults ? options.product_faults
+                                     : std::make_shared<const ProductFaults>()),
+      tail_handling_(options.tail_handling),
       host_(surroundings.network.AddHost(plan_.node.value(), plan_.zone)),
       boot_environment_(surroundings.scheduler, surroundings.DrawSeed()),
       disk_(boot_environment_, surroundings.DrawSeed()) {
@@ -45,6 +50,9 @@
   }
   const Incarnation stopping = incarnation_;
   node_->Drain([this, stopping, pause, done = std::move(done)]() mutable {
+    if (node_ != nullptr && incarnation_ == stopping) {
+      surroundings_.http.StopAccepting(plan_.http_address);
+    }
     surroundings_.scheduler.Schedule(kExitTime, [this, stopping, pause, done = std::move(done)] {
       // A fault may have ended the process before it was drained.
       if (node_ != nullptr && incarnation_ == stopping) {
@@ -76,6 +84,8 @@
                                 control.node, control.peer_address, true});
   }
   options.platform_list = deployment_.machine_list;
+  options.faults = faults_->cluster;
+  options.consensus_faults = faults_->consensus;
   return options;
 }
 
@@ -86,7 +96,14 @@
   disk_.Attach(*environment_);
   transport_ = surroundings_.peers.MakeTransport(plan_.node);
   platform_ = std::make_unique<FabricHttpCaller>(surroundings_.http, host_);
-  node_ = MakeControlNode(*environment_, *transport_, disk_, *platform_, nullptr, Options());
+  StreamLeaderOptions stream;
+  stream.tail_handling = tail_handling_;
+  node_ = MakeControlNode(*environment_, *transport_, disk_, *platform_,
+                          MakeStreamFactory(*environment_, *transport_, stream, faults_->stream),
+                          Options());
+  node_->AddDuty(MakeWeightDuty(*environment_, [node = node_.get()](ClusterCommand command) {
+    node->Propose(std::move(command), [](const absl::StatusOr<ClusterResult>&) {});
+  }));
   surroundings_.peers.SetReceiver(plan_.node, node_.get());
   surroundings_.http.Listen(plan_.http_address, *node_);
   (void)node_->Start();
--- a/simulator/fleet/control_machine.h
+++ b/simulator/fleet/control_machine.h
@@ -16,7 +16,7 @@
 class ControlMachine {
  public:
   ControlMachine(Surroundings& surroundings, const DeploymentPlan& plan, size_t index,
-                 std::shared_ptr<const ProductFaults> faults);
+                 const FleetOptions& options);
   ~ControlMachine();
 
   /// Reasons to be down add up; the process runs while there is none.
@@ -46,6 +46,7 @@
   const DeploymentPlan& deployment_;
   NodePlan plan_;
   std::shared_ptr<const ProductFaults> faults_;
+  bool tail_handling_;
   HostId host_;
   /// Of the time before the first start, for the disk.
   VirtualEnvironment boot_environment_;
--- a/simulator/fleet/fleet.cc
+++ b/simulator/fleet/fleet.cc
@@ -142,6 +142,7 @@
   faults.Start();
   world.RunUntil(options.length);
   world.CloseHistory();
+  if (options.inspect) options.inspect(world.history());
   FleetResult result;
   result.deployment = options.deployment;
   result.seed = options.seed;
--- a/simulator/fleet/fleet.h
+++ b/simulator/fleet/fleet.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -16,6 +17,7 @@
 #include "common/time.h"
 #include "routing/router.h"
 #include "simulator/checks/check_result.h"
+#include "simulator/checks/history.h"
 #include "simulator/faults/fault_plan.h"
 
 namespace millstair::simulator {
@@ -74,6 +76,8 @@
   std::optional<double> idle_time_weight;
   /// Faults of the run. Healed by `FaultsHealedBy(length)`.
   FaultPlan faults;
+  /// Gets the history before it is judged, for reports. May be empty.
+  std::function<void(const checks::History&)> inspect;
   /// Judge the history by the checks; off for measurements.
   bool check_history = true;
   /// Null is the product as it is.
--- a/simulator/fleet/gateway_machine.cc
+++ b/simulator/fleet/gateway_machine.cc
@@ -40,6 +40,9 @@
   }
   const Incarnation stopping = incarnation_;
   node_->Drain([this, stopping, pause, done = std::move(done)]() mutable {
+    if (node_ != nullptr && incarnation_ == stopping) {
+      surroundings_.http.StopAccepting(plan_.http_address);
+    }
     surroundings_.scheduler.Schedule(kExitTime, [this, stopping, pause, done = std::move(done)] {
       // A fault may have ended the process before it was drained.
       if (node_ != nullptr && incarnation_ == stopping) {
@@ -73,6 +76,7 @@
   }
   options.routing_policy = options_.routing_policy;
   options.tail_handling = options_.tail_handling;
+  if (options_.product_faults) options.faults = options_.product_faults->gateway;
   return options;
 }
 
--- a/simulator/fleet/product_faults.h
+++ b/simulator/fleet/product_faults.h
@@ -1,8 +1,18 @@
 /// Parts of the product that a run breaks on purpose, to prove that the checks notice.
 #pragma once
 
+#include "cluster/cluster_faults.h"
+#include "consensus/consensus_faults.h"
+#include "gateway/gateway_faults.h"
+#include "rollout/stream_faults.h"
+
 namespace millstair::simulator {
 
-struct ProductFaults {};
+struct ProductFaults {
+  ConsensusFaults consensus;
+  ClusterFaults cluster;
+  StreamFaults stream;
+  GatewayFaults gateway;
+};
 
 }  // namespace millstair::simulator
--- a/simulator/fleet/world.cc
+++ b/simulator/fleet/world.cc
@@ -80,7 +80,7 @@
   }
   for (size_t i = 0; i < plan_.controls.size(); ++i) {
     controls_.push_back(
-        std::make_unique<ControlMachine>(surroundings_, plan_, i, options_.product_faults));
+        std::make_unique<ControlMachine>(surroundings_, plan_, i, options_));
   }
   for (size_t i = 0; i < plan_.gateways.size(); ++i) {
     gateways_.push_back(std::make_unique<GatewayMachine>(surroundings_, plan_, i, options_));
@@ -187,10 +187,13 @@
       bool& full = replicated[group->id()];
       if (!group->IsLeader()) continue;
       size_t voters = 0;
+      size_t lost = 0;
       for (const GroupMember& member : group->Members()) {
-        voters += member.voter && disks.contains(member.replica) ? 1 : 0;
+        if (!member.voter) continue;
+        ++(disks.contains(member.replica) ? voters : lost);
       }
-      full = full || voters >= kVoters;
+      // A lost voter that is still a member counts against the quorum: the repair is under way.
+      full = full || (voters >= kVoters && lost == 0);
     }
   }
   return !replicated.empty() && std::all_of(replicated.begin(), replicated.end(),
--- a/simulator/main.cc
+++ b/simulator/main.cc
@@ -6,6 +6,7 @@
 #include "common/event_log.h"
 #include "fmt/format.h"
 #include "simulator/fleet/fleet.h"
+#include "simulator/run/show_history.h"
 #include "simulator/run/sweep.h"
 
 namespace millstair::simulator {
@@ -32,7 +33,8 @@
       "step-ms", po::value<double>()->default_value(15), "base time of an engine's batch step")(
       "threads", po::value<int>()->default_value(0), "worker threads of a sweep; 0 is all cores")(
       "reduce", po::value<uint32_t>()->default_value(5), "failing seeds to reduce")(
-      "no-rollouts", "live load alone")("log", "write the nodes' events to standard error");
+      "no-rollouts", "live load alone")("show", "write the history's calls, faults and demands to standard error")(
+      "log", "write the nodes' events to standard error");
   return options;
 }
 
@@ -86,6 +88,9 @@
   const auto plan = ParseFaultList(faults, fleet.seed, fleet.length);
   if (!plan.ok()) return Fail(std::string(plan.status().message()));
   fleet.faults = *plan;
+  if (values.contains("show")) {
+    fleet.inspect = [](const checks::History& history) { ShowHistory(history, std::cerr); };
+  }
   if (command == "run") return Run(fleet);
   if (command != "sweep") return Fail("give a command: run or sweep");
   const auto seeds = ParseSeedRange(values["seeds"].as<std::string>());
--- a/simulator/network/fabric_call.cc
+++ b/simulator/network/fabric_call.cc
@@ -45,7 +45,7 @@
                         HttpRequest request, const std::shared_ptr<Connection>& connection,
                         std::weak_ptr<FabricCall> call) {
   const HttpFabric::Place* place = fabric.Find(address);
-  if (place->handler == nullptr || !place->up || place->life != life) {
+  if (place->handler == nullptr || place->life != life) {
     connection->CloseServer();
     return;
   }
--- a/simulator/network/http_fabric.h
+++ b/simulator/network/http_fabric.h
@@ -26,6 +26,8 @@
   /// A process listens at `address`. `handler` must stay until `StopListening`.
   void Listen(const std::string& address, RequestHandler& handler);
   void StopListening(const std::string& address);
+  /// Refuses new connections; requests on standing ones still reach the handler.
+  void StopAccepting(const std::string& address) { places_.at(address).up = false; }
   /// Breaks all connections of the processes on `host`, as when they die.
   void ResetConnections(HostId host);
   /// Answers whose handlers on `host` are still under way.
--- a/simulator/run/sweep.cc
+++ b/simulator/run/sweep.cc
@@ -29,8 +29,7 @@
 std::string PlanText(const FaultPlan& plan) {
   std::string text;
   for (const PlannedFault& fault : plan) {
-    text += fmt::format("{}{}@{:.1f}s+{:.1f}s", text.empty() ? "" : ", ", FaultName(fault.kind),
-                        ToSeconds(fault.begin), ToSeconds(fault.length));
+    text += (text.empty() ? "" : ",") + FormatFault(fault);
   }
   return text.empty() ? "none" : text;
 }
--- a/test/simulator/fault_plan_test.cc
+++ b/test/simulator/fault_plan_test.cc
@@ -21,6 +21,10 @@
     CHECK(plan[0].begin >= kFaultsFrom);
     CHECK(plan[0].begin + plan[0].length <= FaultsHealedBy(kLength));
   }
+  const FaultPlan drawn = DrawFaults(9, kLength, {FaultKind::kDelay, FaultKind::kLostDisk});
+  CHECK(ParseFaultList(FormatFault(drawn[0]) + "," + FormatFault(drawn[1]), 1, kLength).value() ==
+        drawn);
+  CHECK_FALSE(ParseFaultList("delay@1+2", 1, kLength).ok());
   CHECK_FALSE(ParseFault("earthquake").ok());
   CHECK_FALSE(ParseFaultList("delay,earthquake", 1, kLength).ok());
 }
