--- a/simulator/fleet/world.cc
+++ b/simulator/fleet/world.cc
@@ -79,8 +79,7 @@
     servers_.push_back(std::make_unique<ServerMachine>(surroundings_, plan_, i));
   }
   for (size_t i = 0; i < plan_.controls.size(); ++i) {
-    controls_.push_back(
-        std::make_unique<ControlMachine>(surroundings_, plan_, i, options_));
+    controls_.push_back(std::make_unique<ControlMachine>(surroundings_, plan_, i, options_));
   }
   for (size_t i = 0; i < plan_.gateways.size(); ++i) {
     gateways_.push_back(std::make_unique<GatewayMachine>(surroundings_, plan_, i, options_));
--- a/simulator/main.cc
+++ b/simulator/main.cc
@@ -33,7 +33,8 @@
       "step-ms", po::value<double>()->default_value(15), "base time of an engine's batch step")(
       "threads", po::value<int>()->default_value(0), "worker threads of a sweep; 0 is all cores")(
       "reduce", po::value<uint32_t>()->default_value(5), "failing seeds to reduce")(
-      "no-rollouts", "live load alone")("show", "write the history's calls, faults and demands to standard error")(
+      "no-rollouts", "live load alone")(
+      "show", "write the history's calls, faults and demands to standard error")(
       "log", "write the nodes' events to standard error");
   return options;
 }
--- a/simulator/run/show_history.cc
+++ b/simulator/run/show_history.cc
@@ -41,13 +41,13 @@
                        call.body.substr(0, kShownBody));
   }
   for (const checks::ResourceOperation& operation : history.resource_operations) {
-    out << fmt::format("resource {:.3f} to {} {} {} {} '{}' expected {}: {} version {} found '{}'\n",
-                       Seconds(operation.invoked), Until(operation.returned),
-                       operation.client.value(), kActions[static_cast<size_t>(operation.action)],
-                       operation.resource, operation.value,
-                       operation.expected ? std::to_string(operation.expected->value()) : "any",
-                       kEnds[static_cast<size_t>(operation.end)], operation.version.value(),
-                       operation.found_value);
+    out << fmt::format(
+        "resource {:.3f} to {} {} {} {} '{}' expected {}: {} version {} found '{}'\n",
+        Seconds(operation.invoked), Until(operation.returned), operation.client.value(),
+        kActions[static_cast<size_t>(operation.action)], operation.resource, operation.value,
+        operation.expected ? std::to_string(operation.expected->value()) : "any",
+        kEnds[static_cast<size_t>(operation.end)], operation.version.value(),
+        operation.found_value);
   }
   for (const checks::VersionPublish& publish : history.publishes) {
     out << fmt::format("publish {:.3f} to {} version {}\n", Seconds(publish.sent),
