Count a repair as done only once the lost voter's removal is committed

The leader's members named three voters, but the removal of the first lost disk was only appended; the leader's own disk was the second one lost, so the others went on with four voters, two of them gone. That is a lost quorum, from which no design recovers; ruled out: requests lost on the way, the stream leader, the schedule. Change: the fault waits until every running voter's own view holds no lost disk.

--- a/simulator/fleet/world.cc
+++ b/simulator/fleet/world.cc
@@ -33,6 +33,24 @@
   return disturbance;
 }
 
+/// Voters of a group as one replica sees them.
+struct VoterCount {
+  size_t sound = 0;
+  size_t lost = 0;
+  /// The replica itself is a voter.
+  bool self = false;
+};
+
+VoterCount CountVoters(const RaftGroup& group, const std::set<ReplicaId>& disks, ReplicaId own) {
+  VoterCount count;
+  for (const GroupMember& member : group.Members()) {
+    if (!member.voter) continue;
+    ++(disks.contains(member.replica) ? count.sound : count.lost);
+    count.self = count.self || member.replica == own;
+  }
+  return count;
+}
+
 }  // namespace
 
 World::World(const FleetOptions& options)
@@ -179,24 +197,21 @@
   for (const auto& control : controls_) {
     if (control->running()) disks.insert(control->node()->groups().identity().replica);
   }
-  std::map<GroupId, bool> replicated;
+  std::map<GroupId, bool> led;
   for (const auto& control : controls_) {
     if (!control->running()) continue;
+    const ReplicaId own = control->node()->groups().identity().replica;
     for (RaftGroup* group : control->node()->groups().Groups()) {
-      bool& full = replicated[group->id()];
-      if (!group->IsLeader()) continue;
-      size_t voters = 0;
-      size_t lost = 0;
-      for (const GroupMember& member : group->Members()) {
-        if (!member.voter) continue;
-        ++(disks.contains(member.replica) ? voters : lost);
-      }
-      // A lost voter that is still a member counts against the quorum: the repair is under way.
-      full = full || (voters >= kVoters && lost == 0);
+      const VoterCount count = CountVoters(*group, disks, own);
+      // A lost voter that is still a member counts against the quorum. A leader's word alone is not
+      // enough: the change that removed it may not be committed yet.
+      if (count.self && count.lost > 0) return false;
+      const bool sound_leader = group->IsLeader() && count.sound >= kVoters;
+      led[group->id()] = led[group->id()] || sound_leader;
     }
   }
-  return !replicated.empty() && std::all_of(replicated.begin(), replicated.end(),
-                                            [](const auto& group) { return group.second; });
+  return !led.empty() &&
+         std::all_of(led.begin(), led.end(), [](const auto& group) { return group.second; });
 }
 
 Resource World::InitialResource(const ResourceKey& key) const {
