--- a/source/transport/peer_hub.cc
+++ b/source/transport/peer_hub.cc
@@ -25,7 +25,7 @@
 namespace asio = boost::asio;
 
 constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
-constexpr size_t kReadBytes = 64 * 1024;
+constexpr size_t kReadBytes = 16 * 1024;
 /// Messages are joined up to this size for one write.
 constexpr size_t kBatchBytes = 256 * 1024;
 /// Connections beyond these are closed at once.
