--- a/source/consensus/group_host_impl.cc
+++ b/source/consensus/group_host_impl.cc
@@ -125,6 +125,9 @@
   if (it == groups_.end()) return absl::NotFoundError(absl::StrCat("no group ", group.value()));
   const std::string folder = it->second.replica->folder();
   by_key_.erase(it->second.replica->key());
+  ReplicaOutput output;
+  it->second.replica->Close(output);
+  for (auto& callback : output.callbacks) environment_.Schedule(Duration(0), std::move(callback));
   // The entry goes after the map is consistent: destructors may call back.
   const auto dropped = groups_.extract(it);
   auto names = files_.List(folder);
@@ -159,9 +162,11 @@
   const bool from_leader =
       type == RaftMessageType::kAppend || type == RaftMessageType::kSnapshotChunk;
   if (!from_leader || addressed.group.value().empty()) return nullptr;
+  if (unusable_.contains(addressed.group)) return nullptr;
   auto replica = Open(addressed.group, {});
   if (replica.ok()) return *replica;
   if (!absl::IsNotFound(replica.status())) {
+    unusable_.insert(addressed.group);
     LogEvent(EventId::kReplicaHalted, "group={} error=\"{}\"", addressed.group,
              std::string(replica.status().message()));
   }
--- a/source/consensus/group_host_impl.h
+++ b/source/consensus/group_host_impl.h
@@ -71,6 +71,8 @@
   std::map<uint64_t, GroupReplica*> by_key_;
   std::set<GroupId> marked_;
   std::set<GroupId> changed_;
+  /// Groups whose files could not be opened when a leader called for them.
+  std::set<GroupId> unusable_;
   bool work_scheduled_ = false;
   std::vector<std::function<void(const GroupId&)>> leadership_callbacks_;
   ScopedTimer tick_timer_;
--- a/source/consensus/group_replica.cc
+++ b/source/consensus/group_replica.cc
@@ -105,6 +105,10 @@
 
 void GroupReplica::Propose(std::string command, ProposeCallback done) {
   if (!failure_.ok()) return Answer(std::move(done), absl::StatusOr<std::string>(failure_));
+  if (command.size() > kMaxCommandBytes) {
+    return Answer(std::move(done),
+                  absl::StatusOr<std::string>(absl::InvalidArgumentError("command too large")));
+  }
   auto payload = std::make_shared<std::string>(std::move(command));
   Await(core_->Propose(EntryType::kCommand, std::move(payload)), std::move(done));
 }
@@ -382,6 +386,13 @@
   if (transfer_done_) Answer(std::exchange(transfer_done_, nullptr), status);
 }
 
+void GroupReplica::Close(ReplicaOutput& output) {
+  failure_ = absl::UnavailableError("the group was dropped");
+  FailAll(failure_);
+  for (auto& callback : callbacks_) output.callbacks.push_back(std::move(callback));
+  callbacks_.clear();
+}
+
 void GroupReplica::Halt(const absl::Status& status) {
   if (!failure_.ok()) return;
   LogEvent(EventId::kReplicaHalted, "group={} error=\"{}\"", id_, std::string(status.message()));
--- a/source/consensus/group_replica.h
+++ b/source/consensus/group_replica.h
@@ -59,6 +59,9 @@
   /// Does all that is due and adds to `output`.
   void Work(ReplicaOutput& output);
 
+  /// The group is about to be dropped: adds to `output` the answers to all that still wait.
+  void Close(ReplicaOutput& output);
+
   StateMachine& machine() { return *machine_; }
   uint64_t key() const { return key_; }
   const std::string& folder() const { return log_->folder(); }
--- a/source/consensus/raft_core.cc
+++ b/source/consensus/raft_core.cc
@@ -28,6 +28,8 @@
 RaftCore::RaftCore(RaftOptions options, SegmentedLog& log, RandomEngine& random, TimePoint now)
     : options_(options), log_(log), random_(random), now_(now), commit_(log.snapshot().index) {
   leader_heard_ = now - options.election_timeout;
+  // An answer to a request of an earlier life must not pass for one to a request of this one.
+  ask_number_ = random();
   ResetElectionTimer();
 }
 
--- a/source/consensus/raft_group.h
+++ b/source/consensus/raft_group.h
@@ -1,6 +1,7 @@
 /// One Raft group of a node, as the rest of the node sees it.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -23,6 +24,8 @@
   friend bool operator==(const GroupMember&, const GroupMember&) = default;
 };
 
+inline constexpr size_t kMaxCommandBytes = 8 << 20;
+
 /// Lives on the node's serial executor. Errors of the callbacks: Unavailable when this replica is
 /// not the leader or lost leadership before the entry was committed (the outcome is then unknown
 /// for Propose), DeadlineExceeded on timeout.
@@ -39,6 +42,7 @@
   virtual std::vector<GroupMember> Members() const = 0;
 
   /// Appends `command`; `done` gets the state machine's result once it is applied here.
+  /// InvalidArgument if it is larger than kMaxCommandBytes.
   virtual void Propose(std::string command,
                        std::function<void(absl::StatusOr<std::string>)> done) = 0;
   /// Confirms with a quorum that no newer entry was committed elsewhere; works on followers too
--- a/source/storage/log_record.h
+++ b/source/storage/log_record.h
@@ -24,8 +24,6 @@
 enum class RecordType : uint8_t { kEntry = 1, kHardState = 2, kSnapshot = 3 };
 
 inline constexpr size_t kRecordHeaderBytes = 24;
-/// A body larger than this is refused.
-inline constexpr uint32_t kMaxRecordBytes = 64u << 20;
 /// Bytes of an entry's body before its payload.
 inline constexpr size_t kEntryPrefixBytes = 17;
 
--- a/test/consensus/membership_test.cc
+++ b/test/consensus/membership_test.cc
@@ -167,7 +167,13 @@
   fleet.scheduler.RunFor(seconds(10));
   // Ten heartbeats a second each way between a leader and its followers, if all nodes lead some.
   REQUIRE(fleet.network.messages - before < 3 * 2 * 2 * 10 * 11);
+  std::optional<absl::Status> waiting;
+  fleet.Group(fleet.Name(0), options.groups[3])
+      ->ConfirmRead([&](const absl::StatusOr<LogIndex>& read) { waiting = read.status(); });
   REQUIRE(fleet.Node(0).host->DropGroup(options.groups[3]).ok());
+  fleet.scheduler.RunFor(milliseconds(1));
+  REQUIRE(waiting.has_value());
+  REQUIRE(absl::IsUnavailable(*waiting));
   REQUIRE(fleet.Node(0).host->Find(options.groups[3]) == nullptr);
   for (const std::string& path : fleet.Node(0).files->Paths()) {
     REQUIRE(path.find("s3/") == std::string::npos);
--- /dev/null
+++ b/test/consensus/raft_core_test.cc
@@ -0,0 +1,250 @@
+/// One RaftCore on a log in memory, with messages made by hand.
+#include "consensus/raft_core.h"
+
+#include <catch2/catch.hpp>
+
+#include "common/virtual_environment.h"
+#include "consensus/raft_codec.h"
+#include "storage/memory_file_system.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ReplicaId kSelf{1};
+const ReplicaId kSecond{2};
+const ReplicaId kThird{3};
+
+std::vector<GroupMember> ThreeVoters() {
+  return {{kSelf, NodeId("a"), "", true},
+          {kSecond, NodeId("b"), "", true},
+          {kThird, NodeId("c"), "", true}};
+}
+
+/// Replica 1 of three, whose log starts with the founders' configuration.
+struct Replica {
+  explicit Replica(uint64_t seed = 1)
+      : scheduler(seed), environment(scheduler, seed), files(environment, seed) {
+    log = *SegmentedLog::Open(files, "g");
+    log->SaveHardState({Term(1), ReplicaId()});
+    log->Append({{LogIndex(1), Term(1), EntryType::kConfiguration,
+                  std::make_shared<std::string>(EncodeMembers(ThreeVoters()))}});
+    Settle();
+    core = *RaftCore::Create({kSelf}, *log, environment.Random(), environment.Now(), {});
+  }
+
+  void Settle() {
+    log->Flush();
+    scheduler.RunFor(seconds(1));
+    if (core != nullptr) core->LogBecameDurable();
+  }
+  RaftMessage Message(RaftMessageType type, ReplicaId from, uint64_t term) const {
+    RaftMessage message;
+    message.type = type;
+    message.from = from;
+    message.to = kSelf;
+    message.term = Term(term);
+    return message;
+  }
+  void Step(RaftMessage message) { core->Step(environment.Now(), std::move(message)); }
+  /// Sends an append of one command after `previous`.
+  void StepAppend(ReplicaId from, uint64_t term, LogPosition previous, uint64_t entry_term) {
+    RaftMessage message = Message(RaftMessageType::kAppend, from, term);
+    message.position = previous;
+    message.entries.push_back({Next(previous.index), Term(entry_term), EntryType::kCommand,
+                               std::make_shared<std::string>("x")});
+    Step(std::move(message));
+  }
+  void LetElectionTimePass() {
+    scheduler.RunFor(seconds(3));
+    core->Tick(environment.Now());
+  }
+  /// Wins an election in the next term by the vote of the second replica.
+  void Lead() {
+    LetElectionTimePass();
+    const uint64_t term = core->term().value() + 1;
+    Step(Message(RaftMessageType::kPreVoteReply, kSecond, term));
+    Step(Message(RaftMessageType::kVoteReply, kSecond, term));
+    Settle();
+    core->TakeMessages();
+  }
+  void Acknowledge(ReplicaId from, LogIndex index) {
+    RaftMessage reply = Message(RaftMessageType::kAppendReply, from, core->term().value());
+    reply.position.index = index;
+    Step(std::move(reply));
+  }
+
+  VirtualScheduler scheduler;
+  VirtualEnvironment environment;
+  MemoryFileSystem files;
+  std::unique_ptr<SegmentedLog> log;
+  std::unique_ptr<RaftCore> core;
+};
+
+TEST_CASE("a pre-vote asks without raising the term") {
+  Replica replica;
+  replica.LetElectionTimePass();
+  REQUIRE(replica.core->role() == RaftRole::kPreCandidate);
+  REQUIRE(replica.core->term() == Term(1));
+  const auto messages = replica.core->TakeMessages();
+  REQUIRE(messages.size() == 2);
+  REQUIRE(messages[0].type == RaftMessageType::kPreVote);
+  REQUIRE(messages[0].term == Term(2));
+  replica.Step(replica.Message(RaftMessageType::kPreVoteReply, kThird, 2));
+  REQUIRE(replica.core->role() == RaftRole::kCandidate);
+  REQUIRE(replica.core->term() == Term(2));
+}
+
+TEST_CASE("a vote is given once a term and leaves only when it is durable") {
+  Replica replica;
+  RaftMessage request = replica.Message(RaftMessageType::kVote, kSecond, 5);
+  request.position = {LogIndex(1), Term(1)};
+  replica.Step(request);
+  auto replies = replica.core->TakeMessages();
+  REQUIRE(replies.size() == 1);
+  REQUIRE_FALSE(replies[0].reject);
+  REQUIRE(replies[0].after > replica.log->durable_sequence());
+  replica.Settle();
+  REQUIRE(replies[0].after <= replica.log->durable_sequence());
+  request.from = kThird;
+  replica.Step(request);
+  replies = replica.core->TakeMessages();
+  REQUIRE(replies.size() == 1);
+  REQUIRE(replies[0].reject);
+}
+
+TEST_CASE("a candidate whose log is behind gets no vote") {
+  Replica replica;
+  RaftMessage request = replica.Message(RaftMessageType::kVote, kSecond, 5);
+  request.position = {LogIndex(9), Term(0)};
+  replica.Step(request);
+  REQUIRE(replica.core->TakeMessages()[0].reject);
+}
+
+TEST_CASE("who hears a leader ignores candidates, but not in a hand-over") {
+  Replica replica;
+  replica.Step(replica.Message(RaftMessageType::kHeartbeat, kSecond, 3));
+  replica.core->TakeMessages();
+  RaftMessage request = replica.Message(RaftMessageType::kVote, kThird, 9);
+  request.position = {LogIndex(1), Term(1)};
+  replica.Step(request);
+  REQUIRE(replica.core->TakeMessages().empty());
+  REQUIRE(replica.core->term() == Term(3));
+  request.transfer = true;
+  replica.Step(request);
+  REQUIRE_FALSE(replica.core->TakeMessages()[0].reject);
+  REQUIRE(replica.core->term() == Term(9));
+}
+
+TEST_CASE("entries are acknowledged only when durable, and conflicting ones replaced") {
+  Replica replica;
+  replica.StepAppend(kSecond, 2, {LogIndex(1), Term(1)}, 2);
+  auto replies = replica.core->TakeMessages();
+  REQUIRE(replies.size() == 1);
+  REQUIRE(replies[0].position.index == LogIndex(2));
+  REQUIRE(replies[0].after > replica.log->durable_sequence());
+  replica.Settle();
+  REQUIRE(replies[0].after <= replica.log->durable_sequence());
+
+  replica.StepAppend(kThird, 3, {LogIndex(5), Term(3)}, 3);
+  replies = replica.core->TakeMessages();
+  REQUIRE(replies[0].reject);
+  REQUIRE(replies[0].hint.index == LogIndex(2));
+  replica.StepAppend(kThird, 3, {LogIndex(1), Term(1)}, 3);
+  REQUIRE(replica.log->last_index() == LogIndex(2));
+  REQUIRE(replica.log->TermAt(LogIndex(2)) == Term(3));
+}
+
+TEST_CASE("what is committed is never rewritten") {
+  Replica replica;
+  RaftMessage append = replica.Message(RaftMessageType::kAppend, kSecond, 2);
+  append.position = {LogIndex(1), Term(1)};
+  append.commit = LogIndex(1);
+  replica.Step(append);
+  REQUIRE(replica.core->commit() == LogIndex(1));
+  replica.StepAppend(kThird, 3, {LogIndex(0), Term(0)}, 3);
+  // What lies before the commit index is not looked at, so the log is as it was.
+  REQUIRE(replica.log->TermAt(LogIndex(1)) == Term(1));
+  REQUIRE(replica.core->failure().ok());
+}
+
+TEST_CASE("a leader commits by entries of its own term and counts itself only when durable") {
+  Replica replica;
+  replica.StepAppend(kSecond, 2, {LogIndex(1), Term(1)}, 2);
+  replica.Settle();
+  replica.Lead();
+  REQUIRE(replica.core->IsLeader());
+  const LogIndex own = replica.log->last_index();
+  REQUIRE(own == LogIndex(3));
+  replica.Acknowledge(kSecond, LogIndex(2));
+  REQUIRE(replica.core->commit() == LogIndex(0));
+  replica.Acknowledge(kSecond, own);
+  REQUIRE(replica.core->commit() == own);
+  REQUIRE(replica.core->Propose(EntryType::kCommand, std::make_shared<std::string>("y")).ok());
+  replica.Acknowledge(kSecond, Next(own));
+  REQUIRE(replica.core->commit() == own);
+  replica.Settle();
+  REQUIRE(replica.core->commit() == Next(own));
+}
+
+TEST_CASE("a leader that hears no quorum gives up") {
+  Replica replica;
+  replica.Lead();
+  REQUIRE(replica.core->IsLeader());
+  replica.LetElectionTimePass();
+  REQUIRE_FALSE(replica.core->IsLeader());
+}
+
+TEST_CASE("a read waits for a quorum that answers a later heartbeat") {
+  Replica replica;
+  replica.Lead();
+  replica.Acknowledge(kSecond, replica.log->last_index());
+  replica.core->TakeMessages();
+  const uint64_t ticket = replica.core->RequestRead();
+  replica.core->Flush(replica.environment.Now());
+  uint64_t round = 0;
+  for (const RaftMessage& message : replica.core->TakeMessages()) {
+    if (message.type == RaftMessageType::kHeartbeat) round = std::max(round, message.context);
+  }
+  RaftMessage reply = replica.Message(RaftMessageType::kHeartbeatReply, kThird,
+                                      replica.core->term().value());
+  reply.context = round - 1;
+  replica.Step(reply);
+  REQUIRE(replica.core->TakeReads().empty());
+  reply.context = round;
+  replica.Step(reply);
+  const auto reads = replica.core->TakeReads();
+  REQUIRE(reads.size() == 1);
+  REQUIRE(reads[0].ticket == ticket);
+  REQUIRE(reads[0].index == replica.core->commit());
+}
+
+/// Number of the read request that a follower of the second replica sends.
+uint64_t AskForRead(Replica& replica) {
+  replica.Step(replica.Message(RaftMessageType::kHeartbeat, kSecond, 3));
+  replica.core->RequestRead();
+  replica.core->Flush(replica.environment.Now());
+  for (const RaftMessage& message : replica.core->TakeMessages()) {
+    if (message.type == RaftMessageType::kReadRequest) return message.context;
+  }
+  return 0;
+}
+
+TEST_CASE("an answer to a read of an earlier life is not taken for one of this life") {
+  Replica earlier(1);
+  Replica later(2);
+  RaftMessage reply = later.Message(RaftMessageType::kReadReply, kSecond, 3);
+  reply.position.index = LogIndex(1);
+  reply.context = AskForRead(earlier);
+  const uint64_t number = AskForRead(later);
+  later.Step(reply);
+  REQUIRE(later.core->TakeReads().empty());
+  reply.context = number;
+  later.Step(reply);
+  REQUIRE(later.core->TakeReads().size() == 1);
+}
+
+}  // namespace
+}  // namespace millstair
