--- a/test/consensus/raft_core_test.cc
+++ b/test/consensus/raft_core_test.cc
@@ -208,8 +208,8 @@
   for (const RaftMessage& message : replica.core->TakeMessages()) {
     if (message.type == RaftMessageType::kHeartbeat) round = std::max(round, message.context);
   }
-  RaftMessage reply = replica.Message(RaftMessageType::kHeartbeatReply, kThird,
-                                      replica.core->term().value());
+  RaftMessage reply =
+      replica.Message(RaftMessageType::kHeartbeatReply, kThird, replica.core->term().value());
   reply.context = round - 1;
   replica.Step(reply);
   REQUIRE(replica.core->TakeReads().empty());
