Try hedges and moves of stragglers; tell whoever appended a sample nothing

Cause: a gateway that appended a sample was told to stop it and could drop the attempt before its answer came, so that its counts were wrong; hedges and moves had no test.

--- a/source/rollout/stream_leader.cc
+++ b/source/rollout/stream_leader.cc
@@ -170,7 +170,7 @@
   schedule_.Remove(key);
   const auto found = attempts_.attempts().find(key);
   if (found != attempts_.attempts().end()) {
-    // The gateway that finished it knows; any other one is told to stop.
+    // Whoever else works at it is told to stop.
     const SampleId sample = state_.PromptOf(key).sample;
     for (const LeasedAttempt& attempt : found->second) {
       const auto asker = askers_.find(attempt.gateway);
@@ -183,6 +183,8 @@
 void StreamLeaderNode::OnSampleAccepted(const SampleKey& key, const Sample& sample) {
   const Prompt prompt = state_.PromptOf(key);
   lengths_.Learn(prompt.text, prompt.max_tokens, sample.token_count);
+  // The gateway that appended it needs no word to stop.
+  attempts_.End(key, sample.epoch);
 }
 
 void StreamLeaderNode::OnProgress() {
--- a/source/rollout/trainer_front.cc
+++ b/source/rollout/trainer_front.cc
@@ -159,7 +159,7 @@
     const size_t samples = command.prompts.size();
     Submit(StreamGroup(stream), CommandMode::kPropose, EncodeStreamCommand(std::move(command)),
            kCommandTimeout,
-           [this, exchange, step, samples](const absl::StatusOr<std::string>& answer) {
+           [exchange, step, samples](const absl::StatusOr<std::string>& answer) {
              AnswerStep(answer, step, samples, *exchange);
            });
   }
@@ -327,7 +327,7 @@
                   const StreamName& stream) {
     const NotePublished note{publish->version.version, publish->version.digest};
     Submit(StreamGroup(stream), CommandMode::kPropose, EncodeStreamCommand(note), kCommandTimeout,
-           [this, publish, exchange, stream](const absl::StatusOr<std::string>& answer) {
+           [publish, exchange, stream](const absl::StatusOr<std::string>& answer) {
              const absl::StatusOr<StreamResult> result = Decode(answer);
              if (!result.ok()) return exchange->Fail(OutcomeUnknown(result.status()));
              if (result->code == StreamResultCode::kConflict) {
--- a/test/rollout/rollout_flow_test.cc
+++ b/test/rollout/rollout_flow_test.cc
@@ -186,6 +186,45 @@
   REQUIRE(ReadAll(fleet).size() == 12);
 }
 
+/// One long sample on gateway 0 and engine 0, whose steps then take `step` each; gateway 1 has
+/// only engine 1.
+void SlowDown(RolloutFleet& fleet, Duration step) {
+  fleet.Spec().idle_time_weight = 1;
+  fleet.Configure();
+  fleet.gateways[1]->placement.closed = {EngineName("engine-0"), EngineName("engine-1")};
+  fleet.scheduler.RunFor(std::chrono::seconds(4));
+  fleet.Execute(LongStep(1));
+  REQUIRE(RunUntilRunning(fleet, 0, 8));
+  fleet.gateways[1]->placement.closed = {EngineName("engine-0")};
+  fleet.models[0]->SetStepTime({step, Duration(0), Duration(0)});
+}
+
+TEST_CASE("a sample that stalls at the end of a step is tried a second time elsewhere") {
+  RolloutFleet fleet;
+  SlowDown(fleet, std::chrono::hours(1));
+  REQUIRE(fleet.gateways[1]->worker->counts().attempts_started == 0);
+  REQUIRE(fleet.scheduler.RunUntilTrue(
+      [&] { return fleet.gateways[1]->worker->counts().attempts_started == 1; },
+      std::chrono::milliseconds(4900)));
+  REQUIRE(fleet.RunUntilWhole());
+  fleet.scheduler.RunFor(std::chrono::seconds(3));
+  REQUIRE(ReadAll(fleet).size() == 1);
+  REQUIRE(fleet.gateways[0]->worker->running() == 0);
+}
+
+TEST_CASE("a straggler moves to a faster engine with its tokens and its KV") {
+  RolloutFleet fleet;
+  SlowDown(fleet, std::chrono::milliseconds(400));
+  REQUIRE(fleet.RunUntilWhole());
+  REQUIRE(fleet.gateways[0]->worker->counts().stragglers_moved == 1);
+  const GenerateRequest& moved = fleet.engines.requests.back();
+  REQUIRE(moved.kv_source == RolloutFleet::Address(0));
+  REQUIRE(moved.resume_tokens.size() >= 8);
+  const std::vector<HandedOn> items = ReadAll(fleet);
+  REQUIRE(items.size() == 1);
+  REQUIRE(items[0].sample.spans.size() == 2);
+}
+
 TEST_CASE("without a lease a gateway starts nothing") {
   RolloutFleet fleet;
   fleet.configuration.lease = false;
