--- a/source/rollout/trainer_front.cc
+++ b/source/rollout/trainer_front.cc
@@ -158,8 +158,7 @@
     if (!findings.empty()) return exchange->Fail(BadRequest(findings));
     const size_t samples = command.prompts.size();
     Submit(StreamGroup(stream), CommandMode::kPropose, EncodeStreamCommand(std::move(command)),
-           kCommandTimeout,
-           [exchange, step, samples](const absl::StatusOr<std::string>& answer) {
+           kCommandTimeout, [exchange, step, samples](const absl::StatusOr<std::string>& answer) {
              AnswerStep(answer, step, samples, *exchange);
            });
   }
