Name each call, so that a doubled answer reaches no other one

Looking for stray bytes before the use of a kept connection can't see what has not arrived yet. Change: the caller sends Millstair-Call-Id, our server sends it back, an answer that names another call fails as unknown and is counted. Back ends that don't send the name back are trusted to answer once.

--- a/source/http/beast_http_caller.cc
+++ b/source/http/beast_http_caller.cc
@@ -1,5 +1,6 @@
 #include "http/beast_http_caller.h"
 
+#include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -13,8 +14,9 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <limits>
+#include <cstdint>
 #include <optional>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -34,10 +36,13 @@
 constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
 
 /// The request as it goes over the wire; empty if it holds characters that don't belong there.
-std::string FormatRequest(const std::string& address, const HttpRequest& request) {
+std::string FormatRequest(const std::string& address, const HttpRequest& request,
+                          const std::string& call_id) {
   if (!IsToken(request.method) || !IsRequestTarget(request.target)) return "";
   std::string text = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
-  const HttpHeaders headers = WithoutHeader(EndToEndHeaders(request.headers), "Content-Length");
+  HttpHeaders headers = WithoutHeader(EndToEndHeaders(request.headers), "Content-Length");
+  headers = WithoutHeader(std::move(headers), kCallIdHeader);
+  headers.push_back({std::string(kCallIdHeader), call_id});
   if (!FindHeader(headers, "Host").has_value()) text += fmt::format("Host: {}\r\n", address);
   for (const HttpHeader& header : headers) {
     if (!IsToken(header.name) || !IsFieldValue(header.value)) return "";
@@ -58,10 +63,18 @@
   for (const auto& field : parser.get()) {
     head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
-  head.headers = EndToEndHeaders(head.headers);
+  head.headers = WithoutHeader(EndToEndHeaders(head.headers), kCallIdHeader);
   return head;
 }
 
+/// Unlike any other call's of this process, and most likely of any process.
+std::string NewCallId() {
+  static const uint64_t process =
+      (static_cast<uint64_t>(std::random_device()()) << 32) | std::random_device()();
+  static std::atomic<uint64_t> count{0};
+  return fmt::format("{:x}-{:x}", process, ++count);
+}
+
 /// One call. The coroutine runs on `strand_`; what is marked so belongs to the serial executor.
 class Call : public std::enable_shared_from_this<Call> {
  public:
@@ -104,7 +117,7 @@
 
   asio::awaitable<void> Run() {
     const auto self = shared_from_this();
-    const std::string bytes = FormatRequest(address_, request_);
+    const std::string bytes = FormatRequest(address_, request_, call_id_);
     if (bytes.empty()) {
       Fail(CallFailure::kNotSent, "the request holds characters that HTTP does not allow");
       co_return;
@@ -191,6 +204,13 @@
       Fail(CallFailure::kUnknown, "unexpected interim answer");
       co_return false;
     }
+    const auto named =
+        parser.get().find(boost::beast::string_view(kCallIdHeader.data(), kCallIdHeader.size()));
+    if (named != parser.get().end() && named->value() != call_id_) {
+      pool_->stats().foreign_answers.Add();
+      Fail(CallFailure::kUnknown, "the answer belongs to another call");
+      co_return false;
+    }
     Tell([head = HeadOf(parser)](HttpCallObserver& observer) { observer.OnHead(head); });
     co_return true;
   }
@@ -278,6 +298,7 @@
   const std::shared_ptr<SerialExecutor> executor_;
   const std::string address_;
   const HttpRequest request_;
+  const std::string call_id_ = NewCallId();
   asio::strand<asio::io_context::executor_type> strand_;
   asio::steady_timer watchdog_;
   asio::steady_timer acknowledged_;
--- a/source/http/beast_http_caller.h
+++ b/source/http/beast_http_caller.h
@@ -3,7 +3,9 @@
 /// Each call runs on an I/O strand of its own; observers and handles live on the serial executor.
 /// A connection goes back to the pool only after its answer was read to the end and nothing
 /// followed it, and is looked at again before its next use, so that a late or unread answer never
-/// reaches another call. An answer that ends by the close of the connection counts as cut, since
+/// reaches another call. Each request names its call (`Millstair-Call-Id`), and an answer that
+/// names another one is refused; back ends that don't send the name back are trusted to answer each
+/// request once. An answer that ends by the close of the connection counts as cut, since
 /// it can't be told from a whole one.
 #pragma once
 
--- a/source/http/connection_pool.cc
+++ b/source/http/connection_pool.cc
@@ -31,6 +31,8 @@
           {"millstair_http_call_connections_reused_total", "Calls sent on a kept connection."})),
       connections_stale(stats.NewCounter({"millstair_http_call_connections_stale_total",
                                           "Kept connections found closed or with unread bytes."})),
+      foreign_answers(stats.NewCounter(
+          {"millstair_http_call_foreign_answers_total", "Answers that named another call."})),
       failed_not_sent(FailedCalls(stats, "not-sent")),
       failed_unknown(FailedCalls(stats, "unknown")),
       failed_cut(FailedCalls(stats, "cut")) {}
--- a/source/http/connection_pool.h
+++ b/source/http/connection_pool.h
@@ -25,6 +25,8 @@
   Counter& connections_reused;
   /// Idle connections that the back end had closed or sent bytes on.
   Counter& connections_stale;
+  /// Answers that named another call.
+  Counter& foreign_answers;
   Counter& failed_not_sent;
   Counter& failed_unknown;
   Counter& failed_cut;
--- a/source/http/header_rules.h
+++ b/source/http/header_rules.h
@@ -7,6 +7,10 @@
 
 namespace millstair {
 
+/// Names a call on its connection. The caller draws it, our server sends it back, and an answer
+/// that names another call is refused: it is a late or doubled one.
+inline constexpr std::string_view kCallIdHeader = "Millstair-Call-Id";
+
 /// Equal without regard to the case of ASCII letters.
 bool EqualsIgnoringCase(std::string_view left, std::string_view right);
 /// A non-empty token: a legal method or field name.
--- a/source/http/response_writer.cc
+++ b/source/http/response_writer.cc
@@ -62,7 +62,10 @@
 void FramedResponseWriter::SendHead(HttpResponseHead head) {
   if (state_ != State::kNew) return;
   state_ = State::kBody;
-  head.headers = EndToEndHeaders(head.headers);
+  head.headers = WithoutHeader(EndToEndHeaders(head.headers), kCallIdHeader);
+  if (!framing_.call_id.empty()) {
+    head.headers.push_back({std::string(kCallIdHeader), framing_.call_id});
+  }
   ChooseFraming(head);
   channel_->Append(FormatHead(head));
 }
--- a/source/http/response_writer.h
+++ b/source/http/response_writer.h
@@ -17,6 +17,8 @@
   bool http_1_1 = true;
   /// The caller and the server both want to keep the connection.
   bool keep_alive = true;
+  /// Sent back to the caller unless empty.
+  std::string call_id;
 };
 
 /// Lives on the serial executor; owned by the handler. Destroyed before `Finish`, it cuts the
--- a/source/http/server_connection.cc
+++ b/source/http/server_connection.cc
@@ -233,6 +233,8 @@
     framing.head_request = request.method == "HEAD";
     framing.http_1_1 = parser.get().version() == 11;
     framing.keep_alive = parser.get().keep_alive() && !context_->draining;
+    framing.call_id = FindHeader(request.headers, kCallIdHeader).value_or("");
+    request.headers = WithoutHeader(std::move(request.headers), kCallIdHeader);
     auto writer = std::make_shared<FramedResponseWriter>(channel, framing);
     const std::weak_ptr<FramedResponseWriter> weak_writer = writer;
     context_->executor->Post(
@@ -308,7 +310,7 @@
     context_->CountRefused(reason);
     const Problem problem{status, "request refused", reason, Outcome::kNotRun};
     auto channel = std::make_shared<ResponseChannel>(SIZE_MAX, [] {});
-    FramedResponseWriter writer(channel, ResponseFraming{false, true, false});
+    FramedResponseWriter writer(channel, ResponseFraming{false, true, false, ""});
     RespondProblem(writer, problem);
     if (!co_await Write(channel->Take().bytes)) co_return;
     boost::system::error_code ignored;
--- a/test/http/http_caller_test.cc
+++ b/test/http/http_caller_test.cc
@@ -1,6 +1,8 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
+#include <random>
+#include <thread>
 
 #include "http/beast_http_caller.h"
 #include "http/loopback.h"
@@ -225,6 +227,59 @@
   CHECK(observer.body().size() == kBytes);
 }
 
+std::string ValueOf(const std::string& request, const std::string& name) {
+  const size_t at = request.find("\r\n" + name + ": ") + name.size() + 4;
+  return request.substr(at, request.find("\r\n", at) - at);
+}
+
+TEST_CASE("Whatever a back end does to its answers, a call never gets another call's") {
+  // Each answer holds the id of its request; some are doubled, cut, followed by stray bytes, or
+  // come with a second answer after a while.
+  std::atomic<uint64_t> seed{20261205};
+  RawServer server([&](Tcp::socket& socket, int) {
+    std::mt19937_64 random(seed++);
+    while (true) {
+      const std::string request = RawServer::ReadRequest(socket);
+      if (request.empty()) return;
+      const std::string id = ValueOf(request, "X-Id");
+      const std::string answer =
+          "HTTP/1.1 200 OK\r\nMillstair-Call-Id: " + ValueOf(request, "Millstair-Call-Id") +
+          "\r\nContent-Length: " + std::to_string(id.size()) + "\r\n\r\n" + id;
+      switch (random() % 6) {
+        case 0:
+          RawServer::Write(socket, answer + answer);
+          break;
+        case 1:
+          RawServer::Write(socket, answer.substr(0, random() % answer.size()));
+          return;
+        case 2:
+          RawServer::Write(socket, answer + "stray");
+          break;
+        case 3:
+          RawServer::Write(socket, answer);
+          std::this_thread::sleep_for(milliseconds(2));
+          RawServer::Write(socket, answer);
+          break;
+        default:
+          RawServer::Write(socket, answer);
+      }
+    }
+  });
+  Client client;
+  int finished = 0;
+  for (int call = 0; call < 400; ++call) {
+    const std::string id = "call-" + std::to_string(call);
+    RecordingObserver observer;
+    client.Start(server.address(), {"GET", "/x", {{"X-Id", id}}, ""}, observer);
+    observer.Wait();
+    if (!observer.finished()) continue;
+    ++finished;
+    CHECK(observer.body() == id);
+  }
+  CHECK(finished > 200);
+  CHECK(client.Stat("millstair_http_call_foreign_answers_total") > 0);
+}
+
 TEST_CASE("HEAD answers with a length but no body are whole") {
   RawServer server([](Tcp::socket& socket, int) {
     ServeAll(socket, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n");
--- a/test/http/http_server_test.cc
+++ b/test/http/http_server_test.cc
@@ -278,6 +278,15 @@
   CHECK(client.ReadAll().find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE("The name of a call is sent back, and is not the handler's business") {
+  Front front;
+  RawClient client(front.address());
+  client.Send("GET /n HTTP/1.1\r\nHost: a\r\nMillstair-Call-Id: 7-1\r\n\r\n");
+  REQUIRE(client.ReadUntil("GET /n"));
+  CHECK(client.received().find("Millstair-Call-Id: 7-1\r\n") != std::string::npos);
+  CHECK(client.received().find("[Millstair-Call-Id]") == std::string::npos);
+}
+
 TEST_CASE("An awaited 100 Continue is sent") {
   Front front;
   RawClient client(front.address());
