--- a/bench/micro/routing_benchmark.cc
+++ b/bench/micro/routing_benchmark.cc
@@ -1,4 +1,4 @@
-/// Time of a routing decision over the engines of the target size.
+/// Times of a routing decision, and of taking over a configuration, at the target size.
 #include <benchmark/benchmark.h>
 #include <fmt/core.h>
 
@@ -54,6 +54,17 @@
   return configuration;
 }
 
+/// Adds `gateways` live gateways in the zone.
+void AddGateways(Configuration& configuration, int64_t gateways) {
+  for (int64_t i = 0; i < gateways; ++i) {
+    NodeRecord node;
+    node.node = NodeId(fmt::format("gateway-{:04}", i));
+    node.zone = Zone(kZone);
+    node.gateway = true;
+    configuration.nodes.emplace(node.node, node);
+  }
+}
+
 EngineReport MakeReport() {
   EngineReport report;
   report.incarnation = Incarnation(1);
@@ -97,5 +108,22 @@
 }
 BENCHMARK(BM_RoutingDecision)->Arg(9)->Arg(131)->Arg(920);
 
+/// A new revision reaches the router: with new resources every time, or with other changes only.
+void BM_ConfigurationChange(benchmark::State& state) {
+  VirtualScheduler scheduler(1);
+  VirtualEnvironment environment(scheduler, 2);
+  RouterOptions options;
+  options.zone = Zone(kZone);
+  EngineRouter router(environment, options);
+  Configuration configuration = MakeConfiguration(state.range(0));
+  AddGateways(configuration, state.range(1));
+  for (auto _ : state) {
+    configuration.revision = Next(configuration.revision);
+    router.UpdateConfiguration(configuration);
+  }
+  if (router.observers().gateway_count() != state.range(1)) state.SkipWithError("gateways missing");
+}
+BENCHMARK(BM_ConfigurationChange)->Args({9, 3})->Args({131, 57})->Args({920, 57})->Args({920, 133});
+
 }  // namespace
 }  // namespace millstair
--- a/source/routing/placement_rules.cc
+++ b/source/routing/placement_rules.cc
@@ -1,5 +1,7 @@
 #include "routing/placement_rules.h"
 
+#include <deque>
+
 namespace millstair {
 namespace {
 
@@ -7,20 +9,35 @@
 struct Candidate {
   EngineName name;
   EngineType type = EngineType::kModel;
-  Labels labels;
+  /// Its own labels and its machine's, or only its own if the machine has none.
+  const Labels* labels = nullptr;
+};
+
+/// Engines by name, and the merged labels that some of them point to.
+struct Candidates {
+  std::vector<Candidate> engines;
+  std::deque<Labels> merged;
 };
 
-std::vector<Candidate> Candidates(const Configuration& configuration) {
-  std::vector<Candidate> candidates;
+Candidates CandidatesOf(const Configuration& configuration) {
+  Candidates candidates;
   for (const auto& [key, resource] : configuration.resources) {
     const auto* spec = std::get_if<EngineSpec>(&resource.spec);
     if (spec == nullptr) continue;
-    const EngineName name(resource.name);
-    candidates.push_back({name, spec->type, EngineLabels(configuration, name)});
+    const auto machine = configuration.resources.find({ResourceKind::kMachine, spec->machine});
+    const Labels* labels = &resource.labels;
+    if (machine != configuration.resources.end() && !machine->second.labels.empty()) {
+      candidates.merged.push_back(EngineLabels(configuration, EngineName(resource.name)));
+      labels = &candidates.merged.back();
+    }
+    candidates.engines.push_back({EngineName(resource.name), spec->type, labels});
   }
   return candidates;
 }
 
+/// Which of the candidates something holds for, in their order.
+using EngineFlags = std::vector<bool>;
+
 /// Model that a workload needs; none if `resource` is no workload, empty for plain HTTP.
 std::optional<ModelName> WorkloadModel(const Resource& resource) {
   if (const auto* pool = std::get_if<PoolSpec>(&resource.spec)) return pool->model;
@@ -32,14 +49,43 @@
   return selector.has_value() && Matches(*selector, labels);
 }
 
-std::vector<const MatchSpec*> AllMatches(const Configuration& configuration) {
-  std::vector<const MatchSpec*> matches;
+/// A Match and the engines that it selects.
+struct EngineMatch {
+  const MatchSpec* spec = nullptr;
+  EngineFlags engines;
+};
+
+std::vector<EngineMatch> MatchesOf(const Configuration& configuration,
+                                   const std::vector<Candidate>& engines) {
+  std::vector<EngineMatch> matches;
   for (const auto& [key, resource] : configuration.resources) {
-    if (const auto* spec = std::get_if<MatchSpec>(&resource.spec)) matches.push_back(spec);
+    const auto* spec = std::get_if<MatchSpec>(&resource.spec);
+    if (spec == nullptr) continue;
+    EngineMatch match{spec, EngineFlags(engines.size())};
+    for (size_t i = 0; i < engines.size(); ++i) {
+      match.engines[i] = SelectorMatches(spec->engines, *engines[i].labels);
+    }
+    matches.push_back(std::move(match));
   }
   return matches;
 }
 
+/// Adds the engines of `match` for which `fits` holds.
+template <class Fits>
+void AddMatching(const EngineMatch& match, EngineFlags& flags, Fits fits) {
+  for (size_t i = 0; i < flags.size(); ++i) {
+    if (match.engines[i] && fits(i)) flags[i] = true;
+  }
+}
+
+std::vector<EngineName> NamesOf(const EngineFlags& flags, const std::vector<Candidate>& engines) {
+  std::vector<EngineName> names;
+  for (size_t i = 0; i < flags.size(); ++i) {
+    if (flags[i]) names.push_back(engines[i].name);
+  }
+  return names;
+}
+
 template <class Key>
 const auto& FindOrEmpty(const std::map<Key, std::vector<EngineName>>& lists, const Key& key) {
   static const std::vector<EngineName> empty;
@@ -63,38 +109,37 @@
 
 PlacementRules::PlacementRules(const Configuration& configuration)
     : revision_(configuration.revision) {
-  const std::vector<Candidate> candidates = Candidates(configuration);
-  const std::vector<const MatchSpec*> matches = AllMatches(configuration);
-  std::map<ModelName, std::set<EngineName>> holders;
+  const Candidates candidates = CandidatesOf(configuration);
+  const std::vector<Candidate>& engines = candidates.engines;
+  const std::vector<EngineMatch> matches = MatchesOf(configuration, engines);
+  const auto is_model_engine = [&](size_t i) { return engines[i].type == EngineType::kModel; };
+  std::map<ModelName, EngineFlags> holders;
   for (const auto& [key, resource] : configuration.resources) {
     if (key.kind != ResourceKind::kModel) continue;
-    std::set<EngineName>& engines = holders[ModelName(resource.name)];
-    for (const MatchSpec* match : matches) {
-      if (!SelectorMatches(match->models, resource.labels)) continue;
-      for (const Candidate& candidate : candidates) {
-        if (candidate.type != EngineType::kModel) continue;
-        if (SelectorMatches(match->engines, candidate.labels)) engines.insert(candidate.name);
-      }
+    EngineFlags flags(engines.size());
+    for (const EngineMatch& match : matches) {
+      if (!SelectorMatches(match.spec->models, resource.labels)) continue;
+      AddMatching(match, flags, is_model_engine);
     }
+    const ModelName model(resource.name);
+    by_model_[model] = NamesOf(flags, engines);
+    for (const EngineName& engine : by_model_[model]) by_engine_[engine].push_back(model);
+    holders.emplace(model, std::move(flags));
   }
-  for (const auto& [model, engines] : holders) {
-    by_model_[model].assign(engines.begin(), engines.end());
-    for (const EngineName& engine : engines) by_engine_[engine].push_back(model);
-  }
+  const EngineFlags nobody(engines.size());
   for (const auto& [key, resource] : configuration.resources) {
     const std::optional<ModelName> model = WorkloadModel(resource);
     if (!model) continue;
-    std::set<EngineName> engines;
-    for (const MatchSpec* match : matches) {
-      if (!SelectorMatches(match->workloads, resource.labels)) continue;
-      for (const Candidate& candidate : candidates) {
-        if (!SelectorMatches(match->engines, candidate.labels)) continue;
-        const bool fits = model->value().empty() ? candidate.type == EngineType::kHttp
-                                                 : holders[*model].contains(candidate.name);
-        if (fits) engines.insert(candidate.name);
-      }
+    const auto held = holders.find(*model);
+    const EngineFlags& holding = held == holders.end() ? nobody : held->second;
+    const bool plain = model->value().empty();
+    const auto fits = [&](size_t i) { return plain ? !is_model_engine(i) : holding[i]; };
+    EngineFlags flags(engines.size());
+    for (const EngineMatch& match : matches) {
+      if (!SelectorMatches(match.spec->workloads, resource.labels)) continue;
+      AddMatching(match, flags, fits);
     }
-    by_workload_[key].assign(engines.begin(), engines.end());
+    by_workload_[key] = NamesOf(flags, engines);
   }
 }
 
