Try the groups of streams and the cost of heartbeats

Cause: opening, dropping and following of stream groups, and the bytes of heartbeats, were not tried yet.

--- a/test/cluster/cluster_fleet.cc
+++ b/test/cluster/cluster_fleet.cc
@@ -21,6 +21,37 @@
   return fmt::format("127.0.0.{}:{}", std::stoi(name.substr(1)), name[0] == 'c' ? 1000 : 2000);
 }
 
+class ListMachine : public StateMachine {
+ public:
+  std::string Apply(LogIndex, std::string_view command) override {
+    list_ += command;
+    return list_;
+  }
+  std::string TakeSnapshot() const override { return list_; }
+  absl::Status Restore(LogIndex, std::string_view snapshot) override {
+    list_ = snapshot;
+    return absl::OkStatus();
+  }
+
+ private:
+  std::string list_;
+};
+
+class RecordingLeader : public StreamLeader {
+ public:
+  explicit RecordingLeader(StreamRecord& record) : record_(record) {}
+  void ReceiveWork(const NodeId&, const PeerMessage&) override { ++record_.works; }
+  void Query(const std::string& query,
+             std::function<void(absl::StatusOr<std::string>)> done) override {
+    ++record_.queries;
+    done("answer to " + query);
+  }
+  void OnChange(const Configuration&) override { ++record_.changes; }
+
+ private:
+  StreamRecord& record_;
+};
+
 class RecordingWriter : public ResponseWriter {
  public:
   explicit RecordingWriter(std::shared_ptr<RecordedAnswer> answer) : answer_(std::move(answer)) {}
@@ -45,6 +76,14 @@
 
 }  // namespace
 
+std::unique_ptr<StateMachine> RecordingStreams::MakeStateMachine(const GroupId&) {
+  return std::make_unique<ListMachine>();
+}
+
+std::unique_ptr<StreamLeader> RecordingStreams::MakeLeader(RaftGroup&, StateMachine&) {
+  return std::make_unique<RecordingLeader>(record_);
+}
+
 std::unique_ptr<CallHandle> ListCaller::Start(const std::string&, HttpRequest,
                                               HttpCallObserver& observer) {
   observer.OnHead({});
@@ -138,7 +177,9 @@
   if (self.control) {
     disks_.at(name)->Attach(*process.environment);
     process.control = MakeControlNode(*process.environment, *process.transport, *disks_.at(name),
-                                      *process.platform, nullptr, ControlOptions(self));
+                                      *process.platform,
+                                      std::make_unique<RecordingStreams>(process.streams),
+                                      ControlOptions(self));
     REQUIRE(process.control->Start().ok());
     return;
   }
@@ -171,6 +212,8 @@
   const auto found = processes_.find(to.value());
   if (found == processes_.end() || !Open(from.value(), to.value())) return;
   FleetProcess& process = found->second;
+  const bool with_gateway = from.value()[0] == 'g' || to.value()[0] == 'g';
+  if (with_gateway) gateway_bytes_ += message.payload.size();
   if (process.control) process.control->Receive(from, message);
   if (process.configuration) process.configuration->Receive(from, message);
   if (process.commands) process.commands->Receive(from, message);
--- a/test/cluster/cluster_fleet.h
+++ b/test/cluster/cluster_fleet.h
@@ -35,6 +35,24 @@
   const std::string& list_;
 };
 
+/// What the leaders of streams on one control node were asked.
+struct StreamRecord {
+  int works = 0;
+  int changes = 0;
+  int queries = 0;
+};
+
+/// Streams whose state is the list of their commands.
+class RecordingStreams : public StreamFactory {
+ public:
+  explicit RecordingStreams(StreamRecord& record) : record_(record) {}
+  std::unique_ptr<StateMachine> MakeStateMachine(const GroupId& group) override;
+  std::unique_ptr<StreamLeader> MakeLeader(RaftGroup& group, StateMachine& state) override;
+
+ private:
+  StreamRecord& record_;
+};
+
 struct FleetOptions {
   uint64_t seed = 1;
   int control_nodes = 3;
@@ -54,6 +72,7 @@
   std::unique_ptr<ConfigurationClient> configuration;
   std::unique_ptr<ControlClient> commands;
   Revision newest_seen;
+  StreamRecord streams;
 };
 
 class ClusterFleet {
@@ -91,6 +110,9 @@
   /// Puts a machine resource through any control node that runs; its revision.
   Revision PutMachine(const std::string& name, bool drain = false);
 
+  /// Bytes of payload that gateways sent and received.
+  uint64_t gateway_bytes() const { return gateway_bytes_; }
+
   std::string machine_list = "{\"machines\":[]}";
   /// True once a node's configuration went back to a smaller revision.
   bool went_back = false;
@@ -110,6 +132,7 @@
   std::unique_ptr<VirtualEnvironment> disk_environment_;
   std::map<std::string, uint64_t> lives_;
   uint64_t next_incarnation_ = 1;
+  uint64_t gateway_bytes_ = 0;
   std::set<std::string> isolated_;
   std::set<std::pair<std::string, std::string>> cuts_;
 };
