--- a/source/cluster/cluster_commands.h
+++ b/source/cluster/cluster_commands.h
@@ -93,6 +93,9 @@
 /// first one for a stream wins; it is forgotten with the Stream resource.
 struct FoundGroup {
   StreamName stream;
+  /// Set by the state machine: tells a stream from an earlier one of the same name, whose group may
+  /// still lie on the disk of a node that was down when it was deleted.
+  Revision generation;
   std::vector<GroupMember> founders;
 };
 
--- a/source/cluster/cluster_state_machine.cc
+++ b/source/cluster/cluster_state_machine.cc
@@ -106,7 +106,7 @@
         } else if constexpr (std::is_same_v<Operation, SettleClaim>) {
           return claims_.Settle(operation);
         } else if constexpr (std::is_same_v<Operation, FoundGroup>) {
-          return Found(operation);
+          return Found(index, operation);
         } else {
           return editor.Run(operation);
         }
@@ -121,13 +121,14 @@
   return result;
 }
 
-ClusterResult ClusterStateMachine::Found(const FoundGroup& found) {
+ClusterResult ClusterStateMachine::Found(LogIndex index, const FoundGroup& found) {
   ClusterResult result;
   if (!configuration_.resources.contains({ResourceKind::kStream, found.stream.value()})) {
     result.code = ClusterResultCode::kNotFound;
     return result;
   }
-  founded_groups_.try_emplace(found.stream, found);
+  const auto [group, added] = founded_groups_.try_emplace(found.stream, found);
+  if (added) group->second.generation = Revision(index.value());
   return result;
 }
 
--- a/source/cluster/cluster_state_machine.h
+++ b/source/cluster/cluster_state_machine.h
@@ -52,7 +52,7 @@
   ClusterResult Answer(LogIndex index, const ClusterCommand& command);
   ClusterResult RunOnce(LogIndex index, const ClusterCommand& command);
   ClusterResult Run(LogIndex index, const ClusterCommand& command);
-  ClusterResult Found(const FoundGroup& found);
+  ClusterResult Found(LogIndex index, const FoundGroup& found);
   /// Forgets the founders of streams that were deleted.
   void ForgetGroups(const ChangeSet& changes);
   void AdvanceClock(WallTime proposed_at);
--- a/source/cluster/command_service.cc
+++ b/source/cluster/command_service.cc
@@ -16,7 +16,7 @@
 void CommandService::ReceiveCommand(const NodeId& from, const PeerMessage& message) {
   auto command = DecodeGroupCommand(message.payload);
   if (!command.ok() || groups_ == nullptr) return;
-  const RaftGroup* group = groups_->Find(command->group);
+  const RaftGroup* group = groups_->Find(streams_.Resolve(command->group));
   if (group == nullptr || !group->IsLeader()) return PassOn(from, *std::move(command));
   const Running key{command->origin.value().empty() ? from : command->origin, command->id};
   // A resend of a command that is under way is answered with it.
@@ -32,7 +32,7 @@
 }
 
 void CommandService::PassOn(const NodeId& from, GroupCommand command) {
-  const RaftGroup* group = groups_->Find(command.group);
+  const RaftGroup* group = groups_->Find(streams_.Resolve(command.group));
   const auto leader = group == nullptr ? std::nullopt : group->Leader();
   const bool passed_on_before = !command.origin.value().empty();
   if (passed_on_before || !leader || *leader == self_) {
@@ -51,8 +51,9 @@
   return true;
 }
 
-void CommandService::Run(const GroupId& group, CommandMode mode, const std::string& command,
+void CommandService::Run(const GroupId& wanted, CommandMode mode, const std::string& command,
                          std::function<void(absl::StatusOr<std::string>)> done) {
+  const GroupId group = streams_.Resolve(wanted);
   RaftGroup* replica = groups_ == nullptr ? nullptr : groups_->Find(group);
   if (replica == nullptr || !replica->IsLeader()) {
     return done(absl::UnavailableError("not the leader"));
--- a/source/cluster/command_service.h
+++ b/source/cluster/command_service.h
@@ -23,7 +23,7 @@
   /// A message of kind kCommandReply; whether it was bound for another node and passed on.
   bool PassOnReply(const PeerMessage& message);
   /// Runs a command of this node itself. Unavailable if it does not lead the group.
-  void Run(const GroupId& group, CommandMode mode, const std::string& command,
+  void Run(const GroupId& wanted, CommandMode mode, const std::string& command,
            std::function<void(absl::StatusOr<std::string>)> done);
 
  private:
--- a/source/cluster/configuration_wire.cc
+++ b/source/cluster/configuration_wire.cc
@@ -145,6 +145,7 @@
 millstair_FoundGroup ToWire(WireArena& arena, const FoundGroup& found) {
   millstair_FoundGroup wire = millstair_FoundGroup_init_zero;
   wire.stream = arena.NewString(found.stream.value());
+  wire.generation = found.generation.value();
   wire.founders =
       NewWireArray<millstair_FoundingMember>(arena, found.founders, &wire.founders_count);
   return wire;
@@ -152,6 +153,7 @@
 
 bool FromWire(const millstair_FoundGroup& wire, FoundGroup& found) {
   found.stream = StreamName(ToString(wire.stream));
+  found.generation = Revision(wire.generation);
   return FromWireArray(wire.founders, wire.founders_count, found.founders) &&
          !found.founders.empty();
 }
--- a/source/cluster/stream_host.cc
+++ b/source/cluster/stream_host.cc
@@ -5,6 +5,7 @@
 
 #include "cluster/control_messages.h"
 #include "common/event_log.h"
+#include "fmt/format.h"
 
 namespace millstair {
 namespace {
@@ -12,20 +13,17 @@
 constexpr std::string_view kPrefix = "stream/";
 constexpr Duration kTick = std::chrono::seconds(1);
 
-bool HasStream(const Configuration& configuration, const StreamName& stream) {
-  return configuration.resources.contains({ResourceKind::kStream, stream.value()});
-}
-
 }  // namespace
 
-GroupId GroupOfStream(const StreamName& stream) {
-  return GroupId(std::string(kPrefix) + stream.value());
+GroupId GroupOfStream(const FoundGroup& found) {
+  return GroupId(fmt::format("{}{}@{}", kPrefix, found.stream, found.generation));
 }
 
 std::optional<StreamName> StreamOfGroupId(const GroupId& group) {
   const std::string& name = group.value();
   if (!name.starts_with(kPrefix) || name.size() == kPrefix.size()) return std::nullopt;
-  return StreamName(name.substr(kPrefix.size()));
+  const size_t end = std::min(name.rfind('@'), name.size());
+  return StreamName(name.substr(kPrefix.size(), end - kPrefix.size()));
 }
 
 StreamHost::StreamHost(Environment& environment, PeerTransport& transport, ClusterReplica& cluster,
@@ -41,7 +39,7 @@
   const auto stream = StreamOfGroupId(group);
   if (!stream || factory_ == nullptr) return nullptr;
   // While the groups are being opened the configuration is not known yet.
-  if (groups_ != nullptr && !HasStream(cluster_.configuration(), *stream)) return nullptr;
+  if (groups_ != nullptr && !IsCurrent(group)) return nullptr;
   return factory_->MakeStateMachine(group);
 }
 
@@ -74,7 +72,7 @@
 void StreamHost::OpenFounded() {
   if (cluster_.state() == nullptr) return;
   for (const auto& [stream, found] : cluster_.state()->founded_groups()) {
-    const GroupId group = GroupOfStream(stream);
+    const GroupId group = GroupOfStream(found);
     if (groups_->Find(group) != nullptr) continue;
     const ReplicaId own = groups_->identity().replica;
     const bool founder =
@@ -98,7 +96,7 @@
     const StreamName stream(key.name);
     if (key.kind != ResourceKind::kStream) continue;
     if (cluster_.state()->founded_groups().contains(stream)) continue;
-    FoundGroup found{stream, cluster_.group()->Members()};
+    FoundGroup found{stream, Revision(), cluster_.group()->Members()};
     std::erase_if(found.founders, [](const GroupMember& member) { return !member.voter; });
     founding_ = true;
     cluster_.Propose({std::move(found), std::nullopt, {}},
@@ -110,22 +108,37 @@
   }
 }
 
+bool StreamHost::IsCurrent(const GroupId& group) const {
+  const auto stream = StreamOfGroupId(group);
+  if (!stream || cluster_.state() == nullptr) return false;
+  const auto& founded = cluster_.state()->founded_groups();
+  const auto found = founded.find(*stream);
+  return found != founded.end() && GroupOfStream(found->second) == group;
+}
+
+GroupId StreamHost::Resolve(const GroupId& group) const {
+  const auto stream = StreamOfGroupId(group);
+  if (!stream || cluster_.state() == nullptr) return group;
+  const auto& founded = cluster_.state()->founded_groups();
+  const auto found = founded.find(*stream);
+  return found == founded.end() ? group : GroupOfStream(found->second);
+}
+
 void StreamHost::DropDeleted() {
   for (const RaftGroup* group : groups_->Groups()) {
-    const auto stream = StreamOfGroupId(group->id());
-    if (!stream || HasStream(cluster_.configuration(), *stream)) continue;
-    if (!dropping_.insert(*stream).second) continue;
+    const GroupId id = group->id();
+    if (!StreamOfGroupId(id) || IsCurrent(id)) continue;
+    if (!dropping_.insert(id).second) continue;
     // A replica that is still catching up may not know the stream yet, so the absence is confirmed.
-    cluster_.ConfirmRead(alive_.Guard([this, stream = *stream](const absl::Status& status) {
-      dropping_.erase(stream);
-      if (status.ok()) DropIfStillDeleted(stream);
+    cluster_.ConfirmRead(alive_.Guard([this, id](const absl::Status& status) {
+      dropping_.erase(id);
+      if (status.ok()) DropIfStillDeleted(id);
     }));
   }
 }
 
-void StreamHost::DropIfStillDeleted(const StreamName& stream) {
-  if (HasStream(cluster_.configuration(), stream)) return;
-  const GroupId group = GroupOfStream(stream);
+void StreamHost::DropIfStillDeleted(const GroupId& group) {
+  if (IsCurrent(group)) return;
   leaders_.erase(group);
   const absl::Status dropped = groups_->DropGroup(group);
   LogEvent(EventId::kStreamGroupDropped, "group={} status=\"{}\"", group, dropped.ToString());
@@ -156,7 +169,7 @@
 void StreamHost::ReceiveWork(const NodeId& from, const PeerMessage& message) {
   const auto head = DecodeWorkRequestHead(message.payload);
   if (!head.ok() || groups_ == nullptr) return;
-  const GroupId group = GroupOfStream(head->stream);
+  const GroupId group = Resolve(GroupId(std::string(kPrefix) + head->stream.value()));
   if (StreamLeader* leader = FindLeading(group)) return leader->ReceiveWork(from, message);
   // Passed on once only, or it could go round while the leader changes.
   if (from != head->gateway) return;
--- a/source/cluster/stream_host.h
+++ b/source/cluster/stream_host.h
@@ -15,9 +15,10 @@
 
 namespace millstair {
 
-/// "stream/<name>".
-GroupId GroupOfStream(const StreamName& stream);
-/// None if `group` is not that of a stream.
+/// "stream/<name>@<generation>": the group of one stream, which differs from that of an earlier
+/// stream of the same name.
+GroupId GroupOfStream(const FoundGroup& found);
+/// The stream of "stream/<name>" or "stream/<name>@<generation>"; none for other groups.
 std::optional<StreamName> StreamOfGroupId(const GroupId& group);
 
 class StreamHost {
@@ -35,6 +36,8 @@
   void Update();
   /// A message of kind kWorkRequest.
   void ReceiveWork(const NodeId& from, const PeerMessage& message);
+  /// The group that "stream/<name>" means now. Other names mean themselves.
+  GroupId Resolve(const GroupId& group) const;
   /// Null unless this node leads the group of the stream.
   StreamLeader* FindLeading(const GroupId& group);
 
@@ -43,7 +46,9 @@
   void OpenFounded();
   void FoundMissing();
   void DropDeleted();
-  void DropIfStillDeleted(const StreamName& stream);
+  void DropIfStillDeleted(const GroupId& group);
+  /// Whether `group` is that of a stream as it is now.
+  bool IsCurrent(const GroupId& group) const;
   void TellLeaders();
   StreamLeader* LeaderOf(RaftGroup& group);
 
@@ -54,7 +59,7 @@
   GroupHost* groups_ = nullptr;
   std::map<GroupId, std::unique_ptr<StreamLeader>> leaders_;
   bool founding_ = false;
-  std::set<StreamName> dropping_;
+  std::set<GroupId> dropping_;
   ScopedTimer timer_;
   ScopedTimer update_timer_;
   AliveFlag alive_;
--- a/source/common/ids.h
+++ b/source/common/ids.h
@@ -21,7 +21,8 @@
 using Term = StrongId<struct TermTag, uint64_t>;
 /// Position in a Raft log; the first entry is 1.
 using LogIndex = StrongId<struct LogIndexTag, uint64_t>;
-/// Name of a Raft group: "cluster" or "stream/<stream name>".
+/// Name of a Raft group: "cluster" or "stream/<stream name>@<generation>". Nodes without the group
+/// address a stream as "stream/<stream name>".
 using GroupId = StrongId<struct GroupIdTag, std::string>;
 /// Revision of the cluster configuration: the index in the cluster log of the last change.
 using Revision = StrongId<struct RevisionTag, uint64_t>;
--- a/source/rollout/stream_commands.h
+++ b/source/rollout/stream_commands.h
@@ -177,11 +177,13 @@
 
 /// Group that holds the log of `stream`.
 inline GroupId StreamGroup(const StreamName& stream) { return GroupId("stream/" + stream.value()); }
-/// Stream of `group`; empty if it is no stream group.
+/// Stream of `group`, "stream/<name>" or "stream/<name>@<generation>"; empty if it is no stream
+/// group.
 inline StreamName StreamOfGroup(const GroupId& group) {
   constexpr std::string_view kPrefix = "stream/";
   if (!group.value().starts_with(kPrefix)) return StreamName();
-  return StreamName(group.value().substr(kPrefix.size()));
+  const std::string name = group.value().substr(kPrefix.size());
+  return StreamName(name.substr(0, name.rfind('@')));
 }
 
 std::string EncodeWorkRequest(const WorkRequest& request);
--- a/test/cluster/stream_host_test.cc
+++ b/test/cluster/stream_host_test.cc
@@ -15,6 +15,7 @@
 
 using std::chrono::seconds;
 
+/// What gateways call the group; its replicas add the generation of the stream.
 const GroupId kGroup("stream/s");
 const std::vector<std::string> kFounders = {"c1", "c2", "c3"};
 
@@ -35,7 +36,10 @@
 }
 
 RaftGroup* GroupOn(ClusterFleet& fleet, const std::string& node) {
-  return fleet.Process(node).control->groups().Find(kGroup);
+  for (RaftGroup* group : fleet.Process(node).control->groups().Groups()) {
+    if (group->id().value().starts_with("stream/s@")) return group;
+  }
+  return nullptr;
 }
 
 std::string StreamLeaderOf(ClusterFleet& fleet) {
@@ -118,6 +122,40 @@
       seconds(10)));
 }
 
+TEST_CASE("a stream made anew under the same name shares nothing with the earlier one") {
+  ClusterFleet fleet({});
+  PutStream(fleet);
+  REQUIRE(fleet.RunUntil([&] { return !StreamLeaderOf(fleet).empty(); }, seconds(10)));
+  const auto append = [&](const std::string& command) {
+    std::string state;
+    fleet.Process("g1").commands->Submit(
+        kGroup, CommandMode::kPropose, command, seconds(20),
+        [&](const absl::StatusOr<std::string>& result) { state = result.value_or("failed"); });
+    REQUIRE(fleet.RunUntil([&] { return !state.empty(); }, seconds(25)));
+    return state;
+  };
+  CHECK(append("old") == "old");
+  // One replica is down while the stream is deleted and made anew.
+  const std::string down = fleet.Leader() == "c1" ? "c2" : "c1";
+  const GroupId earlier = GroupOn(fleet, down)->id();
+  fleet.Crash(down);
+  REQUIRE(fleet.Ask(fleet.AwaitLeader(), "DELETE", "/v1/resources/Stream/s").status == 200);
+  fleet.RunFor(seconds(5));
+  const Resource again = MakeResource("s", StreamSpec{"p", 1, 0.5, 8, ""});
+  REQUIRE(fleet.Ask(fleet.Leader(), "PUT", "/v1/resources/Stream/s", ToJson(again)).status == 200);
+  fleet.RunFor(seconds(3));
+  CHECK(append("new") == "new");
+  fleet.Start(down);
+  CHECK(fleet.RunUntil(
+      [&] {
+        RaftGroup* group = GroupOn(fleet, down);
+        return group != nullptr && group->id() != earlier &&
+               fleet.Process(down).control->groups().Find(earlier) == nullptr;
+      },
+      seconds(10)));
+  CHECK(append("+") == "new+");
+}
+
 TEST_CASE("a stream's members follow those of the cluster group") {
   ClusterFleet fleet({.control_nodes = 4});
   PutStream(fleet);
