--- a/test/cluster/cluster_fleet.cc
+++ b/test/cluster/cluster_fleet.cc
@@ -176,10 +176,9 @@
   self.gateway = name[0] == 'g';
   if (self.control) {
     disks_.at(name)->Attach(*process.environment);
-    process.control = MakeControlNode(*process.environment, *process.transport, *disks_.at(name),
-                                      *process.platform,
-                                      std::make_unique<RecordingStreams>(process.streams),
-                                      ControlOptions(self));
+    process.control = MakeControlNode(
+        *process.environment, *process.transport, *disks_.at(name), *process.platform,
+        std::make_unique<RecordingStreams>(process.streams), ControlOptions(self));
     REQUIRE(process.control->Start().ok());
     return;
   }
--- a/test/cluster/stream_host_test.cc
+++ b/test/cluster/stream_host_test.cc
@@ -20,10 +20,9 @@
 const std::vector<std::string> kFounders = {"c1", "c2", "c3"};
 
 void PutStream(ClusterFleet& fleet) {
-  const std::vector<Resource> resources = {
-      MakeResource("x", ModelSpec{"10.0.0.1:1", 1, 1, 0.5}),
-      MakeResource("p", PoolSpec{ModelName("x"), 1, 1}),
-      MakeResource("s", StreamSpec{"p", 1, 0.5, 8, ""})};
+  const std::vector<Resource> resources = {MakeResource("x", ModelSpec{"10.0.0.1:1", 1, 1, 0.5}),
+                                           MakeResource("p", PoolSpec{ModelName("x"), 1, 1}),
+                                           MakeResource("s", StreamSpec{"p", 1, 0.5, 8, ""})};
   std::string items;
   for (const Resource& resource : resources) {
     items += fmt::format("{}{{\"resource\":{},\"expected\":0}}", items.empty() ? "" : ",",
