Bound the wait for KV blocks of another engine

Cause: a resume whose source engine was cut off would have waited for the caller's read timeout of two minutes. Change: after kv_fetch_timeout (1 s) the blocks are recomputed; a late answer is ignored.

--- a/emulator/model/engine_generate.cc
+++ b/emulator/model/engine_generate.cc
@@ -91,6 +91,7 @@
   const auto add = [this, held, id] {
     if (*held != nullptr && open_.contains(id)) AddToBatch(std::move(*held));
   };
+  After(options_.kv_fetch_timeout, add);
   links_.fetch_kv(source, blocks,
                   [weak = weak_from_this(), life = life_, add](absl::StatusOr<KvExport> exported) {
                     const std::shared_ptr<Impl> self = weak.lock();
--- a/emulator/model/engine_options.h
+++ b/emulator/model/engine_options.h
@@ -57,6 +57,8 @@
   Duration default_fetch_time = std::chrono::milliseconds(500);
   /// Time to take over one KV block of another engine.
   Duration kv_transfer_per_block = std::chrono::microseconds(50);
+  /// Without an answer of the other engine for so long its blocks are recomputed.
+  Duration kv_fetch_timeout = std::chrono::seconds(1);
 
   InitialWeights initial_weights;
   std::string role;
--- a/test/emulator/engine_cache_test.cc
+++ b/test/emulator/engine_cache_test.cc
@@ -135,6 +135,30 @@
   CHECK(target.engine.counts().prefill_tokens == 4);
 }
 
+TEST_CASE("an engine that does not answer for its blocks delays a resume for a bounded time") {
+  std::function<void(absl::StatusOr<KvExport>)> answer;
+  EngineModelLinks links;
+  links.fetch_kv = [&](const std::string&, const std::vector<BlockHash>&, auto done) {
+    answer = std::move(done);
+  };
+  EngineFixture fixture(ExactOptions(), links);
+  const std::string prompt = PromptOfLength(32, 50, 10);
+  GenerateRequest request = fixture.Request("a", prompt, 50);
+  request.kv_source = "10.0.0.1:80";
+  RecordingObserver& observer = fixture.Observer();
+  fixture.engine.Generate(request, observer);
+  fixture.scheduler.RunFor(milliseconds(999));
+  CHECK(fixture.engine.counts().steps == 0);
+  REQUIRE(fixture.RunUntilEnded(observer));
+  CHECK(observer.tokens == Expected(prompt, 0, 10, 1));
+  CHECK(fixture.engine.counts().prefill_tokens == 32);
+  // A late answer changes nothing.
+  answer(KvExport{Incarnation(9), ModelName("m"), WeightVersion(1), PrefixBlocks(prompt)});
+  fixture.scheduler.RunFor(std::chrono::seconds(5));
+  CHECK(observer.tokens.size() == 10);
+  CHECK(fixture.engine.Idle());
+}
+
 TEST_CASE("blocks of other weights are not taken over") {
   EngineFixture fixture;
   KvExport exported{Incarnation(1), ModelName("m"), WeightVersion(2), {1, 2, 3}};
