Test the blocking client against the HTTP front

Cause: the client that judges answers was tried only by scripted replies. Change: whole, streamed, cut, missing and refused answers against the real front; control nodes' revision is read from its own metric.

--- a/bench/demo/node_probe.cc
+++ b/bench/demo/node_probe.cc
@@ -8,7 +8,9 @@
 
 constexpr Duration kProbePause = std::chrono::milliseconds(150);
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(1000);
-constexpr const char* kRevisionMetric = "millstair_configuration_revision";
+/// A gateway names the revision that it holds, a control node the one that it applied.
+constexpr const char* kGatewayRevision = "millstair_configuration_revision";
+constexpr const char* kControlRevision = "millstair_cluster_revision";
 constexpr int kOk = 200;
 
 void ProbeOne(DemoRun& run, const FleetNode& node) {
@@ -18,7 +20,8 @@
   const bool ready = readiness.whole() && readiness.status == kOk;
   if (node.gateway) run.SetReady(node.name, ready);
   const BlockingReply page = CallJson(run, node.address, "GET", "/metrics", "", kProbeTimeout);
-  const std::optional<double> revision = MetricValue(page.body, kRevisionMetric);
+  const std::optional<double> revision = 
+      MetricValue(page.body, node.gateway ? kGatewayRevision : kControlRevision);
   if (!page.whole() || !revision || life != run.LifeOf(node.name)) return;
   run.Record([&](checks::History& history) {
     history.configurations.push_back({NodeId(node.name), Incarnation(life), at,
--- /dev/null
+++ b/test/ctl/blocking_client_test.cc
@@ -0,0 +1,102 @@
+#include "ctl/blocking_client.h"
+
+#include <catch2/catch.hpp>
+
+#include "http/http_server.h"
+#include "runtime/runtime.h"
+
+namespace millstair {
+namespace {
+
+/// Whole, streamed, cut and missing answers by path.
+class PathHandler : public RequestHandler {
+ public:
+  void Handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer) override {
+    if (request.target == "/whole") {
+      Respond(*writer, {200, {{"X-Method", request.method}}}, request.body);
+    } else if (request.target == "/stream" || request.target == "/cut") {
+      writer->SendHead({200, {}});
+      writer->SendBody("one ");
+      writer->SendBody("two");
+      if (request.target == "/cut") return held_.push_back(std::move(writer));
+      writer->Finish();
+    } else {
+      held_.push_back(std::move(writer));
+    }
+  }
+
+ private:
+  std::vector<std::shared_ptr<ResponseWriter>> held_;
+};
+
+struct Server {
+  Server() {
+    executor->PostAndWait([this] {
+      auto listening = HttpServer::Listen(runtime, executor, "127.0.0.1:0", handler);
+      REQUIRE(listening.ok());
+      server = *std::move(listening);
+    });
+  }
+  ~Server() {
+    executor->PostAndWait([this] { server.reset(); });
+    executor->Stop();
+    runtime.Stop();
+  }
+
+  Runtime runtime;
+  std::shared_ptr<SerialExecutor> executor = runtime.NewExecutor();
+  PathHandler handler;
+  std::unique_ptr<HttpServer> server;
+};
+
+constexpr Duration kLong = std::chrono::seconds(20);
+constexpr Duration kShort = std::chrono::milliseconds(200);
+
+TEST_CASE("whole and streamed answers are read to their end") {
+  Server server;
+  BlockingClient client;
+  const std::string address = server.server->address();
+  const BlockingReply whole = client.Call(address, {"POST", "/whole", {}, "body"}, kLong);
+  REQUIRE(whole.whole());
+  REQUIRE(whole.status == 200);
+  REQUIRE(whole.body == "body");
+  REQUIRE(FindHeader(whole.headers, "x-method") == "POST");
+  std::string seen;
+  const BlockingReply streamed =
+      client.Call(address, {"GET", "/stream", {}, ""}, kLong, [&](std::string_view bytes) {
+        seen += bytes;
+        return true;
+      });
+  REQUIRE(streamed.whole());
+  REQUIRE(streamed.body == "one two");
+  REQUIRE(seen == "one two");
+}
+
+TEST_CASE("a failure says how far the call came") {
+  Server server;
+  BlockingClient client;
+  const std::string address = server.server->address();
+  SECTION("the answer began and did not end") {
+    const BlockingReply reply = client.Call(address, {"GET", "/cut", {}, ""}, kShort);
+    REQUIRE(reply.failure == CallFailure::kCut);
+    REQUIRE(reply.body == "one two");
+  }
+  SECTION("sent, and no answer") {
+    const BlockingReply reply = client.Call(address, {"GET", "/never", {}, ""}, kShort);
+    REQUIRE(reply.failure == CallFailure::kUnknown);
+    REQUIRE(reply.status == 0);
+  }
+  SECTION("the caller ends it") {
+    const BlockingReply reply = client.Call(address, {"GET", "/cut", {}, ""}, kLong,
+                                            [](std::string_view) { return false; });
+    REQUIRE(reply.failure == CallFailure::kCut);
+  }
+  SECTION("not connected, or no address") {
+    server.executor->PostAndWait([&] { server.server->Stop(); });
+    REQUIRE(client.Call(address, {"GET", "/", {}, ""}, kLong).failure == CallFailure::kNotSent);
+    REQUIRE(client.Call("host:1", {"GET", "/", {}, ""}, kLong).failure == CallFailure::kNotSent);
+  }
+}
+
+}  // namespace
+}  // namespace millstair
