--- a/bench/demo/node_probe.cc
+++ b/bench/demo/node_probe.cc
@@ -20,7 +20,7 @@
   const bool ready = readiness.whole() && readiness.status == kOk;
   if (node.gateway) run.SetReady(node.name, ready);
   const BlockingReply page = CallJson(run, node.address, "GET", "/metrics", "", kProbeTimeout);
-  const std::optional<double> revision = 
+  const std::optional<double> revision =
       MetricValue(page.body, node.gateway ? kGatewayRevision : kControlRevision);
   if (!page.whole() || !revision || life != run.LifeOf(node.name)) return;
   run.Record([&](checks::History& history) {
