--- a/source/resources/resource_references.cc
+++ b/source/resources/resource_references.cc
@@ -51,7 +51,7 @@
     Refer(from, ResourceKind::kModel, spec.model.value());
   }
   void Check(const ParsedResource& from, const MatchSpec& spec) {
-    CheckSelector(from, "workloads", spec.workloads, [this](const Resource& resource) {
+    CheckSelector(from, "workloads", spec.workloads, [](const Resource& resource) {
       return resource.kind() == ResourceKind::kPool ||
              resource.kind() == ResourceKind::kTrafficGroup;
     });
--- a/source/resources/yaml_fields.cc
+++ b/source/resources/yaml_fields.cc
@@ -16,8 +16,9 @@
   return Place{file, mark.line + 1, mark.column + 1};
 }
 
-YamlFields::YamlFields(std::string file, YAML::Node node, std::string what, Findings& findings)
-    : file_(std::move(file)), node_(std::move(node)), what_(std::move(what)), findings_(findings) {
+YamlFields::YamlFields(std::string file, const YAML::Node& node, std::string what,
+                       Findings& findings)
+    : file_(std::move(file)), node_(node), what_(std::move(what)), findings_(findings) {
   if (!node_.IsMap()) {
     if (!node_.IsNull()) Fault(node_, fmt::format("{} must be a mapping of keys to values", what_));
     return;
--- a/source/resources/yaml_fields.h
+++ b/source/resources/yaml_fields.h
@@ -30,7 +30,7 @@
 class YamlFields {
  public:
   /// `what` names the mapping in findings, for example "Machine" or "spec".
-  YamlFields(std::string file, YAML::Node node, std::string what, Findings& findings);
+  YamlFields(std::string file, const YAML::Node& node, std::string what, Findings& findings);
 
   void Text(const std::string& key, std::string& value, Presence presence, const TextCheck& check);
   void Flag(const std::string& key, bool& value);
