--- a/bench/demo/fault_script.cc
+++ b/bench/demo/fault_script.cc
@@ -45,12 +45,13 @@
     run_.Sleep(FromSeconds(std::strtod(argument.c_str(), nullptr)));
   } else if (command == "stopping") {
     Begin("planned-stop", argument, true);
-  } else if (command == "stopped") {
-    // The window stays open until the node runs again.
-  } else if (command == "killed") {
+  } else if (command == "killing") {
     Begin("kill", argument, false);
-  } else if (command == "started") {
+  } else if (command == "stopped" || command == "killed") {
+    // The window stays open until the node is ready again; what it shows from now on is of its next
+    // life.
     run_.BeginNextLife(argument);
+  } else if (command == "started") {
     End(argument);
   } else if (command == "cut") {
     Begin("zone-cut", argument, false);
--- a/bench/demo/fault_script.h
+++ b/bench/demo/fault_script.h
@@ -2,7 +2,8 @@
 /// stops processes and says so, the driver cuts links, crashes engines and keeps the records.
 ///
 ///   stopping NODE    a planned stop begins      stopped NODE   its process has ended
-///   started NODE     the node runs again        killed NODE    its process was killed
+///   killing NODE     its process gets a kill    killed NODE    its process has ended
+///   started NODE     the node is ready again
 ///   cut ZONE         cut the zone off           heal ZONE      undo it
 ///   crash ENGINE     the engine dies, and comes back after a while
 ///   draining ENGINE  operators drain it         finish         end the run
