--- a/test/bench/demo_test.cc
+++ b/test/bench/demo_test.cc
@@ -27,8 +27,8 @@
     const std::string root = "deploy/" + deployment;
     const FleetFile fleet =
         ParseFleetFile("fleet.yaml", ReadSourceFile(root + "/fleet.yaml"), findings);
-    const auto resources =
-        ReadResourceFiles({std::string(MILLSTAIR_SOURCE_DIR) + "/" + root + "/resources"}, findings);
+    const auto resources = ReadResourceFiles(
+        {std::string(MILLSTAIR_SOURCE_DIR) + "/" + root + "/resources"}, findings);
     INFO(findings.ToString());
     REQUIRE(findings.empty());
     REQUIRE(DanglingReferences(resources).ToString().empty());
@@ -45,8 +45,9 @@
 
 TEST_CASE("faults of a fleet file name their places") {
   Findings findings;
-  ParseFleetFile("f", "deployment: a\nmodel: m\nstream: s\nlink_control: host:1\nnodes: []\n"
-                      "engines: []\nplain_servers: []\ntraffic: [{kind: dance, path: /p}]\n",
+  ParseFleetFile("f",
+                 "deployment: a\nmodel: m\nstream: s\nlink_control: host:1\nnodes: []\n"
+                 "engines: []\nplain_servers: []\ntraffic: [{kind: dance, path: /p}]\n",
                  findings);
   REQUIRE(findings.items().size() == 2);
   REQUIRE(findings.items()[0].place.line == 4);
