Share engine reports within 2.5 KB/s a gateway

Cause: at 100 nodes with 230 servers a node moved 9.07 KB/s for control, more than the 8 KB/s it may; shared engine reports were bounded at 6 KB/s received, and about as much is sent. Change: the bound is 2.5 KB/s; a larger zone shares more seldom, small ones as before.

--- a/source/gateway/engine_observer.h
+++ b/source/gateway/engine_observer.h
@@ -32,7 +32,7 @@
   /// Plain back ends are asked for their readiness this often.
   Duration probe = std::chrono::seconds(1);
   /// Bound on the bytes a second of shared reports that reach one gateway of the zone.
-  uint32_t shared_bytes_per_second = 6000;
+  uint32_t shared_bytes_per_second = 2500;
   /// Reports of a zone that other zones get.
   uint32_t summary_engines = 16;
   Duration summary_interval = std::chrono::milliseconds(500);
