--- a/bench/micro/path_benchmark.cc
+++ b/bench/micro/path_benchmark.cc
@@ -10,7 +10,7 @@
 namespace millstair {
 namespace {
 
-void BM_Admission(benchmark::State& state) {
+void MeasureAdmission(benchmark::State& state) {
   VirtualScheduler scheduler(1);
   VirtualEnvironment environment(scheduler, 2);
   AdmissionController controller(environment, AdmissionLimits{});
@@ -21,9 +21,9 @@
     benchmark::DoNotOptimize(result);
   }
 }
-BENCHMARK(BM_Admission);
+BENCHMARK(MeasureAdmission);
 
-void BM_FrameDecode(benchmark::State& state) {
+void MeasureFrameDecode(benchmark::State& state) {
   const std::string frame = EncodeFrame(static_cast<uint8_t>(MessageKind::kHeartbeat),
                                         std::string(static_cast<size_t>(state.range(0)), 'x'));
   FrameReader reader(1 << 20);
@@ -34,9 +34,9 @@
   }
   state.SetBytesProcessed(state.iterations() * static_cast<int64_t>(frame.size()));
 }
-BENCHMARK(BM_FrameDecode)->Arg(200)->Arg(64 * 1024);
+BENCHMARK(MeasureFrameDecode)->Arg(200)->Arg(64 * 1024);
 
-void BM_LogAppend(benchmark::State& state) {
+void MeasureLogAppend(benchmark::State& state) {
   VirtualScheduler scheduler(1);
   VirtualEnvironment environment(scheduler, 2);
   MemoryFileSystem files(environment, 3);
@@ -60,7 +60,7 @@
   }
   if ((*log)->last_index() != LogIndex(index)) state.SkipWithError("entries are missing");
 }
-BENCHMARK(BM_LogAppend)->Arg(200)->Arg(4096)->Iterations(20000);
+BENCHMARK(MeasureLogAppend)->Arg(200)->Arg(4096)->Iterations(20000);
 
 }  // namespace
 }  // namespace millstair
--- a/bench/micro/routing_benchmark.cc
+++ b/bench/micro/routing_benchmark.cc
@@ -78,7 +78,7 @@
   return report;
 }
 
-void BM_RoutingDecision(benchmark::State& state) {
+void MeasureRoutingDecision(benchmark::State& state) {
   VirtualScheduler scheduler(1);
   VirtualEnvironment environment(scheduler, 2);
   RouterOptions options;
@@ -106,10 +106,10 @@
   }
   if (placed == 0) state.SkipWithError("no engine took the work");
 }
-BENCHMARK(BM_RoutingDecision)->Arg(9)->Arg(131)->Arg(920);
+BENCHMARK(MeasureRoutingDecision)->Arg(9)->Arg(131)->Arg(920);
 
 /// A new revision reaches the router: with new resources every time, or with other changes only.
-void BM_ConfigurationChange(benchmark::State& state) {
+void MeasureConfigurationChange(benchmark::State& state) {
   VirtualScheduler scheduler(1);
   VirtualEnvironment environment(scheduler, 2);
   RouterOptions options;
@@ -123,7 +123,7 @@
   }
   if (router.observers().gateway_count() != state.range(1)) state.SkipWithError("gateways missing");
 }
-BENCHMARK(BM_ConfigurationChange)->Args({9, 3})->Args({131, 57})->Args({920, 57})->Args({920, 133});
+BENCHMARK(MeasureConfigurationChange)->Args({9, 3})->Args({131, 57})->Args({920, 57})->Args({920, 133});
 
 }  // namespace
 }  // namespace millstair
