--- a/simulator/faults/fault_plan.h
+++ b/simulator/faults/fault_plan.h
@@ -44,7 +44,7 @@
   kLongRestart,     ///< a node is down while hundreds of changes go by
   kRollingRestart,  ///< planned restart of every node in turn
   kTrainerRestart,  ///< a trainer dies in a step and goes on from its cursor
-  kPowerLoss,        ///< every control process dies at once, with writes that are not synced
+  kPowerLoss,       ///< every control process dies at once, with writes that are not synced
   kCount,
 };
 
