--- a/test/simulator/broken_variants_test.cc
+++ b/test/simulator/broken_variants_test.cc
@@ -21,7 +21,7 @@
   std::function<void(FleetOptions&)> tune = nullptr;
 };
 
-constexpr uint64_t kSeeds = 8;
+constexpr uint64_t kSeeds = 16;
 constexpr Duration kLength = std::chrono::seconds(80);
 
 /// First seed whose run is caught by one of the variant's checks; none if no seed is.
@@ -91,7 +91,8 @@
       {"every completion of a sample is accepted",
        [](ProductFaults& faults) { faults.stream.first_completion_not_fenced = true; },
        {"exactly-once"},
-       {K::kGatewayCrash, K::kGatewayIsolated, K::kEngineCrash}},
+       {K::kGatewayIsolated, K::kGatewayIsolated, K::kZoneCut, K::kCutOneWay, K::kDelay,
+        K::kLoss}},
       {"compare-and-set ignores the version",
        [](ProductFaults& faults) { faults.cluster.expected_version_ignored = true; },
        {"linearizable-resources"},
