--- a/bench/micro/routing_benchmark.cc
+++ b/bench/micro/routing_benchmark.cc
@@ -123,7 +123,11 @@
   }
   if (router.observers().gateway_count() != state.range(1)) state.SkipWithError("gateways missing");
 }
-BENCHMARK(MeasureConfigurationChange)->Args({9, 3})->Args({131, 57})->Args({920, 57})->Args({920, 133});
+BENCHMARK(MeasureConfigurationChange)
+    ->Args({9, 3})
+    ->Args({131, 57})
+    ->Args({920, 57})
+    ->Args({920, 133});
 
 }  // namespace
 }  // namespace millstair
