Take work for a moment after a stop was told, so that callers turn away first

Change: the setting timing.stop_notice (default 1 s): a stopping node is not ready at once, and drains only after this time.

--- a/source/server/server_node.cc
+++ b/source/server/server_node.cc
@@ -180,13 +180,17 @@
     if (stopping_) return;
     stopping_ = true;
     on_stopped_ = std::move(done);
-    http_->BeginDrain();
-    if (operators_http_ != nullptr) operators_http_->BeginDrain();
-    if (gateway_ == nullptr) return DrainControl();
-    gateway_->Drain([this] { DrainControl(); });
+    stop_timer_->Arm(settings_.timing.stop_notice, [this] { DrainGateway(); });
   });
 }
 
+void ServerNode::DrainGateway() {
+  http_->BeginDrain();
+  if (operators_http_ != nullptr) operators_http_->BeginDrain();
+  if (gateway_ == nullptr) return DrainControl();
+  gateway_->Drain([this] { DrainControl(); });
+}
+
 void ServerNode::DrainControl() {
   const auto wait = [this] { WaitForAnswers(environment_->Now() + kAnswerLimit); };
   if (control_ == nullptr) return wait();
--- a/source/server/server_node.h
+++ b/source/server/server_node.h
@@ -39,7 +39,8 @@
 
   /// Starts all parts and waits for it. A code other than kOk says what stood in the way.
   StartFault Start();
-  /// Finishes what runs, hands over leaderships, then calls `done` on the executor.
+  /// Says at once that it is not ready, and still takes work for `timing.stop_notice`. Then
+  /// finishes what runs, hands over leaderships, and calls `done` on the executor.
   void BeginStop(std::function<void()> done);
   /// Ends all parts and waits for it.
   void Close();
@@ -62,6 +63,8 @@
 
   bool Ready() const;
   void UpdateStats();
+  /// The steps of a stop, one after another.
+  void DrainGateway();
   void DrainControl();
   /// Waits until the last answers are sent.
   void WaitForAnswers(TimePoint until);
--- a/source/settings/settings.h
+++ b/source/settings/settings.h
@@ -34,6 +34,7 @@
   Duration claim_retention = std::chrono::hours(24);
   Duration report_poll = std::chrono::milliseconds(250);
   Duration work_poll = std::chrono::milliseconds(200);
+  Duration stop_notice = std::chrono::seconds(1);
   Duration drain_limit = std::chrono::seconds(120);
   Duration http_header = std::chrono::seconds(10);
   Duration http_body = std::chrono::seconds(60);
--- a/source/settings/settings_schema.cc
+++ b/source/settings/settings_schema.cc
@@ -148,6 +148,9 @@
            "Between two readings of an engine's load report."),
       Time("timing.work_poll", &T::work_poll, 10 * kMillisecond, 60 * kSecond,
            "Between two requests of a gateway for rollout work."),
+      Time("timing.stop_notice", &T::stop_notice, 0, 600 * kSecond,
+           "How long a stopping node still takes work while /readyz already says no, so that "
+           "callers and load balancers turn away first."),
       Time("timing.drain_limit", &T::drain_limit, kSecond, kHour,
            "Requests that still run this long after a stop began are cut."),
       Time("timing.http_header", &T::http_header, 10 * kMillisecond, 600 * kSecond,
--- a/test/server/server_node_test.cc
+++ b/test/server/server_node_test.cc
@@ -1,5 +1,6 @@
 #include "server/server_node.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
@@ -66,6 +67,7 @@
     for (const ControlNodeSetting& node : control_nodes) settings.founders.push_back(node.node);
     settings.peer_listen = "127.0.0.1:0";
     settings.http_listen = "127.0.0.1:0";
+    settings.timing.stop_notice = stop_notice;
     return settings;
   }
 
@@ -107,6 +109,7 @@
     node.Close();
   }
 
+  Duration stop_notice = std::chrono::milliseconds(100);
   TemporaryFolder folder;
   std::vector<ControlNodeSetting> control_nodes;
   StatsRegistry stats[4];
@@ -136,6 +139,20 @@
   Fleet::StopInOrder(*fleet.nodes[2]);
 }
 
+TEST_CASE("A stopping node says so at once, and still takes work while callers turn away") {
+  Fleet fleet;
+  fleet.stop_notice = std::chrono::minutes(10);
+  for (size_t i = 0; i < 3; ++i) fleet.StartControl(i);
+  for (const auto& node : fleet.nodes) CHECK(WaitUntil([&] { return IsReady(*node); }));
+  ServerNode& stopping = *fleet.nodes[0];
+  std::atomic<bool> ended{false};
+  stopping.BeginStop([&ended] { ended = true; });
+  CHECK(WaitUntil([&] { return !IsReady(stopping); }));
+  CHECK(Get(stopping.http_address(), "/v1/status").starts_with("HTTP/1.1 200"));
+  CHECK_FALSE(ended);
+  for (const auto& node : fleet.nodes) node->Close();
+}
+
 TEST_CASE("What keeps a node from starting has its own exit code") {
   Fleet fleet;
   fleet.StartControl(0);
