--- a/simulator/faults/backend_faults.cc
+++ b/simulator/faults/backend_faults.cc
@@ -19,6 +19,14 @@
   return world.history().leaving.size() - 1;
 }
 
+/// Ends all that `source` said of `backend`.
+void EndLeaving(World& world, const EngineName& backend, checks::LeavingSource source) {
+  for (checks::BackendLeaving& leaving : world.history().leaving) {
+    const bool same = leaving.source == source && leaving.backend == backend;
+    if (same && !leaving.until) leaving.until = world.scheduler().Now();
+  }
+}
+
 /// A back end that drained stops for a moment and starts anew.
 void RestartDrained(World& world, EngineMachine& engine) {
   engine.TakeDown();
@@ -76,12 +84,7 @@
   });
   fault.heal = [&world, &engine, address] {
     // Also ends what another fault of this kind said of the same machine.
-    for (checks::BackendLeaving& leaving : world.history().leaving) {
-      const bool listed = leaving.source == checks::LeavingSource::kPlatformList;
-      if (listed && leaving.backend == engine.plan().name && !leaving.until) {
-        leaving.until = world.scheduler().Now();
-      }
-    }
+    EndLeaving(world, engine.plan().name, checks::LeavingSource::kPlatformList);
     world.platform().list().SetState(address, MachineState::kLive);
     // The machine was taken and another came in its place.
     engine.TakeDown();
@@ -99,9 +102,10 @@
   std::get<EngineSpec>(drained.spec).drain = true;
   OperatorClient& client = *world.operators()[0];
   client.Put(drained, [&fault, &world, &client, name, restored](Revision) {
-    const size_t leaving = RecordLeaving(world, name, checks::LeavingSource::kOperator);
-    const auto restore = [&world, &client, leaving, restored] {
-      world.history().leaving[leaving].until = world.scheduler().Now();
+    RecordLeaving(world, name, checks::LeavingSource::kOperator);
+    const auto restore = [&world, &client, name, restored] {
+      // The resource holds one wish: this also ends what another fault of this kind asked for.
+      EndLeaving(world, name, checks::LeavingSource::kOperator);
       client.Put(restored, [](Revision) {});
     };
     if (fault.healed) {
--- a/test/simulator/fleet_test.cc
+++ b/test/simulator/fleet_test.cc
@@ -77,6 +77,41 @@
   }
 }
 
+TEST_CASE("Seeds that once failed hold", "[simulator]") {
+  struct FailedOnce {
+    std::string cause;
+    DeploymentName deployment;
+    uint64_t seed;
+    std::string faults;
+  };
+  const std::vector<FailedOnce> all{
+      {"two drains of one engine, the first taken back in the second", DeploymentName::kKhosa, 1025,
+       "operator-drain@25138118+15371003/10239220262459636001,"
+       "operator-drain@30833588+12516365/9185505745105198722"},
+      {"an engine crashes in its drain and comes back without it", DeploymentName::kAssociation,
+       128,
+       "engine-crash@21768908+2810317/9617324873987922348,"
+       "engine-drain@13678901+19205642/18442532546373854325"},
+      {"operators reuse a number of a session that another change opened", DeploymentName::kKhosa,
+       27,
+       "long-restart@28721316+27767149/2546815646204611175,"
+       "long-restart@28344784+24174763/8859046800078504200"},
+      {"orders to an engine that drains", DeploymentName::kAssociation, 1,
+       "engine-drain@43061575+16311631/1663029164570278905"},
+  };
+  DisableEventLog();
+  for (const FailedOnce& one : all) {
+    INFO(one.cause);
+    FleetOptions options;
+    options.deployment = one.deployment;
+    options.seed = one.seed;
+    options.faults = ParseFaultList(one.faults, one.seed, options.length).value();
+    const FleetResult result = RunFleet(options);
+    INFO(ToJsonLine(result));
+    CHECK_FALSE(result.Broken());
+  }
+}
+
 TEST_CASE("Recorded traces come to their stated outcome", "[simulator][traces]") {
   DisableEventLog();
   std::mutex mutex;
