Decide alike on both nodes which of two crossed connections stays

Cause: two nodes judged by their own clocks whether their dials had crossed; on a busy machine one found them crossed and the other not, and both connections were given up until the next message dialled again (seen once: 0 connections where the test asks for 1). Change: the rule uses only directions, names and lives, which both nodes see alike.

--- a/source/transport/peer_hub.cc
+++ b/source/transport/peer_hub.cc
@@ -280,8 +280,7 @@
 }
 
 bool PeerHub::Crossed(const PeerConnection& connection, const PeerConnection& other) const {
-  return connection.dialled != other.dialled && connection.incarnation == other.incarnation &&
-         connection.established - other.established < options_.hello_timeout;
+  return connection.dialled != other.dialled && connection.incarnation == other.incarnation;
 }
 
 bool PeerHub::LosesTo(const PeerConnection& connection, const PeerConnection& other) const {
@@ -291,7 +290,6 @@
 }
 
 void PeerHub::Adopt(const ConnectionPointer& connection) {
-  connection->established = std::chrono::steady_clock::now();
   connection->reader.SetMaxPayload(options_.max_frame_bytes);
   Peer& peer = PeerOf(connection->node);
   const ConnectionPointer older = peer.connection;
--- a/source/transport/peer_hub.h
+++ b/source/transport/peer_hub.h
@@ -46,7 +46,6 @@
   const bool dialled;
   NodeId node;
   Incarnation incarnation;
-  std::chrono::steady_clock::time_point established;
   FrameReader reader;
   /// Cancelled to wake the writing coroutine.
   boost::asio::steady_timer news;
@@ -118,7 +117,8 @@
   void Retire(const ConnectionPointer& connection);
   /// True if both nodes dialled each other at the same time and ours is the one to be given up.
   bool LosesTo(const PeerConnection& connection, const PeerConnection& other) const;
-  /// True if one direction each was dialled at about the same time.
+  /// True if each of two nodes in the same lives dialled one of them. No time enters, so that both
+  /// nodes decide alike and never give up both.
   bool Crossed(const PeerConnection& connection, const PeerConnection& other) const;
   boost::asio::awaitable<void> ReadFrames(ConnectionPointer connection);
   boost::asio::awaitable<void> WriteQueue(ConnectionPointer connection);
