--- a/bench/experiment/experiment_command.cc
+++ b/bench/experiment/experiment_command.cc
@@ -3,10 +3,11 @@
 #include <fmt/core.h>
 
 #include <boost/program_options.hpp>
-#include <iostream>
+#include <algorithm>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
+#include "bench/command_line/command_line.h"
 #include "bench/experiment/experiment_runner.h"
 
 namespace millstair {
@@ -14,7 +15,6 @@
 
 namespace po = boost::program_options;
 
-constexpr int kExitBadArguments = 2;
 constexpr int kExitNotWritten = 1;
 constexpr const char* kDefaultPolicies =
     "product,round-robin,least-outstanding,no-prefix,no-tail,live-only";
@@ -94,19 +94,8 @@
 }  // namespace
 
 int RunExperimentCommand(const std::vector<std::string>& arguments) {
-  const po::options_description options = Options();
   po::variables_map values;
-  try {
-    po::store(po::command_line_parser(arguments).options(options).run(), values);
-    po::notify(values);
-  } catch (const po::error& error) {
-    fmt::print(stderr, "{}\n", error.what());
-    return kExitBadArguments;
-  }
-  if (values.count("help") != 0) {
-    std::cout << options;
-    return 0;
-  }
+  if (const auto exit_code = ParseArguments(arguments, Options(), values)) return *exit_code;
   const auto plan = PlanFrom(values);
   if (!plan.ok()) {
     fmt::print(stderr, "{}\n", std::string(plan.status().message()));
--- a/bench/scale/hollow_command.cc
+++ b/bench/scale/hollow_command.cc
@@ -5,9 +5,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
-#include <iostream>
 
 #include "absl/strings/str_split.h"
+#include "bench/command_line/command_line.h"
 #include "bench/scale/hollow_host.h"
 
 namespace millstair {
@@ -16,7 +16,6 @@
 namespace po = boost::program_options;
 
 constexpr int kExitNotStarted = 1;
-constexpr int kExitBadArguments = 2;
 
 struct HollowOptions {
   std::string listen;
@@ -116,19 +115,8 @@
 }  // namespace
 
 int RunHollowCommand(const std::vector<std::string>& arguments) {
-  const po::options_description description = Options();
   po::variables_map values;
-  try {
-    po::store(po::command_line_parser(arguments).options(description).run(), values);
-    if (values.count("help") != 0) {
-      std::cout << description;
-      return 0;
-    }
-    po::notify(values);
-  } catch (const po::error& error) {
-    fmt::print(stderr, "{}\n", error.what());
-    return kExitBadArguments;
-  }
+  if (const auto exit_code = ParseArguments(arguments, Options(), values)) return *exit_code;
   const auto options = OptionsFrom(values);
   if (!options.ok()) {
     fmt::print(stderr, "{}\n", std::string(options.status().message()));
--- a/bench/scale/hollow_node.cc
+++ b/bench/scale/hollow_node.cc
@@ -98,10 +98,11 @@
   if (record_.revisions.size() > kRevisionsKept) {
     record_.revisions.erase(record_.revisions.begin());
   }
-  for (const auto& [node, record] : configuration.nodes) {
-    if (record.state != MemberState::kGone) continue;
+  for (const auto& entry : configuration.nodes) {
+    if (entry.second.state != MemberState::kGone) continue;
+    const NodeId& node = entry.first;
     const bool known = std::any_of(record_.gone.begin(), record_.gone.end(),
-                                   [&](const SeenGone& seen) { return seen.node == node; });
+                                   [&node](const SeenGone& seen) { return seen.node == node; });
     if (!known) record_.gone.push_back({node, now});
   }
 }
--- a/bench/scale/scale_command.cc
+++ b/bench/scale/scale_command.cc
@@ -4,10 +4,10 @@
 
 #include <boost/program_options.hpp>
 #include <fstream>
-#include <iostream>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
+#include "bench/command_line/command_line.h"
 #include "bench/scale/scale_run.h"
 
 namespace millstair {
@@ -17,7 +17,6 @@
 using Texts = std::vector<std::string>;
 
 constexpr int kExitFailed = 1;
-constexpr int kExitBadArguments = 2;
 
 po::options_description Options() {
   po::options_description options("millstair-bench scale");
@@ -80,19 +79,8 @@
 }  // namespace
 
 int RunScaleCommand(const std::vector<std::string>& arguments) {
-  const po::options_description description = Options();
   po::variables_map values;
-  try {
-    po::store(po::command_line_parser(arguments).options(description).run(), values);
-    if (values.count("help") != 0) {
-      std::cout << description;
-      return 0;
-    }
-    po::notify(values);
-  } catch (const po::error& error) {
-    fmt::print(stderr, "{}\n", error.what());
-    return kExitBadArguments;
-  }
+  if (const auto exit_code = ParseArguments(arguments, Options(), values)) return *exit_code;
   const auto options = OptionsFrom(values);
   if (!options.ok()) {
     fmt::print(stderr, "{}\n", std::string(options.status().message()));
