--- a/bench/experiment/experiment_command.cc
+++ b/bench/experiment/experiment_command.cc
@@ -2,8 +2,8 @@
 
 #include <fmt/core.h>
 
-#include <boost/program_options.hpp>
 #include <algorithm>
+#include <boost/program_options.hpp>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
