Announce orders in the group's log; notice the end of loads sooner

Cause: a new leader waited for a whole holder's lease after its election, loads held their place 0.4 s longer than they took, and elections took up to 2 s.

Change: an order is announced in the job group's log before it is given, so a new leader counts the lease from the last announcement that it applied; one that it applies later moves the time again, and an order checks it once its own announcement is committed.

--- a/source/jobs/job_codec.cc
+++ b/source/jobs/job_codec.cc
@@ -171,6 +171,12 @@
     wire.operation.end = millstair_EndJob_init_zero;
     wire.operation.end.job = arena.NewString(end.job.value());
   }
+
+  void operator()(const AnnounceOrder& announce) const {
+    wire.which_operation = millstair_JobCommand_announce_tag;
+    wire.operation.announce = millstair_AnnounceOrder_init_zero;
+    wire.operation.announce.holder = arena.NewString(announce.holder.value());
+  }
 };
 
 bool OperationFromWire(const millstair_JobCommand& wire, JobOperation& operation) {
@@ -186,6 +192,9 @@
     case millstair_JobCommand_end_tag:
       operation = EndJob{JobId(ToString(wire.operation.end.job))};
       return true;
+    case millstair_JobCommand_announce_tag:
+      operation = AnnounceOrder{NodeId(ToString(wire.operation.announce.holder))};
+      return true;
     default:
       return false;
   }
@@ -286,11 +295,13 @@
   return answer;
 }
 
-std::string EncodeJobSnapshot(WallTime clock, const std::map<JobId, JobRecord>& jobs) {
+std::string EncodeJobSnapshot(WallTime clock, const std::map<JobId, JobRecord>& jobs,
+                              const NodeId& order_holder) {
   WireArena arena;
   millstair_JobSnapshot wire = millstair_JobSnapshot_init_zero;
   wire.format = kSnapshotFormat;
   wire.clock_milliseconds = ToMilliseconds(clock);
+  wire.order_holder = arena.NewString(order_holder.value());
   wire.jobs = arena.NewArray<millstair_JobRecord>(jobs.size());
   for (const auto& [id, record] : jobs) wire.jobs[wire.jobs_count++] = ToWire(arena, record);
   return EncodeNanopb(millstair_JobSnapshot_fields, &wire);
@@ -302,6 +313,7 @@
   const millstair_JobSnapshot& wire = **decoded;
   JobSnapshot snapshot;
   snapshot.clock = FromMilliseconds(wire.clock_milliseconds);
+  snapshot.order_holder = NodeId(ToString(wire.order_holder));
   if (wire.format != kSnapshotFormat || !FromWireArray(wire.jobs, wire.jobs_count, snapshot.jobs)) {
     return absl::DataLossError("the snapshot of a job group does not decode");
   }
--- a/source/jobs/job_codec.h
+++ b/source/jobs/job_codec.h
@@ -11,7 +11,7 @@
 
 namespace millstair {
 
-using JobOperation = std::variant<SubmitJob, ListResult, EndJob>;
+using JobOperation = std::variant<SubmitJob, ListResult, EndJob, AnnounceOrder>;
 
 struct JobCommand {
   JobOperation operation;
@@ -22,6 +22,7 @@
 struct JobSnapshot {
   WallTime clock;
   std::vector<JobRecord> jobs;
+  NodeId order_holder;
 };
 
 std::string EncodeJobCommand(const JobCommand& command);
@@ -32,7 +33,8 @@
 absl::StatusOr<JobQuery> DecodeJobQuery(std::string_view bytes);
 std::string EncodeJobQueryAnswer(const JobQueryAnswer& answer);
 absl::StatusOr<JobQueryAnswer> DecodeJobQueryAnswer(std::string_view bytes);
-std::string EncodeJobSnapshot(WallTime clock, const std::map<JobId, JobRecord>& jobs);
+std::string EncodeJobSnapshot(WallTime clock, const std::map<JobId, JobRecord>& jobs,
+                              const NodeId& order_holder);
 absl::StatusOr<JobSnapshot> DecodeJobSnapshot(std::string_view bytes);
 
 }  // namespace millstair
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -59,6 +59,7 @@
 
 void JobScheduler::NoteChange(JobChange change, const JobId& job) {
   if (!leading_) return;
+  if (change == JobChange::kOrder) return;
   if (change == JobChange::kRestored) restored_ = true;
   changed_.insert(job);
   if (!change_timer_.armed()) change_timer_.Arm(Duration(0), [this] { TakeChanges(); });
--- a/source/jobs/job_state_machine.cc
+++ b/source/jobs/job_state_machine.cc
@@ -77,6 +77,12 @@
   return JobResultCode::kOk;
 }
 
+JobResultCode JobStateMachine::Run(const AnnounceOrder& announce) {
+  order_holder_ = announce.holder;
+  Notify(JobChange::kOrder, JobId());
+  return JobResultCode::kOk;
+}
+
 void JobStateMachine::ForgetOld() {
   for (auto it = jobs_.begin(); it != jobs_.end();) {
     const bool old = clock_ - it->second.submitted_at > limits_.retention;
@@ -91,7 +97,9 @@
   }
 }
 
-std::string JobStateMachine::TakeSnapshot() const { return EncodeJobSnapshot(clock_, jobs_); }
+std::string JobStateMachine::TakeSnapshot() const {
+  return EncodeJobSnapshot(clock_, jobs_, order_holder_);
+}
 
 absl::Status JobStateMachine::Restore(LogIndex, std::string_view bytes) {
   auto snapshot = DecodeJobSnapshot(bytes);
@@ -100,6 +108,7 @@
     return absl::DataLossError("the snapshot lists a result of no item");
   }
   clock_ = snapshot->clock;
+  order_holder_ = snapshot->order_holder;
   jobs_.clear();
   listed_.clear();
   for (JobRecord& record : snapshot->jobs) {
--- a/source/jobs/job_state_machine.h
+++ b/source/jobs/job_state_machine.h
@@ -22,12 +22,13 @@
 };
 
 /// What the application of a command changed.
-enum class JobChange : uint8_t { kSubmitted, kListed, kEnded, kForgotten, kRestored };
+enum class JobChange : uint8_t { kSubmitted, kListed, kEnded, kForgotten, kRestored, kOrder };
 
 /// Deterministic. Its clock is the largest proposal time seen.
 class JobStateMachine : public StateMachine {
  public:
-  /// Called while an entry is applied: only notes and arms timers. `job` is empty for kRestored.
+  /// Called while an entry is applied: only notes and arms timers. `job` is empty for kRestored and
+  /// kOrder.
   using Listener = std::function<void(JobChange change, const JobId& job)>;
 
   explicit JobStateMachine(JobLimits limits = {}) : limits_(limits) {}
@@ -40,12 +41,15 @@
   /// Null if there is no such job.
   const JobRecord* Find(const JobId& job) const;
   bool IsListed(const JobId& job, uint32_t item) const;
+  /// Who announced the latest order to an engine; empty if none did.
+  const NodeId& order_holder() const { return order_holder_; }
   void OnChange(Listener listener) { listener_ = std::move(listener); }
 
  private:
   JobResultCode Run(const SubmitJob& submit);
   JobResultCode Run(const ListResult& list);
   JobResultCode Run(const EndJob& end);
+  JobResultCode Run(const AnnounceOrder& announce);
   void AdvanceClock(WallTime proposed_at);
   void ForgetOld();
   void Notify(JobChange change, const JobId& job);
@@ -53,6 +57,7 @@
   JobLimits limits_;
   WallTime clock_;
   std::map<JobId, JobRecord> jobs_;
+  NodeId order_holder_;
   /// By job, whether the item of that index is listed.
   std::map<JobId, std::vector<bool>> listed_;
   Listener listener_;
--- a/source/jobs/job_types.h
+++ b/source/jobs/job_types.h
@@ -96,6 +96,12 @@
   JobId job;
 };
 
+/// The holder is about to give an order to an engine, within a bounded time. Other holders wait
+/// until its lease is over.
+struct AnnounceOrder {
+  NodeId holder;
+};
+
 enum class JobResultCode : uint8_t {
   kOk = 1,
   kNotFound = 2,  ///< no such job
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -5,21 +5,26 @@
 #include <utility>
 
 #include "common/event_log.h"
+#include "jobs/job_codec.h"
 
 namespace millstair {
 namespace {
 
 constexpr double kWorkSmoothing = 0.5;
-constexpr Duration kTick = std::chrono::milliseconds(100);
-/// When an engine is first asked whether its load is done, and how often after that.
-constexpr Duration kFirstQuestion = std::chrono::milliseconds(900);
-constexpr Duration kNextQuestion = std::chrono::milliseconds(250);
+constexpr Duration kTick = std::chrono::milliseconds(50);
+/// Assumed until a load was seen, and the least that is believed.
+constexpr Duration kFirstLoadTime = std::chrono::seconds(1);
+constexpr Duration kShortestLoad = std::chrono::milliseconds(50);
+/// How often an engine is asked whether its load is done once it should be.
+constexpr Duration kNextQuestion = std::chrono::milliseconds(100);
+/// An order is given within this time of its announcement or not at all.
+constexpr Duration kAnnouncedFor = std::chrono::milliseconds(250);
 /// A load that is not done by then was not taken, or its engine is stuck.
 constexpr Duration kLongestLoad = std::chrono::seconds(8);
 /// An exchange without an answer for this long is given up.
 constexpr Duration kAnswerLimit = std::chrono::milliseconds(1500);
 /// Beyond the lease: an order on its way may arrive late by this.
-constexpr Duration kLeaseMargin = std::chrono::milliseconds(300);
+constexpr Duration kLeaseMargin = std::chrono::milliseconds(400) + kAnnouncedFor;
 
 }  // namespace
 
@@ -68,20 +73,33 @@
       protocol_(protocol),
       self_(std::move(self)),
       options_(options),
+      last_announcement_(environment.Now()),
+      load_time_(kFirstLoadTime),
       timer_(environment) {}
 
 LoadScheduler::~LoadScheduler() = default;
 
-void LoadScheduler::SetLeading(RaftGroup* group) {
+void LoadScheduler::SetLeading(RaftGroup* group, const NodeId& last_holder) {
   group_ = group;
   exchanges_.clear();
   engines_.clear();
   if (group_ == nullptr) return timer_.Cancel();
-  orders_from_ = environment_.Now() + options_.holder_lease + kLeaseMargin;
+  // This node's own earlier orders are no other holder's.
+  const bool own = last_holder == self_;
+  const TimePoint now = environment_.Now();
+  orders_from_ =
+      own ? now : std::max(now, last_announcement_ + options_.holder_lease + kLeaseMargin);
   LearnEngines();
   Tick();
 }
 
+void LoadScheduler::NoteAnnouncement(const NodeId& holder) {
+  last_announcement_ = environment_.Now();
+  // A new leader may apply what an earlier one announced only now.
+  if (holder == self_) return;
+  orders_from_ = std::max(orders_from_, last_announcement_ + options_.holder_lease + kLeaseMargin);
+}
+
 void LoadScheduler::Update(const Configuration& configuration, const RouteTable* routes) {
   targets_.clear();
   for (const auto& [model, named] : configuration.versions) targets_[model] = named.version;
@@ -299,50 +317,74 @@
     const bool done = held != engine.versions.end() && held->second >= engine.loading->version;
     const bool late = environment_.Now() - engine.loading_since > kLongestLoad;
     if (!done && !late) return;
-    LogEvent(EventId::kLoadAnswered, "instance={} model={} version={} done={}", instance,
-             engine.loading->model, engine.loading->version, done);
-    engine.loading.reset();
-    if (on_ready_) on_ready_();
+    EndLoad(instance, done);
   }
   const auto wanted = Wanted(instance);
   if (wanted) Order(instance, *wanted, report.orders);
 }
 
+void LoadScheduler::EndLoad(const InstanceId& instance, bool done) {
+  EngineLoadState& engine = engines_.at(instance);
+  const Duration took = environment_.Now() - engine.loading_since;
+  LogEvent(EventId::kLoadAnswered, "instance={} model={} version={} done={} took_ms={}", instance,
+           engine.loading->model, engine.loading->version, done, took.count() / 1000);
+  if (done && engine.loading->version != WeightVersion()) {
+    load_time_ =
+        std::clamp(std::min(took, load_time_ + load_time_ / 8), kShortestLoad, kLongestLoad);
+  }
+  engine.loading.reset();
+  if (on_ready_) on_ready_();
+  environment_.Schedule(Duration(0), alive_.Guard([this] { StartLoads(); }));
+}
+
 void LoadScheduler::Order(const InstanceId& instance, const NamedVersion& wanted, uint64_t orders) {
-  if (group_ == nullptr || environment_.Now() < orders_from_) return;
+  const TimePoint now = environment_.Now();
+  if (group_ == nullptr || now < orders_from_) return;
   EngineLoadState& engine = engines_.at(instance);
   // New items are kept away while the order is under way.
   engine.loading = wanted;
-  engine.loading_since = environment_.Now();
-  engine.ask_again_at = environment_.Now() + kFirstQuestion;
-  group_->ConfirmRead(
-      alive_.Guard([this, instance, wanted, orders](const absl::StatusOr<LogIndex>& confirmed) {
-        const BackendInstance* target = directory_.FindLive(instance);
-        const auto engine = engines_.find(instance);
-        if (engine == engines_.end()) return;
-        if (!confirmed.ok() || group_ == nullptr || !group_->IsLeader() || target == nullptr) {
-          engine->second.loading.reset();
-          return;
-        }
-        LoadOrder order{wanted.model,
+  engine.loading_since = now;
+  engine.ask_again_at = now + load_time_;
+  const JobCommand announcement{AnnounceOrder{self_}, environment_.WallNow()};
+  group_->Propose(EncodeJobCommand(announcement),
+                  alive_.Guard([this, instance, wanted, orders,
+                                now](const absl::StatusOr<std::string>& committed) {
+                    if (committed.ok()) return Give(instance, wanted, orders, now);
+                    const auto engine = engines_.find(instance);
+                    if (engine != engines_.end()) engine->second.loading.reset();
+                  }));
+}
+
+void LoadScheduler::Give(const InstanceId& instance, const NamedVersion& wanted, uint64_t orders,
+                         TimePoint announced_at) {
+  const BackendInstance* target = directory_.FindLive(instance);
+  const auto found = engines_.find(instance);
+  if (found == engines_.end()) return;
+  // By now every earlier announcement is applied here.
+  const TimePoint now = environment_.Now();
+  const bool in_time = now - announced_at <= kAnnouncedFor && now >= orders_from_;
+  if (!in_time || group_ == nullptr || !group_->IsLeader() || target == nullptr) {
+    found->second.loading.reset();
+    return;
+  }
+  const LoadOrder order{wanted.model,
                         wanted.version,
                         LoadMode::kContinue,
                         self_.value(),
                         group_->CurrentTerm().value(),
                         orders,
                         instance};
-        LogEvent(EventId::kLoadOrdered, "instance={} model={} version={} fence={} expected={}",
-                 instance, wanted.model, wanted.version, order.fence, orders);
-        auto exchange = std::make_unique<Exchange>(
-            environment_, alive_.Guard([this, instance](int status, const std::string&) {
-              if (exchanges_.erase(instance) == 0 || !engines_.contains(instance)) return;
-              HandleOrderAnswer(
-                  instance, status == 0 ? LoadAnswer::kUnknown : protocol_.ReadLoadAnswer(status));
-            }));
-        Exchange& started = *exchange;
-        exchanges_[instance] = std::move(exchange);
-        started.Start(http_, target->address, protocol_.MakeLoadOrder(order));
+  LogEvent(EventId::kLoadOrdered, "instance={} model={} version={} fence={} expected={}", instance,
+           wanted.model, wanted.version, order.fence, orders);
+  auto exchange = std::make_unique<Exchange>(
+      environment_, alive_.Guard([this, instance](int status, const std::string&) {
+        if (exchanges_.erase(instance) == 0 || !engines_.contains(instance)) return;
+        HandleOrderAnswer(instance,
+                          status == 0 ? LoadAnswer::kUnknown : protocol_.ReadLoadAnswer(status));
       }));
+  Exchange& started = *exchange;
+  exchanges_[instance] = std::move(exchange);
+  started.Start(http_, target->address, protocol_.MakeLoadOrder(order));
 }
 
 void LoadScheduler::HandleOrderAnswer(const InstanceId& instance, LoadAnswer answer) {
@@ -352,7 +394,7 @@
   switch (answer) {
     case LoadAnswer::kTaken:
       engine.loading_since = now;
-      engine.ask_again_at = now + kFirstQuestion;
+      engine.ask_again_at = now + load_time_;
       return;
     case LoadAnswer::kHolds:
       engine.versions[engine.loading->model] =
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -1,6 +1,7 @@
 /// Brings engines to the newest named version of their model, a few at a time. Runs on the leader
-/// of a job group alone, which is the one holder of orders: it confirms its leadership before each
-/// order, and a new leader waits until an earlier holder's lease is over.
+/// of a job group alone, which is the one holder of orders: it announces each order in the group's
+/// log before it gives it, and a new leader waits until the lease of the last holder is over,
+/// counted from when it applied the last announcement.
 #pragma once
 
 #include <functional>
@@ -53,8 +54,11 @@
                 const BackendProtocol& protocol, NodeId self, LoadOptions options);
   ~LoadScheduler();
 
-  /// Orders are given from now on, under `group`'s leadership; null ends it.
-  void SetLeading(RaftGroup* group);
+  /// Orders are given from now on, under `group`'s leadership; null ends it. `last_holder`
+  /// announced the latest order.
+  void SetLeading(RaftGroup* group, const NodeId& last_holder);
+  /// An announcement of `holder` was applied here, or may have been.
+  void NoteAnnouncement(const NodeId& holder);
   void Update(const Configuration& configuration, const RouteTable* routes);
   /// A job of `model` came; `work` is in tokens that come out.
   void NoteJob(const ModelName& model, double work, WeightVersion min_version);
@@ -82,6 +86,10 @@
   void AskReport(const InstanceId& instance);
   void HandleReport(const InstanceId& instance, const ReportedEngine& report);
   void Order(const InstanceId& instance, const NamedVersion& wanted, uint64_t orders);
+  /// The announcement is committed: gives the order if there is still time for it.
+  void Give(const InstanceId& instance, const NamedVersion& wanted, uint64_t orders,
+            TimePoint announced_at);
+  void EndLoad(const InstanceId& instance, bool done);
   void HandleOrderAnswer(const InstanceId& instance, LoadAnswer answer);
   std::optional<NamedVersion> Wanted(const InstanceId& instance) const;
   /// Engines assigned to `model`, and those of them that hold the newest version or load it.
@@ -99,6 +107,9 @@
   const LoadOptions options_;
   RaftGroup* group_ = nullptr;
   TimePoint orders_from_;
+  TimePoint last_announcement_;
+  /// How long loads take, by the shortest seen lately.
+  Duration load_time_;
   std::map<ModelName, WeightVersion> targets_;
   std::map<ModelName, ModelDemand> demand_;
   /// Services whose engines hold models.
