Let a replica that comes back stand for election sooner

Cause: after all processes are killed at once, gateways knew no routes for 0.75 s, nearly all of it the election timeout of the control nodes.

Ruled out: a shorter timeout for all elections (a slow disk or a freeze would then cost leaderships).

Change: timing.restart_patience; others that hear a leader refuse the pre-vote.

--- a/source/consensus/group_replica.cc
+++ b/source/consensus/group_replica.cc
@@ -77,6 +77,7 @@
   options.self = context_.self;
   options.heartbeat = context_.timing.heartbeat;
   options.election_timeout = context_.timing.election_timeout;
+  options.restart_patience = context_.timing.restart_patience;
   options.max_batch_bytes = context_.limits.max_batch_bytes;
   options.snapshot_chunk_bytes = context_.limits.snapshot_chunk_bytes;
   options.faults = context_.faults;
--- a/source/consensus/raft_core.cc
+++ b/source/consensus/raft_core.cc
@@ -31,6 +31,11 @@
   // An answer to a request of an earlier life must not pass for one to a request of this one.
   ask_number_ = random();
   ResetElectionTimer();
+  if (options_.restart_patience == Duration(0) || log.last_index() == LogIndex()) return;
+  // A replica that comes back has no leader to be patient with. If there is one, those that hear it
+  // refuse the pre-vote; after a fault of all replicas the group has a leader again sooner.
+  election_due_ =
+      now_ + DrawDuration(random_, options_.restart_patience, 3 * options_.restart_patience);
 }
 
 absl::Status RaftCore::LoadConfigurations(std::vector<GroupMember> members) {
--- a/source/server/node_options.cc
+++ b/source/server/node_options.cc
@@ -35,6 +35,14 @@
   return {heartbeat, lease, 2 * heartbeat};
 }
 
+ConsensusTiming ConsensusTimingOf(const TimingSettings& timing) {
+  ConsensusTiming consensus;
+  consensus.heartbeat = timing.raft_heartbeat;
+  consensus.election_timeout = timing.election_timeout;
+  consensus.restart_patience = timing.restart_patience;
+  return consensus;
+}
+
 /// Enough that a majority is left after the losses that are to be borne.
 size_t VotersOf(const ServerSettings& settings) {
   return 2 * static_cast<size_t>(settings.tolerated_losses) + 1;
@@ -65,7 +73,7 @@
   options.founding = settings.bootstrap == "true";
   if (!settings.seeds.empty()) options.voters = VotersOf(settings);
   options.storage_voters = VotersOf(settings);
-  options.consensus_timing = {timing.raft_heartbeat, timing.election_timeout};
+  options.consensus_timing = ConsensusTimingOf(timing);
   options.consensus_limits = {settings.limits.snapshot_entries, settings.limits.raft_batch,
                               settings.limits.snapshot_chunk};
   options.configuration_timing = ConfigurationTimingOf(timing);
@@ -97,7 +105,7 @@
   options.cluster_id = settings.cluster;
   options.control_nodes = EndpointsOf(settings);
   options.configuration_timing = ConfigurationTimingOf(timing);
-  options.consensus_timing = {timing.raft_heartbeat, timing.election_timeout};
+  options.consensus_timing = ConsensusTimingOf(timing);
   options.consensus_limits = {settings.limits.snapshot_entries, settings.limits.raft_batch,
                               settings.limits.snapshot_chunk};
   options.jobs.retention =
--- a/source/settings/settings.h
+++ b/source/settings/settings.h
@@ -31,6 +31,7 @@
   Duration forget_after = std::chrono::hours(24);
   Duration raft_heartbeat = std::chrono::milliseconds(100);
   Duration election_timeout = std::chrono::seconds(1);
+  Duration restart_patience{0};
   Duration claim_retention = std::chrono::hours(24);
   Duration report_poll = std::chrono::milliseconds(250);
   Duration work_poll = std::chrono::milliseconds(200);
--- /dev/null
+++ b/test/consensus/start_election_test.cc
@@ -0,0 +1,52 @@
+/// How soon a group has a leader again after all of its replicas were started anew.
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "consensus_fleet.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+FleetOptions ImpatientAfterRestart() {
+  FleetOptions options;
+  options.timing.restart_patience = milliseconds(150);
+  return options;
+}
+
+TEST_CASE("a group whose replicas all come back has a leader within one election timeout") {
+  Duration longest{0};
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    ConsensusFleet fleet(3, seed, ImpatientAfterRestart());
+    REQUIRE(fleet.RunUntilLeader());
+    REQUIRE(fleet.Propose("before").ok());
+    fleet.scheduler.RunFor(seconds(2));
+    for (int i = 0; i < 3; ++i) fleet.Crash(fleet.Name(i));
+    for (int i = 0; i < 3; ++i) fleet.Restart(fleet.Name(i));
+    const Duration started = fleet.scheduler.Now();
+    REQUIRE(fleet.RunUntilLeader());
+    longest = std::max(longest, fleet.scheduler.Now() - started);
+  }
+  CHECK(longest < ConsensusTiming().election_timeout);
+}
+
+TEST_CASE("a replica that comes back does not disturb a leader that the others hear") {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    ConsensusFleet fleet(3, seed, ImpatientAfterRestart());
+    REQUIRE(fleet.RunUntilLeader());
+    fleet.scheduler.RunFor(seconds(2));
+    const NodeId leader = fleet.LeaderNode();
+    const Term term = fleet.Leader()->CurrentTerm();
+    const NodeId follower = leader == fleet.Name(0) ? fleet.Name(1) : fleet.Name(0);
+    fleet.Crash(follower);
+    fleet.Restart(follower);
+    fleet.scheduler.RunFor(seconds(3));
+    CHECK(fleet.LeaderNode() == leader);
+    CHECK(fleet.Leader()->CurrentTerm() == term);
+  }
+}
+
+}  // namespace
+}  // namespace millstair
