Test the job group, loads, membership of storage nodes and registrations; keep a retired voter until replaced

Cause: a test of the replica manager showed that a retired node was removed before another voter had taken its place, which left two voters.

Change: a voter goes only when the full number of sound voters is there.

--- a/source/consensus/group_host.h
+++ b/source/consensus/group_host.h
@@ -25,8 +25,8 @@
   Duration election_timeout = std::chrono::milliseconds(1000);
   /// Proposals, reads and membership changes that take longer get DeadlineExceeded.
   Duration request_timeout = std::chrono::milliseconds(5000);
-  /// A replica that comes back waits only from this to three times this for a leader before it stands
-  /// for election; 0 is as long as ever.
+  /// A replica that comes back waits only from this to three times this for a leader before it
+  /// stands for election; 0 is as long as ever.
   Duration restart_patience{0};
 };
 
--- a/source/consensus/raft_core.h
+++ b/source/consensus/raft_core.h
@@ -34,7 +34,8 @@
   ReplicaId self;
   Duration heartbeat = std::chrono::milliseconds(100);
   Duration election_timeout = std::chrono::milliseconds(1000);
-  /// The same for the first election after a restart, up to three times this; 0 makes no difference.
+  /// The same for the first election after a restart, up to three times this; 0 makes no
+  /// difference.
   Duration restart_patience{0};
   uint64_t max_batch_bytes = 256 * 1024;
   uint64_t snapshot_chunk_bytes = 256 * 1024;
--- a/source/jobs/job_replica_manager.cc
+++ b/source/jobs/job_replica_manager.cc
@@ -15,11 +15,6 @@
                      [replica](const GroupMember& member) { return member.replica == replica; });
 }
 
-size_t CountVoters(const std::vector<GroupMember>& members) {
-  return static_cast<size_t>(std::count_if(members.begin(), members.end(),
-                                           [](const GroupMember& member) { return member.voter; }));
-}
-
 }  // namespace
 
 JobReplicaManager::JobReplicaManager(Environment& environment, const Configuration& configuration,
@@ -88,16 +83,14 @@
   const size_t sound = CountSoundVoters(members);
   for (const GroupMember& member : members) {
     if (IsSound(member)) continue;
-    // A voter stays until another has taken its place: the quorum must not shrink below what is
-    // to be borne.
-    if (member.voter && sound < std::min(options_.voters, CountVoters(members) - 1)) continue;
+    // A voter stays until another has taken its place: the quorum must not shrink.
+    if (member.voter && sound < options_.voters) continue;
     // A learner that is away may come back with its log.
     const auto node = configuration_.nodes.find(member.node);
     const bool replaced = node != configuration_.nodes.end() &&
                           node->second.state != MemberState::kGone &&
                           node->second.replica != member.replica;
     if (!member.voter && !replaced && !IsRetired(member.node)) continue;
-    if (member.voter && !replaced && !IsRetired(member.node) && sound < options_.voters) continue;
     if (member.node == self_) {
       group_->TransferLeadership(ChangeDone());
       return true;
--- a/source/settings/settings_schema.cc
+++ b/source/settings/settings_schema.cc
@@ -178,7 +178,8 @@
       Time("timing.election_timeout", &T::election_timeout, 10 * kMillisecond, 60 * kSecond,
            "Without a leader for this long, up to twice this, a replica stands for election."),
       Time("timing.restart_patience", &T::restart_patience, 0, 60 * kSecond,
-           "A replica that comes back stands for election after this, up to three times this, without "
+           "A replica that comes back stands for election after this, up to three times this, "
+           "without "
            "a leader; 0 is as long as ever."),
       Time("timing.claim_retention", &T::claim_retention, kHour, 8760 * kHour,
            "How long a once-only key is remembered; whole hours."),
--- /dev/null
+++ b/test/cluster/registration_test.cc
@@ -0,0 +1,165 @@
+/// Routing documents, self-registered back ends, named versions, job groups and retired nodes in
+/// the state of the cluster group.
+#include <catch2/catch.hpp>
+
+#include "test/cluster/cluster_test_support.h"
+
+namespace millstair {
+namespace {
+
+ClusterResultCode Replace(StateMachineDriver& driver, uint64_t version,
+                          const std::string& content) {
+  return driver.Apply(ReplaceRouting{{version, content}}).code;
+}
+
+BackendInstance Reported(const std::string& id, uint64_t sequence, MemberState state) {
+  BackendInstance instance;
+  instance.id = InstanceId(id);
+  instance.service = ServiceName("s");
+  instance.address = "1.1.1.1:1";
+  instance.slots = 4;
+  instance.sequence = sequence;
+  instance.state = state;
+  return instance;
+}
+
+TEST_CASE("the highest routing version holds, and a resend of any changes nothing") {
+  StateMachineDriver driver;
+  CHECK(Replace(driver, 5, "five") == ClusterResultCode::kOk);
+  CHECK(Replace(driver, 3, "three") == ClusterResultCode::kOk);
+  CHECK(driver.state.configuration().routing.content == "five");
+  CHECK(Replace(driver, 9, "nine") == ClusterResultCode::kOk);
+  CHECK(Replace(driver, 9, "nine") == ClusterResultCode::kOk);
+  CHECK(Replace(driver, 5, "five") == ClusterResultCode::kOk);
+  CHECK(driver.state.configuration().routing == RoutingDocument{9, "nine"});
+}
+
+TEST_CASE("other content under the routing version held is refused") {
+  StateMachineDriver driver;
+  Replace(driver, 5, "five");
+  CHECK(Replace(driver, 5, "other") == ClusterResultCode::kConflict);
+  CHECK(driver.state.configuration().routing.content == "five");
+  CHECK(Replace(driver, 0, "none") == ClusterResultCode::kInvalid);
+}
+
+TEST_CASE("a late report of a back end changes nothing") {
+  StateMachineDriver driver;
+  driver.Apply(UpdateInstance{Reported("i", 4, MemberState::kLive)});
+  BackendInstance late = Reported("i", 3, MemberState::kLive);
+  late.address = "2.2.2.2:2";
+  driver.Apply(UpdateInstance{late});
+  CHECK(driver.state.configuration().instances.at(InstanceId("i")).address == "1.1.1.1:1");
+}
+
+TEST_CASE("a back end that said it is leaving never comes back under the same id") {
+  StateMachineDriver driver;
+  driver.Apply(UpdateInstance{Reported("i", 4, MemberState::kLeaving)});
+  driver.Apply(UpdateInstance{Reported("i", 5, MemberState::kLive)});
+  const auto& instances = driver.state.configuration().instances;
+  CHECK(instances.at(InstanceId("i")).state == MemberState::kLeaving);
+  BackendInstance gone;
+  gone.id = InstanceId("i");
+  gone.state = MemberState::kGone;
+  driver.Apply(UpdateInstance{gone});
+  driver.Apply(UpdateInstance{Reported("i", 9, MemberState::kLive)});
+  CHECK(instances.at(InstanceId("i")).state == MemberState::kGone);
+  CHECK(instances.at(InstanceId("i")).address == "1.1.1.1:1");
+}
+
+TEST_CASE("a back end that left before its first report came is gone for good") {
+  StateMachineDriver driver;
+  BackendInstance gone;
+  gone.id = InstanceId("i");
+  gone.state = MemberState::kGone;
+  driver.Apply(UpdateInstance{gone});
+  driver.Apply(UpdateInstance{Reported("i", 1, MemberState::kLive)});
+  CHECK(driver.state.configuration().instances.at(InstanceId("i")).state == MemberState::kGone);
+}
+
+TEST_CASE("ended lives of back ends are remembered in a bounded number") {
+  StateMachineDriver driver;
+  for (int i = 0; i < 1100; ++i) {
+    driver.Apply(UpdateInstance{Reported("i" + std::to_string(i), 1, MemberState::kGone)});
+  }
+  driver.Apply(UpdateInstance{Reported("live", 1, MemberState::kLive)});
+  const auto& instances = driver.state.configuration().instances;
+  CHECK(instances.size() == 1025);
+  CHECK(instances.contains(InstanceId("live")));
+  CHECK_FALSE(instances.contains(InstanceId("i0")));
+}
+
+TEST_CASE("named versions only rise") {
+  StateMachineDriver driver;
+  const auto name = [&](uint64_t version) {
+    driver.Apply(NameVersion{{ModelName("m"), WeightVersion(version)}});
+    return driver.state.configuration().versions.at(ModelName("m")).version;
+  };
+  CHECK(name(3) == WeightVersion(3));
+  CHECK(name(2) == WeightVersion(3));
+  CHECK(name(4) == WeightVersion(4));
+}
+
+TEST_CASE("the first founders of a job group stay") {
+  StateMachineDriver driver;
+  const JobGroup first{GroupId("jobs/0"), {{ReplicaId(1), NodeId("a"), "a", true}}};
+  const JobGroup second{GroupId("jobs/0"), {{ReplicaId(2), NodeId("b"), "b", true}}};
+  driver.Apply(FoundJobGroup{first});
+  driver.Apply(FoundJobGroup{second});
+  CHECK(driver.state.configuration().job_groups.at(GroupId("jobs/0")) == first);
+}
+
+TEST_CASE("only storage nodes are retired, and stay so") {
+  StateMachineDriver driver;
+  CHECK(driver.Apply(RetireNode{{NodeId("a"), false}}).code == ClusterResultCode::kNotFound);
+  NodeRecord record;
+  record.node = NodeId("a");
+  record.storage = true;
+  UpdateMembers update;
+  update.nodes.push_back(record);
+  driver.Apply(update);
+  CHECK(driver.Apply(RetireNode{{NodeId("a"), false}}).code == ClusterResultCode::kOk);
+  CHECK(driver.Apply(RetireNode{{NodeId("a"), true}}).code == ClusterResultCode::kOk);
+  CHECK(driver.Apply(RetireNode{{NodeId("a"), false}}).code == ClusterResultCode::kOk);
+  CHECK(driver.state.configuration().retired_nodes.at(NodeId("a")).emptied);
+}
+
+TEST_CASE("all of it reaches a node that follows by deltas, and one that starts from a snapshot") {
+  StateMachineDriver driver;
+  Configuration follower;
+  const auto follow = [&] {
+    const auto delta = DecodeDelta(EncodeDelta(driver.state.DeltaSince(follower.revision)));
+    REQUIRE(delta.ok());
+    REQUIRE(ApplyDelta(follower, *delta));
+  };
+  Replace(driver, 1, "one");
+  follow();
+  Replace(driver, 2, std::string(200'000, 'x'));
+  driver.Apply(UpdateInstance{Reported("i", 4, MemberState::kLeaving)});
+  driver.Apply(NameVersion{{ModelName("m"), WeightVersion(3)}});
+  driver.Apply(FoundJobGroup{{GroupId("jobs/0"), {{ReplicaId(1), NodeId("a"), "a", true}}}});
+  NodeRecord record;
+  record.node = NodeId("a");
+  record.storage = true;
+  record.replica = ReplicaId(7);
+  record.machine = "storage-1";
+  UpdateMembers update;
+  update.nodes.push_back(record);
+  driver.Apply(update);
+  driver.Apply(RetireNode{{NodeId("a"), false}});
+  follow();
+  ClusterStateMachine restored;
+  REQUIRE(restored.Restore(LogIndex(99), driver.state.TakeSnapshot()).ok());
+  for (const Configuration* held :
+       {static_cast<const Configuration*>(&follower), &restored.configuration()}) {
+    const Configuration& truth = driver.state.configuration();
+    CHECK(held->routing == truth.routing);
+    CHECK(held->instances == truth.instances);
+    CHECK(held->versions == truth.versions);
+    CHECK(held->job_groups == truth.job_groups);
+    CHECK(held->retired_nodes == truth.retired_nodes);
+    CHECK(held->nodes == truth.nodes);
+  }
+}
+
+}  // namespace
+}  // namespace millstair
--- /dev/null
+++ b/test/jobs/job_replica_manager_test.cc
@@ -0,0 +1,115 @@
+#include "jobs/job_replica_manager.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "test/jobs/fake_group.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::seconds;
+
+class Fixture {
+ public:
+  Fixture() {
+    for (const char* name : {"a", "b", "c"}) {
+      Join(name, ReplicaId(static_cast<uint64_t>(name[0])));
+      group.members.push_back(
+          {configuration.nodes[NodeId(name)].replica, NodeId(name), name, true});
+    }
+  }
+
+  void Join(const std::string& name, ReplicaId replica) {
+    NodeRecord record;
+    record.node = NodeId(name);
+    record.address = name;
+    record.storage = true;
+    record.replica = replica;
+    configuration.nodes[record.node] = record;
+  }
+
+  void Run(seconds span = seconds(5)) {
+    manager.SetLeading(&group);
+    scheduler.RunFor(span);
+  }
+
+  std::set<std::string> Voters() const {
+    std::set<std::string> voters;
+    for (const GroupMember& member : group.members) {
+      if (member.voter) voters.insert(member.node.value());
+    }
+    return voters;
+  }
+
+  VirtualScheduler scheduler{1};
+  VirtualEnvironment environment{scheduler, 2};
+  Configuration configuration;
+  FakeGroup group{scheduler, nullptr};
+  std::set<NodeId> emptied;
+  JobReplicaManager manager{environment, configuration, NodeId("a"), JobReplicaOptions{3, 1},
+                            [this](const NodeId& node) { emptied.insert(node); }};
+};
+
+using Names = std::set<std::string>;
+
+TEST_CASE("A sound group stays as it is; one spare node is kept warm, not more") {
+  Fixture fixture;
+  fixture.Join("d", ReplicaId(100));
+  fixture.Join("e", ReplicaId(101));
+  fixture.Run();
+  CHECK(fixture.Voters() == Names{"a", "b", "c"});
+  CHECK(fixture.group.members.size() == 4);
+}
+
+TEST_CASE("A voter that is gone stays until another has taken its place") {
+  Fixture fixture;
+  fixture.configuration.nodes[NodeId("c")].state = MemberState::kGone;
+  fixture.Run();
+  CHECK(fixture.Voters() == Names{"a", "b", "c"});
+  fixture.Join("d", ReplicaId(100));
+  fixture.Run();
+  CHECK(fixture.Voters() == Names{"a", "b", "d"});
+}
+
+TEST_CASE("A node that lost its disk comes back as another replica and votes again") {
+  Fixture fixture;
+  fixture.Join("c", ReplicaId(200));
+  fixture.Run();
+  CHECK(fixture.Voters() == Names{"a", "b", "c"});
+  for (const GroupMember& member : fixture.group.members) {
+    if (member.node == NodeId("c")) CHECK(member.replica == ReplicaId(200));
+  }
+}
+
+TEST_CASE("A retired node is replaced first, then emptied and reported") {
+  Fixture fixture;
+  fixture.configuration.retired_nodes[NodeId("b")] = {NodeId("b"), false};
+  fixture.Run();
+  CHECK(fixture.Voters() == Names{"a", "b", "c"});
+  CHECK(fixture.emptied.empty());
+  fixture.Join("d", ReplicaId(100));
+  fixture.Run();
+  CHECK(fixture.Voters() == Names{"a", "c", "d"});
+  CHECK(fixture.emptied == std::set<NodeId>{NodeId("b")});
+}
+
+TEST_CASE("A retired leader hands over before it goes") {
+  Fixture fixture;
+  fixture.Join("d", ReplicaId(100));
+  fixture.configuration.retired_nodes[NodeId("a")] = {NodeId("a"), false};
+  fixture.Run();
+  CHECK(fixture.group.transfers > 0);
+  CHECK(fixture.Voters().contains("a"));
+}
+
+TEST_CASE("Nothing is done without the leadership") {
+  Fixture fixture;
+  fixture.Join("d", ReplicaId(100));
+  fixture.group.leader = false;
+  fixture.Run();
+  CHECK(fixture.group.members.size() == 3);
+}
+
+}  // namespace
+}  // namespace millstair
--- /dev/null
+++ b/test/jobs/job_service_test.cc
@@ -0,0 +1,207 @@
+#include "jobs/job_service.h"
+
+#include <catch2/catch.hpp>
+
+#include "cluster/group_client.h"
+#include "jobs/job_client.h"
+#include "test/jobs/fake_group.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Carries messages between clients and services by name; a node that is cut off hears nothing.
+class Wires {
+ public:
+  using Receiver = std::function<void(const NodeId& from, const PeerMessage& message)>;
+
+  explicit Wires(VirtualScheduler& scheduler) : scheduler_(scheduler) {}
+  void Deliver(const NodeId& from, const NodeId& to, const PeerMessage& message) {
+    scheduler_.Schedule(milliseconds(1), [this, from, to, message] {
+      if (receivers.contains(to) && !cut.contains(to) && !cut.contains(from)) {
+        receivers[to](from, message);
+      }
+    });
+  }
+
+  std::map<NodeId, Receiver> receivers;
+  std::set<NodeId> cut;
+
+ private:
+  VirtualScheduler& scheduler_;
+};
+
+class End : public PeerTransport {
+ public:
+  End(Wires& wires, std::string self) : wires_(wires), self_(std::move(self)) {}
+  void Send(const NodeId& to, PeerMessage message) override { wires_.Deliver(self_, to, message); }
+  void SetAddress(const NodeId&, const std::string&) override {}
+
+ private:
+  Wires& wires_;
+  const NodeId self_;
+};
+
+/// Two storage nodes, of which "s1" leads, and a client.
+class Fixture {
+ public:
+  Fixture() {
+    follower.leader = false;
+    follower.leader_node = NodeId("s1");
+    state.OnChange([this](JobChange, const JobId& job) { first.NoteChange(job); });
+    first.Attach(&leader, &state);
+    second.Attach(&follower, &state);
+    wires.receivers[NodeId("s1")] = [this](const NodeId& from, const PeerMessage& message) {
+      first.Receive(from, message);
+    };
+    wires.receivers[NodeId("s2")] = [this](const NodeId& from, const PeerMessage& message) {
+      second.Receive(from, message);
+    };
+    wires.receivers[NodeId("client")] = [this](const NodeId& from, const PeerMessage& message) {
+      client.Receive(from, message);
+    };
+  }
+
+  std::optional<absl::StatusOr<JobResultCode>> Submit(const std::string& id,
+                                                      Duration timeout = seconds(2)) {
+    JobSpec job;
+    job.id = JobId(id);
+    job.items.resize(2);
+    job.items[0].id = ItemId("a");
+    job.items[0].body = "body of a";
+    job.items[1].id = ItemId("b");
+    std::optional<absl::StatusOr<JobResultCode>> answer;
+    client.Submit(job, timeout, [&](absl::StatusOr<JobResultCode> result) { answer = result; });
+    scheduler.RunFor(timeout + milliseconds(10));
+    return answer;
+  }
+
+  JobQueryAnswer Query(JobQuery query, Duration wait = seconds(2)) {
+    JobQueryAnswer found;
+    client.Query(query, seconds(2), [&](absl::StatusOr<JobQueryAnswer> answer) {
+      REQUIRE(answer.ok());
+      found = *std::move(answer);
+      answered_at = scheduler.Now();
+    });
+    scheduler.RunFor(wait);
+    return found;
+  }
+
+  void List(uint32_t item, const std::string& text) {
+    const JobResult result{item, ItemState::kDone, text, {}, ""};
+    state.Apply(LogIndex(++index), EncodeJobCommand({ListResult{JobId("j"), result}, {}}));
+  }
+
+  VirtualScheduler scheduler{1};
+  VirtualEnvironment environment{scheduler, 2};
+  Wires wires{scheduler};
+  End first_end{wires, "s1"};
+  End second_end{wires, "s2"};
+  End client_end{wires, "client"};
+  JobStateMachine state;
+  FakeGroup leader{scheduler, &state};
+  FakeGroup follower{scheduler, &state};
+  JobService first{environment, first_end};
+  JobService second{environment, second_end};
+  std::vector<NodeId> candidates = {NodeId("s2"), NodeId("s1")};
+  JobClient client{environment, client_end, [this] { return candidates; }};
+  Duration answered_at{0};
+  uint64_t index = 100;
+};
+
+TEST_CASE("A job reaches the leader through any replica, and is kept before it is answered") {
+  Fixture fixture;
+  const auto answer = fixture.Submit("j");
+  REQUIRE(answer);
+  REQUIRE(answer->ok());
+  CHECK(**answer == JobResultCode::kOk);
+  CHECK(fixture.state.Find(JobId("j")) != nullptr);
+}
+
+TEST_CASE("Without a quorum nothing is acknowledged, and the outcome counts as unknown") {
+  Fixture fixture;
+  fixture.leader.quorum = false;
+  const auto answer = fixture.Submit("j");
+  REQUIRE(answer);
+  CHECK(absl::IsDeadlineExceeded(answer->status()));
+}
+
+TEST_CASE("A replica that hears nothing is passed over") {
+  Fixture fixture;
+  fixture.wires.cut.insert(NodeId("s2"));
+  const auto answer = fixture.Submit("j");
+  REQUIRE(answer);
+  CHECK(answer->ok());
+}
+
+TEST_CASE("A job that is not there is told only after the leadership was confirmed") {
+  Fixture fixture;
+  JobQuery query;
+  query.job = JobId("none");
+  CHECK_FALSE(fixture.Query(query).found);
+  fixture.leader.quorum = false;
+  bool answered = false;
+  fixture.client.Query(query, seconds(1), [&](absl::StatusOr<JobQueryAnswer> answer) {
+    answered = true;
+    CHECK(absl::IsDeadlineExceeded(answer.status()));
+  });
+  fixture.scheduler.RunFor(seconds(2));
+  CHECK(answered);
+}
+
+TEST_CASE("Results come from a position on, at least one, within the bound") {
+  Fixture fixture;
+  fixture.Submit("j");
+  fixture.List(1, "long text");
+  fixture.List(0, "other text");
+  JobQuery query;
+  query.job = JobId("j");
+  query.max_bytes = 1;
+  JobQueryAnswer answer = fixture.Query(query);
+  CHECK(answer.total == 2);
+  REQUIRE(answer.results.size() == 1);
+  CHECK(answer.results[0].item == ItemId("b"));
+  query.after = 1;
+  answer = fixture.Query(query);
+  REQUIRE(answer.results.size() == 1);
+  CHECK(answer.results[0].result.text == "other text");
+  query.after = 2;
+  CHECK(fixture.Query(query).results.empty());
+}
+
+TEST_CASE("A query is held until there is a result, and not for longer than asked") {
+  Fixture fixture;
+  fixture.Submit("j");
+  JobQuery query;
+  query.job = JobId("j");
+  query.wait = milliseconds(400);
+  const Duration asked_at = fixture.scheduler.Now();
+  fixture.scheduler.Schedule(milliseconds(200), [&] { fixture.List(0, "text"); });
+  CHECK(fixture.Query(query).results.size() == 1);
+  CHECK(fixture.answered_at - asked_at < milliseconds(230));
+  query.after = 1;
+  const Duration asked_again_at = fixture.scheduler.Now();
+  CHECK(fixture.Query(query).results.empty());
+  CHECK(fixture.answered_at - asked_again_at < milliseconds(450));
+}
+
+TEST_CASE("The body of an item is given until it is listed or its job has ended") {
+  Fixture fixture;
+  fixture.Submit("j");
+  JobQuery query;
+  query.kind = JobQueryKind::kBody;
+  query.job = JobId("j");
+  query.item = ItemId("a");
+  CHECK(fixture.Query(query).body == "body of a");
+  fixture.List(0, "text");
+  CHECK_FALSE(fixture.Query(query).found);
+  query.item = ItemId("b");
+  CHECK(fixture.Query(query).found);
+  fixture.state.Apply(LogIndex(200), EncodeJobCommand({EndJob{JobId("j")}, {}}));
+  CHECK_FALSE(fixture.Query(query).found);
+}
+
+}  // namespace
+}  // namespace millstair
--- /dev/null
+++ b/test/jobs/load_scheduler_test.cc
@@ -0,0 +1,223 @@
+#include "jobs/load_scheduler.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "fmt/format.h"
+#include "jobs/job_state_machine.h"
+#include "test/ingress/fake_backends.h"
+#include "test/jobs/fake_group.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Kind = FakeAnswer::Kind;
+
+/// An engine that takes orders: a load lasts a second.
+struct Engine {
+  uint64_t version = 1;
+  uint64_t orders = 0;
+  Duration busy_until{0};
+  uint64_t next_version = 0;
+  /// Orders get no answer and are never carried out.
+  bool deaf = false;
+  std::vector<Duration> ordered_at;
+  std::vector<std::string> fences;
+};
+
+class Fixture {
+ public:
+  explicit Fixture(int engines, LoadOptions options = {}) : loads_options(options) {
+    state.OnChange([this](JobChange change, const JobId&) {
+      if (change == JobChange::kOrder) loads.NoteAnnouncement(state.order_holder());
+    });
+    routes.services.push_back(
+        {ServiceName("engines"), "", 0, EngineProfile{2, 1, {ModelName("m")}}});
+    for (int i = 0; i < engines; ++i) Add(fmt::format("e{}:1", i));
+    Name(1);
+  }
+
+  void Add(const std::string& address) {
+    configuration.instances[InstanceId(address)] = LiveInstance(address, "engines");
+    engines[address];
+    backends.Serve(address, [this, address](const HttpRequest& request) {
+      return Answer(engines[address], request);
+    });
+  }
+
+  void Name(uint64_t version, const std::string& model = "m") {
+    configuration.versions[ModelName(model)] = {ModelName(model), WeightVersion(version)};
+    directory.Update(configuration);
+    loads.Update(configuration, &routes);
+  }
+
+  void Lead(const std::string& last_holder = "self") {
+    loads.SetLeading(&group, NodeId(last_holder));
+  }
+
+  size_t Holding(uint64_t version) const {
+    size_t count = 0;
+    for (const auto& [address, engine] : engines) count += engine.version == version ? 1 : 0;
+    return count;
+  }
+
+  size_t Orders() const {
+    size_t count = 0;
+    for (const auto& [address, engine] : engines) count += engine.ordered_at.size();
+    return count;
+  }
+
+  VirtualScheduler scheduler{3};
+  VirtualEnvironment environment{scheduler, 5};
+  FakeBackends backends{scheduler};
+  FakeProtocol protocol;
+  BackendDirectory directory{environment, Zone("z1")};
+  JobStateMachine state;
+  FakeGroup group{scheduler, &state};
+  LoadOptions loads_options;
+  LoadScheduler loads{environment, backends, directory, protocol, NodeId("self"), loads_options};
+  RouteTable routes;
+  Configuration configuration;
+  std::map<std::string, Engine> engines;
+
+ private:
+  FakeAnswer Answer(Engine& engine, const HttpRequest& request) {
+    const Duration now = scheduler.Now();
+    if (engine.next_version != 0 && now >= engine.busy_until) {
+      engine.version = std::exchange(engine.next_version, 0);
+    }
+    const bool busy = engine.next_version != 0;
+    if (request.method == "GET") {
+      return {Kind::kAnswer,
+              200,
+              {},
+              {fmt::format("{} {} m {}", busy ? 1 : 0, engine.orders, engine.version)}};
+    }
+    engine.ordered_at.push_back(now);
+    engine.fences.emplace_back(*FindHeader(request.headers, "fence"));
+    if (engine.deaf) return {Kind::kSilence};
+    const auto expected = std::stoull(std::string(*FindHeader(request.headers, "expected")));
+    if (busy || expected != engine.orders) return {Kind::kAnswer, 409, {}, {""}};
+    ++engine.orders;
+    engine.next_version = std::stoull(request.body);
+    engine.busy_until = now + seconds(1);
+    return {Kind::kAnswer, 202, {}, {""}};
+  }
+};
+
+TEST_CASE("Every engine gets a version that all jobs need, at most so many at once") {
+  Fixture fixture(5);
+  fixture.Lead();
+  fixture.Name(2);
+  fixture.scheduler.RunFor(milliseconds(800));
+  CHECK(fixture.Orders() == 2);
+  fixture.scheduler.RunFor(seconds(6));
+  CHECK(fixture.Holding(2) == 5);
+  CHECK(fixture.Orders() == 5);
+}
+
+TEST_CASE("Where jobs allow the version before, only half of the engines load each version") {
+  Fixture fixture(6);
+  fixture.Lead();
+  for (uint64_t version = 2; version <= 6; ++version) {
+    fixture.Name(version);
+    fixture.loads.NoteJob(ModelName("m"), 100, WeightVersion(version - 1));
+    fixture.scheduler.RunFor(seconds(5));
+    size_t useful = 0;
+    for (const auto& [address, engine] : fixture.engines) {
+      useful += engine.version + 1 >= version ? 1 : 0;
+    }
+    CHECK(useful == 6);
+  }
+  // The first version goes to all: no job had told its lag by then.
+  CHECK(fixture.Orders() <= 6 + 4 * 3);
+}
+
+TEST_CASE("A new leader gives no order within the lease of the last holder") {
+  LoadOptions options;
+  options.holder_lease = seconds(3);
+  Fixture fixture(1, options);
+  fixture.scheduler.RunFor(seconds(10));
+  fixture.state.Apply(LogIndex(1), EncodeJobCommand({AnnounceOrder{NodeId("other")}, {}}));
+  fixture.scheduler.RunFor(seconds(1));
+  fixture.Lead("other");
+  fixture.Name(2);
+  fixture.scheduler.RunFor(seconds(8));
+  const Engine& engine = fixture.engines.at("e0:1");
+  REQUIRE(engine.ordered_at.size() == 1);
+  CHECK(engine.ordered_at[0] >= seconds(13));
+  CHECK(engine.ordered_at[0] < seconds(15));
+}
+
+TEST_CASE("An announcement of another holder that is applied late moves the first order again") {
+  LoadOptions options;
+  options.holder_lease = seconds(3);
+  Fixture fixture(1, options);
+  fixture.scheduler.RunFor(seconds(10));
+  fixture.Lead("other");
+  fixture.state.Apply(LogIndex(1), EncodeJobCommand({AnnounceOrder{NodeId("other")}, {}}));
+  fixture.Name(2);
+  fixture.scheduler.RunFor(seconds(8));
+  const Engine& engine = fixture.engines.at("e0:1");
+  REQUIRE(engine.ordered_at.size() == 1);
+  CHECK(engine.ordered_at[0] >= seconds(13));
+}
+
+TEST_CASE("No order is given without a quorum, or long after its announcement") {
+  Fixture cut_off(2);
+  cut_off.Lead();
+  cut_off.group.quorum = false;
+  cut_off.Name(2);
+  cut_off.scheduler.RunFor(seconds(3));
+  CHECK(cut_off.Orders() == 0);
+  Fixture slow(2);
+  slow.Lead();
+  slow.group.commit_time = milliseconds(400);
+  slow.Name(2);
+  slow.scheduler.RunFor(seconds(3));
+  CHECK(slow.Orders() == 0);
+}
+
+TEST_CASE("An order without an answer is given again, with the count of orders that guards it") {
+  Fixture fixture(1);
+  fixture.engines.at("e0:1").deaf = true;
+  fixture.Lead();
+  fixture.Name(2);
+  fixture.scheduler.RunFor(seconds(3));
+  CHECK(fixture.Orders() >= 1);
+  fixture.engines.at("e0:1").deaf = false;
+  fixture.scheduler.RunFor(seconds(4));
+  CHECK(fixture.Holding(2) == 1);
+  CHECK(fixture.engines.at("e0:1").orders == 1);
+}
+
+TEST_CASE("While an engine loads a model it counts as loading, and its version follows") {
+  Fixture fixture(1);
+  fixture.Lead();
+  bool ready = false;
+  fixture.loads.OnReady([&] { ready = true; });
+  fixture.Name(2);
+  fixture.scheduler.RunFor(milliseconds(300));
+  CHECK(fixture.loads.Loading(InstanceId("e0:1"), ModelName("m")));
+  CHECK_FALSE(fixture.loads.Loading(InstanceId("e0:1"), ModelName("other")));
+  fixture.scheduler.RunFor(seconds(2));
+  CHECK_FALSE(fixture.loads.Loading(InstanceId("e0:1"), ModelName("m")));
+  CHECK(fixture.loads.VersionOf(InstanceId("e0:1"), ModelName("m")) == WeightVersion(2));
+  CHECK(ready);
+}
+
+TEST_CASE("Orders end with the leadership") {
+  Fixture fixture(4);
+  fixture.Lead();
+  fixture.Name(2);
+  fixture.scheduler.RunFor(milliseconds(300));
+  const size_t before = fixture.Orders();
+  fixture.loads.SetLeading(nullptr, NodeId());
+  fixture.scheduler.RunFor(seconds(5));
+  CHECK(fixture.Orders() == before);
+}
+
+}  // namespace
+}  // namespace millstair
