Log each request and item, count them, and load as many engines at once as there are fifths

Cause: an engineer on call had no line for a request that was answered, and no latencies; two loads at once are too few for 35 engines.

Change: one line for each answered or failed request (back end, version of the routes, tries), for each run and result of an item; histograms of requests and items, counters of tries and runs; the metrics address of the settings. A fifth of the engines load at once, two at least.

--- a/source/common/stats.h
+++ b/source/common/stats.h
@@ -2,6 +2,7 @@
 /// threads use them alike; names are registered once, when a module is made.
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <deque>
@@ -31,6 +32,29 @@
   std::atomic<double> value_{0};
 };
 
+/// Counts values by size, for latencies in seconds. Thread-safe, lock-free.
+class Histogram {
+ public:
+  static constexpr std::array<double, 14> kBounds = {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
+                                                     0.25,  0.5,    1,     2.5,  5,     10,   30};
+
+  void Observe(double seconds) {
+    size_t bucket = 0;
+    while (bucket < kBounds.size() && seconds > kBounds[bucket]) ++bucket;
+    counts_[bucket].fetch_add(1, std::memory_order_relaxed);
+    sum_microseconds_.fetch_add(static_cast<uint64_t>(seconds * 1e6), std::memory_order_relaxed);
+  }
+  /// Values up to the bound of `bucket` that are above the one before; the last has no bound.
+  uint64_t count(size_t bucket) const { return counts_[bucket].load(std::memory_order_relaxed); }
+  double sum() const {
+    return static_cast<double>(sum_microseconds_.load(std::memory_order_relaxed)) * 1e-6;
+  }
+
+ private:
+  std::array<std::atomic<uint64_t>, kBounds.size() + 1> counts_{};
+  std::atomic<uint64_t> sum_microseconds_{0};
+};
+
 /// Identity of one time series: "millstair_http_requests_total" with label outcome="ran".
 struct StatName {
   std::string name;
@@ -47,6 +71,12 @@
   double value = 0;
 };
 
+/// A histogram as read by the metrics page; it lives as long as the registry.
+struct HistogramSample {
+  StatName name;
+  const Histogram* histogram = nullptr;
+};
+
 /// Owns the stats of one node. Registration and reading lock; references stay valid for the life of
 /// the registry.
 class StatsRegistry {
@@ -55,6 +85,15 @@
   Counter& NewCounter(StatName name) { return FindOrAdd(counters_, std::move(name)); }
   Gauge& NewGauge(StatName name) { return FindOrAdd(gauges_, std::move(name)); }
 
+  Histogram& NewHistogram(StatName name) { return FindOrAdd(histograms_, std::move(name)); }
+
+  std::vector<HistogramSample> ReadHistograms() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<HistogramSample> samples;
+    for (const auto& entry : histograms_) samples.push_back({entry.name, &entry.stat});
+    return samples;
+  }
+
   /// All values, in the order of registration; counters first.
   std::vector<StatSample> Read() const {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -88,6 +127,7 @@
   mutable std::mutex mutex_;
   std::deque<Entry<Counter>> counters_;
   std::deque<Entry<Gauge>> gauges_;
+  std::deque<Entry<Histogram>> histograms_;
 };
 
 }  // namespace millstair
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -23,6 +23,24 @@
 
 }  // namespace
 
+std::string_view ForwardOutcomeName(ForwardOutcome outcome) {
+  switch (outcome) {
+    case ForwardOutcome::kAnswered:
+      return "answered";
+    case ForwardOutcome::kNoRoute:
+      return "no-route";
+    case ForwardOutcome::kNotConfigured:
+      return "not-configured";
+    case ForwardOutcome::kNotRun:
+      return "not-run";
+    case ForwardOutcome::kFailed:
+      return "failed";
+    case ForwardOutcome::kTimedOut:
+      break;
+  }
+  return "timed-out";
+}
+
 /// One try at one back end.
 class ForwardFlow::Try : public HttpCallObserver {
  public:
@@ -143,6 +161,7 @@
   const auto target = context_.directory.Pick(DrawService(), tried_);
   if (!target) return;
   tried_.insert(target->id);
+  last_instance_ = target->id;
   ++sent_;
   // Counted before the send: a try is taken back only on the back end's own word.
   ++may_have_run_;
@@ -207,6 +226,7 @@
 
 void ForwardFlow::EndTry(Try& attempt, BackendEnd end) {
   attempt.End(end);
+  last_instance_ = attempt.instance();
   const auto found = std::find_if(tries_.begin(), tries_.end(), [&attempt](const auto& entry) {
     return entry.get() == &attempt;
   });
@@ -224,6 +244,7 @@
 
 void ForwardFlow::Finish(ForwardResult result) {
   result.tries = sent_;
+  result.instance = last_instance_;
   result.server_errors = server_errors_;
   deadline_timer_.Cancel();
   retry_timer_.Cancel();
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -35,6 +35,9 @@
   kTimedOut,       ///< a back end may have run it; the time is over
 };
 
+/// "answered", "not-run" and so on, for logs and metrics.
+std::string_view ForwardOutcomeName(ForwardOutcome outcome);
+
 struct ForwardResult {
   ForwardOutcome outcome = ForwardOutcome::kNotRun;
   HttpResponseHead head;
@@ -42,6 +45,10 @@
   std::string signature;
   /// When the client may come back, if the request did not run.
   Duration retry_after{0};
+  /// The back end that answered, or was tried last; empty if none was.
+  InstanceId instance;
+  /// Version of the routes that decided; 0 if none were known.
+  uint64_t routing_version = 0;
   /// For the log.
   std::string reason;
   uint32_t tries = 0;
@@ -99,6 +106,7 @@
   uint32_t sent_ = 0;
   uint32_t server_errors_ = 0;
   std::string last_reason_;
+  InstanceId last_instance_;
   ScopedTimer deadline_timer_;
   ScopedTimer retry_timer_;
   ScopedTimer hedge_timer_;
--- a/source/ingress/ingress_service.cc
+++ b/source/ingress/ingress_service.cc
@@ -13,9 +13,10 @@
 
 IngressService::IngressService(Environment& environment, HttpCaller& http,
                                const BackendProtocol& protocol, const RoutingDocumentReader& reader,
-                               Zone own_zone)
+                               Zone own_zone, StatsRegistry* stats)
     : environment_(environment),
       reader_(reader),
+      stats_(stats),
       directory_(environment, std::move(own_zone)),
       context_{environment, http, directory_, protocol} {}
 
@@ -47,7 +48,9 @@
   }
   auto flow = std::make_unique<ForwardFlow>(
       context_, *route, std::move(request),
-      [this, id, done = std::move(done)](ForwardResult result) {
+      [this, id, started = environment_.Now(), done = std::move(done)](ForwardResult result) {
+        result.routing_version = routes_->version;
+        Count(result, environment_.Now() - started);
         auto ended = flows_.extract(id);
         // The flow's own callbacks are still running.
         if (!ended.empty()) {
@@ -64,6 +67,16 @@
   return id;
 }
 
+void IngressService::Count(const ForwardResult& result, Duration took) {
+  if (stats_ == nullptr) return;
+  stats_
+      ->NewHistogram({"millstair_forward_seconds", "Time of requests by how they ended.", "outcome",
+                      std::string(ForwardOutcomeName(result.outcome))})
+      .Observe(ToSeconds(took));
+  stats_->NewCounter({"millstair_forward_tries_total", "Requests sent to back ends."})
+      .Add(result.tries);
+}
+
 void IngressService::FinishSoon(ForwardOutcome outcome, std::string reason, Callback done) {
   ForwardResult result;
   result.outcome = outcome;
--- a/source/ingress/ingress_service.h
+++ b/source/ingress/ingress_service.h
@@ -11,6 +11,7 @@
 #include "cluster/configuration.h"
 #include "common/alive_flag.h"
 #include "common/environment.h"
+#include "common/stats.h"
 #include "ingress/forward_flow.h"
 
 namespace millstair {
@@ -22,7 +23,8 @@
   using Callback = std::function<void(ForwardResult)>;
 
   IngressService(Environment& environment, HttpCaller& http, const BackendProtocol& protocol,
-                 const RoutingDocumentReader& reader, Zone own_zone);
+                 const RoutingDocumentReader& reader, Zone own_zone,
+                 StatsRegistry* stats = nullptr);
 
   /// The node's configuration changed.
   void Update(const Configuration& configuration);
@@ -39,10 +41,12 @@
   size_t running() const { return flows_.size(); }
 
  private:
+  void Count(const ForwardResult& result, Duration took);
   void FinishSoon(ForwardOutcome outcome, std::string reason, Callback done);
 
   Environment& environment_;
   const RoutingDocumentReader& reader_;
+  StatsRegistry* const stats_;
   BackendDirectory directory_;
   ForwardContext context_;
   std::optional<RouteTable> routes_;
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -16,7 +16,7 @@
       self_(options.self.node),
       configuration_(MakeConfigurationClient(environment, transport, options.self,
                                              options.control_nodes, options.configuration_timing)),
-      ingress_(environment, http, protocol, reader, options.self.zone),
+      ingress_(environment, http, protocol, reader, options.self.zone, options.stats),
       jobs_(environment, transport, [this] { return StorageNodes(); }),
       ready_timer_(environment) {}
 
--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -17,6 +17,8 @@
   NodeRecord self;
   std::vector<ControlEndpoint> control_nodes;
   ConfigurationTiming configuration_timing;
+  /// Outlives the node; may be null.
+  StatsRegistry* stats = nullptr;
 };
 
 /// Lives on the node's serial executor. Keeps no state that has to survive.
--- a/source/jobs/item_run.cc
+++ b/source/jobs/item_run.cc
@@ -33,6 +33,28 @@
 
 }  // namespace
 
+std::string_view ItemRunEndName(ItemRunEnd end) {
+  switch (end) {
+    case ItemRunEnd::kWhole:
+      return "whole";
+    case ItemRunEnd::kRefused:
+      return "refused";
+    case ItemRunEnd::kWrongInstance:
+      return "wrong-instance";
+    case ItemRunEnd::kUnreachable:
+      return "unreachable";
+    case ItemRunEnd::kServerError:
+      return "server-error";
+    case ItemRunEnd::kImpossible:
+      return "impossible";
+    case ItemRunEnd::kWrongVersion:
+      return "wrong-version";
+    case ItemRunEnd::kBroken:
+      break;
+  }
+  return "broken";
+}
+
 void ItemProgress::Append(const StreamEvent& event) {
   if (events > 0) text.push_back('\n');
   text += event.data;
--- a/source/jobs/item_run.h
+++ b/source/jobs/item_run.h
@@ -39,6 +39,9 @@
   kWrongVersion,   ///< made by weights that the job does not allow
 };
 
+/// "whole", "refused" and so on, for logs and metrics.
+std::string_view ItemRunEndName(ItemRunEnd end);
+
 /// Which weights may make the text.
 struct VersionRule {
   WeightVersion min_version;
--- a/source/jobs/job_replica_manager.cc
+++ b/source/jobs/job_replica_manager.cc
@@ -19,8 +19,7 @@
 
 JobReplicaManager::JobReplicaManager(Environment& environment, const Configuration& configuration,
                                      NodeId self, JobReplicaOptions options, ReportEmptied emptied)
-    : environment_(environment),
-      configuration_(configuration),
+    : configuration_(configuration),
       self_(std::move(self)),
       options_(options),
       emptied_(std::move(emptied)),
--- a/source/jobs/job_replica_manager.h
+++ b/source/jobs/job_replica_manager.h
@@ -46,7 +46,6 @@
   size_t CountSoundVoters(const std::vector<GroupMember>& members) const;
   std::function<void(absl::Status)> ChangeDone();
 
-  Environment& environment_;
   const Configuration& configuration_;
   const NodeId self_;
   const JobReplicaOptions options_;
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -24,7 +24,7 @@
 
 JobScheduler::JobScheduler(Environment& environment, HttpCaller& http, IngressService& ingress,
                            LoadScheduler& loads, const JobStateMachine& state, RaftGroup& group,
-                           JobSchedulerOptions options)
+                           JobSchedulerOptions options, StatsRegistry* stats)
     : environment_(environment),
       http_(http),
       ingress_(ingress),
@@ -32,6 +32,7 @@
       state_(state),
       group_(group),
       options_(options),
+      stats_(stats),
       pump_timer_(environment),
       change_timer_(environment) {}
 
@@ -253,12 +254,26 @@
                                                         ItemRunEnd end, const std::string& reason) {
                                          OnRunEnd(job, index, end, reason);
                                        }));
-  LogEvent(EventId::kItemSent, "job={} item={} instance={} after={}", work.job, item.id, engine->id,
-           work.progress.events);
+  LogEvent(EventId::kItemSent, "job={} item={} instance={} after={} version={} min_version={}",
+           work.job, item.id, engine->id, work.progress.events,
+           loads_.VersionOf(engine->id, record.spec.model), record.spec.min_version);
   work.run->Start(http_, *engine, request);
   return true;
 }
 
+void JobScheduler::NoteListed(const JobId& job, uint32_t index) {
+  const JobRecord* record = state_.Find(job);
+  if (record == nullptr || index >= record->spec.items.size()) return;
+  const Duration age = environment_.WallNow() - record->submitted_at;
+  LogEvent(EventId::kItemListed, "job={} item={} age_ms={}", job, record->spec.items[index].id,
+           age.count() / 1000);
+  if (stats_ == nullptr) return;
+  stats_
+      ->NewHistogram(
+          {"millstair_item_seconds", "From a job's submission to an item's result.", "", ""})
+      .Observe(ToSeconds(age));
+}
+
 JobScheduler::Work* JobScheduler::FindWork(const JobId& job, uint32_t index) {
   const auto found = jobs_.find(job);
   if (found == jobs_.end() || index >= found->second.items.size()) return nullptr;
@@ -280,9 +295,15 @@
   if (work->progress.version != WeightVersion()) {
     loads_.NoteVersion(instance, record->spec.model, work->progress.version);
   }
+  if (stats_ != nullptr) {
+    stats_
+        ->NewCounter({"millstair_item_runs_total", "Runs of items by how they ended.", "end",
+                      std::string(ItemRunEndName(end))})
+        .Add();
+  }
   if (end != ItemRunEnd::kWhole) {
     LogEvent(EventId::kItemBroke, "job={} item={} instance={} events={} end={} reason=\"{}\"", job,
-             record->spec.items[index].id, instance, work->progress.events, static_cast<int>(end),
+             record->spec.items[index].id, instance, work->progress.events, ItemRunEndName(end),
              reason);
   }
   const Route* route = RouteOf(*record);
@@ -407,7 +428,7 @@
   const JobCommand command{ListResult{job, work->result}, environment_.WallNow()};
   group_.Propose(EncodeJobCommand(command),
                  alive_.Guard([this, job, index](const absl::StatusOr<std::string>& result) {
-                   if (result.ok()) return;
+                   if (result.ok()) return NoteListed(job, index);
                    environment_.Schedule(kProposePause, alive_.Guard([this, job, index] {
                      if (!state_.IsListed(job, index)) Propose(job, index);
                    }));
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -14,6 +14,7 @@
 #include "common/alive_flag.h"
 #include "common/environment.h"
 #include "common/scoped_timer.h"
+#include "common/stats.h"
 #include "consensus/raft_group.h"
 #include "ingress/ingress_service.h"
 #include "jobs/item_order.h"
@@ -35,7 +36,7 @@
  public:
   JobScheduler(Environment& environment, HttpCaller& http, IngressService& ingress,
                LoadScheduler& loads, const JobStateMachine& state, RaftGroup& group,
-               JobSchedulerOptions options);
+               JobSchedulerOptions options, StatsRegistry* stats = nullptr);
   ~JobScheduler();
 
   /// Begins or ends all work.
@@ -103,6 +104,7 @@
   void GiveUpOld();
   void List(Work& work, ItemState state, std::string score);
   void Propose(const JobId& job, uint32_t index);
+  void NoteListed(const JobId& job, uint32_t index);
   Work* FindWork(const JobId& job, uint32_t index);
   const Route* RouteOf(const JobRecord& record) const;
   /// The run's callbacks are still running: it goes a moment later.
@@ -115,6 +117,7 @@
   const JobStateMachine& state_;
   RaftGroup& group_;
   const JobSchedulerOptions options_;
+  StatsRegistry* const stats_;
   std::function<bool()> allowed_ = [] { return true; };
   bool leading_ = false;
   uint64_t next_order_ = 1;
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -10,6 +10,8 @@
 namespace millstair {
 namespace {
 
+constexpr uint32_t kLeastLoads = 2;
+constexpr uint32_t kEnginesPerLoad = 5;
 constexpr double kWorkSmoothing = 0.5;
 constexpr Duration kTick = std::chrono::milliseconds(50);
 /// Assumed until a load was seen, and the least that is believed.
@@ -258,6 +260,12 @@
   return count;
 }
 
+uint32_t LoadScheduler::MostLoads() const {
+  if (options_.concurrent_loads > 0) return options_.concurrent_loads;
+  const auto engines = static_cast<uint32_t>(engines_.size());
+  return std::max(kLeastLoads, (engines + kEnginesPerLoad - 1) / kEnginesPerLoad);
+}
+
 void LoadScheduler::StartLoads() {
   if (group_ == nullptr || environment_.Now() < orders_from_) return;
   const TimePoint now = environment_.Now();
@@ -275,7 +283,7 @@
     return directory_.Running(a) < directory_.Running(b);
   });
   for (const InstanceId& instance : behind) {
-    if (LoadsUnderWay() >= options_.concurrent_loads) return;
+    if (LoadsUnderWay() >= MostLoads()) return;
     // What is under way by now may be enough.
     if (Wanted(instance)) AskReport(instance);
   }
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -22,8 +22,8 @@
 namespace millstair {
 
 struct LoadOptions {
-  /// Engines that load at once, over all models.
-  uint32_t concurrent_loads = 2;
+  /// Engines that load at once, over all models; 0 is a fifth of them, and two at least.
+  uint32_t concurrent_loads = 0;
   /// No order within this time of another holder's.
   Duration holder_lease = std::chrono::seconds(3);
 };
@@ -82,6 +82,7 @@
   /// Engines that each trained model is to have, by its share of the work.
   std::map<ModelName, size_t> WantedCounts() const;
   uint32_t LoadsUnderWay() const;
+  uint32_t MostLoads() const;
   void StartLoads();
   void AskReport(const InstanceId& instance);
   void HandleReport(const InstanceId& instance, const ReportedEngine& report);
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -26,7 +26,7 @@
         files_(files),
         http_(http),
         options_(std::move(options)),
-        ingress_(environment, http, protocol, reader, options_.self.zone),
+        ingress_(environment, http, protocol, reader, options_.self.zone, options_.stats),
         loads_(environment, http, ingress_.directory(), protocol, options_.self.node,
                options_.loads),
         service_(environment, transport),
@@ -149,7 +149,7 @@
     loads_.SetLeading(leads ? group : nullptr, leads ? state_->order_holder() : NodeId());
     if (leads && scheduler_ == nullptr) {
       scheduler_ = std::make_unique<JobScheduler>(environment_, http_, ingress_, loads_, *state_,
-                                                  *group, options_.scheduler);
+                                                  *group, options_.scheduler, options_.stats);
       scheduler_->SetAllowed([this] { return configuration_client_->LeaseValid(); });
       loads_.OnReady([this] { scheduler_->Pump(); });
     }
--- a/source/jobs/storage_node.h
+++ b/source/jobs/storage_node.h
@@ -29,6 +29,8 @@
   JobReplicaOptions replicas;
   JobSchedulerOptions scheduler;
   LoadOptions loads;
+  /// Outlives the node; may be null.
+  StatsRegistry* stats = nullptr;
 };
 
 /// Lives on the node's serial executor.
--- a/source/server/front.cc
+++ b/source/server/front.cc
@@ -53,7 +53,8 @@
     }
     return true;
   }
-  if (path == "/metrics") {
+  const bool own_path = !targets_.metrics_path.empty() && path == targets_.metrics_path;
+  if (path == "/metrics" || own_path) {
     targets_.update_stats();
     RespondText(writer, kMetricsContentType, MetricsPage(stats_));
     return true;
--- a/source/server/front.h
+++ b/source/server/front.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "common/stats.h"
@@ -18,6 +19,8 @@
   std::function<bool()> ready;
   /// Brings gauges up to date before the metrics page is made.
   std::function<void()> update_stats;
+  /// Path of the metrics page beside /metrics; empty is none.
+  std::string metrics_path;
 };
 
 /// True for the paths of the operators' API.
--- a/source/server/metrics_page.cc
+++ b/source/server/metrics_page.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -22,6 +23,25 @@
   return metric;
 }
 
+prometheus::ClientMetric MetricOf(const HistogramSample& sample) {
+  prometheus::ClientMetric metric;
+  if (!sample.name.label.empty()) {
+    metric.label.push_back({sample.name.label, sample.name.label_value});
+  }
+  const Histogram& histogram = *sample.histogram;
+  uint64_t cumulative = 0;
+  for (size_t bucket = 0; bucket <= Histogram::kBounds.size(); ++bucket) {
+    cumulative += histogram.count(bucket);
+    const bool last = bucket == Histogram::kBounds.size();
+    const double bound =
+        last ? std::numeric_limits<double>::infinity() : Histogram::kBounds[bucket];
+    metric.histogram.bucket.push_back({cumulative, bound});
+  }
+  metric.histogram.sample_count = cumulative;
+  metric.histogram.sample_sum = histogram.sum();
+  return metric;
+}
+
 double Seconds(const timeval& time) {
   constexpr double kMicrosecond = 1e-6;
   return static_cast<double>(time.tv_sec) + kMicrosecond * static_cast<double>(time.tv_usec);
@@ -53,6 +73,13 @@
     family.type = sample.counter ? prometheus::MetricType::Counter : prometheus::MetricType::Gauge;
     family.metric.push_back(MetricOf(sample));
   }
+  for (const HistogramSample& sample : stats.ReadHistograms()) {
+    prometheus::MetricFamily& family = families[sample.name.name];
+    family.name = sample.name.name;
+    if (family.help.empty()) family.help = sample.name.help;
+    family.type = prometheus::MetricType::Histogram;
+    family.metric.push_back(MetricOf(sample));
+  }
   std::vector<prometheus::MetricFamily> list;
   list.reserve(families.size());
   for (auto& [name, family] : families) list.push_back(std::move(family));
--- a/source/server/node_options.cc
+++ b/source/server/node_options.cc
@@ -95,7 +95,7 @@
 }
 
 IngressNodeOptions IngressOptionsOf(const ServerSettings& settings, const NodeRecord& self) {
-  return {self, EndpointsOf(settings), ConfigurationTimingOf(settings.timing)};
+  return {self, EndpointsOf(settings), ConfigurationTimingOf(settings.timing), nullptr};
 }
 
 StorageNodeOptions StorageOptionsOf(const ServerSettings& settings, const NodeRecord& self) {
--- a/source/server/server_node.cc
+++ b/source/server/server_node.cc
@@ -129,8 +129,10 @@
 StartFault ServerNode::StartStorage() {
   if (!settings_.storage) return {};
   const NodeRecord self = NodeRecordOf(settings_, NewIncarnation());
+  StorageNodeOptions options = StorageOptionsOf(settings_, self);
+  options.stats = &stats_;
   storage_ = MakeStorageNode(*environment_, *peers_, *files_, *back_ends_, platform::Servers(),
-                             platform::Routing(), StorageOptionsOf(settings_, self));
+                             platform::Routing(), std::move(options));
   const absl::Status started = storage_->Start();
   if (started.ok()) return {};
   const bool damaged = started.code() == absl::StatusCode::kDataLoss;
@@ -158,9 +160,11 @@
   if (!settings_.gateway) return;
   const NodeRecord self = NodeRecordOf(settings_, NewIncarnation());
   if (ServesPlatform()) {
+    IngressNodeOptions ingress_options = IngressOptionsOf(settings_, self);
+    ingress_options.stats = &stats_;
     ingress_ =
         std::make_unique<IngressNode>(*environment_, *peers_, *back_ends_, platform::Servers(),
-                                      platform::Routing(), IngressOptionsOf(settings_, self));
+                                      platform::Routing(), std::move(ingress_options));
     ingress_->Start();
     return;
   }
@@ -183,6 +187,7 @@
   auto http = ListenHttp(settings_.http_listen, *front_);
   if (!http.ok()) return FaultOf(ExitCode::kAddressTaken, http.status());
   http_ = *std::move(http);
+  if (StartFault fault = StartMetrics(targets); fault.code != ExitCode::kOk) return fault;
   if (!apart) return {};
   operators_front_ = std::make_unique<Front>(operators_targets, stats_);
   auto operators_http = ListenHttp(settings_.http_operators, *operators_front_);
@@ -191,6 +196,21 @@
   return {};
 }
 
+StartFault ServerNode::StartMetrics(const FrontTargets& targets) {
+  if (settings_.metrics.empty()) return {};
+  const size_t slash = settings_.metrics.find('/');
+  const std::string ip = settings_.peer_listen.substr(0, settings_.peer_listen.rfind(':'));
+  FrontTargets own;
+  own.ready = targets.ready;
+  own.update_stats = targets.update_stats;
+  own.metrics_path = settings_.metrics.substr(slash);
+  metrics_front_ = std::make_unique<Front>(own, stats_);
+  auto http = ListenHttp(ip + ":" + settings_.metrics.substr(0, slash), *metrics_front_);
+  if (!http.ok()) return FaultOf(ExitCode::kAddressTaken, http.status());
+  metrics_http_ = *std::move(http);
+  return {};
+}
+
 absl::StatusOr<std::unique_ptr<HttpServer>> ServerNode::ListenHttp(const std::string& address,
                                                                    RequestHandler& handler) {
   return HttpServer::Listen(runtime_, executor_, address, handler, HttpServerOptionsOf(settings_),
@@ -287,6 +307,7 @@
     operators_http_.reset();
     service_http_.reset();
     readiness_http_.reset();
+    metrics_http_.reset();
     service_.reset();
     ingress_.reset();
     storage_.reset();
--- a/source/server/server_node.h
+++ b/source/server/server_node.h
@@ -63,6 +63,7 @@
   void StartGateway();
   StartFault StartStorage();
   StartFault StartServiceListeners();
+  StartFault StartMetrics(const FrontTargets& targets);
   bool ServesPlatform() const { return settings_.service_interface != "none"; }
   StartFault StartListeners();
   absl::StatusOr<std::unique_ptr<HttpServer>> ListenHttp(const std::string& address,
@@ -98,10 +99,12 @@
   std::unique_ptr<RequestHandler> readiness_;
   std::unique_ptr<Front> front_;
   std::unique_ptr<Front> operators_front_;
+  std::unique_ptr<Front> metrics_front_;
   std::unique_ptr<HttpServer> http_;
   std::unique_ptr<HttpServer> operators_http_;
   std::unique_ptr<HttpServer> service_http_;
   std::unique_ptr<HttpServer> readiness_http_;
+  std::unique_ptr<HttpServer> metrics_http_;
   std::unique_ptr<ScopedTimer> stop_timer_;
   bool stopping_ = false;
   std::function<void()> on_stopped_;
--- a/source/settings/settings.cc
+++ b/source/settings/settings.cc
@@ -20,6 +20,15 @@
          });
 }
 
+/// "8000/metrics".
+bool IsPortAndPath(const std::string& text) {
+  constexpr size_t kMostPortDigits = 5;
+  const size_t slash = text.find('/');
+  if (slash == 0 || slash == std::string::npos || slash > kMostPortDigits) return false;
+  return std::all_of(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(slash),
+                     [](unsigned char c) { return std::isdigit(c) != 0; });
+}
+
 /// Turns raw values into settings, one key after another.
 class Converter {
  public:
@@ -54,6 +63,7 @@
       case SettingKind::kAddress:
       case SettingKind::kPath:
       case SettingKind::kChoice:
+      case SettingKind::kPortAndPath:
         return SetText(key, raw.text);
       case SettingKind::kDuration:
       case SettingKind::kSize:
@@ -75,6 +85,9 @@
   void SetText(const SettingKey& key, const RawText& raw) {
     if (key.kind == SettingKind::kName && !CheckName(raw)) return;
     if (key.kind == SettingKind::kAddress && !CheckAddress(raw)) return;
+    if (key.kind == SettingKind::kPortAndPath && !IsPortAndPath(raw.text)) {
+      return findings_.Add(raw.place, fmt::format("\"{}\" is not of the form port/path", raw.text));
+    }
     if (key.kind == SettingKind::kPath && raw.text.empty()) {
       return findings_.Add(raw.place, fmt::format("\"{}\" is empty", key.key));
     }
--- a/source/settings/settings.h
+++ b/source/settings/settings.h
@@ -93,8 +93,10 @@
   std::string service_readiness;
   /// Machines with replicas that may be lost at once.
   uint64_t tolerated_losses = 1;
-  /// Engines that load weights at once.
-  uint64_t concurrent_loads = 2;
+  /// Engines that load weights at once; 0 is a fifth of them, and two at least.
+  uint64_t concurrent_loads = 0;
+  /// "port/path" where this node's metrics are read as well; empty is nowhere else.
+  std::string metrics;
   /// "ip:port" as others name it, to "ip:port" as this node reaches it.
   std::map<std::string, std::string> routes;
   std::string data_folder;
--- a/source/settings/settings_schema.cc
+++ b/source/settings/settings_schema.cc
@@ -144,8 +144,10 @@
            "Listener that tells whether this node takes work."),
       Number("replication.tolerate", &S::tolerated_losses, 0, 10,
              "Machines with replicas that may be lost at once; sets the number of voters."),
-      Number("weights.concurrent_loads", &S::concurrent_loads, 1, 1000,
-             "Engines that load weights at once."),
+      Number("weights.concurrent_loads", &S::concurrent_loads, 0, 1000,
+             "Engines that load weights at once; 0 is a fifth of them, and two at least."),
+      Text("service.metrics", Kind::kPortAndPath, &S::metrics,
+           "Port of this node and path where its metrics are read as well."),
       List("founders", Kind::kNames,
            "Control nodes that founded the cluster; the same list on each, never changed later.",
            "all of control_nodes"),
@@ -301,6 +303,8 @@
       return "list of {node, address, zone}";
     case SettingKind::kAddresses:
       return "list of ip:port";
+    case SettingKind::kPortAndPath:
+      return "port/path";
   }
   return "";
 }
--- a/source/settings/settings_schema.h
+++ b/source/settings/settings_schema.h
@@ -25,6 +25,7 @@
   kRoutes,        ///< list of ip:port=ip:port
   kControlNodes,  ///< list of node, address, zone
   kAddresses,     ///< list of ip:port
+  kPortAndPath,   ///< port/path
 };
 
 struct SettingKey {
