Pass streams on as they come, and resume them within one answer

Cause: routes of deployments not seen yet may stream; their answers were read whole before they were passed on.

Change: StreamFlow passes on whole events, goes on after the last one at another back end where the route allows it, under the head of the first, and cuts the answer where it does not.

--- a/source/jobs/event_stream.cc
+++ b/source/ingress/event_stream.cc
@@ -1,4 +1,4 @@
-#include "jobs/event_stream.h"
+#include "ingress/event_stream.h"
 
 namespace millstair {
 namespace {
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -125,16 +125,16 @@
   return std::max(deadline_ - context_.environment.Now(), Duration(0));
 }
 
-ServiceName ForwardFlow::DrawService() const {
+ServiceName DrawService(const Route& route, Environment& environment) {
   uint64_t total = 0;
-  for (const ServiceShare& share : route_.services) total += share.weight;
-  if (total == 0) return route_.services.front().service;
-  uint64_t drawn = DrawBelow(context_.environment.Random(), total);
-  for (const ServiceShare& share : route_.services) {
+  for (const ServiceShare& share : route.services) total += share.weight;
+  if (total == 0) return route.services.front().service;
+  uint64_t drawn = DrawBelow(environment.Random(), total);
+  for (const ServiceShare& share : route.services) {
     if (drawn < share.weight) return share.service;
     drawn -= share.weight;
   }
-  return route_.services.back().service;
+  return route.services.back().service;
 }
 
 void ForwardFlow::SendOrWait() {
@@ -158,7 +158,7 @@
 }
 
 void ForwardFlow::SendTry() {
-  const auto target = context_.directory.Pick(DrawService(), tried_);
+  const auto target = context_.directory.Pick(DrawService(route_, context_.environment), tried_);
   if (!target) return;
   tried_.insert(target->id);
   last_instance_ = target->id;
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -24,6 +24,8 @@
   std::string request_id;
   /// How long the client waits; none if it did not say.
   std::optional<Duration> time_left;
+  /// The client has the events of a stream up to this one.
+  std::optional<uint64_t> resume_after;
 };
 
 enum class ForwardOutcome : uint8_t {
@@ -64,6 +66,9 @@
   const BackendProtocol& protocol;
 };
 
+/// The service that one request of `route` goes to, by the weights.
+ServiceName DrawService(const Route& route, Environment& environment);
+
 /// Lives on the node's serial executor. Dropping it cancels what is under way.
 class ForwardFlow {
  public:
@@ -81,7 +86,6 @@
   void SendTry();
   void SendOrWait();
   void ArmHedge();
-  ServiceName DrawService() const;
   void OnAnswer(Try& attempt, const HttpResponseHead& head, std::string body);
   void OnRefused(Try& attempt, bool wrong_instance);
   void OnFailed(Try& attempt, bool unreachable, const std::string& reason);
--- a/source/ingress/ingress_service.cc
+++ b/source/ingress/ingress_service.cc
@@ -86,6 +86,40 @@
                                                    done = std::move(done)] { done(result); }));
 }
 
-void IngressService::Cancel(FlowId flow) { flows_.erase(flow); }
+IngressService::FlowId IngressService::ForwardStream(ForwardRequest request, StreamSink& sink,
+                                                     std::function<void(StreamEnd)> done) {
+  const FlowId id = ++last_flow_;
+  const Route* route = routes_ ? routes_->Find(request.host, request.http.target) : nullptr;
+  if (route == nullptr || route->services.empty()) {
+    FinishSoon(routes_ ? ForwardOutcome::kNoRoute : ForwardOutcome::kNotConfigured,
+               "no route leads there", [done = std::move(done)](ForwardResult result) {
+                 done({std::move(result), false, 0});
+               });
+    return id;
+  }
+  streams_[id] = std::make_unique<StreamFlow>(
+      context_, *route, std::move(request), sink,
+      [this, id, started = environment_.Now(), done = std::move(done)](StreamEnd result) {
+        result.forward.routing_version = routes_->version;
+        Count(result.forward, environment_.Now() - started);
+        auto ended = streams_.extract(id);
+        // The flow's own callbacks are still running.
+        if (!ended.empty()) {
+          environment_.Schedule(Duration(0),
+                                [flow = std::shared_ptr<StreamFlow>(std::move(ended.mapped()))] {});
+        }
+        done(std::move(result));
+      });
+  environment_.Schedule(Duration(0), alive_.Guard([this, id] {
+    const auto found = streams_.find(id);
+    if (found != streams_.end()) found->second->Start();
+  }));
+  return id;
+}
+
+void IngressService::Cancel(FlowId flow) {
+  flows_.erase(flow);
+  streams_.erase(flow);
+}
 
 }  // namespace millstair
--- a/source/ingress/ingress_service.h
+++ b/source/ingress/ingress_service.h
@@ -13,6 +13,7 @@
 #include "common/environment.h"
 #include "common/stats.h"
 #include "ingress/forward_flow.h"
+#include "ingress/stream_flow.h"
 
 namespace millstair {
 
@@ -36,9 +37,12 @@
 
   /// `done` is called once, unless the request is cancelled; never before Forward returns.
   FlowId Forward(ForwardRequest request, Callback done);
+  /// The same for a request whose route streams; `sink` outlives the flow.
+  FlowId ForwardStream(ForwardRequest request, StreamSink& sink,
+                       std::function<void(StreamEnd)> done);
   /// The client has gone.
   void Cancel(FlowId flow);
-  size_t running() const { return flows_.size(); }
+  size_t running() const { return flows_.size() + streams_.size(); }
 
  private:
   void Count(const ForwardResult& result, Duration took);
@@ -52,6 +56,7 @@
   std::optional<RouteTable> routes_;
   FlowId last_flow_ = 0;
   std::map<FlowId, std::unique_ptr<ForwardFlow>> flows_;
+  std::map<FlowId, std::unique_ptr<StreamFlow>> streams_;
   AliveFlag alive_;
 };
 
--- /dev/null
+++ b/source/ingress/stream_flow.cc
@@ -0,0 +1,209 @@
+#include "ingress/stream_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/random.h"
+#include "fmt/format.h"
+
+namespace millstair {
+namespace {
+
+constexpr int kOk = 200;
+constexpr Duration kLongestWithoutLimit = std::chrono::minutes(10);
+constexpr Duration kPauseMin = std::chrono::milliseconds(10);
+constexpr Duration kPauseMax = std::chrono::milliseconds(40);
+/// A stream that no back end takes is given up after this part of its time.
+constexpr double kGiveUpShare = 0.5;
+constexpr Duration kRetryAfter = std::chrono::milliseconds(50);
+
+}  // namespace
+
+/// One run at one back end.
+class StreamFlow::Run : public HttpCallObserver {
+ public:
+  Run(StreamFlow& flow, const BackendInstance& target)
+      : flow_(flow), instance_(target.id), sent_at_(flow.context_.environment.Now()) {
+    flow_.context_.directory.Begin(instance_);
+  }
+
+  void Start(const std::string& address, HttpRequest request) {
+    handle_ = flow_.context_.http.Start(address, std::move(request), *this);
+  }
+  void OnHead(const HttpResponseHead& head) override {
+    if (!ended_) flow_.OnHead(*this, head);
+  }
+  void OnBody(std::string bytes) override {
+    if (!ended_) flow_.OnBody(*this, std::move(bytes));
+  }
+  void OnFinished() override {
+    if (!ended_) flow_.OnFinished(*this);
+  }
+  void OnFailed(CallFailure failure, const std::string& reason) override {
+    const bool unreachable = failure == CallFailure::kNotSent;
+    if (ended_) return;
+    flow_.OnFailed(*this, unreachable ? BackendEnd::kUnreachable : BackendEnd::kFailed, reason);
+  }
+
+  void End(BackendEnd end) {
+    if (ended_) return;
+    ended_ = true;
+    handle_.reset();
+    flow_.context_.directory.End(instance_, end, flow_.context_.environment.Now() - sent_at_);
+  }
+
+ private:
+  StreamFlow& flow_;
+  const InstanceId instance_;
+  const TimePoint sent_at_;
+  std::unique_ptr<CallHandle> handle_;
+  bool ended_ = false;
+};
+
+StreamFlow::StreamFlow(ForwardContext& context, Route route, ForwardRequest request,
+                       StreamSink& sink, Callback done)
+    : context_(context),
+      route_(std::move(route)),
+      request_(std::move(request)),
+      sink_(sink),
+      done_(std::move(done)),
+      started_at_(context.environment.Now()),
+      deadline_timer_(context.environment),
+      retry_timer_(context.environment) {
+  Duration limit = route_.timeout.value_or(kLongestWithoutLimit);
+  if (request_.time_left) limit = std::min(limit, *request_.time_left);
+  deadline_ = started_at_ + limit;
+  events_ = request_.resume_after.value_or(0);
+}
+
+StreamFlow::~StreamFlow() {
+  if (run_ != nullptr) run_->End(BackendEnd::kCancelled);
+}
+
+void StreamFlow::Start() {
+  deadline_timer_.Arm(deadline_ - context_.environment.Now(),
+                      [this] { Finish(ForwardOutcome::kTimedOut, "the time is over"); });
+  SendRun();
+}
+
+void StreamFlow::SendRun() {
+  const TimePoint now = context_.environment.Now();
+  const auto target = context_.directory.Pick(DrawService(route_, context_.environment), tried_);
+  if (!target) {
+    // Nobody is there: those tried before may be again.
+    tried_.clear();
+    const double used = ToSeconds(now - started_at_);
+    if (!begun_ && used >= kGiveUpShare * ToSeconds(deadline_ - started_at_)) {
+      return Finish(ForwardOutcome::kFailed, "no back end takes it");
+    }
+    retry_timer_.Arm(DrawDuration(context_.environment.Random(), kPauseMin, kPauseMax),
+                     [this] { SendRun(); });
+    return;
+  }
+  tried_.insert(target->id);
+  last_instance_ = target->id;
+  ++sent_;
+  ++may_have_run_;
+  BackendRequest request{request_.http,   request_.host, request_.request_id,
+                         deadline_ - now, target->id,    request_.resume_after};
+  if (begun_) request.resume_after = events_;
+  run_ = std::make_unique<Run>(*this, *target);
+  run_->Start(target->address, context_.protocol.MakeRequest(request));
+}
+
+void StreamFlow::OnHead(Run& run, const HttpResponseHead& head) {
+  const BackendAnswer answer = context_.protocol.ReadAnswer(head, request_.request_id);
+  if (!answer.own) return OnFailed(run, BackendEnd::kFailed, "it answers another request");
+  if (answer.not_run) {
+    --may_have_run_;
+    EndRun(answer.wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
+    return SendRun();
+  }
+  if (begun_ && head.status != kOk) {
+    return OnFailed(run, BackendEnd::kFailed, fmt::format("status {}", head.status));
+  }
+  if (begun_) return;
+  head_ = head;
+  plain_ = head.status != kOk;
+  if (plain_) return;
+  begun_ = true;
+  sink_.OnHead(head);
+}
+
+void StreamFlow::OnBody(Run& run, std::string bytes) {
+  if (plain_) {
+    plain_body_ += bytes;
+  } else if (!TakeEvents(bytes)) {
+    OnFailed(run, BackendEnd::kFailed, "its events do not follow one another");
+  }
+}
+
+bool StreamFlow::TakeEvents(const std::string& bytes) {
+  std::string whole;
+  bool sound = true;
+  for (const std::string& lines : splitter_.Take(bytes)) {
+    const auto event = context_.protocol.ReadEvent(lines);
+    sound = event.ok();
+    if (!sound) break;
+    if (event->has_value()) {
+      // Ids rise; a run that goes on has to begin after what was passed on.
+      sound = (*event)->id > events_;
+      if (!sound) break;
+      events_ = (*event)->id;
+    }
+    whole += lines;
+    whole += "\n\n";
+  }
+  if (!whole.empty()) sink_.OnEvents(std::move(whole));
+  return sound;
+}
+
+void StreamFlow::OnFinished(Run& run) {
+  if (!plain_ && splitter_.HasPartialEvent()) {
+    return OnFailed(run, BackendEnd::kFailed, "it ended inside an event");
+  }
+  EndRun(BackendEnd::kAnswered);
+  Finish(ForwardOutcome::kAnswered, "");
+}
+
+void StreamFlow::OnFailed(Run&, BackendEnd end, const std::string& reason) {
+  if (end == BackendEnd::kUnreachable) --may_have_run_;
+  EndRun(end);
+  GoOnOrFail(reason);
+}
+
+void StreamFlow::GoOnOrFail(const std::string& reason) {
+  const bool may_run_again =
+      may_have_run_ == 0 || (route_.resumable && may_have_run_ < route_.attempts);
+  if (!may_run_again) return Finish(ForwardOutcome::kFailed, reason);
+  splitter_ = EventStreamSplitter();
+  plain_ = false;
+  plain_body_.clear();
+  SendRun();
+}
+
+void StreamFlow::EndRun(BackendEnd end) {
+  run_->End(end);
+  ended_runs_.push_back(std::move(run_));
+}
+
+void StreamFlow::Finish(ForwardOutcome outcome, const std::string& reason) {
+  StreamEnd result;
+  const bool not_run = outcome != ForwardOutcome::kAnswered && may_have_run_ == 0 && !begun_;
+  result.forward.outcome = not_run ? ForwardOutcome::kNotRun : outcome;
+  result.forward.retry_after = kRetryAfter;
+  result.forward.reason = reason;
+  result.forward.tries = sent_;
+  result.forward.instance = last_instance_;
+  result.forward.head = head_;
+  result.forward.body = std::move(plain_body_);
+  result.begun = begun_;
+  result.events = events_;
+  deadline_timer_.Cancel();
+  retry_timer_.Cancel();
+  if (run_ != nullptr) run_->End(BackendEnd::kCancelled);
+  const Callback done = std::move(done_);
+  done(std::move(result));
+}
+
+}  // namespace millstair
--- a/source/jobs/item_run.h
+++ b/source/jobs/item_run.h
@@ -10,7 +10,7 @@
 #include "common/scoped_timer.h"
 #include "ingress/backend_directory.h"
 #include "ingress/backend_protocol.h"
-#include "jobs/event_stream.h"
+#include "ingress/event_stream.h"
 #include "jobs/job_types.h"
 
 namespace millstair {
--- /dev/null
+++ b/test/ingress/stream_flow_test.cc
@@ -0,0 +1,178 @@
+#include "ingress/stream_flow.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "test/ingress/fake_backends.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using Kind = FakeAnswer::Kind;
+
+class Recorder : public StreamSink {
+ public:
+  void OnHead(const HttpResponseHead& answer) override {
+    ++heads;
+    head = answer;
+  }
+  void OnEvents(std::string bytes) override { text += bytes; }
+
+  int heads = 0;
+  HttpResponseHead head;
+  std::string text;
+};
+
+class Fixture {
+ public:
+  Fixture() {
+    route.kind = RouteKind::kStream;
+    route.timeout = milliseconds(1000);
+    route.attempts = 3;
+    route.services = {{ServiceName("engines"), 1}};
+  }
+
+  void Add(const std::string& address, FakeBackends::Script script) {
+    configuration.instances[InstanceId(address)] = LiveInstance(address, "engines");
+    directory.Update(configuration);
+    backends.Serve(address, std::move(script));
+  }
+
+  std::optional<StreamEnd> Run(Duration span = milliseconds(3000)) {
+    std::optional<StreamEnd> end;
+    flow = std::make_unique<StreamFlow>(
+        context, route, ForwardRequest{{"POST", "/s/", {}, ""}, "h", "id", std::nullopt, {}}, sink,
+        [&](StreamEnd result) { end = std::move(result); });
+    flow->Start();
+    scheduler.RunFor(span);
+    return end;
+  }
+
+  VirtualScheduler scheduler{7};
+  VirtualEnvironment environment{scheduler, 11};
+  FakeBackends backends{scheduler};
+  FakeProtocol protocol;
+  BackendDirectory directory{environment, Zone("z1")};
+  ForwardContext context{environment, backends, directory, protocol};
+  Configuration configuration;
+  Route route;
+  Recorder sink;
+  std::unique_ptr<StreamFlow> flow;
+};
+
+/// Answers with events; the first call breaks inside the second event.
+FakeBackends::Script BreaksOnce(bool& broken) {
+  return [&broken](const HttpRequest& request) {
+    if (!std::exchange(broken, true)) {
+      return FakeAnswer{Kind::kCutBody, 200, {{"signature", "first"}}, {"1||one\n\n2||tw"}};
+    }
+    const bool resumes = FindHeader(request.headers, "resume") == "1";
+    return FakeAnswer{Kind::kAnswer,
+                      200,
+                      {{"signature", "second"}},
+                      {resumes ? "2||two\n\n" : "1||one\n\n2||two\n\n"}};
+  };
+}
+
+TEST_CASE("Whole events are passed on as they come") {
+  Fixture fixture;
+  fixture.Add("e:1", [](const HttpRequest&) {
+    return FakeAnswer{Kind::kAnswer, 200, {}, {"1||o", "ne\n\n2||t", "wo\n\n"}};
+  });
+  const auto end = fixture.Run();
+  REQUIRE(end);
+  CHECK(end->forward.outcome == ForwardOutcome::kAnswered);
+  CHECK(end->begun);
+  CHECK(fixture.sink.text == "1||one\n\n2||two\n\n");
+}
+
+TEST_CASE("A stream that breaks goes on elsewhere after its last event, with its first head") {
+  Fixture fixture;
+  fixture.route.resumable = true;
+  bool broken = false;
+  fixture.Add("e:1", BreaksOnce(broken));
+  fixture.Add("e:2", BreaksOnce(broken));
+  const auto end = fixture.Run();
+  REQUIRE(end);
+  CHECK(end->forward.outcome == ForwardOutcome::kAnswered);
+  CHECK(fixture.sink.text == "1||one\n\n2||two\n\n");
+  CHECK(fixture.sink.heads == 1);
+  CHECK(FindHeader(fixture.sink.head.headers, "signature") == "first");
+}
+
+TEST_CASE("A stream that may not be resumed is cut and not run again") {
+  Fixture fixture;
+  bool broken = false;
+  fixture.Add("e:1", BreaksOnce(broken));
+  fixture.Add("e:2", BreaksOnce(broken));
+  const auto end = fixture.Run();
+  REQUIRE(end);
+  CHECK(end->forward.outcome == ForwardOutcome::kFailed);
+  CHECK(end->begun);
+  CHECK(fixture.sink.text == "1||one\n\n");
+  CHECK(fixture.backends.calls.size() == 1);
+}
+
+TEST_CASE("A run that begins again at the first event never doubles what was passed on") {
+  Fixture fixture;
+  fixture.route.resumable = true;
+  fixture.route.attempts = 2;
+  bool broken = false;
+  const auto script = [&broken](const HttpRequest&) {
+    const bool first = !std::exchange(broken, true);
+    return FakeAnswer{first ? Kind::kCutBody : Kind::kAnswer, 200, {}, {"1||one\n\n"}};
+  };
+  fixture.Add("e:1", script);
+  fixture.Add("e:2", script);
+  const auto end = fixture.Run();
+  REQUIRE(end);
+  CHECK(end->forward.outcome == ForwardOutcome::kFailed);
+  CHECK(fixture.sink.text == "1||one\n\n");
+}
+
+TEST_CASE("A refusal moves on before anything is passed on; nobody at all is told as not run") {
+  Fixture fixture;
+  fixture.Add("e:1", [](const HttpRequest&) {
+    return FakeAnswer{Kind::kAnswer, 503, {{"refused", "1"}}, {}};
+  });
+  auto end = fixture.Run();
+  REQUIRE(end);
+  CHECK(end->forward.outcome == ForwardOutcome::kNotRun);
+  CHECK_FALSE(end->begun);
+  fixture.Add("e:2", [](const HttpRequest&) {
+    return FakeAnswer{Kind::kAnswer, 200, {}, {"1||one\n\n"}};
+  });
+  end = fixture.Run();
+  REQUIRE(end);
+  CHECK(end->forward.outcome == ForwardOutcome::kAnswered);
+}
+
+TEST_CASE("An answer that is no stream is passed on as a whole") {
+  Fixture fixture;
+  fixture.Add("e:1", [](const HttpRequest&) {
+    return FakeAnswer{Kind::kAnswer, 422, {}, {"not", " so"}};
+  });
+  const auto end = fixture.Run();
+  REQUIRE(end);
+  CHECK_FALSE(end->begun);
+  CHECK(end->forward.head.status == 422);
+  CHECK(end->forward.body == "not so");
+}
+
+TEST_CASE("A stream ends at its time limit, and its back end is told") {
+  Fixture fixture;
+  fixture.Add("e:1", [](const HttpRequest&) {
+    FakeAnswer answer{Kind::kAnswer, 200, {}, {"1||one\n\n", "2||two\n\n"}};
+    answer.gap = milliseconds(1500);
+    return answer;
+  });
+  const auto end = fixture.Run();
+  REQUIRE(end);
+  CHECK(end->forward.outcome == ForwardOutcome::kTimedOut);
+  CHECK(fixture.sink.text == "1||one\n\n");
+  CHECK(fixture.backends.calls[0]->cancelled);
+}
+
+}  // namespace
+}  // namespace millstair
