--- /dev/null
+++ b/test/jobs/job_scheduler_test.cc
@@ -0,0 +1,275 @@
+#include "jobs/job_scheduler.h"
+
+#include <catch2/catch.hpp>
+
+#include "test/ingress/fake_backends.h"
+#include "test/jobs/fake_group.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Kind = FakeAnswer::Kind;
+
+class FixedTable : public RoutingDocumentReader {
+ public:
+  absl::StatusOr<RouteTable> Read(const std::string&) const override { return table; }
+  RouteTable table;
+};
+
+FakeAnswer Text(std::vector<std::string> pieces) {
+  return {Kind::kAnswer, 200, {{"version", "1"}}, std::move(pieces)};
+}
+
+class Fixture {
+ public:
+  Fixture() {
+    Route jobs;
+    jobs.name = "jobs";
+    jobs.host = "h";
+    jobs.path_prefix = "/j/";
+    jobs.kind = RouteKind::kJobs;
+    jobs.attempts = 2;
+    jobs.item_lifetime = seconds(30);
+    jobs.services = {{ServiceName("engines"), 1}};
+    Route scorer;
+    scorer.name = "scorer";
+    scorer.host = "h";
+    scorer.path_prefix = "/score/";
+    scorer.timeout = milliseconds(500);
+    scorer.attempts = 3;
+    scorer.services = {{ServiceName("pages"), 1}};
+    reader.table.version = 1;
+    reader.table.routes = {jobs, scorer};
+    reader.table.services = {{ServiceName("engines"), "", 0, EngineProfile{2, 1, {ModelName("m")}}},
+                             {ServiceName("pages"), "", 0, std::nullopt}};
+    configuration.routing = {1, "content"};
+    Add("e:1", "engines", [](const HttpRequest&) { return Text({"1||one\n\n", "2||two\n\n"}); });
+    Add("p:1", "pages", [this](const HttpRequest&) { return score; });
+    state.OnChange([this](JobChange change, const JobId& job) {
+      scheduler_under_test.NoteChange(change, job);
+    });
+  }
+
+  void Add(const std::string& address, const std::string& service, FakeBackends::Script script) {
+    BackendInstance instance = LiveInstance(address, service);
+    instance.models = {{ModelName("m"), WeightVersion(1)}};
+    configuration.instances[instance.id] = instance;
+    backends.Serve(address, std::move(script));
+    Update();
+  }
+
+  void Update() {
+    ingress.Update(configuration);
+    loads.Update(configuration, ingress.routes());
+    scheduler_under_test.Pump();
+  }
+
+  void Lead() {
+    loads.SetLeading(&group, NodeId("self"));
+    scheduler_under_test.SetLeading(true);
+  }
+
+  JobSpec Job(const std::string& id, bool scored = true) const {
+    JobSpec job;
+    job.id = JobId(id);
+    job.host = "h";
+    job.path = "/j/x";
+    job.model = ModelName("m");
+    JobItem item;
+    item.id = ItemId("item");
+    item.path = "/j/item";
+    item.body = "prompt";
+    if (scored) item.scoring = JobScoring{"score-id", "h", "/score/x", "judge"};
+    job.items = {item};
+    return job;
+  }
+
+  void Submit(JobSpec job) {
+    group.Propose(EncodeJobCommand({SubmitJob{std::move(job)}, environment.WallNow()}),
+                  [](const absl::StatusOr<std::string>&) {});
+    scheduler.RunFor(milliseconds(5));
+  }
+
+  const JobResult* ResultOf(const std::string& id) const {
+    const JobRecord* record = state.Find(JobId(id));
+    return record == nullptr || record->results.empty() ? nullptr : &record->results[0];
+  }
+
+  VirtualScheduler scheduler{3};
+  VirtualEnvironment environment{scheduler, 5};
+  FakeBackends backends{scheduler};
+  FakeProtocol protocol;
+  FixedTable reader;
+  Configuration configuration;
+  IngressService ingress{environment, backends, protocol, reader, Zone("z1")};
+  LoadScheduler loads{environment, backends,       ingress.directory(),
+                      protocol,    NodeId("self"), LoadOptions()};
+  JobStateMachine state;
+  FakeGroup group{scheduler, &state};
+  JobScheduler scheduler_under_test{environment,          backends, ingress, loads, state, group,
+                                    JobSchedulerOptions()};
+  FakeAnswer score{Kind::kAnswer, 200, {{"signature", "sig"}}, {"ok"}};
+};
+
+TEST_CASE("An item's text is made, scored after it is whole, and listed") {
+  Fixture fixture;
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(seconds(1));
+  const JobResult* result = fixture.ResultOf("j");
+  REQUIRE(result != nullptr);
+  CHECK(result->state == ItemState::kDone);
+  CHECK(result->text == "one\ntwo");
+  CHECK(result->versions == std::vector<WeightVersion>{WeightVersion(1)});
+  CHECK(result->score == "sig");
+  REQUIRE(fixture.backends.calls.size() == 2);
+  CHECK(fixture.backends.calls[1]->at >= fixture.backends.calls[0]->at + milliseconds(15));
+  CHECK(FindHeader(fixture.backends.calls[1]->request.headers, "id") == "score-id");
+}
+
+TEST_CASE("Nothing runs on a replica that does not lead, and all of it once it does") {
+  Fixture fixture;
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.backends.calls.empty());
+  fixture.Lead();
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.ResultOf("j") != nullptr);
+}
+
+TEST_CASE("Nothing is sent while the configuration is not proven fresh") {
+  Fixture fixture;
+  bool fresh = false;
+  fixture.scheduler_under_test.SetAllowed([&] { return fresh; });
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.backends.calls.empty());
+  fresh = true;
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.ResultOf("j") != nullptr);
+}
+
+TEST_CASE("A run that breaks goes on at another engine after its last event") {
+  Fixture fixture;
+  fixture.Add("e:1", "engines", [](const HttpRequest&) {
+    FakeAnswer answer = Text({"1||one\n\n"});
+    answer.kind = Kind::kCutBody;
+    return answer;
+  });
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(milliseconds(30));
+  fixture.Add("e:2", "engines", [](const HttpRequest& request) {
+    CHECK(FindHeader(request.headers, "resume") == "1");
+    return Text({"2||two\n\n"});
+  });
+  fixture.scheduler.RunFor(seconds(2));
+  const JobResult* result = fixture.ResultOf("j");
+  REQUIRE(result != nullptr);
+  CHECK(result->text == "one\ntwo");
+}
+
+TEST_CASE("An item is given up for the engines' word, not for broken runs") {
+  const auto state_after = [](FakeAnswer answer, size_t* runs) {
+    Fixture fixture;
+    fixture.Add("e:1", "engines", [answer](const HttpRequest&) { return answer; });
+    fixture.Lead();
+    fixture.Submit(fixture.Job("j"));
+    fixture.scheduler.RunFor(seconds(10));
+    *runs = fixture.backends.CountAt("e:1");
+    const JobResult* result = fixture.ResultOf("j");
+    return result == nullptr ? std::optional<ItemState>() : result->state;
+  };
+  size_t runs = 0;
+  CHECK(state_after({Kind::kAnswer, 422, {}, {}}, &runs) == ItemState::kFailed);
+  CHECK(runs == 1);
+  CHECK(state_after({Kind::kAnswer, 500, {}, {}}, &runs) == ItemState::kFailed);
+  CHECK(runs == 2);
+  CHECK(state_after({Kind::kReset, 0, {}, {}}, &runs) == std::nullopt);
+  CHECK(runs > 2);
+  CHECK(state_after({Kind::kAnswer, 503, {{"refused", "1"}}, {}}, &runs) == std::nullopt);
+}
+
+TEST_CASE("An item is given up when its lifetime is over, not before") {
+  Fixture fixture;
+  fixture.Add("e:1", "engines", [](const HttpRequest&) { return FakeAnswer{Kind::kSilence}; });
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(seconds(29));
+  CHECK(fixture.ResultOf("j") == nullptr);
+  fixture.scheduler.RunFor(seconds(2));
+  REQUIRE(fixture.ResultOf("j") != nullptr);
+  CHECK(fixture.ResultOf("j")->state == ItemState::kFailed);
+}
+
+TEST_CASE("An item whose scoring fails as often as is allowed is given up, never done without") {
+  Fixture fixture;
+  fixture.score = {Kind::kAnswer, 500, {}, {"no"}};
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(seconds(3));
+  REQUIRE(fixture.ResultOf("j") != nullptr);
+  CHECK(fixture.ResultOf("j")->state == ItemState::kFailed);
+  CHECK(fixture.backends.CountAt("p:1") >= 3);
+}
+
+TEST_CASE("An item without a signature of its scoring waits") {
+  Fixture fixture;
+  fixture.score = {Kind::kAnswer, 200, {}, {"ok"}};
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(seconds(3));
+  CHECK(fixture.ResultOf("j") == nullptr);
+}
+
+TEST_CASE("The items of an ended job stop at once, and their text serves when they come back") {
+  Fixture fixture;
+  fixture.Add("e:1", "engines", [](const HttpRequest& request) {
+    if (FindHeader(request.headers, "resume") == "1") return Text({"2||two\n\n"});
+    FakeAnswer answer = Text({"1||one\n\n", "2||two\n\n"});
+    answer.gap = seconds(2);
+    return answer;
+  });
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(milliseconds(200));
+  REQUIRE(fixture.backends.CountAt("e:1") == 1);
+  fixture.state.Apply(LogIndex(50), EncodeJobCommand({EndJob{JobId("j")}, {}}));
+  fixture.scheduler.RunFor(milliseconds(10));
+  CHECK(fixture.backends.calls[0]->cancelled);
+  fixture.scheduler.RunFor(seconds(3));
+  CHECK(fixture.backends.CountAt("e:1") == 1);
+  fixture.Submit(fixture.Job("k"));
+  fixture.scheduler.RunFor(seconds(1));
+  REQUIRE(fixture.ResultOf("k") != nullptr);
+  CHECK(fixture.ResultOf("k")->text == "one\ntwo");
+}
+
+TEST_CASE("Weights that the job does not allow are not used") {
+  Fixture fixture;
+  fixture.Lead();
+  JobSpec job = fixture.Job("j");
+  job.min_version = WeightVersion(2);
+  fixture.Submit(job);
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.backends.CountAt("e:1") == 0);
+}
+
+TEST_CASE("All runs end with the leadership") {
+  Fixture fixture;
+  fixture.Add("e:1", "engines", [](const HttpRequest&) { return FakeAnswer{Kind::kSilence}; });
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(milliseconds(100));
+  REQUIRE(fixture.backends.CountAt("e:1") == 1);
+  fixture.scheduler_under_test.SetLeading(false);
+  CHECK(fixture.backends.calls[0]->cancelled);
+  fixture.scheduler.RunFor(seconds(5));
+  CHECK(fixture.backends.CountAt("e:1") == 1);
+}
+
+}  // namespace
+}  // namespace millstair
