--- a/source/cluster/membership_manager.cc
+++ b/source/cluster/membership_manager.cc
@@ -174,7 +174,10 @@
   }
   for (const auto& [node, record] : known) {
     if (record.state == MemberState::kGone) continue;
-    const bool heard = nodes_.FindSince(node, since) != nullptr;
+    const HeardNode* present = nodes_.FindSince(node, since);
+    const bool heard = present != nullptr;
+    // Its next life is among the changes already.
+    if (heard && present->latest.record.incarnation > record.incarnation) continue;
     // A new leader waits until every node had the time to be heard.
     const bool silent = !heard && now - leader_since_ > timing_.node_lease;
     if (!silent && !replaced(record)) continue;
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -150,15 +150,23 @@
     return demand == demand_.end() ? 1.0 : std::max(1.0, demand->second.work);
   };
   for (const auto& [model, version] : targets_) total += work_of(model);
-  // Each gets what its share rounds down to, at least one; the rest goes to those that miss most.
+  // Each gets what its share rounds down to, but two if there are enough: a single engine would
+  // serve nothing while it loads. The rest goes to those that miss most.
+  const size_t least = engines_.size() >= 2 * targets_.size() ? 2 : 1;
   size_t given = 0;
   std::multimap<double, ModelName, std::greater<>> missing;
   for (const auto& [model, version] : targets_) {
     const double share = static_cast<double>(engines_.size()) * work_of(model) / total;
-    counts[model] = std::max<size_t>(1, static_cast<size_t>(share));
+    counts[model] = std::max(least, static_cast<size_t>(share));
     given += counts[model];
     missing.emplace(share - static_cast<double>(counts[model]), model);
   }
+  const auto smaller = [](const auto& a, const auto& b) { return a.second < b.second; };
+  for (; given > engines_.size(); --given) {
+    const auto most = std::max_element(counts.begin(), counts.end(), smaller);
+    if (most->second <= 1) break;
+    --most->second;
+  }
   for (const auto& [fraction, model] : missing) {
     if (given >= engines_.size()) break;
     ++counts[model];
@@ -435,6 +443,11 @@
          engine->second.loading->model == model;
 }
 
+bool LoadScheduler::LoadingAny(const InstanceId& instance) const {
+  const auto engine = engines_.find(instance);
+  return engine != engines_.end() && engine->second.loading.has_value();
+}
+
 void LoadScheduler::NoteVersion(const InstanceId& instance, const ModelName& model,
                                 WeightVersion version) {
   const auto engine = engines_.find(instance);
--- a/test/ingress/fake_backends.h
+++ b/test/ingress/fake_backends.h
@@ -181,7 +181,8 @@
   HttpRequest MakeLoadOrder(const LoadOrder& order) const override {
     return {"POST",
             "/order",
-            {{"fence", std::to_string(order.fence)},
+            {{"model", order.model.value()},
+             {"fence", std::to_string(order.fence)},
              {"expected", std::to_string(order.expected_orders)},
              {"holder", order.holder}},
             std::to_string(order.version.value())};
--- a/test/jobs/load_scheduler_test.cc
+++ b/test/jobs/load_scheduler_test.cc
@@ -25,6 +25,7 @@
   bool deaf = false;
   std::vector<Duration> ordered_at;
   std::vector<std::string> fences;
+  std::set<std::string> models;
 };
 
 class Fixture {
@@ -96,6 +97,7 @@
               {fmt::format("{} {} m {}", busy ? 1 : 0, engine.orders, engine.version)}};
     }
     engine.ordered_at.push_back(now);
+    engine.models.emplace(*FindHeader(request.headers, "model"));
     engine.fences.emplace_back(*FindHeader(request.headers, "fence"));
     if (engine.deaf) return {Kind::kSilence};
     const auto expected = std::stoull(std::string(*FindHeader(request.headers, "expected")));
@@ -208,6 +210,25 @@
   CHECK(ready);
 }
 
+TEST_CASE("Engines are shared out by work, and even a small model has two") {
+  Fixture fixture(6);
+  fixture.routes.services[0].engine->models = {ModelName("m"), ModelName("small")};
+  fixture.Name(2);
+  fixture.Name(2, "small");
+  fixture.loads.NoteJob(ModelName("m"), 1000, WeightVersion(2));
+  fixture.loads.NoteJob(ModelName("small"), 1, WeightVersion(2));
+  fixture.Lead();
+  fixture.scheduler.RunFor(seconds(40));
+  size_t large = 0;
+  size_t small = 0;
+  for (const auto& [address, engine] : fixture.engines) {
+    large += engine.models.contains("m") ? 1 : 0;
+    small += engine.models.contains("small") ? 1 : 0;
+  }
+  CHECK(large == 4);
+  CHECK(small == 2);
+}
+
 TEST_CASE("Orders end with the leadership") {
   Fixture fixture(4);
   fixture.Lead();
