Let a holder of orders that comes back go on at once; revert the moves from slow engines

Change: nothing is announced before all that earlier leaders committed is applied; then the last announcement alone decides, and a node's own is no other's.

Failed tries, reverted: runs moved away from slow engines, and two engines at least a model.

--- a/source/jobs/item_run.h
+++ b/source/jobs/item_run.h
@@ -3,7 +3,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,8 +58,6 @@
 class ItemRun : public HttpCallObserver {
  public:
   using Callback = std::function<void(ItemRunEnd end, const std::string& reason)>;
-  /// Time between two events of the run.
-  using GapListener = std::function<void(const InstanceId& instance, Duration gap)>;
 
   /// `progress` outlives the run and grows with it. `done` is called once and may destroy the run
   /// only after it has returned.
@@ -69,7 +66,6 @@
   ~ItemRun() override;
   void Start(HttpCaller& http, const BackendInstance& target, const BackendRequest& request);
 
-  void OnGap(GapListener listener) { on_gap_ = std::move(listener); }
   const InstanceId& instance() const { return instance_; }
 
   void OnHead(const HttpResponseHead& head) override;
@@ -93,9 +89,6 @@
   InstanceId instance_;
   std::string request_id_;
   TimePoint started_at_;
-  /// When the latest event came; none before the first.
-  std::optional<TimePoint> event_at_;
-  GapListener on_gap_;
   std::unique_ptr<CallHandle> handle_;
   EventStreamSplitter splitter_;
   WeightVersion version_;
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -14,11 +14,6 @@
 constexpr Duration kFailedPause = std::chrono::milliseconds(50);
 constexpr Duration kProposePause = std::chrono::milliseconds(50);
 constexpr size_t kMostKeptTexts = 2000;
-/// A slow engine gets this part of its places, and only when no other has room.
-constexpr uint32_t kSlowEngineShare = 4;
-constexpr uint32_t kSlowEngineCost = 1000;
-constexpr uint32_t kMostMoves = 2;
-constexpr size_t kMovesAtOnce = 4;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kServerErrors = 500;
@@ -48,7 +43,6 @@
   changed_.clear();
   kept_.clear();
   kept_order_.clear();
-  pace_.Clear();
   std::vector<JobId> known;
   for (const auto& [job, work] : jobs_) known.push_back(job);
   for (const JobId& job : known) DropJob(job);
@@ -169,10 +163,7 @@
 void JobScheduler::Pump() {
   if (!leading_) return;
   GiveUpOld();
-  if (allowed_()) {
-    DispatchWaiting();
-    MoveFromSlowEngines();
-  }
+  if (allowed_()) DispatchWaiting();
   if (jobs_.empty()) return pump_timer_.Cancel();
   PumpSoon(kPumpInterval);
 }
@@ -208,37 +199,6 @@
   for (const Rank& rank : sent) waiting_.erase(rank);
 }
 
-bool JobScheduler::SlowEngineIsFull(const BackendInstance& engine) const {
-  const uint32_t most = std::max(1U, engine.slots / kSlowEngineShare);
-  return ingress_.directory().Running(engine.id) >= most;
-}
-
-void JobScheduler::MoveFromSlowEngines() {
-  if (!waiting_.empty()) return;
-  size_t moved = 0;
-  for (auto& [job, work] : jobs_) {
-    const JobRecord* record = state_.Find(job);
-    const Route* route = record == nullptr ? nullptr : RouteOf(*record);
-    if (route == nullptr || record->ended) continue;
-    for (const auto& item : work.items) {
-      if (item == nullptr || item->phase != Phase::kRunning || item->run == nullptr) continue;
-      if (item->moves >= kMostMoves || moved >= kMovesAtOnce) continue;
-      const InstanceId from = item->run->instance();
-      if (!pace_.IsSlow(from)) continue;
-      item->avoid = from;
-      const auto target = PickEngine(*item, *record, *route);
-      if (!target || pace_.IsSlow(target->id)) continue;
-      LogEvent(EventId::kItemMoved, "job={} item={} from={} to={} events={}", job,
-               record->spec.items[item->index].id, from, target->id, item->progress.events);
-      ++item->moves;
-      ++moved;
-      item->run.reset();
-      item->avoid = from;
-      if (!Dispatch(*item, *record, *route)) Requeue(*item, Duration(0));
-    }
-  }
-}
-
 std::optional<BackendInstance> JobScheduler::PickEngine(Work& work, const JobRecord& record,
                                                         const Route& route) {
   BackendDirectory& directory = ingress_.directory();
@@ -258,11 +218,9 @@
       if (continues && held != work.progress.version) continue;
       const uint32_t running = directory.Running(engine->id);
       if (running >= std::max(1U, engine->slots)) continue;
-      const bool slow = pace_.IsSlow(engine->id);
-      if (slow && SlowEngineIsFull(*engine)) continue;
       const bool same_group = sibling != job.group_engines.end() && sibling->second == engine->id;
       // The prompt of a group is kept by the engine that read it: that is worth one place.
-      const uint32_t cost = 2 * running + (same_group ? 0 : 1) + (slow ? kSlowEngineCost : 0);
+      const uint32_t cost = 2 * running + (same_group ? 0 : 1);
       if (best != nullptr && cost >= best_running) continue;
       best = engine;
       best_running = cost;
@@ -299,9 +257,6 @@
   LogEvent(EventId::kItemSent, "job={} item={} instance={} after={} version={} min_version={}",
            work.job, item.id, engine->id, work.progress.events,
            loads_.VersionOf(engine->id, record.spec.model), record.spec.min_version);
-  work.run->OnGap([this](const InstanceId& instance, Duration gap) {
-    if (!loads_.LoadingAny(instance)) pace_.Note(instance, gap);
-  });
   work.run->Start(http_, *engine, request);
   return true;
 }
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -17,7 +17,6 @@
 #include "common/stats.h"
 #include "consensus/raft_group.h"
 #include "ingress/ingress_service.h"
-#include "jobs/engine_pace.h"
 #include "jobs/item_order.h"
 #include "jobs/item_run.h"
 #include "jobs/job_state_machine.h"
@@ -66,8 +65,6 @@
     InstanceId avoid;
     std::unique_ptr<ItemRun> run;
     std::optional<IngressService::FlowId> scoring;
-    /// How often it was moved away from a slow engine.
-    uint32_t moves = 0;
     JobResult result;
   };
   struct JobWork {
@@ -97,9 +94,6 @@
   void TakeChanges();
   void PumpSoon(Duration delay);
   void DispatchWaiting();
-  /// Runs at slow engines go on at others that have room and nothing else to do.
-  void MoveFromSlowEngines();
-  bool SlowEngineIsFull(const BackendInstance& engine) const;
   bool Dispatch(Work& work, const JobRecord& record, const Route& route);
   std::optional<BackendInstance> PickEngine(Work& work, const JobRecord& record,
                                             const Route& route);
@@ -129,7 +123,6 @@
   uint64_t next_order_ = 1;
   std::map<JobId, JobWork> jobs_;
   std::set<Rank> waiting_;
-  EnginePace pace_;
   /// Text of items that were not whole when their jobs ended, by item; the oldest go first.
   std::map<ItemId, ItemProgress> kept_;
   std::deque<ItemId> kept_order_;
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -75,31 +75,37 @@
       protocol_(protocol),
       self_(std::move(self)),
       options_(options),
-      last_announcement_(environment.Now()),
+      orders_from_(environment.Now()),
       load_time_(kFirstLoadTime),
       timer_(environment) {}
 
 LoadScheduler::~LoadScheduler() = default;
 
-void LoadScheduler::SetLeading(RaftGroup* group, const NodeId& last_holder) {
+void LoadScheduler::SetLeading(RaftGroup* group) {
   group_ = group;
+  caught_up_ = false;
   exchanges_.clear();
   engines_.clear();
   if (group_ == nullptr) return timer_.Cancel();
-  // This node's own earlier orders are no other holder's.
-  const bool own = last_holder == self_;
-  const TimePoint now = environment_.Now();
-  orders_from_ =
-      own ? now : std::max(now, last_announcement_ + options_.holder_lease + kLeaseMargin);
+  CatchUp();
   LearnEngines();
   Tick();
 }
 
+void LoadScheduler::CatchUp() {
+  const Term term = group_->CurrentTerm();
+  group_->ConfirmRead(alive_.Guard([this, term](const absl::StatusOr<LogIndex>& index) {
+    if (group_ == nullptr || group_->CurrentTerm() != term) return;
+    if (!index.ok()) return CatchUp();
+    caught_up_ = true;
+    StartLoads();
+  }));
+}
+
 void LoadScheduler::NoteAnnouncement(const NodeId& holder) {
-  last_announcement_ = environment_.Now();
-  // A new leader may apply what an earlier one announced only now.
-  if (holder == self_) return;
-  orders_from_ = std::max(orders_from_, last_announcement_ + options_.holder_lease + kLeaseMargin);
+  const TimePoint now = environment_.Now();
+  // This node's own earlier orders are no other holder's.
+  orders_from_ = holder == self_ ? now : now + options_.holder_lease + kLeaseMargin;
 }
 
 void LoadScheduler::Update(const Configuration& configuration, const RouteTable* routes) {
@@ -150,14 +156,12 @@
     return demand == demand_.end() ? 1.0 : std::max(1.0, demand->second.work);
   };
   for (const auto& [model, version] : targets_) total += work_of(model);
-  // Each gets what its share rounds down to, but two if there are enough: a single engine would
-  // serve nothing while it loads. The rest goes to those that miss most.
-  const size_t least = engines_.size() >= 2 * targets_.size() ? 2 : 1;
+  // Each gets what its share rounds down to, at least one; the rest goes to those that miss most.
   size_t given = 0;
   std::multimap<double, ModelName, std::greater<>> missing;
   for (const auto& [model, version] : targets_) {
     const double share = static_cast<double>(engines_.size()) * work_of(model) / total;
-    counts[model] = std::max(least, static_cast<size_t>(share));
+    counts[model] = std::max<size_t>(1, static_cast<size_t>(share));
     given += counts[model];
     missing.emplace(share - static_cast<double>(counts[model]), model);
   }
@@ -275,7 +279,7 @@
 }
 
 void LoadScheduler::StartLoads() {
-  if (group_ == nullptr || environment_.Now() < orders_from_) return;
+  if (group_ == nullptr || !caught_up_ || environment_.Now() < orders_from_) return;
   const TimePoint now = environment_.Now();
   std::vector<InstanceId> behind;
   for (const auto& [instance, engine] : engines_) {
@@ -355,7 +359,7 @@
 
 void LoadScheduler::Order(const InstanceId& instance, const NamedVersion& wanted, uint64_t orders) {
   const TimePoint now = environment_.Now();
-  if (group_ == nullptr || now < orders_from_) return;
+  if (group_ == nullptr || !caught_up_ || now < orders_from_) return;
   EngineLoadState& engine = engines_.at(instance);
   // New items are kept away while the order is under way.
   engine.loading = wanted;
@@ -443,11 +447,6 @@
          engine->second.loading->model == model;
 }
 
-bool LoadScheduler::LoadingAny(const InstanceId& instance) const {
-  const auto engine = engines_.find(instance);
-  return engine != engines_.end() && engine->second.loading.has_value();
-}
-
 void LoadScheduler::NoteVersion(const InstanceId& instance, const ModelName& model,
                                 WeightVersion version) {
   const auto engine = engines_.find(instance);
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -1,7 +1,9 @@
 /// Brings engines to the newest named version of their model, a few at a time. Runs on the leader
 /// of a job group alone, which is the one holder of orders: it announces each order in the group's
 /// log before it gives it, and a new leader waits until the lease of the last holder is over,
-/// counted from when it applied the last announcement.
+/// counted from when it applied the last announcement. Nothing is announced before everything that
+/// earlier leaders committed is applied, so the last announcement alone says who may still hold the
+/// lease.
 #pragma once
 
 #include <functional>
@@ -54,9 +56,8 @@
                 const BackendProtocol& protocol, NodeId self, LoadOptions options);
   ~LoadScheduler();
 
-  /// Orders are given from now on, under `group`'s leadership; null ends it. `last_holder`
-  /// announced the latest order.
-  void SetLeading(RaftGroup* group, const NodeId& last_holder);
+  /// Orders are given from now on, under `group`'s leadership; null ends it.
+  void SetLeading(RaftGroup* group);
   /// An announcement of `holder` was applied here, or may have been.
   void NoteAnnouncement(const NodeId& holder);
   void Update(const Configuration& configuration, const RouteTable* routes);
@@ -69,14 +70,13 @@
   WeightVersion VersionOf(const InstanceId& instance, const ModelName& model) const;
   /// True while `instance` loads `model`, so that new items would be refused.
   bool Loading(const InstanceId& instance, const ModelName& model) const;
-  /// True while `instance` loads any model: what runs there may pause.
-  bool LoadingAny(const InstanceId& instance) const;
   /// An answer showed that `instance` holds `version`.
   void NoteVersion(const InstanceId& instance, const ModelName& model, WeightVersion version);
 
  private:
   class Exchange;
 
+  void CatchUp();
   void Tick();
   void LearnEngines();
   uint64_t VersionsBehind(const InstanceId& instance) const;
@@ -110,7 +110,8 @@
   const LoadOptions options_;
   RaftGroup* group_ = nullptr;
   TimePoint orders_from_;
-  TimePoint last_announcement_;
+  /// Everything that earlier leaders committed is applied here.
+  bool caught_up_ = false;
   /// How long loads take, by the shortest seen lately.
   Duration load_time_;
   std::map<ModelName, WeightVersion> targets_;
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -93,7 +93,8 @@
     auto machine = std::make_unique<JobStateMachine>(options_.jobs);
     state_ = machine.get();
     machine->OnChange([this](JobChange change, const JobId& job) {
-      if (change == JobChange::kOrder || change == JobChange::kRestored) {
+      const bool announced = change == JobChange::kOrder || change == JobChange::kRestored;
+      if (announced && !state_->order_holder().value().empty()) {
         loads_.NoteAnnouncement(state_->order_holder());
       }
       service_.NoteChange(job);
@@ -146,7 +147,7 @@
     leading_term_ = term;
     LogEvent(EventId::kJobLeadership, "group={} leads={} term={}", kJobGroup, leads, term);
     replicas_->SetLeading(leads ? group : nullptr);
-    loads_.SetLeading(leads ? group : nullptr, leads ? state_->order_holder() : NodeId());
+    loads_.SetLeading(leads ? group : nullptr);
     if (leads && scheduler_ == nullptr) {
       scheduler_ = std::make_unique<JobScheduler>(environment_, http_, ingress_, loads_, *state_,
                                                   *group, options_.scheduler, options_.stats);
