Keep time limits of calls for batch jobs in the product

Cause: the adapter held how long a call for a batch job may take and when a client may come back, which is a decision.

--- a/source/jobs/job_client.cc
+++ b/source/jobs/job_client.cc
@@ -7,31 +7,29 @@
 namespace millstair {
 
 JobClient::JobClient(Environment& environment, PeerTransport& transport,
-                     GroupClient::Candidates storage_nodes)
-    : group_(environment, transport, kJobGroup, std::move(storage_nodes)) {}
+                     GroupClient::Candidates storage_nodes, JobClientTiming timing)
+    : group_(environment, transport, kJobGroup, std::move(storage_nodes)), timing_(timing) {}
 
-void JobClient::Propose(JobCommand command, Duration timeout,
+void JobClient::Propose(JobCommand command,
                         std::function<void(absl::StatusOr<JobResultCode>)> done) {
-  group_.Submit(CommandMode::kPropose, EncodeJobCommand(command), timeout,
+  group_.Submit(CommandMode::kPropose, EncodeJobCommand(command), timing_.patience,
                 [done = std::move(done)](const absl::StatusOr<std::string>& result) {
                   if (!result.ok()) return done(result.status());
                   done(DecodeJobResultCode(*result));
                 });
 }
 
-void JobClient::Submit(JobSpec job, Duration timeout,
-                       std::function<void(absl::StatusOr<JobResultCode>)> done) {
-  Propose({SubmitJob{std::move(job)}, {}}, timeout, std::move(done));
+void JobClient::Submit(JobSpec job, std::function<void(absl::StatusOr<JobResultCode>)> done) {
+  Propose({SubmitJob{std::move(job)}, {}}, std::move(done));
 }
 
-void JobClient::End(const JobId& job, Duration timeout,
-                    std::function<void(absl::StatusOr<JobResultCode>)> done) {
-  Propose({EndJob{job}, {}}, timeout, std::move(done));
+void JobClient::End(const JobId& job, std::function<void(absl::StatusOr<JobResultCode>)> done) {
+  Propose({EndJob{job}, {}}, std::move(done));
 }
 
-void JobClient::Query(const JobQuery& query, Duration timeout,
+void JobClient::Query(const JobQuery& query,
                       std::function<void(absl::StatusOr<JobQueryAnswer>)> done) {
-  group_.Submit(CommandMode::kQuery, EncodeJobQuery(query), timeout,
+  group_.Submit(CommandMode::kQuery, EncodeJobQuery(query), timing_.patience,
                 [done = std::move(done)](const absl::StatusOr<std::string>& result) {
                   if (!result.ok()) return done(result.status());
                   done(DecodeJobQueryAnswer(*result));
--- a/source/jobs/job_client.h
+++ b/source/jobs/job_client.h
@@ -13,28 +13,34 @@
 
 namespace millstair {
 
+struct JobClientTiming {
+  /// Without an answer of the leader for this long a change or a query is given up.
+  Duration patience = std::chrono::milliseconds(2500);
+  /// When a client may come back whose call was given up.
+  Duration retry_after = std::chrono::milliseconds(200);
+};
+
 /// Lives on the node's serial executor. DeadlineExceeded leaves it unknown whether a change was
 /// made; all calls bear being repeated.
 class JobClient {
  public:
   /// `storage_nodes` gives the nodes that may lead the group.
   JobClient(Environment& environment, PeerTransport& transport,
-            GroupClient::Candidates storage_nodes);
-
-  void Submit(JobSpec job, Duration timeout,
-              std::function<void(absl::StatusOr<JobResultCode>)> done);
-  void End(const JobId& job, Duration timeout,
-           std::function<void(absl::StatusOr<JobResultCode>)> done);
-  void Query(const JobQuery& query, Duration timeout,
-             std::function<void(absl::StatusOr<JobQueryAnswer>)> done);
+            GroupClient::Candidates storage_nodes, JobClientTiming timing = {});
+
+  Duration retry_after() const { return timing_.retry_after; }
+
+  void Submit(JobSpec job, std::function<void(absl::StatusOr<JobResultCode>)> done);
+  void End(const JobId& job, std::function<void(absl::StatusOr<JobResultCode>)> done);
+  void Query(const JobQuery& query, std::function<void(absl::StatusOr<JobQueryAnswer>)> done);
   /// Messages of kind kCommandReply.
   void Receive(const NodeId& from, const PeerMessage& message) { group_.Receive(from, message); }
 
  private:
-  void Propose(JobCommand command, Duration timeout,
-               std::function<void(absl::StatusOr<JobResultCode>)> done);
+  void Propose(JobCommand command, std::function<void(absl::StatusOr<JobResultCode>)> done);
 
   GroupClient group_;
+  const JobClientTiming timing_;
 };
 
 }  // namespace millstair
--- a/source/jobs/job_types.h
+++ b/source/jobs/job_types.h
@@ -58,6 +58,9 @@
   kFailed = 2,  ///< given up: it can't be done, or not in time
 };
 
+/// Texts that one answer holds at most, in bytes.
+inline constexpr uint64_t kMostResultBytes = 900'000;
+
 /// What became of an item. Its position among the results of its job never changes.
 struct JobResult {
   /// Index of the item in its job.
@@ -120,7 +123,7 @@
   uint64_t after = 0;
   Duration wait{0};
   /// Bound on the texts of one answer; at least one result is given if there is one.
-  uint64_t max_bytes = 0;
+  uint64_t max_bytes = kMostResultBytes;
 };
 
 /// A result with its item's identifier.
--- a/test/jobs/job_service_test.cc
+++ b/test/jobs/job_service_test.cc
@@ -73,14 +73,14 @@
     job.items[0].body = "body of a";
     job.items[1].id = ItemId("b");
     std::optional<absl::StatusOr<JobResultCode>> answer;
-    client.Submit(job, timeout, [&](absl::StatusOr<JobResultCode> result) { answer = result; });
+    client.Submit(job, [&](absl::StatusOr<JobResultCode> result) { answer = result; });
     scheduler.RunFor(timeout + milliseconds(10));
     return answer;
   }
 
   JobQueryAnswer Query(JobQuery query, Duration wait = seconds(2)) {
     JobQueryAnswer found;
-    client.Query(query, seconds(2), [&](absl::StatusOr<JobQueryAnswer> answer) {
+    client.Query(query, [&](absl::StatusOr<JobQueryAnswer> answer) {
       REQUIRE(answer.ok());
       found = *std::move(answer);
       answered_at = scheduler.Now();
@@ -106,7 +106,8 @@
   JobService first{environment, first_end};
   JobService second{environment, second_end};
   std::vector<NodeId> candidates = {NodeId("s2"), NodeId("s1")};
-  JobClient client{environment, client_end, [this] { return candidates; }};
+  JobClient client{environment, client_end, [this] { return candidates; },
+                   JobClientTiming{seconds(2), milliseconds(200)}};
   Duration answered_at{0};
   uint64_t index = 100;
 };
@@ -143,11 +144,11 @@
   CHECK_FALSE(fixture.Query(query).found);
   fixture.leader.quorum = false;
   bool answered = false;
-  fixture.client.Query(query, seconds(1), [&](absl::StatusOr<JobQueryAnswer> answer) {
+  fixture.client.Query(query, [&](absl::StatusOr<JobQueryAnswer> answer) {
     answered = true;
     CHECK(absl::IsDeadlineExceeded(answer.status()));
   });
-  fixture.scheduler.RunFor(seconds(2));
+  fixture.scheduler.RunFor(seconds(3));
   CHECK(answered);
 }
 
