--- a/simulator/fleet/back_ends.cc
+++ b/simulator/fleet/back_ends.cc
@@ -128,6 +128,8 @@
 }
 
 void EngineMachine::Drain() {
+  // A process that is down says nothing, and its next life would not know of it.
+  if (down_reasons_ > 0) return;
   model_->Drain();
   surroundings_.history.leaving.push_back(
       {plan_.name, checks::LeavingSource::kOwnWord, surroundings_.Now(), std::nullopt});
@@ -193,6 +195,8 @@
 }
 
 void ServerMachine::Drain() {
+  // A process that is down says nothing, and its next life would not know of it.
+  if (down_reasons_ > 0) return;
   model_.Drain();
   surroundings_.history.leaving.push_back(
       {plan_.name, checks::LeavingSource::kOwnWord, surroundings_.Now(), std::nullopt});
--- a/test/simulator/fleet_test.cc
+++ b/test/simulator/fleet_test.cc
@@ -96,6 +96,9 @@
        27,
        "long-restart@28721316+27767149/2546815646204611175,"
        "long-restart@28344784+24174763/8859046800078504200"},
+      {"an engine is told to drain while it is down", DeploymentName::kAssociation, 7310431,
+       "engine-crash@44693194+7637491/9548622360386168383,"
+       "engine-drain@44693194+9873199/16451162671439767696"},
       {"orders to an engine that drains", DeploymentName::kAssociation, 1,
        "engine-drain@43061575+16311631/1663029164570278905"},
   };
