--- a/source/ingress/ingress_service.h
+++ b/source/ingress/ingress_service.h
@@ -42,7 +42,6 @@
                        std::function<void(StreamEnd)> done);
   /// The client has gone.
   void Cancel(FlowId flow);
-  size_t running() const { return flows_.size() + streams_.size(); }
 
  private:
   void Count(const ForwardResult& result, Duration took);
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -204,7 +204,7 @@
   BackendDirectory& directory = ingress_.directory();
   const JobSpec& spec = record.spec;
   const BackendInstance* best = nullptr;
-  uint32_t best_running = 0;
+  uint32_t best_cost = 0;
   const std::string& group = spec.items[work.index].group;
   JobWork& job = jobs_.at(work.job);
   const auto sibling = group.empty() ? job.group_engines.end() : job.group_engines.find(group);
@@ -221,9 +221,9 @@
       const bool same_group = sibling != job.group_engines.end() && sibling->second == engine->id;
       // The prompt of a group is kept by the engine that read it: that is worth one place.
       const uint32_t cost = 2 * running + (same_group ? 0 : 1);
-      if (best != nullptr && cost >= best_running) continue;
+      if (best != nullptr && cost >= best_cost) continue;
       best = engine;
-      best_running = cost;
+      best_cost = cost;
     }
   }
   work.avoid = InstanceId();
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -47,7 +47,6 @@
   void NoteChange(JobChange change, const JobId& job);
   /// Back ends, routes or versions changed.
   void Pump();
-  size_t waiting() const { return waiting_.size(); }
 
  private:
   enum class Phase : uint8_t { kWaiting, kRunning, kScoring, kListing };
