Lease the orders of each engine by itself, and leave engines the models they hold

Cause: after a change of the job leader nothing was loaded for the lease of the last holder (3.65 s), although the lease matters only for engines that got an order in that time; and the new leader shared engines out among the models afresh, so that most had to load once more. Change: an announcement names its engine, its term and the holder's steady time. Another node waits only for engines announced lately; a node that applies an old log at once counts the time between announcements of one term. Free engines go to the model whose weights they have newest. The test of kept models failed with the old choice (the last engine of the list).

--- a/source/jobs/job_codec.cc
+++ b/source/jobs/job_codec.cc
@@ -144,6 +144,23 @@
          FromWireArray(wire.results, wire.results_count, record.results);
 }
 
+static millstair_AnnounceOrder ToWire(WireArena& arena, const AnnounceOrder& announce) {
+  millstair_AnnounceOrder wire = millstair_AnnounceOrder_init_zero;
+  wire.holder = arena.NewString(announce.holder.value());
+  wire.instance = arena.NewString(announce.instance.value());
+  wire.term = announce.term.value();
+  wire.announced_at_microseconds = announce.announced_at.count();
+  return wire;
+}
+
+static bool FromWire(const millstair_AnnounceOrder& wire, AnnounceOrder& announce) {
+  announce.holder = NodeId(ToString(wire.holder));
+  announce.instance = InstanceId(ToString(wire.instance));
+  announce.term = Term(wire.term);
+  announce.announced_at = Duration(wire.announced_at_microseconds);
+  return true;
+}
+
 namespace {
 
 /// Fills the operation of a wire command; one overload an operation.
@@ -174,8 +191,7 @@
 
   void operator()(const AnnounceOrder& announce) const {
     wire.which_operation = millstair_JobCommand_announce_tag;
-    wire.operation.announce = millstair_AnnounceOrder_init_zero;
-    wire.operation.announce.holder = arena.NewString(announce.holder.value());
+    wire.operation.announce = ToWire(arena, announce);
   }
 };
 
@@ -193,8 +209,7 @@
       operation = EndJob{JobId(ToString(wire.operation.end.job))};
       return true;
     case millstair_JobCommand_announce_tag:
-      operation = AnnounceOrder{NodeId(ToString(wire.operation.announce.holder))};
-      return true;
+      return FromWire(wire.operation.announce, operation.emplace<AnnounceOrder>());
     default:
       return false;
   }
@@ -296,12 +311,13 @@
 }
 
 std::string EncodeJobSnapshot(WallTime clock, const std::map<JobId, JobRecord>& jobs,
-                              const NodeId& order_holder) {
+                              const std::vector<AnnounceOrder>& announcements) {
   WireArena arena;
   millstair_JobSnapshot wire = millstair_JobSnapshot_init_zero;
   wire.format = kSnapshotFormat;
   wire.clock_milliseconds = ToMilliseconds(clock);
-  wire.order_holder = arena.NewString(order_holder.value());
+  wire.announcements =
+      NewWireArray<millstair_AnnounceOrder>(arena, announcements, &wire.announcements_count);
   wire.jobs = arena.NewArray<millstair_JobRecord>(jobs.size());
   for (const auto& [id, record] : jobs) wire.jobs[wire.jobs_count++] = ToWire(arena, record);
   return EncodeNanopb(millstair_JobSnapshot_fields, &wire);
@@ -313,8 +329,11 @@
   const millstair_JobSnapshot& wire = **decoded;
   JobSnapshot snapshot;
   snapshot.clock = FromMilliseconds(wire.clock_milliseconds);
-  snapshot.order_holder = NodeId(ToString(wire.order_holder));
-  if (wire.format != kSnapshotFormat || !FromWireArray(wire.jobs, wire.jobs_count, snapshot.jobs)) {
+  const bool sound =
+      wire.format == kSnapshotFormat &&
+      FromWireArray(wire.jobs, wire.jobs_count, snapshot.jobs) &&
+      FromWireArray(wire.announcements, wire.announcements_count, snapshot.announcements);
+  if (!sound) {
     return absl::DataLossError("the snapshot of a job group does not decode");
   }
   return snapshot;
--- a/source/jobs/job_codec.h
+++ b/source/jobs/job_codec.h
@@ -22,7 +22,8 @@
 struct JobSnapshot {
   WallTime clock;
   std::vector<JobRecord> jobs;
-  NodeId order_holder;
+  /// The latest for each engine, the oldest first.
+  std::vector<AnnounceOrder> announcements;
 };
 
 std::string EncodeJobCommand(const JobCommand& command);
@@ -34,7 +35,7 @@
 std::string EncodeJobQueryAnswer(const JobQueryAnswer& answer);
 absl::StatusOr<JobQueryAnswer> DecodeJobQueryAnswer(std::string_view bytes);
 std::string EncodeJobSnapshot(WallTime clock, const std::map<JobId, JobRecord>& jobs,
-                              const NodeId& order_holder);
+                              const std::vector<AnnounceOrder>& announcements);
 absl::StatusOr<JobSnapshot> DecodeJobSnapshot(std::string_view bytes);
 
 }  // namespace millstair
--- a/source/jobs/job_state_machine.cc
+++ b/source/jobs/job_state_machine.cc
@@ -6,6 +6,9 @@
 namespace millstair {
 namespace {
 
+/// Of so many engines the latest announcement is kept: more than get orders within any lease.
+constexpr size_t kMostAnnouncements = 4096;
+
 std::vector<bool> ListedItems(const JobRecord& record) {
   std::vector<bool> listed(record.spec.items.size(), false);
   for (const JobResult& result : record.results) listed.at(result.item) = true;
@@ -78,7 +81,11 @@
 }
 
 JobResultCode JobStateMachine::Run(const AnnounceOrder& announce) {
-  order_holder_ = announce.holder;
+  std::erase_if(announcements_, [&announce](const AnnounceOrder& earlier) {
+    return earlier.instance == announce.instance;
+  });
+  announcements_.push_back(announce);
+  if (announcements_.size() > kMostAnnouncements) announcements_.erase(announcements_.begin());
   Notify(JobChange::kOrder, JobId());
   return JobResultCode::kOk;
 }
@@ -98,7 +105,7 @@
 }
 
 std::string JobStateMachine::TakeSnapshot() const {
-  return EncodeJobSnapshot(clock_, jobs_, order_holder_);
+  return EncodeJobSnapshot(clock_, jobs_, announcements_);
 }
 
 absl::Status JobStateMachine::Restore(LogIndex, std::string_view bytes) {
@@ -108,7 +115,7 @@
     return absl::DataLossError("the snapshot lists a result of no item");
   }
   clock_ = snapshot->clock;
-  order_holder_ = snapshot->order_holder;
+  announcements_ = std::move(snapshot->announcements);
   jobs_.clear();
   listed_.clear();
   for (JobRecord& record : snapshot->jobs) {
--- a/source/jobs/job_state_machine.h
+++ b/source/jobs/job_state_machine.h
@@ -41,8 +41,8 @@
   /// Null if there is no such job.
   const JobRecord* Find(const JobId& job) const;
   bool IsListed(const JobId& job, uint32_t item) const;
-  /// Who announced the latest order to an engine; empty if none did.
-  const NodeId& order_holder() const { return order_holder_; }
+  /// The latest announcement of an order to each engine, the oldest first.
+  const std::vector<AnnounceOrder>& announcements() const { return announcements_; }
   void OnChange(Listener listener) { listener_ = std::move(listener); }
 
  private:
@@ -57,7 +57,7 @@
   JobLimits limits_;
   WallTime clock_;
   std::map<JobId, JobRecord> jobs_;
-  NodeId order_holder_;
+  std::vector<AnnounceOrder> announcements_;
   /// By job, whether the item of that index is listed.
   std::map<JobId, std::vector<bool>> listed_;
   Listener listener_;
--- a/source/jobs/job_types.h
+++ b/source/jobs/job_types.h
@@ -99,10 +99,16 @@
   JobId job;
 };
 
-/// The holder is about to give an order to an engine, within a bounded time. Other holders wait
-/// until its lease is over.
+/// The holder is about to give an order to an engine, within a bounded time. Other holders give
+/// none to that engine until its lease is over.
 struct AnnounceOrder {
   NodeId holder;
+  InstanceId instance;
+  /// Under which the holder leads the group.
+  Term term;
+  /// Steady time of the holder; comparable with its other announcements of the same term only.
+  Duration announced_at{0};
+  friend bool operator==(const AnnounceOrder&, const AnnounceOrder&) = default;
 };
 
 enum class JobResultCode : uint8_t {
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -75,7 +75,7 @@
       protocol_(protocol),
       self_(std::move(self)),
       options_(options),
-      orders_from_(environment.Now()),
+      leases_(environment, self_, options.holder_lease + kLeaseMargin),
       load_time_(kFirstLoadTime),
       timer_(environment) {}
 
@@ -102,12 +102,6 @@
   }));
 }
 
-void LoadScheduler::NoteAnnouncement(const NodeId& holder) {
-  const TimePoint now = environment_.Now();
-  // This node's own earlier orders are no other holder's.
-  orders_from_ = holder == self_ ? now : now + options_.holder_lease + kLeaseMargin;
-}
-
 void LoadScheduler::Update(const Configuration& configuration, const RouteTable* routes) {
   targets_.clear();
   for (const auto& [model, named] : configuration.versions) targets_[model] = named.version;
@@ -179,13 +173,21 @@
   return counts;
 }
 
+LoadScheduler::EngineGroup::iterator LoadScheduler::NewestOf(EngineGroup& engines,
+                                                             const ModelName& model) {
+  return std::max_element(engines.begin(), engines.end(),
+                          [&model](const EngineLoadState* a, const EngineLoadState* b) {
+                            return a->HeldVersion(model) < b->HeldVersion(model);
+                          });
+}
+
 /// Each engine serves one of the models that are trained, so that a new version of one costs only
 /// the loads of its own engines. Assignments change as little as possible.
 void LoadScheduler::Assign() {
   if (targets_.empty()) return;
-  std::map<ModelName, std::vector<EngineLoadState*>> by_model;
+  std::map<ModelName, EngineGroup> by_model;
   for (const auto& [model, version] : targets_) by_model[model];
-  std::vector<EngineLoadState*> free;
+  EngineGroup free;
   for (auto& [instance, engine] : engines_) {
     const auto group = by_model.find(engine.assigned);
     (group == by_model.end() ? free : group->second).push_back(&engine);
@@ -196,19 +198,21 @@
            static_cast<std::ptrdiff_t>(wanted.at(entry.first));
   };
   const auto poorer = [&](const auto& a, const auto& b) { return surplus(a) < surplus(b); };
-  for (EngineLoadState* engine : free) {
-    auto& [model, group] = *std::min_element(by_model.begin(), by_model.end(), poorer);
-    engine->assigned = model;
-    group.push_back(engine);
+  const auto move = [this](EngineGroup& from, const ModelName& model, EngineGroup& to) {
+    const auto nearest = NewestOf(from, model);
+    (*nearest)->assigned = model;
+    to.push_back(*nearest);
+    from.erase(nearest);
+  };
+  while (!free.empty()) {
+    const auto poor = std::min_element(by_model.begin(), by_model.end(), poorer);
+    move(free, poor->first, poor->second);
   }
   while (true) {
     const auto poor = std::min_element(by_model.begin(), by_model.end(), poorer);
     const auto rich = std::max_element(by_model.begin(), by_model.end(), poorer);
     if (surplus(*rich) < 1 || surplus(*poor) > -1) return;
-    EngineLoadState* moved = rich->second.back();
-    rich->second.pop_back();
-    moved->assigned = poor->first;
-    poor->second.push_back(moved);
+    move(rich->second, poor->first, poor->second);
   }
 }
 
@@ -279,12 +283,13 @@
 }
 
 void LoadScheduler::StartLoads() {
-  if (group_ == nullptr || !caught_up_ || environment_.Now() < orders_from_) return;
+  if (group_ == nullptr || !caught_up_) return;
   const TimePoint now = environment_.Now();
   std::vector<InstanceId> behind;
   for (const auto& [instance, engine] : engines_) {
     if (engine.loading || exchanges_.contains(instance) || now < engine.ask_again_at) continue;
-    if (directory_.Ejected(instance) || !Wanted(instance)) continue;
+    if (directory_.Ejected(instance) || !leases_.MayOrder(instance)) continue;
+    if (!Wanted(instance)) continue;
     behind.push_back(instance);
   }
   // The oldest first; of these, those with the least work: the rest finish what they run meanwhile.
@@ -359,13 +364,14 @@
 
 void LoadScheduler::Order(const InstanceId& instance, const NamedVersion& wanted, uint64_t orders) {
   const TimePoint now = environment_.Now();
-  if (group_ == nullptr || !caught_up_ || now < orders_from_) return;
+  if (group_ == nullptr || !caught_up_ || !leases_.MayOrder(instance)) return;
   EngineLoadState& engine = engines_.at(instance);
   // New items are kept away while the order is under way.
   engine.loading = wanted;
   engine.loading_since = now;
   engine.ask_again_at = now + load_time_;
-  const JobCommand announcement{AnnounceOrder{self_}, environment_.WallNow()};
+  const AnnounceOrder announced{self_, instance, group_->CurrentTerm(), now.time_since_epoch()};
+  const JobCommand announcement{announced, environment_.WallNow()};
   group_->Propose(EncodeJobCommand(announcement),
                   alive_.Guard([this, instance, wanted, orders,
                                 now](const absl::StatusOr<std::string>& committed) {
@@ -382,7 +388,7 @@
   if (found == engines_.end()) return;
   // By now every earlier announcement is applied here.
   const TimePoint now = environment_.Now();
-  const bool in_time = now - announced_at <= kAnnouncedFor && now >= orders_from_;
+  const bool in_time = now - announced_at <= kAnnouncedFor && leases_.MayOrder(instance);
   if (!in_time || group_ == nullptr || !group_->IsLeader() || target == nullptr) {
     found->second.loading.reset();
     return;
@@ -434,11 +440,15 @@
   if (on_ready_) on_ready_();
 }
 
+WeightVersion EngineLoadState::HeldVersion(const ModelName& model) const {
+  const auto held = versions.find(model);
+  return held == versions.end() ? WeightVersion() : held->second;
+}
+
 WeightVersion LoadScheduler::VersionOf(const InstanceId& instance, const ModelName& model) const {
   const auto engine = engines_.find(instance);
   if (engine == engines_.end()) return WeightVersion();
-  const auto held = engine->second.versions.find(model);
-  return held == engine->second.versions.end() ? WeightVersion() : held->second;
+  return engine->second.HeldVersion(model);
 }
 
 bool LoadScheduler::Loading(const InstanceId& instance, const ModelName& model) const {
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -1,9 +1,8 @@
 /// Brings engines to the newest named version of their model, a few at a time. Runs on the leader
 /// of a job group alone, which is the one holder of orders: it announces each order in the group's
-/// log before it gives it, and a new leader waits until the lease of the last holder is over,
-/// counted from when it applied the last announcement. Nothing is announced before everything that
-/// earlier leaders committed is applied, so the last announcement alone says who may still hold the
-/// lease.
+/// log before it gives it, and a new leader leaves each engine alone until the lease of its last
+/// holder is over. Nothing is announced before everything that earlier leaders committed is applied,
+/// so the last announcement for an engine alone says who may still hold its lease.
 #pragma once
 
 #include <functional>
@@ -20,13 +19,14 @@
 #include "ingress/backend_directory.h"
 #include "ingress/backend_protocol.h"
 #include "ingress/route_table.h"
+#include "jobs/order_leases.h"
 
 namespace millstair {
 
 struct LoadOptions {
   /// Engines that load at once, over all models; 0 is a fifth of them, and two at least.
   uint32_t concurrent_loads = 0;
-  /// No order within this time of another holder's.
+  /// No order to an engine within this time of another holder's.
   Duration holder_lease = std::chrono::seconds(3);
 };
 
@@ -47,6 +47,9 @@
   std::optional<NamedVersion> loading;
   TimePoint loading_since;
   TimePoint ask_again_at;
+
+  /// 0 is unknown.
+  WeightVersion HeldVersion(const ModelName& model) const;
 };
 
 /// Lives on the node's serial executor.
@@ -58,8 +61,8 @@
 
   /// Orders are given from now on, under `group`'s leadership; null ends it.
   void SetLeading(RaftGroup* group);
-  /// An announcement of `holder` was applied here, or may have been.
-  void NoteAnnouncement(const NodeId& holder);
+  /// An announcement was applied here, in the order of the log.
+  void NoteAnnouncement(const AnnounceOrder& announcement) { leases_.NoteAnnouncement(announcement); }
   void Update(const Configuration& configuration, const RouteTable* routes);
   /// A job of `model` came; `work` is in tokens that come out.
   void NoteJob(const ModelName& model, double work, WeightVersion min_version);
@@ -75,12 +78,15 @@
 
  private:
   class Exchange;
+  using EngineGroup = std::vector<EngineLoadState*>;
 
   void CatchUp();
   void Tick();
   void LearnEngines();
   uint64_t VersionsBehind(const InstanceId& instance) const;
   void Assign();
+  /// The one that holds the newest weights of `model`; `engines` is not empty.
+  static EngineGroup::iterator NewestOf(EngineGroup& engines, const ModelName& model);
   /// Engines that each trained model is to have, by its share of the work.
   std::map<ModelName, size_t> WantedCounts() const;
   uint32_t LoadsUnderWay() const;
@@ -109,7 +115,7 @@
   const NodeId self_;
   const LoadOptions options_;
   RaftGroup* group_ = nullptr;
-  TimePoint orders_from_;
+  OrderLeases leases_;
   /// Everything that earlier leaders committed is applied here.
   bool caught_up_ = false;
   /// How long loads take, by the shortest seen lately.
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -93,16 +93,20 @@
     auto machine = std::make_unique<JobStateMachine>(options_.jobs);
     state_ = machine.get();
     machine->OnChange([this](JobChange change, const JobId& job) {
-      const bool announced = change == JobChange::kOrder || change == JobChange::kRestored;
-      if (announced && !state_->order_holder().value().empty()) {
-        loads_.NoteAnnouncement(state_->order_holder());
-      }
+      if (change == JobChange::kOrder) loads_.NoteAnnouncement(state_->announcements().back());
+      if (change == JobChange::kRestored) NoteAnnouncements();
       service_.NoteChange(job);
       if (scheduler_ != nullptr) scheduler_->NoteChange(change, job);
     });
     return machine;
   }
 
+  void NoteAnnouncements() {
+    for (const AnnounceOrder& announced : state_->announcements()) {
+      loads_.NoteAnnouncement(announced);
+    }
+  }
+
   std::vector<NodeId> ControlNodes() const {
     std::vector<NodeId> nodes;
     for (const auto& [node, record] : configuration().nodes) {
--- a/test/jobs/job_state_machine_test.cc
+++ b/test/jobs/job_state_machine_test.cc
@@ -83,6 +83,20 @@
   CHECK(machine.machine.Find(JobId("open")) != nullptr);
 }
 
+TEST_CASE("Of each engine the latest announcement is kept, in the order of the log") {
+  Machine machine;
+  const AnnounceOrder first{NodeId("n1"), InstanceId("a"), Term(2), seconds(1)};
+  const AnnounceOrder second{NodeId("n1"), InstanceId("b"), Term(2), seconds(3)};
+  const AnnounceOrder third{NodeId("n2"), InstanceId("a"), Term(4), seconds(2)};
+  machine.Run(first);
+  machine.Run(second);
+  machine.Run(third);
+  CHECK(machine.machine.announcements() == std::vector{second, third});
+  Machine restored;
+  REQUIRE(restored.machine.Restore(LogIndex(3), machine.machine.TakeSnapshot()).ok());
+  CHECK(restored.machine.announcements() == std::vector{second, third});
+}
+
 TEST_CASE("Malformed commands are refused and change nothing") {
   Machine machine;
   machine.Run(SubmitJob{Job("a", 1)});
@@ -108,6 +122,9 @@
       JobOperation operation = SubmitJob{Job(id, 4)};
       if (steps[i] % 4 == 1) operation = ListResult{JobId(id), Result(steps[i] % 5U, id)};
       if (steps[i] % 4 == 2) operation = EndJob{JobId(id)};
+      if (steps[i] % 4 == 3) {
+        operation = AnnounceOrder{NodeId("n"), InstanceId(id), Term(i), seconds(i)};
+      }
       const seconds at(static_cast<int>(i) * 20);
       const auto expected = whole.Run(operation, at);
       if (i >= cut) RC_ASSERT(restored.Run(operation, at) == expected);
--- a/test/jobs/load_scheduler_test.cc
+++ b/test/jobs/load_scheduler_test.cc
@@ -32,7 +32,7 @@
  public:
   explicit Fixture(int engines, LoadOptions options = {}) : loads_options(options) {
     state.OnChange([this](JobChange change, const JobId&) {
-      if (change == JobChange::kOrder) loads.NoteAnnouncement(state.order_holder());
+      if (change == JobChange::kOrder) loads.NoteAnnouncement(state.announcements().back());
     });
     routes.services.push_back(
         {ServiceName("engines"), "", 0, EngineProfile{2, 1, {ModelName("m")}}});
@@ -56,8 +56,10 @@
 
   void Lead() { loads.SetLeading(&group); }
 
-  void Announce(const std::string& holder) {
-    state.Apply(LogIndex(1), EncodeJobCommand({AnnounceOrder{NodeId(holder)}, {}}));
+  /// `holder` announced an order to engine e0, or another, at `at` of its own clock.
+  void Announce(const std::string& holder, const std::string& engine = "e0:1", Duration at = {}) {
+    const AnnounceOrder announced{NodeId(holder), InstanceId(engine), Term(2), at};
+    state.Apply(LogIndex(1), EncodeJobCommand({announced, {}}));
   }
 
   size_t Holding(uint64_t version) const {
@@ -185,6 +187,78 @@
   CHECK(fixture.Orders() == 1);
 }
 
+TEST_CASE("A new leader waits for the lease of the engine's own holder alone") {
+  LoadOptions options;
+  options.holder_lease = seconds(3);
+  Fixture fixture(2, options);
+  fixture.scheduler.RunFor(seconds(10));
+  fixture.Announce("other", "e1:1");
+  fixture.Lead();
+  fixture.Name(2);
+  fixture.scheduler.RunFor(seconds(8));
+  const Engine& free = fixture.engines.at("e0:1");
+  const Engine& held = fixture.engines.at("e1:1");
+  REQUIRE(free.ordered_at.size() == 1);
+  CHECK(free.ordered_at[0] < milliseconds(10500));
+  REQUIRE(held.ordered_at.size() == 1);
+  CHECK(held.ordered_at[0] >= seconds(13));
+}
+
+TEST_CASE("An old log that is applied at once tells how long ago its orders were announced") {
+  LoadOptions options;
+  options.holder_lease = seconds(3);
+  Fixture fixture(3, options);
+  fixture.scheduler.RunFor(seconds(10));
+  fixture.Announce("other", "e0:1", seconds(100));
+  fixture.Announce("other", "e1:1", seconds(102));
+  fixture.Announce("other", "e2:1", seconds(105));
+  fixture.Lead();
+  fixture.Name(2);
+  fixture.scheduler.RunFor(seconds(10));
+  REQUIRE(fixture.engines.at("e0:1").ordered_at.size() == 1);
+  CHECK(fixture.engines.at("e0:1").ordered_at[0] < milliseconds(10500));
+  // Its lease of 3.65 s had run for 3 s when the last order was announced.
+  REQUIRE(fixture.engines.at("e1:1").ordered_at.size() == 1);
+  CHECK(fixture.engines.at("e1:1").ordered_at[0] >= milliseconds(10650));
+  CHECK(fixture.engines.at("e1:1").ordered_at[0] < seconds(12));
+  REQUIRE(fixture.engines.at("e2:1").ordered_at.size() == 1);
+  CHECK(fixture.engines.at("e2:1").ordered_at[0] >= milliseconds(13650));
+}
+
+TEST_CASE("Clocks of different terms are not compared") {
+  VirtualScheduler scheduler{1};
+  VirtualEnvironment environment{scheduler, 1};
+  OrderLeases leases(environment, NodeId("self"), seconds(3));
+  leases.NoteAnnouncement({NodeId("other"), InstanceId("e0"), Term(2), seconds(1)});
+  leases.NoteAnnouncement({NodeId("other"), InstanceId("e1"), Term(3), seconds(90)});
+  leases.NoteAnnouncement({NodeId("third"), InstanceId("e2"), Term(3), seconds(900)});
+  CHECK_FALSE(leases.MayOrder(InstanceId("e0")));
+  CHECK_FALSE(leases.MayOrder(InstanceId("e1")));
+  CHECK(leases.MayOrder(InstanceId("e3")));
+  scheduler.RunFor(milliseconds(2999));
+  CHECK_FALSE(leases.MayOrder(InstanceId("e0")));
+  scheduler.RunFor(milliseconds(2));
+  CHECK(leases.MayOrder(InstanceId("e0")));
+}
+
+TEST_CASE("A new leader leaves engines the models whose weights they hold") {
+  Fixture fixture(6);
+  for (const char* address : {"e0:1", "e2:1", "e5:1"}) {
+    auto& models = fixture.configuration.instances[InstanceId(address)].models;
+    models = {{ModelName("m"), WeightVersion(1)}, {ModelName("n"), WeightVersion(4)}};
+  }
+  for (const char* address : {"e1:1", "e3:1", "e4:1"}) {
+    auto& models = fixture.configuration.instances[InstanceId(address)].models;
+    models = {{ModelName("m"), WeightVersion(4)}, {ModelName("n"), WeightVersion(1)}};
+  }
+  fixture.routes.services[0].engine->models = {ModelName("m"), ModelName("n")};
+  fixture.Name(4);
+  fixture.Name(4, "n");
+  fixture.Lead();
+  fixture.scheduler.RunFor(seconds(5));
+  CHECK(fixture.Orders() == 0);
+}
+
 TEST_CASE("No order is given without a quorum, or long after its announcement") {
   Fixture cut_off(2);
   cut_off.Lead();
