Trial: run the control nodes on the storage machines

Change: both roles on a storage machine, as processes of their own; peer.seeds_port tells a storage node where control nodes listen. Ruled out: one process with both roles, which would have to share a group host and tell commands of two groups apart. Not done yet: emptying a machine has to wait for its control replica too.

--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -1,8 +1,8 @@
 /// Brings engines to the newest named version of their model, a few at a time. Runs on the leader
 /// of a job group alone, which is the one holder of orders: it announces each order in the group's
 /// log before it gives it, and a new leader leaves each engine alone until the lease of its last
-/// holder is over. Nothing is announced before everything that earlier leaders committed is applied,
-/// so the last announcement for an engine alone says who may still hold its lease.
+/// holder is over. Nothing is announced before everything that earlier leaders committed is
+/// applied, so the last announcement for an engine alone says who may still hold its lease.
 #pragma once
 
 #include <functional>
@@ -62,7 +62,9 @@
   /// Orders are given from now on, under `group`'s leadership; null ends it.
   void SetLeading(RaftGroup* group);
   /// An announcement was applied here, in the order of the log.
-  void NoteAnnouncement(const AnnounceOrder& announcement) { leases_.NoteAnnouncement(announcement); }
+  void NoteAnnouncement(const AnnounceOrder& announcement) {
+    leases_.NoteAnnouncement(announcement);
+  }
   void Update(const Configuration& configuration, const RouteTable* routes);
   /// A job of `model` came; `work` is in tokens that come out.
   void NoteJob(const ModelName& model, double work, WeightVersion min_version);
--- a/source/settings/settings.cc
+++ b/source/settings/settings.cc
@@ -163,9 +163,11 @@
     if (raw.list.empty()) findings_.Add(raw.place, "no seed is listed");
   }
 
-  /// Ports are the same on all nodes, so that a seed's peer listener is known.
+  /// Ports are the same on all control nodes, so that a seed's peer listener is known.
   void UseSeeds() {
-    const std::string port = settings_.peer_listen.substr(settings_.peer_listen.rfind(':') + 1);
+    const std::string own_port = settings_.peer_listen.substr(settings_.peer_listen.rfind(':') + 1);
+    const std::string port =
+        settings_.seeds_port == 0 ? own_port : std::to_string(settings_.seeds_port);
     for (const std::string& seed : settings_.seeds) {
       const std::string ip = seed.substr(0, seed.rfind(':'));
       settings_.control_nodes.push_back({ip, ip + ":" + port, ""});
--- a/source/settings/settings.h
+++ b/source/settings/settings.h
@@ -82,8 +82,10 @@
   /// Names of the founding members of the cluster group; all control nodes unless set.
   std::vector<std::string> founders;
   /// Addresses of control nodes, if `control_nodes` are not listed: each is named by its IP number
-  /// and has its peer listener at the port of this node's.
+  /// and has its peer listener at `seeds_port`.
   std::vector<std::string> seeds;
+  /// 0 is the port of this node's peer listener.
+  uint64_t seeds_port = 0;
   /// "true" on the first start of the whole cluster: the seeds found it.
   std::string bootstrap = "true";
   /// What is spoken at `service_listen`: "none" or the adapter's name.
--- a/source/settings/settings_schema.cc
+++ b/source/settings/settings_schema.cc
@@ -103,6 +103,8 @@
   return entry;
 }
 
+constexpr uint64_t kMostPort = 65535;
+
 std::vector<SettingKey> MakeKeys() {
   using Kind = SettingKind;
   using S = ServerSettings;
@@ -129,8 +131,10 @@
                     "required")),
       List("seeds", Kind::kAddresses,
            "Addresses of control nodes, instead of control_nodes: each is named by its IP number, "
-           "and its peer listener has the port of this node's.",
+           "and its peer listener is at peer.seeds_port.",
            "none"),
+      Number("peer.seeds_port", &S::seeds_port, 0, kMostPort,
+             "Port of the seeds' peer listeners; 0 is the port of this node's."),
       Flag("bootstrap", &S::bootstrap,
            "True on the first start of the whole cluster only: the control nodes listed found it.",
            "true"),
