Empty a machine of its control replica too

Cause: a control node now shares its machine with a storage node, and the platform takes an emptied machine away with its disks: right after it, the loss of another would have been the second loss of a voter. The leader of the cluster group puts another voter in the place of a retired one, removes it and commits that it is gone, behind the removal in the same log. A machine counts as emptied once all of its nodes are. The leader of a job group speaks for storage nodes alone.

--- a/source/cluster/configuration_editor.cc
+++ b/source/cluster/configuration_editor.cc
@@ -271,8 +271,10 @@
 ClusterResult ConfigurationEditor::Run(const RetireNode& retire) {
   const NodeId& name = retire.retired.node;
   const auto node = configuration_.nodes.find(name);
-  if (node == configuration_.nodes.end() || !node->second.storage) {
-    return Refuse(ClusterResultCode::kNotFound, "no such storage node");
+  const bool holds_replicas =
+      node != configuration_.nodes.end() && (node->second.storage || node->second.control);
+  if (!holds_replicas) {
+    return Refuse(ClusterResultCode::kNotFound, "no such node with replicas");
   }
   const auto [known, added] = configuration_.retired_nodes.try_emplace(name, retire.retired);
   const bool emptied_now = retire.retired.emptied && !known->second.emptied;
--- a/source/cluster/control_node.cc
+++ b/source/cluster/control_node.cc
@@ -8,11 +8,13 @@
 #include "cluster/command_service.h"
 #include "cluster/control_client.h"
 #include "cluster/heartbeat_service.h"
+#include "cluster/machine_retirement.h"
 #include "cluster/membership_manager.h"
 #include "cluster/operators_api.h"
 #include "cluster/push_service.h"
 #include "cluster/replica_manager.h"
 #include "cluster/stream_host.h"
+#include "common/alive_flag.h"
 #include "common/event_log.h"
 
 namespace millstair {
@@ -104,20 +106,16 @@
     Submit(UpdateInstance{instance}, std::move(done));
   }
 
-  void RetireStorage(const NodeId& node,
+  void RetireMachine(const std::string& machine,
                      std::function<void(absl::StatusOr<ClusterResult>)> done) override {
-    const Configuration& held = configuration();
-    if (held.retired_nodes.contains(node)) return done(ClusterResult());
-    size_t left = 0;
-    for (const auto& [other, record] : held.nodes) {
-      const bool stays = record.storage && record.state == MemberState::kLive && other != node &&
-                         !held.retired_nodes.contains(other);
-      left += stays ? 1 : 0;
-    }
-    if (left >= options_.storage_voters) return Submit(RetireNode{{node, false}}, std::move(done));
+    const size_t voters = options_.voters != 0 ? options_.voters : options_.founders.size();
+    const absl::Status retirable =
+        CheckRetirable(configuration(), machine, {voters, options_.storage_voters});
+    if (retirable.ok()) return RetireAll(ReplicaNodesOf(configuration(), machine), std::move(done));
     ClusterResult refused;
-    refused.code = ClusterResultCode::kConflict;
-    refused.message = "too few storage nodes would be left";
+    refused.code =
+        absl::IsNotFound(retirable) ? ClusterResultCode::kNotFound : ClusterResultCode::kConflict;
+    refused.message = std::string(retirable.message());
     done(refused);
   }
 
@@ -156,6 +154,20 @@
   }
 
  private:
+  /// Retires the last of `nodes`, then the others; to retire a node again changes nothing.
+  void RetireAll(std::vector<NodeId> nodes,
+                 std::function<void(absl::StatusOr<ClusterResult>)> done) {
+    if (nodes.empty()) return done(ClusterResult());
+    const NodeId node = nodes.back();
+    nodes.pop_back();
+    Submit(RetireNode{{node, false}},
+           alive_.Guard([this, nodes = std::move(nodes),
+                         done = std::move(done)](const absl::StatusOr<ClusterResult>& result) {
+             if (!result.ok() || result->code != ClusterResultCode::kOk) return done(result);
+             RetireAll(nodes, done);
+           }));
+  }
+
   std::unique_ptr<StateMachine> MakeStateMachine(const GroupId& group) {
     if (group != kClusterGroup) return streams_.MakeStateMachine(group);
     ClusterLimits limits;
@@ -262,6 +274,7 @@
   TimePoint drain_until_;
   ScopedTimer duty_timer_;
   ScopedTimer drain_timer_;
+  AliveFlag alive_;
 };
 
 }  // namespace
--- a/source/cluster/control_node.h
+++ b/source/cluster/control_node.h
@@ -72,7 +72,7 @@
   bool founding = true;
   /// Voters of the cluster group; 0 is as many as there are founders.
   size_t voters = 0;
-  /// Storage nodes that have to be left when one is emptied.
+  /// Storage nodes that have to be left when a machine is emptied.
   size_t storage_voters = 3;
   ConsensusTiming consensus_timing;
   ConsensusLimits consensus_limits;
@@ -106,8 +106,9 @@
   /// acknowledged at once.
   virtual void ReportInstance(const BackendInstance& instance,
                               std::function<void(absl::StatusOr<ClusterResult>)> done) = 0;
-  /// Asks for a storage node to be emptied; a conflict if too few would be left.
-  virtual void RetireStorage(const NodeId& node,
+  /// Asks for a machine with a storage node to be emptied of all replicas; a conflict if too few
+  /// would be left. How far it is follows from `configuration()`, see machine_retirement.h.
+  virtual void RetireMachine(const std::string& machine,
                              std::function<void(absl::StatusOr<ClusterResult>)> done) = 0;
   /// `done` once `configuration()` holds everything committed before the call.
   virtual void ConfirmRead(std::function<void(absl::Status)> done) = 0;
--- a/source/cluster/replica_manager.cc
+++ b/source/cluster/replica_manager.cc
@@ -50,6 +50,8 @@
   const auto members = group.Members();
   if (PromoteWhereShort(group, members)) return;
   if (RemoveLost(group, members)) return;
+  if (RemoveRetired(group, members)) return;
+  ReportEmptied(members);
   AddStranger(group, members);
 }
 
@@ -70,12 +72,13 @@
 bool ReplicaManager::PromoteWhereShort(RaftGroup& group, const std::vector<GroupMember>& members) {
   size_t sound_voters = 0;
   for (const GroupMember& member : members) {
-    if (member.voter && !IsLost(member, members)) ++sound_voters;
+    const bool stays = !IsLost(member, members) && !IsRetired(member.node);
+    if (member.voter && stays) ++sound_voters;
   }
   if (sound_voters >= target_voters_) return false;
   const TimePoint since = environment_.Now() - node_lease_;
   for (const GroupMember& member : members) {
-    if (member.voter || IsLost(member, members)) continue;
+    if (member.voter || IsLost(member, members) || IsRetired(member.node)) continue;
     const HeardNode* heard = nodes_.FindSince(member.node, since);
     if (heard == nullptr || heard->latest.replica != member.replica) continue;
     if (heard->latest.record.state != MemberState::kLive) continue;
@@ -86,8 +89,7 @@
 }
 
 bool ReplicaManager::RemoveLost(RaftGroup& group, const std::vector<GroupMember>& members) {
-  size_t voters = 0;
-  for (const GroupMember& member : members) voters += member.voter ? 1 : 0;
+  const size_t voters = CountVoters(members);
   for (const GroupMember& member : members) {
     if (!IsLost(member, members)) continue;
     // A lost voter stays until another has taken its place: the quorum must not shrink.
@@ -101,13 +103,56 @@
   return false;
 }
 
+bool ReplicaManager::IsRetired(const NodeId& node) const {
+  return cluster_.configuration().retired_nodes.contains(node);
+}
+
+size_t ReplicaManager::CountVoters(const std::vector<GroupMember>& members) const {
+  return static_cast<size_t>(std::count_if(members.begin(), members.end(),
+                                           [](const GroupMember& member) { return member.voter; }));
+}
+
+bool ReplicaManager::RemoveRetired(RaftGroup& group, const std::vector<GroupMember>& members) {
+  for (const GroupMember& member : members) {
+    if (!IsRetired(member.node)) continue;
+    // A voter stays until another has taken its place: the quorum must not shrink.
+    if (member.voter && CountVoters(members) <= target_voters_) continue;
+    if (member.node != self_) {
+      Remove(group, member);
+      return true;
+    }
+    const GroupId id = group.id();
+    busy_.insert(id);
+    group.TransferLeadership(alive_.Guard([this, id](const absl::Status&) { busy_.erase(id); }));
+    return true;
+  }
+  return false;
+}
+
+void ReplicaManager::ReportEmptied(const std::vector<GroupMember>& members) {
+  const Configuration& configuration = cluster_.configuration();
+  for (const auto& [node, retired] : configuration.retired_nodes) {
+    const auto record = configuration.nodes.find(node);
+    const bool controls = record != configuration.nodes.end() && record->second.control;
+    if (!controls || retired.emptied || reporting_emptied_) continue;
+    const bool holds =
+        std::any_of(members.begin(), members.end(),
+                    [&node = node](const GroupMember& member) { return member.node == node; });
+    if (holds) continue;
+    reporting_emptied_ = true;
+    cluster_.Propose(
+        {RetireNode{{node, true}}, std::nullopt, {}},
+        alive_.Guard([this](const absl::StatusOr<ClusterResult>&) { reporting_emptied_ = false; }));
+  }
+}
+
 bool ReplicaManager::AddStranger(RaftGroup& group, const std::vector<GroupMember>& members) {
   const TimePoint since = environment_.Now() - node_lease_;
   for (const auto& [node, heard] : nodes_.nodes()) {
     const ForwardedNode& latest = heard.latest;
     if (heard.heard < since || latest.replica == ReplicaId() || !latest.record.control) continue;
     if (latest.record.state != MemberState::kLive) continue;
-    if (FindReplica(members, latest.replica) != nullptr) continue;
+    if (FindReplica(members, latest.replica) != nullptr || IsRetired(node)) continue;
     Add(group, {latest.replica, node, latest.record.address, false});
     return true;
   }
--- a/source/cluster/replica_manager.h
+++ b/source/cluster/replica_manager.h
@@ -1,6 +1,6 @@
 /// Keeps every group at its full number of voters. On the leader of a group: strangers with a disk
-/// join as learners, warm learners take the place of lost voters, lost replicas are removed. The
-/// members of stream groups follow those of the cluster group.
+/// join as learners, warm learners take the place of lost and retired voters, whose replicas are
+/// removed then. The members of stream groups follow those of the cluster group.
 #pragma once
 
 #include <map>
@@ -30,6 +30,12 @@
   bool AddStranger(RaftGroup& group, const std::vector<GroupMember>& members);
   bool PromoteWhereShort(RaftGroup& group, const std::vector<GroupMember>& members);
   bool RemoveLost(RaftGroup& group, const std::vector<GroupMember>& members);
+  bool RemoveRetired(RaftGroup& group, const std::vector<GroupMember>& members);
+  /// Commits that a retired control node holds no replica of the cluster group any more. The entry
+  /// stands behind that of the removal, so that the one is not committed without the other.
+  void ReportEmptied(const std::vector<GroupMember>& members);
+  bool IsRetired(const NodeId& node) const;
+  size_t CountVoters(const std::vector<GroupMember>& members) const;
   bool IsLost(const GroupMember& member, const std::vector<GroupMember>& members) const;
 
   void Add(RaftGroup& group, GroupMember member);
@@ -49,6 +55,7 @@
   bool led_ = false;
   /// Groups with a membership change under way.
   std::set<GroupId> busy_;
+  bool reporting_emptied_ = false;
   ScopedTimer timer_;
   AliveFlag alive_;
 };
--- a/source/jobs/job_codec.cc
+++ b/source/jobs/job_codec.cc
@@ -330,8 +330,7 @@
   JobSnapshot snapshot;
   snapshot.clock = FromMilliseconds(wire.clock_milliseconds);
   const bool sound =
-      wire.format == kSnapshotFormat &&
-      FromWireArray(wire.jobs, wire.jobs_count, snapshot.jobs) &&
+      wire.format == kSnapshotFormat && FromWireArray(wire.jobs, wire.jobs_count, snapshot.jobs) &&
       FromWireArray(wire.announcements, wire.announcements_count, snapshot.announcements);
   if (!sound) {
     return absl::DataLossError("the snapshot of a job group does not decode");
--- a/source/jobs/job_replica_manager.cc
+++ b/source/jobs/job_replica_manager.cc
@@ -120,7 +120,9 @@
 
 void JobReplicaManager::ReportRetired(const std::vector<GroupMember>& members) {
   for (const auto& [node, retired] : configuration_.retired_nodes) {
-    if (retired.emptied) continue;
+    const auto record = configuration_.nodes.find(node);
+    const bool stores = record != configuration_.nodes.end() && record->second.storage;
+    if (retired.emptied || !stores) continue;
     const bool holds =
         std::any_of(members.begin(), members.end(),
                     [&node = node](const GroupMember& member) { return member.node == node; });
--- a/test/cluster/cluster_fleet.cc
+++ b/test/cluster/cluster_fleet.cc
@@ -146,6 +146,7 @@
 ControlNodeOptions ClusterFleet::ControlOptions(const NodeRecord& self) const {
   ControlNodeOptions options;
   options.self = self;
+  options.storage_voters = 0;
   options.cluster_id = kCluster;
   options.control_nodes = Endpoints();
   for (int i = 1; i <= 3; ++i) {
--- a/test/cluster/control_node_test.cc
+++ b/test/cluster/control_node_test.cc
@@ -267,6 +267,39 @@
                        seconds(8)));
 }
 
+TEST_CASE(
+    "a control node on a machine that is emptied is replaced first, then said to be emptied") {
+  ClusterFleet fleet({.control_nodes = 4});
+  const std::string leader = fleet.AwaitLeader();
+  fleet.RunFor(seconds(3));
+  const std::string retired = GENERATE(true, false) ? leader : leader == "c1" ? "c2" : "c1";
+  const auto propose = [&](ClusterOperation operation) {
+    fleet.Process(fleet.AwaitLeader()).control->Submit(std::move(operation), [](const auto&) {});
+  };
+  const auto held = [&]() -> const Configuration& {
+    return fleet.Process(fleet.AwaitLeader()).control->configuration();
+  };
+  propose(RetireNode{{NodeId(retired), false}});
+  fleet.RunFor(seconds(5));
+  // Nobody can take its place yet.
+  REQUIRE(held().retired_nodes.contains(NodeId(retired)));
+  CHECK_FALSE(held().retired_nodes.at(NodeId(retired)).emptied);
+  CHECK(Voters(fleet) == 3);
+  fleet.Start("c4");
+  REQUIRE(fleet.RunUntil([&] { return held().retired_nodes.at(NodeId(retired)).emptied; },
+                         seconds(10)));
+  // The machine goes with its disk, and right after it another one is lost.
+  fleet.Crash(retired);
+  fleet.LoseDisk(retired);
+  const auto members = ClusterMembers(fleet);
+  CHECK(MemberOn(members, retired) == nullptr);
+  CHECK(Voters(fleet) == 3);
+  fleet.Crash(fleet.AwaitLeader());
+  const Revision revision = fleet.PutMachine("m1");
+  CHECK(fleet.RunUntil([&] { return Holds(fleet, "g1", revision) && Holds(fleet, "g2", revision); },
+                       seconds(8)));
+}
+
 TEST_CASE("a control machine that lost its disk comes back as another replica") {
   ClusterFleet fleet({});
   const std::string leader = fleet.AwaitLeader();
--- /dev/null
+++ b/test/cluster/machine_retirement_test.cc
@@ -0,0 +1,65 @@
+#include "cluster/machine_retirement.h"
+
+#include <catch2/catch.hpp>
+
+namespace millstair {
+namespace {
+
+constexpr LeastReplicaNodes kThreeEach{3, 3};
+
+/// Machines m1.. with a control node and a storage node each.
+Configuration Machines(int count) {
+  Configuration configuration;
+  for (int i = 1; i <= count; ++i) {
+    const std::string machine = "m" + std::to_string(i);
+    NodeRecord control;
+    control.node = NodeId(machine);
+    control.machine = machine;
+    control.control = true;
+    configuration.nodes[control.node] = control;
+    NodeRecord storage;
+    storage.node = NodeId(machine + "-storage");
+    storage.machine = machine;
+    storage.storage = true;
+    configuration.nodes[storage.node] = storage;
+  }
+  return configuration;
+}
+
+TEST_CASE("a machine may be emptied while enough nodes of each kind are left") {
+  CHECK(absl::IsFailedPrecondition(CheckRetirable(Machines(3), "m1", kThreeEach)));
+  CHECK(CheckRetirable(Machines(4), "m1", kThreeEach).ok());
+  CHECK(absl::IsNotFound(CheckRetirable(Machines(4), "m9", kThreeEach)));
+  Configuration one_silent = Machines(4);
+  one_silent.nodes[NodeId("m2")].state = MemberState::kGone;
+  CHECK(absl::IsFailedPrecondition(CheckRetirable(one_silent, "m1", kThreeEach)));
+}
+
+TEST_CASE("a machine without storage is not one that is emptied") {
+  Configuration configuration = Machines(4);
+  configuration.nodes.erase(NodeId("m1-storage"));
+  CHECK(absl::IsNotFound(CheckRetirable(configuration, "m1", kThreeEach)));
+}
+
+TEST_CASE("to ask again for a machine that is being emptied is no conflict") {
+  Configuration configuration = Machines(4);
+  configuration.retired_nodes[NodeId("m1")] = {NodeId("m1"), false};
+  configuration.retired_nodes[NodeId("m1-storage")] = {NodeId("m1-storage"), false};
+  CHECK(CheckRetirable(configuration, "m1", kThreeEach).ok());
+  CHECK(absl::IsFailedPrecondition(CheckRetirable(configuration, "m2", kThreeEach)));
+}
+
+TEST_CASE("a machine is emptied once all of its nodes are") {
+  Configuration configuration = Machines(4);
+  CHECK_FALSE(IsMachineEmptied(configuration, "m1").has_value());
+  configuration.retired_nodes[NodeId("m1-storage")] = {NodeId("m1-storage"), true};
+  CHECK_FALSE(IsMachineEmptied(configuration, "m1").has_value());
+  configuration.retired_nodes[NodeId("m1")] = {NodeId("m1"), false};
+  CHECK(IsMachineEmptied(configuration, "m1") == false);
+  configuration.retired_nodes[NodeId("m1")].emptied = true;
+  CHECK(IsMachineEmptied(configuration, "m1") == true);
+  CHECK_FALSE(IsMachineEmptied(configuration, "m9").has_value());
+}
+
+}  // namespace
+}  // namespace millstair
--- a/test/cluster/registration_test.cc
+++ b/test/cluster/registration_test.cc
@@ -108,7 +108,7 @@
   CHECK(driver.state.configuration().job_groups.at(GroupId("jobs/0")) == first);
 }
 
-TEST_CASE("only storage nodes are retired, and stay so") {
+TEST_CASE("only nodes that may hold replicas are retired, and stay so") {
   StateMachineDriver driver;
   CHECK(driver.Apply(RetireNode{{NodeId("a"), false}}).code == ClusterResultCode::kNotFound);
   NodeRecord record;
@@ -121,6 +121,12 @@
   CHECK(driver.Apply(RetireNode{{NodeId("a"), true}}).code == ClusterResultCode::kOk);
   CHECK(driver.Apply(RetireNode{{NodeId("a"), false}}).code == ClusterResultCode::kOk);
   CHECK(driver.state.configuration().retired_nodes.at(NodeId("a")).emptied);
+  record.node = NodeId("gateway");
+  record.storage = false;
+  record.gateway = true;
+  update.nodes = {record};
+  driver.Apply(update);
+  CHECK(driver.Apply(RetireNode{{NodeId("gateway"), false}}).code == ClusterResultCode::kNotFound);
 }
 
 TEST_CASE("all of it reaches a node that follows by deltas, and one that starts from a snapshot") {
--- a/test/jobs/job_replica_manager_test.cc
+++ b/test/jobs/job_replica_manager_test.cc
@@ -94,6 +94,17 @@
   CHECK(fixture.emptied == std::set<NodeId>{NodeId("b")});
 }
 
+TEST_CASE("The leader of a job group says nothing of nodes that hold no replica of its kind") {
+  Fixture fixture;
+  NodeRecord control;
+  control.node = NodeId("k");
+  control.control = true;
+  fixture.configuration.nodes[control.node] = control;
+  fixture.configuration.retired_nodes[NodeId("k")] = {NodeId("k"), false};
+  fixture.Run();
+  CHECK(fixture.emptied.empty());
+}
+
 TEST_CASE("A retired leader hands over before it goes") {
   Fixture fixture;
   fixture.Join("d", ReplicaId(100));
