Keep long texts in the group's log, so that the next leader goes on after them

Found on the way, by test: a text of one version whose version no engine holds any more waited for ever, and held up its whole job. Ruled out: the election (0.3 s), want of routes (at once), loads (lanes were free meanwhile). Kept texts have a class of their own. A text that no engine can continue is begun anew, and holds up no other item.

--- a/source/jobs/item_run.cc
+++ b/source/jobs/item_run.cc
@@ -1,6 +1,5 @@
 #include "jobs/item_run.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "fmt/format.h"
@@ -55,15 +54,6 @@
   return "broken";
 }
 
-void ItemProgress::Append(const StreamEvent& event) {
-  if (events > 0) text.push_back('\n');
-  text += event.data;
-  events = event.id;
-  if (std::find(versions.begin(), versions.end(), version) == versions.end()) {
-    versions.push_back(version);
-  }
-}
-
 ItemRun::ItemRun(Environment& environment, BackendDirectory& directory,
                  const BackendProtocol& protocol, ItemProgress& progress, ItemRunOptions options,
                  Callback done)
--- a/source/jobs/item_run.h
+++ b/source/jobs/item_run.h
@@ -1,33 +1,20 @@
-/// One run of an item at one engine, and what of its text is there so far.
+/// One run of an item at one engine.
 #pragma once
 
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "common/environment.h"
 #include "common/scoped_timer.h"
 #include "ingress/backend_directory.h"
 #include "ingress/backend_protocol.h"
 #include "ingress/event_stream.h"
+#include "jobs/item_progress.h"
 #include "jobs/job_types.h"
 
 namespace millstair {
 
-/// The part of an item's text that engines have made. Events are numbered without gaps from 1.
-struct ItemProgress {
-  std::string text;
-  uint64_t events = 0;
-  /// Every version that made a part, each once.
-  std::vector<WeightVersion> versions;
-  /// Version of the latest event.
-  WeightVersion version;
-
-  void Append(const StreamEvent& event);
-  void Clear() { *this = ItemProgress(); }
-};
-
 enum class ItemRunEnd : uint8_t {
   kWhole,          ///< the stream ended as it should
   kRefused,        ///< the engine did not run it
--- a/source/jobs/job_codec.cc
+++ b/source/jobs/job_codec.cc
@@ -127,6 +127,34 @@
   return wire.has_result && FromWire(wire.result, listed.result);
 }
 
+static millstair_ProgressPart ToWire(WireArena& arena, const ProgressPart& part) {
+  millstair_ProgressPart wire = millstair_ProgressPart_init_zero;
+  wire.job = arena.NewString(part.job.value());
+  wire.item = part.item;
+  wire.after = part.after;
+  wire.events = part.grown.events;
+  wire.text = arena.NewChunkedBytes(part.grown.text, &wire.text_count);
+  wire.versions = arena.NewArray<uint64_t>(part.grown.versions.size());
+  for (const WeightVersion version : part.grown.versions) {
+    wire.versions[wire.versions_count++] = version.value();
+  }
+  wire.version = part.grown.version.value();
+  return wire;
+}
+
+static bool FromWire(const millstair_ProgressPart& wire, ProgressPart& part) {
+  part.job = JobId(ToString(wire.job));
+  part.item = wire.item;
+  part.after = wire.after;
+  part.grown.events = wire.events;
+  part.grown.text = JoinBytes(wire.text, wire.text_count);
+  for (pb_size_t i = 0; i < wire.versions_count; ++i) {
+    part.grown.versions.emplace_back(wire.versions[i]);
+  }
+  part.grown.version = WeightVersion(wire.version);
+  return part.grown.events > part.after;
+}
+
 static millstair_JobRecord ToWire(WireArena& arena, const JobRecord& record) {
   millstair_JobRecord wire = millstair_JobRecord_init_zero;
   wire.has_spec = true;
@@ -134,12 +162,19 @@
   wire.submitted_at_milliseconds = ToMilliseconds(record.submitted_at);
   wire.ended = record.ended;
   wire.results = NewWireArray<millstair_JobResult>(arena, record.results, &wire.results_count);
+  wire.progress = arena.NewArray<millstair_ProgressPart>(record.progress.size());
+  for (const auto& [item, progress] : record.progress) {
+    wire.progress[wire.progress_count++] = ToWire(arena, ProgressPart{JobId(), item, 0, progress});
+  }
   return wire;
 }
 
 static bool FromWire(const millstair_JobRecord& wire, JobRecord& record) {
   record.submitted_at = FromMilliseconds(wire.submitted_at_milliseconds);
   record.ended = wire.ended;
+  std::vector<ProgressPart> progress;
+  if (!FromWireArray(wire.progress, wire.progress_count, progress)) return false;
+  for (ProgressPart& part : progress) record.progress[part.item] = std::move(part.grown);
   return wire.has_spec && FromWire(wire.spec, record.spec) &&
          FromWireArray(wire.results, wire.results_count, record.results);
 }
@@ -193,6 +228,13 @@
     wire.which_operation = millstair_JobCommand_announce_tag;
     wire.operation.announce = ToWire(arena, announce);
   }
+
+  void operator()(const KeepProgress& keep) const {
+    wire.which_operation = millstair_JobCommand_keep_tag;
+    wire.operation.keep = millstair_KeepProgress_init_zero;
+    wire.operation.keep.parts =
+        NewWireArray<millstair_ProgressPart>(arena, keep.parts, &wire.operation.keep.parts_count);
+  }
 };
 
 bool OperationFromWire(const millstair_JobCommand& wire, JobOperation& operation) {
@@ -210,6 +252,9 @@
       return true;
     case millstair_JobCommand_announce_tag:
       return FromWire(wire.operation.announce, operation.emplace<AnnounceOrder>());
+    case millstair_JobCommand_keep_tag:
+      return FromWireArray(wire.operation.keep.parts, wire.operation.keep.parts_count,
+                           operation.emplace<KeepProgress>().parts);
     default:
       return false;
   }
--- a/source/jobs/job_codec.h
+++ b/source/jobs/job_codec.h
@@ -11,7 +11,7 @@
 
 namespace millstair {
 
-using JobOperation = std::variant<SubmitJob, ListResult, EndJob, AnnounceOrder>;
+using JobOperation = std::variant<SubmitJob, ListResult, EndJob, AnnounceOrder, KeepProgress>;
 
 struct JobCommand {
   JobOperation operation;
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -13,7 +13,9 @@
 constexpr Duration kRefusedPause = std::chrono::milliseconds(20);
 constexpr Duration kFailedPause = std::chrono::milliseconds(50);
 constexpr Duration kProposePause = std::chrono::milliseconds(50);
-constexpr size_t kMostKeptTexts = 2000;
+/// How often long texts are looked at, and how long one grows before it is kept again.
+constexpr Duration kKeepInterval = std::chrono::milliseconds(250);
+constexpr Duration kKeepAfter = std::chrono::milliseconds(750);
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kServerErrors = 500;
@@ -34,19 +36,25 @@
       options_(options),
       stats_(stats),
       pump_timer_(environment),
-      change_timer_(environment) {}
+      change_timer_(environment),
+      keep_timer_(environment) {}
 
 JobScheduler::~JobScheduler() { SetLeading(false); }
 
 void JobScheduler::SetLeading(bool leading) {
   leading_ = leading;
   changed_.clear();
-  kept_.clear();
-  kept_order_.clear();
+  kept_.Clear();
   std::vector<JobId> known;
   for (const auto& [job, work] : jobs_) known.push_back(job);
   for (const JobId& job : known) DropJob(job);
-  if (!leading_) return pump_timer_.Cancel();
+  if (!leading_) {
+    pump_timer_.Cancel();
+    keep_timer_.Cancel();
+    return;
+  }
+  LearnKeptTexts();
+  KeepProgressSoon();
   std::vector<const JobRecord*> open;
   for (const auto& [job, record] : state_.jobs()) {
     if (!record.ended) open.push_back(&record);
@@ -89,7 +97,7 @@
   const Route* route = RouteOf(record);
   if (route != nullptr) job.priority = route->priority;
   const ItemOrder order =
-      OrderItems(record.spec, [this](const ItemId& item) { return kept_.contains(item); });
+      OrderItems(record.spec, [this](const ItemId& item) { return kept_.Contains(item); });
   for (uint32_t index = 0; index < record.spec.items.size(); ++index) {
     auto work = std::make_unique<Work>();
     work->job = id;
@@ -112,24 +120,70 @@
 }
 
 void JobScheduler::UseKeptText(const JobRecord& record, Work& work) {
-  const auto kept = kept_.find(record.spec.items[work.index].id);
-  if (kept == kept_.end()) return;
-  const auto& versions = kept->second.versions;
-  const bool fits = std::all_of(
-      versions.begin(), versions.end(),
-      [&record](const WeightVersion version) { return version >= record.spec.min_version; });
-  if (fits) work.progress = std::move(kept->second);
-  kept_.erase(kept);
+  const auto own = record.progress.find(work.index);
+  if (own != record.progress.end()) {
+    work.progress = own->second;
+    work.kept_events = own->second.events;
+    work.kept_bytes = own->second.text.size();
+    return;
+  }
+  auto carried = kept_.Take(record.spec.items[work.index].id, record.spec.min_version);
+  if (carried) work.progress = *std::move(carried);
 }
 
 void JobScheduler::KeepText(const JobRecord* record, Work& work) {
   if (record == nullptr || work.index >= record->spec.items.size()) return;
-  const ItemId& item = record->spec.items[work.index].id;
-  kept_[item] = std::move(work.progress);
-  kept_order_.push_back(item);
-  while (kept_order_.size() > kMostKeptTexts) {
-    kept_.erase(kept_order_.front());
-    kept_order_.pop_front();
+  kept_.Keep(record->spec.items[work.index].id, std::move(work.progress));
+}
+
+void JobScheduler::LearnKeptTexts() {
+  for (const auto& [job, record] : state_.jobs()) {
+    if (!record.ended) continue;
+    for (const auto& [index, progress] : record.progress) {
+      kept_.Keep(record.spec.items[index].id, progress);
+    }
+  }
+}
+
+void JobScheduler::KeepProgressSoon() {
+  keep_timer_.Arm(kKeepInterval, [this] { KeepLongTexts(); });
+}
+
+void JobScheduler::KeepLongTexts() {
+  KeepProgressSoon();
+  std::vector<ProgressPart> parts = CollectProgress();
+  if (parts.empty()) return;
+  const JobCommand command{KeepProgress{parts}, environment_.WallNow()};
+  group_.Propose(EncodeJobCommand(command),
+                 alive_.Guard([this, parts = std::move(parts)](const auto& result) {
+                   if (!result.ok()) ForgetKept(parts);
+                 }));
+}
+
+std::vector<ProgressPart> JobScheduler::CollectProgress() {
+  const TimePoint now = environment_.Now();
+  std::vector<ProgressPart> parts;
+  for (auto& [job, job_work] : jobs_) {
+    for (const auto& work : job_work.items) {
+      if (work == nullptr || work->phase == Phase::kListing || now < work->keep_from) continue;
+      if (work->progress.events == work->kept_events) continue;
+      ProgressPart part{job, work->index, work->kept_events, work->progress};
+      part.grown.text.erase(0, work->kept_bytes);
+      work->kept_events = work->progress.events;
+      work->kept_bytes = work->progress.text.size();
+      work->keep_from = now + kKeepAfter;
+      parts.push_back(std::move(part));
+    }
+  }
+  return parts;
+}
+
+void JobScheduler::ForgetKept(const std::vector<ProgressPart>& parts) {
+  for (const ProgressPart& part : parts) {
+    Work* work = FindWork(part.job, part.item);
+    if (work == nullptr) continue;
+    work->kept_events = 0;
+    work->kept_bytes = 0;
   }
 }
 
@@ -192,13 +246,27 @@
     if (now < work.not_before) continue;
     if (Dispatch(work, *record, *route)) {
       sent.push_back(rank);
-    } else {
+    } else if (!NeedsOneVersion(work, *route)) {
       stuck.insert(rank.job);
     }
   }
   for (const Rank& rank : sent) waiting_.erase(rank);
 }
 
+bool JobScheduler::NeedsOneVersion(const Work& work, const Route& route) {
+  return route.single_version && work.progress.events > 0;
+}
+
+bool JobScheduler::AnyHolds(const Route& route, const ModelName& model,
+                            WeightVersion version) const {
+  for (const ServiceShare& share : route.services) {
+    for (const BackendInstance* engine : ingress_.directory().Live(share.service)) {
+      if (loads_.VersionOf(engine->id, model) == version) return true;
+    }
+  }
+  return false;
+}
+
 std::optional<BackendInstance> JobScheduler::PickEngine(Work& work, const JobRecord& record,
                                                         const Route& route) {
   BackendDirectory& directory = ingress_.directory();
@@ -214,8 +282,7 @@
       if (loads_.Loading(engine->id, spec.model)) continue;
       const WeightVersion held = loads_.VersionOf(engine->id, spec.model);
       if (held < spec.min_version) continue;
-      const bool continues = route.single_version && work.progress.events > 0;
-      if (continues && held != work.progress.version) continue;
+      if (NeedsOneVersion(work, route) && held != work.progress.version) continue;
       const uint32_t running = directory.Running(engine->id);
       if (running >= std::max(1U, engine->slots)) continue;
       const bool same_group = sibling != job.group_engines.end() && sibling->second == engine->id;
@@ -233,6 +300,9 @@
 }
 
 bool JobScheduler::Dispatch(Work& work, const JobRecord& record, const Route& route) {
+  const bool lost =
+      NeedsOneVersion(work, route) && !AnyHolds(route, record.spec.model, work.progress.version);
+  if (lost) BeginAnew(work);
   const auto engine = PickEngine(work, record, route);
   if (!engine) return false;
   const JobItem& item = record.spec.items[work.index];
@@ -248,6 +318,7 @@
   if (work.progress.events > 0) request.resume_after = work.progress.events;
   ItemRunOptions options{options_.stall, {record.spec.min_version, route.single_version}};
   work.phase = Phase::kRunning;
+  work.keep_from = environment_.Now() + kKeepAfter;
   work.run = std::make_unique<ItemRun>(environment_, ingress_.directory(), ingress_.protocol(),
                                        work.progress, options,
                                        alive_.Guard([this, job = work.job, index = work.index](
@@ -331,7 +402,7 @@
       List(*work, ItemState::kFailed, "");
       break;
     case ItemRunEnd::kWrongVersion:
-      work->progress.Clear();
+      BeginAnew(*work);
       Requeue(*work, kRefusedPause);
       break;
     case ItemRunEnd::kBroken:
@@ -342,6 +413,13 @@
   PumpSoon(Duration(0));
 }
 
+void JobScheduler::BeginAnew(Work& work) {
+  work.progress.Clear();
+  // The next part replaces what was kept.
+  work.kept_events = 0;
+  work.kept_bytes = 0;
+}
+
 void JobScheduler::Requeue(Work& work, Duration pause) {
   work.phase = Phase::kWaiting;
   work.not_before = environment_.Now() + pause;
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -1,9 +1,9 @@
 /// Runs the items of batch jobs on the leader of their group: which item goes to which engine, what
 /// follows when a run breaks, the scoring of whole texts, and the proposals that list results.
-/// Whatever is held here is lost with the leadership; the next leader runs unlisted items anew.
+/// Long texts are kept in the group's log now and then; the next leader goes on after what was
+/// kept. Whatever else is held here is lost with the leadership.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,6 +20,7 @@
 #include "jobs/item_order.h"
 #include "jobs/item_run.h"
 #include "jobs/job_state_machine.h"
+#include "jobs/kept_texts.h"
 #include "jobs/load_scheduler.h"
 
 namespace millstair {
@@ -57,6 +58,10 @@
     uint64_t order = 0;
     Phase phase = Phase::kWaiting;
     ItemProgress progress;
+    /// What of `progress` the group's log holds.
+    uint64_t kept_events = 0;
+    size_t kept_bytes = 0;
+    TimePoint keep_from;
     uint32_t server_errors = 0;
     uint32_t scoring_errors = 0;
     TimePoint not_before;
@@ -89,15 +94,26 @@
   /// Takes up text that an earlier job left of the same items.
   void UseKeptText(const JobRecord& record, Work& work);
   void KeepText(const JobRecord* record, Work& work);
+  /// Text that ended jobs left in the group's log.
+  void LearnKeptTexts();
+  void KeepProgressSoon();
+  /// Proposes what long texts grew by.
+  void KeepLongTexts();
+  std::vector<ProgressPart> CollectProgress();
+  void ForgetKept(const std::vector<ProgressPart>& parts);
   void DropListed(const JobId& job);
   void TakeChanges();
   void PumpSoon(Duration delay);
   void DispatchWaiting();
   bool Dispatch(Work& work, const JobRecord& record, const Route& route);
+  /// Whether only engines of the version that made the text so far may go on with it.
+  static bool NeedsOneVersion(const Work& work, const Route& route);
+  bool AnyHolds(const Route& route, const ModelName& model, WeightVersion version) const;
   std::optional<BackendInstance> PickEngine(Work& work, const JobRecord& record,
                                             const Route& route);
   void OnRunEnd(const JobId& job, uint32_t index, ItemRunEnd end, const std::string& reason);
   void Requeue(Work& work, Duration pause);
+  void BeginAnew(Work& work);
   void Score(Work& work, const JobRecord& record);
   void OnScored(const JobId& job, uint32_t index, const ForwardResult& result);
   void GiveUpOld();
@@ -122,14 +138,13 @@
   uint64_t next_order_ = 1;
   std::map<JobId, JobWork> jobs_;
   std::set<Rank> waiting_;
-  /// Text of items that were not whole when their jobs ended, by item; the oldest go first.
-  std::map<ItemId, ItemProgress> kept_;
-  std::deque<ItemId> kept_order_;
+  KeptTexts kept_;
   /// Jobs that changed since the last run of the timer.
   std::set<JobId> changed_;
   bool restored_ = false;
   ScopedTimer pump_timer_;
   ScopedTimer change_timer_;
+  ScopedTimer keep_timer_;
   AliveFlag alive_;
 };
 
--- a/source/jobs/job_state_machine.cc
+++ b/source/jobs/job_state_machine.cc
@@ -16,9 +16,12 @@
 }
 
 bool IsSound(const JobRecord& record) {
-  return std::all_of(
-      record.results.begin(), record.results.end(),
-      [&record](const JobResult& result) { return result.item < record.spec.items.size(); });
+  const size_t items = record.spec.items.size();
+  const bool results =
+      std::all_of(record.results.begin(), record.results.end(),
+                  [items](const JobResult& result) { return result.item < items; });
+  const bool progress = record.progress.empty() || record.progress.rbegin()->first < items;
+  return results && progress;
 }
 
 /// Frees what nobody may ask for any more; the identifier stays for reads of the result.
@@ -66,6 +69,7 @@
   listed[list.result.item] = true;
   found->second.results.push_back(list.result);
   ForgetContent(found->second.spec.items[list.result.item]);
+  found->second.progress.erase(list.result.item);
   Notify(JobChange::kListed, list.job);
   return JobResultCode::kOk;
 }
@@ -90,6 +94,20 @@
   return JobResultCode::kOk;
 }
 
+JobResultCode JobStateMachine::Run(const KeepProgress& keep) {
+  for (const ProgressPart& part : keep.parts) {
+    const auto found = jobs_.find(part.job);
+    if (found == jobs_.end() || found->second.ended) continue;
+    if (part.item >= found->second.spec.items.size() || IsListed(part.job, part.item)) continue;
+    ItemProgress& held = found->second.progress[part.item];
+    if (part.after != 0 && part.after != held.events) continue;
+    std::string text = part.after == 0 ? std::string() : std::move(held.text);
+    held = part.grown;
+    held.text = text + part.grown.text;
+  }
+  return JobResultCode::kOk;
+}
+
 void JobStateMachine::ForgetOld() {
   for (auto it = jobs_.begin(); it != jobs_.end();) {
     const bool old = clock_ - it->second.submitted_at > limits_.retention;
--- a/source/jobs/job_state_machine.h
+++ b/source/jobs/job_state_machine.h
@@ -50,6 +50,7 @@
   JobResultCode Run(const ListResult& list);
   JobResultCode Run(const EndJob& end);
   JobResultCode Run(const AnnounceOrder& announce);
+  JobResultCode Run(const KeepProgress& keep);
   void AdvanceClock(WallTime proposed_at);
   void ForgetOld();
   void Notify(JobChange change, const JobId& job);
--- a/source/jobs/job_types.h
+++ b/source/jobs/job_types.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "common/ids.h"
 #include "common/time.h"
 #include "http/exchange.h"
+#include "jobs/item_progress.h"
 
 namespace millstair {
 
@@ -81,6 +83,8 @@
   bool ended = false;
   /// In listed order.
   std::vector<JobResult> results;
+  /// Text that was kept of items that are not listed, by index.
+  std::map<uint32_t, ItemProgress> progress;
 };
 
 /// Takes a job. A job that is known already stays as it is.
@@ -111,6 +115,23 @@
   friend bool operator==(const AnnounceOrder&, const AnnounceOrder&) = default;
 };
 
+/// What an item's text grew by since the last time it was kept.
+struct ProgressPart {
+  JobId job;
+  /// Index of the item in its job.
+  uint32_t item = 0;
+  /// Events that were kept before; 0 replaces what was.
+  uint64_t after = 0;
+  /// `text` holds the new part alone, the rest counts all events.
+  ItemProgress grown;
+  friend bool operator==(const ProgressPart&, const ProgressPart&) = default;
+};
+
+/// Keeps what was made of long texts, so that another leader goes on after it.
+struct KeepProgress {
+  std::vector<ProgressPart> parts;
+};
+
 enum class JobResultCode : uint8_t {
   kOk = 1,
   kNotFound = 2,  ///< no such job
--- /dev/null
+++ b/source/jobs/kept_texts.cc
@@ -0,0 +1,40 @@
+#include "jobs/kept_texts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace millstair {
+namespace {
+
+constexpr size_t kMostTexts = 2000;
+
+}  // namespace
+
+void KeptTexts::Keep(const ItemId& item, ItemProgress progress) {
+  texts_[item] = std::move(progress);
+  order_.push_back(item);
+  while (order_.size() > kMostTexts) {
+    texts_.erase(order_.front());
+    order_.pop_front();
+  }
+}
+
+std::optional<ItemProgress> KeptTexts::Take(const ItemId& item, WeightVersion min_version) {
+  const auto found = texts_.find(item);
+  if (found == texts_.end()) return std::nullopt;
+  ItemProgress progress = std::move(found->second);
+  texts_.erase(found);
+  const auto& versions = progress.versions;
+  const bool fits =
+      std::all_of(versions.begin(), versions.end(),
+                  [min_version](WeightVersion version) { return version >= min_version; });
+  if (!fits) return std::nullopt;
+  return progress;
+}
+
+void KeptTexts::Clear() {
+  texts_.clear();
+  order_.clear();
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/jobs/kept_texts.h
@@ -0,0 +1,29 @@
+/// Text of items that were not whole when their jobs ended, for later jobs that carry the same
+/// items. Bounded in number; the oldest go first.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+
+#include "jobs/item_progress.h"
+#include "jobs/job_types.h"
+
+namespace millstair {
+
+/// Lives on the node's serial executor.
+class KeptTexts {
+ public:
+  void Keep(const ItemId& item, ItemProgress progress);
+  bool Contains(const ItemId& item) const { return texts_.contains(item); }
+  /// Gives the text away; nothing if there is none, or if a part of it was made by weights older
+  /// than `min_version`.
+  std::optional<ItemProgress> Take(const ItemId& item, WeightVersion min_version);
+  void Clear();
+
+ private:
+  std::map<ItemId, ItemProgress> texts_;
+  std::deque<ItemId> order_;
+};
+
+}  // namespace millstair
--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -248,6 +248,92 @@
   CHECK(fixture.ResultOf("k")->text == "one\ntwo");
 }
 
+/// An engine that makes an event each 400 ms, of four, and goes on where it is asked to.
+FakeAnswer SlowText(const HttpRequest& request) {
+  const std::vector<std::string> pieces = {"1||one\n\n", "2||two\n\n", "3||three\n\n",
+                                           "4||four\n\n"};
+  const auto resume = FindHeader(request.headers, "resume");
+  const size_t after = resume ? std::stoul(std::string(*resume)) : 0;
+  FakeAnswer answer = Text({pieces.begin() + static_cast<std::ptrdiff_t>(after), pieces.end()});
+  answer.gap = milliseconds(400);
+  return answer;
+}
+
+TEST_CASE("A long text is kept, and the next leader goes on after it") {
+  Fixture fixture;
+  fixture.Add("e:1", "engines", SlowText);
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(milliseconds(1300));
+  // Another replica holds the same state and comes to lead.
+  JobStateMachine other;
+  REQUIRE(other.Restore(LogIndex(1), fixture.state.TakeSnapshot()).ok());
+  const uint64_t kept = other.Find(JobId("j"))->progress.at(0).events;
+  CHECK(kept >= 2);
+  fixture.scheduler_under_test.SetLeading(false);
+  fixture.scheduler_under_test.SetLeading(true);
+  fixture.scheduler.RunFor(seconds(3));
+  REQUIRE(fixture.backends.CountAt("e:1") == 2);
+  size_t engine_calls = 0;
+  for (const auto& call : fixture.backends.calls) {
+    if (call->address != "e:1" || ++engine_calls != 2) continue;
+    CHECK(FindHeader(call->request.headers, "resume") == std::to_string(kept));
+  }
+  REQUIRE(fixture.ResultOf("j") != nullptr);
+  CHECK(fixture.ResultOf("j")->text == "one\ntwo\nthree\nfour");
+  CHECK(fixture.state.Find(JobId("j"))->progress.empty());
+}
+
+TEST_CASE("Text that was kept of an ended job serves the next leader too") {
+  Fixture fixture;
+  fixture.Add("e:1", "engines", SlowText);
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(milliseconds(1300));
+  fixture.scheduler_under_test.SetLeading(false);
+  fixture.state.Apply(LogIndex(50), EncodeJobCommand({EndJob{JobId("j")}, {}}));
+  fixture.scheduler_under_test.SetLeading(true);
+  fixture.Submit(fixture.Job("k"));
+  fixture.scheduler.RunFor(seconds(2));
+  REQUIRE(fixture.ResultOf("k") != nullptr);
+  CHECK(fixture.ResultOf("k")->text == "one\ntwo\nthree\nfour");
+  CHECK(FindHeader(fixture.backends.calls[1]->request.headers, "resume").has_value());
+}
+
+TEST_CASE("Short texts are not kept") {
+  Fixture fixture;
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(seconds(3));
+  REQUIRE(fixture.ResultOf("j") != nullptr);
+  CHECK(fixture.group.AppliedIndex() == LogIndex(2));
+}
+
+TEST_CASE("A text of one version is begun anew once no engine holds that version") {
+  Fixture fixture;
+  fixture.reader.table.routes[0].single_version = true;
+  fixture.reader.table.version = 2;
+  fixture.configuration.routing = {2, "other content"};
+  int runs = 0;
+  fixture.Add("e:1", "engines", [&runs](const HttpRequest& request) {
+    if (++runs > 1) {
+      CHECK_FALSE(FindHeader(request.headers, "resume").has_value());
+      return FakeAnswer{Kind::kAnswer, 200, {{"version", "2"}}, {"1||new\n\n"}};
+    }
+    FakeAnswer answer = Text({"1||one\n\n"});
+    answer.kind = Kind::kCutBody;
+    return answer;
+  });
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(milliseconds(30));
+  fixture.loads.NoteVersion(InstanceId("e:1"), ModelName("m"), WeightVersion(2));
+  fixture.scheduler.RunFor(seconds(2));
+  REQUIRE(fixture.ResultOf("j") != nullptr);
+  CHECK(fixture.ResultOf("j")->text == "new");
+  CHECK(fixture.ResultOf("j")->versions == std::vector{WeightVersion(2)});
+}
+
 TEST_CASE("Weights that the job does not allow are not used") {
   Fixture fixture;
   fixture.Lead();
--- a/test/jobs/job_state_machine_test.cc
+++ b/test/jobs/job_state_machine_test.cc
@@ -97,6 +97,30 @@
   CHECK(restored.machine.announcements() == std::vector{second, third});
 }
 
+ProgressPart Part(uint64_t after, uint64_t events, const std::string& text, uint32_t item = 0) {
+  return {JobId("a"), item, after, {text, events, {WeightVersion(2)}, WeightVersion(2)}};
+}
+
+TEST_CASE("Parts of a text are kept in order, once each, until the item is listed") {
+  Machine machine;
+  machine.Run(SubmitJob{Job("a", 2)});
+  const auto& progress = machine.machine.Find(JobId("a"))->progress;
+  machine.Run(KeepProgress{{Part(0, 2, "x\ny")}});
+  machine.Run(KeepProgress{{Part(2, 3, "\nz")}});
+  machine.Run(KeepProgress{{Part(2, 3, "\nz")}});
+  machine.Run(KeepProgress{{Part(5, 6, "\nlost")}});
+  CHECK(progress.at(0).text == "x\ny\nz");
+  CHECK(progress.at(0).events == 3);
+  machine.Run(KeepProgress{{Part(0, 1, "anew")}});
+  CHECK(progress.at(0).text == "anew");
+  machine.Run(KeepProgress{{Part(0, 1, "nobody's", 7)}});
+  CHECK(progress.size() == 1);
+  machine.Run(ListResult{JobId("a"), Result(0, "whole")});
+  CHECK(progress.empty());
+  machine.Run(KeepProgress{{Part(0, 1, "late")}});
+  CHECK(progress.empty());
+}
+
 TEST_CASE("Malformed commands are refused and change nothing") {
   Machine machine;
   machine.Run(SubmitJob{Job("a", 1)});
