Soak the real programs under faults from outside

Ruled out on the way: a first run showed texts that were cut short and listed as done. The stand-in ended a stream without a length in order, which says that it is whole; it resets now.

--- /dev/null
+++ b/test/soak/back_ends.py
@@ -0,0 +1,245 @@
+"""Back ends that register themselves: plain servers and engines, as their protocol describes them."""
+
+import hashlib
+import http.client
+import http.server
+import json
+import random
+import socket
+import struct
+import threading
+import time
+
+from fleet import MACHINES, SERVICE, ip_of
+from history import Acknowledged, Order, Run, now
+
+HEARTBEAT = 1.0
+SLOTS = 8
+LOAD_TIME = 0.5
+EVENT_TIME = 0.04
+KEEP_SERVING = 3.5
+
+
+def stamp_of(instance, request):
+    """The signature of a back end under its answer to a request."""
+    return hashlib.sha256(f"{instance}/{request}".encode()).hexdigest()[:16]
+
+
+def is_stamp(stamp, request, instances):
+    """Whether one of the back ends has signed its answer to `request` so."""
+    return any(stamp == stamp_of(instance, request) for instance in instances)
+
+
+def call_control(path, body, timeout=1.0):
+    """POSTs to control nodes, one after another, until one takes it; whether one did."""
+    for machine in random.sample(MACHINES, len(MACHINES)):
+        try:
+            connection = http.client.HTTPConnection(ip_of(machine), SERVICE, timeout=timeout)
+            connection.request("POST", path, json.dumps(body),
+                               {"Content-Type": "application/json"})
+            status = connection.getresponse().status
+            connection.close()
+            if 200 <= status < 300:
+                return True
+        except (OSError, http.client.HTTPException):
+            continue
+    return False
+
+
+class BackEnd:
+    """A server of one service; engines have models."""
+
+    def __init__(self, service, index, history, models=()):
+        self.instance = f"i-{service}-{index}-{random.randrange(1 << 32):08x}"
+        self.service = service
+        self.history = history
+        self.versions = {model: 1 for model in models}
+        self.orders = 0
+        self.busy_until = 0.0
+        self.state = "ready"
+        self.stopped = False
+        self.faulty = 0.02
+        self._slots = threading.Semaphore(SLOTS)
+        self._sequence = 0
+        handler = type("Handler", (Handler,), {"back_end": self})
+        self._server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
+        self._server.daemon_threads = True
+        # A caller that goes in the middle of an answer is nothing to tell.
+        self._server.handle_error = lambda request, address: None
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        threading.Thread(target=self._beat, daemon=True).start()
+
+    def report(self):
+        """A heartbeat; whether it was acknowledged."""
+        self._sequence += 1
+        body = {
+            "service": self.service, "addr": self.address, "zone": "zone-1", "version": "v1",
+            "slots": SLOTS, "state": self.state, "cold_left_ms": 0, "seq": self._sequence}
+        if self.versions:
+            body["stage"] = "mixed"
+            body["models"] = self.models()
+        return call_control(f"/v1/Instances.Heartbeat/{self.instance}", body)
+
+    def models(self):
+        """What it holds, as reports tell it."""
+        return [{"name": name, "version": version, "adapters": []}
+                for name, version in self.versions.items()]
+
+    def _beat(self):
+        while not self.stopped:
+            sent = now()
+            draining = self.state == "draining"
+            if self.report() and draining:
+                self.history.add(Acknowledged(f"leaving {self.instance}", sent, now()))
+            time.sleep(HEARTBEAT)
+
+    def leave(self):
+        """Drains, serves on for a while, and ends."""
+        self.state = "draining"
+        time.sleep(HEARTBEAT + KEEP_SERVING)
+        call_control(f"/v1/Instances.Deregister/{self.instance}", {})
+        time.sleep(1.0)
+        self.crash()
+
+    def crash(self):
+        """Ends without a word."""
+        self.stopped = True
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """One connection to a back end."""
+
+    protocol_version = "HTTP/1.1"
+    back_end = None
+
+    def log_message(self, format, *args):  # pylint: disable=redefined-builtin
+        """Requests are noted in the history instead."""
+
+    def do_GET(self):
+        """Health, reports and plain requests."""
+        if self.path == "/v1/report":
+            return self._report()
+        if self.path == "/healthz":
+            return self._answer(200, b"", {"Instance": self.back_end.instance})
+        return self._serve()
+
+    def do_POST(self):
+        """Orders, items and plain requests."""
+        if self.path == "/v1/order":
+            return self._order()
+        return self._serve()
+
+    def finish(self):
+        """Connections that were reset have nothing to flush."""
+        try:
+            super().finish()
+        except (OSError, ValueError):
+            pass
+
+    def _body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def _answer(self, status, body, headers=None):
+        self.send_response(status)
+        request = self.headers.get("Request-Id")
+        if request:
+            self.send_header("Request-Id", request)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def _is_other(self):
+        expected = self.headers.get("Expect-Instance")
+        return expected is not None and expected != self.back_end.instance
+
+    def _report(self):
+        own = self.back_end
+        body = {"stage": "mixed", "models": own.models(), "busy": now() < own.busy_until,
+                "seq": own.orders, "queued": 0, "running": 0, "kv_used": 0, "kv_total": 1000,
+                "handles": 0}
+        self._answer(200, json.dumps(body).encode())
+
+    def _order(self):
+        own = self.back_end
+        order = json.loads(self._body())
+        if self._is_other():
+            return self._answer(421, b"", {"Not-Run": "1"})
+        own.history.add(Order(own.instance, order["holder"], order["fence"], now()))
+        if now() < own.busy_until or order.get("expected", own.orders) != own.orders:
+            return self._answer(409, b"")
+        own.orders += 1
+        own.busy_until = now() + LOAD_TIME
+
+        def finish():
+            time.sleep(LOAD_TIME)
+            own.versions[order["model"]] = order["version"]
+
+        threading.Thread(target=finish, daemon=True).start()
+        return self._answer(202, b"")
+
+    def _serve(self):
+        own = self.back_end
+        request = self.headers.get("Request-Id")
+        body = self._body()
+        if self._is_other():
+            return self._answer(421, b"", {"Not-Run": "1"})
+        full = not own._slots.acquire(timeout=0.1)
+        loading = own.versions and now() < own.busy_until
+        if full or loading or random.random() < own.faulty / 2:
+            if not full:
+                own._slots.release()
+            return self._answer(503, b"", {"Not-Run": "1"})
+        try:
+            own.history.add(Run(request, own.service, own.instance, now()))
+            return self._stream(request, body) if own.versions else self._plain(request)
+        finally:
+            own._slots.release()
+
+    def _reset(self):
+        """Breaks the connection off: what has no length ends in order only if it is whole."""
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.connection.close()
+
+    def _plain(self, request):
+        time.sleep(random.uniform(0.005, 0.03))
+        luck = random.random()
+        if luck < self.back_end.faulty:
+            # It ran, and its answer is lost.
+            self.close_connection = True
+            return
+        if luck < 2 * self.back_end.faulty:
+            return self._answer(500, b"failed")
+        text = f"{request} {self.path}".encode()
+        self._answer(200, text, {"Stamp": stamp_of(self.back_end.instance, request)})
+
+    def _stream(self, request, body):
+        own = self.back_end
+        work = json.loads(body)
+        first = int(self.headers.get("Last-Event-Id", 0)) + 1
+        version = own.versions[work["model"]]
+        self.send_response(200)
+        self.send_header("Request-Id", request)
+        self.send_header("Stamp", stamp_of(own.instance, request))
+        self.send_header("Weight-Versions", str(version))
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Connection", "close")
+        self.end_headers()
+        self.close_connection = True
+        for number in range(first, work["events"] + 1):
+            time.sleep(EVENT_TIME)
+            if random.random() < own.faulty / 20:
+                return self._reset()
+            lines = ""
+            if own.versions[work["model"]] != version:
+                version = own.versions[work["model"]]
+                lines = f"weight-versions: {version}\n"
+            lines += f"id: {number}\ndata: {request}-{number}\n\n"
+            try:
+                self.wfile.write(lines.encode())
+            except OSError:
+                return  # the caller has gone: the work ends
--- /dev/null
+++ b/test/soak/history.py
@@ -0,0 +1,90 @@
+"""What callers and back ends of a soak saw, with monotonic times in seconds."""
+
+import dataclasses
+import threading
+import time
+
+
+def now():
+    """Seconds of this machine's steady clock."""
+    return time.monotonic()
+
+
+@dataclasses.dataclass
+class Run:
+    """A back end began to work on a request."""
+
+    request: str
+    service: str
+    instance: str
+    at: float
+
+
+@dataclasses.dataclass
+class Call:
+    """One request of a caller and its end; status 0 is none."""
+
+    request: str
+    route: str
+    gateway: str
+    sent: float
+    status: int = 0
+    stamp: str = ""
+    body: str = ""
+
+
+@dataclasses.dataclass
+class Acknowledged:
+    """A routing document or the leaving of a back end, and when it was first acknowledged."""
+
+    name: str
+    sent: float
+    at: float
+
+
+@dataclasses.dataclass
+class Order:
+    """An order that reached an engine."""
+
+    instance: str
+    holder: str
+    fence: int
+    at: float
+
+
+@dataclasses.dataclass
+class Listed:
+    """A result as it was read at one position of a job."""
+
+    job: str
+    position: int
+    result: tuple
+    gateway: str
+
+
+@dataclasses.dataclass
+class ReadBack:
+    """A routing document that was read."""
+
+    version: int
+    content: str
+    sent: float
+
+
+class History:
+    """Grows from many threads; read once the soak is over."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self.records = []
+
+    def add(self, record):
+        """Notes a record; returns it."""
+        with self._lock:
+            self.records.append(record)
+        return record
+
+    def of(self, kind):
+        """All records of one kind, in the order they came."""
+        with self._lock:
+            return [record for record in self.records if isinstance(record, kind)]
