--- a/test/settings/settings_test.cc
+++ b/test/settings/settings_test.cc
@@ -78,6 +78,24 @@
   CHECK(findings.items()[2].message == "127.0.0.1:1 has two routes");
 }
 
+TEST_CASE("Seeds are named by their IP numbers, at the port of their peer listeners") {
+  const std::string listed = std::string(kSound).substr(
+      std::string(kSound).find("control_nodes"),
+      std::string(kSound).find("data:") - std::string(kSound).find("control_nodes"));
+  const std::string seeds = Replaced(kSound, listed, "seeds: [\"10.0.0.1:80\", \"10.0.0.2:80\"]\n");
+  Findings findings;
+  ServerSettings settings = ReadSettings("f.yaml", seeds, {}, findings);
+  CHECK(findings.ToString().empty());
+  REQUIRE(settings.control_nodes.size() == 2);
+  CHECK(settings.control_nodes[0] == ControlNodeSetting{"10.0.0.1", "10.0.0.1:7001", ""});
+  settings =
+      ReadSettings("f.yaml", Replaced(seeds, "peer:\n", "peer:\n  seeds_port: 9\n"), {}, findings);
+  CHECK(findings.ToString().empty());
+  CHECK(settings.control_nodes[1] == ControlNodeSetting{"10.0.0.2", "10.0.0.2:9", ""});
+  const std::string faulty = Replaced(seeds, "peer:\n", "peer:\n  seeds_port: 65536\n");
+  CHECK(FindingsOf(faulty).find("f.yaml:6") != std::string::npos);
+}
+
 TEST_CASE("Flags win over the file, and suffice without one") {
   Findings findings;
   ServerSettings settings = ReadSettings(
