Test the platform's control calls, and answers that end with their connection

Cause: two open rows of docs/design/rules.md: read-back through the adapter, and answers without a length.

--- a/test/http/http_caller_test.cc
+++ b/test/http/http_caller_test.cc
@@ -184,6 +184,32 @@
   }
 }
 
+TEST_CASE("An answer without a length is whole only if its connection ends in order") {
+  const bool reset = GENERATE(false, true);
+  std::atomic<int> connections{0};
+  RawServer server([&](Tcp::socket& socket, int) {
+    ++connections;
+    RawServer::ReadRequest(socket);
+    RawServer::Write(socket, "HTTP/1.1 200 OK\r\n\r\nto the end");
+    // Until the bytes were read: a reset may discard what is on its way.
+    std::this_thread::sleep_for(milliseconds(100));
+    if (reset) socket.set_option(boost::asio::socket_base::linger(true, 0));
+    socket.close();
+  });
+  HttpCallerOptions options;
+  options.until_close = true;
+  Client client(options);
+  RecordingObserver observer;
+  client.Call(server.address(), observer);
+  CHECK(observer.body() == "to the end");
+  CHECK(observer.finished() == !reset);
+  if (reset) CHECK(observer.failure() == CallFailure::kCut);
+  RecordingObserver next;
+  client.Call(server.address(), next);
+  // Such a connection serves once.
+  CHECK(connections == 2);
+}
+
 TEST_CASE("Dropping the handle closes the connection and silences the observer") {
   std::promise<void> answered;
   std::promise<bool> closed;
--- /dev/null
+++ b/test/platform/control_calls_test.cc
@@ -0,0 +1,196 @@
+#include "platform/control_calls.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+#include "platform/routing_codec.h"
+
+namespace millstair::platform {
+namespace {
+
+using trompeloeil::_;
+using ResultCallback = std::function<void(absl::StatusOr<ClusterResult>)>;
+
+constexpr char kDocument[] =
+    R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","kind":"safe",
+        "timeout_ms":800,"target_ms":150,"attempts":2,"service":"pages"}],
+        "services":[{"name":"pages"}],"limits":{}})";
+
+class MockControl : public ControlNode {
+ public:
+  MAKE_MOCK0(Start, absl::Status(), override);
+  MAKE_MOCK0(groups, GroupHost&(), override);
+  MAKE_CONST_MOCK0(configuration, const Configuration&(), override);
+  MAKE_CONST_MOCK0(IsClusterLeader, bool(), override);
+  MAKE_MOCK1(AddDuty, void(std::unique_ptr<ClusterDuty>), override);
+  MAKE_MOCK2(Propose, void(ClusterCommand, ResultCallback), override);
+  MAKE_MOCK2(Submit, void(ClusterOperation, ResultCallback), override);
+  MAKE_MOCK2(ReportInstance, void(const BackendInstance&, ResultCallback), override);
+  MAKE_MOCK2(RetireMachine, void(const std::string&, ResultCallback), override);
+  MAKE_MOCK1(ConfirmRead, void(std::function<void(absl::Status)>), override);
+  MAKE_MOCK1(Drain, void(std::function<void()>), override);
+  MAKE_MOCK2(Receive, void(const NodeId&, const PeerMessage&), override);
+  MAKE_MOCK2(Handle, void(HttpRequest, std::shared_ptr<ResponseWriter>), override);
+};
+
+struct Answer {
+  int status = 0;
+  std::string body;
+  bool finished = false;
+};
+
+class AnswerWriter : public ResponseWriter {
+ public:
+  explicit AnswerWriter(Answer& answer) : answer_(answer) {}
+  void SendHead(HttpResponseHead head) override { answer_.status = head.status; }
+  void SendBody(std::string bytes) override { answer_.body += bytes; }
+  void Finish() override { answer_.finished = true; }
+  void Abort() override {}
+  size_t WritableBytes() const override { return 1 << 20; }
+  void OnWritable(std::function<void()>) override {}
+  void OnCallerGone(std::function<void()>) override {}
+
+ private:
+  Answer& answer_;
+};
+
+class Fixture {
+ public:
+  Answer Ask(const std::string& method, const std::string& path, const std::string& body = "") {
+    Answer answer;
+    calls.Handle({method, path, {}, body}, std::make_shared<AnswerWriter>(answer));
+    CHECK(answer.finished);
+    return answer;
+  }
+
+  MockControl control;
+  RoutingCodec codec;
+  ControlCalls calls{control, codec};
+  Configuration configuration;
+};
+
+ClusterResult Refused(ClusterResultCode code) {
+  ClusterResult result;
+  result.code = code;
+  result.message = "refused";
+  return result;
+}
+
+TEST_CASE("A configuration is read back only after a confirmed read") {
+  Fixture fixture;
+  fixture.configuration.routing = {7, kDocument};
+  ALLOW_CALL(fixture.control, configuration()).LR_RETURN(fixture.configuration);
+  SECTION("the newest is certain") {
+    REQUIRE_CALL(fixture.control, ConfirmRead(_)).SIDE_EFFECT(_1(absl::OkStatus()));
+    const Answer answer = fixture.Ask("GET", "/v1/Config.Get");
+    CHECK(answer.status == 200);
+    CHECK(answer.body == kDocument);
+  }
+  SECTION("it is not") {
+    REQUIRE_CALL(fixture.control, ConfirmRead(_))
+        .SIDE_EFFECT(_1(absl::UnavailableError("no quorum")));
+    const Answer answer = fixture.Ask("GET", "/v1/Config.Get");
+    CHECK(answer.status == 503);
+    CHECK(answer.body.find("version") == std::string::npos);
+  }
+  SECTION("none is held yet") {
+    fixture.configuration.routing = {};
+    REQUIRE_CALL(fixture.control, ConfirmRead(_)).SIDE_EFFECT(_1(absl::OkStatus()));
+    CHECK(fixture.Ask("GET", "/v1/Config.Get").status == 503);
+  }
+}
+
+TEST_CASE("A configuration is acknowledged once it is committed, and not before") {
+  Fixture fixture;
+  SECTION("committed") {
+    REQUIRE_CALL(fixture.control, Submit(_, _))
+        .WITH(std::get<ReplaceRouting>(_1).document.version == 7)
+        .WITH(std::get<ReplaceRouting>(_1).document.content == kDocument)
+        .SIDE_EFFECT(_2(ClusterResult()));
+    CHECK(fixture.Ask("POST", "/v1/Config.Replace", kDocument).status == 200);
+  }
+  SECTION("other content under the version held") {
+    REQUIRE_CALL(fixture.control, Submit(_, _))
+        .SIDE_EFFECT(_2(Refused(ClusterResultCode::kConflict)));
+    CHECK(fixture.Ask("POST", "/v1/Config.Replace", kDocument).status == 409);
+  }
+  SECTION("the outcome is not known") {
+    REQUIRE_CALL(fixture.control, Submit(_, _)).SIDE_EFFECT(_2(absl::UnavailableError("?")));
+    CHECK(fixture.Ask("POST", "/v1/Config.Replace", kDocument).status == 503);
+  }
+  SECTION("invalid: nothing is submitted") {
+    FORBID_CALL(fixture.control, Submit(_, _));
+    CHECK(fixture.Ask("POST", "/v1/Config.Replace", std::string(kDocument).substr(9)).status ==
+          400);
+  }
+}
+
+TEST_CASE("A machine that is emptied is done only once all of its nodes are") {
+  Fixture fixture;
+  NodeRecord storage;
+  storage.node = NodeId("s");
+  storage.machine = "m";
+  storage.storage = true;
+  NodeRecord control = storage;
+  control.node = NodeId("c");
+  control.storage = false;
+  control.control = true;
+  fixture.configuration.nodes = {{storage.node, storage}, {control.node, control}};
+  fixture.configuration.retired_nodes = {{storage.node, {storage.node, true}},
+                                         {control.node, {control.node, false}}};
+  ALLOW_CALL(fixture.control, configuration()).LR_RETURN(fixture.configuration);
+  ALLOW_CALL(fixture.control, ConfirmRead(_)).SIDE_EFFECT(_1(absl::OkStatus()));
+  CHECK(fixture.Ask("GET", "/v1/Retire.Get/m").body == R"({"state":"running"})");
+  fixture.configuration.retired_nodes[control.node].emptied = true;
+  CHECK(fixture.Ask("GET", "/v1/Retire.Get/m").body == R"({"state":"done"})");
+  CHECK(fixture.Ask("GET", "/v1/Retire.Get/other").status == 404);
+}
+
+TEST_CASE("To empty a machine is refused as the product refuses it") {
+  Fixture fixture;
+  ALLOW_CALL(fixture.control, ConfirmRead(_)).SIDE_EFFECT(_1(absl::OkStatus()));
+  const auto [code, status] = GENERATE(std::pair(ClusterResultCode::kNotFound, 404),
+                                       std::pair(ClusterResultCode::kConflict, 409),
+                                       std::pair(ClusterResultCode::kOk, 200));
+  REQUIRE_CALL(fixture.control, RetireMachine("m", _)).LR_SIDE_EFFECT(_2(Refused(code)));
+  CHECK(fixture.Ask("POST", "/v1/Retire.Start/m", R"({"duration_s":10})").status == status);
+}
+
+TEST_CASE("Reports of servers become reports of back ends, faulty ones a refusal") {
+  Fixture fixture;
+  SECTION("a heartbeat") {
+    REQUIRE_CALL(fixture.control, ReportInstance(_, _))
+        .WITH(_1.id == InstanceId("i-1") && _1.state == MemberState::kLeaving)
+        .SIDE_EFFECT(_2(ClusterResult()));
+    CHECK(fixture
+              .Ask("POST", "/v1/Instances.Heartbeat/i-1",
+                   R"({"service":"pages","addr":"10.0.0.1:80","zone":"z","version":"v1","slots":8,
+                       "state":"draining","cold_left_ms":0,"seq":4})")
+              .status == 200);
+  }
+  SECTION("a deregistration") {
+    REQUIRE_CALL(fixture.control, ReportInstance(_, _))
+        .WITH(_1.id == InstanceId("i-1") && _1.state == MemberState::kGone)
+        .SIDE_EFFECT(_2(ClusterResult()));
+    CHECK(fixture.Ask("POST", "/v1/Instances.Deregister/i-1", "{}").status == 200);
+  }
+  SECTION("no address") {
+    FORBID_CALL(fixture.control, ReportInstance(_, _));
+    CHECK(fixture.Ask("POST", "/v1/Instances.Heartbeat/i-1", R"({"service":"pages"})").status ==
+          400);
+  }
+}
+
+TEST_CASE("A named version is acknowledged once it is committed") {
+  Fixture fixture;
+  REQUIRE_CALL(fixture.control, Submit(_, _))
+      .WITH(std::get<NameVersion>(_1).named == NamedVersion{ModelName("m"), WeightVersion(3)})
+      .SIDE_EFFECT(_2(ClusterResult()));
+  CHECK(fixture.Ask("POST", "/v1/version-put", R"({"model":"m","version":3})").status == 200);
+  FORBID_CALL(fixture.control, Submit(_, _));
+  CHECK(fixture.Ask("POST", "/v1/version-put", R"({"model":"m"})").status == 400);
+  CHECK(fixture.Ask("GET", "/v1/nothing").status == 404);
+}
+
+}  // namespace
+}  // namespace millstair::platform
