Move runs away from slow engines to others that have room

Ruled out: loads (lanes free), routes, want of engines. Change: the time between events tells slow engines (twice the median); they get work last, and their runs go on after their last event at any other engine that has room, twice at most.

--- /dev/null
+++ b/source/jobs/engine_pace.cc
@@ -0,0 +1,44 @@
+#include "jobs/engine_pace.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace millstair {
+namespace {
+
+constexpr double kSmoothing = 0.1;
+/// An engine whose events take this much longer than the median is slow.
+constexpr double kSlowFactor = 2.0;
+/// With fewer engines there is no telling which one is out of line.
+constexpr size_t kFewestEngines = 3;
+/// Engines that are known; beyond it all are learned anew.
+constexpr size_t kMostEngines = 10'000;
+
+}  // namespace
+
+void EnginePace::Note(const InstanceId& instance, Duration gap) {
+  if (seconds_.size() >= kMostEngines && !seconds_.contains(instance)) Clear();
+  const double seconds = ToSeconds(gap);
+  const auto [known, added] = seconds_.try_emplace(instance, seconds);
+  if (!added) known->second += kSmoothing * (seconds - known->second);
+}
+
+void EnginePace::Clear() {
+  seconds_.clear();
+  slow_.clear();
+}
+
+void EnginePace::Judge() {
+  slow_.clear();
+  if (seconds_.size() < kFewestEngines) return;
+  std::vector<double> values;
+  values.reserve(seconds_.size());
+  for (const auto& [instance, seconds] : seconds_) values.push_back(seconds);
+  const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  for (const auto& [instance, seconds] : seconds_) {
+    if (seconds > kSlowFactor * *middle) slow_.insert(instance);
+  }
+}
+
+}  // namespace millstair
--- a/source/jobs/item_run.cc
+++ b/source/jobs/item_run.cc
@@ -124,6 +124,9 @@
   }
   progress_.version = version_;
   progress_.Append(**event);
+  const TimePoint now = environment_.Now();
+  if (event_at_ && on_gap_) on_gap_(instance_, now - *event_at_);
+  event_at_ = now;
   return true;
 }
 
--- a/source/jobs/item_run.h
+++ b/source/jobs/item_run.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "common/environment.h"
@@ -45,6 +46,8 @@
 class ItemRun : public HttpCallObserver {
  public:
   using Callback = std::function<void(ItemRunEnd end, const std::string& reason)>;
+  /// Time between two events of the run.
+  using GapListener = std::function<void(const InstanceId& instance, Duration gap)>;
 
   /// `progress` outlives the run and grows with it. `done` is called once and may destroy the run
   /// only after it has returned.
@@ -53,6 +56,7 @@
   ~ItemRun() override;
   void Start(HttpCaller& http, const BackendInstance& target, const BackendRequest& request);
 
+  void OnGap(GapListener listener) { on_gap_ = std::move(listener); }
   const InstanceId& instance() const { return instance_; }
 
   void OnHead(const HttpResponseHead& head) override;
@@ -76,6 +80,9 @@
   InstanceId instance_;
   std::string request_id_;
   TimePoint started_at_;
+  /// When the latest event came; none before the first.
+  std::optional<TimePoint> event_at_;
+  GapListener on_gap_;
   std::unique_ptr<CallHandle> handle_;
   EventStreamSplitter splitter_;
   WeightVersion version_;
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -17,6 +17,7 @@
 #include "common/stats.h"
 #include "consensus/raft_group.h"
 #include "ingress/ingress_service.h"
+#include "jobs/engine_pace.h"
 #include "jobs/item_order.h"
 #include "jobs/item_run.h"
 #include "jobs/job_state_machine.h"
@@ -25,6 +26,9 @@
 
 namespace millstair {
 
+/// How long a text grows before it is kept, and from then on before it is kept again.
+inline constexpr Duration kKeepAfter = std::chrono::milliseconds(750);
+
 struct JobSchedulerOptions {
   /// Without a byte for this long a run is broken off and goes on elsewhere.
   Duration stall = std::chrono::milliseconds(2500);
@@ -69,6 +73,8 @@
     InstanceId avoid;
     std::unique_ptr<ItemRun> run;
     std::optional<IngressService::FlowId> scoring;
+    /// How often it was moved away from a slow engine.
+    uint32_t moves = 0;
     JobResult result;
   };
   struct JobWork {
@@ -105,6 +111,9 @@
   void TakeChanges();
   void PumpSoon(Duration delay);
   void DispatchWaiting();
+  /// Runs at slow engines go on at others that have room left.
+  void MoveFromSlowEngines();
+  bool Move(Work& work, const JobRecord& record, const Route& route);
   bool Dispatch(Work& work, const JobRecord& record, const Route& route);
   /// Whether only engines of the version that made the text so far may go on with it.
   static bool NeedsOneVersion(const Work& work, const Route& route);
@@ -139,6 +148,7 @@
   std::map<JobId, JobWork> jobs_;
   std::set<Rank> waiting_;
   KeptTexts kept_;
+  EnginePace pace_;
   /// Jobs that changed since the last run of the timer.
   std::set<JobId> changed_;
   bool restored_ = false;
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -473,6 +473,11 @@
          engine->second.loading->model == model;
 }
 
+bool LoadScheduler::LoadingAny(const InstanceId& instance) const {
+  const auto engine = engines_.find(instance);
+  return engine != engines_.end() && engine->second.loading.has_value();
+}
+
 void LoadScheduler::NoteVersion(const InstanceId& instance, const ModelName& model,
                                 WeightVersion version) {
   const auto engine = engines_.find(instance);
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -76,6 +76,8 @@
   WeightVersion VersionOf(const InstanceId& instance, const ModelName& model) const;
   /// True while `instance` loads `model`, so that new items would be refused.
   bool Loading(const InstanceId& instance, const ModelName& model) const;
+  /// True while `instance` loads any model: what runs there may pause.
+  bool LoadingAny(const InstanceId& instance) const;
   /// An answer showed that `instance` holds `version`.
   void NoteVersion(const InstanceId& instance, const ModelName& model, WeightVersion version);
 
--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "fmt/format.h"
 #include "test/ingress/fake_backends.h"
 #include "test/jobs/fake_group.h"
 
@@ -300,6 +301,42 @@
   CHECK(FindHeader(fixture.backends.calls[1]->request.headers, "resume").has_value());
 }
 
+TEST_CASE("A run at a slow engine goes on at another that has room") {
+  Fixture fixture;
+  const auto serve = [](Duration gap) {
+    return [gap](const HttpRequest& request) {
+      std::vector<std::string> pieces;
+      const auto resume = FindHeader(request.headers, "resume");
+      for (size_t i = resume ? std::stoul(std::string(*resume)) + 1 : 1; i <= 20; ++i) {
+        pieces.push_back(fmt::format("{}||{}\n\n", i, i));
+      }
+      FakeAnswer answer = Text(pieces);
+      answer.gap = gap;
+      return answer;
+    };
+  };
+  for (const char* address : {"e:1", "e:2", "e:3"}) {
+    fixture.Add(address, "engines", serve(milliseconds(20)));
+  }
+  fixture.Add("e:4", "engines", serve(milliseconds(500)));
+  fixture.Lead();
+  JobSpec job = fixture.Job("j", false);
+  job.items.resize(8, job.items[0]);
+  for (size_t i = 0; i < job.items.size(); ++i) job.items[i].id = ItemId(fmt::format("i{}", i));
+  fixture.Submit(job);
+  fixture.scheduler.RunFor(seconds(4));
+  const JobRecord* record = fixture.state.Find(JobId("j"));
+  REQUIRE(record->results.size() == 8);
+  std::string whole = "1";
+  for (int i = 2; i <= 20; ++i) whole += fmt::format("\n{}", i);
+  for (const JobResult& result : record->results) CHECK(result.text == whole);
+  size_t left = 0;
+  for (const auto& call : fixture.backends.calls) {
+    left += call->address == "e:4" && call->cancelled ? 1 : 0;
+  }
+  CHECK(left == 2);
+}
+
 TEST_CASE("Short texts are not kept") {
   Fixture fixture;
   fixture.Lead();
