Log a promotion once it is done

Ruled out: repeated promotions of the same replica (the group changes once). Change: the event is written when the change is committed. The pipe that catches a test's log has a header of its own; the group of the tests can refuse promotions. Before and after: the new test finds the event four times before, once after.

--- a/source/jobs/job_replica_manager.cc
+++ b/source/jobs/job_replica_manager.cc
@@ -70,14 +70,23 @@
   if (CountSoundVoters(members) >= options_.voters) return false;
   for (const GroupMember& member : members) {
     if (member.voter || !IsSound(member)) continue;
-    LogEvent(EventId::kReplicaPromoted, "group={} node={} replica={}", group_->id(), member.node,
-             member.replica);
-    group_->Promote(member.replica, ChangeDone());
+    Promote(member);
     return true;
   }
   return false;
 }
 
+void JobReplicaManager::Promote(const GroupMember& member) {
+  busy_ = true;
+  group_->Promote(member.replica, alive_.Guard([this, member](const absl::Status& status) {
+    busy_ = false;
+    // One that has not caught up yet is tried again.
+    if (!status.ok() || group_ == nullptr) return;
+    LogEvent(EventId::kReplicaPromoted, "group={} node={} replica={}", group_->id(), member.node,
+             member.replica);
+  }));
+}
+
 bool JobReplicaManager::RemoveOne(const std::vector<GroupMember>& members) {
   const size_t sound = CountSoundVoters(members);
   for (const GroupMember& member : members) {
--- a/source/jobs/job_replica_manager.h
+++ b/source/jobs/job_replica_manager.h
@@ -34,6 +34,7 @@
 
  private:
   void Tick();
+  void Promote(const GroupMember& member);
   bool PromoteWhereShort(const std::vector<GroupMember>& members);
   bool RemoveOne(const std::vector<GroupMember>& members);
   bool AddStranger(const std::vector<GroupMember>& members);
--- a/test/jobs/fake_group.h
+++ b/test/jobs/fake_group.h
@@ -42,6 +42,12 @@
     Finish(done);
   }
   void Promote(ReplicaId replica, std::function<void(absl::Status)> done) override {
+    if (promotions_refused > 0) {
+      --promotions_refused;
+      scheduler_.Schedule(commit_time,
+                          [done] { done(absl::FailedPreconditionError("not caught up")); });
+      return;
+    }
     for (GroupMember& member : members) member.voter = member.voter || member.replica == replica;
     Finish(done);
   }
@@ -54,6 +60,8 @@
     Finish(done);
   }
 
+  /// Promotions that fail, as of a learner that has not caught up.
+  int promotions_refused = 0;
   bool leader = true;
   bool quorum = true;
   std::optional<NodeId> leader_node;
--- a/test/jobs/job_replica_manager_test.cc
+++ b/test/jobs/job_replica_manager_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "test/common/log_pipe.h"
 #include "test/jobs/fake_group.h"
 
 namespace millstair {
@@ -82,6 +83,19 @@
   }
 }
 
+TEST_CASE("A promotion is logged once, when it is done") {
+  LogPipe log;
+  Fixture fixture;
+  fixture.group.promotions_refused = 3;
+  fixture.Join("c", ReplicaId(200));
+  fixture.Run();
+  CHECK(fixture.Voters() == Names{"a", "b", "c"});
+  const std::string text = log.Read();
+  const size_t first = text.find("ReplicaPromoted");
+  REQUIRE(first != std::string::npos);
+  CHECK(text.find("ReplicaPromoted", first + 1) == std::string::npos);
+}
+
 TEST_CASE("A retired node is replaced first, then emptied and reported") {
   Fixture fixture;
   fixture.configuration.retired_nodes[NodeId("b")] = {NodeId("b"), false};
