Send no item that was listed a moment ago

A leader takes up again all items that are not listed in its state; what an earlier term proposed is applied right after, which frees the bodies of listed items. Work done between that and the timer that takes changes in sent the item with what was left of it. Ruled out: the move from slow engines (the first run had ended), another leader (the same node). Change: a listed item is neither sent, moved, scored nor ended; it goes with the next changes. Before and after: the new test sent the item before (three assertions failed), not after.

--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -29,6 +29,8 @@
       stuck.insert(rank.job);
       continue;
     }
+    // Listed a moment ago: its body is gone, and it goes with the next changes.
+    if (state_.IsListed(rank.job, rank.index)) continue;
     Work& work = *jobs_.at(rank.job).items.at(rank.index);
     if (now < work.not_before) continue;
     if (Dispatch(work, *record, *route)) {
@@ -48,7 +50,8 @@
     if (route == nullptr || record->ended) continue;
     for (const auto& work : job_work.items) {
       if (moved >= kMovesAtOnce) return;
-      if (work != nullptr && work->phase == Phase::kRunning && Move(*work, *record, *route)) {
+      if (work == nullptr || state_.IsListed(job, work->index)) continue;
+      if (work->phase == Phase::kRunning && Move(*work, *record, *route)) {
         ++moved;
       }
     }
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -249,6 +249,8 @@
 JobScheduler::Work* JobScheduler::FindWork(const JobId& job, uint32_t index) {
   const auto found = jobs_.find(job);
   if (found == jobs_.end() || index >= found->second.items.size()) return nullptr;
+  // What is listed has no content any more.
+  if (state_.IsListed(job, index)) return nullptr;
   return found->second.items[index].get();
 }
 
--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -285,6 +285,23 @@
   CHECK(fixture.state.Find(JobId("j"))->progress.empty());
 }
 
+TEST_CASE("An item that was listed a moment ago is not sent: its body is gone") {
+  Fixture fixture;
+  fixture.Add("e:1", "engines", [](const HttpRequest& request) {
+    CHECK(request.body == "prompt");
+    return FakeAnswer{Kind::kSilence};
+  });
+  fixture.Submit(fixture.Job("j"));
+  fixture.Lead();
+  // What an earlier leader proposed is applied only now, and work is done before it is taken in.
+  const JobResult result{0, ItemState::kDone, "text", {WeightVersion(1)}, "sig"};
+  fixture.state.Apply(LogIndex(9), EncodeJobCommand({ListResult{JobId("j"), result}, {}}));
+  fixture.scheduler_under_test.Pump();
+  CHECK(fixture.backends.CountAt("e:1") == 0);
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.backends.CountAt("e:1") == 0);
+}
+
 TEST_CASE("Text that was kept of an ended job serves the next leader too") {
   Fixture fixture;
   fixture.Add("e:1", "engines", SlowText);
