--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -210,7 +210,7 @@
            static_cast<std::ptrdiff_t>(wanted.at(entry.first));
   };
   const auto poorer = [&](const auto& a, const auto& b) { return surplus(a) < surplus(b); };
-  const auto move = [this](EngineGroup& from, const ModelName& model, EngineGroup& to) {
+  const auto move = [](EngineGroup& from, const ModelName& model, EngineGroup& to) {
     const auto nearest = NewestOf(from, model);
     (*nearest)->assigned = model;
     to.push_back(*nearest);
