--- a/source/jobs/job_state_machine.cc
+++ b/source/jobs/job_state_machine.cc
@@ -99,11 +99,17 @@
     const auto found = jobs_.find(part.job);
     if (found == jobs_.end() || found->second.ended) continue;
     if (part.item >= found->second.spec.items.size() || IsListed(part.job, part.item)) continue;
-    ItemProgress& held = found->second.progress[part.item];
-    if (part.after != 0 && part.after != held.events) continue;
-    std::string text = part.after == 0 ? std::string() : std::move(held.text);
-    held = part.grown;
-    held.text = text + part.grown.text;
+    auto& progress = found->second.progress;
+    if (part.after == 0) {
+      progress[part.item] = part.grown;
+      continue;
+    }
+    // A part that does not follow what is kept is passed over.
+    const auto held = progress.find(part.item);
+    if (held == progress.end() || held->second.events != part.after) continue;
+    std::string text = std::move(held->second.text) + part.grown.text;
+    held->second = part.grown;
+    held->second.text = std::move(text);
   }
   return JobResultCode::kOk;
 }
--- a/test/jobs/job_state_machine_test.cc
+++ b/test/jobs/job_state_machine_test.cc
@@ -121,6 +121,15 @@
   CHECK(progress.empty());
 }
 
+TEST_CASE("A part that follows nothing leaves no trace, and the snapshot can be restored") {
+  Machine machine;
+  machine.Run(SubmitJob{Job("a", 2)});
+  machine.Run(KeepProgress{{Part(5, 6, "\nlost", 1)}});
+  CHECK(machine.machine.Find(JobId("a"))->progress.empty());
+  Machine restored;
+  CHECK(restored.machine.Restore(LogIndex(2), machine.machine.TakeSnapshot()).ok());
+}
+
 TEST_CASE("Malformed commands are refused and change nothing") {
   Machine machine;
   machine.Run(SubmitJob{Job("a", 1)});
