--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -178,12 +178,15 @@
   return parts;
 }
 
+void JobScheduler::ForgetKept(Work& work) {
+  work.kept_events = 0;
+  work.kept_bytes = 0;
+}
+
 void JobScheduler::ForgetKept(const std::vector<ProgressPart>& parts) {
   for (const ProgressPart& part : parts) {
     Work* work = FindWork(part.job, part.item);
-    if (work == nullptr) continue;
-    work->kept_events = 0;
-    work->kept_bytes = 0;
+    if (work != nullptr) ForgetKept(*work);
   }
 }
 
@@ -318,9 +321,7 @@
 
 void JobScheduler::BeginAnew(Work& work) {
   work.progress.Clear();
-  // The next part replaces what was kept.
-  work.kept_events = 0;
-  work.kept_bytes = 0;
+  ForgetKept(work);
 }
 
 void JobScheduler::Requeue(Work& work, Duration pause) {
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -106,6 +106,8 @@
   /// Proposes what long texts grew by.
   void KeepLongTexts();
   std::vector<ProgressPart> CollectProgress();
+  /// The next part replaces what the group's log holds.
+  static void ForgetKept(Work& work);
   void ForgetKept(const std::vector<ProgressPart>& parts);
   void DropListed(const JobId& job);
   void TakeChanges();
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -264,8 +264,7 @@
   const EngineLoadState& engine = engines_.at(instance);
   const auto target = targets_.find(engine.assigned);
   if (target == targets_.end()) return std::nullopt;
-  const auto held = engine.versions.find(engine.assigned);
-  const uint64_t version = held == engine.versions.end() ? 0 : held->second.value();
+  const uint64_t version = engine.HeldVersion(engine.assigned).value();
   const uint64_t newest = target->second.value();
   if (version >= newest) return std::nullopt;
   const NamedVersion wanted{engine.assigned, target->second};
