Read results at the nearest replica of the job group

Change: reads go to the first replica of the own zone, which asks the leader for a confirmed index and answers from its own state; a node that does not answer or holds no replica is passed over for three seconds. Changes still go to the leader.

Results are fixed once listed, so a confirmed index is all that a follower needs; caches at the gateways were ruled out: nine of them would hold the texts.

--- a/source/cluster/group_client.cc
+++ b/source/cluster/group_client.cc
@@ -14,15 +14,19 @@
 /// Pause after a node answered that it can't serve the command now.
 constexpr Duration kRetryPauseMin = std::chrono::milliseconds(30);
 constexpr Duration kRetryPauseMax = std::chrono::milliseconds(150);
+/// A node that was of no use for a read is asked again after this long: about the time in which a
+/// replica that restarted or was added has caught up.
+constexpr Duration kPassedOverFor = std::chrono::seconds(3);
 
 }  // namespace
 
 GroupClient::GroupClient(Environment& environment, PeerTransport& transport, GroupId group,
-                         Candidates candidates)
+                         Candidates candidates, GroupTarget target)
     : environment_(environment),
       transport_(transport),
       group_(std::move(group)),
-      candidates_(std::move(candidates)) {}
+      candidates_(std::move(candidates)),
+      kind_(target) {}
 
 void GroupClient::Submit(CommandMode mode, std::string command, Duration timeout, Callback done) {
   const uint64_t id = NewId();
@@ -62,7 +66,17 @@
   return id;
 }
 
+bool GroupClient::PassedOver(const NodeId& node) const {
+  const auto found = passed_over_.find(node);
+  return found != passed_over_.end() && environment_.Now() < found->second;
+}
+
 NodeId GroupClient::Target(const std::vector<NodeId>& candidates) const {
+  if (kind_ == GroupTarget::kNearest) {
+    const auto useful = std::find_if(candidates.begin(), candidates.end(),
+                                     [this](const NodeId& node) { return !PassedOver(node); });
+    return useful == candidates.end() ? candidates.front() : *useful;
+  }
   const auto preferred = std::find(candidates.begin(), candidates.end(), target_);
   return preferred == candidates.end() ? candidates.front() : target_;
 }
@@ -83,6 +97,11 @@
 
 void GroupClient::Retry(Pending& pending, const NodeId& leader) {
   const uint64_t id = pending.message.id;
+  if (kind_ == GroupTarget::kNearest) {
+    MoveOn(pending.sent_to);
+    const std::vector<NodeId> candidates = candidates_();
+    if (!candidates.empty() && !PassedOver(Target(candidates))) return Send(pending);
+  }
   const bool told = !leader.value().empty() && leader != pending.sent_to;
   if (told) {
     target_ = leader;
@@ -100,6 +119,12 @@
 }
 
 void GroupClient::MoveOn(const NodeId& from) {
+  if (kind_ == GroupTarget::kNearest) {
+    const TimePoint now = environment_.Now();
+    std::erase_if(passed_over_, [now](const auto& entry) { return now >= entry.second; });
+    passed_over_[from] = now + kPassedOverFor;
+    return;
+  }
   const std::vector<NodeId> candidates = candidates_();
   // Another command may have moved on already.
   if (candidates.empty() || Target(candidates) != from) return;
--- a/source/cluster/group_client.h
+++ b/source/cluster/group_client.h
@@ -1,5 +1,5 @@
-/// Sends commands and queries to the leader of a group, through nodes that may have a replica of
-/// it. Which nodes these are is asked anew at each try, so that nodes may come and go.
+/// Sends commands and queries to replicas of a group, through nodes that may have one. Which nodes
+/// these are is asked anew at each try, so that nodes may come and go.
 #pragma once
 
 #include <functional>
@@ -18,16 +18,22 @@
 
 namespace millstair {
 
+/// Which replica a client turns to.
+enum class GroupTarget : uint8_t {
+  kLeader,   ///< for changes: found through any replica, and kept while it answers
+  kNearest,  ///< for confirmed reads: the first candidate that is not known to be of no use now
+};
+
 /// Lives on the node's serial executor. Commands have to bear being run more than once: an
 /// unanswered one is repeated until its deadline.
 class GroupClient {
  public:
   using Callback = std::function<void(absl::StatusOr<std::string>)>;
-  /// Nodes that may lead the group, in the order in which they are tried.
+  /// Nodes that may have a replica of the group, in the order in which they are tried.
   using Candidates = std::function<std::vector<NodeId>()>;
 
   GroupClient(Environment& environment, PeerTransport& transport, GroupId group,
-              Candidates candidates);
+              Candidates candidates, GroupTarget target = GroupTarget::kLeader);
 
   /// `done` gets the encoded result; DeadlineExceeded means that the outcome is unknown.
   void Submit(CommandMode mode, std::string command, Duration timeout, Callback done);
@@ -53,13 +59,17 @@
   void Finish(uint64_t id, absl::StatusOr<std::string> result);
   NodeId Target(const std::vector<NodeId>& candidates) const;
   void MoveOn(const NodeId& from);
+  bool PassedOver(const NodeId& node) const;
 
   Environment& environment_;
   PeerTransport& transport_;
   const GroupId group_;
   const Candidates candidates_;
-  /// The node that answered last, or the one to try next.
+  const GroupTarget kind_;
+  /// For kLeader: the node that answered last, or the one to try next.
   NodeId target_;
+  /// For kNearest: nodes that did not answer or have no replica, and until when they are not asked.
+  std::map<NodeId, TimePoint> passed_over_;
   std::map<uint64_t, std::unique_ptr<Pending>> pending_;
 };
 
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -14,6 +14,7 @@
                          IngressNodeOptions options)
     : transport_(transport),
       self_(options.self.node),
+      zone_(options.self.zone),
       configuration_(MakeConfigurationClient(environment, transport, options.self,
                                              options.control_nodes, options.configuration_timing)),
       ingress_(environment, http, protocol, reader, options.self.zone, options.stats),
@@ -39,11 +40,14 @@
 }
 
 std::vector<NodeId> IngressNode::StorageNodes() const {
-  std::vector<NodeId> nodes;
+  std::vector<NodeId> near;
+  std::vector<NodeId> far;
   for (const auto& [node, record] : configuration().nodes) {
-    if (record.storage && record.state != MemberState::kGone) nodes.push_back(node);
+    if (!record.storage || record.state == MemberState::kGone) continue;
+    (record.zone == zone_ ? near : far).push_back(node);
   }
-  return nodes;
+  near.insert(near.end(), far.begin(), far.end());
+  return near;
 }
 
 void IngressNode::Receive(const NodeId& from, const PeerMessage& message) {
--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -40,12 +40,14 @@
   bool LeaseValid() const { return configuration_->LeaseValid(); }
 
  private:
+  /// Those of the own zone first.
   std::vector<NodeId> StorageNodes() const;
   void ConfigurationChanged();
   void CheckReady();
 
   PeerTransport& transport_;
   const NodeId self_;
+  const Zone zone_;
   std::unique_ptr<ConfigurationClient> configuration_;
   IngressService ingress_;
   JobClient jobs_;
--- a/source/jobs/job_client.cc
+++ b/source/jobs/job_client.cc
@@ -8,15 +8,17 @@
 
 JobClient::JobClient(Environment& environment, PeerTransport& transport,
                      GroupClient::Candidates storage_nodes, JobClientTiming timing)
-    : group_(environment, transport, kJobGroup, std::move(storage_nodes)), timing_(timing) {}
+    : changes_(environment, transport, kJobGroup, storage_nodes),
+      reads_(environment, transport, kJobGroup, std::move(storage_nodes), GroupTarget::kNearest),
+      timing_(timing) {}
 
 void JobClient::Propose(JobCommand command,
                         std::function<void(absl::StatusOr<JobResultCode>)> done) {
-  group_.Submit(CommandMode::kPropose, EncodeJobCommand(command), timing_.patience,
-                [done = std::move(done)](const absl::StatusOr<std::string>& result) {
-                  if (!result.ok()) return done(result.status());
-                  done(DecodeJobResultCode(*result));
-                });
+  changes_.Submit(CommandMode::kPropose, EncodeJobCommand(command), timing_.patience,
+                  [done = std::move(done)](const absl::StatusOr<std::string>& result) {
+                    if (!result.ok()) return done(result.status());
+                    done(DecodeJobResultCode(*result));
+                  });
 }
 
 void JobClient::Submit(JobSpec job, std::function<void(absl::StatusOr<JobResultCode>)> done) {
@@ -29,7 +31,7 @@
 
 void JobClient::Query(const JobQuery& query,
                       std::function<void(absl::StatusOr<JobQueryAnswer>)> done) {
-  group_.Submit(CommandMode::kQuery, EncodeJobQuery(query), timing_.patience,
+  reads_.Submit(CommandMode::kQuery, EncodeJobQuery(query), timing_.patience,
                 [done = std::move(done)](const absl::StatusOr<std::string>& result) {
                   if (!result.ok()) return done(result.status());
                   done(DecodeJobQueryAnswer(*result));
--- a/source/jobs/job_client.h
+++ b/source/jobs/job_client.h
@@ -1,4 +1,6 @@
-/// Batch jobs as a node without a replica of their group sees them: typed calls to the leader.
+/// Batch jobs as a node without a replica of their group sees them: typed calls, changes to the
+/// leader and reads to the nearest replica, which confirms with the leader that it is up to date.
+/// So texts that are read do not cross zones again where the own zone has a replica.
 #pragma once
 
 #include <functional>
@@ -24,7 +26,7 @@
 /// made; all calls bear being repeated.
 class JobClient {
  public:
-  /// `storage_nodes` gives the nodes that may lead the group.
+  /// `storage_nodes` gives the nodes that may have a replica of the group, the nearest first.
   JobClient(Environment& environment, PeerTransport& transport,
             GroupClient::Candidates storage_nodes, JobClientTiming timing = {});
 
@@ -34,12 +36,15 @@
   void End(const JobId& job, std::function<void(absl::StatusOr<JobResultCode>)> done);
   void Query(const JobQuery& query, std::function<void(absl::StatusOr<JobQueryAnswer>)> done);
   /// Messages of kind kCommandReply.
-  void Receive(const NodeId& from, const PeerMessage& message) { group_.Receive(from, message); }
+  void Receive(const NodeId& from, const PeerMessage& message) {
+    if (!changes_.Receive(from, message)) reads_.Receive(from, message);
+  }
 
  private:
   void Propose(JobCommand command, std::function<void(absl::StatusOr<JobResultCode>)> done);
 
-  GroupClient group_;
+  GroupClient changes_;
+  GroupClient reads_;
   const JobClientTiming timing_;
 };
 
--- a/source/jobs/job_service.cc
+++ b/source/jobs/job_service.cc
@@ -39,7 +39,8 @@
   const auto command = DecodeGroupCommand(message.payload);
   if (!command.ok()) return;
   const uint64_t id = command->id;
-  if (group_ == nullptr || !group_->IsLeader()) {
+  if (group_ == nullptr) return Reply(from, id, absl::UnavailableError("no replica here"));
+  if (command->mode == CommandMode::kPropose && !group_->IsLeader()) {
     return Reply(from, id, absl::UnavailableError("not the leader"));
   }
   // A resend of a command that is under way is answered with it.
--- a/test/jobs/job_service_test.cc
+++ b/test/jobs/job_service_test.cc
@@ -50,7 +50,10 @@
   Fixture() {
     follower.leader = false;
     follower.leader_node = NodeId("s1");
-    state.OnChange([this](JobChange, const JobId& job) { first.NoteChange(job); });
+    state.OnChange([this](JobChange, const JobId& job) {
+      first.NoteChange(job);
+      second.NoteChange(job);
+    });
     first.Attach(&leader, &state);
     second.Attach(&follower, &state);
     wires.receivers[NodeId("s1")] = [this](const NodeId& from, const PeerMessage& message) {
@@ -143,6 +146,7 @@
   query.job = JobId("none");
   CHECK_FALSE(fixture.Query(query).found);
   fixture.leader.quorum = false;
+  fixture.follower.quorum = false;
   bool answered = false;
   fixture.client.Query(query, [&](absl::StatusOr<JobQueryAnswer> answer) {
     answered = true;
@@ -188,6 +192,44 @@
   CHECK(fixture.answered_at - asked_again_at < milliseconds(450));
 }
 
+TEST_CASE("Results are read at the nearest replica, and the job is handed in at the leader") {
+  Fixture fixture;
+  fixture.Submit("j");
+  fixture.List(0, "text");
+  fixture.wires.cut.insert(NodeId("s1"));
+  JobQuery query;
+  query.job = JobId("j");
+  CHECK(fixture.Query(query).results.size() == 1);
+}
+
+TEST_CASE("A replica that can't confirm a read is passed over for a while, then asked again") {
+  Fixture fixture;
+  fixture.Submit("j");
+  fixture.List(0, "text");
+  fixture.wires.cut.insert(NodeId("s2"));
+  JobQuery query;
+  query.job = JobId("j");
+  CHECK(fixture.Query(query).results.size() == 1);
+  const Duration asked_at = fixture.scheduler.Now();
+  CHECK(fixture.Query(query, milliseconds(500)).results.size() == 1);
+  CHECK(fixture.answered_at - asked_at < milliseconds(50));
+  fixture.wires.cut = {NodeId("s1")};
+  fixture.scheduler.RunFor(seconds(3));
+  CHECK(fixture.Query(query).results.size() == 1);
+}
+
+TEST_CASE("A node without a replica sends its readers on at once") {
+  Fixture fixture;
+  fixture.Submit("j");
+  fixture.List(0, "text");
+  fixture.second.Attach(nullptr, nullptr);
+  JobQuery query;
+  query.job = JobId("j");
+  const Duration asked_at = fixture.scheduler.Now();
+  CHECK(fixture.Query(query).results.size() == 1);
+  CHECK(fixture.answered_at - asked_at < milliseconds(20));
+}
+
 TEST_CASE("The body of an item is given until it is listed or its job has ended") {
   Fixture fixture;
   fixture.Submit("j");
