--- a/source/cluster/group_client.cc
+++ b/source/cluster/group_client.cc
@@ -14,9 +14,11 @@
 /// Pause after a node answered that it can't serve the command now.
 constexpr Duration kRetryPauseMin = std::chrono::milliseconds(30);
 constexpr Duration kRetryPauseMax = std::chrono::milliseconds(150);
-/// A node that was of no use for a read is asked again after this long: about the time in which a
-/// replica that restarted or was added has caught up.
-constexpr Duration kPassedOverFor = std::chrono::seconds(3);
+/// A node that did not answer a read or has no replica is asked again after this long: about the
+/// time in which a replica that restarted or was added has caught up.
+constexpr Duration kUselessFor = std::chrono::seconds(3);
+/// A replica that knows of no leader is asked again after this long: an election takes about that.
+constexpr Duration kLeaderlessFor = std::chrono::milliseconds(150);
 
 }  // namespace
 
@@ -50,6 +52,13 @@
   if (reply->status == absl::StatusCode::kOk) {
     target_ = from;
     Finish(reply->id, std::move(reply->result));
+  } else if (kind_ == GroupTarget::kNearest &&
+             reply->status == absl::StatusCode::kFailedPrecondition) {
+    PassOver(from, kUselessFor);
+    if (from == found->second->sent_to) ReadElsewhere(*found->second);
+  } else if (kind_ == GroupTarget::kNearest && reply->status == absl::StatusCode::kUnavailable) {
+    PassOver(from, kLeaderlessFor);
+    if (from == found->second->sent_to) ReadElsewhere(*found->second);
   } else if (reply->status == absl::StatusCode::kUnavailable) {
     // An answer to an earlier try does not disturb the one under way.
     if (from == found->second->sent_to) Retry(*found->second, reply->leader);
@@ -66,16 +75,35 @@
   return id;
 }
 
-bool GroupClient::PassedOver(const NodeId& node) const {
+Duration GroupClient::PassedOverFor(const NodeId& node) const {
   const auto found = passed_over_.find(node);
-  return found != passed_over_.end() && environment_.Now() < found->second;
+  if (found == passed_over_.end()) return Duration(0);
+  return std::max(found->second - environment_.Now(), Duration(0));
+}
+
+void GroupClient::PassOver(const NodeId& node, Duration time) {
+  const TimePoint now = environment_.Now();
+  std::erase_if(passed_over_, [now](const auto& entry) { return now >= entry.second; });
+  passed_over_[node] = now + time;
+}
+
+void GroupClient::ReadElsewhere(Pending& pending) {
+  const std::vector<NodeId> candidates = candidates_();
+  const bool useful = !candidates.empty() && PassedOverFor(Target(candidates)) == Duration(0);
+  if (useful) return Send(pending);
+  const Duration pause = DrawDuration(environment_.Random(), kRetryPauseMin, kRetryPauseMax);
+  pending.retry_timer.Arm(pause, [this, id = pending.message.id] {
+    const auto found = pending_.find(id);
+    if (found != pending_.end()) Send(*found->second);
+  });
 }
 
 NodeId GroupClient::Target(const std::vector<NodeId>& candidates) const {
   if (kind_ == GroupTarget::kNearest) {
-    const auto useful = std::find_if(candidates.begin(), candidates.end(),
-                                     [this](const NodeId& node) { return !PassedOver(node); });
-    return useful == candidates.end() ? candidates.front() : *useful;
+    // The first that is of use; if none is, the one that is to be asked again the soonest.
+    return *std::min_element(
+        candidates.begin(), candidates.end(),
+        [this](const NodeId& a, const NodeId& b) { return PassedOverFor(a) < PassedOverFor(b); });
   }
   const auto preferred = std::find(candidates.begin(), candidates.end(), target_);
   return preferred == candidates.end() ? candidates.front() : target_;
@@ -97,11 +125,6 @@
 
 void GroupClient::Retry(Pending& pending, const NodeId& leader) {
   const uint64_t id = pending.message.id;
-  if (kind_ == GroupTarget::kNearest) {
-    MoveOn(pending.sent_to);
-    const std::vector<NodeId> candidates = candidates_();
-    if (!candidates.empty() && !PassedOver(Target(candidates))) return Send(pending);
-  }
   const bool told = !leader.value().empty() && leader != pending.sent_to;
   if (told) {
     target_ = leader;
@@ -119,12 +142,7 @@
 }
 
 void GroupClient::MoveOn(const NodeId& from) {
-  if (kind_ == GroupTarget::kNearest) {
-    const TimePoint now = environment_.Now();
-    std::erase_if(passed_over_, [now](const auto& entry) { return now >= entry.second; });
-    passed_over_[from] = now + kPassedOverFor;
-    return;
-  }
+  if (kind_ == GroupTarget::kNearest) return PassOver(from, kUselessFor);
   const std::vector<NodeId> candidates = candidates_();
   // Another command may have moved on already.
   if (candidates.empty() || Target(candidates) != from) return;
--- a/source/cluster/group_client.h
+++ b/source/cluster/group_client.h
@@ -59,7 +59,11 @@
   void Finish(uint64_t id, absl::StatusOr<std::string> result);
   NodeId Target(const std::vector<NodeId>& candidates) const;
   void MoveOn(const NodeId& from);
-  bool PassedOver(const NodeId& node) const;
+  /// For how long `node` is not to be asked for reads; 0 if it may be of use.
+  Duration PassedOverFor(const NodeId& node) const;
+  void PassOver(const NodeId& node, Duration time);
+  /// The replica asked can't serve the read: another one is asked, at once if one may be of use.
+  void ReadElsewhere(Pending& pending);
 
   Environment& environment_;
   PeerTransport& transport_;
--- a/source/common/peer_transport.h
+++ b/source/common/peer_transport.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "common/ids.h"
 
@@ -21,6 +22,33 @@
   kEngineReport = 9,       ///< gateway -> gateways of its zone: observed engine state
 };
 
+inline constexpr size_t kMessageKinds = 9;
+
+/// "raft", "heartbeat" and so on, for metrics.
+constexpr std::string_view MessageKindName(MessageKind kind) {
+  switch (kind) {
+    case MessageKind::kRaft:
+      return "raft";
+    case MessageKind::kHeartbeat:
+      return "heartbeat";
+    case MessageKind::kHeartbeatReply:
+      return "heartbeat-reply";
+    case MessageKind::kConfigurationPush:
+      return "configuration-push";
+    case MessageKind::kCommand:
+      return "command";
+    case MessageKind::kCommandReply:
+      return "command-reply";
+    case MessageKind::kWorkRequest:
+      return "work-request";
+    case MessageKind::kWorkReply:
+      return "work-reply";
+    case MessageKind::kEngineReport:
+      return "engine-report";
+  }
+  return "unknown";
+}
+
 struct PeerMessage {
   MessageKind kind = MessageKind::kRaft;
   /// Encoded nanopb message; each module encodes and decodes its own kinds.
--- a/source/jobs/job_codec.cc
+++ b/source/jobs/job_codec.cc
@@ -139,6 +139,7 @@
     wire.versions[wire.versions_count++] = version.value();
   }
   wire.version = part.grown.version.value();
+  wire.term = part.grown.term.value();
   return wire;
 }
 
@@ -152,6 +153,7 @@
     part.grown.versions.emplace_back(wire.versions[i]);
   }
   part.grown.version = WeightVersion(wire.version);
+  part.grown.term = Term(wire.term);
   return part.grown.events > part.after;
 }
 
@@ -216,6 +218,8 @@
     wire.operation.list.job = arena.NewString(list.job.value());
     wire.operation.list.has_result = true;
     wire.operation.list.result = ToWire(arena, list.result);
+    wire.operation.list.after = list.after;
+    wire.operation.list.term = list.term.value();
   }
 
   void operator()(const EndJob& end) const {
@@ -245,6 +249,8 @@
     case millstair_JobCommand_list_tag: {
       auto& list = operation.emplace<ListResult>();
       list.job = JobId(ToString(wire.operation.list.job));
+      list.after = wire.operation.list.after;
+      list.term = Term(wire.operation.list.term);
       return wire.operation.list.has_result && FromWire(wire.operation.list.result, list.result);
     }
     case millstair_JobCommand_end_tag:
@@ -293,7 +299,7 @@
   if (!decoded.ok()) return decoded.status();
   const uint32_t code = (*decoded)->code;
   if (code < static_cast<uint32_t>(JobResultCode::kOk) ||
-      code > static_cast<uint32_t>(JobResultCode::kInvalid)) {
+      code > static_cast<uint32_t>(JobResultCode::kNotKept)) {
     return absl::InvalidArgumentError("job result with an unknown code");
   }
   return static_cast<JobResultCode>(code);
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -12,6 +12,8 @@
 constexpr Duration kPumpInterval = std::chrono::milliseconds(100);
 constexpr Duration kRefusedPause = std::chrono::milliseconds(20);
 constexpr Duration kFailedPause = std::chrono::milliseconds(50);
+/// Between two tries to have the leadership confirmed.
+constexpr Duration kCatchUpPause = std::chrono::milliseconds(20);
 constexpr Duration kProposePause = std::chrono::milliseconds(50);
 /// How often long texts are looked at.
 constexpr Duration kKeepInterval = std::chrono::milliseconds(250);
@@ -41,7 +43,9 @@
 JobScheduler::~JobScheduler() { SetLeading(false); }
 
 void JobScheduler::SetLeading(bool leading) {
-  leading_ = leading;
+  leading_ = false;
+  wants_to_lead_ = leading;
+  term_ = group_.CurrentTerm();
   changed_.clear();
   kept_.Clear();
   lengths_.Clear();
@@ -49,11 +53,23 @@
   std::vector<JobId> known;
   for (const auto& [job, work] : jobs_) known.push_back(job);
   for (const JobId& job : known) DropJob(job);
-  if (!leading_) {
-    pump_timer_.Cancel();
-    keep_timer_.Cancel();
-    return;
-  }
+  pump_timer_.Cancel();
+  keep_timer_.Cancel();
+  if (wants_to_lead_) CatchUp();
+}
+
+void JobScheduler::CatchUp() {
+  group_.ConfirmRead(alive_.Guard([this, term = term_](const absl::StatusOr<LogIndex>& index) {
+    if (!wants_to_lead_ || leading_ || term_ != term) return;
+    if (index.ok()) return Begin();
+    LogEvent(EventId::kJobCatchUpFailed, "group={} term={} reason=\"{}\"", group_.id(), term,
+             std::string(index.status().message()));
+    pump_timer_.Arm(kCatchUpPause, [this] { CatchUp(); });
+  }));
+}
+
+void JobScheduler::Begin() {
+  leading_ = true;
   LearnKeptTexts();
   KeepProgressSoon();
   std::vector<const JobRecord*> open;
@@ -77,7 +93,7 @@
 
 void JobScheduler::TakeChanges() {
   if (!leading_) return;
-  if (std::exchange(restored_, false)) return SetLeading(true);
+  if (std::exchange(restored_, false)) return SetLeading(wants_to_lead_);
   for (const JobId& job : std::exchange(changed_, {})) {
     const JobRecord* record = state_.Find(job);
     if (record == nullptr || record->ended) {
@@ -171,9 +187,8 @@
 void JobScheduler::UseKeptText(const JobRecord& record, Work& work) {
   const auto own = record.progress.find(work.index);
   if (own != record.progress.end()) {
+    // An earlier leader kept it: this one keeps it anew with what it adds.
     work.progress = own->second;
-    work.kept_events = own->second.events;
-    work.kept_bytes = own->second.text.size();
     return;
   }
   auto carried = kept_.Take(record.spec.items[work.index].id, record.spec.min_version);
@@ -219,7 +234,7 @@
     for (const auto& work : job_work.items) {
       if (work == nullptr || work->phase == Phase::kListing || now < work->keep_from) continue;
       if (work->progress.events == work->kept_events) continue;
-      ProgressPart part{job, work->index, work->kept_events, work->progress};
+      ProgressPart part{job, work->index, work->kept_events, {work->progress, term_}};
       part.grown.text.erase(0, work->kept_bytes);
       work->kept_events = work->progress.events;
       work->kept_bytes = work->progress.text.size();
@@ -451,7 +466,7 @@
   work.result.score = std::move(score);
   if (state == ItemState::kDone) {
     work.result.text = std::move(work.progress.text);
-    work.result.versions = work.progress.versions;
+    work.result.versions = std::move(work.progress.versions);
   } else {
     LogEvent(EventId::kItemGivenUp, "job={} item={} server_errors={} scoring_errors={}", work.job,
              work.index, work.server_errors, work.scoring_errors);
@@ -462,14 +477,33 @@
 void JobScheduler::Propose(const JobId& job, uint32_t index) {
   Work* work = FindWork(job, index);
   if (work == nullptr || !leading_) return;
-  const JobCommand command{ListResult{job, work->result}, environment_.WallNow()};
+  ListResult list{job, work->result};
+  if (work->kept_events > 0 && work->result.state == ItemState::kDone) {
+    list.after = work->kept_events;
+    list.term = term_;
+    list.result.text.erase(0, work->kept_bytes);
+  }
+  const JobCommand command{std::move(list), environment_.WallNow()};
   group_.Propose(EncodeJobCommand(command),
                  alive_.Guard([this, job, index](const absl::StatusOr<std::string>& result) {
-                   if (result.ok()) return NoteListed(job, index);
-                   environment_.Schedule(kProposePause, alive_.Guard([this, job, index] {
-                     if (!state_.IsListed(job, index)) Propose(job, index);
-                   }));
+                   OnProposed(job, index, result);
                  }));
 }
 
+void JobScheduler::OnProposed(const JobId& job, uint32_t index,
+                              const absl::StatusOr<std::string>& result) {
+  if (state_.IsListed(job, index)) return NoteListed(job, index);
+  Work* work = FindWork(job, index);
+  if (work == nullptr) return;
+  // What was kept is not there as this leader believed: the whole text is listed.
+  const auto code = result.ok() ? DecodeJobResultCode(*result) : result.status();
+  if (code.ok() && *code == JobResultCode::kNotKept) {
+    ForgetKept(*work);
+    return Propose(job, index);
+  }
+  environment_.Schedule(kProposePause, alive_.Guard([this, job, index] {
+    if (!state_.IsListed(job, index)) Propose(job, index);
+  }));
+}
+
 }  // namespace millstair
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -46,7 +46,8 @@
                JobSchedulerOptions options, StatsRegistry* stats = nullptr);
   ~JobScheduler();
 
-  /// Begins or ends all work.
+  /// Ends all work. With `leading`, it begins anew once everything that earlier leaders committed
+  /// is applied here: before that, listed items would be run again and kept texts be overwritten.
   void SetLeading(bool leading);
   /// May new work be given out: the configuration held is proven fresh.
   void SetAllowed(std::function<bool()> allowed) { allowed_ = std::move(allowed); }
@@ -103,6 +104,8 @@
     friend auto operator<=>(const Rank&, const Rank&) = default;  // NOLINT
   };
 
+  void CatchUp();
+  void Begin();
   void AddJob(const JobRecord& record);
   void DropJob(const JobId& job);
   Rank RankOf(const Work& work) const;
@@ -153,6 +156,7 @@
   void GiveUpOld();
   void List(Work& work, ItemState state, std::string score);
   void Propose(const JobId& job, uint32_t index);
+  void OnProposed(const JobId& job, uint32_t index, const absl::StatusOr<std::string>& result);
   void NoteListed(const JobId& job, uint32_t index);
   Work* FindWork(const JobId& job, uint32_t index);
   const Route* RouteOf(const JobRecord& record) const;
@@ -168,7 +172,11 @@
   const JobSchedulerOptions options_;
   StatsRegistry* const stats_;
   std::function<bool()> allowed_ = [] { return true; };
+  bool wants_to_lead_ = false;
+  /// Leads, and has applied all that earlier leaders committed.
   bool leading_ = false;
+  /// In which this replica leads; what it keeps and lists is marked with it.
+  Term term_;
   uint64_t next_order_ = 1;
   std::map<JobId, JobWork> jobs_;
   std::set<Rank> waiting_;
--- a/source/jobs/job_service.cc
+++ b/source/jobs/job_service.cc
@@ -39,10 +39,15 @@
   const auto command = DecodeGroupCommand(message.payload);
   if (!command.ok()) return;
   const uint64_t id = command->id;
-  if (group_ == nullptr) return Reply(from, id, absl::UnavailableError("no replica here"));
-  if (command->mode == CommandMode::kPropose && !group_->IsLeader()) {
+  const bool proposes = command->mode == CommandMode::kPropose;
+  if (proposes && (group_ == nullptr || !group_->IsLeader())) {
     return Reply(from, id, absl::UnavailableError("not the leader"));
   }
+  if (group_ == nullptr) return Reply(from, id, absl::FailedPreconditionError("no replica here"));
+  if (!group_->IsLeader() && !group_->Leader()) {
+    // It would learn of a leader too late for the reader, who may ask another replica.
+    return Reply(from, id, absl::UnavailableError("no leader is known here"));
+  }
   // A resend of a command that is under way is answered with it.
   const Running key{from, id};
   if (!running_.insert(key).second) return;
--- a/source/jobs/job_state_machine.cc
+++ b/source/jobs/job_state_machine.cc
@@ -24,6 +24,12 @@
   return results && progress;
 }
 
+/// Whether text that the leader of `term` has after `after` events goes on where `kept` ends. Two
+/// leaders may have had an item run anew, so equal counts of events alone do not say so.
+bool Follows(const KeptProgress& kept, uint64_t after, Term term) {
+  return kept.events == after && kept.term == term;
+}
+
 /// Frees what nobody may ask for any more; the identifier stays for reads of the result.
 void ForgetContent(JobItem& item) {
   item.body = std::string();
@@ -66,8 +72,15 @@
   std::vector<bool>& listed = listed_[list.job];
   if (list.result.item >= listed.size()) return JobResultCode::kInvalid;
   if (listed[list.result.item]) return JobResultCode::kOk;
+  JobResult result = list.result;
+  if (list.after > 0) {
+    const auto kept = found->second.progress.find(list.result.item);
+    const bool there = kept != found->second.progress.end();
+    if (!there || !Follows(kept->second, list.after, list.term)) return JobResultCode::kNotKept;
+    result.text = kept->second.text + list.result.text;
+  }
   listed[list.result.item] = true;
-  found->second.results.push_back(list.result);
+  found->second.results.push_back(std::move(result));
   ForgetContent(found->second.spec.items[list.result.item]);
   found->second.progress.erase(list.result.item);
   Notify(JobChange::kListed, list.job);
@@ -106,7 +119,8 @@
     }
     // A part that does not follow what is kept is passed over.
     const auto held = progress.find(part.item);
-    if (held == progress.end() || held->second.events != part.after) continue;
+    if (held == progress.end()) continue;
+    if (!Follows(held->second, part.after, part.grown.term)) continue;
     std::string text = std::move(held->second.text) + part.grown.text;
     held->second = part.grown;
     held->second.text = std::move(text);
--- a/source/jobs/job_types.h
+++ b/source/jobs/job_types.h
@@ -76,6 +76,13 @@
   friend bool operator==(const JobResult&, const JobResult&) = default;
 };
 
+/// Text that the group's log keeps of an item that is not listed.
+struct KeptProgress : ItemProgress {
+  /// Of the leader that kept it: no other leader's text goes on after it.
+  Term term;
+  friend bool operator==(const KeptProgress&, const KeptProgress&) = default;
+};
+
 struct JobRecord {
   JobSpec spec;
   /// Wall time of the leader that took it.
@@ -84,7 +91,7 @@
   /// In listed order.
   std::vector<JobResult> results;
   /// Text that was kept of items that are not listed, by index.
-  std::map<uint32_t, ItemProgress> progress;
+  std::map<uint32_t, KeptProgress> progress;
 };
 
 /// Takes a job. A job that is known already stays as it is.
@@ -96,6 +103,10 @@
 struct ListResult {
   JobId job;
   JobResult result;
+  /// Events whose text the group's log keeps already; the result's text holds what follows them.
+  uint64_t after = 0;
+  /// Of the leader that lists it and kept the text before.
+  Term term;
 };
 
 /// The client wants no more of a job.
@@ -122,8 +133,8 @@
   uint32_t item = 0;
   /// Events that were kept before; 0 replaces what was.
   uint64_t after = 0;
-  /// `text` holds the new part alone, the rest counts all events.
-  ItemProgress grown;
+  /// `text` holds the new part alone, the rest counts all events. Its term is the proposer's.
+  KeptProgress grown;
   friend bool operator==(const ProgressPart&, const ProgressPart&) = default;
 };
 
@@ -136,6 +147,7 @@
   kOk = 1,
   kNotFound = 2,  ///< no such job
   kInvalid = 3,   ///< malformed command
+  kNotKept = 4,   ///< the result goes on after a text that is not kept: it has to be listed whole
 };
 
 enum class JobQueryKind : uint8_t {
--- a/source/transport/frame.cc
+++ b/source/transport/frame.cc
@@ -52,7 +52,8 @@
   const auto kind = static_cast<uint8_t>(buffer_[begin_ + kLengthBytes]);
   if (length == 0) fault_ = FrameFault::kEmpty;
   if (length > max_payload_bytes_ + 1) fault_ = FrameFault::kTooLarge;
-  if (kind != kHelloKind && !IsMessageKind(kind)) fault_ = FrameFault::kUnknownKind;
+  const bool known = kind == kHelloKind || kind == kCompressedKind || IsMessageKind(kind);
+  if (!known) fault_ = FrameFault::kUnknownKind;
   if (fault_ != FrameFault::kNone || buffer_.size() - begin_ < kLengthBytes + length) {
     return std::nullopt;
   }
--- a/source/transport/frame.h
+++ b/source/transport/frame.h
@@ -1,5 +1,6 @@
 /// Frames on a peer connection: a 4-byte big-endian length, one byte of kind, the payload. The
-/// length counts kind and payload. Kind 0 is the hello; the others are MessageKind.
+/// length counts kind and payload. Kind 0 is the hello, kind 255 holds other frames compressed; the
+/// rest are MessageKind.
 #pragma once
 
 #include <cstddef>
@@ -14,6 +15,7 @@
 
 inline constexpr size_t kFrameHeaderBytes = 5;
 inline constexpr uint8_t kHelloKind = 0;
+inline constexpr uint8_t kCompressedKind = 255;
 
 struct Frame {
   uint8_t kind = kHelloKind;
--- a/source/transport/peer_hub.cc
+++ b/source/transport/peer_hub.cc
@@ -97,6 +97,7 @@
     });
     return;
   }
+  stats_.CountQueued(message.kind, message.payload.size());
   std::string frame = EncodeFrame(static_cast<uint8_t>(message.kind), message.payload);
   asio::post(strand_,
              [self = shared_from_this(), to = std::move(to), frame = std::move(frame)]() mutable {
@@ -236,6 +237,7 @@
   hello.cluster_id = arena.NewString(options_.cluster_id);
   hello.node = arena.NewString(options_.self.value());
   hello.incarnation = options_.incarnation.value();
+  hello.takes_compressed = true;
   const std::string frame = EncodeFrame(kHelloKind, EncodeNanopb(millstair_Hello_fields, &hello));
   const auto [error, count] =
       co_await asio::async_write(connection->socket, asio::buffer(frame), kUseTuple);
@@ -276,6 +278,7 @@
   if (connection.dialled && node != connection.node) return refuse("other-node");
   connection.node = node;
   connection.incarnation = Incarnation((*hello)->incarnation);
+  connection.takes_compressed = (*hello)->takes_compressed;
   return true;
 }
 
@@ -331,7 +334,13 @@
         connection->Close();
         break;
       }
-      frames.push_back(*std::move(frame));
+      if (frame->kind != kCompressedKind) {
+        frames.push_back(*std::move(frame));
+      } else if (!Unpack(frame->payload, frames)) {
+        stats_.CountRefused("bad-compressed");
+        connection->Close();
+        break;
+      }
     }
     if (!frames.empty()) co_await Deliver(connection, std::move(frames));
     if (connection->closed || connection->reader.fault() != FrameFault::kNone) break;
@@ -348,6 +357,19 @@
   Forget(connection);
 }
 
+bool PeerHub::Unpack(const std::string& payload, std::deque<Frame>& frames) {
+  const size_t limit = kBatchBytes + options_.max_frame_bytes + kFrameHeaderBytes;
+  const auto bytes = compression_.Decompress(payload, limit);
+  if (!bytes.ok()) return false;
+  FrameReader reader(options_.max_frame_bytes);
+  reader.Add(*bytes);
+  while (std::optional<Frame> frame = reader.Next()) {
+    if (!IsMessageKind(frame->kind)) return false;
+    frames.push_back(*std::move(frame));
+  }
+  return reader.fault() == FrameFault::kNone && !reader.partial();
+}
+
 asio::awaitable<void> PeerHub::Deliver(ConnectionPointer connection, std::deque<Frame> frames) {
   const auto self = shared_from_this();
   stats_.messages_received.Add(frames.size());
@@ -380,9 +402,12 @@
       co_await connection->news.async_wait(kUseTuple);
       continue;
     }
+    const auto compressed =
+        connection->takes_compressed ? compression_.Compress(batch) : std::nullopt;
+    const std::string& bytes = compressed ? *compressed : batch;
     CloseAfter(connection, options_.write_timeout);
     const auto [error, count] =
-        co_await asio::async_write(connection->socket, asio::buffer(batch), kUseTuple);
+        co_await asio::async_write(connection->socket, asio::buffer(bytes), kUseTuple);
     connection->watchdog.cancel();
     stats_.bytes_sent.Add(count);
     if (error) break;
--- a/source/transport/peer_hub.h
+++ b/source/transport/peer_hub.h
@@ -15,6 +15,7 @@
 
 #include "common/random.h"
 #include "transport/frame.h"
+#include "transport/frame_compression.h"
 #include "transport/peer_stats.h"
 #include "transport/tcp_peer_transport.h"
 
@@ -46,6 +47,8 @@
   const bool dialled;
   NodeId node;
   Incarnation incarnation;
+  /// As the peer's hello says.
+  bool takes_compressed = false;
   FrameReader reader;
   /// Cancelled to wake the writing coroutine.
   boost::asio::steady_timer news;
@@ -100,6 +103,8 @@
   void DropQueue(Peer& peer, const std::string& reason);
   /// Bytes of the first messages in the queue, joined; empty if there are none.
   std::string TakeBatch(Peer& peer);
+  /// Adds the frames of a compressed one; false if it is damaged or holds other than messages.
+  bool Unpack(const std::string& payload, std::deque<Frame>& frames);
 
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> ServeAccepted(ConnectionPointer connection);
@@ -133,6 +138,7 @@
   const PeerTransportOptions options_;
   std::unique_ptr<StatsRegistry> own_stats_;
   PeerStats stats_;
+  FrameCompression compression_;
   boost::asio::strand<boost::asio::io_context::executor_type> strand_;
   Tcp::acceptor acceptor_;
   RandomEngine random_;
--- a/source/transport/peer_stats.cc
+++ b/source/transport/peer_stats.cc
@@ -17,7 +17,17 @@
       dials_failed(stats.NewCounter(
           {"millstair_peer_dials_failed_total", "Connections to peers that did not come up."})),
       connections(
-          stats.NewGauge({"millstair_peer_connections", "Connections to peers open now."})) {}
+          stats.NewGauge({"millstair_peer_connections", "Connections to peers open now."})) {
+  for (size_t kind = 1; kind < queued_bytes_.size(); ++kind) {
+    queued_bytes_[kind] = &stats.NewCounter(
+        {"millstair_peer_queued_bytes_total", "Messages to peers by kind, before compression.",
+         "kind", std::string(MessageKindName(static_cast<MessageKind>(kind)))});
+  }
+}
+
+void PeerStats::CountQueued(MessageKind kind, uint64_t bytes) {
+  queued_bytes_.at(static_cast<size_t>(kind))->Add(bytes);
+}
 
 void PeerStats::CountRefused(const std::string& reason) {
   stats
--- a/source/transport/peer_stats.h
+++ b/source/transport/peer_stats.h
@@ -1,8 +1,10 @@
 /// Counters of the peer transport. Internal to transport/.
 #pragma once
 
+#include <array>
 #include <string>
 
+#include "common/peer_transport.h"
 #include "common/stats.h"
 
 namespace millstair {
@@ -14,6 +16,9 @@
   /// Counts messages that were not sent.
   void CountDropped(const std::string& reason, uint64_t count = 1);
 
+  /// Counts the payload of a message to a peer, before compression.
+  void CountQueued(MessageKind kind, uint64_t bytes);
+
   StatsRegistry& stats;
   Counter& messages_sent;
   Counter& messages_received;
@@ -22,6 +27,10 @@
   Counter& dials;
   Counter& dials_failed;
   Gauge& connections;
+
+ private:
+  /// By kind of message; kinds count from 1.
+  std::array<Counter*, kMessageKinds + 1> queued_bytes_{};
 };
 
 }  // namespace millstair
--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -285,6 +285,45 @@
   CHECK(fixture.state.Find(JobId("j"))->progress.empty());
 }
 
+TEST_CASE("A new leader runs nothing before all that earlier leaders committed is applied") {
+  Fixture fixture;
+  fixture.Submit(fixture.Job("j"));
+  fixture.group.commit_time = milliseconds(300);
+  fixture.Lead();
+  fixture.scheduler.RunFor(milliseconds(200));
+  const JobResult result{0, ItemState::kDone, "text", {WeightVersion(1)}, "sig"};
+  fixture.state.Apply(LogIndex(9), EncodeJobCommand({ListResult{JobId("j"), result}, {}}));
+  fixture.scheduler.RunFor(seconds(2));
+  CHECK(fixture.backends.CountAt("e:1") == 0);
+}
+
+TEST_CASE("A new leader asks again until its leadership is confirmed") {
+  Fixture fixture;
+  fixture.Submit(fixture.Job("j"));
+  fixture.group.quorum = false;
+  fixture.Lead();
+  fixture.scheduler.RunFor(milliseconds(200));
+  CHECK(fixture.backends.CountAt("e:1") == 0);
+  fixture.group.quorum = true;
+  fixture.scheduler.RunFor(milliseconds(200));
+  CHECK(fixture.backends.CountAt("e:1") == 1);
+}
+
+TEST_CASE("A result is listed whole though what was kept of it is not there any more") {
+  Fixture fixture;
+  fixture.Add("e:1", "engines", SlowText);
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(milliseconds(1300));
+  // The entry of an earlier leader, with other text, is applied only now.
+  const KeptProgress foreign{{"other", 1, {WeightVersion(1)}, WeightVersion(1)}, Term(1)};
+  fixture.state.Apply(LogIndex(50),
+                      EncodeJobCommand({KeepProgress{{{JobId("j"), 0, 0, foreign}}}, {}}));
+  fixture.scheduler.RunFor(seconds(2));
+  REQUIRE(fixture.ResultOf("j") != nullptr);
+  CHECK(fixture.ResultOf("j")->text == "one\ntwo\nthree\nfour");
+}
+
 TEST_CASE("An item that was listed a moment ago is not sent: its body is gone") {
   Fixture fixture;
   fixture.Add("e:1", "engines", [](const HttpRequest& request) {
--- a/test/jobs/job_service_test.cc
+++ b/test/jobs/job_service_test.cc
@@ -218,6 +218,22 @@
   CHECK(fixture.Query(query).results.size() == 1);
 }
 
+TEST_CASE("A replica that knows of no leader sends its readers on at once, and only for a moment") {
+  Fixture fixture;
+  fixture.Submit("j");
+  fixture.List(0, "text");
+  fixture.follower.leader_node.reset();
+  JobQuery query;
+  query.job = JobId("j");
+  const Duration asked_at = fixture.scheduler.Now();
+  CHECK(fixture.Query(query, milliseconds(400)).results.size() == 1);
+  CHECK(fixture.answered_at - asked_at < milliseconds(20));
+  // The leader is gone; the near replica hears of the next one.
+  fixture.wires.cut = {NodeId("s1")};
+  fixture.follower.leader_node = NodeId("s1");
+  CHECK(fixture.Query(query).results.size() == 1);
+}
+
 TEST_CASE("A node without a replica sends its readers on at once") {
   Fixture fixture;
   fixture.Submit("j");
--- a/test/jobs/job_state_machine_test.cc
+++ b/test/jobs/job_state_machine_test.cc
@@ -97,8 +97,46 @@
   CHECK(restored.machine.announcements() == std::vector{second, third});
 }
 
-ProgressPart Part(uint64_t after, uint64_t events, const std::string& text, uint32_t item = 0) {
-  return {JobId("a"), item, after, {text, events, {WeightVersion(2)}, WeightVersion(2)}};
+ProgressPart Part(uint64_t after, uint64_t events, const std::string& text, uint32_t item = 0,
+                  Term term = Term(3)) {
+  return {JobId("a"), item, after, {{text, events, {WeightVersion(2)}, WeightVersion(2)}, term}};
+}
+
+TEST_CASE("A result may hold only what follows the text that its leader kept") {
+  Machine machine;
+  machine.Run(SubmitJob{Job("a", 2)});
+  machine.Run(KeepProgress{{Part(0, 2, "x\ny")}});
+  const ListResult rest{JobId("a"), Result(0, "\nz"), 2, Term(3)};
+  SECTION("it is listed whole") {
+    CHECK(machine.Run(rest) == JobResultCode::kOk);
+    CHECK(machine.machine.Find(JobId("a"))->results.at(0).text == "x\ny\nz");
+    CHECK(machine.machine.Find(JobId("a"))->progress.empty());
+  }
+  SECTION("another leader has kept as many events anew") {
+    machine.Run(KeepProgress{{Part(0, 2, "p\nq", 0, Term(4))}});
+    CHECK(machine.Run(rest) == JobResultCode::kNotKept);
+    CHECK_FALSE(machine.machine.IsListed(JobId("a"), 0));
+  }
+  SECTION("more was kept meanwhile") {
+    machine.Run(KeepProgress{{Part(2, 3, "\nq")}});
+    CHECK(machine.Run(rest) == JobResultCode::kNotKept);
+  }
+  SECTION("nothing is kept") {
+    const ListResult other{JobId("a"), Result(1, "\nz"), 2, Term(3)};
+    CHECK(machine.Run(other) == JobResultCode::kNotKept);
+    CHECK(machine.machine.Find(JobId("a"))->results.empty());
+  }
+}
+
+TEST_CASE("A leader's part does not go on after a text that another leader kept") {
+  Machine machine;
+  machine.Run(SubmitJob{Job("a", 2)});
+  machine.Run(KeepProgress{{Part(0, 2, "x\ny")}});
+  machine.Run(KeepProgress{{Part(2, 3, "\nz", 0, Term(4))}});
+  CHECK(machine.machine.Find(JobId("a"))->progress.at(0).text == "x\ny");
+  Machine restored;
+  REQUIRE(restored.machine.Restore(LogIndex(3), machine.machine.TakeSnapshot()).ok());
+  CHECK(restored.machine.Find(JobId("a"))->progress.at(0).term == Term(3));
 }
 
 TEST_CASE("Parts of a text are kept in order, once each, until the item is listed") {
--- a/test/transport/tcp_peer_transport_test.cc
+++ b/test/transport/tcp_peer_transport_test.cc
@@ -138,6 +138,30 @@
   CHECK(b.Stat("millstair_peer_dials_total") == 0);
 }
 
+TEST_CASE("Texts are sent compressed, and arrive as they were") {
+  Runtime runtime({.workers = 4});
+  Node first(runtime, "a");
+  Node second(runtime, "b");
+  first.Know(second, "b");
+  std::string text;
+  std::mt19937 random(7);
+  while (text.size() < 100'000) text += static_cast<char>('a' + random() % 26);
+  first.Send("b", text);
+  first.Send("b", "short");
+  REQUIRE(second.WaitFor(2));
+  CHECK(second.received()[0].payload == text);
+  CHECK(second.received()[1].payload == "short");
+  CHECK(second.Stat("millstair_peer_bytes_received_total") < 0.7 * 100'000);
+  CHECK(first.Stat("millstair_peer_queued_bytes_total", "command") == 100'005);
+}
+
+TEST_CASE("Damaged compressed frames are refused and counted") {
+  Runtime runtime({.workers = 4});
+  Node node(runtime, "a");
+  SendRaw(node.address(), HelloFrame("old") + EncodeFrame(kCompressedKind, "no compressed frames"));
+  CHECK(node.WaitForStat("millstair_peer_refused_total", "bad-compressed", 1));
+}
+
 TEST_CASE("A node reaches itself, and unknown nodes are counted") {
   Runtime runtime;
   Node a(runtime, "a");
