Believe of an engine's weights only what the engine itself named

When a run ended there without an event, the version of the text so far, which other engines had made, was noted as the engine's own; so it was believed ahead and got neither its load nor less work. Change: a run tells which version its engine named; a run made by older weights corrects the belief. Both tests failed before (20 runs in two seconds where one is right).

--- a/source/jobs/item_run.h
+++ b/source/jobs/item_run.h
@@ -58,6 +58,9 @@
 
   void OnGap(GapListener listener) { on_gap_ = std::move(listener); }
   const InstanceId& instance() const { return instance_; }
+  /// The weights that the engine itself named in this run; 0 if it named none. The text may have
+  /// parts that other engines made.
+  WeightVersion named_version() const { return version_; }
 
   void OnHead(const HttpResponseHead& head) override;
   void OnBody(std::string bytes) override;
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -336,10 +336,13 @@
   const JobRecord* record = state_.Find(job);
   if (work == nullptr || work->run == nullptr) return;
   const InstanceId instance = work->run->instance();
+  const WeightVersion named = work->run->named_version();
   DropRunLater(*work);
   if (record == nullptr) return;
-  if (work->progress.version != WeightVersion()) {
-    loads_.NoteVersion(instance, record->spec.model, work->progress.version);
+  if (end == ItemRunEnd::kWrongVersion) {
+    loads_.CorrectVersion(instance, record->spec.model, named);
+  } else if (named != WeightVersion()) {
+    loads_.NoteVersion(instance, record->spec.model, named);
   }
   if (stats_ != nullptr) {
     stats_
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -477,6 +477,17 @@
   return engine != engines_.end() && engine->second.loading.has_value();
 }
 
+void LoadScheduler::CorrectVersion(const InstanceId& instance, const ModelName& model,
+                                   WeightVersion version) {
+  const auto engine = engines_.find(instance);
+  if (engine == engines_.end()) return;
+  WeightVersion& known = engine->second.versions[model];
+  if (version >= known) return;
+  LogEvent(EventId::kVersionCorrected, "instance={} model={} believed={} version={}", instance,
+           model, known, version);
+  known = version;
+}
+
 void LoadScheduler::NoteVersion(const InstanceId& instance, const ModelName& model,
                                 WeightVersion version) {
   const auto engine = engines_.find(instance);
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -78,7 +78,9 @@
   bool Loading(const InstanceId& instance, const ModelName& model) const;
   /// True while `instance` loads any model: what runs there may pause.
   bool LoadingAny(const InstanceId& instance) const;
-  /// An answer showed that `instance` holds `version`.
+  /// A run was made by older weights than `instance` was believed to hold.
+  void CorrectVersion(const InstanceId& instance, const ModelName& model, WeightVersion version);
+  /// An answer showed that `instance` holds `version`, or a later one by now.
   void NoteVersion(const InstanceId& instance, const ModelName& model, WeightVersion version);
 
  private:
--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -486,6 +486,38 @@
   CHECK(fixture.backends.CountAt("e:1") == 0);
 }
 
+TEST_CASE("An engine that made nothing is not believed to hold the weights of the text so far") {
+  Fixture fixture;
+  fixture.Add("e:1", "engines", [](const HttpRequest&) {
+    FakeAnswer answer = Text({"1||one\n\n"});
+    answer.headers = {{"version", "2"}};
+    answer.kind = Kind::kCutBody;
+    return answer;
+  });
+  fixture.Lead();
+  fixture.loads.NoteVersion(InstanceId("e:1"), ModelName("m"), WeightVersion(2));
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(milliseconds(15));
+  fixture.Add("e:2", "engines", [](const HttpRequest&) {
+    return FakeAnswer{Kind::kAnswer, 503, {{"refused", "1"}}};
+  });
+  fixture.scheduler.RunFor(seconds(1));
+  REQUIRE(fixture.backends.CountAt("e:2") > 0);
+  CHECK(fixture.loads.VersionOf(InstanceId("e:2"), ModelName("m")) == WeightVersion(1));
+}
+
+TEST_CASE("An engine whose weights are older than believed gets no more of such work") {
+  Fixture fixture;
+  fixture.Lead();
+  fixture.loads.NoteVersion(InstanceId("e:1"), ModelName("m"), WeightVersion(5));
+  JobSpec job = fixture.Job("j");
+  job.min_version = WeightVersion(5);
+  fixture.Submit(job);
+  fixture.scheduler.RunFor(seconds(2));
+  CHECK(fixture.backends.CountAt("e:1") == 1);
+  CHECK(fixture.loads.VersionOf(InstanceId("e:1"), ModelName("m")) == WeightVersion(1));
+}
+
 TEST_CASE("All runs end with the leadership") {
   Fixture fixture;
   fixture.Add("e:1", "engines", [](const HttpRequest&) { return FakeAnswer{Kind::kSilence}; });
