Begin groups that nobody waits for on weights that still count when they come back

Hypothesis: the groups left over of a step are its longest; they come back two steps later as groups that the trainer waits for in any case, and their text of the earlier step is too old to be used, so a text of 6.6 s begins anew in a step of 8 s. Change: by how many versions items come back is learned from jobs; a spare group begins only on weights that a later job will still allow, or 4.5 s after the newest version was named.

--- a/source/jobs/item_lengths.cc
+++ b/source/jobs/item_lengths.cc
@@ -18,10 +18,13 @@
 
 }  // namespace
 
-void ItemLengths::Note(const ItemId& item, uint64_t events, bool whole) {
-  const auto [known, added] = known_.try_emplace(item);
-  if (whole || !known->second.whole) {
-    known->second = {std::max(known->second.events, events), whole};
+void ItemLengths::Note(const ItemId& item, uint64_t events, bool whole, WeightVersion min_version) {
+  const auto [found, added] = known_.try_emplace(item);
+  Known& known = found->second;
+  known.min_version = std::max(known.min_version, min_version);
+  if (whole || !known.whole) {
+    known.events = std::max(known.events, events);
+    known.whole = whole;
   }
   if (!added) return;
   order_.push_back(item);
@@ -30,6 +33,12 @@
   order_.pop_front();
 }
 
+std::optional<WeightVersion> ItemLengths::EarlierMinVersion(const ItemId& item) const {
+  const auto known = known_.find(item);
+  if (known == known_.end()) return std::nullopt;
+  return known->second.min_version;
+}
+
 void ItemLengths::Clear() {
   known_.clear();
   order_.clear();
--- a/source/jobs/item_lengths.h
+++ b/source/jobs/item_lengths.h
@@ -1,10 +1,12 @@
-/// How many events the text of an item is expected to have: from its client's guess, from what
-/// has been made of it so far, and from earlier jobs that held the same item.
+/// What earlier jobs tell of items that come back: how many events the text of an item is expected
+/// to have (also by its client's guess and what has been made of it), and by how many versions the
+/// weights have moved on when it comes back.
 #pragma once
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 
 #include "jobs/job_types.h"
 
@@ -13,8 +15,11 @@
 /// Lives on the node's serial executor. Bounded in number; the oldest items are forgotten first.
 class ItemLengths {
  public:
-  /// An earlier job's text of `item` had `events` events; `whole` if those were all.
-  void Note(const ItemId& item, uint64_t events, bool whole);
+  /// The text of `item` had `events` events in a job that allowed `min_version` and newer; `whole`
+  /// if those were all.
+  void Note(const ItemId& item, uint64_t events, bool whole, WeightVersion min_version);
+  /// The oldest weights that the earlier job of the item allowed; none if no job held it.
+  std::optional<WeightVersion> EarlierMinVersion(const ItemId& item) const;
   /// Whether an earlier job held the item.
   bool Contains(const ItemId& item) const { return known_.contains(item); }
   void Clear();
@@ -26,6 +31,7 @@
   struct Known {
     uint64_t events = 0;
     bool whole = false;
+    WeightVersion min_version;
   };
 
   std::map<ItemId, Known> known_;
--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -36,7 +36,7 @@
     if (now < work.not_before) continue;
     if (Dispatch(work, *record, *route)) {
       sent.push_back(rank);
-    } else if (!NeedsOneVersion(work, *route)) {
+    } else if (!work.spare && !NeedsOneVersion(work, *route)) {
       stuck.insert(rank.job);
     }
   }
@@ -114,7 +114,7 @@
   if (engine.id == work.avoid || directory.Ejected(engine.id)) return false;
   if (loads_.Loading(engine.id, record.spec.model)) return false;
   const WeightVersion held = loads_.VersionOf(engine.id, record.spec.model);
-  if (held < record.spec.min_version) return false;
+  if (held < UsefulVersion(work, record)) return false;
   if (NeedsOneVersion(work, route) && held != work.progress.version) return false;
   return directory.Running(engine.id) < std::max(1U, engine.slots);
 }
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -12,6 +12,9 @@
 constexpr Duration kPumpInterval = std::chrono::milliseconds(100);
 constexpr Duration kRefusedPause = std::chrono::milliseconds(20);
 constexpr Duration kFailedPause = std::chrono::milliseconds(50);
+/// Items of spare groups wait for newer weights at most this long after a version was named: the
+/// platform wants each item begun within five seconds of calm, from six after a version.
+constexpr Duration kSpareWait = std::chrono::milliseconds(4500);
 /// Between two tries to have the leadership confirmed.
 constexpr Duration kCatchUpPause = std::chrono::milliseconds(20);
 constexpr Duration kProposePause = std::chrono::milliseconds(50);
@@ -49,6 +52,7 @@
   changed_.clear();
   kept_.Clear();
   lengths_.Clear();
+  versions_until_return_.clear();
   pace_.Clear();
   std::vector<JobId> known;
   for (const auto& [job, work] : jobs_) known.push_back(job);
@@ -113,6 +117,7 @@
   job.order = next_order_++;
   const Route* route = RouteOf(record);
   if (route != nullptr) job.priority = route->priority;
+  LearnReturn(record);
   const uint64_t tokens_per_event = TokensPerEvent(record);
   const ItemOrder order =
       OrderItems(record.spec, [this, tokens_per_event](const JobItem& item) -> ItemEstimate {
@@ -136,6 +141,23 @@
   loads_.NoteJob(record.spec.model, order.expected_events * event_tokens, record.spec.min_version);
 }
 
+void JobScheduler::LearnReturn(const JobRecord& record) {
+  for (const JobItem& item : record.spec.items) {
+    const auto earlier = lengths_.EarlierMinVersion(item.id);
+    if (!earlier || *earlier >= record.spec.min_version) continue;
+    versions_until_return_[record.spec.model] = record.spec.min_version.value() - earlier->value();
+    return;
+  }
+}
+
+WeightVersion JobScheduler::UsefulVersion(const Work& work, const JobRecord& record) const {
+  const JobSpec& spec = record.spec;
+  const auto known = versions_until_return_.find(spec.model);
+  if (!work.spare || known == versions_until_return_.end()) return spec.min_version;
+  if (environment_.Now() >= loads_.NamedAt(spec.model) + kSpareWait) return spec.min_version;
+  return WeightVersion(spec.min_version.value() + known->second);
+}
+
 void JobScheduler::Wait(Work& work, const JobRecord& record) {
   work.phase = Phase::kWaiting;
   const double seconds = MissingEvents(work, record) * pace_.TypicalSeconds();
@@ -170,12 +192,13 @@
 void JobScheduler::LearnLengths(const JobRecord& record) {
   for (const JobResult& result : record.results) {
     const bool whole = result.state == ItemState::kDone;
-    lengths_.Note(record.spec.items[result.item].id, EventsOfText(result.text), whole);
+    lengths_.Note(record.spec.items[result.item].id, EventsOfText(result.text), whole,
+                  record.spec.min_version);
   }
   for (uint32_t index = 0; index < record.spec.items.size(); ++index) {
     const auto progress = record.progress.find(index);
     const uint64_t made = progress == record.progress.end() ? 0 : progress->second.events;
-    lengths_.Note(record.spec.items[index].id, made, false);
+    lengths_.Note(record.spec.items[index].id, made, false, record.spec.min_version);
   }
 }
 
@@ -198,7 +221,7 @@
 void JobScheduler::KeepText(const JobRecord* record, Work& work) {
   if (record == nullptr || work.index >= record->spec.items.size()) return;
   const ItemId& item = record->spec.items[work.index].id;
-  lengths_.Note(item, work.progress.events, false);
+  lengths_.Note(item, work.progress.events, false, record->spec.min_version);
   kept_.Keep(item, std::move(work.progress));
 }
 
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -109,6 +109,12 @@
   void AddJob(const JobRecord& record);
   void DropJob(const JobId& job);
   Rank RankOf(const Work& work) const;
+  /// Learns from items that come back by how many versions their clients have moved on.
+  void LearnReturn(const JobRecord& record);
+  /// The oldest weights with which `work` is worth beginning now. A group that its client does not
+  /// wait for comes back in a later job, which can go on after its text only if that was made by
+  /// weights new enough for that job.
+  WeightVersion UsefulVersion(const Work& work, const JobRecord& record) const;
   /// Puts `work` among the waiting items.
   void Wait(Work& work, const JobRecord& record);
   /// When the results of the job are due.
@@ -182,6 +188,8 @@
   std::set<Rank> waiting_;
   KeptTexts kept_;
   ItemLengths lengths_;
+  /// Of each model: how far the oldest allowed weights move on until items come back.
+  std::map<ModelName, uint64_t> versions_until_return_;
   EnginePace pace_;
   TimePoint next_moves_at_;
   /// Jobs that changed since the last run of the timer.
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -103,6 +103,12 @@
 }
 
 void LoadScheduler::Update(const Configuration& configuration, const RouteTable* routes) {
+  for (const auto& [model, named] : configuration.versions) {
+    const auto known = targets_.find(model);
+    if (known == targets_.end() || known->second < named.version) {
+      named_at_[model] = environment_.Now();
+    }
+  }
   targets_.clear();
   for (const auto& [model, named] : configuration.versions) targets_[model] = named.version;
   services_.clear();
@@ -460,6 +466,11 @@
   return held == versions.end() ? WeightVersion() : held->second;
 }
 
+TimePoint LoadScheduler::NamedAt(const ModelName& model) const {
+  const auto found = named_at_.find(model);
+  return found == named_at_.end() ? TimePoint() : found->second;
+}
+
 WeightVersion LoadScheduler::VersionOf(const InstanceId& instance, const ModelName& model) const {
   const auto engine = engines_.find(instance);
   if (engine == engines_.end()) return WeightVersion();
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -72,6 +72,8 @@
   /// Called whenever an engine became able to take items.
   void OnReady(std::function<void()> callback) { on_ready_ = std::move(callback); }
 
+  /// When this node learned of the newest version of `model`; the epoch if none was named.
+  TimePoint NamedAt(const ModelName& model) const;
   /// The version of `model` at `instance`, as far as is known; 0 is unknown.
   WeightVersion VersionOf(const InstanceId& instance, const ModelName& model) const;
   /// True while `instance` loads `model`, so that new items would be refused.
@@ -132,6 +134,7 @@
   /// How long loads take, by those seen lately.
   Duration load_time_;
   std::map<ModelName, WeightVersion> targets_;
+  std::map<ModelName, TimePoint> named_at_;
   std::map<ModelName, ModelDemand> demand_;
   /// Services whose engines hold models.
   std::map<ServiceName, std::vector<ModelName>> services_;
--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -442,6 +442,73 @@
   CHECK(OrderOfRuns({older, newer}) == std::vector<std::string>{"wanted", "wanted-too", "spare"});
 }
 
+/// Two jobs have shown that items come back two versions later; a third has a group to spare.
+class ReturnFixture : public Fixture {
+ public:
+  ReturnFixture() {
+    Add("e:1", "engines", [](const HttpRequest&) { return FakeAnswer{Kind::kSilence}; });
+    Lead();
+    JobSpec first = Job("first");
+    first.min_version = WeightVersion(1);
+    first.items = {GuessedItem("returns", "a", 50)};
+    Submit(first);
+    state.Apply(LogIndex(50), EncodeJobCommand({EndJob{JobId("first")}, {}}));
+    scheduler.RunFor(milliseconds(10));
+    JobSpec second = first;
+    second.id = JobId("second");
+    second.min_version = WeightVersion(3);
+    Submit(second);
+    state.Apply(LogIndex(51), EncodeJobCommand({EndJob{JobId("second")}, {}}));
+    scheduler.RunFor(milliseconds(10));
+  }
+
+  void NameVersion(uint64_t version) {
+    configuration.versions[ModelName("m")].version = WeightVersion(version);
+    Update();
+  }
+
+  void SubmitThird() {
+    JobSpec third = Job("third");
+    third.min_version = WeightVersion(3);
+    third.wanted_groups = 1;
+    third.items = {GuessedItem("wanted", "w", 20), GuessedItem("spare", "s", 900)};
+    Submit(third);
+  }
+
+  size_t RunsOf(const std::string& item) const {
+    size_t runs = 0;
+    for (const auto& call : backends.calls) {
+      runs += FindHeader(call->request.headers, "id") == item ? 1 : 0;
+    }
+    return runs;
+  }
+};
+
+TEST_CASE("A spare group begins on weights whose text still counts when it comes back") {
+  ReturnFixture fixture;
+  fixture.NameVersion(4);
+  fixture.loads.NoteVersion(InstanceId("e:1"), ModelName("m"), WeightVersion(4));
+  fixture.SubmitThird();
+  fixture.scheduler.RunFor(seconds(2));
+  CHECK(fixture.RunsOf("wanted") == 1);
+  CHECK(fixture.RunsOf("spare") == 0);
+  fixture.NameVersion(5);
+  fixture.loads.NoteVersion(InstanceId("e:1"), ModelName("m"), WeightVersion(5));
+  fixture.scheduler.RunFor(milliseconds(200));
+  CHECK(fixture.RunsOf("spare") == 1);
+}
+
+TEST_CASE("A spare group does not wait for a version that does not come") {
+  ReturnFixture fixture;
+  fixture.NameVersion(4);
+  fixture.loads.NoteVersion(InstanceId("e:1"), ModelName("m"), WeightVersion(4));
+  fixture.SubmitThird();
+  fixture.scheduler.RunFor(milliseconds(4300));
+  CHECK(fixture.RunsOf("spare") == 0);
+  fixture.scheduler.RunFor(milliseconds(500));
+  CHECK(fixture.RunsOf("spare") == 1);
+}
+
 TEST_CASE("Short texts are not kept") {
   Fixture fixture;
   fixture.Lead();
