--- a/source/cluster/cluster_submitter.cc
+++ b/source/cluster/cluster_submitter.cc
@@ -6,29 +6,39 @@
 namespace {
 
 constexpr Duration kSubmitTimeout = std::chrono::seconds(10);
+/// A caller that may turn to another node waits this long at one that knows of no leader: as long
+/// as an election usually lasts once it has begun. Such callers give a node up after a second.
+constexpr Duration kLeaderlessPatience = std::chrono::milliseconds(300);
 
 }  // namespace
 
-void ClusterSubmitter::Submit(CommandMode mode, const std::string& command, EncodedCallback done) {
+void ClusterSubmitter::Submit(CommandMode mode, const std::string& command, Duration patience,
+                              EncodedCallback done) {
   if (!cluster_.IsLeader()) {
-    return others_->Submit(kClusterGroup, mode, command, kSubmitTimeout, std::move(done));
+    const Duration timeout = cluster_.Leader() ? kSubmitTimeout : patience;
+    return others_->Submit(kClusterGroup, mode, command, timeout, std::move(done));
   }
   commands_.Run(kClusterGroup, mode, command,
-                alive_.Guard([this, mode, command,
+                alive_.Guard([this, mode, command, patience,
                               done = std::move(done)](const absl::StatusOr<std::string>& result) {
                   const bool try_again = absl::IsUnavailable(result.status()) ||
                                          absl::IsDeadlineExceeded(result.status());
                   if (!try_again) return done(result);
-                  others_->Submit(kClusterGroup, mode, command, kSubmitTimeout, done);
+                  others_->Submit(kClusterGroup, mode, command, patience, done);
                 }));
 }
 
 void ClusterSubmitter::Query(const std::string& query, EncodedCallback done) {
-  Submit(CommandMode::kQuery, query, std::move(done));
+  Submit(CommandMode::kQuery, query, kSubmitTimeout, std::move(done));
 }
 
-void ClusterSubmitter::SubmitCommand(ClusterCommand command, ResultCallback done) {
-  Submit(CommandMode::kPropose, EncodeCommand(command),
+void ClusterSubmitter::ChangeRepeatable(ClusterOperation operation, ResultCallback done) {
+  SubmitCommand({std::move(operation), std::nullopt, {}}, kLeaderlessPatience, std::move(done));
+}
+
+void ClusterSubmitter::SubmitCommand(ClusterCommand command, Duration patience,
+                                     ResultCallback done) {
+  Submit(CommandMode::kPropose, EncodeCommand(command), patience,
          [done = std::move(done)](const absl::StatusOr<std::string>& result) {
            if (!result.ok()) return done(result.status());
            done(DecodeResult(*result));
@@ -36,13 +46,14 @@
 }
 
 void ClusterSubmitter::OpenSession(ResultCallback done) {
-  SubmitCommand({millstair::OpenSession{}, std::nullopt, {}}, std::move(done));
+  SubmitCommand({millstair::OpenSession{}, std::nullopt, {}}, kSubmitTimeout, std::move(done));
 }
 
 void ClusterSubmitter::Change(ClusterOperation operation, std::optional<SessionStamp> session,
                               ResultCallback done) {
   if (session) {
-    return SubmitCommand({std::move(operation), std::move(session), {}}, std::move(done));
+    return SubmitCommand({std::move(operation), std::move(session), {}}, kSubmitTimeout,
+                         std::move(done));
   }
   if (own_session_.value().empty()) {
     waiting_.push_back({std::move(operation), std::move(done)});
@@ -52,7 +63,7 @@
   own_sequence_ = Next(own_sequence_);
   const SessionStamp stamp{own_session_, own_sequence_};
   SubmitCommand(
-      {std::move(operation), stamp, {}},
+      {std::move(operation), stamp, {}}, kSubmitTimeout,
       alive_.Guard([this, stamp, done = std::move(done)](absl::StatusOr<ClusterResult> result) {
         const bool expired = result.ok() && result->code == ClusterResultCode::kSessionExpired;
         if (expired && own_session_ == stamp.client) own_session_ = ClientId();
--- a/source/cluster/cluster_submitter.h
+++ b/source/cluster/cluster_submitter.h
@@ -26,10 +26,9 @@
   /// Runs `operation` once, also if it has to be sent again: without the caller's own stamp it gets
   /// one of a session of this node. DeadlineExceeded or Unavailable leave the outcome unknown.
   void Change(ClusterOperation operation, std::optional<SessionStamp> session, ResultCallback done);
-  /// Runs an operation that may run more than once; it needs no session.
-  void ChangeRepeatable(ClusterOperation operation, ResultCallback done) {
-    SubmitCommand({std::move(operation), std::nullopt, {}}, std::move(done));
-  }
+  /// Runs an operation that may run more than once; it needs no session. Its caller may turn to
+  /// another node: where no leader is known, it is told so soon.
+  void ChangeRepeatable(ClusterOperation operation, ResultCallback done);
   /// Opens a session for a client.
   void OpenSession(ResultCallback done);
   void Query(const std::string& query, EncodedCallback done);
@@ -42,8 +41,10 @@
     ResultCallback done;
   };
 
-  void Submit(CommandMode mode, const std::string& command, EncodedCallback done);
-  void SubmitCommand(ClusterCommand command, ResultCallback done);
+  /// Where no leader is known, the command is given up after `patience`.
+  void Submit(CommandMode mode, const std::string& command, Duration patience,
+              EncodedCallback done);
+  void SubmitCommand(ClusterCommand command, Duration patience, ResultCallback done);
   void OpenOwnSession();
 
   ClusterReplica& cluster_;
--- a/test/cluster/control_node_test.cc
+++ b/test/cluster/control_node_test.cc
@@ -114,6 +114,25 @@
   }
 }
 
+TEST_CASE("a control machine without a leader soon sends on who may ask another one") {
+  ClusterFleet fleet({});
+  fleet.AwaitLeader();
+  fleet.RunFor(seconds(5));
+  fleet.Isolate("c1");
+  fleet.RunFor(seconds(10));
+  const NameVersion named{{ModelName("m"), WeightVersion(2)}};
+  std::optional<absl::StatusOr<ClusterResult>> cut_off;
+  fleet.Process("c1").control->Submit(named, [&](auto result) { cut_off = std::move(result); });
+  fleet.RunFor(milliseconds(400));
+  REQUIRE(cut_off.has_value());
+  CHECK_FALSE(cut_off->ok());
+  std::optional<absl::StatusOr<ClusterResult>> sound;
+  fleet.Process("c2").control->Submit(named, [&](auto result) { sound = std::move(result); });
+  fleet.RunFor(milliseconds(400));
+  REQUIRE(sound.has_value());
+  CHECK(sound->ok());
+}
+
 TEST_CASE("a gateway that was down for 500 changes holds them all soon after its start") {
   ClusterFleet fleet({.snapshot_after_entries = 200});
   fleet.AwaitLeader();
