Reserve an engine before its load, so that its order refuses nothing

Change: an engine that is chosen for a load gets nothing new, and its order 100 ms after its latest run began; what differs by less than a tenth in pace is no reason for a move (runs moved twice in 0.1 s).

--- a/source/ingress/backend_directory.cc
+++ b/source/ingress/backend_directory.cc
@@ -106,7 +106,9 @@
 
 void BackendDirectory::Begin(const InstanceId& instance) {
   const auto found = backends_.find(instance);
-  if (found != backends_.end()) ++found->second.running;
+  if (found == backends_.end()) return;
+  ++found->second.running;
+  found->second.latest_begin = environment_.Now();
 }
 
 void BackendDirectory::End(const InstanceId& instance, BackendEnd end, Duration elapsed) {
@@ -143,4 +145,9 @@
   return found == backends_.end() ? 0 : found->second.running;
 }
 
+TimePoint BackendDirectory::LatestBegin(const InstanceId& instance) const {
+  const auto found = backends_.find(instance);
+  return found == backends_.end() ? TimePoint() : found->second.latest_begin;
+}
+
 }  // namespace millstair
--- a/source/ingress/backend_directory.h
+++ b/source/ingress/backend_directory.h
@@ -46,11 +46,14 @@
   void Begin(const InstanceId& instance);
   void End(const InstanceId& instance, BackendEnd end, Duration elapsed);
   uint32_t Running(const InstanceId& instance) const;
+  /// When the latest request was begun; the epoch if none was.
+  TimePoint LatestBegin(const InstanceId& instance) const;
 
  private:
   struct Backend {
     BackendInstance record;
     uint32_t running = 0;
+    TimePoint latest_begin;
     /// Smoothed time of whole answers; 0 before the first.
     double answer_seconds = 0;
     OutlierEjection ejection;
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -25,6 +25,9 @@
 constexpr Duration kLongestLoad = std::chrono::seconds(8);
 /// An exchange without an answer for this long is given up.
 constexpr Duration kAnswerLimit = std::chrono::milliseconds(1500);
+/// A request that was sent to an engine has begun after this time: a dozen prompts of a thousand
+/// tokens are read in some forty milliseconds. An order refuses what has not begun.
+constexpr Duration kBeginTime = std::chrono::milliseconds(100);
 /// Beyond the lease: an order on its way may arrive late by this.
 constexpr Duration kLeaseMargin = std::chrono::milliseconds(400) + kAnnouncedFor;
 
@@ -242,8 +245,8 @@
   return target->second.value() > held ? target->second.value() - held : 0;
 }
 
-LoadScheduler::Progress LoadScheduler::ProgressOf(const ModelName& model,
-                                                  WeightVersion target) const {
+LoadScheduler::Progress LoadScheduler::ProgressOf(const ModelName& model, WeightVersion target,
+                                                  const InstanceId& asking) const {
   Progress progress;
   for (const auto& [instance, engine] : engines_) {
     if (engine.assigned != model || directory_.Ejected(instance)) continue;
@@ -251,7 +254,8 @@
     const auto held = engine.versions.find(model);
     const bool holds = held != engine.versions.end() && held->second >= target;
     const bool loads = engine.loading && engine.loading->model == model;
-    if (holds || loads) ++progress.newest;
+    const bool soon = engine.reserved && instance != asking;
+    if (holds || loads || soon) ++progress.newest;
   }
   return progress;
 }
@@ -260,8 +264,9 @@
   timer_.Arm(kTick, [this] { Tick(); });
   const TimePoint now = environment_.Now();
   for (auto& [instance, engine] : engines_) {
-    if (!engine.loading || exchanges_.contains(instance)) continue;
-    if (now >= engine.ask_again_at) AskReport(instance);
+    if (exchanges_.contains(instance)) continue;
+    const bool due = engine.loading && now >= engine.ask_again_at;
+    if (due || (engine.reserved && HasBegunAll(instance))) AskReport(instance);
   }
   StartLoads();
 }
@@ -279,7 +284,7 @@
   const auto demand = demand_.find(engine.assigned);
   const uint64_t lag = demand == demand_.end() ? 0 : demand->second.allowed_lag;
   if (version + lag < newest) return wanted;
-  const Progress progress = ProgressOf(engine.assigned, target->second);
+  const Progress progress = ProgressOf(engine.assigned, target->second, instance);
   const bool enough = progress.newest * (lag + 1) + lag >= progress.engines;
   if (enough) return std::nullopt;
   return wanted;
@@ -288,7 +293,7 @@
 uint32_t LoadScheduler::LoadsUnderWay() const {
   uint32_t count = 0;
   for (const auto& [instance, engine] : engines_) {
-    if (engine.loading || exchanges_.contains(instance)) ++count;
+    if (engine.loading || engine.reserved || exchanges_.contains(instance)) ++count;
   }
   return count;
 }
@@ -304,7 +309,8 @@
   const TimePoint now = environment_.Now();
   std::vector<InstanceId> behind;
   for (const auto& [instance, engine] : engines_) {
-    if (engine.loading || exchanges_.contains(instance) || now < engine.ask_again_at) continue;
+    if (engine.loading || engine.reserved || exchanges_.contains(instance)) continue;
+    if (now < engine.ask_again_at) continue;
     if (directory_.Ejected(instance) || !leases_.MayOrder(instance)) continue;
     if (!Wanted(instance)) continue;
     behind.push_back(instance);
@@ -319,22 +325,38 @@
   for (const InstanceId& instance : behind) {
     if (LoadsUnderWay() >= MostLoads()) return;
     // What is under way by now may be enough.
-    if (Wanted(instance)) AskReport(instance);
+    if (Wanted(instance)) Reserve(instance);
   }
 }
 
+bool LoadScheduler::HasBegunAll(const InstanceId& instance) const {
+  return environment_.Now() - directory_.LatestBegin(instance) >= kBeginTime;
+}
+
+void LoadScheduler::Reserve(const InstanceId& instance) {
+  engines_.at(instance).reserved = true;
+  if (directory_.Running(instance) == 0 || HasBegunAll(instance)) AskReport(instance);
+}
+
+void LoadScheduler::Release(const InstanceId& instance) {
+  EngineLoadState& engine = engines_.at(instance);
+  if (!std::exchange(engine.reserved, false)) return;
+  if (on_ready_) on_ready_();
+}
+
 void LoadScheduler::AskReport(const InstanceId& instance) {
   const BackendInstance* target = directory_.FindLive(instance);
-  if (target == nullptr) return;
+  if (target == nullptr) return Release(instance);
   auto exchange = std::make_unique<Exchange>(
       environment_, alive_.Guard([this, instance](int status, const std::string& body) {
         if (exchanges_.erase(instance) == 0 || !engines_.contains(instance)) return;
         EngineLoadState& engine = engines_.at(instance);
         engine.ask_again_at = environment_.Now() + kNextQuestion;
         constexpr int kOk = 200;
-        if (status != kOk) return;
-        const auto report = protocol_.ReadReport(body);
+        const auto report = status == kOk ? protocol_.ReadReport(body)
+                                          : absl::UnavailableError("the engine gave no report");
         if (report.ok()) HandleReport(instance, *report);
+        Release(instance);
       }));
   Exchange& started = *exchange;
   exchanges_[instance] = std::move(exchange);
@@ -479,8 +501,10 @@
 
 bool LoadScheduler::Loading(const InstanceId& instance, const ModelName& model) const {
   const auto engine = engines_.find(instance);
-  return engine != engines_.end() && engine->second.loading &&
-         engine->second.loading->model == model;
+  if (engine == engines_.end()) return false;
+  const EngineLoadState& state = engine->second;
+  if (state.reserved && state.assigned == model) return true;
+  return state.loading && state.loading->model == model;
 }
 
 bool LoadScheduler::LoadingAny(const InstanceId& instance) const {
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -44,6 +44,8 @@
   std::map<ModelName, WeightVersion> versions;
   /// The model that it is to serve; others stay as they are.
   ModelName assigned;
+  /// Chosen for the next load: it gets no new runs, and its order once those it has have begun.
+  bool reserved = false;
   /// A load is under way, or may be.
   std::optional<NamedVersion> loading;
   TimePoint loading_since;
@@ -76,7 +78,7 @@
   TimePoint NamedAt(const ModelName& model) const;
   /// The version of `model` at `instance`, as far as is known; 0 is unknown.
   WeightVersion VersionOf(const InstanceId& instance, const ModelName& model) const;
-  /// True while `instance` loads `model`, so that new items would be refused.
+  /// True while `instance` loads `model` or is about to, so that new items would be refused.
   bool Loading(const InstanceId& instance, const ModelName& model) const;
   /// True while `instance` loads any model: what runs there may pause.
   bool LoadingAny(const InstanceId& instance) const;
@@ -105,6 +107,10 @@
   uint32_t LoadsUnderWay() const;
   uint32_t MostLoads() const;
   void StartLoads();
+  /// Whether what was sent to `instance` has begun there by now, so that an order refuses none.
+  bool HasBegunAll(const InstanceId& instance) const;
+  void Reserve(const InstanceId& instance);
+  void Release(const InstanceId& instance);
   void AskReport(const InstanceId& instance);
   void HandleReport(const InstanceId& instance, const ReportedEngine& report);
   void Order(const InstanceId& instance, const NamedVersion& wanted, uint64_t orders);
@@ -114,12 +120,13 @@
   void EndLoad(const InstanceId& instance, bool done);
   void HandleOrderAnswer(const InstanceId& instance, LoadAnswer answer);
   std::optional<NamedVersion> Wanted(const InstanceId& instance) const;
-  /// Engines assigned to `model`, and those of them that hold the newest version or load it.
+  /// Engines assigned to `model`, and those of them but `asking` that hold the newest version, load
+  /// it or are about to; `asking` counts only if it holds or loads it.
   struct Progress {
     uint64_t engines = 0;
     uint64_t newest = 0;
   };
-  Progress ProgressOf(const ModelName& model, WeightVersion target) const;
+  Progress ProgressOf(const ModelName& model, WeightVersion target, const InstanceId& asking) const;
 
   Environment& environment_;
   HttpCaller& http_;
--- a/source/jobs/placement.cc
+++ b/source/jobs/placement.cc
@@ -13,6 +13,9 @@
 /// A move has to gain this much: it costs a connection and reading prompt and text again, some ten
 /// milliseconds, and what is expected of the length is often wrong by half.
 constexpr double kLeastGainSeconds = 0.25;
+/// Engines whose pace differs by less than this share count as equally fast: the smoothed times
+/// between events differ by some hundredths by chance.
+constexpr double kLeastGainShare = 0.1;
 
 }  // namespace
 
@@ -24,7 +27,8 @@
 }
 
 bool WorthMoving(double missing_events, double here, double there) {
-  return missing_events * (here - there) >= kLeastGainSeconds;
+  const bool faster = there <= (1 - kLeastGainShare) * here;
+  return faster && missing_events * (here - there) >= kLeastGainSeconds;
 }
 
 }  // namespace millstair
--- a/test/jobs/load_scheduler_test.cc
+++ b/test/jobs/load_scheduler_test.cc
@@ -114,6 +114,25 @@
   }
 };
 
+TEST_CASE(
+    "An engine gets its order once what was sent to it has begun, and nothing new until then") {
+  Fixture fixture(1);
+  fixture.Lead();
+  fixture.scheduler.RunFor(seconds(1));
+  const Duration begun_at = fixture.scheduler.Now();
+  fixture.directory.Begin(InstanceId("e0:1"));
+  fixture.Name(2);
+  fixture.scheduler.RunFor(milliseconds(60));
+  CHECK(fixture.Orders() == 0);
+  CHECK(fixture.loads.Loading(InstanceId("e0:1"), ModelName("m")));
+  fixture.scheduler.RunFor(milliseconds(200));
+  REQUIRE(fixture.Orders() == 1);
+  CHECK(fixture.engines["e0:1"].ordered_at[0] - begun_at >= milliseconds(100));
+  fixture.scheduler.RunFor(seconds(2));
+  CHECK(fixture.Holding(2) == 1);
+  CHECK_FALSE(fixture.loads.Loading(InstanceId("e0:1"), ModelName("m")));
+}
+
 TEST_CASE("Every engine gets a version that all jobs need, at most so many at once") {
   Fixture fixture(5);
   fixture.Lead();
--- a/test/jobs/placement_test.cc
+++ b/test/jobs/placement_test.cc
@@ -29,6 +29,8 @@
   CHECK(WorthMoving(100, kSlower, kFast));
   CHECK_FALSE(WorthMoving(10, kSlower, kFast));
   CHECK_FALSE(WorthMoving(100, kFast, kSlower));
+  // What differs by chance alone is no reason, however long the text.
+  CHECK_FALSE(WorthMoving(1000, kFast, 0.95 * kFast));
 }
 
 }  // namespace
