Leave silent engines sooner, and let spare groups wait for the version that comes

Causes: a run at an engine that had gone dark was noticed after 2.5 s, as long as sixty events of the others; spare groups were released 4.5 s after a version was named, a moment before the next one came, so that every second step had its returned groups without text. Change: a run is broken off after 25 usual times between events, one second at least; spare groups wait 5.5 s.

--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -9,6 +9,10 @@
 namespace millstair {
 namespace {
 
+/// So many times the usual time between two events is too long; and the least that is, which leaves
+/// room for a dozen prompts read before the first event and for a run that is preempted.
+constexpr double kStallEvents = 25;
+constexpr Duration kLeastStall = std::chrono::milliseconds(1000);
 /// How often runs are looked at for a move: as often as waiting items are in quiet times.
 constexpr Duration kMoveInterval = std::chrono::milliseconds(100);
 /// Times that one item is moved, and items that are moved at once.
@@ -119,6 +123,11 @@
   return directory.Running(engine.id) < std::max(1U, engine.slots);
 }
 
+Duration JobScheduler::StallAt(const InstanceId& engine) const {
+  const Duration expected = FromSeconds(kStallEvents * pace_.SecondsPerEvent(engine));
+  return std::min(std::max(expected, kLeastStall), options_.stall);
+}
+
 EngineOffer JobScheduler::OfferOf(const InstanceId& engine, const Work& work,
                                   const JobRecord& record) const {
   const std::string& group = record.spec.items[work.index].group;
@@ -170,7 +179,7 @@
   const Duration age = environment_.WallNow() - record.submitted_at;
   request.time_left = std::max<Duration>(lifetime - age, std::chrono::seconds(1));
   if (work.progress.events > 0) request.resume_after = work.progress.events;
-  ItemRunOptions options{options_.stall, {record.spec.min_version, route.single_version}};
+  ItemRunOptions options{StallAt(engine->id), {record.spec.min_version, route.single_version}};
   work.phase = Phase::kRunning;
   work.keep_from = environment_.Now() + kKeepAfter;
   work.run = std::make_unique<ItemRun>(environment_, ingress_.directory(), ingress_.protocol(),
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -12,9 +12,10 @@
 constexpr Duration kPumpInterval = std::chrono::milliseconds(100);
 constexpr Duration kRefusedPause = std::chrono::milliseconds(20);
 constexpr Duration kFailedPause = std::chrono::milliseconds(50);
-/// Items of spare groups wait for newer weights at most this long after a version was named: the
-/// platform wants each item begun within five seconds of calm, from six after a version.
-constexpr Duration kSpareWait = std::chrono::milliseconds(4500);
+/// Items of spare groups wait for newer weights at most this long after a version was named. With
+/// steps each four seconds the next version comes after four to five; the platform's rule on items
+/// that lie idle counts from six seconds after a version.
+constexpr Duration kSpareWait = std::chrono::milliseconds(5500);
 /// Between two tries to have the leadership confirmed.
 constexpr Duration kCatchUpPause = std::chrono::milliseconds(20);
 constexpr Duration kProposePause = std::chrono::milliseconds(50);
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -32,7 +32,8 @@
 inline constexpr Duration kKeepAfter = std::chrono::milliseconds(750);
 
 struct JobSchedulerOptions {
-  /// Without a byte for this long a run is broken off and goes on elsewhere.
+  /// Without a byte for this long a run is broken off and goes on elsewhere, at the latest; earlier
+  /// where the engine's pace says that its next event should long have come.
   Duration stall = std::chrono::milliseconds(2500);
   /// An item whose route states none is given up after this long.
   Duration item_lifetime = std::chrono::minutes(10);
@@ -151,6 +152,8 @@
   /// Whether `engine` may begin a run of `work` now.
   bool MayRun(const BackendInstance& engine, const Work& work, const JobRecord& record,
               const Route& route) const;
+  /// Without a byte for this long a run at `engine` counts as broken.
+  Duration StallAt(const InstanceId& engine) const;
   EngineOffer OfferOf(const InstanceId& engine, const Work& work, const JobRecord& record) const;
   std::optional<BackendInstance> PickEngine(Work& work, const JobRecord& record,
                                             const Route& route);
