Look at waiting items at most every ten milliseconds, and at one spare item of a job that finds no place

Its leader looked at each waiting spare item (16 a group, four trainers) at each of 44 engines whenever any run ended. Change: a spare item that finds no place stands for those of its job, and the pass runs at most every 10 ms.

--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -40,7 +40,7 @@
     if (now < work.not_before) continue;
     if (Dispatch(work, *record, *route)) {
       sent.push_back(rank);
-    } else if (!work.spare && !NeedsOneVersion(work, *route)) {
+    } else if (!NeedsOneVersion(work, *route)) {
       stuck.insert(rank.job);
     }
   }
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -10,6 +10,9 @@
 
 /// Waiting items are looked at this often even if nothing is heard.
 constexpr Duration kPumpInterval = std::chrono::milliseconds(100);
+/// And no more often than this, whatever is heard: each look costs time for every job and engine,
+/// and in a busy step some hundred runs end in a second. An event of a text takes longer.
+constexpr Duration kLeastPumpInterval = std::chrono::milliseconds(10);
 constexpr Duration kRefusedPause = std::chrono::milliseconds(20);
 constexpr Duration kFailedPause = std::chrono::milliseconds(50);
 /// Items of spare groups wait for newer weights at most this long after a version was named. With
@@ -312,6 +315,9 @@
 
 void JobScheduler::Pump() {
   if (!leading_) return;
+  const TimePoint now = environment_.Now();
+  if (now < next_pump_at_) return PumpSoon(next_pump_at_ - now);
+  next_pump_at_ = now + kLeastPumpInterval;
   GiveUpOld();
   pace_.Judge();
   if (allowed_()) {
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -198,6 +198,7 @@
   std::map<ModelName, uint64_t> versions_until_return_;
   EnginePace pace_;
   TimePoint next_moves_at_;
+  TimePoint next_pump_at_;
   /// Jobs that changed since the last run of the timer.
   std::set<JobId> changed_;
   bool restored_ = false;
