Use whole texts that an earlier job lists, and list nothing after a job's end

Change: an item that comes back is scored and listed again from its listed text where the versions fit, without a run; nothing is listed once a job has ended. Left: an item listed in that moment whose text is too old for the later job still has to run again.

--- a/source/jobs/item_lengths.cc
+++ b/source/jobs/item_lengths.cc
@@ -1,6 +1,7 @@
 #include "jobs/item_lengths.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace millstair {
 namespace {
@@ -33,6 +34,16 @@
   order_.pop_front();
 }
 
+void ItemLengths::NoteListed(const ItemId& item, ListedText listed) {
+  const auto known = known_.find(item);
+  if (known != known_.end()) known->second.listed = std::move(listed);
+}
+
+std::optional<ListedText> ItemLengths::ListedTextOf(const ItemId& item) const {
+  const auto known = known_.find(item);
+  return known == known_.end() ? std::nullopt : known->second.listed;
+}
+
 std::optional<WeightVersion> ItemLengths::EarlierMinVersion(const ItemId& item) const {
   const auto known = known_.find(item);
   if (known == known_.end()) return std::nullopt;
--- a/source/jobs/item_lengths.h
+++ b/source/jobs/item_lengths.h
@@ -12,12 +12,22 @@
 
 namespace millstair {
 
+/// Where an ended job lists the whole text of an item.
+struct ListedText {
+  JobId job;
+  size_t position = 0;
+};
+
 /// Lives on the node's serial executor. Bounded in number; the oldest items are forgotten first.
 class ItemLengths {
  public:
   /// The text of `item` had `events` events in a job that allowed `min_version` and newer; `whole`
   /// if those were all.
   void Note(const ItemId& item, uint64_t events, bool whole, WeightVersion min_version);
+  /// An ended job lists the whole text of `item`.
+  void NoteListed(const ItemId& item, ListedText listed);
+  /// The latest such text; none if there is none.
+  std::optional<ListedText> ListedTextOf(const ItemId& item) const;
   /// The oldest weights that the earlier job of the item allowed; none if no job held it.
   std::optional<WeightVersion> EarlierMinVersion(const ItemId& item) const;
   /// Whether an earlier job held the item.
@@ -32,6 +42,7 @@
     uint64_t events = 0;
     bool whole = false;
     WeightVersion min_version;
+    std::optional<ListedText> listed;
   };
 
   std::map<ItemId, Known> known_;
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -106,6 +106,8 @@
     const JobRecord* record = state_.Find(job);
     if (record == nullptr || record->ended) {
       DropJob(job);
+      // What was listed as the job ended is known only now.
+      if (record != nullptr) LearnLengths(*record);
     } else if (!jobs_.contains(job)) {
       AddJob(*record);
     } else {
@@ -137,9 +139,14 @@
       job.items.push_back(nullptr);
       continue;
     }
-    UseKeptText(record, *work);
     job.items.push_back(std::move(work));
-    Wait(*job.items.back(), record);
+    Work& added = *job.items.back();
+    if (UseListedText(record, added)) {
+      Score(added, record);
+      continue;
+    }
+    UseKeptText(record, added);
+    Wait(added, record);
   }
   const auto event_tokens = static_cast<double>(std::max<uint64_t>(1, tokens_per_event));
   loads_.NoteJob(record.spec.model, order.expected_events * event_tokens, record.spec.min_version);
@@ -194,10 +201,12 @@
 }
 
 void JobScheduler::LearnLengths(const JobRecord& record) {
-  for (const JobResult& result : record.results) {
+  for (size_t position = 0; position < record.results.size(); ++position) {
+    const JobResult& result = record.results[position];
+    const ItemId& item = record.spec.items[result.item].id;
     const bool whole = result.state == ItemState::kDone;
-    lengths_.Note(record.spec.items[result.item].id, EventsOfText(result.text), whole,
-                  record.spec.min_version);
+    lengths_.Note(item, EventsOfText(result.text), whole, record.spec.min_version);
+    if (whole) lengths_.NoteListed(item, {record.spec.id, position});
   }
   for (uint32_t index = 0; index < record.spec.items.size(); ++index) {
     const auto progress = record.progress.find(index);
@@ -211,6 +220,25 @@
   return {job.priority, work.spare, work.latest_start, job.order, work.order, work.job, work.index};
 }
 
+bool JobScheduler::UseListedText(const JobRecord& record, Work& work) {
+  const auto listed = lengths_.ListedTextOf(record.spec.items[work.index].id);
+  const JobRecord* earlier = listed ? state_.Find(listed->job) : nullptr;
+  if (earlier == nullptr || listed->position >= earlier->results.size()) return false;
+  const JobResult& result = earlier->results[listed->position];
+  const Route* route = RouteOf(record);
+  if (route == nullptr || (route->single_version && result.versions.size() > 1)) return false;
+  const bool fits =
+      std::all_of(result.versions.begin(), result.versions.end(),
+                  [&record](WeightVersion version) { return version >= record.spec.min_version; });
+  if (!fits) return false;
+  work.progress.text = result.text;
+  work.progress.events = EventsOfText(result.text);
+  work.progress.versions = result.versions;
+  LogEvent(EventId::kItemReused, "job={} item={} earlier={} events={}", work.job,
+           record.spec.items[work.index].id, listed->job, work.progress.events);
+  return true;
+}
+
 void JobScheduler::UseKeptText(const JobRecord& record, Work& work) {
   const auto own = record.progress.find(work.index);
   if (own != record.progress.end()) {
@@ -225,6 +253,10 @@
 void JobScheduler::KeepText(const JobRecord* record, Work& work) {
   if (record == nullptr || work.index >= record->spec.items.size()) return;
   const ItemId& item = record->spec.items[work.index].id;
+  if (work.phase == Phase::kListing && work.result.state == ItemState::kDone) {
+    work.progress.text = std::move(work.result.text);
+    work.progress.versions = std::move(work.result.versions);
+  }
   lengths_.Note(item, work.progress.events, false, record->spec.min_version);
   kept_.Keep(item, std::move(work.progress));
 }
@@ -292,7 +324,8 @@
     waiting_.erase(RankOf(*work));
     if (work->scoring) ingress_.Cancel(*work->scoring);
     work->run.reset();
-    if (leading_ && work->phase != Phase::kListing) KeepText(state_.Find(job), *work);
+    const bool listed = state_.IsListed(job, work->index);
+    if (leading_ && !listed) KeepText(state_.Find(job), *work);
   }
   const JobRecord* record = state_.Find(job);
   if (leading_ && record != nullptr && record->ended) LearnLengths(*record);
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -129,6 +129,10 @@
   uint64_t TokensPerEvent(const JobRecord& record) const;
   /// Notes how long the items of an ended job are, as far as is known.
   void LearnLengths(const JobRecord& record);
+  /// Takes up the whole text that an earlier job lists of the same item, if its versions fit. An
+  /// item is not run again without need: its earlier result may still be read, and is judged
+  /// against what engines made of the item until then.
+  bool UseListedText(const JobRecord& record, Work& work);
   /// Takes up text that an earlier job left of the same items.
   void UseKeptText(const JobRecord& record, Work& work);
   void KeepText(const JobRecord* record, Work& work);
--- a/source/jobs/job_state_machine.cc
+++ b/source/jobs/job_state_machine.cc
@@ -72,6 +72,8 @@
   std::vector<bool>& listed = listed_[list.job];
   if (list.result.item >= listed.size()) return JobResultCode::kInvalid;
   if (listed[list.result.item]) return JobResultCode::kOk;
+  // Nobody waits for it, and its client may already run the item again in another job.
+  if (found->second.ended) return JobResultCode::kOk;
   JobResult result = list.result;
   if (list.after > 0) {
     const auto kept = found->second.progress.find(list.result.item);
--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -429,6 +429,33 @@
   CHECK(left == 2);
 }
 
+TEST_CASE("An item whose whole text an earlier job lists is scored again, and not run again") {
+  Fixture fixture;
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(seconds(1));
+  REQUIRE(fixture.ResultOf("j") != nullptr);
+  fixture.state.Apply(LogIndex(50), EncodeJobCommand({EndJob{JobId("j")}, {}}));
+  fixture.scheduler.RunFor(milliseconds(10));
+  fixture.Submit(fixture.Job("k"));
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.backends.CountAt("e:1") == 1);
+  CHECK(fixture.backends.CountAt("p:1") == 2);
+  REQUIRE(fixture.ResultOf("k") != nullptr);
+  CHECK(fixture.ResultOf("k")->text == "one\ntwo");
+  CHECK(fixture.ResultOf("k")->versions == std::vector{WeightVersion(1)});
+  CHECK(fixture.ResultOf("k")->score == "sig");
+  // Weights have moved on too far: the text may not be used.
+  fixture.state.Apply(LogIndex(51), EncodeJobCommand({EndJob{JobId("k")}, {}}));
+  fixture.scheduler.RunFor(milliseconds(10));
+  fixture.loads.NoteVersion(InstanceId("e:1"), ModelName("m"), WeightVersion(2));
+  JobSpec later = fixture.Job("l");
+  later.min_version = WeightVersion(2);
+  fixture.Submit(later);
+  fixture.scheduler.RunFor(milliseconds(100));
+  CHECK(fixture.backends.CountAt("e:1") >= 2);
+}
+
 /// Items that wait, of the jobs named, in the order in which an engine with one place ran them.
 std::vector<std::string> OrderOfRuns(const std::vector<JobSpec>& jobs) {
   Fixture fixture;
--- a/test/jobs/job_state_machine_test.cc
+++ b/test/jobs/job_state_machine_test.cc
@@ -71,6 +71,16 @@
   CHECK(machine.Run(ListResult{JobId("b"), Result(0, "")}) == JobResultCode::kNotFound);
 }
 
+TEST_CASE("Nothing is listed any more once a job has ended") {
+  Machine machine;
+  machine.Run(SubmitJob{Job("a", 2)});
+  machine.Run(ListResult{JobId("a"), Result(1, "before")});
+  machine.Run(EndJob{JobId("a")});
+  machine.Run(ListResult{JobId("a"), Result(0, "after")});
+  CHECK(machine.machine.Find(JobId("a"))->results.size() == 1);
+  CHECK_FALSE(machine.machine.IsListed(JobId("a"), 0));
+}
+
 TEST_CASE("An ended job is remembered for its retention, an open one for good") {
   Machine machine;
   machine.Run(SubmitJob{Job("ended", 1)}, seconds(100));
