--- a/source/http/beast_http_caller.cc
+++ b/source/http/beast_http_caller.cc
@@ -138,7 +138,7 @@
 
   /// Writes the request on a kept connection, or on a new one if not a byte went out there.
   asio::awaitable<bool> SendRequest(const std::string& bytes) {
-    if (!request_.fresh_connection) socket_ = pool_->Take(address_);
+    socket_ = pool_->Take(address_);
     if (socket_.has_value() && !cancelled_) {
       const size_t written = co_await Write(bytes);
       if (written == bytes.size()) co_return true;
--- a/source/http/exchange.h
+++ b/source/http/exchange.h
@@ -39,9 +39,6 @@
   std::string target;
   HttpHeaders headers;
   std::string body;
-  /// Never sent on a kept connection, where a late answer to an earlier call of the same identifier
-  /// may still come and could not be told apart.
-  bool fresh_connection = false;
 };
 
 struct HttpResponseHead {
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -167,7 +167,6 @@
   ++may_have_run_;
   BackendRequest request{request_.http, request_.host, request_.request_id,
                          TimeLeft(),    target->id,    std::nullopt};
-  request.http.fresh_connection = request_.repeated || sent_ > 1;
   tries_.push_back(std::make_unique<Try>(*this, *target));
   tries_.back()->Start(target->address, context_.protocol.MakeRequest(request));
 }
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -26,8 +26,6 @@
   std::optional<Duration> time_left;
   /// The client has the events of a stream up to this one.
   std::optional<uint64_t> resume_after;
-  /// This node has sent a request of the same identifier before.
-  bool repeated = false;
 };
 
 enum class ForwardOutcome : uint8_t {
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -107,7 +107,6 @@
   BackendRequest request{request_.http,   request_.host, request_.request_id,
                          deadline_ - now, target->id,    request_.resume_after};
   if (begun_) request.resume_after = events_;
-  request.http.fresh_connection = request_.repeated || sent_ > 1;
   run_ = std::make_unique<Run>(*this, *target);
   run_->Start(target->address, context_.protocol.MakeRequest(request));
 }
--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -172,7 +172,6 @@
   BackendRequest request;
   request.http = {"POST", item.path, item.headers, item.body};
   request.host = record.spec.host;
-  request.http.fresh_connection = work.runs++ > 0;
   request.request_id = item.id.value();
   request.instance = engine->id;
   const Duration lifetime =
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -473,7 +473,6 @@
   const JobScoring& scoring = *item.scoring;
   ForwardRequest request{
       {"POST", scoring.path, {}, scoring.body}, scoring.host, scoring.id, std::nullopt};
-  request.repeated = work.scorings++ > 0;
   work.scoring = ingress_.Forward(
       std::move(request),
       alive_.Guard([this, job = work.job, index = work.index](const ForwardResult& result) {
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -76,9 +76,6 @@
     TimePoint keep_from;
     uint32_t server_errors = 0;
     uint32_t scoring_errors = 0;
-    /// Runs and scoring calls that were begun here.
-    uint32_t runs = 0;
-    uint32_t scorings = 0;
     TimePoint not_before;
     /// The engine that failed it last.
     InstanceId avoid;
