Learn the lengths of an ended job once

TakeChanges and DropJob, which it calls, both read all results of a job as it ended: some hundred texts were gone through twice on a leader whose processor binds on the large site. The call in DropJob goes; on its other way in, where leadership ends, it did nothing. Behaviour stays; jobs tests: 97 passed.

--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -106,7 +106,6 @@
     const JobRecord* record = state_.Find(job);
     if (record == nullptr || record->ended) {
       DropJob(job);
-      // What was listed as the job ended is known only now.
       if (record != nullptr) LearnLengths(*record);
     } else if (!jobs_.contains(job)) {
       AddJob(*record);
@@ -327,8 +326,6 @@
     const bool listed = state_.IsListed(job, work->index);
     if (leading_ && !listed) KeepText(state_.Find(job), *work);
   }
-  const JobRecord* record = state_.Find(job);
-  if (leading_ && record != nullptr && record->ended) LearnLengths(*record);
   jobs_.erase(found);
 }
 
