Ask learners for no confirmation, and send them fewer heartbeats

Cause: each confirmed read sent a heartbeat to every follower, learners included, and waited for the answers of voters alone. With 45 control nodes all but five are learners, and gateways' heartbeats keep read rounds going all the time, so most of the leader's messages confirmed nothing.

Change: read rounds go to voters; periodic heartbeats to learners are sent as often as a quiet group sends them.

Ruled out: fewer replicas. Control nodes serve servers, operators and gateways from their own state, so each of them has to follow the log.

--- a/source/consensus/raft_core.h
+++ b/source/consensus/raft_core.h
@@ -157,6 +157,8 @@
   void SendEntries(ReplicaId to, Progress& progress);
   /// With `context` 0 it only tells the commit index and gets no reply.
   void SendHeartbeat(ReplicaId to, Progress& progress, uint64_t context);
+  /// Whether a replica is to get the next periodic heartbeat: voters get all, learners some.
+  bool HeartbeatDue(ReplicaId to, const Progress& progress) const;
   void BroadcastHeartbeats();
   void HandleAppend(RaftMessage message);
   void StoreEntries(std::vector<LogEntry> entries);
--- a/source/consensus/raft_progress.h
+++ b/source/consensus/raft_progress.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 #include "common/ids.h"
 #include "common/time.h"
@@ -54,6 +55,8 @@
   LogPosition snapshot;
   uint64_t snapshot_offset = 0;
   TimePoint chunk_sent;
+  /// When the last periodic heartbeat was sent; none before the first.
+  std::optional<TimePoint> heartbeat_sent;
 
  private:
   ProgressState state_ = ProgressState::kProbe;
--- a/source/consensus/raft_reads.cc
+++ b/source/consensus/raft_reads.cc
@@ -34,7 +34,10 @@
   ++round_;
   round_index_ = commit_;
   round_reads_ = std::exchange(waiting_reads_, {});
-  for (auto& [replica, progress] : progress_) SendHeartbeat(replica, progress, round_);
+  // Learners confirm nothing, and there may be many of them.
+  for (auto& [replica, progress] : progress_) {
+    if (configuration().IsVoter(replica)) SendHeartbeat(replica, progress, round_);
+  }
   FinishReadRound();
 }
 
--- a/source/consensus/raft_replication.cc
+++ b/source/consensus/raft_replication.cc
@@ -12,6 +12,10 @@
 /// Entries sent along with a probe, so that a follower that agrees goes on at once.
 constexpr uint64_t kProbeBytes = 4096;
 
+/// A learner neither votes nor counts for a quorum. Its heartbeats only show it lost messages and
+/// the leader's life, for which as many as a quiet group sends are enough.
+constexpr int kHeartbeatsPerLearnerHeartbeat = 3;
+
 }  // namespace
 
 void RaftCore::AppendOwn(EntryType type, EntryPayload payload) {
@@ -78,8 +82,17 @@
   Send(std::move(message));
 }
 
+bool RaftCore::HeartbeatDue(ReplicaId to, const Progress& progress) const {
+  if (configuration().IsVoter(to) || !progress.heartbeat_sent) return true;
+  // Ticks come a little late: half a heartbeat early counts as in time.
+  const Duration period = kHeartbeatsPerLearnerHeartbeat * options_.heartbeat;
+  return now_ - *progress.heartbeat_sent >= period - options_.heartbeat / 2;
+}
+
 void RaftCore::BroadcastHeartbeats() {
   for (auto& [replica, progress] : progress_) {
+    if (!HeartbeatDue(replica, progress)) continue;
+    progress.heartbeat_sent = now_;
     if (progress.state() == ProgressState::kProbe) {
       // Also tells a replica that lacks the group of it: a heartbeat names no group.
       SendAppend(replica, progress, 0);
--- a/test/consensus/raft_core_test.cc
+++ b/test/consensus/raft_core_test.cc
@@ -2,6 +2,7 @@
 #include "consensus/raft_core.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 
 #include "common/virtual_environment.h"
 #include "consensus/raft_codec.h"
@@ -25,12 +26,12 @@
 
 /// Replica 1 of three, whose log starts with the founders' configuration.
 struct Replica {
-  explicit Replica(uint64_t seed = 1)
+  explicit Replica(uint64_t seed = 1, const std::vector<GroupMember>& members = ThreeVoters())
       : scheduler(seed), environment(scheduler, seed), files(environment, seed) {
     log = *SegmentedLog::Open(files, "g");
     log->SaveHardState({Term(1), ReplicaId()});
     log->Append({{LogIndex(1), Term(1), EntryType::kConfiguration,
-                  std::make_shared<std::string>(EncodeMembers(ThreeVoters()))}});
+                  std::make_shared<std::string>(EncodeMembers(members))}});
     Settle();
     core = *RaftCore::Create({kSelf}, *log, environment.Random(), environment.Now(), {});
   }
@@ -232,6 +233,42 @@
   return 0;
 }
 
+TEST_CASE("learners are asked for no confirmation and hear fewer heartbeats") {
+  const ReplicaId learner{4};
+  std::vector<GroupMember> members = ThreeVoters();
+  members.push_back({learner, NodeId("d"), "", false});
+  Replica replica(1, members);
+  replica.Lead();
+  replica.Acknowledge(kSecond, replica.log->last_index());
+  replica.core->Flush(replica.environment.Now());
+  replica.core->TakeMessages();
+  const auto heartbeats = [&] {
+    std::map<ReplicaId, int> counts;
+    for (const RaftMessage& message : replica.core->TakeMessages()) {
+      if (message.type == RaftMessageType::kHeartbeat) ++counts[message.to];
+    }
+    return counts;
+  };
+  replica.core->RequestRead();
+  replica.core->Flush(replica.environment.Now());
+  auto asked = heartbeats();
+  CHECK(asked[kSecond] == 1);
+  CHECK(asked[kThird] == 1);
+  CHECK(asked[learner] == 0);
+  // A read that is not confirmed keeps the group from being quiet.
+  for (int tick = 0; tick < 50; ++tick) {
+    replica.scheduler.RunFor(milliseconds(100));
+    replica.core->RequestRead();
+    replica.Acknowledge(kSecond, replica.log->last_index());
+    replica.Acknowledge(kThird, replica.log->last_index());
+    replica.core->Tick(replica.environment.Now());
+  }
+  auto beats = heartbeats();
+  CHECK(beats[kSecond] >= 40);
+  CHECK(beats[learner] >= 10);
+  CHECK(beats[learner] <= beats[kSecond] / 2);
+}
+
 TEST_CASE("an answer to a read of an earlier life is not taken for one of this life") {
   Replica earlier(1);
   Replica later(2);
