Place replicas over zones, and push where a job group is

Cause: founders of the job group, learners and the voters that replace lost ones were the first live nodes of a map ordered by address, so that all or most voters could stand in one zone of five: its loss would have taken the group.

Change: one pure module (replica_spread) chooses the least crowded zone for founders, learners and promotions of both managers, and a whole group whose voters crowd one zone exchanges them one at a time, promoting first. The leader of a job group commits its members and itself in the cluster group; every node gets them with the configuration. Gateways ask the leader for changes and the nearest replica for reads; a node without a replica names the leader. A silent node is passed over for three seconds instead of moving along a list.

Ruled out: asking all storage nodes at once (45 messages for each gateway's first call), and a lookup call to control nodes before each job (a round trip more, and a further call that can fail).

Regions are not known to nodes yet: zones are all that is spread over.

--- a/source/cluster/cluster_commands.h
+++ b/source/cluster/cluster_commands.h
@@ -120,6 +120,13 @@
   JobGroup group;
 };
 
+/// The leader of a job group says where its replicas are. What an earlier leader says, or the same
+/// leader said before, changes nothing.
+struct PlaceJobGroup {
+  GroupId group;
+  JobGroupPlacement placement;
+};
+
 /// An operator wants a storage node emptied, or the leader of its groups says that it is.
 struct RetireNode {
   RetiredNode retired;
@@ -128,7 +135,7 @@
 using ClusterOperation =
     std::variant<OpenSession, PutResources, DeleteResource, ClaimKey, SettleClaim, PublishVersion,
                  SetModelTarget, UpdateMembers, FoundGroup, ReplaceRouting, UpdateInstance,
-                 NameVersion, FoundJobGroup, RetireNode>;
+                 NameVersion, FoundJobGroup, RetireNode, PlaceJobGroup>;
 
 struct ClusterCommand {
   ClusterOperation operation;
--- a/source/cluster/command_codec.cc
+++ b/source/cluster/command_codec.cc
@@ -140,6 +140,11 @@
     wire.operation.found_job_group = ToWire(arena, found.group);
   }
 
+  void operator()(const PlaceJobGroup& place) const {
+    wire.which_operation = millstair_ClusterCommand_place_job_group_tag;
+    wire.operation.place_job_group = ToWire(arena, place.group, place.placement);
+  }
+
   void operator()(const RetireNode& retire) const {
     wire.which_operation = millstair_ClusterCommand_retire_node_tag;
     wire.operation.retire_node = ToWire(arena, retire.retired);
@@ -227,6 +232,12 @@
       return FromWire(wire.operation.name_version, operation.emplace<NameVersion>().named);
     case millstair_ClusterCommand_found_job_group_tag:
       return FromWire(wire.operation.found_job_group, operation.emplace<FoundJobGroup>().group);
+    case millstair_ClusterCommand_place_job_group_tag: {
+      const millstair_JobGroupPlacement& placed = wire.operation.place_job_group;
+      PlaceJobGroup& place = operation.emplace<PlaceJobGroup>();
+      place.group = GroupId(ToString(placed.group));
+      return FromWire(placed, place.placement);
+    }
     case millstair_ClusterCommand_retire_node_tag:
       return FromWire(wire.operation.retire_node, operation.emplace<RetireNode>().retired);
     default:
--- a/source/cluster/configuration.h
+++ b/source/cluster/configuration.h
@@ -109,10 +109,22 @@
   friend bool operator==(const BackendInstance&, const BackendInstance&) = default;
 };
 
-/// The founding members of a group that keeps batch jobs.
+/// Where the replicas of a job group are, as its leader says.
+struct JobGroupPlacement {
+  /// In which the leader leads; 0 while no leader has spoken.
+  Term term;
+  /// Counts what the leader of the term said: the higher one is the later one.
+  uint64_t sequence = 0;
+  NodeId leader;
+  std::vector<GroupMember> members;
+  friend bool operator==(const JobGroupPlacement&, const JobGroupPlacement&) = default;
+};
+
+/// A group that keeps batch jobs: its founding members, and where it is now.
 struct JobGroup {
   GroupId group;
   std::vector<GroupMember> founders;
+  JobGroupPlacement placement;
   friend bool operator==(const JobGroup&, const JobGroup&) = default;
 };
 
--- a/source/cluster/configuration_editor.cc
+++ b/source/cluster/configuration_editor.cc
@@ -268,6 +268,20 @@
   return {};
 }
 
+ClusterResult ConfigurationEditor::Run(const PlaceJobGroup& place) {
+  const auto found = configuration_.job_groups.find(place.group);
+  if (found == configuration_.job_groups.end()) {
+    return Refuse(ClusterResultCode::kNotFound, "no such job group");
+  }
+  JobGroupPlacement& known = found->second.placement;
+  const bool later = std::pair(place.placement.term, place.placement.sequence) >
+                     std::pair(known.term, known.sequence);
+  if (!later) return {};
+  known = place.placement;
+  changes_.job_groups.insert(place.group);
+  return {};
+}
+
 ClusterResult ConfigurationEditor::Run(const RetireNode& retire) {
   const NodeId& name = retire.retired.node;
   const auto node = configuration_.nodes.find(name);
--- a/source/cluster/configuration_editor.h
+++ b/source/cluster/configuration_editor.h
@@ -28,6 +28,7 @@
   ClusterResult Run(const UpdateInstance& update);
   ClusterResult Run(const NameVersion& name);
   ClusterResult Run(const FoundJobGroup& found);
+  ClusterResult Run(const PlaceJobGroup& place);
   ClusterResult Run(const RetireNode& retire);
 
   const ChangeSet& changes() const { return changes_; }
--- a/source/cluster/configuration_wire.cc
+++ b/source/cluster/configuration_wire.cc
@@ -225,16 +225,38 @@
          !instance.id.value().empty();
 }
 
+millstair_JobGroupPlacement ToWire(WireArena& arena, const GroupId& group,
+                                   const JobGroupPlacement& placement) {
+  millstair_JobGroupPlacement wire = millstair_JobGroupPlacement_init_zero;
+  wire.group = arena.NewString(group.value());
+  wire.term = placement.term.value();
+  wire.sequence = placement.sequence;
+  wire.leader = arena.NewString(placement.leader.value());
+  wire.members =
+      NewWireArray<millstair_FoundingMember>(arena, placement.members, &wire.members_count);
+  return wire;
+}
+
+bool FromWire(const millstair_JobGroupPlacement& wire, JobGroupPlacement& placement) {
+  placement.term = Term(wire.term);
+  placement.sequence = wire.sequence;
+  placement.leader = NodeId(ToString(wire.leader));
+  return FromWireArray(wire.members, wire.members_count, placement.members);
+}
+
 millstair_JobGroup ToWire(WireArena& arena, const JobGroup& group) {
   millstair_JobGroup wire = millstair_JobGroup_init_zero;
   wire.group = arena.NewString(group.group.value());
   wire.founders =
       NewWireArray<millstair_FoundingMember>(arena, group.founders, &wire.founders_count);
+  wire.has_placement = group.placement.term != Term();
+  if (wire.has_placement) wire.placement = ToWire(arena, group.group, group.placement);
   return wire;
 }
 
 bool FromWire(const millstair_JobGroup& wire, JobGroup& group) {
   group.group = GroupId(ToString(wire.group));
+  if (wire.has_placement && !FromWire(wire.placement, group.placement)) return false;
   return FromWireArray(wire.founders, wire.founders_count, group.founders) &&
          !group.founders.empty();
 }
--- a/source/cluster/configuration_wire.h
+++ b/source/cluster/configuration_wire.h
@@ -31,6 +31,9 @@
 bool FromWire(const millstair_NamedVersion& wire, NamedVersion& named);
 millstair_BackendInstance ToWire(WireArena& arena, const BackendInstance& instance);
 bool FromWire(const millstair_BackendInstance& wire, BackendInstance& instance);
+millstair_JobGroupPlacement ToWire(WireArena& arena, const GroupId& group,
+                                   const JobGroupPlacement& placement);
+bool FromWire(const millstair_JobGroupPlacement& wire, JobGroupPlacement& placement);
 millstair_JobGroup ToWire(WireArena& arena, const JobGroup& group);
 bool FromWire(const millstair_JobGroup& wire, JobGroup& group);
 
--- a/source/cluster/group_client.cc
+++ b/source/cluster/group_client.cc
@@ -17,7 +17,8 @@
 /// A node that did not answer a read or has no replica is asked again after this long: about the
 /// time in which a replica that restarted or was added has caught up.
 constexpr Duration kUselessFor = std::chrono::seconds(3);
-/// A replica that knows of no leader is asked again after this long: an election takes about that.
+/// A replica that knows of no leader is asked again after this long, unless all others are of no
+/// use either: an election takes about that.
 constexpr Duration kLeaderlessFor = std::chrono::milliseconds(150);
 
 }  // namespace
@@ -91,22 +92,18 @@
   const std::vector<NodeId> candidates = candidates_();
   const bool useful = !candidates.empty() && PassedOverFor(Target(candidates)) == Duration(0);
   if (useful) return Send(pending);
-  const Duration pause = DrawDuration(environment_.Random(), kRetryPauseMin, kRetryPauseMax);
-  pending.retry_timer.Arm(pause, [this, id = pending.message.id] {
-    const auto found = pending_.find(id);
-    if (found != pending_.end()) Send(*found->second);
-  });
+  SendSoon(pending);
 }
 
 NodeId GroupClient::Target(const std::vector<NodeId>& candidates) const {
-  if (kind_ == GroupTarget::kNearest) {
-    // The first that is of use; if none is, the one that is to be asked again the soonest.
-    return *std::min_element(
-        candidates.begin(), candidates.end(),
-        [this](const NodeId& a, const NodeId& b) { return PassedOverFor(a) < PassedOverFor(b); });
+  const bool known = std::find(candidates.begin(), candidates.end(), target_) != candidates.end();
+  if (kind_ == GroupTarget::kLeader && known && PassedOverFor(target_) == Duration(0)) {
+    return target_;
   }
-  const auto preferred = std::find(candidates.begin(), candidates.end(), target_);
-  return preferred == candidates.end() ? candidates.front() : target_;
+  // The first that is of use; if none is, the one that is to be asked again the soonest.
+  return *std::min_element(
+      candidates.begin(), candidates.end(),
+      [this](const NodeId& a, const NodeId& b) { return PassedOverFor(a) < PassedOverFor(b); });
 }
 
 void GroupClient::Send(Pending& pending) {
@@ -120,35 +117,34 @@
   const Duration wait = candidates.empty() ? kRetryPauseMax
                                            : DrawDuration(environment_.Random(), kReplyTimeout,
                                                           kReplyTimeout + kReplyTimeout / 4);
-  pending.retry_timer.Arm(wait, [this, id] { SendAgain(id); });
+  pending.retry_timer.Arm(wait, [this, id] {
+    const auto found = pending_.find(id);
+    if (found == pending_.end()) return;
+    if (!found->second->sent_to.value().empty()) PassOver(found->second->sent_to, kUselessFor);
+    Send(*found->second);
+  });
 }
 
 void GroupClient::Retry(Pending& pending, const NodeId& leader) {
-  const uint64_t id = pending.message.id;
-  const bool told = !leader.value().empty() && leader != pending.sent_to;
+  const std::vector<NodeId> candidates = candidates_();
+  const bool told = leader != pending.sent_to &&
+                    std::find(candidates.begin(), candidates.end(), leader) != candidates.end();
   if (told) {
+    // Its word is newer than a silence of the past.
+    passed_over_.erase(leader);
     target_ = leader;
     return Send(pending);
   }
-  const Duration pause = DrawDuration(environment_.Random(), kRetryPauseMin, kRetryPauseMax);
-  pending.retry_timer.Arm(pause, [this, id] { SendAgain(id); });
+  PassOver(pending.sent_to, kLeaderlessFor);
+  SendSoon(pending);
 }
 
-void GroupClient::SendAgain(uint64_t id) {
-  const auto found = pending_.find(id);
-  if (found == pending_.end()) return;
-  MoveOn(found->second->sent_to);
-  Send(*found->second);
-}
-
-void GroupClient::MoveOn(const NodeId& from) {
-  if (kind_ == GroupTarget::kNearest) return PassOver(from, kUselessFor);
-  const std::vector<NodeId> candidates = candidates_();
-  // Another command may have moved on already.
-  if (candidates.empty() || Target(candidates) != from) return;
-  const auto current = std::find(candidates.begin(), candidates.end(), from);
-  const size_t next = static_cast<size_t>(current - candidates.begin()) + 1;
-  target_ = candidates[next % candidates.size()];
+void GroupClient::SendSoon(Pending& pending) {
+  const Duration pause = DrawDuration(environment_.Random(), kRetryPauseMin, kRetryPauseMax);
+  pending.retry_timer.Arm(pause, [this, id = pending.message.id] {
+    const auto found = pending_.find(id);
+    if (found != pending_.end()) Send(*found->second);
+  });
 }
 
 void GroupClient::Finish(uint64_t id, absl::StatusOr<std::string> result) {
--- a/source/cluster/group_client.h
+++ b/source/cluster/group_client.h
@@ -20,7 +20,7 @@
 
 /// Which replica a client turns to.
 enum class GroupTarget : uint8_t {
-  kLeader,   ///< for changes: found through any replica, and kept while it answers
+  kLeader,   ///< for changes: the first candidate, or whom a candidate names; kept while it answers
   kNearest,  ///< for confirmed reads: the first candidate that is not known to be of no use now
 };
 
@@ -54,12 +54,13 @@
 
   uint64_t NewId();
   void Send(Pending& pending);
+  /// The node asked can't serve the command; `leader` is who leads by its word, if not empty.
   void Retry(Pending& pending, const NodeId& leader);
-  void SendAgain(uint64_t id);
+  /// Sends after a pause.
+  void SendSoon(Pending& pending);
   void Finish(uint64_t id, absl::StatusOr<std::string> result);
   NodeId Target(const std::vector<NodeId>& candidates) const;
-  void MoveOn(const NodeId& from);
-  /// For how long `node` is not to be asked for reads; 0 if it may be of use.
+  /// For how long `node` is not to be asked; 0 if it may be of use.
   Duration PassedOverFor(const NodeId& node) const;
   void PassOver(const NodeId& node, Duration time);
   /// The replica asked can't serve the read: another one is asked, at once if one may be of use.
@@ -70,9 +71,10 @@
   const GroupId group_;
   const Candidates candidates_;
   const GroupTarget kind_;
-  /// For kLeader: the node that answered last, or the one to try next.
+  /// For kLeader: the node that answered last, or that another one named as the leader.
   NodeId target_;
-  /// For kNearest: nodes that did not answer or have no replica, and until when they are not asked.
+  /// Nodes that did not answer, have no replica or know no leader, and until when others are asked
+  /// in their place.
   std::map<NodeId, TimePoint> passed_over_;
   std::map<uint64_t, std::unique_ptr<Pending>> pending_;
 };
--- a/source/cluster/replica_manager.cc
+++ b/source/cluster/replica_manager.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cluster/replica_spread.h"
 #include "common/event_log.h"
 
 namespace millstair {
@@ -52,7 +53,30 @@
   if (RemoveLost(group, members)) return;
   if (RemoveRetired(group, members)) return;
   ReportEmptied(members);
-  AddStranger(group, members);
+  if (RemoveSurplus(group, members)) return;
+  if (AddStranger(group, members)) return;
+  PromoteToSpread(group, members);
+}
+
+Zone ReplicaManager::ZoneOf(const NodeId& node) const {
+  const auto heard = nodes_.nodes().find(node);
+  return heard == nodes_.nodes().end() ? Zone() : heard->second.latest.record.zone;
+}
+
+std::vector<Zone> ReplicaManager::ZonesOf(const std::vector<GroupMember>& members) const {
+  std::vector<Zone> zones;
+  for (const GroupMember& member : members) zones.push_back(ZoneOf(member.node));
+  return zones;
+}
+
+std::vector<GroupMember> ReplicaManager::SoundVoters(
+    const std::vector<GroupMember>& members) const {
+  std::vector<GroupMember> sound;
+  for (const GroupMember& member : members) {
+    const bool stays = !IsLost(member, members) && !IsRetired(member.node);
+    if (member.voter && stays) sound.push_back(member);
+  }
+  return sound;
 }
 
 bool ReplicaManager::IsLost(const GroupMember& member,
@@ -70,22 +94,52 @@
 }
 
 bool ReplicaManager::PromoteWhereShort(RaftGroup& group, const std::vector<GroupMember>& members) {
-  size_t sound_voters = 0;
-  for (const GroupMember& member : members) {
-    const bool stays = !IsLost(member, members) && !IsRetired(member.node);
-    if (member.voter && stays) ++sound_voters;
-  }
-  if (sound_voters >= target_voters_) return false;
+  if (SoundVoters(members).size() >= target_voters_) return false;
+  const auto learner = BestLearner(members);
+  if (!learner) return false;
+  Promote(group, *learner);
+  return true;
+}
+
+std::optional<GroupMember> ReplicaManager::BestLearner(
+    const std::vector<GroupMember>& members) const {
   const TimePoint since = environment_.Now() - node_lease_;
+  std::vector<GroupMember> learners;
   for (const GroupMember& member : members) {
     if (member.voter || IsLost(member, members) || IsRetired(member.node)) continue;
     const HeardNode* heard = nodes_.FindSince(member.node, since);
     if (heard == nullptr || heard->latest.replica != member.replica) continue;
     if (heard->latest.record.state != MemberState::kLive) continue;
-    Promote(group, member);
-    return true;
+    learners.push_back(member);
   }
-  return false;
+  const auto best = LeastCrowded(ZonesOf(learners), ZonesOf(SoundVoters(members)));
+  if (!best) return std::nullopt;
+  return learners[*best];
+}
+
+bool ReplicaManager::PromoteToSpread(RaftGroup& group, const std::vector<GroupMember>& members) {
+  const std::vector<GroupMember> voters = SoundVoters(members);
+  // Only a group that is whole is rearranged.
+  if (voters.size() != target_voters_ || CountVoters(members) != target_voters_) return false;
+  const auto learner = BestLearner(members);
+  if (!learner || !SpreadsBetter(ZoneOf(learner->node), ZonesOf(voters))) return false;
+  Promote(group, *learner);
+  return true;
+}
+
+bool ReplicaManager::RemoveSurplus(RaftGroup& group, const std::vector<GroupMember>& members) {
+  const std::vector<GroupMember> voters = SoundVoters(members);
+  if (voters.size() <= target_voters_) return false;
+  const std::vector<Zone> zones = ZonesOf(voters);
+  const Zone crowded = zones[*MostCrowded(zones)];
+  std::optional<GroupMember> surplus;
+  for (size_t i = 0; i < voters.size(); ++i) {
+    if (voters[i].node != self_ && zones[i] == crowded) surplus = voters[i];
+  }
+  if (!surplus) return false;
+  // Its node joins again as a learner, since every control node is a member.
+  Remove(group, *surplus);
+  return true;
 }
 
 bool ReplicaManager::RemoveLost(RaftGroup& group, const std::vector<GroupMember>& members) {
--- a/source/cluster/replica_manager.h
+++ b/source/cluster/replica_manager.h
@@ -1,9 +1,12 @@
 /// Keeps every group at its full number of voters. On the leader of a group: strangers with a disk
 /// join as learners, warm learners take the place of lost and retired voters, whose replicas are
-/// removed then. The members of stream groups follow those of the cluster group.
+/// removed then. Voters of the cluster group are spread over zones: a learner takes the place of a
+/// voter in a crowded one, which stays as a learner's node. The members of stream groups follow
+/// those of the cluster group.
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -29,6 +32,16 @@
   /// Whether a step was taken.
   bool AddStranger(RaftGroup& group, const std::vector<GroupMember>& members);
   bool PromoteWhereShort(RaftGroup& group, const std::vector<GroupMember>& members);
+  /// A learner in a zone with fewer voters becomes one: a voter of the most crowded zone goes next.
+  bool PromoteToSpread(RaftGroup& group, const std::vector<GroupMember>& members);
+  /// The live learner in the zone with the fewest sound voters.
+  std::optional<GroupMember> BestLearner(const std::vector<GroupMember>& members) const;
+  /// Removes one sound voter if there are too many.
+  bool RemoveSurplus(RaftGroup& group, const std::vector<GroupMember>& members);
+  std::vector<GroupMember> SoundVoters(const std::vector<GroupMember>& members) const;
+  /// As its latest heartbeat says; empty if it was not heard of.
+  Zone ZoneOf(const NodeId& node) const;
+  std::vector<Zone> ZonesOf(const std::vector<GroupMember>& members) const;
   bool RemoveLost(RaftGroup& group, const std::vector<GroupMember>& members);
   bool RemoveRetired(RaftGroup& group, const std::vector<GroupMember>& members);
   /// Commits that a retired control node holds no replica of the cluster group any more. The entry
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include "jobs/job_group_founder.h"
+#include "jobs/job_group_nodes.h"
+
 namespace millstair {
 namespace {
 
@@ -18,7 +21,10 @@
       configuration_(MakeConfigurationClient(environment, transport, options.self,
                                              options.control_nodes, options.configuration_timing)),
       ingress_(environment, http, protocol, reader, options.self.zone, options.stats),
-      jobs_(environment, transport, [this] { return StorageNodes(); }),
+      jobs_(
+          environment, transport,
+          [this] { return JobNodesForChanges(configuration(), kJobGroup, zone_); },
+          [this] { return JobNodesForReads(configuration(), kJobGroup, zone_); }),
       ready_timer_(environment) {}
 
 void IngressNode::Start() {
@@ -39,17 +45,6 @@
   if (!ready_) ready_timer_.Arm(kReadyPoll, [this] { CheckReady(); });
 }
 
-std::vector<NodeId> IngressNode::StorageNodes() const {
-  std::vector<NodeId> near;
-  std::vector<NodeId> far;
-  for (const auto& [node, record] : configuration().nodes) {
-    if (!record.storage || record.state == MemberState::kGone) continue;
-    (record.zone == zone_ ? near : far).push_back(node);
-  }
-  near.insert(near.end(), far.begin(), far.end());
-  return near;
-}
-
 void IngressNode::Receive(const NodeId& from, const PeerMessage& message) {
   if (message.kind == MessageKind::kCommandReply) return jobs_.Receive(from, message);
   configuration_->Receive(from, message);
--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -40,8 +40,6 @@
   bool LeaseValid() const { return configuration_->LeaseValid(); }
 
  private:
-  /// Those of the own zone first.
-  std::vector<NodeId> StorageNodes() const;
   void ConfigurationChanged();
   void CheckReady();
 
--- a/source/jobs/job_client.cc
+++ b/source/jobs/job_client.cc
@@ -7,9 +7,10 @@
 namespace millstair {
 
 JobClient::JobClient(Environment& environment, PeerTransport& transport,
-                     GroupClient::Candidates storage_nodes, JobClientTiming timing)
-    : changes_(environment, transport, kJobGroup, storage_nodes),
-      reads_(environment, transport, kJobGroup, std::move(storage_nodes), GroupTarget::kNearest),
+                     GroupClient::Candidates for_changes, GroupClient::Candidates for_reads,
+                     JobClientTiming timing)
+    : changes_(environment, transport, kJobGroup, std::move(for_changes)),
+      reads_(environment, transport, kJobGroup, std::move(for_reads), GroupTarget::kNearest),
       timing_(timing) {}
 
 void JobClient::Propose(JobCommand command,
--- a/source/jobs/job_client.h
+++ b/source/jobs/job_client.h
@@ -26,9 +26,9 @@
 /// made; all calls bear being repeated.
 class JobClient {
  public:
-  /// `storage_nodes` gives the nodes that may have a replica of the group, the nearest first.
-  JobClient(Environment& environment, PeerTransport& transport,
-            GroupClient::Candidates storage_nodes, JobClientTiming timing = {});
+  /// `for_changes` and `for_reads` give the nodes to ask, the best first.
+  JobClient(Environment& environment, PeerTransport& transport, GroupClient::Candidates for_changes,
+            GroupClient::Candidates for_reads, JobClientTiming timing = {});
 
   Duration retry_after() const { return timing_.retry_after; }
 
--- a/source/jobs/job_replica_manager.cc
+++ b/source/jobs/job_replica_manager.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cluster/replica_spread.h"
 #include "common/event_log.h"
 
 namespace millstair {
@@ -39,7 +40,23 @@
   ReportRetired(members);
   if (PromoteWhereShort(members)) return;
   if (RemoveOne(members)) return;
-  AddStranger(members);
+  if (RemoveSurplus(members)) return;
+  if (AddStranger(members)) return;
+  PromoteToSpread(members);
+}
+
+Zone JobReplicaManager::ZoneOf(const NodeId& node) const {
+  const auto record = configuration_.nodes.find(node);
+  return record == configuration_.nodes.end() ? Zone() : record->second.zone;
+}
+
+std::vector<Zone> JobReplicaManager::ZonesOfSoundVoters(
+    const std::vector<GroupMember>& members) const {
+  std::vector<Zone> zones;
+  for (const GroupMember& member : members) {
+    if (member.voter && IsSound(member)) zones.push_back(ZoneOf(member.node));
+  }
+  return zones;
 }
 
 bool JobReplicaManager::IsLost(const GroupMember& member) const {
@@ -68,12 +85,53 @@
 
 bool JobReplicaManager::PromoteWhereShort(const std::vector<GroupMember>& members) {
   if (CountSoundVoters(members) >= options_.voters) return false;
+  const auto learner = BestLearner(members);
+  if (!learner) return false;
+  Promote(*learner);
+  return true;
+}
+
+std::optional<GroupMember> JobReplicaManager::BestLearner(
+    const std::vector<GroupMember>& members) const {
+  std::vector<GroupMember> learners;
+  std::vector<Zone> zones;
   for (const GroupMember& member : members) {
     if (member.voter || !IsSound(member)) continue;
-    Promote(member);
-    return true;
+    learners.push_back(member);
+    zones.push_back(ZoneOf(member.node));
   }
-  return false;
+  const auto best = LeastCrowded(zones, ZonesOfSoundVoters(members));
+  if (!best) return std::nullopt;
+  return learners[*best];
+}
+
+bool JobReplicaManager::PromoteToSpread(const std::vector<GroupMember>& members) {
+  // Only a group that is whole is rearranged.
+  if (CountSoundVoters(members) != options_.voters) return false;
+  const auto learner = BestLearner(members);
+  if (!learner || !SpreadsBetter(ZoneOf(learner->node), ZonesOfSoundVoters(members))) return false;
+  Promote(*learner);
+  return true;
+}
+
+bool JobReplicaManager::RemoveSurplus(const std::vector<GroupMember>& members) {
+  if (CountSoundVoters(members) <= options_.voters) return false;
+  const std::vector<Zone> occupied = ZonesOfSoundVoters(members);
+  const auto crowded = MostCrowded(occupied);
+  std::optional<GroupMember> surplus;
+  for (const GroupMember& member : members) {
+    if (!member.voter || !IsSound(member) || member.node == self_) continue;
+    if (crowded && ZoneOf(member.node) == occupied[*crowded]) surplus = member;
+  }
+  if (!surplus) return false;
+  Remove(*surplus);
+  return true;
+}
+
+void JobReplicaManager::Remove(const GroupMember& member) {
+  LogEvent(EventId::kReplicaRemoved, "group={} node={} replica={}", group_->id(), member.node,
+           member.replica);
+  group_->RemoveMember(member.replica, ChangeDone());
 }
 
 void JobReplicaManager::Promote(const GroupMember& member) {
@@ -103,28 +161,47 @@
       group_->TransferLeadership(ChangeDone());
       return true;
     }
-    LogEvent(EventId::kReplicaRemoved, "group={} node={} replica={}", group_->id(), member.node,
-             member.replica);
-    group_->RemoveMember(member.replica, ChangeDone());
+    Remove(member);
     return true;
   }
   return false;
 }
 
+bool JobReplicaManager::MissesZone(const std::vector<GroupMember>& members) const {
+  const std::vector<Zone> occupied = ZonesOfSoundVoters(members);
+  const auto learner = BestLearner(members);
+  return !learner || !SpreadsBetter(ZoneOf(learner->node), occupied);
+}
+
 bool JobReplicaManager::AddStranger(const std::vector<GroupMember>& members) {
   size_t sound = 0;
-  for (const GroupMember& member : members) sound += IsSound(member) ? 1 : 0;
-  if (sound >= options_.voters + options_.spare_learners) return false;
+  std::vector<Zone> occupied;
+  for (const GroupMember& member : members) {
+    if (!IsSound(member)) continue;
+    ++sound;
+    occupied.push_back(ZoneOf(member.node));
+  }
+  std::vector<GroupMember> strangers;
+  std::vector<Zone> zones;
   for (const auto& [node, record] : configuration_.nodes) {
     if (!record.storage || record.state != MemberState::kLive) continue;
     if (record.replica == ReplicaId() || IsRetired(node)) continue;
     if (HasReplica(members, record.replica)) continue;
-    LogEvent(EventId::kReplicaJoined, "group={} node={} replica={}", group_->id(), node,
-             record.replica);
-    group_->AddLearner({record.replica, node, record.address, false}, ChangeDone());
-    return true;
+    strangers.push_back({record.replica, node, record.address, false});
+    zones.push_back(record.zone);
   }
-  return false;
+  const auto best = LeastCrowded(zones, occupied);
+  if (!best) return false;
+  const size_t wanted = options_.voters + options_.spare_learners;
+  // One learner more than usual where it is to relieve a crowded zone.
+  const bool relieves = sound == wanted && MissesZone(members) &&
+                        SpreadsBetter(zones[*best], ZonesOfSoundVoters(members));
+  if (sound >= wanted && !relieves) return false;
+  const GroupMember& stranger = strangers[*best];
+  LogEvent(EventId::kReplicaJoined, "group={} node={} replica={}", group_->id(), stranger.node,
+           stranger.replica);
+  group_->AddLearner(stranger, ChangeDone());
+  return true;
 }
 
 void JobReplicaManager::ReportRetired(const std::vector<GroupMember>& members) {
--- a/source/jobs/job_replica_manager.h
+++ b/source/jobs/job_replica_manager.h
@@ -1,8 +1,10 @@
-/// Keeps a job group at its number of voters, on the leader of the group: storage nodes join as
-/// learners, caught-up learners take the place of voters that are lost or to be emptied.
+/// Keeps a job group at its number of voters, spread over zones, on the leader of the group:
+/// storage nodes join as learners, caught-up learners take the place of voters that are lost, to be
+/// emptied or in a crowded zone.
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "cluster/configuration.h"
@@ -36,6 +38,17 @@
   void Tick();
   void Promote(const GroupMember& member);
   bool PromoteWhereShort(const std::vector<GroupMember>& members);
+  /// A learner in a zone with fewer voters becomes one: a voter of the most crowded zone goes next.
+  bool PromoteToSpread(const std::vector<GroupMember>& members);
+  /// The learner in the zone with the fewest sound voters.
+  std::optional<GroupMember> BestLearner(const std::vector<GroupMember>& members) const;
+  /// Removes one sound voter if there are too many.
+  bool RemoveSurplus(const std::vector<GroupMember>& members);
+  void Remove(const GroupMember& member);
+  /// Whether a learner of another zone than those there are would spread the voters better.
+  bool MissesZone(const std::vector<GroupMember>& members) const;
+  Zone ZoneOf(const NodeId& node) const;
+  std::vector<Zone> ZonesOfSoundVoters(const std::vector<GroupMember>& members) const;
   bool RemoveOne(const std::vector<GroupMember>& members);
   bool AddStranger(const std::vector<GroupMember>& members);
   void ReportRetired(const std::vector<GroupMember>& members);
--- a/source/jobs/job_service.cc
+++ b/source/jobs/job_service.cc
@@ -27,8 +27,12 @@
 
 }  // namespace
 
-JobService::JobService(Environment& environment, PeerTransport& transport)
-    : environment_(environment), transport_(transport), change_timer_(environment) {}
+JobService::JobService(Environment& environment, PeerTransport& transport,
+                       std::function<NodeId()> placed_leader)
+    : environment_(environment),
+      transport_(transport),
+      placed_leader_(std::move(placed_leader)),
+      change_timer_(environment) {}
 
 void JobService::Attach(RaftGroup* group, const JobStateMachine* state) {
   group_ = group;
@@ -127,6 +131,11 @@
   }
 }
 
+NodeId JobService::KnownLeader() const {
+  if (group_ == nullptr) return placed_leader_();
+  return group_->Leader().value_or(NodeId());
+}
+
 void JobService::Reply(const NodeId& to, uint64_t id, const absl::StatusOr<std::string>& result) {
   GroupCommandReply reply;
   reply.id = id;
@@ -138,8 +147,7 @@
         absl::IsUnavailable(result.status()) || absl::IsDeadlineExceeded(result.status());
     reply.status = try_again ? absl::StatusCode::kUnavailable : result.status().code();
     reply.message = std::string(result.status().message());
-    const auto leader = group_ == nullptr ? std::nullopt : group_->Leader();
-    if (leader) reply.leader = *leader;
+    reply.leader = KnownLeader();
   }
   transport_.Send(to, {MessageKind::kCommandReply, EncodeGroupCommandReply(reply)});
 }
--- a/source/jobs/job_service.h
+++ b/source/jobs/job_service.h
@@ -1,5 +1,6 @@
 /// Commands and queries of other nodes for a job group, on a node that holds a replica of it.
-/// Served by the leader; others name the leader.
+/// Served by the leader; others name the leader, and so does a node without a replica that has
+/// heard who leads.
 #pragma once
 
 #include <functional>
@@ -22,7 +23,10 @@
 /// Lives on the node's serial executor.
 class JobService {
  public:
-  JobService(Environment& environment, PeerTransport& transport);
+  /// `placed_leader` tells who leads the group as far as the configuration tells; may be empty.
+  JobService(
+      Environment& environment, PeerTransport& transport,
+      std::function<NodeId()> placed_leader = [] { return NodeId(); });
 
   /// The group's replica here; null if there is none.
   void Attach(RaftGroup* group, const JobStateMachine* state);
@@ -52,10 +56,13 @@
   void AnswerOrHold(const JobQuery& query, Callback done);
   JobQueryAnswer AnswerOf(const JobQuery& query) const;
   void AnswerChanged();
+  /// As the replica here knows, or as the configuration tells; empty if none is known.
+  NodeId KnownLeader() const;
   void Reply(const NodeId& to, uint64_t id, const absl::StatusOr<std::string>& result);
 
   Environment& environment_;
   PeerTransport& transport_;
+  const std::function<NodeId()> placed_leader_;
   RaftGroup* group_ = nullptr;
   const JobStateMachine* state_ = nullptr;
   std::set<Running> running_;
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -7,6 +7,8 @@
 #include "cluster/group_client.h"
 #include "common/event_log.h"
 #include "jobs/job_group_founder.h"
+#include "jobs/job_group_nodes.h"
+#include "jobs/job_placement_reporter.h"
 #include "jobs/job_service.h"
 
 namespace millstair {
@@ -29,8 +31,13 @@
         ingress_(environment, http, protocol, reader, options_.self.zone, options_.stats),
         loads_(environment, http, ingress_.directory(), protocol, options_.self.node,
                options_.loads),
-        service_(environment, transport),
+        service_(environment, transport,
+                 [this] { return PlacedLeader(configuration(), kJobGroup); }),
         cluster_(environment, transport, kClusterGroup, [this] { return ControlNodes(); }),
+        placement_(environment, options_.self.node,
+                   [this](PlaceJobGroup place, std::function<void(absl::Status)> done) {
+                     ProposePlacement(std::move(place), std::move(done));
+                   }),
         drain_timer_(environment) {}
 
   absl::Status Start() override {
@@ -151,6 +158,7 @@
     leading_term_ = term;
     LogEvent(EventId::kJobLeadership, "group={} leads={} term={}", kJobGroup, leads, term);
     replicas_->SetLeading(leads ? group : nullptr);
+    placement_.SetLeading(leads ? group : nullptr);
     loads_.SetLeading(leads ? group : nullptr);
     if (leads && scheduler_ == nullptr) {
       scheduler_ = std::make_unique<JobScheduler>(environment_, http_, ingress_, loads_, *state_,
@@ -161,6 +169,14 @@
     if (scheduler_ != nullptr) scheduler_->SetLeading(leads);
   }
 
+  void ProposePlacement(PlaceJobGroup place, std::function<void(absl::Status)> done) {
+    const ClusterCommand command{std::move(place), std::nullopt, environment_.WallNow()};
+    cluster_.Submit(CommandMode::kPropose, EncodeCommand(command), kCommandTimeout,
+                    [done = std::move(done)](const absl::StatusOr<std::string>& answer) {
+                      done(answer.status());
+                    });
+  }
+
   void ReportEmptied(const NodeId& node) {
     if (reporting_emptied_) return;
     reporting_emptied_ = true;
@@ -186,6 +202,7 @@
   LoadScheduler loads_;
   JobService service_;
   GroupClient cluster_;
+  JobPlacementReporter placement_;
   ReplicaId replica_;
   std::unique_ptr<ConfigurationClient> configuration_client_;
   std::unique_ptr<GroupHost> groups_;
--- a/test/cluster/registration_test.cc
+++ b/test/cluster/registration_test.cc
@@ -101,13 +101,39 @@
 
 TEST_CASE("the first founders of a job group stay") {
   StateMachineDriver driver;
-  const JobGroup first{GroupId("jobs/0"), {{ReplicaId(1), NodeId("a"), "a", true}}};
-  const JobGroup second{GroupId("jobs/0"), {{ReplicaId(2), NodeId("b"), "b", true}}};
+  const JobGroup first{GroupId("jobs/0"), {{ReplicaId(1), NodeId("a"), "a", true}}, {}};
+  const JobGroup second{GroupId("jobs/0"), {{ReplicaId(2), NodeId("b"), "b", true}}, {}};
   driver.Apply(FoundJobGroup{first});
   driver.Apply(FoundJobGroup{second});
   CHECK(driver.state.configuration().job_groups.at(GroupId("jobs/0")) == first);
 }
 
+TEST_CASE("the placement of a job group is what its latest leader said last") {
+  StateMachineDriver driver;
+  const GroupId group("jobs/0");
+  const auto place = [&](uint64_t term, uint64_t sequence, const char* leader) {
+    const JobGroupPlacement placement{
+        Term(term), sequence, NodeId(leader), {{ReplicaId(1), NodeId(leader), "1:1", true}}};
+    return driver.Apply(PlaceJobGroup{group, placement}).code;
+  };
+  CHECK(place(1, 1, "a") == ClusterResultCode::kNotFound);
+  driver.Apply(FoundJobGroup{{group, {{ReplicaId(1), NodeId("a"), "a", true}}, {}}});
+  const auto leader = [&] {
+    return driver.state.configuration().job_groups.at(group).placement.leader;
+  };
+  CHECK(place(2, 2, "b") == ClusterResultCode::kOk);
+  CHECK(leader() == NodeId("b"));
+  place(2, 1, "late");
+  CHECK(leader() == NodeId("b"));
+  place(1, 9, "deposed");
+  CHECK(leader() == NodeId("b"));
+  const Revision before = driver.state.configuration().revision;
+  place(2, 2, "b");
+  CHECK(driver.state.configuration().revision == before);
+  place(3, 1, "c");
+  CHECK(leader() == NodeId("c"));
+}
+
 TEST_CASE("only nodes that may hold replicas are retired, and stay so") {
   StateMachineDriver driver;
   CHECK(driver.Apply(RetireNode{{NodeId("a"), false}}).code == ClusterResultCode::kNotFound);
@@ -142,7 +168,9 @@
   Replace(driver, 2, std::string(200'000, 'x'));
   driver.Apply(UpdateInstance{Reported("i", 4, MemberState::kLeaving)});
   driver.Apply(NameVersion{{ModelName("m"), WeightVersion(3)}});
-  driver.Apply(FoundJobGroup{{GroupId("jobs/0"), {{ReplicaId(1), NodeId("a"), "a", true}}}});
+  driver.Apply(FoundJobGroup{{GroupId("jobs/0"), {{ReplicaId(1), NodeId("a"), "a", true}}, {}}});
+  driver.Apply(PlaceJobGroup{GroupId("jobs/0"),
+                             {Term(4), 2, NodeId("a"), {{ReplicaId(1), NodeId("a"), "a", true}}}});
   NodeRecord record;
   record.node = NodeId("a");
   record.storage = true;
--- /dev/null
+++ b/test/cluster/replica_spread_test.cc
@@ -0,0 +1,92 @@
+#include "cluster/replica_spread.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+
+namespace millstair {
+namespace {
+
+std::vector<Zone> Zones(std::initializer_list<const char*> names) {
+  std::vector<Zone> zones;
+  for (const char* name : names) zones.emplace_back(name);
+  return zones;
+}
+
+std::map<Zone, size_t> CountsOf(const std::vector<Zone>& zones) {
+  std::map<Zone, size_t> counts;
+  for (const Zone& zone : zones) ++counts[zone];
+  return counts;
+}
+
+TEST_CASE("The candidate in the emptiest zone is the best, the first of equals") {
+  CHECK(LeastCrowded(Zones({"a", "b", "c"}), Zones({"a", "b", "b"})) == 2);
+  CHECK(LeastCrowded(Zones({"b", "a", "c"}), Zones({"b"})) == 1);
+  CHECK(LeastCrowded({}, Zones({"a"})) == std::nullopt);
+}
+
+TEST_CASE("The last replica of the most crowded zone is the worst placed") {
+  CHECK(MostCrowded(Zones({"a", "b", "a", "c"})) == 2);
+  CHECK(MostCrowded({}) == std::nullopt);
+}
+
+TEST_CASE("A change of zone is worth it only if it evens the zones out") {
+  CHECK(SpreadsBetter(Zone("c"), Zones({"a", "a", "b"})));
+  CHECK_FALSE(SpreadsBetter(Zone("b"), Zones({"a", "a", "b"})));
+  CHECK_FALSE(SpreadsBetter(Zone("a"), Zones({"a", "a", "b"})));
+  CHECK_FALSE(SpreadsBetter(Zone("a"), {}));
+}
+
+TEST_CASE("Picked nodes lie in as many zones as can be, for any numbers of zones and nodes") {
+  std::mt19937 random(20261202);
+  for (int round = 0; round < 2000; ++round) {
+    const size_t zone_count = 1 + random() % 7;
+    const size_t node_count = random() % 50;
+    const size_t wanted = random() % 8;
+    std::vector<Zone> candidates;
+    for (size_t i = 0; i < node_count; ++i) {
+      candidates.emplace_back(std::to_string(random() % zone_count));
+    }
+    const std::vector<size_t> picked = PickSpread(candidates, wanted);
+    REQUIRE(picked.size() == std::min(wanted, node_count));
+    std::vector<Zone> zones;
+    for (const size_t index : picked) zones.push_back(candidates.at(index));
+    const auto available = CountsOf(candidates);
+    const auto taken = CountsOf(zones);
+    REQUIRE(taken.size() == std::min(picked.size(), available.size()));
+    // A zone holds more than one above another only if the other has no node left.
+    for (const auto& [zone, count] : taken) {
+      for (const auto& [other, left] : available) {
+        const auto held = taken.find(other);
+        const size_t in_other = held == taken.end() ? 0 : held->second;
+        REQUIRE((count <= in_other + 1 || in_other == left));
+      }
+    }
+  }
+}
+
+TEST_CASE("Exchanges that spread better come to an end, with no zone two above a free one") {
+  std::mt19937 random(7);
+  for (int round = 0; round < 500; ++round) {
+    const size_t zone_count = 1 + random() % 6;
+    std::vector<Zone> voters;
+    for (size_t i = 0; i < 5; ++i) voters.emplace_back(std::to_string(random() % zone_count));
+    int exchanges = 0;
+    for (size_t zone = 0; zone < zone_count;) {
+      const Zone target(std::to_string(zone));
+      if (!SpreadsBetter(target, voters)) {
+        ++zone;
+        continue;
+      }
+      voters.push_back(target);
+      voters.erase(voters.begin() + static_cast<std::ptrdiff_t>(*MostCrowded(voters)));
+      REQUIRE(++exchanges < 10);
+      zone = 0;
+    }
+    CHECK(CountsOf(voters).size() == std::min<size_t>(5, zone_count));
+  }
+}
+
+}  // namespace
+}  // namespace millstair
--- a/test/jobs/job_replica_manager_test.cc
+++ b/test/jobs/job_replica_manager_test.cc
@@ -1,5 +1,6 @@
 #include "jobs/job_replica_manager.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
 
@@ -9,6 +10,7 @@
 namespace millstair {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 class Fixture {
@@ -21,8 +23,9 @@
     }
   }
 
-  void Join(const std::string& name, ReplicaId replica) {
+  void Join(const std::string& name, ReplicaId replica, const std::string& zone = "") {
     NodeRecord record;
+    record.zone = Zone(zone);
     record.node = NodeId(name);
     record.address = name;
     record.storage = true;
@@ -30,7 +33,7 @@
     configuration.nodes[record.node] = record;
   }
 
-  void Run(seconds span = seconds(5)) {
+  void Run(Duration span = seconds(5)) {
     manager.SetLeading(&group);
     scheduler.RunFor(span);
   }
@@ -128,6 +131,36 @@
   CHECK(fixture.Voters().contains("a"));
 }
 
+TEST_CASE("A group that stands in one zone is spread over all, one change at a time") {
+  Fixture fixture;
+  for (const char* name : {"a", "b", "c"}) {
+    fixture.configuration.nodes[NodeId(name)].zone = Zone("one");
+  }
+  fixture.Join("d", ReplicaId(100), "one");
+  fixture.Join("e", ReplicaId(101), "two");
+  fixture.Join("f", ReplicaId(102), "three");
+  size_t fewest = 3;
+  for (int step = 0; step < 40; ++step) {
+    fixture.Run(milliseconds(250));
+    fewest = std::min(fewest, fixture.Voters().size());
+  }
+  CHECK(fewest == 3);
+  // The leader is not removed by its own hand.
+  CHECK(fixture.Voters() == Names{"a", "e", "f"});
+}
+
+TEST_CASE("A lost voter is replaced in a zone that holds none") {
+  Fixture fixture;
+  for (const char* name : {"a", "b", "c"}) {
+    fixture.configuration.nodes[NodeId(name)].zone = Zone(name);
+  }
+  fixture.Join("d", ReplicaId(100), "a");
+  fixture.Join("e", ReplicaId(101), "c");
+  fixture.configuration.nodes[NodeId("c")].state = MemberState::kGone;
+  fixture.Run();
+  CHECK(fixture.Voters() == Names{"a", "b", "e"});
+}
+
 TEST_CASE("Nothing is done without the leadership") {
   Fixture fixture;
   fixture.Join("d", ReplicaId(100));
--- a/test/jobs/job_service_test.cc
+++ b/test/jobs/job_service_test.cc
@@ -110,7 +110,7 @@
   JobService second{environment, second_end};
   std::vector<NodeId> candidates = {NodeId("s2"), NodeId("s1")};
   JobClient client{environment, client_end, [this] { return candidates; },
-                   JobClientTiming{seconds(2), milliseconds(200)}};
+                   [this] { return candidates; }, JobClientTiming{seconds(2), milliseconds(200)}};
   Duration answered_at{0};
   uint64_t index = 100;
 };
@@ -124,6 +124,41 @@
   CHECK(fixture.state.Find(JobId("j")) != nullptr);
 }
 
+TEST_CASE("A node without a replica names the leader that the configuration tells of") {
+  Fixture fixture;
+  End other_end{fixture.wires, "s0"};
+  JobService other{fixture.environment, other_end, [] { return NodeId("s1"); }};
+  fixture.wires.receivers[NodeId("s0")] = [&](const NodeId& from, const PeerMessage& message) {
+    other.Receive(from, message);
+  };
+  fixture.candidates = {NodeId("s0"), NodeId("s2"), NodeId("s1")};
+  const auto answer = fixture.Submit("j", milliseconds(6));
+  REQUIRE(answer);
+  CHECK(answer->ok());
+}
+
+TEST_CASE("A job is handed in soon though none of nine nodes in its zone has a replica") {
+  Fixture fixture;
+  std::vector<std::unique_ptr<End>> ends;
+  std::vector<std::unique_ptr<JobService>> others;
+  fixture.candidates.clear();
+  for (int node = 0; node < 9; ++node) {
+    const std::string name = "near" + std::to_string(node);
+    ends.push_back(std::make_unique<End>(fixture.wires, name));
+    others.push_back(std::make_unique<JobService>(fixture.environment, *ends.back(),
+                                                  [] { return NodeId("s1"); }));
+    fixture.wires.receivers[NodeId(name)] = [service = others.back().get()](
+                                                const NodeId& from, const PeerMessage& message) {
+      service->Receive(from, message);
+    };
+    fixture.candidates.emplace_back(name);
+  }
+  fixture.candidates.emplace_back("s1");
+  const auto answer = fixture.Submit("j", milliseconds(100));
+  REQUIRE(answer);
+  CHECK(answer->ok());
+}
+
 TEST_CASE("Without a quorum nothing is acknowledged, and the outcome counts as unknown") {
   Fixture fixture;
   fixture.leader.quorum = false;
