Gather what is known of engines once a look, not once an item

Cause: each choice of an engine looked up every live engine in five maps, and each look at the waiting items (up to a hundred a second) chose one for every job that waits: with 77 engines and sixteen open jobs about a hundred thousand lookups a second on the one leader, which has 0.3 of a core.

Change: EngineBoard gathers ejection, room, pace and loads once a look and the held versions once a model. PickEngine walks it; dispatch is split into choice, request and start, and the move candidates have a type of their own. Behaviour is the same (tests of jobs unchanged but for Loading, which is StateOf()->Loads() now).

--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -351,8 +351,9 @@
   GiveUpOld();
   pace_.Judge();
   if (allowed_()) {
-    DispatchWaiting();
-    MoveToFasterEngines();
+    EngineBoard board(ingress_.directory(), loads_, pace_);
+    DispatchWaiting(board);
+    MoveToFasterEngines(board);
   }
   if (jobs_.empty()) return pump_timer_.Cancel();
   PumpSoon(kPumpInterval);
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -17,6 +17,7 @@
 #include "common/stats.h"
 #include "consensus/raft_group.h"
 #include "ingress/ingress_service.h"
+#include "jobs/engine_board.h"
 #include "jobs/engine_pace.h"
 #include "jobs/item_lengths.h"
 #include "jobs/item_order.h"
@@ -145,22 +146,35 @@
   void DropListed(const JobId& job);
   void TakeChanges();
   void PumpSoon(Duration delay);
-  void DispatchWaiting();
+  /// A run that could go on at a faster engine.
+  struct MoveCandidate {
+    double missing_events = 0;
+    Work* work = nullptr;
+    const JobRecord* record = nullptr;
+    const Route* route = nullptr;
+  };
+
+  void DispatchWaiting(EngineBoard& board);
   /// Runs go on at faster engines that have room left, those first that are far from whole.
-  void MoveToFasterEngines();
-  bool Move(Work& work, const JobRecord& record, const Route& route);
-  bool Dispatch(Work& work, const JobRecord& record, const Route& route);
+  void MoveToFasterEngines(EngineBoard& board);
+  /// Those first that are far from whole.
+  std::vector<MoveCandidate> MoveCandidates();
+  bool Move(EngineBoard& board, Work& work, const JobRecord& record, const Route& route);
+  bool Dispatch(EngineBoard& board, Work& work, const JobRecord& record, const Route& route);
+  void StartRun(Work& work, const JobRecord& record, const Route& route,
+                const BackendInstance& engine);
+  BackendRequest RequestFor(const Work& work, const JobRecord& record, const Route& route,
+                            const InstanceId& engine) const;
   /// Whether only engines of the version that made the text so far may go on with it.
   static bool NeedsOneVersion(const Work& work, const Route& route);
   bool AnyHolds(const Route& route, const ModelName& model, WeightVersion version) const;
-  /// Whether `engine` may begin a run of `work` now.
-  bool MayRun(const BackendInstance& engine, const Work& work, const JobRecord& record,
-              const Route& route) const;
   /// Without a byte for this long a run at `engine` counts as broken.
   Duration StallAt(const InstanceId& engine) const;
-  EngineOffer OfferOf(const InstanceId& engine, const Work& work, const JobRecord& record) const;
-  std::optional<BackendInstance> PickEngine(Work& work, const JobRecord& record,
-                                            const Route& route);
+  /// Engine that ran the latest item of the same group; empty if none did.
+  InstanceId SiblingEngine(const Work& work, const JobRecord& record) const;
+  /// Where the rest of `work` is expected to be whole first; null if no engine may begin it now.
+  const BackendInstance* PickEngine(EngineBoard& board, Work& work, const JobRecord& record,
+                                    const Route& route);
   void OnRunEnd(const JobId& job, uint32_t index, ItemRunEnd end, const std::string& reason);
   void Requeue(Work& work, Duration pause);
   void BeginAnew(Work& work);
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -499,12 +499,14 @@
   return engine->second.HeldVersion(model);
 }
 
-bool LoadScheduler::Loading(const InstanceId& instance, const ModelName& model) const {
+bool EngineLoadState::Loads(const ModelName& model) const {
+  if (reserved && assigned == model) return true;
+  return loading && loading->model == model;
+}
+
+const EngineLoadState* LoadScheduler::StateOf(const InstanceId& instance) const {
   const auto engine = engines_.find(instance);
-  if (engine == engines_.end()) return false;
-  const EngineLoadState& state = engine->second;
-  if (state.reserved && state.assigned == model) return true;
-  return state.loading && state.loading->model == model;
+  return engine == engines_.end() ? nullptr : &engine->second;
 }
 
 bool LoadScheduler::LoadingAny(const InstanceId& instance) const {
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -53,6 +53,8 @@
 
   /// 0 is unknown.
   WeightVersion HeldVersion(const ModelName& model) const;
+  /// Whether it loads `model` or is about to, so that new runs would be refused.
+  bool Loads(const ModelName& model) const;
 };
 
 /// Lives on the node's serial executor.
@@ -78,8 +80,8 @@
   TimePoint NamedAt(const ModelName& model) const;
   /// The version of `model` at `instance`, as far as is known; 0 is unknown.
   WeightVersion VersionOf(const InstanceId& instance, const ModelName& model) const;
-  /// True while `instance` loads `model` or is about to, so that new items would be refused.
-  bool Loading(const InstanceId& instance, const ModelName& model) const;
+  /// Null if `instance` is not known. Valid until engines are next learned.
+  const EngineLoadState* StateOf(const InstanceId& instance) const;
   /// True while `instance` loads any model: what runs there may pause.
   bool LoadingAny(const InstanceId& instance) const;
   /// A run was made by older weights than `instance` was believed to hold.
--- a/test/jobs/load_scheduler_test.cc
+++ b/test/jobs/load_scheduler_test.cc
@@ -124,13 +124,13 @@
   fixture.Name(2);
   fixture.scheduler.RunFor(milliseconds(60));
   CHECK(fixture.Orders() == 0);
-  CHECK(fixture.loads.Loading(InstanceId("e0:1"), ModelName("m")));
+  CHECK(fixture.loads.StateOf(InstanceId("e0:1"))->Loads(ModelName("m")));
   fixture.scheduler.RunFor(milliseconds(200));
   REQUIRE(fixture.Orders() == 1);
   CHECK(fixture.engines["e0:1"].ordered_at[0] - begun_at >= milliseconds(100));
   fixture.scheduler.RunFor(seconds(2));
   CHECK(fixture.Holding(2) == 1);
-  CHECK_FALSE(fixture.loads.Loading(InstanceId("e0:1"), ModelName("m")));
+  CHECK_FALSE(fixture.loads.StateOf(InstanceId("e0:1"))->Loads(ModelName("m")));
 }
 
 TEST_CASE("Every engine gets a version that all jobs need, at most so many at once") {
@@ -335,10 +335,10 @@
   fixture.loads.OnReady([&] { ready = true; });
   fixture.Name(2);
   fixture.scheduler.RunFor(milliseconds(300));
-  CHECK(fixture.loads.Loading(InstanceId("e0:1"), ModelName("m")));
-  CHECK_FALSE(fixture.loads.Loading(InstanceId("e0:1"), ModelName("other")));
+  CHECK(fixture.loads.StateOf(InstanceId("e0:1"))->Loads(ModelName("m")));
+  CHECK_FALSE(fixture.loads.StateOf(InstanceId("e0:1"))->Loads(ModelName("other")));
   fixture.scheduler.RunFor(seconds(2));
-  CHECK_FALSE(fixture.loads.Loading(InstanceId("e0:1"), ModelName("m")));
+  CHECK_FALSE(fixture.loads.StateOf(InstanceId("e0:1"))->Loads(ModelName("m")));
   CHECK(fixture.loads.VersionOf(InstanceId("e0:1"), ModelName("m")) == WeightVersion(2));
   CHECK(ready);
 }
@@ -372,7 +372,7 @@
     fixture.Name(version);
     fixture.scheduler.RunFor(milliseconds(200));
     REQUIRE(engine.ordered_at.size() == 1);
-    while (fixture.loads.Loading(InstanceId("e0:1"), ModelName("m"))) {
+    while (fixture.loads.StateOf(InstanceId("e0:1"))->Loads(ModelName("m"))) {
       fixture.scheduler.RunFor(milliseconds(5));
     }
     return fixture.scheduler.Now() - engine.ordered_at[0] - load_time;
