--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -25,6 +25,8 @@
   std::vector<Rank> sent;
   /// Jobs for which no engine has room: their further items need not be looked at.
   std::set<JobId> stuck;
+  /// Models whose items wait for nothing but an engine.
+  std::set<ModelName> short_models;
   for (const Rank& rank : waiting_) {
     if (stuck.contains(rank.job)) continue;
     const JobRecord* record = state_.Find(rank.job);
@@ -39,11 +41,13 @@
     if (now < work.not_before) continue;
     if (Dispatch(board, work, *record, *route)) {
       sent.push_back(rank);
-    } else if (!NeedsOneVersion(work, *route)) {
-      stuck.insert(rank.job);
+      continue;
     }
+    if (!work.spare) short_models.insert(record->spec.model);
+    if (!NeedsOneVersion(work, *route)) stuck.insert(rank.job);
   }
   for (const Rank& rank : sent) waiting_.erase(rank);
+  loads_.NoteShort(std::move(short_models));
 }
 
 std::vector<JobScheduler::MoveCandidate> JobScheduler::MoveCandidates() {
