--- a/source/consensus/group_replica.cc
+++ b/source/consensus/group_replica.cc
@@ -218,7 +218,7 @@
   const auto members = decoded->members;
   const LogPosition position = snapshot->position;
   const auto state = std::make_shared<const std::string>(std::move(snapshot->state));
-  log_->SaveSnapshot(position, *state,
+  log_->SaveSnapshot(position, {*state},
                      alive_.Guard([this, position, members, state](const absl::Status& status) {
                        if (!status.ok()) return Halt(status);
                        FinishInstall(position, members, *state);
@@ -275,11 +275,11 @@
   if (entries < limit || !worthwhile) return;
   applied_bytes_ = 0;
   const LogPosition position{applied_, log_->TermAt(applied_).value_or(Term())};
-  const std::string state =
-      EncodeGroupSnapshot(core_->MembersAt(applied_), machine_->TakeSnapshot());
+  const std::string head = EncodeGroupSnapshotHead(core_->MembersAt(applied_));
+  const std::string state = machine_->TakeSnapshot();
   // Entries that followers may still need stay for a while: they are cheaper than a snapshot.
   const LogIndex compact_to(position.index.value() - limit / 2);
-  log_->SaveSnapshot(position, state,
+  log_->SaveSnapshot(position, {head, state},
                      alive_.Guard([this, position, compact_to](const absl::Status& status) {
                        if (!status.ok()) return Halt(status);
                        log_->Compact(compact_to);
--- a/source/consensus/raft_codec.cc
+++ b/source/consensus/raft_codec.cc
@@ -183,13 +183,11 @@
   return members;
 }
 
-std::string EncodeGroupSnapshot(const std::vector<GroupMember>& members, std::string_view state) {
-  const std::string head = EncodeMembers(members);
+std::string EncodeGroupSnapshotHead(const std::vector<GroupMember>& members) {
+  const std::string encoded = EncodeMembers(members);
   std::string bytes;
-  bytes.reserve(sizeof(uint32_t) + head.size() + state.size());
-  AppendInteger(bytes, static_cast<uint32_t>(head.size()));
-  bytes += head;
-  bytes.append(state);
+  AppendInteger(bytes, static_cast<uint32_t>(encoded.size()));
+  bytes += encoded;
   return bytes;
 }
 
--- a/source/jobs/job_codec.cc
+++ b/source/jobs/job_codec.cc
@@ -361,31 +361,64 @@
   return answer;
 }
 
-std::string EncodeJobSnapshot(WallTime clock, const std::map<JobId, JobRecord>& jobs,
-                              const std::vector<AnnounceOrder>& announcements) {
+std::string EncodeSnapshotHead(WallTime clock, const std::vector<AnnounceOrder>& announcements) {
   WireArena arena;
   millstair_JobSnapshot wire = millstair_JobSnapshot_init_zero;
   wire.format = kSnapshotFormat;
   wire.clock_milliseconds = ToMilliseconds(clock);
   wire.announcements =
       NewWireArray<millstair_AnnounceOrder>(arena, announcements, &wire.announcements_count);
-  wire.jobs = arena.NewArray<millstair_JobRecord>(jobs.size());
-  for (const auto& [id, record] : jobs) wire.jobs[wire.jobs_count++] = ToWire(arena, record);
   return EncodeNanopb(millstair_JobSnapshot_fields, &wire);
 }
 
+std::string EncodeSnapshotJob(const JobRecord& record) {
+  WireArena arena;
+  millstair_JobSnapshot wire = millstair_JobSnapshot_init_zero;
+  wire.jobs = arena.NewArray<millstair_JobRecord>(1);
+  wire.jobs[wire.jobs_count++] = ToWire(arena, record);
+  // Messages that follow one another are read as one, with all elements of repeated fields.
+  return EncodeNanopb(millstair_JobSnapshot_fields, &wire);
+}
+
+/// Decodes the jobs one by one, so that there is never more than one of them beside the result.
+static absl::Status DecodeSnapshotJobs(std::string_view bytes, std::vector<SnapshotJob>& jobs) {
+  return ForEachWireField(bytes, [&jobs](const WireField& field) -> absl::Status {
+    if (field.tag != millstair_JobSnapshot_jobs_tag) return absl::OkStatus();
+    auto wire =
+        DecodedMessage<millstair_JobRecord>::Decode(millstair_JobRecord_fields, field.payload);
+    if (!wire.ok()) return wire.status();
+    SnapshotJob& job = jobs.emplace_back();
+    job.encoded = std::string(field.whole);
+    if (FromWire(**wire, job.record)) return absl::OkStatus();
+    return absl::InvalidArgumentError("a job of the snapshot does not decode");
+  });
+}
+
+/// What is not a job.
+static absl::StatusOr<std::string> HeadOf(std::string_view bytes) {
+  std::string head;
+  const absl::Status read = ForEachWireField(bytes, [&head](const WireField& field) {
+    if (field.tag != millstair_JobSnapshot_jobs_tag) head += field.whole;
+    return absl::OkStatus();
+  });
+  if (!read.ok()) return read;
+  return head;
+}
+
 absl::StatusOr<JobSnapshot> DecodeJobSnapshot(std::string_view bytes) {
-  auto decoded = DecodedMessage<millstair_JobSnapshot>::Decode(millstair_JobSnapshot_fields, bytes);
+  const auto head = HeadOf(bytes);
+  if (!head.ok()) return absl::DataLossError(head.status().message());
+  auto decoded = DecodedMessage<millstair_JobSnapshot>::Decode(millstair_JobSnapshot_fields, *head);
   if (!decoded.ok()) return decoded.status();
   const millstair_JobSnapshot& wire = **decoded;
   JobSnapshot snapshot;
   snapshot.clock = FromMilliseconds(wire.clock_milliseconds);
   const bool sound =
-      wire.format == kSnapshotFormat && FromWireArray(wire.jobs, wire.jobs_count, snapshot.jobs) &&
+      wire.format == kSnapshotFormat &&
       FromWireArray(wire.announcements, wire.announcements_count, snapshot.announcements);
-  if (!sound) {
-    return absl::DataLossError("the snapshot of a job group does not decode");
-  }
+  if (!sound) return absl::DataLossError("the snapshot of a job group does not decode");
+  const absl::Status jobs = DecodeSnapshotJobs(bytes, snapshot.jobs);
+  if (!jobs.ok()) return absl::DataLossError(jobs.message());
   return snapshot;
 }
 
--- a/source/jobs/job_codec.h
+++ b/source/jobs/job_codec.h
@@ -1,7 +1,6 @@
 /// Codecs of api/jobs.proto: commands, queries, answers and snapshots of a job group.
 #pragma once
 
-#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -19,9 +18,15 @@
   WallTime proposed_at;
 };
 
+struct SnapshotJob {
+  JobRecord record;
+  /// As it stands in the snapshot; see EncodeSnapshotJob.
+  std::string encoded;
+};
+
 struct JobSnapshot {
   WallTime clock;
-  std::vector<JobRecord> jobs;
+  std::vector<SnapshotJob> jobs;
   /// The latest for each engine, the oldest first.
   std::vector<AnnounceOrder> announcements;
 };
@@ -34,8 +39,10 @@
 absl::StatusOr<JobQuery> DecodeJobQuery(std::string_view bytes);
 std::string EncodeJobQueryAnswer(const JobQueryAnswer& answer);
 absl::StatusOr<JobQueryAnswer> DecodeJobQueryAnswer(std::string_view bytes);
-std::string EncodeJobSnapshot(WallTime clock, const std::map<JobId, JobRecord>& jobs,
-                              const std::vector<AnnounceOrder>& announcements);
+/// A snapshot is a head followed by its jobs, each encoded by itself: an ended job never changes,
+/// so that it is encoded once and not for each snapshot anew.
+std::string EncodeSnapshotHead(WallTime clock, const std::vector<AnnounceOrder>& announcements);
+std::string EncodeSnapshotJob(const JobRecord& record);
 absl::StatusOr<JobSnapshot> DecodeJobSnapshot(std::string_view bytes);
 
 }  // namespace millstair
--- a/source/jobs/job_state_machine.cc
+++ b/source/jobs/job_state_machine.cc
@@ -95,6 +95,7 @@
   if (found->second.ended) return JobResultCode::kOk;
   found->second.ended = true;
   for (JobItem& item : found->second.spec.items) ForgetContent(item);
+  ended_encoded_[end.job] = EncodeSnapshotJob(found->second);
   Notify(JobChange::kEnded, end.job);
   return JobResultCode::kOk;
 }
@@ -139,29 +140,42 @@
     }
     const JobId id = it->first;
     listed_.erase(id);
+    ended_encoded_.erase(id);
     it = jobs_.erase(it);
     Notify(JobChange::kForgotten, id);
   }
 }
 
 std::string JobStateMachine::TakeSnapshot() const {
-  return EncodeJobSnapshot(clock_, jobs_, announcements_);
+  std::string snapshot = EncodeSnapshotHead(clock_, announcements_);
+  size_t ended_bytes = 0;
+  for (const auto& [id, encoded] : ended_encoded_) ended_bytes += encoded.size();
+  snapshot.reserve(snapshot.size() + ended_bytes);
+  for (const auto& [id, record] : jobs_) {
+    const auto ended = ended_encoded_.find(id);
+    snapshot += ended != ended_encoded_.end() ? ended->second : EncodeSnapshotJob(record);
+  }
+  return snapshot;
 }
 
 absl::Status JobStateMachine::Restore(LogIndex, std::string_view bytes) {
   auto snapshot = DecodeJobSnapshot(bytes);
   if (!snapshot.ok()) return absl::DataLossError(snapshot.status().message());
-  if (!std::all_of(snapshot->jobs.begin(), snapshot->jobs.end(), IsSound)) {
+  const bool sound = std::all_of(snapshot->jobs.begin(), snapshot->jobs.end(),
+                                 [](const SnapshotJob& job) { return IsSound(job.record); });
+  if (!sound) {
     return absl::DataLossError("the snapshot lists a result of no item");
   }
   clock_ = snapshot->clock;
   announcements_ = std::move(snapshot->announcements);
   jobs_.clear();
   listed_.clear();
-  for (JobRecord& record : snapshot->jobs) {
-    const JobId id = record.spec.id;
-    listed_[id] = ListedItems(record);
-    jobs_[id] = std::move(record);
+  ended_encoded_.clear();
+  for (SnapshotJob& job : snapshot->jobs) {
+    const JobId id = job.record.spec.id;
+    listed_[id] = ListedItems(job.record);
+    if (job.record.ended) ended_encoded_[id] = std::move(job.encoded);
+    jobs_[id] = std::move(job.record);
   }
   Notify(JobChange::kRestored, JobId());
   return absl::OkStatus();
--- a/source/jobs/job_state_machine.h
+++ b/source/jobs/job_state_machine.h
@@ -58,6 +58,8 @@
   JobLimits limits_;
   WallTime clock_;
   std::map<JobId, JobRecord> jobs_;
+  /// Of each ended job, how it stands in a snapshot.
+  std::map<JobId, std::string> ended_encoded_;
   std::vector<AnnounceOrder> announcements_;
   /// By job, whether the item of that index is listed.
   std::map<JobId, std::vector<bool>> listed_;
--- a/source/storage/segmented_log.cc
+++ b/source/storage/segmented_log.cc
@@ -197,12 +197,15 @@
   if (callback) callback(status);
 }
 
-void SegmentedLog::SaveSnapshot(const LogPosition& position, std::string_view state,
+void SegmentedLog::SaveSnapshot(const LogPosition& position,
+                                const std::vector<std::string_view>& state,
                                 std::function<void(absl::Status)> done) {
   snapshot_sequence_ = 0;
   snapshot_done_ = std::move(done);
   const std::string path = SnapshotPath(folder_, position);
-  const std::string bytes = EncodeSnapshotFile(position, state);
+  const std::string head = EncodeSnapshotFileHead(position, state);
+  uint64_t bytes = head.size();
+  for (const std::string_view part : state) bytes += part.size();
   const auto finish = [this](absl::Status status) {
     const auto callback = std::exchange(snapshot_done_, nullptr);
     callback(status);
@@ -213,13 +216,16 @@
   }
   auto file = files_.OpenAppend(path);
   if (!file.ok()) return finish(file.status());
-  if (absl::Status status = (*file)->Append(bytes); !status.ok()) return finish(status);
+  if (absl::Status status = (*file)->Append(head); !status.ok()) return finish(status);
+  // The state may be large: its parts are written as they are, without a copy behind the head.
+  for (const std::string_view part : state) {
+    if (absl::Status status = (*file)->Append(part); !status.ok()) return finish(status);
+  }
   snapshot_file_ = *std::move(file);
-  snapshot_file_->Sync(
-      alive_.Guard([this, finish, position, size = bytes.size()](absl::Status status) {
-        if (!status.ok()) return finish(status);
-        ReferToSnapshot(position, size);
-      }));
+  snapshot_file_->Sync(alive_.Guard([this, finish, position, bytes](absl::Status status) {
+    if (!status.ok()) return finish(status);
+    ReferToSnapshot(position, bytes);
+  }));
 }
 
 void SegmentedLog::ReferToSnapshot(const LogPosition& position, uint64_t bytes) {
--- a/source/storage/segmented_log.h
+++ b/source/storage/segmented_log.h
@@ -77,7 +77,7 @@
 
   /// Writes a snapshot file of `state` and refers to it in the log; `done` follows when all of that
   /// is durable. A log that does not hold `position` starts anew after it. At most one at a time.
-  void SaveSnapshot(const LogPosition& position, std::string_view state,
+  void SaveSnapshot(const LogPosition& position, const std::vector<std::string_view>& state,
                     std::function<void(absl::Status)> done);
   bool saving_snapshot() const { return snapshot_done_ != nullptr; }
   /// The newest snapshot; NotFound if there is none.
--- a/source/storage/snapshot_file.h
+++ b/source/storage/snapshot_file.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "storage/log_entry.h"
@@ -15,7 +16,9 @@
 };
 
 std::string SnapshotFileName(const LogPosition& position);
-std::string EncodeSnapshotFile(const LogPosition& position, std::string_view state);
+/// What stands before the state in its file; `state` is its parts in order.
+std::string EncodeSnapshotFileHead(const LogPosition& position,
+                                   const std::vector<std::string_view>& state);
 /// DataLoss naming `path` if the bytes are not a whole, undamaged snapshot.
 absl::StatusOr<Snapshot> DecodeSnapshotFile(const std::string& path, std::string_view bytes);
 
--- a/source/wire/nanopb_message.h
+++ b/source/wire/nanopb_message.h
@@ -13,6 +13,7 @@
 #include <pb_encode.h>
 
 #include <cstring>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -90,6 +91,20 @@
 /// Encodes `message` by its nanopb descriptor `fields` (for example `millstair_RaftBatch_fields`).
 std::string EncodeNanopb(const pb_msgdesc_t* fields, const void* message);
 
+/// A field of a message as it lies on the wire.
+struct WireField {
+  uint32_t tag = 0;
+  /// Of a field with a length (messages, strings, bytes); empty for numbers.
+  std::string_view payload;
+  /// With its tag and length.
+  std::string_view whole;
+};
+
+/// Calls `visit` for each top-level field of `bytes` in order, until it fails. InvalidArgument if
+/// `bytes` is not a whole message.
+absl::Status ForEachWireField(std::string_view bytes,
+                              const std::function<absl::Status(const WireField&)>& visit);
+
 /// A decoded nanopb struct of type `T`; releases its memory.
 template <class T>
 class DecodedMessage {
--- a/test/consensus/raft_codec_test.cc
+++ b/test/consensus/raft_codec_test.cc
@@ -47,7 +47,7 @@
   const std::vector<GroupMember> members = {{ReplicaId(5), NodeId("a"), "127.0.0.1:1", true},
                                             {ReplicaId(6), NodeId("b"), "127.0.0.1:2", false}};
   REQUIRE(*DecodeMembers(EncodeMembers(members)) == members);
-  const std::string bytes = EncodeGroupSnapshot(members, "state");
+  const std::string bytes = EncodeGroupSnapshotHead(members) + "state";
   const auto snapshot = DecodeGroupSnapshot(bytes);
   REQUIRE(snapshot->members == members);
   REQUIRE(snapshot->state == "state");
--- a/test/jobs/job_state_machine_test.cc
+++ b/test/jobs/job_state_machine_test.cc
@@ -93,6 +93,25 @@
   CHECK(machine.machine.Find(JobId("open")) != nullptr);
 }
 
+TEST_CASE("An ended job stands in each snapshot as at its end, beside jobs that go on") {
+  Machine machine;
+  machine.Run(SubmitJob{Job("a", 2)});
+  machine.Run(SubmitJob{Job("b", 2)});
+  machine.Run(ListResult{JobId("a"), Result(1, "x")});
+  machine.Run(EndJob{JobId("a")});
+  const std::string ended = EncodeSnapshotJob(*machine.machine.Find(JobId("a")));
+  CHECK(machine.machine.TakeSnapshot().find(ended) != std::string::npos);
+  Machine restored;
+  REQUIRE(restored.machine.Restore(LogIndex(4), machine.machine.TakeSnapshot()).ok());
+  restored.machine.Apply(LogIndex(5),
+                         EncodeJobCommand({ListResult{JobId("b"), Result(0, "y")}, {}}));
+  machine.machine.Apply(LogIndex(5),
+                        EncodeJobCommand({ListResult{JobId("b"), Result(0, "y")}, {}}));
+  CHECK(restored.machine.TakeSnapshot() == machine.machine.TakeSnapshot());
+  CHECK(restored.machine.TakeSnapshot().find(ended) != std::string::npos);
+  CHECK(restored.machine.Find(JobId("b"))->results.size() == 1);
+}
+
 TEST_CASE("Of each engine the latest announcement is kept, in the order of the log") {
   Machine machine;
   const AnnounceOrder first{NodeId("n1"), InstanceId("a"), Term(2), seconds(1)};
--- a/test/storage/segmented_log_test.cc
+++ b/test/storage/segmented_log_test.cc
@@ -130,7 +130,7 @@
   }
   const size_t files_before = store.files.Paths().size();
   std::optional<absl::Status> saved;
-  store.log->SaveSnapshot({LogIndex(90), Term(1)}, "state",
+  store.log->SaveSnapshot({LogIndex(90), Term(1)}, {"state"},
                           [&](const absl::Status& status) { saved = status; });
   store.Settle();
   REQUIRE(saved.has_value());
@@ -149,7 +149,7 @@
   Store store;
   store.log->Append({Entry(1, 1, "a"), Entry(2, 1, "b")});
   store.Settle();
-  store.log->SaveSnapshot({LogIndex(50), Term(4)}, "far", [](const absl::Status&) {});
+  store.log->SaveSnapshot({LogIndex(50), Term(4)}, {"far"}, [](const absl::Status&) {});
   store.Settle();
   REQUIRE(store.log->base_index() == LogIndex(50));
   store.log->Append({Entry(51, 4, "next")});
@@ -191,7 +191,7 @@
     REQUIRE(absl::IsDataLoss(store.status));
   }
   SECTION("snapshot") {
-    store.log->SaveSnapshot({LogIndex(10), Term(1)}, "state", [](const absl::Status&) {});
+    store.log->SaveSnapshot({LogIndex(10), Term(1)}, {"state"}, [](const absl::Status&) {});
     store.Settle();
     for (const std::string& path : store.files.Paths()) {
       if (path.find("snapshot") == std::string::npos) continue;
@@ -298,7 +298,7 @@
     const uint64_t index = snapshot_ + 1 + DrawBelow(random_, last() - snapshot_);
     const LogPosition position{LogIndex(index), *store_.log->TermAt(LogIndex(index))};
     saving_ = true;
-    store_.log->SaveSnapshot(position, "state" + std::to_string(index),
+    store_.log->SaveSnapshot(position, {"state" + std::to_string(index)},
                              [this, index](const absl::Status& status) {
                                REQUIRE(status.ok());
                                saving_ = false;
--- a/test/wire/nanopb_message_test.cc
+++ b/test/wire/nanopb_message_test.cc
@@ -31,6 +31,35 @@
   }
 }
 
+TEST_CASE("the fields of a message are walked through as they lie on the wire") {
+  WireArena arena;
+  millstair_Hello hello = millstair_Hello_init_zero;
+  hello.protocol_version = 7;
+  hello.node = arena.NewString("dar-msasani-1");
+  const std::string bytes = EncodeNanopb(millstair_Hello_fields, &hello);
+  std::string again;
+  std::string node;
+  const auto visit = [&](const WireField& field) {
+    again += field.whole;
+    if (field.tag == millstair_Hello_node_tag) node = std::string(field.payload);
+    return absl::OkStatus();
+  };
+  REQUIRE(ForEachWireField(bytes, visit).ok());
+  REQUIRE(again == bytes);
+  REQUIRE(node == "dar-msasani-1");
+  for (size_t cut = 1; cut < bytes.size(); ++cut) {
+    size_t seen = 0;
+    const auto count = [&](const WireField& field) {
+      seen += field.whole.size();
+      return absl::OkStatus();
+    };
+    const bool ok = ForEachWireField(bytes.substr(0, cut), count).ok();
+    REQUIRE(ok == (seen == cut));
+  }
+  const auto fail = [](const WireField&) { return absl::AbortedError("enough"); };
+  REQUIRE(absl::IsAborted(ForEachWireField(bytes, fail)));
+}
+
 TEST_CASE("a truncated message is refused") {
   WireArena arena;
   millstair_Hello hello = millstair_Hello_init_zero;
