--- a/source/consensus/group_replica.cc
+++ b/source/consensus/group_replica.cc
@@ -276,10 +276,12 @@
   applied_bytes_ = 0;
   const LogPosition position{applied_, log_->TermAt(applied_).value_or(Term())};
   const std::string head = EncodeGroupSnapshotHead(core_->MembersAt(applied_));
-  const std::string state = machine_->TakeSnapshot();
+  const SnapshotParts state = machine_->TakeSnapshotParts();
+  std::vector<std::string_view> parts = {head};
+  for (const auto& part : state) parts.emplace_back(*part);
   // Entries that followers may still need stay for a while: they are cheaper than a snapshot.
   const LogIndex compact_to(position.index.value() - limit / 2);
-  log_->SaveSnapshot(position, {head, state},
+  log_->SaveSnapshot(position, parts,
                      alive_.Guard([this, position, compact_to](const absl::Status& status) {
                        if (!status.ok()) return Halt(status);
                        log_->Compact(compact_to);
--- a/source/jobs/job_state_machine.cc
+++ b/source/jobs/job_state_machine.cc
@@ -95,7 +95,7 @@
   if (found->second.ended) return JobResultCode::kOk;
   found->second.ended = true;
   for (JobItem& item : found->second.spec.items) ForgetContent(item);
-  ended_encoded_[end.job] = EncodeSnapshotJob(found->second);
+  ended_encoded_[end.job] = std::make_shared<std::string>(EncodeSnapshotJob(found->second));
   Notify(JobChange::kEnded, end.job);
   return JobResultCode::kOk;
 }
@@ -147,15 +147,21 @@
 }
 
 std::string JobStateMachine::TakeSnapshot() const {
-  std::string snapshot = EncodeSnapshotHead(clock_, announcements_);
-  size_t ended_bytes = 0;
-  for (const auto& [id, encoded] : ended_encoded_) ended_bytes += encoded.size();
-  snapshot.reserve(snapshot.size() + ended_bytes);
+  std::string snapshot;
+  for (const auto& part : TakeSnapshotParts()) snapshot += *part;
+  return snapshot;
+}
+
+SnapshotParts JobStateMachine::TakeSnapshotParts() const {
+  SnapshotParts parts;
+  parts.push_back(std::make_shared<std::string>(EncodeSnapshotHead(clock_, announcements_)));
   for (const auto& [id, record] : jobs_) {
     const auto ended = ended_encoded_.find(id);
-    snapshot += ended != ended_encoded_.end() ? ended->second : EncodeSnapshotJob(record);
+    parts.push_back(ended != ended_encoded_.end()
+                        ? ended->second
+                        : std::make_shared<std::string>(EncodeSnapshotJob(record)));
   }
-  return snapshot;
+  return parts;
 }
 
 absl::Status JobStateMachine::Restore(LogIndex, std::string_view bytes) {
@@ -174,7 +180,9 @@
   for (SnapshotJob& job : snapshot->jobs) {
     const JobId id = job.record.spec.id;
     listed_[id] = ListedItems(job.record);
-    if (job.record.ended) ended_encoded_[id] = std::move(job.encoded);
+    if (job.record.ended) {
+      ended_encoded_[id] = std::make_shared<std::string>(std::move(job.encoded));
+    }
     jobs_[id] = std::move(job.record);
   }
   Notify(JobChange::kRestored, JobId());
--- a/source/jobs/job_state_machine.h
+++ b/source/jobs/job_state_machine.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,7 @@
 
   std::string Apply(LogIndex index, std::string_view command) override;
   std::string TakeSnapshot() const override;
+  SnapshotParts TakeSnapshotParts() const override;
   absl::Status Restore(LogIndex index, std::string_view snapshot) override;
 
   const std::map<JobId, JobRecord>& jobs() const { return jobs_; }
@@ -59,7 +61,7 @@
   WallTime clock_;
   std::map<JobId, JobRecord> jobs_;
   /// Of each ended job, how it stands in a snapshot.
-  std::map<JobId, std::string> ended_encoded_;
+  std::map<JobId, std::shared_ptr<const std::string>> ended_encoded_;
   std::vector<AnnounceOrder> announcements_;
   /// By job, whether the item of that index is listed.
   std::map<JobId, std::vector<bool>> listed_;
