--- a/test/cluster/replica_spread_test.cc
+++ b/test/cluster/replica_spread_test.cc
@@ -66,6 +66,26 @@
   }
 }
 
+TEST_CASE("The loss of any one of three zones or more leaves most voters") {
+  std::mt19937 random(11);
+  for (int round = 0; round < 500; ++round) {
+    const size_t zone_count = 3 + random() % 5;
+    const size_t voters = 3 + 2 * (random() % 3);
+    std::vector<Zone> candidates;
+    // Nodes of one zone may all come before those of the next; each zone has enough of them.
+    for (size_t zone = 0; zone < zone_count; ++zone) {
+      for (size_t node = 0; node < voters; ++node) candidates.emplace_back(std::to_string(zone));
+    }
+    std::shuffle(candidates.begin(), candidates.end(), random);
+    if (round % 2 == 0) std::sort(candidates.begin(), candidates.end());
+    std::vector<Zone> zones;
+    for (const size_t index : PickSpread(candidates, voters)) zones.push_back(candidates.at(index));
+    for (const auto& [zone, count] : CountsOf(zones)) {
+      REQUIRE(zones.size() - count >= voters / 2 + 1);
+    }
+  }
+}
+
 TEST_CASE("Exchanges that spread better come to an end, with no zone two above a free one") {
   std::mt19937 random(7);
   for (int round = 0; round < 500; ++round) {
