Revert: let engines that serve what waits load their weights later

Conclusion: a step's length is set by its longest texts, which begin first and find a place in any case. A load that waits for the end of a burst keeps the version from the spare groups, which then begin late and come back; and the loads of several trainers meet later, when the next versions are named.

Kept: a look notes nothing of models that lack engines any more.

--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -25,8 +25,6 @@
   std::vector<Rank> sent;
   /// Jobs for which no engine has room: their further items need not be looked at.
   std::set<JobId> stuck;
-  /// Models whose items wait for nothing but an engine.
-  std::set<ModelName> short_models;
   for (const Rank& rank : waiting_) {
     if (stuck.contains(rank.job)) continue;
     const JobRecord* record = state_.Find(rank.job);
@@ -41,13 +39,11 @@
     if (now < work.not_before) continue;
     if (Dispatch(board, work, *record, *route)) {
       sent.push_back(rank);
-      continue;
+    } else if (!NeedsOneVersion(work, *route)) {
+      stuck.insert(rank.job);
     }
-    if (!work.spare) short_models.insert(record->spec.model);
-    if (!NeedsOneVersion(work, *route)) stuck.insert(rank.job);
   }
   for (const Rank& rank : sent) waiting_.erase(rank);
-  loads_.NoteShort(std::move(short_models));
 }
 
 std::vector<JobScheduler::MoveCandidate> JobScheduler::MoveCandidates() {
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -28,13 +28,6 @@
 /// A request that was sent to an engine has begun after this time: a dozen prompts of a thousand
 /// tokens are read in some forty milliseconds. An order refuses what has not begun.
 constexpr Duration kBeginTime = std::chrono::milliseconds(100);
-/// A model's items lacked engines lately if one did within this time: some steps of four seconds.
-constexpr Duration kShortMemory = std::chrono::seconds(20);
-/// Assumed between two versions of a model until it was seen: the cadence of steps on the sheets.
-constexpr Duration kFirstVersionGap = std::chrono::seconds(4);
-/// From when a version is named until its step is here, at most: the trainer's next call, and the
-/// commit of a job, which takes some hundred milliseconds where a gateway has to be found.
-constexpr Duration kStepArrival = std::chrono::milliseconds(500);
 /// Beyond the lease: an order on its way may arrive late by this.
 constexpr Duration kLeaseMargin = std::chrono::milliseconds(400) + kAnnouncedFor;
 
@@ -94,7 +87,6 @@
 void LoadScheduler::SetLeading(RaftGroup* group) {
   group_ = group;
   caught_up_ = false;
-  short_.clear();
   exchanges_.clear();
   engines_.clear();
   if (group_ == nullptr) return timer_.Cancel();
@@ -116,7 +108,9 @@
 void LoadScheduler::Update(const Configuration& configuration, const RouteTable* routes) {
   for (const auto& [model, named] : configuration.versions) {
     const auto known = targets_.find(model);
-    if (known == targets_.end() || known->second < named.version) NoteNamed(model);
+    if (known == targets_.end() || known->second < named.version) {
+      named_at_[model] = environment_.Now();
+    }
   }
   targets_.clear();
   for (const auto& [model, named] : configuration.versions) targets_[model] = named.version;
@@ -290,51 +284,10 @@
   const auto demand = demand_.find(engine.assigned);
   const uint64_t lag = demand == demand_.end() ? 0 : demand->second.allowed_lag;
   if (version + lag < newest) return wanted;
-  if (!LoadsThoughUseful(engine.assigned, lag, instance)) return std::nullopt;
-  return wanted;
-}
-
-bool LoadScheduler::LoadsThoughUseful(const ModelName& model, uint64_t lag,
-                                      const InstanceId& instance) const {
-  const Progress progress = ProgressOf(model, targets_.at(model), instance);
+  const Progress progress = ProgressOf(engine.assigned, target->second, instance);
   const bool enough = progress.newest * (lag + 1) + lag >= progress.engines;
-  if (short_.contains(model)) {
-    // It serves what waits. Still, enough engines have to load before the next version is named.
-    return !enough && environment_.Now() >= NamedAt(model) + PatienceOf(model);
-  }
-  if (!ShortLately(model)) return !enough;
-  // The step that needs the version comes a moment after it.
-  if (environment_.Now() < NamedAt(model) + kStepArrival) return false;
-  if (!enough) return true;
-  // Where the engines that serve a step's first moments were too few, the others load too once
-  // nothing waits: then all of them may serve the next step, which allows the version before its
-  // own. Half of the places for loads stay free for engines that no job can use.
-  return LoadsUnderWay() < MostLoads() / 2;
-}
-
-bool LoadScheduler::ShortLately(const ModelName& model) const {
-  const auto demand = demand_.find(model);
-  if (demand == demand_.end() || !demand->second.short_at) return false;
-  return environment_.Now() - *demand->second.short_at < kShortMemory;
-}
-
-Duration LoadScheduler::PatienceOf(const ModelName& model) const {
-  const auto gap = version_gaps_.find(model);
-  return (gap == version_gaps_.end() ? kFirstVersionGap : gap->second) / 2;
-}
-
-void LoadScheduler::NoteNamed(const ModelName& model) {
-  const TimePoint now = environment_.Now();
-  const auto [named, first] = named_at_.try_emplace(model, now);
-  if (first) return;
-  version_gaps_[model] = now - named->second;
-  named->second = now;
-}
-
-void LoadScheduler::NoteShort(std::set<ModelName> models) {
-  const TimePoint now = environment_.Now();
-  for (const ModelName& model : models) demand_[model].short_at = now;
-  short_ = std::move(models);
+  if (enough) return std::nullopt;
+  return wanted;
 }
 
 uint32_t LoadScheduler::LoadsUnderWay() const {
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -37,8 +37,6 @@
   double work = 0;
   /// How many versions behind the newest a job's weights may be.
   uint64_t allowed_lag = 0;
-  /// When an item that its client waits for last found no engine; none if none ever did.
-  std::optional<TimePoint> short_at;
 };
 
 /// What an engine is known to hold, and what it was told.
@@ -75,8 +73,6 @@
   void Update(const Configuration& configuration, const RouteTable* routes);
   /// A job of `model` came; `work` is in tokens that come out.
   void NoteJob(const ModelName& model, double work, WeightVersion min_version);
-  /// Items that their clients wait for find no engine now, of these models and of no others.
-  void NoteShort(std::set<ModelName> models);
   /// Called whenever an engine became able to take items.
   void OnReady(std::function<void()> callback) { on_ready_ = std::move(callback); }
 
@@ -126,13 +122,6 @@
   void EndLoad(const InstanceId& instance, bool done);
   void HandleOrderAnswer(const InstanceId& instance, LoadAnswer answer);
   std::optional<NamedVersion> Wanted(const InstanceId& instance) const;
-  /// Whether an engine whose weights still serve the newest jobs of `model` is to load the newest.
-  bool LoadsThoughUseful(const ModelName& model, uint64_t lag, const InstanceId& instance) const;
-  /// Whether items of `model` lately found no engine.
-  bool ShortLately(const ModelName& model) const;
-  /// For how long after a version was named useful engines are left to items that wait.
-  Duration PatienceOf(const ModelName& model) const;
-  void NoteNamed(const ModelName& model);
   /// Engines assigned to `model`, and those of them but `asking` that hold the newest version, load
   /// it or are about to; `asking` counts only if it holds or loads it.
   struct Progress {
@@ -155,10 +144,6 @@
   Duration load_time_;
   std::map<ModelName, WeightVersion> targets_;
   std::map<ModelName, TimePoint> named_at_;
-  /// Between the two latest versions of a model.
-  std::map<ModelName, Duration> version_gaps_;
-  /// Models whose items find no engine now.
-  std::set<ModelName> short_;
   std::map<ModelName, ModelDemand> demand_;
   /// Services whose engines hold models.
   std::map<ServiceName, std::vector<ModelName>> services_;
--- a/test/jobs/load_scheduler_test.cc
+++ b/test/jobs/load_scheduler_test.cc
@@ -182,55 +182,6 @@
   CHECK(fixture.Orders() - first <= 12 + 2);
 }
 
-/// Names `version`, whose step allows the version before it.
-void NameWithStep(Fixture& fixture, uint64_t version) {
-  fixture.Name(version);
-  fixture.loads.NoteJob(ModelName("m"), 100, WeightVersion(version - 1));
-}
-
-TEST_CASE("Engines that serve what waits load only once nothing does, and then all of them") {
-  Fixture fixture(6, LoadOptions{4});
-  fixture.Lead();
-  NameWithStep(fixture, 2);
-  fixture.scheduler.RunFor(seconds(5));
-  CHECK(fixture.Holding(2) == 3);
-  // Half were too few for the step: the others follow once nothing waits.
-  fixture.loads.NoteShort({ModelName("m")});
-  fixture.scheduler.RunFor(seconds(1));
-  CHECK(fixture.Orders() == 3);
-  fixture.loads.NoteShort({});
-  fixture.scheduler.RunFor(seconds(4));
-  CHECK(fixture.Holding(2) == 6);
-  // So all may serve the next step, whose items come a moment after its version.
-  NameWithStep(fixture, 3);
-  fixture.scheduler.RunFor(milliseconds(300));
-  fixture.loads.NoteShort({ModelName("m")});
-  fixture.scheduler.RunFor(milliseconds(1200));
-  CHECK(fixture.Orders() == 6);
-  fixture.loads.NoteShort({});
-  fixture.scheduler.RunFor(seconds(5));
-  CHECK(fixture.Holding(3) == 6);
-}
-
-TEST_CASE("Though items go on waiting, half of the engines load before the next version") {
-  Fixture fixture(6);
-  fixture.Lead();
-  NameWithStep(fixture, 2);
-  fixture.loads.NoteShort({ModelName("m")});
-  fixture.scheduler.RunFor(seconds(6));
-  CHECK(fixture.Holding(2) == 3);
-}
-
-TEST_CASE("Engines of no use to any job load at once, whatever waits") {
-  Fixture fixture(4);
-  fixture.Lead();
-  fixture.loads.NoteJob(ModelName("m"), 100, WeightVersion(1));
-  fixture.Name(3);
-  fixture.loads.NoteShort({ModelName("m")});
-  fixture.scheduler.RunFor(milliseconds(300));
-  CHECK(fixture.Orders() == 2);
-}
-
 TEST_CASE("A new leader gives no order within the lease of the last holder") {
   LoadOptions options;
   options.holder_lease = seconds(3);
