Choose a move's engine once, and share what two replica managers wrote twice

Found on reading the change once more; behaviour is the same.

- A run that moves was given its engine by a second choice, which ended at the same one: it starts there at once, and the missing events are those of the candidate.
- Which voter is one too many, and where a node stands among members, stood in both replica managers (and a third place): PickSurplus and IndexOf.
The managers read alike now (SoundVoters, ZonesOf).
- A storage node built and sent commands to the cluster group in two places: SubmitToCluster.
- KeptTexts::Contains had no caller.

Tests: cluster, jobs and consensus programs pass unchanged, one test more for PickSurplus.

--- a/source/cluster/replica_manager.cc
+++ b/source/cluster/replica_manager.cc
@@ -130,15 +130,10 @@
 bool ReplicaManager::RemoveSurplus(RaftGroup& group, const std::vector<GroupMember>& members) {
   const std::vector<GroupMember> voters = SoundVoters(members);
   if (voters.size() <= target_voters_) return false;
-  const std::vector<Zone> zones = ZonesOf(voters);
-  const Zone crowded = zones[*MostCrowded(zones)];
-  std::optional<GroupMember> surplus;
-  for (size_t i = 0; i < voters.size(); ++i) {
-    if (voters[i].node != self_ && zones[i] == crowded) surplus = voters[i];
-  }
+  const auto surplus = PickSurplus(ZonesOf(voters), IndexOf(voters, self_));
   if (!surplus) return false;
   // Its node joins again as a learner, since every control node is a member.
-  Remove(group, *surplus);
+  Remove(group, voters[*surplus]);
   return true;
 }
 
@@ -189,9 +184,7 @@
     const auto record = configuration.nodes.find(node);
     const bool controls = record != configuration.nodes.end() && record->second.control;
     if (!controls || retired.emptied || reporting_emptied_) continue;
-    const bool holds =
-        std::any_of(members.begin(), members.end(),
-                    [&node = node](const GroupMember& member) { return member.node == node; });
+    const bool holds = IndexOf(members, node).has_value();
     if (holds) continue;
     reporting_emptied_ = true;
     cluster_.Propose(
--- a/source/cluster/replica_spread.cc
+++ b/source/cluster/replica_spread.cc
@@ -32,6 +32,15 @@
   return worst;
 }
 
+std::optional<size_t> PickSurplus(const std::vector<Zone>& replicas, std::optional<size_t> keep) {
+  const auto crowded = MostCrowded(replicas);
+  std::optional<size_t> surplus;
+  for (size_t i = 0; i < replicas.size(); ++i) {
+    if (i != keep && replicas[i] == replicas[*crowded]) surplus = i;
+  }
+  return surplus;
+}
+
 bool SpreadsBetter(const Zone& zone, const std::vector<Zone>& occupied) {
   const auto crowded = MostCrowded(occupied);
   if (!crowded) return false;
--- a/source/cluster/replica_spread.h
+++ b/source/cluster/replica_spread.h
@@ -19,6 +19,10 @@
 /// joined first stay. None without replicas.
 std::optional<size_t> MostCrowded(const std::vector<Zone>& replicas);
 
+/// Index of the replica to remove where there is one too many: the last of the most crowded zone
+/// but `keep`, the leader's own; none if only that one stands there.
+std::optional<size_t> PickSurplus(const std::vector<Zone>& replicas, std::optional<size_t> keep);
+
 /// Whether a replica in `zone` in place of one in the most crowded zone evens them out: the most
 /// crowded one holds two more than `zone` at least.
 bool SpreadsBetter(const Zone& zone, const std::vector<Zone>& occupied);
--- a/source/consensus/raft_group.h
+++ b/source/consensus/raft_group.h
@@ -24,6 +24,14 @@
   friend bool operator==(const GroupMember&, const GroupMember&) = default;
 };
 
+/// Index of the member on `node`; none if there is none.
+inline std::optional<size_t> IndexOf(const std::vector<GroupMember>& members, const NodeId& node) {
+  for (size_t i = 0; i < members.size(); ++i) {
+    if (members[i].node == node) return i;
+  }
+  return std::nullopt;
+}
+
 inline constexpr size_t kMaxCommandBytes = 8 << 20;
 
 /// Lives on the node's serial executor. Errors of the callbacks: Unavailable when this replica is
--- a/source/jobs/job_codec.cc
+++ b/source/jobs/job_codec.cc
@@ -380,45 +380,36 @@
   return EncodeNanopb(millstair_JobSnapshot_fields, &wire);
 }
 
-/// Decodes the jobs one by one, so that there is never more than one of them beside the result.
-static absl::Status DecodeSnapshotJobs(std::string_view bytes, std::vector<SnapshotJob>& jobs) {
-  return ForEachWireField(bytes, [&jobs](const WireField& field) -> absl::Status {
-    if (field.tag != millstair_JobSnapshot_jobs_tag) return absl::OkStatus();
-    auto wire =
-        DecodedMessage<millstair_JobRecord>::Decode(millstair_JobRecord_fields, field.payload);
-    if (!wire.ok()) return wire.status();
-    SnapshotJob& job = jobs.emplace_back();
-    job.encoded = std::string(field.whole);
-    if (FromWire(**wire, job.record)) return absl::OkStatus();
-    return absl::InvalidArgumentError("a job of the snapshot does not decode");
-  });
-}
-
-/// What is not a job.
-static absl::StatusOr<std::string> HeadOf(std::string_view bytes) {
-  std::string head;
-  const absl::Status read = ForEachWireField(bytes, [&head](const WireField& field) {
-    if (field.tag != millstair_JobSnapshot_jobs_tag) head += field.whole;
-    return absl::OkStatus();
-  });
-  if (!read.ok()) return read;
-  return head;
+static absl::Status DecodeSnapshotJob(const WireField& field, std::vector<SnapshotJob>& jobs) {
+  auto wire =
+      DecodedMessage<millstair_JobRecord>::Decode(millstair_JobRecord_fields, field.payload);
+  if (!wire.ok()) return wire.status();
+  SnapshotJob& job = jobs.emplace_back();
+  job.encoded = std::string(field.whole);
+  if (FromWire(**wire, job.record)) return absl::OkStatus();
+  return absl::InvalidArgumentError("a job of the snapshot does not decode");
 }
 
 absl::StatusOr<JobSnapshot> DecodeJobSnapshot(std::string_view bytes) {
-  const auto head = HeadOf(bytes);
-  if (!head.ok()) return absl::DataLossError(head.status().message());
-  auto decoded = DecodedMessage<millstair_JobSnapshot>::Decode(millstair_JobSnapshot_fields, *head);
+  JobSnapshot snapshot;
+  std::string head;
+  // Job by job, so that there is never more than one decoded twice.
+  const absl::Status read =
+      ForEachWireField(bytes, [&snapshot, &head](const WireField& field) -> absl::Status {
+        const bool is_job = field.tag == millstair_JobSnapshot_jobs_tag;
+        if (is_job) return DecodeSnapshotJob(field, snapshot.jobs);
+        head += field.whole;
+        return absl::OkStatus();
+      });
+  if (!read.ok()) return absl::DataLossError(read.message());
+  auto decoded = DecodedMessage<millstair_JobSnapshot>::Decode(millstair_JobSnapshot_fields, head);
   if (!decoded.ok()) return decoded.status();
   const millstair_JobSnapshot& wire = **decoded;
-  JobSnapshot snapshot;
   snapshot.clock = FromMilliseconds(wire.clock_milliseconds);
   const bool sound =
       wire.format == kSnapshotFormat &&
       FromWireArray(wire.announcements, wire.announcements_count, snapshot.announcements);
   if (!sound) return absl::DataLossError("the snapshot of a job group does not decode");
-  const absl::Status jobs = DecodeSnapshotJobs(bytes, snapshot.jobs);
-  if (!jobs.ok()) return absl::DataLossError(jobs.message());
   return snapshot;
 }
 
--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -75,16 +75,17 @@
   size_t moved = 0;
   for (const MoveCandidate& candidate : MoveCandidates()) {
     if (moved >= kMovesAtOnce) return;
-    if (Move(board, *candidate.work, *candidate.record, *candidate.route)) ++moved;
+    if (Move(board, candidate)) ++moved;
   }
 }
 
-bool JobScheduler::Move(EngineBoard& board, Work& work, const JobRecord& record,
-                        const Route& route) {
+bool JobScheduler::Move(EngineBoard& board, const MoveCandidate& candidate) {
+  Work& work = *candidate.work;
+  const JobRecord& record = *candidate.record;
+  const double missing = candidate.missing_events;
   const InstanceId from = work.run->instance();
-  const double missing = MissingEvents(work, record);
   work.avoid = from;
-  const BackendInstance* target = PickEngine(board, work, record, route);
+  const BackendInstance* target = PickEngine(board, work, record, *candidate.route);
   if (target == nullptr || pace_.IsSlow(target->id)) return false;
   const double here = pace_.SecondsPerEvent(from);
   if (!WorthMoving(missing, here, pace_.SecondsPerEvent(target->id))) return false;
@@ -93,8 +94,8 @@
   ++work.moves;
   work.run.reset();
   board.NoteEnded(from);
-  work.avoid = from;
-  if (!Dispatch(board, work, record, route)) Requeue(work, Duration(0));
+  board.NoteBegun(target->id);
+  StartRun(work, record, *candidate.route, *target);
   return true;
 }
 
--- a/source/jobs/job_group_nodes.cc
+++ b/source/jobs/job_group_nodes.cc
@@ -23,9 +23,7 @@
   std::vector<JobNode> nodes;
   for (const auto& [node, record] : configuration.nodes) {
     if (!record.storage || record.state == MemberState::kGone) continue;
-    const bool replica =
-        std::any_of(members.begin(), members.end(),
-                    [&node = node](const GroupMember& member) { return member.node == node; });
+    const bool replica = IndexOf(members, node).has_value();
     nodes.push_back({node, record.zone == own, replica, node == placement.leader});
   }
   return nodes;
--- a/source/jobs/job_replica_manager.cc
+++ b/source/jobs/job_replica_manager.cc
@@ -50,13 +50,19 @@
   return record == configuration_.nodes.end() ? Zone() : record->second.zone;
 }
 
-std::vector<Zone> JobReplicaManager::ZonesOfSoundVoters(
-    const std::vector<GroupMember>& members) const {
+std::vector<Zone> JobReplicaManager::ZonesOf(const std::vector<GroupMember>& members) const {
   std::vector<Zone> zones;
+  for (const GroupMember& member : members) zones.push_back(ZoneOf(member.node));
+  return zones;
+}
+
+std::vector<GroupMember> JobReplicaManager::SoundVoters(
+    const std::vector<GroupMember>& members) const {
+  std::vector<GroupMember> sound;
   for (const GroupMember& member : members) {
-    if (member.voter && IsSound(member)) zones.push_back(ZoneOf(member.node));
+    if (member.voter && IsSound(member)) sound.push_back(member);
   }
-  return zones;
+  return sound;
 }
 
 bool JobReplicaManager::IsLost(const GroupMember& member) const {
@@ -72,19 +78,13 @@
   return configuration_.retired_nodes.contains(node);
 }
 
-size_t JobReplicaManager::CountSoundVoters(const std::vector<GroupMember>& members) const {
-  return static_cast<size_t>(
-      std::count_if(members.begin(), members.end(),
-                    [this](const GroupMember& member) { return member.voter && IsSound(member); }));
-}
-
 std::function<void(absl::Status)> JobReplicaManager::ChangeDone() {
   busy_ = true;
   return alive_.Guard([this](const absl::Status&) { busy_ = false; });
 }
 
 bool JobReplicaManager::PromoteWhereShort(const std::vector<GroupMember>& members) {
-  if (CountSoundVoters(members) >= options_.voters) return false;
+  if (SoundVoters(members).size() >= options_.voters) return false;
   const auto learner = BestLearner(members);
   if (!learner) return false;
   Promote(*learner);
@@ -94,37 +94,30 @@
 std::optional<GroupMember> JobReplicaManager::BestLearner(
     const std::vector<GroupMember>& members) const {
   std::vector<GroupMember> learners;
-  std::vector<Zone> zones;
   for (const GroupMember& member : members) {
-    if (member.voter || !IsSound(member)) continue;
-    learners.push_back(member);
-    zones.push_back(ZoneOf(member.node));
+    if (!member.voter && IsSound(member)) learners.push_back(member);
   }
-  const auto best = LeastCrowded(zones, ZonesOfSoundVoters(members));
+  const auto best = LeastCrowded(ZonesOf(learners), ZonesOf(SoundVoters(members)));
   if (!best) return std::nullopt;
   return learners[*best];
 }
 
 bool JobReplicaManager::PromoteToSpread(const std::vector<GroupMember>& members) {
+  const std::vector<GroupMember> voters = SoundVoters(members);
   // Only a group that is whole is rearranged.
-  if (CountSoundVoters(members) != options_.voters) return false;
+  if (voters.size() != options_.voters) return false;
   const auto learner = BestLearner(members);
-  if (!learner || !SpreadsBetter(ZoneOf(learner->node), ZonesOfSoundVoters(members))) return false;
+  if (!learner || !SpreadsBetter(ZoneOf(learner->node), ZonesOf(voters))) return false;
   Promote(*learner);
   return true;
 }
 
 bool JobReplicaManager::RemoveSurplus(const std::vector<GroupMember>& members) {
-  if (CountSoundVoters(members) <= options_.voters) return false;
-  const std::vector<Zone> occupied = ZonesOfSoundVoters(members);
-  const auto crowded = MostCrowded(occupied);
-  std::optional<GroupMember> surplus;
-  for (const GroupMember& member : members) {
-    if (!member.voter || !IsSound(member) || member.node == self_) continue;
-    if (crowded && ZoneOf(member.node) == occupied[*crowded]) surplus = member;
-  }
+  const std::vector<GroupMember> voters = SoundVoters(members);
+  if (voters.size() <= options_.voters) return false;
+  const auto surplus = PickSurplus(ZonesOf(voters), IndexOf(voters, self_));
   if (!surplus) return false;
-  Remove(*surplus);
+  Remove(voters[*surplus]);
   return true;
 }
 
@@ -146,7 +139,7 @@
 }
 
 bool JobReplicaManager::RemoveOne(const std::vector<GroupMember>& members) {
-  const size_t sound = CountSoundVoters(members);
+  const size_t sound = SoundVoters(members).size();
   for (const GroupMember& member : members) {
     if (IsSound(member)) continue;
     // A voter stays until another has taken its place: the quorum must not shrink.
@@ -168,7 +161,7 @@
 }
 
 bool JobReplicaManager::MissesZone(const std::vector<GroupMember>& members) const {
-  const std::vector<Zone> occupied = ZonesOfSoundVoters(members);
+  const std::vector<Zone> occupied = ZonesOf(SoundVoters(members));
   const auto learner = BestLearner(members);
   return !learner || !SpreadsBetter(ZoneOf(learner->node), occupied);
 }
@@ -195,7 +188,7 @@
   const size_t wanted = options_.voters + options_.spare_learners;
   // One learner more than usual where it is to relieve a crowded zone.
   const bool relieves = sound == wanted && MissesZone(members) &&
-                        SpreadsBetter(zones[*best], ZonesOfSoundVoters(members));
+                        SpreadsBetter(zones[*best], ZonesOf(SoundVoters(members)));
   if (sound >= wanted && !relieves) return false;
   const GroupMember& stranger = strangers[*best];
   LogEvent(EventId::kReplicaJoined, "group={} node={} replica={}", group_->id(), stranger.node,
@@ -209,9 +202,7 @@
     const auto record = configuration_.nodes.find(node);
     const bool stores = record != configuration_.nodes.end() && record->second.storage;
     if (retired.emptied || !stores) continue;
-    const bool holds =
-        std::any_of(members.begin(), members.end(),
-                    [&node = node](const GroupMember& member) { return member.node == node; });
+    const bool holds = IndexOf(members, node).has_value();
     if (!holds) emptied_(node);
   }
 }
--- a/source/jobs/job_replica_manager.h
+++ b/source/jobs/job_replica_manager.h
@@ -48,7 +48,8 @@
   /// Whether a learner of another zone than those there are would spread the voters better.
   bool MissesZone(const std::vector<GroupMember>& members) const;
   Zone ZoneOf(const NodeId& node) const;
-  std::vector<Zone> ZonesOfSoundVoters(const std::vector<GroupMember>& members) const;
+  std::vector<Zone> ZonesOf(const std::vector<GroupMember>& members) const;
+  std::vector<GroupMember> SoundVoters(const std::vector<GroupMember>& members) const;
   bool RemoveOne(const std::vector<GroupMember>& members);
   bool AddStranger(const std::vector<GroupMember>& members);
   void ReportRetired(const std::vector<GroupMember>& members);
@@ -57,7 +58,6 @@
   bool IsSound(const GroupMember& member) const {
     return !IsLost(member) && !IsRetired(member.node);
   }
-  size_t CountSoundVoters(const std::vector<GroupMember>& members) const;
   std::function<void(absl::Status)> ChangeDone();
 
   const Configuration& configuration_;
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -159,7 +159,7 @@
   void MoveToFasterEngines(EngineBoard& board);
   /// Those first that are far from whole.
   std::vector<MoveCandidate> MoveCandidates();
-  bool Move(EngineBoard& board, Work& work, const JobRecord& record, const Route& route);
+  bool Move(EngineBoard& board, const MoveCandidate& candidate);
   bool Dispatch(EngineBoard& board, Work& work, const JobRecord& record, const Route& route);
   void StartRun(Work& work, const JobRecord& record, const Route& route,
                 const BackendInstance& engine);
--- a/source/jobs/kept_texts.h
+++ b/source/jobs/kept_texts.h
@@ -15,7 +15,6 @@
 class KeptTexts {
  public:
   void Keep(const ItemId& item, ItemProgress progress);
-  bool Contains(const ItemId& item) const { return texts_.contains(item); }
   /// Gives the text away; nothing if there is none, or if a part of it was made by weights older
   /// than `min_version`.
   std::optional<ItemProgress> Take(const ItemId& item, WeightVersion min_version);
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -36,7 +36,7 @@
         cluster_(environment, transport, kClusterGroup, [this] { return ControlNodes(); }),
         placement_(environment, options_.self.node,
                    [this](PlaceJobGroup place, std::function<void(absl::Status)> done) {
-                     ProposePlacement(std::move(place), std::move(done));
+                     SubmitToCluster(std::move(place), std::move(done));
                    }),
         drain_timer_(environment) {}
 
@@ -169,8 +169,8 @@
     if (scheduler_ != nullptr) scheduler_->SetLeading(leads);
   }
 
-  void ProposePlacement(PlaceJobGroup place, std::function<void(absl::Status)> done) {
-    const ClusterCommand command{std::move(place), std::nullopt, environment_.WallNow()};
+  void SubmitToCluster(ClusterOperation operation, std::function<void(absl::Status)> done) {
+    const ClusterCommand command{std::move(operation), std::nullopt, environment_.WallNow()};
     cluster_.Submit(CommandMode::kPropose, EncodeCommand(command), kCommandTimeout,
                     [done = std::move(done)](const absl::StatusOr<std::string>& answer) {
                       done(answer.status());
@@ -180,9 +180,8 @@
   void ReportEmptied(const NodeId& node) {
     if (reporting_emptied_) return;
     reporting_emptied_ = true;
-    const ClusterCommand command{RetireNode{{node, true}}, std::nullopt, environment_.WallNow()};
-    cluster_.Submit(CommandMode::kPropose, EncodeCommand(command), kCommandTimeout,
-                    [this](const absl::StatusOr<std::string>&) { reporting_emptied_ = false; });
+    SubmitToCluster(RetireNode{{node, true}},
+                    [this](const absl::Status&) { reporting_emptied_ = false; });
   }
 
   void HandOver(std::function<void()> done) {
--- a/test/cluster/replica_spread_test.cc
+++ b/test/cluster/replica_spread_test.cc
@@ -31,6 +31,13 @@
   CHECK(MostCrowded({}) == std::nullopt);
 }
 
+TEST_CASE("One too many goes from the most crowded zone, but never the leader's own") {
+  CHECK(PickSurplus(Zones({"a", "b", "a", "c"}), std::nullopt) == 2);
+  CHECK(PickSurplus(Zones({"a", "b", "a", "c"}), 2) == 0);
+  CHECK(PickSurplus(Zones({"a"}), 0) == std::nullopt);
+  CHECK(PickSurplus({}, std::nullopt) == std::nullopt);
+}
+
 TEST_CASE("A change of zone is worth it only if it evens the zones out") {
   CHECK(SpreadsBetter(Zone("c"), Zones({"a", "a", "b"})));
   CHECK_FALSE(SpreadsBetter(Zone("b"), Zones({"a", "a", "b"})));
