Authenticate callers by API key, and run their requests in their tenants' names

Gateways admit by key at each request, job call, stream and read; the adapter never passes the key on and sets the tenant alone. A job belongs to its tenant: others neither read, end nor reuse its identifier, and no text of its items serves another tenant's. A tenant's priority goes before the route's. A gateway that has not been proven fresh in this life admits nobody by key (503); one out of touch refuses no unknown key for good (503, not 401), since the key may be newer than what it holds.

Ruled out: digests alone in place of keys (xxHash is no cryptographic hash); hashed keys at rest (the operators' document has to be given back whole, keys among it).

--- a/source/common/ids.h
+++ b/source/common/ids.h
@@ -56,6 +56,8 @@
 using InstanceId = StrongId<struct InstanceIdTag, std::string>;
 /// Name of a service: the back ends that a route may send requests to.
 using ServiceName = StrongId<struct ServiceNameTag, std::string>;
+/// Name of a tenant: an owner of API keys, requests and batch jobs.
+using TenantName = StrongId<struct TenantNameTag, std::string>;
 /// Identifier of a batch job, chosen by its client.
 using JobId = StrongId<struct JobIdTag, std::string>;
 /// Identifier of an item of a batch job, unique in its job.
--- a/source/ingress/backend_protocol.h
+++ b/source/ingress/backend_protocol.h
@@ -27,6 +27,8 @@
   InstanceId instance;
   /// Continue a stream after this event.
   std::optional<uint64_t> resume_after;
+  /// For whom it runs; empty if for nobody that is known.
+  TenantName tenant;
 };
 
 /// What the head of an answer says.
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -165,8 +165,8 @@
   ++sent_;
   // Counted before the send: a try is taken back only on the back end's own word.
   ++may_have_run_;
-  BackendRequest request{request_.http, request_.host, request_.request_id,
-                         TimeLeft(),    target->id,    std::nullopt};
+  BackendRequest request{request_.http, request_.host, request_.request_id, TimeLeft(),
+                         target->id,    std::nullopt,  request_.tenant};
   tries_.push_back(std::make_unique<Try>(*this, *target));
   tries_.back()->Start(target->address, context_.protocol.MakeRequest(request));
 }
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -26,6 +26,8 @@
   std::optional<Duration> time_left;
   /// The client has the events of a stream up to this one.
   std::optional<uint64_t> resume_after;
+  /// For whom it runs; empty for requests of the system's own, and where nobody is known.
+  TenantName tenant;
 };
 
 enum class ForwardOutcome : uint8_t {
--- a/source/ingress/route_table.cc
+++ b/source/ingress/route_table.cc
@@ -44,7 +44,17 @@
   return nullptr;
 }
 
+Access RouteTable::CheckAccess(std::optional<std::string_view> key, bool is_public) const {
+  return tenants ? tenants->Check(key, is_public) : Access();
+}
+
+uint32_t RouteTable::PriorityOf(const Route& route, const TenantName& name) const {
+  const Tenant* tenant = tenants ? tenants->FindByName(name) : nullptr;
+  return tenant == nullptr ? route.priority : tenant->priority.value_or(route.priority);
+}
+
 void ValidateRouteTable(const RouteTable& table, Findings& findings) {
+  if (table.tenants) table.tenants->Validate(findings);
   std::set<std::pair<std::string_view, std::string_view>> places;
   for (const Route& route : table.routes) {
     if (!places.emplace(route.host, route.path_prefix).second) {
--- a/source/ingress/route_table.h
+++ b/source/ingress/route_table.h
@@ -13,6 +13,7 @@
 #include "common/findings.h"
 #include "common/ids.h"
 #include "common/time.h"
+#include "tenants/tenant_directory.h"
 
 namespace millstair {
 
@@ -52,6 +53,8 @@
   Duration item_lifetime{0};
   /// Batch jobs: all tokens of an item have to be of one version.
   bool single_version = false;
+  /// Callers need no key, where the configuration holds tenants.
+  bool is_public = false;
 };
 
 /// What is known of the engines of a service that generates.
@@ -74,14 +77,20 @@
   uint64_t version = 0;
   std::vector<Route> routes;
   std::vector<Service> services;
+  /// None if the configuration names no tenants: then anybody may call.
+  std::optional<TenantDirectory> tenants;
 
   /// The route of `host` whose prefix is the longest that begins `path`; null if there is none.
   const Route* Find(std::string_view host, std::string_view path) const;
   const Service* FindService(const ServiceName& name) const;
+  /// Who calls with `key` at a route that `is_public`, or not.
+  Access CheckAccess(std::optional<std::string_view> key, bool is_public) const;
+  /// A tenant's own priority goes before the route's.
+  uint32_t PriorityOf(const Route& route, const TenantName& tenant) const;
 };
 
 /// Adds what is wrong with `table` as a whole: unknown services, two routes at one place, no
-/// weight, no time limit.
+/// weight, no time limit, and what is wrong with its tenants.
 void ValidateRouteTable(const RouteTable& table, Findings& findings);
 
 /// Reads the content of a routing document; implemented by the interface in use.
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -104,8 +104,8 @@
   last_instance_ = target->id;
   ++sent_;
   ++may_have_run_;
-  BackendRequest request{request_.http,   request_.host, request_.request_id,
-                         deadline_ - now, target->id,    request_.resume_after};
+  BackendRequest request{request_.http, request_.host,         request_.request_id, deadline_ - now,
+                         target->id,    request_.resume_after, request_.tenant};
   if (begun_) request.resume_after = events_;
   run_ = std::make_unique<Run>(*this, *target);
   run_->Start(target->address, context_.protocol.MakeRequest(request));
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr Duration kReadyPoll = std::chrono::milliseconds(50);
+/// A node that has just started is proven fresh after one or two heartbeats; the caller's next try
+/// reaches another node anyway.
+constexpr Duration kRetryWhenUnsure = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -45,6 +48,20 @@
   if (!ready_) ready_timer_.Arm(kReadyPoll, [this] { CheckReady(); });
 }
 
+Admission IngressNode::Admit(const Route* route, std::optional<std::string_view> key) const {
+  const RouteTable* routes = ingress_.routes();
+  if (routes == nullptr) return {AdmissionVerdict::kUnsure, {}, kRetryWhenUnsure};
+  if (!routes->tenants) return {};
+  const Access access = routes->CheckAccess(key, route != nullptr && route->is_public);
+  if (access.verdict == AccessVerdict::kAllowed) {
+    const bool by_key = access.tenant != TenantName();
+    if (by_key && !ready_) return {AdmissionVerdict::kUnsure, {}, kRetryWhenUnsure};
+    return {AdmissionVerdict::kAllowed, access.tenant, Duration(0)};
+  }
+  if (!ready_ || !LeaseValid()) return {AdmissionVerdict::kUnsure, {}, kRetryWhenUnsure};
+  return {AdmissionVerdict::kUnknownKey, {}, Duration(0)};
+}
+
 void IngressNode::Receive(const NodeId& from, const PeerMessage& message) {
   if (message.kind == MessageKind::kCommandReply) return jobs_.Receive(from, message);
   configuration_->Receive(from, message);
--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -21,6 +21,21 @@
   StatsRegistry* stats = nullptr;
 };
 
+enum class AdmissionVerdict : uint8_t {
+  kAllowed,
+  kUnknownKey,  ///< no tenant holds the key, by a configuration that is proven fresh
+  kUnsure,      ///< the configuration held may be too old to tell; not run
+};
+
+/// What this node says to a caller.
+struct Admission {
+  AdmissionVerdict verdict = AdmissionVerdict::kAllowed;
+  /// Who calls; empty where nobody is known and none is needed.
+  TenantName tenant;
+  /// When a caller may come back whom this node could not judge.
+  Duration retry_after{0};
+};
+
 /// Lives on the node's serial executor. Keeps no state that has to survive.
 class IngressNode : public PeerReceiver {
  public:
@@ -34,6 +49,13 @@
   void SetLeaving() { configuration_->SetLeaving(); }
   void Receive(const NodeId& from, const PeerMessage& message) override;
 
+  /// Whether whoever holds `key` may call `route`; a null route is a call about a batch job, which
+  /// needs a key wherever tenants are configured. A node that has just started may have been handed
+  /// an old configuration, in which a key that was taken away still stands: it admits nobody by key
+  /// before its configuration was proven fresh once. One that is out of touch refuses no key for
+  /// good, since the key may be newer than its configuration.
+  Admission Admit(const Route* route, std::optional<std::string_view> key) const;
+
   IngressService& ingress() { return ingress_; }
   JobClient& jobs() { return jobs_; }
   const Configuration& configuration() const { return configuration_->configuration(); }
--- a/source/jobs/job_client.cc
+++ b/source/jobs/job_client.cc
@@ -26,8 +26,8 @@
   Propose({SubmitJob{std::move(job)}, {}}, std::move(done));
 }
 
-void JobClient::End(const JobId& job, std::function<void(absl::StatusOr<JobResultCode>)> done) {
-  Propose({EndJob{job}, {}}, std::move(done));
+void JobClient::End(EndJob end, std::function<void(absl::StatusOr<JobResultCode>)> done) {
+  Propose({std::move(end), {}}, std::move(done));
 }
 
 void JobClient::Query(const JobQuery& query,
--- a/source/jobs/job_client.h
+++ b/source/jobs/job_client.h
@@ -33,7 +33,7 @@
   Duration retry_after() const { return timing_.retry_after; }
 
   void Submit(JobSpec job, std::function<void(absl::StatusOr<JobResultCode>)> done);
-  void End(const JobId& job, std::function<void(absl::StatusOr<JobResultCode>)> done);
+  void End(EndJob end, std::function<void(absl::StatusOr<JobResultCode>)> done);
   void Query(const JobQuery& query, std::function<void(absl::StatusOr<JobQueryAnswer>)> done);
   /// Messages of kind kCommandReply.
   void Receive(const NodeId& from, const PeerMessage& message) {
--- a/source/jobs/job_codec.cc
+++ b/source/jobs/job_codec.cc
@@ -74,6 +74,7 @@
   wire.min_version = spec.min_version.value();
   wire.wanted_groups = spec.wanted_groups;
   wire.items = NewWireArray<millstair_JobItem>(arena, spec.items, &wire.items_count);
+  wire.tenant = arena.NewString(spec.tenant.value());
   return wire;
 }
 
@@ -85,6 +86,7 @@
   spec.model = ModelName(ToString(wire.model));
   spec.min_version = WeightVersion(wire.min_version);
   spec.wanted_groups = wire.wanted_groups;
+  spec.tenant = TenantName(ToString(wire.tenant));
   return FromWireArray(wire.items, wire.items_count, spec.items) && !spec.id.value().empty();
 }
 
@@ -226,6 +228,7 @@
     wire.which_operation = millstair_JobCommand_end_tag;
     wire.operation.end = millstair_EndJob_init_zero;
     wire.operation.end.job = arena.NewString(end.job.value());
+    wire.operation.end.tenant = arena.NewString(end.tenant.value());
   }
 
   void operator()(const AnnounceOrder& announce) const {
@@ -254,7 +257,8 @@
       return wire.operation.list.has_result && FromWire(wire.operation.list.result, list.result);
     }
     case millstair_JobCommand_end_tag:
-      operation = EndJob{JobId(ToString(wire.operation.end.job))};
+      operation = EndJob{JobId(ToString(wire.operation.end.job)),
+                         TenantName(ToString(wire.operation.end.tenant))};
       return true;
     case millstair_JobCommand_announce_tag:
       return FromWire(wire.operation.announce, operation.emplace<AnnounceOrder>());
@@ -299,7 +303,7 @@
   if (!decoded.ok()) return decoded.status();
   const uint32_t code = (*decoded)->code;
   if (code < static_cast<uint32_t>(JobResultCode::kOk) ||
-      code > static_cast<uint32_t>(JobResultCode::kNotKept)) {
+      code > static_cast<uint32_t>(JobResultCode::kOtherOwner)) {
     return absl::InvalidArgumentError("job result with an unknown code");
   }
   return static_cast<JobResultCode>(code);
@@ -315,6 +319,7 @@
   wire.wait_milliseconds = static_cast<uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(query.wait).count());
   wire.max_bytes = query.max_bytes;
+  wire.tenant = arena.NewString(query.tenant.value());
   return EncodeNanopb(millstair_JobQuery_fields, &wire);
 }
 
@@ -328,6 +333,7 @@
   }
   JobQuery query;
   query.kind = static_cast<JobQueryKind>(wire.kind);
+  query.tenant = TenantName(ToString(wire.tenant));
   query.job = JobId(ToString(wire.job));
   query.item = ItemId(ToString(wire.item));
   query.after = wire.after;
--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -172,6 +172,7 @@
   request.http = {"POST", item.path, item.headers, item.body};
   request.host = record.spec.host;
   request.request_id = item.id.value();
+  request.tenant = record.spec.tenant;
   request.instance = engine;
   const Duration lifetime =
       route.item_lifetime > Duration(0) ? route.item_lifetime : options_.item_lifetime;
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -121,7 +121,7 @@
   JobWork& job = jobs_[id];
   job.order = next_order_++;
   const Route* route = RouteOf(record);
-  if (route != nullptr) job.priority = route->priority;
+  if (route != nullptr) job.priority = ingress_.routes()->PriorityOf(*route, record.spec.tenant);
   LearnReturn(record);
   const uint64_t tokens_per_event = TokensPerEvent(record);
   const ItemOrder order =
@@ -223,6 +223,7 @@
   const auto listed = lengths_.ListedTextOf(record.spec.items[work.index].id);
   const JobRecord* earlier = listed ? state_.Find(listed->job) : nullptr;
   if (earlier == nullptr || listed->position >= earlier->results.size()) return false;
+  if (earlier->spec.tenant != record.spec.tenant) return false;
   const JobResult& result = earlier->results[listed->position];
   const Route* route = RouteOf(record);
   if (route == nullptr || (route->single_version && result.versions.size() > 1)) return false;
@@ -245,7 +246,8 @@
     work.progress = own->second;
     return;
   }
-  auto carried = kept_.Take(record.spec.items[work.index].id, record.spec.min_version);
+  auto carried =
+      kept_.Take({record.spec.tenant, record.spec.items[work.index].id}, record.spec.min_version);
   if (carried) work.progress = *std::move(carried);
 }
 
@@ -257,7 +259,7 @@
     work.progress.versions = std::move(work.result.versions);
   }
   lengths_.Note(item, work.progress.events, false, record->spec.min_version);
-  kept_.Keep(item, std::move(work.progress));
+  kept_.Keep({record->spec.tenant, item}, std::move(work.progress));
 }
 
 void JobScheduler::LearnKeptTexts() {
@@ -265,7 +267,7 @@
     if (!record.ended) continue;
     LearnLengths(record);
     for (const auto& [index, progress] : record.progress) {
-      kept_.Keep(record.spec.items[index].id, progress);
+      kept_.Keep({record.spec.tenant, record.spec.items[index].id}, progress);
     }
   }
 }
--- a/source/jobs/job_service.cc
+++ b/source/jobs/job_service.cc
@@ -82,7 +82,7 @@
 
 JobQueryAnswer JobService::AnswerOf(const JobQuery& query) const {
   const JobRecord* record = state_ == nullptr ? nullptr : state_->Find(query.job);
-  if (record == nullptr) return {};
+  if (record == nullptr || !MayUseJob(*record, query.tenant)) return {};
   if (query.kind == JobQueryKind::kResults) return ResultsOf(*record, query);
   const auto& items = record->spec.items;
   JobQueryAnswer answer;
--- a/source/jobs/job_state_machine.cc
+++ b/source/jobs/job_state_machine.cc
@@ -59,7 +59,9 @@
 
 JobResultCode JobStateMachine::Run(const SubmitJob& submit) {
   const JobId& id = submit.job.id;
-  if (jobs_.contains(id)) return JobResultCode::kOk;
+  if (const JobRecord* known = Find(id)) {
+    return MayUseJob(*known, submit.job.tenant) ? JobResultCode::kOk : JobResultCode::kOtherOwner;
+  }
   jobs_[id] = {submit.job, clock_, false, {}};
   listed_[id].assign(submit.job.items.size(), false);
   Notify(JobChange::kSubmitted, id);
@@ -92,6 +94,7 @@
 JobResultCode JobStateMachine::Run(const EndJob& end) {
   const auto found = jobs_.find(end.job);
   if (found == jobs_.end()) return JobResultCode::kNotFound;
+  if (!MayUseJob(found->second, end.tenant)) return JobResultCode::kNotFound;
   if (found->second.ended) return JobResultCode::kOk;
   found->second.ended = true;
   for (JobItem& item : found->second.spec.items) ForgetContent(item);
--- a/source/jobs/job_types.h
+++ b/source/jobs/job_types.h
@@ -41,6 +41,9 @@
 
 struct JobSpec {
   JobId id;
+  /// Who handed it in, and who alone may read or end it; empty where the configuration holds no
+  /// tenants.
+  TenantName tenant;
   /// Host and path under which it came; they choose its route.
   std::string host;
   std::string path;
@@ -94,6 +97,20 @@
   std::map<uint32_t, KeptProgress> progress;
 };
 
+/// Whether `caller` may read and end the job. One that nobody owns was handed in when the
+/// configuration held no tenants, and stays open to all.
+inline bool MayUseJob(const JobRecord& record, const TenantName& caller) {
+  return record.spec.tenant.value().empty() || record.spec.tenant == caller;
+}
+
+/// An item and the tenant whose job carries it: two tenants may use one identifier.
+struct OwnedItem {
+  TenantName tenant;
+  ItemId item;
+  friend auto operator<=>(const OwnedItem&, const OwnedItem&) = default;  // NOLINT
+  friend bool operator==(const OwnedItem&, const OwnedItem&) = default;
+};
+
 /// Takes a job. A job that is known already stays as it is.
 struct SubmitJob {
   JobSpec job;
@@ -112,6 +129,7 @@
 /// The client wants no more of a job.
 struct EndJob {
   JobId job;
+  TenantName tenant;
 };
 
 /// The holder is about to give an order to an engine, within a bounded time. Other holders give
@@ -145,9 +163,10 @@
 
 enum class JobResultCode : uint8_t {
   kOk = 1,
-  kNotFound = 2,  ///< no such job
-  kInvalid = 3,   ///< malformed command
-  kNotKept = 4,   ///< the result goes on after a text that is not kept: it has to be listed whole
+  kNotFound = 2,    ///< no such job
+  kInvalid = 3,     ///< malformed command
+  kNotKept = 4,     ///< the result goes on after a text that is not kept: it has to be listed whole
+  kOtherOwner = 5,  ///< another tenant's job has the identifier
 };
 
 enum class JobQueryKind : uint8_t {
@@ -158,6 +177,8 @@
 struct JobQuery {
   JobQueryKind kind = JobQueryKind::kResults;
   JobId job;
+  /// Who asks; a job of another tenant is not found.
+  TenantName tenant;
   ItemId item;
   uint64_t after = 0;
   Duration wait{0};
--- a/source/jobs/kept_texts.cc
+++ b/source/jobs/kept_texts.cc
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-void KeptTexts::Keep(const ItemId& item, ItemProgress progress) {
+void KeptTexts::Keep(const OwnedItem& item, ItemProgress progress) {
   texts_[item] = std::move(progress);
   order_.push_back(item);
   while (order_.size() > kMostTexts) {
@@ -19,7 +19,7 @@
   }
 }
 
-std::optional<ItemProgress> KeptTexts::Take(const ItemId& item, WeightVersion min_version) {
+std::optional<ItemProgress> KeptTexts::Take(const OwnedItem& item, WeightVersion min_version) {
   const auto found = texts_.find(item);
   if (found == texts_.end()) return std::nullopt;
   ItemProgress progress = std::move(found->second);
--- a/source/jobs/kept_texts.h
+++ b/source/jobs/kept_texts.h
@@ -14,15 +14,15 @@
 /// Lives on the node's serial executor.
 class KeptTexts {
  public:
-  void Keep(const ItemId& item, ItemProgress progress);
+  void Keep(const OwnedItem& item, ItemProgress progress);
   /// Gives the text away; nothing if there is none, or if a part of it was made by weights older
   /// than `min_version`.
-  std::optional<ItemProgress> Take(const ItemId& item, WeightVersion min_version);
+  std::optional<ItemProgress> Take(const OwnedItem& item, WeightVersion min_version);
   void Clear();
 
  private:
-  std::map<ItemId, ItemProgress> texts_;
-  std::deque<ItemId> order_;
+  std::map<OwnedItem, ItemProgress> texts_;
+  std::deque<OwnedItem> order_;
 };
 
 }  // namespace millstair
--- a/test/ingress/fake_backends.h
+++ b/test/ingress/fake_backends.h
@@ -126,6 +126,7 @@
     made.headers.push_back({"id", request.request_id});
     made.headers.push_back({"instance", request.instance.value()});
     made.headers.push_back({"left", std::to_string(request.time_left.count())});
+    if (request.tenant != TenantName()) made.headers.push_back({"tenant", request.tenant.value()});
     if (request.resume_after)
       made.headers.push_back({"resume", std::to_string(*request.resume_after)});
     return made;
--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -432,12 +432,48 @@
   CHECK(fixture.backends.CountAt("e:1") >= 2);
 }
 
+TEST_CASE("No text of a tenant's item serves another tenant's item of the same identifier") {
+  const bool whole = GENERATE(true, false);
+  Fixture fixture;
+  fixture.Lead();
+  JobSpec first = fixture.Job("j");
+  first.tenant = TenantName("t1");
+  fixture.Submit(first);
+  fixture.scheduler.RunFor(whole ? milliseconds(1000) : milliseconds(8));
+  fixture.state.Apply(LogIndex(50), EncodeJobCommand({EndJob{JobId("j"), TenantName("t1")}, {}}));
+  fixture.scheduler.RunFor(milliseconds(10));
+  JobSpec second = fixture.Job("k");
+  second.tenant = TenantName("t2");
+  fixture.Submit(second);
+  fixture.scheduler.RunFor(seconds(1));
+  REQUIRE(fixture.backends.CountAt("e:1") == 2);
+  for (const auto& call : fixture.backends.calls) {
+    CHECK_FALSE(FindHeader(call->request.headers, "resume").has_value());
+  }
+  REQUIRE(fixture.ResultOf("k") != nullptr);
+}
+
+TEST_CASE("An item runs for its job's tenant, and its scoring for nobody") {
+  Fixture fixture;
+  fixture.Lead();
+  JobSpec job = fixture.Job("j");
+  job.tenant = TenantName("t1");
+  fixture.Submit(job);
+  fixture.scheduler.RunFor(seconds(1));
+  REQUIRE(fixture.backends.calls.size() == 2);
+  CHECK(FindHeader(fixture.backends.calls[0]->request.headers, "tenant") == "t1");
+  CHECK_FALSE(FindHeader(fixture.backends.calls[1]->request.headers, "tenant").has_value());
+}
+
 /// Items that wait, of the jobs named, in the order in which an engine with one place ran them.
 std::vector<std::string> OrderOfRuns(const std::vector<JobSpec>& jobs) {
   Fixture fixture;
   fixture.reader.table.version = 2;
   fixture.reader.table.routes[0].job_deadline = seconds(8);
   fixture.reader.table.services[0].engine->tokens_per_event = 10;
+  fixture.reader.table.routes[0].priority = 2;
+  fixture.reader.table.tenants =
+      TenantDirectory({{TenantName("urgent"), {"key-1"}, 0}, {TenantName("usual"), {"key-2"}, {}}});
   fixture.configuration.routing = {2, "other content"};
   fixture.Add("e:1", "engines", [](const HttpRequest&) { return Text({"1||one\n\n"}); });
   fixture.configuration.instances[InstanceId("e:1")].slots = 1;
@@ -471,6 +507,17 @@
         std::vector<std::string>{"long", "short-2", "short-1", "short-3"});
 }
 
+TEST_CASE("A tenant's own priority goes before its route's") {
+  Fixture fixture;
+  JobSpec usual = fixture.Job("usual");
+  usual.tenant = TenantName("usual");
+  usual.items = {GuessedItem("long", "a", 2000)};
+  JobSpec urgent = fixture.Job("urgent");
+  urgent.tenant = TenantName("urgent");
+  urgent.items = {GuessedItem("short", "b", 40)};
+  CHECK(OrderOfRuns({usual, urgent}) == std::vector<std::string>{"short", "long"});
+}
+
 TEST_CASE("What no client waits for begins after what clients of other jobs wait for") {
   Fixture fixture;
   JobSpec older = fixture.Job("older");
--- a/test/jobs/job_service_test.cc
+++ b/test/jobs/job_service_test.cc
@@ -68,9 +68,11 @@
   }
 
   std::optional<absl::StatusOr<JobResultCode>> Submit(const std::string& id,
-                                                      Duration timeout = seconds(2)) {
+                                                      Duration timeout = seconds(2),
+                                                      const std::string& tenant = "") {
     JobSpec job;
     job.id = JobId(id);
+    job.tenant = TenantName(tenant);
     job.items.resize(2);
     job.items[0].id = ItemId("a");
     job.items[0].body = "body of a";
@@ -124,6 +126,26 @@
   CHECK(fixture.state.Find(JobId("j")) != nullptr);
 }
 
+TEST_CASE("Results and bodies are given to the job's owner alone") {
+  Fixture fixture;
+  fixture.Submit("j", seconds(2), "t1");
+  JobQuery results;
+  results.job = JobId("j");
+  JobQuery body = results;
+  body.kind = JobQueryKind::kBody;
+  body.item = ItemId("a");
+  for (const char* stranger : {"t2", ""}) {
+    results.tenant = TenantName(stranger);
+    body.tenant = TenantName(stranger);
+    CHECK_FALSE(fixture.Query(results).found);
+    CHECK_FALSE(fixture.Query(body).found);
+  }
+  results.tenant = TenantName("t1");
+  body.tenant = TenantName("t1");
+  CHECK(fixture.Query(results).total == 2);
+  CHECK(fixture.Query(body).body == "body of a");
+}
+
 TEST_CASE("A node without a replica names the leader that the configuration tells of") {
   Fixture fixture;
   End other_end{fixture.wires, "s0"};
--- a/test/jobs/job_state_machine_test.cc
+++ b/test/jobs/job_state_machine_test.cc
@@ -57,6 +57,40 @@
   CHECK(record->results.size() == 1);
 }
 
+JobSpec OwnedJob(const std::string& id, const std::string& tenant) {
+  JobSpec job = Job(id, 1);
+  job.tenant = TenantName(tenant);
+  return job;
+}
+
+TEST_CASE("A job belongs to the tenant that handed it in") {
+  Machine machine;
+  CHECK(machine.Run(SubmitJob{OwnedJob("a", "t1")}) == JobResultCode::kOk);
+  CHECK(machine.Run(SubmitJob{OwnedJob("a", "t1")}) == JobResultCode::kOk);
+  CHECK(machine.Run(SubmitJob{OwnedJob("a", "t2")}) == JobResultCode::kOtherOwner);
+  CHECK(machine.Run(SubmitJob{OwnedJob("a", "")}) == JobResultCode::kOtherOwner);
+  CHECK(machine.Run(EndJob{JobId("a"), TenantName("t2")}) == JobResultCode::kNotFound);
+  CHECK(machine.Run(EndJob{JobId("a"), TenantName()}) == JobResultCode::kNotFound);
+  CHECK_FALSE(machine.machine.Find(JobId("a"))->ended);
+  CHECK(machine.Run(EndJob{JobId("a"), TenantName("t1")}) == JobResultCode::kOk);
+  CHECK(machine.machine.Find(JobId("a"))->ended);
+}
+
+TEST_CASE("A job's owner lasts over a snapshot") {
+  Machine machine;
+  machine.Run(SubmitJob{OwnedJob("a", "t1")});
+  JobStateMachine restored;
+  REQUIRE(restored.Restore(LogIndex(9), machine.machine.TakeSnapshot()).ok());
+  CHECK(restored.Find(JobId("a"))->spec.tenant == TenantName("t1"));
+}
+
+TEST_CASE("A job from before there were tenants stays open to all") {
+  Machine machine;
+  machine.Run(SubmitJob{Job("a", 1)});
+  CHECK(machine.Run(SubmitJob{OwnedJob("a", "t1")}) == JobResultCode::kOk);
+  CHECK(machine.Run(EndJob{JobId("a"), TenantName("t1")}) == JobResultCode::kOk);
+}
+
 TEST_CASE("A position keeps its first result") {
   Machine machine;
   machine.Run(SubmitJob{Job("a", 3)});
--- a/test/platform/routing_codec_test.cc
+++ b/test/platform/routing_codec_test.cc
@@ -62,6 +62,43 @@
   CHECK(findings.empty());
 }
 
+std::string WithTenants(const std::string& tenants) {
+  std::string document = Document(RouteWith(R"("kind":"safe","timeout_ms":800,"service":"pages",
+                                               "public":true)"));
+  document.pop_back();
+  return document + R"(,"tenants":)" + tenants + "}";
+}
+
+TEST_CASE("Tenants, their keys and public routes are read") {
+  const auto without = RoutingCodec().Read(Document(RouteWith(kSafe)));
+  REQUIRE(without.ok());
+  CHECK_FALSE(without->tenants.has_value());
+  CHECK_FALSE(without->routes[0].is_public);
+  const auto table = RoutingCodec().Read(WithTenants(
+      R"([{"name":"t1","api_keys":["k1","k2"],"priority":1},{"name":"t2","api_keys":["k3"]}])"));
+  REQUIRE(table.ok());
+  REQUIRE(table->tenants.has_value());
+  CHECK(table->routes[0].is_public);
+  CHECK(table->CheckAccess("k3", false).tenant == TenantName("t2"));
+  CHECK(table->CheckAccess("k9", false).verdict == AccessVerdict::kUnknownKey);
+  CHECK(table->PriorityOf(table->routes[0], TenantName("t1")) == 1);
+  CHECK(table->PriorityOf(table->routes[0], TenantName("t2")) == table->routes[0].priority);
+  CHECK(RoutingCodec().Read(WithTenants("[]"))->tenants->key_count() == 0);
+}
+
+TEST_CASE(
+    "Tenants that share a key or a name, or have an empty key, make a configuration invalid") {
+  CHECK(FindingsOf(WithTenants(R"([{"name":"t1","api_keys":["k1"]}])")).empty());
+  CHECK(FindingsOf(WithTenants(
+            R"([{"name":"t1","api_keys":["k1"]},{"name":"t2","api_keys":["k1"]}])")) != "");
+  CHECK(FindingsOf(WithTenants(
+            R"([{"name":"t1","api_keys":["k1"]},{"name":"t1","api_keys":["k2"]}])")) != "");
+  CHECK(FindingsOf(WithTenants(R"([{"name":"t1","api_keys":[""]}])")) != "");
+  CHECK(FindingsOf(WithTenants(R"([{"name":"t1","api_keys":[7]}])")) != "");
+  CHECK(FindingsOf(WithTenants(R"([{"api_keys":["k1"]}])")) != "");
+  CHECK(FindingsOf(WithTenants(R"({"t1":["k1"]})")) != "");
+}
+
 TEST_CASE("A configuration that is cut short is refused") {
   const std::string whole = Document(RouteWith(kSafe));
   CHECK(FindingsOf(whole).empty());
--- a/test/platform/server_wire_test.cc
+++ b/test/platform/server_wire_test.cc
@@ -28,6 +28,18 @@
   CHECK(FindHeader(made.headers, "Last-Event-Id") == "4");
 }
 
+TEST_CASE("A server sees no caller's key, and the tenant that the system found alone") {
+  BackendRequest request;
+  request.http = {"GET", "/p/", {{"key", "secret"}, {"TENANT", "forged"}, {"X-Own", "1"}}, ""};
+  CHECK_FALSE(FindHeader(ServerWire().MakeRequest(request).headers, "Tenant").has_value());
+  request.tenant = TenantName("t1");
+  const HttpRequest made = ServerWire().MakeRequest(request);
+  CHECK_FALSE(FindHeader(made.headers, "Key").has_value());
+  CHECK(FindHeader(made.headers, "Tenant") == "t1");
+  CHECK(FindHeader(made.headers, "X-Own") == "1");
+  CHECK(made.headers.size() == 6);
+}
+
 TEST_CASE("Only the server's own word says that a request did not run") {
   const ServerWire wire;
   CHECK(wire.ReadAnswer({503, {{"Not-Run", "1"}}}, "id").not_run);
