--- a/source/cluster/cluster_commands.h
+++ b/source/cluster/cluster_commands.h
@@ -10,9 +10,11 @@
 
 #include "absl/status/statusor.h"
 #include "cluster/configuration.h"
+#include "cluster/holder_leases.h"
 #include "common/ids.h"
 #include "common/time.h"
 #include "consensus/raft_group.h"
+#include "metering/usage_types.h"
 #include "resources/resource.h"
 
 namespace millstair {
@@ -132,10 +134,31 @@
   RetiredNode retired;
 };
 
+/// Counts requests that began to run.
+struct AddUsage {
+  UsageReport report;
+};
+
+/// Fixes the sums of all windows up to `through`.
+struct CloseUsage {
+  UsageWindow through;
+};
+
+/// The platform has taken the sum of a window.
+struct AcceptUsage {
+  UsageWindow window;
+};
+
+/// The leader is about to act on a subject of a duty: other holders leave it alone for a lease.
+struct AnnounceDuty {
+  HolderAnnouncement announcement;
+};
+
 using ClusterOperation =
     std::variant<OpenSession, PutResources, DeleteResource, ClaimKey, SettleClaim, PublishVersion,
                  SetModelTarget, UpdateMembers, FoundGroup, ReplaceRouting, UpdateInstance,
-                 NameVersion, FoundJobGroup, RetireNode, PlaceJobGroup>;
+                 NameVersion, FoundJobGroup, RetireNode, PlaceJobGroup, AddUsage, CloseUsage,
+                 AcceptUsage, AnnounceDuty>;
 
 struct ClusterCommand {
   ClusterOperation operation;
--- a/source/cluster/cluster_replica.cc
+++ b/source/cluster/cluster_replica.cc
@@ -10,6 +10,9 @@
   machine->OnChange(alive_.Guard([this] {
     if (on_change_) on_change_();
   }));
+  machine->OnDutyAnnounced(alive_.Guard([this](const HolderAnnouncement& announcement) {
+    if (on_duty_announced_) on_duty_announced_(announcement);
+  }));
   return machine;
 }
 
@@ -29,6 +32,12 @@
   return machine == nullptr ? kEmpty : machine->configuration();
 }
 
+const UsageLedger& ClusterReplica::usage() const {
+  static const UsageLedger kEmpty;
+  const ClusterStateMachine* machine = state();
+  return machine == nullptr ? kEmpty : machine->usage();
+}
+
 bool ClusterReplica::IsLeader() const {
   const RaftGroup* replica = group();
   return replica != nullptr && replica->IsLeader();
--- a/source/cluster/cluster_replica.h
+++ b/source/cluster/cluster_replica.h
@@ -26,12 +26,18 @@
   /// Called after each change of the configuration or of the founded groups.
   void OnChange(std::function<void()> callback) { on_change_ = std::move(callback); }
 
+  /// Called for each applied announcement of a duty.
+  void OnDutyAnnounced(std::function<void(const HolderAnnouncement&)> callback) {
+    on_duty_announced_ = std::move(callback);
+  }
+
   /// Null until this node has a replica.
   RaftGroup* group() const;
   /// Null until this node has a replica.
   const ClusterStateMachine* state() const;
   /// Empty until this node has a replica.
   const Configuration& configuration() const;
+  const UsageLedger& usage() const;
   bool IsLeader() const;
   std::optional<NodeId> Leader() const;
 
@@ -47,6 +53,7 @@
   Environment& environment_;
   GroupHost* groups_ = nullptr;
   std::function<void()> on_change_;
+  std::function<void(const HolderAnnouncement&)> on_duty_announced_;
   AliveFlag alive_;
 };
 
--- a/source/cluster/cluster_snapshot.cc
+++ b/source/cluster/cluster_snapshot.cc
@@ -2,6 +2,7 @@
 #include "api/generated/cluster.pb.h"
 #include "cluster/cluster_state_machine.h"
 #include "cluster/configuration_wire.h"
+#include "cluster/usage_wire.h"
 #include "wire/nanopb_message.h"
 
 namespace millstair {
@@ -119,6 +120,12 @@
   for (const auto& [stream, found] : founded_groups_) {
     wire.founded_groups[wire.founded_groups_count++] = ToWire(arena, found);
   }
+  wire.has_usage = true;
+  wire.usage = ToWire(arena, usage_.state());
+  wire.duties = arena.NewArray<millstair_AnnounceDuty>(duties_.size());
+  for (const auto& [subject, announcement] : duties_) {
+    wire.duties[wire.duties_count++] = ToWire(arena, announcement);
+  }
   return EncodeNanopb(millstair_ClusterSnapshot_fields, &wire);
 }
 
@@ -142,6 +149,14 @@
     if (!FromWire(wire.founded_groups[i], found)) return absl::DataLossError("bad group");
     founded_groups[found.stream] = std::move(found);
   }
+  UsageLedger::State usage;
+  if (wire.has_usage && !FromWire(wire.usage, usage)) return absl::DataLossError("bad usage");
+  std::map<std::string, HolderAnnouncement> duties;
+  for (pb_size_t i = 0; i < wire.duties_count; ++i) {
+    HolderAnnouncement announcement;
+    if (!FromWire(wire.duties[i], announcement)) return absl::DataLossError("bad duty");
+    duties[announcement.subject] = std::move(announcement);
+  }
   configuration_ = Configuration();
   founded_groups_ = std::move(founded_groups);
   ApplyDelta(configuration_, *delta);
@@ -149,6 +164,11 @@
   sessions_.Replace(std::move(sessions));
   claims_.Replace(std::move(claims));
   history_.Reset(configuration_.revision);
+  usage_.Restore(std::move(usage));
+  duties_ = std::move(duties);
+  for (const auto& [subject, announcement] : duties_) {
+    if (on_duty_announced_) on_duty_announced_(announcement);
+  }
   if (on_change_) on_change_();
   return absl::OkStatus();
 }
--- a/source/cluster/cluster_state_machine.cc
+++ b/source/cluster/cluster_state_machine.cc
@@ -107,6 +107,17 @@
           return claims_.Settle(operation);
         } else if constexpr (std::is_same_v<Operation, FoundGroup>) {
           return Found(index, operation);
+        } else if constexpr (std::is_same_v<Operation, AddUsage>) {
+          usage_.Add(operation.report);
+          return {};
+        } else if constexpr (std::is_same_v<Operation, CloseUsage>) {
+          usage_.Close(operation.through);
+          return {};
+        } else if constexpr (std::is_same_v<Operation, AcceptUsage>) {
+          usage_.Accept(operation.window);
+          return {};
+        } else if constexpr (std::is_same_v<Operation, AnnounceDuty>) {
+          return Announce(operation.announcement);
         } else {
           return editor.Run(operation);
         }
@@ -132,6 +143,12 @@
   return result;
 }
 
+ClusterResult ClusterStateMachine::Announce(const HolderAnnouncement& announcement) {
+  duties_[announcement.subject] = announcement;
+  if (on_duty_announced_) on_duty_announced_(announcement);
+  return {};
+}
+
 void ClusterStateMachine::ForgetGroups(const ChangeSet& changes) {
   for (const ResourceKey& key : changes.resources) {
     if (key.kind != ResourceKind::kStream || configuration_.resources.contains(key)) continue;
--- a/source/cluster/cluster_state_machine.h
+++ b/source/cluster/cluster_state_machine.h
@@ -12,6 +12,7 @@
 #include "cluster/configuration.h"
 #include "cluster/session_table.h"
 #include "consensus/state_machine.h"
+#include "metering/usage_ledger.h"
 
 namespace millstair {
 
@@ -42,7 +43,14 @@
   /// Called after each change of the configuration or of the founded groups, and after a restore.
   void OnChange(std::function<void()> callback) { on_change_ = std::move(callback); }
 
+  /// Called for each announcement that is applied, in the order of the log, and after a restore for
+  /// the latest of each subject.
+  void OnDutyAnnounced(std::function<void(const HolderAnnouncement&)> callback) {
+    on_duty_announced_ = std::move(callback);
+  }
+
   WallTime clock() const { return clock_; }
+  const UsageLedger& usage() const { return usage_; }
   const SessionTable& sessions() const { return sessions_; }
   const ClaimTable& claims() const { return claims_; }
   /// Founders of the groups of streams.
@@ -53,6 +61,7 @@
   ClusterResult RunOnce(LogIndex index, const ClusterCommand& command);
   ClusterResult Run(LogIndex index, const ClusterCommand& command);
   ClusterResult Found(LogIndex index, const FoundGroup& found);
+  ClusterResult Announce(const HolderAnnouncement& announcement);
   /// Forgets the founders of streams that were deleted.
   void ForgetGroups(const ChangeSet& changes);
   void AdvanceClock(WallTime proposed_at);
@@ -65,7 +74,11 @@
   ClaimTable claims_;
   std::map<StreamName, FoundGroup> founded_groups_;
   ChangeHistory history_;
+  UsageLedger usage_;
+  /// The latest for each subject; there is one subject for each duty.
+  std::map<std::string, HolderAnnouncement> duties_;
   std::function<void()> on_change_;
+  std::function<void(const HolderAnnouncement&)> on_duty_announced_;
 };
 
 }  // namespace millstair
--- a/source/cluster/command_codec.cc
+++ b/source/cluster/command_codec.cc
@@ -2,6 +2,7 @@
 #include "cluster/cluster_commands.h"
 #include "cluster/configuration_wire.h"
 #include "cluster/resource_wire.h"
+#include "cluster/usage_wire.h"
 
 namespace millstair {
 
@@ -145,6 +146,28 @@
     wire.operation.place_job_group = ToWire(arena, place.group, place.placement);
   }
 
+  void operator()(const AddUsage& add) const {
+    wire.which_operation = millstair_ClusterCommand_add_usage_tag;
+    wire.operation.add_usage = ToWire(arena, add.report);
+  }
+
+  void operator()(const CloseUsage& close) const {
+    wire.which_operation = millstair_ClusterCommand_close_usage_tag;
+    wire.operation.close_usage = millstair_CloseUsage_init_zero;
+    wire.operation.close_usage.through = close.through.value();
+  }
+
+  void operator()(const AcceptUsage& accept) const {
+    wire.which_operation = millstair_ClusterCommand_accept_usage_tag;
+    wire.operation.accept_usage = millstair_AcceptUsage_init_zero;
+    wire.operation.accept_usage.window = accept.window.value();
+  }
+
+  void operator()(const AnnounceDuty& announce) const {
+    wire.which_operation = millstair_ClusterCommand_announce_duty_tag;
+    wire.operation.announce_duty = ToWire(arena, announce.announcement);
+  }
+
   void operator()(const RetireNode& retire) const {
     wire.which_operation = millstair_ClusterCommand_retire_node_tag;
     wire.operation.retire_node = ToWire(arena, retire.retired);
@@ -238,6 +261,16 @@
       place.group = GroupId(ToString(placed.group));
       return FromWire(placed, place.placement);
     }
+    case millstair_ClusterCommand_add_usage_tag:
+      return FromWire(wire.operation.add_usage, operation.emplace<AddUsage>().report);
+    case millstair_ClusterCommand_close_usage_tag:
+      operation = CloseUsage{UsageWindow(wire.operation.close_usage.through)};
+      return true;
+    case millstair_ClusterCommand_accept_usage_tag:
+      operation = AcceptUsage{UsageWindow(wire.operation.accept_usage.window)};
+      return true;
+    case millstair_ClusterCommand_announce_duty_tag:
+      return FromWire(wire.operation.announce_duty, operation.emplace<AnnounceDuty>().announcement);
     case millstair_ClusterCommand_retire_node_tag:
       return FromWire(wire.operation.retire_node, operation.emplace<RetireNode>().retired);
     default:
--- a/source/cluster/command_service.cc
+++ b/source/cluster/command_service.cc
@@ -4,13 +4,16 @@
 
 namespace millstair {
 
-CommandService::CommandService(PeerTransport& transport, ClusterReplica& cluster,
-                               StreamHost& streams, const MembershipManager& membership,
+CommandService::CommandService(Environment& environment, PeerTransport& transport,
+                               ClusterReplica& cluster, StreamHost& streams,
+                               const MembershipManager& membership, ClockAgreement& clock,
                                NodeId self)
-    : transport_(transport),
+    : environment_(environment),
+      transport_(transport),
       cluster_(cluster),
       streams_(streams),
       membership_(membership),
+      clock_(clock),
       self_(std::move(self)) {}
 
 void CommandService::ReceiveCommand(const NodeId& from, const PeerMessage& message) {
@@ -72,6 +75,7 @@
                                   std::function<void(absl::StatusOr<std::string>)> done) {
   const auto decoded = DecodeClusterQuery(query);
   if (!decoded.ok()) return done(decoded.status());
+  if (decoded->kind == ClusterQueryKind::kTime) return done(AnswerTime(*decoded));
   cluster_.ConfirmRead(
       alive_.Guard([this, query = *decoded, done = std::move(done)](const absl::Status& status) {
         if (!status.ok()) return done(absl::UnavailableError(status.message()));
@@ -87,6 +91,27 @@
   return EncodeDelta(FullDelta(cluster_.configuration()));
 }
 
+absl::StatusOr<std::string> CommandService::AnswerTime(const ClusterQuery& query) {
+  const TimePoint now = environment_.Now();
+  clock_.Note(self_, environment_.WallNow(), now);
+  clock_.Note(query.node, query.wall, now);
+  const auto agreed = AgreedTime();
+  if (!agreed) {
+    // Not Unavailable: a repeat of this call would tell a time that has passed.
+    return absl::FailedPreconditionError("too few clocks were heard of");
+  }
+  return EncodeAgreedTime(*agreed);
+}
+
+std::optional<WallTime> CommandService::AgreedTime() const {
+  if (!cluster_.IsLeader()) return std::nullopt;
+  size_t gateways = 0;
+  for (const auto& [node, record] : cluster_.configuration().nodes) {
+    gateways += record.gateway && record.state == MemberState::kLive ? 1 : 0;
+  }
+  return clock_.Now(environment_.Now(), gateways + 1);
+}
+
 void CommandService::Reply(const NodeId& to, const GroupCommand& command,
                            const absl::StatusOr<std::string>& result) {
   GroupCommandReply reply;
--- a/source/cluster/command_service.h
+++ b/source/cluster/command_service.h
@@ -9,19 +9,25 @@
 #include "cluster/membership_manager.h"
 #include "cluster/stream_host.h"
 #include "common/alive_flag.h"
+#include "common/environment.h"
+#include "metering/clock_agreement.h"
 
 namespace millstair {
 
 class CommandService {
  public:
-  CommandService(PeerTransport& transport, ClusterReplica& cluster, StreamHost& streams,
-                 const MembershipManager& membership, NodeId self);
+  CommandService(Environment& environment, PeerTransport& transport, ClusterReplica& cluster,
+                 StreamHost& streams, const MembershipManager& membership, ClockAgreement& clock,
+                 NodeId self);
 
   void Start(GroupHost& groups) { groups_ = &groups; }
   /// A message of kind kCommand.
   void ReceiveCommand(const NodeId& from, const PeerMessage& message);
   /// A message of kind kCommandReply; whether it was bound for another node and passed on.
   bool PassOnReply(const PeerMessage& message);
+  /// The cluster's time as this node keeps it; none unless it leads the cluster group and has heard
+  /// of enough clocks.
+  std::optional<WallTime> AgreedTime() const;
   /// Runs a command of this node itself. Unavailable if it does not lead the group.
   void Run(const GroupId& wanted, CommandMode mode, const std::string& command,
            std::function<void(absl::StatusOr<std::string>)> done);
@@ -38,13 +44,18 @@
   void QueryCluster(const std::string& query,
                     std::function<void(absl::StatusOr<std::string>)> done);
   absl::StatusOr<std::string> AnswerQuery(const ClusterQuery& query) const;
+  /// Notes the asking node's clock and tells the agreed time. Needs no confirmed read: a leader
+  /// that was deposed unawares still has the clocks that it heard, and its own steady clock.
+  absl::StatusOr<std::string> AnswerTime(const ClusterQuery& query);
   void Reply(const NodeId& to, const GroupCommand& command,
              const absl::StatusOr<std::string>& result);
 
+  Environment& environment_;
   PeerTransport& transport_;
   ClusterReplica& cluster_;
   StreamHost& streams_;
   const MembershipManager& membership_;
+  ClockAgreement& clock_;
   const NodeId self_;
   GroupHost* groups_ = nullptr;
   std::set<Running> running_;
--- a/source/cluster/configuration.cc
+++ b/source/cluster/configuration.cc
@@ -75,6 +75,14 @@
   return true;
 }
 
+std::vector<NodeId> LiveControlNodes(const Configuration& configuration) {
+  std::vector<NodeId> nodes;
+  for (const auto& [node, record] : configuration.nodes) {
+    if (record.control && record.state != MemberState::kGone) nodes.push_back(node);
+  }
+  return nodes;
+}
+
 MemberState EffectiveState(const Configuration& configuration, const EngineName& engine) {
   const auto* spec = configuration.FindSpec<EngineSpec>(ResourceKind::kEngine, engine.value());
   if (spec == nullptr) return MemberState::kGone;
--- a/source/cluster/configuration.h
+++ b/source/cluster/configuration.h
@@ -189,6 +189,9 @@
 std::string EncodeDelta(const ConfigurationDelta& delta);
 absl::StatusOr<ConfigurationDelta> DecodeDelta(std::string_view bytes);
 
+/// Control nodes that are not gone, in the order of their names.
+std::vector<NodeId> LiveControlNodes(const Configuration& configuration);
+
 /// State of a back end, merged from all sources in `configuration` (machine drain, engine drain,
 /// platform list, own word). The most cautious wins; unknown engines are kGone.
 MemberState EffectiveState(const Configuration& configuration, const EngineName& engine);
--- a/source/cluster/control_messages.cc
+++ b/source/cluster/control_messages.cc
@@ -203,9 +203,12 @@
 }
 
 std::string EncodeClusterQuery(const ClusterQuery& query) {
+  WireArena arena;
   millstair_ClusterQuery wire = millstair_ClusterQuery_init_zero;
   wire.kind = static_cast<uint32_t>(query.kind);
   wire.revision = query.revision.value();
+  wire.node = arena.NewString(query.node.value());
+  wire.wall_milliseconds = query.wall.time_since_epoch().count();
   return EncodeNanopb(millstair_ClusterQuery_fields, &wire);
 }
 
@@ -214,11 +217,25 @@
       DecodedMessage<millstair_ClusterQuery>::Decode(millstair_ClusterQuery_fields, bytes);
   if (!decoded.ok()) return decoded.status();
   const uint32_t kind = (*decoded)->kind;
-  if (kind != static_cast<uint32_t>(ClusterQueryKind::kConfiguration) &&
-      kind != static_cast<uint32_t>(ClusterQueryKind::kLagging)) {
+  if (kind < static_cast<uint32_t>(ClusterQueryKind::kConfiguration) ||
+      kind > static_cast<uint32_t>(ClusterQueryKind::kTime)) {
     return Invalid("unknown cluster query");
   }
-  return ClusterQuery{static_cast<ClusterQueryKind>(kind), Revision((*decoded)->revision)};
+  return ClusterQuery{static_cast<ClusterQueryKind>(kind), Revision((*decoded)->revision),
+                      NodeId(ToString((*decoded)->node)),
+                      WallTime(std::chrono::milliseconds((*decoded)->wall_milliseconds))};
+}
+
+std::string EncodeAgreedTime(WallTime time) {
+  millstair_AgreedTime wire = millstair_AgreedTime_init_zero;
+  wire.wall_milliseconds = time.time_since_epoch().count();
+  return EncodeNanopb(millstair_AgreedTime_fields, &wire);
+}
+
+absl::StatusOr<WallTime> DecodeAgreedTime(std::string_view bytes) {
+  auto decoded = DecodedMessage<millstair_AgreedTime>::Decode(millstair_AgreedTime_fields, bytes);
+  if (!decoded.ok()) return decoded.status();
+  return WallTime(std::chrono::milliseconds((*decoded)->wall_milliseconds));
 }
 
 std::string EncodeLagging(const std::vector<NodeProgress>& nodes) {
--- a/source/cluster/control_messages.h
+++ b/source/cluster/control_messages.h
@@ -75,11 +75,15 @@
 enum class ClusterQueryKind : uint8_t {
   kConfiguration = 1,  ///< answered with a full ConfigurationDelta
   kLagging = 2,        ///< answered with the nodes that do not hold `revision`
+  kTime = 3,           ///< answered with the agreed time; tells the asking node's own
 };
 
 struct ClusterQuery {
   ClusterQueryKind kind = ClusterQueryKind::kConfiguration;
   Revision revision;
+  /// For kTime: who asks, and what its wall clock says.
+  NodeId node;
+  WallTime wall;
 };
 
 /// A node and the revision it holds.
@@ -110,6 +114,8 @@
 absl::StatusOr<GroupCommandReply> DecodeGroupCommandReply(std::string_view bytes);
 std::string EncodeClusterQuery(const ClusterQuery& query);
 absl::StatusOr<ClusterQuery> DecodeClusterQuery(std::string_view bytes);
+std::string EncodeAgreedTime(WallTime time);
+absl::StatusOr<WallTime> DecodeAgreedTime(std::string_view bytes);
 std::string EncodeLagging(const std::vector<NodeProgress>& nodes);
 absl::StatusOr<std::vector<NodeProgress>> DecodeLagging(std::string_view bytes);
 
--- a/source/cluster/control_node.cc
+++ b/source/cluster/control_node.cc
@@ -46,7 +46,8 @@
         heartbeats_(environment, transport, cluster_, push_, options_.faults),
         membership_(environment, transport, platform, cluster_, options_),
         streams_(environment, transport, cluster_, std::move(streams), options_.self.node),
-        commands_(transport, cluster_, streams_, membership_, options_.self.node),
+        commands_(environment, transport, cluster_, streams_, membership_, clock_,
+                  options_.self.node),
         submitter_(cluster_, commands_,
                    MakeControlClient(environment, transport, options_.self.node,
                                      WithoutSelf(options_.control_nodes, options_.self.node),
@@ -123,6 +124,14 @@
     cluster_.ConfirmRead(std::move(done));
   }
 
+  const UsageLedger& usage() const override { return cluster_.usage(); }
+
+  std::optional<WallTime> AgreedTime() const override { return commands_.AgreedTime(); }
+
+  void OnDutyAnnounced(std::function<void(const HolderAnnouncement&)> callback) override {
+    cluster_.OnDutyAnnounced(std::move(callback));
+  }
+
   void Drain(std::function<void()> done) override {
     membership_.SetLeaving();
     operators_.Drain();
@@ -263,6 +272,7 @@
   HeartbeatService heartbeats_;
   MembershipManager membership_;
   StreamHost streams_;
+  ClockAgreement clock_;
   CommandService commands_;
   ClusterSubmitter submitter_;
   OperatorsApi operators_;
--- a/source/cluster/control_node.h
+++ b/source/cluster/control_node.h
@@ -16,6 +16,7 @@
 #include "consensus/consensus_faults.h"
 #include "consensus/group_host.h"
 #include "http/exchange.h"
+#include "metering/usage_ledger.h"
 
 namespace millstair {
 
@@ -112,6 +113,13 @@
                              std::function<void(absl::StatusOr<ClusterResult>)> done) = 0;
   /// `done` once `configuration()` holds everything committed before the call.
   virtual void ConfirmRead(std::function<void(absl::Status)> done) = 0;
+  /// Usage as applied on this replica; may be behind.
+  virtual const UsageLedger& usage() const = 0;
+  /// The time that most clocks of the cluster agree on; none on a node that does not lead, and
+  /// until enough nodes were heard of.
+  virtual std::optional<WallTime> AgreedTime() const = 0;
+  /// `callback` hears of each announcement of a duty that is applied here.
+  virtual void OnDutyAnnounced(std::function<void(const HolderAnnouncement&)> callback) = 0;
   /// Hands over all leaderships, then calls `done`. For a planned stop.
   virtual void Drain(std::function<void()> done) = 0;
 };
--- a/source/jobs/order_leases.cc
+++ b/source/cluster/holder_leases.cc
@@ -1,16 +1,16 @@
-#include "jobs/order_leases.h"
+#include "cluster/holder_leases.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace millstair {
 
-OrderLeases::OrderLeases(Environment& environment, NodeId self, Duration lease)
+HolderLeases::HolderLeases(Environment& environment, NodeId self, Duration lease)
     : environment_(environment), self_(std::move(self)), lease_(lease) {}
 
-void OrderLeases::NoteAnnouncement(const AnnounceOrder& announcement) {
+void HolderLeases::NoteAnnouncement(const HolderAnnouncement& announcement) {
   const TimePoint now = environment_.Now();
-  for (auto& [instance, held] : held_) {
+  for (auto& [subject, held] : held_) {
     const bool same_term = held.announcement.holder == announcement.holder &&
                            held.announcement.term == announcement.term;
     if (!same_term) continue;
@@ -18,14 +18,14 @@
     held.until = std::min(held.until, now + lease_ - passed);
   }
   std::erase_if(held_, [now](const auto& entry) { return entry.second.until <= now; });
-  held_.erase(announcement.instance);
-  // This node's own orders are no other holder's.
+  held_.erase(announcement.subject);
+  // This node's own acts are no other holder's.
   if (announcement.holder == self_) return;
-  held_[announcement.instance] = {announcement, now + lease_};
+  held_[announcement.subject] = {announcement, now + lease_};
 }
 
-bool OrderLeases::MayOrder(const InstanceId& instance) const {
-  const auto held = held_.find(instance);
+bool HolderLeases::MayAct(const std::string& subject) const {
+  const auto held = held_.find(subject);
   return held == held_.end() || environment_.Now() >= held->second.until;
 }
 
--- /dev/null
+++ b/source/cluster/holder_leases.h
@@ -0,0 +1,58 @@
+/// Which subjects of a duty this node may act on: engines that take orders, or the platform's
+/// accounts. The holder of a subject is whoever announced the latest act in the group's log;
+/// another node waits until the holder's lease is over for that subject. Time is counted from when
+/// announcements are applied here, which is never before they were made; announcements of one term
+/// also tell how much of the holder's time passed between them, so that a node that applies an old
+/// log at once waits only for what is left.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "common/environment.h"
+#include "common/ids.h"
+
+namespace millstair {
+
+/// An act is carried out within this time of its announcement or not at all: it covers a commit of
+/// the group and a slow scheduler, and is far below any lease.
+inline constexpr Duration kAnnouncedFor = std::chrono::milliseconds(250);
+/// Beyond the lease: an act on its way may arrive late by this, a new connection among it.
+inline constexpr Duration kLeaseMargin = std::chrono::milliseconds(400) + kAnnouncedFor;
+
+/// The holder is about to act on a subject, within kAnnouncedFor.
+struct HolderAnnouncement {
+  NodeId holder;
+  std::string subject;
+  /// In which the holder leads the group; also the fence of its acts.
+  Term term;
+  /// Steady time of the holder; comparable with its other announcements of the same term only.
+  Duration announced_at{0};
+  friend bool operator==(const HolderAnnouncement&, const HolderAnnouncement&) = default;
+};
+
+/// Lives on the node's serial executor.
+class HolderLeases {
+ public:
+  /// `lease` is counted from an announcement, and covers the time that its act may take.
+  HolderLeases(Environment& environment, NodeId self, Duration lease);
+
+  /// An announcement was applied here, in the order of the log.
+  void NoteAnnouncement(const HolderAnnouncement& announcement);
+  /// False while another node may hold `subject`.
+  bool MayAct(const std::string& subject) const;
+
+ private:
+  struct Held {
+    HolderAnnouncement announcement;
+    TimePoint until;
+  };
+
+  Environment& environment_;
+  const NodeId self_;
+  const Duration lease_;
+  /// Leases of other nodes; those that are over go with the next announcement.
+  std::map<std::string, Held> held_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/duties/usage_duty.cc
@@ -0,0 +1,197 @@
+#include "duties/usage_duty.h"
+
+#include <utility>
+
+#include "cluster/cluster_replica.h"
+#include "common/event_log.h"
+
+namespace millstair {
+namespace {
+
+/// How often the leader looks whether there is something to close or to send.
+constexpr Duration kTick = std::chrono::milliseconds(250);
+/// From the end of a window until its sum is fixed. A request is counted once it is answered (1.5 s
+/// at the most where time limits are usual), reported within half a second, and committed by
+/// another leader after an election at the latest.
+constexpr Duration kLateReports = std::chrono::milliseconds(3500);
+/// A call without an answer for this long is given up. A slow platform still answers within it.
+constexpr Duration kAnswerLimit = std::chrono::seconds(2);
+/// Before a call that was not taken is repeated: a window is due seconds after its end, and the
+/// platform takes a few tens of calls a second from all nodes.
+constexpr Duration kRetryPause = std::chrono::milliseconds(500);
+/// A call that the platform refuses as such will hardly be taken sooner.
+constexpr Duration kRefusedPause = std::chrono::seconds(5);
+/// All windows are one subject: calls of two holders may not alternate.
+constexpr char kSubject[] = "usage";
+
+/// The control node's side of the duty.
+class ControlUsageHost : public UsageDutyHost {
+ public:
+  explicit ControlUsageHost(ControlNode& control) : control_(control) {}
+
+  std::optional<Term> LeadingTerm() const override {
+    if (!control_.IsClusterLeader()) return std::nullopt;
+    return control_.groups().Find(kClusterGroup)->CurrentTerm();
+  }
+  const UsageLedger& ledger() const override { return control_.usage(); }
+  std::optional<WallTime> AgreedTime() const override { return control_.AgreedTime(); }
+  void Propose(ClusterOperation operation, std::function<void(bool)> done) override {
+    control_.Propose({std::move(operation), std::nullopt, {}},
+                     [done = std::move(done)](const absl::StatusOr<ClusterResult>& result) {
+                       done(result.ok() && result->code == ClusterResultCode::kOk);
+                     });
+  }
+
+ private:
+  ControlNode& control_;
+};
+
+/// A duty with the host that it runs on.
+class HostedUsageDuty : private ControlUsageHost, public UsageDuty {
+ public:
+  HostedUsageDuty(Environment& environment, HttpCaller& http, const DutyProtocol& protocol,
+                  ControlNode& control, UsageDutyOptions options)
+      : ControlUsageHost(control),
+        UsageDuty(environment, http, protocol, static_cast<ControlUsageHost&>(*this),
+                  std::move(options)) {}
+};
+
+}  // namespace
+
+std::string_view DutyAnswerName(DutyAnswer answer) {
+  switch (answer) {
+    case DutyAnswer::kTaken:
+      return "taken";
+    case DutyAnswer::kBusy:
+      return "busy";
+    case DutyAnswer::kRefused:
+      return "refused";
+    case DutyAnswer::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
+UsageDuty::UsageDuty(Environment& environment, HttpCaller& http, const DutyProtocol& protocol,
+                     UsageDutyHost& host, UsageDutyOptions options)
+    : environment_(environment),
+      http_(http),
+      protocol_(protocol),
+      host_(host),
+      options_(std::move(options)),
+      leases_(environment, options_.self, options_.holder_lease + kLeaseMargin),
+      tick_timer_(environment) {}
+
+void UsageDuty::NoteAnnouncement(const HolderAnnouncement& announcement) {
+  if (announcement.subject == kSubject) leases_.NoteAnnouncement(announcement);
+}
+
+void UsageDuty::Run(const Configuration&) {
+  if (!tick_timer_.armed()) Tick();
+}
+
+void UsageDuty::Tick() {
+  const auto term = host_.LeadingTerm();
+  if (!term) return BeginTerm(Term());
+  if (*term != term_) BeginTerm(*term);
+  tick_timer_.Arm(kTick, [this] { Tick(); });
+  CloseWindows();
+  SendOldest();
+}
+
+void UsageDuty::BeginTerm(Term term) {
+  term_ = term;
+  call_.reset();
+  closing_ = false;
+  sending_ = false;
+  next_call_at_ = environment_.Now();
+}
+
+void UsageDuty::CloseWindows() {
+  const auto now = host_.AgreedTime();
+  const auto first_open = host_.ledger().FirstOpen();
+  if (!now || closing_ || !first_open) return;
+  const Duration since_epoch = Duration(now->time_since_epoch()) - kLateReports;
+  const auto begun = static_cast<uint64_t>(since_epoch / options_.window);
+  const UsageWindow through(begun - 1);
+  if (through < *first_open) return;
+  closing_ = true;
+  LogEvent(EventId::kUsageWindowsClosed, "through={} time={} term={}", through,
+           now->time_since_epoch().count(), term_);
+  host_.Propose(CloseUsage{through}, alive_.Guard([this, term = term_](bool) {
+    if (term != term_) return;
+    closing_ = false;
+    SendOldest();
+  }));
+}
+
+void UsageDuty::SendOldest() {
+  if (sending_ || environment_.Now() < next_call_at_ || !leases_.MayAct(kSubject)) return;
+  const auto window = host_.ledger().OldestUnreported();
+  if (window) Announce(*window);
+}
+
+void UsageDuty::Announce(UsageWindow window) {
+  sending_ = true;
+  const TimePoint now = environment_.Now();
+  const AnnounceDuty announce{{options_.self, kSubject, term_, now.time_since_epoch()}};
+  host_.Propose(announce, alive_.Guard([this, window, now, term = term_](bool committed) {
+    if (term != term_) return;
+    if (!committed) return Rest(kRetryPause);
+    Send(window, now);
+  }));
+}
+
+void UsageDuty::Send(UsageWindow window, TimePoint announced_at) {
+  // By now every earlier announcement is applied here.
+  const TimePoint now = environment_.Now();
+  const bool in_time = now - announced_at <= kAnnouncedFor && leases_.MayAct(kSubject);
+  const auto counts = host_.ledger().windows().find(window);
+  if (!in_time || host_.LeadingTerm() != term_ || counts == host_.ledger().windows().end()) {
+    LogEvent(EventId::kDutyWithheld, "subject={} window={} term={} announced_ms={}", kSubject,
+             window, term_, (now - announced_at).count() / 1000);
+    return Rest(kRetryPause);
+  }
+  const UsageStatement statement{window, counts->second};
+  LogEvent(EventId::kUsageSent, "window={} tenants={} fence={}", window, statement.counts.size(),
+           term_);
+  call_ = std::make_unique<BoundedCall>(
+      environment_, kAnswerLimit,
+      alive_.Guard([this, window, term = term_](int status, const std::string&) {
+        if (term == term_) TakeAnswer(window, protocol_.ReadAnswer(status));
+      }));
+  call_->Start(http_, options_.platform,
+               protocol_.MakeUsageCall(statement, {options_.machine, term_.value()}));
+}
+
+void UsageDuty::TakeAnswer(UsageWindow window, DutyAnswer answer) {
+  call_.reset();
+  LogEvent(EventId::kUsageAnswered, "window={} answer={} fence={}", window, DutyAnswerName(answer),
+           term_);
+  if (answer == DutyAnswer::kRefused) return Rest(kRefusedPause);
+  if (answer != DutyAnswer::kTaken) return Rest(kRetryPause);
+  host_.Propose(AcceptUsage{window}, alive_.Guard([this, term = term_](bool committed) {
+    if (term != term_) return;
+    // Unknown: it is sent again, which the platform takes for a repeat.
+    Rest(committed ? Duration(0) : kRetryPause);
+    SendOldest();
+  }));
+}
+
+void UsageDuty::Rest(Duration pause) {
+  sending_ = false;
+  next_call_at_ = environment_.Now() + pause;
+}
+
+std::unique_ptr<UsageDuty> MakeUsageDuty(Environment& environment, HttpCaller& http,
+                                         const DutyProtocol& protocol, ControlNode& control,
+                                         UsageDutyOptions options) {
+  auto duty =
+      std::make_unique<HostedUsageDuty>(environment, http, protocol, control, std::move(options));
+  control.OnDutyAnnounced([duty = duty.get()](const HolderAnnouncement& announcement) {
+    duty->NoteAnnouncement(announcement);
+  });
+  return duty;
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/duties/usage_duty.h
@@ -0,0 +1,93 @@
+/// Sends the platform the sum of each window of usage, once the window is over and the gateways'
+/// late reports are in.
+///
+/// The leader of the cluster group holds the duty, with its term as the fence. It has the sum of a
+/// window committed before the window is first sent, so that whoever sends it again sends the same.
+/// Before each call it commits an announcement; it makes the call soon after or not at all, and a
+/// new leader makes none until the lease of the last announcement of another node is over.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cluster/control_node.h"
+#include "cluster/holder_leases.h"
+#include "common/alive_flag.h"
+#include "common/environment.h"
+#include "common/scoped_timer.h"
+#include "duties/duty_protocol.h"
+#include "http/bounded_call.h"
+
+namespace millstair {
+
+/// What the duty needs of the control node on which it runs; outlives it.
+class UsageDutyHost {
+ public:
+  virtual ~UsageDutyHost() = default;
+  /// Term in which this node leads the cluster group; none while it does not lead.
+  virtual std::optional<Term> LeadingTerm() const = 0;
+  virtual const UsageLedger& ledger() const = 0;
+  virtual std::optional<WallTime> AgreedTime() const = 0;
+  /// `done` tells whether the operation is committed and applied here; false leaves it unknown.
+  virtual void Propose(ClusterOperation operation, std::function<void(bool)> done) = 0;
+};
+
+struct UsageDutyOptions {
+  NodeId self;
+  /// Name of this node's machine.
+  std::string machine;
+  /// "ip:port" of the platform.
+  std::string platform;
+  /// Length of a window.
+  Duration window{0};
+  /// No call within this time of another holder's.
+  Duration holder_lease = std::chrono::seconds(3);
+};
+
+/// Lives on the node's serial executor.
+class UsageDuty : public ClusterDuty {
+ public:
+  UsageDuty(Environment& environment, HttpCaller& http, const DutyProtocol& protocol,
+            UsageDutyHost& host, UsageDutyOptions options);
+
+  void NoteAnnouncement(const HolderAnnouncement& announcement);
+  void Run(const Configuration& configuration) override;
+  void Observe(const NodeId&, const EngineObservation&) override {}
+
+ private:
+  void Tick();
+  /// Forgets what was under way in an earlier term.
+  void BeginTerm(Term term);
+  void CloseWindows();
+  void SendOldest();
+  void Announce(UsageWindow window);
+  void Send(UsageWindow window, TimePoint announced_at);
+  void TakeAnswer(UsageWindow window, DutyAnswer answer);
+  /// Nothing is under way any more; the next call is made after `pause`.
+  void Rest(Duration pause);
+
+  Environment& environment_;
+  HttpCaller& http_;
+  const DutyProtocol& protocol_;
+  UsageDutyHost& host_;
+  const UsageDutyOptions options_;
+  HolderLeases leases_;
+  Term term_;
+  /// A proposal that closes windows is under way.
+  bool closing_ = false;
+  /// An announcement, a call or the note of its answer is under way.
+  bool sending_ = false;
+  TimePoint next_call_at_;
+  std::unique_ptr<BoundedCall> call_;
+  ScopedTimer tick_timer_;
+  AliveFlag alive_;
+};
+
+/// The duty on `control`, which outlives it.
+std::unique_ptr<UsageDuty> MakeUsageDuty(Environment& environment, HttpCaller& http,
+                                         const DutyProtocol& protocol, ControlNode& control,
+                                         UsageDutyOptions options);
+
+}  // namespace millstair
--- /dev/null
+++ b/source/http/bounded_call.h
@@ -0,0 +1,42 @@
+/// One small exchange with another server that is given up after a time.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "common/environment.h"
+#include "common/scoped_timer.h"
+#include "http/exchange.h"
+
+namespace millstair {
+
+/// Lives on the node's serial executor. Dropping it cancels the exchange.
+class BoundedCall : public HttpCallObserver {
+ public:
+  /// Status 0 means that no whole answer came.
+  using Callback = std::function<void(int status, const std::string& body)>;
+
+  /// `done` is called once, never by the constructor, and may destroy the call.
+  BoundedCall(Environment& environment, Duration limit, Callback done);
+
+  void Start(HttpCaller& http, const std::string& address, HttpRequest request);
+
+  void OnHead(const HttpResponseHead& head) override { status_ = head.status; }
+  void OnBody(std::string bytes) override { body_ += bytes; }
+  void OnFinished() override { End(status_); }
+  void OnFailed(CallFailure, const std::string&) override { End(0); }
+
+ private:
+  void End(int status);
+
+  Environment& environment_;
+  const Duration longest_;
+  Callback done_;
+  ScopedTimer limit_;
+  std::unique_ptr<CallHandle> handle_;
+  int status_ = 0;
+  std::string body_;
+};
+
+}  // namespace millstair
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -84,6 +84,7 @@
   }
 
   const InstanceId& instance() const { return instance_; }
+  TimePoint sent_at() const { return sent_at_; }
   const std::string& signature() const { return answer_.signature; }
 
  private:
@@ -104,6 +105,7 @@
       request_(std::move(request)),
       done_(std::move(done)),
       started_at_(context.environment.Now()),
+      meter_(context.on_begun, request_.tenant),
       deadline_timer_(context.environment),
       retry_timer_(context.environment),
       hedge_timer_(context.environment) {
@@ -112,7 +114,12 @@
   deadline_ = started_at_ + limit;
 }
 
-ForwardFlow::~ForwardFlow() {
+ForwardFlow::~ForwardFlow() { CancelTries(); }
+
+void ForwardFlow::CancelTries() {
+  // Those still under way have begun, unless the back end holds them in its queue; an earlier try
+  // that was answered goes before.
+  if (!tries_.empty()) meter_.NoteBegun(tries_.front()->sent_at());
   for (const auto& attempt : tries_) attempt->End(BackendEnd::kCancelled);
 }
 
@@ -181,6 +188,7 @@
 
 void ForwardFlow::OnAnswer(Try& attempt, const HttpResponseHead& head, std::string body) {
   const std::string signature = attempt.signature();
+  meter_.NoteBegun(attempt.sent_at());
   // A server's own failure of a request that may run again is worth another try elsewhere.
   constexpr int kServerError = 500;
   const bool failed = head.status == kServerError;
@@ -209,6 +217,8 @@
 
 void ForwardFlow::OnFailed(Try& attempt, bool unreachable, const std::string& reason) {
   if (unreachable) --may_have_run_;
+  // What was sent and not refused has most likely begun.
+  if (!unreachable) meter_.NoteBegun(attempt.sent_at());
   last_reason_ = reason;
   EndTry(attempt, unreachable ? BackendEnd::kUnreachable : BackendEnd::kFailed);
   if (tries_.empty()) TryAgainOrFail();
@@ -249,7 +259,7 @@
   deadline_timer_.Cancel();
   retry_timer_.Cancel();
   hedge_timer_.Cancel();
-  for (const auto& attempt : tries_) attempt->End(BackendEnd::kCancelled);
+  CancelTries();
   const Callback done = std::move(done_);
   done(std::move(result));
 }
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -60,12 +60,36 @@
   uint32_t server_errors = 0;
 };
 
+/// Hears that a request of a tenant began to run at a back end, at the given time.
+using BegunListener = std::function<void(const TenantName& tenant, TimePoint at)>;
+
 /// What flows share; outlives them.
 struct ForwardContext {
   Environment& environment;
   HttpCaller& http;
   BackendDirectory& directory;
   const BackendProtocol& protocol;
+  /// May be empty.
+  BegunListener on_begun = {};
+};
+
+/// Meters one request: it counts once, wherever and however often it ran.
+class RequestMeter {
+ public:
+  /// `listener` outlives the meter. Requests of nobody are not metered.
+  RequestMeter(const BegunListener& listener, const TenantName& tenant)
+      : listener_(listener), tenant_(tenant) {}
+  /// A back end began to run the request at `at`, or is taken to have done so.
+  void NoteBegun(TimePoint at) {
+    if (noted_ || tenant_ == TenantName() || !listener_) return;
+    noted_ = true;
+    listener_(tenant_, at);
+  }
+
+ private:
+  const BegunListener& listener_;
+  const TenantName tenant_;
+  bool noted_ = false;
 };
 
 /// The service that one request of `route` goes to, by the weights.
@@ -92,6 +116,7 @@
   void OnRefused(Try& attempt, bool wrong_instance);
   void OnFailed(Try& attempt, bool unreachable, const std::string& reason);
   void EndTry(Try& attempt, BackendEnd end);
+  void CancelTries();
   void TryAgainOrFail();
   void OnDeadline();
   void Finish(ForwardResult result);
@@ -107,6 +132,7 @@
   /// Tries that ended; kept until the flow goes, since their callbacks may be running.
   std::vector<std::unique_ptr<Try>> ended_tries_;
   std::set<InstanceId> tried_;
+  RequestMeter meter_;
   /// Back ends that may have run the request.
   uint32_t may_have_run_ = 0;
   uint32_t sent_ = 0;
--- a/source/ingress/ingress_service.h
+++ b/source/ingress/ingress_service.h
@@ -27,6 +27,8 @@
                  const RoutingDocumentReader& reader, Zone own_zone,
                  StatsRegistry* stats = nullptr);
 
+  /// Hears of requests that began to run.
+  void OnBegun(BegunListener listener) { context_.on_begun = std::move(listener); }
   /// The node's configuration changed.
   void Update(const Configuration& configuration);
 
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -68,6 +68,7 @@
       sink_(sink),
       done_(std::move(done)),
       started_at_(context.environment.Now()),
+      meter_(context.on_begun, request_.tenant),
       deadline_timer_(context.environment),
       retry_timer_(context.environment) {
   Duration limit = route_.timeout.value_or(kLongestWithoutLimit);
@@ -154,7 +155,11 @@
     whole += lines;
     whole += "\n\n";
   }
-  if (!whole.empty()) sink_.OnEvents(std::move(whole));
+  if (!whole.empty()) {
+    // A generation begins with its first token.
+    meter_.NoteBegun(context_.environment.Now());
+    sink_.OnEvents(std::move(whole));
+  }
   return sound;
 }
 
--- a/source/ingress/stream_flow.h
+++ b/source/ingress/stream_flow.h
@@ -80,6 +80,7 @@
   /// The answer is no stream: it is passed on as a whole.
   bool plain_ = false;
   uint64_t events_ = 0;
+  RequestMeter meter_;
   uint32_t may_have_run_ = 0;
   uint32_t sent_ = 0;
   ScopedTimer deadline_timer_;
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -1,13 +1,20 @@
 #include "jobs/ingress_node.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "cluster/cluster_commands.h"
+#include "cluster/cluster_replica.h"
 #include "jobs/job_group_founder.h"
 #include "jobs/job_group_nodes.h"
 
 namespace millstair {
 namespace {
 
+/// A report that is not known to be committed by then is sent again under the same number.
+constexpr Duration kClusterPatience = std::chrono::seconds(5);
+/// An answer that comes later says little: the time between is not known.
+constexpr Duration kTimePatience = std::chrono::milliseconds(400);
 constexpr Duration kReadyPoll = std::chrono::milliseconds(50);
 /// A node that has just started is proven fresh after one or two heartbeats; the caller's next try
 /// reaches another node anyway.
@@ -19,6 +26,7 @@
                          const BackendProtocol& protocol, const RoutingDocumentReader& reader,
                          IngressNodeOptions options)
     : transport_(transport),
+      first_control_nodes_(options.control_nodes),
       self_(options.self.node),
       zone_(options.self.zone),
       configuration_(MakeConfigurationClient(environment, transport, options.self,
@@ -28,14 +36,65 @@
           environment, transport,
           [this] { return JobNodesForChanges(configuration(), kJobGroup, zone_); },
           [this] { return JobNodesForReads(configuration(), kJobGroup, zone_); }),
-      ready_timer_(environment) {}
+      cluster_(environment, transport, kClusterGroup, [this] { return ControlNodes(); }),
+      usage_(
+          environment, {options.self.node, options.self.incarnation, options.usage_window},
+          [this](const UsageReport& report, std::function<void(bool)> done) {
+            SubmitUsage(report, std::move(done));
+          },
+          [this](WallTime own, std::function<void(std::optional<WallTime>)> done) {
+            AskTime(own, std::move(done));
+          }),
+      ready_timer_(environment) {
+  ingress_.OnBegun(
+      [this](const TenantName& tenant, TimePoint at) { usage_.NoteBegun(tenant, at); });
+}
 
 void IngressNode::Start() {
   configuration_->OnChange([this] { ConfigurationChanged(); });
   configuration_->Start();
+  usage_.Start();
   CheckReady();
 }
 
+void IngressNode::SetLeaving() {
+  configuration_->SetLeaving();
+  usage_.SetLeaving();
+}
+
+std::vector<NodeId> IngressNode::ControlNodes() const {
+  std::vector<NodeId> nodes = LiveControlNodes(configuration());
+  if (!nodes.empty()) {
+    // Any of them passes a command on to the leader: each gateway turns to another one first.
+    const size_t first = std::hash<NodeId>()(self_) % nodes.size();
+    std::rotate(nodes.begin(), nodes.begin() + static_cast<std::ptrdiff_t>(first), nodes.end());
+    return nodes;
+  }
+  for (const ControlEndpoint& endpoint : first_control_nodes_) nodes.push_back(endpoint.node);
+  return nodes;
+}
+
+void IngressNode::SubmitUsage(const UsageReport& report, std::function<void(bool)> done) {
+  const ClusterCommand command{AddUsage{report}, std::nullopt, {}};
+  cluster_.Submit(CommandMode::kPropose, EncodeCommand(command), kClusterPatience,
+                  [done = std::move(done)](const absl::StatusOr<std::string>& answer) {
+                    const auto result = answer.ok() ? DecodeResult(*answer) : answer.status();
+                    done(result.ok() && result->code == ClusterResultCode::kOk);
+                  });
+}
+
+void IngressNode::AskTime(WallTime own, std::function<void(std::optional<WallTime>)> done) {
+  ClusterQuery query;
+  query.kind = ClusterQueryKind::kTime;
+  query.node = self_;
+  query.wall = own;
+  cluster_.Submit(CommandMode::kQuery, EncodeClusterQuery(query), kTimePatience,
+                  [done = std::move(done)](const absl::StatusOr<std::string>& answer) {
+                    const auto time = answer.ok() ? DecodeAgreedTime(*answer) : answer.status();
+                    done(time.ok() ? std::optional(*time) : std::nullopt);
+                  });
+}
+
 void IngressNode::ConfigurationChanged() {
   for (const auto& [node, record] : configuration().nodes) {
     if (node != self_ && record.storage) transport_.SetAddress(node, record.address);
@@ -63,7 +122,10 @@
 }
 
 void IngressNode::Receive(const NodeId& from, const PeerMessage& message) {
-  if (message.kind == MessageKind::kCommandReply) return jobs_.Receive(from, message);
+  if (message.kind == MessageKind::kCommandReply) {
+    if (!cluster_.Receive(from, message)) jobs_.Receive(from, message);
+    return;
+  }
   configuration_->Receive(from, message);
 }
 
--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -6,10 +6,12 @@
 #include <vector>
 
 #include "cluster/configuration_client.h"
+#include "cluster/group_client.h"
 #include "common/environment.h"
 #include "common/peer_transport.h"
 #include "ingress/ingress_service.h"
 #include "jobs/job_client.h"
+#include "metering/usage_counter.h"
 
 namespace millstair {
 
@@ -19,6 +21,8 @@
   ConfigurationTiming configuration_timing;
   /// Outlives the node; may be null.
   StatsRegistry* stats = nullptr;
+  /// Length of the windows in which requests are metered; 0 meters none.
+  Duration usage_window{0};
 };
 
 enum class AdmissionVerdict : uint8_t {
@@ -46,7 +50,7 @@
   void Start();
   /// The routes are known, and were proven fresh in this life.
   bool Ready() const { return ready_; }
-  void SetLeaving() { configuration_->SetLeaving(); }
+  void SetLeaving();
   void Receive(const NodeId& from, const PeerMessage& message) override;
 
   /// Whether whoever holds `key` may call `route`; a null route is a call about a batch job, which
@@ -64,13 +68,19 @@
  private:
   void ConfigurationChanged();
   void CheckReady();
+  std::vector<NodeId> ControlNodes() const;
+  void SubmitUsage(const UsageReport& report, std::function<void(bool)> done);
+  void AskTime(WallTime own, std::function<void(std::optional<WallTime>)> done);
 
   PeerTransport& transport_;
+  const std::vector<ControlEndpoint> first_control_nodes_;
   const NodeId self_;
   const Zone zone_;
   std::unique_ptr<ConfigurationClient> configuration_;
   IngressService ingress_;
   JobClient jobs_;
+  GroupClient cluster_;
+  UsageCounter usage_;
   bool ready_ = false;
   ScopedTimer ready_timer_;
 };
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -19,8 +19,6 @@
 constexpr Duration kShortestLoad = std::chrono::milliseconds(50);
 /// How often an engine is asked whether its load is done once it should be.
 constexpr Duration kNextQuestion = std::chrono::milliseconds(50);
-/// An order is given within this time of its announcement or not at all.
-constexpr Duration kAnnouncedFor = std::chrono::milliseconds(250);
 /// A load that is not done by then was not taken, or its engine is stuck.
 constexpr Duration kLongestLoad = std::chrono::seconds(8);
 /// An exchange without an answer for this long is given up.
@@ -28,47 +26,9 @@
 /// A request that was sent to an engine has begun after this time: a dozen prompts of a thousand
 /// tokens are read in some forty milliseconds. An order refuses what has not begun.
 constexpr Duration kBeginTime = std::chrono::milliseconds(100);
-/// Beyond the lease: an order on its way may arrive late by this.
-constexpr Duration kLeaseMargin = std::chrono::milliseconds(400) + kAnnouncedFor;
 
 }  // namespace
 
-/// One request to an engine and its small answer.
-class LoadScheduler::Exchange : public HttpCallObserver {
- public:
-  /// Status 0 means that no whole answer came.
-  using Callback = std::function<void(int status, const std::string& body)>;
-
-  Exchange(Environment& environment, Callback done)
-      : environment_(environment), done_(std::move(done)), limit_(environment) {}
-
-  void Start(HttpCaller& http, const std::string& address, HttpRequest request) {
-    limit_.Arm(kAnswerLimit, [this] { End(0); });
-    handle_ = http.Start(address, std::move(request), *this);
-  }
-  void OnHead(const HttpResponseHead& head) override { status_ = head.status; }
-  void OnBody(std::string bytes) override { body_ += bytes; }
-  void OnFinished() override { End(status_); }
-  void OnFailed(CallFailure, const std::string&) override { End(0); }
-
- private:
-  void End(int status) {
-    if (!done_) return;
-    limit_.Cancel();
-    handle_.reset();
-    // The callback destroys this exchange, so it runs from the event loop.
-    environment_.Schedule(Duration(0), [done = std::exchange(done_, nullptr), status,
-                                        body = std::move(body_)] { done(status, body); });
-  }
-
-  Environment& environment_;
-  Callback done_;
-  ScopedTimer limit_;
-  std::unique_ptr<CallHandle> handle_;
-  int status_ = 0;
-  std::string body_;
-};
-
 LoadScheduler::LoadScheduler(Environment& environment, HttpCaller& http,
                              BackendDirectory& directory, const BackendProtocol& protocol,
                              NodeId self, LoadOptions options)
@@ -311,7 +271,7 @@
   for (const auto& [instance, engine] : engines_) {
     if (engine.loading || engine.reserved || exchanges_.contains(instance)) continue;
     if (now < engine.ask_again_at) continue;
-    if (directory_.Ejected(instance) || !leases_.MayOrder(instance)) continue;
+    if (directory_.Ejected(instance) || !MayOrder(instance)) continue;
     if (!Wanted(instance)) continue;
     behind.push_back(instance);
   }
@@ -347,8 +307,9 @@
 void LoadScheduler::AskReport(const InstanceId& instance) {
   const BackendInstance* target = directory_.FindLive(instance);
   if (target == nullptr) return Release(instance);
-  auto exchange = std::make_unique<Exchange>(
-      environment_, alive_.Guard([this, instance](int status, const std::string& body) {
+  auto exchange = std::make_unique<BoundedCall>(
+      environment_, kAnswerLimit,
+      alive_.Guard([this, instance](int status, const std::string& body) {
         if (exchanges_.erase(instance) == 0 || !engines_.contains(instance)) return;
         EngineLoadState& engine = engines_.at(instance);
         engine.ask_again_at = environment_.Now() + kNextQuestion;
@@ -358,7 +319,7 @@
         if (report.ok()) HandleReport(instance, *report);
         Release(instance);
       }));
-  Exchange& started = *exchange;
+  BoundedCall& started = *exchange;
   exchanges_[instance] = std::move(exchange);
   started.Start(http_, target->address, protocol_.MakeReportRequest(instance));
 }
@@ -407,7 +368,7 @@
 
 void LoadScheduler::Order(const InstanceId& instance, const NamedVersion& wanted, uint64_t orders) {
   const TimePoint now = environment_.Now();
-  if (group_ == nullptr || !caught_up_ || !leases_.MayOrder(instance)) return;
+  if (group_ == nullptr || !caught_up_ || !MayOrder(instance)) return;
   EngineLoadState& engine = engines_.at(instance);
   // New items are kept away while the order is under way.
   engine.loading = wanted;
@@ -431,7 +392,7 @@
   if (found == engines_.end()) return;
   // By now every earlier announcement is applied here.
   const TimePoint now = environment_.Now();
-  const bool in_time = now - announced_at <= kAnnouncedFor && leases_.MayOrder(instance);
+  const bool in_time = now - announced_at <= kAnnouncedFor && MayOrder(instance);
   if (!in_time || group_ == nullptr || !group_->IsLeader() || target == nullptr) {
     found->second.loading.reset();
     return;
@@ -445,13 +406,13 @@
                         instance};
   LogEvent(EventId::kLoadOrdered, "instance={} model={} version={} fence={} expected={}", instance,
            wanted.model, wanted.version, order.fence, orders);
-  auto exchange = std::make_unique<Exchange>(
-      environment_, alive_.Guard([this, instance](int status, const std::string&) {
+  auto exchange = std::make_unique<BoundedCall>(
+      environment_, kAnswerLimit, alive_.Guard([this, instance](int status, const std::string&) {
         if (exchanges_.erase(instance) == 0 || !engines_.contains(instance)) return;
         HandleOrderAnswer(instance,
                           status == 0 ? LoadAnswer::kUnknown : protocol_.ReadLoadAnswer(status));
       }));
-  Exchange& started = *exchange;
+  BoundedCall& started = *exchange;
   exchanges_[instance] = std::move(exchange);
   started.Start(http_, target->address, protocol_.MakeLoadOrder(order));
 }
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -13,14 +13,16 @@
 #include <string>
 
 #include "cluster/configuration.h"
+#include "cluster/holder_leases.h"
 #include "common/alive_flag.h"
 #include "common/environment.h"
 #include "common/scoped_timer.h"
 #include "consensus/raft_group.h"
+#include "http/bounded_call.h"
 #include "ingress/backend_directory.h"
 #include "ingress/backend_protocol.h"
 #include "ingress/route_table.h"
-#include "jobs/order_leases.h"
+#include "jobs/job_types.h"
 
 namespace millstair {
 
@@ -68,7 +70,8 @@
   void SetLeading(RaftGroup* group);
   /// An announcement was applied here, in the order of the log.
   void NoteAnnouncement(const AnnounceOrder& announcement) {
-    leases_.NoteAnnouncement(announcement);
+    leases_.NoteAnnouncement({announcement.holder, announcement.instance.value(), announcement.term,
+                              announcement.announced_at});
   }
   void Update(const Configuration& configuration, const RouteTable* routes);
   /// A job of `model` came; `work` is in tokens that come out.
@@ -90,7 +93,6 @@
   void NoteVersion(const InstanceId& instance, const ModelName& model, WeightVersion version);
 
  private:
-  class Exchange;
   using EngineGroup = std::vector<EngineLoadState*>;
 
   void CatchUp();
@@ -115,6 +117,7 @@
   void Release(const InstanceId& instance);
   void AskReport(const InstanceId& instance);
   void HandleReport(const InstanceId& instance, const ReportedEngine& report);
+  bool MayOrder(const InstanceId& instance) const { return leases_.MayAct(instance.value()); }
   void Order(const InstanceId& instance, const NamedVersion& wanted, uint64_t orders);
   /// The announcement is committed: gives the order if there is still time for it.
   void Give(const InstanceId& instance, const NamedVersion& wanted, uint64_t orders,
@@ -137,7 +140,7 @@
   const NodeId self_;
   const LoadOptions options_;
   RaftGroup* group_ = nullptr;
-  OrderLeases leases_;
+  HolderLeases leases_;
   /// Everything that earlier leaders committed is applied here.
   bool caught_up_ = false;
   /// How long loads take, by those seen lately.
@@ -148,7 +151,7 @@
   /// Services whose engines hold models.
   std::map<ServiceName, std::vector<ModelName>> services_;
   std::map<InstanceId, EngineLoadState> engines_;
-  std::map<InstanceId, std::unique_ptr<Exchange>> exchanges_;
+  std::map<InstanceId, std::unique_ptr<BoundedCall>> exchanges_;
   std::function<void()> on_ready_;
   ScopedTimer timer_;
   AliveFlag alive_;
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -115,10 +115,7 @@
   }
 
   std::vector<NodeId> ControlNodes() const {
-    std::vector<NodeId> nodes;
-    for (const auto& [node, record] : configuration().nodes) {
-      if (record.control && record.state != MemberState::kGone) nodes.push_back(node);
-    }
+    std::vector<NodeId> nodes = LiveControlNodes(configuration());
     if (!nodes.empty()) return nodes;
     for (const ControlEndpoint& endpoint : options_.control_nodes) nodes.push_back(endpoint.node);
     return nodes;
--- /dev/null
+++ b/source/metering/clock_agreement.cc
@@ -0,0 +1,34 @@
+#include "metering/clock_agreement.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace millstair {
+namespace {
+
+/// A sample counts for this long: some ten asks of a node, so that a lost one does not matter, and
+/// a node that is gone does not count for long.
+constexpr Duration kSampleLifetime = std::chrono::seconds(30);
+
+}  // namespace
+
+void ClockAgreement::Note(const NodeId& node, WallTime wall, TimePoint now) {
+  std::erase_if(samples_,
+                [now](const auto& entry) { return now - entry.second.heard_at > kSampleLifetime; });
+  const Duration since_epoch = wall.time_since_epoch();
+  samples_[node] = {since_epoch - now.time_since_epoch(), now};
+}
+
+std::optional<WallTime> ClockAgreement::Now(TimePoint now, size_t expected_nodes) const {
+  std::vector<Duration> offsets;
+  for (const auto& [node, sample] : samples_) {
+    if (now - sample.heard_at <= kSampleLifetime) offsets.push_back(sample.offset);
+  }
+  if (offsets.empty() || 2 * offsets.size() < expected_nodes) return std::nullopt;
+  const auto middle = offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
+  std::nth_element(offsets.begin(), middle, offsets.end());
+  const Duration since_epoch = *middle + now.time_since_epoch();
+  return WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch));
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/metering/usage_counter.cc
@@ -0,0 +1,117 @@
+#include "metering/usage_counter.h"
+
+#include <map>
+#include <utility>
+
+#include "common/event_log.h"
+
+namespace millstair {
+namespace {
+
+/// From a request until it is reported, together with those that came meanwhile: bounds what the
+/// loss of a gateway costs.
+constexpr Duration kReportDelay = std::chrono::milliseconds(500);
+/// On a node that is leaving, which may end right after its last answer.
+constexpr Duration kLastReportDelay = std::chrono::milliseconds(20);
+/// Before a report that may not be committed is sent again.
+constexpr Duration kRetryPause = std::chrono::milliseconds(200);
+/// How often the agreed time is asked for, and how often until it is first known. Steady clocks
+/// drift apart by far less than a millisecond in that time.
+constexpr Duration kAskInterval = std::chrono::seconds(3);
+constexpr Duration kFirstAskInterval = std::chrono::milliseconds(500);
+/// An answer that took longer may be off by half of it, and does not replace a time that is known.
+constexpr Duration kLongestRoundTrip = std::chrono::milliseconds(100);
+
+}  // namespace
+
+UsageCounter::UsageCounter(Environment& environment, UsageCounterOptions options, Submit submit,
+                           AskTime ask)
+    : environment_(environment),
+      options_(std::move(options)),
+      submit_(std::move(submit)),
+      ask_(std::move(ask)),
+      time_timer_(environment),
+      report_timer_(environment) {}
+
+void UsageCounter::Start() {
+  if (options_.window > Duration(0)) AskForTime();
+}
+
+void UsageCounter::AskForTime() {
+  time_timer_.Arm(offset_ ? kAskInterval : kFirstAskInterval, [this] { AskForTime(); });
+  ask_(environment_.WallNow(),
+       alive_.Guard([this, asked_at = environment_.Now()](std::optional<WallTime> agreed) {
+         TakeTime(agreed, asked_at);
+       }));
+}
+
+void UsageCounter::TakeTime(std::optional<WallTime> agreed, TimePoint asked_at) {
+  if (!agreed) return;
+  const Duration round_trip = environment_.Now() - asked_at;
+  if (offset_ && round_trip > kLongestRoundTrip) return;
+  const TimePoint told_at = asked_at + round_trip / 2;
+  const bool first = !offset_;
+  offset_ = Duration(agreed->time_since_epoch()) - told_at.time_since_epoch();
+  if (first && !begun_.empty()) ReportSoon();
+}
+
+void UsageCounter::NoteBegun(const TenantName& tenant, TimePoint at) {
+  if (options_.window <= Duration(0) || tenant == TenantName()) return;
+  begun_.push_back({tenant, at});
+  ReportSoon();
+}
+
+void UsageCounter::SetLeaving() {
+  leaving_ = true;
+  if (!begun_.empty() && !report_) Report();
+}
+
+size_t UsageCounter::uncommitted() const {
+  size_t requests = begun_.size();
+  if (!report_) return requests;
+  for (const UsageCount& count : report_->counts) requests += count.requests;
+  return requests;
+}
+
+void UsageCounter::ReportSoon() {
+  if (report_ || report_timer_.armed()) return;
+  report_timer_.Arm(leaving_ ? kLastReportDelay : kReportDelay, [this] { Report(); });
+}
+
+void UsageCounter::Report() {
+  if (report_ || begun_.empty() || !offset_) return;
+  report_timer_.Cancel();
+  report_ = NextReport();
+  Send();
+}
+
+UsageReport UsageCounter::NextReport() {
+  std::map<UsageWindow, TenantCounts> counted;
+  for (const Begun& begun : std::exchange(begun_, {})) {
+    const Duration since_epoch = begun.at.time_since_epoch() + *offset_;
+    const WallTime at(std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch));
+    ++counted[WindowAt(at, options_.window)][begun.tenant];
+  }
+  UsageReport report{options_.gateway, options_.incarnation, ++sequence_, {}};
+  for (const auto& [window, tenants] : counted) {
+    for (const auto& [tenant, requests] : tenants) {
+      report.counts.push_back({window, tenant, requests});
+    }
+  }
+  return report;
+}
+
+void UsageCounter::Send() {
+  submit_(*report_, alive_.Guard([this](bool committed) {
+    if (!committed) {
+      LogEvent(EventId::kUsageUncommitted, "sequence={} entries={}", report_->sequence,
+               report_->counts.size());
+      report_timer_.Arm(kRetryPause, [this] { Send(); });
+      return;
+    }
+    report_.reset();
+    if (!begun_.empty()) ReportSoon();
+  }));
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/metering/usage_ledger.cc
@@ -0,0 +1,69 @@
+#include "metering/usage_ledger.h"
+
+#include <algorithm>
+
+namespace millstair {
+
+void UsageLedger::Add(const UsageReport& report) {
+  if (!NoteReport(report)) return;
+  for (const UsageCount& count : report.counts) {
+    if (count.window <= state_.closed_through) {
+      state_.late_requests += count.requests;
+      continue;
+    }
+    state_.windows[count.window][count.tenant] += count.requests;
+  }
+  while (state_.windows.size() > limits_.max_windows) state_.windows.erase(state_.windows.begin());
+}
+
+bool UsageLedger::NoteReport(const UsageReport& report) {
+  const auto known = state_.reported.find(report.gateway);
+  if (known != state_.reported.end()) {
+    if (report.incarnation < known->second.incarnation) return false;
+    const bool same_life = report.incarnation == known->second.incarnation;
+    if (same_life && report.sequence <= known->second.sequence) return false;
+  }
+  state_.reported[report.gateway] = {report.incarnation, report.sequence, ++state_.order};
+  if (state_.reported.size() > limits_.max_gateways) ForgetOldestGateway();
+  return true;
+}
+
+void UsageLedger::ForgetOldestGateway() {
+  const auto oldest = std::min_element(
+      state_.reported.begin(), state_.reported.end(),
+      [](const auto& a, const auto& b) { return a.second.order < b.second.order; });
+  state_.reported.erase(oldest);
+}
+
+void UsageLedger::Close(UsageWindow through) {
+  const auto first_open = FirstOpen();
+  if (!first_open || through < *first_open) return;
+  UsageWindow first = *first_open;
+  // Windows without a request are reported as well; after a long stop of the whole cluster the
+  // latest of them are enough.
+  const uint64_t most = limits_.max_windows;
+  if (through.value() - first.value() >= most) first = UsageWindow(through.value() - most + 1);
+  for (UsageWindow window = first; window <= through; window = Next(window)) {
+    state_.windows.try_emplace(window);
+  }
+  state_.closed_through = through;
+  while (state_.windows.size() > limits_.max_windows) state_.windows.erase(state_.windows.begin());
+}
+
+std::optional<UsageWindow> UsageLedger::FirstOpen() const {
+  if (state_.closed_through != UsageWindow()) return Next(state_.closed_through);
+  if (state_.windows.empty()) return std::nullopt;
+  return state_.windows.begin()->first;
+}
+
+void UsageLedger::Accept(UsageWindow window) {
+  if (window <= state_.closed_through) state_.windows.erase(window);
+}
+
+std::optional<UsageWindow> UsageLedger::OldestUnreported() const {
+  if (state_.windows.empty()) return std::nullopt;
+  const UsageWindow oldest = state_.windows.begin()->first;
+  return oldest <= state_.closed_through ? std::optional(oldest) : std::nullopt;
+}
+
+}  // namespace millstair
--- a/source/server/node_options.cc
+++ b/source/server/node_options.cc
@@ -95,7 +95,18 @@
 }
 
 IngressNodeOptions IngressOptionsOf(const ServerSettings& settings, const NodeRecord& self) {
-  return {self, EndpointsOf(settings), ConfigurationTimingOf(settings.timing), nullptr};
+  return {self, EndpointsOf(settings), ConfigurationTimingOf(settings.timing), nullptr,
+          settings.timing.usage_window};
+}
+
+UsageDutyOptions UsageOptionsOf(const ServerSettings& settings) {
+  UsageDutyOptions options;
+  options.self = NodeId(settings.node);
+  options.machine = settings.machine;
+  options.platform = settings.metering_platform;
+  options.window = settings.timing.usage_window;
+  options.holder_lease = settings.timing.holder_lease;
+  return options;
 }
 
 StorageNodeOptions StorageOptionsOf(const ServerSettings& settings, const NodeRecord& self) {
--- a/source/server/server_node.cc
+++ b/source/server/server_node.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "common/event_log.h"
+#include "duties/usage_duty.h"
 #include "jobs/job_group_founder.h"
 #include "platform/platform.h"
 #include "rollout/stream_factory.h"
@@ -109,6 +110,12 @@
           control_->Propose(std::move(command), [](const absl::StatusOr<ClusterResult>&) {});
         }));
   }
+  const bool meters =
+      !settings_.metering_platform.empty() && settings_.timing.usage_window > Duration(0);
+  if (ServesPlatform() && meters) {
+    control_->AddDuty(MakeUsageDuty(*environment_, *back_ends_, platform::Duties(), *control_,
+                                    UsageOptionsOf(settings_)));
+  }
   const absl::Status started = control_->Start();
   if (started.ok()) return {};
   const bool damaged = started.code() == absl::StatusCode::kDataLoss;
--- a/source/settings/settings.h
+++ b/source/settings/settings.h
@@ -48,6 +48,8 @@
   Duration leave_bound{0};
   Duration holder_lease = std::chrono::seconds(3);
   Duration job_retention = std::chrono::minutes(2);
+  /// Length of the windows in which tenants' requests are metered; 0 meters none.
+  Duration usage_window{0};
   Duration run_stall = std::chrono::milliseconds(2500);
 };
 
@@ -104,6 +106,8 @@
   std::string data_folder;
   /// "ip:port" of the platform's machine list; empty if there is none.
   std::string platform_list;
+  /// "ip:port" to which the sums of usage are sent; empty sends none.
+  std::string metering_platform;
   std::string log_level = "info";
   uint64_t workers = 2;
   uint64_t io_threads = 1;
--- a/test/cluster/cluster_state_machine_test.cc
+++ b/test/cluster/cluster_state_machine_test.cc
@@ -307,6 +307,57 @@
   CHECK(held.revision == before.revision);
 }
 
+AddUsage UsageOf(uint64_t sequence, uint64_t window, uint64_t requests) {
+  return {
+      {NodeId("g"), Incarnation(1), sequence, {{UsageWindow(window), TenantName("t"), requests}}}};
+}
+
+TEST_CASE("usage is summed, closed and accepted without a new revision of the configuration") {
+  StateMachineDriver driver;
+  const Revision before = driver.state.configuration().revision;
+  driver.Apply(UsageOf(1, 7, 2));
+  driver.Apply(UsageOf(1, 7, 2));
+  driver.Apply(UsageOf(2, 7, 3));
+  driver.Apply(CloseUsage{UsageWindow(7)});
+  driver.Apply(UsageOf(3, 7, 9));
+  const auto& windows = driver.state.usage().windows();
+  REQUIRE(windows.size() == 1);
+  CHECK(windows.at(UsageWindow(7)) == TenantCounts{{TenantName("t"), 5}});
+  CHECK(driver.state.usage().late_requests() == 9);
+  driver.Apply(AcceptUsage{UsageWindow(7)});
+  CHECK(windows.empty());
+  CHECK(driver.state.configuration().revision == before);
+}
+
+TEST_CASE("usage and the holders of duties last over a snapshot") {
+  StateMachineDriver driver;
+  driver.Apply(UsageOf(1, 7, 2));
+  driver.Apply(UsageOf(2, 9, 3));
+  driver.Apply(CloseUsage{UsageWindow(8)});
+  const HolderAnnouncement announced{NodeId("c1"), "usage", Term(4), std::chrono::seconds(3)};
+  driver.Apply(AnnounceDuty{announced});
+  ClusterStateMachine restored;
+  std::vector<HolderAnnouncement> heard;
+  restored.OnDutyAnnounced(
+      [&heard](const HolderAnnouncement& announcement) { heard.push_back(announcement); });
+  REQUIRE(restored.Restore(LogIndex(9), driver.state.TakeSnapshot()).ok());
+  CHECK(restored.usage().state() == driver.state.usage().state());
+  CHECK(restored.usage().OldestUnreported() == UsageWindow(7));
+  CHECK(heard == std::vector{announced});
+}
+
+TEST_CASE("a usage report without a gateway, a number or a tenant is refused") {
+  StateMachineDriver driver;
+  AddUsage nameless = UsageOf(1, 7, 2);
+  nameless.report.gateway = NodeId();
+  CHECK(driver.Apply(nameless).code == ClusterResultCode::kInvalid);
+  CHECK(driver.Apply(UsageOf(0, 7, 2)).code == ClusterResultCode::kInvalid);
+  AddUsage ownerless = UsageOf(1, 7, 2);
+  ownerless.report.counts[0].tenant = TenantName();
+  CHECK(driver.Apply(ownerless).code == ClusterResultCode::kInvalid);
+  CHECK(driver.state.usage().windows().empty());
+}
+
 TEST_CASE("broken variants grant what the product refuses") {
   ClusterFaults faults;
   faults.claim_skipped = true;
--- a/test/ingress/forward_flow_test.cc
+++ b/test/ingress/forward_flow_test.cc
@@ -46,11 +46,12 @@
     service_.Update(configuration);
     std::optional<ForwardResult> result;
     const Duration started = scheduler.Now();
-    service_.Forward({{"POST", "/p/x", {}, "body"}, "a.example", "id-1", left},
-                     [&](ForwardResult answer) {
-                       result = std::move(answer);
-                       took = scheduler.Now() - started;
-                     });
+    ForwardRequest request{{"POST", "/p/x", {}, "body"}, "a.example", "id-1", left};
+    request.tenant = tenant;
+    service_.Forward(std::move(request), [&](ForwardResult answer) {
+      result = std::move(answer);
+      took = scheduler.Now() - started;
+    });
     scheduler.RunFor(wait);
     return result;
   }
@@ -63,6 +64,7 @@
   Configuration configuration;
   IngressService service_;
   Duration took{0};
+  TenantName tenant;
 };
 
 FakeAnswer Ok() { return {FakeAnswer::Kind::kAnswer, 200, {{"signature", "s"}}, {"whole"}}; }
@@ -86,6 +88,62 @@
   CHECK(result->outcome == ForwardOutcome::kNoRoute);
 }
 
+/// How often requests of the tenant "t" were metered, and when the first one began.
+struct Metered {
+  explicit Metered(Fixture& fixture) {
+    fixture.service_.OnBegun([this](const TenantName& tenant, TimePoint at) {
+      CHECK(tenant == TenantName("t"));
+      if (count++ == 0) first_at = at;
+    });
+  }
+  size_t count = 0;
+  TimePoint first_at;
+};
+
+TEST_CASE("A request is metered once, where and when it first ran") {
+  Fixture fixture;
+  Metered metered(fixture);
+  fixture.tenant = TenantName("t");
+  fixture.Add("a:1", [](const HttpRequest&) { return Refusal(); });
+  fixture.Add("b:1", [](const HttpRequest&) { return Ok(); });
+  REQUIRE(fixture.Forward());
+  CHECK(metered.count == 1);
+  // Refused requests have not run.
+  Fixture refused;
+  Metered none(refused);
+  refused.tenant = TenantName("t");
+  refused.Add("a:1", [](const HttpRequest&) { return Refusal(); });
+  REQUIRE(refused.Forward());
+  CHECK(none.count == 0);
+}
+
+TEST_CASE("A request that was sent and not refused is metered though no answer came") {
+  const auto kind = GENERATE(FakeAnswer::Kind::kReset, FakeAnswer::Kind::kSilence);
+  Fixture fixture;
+  Metered metered(fixture);
+  fixture.tenant = TenantName("t");
+  fixture.Add("a:1", [kind](const HttpRequest&) { return Of(kind); });
+  fixture.Add("b:1", [kind](const HttpRequest&) { return Of(kind); });
+  const TimePoint started = fixture.environment.Now();
+  REQUIRE(fixture.Forward());
+  CHECK(metered.count == 1);
+  CHECK(metered.first_at <= started + milliseconds(50));
+}
+
+TEST_CASE("What reaches no back end, and what nobody is known to have asked, is not metered") {
+  Fixture fixture;
+  Metered metered(fixture);
+  fixture.Add("a:1", [](const HttpRequest&) { return Ok(); });
+  REQUIRE(fixture.Forward());
+  CHECK(metered.count == 0);
+  Fixture unreachable;
+  Metered none(unreachable);
+  unreachable.tenant = TenantName("t");
+  unreachable.Add("a:1", [](const HttpRequest&) { return Of(FakeAnswer::Kind::kUnreachable); });
+  REQUIRE(unreachable.Forward());
+  CHECK(none.count == 0);
+}
+
 TEST_CASE("The longest prefix of the host wins") {
   RouteTable table;
   Route wide;
--- a/test/jobs/load_scheduler_test.cc
+++ b/test/jobs/load_scheduler_test.cc
@@ -266,22 +266,6 @@
   CHECK(fixture.engines.at("e2:1").ordered_at[0] >= milliseconds(13650));
 }
 
-TEST_CASE("Clocks of different terms are not compared") {
-  VirtualScheduler scheduler{1};
-  VirtualEnvironment environment{scheduler, 1};
-  OrderLeases leases(environment, NodeId("self"), seconds(3));
-  leases.NoteAnnouncement({NodeId("other"), InstanceId("e0"), Term(2), seconds(1)});
-  leases.NoteAnnouncement({NodeId("other"), InstanceId("e1"), Term(3), seconds(90)});
-  leases.NoteAnnouncement({NodeId("third"), InstanceId("e2"), Term(3), seconds(900)});
-  CHECK_FALSE(leases.MayOrder(InstanceId("e0")));
-  CHECK_FALSE(leases.MayOrder(InstanceId("e1")));
-  CHECK(leases.MayOrder(InstanceId("e3")));
-  scheduler.RunFor(milliseconds(2999));
-  CHECK_FALSE(leases.MayOrder(InstanceId("e0")));
-  scheduler.RunFor(milliseconds(2));
-  CHECK(leases.MayOrder(InstanceId("e0")));
-}
-
 TEST_CASE("A new leader leaves engines the models whose weights they hold") {
   Fixture fixture(6);
   for (const char* address : {"e0:1", "e2:1", "e5:1"}) {
--- /dev/null
+++ b/test/metering/usage_counter_test.cc
@@ -0,0 +1,145 @@
+#include "metering/usage_counter.h"
+
+#include <catch2/catch.hpp>
+
+#include "common/virtual_environment.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TenantName kTenant("a");
+
+/// A cluster whose agreed time is `ahead` of the node's steady clock, and that commits reports.
+class Fixture {
+ public:
+  Fixture()
+      : counter(
+            environment, {NodeId("g"), Incarnation(3), seconds(5)},
+            [this](const UsageReport& report, std::function<void(bool)> done) {
+              sent.push_back(report);
+              scheduler.Schedule(milliseconds(3), [this, done] { done(commits); });
+            },
+            [this](WallTime, std::function<void(std::optional<WallTime>)> done) {
+              ++asked;
+              scheduler.Schedule(milliseconds(2), [this, done] { done(Agreed(-milliseconds(1))); });
+            }) {}
+
+  std::optional<WallTime> Agreed(Duration since) const {
+    if (!knows_time) return std::nullopt;
+    const Duration now = environment.Now().time_since_epoch() + since + ahead;
+    return WallTime(std::chrono::duration_cast<milliseconds>(now));
+  }
+
+  VirtualScheduler scheduler{1};
+  VirtualEnvironment environment{scheduler, 2};
+  bool commits = true;
+  bool knows_time = true;
+  Duration ahead = seconds(1'000'000);
+  int asked = 0;
+  std::vector<UsageReport> sent;
+  UsageCounter counter;
+};
+
+TEST_CASE("Requests are reported once, in their windows, together with those that come meanwhile") {
+  Fixture fixture;
+  fixture.counter.Start();
+  fixture.scheduler.RunFor(milliseconds(10));
+  const TimePoint now = fixture.environment.Now();
+  fixture.counter.NoteBegun(kTenant, now);
+  fixture.counter.NoteBegun(kTenant, now);
+  fixture.counter.NoteBegun(TenantName("b"), now - seconds(5));
+  fixture.scheduler.RunFor(milliseconds(490));
+  CHECK(fixture.sent.empty());
+  CHECK(fixture.counter.uncommitted() == 3);
+  fixture.scheduler.RunFor(seconds(5));
+  REQUIRE(fixture.sent.size() == 1);
+  const UsageReport& report = fixture.sent[0];
+  CHECK(report.gateway == NodeId("g"));
+  CHECK(report.incarnation == Incarnation(3));
+  CHECK(report.sequence == 1);
+  REQUIRE(report.counts.size() == 2);
+  CHECK(report.counts[0].tenant == TenantName("b"));
+  CHECK(report.counts[1].requests == 2);
+  CHECK(report.counts[1].window == Next(report.counts[0].window));
+  CHECK(fixture.counter.uncommitted() == 0);
+}
+
+TEST_CASE("A report that may not be committed is sent again unchanged, and nothing overtakes it") {
+  Fixture fixture;
+  fixture.counter.Start();
+  fixture.scheduler.RunFor(milliseconds(10));
+  fixture.commits = false;
+  fixture.counter.NoteBegun(kTenant, fixture.environment.Now());
+  fixture.scheduler.RunFor(milliseconds(600));
+  fixture.counter.NoteBegun(kTenant, fixture.environment.Now());
+  fixture.scheduler.RunFor(seconds(2));
+  REQUIRE(fixture.sent.size() >= 3);
+  for (const UsageReport& report : fixture.sent) CHECK(report == fixture.sent[0]);
+  CHECK(fixture.counter.uncommitted() == 2);
+  fixture.commits = true;
+  fixture.scheduler.RunFor(seconds(2));
+  CHECK(fixture.sent.back().sequence == 2);
+  CHECK(fixture.counter.uncommitted() == 0);
+}
+
+TEST_CASE("What is counted before the time is known waits, and is placed by when it began") {
+  Fixture fixture;
+  fixture.knows_time = false;
+  fixture.counter.Start();
+  fixture.counter.NoteBegun(kTenant, fixture.environment.Now());
+  const WallTime began = WallTime(std::chrono::duration_cast<milliseconds>(
+      fixture.environment.Now().time_since_epoch() + fixture.ahead));
+  fixture.scheduler.RunFor(seconds(8));
+  CHECK(fixture.sent.empty());
+  fixture.knows_time = true;
+  fixture.scheduler.RunFor(seconds(2));
+  REQUIRE(fixture.sent.size() == 1);
+  CHECK(fixture.sent[0].counts[0].window == WindowAt(began, seconds(5)));
+}
+
+TEST_CASE("The time is asked for often until it is known, and seldom then") {
+  Fixture fixture;
+  fixture.knows_time = false;
+  fixture.counter.Start();
+  fixture.scheduler.RunFor(milliseconds(2600));
+  CHECK(fixture.asked == 6);
+  fixture.knows_time = true;
+  fixture.scheduler.RunFor(milliseconds(500));
+  fixture.asked = 0;
+  fixture.scheduler.RunFor(seconds(30));
+  CHECK(fixture.asked == 10);
+}
+
+TEST_CASE("A node that leaves reports at once") {
+  Fixture fixture;
+  fixture.counter.Start();
+  fixture.scheduler.RunFor(milliseconds(10));
+  fixture.counter.NoteBegun(kTenant, fixture.environment.Now());
+  fixture.counter.SetLeaving();
+  CHECK(fixture.sent.size() == 1);
+  fixture.scheduler.RunFor(milliseconds(10));
+  fixture.counter.NoteBegun(kTenant, fixture.environment.Now());
+  fixture.scheduler.RunFor(milliseconds(25));
+  CHECK(fixture.sent.size() == 2);
+}
+
+TEST_CASE("Requests of nobody are not metered, and nothing is where no window is set") {
+  Fixture fixture;
+  fixture.counter.Start();
+  fixture.counter.NoteBegun(TenantName(), fixture.environment.Now());
+  CHECK(fixture.counter.uncommitted() == 0);
+  UsageCounter off(
+      fixture.environment, {NodeId("g"), Incarnation(1), Duration(0)},
+      [](const UsageReport&, const std::function<void(bool)>&) { FAIL("reported"); },
+      [](WallTime, const std::function<void(std::optional<WallTime>)>&) { FAIL("asked"); });
+  off.Start();
+  off.NoteBegun(kTenant, fixture.environment.Now());
+  fixture.scheduler.RunFor(seconds(5));
+  CHECK(off.uncommitted() == 0);
+}
+
+}  // namespace
+}  // namespace millstair
