Have no more texts scored at once than the scorers work on

Change: a scoring waits until the live scorers have a place for it (the sum of their slots), the item with the least time to spare first. The scoring part of the scheduler is a file of its own.

--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -24,12 +24,6 @@
 constexpr Duration kProposePause = std::chrono::milliseconds(50);
 /// How often long texts are looked at.
 constexpr Duration kKeepInterval = std::chrono::milliseconds(250);
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
-constexpr int kServerErrors = 500;
-
-bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
-
 }  // namespace
 
 JobScheduler::JobScheduler(Environment& environment, HttpCaller& http, IngressService& ingress,
@@ -323,7 +317,7 @@
   for (const auto& work : found->second.items) {
     if (work == nullptr) continue;
     waiting_.erase(RankOf(*work));
-    if (work->scoring) ingress_.Cancel(*work->scoring);
+    CancelScoring(*work);
     work->run.reset();
     const bool listed = state_.IsListed(job, work->index);
     if (leading_ && !listed) KeepText(state_.Find(job), *work);
@@ -336,7 +330,7 @@
   for (auto& work : found->second.items) {
     if (work == nullptr || !state_.IsListed(job, work->index)) continue;
     waiting_.erase(RankOf(*work));
-    if (work->scoring) ingress_.Cancel(*work->scoring);
+    CancelScoring(*work);
     work.reset();
   }
 }
@@ -351,6 +345,7 @@
   if (now < next_pump_at_) return PumpSoon(next_pump_at_ - now);
   next_pump_at_ = now + kLeastPumpInterval;
   GiveUpOld();
+  StartScoring();
   pace_.Judge();
   if (allowed_()) {
     EngineBoard board(ingress_.directory(), loads_, pace_);
@@ -466,48 +461,6 @@
   Wait(work, *record);
 }
 
-void JobScheduler::Score(Work& work, const JobRecord& record) {
-  const JobItem& item = record.spec.items[work.index];
-  if (!item.scoring) return List(work, ItemState::kDone, "");
-  work.phase = Phase::kScoring;
-  const JobScoring& scoring = *item.scoring;
-  ForwardRequest request{
-      {"POST", scoring.path, {}, scoring.body}, scoring.host, scoring.id, std::nullopt};
-  work.scoring = ingress_.Forward(
-      std::move(request),
-      alive_.Guard([this, job = work.job, index = work.index](const ForwardResult& result) {
-        OnScored(job, index, result);
-      }));
-}
-
-void JobScheduler::OnScored(const JobId& job, uint32_t index, const ForwardResult& result) {
-  Work* work = FindWork(job, index);
-  const JobRecord* record = state_.Find(job);
-  if (work == nullptr || work->phase != Phase::kScoring || record == nullptr) return;
-  work->scoring.reset();
-  const bool answered = result.outcome == ForwardOutcome::kAnswered;
-  if (answered && IsSuccess(result.head.status) && !result.signature.empty()) {
-    return List(*work, ItemState::kDone, result.signature);
-  }
-  work->scoring_errors += result.server_errors;
-  if (answered && result.head.status == kServerErrors) {
-    const JobScoring& scoring = *record->spec.items[index].scoring;
-    const Route* own = RouteOf(*record);
-    const Route* scorer = ingress_.routes() == nullptr
-                              ? nullptr
-                              : ingress_.routes()->Find(scoring.host, scoring.path);
-    const uint32_t attempts =
-        std::max(own == nullptr ? 1 : own->attempts, scorer == nullptr ? 1 : scorer->attempts);
-    if (work->scoring_errors >= attempts) return List(*work, ItemState::kFailed, "");
-  }
-  environment_.Schedule(kFailedPause, alive_.Guard([this, job, index] {
-    Work* again = FindWork(job, index);
-    const JobRecord* known = state_.Find(job);
-    if (again == nullptr || known == nullptr || again->phase != Phase::kScoring) return;
-    if (!again->scoring && !known->ended) Score(*again, *known);
-  }));
-}
-
 void JobScheduler::GiveUpOld() {
   for (auto& [job, work] : jobs_) {
     const JobRecord* record = state_.Find(job);
@@ -517,8 +470,7 @@
     for (const auto& item : work.items) {
       if (item == nullptr || item->phase == Phase::kListing) continue;
       waiting_.erase(RankOf(*item));
-      if (item->scoring) ingress_.Cancel(*item->scoring);
-      item->scoring.reset();
+      CancelScoring(*item);
       item->run.reset();
       List(*item, ItemState::kFailed, "");
     }
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -82,6 +82,8 @@
     InstanceId avoid;
     std::unique_ptr<ItemRun> run;
     std::optional<IngressService::FlowId> scoring;
+    /// Name of the route by which it is scored; empty if there was none.
+    std::string scoring_route;
     /// How often it was moved to a faster engine.
     uint32_t moves = 0;
     JobResult result;
@@ -178,7 +180,18 @@
   void OnRunEnd(const JobId& job, uint32_t index, ItemRunEnd end, const std::string& reason);
   void Requeue(Work& work, Duration pause);
   void BeginAnew(Work& work);
+  /// Has the whole text judged once the scorers have a place for it.
   void Score(Work& work, const JobRecord& record);
+  /// Begins scorings that wait, those first that have the least time to spare. No more run at once
+  /// than the live scorers work on: a burst of whole texts would fill their queues, in which the
+  /// requests of clients wait too, and be refused and repeated tens of times.
+  void StartScoring();
+  void BeginScoring(Work& work, const JobScoring& scoring, const std::string& route);
+  void EndScoring(Work& work);
+  /// Whether it runs or waits.
+  void CancelScoring(Work& work);
+  /// Requests that the live back ends of the route work on at once.
+  uint32_t MostScorings(const Route& route) const;
   void OnScored(const JobId& job, uint32_t index, const ForwardResult& result);
   void GiveUpOld();
   void List(Work& work, ItemState state, std::string score);
@@ -207,6 +220,10 @@
   uint64_t next_order_ = 1;
   std::map<JobId, JobWork> jobs_;
   std::set<Rank> waiting_;
+  /// Whole texts that wait for a scorer.
+  std::set<Rank> scoring_waiting_;
+  /// Scorings under way, by the name of their route.
+  std::map<std::string, uint32_t> scorings_;
   KeptTexts kept_;
   ItemLengths lengths_;
   /// Of each model: how far the oldest allowed weights move on until items come back.
--- /dev/null
+++ b/source/jobs/job_scoring.cc
@@ -0,0 +1,121 @@
+/// The scoring of whole texts: the part of JobScheduler that has them judged, no more at once than
+/// the scorers have places.
+#include <algorithm>
+#include <utility>
+
+#include "common/event_log.h"
+#include "jobs/job_scheduler.h"
+
+namespace millstair {
+namespace {
+
+constexpr Duration kFailedPause = std::chrono::milliseconds(50);
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+constexpr int kServerErrors = 500;
+
+bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
+
+}  // namespace
+
+void JobScheduler::Score(Work& work, const JobRecord& record) {
+  if (!record.spec.items[work.index].scoring) return List(work, ItemState::kDone, "");
+  work.phase = Phase::kScoring;
+  scoring_waiting_.insert(RankOf(work));
+  StartScoring();
+}
+
+uint32_t JobScheduler::MostScorings(const Route& route) const {
+  uint32_t places = 0;
+  for (const ServiceShare& share : route.services) {
+    for (const BackendInstance* scorer : ingress_.directory().Live(share.service)) {
+      places += std::max(1U, scorer->slots);
+    }
+  }
+  return std::max(1U, places);
+}
+
+void JobScheduler::StartScoring() {
+  const RouteTable* routes = ingress_.routes();
+  /// Of each scorer's route, how many more may be judged now.
+  std::map<const Route*, uint32_t> room;
+  for (auto it = scoring_waiting_.begin(); it != scoring_waiting_.end();) {
+    Work* work = FindWork(it->job, it->index);
+    const JobRecord* record = state_.Find(it->job);
+    if (work == nullptr || record == nullptr || record->ended) {
+      it = scoring_waiting_.erase(it);
+      continue;
+    }
+    const JobScoring& scoring = *record->spec.items[work->index].scoring;
+    const Route* route = routes == nullptr ? nullptr : routes->Find(scoring.host, scoring.path);
+    if (route != nullptr) {
+      const uint32_t running = scorings_[route->name];
+      const uint32_t most = MostScorings(*route);
+      const auto known = room.try_emplace(route, most > running ? most - running : 0).first;
+      if (known->second == 0) {
+        if (room.size() == 1) return;
+        ++it;
+        continue;
+      }
+      --known->second;
+    }
+    it = scoring_waiting_.erase(it);
+    BeginScoring(*work, scoring, route == nullptr ? "" : route->name);
+  }
+}
+
+void JobScheduler::BeginScoring(Work& work, const JobScoring& scoring, const std::string& route) {
+  work.scoring_route = route;
+  ++scorings_[route];
+  ForwardRequest request{
+      {"POST", scoring.path, {}, scoring.body}, scoring.host, scoring.id, std::nullopt};
+  work.scoring = ingress_.Forward(
+      std::move(request),
+      alive_.Guard([this, job = work.job, index = work.index](const ForwardResult& result) {
+        OnScored(job, index, result);
+      }));
+}
+
+void JobScheduler::EndScoring(Work& work) {
+  work.scoring.reset();
+  const auto running = scorings_.find(work.scoring_route);
+  if (running != scorings_.end() && --running->second == 0) scorings_.erase(running);
+}
+
+void JobScheduler::CancelScoring(Work& work) {
+  scoring_waiting_.erase(RankOf(work));
+  if (!work.scoring) return;
+  ingress_.Cancel(*work.scoring);
+  EndScoring(work);
+}
+
+void JobScheduler::OnScored(const JobId& job, uint32_t index, const ForwardResult& result) {
+  Work* work = FindWork(job, index);
+  const JobRecord* record = state_.Find(job);
+  if (work == nullptr || work->phase != Phase::kScoring || record == nullptr) return;
+  EndScoring(*work);
+  StartScoring();
+  const bool answered = result.outcome == ForwardOutcome::kAnswered;
+  if (answered && IsSuccess(result.head.status) && !result.signature.empty()) {
+    return List(*work, ItemState::kDone, result.signature);
+  }
+  work->scoring_errors += result.server_errors;
+  if (answered && result.head.status == kServerErrors) {
+    const JobScoring& scoring = *record->spec.items[index].scoring;
+    const Route* own = RouteOf(*record);
+    const Route* scorer = ingress_.routes() == nullptr
+                              ? nullptr
+                              : ingress_.routes()->Find(scoring.host, scoring.path);
+    const uint32_t attempts =
+        std::max(own == nullptr ? 1 : own->attempts, scorer == nullptr ? 1 : scorer->attempts);
+    if (work->scoring_errors >= attempts) return List(*work, ItemState::kFailed, "");
+  }
+  environment_.Schedule(kFailedPause, alive_.Guard([this, job, index] {
+    Work* again = FindWork(job, index);
+    const JobRecord* known = state_.Find(job);
+    if (again == nullptr || known == nullptr || again->phase != Phase::kScoring) return;
+    if (!again->scoring && !known->ended) Score(*again, *known);
+  }));
+}
+
+}  // namespace millstair
--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -229,6 +229,61 @@
   CHECK(fixture.backends.CountAt("p:1") >= 3);
 }
 
+/// The most calls that were under way at `address` at one moment, if each took `each`.
+size_t MostAtOnce(const FakeBackends& backends, const std::string& address, Duration each) {
+  size_t most = 0;
+  for (const auto& call : backends.calls) {
+    size_t at_once = 0;
+    for (const auto& other : backends.calls) {
+      const bool overlaps = other->at <= call->at && call->at < other->at + each;
+      at_once += call->address == address && other->address == address && overlaps ? 1 : 0;
+    }
+    most = std::max(most, at_once);
+  }
+  return most;
+}
+
+TEST_CASE("No more texts are scored at once than the scorers have places, the most urgent first") {
+  Fixture fixture;
+  fixture.configuration.instances[InstanceId("e:1")].slots = 30;
+  fixture.score.delay = milliseconds(20);
+  fixture.score.gap = Duration(0);
+  fixture.Update();
+  JobSpec job = fixture.Job("j");
+  const JobItem item = job.items[0];
+  job.items.clear();
+  for (int i = 0; i < 30; ++i) {
+    job.items.push_back(item);
+    job.items.back().id = ItemId("item-" + std::to_string(i));
+  }
+  fixture.Submit(job);
+  fixture.Lead();
+  fixture.scheduler.RunFor(seconds(2));
+  // The one scorer works on two requests at once.
+  CHECK(fixture.backends.CountAt("p:1") == 30);
+  CHECK(MostAtOnce(fixture.backends, "p:1", milliseconds(20)) == 2);
+  CHECK(fixture.state.Find(JobId("j"))->results.size() == 30);
+}
+
+TEST_CASE("The end of a job leaves no scorer's place taken") {
+  Fixture fixture;
+  fixture.score.kind = Kind::kSilence;
+  fixture.Lead();
+  for (const char* id : {"a", "b", "c"}) {
+    JobSpec job = fixture.Job(id);
+    job.items[0].id = ItemId(std::string("item-") + id);
+    fixture.Submit(job);
+  }
+  fixture.scheduler.RunFor(milliseconds(100));
+  CHECK(fixture.backends.CountAt("p:1") == 2);
+  for (const char* id : {"a", "b"}) {
+    fixture.state.Apply(LogIndex(50), EncodeJobCommand({EndJob{JobId(id)}, {}}));
+  }
+  fixture.score.kind = Kind::kAnswer;
+  fixture.scheduler.RunFor(milliseconds(300));
+  REQUIRE(fixture.ResultOf("c") != nullptr);
+}
+
 TEST_CASE("An item without a signature of its scoring waits") {
   Fixture fixture;
   fixture.score = {Kind::kAnswer, 200, {}, {"ok"}};
