Let a node that is not proven fresh yet ask its control nodes in quick turn

Change: until the first answer a node beats each 150 ms, each time at another control node.

Ruled out: keeping heartbeats at the control node until there is a leader (written and dropped: reads wait for a leader already, and the test passed without it); asking all seeds at once (three whole configurations for each start of a node).

--- a/source/cluster/configuration_client.cc
+++ b/source/cluster/configuration_client.cc
@@ -1,5 +1,6 @@
 #include "cluster/configuration_client.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <utility>
@@ -18,6 +19,12 @@
 /// How often a node that is attached to another zone tries its own again.
 constexpr Duration kReturnToOwnZone = std::chrono::seconds(30);
 constexpr double kHeartbeatJitter = 0.1;
+/// Until a node is first proven fresh it takes no work. It asks its control nodes in turn, each
+/// after this time: one that has no power yet says nothing, and a connection to it hangs for a
+/// second. A round trip takes some ten milliseconds, a whole configuration a few tens.
+constexpr Duration kFirstInterval = std::chrono::milliseconds(150);
+/// Less than the interval at its shortest, so that each beat goes to another control node.
+constexpr Duration kFirstPatience = std::chrono::milliseconds(100);
 /// An observation that changed is sent at most this much later, together with others by then.
 constexpr Duration kReportDelay = std::chrono::milliseconds(150);
 
@@ -76,7 +83,14 @@
     MoveIfUnanswered();
     SendHeartbeat();
     const double jitter = 1 + kHeartbeatJitter * (2 * DrawUnit(environment_.Random()) - 1);
-    BeatAfter(FromSeconds(ToSeconds(timing_.heartbeat) * jitter));
+    const Duration interval =
+        leased_ ? timing_.heartbeat : std::min(timing_.heartbeat, kFirstInterval);
+    BeatAfter(FromSeconds(ToSeconds(interval) * jitter));
+  }
+
+  /// Unanswered for this long, another control node is asked.
+  Duration SourceTimeout() const {
+    return leased_ ? timing_.source_timeout : std::min(timing_.source_timeout, kFirstPatience);
   }
 
   void BeatAfter(Duration delay) {
@@ -86,7 +100,7 @@
 
   void MoveIfUnanswered() {
     const TimePoint now = environment_.Now();
-    if (now - source_since_ >= timing_.source_timeout) {
+    if (now - source_since_ >= SourceTimeout()) {
       LogEvent(EventId::kConfigurationSourceLost, "node={} source={}", self_.node,
                sources_.current().node);
       sources_.MoveOn();
--- a/test/cluster/control_clients_test.cc
+++ b/test/cluster/control_clients_test.cc
@@ -120,6 +120,22 @@
   CHECK(fixture.client->configuration().revision == Revision(4));
 }
 
+TEST_CASE("a node that is not proven fresh yet asks all its control nodes within half a second") {
+  ClientFixture fixture;
+  fixture.scheduler.RunFor(milliseconds(500));
+  std::map<NodeId, int> heartbeats;
+  for (const SentMessage& sent : fixture.transport.sent) ++heartbeats[sent.to];
+  CHECK(heartbeats.size() == 3);
+  CHECK(fixture.transport.sent.size() <= 5);
+  // An answer to an earlier heartbeat counts, and from then on there is no hurry.
+  const uint64_t first = DecodeHeartbeat(fixture.transport.sent[0].message.payload)->nonce;
+  fixture.Answer(first, 0);
+  CHECK(fixture.client->LeaseValid());
+  fixture.transport.sent.clear();
+  fixture.scheduler.RunFor(milliseconds(1300));
+  CHECK(fixture.transport.sent.size() <= 3);
+}
+
 TEST_CASE("an unanswered control node is left for the next, round after round") {
   ClientFixture fixture;
   fixture.scheduler.RunFor(seconds(10));
