--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -31,11 +31,6 @@
       zone_(options.self.zone),
       configuration_(MakeConfigurationClient(environment, transport, options.self,
                                              options.control_nodes, options.configuration_timing)),
-      ingress_(environment, http, protocol, reader, options.self.zone, options.stats),
-      jobs_(
-          environment, transport,
-          [this] { return JobNodesForChanges(configuration(), kJobGroup, zone_); },
-          [this] { return JobNodesForReads(configuration(), kJobGroup, zone_); }),
       cluster_(environment, transport, kClusterGroup, [this] { return ControlNodes(); }),
       usage_(
           environment, {options.self.node, options.self.incarnation, options.usage_window},
@@ -45,6 +40,11 @@
           [this](WallTime own, std::function<void(std::optional<WallTime>)> done) {
             AskTime(own, std::move(done));
           }),
+      ingress_(environment, http, protocol, reader, options.self.zone, options.stats),
+      jobs_(
+          environment, transport,
+          [this] { return JobNodesForChanges(configuration(), kJobGroup, zone_); },
+          [this] { return JobNodesForReads(configuration(), kJobGroup, zone_); }),
       ready_timer_(environment) {
   ingress_.OnBegun(
       [this](const TenantName& tenant, TimePoint at) { usage_.NoteBegun(tenant, at); });
--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -77,10 +77,11 @@
   const NodeId self_;
   const Zone zone_;
   std::unique_ptr<ConfigurationClient> configuration_;
-  IngressService ingress_;
-  JobClient jobs_;
   GroupClient cluster_;
+  /// Outlives the requests, which are metered also when they are dropped.
   UsageCounter usage_;
+  IngressService ingress_;
+  JobClient jobs_;
   bool ready_ = false;
   ScopedTimer ready_timer_;
 };
--- a/test/platform/edge_calls_test.cc
+++ b/test/platform/edge_calls_test.cc
@@ -110,6 +110,7 @@
     options.self.node = NodeId("g1");
     options.self.zone = Zone("z1");
     options.control_nodes = {{NodeId("c1"), "1:1", Zone("z1")}};
+    options.usage_window = seconds(5);
     node = std::make_unique<IngressNode>(environment, control, backends, wire, codec, options);
     control.node = node.get();
     control.Replace(Document(1, R"("key-1","key-2")"));
@@ -152,6 +153,21 @@
   CHECK_FALSE(FindHeader(sent, "Key").has_value());
 }
 
+TEST_CASE("A node that goes while requests run leaves them behind in order") {
+  Fixture fixture;
+  fixture.Start();
+  fixture.backends.Serve("b:1", [](const HttpRequest&) {
+    FakeAnswer silent;
+    silent.kind = FakeAnswer::Kind::kSilence;
+    return silent;
+  });
+  CHECK(fixture.Page("key-1") == 0);
+  fixture.calls.reset();
+  fixture.node.reset();
+  REQUIRE(fixture.backends.calls.size() == 1);
+  CHECK(fixture.backends.calls[0]->cancelled);
+}
+
 TEST_CASE("Without a key that a tenant holds only public routes are served") {
   Fixture fixture;
   fixture.Start();
