Have the duty of usage catch up before it calls, and wait for its own earlier calls

A new leader announced before it had applied the last announcement of the leader before; both were applied at once, its own last, which ends the other's lease. The same node elected twice in a row could also send while a call of its earlier term was on its way.

--- a/source/cluster/holder_leases.cc
+++ b/source/cluster/holder_leases.cc
@@ -17,16 +17,26 @@
     const Duration passed = announcement.announced_at - held.announcement.announced_at;
     held.until = std::min(held.until, now + lease_ - passed);
   }
-  std::erase_if(held_, [now](const auto& entry) { return entry.second.until <= now; });
+  const auto over = [now](const auto& entry) { return entry.second.until <= now; };
+  std::erase_if(held_, over);
+  std::erase_if(own_, over);
   held_.erase(announcement.subject);
-  // This node's own acts are no other holder's.
-  if (announcement.holder == self_) return;
+  // This node's own acts are no other holder's. It announces only what MayAct allowed once all that
+  // earlier leaders committed was applied, so a lease before its announcement was over.
+  if (announcement.holder == self_) {
+    own_[announcement.subject] = {announcement, now + kLeaseMargin};
+    return;
+  }
   held_[announcement.subject] = {announcement, now + lease_};
 }
 
-bool HolderLeases::MayAct(const std::string& subject) const {
+bool HolderLeases::MayAct(const std::string& subject, Term term) const {
+  const TimePoint now = environment_.Now();
   const auto held = held_.find(subject);
-  return held == held_.end() || environment_.Now() >= held->second.until;
+  if (held != held_.end() && now < held->second.until) return false;
+  const auto own = own_.find(subject);
+  const bool on_its_way = own != own_.end() && now < own->second.until;
+  return !on_its_way || own->second.announcement.term >= term;
 }
 
 }  // namespace millstair
--- a/source/cluster/holder_leases.h
+++ b/source/cluster/holder_leases.h
@@ -31,7 +31,8 @@
   friend bool operator==(const HolderAnnouncement&, const HolderAnnouncement&) = default;
 };
 
-/// Lives on the node's serial executor.
+/// Lives on the node's serial executor. A new leader asks it only once everything that earlier
+/// leaders committed is applied here: the last announcement of another holder is among that.
 class HolderLeases {
  public:
   /// `lease` is counted from an announcement, and covers the time that its act may take.
@@ -39,8 +40,10 @@
 
   /// An announcement was applied here, in the order of the log.
   void NoteAnnouncement(const HolderAnnouncement& announcement);
-  /// False while another node may hold `subject`.
-  bool MayAct(const std::string& subject) const;
+  /// Whether this node, which leads in `term`, may act on `subject`: not while another node may
+  /// hold it, nor while an act of this node's own from an earlier term may still be on its way,
+  /// which would arrive with a smaller fence after one of this term.
+  bool MayAct(const std::string& subject, Term term) const;
 
  private:
   struct Held {
@@ -53,6 +56,8 @@
   const Duration lease_;
   /// Leases of other nodes; those that are over go with the next announcement.
   std::map<std::string, Held> held_;
+  /// This node's own latest announcement of each subject, while its act may be on its way.
+  std::map<std::string, Held> own_;
 };
 
 }  // namespace millstair
--- a/source/duties/usage_duty.cc
+++ b/source/duties/usage_duty.cc
@@ -35,6 +35,10 @@
   }
   const UsageLedger& ledger() const override { return control_.usage(); }
   std::optional<WallTime> AgreedTime() const override { return control_.AgreedTime(); }
+  void CatchUp(std::function<void(bool)> done) override {
+    control_.ConfirmRead(
+        [done = std::move(done)](const absl::Status& status) { done(status.ok()); });
+  }
   void Propose(ClusterOperation operation, std::function<void(bool)> done) override {
     control_.Propose({std::move(operation), std::nullopt, {}},
                      [done = std::move(done)](const absl::StatusOr<ClusterResult>& result) {
@@ -95,6 +99,7 @@
   if (!term) return BeginTerm(Term());
   if (*term != term_) BeginTerm(*term);
   tick_timer_.Arm(kTick, [this] { Tick(); });
+  if (!caught_up_) return;
   CloseWindows();
   SendOldest();
 }
@@ -105,6 +110,19 @@
   closing_ = false;
   sending_ = false;
   next_call_at_ = environment_.Now();
+  caught_up_ = false;
+  if (term != Term()) CatchUp();
+}
+
+void UsageDuty::CatchUp() {
+  host_.CatchUp(alive_.Guard([this, term = term_](bool caught_up) {
+    if (term != term_) return;
+    caught_up_ = caught_up;
+    if (!caught_up)
+      environment_.Schedule(kRetryPause, alive_.Guard([this, term] {
+        if (term == term_) CatchUp();
+      }));
+  }));
 }
 
 void UsageDuty::CloseWindows() {
@@ -126,7 +144,7 @@
 }
 
 void UsageDuty::SendOldest() {
-  if (sending_ || environment_.Now() < next_call_at_ || !leases_.MayAct(kSubject)) return;
+  if (sending_ || environment_.Now() < next_call_at_ || !leases_.MayAct(kSubject, term_)) return;
   const auto window = host_.ledger().OldestUnreported();
   if (window) Announce(*window);
 }
@@ -145,7 +163,7 @@
 void UsageDuty::Send(UsageWindow window, TimePoint announced_at) {
   // By now every earlier announcement is applied here.
   const TimePoint now = environment_.Now();
-  const bool in_time = now - announced_at <= kAnnouncedFor && leases_.MayAct(kSubject);
+  const bool in_time = now - announced_at <= kAnnouncedFor && leases_.MayAct(kSubject, term_);
   const auto counts = host_.ledger().windows().find(window);
   if (!in_time || host_.LeadingTerm() != term_ || counts == host_.ledger().windows().end()) {
     LogEvent(EventId::kDutyWithheld, "subject={} window={} term={} announced_ms={}", kSubject,
--- a/source/duties/usage_duty.h
+++ b/source/duties/usage_duty.h
@@ -30,6 +30,8 @@
   virtual std::optional<Term> LeadingTerm() const = 0;
   virtual const UsageLedger& ledger() const = 0;
   virtual std::optional<WallTime> AgreedTime() const = 0;
+  /// `done` tells whether this node still leads and has applied all that earlier leaders committed.
+  virtual void CatchUp(std::function<void(bool)> done) = 0;
   /// `done` tells whether the operation is committed and applied here; false leaves it unknown.
   virtual void Propose(ClusterOperation operation, std::function<void(bool)> done) = 0;
 };
@@ -60,6 +62,7 @@
   void Tick();
   /// Forgets what was under way in an earlier term.
   void BeginTerm(Term term);
+  void CatchUp();
   void CloseWindows();
   void SendOldest();
   void Announce(UsageWindow window);
@@ -75,6 +78,8 @@
   const UsageDutyOptions options_;
   HolderLeases leases_;
   Term term_;
+  /// Everything that earlier leaders committed is applied here, their announcements among it.
+  bool caught_up_ = false;
   /// A proposal that closes windows is under way.
   bool closing_ = false;
   /// An announcement, a call or the note of its answer is under way.
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -366,6 +366,10 @@
   environment_.Schedule(Duration(0), alive_.Guard([this] { StartLoads(); }));
 }
 
+bool LoadScheduler::MayOrder(const InstanceId& instance) const {
+  return group_ != nullptr && leases_.MayAct(instance.value(), group_->CurrentTerm());
+}
+
 void LoadScheduler::Order(const InstanceId& instance, const NamedVersion& wanted, uint64_t orders) {
   const TimePoint now = environment_.Now();
   if (group_ == nullptr || !caught_up_ || !MayOrder(instance)) return;
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -117,7 +117,7 @@
   void Release(const InstanceId& instance);
   void AskReport(const InstanceId& instance);
   void HandleReport(const InstanceId& instance, const ReportedEngine& report);
-  bool MayOrder(const InstanceId& instance) const { return leases_.MayAct(instance.value()); }
+  bool MayOrder(const InstanceId& instance) const;
   void Order(const InstanceId& instance, const NamedVersion& wanted, uint64_t orders);
   /// The announcement is committed: gives the order if there is still time for it.
   void Give(const InstanceId& instance, const NamedVersion& wanted, uint64_t orders,
--- /dev/null
+++ b/test/duties/usage_duty_history_test.cc
@@ -0,0 +1,268 @@
+/// Histories of the holders of the duty of usage: leaders that change, that do not know yet that
+/// they were deposed, commits and calls that take long or get lost. What the platform sees must not
+/// depend on who holds the duty.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+#include "common/random.h"
+#include "common/virtual_environment.h"
+#include "duties/usage_duty.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kWindow = seconds(5);
+constexpr Duration kLease = seconds(3);
+constexpr uint64_t kSeeds = 1000;
+constexpr Duration kLength = seconds(60);
+
+/// A call as it reached the platform.
+struct SeenCall {
+  Duration at{0};
+  std::string holder;
+  uint64_t fence = 0;
+  uint64_t window = 0;
+  std::string counts;
+};
+
+class TextProtocol : public DutyProtocol {
+ public:
+  HttpRequest MakeUsageCall(const UsageStatement& statement,
+                            const DutyHolder& holder) const override {
+    std::string counts;
+    for (const auto& [tenant, requests] : statement.counts) {
+      counts += tenant.value() + "=" + std::to_string(requests) + ";";
+    }
+    return {"POST",
+            std::to_string(statement.window.value()),
+            {{"holder", holder.machine}, {"fence", std::to_string(holder.fence)}},
+            counts};
+  }
+  DutyAnswer ReadAnswer(int status) const override {
+    return status == 200 ? DutyAnswer::kTaken : DutyAnswer::kUnknown;
+  }
+};
+
+/// Calls arrive after up to 300 ms, also when their sender has given them up; some answers are
+/// lost.
+class LossyPlatform : public HttpCaller {
+ public:
+  explicit LossyPlatform(VirtualScheduler& scheduler, RandomEngine& random)
+      : scheduler_(scheduler), random_(random) {}
+
+  std::unique_ptr<CallHandle> Start(const std::string&, HttpRequest request,
+                                    HttpCallObserver& observer) override {
+    const auto live = std::make_shared<HttpCallObserver*>(&observer);
+    const Duration delay = DrawDuration(random_, milliseconds(1), milliseconds(300));
+    const bool lost = DrawBelow(random_, 3) == 0;
+    scheduler_.Schedule(delay, [this, request = std::move(request), live, lost] {
+      seen.push_back({scheduler_.Now(), std::string(*FindHeader(request.headers, "holder")),
+                      std::stoull(std::string(*FindHeader(request.headers, "fence"))),
+                      std::stoull(request.target), request.body});
+      if (lost || *live == nullptr) return;
+      HttpCallObserver& waiting = **live;
+      *live = nullptr;
+      waiting.OnHead({200, {}});
+      waiting.OnFinished();
+    });
+    return std::make_unique<Handle>(live);
+  }
+
+  std::vector<SeenCall> seen;
+
+ private:
+  class Handle : public CallHandle {
+   public:
+    explicit Handle(std::shared_ptr<HttpCallObserver*> live) : live_(std::move(live)) {}
+    ~Handle() override { *live_ = nullptr; }
+
+   private:
+    std::shared_ptr<HttpCallObserver*> live_;
+  };
+
+  VirtualScheduler& scheduler_;
+  RandomEngine& random_;
+};
+
+/// A replicated log: what the leader of the newest term proposes is committed, and each node
+/// applies it in order, some time later.
+class Log;
+
+class Replica : public UsageDutyHost {
+ public:
+  Replica(VirtualScheduler& scheduler, LossyPlatform& platform, Log& log, const std::string& name,
+          uint64_t seed)
+      : environment(scheduler, seed),
+        duty(environment, platform, protocol, *this, {NodeId(name), name, "p:1", kWindow, kLease}),
+        log_(log) {}
+
+  std::optional<Term> LeadingTerm() const override { return believes; }
+  const UsageLedger& ledger() const override { return state; }
+  std::optional<WallTime> AgreedTime() const override {
+    return WallTime(std::chrono::duration_cast<milliseconds>(environment.Now().time_since_epoch()));
+  }
+  void CatchUp(std::function<void(bool)> done) override;
+  void Propose(ClusterOperation operation, std::function<void(bool)> done) override;
+
+  void Apply(const ClusterOperation& operation) {
+    if (const auto* add = std::get_if<AddUsage>(&operation)) state.Add(add->report);
+    if (const auto* close = std::get_if<CloseUsage>(&operation)) state.Close(close->through);
+    if (const auto* accept = std::get_if<AcceptUsage>(&operation)) state.Accept(accept->window);
+    if (const auto* announce = std::get_if<AnnounceDuty>(&operation)) {
+      duty.NoteAnnouncement(announce->announcement);
+    }
+  }
+
+  VirtualEnvironment environment;
+  TextProtocol protocol;
+  UsageLedger state;
+  /// The term in which it believes to lead.
+  std::optional<Term> believes;
+  size_t applied = 0;
+  UsageDuty duty;
+
+ private:
+  Log& log_;
+};
+
+class Log {
+ public:
+  Log(VirtualScheduler& scheduler, RandomEngine& random) : scheduler_(scheduler), random_(random) {}
+
+  void Propose(Replica& proposer, ClusterOperation operation, std::function<void(bool)> done) {
+    const auto term = proposer.believes;
+    const Duration delay = DrawDuration(random_, milliseconds(1), milliseconds(400));
+    scheduler_.Schedule(delay, [this, &proposer, term, operation = std::move(operation), done] {
+      // A deposed leader has no quorum; whether its proposal ran it learns late, or never.
+      if (!term || *term != newest_term) return done(false);
+      Commit(operation);
+      CatchUp(proposer, entries_.size());
+      done(true);
+    });
+  }
+  void CatchUpLeader(Replica& leader, std::function<void(bool)> done) {
+    const Duration delay = DrawDuration(random_, milliseconds(1), milliseconds(100));
+    scheduler_.Schedule(delay, [this, &leader, term = leader.believes, done] {
+      if (!term || *term != newest_term) return done(false);
+      CatchUp(leader, entries_.size());
+      done(true);
+    });
+  }
+  void Commit(const ClusterOperation& operation) {
+    entries_.push_back(operation);
+    for (Replica* replica : replicas) {
+      const Duration lag = DrawDuration(random_, milliseconds(0), milliseconds(200));
+      scheduler_.Schedule(
+          lag, [this, replica, through = entries_.size()] { CatchUp(*replica, through); });
+    }
+  }
+  void Elect(Replica& leader, RandomEngine& random) {
+    newest_term = Next(newest_term);
+    for (Replica* replica : replicas) {
+      if (replica == &leader || !replica->believes) continue;
+      // It does not know yet that it was deposed.
+      const Duration unaware = DrawDuration(random, milliseconds(0), milliseconds(1200));
+      scheduler_.Schedule(unaware, [replica, held = replica->believes] {
+        if (replica->believes == held) replica->believes.reset();
+      });
+    }
+    leader.believes = newest_term;
+    leader.duty.Run(Configuration());
+  }
+  void CatchUp(Replica& replica, size_t through) {
+    while (replica.applied < through) replica.Apply(entries_[replica.applied++]);
+  }
+
+  std::vector<Replica*> replicas;
+  Term newest_term;
+
+ private:
+  VirtualScheduler& scheduler_;
+  RandomEngine& random_;
+  std::vector<ClusterOperation> entries_;
+};
+
+void Replica::CatchUp(std::function<void(bool)> done) {
+  log_.CatchUpLeader(*this, std::move(done));
+}
+
+void Replica::Propose(ClusterOperation operation, std::function<void(bool)> done) {
+  log_.Propose(*this, std::move(operation), std::move(done));
+}
+
+std::vector<SeenCall> CallsOfRun(uint64_t seed) {
+  VirtualScheduler scheduler{seed};
+  RandomEngine random(seed);
+  LossyPlatform platform(scheduler, random);
+  Log log(scheduler, random);
+  std::vector<std::unique_ptr<Replica>> replicas;
+  for (const char* name : {"m1", "m2", "m3"}) {
+    replicas.push_back(
+        std::make_unique<Replica>(scheduler, platform, log, name, seed + replicas.size()));
+    log.replicas.push_back(replicas.back().get());
+  }
+  const UsageWindow first = WindowAt(*replicas[0]->AgreedTime(), kWindow);
+  log.Elect(*replicas[0], random);
+  uint64_t sequence = 0;
+  for (Duration at{0}; at < kLength; at += milliseconds(500)) {
+    const UsageWindow window(first.value() + static_cast<uint64_t>(at / kWindow));
+    log.Commit(AddUsage{{NodeId("g"),
+                         Incarnation(1),
+                         ++sequence,
+                         {{window, TenantName("a"), 1 + DrawBelow(random, 5)}}}});
+    if (DrawBelow(random, 5) == 0) log.Elect(*replicas[DrawBelow(random, 3)], random);
+    scheduler.RunFor(milliseconds(500));
+  }
+  std::vector<SeenCall> seen = std::move(platform.seen);
+  std::stable_sort(seen.begin(), seen.end(),
+                   [](const SeenCall& a, const SeenCall& b) { return a.at < b.at; });
+  return seen;
+}
+
+/// Whether holders act in turn, A, B and A again, within the lease.
+bool ActInTurn(const std::vector<SeenCall>& calls) {
+  for (size_t i = 0; i < calls.size(); ++i) {
+    bool other = false;
+    for (size_t j = i + 1; j < calls.size() && calls[j].at - calls[i].at < kLease; ++j) {
+      if (calls[j].holder != calls[i].holder) {
+        other = true;
+      } else if (other) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+TEST_CASE("Whoever holds the duty, the platform sees one holder at a time and one sum a window") {
+  size_t calls_seen = 0;
+  size_t changes_seen = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    const std::vector<SeenCall> calls = CallsOfRun(seed);
+    std::map<uint64_t, std::string> sums;
+    std::map<uint64_t, std::string> holder_of_fence;
+    for (size_t i = 0; i < calls.size(); ++i) {
+      const SeenCall& call = calls[i];
+      if (i > 0) {
+        REQUIRE(call.fence >= calls[i - 1].fence);
+        changes_seen += call.holder != calls[i - 1].holder ? 1 : 0;
+      }
+      REQUIRE(sums.try_emplace(call.window, call.counts).first->second == call.counts);
+      REQUIRE(holder_of_fence.try_emplace(call.fence, call.holder).first->second == call.holder);
+    }
+    REQUIRE_FALSE(ActInTurn(calls));
+    calls_seen += calls.size();
+  }
+  // The property is worth something only if there were calls, and holders that followed another.
+  CHECK(calls_seen > 2 * kSeeds);
+  CHECK(changes_seen > kSeeds / 2);
+}
+
+}  // namespace
+}  // namespace millstair
--- a/test/duties/usage_duty_test.cc
+++ b/test/duties/usage_duty_test.cc
@@ -51,6 +51,9 @@
     if (announce == nullptr) return;
     for (UsageDuty* duty : duties) duty->NoteAnnouncement(announce->announcement);
   }
+  void CatchUp(std::function<void(bool)> done) {
+    scheduler_.Schedule(milliseconds(3), [this, done] { done(quorum); });
+  }
   void Propose(ClusterOperation operation, std::function<void(bool)> done) {
     scheduler_.Schedule(commit_time, [this, operation = std::move(operation), done] {
       if (!quorum) return done(false);
@@ -85,6 +88,7 @@
     if (!knows_time) return std::nullopt;
     return WallTime(std::chrono::duration_cast<milliseconds>(environment.Now().time_since_epoch()));
   }
+  void CatchUp(std::function<void(bool)> done) override { group_.CatchUp(std::move(done)); }
   void Propose(ClusterOperation operation, std::function<void(bool)> done) override {
     group_.Propose(std::move(operation), std::move(done));
   }
