Say 503, not 404, where the routes held are not proven fresh

Change: a request without a route gets 404 from a gateway whose configuration is proven fresh alone; from any other it gets 503 and when to come back, as an unknown key does.

--- a/source/ingress/ingress_service.cc
+++ b/source/ingress/ingress_service.cc
@@ -37,13 +37,9 @@
 
 IngressService::FlowId IngressService::Forward(ForwardRequest request, Callback done) {
   const FlowId id = ++last_flow_;
-  if (!routes_) {
-    FinishSoon(ForwardOutcome::kNotConfigured, "no routes are known yet", std::move(done));
-    return id;
-  }
-  const Route* route = routes_->Find(request.host, request.http.target);
+  const Route* route = routes_ ? routes_->Find(request.host, request.http.target) : nullptr;
   if (route == nullptr || route->services.empty()) {
-    FinishSoon(ForwardOutcome::kNoRoute, "no route leads there", std::move(done));
+    FinishUnrouted(std::move(done));
     return id;
   }
   auto flow = std::make_unique<ForwardFlow>(
@@ -77,6 +73,17 @@
       .Add(result.tries);
 }
 
+void IngressService::FinishUnrouted(Callback done) {
+  if (!routes_) {
+    return FinishSoon(ForwardOutcome::kNotConfigured, "no routes are known yet", std::move(done));
+  }
+  if (!fresh_()) {
+    return FinishSoon(ForwardOutcome::kNotConfigured, "the routes held may be too old",
+                      std::move(done));
+  }
+  FinishSoon(ForwardOutcome::kNoRoute, "no route leads there", std::move(done));
+}
+
 void IngressService::FinishSoon(ForwardOutcome outcome, std::string reason, Callback done) {
   ForwardResult result;
   result.outcome = outcome;
@@ -91,10 +98,9 @@
   const FlowId id = ++last_flow_;
   const Route* route = routes_ ? routes_->Find(request.host, request.http.target) : nullptr;
   if (route == nullptr || route->services.empty()) {
-    FinishSoon(routes_ ? ForwardOutcome::kNoRoute : ForwardOutcome::kNotConfigured,
-               "no route leads there", [done = std::move(done)](ForwardResult result) {
-                 done({std::move(result), false, 0});
-               });
+    FinishUnrouted([done = std::move(done)](ForwardResult result) {
+      done({std::move(result), false, 0});
+    });
     return id;
   }
   streams_[id] = std::make_unique<StreamFlow>(
--- a/source/ingress/ingress_service.h
+++ b/source/ingress/ingress_service.h
@@ -29,6 +29,9 @@
 
   /// Hears of requests that began to run.
   void OnBegun(BegunListener listener) { context_.on_begun = std::move(listener); }
+  /// Whether the routes held are proven fresh. Where they are not, a request without a route is
+  /// told that this node can't tell now, since its route may be newer.
+  void SetFresh(std::function<bool()> fresh) { fresh_ = std::move(fresh); }
   /// The node's configuration changed.
   void Update(const Configuration& configuration);
 
@@ -48,6 +51,8 @@
  private:
   void Count(const ForwardResult& result, Duration took);
   void FinishSoon(ForwardOutcome outcome, std::string reason, Callback done);
+  /// Ends a request that no route leads on.
+  void FinishUnrouted(Callback done);
 
   Environment& environment_;
   const RoutingDocumentReader& reader_;
@@ -55,6 +60,7 @@
   BackendDirectory directory_;
   ForwardContext context_;
   std::optional<RouteTable> routes_;
+  std::function<bool()> fresh_ = [] { return true; };
   FlowId last_flow_ = 0;
   std::map<FlowId, std::unique_ptr<ForwardFlow>> flows_;
   std::map<FlowId, std::unique_ptr<StreamFlow>> streams_;
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -46,6 +46,7 @@
           [this] { return JobNodesForChanges(configuration(), kJobGroup, zone_); },
           [this] { return JobNodesForReads(configuration(), kJobGroup, zone_); }),
       ready_timer_(environment) {
+  ingress_.SetFresh([this] { return LeaseValid(); });
   ingress_.OnBegun(
       [this](const TenantName& tenant, TimePoint at) { usage_.NoteBegun(tenant, at); });
 }
--- a/test/platform/edge_calls_test.cc
+++ b/test/platform/edge_calls_test.cc
@@ -216,6 +216,8 @@
   fixture.scheduler.RunFor(seconds(10));
   CHECK(fixture.Page("key-1") == 200);
   CHECK(fixture.Page("key-9") == 503);
+  // A route may be newer than what it holds.
+  CHECK(fixture.Ask("POST", "/nowhere/x", "key-1").status == 503);
 }
 
 }  // namespace
