Let scorers that are full hold up no texts of other scorers

Cause, found by reading: the scan of waiting scorings ended at the first text whose scorers were full, so that a route whose scorers are gone held up the texts of all others.

Change: texts wait by the name of their scorer's route.

--- a/source/ingress/route_table.cc
+++ b/source/ingress/route_table.cc
@@ -37,6 +37,13 @@
   return best;
 }
 
+const Route* RouteTable::FindByName(std::string_view name) const {
+  for (const Route& route : routes) {
+    if (route.name == name) return &route;
+  }
+  return nullptr;
+}
+
 const Service* RouteTable::FindService(const ServiceName& name) const {
   for (const Service& service : services) {
     if (service.name == name) return &service;
--- a/source/ingress/route_table.h
+++ b/source/ingress/route_table.h
@@ -82,6 +82,8 @@
 
   /// The route of `host` whose prefix is the longest that begins `path`; null if there is none.
   const Route* Find(std::string_view host, std::string_view path) const;
+  /// Null if there is none.
+  const Route* FindByName(std::string_view name) const;
   const Service* FindService(const ServiceName& name) const;
   /// Who calls with `key` at a route that `is_public`, or not.
   Access CheckAccess(std::optional<std::string_view> key, bool is_public) const;
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -186,12 +186,12 @@
   /// than the live scorers work on: a burst of whole texts would fill their queues, in which the
   /// requests of clients wait too, and be refused and repeated tens of times.
   void StartScoring();
-  void BeginScoring(Work& work, const JobScoring& scoring, const std::string& route);
+  void BeginScoring(Work& work, const JobRecord& record);
   void EndScoring(Work& work);
   /// Whether it runs or waits.
   void CancelScoring(Work& work);
   /// Requests that the live back ends of the route work on at once.
-  uint32_t MostScorings(const Route& route) const;
+  uint32_t MostScorings(const std::string& route_name) const;
   void OnScored(const JobId& job, uint32_t index, const ForwardResult& result);
   void GiveUpOld();
   void List(Work& work, ItemState state, std::string score);
@@ -220,8 +220,9 @@
   uint64_t next_order_ = 1;
   std::map<JobId, JobWork> jobs_;
   std::set<Rank> waiting_;
-  /// Whole texts that wait for a scorer.
-  std::set<Rank> scoring_waiting_;
+  /// Whole texts that wait for a scorer, by the name of their route: one whose scorers are full or
+  /// gone holds up no other.
+  std::map<std::string, std::set<Rank>> scoring_waiting_;
   /// Scorings under way, by the name of their route.
   std::map<std::string, uint32_t> scorings_;
   KeptTexts kept_;
--- a/source/jobs/job_scoring.cc
+++ b/source/jobs/job_scoring.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kFailedPause = std::chrono::milliseconds(50);
+/// Scorings at once that no route leads anywhere: each is tried again soon, in case a route comes.
+constexpr uint32_t kMostUnrouted = 8;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kServerErrors = 500;
@@ -19,15 +21,22 @@
 }  // namespace
 
 void JobScheduler::Score(Work& work, const JobRecord& record) {
-  if (!record.spec.items[work.index].scoring) return List(work, ItemState::kDone, "");
+  const auto& scoring = record.spec.items[work.index].scoring;
+  if (!scoring) return List(work, ItemState::kDone, "");
+  const RouteTable* routes = ingress_.routes();
+  const Route* route = routes == nullptr ? nullptr : routes->Find(scoring->host, scoring->path);
   work.phase = Phase::kScoring;
-  scoring_waiting_.insert(RankOf(work));
+  work.scoring_route = route == nullptr ? "" : route->name;
+  scoring_waiting_[work.scoring_route].insert(RankOf(work));
   StartScoring();
 }
 
-uint32_t JobScheduler::MostScorings(const Route& route) const {
+uint32_t JobScheduler::MostScorings(const std::string& route_name) const {
+  const RouteTable* routes = ingress_.routes();
+  const Route* route = routes == nullptr ? nullptr : routes->FindByName(route_name);
+  if (route == nullptr) return kMostUnrouted;
   uint32_t places = 0;
-  for (const ServiceShare& share : route.services) {
+  for (const ServiceShare& share : route->services) {
     for (const BackendInstance* scorer : ingress_.directory().Live(share.service)) {
       places += std::max(1U, scorer->slots);
     }
@@ -36,37 +45,21 @@
 }
 
 void JobScheduler::StartScoring() {
-  const RouteTable* routes = ingress_.routes();
-  /// Of each scorer's route, how many more may be judged now.
-  std::map<const Route*, uint32_t> room;
-  for (auto it = scoring_waiting_.begin(); it != scoring_waiting_.end();) {
-    Work* work = FindWork(it->job, it->index);
-    const JobRecord* record = state_.Find(it->job);
-    if (work == nullptr || record == nullptr || record->ended) {
-      it = scoring_waiting_.erase(it);
-      continue;
-    }
-    const JobScoring& scoring = *record->spec.items[work->index].scoring;
-    const Route* route = routes == nullptr ? nullptr : routes->Find(scoring.host, scoring.path);
-    if (route != nullptr) {
-      const uint32_t running = scorings_[route->name];
-      const uint32_t most = MostScorings(*route);
-      const auto known = room.try_emplace(route, most > running ? most - running : 0).first;
-      if (known->second == 0) {
-        if (room.size() == 1) return;
-        ++it;
-        continue;
-      }
-      --known->second;
+  for (auto& [route, waiting] : scoring_waiting_) {
+    const uint32_t most = waiting.empty() ? 0 : MostScorings(route);
+    while (!waiting.empty() && scorings_[route] < most) {
+      const Rank next = waiting.extract(waiting.begin()).value();
+      Work* work = FindWork(next.job, next.index);
+      const JobRecord* record = state_.Find(next.job);
+      if (work != nullptr && record != nullptr && !record->ended) BeginScoring(*work, *record);
     }
-    it = scoring_waiting_.erase(it);
-    BeginScoring(*work, scoring, route == nullptr ? "" : route->name);
   }
+  std::erase_if(scoring_waiting_, [](const auto& entry) { return entry.second.empty(); });
 }
 
-void JobScheduler::BeginScoring(Work& work, const JobScoring& scoring, const std::string& route) {
-  work.scoring_route = route;
-  ++scorings_[route];
+void JobScheduler::BeginScoring(Work& work, const JobRecord& record) {
+  const JobScoring& scoring = *record.spec.items[work.index].scoring;
+  ++scorings_[work.scoring_route];
   ForwardRequest request{
       {"POST", scoring.path, {}, scoring.body}, scoring.host, scoring.id, std::nullopt};
   work.scoring = ingress_.Forward(
@@ -83,7 +76,8 @@
 }
 
 void JobScheduler::CancelScoring(Work& work) {
-  scoring_waiting_.erase(RankOf(work));
+  const auto waiting = scoring_waiting_.find(work.scoring_route);
+  if (waiting != scoring_waiting_.end()) waiting->second.erase(RankOf(work));
   if (!work.scoring) return;
   ingress_.Cancel(*work.scoring);
   EndScoring(work);
--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -265,6 +265,31 @@
   CHECK(fixture.state.Find(JobId("j"))->results.size() == 30);
 }
 
+TEST_CASE("Scorers that are full hold up no texts of other scorers") {
+  Fixture fixture;
+  fixture.score.kind = Kind::kSilence;
+  Route other = fixture.reader.table.routes[1];
+  other.name = "other";
+  other.path_prefix = "/other/";
+  other.services = {{ServiceName("judges"), 1}};
+  fixture.reader.table.routes.push_back(other);
+  fixture.reader.table.version = 2;
+  fixture.configuration.routing = {2, "other content"};
+  fixture.Add("q:1", "judges", [](const HttpRequest&) {
+    return FakeAnswer{Kind::kAnswer, 200, {{"signature", "sig"}}, {"ok"}};
+  });
+  fixture.Lead();
+  for (const char* id : {"a", "b", "c", "d"}) {
+    JobSpec job = fixture.Job(id);
+    job.items[0].id = ItemId(std::string("item-") + id);
+    if (id[0] == 'd') job.items[0].scoring->path = "/other/x";
+    fixture.Submit(job);
+  }
+  fixture.scheduler.RunFor(milliseconds(300));
+  CHECK(fixture.ResultOf("a") == nullptr);
+  REQUIRE(fixture.ResultOf("d") != nullptr);
+}
+
 TEST_CASE("The end of a job leaves no scorer's place taken") {
   Fixture fixture;
   fixture.score.kind = Kind::kSilence;
