--- a/source/cluster/command_service.cc
+++ b/source/cluster/command_service.cc
@@ -6,14 +6,12 @@
 
 CommandService::CommandService(Environment& environment, PeerTransport& transport,
                                ClusterReplica& cluster, StreamHost& streams,
-                               const MembershipManager& membership, ClockAgreement& clock,
-                               NodeId self)
+                               const MembershipManager& membership, NodeId self)
     : environment_(environment),
       transport_(transport),
       cluster_(cluster),
       streams_(streams),
       membership_(membership),
-      clock_(clock),
       self_(std::move(self)) {}
 
 void CommandService::ReceiveCommand(const NodeId& from, const PeerMessage& message) {
--- a/source/cluster/command_service.h
+++ b/source/cluster/command_service.h
@@ -17,8 +17,7 @@
 class CommandService {
  public:
   CommandService(Environment& environment, PeerTransport& transport, ClusterReplica& cluster,
-                 StreamHost& streams, const MembershipManager& membership, ClockAgreement& clock,
-                 NodeId self);
+                 StreamHost& streams, const MembershipManager& membership, NodeId self);
 
   void Start(GroupHost& groups) { groups_ = &groups; }
   /// A message of kind kCommand.
@@ -55,7 +54,7 @@
   ClusterReplica& cluster_;
   StreamHost& streams_;
   const MembershipManager& membership_;
-  ClockAgreement& clock_;
+  ClockAgreement clock_;
   const NodeId self_;
   GroupHost* groups_ = nullptr;
   std::set<Running> running_;
--- a/source/cluster/control_node.cc
+++ b/source/cluster/control_node.cc
@@ -46,8 +46,7 @@
         heartbeats_(environment, transport, cluster_, push_, options_.faults),
         membership_(environment, transport, platform, cluster_, options_),
         streams_(environment, transport, cluster_, std::move(streams), options_.self.node),
-        commands_(environment, transport, cluster_, streams_, membership_, clock_,
-                  options_.self.node),
+        commands_(environment, transport, cluster_, streams_, membership_, options_.self.node),
         submitter_(cluster_, commands_,
                    MakeControlClient(environment, transport, options_.self.node,
                                      WithoutSelf(options_.control_nodes, options_.self.node),
@@ -272,7 +271,6 @@
   HeartbeatService heartbeats_;
   MembershipManager membership_;
   StreamHost streams_;
-  ClockAgreement clock_;
   CommandService commands_;
   ClusterSubmitter submitter_;
   OperatorsApi operators_;
--- a/source/cluster/holder_leases.cc
+++ b/source/cluster/holder_leases.cc
@@ -39,4 +39,9 @@
   return !on_its_way || own->second.announcement.term >= term;
 }
 
+bool HolderLeases::MayStillAct(const std::string& subject, Term term,
+                               TimePoint announced_at) const {
+  return environment_.Now() - announced_at <= kAnnouncedFor && MayAct(subject, term);
+}
+
 }  // namespace millstair
--- a/source/cluster/holder_leases.h
+++ b/source/cluster/holder_leases.h
@@ -44,6 +44,9 @@
   /// hold it, nor while an act of this node's own from an earlier term may still be on its way,
   /// which would arrive with a smaller fence after one of this term.
   bool MayAct(const std::string& subject, Term term) const;
+  /// The same for an act whose announcement, made at `announced_at`, is committed by now: not if
+  /// that took too long.
+  bool MayStillAct(const std::string& subject, Term term, TimePoint announced_at) const;
 
  private:
   struct Held {
--- a/source/ctl/control_api.cc
+++ b/source/ctl/control_api.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "fmt/format.h"
+#include "http/exchange.h"
 #include "http/outcome.h"
 #include "resources/resource_codec.h"
 
@@ -18,8 +19,6 @@
 constexpr int kTooManyRequestsStatus = 429;
 constexpr int kServerErrorStatus = 500;
 
-bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
 /// Whether another try, here or elsewhere, may get a final answer.
 bool WorthAnotherTry(const BlockingReply& reply) {
   return !reply.whole() || reply.status >= kServerErrorStatus ||
--- a/source/duties/usage_duty.cc
+++ b/source/duties/usage_duty.cc
@@ -50,14 +50,22 @@
   ControlNode& control_;
 };
 
-/// A duty with the host that it runs on.
-class HostedUsageDuty : private ControlUsageHost, public UsageDuty {
+/// The duty on a control node.
+class ControlUsageDuty : public ClusterDuty {
  public:
-  HostedUsageDuty(Environment& environment, HttpCaller& http, const DutyProtocol& protocol,
-                  ControlNode& control, UsageDutyOptions options)
-      : ControlUsageHost(control),
-        UsageDuty(environment, http, protocol, static_cast<ControlUsageHost&>(*this),
-                  std::move(options)) {}
+  ControlUsageDuty(Environment& environment, HttpCaller& http, const DutyProtocol& protocol,
+                   ControlNode& control, UsageDutyOptions options)
+      : host_(control), duty_(environment, http, protocol, host_, std::move(options)) {
+    control.OnDutyAnnounced(
+        [this](const HolderAnnouncement& announcement) { duty_.NoteAnnouncement(announcement); });
+  }
+
+  void Run(const Configuration&) override { duty_.Run(); }
+  void Observe(const NodeId&, const EngineObservation&) override {}
+
+ private:
+  ControlUsageHost host_;
+  UsageDuty duty_;
 };
 
 }  // namespace
@@ -90,7 +98,7 @@
   if (announcement.subject == kSubject) leases_.NoteAnnouncement(announcement);
 }
 
-void UsageDuty::Run(const Configuration&) {
+void UsageDuty::Run() {
   if (!tick_timer_.armed()) Tick();
 }
 
@@ -163,7 +171,7 @@
 void UsageDuty::Send(UsageWindow window, TimePoint announced_at) {
   // By now every earlier announcement is applied here.
   const TimePoint now = environment_.Now();
-  const bool in_time = now - announced_at <= kAnnouncedFor && leases_.MayAct(kSubject, term_);
+  const bool in_time = leases_.MayStillAct(kSubject, term_, announced_at);
   const auto counts = host_.ledger().windows().find(window);
   if (!in_time || host_.LeadingTerm() != term_ || counts == host_.ledger().windows().end()) {
     LogEvent(EventId::kDutyWithheld, "subject={} window={} term={} announced_ms={}", kSubject,
@@ -201,15 +209,11 @@
   next_call_at_ = environment_.Now() + pause;
 }
 
-std::unique_ptr<UsageDuty> MakeUsageDuty(Environment& environment, HttpCaller& http,
-                                         const DutyProtocol& protocol, ControlNode& control,
-                                         UsageDutyOptions options) {
-  auto duty =
-      std::make_unique<HostedUsageDuty>(environment, http, protocol, control, std::move(options));
-  control.OnDutyAnnounced([duty = duty.get()](const HolderAnnouncement& announcement) {
-    duty->NoteAnnouncement(announcement);
-  });
-  return duty;
+std::unique_ptr<ClusterDuty> MakeUsageDuty(Environment& environment, HttpCaller& http,
+                                           const DutyProtocol& protocol, ControlNode& control,
+                                           UsageDutyOptions options) {
+  return std::make_unique<ControlUsageDuty>(environment, http, protocol, control,
+                                            std::move(options));
 }
 
 }  // namespace millstair
--- a/source/duties/usage_duty.h
+++ b/source/duties/usage_duty.h
@@ -49,14 +49,15 @@
 };
 
 /// Lives on the node's serial executor.
-class UsageDuty : public ClusterDuty {
+class UsageDuty {
  public:
   UsageDuty(Environment& environment, HttpCaller& http, const DutyProtocol& protocol,
             UsageDutyHost& host, UsageDutyOptions options);
 
+  /// An announcement of any duty was applied here, in the order of the log.
   void NoteAnnouncement(const HolderAnnouncement& announcement);
-  void Run(const Configuration& configuration) override;
-  void Observe(const NodeId&, const EngineObservation&) override {}
+  /// Called about once a second while the node leads, and when it begins to.
+  void Run();
 
  private:
   void Tick();
@@ -91,8 +92,8 @@
 };
 
 /// The duty on `control`, which outlives it.
-std::unique_ptr<UsageDuty> MakeUsageDuty(Environment& environment, HttpCaller& http,
-                                         const DutyProtocol& protocol, ControlNode& control,
-                                         UsageDutyOptions options);
+std::unique_ptr<ClusterDuty> MakeUsageDuty(Environment& environment, HttpCaller& http,
+                                           const DutyProtocol& protocol, ControlNode& control,
+                                           UsageDutyOptions options);
 
 }  // namespace millstair
--- a/source/http/exchange.h
+++ b/source/http/exchange.h
@@ -41,6 +41,13 @@
   std::string body;
 };
 
+/// A status of 200 to 299.
+constexpr bool IsSuccess(int status) {
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirect = 300;
+  return status >= kFirstSuccess && status < kFirstRedirect;
+}
+
 struct HttpResponseHead {
   int status = 200;
   HttpHeaders headers;
--- a/source/ingress/ingress_service.cc
+++ b/source/ingress/ingress_service.cc
@@ -5,12 +5,6 @@
 #include "common/event_log.h"
 
 namespace millstair {
-namespace {
-
-constexpr Duration kRetryWhenUnconfigured = std::chrono::milliseconds(250);
-
-}  // namespace
-
 IngressService::IngressService(Environment& environment, HttpCaller& http,
                                const BackendProtocol& protocol, const RoutingDocumentReader& reader,
                                Zone own_zone, StatsRegistry* stats)
--- a/source/ingress/ingress_service.h
+++ b/source/ingress/ingress_service.h
@@ -17,6 +17,11 @@
 
 namespace millstair {
 
+/// When a caller may come back to a node that does not know yet, or can't be sure of, what is
+/// configured. One that has just started is proven fresh after one or two heartbeats, and the
+/// caller's next try reaches another node anyway.
+inline constexpr Duration kRetryWhenUnconfigured = std::chrono::milliseconds(250);
+
 /// Lives on the node's serial executor.
 class IngressService {
  public:
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -16,9 +16,6 @@
 /// An answer that comes later says little: the time between is not known.
 constexpr Duration kTimePatience = std::chrono::milliseconds(400);
 constexpr Duration kReadyPoll = std::chrono::milliseconds(50);
-/// A node that has just started is proven fresh after one or two heartbeats; the caller's next try
-/// reaches another node anyway.
-constexpr Duration kRetryWhenUnsure = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -110,15 +107,15 @@
 
 Admission IngressNode::Admit(const Route* route, std::optional<std::string_view> key) const {
   const RouteTable* routes = ingress_.routes();
-  if (routes == nullptr) return {AdmissionVerdict::kUnsure, {}, kRetryWhenUnsure};
+  if (routes == nullptr) return {AdmissionVerdict::kUnsure, {}, kRetryWhenUnconfigured};
   if (!routes->tenants) return {};
   const Access access = routes->CheckAccess(key, route != nullptr && route->is_public);
   if (access.verdict == AccessVerdict::kAllowed) {
     const bool by_key = access.tenant != TenantName();
-    if (by_key && !ready_) return {AdmissionVerdict::kUnsure, {}, kRetryWhenUnsure};
+    if (by_key && !ready_) return {AdmissionVerdict::kUnsure, {}, kRetryWhenUnconfigured};
     return {AdmissionVerdict::kAllowed, access.tenant, Duration(0)};
   }
-  if (!ready_ || !LeaseValid()) return {AdmissionVerdict::kUnsure, {}, kRetryWhenUnsure};
+  if (!ready_ || !LeaseValid()) return {AdmissionVerdict::kUnsure, {}, kRetryWhenUnconfigured};
   return {AdmissionVerdict::kUnknownKey, {}, Duration(0)};
 }
 
--- a/source/jobs/job_scoring.cc
+++ b/source/jobs/job_scoring.cc
@@ -12,12 +12,8 @@
 constexpr Duration kFailedPause = std::chrono::milliseconds(50);
 /// Scorings at once that no route leads anywhere: each is tried again soon, in case a route comes.
 constexpr uint32_t kMostUnrouted = 8;
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
 constexpr int kServerErrors = 500;
 
-bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
-
 }  // namespace
 
 void JobScheduler::Score(Work& work, const JobRecord& record) {
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -395,9 +395,10 @@
   const auto found = engines_.find(instance);
   if (found == engines_.end()) return;
   // By now every earlier announcement is applied here.
-  const TimePoint now = environment_.Now();
-  const bool in_time = now - announced_at <= kAnnouncedFor && MayOrder(instance);
-  if (!in_time || group_ == nullptr || !group_->IsLeader() || target == nullptr) {
+  const bool leads = group_ != nullptr && group_->IsLeader();
+  const bool may_order =
+      leads && leases_.MayStillAct(instance.value(), group_->CurrentTerm(), announced_at);
+  if (!may_order || target == nullptr) {
     found->second.loading.reset();
     return;
   }
--- a/source/tenants/tenant_directory.h
+++ b/source/tenants/tenant_directory.h
@@ -64,7 +64,6 @@
   /// Who calls with `key` (none: without one). Public routes need none.
   Access Check(std::optional<std::string_view> key, bool is_public) const;
 
-  size_t tenant_count() const { return tenants_.size(); }
   size_t key_count() const { return keys_.size(); }
 
  private:
--- a/test/duties/usage_duty_history_test.cc
+++ b/test/duties/usage_duty_history_test.cc
@@ -172,7 +172,7 @@
       });
     }
     leader.believes = newest_term;
-    leader.duty.Run(Configuration());
+    leader.duty.Run();
   }
   void CatchUp(Replica& replica, size_t through) {
     while (replica.applied < through) replica.Apply(entries_[replica.applied++]);
--- a/test/duties/usage_duty_test.cc
+++ b/test/duties/usage_duty_test.cc
@@ -94,7 +94,7 @@
   }
   void Lead(uint64_t in_term) {
     term = Term(in_term);
-    duty.Run(Configuration());
+    duty.Run();
   }
 
   VirtualEnvironment environment;
--- /dev/null
+++ b/test/platform/answer_writer.h
@@ -0,0 +1,38 @@
+/// What a handler answers, noted for the tests of platform/.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "http/exchange.h"
+
+namespace millstair::platform {
+
+struct Answer {
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+  bool finished = false;
+};
+
+/// Notes the answer; its caller stays and reads at once.
+class AnswerWriter : public ResponseWriter {
+ public:
+  explicit AnswerWriter(std::shared_ptr<Answer> answer) : answer_(std::move(answer)) {}
+  void SendHead(HttpResponseHead head) override {
+    answer_->status = head.status;
+    answer_->headers = std::move(head.headers);
+  }
+  void SendBody(std::string bytes) override { answer_->body += bytes; }
+  void Finish() override { answer_->finished = true; }
+  void Abort() override {}
+  size_t WritableBytes() const override { return 1 << 20; }
+  void OnWritable(std::function<void()>) override {}
+  void OnCallerGone(std::function<void()>) override {}
+
+ private:
+  const std::shared_ptr<Answer> answer_;
+};
+
+}  // namespace millstair::platform
--- a/test/platform/control_calls_test.cc
+++ b/test/platform/control_calls_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/trompeloeil.hpp>
 
 #include "platform/routing_codec.h"
+#include "test/platform/answer_writer.h"
 
 namespace millstair::platform {
 namespace {
@@ -36,34 +37,13 @@
   MAKE_MOCK2(Handle, void(HttpRequest, std::shared_ptr<ResponseWriter>), override);
 };
 
-struct Answer {
-  int status = 0;
-  std::string body;
-  bool finished = false;
-};
-
-class AnswerWriter : public ResponseWriter {
- public:
-  explicit AnswerWriter(Answer& answer) : answer_(answer) {}
-  void SendHead(HttpResponseHead head) override { answer_.status = head.status; }
-  void SendBody(std::string bytes) override { answer_.body += bytes; }
-  void Finish() override { answer_.finished = true; }
-  void Abort() override {}
-  size_t WritableBytes() const override { return 1 << 20; }
-  void OnWritable(std::function<void()>) override {}
-  void OnCallerGone(std::function<void()>) override {}
-
- private:
-  Answer& answer_;
-};
-
 class Fixture {
  public:
   Answer Ask(const std::string& method, const std::string& path, const std::string& body = "") {
-    Answer answer;
+    const auto answer = std::make_shared<Answer>();
     calls.Handle({method, path, {}, body}, std::make_shared<AnswerWriter>(answer));
-    CHECK(answer.finished);
-    return answer;
+    CHECK(answer->finished);
+    return *answer;
   }
 
   MockControl control;
--- a/test/platform/edge_calls_test.cc
+++ b/test/platform/edge_calls_test.cc
@@ -8,6 +8,7 @@
 #include "platform/routing_codec.h"
 #include "platform/server_wire.h"
 #include "test/ingress/fake_backends.h"
+#include "test/platform/answer_writer.h"
 
 namespace millstair::platform {
 namespace {
@@ -15,30 +16,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-struct Answer {
-  int status = 0;
-  HttpHeaders headers;
-  bool finished = false;
-};
-
-class AnswerWriter : public ResponseWriter {
- public:
-  explicit AnswerWriter(std::shared_ptr<Answer> answer) : answer_(std::move(answer)) {}
-  void SendHead(HttpResponseHead head) override {
-    answer_->status = head.status;
-    answer_->headers = head.headers;
-  }
-  void SendBody(std::string) override {}
-  void Finish() override { answer_->finished = true; }
-  void Abort() override {}
-  size_t WritableBytes() const override { return 1 << 20; }
-  void OnWritable(std::function<void()>) override {}
-  void OnCallerGone(std::function<void()>) override {}
-
- private:
-  const std::shared_ptr<Answer> answer_;
-};
-
 /// A control node that answers heartbeats with a routing document, unless it is cut off.
 class ScriptedControl : public PeerTransport {
  public:
