Log when a node's configuration is proven fresh and when it is not any more

Cause: neither logs nor metrics could tell the incident's hypotheses apart: a gateway's log did not say how old its routes were at a request, how long it had looked for a control node, nor that its lease was over; a request's line told the version in force at its end, not the one it went by. No decision changes.

--- a/source/cluster/configuration_client.cc
+++ b/source/cluster/configuration_client.cc
@@ -28,6 +28,10 @@
 /// An observation that changed is sent at most this much later, together with others by then.
 constexpr Duration kReportDelay = std::chrono::milliseconds(150);
 
+int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 class HeartbeatingConfigurationClient : public ConfigurationClient {
  public:
   HeartbeatingConfigurationClient(Environment& environment, PeerTransport& transport,
@@ -55,6 +59,11 @@
 
   bool LeaseValid() const override { return leased_ && environment_.Now() < lease_until_; }
 
+  std::optional<Duration> ProofAge() const override {
+    if (!leased_) return std::nullopt;
+    return environment_.Now() - (lease_until_ - timing_.lease);
+  }
+
   void OnChange(std::function<void()> callback) override {
     listeners_.push_back(std::move(callback));
   }
@@ -80,6 +89,7 @@
 
  private:
   void Beat() {
+    NoteLease();
     MoveIfUnanswered();
     SendHeartbeat();
     const double jitter = 1 + kHeartbeatJitter * (2 * DrawUnit(environment_.Random()) - 1);
@@ -101,9 +111,12 @@
   void MoveIfUnanswered() {
     const TimePoint now = environment_.Now();
     if (now - source_since_ >= SourceTimeout()) {
-      LogEvent(EventId::kConfigurationSourceLost, "node={} source={}", self_.node,
-               sources_.current().node);
+      const NodeId lost = sources_.current().node;
       sources_.MoveOn();
+      LogEvent(EventId::kConfigurationSourceLost,
+               "node={} source={} silent_ms={} next={} revision={} proof_ms={}", self_.node, lost,
+               Milliseconds(now - source_since_), sources_.current().node, configuration_.revision,
+               ProofMilliseconds());
       source_since_ = now;
       return;
     }
@@ -113,6 +126,21 @@
     source_since_ = now;
   }
 
+  /// For logs; -1 before the first proof.
+  int64_t ProofMilliseconds() const {
+    const auto age = ProofAge();
+    return age ? Milliseconds(*age) : -1;
+  }
+
+  /// Logs that the lease is over, or valid again.
+  void NoteLease() {
+    if (LeaseValid() == lease_noted_) return;
+    lease_noted_ = !lease_noted_;
+    LogEvent(lease_noted_ ? EventId::kConfigurationProven : EventId::kConfigurationUnproven,
+             "node={} source={} revision={} proof_ms={}", self_.node, sources_.current().node,
+             configuration_.revision, ProofMilliseconds());
+  }
+
   void SendHeartbeat() {
     const TimePoint now = environment_.Now();
     NodeHeartbeat heartbeat;
@@ -178,6 +206,7 @@
     if (leased_ && until <= lease_until_) return;
     leased_ = true;
     lease_until_ = until;
+    NoteLease();
   }
 
   /// Control nodes that joined later are sources too, and those that are gone are none.
@@ -212,6 +241,8 @@
   std::vector<std::function<void()>> listeners_;
   bool leased_ = false;
   TimePoint lease_until_;
+  /// What the log last said of the lease.
+  bool lease_noted_ = false;
   /// When the source last proved itself, or was chosen.
   TimePoint source_since_;
   TimePoint return_at_;
--- a/source/cluster/configuration_client.h
+++ b/source/cluster/configuration_client.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,8 @@
   virtual const Configuration& configuration() const = 0;
   /// True while the configuration held is proven fresh.
   virtual bool LeaseValid() const = 0;
+  /// How long ago the configuration held was last known to be the newest; nothing if it never was.
+  virtual std::optional<Duration> ProofAge() const = 0;
   /// Called after each applied change, on the executor. Several listeners may be added.
   virtual void OnChange(std::function<void()> callback) = 0;
   /// Tells the control nodes what this gateway saw; sent with the next heartbeat.
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -51,7 +51,7 @@
   Duration retry_after{0};
   /// The back end that answered, or was tried last; empty if none was.
   InstanceId instance;
-  /// Version of the routes that decided; 0 if none were known.
+  /// Version of the routes by which the request began; 0 if none were known.
   uint64_t routing_version = 0;
   /// For the log.
   std::string reason;
--- a/source/ingress/ingress_service.cc
+++ b/source/ingress/ingress_service.cc
@@ -38,8 +38,9 @@
   }
   auto flow = std::make_unique<ForwardFlow>(
       context_, *route, std::move(request),
-      [this, id, started = environment_.Now(), done = std::move(done)](ForwardResult result) {
-        result.routing_version = routes_->version;
+      [this, id, started = environment_.Now(), version = routes_->version,
+       done = std::move(done)](ForwardResult result) {
+        result.routing_version = version;
         Count(result, environment_.Now() - started);
         auto ended = flows_.extract(id);
         // The flow's own callbacks are still running.
@@ -82,6 +83,7 @@
   ForwardResult result;
   result.outcome = outcome;
   result.reason = std::move(reason);
+  result.routing_version = routes_ ? routes_->version : 0;
   result.retry_after = kRetryWhenUnconfigured;
   environment_.Schedule(Duration(0), alive_.Guard([result = std::move(result),
                                                    done = std::move(done)] { done(result); }));
@@ -99,8 +101,9 @@
   }
   streams_[id] = std::make_unique<StreamFlow>(
       context_, *route, std::move(request), sink,
-      [this, id, started = environment_.Now(), done = std::move(done)](StreamEnd result) {
-        result.forward.routing_version = routes_->version;
+      [this, id, started = environment_.Now(), version = routes_->version,
+       done = std::move(done)](StreamEnd result) {
+        result.forward.routing_version = version;
         Count(result.forward, environment_.Now() - started);
         auto ended = streams_.extract(id);
         // The flow's own callbacks are still running.
--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -64,6 +64,8 @@
   JobClient& jobs() { return jobs_; }
   const Configuration& configuration() const { return configuration_->configuration(); }
   bool LeaseValid() const { return configuration_->LeaseValid(); }
+  /// How long ago the routes held were last known to be the newest; nothing if they never were.
+  std::optional<Duration> ProofAge() const { return configuration_->ProofAge(); }
 
  private:
   void ConfigurationChanged();
--- a/source/server/server_node.cc
+++ b/source/server/server_node.cc
@@ -250,6 +250,15 @@
     stats_.NewGauge({"millstair_lease_valid", "1 while the gateway may give out new work."})
         .Set(gateway_->Ready() ? 1 : 0);
   }
+  if (ingress_ != nullptr) {
+    const RouteTable* routes = ingress_->ingress().routes();
+    stats_.NewGauge({"millstair_configuration_revision", "Revision that the gateway holds."})
+        .Set(static_cast<double>(ingress_->configuration().revision.value()));
+    stats_.NewGauge({"millstair_routing_version", "Version of the routes in force; 0 is none."})
+        .Set(routes == nullptr ? 0 : static_cast<double>(routes->version));
+    stats_.NewGauge({"millstair_lease_valid", "1 while the gateway's routes are proven fresh."})
+        .Set(ingress_->LeaseValid() ? 1 : 0);
+  }
   if (control_ == nullptr) return;
   stats_.NewGauge({"millstair_cluster_revision", "Revision applied by this control node."})
       .Set(static_cast<double>(control_->configuration().revision.value()));
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -26,6 +26,7 @@
   void Start() override {}
   const Configuration& configuration() const override { return held; }
   bool LeaseValid() const override { return lease; }
+  std::optional<Duration> ProofAge() const override { return std::nullopt; }
   void OnChange(std::function<void()> callback) override { listeners.push_back(callback); }
   void Report(EngineObservation observation) override { reports.push_back(observation); }
   void SetLeaving() override { leaving = true; }
