--- a/test/soak/back_ends.py
+++ b/test/soak/back_ends.py
@@ -4,20 +4,23 @@
 import http.client
 import http.server
 import json
+import multiprocessing
 import random
 import socket
 import struct
 import threading
 import time
 
-from fleet import MACHINES, SERVICE, ip_of
-from history import Acknowledged, Order, Run, now
+from documents import MODEL
+from fleet import SERVICE, ip_of
+from history import Acknowledged, History, Order, Run, now
 
 HEARTBEAT = 1.0
 SLOTS = 8
 LOAD_TIME = 0.5
 EVENT_TIME = 0.04
 KEEP_SERVING = 3.5
+REFUSES_FOR = 1.0
 
 
 def stamp_of(instance, request):
@@ -30,9 +33,9 @@
     return any(stamp == stamp_of(instance, request) for instance in instances)
 
 
-def call_control(path, body, timeout=1.0):
-    """POSTs to control nodes, one after another, until one takes it; whether one did."""
-    for machine in random.sample(MACHINES, len(MACHINES)):
+def call_control(machines, path, body, timeout=1.0):
+    """POSTs to control nodes, one after another, until one takes it; the one that did, or 0."""
+    for machine in random.sample(machines, len(machines)):
         try:
             connection = http.client.HTTPConnection(ip_of(machine), SERVICE, timeout=timeout)
             connection.request("POST", path, json.dumps(body),
@@ -40,24 +43,27 @@
             status = connection.getresponse().status
             connection.close()
             if 200 <= status < 300:
-                return True
+                return machine
         except (OSError, http.client.HTTPException):
             continue
-    return False
+    return 0
 
 
 class BackEnd:
     """A server of one service; engines have models."""
 
-    def __init__(self, service, index, history, models=()):
+    def __init__(self, layout, service, index, history, models=()):
+        self._layout = layout
         self.instance = f"i-{service}-{index}-{random.randrange(1 << 32):08x}"
         self.service = service
+        self._zone = f"zone-{index % layout.zones + 1}"
         self.history = history
         self.versions = {model: 1 for model in models}
         self.orders = 0
         self.busy_until = 0.0
         self.state = "ready"
         self.stopped = False
+        self.refuses_until = 0.0
         self.faulty = 0.02
         self._slots = threading.Semaphore(SLOTS)
         self._sequence = 0
@@ -71,15 +77,15 @@
         threading.Thread(target=self._beat, daemon=True).start()
 
     def report(self):
-        """A heartbeat; whether it was acknowledged."""
+        """A heartbeat; the machine that acknowledged it, or 0."""
         self._sequence += 1
         body = {
-            "service": self.service, "addr": self.address, "zone": "zone-1", "version": "v1",
+            "service": self.service, "addr": self.address, "zone": self._zone, "version": "v1",
             "slots": SLOTS, "state": self.state, "cold_left_ms": 0, "seq": self._sequence}
         if self.versions:
             body["stage"] = "mixed"
             body["models"] = self.models()
-        return call_control(f"/v1/Instances.Heartbeat/{self.instance}", body)
+        return call_control(self._layout.machines, f"/v1/Instances.Heartbeat/{self.instance}", body)
 
     def models(self):
         """What it holds, as reports tell it."""
@@ -90,15 +96,16 @@
         while not self.stopped:
             sent = now()
             draining = self.state == "draining"
-            if self.report() and draining:
-                self.history.add(Acknowledged(f"leaving {self.instance}", sent, now()))
+            machine = self.report()
+            if machine and draining:
+                self.history.add(Acknowledged(f"leaving {self.instance}", sent, now(), machine))
             time.sleep(HEARTBEAT)
 
     def leave(self):
         """Drains, serves on for a while, and ends."""
         self.state = "draining"
         time.sleep(HEARTBEAT + KEEP_SERVING)
-        call_control(f"/v1/Instances.Deregister/{self.instance}", {})
+        call_control(self._layout.machines, f"/v1/Instances.Deregister/{self.instance}", {})
         time.sleep(1.0)
         self.crash()
 
@@ -190,7 +197,8 @@
             return self._answer(421, b"", {"Not-Run": "1"})
         full = not own._slots.acquire(timeout=0.1)
         loading = own.versions and now() < own.busy_until
-        if full or loading or random.random() < own.faulty / 2:
+        refuses = now() < own.refuses_until or random.random() < own.faulty / 2
+        if full or loading or refuses:
             if not full:
                 own._slots.release()
             return self._answer(503, b"", {"Not-Run": "1"})
@@ -243,3 +251,122 @@
                 self.wfile.write(lines.encode())
             except OSError:
                 return  # the caller has gone: the work ends
+
+
+class Rack:
+    """The back ends of all services; lives in the process of the board."""
+
+    def __init__(self, layout, counts, seed):
+        random.seed(seed)
+        self.history = History()
+        self._layout = layout
+        self._next_index = 0
+        self._lock = threading.Lock()
+        self.instances = set()
+        self._present = []
+        for service, count in counts.items():
+            for _ in range(count):
+                self._add(service)
+
+    def _add(self, service, versions=None):
+        models = (MODEL,) if service == "engines" else ()
+        new = BackEnd(self._layout, service, self._next_index, self.history, models)
+        self._next_index += 1
+        new.versions.update(versions or {})
+        self._present.append(new)
+        self.instances.add(new.instance)
+
+    def _take_one(self):
+        """One that is to go, and its successor, which is there before."""
+        with self._lock:
+            gone = random.choice(self._present)
+            self._present.remove(gone)
+            self._add(gone.service, gone.versions)
+            return gone
+
+    def crash(self):
+        """One is gone without a word, another comes."""
+        gone = self._take_one()
+        gone.crash()
+        return gone.instance
+
+    def refuse(self):
+        """All of one service refuse for a moment."""
+        with self._lock:
+            for back_end in self._present:
+                if back_end.service == "shop":
+                    back_end.refuses_until = now() + REFUSES_FOR
+        return "shop"
+
+    def replace(self):
+        """A new one comes, an old one drains and leaves."""
+        leaving = self._take_one()
+        time.sleep(1.5)
+        leaving.leave()
+        return leaving.instance
+
+
+def _serve(pipe, layout, counts, seed):
+    rack = Rack(layout, counts, seed)
+    lock = threading.Lock()
+
+    def answer(number, what):
+        value = getattr(rack, what)()
+        with lock:
+            pipe.send((number, value))
+
+    pipe.send(None)
+    while True:
+        number, what = pipe.recv()
+        if what == "end":
+            pipe.send((rack.history.records, rack.instances))
+            return
+        threading.Thread(target=answer, args=(number, what), daemon=True).start()
+
+
+class BackEndBoard:
+    """The back ends, in a process of their own: their work takes no time from the callers."""
+
+    def __init__(self, layout, counts, seed):
+        """`counts`: how many there are of each service."""
+        self._pipe, far = multiprocessing.Pipe()
+        self._process = multiprocessing.Process(target=_serve, args=(far, layout, counts, seed),
+                                                daemon=True)
+        self._process.start()
+        far.close()
+        self._lock = threading.Lock()
+        self._answers = {}
+        self._number = 0
+        self._pipe.recv()
+
+    def play(self, what):
+        """Has one `crash` or be `replace`d, or some `refuse`, to the end; which."""
+        with self._lock:
+            self._number += 1
+            number = self._number
+            self._pipe.send((number, what))
+        while True:
+            with self._lock:
+                if self._pipe.poll(0.0):
+                    answered, value = self._pipe.recv()
+                    self._answers[answered] = value
+                if number in self._answers:
+                    return self._answers.pop(number)
+            time.sleep(0.05)
+
+    def end(self, history):
+        """Adds what the back ends saw to `history`; all instances that there were."""
+        with self._lock:
+            self._pipe.send((0, "end"))
+            while True:
+                first, second = self._pipe.recv()
+                if isinstance(first, list):
+                    break
+        history.add_all(first)
+        self._process.terminate()
+        self._process.join()
+        return second
+
+    def stop(self):
+        """Ends the process, whatever it does."""
+        self._process.terminate()
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers of the system: clients, the operator and a trainer."""
+"""Callers of the system: clients, the operators and a trainer."""
 
 import base64
 import http.client
@@ -7,18 +7,18 @@
 import threading
 import time
 
-from fleet import GATEWAYS, MACHINES, SERVICE, ip_of
-from history import Acknowledged, Call, Listed, ReadBack, now
+from documents import (FLAWS, HOST, MODEL, MOVED_ROUTE, flawed_text, routing_document)
+from fleet import SERVICE, ip_of
+from history import Acknowledged, Call, Listed, OperatorCall, ReadBack, Sent, now
 
-HOST = "soak.example"
-MODEL = "writer"
 DEADLINE = 2.0
 NOT_RUN = (408, 421, 429, 503)
 GROUPS, GROUP_SIZE, WANTED = 4, 3, 3
 STEP_TIME = 4.0
 STEP_DEADLINE = 12.0
-MOVED_ROUTE = "/moved/"
-SERVICES = ("pages", "shop")
+# A call of an operator without an answer by then goes to another node.
+OPERATOR_PATIENCE = 1.0
+READ_PAUSE = 0.15
 
 
 def new_id():
@@ -29,6 +29,14 @@
 def exchange(machine, method, path, body=None, headers=None, timeout=2.0):
     """One call on a connection of its own: status, headers, body; OSError if no answer came."""
     connection = http.client.HTTPConnection(ip_of(machine), SERVICE, timeout=timeout)
+    try:
+        return exchange_on(connection, method, path, body, headers)
+    finally:
+        connection.close()
+
+
+def exchange_on(connection, method, path, body=None, headers=None):
+    """One call on a connection that is kept; OSError if no answer came."""
     try:
         connection.request(method, path, body, headers or {})
         answer = connection.getresponse()
@@ -36,80 +44,66 @@
         return answer.status, answer.headers, text
     except http.client.HTTPException as error:
         raise OSError(str(error)) from error
-    finally:
-        connection.close()
 
 
 class Client:
-    """Sends requests all the time; sends those that may be repeated again."""
+    """Sends requests all the time; sends those that may be repeated again. Stays on a connection
+    until its process is gone, or now and then draws another gateway."""
 
     ROUTES = ("/pages/", "/book/", MOVED_ROUTE)
+    MOVES = 0.02
 
-    def __init__(self, history):
+    def __init__(self, layout, history):
+        self._layout = layout
         self._history = history
+        self._machine = 0
+        self._connection = None
         self.stopped = False
         threading.Thread(target=self._run, daemon=True).start()
 
     def _run(self):
         while not self.stopped:
             self._ask(random.choice(self.ROUTES))
+            if random.random() < self.MOVES:
+                self._drop()
             time.sleep(random.uniform(0.02, 0.1))
 
+    def _drop(self):
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
+
     def _ask(self, route):
         for _ in range(2):
-            call = Call(new_id(), route, "", now())
-            machine = random.choice(GATEWAYS)
-            call.gateway = ip_of(machine)
+            if self._connection is None:
+                self._machine = random.choice(self._layout.gateways)
+                self._connection = http.client.HTTPConnection(ip_of(self._machine), SERVICE,
+                                                              timeout=DEADLINE)
+            call = Call(new_id(), route, ip_of(self._machine), now())
             headers = {"Host": HOST, "Request-Id": call.request,
                        "Deadline-Ms": str(int(DEADLINE * 1000))}
             try:
-                status, answer, body = exchange(machine, "GET", route + "x", None, headers, DEADLINE)
+                status, answer, body = exchange_on(self._connection, "GET", route + "x", None,
+                                                   headers)
                 call.status, call.stamp, call.body = status, answer.get("Stamp", ""), body.decode()
             except OSError:
-                pass
+                self._drop()
+            call.ended = now()
             self._history.add(call)
             if call.status == 200 or (route == "/book/" and call.status not in NOT_RUN):
                 return
             time.sleep(0.1)
 
 
-def routing_document(version):
-    """Two services take the moved route by turns."""
-    def route(name, prefix, kind, service, **more):
-        return {"name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
-                "timeout_ms": 1500, "target_ms": 200, "priority": 2, "service": service,
-                "attempts": 3, **more}
-    routes = [
-        route("pages", "/pages/", "safe", "pages"),
-        route("book", "/book/", "unsafe", "shop"),
-        route("moved", MOVED_ROUTE, "safe", SERVICES[version % 2]),
-        route("score", "/score/", "safe", "pages"),
-        route("jobs", "/jobs/", "rollout", "engines", deadline_ms=10000, queue_ttl_s=20,
-              sticky=True, resumable=True),
-    ]
-    services = [{"name": name, "health_path": "/healthz", "max_conns": 100, "protocol": "h1",
-                 "tls": False} for name in SERVICES]
-    services.append({
-        "name": "engines", "health_path": "/healthz", "max_conns": 100, "protocol": "h1",
-        "tls": False,
-        "engine": {"slots": 8, "kv_capacity": 100000, "kv_token_bytes": 1000,
-                   "models": [{"name": MODEL}]}})
-    limits = {"max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_ms": 3000,
-              "idle_timeout_ms": 15000}
-    return {"version": version, "routes": routes, "services": services, "limits": limits}
-
-
-def moved_service(version):
-    """The service that takes the moved route under a version."""
-    return SERVICES[version % 2]
-
-
 class Operator:
-    """Changes the configuration now and then, and reads it back at any node."""
+    """Changes the configuration now and then, and reads it back at any node. Sends what was
+    acknowledged again, invalid documents, and at times two documents at once to different nodes."""
 
-    def __init__(self, history, pause):
+    def __init__(self, layout, history, pause):
+        self._layout = layout
         self._history = history
         self._pause = pause
+        self._lock = threading.Lock()
         self.version = 0
         self.stopped = False
         self._sent = {}
@@ -119,51 +113,121 @@
         threading.Thread(target=self._change, daemon=True).start()
         threading.Thread(target=self._read, daemon=True).start()
 
-    def replace(self):
-        """Sends the next document until it is acknowledged, for 20 s at most; whether it was."""
-        self.version += random.randint(1, 2)
-        version = self.version
-        content = json.dumps(routing_document(version))
-        self._sent[version] = content
+    def _post(self, text):
+        """Sends a document once: the status, 0 for no answer, and the machine."""
+        machine = random.choice(self._layout.machines)
+        try:
+            status, _, body = exchange(machine, "POST", "/v1/Config.Replace", text,
+                                       {"Content-Type": "application/json"}, OPERATOR_PATIENCE)
+            return status, machine, body.decode(errors="replace")
+        except OSError:
+            return 0, machine, ""
+
+    def _send(self, version, text, limit, allowed=(200,)):
+        """Sends a document until there is a clear answer, for `limit` seconds at most: whether it
+        was acknowledged."""
         sent = now()
-        while now() < sent + 20 and not self.stopped:
-            try:
-                status, _, _ = exchange(random.choice(MACHINES), "POST", "/v1/Config.Replace",
-                                        content, {"Content-Type": "application/json"}, 1.0)
-                if status == 200:
-                    self._history.add(Acknowledged(f"version {version}", sent, now()))
-                    return True
-            except OSError:
-                pass
+        while now() < sent + limit and not self.stopped:
+            status, machine, body = self._post(text)
+            if status == 200:
+                self._history.add(Acknowledged(f"version {version}", sent, now(), machine))
+            if status == 200 or 400 <= status < 500:
+                self._history.add(OperatorCall(f"version {version}", status, allowed, now(), body))
+                return status == 200
             time.sleep(0.1)
         return False
 
+    def _draw(self, count=1):
+        """The next versions and their documents, noted as sent."""
+        drawn = []
+        with self._lock:
+            for _ in range(count):
+                self.version += random.randint(1, 2)
+                text = json.dumps(routing_document(self.version))
+                self._sent.setdefault(self.version, []).append(text)
+                self._history.add(Sent(self.version, text, now()))
+                drawn.append((self.version, text))
+        return drawn
+
+    def replace(self):
+        """Sends the next document until it is acknowledged, for 20 s at most; whether it was."""
+        version, text = self._draw()[0]
+        return self._send(version, text, 20)
+
+    def _race(self):
+        """Two documents at once; by chance of the same version with different content."""
+        version, text = self._draw()[0]
+        other_version, other, allowed = version, text, (200, 409)
+        if random.random() < 0.5:
+            other = json.dumps(routing_document(version, priority=1))
+            self._sent[version].append(other)
+        else:
+            other_version, other = self._draw()[0]
+            allowed = (200,)
+        threads = [threading.Thread(target=self._send, args=(*content, 20, allowed))
+                   for content in ((version, text), (other_version, other))]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def _send_flawed(self):
+        """An invalid document above all others; no node may take it."""
+        with self._lock:
+            version = self.version + 1
+        flaw = random.choice(FLAWS)
+        status, _, body = self._post(flawed_text(version, flaw))
+        if status:
+            self._history.add(OperatorCall(f"{flaw} {version}", status, (400, 413, 422, 503),
+                                           now(), body))
+
+    def _send_again(self):
+        """What was acknowledged last, once more, and at times an older one."""
+        with self._lock:
+            version = random.choice([self.version, max(self._sent)])
+            text = self._sent[version][0]
+            raced = len(self._sent[version]) > 1
+        status, machine, body = self._post(text)
+        if status == 200:
+            self._history.add(Acknowledged(f"version {version}", now(), now(), machine))
+        allowed = (200, 409, 503) if raced else (200, 503)
+        if status:
+            self._history.add(OperatorCall(f"again {version}", status, allowed, now(), body))
+
     def _change(self):
         while not self.stopped:
-            time.sleep(self._pause)
-            self.replace()
+            time.sleep(random.uniform(0.5, 1.5) * self._pause)
+            if random.random() < 0.25:
+                self._send_flawed()
+            if random.random() < 0.2:
+                self._race()
+            else:
+                self.replace()
+            if random.random() < 0.5:
+                self._send_again()
 
     def _read(self):
         while not self.stopped:
-            time.sleep(0.5)
+            time.sleep(READ_PAUSE)
             self.read_back()
 
     def read_back(self):
         """Reads the configuration once; whether it came."""
         sent = now()
+        machine = random.choice(self._layout.machines)
         try:
-            status, _, body = exchange(random.choice(MACHINES), "GET", "/v1/Config.Get")
+            status, _, body = exchange(machine, "GET", "/v1/Config.Get")
         except OSError:
             return False
         if status != 200:
             return False
         document = json.loads(body)
-        self._history.add(ReadBack(document["version"], json.dumps(document), sent))
+        self._history.add(ReadBack(document["version"], json.dumps(document), sent, machine))
         return True
 
-    def content(self, version):
-        """What was sent under a version."""
-        return self._sent.get(version)
+    def contents(self, version):
+        """What was sent under a version; two at a race."""
+        return self._sent.get(version, [])
 
 
 class Step:
@@ -181,7 +245,8 @@
 class Trainer:
     """Asks for a step, waits for most of its groups, names the next version."""
 
-    def __init__(self, history):
+    def __init__(self, layout, history):
+        self._layout = layout
         self._history = history
         self.steps = []
         self.stopped = False
@@ -207,7 +272,7 @@
 
     def _call(self, method, path, headers, body=None):
         try:
-            return exchange(random.choice(GATEWAYS), method, path, body,
+            return exchange(random.choice(self._layout.gateways), method, path, body,
                             {"Host": HOST, **headers}, 2.5)
         except OSError:
             return 0, {}, b""
@@ -242,7 +307,7 @@
 
     def read(self, step, after=0):
         """Results of a step from a position on, noted; nothing if no node answers."""
-        machine = random.choice(GATEWAYS)
+        machine = random.choice(self._layout.gateways)
         try:
             status, _, body = exchange(machine, "GET", f"/v1/lots/{step.job}?since_rev={after}",
                                        None, {"Host": HOST, "Wait-Ms": "300"}, 2.5)
@@ -277,7 +342,7 @@
         body = json.dumps({"model": MODEL, "version": version})
         while not self.stopped:
             try:
-                status, _, _ = exchange(random.choice(MACHINES), "POST", "/v1/version-put", body,
+                status, _, _ = exchange(random.choice(self._layout.machines), "POST", "/v1/version-put", body,
                                         {"Content-Type": "application/json"}, 1.0)
                 if status == 200:
                     return
--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -5,13 +5,21 @@
 import unittest
 
 import checks
+import routing_checks
 from back_ends import stamp_of
-from callers import Step, moved_service, routing_document
-from history import Acknowledged, Call, History, Listed, Order, ReadBack, Run
+from callers import Step
+from documents import (ADDED_KEPT, FLAWS, added_route, added_service, flawed_route, flawed_text,
+                       moved_service, routing_document, service_of)
+from fleet import Layout
+from history import (Acknowledged, Call, History, Listed, OperatorCall, Order, ReadBack, Run, Sent,
+                     Span, Started)
 
-ALWAYS_CALM = checks.Calm([])
-NEVER_CALM = checks.Calm([(0.0, 1000.0)])
 INSTANCES = {"i-1"}
+# Gateway 6 to 11, control nodes 1 to 5.
+LAYOUT = Layout(stores=5, fronts=6)
+# So many control nodes that a fault of one excuses no gateway.
+LARGE = Layout(stores=13, fronts=6)
+GATEWAY = "127.0.77.14"
 
 
 class FakeOperator:
@@ -19,9 +27,9 @@
 
     version = 2
 
-    def content(self, version):
+    def contents(self, version):
         """What was sent under a version."""
-        return json.dumps(routing_document(version)) if version in (1, 2) else None
+        return [json.dumps(routing_document(version))] if version in (1, 2) else []
 
 
 class FakeTrainer:
@@ -47,7 +55,15 @@
 def answered(request, status=200, route="/book/", body=None, stamp=None):
     """A call of a client and its answer."""
     own = f"{request} {route}x"
-    return Call(request, route, "g", 10.0, status, stamp or stamp_of("i-1", request), body or own)
+    return Call(request, route, GATEWAY, 10.0, status, stamp or stamp_of("i-1", request),
+                body or own, 10.2)
+
+
+def two_versions(*records):
+    """Version 1 was acknowledged at 1 s, version 2 at 3 s by machine 1; gateways started at 0 s."""
+    return history_of(
+        Started(14, "gateway", 0.0), Sent(1, "", 0.5), Acknowledged("version 1", 0.5, 1.0, 1),
+        Sent(2, "", 2.5), Acknowledged("version 2", 2.5, 3.0, 1), *records)
 
 
 class ChecksTest(unittest.TestCase):
@@ -73,32 +89,128 @@
         self.expect(once, 3, 1)
         self.expect(not_run, 2, 1)
 
-    def test_configuration_in_force(self):
-        """Run by the service of an older document only, long after the newer was acknowledged."""
+    def in_force(self, *records, layout=LARGE):
+        """The row of a history in which a request came at 10 s."""
+        history = two_versions(*records)
+        return routing_checks.check_in_force(routing_checks.seen_by(history),
+                                             routing_checks.Versions(history),
+                                             routing_checks.Touch(history, layout))
+
+    def test_documents(self):
+        """A version holds what its number says, and a flaw makes it another document."""
+        for version in (1, 2, 9):
+            document = routing_document(version)
+            routes = {route["path_prefix"]: route["service"] for route in document["routes"]}
+            for number in range(1, 12):
+                self.assertEqual(routes.get(added_route(number)), added_service(number, version))
+                self.assertEqual(service_of(added_route(number), version),
+                                 added_service(number, version))
+            self.assertEqual(routes["/moved/"], moved_service(version))
+        self.assertIsNone(added_service(1, 1 + ADDED_KEPT))
+        for flaw in FLAWS:
+            self.assertIn(flawed_route(5)[:-1] if flaw != "cut-short" else "routes",
+                          flawed_text(5, flaw))
+
+    def test_routes_in_force(self):
+        """By the service of an older document only, long after the newer was acknowledged."""
         call = answered("a", route="/moved/")
-        acknowledged = [Acknowledged("version 1", 0.0, 1.0), Acknowledged("version 2", 2.0, 3.0)]
         for version, broken in ((2, 0), (1, 1)):
-            history = history_of(call, *acknowledged, Run("a", moved_service(version), "i-1", 10.1))
-            force, _ = checks.check_configuration(history, FakeOperator(), ALWAYS_CALM)
-            self.expect(force, 1, broken)
-            force, _ = checks.check_configuration(history, FakeOperator(), NEVER_CALM)
-            self.expect(force, 0, 0)
+            run = Run("a", moved_service(version), "i-1", 10.1)
+            self.expect(self.in_force(call, run), 1, broken)
+
+    def test_added_route_in_force(self):
+        """Not found although the newer document has it, or found."""
+        found = answered("a", route=added_route(2))
+        missing = answered("a", 404, added_route(2))
+        self.expect(self.in_force(found, Run("a", added_service(2, 2), "i-1", 10.1)), 1, 0)
+        self.expect(self.in_force(missing), 1, 1)
+        # A refusal says nothing of routes.
+        self.expect(self.in_force(answered("a", 503, added_route(2))), 0, 0)
+
+    def test_what_excuses_a_gateway(self):
+        """A fault of its own within the time of contact; of control nodes where they are few, or
+        where it struck the one that acknowledged. A majority that goes on binds it later."""
+        call, run = answered("a", route="/moved/"), Run("a", moved_service(1), "i-1", 10.1)
+        def struck(machine, over, kind="freeze"):
+            return Span(kind, (machine,), over - 1.0, over)
+        self.expect(self.in_force(call, run, struck(14, 6.5)), 0, 0)
+        self.expect(self.in_force(call, run, struck(14, 5.5)), 1, 1)
+        self.expect(self.in_force(call, run, struck(15, 9.5)), 1, 1)
+        self.expect(self.in_force(call, run, struck(2, 9.5)), 1, 1)
+        self.expect(self.in_force(call, run, struck(1, 9.5)), 1, 0)
+        late = answered("a", route="/moved/")
+        late.sent = late.ended = 14.0
+        late_run = Run("a", moved_service(1), "i-1", 14.1)
+        self.expect(self.in_force(late, late_run, struck(1, 13.5)), 1, 1)
+        self.expect(self.in_force(call, run, struck(2, 9.5), layout=LAYOUT), 1, 0)
+        self.expect(self.in_force(call, run, struck(1, 9.5, "kill_all")), 0, 0)
+
+    def test_a_long_cut(self):
+        """While the control nodes stay cut in two the majority binds; not just after the cut."""
+        call, run = answered("a", route="/moved/"), Run("a", moved_service(1), "i-1", 10.1)
+        self.expect(self.in_force(call, run, Span("cut_in_two", (1, 2), 5.0, 20.0)), 1, 1)
+        self.expect(self.in_force(call, run, Span("cut_in_two", (1, 2), 7.0, 20.0)), 1, 0)
+
+    def test_never_back(self):
+        """By an older document after a newer; another life may know the older alone."""
+        newer, older = answered("a", route="/moved/"), answered("b", route="/moved/")
+        newer.sent, newer.ended = 2.6, 2.9
+        older.sent = 3.3
+        runs = [Run("a", moved_service(2), "i-1", 2.7), Run("b", moved_service(1), "i-1", 3.4)]
+        def check(*records):
+            history = two_versions(newer, older, *runs, *records)
+            return routing_checks.check_never_back(
+                routing_checks.seen_by(history), routing_checks.Versions(history), history)
+        self.expect(check(), 2, 1)
+        self.expect(check(Started(14, "gateway", 3.0)), 2, 0)
+
+    def test_invalid(self):
+        """A route of an invalid document was served."""
+        calls = [answered("a", route=flawed_route(3)), answered("b", 404, flawed_route(3))]
+        self.expect(routing_checks.check_invalid(
+            history_of(*calls, Run("a", "pages", "i-1", 10.1))), 2, 1)
+
+    def test_denied(self):
+        """A proper request was turned away as wrong."""
+        calls = [answered(str(status), status, "/pages/") for status in (200, 404, 400, 429, 503)]
+        self.expect(routing_checks.check_denied(history_of(*calls)), 5, 2)
+
+    def test_added(self):
+        """Added routes are served far less often than the first ones."""
+        first = [answered(f"f{number}", route="/pages/") for number in range(20)]
+        for served, broken in ((20, 0), (3, 1)):
+            added, runs = [], []
+            for number in range(20):
+                added.append(answered(f"a{number}", 200 if number < served else 502,
+                                      added_route(2)))
+                runs.append(Run(f"a{number}", added_service(2, 2), "i-1", 10.1))
+            history = two_versions(*first, *added, *runs)
+            row = routing_checks.check_added(routing_checks.seen_by(history), history,
+                                             routing_checks.Touch(history, LARGE))
+            self.expect(row, 1, broken)
+
+    def test_operator(self):
+        """An answer that is none of the right ones."""
+        calls = [OperatorCall("again 1", status, (200, 503), 1.0) for status in (200, 503, 409)]
+        self.expect(routing_checks.check_operator(history_of(*calls)), 3, 1)
 
     def test_configuration_read_back(self):
         """Older than what was acknowledged; other content under the same number."""
-        acknowledged = Acknowledged("version 2", 2.0, 3.0)
-        reads = [ReadBack(2, json.dumps(routing_document(2)), 10.0),
-                 ReadBack(1, json.dumps(routing_document(1)), 10.0),
-                 ReadBack(2, json.dumps(routing_document(1)), 10.0)]
-        _, back = checks.check_configuration(history_of(acknowledged, *reads), FakeOperator(),
-                                             ALWAYS_CALM)
-        self.expect(back, 3, 2)
+        history = two_versions(
+            ReadBack(2, json.dumps(routing_document(2)), 10.0),
+            ReadBack(1, json.dumps(routing_document(1)), 10.0),
+            ReadBack(2, json.dumps(routing_document(1)), 10.0))
+        self.expect(routing_checks.check_read_back(history, FakeOperator(),
+                                                   routing_checks.Versions(history)), 3, 2)
 
     def test_leaving(self):
-        """Work after the bound; work within it is none."""
+        """Work after the bound; work within it is none; items are judged without a gateway."""
         history = history_of(Acknowledged("leaving i-1", 1.0, 2.0), Run("a", "pages", "i-1", 3.9),
-                             Run("b", "pages", "i-1", 4.1), Run("c", "pages", "i-2", 9.0))
-        self.expect(checks.check_leaving(history, ALWAYS_CALM), 2, 1)
+                             Run("b", "pages", "i-1", 4.1), Run("c", "pages", "i-2", 9.0),
+                             answered("b"))
+        self.expect(checks.check_leaving(history, LAYOUT), 2, 1)
+        history.add(Span("freeze", (14,), 3.0, 4.0))
+        self.expect(checks.check_leaving(history, LAYOUT), 1, 0)
 
     def test_results(self):
         """Another result at a position; a text that is not whole; weights that are too old.
@@ -126,7 +238,14 @@
         for second, broken in ((Order("i-1", "n1", 5, 11.0), 0), (Order("i-1", "n2", 6, 13.5), 0),
                                (Order("i-1", "n2", 6, 12.0), 1), (Order("i-1", "n2", 5, 20.0), 1),
                                (Order("i-1", "n1", 4, 11.0), 1)):
-            self.expect(checks.check_orders(history_of(first, second), ALWAYS_CALM), 1, broken)
+            self.expect(checks.check_orders(history_of(first, second)), 1, broken)
+
+    def test_orders_after_a_thaw(self):
+        """An order right after its sender thawed is not its fault."""
+        orders = [Order("i-1", "n1", 5, 10.0), Order("i-1", "n2", 6, 10.5)]
+        self.expect(checks.check_orders(history_of(*orders)), 1, 1)
+        thawed = Span("freeze", (2,), 8.0, 10.4)
+        self.expect(checks.check_orders(history_of(*orders, thawed)), 0, 0)
 
     def test_service(self):
         """Too few requests served after the faults; no step whole."""
--- /dev/null
+++ b/test/soak/documents.py
@@ -0,0 +1,102 @@
+"""The operator's routing documents: what each version holds is a function of its number alone, so
+that every part of a soak knows what a version allows without being told.
+
+Each version adds the route of its own number, moves one that came three versions earlier to the
+other service, and drops the one that came six earlier. One route is moved by each version.
+"""
+
+import json
+
+HOST = "soak.example"
+MODEL = "writer"
+SERVICES = ("pages", "shop")
+MOVED_ROUTE = "/moved/"
+ADDED_KEPT = 6
+ADDED_MOVES_AFTER = 3
+FLAWS = ("no-limit", "unknown-service", "twice", "no-weight", "cut-short")
+# What callers and back ends exchange is small.
+LIMITS = {"max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_ms": 3000,
+          "idle_timeout_ms": 15000}
+
+
+def added_route(number):
+    """Prefix of the route that version `number` adds."""
+    return f"/added-{number}/"
+
+
+def flawed_route(version):
+    """Prefix of a route that stands in invalid documents alone."""
+    return f"/flawed-{version}/"
+
+
+def moved_service(version):
+    """The service that takes the moved route under a version."""
+    return SERVICES[version % 2]
+
+
+def added_service(number, version):
+    """The service of the route of version `number` under `version`; nothing if it isn't there."""
+    if not 0 < number <= version < number + ADDED_KEPT:
+        return None
+    return SERVICES[(number + (version >= number + ADDED_MOVES_AFTER)) % 2]
+
+
+def service_of(prefix, version):
+    """The service that a version sends requests under a prefix to; nothing if no route leads on."""
+    if prefix == "/pages/":
+        return "pages"
+    if prefix == "/book/":
+        return "shop"
+    if prefix == MOVED_ROUTE:
+        return moved_service(version)
+    if prefix.startswith("/added-"):
+        return added_service(int(prefix[len("/added-"):-1]), version)
+    return None
+
+
+def _route(name, prefix, kind, service, **more):
+    return {"name": name, "host": HOST, "path_prefix": prefix, "kind": kind, "timeout_ms": 1500,
+            "target_ms": 200, "priority": 2, "service": service, "attempts": 3, **more}
+
+
+def routing_document(version, priority=2):
+    """The document of a version; `priority` makes another content under the same number."""
+    routes = [
+        _route("pages", "/pages/", "safe", "pages"),
+        _route("book", "/book/", "unsafe", "shop"),
+        _route("moved", MOVED_ROUTE, "safe", moved_service(version)),
+        _route("score", "/score/", "safe", "pages"),
+        _route("jobs", "/jobs/", "rollout", "engines", deadline_ms=10000, queue_ttl_s=20,
+               sticky=True, resumable=True),
+    ]
+    for number in range(max(1, version - ADDED_KEPT + 1), version + 1):
+        routes.append(_route(f"added-{number}", added_route(number), "safe",
+                             added_service(number, version)))
+    for route in routes:
+        route["priority"] = priority
+    services = [{"name": name, "health_path": "/healthz", "max_conns": 400, "protocol": "h1",
+                 "tls": False} for name in SERVICES]
+    services.append({
+        "name": "engines", "health_path": "/healthz", "max_conns": 400, "protocol": "h1",
+        "tls": False,
+        "engine": {"slots": 8, "kv_capacity": 100000, "kv_token_bytes": 1000,
+                   "models": [{"name": MODEL}]}})
+    return {"version": version, "routes": routes, "services": services, "limits": LIMITS}
+
+
+def flawed_text(version, flaw):
+    """An invalid document, as it is sent."""
+    document = routing_document(version)
+    flawed = _route("flawed", flawed_route(version), "safe", "pages")
+    document["routes"].append(flawed)
+    if flaw == "no-limit":
+        flawed["timeout_ms"] = 0
+    elif flaw == "unknown-service":
+        flawed["service"] = "nowhere"
+    elif flaw == "twice":
+        document["routes"].append({**flawed, "name": "again"})
+    elif flaw == "no-weight":
+        del flawed["service"]
+        flawed["split"] = [{"service": name, "weight": 0} for name in SERVICES]
+    text = json.dumps(document)
+    return text[:len(text) // 2] if flaw == "cut-short" else text
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -1,148 +1,295 @@
-"""Faults from outside: signals, lost disks, links, back ends. One at a time, drawn by a seed."""
+"""Faults from outside: signals, lost disks, links, back ends. Drawn by a seed, in several series
+that overlap."""
 
 import random
 import signal
+import threading
 import time
 
-from back_ends import BackEnd
-from fleet import GATEWAYS, MACHINES
-from history import now
+from history import Span, now
 
 DOWN = 1.0
 AWAY = 4.0
+# Longer than a machine has to be undisturbed to be judged: what goes wrong during a cut is judged.
+CUT_IN_TWO = 9.0
 SLOW_LINK = 0.15
+# A machine that turns slow stands still for this share of each tenth of a second.
+SLOW_SHARE = 0.6
+SLOW_TICK = 0.1
+# A disk counts as lost until its successor has had this long to catch up.
+CATCH_UP = 6.0
+# At most this share of the gateways is struck at a time.
+STRUCK_GATEWAYS = 0.25
+
+
+class Claims:
+    """Which machines are struck now. No more machines with a disk at a time than are to be borne;
+    faults that strike all of them wait until none is struck."""
+
+    def __init__(self, layout):
+        self._layout = layout
+        self._lock = threading.Lock()
+        self._struck = {}
+        self._alone = False
+
+    def _count(self, machines):
+        return sum(machine in machines for machine in self._struck)
+
+    def take(self, machines, wanted=1):
+        """Draws up to `wanted` machines that are not struck; none if there is no room."""
+        layout = self._layout
+        with self._lock:
+            if self._alone:
+                return ()
+            free = [machine for machine in machines if machine not in self._struck]
+            if machines is layout.machines or set(machines) <= set(layout.machines):
+                room = layout.tolerate - self._count(layout.machines)
+            else:
+                room = max(1, int(len(layout.gateways) * STRUCK_GATEWAYS))
+                room -= self._count(layout.gateways)
+            chosen = tuple(random.sample(free, max(0, min(wanted, room, len(free)))))
+            self._struck.update(dict.fromkeys(chosen))
+            return chosen
+
+    def give_back(self, machines):
+        """They are struck no longer."""
+        with self._lock:
+            for machine in machines:
+                del self._struck[machine]
+
+    def alone(self, patience=20.0):
+        """Waits until no machine with a disk is struck and keeps others from starting."""
+        until = now() + patience
+        with self._lock:
+            if self._alone:
+                return False
+            self._alone = True
+        while now() < until:
+            with self._lock:
+                if not self._count(self._layout.machines):
+                    return True
+            time.sleep(0.05)
+        self.together()
+        return False
+
+    def together(self):
+        """Others may start again."""
+        with self._lock:
+            self._alone = False
 
 
 class Faults:
-    """Plays faults and notes when each was there."""
+    """Plays faults and notes when each was there, and on which machines."""
 
-    def __init__(self, fleet, back_ends, history, models):
+    def __init__(self, fleet, back_ends, history):
         self._fleet = fleet
+        self._layout = fleet.layout
         self._back_ends = back_ends
         self._history = history
-        self._models = models
-        self._next_index = 100
-        self.spans = []
+        self._claims = Claims(fleet.layout)
         self.played = []
-        self.all_instances = {back_end.instance for back_end in back_ends}
-        self.kinds = [
-            self.kill_machine, self.kill_gateway, self.lose_disk, self.freeze, self.cut,
-            self.slow_link, self.reset_links, self.rolling_stop, self.kill_all, self.crash_back_end,
-            self.replace_back_end]
+        self.of_back_ends = [self.crash_back_end, self.replace_back_end, self.refuse]
+        self.one_machine = [
+            self.kill, self.kill, self.freeze, self.cut, self.slow_link, self.reset_links,
+            self.stop, self.slow]
+        self._alone_kinds = [self.kill_all, self.rolling_stop, self.cut_in_two, self.cut_zones]
+        self.kinds = self.one_machine + [
+            self.lose_disk, self.stop_several, self.kill_gateways, self.rolling_stop, self.kill_all,
+            self.cut_in_two, self.cut_zones, self.strike_zone, *self.of_back_ends]
+
+    def choose(self, names):
+        """Plays these kinds alone, beside those of back ends."""
+        self.kinds = [getattr(self, name) for name in names]
+
+    def play_series(self, until, pause):
+        """Every kind once in drawn order, then again, until the time is over."""
+        # These are tried by few checks, so each run plays them.
+        waiting = list(self.of_back_ends)
+        while now() < until:
+            if not waiting:
+                waiting = random.sample(self.kinds, len(self.kinds))
+            what = self.play(waiting.pop())
+            if what:
+                print(f"  {what}", flush=True)
+            time.sleep(random.uniform(pause, 3 * pause))
 
     def play(self, kind):
-        """Plays one fault to its end."""
+        """Plays one fault to its end; what was played, or nothing."""
+        if kind in self.of_back_ends:
+            # Back ends that come and go are no fault of the system's own machines.
+            what = f"{kind.__name__} {kind()}"
+        elif kind in self._alone_kinds:
+            if not self._claims.alone():
+                return None
+            try:
+                what = self._noted(kind, self._layout.machines)
+            finally:
+                self._claims.together()
+        else:
+            what = self._on_claimed(kind)
+        if what:
+            self.played.append(what)
+        return what
+
+    def _on_claimed(self, kind):
+        layout = self._layout
+        if kind == self.kill_gateways:
+            machines, wanted = layout.gateways, len(layout.gateways)
+        elif kind == self.stop_several:
+            machines, wanted = layout.gateways, 3
+        elif kind == self.lose_disk:
+            machines, wanted = layout.machines, 1
+        elif kind == self.strike_zone:
+            zone = layout.zone_of(random.choice(layout.machines))
+            machines = [m for m in layout.machines if layout.zone_of(m) == zone]
+            wanted = layout.tolerate
+        else:
+            machines, wanted = random.choice((layout.machines, layout.gateways)), 1
+        chosen = self._claims.take(machines, wanted)
+        if not chosen:
+            return None
+        try:
+            return self._noted(kind, chosen)
+        finally:
+            self._claims.give_back(chosen)
+
+    def _noted(self, kind, machines):
         begun = now()
-        what = kind()
-        span = (begun, now())
-        # Back ends that come and go are no fault of the system's own machines.
-        if kind not in (self.crash_back_end, self.replace_back_end):
-            self.spans.append(span)
-        self.played.append(f"{kind.__name__} {what}")
+        # Noted at once: what is judged meanwhile looks at it after the run.
+        span = self._history.add(Span(kind.__name__, tuple(machines), begun, float("inf")))
+        result = kind(machines)
+        span.over = now()
+        if kind == self.lose_disk:
+            time.sleep(CATCH_UP)
+        return f"{kind.__name__} {list(machines)} {'' if result is None else result}"
+
+    def _nodes(self, machines):
+        return [node for machine in machines for node in self._fleet.on_machine(machine)]
 
     def _restart(self, nodes):
         for node in nodes:
             self._fleet.start_node(node)
 
-    def kill_machine(self):
+    def kill(self, machines):
         """A machine's processes are killed and come back with their disks."""
-        machine = random.choice(MACHINES)
-        nodes = self._fleet.on_machine(machine)
+        nodes = self._nodes(machines)
         self._fleet.kill(nodes)
-        time.sleep(DOWN)
+        time.sleep(random.uniform(0.1, 2 * DOWN))
         self._restart(nodes)
-        return machine
 
-    def kill_gateway(self):
-        """A gateway is killed."""
-        machine = random.choice(GATEWAYS)
-        nodes = self._fleet.on_machine(machine)
-        self._fleet.kill(nodes)
-        time.sleep(DOWN)
-        self._restart(nodes)
-        return machine
+    kill_gateways = kill
 
-    def lose_disk(self):
+    def lose_disk(self, machines):
         """A machine comes back without its disk."""
-        machine = random.choice(MACHINES)
-        nodes = self._fleet.on_machine(machine)
+        nodes = self._nodes(machines)
         self._fleet.kill(nodes, wipe=True)
         time.sleep(DOWN)
         self._restart(nodes)
-        # The disk counts as lost until its successors have caught up.
-        time.sleep(AWAY)
-        return machine
 
-    def freeze(self):
+    def freeze(self, machines):
         """A machine stands still and wakes again."""
-        machine = random.choice(MACHINES + GATEWAYS)
-        nodes = self._fleet.on_machine(machine)
-        for node in nodes:
-            node.process.send_signal(signal.SIGSTOP)
-        time.sleep(AWAY)
-        for node in nodes:
-            node.process.send_signal(signal.SIGCONT)
-        return machine
+        for machine in machines:
+            self._fleet.signal(machine, signal.SIGSTOP)
+        time.sleep(random.uniform(0.5, 2) * AWAY)
+        for machine in machines:
+            self._fleet.signal(machine, signal.SIGCONT)
 
-    def cut(self):
+    def slow(self, machines):
+        """A machine gets a part of its processor time only."""
+        until = now() + AWAY
+        while now() < until:
+            for number, share in ((signal.SIGSTOP, SLOW_SHARE), (signal.SIGCONT, 1 - SLOW_SHARE)):
+                for machine in machines:
+                    self._fleet.signal(machine, number)
+                time.sleep(share * SLOW_TICK)
+
+    def cut(self, machines):
         """A machine is cut off from all others, silently."""
-        machine = random.choice(MACHINES + GATEWAYS)
-        self._fleet.set_cut(machine, True)
-        time.sleep(AWAY)
-        self._fleet.set_cut(machine, False)
-        return machine
+        pairs = self._fleet.cut(machines)
+        time.sleep(random.uniform(0.5, 3) * AWAY)
+        self._fleet.heal(pairs)
+
+    def cut_in_two(self, machines):
+        """The machines with a disk are cut into a majority and the rest, silently; all gateways
+        reach both."""
+        some = random.sample(machines, (len(machines) - 1) // 2)
+        pairs = self._fleet.cut(some, set(machines) - set(some))
+        time.sleep(CUT_IN_TWO)
+        self._fleet.heal(pairs)
+        return f"off: {sorted(some)}"
+
+    def cut_zones(self, machines):
+        """As `cut_in_two`, with whole zones on the smaller side as far as they fit."""
+        zones = random.sample(range(1, self._layout.zones + 1), self._layout.zones)
+        ordered = sorted(machines, key=lambda machine: zones.index(self._layout.zone_of(machine)))
+        some = ordered[:(len(machines) - 1) // 2]
+        pairs = self._fleet.cut(some, set(machines) - set(some))
+        time.sleep(CUT_IN_TWO)
+        self._fleet.heal(pairs)
+        return f"off: {sorted(some)}"
+
+    def strike_zone(self, machines):
+        """As many machines of one zone as are to be borne stand still, are cut off or are down."""
+        how = random.choice((self.freeze, self.cut, self.down))
+        how(machines)
+        return how.__name__
+
+    def down(self, machines):
+        """Machines have no power for some seconds."""
+        nodes = self._nodes(machines)
+        self._fleet.kill(nodes)
+        time.sleep(random.uniform(0.5, 2) * AWAY)
+        self._restart(nodes)
 
-    def slow_link(self):
+    def slow_link(self, machines):
         """The links of a machine are slow."""
-        machine = random.choice(MACHINES)
-        self._fleet.set_delay(machine, SLOW_LINK)
+        for machine in machines:
+            self._fleet.set_delay(machine, SLOW_LINK)
         time.sleep(AWAY)
-        self._fleet.set_delay(machine, 0.0)
-        return machine
+        for machine in machines:
+            self._fleet.set_delay(machine, 0.0)
 
-    def reset_links(self):
+    def reset_links(self, machines):
         """All connections of a machine to others are reset, several times."""
-        machine = random.choice(MACHINES + GATEWAYS)
         for _ in range(3):
-            self._fleet.reset_links(machine)
+            for machine in machines:
+                self._fleet.reset_links(machine)
             time.sleep(0.2)
-        return machine
 
-    def rolling_stop(self):
-        """All nodes are stopped in order and started again, one after another."""
-        ended = []
-        for node in self._fleet.nodes:
-            ended.append(self._fleet.stop_in_order(node))
-            self._fleet.start_node(node)
-        return f"exit codes {sorted(set(ended))}"
+    def stop(self, machines):
+        """A machine's processes are stopped in order and started again."""
+        nodes = self._nodes(machines)
+        codes = self._fleet.stop_in_order(nodes)
+        self._restart(nodes)
+        return f"exit codes {sorted(set(codes))}"
+
+    stop_several = stop
 
-    def kill_all(self):
-        """Every process is killed at once; the disks stay."""
-        self._fleet.kill(self._fleet.nodes)
+    def rolling_stop(self, machines):
+        """Machines with a disk are stopped and started again, one after another."""
+        codes = []
+        for machine in machines[:4]:
+            nodes = self._nodes((machine,))
+            codes += self._fleet.stop_in_order(nodes)
+            self._restart(nodes)
+            time.sleep(random.uniform(0.2, DOWN))
+        return f"exit codes {sorted(set(codes))}"
+
+    def kill_all(self, machines):
+        """Every process of the machines with a disk is killed at once; the disks stay."""
+        nodes = self._nodes(machines)
+        self._fleet.kill(nodes)
         time.sleep(DOWN)
-        self._restart(self._fleet.nodes)
-        return ""
+        self._restart(nodes)
 
     def crash_back_end(self):
         """A back end is gone without a word, another comes."""
-        gone = random.choice(self._back_ends)
-        gone.crash()
-        self._replace(gone)
-        return gone.instance
+        return self._back_ends.play("crash")
 
     def replace_back_end(self):
         """A new back end comes, an old one drains and leaves."""
-        leaving = random.choice(self._back_ends)
-        self._replace(leaving)
-        time.sleep(1.5)
-        leaving.leave()
-        return leaving.instance
-
-    def _replace(self, old):
-        self._next_index += 1
-        models = self._models if old.versions else ()
-        new = BackEnd(old.service, self._next_index, self._history, models)
-        new.versions.update(old.versions)
-        self._back_ends.remove(old)
-        self._back_ends.append(new)
-        self.all_instances.add(new.instance)
+        return self._back_ends.play("replace")
+
+    def refuse(self):
+        """All back ends of a service refuse for a moment."""
+        return self._back_ends.play("refuse")
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -1,24 +1,27 @@
 """The real programs as processes on loopback addresses, and the links between them.
 
-Machines 1 to 3 run a control node and a storage node each, machines 4 to 6 a gateway. Nodes reach
-each other through forwarders, one for each direction of each pair, so that links can be cut, delayed
-and reset from outside.
+The first machines run a control node and a storage node each, the others a gateway. Nodes reach
+each other through forwarders, one for each direction of each pair that talks, so that links can be
+cut, delayed and reset from outside.
 """
 
-import asyncio
+import dataclasses
 import os
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import threading
 import time
 
-MACHINES = (1, 2, 3)
-GATEWAYS = (4, 5, 6)
+from history import Started, now
+from links import LinkBoard
+
 CONTROL_PEER, STORAGE_PEER, HTTP, SERVICE, READY = 7100, 7110, 7101, 7102, 7103
-START_SPREAD = 0.2
+START_SPREAD = 0.3
 GRACE = 8.0
+FOUNDERS = 3
 
 SETTINGS = """\
 node: "{node}"
@@ -36,10 +39,10 @@
 service:
   interface: platform
 {service}{data}replication:
-  tolerate: 1
+  tolerate: {tolerate}
 routes: [{routes}]
 bounds:
-  leave: 2000ms
+  leave: {leave}ms
   holder_lease: 3000ms
   job_retention: 120s
 threads:
@@ -51,68 +54,51 @@
   restart_patience: 100ms
   node_lease: 3s
   replace_voter_after: 3s
-  stop_notice: 1s
+  stop_notice: 2500ms
   drain_limit: 5s
   call_connect: 400ms
 """
 
 
+# Third number of all addresses; runs side by side need one each.
+SUBNET = 77
+
+
+def use_subnet(number):
+    """Chooses the addresses of this run; called before any part of it is made."""
+    global SUBNET  # pylint: disable=global-statement
+    SUBNET = number
+
+
 def ip_of(machine):
     """Loopback address of a machine."""
-    return f"127.0.77.{machine}"
-
+    return f"127.0.{SUBNET}.{machine}"
 
-class Link:
-    """Forwards connections of one node to another; may be cut, slow or reset."""
 
-    def __init__(self, target):
-        self.target = target
-        self.cut = False
-        self.delay = 0.0
-        self.port = 0
-        self._writers = set()
+@dataclasses.dataclass(frozen=True)
+class Layout:
+    """How many machines there are, and what may be lost at one time."""
 
-    async def start(self):
-        """Listens at a free port."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-        return server
+    stores: int = 3
+    fronts: int = 3
+    zones: int = 3
+    tolerate: int = 1
+    # Bounds of the settings, in seconds.
+    leaving: float = 2.0
 
-    async def _serve(self, reader, writer):
-        try:
-            ip, port = self.target.split(":")
-            far_reader, far_writer = await asyncio.open_connection(ip, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        self._writers |= {writer, far_writer}
-        try:
-            await asyncio.gather(self._pump(reader, far_writer), self._pump(far_reader, writer))
-        finally:
-            self._writers -= {writer, far_writer}
-            writer.transport.abort()
-            far_writer.transport.abort()
+    @property
+    def machines(self):
+        """Machines with a disk: a control node and a storage node each."""
+        return tuple(range(1, self.stores + 1))
 
-    async def _pump(self, reader, writer):
-        try:
-            while data := await reader.read(65536):
-                # Silence both ways: what is under way waits until the link is back.
-                while self.cut:
-                    await asyncio.sleep(0.02)
-                if self.delay:
-                    await asyncio.sleep(self.delay)
-                writer.write(data)
-                await writer.drain()
-        except OSError:
-            pass
-        finally:
-            if not writer.is_closing():
-                writer.close()
+    @property
+    def gateways(self):
+        """Machines with a gateway."""
+        return tuple(range(self.stores + 1, self.stores + self.fronts + 1))
 
-    def reset(self):
-        """Breaks all connections off."""
-        for writer in list(self._writers):
-            writer.transport.abort()
+    def zone_of(self, machine):
+        """Machines are spread over the zones in turn."""
+        return (machine - 1) % self.zones + 1
 
 
 class Node:
@@ -123,7 +109,6 @@
         self.machine = machine
         self.role = role
         self.process = None
-        self.starts = 0
 
     @property
     def peer(self):
@@ -132,42 +117,52 @@
         return f"{ip_of(self.machine)}:{port}"
 
 
+def check_addresses_free(layout):
+    """Says so if processes of another run still hold the addresses."""
+    for machine in layout.machines + layout.gateways:
+        probe = socket.socket()
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((ip_of(machine), SERVICE))
+        except OSError as error:
+            raise SystemExit(f"{ip_of(machine)}:{SERVICE} can't be used ({error}): does another "
+                             "run go on, or has one just been ended?") from error
+        finally:
+            probe.close()
+
+
 class Fleet:
     """All nodes, their folders and links."""
 
-    def __init__(self, program, folder):
+    def __init__(self, program, folder, layout, history):
+        check_addresses_free(layout)
         self.program = program
         self.folder = folder
-        self.nodes = [Node(ip_of(m), m, "control") for m in MACHINES]
-        self.nodes += [Node(f"{ip_of(m)}-storage", m, "storage") for m in MACHINES]
-        self.nodes += [Node(ip_of(m), m, "gateway") for m in GATEWAYS]
-        self.links = {}
-        self._loop = asyncio.new_event_loop()
-        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+        self.layout = layout
+        self._history = history
+        self.nodes = [Node(ip_of(m), m, "control") for m in layout.machines]
+        self.nodes += [Node(f"{ip_of(m)}-storage", m, "storage") for m in layout.machines]
+        self.nodes += [Node(ip_of(m), m, "gateway") for m in layout.gateways]
+        self._pairs = {(a.name, b.name): (a, b) for a in self.nodes for b in self.nodes
+                       if a is not b and "gateway" not in (a.role, b.role)
+                       or a.role != b.role and "gateway" in (a.role, b.role)}
+        self._links = LinkBoard({pair: b.peer for pair, (_, b) in self._pairs.items()})
+        self._cut_lock = threading.Lock()
+        self._cuts = []
 
     def start(self):
         """Founds the cluster."""
-        asyncio.run_coroutine_threadsafe(self._start_links(), self._loop).result()
         for node in random.sample(self.nodes, len(self.nodes)):
             self.start_node(node, bootstrap=True)
             time.sleep(random.uniform(0, START_SPREAD / len(self.nodes)))
 
-    async def _start_links(self):
-        for source in self.nodes:
-            for target in self.nodes:
-                if source is target:
-                    continue
-                link = Link(target.peer)
-                await link.start()
-                self.links[source, target] = link
-
     def start_node(self, node, bootstrap=False):
         """Starts a process; its output goes on in its log."""
-        node.starts += 1
         path = os.path.join(self.folder, f"{node.role}-{node.machine}")
         with open(path + ".yaml", "w", encoding="utf-8") as file:
             file.write(self._settings(node, bootstrap))
         with open(path + ".log", "ab") as log:
+            self._history.add(Started(node.machine, node.role, now()))
             node.process = subprocess.Popen(
                 [self.program, "--settings", path + ".yaml"],
                 stdout=log, stderr=subprocess.STDOUT)
@@ -181,13 +176,16 @@
             service += f'  readiness: "{ip}:{READY}"\n'
         data = "" if node.role == "gateway" else f'data: "{self.data_folder(node)}"\n'
         routes = ", ".join(
-            f'"{target.peer}=127.0.0.1:{link.port}"'
-            for (source, target), link in self.links.items() if source is node)
+            f'"{target.peer}=127.0.0.1:{self._links.ports[pair]}"'
+            for pair, (source, target) in self._pairs.items() if source is node)
         port = HTTP + 10 if node.role == "storage" else HTTP
+        founders = self.layout.machines[:FOUNDERS]
         return SETTINGS.format(
-            node=node.name, machine=node.machine, zone=(node.machine - 1) % 3 + 1, role=node.role,
-            bootstrap="true" if bootstrap else "false", routes=routes, service=service, data=data,
-            seeds=", ".join(f'"{ip_of(m)}:{SERVICE}"' for m in MACHINES),
+            node=node.name, machine=node.machine, zone=self.layout.zone_of(node.machine),
+            role=node.role, bootstrap="true" if bootstrap else "false", routes=routes,
+            service=service, data=data, tolerate=self.layout.tolerate,
+            leave=int(self.layout.leaving * 1000),
+            seeds=", ".join(f'"{ip_of(m)}:{SERVICE}"' for m in founders),
             seeds_port=CONTROL_PEER, peer=node.peer, http=f"{ip}:{port}")
 
     def data_folder(self, node):
@@ -207,32 +205,58 @@
             if wipe and node.role != "gateway":
                 shutil.rmtree(self.data_folder(node), ignore_errors=True)
 
-    def stop_in_order(self, node):
-        """SIGTERM, SIGKILL after the grace time; the exit code."""
-        node.process.send_signal(signal.SIGTERM)
-        try:
-            return node.process.wait(timeout=GRACE)
-        except subprocess.TimeoutExpired:
-            node.process.kill()
-            return node.process.wait()
-
-    def set_cut(self, machine, cut):
-        """Cuts a machine off from all others, silently, or joins it again."""
-        for (source, target), link in self.links.items():
-            if (source.machine == machine) != (target.machine == machine):
-                link.cut = cut
+    def stop_in_order(self, nodes):
+        """SIGTERM, SIGKILL after the grace time; the exit codes."""
+        for node in nodes:
+            node.process.send_signal(signal.SIGTERM)
+        until = now() + GRACE
+        codes = []
+        for node in nodes:
+            try:
+                codes.append(node.process.wait(timeout=max(0.01, until - now())))
+            except subprocess.TimeoutExpired:
+                node.process.kill()
+                codes.append(node.process.wait())
+        return codes
+
+    def signal(self, machine, number):
+        """Sends a signal to all processes of a machine."""
+        for node in self.on_machine(machine):
+            node.process.send_signal(number)
+
+    def _between(self, some, others):
+        return [pair for pair, (a, b) in self._pairs.items()
+                if (a.machine in some and b.machine in others)
+                or (b.machine in some and a.machine in others)]
+
+    def cut(self, some, others=None):
+        """Cuts machines off from all others, or from some, silently; returns what to heal."""
+        if others is None:
+            others = set(self.layout.machines + self.layout.gateways) - set(some)
+        pairs = self._between(set(some), set(others))
+        with self._cut_lock:
+            self._cuts.append(pairs)
+            self._links.set("cut", pairs, True)
+        return pairs
+
+    def heal(self, pairs):
+        """Ends one cut; links that another one holds stay cut."""
+        with self._cut_lock:
+            self._cuts.remove(pairs)
+            held = {pair for cut in self._cuts for pair in cut}
+            self._links.set("cut", [pair for pair in pairs if pair not in held], False)
+
+    def _of(self, machine):
+        others = set(self.layout.machines + self.layout.gateways) - {machine}
+        return self._between({machine}, others)
 
     def set_delay(self, machine, delay):
         """Each piece of data from or to a machine takes `delay` seconds longer."""
-        for (source, target), link in self.links.items():
-            if (source.machine == machine) != (target.machine == machine):
-                link.delay = delay
+        self._links.set("delay", self._of(machine), delay)
 
     def reset_links(self, machine):
         """Breaks off all connections of a machine to others."""
-        for (source, target), link in self.links.items():
-            if machine in (source.machine, target.machine):
-                self._loop.call_soon_threadsafe(link.reset)
+        self._links.set("reset", self._of(machine))
 
     def ended_by_themselves(self):
         """Nodes whose process ended without being told to."""
@@ -244,4 +268,7 @@
             if node.process is not None and node.process.poll() is None:
                 node.process.send_signal(signal.SIGCONT)
                 node.process.kill()
+        for node in self.nodes:
+            if node.process is not None:
                 node.process.wait()
+        self._links.end()
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -31,6 +31,7 @@
     status: int = 0
     stamp: str = ""
     body: str = ""
+    ended: float = 0.0
 
 
 @dataclasses.dataclass
@@ -40,6 +41,47 @@
     name: str
     sent: float
     at: float
+    # Of the machine that acknowledged it; 0 is not known.
+    machine: int = 0
+
+
+@dataclasses.dataclass
+class Sent:
+    """A version of the routing document was sent for the first time."""
+
+    version: int
+    content: str
+    at: float
+
+
+@dataclasses.dataclass
+class OperatorCall:
+    """A call of the operator that has one right answer, or a few."""
+
+    what: str
+    status: int
+    allowed: tuple
+    at: float
+    body: str = ""
+
+
+@dataclasses.dataclass
+class Started:
+    """A process was started."""
+
+    machine: int
+    role: str
+    at: float
+
+
+@dataclasses.dataclass
+class Span:
+    """A fault, or planned work, on machines: from its first act until its last was undone."""
+
+    kind: str
+    machines: tuple
+    begun: float
+    over: float
 
 
 @dataclasses.dataclass
@@ -69,6 +111,7 @@
     version: int
     content: str
     sent: float
+    machine: int = 0
 
 
 class History:
@@ -84,6 +127,11 @@
             self.records.append(record)
         return record
 
+    def add_all(self, records):
+        """Notes what another process has noted."""
+        with self._lock:
+            self.records.extend(records)
+
     def of(self, kind):
         """All records of one kind, in the order they came."""
         with self._lock:
--- /dev/null
+++ b/test/soak/routing_checks.py
@@ -0,0 +1,243 @@
+"""What gateways and control nodes may do by which version of the routing document, judged by the
+answers alone: in force in time, never back, read back new enough, proper requests not turned away.
+
+A rule that has a bound in time holds for gateways in touch: not struck themselves for CONTACT, with
+links to the control nodes. Faults of control machines don't excuse a gateway where there are more
+than SMALL_CORE of them, unless they struck one that acknowledged the version in question.
+"""
+
+import dataclasses
+import json
+
+from documents import service_of
+from history import Acknowledged, Call, OperatorCall, ReadBack, Run, Sent, Span, Started
+from row import Row
+
+# Bounds of the users, in seconds.
+CONTACT = 4.0
+IN_FORCE = 2.5
+# Beside the bound where control nodes were disturbed meanwhile, but a majority went on.
+UNSTABLE = 6.0
+REVERT_SLACK = 0.25
+SMALL_CORE = 9
+CUTS = ("cut_in_two", "cut_zones")
+ADDED_ASKED = 20
+ADDED_SHARE = 0.25
+# Statuses that say something else than that the request is wrong.
+NOT_DENIED = (408, 421, 429)
+ALWAYS = ("/pages/", "/book/", "/moved/")
+
+
+@dataclasses.dataclass
+class Seen:
+    """What a gateway did with one request: sent it to a service, or said that no route leads on."""
+
+    call: Call
+    machine: int
+    service: str
+    at: float
+
+    def allowed_by(self, version):
+        """Whether a version allows it."""
+        return service_of(self.call.route, version) == (self.service or None)
+
+
+class Touch:
+    """Who was in touch when."""
+
+    def __init__(self, history, layout):
+        self._layout = layout
+        self._spans = history.of(Span)
+        self._ackers = {}
+        for record in history.of(Acknowledged):
+            if record.name.startswith("version "):
+                version = int(record.name.split()[1])
+                self._ackers.setdefault(version, set()).add(record.machine)
+
+    def _overlaps(self, span, start, end):
+        return span.begun <= end and span.over >= start - CONTACT
+
+    def gateway(self, machine, start, end):
+        """Whether a gateway was undisturbed from CONTACT before `start` until `end`."""
+        return not any(machine in span.machines and self._overlaps(span, start, end)
+                       for span in self._spans)
+
+    def core(self, start, end, version):
+        """Whether the control nodes were, as far as counts for a version acknowledged by some."""
+        return not any(self._counts(span, version) and self._disturbs(span, start, end)
+                       for span in self._spans)
+
+    def majority(self, start, end):
+        """Whether most control nodes went on all the while."""
+        return not any(span.kind == "kill_all" and self._overlaps(span, start, end)
+                       for span in self._spans)
+
+    def _counts(self, span, version):
+        if not set(span.machines) & set(self._layout.machines):
+            return False
+        if span.kind in (*CUTS, "kill_all") or len(self._layout.machines) <= SMALL_CORE:
+            return True
+        return bool(set(span.machines) & self._ackers.get(version, set()))
+
+    def _disturbs(self, span, start, end):
+        if span.kind not in CUTS:
+            return self._overlaps(span, start, end)
+        # Once it has been cut for a while, the majority is stable.
+        return any(start - CONTACT <= moment <= end for moment in (span.begun, span.over))
+
+
+def seen_by(history):
+    """What gateways did with requests, in the order in which it happened."""
+    runs = {}
+    for run in history.of(Run):
+        runs.setdefault(run.request, run)
+    machines = {}
+    seen = []
+    for call in history.of(Call):
+        machine = machines.setdefault(call.gateway, int(call.gateway.rsplit(".", 1)[1]))
+        run = runs.get(call.request)
+        if run is not None:
+            seen.append(Seen(call, machine, run.service, run.at))
+        elif call.status == 404:
+            seen.append(Seen(call, machine, "", call.ended))
+    return sorted(seen, key=lambda entry: entry.at)
+
+
+class Versions:
+    """What was sent and acknowledged when."""
+
+    def __init__(self, history):
+        self.sent = sorted((record.version, record.at) for record in history.of(Sent))
+        first = {}
+        for record in history.of(Acknowledged):
+            if record.name.startswith("version "):
+                version = int(record.name.split()[1])
+                first[version] = min(record.at, first.get(version, record.at))
+        self.acknowledged = sorted((at, version) for version, at in first.items())
+
+    def held(self, moment):
+        """The newest that was acknowledged by then; 0 is none."""
+        return max((version for at, version in self.acknowledged if at < moment), default=0)
+
+    def possible(self, least, moment):
+        """Those that may be in force at `moment` where `least` is the oldest allowed."""
+        return [version for version, at in self.sent if version >= least and at <= moment]
+
+
+def check_in_force(seen, versions, touch):
+    """Gateways in touch act by nothing older than what was acknowledged IN_FORCE before."""
+    row = Row("routes in force in time")
+    for entry in seen:
+        call = entry.call
+        if not touch.gateway(entry.machine, call.sent, entry.at):
+            continue
+        held = versions.held(call.sent - IN_FORCE)
+        if not touch.core(call.sent, entry.at, held):
+            if not touch.majority(call.sent - UNSTABLE, entry.at):
+                continue
+            held = versions.held(call.sent - IN_FORCE - UNSTABLE)
+        if not held:
+            continue
+        possible = versions.possible(held, entry.at)
+        row.case(any(entry.allowed_by(version) for version in possible), (entry, held))
+    return row
+
+
+def check_never_back(seen, versions, history):
+    """Within one life a gateway acts by nothing older than what it has acted by."""
+    row = Row("a gateway never goes back")
+    starts = {}
+    for record in history.of(Started):
+        if record.role == "gateway":
+            starts.setdefault(record.machine, []).append(record.at)
+    floors = {}
+    for entry in seen:
+        life = sum(at <= entry.at for at in starts[entry.machine])
+        earlier = floors.setdefault((entry.machine, life), [])
+        floor = max((version for at, version in earlier if at < entry.call.sent - REVERT_SLACK),
+                    default=0)
+        possible = [version for version in versions.possible(floor, entry.at)
+                    if entry.allowed_by(version)]
+        # Before the first document is known to this life, nothing is asked of it.
+        row.case(bool(possible) or not floor, (entry, floor))
+        if possible and (not earlier or possible[0] > earlier[-1][1]):
+            earlier.append((entry.at, possible[0]))
+    return row
+
+
+def check_invalid(history):
+    """Only what was sent as a document is ever acted by."""
+    row = Row("routes of invalid documents not served")
+    runs = {run.request for run in history.of(Run)}
+    for call in history.of(Call):
+        if call.route.startswith("/flawed-"):
+            row.case(call.request not in runs, call)
+    return row
+
+
+def check_denied(history):
+    """Proper requests of routes that all documents have are not turned away as wrong."""
+    row = Row("proper requests not turned away")
+    for call in history.of(Call):
+        if call.route in ALWAYS and call.status:
+            denied = 300 <= call.status < 500 and call.status not in NOT_DENIED
+            row.case(not denied, call)
+    return row
+
+
+def check_added(seen, history, touch):
+    """Routes that were added later are served like the first ones."""
+    row = Row("added routes served like the first")
+    asked = {}
+    for call in history.of(Call):
+        machine = int(call.gateway.rsplit(".", 1)[1])
+        if call.route in ALWAYS and touch.gateway(machine, call.sent, call.ended):
+            served = asked.setdefault("first", [0, 0])
+            served[0] += 1
+            served[1] += call.status == 200
+    for entry in seen:
+        if entry.call.route.startswith("/added-") and entry.service:
+            served = asked.setdefault("added", [0, 0])
+            served[0] += 1
+            served[1] += entry.call.status == 200
+    first, added = asked.get("first", [0, 0]), asked.get("added", [0, 0])
+    if added[0] >= ADDED_ASKED and first[0]:
+        row.case(added[1] / added[0] >= ADDED_SHARE * first[1] / first[0], asked)
+    return row
+
+
+def check_operator(history):
+    """Each call of the operator gets one of its right answers."""
+    row = Row("the operator's calls answered right")
+    for call in history.of(OperatorCall):
+        row.case(call.status in call.allowed, call)
+    return row
+
+
+def check_read_back(history, operator, versions):
+    """A read gives nothing older than what was acknowledged IN_FORCE before, as it was sent."""
+    row = Row("configuration read back")
+    contents = {}
+    for read in history.of(ReadBack):
+        newest = versions.held(read.sent - IN_FORCE)
+        sent = [same_document(text, read.content) for text in operator.contents(read.version)]
+        first = contents.setdefault(read.version, read.content)
+        row.case(read.version >= newest and any(sent) and same_document(first, read.content),
+                 (read.version, read.sent, read.machine, newest))
+    return row
+
+
+def same_document(sent, read):
+    """Whether two texts are the same JSON value."""
+    return json.loads(sent) == json.loads(read)
+
+
+def check_routing(history, operator, layout):
+    """All rows."""
+    seen = seen_by(history)
+    versions = Versions(history)
+    touch = Touch(history, layout)
+    return [
+        check_in_force(seen, versions, touch), check_never_back(seen, versions, history),
+        check_invalid(history), check_denied(history), check_added(seen, history, touch),
+        check_operator(history), check_read_back(history, operator, versions)]
--- /dev/null
+++ b/test/soak/row.py
@@ -0,0 +1,18 @@
+"""The outcome of one check."""
+
+import dataclasses
+
+
+@dataclasses.dataclass
+class Row:
+    """What a check found."""
+
+    name: str
+    tried: int = 0
+    broken: list = dataclasses.field(default_factory=list)
+
+    def case(self, holds, what):
+        """Counts a case."""
+        self.tried += 1
+        if not holds:
+            self.broken.append(what)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -9,18 +9,18 @@
 import shutil
 import sys
 import tempfile
+import threading
 import time
 
-from back_ends import BackEnd
-from callers import MODEL, Client, Operator, Trainer
+from back_ends import BackEndBoard
+from callers import Client, Operator, Trainer
 from checks import check_all
 from faults import Faults
-from fleet import Fleet
+from fleet import Fleet, Layout, use_subnet
 from history import History, now
+from probes import Prober
 
-CLIENTS = 6
 START_LIMIT = 20.0
-PAUSE = 3.0
 RECOVERY = 12.0
 LAST_CALM = 16.0
 SHOWN = 3
@@ -32,6 +32,22 @@
     parser.add_argument("--program", required=True, help="millstaird")
     parser.add_argument("--seconds", type=float, default=120, help="how long faults are played")
     parser.add_argument("--seed", type=int, default=1, help="chooses the faults")
+    parser.add_argument("--stores", type=int, default=5, help="machines with a disk")
+    parser.add_argument("--gateways", type=int, default=6, help="machines with a gateway")
+    parser.add_argument("--zones", type=int, default=3, help="zones of the machines")
+    parser.add_argument("--tolerate", type=int, default=1,
+                        help="machines with a disk struck at a time")
+    parser.add_argument("--series", type=int, default=2, help="series of faults that overlap")
+    parser.add_argument("--kinds", default="", help="kinds of faults, by comma; all if empty")
+    parser.add_argument("--pause", type=float, default=1.5,
+                        help="shortest pause of a series between two faults, in seconds")
+    parser.add_argument("--clients", type=int, default=6, help="clients on connections they keep")
+    parser.add_argument("--probe", type=float, default=0.3,
+                        help="seconds between two probes of one gateway")
+    parser.add_argument("--change", type=float, default=2.5,
+                        help="seconds between two changes of the configuration")
+    parser.add_argument("--subnet", type=int, default=77,
+                        help="third number of the addresses; runs side by side need one each")
     parser.add_argument("--keep", action="store_true", help="keep logs and data of a good run")
     return parser.parse_args()
 
@@ -45,16 +61,15 @@
     raise SystemExit("no configuration was accepted at the start")
 
 
-def play_faults(faults, seconds):
-    """Every kind once in drawn order, then any; until the time is over."""
-    until = now() + seconds
-    waiting = []
-    while now() < until:
-        if not waiting:
-            waiting = random.sample(faults.kinds, len(faults.kinds))
-        faults.play(waiting.pop())
-        print(f"  {faults.played[-1]}", flush=True)
-        time.sleep(random.uniform(PAUSE, 3 * PAUSE))
+def play_faults(faults, arguments):
+    """Series of faults that overlap, until the time is over."""
+    until = now() + arguments.seconds
+    series = [threading.Thread(target=faults.play_series, args=(until, arguments.pause))
+              for _ in range(arguments.series)]
+    for one in series:
+        one.start()
+    for one in series:
+        one.join()
 
 
 def read_to_the_end(trainer):
@@ -72,42 +87,56 @@
     return lost
 
 
+def play(arguments, fleet, back_ends, history):
+    """The run itself: what is to be reported."""
+    layout = fleet.layout
+    fleet.start()
+    operator = Operator(layout, history, arguments.change)
+    await_first_configuration(operator)
+    faults = Faults(fleet, back_ends, history)
+    if arguments.kinds:
+        faults.choose(arguments.kinds.split(","))
+    time.sleep(2)
+    callers = [Client(layout, history) for _ in range(arguments.clients)]
+    callers.append(Prober(layout, history, operator, arguments.probe))
+    trainer = Trainer(layout, history)
+    operator.start()
+    trainer.start()
+    play_faults(faults, arguments)
+    end_of_faults = now() + RECOVERY
+    time.sleep(RECOVERY + LAST_CALM)
+    for part in (*callers, operator, trainer):
+        part.stopped = True
+    trainer.ended.wait(20)
+    lost = read_to_the_end(trainer)
+    instances = back_ends.end(history)
+    return check_all(history, operator, trainer, instances, layout, end_of_faults), lost
+
+
 def main():
     """Runs the soak."""
     arguments = parse_arguments()
     random.seed(arguments.seed)
+    use_subnet(arguments.subnet)
     folder = tempfile.mkdtemp(prefix="millstair-soak.")
     history = History()
-    fleet = Fleet(arguments.program, folder)
+    layout = Layout(arguments.stores, arguments.gateways, arguments.zones, arguments.tolerate)
+    counts = {"pages": 3, "shop": 3, "engines": 3}
+    back_ends = BackEndBoard(layout, counts, arguments.seed)
+    fleet = None
     good = False
     try:
-        fleet.start()
-        operator = Operator(history, pause=2.5)
-        await_first_configuration(operator)
-        back_ends = [BackEnd(service, index, history)
-                     for service in ("pages", "shop") for index in range(3)]
-        back_ends += [BackEnd("engines", index, history, (MODEL,)) for index in range(3)]
-        faults = Faults(fleet, back_ends, history, (MODEL,))
-        time.sleep(2)
-        clients = [Client(history) for _ in range(CLIENTS)]
-        trainer = Trainer(history)
-        operator.start()
-        trainer.start()
-        play_faults(faults, arguments.seconds)
-        end_of_faults = now() + RECOVERY
-        time.sleep(RECOVERY + LAST_CALM)
-        for part in (*clients, operator, trainer):
-            part.stopped = True
-        trainer.ended.wait(20)
-        rows = check_all(history, operator, trainer, faults.all_instances, faults.spans,
-                         end_of_faults)
-        good = report(rows, read_to_the_end(trainer), fleet)
+        fleet = Fleet(arguments.program, folder, layout, history)
+        rows, lost = play(arguments, fleet, back_ends, history)
+        good = report(rows, lost, fleet)
     finally:
-        fleet.end()
+        if fleet is not None:
+            fleet.end()
+        back_ends.stop()
         if good and not arguments.keep:
             shutil.rmtree(folder)
         else:
-            print(f"logs and data: {folder}")
+            print(f"seed {arguments.seed}: logs and data: {folder}")
     return 0 if good else 1
 
 
