Ask the other control nodes beside a silent one, and leave none that answers for the own zone

Cause: a node whose control node was silent waited 0.7 to 1.3 s before it asked the next, in the same order at every node of a zone; every 30 s it gave up a control node of another zone that answered for its own zone, silent or not; control nodes told by address alone never counted as of their zone. Change: while the one in use is silent the others are asked too, one each 150 ms, and the first answer decides; the own zone is asked beside the node in use; zones are learned, gone nodes come last, the order is random at each node. Ruled out: a shorter time-out for each, still one after another (a slow answer would count as none); two control nodes at all times (twice the heartbeats and pushes).

--- a/source/cluster/configuration_client.cc
+++ b/source/cluster/configuration_client.cc
@@ -16,18 +16,27 @@
 
 /// All observations are sent again with each n-th heartbeat, in case a control node lost them.
 constexpr int kHeartbeatsPerFullReport = 5;
-/// How often a node that is attached to another zone tries its own again.
-constexpr Duration kReturnToOwnZone = std::chrono::seconds(30);
+/// How often a node that uses a control node of another zone asks one of its own zone beside it.
+/// One more heartbeat (some 100 bytes) each time.
+constexpr Duration kAskOwnZone = std::chrono::seconds(10);
 constexpr double kHeartbeatJitter = 0.1;
-/// Until a node is first proven fresh it takes no work. It asks its control nodes in turn, each
-/// after this time: one that has no power yet says nothing, and a connection to it hangs for a
-/// second. A round trip takes some ten milliseconds, a whole configuration a few tens.
-constexpr Duration kFirstInterval = std::chrono::milliseconds(150);
-/// Less than the interval at its shortest, so that each beat goes to another control node.
-constexpr Duration kFirstPatience = std::chrono::milliseconds(100);
+/// Between two control nodes that are asked while none answers. They are not waited for one by one:
+/// one that is cut off or has no power says nothing, a connection to it hangs for a second, and
+/// several of a zone fall silent together. With a time-out of 0.9 s for each, three in a row left a
+/// gateway of 13 control nodes without a proof for 5 to 7 s. An answer takes some ten milliseconds,
+/// a whole configuration a few tens. All of 13 are asked within 1.8 s.
+constexpr Duration kSearchStep = std::chrono::milliseconds(150);
 /// An observation that changed is sent at most this much later, together with others by then.
 constexpr Duration kReportDelay = std::chrono::milliseconds(150);
 
+/// The pauses of a search are not doubled more often than this; no heartbeat is that far apart.
+constexpr size_t kMostDoublings = 8;
+
+struct SentHeartbeat {
+  NodeId to;
+  TimePoint at;
+};
+
 int64_t Milliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
@@ -43,15 +52,16 @@
         sources_(std::move(control_nodes), self_.zone, environment.Random()),
         timing_(timing),
         faults_(faults),
-        timer_(environment) {}
+        timer_(environment),
+        search_timer_(environment) {}
 
   void Start() override {
     if (sources_.empty()) return;
     for (const ControlEndpoint& endpoint : sources_.all()) {
       transport_.SetAddress(endpoint.node, endpoint.address);
     }
-    source_since_ = environment_.Now();
-    return_at_ = source_since_ + kReturnToOwnZone;
+    answered_at_ = environment_.Now();
+    search_timer_.Arm(SearchStep(), [this] { Search(); });
     Beat();
   }
 
@@ -90,17 +100,10 @@
  private:
   void Beat() {
     NoteLease();
-    MoveIfUnanswered();
-    SendHeartbeat();
+    SendHeartbeat(sources_.current().node, TakeObservations());
+    AskOwnZoneIfDue();
     const double jitter = 1 + kHeartbeatJitter * (2 * DrawUnit(environment_.Random()) - 1);
-    const Duration interval =
-        leased_ ? timing_.heartbeat : std::min(timing_.heartbeat, kFirstInterval);
-    BeatAfter(FromSeconds(ToSeconds(interval) * jitter));
-  }
-
-  /// Unanswered for this long, another control node is asked.
-  Duration SourceTimeout() const {
-    return leased_ ? timing_.source_timeout : std::min(timing_.source_timeout, kFirstPatience);
+    BeatAfter(FromSeconds(ToSeconds(timing_.heartbeat) * jitter));
   }
 
   void BeatAfter(Duration delay) {
@@ -108,22 +111,52 @@
     timer_.Arm(delay, [this] { Beat(); });
   }
 
-  void MoveIfUnanswered() {
-    const TimePoint now = environment_.Now();
-    if (now - source_since_ >= SourceTimeout()) {
-      const NodeId lost = sources_.current().node;
-      sources_.MoveOn();
+  /// The control node in use is silent: asks another one too, and goes on until one answers.
+  void Search() {
+    if (steps_ == 0) {
       LogEvent(EventId::kConfigurationSourceLost,
-               "node={} source={} silent_ms={} next={} revision={} proof_ms={}", self_.node, lost,
-               Milliseconds(now - source_since_), sources_.current().node, configuration_.revision,
-               ProofMilliseconds());
-      source_since_ = now;
-      return;
+               "node={} source={} silent_ms={} revision={} proof_ms={}", self_.node,
+               sources_.current().node, Milliseconds(environment_.Now() - answered_at_),
+               configuration_.revision, ProofMilliseconds());
+    }
+    const ControlEndpoint& next = steps_ == 0 ? sources_.FirstToAsk() : sources_.NextToAsk();
+    ++steps_;
+    SendHeartbeat(next.node, {});
+    search_timer_.Arm(SearchStep(), [this] { Search(); });
+  }
+
+  /// Doubles with each round of all control nodes: while there is no majority nobody answers, and a
+  /// whole fleet would go on asking.
+  Duration SearchStep() const {
+    const size_t rounds = std::min<size_t>(steps_ / sources_.size(), kMostDoublings);
+    return std::min(kSearchStep * (1 << rounds), std::max(timing_.heartbeat, kSearchStep));
+  }
+
+  /// Beside the control node in use, which stays in use unless the other one answers: giving it up
+  /// for a zone that is silent took the node its proof for seconds.
+  void AskOwnZoneIfDue() {
+    const TimePoint now = environment_.Now();
+    if (!sources_.AwayFromOwnZone()) {
+      ask_own_zone_at_ = now + kAskOwnZone;
+    } else if (now >= ask_own_zone_at_) {
+      ask_own_zone_at_ = now + kAskOwnZone;
+      SendHeartbeat(sources_.NextOfOwnZone().node, {});
     }
-    if (!sources_.AwayFromOwnZone() || now < return_at_) return;
-    return_at_ = now + kReturnToOwnZone;
-    sources_.ReturnToOwnZone();
-    source_since_ = now;
+  }
+
+  /// A control node has proven the configuration.
+  void NoteAnswer(const NodeId& from) {
+    const bool returns = sources_.AwayFromOwnZone() && sources_.IsOfOwnZone(from);
+    if (from != sources_.current().node && (steps_ > 0 || returns)) {
+      LogEvent(EventId::kConfigurationSourceChosen, "node={} source={} before={} asked={}",
+               self_.node, from, sources_.current().node, steps_);
+      sources_.Choose(from);
+      // What was reported to the one before may be lost.
+      for (const auto& [engine, observation] : observations_) unsent_.insert(engine);
+    }
+    steps_ = 0;
+    answered_at_ = environment_.Now();
+    search_timer_.Arm(timing_.source_timeout, [this] { Search(); });
   }
 
   /// For logs; -1 before the first proof.
@@ -141,16 +174,17 @@
              configuration_.revision, ProofMilliseconds());
   }
 
-  void SendHeartbeat() {
+  void SendHeartbeat(const NodeId& to, std::vector<ReportedObservation> observations) {
     const TimePoint now = environment_.Now();
     NodeHeartbeat heartbeat;
     heartbeat.nonce = environment_.Random()() | 1;
     heartbeat.sender.record = self_;
     heartbeat.sender.applied = configuration_.revision;
-    heartbeat.observations = TakeObservations();
-    std::erase_if(unanswered_, [&](const auto& sent) { return now - sent.second > timing_.lease; });
-    unanswered_[heartbeat.nonce] = now;
-    transport_.Send(sources_.current().node, {MessageKind::kHeartbeat, EncodeHeartbeat(heartbeat)});
+    heartbeat.observations = std::move(observations);
+    std::erase_if(unanswered_,
+                  [&](const auto& entry) { return now - entry.second.at > timing_.lease; });
+    unanswered_[heartbeat.nonce] = {to, now};
+    transport_.Send(to, {MessageKind::kHeartbeat, EncodeHeartbeat(heartbeat)});
   }
 
   std::vector<ReportedObservation> TakeObservations() {
@@ -173,16 +207,19 @@
   void ReceiveReply(const std::string& payload) {
     const auto reply = DecodeHeartbeatReply(payload);
     if (!reply.ok()) return;
-    const auto sent = unanswered_.find(reply->nonce);
-    if (sent == unanswered_.end()) return;
-    const TimePoint sent_at = sent->second;
-    unanswered_.erase(sent);
+    const auto found = unanswered_.find(reply->nonce);
+    if (found == unanswered_.end()) return;
+    const SentHeartbeat sent = found->second;
+    unanswered_.erase(found);
     bool changed = false;
     if (!reply->delta.empty()) {
       const auto delta = DecodeDelta(reply->delta);
       if (delta.ok()) changed = ApplyChanges(*delta);
     }
-    if (configuration_.revision >= reply->confirmed) ExtendLease(sent_at);
+    if (configuration_.revision >= reply->confirmed) {
+      NoteAnswer(sent.to);
+      ExtendLease(sent.at);
+    }
     if (changed) NotifyListeners();
   }
 
@@ -201,7 +238,6 @@
   }
 
   void ExtendLease(TimePoint sent_at) {
-    source_since_ = environment_.Now();
     const TimePoint until = sent_at + timing_.lease;
     if (leased_ && until <= lease_until_) return;
     leased_ = true;
@@ -209,18 +245,16 @@
     NoteLease();
   }
 
-  /// Control nodes that joined later are sources too, and those that are gone are none.
   void LearnSources() {
     std::vector<ControlEndpoint> known;
     for (const auto& [node, record] : configuration_.nodes) {
       if (!record.control || record.state == MemberState::kGone) continue;
       known.push_back({node, record.address, record.zone});
     }
-    if (known.empty() || sources_.HoldsAll(known)) return;
+    if (known.empty() || !sources_.Learn(known, environment_.Random())) return;
     for (const ControlEndpoint& endpoint : known) {
       transport_.SetAddress(endpoint.node, endpoint.address);
     }
-    sources_.Add(known);
   }
 
   void NotifyListeners() {
@@ -243,16 +277,19 @@
   TimePoint lease_until_;
   /// What the log last said of the lease.
   bool lease_noted_ = false;
-  /// When the source last proved itself, or was chosen.
-  TimePoint source_since_;
-  TimePoint return_at_;
-  /// Send times of heartbeats, by nonce.
-  std::map<uint64_t, TimePoint> unanswered_;
+  /// When a control node last proved the configuration.
+  TimePoint answered_at_;
+  /// Control nodes asked since the one in use is silent; 0 while it is not.
+  size_t steps_ = 0;
+  TimePoint ask_own_zone_at_;
+  /// By nonce.
+  std::map<uint64_t, SentHeartbeat> unanswered_;
   int beats_ = 0;
   TimePoint next_beat_;
   std::map<EngineName, EngineObservation> observations_;
   std::set<EngineName> unsent_;
   ScopedTimer timer_;
+  ScopedTimer search_timer_;
 };
 
 }  // namespace
--- a/source/cluster/configuration_client.h
+++ b/source/cluster/configuration_client.h
@@ -4,7 +4,8 @@
 /// read with a quorum *after* it received the heartbeat, and answers with the revision. So the
 /// configuration held was the newest at some moment after the send time, without comparing the
 /// clocks of two machines. The lease runs from the send time. A control node that is cut off
-/// cannot confirm, and after a few unanswered heartbeats the node moves to another.
+/// cannot confirm. When the one in use is silent the others are asked as well, one shortly after
+/// another without waiting for each, and the first that answers is used from then on.
 #pragma once
 
 #include <functional>
@@ -25,7 +26,7 @@
   Duration heartbeat = std::chrono::seconds(1);
   /// How long after a confirmed heartbeat was sent the node may give out new work.
   Duration lease = std::chrono::seconds(4);
-  /// Unanswered for this long: move to another control node.
+  /// Without an answer for this long, other control nodes are asked as well.
   Duration source_timeout = std::chrono::milliseconds(1500);
 };
 
@@ -62,7 +63,10 @@
 struct ControlEndpoint {
   NodeId node;
   std::string address;
+  /// Empty where it was told by address alone.
   Zone zone;
+
+  friend bool operator==(const ControlEndpoint&, const ControlEndpoint&) = default;
 };
 
 std::unique_ptr<ConfigurationClient> MakeConfigurationClient(
--- a/source/cluster/control_endpoints.cc
+++ b/source/cluster/control_endpoints.cc
@@ -7,45 +7,105 @@
 
 namespace millstair {
 
-ControlEndpoints::ControlEndpoints(std::vector<ControlEndpoint> endpoints, const Zone& own_zone,
+ControlEndpoints::ControlEndpoints(std::vector<ControlEndpoint> endpoints, Zone own_zone,
                                    RandomEngine& random)
-    : own_zone_(own_zone), ordered_(std::move(endpoints)) {
+    : own_zone_(std::move(own_zone)) {
   // std::shuffle differs between standard libraries; runs must be the same everywhere.
-  for (size_t i = ordered_.size(); i > 1; --i) {
-    std::swap(ordered_[i - 1], ordered_[DrawBelow(random, i)]);
+  for (size_t i = endpoints.size(); i > 1; --i) {
+    std::swap(endpoints[i - 1], endpoints[DrawBelow(random, i)]);
   }
-  const auto others = std::stable_partition(
-      ordered_.begin(), ordered_.end(),
-      [&own_zone](const ControlEndpoint& endpoint) { return endpoint.zone == own_zone; });
-  own_zone_count_ = static_cast<size_t>(others - ordered_.begin());
+  for (ControlEndpoint& endpoint : endpoints) ordered_.push_back({std::move(endpoint)});
+  Sort();
+  current_ = 0;
 }
 
-bool ControlEndpoints::HoldsAll(const std::vector<ControlEndpoint>& endpoints) const {
-  return std::all_of(endpoints.begin(), endpoints.end(), [this](const ControlEndpoint& wanted) {
-    return std::any_of(ordered_.begin(), ordered_.end(), [&](const ControlEndpoint& known) {
-      return known.node == wanted.node && known.address == wanted.address;
-    });
-  });
+std::vector<ControlEndpoint> ControlEndpoints::all() const {
+  std::vector<ControlEndpoint> endpoints;
+  for (const Entry& entry : ordered_) endpoints.push_back(entry.endpoint);
+  return endpoints;
 }
 
-void ControlEndpoints::Add(const std::vector<ControlEndpoint>& endpoints) {
-  for (const ControlEndpoint& endpoint : endpoints) {
-    const auto known = std::find_if(
-        ordered_.begin(), ordered_.end(),
-        [&endpoint](const ControlEndpoint& entry) { return entry.node == endpoint.node; });
-    if (known != ordered_.end()) {
-      known->address = endpoint.address;
-      continue;
-    }
-    const bool in_own_zone = endpoint.zone == own_zone_;
-    if (!in_own_zone) {
-      ordered_.push_back(endpoint);
-      continue;
+bool ControlEndpoints::Learn(const std::vector<ControlEndpoint>& known, RandomEngine& random) {
+  bool changed = false;
+  for (const ControlEndpoint& endpoint : known) {
+    if (Entry* entry = Find(endpoint.node)) {
+      if (entry->held && entry->endpoint == endpoint) continue;
+      // A node that was told its first control nodes by address alone learns their zones here.
+      *entry = {endpoint};
+    } else {
+      const size_t place = DrawBelow(random, ordered_.size() + 1);
+      ordered_.insert(ordered_.begin() + static_cast<std::ptrdiff_t>(place), {endpoint});
+      if (place <= current_ && ordered_.size() > 1) ++current_;
     }
-    ordered_.insert(ordered_.begin() + static_cast<std::ptrdiff_t>(own_zone_count_), endpoint);
-    if (current_ >= own_zone_count_ && ordered_.size() > 1) ++current_;
-    ++own_zone_count_;
+    changed = true;
   }
+  for (Entry& entry : ordered_) {
+    const bool held = std::any_of(
+        known.begin(), known.end(),
+        [&entry](const ControlEndpoint& endpoint) { return endpoint.node == entry.endpoint.node; });
+    changed = changed || entry.held != held;
+    entry.held = held;
+  }
+  if (changed) Sort();
+  return changed;
+}
+
+void ControlEndpoints::Choose(const NodeId& node) {
+  const Entry* entry = Find(node);
+  if (entry != nullptr) current_ = static_cast<size_t>(entry - ordered_.data());
+}
+
+bool ControlEndpoints::AwayFromOwnZone() const {
+  return OwnZoneCount() > 0 && RankOf(ordered_[current_]) != Rank::kOwnZone;
+}
+
+bool ControlEndpoints::IsOfOwnZone(const NodeId& node) const {
+  return std::any_of(ordered_.begin(), ordered_.end(), [&](const Entry& entry) {
+    return entry.endpoint.node == node && RankOf(entry) == Rank::kOwnZone;
+  });
+}
+
+const ControlEndpoint& ControlEndpoints::FirstToAsk() {
+  asked_ = ordered_.size() - 1;
+  return NextToAsk();
+}
+
+const ControlEndpoint& ControlEndpoints::NextToAsk() {
+  asked_ = (asked_ + 1) % ordered_.size();
+  // The one in use has heartbeats under way already.
+  if (asked_ == current_) asked_ = (asked_ + 1) % ordered_.size();
+  return ordered_[asked_].endpoint;
+}
+
+const ControlEndpoint& ControlEndpoints::NextOfOwnZone() {
+  asked_of_own_zone_ = (asked_of_own_zone_ + 1) % OwnZoneCount();
+  return ordered_[asked_of_own_zone_].endpoint;
+}
+
+ControlEndpoints::Rank ControlEndpoints::RankOf(const Entry& entry) const {
+  if (!entry.held) return Rank::kNotHeld;
+  return entry.endpoint.zone == own_zone_ ? Rank::kOwnZone : Rank::kOtherZone;
+}
+
+size_t ControlEndpoints::OwnZoneCount() const {
+  return static_cast<size_t>(
+      std::count_if(ordered_.begin(), ordered_.end(),
+                    [this](const Entry& entry) { return RankOf(entry) == Rank::kOwnZone; }));
+}
+
+ControlEndpoints::Entry* ControlEndpoints::Find(const NodeId& node) {
+  const auto found = std::find_if(ordered_.begin(), ordered_.end(), [&node](const Entry& entry) {
+    return entry.endpoint.node == node;
+  });
+  return found == ordered_.end() ? nullptr : &*found;
+}
+
+void ControlEndpoints::Sort() {
+  if (ordered_.empty()) return;
+  const NodeId in_use = ordered_[current_].endpoint.node;
+  std::stable_sort(ordered_.begin(), ordered_.end(),
+                   [this](const Entry& a, const Entry& b) { return RankOf(a) < RankOf(b); });
+  Choose(in_use);
 }
 
 }  // namespace millstair
--- a/source/cluster/control_endpoints.h
+++ b/source/cluster/control_endpoints.h
@@ -1,4 +1,4 @@
-/// Choice among the control nodes: those of the own zone first, then the others in random order.
+/// The control nodes that a node knows: the one in use, and the order in which others are asked.
 #pragma once
 
 #include <vector>
@@ -8,30 +8,58 @@
 
 namespace millstair {
 
-/// The control node in use, and the order in which the others are tried. Not empty.
+/// Those of the own zone stand first, then the others, last those that the configuration does not
+/// hold or calls gone: its word may be wrong, and they are asked before nobody is. Within each part
+/// the order is random, so that nodes of one zone spread over its control nodes, and one that falls
+/// silent is not followed by the same other one everywhere. Not empty once it was not.
 class ControlEndpoints {
  public:
-  ControlEndpoints(std::vector<ControlEndpoint> endpoints, const Zone& own_zone,
-                   RandomEngine& random);
+  ControlEndpoints(std::vector<ControlEndpoint> endpoints, Zone own_zone, RandomEngine& random);
 
   bool empty() const { return ordered_.empty(); }
+  size_t size() const { return ordered_.size(); }
   /// Undefined if empty.
-  const ControlEndpoint& current() const { return ordered_[current_]; }
-  const std::vector<ControlEndpoint>& all() const { return ordered_; }
-  /// Whether each of `endpoints` is among the known ones, by node and address.
-  bool HoldsAll(const std::vector<ControlEndpoint>& endpoints) const;
-  /// Adds what is new; the one in use stays in use. A node that moved gets its new address.
-  void Add(const std::vector<ControlEndpoint>& endpoints);
-  void MoveOn() { current_ = (current_ + 1) % ordered_.size(); }
+  const ControlEndpoint& current() const { return ordered_[current_].endpoint; }
+  /// In the order in which they are asked.
+  std::vector<ControlEndpoint> all() const;
+
+  /// Takes over what the configuration says of control nodes; the one in use stays in use. Whether
+  /// anything is new.
+  bool Learn(const std::vector<ControlEndpoint>& known, RandomEngine& random);
+
+  /// Uses another one; a node that is not known changes nothing.
+  void Choose(const NodeId& node);
   /// True if the one in use is of another zone although the own zone has one.
-  bool AwayFromOwnZone() const { return current_ >= own_zone_count_ && own_zone_count_ > 0; }
-  void ReturnToOwnZone() { current_ = 0; }
+  bool AwayFromOwnZone() const;
+  bool IsOfOwnZone(const NodeId& node) const;
+
+  /// The first to ask when the one in use is silent; then one after another, from the first again
+  /// after the last.
+  const ControlEndpoint& FirstToAsk();
+  const ControlEndpoint& NextToAsk();
+  /// One of the own zone, another at each call. Undefined if there is none.
+  const ControlEndpoint& NextOfOwnZone();
 
  private:
+  /// Parts of the order.
+  enum class Rank : uint8_t { kOwnZone, kOtherZone, kNotHeld };
+
+  struct Entry {
+    ControlEndpoint endpoint;
+    bool held = true;
+  };
+
+  Rank RankOf(const Entry& entry) const;
+  size_t OwnZoneCount() const;
+  Entry* Find(const NodeId& node);
+  /// Sorts by rank and keeps the one in use.
+  void Sort();
+
   Zone own_zone_;
-  std::vector<ControlEndpoint> ordered_;
-  size_t own_zone_count_ = 0;
+  std::vector<Entry> ordered_;
   size_t current_ = 0;
+  size_t asked_ = 0;
+  size_t asked_of_own_zone_ = 0;
 };
 
 }  // namespace millstair
--- a/source/settings/settings_schema.cc
+++ b/source/settings/settings_schema.cc
@@ -174,7 +174,7 @@
       Time("timing.lease", &T::lease, 50 * kMillisecond, 600 * kSecond,
            "How long after a confirmed heartbeat was sent a node gives out new work."),
       Time("timing.source_timeout", &T::source_timeout, 20 * kMillisecond, 300 * kSecond,
-           "Without an answer for this long a node moves to another control node."),
+           "Without an answer for this long a node asks other control nodes as well."),
       Time("timing.node_lease", &T::node_lease, 50 * kMillisecond, 600 * kSecond,
            "Without a heartbeat for this long a node is gone."),
       Time("timing.platform_poll", &T::platform_poll, 50 * kMillisecond, 600 * kSecond,
