--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -7,7 +7,8 @@
 import threading
 import time
 
-from documents import (FLAWS, HOST, MODEL, MOVED_ROUTE, flawed_text, routing_document)
+from documents import (FLAWS, HOST, MODEL, MOVED_ROUTE, SCORE_ROUTE, flawed_text,
+                       routing_document)
 from fleet import SERVICE, ip_of
 from history import Acknowledged, Call, Listed, OperatorCall, ReadBack, Sent, now
 
@@ -249,6 +250,8 @@
         self._layout = layout
         self._history = history
         self.steps = []
+        # Identifiers of all calls that score texts.
+        self.scorings = set()
         self.stopped = False
         self.ended = threading.Event()
 
@@ -281,7 +284,8 @@
         requests = []
         for group in range(GROUPS):
             for _ in range(GROUP_SIZE):
-                item = new_id()
+                item, scorer = new_id(), new_id()
+                self.scorings.add(scorer)
                 # A few run far longer than the rest.
                 events = random.choice((5, 10, 20, 80))
                 step.items[item] = (f"{step.job}-{group}", events)
@@ -291,7 +295,7 @@
                     "headers": {"Model": MODEL, "Tokens": f"10,{events}",
                                 "Length-Hint": str(events)},
                     "tokens": 10 + events, "group": f"{step.job}-{group}",
-                    "scorer": {"id": new_id(), "host": HOST, "path": "/score/x",
+                    "scorer": {"id": scorer, "host": HOST, "path": SCORE_ROUTE + "x",
                                "body": base64.b64encode(b"judge").decode()}})
         document = json.dumps({"step": step.number, "model": MODEL, "desired": WANTED,
                                "min_version": step.min_version, "requests": requests})
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -115,6 +115,6 @@
     """All rows."""
     return [
         check_answers(history, instances), *check_at_most_once(history),
-        *check_routing(history, operator, layout), check_leaving(history, layout),
+        *check_routing(history, operator, trainer, layout), check_leaving(history, layout),
         *check_results(history, trainer, instances), check_orders(history),
         check_service(history, trainer, end_of_faults)]
--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -9,7 +9,7 @@
 from back_ends import stamp_of
 from callers import Step
 from documents import (ADDED_KEPT, FLAWS, added_route, added_service, flawed_route, flawed_text,
-                       moved_service, routing_document, service_of)
+                       moved_service, routing_document, score_service, service_of)
 from fleet import Layout
 from history import (Acknowledged, Call, History, Listed, OperatorCall, Order, ReadBack, Run, Sent,
                      Span, Started)
@@ -164,6 +164,23 @@
         self.expect(check(), 2, 1)
         self.expect(check(Started(14, "gateway", 3.0)), 2, 0)
 
+    def test_stopping(self):
+        """A gateway that was told to stop long ago and still serves is judged."""
+        call, run = answered("a", route="/moved/"), Run("a", moved_service(1), "i-1", 10.1)
+        self.expect(self.in_force(call, run, Span("stop", (14,), 7.0, 12.0)), 0, 0)
+        self.expect(self.in_force(call, run, Span("stop", (14,), 5.0, 12.0)), 1, 1)
+
+    def test_scorings(self):
+        """Scored by the service of an older document; not judged near a fault of its machines."""
+        acknowledged = [Sent(4, "", 2.5), Acknowledged("version 4", 2.5, 3.0, 1)]
+        def check(service, *records):
+            history = two_versions(*acknowledged, Run("s", service, "i-1", 10.0), *records)
+            return routing_checks.check_scorings(history, {"s"}, routing_checks.Versions(history),
+                                                 routing_checks.Touch(history, LARGE))
+        self.expect(check(score_service(4)), 1, 0)
+        self.expect(check(score_service(3)), 1, 1)
+        self.expect(check(score_service(3), Span("freeze", (5,), 8.0, 9.0)), 0, 0)
+
     def test_invalid(self):
         """A route of an invalid document was served."""
         calls = [answered("a", route=flawed_route(3)), answered("b", 404, flawed_route(3))]
--- a/test/soak/documents.py
+++ b/test/soak/documents.py
@@ -11,6 +11,8 @@
 MODEL = "writer"
 SERVICES = ("pages", "shop")
 MOVED_ROUTE = "/moved/"
+SCORE_ROUTE = "/score/"
+SCORE_MOVES_EACH = 4
 ADDED_KEPT = 6
 ADDED_MOVES_AFTER = 3
 FLAWS = ("no-limit", "unknown-service", "twice", "no-weight", "cut-short")
@@ -34,6 +36,11 @@
     return SERVICES[version % 2]
 
 
+def score_service(version):
+    """The service that scores texts under a version."""
+    return SERVICES[version // SCORE_MOVES_EACH % 2]
+
+
 def added_service(number, version):
     """The service of the route of version `number` under `version`; nothing if it isn't there."""
     if not 0 < number <= version < number + ADDED_KEPT:
@@ -49,6 +56,8 @@
         return "shop"
     if prefix == MOVED_ROUTE:
         return moved_service(version)
+    if prefix == SCORE_ROUTE:
+        return score_service(version)
     if prefix.startswith("/added-"):
         return added_service(int(prefix[len("/added-"):-1]), version)
     return None
@@ -65,7 +74,7 @@
         _route("pages", "/pages/", "safe", "pages"),
         _route("book", "/book/", "unsafe", "shop"),
         _route("moved", MOVED_ROUTE, "safe", moved_service(version)),
-        _route("score", "/score/", "safe", "pages"),
+        _route("score", SCORE_ROUTE, "safe", score_service(version)),
         _route("jobs", "/jobs/", "rollout", "engines", deadline_ms=10000, queue_ttl_s=20,
                sticky=True, resumable=True),
     ]
--- a/test/soak/routing_checks.py
+++ b/test/soak/routing_checks.py
@@ -9,7 +9,7 @@
 import dataclasses
 import json
 
-from documents import service_of
+from documents import SCORE_ROUTE, service_of
 from history import Acknowledged, Call, OperatorCall, ReadBack, Run, Sent, Span, Started
 from row import Row
 
@@ -20,7 +20,10 @@
 UNSTABLE = 6.0
 REVERT_SLACK = 0.25
 SMALL_CORE = 9
+# A call that scores a text may go on for as long as its route's time limit.
+SCORING_TAKES = 1.5
 CUTS = ("cut_in_two", "cut_zones")
+STOPS = ("stop", "stop_several")
 ADDED_ASKED = 20
 ADDED_SHARE = 0.25
 # Statuses that say something else than that the request is wrong.
@@ -58,10 +61,22 @@
         return span.begun <= end and span.over >= start - CONTACT
 
     def gateway(self, machine, start, end):
-        """Whether a gateway was undisturbed from CONTACT before `start` until `end`."""
-        return not any(machine in span.machines and self._overlaps(span, start, end)
+        """Whether a gateway was undisturbed from CONTACT before `start` until `end`. One that was
+        told to stop CONTACT ago and still serves is in touch again."""
+        return not any(machine in span.machines and self._strikes(span, start, end)
                        for span in self._spans)
 
+    def all_stores(self, start, end):
+        """Whether all machines with a disk were undisturbed."""
+        stores = set(self._layout.machines)
+        return not any(stores & set(span.machines) and self._overlaps(span, start, end)
+                       for span in self._spans)
+
+    def _strikes(self, span, start, end):
+        if span.kind in STOPS:
+            return any(start - CONTACT <= moment <= end for moment in (span.begun, span.over))
+        return self._overlaps(span, start, end)
+
     def core(self, start, end, version):
         """Whether the control nodes were, as far as counts for a version acknowledged by some."""
         return not any(self._counts(span, version) and self._disturbs(span, start, end)
@@ -165,6 +180,22 @@
     return row
 
 
+def check_scorings(history, scorings, versions, touch):
+    """Texts are scored by nothing older than what was acknowledged IN_FORCE before. Which machine
+    with a disk scores is not seen here, so all have to be undisturbed."""
+    row = Row("texts scored by routes in force")
+    for run in history.of(Run):
+        if run.request not in scorings or not touch.all_stores(run.at, run.at):
+            continue
+        # The call may have waited for a place, and been tried elsewhere before.
+        held = versions.held(run.at - IN_FORCE - SCORING_TAKES)
+        if held:
+            possible = versions.possible(held, run.at)
+            row.case(any(service_of(SCORE_ROUTE, version) == run.service for version in possible),
+                     (run, held))
+    return row
+
+
 def check_invalid(history):
     """Only what was sent as a document is ever acted by."""
     row = Row("routes of invalid documents not served")
@@ -232,12 +263,13 @@
     return json.loads(sent) == json.loads(read)
 
 
-def check_routing(history, operator, layout):
+def check_routing(history, operator, trainer, layout):
     """All rows."""
     seen = seen_by(history)
     versions = Versions(history)
     touch = Touch(history, layout)
     return [
         check_in_force(seen, versions, touch), check_never_back(seen, versions, history),
+        check_scorings(history, trainer.scorings, versions, touch),
         check_invalid(history), check_denied(history), check_added(seen, history, touch),
         check_operator(history), check_read_back(history, operator, versions)]
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -23,7 +23,6 @@
 START_LIMIT = 20.0
 RECOVERY = 12.0
 LAST_CALM = 16.0
-SHOWN = 3
 
 
 def parse_arguments():
@@ -48,6 +47,7 @@
                         help="seconds between two changes of the configuration")
     parser.add_argument("--subnet", type=int, default=77,
                         help="third number of the addresses; runs side by side need one each")
+    parser.add_argument("--show", type=int, default=3, help="broken cases shown of each promise")
     parser.add_argument("--keep", action="store_true", help="keep logs and data of a good run")
     return parser.parse_args()
 
@@ -128,7 +128,7 @@
     try:
         fleet = Fleet(arguments.program, folder, layout, history)
         rows, lost = play(arguments, fleet, back_ends, history)
-        good = report(rows, lost, fleet)
+        good = report(rows, lost, fleet, arguments.show)
     finally:
         if fleet is not None:
             fleet.end()
@@ -140,12 +140,12 @@
     return 0 if good else 1
 
 
-def report(rows, lost, fleet):
+def report(rows, lost, fleet, shown):
     """Prints the table; whether all holds."""
     good = True
     for row in rows:
         print(f"{row.name:45} tried {row.tried:6}  broken {len(row.broken):4}")
-        for what in row.broken[:SHOWN]:
+        for what in row.broken[:shown]:
             print(f"    {what}")
         good = good and row.tried > 0 and not row.broken
     ended = [f"{node.role} of machine {node.machine}" for node in fleet.ended_by_themselves()]
