--- a/test/soak/back_ends.py
+++ b/test/soak/back_ends.py
@@ -20,7 +20,8 @@
 LOAD_TIME = 0.5
 EVENT_TIME = 0.04
 KEEP_SERVING = 3.5
-REFUSES_FOR = 1.0
+# Longer than the time limit of the routes, so that callers are refused.
+REFUSES_FOR = 2.5
 
 
 def stamp_of(instance, request):
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -141,17 +141,23 @@
 
 
 def report(rows, lost, fleet, shown):
-    """Prints the table; whether all holds."""
-    good = True
+    """Prints the table and a closing line in the form of the other test programs; whether all
+    holds."""
     for row in rows:
         print(f"{row.name:45} tried {row.tried:6}  broken {len(row.broken):4}")
         for what in row.broken[:shown]:
             print(f"    {what}")
-        good = good and row.tried > 0 and not row.broken
     ended = [f"{node.role} of machine {node.machine}" for node in fleet.ended_by_themselves()]
     print(f"{'accepted jobs that could not be read':45} {lost}")
     print(f"{'processes that ended by themselves':45} {ended}")
-    return good and not lost and not ended
+    outcomes = [row.tried > 0 and not row.broken for row in rows] + [not lost, not ended]
+    passed = sum(outcomes)
+    if all(outcomes):
+        print(f"All tests passed ({sum(row.tried for row in rows)} assertions in {passed} test "
+              "cases)")
+    else:
+        print(f"test cases: {len(outcomes)} | {passed} passed | {len(outcomes) - passed} failed")
+    return all(outcomes)
 
 
 if __name__ == "__main__":
