Have the simulated trainer put steps again that were lost while it trained or published

Cause: on its return a trainer that trained or published looked at neither the steps put ahead nor their answers; a step whose put was lost with a gateway then was never asked for again, and the run failed liveness. The product never heard of that step. Change: steps without an answer are put again first, whatever the trainer was at. Ruled out: the product's log and leases (the leader held every step that it was sent).

--- a/simulator/clients/trainer.cc
+++ b/simulator/clients/trainer.cc
@@ -77,7 +77,12 @@
 void Trainer::BringUp() {
   if (running_) return;
   running_ = true;
-  // A step put without an answer is put again by id; the version being published likewise.
+  // A step put without an answer is put again by id, whatever the trainer was at: steps are put
+  // ahead, and one that is lost while it trains or publishes is never asked for by anything else.
+  for (const auto& [number, step] : steps_) {
+    if (!step.acknowledged) SendStep(number);
+  }
+  // The version being published likewise.
   if (training_) {
     Trained();
     return;
@@ -86,9 +91,6 @@
     SendPublish();
     return;
   }
-  for (const auto& [number, step] : steps_) {
-    if (!step.acknowledged) SendStep(number);
-  }
   WaitForStep();
 }
 
--- a/test/simulator/fleet_test.cc
+++ b/test/simulator/fleet_test.cc
@@ -99,6 +99,10 @@
       {"an engine is told to drain while it is down", DeploymentName::kAssociation, 7310431,
        "engine-crash@44693194+7637491/9548622360386168383,"
        "engine-drain@44693194+9873199/16451162671439767696"},
+      {"a trainer that restarts while it trains forgets a step that it put ahead",
+       DeploymentName::kAssociation, 99,
+       "gateway-crash@12294463+9257888/10137698294894685006,"
+       "trainer-restart@13664169+2856816/11693299770507990027"},
       {"orders to an engine that drains", DeploymentName::kAssociation, 1,
        "engine-drain@43061575+16311631/1663029164570278905"},
   };
