--- a/source/cluster/configuration_client.cc
+++ b/source/cluster/configuration_client.cc
@@ -245,6 +245,7 @@
     NoteLease();
   }
 
+  /// Control nodes that joined later are sources too; those that are gone are asked last.
   void LearnSources() {
     std::vector<ControlEndpoint> known;
     for (const auto& [node, record] : configuration_.nodes) {
--- a/test/server/silent_control_nodes_test.cc
+++ b/test/server/silent_control_nodes_test.cc
@@ -34,7 +34,7 @@
 constexpr int kControlNodes = 13;
 constexpr int kZones = 4;
 constexpr int kSeeds = 3;
-/// Two thirds of these are before the search of a node that was up for long.
+/// So long after its start a node's first return to its own zone was due.
 constexpr Duration kUpForLong = seconds(40);
 constexpr Duration kStep = milliseconds(5);
 
