--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -61,7 +61,8 @@
 
 
 # Third number of all addresses; runs side by side need one each.
-SUBNET = 77
+SUBNETS = range(77, 100)
+SUBNET = SUBNETS[0]
 
 
 def use_subnet(number):
@@ -117,25 +118,37 @@
         return f"{ip_of(self.machine)}:{port}"
 
 
-def check_addresses_free(layout):
-    """Says so if processes of another run still hold the addresses."""
+def addresses_in_use(layout):
+    """The first address of this run that can't be bound, and why; nothing if all are free."""
     for machine in layout.machines + layout.gateways:
         probe = socket.socket()
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             probe.bind((ip_of(machine), SERVICE))
         except OSError as error:
-            raise SystemExit(f"{ip_of(machine)}:{SERVICE} can't be used ({error}): does another "
-                             "run go on, or has one just been ended?") from error
+            return f"{ip_of(machine)}:{SERVICE} can't be used ({error})"
         finally:
             probe.close()
+    return None
+
+
+def use_free_subnet(layout):
+    """Chooses addresses that no other run on this machine holds."""
+    for number in SUBNETS:
+        use_subnet(number)
+        if addresses_in_use(layout) is None:
+            return
+    raise SystemExit(f"{addresses_in_use(layout)}, nor any of the other subnets: do other runs go "
+                     "on, or have they just been ended?")
 
 
 class Fleet:
     """All nodes, their folders and links."""
 
     def __init__(self, program, folder, layout, history):
-        check_addresses_free(layout)
+        in_use = addresses_in_use(layout)
+        if in_use is not None:
+            raise SystemExit(f"{in_use}: does another run go on, or has one just been ended?")
         self.program = program
         self.folder = folder
         self.layout = layout
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -16,7 +16,7 @@
 from callers import Client, Operator, Trainer
 from checks import check_all
 from faults import Faults
-from fleet import Fleet, Layout, use_subnet
+from fleet import Fleet, Layout, use_free_subnet, use_subnet
 from history import History, now
 from probes import Prober
 
@@ -45,8 +45,8 @@
                         help="seconds between two probes of one gateway")
     parser.add_argument("--change", type=float, default=2.5,
                         help="seconds between two changes of the configuration")
-    parser.add_argument("--subnet", type=int, default=77,
-                        help="third number of the addresses; runs side by side need one each")
+    parser.add_argument("--subnet", type=int,
+                        help="third number of the addresses; the first that is free if not given")
     parser.add_argument("--show", type=int, default=3, help="broken cases shown of each promise")
     parser.add_argument("--keep", action="store_true", help="keep logs and data of a good run")
     return parser.parse_args()
@@ -119,10 +119,13 @@
     """Runs the soak."""
     arguments = parse_arguments()
     random.seed(arguments.seed)
-    use_subnet(arguments.subnet)
     folder = tempfile.mkdtemp(prefix="millstair-soak.")
     history = History()
     layout = Layout(arguments.stores, arguments.gateways, arguments.zones, arguments.tolerate)
+    if arguments.subnet is None:
+        use_free_subnet(layout)
+    else:
+        use_subnet(arguments.subnet)
     counts = {"pages": 3, "shop": 3, "engines": 3}
     back_ends = BackEndBoard(layout, counts, arguments.seed)
     fleet = None
