--- a/test/soak/back_ends.py
+++ b/test/soak/back_ends.py
@@ -50,6 +50,15 @@
     return 0
 
 
+def reset(connection):
+    """Breaks a connection off so that the other side sees it."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.close()
+    except OSError:
+        pass  # it has ended already
+
+
 class BackEnd:
     """A server of one service; engines have models."""
 
@@ -67,6 +76,8 @@
         self.refuses_until = 0.0
         self.faulty = 0.02
         self._slots = threading.Semaphore(SLOTS)
+        self._connections = set()
+        self._connections_lock = threading.Lock()
         self._sequence = 0
         handler = type("Handler", (Handler,), {"back_end": self})
         self._server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
@@ -111,10 +122,26 @@
         self.crash()
 
     def crash(self):
-        """Ends without a word."""
+        """Ends without a word; connections that callers keep end with it."""
         self.stopped = True
         self._server.shutdown()
         self._server.server_close()
+        with self._connections_lock:
+            for connection in self._connections:
+                try:
+                    # Wakes its thread, which resets it: an end in order would say that what was
+                    # sent without a length is whole.
+                    connection.shutdown(socket.SHUT_RD)
+                except OSError:
+                    pass  # it has ended already
+
+    def note_connection(self, connection, is_open):
+        """A caller's connection opened or ended."""
+        with self._connections_lock:
+            if is_open:
+                self._connections.add(connection)
+            else:
+                self._connections.discard(connection)
 
 
 class Handler(http.server.BaseHTTPRequestHandler):
@@ -140,8 +167,16 @@
             return self._order()
         return self._serve()
 
+    def setup(self):
+        """A caller has connected."""
+        super().setup()
+        self.back_end.note_connection(self.connection, True)
+
     def finish(self):
         """Connections that were reset have nothing to flush."""
+        self.back_end.note_connection(self.connection, False)
+        if self.back_end.stopped:
+            reset(self.connection)
         try:
             super().finish()
         except (OSError, ValueError):
@@ -211,11 +246,12 @@
 
     def _reset(self):
         """Breaks the connection off: what has no length ends in order only if it is whole."""
-        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.connection.close()
+        reset(self.connection)
 
     def _plain(self, request):
         time.sleep(random.uniform(0.005, 0.03))
+        if self.back_end.stopped:
+            return self._reset()
         luck = random.random()
         if luck < self.back_end.faulty:
             # It ran, and its answer is lost.
@@ -241,7 +277,7 @@
         self.close_connection = True
         for number in range(first, work["events"] + 1):
             time.sleep(EVENT_TIME)
-            if random.random() < own.faulty / 20:
+            if own.stopped or random.random() < own.faulty / 20:
                 return self._reset()
             lines = ""
             if own.versions[work["model"]] != version:
