--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -29,7 +29,7 @@
     def __init__(self, layout):
         self._layout = layout
         self._lock = threading.Lock()
-        self._struck = {}
+        self._struck = set()
         self._alone = False
 
     def _count(self, machines):
@@ -42,20 +42,19 @@
             if self._alone:
                 return ()
             free = [machine for machine in machines if machine not in self._struck]
-            if machines is layout.machines or set(machines) <= set(layout.machines):
+            if set(machines) <= set(layout.machines):
                 room = layout.tolerate - self._count(layout.machines)
             else:
-                room = max(1, int(len(layout.gateways) * STRUCK_GATEWAYS))
-                room -= self._count(layout.gateways)
+                most = max(1, int(len(layout.gateways) * STRUCK_GATEWAYS))
+                room = most - self._count(layout.gateways)
             chosen = tuple(random.sample(free, max(0, min(wanted, room, len(free)))))
-            self._struck.update(dict.fromkeys(chosen))
+            self._struck.update(chosen)
             return chosen
 
     def give_back(self, machines):
         """They are struck no longer."""
         with self._lock:
-            for machine in machines:
-                del self._struck[machine]
+            self._struck.difference_update(machines)
 
     def alone(self, patience=20.0):
         """Waits until no machine with a disk is struck and keeps others from starting."""
