Have the soak kill and stop single machines, control machines among them

Cause: the kinds for several gateways were aliases of those for one machine; bound methods of one function compare equal, so that each kill and stop was drawn as one of several gateways. Change: the kinds are functions of their own. The new test fails before and passes after.

--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -1,8 +1,10 @@
 """Each check of the soak finds the breach that it is for, and passes a sound history."""
 
 import json
+import random
 import sys
 import unittest
+import unittest.mock
 
 import checks
 import routing_checks
@@ -10,6 +12,7 @@
 from callers import Step
 from documents import (ADDED_KEPT, FLAWS, added_route, added_service, flawed_route, flawed_text,
                        moved_service, routing_document, score_service, service_of)
+from faults import Faults
 from fleet import Layout
 from history import (Acknowledged, Call, History, Listed, OperatorCall, Order, ReadBack, Run, Sent,
                      Span, Started)
@@ -66,6 +69,62 @@
         Sent(2, "", 2.5), Acknowledged("version 2", 2.5, 3.0, 1), *records)
 
 
+class FakeFleet:
+    """Notes whose processes are killed or stopped."""
+
+    layout = LARGE
+
+    def __init__(self):
+        self.struck = set()
+
+    def on_machine(self, machine):
+        """One node of each machine."""
+        return [machine]
+
+    def kill(self, nodes):
+        """They are gone."""
+        self.struck.update(nodes)
+
+    def stop_in_order(self, nodes):
+        """They end in order."""
+        self.struck.update(nodes)
+        return [0]
+
+    def start_node(self, node):
+        """They come back."""
+
+
+class FaultsTest(unittest.TestCase):
+    """Faults strike the machines that they are for."""
+
+    def struck_by(self, name):
+        """The machines struck by many plays of one kind, and the most at a time."""
+        random.seed(1)
+        struck, most = set(), 0
+        for _ in range(60):
+            fleet = FakeFleet()
+            faults = Faults(fleet, None, History())
+            with unittest.mock.patch("faults.time.sleep"):
+                faults.play(getattr(faults, name))
+            struck |= fleet.struck
+            most = max(most, len(fleet.struck))
+        return struck, most
+
+    def test_one_machine(self):
+        """One machine of either class at a time."""
+        for name in ("kill", "stop"):
+            struck, most = self.struck_by(name)
+            self.assertEqual(most, 1, name)
+            self.assertTrue(struck & set(LARGE.machines), name)
+            self.assertTrue(struck & set(LARGE.gateways), name)
+
+    def test_several_gateways(self):
+        """Gateways alone, as many as may be struck."""
+        for name in ("kill_gateways", "stop_several"):
+            struck, _ = self.struck_by(name)
+            self.assertTrue(struck <= set(LARGE.gateways), name)
+
+
 class ChecksTest(unittest.TestCase):
     """Sound and broken histories."""
 
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -180,7 +180,9 @@
         time.sleep(random.uniform(0.1, 2 * DOWN))
         self._restart(nodes)
 
-    kill_gateways = kill
+    def kill_gateways(self, machines):
+        """As many gateways as may be struck are killed at once."""
+        self.kill(machines)
 
     def lose_disk(self, machines):
         """A machine comes back without its disk."""
@@ -266,7 +268,9 @@
         self._restart(nodes)
         return f"exit codes {sorted(set(codes))}"
 
-    stop_several = stop
+    def stop_several(self, machines):
+        """Some gateways are stopped in order at the same time."""
+        return self.stop(machines)
 
     def rolling_stop(self, machines):
         """Machines with a disk are stopped and started again, one after another."""
