--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -50,7 +50,7 @@
     for record in history.of(Acknowledged):
         if record.name.startswith("leaving "):
             first.setdefault(record.name.split()[1], record.at)
-    gateways = {call.request: int(call.gateway.rsplit(".", 1)[1]) for call in history.of(Call)}
+    gateways = {call.request: call.machine for call in history.of(Call)}
     for run in history.of(Run):
         at = first.get(run.instance)
         gateway = gateways.get(run.request)
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -33,6 +33,11 @@
     body: str = ""
     ended: float = 0.0
 
+    @property
+    def machine(self):
+        """Number of the gateway's machine."""
+        return int(self.gateway.rsplit(".", 1)[1])
+
 
 @dataclasses.dataclass
 class Acknowledged:
@@ -44,6 +49,12 @@
     # Of the machine that acknowledged it; 0 is not known.
     machine: int = 0
 
+    @property
+    def version(self):
+        """Of a routing document; 0 is none."""
+        kind, number = self.name.split()
+        return int(number) if kind == "version" else 0
+
 
 @dataclasses.dataclass
 class Sent:
--- a/test/soak/routing_checks.py
+++ b/test/soak/routing_checks.py
@@ -36,7 +36,6 @@
     """What a gateway did with one request: sent it to a service, or said that no route leads on."""
 
     call: Call
-    machine: int
     service: str
     at: float
 
@@ -53,9 +52,8 @@
         self._spans = history.of(Span)
         self._ackers = {}
         for record in history.of(Acknowledged):
-            if record.name.startswith("version "):
-                version = int(record.name.split()[1])
-                self._ackers.setdefault(version, set()).add(record.machine)
+            if record.version:
+                self._ackers.setdefault(record.version, set()).add(record.machine)
 
     def _overlaps(self, span, start, end):
         return span.begun <= end and span.over >= start - CONTACT
@@ -106,15 +104,13 @@
     runs = {}
     for run in history.of(Run):
         runs.setdefault(run.request, run)
-    machines = {}
     seen = []
     for call in history.of(Call):
-        machine = machines.setdefault(call.gateway, int(call.gateway.rsplit(".", 1)[1]))
         run = runs.get(call.request)
         if run is not None:
-            seen.append(Seen(call, machine, run.service, run.at))
+            seen.append(Seen(call, run.service, run.at))
         elif call.status == 404:
-            seen.append(Seen(call, machine, "", call.ended))
+            seen.append(Seen(call, "", call.ended))
     return sorted(seen, key=lambda entry: entry.at)
 
 
@@ -125,9 +121,8 @@
         self.sent = sorted((record.version, record.at) for record in history.of(Sent))
         first = {}
         for record in history.of(Acknowledged):
-            if record.name.startswith("version "):
-                version = int(record.name.split()[1])
-                first[version] = min(record.at, first.get(version, record.at))
+            if record.version:
+                first[record.version] = min(record.at, first.get(record.version, record.at))
         self.acknowledged = sorted((at, version) for version, at in first.items())
 
     def held(self, moment):
@@ -144,7 +139,7 @@
     row = Row("routes in force in time")
     for entry in seen:
         call = entry.call
-        if not touch.gateway(entry.machine, call.sent, entry.at):
+        if not touch.gateway(entry.call.machine, call.sent, entry.at):
             continue
         held = versions.held(call.sent - IN_FORCE)
         if not touch.core(call.sent, entry.at, held):
@@ -167,8 +162,8 @@
             starts.setdefault(record.machine, []).append(record.at)
     floors = {}
     for entry in seen:
-        life = sum(at <= entry.at for at in starts[entry.machine])
-        earlier = floors.setdefault((entry.machine, life), [])
+        life = sum(at <= entry.at for at in starts[entry.call.machine])
+        earlier = floors.setdefault((entry.call.machine, life), [])
         floor = max((version for at, version in earlier if at < entry.call.sent - REVERT_SLACK),
                     default=0)
         possible = [version for version in versions.possible(floor, entry.at)
@@ -221,8 +216,7 @@
     row = Row("added routes served like the first")
     asked = {}
     for call in history.of(Call):
-        machine = int(call.gateway.rsplit(".", 1)[1])
-        if call.route in ALWAYS and touch.gateway(machine, call.sent, call.ended):
+        if call.route in ALWAYS and touch.gateway(call.machine, call.sent, call.ended):
             served = asked.setdefault("first", [0, 0])
             served[0] += 1
             served[1] += call.status == 200
