Log each try that a back end lost, with a fingerprint of the request's content

Sight for the incident on requests that crash their servers: the log had one line a request with the last reason, so it could not tell one content that ends every server from servers that end for another reason under whatever runs there, nor sends to a server from refused connections.

TryLost (7009) names the fingerprint (who asks, where, for what), the back end, how long it ran and how many of this node's requests ran there. No change of what is decided.

--- a/source/common/ids.h
+++ b/source/common/ids.h
@@ -58,6 +58,8 @@
 using ServiceName = StrongId<struct ServiceNameTag, std::string>;
 /// Name of a tenant: an owner of API keys, requests and batch jobs.
 using TenantName = StrongId<struct TenantNameTag, std::string>;
+/// Tells requests apart by their content: who asks, where, and for what.
+using RequestFingerprint = StrongId<struct RequestFingerprintTag, std::string>;
 /// Identifier of a batch job, chosen by its client.
 using JobId = StrongId<struct JobIdTag, std::string>;
 /// Identifier of an item of a batch job, unique in its job.
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/event_log.h"
 #include "common/random.h"
+#include "quarantine/request_fingerprint.h"
 
 namespace millstair {
 namespace {
@@ -132,6 +134,21 @@
   return std::max(deadline_ - context_.environment.Now(), Duration(0));
 }
 
+RequestFingerprint FingerprintOf(const ForwardRequest& request) {
+  return FingerprintOf(
+      {request.http.method, request.host, request.http.target, request.tenant, request.http.body});
+}
+
+void LogLostTry(const ForwardContext& context, const ForwardRequest& request,
+                const InstanceId& instance, TimePoint sent_at, const std::string& reason) {
+  const Duration ran = context.environment.Now() - sent_at;
+  LogEvent(EventId::kTryLost,
+           "request={} fingerprint={} instance={} ran_ms={} running_there={} reason=\"{}\"",
+           request.request_id, FingerprintOf(request), instance,
+           std::chrono::duration_cast<std::chrono::milliseconds>(ran).count(),
+           context.directory.Running(instance), reason);
+}
+
 ServiceName DrawService(const Route& route, Environment& environment) {
   uint64_t total = 0;
   for (const ServiceShare& share : route.services) total += share.weight;
@@ -218,7 +235,10 @@
 void ForwardFlow::OnFailed(Try& attempt, bool unreachable, const std::string& reason) {
   if (unreachable) --may_have_run_;
   // What was sent and not refused has most likely begun.
-  if (!unreachable) meter_.NoteBegun(attempt.sent_at());
+  if (!unreachable) {
+    meter_.NoteBegun(attempt.sent_at());
+    LogLostTry(context_, request_, attempt.instance(), attempt.sent_at(), reason);
+  }
   last_reason_ = reason;
   EndTry(attempt, unreachable ? BackendEnd::kUnreachable : BackendEnd::kFailed);
   if (tries_.empty()) TryAgainOrFail();
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -92,6 +92,12 @@
   bool noted_ = false;
 };
 
+RequestFingerprint FingerprintOf(const ForwardRequest& request);
+
+/// Says that `instance` got the request at `sent_at` and gave no whole answer.
+void LogLostTry(const ForwardContext& context, const ForwardRequest& request,
+                const InstanceId& instance, TimePoint sent_at, const std::string& reason);
+
 /// The service that one request of `route` goes to, by the weights.
 ServiceName DrawService(const Route& route, Environment& environment);
 
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -52,6 +52,9 @@
     flow_.context_.directory.End(instance_, end, flow_.context_.environment.Now() - sent_at_);
   }
 
+  const InstanceId& instance() const { return instance_; }
+  TimePoint sent_at() const { return sent_at_; }
+
  private:
   StreamFlow& flow_;
   const InstanceId instance_;
@@ -171,8 +174,12 @@
   Finish(ForwardOutcome::kAnswered, "");
 }
 
-void StreamFlow::OnFailed(Run&, BackendEnd end, const std::string& reason) {
-  if (end == BackendEnd::kUnreachable) --may_have_run_;
+void StreamFlow::OnFailed(Run& run, BackendEnd end, const std::string& reason) {
+  if (end == BackendEnd::kUnreachable) {
+    --may_have_run_;
+  } else {
+    LogLostTry(context_, request_, run.instance(), run.sent_at(), reason);
+  }
   EndRun(end);
   GoOnOrFail(reason);
 }
--- /dev/null
+++ b/source/quarantine/request_fingerprint.cc
@@ -0,0 +1,44 @@
+#include "quarantine/request_fingerprint.h"
+
+#include <array>
+#include <boost/uuid/name_generator_sha1.hpp>
+#include <boost/uuid/uuid_io.hpp>
+#include <string>
+
+#include "fmt/format.h"
+
+namespace millstair {
+namespace {
+
+/// Identifiers of this kind begin here, drawn once.
+constexpr boost::uuids::uuid kNamespace = {{0x5c, 0x0e, 0x9a, 0x6b, 0x1f, 0x37, 0x4d, 0x82, 0xa4,
+                                            0xd9, 0x27, 0x63, 0xe8, 0xb0, 0x14, 0xcf}};
+
+/// With its length before it, no two lists of parts give the same text.
+void AppendPart(std::string& text, std::string_view part) {
+  text += fmt::format("{}:", part.size());
+  text += part;
+}
+
+void AppendBody(std::string& text, std::string_view body) {
+  if (body.size() <= kMostFingerprintedBytes) return AppendPart(text, body);
+  constexpr size_t kHalf = kMostFingerprintedBytes / 2;
+  text += fmt::format("{}:", body.size());
+  text += body.substr(0, kHalf);
+  text += body.substr(body.size() - kHalf);
+}
+
+}  // namespace
+
+RequestFingerprint FingerprintOf(const RequestIdentity& identity) {
+  std::string text;
+  AppendPart(text, identity.method);
+  AppendPart(text, identity.host);
+  AppendPart(text, identity.target);
+  AppendPart(text, identity.caller.value());
+  AppendBody(text, identity.body);
+  const boost::uuids::name_generator_sha1 generator(kNamespace);
+  return RequestFingerprint(boost::uuids::to_string(generator(text)));
+}
+
+}  // namespace millstair
