Add a failing test: a request that crashes its servers is sent on and on

Three control nodes, nine gateways and three page servers in virtual time; one content ends each server that runs it and comes again at any gateway.

--- /dev/null
+++ b/test/jobs/crashing_servers.h
@@ -0,0 +1,159 @@
+/// Page servers in virtual time that crash under some requests, each of them whenever it runs one.
+/// All that runs at a server when it crashes is cut off; nobody listens at its address for seconds;
+/// then another life begins there.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/random.h"
+#include "common/virtual_environment.h"
+#include "fmt/format.h"
+#include "test/ingress/fake_backends.h"
+
+namespace millstair {
+
+/// A request that a server began to run.
+struct ServedRun {
+  Duration at{0};
+  std::string target;
+  InstanceId instance;
+};
+
+/// A server that ended while it ran `target`.
+struct ServerCrash {
+  Duration at{0};
+  std::string target;
+};
+
+class CrashingServers : public HttpCaller {
+ public:
+  using Registered = std::function<void(const BackendInstance&)>;
+
+  /// A request whose target begins so ends each server that runs it.
+  static constexpr char kCrashes[] = "/p/crash";
+  static constexpr Duration kAnswerTime = std::chrono::milliseconds(25);
+  /// A server that crashes is back after this long, and the lives after it as well.
+  static constexpr Duration kBackAfter = std::chrono::milliseconds(3000);
+
+  /// `registered` hears of each life of a server.
+  CrashingServers(VirtualScheduler& scheduler, int count, Registered registered)
+      : scheduler_(scheduler), registered_(std::move(registered)) {
+    for (int i = 1; i <= count; ++i) Begin(fmt::format("server{}:80", i));
+  }
+
+  std::unique_ptr<CallHandle> Start(const std::string& address, HttpRequest request,
+                                    HttpCallObserver& observer) override {
+    const auto call = std::make_shared<Call>();
+    call->request = std::move(request);
+    call->observer = &observer;
+    scheduler_.Schedule(DrawDuration(scheduler_.Random(), std::chrono::microseconds(500),
+                                     std::chrono::microseconds(2000)),
+                        [this, address, call] { Arrive(address, call); });
+    return std::make_unique<Handle>(call);
+  }
+
+  /// The server at `address` ends, whatever it runs.
+  void Crash(const std::string& address, const std::string& target) {
+    Server& server = servers_.at(address);
+    if (!server.alive) return;
+    server.alive = false;
+    crashes.push_back({scheduler_.Now(), target});
+    for (const auto& call : std::exchange(server.running, {})) {
+      if (call->observer != nullptr) Fail(*call, CallFailure::kUnknown, "end of stream");
+    }
+    scheduler_.Schedule(kBackAfter, [this, address] { Begin(address); });
+  }
+
+  std::vector<std::string> addresses() const {
+    std::vector<std::string> all;
+    for (const auto& [address, server] : servers_) all.push_back(address);
+    return all;
+  }
+
+  std::vector<ServedRun> runs;
+  std::vector<ServerCrash> crashes;
+
+ private:
+  struct Call {
+    HttpRequest request;
+    /// Null once the caller hears no more.
+    HttpCallObserver* observer = nullptr;
+  };
+
+  struct Server {
+    bool alive = false;
+    InstanceId instance;
+    std::vector<std::shared_ptr<Call>> running;
+  };
+
+  class Handle : public CallHandle {
+   public:
+    explicit Handle(std::shared_ptr<Call> call) : call_(std::move(call)) {}
+    ~Handle() override { call_->observer = nullptr; }
+
+   private:
+    std::shared_ptr<Call> call_;
+  };
+
+  void Begin(const std::string& address) {
+    Server& server = servers_[address];
+    server.alive = true;
+    server.instance = InstanceId(fmt::format("{}#{}", address, ++lives_));
+    BackendInstance record = LiveInstance(address, "pages");
+    record.id = server.instance;
+    record.slots = 6;
+    registered_(record);
+  }
+
+  static void Fail(Call& call, CallFailure failure, const std::string& reason) {
+    HttpCallObserver* const observer = std::exchange(call.observer, nullptr);
+    observer->OnFailed(failure, reason);
+  }
+
+  static void Answer(Call& call, int status, HttpHeaders headers) {
+    HttpCallObserver* const observer = std::exchange(call.observer, nullptr);
+    observer->OnHead({status, std::move(headers)});
+    observer->OnBody("whole");
+    observer->OnFinished();
+  }
+
+  void Arrive(const std::string& address, const std::shared_ptr<Call>& call) {
+    if (call->observer == nullptr) return;
+    Server& server = servers_.at(address);
+    if (!server.alive) return Fail(*call, CallFailure::kNotSent, "connection refused");
+    const auto wanted = FindHeader(call->request.headers, "instance");
+    if (wanted && *wanted != server.instance.value()) return Answer(*call, 421, {});
+    if (call->request.target == "/healthz") {
+      return Answer(*call, 200, {{"instance", server.instance.value()}});
+    }
+    runs.push_back({scheduler_.Now(), call->request.target, server.instance});
+    server.running.push_back(call);
+    Run(address, call);
+  }
+
+  void Run(const std::string& address, const std::shared_ptr<Call>& call) {
+    const bool crashes_it = call->request.target.starts_with(kCrashes);
+    const Duration takes =
+        crashes_it ? DrawDuration(scheduler_.Random(), kAnswerTime, std::chrono::milliseconds(120))
+                   : kAnswerTime;
+    scheduler_.Schedule(
+        takes, [this, address, call, crashes_it, instance = servers_.at(address).instance] {
+          Server& server = servers_.at(address);
+          if (!server.alive || server.instance != instance) return;
+          if (crashes_it) return Crash(address, call->request.target);
+          std::erase(server.running, call);
+          if (call->observer != nullptr) Answer(*call, 200, {{"signature", "s"}});
+        });
+  }
+
+  VirtualScheduler& scheduler_;
+  const Registered registered_;
+  int lives_ = 0;
+  std::map<std::string, Server> servers_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/test/jobs/ingress_fleet.h
@@ -0,0 +1,72 @@
+/// Control nodes and gateways of one cluster in virtual time, before page servers that can crash.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "cluster/control_node.h"
+#include "jobs/ingress_node.h"
+#include "storage/memory_file_system.h"
+#include "test/jobs/crashing_servers.h"
+
+namespace millstair {
+
+class IngressFleet {
+ public:
+  static constexpr int kControlNodes = 3;
+
+  IngressFleet(uint64_t seed, int gateways, int servers, Route route);
+  ~IngressFleet();
+
+  /// Sends a request to a gateway ("g1" and so on); `done` hears how it ended.
+  void Ask(const std::string& gateway, const std::string& target,
+           std::function<void(const ForwardResult&)> done);
+  /// Ends the process of a gateway and starts it again.
+  void Restart(const std::string& gateway);
+  /// No message reaches or leaves the node until it is healed.
+  void Isolate(const std::string& node) { isolated_.insert(node); }
+  void Heal(const std::string& node) { isolated_.erase(node); }
+  /// The control node that leads the cluster group; null while there is none.
+  ControlNode* Leader();
+  IngressNode& gateway(const std::string& name) { return *processes_.at(name).ingress; }
+
+  VirtualScheduler scheduler;
+  std::unique_ptr<CrashingServers> servers;
+
+ private:
+  class Transport;
+  struct Process {
+    std::unique_ptr<VirtualEnvironment> environment;
+    std::unique_ptr<PeerTransport> transport;
+    std::unique_ptr<ControlNode> control;
+    std::unique_ptr<IngressNode> ingress;
+  };
+  class Table : public RoutingDocumentReader {
+   public:
+    absl::StatusOr<RouteTable> Read(const std::string&) const override { return table; }
+    RouteTable table;
+  };
+
+  void Start(const std::string& name);
+  void StartControl(Process& process, const NodeRecord& self);
+  void Deliver(const std::string& from, const NodeId& to, const PeerMessage& message);
+  void Register(const BackendInstance& instance);
+  std::vector<ControlEndpoint> Endpoints() const;
+
+  const uint64_t seed_;
+  uint64_t lives_ = 0;
+  FakeProtocol protocol_;
+  Table table_;
+  std::unique_ptr<VirtualEnvironment> disk_environment_;
+  std::map<std::string, std::unique_ptr<MemoryFileSystem>> disks_;
+  FakeBackends platform_{scheduler};
+  std::map<std::string, Process> processes_;
+  std::set<std::string> isolated_;
+  /// Lives of servers that no control node has acknowledged yet.
+  std::map<InstanceId, BackendInstance> unregistered_;
+};
+
+}  // namespace millstair
