--- a/source/cluster/change_history.cc
+++ b/source/cluster/change_history.cc
@@ -36,7 +36,7 @@
 bool ChangeSet::empty() const {
   return resources.empty() && models.empty() && nodes.empty() && machines.empty() &&
          engines.empty() && !routing && instances.empty() && versions.empty() &&
-         job_groups.empty() && retired_nodes.empty();
+         job_groups.empty() && retired_nodes.empty() && suspects.empty();
 }
 
 void ChangeSet::Merge(const ChangeSet& other) {
@@ -50,6 +50,7 @@
   versions.insert(other.versions.begin(), other.versions.end());
   job_groups.insert(other.job_groups.begin(), other.job_groups.end());
   retired_nodes.insert(other.retired_nodes.begin(), other.retired_nodes.end());
+  suspects.insert(other.suspects.begin(), other.suspects.end());
 }
 
 void ChangeHistory::Add(Revision revision, ChangeSet changes) {
@@ -87,6 +88,7 @@
   CollectAdded(touched.versions, configuration.versions, delta.changed_versions);
   CollectAdded(touched.job_groups, configuration.job_groups, delta.changed_job_groups);
   CollectAdded(touched.retired_nodes, configuration.retired_nodes, delta.changed_retired_nodes);
+  Collect(touched.suspects, configuration.suspects, delta.changed_suspects, delta.deleted_suspects);
   return delta;
 }
 
@@ -104,6 +106,7 @@
   CollectAll(configuration.versions, delta.changed_versions);
   CollectAll(configuration.job_groups, delta.changed_job_groups);
   CollectAll(configuration.retired_nodes, delta.changed_retired_nodes);
+  CollectAll(configuration.suspects, delta.changed_suspects);
   return delta;
 }
 
--- a/source/cluster/change_history.h
+++ b/source/cluster/change_history.h
@@ -21,6 +21,7 @@
   std::set<ModelName> versions;
   std::set<GroupId> job_groups;
   std::set<NodeId> retired_nodes;
+  std::set<RequestFingerprint> suspects;
 
   bool empty() const;
   void Merge(const ChangeSet& other);
--- a/source/cluster/cluster_commands.h
+++ b/source/cluster/cluster_commands.h
@@ -154,11 +154,29 @@
   HolderAnnouncement announcement;
 };
 
+/// Back ends ended while they ran requests. Lives that are known already change nothing.
+struct ReportCrashes {
+  std::vector<CrashReport> reports;
+};
+
+/// A node wants to send a held request once. A conflict unless the request is held and its record's
+/// last change is `seen`; so one node at a time gets a trial.
+struct BeginTrial {
+  RequestFingerprint request;
+  Revision seen;
+};
+
+/// A back end has answered the request; changes nothing if its record has more than `crashes`.
+struct ClearSuspect {
+  RequestFingerprint request;
+  uint32_t crashes = 0;
+};
+
 using ClusterOperation =
     std::variant<OpenSession, PutResources, DeleteResource, ClaimKey, SettleClaim, PublishVersion,
                  SetModelTarget, UpdateMembers, FoundGroup, ReplaceRouting, UpdateInstance,
                  NameVersion, FoundJobGroup, RetireNode, PlaceJobGroup, AddUsage, CloseUsage,
-                 AcceptUsage, AnnounceDuty>;
+                 AcceptUsage, AnnounceDuty, ReportCrashes, BeginTrial, ClearSuspect>;
 
 struct ClusterCommand {
   ClusterOperation operation;
--- a/source/cluster/cluster_state_machine.cc
+++ b/source/cluster/cluster_state_machine.cc
@@ -91,7 +91,9 @@
 
 ClusterResult ClusterStateMachine::Run(LogIndex index, const ClusterCommand& command) {
   const Revision revision(index.value());
-  ConfigurationEditor editor(configuration_, revision, limits_.max_published_versions, faults_);
+  ConfigurationEditor editor(configuration_, revision, clock_, limits_.max_published_versions,
+                             faults_);
+  editor.ExpireSuspects();
   ClusterResult result = std::visit(
       [&](const auto& operation) -> ClusterResult {
         using Operation = std::decay_t<decltype(operation)>;
--- a/source/cluster/command_codec.cc
+++ b/source/cluster/command_codec.cc
@@ -2,6 +2,7 @@
 #include "cluster/cluster_commands.h"
 #include "cluster/configuration_wire.h"
 #include "cluster/resource_wire.h"
+#include "cluster/suspect_wire.h"
 #include "cluster/usage_wire.h"
 
 namespace millstair {
@@ -168,6 +169,30 @@
     wire.operation.announce_duty = ToWire(arena, announce.announcement);
   }
 
+  void operator()(const ReportCrashes& report) const {
+    wire.which_operation = millstair_ClusterCommand_report_crashes_tag;
+    millstair_ReportCrashes& target = wire.operation.report_crashes;
+    target = millstair_ReportCrashes_init_zero;
+    target.reports =
+        NewWireArray<millstair_SuspectRequest>(arena, report.reports, &target.reports_count);
+  }
+
+  void operator()(const BeginTrial& begin) const {
+    wire.which_operation = millstair_ClusterCommand_begin_trial_tag;
+    millstair_BeginTrial& target = wire.operation.begin_trial;
+    target = millstair_BeginTrial_init_zero;
+    target.request = arena.NewString(begin.request.value());
+    target.seen = begin.seen.value();
+  }
+
+  void operator()(const ClearSuspect& clear) const {
+    wire.which_operation = millstair_ClusterCommand_clear_suspect_tag;
+    millstair_ClearSuspect& target = wire.operation.clear_suspect;
+    target = millstair_ClearSuspect_init_zero;
+    target.request = arena.NewString(clear.request.value());
+    target.crashes = clear.crashes;
+  }
+
   void operator()(const RetireNode& retire) const {
     wire.which_operation = millstair_ClusterCommand_retire_node_tag;
     wire.operation.retire_node = ToWire(arena, retire.retired);
@@ -271,6 +296,19 @@
       return true;
     case millstair_ClusterCommand_announce_duty_tag:
       return FromWire(wire.operation.announce_duty, operation.emplace<AnnounceDuty>().announcement);
+    case millstair_ClusterCommand_report_crashes_tag: {
+      const millstair_ReportCrashes& report = wire.operation.report_crashes;
+      return FromWireArray(report.reports, report.reports_count,
+                           operation.emplace<ReportCrashes>().reports);
+    }
+    case millstair_ClusterCommand_begin_trial_tag:
+      operation = BeginTrial{RequestFingerprint(ToString(wire.operation.begin_trial.request)),
+                             Revision(wire.operation.begin_trial.seen)};
+      return true;
+    case millstair_ClusterCommand_clear_suspect_tag:
+      operation = ClearSuspect{RequestFingerprint(ToString(wire.operation.clear_suspect.request)),
+                               wire.operation.clear_suspect.crashes};
+      return true;
     case millstair_ClusterCommand_retire_node_tag:
       return FromWire(wire.operation.retire_node, operation.emplace<RetireNode>().retired);
     default:
--- a/source/cluster/configuration.cc
+++ b/source/cluster/configuration.cc
@@ -16,6 +16,7 @@
   configuration.versions.clear();
   configuration.job_groups.clear();
   configuration.retired_nodes.clear();
+  configuration.suspects.clear();
 }
 
 void ApplyRegistrations(Configuration& configuration, const ConfigurationDelta& delta) {
@@ -33,6 +34,12 @@
   for (const RetiredNode& retired : delta.changed_retired_nodes) {
     configuration.retired_nodes[retired.node] = retired;
   }
+  for (const SuspectRequest& suspect : delta.changed_suspects) {
+    configuration.suspects[suspect.request] = suspect;
+  }
+  for (const RequestFingerprint& request : delta.deleted_suspects) {
+    configuration.suspects.erase(request);
+  }
 }
 
 MemberState MoreCautious(MemberState a, MemberState b) { return std::max(a, b); }
--- a/source/cluster/configuration.h
+++ b/source/cluster/configuration.h
@@ -11,6 +11,7 @@
 #include "absl/status/statusor.h"
 #include "common/ids.h"
 #include "consensus/raft_group.h"
+#include "quarantine/suspect_ledger.h"
 #include "resources/resource.h"
 
 namespace millstair {
@@ -150,6 +151,8 @@
   std::map<GroupId, JobGroup> job_groups;
   /// Storage nodes that an operator wants emptied; they hold no replicas of job groups again.
   std::map<NodeId, RetiredNode> retired_nodes;
+  /// Requests under which back ends ended.
+  SuspectRequests suspects;
 
   template <class Spec>
   const Spec* FindSpec(ResourceKind kind, const std::string& name) const {
@@ -180,6 +183,8 @@
   std::vector<NamedVersion> changed_versions;
   std::vector<JobGroup> changed_job_groups;
   std::vector<RetiredNode> changed_retired_nodes;
+  std::vector<SuspectRequest> changed_suspects;
+  std::vector<RequestFingerprint> deleted_suspects;
 };
 
 /// Applies `delta`. False, with no change, if it does not start at or before the revision held or
--- a/source/cluster/configuration_editor.cc
+++ b/source/cluster/configuration_editor.cc
@@ -297,4 +297,25 @@
   return {};
 }
 
+SuspectLedger ConfigurationEditor::suspects() {
+  return {configuration_.suspects, changes_.suspects, index_, now_};
+}
+
+ClusterResult ConfigurationEditor::Run(const ReportCrashes& report) {
+  for (const CrashReport& crash : report.reports) suspects().Report(crash);
+  return {};
+}
+
+ClusterResult ConfigurationEditor::Run(const BeginTrial& begin) {
+  if (suspects().BeginTrial(begin.request, begin.seen)) return {};
+  return Refuse(ClusterResultCode::kConflict, "the request is not held, or tried by another node");
+}
+
+ClusterResult ConfigurationEditor::Run(const ClearSuspect& clear) {
+  suspects().Clear(clear.request, clear.crashes);
+  return {};
+}
+
+void ConfigurationEditor::ExpireSuspects() { suspects().Expire(); }
+
 }  // namespace millstair
--- a/source/cluster/configuration_editor.h
+++ b/source/cluster/configuration_editor.h
@@ -12,10 +12,12 @@
 class ConfigurationEditor {
  public:
   /// `index` becomes the revision of what the command changes.
-  ConfigurationEditor(Configuration& configuration, Revision index, size_t max_published_versions,
-                      const ClusterFaults& faults)
+  /// `now` is the state machine's clock.
+  ConfigurationEditor(Configuration& configuration, Revision index, WallTime now,
+                      size_t max_published_versions, const ClusterFaults& faults)
       : configuration_(configuration),
         index_(index),
+        now_(now),
         max_published_versions_(max_published_versions),
         faults_(faults) {}
 
@@ -30,6 +32,11 @@
   ClusterResult Run(const FoundJobGroup& found);
   ClusterResult Run(const PlaceJobGroup& place);
   ClusterResult Run(const RetireNode& retire);
+  ClusterResult Run(const ReportCrashes& report);
+  ClusterResult Run(const BeginTrial& begin);
+  ClusterResult Run(const ClearSuspect& clear);
+  /// Forgets suspect requests that are old.
+  void ExpireSuspects();
 
   const ChangeSet& changes() const { return changes_; }
 
@@ -44,9 +51,11 @@
   void UpdateEngine(const EngineStatus& status);
   void BoundPublished(ModelStatus& status) const;
   void ForgetOldInstances();
+  SuspectLedger suspects();
 
   Configuration& configuration_;
   Revision index_;
+  WallTime now_;
   size_t max_published_versions_;
   const ClusterFaults& faults_;
   ChangeSet changes_;
--- a/source/cluster/configuration_wire.cc
+++ b/source/cluster/configuration_wire.cc
@@ -1,6 +1,7 @@
 #include "cluster/configuration_wire.h"
 
 #include "cluster/resource_wire.h"
+#include "cluster/suspect_wire.h"
 
 namespace millstair {
 namespace {
@@ -46,7 +47,8 @@
          FromWireArray(wire.changed_job_groups, wire.changed_job_groups_count,
                        delta.changed_job_groups) &&
          FromWireArray(wire.changed_retired_nodes, wire.changed_retired_nodes_count,
-                       delta.changed_retired_nodes);
+                       delta.changed_retired_nodes) &&
+         FromWireArray(wire.changed_suspects, wire.changed_suspects_count, delta.changed_suspects);
 }
 
 }  // namespace
@@ -306,6 +308,9 @@
                                                              &wire.changed_job_groups_count);
   wire.changed_retired_nodes = NewWireArray<millstair_RetiredNode>(
       arena, delta.changed_retired_nodes, &wire.changed_retired_nodes_count);
+  wire.changed_suspects = NewWireArray<millstair_SuspectRequest>(arena, delta.changed_suspects,
+                                                                 &wire.changed_suspects_count);
+  wire.deleted_suspects = NewIds(arena, delta.deleted_suspects, &wire.deleted_suspects_count);
   return EncodeNanopb(millstair_ConfigurationDelta_fields, &wire);
 }
 
@@ -330,6 +335,8 @@
   }
   delta.deleted_instances =
       IdsFromWire<InstanceId>(wire.deleted_instances, wire.deleted_instances_count);
+  delta.deleted_suspects =
+      IdsFromWire<RequestFingerprint>(wire.deleted_suspects, wire.deleted_suspects_count);
   return delta;
 }
 
--- /dev/null
+++ b/source/cluster/suspect_client.cc
@@ -0,0 +1,36 @@
+#include "cluster/suspect_client.h"
+
+#include <utility>
+
+namespace millstair {
+namespace {
+
+/// What is not known to be committed by then is reported again, or does no harm.
+constexpr Duration kPatience = std::chrono::seconds(5);
+/// A caller waits for a trial; a commit takes some 10 ms.
+constexpr Duration kTrialPatience = std::chrono::milliseconds(400);
+
+}  // namespace
+
+void SuspectClient::Submit(ClusterOperation operation, Duration patience, Done done) {
+  const ClusterCommand command{std::move(operation), std::nullopt, environment_.WallNow()};
+  cluster_.Submit(CommandMode::kPropose, EncodeCommand(command), patience,
+                  [done = std::move(done)](const absl::StatusOr<std::string>& answer) {
+                    const auto result = answer.ok() ? DecodeResult(*answer) : answer.status();
+                    done(result.ok() && result->code == ClusterResultCode::kOk);
+                  });
+}
+
+void SuspectClient::Report(std::vector<CrashReport> reports, Done done) {
+  Submit(ReportCrashes{std::move(reports)}, kPatience, std::move(done));
+}
+
+void SuspectClient::BeginTrial(const RequestFingerprint& request, Revision seen, Done done) {
+  Submit(millstair::BeginTrial{request, seen}, kTrialPatience, std::move(done));
+}
+
+void SuspectClient::Clear(const RequestFingerprint& request, size_t crashes, Done done) {
+  Submit(ClearSuspect{request, static_cast<uint32_t>(crashes)}, kPatience, std::move(done));
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/cluster/suspect_client.h
@@ -0,0 +1,29 @@
+/// Changes the cluster's record of suspect requests through a node's client of the cluster group.
+#pragma once
+
+#include <vector>
+
+#include "cluster/cluster_commands.h"
+#include "cluster/group_client.h"
+#include "quarantine/suspect_register.h"
+
+namespace millstair {
+
+/// Lives on the node's serial executor; `cluster` outlives it.
+class SuspectClient : public SuspectRegister {
+ public:
+  SuspectClient(Environment& environment, GroupClient& cluster)
+      : environment_(environment), cluster_(cluster) {}
+
+  void Report(std::vector<CrashReport> reports, Done done) override;
+  void BeginTrial(const RequestFingerprint& request, Revision seen, Done done) override;
+  void Clear(const RequestFingerprint& request, size_t crashes, Done done) override;
+
+ private:
+  void Submit(ClusterOperation operation, Duration patience, Done done);
+
+  Environment& environment_;
+  GroupClient& cluster_;
+};
+
+}  // namespace millstair
--- a/source/ingress/backend_protocol.h
+++ b/source/ingress/backend_protocol.h
@@ -101,6 +101,12 @@
                                    const std::string& request_id) const = 0;
   /// Reads one event of a stream, without the empty line that ends it. None for a comment.
   virtual absl::StatusOr<std::optional<StreamEvent>> ReadEvent(std::string_view lines) const = 0;
+  /// Asks a back end whether it is well, at the path of its service; only the life that is meant
+  /// answers for itself.
+  virtual HttpRequest MakeHealthRequest(const InstanceId& instance,
+                                        const std::string& path) const = 0;
+  /// Whether an answer to that question is from the life that was meant, well or not.
+  virtual bool IsAnswerOf(const HttpResponseHead& head, const InstanceId& instance) const = 0;
   virtual HttpRequest MakeReportRequest(const InstanceId& instance) const = 0;
   virtual absl::StatusOr<ReportedEngine> ReadReport(const std::string& body) const = 0;
   virtual HttpRequest MakeLoadOrder(const LoadOrder& order) const = 0;
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -5,7 +5,6 @@
 
 #include "common/event_log.h"
 #include "common/random.h"
-#include "quarantine/request_fingerprint.h"
 
 namespace millstair {
 namespace {
@@ -47,8 +46,8 @@
 class ForwardFlow::Try : public HttpCallObserver {
  public:
   Try(ForwardFlow& flow, const BackendInstance& target)
-      : flow_(flow), instance_(target.id), sent_at_(flow.context_.environment.Now()) {
-    flow_.context_.directory.Begin(instance_);
+      : flow_(flow), target_(target), sent_at_(flow.context_.environment.Now()) {
+    flow_.context_.directory.Begin(target_.id);
   }
 
   void Start(const std::string& address, HttpRequest request) {
@@ -82,16 +81,17 @@
     if (ended_) return;
     ended_ = true;
     handle_.reset();
-    flow_.context_.directory.End(instance_, end, flow_.context_.environment.Now() - sent_at_);
+    flow_.context_.directory.End(target_.id, end, flow_.context_.environment.Now() - sent_at_);
   }
 
-  const InstanceId& instance() const { return instance_; }
+  const BackendInstance& target() const { return target_; }
+  const InstanceId& instance() const { return target_.id; }
   TimePoint sent_at() const { return sent_at_; }
   const std::string& signature() const { return answer_.signature; }
 
  private:
   ForwardFlow& flow_;
-  const InstanceId instance_;
+  const BackendInstance target_;
   const TimePoint sent_at_;
   std::unique_ptr<CallHandle> handle_;
   HttpResponseHead head_;
@@ -108,6 +108,7 @@
       done_(std::move(done)),
       started_at_(context.environment.Now()),
       meter_(context.on_begun, request_.tenant),
+      watch_(context.guard, request_),
       deadline_timer_(context.environment),
       retry_timer_(context.environment),
       hedge_timer_(context.environment) {
@@ -127,16 +128,40 @@
 
 void ForwardFlow::Start() {
   deadline_timer_.Arm(TimeLeft(), [this] { OnDeadline(); });
-  SendOrWait();
+  SendIfAllowed();
 }
 
-Duration ForwardFlow::TimeLeft() const {
-  return std::max(deadline_ - context_.environment.Now(), Duration(0));
+void ForwardFlow::SendIfAllowed() {
+  const GuardDecision decision = watch_.Judge();
+  switch (decision.verdict) {
+    case GuardVerdict::kSend:
+      return SendOrWait();
+    case GuardVerdict::kWait:
+      return retry_timer_.Arm(kCheckPause, [this] { SendIfAllowed(); });
+    case GuardVerdict::kTrial:
+      return BeginTrial();
+    case GuardVerdict::kRefuse:
+      return Withhold(decision.retry_after);
+  }
+}
+
+void ForwardFlow::BeginTrial() {
+  watch_.BeginTrial([this](bool granted) {
+    if (!granted) return Withhold(kTrialPause);
+    SendOrWait();
+  });
 }
 
-RequestFingerprint FingerprintOf(const ForwardRequest& request) {
-  return FingerprintOf(
-      {request.http.method, request.host, request.http.target, request.tenant, request.http.body});
+void ForwardFlow::Withhold(Duration retry_after) {
+  ForwardResult result;
+  result.outcome = may_have_run_ > 0 ? ForwardOutcome::kFailed : ForwardOutcome::kNotRun;
+  result.retry_after = retry_after;
+  result.reason = "back ends ended under this request";
+  Finish(std::move(result));
+}
+
+Duration ForwardFlow::TimeLeft() const {
+  return std::max(deadline_ - context_.environment.Now(), Duration(0));
 }
 
 void LogLostTry(const ForwardContext& context, const ForwardRequest& request,
@@ -177,8 +202,10 @@
     result.reason = last_reason_.empty() ? "no back end is known" : last_reason_;
     return Finish(std::move(result));
   }
+  // The guard is asked again: a request that waits for a server to come back is the first to reach
+  // it, and what became of the same request elsewhere is known by then.
   retry_timer_.Arm(DrawDuration(context_.environment.Random(), kPauseMin, kPauseMax),
-                   [this] { SendOrWait(); });
+                   [this] { SendIfAllowed(); });
 }
 
 void ForwardFlow::SendTry() {
@@ -198,6 +225,8 @@
 void ForwardFlow::ArmHedge() {
   if (!repeatable()) return;
   hedge_timer_.Arm(std::max(route_.target, kHedgeMin), [this] {
+    // It could end two back ends at once.
+    if (watch_.IsSuspect()) return;
     if (may_have_run_ < route_.attempts) SendTry();
     if (may_have_run_ < route_.attempts) ArmHedge();
   });
@@ -211,9 +240,10 @@
   const bool failed = head.status == kServerError;
   if (failed) ++server_errors_;
   EndTry(attempt, BackendEnd::kAnswered);
+  watch_.NoteServed();
   if (failed && repeatable() && may_have_run_ < route_.attempts) {
     last_reason_ = "the back end answered 500";
-    if (tries_.empty()) SendOrWait();
+    if (tries_.empty()) SendIfAllowed();
     return;
   }
   if (failed && !tries_.empty()) return;
@@ -229,7 +259,7 @@
   --may_have_run_;
   last_reason_ = wrong_instance ? "another back end has the address" : "the back end refused";
   EndTry(attempt, wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
-  if (tries_.empty()) SendOrWait();
+  if (tries_.empty()) SendIfAllowed();
 }
 
 void ForwardFlow::OnFailed(Try& attempt, bool unreachable, const std::string& reason) {
@@ -238,6 +268,7 @@
   if (!unreachable) {
     meter_.NoteBegun(attempt.sent_at());
     LogLostTry(context_, request_, attempt.instance(), attempt.sent_at(), reason);
+    watch_.NoteLost(attempt.target());
   }
   last_reason_ = reason;
   EndTry(attempt, unreachable ? BackendEnd::kUnreachable : BackendEnd::kFailed);
@@ -247,7 +278,7 @@
 void ForwardFlow::TryAgainOrFail() {
   const bool may_run_again =
       may_have_run_ == 0 || (repeatable() && may_have_run_ < route_.attempts);
-  if (may_run_again) return SendOrWait();
+  if (may_run_again) return SendIfAllowed();
   ForwardResult result;
   result.outcome = ForwardOutcome::kFailed;
   result.reason = last_reason_;
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -14,22 +14,13 @@
 #include "http/exchange.h"
 #include "ingress/backend_directory.h"
 #include "ingress/backend_protocol.h"
+#include "ingress/forward_request.h"
+#include "ingress/request_guard.h"
+#include "ingress/request_watch.h"
 #include "ingress/route_table.h"
 
 namespace millstair {
 
-struct ForwardRequest {
-  HttpRequest http;
-  std::string host;
-  std::string request_id;
-  /// How long the client waits; none if it did not say.
-  std::optional<Duration> time_left;
-  /// The client has the events of a stream up to this one.
-  std::optional<uint64_t> resume_after;
-  /// For whom it runs; empty for requests of the system's own, and where nobody is known.
-  TenantName tenant;
-};
-
 enum class ForwardOutcome : uint8_t {
   kAnswered,       ///< `head` and `body` are a back end's whole answer
   kNoRoute,        ///< no route leads anywhere
@@ -69,6 +60,7 @@
   HttpCaller& http;
   BackendDirectory& directory;
   const BackendProtocol& protocol;
+  RequestGuard& guard;
   /// May be empty.
   BegunListener on_begun = {};
 };
@@ -92,8 +84,6 @@
   bool noted_ = false;
 };
 
-RequestFingerprint FingerprintOf(const ForwardRequest& request);
-
 /// Says that `instance` got the request at `sent_at` and gave no whole answer.
 void LogLostTry(const ForwardContext& context, const ForwardRequest& request,
                 const InstanceId& instance, TimePoint sent_at, const std::string& reason);
@@ -115,6 +105,11 @@
   class Try;
 
   bool repeatable() const { return route_.kind == RouteKind::kRepeatable; }
+  /// Asks the guard, then sends or waits.
+  void SendIfAllowed();
+  void BeginTrial();
+  /// Back ends ended under the request: it is not sent (any more).
+  void Withhold(Duration retry_after);
   void SendTry();
   void SendOrWait();
   void ArmHedge();
@@ -139,6 +134,7 @@
   std::vector<std::unique_ptr<Try>> ended_tries_;
   std::set<InstanceId> tried_;
   RequestMeter meter_;
+  RequestWatch watch_;
   /// Back ends that may have run the request.
   uint32_t may_have_run_ = 0;
   uint32_t sent_ = 0;
--- a/source/ingress/ingress_service.cc
+++ b/source/ingress/ingress_service.cc
@@ -12,10 +12,18 @@
       reader_(reader),
       stats_(stats),
       directory_(environment, std::move(own_zone)),
-      context_{environment, http, directory_, protocol} {}
+      guard_(
+          environment, http, protocol,
+          [this](const ServiceName& name) {
+            const Service* service = routes_ ? routes_->FindService(name) : nullptr;
+            return service == nullptr ? std::string() : service->health_path;
+          },
+          stats),
+      context_{environment, http, directory_, protocol, guard_} {}
 
 void IngressService::Update(const Configuration& configuration) {
   directory_.Update(configuration);
+  guard_.Update(configuration.suspects);
   const RoutingDocument& document = configuration.routing;
   if (document.version == 0 || (routes_ && routes_->version == document.version)) return;
   auto table = reader_.Read(document.content);
--- a/source/ingress/ingress_service.h
+++ b/source/ingress/ingress_service.h
@@ -37,6 +37,9 @@
   /// Whether the routes held are proven fresh. Where they are not, a request without a route is
   /// told that this node can't tell now, since its route may be newer.
   void SetFresh(std::function<bool()> fresh) { fresh_ = std::move(fresh); }
+  /// Where crashes of back ends are reported; outlives the service.
+  void SetSuspectRegister(SuspectRegister& suspects) { guard_.SetRegister(&suspects); }
+  RequestGuard& guard() { return guard_; }
   /// The node's configuration changed.
   void Update(const Configuration& configuration);
 
@@ -63,6 +66,7 @@
   const RoutingDocumentReader& reader_;
   StatsRegistry* const stats_;
   BackendDirectory directory_;
+  RequestGuard guard_;
   ForwardContext context_;
   std::optional<RouteTable> routes_;
   std::function<bool()> fresh_ = [] { return true; };
--- /dev/null
+++ b/source/ingress/request_guard.cc
@@ -0,0 +1,229 @@
+#include "ingress/request_guard.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/event_log.h"
+
+namespace millstair {
+namespace {
+
+/// Requests of which a node remembers what it saw itself (some 100 kB). Those with the fewest
+/// crashes go first.
+constexpr size_t kMostSeen = 256;
+/// Between two reports of what the cluster did not take.
+constexpr Duration kReportPause = std::chrono::seconds(1);
+
+}  // namespace
+
+RequestGuard::RequestGuard(Environment& environment, HttpCaller& http,
+                           const BackendProtocol& protocol, HealthPath health_path,
+                           StatsRegistry* stats)
+    : environment_(environment),
+      http_(http),
+      protocol_(protocol),
+      health_path_(std::move(health_path)),
+      stats_(stats),
+      report_timer_(environment) {}
+
+void RequestGuard::Update(const SuspectRequests& suspects) {
+  if (suspects.empty() && known_.empty()) return;
+  std::erase_if(known_, [&](const auto& entry) { return !suspects.contains(entry.first); });
+  for (const auto& [request, record] : suspects) {
+    const auto [known, added] = known_.try_emplace(request);
+    if (!added && known->second.record == record) continue;
+    known->second = {record, environment_.Now(), false};
+    LogEvent(EventId::kSuspectKnown, "fingerprint={} place=\"{}\" crashes={} trials={} standing={}",
+             request, record.place, record.crashed.size(), record.trials,
+             SuspectStandingName(record.standing()));
+    const auto seen = seen_.find(request);
+    // What the cluster holds it holds for this node too.
+    if (seen == seen_.end()) continue;
+    for (const InstanceId& instance : record.crashed) seen->second.crashed.erase(instance);
+    if (seen->second.crashed.empty() && seen->second.in_doubt.empty()) seen_.erase(seen);
+  }
+  DropOldSeen();
+  RefreshPlaces();
+}
+
+bool RequestGuard::MayBeSuspect(const std::string& place) const { return places_.contains(place); }
+
+const RequestGuard::Seen* RequestGuard::FindSeen(const RequestFingerprint& request) const {
+  const auto found = seen_.find(request);
+  return found == seen_.end() ? nullptr : &found->second;
+}
+
+const RequestGuard::Known* RequestGuard::FindKnown(const RequestFingerprint& request) const {
+  const auto found = known_.find(request);
+  return found == known_.end() ? nullptr : &found->second;
+}
+
+size_t RequestGuard::CrashesOf(const Seen* seen, const Known* known) {
+  std::set<InstanceId> crashed;
+  if (seen != nullptr) crashed = seen->crashed;
+  if (known != nullptr) crashed.insert(known->record.crashed.begin(), known->record.crashed.end());
+  return crashed.size();
+}
+
+GuardDecision RequestGuard::Judge(const RequestFingerprint& request) const {
+  const Seen* seen = FindSeen(request);
+  const Known* known = FindKnown(request);
+  GuardDecision decision;
+  if (seen == nullptr && known == nullptr) return decision;
+  decision.crashes = CrashesOf(seen, known);
+  decision.trials = known == nullptr ? 0 : known->record.trials;
+  const SuspectStanding standing = StandingOf(decision.crashes, decision.trials);
+  const size_t in_doubt = seen == nullptr ? 0 : seen->in_doubt.size();
+  if (standing == SuspectStanding::kWatched) {
+    const bool may_hold = in_doubt > 0 && decision.crashes + in_doubt >= kCrashesToHold;
+    decision.verdict = may_hold ? GuardVerdict::kWait : GuardVerdict::kSend;
+    return decision;
+  }
+  decision.verdict = GuardVerdict::kRefuse;
+  if (standing == SuspectStanding::kBarred) {
+    decision.retry_after = kBarredRetryAfter;
+    return decision;
+  }
+  TimePoint since = known == nullptr ? environment_.Now() : known->learned_at;
+  if (seen != nullptr) since = std::max(since, seen->changed_at);
+  decision.retry_after = std::max(since + kTrialPause - environment_.Now(), Duration(0));
+  if (decision.retry_after > Duration(0)) return decision;
+  // The cluster grants trials of what it holds only.
+  const bool cluster_holds = known != nullptr && known->record.standing() == standing;
+  if (cluster_holds && register_ != nullptr) decision.verdict = GuardVerdict::kTrial;
+  decision.retry_after = kTrialPause;
+  return decision;
+}
+
+void RequestGuard::BeginTrial(const RequestFingerprint& request,
+                              std::function<void(bool granted)> done) {
+  const Known* known = FindKnown(request);
+  if (known == nullptr || register_ == nullptr) return done(false);
+  register_->BeginTrial(request, known->record.changed_at,
+                        alive_.Guard([request, done = std::move(done)](bool granted) {
+                          LogEvent(EventId::kTrialAsked, "fingerprint={} granted={}", request,
+                                   granted);
+                          done(granted);
+                        }));
+}
+
+void RequestGuard::NoteLost(const GuardedRequest& request, const BackendInstance& instance) {
+  Seen& seen = seen_[request.fingerprint];
+  seen.place = request.place;
+  seen.in_doubt.insert(instance.id);
+  seen.changed_at = environment_.Now();
+  RefreshPlaces();
+  const auto [check, added] = checks_.try_emplace(instance.id);
+  check->second.requests.insert(request.fingerprint);
+  if (!added) return;
+  check->second.check = std::make_unique<LifeCheck>(
+      environment_, http_, protocol_, instance, health_path_(instance.service),
+      [this, id = instance.id](LifeVerdict verdict) { OnChecked(id, verdict); });
+  check->second.check->Start();
+}
+
+void RequestGuard::OnChecked(const InstanceId& instance, LifeVerdict verdict) {
+  auto checked = checks_.extract(instance);
+  LogEvent(EventId::kLifeChecked, "instance={} verdict={} requests={}", instance,
+           LifeVerdictName(verdict), checked.mapped().requests.size());
+  std::vector<RequestFingerprint> reports;
+  for (const RequestFingerprint& request : checked.mapped().requests) {
+    const auto found = seen_.find(request);
+    // It was answered meanwhile.
+    if (found == seen_.end() || found->second.in_doubt.erase(instance) == 0) continue;
+    Seen& seen = found->second;
+    if (verdict == LifeVerdict::kEnded) {
+      seen.crashed.insert(instance);
+      seen.changed_at = environment_.Now();
+      LogEvent(EventId::kCrashNoted, "fingerprint={} place=\"{}\" instance={} crashes={}", request,
+               seen.place, instance, CrashesOf(&seen, FindKnown(request)));
+      if (stats_ != nullptr) {
+        stats_
+            ->NewCounter({"millstair_crashes_noted_total",
+                          "Back ends that ended, once for each request that ran there."})
+            .Add();
+      }
+      if (WantsReport(seen)) reports.push_back(request);
+    }
+    if (seen.crashed.empty() && seen.in_doubt.empty()) seen_.erase(found);
+  }
+  Report(reports);
+  DropOldSeen();
+  RefreshPlaces();
+}
+
+bool RequestGuard::WantsReport(const Seen& seen) const {
+  return (seen.given_up || seen.crashed.size() >= kCrashesToHold) && seen.reported != seen.crashed;
+}
+
+void RequestGuard::Report(const std::vector<RequestFingerprint>& requests) {
+  if (requests.empty() || register_ == nullptr) return;
+  std::vector<CrashReport> reports;
+  for (const RequestFingerprint& request : requests) {
+    Seen& seen = seen_.at(request);
+    seen.reported = seen.crashed;
+    reports.push_back({request, seen.place, {seen.crashed.begin(), seen.crashed.end()}});
+  }
+  register_->Report(std::move(reports), alive_.Guard([this, requests](bool committed) {
+    if (committed) return;
+    for (const RequestFingerprint& request : requests) {
+      const auto found = seen_.find(request);
+      if (found != seen_.end()) found->second.reported.clear();
+    }
+    ReportSoon();
+  }));
+}
+
+void RequestGuard::ReportSoon() {
+  report_timer_.Arm(kReportPause, [this] {
+    std::vector<RequestFingerprint> waiting;
+    for (const auto& [request, seen] : seen_) {
+      if (WantsReport(seen)) waiting.push_back(request);
+    }
+    Report(waiting);
+  });
+}
+
+void RequestGuard::NoteServed(const RequestFingerprint& request) {
+  if (seen_.erase(request) > 0) RefreshPlaces();
+  const auto known = known_.find(request);
+  if (known == known_.end() || known->second.clearing || register_ == nullptr) return;
+  known->second.clearing = true;
+  const size_t crashes = known->second.record.crashed.size();
+  LogEvent(EventId::kSuspectServed, "fingerprint={} crashes={} trials={}", request, crashes,
+           known->second.record.trials);
+  register_->Clear(request, crashes, alive_.Guard([this, request](bool committed) {
+    const auto found = known_.find(request);
+    if (found != known_.end() && !committed) found->second.clearing = false;
+  }));
+}
+
+void RequestGuard::NoteGivenUp(const RequestFingerprint& request) {
+  const auto found = seen_.find(request);
+  if (found == seen_.end()) return;
+  found->second.given_up = true;
+  if (!found->second.crashed.empty() && WantsReport(found->second)) Report({request});
+}
+
+void RequestGuard::DropOldSeen() {
+  const TimePoint now = environment_.Now();
+  std::erase_if(seen_, [&](const auto& entry) {
+    const Seen& seen = entry.second;
+    const Duration kept = seen.crashed.size() >= kCrashesToHold ? kHeldFor : kWatchedFor;
+    return seen.in_doubt.empty() && now - seen.changed_at > kept;
+  });
+  while (seen_.size() > kMostSeen) {
+    seen_.erase(std::min_element(seen_.begin(), seen_.end(), [](const auto& a, const auto& b) {
+      return std::pair(a.second.crashed.size(), a.second.changed_at) <
+             std::pair(b.second.crashed.size(), b.second.changed_at);
+    }));
+  }
+}
+
+void RequestGuard::RefreshPlaces() {
+  places_.clear();
+  for (const auto& [request, seen] : seen_) places_.insert(seen.place);
+  for (const auto& [request, known] : known_) places_.insert(known.record.place);
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/ingress/request_guard.h
@@ -0,0 +1,142 @@
+/// Keeps requests that crash the servers that run them from being sent on and on.
+///
+/// A request that loses its back end is counted against the back end's life only if that life has
+/// ended (LifeCheck). Who else ran there at that moment is counted as well: what tells them apart
+/// is that they are answered at the next back end, which clears them, and that a request is held
+/// only after a second crash without an answer between. The counts of all nodes meet in the
+/// cluster's record (SuspectLedger), which reaches each node with its configuration, also one that
+/// has just started; a node adds what it saw itself and the record does not hold yet. A held
+/// request is sent by one node at a time in the cluster (BeginTrial), long enough after its last
+/// crash that the servers it ended are back.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cluster/configuration.h"
+#include "common/alive_flag.h"
+#include "common/environment.h"
+#include "common/stats.h"
+#include "ingress/life_check.h"
+#include "quarantine/suspect_register.h"
+
+namespace millstair {
+
+/// From the last crash of a held request, or the last trial, until it may be tried again. Longer
+/// than servers take to come back (3 s), so that a trial never takes a service's last server.
+inline constexpr Duration kTrialPause = std::chrono::seconds(5);
+/// When callers of a barred request may come back: nothing changes before an operator acts.
+inline constexpr Duration kBarredRetryAfter = std::chrono::seconds(60);
+/// A check of a life is under way; it takes some milliseconds.
+inline constexpr Duration kCheckPause = std::chrono::milliseconds(10);
+
+/// What a node may do with a request now.
+enum class GuardVerdict : uint8_t {
+  kSend,
+  kWait,    ///< whether a life ended under it is being found out
+  kTrial,   ///< only after BeginTrial has granted it
+  kRefuse,  ///< not at all
+};
+
+struct GuardDecision {
+  GuardVerdict verdict = GuardVerdict::kSend;
+  /// For kRefuse: when it may be tried again.
+  Duration retry_after{0};
+  /// Lives that ended under the request, as far as this node knows, and trials since.
+  size_t crashes = 0;
+  uint32_t trials = 0;
+};
+
+/// A request as the guard knows it.
+struct GuardedRequest {
+  RequestFingerprint fingerprint;
+  std::string place;
+};
+
+/// Lives on the node's serial executor.
+class RequestGuard {
+ public:
+  /// Path at which back ends of a service answer whether they are well; empty if unknown.
+  using HealthPath = std::function<std::string(const ServiceName&)>;
+
+  /// `stats` may be null.
+  RequestGuard(Environment& environment, HttpCaller& http, const BackendProtocol& protocol,
+               HealthPath health_path, StatsRegistry* stats);
+
+  /// Where crashes are reported; without one the node goes by what it sees itself. Outlives the
+  /// guard.
+  void SetRegister(SuspectRegister* suspect_register) { register_ = suspect_register; }
+  /// The cluster's record changed, or may have.
+  void Update(const SuspectRequests& suspects);
+
+  /// Nothing is suspected.
+  bool idle() const { return places_.empty(); }
+  /// Whether a request of `place` can be suspected at all; saves making its fingerprint.
+  bool MayBeSuspect(const std::string& place) const;
+  GuardDecision Judge(const RequestFingerprint& request) const;
+  /// `done` hears whether this node may send the request once.
+  void BeginTrial(const RequestFingerprint& request, std::function<void(bool granted)> done);
+
+  /// `instance` got the request and gave no whole answer.
+  void NoteLost(const GuardedRequest& request, const BackendInstance& instance);
+  /// A back end has answered the request, or got further with it than those that ended.
+  void NoteServed(const RequestFingerprint& request);
+  /// No try of this node follows: its crashes are reported even if there is only one. One crash of
+  /// a request that is tried again here is not: the next answer clears it, and a crash of a server
+  /// strikes all that runs there.
+  void NoteGivenUp(const RequestFingerprint& request);
+
+ private:
+  /// What this node saw and the cluster's record may not hold yet.
+  struct Seen {
+    std::string place;
+    std::set<InstanceId> crashed;
+    /// Lives that are being asked for.
+    std::set<InstanceId> in_doubt;
+    TimePoint changed_at;
+    bool given_up = false;
+    /// Lives that the cluster has been told of.
+    std::set<InstanceId> reported;
+  };
+  /// The cluster's record of a request, and since when this node holds it.
+  struct Known {
+    SuspectRequest record;
+    TimePoint learned_at;
+    bool clearing = false;
+  };
+  struct Check {
+    std::unique_ptr<LifeCheck> check;
+    std::set<RequestFingerprint> requests;
+  };
+
+  void OnChecked(const InstanceId& instance, LifeVerdict verdict);
+  void Report(const std::vector<RequestFingerprint>& requests);
+  bool WantsReport(const Seen& seen) const;
+  void ReportSoon();
+  void DropOldSeen();
+  void RefreshPlaces();
+  static size_t CrashesOf(const Seen* seen, const Known* known);
+  const Seen* FindSeen(const RequestFingerprint& request) const;
+  const Known* FindKnown(const RequestFingerprint& request) const;
+
+  Environment& environment_;
+  HttpCaller& http_;
+  const BackendProtocol& protocol_;
+  const HealthPath health_path_;
+  StatsRegistry* const stats_;
+  SuspectRegister* register_ = nullptr;
+  std::map<RequestFingerprint, Seen> seen_;
+  std::map<RequestFingerprint, Known> known_;
+  /// Places of all that is seen or known.
+  std::set<std::string> places_;
+  std::map<InstanceId, Check> checks_;
+  ScopedTimer report_timer_;
+  AliveFlag alive_;
+};
+
+}  // namespace millstair
--- /dev/null
+++ b/source/ingress/request_watch.h
@@ -0,0 +1,54 @@
+/// What one request on its way has to do with the guard: asks before each send, tells how sends
+/// end.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "ingress/forward_request.h"
+#include "ingress/request_guard.h"
+
+namespace millstair {
+
+/// Part of a flow, and gone with it. The request outlives it.
+class RequestWatch {
+ public:
+  RequestWatch(RequestGuard& guard, const ForwardRequest& request)
+      : guard_(guard), request_(request) {}
+  /// A request that was lost and not answered is one that its caller may bring elsewhere.
+  ~RequestWatch() {
+    if (lost_) guard_.NoteGivenUp(fingerprint());
+  }
+  RequestWatch(const RequestWatch&) = delete;
+  RequestWatch& operator=(const RequestWatch&) = delete;
+
+  /// What may be done with the request now. A trial that was granted allows one send.
+  GuardDecision Judge();
+  void BeginTrial(std::function<void(bool granted)> done);
+  bool on_trial() const { return on_trial_; }
+  /// Whether a back end ended under it: then it is sent to one back end at a time.
+  bool IsSuspect();
+
+  /// `instance` got it and gave no whole answer.
+  void NoteLost(const BackendInstance& instance);
+  /// A back end answered it, or got further with it than the one that was lost before.
+  void NoteServed();
+
+ private:
+  const RequestFingerprint& fingerprint();
+  const std::string& place();
+  bool MayBeSuspect() { return lost_ || (!guard_.idle() && guard_.MayBeSuspect(place())); }
+
+  RequestGuard& guard_;
+  const ForwardRequest& request_;
+  /// Made when they are needed: most requests never do.
+  std::optional<std::string> place_;
+  std::optional<RequestFingerprint> fingerprint_;
+  bool lost_ = false;
+  bool on_trial_ = false;
+  bool trial_used_ = false;
+  AliveFlag alive_;
+};
+
+}  // namespace millstair
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -23,8 +23,8 @@
 class StreamFlow::Run : public HttpCallObserver {
  public:
   Run(StreamFlow& flow, const BackendInstance& target)
-      : flow_(flow), instance_(target.id), sent_at_(flow.context_.environment.Now()) {
-    flow_.context_.directory.Begin(instance_);
+      : flow_(flow), target_(target), sent_at_(flow.context_.environment.Now()) {
+    flow_.context_.directory.Begin(target_.id);
   }
 
   void Start(const std::string& address, HttpRequest request) {
@@ -49,15 +49,15 @@
     if (ended_) return;
     ended_ = true;
     handle_.reset();
-    flow_.context_.directory.End(instance_, end, flow_.context_.environment.Now() - sent_at_);
+    flow_.context_.directory.End(target_.id, end, flow_.context_.environment.Now() - sent_at_);
   }
 
-  const InstanceId& instance() const { return instance_; }
+  const BackendInstance& target() const { return target_; }
   TimePoint sent_at() const { return sent_at_; }
 
  private:
   StreamFlow& flow_;
-  const InstanceId instance_;
+  const BackendInstance target_;
   const TimePoint sent_at_;
   std::unique_ptr<CallHandle> handle_;
   bool ended_ = false;
@@ -72,6 +72,8 @@
       done_(std::move(done)),
       started_at_(context.environment.Now()),
       meter_(context.on_begun, request_.tenant),
+      watch_(context.guard, request_),
+      retry_after_(kRetryAfter),
       deadline_timer_(context.environment),
       retry_timer_(context.environment) {
   Duration limit = route_.timeout.value_or(kLongestWithoutLimit);
@@ -87,7 +89,29 @@
 void StreamFlow::Start() {
   deadline_timer_.Arm(deadline_ - context_.environment.Now(),
                       [this] { Finish(ForwardOutcome::kTimedOut, "the time is over"); });
-  SendRun();
+  SendIfAllowed();
+}
+
+void StreamFlow::SendIfAllowed() {
+  const GuardDecision decision = watch_.Judge();
+  switch (decision.verdict) {
+    case GuardVerdict::kSend:
+      return SendRun();
+    case GuardVerdict::kWait:
+      return retry_timer_.Arm(kCheckPause, [this] { SendIfAllowed(); });
+    case GuardVerdict::kTrial:
+      return watch_.BeginTrial([this](bool granted) {
+        if (granted) return SendRun();
+        Withhold(kTrialPause);
+      });
+    case GuardVerdict::kRefuse:
+      return Withhold(decision.retry_after);
+  }
+}
+
+void StreamFlow::Withhold(Duration retry_after) {
+  retry_after_ = retry_after;
+  Finish(ForwardOutcome::kFailed, "back ends ended under this request");
 }
 
 void StreamFlow::SendRun() {
@@ -101,7 +125,7 @@
       return Finish(ForwardOutcome::kFailed, "no back end takes it");
     }
     retry_timer_.Arm(DrawDuration(context_.environment.Random(), kPauseMin, kPauseMax),
-                     [this] { SendRun(); });
+                     [this] { SendIfAllowed(); });
     return;
   }
   tried_.insert(target->id);
@@ -121,7 +145,7 @@
   if (answer.not_run) {
     --may_have_run_;
     EndRun(answer.wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
-    return SendRun();
+    return SendIfAllowed();
   }
   if (begun_ && head.status != kOk) {
     return OnFailed(run, BackendEnd::kFailed, fmt::format("status {}", head.status));
@@ -159,6 +183,8 @@
     whole += "\n\n";
   }
   if (!whole.empty()) {
+    // It got further than where the last back end ended.
+    if (std::exchange(after_loss_, false)) watch_.NoteServed();
     // A generation begins with its first token.
     meter_.NoteBegun(context_.environment.Now());
     sink_.OnEvents(std::move(whole));
@@ -171,6 +197,7 @@
     return OnFailed(run, BackendEnd::kFailed, "it ended inside an event");
   }
   EndRun(BackendEnd::kAnswered);
+  watch_.NoteServed();
   Finish(ForwardOutcome::kAnswered, "");
 }
 
@@ -178,7 +205,9 @@
   if (end == BackendEnd::kUnreachable) {
     --may_have_run_;
   } else {
-    LogLostTry(context_, request_, run.instance(), run.sent_at(), reason);
+    LogLostTry(context_, request_, run.target().id, run.sent_at(), reason);
+    watch_.NoteLost(run.target());
+    after_loss_ = true;
   }
   EndRun(end);
   GoOnOrFail(reason);
@@ -191,7 +220,7 @@
   splitter_ = EventStreamSplitter();
   plain_ = false;
   plain_body_.clear();
-  SendRun();
+  SendIfAllowed();
 }
 
 void StreamFlow::EndRun(BackendEnd end) {
@@ -203,7 +232,7 @@
   StreamEnd result;
   const bool not_run = outcome != ForwardOutcome::kAnswered && may_have_run_ == 0 && !begun_;
   result.forward.outcome = not_run ? ForwardOutcome::kNotRun : outcome;
-  result.forward.retry_after = kRetryAfter;
+  result.forward.retry_after = retry_after_;
   result.forward.reason = reason;
   result.forward.tries = sent_;
   result.forward.instance = last_instance_;
--- a/source/ingress/stream_flow.h
+++ b/source/ingress/stream_flow.h
@@ -51,6 +51,10 @@
  private:
   class Run;
 
+  /// Asks the guard, then sends or waits.
+  void SendIfAllowed();
+  /// Back ends ended under the request: it is not sent (any more).
+  void Withhold(Duration retry_after);
   void SendRun();
   void OnHead(Run& run, const HttpResponseHead& head);
   void OnBody(Run& run, std::string bytes);
@@ -81,8 +85,13 @@
   bool plain_ = false;
   uint64_t events_ = 0;
   RequestMeter meter_;
+  RequestWatch watch_;
+  /// The run under way follows one that was lost.
+  bool after_loss_ = false;
   uint32_t may_have_run_ = 0;
   uint32_t sent_ = 0;
+  /// When the client may come back, if nothing ran.
+  Duration retry_after_;
   ScopedTimer deadline_timer_;
   ScopedTimer retry_timer_;
 };
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -29,6 +29,7 @@
       configuration_(MakeConfigurationClient(environment, transport, options.self,
                                              options.control_nodes, options.configuration_timing)),
       cluster_(environment, transport, kClusterGroup, [this] { return ControlNodes(); }),
+      suspects_(environment, cluster_),
       usage_(
           environment, {options.self.node, options.self.incarnation, options.usage_window},
           [this](const UsageReport& report, std::function<void(bool)> done) {
@@ -43,6 +44,7 @@
           [this] { return JobNodesForChanges(configuration(), kJobGroup, zone_); },
           [this] { return JobNodesForReads(configuration(), kJobGroup, zone_); }),
       ready_timer_(environment) {
+  ingress_.SetSuspectRegister(suspects_);
   ingress_.SetFresh([this] { return LeaseValid(); });
   ingress_.OnBegun(
       [this](const TenantName& tenant, TimePoint at) { usage_.NoteBegun(tenant, at); });
--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -7,6 +7,7 @@
 
 #include "cluster/configuration_client.h"
 #include "cluster/group_client.h"
+#include "cluster/suspect_client.h"
 #include "common/environment.h"
 #include "common/peer_transport.h"
 #include "ingress/ingress_service.h"
@@ -80,6 +81,7 @@
   const Zone zone_;
   std::unique_ptr<ConfigurationClient> configuration_;
   GroupClient cluster_;
+  SuspectClient suspects_;
   /// Outlives the requests, which are metered also when they are dropped.
   UsageCounter usage_;
   IngressService ingress_;
--- a/source/jobs/item_run.cc
+++ b/source/jobs/item_run.cc
@@ -66,15 +66,15 @@
       stall_timer_(environment) {}
 
 ItemRun::~ItemRun() {
-  if (!ended_) directory_.End(instance_, BackendEnd::kCancelled, Duration(0));
+  if (!ended_) directory_.End(instance(), BackendEnd::kCancelled, Duration(0));
 }
 
 void ItemRun::Start(HttpCaller& http, const BackendInstance& target,
                     const BackendRequest& request) {
-  instance_ = target.id;
+  target_ = target;
   request_id_ = request.request_id;
   started_at_ = environment_.Now();
-  directory_.Begin(instance_);
+  directory_.Begin(instance());
   WatchForStall();
   handle_ = http.Start(target.address, protocol_.MakeRequest(request), *this);
 }
@@ -125,7 +125,7 @@
   progress_.version = version_;
   progress_.Append(**event);
   const TimePoint now = environment_.Now();
-  if (event_at_ && on_gap_) on_gap_(instance_, now - *event_at_);
+  if (event_at_ && on_gap_) on_gap_(instance(), now - *event_at_);
   event_at_ = now;
   return true;
 }
@@ -154,7 +154,7 @@
   ended_ = true;
   stall_timer_.Cancel();
   handle_.reset();
-  directory_.End(instance_, BackendEndOf(end), environment_.Now() - started_at_);
+  directory_.End(instance(), BackendEndOf(end), environment_.Now() - started_at_);
   const Callback done = std::move(done_);
   done(end, reason);
 }
--- a/source/jobs/item_run.h
+++ b/source/jobs/item_run.h
@@ -57,7 +57,8 @@
   void Start(HttpCaller& http, const BackendInstance& target, const BackendRequest& request);
 
   void OnGap(GapListener listener) { on_gap_ = std::move(listener); }
-  const InstanceId& instance() const { return instance_; }
+  const BackendInstance& target() const { return target_; }
+  const InstanceId& instance() const { return target_.id; }
   /// The weights that the engine itself named in this run; 0 if it named none. The text may have
   /// parts that other engines made.
   WeightVersion named_version() const { return version_; }
@@ -80,7 +81,7 @@
   ItemProgress& progress_;
   const ItemRunOptions options_;
   Callback done_;
-  InstanceId instance_;
+  BackendInstance target_;
   std::string request_id_;
   TimePoint started_at_;
   /// When the latest event came; none before the first.
--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -36,7 +36,7 @@
     // Listed a moment ago: its body is gone, and it goes with the next changes.
     if (state_.IsListed(rank.job, rank.index)) continue;
     Work& work = *jobs_.at(rank.job).items.at(rank.index);
-    if (now < work.not_before) continue;
+    if (now < work.not_before || !MaySend(work, *record)) continue;
     if (Dispatch(board, work, *record, *route)) {
       sent.push_back(rank);
     } else if (!NeedsOneVersion(work, *route)) {
@@ -186,6 +186,7 @@
                             const BackendInstance& engine) {
   ItemRunOptions options{StallAt(engine.id), {record.spec.min_version, route.single_version}};
   work.phase = Phase::kRunning;
+  work.trial_granted = false;
   work.keep_from = environment_.Now() + kKeepAfter;
   work.run = std::make_unique<ItemRun>(environment_, ingress_.directory(), ingress_.protocol(),
                                        work.progress, options,
--- /dev/null
+++ b/source/jobs/job_guard.cc
@@ -0,0 +1,85 @@
+/// The part of JobScheduler that keeps an item from engines after engine that it crashes. All that
+/// runs at an engine when it ends is cut off; an item that crashes engines is the one whose text is
+/// not an event longer the next time.
+#include <algorithm>
+#include <utility>
+
+#include "common/event_log.h"
+#include "ingress/request_guard.h"
+#include "jobs/job_scheduler.h"
+#include "quarantine/request_fingerprint.h"
+
+namespace millstair {
+namespace {
+
+/// A held item is looked at again this often.
+constexpr Duration kLookAgain = std::chrono::seconds(1);
+constexpr char kItemMethod[] = "POST";
+
+}  // namespace
+
+const RequestFingerprint& JobScheduler::FingerprintOf(Work& work, const JobRecord& record) {
+  if (!work.fingerprint) {
+    const JobItem& item = record.spec.items[work.index];
+    work.fingerprint = millstair::FingerprintOf(
+        {kItemMethod, record.spec.host, item.path, record.spec.tenant, item.body});
+  }
+  return *work.fingerprint;
+}
+
+bool JobScheduler::MaySend(Work& work, const JobRecord& record) {
+  const RequestGuard& guard = ingress_.guard();
+  if (guard.idle()) return true;
+  const std::string place = PlaceOf(record.spec.host, record.spec.items[work.index].path);
+  if (!guard.MayBeSuspect(place)) return true;
+  const RequestFingerprint& item = FingerprintOf(work, record);
+  const GuardDecision decision = guard.Judge(item);
+  const TimePoint now = environment_.Now();
+  switch (decision.verdict) {
+    case GuardVerdict::kSend:
+      return true;
+    case GuardVerdict::kWait:
+      return false;
+    case GuardVerdict::kTrial:
+      if (work.trial_granted) return true;
+      AskForTrial(work, item);
+      return false;
+    case GuardVerdict::kRefuse:
+      if (work.trial_granted) return true;
+      work.not_before = now + std::min(decision.retry_after, kLookAgain);
+      LogEvent(EventId::kRequestWithheld, "job={} item={} fingerprint={} crashes={} trials={}",
+               work.job, record.spec.items[work.index].id, item, decision.crashes, decision.trials);
+      return false;
+  }
+  return true;
+}
+
+void JobScheduler::AskForTrial(Work& work, const RequestFingerprint& item) {
+  if (std::exchange(work.trial_asked, true)) return;
+  ingress_.guard().BeginTrial(
+      item, alive_.Guard([this, job = work.job, index = work.index](bool granted) {
+        Work* asked = FindWork(job, index);
+        if (asked == nullptr) return;
+        asked->trial_asked = false;
+        asked->trial_granted = granted;
+        if (!granted) asked->not_before = environment_.Now() + kLookAgain;
+        PumpSoon(Duration(0));
+      }));
+}
+
+void JobScheduler::NoteRunEnd(Work& work, const JobRecord& record, const BackendInstance& engine,
+                              ItemRunEnd end) {
+  RequestGuard& guard = ingress_.guard();
+  const uint64_t events = work.progress.events;
+  const bool further = work.lost_after_events && events > *work.lost_after_events;
+  const bool whole = end == ItemRunEnd::kWhole;
+  const std::string place = PlaceOf(record.spec.host, record.spec.items[work.index].path);
+  if ((further || whole) && guard.MayBeSuspect(place)) {
+    guard.NoteServed(FingerprintOf(work, record));
+  }
+  if (end != ItemRunEnd::kBroken) return;
+  work.lost_after_events = events;
+  guard.NoteLost({FingerprintOf(work, record), place}, engine);
+}
+
+}  // namespace millstair
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -393,7 +393,8 @@
   Work* work = FindWork(job, index);
   const JobRecord* record = state_.Find(job);
   if (work == nullptr || work->run == nullptr) return;
-  const InstanceId instance = work->run->instance();
+  const BackendInstance engine = work->run->target();
+  const InstanceId& instance = engine.id;
   const WeightVersion named = work->run->named_version();
   DropRunLater(*work);
   if (record == nullptr) return;
@@ -413,6 +414,7 @@
              record->spec.items[index].id, instance, work->progress.events, ItemRunEndName(end),
              reason);
   }
+  NoteRunEnd(*work, *record, engine, end);
   const Route* route = RouteOf(*record);
   const uint32_t attempts = route == nullptr ? 1 : route->attempts;
   switch (end) {
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -84,6 +84,14 @@
     std::optional<IngressService::FlowId> scoring;
     /// Name of the route by which it is scored; empty if there was none.
     std::string scoring_route;
+    /// Tells the item's content from others; made when it is first needed.
+    std::optional<RequestFingerprint> fingerprint;
+    /// Events of the text when the latest of its runs lost its engine.
+    std::optional<uint64_t> lost_after_events;
+    /// A trial of the item, which is held, is being asked for, or granted and no run begun by it
+    /// yet.
+    bool trial_asked = false;
+    bool trial_granted = false;
     /// How often it was moved to a faster engine.
     uint32_t moves = 0;
     JobResult result;
@@ -162,6 +170,13 @@
   /// Those first that are far from whole.
   std::vector<MoveCandidate> MoveCandidates();
   bool Move(EngineBoard& board, const MoveCandidate& candidate);
+  /// False while the item is held because engines ended under it: then it waits on.
+  bool MaySend(Work& work, const JobRecord& record);
+  void AskForTrial(Work& work, const RequestFingerprint& item);
+  const RequestFingerprint& FingerprintOf(Work& work, const JobRecord& record);
+  /// Tells the guard how the run that just ended speaks for or against the item.
+  void NoteRunEnd(Work& work, const JobRecord& record, const BackendInstance& engine,
+                  ItemRunEnd end);
   bool Dispatch(EngineBoard& board, Work& work, const JobRecord& record, const Route& route);
   void StartRun(Work& work, const JobRecord& record, const Route& route,
                 const BackendInstance& engine);
--- a/source/jobs/job_scoring.cc
+++ b/source/jobs/job_scoring.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration kFailedPause = std::chrono::milliseconds(50);
+constexpr Duration kLongestPause = std::chrono::seconds(1);
 /// Scorings at once that no route leads anywhere: each is tried again soon, in case a route comes.
 constexpr uint32_t kMostUnrouted = 8;
 constexpr int kServerErrors = 500;
@@ -100,7 +101,9 @@
         std::max(own == nullptr ? 1 : own->attempts, scorer == nullptr ? 1 : scorer->attempts);
     if (work->scoring_errors >= attempts) return List(*work, ItemState::kFailed, "");
   }
-  environment_.Schedule(kFailedPause, alive_.Guard([this, job, index] {
+  // A call that is held is not worth asking for again at once.
+  const Duration pause = std::clamp(result.retry_after, kFailedPause, kLongestPause);
+  environment_.Schedule(pause, alive_.Guard([this, job, index] {
     Work* again = FindWork(job, index);
     const JobRecord* known = state_.Find(job);
     if (again == nullptr || known == nullptr || again->phase != Phase::kScoring) return;
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -5,6 +5,7 @@
 #include "cluster/cluster_commands.h"
 #include "cluster/cluster_replica.h"
 #include "cluster/group_client.h"
+#include "cluster/suspect_client.h"
 #include "common/event_log.h"
 #include "jobs/job_group_founder.h"
 #include "jobs/job_group_nodes.h"
@@ -34,11 +35,14 @@
         service_(environment, transport,
                  [this] { return PlacedLeader(configuration(), kJobGroup); }),
         cluster_(environment, transport, kClusterGroup, [this] { return ControlNodes(); }),
+        suspects_(environment, cluster_),
         placement_(environment, options_.self.node,
                    [this](PlaceJobGroup place, std::function<void(absl::Status)> done) {
                      SubmitToCluster(std::move(place), std::move(done));
                    }),
-        drain_timer_(environment) {}
+        drain_timer_(environment) {
+    ingress_.SetSuspectRegister(suspects_);
+  }
 
   absl::Status Start() override {
     auto identity = LoadOrCreateIdentity(files_, environment_.Random(), options_.cluster_id,
@@ -198,6 +202,7 @@
   LoadScheduler loads_;
   JobService service_;
   GroupClient cluster_;
+  SuspectClient suspects_;
   JobPlacementReporter placement_;
   ReplicaId replica_;
   std::unique_ptr<ConfigurationClient> configuration_client_;
--- a/test/ingress/fake_backends.h
+++ b/test/ingress/fake_backends.h
@@ -60,6 +60,14 @@
     return count;
   }
 
+  /// Requests that back ends were sent: questions for their health are none, and carry no
+  /// identifier.
+  size_t SentRequests() const {
+    size_t count = 0;
+    for (const auto& call : calls) count += FindHeader(call->request.headers, "id") ? 1 : 0;
+    return count;
+  }
+
   std::vector<std::shared_ptr<FakeCall>> calls;
 
  private:
@@ -159,6 +167,16 @@
     return std::optional<StreamEvent>(event);
   }
 
+  HttpRequest MakeHealthRequest(const InstanceId& instance,
+                                const std::string& path) const override {
+    return {"GET", path, {{"instance", instance.value()}}, ""};
+  }
+
+  bool IsAnswerOf(const HttpResponseHead& head, const InstanceId& instance) const override {
+    const auto named = FindHeader(head.headers, "instance");
+    return head.status != 421 && (!named || *named == instance.value());
+  }
+
   HttpRequest MakeReportRequest(const InstanceId&) const override {
     return {"GET", "/report", {}, ""};
   }
--- a/test/ingress/forward_flow_test.cc
+++ b/test/ingress/forward_flow_test.cc
@@ -178,7 +178,7 @@
   const auto result = fixture.Forward();
   REQUIRE(result);
   CHECK(result->outcome == ForwardOutcome::kFailed);
-  CHECK(fixture.backends.calls.size() == 2);
+  CHECK(fixture.backends.SentRequests() == 2);
 }
 
 TEST_CASE("A request that runs at most once is not sent again after it may have run") {
@@ -189,7 +189,7 @@
   const auto result = fixture.Forward();
   REQUIRE(result);
   CHECK(result->outcome == ForwardOutcome::kFailed);
-  CHECK(fixture.backends.calls.size() == 1);
+  CHECK(fixture.backends.SentRequests() == 1);
 }
 
 TEST_CASE("A request that runs at most once may move on from a refusal") {
@@ -204,7 +204,7 @@
   const auto result = fixture.Forward();
   REQUIRE(result);
   CHECK(result->outcome == ForwardOutcome::kAnswered);
-  CHECK(fixture.backends.calls.size() == 2);
+  CHECK(fixture.backends.SentRequests() == 2);
 }
 
 TEST_CASE("A request that nobody takes is told when to come back, before its time is over") {
@@ -289,7 +289,7 @@
   const auto flow = fixture.service_.Forward({{"POST", "/p/x", {}, ""}, "a.example", "id", {}},
                                              [](const ForwardResult&) { FAIL("answered"); });
   fixture.scheduler.RunFor(milliseconds(20));
-  REQUIRE(fixture.backends.calls.size() == 1);
+  REQUIRE(fixture.backends.SentRequests() == 1);
   fixture.service_.Cancel(flow);
   CHECK(fixture.backends.calls[0]->cancelled);
   fixture.scheduler.RunFor(milliseconds(2000));
--- a/test/ingress/stream_flow_test.cc
+++ b/test/ingress/stream_flow_test.cc
@@ -54,7 +54,9 @@
   FakeBackends backends{scheduler};
   FakeProtocol protocol;
   BackendDirectory directory{environment, Zone("z1")};
-  ForwardContext context{environment, backends, directory, protocol};
+  RequestGuard guard{environment, backends, protocol, [](const ServiceName&) { return ""; },
+                     nullptr};
+  ForwardContext context{environment, backends, directory, protocol, guard};
   Configuration configuration;
   Route route;
   Recorder sink;
@@ -111,7 +113,7 @@
   CHECK(end->forward.outcome == ForwardOutcome::kFailed);
   CHECK(end->begun);
   CHECK(fixture.sink.text == "1||one\n\n");
-  CHECK(fixture.backends.calls.size() == 1);
+  CHECK(fixture.backends.SentRequests() == 1);
 }
 
 TEST_CASE("A run that begins again at the first event never doubles what was passed on") {
--- /dev/null
+++ b/test/jobs/crashing_item_test.cc
@@ -0,0 +1,179 @@
+/// Items of batch jobs under which engines end: the engine that runs one is gone, its connections
+/// end, and nobody listens at its address until it is back seconds later.
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "fmt/format.h"
+#include "jobs/job_scheduler.h"
+#include "test/ingress/fake_backends.h"
+#include "test/jobs/fake_group.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Kind = FakeAnswer::Kind;
+
+constexpr int kEngines = 4;
+constexpr int kWholeEvents = 10;
+constexpr Duration kBackAfter = seconds(3);
+
+class FixedTable : public RoutingDocumentReader {
+ public:
+  absl::StatusOr<RouteTable> Read(const std::string&) const override { return table; }
+  RouteTable table;
+};
+
+/// Engines that end under an item: each time before its event `crash_at`, if `crash_at` is set and
+/// that event is due; once the fourth event of any other item has come, `chance_crashes` times.
+class Fixture {
+ public:
+  Fixture() {
+    Route jobs;
+    jobs.name = "jobs";
+    jobs.host = "h";
+    jobs.path_prefix = "/j/";
+    jobs.kind = RouteKind::kJobs;
+    jobs.attempts = 2;
+    jobs.item_lifetime = seconds(60);
+    jobs.services = {{ServiceName("engines"), 1}};
+    reader.table.version = 1;
+    reader.table.routes = {jobs};
+    reader.table.services = {
+        {ServiceName("engines"), "/healthz", 0, EngineProfile{2, 1, {ModelName("m")}}}};
+    configuration.routing = {1, "content"};
+    state.OnChange([this](JobChange change, const JobId& job) {
+      scheduler_under_test.NoteChange(change, job);
+    });
+    for (int i = 1; i <= kEngines; ++i) {
+      const std::string address = fmt::format("e:{}", i);
+      BackendInstance engine = LiveInstance(address, "engines");
+      engine.models = {{ModelName("m"), WeightVersion(1)}};
+      configuration.instances[engine.id] = engine;
+      backends.Serve(
+          address, [this, address](const HttpRequest& request) { return Play(address, request); });
+    }
+    ingress.Update(configuration);
+    loads.Update(configuration, ingress.routes());
+    loads.SetLeading(&group);
+    scheduler_under_test.SetLeading(true);
+  }
+
+  void Submit(const std::string& id, const std::string& body) {
+    JobSpec job;
+    job.id = JobId(id);
+    job.host = "h";
+    job.path = "/j/x";
+    job.model = ModelName("m");
+    JobItem item;
+    item.id = ItemId("item-" + id);
+    item.path = "/j/item";
+    item.body = body;
+    job.items = {item};
+    group.Propose(EncodeJobCommand({SubmitJob{std::move(job)}, environment.WallNow()}),
+                  [](const absl::StatusOr<std::string>&) {});
+    scheduler.RunFor(milliseconds(5));
+  }
+
+  bool Done(const std::string& id) const {
+    const JobRecord* record = state.Find(JobId(id));
+    return record != nullptr && !record->results.empty() &&
+           record->results[0].state == ItemState::kDone;
+  }
+
+  VirtualScheduler scheduler{3};
+  VirtualEnvironment environment{scheduler, 5};
+  FakeBackends backends{scheduler};
+  FakeProtocol protocol;
+  FixedTable reader;
+  Configuration configuration;
+  IngressService ingress{environment, backends, protocol, reader, Zone("z1")};
+  LoadScheduler loads{environment, backends,       ingress.directory(),
+                      protocol,    NodeId("self"), LoadOptions()};
+  JobStateMachine state;
+  FakeGroup group{scheduler, &state};
+  JobScheduler scheduler_under_test{environment,          backends, ingress, loads, state, group,
+                                    JobSchedulerOptions()};
+  std::optional<int> crash_at;
+  int chance_crashes = 0;
+  int ended = 0;
+  int ended_under_crashing = 0;
+
+ private:
+  FakeAnswer Play(const std::string& address, const HttpRequest& request) {
+    FakeAnswer answer;
+    if (down_until_[address] > scheduler.Now()) {
+      answer.kind = Kind::kUnreachable;
+      return answer;
+    }
+    if (request.method == "GET") return answer;
+    const auto resumed = FindHeader(request.headers, "resume");
+    const int first = resumed ? std::stoi(std::string(*resumed)) + 1 : 1;
+    int last = kWholeEvents;
+    const bool crashing = request.body == "crash" && crash_at;
+    if (crashing) last = *crash_at - 1;
+    if (!crashing && chance_crashes > 0) {
+      --chance_crashes;
+      last = first;
+    }
+    answer.headers = {{"version", "1"}};
+    answer.pieces.clear();
+    for (int i = first; i <= last; ++i) answer.pieces.push_back(fmt::format("{}||t{}\n\n", i, i));
+    if (last < kWholeEvents) {
+      answer.kind = Kind::kCutBody;
+      ended_under_crashing += crashing ? 1 : 0;
+      End(address, answer.delay + answer.gap * static_cast<int>(answer.pieces.size()));
+    }
+    return answer;
+  }
+
+  void End(const std::string& address, Duration after) {
+    ++ended;
+    // Just before the caller hears of it.
+    scheduler.Schedule(after - milliseconds(1),
+                       [this, address] { down_until_[address] = scheduler.Now() + kBackAfter; });
+  }
+
+  std::map<std::string, Duration> down_until_;
+};
+
+TEST_CASE("An item that ends each engine at one event is given to three engines and no more") {
+  Fixture fixture;
+  fixture.crash_at = GENERATE(1, 2, 6);
+  fixture.Submit("bad", "crash");
+  fixture.scheduler.RunFor(seconds(55));
+  // Without the guard 20 engines end in this time, as fast as they come back.
+  CHECK(fixture.ended <= 3);
+  CHECK_FALSE(fixture.Done("bad"));
+  // It is given up when its time is over, and not before.
+  CHECK(fixture.state.Find(JobId("bad"))->results.empty());
+  fixture.scheduler.RunFor(seconds(10));
+  REQUIRE(fixture.state.Find(JobId("bad"))->results.size() == 1);
+  CHECK(fixture.state.Find(JobId("bad"))->results[0].state == ItemState::kFailed);
+}
+
+TEST_CASE("An item whose engines end by chance, an event further each time, is made whole") {
+  Fixture fixture;
+  fixture.chance_crashes = 6;
+  fixture.Submit("good", "prompt");
+  fixture.scheduler.RunFor(seconds(20));
+  CHECK(fixture.ended == 6);
+  CHECK(fixture.Done("good"));
+}
+
+TEST_CASE("Other items are made while one is held") {
+  Fixture fixture;
+  fixture.crash_at = 1;
+  fixture.Submit("bad", "crash");
+  for (int i = 0; i < 20; ++i) {
+    fixture.Submit(fmt::format("good{}", i), fmt::format("prompt{}", i));
+    fixture.scheduler.RunFor(milliseconds(500));
+  }
+  fixture.scheduler.RunFor(seconds(5));
+  for (int i = 0; i < 20; ++i) CHECK(fixture.Done(fmt::format("good{}", i)));
+  CHECK(fixture.ended_under_crashing <= 3);
+}
+
+}  // namespace
+}  // namespace millstair
--- a/test/jobs/ingress_fleet.cc
+++ b/test/jobs/ingress_fleet.cc
@@ -68,6 +68,7 @@
 }
 
 IngressFleet::~IngressFleet() {
+  SetEventThreshold(EventLevel::kInfo);
   for (auto& [name, process] : processes_) process.environment->Kill();
   scheduler.Clear();
   processes_.clear();
