Bar a request only after crashes in trials, and count nothing against what was served lately

Change: a request is barred after two crashes in trials, when it is the only one of its kind in the cluster (or three trials without an answer, the platform's limit of sends after the third crash); pauses before trials grow, 5, 30 and 120 s; items of batch jobs use the same trials, the first at once. A loss of what this node saw served within the last 5 to 10 s is not counted. millstairctl suspects list | lift; GET and DELETE /v1/suspects.

--- a/source/cluster/operators_api.cc
+++ b/source/cluster/operators_api.cc
@@ -40,6 +40,10 @@
   if (get && PathIs(path, {"v1", "watch"})) return Watch(*target, writer);
   if (get && PathIs(path, {"v1", "revisions"}, true)) return Lagging(*target, writer);
   if (post && PathIs(path, {"v1", "replicas"})) return replicas_.Add(request, writer);
+  if (get && PathIs(path, {"v1", "suspects"})) return suspects_.List(writer);
+  if (request.method == "DELETE" && path.size() == 3 && PathIs(path, {"v1", "suspects"}, true)) {
+    return suspects_.Lift(RequestFingerprint(path[2]), writer);
+  }
   const bool one_replica = path.size() == 3 && PathIs(path, {"v1", "replicas"}, true);
   if (request.method == "DELETE" && one_replica) return replicas_.Remove(NodeId(path[2]), writer);
   RespondRefused(*writer, 404, "not found", "no such page");
--- a/source/cluster/operators_api.h
+++ b/source/cluster/operators_api.h
@@ -4,6 +4,7 @@
 #include "cluster/replica_routes.h"
 #include "cluster/resource_routes.h"
 #include "cluster/status_routes.h"
+#include "cluster/suspect_routes.h"
 #include "http/exchange.h"
 
 namespace millstair {
@@ -13,7 +14,8 @@
   OperatorsApi(Environment& environment, ClusterReplica& cluster, ClusterSubmitter& submitter)
       : resources_(cluster, submitter),
         status_(environment, cluster, submitter),
-        replicas_(cluster) {}
+        replicas_(cluster),
+        suspects_(cluster, submitter) {}
 
   void Start(GroupHost& groups) { status_.Start(groups); }
   void Handle(HttpRequest request, std::shared_ptr<ResponseWriter> writer) override;
@@ -28,6 +30,7 @@
   ResourceRoutes resources_;
   StatusRoutes status_;
   ReplicaRoutes replicas_;
+  SuspectRoutes suspects_;
 };
 
 }  // namespace millstair
--- a/source/cluster/suspect_wire.cc
+++ b/source/cluster/suspect_wire.cc
@@ -31,6 +31,7 @@
   millstair_SuspectRequest wire =
       RecordToWire(arena, suspect.request, suspect.place, suspect.crashed);
   wire.trials = suspect.trials;
+  wire.crashes_before_trials = suspect.crashes_before_trials;
   wire.changed_at = suspect.changed_at.value();
   wire.changed_time_milliseconds = suspect.changed_time.time_since_epoch().count();
   return wire;
@@ -45,6 +46,7 @@
   suspect.place = ToString(wire.place);
   suspect.crashed = CrashedFromWire(wire);
   suspect.trials = wire.trials;
+  suspect.crashes_before_trials = wire.crashes_before_trials;
   suspect.changed_at = Revision(wire.changed_at);
   suspect.changed_time = WallTime(std::chrono::milliseconds(wire.changed_time_milliseconds));
   return suspect.request != RequestFingerprint();
--- a/source/ctl/commands.cc
+++ b/source/ctl/commands.cc
@@ -114,6 +114,24 @@
   return ExitCode::kUsage;
 }
 
+ExitCode RunSuspects(CommandContext& context) {
+  const std::vector<std::string>& arguments = context.options.arguments;
+  if (arguments.size() == 1 && arguments[0] == "list") {
+    const absl::StatusOr<json::object> page = context.api.Suspects();
+    if (!page.ok()) return ReportError(context, page.status());
+    PrintPage(context, *page);
+    return ExitCode::kOk;
+  }
+  if (arguments.size() == 2 && arguments[0] == "lift") {
+    const absl::StatusOr<ChangeResult> result = context.api.LiftSuspect(arguments[1]);
+    if (!result.ok()) return ReportError(context, result.status());
+    fmt::print(context.out, "lifted\n");
+    return ExitCode::kOk;
+  }
+  fmt::print(context.err, "suspects list | lift REQUEST\n");
+  return ExitCode::kUsage;
+}
+
 }  // namespace
 
 ExitCode ReportError(CommandContext& context, const absl::Status& status) {
@@ -165,7 +183,8 @@
       {"drain", [](CommandContext& each) { return RunDrain(each, true); }},
       {"undrain", [](CommandContext& each) { return RunDrain(each, false); }},
       {"watch", RunWatch},
-      {"replicas", RunReplicas}};
+      {"replicas", RunReplicas},
+      {"suspects", RunSuspects}};
   return handlers.at(context.options.command)(context);
 }
 
--- a/source/ctl/control_api.cc
+++ b/source/ctl/control_api.cc
@@ -189,6 +189,12 @@
 
 absl::StatusOr<json::object> ControlApi::Status() { return Read("/v1/status"); }
 
+absl::StatusOr<json::object> ControlApi::Suspects() { return Read("/v1/suspects"); }
+
+absl::StatusOr<ChangeResult> ControlApi::LiftSuspect(const std::string& request) {
+  return Change(JsonRequest("DELETE", fmt::format("/v1/suspects/{}", request), ""));
+}
+
 absl::StatusOr<std::vector<LaggingNode>> ControlApi::Lagging(Revision revision) {
   const absl::StatusOr<json::object> page = Read(fmt::format("/v1/revisions/{}/lagging", revision));
   if (!page.ok()) return page.status();
--- a/source/ctl/control_api.h
+++ b/source/ctl/control_api.h
@@ -59,6 +59,10 @@
   absl::StatusOr<ChangeResult> Apply(const std::vector<ApplyItem>& items);
   absl::StatusOr<ChangeResult> Delete(const ResourceKey& key, std::optional<Revision> expected);
   absl::StatusOr<boost::json::object> Status();
+  /// Requests under which back ends ended.
+  absl::StatusOr<boost::json::object> Suspects();
+  /// Lifts what is held against one of them.
+  absl::StatusOr<ChangeResult> LiftSuspect(const std::string& request);
   absl::StatusOr<std::vector<LaggingNode>> Lagging(Revision revision);
   /// Waits up to `wait` for a revision after `after`; gives the newest.
   absl::StatusOr<Revision> Watch(Revision after, Duration wait);
--- a/source/ctl/ctl_options.cc
+++ b/source/ctl/ctl_options.cc
@@ -22,9 +22,9 @@
 
 constexpr const char* kServersVariable = "MILLSTAIR_SERVERS";
 constexpr const char* kSettingsVariable = "MILLSTAIRCTL_SETTINGS";
-constexpr std::array<std::string_view, 11> kCommands = {"apply",    "get",    "delete",  "diff",
-                                                        "validate", "status", "wait",    "drain",
-                                                        "undrain",  "watch",  "replicas"};
+constexpr std::array<std::string_view, 12> kCommands = {
+    "apply", "get",   "delete",  "diff",  "validate", "status",
+    "wait",  "drain", "undrain", "watch", "replicas", "suspects"};
 
 po::options_description VisibleOptions() {
   po::options_description options("Options");
@@ -146,7 +146,8 @@
           "  drain KIND/NAME...          no new work for a Machine or Engine\n"
           "  undrain KIND/NAME...        the opposite\n"
           "  watch                       print each new revision\n"
-          "  replicas list | add NODE ADDRESS REPLICA | remove NODE\n\n"
+          "  replicas list | add NODE ADDRESS REPLICA | remove NODE\n"
+          "  suspects list | lift REQUEST  requests under which back ends ended\n\n"
        << VisibleOptions()
        << "\nServers come from --server, else MILLSTAIR_SERVERS (comma-separated), else the "
           "settings "
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -147,7 +147,7 @@
 
 void ForwardFlow::BeginTrial() {
   watch_.BeginTrial([this](bool granted) {
-    if (!granted) return Withhold(kTrialPause);
+    if (!granted) return Withhold(kClientTrialPauses.front());
     SendOrWait();
   });
 }
@@ -169,7 +169,7 @@
   const Duration ran = context.environment.Now() - sent_at;
   LogEvent(EventId::kTryLost,
            "request={} fingerprint={} instance={} ran_ms={} running_there={} reason=\"{}\"",
-           request.request_id, FingerprintOf(request), instance,
+           request.request_id, FingerprintOf(IdentityOf(request)), instance,
            std::chrono::duration_cast<std::chrono::milliseconds>(ran).count(),
            context.directory.Running(instance), reason);
 }
--- a/source/ingress/forward_request.h
+++ b/source/ingress/forward_request.h
@@ -24,9 +24,9 @@
   TenantName tenant;
 };
 
-inline RequestFingerprint FingerprintOf(const ForwardRequest& request) {
-  return FingerprintOf(
-      {request.http.method, request.host, request.http.target, request.tenant, request.http.body});
+inline RequestIdentity IdentityOf(const ForwardRequest& request) {
+  return {request.http.method, request.host, request.http.target, request.tenant,
+          request.http.body};
 }
 
 }  // namespace millstair
--- a/source/ingress/request_guard.cc
+++ b/source/ingress/request_guard.cc
@@ -11,6 +11,9 @@
 /// Requests of which a node remembers what it saw itself (some 100 kB). Those with the fewest
 /// crashes go first.
 constexpr size_t kMostSeen = 256;
+/// Requests that are remembered as served in one span (some 30 kB); a busier node remembers those
+/// of a shorter one.
+constexpr size_t kMostServed = 2048;
 /// Between two reports of what the cluster did not take.
 constexpr Duration kReportPause = std::chrono::seconds(1);
 
@@ -24,6 +27,7 @@
       protocol_(protocol),
       health_path_(std::move(health_path)),
       stats_(stats),
+      digest_seed_(environment.Random()()),
       report_timer_(environment) {}
 
 void RequestGuard::Update(const SuspectRequests& suspects) {
@@ -65,33 +69,35 @@
   return crashed.size();
 }
 
-GuardDecision RequestGuard::Judge(const RequestFingerprint& request) const {
+GuardDecision RequestGuard::Judge(const RequestFingerprint& request,
+                                  const TrialPauses& pauses) const {
   const Seen* seen = FindSeen(request);
   const Known* known = FindKnown(request);
   GuardDecision decision;
   if (seen == nullptr && known == nullptr) return decision;
-  decision.crashes = CrashesOf(seen, known);
-  decision.trials = known == nullptr ? 0 : known->record.trials;
-  const SuspectStanding standing = StandingOf(decision.crashes, decision.trials);
+  const size_t crashes = CrashesOf(seen, known);
+  decision.count = known == nullptr ? CrashCount{crashes, 0, 0} : known->record.CountWith(crashes);
+  decision.standing = StandingOf(decision.count);
   const size_t in_doubt = seen == nullptr ? 0 : seen->in_doubt.size();
-  if (standing == SuspectStanding::kWatched) {
-    const bool may_hold = in_doubt > 0 && decision.crashes + in_doubt >= kCrashesToHold;
+  if (decision.standing == SuspectStanding::kWatched) {
+    const bool may_hold = in_doubt > 0 && crashes + in_doubt >= kCrashesToHold;
     decision.verdict = may_hold ? GuardVerdict::kWait : GuardVerdict::kSend;
     return decision;
   }
   decision.verdict = GuardVerdict::kRefuse;
-  if (standing == SuspectStanding::kBarred) {
+  if (decision.standing == SuspectStanding::kBarred) {
     decision.retry_after = kBarredRetryAfter;
     return decision;
   }
   TimePoint since = known == nullptr ? environment_.Now() : known->learned_at;
   if (seen != nullptr) since = std::max(since, seen->changed_at);
-  decision.retry_after = std::max(since + kTrialPause - environment_.Now(), Duration(0));
+  const Duration pause = pauses[decision.count.trials];
+  decision.retry_after = std::max(since + pause - environment_.Now(), Duration(0));
   if (decision.retry_after > Duration(0)) return decision;
   // The cluster grants trials of what it holds only.
-  const bool cluster_holds = known != nullptr && known->record.standing() == standing;
+  const bool cluster_holds = known != nullptr && known->record.standing() == decision.standing;
   if (cluster_holds && register_ != nullptr) decision.verdict = GuardVerdict::kTrial;
-  decision.retry_after = kTrialPause;
+  decision.retry_after = kClientTrialPauses.front();
   return decision;
 }
 
@@ -198,6 +204,25 @@
   }));
 }
 
+void RequestGuard::RememberServed(uint64_t digest) {
+  BeginSpanIfDue();
+  served_.insert(digest);
+}
+
+bool RequestGuard::ServedLately(uint64_t digest) {
+  BeginSpanIfDue();
+  return served_.contains(digest) || served_before_.contains(digest);
+}
+
+void RequestGuard::BeginSpanIfDue() {
+  const Duration passed = environment_.Now() - span_begun_;
+  if (passed < kServedSpan && served_.size() < kMostServed) return;
+  served_before_.clear();
+  if (passed < 2 * kServedSpan) std::swap(served_, served_before_);
+  served_.clear();
+  span_begun_ = environment_.Now();
+}
+
 void RequestGuard::NoteGivenUp(const RequestFingerprint& request) {
   const auto found = seen_.find(request);
   if (found == seen_.end()) return;
--- a/source/ingress/request_guard.h
+++ b/source/ingress/request_guard.h
@@ -2,14 +2,15 @@
 ///
 /// A request that loses its back end is counted against the back end's life only if that life has
 /// ended (LifeCheck). Who else ran there at that moment is counted as well: what tells them apart
-/// is that they are answered at the next back end, which clears them, and that a request is held
-/// only after a second crash without an answer between. The counts of all nodes meet in the
-/// cluster's record (SuspectLedger), which reaches each node with its configuration, also one that
-/// has just started; a node adds what it saw itself and the record does not hold yet. A held
-/// request is sent by one node at a time in the cluster (BeginTrial), long enough after its last
-/// crash that the servers it ended are back.
+/// is that they are answered at the next back end, which clears them, that what was served lately
+/// is not counted, and that a request is held only after a second crash without an answer between.
+/// The counts of all nodes meet in the cluster's record (SuspectLedger), which reaches each node
+/// with its configuration, also one that has just started; a node adds what it saw itself and the
+/// record does not hold yet. A held request is sent by one node at a time in the cluster
+/// (BeginTrial), long enough after its last crash that the servers it ended are back.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,6 +19,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/container/flat_hash_set.h"
 #include "cluster/configuration.h"
 #include "common/alive_flag.h"
 #include "common/environment.h"
@@ -27,9 +29,19 @@
 
 namespace millstair {
 
-/// From the last crash of a held request, or the last trial, until it may be tried again. Longer
-/// than servers take to come back (3 s), so that a trial never takes a service's last server.
-inline constexpr Duration kTrialPause = std::chrono::seconds(5);
+/// How long a held request rests between its last crash, or the last trial, and the next trial: one
+/// pause for each trial that the cluster grants.
+using TrialPauses = std::array<Duration, kMostTrials>;
+/// Requests of clients. Longer than servers take to come back (3 s), so that a trial never takes a
+/// service's last server; then longer than an outage.
+inline constexpr TrialPauses kClientTrialPauses = {
+    std::chrono::seconds(5), std::chrono::seconds(30), std::chrono::seconds(120)};
+/// Items of batch jobs: the text of one that met two crashes by chance is due in some seconds.
+inline constexpr TrialPauses kItemTrialPauses = {Duration(0), std::chrono::seconds(5),
+                                                 std::chrono::seconds(30)};
+/// What a node has seen served in this or the last span of this length crashes no server: losing it
+/// says nothing. Popular requests run at all servers all day and would meet each crash.
+inline constexpr Duration kServedSpan = std::chrono::seconds(5);
 /// When callers of a barred request may come back: nothing changes before an operator acts.
 inline constexpr Duration kBarredRetryAfter = std::chrono::seconds(60);
 /// A check of a life is under way; it takes some milliseconds.
@@ -47,9 +59,9 @@
   GuardVerdict verdict = GuardVerdict::kSend;
   /// For kRefuse: when it may be tried again.
   Duration retry_after{0};
-  /// Lives that ended under the request, as far as this node knows, and trials since.
-  size_t crashes = 0;
-  uint32_t trials = 0;
+  /// As far as this node knows.
+  CrashCount count;
+  SuspectStanding standing = SuspectStanding::kWatched;
 };
 
 /// A request as the guard knows it.
@@ -78,7 +90,8 @@
   bool idle() const { return places_.empty(); }
   /// Whether a request of `place` can be suspected at all; saves making its fingerprint.
   bool MayBeSuspect(const std::string& place) const;
-  GuardDecision Judge(const RequestFingerprint& request) const;
+  GuardDecision Judge(const RequestFingerprint& request,
+                      const TrialPauses& pauses = kClientTrialPauses) const;
   /// `done` hears whether this node may send the request once.
   void BeginTrial(const RequestFingerprint& request, std::function<void(bool granted)> done);
 
@@ -86,6 +99,11 @@
   void NoteLost(const GuardedRequest& request, const BackendInstance& instance);
   /// A back end has answered the request, or got further with it than those that ended.
   void NoteServed(const RequestFingerprint& request);
+  /// A back end has answered a request, suspect or not; `digest` tells it from others.
+  void RememberServed(uint64_t digest);
+  bool ServedLately(uint64_t digest);
+  /// Seeds the digests of this process, so that nobody can foresee them.
+  uint64_t digest_seed() const { return digest_seed_; }
   /// No try of this node follows: its crashes are reported even if there is only one. One crash of
   /// a request that is tried again here is not: the next answer clears it, and a crash of a server
   /// strikes all that runs there.
@@ -120,6 +138,7 @@
   void ReportSoon();
   void DropOldSeen();
   void RefreshPlaces();
+  void BeginSpanIfDue();
   static size_t CrashesOf(const Seen* seen, const Known* known);
   const Seen* FindSeen(const RequestFingerprint& request) const;
   const Known* FindKnown(const RequestFingerprint& request) const;
@@ -135,6 +154,11 @@
   /// Places of all that is seen or known.
   std::set<std::string> places_;
   std::map<InstanceId, Check> checks_;
+  const uint64_t digest_seed_;
+  /// Digests of what was served in this span and in the one before.
+  absl::flat_hash_set<uint64_t> served_;
+  absl::flat_hash_set<uint64_t> served_before_;
+  TimePoint span_begun_;
   ScopedTimer report_timer_;
   AliveFlag alive_;
 };
--- a/source/ingress/request_watch.cc
+++ b/source/ingress/request_watch.cc
@@ -7,7 +7,7 @@
 namespace millstair {
 
 const RequestFingerprint& RequestWatch::fingerprint() {
-  if (!fingerprint_) fingerprint_ = FingerprintOf(request_);
+  if (!fingerprint_) fingerprint_ = FingerprintOf(IdentityOf(request_));
   return *fingerprint_;
 }
 
@@ -23,7 +23,8 @@
   if (decision.verdict == GuardVerdict::kRefuse) {
     LogEvent(EventId::kRequestWithheld,
              "request={} fingerprint={} place=\"{}\" crashes={} trials={} retry_after_ms={}",
-             request_.request_id, fingerprint(), place(), decision.crashes, decision.trials,
+             request_.request_id, fingerprint(), place(), decision.count.crashes,
+             decision.count.trials,
              std::chrono::duration_cast<std::chrono::milliseconds>(decision.retry_after).count());
   }
   return decision;
@@ -38,16 +39,22 @@
 
 bool RequestWatch::IsSuspect() {
   if (lost_ || on_trial_) return true;
-  return MayBeSuspect() && guard_.Judge(fingerprint()).crashes > 0;
+  return MayBeSuspect() && guard_.Judge(fingerprint()).count.crashes > 0;
 }
 
 void RequestWatch::NoteLost(const BackendInstance& instance) {
-  lost_ = true;
   trial_used_ = on_trial_;
+  if (!on_trial_ && guard_.ServedLately(digest())) return;
+  lost_ = true;
   guard_.NoteLost({fingerprint(), place()}, instance);
 }
 
+uint64_t RequestWatch::digest() const {
+  return DigestOf(IdentityOf(request_), guard_.digest_seed());
+}
+
 void RequestWatch::NoteServed() {
+  guard_.RememberServed(digest());
   if (!MayBeSuspect()) return;
   lost_ = false;
   guard_.NoteServed(fingerprint());
--- a/source/ingress/request_watch.h
+++ b/source/ingress/request_watch.h
@@ -38,6 +38,7 @@
  private:
   const RequestFingerprint& fingerprint();
   const std::string& place();
+  uint64_t digest() const;
   bool MayBeSuspect() { return lost_ || (!guard_.idle() && guard_.MayBeSuspect(place())); }
 
   RequestGuard& guard_;
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -102,7 +102,7 @@
     case GuardVerdict::kTrial:
       return watch_.BeginTrial([this](bool granted) {
         if (granted) return SendRun();
-        Withhold(kTrialPause);
+        Withhold(kClientTrialPauses.front());
       });
     case GuardVerdict::kRefuse:
       return Withhold(decision.retry_after);
--- a/source/jobs/job_guard.cc
+++ b/source/jobs/job_guard.cc
@@ -1,7 +1,7 @@
 /// The part of JobScheduler that keeps an item from engines after engine that it crashes. All that
 /// runs at an engine when it ends is cut off; an item that crashes engines is the one whose text is
 /// not an event longer the next time.
-#include <algorithm>
+
 #include <utility>
 
 #include "common/event_log.h"
@@ -12,8 +12,9 @@
 namespace millstair {
 namespace {
 
-/// A held item is looked at again this often.
-constexpr Duration kLookAgain = std::chrono::seconds(1);
+/// A held item is looked at again this often: another one of the same content may get further
+/// meanwhile, which clears both.
+constexpr Duration kLookAgain = std::chrono::milliseconds(250);
 constexpr char kItemMethod[] = "POST";
 
 }  // namespace
@@ -28,30 +29,28 @@
 }
 
 bool JobScheduler::MaySend(Work& work, const JobRecord& record) {
-  const RequestGuard& guard = ingress_.guard();
-  if (guard.idle()) return true;
+  RequestGuard& guard = ingress_.guard();
+  if (work.trial_granted || guard.idle()) return true;
   const std::string place = PlaceOf(record.spec.host, record.spec.items[work.index].path);
   if (!guard.MayBeSuspect(place)) return true;
   const RequestFingerprint& item = FingerprintOf(work, record);
-  const GuardDecision decision = guard.Judge(item);
-  const TimePoint now = environment_.Now();
+  const GuardDecision decision = guard.Judge(item, kItemTrialPauses);
   switch (decision.verdict) {
     case GuardVerdict::kSend:
       return true;
     case GuardVerdict::kWait:
       return false;
     case GuardVerdict::kTrial:
-      if (work.trial_granted) return true;
       AskForTrial(work, item);
       return false;
     case GuardVerdict::kRefuse:
-      if (work.trial_granted) return true;
-      work.not_before = now + std::min(decision.retry_after, kLookAgain);
-      LogEvent(EventId::kRequestWithheld, "job={} item={} fingerprint={} crashes={} trials={}",
-               work.job, record.spec.items[work.index].id, item, decision.crashes, decision.trials);
-      return false;
+      break;
   }
-  return true;
+  work.not_before = environment_.Now() + kLookAgain;
+  LogEvent(EventId::kRequestWithheld, "job={} item={} fingerprint={} crashes={} trials={}",
+           work.job, record.spec.items[work.index].id, item, decision.count.crashes,
+           decision.count.trials);
+  return false;
 }
 
 void JobScheduler::AskForTrial(Work& work, const RequestFingerprint& item) {
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -88,8 +88,8 @@
     std::optional<RequestFingerprint> fingerprint;
     /// Events of the text when the latest of its runs lost its engine.
     std::optional<uint64_t> lost_after_events;
-    /// A trial of the item, which is held, is being asked for, or granted and no run begun by it
-    /// yet.
+    /// The item is held, and the cluster is asked for a trial, or has granted one that no run has
+    /// used yet.
     bool trial_asked = false;
     bool trial_granted = false;
     /// How often it was moved to a faster engine.
--- a/source/quarantine/request_fingerprint.cc
+++ b/source/quarantine/request_fingerprint.cc
@@ -7,6 +7,9 @@
 
 #include "fmt/format.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace millstair {
 namespace {
 
@@ -30,6 +33,16 @@
 
 }  // namespace
 
+uint64_t DigestOf(const RequestIdentity& identity, uint64_t seed) {
+  // Each part's digest seeds the next, so that parts don't run into each other.
+  uint64_t digest = seed;
+  for (const std::string_view part : {identity.method, identity.host, identity.target,
+                                      std::string_view(identity.caller.value()), identity.body}) {
+    digest = XXH3_64bits_withSeed(part.data(), part.size(), digest);
+  }
+  return digest;
+}
+
 RequestFingerprint FingerprintOf(const RequestIdentity& identity) {
   std::string text;
   AppendPart(text, identity.method);
--- a/source/quarantine/request_fingerprint.h
+++ b/source/quarantine/request_fingerprint.h
@@ -2,6 +2,7 @@
 /// other headers differ from one try to the next and don't count.
 #pragma once
 
+#include <cstdint>
 #include <string_view>
 
 #include "common/ids.h"
@@ -23,6 +24,9 @@
 /// fingerprint takes some 10 ms at most.
 inline constexpr size_t kMostFingerprintedBytes = 1024 * 1024;
 
+/// A quick digest of the same parts, for tables of one process; not for others.
+uint64_t DigestOf(const RequestIdentity& identity, uint64_t seed);
+
 /// A name-based identifier (RFC 4122, version 5) of all parts: 36 characters. Nobody can make a
 /// request that has the fingerprint of another one's: that takes a second preimage of SHA-1. So it
 /// needs no secret, and a node that has just started makes the same one as all others.
--- a/source/quarantine/suspect_ledger.cc
+++ b/source/quarantine/suspect_ledger.cc
@@ -42,7 +42,9 @@
   if (found == suspects_.end()) return false;
   SuspectRequest& suspect = found->second;
   if (suspect.changed_at != seen || suspect.standing() != SuspectStanding::kHeld) return false;
-  ++suspect.trials;
+  if (suspect.trials++ == 0) {
+    suspect.crashes_before_trials = static_cast<uint32_t>(suspect.crashed.size());
+  }
   Touch(suspect);
   return true;
 }
--- a/source/quarantine/suspect_request.cc
+++ b/source/quarantine/suspect_request.cc
@@ -24,9 +24,19 @@
   return "barred";
 }
 
-SuspectStanding StandingOf(size_t crashes, uint32_t trials) {
-  if (crashes >= kCrashesToBar || trials >= kMostTrials) return SuspectStanding::kBarred;
-  return crashes >= kCrashesToHold ? SuspectStanding::kHeld : SuspectStanding::kWatched;
+SuspectStanding StandingOf(const CrashCount& count) {
+  if (count.in_trials >= kTrialCrashesToBar || count.trials >= kMostTrials) {
+    return SuspectStanding::kBarred;
+  }
+  return count.crashes >= kCrashesToHold ? SuspectStanding::kHeld : SuspectStanding::kWatched;
+}
+
+CrashCount SuspectRequest::CountWith(size_t crashes) const {
+  CrashCount count{crashes, trials, 0};
+  if (trials > 0 && crashes > crashes_before_trials) {
+    count.in_trials = crashes - crashes_before_trials;
+  }
+  return count;
 }
 
 }  // namespace millstair
--- a/test/cluster/control_node_test.cc
+++ b/test/cluster/control_node_test.cc
@@ -429,6 +429,7 @@
       {"GET", "/v1/%zz", "", {}, 400},
       {"POST", "/v1/replicas", "{}", {}, 400},
       {"DELETE", "/v1/replicas/none", "", {}, 404},
+      {"DELETE", "/v1/suspects/none", "", {}, 404},
   };
   for (const Case& test : cases) {
     const RecordedAnswer answer =
@@ -439,5 +440,27 @@
   }
 }
 
+TEST_CASE("operators see which requests crash back ends, and lift what is held against one") {
+  ClusterFleet fleet({});
+  const std::string leader = fleet.AwaitLeader();
+  ReportCrashes report;
+  report.reports = {
+      {RequestFingerprint("r1"), "a.example/p", {InstanceId("i1"), InstanceId("i2")}}};
+  fleet.Process(leader).control->Submit(report, [](const absl::StatusOr<ClusterResult>&) {});
+  fleet.RunFor(std::chrono::seconds(1));
+  // Every control node knows, also those that don't lead.
+  for (const char* node : {"c1", "c2", "c3"}) {
+    const RecordedAnswer listed = fleet.Ask(node, "GET", "/v1/suspects");
+    CHECK(listed.status == 200);
+    CHECK(
+        listed.body.find(R"("request":"r1","place":"a.example/p","standing":"held","crashes":2)") !=
+        std::string::npos);
+  }
+  CHECK(fleet.Ask("c1", "DELETE", "/v1/suspects/r1").status == 200);
+  fleet.RunFor(std::chrono::seconds(1));
+  CHECK(fleet.Ask("c2", "GET", "/v1/suspects").body == R"({"suspects":[]})");
+  CHECK(fleet.Ask("c3", "DELETE", "/v1/suspects/r1").status == 404);
+}
+
 }  // namespace
 }  // namespace millstair
--- a/test/jobs/crashing_request_test.cc
+++ b/test/jobs/crashing_request_test.cc
@@ -157,6 +157,25 @@
   CHECK(SentLater(*fleet.servers, kCrash) <= kAllowedLater);
 }
 
+TEST_CASE("Calls of one content that meet every crash of an outage are served after it") {
+  const uint64_t seed = GENERATE(range(41, 45));
+  INFO("seed " << seed);
+  IngressFleet fleet(seed, kGateways, kServers, PagesRoute(2));
+  Callers callers(fleet);
+  Served during;
+  // Nobody has seen it served: it comes with the outage.
+  callers.Repeat("/p/score", milliseconds(2), seconds(4), during);
+  for (const std::string& address : fleet.servers->addresses()) {
+    fleet.scheduler.RunFor(milliseconds(15));
+    fleet.servers->Crash(address, "outage");
+  }
+  fleet.scheduler.RunFor(seconds(10));
+  Served after;
+  callers.Repeat("/p/score", milliseconds(20), seconds(10), after);
+  fleet.scheduler.RunFor(seconds(12));
+  CHECK(static_cast<double>(after.answered) >= 0.99 * static_cast<double>(after.asked));
+}
+
 TEST_CASE("Proper pages are served on while servers crash one after another") {
   const uint64_t seed = GENERATE(range(31, 35));
   INFO("seed " << seed);
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -10,7 +10,8 @@
 from documents import (FLAWS, HOST, MODEL, MOVED_ROUTE, SCORE_ROUTE, flawed_text,
                        routing_document)
 from fleet import SERVICE, ip_of
-from history import Acknowledged, Call, Listed, OperatorCall, ReadBack, Sent, now
+from history import (Acknowledged, Call, CrashingCall, Listed, OperatorCall, ReadBack, Sent,
+                     now)
 
 DEADLINE = 2.0
 NOT_RUN = (408, 421, 429, 503)
@@ -96,6 +97,36 @@
             time.sleep(0.1)
 
 
+class CrashingCaller:
+    """Sends a request that crashes the back ends that run it, again and again, to any gateway; each
+    time once more to another one when it gets no answer."""
+
+    PAUSE = (0.3, 1.2)
+
+    def __init__(self, layout, history, number):
+        self._layout = layout
+        self._history = history
+        self._target = f"/pages/crash-{number}"
+        self.stopped = False
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self):
+        while not self.stopped:
+            for _ in range(2):
+                self._ask()
+            time.sleep(random.uniform(*self.PAUSE))
+
+    def _ask(self):
+        machine = random.choice(self._layout.gateways)
+        call = self._history.add(CrashingCall(new_id(), self._target, machine, now()))
+        headers = {"Host": HOST, "Request-Id": call.request,
+                   "Deadline-Ms": str(int(DEADLINE * 1000))}
+        try:
+            exchange(machine, "GET", self._target, None, headers, DEADLINE)
+        except OSError:
+            pass  # it is asked for again
+
+
 class Operator:
     """Changes the configuration now and then, and reads it back at any node. Sends what was
     acknowledged again, invalid documents, and at times two documents at once to different nodes."""
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -2,8 +2,8 @@
 
 from back_ends import is_stamp
 from callers import NOT_RUN
-from history import Acknowledged, Call, Listed, Order, Run, Span
-from routing_checks import Touch, check_routing
+from history import Acknowledged, Call, CrashingRun, CrashingCall, Listed, Order, Run, Span
+from routing_checks import CONTACT, Touch, check_routing
 from row import Row
 
 # Bound of the settings of this fleet, in seconds.
@@ -11,6 +11,12 @@
 # Orders this soon after a process thawed or a link healed are not its holder's fault.
 THAW = 0.3
 SERVED_SHARE = 0.25
+# So often may a request that has crashed three back ends be sent on, CONTACT after the third.
+CRASHES_KNOWN = 3
+SENT_LATER = 3
+# What an answer says to a request that is withheld; so many proper ones may be, by mistake.
+WITHHELD = "back ends ended under this request"
+WITHHELD_SHARE, WITHHELD_MOST = 0.002, 5
 
 
 def check_answers(history, instances):
@@ -100,6 +106,29 @@
     return row
 
 
+def check_crashing(history, layout):
+    """A request that crashes its back ends is soon sent to none, and no proper one is taken for
+    one."""
+    row = Row("crashing requests soon sent no more")
+    touch = Touch(history, layout)
+    machines = {call.request: call.machine for call in history.of(CrashingCall)}
+    runs = {}
+    for run in sorted(history.of(CrashingRun), key=lambda run: run.at):
+        runs.setdefault(run.target, []).append(run)
+    for target, each in runs.items():
+        ended = [run.at for run in each if run.ended][:CRASHES_KNOWN]
+        known = ended[-1] + CONTACT if len(ended) == CRASHES_KNOWN else float("inf")
+        later = [run for run in each
+                 if run.at > known and touch.gateway(machines[run.request], run.at, run.at)]
+        row.case(len(later) <= SENT_LATER, (target, len(each), later))
+    proper = Row("proper requests not withheld")
+    calls = history.of(Call)
+    withheld = [call for call in calls if call.status == 503 and WITHHELD in call.body]
+    allowed = WITHHELD_MOST + WITHHELD_SHARE * len(calls)
+    proper.case(len(withheld) <= allowed, (len(withheld), len(calls), withheld[:2]))
+    return [row, proper]
+
+
 def check_service(history, trainer, end_of_faults):
     """Requests and steps are served again once the faults are over."""
     row = Row("served again after the faults")
@@ -117,4 +146,5 @@
         check_answers(history, instances), *check_at_most_once(history),
         *check_routing(history, operator, trainer, layout), check_leaving(history, layout),
         *check_results(history, trainer, instances), check_orders(history),
+        *check_crashing(history, layout),
         check_service(history, trainer, end_of_faults)]
--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -14,7 +14,7 @@
                        moved_service, routing_document, score_service, service_of)
 from faults import Faults
 from fleet import Layout
-from history import (Acknowledged, Call, History, Listed, OperatorCall, Order, ReadBack, Run, Sent,
+from history import (Acknowledged, Call, CrashingCall, CrashingRun, History, Listed, OperatorCall, Order, ReadBack, Run, Sent,
                      Span, Started)
 
 INSTANCES = {"i-1"}
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -39,6 +39,27 @@
         return int(self.gateway.rsplit(".", 1)[1])
 
 
+@dataclasses.dataclass
+class CrashingCall:
+    """A caller sent a request that crashes the back ends that run it."""
+
+    request: str
+    target: str
+    machine: int
+    sent: float
+
+
+@dataclasses.dataclass
+class CrashingRun:
+    """A back end began to run such a request, and ended by it if nothing else ended it before."""
+
+    request: str
+    target: str
+    instance: str
+    at: float
+    ended: bool = False
+
+
 @dataclasses.dataclass
 class Acknowledged:
     """A routing document or the leaving of a back end, and when it was first acknowledged."""
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -13,7 +13,7 @@
 import time
 
 from back_ends import BackEndBoard
-from callers import Client, Operator, Trainer
+from callers import Client, CrashingCaller, Operator, Trainer
 from checks import check_all
 from faults import Faults
 from fleet import Fleet, Layout, use_free_subnet, use_subnet
@@ -41,6 +41,8 @@
     parser.add_argument("--pause", type=float, default=1.5,
                         help="shortest pause of a series between two faults, in seconds")
     parser.add_argument("--clients", type=int, default=6, help="clients on connections they keep")
+    parser.add_argument("--crashing", type=int, default=2,
+                        help="requests that crash the back ends that run them")
     parser.add_argument("--probe", type=float, default=0.3,
                         help="seconds between two probes of one gateway")
     parser.add_argument("--change", type=float, default=2.5,
@@ -98,6 +100,7 @@
         faults.choose(arguments.kinds.split(","))
     time.sleep(2)
     callers = [Client(layout, history) for _ in range(arguments.clients)]
+    callers += [CrashingCaller(layout, history, number) for number in range(arguments.crashing)]
     callers.append(Prober(layout, history, operator, arguments.probe))
     trainer = Trainer(layout, history)
     operator.start()
