--- /dev/null
+++ b/test/platform/server_lives_test.cc
@@ -0,0 +1,101 @@
+/// Servers that start again under the name that they had, and entries that are no server's: from what
+/// is said on the wire to what the cluster believes.
+#include <catch2/catch.hpp>
+
+#include "fmt/format.h"
+#include "platform/instance_codec.h"
+#include "test/cluster/cluster_test_support.h"
+
+namespace millstair::platform {
+namespace {
+
+/// What a server says of itself.
+struct Beat {
+  uint64_t born = 0;
+  uint64_t sequence = 1;
+  std::string address = "10.0.0.1:80";
+  std::string state = "ready";
+  uint64_t version = 1;
+};
+
+std::string BodyOf(const Beat& beat) {
+  return fmt::format(
+      R"({{"service":"s","addr":"{}","zone":"z","version":"v1","slots":8,"state":"{}",
+           "cold_left_ms":0,"models":[{{"name":"m","version":{}}}],"born":{},"seq":{}}})",
+      beat.address, beat.state, beat.version, beat.born, beat.sequence);
+}
+
+class Fixture {
+ public:
+  void Say(const Beat& beat) {
+    const auto instance = ReadHeartbeat("i-1", BodyOf(beat));
+    REQUIRE(instance.ok());
+    driver.Apply(UpdateInstance{*instance});
+  }
+
+  /// All that may get work.
+  std::vector<BackendInstance> Live() const {
+    std::vector<BackendInstance> live;
+    for (const auto& [id, instance] : driver.state.configuration().instances) {
+      if (instance.state == MemberState::kLive) live.push_back(instance);
+    }
+    return live;
+  }
+
+  StateMachineDriver driver;
+};
+
+TEST_CASE("A server that returns under its name with its counts at the start is believed") {
+  Fixture fixture;
+  fixture.Say({1000, 9, "10.0.0.1:80", "ready", 5});
+  fixture.Say({2000, 1, "10.0.0.2:80", "ready", 1});
+  const auto live = fixture.Live();
+  REQUIRE(live.size() == 1);
+  CHECK(live[0].address == "10.0.0.2:80");
+  CHECK(live[0].models == std::vector<NamedVersion>{{ModelName("m"), WeightVersion(1)}});
+  CHECK(live[0].sequence == 1);
+}
+
+TEST_CASE("A server that left is believed in its next life and its last words change nothing") {
+  Fixture fixture;
+  fixture.Say({1000, 9, "10.0.0.1:80", "draining", 5});
+  CHECK(fixture.Live().empty());
+  fixture.Say({2000, 1, "10.0.0.1:80", "ready", 1});
+  CHECK(fixture.Live().size() == 1);
+  // Held up on their way by a cut.
+  for (uint64_t sequence = 10; sequence < 20; ++sequence) {
+    fixture.Say({1000, sequence, "10.0.0.1:80", "draining", 5});
+    fixture.Say({2000, sequence, "10.0.0.1:80", "ready", 1});
+  }
+  const auto live = fixture.Live();
+  REQUIRE(live.size() == 1);
+  CHECK(live[0].models == std::vector<NamedVersion>{{ModelName("m"), WeightVersion(1)}});
+}
+
+TEST_CASE("An entry by another writer names no server") {
+  const std::string whole = BodyOf({1000, 1, "10.0.0.1:80", "ready", 1});
+  REQUIRE(ReadHeartbeat("i-1", whole).ok());
+  const std::vector<std::pair<std::string, std::string>> faults = {
+      {R"("state":"ready")", R"("state":"paused")"},
+      {R"("state":"ready")", R"("state":3)"},
+      {R"("zone":"z",)", ""},
+      {R"("slots":8,)", ""},
+      {R"("addr":"10.0.0.1:80")", R"("addr":"here")"},
+      {R"("service":"s")", R"("service":"")"},
+      {R"("service":"s")", R"("service":["s"])"},
+      {R"("born":1000)", R"("born":"1000")"},
+      {R"("born":1000)", R"("born":1.5)"},
+      {R"("version":1}])", R"("version":-1}])"},
+  };
+  for (const auto& [part, fault] : faults) {
+    std::string body = whole;
+    const size_t at = body.find(part);
+    REQUIRE(at != std::string::npos);
+    body.replace(at, part.size(), fault);
+    INFO(body);
+    CHECK_FALSE(ReadHeartbeat("i-1", body).ok());
+  }
+}
+
+}  // namespace
+}  // namespace millstair::platform
