Go by a clock that counts the time for which the machine was suspended

Cause: the one clock of decisions was the steady clock, which stands still while a machine is suspended. On waking a node took its lease, its proof of freshness, a fence or a duty for valid that had run out by all others' clocks.

Change: RuntimeEnvironment goes by CLOCK_BOOTTIME; it is the only place that reads a clock for promises. Timers wait by the steady clock and are judged by this one, so those due during a suspension go off with the first timer after waking, at the latest a heartbeat.

Tests with a clock that jumps by 60 s under a timer of 30 s; it fails without the change by waiting for it. A real suspension was not played: the machine that this was written on can't be suspended by a test.

--- a/source/common/environment.h
+++ b/source/common/environment.h
@@ -22,7 +22,8 @@
  public:
   virtual ~Environment() = default;
 
-  /// Monotonic time of this node.
+  /// Monotonic time of this node, which goes on while its machine is suspended. The one clock for
+  /// all promises: leases, proofs of freshness, fences, duties, pauses.
   virtual TimePoint Now() const = 0;
   /// Wall time of this node; may be wrong or jump.
   virtual WallTime WallNow() const = 0;
--- a/source/runtime/runtime_environment.cc
+++ b/source/runtime/runtime_environment.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <ctime>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -10,9 +11,13 @@
 namespace millstair {
 namespace {
 
-TimePoint SteadyNow() {
-  return TimePoint(
-      std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+/// Counts the time for which the machine was suspended, which the steady clock does not: all others
+/// did not stand still. A lease, a proof of freshness, a fence or a duty has run out meanwhile.
+TimePoint BootTimeNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) +
+                                                        std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 }  // namespace
@@ -21,12 +26,15 @@
 /// Touched on the executor only; the Asio handler merely posts.
 class RuntimeEnvironment::TimerQueue : public std::enable_shared_from_this<TimerQueue> {
  public:
-  TimerQueue(boost::asio::io_context& io, std::shared_ptr<SerialExecutor> executor)
-      : executor_(std::move(executor)), timer_(io) {}
+  TimerQueue(boost::asio::io_context& io, std::shared_ptr<SerialExecutor> executor,
+             std::function<TimePoint()> clock)
+      : executor_(std::move(executor)), clock_(std::move(clock)), timer_(io) {}
+
+  TimePoint Now() const { return clock_(); }
 
   uint64_t Add(Duration delay, std::function<void()> callback) {
     const uint64_t id = ++last_id_;
-    const Key key{SteadyNow() + std::max(delay, Duration(0)), id};
+    const Key key{Now() + std::max(delay, Duration(0)), id};
     callbacks_.emplace(key, std::move(callback));
     deadlines_.emplace(id, key.deadline);
     ArmForFirst();
@@ -62,7 +70,9 @@
     if (armed_ && armed_for_ <= first) return;
     armed_ = true;
     armed_for_ = first;
-    timer_.expires_at(std::chrono::steady_clock::time_point(first.time_since_epoch()));
+    // Waits by the steady clock. While the machine is suspended it stands still; the first timer
+    // that goes off afterwards, at the latest the next heartbeat, finds all others that are due.
+    timer_.expires_after(first - Now());
     timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
       if (error) return;
       self->executor_->Post([self] { self->RunDue(); });
@@ -72,7 +82,7 @@
   void RunDue() {
     if (closed_) return;
     armed_ = false;
-    const TimePoint now = SteadyNow();
+    const TimePoint now = Now();
     while (!closed_ && !callbacks_.empty() && callbacks_.begin()->first.deadline <= now) {
       auto due = callbacks_.extract(callbacks_.begin());
       deadlines_.erase(due.key().id);
@@ -82,6 +92,7 @@
   }
 
   std::shared_ptr<SerialExecutor> executor_;
+  const std::function<TimePoint()> clock_;
   boost::asio::steady_timer timer_;
   std::map<Key, std::function<void()>> callbacks_;
   std::unordered_map<uint64_t, TimePoint> deadlines_;
@@ -98,11 +109,16 @@
 
 RuntimeEnvironment::RuntimeEnvironment(Runtime& runtime, std::shared_ptr<SerialExecutor> executor,
                                        uint64_t seed)
-    : random_(seed), timers_(std::make_shared<TimerQueue>(runtime.io(), std::move(executor))) {}
+    : RuntimeEnvironment(runtime, std::move(executor), seed, BootTimeNow) {}
+
+RuntimeEnvironment::RuntimeEnvironment(Runtime& runtime, std::shared_ptr<SerialExecutor> executor,
+                                       uint64_t seed, std::function<TimePoint()> clock)
+    : random_(seed),
+      timers_(std::make_shared<TimerQueue>(runtime.io(), std::move(executor), std::move(clock))) {}
 
 RuntimeEnvironment::~RuntimeEnvironment() { timers_->Close(); }
 
-TimePoint RuntimeEnvironment::Now() const { return SteadyNow(); }
+TimePoint RuntimeEnvironment::Now() const { return timers_->Now(); }
 
 WallTime RuntimeEnvironment::WallNow() const {
   return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
--- a/source/runtime/runtime_environment.h
+++ b/source/runtime/runtime_environment.h
@@ -16,6 +16,9 @@
   /// Seeds the random engine from the operating system.
   RuntimeEnvironment(Runtime& runtime, std::shared_ptr<SerialExecutor> executor);
   RuntimeEnvironment(Runtime& runtime, std::shared_ptr<SerialExecutor> executor, uint64_t seed);
+  /// For tests: `clock` stands in for the machine's.
+  RuntimeEnvironment(Runtime& runtime, std::shared_ptr<SerialExecutor> executor, uint64_t seed,
+                     std::function<TimePoint()> clock);
   ~RuntimeEnvironment() override;
 
   TimePoint Now() const override;
--- a/test/runtime/runtime_test.cc
+++ b/test/runtime/runtime_test.cc
@@ -101,6 +101,50 @@
   executor->Stop();
 }
 
+TEST_CASE("Time for which the machine was suspended counts, and timers due meanwhile go off soon") {
+  Runtime runtime;
+  const auto executor = runtime.NewExecutor();
+  // The machine's clock that counts suspension; the steady clock, by which threads wait, does not.
+  std::atomic<int64_t> suspended_us{0};
+  const auto clock = [&suspended_us] {
+    const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(steady) + Duration(suspended_us.load()));
+  };
+  auto environment = std::make_unique<RuntimeEnvironment>(runtime, executor, 1, clock);
+  std::promise<void> due;
+  TimePoint scheduled;
+  TimePoint ran;
+  REQUIRE(executor->PostAndWait([&] {
+    scheduled = environment->Now();
+    environment->Schedule(std::chrono::seconds(30), [&] {
+      ran = environment->Now();
+      due.set_value();
+    });
+    // A heartbeat.
+    environment->Schedule(milliseconds(20), [] {});
+  }));
+  suspended_us = Duration(std::chrono::seconds(60)).count();
+  REQUIRE(due.get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+  REQUIRE(executor->PostAndWait([&] { environment.reset(); }));
+  CHECK(ran - scheduled >= std::chrono::seconds(30));
+  executor->Stop();
+}
+
+TEST_CASE("The clock of promises is the one that counts suspension") {
+  Runtime runtime;
+  const auto executor = runtime.NewExecutor();
+  RuntimeEnvironment environment(runtime, executor, 1);
+  timespec boot{};
+  clock_gettime(CLOCK_BOOTTIME, &boot);
+  const TimePoint before(
+      std::chrono::seconds(boot.tv_sec) +
+      std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(boot.tv_nsec)));
+  const Duration apart = environment.Now() - before;
+  CHECK(apart >= Duration(0));
+  CHECK(apart < std::chrono::seconds(5));
+  executor->Stop();
+}
+
 TEST_CASE("Background work runs, and Stop waits for it") {
   std::atomic<int> done{0};
   Runtime runtime;
