Tell the lives of a server apart by its name and its birth

Cause: lives were told apart by the identifier alone, and a report of a smaller sequence never replaces one of a larger. A server that returns under its name with its counts at the start was not believed until it had counted past its former life; one that had left stayed so; and what its former life held (weights, orders, ejection, running counts) was believed of the new one. A heartbeat of any state but draining was taken for live, with missing fields.

Change: an instance identifier names a life (backend_life.h), so all that is kept by instance ends with it; the adapter sends the name alone. One life of a server is believed: a life born later at once; one born before by its own clock (a clock set back, or a late report) after three reports in a row with none of the believed life between; a life wrongly taken for over returns the same way. A leaving ends the life it names. The lease on a server's orders spans its lives; a report by another life than the one meant ends that one at the node that asked.

Weighed: numbering lives by order of registration (a late report of a life that nobody heard of would replace the present one for good), the larger birth alone (a clock set back would never be believed).

--- a/source/cluster/configuration.h
+++ b/source/cluster/configuration.h
@@ -90,8 +90,19 @@
   friend bool operator==(const NamedVersion&, const NamedVersion&) = default;
 };
 
-/// One life of a back end that registers itself. `state` never goes back towards kLive, and a
-/// smaller `sequence` never replaces a larger one.
+/// A life of a server that claims to have followed the one that is believed, though its clock says
+/// that it was born before: a clock that was set back, or a late report of an older life.
+struct RivalLife {
+  InstanceId id;
+  uint64_t sequence = 0;
+  /// Reports of it in a row, none of the believed life between.
+  uint32_t reports = 0;
+  friend bool operator==(const RivalLife&, const RivalLife&) = default;
+};
+
+/// One life of a back end that registers itself. `state` never goes back towards kLive, but for a
+/// life that was taken for over because another one of its server was believed; and a smaller
+/// `sequence` never replaces a larger one.
 struct BackendInstance {
   InstanceId id;
   ServiceName service;
@@ -105,8 +116,11 @@
   uint64_t sequence = 0;
   /// Weights that it holds, by its own word.
   std::vector<NamedVersion> models;
-  /// Set by the state machine: revision of the first report.
+  /// Set by the state machine: revision of the first report, or of its return.
   Revision registered_at;
+  /// Set by the state machine: another life of its server is believed; `state` is kGone.
+  bool superseded = false;
+  RivalLife rival;
   friend bool operator==(const BackendInstance&, const BackendInstance&) = default;
 };
 
--- a/source/cluster/configuration_editor.cc
+++ b/source/cluster/configuration_editor.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "cluster/backend_life.h"
 #include "cluster/cluster_validation.h"
 
 namespace millstair {
@@ -28,6 +29,11 @@
 /// Ended lives of back ends that are remembered, so that a late report does not bring one back.
 constexpr size_t kRememberedInstances = 1024;
 
+/// Reports in a row that have a life believed whose clock says that it was born before: two
+/// heartbeats after its first. Reports held up by a cut arrive together, but the believed life,
+/// whose own way is open, is heard within a heartbeat and is asked to begin anew.
+constexpr uint32_t kReportsToBelieve = 3;
+
 }  // namespace
 
 bool ConfigurationEditor::ExpectedHolds(const ResourceKey& key,
@@ -221,23 +227,79 @@
 
 ClusterResult ConfigurationEditor::Run(const UpdateInstance& update) {
   const BackendInstance& reported = update.instance;
-  const auto found = configuration_.instances.find(reported.id);
-  if (found == configuration_.instances.end()) {
-    BackendInstance& added = configuration_.instances[reported.id] = reported;
-    added.registered_at = index_;
-    changes_.instances.insert(reported.id);
-    ForgetOldInstances();
+  BackendInstance* believed = BelievedLife(reported.id);
+  const bool whole = !reported.address.empty();
+  // A leaving that names no life is that of the life that is believed.
+  const bool any_life = !whole && BirthOf(reported.id) == BirthTime();
+  if (believed != nullptr && (believed->id == reported.id || any_life)) {
+    UpdateBelieved(*believed, reported);
     return {};
   }
-  BackendInstance& known = found->second;
+  const auto former = configuration_.instances.find(reported.id);
+  const bool known = former != configuration_.instances.end();
+  // A life that has left does not come back, and one that was never known has nothing to leave.
+  if (known && !former->second.superseded) return {};
+  if (known && reported.sequence <= former->second.sequence) return {};
+  if (!whole && (known || believed != nullptr)) return {};
+  if (believed != nullptr) {
+    if (!Follows(reported, *believed)) return {};
+    Supersede(*believed);
+  }
+  BackendInstance& added = configuration_.instances[reported.id] = reported;
+  added.registered_at = index_;
+  changes_.instances.insert(reported.id);
+  ForgetOldInstances();
+  return {};
+}
+
+BackendInstance* ConfigurationEditor::BelievedLife(const InstanceId& life) {
+  const ServerName server = ServerOf(life);
+  BackendInstance* believed = nullptr;
+  // Lives of one server stand next to each other, after its name.
+  for (auto entry = configuration_.instances.lower_bound(InstanceId(server.value()));
+       entry != configuration_.instances.end() &&
+       entry->first.value().compare(0, server.value().size(), server.value()) == 0;
+       ++entry) {
+    if (ServerOf(entry->first) == server && !entry->second.superseded) believed = &entry->second;
+  }
+  return believed;
+}
+
+bool ConfigurationEditor::Follows(const BackendInstance& reported, BackendInstance& believed) {
+  const bool known = configuration_.instances.contains(reported.id);
+  // The usual case: a life that nobody has heard of, born after the one that is believed.
+  if (!known && BirthOf(reported.id) > BirthOf(believed.id)) return true;
+  // A server whose clock was set back goes on reporting, and the life before it is silent. A report
+  // that was held up on its way comes once or a few times, and the believed life reports between.
+  RivalLife& rival = believed.rival;
+  const bool same = rival.id == reported.id;
+  if (same && reported.sequence <= rival.sequence) return false;
+  rival = {reported.id, reported.sequence, same ? rival.reports + 1 : 1};
+  changes_.instances.insert(believed.id);
+  return rival.reports >= kReportsToBelieve;
+}
+
+void ConfigurationEditor::Supersede(BackendInstance& former) {
+  former.superseded = true;
+  former.state = MemberState::kGone;
+  former.rival = RivalLife();
+  changes_.instances.insert(former.id);
+}
+
+void ConfigurationEditor::UpdateBelieved(BackendInstance& known, const BackendInstance& reported) {
   BackendInstance merged = known;
+  // No life changes its service: such a report is another writer's, and says nothing of this one.
+  const bool other = !reported.address.empty() && reported.service != known.service;
+  if (other) return;
   if (reported.sequence > known.sequence && !reported.address.empty()) merged = reported;
+  merged.id = known.id;
   merged.registered_at = known.registered_at;
+  merged.superseded = known.superseded;
+  merged.rival = RivalLife();
   merged.state = std::max(known.state, reported.state);
-  if (merged == known) return {};
+  if (merged == known) return;
   known = std::move(merged);
-  changes_.instances.insert(reported.id);
-  return {};
+  changes_.instances.insert(known.id);
 }
 
 void ConfigurationEditor::ForgetOldInstances() {
--- a/source/cluster/configuration_editor.h
+++ b/source/cluster/configuration_editor.h
@@ -51,6 +51,12 @@
   void UpdateEngine(const EngineStatus& status);
   void BoundPublished(ModelStatus& status) const;
   void ForgetOldInstances();
+  /// The life of its server that is believed; null if none is known.
+  BackendInstance* BelievedLife(const InstanceId& life);
+  /// Whether a report of another life than `believed` makes it the believed one.
+  bool Follows(const BackendInstance& reported, BackendInstance& believed);
+  void Supersede(BackendInstance& former);
+  void UpdateBelieved(BackendInstance& known, const BackendInstance& reported);
   SuspectLedger suspects();
 
   Configuration& configuration_;
--- a/source/cluster/configuration_wire.cc
+++ b/source/cluster/configuration_wire.cc
@@ -211,6 +211,13 @@
   wire.sequence = instance.sequence;
   wire.models = NewWireArray<millstair_NamedVersion>(arena, instance.models, &wire.models_count);
   wire.registered_at = instance.registered_at.value();
+  wire.superseded = instance.superseded;
+  wire.has_rival = instance.rival.reports > 0;
+  if (wire.has_rival) {
+    wire.rival.id = arena.NewString(instance.rival.id.value());
+    wire.rival.sequence = instance.rival.sequence;
+    wire.rival.reports = instance.rival.reports;
+  }
   return wire;
 }
 
@@ -222,6 +229,10 @@
   instance.slots = wire.slots;
   instance.sequence = wire.sequence;
   instance.registered_at = Revision(wire.registered_at);
+  instance.superseded = wire.superseded;
+  if (wire.has_rival) {
+    instance.rival = {InstanceId(ToString(wire.rival.id)), wire.rival.sequence, wire.rival.reports};
+  }
   return StateFromWire(wire.state, instance.state) &&
          FromWireArray(wire.models, wire.models_count, instance.models) &&
          !instance.id.value().empty();
--- a/source/cluster/control_node.cc
+++ b/source/cluster/control_node.cc
@@ -198,6 +198,8 @@
     const auto found = configuration().instances.find(reported.id);
     if (found == configuration().instances.end()) return false;
     const BackendInstance& held = found->second;
+    // A life that is doubted, or claims to be another's successor, has to be counted.
+    if (held.superseded || held.rival.reports > 0) return false;
     if (held.state < reported.state) return false;
     if (reported.address.empty() || reported.sequence <= held.sequence) return true;
     return held.address == reported.address && held.service == reported.service &&
--- a/source/ingress/backend_directory.cc
+++ b/source/ingress/backend_directory.cc
@@ -133,13 +133,19 @@
     case BackendEnd::kUnreachable:
       return backend.ejection.NoteFailure(now, true);
     case BackendEnd::kWrongInstance:
-      backend.over = true;
-      return RefreshServices();
+      return NoteOver(instance);
     case BackendEnd::kCancelled:
       return;
   }
 }
 
+void BackendDirectory::NoteOver(const InstanceId& instance) {
+  const auto found = backends_.find(instance);
+  if (found == backends_.end() || found->second.over) return;
+  found->second.over = true;
+  RefreshServices();
+}
+
 uint32_t BackendDirectory::Running(const InstanceId& instance) const {
   const auto found = backends_.find(instance);
   return found == backends_.end() ? 0 : found->second.running;
--- a/source/ingress/backend_directory.h
+++ b/source/ingress/backend_directory.h
@@ -45,6 +45,8 @@
   /// Requests are counted from Begin to End.
   void Begin(const InstanceId& instance);
   void End(const InstanceId& instance, BackendEnd end, Duration elapsed);
+  /// Another life of its server is known to have its address: it gets no work any more.
+  void NoteOver(const InstanceId& instance);
   uint32_t Running(const InstanceId& instance) const;
   /// When the latest request was begun; the epoch if none was.
   TimePoint LatestBegin(const InstanceId& instance) const;
--- a/source/ingress/backend_protocol.h
+++ b/source/ingress/backend_protocol.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "cluster/backend_life.h"
 #include "common/ids.h"
 #include "common/time.h"
 #include "http/exchange.h"
@@ -64,6 +65,8 @@
   bool busy = false;
   /// Orders taken in this life.
   uint64_t orders = 0;
+  /// When this life began; 0 if it doesn't say.
+  BirthTime born;
 };
 
 /// How running generations fare when an engine loads other weights.
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -70,8 +70,8 @@
   void SetLeading(RaftGroup* group);
   /// An announcement was applied here, in the order of the log.
   void NoteAnnouncement(const AnnounceOrder& announcement) {
-    leases_.NoteAnnouncement({announcement.holder, announcement.instance.value(), announcement.term,
-                              announcement.announced_at});
+    leases_.NoteAnnouncement({announcement.holder, SubjectOf(announcement.instance),
+                              announcement.term, announcement.announced_at});
   }
   void Update(const Configuration& configuration, const RouteTable* routes);
   /// A job of `model` came; `work` is in tokens that come out.
@@ -93,6 +93,10 @@
   void NoteVersion(const InstanceId& instance, const ModelName& model, WeightVersion version);
 
  private:
+  /// The subject of the lease on a server's orders: the same for all its lives, so that two holders
+  /// never take turns at one server.
+  static std::string SubjectOf(const InstanceId& life) { return ServerOf(life).value(); }
+
   using EngineGroup = std::vector<EngineLoadState*>;
 
   void CatchUp();
--- a/test/platform/server_lives_test.cc
+++ b/test/platform/server_lives_test.cc
@@ -1,7 +1,8 @@
-/// Servers that start again under the name that they had, and entries that are no server's: from what
-/// is said on the wire to what the cluster believes.
+/// Servers that start again under the name that they had, and entries that are no server's: from
+/// what is said on the wire to what the cluster believes.
 #include <catch2/catch.hpp>
 
+#include "cluster/backend_life.h"
 #include "fmt/format.h"
 #include "platform/instance_codec.h"
 #include "test/cluster/cluster_test_support.h"
@@ -72,6 +73,91 @@
   CHECK(live[0].models == std::vector<NamedVersion>{{ModelName("m"), WeightVersion(1)}});
 }
 
+TEST_CASE("A life whose clock was set back is believed once it is heard alone") {
+  Fixture fixture;
+  fixture.Say({2000, 9, "10.0.0.1:80", "ready", 5});
+  fixture.Say({1000, 1, "10.0.0.1:80", "ready", 1});
+  CHECK(fixture.Live()[0].models[0].version == WeightVersion(5));
+  fixture.Say({1000, 2, "10.0.0.1:80", "ready", 1});
+  fixture.Say({1000, 3, "10.0.0.1:80", "ready", 1});
+  REQUIRE(fixture.Live().size() == 1);
+  CHECK(fixture.Live()[0].models[0].version == WeightVersion(1));
+}
+
+TEST_CASE(
+    "Late reports of an older life that come between those of the believed one change nothing") {
+  Fixture fixture;
+  fixture.Say({2000, 1, "10.0.0.2:80", "ready", 5});
+  for (uint64_t sequence = 2; sequence < 30; ++sequence) {
+    fixture.Say({1000, sequence, "10.0.0.1:80", "ready", 1});
+    fixture.Say({1000, sequence + 1, "10.0.0.1:80", "ready", 1});
+    fixture.Say({2000, sequence, "10.0.0.2:80", "ready", 5});
+    REQUIRE(fixture.Live().size() == 1);
+    CHECK(fixture.Live()[0].address == "10.0.0.2:80");
+  }
+}
+
+TEST_CASE("A life that was wrongly taken for over is believed again once it is heard alone") {
+  Fixture fixture;
+  fixture.Say({2000, 1, "10.0.0.2:80", "ready", 5});
+  for (uint64_t sequence = 7; sequence < 12; ++sequence) {
+    fixture.Say({1000, sequence, "10.0.0.1:80", "ready", 1});
+  }
+  CHECK(fixture.Live()[0].address == "10.0.0.1:80");
+  for (uint64_t sequence = 2; sequence < 6; ++sequence) {
+    fixture.Say({2000, sequence, "10.0.0.2:80", "ready", 5});
+  }
+  REQUIRE(fixture.Live().size() == 1);
+  CHECK(fixture.Live()[0].address == "10.0.0.2:80");
+}
+
+TEST_CASE("A leaving ends the life that it names, or the believed one") {
+  Fixture fixture;
+  fixture.Say({1000, 9});
+  fixture.Say({2000, 1});
+  fixture.driver.Apply(UpdateInstance{*ReadDeregistration("i-1", R"({"born":1000})")});
+  CHECK(fixture.Live().size() == 1);
+  SECTION("it names the life") {
+    fixture.driver.Apply(UpdateInstance{*ReadDeregistration("i-1", R"({"born":2000})")});
+    CHECK(fixture.Live().empty());
+  }
+  SECTION("it names none") {
+    fixture.driver.Apply(UpdateInstance{*ReadDeregistration("i-1", "")});
+    CHECK(fixture.Live().empty());
+  }
+  fixture.Say({2000, 2});
+  CHECK(fixture.Live().empty());
+  fixture.Say({3000, 1});
+  CHECK(fixture.Live().size() == 1);
+}
+
+TEST_CASE("A report under another service says nothing of the server that has the name") {
+  Fixture fixture;
+  fixture.Say({1000, 1});
+  auto other = *ReadHeartbeat("i-1", BodyOf({1000, 5, "10.0.0.9:80", "draining", 1}));
+  other.service = ServiceName("elsewhere");
+  fixture.driver.Apply(UpdateInstance{other});
+  REQUIRE(fixture.Live().size() == 1);
+  CHECK(fixture.Live()[0].address == "10.0.0.1:80");
+}
+
+TEST_CASE("Lives survive a snapshot, and no two pairs of name and birth share an identifier") {
+  Fixture fixture;
+  fixture.Say({2000, 9});
+  fixture.Say({1000, 1});
+  ClusterStateMachine restored({}, {});
+  REQUIRE(restored.Restore(LogIndex(9), fixture.driver.state.TakeSnapshot()).ok());
+  CHECK(restored.configuration().instances == fixture.driver.state.configuration().instances);
+  CHECK(LifeOf(ServerName("a@1"), BirthTime()) != LifeOf(ServerName("a"), BirthTime(1)));
+  for (const char* name : {"a", "a@1", "a@", "@", "a@b@3"}) {
+    for (const uint64_t born : {0UL, 1UL, 1700000000000UL}) {
+      const InstanceId life = LifeOf(ServerName(name), BirthTime(born));
+      CHECK(ServerOf(life) == ServerName(name));
+      CHECK(BirthOf(life) == BirthTime(born));
+    }
+  }
+}
+
 TEST_CASE("An entry by another writer names no server") {
   const std::string whole = BodyOf({1000, 1, "10.0.0.1:80", "ready", 1});
   REQUIRE(ReadHeartbeat("i-1", whole).ok());
--- a/test/platform/server_wire_test.cc
+++ b/test/platform/server_wire_test.cc
@@ -102,10 +102,13 @@
   CHECK(beat->state == MemberState::kLeaving);
   CHECK(beat->sequence == 4);
   CHECK(beat->models == std::vector<NamedVersion>{{ModelName("m"), WeightVersion(3)}});
-  const auto faulty = ReadHeartbeat("i-1", R"({"service":"s","addr":"a","state":"ready"})");
+  const auto faulty = ReadHeartbeat(
+      "i-1", R"({"service":"s","addr":"1.1.1.1:1","zone":"z","slots":1,"state":"ready"})");
   REQUIRE_FALSE(faulty.ok());
   CHECK(std::string(faulty.status().message()).find("seq") != std::string::npos);
-  CHECK(ReadDeregistration("i-1").state == MemberState::kGone);
+  CHECK(ReadDeregistration("i-1", "{}")->state == MemberState::kGone);
+  CHECK(ReadDeregistration("i-1", R"({"born":7})")->id == LifeOf(ServerName("i-1"), BirthTime(7)));
+  CHECK_FALSE(ReadDeregistration("i-1", R"({"born":"7"})").ok());
 }
 
 TEST_CASE("A batch job is read whole, and its results are written") {
