--- a/source/ingress/backend_protocol.h
+++ b/source/ingress/backend_protocol.h
@@ -10,6 +10,7 @@
 
 #include "absl/status/statusor.h"
 #include "cluster/backend_life.h"
+#include "cluster/configuration.h"
 #include "common/ids.h"
 #include "common/time.h"
 #include "http/exchange.h"
@@ -56,11 +57,7 @@
 
 /// What an engine says of itself.
 struct ReportedEngine {
-  struct Model {
-    ModelName name;
-    WeightVersion version;
-  };
-  std::vector<Model> models;
+  std::vector<NamedVersion> models;
   /// An order is under way.
   bool busy = false;
   /// Orders taken in this life.
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -329,8 +329,8 @@
   const bool other_life = report.born != BirthTime() && report.born != BirthOf(instance);
   if (other_life) return directory_.NoteOver(instance);
   EngineLoadState& engine = engines_.at(instance);
-  for (const ReportedEngine::Model& model : report.models) {
-    engine.versions[model.name] = std::max(engine.versions[model.name], model.version);
+  for (const NamedVersion& held : report.models) {
+    engine.versions[held.model] = std::max(engine.versions[held.model], held.version);
   }
   if (report.busy) {
     // Its own load, or one of an earlier holder.
--- a/test/soak/back_ends.py
+++ b/test/soak/back_ends.py
@@ -68,9 +68,11 @@
 class BackEnd:
     """A server of one service; engines have models."""
 
-    def __init__(self, layout, service, index, history, models=(), port=0):
+    def __init__(self, layout, service, index, history, models=(), port=0, name=""):
+        """`name`: of a former life that it starts again under."""
         self._layout = layout
-        self.instance = f"i-{service}-{index}-{random.randrange(1 << 32):08x}"
+        self.instance = name or f"i-{service}-{index}-{random.randrange(1 << 32):08x}"
+        self._born = int(time.time() * 1000)
         self.service = service
         self._zone = f"zone-{index % layout.zones + 1}"
         self.history = history
@@ -101,12 +103,18 @@
         self._sequence += 1
         body = {
             "service": self.service, "addr": self.address, "zone": self._zone, "version": "v1",
-            "slots": SLOTS, "state": self.state, "cold_left_ms": 0, "seq": self._sequence}
+            "slots": SLOTS, "state": self.state, "cold_left_ms": 0, "seq": self._sequence,
+            "born": self._born}
         if self.versions:
             body["stage"] = "mixed"
             body["models"] = self.models()
         return call_control(self._layout.machines, f"/v1/Instances.Heartbeat/{self.instance}", body)
 
+    @property
+    def born(self):
+        """When its life began, by its own clock."""
+        return self._born
+
     def models(self):
         """What it holds, as reports tell it."""
         return [{"name": name, "version": version, "adapters": []}
@@ -222,7 +230,7 @@
 
     def _report(self):
         own = self.back_end
-        body = {"stage": "mixed", "models": own.models(), "busy": now() < own.busy_until,
+        body = {"stage": "mixed", "born": own.born, "models": own.models(), "busy": now() < own.busy_until,
                 "seq": own.orders, "queued": 0, "running": 0, "kv_used": 0, "kv_total": 1000,
                 "handles": 0}
         self._answer(200, json.dumps(body).encode())
@@ -336,12 +344,12 @@
             for _ in range(count):
                 self._add(service)
 
-    def _add(self, service, versions=None, index=None, port=0):
+    def _add(self, service, versions=None, index=None, port=0, name=""):
         models = (MODEL,) if service == "engines" else ()
         if index is None:
             index = self._next_index
             self._next_index += 1
-        new = BackEnd(self._layout, service, index, self.history, models, port)
+        new = BackEnd(self._layout, service, index, self.history, models, port, name)
         new.on_crash = self._crash_and_return
         new.versions.update(versions or {})
         self._present.append(new)
@@ -360,7 +368,9 @@
             time.sleep(BACK_AFTER)
             port = int(gone.address.rsplit(":", 1)[1])
             with self._lock:
-                self._add(gone.service, gone.versions, gone.index, port)
+                # Half of them start again under the name that they had.
+                name = gone.instance if random.random() < 0.5 else ""
+                self._add(gone.service, gone.versions, gone.index, port, name)
 
         threading.Thread(target=come_back, daemon=True).start()
 
--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -323,6 +323,24 @@
         thawed = Span("freeze", (2,), 8.0, 10.4)
         self.expect(checks.check_orders(history_of(*orders, thawed)), 0, 0)
 
+    def test_crashing(self):
+        """A fourth send, CONTACT after the third back end ended; proper requests withheld."""
+        history = history_of(CrashingCall("early", "/c", 6, 1.0), CrashingCall("late", "/c", 6, 9.0))
+        for at in (1.0, 2.0, 3.0):
+            history.add(CrashingRun("early", "/c", "i-1", at, True))
+        for at in (6.9, 7.1, 7.2, 7.3):
+            history.add(CrashingRun("late", "/c", "i-1", at))
+        sent, withheld = checks.check_crashing(history, LAYOUT)
+        self.expect(sent, 1, 0)
+        self.expect(withheld, 1, 0)
+        history.add(CrashingRun("late", "/c", "i-1", 7.4))
+        self.expect(checks.check_crashing(history, LAYOUT)[0], 1, 1)
+        history.add(Span("freeze", (6,), 4.0, 6.0))
+        self.expect(checks.check_crashing(history, LAYOUT)[0], 1, 0)
+        for number in range(checks.WITHHELD_MOST + 1):
+            history.add(answered(str(number), 503, body=checks.WITHHELD))
+        self.expect(checks.check_crashing(history, LAYOUT)[1], 1, 1)
+
     def test_service(self):
         """Too few requests served after the faults; no step whole."""
         trainer = FakeTrainer()
