Count each send of a trial, and wait longer for a life's answer

A trial that a back end refused went on to the next one: each of these sends reaches a server and counts against what a crashing request may be sent after its third crash. It is one send now, unless nothing of it reached anybody. A life is asked for 300 ms, not 150: a gateway whose share of a core is a quota may stand still for most of a tenth of a second.

--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -216,6 +216,7 @@
   ++sent_;
   // Counted before the send: a try is taken back only on the back end's own word.
   ++may_have_run_;
+  watch_.NoteSent();
   BackendRequest request{request_.http, request_.host, request_.request_id, TimeLeft(),
                          target->id,    std::nullopt,  request_.tenant};
   tries_.push_back(std::make_unique<Try>(*this, *target));
@@ -263,7 +264,10 @@
 }
 
 void ForwardFlow::OnFailed(Try& attempt, bool unreachable, const std::string& reason) {
-  if (unreachable) --may_have_run_;
+  if (unreachable) {
+    --may_have_run_;
+    watch_.NoteUnreachable();
+  }
   // What was sent and not refused has most likely begun.
   if (!unreachable) {
     meter_.NoteBegun(attempt.sent_at());
--- a/source/ingress/life_check.h
+++ b/source/ingress/life_check.h
@@ -29,8 +29,9 @@
 class LifeCheck : public HttpCallObserver {
  public:
   /// Without an answer for this long nothing is known. A refused connection takes one way there and
-  /// back: 3 ms within a region, some 100 ms to another.
-  static constexpr Duration kPatience = std::chrono::milliseconds(150);
+  /// back: 3 ms within a region, some 100 ms to another; and this node may stand still for most of
+  /// a tenth of a second where its share of a core is a quota.
+  static constexpr Duration kPatience = std::chrono::milliseconds(300);
 
   using Callback = std::function<void(LifeVerdict)>;
 
--- a/source/ingress/request_watch.cc
+++ b/source/ingress/request_watch.cc
@@ -43,7 +43,6 @@
 }
 
 void RequestWatch::NoteLost(const BackendInstance& instance) {
-  trial_used_ = on_trial_;
   if (!on_trial_ && guard_.ServedLately(digest())) return;
   lost_ = true;
   guard_.NoteLost({fingerprint(), place()}, instance);
--- a/source/ingress/request_watch.h
+++ b/source/ingress/request_watch.h
@@ -30,6 +30,11 @@
   /// Whether a back end ended under it: then it is sent to one back end at a time.
   bool IsSuspect();
 
+  /// It is on its way to a back end; a trial is used up by that, also if the back end refuses it,
+  /// since each send counts.
+  void NoteSent() { trial_used_ = on_trial_; }
+  /// Nothing of it reached the back end.
+  void NoteUnreachable() { trial_used_ = false; }
   /// `instance` got it and gave no whole answer.
   void NoteLost(const BackendInstance& instance);
   /// A back end answered it, or got further with it than the one that was lost before.
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -132,6 +132,7 @@
   last_instance_ = target->id;
   ++sent_;
   ++may_have_run_;
+  watch_.NoteSent();
   BackendRequest request{request_.http, request_.host,         request_.request_id, deadline_ - now,
                          target->id,    request_.resume_after, request_.tenant};
   if (begun_) request.resume_after = events_;
@@ -204,6 +205,7 @@
 void StreamFlow::OnFailed(Run& run, BackendEnd end, const std::string& reason) {
   if (end == BackendEnd::kUnreachable) {
     --may_have_run_;
+    watch_.NoteUnreachable();
   } else {
     LogLostTry(context_, request_, run.target().id, run.sent_at(), reason);
     watch_.NoteLost(run.target());
--- /dev/null
+++ b/test/ingress/fake_register.h
@@ -0,0 +1,38 @@
+/// The cluster's record of suspect requests, for tests.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "quarantine/suspect_register.h"
+
+namespace millstair {
+
+/// A record of one cluster, whose answers the test gives.
+class FakeRegister : public SuspectRegister {
+ public:
+  void Report(std::vector<CrashReport> reports, Done done) override {
+    for (CrashReport& report : reports) reported.push_back(std::move(report));
+    if (commits) done(true);
+    if (!commits) done(false);
+  }
+  void BeginTrial(const RequestFingerprint&, Revision seen, Done done) override {
+    trial_of = seen;
+    done(grants && !(grants_once && trials > 0));
+    ++trials;
+  }
+  void Clear(const RequestFingerprint&, size_t crashes, Done done) override {
+    cleared.push_back(crashes);
+    done(commits);
+  }
+
+  std::vector<CrashReport> reported;
+  std::vector<size_t> cleared;
+  std::optional<Revision> trial_of;
+  bool commits = true;
+  bool grants = true;
+  bool grants_once = false;
+  int trials = 0;
+};
+
+}  // namespace millstair
--- a/test/ingress/forward_flow_test.cc
+++ b/test/ingress/forward_flow_test.cc
@@ -5,6 +5,7 @@
 
 #include "ingress/ingress_service.h"
 #include "test/ingress/fake_backends.h"
+#include "test/ingress/fake_register.h"
 
 namespace millstair {
 namespace {
@@ -192,6 +193,61 @@
   CHECK(fixture.backends.SentRequests() == 1);
 }
 
+/// The request of the fixture is held, and the pause before its trial is over.
+void Hold(Fixture& fixture, FakeRegister& cluster) {
+  fixture.service_.SetSuspectRegister(cluster);
+  SuspectRequest held;
+  const TenantName nobody;
+  held.request = FingerprintOf({"POST", "a.example", "/p/x", nobody, "body"});
+  held.place = PlaceOf("a.example", "/p/x");
+  held.crashed = {InstanceId("i1"), InstanceId("i2")};
+  fixture.configuration.suspects[held.request] = held;
+  fixture.service_.Update(fixture.configuration);
+  fixture.scheduler.RunFor(kClientTrialPauses.front());
+}
+
+TEST_CASE("A trial is one send, also if the back end refuses it") {
+  Fixture fixture;
+  FakeRegister cluster;
+  Hold(fixture, cluster);
+  for (const char* address : {"1.1.1.1:1", "1.1.1.1:2", "1.1.1.1:3"}) {
+    fixture.Add(address, [](const HttpRequest&) { return Refusal(); });
+  }
+  // The trial is over, by the time that the cluster knows of it.
+  cluster.grants_once = true;
+  const auto result = fixture.Forward();
+  REQUIRE(result);
+  CHECK(result->outcome == ForwardOutcome::kNotRun);
+  CHECK(fixture.backends.SentRequests() == 1);
+}
+
+TEST_CASE("A held request is answered as not run, with the time when it may be tried") {
+  Fixture fixture;
+  FakeRegister cluster;
+  Hold(fixture, cluster);
+  cluster.grants = false;
+  fixture.Add("1.1.1.1:1", [](const HttpRequest&) { return Ok(); });
+  const auto result = fixture.Forward();
+  REQUIRE(result);
+  CHECK(result->outcome == ForwardOutcome::kNotRun);
+  CHECK(result->retry_after >= std::chrono::seconds(1));
+  CHECK(fixture.backends.SentRequests() == 0);
+  CHECK(fixture.took < milliseconds(20));
+}
+
+TEST_CASE("A trial that is answered clears the request, and one that reaches nobody goes on") {
+  Fixture fixture;
+  FakeRegister cluster;
+  Hold(fixture, cluster);
+  fixture.Add("1.1.1.1:1", [](const HttpRequest&) { return Of(FakeAnswer::Kind::kUnreachable); });
+  fixture.Add("1.1.1.1:2", [](const HttpRequest&) { return Of(FakeAnswer::Kind::kUnreachable); });
+  fixture.Add("1.1.1.1:3", [](const HttpRequest&) { return Ok(); });
+  const auto result = fixture.Forward();
+  REQUIRE(result);
+  CHECK(result->outcome == ForwardOutcome::kAnswered);
+  CHECK(cluster.cleared == std::vector<size_t>{2});
+}
+
 TEST_CASE("A request that runs at most once may move on from a refusal") {
   Fixture fixture;
   fixture.route().kind = RouteKind::kOnce;
--- a/test/ingress/request_guard_test.cc
+++ b/test/ingress/request_guard_test.cc
@@ -5,6 +5,7 @@
 
 #include "fmt/format.h"
 #include "test/ingress/fake_backends.h"
+#include "test/ingress/fake_register.h"
 
 namespace millstair {
 namespace {
@@ -16,30 +17,6 @@
 const RequestFingerprint kRequest("r");
 const GuardedRequest kGuarded{kRequest, "a.example/p"};
 
-/// A record of one cluster, whose answers the test gives.
-class FakeRegister : public SuspectRegister {
- public:
-  void Report(std::vector<CrashReport> reports, Done done) override {
-    for (CrashReport& report : reports) reported.push_back(std::move(report));
-    if (commits) done(true);
-    if (!commits) done(false);
-  }
-  void BeginTrial(const RequestFingerprint&, Revision seen, Done done) override {
-    trial_of = seen;
-    done(grants);
-  }
-  void Clear(const RequestFingerprint&, size_t crashes, Done done) override {
-    cleared.push_back(crashes);
-    done(commits);
-  }
-
-  std::vector<CrashReport> reported;
-  std::vector<size_t> cleared;
-  std::optional<Revision> trial_of;
-  bool commits = true;
-  bool grants = true;
-};
-
 class Fixture {
  public:
   Fixture() {
