--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -13,7 +13,7 @@
 from documents import (ADDED_KEPT, FLAWS, added_route, added_service, flawed_route, flawed_text,
                        moved_service, routing_document, score_service, service_of)
 from faults import Faults
-from fleet import Layout
+from fleet import Layout, claim_subnet
 from history import (Acknowledged, Call, CrashingCall, CrashingRun, History, Listed, OperatorCall, Order, ReadBack, Run, Sent,
                      Span, Started)
 
@@ -125,6 +125,19 @@
             self.assertTrue(struck <= set(LARGE.gateways), name)
 
 
+class SubnetTest(unittest.TestCase):
+    """Runs side by side."""
+
+    def test_claims(self):
+        """A subnet is claimed once, and again when it was given back."""
+        first = claim_subnet(1000)
+        self.assertIsNone(claim_subnet(1000))
+        first.close()
+        again = claim_subnet(1000)
+        self.assertIsNotNone(again)
+        again.close()
+
+
 class ChecksTest(unittest.TestCase):
     """Sound and broken histories."""
 
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -6,12 +6,14 @@
 """
 
 import dataclasses
+import fcntl
 import os
 import random
 import shutil
 import signal
 import socket
 import subprocess
+import tempfile
 import threading
 import time
 
@@ -132,12 +134,29 @@
     return None
 
 
+def claim_subnet(number):
+    """Keeps other runs from a subnet as long as the claim is held; nothing if another one has it. Two
+    runs that began in the same moment found the same addresses free."""
+    claim = open(os.path.join(tempfile.gettempdir(), f"millstair-soak-{number}.lock"), "w",
+                 encoding="utf-8")
+    try:
+        fcntl.flock(claim, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        return claim
+    except OSError:
+        claim.close()
+        return None
+
+
 def use_free_subnet(layout):
-    """Chooses addresses that no other run on this machine holds."""
+    """Chooses addresses that no other run on this machine holds; the claim on them, to be kept."""
     for number in SUBNETS:
+        claim = claim_subnet(number)
+        if claim is None:
+            continue
         use_subnet(number)
         if addresses_in_use(layout) is None:
-            return
+            return claim
+        claim.close()
     raise SystemExit(f"{addresses_in_use(layout)}, nor any of the other subnets: do other runs go "
                      "on, or have they just been ended?")
 
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -125,8 +125,9 @@
     folder = tempfile.mkdtemp(prefix="millstair-soak.")
     history = History()
     layout = Layout(arguments.stores, arguments.gateways, arguments.zones, arguments.tolerate)
+    claim = None
     if arguments.subnet is None:
-        use_free_subnet(layout)
+        claim = use_free_subnet(layout)
     else:
         use_subnet(arguments.subnet)
     counts = {"pages": 3, "shop": 3, "engines": 3}
@@ -141,6 +142,8 @@
         if fleet is not None:
             fleet.end()
         back_ends.stop()
+        if claim is not None:
+            claim.close()
         if good and not arguments.keep:
             shutil.rmtree(folder)
         else:
