Let a node's own count of crashes end with the cluster's

Its pause began anew at each look, too.

Change: a report tells the revision with which it counts; once the configuration held has come so far, what was reported is the cluster's to hold or to have cleared. Test: request_guard_test "cleared before it was pushed".

--- a/source/cluster/suspect_client.cc
+++ b/source/cluster/suspect_client.cc
@@ -12,25 +12,28 @@
 
 }  // namespace
 
-void SuspectClient::Submit(ClusterOperation operation, Duration patience, Done done) {
+void SuspectClient::Submit(ClusterOperation operation, Duration patience, Reported done) {
   const ClusterCommand command{std::move(operation), std::nullopt, environment_.WallNow()};
   cluster_.Submit(CommandMode::kPropose, EncodeCommand(command), patience,
                   [done = std::move(done)](const absl::StatusOr<std::string>& answer) {
                     const auto result = answer.ok() ? DecodeResult(*answer) : answer.status();
-                    done(result.ok() && result->code == ClusterResultCode::kOk);
+                    const bool taken = result.ok() && result->code == ClusterResultCode::kOk;
+                    done(taken ? std::optional(result->revision) : std::nullopt);
                   });
 }
 
-void SuspectClient::Report(std::vector<CrashReport> reports, Done done) {
+void SuspectClient::Report(std::vector<CrashReport> reports, Reported done) {
   Submit(ReportCrashes{std::move(reports)}, kPatience, std::move(done));
 }
 
 void SuspectClient::BeginTrial(const RequestFingerprint& request, Revision seen, Done done) {
-  Submit(millstair::BeginTrial{request, seen}, kTrialPatience, std::move(done));
+  Submit(millstair::BeginTrial{request, seen}, kTrialPatience,
+         [done = std::move(done)](std::optional<Revision> at) { done(at.has_value()); });
 }
 
 void SuspectClient::Clear(const RequestFingerprint& request, size_t crashes, Done done) {
-  Submit(ClearSuspect{request, static_cast<uint32_t>(crashes)}, kPatience, std::move(done));
+  Submit(ClearSuspect{request, static_cast<uint32_t>(crashes)}, kPatience,
+         [done = std::move(done)](std::optional<Revision> at) { done(at.has_value()); });
 }
 
 }  // namespace millstair
--- a/source/cluster/suspect_client.h
+++ b/source/cluster/suspect_client.h
@@ -15,12 +15,13 @@
   SuspectClient(Environment& environment, GroupClient& cluster)
       : environment_(environment), cluster_(cluster) {}
 
-  void Report(std::vector<CrashReport> reports, Done done) override;
+  void Report(std::vector<CrashReport> reports, Reported done) override;
   void BeginTrial(const RequestFingerprint& request, Revision seen, Done done) override;
   void Clear(const RequestFingerprint& request, size_t crashes, Done done) override;
 
  private:
-  void Submit(ClusterOperation operation, Duration patience, Done done);
+  /// `done` hears the revision of a change that is committed and was not refused.
+  void Submit(ClusterOperation operation, Duration patience, Reported done);
 
   Environment& environment_;
   GroupClient& cluster_;
--- a/source/ingress/request_guard.cc
+++ b/source/ingress/request_guard.cc
@@ -50,6 +50,26 @@
   RefreshPlaces();
 }
 
+void RequestGuard::NoteRevision(Revision revision) {
+  revision_ = revision;
+  if (!seen_.empty()) DropAccounted();
+}
+
+void RequestGuard::DropAccounted() {
+  const size_t before = seen_.size();
+  for (auto entry = seen_.begin(); entry != seen_.end();) {
+    Seen& seen = entry->second;
+    if (seen.reported_at && *seen.reported_at <= revision_) {
+      for (const InstanceId& instance : seen.reported) seen.crashed.erase(instance);
+      seen.reported.clear();
+      seen.reported_at.reset();
+    }
+    const bool nothing_left = seen.crashed.empty() && seen.in_doubt.empty();
+    entry = nothing_left ? seen_.erase(entry) : std::next(entry);
+  }
+  if (seen_.size() != before) RefreshPlaces();
+}
+
 bool RequestGuard::MayBeSuspect(const std::string& place) const { return places_.contains(place); }
 
 const RequestGuard::Seen* RequestGuard::FindSeen(const RequestFingerprint& request) const {
@@ -89,7 +109,7 @@
     decision.retry_after = kBarredRetryAfter;
     return decision;
   }
-  TimePoint since = known == nullptr ? environment_.Now() : known->learned_at;
+  TimePoint since = known == nullptr ? seen->changed_at : known->learned_at;
   if (seen != nullptr) since = std::max(since, seen->changed_at);
   const Duration pause = pauses[decision.count.trials];
   decision.retry_after = std::max(since + pause - environment_.Now(), Duration(0));
@@ -168,16 +188,26 @@
   for (const RequestFingerprint& request : requests) {
     Seen& seen = seen_.at(request);
     seen.reported = seen.crashed;
+    seen.reported_at.reset();
     reports.push_back({request, seen.place, {seen.crashed.begin(), seen.crashed.end()}});
   }
-  register_->Report(std::move(reports), alive_.Guard([this, requests](bool committed) {
-    if (committed) return;
-    for (const RequestFingerprint& request : requests) {
-      const auto found = seen_.find(request);
-      if (found != seen_.end()) found->second.reported.clear();
-    }
-    ReportSoon();
-  }));
+  register_->Report(std::move(reports),
+                    alive_.Guard([this, requests](std::optional<Revision> committed_at) {
+                      OnReported(requests, committed_at);
+                    }));
+}
+
+void RequestGuard::OnReported(const std::vector<RequestFingerprint>& requests,
+                              std::optional<Revision> at) {
+  for (const RequestFingerprint& request : requests) {
+    const auto found = seen_.find(request);
+    if (found == seen_.end()) continue;
+    found->second.reported_at = at;
+    if (!at) found->second.reported.clear();
+  }
+  if (!at) return ReportSoon();
+  // A record that was cleared before it was pushed here is never seen as such.
+  DropAccounted();
 }
 
 void RequestGuard::ReportSoon() {
--- a/source/ingress/request_guard.h
+++ b/source/ingress/request_guard.h
@@ -86,6 +86,8 @@
   void SetRegister(SuspectRegister* suspect_register) { register_ = suspect_register; }
   /// The cluster's record changed, or may have.
   void Update(const SuspectRequests& suspects);
+  /// The configuration held is that of `revision`, its record of suspects included.
+  void NoteRevision(Revision revision);
 
   /// Nothing is suspected.
   bool idle() const { return places_.empty(); }
@@ -119,8 +121,10 @@
     std::set<InstanceId> in_doubt;
     TimePoint changed_at;
     bool given_up = false;
-    /// Lives that the cluster has been told of.
+    /// Lives that the cluster has been told of, and the revision with which they count there; none
+    /// before that is known.
     std::set<InstanceId> reported;
+    std::optional<Revision> reported_at;
   };
   /// The cluster's record of a request, and since when this node holds it.
   struct Known {
@@ -137,6 +141,10 @@
   void Report(const std::vector<RequestFingerprint>& requests);
   bool WantsReport(const Seen& seen) const;
   void ReportSoon();
+  void OnReported(const std::vector<RequestFingerprint>& requests, std::optional<Revision> at);
+  /// What the configuration held accounts for is not this node's to hold against a request: the
+  /// cluster's record does, or has been cleared since.
+  void DropAccounted();
   void DropOldSeen();
   void RefreshPlaces();
   void BeginSpanIfDue();
@@ -152,6 +160,7 @@
   SuspectRegister* register_ = nullptr;
   std::map<RequestFingerprint, Seen> seen_;
   std::map<RequestFingerprint, Known> known_;
+  Revision revision_;
   /// Places of all that is seen or known.
   std::set<std::string> places_;
   std::map<InstanceId, Check> checks_;
--- a/source/quarantine/suspect_register.h
+++ b/source/quarantine/suspect_register.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "quarantine/suspect_request.h"
@@ -15,7 +16,9 @@
   using Done = std::function<void(bool committed)>;
 
   virtual ~SuspectRegister() = default;
-  virtual void Report(std::vector<CrashReport> reports, Done done) = 0;
+  /// The revision with which a report counts; none if it may not be committed.
+  using Reported = std::function<void(std::optional<Revision> committed_at)>;
+  virtual void Report(std::vector<CrashReport> reports, Reported done) = 0;
   /// Says true to one node at a time.
   virtual void BeginTrial(const RequestFingerprint& request, Revision seen, Done done) = 0;
   virtual void Clear(const RequestFingerprint& request, size_t crashes, Done done) = 0;
--- a/test/ingress/fake_register.h
+++ b/test/ingress/fake_register.h
@@ -11,10 +11,9 @@
 /// A record of one cluster, whose answers the test gives.
 class FakeRegister : public SuspectRegister {
  public:
-  void Report(std::vector<CrashReport> reports, Done done) override {
+  void Report(std::vector<CrashReport> reports, Reported done) override {
     for (CrashReport& report : reports) reported.push_back(std::move(report));
-    if (commits) done(true);
-    if (!commits) done(false);
+    done(commits ? std::optional(commits_at) : std::nullopt);
   }
   void BeginTrial(const RequestFingerprint&, Revision seen, Done done) override {
     trial_of = seen;
@@ -30,6 +29,8 @@
   std::vector<size_t> cleared;
   std::optional<Revision> trial_of;
   bool commits = true;
+  /// With which reports count; nodes learn of it later.
+  Revision commits_at{100};
   bool grants = true;
   bool grants_once = false;
   int trials = 0;
--- a/test/ingress/request_guard_test.cc
+++ b/test/ingress/request_guard_test.cc
@@ -132,6 +132,21 @@
   CHECK(fixture.cluster.reported.size() == taken);
 }
 
+TEST_CASE("What was reported and cleared before it was pushed here is held against nobody") {
+  Fixture fixture;
+  fixture.Lose("nobody:1");
+  fixture.Lose("nobody:2");
+  CHECK(fixture.guard.Judge(kRequest).verdict == GuardVerdict::kRefuse);
+  // The report is committed, and this node's configuration has not come so far.
+  fixture.guard.NoteRevision(Revision(99));
+  CHECK(fixture.guard.Judge(kRequest).verdict == GuardVerdict::kRefuse);
+  // Another node cleared the record: the next changes tell of it and of its end at once.
+  fixture.guard.Update({});
+  fixture.guard.NoteRevision(Revision(101));
+  CHECK(fixture.guard.Judge(kRequest).verdict == GuardVerdict::kSend);
+  CHECK(fixture.guard.idle());
+}
+
 TEST_CASE("A held request is tried after a pause, by whom the cluster lets") {
   Fixture fixture;
   fixture.Know({"i1", "i2"});
