Have one function each send a guarded request and submit a cluster operation

Cause: a second reading of the guard and of the suspect register found the same logic in two or three places. ForwardFlow and StreamFlow each switched over the guard's verdicts; SuspectClient, the ingress node's usage reports and the storage node each built, sent and decoded a cluster command; four tests each had a copy of the same route table, and the tests of crashing requests had one caller loop twice. Each lost try hashed its content a second time for its log line, each try copied the back end's record where a move does, and each loss built the whole set of guarded places anew to add one.

Change: RequestWatch::SendIfAllowed holds the switch; SubmitOperation submits and decodes; a lost try's log line takes the watch's fingerprint; a try takes the record by value; NoteLost inserts its place. Tests share FixedTable and one caller loop, and keep their assertions. The proposing leader sets a command's time, so that the two callers that also set it lose nothing. The comment of kReportsToBelieve said more than the code does.

Behaviour is unchanged but for one thing: a storage node whose cluster answer can't be decoded now hears the error, and tries again, as the other two callers did; it took such an answer for success.

Ruled out: one fixture for the crashing item and the scheduler tests: they share a dozen lines of set-up, but their stand-ins crash for different reasons.

--- a/source/cluster/configuration_editor.cc
+++ b/source/cluster/configuration_editor.cc
@@ -30,8 +30,8 @@
 constexpr size_t kRememberedInstances = 1024;
 
 /// Reports in a row that have a life believed whose clock says that it was born before: two
-/// heartbeats after its first. Reports held up by a cut arrive together, but the believed life,
-/// whose own way is open, is heard within a heartbeat and is asked to begin anew.
+/// heartbeats after its first. Reports held up by a cut may arrive together; if they are believed
+/// by that, the present life, which goes on reporting, is believed again the same way.
 constexpr uint32_t kReportsToBelieve = 3;
 
 }  // namespace
--- a/source/cluster/group_client.cc
+++ b/source/cluster/group_client.cc
@@ -161,4 +161,15 @@
   pending->done(std::move(result));
 }
 
+void SubmitOperation(GroupClient& cluster, ClusterOperation operation, Duration patience,
+                     std::function<void(absl::StatusOr<ClusterResult>)> done) {
+  // The leader that proposes it sets the time.
+  const ClusterCommand command{std::move(operation), std::nullopt, {}};
+  cluster.Submit(CommandMode::kPropose, EncodeCommand(command), patience,
+                 [done = std::move(done)](const absl::StatusOr<std::string>& answer) {
+                   if (!answer.ok()) return done(answer.status());
+                   done(DecodeResult(*answer));
+                 });
+}
+
 }  // namespace millstair
--- a/source/cluster/group_client.h
+++ b/source/cluster/group_client.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "cluster/cluster_commands.h"
 #include "cluster/control_client.h"
 #include "cluster/control_messages.h"
 #include "common/environment.h"
@@ -80,4 +81,9 @@
   std::map<uint64_t, std::unique_ptr<Pending>> pending_;
 };
 
+/// Has an operation of the cluster group committed, through its client. `done` hears its result;
+/// DeadlineExceeded means that the outcome is unknown.
+void SubmitOperation(GroupClient& cluster, ClusterOperation operation, Duration patience,
+                     std::function<void(absl::StatusOr<ClusterResult>)> done);
+
 }  // namespace millstair
--- a/source/cluster/suspect_client.cc
+++ b/source/cluster/suspect_client.cc
@@ -13,10 +13,8 @@
 }  // namespace
 
 void SuspectClient::Submit(ClusterOperation operation, Duration patience, Reported done) {
-  const ClusterCommand command{std::move(operation), std::nullopt, environment_.WallNow()};
-  cluster_.Submit(CommandMode::kPropose, EncodeCommand(command), patience,
-                  [done = std::move(done)](const absl::StatusOr<std::string>& answer) {
-                    const auto result = answer.ok() ? DecodeResult(*answer) : answer.status();
+  SubmitOperation(cluster_, std::move(operation), patience,
+                  [done = std::move(done)](const absl::StatusOr<ClusterResult>& result) {
                     const bool taken = result.ok() && result->code == ClusterResultCode::kOk;
                     done(taken ? std::optional(result->revision) : std::nullopt);
                   });
--- a/source/cluster/suspect_client.h
+++ b/source/cluster/suspect_client.h
@@ -12,8 +12,7 @@
 /// Lives on the node's serial executor; `cluster` outlives it.
 class SuspectClient : public SuspectRegister {
  public:
-  SuspectClient(Environment& environment, GroupClient& cluster)
-      : environment_(environment), cluster_(cluster) {}
+  explicit SuspectClient(GroupClient& cluster) : cluster_(cluster) {}
 
   void Report(std::vector<CrashReport> reports, Reported done) override;
   void BeginTrial(const RequestFingerprint& request, Revision seen, Done done) override;
@@ -23,7 +22,6 @@
   /// `done` hears the revision of a change that is committed and was not refused.
   void Submit(ClusterOperation operation, Duration patience, Reported done);
 
-  Environment& environment_;
   GroupClient& cluster_;
 };
 
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -45,13 +45,13 @@
 /// One try at one back end.
 class ForwardFlow::Try : public HttpCallObserver {
  public:
-  Try(ForwardFlow& flow, const BackendInstance& target)
-      : flow_(flow), target_(target), sent_at_(flow.context_.environment.Now()) {
+  Try(ForwardFlow& flow, BackendInstance target)
+      : flow_(flow), target_(std::move(target)), sent_at_(flow.context_.environment.Now()) {
     flow_.context_.directory.Begin(target_.id);
   }
 
-  void Start(const std::string& address, HttpRequest request) {
-    handle_ = flow_.context_.http.Start(address, std::move(request), *this);
+  void Start(HttpRequest request) {
+    handle_ = flow_.context_.http.Start(target_.address, std::move(request), *this);
   }
 
   void OnHead(const HttpResponseHead& head) override {
@@ -132,24 +132,9 @@
 }
 
 void ForwardFlow::SendIfAllowed() {
-  const GuardDecision decision = watch_.Judge();
-  switch (decision.verdict) {
-    case GuardVerdict::kSend:
-      return SendOrWait();
-    case GuardVerdict::kWait:
-      return retry_timer_.Arm(kCheckPause, [this] { SendIfAllowed(); });
-    case GuardVerdict::kTrial:
-      return BeginTrial();
-    case GuardVerdict::kRefuse:
-      return Withhold(decision.retry_after);
-  }
-}
-
-void ForwardFlow::BeginTrial() {
-  watch_.BeginTrial([this](bool granted) {
-    if (!granted) return Withhold(kClientTrialPauses.front());
-    SendOrWait();
-  });
+  watch_.SendIfAllowed(
+      retry_timer_, [this] { SendOrWait(); },
+      [this](Duration retry_after) { Withhold(retry_after); });
 }
 
 void ForwardFlow::Withhold(Duration retry_after) {
@@ -165,11 +150,12 @@
 }
 
 void LogLostTry(const ForwardContext& context, const ForwardRequest& request,
-                const InstanceId& instance, TimePoint sent_at, const std::string& reason) {
+                const RequestFingerprint& fingerprint, const InstanceId& instance,
+                TimePoint sent_at, const std::string& reason) {
   const Duration ran = context.environment.Now() - sent_at;
   LogEvent(EventId::kTryLost,
            "request={} fingerprint={} instance={} ran_ms={} running_there={} reason=\"{}\"",
-           request.request_id, FingerprintOf(IdentityOf(request)), instance,
+           request.request_id, fingerprint, instance,
            std::chrono::duration_cast<std::chrono::milliseconds>(ran).count(),
            context.directory.Running(instance), reason);
 }
@@ -209,7 +195,7 @@
 }
 
 void ForwardFlow::SendTry() {
-  const auto target = context_.directory.Pick(DrawService(route_, context_.environment), tried_);
+  auto target = context_.directory.Pick(DrawService(route_, context_.environment), tried_);
   if (!target) return;
   tried_.insert(target->id);
   last_instance_ = target->id;
@@ -219,8 +205,8 @@
   watch_.NoteSent();
   BackendRequest request{request_.http, request_.host, request_.request_id, TimeLeft(),
                          target->id,    std::nullopt,  request_.tenant};
-  tries_.push_back(std::make_unique<Try>(*this, *target));
-  tries_.back()->Start(target->address, context_.protocol.MakeRequest(request));
+  tries_.push_back(std::make_unique<Try>(*this, *std::move(target)));
+  tries_.back()->Start(context_.protocol.MakeRequest(request));
 }
 
 void ForwardFlow::ArmHedge() {
@@ -271,7 +257,8 @@
   // What was sent and not refused has most likely begun.
   if (!unreachable) {
     meter_.NoteBegun(attempt.sent_at());
-    LogLostTry(context_, request_, attempt.instance(), attempt.sent_at(), reason);
+    LogLostTry(context_, request_, watch_.fingerprint(), attempt.instance(), attempt.sent_at(),
+               reason);
     watch_.NoteLost(attempt.target());
   }
   last_reason_ = reason;
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -86,7 +86,8 @@
 
 /// Says that `instance` got the request at `sent_at` and gave no whole answer.
 void LogLostTry(const ForwardContext& context, const ForwardRequest& request,
-                const InstanceId& instance, TimePoint sent_at, const std::string& reason);
+                const RequestFingerprint& fingerprint, const InstanceId& instance,
+                TimePoint sent_at, const std::string& reason);
 
 /// The service that one request of `route` goes to, by the weights.
 ServiceName DrawService(const Route& route, Environment& environment);
@@ -107,7 +108,6 @@
   bool repeatable() const { return route_.kind == RouteKind::kRepeatable; }
   /// Asks the guard, then sends or waits.
   void SendIfAllowed();
-  void BeginTrial();
   /// Back ends ended under the request: it is not sent (any more).
   void Withhold(Duration retry_after);
   void SendTry();
--- a/source/ingress/request_guard.cc
+++ b/source/ingress/request_guard.cc
@@ -138,7 +138,7 @@
   seen.place = request.place;
   seen.in_doubt.insert(instance.id);
   seen.changed_at = environment_.Now();
-  RefreshPlaces();
+  places_.insert(request.place);
   const auto [check, added] = checks_.try_emplace(instance.id);
   check->second.requests.insert(request.fingerprint);
   if (!added) return;
--- a/source/ingress/request_watch.cc
+++ b/source/ingress/request_watch.cc
@@ -37,10 +37,27 @@
   return decision;
 }
 
-void RequestWatch::BeginTrial(std::function<void(bool granted)> done) {
-  guard_.BeginTrial(fingerprint(), alive_.Guard([this, done = std::move(done)](bool granted) {
+void RequestWatch::SendIfAllowed(ScopedTimer& retry_timer, std::function<void()> send,
+                                 std::function<void(Duration retry_after)> withhold) {
+  const GuardDecision decision = Judge();
+  switch (decision.verdict) {
+    case GuardVerdict::kSend:
+      return send();
+    case GuardVerdict::kRefuse:
+      return withhold(decision.retry_after);
+    case GuardVerdict::kWait:
+      return retry_timer.Arm(kCheckPause, [this, &retry_timer, send = std::move(send),
+                                           withhold = std::move(withhold)] {
+        SendIfAllowed(retry_timer, send, withhold);
+      });
+    case GuardVerdict::kTrial:
+      break;
+  }
+  guard_.BeginTrial(fingerprint(), alive_.Guard([this, send = std::move(send),
+                                                 withhold = std::move(withhold)](bool granted) {
     on_trial_ = granted;
-    done(granted);
+    if (granted) return send();
+    withhold(kClientTrialPauses.front());
   }));
 }
 
--- a/source/ingress/request_watch.h
+++ b/source/ingress/request_watch.h
@@ -23,10 +23,11 @@
   RequestWatch(const RequestWatch&) = delete;
   RequestWatch& operator=(const RequestWatch&) = delete;
 
-  /// What may be done with the request now. A trial that was granted allows one send.
-  GuardDecision Judge();
-  void BeginTrial(std::function<void(bool granted)> done);
-  bool on_trial() const { return on_trial_; }
+  /// Has the request sent once the guard allows it, maybe at once: waits by `retry_timer` while a
+  /// back end's life is being asked for, and asks for a trial if one is due. Else `withhold` hears
+  /// when it may be tried again. Nothing is called once the watch is gone.
+  void SendIfAllowed(ScopedTimer& retry_timer, std::function<void()> send,
+                     std::function<void(Duration retry_after)> withhold);
   /// Whether a back end ended under it: then it is sent to one back end at a time.
   bool IsSuspect();
 
@@ -37,11 +38,14 @@
   void NoteUnreachable() { trial_used_ = false; }
   /// `instance` got it and gave no whole answer.
   void NoteLost(const BackendInstance& instance);
+  /// Tells its content from others, also in logs.
+  const RequestFingerprint& fingerprint();
   /// A back end answered it, or got further with it than the one that was lost before.
   void NoteServed();
 
  private:
-  const RequestFingerprint& fingerprint();
+  /// What may be done with the request now. A trial that was granted allows one send.
+  GuardDecision Judge();
   const std::string& place();
   uint64_t digest() const;
   bool MayBeSuspect() { return lost_ || (!guard_.idle() && guard_.MayBeSuspect(place())); }
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -22,13 +22,13 @@
 /// One run at one back end.
 class StreamFlow::Run : public HttpCallObserver {
  public:
-  Run(StreamFlow& flow, const BackendInstance& target)
-      : flow_(flow), target_(target), sent_at_(flow.context_.environment.Now()) {
+  Run(StreamFlow& flow, BackendInstance target)
+      : flow_(flow), target_(std::move(target)), sent_at_(flow.context_.environment.Now()) {
     flow_.context_.directory.Begin(target_.id);
   }
 
-  void Start(const std::string& address, HttpRequest request) {
-    handle_ = flow_.context_.http.Start(address, std::move(request), *this);
+  void Start(HttpRequest request) {
+    handle_ = flow_.context_.http.Start(target_.address, std::move(request), *this);
   }
   void OnHead(const HttpResponseHead& head) override {
     if (!ended_) flow_.OnHead(*this, head);
@@ -93,20 +93,8 @@
 }
 
 void StreamFlow::SendIfAllowed() {
-  const GuardDecision decision = watch_.Judge();
-  switch (decision.verdict) {
-    case GuardVerdict::kSend:
-      return SendRun();
-    case GuardVerdict::kWait:
-      return retry_timer_.Arm(kCheckPause, [this] { SendIfAllowed(); });
-    case GuardVerdict::kTrial:
-      return watch_.BeginTrial([this](bool granted) {
-        if (granted) return SendRun();
-        Withhold(kClientTrialPauses.front());
-      });
-    case GuardVerdict::kRefuse:
-      return Withhold(decision.retry_after);
-  }
+  watch_.SendIfAllowed(
+      retry_timer_, [this] { SendRun(); }, [this](Duration retry_after) { Withhold(retry_after); });
 }
 
 void StreamFlow::Withhold(Duration retry_after) {
@@ -116,7 +104,7 @@
 
 void StreamFlow::SendRun() {
   const TimePoint now = context_.environment.Now();
-  const auto target = context_.directory.Pick(DrawService(route_, context_.environment), tried_);
+  auto target = context_.directory.Pick(DrawService(route_, context_.environment), tried_);
   if (!target) {
     // Nobody is there: those tried before may be again.
     tried_.clear();
@@ -136,8 +124,8 @@
   BackendRequest request{request_.http, request_.host,         request_.request_id, deadline_ - now,
                          target->id,    request_.resume_after, request_.tenant};
   if (begun_) request.resume_after = events_;
-  run_ = std::make_unique<Run>(*this, *target);
-  run_->Start(target->address, context_.protocol.MakeRequest(request));
+  run_ = std::make_unique<Run>(*this, *std::move(target));
+  run_->Start(context_.protocol.MakeRequest(request));
 }
 
 void StreamFlow::OnHead(Run& run, const HttpResponseHead& head) {
@@ -207,7 +195,7 @@
     --may_have_run_;
     watch_.NoteUnreachable();
   } else {
-    LogLostTry(context_, request_, run.target().id, run.sent_at(), reason);
+    LogLostTry(context_, request_, watch_.fingerprint(), run.target().id, run.sent_at(), reason);
     watch_.NoteLost(run.target());
     after_loss_ = true;
   }
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -29,7 +29,7 @@
       configuration_(MakeConfigurationClient(environment, transport, options.self,
                                              options.control_nodes, options.configuration_timing)),
       cluster_(environment, transport, kClusterGroup, [this] { return ControlNodes(); }),
-      suspects_(environment, cluster_),
+      suspects_(cluster_),
       usage_(
           environment, {options.self.node, options.self.incarnation, options.usage_window},
           [this](const UsageReport& report, std::function<void(bool)> done) {
@@ -76,10 +76,8 @@
 }
 
 void IngressNode::SubmitUsage(const UsageReport& report, std::function<void(bool)> done) {
-  const ClusterCommand command{AddUsage{report}, std::nullopt, {}};
-  cluster_.Submit(CommandMode::kPropose, EncodeCommand(command), kClusterPatience,
-                  [done = std::move(done)](const absl::StatusOr<std::string>& answer) {
-                    const auto result = answer.ok() ? DecodeResult(*answer) : answer.status();
+  SubmitOperation(cluster_, AddUsage{report}, kClusterPatience,
+                  [done = std::move(done)](const absl::StatusOr<ClusterResult>& result) {
                     done(result.ok() && result->code == ClusterResultCode::kOk);
                   });
 }
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -35,7 +35,7 @@
         service_(environment, transport,
                  [this] { return PlacedLeader(configuration(), kJobGroup); }),
         cluster_(environment, transport, kClusterGroup, [this] { return ControlNodes(); }),
-        suspects_(environment, cluster_),
+        suspects_(cluster_),
         placement_(environment, options_.self.node,
                    [this](PlaceJobGroup place, std::function<void(absl::Status)> done) {
                      SubmitToCluster(std::move(place), std::move(done));
@@ -173,10 +173,9 @@
   }
 
   void SubmitToCluster(ClusterOperation operation, std::function<void(absl::Status)> done) {
-    const ClusterCommand command{std::move(operation), std::nullopt, environment_.WallNow()};
-    cluster_.Submit(CommandMode::kPropose, EncodeCommand(command), kCommandTimeout,
-                    [done = std::move(done)](const absl::StatusOr<std::string>& answer) {
-                      done(answer.status());
+    SubmitOperation(cluster_, std::move(operation), kCommandTimeout,
+                    [done = std::move(done)](const absl::StatusOr<ClusterResult>& result) {
+                      done(result.status());
                     });
   }
 
--- a/test/ingress/forward_flow_test.cc
+++ b/test/ingress/forward_flow_test.cc
@@ -6,18 +6,13 @@
 #include "ingress/ingress_service.h"
 #include "test/ingress/fake_backends.h"
 #include "test/ingress/fake_register.h"
+#include "test/ingress/fixed_table.h"
 
 namespace millstair {
 namespace {
 
 using std::chrono::milliseconds;
 
-class FixedTable : public RoutingDocumentReader {
- public:
-  absl::StatusOr<RouteTable> Read(const std::string&) const override { return table; }
-  RouteTable table;
-};
-
 class Fixture {
  public:
   Fixture() : service_(environment, backends, protocol, reader, Zone("z1")) {
--- a/test/jobs/crashing_item_test.cc
+++ b/test/jobs/crashing_item_test.cc
@@ -6,6 +6,7 @@
 #include "fmt/format.h"
 #include "jobs/job_scheduler.h"
 #include "test/ingress/fake_backends.h"
+#include "test/ingress/fixed_table.h"
 #include "test/jobs/fake_group.h"
 
 namespace millstair {
@@ -19,12 +20,6 @@
 constexpr int kWholeEvents = 10;
 constexpr Duration kBackAfter = seconds(3);
 
-class FixedTable : public RoutingDocumentReader {
- public:
-  absl::StatusOr<RouteTable> Read(const std::string&) const override { return table; }
-  RouteTable table;
-};
-
 /// Engines that end under an item: each time before its event `crash_at`, if `crash_at` is set and
 /// that event is due; once the fourth event of any other item has come, `chance_crashes` times.
 class Fixture {
--- a/test/jobs/crashing_request_test.cc
+++ b/test/jobs/crashing_request_test.cc
@@ -57,26 +57,29 @@
   explicit Callers(IngressFleet& fleet, int gateways = kGateways)
       : fleet_(fleet), gateways_(gateways) {}
 
-  /// Asks for `target` each `pause` or so for `span`, and notes how it went.
-  void Repeat(const std::string& target, Duration pause, Duration span, Served& served) {
+  using Target = std::function<std::string()>;
+
+  /// Asks each `pause` or so for `span`, each time for what `target` says, and notes how it went.
+  void Repeat(const Target& target, Duration pause, Duration span, Served& served) {
     if (span <= Duration(0)) return;
     ++served.asked;
-    Ask(target, 1, served);
+    Ask(target(), 1, served);
     const Duration next = DrawDuration(fleet_.scheduler.Random(), pause / 2, pause * 3 / 2);
     fleet_.scheduler.Schedule(next, [this, target, pause, left = span - next, &served] {
       Repeat(target, pause, left, served);
     });
   }
 
-  /// Asks for one of `pages` pages each `pause` or so.
+  void Repeat(const std::string& target, Duration pause, Duration span, Served& served) {
+    Repeat([target] { return target; }, pause, span, served);
+  }
+
+  /// Asks for one of `pages` pages each time.
   void Browse(int pages, Duration pause, Duration span, Served& served) {
-    if (span <= Duration(0)) return;
-    ++served.asked;
-    Ask(fmt::format("/p/page{}", DrawBelow(fleet_.scheduler.Random(), pages)), 1, served);
-    const Duration next = DrawDuration(fleet_.scheduler.Random(), pause / 2, pause * 3 / 2);
-    fleet_.scheduler.Schedule(next, [this, pages, pause, left = span - next, &served] {
-      Browse(pages, pause, left, served);
-    });
+    const Target any = [this, pages] {
+      return fmt::format("/p/page{}", DrawBelow(fleet_.scheduler.Random(), pages));
+    };
+    Repeat(any, pause, span, served);
   }
 
  private:
--- a/test/jobs/ingress_fleet.h
+++ b/test/jobs/ingress_fleet.h
@@ -10,6 +10,7 @@
 #include "cluster/control_node.h"
 #include "jobs/ingress_node.h"
 #include "storage/memory_file_system.h"
+#include "test/ingress/fixed_table.h"
 #include "test/jobs/crashing_servers.h"
 
 namespace millstair {
@@ -49,11 +50,6 @@
     std::unique_ptr<ControlNode> control;
     std::unique_ptr<IngressNode> ingress;
   };
-  class Table : public RoutingDocumentReader {
-   public:
-    absl::StatusOr<RouteTable> Read(const std::string&) const override { return table; }
-    RouteTable table;
-  };
 
   void Start(const std::string& name);
   void StartControl(Process& process, const NodeRecord& self);
@@ -64,7 +60,7 @@
   const uint64_t seed_;
   uint64_t lives_ = 0;
   FakeProtocol protocol_;
-  Table table_;
+  FixedTable table_;
   std::unique_ptr<VirtualEnvironment> disk_environment_;
   std::map<std::string, std::unique_ptr<MemoryFileSystem>> disks_;
   FakeBackends platform_{scheduler};
--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -4,6 +4,7 @@
 
 #include "fmt/format.h"
 #include "test/ingress/fake_backends.h"
+#include "test/ingress/fixed_table.h"
 #include "test/jobs/fake_group.h"
 
 namespace millstair {
@@ -13,12 +14,6 @@
 using std::chrono::seconds;
 using Kind = FakeAnswer::Kind;
 
-class FixedTable : public RoutingDocumentReader {
- public:
-  absl::StatusOr<RouteTable> Read(const std::string&) const override { return table; }
-  RouteTable table;
-};
-
 FakeAnswer Text(std::vector<std::string> pieces) {
   return {Kind::kAnswer, 200, {{"version", "1"}}, std::move(pieces)};
 }
