Log a heartbeat that gets no proof, what came of a node's heartbeats, and messages dropped

Cause: neither end of the conversation about the configuration said anything of a heartbeat that was left unanswered, a reply that could not be used or messages that were not sent, so that the hypotheses on gateways without a proof can't be told apart by their logs. Change: events 2008 (control node: node, reason), 2009 (node without a proof: asked, answered, late, unreadable, refused, pushes, each 5 s) and 5104 (peer, reason, count, each 10 s). No change of logic.

--- a/source/cluster/configuration_client.cc
+++ b/source/cluster/configuration_client.cc
@@ -29,6 +29,9 @@
 /// An observation that changed is sent at most this much later, together with others by then.
 constexpr Duration kReportDelay = std::chrono::milliseconds(150);
 
+/// A node without a proof says this often what it asked and what came back.
+constexpr Duration kStillUnprovenPause = std::chrono::seconds(5);
+
 /// The pauses of a search are not doubled more often than this; no heartbeat is that far apart.
 constexpr size_t kMostDoublings = 8;
 
@@ -37,6 +40,20 @@
   TimePoint at;
 };
 
+/// What came of a node's heartbeats, for its log.
+struct ProofTally {
+  int asked = 0;
+  /// Answered in time with a proof or with changes that lead to it.
+  int answered = 0;
+  /// Answered after the heartbeat was given up.
+  int late = 0;
+  /// Replies and pushes that can't be read.
+  int unreadable = 0;
+  /// Changes that start after the revision held, or lead back.
+  int refused = 0;
+  int pushes = 0;
+};
+
 int64_t Milliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
@@ -61,6 +78,7 @@
       transport_.SetAddress(endpoint.node, endpoint.address);
     }
     answered_at_ = environment_.Now();
+    tally_told_at_ = answered_at_;
     search_timer_.Arm(SearchStep(), [this] { Search(); });
     Beat();
   }
@@ -98,6 +116,7 @@
  private:
   void Beat() {
     NoteLease();
+    TellUnproven();
     SendHeartbeat(sources_.current().node, TakeObservations());
     AskOwnZoneIfDue();
     const double jitter = 1 + kHeartbeatJitter * (2 * DrawUnit(environment_.Random()) - 1);
@@ -167,13 +186,31 @@
   void NoteLease() {
     if (LeaseValid() == lease_noted_) return;
     lease_noted_ = !lease_noted_;
+    tally_ = {};
+    tally_told_at_ = environment_.Now();
     LogEvent(lease_noted_ ? EventId::kConfigurationProven : EventId::kConfigurationUnproven,
              "node={} source={} revision={} proof_ms={}", self_.node, sources_.current().node,
              configuration_.revision, ProofMilliseconds());
   }
 
+  /// Logs once in a while what came of the heartbeats since the lease was over.
+  void TellUnproven() {
+    const TimePoint now = environment_.Now();
+    if (lease_noted_ || now - tally_told_at_ < kStillUnprovenPause) return;
+    LogEvent(
+        EventId::kConfigurationStillUnproven,
+        "node={} incarnation={} source={} revision={} proof_ms={} asked={} answered={} late={} "
+        "unreadable={} refused={} pushes={}",
+        self_.node, self_.incarnation, sources_.current().node, configuration_.revision,
+        ProofMilliseconds(), tally_.asked, tally_.answered, tally_.late, tally_.unreadable,
+        tally_.refused, tally_.pushes);
+    tally_ = {};
+    tally_told_at_ = now;
+  }
+
   void SendHeartbeat(const NodeId& to, std::vector<ReportedObservation> observations) {
     const TimePoint now = environment_.Now();
+    ++tally_.asked;
     NodeHeartbeat heartbeat;
     heartbeat.nonce = environment_.Random()() | 1;
     heartbeat.sender.record = self_;
@@ -204,13 +241,21 @@
 
   void ReceiveReply(const std::string& payload) {
     const auto reply = DecodeHeartbeatReply(payload);
-    if (!reply.ok()) return;
+    if (!reply.ok()) {
+      ++tally_.unreadable;
+      return;
+    }
     const auto found = unanswered_.find(reply->nonce);
-    if (found == unanswered_.end()) return;
+    if (found == unanswered_.end()) {
+      ++tally_.late;
+      return;
+    }
+    ++tally_.answered;
     const SentHeartbeat sent = found->second;
     unanswered_.erase(found);
     absl::StatusOr<ConfigurationDelta> changes = absl::NotFoundError("nothing changed");
     if (!reply->delta.empty()) changes = DecodeDelta(reply->delta);
+    if (!reply->delta.empty() && !changes.ok()) ++tally_.unreadable;
     const bool changed = changes.ok() && ApplyChanges(*changes);
     if (configuration_.revision >= reply->confirmed) {
       NoteAnswer(sent.to);
@@ -221,6 +266,8 @@
 
   void ReceivePush(const NodeId&, const std::string& payload) {
     const auto delta = DecodeConfigurationPush(payload);
+    ++tally_.pushes;
+    if (!delta.ok()) ++tally_.unreadable;
     if (delta.ok() && ApplyChanges(*delta)) NotifyListeners(*delta);
   }
 
@@ -230,7 +277,9 @@
     if (faults_.smaller_revision_accepted && delta.to < before) {
       configuration_.revision = delta.from;
     }
-    return ApplyDelta(configuration_, delta) && configuration_.revision != before;
+    const bool applied = ApplyDelta(configuration_, delta);
+    if (!applied) ++tally_.refused;
+    return applied && configuration_.revision != before;
   }
 
   void ExtendLease(TimePoint sent_at) {
@@ -274,6 +323,9 @@
   TimePoint lease_until_;
   /// What the log last said of the lease.
   bool lease_noted_ = false;
+  /// Since the lease was last noted over, or the last line about it.
+  ProofTally tally_;
+  TimePoint tally_told_at_;
   /// When a control node last proved the configuration.
   TimePoint answered_at_;
   /// Control nodes asked since the one in use is silent; 0 while it is not.
--- a/source/cluster/control_node.cc
+++ b/source/cluster/control_node.cc
@@ -144,7 +144,7 @@
       case MessageKind::kRaft:
         return groups_->Receive(from, message);
       case MessageKind::kHeartbeat:
-        return ReceiveHeartbeat(message);
+        return ReceiveHeartbeat(from, message);
       case MessageKind::kCommand:
         return commands_.ReceiveCommand(from, message);
       case MessageKind::kCommandReply:
@@ -206,9 +206,9 @@
            held.models == reported.models && held.slots == reported.slots;
   }
 
-  void ReceiveHeartbeat(const PeerMessage& message) {
+  void ReceiveHeartbeat(const NodeId& from, const PeerMessage& message) {
     const auto heartbeat = DecodeHeartbeat(message.payload);
-    if (!heartbeat.ok()) return;
+    if (!heartbeat.ok()) return heartbeats_.NoteUnreadable(from, heartbeat.status());
     membership_.Hear(*heartbeat);
     if (heartbeat->nonce != 0) heartbeats_.Answer(*heartbeat);
   }
--- a/source/cluster/heartbeat_service.cc
+++ b/source/cluster/heartbeat_service.cc
@@ -2,24 +2,40 @@
 
 #include <utility>
 
+#include "common/event_log.h"
+#include "fmt/format.h"
+
 namespace millstair {
 namespace {
 
 /// Heartbeats of so short a time share one confirmed read.
 constexpr Duration kBatchDelay = std::chrono::milliseconds(10);
+/// A node without a proof beats several times a second at each of its control nodes; one line in
+/// this long tells as much.
+constexpr Duration kNotePause = std::chrono::seconds(5);
+/// Nodes whose last line is remembered; a control node hears a few hundred.
+constexpr size_t kMostNoted = 4096;
 
 }  // namespace
 
 HeartbeatService::HeartbeatService(Environment& environment, PeerTransport& transport,
                                    ClusterReplica& cluster, PushService& push, ClusterFaults faults)
-    : transport_(transport), cluster_(cluster), push_(push), faults_(faults), timer_(environment) {}
+    : environment_(environment),
+      transport_(transport),
+      cluster_(cluster),
+      push_(push),
+      faults_(faults),
+      timer_(environment) {}
 
 void HeartbeatService::Answer(const NodeHeartbeat& heartbeat) {
   const NodeRecord& record = heartbeat.sender.record;
   const auto& nodes = cluster_.configuration().nodes;
   const auto known = nodes.find(record.node);
-  if (known != nodes.end() && known->second.incarnation > record.incarnation) return;
-  if (cluster_.group() == nullptr) return;
+  if (known != nodes.end() && known->second.incarnation > record.incarnation) {
+    return NoteUnanswered(record.node, fmt::format("a later life is known: {} after {}",
+                                                   known->second.incarnation, record.incarnation));
+  }
+  if (cluster_.group() == nullptr) return NoteUnanswered(record.node, "no replica here");
   push_.Attach(record.node, heartbeat.sender.applied);
   waiting_.push_back({record.node, heartbeat.nonce, heartbeat.sender.applied});
   if (faults_.heartbeat_unconfirmed) return Reply(std::exchange(waiting_, {}));
@@ -29,10 +45,26 @@
 void HeartbeatService::ConfirmBatch() {
   auto batch = std::exchange(waiting_, {});
   cluster_.ConfirmRead(alive_.Guard([this, batch = std::move(batch)](const absl::Status& status) {
-    if (status.ok()) Reply(batch);
+    if (status.ok()) return Reply(batch);
+    for (const Waiting& waiting : batch)
+      NoteUnanswered(waiting.node, std::string(status.message()));
   }));
 }
 
+void HeartbeatService::NoteUnreadable(const NodeId& from, const absl::Status& fault) {
+  NoteUnanswered(from, std::string(fault.message()));
+}
+
+void HeartbeatService::NoteUnanswered(const NodeId& node, const std::string& reason) {
+  const TimePoint now = environment_.Now();
+  const auto [noted, first] = noted_.try_emplace(node, now);
+  if (!first && now - noted->second < kNotePause) return;
+  noted->second = now;
+  if (noted_.size() > kMostNoted) noted_.erase(noted_.begin());
+  LogEvent(EventId::kHeartbeatUnanswered, "node={} revision={} reason=\"{}\"", node,
+           cluster_.configuration().revision, reason);
+}
+
 void HeartbeatService::Reply(const std::vector<Waiting>& batch) {
   const Revision newest = cluster_.configuration().revision;
   for (const Waiting& waiting : batch) {
--- a/source/cluster/heartbeat_service.h
+++ b/source/cluster/heartbeat_service.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <string>
 #include <vector>
 
 #include "cluster/cluster_faults.h"
@@ -18,6 +20,9 @@
   HeartbeatService(Environment& environment, PeerTransport& transport, ClusterReplica& cluster,
                    PushService& push, ClusterFaults faults);
 
+  /// Logs that the message of kind kHeartbeat that came from `from` can't be read.
+  void NoteUnreadable(const NodeId& from, const absl::Status& fault);
+
   /// Answers `heartbeat` once a read that began after it was confirmed. Not at all if the read
   /// fails, or if a later life of the node is known: the sender's lease then lapses.
   void Answer(const NodeHeartbeat& heartbeat);
@@ -31,12 +36,17 @@
 
   void ConfirmBatch();
   void Reply(const std::vector<Waiting>& batch);
+  /// Logs once in a while for each node why it gets no proof.
+  void NoteUnanswered(const NodeId& node, const std::string& reason);
 
+  Environment& environment_;
   PeerTransport& transport_;
   ClusterReplica& cluster_;
   PushService& push_;
   const ClusterFaults faults_;
   std::vector<Waiting> waiting_;
+  /// When it was last logged that a node got no proof.
+  std::map<NodeId, TimePoint> noted_;
   ScopedTimer timer_;
   AliveFlag alive_;
 };
--- a/source/transport/peer_hub.cc
+++ b/source/transport/peer_hub.cc
@@ -32,6 +32,8 @@
 constexpr size_t kMaxConnections = 8192;
 /// Wait after a failed accept (out of descriptors).
 constexpr std::chrono::milliseconds kAcceptPause{100};
+/// A peer that is down is tried several times a second; one line in this long tells as much.
+constexpr std::chrono::seconds kDropTold{10};
 
 /// Finds out soon when the peer's machine has gone silently.
 void SetSocketOptions(PeerHub::Tcp::socket& socket, Duration timeout) {
@@ -124,10 +126,10 @@
 void PeerHub::Enqueue(const NodeId& to, std::string frame) {
   if (stopped_) return;
   Peer& peer = PeerOf(to);
-  if (!peer.connection && peer.address.empty()) return stats_.CountDropped("unknown-node");
+  if (!peer.connection && peer.address.empty()) return NoteDropped(to, peer, "unknown-node", 1);
   if (peer.queue.size() >= options_.max_queue_messages ||
       peer.queue_bytes + frame.size() > options_.max_queue_bytes) {
-    return stats_.CountDropped("queue-full");
+    return NoteDropped(to, peer, "queue-full", 1);
   }
   peer.queue_bytes += frame.size();
   peer.queue.push_back(std::move(frame));
@@ -140,8 +142,19 @@
   }
 }
 
-void PeerHub::DropQueue(Peer& peer, const std::string& reason) {
-  if (!peer.queue.empty()) stats_.CountDropped(reason, peer.queue.size());
+void PeerHub::NoteDropped(const NodeId& node, Peer& peer, const std::string& reason, size_t count) {
+  stats_.CountDropped(reason, count);
+  peer.dropped += count;
+  const SteadyTime now = std::chrono::steady_clock::now();
+  if (peer.drop_told && now - *peer.drop_told < kDropTold) return;
+  LogEvent(EventId::kPeerMessagesDropped, "node={} address={} reason={} count={}", node,
+           peer.address, reason, peer.dropped);
+  peer.drop_told = now;
+  peer.dropped = 0;
+}
+
+void PeerHub::DropQueue(const NodeId& node, Peer& peer, const std::string& reason) {
+  if (!peer.queue.empty()) NoteDropped(node, peer, reason, peer.queue.size());
   peer.queue.clear();
   peer.queue_bytes = 0;
 }
@@ -201,7 +214,7 @@
       Adopt(connection);
     } else if (!peer.connection) {
       stats_.dials_failed.Add();
-      DropQueue(peer, "not-connected");
+      DropQueue(node, peer, "not-connected");
       peer.backoff = NextBackoff(peer);
     }
   }
@@ -446,7 +459,7 @@
   if (peer == peers_.end() || peer->second.connection != connection) return;
   peer->second.connection = nullptr;
   // A dial under way may still send what is queued.
-  if (!peer->second.dialling) DropQueue(peer->second, "disconnected");
+  if (!peer->second.dialling) DropQueue(peer->first, peer->second, "disconnected");
   LogEvent(EventId::kPeerDisconnected, "node={}", connection->node);
 }
 
--- a/source/transport/peer_hub.h
+++ b/source/transport/peer_hub.h
@@ -96,11 +96,16 @@
     bool dialling = false;
     Duration backoff{0};
     boost::asio::steady_timer backoff_timer;
+    /// Messages dropped since the last line about it, and when that was.
+    size_t dropped = 0;
+    std::optional<SteadyTime> drop_told;
   };
 
   Peer& PeerOf(const NodeId& node);
   void Enqueue(const NodeId& to, std::string frame);
-  void DropQueue(Peer& peer, const std::string& reason);
+  void DropQueue(const NodeId& node, Peer& peer, const std::string& reason);
+  /// Counts messages that were not sent, and logs it once in a while for each peer.
+  void NoteDropped(const NodeId& node, Peer& peer, const std::string& reason, size_t count);
   /// Bytes of the first messages in the queue, joined; empty if there are none.
   std::string TakeBatch(Peer& peer);
   /// Adds the frames of a compressed one; false if it is damaged or holds other than messages.
