Have the soak step clocks, suspend machines, start nodes twice across a step, and watch proofs

New kinds of faults: step_clock, restart_across_step, suspend. New check: a gateway in touch holds a proof, read from its metrics, and not only wrong routes.

--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -14,8 +14,8 @@
                        moved_service, routing_document, score_service, service_of)
 from faults import Faults
 from fleet import Layout, claim_subnet
-from history import (Acknowledged, Call, CrashingCall, CrashingRun, History, Listed, OperatorCall, Order, ReadBack, Run, Sent,
-                     Span, Started)
+from history import (Acknowledged, Call, CrashingCall, CrashingRun, History, Listed, OperatorCall,
+                     Order, Proof, ReadBack, Run, Sent, Span, Started)
 
 INSTANCES = {"i-1"}
 # Gateway 6 to 11, control nodes 1 to 5.
@@ -69,6 +69,19 @@
         Sent(2, "", 2.5), Acknowledged("version 2", 2.5, 3.0, 1), *records)
 
 
+class FakeClocks:
+    """Notes how far each machine's time of day is off."""
+
+    library = "library"
+
+    def __init__(self):
+        self.off = {}
+
+    def set_time_of_day(self, machine, ahead):
+        """It jumps."""
+        self.off[machine] = ahead
+
+
 class FakeFleet:
     """Notes whose processes are killed or stopped."""
 
@@ -76,6 +89,7 @@
 
     def __init__(self):
         self.struck = set()
+        self.clocks = FakeClocks()
 
     def on_machine(self, machine):
         """One node of each machine."""
@@ -118,6 +132,21 @@
             self.assertTrue(struck & set(LARGE.machines), name)
             self.assertTrue(struck & set(LARGE.gateways), name)
 
+    def test_clocks_are_right_in_the_end(self):
+        """A clock that jumps goes back, also where machines start in between."""
+        random.seed(1)
+        started = 0
+        for name in ("step_clock", "restart_across_step"):
+            for _ in range(20):
+                fleet = FakeFleet()
+                faults = Faults(fleet, None, History())
+                with unittest.mock.patch("faults.time.sleep"):
+                    self.assertTrue(faults.play(getattr(faults, name)))
+                self.assertTrue(fleet.clocks.off)
+                self.assertEqual(set(fleet.clocks.off.values()), {0.0})
+                started += len(fleet.struck)
+        self.assertGreater(started, 0)
+
     def test_several_gateways(self):
         """Gateways alone, as many as may be struck."""
         for name in ("kill_gateways", "stop_several"):
@@ -125,6 +154,23 @@
             self.assertTrue(struck <= set(LARGE.gateways), name)
 
 
+class ProofTest(unittest.TestCase):
+    """A gateway in touch holds a proof."""
+
+    def judged(self, *spans):
+        """How many cases were tried and broken of a gateway without a proof at 20 s."""
+        history = history_of(Proof(14, 20.0, 20.1, False), *spans)
+        row = routing_checks.check_proven(history, routing_checks.Touch(history, LARGE))
+        return row.tried, len(row.broken)
+
+    def test_without_a_proof(self):
+        """Broken, unless the gateway or most control nodes were struck."""
+        self.assertEqual(self.judged(), (1, 1))
+        self.assertEqual(self.judged(Span("kill", (3,), 18.0, 19.0)), (1, 1))
+        self.assertEqual(self.judged(Span("step_clock", (14,), 18.0, 19.0)), (0, 0))
+        self.assertEqual(self.judged(Span("kill_all", LARGE.machines, 18.0, 19.0)), (0, 0))
+
+
 class SubnetTest(unittest.TestCase):
     """Runs side by side."""
 
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -18,6 +18,10 @@
 SLOW_TICK = 0.1
 # A disk counts as lost until its successor has had this long to catch up.
 CATCH_UP = 6.0
+# Time of day that jumps: at most so many seconds off. Users see up to 8, ahead and back.
+STEP = 8.0
+# Lives of a process between which a clock jumps last so long; users see kills within a second.
+SHORT_LIFE = (0.2, 2.0)
 # At most this share of the gateways is struck at a time.
 STRUCK_GATEWAYS = 0.25
 
@@ -92,6 +96,9 @@
             self.kill, self.kill, self.freeze, self.cut, self.slow_link, self.reset_links,
             self.stop, self.slow, self.reload]
         self._alone_kinds = [self.kill_all, self.rolling_stop, self.cut_in_two, self.cut_zones]
+        self._clock_kinds = [self.step_clock, self.restart_across_step, self.suspend]
+        if fleet.clocks.library:
+            self.one_machine += self._clock_kinds
         self.kinds = self.one_machine + [
             self.lose_disk, self.stop_several, self.kill_gateways, self.rolling_stop, self.kill_all,
             self.cut_in_two, self.cut_zones, self.strike_zone, *self.of_back_ends]
@@ -136,6 +143,9 @@
             machines, wanted = layout.gateways, len(layout.gateways)
         elif kind == self.stop_several:
             machines, wanted = layout.gateways, 3
+        elif kind in self._clock_kinds:
+            machines = random.choice((layout.machines, layout.gateways))
+            wanted = 1 if machines is layout.machines else 4
         elif kind == self.lose_disk:
             machines, wanted = layout.machines, 1
         elif kind == self.strike_zone:
@@ -199,6 +209,49 @@
         for machine in machines:
             self._fleet.signal(machine, signal.SIGCONT)
 
+    def step_clock(self, machines):
+        """The time of day of machines jumps, and back after some seconds."""
+        ahead = random.uniform(-STEP, STEP)
+        self._set_clocks(machines, ahead)
+        time.sleep(random.uniform(0.5, 1.5) * AWAY)
+        self._set_clocks(machines, 0.0)
+        return f"by {ahead:.1f} s"
+
+    def restart_across_step(self, machines):
+        """Machines start twice while their time of day jumps in between, so that the later life
+        begins earlier by its own clock."""
+        first, second = random.choice(((random.uniform(1, STEP), 0.0),
+                                       (0.0, random.uniform(-STEP, -1))))
+        self._set_clocks(machines, first)
+        self._kill_and_restart(machines)
+        time.sleep(random.uniform(*SHORT_LIFE))
+        self._set_clocks(machines, second)
+        self._kill_and_restart(machines)
+        if second:
+            time.sleep(AWAY)
+            self._set_clocks(machines, 0.0)
+        return f"{first:.1f} s ahead, then {second:.1f}"
+
+    def _set_clocks(self, machines, ahead):
+        for machine in machines:
+            self._fleet.clocks.set_time_of_day(machine, ahead)
+
+    def _kill_and_restart(self, machines):
+        nodes = self._nodes(machines)
+        self._fleet.kill(nodes)
+        self._restart(nodes)
+
+    def suspend(self, machines):
+        """Machines are suspended: they stand still, and their steady clocks with them."""
+        seconds = random.uniform(0.5, 2) * AWAY
+        for machine in machines:
+            self._fleet.signal(machine, signal.SIGSTOP)
+        time.sleep(seconds)
+        for machine in machines:
+            self._fleet.clocks.hold_steady(machine, seconds)
+            self._fleet.signal(machine, signal.SIGCONT)
+        return f"{seconds:.1f} s"
+
     def slow(self, machines):
         """A machine gets a part of its processor time only."""
         until = now() + AWAY
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -17,6 +17,7 @@
 import threading
 import time
 
+from clocks import Clocks
 from history import Started, now
 from links import LinkBoard
 
@@ -164,7 +165,7 @@
 class Fleet:
     """All nodes, their folders and links."""
 
-    def __init__(self, program, folder, layout, history):
+    def __init__(self, program, folder, layout, history, clock_library=""):
         in_use = addresses_in_use(layout)
         if in_use is not None:
             raise SystemExit(f"{in_use}: does another run go on, or has one just been ended?")
@@ -172,6 +173,7 @@
         self.folder = folder
         self.layout = layout
         self._history = history
+        self.clocks = Clocks(clock_library, folder, layout.machines + layout.gateways)
         self.nodes = [Node(ip_of(m), m, "control") for m in layout.machines]
         self.nodes += [Node(f"{ip_of(m)}-storage", m, "storage") for m in layout.machines]
         self.nodes += [Node(ip_of(m), m, "gateway") for m in layout.gateways]
@@ -197,7 +199,7 @@
             self._history.add(Started(node.machine, node.role, now()))
             node.process = subprocess.Popen(
                 [self.program, "--settings", path + ".yaml"],
-                stdout=log, stderr=subprocess.STDOUT)
+                stdout=log, stderr=subprocess.STDOUT, env=self.clocks.environment(node.machine))
 
     def _settings(self, node, bootstrap):
         ip = ip_of(node.machine)
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -106,6 +106,16 @@
     at: float
 
 
+@dataclasses.dataclass
+class Proof:
+    """A gateway said whether its routes are proven fresh."""
+
+    machine: int
+    asked: float
+    at: float
+    valid: bool
+
+
 @dataclasses.dataclass
 class Span:
     """A fault, or planned work, on machines: from its first act until its last was undone."""
--- /dev/null
+++ b/test/soak/proofs.py
@@ -0,0 +1,51 @@
+"""Reads from each gateway's metrics whether its routes are proven fresh."""
+
+import asyncio
+import random
+import threading
+
+from fleet import HTTP, ip_of
+from history import Proof, now
+
+PAUSE = 0.8
+PATIENCE = 1.0
+METRIC = "millstair_lease_valid "
+
+
+class ProofReader:
+    """Lives on an event loop of its own thread."""
+
+    def __init__(self, layout, history):
+        self._layout = layout
+        self._history = history
+        self.stopped = False
+        threading.Thread(target=lambda: asyncio.run(self._run()), daemon=True).start()
+
+    async def _run(self):
+        await asyncio.gather(*(self._read(machine) for machine in self._layout.gateways))
+
+    async def _read(self, machine):
+        while not self.stopped:
+            await asyncio.sleep(PAUSE * random.uniform(0.5, 1.5))
+            asked = now()
+            try:
+                valid = await asyncio.wait_for(self._ask(machine), PATIENCE)
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                # A gateway that is down, frozen or full says nothing of its routes.
+                continue
+            if valid is not None:
+                self._history.add(Proof(machine, asked, now(), valid))
+
+    @staticmethod
+    async def _ask(machine):
+        """Whether the lease is valid; nothing if the page doesn't say."""
+        reader, writer = await asyncio.open_connection(ip_of(machine), HTTP)
+        try:
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n\r\n")
+            page = (await reader.read(-1)).decode()
+        finally:
+            writer.close()
+        for line in page.splitlines():
+            if line.startswith(METRIC):
+                return float(line[len(METRIC):]) == 1
+        return None
--- a/test/soak/routing_checks.py
+++ b/test/soak/routing_checks.py
@@ -10,7 +10,7 @@
 import json
 
 from documents import SCORE_ROUTE, service_of
-from history import Acknowledged, Call, OperatorCall, ReadBack, Run, Sent, Span, Started
+from history import Acknowledged, Call, OperatorCall, Proof, ReadBack, Run, Sent, Span, Started
 from row import Row
 
 # Bounds of the users, in seconds.
@@ -153,6 +153,17 @@
     return row
 
 
+def check_proven(history, touch):
+    """Gateways in touch hold a proof of freshness."""
+    row = Row("gateways in touch hold a proof")
+    for proof in history.of(Proof):
+        if not touch.gateway(proof.machine, proof.asked, proof.at):
+            continue
+        if touch.core(proof.asked, proof.at, 0) and touch.majority(proof.asked, proof.at):
+            row.case(proof.valid, proof)
+    return row
+
+
 def check_never_back(seen, versions, history):
     """Within one life a gateway acts by nothing older than what it has acted by."""
     row = Row("a gateway never goes back")
@@ -263,7 +274,8 @@
     versions = Versions(history)
     touch = Touch(history, layout)
     return [
-        check_in_force(seen, versions, touch), check_never_back(seen, versions, history),
+        check_in_force(seen, versions, touch), check_proven(history, touch),
+        check_never_back(seen, versions, history),
         check_scorings(history, trainer.scorings, versions, touch),
         check_invalid(history), check_denied(history), check_added(seen, history, touch),
         check_operator(history), check_read_back(history, operator, versions)]
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -19,6 +19,7 @@
 from fleet import Fleet, Layout, use_free_subnet, use_subnet
 from history import History, now
 from probes import Prober
+from proofs import ProofReader
 
 START_LIMIT = 20.0
 RECOVERY = 12.0
@@ -29,6 +30,8 @@
     """The command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--program", required=True, help="millstaird")
+    parser.add_argument("--clock", default="",
+                        help="library that shifts clocks; without it none is shifted")
     parser.add_argument("--seconds", type=float, default=120, help="how long faults are played")
     parser.add_argument("--seed", type=int, default=1, help="chooses the faults")
     parser.add_argument("--stores", type=int, default=5, help="machines with a disk")
@@ -102,6 +105,7 @@
     callers = [Client(layout, history) for _ in range(arguments.clients)]
     callers += [CrashingCaller(layout, history, number) for number in range(arguments.crashing)]
     callers.append(Prober(layout, history, operator, arguments.probe))
+    callers.append(ProofReader(layout, history))
     trainer = Trainer(layout, history)
     operator.start()
     trainer.start()
@@ -135,7 +139,7 @@
     fleet = None
     good = False
     try:
-        fleet = Fleet(arguments.program, folder, layout, history)
+        fleet = Fleet(arguments.program, folder, layout, history, arguments.clock)
         rows, lost = play(arguments, fleet, back_ends, history)
         good = report(rows, lost, fleet, arguments.show)
     finally:
