--- a/test/cluster/cluster_fleet.cc
+++ b/test/cluster/cluster_fleet.cc
@@ -11,6 +11,9 @@
 namespace millstair {
 namespace {
 
+/// Time of day when a run begins.
+constexpr Duration kFirstStart = std::chrono::hours(24);
+
 const std::string kCluster = "fleet";
 
 std::string ZoneOf(const std::string& name) {
@@ -161,6 +164,12 @@
   return options;
 }
 
+Incarnation ClusterFleet::NewIncarnation(const std::string& name) {
+  // Starts in the same moment of virtual time differ too.
+  const Duration time_of_day = kFirstStart + scheduler_.Now() + clocks_[name];
+  return Incarnation(static_cast<uint64_t>(time_of_day.count()) + ++starts_);
+}
+
 void ClusterFleet::Start(const std::string& name) {
   const uint64_t life = ++lives_[name];
   FleetProcess& process = processes_[name];
@@ -170,7 +179,7 @@
   process.platform = std::make_unique<ListCaller>(machine_list);
   NodeRecord self;
   self.node = NodeId(name);
-  self.incarnation = Incarnation(next_incarnation_++);
+  self.incarnation = NewIncarnation(name);
   self.zone = Zone(ZoneOf(name));
   self.address = AddressOf(name);
   self.control = name[0] == 'c';
--- a/test/cluster/cluster_fleet.h
+++ b/test/cluster/cluster_fleet.h
@@ -83,6 +83,8 @@
   /// "c1".. are control nodes, "g1".. gateways. Zones "z1".."z3" in turn.
   void Start(const std::string& name);
   void Crash(const std::string& name);
+  /// From its next start on, the node's time of day is `ahead` of true time.
+  void SetClock(const std::string& name, Duration ahead) { clocks_[name] = ahead; }
   void LoseDisk(const std::string& name) { disks_.at(name)->LoseDisk(); }
   FleetProcess& Process(const std::string& name) { return processes_.at(name); }
   bool Running(const std::string& name) const { return processes_.contains(name); }
@@ -121,6 +123,8 @@
   friend class FleetTransport;
 
   void Deliver(const NodeId& from, const NodeId& to, const PeerMessage& message);
+  /// As the product numbers lives: the time of day at the start, in microseconds.
+  Incarnation NewIncarnation(const std::string& name);
   bool Open(const std::string& from, const std::string& to) const;
   std::vector<ControlEndpoint> Endpoints() const;
   ControlNodeOptions ControlOptions(const NodeRecord& self) const;
@@ -131,7 +135,8 @@
   std::map<std::string, std::unique_ptr<MemoryFileSystem>> disks_;
   std::unique_ptr<VirtualEnvironment> disk_environment_;
   std::map<std::string, uint64_t> lives_;
-  uint64_t next_incarnation_ = 1;
+  std::map<std::string, Duration> clocks_;
+  uint64_t starts_ = 0;
   uint64_t gateway_bytes_ = 0;
   std::set<std::string> isolated_;
   std::set<std::pair<std::string, std::string>> cuts_;
