Simulate clocks that jump and machines that are suspended, and check that gateways get ready again

The check of liveness wants each gateway that runs ready once faults are healed: before, callers just went elsewhere.

--- a/simulator/checks/fleet_checks.cc
+++ b/simulator/checks/fleet_checks.cc
@@ -161,6 +161,13 @@
                              demand.what, Milliseconds(demand.asked),
                              bounds.recovery.count() / 1'000'000));
   }
+  for (const ConfigurationSeen& seen : history.configurations) {
+    if (!seen.gateway || seen.at <= recovered) continue;
+    ++result.tried;
+    if (seen.ready) continue;
+    result.Break(fmt::format("gateway {} is not ready at {} ms, at revision {}", seen.node.value(),
+                             Milliseconds(seen.at), seen.revision.value()));
+  }
   uint64_t sent = 0;
   uint64_t completed = 0;
   uint64_t completed_ever = 0;
--- a/simulator/checks/fleet_checks.h
+++ b/simulator/checks/fleet_checks.h
@@ -34,7 +34,7 @@
 CheckResult CheckConfiguration(const History& history, const AgreedBounds& bounds);
 
 /// Everything asked for is done in time once faults are healed, calls sent after recovery complete,
-/// and a run that completes no call at all fails.
+/// each gateway that runs is ready from then on, and a run that completes no call at all fails.
 CheckResult CheckLiveness(const History& history, const AgreedBounds& bounds);
 
 }  // namespace millstair::checks
--- a/simulator/checks/history.h
+++ b/simulator/checks/history.h
@@ -205,6 +205,7 @@
   Revision revision;
   /// The node gives out new work.
   bool ready = false;
+  bool gateway = false;
 };
 
 /// A configuration change that the operator was told is accepted.
--- a/simulator/faults/fault_actions.h
+++ b/simulator/faults/fault_actions.h
@@ -41,6 +41,8 @@
 void SlowDisk(FaultContext& fault);
 void CrashGateway(FaultContext& fault);
 void DriftClocks(FaultContext& fault);
+void StepClocks(FaultContext& fault);
+void SuspendMachine(FaultContext& fault);
 void RestartLong(FaultContext& fault);
 void RestartAll(FaultContext& fault);
 
--- a/simulator/faults/fault_driver.cc
+++ b/simulator/faults/fault_driver.cc
@@ -54,6 +54,8 @@
     {FaultKind::kRollingRestart, RestartAll, Shown::kByAction},
     {FaultKind::kTrainerRestart, RestartTrainer},
     {FaultKind::kPowerLoss, LosePower},
+    {FaultKind::kClockStep, StepClocks},
+    {FaultKind::kSuspension, SuspendMachine},
 }};
 
 }  // namespace
--- a/simulator/faults/fault_plan.cc
+++ b/simulator/faults/fault_plan.cc
@@ -62,6 +62,8 @@
     {FaultKind::kRollingRestart, "rolling-restart", seconds(45), seconds(60)},
     {FaultKind::kTrainerRestart, "trainer-restart", seconds(1), seconds(5)},
     {FaultKind::kPowerLoss, "power-loss", seconds(1), seconds(8)},
+    {FaultKind::kClockStep, "clock-step", seconds(3), seconds(10)},
+    {FaultKind::kSuspension, "suspension", seconds(1), seconds(12)},
 }};
 
 const FaultDescription& Describe(FaultKind kind) {
--- a/simulator/faults/fault_plan.h
+++ b/simulator/faults/fault_plan.h
@@ -45,6 +45,8 @@
   kRollingRestart,  ///< planned restart of every node in turn
   kTrainerRestart,  ///< a trainer dies in a step and goes on from its cursor
   kPowerLoss,       ///< every control process dies at once, with writes that are not synced
+  kClockStep,       ///< the time of day of two machines jumps; some start before and after it
+  kSuspension,      ///< a machine is suspended and wakes
   kCount,
 };
 
--- a/simulator/faults/node_faults.cc
+++ b/simulator/faults/node_faults.cc
@@ -20,6 +20,9 @@
 constexpr Duration kRestartPause = milliseconds(800);
 /// Between the restarts of two nodes.
 constexpr Duration kBetweenRestarts = milliseconds(1500);
+/// Users see the time of day jump by 2 to 8 s.
+constexpr Duration kSmallestStep = seconds(1);
+constexpr Duration kLargestStep = seconds(8);
 constexpr int kChangesWhileDown = 500;
 constexpr int kWriters = 4;
 
@@ -152,6 +155,80 @@
   };
 }
 
+namespace {
+
+/// Sets the time of day of `machine` to `first`, starts it again, and a moment later once more with
+/// `second`: its later life may begin earlier by its own clock.
+template <class Machine>
+void RestartAcrossStep(FaultContext& fault, Machine& machine, Duration first, Duration second) {
+  const Duration life = DrawDuration(fault.random, milliseconds(100), seconds(2));
+  machine.SetTimeOfDay(first);
+  machine.TakeDown();
+  machine.BringUp();
+  fault.world.scheduler().Schedule(life, [&fault, &machine, second] {
+    if (fault.healed) return;
+    machine.SetTimeOfDay(second);
+    machine.TakeDown();
+    machine.BringUp();
+  });
+}
+
+template <class Machine>
+void StepClockOf(FaultContext& fault, Machine& machine) {
+  const Duration step = DrawDuration(fault.random, kSmallestStep, kLargestStep);
+  if (DrawChance(fault.random, 0.5)) {
+    machine.SetTimeOfDay(DrawChance(fault.random, 0.5) ? step : -step);
+  } else if (DrawChance(fault.random, 0.5)) {
+    RestartAcrossStep(fault, machine, step, Duration(0));
+  } else {
+    RestartAcrossStep(fault, machine, Duration(0), -step);
+  }
+}
+
+}  // namespace
+
+void StepClocks(FaultContext& fault) {
+  World& world = fault.world;
+  ControlMachine& control = fault.Pick(world.controls());
+  GatewayMachine& gateway = fault.Pick(world.gateways());
+  StepClockOf(fault, control);
+  StepClockOf(fault, gateway);
+  fault.heal = [&control, &gateway] {
+    control.SetTimeOfDay(Duration(0));
+    gateway.SetTimeOfDay(Duration(0));
+  };
+}
+
+namespace {
+
+template <class Machine>
+void SuspendUntilHealed(FaultContext& fault, Machine& machine) {
+  Network& network = fault.world.network();
+  std::vector<Link> links;
+  for (uint32_t other = 0; other < network.host_count(); ++other) {
+    if (HostId(other) == machine.host()) continue;
+    links.push_back({machine.host(), HostId(other)});
+    links.push_back({HostId(other), machine.host()});
+  }
+  machine.Suspend();
+  network.Cut(links);
+  fault.heal = [&network, &machine, links = std::move(links)] {
+    // What came due in its sleep runs before anything new reaches it.
+    machine.Wake();
+    network.Uncut(links);
+  };
+}
+
+}  // namespace
+
+void SuspendMachine(FaultContext& fault) {
+  if (DrawChance(fault.random, 0.5)) {
+    SuspendUntilHealed(fault, fault.Pick(fault.world.controls()));
+  } else {
+    SuspendUntilHealed(fault, fault.Pick(fault.world.gateways()));
+  }
+}
+
 void RestartLong(FaultContext& fault) {
   World& world = fault.world;
   if (DrawChance(fault.random, 0.5)) {
--- a/simulator/fleet/control_machine.cc
+++ b/simulator/fleet/control_machine.cc
@@ -74,6 +74,21 @@
   if (environment_) environment_->SetRate(rate);
 }
 
+void ControlMachine::SetTimeOfDay(Duration ahead) {
+  if (environment_) environment_->JumpWallClock(ahead - time_of_day_ahead_);
+  time_of_day_ahead_ = ahead;
+}
+
+void ControlMachine::Suspend() {
+  suspended_ = true;
+  if (environment_) environment_->Suspend();
+}
+
+void ControlMachine::Wake() {
+  suspended_ = false;
+  if (environment_) environment_->Wake();
+}
+
 ControlNodeOptions ControlMachine::Options() const {
   ControlNodeOptions options;
   options.self = {.node = plan_.node,
@@ -96,9 +111,11 @@
 }
 
 void ControlMachine::StartProcess() {
-  incarnation_ = Incarnation(static_cast<uint64_t>(surroundings_.Now().count()) + 1);
+  incarnation_ = surroundings_.NewIncarnation(time_of_day_ahead_);
   environment_ = std::make_unique<VirtualEnvironment>(
-      surroundings_.scheduler, surroundings_.DrawSeed(), VirtualClockOptions{.rate = clock_rate_});
+      surroundings_.scheduler, surroundings_.DrawSeed(),
+      VirtualClockOptions{.rate = clock_rate_, .wall_error = time_of_day_ahead_});
+  if (suspended_) environment_->Suspend();
   disk_.Attach(*environment_);
   transport_ = surroundings_.peers.MakeTransport(plan_.node);
   platform_ = std::make_unique<FabricHttpCaller>(surroundings_.http, host_);
--- a/simulator/fleet/control_machine.h
+++ b/simulator/fleet/control_machine.h
@@ -36,6 +36,12 @@
   HostId host() const { return host_; }
   Incarnation incarnation() const { return incarnation_; }
   void SetClockRate(double rate);
+  /// The time of day is off by so much, also in the lives to come.
+  void SetTimeOfDay(Duration ahead);
+  /// The process stands still, its clocks go on. What reaches it meanwhile is for the caller to
+  /// hold.
+  void Suspend();
+  void Wake();
 
  private:
   void StartProcess();
@@ -54,6 +60,8 @@
   MemoryFileSystem disk_;
   Incarnation incarnation_;
   double clock_rate_ = 1.0;
+  Duration time_of_day_ahead_{0};
+  bool suspended_ = false;
   int down_reasons_ = 1;
   std::unique_ptr<VirtualEnvironment> environment_;
   std::unique_ptr<PeerTransport> transport_;
--- a/simulator/fleet/gateway_machine.cc
+++ b/simulator/fleet/gateway_machine.cc
@@ -64,6 +64,21 @@
   if (environment_) environment_->SetRate(rate);
 }
 
+void GatewayMachine::SetTimeOfDay(Duration ahead) {
+  if (environment_) environment_->JumpWallClock(ahead - time_of_day_ahead_);
+  time_of_day_ahead_ = ahead;
+}
+
+void GatewayMachine::Suspend() {
+  suspended_ = true;
+  if (environment_) environment_->Suspend();
+}
+
+void GatewayMachine::Wake() {
+  suspended_ = false;
+  if (environment_) environment_->Wake();
+}
+
 GatewayNodeOptions GatewayMachine::Options() const {
   GatewayNodeOptions options;
   options.self = {.node = plan_.node,
@@ -84,9 +99,11 @@
 }
 
 void GatewayMachine::StartProcess() {
-  incarnation_ = Incarnation(static_cast<uint64_t>(surroundings_.Now().count()) + 1);
+  incarnation_ = surroundings_.NewIncarnation(time_of_day_ahead_);
   environment_ = std::make_unique<VirtualEnvironment>(
-      surroundings_.scheduler, surroundings_.DrawSeed(), VirtualClockOptions{.rate = clock_rate_});
+      surroundings_.scheduler, surroundings_.DrawSeed(),
+      VirtualClockOptions{.rate = clock_rate_, .wall_error = time_of_day_ahead_});
+  if (suspended_) environment_->Suspend();
   transport_ = surroundings_.peers.MakeTransport(plan_.node);
   http_ = std::make_unique<FabricHttpCaller>(surroundings_.http, host_);
   engines_ = std::make_unique<FabricEngineClient>(surroundings_.engines, host_);
--- a/simulator/fleet/surroundings.h
+++ b/simulator/fleet/surroundings.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 
+#include "common/ids.h"
 #include "common/random.h"
 #include "common/virtual_environment.h"
 #include "simulator/checks/history.h"
@@ -23,6 +24,12 @@
   checks::History& history;
 
   Duration Now() const { return scheduler.Now(); }
+  /// For a process that starts now on a machine whose time of day is off: the time of day, as the
+  /// product numbers lives. Runs begin an hour into it, so that it may be set back.
+  Incarnation NewIncarnation(Duration ahead) const {
+    const Duration time_of_day = std::chrono::hours(1) + Now() + ahead;
+    return Incarnation(static_cast<uint64_t>(time_of_day.count()));
+  }
   /// A seed for a part of the run.
   uint64_t DrawSeed() { return scheduler.Random()(); }
 };
--- a/simulator/fleet/world.cc
+++ b/simulator/fleet/world.cc
@@ -131,11 +131,11 @@
   }
 }
 
-void World::RecordSeen(const NodeId& node, Incarnation incarnation, Revision revision, bool ready) {
-  const checks::ConfigurationSeen seen{node, incarnation, scheduler_.Now(), revision, ready};
-  checks::ConfigurationSeen& last = last_seen_[node];
-  const bool same = last.incarnation == incarnation && last.revision == revision &&
-                    last.ready == ready && seen.at - last.at < kSampleKept;
+void World::RecordSeen(checks::ConfigurationSeen seen) {
+  seen.at = scheduler_.Now();
+  checks::ConfigurationSeen& last = last_seen_[seen.node];
+  const bool same = last.incarnation == seen.incarnation && last.revision == seen.revision &&
+                    last.ready == seen.ready && seen.at - last.at < kSampleKept;
   if (same) return;
   last = seen;
   history_.configurations.push_back(seen);
@@ -146,13 +146,19 @@
   for (const auto& control : controls_) {
     if (!control->running()) continue;
     const Revision revision = control->node()->configuration().revision;
-    RecordSeen(control->plan().node, control->incarnation(), revision, false);
+    RecordSeen({.node = control->plan().node,
+                .incarnation = control->incarnation(),
+                .revision = revision});
     smallest = std::min(smallest, revision);
   }
   for (const auto& gateway : gateways_) {
     if (!gateway->running()) continue;
     const Revision revision = gateway->node()->configuration().revision;
-    RecordSeen(gateway->plan().node, gateway->incarnation(), revision, gateway->node()->Ready());
+    RecordSeen({.node = gateway->plan().node,
+                .incarnation = gateway->incarnation(),
+                .revision = revision,
+                .ready = gateway->node()->Ready(),
+                .gateway = true});
     smallest = std::min(smallest, revision);
   }
   MeasureInForce(smallest);
--- a/simulator/fleet/world.h
+++ b/simulator/fleet/world.h
@@ -72,7 +72,7 @@
   void BuildClients();
   void BeginLoad();
   void Sample();
-  void RecordSeen(const NodeId& node, Incarnation incarnation, Revision revision, bool ready);
+  void RecordSeen(checks::ConfigurationSeen seen);
   void MeasureInForce(Revision smallest);
 
   FleetOptions options_;
--- a/source/common/virtual_environment.cc
+++ b/source/common/virtual_environment.cc
@@ -24,7 +24,7 @@
                                       std::function<void()> callback) {
   const uint64_t sequence = next_sequence_++;
   pending_.emplace(sequence, Pending{std::move(callback), owner});
-  heap_.push_back({now_ + std::max(delay, Duration(0)), sequence});
+  heap_.push_back({now_ + std::max(delay, Duration(0)), sequence, sequence});
   std::push_heap(heap_.begin(), heap_.end(), std::greater<>());
   return TimerId(sequence);
 }
@@ -41,6 +41,16 @@
   }
   std::sort(owned.begin(), owned.end());
   for (const uint64_t sequence : owned) Cancel(TimerId(sequence));
+  held_.erase(owner);
+}
+
+void VirtualScheduler::Release(const VirtualEnvironment* owner) {
+  const auto held = held_.extract(owner);
+  if (held.empty()) return;
+  for (const uint64_t sequence : held.mapped()) {
+    heap_.push_back({now_, next_sequence_++, sequence});
+    std::push_heap(heap_.begin(), heap_.end(), std::greater<>());
+  }
 }
 
 void VirtualScheduler::Clear() {
@@ -64,8 +74,13 @@
   std::pop_heap(heap_.begin(), heap_.end(), std::greater<>());
   const Due due = heap_.back();
   heap_.pop_back();
-  auto node = pending_.extract(due.sequence);
   now_ = due.time;
+  const VirtualEnvironment* const owner = pending_.at(due.sequence).owner;
+  if (owner != nullptr && owner->suspended()) {
+    held_[owner].push_back(due.sequence);
+    return true;
+  }
+  auto node = pending_.extract(due.sequence);
   ++events_run_;
   node.mapped().callback();
   return true;
@@ -126,6 +141,11 @@
   scheduler_.DropAllOf(this);
 }
 
+void VirtualEnvironment::Wake() {
+  suspended_ = false;
+  scheduler_.Release(this);
+}
+
 void VirtualEnvironment::SetRate(double rate) {
   local_base_ = Now().time_since_epoch();
   true_base_ = scheduler_.Now();
--- a/source/common/virtual_environment.h
+++ b/source/common/virtual_environment.h
@@ -60,18 +60,23 @@
     std::function<void()> callback;
     const VirtualEnvironment* owner = nullptr;
   };
-  /// Heap entry; the smallest (time, sequence) is next. Cancelled ones are skipped when popped.
+  /// Heap entry; the smallest (time, order) is next. Cancelled ones are skipped when popped.
   struct Due {
     Duration time;
+    /// Events of the same time run in the order in which they were put into the heap.
+    uint64_t order;
+    /// Names the event.
     uint64_t sequence;
     friend bool operator>(const Due& a, const Due& b) {
-      return a.time != b.time ? a.time > b.time : a.sequence > b.sequence;
+      return a.time != b.time ? a.time > b.time : a.order > b.order;
     }
   };
 
   TimerId ScheduleFor(const VirtualEnvironment* owner, Duration delay,
                       std::function<void()> callback);
   void DropAllOf(const VirtualEnvironment* owner);
+  /// Events of `owner` that came due while it was suspended are due now.
+  void Release(const VirtualEnvironment* owner);
   /// Removes cancelled entries from the top; false if nothing is left.
   bool SkipCancelled();
 
@@ -80,6 +85,8 @@
   uint64_t next_sequence_ = 1;
   uint64_t events_run_ = 0;
   std::vector<Due> heap_;
+  /// Events that came due while their owner was suspended, in order.
+  absl::flat_hash_map<const VirtualEnvironment*, std::vector<uint64_t>> held_;
   absl::flat_hash_map<uint64_t, Pending> pending_;
 };
 
@@ -114,6 +121,11 @@
   bool alive() const { return alive_; }
   /// Changes the speed of the clock from now on.
   void SetRate(double rate);
+  /// While suspended no callback of the node runs, and its clocks go on; those that came due run as
+  /// it wakes, in their order.
+  void Suspend() { suspended_ = true; }
+  void Wake();
+  bool suspended() const { return suspended_; }
   /// Lets the wall clock jump.
   void JumpWallClock(Duration by) { clock_.wall_error += by; }
 
@@ -125,6 +137,7 @@
   Duration true_base_;
   Duration local_base_;
   bool alive_ = true;
+  bool suspended_ = false;
 };
 
 }  // namespace millstair
--- a/test/common/virtual_environment_test.cc
+++ b/test/common/virtual_environment_test.cc
@@ -66,6 +66,42 @@
   REQUIRE(*held == 0);
 }
 
+TEST_CASE("a suspended node runs nothing until it wakes, and its clock goes on") {
+  VirtualScheduler scheduler(1);
+  VirtualEnvironment node(scheduler, 1);
+  VirtualEnvironment other(scheduler, 2);
+  std::string order;
+  node.Schedule(seconds(2), [&] { order += 'b'; });
+  node.Schedule(seconds(1), [&] { order += 'a'; });
+  const TimerId taken_back = node.Schedule(seconds(1), [&] { order += 'x'; });
+  node.Schedule(seconds(6), [&] { order += 'c'; });
+  other.Schedule(seconds(1), [&] { order += '1'; });
+  const TimePoint start = node.Now();
+  node.Suspend();
+  scheduler.RunUntil(seconds(4));
+  REQUIRE(order == "1");
+  REQUIRE(node.Now() - start == seconds(4));
+  node.Cancel(taken_back);
+  node.Wake();
+  scheduler.RunUntil(seconds(5));
+  REQUIRE(order == "1ab");
+  scheduler.RunUntil(seconds(6));
+  REQUIRE(order == "1abc");
+}
+
+TEST_CASE("a node that is killed while it is suspended runs nothing") {
+  VirtualScheduler scheduler(1);
+  VirtualEnvironment node(scheduler, 1);
+  int ran = 0;
+  node.Schedule(seconds(1), [&ran] { ++ran; });
+  node.Suspend();
+  scheduler.RunUntil(seconds(2));
+  node.Kill();
+  node.Wake();
+  scheduler.RunUntil(seconds(5));
+  REQUIRE(ran == 0);
+}
+
 TEST_CASE("the same seed gives a node the same randomness") {
   VirtualScheduler scheduler(1);
   VirtualEnvironment first(scheduler, 42);
--- a/test/simulator/fleet_test.cc
+++ b/test/simulator/fleet_test.cc
@@ -77,6 +77,25 @@
   }
 }
 
+/// Where proofs and records hang on the order of lives, 42 of the 80 runs of seeds 1 to 40 fail: a
+/// gateway is not ready at the end. Where they do not, none of 120 does.
+TEST_CASE("Fixed seeds hold under clocks that jump and machines that are suspended",
+          "[simulator]") {
+  DisableEventLog();
+  for (const DeploymentName deployment : {DeploymentName::kAssociation, DeploymentName::kKhosa}) {
+    SweepOptions options;
+    options.fleet.deployment = deployment;
+    options.fleet.length = std::chrono::seconds(100);
+    options.faults = "clock-step,clock-step,suspension,suspension,gateway-crash,control-crash";
+    options.seeds = {1, 8};
+    options.threads = 4;
+    std::stringstream progress;
+    const SweepResult result = RunSweep(options, progress);
+    INFO(Describe(result));
+    CHECK(result.failed.empty());
+  }
+}
+
 TEST_CASE("Seeds that once failed hold", "[simulator]") {
   struct FailedOnce {
     std::string cause;
