--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -13,9 +13,10 @@
 from documents import (ADDED_KEPT, FLAWS, added_route, added_service, flawed_route, flawed_text,
                        moved_service, routing_document, score_service, service_of)
 from faults import Faults
-from fleet import Layout, claim_subnet
+from fleet import Fleet, Layout, claim_subnet
 from history import (Acknowledged, Call, CrashingCall, CrashingRun, History, Listed, OperatorCall,
                      Order, Proof, ReadBack, Run, Sent, Span, Started)
+from links import BACK, FORTH
 
 INSTANCES = {"i-1"}
 # Gateway 6 to 11, control nodes 1 to 5.
@@ -154,6 +155,39 @@
             self.assertTrue(struck <= set(LARGE.gateways), name)
 
 
+class CutTest(unittest.TestCase):
+    """Cuts that overlap."""
+
+    def setUp(self):
+        self.silent = {}
+        links = unittest.mock.Mock()
+        links.set = lambda name, pairs, value: self.silent.update(dict.fromkeys(pairs, set(value)))
+        with unittest.mock.patch("fleet.LinkBoard", return_value=links), \
+                unittest.mock.patch("fleet.addresses_in_use", return_value=None):
+            self.fleet = Fleet("program", "folder", Layout(stores=1, fronts=1), History())
+        control, _, gateway = self.fleet.nodes
+        self.opened_by_gateway = (gateway.name, control.name)
+        self.opened_by_control = (control.name, gateway.name)
+
+    def test_one_way(self):
+        """A machine that is not heard, by whichever end a connection was opened."""
+        cut = self.fleet.cut_one_way(2, heard=False)
+        self.assertEqual(self.silent[self.opened_by_gateway], {FORTH})
+        self.assertEqual(self.silent[self.opened_by_control], {BACK})
+        self.fleet.heal(cut)
+        self.assertEqual(self.silent[self.opened_by_gateway], set())
+
+    def test_overlapping(self):
+        """What another cut holds stays silent."""
+        whole = self.fleet.cut((2,))
+        one_way = self.fleet.cut_one_way(1, heard=False)
+        self.fleet.heal(whole)
+        self.assertEqual(self.silent[self.opened_by_gateway], {BACK})
+        self.assertEqual(self.silent[self.opened_by_control], {FORTH})
+        self.fleet.heal(one_way)
+        self.assertEqual(self.silent[self.opened_by_control], set())
+
+
 class ProofTest(unittest.TestCase):
     """A gateway in touch holds a proof."""
 
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -93,7 +93,7 @@
         self.played = []
         self.of_back_ends = [self.crash_back_end, self.replace_back_end, self.refuse]
         self.one_machine = [
-            self.kill, self.kill, self.freeze, self.cut, self.slow_link, self.reset_links,
+            self.kill, self.kill, self.freeze, self.cut, self.cut_one_way, self.slow_link, self.reset_links,
             self.stop, self.slow, self.reload]
         self._alone_kinds = [self.kill_all, self.rolling_stop, self.cut_in_two, self.cut_zones]
         self._clock_kinds = [self.step_clock, self.restart_across_step, self.suspend]
@@ -267,6 +267,15 @@
         time.sleep(random.uniform(0.5, 3) * AWAY)
         self._fleet.heal(pairs)
 
+    def cut_one_way(self, machines):
+        """A machine hears all others and is not heard, or the other way round, silently."""
+        heard = random.choice((True, False))
+        cuts = [self._fleet.cut_one_way(machine, heard) for machine in machines]
+        time.sleep(random.uniform(0.5, 3) * AWAY)
+        for cut in cuts:
+            self._fleet.heal(cut)
+        return "is heard, hears nothing" if heard else "hears, is not heard"
+
     def cut_in_two(self, machines):
         """The machines with a disk are cut into a majority and the rest, silently; all gateways
         reach both."""
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -19,7 +19,7 @@
 
 from clocks import Clocks
 from history import Started, now
-from links import LinkBoard
+from links import BACK, BOTH, FORTH, LinkBoard
 
 CONTROL_PEER, STORAGE_PEER, HTTP, SERVICE, READY = 7100, 7110, 7101, 7102, 7103
 START_SPREAD = 0.3
@@ -267,18 +267,36 @@
         """Cuts machines off from all others, or from some, silently; returns what to heal."""
         if others is None:
             others = set(self.layout.machines + self.layout.gateways) - set(some)
-        pairs = self._between(set(some), set(others))
+        return self._cut({pair: BOTH for pair in self._between(set(some), set(others))})
+
+    def cut_one_way(self, machine, heard):
+        """Cuts a machine off from all others in one direction, silently: they hear it, or it hears
+        them. Returns what to heal."""
+        cut = {}
+        for pair in self._of(machine):
+            opened_by_it = self._pairs[pair][0].machine == machine
+            cut[pair] = frozenset((BACK if opened_by_it == heard else FORTH,))
+        return self._cut(cut)
+
+    def _cut(self, cut):
         with self._cut_lock:
-            self._cuts.append(pairs)
-            self._links.set("cut", pairs, True)
-        return pairs
+            self._cuts.append(cut)
+            self._apply_cuts(cut)
+        return cut
 
-    def heal(self, pairs):
-        """Ends one cut; links that another one holds stay cut."""
+    def heal(self, cut):
+        """Ends one cut; directions that another one holds stay cut."""
         with self._cut_lock:
-            self._cuts.remove(pairs)
-            held = {pair for cut in self._cuts for pair in cut}
-            self._links.set("cut", [pair for pair in pairs if pair not in held], False)
+            self._cuts.remove(cut)
+            self._apply_cuts(cut)
+
+    def _apply_cuts(self, pairs):
+        by_directions = {}
+        for pair in pairs:
+            directions = frozenset().union(*(cut.get(pair, ()) for cut in self._cuts))
+            by_directions.setdefault(directions, []).append(pair)
+        for directions, chosen in by_directions.items():
+            self._links.set("cut", chosen, directions)
 
     def _of(self, machine):
         others = set(self.layout.machines + self.layout.gateways) - {machine}
--- a/test/soak/links.py
+++ b/test/soak/links.py
@@ -6,12 +6,18 @@
 import threading
 
 
+# Directions of a link: from the node that opened the connection, and to it.
+FORTH, BACK = "forth", "back"
+BOTH = frozenset((FORTH, BACK))
+
+
 class Link:
     """Forwards connections of one node to another; may be cut, slow or reset."""
 
     def __init__(self, target):
         self.target = target
-        self.cut = False
+        # Directions that are silent.
+        self.cut = frozenset()
         self.delay = 0.0
         self.port = 0
         self._writers = set()
@@ -31,17 +37,18 @@
             return
         self._writers |= {writer, far_writer}
         try:
-            await asyncio.gather(self._pump(reader, far_writer), self._pump(far_reader, writer))
+            await asyncio.gather(self._pump(reader, far_writer, FORTH),
+                                 self._pump(far_reader, writer, BACK))
         finally:
             self._writers -= {writer, far_writer}
             writer.transport.abort()
             far_writer.transport.abort()
 
-    async def _pump(self, reader, writer):
+    async def _pump(self, reader, writer, direction):
         try:
             while data := await reader.read(65536):
-                # Silence both ways: what is under way waits until the link is back.
-                while self.cut:
+                # What is under way waits until the link is back.
+                while direction in self.cut:
                     await asyncio.sleep(0.02)
                 if self.delay:
                     await asyncio.sleep(self.delay)
@@ -100,7 +107,7 @@
         self.ports = self._pipe.recv()
 
     def set(self, name, chosen, value=None):
-        """Sets `cut` or `delay` of the chosen links, or has them `reset`."""
+        """Sets `cut` (the silent directions) or `delay` of the chosen links, or has them `reset`."""
         with self._lock:
             self._pipe.send((name, list(chosen), value))
             self._pipe.recv()
