Tell by which routes, and on how old a proof, each request was sent on

No change of logic. The record of the incident can't tell whether the gateway went by an unproven configuration, by other content under a version that it held, or whether the request was carried astray after a right decision. Each request's line now has the digest of the routes' content beside their version, and the greatest age of the configuration's proof as the request was sent to a back end, not only as it came.

--- a/source/cluster/configuration.cc
+++ b/source/cluster/configuration.cc
@@ -1,5 +1,7 @@
 #include "cluster/configuration.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace millstair {
@@ -61,6 +63,11 @@
 
 }  // namespace
 
+uint64_t DigestOf(const RoutingDocument& document) {
+  if (document.version == 0) return 0;
+  return XXH3_64bits(document.content.data(), document.content.size());
+}
+
 bool TouchesNodes(const ConfigurationDelta& delta) {
   return delta.full || !delta.changed_nodes.empty() || !delta.deleted_nodes.empty();
 }
--- a/source/cluster/configuration.h
+++ b/source/cluster/configuration.h
@@ -83,6 +83,9 @@
   friend bool operator==(const RoutingDocument&, const RoutingDocument&) = default;
 };
 
+/// Tells the contents of documents apart, also of two under one version; 0 for no document.
+uint64_t DigestOf(const RoutingDocument& document);
+
 /// A version of a model's weights: the newest that was named, or the one that a back end holds.
 struct NamedVersion {
   ModelName model;
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,8 +43,12 @@
   Duration retry_after{0};
   /// The back end that answered, or was tried last; empty if none was.
   InstanceId instance;
-  /// Version of the routes by which the request began; 0 if none were known.
+  /// Version and digest of the routes by which the request began; 0 if none were known.
   uint64_t routing_version = 0;
+  uint64_t routing_digest = 0;
+  /// Greatest age of the configuration's proof as the request was sent to a back end; none if it
+  /// was not sent, or never proven.
+  std::optional<Duration> proof_age_at_send;
   /// For the log.
   std::string reason;
   uint32_t tries = 0;
@@ -63,6 +68,8 @@
   RequestGuard& guard;
   /// May be empty.
   BegunListener on_begun = {};
+  /// How long ago the configuration held was last known to be the newest; none if it never was.
+  std::function<std::optional<Duration>()> proof_age = [] { return std::optional<Duration>(); };
 };
 
 /// Meters one request: it counts once, wherever and however often it ran.
@@ -139,6 +146,7 @@
   uint32_t may_have_run_ = 0;
   uint32_t sent_ = 0;
   uint32_t server_errors_ = 0;
+  std::optional<Duration> proof_age_at_send_;
   std::string last_reason_;
   InstanceId last_instance_;
   ScopedTimer deadline_timer_;
--- a/source/ingress/ingress_service.cc
+++ b/source/ingress/ingress_service.cc
@@ -45,8 +45,9 @@
              std::string(table.status().message()));
     return;
   }
-  LogEvent(EventId::kRoutingApplied, "version={} routes={} services={} revision={}",
-           document.version, table->routes.size(), table->services.size(), revision);
+  table->digest = DigestOf(document);
+  LogEvent(EventId::kRoutingApplied, "version={} digest={:016x} routes={} services={} revision={}",
+           document.version, table->digest, table->routes.size(), table->services.size(), revision);
   routes_ = *std::move(table);
   ColdPolicy cold;
   cold.bound = cold_bound_;
@@ -66,9 +67,10 @@
   }
   auto flow = std::make_unique<ForwardFlow>(
       context_, *route, std::move(request),
-      [this, id, started = environment_.Now(), version = routes_->version,
+      [this, id, started = environment_.Now(), version = routes_->version, digest = routes_->digest,
        done = std::move(done)](ForwardResult result) {
         result.routing_version = version;
+        result.routing_digest = digest;
         Count(result, environment_.Now() - started);
         auto ended = flows_.extract(id);
         // The flow's own callbacks are still running.
@@ -112,6 +114,7 @@
   result.outcome = outcome;
   result.reason = std::move(reason);
   result.routing_version = routes_ ? routes_->version : 0;
+  result.routing_digest = routes_ ? routes_->digest : 0;
   result.retry_after = kRetryWhenUnconfigured;
   environment_.Schedule(Duration(0), alive_.Guard([result = std::move(result),
                                                    done = std::move(done)] { done(result); }));
@@ -129,9 +132,10 @@
   }
   streams_[id] = std::make_unique<StreamFlow>(
       context_, *route, std::move(request), sink,
-      [this, id, started = environment_.Now(), version = routes_->version,
+      [this, id, started = environment_.Now(), version = routes_->version, digest = routes_->digest,
        done = std::move(done)](StreamEnd result) {
         result.forward.routing_version = version;
+        result.forward.routing_digest = digest;
         Count(result.forward, environment_.Now() - started);
         auto ended = streams_.extract(id);
         // The flow's own callbacks are still running.
--- a/source/ingress/ingress_service.h
+++ b/source/ingress/ingress_service.h
@@ -37,6 +37,10 @@
   /// Whether the routes held are proven fresh. Where they are not, a request without a route is
   /// told that this node can't tell now, since its route may be newer.
   void SetFresh(std::function<bool()> fresh) { fresh_ = std::move(fresh); }
+  /// How long ago the configuration held was last known to be the newest; for logs.
+  void SetProofAge(std::function<std::optional<Duration>()> age) {
+    context_.proof_age = std::move(age);
+  }
   /// Where crashes of back ends are reported; outlives the service.
   void SetSuspectRegister(SuspectRegister& suspects) { guard_.SetRegister(&suspects); }
   RequestGuard& guard() { return guard_; }
--- a/source/ingress/route_table.h
+++ b/source/ingress/route_table.h
@@ -78,6 +78,8 @@
 
 struct RouteTable {
   uint64_t version = 0;
+  /// Of the document that was read; see DigestOf.
+  uint64_t digest = 0;
   std::vector<Route> routes;
   std::vector<Service> services;
   /// None if the configuration names no tenants: then anybody may call.
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -120,6 +120,7 @@
   last_instance_ = target->id;
   ++sent_;
   ++may_have_run_;
+  proof_age_at_send_ = std::max(proof_age_at_send_, context_.proof_age());
   watch_.NoteSent();
   BackendRequest request{request_.http, request_.host,         request_.request_id, deadline_ - now,
                          target->id,    request_.resume_after, request_.tenant};
@@ -226,6 +227,7 @@
   result.forward.reason = reason;
   result.forward.tries = sent_;
   result.forward.instance = last_instance_;
+  result.forward.proof_age_at_send = proof_age_at_send_;
   result.forward.head = head_;
   result.forward.body = std::move(plain_body_);
   result.begun = begun_;
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -51,6 +51,7 @@
   });
   ingress_.SetSuspectRegister(suspects_);
   ingress_.SetFresh([this] { return LeaseValid(); });
+  ingress_.SetProofAge([this] { return ProofAge(); });
   ingress_.OnBegun(
       [this](const TenantName& tenant, TimePoint at) { usage_.NoteBegun(tenant, at); });
 }
