Score no text by routes that are not proven fresh

What callers saw: nothing yet. Found on looking for the cause of requests that ran by replaced routes: the leader of the jobs lets items wait while its configuration is unproven, but called scorers by the routes held, as when it wakes from a standstill with the change unread in its sockets.

Change: scoring begins where items do, with the lease; texts that are whole wait in their order and are looked at with each round of the scheduler. Why it holds: all scorings begin in one function.

The test failed first (one call to the scorer while unproven); jobs_test passes.

--- a/source/jobs/job_scoring.cc
+++ b/source/jobs/job_scoring.cc
@@ -42,6 +42,9 @@
 }
 
 void JobScheduler::StartScoring() {
+  // The scorer is found by a route, which may have moved: like items, texts wait until the routes
+  // are proven. Pump comes back to them.
+  if (!allowed_()) return;
   for (auto& [route, waiting] : scoring_waiting_) {
     const uint32_t most = waiting.empty() ? 0 : MostScorings(route);
     while (!waiting.empty() && scorings_[route] < most) {
--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -148,6 +148,25 @@
   CHECK(fixture.ResultOf("j") != nullptr);
 }
 
+/// A text's scorer is found by a route, which may have moved while the leader stood still. As it
+/// woke it called the scorer of the route held, in the same moment in which it let items wait.
+TEST_CASE("A whole text is not scored while the configuration is not proven fresh") {
+  Fixture fixture;
+  bool fresh = true;
+  fixture.scheduler_under_test.SetAllowed([&] { return fresh; });
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  const auto runs = [&] { return fixture.backends.CountAt("e:1") == 1; };
+  REQUIRE(fixture.scheduler.RunUntilTrue(runs, seconds(1)));
+  fresh = false;
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.backends.CountAt("p:1") == 0);
+  fresh = true;
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.backends.CountAt("p:1") == 1);
+  CHECK(fixture.ResultOf("j") != nullptr);
+}
+
 TEST_CASE("A run that breaks goes on at another engine after its last event") {
   Fixture fixture;
   fixture.Add("e:1", "engines", [](const HttpRequest&) {
