Tell documents under one version apart, and be unsure where the newest can't be read

What callers saw: nothing.

A document whose version was held was passed over, whatever its content. Where the newest document could not be read (a build before, say), the old routes stayed in force, and requests without one got a 404, unknown keys a 401, as if the node knew. Both are told 503 now; what the old routes lead somewhere is forwarded as before, since every such node holds the same.

--- a/source/ingress/ingress_service.cc
+++ b/source/ingress/ingress_service.cc
@@ -38,14 +38,23 @@
 }
 
 void IngressService::UpdateRoutes(const RoutingDocument& document, Revision revision) {
-  if (document.version == 0 || (routes_ && routes_->version == document.version)) return;
+  if (document.version == 0) return;
+  const uint64_t digest = DigestOf(document);
+  // By content, not by version alone: the number is the operator's, and what was held under it may
+  // have been lost with disks and sent anew.
+  const bool held = routes_ && routes_->version == document.version && routes_->digest == digest;
+  if (held) {
+    newest_unread_ = false;
+    return;
+  }
   auto table = reader_.Read(document.content);
+  newest_unread_ = !table.ok();
   if (!table.ok()) {
     LogEvent(EventId::kRoutingUnread, "version={} error=\"{}\"", document.version,
              std::string(table.status().message()));
     return;
   }
-  table->digest = DigestOf(document);
+  table->digest = digest;
   LogEvent(EventId::kRoutingApplied, "version={} digest={:016x} routes={} services={} revision={}",
            document.version, table->digest, table->routes.size(), table->services.size(), revision);
   routes_ = *std::move(table);
@@ -102,7 +111,7 @@
   if (!routes_) {
     return FinishSoon(ForwardOutcome::kNotConfigured, "no routes are known yet", std::move(done));
   }
-  if (!fresh_()) {
+  if (!fresh_() || newest_unread_) {
     return FinishSoon(ForwardOutcome::kNotConfigured, "the routes held may be too old",
                       std::move(done));
   }
--- a/source/ingress/ingress_service.h
+++ b/source/ingress/ingress_service.h
@@ -56,6 +56,8 @@
 
   /// Null before the first routing configuration.
   const RouteTable* routes() const { return routes_ ? &*routes_ : nullptr; }
+  /// Whether the newest document that came can't be read, so that the routes held are older.
+  bool NewestUnread() const { return newest_unread_; }
   BackendDirectory& directory() { return directory_; }
   const BackendProtocol& protocol() const { return context_.protocol; }
 
@@ -81,6 +83,7 @@
   RequestGuard guard_;
   ForwardContext context_;
   std::optional<RouteTable> routes_;
+  bool newest_unread_ = false;
   std::function<bool()> fresh_ = [] { return true; };
   ColdBound cold_bound_;
   FlowId last_flow_ = 0;
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -129,7 +129,8 @@
     if (by_key && !ready_) return {AdmissionVerdict::kUnsure, {}, kRetryWhenUnconfigured};
     return {AdmissionVerdict::kAllowed, access.tenant, Duration(0)};
   }
-  if (!ready_ || !LeaseValid()) return {AdmissionVerdict::kUnsure, {}, kRetryWhenUnconfigured};
+  const bool sure = ready_ && LeaseValid() && !ingress_.NewestUnread();
+  if (!sure) return {AdmissionVerdict::kUnsure, {}, kRetryWhenUnconfigured};
   return {AdmissionVerdict::kUnknownKey, {}, Duration(0)};
 }
 
