--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -26,6 +26,7 @@
   void Start() override {}
   const Configuration& configuration() const override { return held; }
   bool LeaseValid() const override { return lease; }
+  void WhenCurrent(std::function<void()> work) override { work(); }
   std::optional<TimePoint> ProvenSince() const override { return std::nullopt; }
   std::optional<Duration> ProofAge() const override { return std::nullopt; }
   bool CutOff() const override { return false; }
