One stand-in of the configuration for the tests of gateways, rollouts and weights

Three copies differed by what each left out; a new call of the interface had to be written three times. weights, rollout and gateway tests pass.

--- /dev/null
+++ b/test/cluster/fake_configuration_client.h
@@ -0,0 +1,42 @@
+/// A node's configuration as a test sets it, in place of what control nodes tell.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "cluster/configuration_client.h"
+
+namespace millstair {
+
+/// Proven or not as the test says; work never waits for a proof.
+class FakeConfigurationClient : public ConfigurationClient {
+ public:
+  void Start() override {}
+  const Configuration& configuration() const override { return held; }
+  bool LeaseValid() const override { return lease; }
+  void WhenCurrent(std::function<void()> work) override { work(); }
+  std::optional<TimePoint> ProvenSince() const override { return std::nullopt; }
+  std::optional<Duration> ProofAge() const override { return std::nullopt; }
+  bool CutOff() const override { return false; }
+  void OnCutOff(std::function<void(bool)>) override {}
+  void OnChange(ChangeListener callback) override { listeners.push_back(std::move(callback)); }
+  void Report(EngineObservation observation) override { reports.push_back(std::move(observation)); }
+  void SetLeaving() override { leaving = true; }
+  void Receive(const NodeId&, const PeerMessage&) override {}
+
+  /// Takes over `configuration` and tells the listeners.
+  void Set(Configuration configuration) {
+    held = std::move(configuration);
+    for (const auto& listener : listeners) listener(ConfigurationDelta{});
+  }
+
+  Configuration held;
+  bool lease = true;
+  bool leaving = false;
+  std::vector<EngineObservation> reports;
+  std::vector<ChangeListener> listeners;
+};
+
+}  // namespace millstair
--- a/test/gateway/gateway_fixture.h
+++ b/test/gateway/gateway_fixture.h
@@ -17,37 +17,11 @@
 #include "gateway/live_service.h"
 #include "simulator/network/engine_fabric.h"
 #include "simulator/network/http_fabric.h"
+#include "test/cluster/fake_configuration_client.h"
 #include "test/routing/configuration_fixture.h"
 
 namespace millstair {
 
-class FakeConfigurationClient : public ConfigurationClient {
- public:
-  void Start() override {}
-  const Configuration& configuration() const override { return held; }
-  bool LeaseValid() const override { return lease; }
-  void WhenCurrent(std::function<void()> work) override { work(); }
-  std::optional<TimePoint> ProvenSince() const override { return std::nullopt; }
-  std::optional<Duration> ProofAge() const override { return std::nullopt; }
-  bool CutOff() const override { return false; }
-  void OnCutOff(std::function<void(bool)>) override {}
-  void OnChange(ChangeListener callback) override { listeners.push_back(callback); }
-  void Report(EngineObservation observation) override { reports.push_back(observation); }
-  void SetLeaving() override { leaving = true; }
-  void Receive(const NodeId&, const PeerMessage&) override {}
-
-  void Set(Configuration configuration) {
-    held = std::move(configuration);
-    for (const auto& listener : listeners) listener(ConfigurationDelta{});
-  }
-
-  Configuration held;
-  bool lease = true;
-  bool leaving = false;
-  std::vector<EngineObservation> reports;
-  std::vector<ChangeListener> listeners;
-};
-
 /// Applies commands to a cluster state machine after a delay.
 class FakeControlClient : public ControlClient {
  public:
--- a/test/rollout/rollout_fakes.h
+++ b/test/rollout/rollout_fakes.h
@@ -19,33 +19,13 @@
 #include "emulator/model/platform_models.h"
 #include "rollout/stream_state.h"
 #include "routing/engine_placement.h"
+#include "test/cluster/fake_configuration_client.h"
 
 namespace millstair {
 
 inline const StreamName kStream("drafts");
 inline const ModelName kModel("routing");
 
-class FakeConfiguration : public ConfigurationClient {
- public:
-  void Start() override {}
-  const Configuration& configuration() const override { return held; }
-  bool LeaseValid() const override { return lease; }
-  void WhenCurrent(std::function<void()> work) override { work(); }
-  std::optional<TimePoint> ProvenSince() const override { return std::nullopt; }
-  std::optional<Duration> ProofAge() const override { return std::nullopt; }
-  bool CutOff() const override { return false; }
-  void OnCutOff(std::function<void(bool)>) override {}
-  void OnChange(ChangeListener callback) override { listeners.push_back(callback); }
-  void Report(EngineObservation observation) override { reports.push_back(observation); }
-  void SetLeaving() override {}
-  void Receive(const NodeId&, const PeerMessage&) override {}
-
-  Configuration held;
-  bool lease = true;
-  std::vector<EngineObservation> reports;
-  std::vector<ChangeListener> listeners;
-};
-
 /// One log with a replica of the stream per control node. Every entry is applied to all replicas.
 class FakeLog {
  public:
--- a/test/rollout/rollout_fleet.h
+++ b/test/rollout/rollout_fleet.h
@@ -218,7 +218,7 @@
 
  public:
   FakeLog log;
-  FakeConfiguration configuration;
+  FakeConfigurationClient configuration;
   FakeEngines engines;
   FakeScorer scorer;
   std::set<NodeId> down;
--- a/test/weights/weight_fleet.h
+++ b/test/weights/weight_fleet.h
@@ -10,6 +10,7 @@
 #include "emulator/model/engine_model.h"
 #include "emulator/model/platform_models.h"
 #include "fmt/format.h"
+#include "test/cluster/fake_configuration_client.h"
 #include "weights/engine_reconciler.h"
 #include "weights/weight_duty.h"
 
@@ -21,26 +22,6 @@
   return WeightDigest(fmt::format("sha-w{}", version));
 }
 
-class WeightsConfiguration : public ConfigurationClient {
- public:
-  void Start() override {}
-  const Configuration& configuration() const override { return held; }
-  bool LeaseValid() const override { return lease; }
-  void WhenCurrent(std::function<void()> work) override { work(); }
-  std::optional<TimePoint> ProvenSince() const override { return std::nullopt; }
-  std::optional<Duration> ProofAge() const override { return std::nullopt; }
-  bool CutOff() const override { return false; }
-  void OnCutOff(std::function<void(bool)>) override {}
-  void OnChange(ChangeListener) override {}
-  void Report(EngineObservation observation) override { reports.push_back(observation); }
-  void SetLeaving() override {}
-  void Receive(const NodeId&, const PeerMessage&) override {}
-
-  Configuration held;
-  bool lease = true;
-  std::vector<EngineObservation> reports;
-};
-
 /// Sends orders to engine models and keeps them.
 class WeightsEngines : public EngineClient {
  public:
@@ -196,7 +177,7 @@
 
  public:
   WeightStoreModel store;
-  WeightsConfiguration configuration;
+  FakeConfigurationClient configuration;
   WeightsEngines engines;
   std::vector<std::unique_ptr<EngineModel>> models;
   std::vector<std::unique_ptr<EngineReconciler>> gateways;
