Send a lost try's successor only if no try beside it has gone out meanwhile

A try beside the first and the successor of the first, which turned out to have reached nobody, may wait for one proof. Once it came both were sent, and a route of one attempt had its request at two back ends.

Change: a successor is for a request that is with no back end, and that is asked as it goes out, not as it begins to wait. The test failed first (three tries, two expected); platform, ingress and jobs tests pass.

--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -179,10 +179,10 @@
 }
 
 void ForwardFlow::SendOrWait() {
-  const size_t under_way = tries_.size();
-  SendTry();
-  if (tries_.size() > under_way) return ArmHedge();
+  // A try beside the one that was lost may have waited for the same proof, and be on its way now.
   if (!tries_.empty()) return;
+  SendTry();
+  if (!tries_.empty()) return ArmHedge();
   // Nobody is there: those tried before may be again.
   tried_.clear();
   const Duration used = context_.environment.Now() - started_at_;
--- a/test/platform/standstill_test.cc
+++ b/test/platform/standstill_test.cc
@@ -13,6 +13,7 @@
 /// wakes at 19.995, refuses seven requests without a route in that millisecond, since the routes
 /// may be too old, and forwards one by version 121 with a proof of 8,738 ms. The proof of version
 /// 135 comes 14 ms after it woke; version 126 had moved the route.
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "test/platform/edge_fixture.h"
@@ -39,6 +40,13 @@
     Start();
   }
 
+  /// Requests that were sent to back ends; questions for their health are none.
+  size_t Tries() const {
+    return static_cast<size_t>(
+        std::count_if(backends.calls.begin(), backends.calls.end(),
+                      [](const auto& call) { return call->request.method == "POST"; }));
+  }
+
   /// Stands still while `change` is made; the next thing that the node does is what its caller
   /// has it do.
   void StandStill(const std::function<void()>& change) {
@@ -68,19 +76,25 @@
   CHECK(gateway.backends.calls.empty());
 }
 
+/// A document whose route gives a request more time than the gateway stands still.
+std::string PatientDocument() {
+  std::string patient = Document(7, kBothKeys);
+  const std::string limit = R"("timeout_ms":800)";
+  return patient.replace(patient.find(limit), limit.size(), R"("timeout_ms":20000)");
+}
+
+FakeAnswer Silence() {
+  FakeAnswer none;
+  none.kind = FakeAnswer::Kind::kSilence;
+  return none;
+}
+
 TEST_CASE("A further try as a gateway wakes goes to no back end that left meanwhile") {
   Standstill gateway;
   for (const char* const address : {"b:1", "b:3"}) {
-    gateway.backends.Serve(address, [](const HttpRequest&) {
-      FakeAnswer none;
-      none.kind = FakeAnswer::Kind::kSilence;
-      return none;
-    });
+    gateway.backends.Serve(address, [](const HttpRequest&) { return Silence(); });
   }
-  std::string patient = Document(7, kBothKeys);
-  const std::string limit = R"("timeout_ms":800)";
-  patient.replace(patient.find(limit), limit.size(), R"("timeout_ms":20000)");
-  gateway.control.Replace(patient);
+  gateway.control.Replace(PatientDocument());
   gateway.control.SetInstances({LiveInstance("b:1", "pages"), LiveInstance("b:3", "pages")});
   gateway.scheduler.RunFor(seconds(2));
   gateway.Send("POST", "/p/x", "key-1");
@@ -93,6 +107,35 @@
   CHECK(gateway.backends.CountAt(other) == 0);
 }
 
+/// The route allows one back end for a request. As the gateway wakes, a try beside the first is
+/// due, and it turns out that the first reached nobody: both want to send, and wait for the same
+/// proof.
+TEST_CASE("Tries that waited for one proof keep to the attempts of their route") {
+  Standstill gateway;
+  FakeAnswer unreachable;
+  unreachable.kind = FakeAnswer::Kind::kUnreachable;
+  unreachable.delay = milliseconds(20) + kStandstill + milliseconds(1);
+  std::vector<BackendInstance> live;
+  for (const char* const address : {"b:1", "b:3", "b:4"}) {
+    live.push_back(LiveInstance(address, "pages"));
+    gateway.backends.Serve(address, [&](const HttpRequest&) {
+      return gateway.backends.calls.size() == 1 ? unreachable : Silence();
+    });
+  }
+  std::string document = PatientDocument();
+  const std::string attempts = R"("attempts":2)";
+  gateway.control.Replace(
+      document.replace(document.find(attempts), attempts.size(), R"("attempts":1)"));
+  gateway.control.SetInstances(live);
+  gateway.scheduler.RunFor(seconds(2));
+  gateway.Send("POST", "/p/x", "key-1");
+  gateway.scheduler.RunFor(milliseconds(20));
+  REQUIRE(gateway.backends.calls.size() == 1);
+  gateway.StandStill([] {});
+  gateway.scheduler.RunFor(seconds(3));
+  CHECK(gateway.Tries() == 2);
+}
+
 TEST_CASE("A gateway that wakes where no control node answers serves by what it holds, soon") {
   Standstill gateway;
   gateway.StandStill([&] { gateway.control.cut_off = true; });
