--- a/test/platform/edge_fixture.h
+++ b/test/platform/edge_fixture.h
@@ -66,6 +66,8 @@
   VirtualEnvironment& node_environment_;
 };
 
+/// Routes /p/ to `service` for holders of a key, /open/ for everybody and /j/ for jobs; `keys` of
+/// the one tenant as JSON strings.
 inline std::string Document(uint64_t version, const std::string& keys,
                             const std::string& service = "pages") {
   return fmt::format(
@@ -81,6 +83,7 @@
       version, keys, service);
 }
 
+/// A gateway "g1", its control node and a server of "pages" at b:1.
 class EdgeFixture {
  public:
   EdgeFixture() : control(environment) {
