Soak: strike the machine that acknowledges, and measure exposure

New faults strike the machine that has just acknowledged a change, within milliseconds: killed, its disk lost, isolated, cut off from the other control nodes alone, frozen; it gets a change as it returns, and while it is cut off. At the end the soak prints how long gateways used replaced or unconfirmed routes, by the faults that were active, also where the promise excuses it.

--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -145,9 +145,10 @@
         threading.Thread(target=self._change, daemon=True).start()
         threading.Thread(target=self._read, daemon=True).start()
 
-    def _post(self, text):
-        """Sends a document once; the status (0 without a response), the machine and the body."""
-        machine = random.choice(self._layout.machines)
+    def _post(self, text, machine=None):
+        """Sends a document once, to a random machine by default; the status (0 without a response),
+        the machine and the body."""
+        machine = machine or random.choice(self._layout.machines)
         try:
             status, _, body = exchange(machine, "POST", "/v1/Config.Replace", text,
                                        {"Content-Type": "application/json"}, OPERATOR_TIMEOUT)
@@ -155,18 +156,18 @@
         except OSError:
             return 0, machine, ""
 
-    def _send(self, version, text, limit, allowed=(200,)):
-        """Sends a document until it is accepted or rejected, for at most `limit` seconds; whether
-        it was acknowledged."""
+    def _send(self, version, text, limit, allowed=(200,), machine=None):
+        """Sends a document until it is accepted or rejected, for at most `limit` seconds, to random
+        machines or to one alone; whether it was acknowledged."""
         sent = now()
         while now() < sent + limit and not self.stopped:
-            status, machine, body = self._post(text)
+            status, used, body = self._post(text, machine)
             if status == 200:
-                self._history.add(Acknowledged(f"version {version}", sent, now(), machine))
+                self._history.add(Acknowledged(f"version {version}", sent, now(), used))
             if status == 200 or 400 <= status < 500:
                 self._history.add(OperatorCall(f"version {version}", status, allowed, now(), body))
                 return status == 200
-            time.sleep(0.1)
+            time.sleep(0.1 if machine is None else 0.02)
         return False
 
     def _next_documents(self, count=1):
@@ -186,6 +187,12 @@
         version, text = self._next_documents()[0]
         return self._send(version, text, 20)
 
+    def replace_at(self, machine, limit):
+        """Sends the next document to one machine alone until it answers, for at most `limit`
+        seconds; whether it was acknowledged."""
+        version, text = self._next_documents()[0]
+        return self._send(version, text, limit, machine=machine)
+
     def _race(self):
         """Sends two documents concurrently, half the time with the same version number."""
         version, text = self._next_documents()[0]
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from history import Span, now
+from history import Acknowledged, Span, now
 
 DOWN = 1.0
 AWAY = 4.0
@@ -25,6 +25,9 @@
 # Pause of a gateway, in seconds. Longer than the bound for changes to be in force, so that it
 # misses some.
 GATEWAY_PAUSE = (3.0, 12.0)
+# How long a fault waits for an acknowledgement, and a returned machine for a change, in seconds.
+ACKNOWLEDGED_WITHIN = 4.0
+MEET_LIMIT = 1.5
 # Maximum share of the gateways under a fault at the same time.
 MAX_FAULTY_GATEWAY_SHARE = 0.25
 
@@ -88,7 +91,9 @@
 class Faults:
     """Runs faults and records when each was active, and on which machines."""
 
-    def __init__(self, fleet, back_ends, history):
+    def __init__(self, fleet, back_ends, history, operator=None):
+        """`operator` sends changes to machines as they return."""
+        self._operator = operator
         self._fleet = fleet
         self._layout = fleet.layout
         self._back_ends = back_ends
@@ -100,11 +105,15 @@
             self.kill, self.kill, self.freeze, self.cut, self.cut_one_way, self.slow_link, self.reset_links,
             self.stop, self.slow, self.reload]
         self._gateway_kinds = [self.stand_still]
+        # On the machine that acknowledges the next change, as soon as it has.
+        self._acknowledger_kinds = [
+            self.kill_acknowledger, self.wipe_acknowledger, self.cut_acknowledger,
+            self.part_acknowledger, self.freeze_acknowledger]
         self._exclusive_kinds = [self.kill_all, self.rolling_stop, self.cut_in_two, self.cut_zones]
         self._clock_kinds = [self.step_clock, self.restart_across_step, self.suspend]
         if fleet.clocks.library:
             self.one_machine += self._clock_kinds
-        self.kinds = self.one_machine + self._gateway_kinds + [
+        self.kinds = self.one_machine + self._gateway_kinds + self._acknowledger_kinds + [
             self.lose_disk, self.stop_several, self.kill_gateways, self.rolling_stop, self.kill_all,
             self.cut_in_two, self.cut_zones, self.strike_zone, *self.of_back_ends]
 
@@ -141,6 +150,8 @@
                 what = self._run_recorded(kind, self._layout.machines)
             finally:
                 self._claims.release_all()
+        elif kind in self._acknowledger_kinds:
+            what = self._run_on_acknowledger(kind)
         else:
             what = self._run_claimed(kind)
         if what:
@@ -174,6 +185,17 @@
         finally:
             self._claims.release(chosen)
 
+    def _run_on_acknowledger(self, kind):
+        record = self._history.next(
+            lambda each: isinstance(each, Acknowledged) and each.version and each.machine,
+            ACKNOWLEDGED_WITHIN)
+        if record is None or not self._claims.take((record.machine,)):
+            return None
+        try:
+            return self._run_recorded(kind, (record.machine,))
+        finally:
+            self._claims.release((record.machine,))
+
     def _run_recorded(self, kind, machines):
         if kind == self.reload:
             # A reload is not recorded: it excuses no violation.
@@ -184,7 +206,7 @@
         span = self._history.add(Span(kind.__name__, tuple(machines), begun, float("inf")))
         result = kind(machines)
         span.over = now()
-        if kind == self.lose_disk:
+        if kind in (self.lose_disk, self.wipe_acknowledger):
             time.sleep(CATCH_UP)
         return f"{kind.__name__} {list(machines)} {'' if result is None else result}"
 
@@ -213,6 +235,49 @@
         time.sleep(DOWN)
         self._restart(nodes)
 
+    def kill_acknowledger(self, machines):
+        """Kills the machine that has just acknowledged a change; it gets one as it returns."""
+        nodes = self._nodes(machines)
+        self._fleet.kill(nodes)
+        time.sleep(random.uniform(0, 3 * DOWN))
+        self._restart(nodes)
+        self._meet(machines)
+
+    def wipe_acknowledger(self, machines):
+        """Like `kill_acknowledger`, and the machine loses its disk."""
+        nodes = self._nodes(machines)
+        self._fleet.kill(nodes, wipe=True)
+        time.sleep(random.uniform(0, 3 * DOWN))
+        self._restart(nodes)
+        self._meet(machines)
+
+    def cut_acknowledger(self, machines):
+        """Isolates the machine that has just acknowledged a change from all others."""
+        cut = self._fleet.cut(machines)
+        time.sleep(random.uniform(0.3, 1.5) * AWAY)
+        self._fleet.heal(cut)
+        self._meet(machines)
+
+    def part_acknowledger(self, machines):
+        """Cuts the machine that has just acknowledged a change off from the other machines with a
+        disk; all gateways reach both sides. Changes are sent to it meanwhile and afterwards."""
+        cut = self._fleet.cut(machines, set(self._layout.machines) - set(machines))
+        self._meet(machines, 0.5 * AWAY)
+        time.sleep(random.uniform(0, 1) * AWAY)
+        self._fleet.heal(cut)
+        self._meet(machines)
+
+    def freeze_acknowledger(self, machines):
+        """Pauses the machine that has just acknowledged a change."""
+        self.freeze(machines)
+        self._meet(machines)
+
+    def _meet(self, machines, limit=MEET_LIMIT):
+        """Sends a change to machines until they acknowledge it."""
+        if self._operator is not None:
+            for machine in machines:
+                self._operator.replace_at(machine, limit)
+
     def freeze(self, machines):
         """Pauses and resumes a machine's processes."""
         for machine in machines:
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -160,19 +160,34 @@
     """Thread-safe list of records, read after the soak."""
 
     def __init__(self):
-        self._lock = threading.Lock()
+        self._lock = threading.Condition()
         self.records = []
 
     def add(self, record):
         """Adds a record and returns it."""
         with self._lock:
             self.records.append(record)
+            self._lock.notify_all()
         return record
 
     def add_all(self, records):
         """Adds the records of another process."""
         with self._lock:
             self.records.extend(records)
+            self._lock.notify_all()
+
+    def next(self, wanted, timeout):
+        """Waits for the next record for which `wanted` holds; none if it does not come in time."""
+        until = now() + timeout
+        with self._lock:
+            seen = len(self.records)
+            while now() < until:
+                for record in self.records[seen:]:
+                    if wanted(record):
+                        return record
+                seen = len(self.records)
+                self._lock.wait(until - now())
+        return None
 
     def of(self, kind):
         """All records of one kind, in the order in which they were added."""
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -15,15 +15,19 @@
 from back_ends import BackEndProcess
 from callers import Client, CrashingCaller, Operator, Trainer
 from checks import check_all
+import exposure
 from faults import Faults
 from fleet import Fleet, Layout, use_free_subnet, use_subnet
 from history import History, now
+from routing_checks import Versions, outcomes_of
 from probes import Prober
 from confirmations import ConfirmationReader
 
 START_LIMIT = 20.0
 RECOVERY = 12.0
 LAST_CALM = 16.0
+# Lease of a gateway's configuration, as a share of `bounds.leave`.
+LEASE_SHARE = 0.7
 
 
 def parse_arguments():
@@ -107,7 +111,7 @@
     fleet.start()
     operator = Operator(layout, history, arguments.change)
     await_first_configuration(operator)
-    faults = Faults(fleet, back_ends, history)
+    faults = Faults(fleet, back_ends, history, operator)
     if arguments.kinds:
         faults.choose(arguments.kinds.split(","))
     time.sleep(2)
@@ -152,6 +156,7 @@
                       arguments.before)
         rows, lost = play(arguments, fleet, back_ends, history)
         good = report(rows, lost, fleet, arguments.show)
+        report_exposures(history, folder, layout)
     finally:
         if fleet is not None:
             fleet.end()
@@ -165,6 +170,15 @@
     return 0 if good else 1
 
 
+def report_exposures(history, folder, layout):
+    """Prints how long gateways used replaced or unconfirmed routes, also where that is allowed."""
+    outcomes = outcomes_of(history)
+    exposure.report("requests by routes replaced for over 1 s",
+                    exposure.late(history, outcomes, Versions(history)))
+    exposure.report("requests sent by unconfirmed routes",
+                    exposure.unconfirmed(history, folder, LEASE_SHARE * layout.leaving))
+
+
 def report(rows, lost, fleet, shown):
     """Prints the table and the summary line that the other test programs print; returns whether all
     checks passed."""
