Send a relay's reads at once, as the regular heartbeat sent early

What callers saw: nothing by itself.

Cause: ConfirmRead took the armed timer that gives reads up for one that will send, so that a read within a second of another one waited for the relay's next regular heartbeat (919 and 1059 ms by the default timing).

Why this fix works: sending and giving up have a timer each. One read is under way at a time and is the regular heartbeat sent early; a relay collects heartbeats for 150 ms. Heartbeats that wait for a read of over a second are refused with a reason in place of silence.

--- a/source/cluster/configuration_client.cc
+++ b/source/cluster/configuration_client.cc
@@ -107,6 +107,7 @@
             [this] { return LeaseValid(); }, [this] { RequestConfirmation(); }),
         timer_(environment),
         search_timer_(environment),
+        read_send_timer_(environment),
         read_timer_(environment) {}
 
   void Start() override {
@@ -150,11 +151,14 @@
 
   void ConfirmRead(std::function<void(absl::Status)> done) override {
     reads_.push_back({environment_.Now(), std::move(done)});
-    if (!read_timer_.armed()) read_timer_.Arm(kReadBatchDelay, [this] { SendReadHeartbeat(); });
+    if (read_send_timer_.armed() || read_in_progress_) return;
+    read_send_timer_.Arm(kReadBatchDelay, [this] { SendReadHeartbeat(); });
   }
 
   void AbortReads() override {
     read_timer_.Cancel();
+    read_send_timer_.Cancel();
+    read_in_progress_ = false;
     for (const PendingRead& read : std::exchange(reads_, {})) {
       read.done(absl::AbortedError("the relay ended"));
     }
@@ -193,19 +197,32 @@
   }
 
  private:
+  /// Sends the regular heartbeat early. Later reads wait for the reply, so that a slow replica gets
+  /// fewer requests.
   void SendReadHeartbeat() {
-    SendHeartbeat(sources_.current().node, {}, false);
+    read_in_progress_ = true;
+    SendRegularHeartbeat();
     read_timer_.Arm(kReadTimeout, [this] { FailExpiredReads(); });
   }
 
   /// Completes the reads that were requested before `confirmed_at`.
   void CompleteReads(TimePoint confirmed_at) {
-    for (const PendingRead& read : TakeReads(confirmed_at)) read.done(absl::OkStatus());
+    const std::vector<PendingRead> completed = TakeReads(confirmed_at);
+    ContinueReads();
+    for (const PendingRead& read : completed) read.done(absl::OkStatus());
+  }
+
+  /// A read heartbeat was answered or given up: sends one for the reads requested since.
+  void ContinueReads() {
+    read_in_progress_ = false;
+    read_timer_.Cancel();
+    if (reads_.empty() || read_send_timer_.armed()) return;
+    read_send_timer_.Arm(kReadBatchDelay, [this] { SendReadHeartbeat(); });
   }
 
   void FailExpiredReads() {
     const std::vector<PendingRead> failed = TakeReads(environment_.Now() - kReadTimeout);
-    if (!reads_.empty()) read_timer_.Arm(kReadTimeout, [this] { FailExpiredReads(); });
+    ContinueReads();
     for (const PendingRead& read : failed) {
       read.done(absl::UnavailableError("no replica confirmed the read in time"));
     }
@@ -578,9 +595,13 @@
   TimePoint no_redirect_until_;
   /// In the order of requests.
   std::vector<PendingRead> reads_;
+  /// A heartbeat was sent for reads, and neither answered nor given up.
+  bool read_in_progress_ = false;
   FreshnessGate gate_;
   ScopedTimer timer_;
   ScopedTimer search_timer_;
+  ScopedTimer read_send_timer_;
+  /// While a read heartbeat waits for its reply.
   ScopedTimer read_timer_;
 };
 
--- a/source/cluster/heartbeat_service.cc
+++ b/source/cluster/heartbeat_service.cc
@@ -11,6 +11,9 @@
 
 /// Heartbeats received within this time share one quorum read.
 constexpr Duration kBatchDelay = std::chrono::milliseconds(10);
+/// The same on a relay, whose reads each cost a replica a heartbeat. Well below the time that a
+/// sender waits for its reply.
+constexpr Duration kRelayBatchDelay = std::chrono::milliseconds(150);
 /// A read that takes longer is logged.
 constexpr Duration kSlowRead = std::chrono::seconds(1);
 /// Interval of log lines about one node without a confirmation.
@@ -48,8 +51,12 @@
       return Redirect(waiting, *other);
   }
   if (!heartbeat.confirmation_only) push_.Attach(heartbeat);
-  // If a leader is found in time, the confirmation follows.
-  if (!cluster_.Leader()) Refuse(waiting, HeartbeatRefusal::kNoQuorum, "no leader is known");
+  // If a leader is found or the read ends in time, the confirmation follows.
+  if (!cluster_.Leader()) {
+    Refuse(waiting, HeartbeatRefusal::kNoQuorum, "no leader is known");
+  } else if (ReadAge() >= kSlowRead) {
+    Refuse(waiting, HeartbeatRefusal::kNoQuorum, "the quorum read in progress is slow");
+  }
   waiting_.push_back(waiting);
   LogSlowRead();
   if (faults_.heartbeat_unconfirmed) return Reply(std::exchange(waiting_, {}));
@@ -72,7 +79,9 @@
 }
 
 void HeartbeatService::ScheduleConfirmation() {
-  if (!confirming_ && !timer_.armed()) timer_.Arm(kBatchDelay, [this] { ConfirmBatch(); });
+  if (confirming_ || timer_.armed()) return;
+  const Duration delay = cluster_.UsesReplica() ? kBatchDelay : kRelayBatchDelay;
+  timer_.Arm(delay, [this] { ConfirmBatch(); });
 }
 
 void HeartbeatService::Redirect(const Waiting& waiting, const ControlEndpoint& other) {
