--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -3,10 +3,12 @@
 import json
 import random
 import sys
+import threading
 import unittest
 import unittest.mock
 
 import checks
+import exposure
 import routing_checks
 from back_ends import stamp_of
 from callers import Step
@@ -155,6 +157,50 @@
             self.assertTrue(affected <= set(LARGE.gateways), name)
 
 
+class AcknowledgerTest(unittest.TestCase):
+    """Faults of the machine that has just acknowledged a change."""
+
+    def test_machine(self):
+        """The machine of the next acknowledgement is struck, and no other."""
+        fleet, history = FakeFleet(), History()
+        faults = Faults(fleet, None, history)
+        history.add(Acknowledged("version 1", 0.0, 0.1, 1))
+        later = threading.Timer(0.05, history.add, (Acknowledged("version 2", 0.2, 0.3, 2),))
+        later.start()
+        with unittest.mock.patch("acknowledger_faults.time.sleep"):
+            self.assertTrue(faults.play(faults.kill_acknowledger))
+        self.assertEqual(fleet.affected, {2})
+
+    def test_without_acknowledgement(self):
+        """Without an acknowledgement in time nothing is struck."""
+        fleet = FakeFleet()
+        with unittest.mock.patch("acknowledger_faults.ACKNOWLEDGED_WITHIN", 0.01):
+            faults = Faults(fleet, None, History())
+            self.assertIsNone(faults.play(faults.kill_acknowledger))
+        self.assertFalse(fleet.affected)
+
+
+class ExposureTest(unittest.TestCase):
+    """How long replaced routes were used, with the faults active meanwhile."""
+
+    def test_late(self):
+        """Counted from the acknowledgement of the version that replaced the routes."""
+        call = Call("a", "/moved/", GATEWAY, 5.5, 200, "", "", 5.6)
+        history = two_versions(call, Run("a", moved_service(1), "i-1", 5.55),
+                               Span("cut", (1,), 4.0, 5.0), Span("kill", (14,), 0.0, 1.0))
+        outcomes = routing_checks.outcomes_of(history)
+        table = exposure.late(history, outcomes, routing_checks.Versions(history))
+        self.assertEqual(list(table), ["cut"])
+        self.assertAlmostEqual(table["cut"].longest, 2.5)
+
+    def test_in_force(self):
+        """The newest routes are not counted."""
+        call = Call("a", "/moved/", GATEWAY, 5.5, 200, "", "", 5.6)
+        history = two_versions(call, Run("a", moved_service(2), "i-1", 5.55))
+        outcomes = routing_checks.outcomes_of(history)
+        self.assertFalse(exposure.late(history, outcomes, routing_checks.Versions(history)))
+
+
 class CutTest(unittest.TestCase):
     """One-way and overlapping cuts."""
 
--- /dev/null
+++ b/test/soak/fault_times.py
@@ -0,0 +1,6 @@
+"""Durations of faults, in seconds."""
+
+DOWN = 1.0
+AWAY = 4.0
+# Longer than CONTACT of the routing checks, so that behavior during a partition is checked as well.
+CUT_IN_TWO = 9.0
