--- a/source/cluster/configuration_client.cc
+++ b/source/cluster/configuration_client.cc
@@ -1,11 +1,11 @@
 #include "cluster/configuration_client.h"
 
 #include <algorithm>
-#include <iterator>
 #include <map>
 #include <set>
 #include <utility>
 
+#include "cluster/confirmed_reads.h"
 #include "cluster/control_endpoints.h"
 #include "cluster/control_messages.h"
 #include "cluster/freshness_gate.h"
@@ -42,11 +42,6 @@
 /// Bounds the shift of the search interval, which the heartbeat interval caps anyway.
 constexpr size_t kMaxDoublings = 8;
 
-/// Reads requested within this time share one heartbeat.
-constexpr Duration kReadBatchDelay = std::chrono::milliseconds(2);
-/// A read fails if no replica confirmed it in this time; by then its callers have moved to another
-/// control node.
-constexpr Duration kReadTimeout = std::chrono::seconds(1);
 /// After the target of a redirect did not reply, the node accepts no redirect for this long; by
 /// then a control node that is gone is no longer a target.
 constexpr Duration kNoRedirectPeriod = std::chrono::seconds(5);
@@ -54,12 +49,6 @@
 /// Minimum time between two redirects.
 constexpr Duration kMinRedirectInterval = std::chrono::seconds(1);
 
-/// A read that waits for a confirmation.
-struct PendingRead {
-  TimePoint requested_at;
-  std::function<void(absl::Status)> done;
-};
-
 struct SentHeartbeat {
   NodeId to;
   TimePoint at;
@@ -102,13 +91,12 @@
         sources_(std::move(control_nodes), self_.zone, environment.Random()),
         timing_(timing),
         faults_(faults),
+        reads_(environment, [this] { SendRegularHeartbeat(); }),
         gate_(
             environment, {timing.reply_timeout, kHeartbeatsUntilPaused * timing.heartbeat},
             [this] { return LeaseValid(); }, [this] { RequestConfirmation(); }),
         timer_(environment),
-        search_timer_(environment),
-        read_send_timer_(environment),
-        read_timer_(environment) {}
+        search_timer_(environment) {}
 
   void Start() override {
     if (sources_.empty()) return;
@@ -150,21 +138,13 @@
   }
 
   void ConfirmRead(std::function<void(absl::Status)> done) override {
-    reads_.push_back({environment_.Now(), std::move(done)});
-    if (read_send_timer_.armed() || read_in_progress_) return;
-    read_send_timer_.Arm(kReadBatchDelay, [this] { SendReadHeartbeat(); });
+    if (sources_.empty()) return done(absl::UnavailableError("no other control node is known"));
+    reads_.Request(std::move(done));
   }
 
-  void AbortReads() override {
-    read_timer_.Cancel();
-    read_send_timer_.Cancel();
-    read_in_progress_ = false;
-    for (const PendingRead& read : std::exchange(reads_, {})) {
-      read.done(absl::AbortedError("the relay ended"));
-    }
-  }
+  void AbortReads() override { reads_.AbortAll(); }
 
-  size_t PendingReads() const override { return reads_.size(); }
+  size_t PendingReads() const override { return reads_.pending(); }
 
   std::optional<NodeId> Leader() const override {
     return leader_ == NodeId() ? std::nullopt : std::optional(leader_);
@@ -197,48 +177,6 @@
   }
 
  private:
-  /// Sends the regular heartbeat early. Later reads wait for the reply, so that a slow replica gets
-  /// fewer requests.
-  void SendReadHeartbeat() {
-    read_in_progress_ = true;
-    SendRegularHeartbeat();
-    read_timer_.Arm(kReadTimeout, [this] { FailExpiredReads(); });
-  }
-
-  /// Completes the reads that were requested before `confirmed_at`.
-  void CompleteReads(TimePoint confirmed_at) {
-    const std::vector<PendingRead> completed = TakeReads(confirmed_at);
-    ContinueReads();
-    for (const PendingRead& read : completed) read.done(absl::OkStatus());
-  }
-
-  /// A read heartbeat was answered or given up: sends one for the reads requested since.
-  void ContinueReads() {
-    read_in_progress_ = false;
-    read_timer_.Cancel();
-    if (reads_.empty() || read_send_timer_.armed()) return;
-    read_send_timer_.Arm(kReadBatchDelay, [this] { SendReadHeartbeat(); });
-  }
-
-  void FailExpiredReads() {
-    const std::vector<PendingRead> failed = TakeReads(environment_.Now() - kReadTimeout);
-    ContinueReads();
-    for (const PendingRead& read : failed) {
-      read.done(absl::UnavailableError("no replica confirmed the read in time"));
-    }
-  }
-
-  /// Removes and returns the reads that were requested up to `until`, in order.
-  std::vector<PendingRead> TakeReads(TimePoint until) {
-    const auto first_later =
-        std::find_if(reads_.begin(), reads_.end(),
-                     [&](const PendingRead& read) { return read.requested_at > until; });
-    std::vector<PendingRead> collected(std::make_move_iterator(reads_.begin()),
-                                       std::make_move_iterator(first_later));
-    reads_.erase(reads_.begin(), first_later);
-    return collected;
-  }
-
   void SendRegularHeartbeat() {
     LogLeaseChange();
     UpdateIsolation();
@@ -425,7 +363,7 @@
     if (changed) NotifyListeners(*changes);
     // Callers of a read forward what the listeners recorded, so the listeners run first; otherwise
     // a new revision would be forwarded without its changes.
-    if (confirmed_at && relay_) CompleteReads(*confirmed_at);
+    if (confirmed_at && relay_) reads_.OnConfirmed(*confirmed_at);
     // After the listeners, because waiting work reads state that they update.
     if (confirmed_at && LeaseValid()) gate_.OnConfirmed();
   }
@@ -593,16 +531,11 @@
   /// Target of the last redirect.
   NodeId redirect_target_;
   TimePoint no_redirect_until_;
-  /// In the order of requests.
-  std::vector<PendingRead> reads_;
-  /// A heartbeat was sent for reads, and neither answered nor given up.
-  bool read_in_progress_ = false;
+  /// Send the regular heartbeat early.
+  ConfirmedReads reads_;
   FreshnessGate gate_;
   ScopedTimer timer_;
   ScopedTimer search_timer_;
-  ScopedTimer read_send_timer_;
-  /// While a read heartbeat waits for its reply.
-  ScopedTimer read_timer_;
 };
 
 }  // namespace
--- a/test/cluster/control_clients_test.cc
+++ b/test/cluster/control_clients_test.cc
@@ -259,6 +259,19 @@
   }
 }
 
+TEST_CASE("a read of a relay that knows no other control node fails at once") {
+  VirtualScheduler scheduler{1};
+  VirtualEnvironment environment{scheduler, 2};
+  RecordingTransport transport;
+  const auto client =
+      MakeRelayedConfigurationClient(environment, transport, NodeRecord(), ReplicaId(7), {}, {});
+  client->Start();
+  absl::Status read;
+  client->ConfirmRead([&](absl::Status status) { read = std::move(status); });
+  scheduler.RunFor(milliseconds(10));
+  CHECK(absl::IsUnavailable(read));
+}
+
 /// Guards against losing observations that were reported to an unresponsive control node: they must
 /// be repeated at once after a switch to a control node that is ahead.
 TEST_CASE("a node that switches to a control node ahead of it repeats its observations") {
