--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -17,7 +17,7 @@
 from faults import Faults
 from fleet import Fleet, Layout, claim_subnet
 from history import (Acknowledged, Call, CrashingCall, CrashingRun, History, RecordedResult,
-                     OperatorCall, Order, Confirmation, ReadBack, Run, Sent, Span, Started)
+                     OperatorCall, Order, Confirmation, PendingRead, ReadBack, Run, Sent, Span, Started)
 from links import BACK, FORTH
 
 INSTANCES = {"i-1"}
@@ -251,6 +251,20 @@
         self.assertEqual(self.judged(Span("kill_all", LARGE.machines, 18.0, 19.0)), (0, 0))
 
 
+class ReadsTest(unittest.TestCase):
+    """Whether a control node still confirms."""
+
+    def test_stuck_read(self):
+        """A read that does not end is found, unless the machine has a fault of its own."""
+        stuck = PendingRead(2, 20.0, 20.1, 9.0)
+        for span, tried, broken in ((Span("freeze", (2,), 10.0, 19.0), 0, 0),
+                                    (Span("freeze", (1,), 10.0, 19.0), 1, 1)):
+            row = routing_checks.check_reads(history_of(stuck, span))
+            self.assertEqual((row.tried, len(row.broken)), (tried, broken))
+        self.assertFalse(routing_checks.check_reads(
+            history_of(PendingRead(2, 20.0, 20.1, 4.9))).broken)
+
+
 class SubnetTest(unittest.TestCase):
     """Concurrent runs."""
 
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -116,6 +116,16 @@
     valid: bool
 
 
+@dataclasses.dataclass
+class PendingRead:
+    """A control node's report how long the read that confirms heartbeats has lasted, in seconds."""
+
+    machine: int
+    asked: float
+    at: float
+    age: float
+
+
 @dataclasses.dataclass
 class Span:
     """A fault, or planned work, on machines: from its first operation until the last was undone."""
--- a/test/soak/routing_checks.py
+++ b/test/soak/routing_checks.py
@@ -10,8 +10,8 @@
 import json
 
 from documents import SCORE_ROUTE, service_of
-from history import Acknowledged, Call, OperatorCall, Confirmation, ReadBack, Run, Sent, Span, \
-    Started
+from history import Acknowledged, Call, OperatorCall, Confirmation, PendingRead, ReadBack, Run, \
+    Sent, Span, Started
 from row import Row
 
 # Bounds promised to users, in seconds.
@@ -20,6 +20,8 @@
 # Added to the bound if control nodes were disturbed while a majority kept running.
 UNSTABLE = 5.0
 REVERT_SLACK = 0.25
+# A read is given up after 5 s.
+READ_ENDS_WITHIN = 6.0
 SMALL_CONTROL_GROUP = 9
 # A call that scores a text may last as long as its route's time limit.
 SCORING_TAKES = 1.5
@@ -179,6 +181,18 @@
     return row
 
 
+def check_reads(history):
+    """The reads that confirm heartbeats end, at control nodes without a fault of their own."""
+    row = Row("control nodes' reads end")
+    spans = history.of(Span)
+    for read in history.of(PendingRead):
+        disturbed = any(read.machine in span.machines and span.begun <= read.at
+                        and span.over >= read.asked - CONTACT for span in spans)
+        if not disturbed:
+            row.case(read.age <= READ_ENDS_WITHIN, read)
+    return row
+
+
 def check_never_back(outcomes, versions, history):
     """Within one incarnation a gateway uses no version older than one it has used."""
     row = Row("a gateway never goes back")
@@ -290,6 +304,7 @@
     connectivity = Connectivity(history, layout)
     return [
         check_in_force(outcomes, versions, connectivity), check_confirmed(history, connectivity),
+        check_reads(history),
         check_never_back(outcomes, versions, history),
         check_scorings(history, trainer.scorings, versions, connectivity),
         check_invalid(history), check_denied(history), check_added(outcomes, history, connectivity),
