Confirm a follower's reads though the leader replies slowly

What callers saw: nothing by itself. Gateways at control nodes that follow had no confirmation while the round trip to the leader took over 200 ms: they went to the leader, or routed by an expired lease.

Cause: a follower sends its read request again after two heartbeats under a new number, and took only the reply to the newest number. Where the reply takes longer than that, each reply is to an older number and no read ever ends.

Why this fix works: each read keeps the number of the first request sent for it, and a reply covers the reads with its number or an earlier one. The leader confirmed its index after that request arrived, so after those reads were requested; reads requested later wait for the reply to theirs, as before.

--- a/source/consensus/raft_core.h
+++ b/source/consensus/raft_core.h
@@ -116,6 +116,8 @@
     /// 0 is this replica.
     ReplicaId from;
     uint64_t ticket = 0;
+    /// On a follower: number of the first request that was sent for it.
+    uint64_t request = 0;
   };
 
   RaftCore(RaftOptions options, SegmentedLog& log, RandomEngine& random, TimePoint now);
--- a/source/consensus/raft_reads.cc
+++ b/source/consensus/raft_reads.cc
@@ -67,12 +67,14 @@
 }
 
 void RaftCore::SendReadRequest() {
-  requested_reads_.insert(requested_reads_.end(), waiting_reads_.begin(), waiting_reads_.end());
-  waiting_reads_.clear();
   read_request_due_ = now_ + 2 * options_.heartbeat;
   if (leader_ == ReplicaId()) return;
-  // A new number: a reply to an earlier request may predate the added reads.
   ++read_request_number_;
+  for (WaitingRead& read : waiting_reads_) {
+    read.request = read_request_number_;
+    requested_reads_.push_back(read);
+  }
+  waiting_reads_.clear();
   RaftMessage request = MakeMessage(RaftMessageType::kReadRequest, leader_);
   request.context = read_request_number_;
   Send(std::move(request));
@@ -91,9 +93,16 @@
 
 void RaftCore::HandleReadReply(const RaftMessage& message) {
   // A rejected request is sent again when `read_request_due_` is reached.
-  if (message.context != read_request_number_ || message.reject) return;
-  const auto reads = std::exchange(requested_reads_, {});
-  for (const WaitingRead& read : reads) CompleteRead(read, message.position.index);
+  if (message.reject) return;
+  // The reply may predate reads that were requested later. Numbers may wrap around.
+  const auto is_later = [&](const WaitingRead& read) {
+    return message.context - read.request > read_request_number_ - read.request;
+  };
+  const auto first_covered =
+      std::stable_partition(requested_reads_.begin(), requested_reads_.end(), is_later);
+  const std::vector<WaitingRead> covered(first_covered, requested_reads_.end());
+  requested_reads_.erase(first_covered, requested_reads_.end());
+  for (const WaitingRead& read : covered) CompleteRead(read, message.position.index);
 }
 
 void RaftCore::MoveReadsToNewLeader() {
--- a/test/consensus/raft_core_test.cc
+++ b/test/consensus/raft_core_test.cc
@@ -283,5 +283,42 @@
   REQUIRE(later.core->TakeReads().size() == 1);
 }
 
+/// Numbers of the read requests that a replica has sent since the last call.
+std::vector<uint64_t> SentReadRequests(Replica& replica) {
+  std::vector<uint64_t> numbers;
+  for (const RaftMessage& message : replica.core->TakeMessages()) {
+    if (message.type == RaftMessageType::kReadRequest) numbers.push_back(message.context);
+  }
+  return numbers;
+}
+
+TEST_CASE("a follower's read is confirmed though the reply takes longer than the resend interval") {
+  Replica replica;
+  replica.Step(replica.Message(RaftMessageType::kHeartbeat, kSecond, 3));
+  const uint64_t first = replica.core->RequestRead();
+  replica.core->Flush(replica.environment.Now());
+  const std::vector<uint64_t> requests = SentReadRequests(replica);
+  REQUIRE(requests.size() == 1);
+  // A read that is requested meanwhile is not covered by the reply to the first request.
+  const uint64_t second = replica.core->RequestRead();
+  replica.scheduler.RunFor(milliseconds(250));
+  replica.Step(replica.Message(RaftMessageType::kHeartbeat, kSecond, 3));
+  replica.core->Tick(replica.environment.Now());
+  const std::vector<uint64_t> resent = SentReadRequests(replica);
+  REQUIRE(resent.size() == 1);
+  RaftMessage reply = replica.Message(RaftMessageType::kReadReply, kSecond, 3);
+  reply.context = requests[0];
+  reply.position.index = LogIndex(1);
+  replica.Step(reply);
+  const auto confirmed = replica.core->TakeReads();
+  REQUIRE(confirmed.size() == 1);
+  CHECK(confirmed[0].ticket == first);
+  reply.context = resent[0];
+  replica.Step(reply);
+  const auto later = replica.core->TakeReads();
+  REQUIRE(later.size() == 1);
+  CHECK(later[0].ticket == second);
+}
+
 }  // namespace
 }  // namespace millstair
