--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -3,9 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "fmt/format.h"
-#include "test/ingress/fake_backends.h"
-#include "test/ingress/fixed_table.h"
-#include "test/jobs/fake_group.h"
+#include "test/jobs/job_scheduler_fixture.h"
 
 namespace millstair {
 namespace {
@@ -13,101 +11,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using Kind = FakeAnswer::Kind;
-
-FakeAnswer Text(std::vector<std::string> pieces) {
-  return {Kind::kAnswer, 200, {{"version", "1"}}, std::move(pieces)};
-}
-
-class Fixture {
- public:
-  Fixture() {
-    Route jobs;
-    jobs.name = "jobs";
-    jobs.host = "h";
-    jobs.path_prefix = "/j/";
-    jobs.kind = RouteKind::kJobs;
-    jobs.attempts = 2;
-    jobs.item_lifetime = seconds(30);
-    jobs.services = {{ServiceName("engines"), 1}};
-    Route scorer;
-    scorer.name = "scorer";
-    scorer.host = "h";
-    scorer.path_prefix = "/score/";
-    scorer.timeout = milliseconds(500);
-    scorer.attempts = 3;
-    scorer.services = {{ServiceName("pages"), 1}};
-    reader.table.version = 1;
-    reader.table.routes = {jobs, scorer};
-    reader.table.services = {{ServiceName("engines"), "", 0, EngineProfile{2, 1, {ModelName("m")}}},
-                             {ServiceName("pages"), "", 0, std::nullopt}};
-    configuration.routing = {1, "content"};
-    Add("e:1", "engines", [](const HttpRequest&) { return Text({"1||one\n\n", "2||two\n\n"}); });
-    Add("p:1", "pages", [this](const HttpRequest&) { return score; });
-    state.OnChange([this](JobChange change, const JobId& job) {
-      scheduler_under_test.OnStateChange(change, job);
-    });
-  }
-
-  void Add(const std::string& address, const std::string& service, FakeBackends::Script script) {
-    BackendInstance instance = LiveInstance(address, service);
-    instance.models = {{ModelName("m"), WeightVersion(1)}};
-    configuration.instances[instance.id] = instance;
-    backends.Serve(address, std::move(script));
-    Update();
-  }
-
-  void Update() {
-    ingress.Update(configuration);
-    loads.Update(configuration, ingress.routes());
-    scheduler_under_test.Pump();
-  }
-
-  void Lead() {
-    loads.SetLeading(&group);
-    scheduler_under_test.SetLeading(true);
-  }
-
-  JobSpec Job(const std::string& id, bool scored = true) const {
-    JobSpec job;
-    job.id = JobId(id);
-    job.host = "h";
-    job.path = "/j/x";
-    job.model = ModelName("m");
-    JobItem item;
-    item.id = ItemId("item");
-    item.path = "/j/item";
-    item.body = "prompt";
-    if (scored) item.scoring = JobScoring{"score-id", "h", "/score/x", "judge"};
-    job.items = {item};
-    return job;
-  }
-
-  void Submit(JobSpec job) {
-    group.Propose(EncodeJobCommand({SubmitJob{std::move(job)}, environment.WallNow()}),
-                  [](const absl::StatusOr<std::string>&) {});
-    scheduler.RunFor(milliseconds(5));
-  }
-
-  const JobResult* ResultOf(const std::string& id) const {
-    const JobRecord* record = state.Find(JobId(id));
-    return record == nullptr || record->results.empty() ? nullptr : &record->results[0];
-  }
-
-  VirtualScheduler scheduler{3};
-  VirtualEnvironment environment{scheduler, 5};
-  FakeBackends backends{scheduler};
-  FakeProtocol protocol;
-  FixedTable reader;
-  Configuration configuration;
-  IngressService ingress{environment, backends, protocol, reader, Zone("z1")};
-  LoadScheduler loads{environment, backends,       ingress.directory(),
-                      protocol,    NodeId("self"), LoadOptions()};
-  JobStateMachine state;
-  FakeGroup group{scheduler, &state};
-  JobScheduler scheduler_under_test{environment,          backends, ingress, loads, state, group,
-                                    JobSchedulerOptions()};
-  FakeAnswer score{Kind::kAnswer, 200, {{"signature", "sig"}}, {"ok"}};
-};
+using Fixture = JobSchedulerFixture;
 
 TEST_CASE("An item is run, scored once complete, and recorded") {
   Fixture fixture;
@@ -148,25 +52,6 @@
   CHECK(fixture.ResultOf("j") != nullptr);
 }
 
-/// Guards against calls to an outdated scorer after the leader was paused: the route to the scorer
-/// may have changed meanwhile.
-TEST_CASE("A complete text is not scored while the configuration is not confirmed current") {
-  Fixture fixture;
-  bool fresh = true;
-  fixture.scheduler_under_test.SetMayStartWork([&] { return fresh; });
-  fixture.Lead();
-  fixture.Submit(fixture.Job("j"));
-  const auto runs = [&] { return fixture.backends.CountAt("e:1") == 1; };
-  REQUIRE(fixture.scheduler.RunUntilTrue(runs, seconds(1)));
-  fresh = false;
-  fixture.scheduler.RunFor(seconds(1));
-  CHECK(fixture.backends.CountAt("p:1") == 0);
-  fresh = true;
-  fixture.scheduler.RunFor(seconds(1));
-  CHECK(fixture.backends.CountAt("p:1") == 1);
-  CHECK(fixture.ResultOf("j") != nullptr);
-}
-
 TEST_CASE("A broken run is resumed at another engine after its last event") {
   Fixture fixture;
   fixture.Add("e:1", "engines", [](const HttpRequest&) {
@@ -232,106 +117,6 @@
   CHECK(fixture.ResultOf("j")->state == ItemState::kFailed);
 }
 
-TEST_CASE("An item fails if all allowed scoring attempts fail") {
-  Fixture fixture;
-  fixture.score = {Kind::kAnswer, 500, {}, {"no"}};
-  fixture.Lead();
-  fixture.Submit(fixture.Job("j"));
-  fixture.scheduler.RunFor(seconds(3));
-  REQUIRE(fixture.ResultOf("j") != nullptr);
-  CHECK(fixture.ResultOf("j")->state == ItemState::kFailed);
-  CHECK(fixture.backends.CountAt("p:1") >= 3);
-}
-
-/// Maximum number of concurrent calls at `address`, if each took `each`.
-size_t MaxConcurrentCalls(const FakeBackends& backends, const std::string& address, Duration each) {
-  size_t max_calls = 0;
-  for (const auto& call : backends.calls) {
-    size_t at_once = 0;
-    for (const auto& other : backends.calls) {
-      const bool overlaps = other->at <= call->at && call->at < other->at + each;
-      at_once += call->address == address && other->address == address && overlaps ? 1 : 0;
-    }
-    max_calls = std::max(max_calls, at_once);
-  }
-  return max_calls;
-}
-
-TEST_CASE("Concurrent scorings are limited to the slots of the scorers") {
-  Fixture fixture;
-  fixture.configuration.instances[InstanceId("e:1")].slots = 30;
-  fixture.score.delay = milliseconds(20);
-  fixture.score.gap = Duration(0);
-  fixture.Update();
-  JobSpec job = fixture.Job("j");
-  const JobItem item = job.items[0];
-  job.items.clear();
-  for (int i = 0; i < 30; ++i) {
-    job.items.push_back(item);
-    job.items.back().id = ItemId("item-" + std::to_string(i));
-  }
-  fixture.Submit(job);
-  fixture.Lead();
-  fixture.scheduler.RunFor(seconds(2));
-  // The scorer has two slots.
-  CHECK(fixture.backends.CountAt("p:1") == 30);
-  CHECK(MaxConcurrentCalls(fixture.backends, "p:1", milliseconds(20)) == 2);
-  CHECK(fixture.state.Find(JobId("j"))->results.size() == 30);
-}
-
-TEST_CASE("Scorers without free slots do not block texts of other scorers") {
-  Fixture fixture;
-  fixture.score.kind = Kind::kNoResponse;
-  Route other = fixture.reader.table.routes[1];
-  other.name = "other";
-  other.path_prefix = "/other/";
-  other.services = {{ServiceName("judges"), 1}};
-  fixture.reader.table.routes.push_back(other);
-  fixture.reader.table.version = 2;
-  fixture.configuration.routing = {2, "other content"};
-  fixture.Add("q:1", "judges", [](const HttpRequest&) {
-    return FakeAnswer{Kind::kAnswer, 200, {{"signature", "sig"}}, {"ok"}};
-  });
-  fixture.Lead();
-  for (const char* id : {"a", "b", "c", "d"}) {
-    JobSpec job = fixture.Job(id);
-    job.items[0].id = ItemId(std::string("item-") + id);
-    if (id[0] == 'd') job.items[0].scoring->path = "/other/x";
-    fixture.Submit(job);
-  }
-  fixture.scheduler.RunFor(milliseconds(300));
-  CHECK(fixture.ResultOf("a") == nullptr);
-  REQUIRE(fixture.ResultOf("d") != nullptr);
-}
-
-TEST_CASE("The end of a job frees the slots of its scorings") {
-  Fixture fixture;
-  fixture.score.kind = Kind::kNoResponse;
-  fixture.Lead();
-  for (const char* id : {"a", "b", "c"}) {
-    JobSpec job = fixture.Job(id);
-    job.items[0].id = ItemId(std::string("item-") + id);
-    fixture.Submit(job);
-  }
-  fixture.scheduler.RunFor(milliseconds(100));
-  CHECK(fixture.backends.CountAt("p:1") == 2);
-  for (const char* id : {"a", "b"}) {
-    fixture.state.Apply(LogIndex(50), EncodeJobCommand({EndJob{JobId(id)}, {}}));
-  }
-  fixture.score.kind = Kind::kAnswer;
-  fixture.scheduler.RunFor(milliseconds(300));
-  REQUIRE(fixture.ResultOf("c") != nullptr);
-}
-
-TEST_CASE("An item waits until its scoring response has a signature") {
-  Fixture fixture;
-  fixture.score = {Kind::kAnswer, 200, {}, {"ok"}};
-  fixture.Lead();
-  fixture.Submit(fixture.Job("j"));
-  fixture.scheduler.RunFor(seconds(3));
-  CHECK(fixture.ResultOf("j") == nullptr);
-}
-
 TEST_CASE("The items of an ended job stop at once, and a later job resumes their text") {
   Fixture fixture;
   fixture.Add("e:1", "engines", [](const HttpRequest& request) {
