Settings for overload control, off unless a zone may be lost

Cause: admission, shared steps and the bound on held responses must not change deployments that don't ask for them. Change: replication.tolerate_zones, overload.admission, overload.step_sharing, timing.slow_reader and limits.process_memory; auto is on where a zone may be lost.

--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -27,6 +27,8 @@
   /// Length of the metering windows; 0 disables metering.
   Duration usage_window{0};
   ColdBound cold_bound;
+  /// Requests are admitted per service: see ingress/.
+  bool controls_admission = false;
 };
 
 enum class AdmissionVerdict : uint8_t {
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -39,6 +39,8 @@
   Duration stall_timeout = std::chrono::milliseconds(2500);
   /// Lifetime of an item whose route sets none.
   Duration item_lifetime = std::chrono::minutes(10);
+  /// Jobs share engines by how late they are, instead of by the latest start of their items alone.
+  bool shares_steps = false;
 };
 
 /// Lives on the node's serial executor.
--- a/source/server/node_options.cc
+++ b/source/server/node_options.cc
@@ -102,8 +102,13 @@
 }
 
 IngressNodeOptions IngressOptionsOf(const ServerSettings& settings, const NodeRecord& self) {
-  return {self,    EndpointsOf(settings),        ConfigurationTimingOf(settings.timing),
-          nullptr, settings.timing.usage_window, ColdBoundOf(settings)};
+  return {self,
+          EndpointsOf(settings),
+          ConfigurationTimingOf(settings.timing),
+          nullptr,
+          settings.timing.usage_window,
+          ColdBoundOf(settings),
+          settings.ControlsAdmission()};
 }
 
 UsageReportOptions UsageOptionsOf(const ServerSettings& settings) {
@@ -130,6 +135,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(timing.job_retention);
   options.replicas.voters = VoterCount(settings);
   options.scheduler.stall_timeout = timing.run_stall;
+  options.scheduler.shares_steps = settings.SharesSteps();
   options.loads.concurrent_loads = static_cast<uint32_t>(settings.concurrent_loads);
   options.loads.order_lease = timing.holder_lease;
   options.cold_bound = ColdBoundOf(settings);
--- a/source/settings/settings.h
+++ b/source/settings/settings.h
@@ -41,6 +41,8 @@
   Duration http_body = std::chrono::seconds(60);
   Duration http_idle = std::chrono::seconds(75);
   Duration http_write = std::chrono::seconds(60);
+  /// A caller that has read nothing for this long may be disconnected to free memory.
+  Duration slow_reader = std::chrono::seconds(5);
   Duration call_connect = std::chrono::seconds(2);
   Duration call_read = std::chrono::seconds(120);
   /// Maximum time from the acknowledged leaving of a back end until no node assigns it new work; 0
@@ -61,6 +63,8 @@
   uint64_t http_body = 16 * 1024 * 1024;
   uint64_t http_send_buffer = 256 * 1024;
   uint64_t http_connections = 8192;
+  /// Memory that the process may use; 0 sets no bound on the responses that it holds.
+  uint64_t process_memory = 0;
   uint64_t peer_frame = 16 * 1024 * 1024;
   uint64_t peer_queue = 32 * 1024 * 1024;
   uint64_t peer_queues = 64 * 1024 * 1024;
@@ -101,6 +105,11 @@
   std::string service_readiness;
   /// Number of machines with replicas that may fail at once.
   uint64_t tolerated_losses = 1;
+  /// Number of zones that may fail at once.
+  uint64_t tolerated_zones = 0;
+  /// "on", "off" or "auto"; see ControlsAdmission and SharesSteps.
+  std::string overload_admission = "auto";
+  std::string overload_step_sharing = "auto";
   /// Engines that load weights concurrently; 0 is a fifth of them, but at least two.
   uint64_t concurrent_loads = 0;
   /// "port/path" of an additional metrics listener; empty if there is none.
@@ -119,6 +128,17 @@
   uint64_t io_threads = 1;
   TimingSettings timing;
   LimitSettings limits;
+
+  /// Whether gateways control admission per service. "auto" turns it on where a zone may fail: the
+  /// remaining back ends then have to serve its load too, so that a shortage is to be expected.
+  bool ControlsAdmission() const { return IsOn(overload_admission); }
+  /// Whether batch jobs share engines by how late they are; "auto" as above.
+  bool SharesSteps() const { return IsOn(overload_step_sharing); }
+
+ private:
+  bool IsOn(const std::string& choice) const {
+    return choice == "on" || (choice == "auto" && tolerated_zones > 0);
+  }
 };
 
 /// Values given on the command line, by settings key ("peer.listen"). They override the file.
--- a/source/settings/settings_schema.cc
+++ b/source/settings/settings_schema.cc
@@ -95,6 +95,13 @@
   return entry;
 }
 
+SettingKey AutoSwitch(std::string_view key, std::string ServerSettings::*member,
+                      std::string_view description) {
+  SettingKey entry = Text(key, SettingKind::kChoice, member, description, "auto");
+  entry.choices = {"auto", "on", "off"};
+  return entry;
+}
+
 SettingKey Interface() {
   SettingKey entry =
       Text("service.interface", SettingKind::kChoice, &ServerSettings::service_interface,
@@ -148,6 +155,16 @@
            "Listener that tells whether this node takes work."),
       Number("replication.tolerate", &S::tolerated_losses, 0, 10,
              "Machines with replicas that may be lost at once; sets the number of voters."),
+      Number(
+          "replication.tolerate_zones", &S::tolerated_zones, 0, 10,
+          "Zones that may be lost at once. Above 0, the overload settings that are auto are on."),
+      AutoSwitch("overload.admission", &S::overload_admission,
+                 "Whether gateways limit what they send to overloaded back ends, and queue or "
+                 "reject the rest. auto: on where replication.tolerate_zones is above 0, since the "
+                 "other zones then have to bear the load of a lost one."),
+      AutoSwitch("overload.step_sharing", &S::overload_step_sharing,
+                 "Whether batch jobs share engines by how late they are. auto: on where "
+                 "replication.tolerate_zones is above 0."),
       Number("weights.concurrent_loads", &S::concurrent_loads, 0, 1000,
              "Engines that load weights at once; 0 is a fifth of them, and two at least."),
       Text("service.metrics", Kind::kPortAndPath, &S::metrics,
@@ -210,6 +227,9 @@
            "Between two requests on a connection."),
       Time("timing.http_write", &T::http_write, 10 * kMillisecond, kHour,
            "Without progress of an answer for this long its caller counts as gone."),
+      Time("timing.slow_reader", &T::slow_reader, 100 * kMillisecond, kHour,
+           "A caller that has read nothing for this long may be disconnected when responses "
+           "take too much memory."),
       Time("timing.call_connect", &T::call_connect, 10 * kMillisecond, 60 * kSecond,
            "Time to connect to a back end."),
       Time("timing.call_read", &T::call_read, 10 * kMillisecond, kHour,
@@ -237,6 +257,9 @@
             "Bytes of an answer held for a caller that reads slowly."),
       Limit("limits.http_connections", Kind::kCount, &L::http_connections, 1, 100000,
             "Connections of callers open at once."),
+      Limit("limits.process_memory", Kind::kSize, &L::process_memory, 0, 1024 * 1024 * kMiB,
+            "Memory of the process; responses held for callers take a quarter of it at most. 0 "
+            "sets no bound."),
       Limit("limits.peer_frame", Kind::kSize, &L::peer_frame, 64 * kKiB, 64 * kMiB,
             "One message between nodes."),
       Limit("limits.peer_queue", Kind::kSize, &L::peer_queue, 64 * kKiB, 1024 * kMiB,
--- a/test/settings/settings_test.cc
+++ b/test/settings/settings_test.cc
@@ -236,6 +236,20 @@
   CHECK(FormatSize(3 << 20) == "3MiB");
 }
 
+TEST_CASE("Overload control is on by itself only where a zone may be lost") {
+  ServerSettings settings;
+  CHECK_FALSE(settings.ControlsAdmission());
+  CHECK_FALSE(settings.SharesSteps());
+  settings.tolerated_zones = 1;
+  CHECK(settings.ControlsAdmission());
+  CHECK(settings.SharesSteps());
+  settings.overload_admission = "off";
+  CHECK_FALSE(settings.ControlsAdmission());
+  settings.tolerated_zones = 0;
+  settings.overload_step_sharing = "on";
+  CHECK(settings.SharesSteps());
+}
+
 TEST_CASE("docs/CONFIGURATION.md matches the schema") {
   std::ifstream file(std::string(MILLSTAIR_SOURCE_DIR) + "/docs/CONFIGURATION.md");
   std::stringstream page;
