Reset connections of calls that end without a complete response

A call that was cancelled or given up closed its connection in order, so the kernel went on to retransmit the request: a back end that was cut off received it after its caller had gone. Such calls now close with SO_LINGER 0.

Kept connections to an address are closed when a call to it ended after at least 100 ms without a byte of a response, and no other call got a response since that call began. The next request then connects anew, which fails within the connect time-out, before anything of the request was sent, instead of hanging up to its deadline. Counted in millstair_http_call_connections_silent_total.

--- a/source/http/beast_http_caller.cc
+++ b/source/http/beast_http_caller.cc
@@ -133,11 +133,14 @@
     if (parser.get().keep_alive() && buffer.size() == 0) {
       pool_->Put(address_, std::move(*socket_));
     }
+    // A connection that isn't kept is closed in order: a reset could discard bytes in transit.
+    socket_.reset();
     NotifyObserver([](HttpCallObserver& observer) { observer.OnFinished(); });
   }
 
   /// Writes the request on a pooled connection, or on a new one if no byte could be written there.
   asio::awaitable<bool> SendRequest(const std::string& bytes) {
+    waiting_since_ = std::chrono::steady_clock::now();
     socket_ = pool_->Take(address_);
     if (socket_.has_value() && !cancelled_) {
       const size_t written = co_await Write(bytes);
@@ -191,6 +194,7 @@
     const auto [error, count] =
         co_await http::async_read_header(*socket_, buffer, parser, kUseTuple);
     watchdog_.cancel();
+    if (count > 0 || buffer.size() > 0) RecordResponse();
     if (error) {
       Fail(CallFailure::kUnknown,
            fmt::format("no response from {}: {}", address_, error.message()));
@@ -267,9 +271,20 @@
     });
   }
 
+  void RecordResponse() {
+    waiting_since_.reset();
+    pool_->RecordResponse(address_);
+  }
+
+  /// Closes the connection with a reset, so that the kernel discards bytes that the back end has
+  /// not received. After an orderly close it would go on to retransmit them, and a back end that
+  /// was cut off would run the request after its caller has gone.
   void CloseSocket() {
+    if (waiting_since_) pool_->RecordNoResponse(address_, *std::exchange(waiting_since_, {}));
+    if (!socket_.has_value()) return;
     boost::system::error_code ignored;
-    if (socket_.has_value()) socket_->close(ignored);
+    socket_->set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_->close(ignored);
   }
 
   void Fail(CallFailure failure, std::string reason) {
@@ -309,6 +324,8 @@
   asio::steady_timer watchdog_;
   asio::steady_timer acknowledged_;
   std::optional<Tcp::socket> socket_;
+  /// When the call began to connect or write; none before, and after the first byte of a response.
+  std::optional<std::chrono::steady_clock::time_point> waiting_since_;
   bool cancelled_ = false;
   bool delivered_ = false;
 
--- a/source/http/beast_http_caller.h
+++ b/source/http/beast_http_caller.h
@@ -3,10 +3,12 @@
 /// Each call runs on its own I/O strand; observers and handles live on the serial executor. A
 /// connection returns to the pool only after its response was read to the end with no bytes after
 /// it, and is checked again before reuse, so that a late or unread response never reaches another
-/// call. Each request carries a call id (`Millstair-Call-Id`), and a response with a different id
-/// is rejected; back ends that do not echo the id are trusted to respond once per request. Unless
-/// `until_close` is set, a response delimited by the close of its connection counts as truncated,
-/// since it can't be distinguished from a complete one.
+/// call. A call that is cancelled or fails resets its connection, so that bytes of the request that
+/// the back end has not received yet are never delivered. The connections kept for an address are
+/// closed when a call to it got no response. Each request carries a call id (`Millstair-Call-Id`),
+/// and a response with a different id is rejected; back ends that do not echo the id are trusted to
+/// respond once per request. Unless `until_close` is set, a response delimited by the close of its
+/// connection counts as truncated, since it can't be distinguished from a complete one.
 #pragma once
 
 #include <cstddef>
@@ -30,6 +32,9 @@
   /// Idle connections are closed after this time.
   Duration pool_idle_timeout = std::chrono::seconds(20);
   size_t max_idle_per_address = 64;
+  /// A call that ends without a byte of a response after less than this doesn't show that its back
+  /// end is silent; most such calls are cancelled because their callers left.
+  Duration min_silence = std::chrono::milliseconds(100);
   size_t max_header_bytes = 64 * 1024;
   /// Maximum bytes of a response that are read at once.
   size_t read_bytes = 16 * 1024;
--- a/source/http/connection_pool.cc
+++ b/source/http/connection_pool.cc
@@ -31,6 +31,9 @@
           {"millstair_http_call_connections_reused_total", "Calls sent on a kept connection."})),
       connections_stale(stats.NewCounter({"millstair_http_call_connections_stale_total",
                                           "Kept connections found closed or with unread bytes."})),
+      connections_silent(stats.NewCounter({"millstair_http_call_connections_silent_total",
+                                           "Kept connections closed because their back end was "
+                                           "silent."})),
       foreign_answers(stats.NewCounter(
           {"millstair_http_call_foreign_answers_total", "Answers that named another call."})),
       failed_not_sent(FailedCalls(stats, "not-sent")),
@@ -72,6 +75,24 @@
   ArmSweep();
 }
 
+void HttpConnectionPool::RecordResponse(const std::string& address) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (closed_) return;
+  responded_at_[address] = std::chrono::steady_clock::now();
+  ArmSweep();
+}
+
+void HttpConnectionPool::RecordNoResponse(const std::string& address, SteadyTime since) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (std::chrono::steady_clock::now() - since < options_.min_silence) return;
+  const auto responded = responded_at_.find(address);
+  if (responded != responded_at_.end() && responded->second >= since) return;
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) return;
+  stats_.connections_silent.Add(found->second.size());
+  idle_.erase(found);
+}
+
 void HttpConnectionPool::Close() {
   const std::lock_guard<std::mutex> lock(mutex_);
   closed_ = true;
@@ -98,7 +119,8 @@
     std::erase_if(connections, [&](Idle& idle) { return idle.since <= oldest; });
   }
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
-  if (!idle_.empty()) ArmSweep();
+  std::erase_if(responded_at_, [&](const auto& entry) { return entry.second <= oldest; });
+  if (!idle_.empty() || !responded_at_.empty()) ArmSweep();
 }
 
 }  // namespace millstair
--- a/source/http/connection_pool.h
+++ b/source/http/connection_pool.h
@@ -1,4 +1,6 @@
-/// Pool of keep-alive connections to back ends, by address. Internal to http/.
+/// Pool of keep-alive connections to back ends, by address. Connections to an address that has
+/// fallen silent are not reused: the packets of all of them may be lost, and a new connection shows
+/// that within the connect time-out, before a byte of a request was written. Internal to http/.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -25,6 +27,8 @@
   Counter& connections_reused;
   /// Idle connections that the back end closed or sent bytes on.
   Counter& connections_stale;
+  /// Idle connections closed because the back end was silent.
+  Counter& connections_silent;
   /// Responses with the id of another call.
   Counter& foreign_answers;
   Counter& failed_not_sent;
@@ -36,6 +40,7 @@
 class HttpConnectionPool : public std::enable_shared_from_this<HttpConnectionPool> {
  public:
   using Socket = boost::asio::ip::tcp::socket;
+  using SteadyTime = std::chrono::steady_clock::time_point;
 
   HttpConnectionPool(boost::asio::io_context& io, HttpCallerOptions options, StatsRegistry* stats);
 
@@ -43,6 +48,11 @@
   std::optional<Socket> Take(const std::string& address);
   /// Returns a connection whose last response was read to its end.
   void Put(const std::string& address, Socket socket);
+  /// A byte of a response from `address` arrived.
+  void RecordResponse(const std::string& address);
+  /// A call that began to write or to connect at `since` ended without a byte of a response. Closes
+  /// the idle connections to `address`, unless the call was short or others got responses since.
+  void RecordNoResponse(const std::string& address, SteadyTime since);
   /// Closes all connections and accepts no more.
   void Close();
 
@@ -51,7 +61,6 @@
   boost::asio::io_context& io() { return io_; }
 
  private:
-  using SteadyTime = std::chrono::steady_clock::time_point;
   struct Idle {
     Socket socket;
     SteadyTime since;
@@ -67,6 +76,9 @@
   std::mutex mutex_;
   /// Guarded by `mutex_`, oldest first.
   std::map<std::string, std::vector<Idle>> idle_;
+  /// Guarded by `mutex_`: when the latest response arrived, for addresses with idle connections or
+  /// recent responses.
+  std::map<std::string, SteadyTime> responded_at_;
   boost::asio::steady_timer sweep_timer_;
   bool sweep_armed_ = false;
   bool closed_ = false;
--- a/test/http/http_caller_test.cc
+++ b/test/http/http_caller_test.cc
@@ -230,6 +230,172 @@
   CHECK_FALSE(observer.failure().has_value());
 }
 
+/// Reads until the connection ends; true if it was reset instead of closed in order.
+bool EndsWithReset(Tcp::socket& socket) {
+  char byte = 0;
+  ssize_t count = 1;
+  while (count > 0) count = ::recv(socket.native_handle(), &byte, 1, 0);
+  return count < 0 && errno == ECONNRESET;
+}
+
+// After an orderly close the kernel retransmits the request, so that a back end that was cut off
+// received it after its caller had gone.
+TEST_CASE("A call that ends without a complete response resets its connection") {
+  const std::string part = GENERATE("", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+  const bool cancelled = GENERATE(true, false);
+  std::promise<void> received;
+  std::promise<bool> reset;
+  RawServer server([&](Tcp::socket& socket, int) {
+    RawServer::ReadRequest(socket);
+    RawServer::Write(socket, part);
+    received.set_value();
+    reset.set_value(EndsWithReset(socket));
+  });
+  Client client({.read_timeout = milliseconds(cancelled ? 10000 : 200)});
+  RecordingObserver observer;
+  client.Start(server.address(), {"POST", "/x", {}, "body"}, observer);
+  received.get_future().wait();
+  if (!part.empty()) observer.WaitForBody("half");
+  if (cancelled) {
+    client.executor->PostAndWait([&] { client.handle.reset(); });
+  } else {
+    observer.Wait();
+    CHECK_FALSE(observer.finished());
+  }
+  CHECK(reset.get_future().get());
+}
+
+// A request that is still being written must not be completed after its call was cancelled.
+TEST_CASE("A call that is cancelled while it writes resets its connection") {
+  std::promise<void> connected;
+  std::promise<void> cancelled;
+  std::promise<bool> reset;
+  RawServer server([&](Tcp::socket& socket, int) {
+    RawServer::ReadRequest(socket);
+    connected.set_value();
+    cancelled.get_future().wait();
+    reset.set_value(EndsWithReset(socket));
+  });
+  Client client;
+  RecordingObserver observer;
+  constexpr size_t kMoreThanBuffers = 32 * 1024 * 1024;
+  client.Start(server.address(), {"POST", "/x", {}, std::string(kMoreThanBuffers, 'x')}, observer);
+  connected.get_future().wait();
+  client.executor->PostAndWait([&] { client.handle.reset(); });
+  // The connection is closed on another thread.
+  std::this_thread::sleep_for(milliseconds(100));
+  cancelled.set_value();
+  CHECK(reset.get_future().get());
+}
+
+// A reset could discard the last bytes that the caller or the back end has not read yet.
+TEST_CASE("A connection that is not kept after its response is closed in order") {
+  std::promise<bool> reset;
+  RawServer server([&](Tcp::socket& socket, int) {
+    RawServer::ReadRequest(socket);
+    RawServer::Write(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
+    reset.set_value(EndsWithReset(socket));
+  });
+  Client client;
+  RecordingObserver observer;
+  client.Call(server.address(), observer);
+  client.executor->PostAndWait([&] { client.handle.reset(); });
+  CHECK(observer.finished());
+  CHECK_FALSE(reset.get_future().get());
+}
+
+/// A server that is silent on "/silent", answers "/pair" once there are two connections, and
+/// everything else at once.
+struct SilentOnDemand {
+  std::atomic<int> connections{0};
+  std::atomic<int> silent{0};
+  RawServer server{[this](Tcp::socket& socket, int) {
+    ++connections;
+    while (true) {
+      const std::string request = RawServer::ReadRequest(socket);
+      if (request.empty()) return;
+      if (request.find("/silent") != std::string::npos) {
+        ++silent;
+        continue;
+      }
+      const bool pair = request.find("/pair") != std::string::npos;
+      while (pair && connections < 2) std::this_thread::sleep_for(milliseconds(1));
+      RawServer::Write(socket, kComplete);
+    }
+  }};
+
+  /// Starts two calls at once, so that two connections are kept.
+  void KeepTwoConnections(Client& client) {
+    RecordingObserver observers[2];
+    std::unique_ptr<CallHandle> handles[2];
+    client.executor->PostAndWait([&] {
+      for (int i = 0; i < 2; ++i) {
+        handles[i] = client.caller->Start(server.address(), {"GET", "/pair", {}, ""}, observers[i]);
+      }
+    });
+    for (RecordingObserver& observer : observers) observer.Wait();
+    client.executor->PostAndWait([&] {
+      for (auto& handle : handles) handle.reset();
+    });
+    REQUIRE(connections == 2);
+  }
+  void StartSilentCall(Client& client, HttpCallObserver& observer) {
+    client.Start(server.address(), {"GET", "/silent", {}, ""}, observer);
+    while (silent == 0) std::this_thread::sleep_for(milliseconds(1));
+  }
+};
+
+// The packets of all connections to a back end that is cut off are lost: a request on a kept one
+// would hang up to its deadline, where a new connection fails within the connect time-out.
+TEST_CASE("Connections to a silent back end are not reused") {
+  SilentOnDemand back_end;
+  Client client({.min_silence = milliseconds(20)});
+  back_end.KeepTwoConnections(client);
+  RecordingObserver dropped;
+  back_end.StartSilentCall(client, dropped);
+  std::this_thread::sleep_for(milliseconds(50));
+  client.executor->PostAndWait([&] { client.handle.reset(); });
+  // The connections are closed on another thread.
+  for (int i = 0; i < 5000 && client.Stat("millstair_http_call_connections_silent_total") == 0;
+       ++i) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  CHECK(client.Stat("millstair_http_call_connections_silent_total") > 0);
+  RecordingObserver next;
+  client.Call(back_end.server.address(), next);
+  CHECK(next.finished());
+  CHECK(back_end.connections == 3);
+  // After its response the new connection is reused.
+  RecordingObserver later;
+  client.Call(back_end.server.address(), later);
+  CHECK(later.finished());
+  CHECK(back_end.connections == 3);
+}
+
+// Cancelled calls alone must not cost a back end that answers its kept connections.
+TEST_CASE("Connections are kept if the cancelled call was short or others got a response") {
+  const bool short_call = GENERATE(true, false);
+  SilentOnDemand back_end;
+  Client client({.min_silence = short_call ? milliseconds(60000) : milliseconds(20)});
+  back_end.KeepTwoConnections(client);
+  RecordingObserver dropped;
+  back_end.StartSilentCall(client, dropped);
+  std::unique_ptr<CallHandle> silent = std::move(client.handle);
+  if (!short_call) {
+    RecordingObserver answered;
+    client.Call(back_end.server.address(), answered);
+    CHECK(answered.finished());
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  client.executor->PostAndWait([&] { silent.reset(); });
+  std::this_thread::sleep_for(milliseconds(50));
+  RecordingObserver next;
+  client.Call(back_end.server.address(), next);
+  CHECK(next.finished());
+  CHECK(back_end.connections == 2);
+  CHECK(client.Stat("millstair_http_call_connections_silent_total") == 0);
+}
+
 TEST_CASE("A paused observer gets at most the bytes that were read before") {
   constexpr size_t kBytes = 8 * 1024 * 1024;
   RawServer server([&](Tcp::socket& socket, int) {
