Eject back ends that fall silent, and prefer the own zone while others are doubted

Attempts that were dropped at the deadline, or because another one was answered, told the directory nothing. A gateway in a zone that is cut off sent each request to two silent back ends and answered 504, although the one of its zone was well.

An attempt without a byte of a response after twice the usual latency and the route's target counts as silence, if the back end responded to nothing else since. Two in a row eject; a long one or a connect time-out ejects alone, except the last back end in use. After its pause a back end gets one request at a time until it responds. From the first silence on, also of an attempt in progress, the back end and, if no other zone has responded since, all other zones cost 4 times as much for 10 s. Requests that probe are hedged after twice the usual latency. If all are ejected, the least recently ejected one is tried.

In virtual time, with three of four back ends silent and one request in 4 s, all of 10 requests are answered, and only the first one later than the target (silent_backends_test, 2 and 3 attempts, kept and new connections).

ingress, routing, common, jobs, gateway, simulator and server tests pass.

--- /dev/null
+++ b/source/ingress/backend_attempt.h
@@ -0,0 +1,61 @@
+/// Reports one attempt at a back end to the directory: its start, the first byte of its response
+/// and its end. Header-only.
+#pragma once
+
+#include <utility>
+
+#include "common/environment.h"
+#include "ingress/backend_directory.h"
+
+namespace millstair {
+
+/// Owned by a flow's attempt. End is called before it is destroyed.
+class BackendAttempt {
+ public:
+  /// `target` is the route's; 0 if it has none. `deadline` is when the attempt ends at the latest.
+  BackendAttempt(Environment& environment, BackendDirectory& directory, InstanceId instance,
+                 Duration target, TimePoint deadline)
+      : environment_(environment),
+        directory_(directory),
+        instance_(std::move(instance)),
+        target_(target),
+        deadline_(deadline),
+        sent_at_(environment.Now()) {
+    directory_.Begin(instance_);
+  }
+
+  /// A byte of the back end's response to this attempt arrived.
+  void OnResponse() {
+    responded_ = true;
+    directory_.OnResponse(instance_);
+  }
+
+  /// The attempt is still in progress; reports it if it has waited too long for a response.
+  void ReportIfUnanswered() {
+    if (!responded_) directory_.OnUnanswered(instance_, sent_at_, target_);
+  }
+
+  void End(BackendEnd end) {
+    // A node that was paused handles its expired timers before the responses that have arrived, so
+    // an attempt that ends far after its deadline doesn't show that the back end was silent.
+    constexpr Duration kMaxTimerDelay = std::chrono::milliseconds(100);
+    const TimePoint now = environment_.Now();
+    const bool unanswered =
+        end == BackendEnd::kCancelled && !responded_ && now <= deadline_ + kMaxTimerDelay;
+    if (unanswered) return directory_.EndUnanswered(instance_, sent_at_, target_);
+    directory_.End(instance_, end, now - sent_at_);
+  }
+
+  TimePoint sent_at() const { return sent_at_; }
+
+ private:
+  Environment& environment_;
+  BackendDirectory& directory_;
+  const InstanceId instance_;
+  const Duration target_;
+  const TimePoint deadline_;
+  const TimePoint sent_at_;
+  bool responded_ = false;
+};
+
+}  // namespace millstair
--- a/source/ingress/backend_directory.cc
+++ b/source/ingress/backend_directory.cc
@@ -26,14 +26,37 @@
 /// Covers two heartbeats, sent every 1 to 2 s, and their propagation to this node, after which a
 /// cold back end is known to be cold.
 constexpr Duration kAssumedColdPeriod = std::chrono::seconds(4);
+/// Silent requests in a row that eject a back end.
+constexpr uint32_t kSilencesToEject = 2;
+/// A request that waited for this multiple of the silence threshold (at least six times the usual
+/// latency and three times the target) ejects its back end alone. A route without hedges loses a
+/// request with each silence.
+constexpr int kStrongSilenceFactor = 3;
+/// A connection that is refused fails within a round trip; one that fails later has timed out.
+constexpr Duration kMinConnectTimeout = std::chrono::milliseconds(200);
+/// A gateway may see only one request in four seconds, so this outlasts two of them.
+constexpr Duration kDoubtPeriod = std::chrono::seconds(10);
+/// Cost factor of a doubted back end. An attempt that is hedged after silence takes the target plus
+/// the usual latency, which is more than this multiple of the usual latency on fast routes.
+constexpr double kDoubtFactor = 4;
 constexpr uint32_t kNoColdBound = std::numeric_limits<uint32_t>::max();
 
 }  // namespace
 
-BackendDirectory::BackendDirectory(Environment& environment, Zone own_zone)
+BackendDirectory::BackendDirectory(Environment& environment, Zone own_zone, StatsRegistry* stats)
     : environment_(environment),
       own_zone_(std::move(own_zone)),
-      preference_seed_(environment.Random()()) {}
+      preference_seed_(environment.Random()()),
+      silent_backends_(stats == nullptr
+                           ? nullptr
+                           : &stats->NewGauge({"millstair_backends_silent",
+                                               "Back ends that were ejected as silent and have not "
+                                               "responded since."})),
+      silent_attempts_(stats == nullptr ? nullptr
+                                        : &stats->NewCounter(
+                                              {"millstair_backend_silences_total",
+                                               "Attempts at back ends that counted as silence."})) {
+}
 
 void BackendDirectory::Update(const Configuration& configuration) {
   std::vector<InstanceId> deleted;
@@ -123,6 +146,7 @@
   if (cold_news) backend.cold_until = environment_.Now() + record.cold_left;
   backend.record = record;
   backend.forgotten = false;
+  if (gone) EndSilence(backend);
   if (!gone && !backend.superseded) Attach(backend);
 }
 
@@ -130,6 +154,7 @@
   const auto found = backends_.find(instance);
   if (found == backends_.end()) return;
   Detach(found->second);
+  EndSilence(found->second);
   found->second.forgotten = true;
   EraseIfIdle(instance);
 }
@@ -215,8 +240,12 @@
   const double seconds =
       backend.answer_seconds > 0 ? backend.answer_seconds : kDefaultAnswerSeconds;
   const double slots = std::max(1U, backend.record.slots);
-  const double cost = seconds * (1 + backend.running / slots);
-  return backend.record.zone == own_zone_ ? cost : cost * kOtherZoneFactor;
+  const TimePoint now = environment_.Now();
+  double cost = seconds * (1 + backend.running / slots);
+  if (now < backend.doubted_until) cost *= kDoubtFactor;
+  if (backend.record.zone == own_zone_) return cost;
+  if (now < other_zones_doubted_until_) cost *= kDoubtFactor;
+  return cost * kOtherZoneFactor;
 }
 
 std::optional<BackendInstance> BackendDirectory::Pick(const ServiceName& service,
@@ -225,24 +254,36 @@
   if (found == services_.end()) return std::nullopt;
   const TimePoint now = environment_.Now();
   std::vector<const Backend*> healthy;
-  std::vector<const Backend*> fallback;
+  std::vector<const Backend*> full;
+  const Backend* least_recently_ejected = nullptr;
   for (Backend* backend : found->second.by_preference) {
     if (healthy.size() >= kMaxHealthyCandidates) break;
     if (excluded.contains(backend->record.id) || ColdAllowance(*backend) == 0) continue;
-    const bool passed_over = backend->ejection.Ejected(now) || now < backend->full_until;
-    (passed_over ? fallback : healthy).push_back(backend);
+    if (backend->ejection.Ejected(now) || IsProbed(*backend)) {
+      const bool earlier = least_recently_ejected == nullptr ||
+                           backend->ejection.latest() < least_recently_ejected->ejection.latest();
+      if (earlier) least_recently_ejected = backend;
+      continue;
+    }
+    (now < backend->full_until ? full : healthy).push_back(backend);
   }
-  std::vector<const Backend*>& choice = healthy.empty() ? fallback : healthy;
-  if (choice.empty()) return std::nullopt;
+  const Backend* picked = least_recently_ejected;
+  if (!full.empty()) picked = PickCheapest(std::move(full));
+  if (!healthy.empty()) picked = PickCheapest(std::move(healthy));
+  if (picked == nullptr) return std::nullopt;
+  return picked->record;
+}
+
+const BackendDirectory::Backend* BackendDirectory::PickCheapest(
+    std::vector<const Backend*> choice) {
   for (size_t i = 0; i < std::min(kCandidates, choice.size()); ++i) {
     const size_t other = i + DrawBelow(environment_.Random(), choice.size() - i);
     std::swap(choice[i], choice[other]);
   }
   choice.resize(std::min(kCandidates, choice.size()));
-  const auto best =
-      std::min_element(choice.begin(), choice.end(),
-                       [this](const Backend* a, const Backend* b) { return Cost(*a) < Cost(*b); });
-  return (*best)->record;
+  return *std::min_element(
+      choice.begin(), choice.end(),
+      [this](const Backend* a, const Backend* b) { return Cost(*a) < Cost(*b); });
 }
 
 std::vector<const BackendInstance*> BackendDirectory::Live(const ServiceName& service) const {
@@ -268,9 +309,12 @@
 void BackendDirectory::Begin(const InstanceId& instance) {
   const auto found = backends_.find(instance);
   if (found == backends_.end()) return;
-  ++found->second.running;
-  found->second.latest_begin = environment_.Now();
-  if (found->second.cold_tokens) found->second.cold_tokens->Take(environment_.Now());
+  Backend& backend = found->second;
+  const TimePoint now = environment_.Now();
+  ++backend.running;
+  backend.latest_begin = now;
+  if (backend.unproven && !backend.probe_sent_at) backend.probe_sent_at = now;
+  if (backend.cold_tokens) backend.cold_tokens->Take(now);
 }
 
 void BackendDirectory::End(const InstanceId& instance, BackendEnd end, Duration elapsed) {
@@ -278,14 +322,59 @@
   if (found == backends_.end()) return;
   Backend& backend = found->second;
   if (backend.running > 0) --backend.running;
+  RecordProbeEnd(backend, environment_.Now() - elapsed);
   RecordEnd(backend, end, elapsed);
   EraseIfIdle(instance);
 }
 
+void BackendDirectory::RecordProbeEnd(Backend& backend, TimePoint sent_at) {
+  // An earlier request that ends is not the probe.
+  const bool ended = backend.running == 0 || sent_at >= backend.probe_sent_at;
+  if (ended) backend.probe_sent_at.reset();
+}
+
+void BackendDirectory::OnResponse(const InstanceId& instance) {
+  const auto found = backends_.find(instance);
+  if (found != backends_.end()) RecordResponse(found->second);
+}
+
+void BackendDirectory::OnUnanswered(const InstanceId& instance, TimePoint sent_at,
+                                    Duration target) {
+  const auto found = backends_.find(instance);
+  if (found == backends_.end()) return;
+  // A back end that was silent is hedged before the target. Such a short wait renews the doubt, but
+  // is not counted towards an ejection.
+  const Duration due = MayBeSilent(found->second) ? Duration(0) : target;
+  if (IsSilent(found->second, sent_at, due)) Doubt(found->second, sent_at);
+}
+
+Duration BackendDirectory::HedgeDelay(const InstanceId& instance, Duration delay) const {
+  const auto found = backends_.find(instance);
+  if (found == backends_.end() || !MayBeSilent(found->second)) return delay;
+  const auto overdue = SilenceThreshold(found->second.answer_seconds, Duration(0));
+  return std::min(delay, overdue.value_or(delay));
+}
+
+void BackendDirectory::EndUnanswered(const InstanceId& instance, TimePoint sent_at,
+                                     Duration target) {
+  const auto found = backends_.find(instance);
+  if (found == backends_.end()) return;
+  Backend& backend = found->second;
+  if (backend.running > 0) --backend.running;
+  RecordProbeEnd(backend, sent_at);
+  if (IsSilent(backend, sent_at, target)) {
+    const Duration threshold = *SilenceThreshold(backend.answer_seconds, target);
+    const Duration elapsed = environment_.Now() - sent_at;
+    RecordSilence(backend, sent_at, elapsed >= kStrongSilenceFactor * threshold);
+  }
+  EraseIfIdle(instance);
+}
+
 void BackendDirectory::RecordEnd(Backend& backend, BackendEnd end, Duration elapsed) {
   const TimePoint now = environment_.Now();
   switch (end) {
     case BackendEnd::kAnswered: {
+      RecordResponse(backend);
       backend.ejection.RecordSuccess();
       const double seconds = ToSeconds(elapsed);
       const double previous = backend.answer_seconds > 0 ? backend.answer_seconds : seconds;
@@ -293,13 +382,13 @@
       return;
     }
     case BackendEnd::kRefused:
+      RecordResponse(backend);
       backend.full_until = now + kFullPause;
       return;
     case BackendEnd::kFailed:
-      return backend.ejection.RecordFailure(now, false);
+      return RecordFailure(backend, false);
     case BackendEnd::kUnreachable:
-      AssumeCold(backend);
-      return backend.ejection.RecordFailure(now, true);
+      return RecordUnreachable(backend, elapsed);
     case BackendEnd::kWrongInstance:
       return MarkSuperseded(backend);
     case BackendEnd::kCancelled:
@@ -307,6 +396,94 @@
   }
 }
 
+void BackendDirectory::RecordResponse(Backend& backend) {
+  const TimePoint now = environment_.Now();
+  backend.silence.RecordResponse(now);
+  backend.unproven = false;
+  backend.probe_sent_at.reset();
+  backend.doubted_until = TimePoint();
+  if (backend.record.zone != own_zone_) {
+    other_zones_responded_at_ = now;
+    other_zones_doubted_until_ = TimePoint();
+  }
+  const auto silent = silent_.find(backend.record.id);
+  if (silent == silent_.end()) return;
+  backend.ejection.Readmit();
+  LogEvent(EventId::kBackendResponsive, "instance={} service={} zone={} silent_ms={}",
+           backend.record.id, backend.record.service, backend.record.zone,
+           ToMilliseconds(now - silent->second));
+  EndSilence(backend);
+}
+
+void BackendDirectory::RecordFailure(Backend& backend, bool unreachable) {
+  const TimePoint now = environment_.Now();
+  backend.ejection.RecordFailure(now, unreachable);
+  if (backend.ejection.Ejected(now)) backend.unproven = true;
+}
+
+void BackendDirectory::RecordUnreachable(Backend& backend, Duration elapsed) {
+  AssumeCold(backend);
+  const TimePoint sent_at = environment_.Now() - elapsed;
+  const bool silent = elapsed >= kMinConnectTimeout && !backend.silence.RespondedSince(sent_at);
+  if (silent) return RecordSilence(backend, sent_at, true);
+  RecordFailure(backend, true);
+}
+
+bool BackendDirectory::IsSilent(const Backend& backend, TimePoint sent_at, Duration target) const {
+  const auto threshold = SilenceThreshold(backend.answer_seconds, target);
+  return threshold && environment_.Now() - sent_at >= *threshold &&
+         !backend.silence.RespondedSince(sent_at);
+}
+
+void BackendDirectory::RecordSilence(Backend& backend, TimePoint sent_at, bool strong) {
+  const TimePoint now = environment_.Now();
+  if (silent_attempts_ != nullptr) silent_attempts_->Add();
+  Doubt(backend, sent_at);
+  backend.silence.RecordSilence(sent_at, now);
+  const bool in_a_row = backend.silence.count() >= kSilencesToEject;
+  if (in_a_row || (strong && HasAlternative(backend))) EjectAsSilent(backend, sent_at);
+}
+
+void BackendDirectory::EjectAsSilent(Backend& backend, TimePoint sent_at) {
+  const TimePoint now = environment_.Now();
+  const bool already = backend.ejection.Ejected(now);
+  backend.ejection.Eject(now);
+  backend.unproven = true;
+  silent_.try_emplace(backend.record.id, sent_at);
+  if (silent_backends_ != nullptr) silent_backends_->Set(static_cast<double>(silent_.size()));
+  if (already) return;
+  LogEvent(EventId::kBackendSilent,
+           "instance={} service={} zone={} silences={} silent_ms={} usual_ms={} pause_ms={}",
+           backend.record.id, backend.record.service, backend.record.zone, backend.silence.count(),
+           ToMilliseconds(now - silent_.at(backend.record.id)),
+           ToMilliseconds(FromSeconds(backend.answer_seconds)),
+           ToMilliseconds(backend.ejection.until() - now));
+}
+
+void BackendDirectory::Doubt(Backend& backend, TimePoint sent_at) {
+  const TimePoint until = environment_.Now() + kDoubtPeriod;
+  backend.doubted_until = until;
+  // One silent back end elsewhere may mean that this node is cut off from all other zones, unless
+  // one of them has responded since.
+  const bool others_respond = other_zones_responded_at_ && *other_zones_responded_at_ >= sent_at;
+  if (backend.record.zone != own_zone_ && !others_respond) other_zones_doubted_until_ = until;
+}
+
+bool BackendDirectory::HasAlternative(const Backend& backend) const {
+  const auto found = services_.find(backend.record.service);
+  if (found == services_.end()) return false;
+  const TimePoint now = environment_.Now();
+  return std::any_of(
+      found->second.by_id.begin(), found->second.by_id.end(), [&](const Backend* other) {
+        return other != &backend && !other->unproven && !other->ejection.Ejected(now);
+      });
+}
+
+void BackendDirectory::EndSilence(const Backend& backend) {
+  if (silent_.erase(backend.record.id) == 0) return;
+  if (silent_backends_ != nullptr) silent_backends_->Set(static_cast<double>(silent_.size()));
+}
+
 void BackendDirectory::OnSuperseded(const InstanceId& instance) {
   const auto found = backends_.find(instance);
   if (found != backends_.end()) MarkSuperseded(found->second);
@@ -314,6 +491,7 @@
 
 void BackendDirectory::MarkSuperseded(Backend& backend) {
   if (std::exchange(backend.superseded, true)) return;
+  EndSilence(backend);
   Detach(backend);
 }
 
--- a/source/ingress/backend_directory.h
+++ b/source/ingress/backend_directory.h
@@ -13,6 +13,8 @@
 #include "cluster/configuration.h"
 #include "common/environment.h"
 #include "common/ids.h"
+#include "common/stats.h"
+#include "ingress/backend_silence.h"
 #include "ingress/cold_limits.h"
 #include "limits/token_bucket.h"
 #include "routing/outlier_ejection.h"
@@ -39,7 +41,8 @@
 /// Lives on the node's serial executor.
 class BackendDirectory {
  public:
-  BackendDirectory(Environment& environment, Zone own_zone);
+  /// `stats` outlives the directory, and may be null.
+  BackendDirectory(Environment& environment, Zone own_zone, StatsRegistry* stats = nullptr);
 
   /// Applies a complete configuration.
   void Update(const Configuration& configuration);
@@ -58,9 +61,10 @@
   uint32_t ColdAllowance(const InstanceId& instance);
 
   /// Selects the back end of `service` with the lowest expected latency; none if there is no other
-  /// than `excluded`. Ejected or recently full back ends are used only if there is no healthy one.
-  /// Of a large service only the first healthy ones in this node's own order are considered, so
-  /// that connections are reused.
+  /// than `excluded`. Back ends that recently refused are used only if there is no healthy one, and
+  /// ejected ones, the least recently ejected first, only if there is no other. After its ejection
+  /// a back end gets one request at a time until it responds. Of a large service only the first
+  /// healthy ones in this node's own order are considered, so that connections are reused.
   std::optional<BackendInstance> Pick(const ServiceName& service,
                                       const std::set<InstanceId>& excluded);
   /// All back ends that accept new work, ordered by identifier.
@@ -72,6 +76,19 @@
   /// Requests are counted from Begin to End.
   void Begin(const InstanceId& instance);
   void End(const InstanceId& instance, BackendEnd end, Duration elapsed);
+  /// The first byte of a response arrived; the request is still in progress.
+  void OnResponse(const InstanceId& instance);
+  /// The request sent at `sent_at` is still in progress, and no byte of its response has arrived.
+  /// If it has waited long enough to count as silence, other back ends are preferred for a while.
+  /// `target` is that of the route; 0 if it has none.
+  void OnUnanswered(const InstanceId& instance, TimePoint sent_at, Duration target);
+  /// When a request that was just sent to `instance` is to be hedged, if it is not answered: after
+  /// `delay`, or sooner, after twice the usual latency, if the back end has not responded since it
+  /// was silent or ejected.
+  Duration HedgeDelay(const InstanceId& instance, Duration delay) const;
+  /// Ends a request that was dropped without a byte of a response. Two silent ones in a row eject
+  /// the back end.
+  void EndUnanswered(const InstanceId& instance, TimePoint sent_at, Duration target);
   /// Another incarnation of the server was found at its address: it gets no more work.
   void OnSuperseded(const InstanceId& instance);
   uint32_t Running(const InstanceId& instance) const;
@@ -86,6 +103,13 @@
     /// Smoothed latency of complete responses; 0 before the first.
     double answer_seconds = 0;
     OutlierEjection ejection;
+    /// It has not responded since its latest ejection.
+    bool unproven = false;
+    /// Start of the one request that an unproven back end gets at a time.
+    std::optional<TimePoint> probe_sent_at;
+    BackendSilence silence;
+    /// It was silent lately; other back ends are preferred until then.
+    TimePoint doubted_until;
     /// It refused a request for lack of capacity; avoided until then.
     TimePoint full_until;
     /// Another incarnation responded at its address.
@@ -118,7 +142,30 @@
   void ApplyEvacuations(const std::map<Zone, EvacuatedZone>& evacuated);
   void RefreshZoneCandidates(const Zone& zone);
   double Cost(const Backend& backend) const;
+  const Backend* PickCheapest(std::vector<const Backend*> choice);
   void RecordEnd(Backend& backend, BackendEnd end, Duration elapsed);
+  void RecordResponse(Backend& backend);
+  void RecordFailure(Backend& backend, bool unreachable);
+  void RecordUnreachable(Backend& backend, Duration elapsed);
+  /// Whether a request sent at `sent_at` has waited for a response for so long that it counts as
+  /// silence, while the back end responded to no other request either.
+  bool IsSilent(const Backend& backend, TimePoint sent_at, Duration target) const;
+  /// `strong` silence ejects at once, unless no other back end of the service is in use.
+  void RecordSilence(Backend& backend, TimePoint sent_at, bool strong);
+  void EjectAsSilent(Backend& backend, TimePoint sent_at);
+  /// Makes other back ends preferred; for silence in another zone, those of the own zone.
+  void Doubt(Backend& backend, TimePoint sent_at);
+  bool HasAlternative(const Backend& backend) const;
+  /// Whether it has not responded since it was silent or ejected.
+  static bool MayBeSilent(const Backend& backend) {
+    return backend.unproven || backend.silence.count() > 0;
+  }
+  /// Whether the one request that `backend` may get is in progress.
+  static bool IsProbed(const Backend& backend) {
+    return backend.unproven && backend.probe_sent_at.has_value();
+  }
+  static void RecordProbeEnd(Backend& backend, TimePoint sent_at);
+  void EndSilence(const Backend& backend);
   void MarkSuperseded(Backend& backend);
   void ApplyRecord(const BackendInstance& record);
   void Forget(const InstanceId& instance);
@@ -144,6 +191,17 @@
   /// Makes the order of preference differ between nodes.
   const uint64_t preference_seed_;
   std::set<Zone> evacuated_;
+  /// A back end of another zone was silent and none has responded since; back ends of the own zone
+  /// are preferred until then.
+  TimePoint other_zones_doubted_until_;
+  /// When a back end of another zone last responded.
+  std::optional<TimePoint> other_zones_responded_at_;
+  /// Back ends that were ejected as silent and have not responded since, with the start of their
+  /// silence.
+  std::map<InstanceId, TimePoint> silent_;
+  /// Null if there are no stats.
+  Gauge* const silent_backends_;
+  Counter* const silent_attempts_;
   ColdPolicy cold_;
   ColdAssignmentCheck cold_assignment_check_ = [](const InstanceId&) { return true; };
 };
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -5,6 +5,7 @@
 
 #include "common/event_log.h"
 #include "common/random.h"
+#include "ingress/backend_attempt.h"
 
 namespace millstair {
 namespace {
@@ -47,9 +48,10 @@
 class ForwardFlow::Attempt : public HttpCallObserver {
  public:
   Attempt(ForwardFlow& flow, BackendInstance target)
-      : flow_(flow), target_(std::move(target)), sent_at_(flow.context_.environment.Now()) {
-    flow_.context_.directory.Begin(target_.id);
-  }
+      : flow_(flow),
+        target_(std::move(target)),
+        record_(flow.context_.environment, flow.context_.directory, target_.id, flow.route_.target,
+                flow.deadline_) {}
 
   void Start(HttpRequest request) {
     handle_ = flow_.context_.http.Start(target_.address, std::move(request), *this);
@@ -61,6 +63,7 @@
     answer_ = flow_.context_.protocol.ReadAnswer(head, flow_.request_.request_id);
     if (!answer_.own)
       return flow_.OnFailed(*this, false, "the response belongs to another request");
+    record_.OnResponse();
     if (answer_.not_run) flow_.OnRefused(*this, answer_.wrong_instance);
   }
 
@@ -83,18 +86,19 @@
     if (ended_) return;
     ended_ = true;
     handle_.reset();
-    flow_.context_.directory.End(target_.id, end, flow_.context_.environment.Now() - sent_at_);
+    record_.End(end);
   }
+  void ReportIfUnanswered() { record_.ReportIfUnanswered(); }
 
   const BackendInstance& target() const { return target_; }
   const InstanceId& instance() const { return target_.id; }
-  TimePoint sent_at() const { return sent_at_; }
+  TimePoint sent_at() const { return record_.sent_at(); }
   const std::string& signature() const { return answer_.signature; }
 
  private:
   ForwardFlow& flow_;
   const BackendInstance target_;
-  const TimePoint sent_at_;
+  BackendAttempt record_;
   std::unique_ptr<CallHandle> handle_;
   HttpResponseHead head_;
   BackendAnswer answer_;
@@ -221,11 +225,13 @@
 
 void ForwardFlow::ArmHedge() {
   if (!repeatable()) return;
-  hedge_timer_.Arm(std::max(route_.target, kMinHedgeDelay),
+  const Duration delay = context_.directory.HedgeDelay(last_instance_, route_.target);
+  hedge_timer_.Arm(std::max(delay, kMinHedgeDelay),
                    [this] { WhenCurrentAndOpen([this] { Hedge(); }); });
 }
 
 void ForwardFlow::Hedge() {
+  for (const auto& attempt : attempts_) attempt->ReportIfUnanswered();
   // A hedge of a suspect request could crash two back ends at once.
   if (watch_.IsSuspect()) return;
   if (may_have_run_ < route_.attempts) SendAttempt();
--- a/source/ingress/ingress_service.cc
+++ b/source/ingress/ingress_service.cc
@@ -11,7 +11,7 @@
     : environment_(environment),
       reader_(reader),
       stats_(stats),
-      directory_(environment, std::move(own_zone)),
+      directory_(environment, std::move(own_zone), stats),
       guard_(
           environment, http, protocol,
           [this](const ServiceName& name) {
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -5,6 +5,7 @@
 
 #include "common/random.h"
 #include "fmt/format.h"
+#include "ingress/backend_attempt.h"
 
 namespace millstair {
 namespace {
@@ -23,9 +24,10 @@
 class StreamFlow::Run : public HttpCallObserver {
  public:
   Run(StreamFlow& flow, BackendInstance target)
-      : flow_(flow), target_(std::move(target)), sent_at_(flow.context_.environment.Now()) {
-    flow_.context_.directory.Begin(target_.id);
-  }
+      : flow_(flow),
+        target_(std::move(target)),
+        record_(flow.context_.environment, flow.context_.directory, target_.id, flow.route_.target,
+                flow.deadline_) {}
 
   void Start(HttpRequest request) {
     handle_ = flow_.context_.http.Start(target_.address, std::move(request), *this);
@@ -49,16 +51,17 @@
     if (ended_) return;
     ended_ = true;
     handle_.reset();
-    flow_.context_.directory.End(target_.id, end, flow_.context_.environment.Now() - sent_at_);
+    record_.End(end);
   }
+  void OnResponse() { record_.OnResponse(); }
 
   const BackendInstance& target() const { return target_; }
-  TimePoint sent_at() const { return sent_at_; }
+  TimePoint sent_at() const { return record_.sent_at(); }
 
  private:
   StreamFlow& flow_;
   const BackendInstance target_;
-  const TimePoint sent_at_;
+  BackendAttempt record_;
   std::unique_ptr<CallHandle> handle_;
   bool ended_ = false;
 };
@@ -140,6 +143,7 @@
   const BackendAnswer answer = context_.protocol.ReadAnswer(head, request_.request_id);
   if (!answer.own)
     return OnFailed(run, BackendEnd::kFailed, "the response belongs to another request");
+  run.OnResponse();
   if (answer.not_run) {
     --may_have_run_;
     EndRun(answer.wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
--- a/source/routing/outlier_ejection.h
+++ b/source/routing/outlier_ejection.h
@@ -26,7 +26,12 @@
   /// A call failed; `unreachable` ones (nothing could be sent) count double.
   void RecordFailure(TimePoint now, bool unreachable) {
     failures_ += unreachable ? 2 : 1;
-    if (failures_ < options_.failures || Ejected(now)) return;
+    if (failures_ >= options_.failures && !Ejected(now)) Eject(now);
+  }
+  /// Excludes the back end regardless of its failures. An ejection in force is not extended.
+  void Eject(TimePoint now) {
+    latest_ = now;
+    if (Ejected(now)) return;
     Duration span = options_.first;
     for (uint32_t i = 0; i < ejections_ && span < options_.max_duration; ++i) span *= 2;
     until_ = now + std::min(span, options_.max_duration);
@@ -40,12 +45,17 @@
   }
 
   bool Ejected(TimePoint now) const { return now < until_; }
+  /// End of the latest ejection; the epoch if there was none.
+  TimePoint until() const { return until_; }
+  /// Time of the latest call of Eject; the epoch if there was none.
+  TimePoint latest() const { return latest_; }
 
  private:
   EjectionOptions options_;
   uint32_t failures_ = 0;
   uint32_t ejections_ = 0;
   TimePoint until_;
+  TimePoint latest_;
 };
 
 }  // namespace millstair
