Test that a silent stream ejects its back end

Guards against streams whose run is cancelled at the deadline without telling the directory; a stream that has begun must not count. ingress_test passes.

--- a/test/ingress/stream_flow_test.cc
+++ b/test/ingress/stream_flow_test.cc
@@ -176,5 +176,26 @@
   CHECK(fixture.backends.calls[0]->cancelled);
 }
 
+// A stream waits for its deadline at a silent back end, and the next one must not go there again.
+TEST_CASE("A stream without a byte ejects its back end, and one that has begun does not") {
+  const bool begins = GENERATE(false, true);
+  Fixture fixture;
+  fixture.route.target = milliseconds(150);
+  fixture.route.attempts = 1;
+  const auto script = [begins](const HttpRequest&) {
+    FakeAnswer answer{Kind::kAnswer, 200, {}, {"1||one\n\n", "2||two\n\n"}};
+    if (!begins) answer.kind = Kind::kNoResponse;
+    answer.gap = milliseconds(5000);
+    return answer;
+  };
+  fixture.Add("e:1", script);
+  fixture.Add("e:2", script);
+  const auto end = fixture.Run(milliseconds(1001));
+  REQUIRE(end);
+  CHECK(end->forward.outcome == ForwardOutcome::kTimedOut);
+  CHECK(end->begun == begins);
+  CHECK(fixture.directory.Ejected(end->forward.instance) == !begins);
+}
+
 }  // namespace
 }  // namespace millstair
