Don't count silence of a back end that was removed

A request in progress at a back end that was deleted, gone or superseded could still eject it as silent. The directory had already dropped its entry, or dropped it next, so millstair_backends_silent stayed above zero, and other zones were doubted because of a server that had ended. Such requests are no longer silence.

The test of probes made its other back end busy only in some sections, so that the picks before them said nothing about the bound on probes; it is busy throughout now.

Before: the new test failed in all six cases (gauge 1, counter 1, the own zone picked). After: ingress_test has no failure in it.

--- a/source/ingress/backend_directory.cc
+++ b/source/ingress/backend_directory.cc
@@ -424,14 +424,15 @@
 void BackendDirectory::RecordUnreachable(Backend& backend, Duration elapsed) {
   AssumeCold(backend);
   const TimePoint sent_at = environment_.Now() - elapsed;
-  const bool silent = elapsed >= kMinConnectTimeout && !backend.silence.RespondedSince(sent_at);
+  const bool silent = elapsed >= kMinConnectTimeout && backend.attached &&
+                      !backend.silence.RespondedSince(sent_at);
   if (silent) return RecordSilence(backend, sent_at, true);
   RecordFailure(backend, true);
 }
 
 bool BackendDirectory::IsSilent(const Backend& backend, TimePoint sent_at, Duration target) const {
   const auto threshold = SilenceThreshold(backend.answer_seconds, target);
-  return threshold && environment_.Now() - sent_at >= *threshold &&
+  return threshold && environment_.Now() - sent_at >= *threshold && backend.attached &&
          !backend.silence.RespondedSince(sent_at);
 }
 
--- a/source/ingress/backend_directory.h
+++ b/source/ingress/backend_directory.h
@@ -148,7 +148,8 @@
   void RecordFailure(Backend& backend, bool unreachable);
   void RecordUnreachable(Backend& backend, Duration elapsed);
   /// Whether a request sent at `sent_at` has waited for a response for so long that it counts as
-  /// silence, while the back end responded to no other request either.
+  /// silence, while the back end sent this node nothing else either. A back end that was removed
+  /// has ended and is not silent.
   bool IsSilent(const Backend& backend, TimePoint sent_at, Duration target) const;
   /// `strong` silence ejects at once, unless no other back end of the service is in use.
   void RecordSilence(Backend& backend, TimePoint sent_at, bool strong);
--- a/test/ingress/silent_backends_test.cc
+++ b/test/ingress/silent_backends_test.cc
@@ -194,12 +194,12 @@
   const std::set<InstanceId> other = {InstanceId("b")};
   CHECK(fixture.Pick(other) == "a");
   const TimePoint probe = fixture.Begin("a");
+  // The other one is busy, so only the bound on probes keeps requests from "a".
+  for (int i = 0; i < 5; ++i) fixture.Begin("b");
   for (int i = 0; i < 20; ++i) CHECK(fixture.Pick() == "b");
   SECTION("it responds") {
     fixture.scheduler.RunFor(kUsual);
     fixture.directory.OnResponse(InstanceId("a"));
-    // The other one is busy, so the cheaper one is picked again.
-    for (int i = 0; i < 5; ++i) fixture.Begin("b");
     CHECK(fixture.Pick() == "a");
     CHECK(fixture.Stat("millstair_backends_silent") == 0);
   }
@@ -215,13 +215,11 @@
   }
   SECTION("the probe is cancelled early") {
     fixture.directory.EndUnanswered(InstanceId("a"), probe, kTarget);
-    for (int i = 0; i < 5; ++i) fixture.Begin("b");
     CHECK(fixture.Pick() == "a");
   }
   SECTION("a request that began before the ejection ends") {
     fixture.directory.Begin(InstanceId("a"));
     fixture.directory.End(InstanceId("a"), BackendEnd::kCancelled, seconds(20));
-    for (int i = 0; i < 5; ++i) fixture.Begin("b");
     CHECK(fixture.Pick() == "b");
   }
 }
@@ -277,6 +275,35 @@
   CHECK(fixture.Stat("millstair_backends_silent") == 0);
 }
 
+// The gauge stayed above zero for good, because nothing removes such a back end from it any more.
+TEST_CASE("A request that ends silent after its back end was removed is not counted") {
+  const bool connecting = GENERATE(false, true);
+  DirectoryFixture fixture({{"own", "z1"}, {"a", "z2"}, {"b", "z3"}});
+  for (int i = 0; i < 60; ++i) fixture.Answer("own", 2 * kUsual);
+  REQUIRE(fixture.Pick() != "own");
+  const TimePoint sent_at = fixture.Begin("a");
+  SECTION("deleted") {
+    fixture.configuration.instances.erase(InstanceId("a"));
+    fixture.directory.Update(fixture.configuration);
+  }
+  SECTION("gone") {
+    fixture.configuration.instances[InstanceId("a")].state = MemberState::kGone;
+    fixture.directory.Update(fixture.configuration);
+  }
+  SECTION("superseded") { fixture.directory.OnSuperseded(InstanceId("a")); }
+  fixture.scheduler.RunFor(kTimeLimit);
+  fixture.directory.OnUnanswered(InstanceId("a"), sent_at, kTarget);
+  if (connecting) {
+    fixture.directory.End(InstanceId("a"), BackendEnd::kUnreachable, kTimeLimit);
+  } else {
+    fixture.directory.EndUnanswered(InstanceId("a"), sent_at, kTarget);
+  }
+  CHECK(fixture.Stat("millstair_backends_silent") == 0);
+  CHECK(fixture.Stat("millstair_backend_silences_total") == 0);
+  // Other zones are not doubted on account of a back end that has ended.
+  CHECK(fixture.Pick() == "b");
+}
+
 // A node that is cut off would learn about each back end of the other zones at the cost of one or
 // two late requests.
 TEST_CASE("After silence in another zone the own zone is preferred until another zone responds") {
