Try ejected back ends in turn when they fail

If all back ends are ejected, the least recently ejected one is picked. A failure during an ejection didn't update the time of it, so all requests went to the same back end until its pause ended, up to 30 s, while another may have recovered.

Before: the new test picked "a" where "b" and "c" were due (3 of 5 picks). After: it passes, as do the others of ingress_test.

--- a/source/routing/outlier_ejection.h
+++ b/source/routing/outlier_ejection.h
@@ -26,7 +26,7 @@
   /// A call failed; `unreachable` ones (nothing could be sent) count double.
   void RecordFailure(TimePoint now, bool unreachable) {
     failures_ += unreachable ? 2 : 1;
-    if (failures_ >= options_.failures && !Ejected(now)) Eject(now);
+    if (failures_ >= options_.failures || Ejected(now)) Eject(now);
   }
   /// Excludes the back end regardless of its failures. An ejection in force is not extended.
   void Eject(TimePoint now) {
@@ -47,7 +47,7 @@
   bool Ejected(TimePoint now) const { return now < until_; }
   /// End of the latest ejection; the epoch if there was none.
   TimePoint until() const { return until_; }
-  /// Time of the latest call of Eject; the epoch if there was none.
+  /// Time of the latest ejection, or of a later failure during it; the epoch if there was none.
   TimePoint latest() const { return latest_; }
 
  private:
--- a/test/ingress/silent_backends_test.cc
+++ b/test/ingress/silent_backends_test.cc
@@ -304,6 +304,24 @@
   CHECK(fixture.Pick() == "b");
 }
 
+// All requests went to the first one for the whole of its pause.
+TEST_CASE("If all back ends are ejected by failures, each is tried in turn") {
+  DirectoryFixture fixture({{"a", "z1"}, {"b", "z1"}, {"c", "z1"}});
+  const auto fail = [&](const std::string& address) {
+    fixture.directory.Begin(InstanceId(address));
+    fixture.scheduler.RunFor(milliseconds(1));
+    fixture.directory.End(InstanceId(address), BackendEnd::kFailed, milliseconds(1));
+  };
+  for (const char* address : {"a", "b", "c"}) {
+    for (int i = 0; i < 3; ++i) fail(address);
+    REQUIRE(fixture.Ejected(address));
+  }
+  for (const char* address : {"a", "b", "c", "a", "b"}) {
+    CHECK(fixture.Pick() == address);
+    fail(address);
+  }
+}
+
 // A node that is cut off would learn about each back end of the other zones at the cost of one or
 // two late requests.
 TEST_CASE("After silence in another zone the own zone is preferred until another zone responds") {
