Take each part of a response as a sign that its back end responds

Only the head of a response counted, so a back end that was sending a stream was ejected when another request had to wait for its first byte until its deadline. Each part of a body is now reported like the head; this costs one hash lookup.

Before: the new test found the back end of the running stream ejected. After: it passes, as do the others of ingress_test.

--- a/source/ingress/backend_attempt.h
+++ b/source/ingress/backend_attempt.h
@@ -24,7 +24,8 @@
     directory_.Begin(instance_);
   }
 
-  /// A byte of the back end's response to this attempt arrived.
+  /// Bytes of the back end's response to this attempt arrived. Called for each part of a response,
+  /// so that a long one shows that the back end isn't silent.
   void OnResponse() {
     responded_ = true;
     directory_.OnResponse(instance_);
--- a/source/ingress/backend_directory.h
+++ b/source/ingress/backend_directory.h
@@ -76,7 +76,7 @@
   /// Requests are counted from Begin to End.
   void Begin(const InstanceId& instance);
   void End(const InstanceId& instance, BackendEnd end, Duration elapsed);
-  /// The first byte of a response arrived; the request is still in progress.
+  /// The head of a response or a part of its body arrived; the request is still in progress.
   void OnResponse(const InstanceId& instance);
   /// The request sent at `sent_at` is still in progress, and no byte of its response has arrived.
   /// If it has waited long enough to count as silence, other back ends are preferred for a while.
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -69,6 +69,7 @@
 
   void OnBody(std::string bytes) override {
     if (ended_) return;
+    record_.OnResponse();
     body_ += bytes;
     if (body_.size() > kMaxAnswerBytes) flow_.OnFailed(*this, false, "the response exceeds 32 MiB");
   }
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -36,7 +36,9 @@
     if (!ended_) flow_.OnHead(*this, head);
   }
   void OnBody(std::string bytes) override {
-    if (!ended_) flow_.OnBody(*this, std::move(bytes));
+    if (ended_) return;
+    record_.OnResponse();
+    flow_.OnBody(*this, std::move(bytes));
   }
   void OnFinished() override {
     if (!ended_) flow_.OnFinished(*this);
--- a/test/ingress/stream_flow_test.cc
+++ b/test/ingress/stream_flow_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 
+#include "fmt/format.h"
 #include "test/ingress/fake_backends.h"
 
 namespace millstair {
@@ -197,5 +198,34 @@
   CHECK(fixture.directory.Ejected(end->forward.instance) == !begins);
 }
 
+// A back end that is busy with long streams must not be ejected because the next one has to wait.
+TEST_CASE("A back end that sends events of another stream is not silent") {
+  Fixture fixture;
+  fixture.route.target = milliseconds(150);
+  fixture.route.attempts = 1;
+  fixture.Add("e:1", [&](const HttpRequest&) {
+    const bool first = fixture.backends.calls.size() == 1;
+    FakeAnswer answer{first ? Kind::kAnswer : Kind::kNoResponse, 200, {}, {}};
+    for (int i = 1; i <= 30; ++i) answer.pieces.push_back(fmt::format("{}||x\n\n", i));
+    answer.gap = milliseconds(100);
+    return answer;
+  });
+  fixture.route.timeout = milliseconds(5000);
+  Recorder other_sink;
+  StreamFlow other(fixture.context, fixture.route,
+                   ForwardRequest{{"POST", "/s/", {}, ""}, "h", "other", std::nullopt, {}},
+                   other_sink, [](const StreamEnd&) {});
+  other.Start();
+  fixture.scheduler.RunFor(milliseconds(50));
+  fixture.route.timeout = milliseconds(1000);
+  fixture.Run(milliseconds(20));
+  REQUIRE(fixture.backends.CountAt("e:1") == 2);
+  // Ejecting the first one is possible only with an alternative.
+  fixture.Add("e:2", [](const HttpRequest&) { return FakeAnswer{}; });
+  fixture.scheduler.RunFor(milliseconds(1000));
+  CHECK(fixture.sink.heads == 0);
+  CHECK_FALSE(fixture.directory.Ejected(InstanceId("e:1")));
+}
+
 }  // namespace
 }  // namespace millstair
