Detect pauses of the node before counting silence

Attempts that ended more than 100 ms after their deadline weren't counted as silence. That left two cases in which a paused gateway ejected back ends whose responses were waiting to be read: a pause that ended less than 100 ms after a deadline, and a caller that left during the pause. Connect time-outs weren't covered either. The directory now runs a timer of 50 ms while requests are in progress and ignores attempts that overlap a pause, which a delay of more than 100 ms shows. It replaces the rule on deadlines.

--- a/source/ingress/backend_attempt.h
+++ b/source/ingress/backend_attempt.h
@@ -12,14 +12,13 @@
 /// Owned by a flow's attempt. End is called before it is destroyed.
 class BackendAttempt {
  public:
-  /// `target` is the route's; 0 if it has none. `deadline` is when the attempt ends at the latest.
+  /// `target` is the route's; 0 if it has none.
   BackendAttempt(Environment& environment, BackendDirectory& directory, InstanceId instance,
-                 Duration target, TimePoint deadline)
+                 Duration target)
       : environment_(environment),
         directory_(directory),
         instance_(std::move(instance)),
         target_(target),
-        deadline_(deadline),
         sent_at_(environment.Now()) {
     directory_.Begin(instance_);
   }
@@ -37,14 +36,9 @@
   }
 
   void End(BackendEnd end) {
-    // A node that was paused handles its expired timers before the responses that have arrived, so
-    // an attempt that ends far after its deadline doesn't show that the back end was silent.
-    constexpr Duration kMaxTimerDelay = std::chrono::milliseconds(100);
-    const TimePoint now = environment_.Now();
-    const bool unanswered =
-        end == BackendEnd::kCancelled && !responded_ && now <= deadline_ + kMaxTimerDelay;
+    const bool unanswered = end == BackendEnd::kCancelled && !responded_;
     if (unanswered) return directory_.EndUnanswered(instance_, sent_at_, target_);
-    directory_.End(instance_, end, now - sent_at_);
+    directory_.End(instance_, end, environment_.Now() - sent_at_);
   }
 
   TimePoint sent_at() const { return sent_at_; }
@@ -54,7 +48,6 @@
   BackendDirectory& directory_;
   const InstanceId instance_;
   const Duration target_;
-  const TimePoint deadline_;
   const TimePoint sent_at_;
   bool responded_ = false;
 };
--- a/source/ingress/backend_directory.cc
+++ b/source/ingress/backend_directory.cc
@@ -34,6 +34,10 @@
 constexpr int kStrongSilenceFactor = 3;
 /// A connection that is refused fails within a round trip; one that fails later has timed out.
 constexpr Duration kMinConnectTimeout = std::chrono::milliseconds(200);
+/// How often the directory checks for a pause of this node while requests are in progress.
+constexpr Duration kPauseCheckInterval = std::chrono::milliseconds(50);
+/// A timer that is later than this shows that this node was paused; a busy node is less late.
+constexpr Duration kMaxTimerDelay = std::chrono::milliseconds(100);
 /// A gateway may see only one request in four seconds, so this outlasts two of them.
 constexpr Duration kDoubtPeriod = std::chrono::seconds(10);
 /// Cost factor of a doubted back end. An attempt that is hedged after silence takes the target plus
@@ -47,6 +51,7 @@
     : environment_(environment),
       own_zone_(std::move(own_zone)),
       preference_seed_(environment.Random()()),
+      pause_check_(environment),
       silent_backends_(stats == nullptr
                            ? nullptr
                            : &stats->NewGauge({"millstair_backends_silent",
@@ -312,6 +317,7 @@
   Backend& backend = found->second;
   const TimePoint now = environment_.Now();
   ++backend.running;
+  if (running_++ == 0) StartPauseChecks();
   backend.latest_begin = now;
   if (backend.unproven && !backend.probe_sent_at) backend.probe_sent_at = now;
   if (backend.cold_tokens) backend.cold_tokens->Take(now);
@@ -321,12 +327,43 @@
   const auto found = backends_.find(instance);
   if (found == backends_.end()) return;
   Backend& backend = found->second;
-  if (backend.running > 0) --backend.running;
+  EndRunning(backend);
   RecordProbeEnd(backend, environment_.Now() - elapsed);
   RecordEnd(backend, end, elapsed);
   EraseIfIdle(instance);
 }
 
+void BackendDirectory::EndRunning(Backend& backend) {
+  if (backend.running == 0) return;
+  --backend.running;
+  --running_;
+}
+
+void BackendDirectory::StartPauseChecks() {
+  if (pause_check_.armed()) return;
+  pause_checked_at_ = environment_.Now();
+  ArmPauseCheck();
+}
+
+void BackendDirectory::ArmPauseCheck() {
+  pause_check_.Arm(kPauseCheckInterval, [this] {
+    CheckForPause();
+    if (running_ > 0) ArmPauseCheck();
+  });
+}
+
+void BackendDirectory::CheckForPause() {
+  const TimePoint now = environment_.Now();
+  // The latest check is older than the interval only if the timer is late.
+  if (now - pause_checked_at_ > kPauseCheckInterval + kMaxTimerDelay) paused_until_ = now;
+  pause_checked_at_ = now;
+}
+
+bool BackendDirectory::PausedSince(TimePoint at) {
+  CheckForPause();
+  return at < paused_until_;
+}
+
 void BackendDirectory::RecordProbeEnd(Backend& backend, TimePoint sent_at) {
   // An earlier request that ends is not the probe.
   const bool ended = backend.running == 0 || sent_at >= backend.probe_sent_at;
@@ -360,7 +397,7 @@
   const auto found = backends_.find(instance);
   if (found == backends_.end()) return;
   Backend& backend = found->second;
-  if (backend.running > 0) --backend.running;
+  EndRunning(backend);
   RecordProbeEnd(backend, sent_at);
   if (IsSilent(backend, sent_at, target)) {
     const Duration threshold = *SilenceThreshold(backend.answer_seconds, target);
@@ -425,15 +462,15 @@
   AssumeCold(backend);
   const TimePoint sent_at = environment_.Now() - elapsed;
   const bool silent = elapsed >= kMinConnectTimeout && backend.attached &&
-                      !backend.silence.RespondedSince(sent_at);
+                      !backend.silence.RespondedSince(sent_at) && !PausedSince(sent_at);
   if (silent) return RecordSilence(backend, sent_at, true);
   RecordFailure(backend, true);
 }
 
-bool BackendDirectory::IsSilent(const Backend& backend, TimePoint sent_at, Duration target) const {
+bool BackendDirectory::IsSilent(const Backend& backend, TimePoint sent_at, Duration target) {
   const auto threshold = SilenceThreshold(backend.answer_seconds, target);
   return threshold && environment_.Now() - sent_at >= *threshold && backend.attached &&
-         !backend.silence.RespondedSince(sent_at);
+         !backend.silence.RespondedSince(sent_at) && !PausedSince(sent_at);
 }
 
 void BackendDirectory::RecordSilence(Backend& backend, TimePoint sent_at, bool strong) {
--- a/source/ingress/backend_directory.h
+++ b/source/ingress/backend_directory.h
@@ -13,6 +13,7 @@
 #include "cluster/configuration.h"
 #include "common/environment.h"
 #include "common/ids.h"
+#include "common/scoped_timer.h"
 #include "common/stats.h"
 #include "ingress/backend_silence.h"
 #include "ingress/cold_limits.h"
@@ -150,7 +151,15 @@
   /// Whether a request sent at `sent_at` has waited for a response for so long that it counts as
   /// silence, while the back end sent this node nothing else either. A back end that was removed
   /// has ended and is not silent.
-  bool IsSilent(const Backend& backend, TimePoint sent_at, Duration target) const;
+  bool IsSilent(const Backend& backend, TimePoint sent_at, Duration target);
+  void EndRunning(Backend& backend);
+  void StartPauseChecks();
+  void ArmPauseCheck();
+  void CheckForPause();
+  /// Whether this node was paused after `at`. Responses that arrived during a pause are read after
+  /// timers have expired and other connections have ended, so requests that were in progress then
+  /// say nothing about their back ends.
+  bool PausedSince(TimePoint at);
   /// `strong` silence ejects at once, unless no other back end of the service is in use.
   void RecordSilence(Backend& backend, TimePoint sent_at, bool strong);
   void EjectAsSilent(Backend& backend, TimePoint sent_at);
@@ -200,6 +209,13 @@
   /// Back ends that were ejected as silent and have not responded since, with the start of their
   /// silence.
   std::map<InstanceId, TimePoint> silent_;
+  /// Requests in progress at all back ends.
+  size_t running_ = 0;
+  /// Armed while requests are in progress.
+  ScopedTimer pause_check_;
+  TimePoint pause_checked_at_;
+  /// End of this node's latest pause.
+  TimePoint paused_until_;
   /// Null if there are no stats.
   Gauge* const silent_backends_;
   Counter* const silent_attempts_;
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -50,8 +50,8 @@
   Attempt(ForwardFlow& flow, BackendInstance target)
       : flow_(flow),
         target_(std::move(target)),
-        record_(flow.context_.environment, flow.context_.directory, target_.id, flow.route_.target,
-                flow.deadline_) {}
+        record_(flow.context_.environment, flow.context_.directory, target_.id,
+                flow.route_.target) {}
 
   void Start(HttpRequest request) {
     handle_ = flow_.context_.http.Start(target_.address, std::move(request), *this);
--- a/test/ingress/silent_backends_test.cc
+++ b/test/ingress/silent_backends_test.cc
@@ -508,6 +508,46 @@
   }
 }
 
+// The responses that arrived during a pause are read after the events that drop their attempts.
+TEST_CASE("A pause of the node that ends shortly after a deadline ejects no back end") {
+  const Duration left = GENERATE(Duration(milliseconds(480)), kTimeLimit);
+  CutFixture fixture;
+  fixture.Warm();
+  fixture.cut = true;
+  fixture.kept_connections = {2, 3, 4};
+  const size_t calls = fixture.backends.calls.size();
+  fixture.service.Forward({{"POST", "/p/x", {}, "body"}, "a.example", "id", left},
+                          [](const ForwardResult&) {});
+  fixture.scheduler.RunFor(milliseconds(10));
+  REQUIRE(fixture.backends.calls.size() == calls + 1);
+  fixture.environment.Suspend();
+  fixture.scheduler.RunFor(left + milliseconds(40));
+  fixture.environment.Wake();
+  fixture.scheduler.RunFor(milliseconds(1));
+  for (const auto& [id, instance] : fixture.configuration.instances) {
+    CHECK_FALSE(fixture.service.directory().Ejected(id));
+  }
+  CHECK(fixture.stats.NewCounter({"millstair_backend_silences_total"}).value() == 0);
+}
+
+TEST_CASE("Requests dropped after a pause of the node are not silence") {
+  DirectoryFixture fixture({{"a", "z1"}, {"b", "z1"}});
+  const TimePoint sent_at = fixture.Begin("a");
+  fixture.scheduler.RunFor(milliseconds(10));
+  fixture.environment.Suspend();
+  fixture.scheduler.RunFor(milliseconds(500));
+  fixture.environment.Wake();
+  const bool timers_first = GENERATE(false, true);
+  if (timers_first) fixture.scheduler.RunFor(milliseconds(1));
+  // Its caller left during the pause.
+  fixture.directory.EndUnanswered(InstanceId("a"), sent_at, kTarget);
+  CHECK_FALSE(fixture.Ejected("a"));
+  CHECK(fixture.Stat("millstair_backend_silences_total") == 0);
+  // Requests sent after the pause count.
+  fixture.Drop("a", kTimeLimit);
+  CHECK(fixture.Ejected("a"));
+}
+
 // A response that is later than usual but has begun must not eject its back end.
 TEST_CASE("A response whose head has arrived is not silence") {
   CutFixture fixture;
