Count the bytes held for HTTP exchanges

Cause: nothing in the process knows how much memory responses that are not read and requests that are being sent take, so nothing can bound it.

Change: HeldBytes counts them with objects that return their bytes when they are destroyed. The server connection writes responses in steps of 64 KiB and records the progress of the reader; large bodies are moved instead of copied. The write time-out of a connection now counts from the last progress, so a large response that is being read is no longer cut after it.

--- a/source/http/beast_http_caller.cc
+++ b/source/http/beast_http_caller.cc
@@ -1,5 +1,6 @@
 #include "http/beast_http_caller.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -117,12 +118,14 @@
 
   asio::awaitable<void> Run() {
     const auto self = shared_from_this();
-    const std::string bytes = FormatRequest(address_, request_, call_id_);
+    std::string bytes = FormatRequest(address_, request_, call_id_);
+    // The formatted request holds a copy.
+    request_.body = std::string();
     if (bytes.empty()) {
       Fail(CallFailure::kNotSent, "the request holds characters that HTTP does not allow");
       co_return;
     }
-    if (!co_await SendRequest(bytes)) co_return;
+    if (!co_await SendRequest(std::move(bytes))) co_return;
     ResponseParser parser;
     parser.header_limit(static_cast<uint32_t>(pool_->options().max_header_bytes));
     parser.body_limit(boost::none);
@@ -137,7 +140,8 @@
   }
 
   /// Writes the request on a pooled connection, or on a new one if no byte could be written there.
-  asio::awaitable<bool> SendRequest(const std::string& bytes) {
+  asio::awaitable<bool> SendRequest(std::string bytes) {
+    const HeldBytes::Hold hold(pool_->options().held_bytes, bytes.size());
     socket_ = pool_->Take(address_);
     if (socket_.has_value() && !cancelled_) {
       const size_t written = co_await Write(bytes);
@@ -179,11 +183,20 @@
 
   /// Returns the number of bytes written; fewer than all mean that the connection failed.
   asio::awaitable<size_t> Write(const std::string& bytes) {
-    ArmWatchdog(pool_->options().write_timeout);
-    const auto [error, count] =
-        co_await asio::async_write(*socket_, asio::buffer(bytes), kUseTuple);
-    watchdog_.cancel();
-    co_return count;
+    const HttpCallerOptions& options = pool_->options();
+    const auto deadline = std::chrono::steady_clock::now() + options.write_timeout;
+    size_t written = 0;
+    while (written < bytes.size()) {
+      const auto left =
+          std::chrono::duration_cast<Duration>(deadline - std::chrono::steady_clock::now());
+      ArmWatchdog(std::min(left, options.read_timeout));
+      const auto [error, count] = co_await socket_->async_write_some(
+          asio::buffer(bytes.data() + written, bytes.size() - written), kUseTuple);
+      watchdog_.cancel();
+      if (error) break;
+      written += count;
+    }
+    co_return written;
   }
 
   asio::awaitable<bool> ReadHead(boost::beast::flat_buffer& buffer, ResponseParser& parser) {
@@ -303,7 +316,7 @@
   const std::shared_ptr<HttpConnectionPool> pool_;
   const std::shared_ptr<SerialExecutor> executor_;
   const std::string address_;
-  const HttpRequest request_;
+  HttpRequest request_;
   const std::string call_id_ = pool_->options().call_ids ? NewCallId() : std::string();
   asio::strand<asio::io_context::executor_type> strand_;
   asio::steady_timer watchdog_;
--- a/source/http/beast_http_caller.h
+++ b/source/http/beast_http_caller.h
@@ -16,6 +16,7 @@
 #include "common/stats.h"
 #include "common/time.h"
 #include "http/exchange.h"
+#include "http/held_bytes.h"
 #include "runtime/runtime.h"
 
 namespace millstair {
@@ -25,7 +26,7 @@
   /// Maximum time to write the request.
   Duration write_timeout = std::chrono::seconds(30);
   /// Maximum time for the response head, and for each read of the body. Pauses by the observer
-  /// don't count.
+  /// don't count. Also the maximum time without progress while the request is written.
   Duration read_timeout = std::chrono::seconds(120);
   /// Idle connections are closed after this time.
   Duration pool_idle_timeout = std::chrono::seconds(20);
@@ -38,6 +39,8 @@
   /// Accepts a response without a length as complete if its connection is closed without an error;
   /// if false, such a response counts as truncated.
   bool until_close = false;
+  /// Counts the requests that are being sent; may be null.
+  std::shared_ptr<HeldBytes> held_bytes;
 };
 
 class HttpConnectionPool;
--- a/source/http/http_server.h
+++ b/source/http/http_server.h
@@ -15,6 +15,7 @@
 #include "common/stats.h"
 #include "common/time.h"
 #include "http/exchange.h"
+#include "http/held_bytes.h"
 #include "runtime/runtime.h"
 
 namespace millstair {
@@ -33,8 +34,12 @@
   Duration body_timeout = std::chrono::seconds(60);
   /// Between two requests on a connection.
   Duration idle_timeout = std::chrono::seconds(75);
-  /// A caller whose write takes longer counts as disconnected.
+  /// A caller that reads nothing for longer counts as disconnected.
   Duration write_timeout = std::chrono::seconds(60);
+  /// Counts what is held for callers; may be null.
+  std::shared_ptr<HeldBytes> held_bytes;
+  /// Header whose value identifies a request in the log; none if empty.
+  std::string request_id_header;
 };
 
 struct HttpServerContext;
--- a/source/http/response_writer.cc
+++ b/source/http/response_writer.cc
@@ -78,13 +78,13 @@
     case BodyKind::kLength:
       if (bytes.size() > remaining_bytes_) return Abort();
       remaining_bytes_ -= bytes.size();
-      channel_->Append(bytes);
+      channel_->Append(std::move(bytes));
       return;
     case BodyKind::kChunked:
       channel_->Append(fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes));
       return;
     case BodyKind::kUntilClose:
-      channel_->Append(bytes);
+      channel_->Append(std::move(bytes));
       return;
   }
 }
@@ -95,7 +95,7 @@
     return;
   }
   if (body_kind_ == BodyKind::kLength && remaining_bytes_ > 0) return Abort();
-  if (body_kind_ == BodyKind::kChunked) channel_->Append(kLastChunk);
+  if (body_kind_ == BodyKind::kChunked) channel_->Append(std::string(kLastChunk));
   channel_->Finish(framing_.keep_alive);
   Close();
 }
--- a/source/http/server_connection.cc
+++ b/source/http/server_connection.cc
@@ -1,5 +1,8 @@
 #include "http/server_connection.h"
 
+#include <netinet/tcp.h>
+
+#include <algorithm>
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -18,6 +21,7 @@
 #include <utility>
 #include <vector>
 
+#include "common/event_log.h"
 #include "http/header_rules.h"
 #include "http/problem.h"
 #include "http/request_head_check.h"
@@ -31,6 +35,7 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 using SteadyTime = std::chrono::steady_clock::time_point;
+using UnsentLowWater = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
 using RequestParser = http::request_parser<http::string_body>;
 
 constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
@@ -39,6 +44,13 @@
 /// Limit on the bytes that are read ahead of the request being served.
 constexpr size_t kReadAheadBytes = 64 * 1024;
 constexpr size_t kReadBytes = 8 * 1024;
+/// Responses are written in steps of this size, so that the progress of a slow reader is seen.
+constexpr size_t kWriteBytes = 64 * 1024;
+/// Bytes that the kernel may hold before they are sent. Its default, up to several MiB for each
+/// connection, would hide the progress of a slow reader until a third of it was read.
+constexpr int kUnsentLowWaterBytes = 128 * 1024;
+/// Limit on the target of a request in the log.
+constexpr size_t kLoggedTargetBytes = 200;
 /// How long input of a refused client is discarded before the connection is closed.
 constexpr std::chrono::milliseconds kLingerTime{500};
 
@@ -65,6 +77,8 @@
   void Start() {
     boost::system::error_code ignored;
     socket_.set_option(Tcp::no_delay(true), ignored);
+    // Only affects how soon progress is seen, so a failure changes nothing else.
+    socket_.set_option(UnsentLowWater(kUnsentLowWaterBytes), ignored);
     asio::co_spawn(
         strand_, [self = shared_from_this()] { return self->ReadAhead(); }, asio::detached);
     asio::co_spawn(
@@ -224,11 +238,7 @@
   asio::awaitable<bool> Answer(HttpRequest request, const RequestParser& parser) {
     context_->requests->Add();
     ++context_->running;
-    const auto channel = std::make_shared<ResponseChannel>(context_->options.send_buffer_bytes,
-                                                           [weak = weak_from_this()] {
-                                                             if (const auto self = weak.lock())
-                                                               self->WakeServing();
-                                                           });
+    const auto channel = NewChannel(request);
     ResponseFraming framing;
     framing.head_request = request.method == "HEAD";
     framing.http_1_1 = parser.get().version() == 11;
@@ -244,10 +254,34 @@
           context->handler->Handle(std::move(request), std::move(writer));
         });
     const bool keep = co_await Relay(*channel, weak_writer);
+    channel_.reset();
+    channel->Discard();
     --context_->running;
     co_return keep;
   }
 
+  std::shared_ptr<ResponseChannel> NewChannel(const HttpRequest& request) {
+    const std::weak_ptr<ServerConnection> weak = weak_from_this();
+    ChannelCount count{context_->options.held_bytes, NameForLog(request), [weak] {
+                         if (const auto self = weak.lock()) self->PostCut();
+                       }};
+    channel_ = std::make_shared<ResponseChannel>(
+        context_->options.send_buffer_bytes,
+        [weak] {
+          if (const auto self = weak.lock()) self->WakeServing();
+        },
+        std::move(count));
+    return channel_;
+  }
+
+  /// Its identifier if it has one, else its method and target.
+  std::string NameForLog(const HttpRequest& request) const {
+    const std::string& name = context_->options.request_id_header;
+    const auto id = name.empty() ? std::nullopt : FindHeader(request.headers, name);
+    if (id) return std::string(id->substr(0, kLoggedTargetBytes));
+    return request.method + " " + request.target.substr(0, kLoggedTargetBytes);
+  }
+
   /// Sends the writer's output until the response ends. False if the connection must be closed.
   asio::awaitable<bool> Relay(ResponseChannel& channel,
                               std::weak_ptr<FramedResponseWriter> writer) {
@@ -263,15 +297,12 @@
       }
       if (!content.bytes.empty()) {
         const size_t count = content.bytes.size();
-        if (!co_await Write(std::move(content.bytes))) {
+        const bool written = co_await WritePiece(std::move(content.bytes), channel, writer);
+        channel.Release(count);
+        if (!written) {
           ReportCallerDisconnected(writer);
           co_return false;
         }
-        if (channel.Sent(count)) {
-          context_->executor->Post([writer] {
-            if (const auto alive = writer.lock()) alive->NotifyWritable();
-          });
-        }
         continue;
       }
       if (content.finished) co_return content.keep_alive;
@@ -279,6 +310,23 @@
     }
   }
 
+  /// Writes a piece of the response; the writer learns of free space as soon as there is some.
+  asio::awaitable<bool> WritePiece(std::string bytes, ResponseChannel& channel,
+                                   std::weak_ptr<FramedResponseWriter> writer) {
+    size_t sent = 0;
+    while (sent < bytes.size()) {
+      const size_t step = std::min(kWriteBytes, bytes.size() - sent);
+      const size_t count = co_await WriteSome(asio::buffer(bytes.data() + sent, step));
+      if (count == 0) co_return false;
+      sent += count;
+      if (!channel.Sent(count)) continue;
+      context_->executor->Post([writer] {
+        if (const auto alive = writer.lock()) alive->NotifyWritable();
+      });
+    }
+    co_return true;
+  }
+
   void ReportCallerDisconnected(const std::weak_ptr<FramedResponseWriter>& writer) {
     context_->callers_disconnected->Add();
     context_->executor->Post([writer] {
@@ -296,14 +344,27 @@
   }
 
   asio::awaitable<bool> Write(std::string bytes) {
+    size_t sent = 0;
+    while (sent < bytes.size()) {
+      const size_t count =
+          co_await WriteSome(asio::buffer(bytes.data() + sent, bytes.size() - sent));
+      if (count == 0) co_return false;
+      sent += count;
+    }
+    co_return true;
+  }
+
+  /// Returns the number of bytes written; 0 if the connection failed, or nothing could be written
+  /// within the write time-out.
+  asio::awaitable<size_t> WriteSome(asio::const_buffer bytes) {
     watchdog_.expires_after(context_->options.write_timeout);
     watchdog_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
       const auto self = weak.lock();
       if (!error && self) self->Reset();
     });
-    const auto [error, count] = co_await asio::async_write(socket_, asio::buffer(bytes), kUseTuple);
+    const auto [error, count] = co_await socket_.async_write_some(bytes, kUseTuple);
     watchdog_.cancel();
-    co_return !error;
+    co_return error ? 0 : count;
   }
 
   /// Sends a problem and lingers, so that the client can read it before the connection is closed.
@@ -338,6 +399,22 @@
     return "bad-message";
   }
 
+  // --- cutting a slow reader -----------------------------------------------------------------
+
+  /// Called on any thread.
+  void PostCut() {
+    asio::post(strand_, [self = shared_from_this()] { self->Cut(); });
+  }
+
+  void Cut() {
+    // By now the response may have ended, or its reader may have read.
+    const auto reader = channel_ == nullptr ? std::nullopt : channel_->TakeCut();
+    if (!reader) return;
+    LogEvent(EventId::kSlowReaderCut, "request=\"{}\" held_bytes={} stalled_s={:.1f}",
+             reader->request, reader->bytes, ToSeconds(reader->stalled));
+    Reset();
+  }
+
   // --- closing -------------------------------------------------------------------------------
 
   /// Closes with a connection reset, so that a truncated response never looks complete.
@@ -357,6 +434,8 @@
   }
 
   std::shared_ptr<HttpServerContext> context_;
+  /// The response in progress; null between two requests.
+  std::shared_ptr<ResponseChannel> channel_;
   asio::strand<asio::any_io_executor> strand_;
   Tcp::socket socket_;
   /// Cancelled to wake the serving coroutine.
