Bound the memory of responses at the gateways

Cause: a gateway buffers each response whole, up to 32 MiB, and read streams as fast as back ends sent them, whether their callers read or not.

Change: responses are read from back ends as ResponseMemory allows; a stream is paused while the buffer of its caller is full, also when it goes on at another back end. Plain responses of streaming routes and single events are limited to 32 MiB. Time paused by this gateway does not count as latency of the back end.

--- a/source/ingress/event_stream.h
+++ b/source/ingress/event_stream.h
@@ -1,6 +1,7 @@
 /// Splits the bytes of an event stream into events.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,8 @@
   std::vector<std::string> Append(std::string_view bytes);
   /// Whether the last event is incomplete.
   bool HasPartialEvent() const { return !pending_.empty(); }
+  /// Bytes of the last event if it is incomplete.
+  size_t partial_bytes() const { return pending_.size(); }
 
  private:
   std::string pending_;
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -9,8 +9,6 @@
 namespace millstair {
 namespace {
 
-/// Larger responses are treated as failures.
-constexpr size_t kMaxAnswerBytes = 32 * 1024 * 1024;
 constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
 /// Pause before back ends that refused or failed are tried again.
 constexpr Duration kRetryPauseMin = std::chrono::milliseconds(10);
@@ -47,7 +45,10 @@
 class ForwardFlow::Attempt : public HttpCallObserver {
  public:
   Attempt(ForwardFlow& flow, BackendInstance target)
-      : flow_(flow), target_(std::move(target)), sent_at_(flow.context_.environment.Now()) {
+      : flow_(flow),
+        target_(std::move(target)),
+        sent_at_(flow.context_.environment.Now()),
+        buffer_(flow.context_.memory, flow.context_.environment) {
     flow_.context_.directory.Begin(target_.id);
   }
 
@@ -61,17 +62,20 @@
     answer_ = flow_.context_.protocol.ReadAnswer(head, flow_.request_.request_id);
     if (!answer_.own)
       return flow_.OnFailed(*this, false, "the response belongs to another request");
-    if (answer_.not_run) flow_.OnRefused(*this, answer_.wrong_instance);
+    if (answer_.not_run) return flow_.OnRefused(*this, answer_.wrong_instance);
+    buffer_.Begin(head, handle_.get(), kMaxAnswerBytes);
   }
 
   void OnBody(std::string bytes) override {
     if (ended_) return;
-    body_ += bytes;
-    if (body_.size() > kMaxAnswerBytes) flow_.OnFailed(*this, false, "the response exceeds 32 MiB");
+    buffer_.Append(bytes);
+    if (buffer_.size() > kMaxAnswerBytes) {
+      flow_.OnFailed(*this, false, "the response exceeds 32 MiB");
+    }
   }
 
   void OnFinished() override {
-    if (!ended_) flow_.OnAnswer(*this, head_, std::move(body_));
+    if (!ended_) flow_.OnAnswer(*this, head_, buffer_.Take());
   }
 
   void OnFailed(CallFailure failure, const std::string& reason) override {
@@ -82,10 +86,16 @@
   void End(BackendEnd end) {
     if (ended_) return;
     ended_ = true;
+    buffer_.End();
     handle_.reset();
-    flow_.context_.directory.End(target_.id, end, flow_.context_.environment.Now() - sent_at_);
+    // A pause of this gateway does not make the back end slow.
+    const Duration took = flow_.context_.environment.Now() - sent_at_ - buffer_.PausedTime();
+    flow_.context_.directory.End(target_.id, end, took);
   }
 
+  /// Whether the response is being received, but paused for lack of memory.
+  bool paused() const { return buffer_.paused(); }
+
   const BackendInstance& target() const { return target_; }
   const InstanceId& instance() const { return target_.id; }
   TimePoint sent_at() const { return sent_at_; }
@@ -98,15 +108,24 @@
   std::unique_ptr<CallHandle> handle_;
   HttpResponseHead head_;
   BackendAnswer answer_;
-  std::string body_;
+  ResponseBuffer buffer_;
   bool ended_ = false;
 };
 
+std::shared_ptr<HeldBytes> HeldOf(const ForwardContext& context) {
+  return context.memory == nullptr ? nullptr : context.memory->held();
+}
+
+HeldBytes::Hold HoldRequest(const ForwardContext& context, const ForwardRequest& request) {
+  return HeldBytes::Hold(HeldOf(context), request.http.body.size());
+}
+
 ForwardFlow::ForwardFlow(ForwardContext& context, Route route, ForwardRequest request,
                          Callback done)
     : context_(context),
       route_(std::move(route)),
       request_(std::move(request)),
+      request_hold_(HoldRequest(context, request_)),
       done_(std::move(done)),
       started_at_(context.environment.Now()),
       meter_(context.on_request_started, request_.tenant),
@@ -228,6 +247,10 @@
 void ForwardFlow::Hedge() {
   // A hedge of a suspect request could crash two back ends at once.
   if (watch_.IsSuspect()) return;
+  // Another attempt could not be read sooner than one that waits for memory here.
+  const bool paused = std::any_of(attempts_.begin(), attempts_.end(),
+                                  [](const auto& attempt) { return attempt->paused(); });
+  if (paused) return ArmHedge();
   if (may_have_run_ < route_.attempts) SendAttempt();
   if (may_have_run_ < route_.attempts) ArmHedge();
 }
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -14,6 +14,7 @@
 #include "common/environment.h"
 #include "common/scoped_timer.h"
 #include "http/exchange.h"
+#include "http/response_memory.h"
 #include "ingress/backend_directory.h"
 #include "ingress/backend_protocol.h"
 #include "ingress/forward_request.h"
@@ -78,8 +79,18 @@
   std::function<std::optional<Duration>()> confirmation_age = [] {
     return std::optional<Duration>();
   };
+  /// Memory of buffered responses and of requests; null if it has no bound.
+  ResponseMemory* memory = nullptr;
 };
 
+/// Larger responses are treated as failures.
+inline constexpr size_t kMaxAnswerBytes = 32 * 1024 * 1024;
+
+/// The count of bytes held in memory; null if it has no bound.
+std::shared_ptr<HeldBytes> HeldOf(const ForwardContext& context);
+/// Counts the memory of `request` while it is in progress.
+HeldBytes::Hold HoldRequest(const ForwardContext& context, const ForwardRequest& request);
+
 /// Meters a request at most once, however often it runs.
 class RequestMeter {
  public:
@@ -147,6 +158,7 @@
   ForwardContext& context_;
   const Route route_;
   const ForwardRequest request_;
+  const HeldBytes::Hold request_hold_;
   Callback done_;
   TimePoint started_at_;
   TimePoint deadline_;
--- a/source/ingress/ingress_service.cc
+++ b/source/ingress/ingress_service.cc
@@ -164,6 +164,11 @@
   return id;
 }
 
+void IngressService::SetStreamPaused(FlowId flow, bool paused) {
+  const auto found = streams_.find(flow);
+  if (found != streams_.end()) found->second.flow->SetPaused(paused);
+}
+
 template <class Flow>
 std::optional<ForwardResult> IngressService::End(std::map<FlowId, Running<Flow>>& running,
                                                  FlowId flow) {
--- a/source/ingress/ingress_service.h
+++ b/source/ingress/ingress_service.h
@@ -44,6 +44,8 @@
   void SetConfirmationAge(std::function<std::optional<Duration>()> age) {
     context_.confirmation_age = std::move(age);
   }
+  /// Bounds the memory of buffered responses; `memory` outlives the service.
+  void SetResponseMemory(ResponseMemory* memory) { context_.memory = memory; }
   /// Where crashes of back ends are reported; outlives the service.
   void SetSuspectRegister(SuspectRegister& suspects) { guard_.SetRegister(&suspects); }
   RequestGuard& guard() { return guard_; }
@@ -66,6 +68,8 @@
   /// The same for a request of a streaming route; `sink` outlives the flow.
   FlowId ForwardStream(ForwardRequest request, StreamSink& sink,
                        std::function<void(StreamEnd)> done);
+  /// Pauses or resumes reading a stream from its back end; no effect once it has ended.
+  void SetStreamPaused(FlowId flow, bool paused);
   /// Cancels a request whose client has disconnected. Returns its attempts and routes for the log;
   /// nullopt if it has ended.
   std::optional<ForwardResult> Cancel(FlowId flow);
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -23,7 +23,10 @@
 class StreamFlow::Run : public HttpCallObserver {
  public:
   Run(StreamFlow& flow, BackendInstance target)
-      : flow_(flow), target_(std::move(target)), sent_at_(flow.context_.environment.Now()) {
+      : flow_(flow),
+        target_(std::move(target)),
+        sent_at_(flow.context_.environment.Now()),
+        buffer_(flow.context_.memory, flow.context_.environment) {
     flow_.context_.directory.Begin(target_.id);
   }
 
@@ -31,10 +34,14 @@
     handle_ = flow_.context_.http.Start(target_.address, std::move(request), *this);
   }
   void OnHead(const HttpResponseHead& head) override {
-    if (!ended_) flow_.OnHead(*this, head);
+    if (!ended_ && flow_.OnHead(*this, head)) buffer_.Begin(head, handle_.get(), kMaxAnswerBytes);
   }
   void OnBody(std::string bytes) override {
-    if (!ended_) flow_.OnBody(*this, std::move(bytes));
+    if (ended_) return;
+    if (!flow_.plain_) return flow_.OnEvents(*this, bytes);
+    buffer_.Append(bytes);
+    if (buffer_.size() <= kMaxAnswerBytes) return;
+    flow_.OnFailed(*this, BackendEnd::kFailed, "the response exceeds 32 MiB");
   }
   void OnFinished() override {
     if (!ended_) flow_.OnFinished(*this);
@@ -48,10 +55,31 @@
   void End(BackendEnd end) {
     if (ended_) return;
     ended_ = true;
+    buffer_.End();
     handle_.reset();
-    flow_.context_.directory.End(target_.id, end, flow_.context_.environment.Now() - sent_at_);
+    const TimePoint now = flow_.context_.environment.Now();
+    if (paused_since_) paused_time_ += now - *paused_since_;
+    // A pause of this gateway does not make the back end slow.
+    const Duration took = now - sent_at_ - paused_time_ - buffer_.PausedTime();
+    flow_.context_.directory.End(target_.id, end, took);
+  }
+
+  /// Only streams are paused for their reader; a plain response is paused by its buffer.
+  void SetPaused(bool paused) {
+    if (paused == paused_since_.has_value()) return;
+    const TimePoint now = flow_.context_.environment.Now();
+    if (paused) {
+      paused_since_ = now;
+      handle_->PauseReading();
+    } else {
+      paused_time_ += now - *paused_since_;
+      paused_since_.reset();
+      handle_->ResumeReading();
+    }
   }
 
+  std::string TakeBody() { return buffer_.Take(); }
+
   const BackendInstance& target() const { return target_; }
   TimePoint sent_at() const { return sent_at_; }
 
@@ -60,6 +88,9 @@
   const BackendInstance target_;
   const TimePoint sent_at_;
   std::unique_ptr<CallHandle> handle_;
+  ResponseBuffer buffer_;
+  std::optional<TimePoint> paused_since_;
+  Duration paused_time_{0};
   bool ended_ = false;
 };
 
@@ -68,6 +99,8 @@
     : context_(context),
       route_(std::move(route)),
       request_(std::move(request)),
+      request_hold_(HoldRequest(context, request_)),
+      partial_event_hold_(HeldOf(context)),
       sink_(sink),
       done_(std::move(done)),
       started_at_(context.environment.Now()),
@@ -134,35 +167,48 @@
   if (begun_) request.resume_after = events_;
   run_ = std::make_unique<Run>(*this, *std::move(target));
   run_->Start(context_.protocol.MakeRequest(request));
+  if (paused_) run_->SetPaused(true);
+}
+
+void StreamFlow::SetPaused(bool paused) {
+  paused_ = paused;
+  if (run_ != nullptr) run_->SetPaused(paused);
 }
 
-void StreamFlow::OnHead(Run& run, const HttpResponseHead& head) {
+bool StreamFlow::OnHead(Run& run, const HttpResponseHead& head) {
   const BackendAnswer answer = context_.protocol.ReadAnswer(head, request_.request_id);
-  if (!answer.own)
-    return OnFailed(run, BackendEnd::kFailed, "the response belongs to another request");
+  if (!answer.own) {
+    OnFailed(run, BackendEnd::kFailed, "the response belongs to another request");
+    return false;
+  }
   if (answer.not_run) {
     --may_have_run_;
     EndRun(answer.wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
-    return SendIfAllowed();
+    SendIfAllowed();
+    return false;
   }
   if (begun_ && head.status != kOk) {
-    return OnFailed(run, BackendEnd::kFailed, fmt::format("status {}", head.status));
+    OnFailed(run, BackendEnd::kFailed, fmt::format("status {}", head.status));
+    return false;
   }
-  if (begun_) return;
+  if (begun_) return false;
   head_ = head;
   plain_ = head.status != kOk;
-  if (plain_) return;
+  if (plain_) return true;
   begun_ = true;
   sink_.OnHead(head);
+  return false;
 }
 
-void StreamFlow::OnBody(Run& run, std::string bytes) {
-  if (plain_) {
-    plain_body_ += bytes;
-  } else if (!ForwardEvents(bytes)) {
-    OnFailed(run, BackendEnd::kFailed,
-             "the stream holds an event that is malformed or out of order");
+void StreamFlow::OnEvents(Run& run, const std::string& bytes) {
+  const bool valid = ForwardEvents(bytes);
+  partial_event_hold_.Set(splitter_.partial_bytes());
+  if (!valid) {
+    return OnFailed(run, BackendEnd::kFailed,
+                    "the stream holds an event that is malformed or out of order");
   }
+  if (splitter_.partial_bytes() <= kMaxAnswerBytes) return;
+  OnFailed(run, BackendEnd::kFailed, "the stream holds an event that exceeds 32 MiB");
 }
 
 bool StreamFlow::ForwardEvents(const std::string& bytes) {
@@ -195,6 +241,7 @@
   if (!plain_ && splitter_.HasPartialEvent()) {
     return OnFailed(run, BackendEnd::kFailed, "the stream ended inside an event");
   }
+  if (plain_) plain_body_ = run.TakeBody();
   EndRun(BackendEnd::kAnswered);
   watch_.OnServed();
   Finish(ForwardOutcome::kAnswered, "");
@@ -220,7 +267,6 @@
   if (!may_run_again) return Finish(ForwardOutcome::kFailed, reason);
   splitter_ = EventStreamSplitter();
   plain_ = false;
-  plain_body_.clear();
   SendIfAllowed();
 }
 
--- a/source/ingress/stream_flow.h
+++ b/source/ingress/stream_flow.h
@@ -47,6 +47,9 @@
              Callback done);
   ~StreamFlow();
   void Start();
+  /// Backpressure: stops reading from the back end, or lets it go on. Also applies to the back ends
+  /// that the stream is resumed at. Events that were read before still reach the sink.
+  void SetPaused(bool paused);
   /// The runs so far, for the log; the other fields are unset.
   ForwardResult Progress() const;
 
@@ -60,8 +63,9 @@
   void SendRun();
   /// Calls SendRun once the configuration is current.
   void SendRunWhenCurrent();
-  void OnHead(Run& run, const HttpResponseHead& head);
-  void OnBody(Run& run, std::string bytes);
+  /// Whether the response is buffered as a plain one.
+  bool OnHead(Run& run, const HttpResponseHead& head);
+  void OnEvents(Run& run, const std::string& bytes);
   void OnFinished(Run& run);
   void OnFailed(Run& run, BackendEnd end, const std::string& reason);
   void EndRun(BackendEnd end);
@@ -73,6 +77,8 @@
   ForwardContext& context_;
   const Route route_;
   const ForwardRequest request_;
+  const HeldBytes::Hold request_hold_;
+  HeldBytes::Hold partial_event_hold_;
   StreamSink& sink_;
   Callback done_;
   TimePoint started_at_;
@@ -87,6 +93,7 @@
   bool begun_ = false;
   /// The response is not an event stream: it is buffered and passed on at the end.
   bool plain_ = false;
+  bool paused_ = false;
   uint64_t events_ = 0;
   RequestMeter meter_;
   RequestWatch watch_;
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -48,6 +48,7 @@
       request_log_(environment, options.configuration_timing.lease, options.stats),
       ready_timer_(environment) {
   ingress_.SetColdBound(options.cold_bound);
+  ingress_.SetResponseMemory(options.memory);
   ingress_.directory().SetColdAssignmentCheck([this](const InstanceId& instance) {
     return cold_assignment_.IsAssignedToSelf(instance.value(), configuration_->ConfirmedSince());
   });
--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -29,6 +29,8 @@
   ColdBound cold_bound;
   /// Requests are admitted per service: see ingress/.
   bool controls_admission = false;
+  /// Bounds the memory of buffered responses; must outlive the node; may be null.
+  ResponseMemory* memory = nullptr;
 };
 
 enum class AdmissionVerdict : uint8_t {
--- a/source/server/node_options.cc
+++ b/source/server/node_options.cc
@@ -160,6 +160,15 @@
   return options;
 }
 
+HeldBytesOptions HeldBytesOptionsOf(const ServerSettings& settings) {
+  HeldBytesOptions options;
+  // The rest is for the program, its configuration and its connections.
+  constexpr uint64_t kProcessMemoryPerHeldByte = 4;
+  options.bound = settings.limits.process_memory / kProcessMemoryPerHeldByte;
+  options.slow_reader = settings.timing.slow_reader;
+  return options;
+}
+
 HttpServerOptions HttpServerOptionsOf(const ServerSettings& settings) {
   HttpServerOptions options;
   options.max_header_bytes = settings.limits.http_header;
--- a/source/server/node_options.h
+++ b/source/server/node_options.h
@@ -22,6 +22,7 @@
 StorageNodeOptions StorageOptionsOf(const ServerSettings& settings, const NodeRecord& self);
 JobGroupBootstrapperOptions JobBootstrapperOptionsOf(const ServerSettings& settings);
 PeerTransportOptions TransportOptionsOf(const ServerSettings& settings, Incarnation incarnation);
+HeldBytesOptions HeldBytesOptionsOf(const ServerSettings& settings);
 HttpServerOptions HttpServerOptionsOf(const ServerSettings& settings);
 HttpCallerOptions HttpCallerOptionsOf(const ServerSettings& settings);
 
--- a/source/server/server_node.cc
+++ b/source/server/server_node.cc
@@ -51,8 +51,11 @@
 StartError ServerNode::StartParts() {
   environment_ = std::make_unique<RuntimeEnvironment>(runtime_, executor_);
   stop_timer_ = std::make_unique<ScopedTimer>(*environment_);
-  caller_ = std::make_unique<BeastHttpCaller>(runtime_, executor_, HttpCallerOptionsOf(settings_),
-                                              &stats_);
+  held_bytes_ = std::make_shared<HeldBytes>(HeldBytesOptionsOf(settings_), &stats_);
+  response_memory_ = std::make_unique<ResponseMemory>(*environment_, held_bytes_);
+  HttpCallerOptions caller_options = HttpCallerOptionsOf(settings_);
+  caller_options.held_bytes = held_bytes_;
+  caller_ = std::make_unique<BeastHttpCaller>(runtime_, executor_, caller_options, &stats_);
   back_ends_ = std::make_unique<RoutedHttpCaller>(*caller_, AddressRoutes(settings_.routes));
   engines_ = std::make_unique<HttpEngineClient>(*environment_, *back_ends_);
   StartError error = OpenFolder();
@@ -178,6 +181,7 @@
   if (ServesPlatform()) {
     IngressNodeOptions ingress_options = IngressOptionsOf(settings_, self);
     ingress_options.stats = &stats_;
+    ingress_options.memory = response_memory_.get();
     ingress_ =
         std::make_unique<IngressNode>(*environment_, *peers_, *back_ends_, platform::Servers(),
                                       platform::Routing(), std::move(ingress_options));
@@ -229,8 +233,10 @@
 
 absl::StatusOr<std::unique_ptr<HttpServer>> ServerNode::ListenHttp(const std::string& address,
                                                                    RequestHandler& handler) {
-  return HttpServer::Listen(runtime_, executor_, address, handler, HttpServerOptionsOf(settings_),
-                            &stats_);
+  HttpServerOptions options = HttpServerOptionsOf(settings_);
+  options.held_bytes = held_bytes_;
+  if (ServesPlatform()) options.request_id_header = platform::RequestIdHeader();
+  return HttpServer::Listen(runtime_, executor_, address, handler, std::move(options), &stats_);
 }
 
 void ServerNode::Receive(const NodeId& from, const PeerMessage& message) {
@@ -348,6 +354,7 @@
     engines_.reset();
     back_ends_.reset();
     caller_.reset();
+    response_memory_.reset();
     peers_.reset();
     transport_.reset();
     files_.reset();
--- a/source/server/server_node.h
+++ b/source/server/server_node.h
@@ -13,6 +13,7 @@
 #include "http/beast_http_caller.h"
 #include "http/http_engine_client.h"
 #include "http/http_server.h"
+#include "http/response_memory.h"
 #include "jobs/ingress_node.h"
 #include "jobs/storage_node.h"
 #include "runtime/runtime.h"
@@ -88,6 +89,9 @@
   std::unique_ptr<PosixFileSystem> files_;
   std::unique_ptr<TcpPeerTransport> transport_;
   std::unique_ptr<RoutedPeerTransport> peers_;
+  /// Shared with connections and calls, which may end after the node.
+  std::shared_ptr<HeldBytes> held_bytes_;
+  std::unique_ptr<ResponseMemory> response_memory_;
   std::unique_ptr<BeastHttpCaller> caller_;
   std::unique_ptr<RoutedHttpCaller> back_ends_;
   std::unique_ptr<HttpEngineClient> engines_;
