Bound responses of unknown length, and test slow readers

Cause: responses of unknown length that were all partly read filled the memory, so that small requests beside 200 such callers failed with 504, and in the order of arrival a caller that reads waited for all that don't.

Change: responses of unknown length share a quarter of the bound, and one at a time may exceed it; the newest response that waits goes first.

--- a/source/http/response_memory.cc
+++ b/source/http/response_memory.cc
@@ -9,6 +9,12 @@
 
 /// Responses up to this size may use the last quarter of the bound.
 constexpr size_t kSmallResponseBytes = 64 * 1024;
+/// The same for a response of unknown length, which may become large. Less than what is read at
+/// once, since otherwise the first bytes of a few hundred such responses would fill that quarter.
+constexpr size_t kSmallUnsizedBytes = 8 * 1024;
+/// Responses of unknown length that are in progress take at most this part of the bound together,
+/// since they may all come to wait for each other. One of them at a time may take more.
+constexpr size_t kUnsizedShare = 4;
 /// A response of unknown length asks for memory in steps of this size.
 constexpr size_t kGrowthBytes = 64 * 1024;
 /// Interval of the checks while responses wait for memory; it adds to the time of such a response.
@@ -42,10 +48,12 @@
   tick_timer_.Arm(interval, [this] { Tick(); });
 }
 
-const ResponseBuffer* ResponseMemory::OldestWaiter() const {
-  const auto found = std::find_if(buffers_.begin(), buffers_.end(),
-                                  [](const ResponseBuffer* one) { return one->wanted_ > 0; });
-  return found == buffers_.end() ? nullptr : *found;
+std::vector<ResponseBuffer*> ResponseMemory::Waiters() const {
+  std::vector<ResponseBuffer*> waiters;
+  for (auto one = buffers_.rbegin(); one != buffers_.rend(); ++one) {
+    if ((*one)->wanted_ > 0) waiters.push_back(*one);
+  }
+  return waiters;
 }
 
 void ResponseMemory::OnWaiting() {
@@ -55,7 +63,10 @@
 }
 
 void ResponseMemory::OnEnded(const ResponseBuffer& buffer) {
-  if (over_limit_ == &buffer) over_limit_ = nullptr;
+  if (over_limit_ != &buffer) return;
+  over_limit_ = nullptr;
+  // The next one goes on at once, after the caller's work.
+  if (ticks_for_waiters_) ArmTick(Duration(0));
 }
 
 void ResponseMemory::Tick() {
@@ -64,57 +75,78 @@
   ticked_at_ = now;
   ResumeWaiting();
   CutSlowReaders();
-  ticks_for_waiters_ = OldestWaiter() != nullptr;
+  ticks_for_waiters_ = !Waiters().empty();
   ArmTick(ticks_for_waiters_ ? kWaitingTickInterval : kTickInterval);
 }
 
-bool ResponseMemory::HasOlderWaiter(const ResponseBuffer& buffer) const {
-  for (const ResponseBuffer* other : buffers_) {
-    if (other == &buffer) return false;
-    if (other->wanted_ > kSmallResponseBytes) return true;
+bool ResponseMemory::IsPreceded(const ResponseBuffer& buffer) const {
+  for (auto one = buffers_.rbegin(); one != buffers_.rend() && *one != &buffer; ++one) {
+    if ((*one)->wanted_ > 0 && !(*one)->IsSmall((*one)->wanted_)) return true;
   }
   return false;
 }
 
+bool ResponseMemory::Fits(const ResponseBuffer& buffer, size_t bytes, size_t freed) const {
+  const size_t bound = held_->bound();
+  const size_t not_others = buffer.hold_->bytes() + freed;
+  const size_t total = held_->total();
+  const size_t others = total - std::min(total, not_others);
+  if (buffer.IsSmall(bytes)) return others + bytes <= bound;
+  if (others + bytes > held_->pressure_threshold()) return false;
+  if (buffer.sized_) return true;
+  size_t unsized = bytes;
+  for (const ResponseBuffer* other : buffers_) {
+    if (other != &buffer && !other->sized_) unsized += other->hold_->bytes();
+  }
+  return unsized <= bound / kUnsizedShare;
+}
+
+bool ResponseMemory::FitsOverLimit(const ResponseBuffer& buffer, size_t bytes, size_t freed) const {
+  size_t not_counted = buffer.hold_->bytes() + freed;
+  for (const ResponseBuffer* other : buffers_) {
+    if (other != &buffer && other->wanted_ > 0) not_counted += other->hold_->bytes();
+  }
+  const size_t total = held_->total();
+  const size_t counted = total - std::min(total, not_counted);
+  // A larger response counts as this share: otherwise one above the bound could never be read.
+  const size_t share = held_->bound() / kUnsizedShare;
+  return counted + std::min(bytes, share) <= held_->pressure_threshold() - share;
+}
+
 bool ResponseMemory::MayHold(const ResponseBuffer& buffer, size_t bytes) {
   if (held_->bound() == 0) return true;
-  const size_t total = held_->total();
-  const size_t others = total - std::min(total, buffer.hold_->bytes());
-  if (bytes <= kSmallResponseBytes) return others + bytes <= held_->bound();
-  if (HasOlderWaiter(buffer)) return false;
-  const size_t limit = held_->pressure_threshold();
-  if (others + bytes <= limit) return true;
-  if (over_limit_ != nullptr && over_limit_ != &buffer) return false;
-  // A response above half of the bound counts as half of it: otherwise one above the bound could
-  // never be read. It still needs most of the memory to be free.
-  const size_t not_in_progress = total - std::min(total, in_progress_bytes_);
-  if (not_in_progress + std::min(bytes, held_->bound() / 2) > limit) return false;
+  const bool small = buffer.IsSmall(bytes);
+  // A response that is partly read is not held up by others that wait.
+  const bool held_up = !small && !buffer.granted_ && IsPreceded(buffer);
+  if (held_up) return false;
+  if (Fits(buffer, bytes, 0)) return true;
+  const bool available = over_limit_ == nullptr || over_limit_ == &buffer;
+  if (small || !available || !FitsOverLimit(buffer, bytes, 0)) return false;
   over_limit_ = &buffer;
   return true;
 }
 
 void ResponseMemory::ResumeWaiting() {
-  for (ResponseBuffer* buffer : buffers_) {
-    if (buffer->wanted_ == 0 || !MayHold(*buffer, buffer->wanted_)) continue;
+  for (ResponseBuffer* buffer : Waiters()) {
+    if (!MayHold(*buffer, buffer->wanted_)) continue;
     buffer->Count(buffer->wanted_);
     buffer->Resume();
   }
 }
 
 void ResponseMemory::CutSlowReaders() {
-  const ResponseBuffer* waiter = OldestWaiter();
-  if (waiter == nullptr && !held_->AtBound()) return;
-  const bool large = waiter != nullptr && waiter->wanted_ > kSmallResponseBytes;
-  const size_t limit = large ? held_->pressure_threshold() : held_->bound();
-  // Without a waiter, the total has to fall below the bound.
-  size_t missing = 1;
-  if (waiter != nullptr) {
-    missing = std::min(waiter->wanted_, held_->bound() / 2);
-    missing -= std::min(missing, waiter->hold_->bytes());
-  }
+  const std::vector<ResponseBuffer*> waiters = Waiters();
   // Cuts as few readers as necessary, so that others have time to read.
   size_t being_cut = held_->BytesBeingCut();
-  while (held_->total() + missing > limit + being_cut) {
+  const auto is_enough = [&] {
+    if (waiters.empty()) return held_->total() < held_->bound() + being_cut;
+    // The one over the limit goes first: others may be able to go on only after its end.
+    const bool over_limit_waits = over_limit_ != nullptr && over_limit_->wanted_ > 0;
+    const ResponseBuffer& next = over_limit_waits ? *over_limit_ : *waiters.front();
+    if (Fits(next, next.wanted_, being_cut)) return true;
+    return !next.IsSmall(next.wanted_) && FitsOverLimit(next, next.wanted_, being_cut);
+  };
+  while (!is_enough()) {
     const size_t bytes = held_->CutSlowestReader();
     if (bytes == 0) return;
     being_cut += bytes;
@@ -129,23 +161,26 @@
 void ResponseBuffer::Begin(const HttpResponseHead& head, CallHandle* call, size_t max_bytes) {
   const std::optional<size_t> length = LengthOf(head);
   if (memory_ == nullptr) return;
+  sized_ = length.has_value();
   call_ = call;
   hold_.emplace(memory_->held());
   position_ = memory_->buffers_.insert(memory_->buffers_.end(), this);
-  if (length) Hold(0, std::min(*length, max_bytes));
+  if (length.value_or(0) > 0) Hold(0, std::min(*length, max_bytes));
 }
 
 void ResponseBuffer::Append(const std::string& bytes) {
   if (hold_) body_.reserve(hold_->bytes());
   body_ += bytes;
   if (!hold_ || body_.size() <= hold_->bytes()) return;
-  const size_t needed =
-      body_.size() <= kSmallResponseBytes ? body_.size() : body_.size() + kGrowthBytes;
+  const size_t needed = IsSmall(body_.size()) ? body_.size() : body_.size() + kGrowthBytes;
   Hold(body_.size(), std::max(needed, wanted_));
 }
 
 void ResponseBuffer::Hold(size_t bytes, size_t wanted) {
-  if (memory_->MayHold(*this, wanted)) return Count(wanted);
+  if (memory_->MayHold(*this, wanted)) {
+    Count(wanted);
+    return Resume();
+  }
   // What has arrived is counted even if it doesn't fit.
   Count(bytes);
   wanted_ = std::max(wanted, bytes);
@@ -155,13 +190,14 @@
   call_->PauseReading();
 }
 
-void ResponseBuffer::Count(size_t bytes) {
-  const size_t before = hold_->bytes();
-  hold_->Set(std::max(before, bytes));
-  memory_->in_progress_bytes_ += hold_->bytes() - before;
+bool ResponseBuffer::IsSmall(size_t bytes) const {
+  return bytes <= (sized_ ? kSmallResponseBytes : kSmallUnsizedBytes);
 }
 
+void ResponseBuffer::Count(size_t bytes) { hold_->Set(std::max(hold_->bytes(), bytes)); }
+
 void ResponseBuffer::Resume() {
+  granted_ = true;
   wanted_ = 0;
   paused_time_ = PausedTime();
   if (!paused()) return;
@@ -188,7 +224,6 @@
   memory_->OnEnded(*this);
   memory_->buffers_.erase(*position_);
   position_.reset();
-  memory_->in_progress_bytes_ -= hold_->bytes();
   hold_.reset();
 }
 
--- a/source/http/response_memory.h
+++ b/source/http/response_memory.h
@@ -4,8 +4,12 @@
 /// A response that is buffered whole is read only while its bytes fit: large ones up to three
 /// quarters of the bound, so that the last quarter serves small responses while others wait. A
 /// response whose length is known reserves its memory before it is read, so that responses in
-/// progress can't fill the memory without any of them becoming complete; one at a time may also go
-/// on when only the others in progress are in its way.
+/// progress can't fill the memory without any of them becoming complete. Those of unknown length
+/// share a quarter of the bound, and one at a time may go on beyond it.
+///
+/// Among responses that wait, the newest goes first. Callers that do not read keep their memory
+/// until they are cut, so in the order of arrival each of them would delay all later callers by
+/// that time.
 ///
 /// Lives on the node's serial executor; owns no sockets.
 #pragma once
@@ -16,6 +20,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "common/environment.h"
 #include "common/scoped_timer.h"
@@ -38,10 +43,15 @@
 
   /// Whether `buffer` may grow to `bytes`, possibly as the one response over the limit.
   bool MayHold(const ResponseBuffer& buffer, size_t bytes);
-  /// Whether an older large response waits for memory.
-  bool HasOlderWaiter(const ResponseBuffer& buffer) const;
-  /// The oldest response that waits for memory; null if there is none.
-  const ResponseBuffer* OldestWaiter() const;
+  /// The responses that wait for memory, in the order in which they get it.
+  std::vector<ResponseBuffer*> Waiters() const;
+  /// Whether a large response waits for memory that is newer than `buffer`.
+  bool IsPreceded(const ResponseBuffer& buffer) const;
+  /// Whether `buffer` may grow to `bytes` within the limits, once `freed` bytes are free.
+  bool Fits(const ResponseBuffer& buffer, size_t bytes, size_t freed) const;
+  /// Whether it may grow to `bytes` as the one response over the limit. What others hold that wait
+  /// themselves is not counted.
+  bool FitsOverLimit(const ResponseBuffer& buffer, size_t bytes, size_t freed) const;
   /// Called when a response starts to wait for memory.
   void OnWaiting();
   void OnEnded(const ResponseBuffer& buffer);
@@ -54,9 +64,7 @@
   const std::shared_ptr<HeldBytes> held_;
   /// Responses in progress, oldest first.
   std::list<ResponseBuffer*> buffers_;
-  /// Sum of what `buffers_` hold.
-  size_t in_progress_bytes_ = 0;
-  /// The response that may exceed the limit because only others in progress are in its way.
+  /// The response that may exceed the limit because only others that wait are in its way.
   const ResponseBuffer* over_limit_ = nullptr;
   bool ticks_for_waiters_ = false;
   TimePoint ticked_at_;
@@ -95,6 +103,8 @@
   void Hold(size_t bytes, size_t wanted);
   void Count(size_t bytes);
   void Resume();
+  /// Whether a body of `bytes` may use the memory that is kept for small ones.
+  bool IsSmall(size_t bytes) const;
 
   ResponseMemory* const memory_;
   Environment& environment_;
@@ -102,6 +112,10 @@
   std::optional<std::list<ResponseBuffer*>::iterator> position_;
   CallHandle* call_ = nullptr;
   std::string body_;
+  /// The response declares its length.
+  bool sized_ = false;
+  /// Memory was granted before, so that the response is partly read.
+  bool granted_ = false;
   /// What the buffer asked for and does not hold yet; 0 if it doesn't wait.
   size_t wanted_ = 0;
   std::optional<TimePoint> paused_since_;
--- a/test/ingress/fake_backends.h
+++ b/test/ingress/fake_backends.h
@@ -31,6 +31,9 @@
   HttpRequest request;
   Duration at{0};
   bool cancelled = false;
+  /// While the caller reads nothing, events of the call are held.
+  bool paused = false;
+  int pauses = 0;
 };
 
 class FakeBackends : public HttpCaller {
@@ -50,8 +53,9 @@
     answer.kind = FakeAnswer::Kind::kUnreachable;
     if (script != scripts_.end()) answer = script->second(request);
     const auto live = std::make_shared<HttpCallObserver*>(&observer);
-    Play(answer, live);
-    return std::make_unique<Handle>(call, live);
+    const auto held = std::make_shared<Held>();
+    Play(answer, {call, live, held});
+    return std::make_unique<Handle>(*this, Exchange{call, live, held});
   }
 
   size_t CountAt(const std::string& address) const {
@@ -71,51 +75,79 @@
 
  private:
   using Live = std::shared_ptr<HttpCallObserver*>;
+  using Event = std::function<void(HttpCallObserver&)>;
+  using Held = std::deque<Event>;
+
+  struct Exchange {
+    std::shared_ptr<FakeCall> call;
+    Live live;
+    /// Events that arrived while the call was paused.
+    std::shared_ptr<Held> held;
+  };
 
   class Handle : public CallHandle {
    public:
-    Handle(std::shared_ptr<FakeCall> call, Live live)
-        : call_(std::move(call)), live_(std::move(live)) {}
+    Handle(FakeBackends& backends, Exchange exchange)
+        : backends_(backends), exchange_(std::move(exchange)) {}
     ~Handle() override {
-      call_->cancelled = *live_ != nullptr;
-      *live_ = nullptr;
+      exchange_.call->cancelled = *exchange_.live != nullptr;
+      *exchange_.live = nullptr;
+    }
+    void PauseReading() override {
+      exchange_.call->paused = true;
+      ++exchange_.call->pauses;
+    }
+    void ResumeReading() override {
+      exchange_.call->paused = false;
+      backends_.scheduler_.Schedule(Duration(0), [exchange = exchange_] { Deliver(exchange); });
     }
 
    private:
-    std::shared_ptr<FakeCall> call_;
-    Live live_;
+    FakeBackends& backends_;
+    Exchange exchange_;
   };
 
-  void At(Duration delay, const Live& live, std::function<void(HttpCallObserver&)> event) {
-    scheduler_.Schedule(delay, [live, event = std::move(event)] {
-      if (*live != nullptr) event(**live);
+  /// Delivers the events held, until the call is paused again.
+  static void Deliver(const Exchange& exchange) {
+    while (!exchange.call->paused && !exchange.held->empty()) {
+      const Event event = std::move(exchange.held->front());
+      exchange.held->pop_front();
+      if (*exchange.live != nullptr) event(**exchange.live);
+    }
+  }
+
+  void At(Duration delay, const Exchange& exchange, Event event) {
+    scheduler_.Schedule(delay, [exchange, event = std::move(event)] {
+      exchange.held->push_back(event);
+      Deliver(exchange);
     });
   }
 
-  void Fail(Duration delay, const Live& live, CallFailure failure) {
-    At(delay, live, [live, failure](HttpCallObserver& observer) {
+  void Fail(Duration delay, const Exchange& exchange, CallFailure failure) {
+    At(delay, exchange, [live = exchange.live, failure](HttpCallObserver& observer) {
       *live = nullptr;
       observer.OnFailed(failure, "scripted");
     });
   }
 
-  void Play(const FakeAnswer& answer, const Live& live) {
+  void Play(const FakeAnswer& answer, const Exchange& exchange) {
     using Kind = FakeAnswer::Kind;
     if (answer.kind == Kind::kNoResponse) return;
-    if (answer.kind == Kind::kUnreachable) return Fail(answer.delay, live, CallFailure::kNotSent);
-    if (answer.kind == Kind::kReset) return Fail(answer.delay, live, CallFailure::kUnknown);
-    At(answer.delay, live,
+    if (answer.kind == Kind::kUnreachable)
+      return Fail(answer.delay, exchange, CallFailure::kNotSent);
+    if (answer.kind == Kind::kReset) return Fail(answer.delay, exchange, CallFailure::kUnknown);
+    At(answer.delay, exchange,
        [head = HttpResponseHead{answer.status, answer.headers}](HttpCallObserver& observer) {
          observer.OnHead(head);
        });
     Duration at = answer.delay;
     for (const std::string& piece : answer.pieces) {
-      At(at, live, [piece](HttpCallObserver& observer) { observer.OnBody(piece); });
+      At(at, exchange, [piece](HttpCallObserver& observer) { observer.OnBody(piece); });
       at += answer.gap;
     }
-    if (answer.kind == Kind::kTruncatedBody) return Fail(at, live, CallFailure::kCut);
-    At(at, live, [live](HttpCallObserver& observer) {
-      *live = nullptr;
+    if (answer.kind == Kind::kTruncatedBody) return Fail(at, exchange, CallFailure::kCut);
+    At(at, exchange, [observed = exchange.live](HttpCallObserver& observer) {
+      *observed = nullptr;
       observer.OnFinished();
     });
   }
--- a/test/platform/ingress_request_handler_test.cc
+++ b/test/platform/ingress_request_handler_test.cc
@@ -125,5 +125,54 @@
   CHECK(pipe.Read().find("name=RequestAnswered request=id-1 status=404 ") != std::string::npos);
 }
 
+/// Records a stream; its buffer takes one piece at a time, until the test has it read.
+class OnePieceWriter : public RecordingWriter {
+ public:
+  explicit OnePieceWriter(std::shared_ptr<Answer> answer) : RecordingWriter(std::move(answer)) {}
+  void SendBody(std::string bytes) override {
+    full = true;
+    RecordingWriter::SendBody(std::move(bytes));
+  }
+  size_t WritableBytes() const override { return full ? 0 : 1; }
+  void OnWritable(std::function<void()> callback) override { on_writable = std::move(callback); }
+  void Read() {
+    full = false;
+    on_writable();
+  }
+
+  bool full = false;
+  std::function<void()> on_writable;
+};
+
+// Guards against a gateway that buffers a stream without bound for a caller that does not read.
+TEST_CASE("A stream is read from its back end only as its caller reads it") {
+  IngressHandlerFixture fixture;
+  std::string document = Document(7, R"("key-1")");
+  const std::string kind = R"("kind":"safe")";
+  fixture.control.Replace(
+      document.replace(document.find(kind), kind.size(), R"("kind":"streaming")"));
+  fixture.backends.Serve("b:1", [](const HttpRequest& request) {
+    const auto id = FindHeader(request.headers, "Request-Id");
+    return FakeAnswer{FakeAnswer::Kind::kAnswer,
+                      200,
+                      {{"Request-Id", std::string(id.value_or(""))}, {"Stamp", "s"}},
+                      {"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}};
+  });
+  fixture.Start();
+  const auto answer = std::make_shared<Answer>();
+  const auto writer = std::make_shared<OnePieceWriter>(answer);
+  fixture.calls->Handle(
+      {"POST", "/p/x", {{"Host", "h"}, {"Request-Id", "id-1"}, {"Key", "key-1"}}, ""}, writer);
+  fixture.scheduler.RunFor(std::chrono::milliseconds(200));
+  CHECK(answer->body == "id: 1\ndata: a\n\n");
+  writer->Read();
+  fixture.scheduler.RunFor(std::chrono::milliseconds(50));
+  CHECK(answer->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  CHECK_FALSE(answer->finished);
+  writer->Read();
+  fixture.scheduler.RunFor(std::chrono::milliseconds(50));
+  CHECK(answer->finished);
+}
+
 }  // namespace
 }  // namespace millstair::platform
