--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -170,11 +170,14 @@
 class Fleet:
     """All nodes, their folders and links."""
 
-    def __init__(self, program, folder, layout, history, clock_library="", before=""):
+    def __init__(self, program, folder, layout, history, clock_library="", before="",
+                 gateway_settings=""):
+        """`gateway_settings`: further sections of the gateways' settings."""
         in_use = addresses_in_use(layout)
         if in_use is not None:
             raise SystemExit(f"{in_use}: is another run active, or has one just ended?")
         self.program = program
+        self._gateway_settings = gateway_settings
         # Machines that still run the earlier build.
         self._before = before
         self._on_earlier_build = set(layout.machines + layout.gateways) if before else set()
@@ -242,7 +245,8 @@
             service=service, data=data, tolerate=self.layout.tolerate,
             leave=int(self.layout.leaving * 1000),
             seeds=", ".join(f'"{ip_of(m)}:{SERVICE}"' for m in self.layout.seeds),
-            seeds_port=CONTROL_PEER, peer=node.peer, http=f"{ip}:{port}")
+            seeds_port=CONTROL_PEER, peer=node.peer, http=f"{ip}:{port}") + (
+                self._gateway_settings if node.role == "gateway" else "")
 
     def data_folder(self, node):
         """Data folder of a node."""
