Soak: callers that stop reading

Cause: callers that do not read were tried alone, not beside other faults.

Change: the fault stop_reading has 30 callers of a gateway ask for 4 MiB each and read nothing for up to 7 s. The gateways of the soak have 120 MB. Three checks: memory of the gateway, small requests beside the stalled callers, and that a response read late is whole or visibly cut. It is also played once without other faults in every run; runs of an earlier build don't play it.

--- a/test/soak/back_ends.py
+++ b/test/soak/back_ends.py
@@ -20,6 +20,9 @@
 LOAD_TIME = 0.5
 EVENT_TIME = 0.04
 KEEP_SERVING = 3.5
+# A request whose path contains this gets LARGE_BODY.
+LARGE_PATH = "/large-"
+LARGE_BODY = b"m" * (4 * 1024 * 1024)
 # A request whose path contains this crashes each back end that runs it, after CRASH_AFTER seconds.
 CRASH_PATH = "/crash-"
 CRASH_AFTER = (0.03, 0.12)
@@ -259,6 +262,9 @@
         body = self._body()
         if self._is_other():
             return self._answer(421, b"", {"Not-Run": "1"})
+        if LARGE_PATH in self.path:
+            # Takes no slot, so that a gateway that reads slowly doesn't fill the back end.
+            return self._large(request)
         full = not own._slots.acquire(timeout=0.1)
         loading = own.versions and now() < own.busy_until
         refuses = now() < own.refuses_until or random.random() < own.faulty / 2
@@ -287,6 +293,13 @@
             own.on_crash(own)
         return self._reset()
 
+    def _large(self, request):
+        stamp = stamp_of(self.back_end.instance, request)
+        try:
+            self._answer(200, LARGE_BODY, {"Stamp": stamp})
+        except OSError:
+            self.close_connection = True  # the gateway has given up the request
+
     def _plain(self, request):
         time.sleep(random.uniform(0.005, 0.03))
         if self.back_end.stopped:
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -1,17 +1,22 @@
 """Checks of the service's guarantees against the history of a soak. Each check counts its cases and
 violations."""
 
-from back_ends import is_stamp
+from back_ends import LARGE_BODY, is_stamp
 from callers import NOT_RUN
-from history import Acknowledged, Call, CrashingRun, CrashingCall, RecordedResult, Order, Run, Span
+from history import (Acknowledged, Call, CrashingRun, CrashingCall, RecordedResult, Order, Run,
+                     SmallCall, Span, Stall)
 from routing_checks import CONTACT, Connectivity, check_routing
 from row import Row
+from stalled_callers import PROCESS_MEMORY
 
 # Lease of the engine orders in the settings of this fleet, in seconds.
 TASK_LEASE = 3.0
 # Orders this soon after a process resumed or a link healed may be late and are not judged, seconds.
 RESUME_GRACE = 0.3
 SERVED_SHARE = 0.25
+# Share of small requests that a gateway has to answer while callers stall there. A gateway whose
+# memory is used up answers none; faults of the back ends fail some.
+SERVED_BESIDE_STALLED = 0.5
 # A request that has crashed CRASHES_KNOWN back ends may be forwarded at most SENT_LATER more times,
 # from CONTACT after the last of these crashes.
 CRASHES_KNOWN = 3
@@ -151,6 +156,30 @@
     return row
 
 
+def check_stalled(history, layout):
+    """While callers do not read, a gateway stays below its memory limit and serves others; a
+    response that was not read is whole in the end, or visibly not."""
+    memory = Row("memory bounded, callers not reading")
+    served = Row("others served, callers not reading")
+    whole = Row("responses read late are whole or cut")
+    connectivity = Connectivity(history, layout)
+    small = history.of(SmallCall)
+    for stall in history.of(Stall):
+        if stall.peak is not None:
+            memory.case(stall.peak < PROCESS_MEMORY, stall)
+        judged = [call for call in small if call.machine == stall.machine
+                  and stall.begun <= call.sent and call.sent <= stall.over
+                  and connectivity.gateway(call.machine, call.sent, call.ended)]
+        if judged:
+            answered = sum(call.status == 200 for call in judged)
+            served.case(answered >= SERVED_BESIDE_STALLED * len(judged),
+                        (stall.machine, stall.begun, answered, len(judged)))
+        for result in stall.results:
+            whole.case(result is None or result[0] != 200 or result[1] == len(LARGE_BODY),
+                       (stall.machine, stall.begun, result))
+    return [memory, served, whole]
+
+
 def check_all(history, operator, trainer, instances, layout, end_of_faults):
     """The rows of all checks."""
     return [
--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -10,7 +10,7 @@
 import checks
 import exposure
 import routing_checks
-from back_ends import stamp_of
+from back_ends import LARGE_BODY, stamp_of
 from callers import Step
 from claims import Claims
 from documents import (ADDED_KEPT, FLAWS, added_route, added_service, flawed_route, flawed_text,
@@ -18,7 +18,8 @@
 from faults import Faults
 from fleet import Fleet, Layout, claim_subnet
 from history import (Acknowledged, Call, CrashingCall, CrashingRun, History, RecordedResult,
-                     OperatorCall, Order, Confirmation, PendingRead, ReadBack, Run, Sent, Span, Started)
+                     OperatorCall, Order, Confirmation, PendingRead, ReadBack, Run, Sent, SmallCall,
+                     Span, Stall, Started)
 from links import BACK, FORTH
 
 INSTANCES = {"i-1"}
@@ -532,6 +533,31 @@
         trainer.steps[0].complete = False
         self.expect(checks.check_service(history_of(answered("a")), trainer, 5.0), 2, 1)
 
+    def test_stalled(self):
+        """Too much memory; others not served beside callers that stall, unless the gateway was
+        disturbed; a response that is short although it looks complete."""
+        whole = (200, len(LARGE_BODY))
+        limit = checks.PROCESS_MEMORY
+
+        def rows(peak, results, statuses, *more):
+            history = history_of(Stall(6, 1.0, 8.0, results, peak), *more)
+            for number, status in enumerate(statuses):
+                sent = 1.0 + 0.1 * number
+                history.add(SmallCall(6, sent, sent + 0.01, status))
+            return checks.check_stalled(history, LAYOUT)
+
+        memory, served, late = rows(limit - 1, [whole, None, (504, 10)], [200, 200, 503, 0])
+        self.expect(memory, 1, 0)
+        self.expect(served, 1, 0)
+        self.expect(late, 3, 0)
+        memory, served, late = rows(limit, [(200, 7)], [200, 0, 504])
+        self.expect(memory, 1, 1)
+        self.expect(served, 1, 1)
+        self.expect(late, 1, 1)
+        memory, served, _ = rows(None, [], [0, 0], Span("kill", (6,), 0.5, 3.0))
+        self.expect(memory, 0, 0)
+        self.expect(served, 0, 0)
+
 
 if __name__ == "__main__":
     RESULT = unittest.main(exit=False, verbosity=0).result
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -3,12 +3,17 @@
 
 import random
 import signal
+import threading
 import time
 
 from acknowledger_faults import AcknowledgerFaults
+from back_ends import LARGE_PATH
+from callers import DEADLINE, exchange, new_id
 from claims import Claims
+from documents import HOST
 from fault_times import AWAY, CUT_IN_TWO, DOWN, REPLACED
-from history import Span, now
+from history import SmallCall, Span, Stall, now
+from stalled_callers import StalledCaller, peak_memory
 
 SLOW_LINK = 0.15
 # A slow machine is paused for SLOW_SHARE of each SLOW_TICK.
@@ -23,13 +28,19 @@
 # Pause of a gateway, in seconds. Longer than the bound for changes to be in force, so that it
 # misses some.
 GATEWAY_PAUSE = (3.0, 12.0)
+# Callers that stop reading, and those that come once the first may be cut: `timing.slow_reader` is
+# 5 s. Both ask for more than the gateway may hold.
+STALLED, STALLED_LATER = 20, 10
+LATER_AFTER, STALL = 5.5, 7.0
+SMALL_PAUSE = 0.1
 
 
 class Faults(AcknowledgerFaults):
     """Runs faults and records when each was active, and on which machines."""
 
-    def __init__(self, fleet, back_ends, history, operator=None):
-        """`operator` sends changes to machines as they return."""
+    def __init__(self, fleet, back_ends, history, operator=None, stalls_callers=False):
+        """`operator` sends changes to machines as they return. `stalls_callers`: the gateways bound
+        their memory, so callers may stop reading."""
         self._operator = operator
         self._fleet = fleet
         self._layout = fleet.layout
@@ -38,6 +49,8 @@
         self._claims = Claims(fleet.layout)
         self.played = []
         self.of_back_ends = [self.crash_back_end, self.replace_back_end, self.refuse]
+        # Like the faults of back ends they claim no machine and excuse no violation.
+        self.of_callers = [self.stop_reading] if stalls_callers else []
         self.one_machine = [
             self.kill, self.kill, self.freeze, self.cut, self.cut_one_way, self.slow_link, self.reset_links,
             self.stop, self.slow, self.reload]
@@ -54,7 +67,7 @@
             self.one_machine += self._clock_kinds
         self.kinds = self.one_machine + self._gateway_kinds + self._acknowledger_kinds + [
             self.lose_disk, self.stop_several, self.kill_gateways, self.strike_zone,
-            *self._exclusive_kinds, *self.of_back_ends]
+            *self._exclusive_kinds, *self.of_back_ends, *self.of_callers]
 
     @property
     def replaces_builds(self):
@@ -79,8 +92,8 @@
 
     def play(self, kind):
         """Runs one fault to its end; returns its description, or none if it could not run."""
-        if kind in self.of_back_ends:
-            # Back-end faults claim no machine of the system.
+        if kind in self.of_back_ends + self.of_callers:
+            # Faults of back ends and callers claim no machine of the system.
             what = f"{kind.__name__} {kind()}"
         elif kind in self._exclusive_kinds + self._power_off_kinds:
             struck = self._struck_by(kind)
@@ -383,3 +396,50 @@
     def refuse(self):
         """Has all back ends of a service refuse requests for a short time."""
         return self._back_ends.play("refuse")
+
+    def stop_reading(self):
+        """Callers of a gateway ask for large responses and stop reading for some seconds. Small
+        requests to it go on."""
+        machine = random.choice(self._layout.gateways)
+        process = self._fleet.on_machine(machine)[0].process
+        begun = now()
+        ended = threading.Event()
+        small = threading.Thread(target=self._send_small, args=(machine, ended))
+        small.start()
+        callers = self._stall(machine, STALLED)
+        time.sleep(LATER_AFTER)
+        callers += self._stall(machine, STALLED_LATER)
+        time.sleep(STALL - LATER_AFTER)
+        over = now()
+        ended.set()
+        small.join()
+        answers = [caller.read(DEADLINE) for caller in callers]
+        results = [answer and (answer[0], len(answer[1])) for answer in answers]
+        restarted = self._fleet.on_machine(machine)[0].process is not process
+        peak = None if restarted else peak_memory(process)
+        self._history.add(Stall(machine, begun, over, results, peak))
+        return f"at {machine}, peak memory {peak}"
+
+    def _headers(self):
+        return {"Host": HOST, "Request-Id": new_id(), "Deadline-Ms": str(int(DEADLINE * 1000))}
+
+    def _stall(self, machine, count):
+        callers = []
+        for number in range(count):
+            try:
+                callers.append(StalledCaller(machine, f"/pages{LARGE_PATH}{number}",
+                                             self._headers()))
+            except OSError:
+                pass  # the gateway is down
+        return callers
+
+    def _send_small(self, machine, ended):
+        while not ended.wait(SMALL_PAUSE):
+            call = SmallCall(machine, now(), 0.0, 0)
+            try:
+                call.status = exchange(machine, "GET", "/pages/x", None, self._headers(),
+                                       DEADLINE)[0]
+            except OSError:
+                pass  # recorded without a status
+            call.ended = now()
+            self._history.add(call)
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -126,6 +126,29 @@
     age: float
 
 
+@dataclasses.dataclass
+class Stall:
+    """Callers of a gateway stopped reading: what each got once it read again (status and size of
+    the body, or none if it was cut), and the largest memory of the process, in bytes (none if it
+    was restarted)."""
+
+    machine: int
+    begun: float
+    over: float
+    results: list
+    peak: int | None
+
+
+@dataclasses.dataclass
+class SmallCall:
+    """A small request to a gateway while callers stalled there; status 0 means no response."""
+
+    machine: int
+    sent: float
+    ended: float
+    status: int
+
+
 @dataclasses.dataclass
 class Span:
     """A fault, or planned work, on machines: from its first operation until the last was undone."""
--- a/test/soak/slow_readers.py
+++ b/test/soak/slow_readers.py
@@ -11,7 +11,6 @@
 import json
 import re
 import shutil
-import socket
 import sys
 import tempfile
 import threading
@@ -23,12 +22,10 @@
 from documents import HOST, LIMITS
 from fleet import HTTP, SERVICE, Fleet, Layout, ip_of, use_free_subnet
 from history import History, now
+from stalled_callers import GATEWAY_SETTINGS, MIB, PROCESS_MEMORY, StalledCaller, peak_memory
 
-MIB = 1024 * 1024
-# The requirement: memory of the gateway, in bytes, and number of callers that do not read.
-PROCESS_MEMORY = 120 * 1000 * 1000
+# The requirement: number of callers that do not read.
 STALLED_CALLERS = 200
-GATEWAY_SETTINGS = f"limits:\n  process_memory: {PROCESS_MEMORY // MIB}MiB\n"
 # Size of the responses that are not read, and of one that is.
 STALLED_MIB, READ_MIB = 8, 4
 # Longer than `timing.slow_reader`, 5 s by default, so that readers are cut.
@@ -44,7 +41,6 @@
 READ_EVENTS = 512
 # Connections that wait to be accepted: all callers send at once.
 BACKLOG = 512
-SMALL_RECEIVE_BUFFER = 16 * 1024
 
 
 class LargeBackEnd:
@@ -146,26 +142,6 @@
     return {"Host": HOST, "Request-Id": new_id(), "Deadline-Ms": str(int(limit * 1000))}
 
 
-class StalledCallers:
-    """Send a request each and read nothing."""
-
-    def __init__(self, machine, path):
-        self._sockets = []
-        for _ in range(STALLED_CALLERS):
-            caller = socket.socket()
-            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
-            caller.connect((ip_of(machine), SERVICE))
-            lines = "".join(f"{name}: {value}\r\n"
-                            for name, value in headers_for(LARGE_LIMIT).items())
-            caller.sendall(f"GET {path} HTTP/1.1\r\n{lines}\r\n".encode())
-            self._sockets.append(caller)
-
-    def close(self):
-        """Disconnects all."""
-        for caller in self._sockets:
-            caller.close()
-
-
 class SmallCallers:
     """Send small requests continuously and record statuses and times."""
 
@@ -249,12 +225,6 @@
         return passed == len(self.outcomes)
 
 
-def peak_memory(node):
-    """Largest resident memory of a process so far, in bytes."""
-    with open(f"/proc/{node.process.pid}/status", encoding="utf-8") as status:
-        return int(re.search(r"VmHWM:\s+(\d+) kB", status.read()).group(1)) * 1024
-
-
 def metric(machine, name):
     """Value of a metric of a gateway."""
     with urllib.request.urlopen(f"http://{ip_of(machine)}:{HTTP}/metrics", timeout=5) as page:
@@ -281,7 +251,8 @@
     result."""
     machine = gateway.machine
     small = SmallCallers(machine)
-    stalled = StalledCallers(machine, stalled_path)
+    stalled = [StalledCaller(machine, stalled_path, headers_for(LARGE_LIMIT))
+               for _ in range(STALLED_CALLERS)]
     time.sleep(1.0)
     reading = [(make(), expected) for make, expected in readers]
     time.sleep(PHASE)
@@ -291,14 +262,15 @@
         checks.check(f"beside {stalled_path} a caller that reads is served",
                      reader.what == expected, f"{reader.what}")
     small.stop()
-    stalled.close()
+    for caller in stalled:
+        caller.close()
     failed = [status for status, _ in small.results if status != 200]
     slowest = max(took for _, took in small.results)
     checks.check(f"beside {stalled_path} small requests are served",
                  len(small.results) > 100 and not failed,
                  f"{len(small.results)} requests, failed {failed[:5]}, slowest {slowest:.2f} s")
     cuts = metric(machine, "millstair_slow_readers_cut_total")
-    peak = peak_memory(gateway)
+    peak = peak_memory(gateway.process)
     checks.check(f"memory after {stalled_path}", peak < PROCESS_MEMORY,
                  f"peak {peak / 1e6:.1f} MB, held {held / 1e6:.1f} MB, cut {cuts:.0f}")
 
@@ -307,7 +279,7 @@
     """Plays all phases."""
     gateway = next(node for node in fleet.nodes if node.role == "gateway")
     machine = gateway.machine
-    print(f"memory at the start {peak_memory(gateway) / 1e6:.1f} MB", flush=True)
+    print(f"memory at the start {peak_memory(gateway.process) / 1e6:.1f} MB", flush=True)
     body = (200, READ_MIB * MIB)
     play(gateway, checks, f"/large/{STALLED_MIB}", [
         (lambda: Reader(machine, f"/large/{READ_MIB}"), body),
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -14,7 +14,7 @@
 
 from back_ends import BackEndProcess
 from callers import Client, CrashingCaller, Operator, Trainer
-from checks import check_all
+from checks import check_all, check_stalled
 import exposure
 from faults import Faults
 from fleet import Fleet, Layout, use_free_subnet, use_subnet
@@ -22,6 +22,7 @@
 from routing_checks import Versions, outcomes_of
 from probes import Prober
 from confirmations import ConfirmationReader
+from stalled_callers import GATEWAY_SETTINGS
 
 START_LIMIT = 20.0
 RECOVERY = 12.0
@@ -111,7 +112,9 @@
     fleet.start()
     operator = Operator(layout, history, arguments.change)
     await_first_configuration(operator)
-    faults = Faults(fleet, back_ends, history, operator)
+    # An earlier build may not bound its memory.
+    stalls_callers = not arguments.before
+    faults = Faults(fleet, back_ends, history, operator, stalls_callers)
     if arguments.kinds:
         faults.choose(arguments.kinds.split(","))
     time.sleep(2)
@@ -123,8 +126,11 @@
     operator.start()
     trainer.start()
     play_faults(faults, arguments)
-    # Without other faults, so that some callers are refused in every run.
+    # Without other faults, so that some callers are refused, and some stop reading at a gateway
+    # that is not disturbed, in every run.
     faults.play(faults.refuse)
+    if stalls_callers:
+        print(f"  {faults.play(faults.stop_reading)}", flush=True)
     end_of_faults = now() + RECOVERY
     time.sleep(RECOVERY + LAST_CALM)
     for part in (*callers, operator, trainer):
@@ -132,7 +138,10 @@
     trainer.ended.wait(20)
     lost = reread_results(trainer)
     instances = back_ends.end(history)
-    return check_all(history, operator, trainer, instances, layout, end_of_faults), lost
+    rows = check_all(history, operator, trainer, instances, layout, end_of_faults)
+    if stalls_callers:
+        rows += check_stalled(history, layout)
+    return rows, lost
 
 
 def main():
@@ -153,7 +162,7 @@
     good = False
     try:
         fleet = Fleet(arguments.program, folder, layout, history, arguments.clock,
-                      arguments.before)
+                      arguments.before, "" if arguments.before else GATEWAY_SETTINGS)
         rows, lost = play(arguments, fleet, back_ends, history)
         good = report(rows, lost, fleet, arguments.show)
         report_exposures(history, folder, layout)
