Serve small requests beside callers that stall responses of 32 MiB

Cause: one response above the bound that was not read kept small requests waiting until it was cut, hedges of stalled requests came before newer requests, and freed blocks stayed with the process.

Change: for small responses, a response that alone exceeds three quarters of the bound counts as a quarter; responses wait by the age of their request; the process returns large freed blocks to the system.

--- a/source/http/held_bytes.cc
+++ b/source/http/held_bytes.cc
@@ -35,6 +35,23 @@
   if (total_gauge_ != nullptr) total_gauge_->Set(static_cast<double>(total));
 }
 
+void HeldBytes::SetBytes(Entry& entry, size_t bytes) {
+  // The sum is the larger of both at any moment that another thread may see.
+  if (bytes > entry.bytes) {
+    Add(bytes - entry.bytes);
+    excess_.fetch_add(ExcessOf(bytes) - ExcessOf(entry.bytes), std::memory_order_relaxed);
+  } else {
+    excess_.fetch_sub(ExcessOf(entry.bytes) - ExcessOf(bytes), std::memory_order_relaxed);
+    Subtract(entry.bytes - bytes);
+  }
+  entry.bytes = bytes;
+}
+
+size_t HeldBytes::CappedTotal() const {
+  const size_t total = total_.load(std::memory_order_relaxed);
+  return total - std::min(total, excess_.load(std::memory_order_relaxed));
+}
+
 Duration HeldBytes::StallOf(const Entry& entry, TimePoint now) const {
   return std::max(now - std::max(entry.progress_at, stalls_count_from_), Duration(0));
 }
@@ -103,8 +120,9 @@
 HeldBytes::Reader::~Reader() {
   if (held_ == nullptr) return;
   const std::lock_guard<std::mutex> lock(held_->mutex_);
-  const auto ended = held_->readers_.extract(number_);
-  held_->Subtract(ended.mapped().bytes);
+  const auto ended = held_->readers_.find(number_);
+  held_->SetBytes(ended->second, 0);
+  held_->readers_.erase(ended);
 }
 
 void HeldBytes::Reader::Add(size_t bytes) {
@@ -113,15 +131,14 @@
   Entry& entry = held_->readers_.at(number_);
   // There was nothing to read before.
   if (entry.bytes == 0) entry.progress_at = held_->options_.now();
-  entry.bytes += bytes;
-  held_->Add(bytes);
+  held_->SetBytes(entry, entry.bytes + bytes);
 }
 
 void HeldBytes::Reader::Release(size_t bytes) {
   if (held_ == nullptr) return;
   const std::lock_guard<std::mutex> lock(held_->mutex_);
-  held_->readers_.at(number_).bytes -= bytes;
-  held_->Subtract(bytes);
+  Entry& entry = held_->readers_.at(number_);
+  held_->SetBytes(entry, entry.bytes - bytes);
 }
 
 void HeldBytes::Reader::NoteProgress() {
--- a/source/http/held_bytes.h
+++ b/source/http/held_bytes.h
@@ -50,7 +50,15 @@
   size_t bound() const { return options_.bound; }
   /// Share of the bound above which only readers that keep up get further bytes.
   size_t pressure_threshold() const { return options_.bound / 4 * 3; }
+  /// What a response counts that alone exceeds `pressure_threshold()`, where others must go on.
+  size_t share() const { return options_.bound / 4; }
   size_t total() const { return total_.load(std::memory_order_relaxed); }
+  /// Part of `bytes` held for one response that CappedTotal leaves out: what exceeds `share()` if
+  /// the response alone exceeds `pressure_threshold()`.
+  size_t ExcessOf(size_t bytes) const { return bytes > pressure_threshold() ? bytes - share() : 0; }
+  /// The sum without the excess of readers, so that a single response near or above the bound does
+  /// not count as a lack of memory for small ones.
+  size_t CappedTotal() const;
   bool UnderPressure() const { return bound() > 0 && total() >= pressure_threshold(); }
   bool AtBound() const { return bound() > 0 && total() >= bound(); }
 
@@ -74,12 +82,16 @@
 
   void Add(size_t bytes);
   void Subtract(size_t bytes);
+  /// Changes a reader's bytes. Called with `mutex_` held.
+  void SetBytes(Entry& entry, size_t bytes);
   Duration StallOf(const Entry& entry, TimePoint now) const;
 
   HeldBytesOptions options_;
   Gauge* total_gauge_ = nullptr;
   Counter* cuts_ = nullptr;
   std::atomic<size_t> total_{0};
+  /// Part of the sum that CappedTotal leaves out.
+  std::atomic<size_t> excess_{0};
   mutable std::mutex mutex_;
   /// Guarded by `mutex_`, by number of the reader.
   std::map<uint64_t, Entry> readers_;
--- a/source/http/response_memory.cc
+++ b/source/http/response_memory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace millstair {
@@ -12,9 +13,6 @@
 /// The same for a response of unknown length, which may become large. Less than what is read at
 /// once, since otherwise the first bytes of a few hundred such responses would fill that quarter.
 constexpr size_t kSmallUnsizedBytes = 8 * 1024;
-/// Responses of unknown length that are in progress take at most this part of the bound together,
-/// since they may all come to wait for each other. One of them at a time may take more.
-constexpr size_t kUnsizedShare = 4;
 /// A response of unknown length asks for memory in steps of this size.
 constexpr size_t kGrowthBytes = 64 * 1024;
 /// Interval of the checks while responses wait for memory; it adds to the time of such a response.
@@ -89,16 +87,26 @@
 bool ResponseMemory::Fits(const ResponseBuffer& buffer, size_t bytes, size_t freed) const {
   const size_t bound = held_->bound();
   const size_t not_others = buffer.hold_->bytes() + freed;
+  if (buffer.IsSmall(bytes)) {
+    // A single response above the bound does not keep small ones waiting.
+    size_t excess = not_others;
+    for (const ResponseBuffer* other : buffers_) {
+      if (other != &buffer) excess += held_->ExcessOf(other->hold_->bytes());
+    }
+    const size_t total = held_->CappedTotal();
+    return total - std::min(total, excess) + bytes <= bound;
+  }
   const size_t total = held_->total();
   const size_t others = total - std::min(total, not_others);
-  if (buffer.IsSmall(bytes)) return others + bytes <= bound;
   if (others + bytes > held_->pressure_threshold()) return false;
   if (buffer.sized_) return true;
+  // Responses of unknown length may all come to wait for each other, so together they take at most
+  // a share. One at a time may take more.
   size_t unsized = bytes;
   for (const ResponseBuffer* other : buffers_) {
     if (other != &buffer && !other->sized_) unsized += other->hold_->bytes();
   }
-  return unsized <= bound / kUnsizedShare;
+  return unsized <= held_->share();
 }
 
 bool ResponseMemory::FitsOverLimit(const ResponseBuffer& buffer, size_t bytes, size_t freed) const {
@@ -109,7 +117,7 @@
   const size_t total = held_->total();
   const size_t counted = total - std::min(total, not_counted);
   // A larger response counts as this share: otherwise one above the bound could never be read.
-  const size_t share = held_->bound() / kUnsizedShare;
+  const size_t share = held_->share();
   return counted + std::min(bytes, share) <= held_->pressure_threshold() - share;
 }
 
@@ -153,8 +161,9 @@
   }
 }
 
-ResponseBuffer::ResponseBuffer(ResponseMemory* memory, Environment& environment)
-    : memory_(memory), environment_(environment) {}
+ResponseBuffer::ResponseBuffer(ResponseMemory* memory, Environment& environment,
+                               TimePoint requested_at)
+    : memory_(memory), environment_(environment), requested_at_(requested_at) {}
 
 ResponseBuffer::~ResponseBuffer() { End(); }
 
@@ -164,7 +173,11 @@
   sized_ = length.has_value();
   call_ = call;
   hold_.emplace(memory_->held());
-  position_ = memory_->buffers_.insert(memory_->buffers_.end(), this);
+  auto next = memory_->buffers_.end();
+  while (next != memory_->buffers_.begin() && (*std::prev(next))->requested_at_ > requested_at_) {
+    --next;
+  }
+  position_ = memory_->buffers_.insert(next, this);
   if (length.value_or(0) > 0) Hold(0, std::min(*length, max_bytes));
 }
 
--- a/source/http/response_memory.h
+++ b/source/http/response_memory.h
@@ -7,9 +7,9 @@
 /// progress can't fill the memory without any of them becoming complete. Those of unknown length
 /// share a quarter of the bound, and one at a time may go on beyond it.
 ///
-/// Among responses that wait, the newest goes first. Callers that do not read keep their memory
-/// until they are cut, so in the order of arrival each of them would delay all later callers by
-/// that time.
+/// Among responses that wait, that of the newest request goes first. Callers that do not read keep
+/// their memory until they are cut, so in the order of arrival each of them would delay all later
+/// callers by that time.
 ///
 /// Lives on the node's serial executor; owns no sockets.
 #pragma once
@@ -62,7 +62,7 @@
 
   Environment& environment_;
   const std::shared_ptr<HeldBytes> held_;
-  /// Responses in progress, oldest first.
+  /// Responses in progress, those of the oldest requests first.
   std::list<ResponseBuffer*> buffers_;
   /// The response that may exceed the limit because only others that wait are in its way.
   const ResponseBuffer* over_limit_ = nullptr;
@@ -74,8 +74,9 @@
 /// The body of one response that is buffered whole. Pauses its call while memory is short.
 class ResponseBuffer {
  public:
-  /// `memory` outlives the buffer; if null, nothing is counted or paused.
-  ResponseBuffer(ResponseMemory* memory, Environment& environment);
+  /// `memory` outlives the buffer; if null, nothing is counted or paused. `requested_at` is when
+  /// the caller's request arrived: a later attempt at it is as old as the first.
+  ResponseBuffer(ResponseMemory* memory, Environment& environment, TimePoint requested_at);
   ~ResponseBuffer();
   ResponseBuffer(const ResponseBuffer&) = delete;
   ResponseBuffer& operator=(const ResponseBuffer&) = delete;
@@ -108,6 +109,7 @@
 
   ResponseMemory* const memory_;
   Environment& environment_;
+  const TimePoint requested_at_;
   std::optional<HeldBytes::Hold> hold_;
   std::optional<std::list<ResponseBuffer*>::iterator> position_;
   CallHandle* call_ = nullptr;
--- a/source/http/server_connection.cc
+++ b/source/http/server_connection.cc
@@ -1,6 +1,7 @@
 #include "http/server_connection.h"
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -35,7 +36,6 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 using SteadyTime = std::chrono::steady_clock::time_point;
-using UnsentLowWater = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
 using RequestParser = http::request_parser<http::string_body>;
 
 constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
@@ -77,8 +77,9 @@
   void Start() {
     boost::system::error_code ignored;
     socket_.set_option(Tcp::no_delay(true), ignored);
-    // Only affects how soon progress is seen, so a failure changes nothing else.
-    socket_.set_option(UnsentLowWater(kUnsentLowWaterBytes), ignored);
+    // Only affects how soon progress is seen, so a failure is ignored.
+    static_cast<void>(::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                                   &kUnsentLowWaterBytes, sizeof(kUnsentLowWaterBytes)));
     asio::co_spawn(
         strand_, [self = shared_from_this()] { return self->ReadAhead(); }, asio::detached);
     asio::co_spawn(
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -26,7 +26,7 @@
       : flow_(flow),
         target_(std::move(target)),
         sent_at_(flow.context_.environment.Now()),
-        buffer_(flow.context_.memory, flow.context_.environment) {
+        buffer_(flow.context_.memory, flow.context_.environment, flow.started_at_) {
     flow_.context_.directory.Begin(target_.id);
   }
 
--- a/source/server/server_node.cc
+++ b/source/server/server_node.cc
@@ -1,5 +1,7 @@
 #include "server/server_node.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -16,6 +18,10 @@
 namespace millstair {
 namespace {
 
+/// Freed blocks above this size are returned to the system at once. By default glibc raises the
+/// size to up to 32 MiB as large blocks are freed, and keeps blocks below it.
+constexpr int kMmapThresholdBytes = 256 * 1024;
+
 constexpr Duration kResponsePollInterval = std::chrono::milliseconds(20);
 /// How long a stopping node waits for its last responses to be sent.
 constexpr Duration kResponseDrainTimeout = std::chrono::seconds(10);
@@ -51,6 +57,7 @@
 StartError ServerNode::StartParts() {
   environment_ = std::make_unique<RuntimeEnvironment>(runtime_, executor_);
   stop_timer_ = std::make_unique<ScopedTimer>(*environment_);
+  if (settings_.limits.process_memory > 0) ::mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   held_bytes_ = std::make_shared<HeldBytes>(HeldBytesOptionsOf(settings_), &stats_);
   response_memory_ = std::make_unique<ResponseMemory>(*environment_, held_bytes_);
   HttpCallerOptions caller_options = HttpCallerOptionsOf(settings_);
