--- a/source/ingress/backend_attempt.h
+++ b/source/ingress/backend_attempt.h
@@ -35,10 +35,11 @@
     if (!responded_) directory_.OnUnanswered(instance_, sent_at_, target_);
   }
 
-  void End(BackendEnd end) {
+  /// `paused` is how long this node did not read the response.
+  void End(BackendEnd end, Duration paused) {
     const bool unanswered = end == BackendEnd::kCancelled && !responded_;
     if (unanswered) return directory_.EndUnanswered(instance_, sent_at_, target_);
-    directory_.End(instance_, end, environment_.Now() - sent_at_);
+    directory_.End(instance_, end, environment_.Now() - sent_at_ - paused);
   }
 
   TimePoint sent_at() const { return sent_at_; }
