Keep voters that reply in the group although no heartbeat arrives

The leader counted a voter as lost by the heartbeats of its node alone. After a restart the replica replies in the group before a heartbeat reaches the leader, so that the leader promoted a learner in its place; the group then had four voters, and a partition into two and two left no quorum. Change: RaftGroup::HasReplied tells whether a member replied to the leader since a given time. A voter of the cluster group is lost only if neither a heartbeat nor a reply arrived within replace_voter_after, or its node runs with another disk; the same holds in job groups for voters of nodes that are gone. A replacement still passes an even number of voters.

--- a/source/cluster/replica_manager.cc
+++ b/source/cluster/replica_manager.cc
@@ -92,6 +92,11 @@
     const ReplicaId present = liveness->latest.replica;
     return present != ReplicaId() && present != member.replica;
   }
+  // After a restart, the replica replies before a heartbeat of its node reaches the leader.
+  // Promoting a learner then would leave an even number of voters without need, and a partition
+  // into halves without a quorum.
+  const RaftGroup* group = cluster_.group();
+  if (group != nullptr && group->HasReplied(member.replica, now - replace_after_)) return false;
   return now - leader_since_ > replace_after_;
 }
 
--- a/source/cluster/replica_manager.h
+++ b/source/cluster/replica_manager.h
@@ -52,7 +52,8 @@
   void ReportEmptied(const std::vector<GroupMember>& members);
   bool IsRetired(const NodeId& node) const;
   size_t CountVoters(const std::vector<GroupMember>& members) const;
-  /// Its node has been unresponsive for long, or runs with another disk.
+  /// Its node runs with another disk, or has sent no heartbeat for long while its replica in the
+  /// cluster group didn't reply either.
   bool IsLost(const GroupMember& member) const;
 
   void Add(RaftGroup& group, GroupMember member);
--- a/source/consensus/group_replica.h
+++ b/source/consensus/group_replica.h
@@ -78,6 +78,9 @@
   Term CurrentTerm() const override { return core_->term(); }
   LogIndex AppliedIndex() const override { return applied_; }
   std::vector<GroupMember> Members() const override { return core_->configuration().members; }
+  bool HasReplied(ReplicaId replica, TimePoint since) const override {
+    return failure_.ok() && core_->HasReplied(replica, since);
+  }
   void Propose(std::string command, std::function<void(absl::StatusOr<std::string>)> done) override;
   void ConfirmRead(std::function<void(absl::StatusOr<LogIndex>)> done) override;
   void AddLearner(GroupMember member, std::function<void(absl::Status)> done) override;
--- a/source/consensus/raft_core.cc
+++ b/source/consensus/raft_core.cc
@@ -223,6 +223,12 @@
   });
 }
 
+bool RaftCore::HasReplied(ReplicaId replica, TimePoint since) const {
+  if (!IsLeader()) return false;
+  const auto it = progress_.find(replica);
+  return it != progress_.end() && it->second.HasRepliedSince(since);
+}
+
 TimePoint RaftCore::NextHeartbeat() const {
   const Duration since_epoch = now_.time_since_epoch();
   const Duration period =
--- a/source/consensus/raft_core.h
+++ b/source/consensus/raft_core.h
@@ -102,6 +102,8 @@
 
   RaftRole role() const { return role_; }
   bool IsLeader() const { return role_ == RaftRole::kLeader; }
+  /// Whether this replica leads and `replica` replied to it at or after `since`.
+  bool HasReplied(ReplicaId replica, TimePoint since) const;
   Term term() const { return log_.hard_state().term; }
   ReplicaId leader() const { return leader_; }
   LogIndex commit() const { return commit_; }
--- a/source/consensus/raft_group.h
+++ b/source/consensus/raft_group.h
@@ -11,6 +11,7 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "common/ids.h"
+#include "common/time.h"
 
 namespace millstair {
 
@@ -48,6 +49,9 @@
   virtual Term CurrentTerm() const = 0;
   virtual LogIndex AppliedIndex() const = 0;
   virtual std::vector<GroupMember> Members() const = 0;
+  /// Whether this replica leads and the member `replica` has replied to one of its entries,
+  /// heartbeats or snapshots at or after `since`.
+  virtual bool HasReplied(ReplicaId replica, TimePoint since) const = 0;
 
   /// Appends `command`; `done` receives the state machine's result once it is applied locally.
   /// InvalidArgument if it is larger than kMaxCommandBytes.
--- a/source/consensus/raft_progress.h
+++ b/source/consensus/raft_progress.h
@@ -44,7 +44,12 @@
   void ResetToProbe();
 
   TimePoint last_active() const { return last_active_; }
-  void RecordActivity(TimePoint now) { last_active_ = now; }
+  void RecordActivity(TimePoint now) {
+    last_active_ = now;
+    replied_ = true;
+  }
+  /// Unlike `last_active`, doesn't count the start of the leader's term as activity.
+  bool HasRepliedSince(TimePoint since) const { return replied_ && last_active_ >= since; }
   /// Whether nothing was acknowledged since the last call although messages are in flight.
   bool Stalled();
 
@@ -67,6 +72,7 @@
   /// Last index of each message in flight.
   std::deque<LogIndex> in_flight_;
   TimePoint last_active_;
+  bool replied_ = false;
   LogIndex match_at_check_;
 };
 
--- a/source/jobs/job_replica_manager.cc
+++ b/source/jobs/job_replica_manager.cc
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(250);
+/// A replica that replied within this time is running. Longer than the interval of heartbeats to a
+/// learner of an idle group (900 ms), and shorter than the time without heartbeats after which a
+/// node is gone.
+constexpr Duration kReplyWindow = std::chrono::seconds(2);
 
 bool HasReplica(const std::vector<GroupMember>& members, ReplicaId replica) {
   return std::any_of(members.begin(), members.end(),
@@ -20,7 +24,8 @@
 
 JobReplicaManager::JobReplicaManager(Environment& environment, const Configuration& configuration,
                                      NodeId self, JobReplicaOptions options, ReportEmptied emptied)
-    : configuration_(configuration),
+    : environment_(environment),
+      configuration_(configuration),
       self_(std::move(self)),
       options_(options),
       emptied_(std::move(emptied)),
@@ -71,7 +76,10 @@
   if (node == configuration_.nodes.end()) return true;
   const NodeRecord& record = node->second;
   // A node that restarted with another disk no longer holds this replica.
-  return record.state == MemberState::kGone || record.replica != member.replica;
+  if (record.replica != member.replica) return true;
+  // After a restart, the replica replies before the configuration shows its node as live.
+  return record.state == MemberState::kGone &&
+         !group_->HasReplied(member.replica, environment_.Now() - kReplyWindow);
 }
 
 bool JobReplicaManager::IsRetired(const NodeId& node) const {
--- a/source/jobs/job_replica_manager.h
+++ b/source/jobs/job_replica_manager.h
@@ -61,6 +61,7 @@
   }
   std::function<void(absl::Status)> ChangeDone();
 
+  Environment& environment_;
   const Configuration& configuration_;
   const NodeId self_;
   const JobReplicaOptions options_;
--- a/test/cluster/cluster_fleet.cc
+++ b/test/cluster/cluster_fleet.cc
@@ -230,11 +230,13 @@
 void ClusterFleet::Deliver(const NodeId& from, const NodeId& to, const PeerMessage& message) {
   const auto found = processes_.find(to.value());
   if (found == processes_.end() || !IsReachable(from.value(), to.value())) return;
+  const bool heartbeat = message.kind == MessageKind::kHeartbeat;
+  if (heartbeat && heartbeats_dropped_of_.contains(from.value())) return;
   FleetProcess& process = found->second;
   const bool with_gateway = from.value()[0] == 'g' || to.value()[0] == 'g';
   if (with_gateway) gateway_bytes_ += message.payload.size();
   bytes_from_[from.value()] += message.payload.size();
-  if (message.kind == MessageKind::kHeartbeat) ++heartbeats_at_[to.value()];
+  if (heartbeat) ++heartbeats_at_[to.value()];
   if (process.control) process.control->Receive(from, message);
   if (process.configuration) {
     pushes_ += message.kind == MessageKind::kConfigurationPush ? 1 : 0;
--- a/test/cluster/cluster_fleet.h
+++ b/test/cluster/cluster_fleet.h
@@ -96,6 +96,8 @@
 
   void Isolate(const std::string& name) { isolated_.insert(name); }
   void Heal(const std::string& name) { isolated_.erase(name); }
+  /// Loses heartbeats that `name` sends, but no other message.
+  void DropHeartbeatsOf(const std::string& name) { heartbeats_dropped_of_.insert(name); }
   void CutLink(const std::string& a, const std::string& b) { cut_links_.insert({a, b}); }
 
   void RunFor(Duration span) { scheduler_.RunFor(span); }
@@ -165,6 +167,7 @@
   std::map<std::string, uint64_t> heartbeats_at_;
   std::map<std::string, uint64_t> bytes_from_;
   std::set<std::string> isolated_;
+  std::set<std::string> heartbeats_dropped_of_;
   std::set<std::pair<std::string, std::string>> cut_links_;
 };
 
--- a/test/cluster/control_node_test.cc
+++ b/test/cluster/control_node_test.cc
@@ -312,6 +312,39 @@
                        seconds(8)));
 }
 
+/// Guards against a replacement of a voter whose heartbeats are late, such as one that has just
+/// restarted: until the voter is removed the group has an even number of voters, and a partition
+/// into two halves leaves no quorum.
+TEST_CASE("a voter that replies in the group is not replaced for want of heartbeats") {
+  ClusterFleet fleet({.control_nodes = 4, .membership = {.replace_voter_after = seconds(3)}});
+  fleet.AwaitLeader();
+  fleet.Start("c4");
+  REQUIRE(fleet.RunUntil([&] { return MemberOn(ClusterMembers(fleet), "c4") != nullptr; },
+                         seconds(10)));
+  fleet.RunFor(seconds(5));
+  const std::string unheard = fleet.Leader() == "c1" ? "c2" : "c1";
+  fleet.DropHeartbeatsOf(unheard);
+  SECTION("it runs all the time") { fleet.RunFor(seconds(15)); }
+  SECTION("it restarts") {
+    fleet.RunFor(milliseconds(500));
+    fleet.Crash(unheard);
+    fleet.RunFor(milliseconds(1500));
+    fleet.Start(unheard);
+    fleet.RunFor(seconds(15));
+  }
+  CHECK(MemberOn(ClusterMembers(fleet), unheard)->voter);
+  CHECK_FALSE(MemberOn(ClusterMembers(fleet), "c4")->voter);
+  // Without replies either, it is lost.
+  fleet.Crash(unheard);
+  CHECK(fleet.RunUntil(
+      [&] {
+        const auto members = ClusterMembers(fleet);
+        const GroupMember* c4 = MemberOn(members, "c4");
+        return c4 != nullptr && c4->voter && MemberOn(members, unheard) == nullptr;
+      },
+      seconds(10)));
+}
+
 TEST_CASE("a control node on a machine being emptied is replaced first, then reported as emptied") {
   ClusterFleet fleet({.control_nodes = 4});
   const std::string leader = fleet.AwaitLeader();
--- a/test/jobs/fake_group.h
+++ b/test/jobs/fake_group.h
@@ -2,6 +2,7 @@
 /// delay, unless `quorum` is false.
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,10 @@
   Term CurrentTerm() const override { return term; }
   LogIndex AppliedIndex() const override { return LogIndex(index_); }
   std::vector<GroupMember> Members() const override { return members; }
+  bool HasReplied(ReplicaId replica, TimePoint since) const override {
+    const auto found = replied_at.find(replica);
+    return found != replied_at.end() && found->second >= since;
+  }
 
   void Propose(std::string command,
                std::function<void(absl::StatusOr<std::string>)> done) override {
@@ -68,6 +73,8 @@
   Term term = Term(3);
   Duration commit_time = std::chrono::milliseconds(2);
   std::vector<GroupMember> members;
+  /// When each replica replied last; one without an entry never did.
+  std::map<ReplicaId, TimePoint> replied_at;
   int transfers = 0;
 
  private:
--- a/test/jobs/job_replica_manager_test.cc
+++ b/test/jobs/job_replica_manager_test.cc
@@ -99,6 +99,27 @@
   CHECK(text.find("ReplicaPromoted", first + 1) == std::string::npos);
 }
 
+/// Guards against an even number of voters, of which a partition may leave no quorum, because the
+/// heartbeats of a node that has restarted are late.
+TEST_CASE("A voter of a gone node that replies in the group is not replaced") {
+  Fixture fixture;
+  fixture.Join("d", ReplicaId(100));
+  fixture.Run();
+  fixture.configuration.nodes[NodeId("c")].state = MemberState::kGone;
+  const ReplicaId replica = fixture.configuration.nodes[NodeId("c")].replica;
+  for (int i = 0; i < 20; ++i) {
+    fixture.group.replied_at[replica] = fixture.environment.Now();
+    fixture.Run(milliseconds(500));
+  }
+  CHECK(fixture.Voters() == Names{"a", "b", "c"});
+  SECTION("until it stops replying") {}
+  SECTION("unless the node has come back with another disk") {
+    fixture.configuration.nodes[NodeId("c")].replica = ReplicaId(101);
+  }
+  fixture.Run();
+  CHECK(fixture.Voters() == Names{"a", "b", "d"});
+}
+
 TEST_CASE("A retired node is replaced first, then emptied and reported") {
   Fixture fixture;
   fixture.configuration.retired_nodes[NodeId("b")] = {NodeId("b"), false};
--- a/test/rollout/rollout_fakes.h
+++ b/test/rollout/rollout_fakes.h
@@ -59,6 +59,7 @@
   Term CurrentTerm() const override { return Term(log_.term); }
   LogIndex AppliedIndex() const override { return LogIndex(0); }
   std::vector<GroupMember> Members() const override { return {}; }
+  bool HasReplied(ReplicaId, TimePoint) const override { return false; }
   void Propose(std::string command,
                std::function<void(absl::StatusOr<std::string>)> done) override {
     if (!IsLeader()) return done(absl::UnavailableError("not the leader"));
