Try held requests sooner while their service has spare back ends

A proper request that ran at two back ends which other requests crashed within a second was refused for 5 s, the time that servers need to restart, although the service that it went to by then had other back ends. Change: a request whose services each have three back ends that neither crashed nor were registered since the last known crash is tried 0.5 s after that crash, and waits for its first trial and for its outcome instead of being refused. While a node asks for a trial, other requests of the same content wait for the answer. Requests to other services, and later trials, pause as before.

--- a/source/ingress/backend_directory.cc
+++ b/source/ingress/backend_directory.cc
@@ -254,6 +254,20 @@
   return live;
 }
 
+bool BackendDirectory::HasHealthy(
+    const ServiceName& service, size_t count,
+    const std::function<bool(const BackendInstance&)>& excluded) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return count == 0;
+  const TimePoint now = environment_.Now();
+  size_t healthy = 0;
+  for (const Backend* backend : found->second.by_id) {
+    if (healthy >= count) break;
+    if (!excluded(backend->record) && !backend->ejection.Ejected(now)) ++healthy;
+  }
+  return healthy >= count;
+}
+
 const BackendInstance* BackendDirectory::FindLive(const InstanceId& instance) const {
   const auto found = backends_.find(instance);
   if (found == backends_.end() || !MayGetWork(found->second)) return nullptr;
--- a/source/ingress/backend_directory.h
+++ b/source/ingress/backend_directory.h
@@ -65,6 +65,10 @@
                                       const std::set<InstanceId>& excluded);
   /// All back ends that accept new work, ordered by identifier.
   std::vector<const BackendInstance*> Live(const ServiceName& service) const;
+  /// Whether at least `count` back ends of `service` accept new work and are neither ejected nor
+  /// `excluded`.
+  bool HasHealthy(const ServiceName& service, size_t count,
+                  const std::function<bool(const BackendInstance&)>& excluded) const;
   /// Null if the back end is unknown or accepts no new work.
   const BackendInstance* FindLive(const InstanceId& instance) const;
   bool Ejected(const InstanceId& instance) const;
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -110,7 +110,7 @@
       done_(std::move(done)),
       started_at_(context.environment.Now()),
       meter_(context.on_request_started, request_.tenant),
-      watch_(context.guard, request_),
+      watch_(context.guard, context.directory, route_, request_),
       deadline_timer_(context.environment),
       retry_timer_(context.environment),
       hedge_timer_(context.environment) {
--- a/source/ingress/request_guard.cc
+++ b/source/ingress/request_guard.cc
@@ -43,6 +43,10 @@
   for (const auto& [request, record] : suspects) {
     const auto [known, added] = known_.try_emplace(request);
     if (!added && known->second.record == record) continue;
+    if (record.crashed.size() > known->second.record.crashed.size()) {
+      last_crash_at_ = environment_.Now();
+      last_crash_revision_ = std::max(last_crash_revision_, record.changed_at);
+    }
     known->second = {record, environment_.Now(), false};
     LogEvent(EventId::kSuspectKnown, "fingerprint={} place=\"{}\" crashes={} trials={} standing={}",
              request, record.place, record.crashed.size(), record.trials,
@@ -54,7 +58,7 @@
     if (seen->second.crashed.empty() && seen->second.unverified.empty()) seen_.erase(seen);
   }
   DropOldSeen();
-  RefreshPlaces();
+  RefreshIndexes();
 }
 
 void RequestGuard::OnRevision(Revision revision) {
@@ -74,7 +78,7 @@
     const bool nothing_left = seen.crashed.empty() && seen.unverified.empty();
     entry = nothing_left ? seen_.erase(entry) : std::next(entry);
   }
-  if (seen_.size() != before) RefreshPlaces();
+  if (seen_.size() != before) RefreshIndexes();
 }
 
 bool RequestGuard::MayBeSuspect(const std::string& place) const { return places_.contains(place); }
@@ -96,8 +100,8 @@
   return crashed.size();
 }
 
-GuardDecision RequestGuard::Judge(const RequestFingerprint& request,
-                                  const TrialPauses& pauses) const {
+GuardDecision RequestGuard::Judge(const RequestFingerprint& request, const TrialPauses& pauses,
+                                  const std::function<bool()>& has_spare_backends) const {
   const Seen* seen = FindSeen(request);
   const Known* known = FindKnown(request);
   GuardDecision decision;
@@ -123,7 +127,11 @@
   TimePoint since = known == nullptr ? seen->changed_at : known->received_at;
   if (seen != nullptr) since = std::max(since, seen->changed_at);
   const Duration pause = pauses[decision.count.trials];
-  decision.retry_after = std::max(since + pause - environment_.Now(), Duration(0));
+  decision.retry_after = TimeLeft(since, pause);
+  if (WaitsForTrial(request, decision, unverified > 0, has_spare_backends)) {
+    decision.verdict = GuardVerdict::kWait;
+    return decision;
+  }
   if (decision.retry_after > Duration(0)) return decision;
   // The cluster grants trials only of requests that its own record holds.
   const bool cluster_holds = known != nullptr && known->record.standing() == decision.standing;
@@ -132,15 +140,42 @@
   return decision;
 }
 
+bool RequestGuard::WaitsForTrial(const RequestFingerprint& request, GuardDecision& decision,
+                                 bool unverified,
+                                 const std::function<bool()>& has_spare_backends) const {
+  if (has_spare_backends == nullptr || unverified || decision.count.in_trials > 0) return false;
+  if (decision.count.trials == 0) {
+    const Duration sooner = TimeLeft(last_crash_at_, kSpareTrialPause);
+    if (sooner < decision.retry_after && has_spare_backends()) decision.retry_after = sooner;
+    const bool soon = Duration(0) < decision.retry_after && decision.retry_after == sooner;
+    return soon || asking_.contains(request);
+  }
+  // The first trial has just begun at some node.
+  const Known* known = FindKnown(request);
+  if (decision.count.trials > 1 || known == nullptr) return false;
+  const Duration left = TimeLeft(known->received_at, kSpareTrialPause);
+  if (left == Duration(0) || !has_spare_backends()) return false;
+  decision.retry_after = left;
+  return true;
+}
+
+Duration RequestGuard::TimeLeft(TimePoint since, Duration pause) const {
+  return std::max(since + pause - environment_.Now(), Duration(0));
+}
+
 void RequestGuard::BeginTrial(const RequestFingerprint& request,
                               std::function<void(bool granted)> done) {
   const Known* known = FindKnown(request);
   if (known == nullptr || register_ == nullptr) return done(false);
   if (unused_trials_.erase(request) > 0) return done(true);
+  asking_.insert(request);
   // Empty once the caller has its answer.
   const auto waiting = std::make_shared<std::function<void(bool)>>(std::move(done));
-  const auto answer = [waiting](bool granted) {
-    if (const auto caller = std::exchange(*waiting, nullptr)) caller(granted);
+  const auto answer = [this, request, waiting](bool granted) {
+    const auto caller = std::exchange(*waiting, nullptr);
+    if (!caller) return;
+    asking_.erase(request);
+    caller(granted);
   };
   register_->BeginTrial(request, known->record.changed_at,
                         alive_.Guard([this, request, waiting, answer](bool granted) {
@@ -191,6 +226,8 @@
     if (verdict == LivenessVerdict::kEnded) {
       seen.crashed.insert(instance);
       seen.changed_at = environment_.Now();
+      last_crash_at_ = environment_.Now();
+      last_crash_revision_ = std::max(last_crash_revision_, revision_);
       LogEvent(EventId::kCrashNoted, "fingerprint={} place=\"{}\" instance={} crashes={}", request,
                seen.place, instance, CrashesOf(&seen, FindKnown(request)));
       if (stats_ != nullptr) {
@@ -205,7 +242,7 @@
   }
   Report(reports);
   DropOldSeen();
-  RefreshPlaces();
+  RefreshIndexes();
 }
 
 bool RequestGuard::WantsReport(const Seen& seen) const {
@@ -251,7 +288,7 @@
 }
 
 void RequestGuard::OnServed(const RequestFingerprint& request) {
-  if (seen_.erase(request) > 0) RefreshPlaces();
+  if (seen_.erase(request) > 0) RefreshIndexes();
   const auto known = known_.find(request);
   if (known == known_.end() || known->second.clearing || register_ == nullptr) return;
   known->second.clearing = true;
@@ -306,10 +343,17 @@
   }
 }
 
-void RequestGuard::RefreshPlaces() {
+void RequestGuard::RefreshIndexes() {
   places_.clear();
-  for (const auto& [request, seen] : seen_) places_.insert(seen.place);
-  for (const auto& [request, known] : known_) places_.insert(known.record.place);
+  ended_.clear();
+  for (const auto& [request, seen] : seen_) {
+    places_.insert(seen.place);
+    ended_.insert(seen.crashed.begin(), seen.crashed.end());
+  }
+  for (const auto& [request, known] : known_) {
+    places_.insert(known.record.place);
+    ended_.insert(known.record.crashed.begin(), known.record.crashed.end());
+  }
 }
 
 }  // namespace millstair
--- a/source/ingress/request_guard.h
+++ b/source/ingress/request_guard.h
@@ -42,6 +42,15 @@
 /// For items of batch jobs, whose results are due within seconds.
 inline constexpr TrialPauses kItemTrialPauses = {Duration(0), std::chrono::seconds(5),
                                                  std::chrono::seconds(30)};
+/// Minimum time between the last known crash of any back end and the first trial of a held request
+/// while its service has kSpareBackends. Covers the liveness checks and reports of all requests
+/// that were lost, which take up to 400 ms, so that a trial isn't blamed for a crash of the same
+/// burst.
+inline constexpr Duration kSpareTrialPause = std::chrono::milliseconds(500);
+/// Number of back ends that a service must have, besides those that crashed and their restarted
+/// incarnations, for a trial that does not wait for restarts. Three, so that one still serves if
+/// two nodes begin a trial at the same moment and each ends its back end.
+inline constexpr size_t kSpareBackends = 3;
 /// Length of the windows in which served requests are remembered. Losing a request that was served
 /// in this or the last window is not counted against it: popular requests run on all servers and
 /// would be in progress at every crash.
@@ -49,20 +58,22 @@
 /// Retry-After of a barred request, which stays barred until an operator acts or the record
 /// expires.
 inline constexpr Duration kBarredRetryAfter = std::chrono::seconds(60);
-/// Poll interval while a liveness check is running.
+/// Poll intervals while a request waits: at first, and at most if the outcome is due later. Another
+/// node may serve the request meanwhile, which clears it.
 inline constexpr Duration kCheckPause = std::chrono::milliseconds(10);
+inline constexpr Duration kMaxCheckPause = std::chrono::milliseconds(50);
 
 /// What a node may do with a request now.
 enum class GuardVerdict : uint8_t {
   kSend,
-  kWait,    ///< a liveness check that may hold the request is running
+  kWait,    ///< a liveness check that may hold the request, or a trial, ends soon
   kTrial,   ///< may be sent once BeginTrial has granted it
   kRefuse,  ///< must not be sent
 };
 
 struct GuardDecision {
   GuardVerdict verdict = GuardVerdict::kSend;
-  /// For kRefuse: when to retry.
+  /// For kRefuse: when to retry. For kWait: when the outcome is due; 0 if unknown.
   Duration retry_after{0};
   /// According to this node and the cluster's record as received here.
   CrashCount count;
@@ -98,8 +109,16 @@
   bool idle() const { return places_.empty(); }
   /// Whether a request of `place` may be suspect; a cheap check before its fingerprint is computed.
   bool MayBeSuspect(const std::string& place) const;
+  /// `has_spare_backends` tells whether kSpareBackends of the request's service are healthy. Called
+  /// only for a held request around its first trial; if it is null, the request never waits for it.
   GuardDecision Judge(const RequestFingerprint& request,
-                      const TrialPauses& pauses = kClientTrialPauses) const;
+                      const TrialPauses& pauses = kClientTrialPauses,
+                      const std::function<bool()>& has_spare_backends = nullptr) const;
+  /// Whether the back end is known to have ended under a suspect request, or may be the restarted
+  /// one of these, since it was registered after the last known crash.
+  bool MayHaveCrashed(const BackendInstance& backend) const {
+    return ended_.contains(backend.id) || backend.registered_at > last_crash_revision_;
+  }
   /// `done` receives whether this node may send the request once.
   void BeginTrial(const RequestFingerprint& request, std::function<void(bool granted)> done);
   /// A trial was granted, but showed nothing about the request: no back end was reached, or the one
@@ -157,7 +176,15 @@
   /// holds them, or has been cleared since.
   void DropCommitted();
   void DropOldSeen();
-  void RefreshPlaces();
+  /// Rebuilds `places_` and `ended_`.
+  void RefreshIndexes();
+  /// Whether a held request should wait for its first trial, or for the outcome of it, since its
+  /// service has spare back ends. Sets `decision.retry_after` to the time until then. `unverified`:
+  /// a liveness check of a back end that lost it is running.
+  bool WaitsForTrial(const RequestFingerprint& request, GuardDecision& decision, bool unverified,
+                     const std::function<bool()>& has_spare_backends) const;
+  /// Until `pause` after `since`; at least 0.
+  Duration TimeLeft(TimePoint since, Duration pause) const;
   void RotateServedIfDue();
   static size_t CrashesOf(const Seen* seen, const Known* known);
   const Seen* FindSeen(const RequestFingerprint& request) const;
@@ -176,6 +203,14 @@
   Revision revision_;
   /// The places of all requests in `seen_` and `known_`.
   std::set<std::string> places_;
+  /// Requests for which this node has asked for a trial and has no answer yet.
+  std::set<RequestFingerprint> asking_;
+  /// The crashed incarnations of all requests in `seen_` and `known_`.
+  absl::flat_hash_set<InstanceId> ended_;
+  /// When this node last learned of a crash, of whichever request.
+  TimePoint last_crash_at_;
+  /// The local revision at that time, or the one at which the crash was recorded.
+  Revision last_crash_revision_;
   std::map<InstanceId, Check> checks_;
   const uint64_t digest_seed_;
   /// Digests of requests served in the current and in the previous window.
--- a/source/ingress/request_watch.cc
+++ b/source/ingress/request_watch.cc
@@ -1,5 +1,6 @@
 #include "ingress/request_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/event_log.h"
@@ -18,7 +19,8 @@
 
 GuardDecision RequestWatch::Judge() {
   if (!MayBeSuspect()) return {};
-  GuardDecision decision = guard_.Judge(fingerprint());
+  GuardDecision decision =
+      guard_.Judge(fingerprint(), kClientTrialPauses, [this] { return HasSpareBackends(); });
   if (on_trial_ && !trial_used_) decision.verdict = GuardVerdict::kSend;
   if (decision.verdict != GuardVerdict::kSend && !lost_ && guard_.ServedRecently(digest())) {
     // Other nodes may have counted crashes of an outage against a request that this node has just
@@ -36,6 +38,15 @@
   return decision;
 }
 
+bool RequestWatch::HasSpareBackends() const {
+  const auto crashed = [this](const BackendInstance& backend) {
+    return guard_.MayHaveCrashed(backend);
+  };
+  return std::all_of(route_.services.begin(), route_.services.end(), [&](const auto& share) {
+    return share.weight == 0 || directory_.HasHealthy(share.service, kSpareBackends, crashed);
+  });
+}
+
 void RequestWatch::SendIfAllowed(ScopedTimer& retry_timer, std::function<void()> send,
                                  std::function<void(Duration retry_after)> withhold) {
   const GuardDecision decision = Judge();
@@ -45,10 +56,11 @@
     case GuardVerdict::kRefuse:
       return withhold(decision.retry_after);
     case GuardVerdict::kWait:
-      return retry_timer.Arm(kCheckPause, [this, &retry_timer, send = std::move(send),
-                                           withhold = std::move(withhold)] {
-        SendIfAllowed(retry_timer, send, withhold);
-      });
+      return retry_timer.Arm(
+          std::clamp(decision.retry_after, kCheckPause, kMaxCheckPause),
+          [this, &retry_timer, send = std::move(send), withhold = std::move(withhold)] {
+            SendIfAllowed(retry_timer, send, withhold);
+          });
     case GuardVerdict::kTrial:
       break;
   }
--- a/source/ingress/request_watch.h
+++ b/source/ingress/request_watch.h
@@ -6,16 +6,19 @@
 #include <optional>
 #include <string>
 
+#include "ingress/backend_directory.h"
 #include "ingress/forward_request.h"
 #include "ingress/request_guard.h"
+#include "ingress/route_table.h"
 
 namespace millstair {
 
-/// Owned by a flow. `request` outlives it.
+/// Owned by a flow. The arguments outlive it.
 class RequestWatch {
  public:
-  RequestWatch(RequestGuard& guard, const ForwardRequest& request)
-      : guard_(guard), request_(request) {}
+  RequestWatch(RequestGuard& guard, const BackendDirectory& directory, const Route& route,
+               const ForwardRequest& request)
+      : guard_(guard), directory_(directory), route_(route), request_(request) {}
   /// Reports a lost request that was not answered, since its caller may retry it at another node.
   ~RequestWatch() {
     if (lost_) guard_.OnGivenUp(fingerprint());
@@ -25,8 +28,8 @@
   RequestWatch& operator=(const RequestWatch&) = delete;
 
   /// Calls `send` once the guard allows it, possibly at once. Waits by `retry_timer` while a
-  /// liveness check is running, and requests a trial if one is due. Otherwise calls `withhold` with
-  /// the time until a retry. Nothing is called after the watch is destroyed.
+  /// liveness check or a trial ends soon, and requests a trial if one is due. Otherwise calls
+  /// `withhold` with the time until a retry. Nothing is called after the watch is destroyed.
   void SendIfAllowed(ScopedTimer& retry_timer, std::function<void()> send,
                      std::function<void(Duration retry_after)> withhold);
   /// Whether a back end crashed under the request: then it is sent to one back end at a time.
@@ -46,11 +49,15 @@
  private:
   /// What may be done with the request now. A granted trial allows one send.
   GuardDecision Judge();
+  /// Whether each service of the route has kSpareBackends.
+  bool HasSpareBackends() const;
   const std::string& place();
   uint64_t digest() const;
   bool MayBeSuspect() { return lost_ || (!guard_.idle() && guard_.MayBeSuspect(place())); }
 
   RequestGuard& guard_;
+  const BackendDirectory& directory_;
+  const Route& route_;
   const ForwardRequest& request_;
   /// Computed on first use: most requests never need them.
   std::optional<std::string> place_;
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -72,7 +72,7 @@
       done_(std::move(done)),
       started_at_(context.environment.Now()),
       meter_(context.on_request_started, request_.tenant),
-      watch_(context.guard, request_),
+      watch_(context.guard, context.directory, route_, request_),
       retry_after_(kRetryAfter),
       deadline_timer_(context.environment),
       retry_timer_(context.environment) {
--- a/test/ingress/backend_directory_test.cc
+++ b/test/ingress/backend_directory_test.cc
@@ -139,5 +139,34 @@
   CHECK(fixture.directory.Live(ServiceName("s")).size() == 1);
 }
 
+TEST_CASE("A service has as many healthy back ends as are live, not ejected and not excluded") {
+  VirtualScheduler scheduler{1};
+  VirtualEnvironment environment{scheduler, 2};
+  BackendDirectory directory{environment, Zone("z1")};
+  Configuration configuration;
+  for (int i = 1; i <= 4; ++i) {
+    const InstanceId id(fmt::format("i{}", i));
+    BackendInstance& instance = configuration.instances[id];
+    instance.id = id;
+    instance.service = ServiceName("s");
+    instance.address = fmt::format("a{}", i);
+  }
+  configuration.instances[InstanceId("i4")].state = MemberState::kLeaving;
+  directory.Update(configuration);
+  const auto none = [](const BackendInstance&) { return false; };
+  const auto first = [](const BackendInstance& instance) { return instance.id.value() == "i1"; };
+  CHECK(directory.HasHealthy(ServiceName("s"), 3, none));
+  CHECK_FALSE(directory.HasHealthy(ServiceName("s"), 4, none));
+  CHECK(directory.HasHealthy(ServiceName("s"), 2, first));
+  CHECK_FALSE(directory.HasHealthy(ServiceName("s"), 3, first));
+  CHECK_FALSE(directory.HasHealthy(ServiceName("other"), 1, none));
+  for (int i = 0; i < 20; ++i) {
+    directory.Begin(InstanceId("i2"));
+    directory.End(InstanceId("i2"), BackendEnd::kFailed, Duration(1000));
+  }
+  REQUIRE(directory.Ejected(InstanceId("i2")));
+  CHECK_FALSE(directory.HasHealthy(ServiceName("s"), 3, none));
+}
+
 }  // namespace
 }  // namespace millstair
--- a/test/ingress/request_guard_test.cc
+++ b/test/ingress/request_guard_test.cc
@@ -17,6 +17,18 @@
 const RequestFingerprint kRequest("r");
 const GuardedRequest kGuarded{kRequest, "a.example/p"};
 
+SuspectRequest MakeRecord(std::vector<std::string> crashed, uint32_t trials = 0,
+                          uint64_t revision = 7) {
+  SuspectRequest record;
+  record.request = kRequest;
+  record.place = kGuarded.place;
+  record.trials = trials;
+  record.crashes_before_trials = kCrashesToHold;
+  record.changed_at = Revision(revision);
+  for (std::string& name : crashed) record.crashed.emplace_back(std::move(name));
+  return record;
+}
+
 class Fixture {
  public:
   Fixture() {
@@ -37,14 +49,7 @@
 
   /// Sets the cluster's record of the request.
   void SetRecord(std::vector<std::string> crashed, uint32_t trials = 0, uint64_t revision = 7) {
-    SuspectRequest record;
-    record.request = kRequest;
-    record.place = kGuarded.place;
-    record.trials = trials;
-    record.crashes_before_trials = kCrashesToHold;
-    record.changed_at = Revision(revision);
-    for (std::string& name : crashed) record.crashed.emplace_back(std::move(name));
-    guard.Update({{kRequest, record}});
+    guard.Update({{kRequest, MakeRecord(std::move(crashed), trials, revision)}});
   }
 
   VirtualScheduler scheduler{7};
@@ -164,6 +169,81 @@
   CHECK(fixture.guard.Judge(kRequest).verdict == GuardVerdict::kRefuse);
 }
 
+/// Guards against requests that are withheld for the time that servers need to restart although
+/// enough others run, and against trials during a burst of crashes or of requests that have ended a
+/// back end in a trial already.
+TEST_CASE("While a service has spare back ends, a held request waits for its first trial") {
+  Fixture fixture;
+  bool spare = true;
+  const auto judge = [&] {
+    return fixture.guard.Judge(kRequest, kClientTrialPauses, [&spare] { return spare; });
+  };
+  fixture.SetRecord({"i1", "i2"});
+  CHECK(judge().verdict == GuardVerdict::kWait);
+  CHECK(judge().retry_after == kSpareTrialPause);
+  CHECK(fixture.guard.Judge(kRequest).verdict == GuardVerdict::kRefuse);
+  fixture.scheduler.RunFor(kSpareTrialPause);
+  SECTION("which comes after a short pause") {
+    CHECK(judge().verdict == GuardVerdict::kTrial);
+    spare = false;
+    CHECK(judge().verdict == GuardVerdict::kRefuse);
+    CHECK(judge().retry_after == kClientTrialPauses.front() - kSpareTrialPause);
+  }
+  SECTION("not while back ends end under other requests") {
+    fixture.guard.OnLost({RequestFingerprint("other"), "a.example/q"},
+                         LiveInstance("nobody:1", "pages"));
+    fixture.scheduler.RunFor(milliseconds(200));
+    CHECK(judge().verdict == GuardVerdict::kWait);
+    fixture.scheduler.RunFor(kSpareTrialPause);
+    CHECK(judge().verdict == GuardVerdict::kTrial);
+  }
+  SECTION("not while a back end that lost it is checked") {
+    fixture.guard.OnLost(kGuarded, LiveInstance("silent:1", "pages"));
+    CHECK(judge().verdict == GuardVerdict::kRefuse);
+  }
+  SECTION("while this node asks for it") {
+    fixture.cluster.delays_trials = true;
+    fixture.guard.BeginTrial(kRequest, [](bool) {});
+    CHECK(judge().verdict == GuardVerdict::kWait);
+    fixture.cluster.delayed_trials.front()(false);
+    CHECK(judge().verdict == GuardVerdict::kTrial);
+  }
+  SECTION("and for its outcome, but not for the second one") {
+    fixture.SetRecord({"i1", "i2"}, 1, 8);
+    CHECK(judge().verdict == GuardVerdict::kWait);
+    fixture.scheduler.RunFor(kSpareTrialPause);
+    CHECK(judge().verdict == GuardVerdict::kRefuse);
+    CHECK(judge().retry_after == kClientTrialPauses[1] - kSpareTrialPause);
+  }
+  SECTION("and not once a back end has ended in it") {
+    fixture.SetRecord({"i1", "i2", "i3"}, 1, 8);
+    CHECK(judge().verdict == GuardVerdict::kRefuse);
+    CHECK(judge().retry_after == kClientTrialPauses[1]);
+  }
+}
+
+/// A trial must not end one of the back ends that have just restarted, which may be all of them.
+TEST_CASE("Back ends that crashed or restarted since are no spare ones") {
+  Fixture fixture;
+  const auto may_have_crashed = [&](const std::string& name, uint64_t registered_at) {
+    BackendInstance backend = LiveInstance(name, "pages");
+    backend.registered_at = Revision(registered_at);
+    return fixture.guard.MayHaveCrashed(backend);
+  };
+  fixture.SetRecord({"i1", "i2"}, 0, 7);
+  CHECK(may_have_crashed("i1", 3));
+  CHECK_FALSE(may_have_crashed("i3", 7));
+  CHECK(may_have_crashed("i4", 8));
+  fixture.guard.OnRevision(Revision(9));
+  fixture.Lose("nobody:1");
+  CHECK(may_have_crashed("nobody:1", 3));
+  CHECK_FALSE(may_have_crashed("i4", 8));
+  CHECK(may_have_crashed("i5", 10));
+  fixture.guard.OnServed(kRequest);
+  fixture.guard.Update({});
+  CHECK_FALSE(may_have_crashed("i1", 3));
+}
+
 /// The cluster counts a trial when it grants it: trials that reach no back end must not bar the
 /// request.
 TEST_CASE("A trial that reached no back end is reused without a new grant") {
--- a/test/jobs/crashing_request_test.cc
+++ b/test/jobs/crashing_request_test.cc
@@ -104,8 +104,10 @@
 TEST_CASE("A request that crashes its servers is soon held") {
   const uint64_t seed = GENERATE(range(1, 7));
   const uint32_t attempts = GENERATE(1U, 3U);
-  INFO("seed " << seed << " attempts " << attempts);
-  IngressFleet fleet(seed, kGateways, kServers, PagesRoute(attempts));
+  // Of many servers, most live on, so the first trial comes sooner.
+  const int servers = GENERATE(3, 8);
+  INFO("seed " << seed << " attempts " << attempts << " servers " << servers);
+  IngressFleet fleet(seed, kGateways, servers, PagesRoute(attempts));
   Callers callers(fleet);
   Served crashing;
   Served proper;
@@ -136,6 +138,30 @@
   }
 }
 
+/// Guards against trials of several held requests that take down a service or, since they run
+/// beside each other, withhold proper requests for long.
+TEST_CASE("Several requests that crash servers at the same time end few of them") {
+  const uint64_t seed = GENERATE(range(91, 99));
+  const int servers = GENERATE(3, 6);
+  INFO("seed " << seed << " servers " << servers);
+  IngressFleet fleet(seed, kGateways, servers, PagesRoute(3));
+  Callers callers(fleet);
+  Served crashing;
+  Served proper;
+  callers.Browse(3, milliseconds(20), seconds(60), proper);
+  constexpr size_t kCrashing = 4;
+  for (size_t i = 0; i < kCrashing; ++i) {
+    callers.Repeat(fmt::format("{}{}", kCrash, i), milliseconds(400), seconds(60), crashing);
+  }
+  fleet.scheduler.RunFor(seconds(62));
+  for (size_t i = 0; i < kCrashing; ++i) {
+    CHECK(SentLater(*fleet.servers, fmt::format("{}{}", kCrash, i)) <= kMaxLaterRuns);
+  }
+  // Each ends two until it is held, and one in its only trial of this minute.
+  CHECK(fleet.servers->crashes.size() <= 3 * kCrashing);
+  CHECK(static_cast<double>(proper.answered) >= 0.9 * static_cast<double>(proper.sent));
+}
+
 TEST_CASE("A gateway that has just started knows which requests crash servers") {
   const uint64_t seed = GENERATE(range(21, 24));
   INFO("seed " << seed);
@@ -222,6 +248,28 @@
   CHECK(static_cast<double>(after.answered) >= 0.99 * static_cast<double>(after.sent));
 }
 
+/// Guards against proper requests that are withheld because two servers ended under other requests
+/// while they ran there, although other servers live.
+TEST_CASE("A proper request that two servers lost is soon served by one of the others") {
+  const uint64_t seed = GENERATE(range(71, 77));
+  INFO("seed " << seed);
+  IngressFleet fleet(seed, kGateways, 6, PagesRoute(3));
+  Callers callers(fleet);
+  fleet.Ask("g1", "/p/new", [](const ForwardResult&) {});
+  for (size_t run = 0; run < 2; ++run) {
+    REQUIRE(
+        fleet.scheduler.RunUntilTrue([&] { return fleet.servers->runs.size() > run; }, seconds(1)));
+    const std::string& instance = fleet.servers->runs[run].instance.value();
+    fleet.servers->Crash(instance.substr(0, instance.find('#')), "another request");
+  }
+  // By then all gateways hold the request.
+  fleet.scheduler.RunFor(milliseconds(300));
+  Served served;
+  callers.Repeat("/p/new", milliseconds(50), seconds(8), served);
+  fleet.scheduler.RunFor(seconds(10));
+  CHECK(served.answered == served.sent);
+}
+
 TEST_CASE("Other pages are still served while servers crash one after another") {
   const uint64_t seed = GENERATE(range(31, 35));
   INFO("seed " << seed);
