Order of items names the group of each item

Cause: the forecast of steps decides for whole groups, and groups were only known within OrderItems. Change: ItemOrder tells the group of each item and whether an earlier job had the group. Result: item_order_test covers both; the positions are unchanged.

--- a/source/jobs/item_order.cc
+++ b/source/jobs/item_order.cc
@@ -51,9 +51,12 @@
   std::vector<Entry> entries;
   ItemOrder order;
   order.spare.resize(job.items.size());
+  order.groups.resize(job.items.size());
   for (size_t i = 0; i < groups.size(); ++i) {
+    order.carried_groups.push_back(groups[i].carried);
     for (const uint32_t index : groups[i].items) {
       order.spare[index] = i >= wanted;
+      order.groups[index] = i;
       entries.push_back({i >= wanted, estimates[index].events, index});
       order.expected_events += estimates[index].events;
     }
--- a/source/jobs/item_order.h
+++ b/source/jobs/item_order.h
@@ -3,6 +3,7 @@
 /// come first.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <vector>
@@ -23,6 +24,10 @@
   std::vector<uint64_t> positions;
   /// By index of the item: whether the client is not expected to wait for its group.
   std::vector<bool> spare;
+  /// By index of the item: index of its group, in the order in which the groups are wanted.
+  std::vector<size_t> groups;
+  /// By index of the group: whether an earlier job had one of its items.
+  std::vector<bool> carried_groups;
   /// Sum over all items.
   double expected_events = 0;
 };
--- a/test/jobs/item_order_test.cc
+++ b/test/jobs/item_order_test.cc
@@ -25,6 +25,7 @@
   const ItemOrder order = OrderItems(job, Guess);
   CHECK(order.positions == std::vector<uint64_t>{5, 4, 3, 1, 0, 2});
   CHECK(order.expected_events == 1080);
+  CHECK(order.groups == std::vector<size_t>{2, 2, 0, 0, 1, 1});
 }
 
 TEST_CASE("Groups of an earlier job always count as wanted") {
@@ -36,6 +37,7 @@
   });
   CHECK(order.positions == std::vector<uint64_t>{0, 1});
   CHECK(order.spare == std::vector<bool>{false, true});
+  CHECK(order.carried_groups == std::vector<bool>{true, false});
 }
 
 TEST_CASE("Without groups and estimates the order is that of the job") {
