Placement: items with time to spare go to slower engines

Cause: every item took the fastest engine with a free slot, so that short texts filled the fast engines and long texts found only slow ones. Change: ChooseEngine gives an item whose expected time, times 2.5, fits in half of the time left the slowest such engine; other items get the engine with the lowest cost, as before. Nothing calls it yet.

--- a/source/jobs/placement.cc
+++ b/source/jobs/placement.cc
@@ -1,5 +1,8 @@
 #include "jobs/placement.h"
 
+#include <cmath>
+#include <tuple>
+
 namespace millstair {
 namespace {
 
@@ -15,6 +18,35 @@
 /// Engines whose speed differs by less than this share count as equally fast, since the smoothed
 /// times vary by chance.
 constexpr double kMinGainShare = 0.1;
+/// Allowance for texts that are longer than expected: estimates are often off by half, and lengths
+/// have a long tail.
+constexpr double kLengthAllowance = 2.5;
+/// Share of the time left in which the text should be complete; the rest allows for a move to a
+/// faster engine if it is not.
+constexpr double kShareOfTimeLeft = 0.5;
+
+/// Engines of one class count as equally fast.
+double PaceClass(double seconds_per_event) {
+  return std::floor(std::log(seconds_per_event) / std::log1p(kMinGainShare));
+}
+
+std::optional<size_t> SlowestWithTimeToSpare(double remaining_events, double seconds_left,
+                                             const std::vector<EngineOffer>& offers) {
+  std::optional<size_t> best;
+  std::tuple<double, bool, double> best_key;
+  for (size_t i = 0; i < offers.size(); ++i) {
+    const EngineOffer& offer = offers[i];
+    // Slow engines may be faulty.
+    if (offer.slow) continue;
+    if (!HasTimeToSpare(remaining_events, offer.seconds_per_event, seconds_left)) continue;
+    const std::tuple key(PaceClass(offer.seconds_per_event), offer.has_prompt_cached,
+                         -static_cast<double>(offer.running));
+    if (best && key <= best_key) continue;
+    best = i;
+    best_key = key;
+  }
+  return best;
+}
 
 }  // namespace
 
@@ -30,4 +62,24 @@
   return faster && remaining_events * (current_seconds - target_seconds) >= kMinGainSeconds;
 }
 
+bool HasTimeToSpare(double remaining_events, double seconds_per_event, double seconds_left) {
+  if (std::isinf(seconds_left)) return false;
+  const double seconds = remaining_events * seconds_per_event * kLengthAllowance;
+  return seconds <= kShareOfTimeLeft * seconds_left;
+}
+
+std::optional<size_t> ChooseEngine(double remaining_events, double seconds_left,
+                                   const std::vector<EngineOffer>& offers) {
+  std::optional<size_t> best = SlowestWithTimeToSpare(remaining_events, seconds_left, offers);
+  if (best) return best;
+  double best_cost = 0;
+  for (size_t i = 0; i < offers.size(); ++i) {
+    const double cost = PlacementCost(remaining_events, offers[i]);
+    if (best && cost >= best_cost) continue;
+    best = i;
+    best_cost = cost;
+  }
+  return best;
+}
+
 }  // namespace millstair
