Job scheduler: trainers share engines by lateness

Cause: trainers that share engines must be equally late. Change: with shares_steps, the leader forecasts its jobs at most every 250 ms, and not at all while nothing waits and no run can make its job late. The queue is ordered by priority, planned before deferred before spare, lateness, group, latest start. Items are placed by ChooseEngine; runs move if they lack time to spare or are longer than expected, those that delay their job first. Metrics millstair_step_lateness_seconds and millstair_groups_deferred, event StepLate. With shares_steps off, ranks, engines and moves are as before.

--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -1,5 +1,6 @@
 /// The part of JobScheduler that assigns items to engines, starts runs and moves them.
 #include <algorithm>
+#include <limits>
 
 #include "common/event_log.h"
 #include "jobs/job_scheduler.h"
@@ -16,6 +17,8 @@
 constexpr Duration kMoveInterval = std::chrono::milliseconds(100);
 constexpr uint32_t kMaxMoves = 2;
 constexpr size_t kMaxMovesPerPass = 4;
+/// The fastest engine is chosen, as for an item without time to spare.
+constexpr double kNoDueTime = std::numeric_limits<double>::infinity();
 
 }  // namespace
 
@@ -60,22 +63,34 @@
     const JobRecord* record = state_.Find(job);
     const Route* route = record == nullptr ? nullptr : RouteOf(*record);
     if (route == nullptr || record->ended) continue;
+    const double seconds_left = options_.shares_steps ? SecondsLeft(*record) : kNoDueTime;
     for (const auto& work : job_work.items) {
       if (work == nullptr || work->phase != Phase::kRunning || work->moves >= kMaxMoves) continue;
       if (state_.IsRecorded(job, work->index)) continue;
       const double remaining = RemainingEvents(*work, *record);
       const double here = speeds_.SecondsPerEvent(work->run->instance());
       if (!WorthMoving(remaining, here, speeds_.FastestSeconds())) continue;
-      candidates.push_back({remaining, work.get(), record, route});
+      if (HasTimeToSpare(remaining, here, seconds_left) && !IsLongerThanExpected(*work, *record)) {
+        continue;
+      }
+      const bool delays_job = work->tier == GroupTier::kPlanned && remaining * here > seconds_left;
+      candidates.push_back({delays_job, remaining, work.get(), record, route});
     }
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const MoveCandidate& a, const MoveCandidate& b) {
+              if (a.delays_job != b.delays_job) return a.delays_job;
               return a.remaining_events > b.remaining_events;
             });
   return candidates;
 }
 
+bool JobScheduler::IsLongerThanExpected(const Work& work, const JobRecord& record) const {
+  const JobItem& item = record.spec.items[work.index];
+  const double expected = lengths_.ExpectedEvents(item, 0, TokensPerEvent(record));
+  return static_cast<double>(work.progress.events) >= expected;
+}
+
 void JobScheduler::MoveToFasterEngines(EngineSnapshot& snapshot) {
   const TimePoint now = environment_.Now();
   if (now < next_moves_at_) return;
@@ -93,7 +108,7 @@
   const double remaining = candidate.remaining_events;
   const InstanceId from = work.run->instance();
   work.avoid = from;
-  const BackendInstance* target = PickEngine(snapshot, work, record, *candidate.route);
+  const BackendInstance* target = PickEngine(snapshot, work, record, *candidate.route, kNoDueTime);
   if (target == nullptr || speeds_.IsSlow(target->id)) return false;
   const double here = speeds_.SecondsPerEvent(from);
   if (!WorthMoving(remaining, here, speeds_.SecondsPerEvent(target->id))) return false;
@@ -134,13 +149,14 @@
 }
 
 const BackendInstance* JobScheduler::PickEngine(EngineSnapshot& snapshot, Work& work,
-                                                const JobRecord& record, const Route& route) {
+                                                const JobRecord& record, const Route& route,
+                                                double seconds_left) {
   const double remaining = RemainingEvents(work, record);
   const WeightVersion oldest = MinUsefulVersion(work, record);
   const bool one_version = RequiresSameVersion(work, route);
   const InstanceId sibling = SiblingEngine(work, record);
-  const BackendInstance* best = nullptr;
-  double best_cost = 0;
+  std::vector<const BackendInstance*> engines;
+  std::vector<EngineOffer> offers;
   for (const ServiceShare& share : route.services) {
     for (const EngineCandidate& candidate :
          snapshot.CandidatesFor(share.service, record.spec.model)) {
@@ -148,15 +164,14 @@
       if (one_version && candidate.version != work.progress.version) continue;
       const SnapshotEngine& engine = snapshot.engine(candidate.engine);
       if (!engine.HasFreeSlot() || engine.record->id == work.avoid) continue;
-      EngineOffer offer = engine.offer;
-      offer.has_prompt_cached = engine.record->id == sibling;
-      const double cost = PlacementCost(remaining, offer);
-      if (best != nullptr && cost >= best_cost) continue;
-      best = engine.record;
-      best_cost = cost;
+      engines.push_back(engine.record);
+      offers.push_back(engine.offer);
+      offers.back().has_prompt_cached = engine.record->id == sibling;
     }
   }
   work.avoid = InstanceId();
+  const std::optional<size_t> chosen = ChooseEngine(remaining, seconds_left, offers);
+  const BackendInstance* best = chosen ? engines[*chosen] : nullptr;
   const std::string& group = record.spec.items[work.index].group;
   if (best != nullptr && !group.empty()) jobs_.at(work.job).group_engines[group] = best->id;
   return best;
@@ -167,7 +182,8 @@
   const bool lost = RequiresSameVersion(work, route) &&
                     !AnyEngineHolds(route, record.spec.model, work.progress.version);
   if (lost) DiscardProgress(work);
-  const BackendInstance* engine = PickEngine(snapshot, work, record, route);
+  const double seconds_left = options_.shares_steps ? SecondsLeft(record) : kNoDueTime;
+  const BackendInstance* engine = PickEngine(snapshot, work, record, route, seconds_left);
   if (engine == nullptr) return false;
   snapshot.OnRunStarted(engine->id);
   StartRun(work, record, route, *engine);
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -1,6 +1,7 @@
 #include "jobs/job_scheduler.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "common/event_log.h"
@@ -61,6 +62,9 @@
   lengths_.Clear();
   versions_until_return_.clear();
   speeds_.Clear();
+  next_forecast_at_ = TimePoint();
+  no_lateness_before_ = TimePoint();
+  SetForecastMetrics({}, 0);
   std::vector<JobId> known;
   for (const auto& [job, work] : jobs_) known.push_back(job);
   for (const JobId& job : known) DropJob(job);
@@ -118,6 +122,7 @@
   const JobId& id = record.spec.id;
   JobWork& job = jobs_[id];
   job.order = next_order_++;
+  no_lateness_before_ = TimePoint();
   const Route* route = RouteOf(record);
   if (route != nullptr) job.priority = ingress_.routes()->PriorityOf(*route, record.spec.tenant);
   UpdateReturnLag(record);
@@ -126,12 +131,17 @@
       OrderItems(record.spec, [this, tokens_per_event](const JobItem& item) -> ItemEstimate {
         return {lengths_.ExpectedEvents(item, 0, tokens_per_event), lengths_.Contains(item.id)};
       });
+  job.group_of_item = order.groups;
+  for (const bool carried : order.carried_groups) job.groups.push_back({false, carried, false});
   for (uint32_t index = 0; index < record.spec.items.size(); ++index) {
     auto work = std::make_unique<Work>();
     work->job = id;
     work->index = index;
     work->order = order.positions[index];
     work->spare = order.spare[index];
+    work->group = order.groups[index];
+    work->tier = work->spare ? GroupTier::kSpare : GroupTier::kPlanned;
+    job.groups[work->group].spare = work->spare;
     if (state_.IsRecorded(id, index)) {
       job.items.push_back(nullptr);
       continue;
@@ -181,10 +191,23 @@
   return environment_.Now() + allowed - age;
 }
 
+double JobScheduler::SecondsLeft(const JobRecord& record) const {
+  const Route* route = RouteOf(record);
+  if (route == nullptr || route->job_deadline <= Duration(0)) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return ToSeconds(DueAt(record) - environment_.Now());
+}
+
 double JobScheduler::RemainingEvents(const Work& work, const JobRecord& record) const {
+  return RemainingEvents(work, record, TokensPerEvent(record));
+}
+
+double JobScheduler::RemainingEvents(const Work& work, const JobRecord& record,
+                                     uint64_t tokens_per_event) const {
   const JobItem& item = record.spec.items[work.index];
   const uint64_t made = work.progress.events;
-  const double expected = lengths_.ExpectedEvents(item, made, TokensPerEvent(record));
+  const double expected = lengths_.ExpectedEvents(item, made, tokens_per_event);
   return std::max(1.0, expected - static_cast<double>(made));
 }
 
@@ -215,7 +238,9 @@
 
 JobScheduler::Rank JobScheduler::RankOf(const Work& work) const {
   const JobWork& job = jobs_.at(work.job);
-  return {job.priority, work.spare, work.latest_start, job.order, work.order, work.job, work.index};
+  return {job.priority,     work.tier,         work.tier == GroupTier::kSpare ? 0 : job.position,
+          work.group_order, work.latest_start, job.order,
+          work.order,       work.job,          work.index};
 }
 
 bool JobScheduler::ReuseRecordedText(const JobRecord& record, Work& work) {
@@ -357,6 +382,7 @@
   FailExpiredItems();
   StartScoring();
   speeds_.Recompute();
+  UpdateForecast();
   if (may_start_work_()) {
     EngineSnapshot snapshot(ingress_.directory(), loads_, speeds_, now);
     DispatchWaiting(snapshot);
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -4,6 +4,7 @@
 /// lost with the leadership.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -27,6 +28,7 @@
 #include "jobs/load_scheduler.h"
 #include "jobs/partial_text_cache.h"
 #include "jobs/placement.h"
+#include "jobs/step_forecast.h"
 
 namespace millstair {
 
@@ -71,6 +73,12 @@
     uint64_t order = 0;
     /// The client is not expected to wait for the item's group.
     bool spare = false;
+    /// Index of its group in its job.
+    size_t group = 0;
+    /// According to the latest forecast; otherwise planned unless it is spare.
+    GroupTier tier = GroupTier::kPlanned;
+    /// See JobForecast::order; 0 also for planned items that must start now.
+    size_t group_order = 0;
     /// Latest start at which the item is expected to complete by its job's deadline; set while it
     /// waits.
     TimePoint latest_start;
@@ -107,7 +115,14 @@
   struct JobWork {
     uint64_t order = 0;
     uint32_t priority = 0;
+    /// See JobForecast::position.
+    int64_t position = 0;
+    /// The forecast was late once, and the log says so.
+    bool reported_late = false;
     std::vector<std::unique_ptr<Work>> items;
+    /// By index of the item, also of those with a result.
+    std::vector<size_t> group_of_item;
+    std::vector<ForecastGroup> groups;
     /// By group: the engine that ran its latest item.
     std::map<std::string, InstanceId> group_engines;
     /// Under this leader, for the log; the epoch until then.
@@ -115,10 +130,14 @@
     TimePoint last_listed_at;
   };
   /// Order of the queue: by the priority of the job, then items of spare groups last, then by the
-  /// latest start.
+  /// latest start. If jobs share engines by their lateness, items of deferred groups follow those
+  /// of planned ones, the latest jobs come first within a tier, and their groups one after the
+  /// other.
   struct Rank {
     uint32_t priority = 0;
-    bool spare = false;
+    GroupTier tier = GroupTier::kPlanned;
+    int64_t position = 0;
+    size_t group_order = 0;
     TimePoint latest_start;
     uint64_t job_order = 0;
     uint64_t item_order = 0;
@@ -139,8 +158,12 @@
   WeightVersion MinUsefulVersion(const Work& work, const JobRecord& record) const;
   void Enqueue(Work& work, const JobRecord& record);
   TimePoint DueAt(const JobRecord& record) const;
+  /// Seconds until `record` is due; infinite if its route sets no deadline.
+  double SecondsLeft(const JobRecord& record) const;
   /// Number of events expected until the text is complete; at least one.
   double RemainingEvents(const Work& work, const JobRecord& record) const;
+  double RemainingEvents(const Work& work, const JobRecord& record,
+                         uint64_t tokens_per_event) const;
   /// According to the configuration of the job's service; 0 if unknown.
   uint64_t TokensPerEvent(const JobRecord& record) const;
   /// Records the known text lengths of an ended job.
@@ -162,10 +185,34 @@
   static void MarkUnsaved(Work& work);
   void MarkUnsaved(const std::vector<ProgressPart>& parts);
   void DropRecorded(const JobId& job);
+  /// The inputs of a forecast; pools are the engines assigned to a model.
+  struct ForecastInputs {
+    std::map<ModelName, size_t> pool_of_model;
+    std::vector<ForecastPool> pools;
+    std::vector<ForecastJob> jobs;
+    /// In the order of `jobs`.
+    std::vector<const JobRecord*> records;
+  };
+  /// Forecasts the jobs and orders the queue accordingly, if the last forecast is old enough and
+  /// anything waits or may be late.
+  void UpdateForecast();
+  ForecastInputs CollectForecastInputs() const;
+  ForecastJob ForecastJobOf(const JobRecord& record, const JobWork& job) const;
+  /// Adds the engines of `route` that are assigned to `model` and answer.
+  void AddEngines(const Route& route, const ModelName& model, std::set<InstanceId>& added,
+                  ForecastPool& pool) const;
+  void ApplyForecasts(const ForecastInputs& inputs, const std::vector<JobForecast>& forecasts);
+  /// Calls `change`, which may change what RankOf returns, and orders the queues again.
+  void ReorderQueues(const std::function<void()>& change);
+  void ReportForecasts(const ForecastInputs& inputs, const std::vector<JobForecast>& forecasts);
+  void ReportLateJob(const JobRecord& record, const JobForecast& forecast);
+  void SetForecastMetrics(const std::map<std::string, double>& lateness_by_route, size_t deferred);
   void HandleChanges();
   void SchedulePump(Duration delay);
   /// A run that could continue at a faster engine.
   struct MoveCandidate {
+    /// The client waits for it, and it is expected to be late where it runs.
+    bool delays_job = false;
     double remaining_events = 0;
     Work* work = nullptr;
     const JobRecord* record = nullptr;
@@ -173,12 +220,16 @@
   };
 
   void DispatchWaiting(EngineSnapshot& snapshot);
-  /// Moves runs to faster engines with free slots, those with the most remaining events first.
+  /// Moves runs to faster engines with free slots, in the order of MoveCandidates.
   void MoveToFasterEngines(EngineSnapshot& snapshot);
   /// Items of `route` wait, and no engine has a free slot.
   void ReportNoFreeSlot(const Route& route);
-  /// The runs with the most remaining events first.
+  /// The runs with the most remaining events first. If jobs share engines by their lateness, runs
+  /// that delay their job precede them, and those with time to spare are left where they are unless
+  /// their texts turned out longer than expected.
   std::vector<MoveCandidate> MoveCandidates();
+  /// Whether the text has reached the length that was expected before it began.
+  bool IsLongerThanExpected(const Work& work, const JobRecord& record) const;
   bool Move(EngineSnapshot& snapshot, const MoveCandidate& candidate);
   /// False while the item is held because engines crashed while they ran it.
   bool MaySend(Work& work, const JobRecord& record);
@@ -201,9 +252,10 @@
   Duration StallTimeout(const InstanceId& engine) const;
   /// The engine that ran the latest item of the same group; empty if none.
   InstanceId SiblingEngine(const Work& work, const JobRecord& record) const;
-  /// The engine with the lowest cost to complete `work`; null if none may start it now.
+  /// The engine for `work` if it is due in `seconds_left`; null if none may start it now. See
+  /// ChooseEngine.
   const BackendInstance* PickEngine(EngineSnapshot& snapshot, Work& work, const JobRecord& record,
-                                    const Route& route);
+                                    const Route& route, double seconds_left);
   void OnRunEnd(const JobId& job, uint32_t index, ItemRunEnd end, const std::string& reason);
   void Requeue(Work& work, Duration pause);
   void DiscardProgress(Work& work);
@@ -263,6 +315,11 @@
   EngineSpeedTracker speeds_;
   TimePoint next_moves_at_;
   TimePoint next_pump_at_;
+  TimePoint next_forecast_at_;
+  /// Until then no running item can make its job late.
+  TimePoint no_lateness_before_;
+  /// Routes with a value of the lateness metric.
+  std::set<std::string> routes_with_lateness_;
   /// Jobs that changed since the timer last fired.
   std::set<JobId> changed_;
   bool was_restored_ = false;
--- /dev/null
+++ b/source/jobs/job_sharing.cc
@@ -0,0 +1,191 @@
+/// The part of JobScheduler that forecasts when jobs are complete and orders the queue by it.
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "common/event_log.h"
+#include "jobs/job_scheduler.h"
+
+namespace millstair {
+namespace {
+
+/// Minimum time between forecasts: each one iterates over all open items.
+constexpr Duration kForecastInterval = std::chrono::milliseconds(250);
+/// Allowance for running texts that grow by a third beyond their expected length, as those do that
+/// exceed it.
+constexpr double kGrowthAllowanceSeconds = 2;
+/// Bound on the interval after which runs are considered again.
+constexpr double kMaxForecastPauseSeconds = 60;
+/// Engines whose events arrive together count with this pace, so that no pool is infinitely fast.
+constexpr double kMinSecondsPerEvent = 0.0001;
+
+}  // namespace
+
+void JobScheduler::UpdateForecast() {
+  if (!options_.shares_steps) return;
+  const TimePoint now = environment_.Now();
+  if (jobs_.empty()) return SetForecastMetrics({}, 0);
+  if (now < next_forecast_at_ || (waiting_.empty() && now < no_lateness_before_)) return;
+  next_forecast_at_ = now + kForecastInterval;
+  const ForecastInputs inputs = CollectForecastInputs();
+  const std::vector<JobForecast> forecasts = ForecastSteps(inputs.pools, inputs.jobs);
+  ApplyForecasts(inputs, forecasts);
+  ReportForecasts(inputs, forecasts);
+  double latest = -kMaxForecastPauseSeconds;
+  for (const JobForecast& forecast : forecasts) {
+    latest = std::max(latest, forecast.lateness_seconds);
+  }
+  no_lateness_before_ = now + FromSeconds(std::max(0.0, -latest - kGrowthAllowanceSeconds));
+}
+
+JobScheduler::ForecastInputs JobScheduler::CollectForecastInputs() const {
+  ForecastInputs inputs;
+  std::vector<std::set<InstanceId>> added;
+  std::set<std::pair<const Route*, ModelName>> seen;
+  for (const auto& [id, job] : jobs_) {
+    const JobRecord* record = state_.Find(id);
+    const Route* route = record == nullptr ? nullptr : RouteOf(*record);
+    if (route == nullptr || record->ended) continue;
+    const ModelName& model = record->spec.model;
+    const auto [pool, is_new] = inputs.pool_of_model.try_emplace(model, inputs.pools.size());
+    if (is_new) {
+      inputs.pools.emplace_back();
+      added.emplace_back();
+    }
+    if (seen.emplace(route, model).second) {
+      AddEngines(*route, model, added[pool->second], inputs.pools[pool->second]);
+    }
+    inputs.jobs.push_back(ForecastJobOf(*record, job));
+    inputs.jobs.back().pool = pool->second;
+    inputs.jobs.back().priority = ingress_.routes()->PriorityOf(*route, record->spec.tenant);
+    inputs.records.push_back(record);
+  }
+  return inputs;
+}
+
+void JobScheduler::AddEngines(const Route& route, const ModelName& model,
+                              std::set<InstanceId>& added, ForecastPool& pool) const {
+  for (const ServiceShare& share : route.services) {
+    for (const BackendInstance* engine : loads_.EnginesOf(share.service)) {
+      const EngineLoadState* load = loads_.StateOf(engine->id);
+      // An engine that loads weights of its model counts, since it takes runs again within a
+      // second.
+      if (load == nullptr || load->assigned != model) continue;
+      if (ingress_.directory().Ejected(engine->id) || !added.insert(engine->id).second) continue;
+      pool.engines.push_back({std::max(1U, engine->slots),
+                              std::max(kMinSecondsPerEvent, speeds_.SecondsPerEvent(engine->id))});
+    }
+  }
+}
+
+ForecastJob JobScheduler::ForecastJobOf(const JobRecord& record, const JobWork& job) const {
+  ForecastJob forecast;
+  forecast.due_in_seconds = SecondsLeft(record);
+  forecast.groups = job.groups;
+  forecast.wanted_groups =
+      record.spec.wanted_groups == 0 ? job.groups.size() : record.spec.wanted_groups;
+  for (const JobResult& result : record.results) {
+    if (result.state != ItemState::kDone) {
+      forecast.groups[job.group_of_item[result.item]].failed = true;
+    }
+  }
+  const uint64_t tokens_per_event = TokensPerEvent(record);
+  for (const auto& work : job.items) {
+    if (work == nullptr || state_.IsRecorded(work->job, work->index)) continue;
+    ForecastItem item;
+    item.group = work->group;
+    const bool running = work->phase == Phase::kRunning && work->run != nullptr;
+    if (running || work->phase == Phase::kWaiting) {
+      item.remaining_events = RemainingEvents(*work, record, tokens_per_event);
+    }
+    if (running) {
+      item.running_seconds_per_event =
+          std::max(kMinSecondsPerEvent, speeds_.SecondsPerEvent(work->run->instance()));
+    }
+    forecast.items.push_back(item);
+  }
+  return forecast;
+}
+
+void JobScheduler::ApplyForecasts(const ForecastInputs& inputs,
+                                  const std::vector<JobForecast>& forecasts) {
+  const TimePoint now = environment_.Now();
+  ReorderQueues([&] {
+    for (size_t i = 0; i < forecasts.size(); ++i) {
+      JobWork& job = jobs_.at(inputs.records[i]->spec.id);
+      job.priority = inputs.jobs[i].priority;
+      job.position = forecasts[i].position;
+      for (const auto& work : job.items) {
+        if (work == nullptr) continue;
+        work->tier = forecasts[i].tiers[work->group];
+        const bool must_start = work->tier == GroupTier::kPlanned && work->latest_start <= now;
+        work->group_order = must_start ? 0 : forecasts[i].order[work->group];
+      }
+    }
+  });
+}
+
+void JobScheduler::ReorderQueues(const std::function<void()>& change) {
+  std::set<Rank> waiting = std::exchange(waiting_, {});
+  auto scoring = std::exchange(scoring_waiting_, {});
+  change();
+  const auto rank_again = [this](const Rank& rank) {
+    return RankOf(*jobs_.at(rank.job).items.at(rank.index));
+  };
+  for (const Rank& rank : waiting) waiting_.insert(rank_again(rank));
+  for (const auto& [route, ranks] : scoring) {
+    for (const Rank& rank : ranks) scoring_waiting_[route].insert(rank_again(rank));
+  }
+}
+
+void JobScheduler::ReportForecasts(const ForecastInputs& inputs,
+                                   const std::vector<JobForecast>& forecasts) {
+  std::map<std::string, double> lateness_by_route;
+  size_t deferred = 0;
+  for (size_t i = 0; i < forecasts.size(); ++i) {
+    const JobRecord& record = *inputs.records[i];
+    deferred += forecasts[i].deferred_groups;
+    if (std::isinf(forecasts[i].lateness_seconds)) continue;
+    const auto [known, first] =
+        lateness_by_route.try_emplace(RouteOf(record)->name, forecasts[i].lateness_seconds);
+    if (!first) known->second = std::max(known->second, forecasts[i].lateness_seconds);
+    ReportLateJob(record, forecasts[i]);
+  }
+  SetForecastMetrics(lateness_by_route, deferred);
+}
+
+void JobScheduler::ReportLateJob(const JobRecord& record, const JobForecast& forecast) {
+  JobWork& job = jobs_.at(record.spec.id);
+  const bool late = forecast.lateness_seconds > 0;
+  if (!late || forecast.planned_groups + forecast.deferred_groups == 0) return;
+  if (std::exchange(job.reported_late, true)) return;
+  LogEvent(EventId::kStepLate,
+           "job={} step={} route={} late_ms={} complete={} planned={} wanted={}", record.spec.id,
+           record.spec.step.value_or(0), RouteOf(record)->name,
+           ToMilliseconds(FromSeconds(forecast.lateness_seconds)), forecast.complete_groups,
+           forecast.planned_groups, record.spec.wanted_groups);
+}
+
+void JobScheduler::SetForecastMetrics(const std::map<std::string, double>& lateness_by_route,
+                                      size_t deferred) {
+  if (!options_.shares_steps || stats_ == nullptr) return;
+  const auto lateness = [this](const std::string& route) -> Gauge& {
+    return stats_->NewGauge({"millstair_step_lateness_seconds",
+                             "Expected lateness of the latest open job; negative: time to spare.",
+                             "route", route});
+  };
+  for (const std::string& route : routes_with_lateness_) {
+    if (!lateness_by_route.contains(route)) lateness(route).Set(0);
+  }
+  for (const auto& [route, seconds] : lateness_by_route) {
+    lateness(route).Set(seconds);
+    routes_with_lateness_.insert(route);
+  }
+  stats_
+      ->NewGauge({"millstair_groups_deferred",
+                  "Wanted groups of open jobs that do not fit in their share of the engines.", "",
+                  ""})
+      .Set(static_cast<double>(deferred));
+}
+
+}  // namespace millstair
--- a/test/jobs/job_scheduler_fixture.h
+++ b/test/jobs/job_scheduler_fixture.h
@@ -20,7 +20,8 @@
 /// The scheduler of a job group with one engine at e:1 and one scorer at p:1, in virtual time.
 class JobSchedulerFixture {
  public:
-  JobSchedulerFixture() {
+  explicit JobSchedulerFixture(JobSchedulerOptions options = {})
+      : scheduler_under_test(environment, backends, ingress, loads, state, group, options, &stats) {
     Route jobs;
     jobs.name = "jobs";
     jobs.host = "h";
@@ -104,8 +105,8 @@
                       protocol,    NodeId("self"), LoadOptions()};
   JobStateMachine state;
   FakeGroup group{scheduler, &state};
-  JobScheduler scheduler_under_test{environment,          backends, ingress, loads, state, group,
-                                    JobSchedulerOptions()};
+  StatsRegistry stats;
+  JobScheduler scheduler_under_test;
   FakeAnswer score{FakeAnswer::Kind::kAnswer, 200, {{"signature", "sig"}}, {"ok"}};
 };
 
--- /dev/null
+++ b/test/jobs/job_sharing_test.cc
@@ -0,0 +1,211 @@
+/// The order of the queue, the metrics and the events of jobs that share engines by their lateness.
+#include <catch2/catch.hpp>
+
+#include "fmt/format.h"
+#include "test/jobs/job_scheduler_fixture.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint64_t kTokensPerEvent = 10;
+constexpr auto kGap = milliseconds(30);
+
+JobItem ItemOfEvents(const std::string& id, const std::string& group, uint64_t events) {
+  JobItem item;
+  item.id = ItemId(id);
+  item.path = "/j/item";
+  item.group = group;
+  item.expected_tokens = events * kTokensPerEvent;
+  return item;
+}
+
+/// One engine with one slot at e:1 that makes the number of events in the item's identifier, after
+/// the last "-"; jobs are due after 2 s.
+class SharingFixture : public JobSchedulerFixture {
+ public:
+  explicit SharingFixture(bool shares_steps = true)
+      : JobSchedulerFixture({.shares_steps = shares_steps}) {
+    reader.table.version = 2;
+    reader.table.routes[0].job_deadline = seconds(2);
+    reader.table.routes[0].priority = 2;
+    reader.table.services[0].engine->tokens_per_event = kTokensPerEvent;
+    reader.table.tenants = TenantDirectory(
+        {{TenantName("urgent"), {"key-1"}, 0}, {TenantName("usual"), {"key-2"}, {}}});
+    configuration.routing = {2, "other content"};
+    Add("e:1", "engines", [](const HttpRequest& request) {
+      const std::string id(*FindHeader(request.headers, "id"));
+      const size_t events = std::stoul(id.substr(id.rfind('-') + 1));
+      const auto resume = FindHeader(request.headers, "resume");
+      std::vector<std::string> pieces;
+      for (size_t i = resume ? std::stoul(std::string(*resume)) + 1 : 1; i <= events; ++i) {
+        pieces.push_back(fmt::format("{}||x\n\n", i));
+      }
+      FakeAnswer answer = Text(pieces);
+      answer.gap = kGap;
+      return answer;
+    });
+    configuration.instances[InstanceId("e:1")].slots = 1;
+    Update();
+  }
+
+  std::vector<std::string> OrderOfRuns() const {
+    std::vector<std::string> order;
+    for (const auto& call : backends.calls) {
+      if (call->address == "e:1") order.emplace_back(*FindHeader(call->request.headers, "id"));
+    }
+    return order;
+  }
+
+  void End(const std::string& job) {
+    group.Propose(EncodeJobCommand({EndJob{JobId(job), {}}, environment.WallNow()}),
+                  [](const absl::StatusOr<std::string>&) {});
+    scheduler.RunFor(milliseconds(10));
+  }
+
+  std::optional<double> Metric(const std::string& name) const {
+    for (const StatSample& sample : stats.Read()) {
+      if (sample.name.name == name) return sample.value;
+    }
+    return std::nullopt;
+  }
+};
+
+/// A job of two groups of 10 and 40 events per item; the longer does not fit in 2 s.
+JobSpec JobOfTwoGroups(const JobSchedulerFixture& fixture, const std::string& id) {
+  JobSpec job = fixture.Job(id, false);
+  job.items = {ItemOfEvents(id + "-a1-40", "a", 40), ItemOfEvents(id + "-a2-40", "a", 40),
+               ItemOfEvents(id + "-b1-10", "b", 10), ItemOfEvents(id + "-b2-10", "b", 10)};
+  return job;
+}
+
+// Guards the groups that can be in time against work on one that cannot.
+TEST_CASE("Items of planned groups run before those of deferred ones") {
+  SharingFixture fixture;
+  fixture.Submit(JobOfTwoGroups(fixture, "j"));
+  fixture.Lead();
+  fixture.scheduler.RunFor(seconds(4));
+  CHECK(fixture.OrderOfRuns() ==
+        std::vector<std::string>{"j-b1-10", "j-b2-10", "j-a1-40", "j-a2-40"});
+}
+
+TEST_CASE("Without sharing the longest texts run first, whether or not they can be in time") {
+  SharingFixture fixture(false);
+  fixture.Submit(JobOfTwoGroups(fixture, "j"));
+  fixture.Lead();
+  fixture.scheduler.RunFor(seconds(4));
+  CHECK(fixture.OrderOfRuns() ==
+        std::vector<std::string>{"j-a1-40", "j-a2-40", "j-b1-10", "j-b2-10"});
+  CHECK_FALSE(fixture.Metric("millstair_groups_deferred").has_value());
+  CHECK_FALSE(fixture.Metric("millstair_step_lateness_seconds").has_value());
+}
+
+TEST_CASE("A deferred group of an urgent tenant precedes planned groups of others") {
+  SharingFixture fixture;
+  JobSpec usual = fixture.Job("usual", false);
+  usual.tenant = TenantName("usual");
+  usual.items = {ItemOfEvents("usual-10", "c", 10)};
+  JobSpec urgent = JobOfTwoGroups(fixture, "urgent");
+  urgent.tenant = TenantName("urgent");
+  fixture.Submit(usual);
+  fixture.Submit(urgent);
+  fixture.Lead();
+  fixture.scheduler.RunFor(seconds(6));
+  REQUIRE(fixture.OrderOfRuns().size() == 5);
+  CHECK(fixture.OrderOfRuns().back() == "usual-10");
+}
+
+TEST_CASE("A changed priority applies to waiting items") {
+  SharingFixture fixture;
+  JobSpec first = fixture.Job("first", false);
+  first.tenant = TenantName("usual");
+  first.items = {ItemOfEvents("first-20", "a", 20), ItemOfEvents("first-19", "b", 19)};
+  JobSpec second = fixture.Job("second", false);
+  second.tenant = TenantName("urgent");
+  second.items = {ItemOfEvents("second-10", "c", 10), ItemOfEvents("second-9", "d", 9)};
+  fixture.Submit(first);
+  fixture.Submit(second);
+  fixture.Lead();
+  fixture.scheduler.RunFor(milliseconds(50));
+  REQUIRE(fixture.OrderOfRuns() == std::vector<std::string>{"second-9"});
+  fixture.reader.table.version = 3;
+  fixture.reader.table.tenants =
+      TenantDirectory({{TenantName("urgent"), {"key-1"}, 7}, {TenantName("usual"), {"key-2"}, {}}});
+  fixture.configuration.routing = {3, "changed content"};
+  fixture.Update();
+  fixture.scheduler.RunFor(seconds(4));
+  REQUIRE(fixture.OrderOfRuns().size() == 4);
+  CHECK(fixture.OrderOfRuns().back() == "second-10");
+}
+
+TEST_CASE("Metrics show the latest job of a route and the deferred groups until the jobs end") {
+  SharingFixture fixture;
+  fixture.Submit(JobOfTwoGroups(fixture, "j"));
+  fixture.Lead();
+  fixture.scheduler.RunFor(milliseconds(100));
+  CHECK(fixture.Metric("millstair_groups_deferred") == 1);
+  CHECK(fixture.Metric("millstair_step_lateness_seconds") > 0);
+  fixture.End("j");
+  fixture.scheduler.RunFor(milliseconds(100));
+  CHECK(fixture.Metric("millstair_groups_deferred") == 0);
+  CHECK(fixture.Metric("millstair_step_lateness_seconds") == 0);
+}
+
+TEST_CASE("A replica that no longer leads reports no lateness") {
+  SharingFixture fixture;
+  fixture.Submit(JobOfTwoGroups(fixture, "j"));
+  fixture.Lead();
+  fixture.scheduler.RunFor(milliseconds(100));
+  REQUIRE(fixture.Metric("millstair_groups_deferred") == 1);
+  fixture.scheduler_under_test.SetLeading(false);
+  CHECK(fixture.Metric("millstair_groups_deferred") == 0);
+  CHECK(fixture.Metric("millstair_step_lateness_seconds") == 0);
+}
+
+TEST_CASE("A new leader forecasts with its first pass, from saved texts too") {
+  SharingFixture fixture;
+  fixture.Submit(JobOfTwoGroups(fixture, "j"));
+  // The previous leader saved nearly all of the long texts.
+  for (const uint32_t item : {0U, 1U}) {
+    std::string text = "x";
+    for (int i = 1; i < 38; ++i) text += "\nx";
+    const SavedProgress saved{{text, 38, {WeightVersion(1)}, WeightVersion(1)}, Term(1)};
+    fixture.state.Apply(LogIndex(50 + item),
+                        EncodeJobCommand({SaveProgress{{{JobId("j"), item, 0, saved}}}, {}}));
+  }
+  fixture.Lead();
+  fixture.scheduler.RunFor(milliseconds(50));
+  REQUIRE(fixture.OrderOfRuns().size() == 1);
+  CHECK(fixture.OrderOfRuns()[0].starts_with("j-a"));
+  CHECK(fixture.Metric("millstair_groups_deferred") == 0);
+}
+
+// Guards running texts, which are of use until their job is lost.
+TEST_CASE("Runs of deferred groups are not cut when engines fall silent") {
+  SharingFixture fixture;
+  fixture.Add("e:2", "engines", [](const HttpRequest&) {
+    FakeAnswer answer = Text({});
+    for (int i = 1; i <= 60; ++i) answer.pieces.push_back(fmt::format("{}||x\n\n", i));
+    answer.gap = kGap;
+    return answer;
+  });
+  JobSpec job = fixture.Job("j", false);
+  job.items = {ItemOfEvents("j-a-60", "a", 60), ItemOfEvents("j-b-60", "b", 60)};
+  fixture.Submit(job);
+  fixture.Lead();
+  fixture.scheduler.RunFor(milliseconds(300));
+  // One engine is gone: its slots don't count any more, and nothing can be in time.
+  fixture.configuration.instances.erase(InstanceId("e:2"));
+  fixture.Update();
+  fixture.scheduler.RunFor(seconds(5));
+  const JobRecord* record = fixture.state.Find(JobId("j"));
+  CHECK(record->results.size() == 2);
+  for (const auto& call : fixture.backends.calls) {
+    if (call->address == "e:1") CHECK_FALSE(call->cancelled);
+  }
+}
+
+}  // namespace
+}  // namespace millstair
