Forecast: jobs that may run at the same engines share a pool

Cause: a job that allows any weights runs at engines of every model, but its pool held only those assigned to its own; with none of these, all its groups were deferred and it was reported 3600 s late. Change: such jobs use all engines of their route, and pools with a common engine are merged.

--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -185,9 +185,17 @@
   static void MarkUnsaved(Work& work);
   void MarkUnsaved(const std::vector<ProgressPart>& parts);
   void DropRecorded(const JobId& job);
-  /// The inputs of a forecast; pools are the engines assigned to a model.
+  /// Jobs with equal members may run at the same engines.
+  struct EngineUse {
+    const Route* route = nullptr;
+    ModelName model;
+    /// The job allows any weights, and so any engine of the route.
+    bool any_version = false;
+    friend auto operator<=>(const EngineUse&, const EngineUse&) = default;  // NOLINT
+  };
+  /// The inputs of a forecast.
   struct ForecastInputs {
-    std::map<ModelName, size_t> pool_of_model;
+    /// Jobs that share an engine are in one pool.
     std::vector<ForecastPool> pools;
     std::vector<ForecastJob> jobs;
     /// In the order of `jobs`.
@@ -198,9 +206,11 @@
   void UpdateForecast();
   ForecastInputs CollectForecastInputs() const;
   ForecastJob ForecastJobOf(const JobRecord& record, const JobWork& job) const;
-  /// Adds the engines of `route` that are assigned to `model` and answer.
-  void AddEngines(const Route& route, const ModelName& model, std::set<InstanceId>& added,
-                  ForecastPool& pool) const;
+  /// The engines that answer.
+  std::vector<const BackendInstance*> EnginesFor(const EngineUse& use) const;
+  static void MergePools(ForecastInputs& inputs, size_t from, size_t to,
+                         std::map<EngineUse, size_t>& pool_of_use,
+                         std::map<InstanceId, size_t>& pool_of_engine);
   void ApplyForecasts(const ForecastInputs& inputs, const std::vector<JobForecast>& forecasts);
   /// Calls `change`, which may change what RankOf returns, and orders the queues again.
   void ReorderQueues(const std::function<void()>& change);
--- a/source/jobs/job_sharing.cc
+++ b/source/jobs/job_sharing.cc
@@ -40,42 +40,65 @@
 
 JobScheduler::ForecastInputs JobScheduler::CollectForecastInputs() const {
   ForecastInputs inputs;
-  std::vector<std::set<InstanceId>> added;
-  std::set<std::pair<const Route*, ModelName>> seen;
+  std::map<EngineUse, size_t> pool_of_use;
+  std::map<InstanceId, size_t> pool_of_engine;
   for (const auto& [id, job] : jobs_) {
     const JobRecord* record = state_.Find(id);
     const Route* route = record == nullptr ? nullptr : RouteOf(*record);
     if (route == nullptr || record->ended) continue;
-    const ModelName& model = record->spec.model;
-    const auto [pool, is_new] = inputs.pool_of_model.try_emplace(model, inputs.pools.size());
+    inputs.jobs.push_back(ForecastJobOf(*record, job));
+    inputs.jobs.back().priority = ingress_.routes()->PriorityOf(*route, record->spec.tenant);
+    inputs.records.push_back(record);
+    const EngineUse use{route, record->spec.model, record->spec.min_version == WeightVersion()};
+    const auto [pool, is_new] = pool_of_use.try_emplace(use, inputs.pools.size());
     if (is_new) {
       inputs.pools.emplace_back();
-      added.emplace_back();
-    }
-    if (seen.emplace(route, model).second) {
-      AddEngines(*route, model, added[pool->second], inputs.pools[pool->second]);
+      for (const BackendInstance* engine : EnginesFor(use)) {
+        const auto [owner, unowned] = pool_of_engine.try_emplace(engine->id, pool->second);
+        if (!unowned) {
+          MergePools(inputs, owner->second, pool->second, pool_of_use, pool_of_engine);
+          continue;
+        }
+        const double pace = std::max(kMinSecondsPerEvent, speeds_.SecondsPerEvent(engine->id));
+        inputs.pools[pool->second].engines.push_back({std::max(1U, engine->slots), pace});
+      }
     }
-    inputs.jobs.push_back(ForecastJobOf(*record, job));
     inputs.jobs.back().pool = pool->second;
-    inputs.jobs.back().priority = ingress_.routes()->PriorityOf(*route, record->spec.tenant);
-    inputs.records.push_back(record);
   }
   return inputs;
 }
 
-void JobScheduler::AddEngines(const Route& route, const ModelName& model,
-                              std::set<InstanceId>& added, ForecastPool& pool) const {
-  for (const ServiceShare& share : route.services) {
+void JobScheduler::MergePools(ForecastInputs& inputs, size_t from, size_t to,
+                              std::map<EngineUse, size_t>& pool_of_use,
+                              std::map<InstanceId, size_t>& pool_of_engine) {
+  if (from == to) return;
+  auto& engines = inputs.pools[from].engines;
+  inputs.pools[to].engines.insert(inputs.pools[to].engines.end(), engines.begin(), engines.end());
+  engines.clear();
+  for (ForecastJob& job : inputs.jobs) {
+    if (job.pool == from) job.pool = to;
+  }
+  for (auto& [use, pool] : pool_of_use) {
+    if (pool == from) pool = to;
+  }
+  for (auto& [engine, pool] : pool_of_engine) {
+    if (pool == from) pool = to;
+  }
+}
+
+std::vector<const BackendInstance*> JobScheduler::EnginesFor(const EngineUse& use) const {
+  std::vector<const BackendInstance*> engines;
+  for (const ServiceShare& share : use.route->services) {
     for (const BackendInstance* engine : loads_.EnginesOf(share.service)) {
       const EngineLoadState* load = loads_.StateOf(engine->id);
       // An engine that loads weights of its model counts, since it takes runs again within a
       // second.
-      if (load == nullptr || load->assigned != model) continue;
-      if (ingress_.directory().Ejected(engine->id) || !added.insert(engine->id).second) continue;
-      pool.engines.push_back({std::max(1U, engine->slots),
-                              std::max(kMinSecondsPerEvent, speeds_.SecondsPerEvent(engine->id))});
+      const bool assigned = load != nullptr && load->assigned == use.model;
+      if (!assigned && !use.any_version) continue;
+      if (!ingress_.directory().Ejected(engine->id)) engines.push_back(engine);
     }
   }
+  return engines;
 }
 
 ForecastJob JobScheduler::ForecastJobOf(const JobRecord& record, const JobWork& job) const {
--- a/test/jobs/job_sharing_test.cc
+++ b/test/jobs/job_sharing_test.cc
@@ -182,6 +182,24 @@
   CHECK(fixture.Metric("millstair_groups_deferred") == 0);
 }
 
+// Without a required version any engine runs an item, whatever model it is assigned to.
+TEST_CASE("Jobs of several models that allow any weights share the engines") {
+  SharingFixture fixture;
+  JobSpec other = fixture.Job("other", false);
+  other.model = ModelName("unknown");
+  other.items = {ItemOfEvents("other-30", "a", 30)};
+  fixture.Submit(other);
+  fixture.Lead();
+  fixture.scheduler.RunFor(milliseconds(50));
+  CHECK(fixture.Metric("millstair_groups_deferred") == 0);
+  CHECK(fixture.Metric("millstair_step_lateness_seconds") < 0);
+  JobSpec job = fixture.Job("j", false);
+  job.items = {ItemOfEvents("j-45", "a", 45)};
+  fixture.Submit(job);
+  fixture.scheduler.RunFor(milliseconds(300));
+  CHECK(fixture.Metric("millstair_groups_deferred") == 1);
+}
+
 // Guards running texts, which are of use until their job is lost.
 TEST_CASE("Runs of deferred groups are not cut when engines fall silent") {
   SharingFixture fixture;
