Queues drop ranks of removed items when they are ordered again; case for moves of longer texts

Cause: the new order looked up every rank's item without a check; and no case covered that a text with time to spare starts at a slow engine and moves once it is longer than expected. Change: both.

--- a/source/jobs/job_sharing.cc
+++ b/source/jobs/job_sharing.cc
@@ -152,12 +152,14 @@
   std::set<Rank> waiting = std::exchange(waiting_, {});
   auto scoring = std::exchange(scoring_waiting_, {});
   change();
-  const auto rank_again = [this](const Rank& rank) {
-    return RankOf(*jobs_.at(rank.job).items.at(rank.index));
+  const auto insert = [this](std::set<Rank>& queue, const Rank& rank) {
+    const auto job = jobs_.find(rank.job);
+    if (job == jobs_.end() || job->second.items.at(rank.index) == nullptr) return;
+    queue.insert(RankOf(*job->second.items[rank.index]));
   };
-  for (const Rank& rank : waiting) waiting_.insert(rank_again(rank));
+  for (const Rank& rank : waiting) insert(waiting_, rank);
   for (const auto& [route, ranks] : scoring) {
-    for (const Rank& rank : ranks) scoring_waiting_[route].insert(rank_again(rank));
+    for (const Rank& rank : ranks) insert(scoring_waiting_[route], rank);
   }
 }
 
--- a/test/jobs/job_sharing_test.cc
+++ b/test/jobs/job_sharing_test.cc
@@ -35,7 +35,11 @@
     reader.table.tenants = TenantDirectory(
         {{TenantName("urgent"), {"key-1"}, 0}, {TenantName("usual"), {"key-2"}, {}}});
     configuration.routing = {2, "other content"};
-    Add("e:1", "engines", [](const HttpRequest& request) {
+    AddEngine("e:1", 1, kGap);
+  }
+
+  void AddEngine(const std::string& address, uint32_t slots, Duration gap) {
+    Add(address, "engines", [gap](const HttpRequest& request) {
       const std::string id(*FindHeader(request.headers, "id"));
       const size_t events = std::stoul(id.substr(id.rfind('-') + 1));
       const auto resume = FindHeader(request.headers, "resume");
@@ -44,10 +48,10 @@
         pieces.push_back(fmt::format("{}||x\n\n", i));
       }
       FakeAnswer answer = Text(pieces);
-      answer.gap = kGap;
+      answer.gap = gap;
       return answer;
     });
-    configuration.instances[InstanceId("e:1")].slots = 1;
+    configuration.instances[InstanceId(address)].slots = slots;
     Update();
   }
 
@@ -200,6 +204,36 @@
   CHECK(fixture.Metric("millstair_groups_deferred") == 1);
 }
 
+// Guards long texts whose estimate is too low: they start at slow engines.
+TEST_CASE("A text with time to spare starts at a slow engine and moves once it is longer") {
+  SharingFixture fixture;
+  fixture.reader.table.version = 3;
+  fixture.reader.table.routes[0].job_deadline = seconds(8);
+  fixture.configuration.routing = {3, "changed content"};
+  fixture.AddEngine("e:1", 2, milliseconds(60));
+  fixture.AddEngine("e:2", 2, milliseconds(30));
+  fixture.Lead();
+  JobSpec warm_up = fixture.Job("warm-up", false);
+  warm_up.items = {ItemOfEvents("a-9", "a", 9), ItemOfEvents("b-9", "b", 9)};
+  fixture.Submit(warm_up);
+  fixture.scheduler.RunFor(seconds(1));
+  REQUIRE(fixture.backends.CountAt("e:1") == 1);
+  REQUIRE(fixture.backends.CountAt("e:2") == 1);
+  JobSpec job = fixture.Job("j", false);
+  job.items = {ItemOfEvents("short-9", "c", 9), ItemOfEvents("long-60", "d", 9)};
+  fixture.Submit(job);
+  fixture.scheduler.RunFor(milliseconds(500));
+  CHECK(fixture.backends.CountAt("e:1") == 3);
+  CHECK(fixture.backends.CountAt("e:2") == 1);
+  fixture.scheduler.RunFor(seconds(4));
+  CHECK(fixture.backends.CountAt("e:1") == 3);
+  REQUIRE(fixture.backends.CountAt("e:2") == 2);
+  const auto& moved = fixture.backends.calls.back()->request;
+  CHECK(FindHeader(moved.headers, "id") == "long-60");
+  CHECK(std::stoul(std::string(*FindHeader(moved.headers, "resume"))) >= 9);
+  CHECK(fixture.state.Find(JobId("j"))->results.size() == 2);
+}
+
 // Guards running texts, which are of use until their job is lost.
 TEST_CASE("Runs of deferred groups are not cut when engines fall silent") {
   SharingFixture fixture;
