One queue for admission: by priority, fair among tenants, then by deadline

Cause: requests that wait for an overloaded service need an order among priorities, tenants and deadlines; AdmissionController had a queue of its own with priorities only. Change: limits/FairQueue holds the order, the bound and the expiry. AdmissionController uses it; among requests of one priority it now admits the one with the earliest deadline first instead of the one that arrived first.

--- a/source/limits/admission.cc
+++ b/source/limits/admission.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace millstair {
 namespace {
@@ -22,6 +21,7 @@
 AdmissionController::AdmissionController(Environment& environment, AdmissionLimits limits)
     : environment_(environment),
       limits_(limits),
+      queue_(limits.max_queued),
       admit_timer_(environment),
       expiry_timer_(environment),
       self_(std::make_shared<AdmissionController*>(this)) {}
@@ -30,7 +30,6 @@
     RequestPriority priority, TimePoint deadline,
     std::function<void(std::optional<AdmissionRefused>)> later) {
   std::unique_ptr<Admission> admission(new Admission(self_));
-  admission->deadline_ = deadline;
   const TimePoint now = environment_.Now();
   if (queue_.empty() && running_ < limits_.max_concurrent) {
     ++running_;
@@ -38,21 +37,22 @@
     admission->admitted_at_ = now;
     return {std::move(admission), std::nullopt};
   }
+  const FairQueue::Entry entry{-static_cast<int64_t>(priority), "", deadline};
   if (queue_.size() >= limits_.max_queued) return {nullptr, Refused(AdmissionRefusal::kQueueFull)};
-  admission->rank_ = {-static_cast<int>(priority), next_arrival_++};
-  const auto ahead = std::distance(queue_.begin(), queue_.lower_bound(admission->rank_));
-  if (now + ExpectedWaitBehind(static_cast<size_t>(ahead)) >= deadline) {
+  if (now + ExpectedWaitBehind(queue_.Ahead(entry)) >= deadline) {
     return {nullptr, Refused(AdmissionRefusal::kCannotMakeDeadline)};
   }
+  admission->entry_ = *queue_.Push(entry);
   admission->callback_ = std::move(later);
   admission->queued_ = true;
-  queue_.emplace(admission->rank_, admission.get());
-  ArmExpiry(deadline);
+  waiting_.emplace(admission->entry_, admission.get());
+  ArmExpiry();
   return {std::move(admission), std::nullopt};
 }
 
 void AdmissionController::SetLimits(AdmissionLimits limits) {
   limits_ = limits;
+  queue_.SetBound(limits.max_queued);
   ScheduleAdmitting();
 }
 
@@ -70,7 +70,8 @@
 
 void AdmissionController::Withdraw(Admission& admission) {
   if (admission.queued_) {
-    queue_.erase(admission.rank_);
+    queue_.Erase(admission.entry_);
+    waiting_.erase(admission.entry_);
     return;
   }
   if (!admission.admitted_) return;
@@ -97,9 +98,7 @@
   // A callback may destroy other admissions or the controller itself.
   const std::weak_ptr<AdmissionController*> alive = self_;
   while (!alive.expired() && !queue_.empty() && running_ < limits_.max_concurrent) {
-    Admission& next = *queue_.begin()->second;
-    queue_.erase(queue_.begin());
-    next.queued_ = false;
+    Admission& next = TakeWaiting(*queue_.Pop());
     next.admitted_ = true;
     next.admitted_at_ = environment_.Now();
     ++running_;
@@ -108,10 +107,16 @@
   }
 }
 
-void AdmissionController::ArmExpiry(TimePoint deadline) {
-  if (expiry_timer_.armed() && expiry_at_ <= deadline) return;
-  expiry_at_ = deadline;
-  const Duration wait = std::max(Duration(0), deadline - environment_.Now());
+Admission& AdmissionController::TakeWaiting(FairQueue::EntryId entry) {
+  Admission& admission = *waiting_.extract(entry).mapped();
+  admission.queued_ = false;
+  return admission;
+}
+
+void AdmissionController::ArmExpiry() {
+  const auto earliest = queue_.EarliestDeadline();
+  if (!earliest) return expiry_timer_.Cancel();
+  const Duration wait = std::max(Duration(0), *earliest - environment_.Now());
   expiry_timer_.Arm(wait, [this] { ExpireQueued(); });
 }
 
@@ -119,18 +124,12 @@
   const std::weak_ptr<AdmissionController*> alive = self_;
   const TimePoint now = environment_.Now();
   while (!alive.expired()) {
-    const auto overdue = std::find_if(queue_.begin(), queue_.end(), [now](const auto& entry) {
-      return entry.second->deadline_ <= now;
-    });
-    if (overdue == queue_.end()) break;
-    Admission& admission = *overdue->second;
-    queue_.erase(overdue);
-    admission.queued_ = false;
-    const Admission::Callback callback = std::move(admission.callback_);
+    const auto overdue = queue_.PopOverdue(now);
+    if (!overdue) break;
+    const Admission::Callback callback = std::move(TakeWaiting(*overdue).callback_);
     callback(Refused(AdmissionRefusal::kDeadlinePassed));
   }
-  if (alive.expired()) return;
-  for (const auto& [rank, admission] : queue_) ArmExpiry(admission->deadline_);
+  if (!alive.expired()) ArmExpiry();
 }
 
 }  // namespace millstair
--- a/source/limits/admission.h
+++ b/source/limits/admission.h
@@ -4,13 +4,14 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
+#include <unordered_map>
 
 #include "common/environment.h"
 #include "common/scoped_timer.h"
 #include "engine/engine_types.h"
+#include "limits/fair_queue.h"
 
 namespace millstair {
 
@@ -45,20 +46,14 @@
 
  private:
   friend class AdmissionController;
-  /// Urgent requests first, then in order of arrival.
-  struct Rank {
-    int negative_priority = 0;
-    uint64_t arrival = 0;
-    friend auto operator<=>(const Rank&, const Rank&) = default;  // NOLINT
-  };
   using Callback = std::function<void(std::optional<AdmissionRefused>)>;
 
   explicit Admission(std::weak_ptr<AdmissionController*> controller)
       : controller_(std::move(controller)) {}
 
   std::weak_ptr<AdmissionController*> controller_;
-  Rank rank_;
-  TimePoint deadline_;
+  /// Valid while it is queued.
+  FairQueue::EntryId entry_ = 0;
   TimePoint admitted_at_;
   Callback callback_;
   bool queued_ = false;
@@ -79,8 +74,10 @@
   AdmissionController(const AdmissionController&) = delete;
   AdmissionController& operator=(const AdmissionController&) = delete;
 
-  /// Requests a slot. If the returned admission is not admitted yet, `later` is called once:
-  /// without a refusal when it is admitted, else with one. It is never called before Admit returns.
+  /// Requests a slot. Urgent requests are admitted first, then those with the earliest deadline,
+  /// then in order of arrival. If the returned admission is not admitted yet, `later` is called
+  /// once: without a refusal when it is admitted, else with one. It is never called before Admit
+  /// returns.
   AdmissionResult Admit(RequestPriority priority, TimePoint deadline,
                         std::function<void(std::optional<AdmissionRefused>)> later);
 
@@ -101,20 +98,20 @@
   void RecordServiceTime(Duration time);
   void ScheduleAdmitting();
   void AdmitQueued();
-  void ArmExpiry(TimePoint deadline);
+  /// The admission of an entry that has just left the queue.
+  Admission& TakeWaiting(FairQueue::EntryId entry);
+  void ArmExpiry();
   void ExpireQueued();
 
   Environment& environment_;
   AdmissionLimits limits_;
   uint32_t running_ = 0;
-  uint64_t next_arrival_ = 1;
   /// Smoothed time that an admitted request holds its slot; 0 until one has finished.
   double service_seconds_ = 0;
-  std::map<Admission::Rank, Admission*> queue_;
+  FairQueue queue_;
+  std::unordered_map<FairQueue::EntryId, Admission*> waiting_;
   ScopedTimer admit_timer_;
   ScopedTimer expiry_timer_;
-  /// When `expiry_timer_` fires; may be early if the entry has left the queue.
-  TimePoint expiry_at_;
   /// Lets admissions detect that the controller was destroyed.
   std::shared_ptr<AdmissionController*> self_;
 };
