Rate limit on sends that follows what a back end answers in time

Cause: many gateways send to few back ends, so a limit on concurrent requests is too coarse at each of them, and refused requests are sent again without a bound. Change: limits/SendRateLimit allows 1.25 sends for each response in time in a window of about a second, with a floor; it starts with a refusal or with late responses and ends after a calm second.

--- /dev/null
+++ b/source/limits/send_rate_limit.cc
@@ -0,0 +1,119 @@
+#include "limits/send_rate_limit.h"
+
+#include <algorithm>
+
+namespace millstair {
+namespace {
+
+/// Long enough to hold a few responses at four sends per second, short enough to follow a change of
+/// the back end's pace within about a second.
+constexpr Duration kWindow = std::chrono::seconds(1);
+/// Sends per response in time. Above 1, so that the rate grows once the back end has spare
+/// capacity. In equilibrium 1 of 1.25 responses is in time.
+constexpr double kHeadroom = 1.25;
+/// Sends allowed in a row. Requests arrive unevenly; more would fill the back end's queue at once
+/// when many nodes send to it.
+constexpr double kBurst = 2;
+/// A limit starts at this number of late responses in the window, if they are also the share of
+/// responses that `kHeadroom` does not tolerate. A single late response is no sign of overload.
+constexpr double kLateToStart = 1.5;
+constexpr double kLateShareToStart = 1 - 1 / kHeadroom;
+constexpr Duration kCalmPeriod = std::chrono::seconds(1);
+/// Bounds the time until the next look at a limit whose rate is zero.
+constexpr double kMinPerSecond = 0.01;
+
+}  // namespace
+
+std::string_view SendLimitReasonName(SendLimitReason reason) {
+  switch (reason) {
+    case SendLimitReason::kRefused:
+      return "refused";
+    case SendLimitReason::kLate:
+      return "late";
+    case SendLimitReason::kCalm:
+      break;
+  }
+  return "calm";
+}
+
+SendRateLimit::SendRateLimit(TimePoint now)
+    : in_time_(kWindow), late_(kWindow), filled_at_(now), disturbed_at_(now) {}
+
+bool SendRateLimit::Allows(TimePoint now) {
+  if (!limited_) return true;
+  Fill(now);
+  // Keeps a rounding error from delaying a complete token.
+  constexpr double kRounding = 1e-6;
+  return tokens_ + kRounding >= 1;
+}
+
+void SendRateLimit::Take(TimePoint now) {
+  if (!limited_) return;
+  Fill(now);
+  tokens_ -= 1;
+}
+
+void SendRateLimit::Return(TimePoint now) {
+  if (!limited_) return;
+  Fill(now);
+  tokens_ = std::min(tokens_ + 1, kBurst);
+}
+
+SendRateLimit::Change SendRateLimit::RecordInTime(TimePoint now) {
+  Fill(now);
+  in_time_.Add(now);
+  return EndIfCalm(now);
+}
+
+SendRateLimit::Change SendRateLimit::RecordLate(TimePoint now) {
+  Fill(now);
+  late_.Add(now);
+  disturbed_at_ = now;
+  const double late = late_.Count(now);
+  const bool overloaded =
+      late >= kLateToStart && late >= kLateShareToStart * (late + in_time_.Count(now));
+  return overloaded ? Start(SendLimitReason::kLate, now) : std::nullopt;
+}
+
+SendRateLimit::Change SendRateLimit::RecordRefused(TimePoint now) {
+  disturbed_at_ = now;
+  return Start(SendLimitReason::kRefused, now);
+}
+
+SendRateLimit::Change SendRateLimit::Start(SendLimitReason reason, TimePoint now) {
+  if (limited_) return std::nullopt;
+  limited_ = true;
+  tokens_ = 0;
+  filled_at_ = now;
+  return SendLimitChange{true, reason, PerSecond(now)};
+}
+
+SendRateLimit::Change SendRateLimit::EndIfCalm(TimePoint now) {
+  if (!limited_ || now - disturbed_at_ < kCalmPeriod) return std::nullopt;
+  limited_ = false;
+  return SendLimitChange{false, SendLimitReason::kCalm, PerSecond(now)};
+}
+
+void SendRateLimit::SetFloor(double per_second, TimePoint now) {
+  Fill(now);
+  floor_per_second_ = per_second;
+}
+
+double SendRateLimit::PerSecond(TimePoint now) const {
+  return std::max(kHeadroom * in_time_.PerSecond(now), floor_per_second_);
+}
+
+Duration SendRateLimit::UntilAllowed(TimePoint now) {
+  if (Allows(now)) return Duration(0);
+  return FromSeconds((1 - tokens_) / std::max(PerSecond(now), kMinPerSecond));
+}
+
+void SendRateLimit::Fill(TimePoint now) {
+  // The rate decays meanwhile; its integral is what the window's count has lost.
+  const double by_responses = kHeadroom * (in_time_.Count(filled_at_) - in_time_.Count(now));
+  const double by_floor = floor_per_second_ * ToSeconds(now - filled_at_);
+  tokens_ = std::min(tokens_ + std::max(by_responses, by_floor), kBurst);
+  filled_at_ = now;
+}
+
+}  // namespace millstair
