--- a/source/limits/decaying_rate.h
+++ b/source/limits/decaying_rate.h
@@ -2,6 +2,7 @@
 /// kept.
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 
 #include "common/time.h"
@@ -17,6 +18,11 @@
     Decay(now);
     count_ += 1;
   }
+  /// Raises the rate to `per_second` if it is lower.
+  void Raise(double per_second, TimePoint now) {
+    Decay(now);
+    count_ = std::max(count_, per_second * window_seconds_);
+  }
   /// Events per second.
   double PerSecond(TimePoint now) const { return Count(now) / window_seconds_; }
   /// Number of events, each weighted by how recent it is.
--- a/source/limits/send_rate_limit.cc
+++ b/source/limits/send_rate_limit.cc
@@ -8,12 +8,20 @@
 /// Long enough to hold a few responses at four sends per second, short enough to follow a change of
 /// the back end's pace within about a second.
 constexpr Duration kWindow = std::chrono::seconds(1);
+/// Window for the rate when a limit starts: at the beginning of a burst the longer window has seen
+/// little of it, and a rate that starts too low grows only slowly.
+constexpr Duration kStartWindow = std::chrono::milliseconds(200);
 /// Sends per response in time. Above 1, so that the rate grows once the back end has spare
 /// capacity. In equilibrium 1 of 1.25 responses is in time.
 constexpr double kHeadroom = 1.25;
 /// Sends allowed in a row. Requests arrive unevenly; more would fill the back end's queue at once
 /// when many nodes send to it.
 constexpr double kBurst = 2;
+/// The same once nothing was refused or late for `kRecoveryPeriod`, which is rare while the limit
+/// fits. With the smaller factor alone, a back end that was silent for some seconds would get its
+/// full share back only after about 12 s.
+constexpr double kRecoveryHeadroom = 2;
+constexpr Duration kRecoveryPeriod = std::chrono::seconds(3);
 /// A limit starts at this number of late responses in the window, if they are also the share of
 /// responses that `kHeadroom` does not tolerate. A single late response is no sign of overload.
 constexpr double kLateToStart = 1.5;
@@ -37,7 +45,12 @@
 }
 
 SendRateLimit::SendRateLimit(TimePoint now)
-    : in_time_(kWindow), late_(kWindow), filled_at_(now), disturbed_at_(now) {}
+    : in_time_(kWindow),
+      recently_in_time_(kStartWindow),
+      late_(kWindow),
+      filled_at_(now),
+      overloaded_at_(now),
+      disturbed_at_(now) {}
 
 bool SendRateLimit::Allows(TimePoint now) {
   if (!limited_) return true;
@@ -62,12 +75,14 @@
 SendRateLimit::Change SendRateLimit::RecordInTime(TimePoint now) {
   Fill(now);
   in_time_.Add(now);
+  recently_in_time_.Add(now);
   return EndIfCalm(now);
 }
 
 SendRateLimit::Change SendRateLimit::RecordLate(TimePoint now) {
   Fill(now);
   late_.Add(now);
+  overloaded_at_ = now;
   disturbed_at_ = now;
   const double late = late_.Count(now);
   const bool overloaded =
@@ -76,6 +91,8 @@
 }
 
 SendRateLimit::Change SendRateLimit::RecordRefused(TimePoint now) {
+  Fill(now);
+  overloaded_at_ = now;
   disturbed_at_ = now;
   return Start(SendLimitReason::kRefused, now);
 }
@@ -83,6 +100,8 @@
 SendRateLimit::Change SendRateLimit::Start(SendLimitReason reason, TimePoint now) {
   if (limited_) return std::nullopt;
   limited_ = true;
+  // Late responses tell that the recent rate was too high.
+  if (reason == SendLimitReason::kRefused) in_time_.Raise(recently_in_time_.PerSecond(now), now);
   tokens_ = 0;
   filled_at_ = now;
   return SendLimitChange{true, reason, PerSecond(now)};
@@ -100,7 +119,11 @@
 }
 
 double SendRateLimit::PerSecond(TimePoint now) const {
-  return std::max(kHeadroom * in_time_.PerSecond(now), floor_per_second_);
+  return std::max(Headroom(now) * in_time_.PerSecond(now), floor_per_second_);
+}
+
+double SendRateLimit::Headroom(TimePoint now) const {
+  return now - overloaded_at_ < kRecoveryPeriod ? kHeadroom : kRecoveryHeadroom;
 }
 
 Duration SendRateLimit::UntilAllowed(TimePoint now) {
@@ -110,7 +133,7 @@
 
 void SendRateLimit::Fill(TimePoint now) {
   // The rate decays meanwhile; its integral is what the window's count has lost.
-  const double by_responses = kHeadroom * (in_time_.Count(filled_at_) - in_time_.Count(now));
+  const double by_responses = Headroom(now) * (in_time_.Count(filled_at_) - in_time_.Count(now));
   const double by_floor = floor_per_second_ * ToSeconds(now - filled_at_);
   tokens_ = std::min(tokens_ + std::max(by_responses, by_floor), kBurst);
   filled_at_ = now;
--- a/source/limits/send_rate_limit.h
+++ b/source/limits/send_rate_limit.h
@@ -69,13 +69,19 @@
  private:
   Change Start(SendLimitReason reason, TimePoint now);
   void Fill(TimePoint now);
+  /// Sends allowed per response in time.
+  double Headroom(TimePoint now) const;
 
   DecayingRate in_time_;
+  /// The same in a shorter window.
+  DecayingRate recently_in_time_;
   DecayingRate late_;
   double floor_per_second_ = 0;
   bool limited_ = false;
   double tokens_ = 0;
   TimePoint filled_at_;
+  /// Latest refusal or late response.
+  TimePoint overloaded_at_;
   /// Latest refusal, late response or denied send.
   TimePoint disturbed_at_;
 };
--- a/test/limits/send_rate_limit_test.cc
+++ b/test/limits/send_rate_limit_test.cc
@@ -96,6 +96,15 @@
   CHECK(played.limit.Allows(now + milliseconds(1000)));
 }
 
+// Guards against a back end that gets its full share only long after it has recovered.
+TEST_CASE("A back end that answered nothing for a while is used fully within a few seconds") {
+  Played played;
+  played.Run(std::chrono::seconds(5), 20, 0.01);
+  REQUIRE(played.limit.limited());
+  played.Run(std::chrono::seconds(6), 20, 100);
+  CHECK_FALSE(played.limit.limited());
+}
+
 // Guards against a back end that is never tried again after it answered nothing for a while.
 TEST_CASE("The floor lets some sends through while nothing is answered in time") {
   TimePoint now(std::chrono::seconds(100));
