Admission at the gateways

Cause: a burst to slow back ends is multiplied by sends after refusals, and the back ends are busy with requests whose responses come too late. Change: with overload.admission, each gateway limits its sends to a back end that refuses or is late, queues requests per service by priority, tenant and deadline, and rejects those that can't be in time, with a Retry-After that follows the drain rate. Sends after refusals and failures, and hedges, come from one retry budget per service. With admission off, a request is sent at most attempts + 4 times, with pauses that double from 10 to 40 ms.

--- a/source/ingress/backend_directory.cc
+++ b/source/ingress/backend_directory.cc
@@ -221,28 +221,37 @@
 
 std::optional<BackendInstance> BackendDirectory::Pick(const ServiceName& service,
                                                       const std::set<InstanceId>& excluded) {
+  std::vector<BackendCandidate> candidates = Candidates(service, excluded);
+  if (candidates.empty()) return std::nullopt;
+  return CheapestOf(std::move(candidates));
+}
+
+std::vector<BackendCandidate> BackendDirectory::Candidates(const ServiceName& service,
+                                                           const std::set<InstanceId>& excluded) {
+  std::vector<BackendCandidate> healthy;
+  std::vector<BackendCandidate> fallback;
   const auto found = services_.find(service);
-  if (found == services_.end()) return std::nullopt;
+  if (found == services_.end()) return healthy;
   const TimePoint now = environment_.Now();
-  std::vector<const Backend*> healthy;
-  std::vector<const Backend*> fallback;
   for (Backend* backend : found->second.by_preference) {
     if (healthy.size() >= kMaxHealthyCandidates) break;
     if (excluded.contains(backend->record.id) || ColdAllowance(*backend) == 0) continue;
     const bool passed_over = backend->ejection.Ejected(now) || now < backend->full_until;
-    (passed_over ? fallback : healthy).push_back(backend);
+    (passed_over ? fallback : healthy).push_back({&backend->record, Cost(*backend)});
   }
-  std::vector<const Backend*>& choice = healthy.empty() ? fallback : healthy;
-  if (choice.empty()) return std::nullopt;
-  for (size_t i = 0; i < std::min(kCandidates, choice.size()); ++i) {
-    const size_t other = i + DrawBelow(environment_.Random(), choice.size() - i);
-    std::swap(choice[i], choice[other]);
+  return healthy.empty() ? fallback : healthy;
+}
+
+const BackendInstance& BackendDirectory::CheapestOf(std::vector<BackendCandidate> candidates) {
+  const size_t compared = std::min(kCandidates, candidates.size());
+  for (size_t i = 0; i < compared; ++i) {
+    const size_t other = i + DrawBelow(environment_.Random(), candidates.size() - i);
+    std::swap(candidates[i], candidates[other]);
   }
-  choice.resize(std::min(kCandidates, choice.size()));
-  const auto best =
-      std::min_element(choice.begin(), choice.end(),
-                       [this](const Backend* a, const Backend* b) { return Cost(*a) < Cost(*b); });
-  return (*best)->record;
+  candidates.resize(compared);
+  return *std::min_element(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+            return a.cost < b.cost;
+          })->record;
 }
 
 std::vector<const BackendInstance*> BackendDirectory::Live(const ServiceName& service) const {
--- a/source/ingress/backend_directory.h
+++ b/source/ingress/backend_directory.h
@@ -27,6 +27,12 @@
   friend bool operator==(const ColdPolicy&, const ColdPolicy&) = default;
 };
 
+/// A back end that may be used for a request, and its expected latency in relative units.
+struct BackendCandidate {
+  const BackendInstance* record = nullptr;
+  double cost = 0;
+};
+
 enum class BackendEnd : uint8_t {
   kAnswered,
   kRefused,        ///< it did not run the request
@@ -63,6 +69,11 @@
   /// that connections are reused.
   std::optional<BackendInstance> Pick(const ServiceName& service,
                                       const std::set<InstanceId>& excluded);
+  /// The back ends among which Pick selects; valid until the configuration changes.
+  std::vector<BackendCandidate> Candidates(const ServiceName& service,
+                                           const std::set<InstanceId>& excluded);
+  /// The cheapest of a few of `candidates`, drawn at random; there must be at least one.
+  const BackendInstance& CheapestOf(std::vector<BackendCandidate> candidates);
   /// All back ends that accept new work, ordered by identifier.
   std::vector<const BackendInstance*> Live(const ServiceName& service) const;
   /// Null if the back end is unknown or accepts no new work.
--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -12,14 +12,12 @@
 /// Larger responses are treated as failures.
 constexpr size_t kMaxAnswerBytes = 32 * 1024 * 1024;
 constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
-/// Pause before back ends that refused or failed are tried again.
-constexpr Duration kRetryPauseMin = std::chrono::milliseconds(10);
-constexpr Duration kRetryPauseMax = std::chrono::milliseconds(40);
 /// A request that no back end accepts is given up after this share of its time limit, so that the
 /// client has time to retry elsewhere.
 constexpr double kGiveUpShare = 0.5;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kMinHedgeDelay = std::chrono::milliseconds(50);
+constexpr int kServerError = 500;
 
 }  // namespace
 
@@ -83,7 +81,9 @@
     if (ended_) return;
     ended_ = true;
     handle_.reset();
-    flow_.context_.directory.End(target_.id, end, flow_.context_.environment.Now() - sent_at_);
+    const Duration elapsed = flow_.context_.environment.Now() - sent_at_;
+    flow_.admission_.RecordEnd(target_.id, end, elapsed, head_.status == kServerError);
+    flow_.context_.directory.End(target_.id, end, elapsed);
   }
 
   const BackendInstance& target() const { return target_; }
@@ -111,12 +111,15 @@
       started_at_(context.environment.Now()),
       meter_(context.on_request_started, request_.tenant),
       watch_(context.guard, request_),
+      admission_(context.admission, context.environment, context.directory, route_, request_,
+                 started_at_),
       deadline_timer_(context.environment),
       retry_timer_(context.environment),
       hedge_timer_(context.environment) {
   Duration limit = route_.timeout.value_or(kDefaultTimeout);
   if (request_.time_left) limit = std::min(limit, *request_.time_left);
   deadline_ = started_at_ + limit;
+  admission_.SetDeadline(deadline_);
 }
 
 ForwardFlow::~ForwardFlow() { CancelAttempts(); }
@@ -184,6 +187,8 @@
   // A concurrent attempt may have been sent while this one waited for the configuration to be
   // confirmed.
   if (!attempts_.empty()) return;
+  if (admission_.enabled()) return SendIfAdmitted();
+  if (sent_ >= MaxSends(route_)) return GiveUp(kRetryAfter, last_reason_);
   SendAttempt();
   if (!attempts_.empty()) return ArmHedge();
   // All known back ends were tried; allow each of them again.
@@ -191,31 +196,69 @@
   const Duration used = context_.environment.Now() - started_at_;
   const Duration all = deadline_ - started_at_;
   if (ToSeconds(used) >= kGiveUpShare * ToSeconds(all)) {
-    ForwardResult result;
-    result.outcome = may_have_run_ > 0 ? ForwardOutcome::kFailed : ForwardOutcome::kNotRun;
-    result.retry_after = kRetryAfter;
-    result.reason = last_reason_.empty() ? "no back end is available" : last_reason_;
-    return Finish(std::move(result));
+    return GiveUp(kRetryAfter, last_reason_.empty() ? "no back end is available" : last_reason_);
   }
   // The guard is consulted again: by then it may know the outcome of the same request at other
   // nodes, and a request that waits for a server to restart would be the first to reach it.
-  retry_timer_.Arm(DrawDuration(context_.environment.Random(), kRetryPauseMin, kRetryPauseMax),
-                   [this] { SendIfAllowed(); });
+  retry_timer_.Arm(pauses_.Next(context_.environment.Random()), [this] { SendIfAllowed(); });
+}
+
+void ForwardFlow::SendIfAdmitted() {
+  if (sent_ >= MaxSends(route_)) return Reject(admission_.Reject(RejectionReason::kSendLimit));
+  // The guard and the configuration are consulted again after the request has waited.
+  SendStep step = admission_.NextSend(
+      tried_, [this] { SendIfAllowed(); },
+      [this](const SendRejection& rejection) { Reject(rejection); });
+  switch (step.kind) {
+    case SendStep::Kind::kSend:
+      SendTo(*std::move(step.target));
+      return ArmHedge();
+    case SendStep::Kind::kWait:
+      return;
+    case SendStep::Kind::kPause:
+      return retry_timer_.Arm(step.pause, [this] { SendIfAllowed(); });
+    case SendStep::Kind::kReject:
+      return Reject(step.rejection);
+  }
+}
+
+void ForwardFlow::SendAgain() {
+  if (!admission_.enabled()) return SendIfAllowed();
+  const auto pause = admission_.BeginRetry();
+  if (!pause) return Reject(admission_.Reject(RejectionReason::kRetryBudget));
+  retry_timer_.Arm(*pause, [this] { SendIfAllowed(); });
+}
+
+void ForwardFlow::Reject(const SendRejection& rejection) {
+  std::string reason(RejectionText(rejection.reason));
+  if (!last_reason_.empty()) reason += " (" + last_reason_ + ")";
+  GiveUp(rejection.retry_after, std::move(reason));
+}
+
+void ForwardFlow::GiveUp(Duration retry_after, std::string reason) {
+  ForwardResult result;
+  result.outcome = may_have_run_ > 0 ? ForwardOutcome::kFailed : ForwardOutcome::kNotRun;
+  result.retry_after = retry_after;
+  result.reason = std::move(reason);
+  Finish(std::move(result));
 }
 
 void ForwardFlow::SendAttempt() {
   auto target = context_.directory.Pick(DrawService(route_, context_.environment), tried_);
-  if (!target) return;
-  tried_.insert(target->id);
-  last_instance_ = target->id;
+  if (target) SendTo(*std::move(target));
+}
+
+void ForwardFlow::SendTo(BackendInstance target) {
+  tried_.insert(target.id);
+  last_instance_ = target.id;
   ++sent_;
   // Counted before the send, and uncounted only if the back end reports that it did not run it.
   ++may_have_run_;
   confirmation_age_at_send_ = std::max(confirmation_age_at_send_, context_.confirmation_age());
   watch_.OnSent();
   BackendRequest request{request_.http, request_.host, request_.request_id, TimeLeft(),
-                         target->id,    std::nullopt,  request_.tenant};
-  attempts_.push_back(std::make_unique<Attempt>(*this, *std::move(target)));
+                         target.id,     std::nullopt,  request_.tenant};
+  attempts_.push_back(std::make_unique<Attempt>(*this, std::move(target)));
   attempts_.back()->Start(context_.protocol.MakeRequest(request));
 }
 
@@ -228,7 +271,12 @@
 void ForwardFlow::Hedge() {
   // A hedge of a suspect request could crash two back ends at once.
   if (watch_.IsSuspect()) return;
-  if (may_have_run_ < route_.attempts) SendAttempt();
+  const bool may_send = may_have_run_ < route_.attempts && sent_ < MaxSends(route_);
+  if (may_send && !admission_.enabled()) SendAttempt();
+  // While nothing is running, the request waits for its next send.
+  if (may_send && admission_.enabled() && !attempts_.empty()) {
+    if (auto target = admission_.NextHedge(tried_)) SendTo(*std::move(target));
+  }
   if (may_have_run_ < route_.attempts) ArmHedge();
 }
 
@@ -236,14 +284,13 @@
   const std::string signature = attempt.signature();
   meter_.RecordStart(attempt.sent_at());
   // A repeatable request that fails with a server error is retried at another back end.
-  constexpr int kServerError = 500;
   const bool failed = head.status == kServerError;
   if (failed) ++server_errors_;
   EndAttempt(attempt, BackendEnd::kAnswered);
   watch_.OnServed();
   if (failed && repeatable() && may_have_run_ < route_.attempts) {
     last_reason_ = "the back end responded with status 500";
-    if (attempts_.empty()) SendIfAllowed();
+    if (attempts_.empty()) SendAgain();
     return;
   }
   if (failed && !attempts_.empty()) return;
@@ -260,7 +307,7 @@
   last_reason_ =
       wrong_instance ? "another back end uses the address" : "the back end refused the request";
   EndAttempt(attempt, wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
-  if (attempts_.empty()) SendIfAllowed();
+  if (attempts_.empty()) SendAgain();
 }
 
 void ForwardFlow::OnFailed(Attempt& attempt, bool unreachable, const std::string& reason) {
@@ -283,7 +330,7 @@
 void ForwardFlow::RetryOrFail() {
   const bool may_run_again =
       may_have_run_ == 0 || (repeatable() && may_have_run_ < route_.attempts);
-  if (may_run_again) return SendIfAllowed();
+  if (may_run_again) return SendAgain();
   ForwardResult result;
   result.outcome = ForwardOutcome::kFailed;
   result.reason = last_reason_;
@@ -323,6 +370,7 @@
 
 void ForwardFlow::Finish(ForwardResult result) {
   RecordAttempts(result);
+  admission_.Close();
   deadline_timer_.Cancel();
   retry_timer_.Cancel();
   hedge_timer_.Cancel();
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -17,9 +17,11 @@
 #include "ingress/backend_directory.h"
 #include "ingress/backend_protocol.h"
 #include "ingress/forward_request.h"
+#include "ingress/request_admission.h"
 #include "ingress/request_guard.h"
 #include "ingress/request_watch.h"
 #include "ingress/route_table.h"
+#include "ingress/send_bound.h"
 
 namespace millstair {
 
@@ -78,6 +80,8 @@
   std::function<std::optional<Duration>()> confirmation_age = [] {
     return std::optional<Duration>();
   };
+  /// Null where admission is off.
+  AdmissionControl* admission = nullptr;
 };
 
 /// Meters a request at most once, however often it runs.
@@ -130,7 +134,15 @@
   /// Runs `work` once the configuration is current, unless the flow has ended by then.
   void WhenCurrentAndOpen(std::function<void()> work);
   void SendAttempt();
+  void SendTo(BackendInstance target);
   void SendOrWait();
+  /// SendOrWait where admission is on.
+  void SendIfAdmitted();
+  /// Sends the request again after a back end refused or lost it.
+  void SendAgain();
+  /// Ends a request that no back end answered.
+  void GiveUp(Duration retry_after, std::string reason);
+  void Reject(const SendRejection& rejection);
   void Hedge();
   void ArmHedge();
   void OnAnswer(Attempt& attempt, const HttpResponseHead& head, std::string body);
@@ -156,6 +168,8 @@
   std::set<InstanceId> tried_;
   RequestMeter meter_;
   RequestWatch watch_;
+  RequestAdmission admission_;
+  SendPauses pauses_;
   /// Number of back ends that may have run the request.
   uint32_t may_have_run_ = 0;
   uint32_t sent_ = 0;
--- a/source/ingress/forward_request.h
+++ b/source/ingress/forward_request.h
@@ -22,6 +22,8 @@
   std::optional<uint64_t> resume_after;
   /// Empty for internal requests and where the caller is unknown.
   TenantName tenant;
+  /// How long this node held the request before it was forwarded; `time_left` no longer has it.
+  Duration held{0};
 };
 
 inline RequestIdentity IdentityOf(const ForwardRequest& request) {
--- a/source/ingress/ingress_service.cc
+++ b/source/ingress/ingress_service.cc
@@ -21,6 +21,11 @@
           stats),
       context_{environment, http, directory_, protocol, guard_} {}
 
+void IngressService::EnableAdmission() {
+  admission_ = std::make_unique<AdmissionControl>(environment_, directory_, stats_);
+  context_.admission = admission_.get();
+}
+
 void IngressService::Update(const Configuration& configuration) {
   directory_.Update(configuration);
   guard_.Update(configuration.suspects);
@@ -68,6 +73,12 @@
   directory_.SetColdPolicy(std::move(cold));
 }
 
+Route IngressService::RouteFor(const Route& route, const TenantName& tenant) const {
+  Route own = route;
+  own.priority = routes_->PriorityOf(route, tenant);
+  return own;
+}
+
 IngressService::FlowId IngressService::Forward(ForwardRequest request, Callback done) {
   const FlowId id = ++last_flow_;
   const Route* route = routes_ ? routes_->Find(request.host, request.http.target) : nullptr;
@@ -75,8 +86,9 @@
     FinishUnrouted(std::move(done));
     return id;
   }
+  Route own = RouteFor(*route, request.tenant);
   auto flow = std::make_unique<ForwardFlow>(
-      context_, *route, std::move(request),
+      context_, std::move(own), std::move(request),
       [this, id, started_at = environment_.Now(), version = routes_->version,
        digest = routes_->digest, done = std::move(done)](ForwardResult result) {
         result.routing_version = version;
@@ -141,8 +153,9 @@
     });
     return id;
   }
+  Route own = RouteFor(*route, request.tenant);
   auto flow = std::make_unique<StreamFlow>(
-      context_, *route, std::move(request), sink,
+      context_, std::move(own), std::move(request), sink,
       [this, id, started_at = environment_.Now(), version = routes_->version,
        digest = routes_->digest, done = std::move(done)](StreamEnd result) {
         result.forward.routing_version = version;
--- a/source/ingress/ingress_service.h
+++ b/source/ingress/ingress_service.h
@@ -47,6 +47,9 @@
   /// Where crashes of back ends are reported; outlives the service.
   void SetSuspectRegister(SuspectRegister& suspects) { guard_.SetRegister(&suspects); }
   RequestGuard& guard() { return guard_; }
+  /// Limits what is sent to overloaded back ends, and queues or rejects the rest. Off by default;
+  /// to be called before the first request.
+  void EnableAdmission();
   /// Limits on requests to cold back ends.
   void SetColdBound(ColdBound bound) { cold_bound_ = bound; }
   /// Applies a complete configuration.
@@ -82,6 +85,8 @@
   /// Destroys a flow in progress.
   template <class Flow>
   static std::optional<ForwardResult> End(std::map<FlowId, Running<Flow>>& running, FlowId flow);
+  /// The route with the priority of the caller's tenant.
+  Route RouteFor(const Route& route, const TenantName& tenant) const;
   void UpdateRoutes(const RoutingDocument& document, Revision revision);
   void Count(const ForwardResult& result, Duration took);
   void FinishSoon(ForwardOutcome outcome, std::string reason, Callback done);
@@ -93,6 +98,8 @@
   StatsRegistry* const stats_;
   BackendDirectory directory_;
   RequestGuard guard_;
+  /// Null where admission is off. Declared before the flows, whose requests may be queued in it.
+  std::unique_ptr<AdmissionControl> admission_;
   ForwardContext context_;
   std::optional<RouteTable> routes_;
   bool newest_unreadable_ = false;
--- /dev/null
+++ b/source/ingress/request_admission.cc
@@ -0,0 +1,196 @@
+#include "ingress/request_admission.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "ingress/forward_flow.h"
+#include "retry/retry_policy.h"
+
+namespace millstair {
+namespace {
+
+/// A request that finds no usable back end is given up after this share of its time limit, so that
+/// the client has time to retry elsewhere.
+constexpr double kGiveUpShare = 0.5;
+/// A request that every back end refused or lost is given up after two passes over them.
+constexpr int kMaxPasses = 2;
+/// Long enough for another gateway to have a newer list of back ends.
+constexpr Duration kRetryElsewhere = std::chrono::milliseconds(50);
+
+}  // namespace
+
+RequestAdmission::RequestAdmission(AdmissionControl* control, Environment& environment,
+                                   BackendDirectory& directory, const Route& route,
+                                   const ForwardRequest& request, TimePoint started_at)
+    : control_(control),
+      environment_(environment),
+      directory_(directory),
+      route_(route),
+      request_(request),
+      started_at_(started_at),
+      deadline_(started_at) {}
+
+Duration RequestAdmission::target() const {
+  return route_.target > Duration(0) ? route_.target : deadline_ - started_at_;
+}
+
+SendDemand RequestAdmission::Demand() const {
+  SendDemand demand;
+  demand.tenant = request_.tenant;
+  demand.priority = route_.priority;
+  demand.deadline = deadline_;
+  demand.target_at = started_at_ - request_.held + target();
+  const bool retry =
+      request_.time_left && route_.timeout && *request_.time_left + request_.held < *route_.timeout;
+  demand.first_attempt = !retry;
+  return demand;
+}
+
+bool RequestAdmission::DrawLiveService() {
+  Route live = route_;
+  std::erase_if(live.services, [this](const ServiceShare& share) {
+    return directory_.Live(share.service).empty();
+  });
+  if (live.services.empty()) return false;
+  service_ = &control_->Of(DrawService(live, environment_));
+  return true;
+}
+
+void RequestAdmission::RecordArrival() {
+  if (!std::exchange(arrival_recorded_, true)) service_->RecordArrival();
+}
+
+SendStep RequestAdmission::NextSend(std::set<InstanceId>& tried, std::function<void()> admitted,
+                                    std::function<void(SendRejection)> rejected) {
+  queued_.reset();
+  if (auto target = TakePermit()) return Send(*std::move(target));
+  if (!DrawLiveService()) return RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
+  RecordArrival();
+  auto later = [this, admitted = std::move(admitted),
+                rejected = std::move(rejected)](std::variant<SendPermit, SendRejection> outcome) {
+    if (auto* rejection = std::get_if<SendRejection>(&outcome)) return rejected(*rejection);
+    permit_.emplace(std::get<SendPermit>(std::move(outcome)));
+    admitted();
+  };
+  auto decision = service_->Request(Demand(), tried, std::move(later));
+  if (auto* permit = std::get_if<SendPermit>(&decision)) {
+    permit->Use();
+    return Send(permit->target());
+  }
+  SendStep step;
+  if (auto* queued = std::get_if<std::unique_ptr<ServiceAdmission::Queued>>(&decision)) {
+    queued_ = std::move(*queued);
+    return step;
+  }
+  if (auto* rejection = std::get_if<SendRejection>(&decision)) {
+    step.kind = SendStep::Kind::kReject;
+    step.rejection = *rejection;
+    return step;
+  }
+  return PauseOrReject(tried);
+}
+
+std::optional<BackendInstance> RequestAdmission::TakePermit() {
+  if (!permit_) return std::nullopt;
+  // The configuration may have changed since the permit was given.
+  const BackendInstance* target = directory_.FindLive(permit_->target().id);
+  const bool usable = target != nullptr && directory_.ColdAllowance(target->id) > 0;
+  if (!usable) {
+    permit_.reset();
+    return std::nullopt;
+  }
+  permit_->Use();
+  permit_.reset();
+  return *target;
+}
+
+SendStep RequestAdmission::Send(BackendInstance target) {
+  if (!std::exchange(sent_, true)) service_->RecordFirstSend();
+  WatchTarget(target.id);
+  SendStep step;
+  step.kind = SendStep::Kind::kSend;
+  step.target = std::move(target);
+  return step;
+}
+
+void RequestAdmission::WatchTarget(const InstanceId& instance) {
+  const auto timer = target_timers_.try_emplace(instance, environment_).first;
+  timer->second.Arm(control_->limits().LateAfter(instance, target()),
+                    [this, instance] { control_->limits().RecordLate(instance); });
+}
+
+SendStep RequestAdmission::PauseOrReject(std::set<InstanceId>& tried) {
+  if (!tried.empty()) {
+    tried.clear();
+    if (++passes_ >= kMaxPasses) return RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
+  }
+  const double used = ToSeconds(environment_.Now() - started_at_);
+  if (used >= kGiveUpShare * ToSeconds(deadline_ - started_at_)) {
+    return RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
+  }
+  SendStep step;
+  step.kind = SendStep::Kind::kPause;
+  step.pause = pauses_.Next(environment_.Random());
+  return step;
+}
+
+SendStep RequestAdmission::RejectNow(RejectionReason reason, Duration retry_after) {
+  SendStep step;
+  step.kind = SendStep::Kind::kReject;
+  step.rejection = Reject(reason);
+  step.rejection.retry_after = retry_after;
+  return step;
+}
+
+std::optional<BackendInstance> RequestAdmission::NextHedge(const std::set<InstanceId>& tried) {
+  if (!DrawLiveService()) return std::nullopt;
+  auto permit = service_->RequestHedge(tried);
+  if (!permit) return std::nullopt;
+  permit->Use();
+  WatchTarget(permit->target().id);
+  return permit->target();
+}
+
+std::optional<Duration> RequestAdmission::BeginRetry() {
+  if (service_ == nullptr || !service_->SpendRetry()) return std::nullopt;
+  return JitteredBackoff(RetryTiming(), ++retries_, environment_.Random());
+}
+
+void RequestAdmission::Close() {
+  queued_.reset();
+  permit_.reset();
+}
+
+SendRejection RequestAdmission::Reject(RejectionReason reason) {
+  // A route without back ends may have no service with a queue yet.
+  ServiceAdmission& service =
+      service_ != nullptr ? *service_ : control_->Of(route_.services.front().service);
+  return service.Reject(reason, deadline_);
+}
+
+void RequestAdmission::RecordEnd(const InstanceId& instance, BackendEnd end, Duration elapsed,
+                                 bool failed) {
+  if (!enabled() || service_ == nullptr) return;
+  const auto timer = target_timers_.extract(instance);
+  const bool late_recorded = !timer.empty() && !timer.mapped().armed();
+  BackendLimits& limits = control_->limits();
+  switch (end) {
+    case BackendEnd::kAnswered:
+      service_->RecordResponse(elapsed);
+      limits.RecordResponse(instance, elapsed);
+      // A server error sent quickly is no sign of capacity.
+      if (!late_recorded && !failed) limits.RecordInTime(instance);
+      return;
+    case BackendEnd::kRefused:
+      return limits.RecordRefused(instance);
+    case BackendEnd::kFailed:
+    case BackendEnd::kUnreachable:
+      if (!late_recorded) limits.RecordLate(instance);
+      return;
+    case BackendEnd::kWrongInstance:
+    case BackendEnd::kCancelled:
+      return;
+  }
+}
+
+}  // namespace millstair
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -3,16 +3,14 @@
 #include <algorithm>
 #include <utility>
 
-#include "common/random.h"
 #include "fmt/format.h"
 
 namespace millstair {
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kServerError = 500;
 constexpr Duration kDefaultTimeout = std::chrono::minutes(10);
-constexpr Duration kRetryPauseMin = std::chrono::milliseconds(10);
-constexpr Duration kRetryPauseMax = std::chrono::milliseconds(40);
 /// A stream that no back end accepts is given up after this share of its time limit.
 constexpr double kGiveUpShare = 0.5;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(50);
@@ -49,7 +47,18 @@
     if (ended_) return;
     ended_ = true;
     handle_.reset();
-    flow_.context_.directory.End(target_.id, end, flow_.context_.environment.Now() - sent_at_);
+    const Duration elapsed = flow_.context_.environment.Now() - sent_at_;
+    // The time until a stream's response begins tells whether its back end keeps up, not its
+    // length.
+    if (!head_recorded_) flow_.admission_.RecordEnd(target_.id, end, elapsed, false);
+    flow_.context_.directory.End(target_.id, end, elapsed);
+  }
+
+  /// The back end has begun to respond and did not refuse the request.
+  void RecordHead(bool failed) {
+    head_recorded_ = true;
+    flow_.admission_.RecordEnd(target_.id, BackendEnd::kAnswered,
+                               flow_.context_.environment.Now() - sent_at_, failed);
   }
 
   const BackendInstance& target() const { return target_; }
@@ -60,6 +69,7 @@
   const BackendInstance target_;
   const TimePoint sent_at_;
   std::unique_ptr<CallHandle> handle_;
+  bool head_recorded_ = false;
   bool ended_ = false;
 };
 
@@ -73,12 +83,15 @@
       started_at_(context.environment.Now()),
       meter_(context.on_request_started, request_.tenant),
       watch_(context.guard, request_),
+      admission_(context.admission, context.environment, context.directory, route_, request_,
+                 started_at_),
       retry_after_(kRetryAfter),
       deadline_timer_(context.environment),
       retry_timer_(context.environment) {
   Duration limit = route_.timeout.value_or(kDefaultTimeout);
   if (request_.time_left) limit = std::min(limit, *request_.time_left);
   deadline_ = started_at_ + limit;
+  admission_.SetDeadline(deadline_);
   events_ = request_.resume_after.value_or(0);
 }
 
@@ -110,29 +123,67 @@
 }
 
 void StreamFlow::SendRun() {
-  const TimePoint now = context_.environment.Now();
+  if (admission_.enabled()) return SendIfAdmitted();
+  if (sent_ >= MaxSends(route_)) return Finish(ForwardOutcome::kFailed, last_reason_);
   auto target = context_.directory.Pick(DrawService(route_, context_.environment), tried_);
   if (!target) {
     // All known back ends were tried; allow each of them again.
     tried_.clear();
-    const double used = ToSeconds(now - started_at_);
+    const double used = ToSeconds(context_.environment.Now() - started_at_);
     if (!begun_ && used >= kGiveUpShare * ToSeconds(deadline_ - started_at_)) {
       return Finish(ForwardOutcome::kFailed, "no back end is available");
     }
-    retry_timer_.Arm(DrawDuration(context_.environment.Random(), kRetryPauseMin, kRetryPauseMax),
-                     [this] { SendIfAllowed(); });
+    retry_timer_.Arm(pauses_.Next(context_.environment.Random()), [this] { SendIfAllowed(); });
     return;
   }
-  tried_.insert(target->id);
-  last_instance_ = target->id;
+  SendTo(*std::move(target));
+}
+
+void StreamFlow::SendIfAdmitted() {
+  if (sent_ >= MaxSends(route_)) return Reject(admission_.Reject(RejectionReason::kSendLimit));
+  // The guard and the configuration are consulted again after the request has waited.
+  SendStep step = admission_.NextSend(
+      tried_, [this] { SendIfAllowed(); },
+      [this](const SendRejection& rejection) { Reject(rejection); });
+  switch (step.kind) {
+    case SendStep::Kind::kSend:
+      return SendTo(*std::move(step.target));
+    case SendStep::Kind::kWait:
+      return;
+    case SendStep::Kind::kPause:
+      return retry_timer_.Arm(step.pause, [this] { SendIfAllowed(); });
+    case SendStep::Kind::kReject:
+      return Reject(step.rejection);
+  }
+}
+
+void StreamFlow::SendAgain() {
+  if (!admission_.enabled()) return SendIfAllowed();
+  const auto pause = admission_.BeginRetry();
+  if (!pause) return Reject(admission_.Reject(RejectionReason::kRetryBudget));
+  retry_timer_.Arm(*pause, [this] { SendIfAllowed(); });
+}
+
+void StreamFlow::Reject(const SendRejection& rejection) {
+  retry_after_ = rejection.retry_after;
+  std::string reason(RejectionText(rejection.reason));
+  if (!last_reason_.empty()) reason += " (" + last_reason_ + ")";
+  Finish(ForwardOutcome::kFailed, reason);
+}
+
+void StreamFlow::SendTo(BackendInstance target) {
+  tried_.insert(target.id);
+  last_instance_ = target.id;
   ++sent_;
   ++may_have_run_;
   confirmation_age_at_send_ = std::max(confirmation_age_at_send_, context_.confirmation_age());
   watch_.OnSent();
-  BackendRequest request{request_.http, request_.host,         request_.request_id, deadline_ - now,
-                         target->id,    request_.resume_after, request_.tenant};
+  BackendRequest request{request_.http,       request_.host,
+                         request_.request_id, deadline_ - context_.environment.Now(),
+                         target.id,           request_.resume_after,
+                         request_.tenant};
   if (begun_) request.resume_after = events_;
-  run_ = std::make_unique<Run>(*this, *std::move(target));
+  run_ = std::make_unique<Run>(*this, std::move(target));
   run_->Start(context_.protocol.MakeRequest(request));
 }
 
@@ -142,9 +193,12 @@
     return OnFailed(run, BackendEnd::kFailed, "the response belongs to another request");
   if (answer.not_run) {
     --may_have_run_;
+    last_reason_ = answer.wrong_instance ? "another back end uses the address"
+                                         : "the back end refused the request";
     EndRun(answer.wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
-    return SendIfAllowed();
+    return SendAgain();
   }
+  run.RecordHead(head.status == kServerError);
   if (begun_ && head.status != kOk) {
     return OnFailed(run, BackendEnd::kFailed, fmt::format("status {}", head.status));
   }
@@ -210,6 +264,7 @@
     watch_.OnLost(run.target());
     after_loss_ = true;
   }
+  last_reason_ = reason;
   EndRun(end);
   ResumeOrFail(reason);
 }
@@ -221,7 +276,7 @@
   splitter_ = EventStreamSplitter();
   plain_ = false;
   plain_body_.clear();
-  SendIfAllowed();
+  SendAgain();
 }
 
 void StreamFlow::EndRun(BackendEnd end) {
@@ -248,6 +303,7 @@
   result.forward.body = std::move(plain_body_);
   result.begun = begun_;
   result.events = events_;
+  admission_.Close();
   deadline_timer_.Cancel();
   retry_timer_.Cancel();
   if (run_ != nullptr) run_->End(BackendEnd::kCancelled);
--- a/source/ingress/stream_flow.h
+++ b/source/ingress/stream_flow.h
@@ -58,6 +58,12 @@
   /// Ends a request that the guard doesn't allow to be sent.
   void Withhold(Duration retry_after);
   void SendRun();
+  void SendTo(BackendInstance target);
+  /// SendRun where admission is on.
+  void SendIfAdmitted();
+  /// Sends the request again after a back end refused or lost it.
+  void SendAgain();
+  void Reject(const SendRejection& rejection);
   /// Calls SendRun once the configuration is current.
   void SendRunWhenCurrent();
   void OnHead(Run& run, const HttpResponseHead& head);
@@ -90,6 +96,9 @@
   uint64_t events_ = 0;
   RequestMeter meter_;
   RequestWatch watch_;
+  RequestAdmission admission_;
+  SendPauses pauses_;
+  std::string last_reason_;
   /// The current run follows one that was lost.
   bool after_loss_ = false;
   uint32_t may_have_run_ = 0;
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -47,6 +47,7 @@
       cold_assignment_(environment, options.self.node, options.configuration_timing.lease),
       request_log_(environment, options.configuration_timing.lease, options.stats),
       ready_timer_(environment) {
+  if (options.controls_admission) ingress_.EnableAdmission();
   ingress_.SetColdBound(options.cold_bound);
   ingress_.directory().SetColdAssignmentCheck([this](const InstanceId& instance) {
     return cold_assignment_.IsAssignedToSelf(instance.value(), configuration_->ConfirmedSince());
--- a/test/ingress/forward_flow_test.cc
+++ b/test/ingress/forward_flow_test.cc
@@ -1,7 +1,12 @@
 #include "ingress/forward_flow.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "ingress/ingress_service.h"
 #include "test/ingress/fake_backends.h"
@@ -361,5 +366,171 @@
   fixture.scheduler.RunFor(milliseconds(2000));
 }
 
+// Guards against retries that multiply the load of back ends that refuse everything.
+TEST_CASE("A request is sent a bounded number of times, with growing pauses") {
+  const bool admission = GENERATE(false, true);
+  Fixture fixture;
+  if (admission) fixture.service_.EnableAdmission();
+  fixture.route().timeout = milliseconds(5000);
+  fixture.Add("1.1.1.1:1", [](const HttpRequest&) { return Refusal(); });
+  const auto result = fixture.Forward(std::nullopt, milliseconds(6000));
+  REQUIRE(result);
+  CHECK(result->outcome == ForwardOutcome::kNotRun);
+  CHECK(result->retry_after >= milliseconds(20));
+  CHECK(fixture.backends.SentRequests() <= fixture.route().attempts + 4);
+  const auto& calls = fixture.backends.calls;
+  if (admission) return;
+  REQUIRE(calls.size() == 6);
+  // A response takes 5 ms.
+  for (size_t i = 1; i < calls.size(); ++i) {
+    const Duration pause = calls[i]->at - calls[i - 1]->at - milliseconds(5);
+    CHECK(pause >= milliseconds(10));
+    CHECK(pause <= milliseconds(std::min<int64_t>(10 << (i - 1), 40)));
+  }
+}
+
+// Guards against a wait for a back end that uses up the bound of sends.
+TEST_CASE("Waiting for a back end to appear is not a send") {
+  Fixture fixture;
+  fixture.service_.Update(fixture.configuration);
+  std::optional<ForwardResult> result;
+  fixture.service_.Forward({{"POST", "/p/x", {}, ""}, "a.example", "id", milliseconds(800)},
+                           [&](ForwardResult answer) { result = std::move(answer); });
+  fixture.scheduler.RunFor(milliseconds(350));
+  REQUIRE_FALSE(result);
+  fixture.Add("1.1.1.1:1", [](const HttpRequest&) { return Ok(); });
+  fixture.service_.Update(fixture.configuration);
+  fixture.scheduler.RunFor(milliseconds(100));
+  REQUIRE(result);
+  CHECK(result->outcome == ForwardOutcome::kAnswered);
+}
+
+/// A fixture with admission and one back end that refuses its first request and is then limited.
+class LimitedFixture : public Fixture {
+ public:
+  LimitedFixture() {
+    service_.EnableAdmission();
+    Add("1.1.1.1:1",
+        [this](const HttpRequest&) { return std::exchange(refused_, true) ? Ok() : Refusal(); });
+    service_.Update(configuration);
+    // Demand, a share of which is the floor of the limit.
+    for (int i = 0; i < 200; ++i) Start(milliseconds(30));
+    scheduler.RunFor(milliseconds(40));
+    REQUIRE(refused_);
+    results.clear();
+    sent_before = backends.SentRequests();
+  }
+
+  IngressService::FlowId Start(Duration left = milliseconds(800)) {
+    return service_.Forward(
+        {{"POST", "/p/x", {}, "body " + std::to_string(++last_)}, "a.example", "id", left},
+        [this](ForwardResult result) { results.push_back(std::move(result)); });
+  }
+  size_t Sent() const { return backends.SentRequests() - sent_before; }
+
+  std::vector<ForwardResult> results;
+  size_t sent_before = 0;
+
+ private:
+  bool refused_ = false;
+  int last_ = 0;
+};
+
+// Guards against requests that leave the queue with a configuration that may be out of date.
+TEST_CASE("A request that waited in the queue is sent only once the configuration is current") {
+  LimitedFixture fixture;
+  for (int i = 0; i < 5; ++i) fixture.Start();
+  fixture.scheduler.RunFor(milliseconds(1));
+  std::vector<std::function<void()>> held;
+  fixture.service_.SetWhenCurrent(
+      [&held](std::function<void()> work) { held.push_back(std::move(work)); });
+  const size_t sent = fixture.Sent();
+  REQUIRE(sent < 5);
+  fixture.scheduler.RunFor(milliseconds(150));
+  CHECK(fixture.Sent() == sent);
+  REQUIRE_FALSE(held.empty());
+  // Meanwhile the back end began to leave, so that it must not get the request.
+  fixture.configuration.instances[InstanceId("1.1.1.1:1")].state = MemberState::kLeaving;
+  fixture.service_.Update(fixture.configuration);
+  fixture.service_.SetWhenCurrent([](const std::function<void()>& work) { work(); });
+  for (const auto& work : held) work();
+  fixture.scheduler.RunFor(milliseconds(1000));
+  CHECK(fixture.Sent() == sent);
+  REQUIRE(fixture.results.size() == 5);
+  CHECK(fixture.results.back().outcome == ForwardOutcome::kNotRun);
+}
+
+// Guards against a request that is put on hold while it waits, and sent all the same.
+TEST_CASE("A request that waited in the queue is not sent if the guard withholds it by then") {
+  LimitedFixture fixture;
+  FakeRegister cluster;
+  cluster.grants = false;
+  fixture.service_.SetSuspectRegister(cluster);
+  fixture.Start();
+  fixture.Start();
+  fixture.Start();
+  fixture.scheduler.RunFor(milliseconds(1));
+  const size_t sent = fixture.Sent();
+  REQUIRE(sent < 3);
+  for (int i = 1; i <= 203; ++i) {
+    SuspectRequest held;
+    const TenantName no_tenant;
+    const std::string body = "body " + std::to_string(i);
+    held.request = FingerprintOf({"POST", "a.example", "/p/x", no_tenant, body});
+    held.place = PlaceOf("a.example", "/p/x");
+    held.crashed = {InstanceId("i1"), InstanceId("i2")};
+    fixture.configuration.suspects[held.request] = held;
+  }
+  fixture.service_.Update(fixture.configuration);
+  fixture.scheduler.RunFor(milliseconds(1000));
+  CHECK(fixture.Sent() == sent);
+  CHECK(fixture.results.size() == 3);
+}
+
+// Guards against sends for callers that have left while their request waited.
+TEST_CASE("A queued request whose client has disconnected is not sent") {
+  LimitedFixture fixture;
+  std::vector<IngressService::FlowId> flows;
+  for (int i = 0; i < 5; ++i) flows.push_back(fixture.Start());
+  fixture.scheduler.RunFor(milliseconds(1));
+  const size_t sent = fixture.Sent();
+  REQUIRE(sent < 5);
+  for (const auto flow : flows) fixture.service_.Cancel(flow);
+  fixture.scheduler.RunFor(milliseconds(2000));
+  CHECK(fixture.Sent() == sent);
+}
+
+// Guards against a rejection that says "not run" although a back end may have run the request.
+TEST_CASE("A rejection after a send is not-run only if no back end may have run the request") {
+  for (const bool may_have_run : {false, true}) {
+    Fixture fixture;
+    fixture.service_.EnableAdmission();
+    bool first = true;
+    const auto script = [&first, may_have_run](const HttpRequest&) {
+      const bool reset = std::exchange(first, false) && may_have_run;
+      return reset ? Of(FakeAnswer::Kind::kReset) : Refusal();
+    };
+    fixture.Add("1.1.1.1:1", script);
+    fixture.Add("1.1.1.1:2", script);
+    const auto result = fixture.Forward();
+    REQUIRE(result);
+    CHECK(result->outcome == (may_have_run ? ForwardOutcome::kFailed : ForwardOutcome::kNotRun));
+    CHECK(result->attempts <= fixture.route().attempts + 4);
+    CHECK_FALSE(result->reason.empty());
+  }
+}
+
+// Guards against callers that wait for a back end that doesn't exist.
+TEST_CASE("With admission, a service without back ends rejects at once") {
+  Fixture fixture;
+  fixture.service_.EnableAdmission();
+  const auto result = fixture.Forward();
+  REQUIRE(result);
+  CHECK(result->outcome == ForwardOutcome::kNotRun);
+  CHECK(result->reason == "no back end is available");
+  CHECK(fixture.took < milliseconds(5));
+  CHECK(result->retry_after == milliseconds(50));
+}
+
 }  // namespace
 }  // namespace millstair
--- /dev/null
+++ b/test/ingress/service_admission_test.cc
@@ -0,0 +1,236 @@
+#include "ingress/service_admission.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/random.h"
+#include "test/ingress/fake_backends.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// One gateway and one service, "pages".
+class Fixture {
+ public:
+  Fixture() { Add("a:1"); }
+
+  void Add(const std::string& address) {
+    configuration.instances[InstanceId(address)] = LiveInstance(address, "pages");
+    directory.Update(configuration);
+  }
+  void Remove(const std::string& address) {
+    configuration.instances.erase(InstanceId(address));
+    directory.Update(configuration);
+  }
+  /// Limits the back end to about `per_second` sends.
+  void Limit(const std::string& address, int per_second) {
+    SendRateLimit& limit = control.limits().Of(InstanceId(address));
+    control.limits().RecordRefused(InstanceId(address));
+    for (int i = 0; i < per_second; ++i) limit.RecordInTime(environment.Now());
+  }
+  SendDemand Demand(Duration left, bool first_attempt = true) const {
+    SendDemand demand;
+    demand.deadline = environment.Now() + left;
+    demand.target_at = environment.Now() + milliseconds(150);
+    demand.first_attempt = first_attempt;
+    return demand;
+  }
+  /// Asks for a send; the outcome appears in `log`.
+  void Ask(const std::string& name, const SendDemand& demand) {
+    service().RecordArrival();
+    auto decision = service().Request(
+        demand, {},
+        [this, name](std::variant<SendPermit, SendRejection> outcome) { Log(name, outcome); });
+    if (auto* queued = std::get_if<std::unique_ptr<ServiceAdmission::Queued>>(&decision)) {
+      waiting[name] = std::move(*queued);
+    } else if (auto* permit = std::get_if<SendPermit>(&decision)) {
+      permit->Use();
+      log.push_back(name + " sent");
+    } else if (auto* rejection = std::get_if<SendRejection>(&decision)) {
+      rejections.push_back(*rejection);
+      log.push_back(name + " rejected");
+    } else {
+      log.push_back(name + " none");
+    }
+  }
+  ServiceAdmission& service() { return control.Of(ServiceName("pages")); }
+
+  VirtualScheduler scheduler{7};
+  VirtualEnvironment environment{scheduler, 11};
+  BackendDirectory directory{environment, Zone("z1")};
+  StatsRegistry stats;
+  AdmissionControl control{environment, directory, &stats};
+  Configuration configuration;
+  std::map<std::string, std::unique_ptr<ServiceAdmission::Queued>> waiting;
+  std::vector<std::string> log;
+  std::vector<SendRejection> rejections;
+
+ private:
+  void Log(const std::string& name, std::variant<SendPermit, SendRejection>& outcome) {
+    if (auto* permit = std::get_if<SendPermit>(&outcome)) {
+      permit->Use();
+      log.push_back(name + " sent");
+      return;
+    }
+    rejections.push_back(std::get<SendRejection>(outcome));
+    log.push_back(name + " rejected");
+  }
+};
+
+using Log = std::vector<std::string>;
+
+// Guards against retries that are lost because they wait behind first attempts.
+TEST_CASE("A caller's retry is sent before first attempts that arrived earlier") {
+  Fixture f;
+  f.Limit("a:1", 40);
+  f.Ask("first", f.Demand(milliseconds(800)));
+  f.Ask("retry", f.Demand(milliseconds(400), false));
+  REQUIRE(f.waiting.size() == 2);
+  f.scheduler.RunFor(milliseconds(140));
+  CHECK(f.log == Log{"retry sent", "first sent"});
+}
+
+// Guards against requests that wait although they are lost.
+TEST_CASE("A request that can't be in time is rejected at once") {
+  Fixture f;
+  f.Limit("a:1", 4);
+  f.service().RecordResponse(milliseconds(100));
+  f.Ask("late", f.Demand(milliseconds(90)));
+  CHECK(f.log == Log{"late rejected"});
+  CHECK(f.rejections[0].reason == RejectionReason::kCannotBeInTime);
+}
+
+// Guards against a standing queue, which makes all requests miss the target.
+TEST_CASE("A first attempt that would miss the target behind a long queue is rejected at once") {
+  Fixture f;
+  f.Limit("a:1", 20);
+  f.service().RecordResponse(milliseconds(50));
+  for (int i = 0; i < 12; ++i) f.Ask(std::to_string(i), f.Demand(milliseconds(800)));
+  REQUIRE_FALSE(f.rejections.empty());
+  CHECK(f.rejections[0].reason == RejectionReason::kStandingQueue);
+  // A queue of 150 ms at 25 sends per second has about 4 requests.
+  CHECK(f.service().queued() >= 2);
+  CHECK(f.service().queued() <= 5);
+  // A retry has missed the target already; it may wait until its deadline.
+  f.Ask("retry", f.Demand(milliseconds(700), false));
+  CHECK(f.waiting.contains("retry"));
+}
+
+// Guards against queued requests that hold a place after they can no longer be in time.
+TEST_CASE("A queued request is rejected as soon as it can't be in time") {
+  Fixture f;
+  f.Limit("a:1", 20);
+  f.Ask("queued", f.Demand(milliseconds(300), false));
+  REQUIRE(f.waiting.contains("queued"));
+  // Responses become so slow that the request would be late even if it were sent now.
+  f.service().RecordResponse(milliseconds(400));
+  f.scheduler.RunFor(milliseconds(25));
+  CHECK(f.log == Log{"queued rejected"});
+  CHECK(f.service().queued() == 0);
+}
+
+// Guards against Retry-After values that ignore the backlog or return all callers at once.
+TEST_CASE("Retry-After follows the drain rate, within its bounds") {
+  Duration slow_sum{0};
+  Duration fast_sum{0};
+  std::set<Duration> different;
+  for (int i = 0; i < 50; ++i) {
+    Fixture slow;
+    slow.Limit("a:1", 5);
+    Fixture fast;
+    fast.Limit("a:1", 20);
+    for (int j = 0; j <= i; ++j) DrawUnit(fast.environment.Random());
+    const auto deadline = [](Fixture& f) { return f.environment.Now() + milliseconds(3000); };
+    const auto by = RejectionReason::kRetryBudget;
+    slow_sum += slow.service().Reject(by, deadline(slow)).retry_after;
+    const Duration after = fast.service().Reject(by, deadline(fast)).retry_after;
+    fast_sum += after;
+    different.insert(after);
+    // One request at 25 sends per second, times 1 to 1.5.
+    CHECK(after >= milliseconds(39));
+    CHECK(after <= milliseconds(61));
+  }
+  CHECK(slow_sum > 3 * fast_sum);
+  CHECK(different.size() >= 40);
+  Fixture f;
+  f.Limit("a:1", 1000);
+  const auto now = f.environment.Now();
+  CHECK(f.service().Reject(RejectionReason::kQueueFull, now + seconds(1)).retry_after ==
+        milliseconds(20));
+  Fixture stuck;
+  stuck.Limit("a:1", 0);
+  CHECK(stuck.service().Reject(RejectionReason::kQueueFull, now + milliseconds(900)).retry_after ==
+        milliseconds(300));
+}
+
+// Guards against sends for callers that have left.
+TEST_CASE("A request whose caller leaves is removed from the queue and not sent") {
+  Fixture f;
+  f.Limit("a:1", 20);
+  f.Ask("left", f.Demand(milliseconds(800)));
+  REQUIRE(f.service().queued() == 1);
+  f.waiting.clear();
+  CHECK(f.service().queued() == 0);
+  f.scheduler.RunFor(seconds(1));
+  CHECK(f.log.empty());
+}
+
+// Guards against requests that wait for a back end that has gone.
+TEST_CASE("A service that loses its last back end rejects its queue") {
+  Fixture f;
+  f.Limit("a:1", 20);
+  f.Ask("queued", f.Demand(milliseconds(800)));
+  f.Remove("a:1");
+  f.scheduler.RunFor(milliseconds(25));
+  CHECK(f.log == Log{"queued rejected"});
+  CHECK(f.rejections[0].reason == RejectionReason::kNoBackend);
+}
+
+// Guards against limits that outlive the back end they were learned from.
+TEST_CASE("A new incarnation has no limit, and takes what waits") {
+  Fixture f;
+  f.Limit("a:1", 5);
+  f.Ask("one", f.Demand(milliseconds(800)));
+  f.Ask("two", f.Demand(milliseconds(800), false));
+  REQUIRE(f.log.empty());
+  f.Remove("a:1");
+  f.Add("a:2");
+  f.scheduler.RunFor(milliseconds(25));
+  CHECK(f.log == Log{"one sent", "two sent"});
+  CHECK_FALSE(f.control.limits().Limited(InstanceId("a:2")));
+}
+
+// Guards against hedges that add load to back ends that are overloaded.
+TEST_CASE("There is no hedge while a back end is limited, or when the budget is used up") {
+  Fixture f;
+  f.Add("b:1");
+  for (int i = 0; i < 10; ++i) CHECK(f.service().RequestHedge({InstanceId("a:1")}));
+  CHECK_FALSE(f.service().RequestHedge({InstanceId("a:1")}));
+  Fixture limited;
+  limited.Add("b:1");
+  limited.Limit("a:1", 5);
+  CHECK_FALSE(limited.service().RequestHedge({InstanceId("a:1")}));
+  limited.scheduler.RunFor(milliseconds(1200));
+  CHECK(limited.service().RequestHedge({InstanceId("a:1")}));
+}
+
+// Guards against a back end that loses a share of its rate to requests that were not sent.
+TEST_CASE("A permit that is not used returns its send to the limit") {
+  Fixture f;
+  f.Limit("a:1", 20);
+  f.scheduler.RunFor(milliseconds(200));
+  const auto permitted = [&f] {
+    auto decision = f.service().Request(f.Demand(milliseconds(800)), {}, [](auto) {});
+    return std::holds_alternative<SendPermit>(decision);
+  };
+  for (int i = 0; i < 5; ++i) CHECK(permitted());
+}
+
+}  // namespace
+}  // namespace millstair
--- a/test/ingress/stream_flow_test.cc
+++ b/test/ingress/stream_flow_test.cc
@@ -176,5 +176,48 @@
   CHECK(fixture.backends.calls[0]->cancelled);
 }
 
+// Guards against retries that multiply the load of back ends that refuse everything.
+TEST_CASE("A stream is sent a bounded number of times") {
+  const bool admission = GENERATE(false, true);
+  Fixture fixture;
+  fixture.route.timeout = milliseconds(5000);
+  AdmissionControl control(fixture.environment, fixture.directory, nullptr);
+  if (admission) fixture.context.admission = &control;
+  fixture.Add("a:1", [](const HttpRequest&) {
+    return FakeAnswer{Kind::kAnswer, 503, {{"refused", "1"}}, {""}};
+  });
+  const auto end = fixture.Run(milliseconds(6000));
+  REQUIRE(end);
+  CHECK(end->forward.outcome == ForwardOutcome::kNotRun);
+  CHECK(end->forward.retry_after >= milliseconds(20));
+  CHECK(fixture.backends.SentRequests() <= fixture.route.attempts + 4);
+  if (!admission) CHECK(fixture.backends.SentRequests() == fixture.route.attempts + 4);
+  fixture.flow.reset();
+}
+
+// Guards against streams that pass by the limit, and against queued ones that outlive their caller.
+TEST_CASE(
+    "With admission, a stream waits for the limit of its back end and leaves with its caller") {
+  Fixture fixture;
+  AdmissionControl control(fixture.environment, fixture.directory, nullptr);
+  fixture.context.admission = &control;
+  fixture.route.target = milliseconds(150);
+  fixture.Add("a:1", [](const HttpRequest&) {
+    return FakeAnswer{Kind::kAnswer, 200, {}, {"1||one\n\n"}};
+  });
+  SendRateLimit& limit = control.limits().Of(InstanceId("a:1"));
+  control.limits().RecordRefused(InstanceId("a:1"));
+  for (int i = 0; i < 10; ++i) limit.RecordInTime(fixture.environment.Now());
+  CHECK_FALSE(fixture.Run(milliseconds(10)));
+  CHECK(fixture.backends.SentRequests() == 0);
+  CHECK(control.Of(ServiceName("engines")).queued() == 1);
+  fixture.flow.reset();
+  CHECK(control.Of(ServiceName("engines")).queued() == 0);
+  const auto end = fixture.Run();
+  REQUIRE(end);
+  CHECK(end->forward.outcome == ForwardOutcome::kAnswered);
+  fixture.flow.reset();
+}
+
 }  // namespace
 }  // namespace millstair
