Sends that reach no back end don't count towards the bound

Change: the bound counts sends of which something reached a back end; a back end that can't be reached is waited for until half of the time limit, as one that has not appeared.

--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -188,7 +188,7 @@
   // confirmed.
   if (!attempts_.empty()) return;
   if (admission_.enabled()) return SendIfAdmitted();
-  if (sent_ >= MaxSends(route_)) return GiveUp(kRetryAfter, last_reason_);
+  if (!MaySendAgain()) return GiveUp(kRetryAfter, last_reason_);
   SendAttempt();
   if (!attempts_.empty()) return ArmHedge();
   // All known back ends were tried; allow each of them again.
@@ -204,7 +204,7 @@
 }
 
 void ForwardFlow::SendIfAdmitted() {
-  if (sent_ >= MaxSends(route_)) return Reject(admission_.Reject(RejectionReason::kSendLimit));
+  if (!MaySendAgain()) return Reject(admission_.Reject(RejectionReason::kSendLimit));
   // The guard and the configuration are consulted again after the request has waited.
   SendStep step = admission_.NextSend(
       tried_, [this] { SendIfAllowed(); },
@@ -271,7 +271,7 @@
 void ForwardFlow::Hedge() {
   // A hedge of a suspect request could crash two back ends at once.
   if (watch_.IsSuspect()) return;
-  const bool may_send = may_have_run_ < route_.attempts && sent_ < MaxSends(route_);
+  const bool may_send = may_have_run_ < route_.attempts && MaySendAgain();
   if (may_send && !admission_.enabled()) SendAttempt();
   // While nothing is running, the request waits for its next send.
   if (may_send && admission_.enabled() && !attempts_.empty()) {
@@ -313,6 +313,7 @@
 void ForwardFlow::OnFailed(Attempt& attempt, bool unreachable, const std::string& reason) {
   if (unreachable) {
     --may_have_run_;
+    ++unreached_;
     watch_.OnUnreachable();
   }
   // A request that was sent and not refused has most likely started to run.
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -140,6 +140,7 @@
   void SendIfAdmitted();
   /// Sends the request again after a back end refused or lost it.
   void SendAgain();
+  bool MaySendAgain() const { return sent_ - unreached_ < MaxSends(route_); }
   /// Ends a request that no back end answered.
   void GiveUp(Duration retry_after, std::string reason);
   void Reject(const SendRejection& rejection);
@@ -173,6 +174,9 @@
   /// Number of back ends that may have run the request.
   uint32_t may_have_run_ = 0;
   uint32_t sent_ = 0;
+  /// Sends of which nothing reached the back end. They are as a wait for a back end and don't count
+  /// towards the bound of sends.
+  uint32_t unreached_ = 0;
   uint32_t server_errors_ = 0;
   std::optional<Duration> confirmation_age_at_send_;
   std::string last_reason_;
--- a/source/ingress/request_admission.cc
+++ b/source/ingress/request_admission.cc
@@ -47,12 +47,17 @@
 }
 
 bool RequestAdmission::DrawLiveService() {
-  Route live = route_;
-  std::erase_if(live.services, [this](const ServiceShare& share) {
+  const auto has_none = [this](const ServiceShare& share) {
     return directory_.Live(share.service).empty();
-  });
-  if (live.services.empty()) return false;
-  service_ = &control_->Of(DrawService(live, environment_));
+  };
+  ServiceName drawn = DrawService(route_, environment_);
+  if (directory_.Live(drawn).empty()) {
+    Route live = route_;
+    std::erase_if(live.services, has_none);
+    if (live.services.empty()) return false;
+    drawn = DrawService(live, environment_);
+  }
+  service_ = &control_->Of(drawn);
   return true;
 }
 
--- a/source/ingress/request_admission.h
+++ b/source/ingress/request_admission.h
@@ -34,14 +34,15 @@
 /// Owned by a flow, which destroys it with its other members; then nothing is called any more.
 class RequestAdmission {
  public:
-  /// `control` is null where admission is off. `route` and `request` outlive it. `deadline` is the
-  /// end of the request's time, which began at `started_at`.
+  /// `control` is null where admission is off. `route` and `request` outlive it. The request's time
+  /// began at `started_at`.
   RequestAdmission(AdmissionControl* control, Environment& environment, BackendDirectory& directory,
                    const Route& route, const ForwardRequest& request, TimePoint started_at);
   RequestAdmission(const RequestAdmission&) = delete;
   RequestAdmission& operator=(const RequestAdmission&) = delete;
 
   bool enabled() const { return control_ != nullptr; }
+  /// The end of the request's time; to be set before the first send.
   void SetDeadline(TimePoint deadline) { deadline_ = deadline; }
 
   /// Called at the moment of a send, after the configuration and the guard have allowed it. If the
--- a/source/ingress/send_bound.h
+++ b/source/ingress/send_bound.h
@@ -8,8 +8,8 @@
 
 namespace millstair {
 
-/// Sends of one request beyond the back ends that may run it. They cover refusals and unreachable
-/// back ends; with four, a request survives the restart of a few back ends at once.
+/// Sends of one request beyond the back ends that may run it. They cover refusals: with four, a
+/// request survives the drain or restart of a few back ends at once.
 inline constexpr uint32_t kExtraSends = 4;
 
 inline uint32_t MaxSends(const Route& route) { return route.attempts + kExtraSends; }
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -124,7 +124,7 @@
 
 void StreamFlow::SendRun() {
   if (admission_.enabled()) return SendIfAdmitted();
-  if (sent_ >= MaxSends(route_)) return Finish(ForwardOutcome::kFailed, last_reason_);
+  if (!MaySendAgain()) return Finish(ForwardOutcome::kFailed, last_reason_);
   auto target = context_.directory.Pick(DrawService(route_, context_.environment), tried_);
   if (!target) {
     // All known back ends were tried; allow each of them again.
@@ -140,7 +140,7 @@
 }
 
 void StreamFlow::SendIfAdmitted() {
-  if (sent_ >= MaxSends(route_)) return Reject(admission_.Reject(RejectionReason::kSendLimit));
+  if (!MaySendAgain()) return Reject(admission_.Reject(RejectionReason::kSendLimit));
   // The guard and the configuration are consulted again after the request has waited.
   SendStep step = admission_.NextSend(
       tried_, [this] { SendIfAllowed(); },
@@ -257,6 +257,7 @@
 void StreamFlow::OnFailed(Run& run, BackendEnd end, const std::string& reason) {
   if (end == BackendEnd::kUnreachable) {
     --may_have_run_;
+    ++unreached_;
     watch_.OnUnreachable();
   } else {
     LogLostAttempt(context_, request_, watch_.fingerprint(), run.target().id, run.sent_at(),
--- a/source/ingress/stream_flow.h
+++ b/source/ingress/stream_flow.h
@@ -63,6 +63,7 @@
   void SendIfAdmitted();
   /// Sends the request again after a back end refused or lost it.
   void SendAgain();
+  bool MaySendAgain() const { return sent_ - unreached_ < MaxSends(route_); }
   void Reject(const SendRejection& rejection);
   /// Calls SendRun once the configuration is current.
   void SendRunWhenCurrent();
@@ -103,6 +104,9 @@
   bool after_loss_ = false;
   uint32_t may_have_run_ = 0;
   uint32_t sent_ = 0;
+  /// Sends of which nothing reached the back end. They are as a wait for a back end and don't count
+  /// towards the bound of sends.
+  uint32_t unreached_ = 0;
   std::optional<Duration> confirmation_age_at_send_;
   /// When the client may retry, if nothing ran.
   Duration retry_after_;
--- a/test/ingress/forward_flow_test.cc
+++ b/test/ingress/forward_flow_test.cc
@@ -405,6 +405,21 @@
   CHECK(result->outcome == ForwardOutcome::kAnswered);
 }
 
+// Guards against servers that restart, whose requests would be given up before they are back.
+TEST_CASE("Back ends that can't be reached are waited for until half of the time limit") {
+  Fixture fixture;
+  bool up = false;
+  const auto script = [&up](const HttpRequest&) {
+    return up ? Ok() : Of(FakeAnswer::Kind::kUnreachable);
+  };
+  for (const char* address : {"1.1.1.1:1", "1.1.1.1:2", "1.1.1.1:3"}) fixture.Add(address, script);
+  fixture.scheduler.Schedule(milliseconds(300), [&up] { up = true; });
+  const auto result = fixture.Forward();
+  REQUIRE(result);
+  CHECK(result->outcome == ForwardOutcome::kAnswered);
+  CHECK(fixture.took >= milliseconds(300));
+}
+
 /// A fixture with admission and one back end that refuses its first request and is then limited.
 class LimitedFixture : public Fixture {
  public:
