Connections that are refused use up neither the retry budget nor a limit

Change: only sends of which something reached a back end are paid from the budget; a back end that can't be reached is not late, since it has no load.

--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -222,9 +222,9 @@
   }
 }
 
-void ForwardFlow::SendAgain() {
+void ForwardFlow::SendAgain(bool reached) {
   if (!admission_.enabled()) return SendIfAllowed();
-  const auto pause = admission_.BeginRetry();
+  const auto pause = admission_.BeginRetry(reached);
   if (!pause) return Reject(admission_.Reject(RejectionReason::kRetryBudget));
   retry_timer_.Arm(*pause, [this] { SendIfAllowed(); });
 }
@@ -290,7 +290,7 @@
   watch_.OnServed();
   if (failed && repeatable() && may_have_run_ < route_.attempts) {
     last_reason_ = "the back end responded with status 500";
-    if (attempts_.empty()) SendAgain();
+    if (attempts_.empty()) SendAgain(true);
     return;
   }
   if (failed && !attempts_.empty()) return;
@@ -307,7 +307,7 @@
   last_reason_ =
       wrong_instance ? "another back end uses the address" : "the back end refused the request";
   EndAttempt(attempt, wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
-  if (attempts_.empty()) SendAgain();
+  if (attempts_.empty()) SendAgain(true);
 }
 
 void ForwardFlow::OnFailed(Attempt& attempt, bool unreachable, const std::string& reason) {
@@ -325,13 +325,13 @@
   }
   last_reason_ = reason;
   EndAttempt(attempt, unreachable ? BackendEnd::kUnreachable : BackendEnd::kFailed);
-  if (attempts_.empty()) RetryOrFail();
+  if (attempts_.empty()) RetryOrFail(!unreachable);
 }
 
-void ForwardFlow::RetryOrFail() {
+void ForwardFlow::RetryOrFail(bool reached) {
   const bool may_run_again =
       may_have_run_ == 0 || (repeatable() && may_have_run_ < route_.attempts);
-  if (may_run_again) return SendAgain();
+  if (may_run_again) return SendAgain(reached);
   ForwardResult result;
   result.outcome = ForwardOutcome::kFailed;
   result.reason = last_reason_;
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -138,8 +138,8 @@
   void SendOrWait();
   /// SendOrWait where admission is on.
   void SendIfAdmitted();
-  /// Sends the request again after a back end refused or lost it.
-  void SendAgain();
+  /// Sends the request again after a back end refused or lost it, or was not reached.
+  void SendAgain(bool reached);
   bool MaySendAgain() const { return sent_ - unreached_ < MaxSends(route_); }
   /// Ends a request that no back end answered.
   void GiveUp(Duration retry_after, std::string reason);
@@ -151,7 +151,7 @@
   void OnFailed(Attempt& attempt, bool unreachable, const std::string& reason);
   void EndAttempt(Attempt& attempt, BackendEnd end);
   void CancelAttempts();
-  void RetryOrFail();
+  void RetryOrFail(bool reached);
   void OnDeadline();
   void RecordAttempts(ForwardResult& result) const;
   void Finish(ForwardResult result);
--- a/source/ingress/request_admission.cc
+++ b/source/ingress/request_admission.cc
@@ -156,8 +156,8 @@
   return permit->target();
 }
 
-std::optional<Duration> RequestAdmission::BeginRetry() {
-  if (service_ == nullptr || !service_->SpendRetry()) return std::nullopt;
+std::optional<Duration> RequestAdmission::BeginRetry(bool reached) {
+  if (reached && !service_->SpendRetry()) return std::nullopt;
   return JitteredBackoff(RetryTiming(), ++retries_, environment_.Random());
 }
 
@@ -189,9 +189,10 @@
     case BackendEnd::kRefused:
       return limits.RecordRefused(instance);
     case BackendEnd::kFailed:
-    case BackendEnd::kUnreachable:
       if (!late_recorded) limits.RecordLate(instance);
       return;
+    // A back end that can't be reached is passed over by its ejection; it has no load to limit.
+    case BackendEnd::kUnreachable:
     case BackendEnd::kWrongInstance:
     case BackendEnd::kCancelled:
       return;
--- a/source/ingress/request_admission.h
+++ b/source/ingress/request_admission.h
@@ -52,9 +52,9 @@
                     std::function<void(SendRejection)> rejected);
   /// The target of a hedge; nullopt if there must be none now.
   std::optional<BackendInstance> NextHedge(const std::set<InstanceId>& tried);
-  /// The pause before the request is sent again, paid from the retry budget; nullopt if the budget
-  /// is used up.
-  std::optional<Duration> BeginRetry();
+  /// The pause before the request is sent again, paid from the retry budget if the last send
+  /// reached a back end; nullopt if the budget is used up.
+  std::optional<Duration> BeginRetry(bool reached);
   /// The request has ended: it leaves the queue, and no callback follows.
   void Close();
   /// Counts a rejection that the flow decides on.
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -157,9 +157,9 @@
   }
 }
 
-void StreamFlow::SendAgain() {
+void StreamFlow::SendAgain(bool reached) {
   if (!admission_.enabled()) return SendIfAllowed();
-  const auto pause = admission_.BeginRetry();
+  const auto pause = admission_.BeginRetry(reached);
   if (!pause) return Reject(admission_.Reject(RejectionReason::kRetryBudget));
   retry_timer_.Arm(*pause, [this] { SendIfAllowed(); });
 }
@@ -196,7 +196,7 @@
     last_reason_ = answer.wrong_instance ? "another back end uses the address"
                                          : "the back end refused the request";
     EndRun(answer.wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
-    return SendAgain();
+    return SendAgain(true);
   }
   run.RecordHead(head.status == kServerError);
   if (begun_ && head.status != kOk) {
@@ -267,17 +267,17 @@
   }
   last_reason_ = reason;
   EndRun(end);
-  ResumeOrFail(reason);
+  ResumeOrFail(end != BackendEnd::kUnreachable, reason);
 }
 
-void StreamFlow::ResumeOrFail(const std::string& reason) {
+void StreamFlow::ResumeOrFail(bool reached, const std::string& reason) {
   const bool may_run_again =
       may_have_run_ == 0 || (route_.resumable && may_have_run_ < route_.attempts);
   if (!may_run_again) return Finish(ForwardOutcome::kFailed, reason);
   splitter_ = EventStreamSplitter();
   plain_ = false;
   plain_body_.clear();
-  SendAgain();
+  SendAgain(reached);
 }
 
 void StreamFlow::EndRun(BackendEnd end) {
--- a/source/ingress/stream_flow.h
+++ b/source/ingress/stream_flow.h
@@ -61,8 +61,8 @@
   void SendTo(BackendInstance target);
   /// SendRun where admission is on.
   void SendIfAdmitted();
-  /// Sends the request again after a back end refused or lost it.
-  void SendAgain();
+  /// Sends the request again after a back end refused or lost it, or was not reached.
+  void SendAgain(bool reached);
   bool MaySendAgain() const { return sent_ - unreached_ < MaxSends(route_); }
   void Reject(const SendRejection& rejection);
   /// Calls SendRun once the configuration is current.
@@ -72,7 +72,7 @@
   void OnFinished(Run& run);
   void OnFailed(Run& run, BackendEnd end, const std::string& reason);
   void EndRun(BackendEnd end);
-  void ResumeOrFail(const std::string& reason);
+  void ResumeOrFail(bool reached, const std::string& reason);
   void Finish(ForwardOutcome outcome, const std::string& reason);
   /// Passes on the complete events; false if an event is malformed or out of order.
   bool ForwardEvents(const std::string& bytes);
--- a/test/ingress/forward_flow_test.cc
+++ b/test/ingress/forward_flow_test.cc
@@ -535,6 +535,22 @@
   }
 }
 
+// Guards against restarts of servers that use up the retry budget, which is for their load.
+TEST_CASE("With admission, unreachable back ends use up neither the retry budget nor their limit") {
+  Fixture fixture;
+  fixture.service_.EnableAdmission();
+  const auto script = [](const HttpRequest&) { return Of(FakeAnswer::Kind::kUnreachable); };
+  for (const char* address : {"1.1.1.1:1", "1.1.1.1:2"}) fixture.Add(address, script);
+  for (int i = 0; i < 20; ++i) {
+    const auto result = fixture.Forward();
+    REQUIRE(result);
+    CHECK(result->outcome == ForwardOutcome::kNotRun);
+    CHECK(result->reason.find("no back end") != std::string::npos);
+    // Two passes over both.
+    CHECK(result->attempts == 4);
+  }
+}
+
 // Guards against callers that wait for a back end that doesn't exist.
 TEST_CASE("With admission, a service without back ends rejects at once") {
   Fixture fixture;
