--- a/source/ingress/backend_directory.cc
+++ b/source/ingress/backend_directory.cc
@@ -38,6 +38,8 @@
 constexpr Duration kPauseCheckInterval = std::chrono::milliseconds(50);
 /// A timer that is later than this shows that this node was paused; a busy node is less late.
 constexpr Duration kMaxTimerDelay = std::chrono::milliseconds(100);
+/// Under overload, each gateway gets a response from each back end at least this often.
+constexpr Duration kOverloadPeriod = std::chrono::seconds(1);
 /// A gateway may see only one request in four seconds, so this outlasts two of them.
 constexpr Duration kDoubtPeriod = std::chrono::seconds(10);
 /// Cost factor of a doubted back end. An attempt that is hedged after silence takes the target plus
@@ -255,12 +257,19 @@
 
 std::optional<BackendInstance> BackendDirectory::Pick(const ServiceName& service,
                                                       const std::set<InstanceId>& excluded) {
+  std::vector<BackendCandidate> candidates = Candidates(service, excluded);
+  if (candidates.empty()) return std::nullopt;
+  return CheapestOf(std::move(candidates));
+}
+
+std::vector<BackendCandidate> BackendDirectory::Candidates(const ServiceName& service,
+                                                           const std::set<InstanceId>& excluded) {
+  std::vector<BackendCandidate> healthy;
   const auto found = services_.find(service);
-  if (found == services_.end()) return std::nullopt;
+  if (found == services_.end()) return healthy;
   const TimePoint now = environment_.Now();
-  std::vector<const Backend*> healthy;
-  std::vector<const Backend*> full;
-  const Backend* least_recently_ejected = nullptr;
+  std::vector<BackendCandidate> full;
+  Backend* least_recently_ejected = nullptr;
   for (Backend* backend : found->second.by_preference) {
     if (healthy.size() >= kMaxHealthyCandidates) break;
     if (excluded.contains(backend->record.id) || ColdAllowance(*backend) == 0) continue;
@@ -270,25 +279,23 @@
       if (earlier) least_recently_ejected = backend;
       continue;
     }
-    (now < backend->full_until ? full : healthy).push_back(backend);
+    (now < backend->full_until ? full : healthy).push_back({&backend->record, Cost(*backend)});
   }
-  const Backend* picked = least_recently_ejected;
-  if (!full.empty()) picked = PickCheapest(std::move(full));
-  if (!healthy.empty()) picked = PickCheapest(std::move(healthy));
-  if (picked == nullptr) return std::nullopt;
-  return picked->record;
-}
-
-const BackendDirectory::Backend* BackendDirectory::PickCheapest(
-    std::vector<const Backend*> choice) {
-  for (size_t i = 0; i < std::min(kCandidates, choice.size()); ++i) {
-    const size_t other = i + DrawBelow(environment_.Random(), choice.size() - i);
-    std::swap(choice[i], choice[other]);
+  if (!healthy.empty()) return healthy;
+  if (!full.empty() || least_recently_ejected == nullptr) return full;
+  return {{&least_recently_ejected->record, Cost(*least_recently_ejected)}};
+}
+
+const BackendInstance& BackendDirectory::CheapestOf(std::vector<BackendCandidate> candidates) {
+  const size_t compared = std::min(kCandidates, candidates.size());
+  for (size_t i = 0; i < compared; ++i) {
+    const size_t other = i + DrawBelow(environment_.Random(), candidates.size() - i);
+    std::swap(candidates[i], candidates[other]);
   }
-  choice.resize(std::min(kCandidates, choice.size()));
-  return *std::min_element(
-      choice.begin(), choice.end(),
-      [this](const Backend* a, const Backend* b) { return Cost(*a) < Cost(*b); });
+  candidates.resize(compared);
+  return *std::min_element(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+            return a.cost < b.cost;
+          })->record;
 }
 
 std::vector<const BackendInstance*> BackendDirectory::Live(const ServiceName& service) const {
@@ -396,6 +403,9 @@
   // A back end that was silent is hedged before the target. Such a short wait renews the doubt, but
   // is not counted towards an ejection.
   const Duration due = MayBeSilent(found->second) ? Duration(0) : target;
+  // A back end that responded shortly before is more likely overloaded than out of reach; if all
+  // gateways avoided it for a while, they would overload the others.
+  if (found->second.silence.RespondedSince(sent_at - kOverloadPeriod)) return;
   if (IsSilent(found->second, sent_at, due)) Doubt(found->second, sent_at);
 }
 
--- a/source/ingress/backend_directory.h
+++ b/source/ingress/backend_directory.h
@@ -30,6 +30,12 @@
   friend bool operator==(const ColdPolicy&, const ColdPolicy&) = default;
 };
 
+/// A back end that may be used for a request, and its expected latency in relative units.
+struct BackendCandidate {
+  const BackendInstance* record = nullptr;
+  double cost = 0;
+};
+
 enum class BackendEnd : uint8_t {
   kAnswered,
   kRefused,        ///< it did not run the request
@@ -68,6 +74,11 @@
   /// healthy ones in this node's own order are considered, so that connections are reused.
   std::optional<BackendInstance> Pick(const ServiceName& service,
                                       const std::set<InstanceId>& excluded);
+  /// The back ends among which Pick selects; valid until the configuration changes.
+  std::vector<BackendCandidate> Candidates(const ServiceName& service,
+                                           const std::set<InstanceId>& excluded);
+  /// The cheapest of a few of `candidates`, drawn at random; there must be at least one.
+  const BackendInstance& CheapestOf(std::vector<BackendCandidate> candidates);
   /// All back ends that accept new work, ordered by identifier.
   std::vector<const BackendInstance*> Live(const ServiceName& service) const;
   /// Whether at least `count` back ends of `service` accept new work and are neither ejected nor
@@ -147,7 +158,6 @@
   void ApplyEvacuations(const std::map<Zone, EvacuatedZone>& evacuated);
   void RefreshZoneCandidates(const Zone& zone);
   double Cost(const Backend& backend) const;
-  const Backend* PickCheapest(std::vector<const Backend*> choice);
   void RecordEnd(Backend& backend, BackendEnd end, Duration elapsed);
   void RecordResponse(Backend& backend);
   void RecordFailure(Backend& backend, bool unreachable);
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -18,9 +18,11 @@
 #include "ingress/backend_directory.h"
 #include "ingress/backend_protocol.h"
 #include "ingress/forward_request.h"
+#include "ingress/request_admission.h"
 #include "ingress/request_guard.h"
 #include "ingress/request_watch.h"
 #include "ingress/route_table.h"
+#include "ingress/send_bound.h"
 
 namespace millstair {
 
@@ -81,6 +83,8 @@
   };
   /// Memory of buffered responses and of requests; null if it has no bound.
   ResponseMemory* memory = nullptr;
+  /// Null where admission is off.
+  AdmissionControl* admission = nullptr;
 };
 
 /// Larger responses are treated as failures.
@@ -141,7 +145,16 @@
   /// Runs `work` once the configuration is current, unless the flow has ended by then.
   void WhenCurrentAndOpen(std::function<void()> work);
   void SendAttempt();
+  void SendTo(BackendInstance target);
   void SendOrWait();
+  /// SendOrWait where admission is on.
+  void SendIfAdmitted();
+  /// Sends the request again after a back end refused or lost it, or was not reached.
+  void SendAgain(bool reached);
+  bool MaySendAgain() const { return sent_ - unreached_ < MaxSends(route_); }
+  /// Ends a request that no back end answered.
+  void GiveUp(Duration retry_after, std::string reason);
+  void Reject(const SendRejection& rejection);
   void Hedge();
   void ArmHedge();
   void OnAnswer(Attempt& attempt, const HttpResponseHead& head, std::string body);
@@ -149,7 +162,7 @@
   void OnFailed(Attempt& attempt, bool unreachable, const std::string& reason);
   void EndAttempt(Attempt& attempt, BackendEnd end);
   void CancelAttempts();
-  void RetryOrFail();
+  void RetryOrFail(bool reached);
   void OnDeadline();
   void RecordAttempts(ForwardResult& result) const;
   void Finish(ForwardResult result);
@@ -168,9 +181,14 @@
   std::set<InstanceId> tried_;
   RequestMeter meter_;
   RequestWatch watch_;
+  RequestAdmission admission_;
+  SendPauses pauses_;
   /// Number of back ends that may have run the request.
   uint32_t may_have_run_ = 0;
   uint32_t sent_ = 0;
+  /// Sends of which nothing reached the back end. They are as a wait for a back end and don't count
+  /// towards the bound of sends.
+  uint32_t unreached_ = 0;
   uint32_t server_errors_ = 0;
   std::optional<Duration> confirmation_age_at_send_;
   std::string last_reason_;
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "common/random.h"
 #include "fmt/format.h"
 #include "ingress/backend_attempt.h"
 
@@ -11,9 +10,8 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kServerError = 500;
 constexpr Duration kDefaultTimeout = std::chrono::minutes(10);
-constexpr Duration kRetryPauseMin = std::chrono::milliseconds(10);
-constexpr Duration kRetryPauseMax = std::chrono::milliseconds(40);
 /// A stream that no back end accepts is given up after this share of its time limit.
 constexpr double kGiveUpShare = 0.5;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(50);
@@ -59,10 +57,22 @@
     handle_.reset();
     if (paused_since_) paused_time_ += flow_.context_.environment.Now() - *paused_since_;
     // A pause of this gateway does not make the back end slow.
-    record_.End(end, paused_time_ + buffer_.PausedTime());
+    const Duration paused = paused_time_ + buffer_.PausedTime();
+    const Duration elapsed = flow_.context_.environment.Now() - sent_at() - paused;
+    // The time until a stream's response begins tells whether its back end keeps up, not its
+    // length.
+    if (!head_recorded_) flow_.admission_.RecordEnd(target_.id, end, elapsed, false);
+    record_.End(end, paused);
   }
   void OnResponse() { record_.OnResponse(); }
 
+  /// The back end has begun to respond and did not refuse the request.
+  void RecordHead(bool failed) {
+    head_recorded_ = true;
+    flow_.admission_.RecordEnd(target_.id, BackendEnd::kAnswered,
+                               flow_.context_.environment.Now() - sent_at(), failed);
+  }
+
   /// Only streams are paused for their reader; a plain response is paused by its buffer.
   void SetPaused(bool paused) {
     if (paused == paused_since_.has_value()) return;
@@ -90,6 +100,7 @@
   ResponseBuffer buffer_;
   std::optional<TimePoint> paused_since_;
   Duration paused_time_{0};
+  bool head_recorded_ = false;
   bool ended_ = false;
 };
 
@@ -105,12 +116,15 @@
       started_at_(context.environment.Now()),
       meter_(context.on_request_started, request_.tenant),
       watch_(context.guard, context.directory, route_, request_),
+      admission_(context.admission, context.environment, context.directory, route_, request_,
+                 started_at_),
       retry_after_(kRetryAfter),
       deadline_timer_(context.environment),
       retry_timer_(context.environment) {
   Duration limit = route_.timeout.value_or(kDefaultTimeout);
   if (request_.time_left) limit = std::min(limit, *request_.time_left);
   deadline_ = started_at_ + limit;
+  admission_.SetDeadline(deadline_);
   events_ = request_.resume_after.value_or(0);
 }
 
@@ -142,29 +156,67 @@
 }
 
 void StreamFlow::SendRun() {
-  const TimePoint now = context_.environment.Now();
+  if (admission_.enabled()) return SendIfAdmitted();
+  if (!MaySendAgain()) return Finish(ForwardOutcome::kFailed, last_reason_);
   auto target = context_.directory.Pick(DrawService(route_, context_.environment), tried_);
   if (!target) {
     // All known back ends were tried; allow each of them again.
     tried_.clear();
-    const double used = ToSeconds(now - started_at_);
+    const double used = ToSeconds(context_.environment.Now() - started_at_);
     if (!begun_ && used >= kGiveUpShare * ToSeconds(deadline_ - started_at_)) {
       return Finish(ForwardOutcome::kFailed, "no back end is available");
     }
-    retry_timer_.Arm(DrawDuration(context_.environment.Random(), kRetryPauseMin, kRetryPauseMax),
-                     [this] { SendIfAllowed(); });
+    retry_timer_.Arm(pauses_.Next(context_.environment.Random()), [this] { SendIfAllowed(); });
     return;
   }
-  tried_.insert(target->id);
-  last_instance_ = target->id;
+  SendTo(*std::move(target));
+}
+
+void StreamFlow::SendIfAdmitted() {
+  if (!MaySendAgain()) return Reject(admission_.Reject(RejectionReason::kSendLimit));
+  // The guard and the configuration are consulted again after the request has waited.
+  SendStep step = admission_.NextSend(
+      tried_, [this] { SendIfAllowed(); },
+      [this](const SendRejection& rejection) { Reject(rejection); });
+  switch (step.kind) {
+    case SendStep::Kind::kSend:
+      return SendTo(*std::move(step.target));
+    case SendStep::Kind::kWait:
+      return;
+    case SendStep::Kind::kPause:
+      return retry_timer_.Arm(step.pause, [this] { SendIfAllowed(); });
+    case SendStep::Kind::kReject:
+      return Reject(step.rejection);
+  }
+}
+
+void StreamFlow::SendAgain(bool reached) {
+  if (!admission_.enabled()) return SendIfAllowed();
+  const auto pause = admission_.BeginRetry(reached);
+  if (!pause) return Reject(admission_.Reject(RejectionReason::kRetryBudget));
+  retry_timer_.Arm(*pause, [this] { SendIfAllowed(); });
+}
+
+void StreamFlow::Reject(const SendRejection& rejection) {
+  retry_after_ = rejection.retry_after;
+  std::string reason(RejectionText(rejection.reason));
+  if (!last_reason_.empty()) reason += " (" + last_reason_ + ")";
+  Finish(ForwardOutcome::kFailed, reason);
+}
+
+void StreamFlow::SendTo(BackendInstance target) {
+  tried_.insert(target.id);
+  last_instance_ = target.id;
   ++sent_;
   ++may_have_run_;
   confirmation_age_at_send_ = std::max(confirmation_age_at_send_, context_.confirmation_age());
   watch_.OnSent();
-  BackendRequest request{request_.http, request_.host,         request_.request_id, deadline_ - now,
-                         target->id,    request_.resume_after, request_.tenant};
+  BackendRequest request{request_.http,       request_.host,
+                         request_.request_id, deadline_ - context_.environment.Now(),
+                         target.id,           request_.resume_after,
+                         request_.tenant};
   if (begun_) request.resume_after = events_;
-  run_ = std::make_unique<Run>(*this, *std::move(target));
+  run_ = std::make_unique<Run>(*this, std::move(target));
   run_->Start(context_.protocol.MakeRequest(request));
   if (paused_) run_->SetPaused(true);
 }
@@ -183,10 +235,13 @@
   run.OnResponse();
   if (answer.not_run) {
     --may_have_run_;
+    last_reason_ = answer.wrong_instance ? "another back end uses the address"
+                                         : "the back end refused the request";
     EndRun(answer.wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
-    SendIfAllowed();
+    SendAgain(true);
     return false;
   }
+  run.RecordHead(head.status == kServerError);
   if (begun_ && head.status != kOk) {
     OnFailed(run, BackendEnd::kFailed, fmt::format("status {}", head.status));
     return false;
@@ -250,6 +305,7 @@
 void StreamFlow::OnFailed(Run& run, BackendEnd end, const std::string& reason) {
   if (end == BackendEnd::kUnreachable) {
     --may_have_run_;
+    ++unreached_;
     watch_.OnUnreachable();
   } else {
     LogLostAttempt(context_, request_, watch_.fingerprint(), run.target().id, run.sent_at(),
@@ -257,17 +313,18 @@
     watch_.OnLost(run.target());
     after_loss_ = true;
   }
+  last_reason_ = reason;
   EndRun(end);
-  ResumeOrFail(reason);
+  ResumeOrFail(end != BackendEnd::kUnreachable, reason);
 }
 
-void StreamFlow::ResumeOrFail(const std::string& reason) {
+void StreamFlow::ResumeOrFail(bool reached, const std::string& reason) {
   const bool may_run_again =
       may_have_run_ == 0 || (route_.resumable && may_have_run_ < route_.attempts);
   if (!may_run_again) return Finish(ForwardOutcome::kFailed, reason);
   splitter_ = EventStreamSplitter();
   plain_ = false;
-  SendIfAllowed();
+  SendAgain(reached);
 }
 
 void StreamFlow::EndRun(BackendEnd end) {
@@ -294,6 +351,7 @@
   result.forward.body = std::move(plain_body_);
   result.begun = begun_;
   result.events = events_;
+  admission_.Close();
   deadline_timer_.Cancel();
   retry_timer_.Cancel();
   if (run_ != nullptr) run_->End(BackendEnd::kCancelled);
--- a/source/ingress/stream_flow.h
+++ b/source/ingress/stream_flow.h
@@ -61,6 +61,13 @@
   /// Ends a request that the guard doesn't allow to be sent.
   void Withhold(Duration retry_after);
   void SendRun();
+  void SendTo(BackendInstance target);
+  /// SendRun where admission is on.
+  void SendIfAdmitted();
+  /// Sends the request again after a back end refused or lost it, or was not reached.
+  void SendAgain(bool reached);
+  bool MaySendAgain() const { return sent_ - unreached_ < MaxSends(route_); }
+  void Reject(const SendRejection& rejection);
   /// Calls SendRun once the configuration is current.
   void SendRunWhenCurrent();
   /// Whether the response is buffered as a plain one.
@@ -69,7 +76,7 @@
   void OnFinished(Run& run);
   void OnFailed(Run& run, BackendEnd end, const std::string& reason);
   void EndRun(BackendEnd end);
-  void ResumeOrFail(const std::string& reason);
+  void ResumeOrFail(bool reached, const std::string& reason);
   void Finish(ForwardOutcome outcome, const std::string& reason);
   /// Passes on the complete events; false if an event is malformed or out of order.
   bool ForwardEvents(const std::string& bytes);
@@ -97,10 +104,16 @@
   uint64_t events_ = 0;
   RequestMeter meter_;
   RequestWatch watch_;
+  RequestAdmission admission_;
+  SendPauses pauses_;
+  std::string last_reason_;
   /// The current run follows one that was lost.
   bool after_loss_ = false;
   uint32_t may_have_run_ = 0;
   uint32_t sent_ = 0;
+  /// Sends of which nothing reached the back end. They are as a wait for a back end and don't count
+  /// towards the bound of sends.
+  uint32_t unreached_ = 0;
   std::optional<Duration> confirmation_age_at_send_;
   /// When the client may retry, if nothing ran.
   Duration retry_after_;
