Pause sends after a late response without saving up what accrues meanwhile

Cause: after a pause a gateway sent at once what had accrued, so queues of slow back ends hardly shrank. Change: nothing accrues during the pause.

--- a/source/limits/send_rate_limit.cc
+++ b/source/limits/send_rate_limit.cc
@@ -95,6 +95,10 @@
 
 void SendRateLimit::RecordBacklog(TimePoint now, Duration excess) {
   hold_until_ = std::max(hold_until_, now + std::min(excess, kMaxHold));
+  if (!limited_) return;
+  // What accrued before was meant for a shorter queue, and nothing accrues meanwhile.
+  tokens_ = std::min(tokens_, 0.0);
+  filled_at_ = hold_until_;
 }
 
 SendRateLimit::Change SendRateLimit::RecordRefused(TimePoint now) {
@@ -136,10 +140,11 @@
 Duration SendRateLimit::UntilAllowed(TimePoint now) {
   if (Allows(now)) return Duration(0);
   const Duration filled = FromSeconds((1 - tokens_) / std::max(PerSecond(now), kMinPerSecond));
-  return std::max({filled, hold_until_ - now, Duration(0)});
+  return filled + std::max(hold_until_ - now, Duration(0));
 }
 
 void SendRateLimit::Fill(TimePoint now) {
+  if (now < filled_at_) return;
   // The rate decays meanwhile; its integral is what the window's count has lost.
   const double by_responses = Headroom(now) * (in_time_.Count(filled_at_) - in_time_.Count(now));
   const double by_floor = floor_per_second_ * ToSeconds(now - filled_at_);
