Failed groups do not wait behind spare ones; case for runs of deferred groups

Cause: a failed group counts as spare. An item of a spare group that waits for newer weights ends the search for further items of its job, and one with an earlier latest start precedes the items of the failed group, which then stay in the queue for up to 5.5 s although slots are free. The case for runs of deferred groups removed an engine from the configuration, and the run at the other one was always planned. Change: spare groups come after failed ones in their tier. The case uses an engine that sends nothing and texts that cannot be complete in time, and checks that their groups are deferred.

--- a/source/jobs/step_forecast.cc
+++ b/source/jobs/step_forecast.cc
@@ -270,6 +270,9 @@
   for (size_t i = 0; i < plan.candidates.size(); ++i) {
     forecast.order[plan.candidates[i].group] = i + 1;
   }
+  for (size_t group = 0; group < forecast.order.size(); ++group) {
+    if (plan.job->groups[group].spare) forecast.order[group] = 1;
+  }
 }
 
 void ForecastPoolJobs(const ForecastPool& pool, const std::vector<const ForecastJob*>& jobs,
--- a/source/jobs/step_forecast.h
+++ b/source/jobs/step_forecast.h
@@ -83,7 +83,8 @@
   int64_t position = 0;
   /// By index of the group: its position within the job's tier, the lowest first: those that need
   /// the least to be complete. Groups run one after the other, since work on a group that is not
-  /// complete in time is lost. 0 for spare groups.
+  /// complete in time is lost. 1 for spare groups and 0 for others that failed: items of spare
+  /// groups may wait for newer weights, and must not hold up those that need not.
   std::vector<size_t> order;
 };
 
--- a/test/jobs/job_sharing_test.cc
+++ b/test/jobs/job_sharing_test.cc
@@ -235,29 +235,78 @@
 }
 
 // Guards running texts, which are of use until their job is lost.
-TEST_CASE("Runs of deferred groups are not cut when engines fall silent") {
+TEST_CASE("Runs of deferred groups are not cut when an engine falls silent") {
   SharingFixture fixture;
-  fixture.Add("e:2", "engines", [](const HttpRequest&) {
-    FakeAnswer answer = Text({});
-    for (int i = 1; i <= 60; ++i) answer.pieces.push_back(fmt::format("{}||x\n\n", i));
-    answer.gap = kGap;
-    return answer;
-  });
+  fixture.Add("e:2", "engines",
+              [](const HttpRequest&) { return FakeAnswer{FakeAnswer::Kind::kNoResponse}; });
+  fixture.configuration.instances[InstanceId("e:2")].slots = 1;
+  fixture.Update();
+  // 2.7 s of events each; the job is due after 2 s.
   JobSpec job = fixture.Job("j", false);
-  job.items = {ItemOfEvents("j-a-60", "a", 60), ItemOfEvents("j-b-60", "b", 60)};
+  job.items = {ItemOfEvents("j-a-90", "a", 90), ItemOfEvents("j-b-90", "b", 90)};
   fixture.Submit(job);
   fixture.Lead();
-  fixture.scheduler.RunFor(milliseconds(300));
-  // One engine is gone: its slots don't count any more, and nothing can be in time.
-  fixture.configuration.instances.erase(InstanceId("e:2"));
-  fixture.Update();
-  fixture.scheduler.RunFor(seconds(5));
-  const JobRecord* record = fixture.state.Find(JobId("j"));
-  CHECK(record->results.size() == 2);
+  fixture.scheduler.RunFor(seconds(2));
+  REQUIRE(fixture.OrderOfRuns().size() == 1);
+  REQUIRE(fixture.state.Find(JobId("j"))->results.empty());
+  CHECK(fixture.Metric("millstair_groups_deferred") == 2);
+  fixture.scheduler.RunFor(seconds(10));
+  CHECK(fixture.state.Find(JobId("j"))->results.size() == 2);
+  CHECK(fixture.OrderOfRuns().size() == 2);
   for (const auto& call : fixture.backends.calls) {
     if (call->address == "e:1") CHECK_FALSE(call->cancelled);
   }
 }
 
+// Guards the free slots: an item of a spare group that waits for newer weights ends the search for
+// further items of its job.
+TEST_CASE("Items of a failed group run while spare ones wait for newer weights") {
+  SharingFixture fixture;
+  fixture.Add("e:1", "engines", [](const HttpRequest& request) {
+    const std::string id(*FindHeader(request.headers, "id"));
+    FakeAnswer answer = Text({});
+    answer.headers = {{"version", "4"}};
+    answer.gap = kGap;
+    if (id.starts_with("bad")) {
+      answer.status = 422;
+      answer.delay = milliseconds(400);
+    }
+    const size_t events = std::stoul(id.substr(id.rfind('-') + 1));
+    for (size_t i = 1; i <= events; ++i) answer.pieces.push_back(fmt::format("{}||x\n\n", i));
+    return answer;
+  });
+  fixture.configuration.instances[InstanceId("e:1")].slots = 1;
+  fixture.Lead();
+  // Two jobs with the same item establish a lag of two versions.
+  for (const uint64_t version : {1U, 3U}) {
+    JobSpec earlier = fixture.Job(fmt::format("earlier-{}", version), false);
+    earlier.min_version = WeightVersion(version);
+    earlier.items = {ItemOfEvents("returns-1", "r", 1)};
+    fixture.Submit(earlier);
+    fixture.End(earlier.id.value());
+  }
+  fixture.configuration.versions[ModelName("m")].version = WeightVersion(4);
+  fixture.Update();
+  fixture.loads.RecordVersion(InstanceId("e:1"), ModelName("m"), WeightVersion(4));
+  JobSpec job = fixture.Job("j", false);
+  job.min_version = WeightVersion(3);
+  job.wanted_groups = 1;
+  job.items = {ItemOfEvents("bad-60", "a", 60), ItemOfEvents("other-20", "a", 20),
+               ItemOfEvents("spare-90", "b", 90)};
+  fixture.Submit(job);
+  fixture.scheduler.RunFor(milliseconds(100));
+  // Takes the slot until the forecast knows of the failure.
+  JobSpec urgent = fixture.Job("urgent", false);
+  urgent.tenant = TenantName("urgent");
+  urgent.min_version = WeightVersion(3);
+  urgent.items = {ItemOfEvents("urgent-30", "u", 30)};
+  fixture.Submit(urgent);
+  fixture.scheduler.RunFor(seconds(2));
+  const std::vector<std::string> order = fixture.OrderOfRuns();
+  REQUIRE(order.size() >= 3);
+  CHECK(std::vector(order.end() - 3, order.end()) ==
+        std::vector<std::string>{"bad-60", "urgent-30", "other-20"});
+}
+
 }  // namespace
 }  // namespace millstair
