StepLate states the number of groups of a job that wants all of them

Cause: the line took the number from the job's specification, where 0 stands for all groups, so that planned and wanted could not be compared as OPERATIONS.md describes. Change: line and forecast use the same number.

--- a/source/jobs/job_sharing.cc
+++ b/source/jobs/job_sharing.cc
@@ -19,6 +19,11 @@
 /// Engines whose events arrive together count with this pace, so that no pool is infinitely fast.
 constexpr double kMinSecondsPerEvent = 0.0001;
 
+/// A job of `groups` groups that states no number wants all of them.
+size_t WantedGroups(const JobSpec& spec, size_t groups) {
+  return spec.wanted_groups == 0 ? groups : spec.wanted_groups;
+}
+
 }  // namespace
 
 void JobScheduler::UpdateForecast() {
@@ -105,8 +110,7 @@
   ForecastJob forecast;
   forecast.due_in_seconds = SecondsLeft(record);
   forecast.groups = job.groups;
-  forecast.wanted_groups =
-      record.spec.wanted_groups == 0 ? job.groups.size() : record.spec.wanted_groups;
+  forecast.wanted_groups = WantedGroups(record.spec, job.groups.size());
   for (const JobResult& result : record.results) {
     if (result.state != ItemState::kDone) {
       forecast.groups[job.group_of_item[result.item]].failed = true;
@@ -188,7 +192,7 @@
            "job={} step={} route={} late_ms={} complete={} planned={} wanted={}", record.spec.id,
            record.spec.step.value_or(0), RouteOf(record)->name,
            ToMilliseconds(FromSeconds(forecast.lateness_seconds)), forecast.complete_groups,
-           forecast.planned_groups, record.spec.wanted_groups);
+           forecast.planned_groups, WantedGroups(record.spec, job.groups.size()));
 }
 
 void JobScheduler::SetForecastMetrics(const std::map<std::string, double>& lateness_by_route,
