Lateness: the fastest response counts until newer ones arrive

Cause: after 20 s without responses the usual time of a back end was unknown again, so a service whose work takes longer than the target was limited by its first requests after each pause. Change: RecentMinimum keeps its value while no newer one arrives.

--- a/source/limits/recent_minimum.h
+++ b/source/limits/recent_minimum.h
@@ -8,7 +8,8 @@
 
 namespace millstair {
 
-/// Value type. A value counts for one to two windows, so that no list of values is kept. Times must
+/// Value type. A value counts for one to two windows, so that no list of values is kept. Without
+/// newer values it counts until they arrive: a pause says nothing about the next value. Times must
 /// not decrease.
 class RecentMinimum {
  public:
@@ -18,7 +19,7 @@
     Turn(now);
     current_ = current_ ? std::min(*current_, value) : value;
   }
-  /// Nullopt if there was no recent value.
+  /// Nullopt if there was no value.
   std::optional<Duration> Get(TimePoint now) {
     Turn(now);
     if (!previous_ || !current_) return current_ ? current_ : previous_;
@@ -28,7 +29,7 @@
  private:
   void Turn(TimePoint now) {
     if (now - began_at_ < window_) return;
-    previous_ = now - began_at_ < 2 * window_ ? current_ : std::nullopt;
+    if (current_) previous_ = current_;
     current_.reset();
     began_at_ = now;
   }
