Lateness: errors don't count as the usual time of a back end

Cause: a quick 404 or 500 was taken as the back end's fastest response, so that its other responses were late at the target even if its work takes longer. Change: only successful responses tell the usual time and the expected response time.

--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -82,7 +82,7 @@
     ended_ = true;
     handle_.reset();
     const Duration elapsed = flow_.context_.environment.Now() - sent_at_;
-    flow_.admission_.RecordEnd(target_.id, end, elapsed, head_.status == kServerError);
+    flow_.admission_.RecordEnd(target_.id, end, elapsed, head_.status);
     flow_.context_.directory.End(target_.id, end, elapsed);
   }
 
--- a/source/ingress/request_admission.cc
+++ b/source/ingress/request_admission.cc
@@ -16,6 +16,7 @@
 constexpr int kMaxPasses = 2;
 /// Long enough for another gateway to have a newer list of back ends.
 constexpr Duration kRetryElsewhere = std::chrono::milliseconds(50);
+constexpr int kServerError = 500;
 
 }  // namespace
 
@@ -174,17 +175,20 @@
 }
 
 void RequestAdmission::RecordEnd(const InstanceId& instance, BackendEnd end, Duration elapsed,
-                                 bool failed) {
+                                 int status) {
   if (!enabled() || service_ == nullptr) return;
   const auto timer = target_timers_.extract(instance);
   const bool late_recorded = !timer.empty() && !timer.mapped().armed();
   BackendLimits& limits = control_->limits();
   switch (end) {
     case BackendEnd::kAnswered:
-      service_->RecordResponse(elapsed);
-      limits.RecordResponse(instance, elapsed);
+      // A request that is answered with an error takes less time than the service's work.
+      if (IsSuccess(status)) {
+        service_->RecordResponse(elapsed);
+        limits.RecordResponse(instance, elapsed);
+      }
       // A server error sent quickly is no sign of capacity.
-      if (!late_recorded && !failed) limits.RecordInTime(instance);
+      if (!late_recorded && status != kServerError) limits.RecordInTime(instance);
       return;
     case BackendEnd::kRefused:
       return limits.RecordRefused(instance);
--- a/source/ingress/request_admission.h
+++ b/source/ingress/request_admission.h
@@ -60,9 +60,9 @@
   /// Counts a rejection that the flow decides on.
   SendRejection Reject(RejectionReason reason);
 
-  /// A send to `instance` ended after `elapsed`, or its stream began. `failed` states that its
-  /// complete response reports a server error.
-  void RecordEnd(const InstanceId& instance, BackendEnd end, Duration elapsed, bool failed);
+  /// A send to `instance` ended after `elapsed`, or its stream began. `status` is that of the
+  /// response if it was answered.
+  void RecordEnd(const InstanceId& instance, BackendEnd end, Duration elapsed, int status);
 
  private:
   SendDemand Demand() const;
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr int kOk = 200;
-constexpr int kServerError = 500;
 constexpr Duration kDefaultTimeout = std::chrono::minutes(10);
 /// A stream that no back end accepts is given up after this share of its time limit.
 constexpr double kGiveUpShare = 0.5;
@@ -50,15 +49,15 @@
     const Duration elapsed = flow_.context_.environment.Now() - sent_at_;
     // The time until a stream's response begins tells whether its back end keeps up, not its
     // length.
-    if (!head_recorded_) flow_.admission_.RecordEnd(target_.id, end, elapsed, false);
+    if (!head_recorded_) flow_.admission_.RecordEnd(target_.id, end, elapsed, 0);
     flow_.context_.directory.End(target_.id, end, elapsed);
   }
 
   /// The back end has begun to respond and did not refuse the request.
-  void RecordHead(bool failed) {
+  void RecordHead(int status) {
     head_recorded_ = true;
     flow_.admission_.RecordEnd(target_.id, BackendEnd::kAnswered,
-                               flow_.context_.environment.Now() - sent_at_, failed);
+                               flow_.context_.environment.Now() - sent_at_, status);
   }
 
   const BackendInstance& target() const { return target_; }
@@ -198,7 +197,7 @@
     EndRun(answer.wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
     return SendAgain(true);
   }
-  run.RecordHead(head.status == kServerError);
+  run.RecordHead(head.status);
   if (begun_ && head.status != kOk) {
     return OnFailed(run, BackendEnd::kFailed, fmt::format("status {}", head.status));
   }
--- a/test/ingress/forward_flow_test.cc
+++ b/test/ingress/forward_flow_test.cc
@@ -563,5 +563,61 @@
   CHECK(result->retry_after == milliseconds(50));
 }
 
+/// A fixture with admission whose back end takes 300 ms, twice the target.
+class SlowFixture : public Fixture {
+ public:
+  SlowFixture() {
+    service_.EnableAdmission();
+    route().kind = RouteKind::kOnce;
+    Add("1.1.1.1:1", [this](const HttpRequest&) {
+      FakeAnswer answer = Ok();
+      answer.delay = milliseconds(300);
+      if (error_status != 0 && ++sent_ % 10 == 0) {
+        answer.status = error_status;
+        answer.delay = milliseconds(1);
+      }
+      return answer;
+    });
+    service_.Update(configuration);
+  }
+  /// Sends `count` requests 100 ms apart and returns how many were answered.
+  int Answered(int count) {
+    int answered = 0;
+    for (int i = 0; i < count; ++i) {
+      service_.Forward({{"POST", "/p/x", {}, "body"}, "a.example", "id", milliseconds(800)},
+                       [&answered](const ForwardResult& result) {
+                         answered += result.outcome == ForwardOutcome::kAnswered ? 1 : 0;
+                       });
+      scheduler.RunFor(milliseconds(100));
+    }
+    scheduler.RunFor(milliseconds(1000));
+    return answered;
+  }
+
+  int error_status = 0;
+
+ private:
+  int sent_ = 0;
+};
+
+// Guards against a limit on a back end whose errors are faster than its work.
+TEST_CASE("Quick errors don't make the other responses of a slow service late") {
+  SlowFixture fixture;
+  // The limit of the first responses, before the usual time is known, has ended by then.
+  fixture.Answered(100);
+  fixture.error_status = GENERATE(404, 500);
+  CHECK(fixture.Answered(100) == 100);
+}
+
+// Guards against a limit with each return of the demand after a pause.
+TEST_CASE("A slow service is not limited when requests arrive again after a pause") {
+  SlowFixture fixture;
+  fixture.Answered(100);
+  for (int i = 0; i < 3; ++i) {
+    fixture.scheduler.RunFor(std::chrono::seconds(60));
+    CHECK(fixture.Answered(10) == 10);
+  }
+}
+
 }  // namespace
 }  // namespace millstair
