Streams that have begun wait for a back end until their deadline

Cause: with admission on, a stream whose run was lost was ended when it could not be resumed at once: by the rule for first attempts, since its target has always passed; after two passes over the back ends; at half of its time limit; or when its service had no back end for a moment. Without admission it waits. Trials: a resumable stream lost after 1 s of 60 s while both back ends were limited to about 25 a second failed with 'would miss the target'; one whose only back end was replaced within 200 ms failed with 'no back end is available' after 1 s and after 7 s of 10 s. All of them resume with admission off. Change: a request of which a part of the response was passed on is rejected only when it can't be in time, by the retry budget or by the bound of sends.

--- a/source/ingress/request_admission.cc
+++ b/source/ingress/request_admission.cc
@@ -44,6 +44,7 @@
   const bool retry =
       request_.time_left && route_.timeout && *request_.time_left + request_.held < *route_.timeout;
   demand.first_attempt = !retry;
+  demand.begun = begun_;
   return demand;
 }
 
@@ -70,7 +71,9 @@
                                     std::function<void(SendRejection)> rejected) {
   queued_.reset();
   if (auto target = TakePermit()) return Send(*std::move(target));
-  if (!DrawLiveService()) return RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
+  if (!DrawLiveService()) {
+    return begun_ ? Pause() : RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
+  }
   RecordArrival();
   auto later = [this, admitted = std::move(admitted),
                 rejected = std::move(rejected)](std::variant<SendPermit, SendRejection> outcome) {
@@ -126,6 +129,10 @@
 }
 
 SendStep RequestAdmission::PauseOrReject(std::set<InstanceId>& tried) {
+  if (begun_) {
+    tried.clear();
+    return Pause();
+  }
   if (!tried.empty()) {
     tried.clear();
     if (++passes_ >= kMaxPasses) return RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
@@ -134,6 +141,10 @@
   if (used >= kGiveUpShare * ToSeconds(deadline_ - started_at_)) {
     return RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
   }
+  return Pause();
+}
+
+SendStep RequestAdmission::Pause() {
   SendStep step;
   step.kind = SendStep::Kind::kPause;
   step.pause = pauses_.Next(environment_.Random());
--- a/source/ingress/request_admission.h
+++ b/source/ingress/request_admission.h
@@ -45,6 +45,10 @@
   /// The end of the request's time; to be set before the first send.
   void SetDeadline(TimePoint deadline) { deadline_ = deadline; }
 
+  /// A part of the response was passed on: from now on the request waits for a back end until its
+  /// deadline, since a rejection would lose what its caller has received.
+  void OnBegun() { begun_ = true; }
+
   /// Called at the moment of a send, after the configuration and the guard have allowed it. If the
   /// step is to wait, either `admitted` or `rejected` is called once; after `admitted` the flow
   /// calls this again. `tried` is cleared when all back ends have been tried.
@@ -74,6 +78,7 @@
   SendStep RejectNow(RejectionReason reason, Duration retry_after);
   /// No back end may be used now: waits for one or gives up.
   SendStep PauseOrReject(std::set<InstanceId>& tried);
+  SendStep Pause();
   /// Draws one of the route's services that have back ends; false if there is none.
   bool DrawLiveService();
   void RecordArrival();
@@ -88,6 +93,7 @@
   TimePoint deadline_;
   ServiceAdmission* service_ = nullptr;
   bool arrival_recorded_ = false;
+  bool begun_ = false;
   bool sent_ = false;
   int retries_ = 0;
   /// Passes over all back ends of the service that ended without a response.
--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -200,6 +200,7 @@
   const TimePoint now = environment_.Now();
   const TimePoint answered_at = now + ExpectedWait(ahead) + FromSeconds(response_seconds_);
   if (answered_at > demand.deadline) return RejectionReason::kCannotBeInTime;
+  if (demand.begun) return std::nullopt;
   const bool late = demand.first_attempt && answered_at > demand.target_at;
   if (late && now + ExpectedWait(queue_.size()) > demand.target_at) {
     return RejectionReason::kStandingQueue;
@@ -258,7 +259,7 @@
     if (found == waiting_.end()) continue;
     const SendDemand& demand = found->second->demand_;
     auto reason = Judge(demand, ahead);
-    if (none_left) reason = RejectionReason::kNoBackend;
+    if (none_left && !demand.begun) reason = RejectionReason::kNoBackend;
     if (!reason) {
       ++ahead;
       continue;
--- a/source/ingress/service_admission.h
+++ b/source/ingress/service_admission.h
@@ -71,6 +71,9 @@
   TimePoint target_at;
   /// Not a retry of its caller.
   bool first_attempt = true;
+  /// A part of the response was passed on, so that a rejection would lose it: the request waits
+  /// until its deadline.
+  bool begun = false;
 };
 
 /// Metrics of all services of a gateway; any may be null.
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -206,6 +206,7 @@
   plain_ = head.status != kOk;
   if (plain_) return;
   begun_ = true;
+  admission_.OnBegun();
   sink_.OnHead(head);
 }
 
--- a/test/ingress/stream_flow_test.cc
+++ b/test/ingress/stream_flow_test.cc
@@ -219,5 +219,46 @@
   fixture.flow.reset();
 }
 
+// Guards against streams that are cut because they can't be resumed at once.
+TEST_CASE("With admission, a stream that has begun waits for its back ends until its deadline") {
+  const bool restart = GENERATE(false, true);
+  Fixture fixture;
+  AdmissionControl control(fixture.environment, fixture.directory, nullptr);
+  fixture.context.admission = &control;
+  fixture.route.resumable = true;
+  fixture.route.timeout = milliseconds(10000);
+  fixture.route.target = milliseconds(150);
+  bool broken = false;
+  fixture.Add("e:1", [script = BreaksOnce(broken)](const HttpRequest& request) {
+    FakeAnswer answer = script(request);
+    // The first run is lost after 7 s, beyond half of the time limit.
+    if (answer.kind == Kind::kTruncatedBody) answer.gap = milliseconds(7000);
+    return answer;
+  });
+  std::optional<StreamEnd> end;
+  fixture.flow = std::make_unique<StreamFlow>(
+      fixture.context, fixture.route,
+      ForwardRequest{{"POST", "/s/", {}, ""}, "h", "id", std::nullopt, {}}, fixture.sink,
+      [&](StreamEnd result) { end = std::move(result); });
+  fixture.flow->Start();
+  fixture.scheduler.RunFor(milliseconds(6900));
+  if (restart) {
+    fixture.configuration.instances.clear();
+    fixture.directory.Update(fixture.configuration);
+  } else {
+    SendRateLimit& limit = control.limits().Of(InstanceId("e:1"));
+    control.limits().RecordRefused(InstanceId("e:1"));
+    for (int i = 0; i < 4; ++i) limit.RecordInTime(fixture.environment.Now());
+  }
+  fixture.scheduler.RunFor(milliseconds(200));
+  REQUIRE_FALSE(end);
+  if (restart) fixture.Add("e:2", BreaksOnce(broken));
+  fixture.scheduler.RunFor(milliseconds(2000));
+  REQUIRE(end);
+  CHECK(end->forward.outcome == ForwardOutcome::kAnswered);
+  CHECK(fixture.sink.text == "1||one\n\n2||two\n\n");
+  fixture.flow.reset();
+}
+
 }  // namespace
 }  // namespace millstair
