Admission asks whether a service has back ends without listing them

Cause: each send and each look at a queue built a list of all live back ends of the service, only to see whether it is empty; the cost grew with the number of back ends. Change: BackendDirectory::HasLive, a look-up of the service, whose entry exists only while it has one. The cost was not measured.

--- a/source/ingress/backend_directory.h
+++ b/source/ingress/backend_directory.h
@@ -74,6 +74,8 @@
                                            const std::set<InstanceId>& excluded);
   /// The cheapest of a few of `candidates`, drawn at random; there must be at least one.
   const BackendInstance& CheapestOf(std::vector<BackendCandidate> candidates);
+  /// Whether any back end of `service` accepts new work.
+  bool HasLive(const ServiceName& service) const { return services_.contains(service); }
   /// All back ends that accept new work, ordered by identifier.
   std::vector<const BackendInstance*> Live(const ServiceName& service) const;
   /// Null if the back end is unknown or accepts no new work.
--- a/source/ingress/request_admission.cc
+++ b/source/ingress/request_admission.cc
@@ -50,10 +50,10 @@
 
 bool RequestAdmission::DrawLiveService() {
   const auto has_none = [this](const ServiceShare& share) {
-    return directory_.Live(share.service).empty();
+    return !directory_.HasLive(share.service);
   };
   ServiceName drawn = DrawService(route_, environment_);
-  if (directory_.Live(drawn).empty()) {
+  if (!directory_.HasLive(drawn)) {
     Route live = route_;
     std::erase_if(live.services, has_none);
     if (live.services.empty()) return false;
--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -251,7 +251,7 @@
 }
 
 void ServiceAdmission::RejectLate() {
-  const bool none_left = directory_.Live(service_).empty();
+  const bool none_left = !directory_.HasLive(service_);
   size_t ahead = 0;
   for (const FairQueue::EntryId id : queue_.Order()) {
     const auto found = waiting_.find(id);
