--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -90,7 +90,7 @@
     // A pause of this gateway does not make the back end slow.
     const Duration paused = buffer_.PausedTime();
     const Duration elapsed = flow_.context_.environment.Now() - sent_at() - paused;
-    flow_.admission_.RecordEnd(target_.id, end, elapsed, head_.status == kServerError);
+    flow_.admission_.RecordEnd(target_.id, end, elapsed, head_.status);
     record_.End(end, paused);
   }
   void ReportIfUnanswered() { record_.ReportIfUnanswered(); }
@@ -334,7 +334,7 @@
   last_reason_ =
       wrong_instance ? "another back end uses the address" : "the back end refused the request";
   EndAttempt(attempt, wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
-  if (attempts_.empty()) SendAgain(true);
+  if (attempts_.empty()) SendAgain(!wrong_instance);
 }
 
 void ForwardFlow::OnFailed(Attempt& attempt, bool unreachable, const std::string& reason) {
--- a/source/ingress/request_admission.cc
+++ b/source/ingress/request_admission.cc
@@ -16,6 +16,7 @@
 constexpr int kMaxPasses = 2;
 /// Long enough for another gateway to have a newer list of back ends.
 constexpr Duration kRetryElsewhere = std::chrono::milliseconds(50);
+constexpr int kServerError = 500;
 
 }  // namespace
 
@@ -43,15 +44,16 @@
   const bool retry =
       request_.time_left && route_.timeout && *request_.time_left + request_.held < *route_.timeout;
   demand.first_attempt = !retry;
+  demand.begun = begun_;
   return demand;
 }
 
 bool RequestAdmission::DrawLiveService() {
   const auto has_none = [this](const ServiceShare& share) {
-    return directory_.Live(share.service).empty();
+    return !directory_.HasLive(share.service);
   };
   ServiceName drawn = DrawService(route_, environment_);
-  if (directory_.Live(drawn).empty()) {
+  if (!directory_.HasLive(drawn)) {
     Route live = route_;
     std::erase_if(live.services, has_none);
     if (live.services.empty()) return false;
@@ -69,7 +71,9 @@
                                     std::function<void(SendRejection)> rejected) {
   queued_.reset();
   if (auto target = TakePermit()) return Send(*std::move(target));
-  if (!DrawLiveService()) return RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
+  if (!DrawLiveService()) {
+    return begun_ ? Pause() : RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
+  }
   RecordArrival();
   auto later = [this, admitted = std::move(admitted),
                 rejected = std::move(rejected)](std::variant<SendPermit, SendRejection> outcome) {
@@ -125,6 +129,10 @@
 }
 
 SendStep RequestAdmission::PauseOrReject(std::set<InstanceId>& tried) {
+  if (begun_) {
+    tried.clear();
+    return Pause();
+  }
   if (!tried.empty()) {
     tried.clear();
     if (++passes_ >= kMaxPasses) return RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
@@ -133,6 +141,10 @@
   if (used >= kGiveUpShare * ToSeconds(deadline_ - started_at_)) {
     return RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
   }
+  return Pause();
+}
+
+SendStep RequestAdmission::Pause() {
   SendStep step;
   step.kind = SendStep::Kind::kPause;
   step.pause = pauses_.Next(environment_.Random());
@@ -174,17 +186,20 @@
 }
 
 void RequestAdmission::RecordEnd(const InstanceId& instance, BackendEnd end, Duration elapsed,
-                                 bool failed) {
+                                 int status) {
   if (!enabled() || service_ == nullptr) return;
   const auto timer = target_timers_.extract(instance);
   const bool late_recorded = !timer.empty() && !timer.mapped().armed();
   BackendLimits& limits = control_->limits();
   switch (end) {
     case BackendEnd::kAnswered:
-      service_->RecordResponse(elapsed);
-      limits.RecordResponse(instance, elapsed);
+      // A request that is answered with an error takes less time than the service's work.
+      if (IsSuccess(status)) {
+        service_->RecordResponse(elapsed);
+        limits.RecordResponse(instance, elapsed);
+      }
       // A server error sent quickly is no sign of capacity.
-      if (!late_recorded && !failed) limits.RecordInTime(instance);
+      if (!late_recorded && status != kServerError) limits.RecordInTime(instance);
       if (late_recorded) {
         limits.RecordBacklog(instance, elapsed - limits.LateAfter(instance, target()));
       }
--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -173,7 +173,9 @@
 std::optional<SendPermit> ServiceAdmission::RequestHedge(const std::set<InstanceId>& excluded) {
   std::vector<BackendCandidate> candidates = directory_.Candidates(service_, excluded);
   for (const BackendInstance* instance : directory_.Live(service_)) {
-    if (limits_.Limited(instance->id)) return std::nullopt;
+    // A back end that was ejected is out of reach, not overloaded; its limit must not keep requests
+    // from being hedged to those that respond.
+    if (limits_.Limited(instance->id) && !directory_.Ejected(instance->id)) return std::nullopt;
   }
   if (candidates.empty() || !budget_.Spend()) return std::nullopt;
   const BackendInstance& target = directory_.CheapestOf(std::move(candidates));
@@ -200,6 +202,7 @@
   const TimePoint now = environment_.Now();
   const TimePoint answered_at = now + ExpectedWait(ahead) + FromSeconds(response_seconds_);
   if (answered_at > demand.deadline) return RejectionReason::kCannotBeInTime;
+  if (demand.begun) return std::nullopt;
   const bool late = demand.first_attempt && answered_at > demand.target_at;
   if (late && now + ExpectedWait(queue_.size()) > demand.target_at) {
     return RejectionReason::kStandingQueue;
@@ -250,7 +253,7 @@
 }
 
 void ServiceAdmission::RejectLate() {
-  const bool none_left = directory_.Live(service_).empty();
+  const bool none_left = !directory_.HasLive(service_);
   size_t ahead = 0;
   for (const FairQueue::EntryId id : queue_.Order()) {
     const auto found = waiting_.find(id);
@@ -258,7 +261,7 @@
     if (found == waiting_.end()) continue;
     const SendDemand& demand = found->second->demand_;
     auto reason = Judge(demand, ahead);
-    if (none_left) reason = RejectionReason::kNoBackend;
+    if (none_left && !demand.begun) reason = RejectionReason::kNoBackend;
     if (!reason) {
       ++ahead;
       continue;
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr int kOk = 200;
-constexpr int kServerError = 500;
 constexpr Duration kDefaultTimeout = std::chrono::minutes(10);
 /// A stream that no back end accepts is given up after this share of its time limit.
 constexpr double kGiveUpShare = 0.5;
@@ -61,16 +60,16 @@
     const Duration elapsed = flow_.context_.environment.Now() - sent_at() - paused;
     // The time until a stream's response begins tells whether its back end keeps up, not its
     // length.
-    if (!head_recorded_) flow_.admission_.RecordEnd(target_.id, end, elapsed, false);
+    if (!head_recorded_) flow_.admission_.RecordEnd(target_.id, end, elapsed, 0);
     record_.End(end, paused);
   }
   void OnResponse() { record_.OnResponse(); }
 
   /// The back end has begun to respond and did not refuse the request.
-  void RecordHead(bool failed) {
+  void RecordHead(int status) {
     head_recorded_ = true;
     flow_.admission_.RecordEnd(target_.id, BackendEnd::kAnswered,
-                               flow_.context_.environment.Now() - sent_at(), failed);
+                               flow_.context_.environment.Now() - sent_at(), status);
   }
 
   /// Only streams are paused for their reader; a plain response is paused by its buffer.
@@ -238,10 +237,10 @@
     last_reason_ = answer.wrong_instance ? "another back end uses the address"
                                          : "the back end refused the request";
     EndRun(answer.wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
-    SendAgain(true);
+    SendAgain(!answer.wrong_instance);
     return false;
   }
-  run.RecordHead(head.status == kServerError);
+  run.RecordHead(head.status);
   if (begun_ && head.status != kOk) {
     OnFailed(run, BackendEnd::kFailed, fmt::format("status {}", head.status));
     return false;
@@ -251,6 +250,7 @@
   plain_ = head.status != kOk;
   if (plain_) return true;
   begun_ = true;
+  admission_.OnBegun();
   sink_.OnHead(head);
   return false;
 }
