Apply committed entries in batches between messages

Cause: a replica applied all committed entries in one go. After a power loss a new leader of the job group spent 417 ms at 0.3 of a core on 2,659 entries and sent no heartbeat, its followers answered none, and the leadership was lost: the next leader started its work 3.1 s after the processes were back (one trial). Change: 64 KiB of entries in a pass; messages and timers are handled between passes.

--- a/source/consensus/group_replica.cc
+++ b/source/consensus/group_replica.cc
@@ -10,8 +10,11 @@
 namespace millstair {
 namespace {
 
-/// Committed entries are read and applied in batches of about this size.
-constexpr uint64_t kApplyBytes = 1 << 20;
+/// Committed entries are read and applied in batches of about this size, and messages are handled
+/// in between. After a restart a replica has thousands of entries to apply. Applied at once, they
+/// took 0.4 s at a third of a core, in which a new leader sent no heartbeat and followers answered
+/// none, so that the leadership was lost.
+constexpr uint64_t kApplyBytes = 64 << 10;
 /// A snapshot is taken at the latest after this multiple of `snapshot_after_entries`.
 constexpr uint64_t kMaxSnapshotIntervals = 8;
 /// Term of the first entry of every group, the configuration of its initial members.
@@ -253,11 +256,11 @@
 }
 
 void GroupReplica::ApplyCommitted() {
-  while (failure_.ok() && applied_ < core_->commit()) {
-    auto entries = log_->Read(Next(applied_), core_->commit(), kApplyBytes);
-    if (!entries.ok()) return Halt(entries.status());
-    for (const LogEntry& entry : *entries) ApplyEntry(entry);
-  }
+  if (!failure_.ok() || applied_ >= core_->commit()) return;
+  auto entries = log_->Read(Next(applied_), core_->commit(), kApplyBytes);
+  if (!entries.ok()) return Halt(entries.status());
+  for (const LogEntry& entry : *entries) ApplyEntry(entry);
+  if (applied_ < core_->commit()) context_.wake();
 }
 
 void GroupReplica::ApplyEntry(const LogEntry& entry) {
--- a/test/consensus/group_host_test.cc
+++ b/test/consensus/group_host_test.cc
@@ -99,6 +99,29 @@
       [&] { return fleet.Machine(behind)->commands.size() == 700; }, seconds(10)));
 }
 
+TEST_CASE("a replica with a long log to apply does not leave messages unanswered meanwhile") {
+  constexpr size_t kCommands = 700;
+  constexpr size_t kCommandBytes = 2048;
+  ConsensusFleet fleet(3, 6);
+  REQUIRE(fleet.RunUntilLeader());
+  for (size_t i = 0; i < kCommands; ++i) {
+    REQUIRE(fleet.Propose(std::string(kCommandBytes, 'x')).ok());
+  }
+  for (int i = 0; i < 3; ++i) fleet.Crash(fleet.Name(i));
+  for (int i = 0; i < 3; ++i) fleet.Restart(fleet.Name(i));
+  size_t applied = 0;
+  size_t most_at_once = 0;
+  REQUIRE(fleet.scheduler.RunUntilTrue(
+      [&] {
+        const size_t now = fleet.Machine(fleet.Name(0))->commands.size();
+        most_at_once = std::max(most_at_once, now - std::min(now, applied));
+        applied = now;
+        return applied == kCommands;
+      },
+      seconds(10)));
+  CHECK(most_at_once <= kCommands / 10);
+}
+
 TEST_CASE("leadership transfer does not wait for an election timeout") {
   ConsensusFleet fleet(3, 6);
   REQUIRE(fleet.RunUntilLeader());
