Keep the paces of engines in the job group's log

Cause: a new leader measured the paces of engines again, so that after each change of leader long texts started at slow engines. The record changes neither the clock nor a job, so that a replica of the build before, which skips it, holds the same jobs.

--- a/source/jobs/engine_speed_tracker.cc
+++ b/source/jobs/engine_speed_tracker.cc
@@ -13,6 +13,9 @@
 constexpr size_t kMinComparedEngines = 3;
 /// The tracker is cleared when it reaches this number of engines.
 constexpr size_t kMaxTrackedEngines = 10'000;
+/// A restored pace is replaced by the mean of the first intervals, until their number gives each
+/// new one the weight of the smoothing.
+constexpr size_t kConfirmingIntervals = 10;
 
 }  // namespace
 
@@ -20,12 +23,32 @@
   if (seconds_.size() >= kMaxTrackedEngines && !seconds_.contains(instance)) Clear();
   const double seconds = ToSeconds(gap);
   const auto [known, added] = seconds_.try_emplace(instance, seconds);
-  if (!added) known->second += kSmoothing * (seconds - known->second);
+  if (added) return;
+  double weight = kSmoothing;
+  const auto unconfirmed = unconfirmed_.find(instance);
+  if (unconfirmed != unconfirmed_.end()) {
+    weight = 1.0 / static_cast<double>(++unconfirmed->second);
+    if (unconfirmed->second >= kConfirmingIntervals) unconfirmed_.erase(unconfirmed);
+  }
+  known->second += weight * (seconds - known->second);
+}
+
+void EngineSpeedTracker::Restore(const std::map<InstanceId, double>& seconds) {
+  Clear();
+  seconds_ = seconds;
+  for (const auto& [instance, pace] : seconds_) unconfirmed_[instance] = 0;
+  Recompute();
+}
+
+void EngineSpeedTracker::RemoveUnless(const std::function<bool(const InstanceId&)>& exists) {
+  std::erase_if(seconds_, [&exists](const auto& entry) { return !exists(entry.first); });
+  std::erase_if(unconfirmed_, [&exists](const auto& entry) { return !exists(entry.first); });
 }
 
 void EngineSpeedTracker::Clear() {
   seconds_.clear();
   slow_.clear();
+  unconfirmed_.clear();
   typical_seconds_ = kAssumedSeconds;
   fastest_seconds_ = kAssumedSeconds;
 }
--- a/source/jobs/engine_speed_tracker.h
+++ b/source/jobs/engine_speed_tracker.h
@@ -2,6 +2,8 @@
 /// slow engines get work last, and their runs may be moved.
 #pragma once
 
+#include <cstddef>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -16,6 +18,13 @@
   /// Records the time between two events of one run at `instance`.
   void RecordInterval(const InstanceId& instance, Duration gap);
   void Clear();
+  /// Starts with the paces that an earlier leader measured, in seconds per event. They are
+  /// unconfirmed: the first intervals of an engine replace its pace.
+  void Restore(const std::map<InstanceId, double>& seconds);
+  /// Forgets the engines that `exists` does not hold for.
+  void RemoveUnless(const std::function<bool(const InstanceId&)>& exists);
+  /// Smoothed seconds between two events, of all engines with an interval and restored ones.
+  const std::map<InstanceId, double>& known_seconds() const { return seconds_; }
   /// Updates the results of `IsSlow`, `TypicalSeconds` and `FastestSeconds`.
   void Recompute();
   /// Whether its events arrive far slower than those of most engines.
@@ -35,6 +44,8 @@
   double typical_seconds_ = kAssumedSeconds;
   double fastest_seconds_ = kAssumedSeconds;
   std::set<InstanceId> slow_;
+  /// Restored engines, with the number of intervals recorded since.
+  std::map<InstanceId, size_t> unconfirmed_;
 };
 
 }  // namespace millstair
--- a/source/jobs/job_codec.cc
+++ b/source/jobs/job_codec.cc
@@ -200,6 +200,19 @@
   return true;
 }
 
+static millstair_EnginePace ToWire(WireArena& arena, const EnginePace& pace) {
+  millstair_EnginePace wire = millstair_EnginePace_init_zero;
+  wire.engine = arena.NewString(pace.engine.value());
+  wire.microseconds_per_event = static_cast<uint64_t>(pace.per_event.count());
+  return wire;
+}
+
+static bool FromWire(const millstair_EnginePace& wire, EnginePace& pace) {
+  pace.engine = InstanceId(ToString(wire.engine));
+  pace.per_event = Duration(wire.microseconds_per_event);
+  return pace.per_event > Duration(0);
+}
+
 namespace {
 
 /// Fills the operation of a wire command, with one overload for each operation.
@@ -242,6 +255,13 @@
     wire.operation.keep.parts =
         NewWireArray<millstair_ProgressPart>(arena, save.parts, &wire.operation.keep.parts_count);
   }
+
+  void operator()(const RecordEnginePaces& record) const {
+    wire.which_operation = millstair_JobCommand_paces_tag;
+    wire.operation.paces = millstair_RecordEnginePaces_init_zero;
+    wire.operation.paces.paces =
+        NewWireArray<millstair_EnginePace>(arena, record.paces, &wire.operation.paces.paces_count);
+  }
 };
 
 bool OperationFromWire(const millstair_JobCommand& wire, JobOperation& operation) {
@@ -265,6 +285,9 @@
     case millstair_JobCommand_keep_tag:
       return FromWireArray(wire.operation.keep.parts, wire.operation.keep.parts_count,
                            operation.emplace<SaveProgress>().parts);
+    case millstair_JobCommand_paces_tag:
+      return FromWireArray(wire.operation.paces.paces, wire.operation.paces.paces_count,
+                           operation.emplace<RecordEnginePaces>().paces);
     default:
       return false;
   }
@@ -367,13 +390,16 @@
   return answer;
 }
 
-std::string EncodeSnapshotHead(WallTime clock, const std::vector<AnnounceOrder>& announcements) {
+std::string EncodeSnapshotHead(WallTime clock, const std::vector<AnnounceOrder>& announcements,
+                               const std::vector<EnginePace>& engine_paces) {
   WireArena arena;
   millstair_JobSnapshot wire = millstair_JobSnapshot_init_zero;
   wire.format = kSnapshotFormat;
   wire.clock_milliseconds = ToMilliseconds(clock);
   wire.announcements =
       NewWireArray<millstair_AnnounceOrder>(arena, announcements, &wire.announcements_count);
+  wire.engine_paces =
+      NewWireArray<millstair_EnginePace>(arena, engine_paces, &wire.engine_paces_count);
   return EncodeNanopb(millstair_JobSnapshot_fields, &wire);
 }
 
@@ -414,8 +440,11 @@
   snapshot.clock = FromMilliseconds(wire.clock_milliseconds);
   const bool valid =
       wire.format == kSnapshotFormat &&
-      FromWireArray(wire.announcements, wire.announcements_count, snapshot.announcements);
-  if (!valid) return absl::DataLossError("job snapshot has an invalid format or announcement");
+      FromWireArray(wire.announcements, wire.announcements_count, snapshot.announcements) &&
+      FromWireArray(wire.engine_paces, wire.engine_paces_count, snapshot.engine_paces);
+  if (!valid) {
+    return absl::DataLossError("job snapshot has an invalid format, announcement or pace");
+  }
   return snapshot;
 }
 
--- a/source/jobs/job_codec.h
+++ b/source/jobs/job_codec.h
@@ -10,7 +10,8 @@
 
 namespace millstair {
 
-using JobOperation = std::variant<SubmitJob, RecordResult, EndJob, AnnounceOrder, SaveProgress>;
+using JobOperation =
+    std::variant<SubmitJob, RecordResult, EndJob, AnnounceOrder, SaveProgress, RecordEnginePaces>;
 
 struct JobCommand {
   JobOperation operation;
@@ -29,6 +30,7 @@
   std::vector<SnapshotJob> jobs;
   /// The latest for each engine, oldest first.
   std::vector<AnnounceOrder> announcements;
+  std::vector<EnginePace> engine_paces;
 };
 
 std::string EncodeJobCommand(const JobCommand& command);
@@ -41,7 +43,8 @@
 absl::StatusOr<JobQueryAnswer> DecodeJobQueryAnswer(std::string_view bytes);
 /// A snapshot is a head followed by separately encoded jobs: an ended job never changes, so its
 /// encoding is reused in later snapshots.
-std::string EncodeSnapshotHead(WallTime clock, const std::vector<AnnounceOrder>& announcements);
+std::string EncodeSnapshotHead(WallTime clock, const std::vector<AnnounceOrder>& announcements,
+                               const std::vector<EnginePace>& engine_paces);
 std::string EncodeSnapshotJob(const JobRecord& record);
 absl::StatusOr<JobSnapshot> DecodeJobSnapshot(std::string_view bytes);
 
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -47,6 +47,9 @@
       group_(group),
       options_(options),
       stats_(stats),
+      pace_recorder_(
+          environment, group, state, speeds_,
+          [this](const InstanceId& engine) { return loads_.StateOf(engine) != nullptr; }),
       pump_timer_(environment),
       change_timer_(environment),
       save_timer_(environment) {}
@@ -61,6 +64,7 @@
   partial_texts_.Clear();
   lengths_.Clear();
   versions_until_return_.clear();
+  pace_recorder_.Stop();
   speeds_.Clear();
   next_forecast_at_ = TimePoint();
   no_lateness_before_ = TimePoint();
@@ -85,6 +89,7 @@
 
 void JobScheduler::StartWork() {
   leading_ = true;
+  RestorePaces();
   LoadPartialTexts();
   ScheduleSave();
   for (const JobRecord* record : BySubmission(state_.jobs())) {
@@ -93,6 +98,19 @@
   SchedulePump(Duration(0));
 }
 
+void JobScheduler::RestorePaces() {
+  if (!options_.shares_steps) return;
+  const size_t restored = pace_recorder_.Start();
+  LogEvent(EventId::kEnginePacesRestored, "group={} term={} engines={}", group_.id(), term_,
+           restored);
+  if (stats_ == nullptr) return;
+  stats_
+      ->NewGauge({"millstair_engine_paces_restored",
+                  "Paces of engines with which this node last began to lead the batch jobs.", "",
+                  ""})
+      .Set(static_cast<double>(restored));
+}
+
 void JobScheduler::OnStateChange(JobChange change, const JobId& job) {
   if (!leading_) return;
   if (change == JobChange::kAnnounced) return;
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -18,6 +18,7 @@
 #include "common/stats.h"
 #include "consensus/raft_group.h"
 #include "ingress/ingress_service.h"
+#include "jobs/engine_pace_recorder.h"
 #include "jobs/engine_snapshot.h"
 #include "jobs/engine_speed_tracker.h"
 #include "jobs/item_lengths.h"
@@ -58,6 +59,10 @@
   void SetLeading(bool leading);
   /// Whether new work may start: the configuration held is confirmed current.
   void SetMayStartWork(std::function<bool()> allowed) { may_start_work_ = std::move(allowed); }
+  /// See EnginePaceRecorder::SetSupportCheck.
+  void SetPaceSupportCheck(EnginePaceRecorder::SupportCheck check) {
+    pace_recorder_.SetSupportCheck(std::move(check));
+  }
   /// The state machine applied a change. It is handled from a timer.
   void OnStateChange(JobChange change, const JobId& job);
   /// Runs a scheduling pass, or schedules one if the last was too recent. Call it when back ends,
@@ -148,6 +153,8 @@
 
   void CatchUp();
   void StartWork();
+  /// Starts with the paces of engines that the leader before recorded.
+  void RestorePaces();
   void AddJob(const JobRecord& record);
   void DropJob(const JobId& job);
   Rank RankOf(const Work& work) const;
@@ -323,6 +330,7 @@
   /// By model: how much the minimum version rises until a client submits an item again.
   std::map<ModelName, uint64_t> versions_until_return_;
   EngineSpeedTracker speeds_;
+  EnginePaceRecorder pace_recorder_;
   TimePoint next_moves_at_;
   TimePoint next_pump_at_;
   TimePoint next_forecast_at_;
--- a/source/jobs/job_state_machine.cc
+++ b/source/jobs/job_state_machine.cc
@@ -42,6 +42,11 @@
 std::string JobStateMachine::Apply(LogIndex, std::string_view bytes) {
   const auto command = DecodeJobCommand(bytes);
   if (!command.ok()) return EncodeJobResultCode(JobResultCode::kInvalid);
+  // A build that does not decode this command skips it. As it changes neither the clock nor any
+  // job, such a replica still holds the same jobs.
+  if (const auto* record = std::get_if<RecordEnginePaces>(&command->operation)) {
+    return EncodeJobResultCode(Run(*record));
+  }
   AdvanceClock(command->proposed_at);
   const JobResultCode code =
       std::visit([this](const auto& operation) { return Run(operation); }, command->operation);
@@ -136,6 +141,11 @@
   return JobResultCode::kOk;
 }
 
+JobResultCode JobStateMachine::Run(const RecordEnginePaces& record) {
+  engine_paces_ = record.paces;
+  return JobResultCode::kOk;
+}
+
 void JobStateMachine::RemoveExpired() {
   for (auto it = jobs_.begin(); it != jobs_.end();) {
     const bool old = clock_ - it->second.submitted_at > limits_.retention;
@@ -159,7 +169,8 @@
 
 SnapshotParts JobStateMachine::TakeSnapshotParts() const {
   SnapshotParts parts;
-  parts.push_back(std::make_shared<std::string>(EncodeSnapshotHead(clock_, announcements_)));
+  parts.push_back(
+      std::make_shared<std::string>(EncodeSnapshotHead(clock_, announcements_, engine_paces_)));
   for (const auto& [id, record] : jobs_) {
     const auto ended = ended_encoded_.find(id);
     parts.push_back(ended != ended_encoded_.end()
@@ -179,6 +190,7 @@
   }
   clock_ = snapshot->clock;
   announcements_ = std::move(snapshot->announcements);
+  engine_paces_ = std::move(snapshot->engine_paces);
   jobs_.clear();
   recorded_.clear();
   ended_encoded_.clear();
--- a/source/jobs/job_state_machine.h
+++ b/source/jobs/job_state_machine.h
@@ -43,6 +43,8 @@
   bool IsRecorded(const JobId& job, uint32_t item) const;
   /// The latest order announcement for each engine, oldest first.
   const std::vector<AnnounceOrder>& announcements() const { return announcements_; }
+  /// As of the latest RecordEnginePaces.
+  const std::vector<EnginePace>& engine_paces() const { return engine_paces_; }
   void OnChange(Listener listener) { listener_ = std::move(listener); }
 
  private:
@@ -51,6 +53,7 @@
   JobResultCode Run(const EndJob& end);
   JobResultCode Run(const AnnounceOrder& announce);
   JobResultCode Run(const SaveProgress& save);
+  JobResultCode Run(const RecordEnginePaces& record);
   void AdvanceClock(WallTime proposed_at);
   void RemoveExpired();
   void Notify(JobChange change, const JobId& job);
@@ -61,6 +64,7 @@
   /// Snapshot encoding of each ended job.
   std::map<JobId, std::shared_ptr<const std::string>> ended_encoded_;
   std::vector<AnnounceOrder> announcements_;
+  std::vector<EnginePace> engine_paces_;
   /// By job: whether the item of each index is recorded.
   std::map<JobId, std::vector<bool>> recorded_;
   Listener listener_;
--- a/source/jobs/job_types.h
+++ b/source/jobs/job_types.h
@@ -161,6 +161,20 @@
   std::vector<ProgressPart> parts;
 };
 
+/// How fast an engine makes events.
+struct EnginePace {
+  InstanceId engine;
+  /// Time between two events of a text, in microseconds.
+  Duration per_event{0};
+  friend bool operator==(const EnginePace&, const EnginePace&) = default;
+};
+
+/// Replaces the paces of all engines, so that another leader starts with them.
+struct RecordEnginePaces {
+  /// Ordered by engine.
+  std::vector<EnginePace> paces;
+};
+
 enum class JobResultCode : uint8_t {
   kOk = 1,
   kNotFound = 2,    ///< no such job
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -4,6 +4,7 @@
 
 #include "cluster/cluster_commands.h"
 #include "cluster/cluster_replica.h"
+#include "cluster/feature_level.h"
 #include "cluster/group_client.h"
 #include "cluster/suspect_client.h"
 #include "common/event_log.h"
@@ -183,6 +184,8 @@
       scheduler_ = std::make_unique<JobScheduler>(environment_, http_, ingress_, loads_, *state_,
                                                   *group, options_.scheduler, options_.stats);
       scheduler_->SetMayStartWork([this] { return configuration_client_->LeaseValid(); });
+      scheduler_->SetPaceSupportCheck(
+          [this](std::function<void(bool)> done) { CheckPaceSupport(std::move(done)); });
       loads_.OnReady([this] { scheduler_->Pump(); });
     }
     if (scheduler_ != nullptr) scheduler_->SetLeading(leads);
@@ -195,6 +198,16 @@
                     });
   }
 
+  /// Calls back with whether all live nodes decode the paces of engines in the group's log.
+  void CheckPaceSupport(std::function<void(bool)> done) {
+    cluster_.Submit(
+        CommandMode::kQuery, EncodeClusterQuery({ClusterQueryKind::kFeatureLevel}), kCommandTimeout,
+        [done = std::move(done)](const absl::StatusOr<std::string>& answer) {
+          const auto level = answer.ok() ? DecodeMinFeatureLevel(*answer) : answer.status();
+          done(level.ok() && level->level >= kEnginePacesLevel);
+        });
+  }
+
   void ReportEmptied(const NodeId& node) {
     if (reporting_emptied_) return;
     reporting_emptied_ = true;
--- a/test/jobs/engine_speed_tracker_test.cc
+++ b/test/jobs/engine_speed_tracker_test.cc
@@ -35,5 +35,35 @@
   CHECK_FALSE(tracker.IsSlow(Engine(1)));
 }
 
+// A leader that is elected while engines change their pace must not keep the one it restored.
+TEST_CASE("The first intervals replace a restored pace") {
+  EngineSpeedTracker tracker;
+  tracker.Restore({{Engine(0), 0.030}, {Engine(1), 0.030}, {Engine(2), 0.030}});
+  CHECK(tracker.SecondsPerEvent(Engine(0)) == Approx(0.030));
+  CHECK(tracker.TypicalSeconds() == Approx(0.030));
+  for (int i = 0; i < 3; ++i) tracker.RecordInterval(Engine(0), milliseconds(i == 0 ? 180 : 120));
+  CHECK(tracker.SecondsPerEvent(Engine(0)) == Approx(0.140));
+  tracker.Recompute();
+  CHECK(tracker.IsSlow(Engine(0)));
+  CHECK_FALSE(tracker.IsSlow(Engine(1)));
+}
+
+TEST_CASE("A restored pace that was confirmed is smoothed like a measured one") {
+  EngineSpeedTracker tracker;
+  tracker.Restore({{Engine(0), 0.100}});
+  for (int i = 0; i < 10; ++i) tracker.RecordInterval(Engine(0), milliseconds(30));
+  tracker.RecordInterval(Engine(0), milliseconds(130));
+  CHECK(tracker.SecondsPerEvent(Engine(0)) == Approx(0.040));
+}
+
+TEST_CASE("Removed engines are unknown again") {
+  EngineSpeedTracker tracker;
+  tracker.Restore({{Engine(0), 0.030}, {Engine(1), 0.120}});
+  tracker.RemoveUnless([](const InstanceId& engine) { return engine == Engine(0); });
+  CHECK(tracker.known_seconds().size() == 1);
+  tracker.RecordInterval(Engine(1), milliseconds(60));
+  CHECK(tracker.SecondsPerEvent(Engine(1)) == Approx(0.060));
+}
+
 }  // namespace
 }  // namespace millstair
--- a/test/jobs/job_state_machine_test.cc
+++ b/test/jobs/job_state_machine_test.cc
@@ -160,6 +160,29 @@
   CHECK(restored.machine.announcements() == std::vector{second, third});
 }
 
+TEST_CASE("A record of paces replaces the one before, and survives a snapshot") {
+  Machine machine;
+  const std::vector<EnginePace> first = {{InstanceId("a"), Duration(30'000)},
+                                         {InstanceId("b"), Duration(120'000)}};
+  const std::vector<EnginePace> second = {{InstanceId("b"), Duration(60'000)}};
+  CHECK(machine.Run(RecordEnginePaces{first}) == JobResultCode::kOk);
+  CHECK(machine.machine.engine_paces() == first);
+  Machine restored;
+  REQUIRE(restored.machine.Restore(LogIndex(1), machine.machine.TakeSnapshot()).ok());
+  CHECK(restored.machine.engine_paces() == first);
+  machine.Run(RecordEnginePaces{second});
+  CHECK(machine.machine.engine_paces() == second);
+}
+
+TEST_CASE("A record with a pace of zero is malformed and changes nothing") {
+  Machine machine;
+  const std::vector<EnginePace> paces = {{InstanceId("a"), Duration(30'000)}};
+  machine.Run(RecordEnginePaces{paces});
+  CHECK(machine.Run(RecordEnginePaces{{{InstanceId("a"), Duration(0)}}}) ==
+        JobResultCode::kInvalid);
+  CHECK(machine.machine.engine_paces() == paces);
+}
+
 ProgressPart Part(uint64_t after, uint64_t events, const std::string& text, uint32_t item = 0,
                   Term term = Term(3)) {
   return {JobId("a"), item, after, {{text, events, {WeightVersion(2)}, WeightVersion(2)}, term}};
@@ -259,6 +282,7 @@
       if (steps[i] % 4 == 3) {
         operation = AnnounceOrder{NodeId("n"), InstanceId(id), Term(i), seconds(i)};
       }
+      if (steps[i] % 7 == 3) operation = RecordEnginePaces{{{InstanceId(id), Duration(i + 1)}}};
       const seconds at(static_cast<int>(i) * 20);
       const auto expected = reference.Run(operation, at);
       if (i >= cut) RC_ASSERT(restored.Run(operation, at) == expected);
