Jobs: paces of engines at two time scales, and further moves for late runs

Cause: one average over ten events follows bursts of some hundred milliseconds like changes of seconds. Change: with overload.step_sharing on, the recent pace is expected to last as long as it has been seen, and the usual pace of the last 3 s to follow. A run at a slow engine, or one that makes its job late, may move up to six times.

--- a/source/jobs/engine_snapshot.cc
+++ b/source/jobs/engine_snapshot.cc
@@ -22,6 +22,7 @@
     engine.record = record;
     engine.failed_lately = directory_.Ejected(record->id);
     if (engine.failed_lately && now_ - directory_.LatestBegin(record->id) < kProbeDelay) continue;
+    engine.pace = speeds_.Forecast(record->id);
     engine.offer.seconds_per_event = speeds_.SecondsPerEvent(record->id);
     engine.offer.running = directory_.Running(record->id);
     engine.slots = UsableSlots(*record, engine.offer.running);
--- a/source/jobs/engine_snapshot.h
+++ b/source/jobs/engine_snapshot.h
@@ -23,7 +23,9 @@
   /// Maximum number of concurrent runs.
   uint32_t slots = 1;
   bool failed_lately = false;
-  /// `has_prompt_cached` is not set, since it depends on the item.
+  PaceForecast pace;
+  /// `has_prompt_cached` is not set, since it depends on the item. `seconds_per_event` is that of a
+  /// text of common length.
   EngineOffer offer;
 
   bool HasFreeSlot() const { return offer.running < slots; }
--- a/source/jobs/engine_speed_tracker.cc
+++ b/source/jobs/engine_speed_tracker.cc
@@ -1,12 +1,16 @@
 #include "jobs/engine_speed_tracker.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace millstair {
 namespace {
 
 constexpr double kSmoothing = 0.1;
+/// The same if bursts are separated: the recent pace then has to show a change within a few events,
+/// and its noise matters less, since forecasts use the usual pace for most of a text.
+constexpr double kRecentSmoothing = 0.25;
 /// An engine whose events take this much longer than the median is slow.
 constexpr double kSlowFactor = 2.0;
 /// With fewer engines the median does not identify the slow one.
@@ -16,61 +20,127 @@
 /// A restored pace is replaced by the mean of the first intervals, until their number gives each
 /// new one the weight of the smoothing.
 constexpr size_t kConfirmingIntervals = 10;
+/// Time over which the usual pace is smoothed: several bursts of some hundred milliseconds long,
+/// and short enough to follow an engine that is slow for seconds.
+constexpr double kUsualPeriodSeconds = 3;
+/// A pause without intervals counts as this at most, so that the first interval after it does not
+/// replace the usual pace.
+constexpr double kMaxIntervalWeightSeconds = 0.2;
+/// The recent pace differs from the usual one from this factor on; smaller differences are noise.
+constexpr double kDifferenceFactor = 1.4;
+/// Length of a common text, for forecasts that concern no particular one.
+constexpr double kCommonEvents = 20;
+
+bool Differs(double recent, double usual) {
+  return recent > kDifferenceFactor * usual || usual > kDifferenceFactor * recent;
+}
 
 }  // namespace
 
-void EngineSpeedTracker::RecordInterval(const InstanceId& instance, Duration gap) {
+double PaceForecast::SecondsPerEvent(double events) const {
+  if (recent_lasts_seconds <= 0 || events <= 0) return usual;
+  const double recent_events = recent_lasts_seconds / recent;
+  if (events <= recent_events) return recent;
+  return (recent_lasts_seconds + (events - recent_events) * usual) / events;
+}
+
+void EngineSpeedTracker::RecordInterval(const InstanceId& instance, Duration gap, TimePoint now) {
   if (seconds_.size() >= kMaxTrackedEngines && !seconds_.contains(instance)) Clear();
   const double seconds = ToSeconds(gap);
   const auto [known, added] = seconds_.try_emplace(instance, seconds);
-  if (added) return;
-  double weight = kSmoothing;
-  const auto unconfirmed = unconfirmed_.find(instance);
-  if (unconfirmed != unconfirmed_.end()) {
-    weight = 1.0 / static_cast<double>(++unconfirmed->second);
-    if (unconfirmed->second >= kConfirmingIntervals) unconfirmed_.erase(unconfirmed);
+  if (!added) {
+    double weight = separates_bursts_ ? kRecentSmoothing : kSmoothing;
+    const auto unconfirmed = unconfirmed_.find(instance);
+    if (unconfirmed != unconfirmed_.end()) {
+      weight = 1.0 / static_cast<double>(++unconfirmed->second);
+      if (unconfirmed->second >= kConfirmingIntervals) unconfirmed_.erase(unconfirmed);
+    }
+    known->second += weight * (seconds - known->second);
+  }
+  if (separates_bursts_) RecordUsual(instance, seconds, now);
+}
+
+void EngineSpeedTracker::RecordUsual(const InstanceId& instance, double seconds, TimePoint now) {
+  UsualPace& usual = usual_[instance];
+  ++usual.intervals;
+  const double passed = std::min(ToSeconds(now - usual.recorded_at), kMaxIntervalWeightSeconds);
+  // The first intervals count equally.
+  const double weight = std::max(1.0 / static_cast<double>(usual.intervals),
+                                 1 - std::exp(-passed / kUsualPeriodSeconds));
+  usual.seconds += weight * (seconds - usual.seconds);
+  usual.recorded_at = now;
+  if (!Differs(seconds_.at(instance), usual.seconds)) {
+    usual.differs_since.reset();
+  } else if (!usual.differs_since) {
+    usual.differs_since = now;
   }
-  known->second += weight * (seconds - known->second);
 }
 
 void EngineSpeedTracker::Restore(const std::map<InstanceId, double>& seconds) {
   Clear();
   seconds_ = seconds;
-  for (const auto& [instance, pace] : seconds_) unconfirmed_[instance] = 0;
-  Recompute();
+  for (const auto& [instance, pace] : seconds_) {
+    unconfirmed_[instance] = 0;
+    if (separates_bursts_) usual_[instance].seconds = pace;
+  }
+  Recompute(recomputed_at_);
 }
 
 void EngineSpeedTracker::RemoveUnless(const std::function<bool(const InstanceId&)>& exists) {
   std::erase_if(seconds_, [&exists](const auto& entry) { return !exists(entry.first); });
+  std::erase_if(usual_, [&exists](const auto& entry) { return !exists(entry.first); });
   std::erase_if(unconfirmed_, [&exists](const auto& entry) { return !exists(entry.first); });
 }
 
 void EngineSpeedTracker::Clear() {
   seconds_.clear();
+  usual_.clear();
   slow_.clear();
   unconfirmed_.clear();
   typical_seconds_ = kAssumedSeconds;
   fastest_seconds_ = kAssumedSeconds;
 }
 
-double EngineSpeedTracker::SecondsPerEvent(const InstanceId& instance) const {
+std::map<InstanceId, double> EngineSpeedTracker::known_seconds() const {
+  if (!separates_bursts_) return seconds_;
+  std::map<InstanceId, double> known;
+  for (const auto& [instance, usual] : usual_) known.emplace(instance, usual.seconds);
+  return known;
+}
+
+PaceForecast EngineSpeedTracker::Forecast(const InstanceId& instance) const {
   const auto known = seconds_.find(instance);
-  return known == seconds_.end() ? typical_seconds_ : known->second;
+  if (known == seconds_.end()) return {typical_seconds_, typical_seconds_, 0};
+  const auto usual = usual_.find(instance);
+  if (usual == usual_.end()) return {known->second, known->second, 0};
+  PaceForecast forecast{known->second, usual->second.seconds, 0};
+  if (!usual->second.differs_since) return forecast;
+  // What was seen for some time is expected to last for as long again.
+  const Duration seen = usual->second.recorded_at - *usual->second.differs_since;
+  const Duration unseen = recomputed_at_ - usual->second.recorded_at;
+  forecast.recent_lasts_seconds = ToSeconds(std::max(seen - unseen, Duration(0)));
+  return forecast;
+}
+
+double EngineSpeedTracker::SecondsPerEvent(const InstanceId& instance) const {
+  return Forecast(instance).SecondsPerEvent(kCommonEvents);
 }
 
-void EngineSpeedTracker::Recompute() {
+void EngineSpeedTracker::Recompute(TimePoint now) {
+  recomputed_at_ = now;
   slow_.clear();
-  if (seconds_.empty()) return;
+  const std::map<InstanceId, double> known = known_seconds();
+  if (known.empty()) return;
   std::vector<double> values;
-  values.reserve(seconds_.size());
-  for (const auto& [instance, seconds] : seconds_) values.push_back(seconds);
+  values.reserve(known.size());
+  for (const auto& [instance, seconds] : known) values.push_back(seconds);
   const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
   std::nth_element(values.begin(), middle, values.end());
   typical_seconds_ = *middle;
   fastest_seconds_ = *std::min_element(values.begin(), values.end());
-  if (seconds_.size() < kMinComparedEngines) return;
-  for (const auto& [instance, seconds] : seconds_) {
-    if (seconds > kSlowFactor * *middle) slow_.insert(instance);
+  if (known.size() < kMinComparedEngines) return;
+  for (const auto& [instance, seconds] : known) {
+    if (SecondsPerEvent(instance) > kSlowFactor * typical_seconds_) slow_.insert(instance);
   }
 }
 
--- a/source/jobs/engine_speed_tracker.h
+++ b/source/jobs/engine_speed_tracker.h
@@ -1,10 +1,16 @@
 /// Tracks how fast each engine makes events relative to the others: long texts go to fast engines,
 /// slow engines get work last, and their runs may be moved.
+///
+/// Engines share their machines with other work, which slows them down for some hundred
+/// milliseconds at a time. With `separates_bursts`, such a burst is told apart from a lasting
+/// change: the present pace is expected to last only as long as it has lasted so far, and the usual
+/// pace of the last seconds to follow.
 #pragma once
 
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 #include "common/ids.h"
@@ -12,24 +18,42 @@
 
 namespace millstair {
 
+/// Expected pace of an engine, in seconds per event: `recent` for the next `recent_lasts_seconds`,
+/// `usual` afterwards.
+struct PaceForecast {
+  double recent = 0;
+  double usual = 0;
+  double recent_lasts_seconds = 0;
+
+  /// Expected mean time of each of the next `events` events.
+  double SecondsPerEvent(double events) const;
+};
+
 /// Lives on the node's serial executor.
 class EngineSpeedTracker {
  public:
+  explicit EngineSpeedTracker(bool separates_bursts = false)
+      : separates_bursts_(separates_bursts) {}
+
   /// Records the time between two events of one run at `instance`.
-  void RecordInterval(const InstanceId& instance, Duration gap);
+  void RecordInterval(const InstanceId& instance, Duration gap, TimePoint now);
   void Clear();
   /// Starts with the paces that an earlier leader measured, in seconds per event. They are
   /// unconfirmed: the first intervals of an engine replace its pace.
   void Restore(const std::map<InstanceId, double>& seconds);
   /// Forgets the engines that `exists` does not hold for.
   void RemoveUnless(const std::function<bool(const InstanceId&)>& exists);
-  /// Smoothed seconds between two events, of all engines with an interval and restored ones.
-  const std::map<InstanceId, double>& known_seconds() const { return seconds_; }
-  /// Updates the results of `IsSlow`, `TypicalSeconds` and `FastestSeconds`.
-  void Recompute();
+  /// Smoothed seconds between two events, of all engines with an interval and restored ones: those
+  /// of the last seconds if bursts are separated.
+  std::map<InstanceId, double> known_seconds() const;
+  /// Updates the results of `Forecast`, `SecondsPerEvent`, `IsSlow`, `TypicalSeconds` and
+  /// `FastestSeconds`.
+  void Recompute(TimePoint now);
   /// Whether its events arrive far slower than those of most engines.
   bool IsSlow(const InstanceId& instance) const { return slow_.contains(instance); }
-  /// Expected time between two events at `instance`; the typical time if unknown.
+  /// Expected pace of `instance`; the typical one if unknown.
+  PaceForecast Forecast(const InstanceId& instance) const;
+  /// Expected time between two events of a text of common length.
   double SecondsPerEvent(const InstanceId& instance) const;
   /// Median over the engines; a default before the first event.
   double TypicalSeconds() const { return typical_seconds_; }
@@ -39,8 +63,23 @@
   /// Default for an event of about ten tokens.
   static constexpr double kAssumedSeconds = 0.03;
 
-  /// Smoothed time between two events.
+  struct UsualPace {
+    /// Smoothed over seconds.
+    double seconds = 0;
+    size_t intervals = 0;
+    TimePoint recorded_at;
+    /// Since when the recent pace differs from it.
+    std::optional<TimePoint> differs_since;
+  };
+
+  void RecordUsual(const InstanceId& instance, double seconds, TimePoint now);
+
+  const bool separates_bursts_;
+  /// Smoothed time between two events, over a few of them.
   std::map<InstanceId, double> seconds_;
+  /// Empty unless bursts are separated.
+  std::map<InstanceId, UsualPace> usual_;
+  TimePoint recomputed_at_;
   double typical_seconds_ = kAssumedSeconds;
   double fastest_seconds_ = kAssumedSeconds;
   std::set<InstanceId> slow_;
--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -16,6 +16,10 @@
 /// How often runs are considered for a move.
 constexpr Duration kMoveInterval = std::chrono::milliseconds(100);
 constexpr uint32_t kMaxMoves = 2;
+/// The same for runs that leave an engine that has become slow, or would make their job late, if
+/// jobs share engines by their lateness: a text of 58 events was left for 5 s at an engine that
+/// turned four times slower after the second move.
+constexpr uint32_t kMaxMovesOfLateRuns = 6;
 constexpr size_t kMaxMovesPerPass = 4;
 /// The fastest engine is chosen, as for an item without time to spare.
 constexpr double kNoDueTime = std::numeric_limits<double>::infinity();
@@ -65,10 +69,14 @@
     if (route == nullptr || record->ended) continue;
     const double seconds_left = options_.shares_steps ? SecondsLeft(*record) : kNoDueTime;
     for (const auto& work : job_work.items) {
-      if (work == nullptr || work->phase != Phase::kRunning || work->moves >= kMaxMoves) continue;
+      if (work == nullptr || work->phase != Phase::kRunning) continue;
       if (state_.IsRecorded(job, work->index)) continue;
       const double remaining = RemainingEvents(*work, *record);
-      const double here = speeds_.SecondsPerEvent(work->run->instance());
+      const InstanceId& engine = work->run->instance();
+      const double here = speeds_.Forecast(engine).SecondsPerEvent(remaining);
+      const bool may_be_late =
+          options_.shares_steps && (remaining * here > seconds_left || speeds_.IsSlow(engine));
+      if (work->moves >= (may_be_late ? kMaxMovesOfLateRuns : kMaxMoves)) continue;
       if (!WorthMoving(remaining, here, speeds_.FastestSeconds())) continue;
       if (HasTimeToSpare(remaining, here, seconds_left) && !IsLongerThanExpected(*work, *record)) {
         continue;
@@ -110,8 +118,9 @@
   work.avoid = from;
   const BackendInstance* target = PickEngine(snapshot, work, record, *candidate.route, kNoDueTime);
   if (target == nullptr || speeds_.IsSlow(target->id)) return false;
-  const double here = speeds_.SecondsPerEvent(from);
-  if (!WorthMoving(remaining, here, speeds_.SecondsPerEvent(target->id))) return false;
+  const double here = speeds_.Forecast(from).SecondsPerEvent(remaining);
+  const double there = speeds_.Forecast(target->id).SecondsPerEvent(remaining);
+  if (!WorthMoving(remaining, here, there)) return false;
   LogEvent(EventId::kItemMoved, "job={} item={} from={} to={} events={} missing={:.0f}", work.job,
            record.spec.items[work.index].id, from, target->id, work.progress.events, remaining);
   ++work.moves;
@@ -166,6 +175,7 @@
       if (!engine.HasFreeSlot() || engine.record->id == work.avoid) continue;
       engines.push_back(engine.record);
       offers.push_back(engine.offer);
+      offers.back().seconds_per_event = engine.pace.SecondsPerEvent(remaining);
       offers.back().has_prompt_cached = engine.record->id == sibling;
     }
   }
@@ -226,7 +236,7 @@
            work.job, record.spec.items[work.index].id, engine.id, work.progress.events,
            loads_.VersionOf(engine.id, record.spec.model), record.spec.min_version);
   work.run->SetGapListener([this](const InstanceId& instance, Duration gap) {
-    if (!loads_.LoadingAny(instance)) speeds_.RecordInterval(instance, gap);
+    if (!loads_.LoadingAny(instance)) speeds_.RecordInterval(instance, gap, environment_.Now());
   });
   work.run->Start(http_, engine, RequestFor(work, record, route, engine.id));
 }
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -47,6 +47,7 @@
       group_(group),
       options_(options),
       stats_(stats),
+      speeds_(options.shares_steps),
       pace_recorder_(
           environment, group, state, speeds_,
           [this](const InstanceId& engine) { return loads_.StateOf(engine) != nullptr; }),
@@ -399,7 +400,7 @@
   next_pump_at_ = now + kMinPumpInterval;
   FailExpiredItems();
   StartScoring();
-  speeds_.Recompute();
+  speeds_.Recompute(now);
   UpdateForecast();
   if (may_start_work_()) {
     EngineSnapshot snapshot(ingress_.directory(), loads_, speeds_, now);
--- a/test/jobs/engine_pace_recorder_test.cc
+++ b/test/jobs/engine_pace_recorder_test.cc
@@ -29,7 +29,7 @@
   }
 
   void Measure(const std::string& engine, Duration pace) {
-    for (int i = 0; i < 50; ++i) speeds.RecordInterval(InstanceId(engine), pace);
+    for (int i = 0; i < 50; ++i) speeds.RecordInterval(InstanceId(engine), pace, TimePoint());
   }
 
   VirtualScheduler scheduler{1};
--- a/test/jobs/engine_speed_tracker_test.cc
+++ b/test/jobs/engine_speed_tracker_test.cc
@@ -14,24 +14,26 @@
   EngineSpeedTracker tracker;
   for (int round = 0; round < 40; ++round) {
     for (int engine = 0; engine < 5; ++engine) {
-      tracker.RecordInterval(Engine(engine), milliseconds(engine == 3 ? 120 : 30 + engine));
+      tracker.RecordInterval(Engine(engine), milliseconds(engine == 3 ? 120 : 30 + engine),
+                             TimePoint());
     }
   }
-  tracker.Recompute();
+  tracker.Recompute(TimePoint());
   for (int engine = 0; engine < 5; ++engine) CHECK(tracker.IsSlow(Engine(engine)) == (engine == 3));
   CHECK_FALSE(tracker.IsSlow(Engine(9)));
-  for (int round = 0; round < 40; ++round) tracker.RecordInterval(Engine(3), milliseconds(30));
-  tracker.Recompute();
+  for (int round = 0; round < 40; ++round)
+    tracker.RecordInterval(Engine(3), milliseconds(30), TimePoint());
+  tracker.Recompute(TimePoint());
   CHECK_FALSE(tracker.IsSlow(Engine(3)));
 }
 
 TEST_CASE("Of two engines neither is slow") {
   EngineSpeedTracker tracker;
   for (int round = 0; round < 40; ++round) {
-    tracker.RecordInterval(Engine(0), milliseconds(30));
-    tracker.RecordInterval(Engine(1), milliseconds(300));
+    tracker.RecordInterval(Engine(0), milliseconds(30), TimePoint());
+    tracker.RecordInterval(Engine(1), milliseconds(300), TimePoint());
   }
-  tracker.Recompute();
+  tracker.Recompute(TimePoint());
   CHECK_FALSE(tracker.IsSlow(Engine(1)));
 }
 
@@ -41,9 +43,10 @@
   tracker.Restore({{Engine(0), 0.030}, {Engine(1), 0.030}, {Engine(2), 0.030}});
   CHECK(tracker.SecondsPerEvent(Engine(0)) == Approx(0.030));
   CHECK(tracker.TypicalSeconds() == Approx(0.030));
-  for (int i = 0; i < 3; ++i) tracker.RecordInterval(Engine(0), milliseconds(i == 0 ? 180 : 120));
+  for (int i = 0; i < 3; ++i)
+    tracker.RecordInterval(Engine(0), milliseconds(i == 0 ? 180 : 120), TimePoint());
   CHECK(tracker.SecondsPerEvent(Engine(0)) == Approx(0.140));
-  tracker.Recompute();
+  tracker.Recompute(TimePoint());
   CHECK(tracker.IsSlow(Engine(0)));
   CHECK_FALSE(tracker.IsSlow(Engine(1)));
 }
@@ -51,8 +54,8 @@
 TEST_CASE("A restored pace that was confirmed is smoothed like a measured one") {
   EngineSpeedTracker tracker;
   tracker.Restore({{Engine(0), 0.100}});
-  for (int i = 0; i < 10; ++i) tracker.RecordInterval(Engine(0), milliseconds(30));
-  tracker.RecordInterval(Engine(0), milliseconds(130));
+  for (int i = 0; i < 10; ++i) tracker.RecordInterval(Engine(0), milliseconds(30), TimePoint());
+  tracker.RecordInterval(Engine(0), milliseconds(130), TimePoint());
   CHECK(tracker.SecondsPerEvent(Engine(0)) == Approx(0.040));
 }
 
@@ -61,9 +64,62 @@
   tracker.Restore({{Engine(0), 0.030}, {Engine(1), 0.120}});
   tracker.RemoveUnless([](const InstanceId& engine) { return engine == Engine(0); });
   CHECK(tracker.known_seconds().size() == 1);
-  tracker.RecordInterval(Engine(1), milliseconds(60));
+  tracker.RecordInterval(Engine(1), milliseconds(60), TimePoint());
   CHECK(tracker.SecondsPerEvent(Engine(1)) == Approx(0.060));
 }
 
+/// Intervals of `engine` from `from` on for `span`, with `gap` between two.
+void RecordFor(EngineSpeedTracker& tracker, int engine, TimePoint from, Duration span,
+               Duration gap) {
+  for (Duration at = gap; at <= span; at += gap) {
+    tracker.RecordInterval(Engine(engine), gap, from + at);
+  }
+  tracker.Recompute(from + span);
+}
+
+// Runs were moved off engines for bursts that ended before the move paid, and had no move left when
+// an engine turned slow for seconds.
+TEST_CASE("A short burst does not count for the whole rest of a text") {
+  EngineSpeedTracker tracker(true);
+  TimePoint now;
+  for (int engine = 0; engine < 3; ++engine) {
+    RecordFor(tracker, engine, now, std::chrono::seconds(5), milliseconds(50));
+  }
+  now += std::chrono::seconds(5);
+  RecordFor(tracker, 0, now, milliseconds(400), milliseconds(125));
+  now += milliseconds(400);
+  CHECK_FALSE(tracker.IsSlow(Engine(0)));
+  CHECK(tracker.Forecast(Engine(0)).SecondsPerEvent(1) > 0.060);
+  CHECK(tracker.Forecast(Engine(0)).SecondsPerEvent(100) < 0.060);
+}
+
+TEST_CASE("An engine that turns slow for seconds is noticed, and again when it recovers") {
+  EngineSpeedTracker tracker(true);
+  TimePoint now;
+  for (int engine = 0; engine < 3; ++engine) {
+    RecordFor(tracker, engine, now, std::chrono::seconds(5), milliseconds(50));
+  }
+  now += std::chrono::seconds(5);
+  RecordFor(tracker, 0, now, std::chrono::seconds(2), milliseconds(180));
+  now += std::chrono::seconds(2);
+  CHECK(tracker.IsSlow(Engine(0)));
+  CHECK(tracker.Forecast(Engine(0)).SecondsPerEvent(50) > 0.080);
+  RecordFor(tracker, 0, now, std::chrono::seconds(4), milliseconds(50));
+  CHECK_FALSE(tracker.IsSlow(Engine(0)));
+  CHECK(tracker.Forecast(Engine(0)).SecondsPerEvent(50) < 0.070);
+}
+
+TEST_CASE("What an idle engine did before is expected to end") {
+  EngineSpeedTracker tracker(true);
+  TimePoint now;
+  RecordFor(tracker, 0, now, std::chrono::seconds(5), milliseconds(50));
+  now += std::chrono::seconds(5);
+  RecordFor(tracker, 0, now, milliseconds(600), milliseconds(120));
+  now += milliseconds(600);
+  CHECK(tracker.Forecast(Engine(0)).recent_lasts_seconds > 0.2);
+  tracker.Recompute(now + std::chrono::seconds(1));
+  CHECK(tracker.Forecast(Engine(0)).recent_lasts_seconds == 0);
+}
+
 }  // namespace
 }  // namespace millstair
