Jobs: usual paces by decayed sums; differences with two thresholds

Cause: found in review. A weight by time favours long intervals: events that arrive in pairs doubled the pace of an engine with one run, and the first interval after a pause of the leader counted, the events that followed at once did not. With one threshold an engine two and a half times slower became usual for a second while it still was slow. Change: ratio of decayed sums; a difference begins at 1.4 and ends at 1.15, has a direction, and ends with a pause; only runs of planned groups may move more than twice.

--- a/source/jobs/engine_speed_tracker.cc
+++ b/source/jobs/engine_speed_tracker.cc
@@ -20,20 +20,23 @@
 /// A restored pace is replaced by the mean of the first intervals, until their number gives each
 /// new one the weight of the smoothing.
 constexpr size_t kConfirmingIntervals = 10;
-/// Time over which the usual pace is smoothed: several bursts of some hundred milliseconds long,
-/// and short enough to follow an engine that is slow for seconds.
+/// Time over which the usual pace is smoothed: the length of several bursts, and short enough to
+/// follow an engine that is slow for seconds.
 constexpr double kUsualPeriodSeconds = 3;
-/// A pause without intervals counts as this at most, so that the first interval after it does not
-/// replace the usual pace.
-constexpr double kMaxIntervalWeightSeconds = 0.2;
-/// The recent pace differs from the usual one from this factor on; smaller differences are noise.
-constexpr double kDifferenceFactor = 1.4;
+/// A pause without intervals decays the usual pace as this at most, and ends a difference: nothing
+/// was seen meanwhile.
+constexpr double kMaxPauseSeconds = 1;
+/// Number of intervals that a restored pace counts for.
+constexpr double kRestoredIntervals = 5;
+/// A difference begins at the first factor between recent and usual pace, since smaller ones are
+/// noise, and ends at the second: the usual pace approaches the recent one while it lasts.
+constexpr double kDifferenceBegins = 1.4;
+constexpr double kDifferenceEnds = 1.15;
 /// Length of a common text, for forecasts that concern no particular one.
 constexpr double kCommonEvents = 20;
 
-bool Differs(double recent, double usual) {
-  return recent > kDifferenceFactor * usual || usual > kDifferenceFactor * recent;
-}
+/// Factor between two paces, at least 1.
+double FactorBetween(double a, double b) { return a > b ? a / b : b / a; }
 
 }  // namespace
 
@@ -62,18 +65,23 @@
 
 void EngineSpeedTracker::RecordUsual(const InstanceId& instance, double seconds, TimePoint now) {
   UsualPace& usual = usual_[instance];
-  ++usual.intervals;
-  const double passed = std::min(ToSeconds(now - usual.recorded_at), kMaxIntervalWeightSeconds);
-  // The first intervals count equally.
-  const double weight = std::max(1.0 / static_cast<double>(usual.intervals),
-                                 1 - std::exp(-passed / kUsualPeriodSeconds));
-  usual.seconds += weight * (seconds - usual.seconds);
+  const double pause = ToSeconds(now - usual.recorded_at);
+  const double decay = std::exp(-std::min(pause, kMaxPauseSeconds) / kUsualPeriodSeconds);
+  usual.seconds_sum = decay * usual.seconds_sum + seconds;
+  usual.intervals = decay * usual.intervals + 1;
+  if (pause > kMaxPauseSeconds) usual.difference.reset();
   usual.recorded_at = now;
-  if (!Differs(seconds_.at(instance), usual.seconds)) {
-    usual.differs_since.reset();
-  } else if (!usual.differs_since) {
-    usual.differs_since = now;
-  }
+  UpdateDifference(usual, seconds_.at(instance), now);
+}
+
+void EngineSpeedTracker::UpdateDifference(UsualPace& usual, double recent, TimePoint now) {
+  const double usual_seconds = usual.SecondsPerEvent();
+  if (recent <= 0 || usual_seconds <= 0) return usual.difference.reset();
+  const bool slower = recent > usual_seconds;
+  if (usual.difference && usual.difference->slower != slower) usual.difference.reset();
+  const double factor = FactorBetween(recent, usual_seconds);
+  if (factor >= kDifferenceBegins && !usual.difference) usual.difference = {slower, now};
+  if (factor <= kDifferenceEnds) usual.difference.reset();
 }
 
 void EngineSpeedTracker::Restore(const std::map<InstanceId, double>& seconds) {
@@ -81,7 +89,9 @@
   seconds_ = seconds;
   for (const auto& [instance, pace] : seconds_) {
     unconfirmed_[instance] = 0;
-    if (separates_bursts_) usual_[instance].seconds = pace;
+    if (!separates_bursts_) continue;
+    usual_[instance].seconds_sum = kRestoredIntervals * pace;
+    usual_[instance].intervals = kRestoredIntervals;
   }
   Recompute(recomputed_at_);
 }
@@ -104,7 +114,7 @@
 std::map<InstanceId, double> EngineSpeedTracker::known_seconds() const {
   if (!separates_bursts_) return seconds_;
   std::map<InstanceId, double> known;
-  for (const auto& [instance, usual] : usual_) known.emplace(instance, usual.seconds);
+  for (const auto& [instance, usual] : usual_) known.emplace(instance, usual.SecondsPerEvent());
   return known;
 }
 
@@ -113,10 +123,10 @@
   if (known == seconds_.end()) return {typical_seconds_, typical_seconds_, 0};
   const auto usual = usual_.find(instance);
   if (usual == usual_.end()) return {known->second, known->second, 0};
-  PaceForecast forecast{known->second, usual->second.seconds, 0};
-  if (!usual->second.differs_since) return forecast;
+  PaceForecast forecast{known->second, usual->second.SecondsPerEvent(), 0};
+  if (!usual->second.difference) return forecast;
   // What was seen for some time is expected to last for as long again.
-  const Duration seen = usual->second.recorded_at - *usual->second.differs_since;
+  const Duration seen = usual->second.recorded_at - usual->second.difference->since;
   const Duration unseen = recomputed_at_ - usual->second.recorded_at;
   forecast.recent_lasts_seconds = ToSeconds(std::max(seen - unseen, Duration(0)));
   return forecast;
--- a/source/jobs/engine_speed_tracker.h
+++ b/source/jobs/engine_speed_tracker.h
@@ -63,16 +63,24 @@
   /// Default for an event of about ten tokens.
   static constexpr double kAssumedSeconds = 0.03;
 
+  /// A recent pace that is not the usual one.
+  struct PaceDifference {
+    bool slower = false;
+    TimePoint since;
+  };
   struct UsualPace {
-    /// Smoothed over seconds.
-    double seconds = 0;
-    size_t intervals = 0;
+    /// Sum and number of the intervals, both decayed over seconds: their ratio is the same for one
+    /// run and for many, and for intervals that arrive together after a pause.
+    double seconds_sum = 0;
+    double intervals = 0;
     TimePoint recorded_at;
-    /// Since when the recent pace differs from it.
-    std::optional<TimePoint> differs_since;
+    std::optional<PaceDifference> difference;
+
+    double SecondsPerEvent() const { return intervals > 0 ? seconds_sum / intervals : 0; }
   };
 
   void RecordUsual(const InstanceId& instance, double seconds, TimePoint now);
+  static void UpdateDifference(UsualPace& usual, double recent, TimePoint now);
 
   const bool separates_bursts_;
   /// Smoothed time between two events, over a few of them.
--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -74,8 +74,8 @@
       const double remaining = RemainingEvents(*work, *record);
       const InstanceId& engine = work->run->instance();
       const double here = speeds_.Forecast(engine).SecondsPerEvent(remaining);
-      const bool may_be_late =
-          options_.shares_steps && (remaining * here > seconds_left || speeds_.IsSlow(engine));
+      const bool may_be_late = options_.shares_steps && work->tier == GroupTier::kPlanned &&
+                               (remaining * here > seconds_left || speeds_.IsSlow(engine));
       if (work->moves >= (may_be_late ? kMaxMovesOfLateRuns : kMaxMoves)) continue;
       if (!WorthMoving(remaining, here, speeds_.FastestSeconds())) continue;
       if (HasTimeToSpare(remaining, here, seconds_left) && !IsLongerThanExpected(*work, *record)) {
--- a/test/jobs/engine_speed_tracker_test.cc
+++ b/test/jobs/engine_speed_tracker_test.cc
@@ -121,5 +121,78 @@
   CHECK(tracker.Forecast(Engine(0)).recent_lasts_seconds == 0);
 }
 
+// Runs would return to an engine that is still slow, since its usual pace approaches the recent
+// one.
+TEST_CASE("An engine that stays two and a half times slower is slow without a break") {
+  EngineSpeedTracker tracker(true);
+  TimePoint now;
+  for (int engine = 0; engine < 3; ++engine) {
+    RecordFor(tracker, engine, now, std::chrono::seconds(5), milliseconds(50));
+  }
+  now += std::chrono::seconds(5);
+  int changes = 0;
+  bool slow = false;
+  for (int i = 0; i < 30; ++i) {
+    RecordFor(tracker, 0, now, milliseconds(250), milliseconds(125));
+    now += milliseconds(250);
+    changes += tracker.IsSlow(Engine(0)) == slow ? 0 : 1;
+    slow = tracker.IsSlow(Engine(0));
+  }
+  CHECK(slow);
+  CHECK(changes == 1);
+}
+
+// A leader that was paused reads the events of the pause at once.
+TEST_CASE("A pause of this node does not make the engines slow that had runs") {
+  EngineSpeedTracker tracker(true);
+  TimePoint now;
+  for (int engine = 0; engine < 5; ++engine) {
+    RecordFor(tracker, engine, now, std::chrono::seconds(5), milliseconds(50));
+  }
+  now += std::chrono::seconds(7);
+  for (int engine = 0; engine < 2; ++engine) {
+    tracker.RecordInterval(Engine(engine), std::chrono::seconds(2), now);
+    for (int i = 1; i < 40; ++i) tracker.RecordInterval(Engine(engine), milliseconds(0), now);
+  }
+  for (int engine = 0; engine < 2; ++engine) {
+    RecordFor(tracker, engine, now, milliseconds(200), milliseconds(50));
+    CHECK_FALSE(tracker.IsSlow(Engine(engine)));
+    CHECK(tracker.Forecast(Engine(engine)).SecondsPerEvent(100) == Approx(0.050).epsilon(0.1));
+  }
+}
+
+TEST_CASE("Events that arrive in pairs do not make an engine with one run look slower") {
+  EngineSpeedTracker tracker(true);
+  TimePoint now;
+  for (int i = 0; i < 100; ++i) {
+    now += milliseconds(100);
+    tracker.RecordInterval(Engine(0), milliseconds(100), now);
+    tracker.RecordInterval(Engine(0), milliseconds(0), now);
+  }
+  CHECK(tracker.known_seconds().at(Engine(0)) == Approx(0.050).epsilon(0.05));
+}
+
+TEST_CASE("A difference from before a pause does not count as seen during it") {
+  EngineSpeedTracker tracker(true);
+  TimePoint now;
+  RecordFor(tracker, 0, now, std::chrono::seconds(5), milliseconds(50));
+  now += std::chrono::seconds(5);
+  RecordFor(tracker, 0, now, milliseconds(600), milliseconds(120));
+  now += std::chrono::minutes(1);
+  RecordFor(tracker, 0, now, milliseconds(120), milliseconds(120));
+  CHECK(tracker.Forecast(Engine(0)).recent_lasts_seconds < 0.2);
+}
+
+TEST_CASE("Restored paces are used and replaced if bursts are separated too") {
+  EngineSpeedTracker tracker(true);
+  tracker.Restore({{Engine(0), 0.030}, {Engine(1), 0.060}});
+  CHECK(tracker.SecondsPerEvent(Engine(0)) == Approx(0.030));
+  CHECK(tracker.known_seconds().at(Engine(1)) == Approx(0.060));
+  RecordFor(tracker, 0, TimePoint(), std::chrono::seconds(2), milliseconds(60));
+  CHECK(tracker.SecondsPerEvent(Engine(0)) == Approx(0.060).epsilon(0.1));
+  tracker.RemoveUnless([](const InstanceId& engine) { return engine == Engine(0); });
+  CHECK_FALSE(tracker.known_seconds().contains(Engine(1)));
+}
+
 }  // namespace
 }  // namespace millstair
