Transport test: stats outlive the runtime

The test program crashed once with a segmentation fault in a run on a busy machine. Its class Node owned the stats of its transport and was destroyed before the Runtime, although Listen requires stats that outlive the runtime: the hub ends its connections on the strand after the transport is gone, and writes the gauge of open connections then. Valgrind on "A node is dialled again", "Two nodes that dial", "Wrong clusters" and "A dialled node" showed a write to freed memory in PeerHub::Forget in 5 of 6 runs, caused by the destructor of Node.

The stats now belong to the network of a test, together with the runtime and destroyed after it. Valgrind on the same cases: no error in 6 runs, none in a run of the whole program; 20 runs without valgrind passed. The server is not affected: it creates its StatsRegistry before the Runtime, and so does the test of the server node.

--- a/test/transport/tcp_peer_transport_test.cc
+++ b/test/transport/tcp_peer_transport_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <condition_variable>
+#include <deque>
 #include <mutex>
 #include <random>
 #include <vector>
@@ -26,12 +27,21 @@
   std::string payload;
 };
 
+/// The runtime of some nodes and their stats. A transport that was destroyed still ends its
+/// connections on the threads of the runtime, so the stats are destroyed last.
+struct Network {
+  explicit Network(RuntimeOptions options = {}) : runtime(options) {}
+
+  std::deque<StatsRegistry> stats;
+  Runtime runtime;
+};
+
 /// One node: a transport and the messages that it received.
 class Node : public PeerReceiver {
  public:
-  Node(Runtime& runtime, const std::string& name, const std::string& cluster = "c",
+  Node(Network& network, const std::string& name, const std::string& cluster = "c",
        const std::string& listen = "127.0.0.1:0")
-      : executor_(runtime.NewExecutor()) {
+      : stats(network.stats.emplace_back()), executor_(network.runtime.NewExecutor()) {
     PeerTransportOptions options;
     options.self = NodeId(name);
     options.incarnation = Incarnation(1);
@@ -40,7 +50,7 @@
     options.max_frame_bytes = 1024 * 1024;
     options.max_queue_messages = 1000;
     options.hello_timeout = milliseconds(300);
-    transport_ = *TcpPeerTransport::Listen(runtime, executor_, options, &stats);
+    transport_ = *TcpPeerTransport::Listen(network.runtime, executor_, options, &stats);
     transport_->SetReceiver(this);
   }
   ~Node() override {
@@ -84,7 +94,7 @@
   }
   std::string address() const { return transport_->address(); }
 
-  mutable StatsRegistry stats;
+  StatsRegistry& stats;
 
  private:
   std::shared_ptr<SerialExecutor> executor_;
@@ -120,9 +130,9 @@
 }
 
 TEST_CASE("Messages arrive in order, and the peer can reply without knowing an address") {
-  Runtime runtime({.workers = 4});
-  Node a(runtime, "a");
-  Node b(runtime, "b");
+  Network network({.workers = 4});
+  Node a(network, "a");
+  Node b(network, "b");
   a.Know(b, "b");
   for (int i = 0; i < 100; ++i) a.Send("b", std::to_string(i));
   REQUIRE(b.WaitFor(100));
@@ -139,9 +149,9 @@
 }
 
 TEST_CASE("Texts are sent compressed and arrive unchanged") {
-  Runtime runtime({.workers = 4});
-  Node first(runtime, "a");
-  Node second(runtime, "b");
+  Network network({.workers = 4});
+  Node first(network, "a");
+  Node second(network, "b");
   first.Know(second, "b");
   std::string text;
   std::mt19937 random(7);
@@ -156,15 +166,15 @@
 }
 
 TEST_CASE("Damaged compressed frames are refused and counted") {
-  Runtime runtime({.workers = 4});
-  Node node(runtime, "a");
+  Network network({.workers = 4});
+  Node node(network, "a");
   SendRaw(node.address(), HelloFrame("old") + EncodeFrame(kCompressedKind, "no compressed frames"));
   CHECK(node.WaitForStat("millstair_peer_refused_total", "bad-compressed", 1));
 }
 
 TEST_CASE("A node reaches itself, and messages to unknown nodes are counted") {
-  Runtime runtime;
-  Node a(runtime, "a");
+  Network network;
+  Node a(network, "a");
   a.Send("a", "self");
   REQUIRE(a.WaitFor(1));
   a.Send("nobody", "x");
@@ -174,10 +184,10 @@
 }
 
 TEST_CASE("Two nodes that dial each other simultaneously keep one connection") {
-  Runtime runtime({.workers = 4});
+  Network network({.workers = 4});
   for (int round = 0; round < 20; ++round) {
-    Node a(runtime, "a");
-    Node b(runtime, "b");
+    Node a(network, "a");
+    Node b(network, "b");
     a.Know(b, "b");
     b.Know(a, "a");
     std::thread other([&] { b.Send("a", "from b"); });
@@ -200,9 +210,9 @@
 }
 
 TEST_CASE("A node is dialled again after a restart at the same address") {
-  Runtime runtime({.workers = 4});
-  Node a(runtime, "a");
-  auto b = std::make_unique<Node>(runtime, "b");
+  Network network({.workers = 4});
+  Node a(network, "a");
+  auto b = std::make_unique<Node>(network, "b");
   const std::string address = b->address();
   a.Know(*b, "b");
   a.Send("b", "first");
@@ -216,7 +226,7 @@
   }
   REQUIRE(a.Stat("millstair_peer_dials_failed_total") >= 1);
   CHECK(a.Stat("millstair_peer_dials_total") < 10);
-  Node again(runtime, "b", "c", address);
+  Node again(network, "b", "c", address);
   for (int i = 0; i < 500 && again.received().empty(); ++i) {
     a.Send("b", "second");
     std::this_thread::sleep_for(milliseconds(10));
@@ -226,8 +236,8 @@
 }
 
 TEST_CASE("Wrong clusters, versions and names and invalid frames are refused and counted") {
-  Runtime runtime;
-  Node a(runtime, "a");
+  Network network;
+  Node a(network, "a");
   const std::string command = EncodeFrame(static_cast<uint8_t>(MessageKind::kCommand), "x");
   const std::vector<std::pair<std::string, std::string>> cases = {
       {"other-cluster", HelloFrame("b", "other")},
@@ -254,10 +264,10 @@
 }
 
 TEST_CASE("A dialled node with another name or cluster gets no messages") {
-  Runtime runtime({.workers = 4});
-  Node a(runtime, "a");
-  Node b(runtime, "b");
-  Node stranger(runtime, "s", "other");
+  Network network({.workers = 4});
+  Node a(network, "a");
+  Node b(network, "b");
+  Node stranger(network, "s", "other");
   a.Know(b, "wrong-name");
   a.Know(stranger, "s");
   a.Send("wrong-name", "x");
@@ -269,8 +279,8 @@
 }
 
 TEST_CASE("Random and mutated streams never stop the transport") {
-  Runtime runtime({.workers = 4});
-  Node a(runtime, "a");
+  Network network({.workers = 4});
+  Node a(network, "a");
   std::mt19937_64 random(20261203);
   std::string valid = HelloFrame("fuzz");
   for (int i = 0; i < 5; ++i) {
@@ -284,7 +294,7 @@
     if (random() % 4 == 0) bytes.resize(random() % bytes.size());
     SendRaw(a.address(), bytes, true);
   }
-  Node b(runtime, "b");
+  Node b(network, "b");
   b.Know(a, "a");
   const size_t before = a.received().size();
   b.Send("a", "alive");
