Event log: write lines to files in the background

A regular file always polls as writable, so a log line to a file waited for the disk on the thread that logged, which may be the executor of a node.

A normal end of the process waits up to 5 s until the queue is written. Pipes and terminals are written as before, without a thread.

--- a/source/common/event_log.cc
+++ b/source/common/event_log.cc
@@ -1,6 +1,7 @@
 #include "common/event_log.h"
 
 #include <poll.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -9,9 +10,12 @@
 #include <cerrno>
 #include <chrono>
 #include <cstdint>
+#include <cstdlib>
+#include <memory>
 #include <mutex>
 
 #include "absl/container/flat_hash_map.h"
+#include "common/background_line_writer.h"
 #include "fmt/chrono.h"
 
 namespace millstair {
@@ -26,7 +30,6 @@
 
 constexpr int kDisabled = 100;
 std::atomic<int> threshold = static_cast<int>(EventLevel::kInfo);
-std::atomic<int> log_descriptor = STDERR_FILENO;
 
 std::string_view LevelName(EventLevel level) {
   constexpr std::array<std::string_view, 4> kNames = {"debug", "info", "warning", "error"};
@@ -36,9 +39,16 @@
 /// Writes of up to this size to a pipe that polls as writable never block.
 constexpr size_t kMaxLineBytes = 4096;
 
+/// Time that the end of the process waits for a file to take the lines still queued.
+constexpr std::chrono::seconds kFlushLimit{5};
+
+bool IsRegularFile(int descriptor) {
+  struct stat status {};
+  return ::fstat(descriptor, &status) == 0 && S_ISREG(status.st_mode);
+}
+
 /// Writes a line unless the descriptor is not writable; returns whether it was written.
-bool WriteUnlessFull(std::string_view line) {
-  const int descriptor = log_descriptor.load(std::memory_order_relaxed);
+bool WriteUnlessFull(int descriptor, std::string_view line) {
   pollfd ready{descriptor, POLLOUT, 0};
   if (::poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) return false;
   ssize_t written = 0;
@@ -86,6 +96,71 @@
   return line;
 }
 
+/// The descriptor of the log and what is not written yet. Thread-safe.
+class EventSink {
+ public:
+  void SetDescriptor(int descriptor) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    file_writer_.reset();
+    descriptor_ = descriptor;
+    known_ = false;
+  }
+
+  void Write(const EventDescription& event, std::string_view text) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!budget_.Take(event.level, std::chrono::steady_clock::now())) {
+      ++dropped_;
+      return;
+    }
+    Examine();
+    if (file_writer_) dropped_ += file_writer_->TakeFailed();
+    if (dropped_ > 0) {
+      const std::string note =
+          FormatLine(DescribeEvent(EventId::kLogLinesDropped), fmt::format("count={}", dropped_));
+      if (WriteLine(note)) dropped_ = 0;
+    }
+    if (!WriteLine(FormatLine(event, text))) ++dropped_;
+  }
+
+  void Flush(Duration limit) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (file_writer_) file_writer_->Flush(limit);
+  }
+
+ private:
+  /// Starts the thread that writes to a regular file, at the first line to this descriptor. Other
+  /// descriptors need none: `poll` tells whether they accept a line.
+  void Examine() {
+    if (known_) return;
+    known_ = true;
+    if (IsRegularFile(descriptor_)) {
+      file_writer_ = std::make_unique<BackgroundLineWriter>(descriptor_);
+    }
+  }
+
+  bool WriteLine(std::string_view line) {
+    return file_writer_ ? file_writer_->Add(line) : WriteUnlessFull(descriptor_, line);
+  }
+
+  std::mutex mutex_;
+  int descriptor_ = STDERR_FILENO;
+  /// Whether the kind of the descriptor has been looked up.
+  bool known_ = false;
+  std::unique_ptr<BackgroundLineWriter> file_writer_;
+  LineBudget budget_;
+  uint64_t dropped_ = 0;
+};
+
+/// Never destroyed, so that objects destroyed at the end of the process can still log.
+EventSink& Sink() {
+  static auto* const sink = [] {
+    auto* created = new EventSink();
+    std::atexit([] { Sink().Flush(kFlushLimit); });
+    return created;
+  }();
+  return *sink;
+}
+
 }  // namespace
 
 const EventDescription& DescribeEvent(EventId id) {
@@ -101,7 +176,7 @@
 
 void SetEventThreshold(EventLevel level) { threshold = static_cast<int>(level); }
 
-void SetEventDescriptor(int descriptor) { log_descriptor = descriptor; }
+void SetEventDescriptor(int descriptor) { Sink().SetDescriptor(descriptor); }
 
 void DisableEventLog() { threshold = kDisabled; }
 
@@ -111,22 +186,6 @@
   return static_cast<int>(DescribeEvent(id).level) >= limit;
 }
 
-void WriteEvent(EventId id, std::string_view text) {
-  static std::mutex mutex;
-  static LineBudget budget;
-  static uint64_t dropped = 0;
-  const EventDescription& event = DescribeEvent(id);
-  const std::lock_guard<std::mutex> lock(mutex);
-  if (!budget.Take(event.level, std::chrono::steady_clock::now())) {
-    ++dropped;
-    return;
-  }
-  if (dropped > 0) {
-    const std::string note =
-        FormatLine(DescribeEvent(EventId::kLogLinesDropped), fmt::format("count={}", dropped));
-    if (WriteUnlessFull(note)) dropped = 0;
-  }
-  if (!WriteUnlessFull(FormatLine(event, text))) ++dropped;
-}
+void WriteEvent(EventId id, std::string_view text) { Sink().Write(DescribeEvent(id), text); }
 
 }  // namespace millstair
--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -1,9 +1,10 @@
 /// Numbered log events, formatted by fmt. One line of key=value pairs per event:
 /// "time=2026-12-02T06:50:00.123Z level=info event=5301 name=ServerStarted node=a zone=b".
 ///
-/// Writing never blocks: lines above the rate limit, and lines that a full pipe would delay, are
-/// dropped; their number is logged before the next line that is written. Servers log to standard
-/// output, tools to standard error.
+/// Writing never blocks: lines above the rate limit, and lines that a full pipe or a slow disk
+/// would delay, are dropped; their number is logged before the next line that is written. Lines to
+/// a regular file are written in the background, and at the end of the process. Servers log to
+/// standard output, tools to standard error.
 #pragma once
 
 #include <string>
@@ -34,7 +35,8 @@
 
 /// Events below `level` are dropped. Thread-safe. The default is kInfo.
 void SetEventThreshold(EventLevel level);
-/// Sets the file descriptor for lines; the default is standard error.
+/// Sets the file descriptor for lines; the default is standard error. Waits until the lines logged
+/// before are written.
 void SetEventDescriptor(int descriptor);
 /// Drops all events; used by the simulator, which runs thousands of nodes.
 void DisableEventLog();
