Storage: log operations on files that take 500 ms or longer

A write to the log of a group is made on the executor of its node, a sync in the background.

FileOperationSlow (1102) names the operation, its duration and the path.

--- a/source/storage/posix_file_system.cc
+++ b/source/storage/posix_file_system.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "storage/slow_operation.h"
 
 namespace millstair {
 namespace {
@@ -77,6 +78,7 @@
       : path_(std::move(path)), file_(std::move(file)), size_(size), executor_(executor) {}
 
   absl::Status Append(std::string_view bytes) override {
+    const SlowOperation measured(path_, "write");
     absl::Status status = WriteAll(file_->value(), path_, bytes);
     if (status.ok()) size_ += bytes.size();
     return status;
@@ -86,12 +88,16 @@
     executor_.run([file = file_, path = path_, post_back = executor_.post_back,
                    done = std::move(done)]() mutable {
       absl::Status status;
-      if (::fdatasync(file->value()) != 0) status = LastError(path, "sync");
+      {
+        const SlowOperation measured(path, "sync");
+        if (::fdatasync(file->value()) != 0) status = LastError(path, "sync");
+      }
       post_back([done = std::move(done), status = std::move(status)] { done(status); });
     });
   }
 
   absl::Status SyncNow() override {
+    const SlowOperation measured(path_, "sync");
     if (::fdatasync(file_->value()) != 0) return LastError(path_, "sync");
     return absl::OkStatus();
   }
