Soak: zones cut off with their back ends, bursts, several trainers, lost leaders of jobs

The soak had no fault in which capacity is short.

A preloaded library binds the connections of a process to its machine's address, so that a back end tells its callers apart; it holds what comes from another zone until the cut heals, and drops what was reset by then. Checks: gateways in the zone serve what its back ends can serve; no request reaches a back end later than 500 ms after its caller has gone. - burst: 150 lookups a second to back ends that answer about 120, two of them four times slower. Checks: at most 1.5 sends per call; rejected requests did not run; rejections say when to retry. - kill_job_leader: the leader of the jobs is killed while jobs are incomplete; they become complete.

--- a/test/soak/back_ends.py
+++ b/test/soak/back_ends.py
@@ -11,12 +11,20 @@
 import threading
 import time
 
-from documents import MODEL
-from fleet import SERVICE, ip_of
-from history import Acknowledged, CrashingRun, History, Order, Run, now
+from documents import LOOKUP_SERVICE, MODELS
+from fleet import SERVICE, ip_of, machine_of
+from history import (Acknowledged, CrashingRun, History, LookupArrival, Order, Presence, Run, now)
 
 HEARTBEAT = 1.0
 SLOTS = 8
+# Capacity of a back end of lookups: two slots and 25 ms of work, 80 requests a second.
+LOOKUP_SLOTS, LOOKUP_WORK = 2, 0.025
+# A lookup waits this long for a slot before it is refused, in seconds.
+LOOKUP_QUEUED = 0.1
+# Back ends of lookups that are slow in a burst, and their time in multiples of the usual one.
+SLOW_LOOKUPS, SLOWNESS = 2, 4
+# Interval at which data that a cut holds up looks for its end, in seconds.
+CUT_TICK = 0.02
 LOAD_TIME = 0.5
 EVENT_TIME = 0.04
 KEEP_SERVING = 3.5
@@ -68,16 +76,44 @@
         pass  # already closed
 
 
+class Cut:
+    """The zone that is cut off from all others; 0 is none."""
+
+    def __init__(self, layout):
+        self._layout = layout
+        self.zone = 0
+
+    def separates(self, zone, machine):
+        """Whether a back end of `zone` can't reach a machine of the system."""
+        return bool(self.zone) and (zone == self.zone) != (
+            self._layout.zone_of(machine) == self.zone)
+
+
+def was_reset(connection):
+    """Whether the peer has reset a connection; the data that it sent before is then lost. A peer
+    that merely closed it still wants its data delivered."""
+    try:
+        connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return False
+
+
 class BackEnd:
     """A server of one service; engines have models."""
 
-    def __init__(self, layout, service, index, history, models=(), port=0, name=""):
+    def __init__(self, layout, service, index, history, cut, models=(), port=0, name=""):
         """`name`: instance name of an earlier incarnation, to restart under it."""
         self._layout = layout
+        self._cut = cut
         self.instance = name or f"i-{service}-{index}-{random.randrange(1 << 32):08x}"
         self._started_at = int(time.time() * 1000)
         self.service = service
-        self._zone = f"zone-{index % layout.zones + 1}"
+        self._zone = index % layout.zones + 1
+        self.presence = history.add(Presence(self.instance, service, self._zone, now()))
+        self.slowness = 1
         self.history = history
         self.versions = {model: 1 for model in models}
         self.orders = 0
@@ -88,7 +124,8 @@
         self.faulty = 0.02
         self.index = index
         self.on_crash = lambda back_end: None
-        self._slots = threading.Semaphore(SLOTS)
+        self.slots = LOOKUP_SLOTS if service == LOOKUP_SERVICE else SLOTS
+        self._slots = threading.Semaphore(self.slots)
         self._connections = set()
         self._connections_lock = threading.Lock()
         self._sequence = 0
@@ -105,13 +142,21 @@
         """Sends a heartbeat; the machine that acknowledged it, or 0."""
         self._sequence += 1
         body = {
-            "service": self.service, "addr": self.address, "zone": self._zone, "version": "v1",
-            "slots": SLOTS, "state": self.state, "cold_left_ms": 0, "seq": self._sequence,
+            "service": self.service, "addr": self.address, "zone": f"zone-{self._zone}", "version": "v1",
+            "slots": self.slots, "state": self.state, "cold_left_ms": 0, "seq": self._sequence,
             "born": self._started_at}
         if self.versions:
             body["stage"] = "mixed"
             body["models"] = self.models()
-        return call_control(self._layout.machines, f"/v1/Instances.Heartbeat/{self.instance}", body)
+        return self._call_control(f"/v1/Instances.Heartbeat/{self.instance}", body)
+
+    def _call_control(self, path, body):
+        reached = [machine for machine in self._layout.machines if not self.is_cut_from(machine)]
+        return call_control(reached, path, body)
+
+    def is_cut_from(self, machine):
+        """Whether no data passes between this back end and a machine of the system."""
+        return self._cut.separates(self._zone, machine)
 
     @property
     def started_at(self):
@@ -135,14 +180,16 @@
     def leave(self):
         """Drains, keeps serving for KEEP_SERVING, deregisters and ends."""
         self.state = "draining"
+        self.presence.over = now()
         time.sleep(HEARTBEAT + KEEP_SERVING)
-        call_control(self._layout.machines, f"/v1/Instances.Deregister/{self.instance}", {})
+        self._call_control(f"/v1/Instances.Deregister/{self.instance}", {})
         time.sleep(1.0)
         self.crash()
 
     def crash(self):
         """Ends without deregistering, and closes the callers' connections."""
         self.stopped = True
+        self.presence.over = min(self.presence.over, now())
         self._server.shutdown()
         self._server.server_close()
         with self._connections_lock:
@@ -186,6 +233,8 @@
 
     def do_GET(self):
         """Serves health checks, reports and plain requests."""
+        if not self._arrives():
+            return None
         if self.path == "/v1/report":
             return self._report()
         if self.path == "/healthz":
@@ -194,6 +243,8 @@
 
     def do_POST(self):
         """Serves orders, job items and plain requests."""
+        if not self._arrives():
+            return None
         if self.path == "/v1/order":
             return self._order()
         return self._serve()
@@ -213,10 +264,24 @@
         except (OSError, ValueError):
             pass
 
+    def _arrives(self):
+        """Holds data while the zones of caller and back end are cut off from each other, as a network
+        would that delivers it once the cut has healed; false if the caller has reset the connection
+        by then. New connections are accepted during a cut, which a network would not do."""
+        machine = machine_of(self.client_address[0])
+        while machine and self.back_end.is_cut_from(machine):
+            time.sleep(CUT_TICK)
+            if was_reset(self.connection):
+                self.close_connection = True
+                return False
+        return True
+
     def _body(self):
         return self.rfile.read(int(self.headers.get("Content-Length", 0)))
 
     def _answer(self, status, body, headers=None):
+        if not self._arrives():
+            return
         self.send_response(status)
         request = self.headers.get("Request-Id")
         if request:
@@ -265,6 +330,8 @@
         if LARGE_PATH in self.path:
             # Takes no slot, so that a gateway that reads slowly doesn't fill the back end.
             return self._large(request)
+        if own.service == LOOKUP_SERVICE:
+            return self._look_up(request)
         full = not own._slots.acquire(timeout=0.1)
         loading = own.versions and now() < own.busy_until
         refuses = now() < own.refuses_until or random.random() < own.faulty / 2
@@ -272,6 +339,9 @@
             if not full:
                 own._slots.release()
             return self._answer(503, b"", {"Not-Run": "1"})
+        if own.versions and json.loads(body)["model"] not in own.versions:
+            own._slots.release()
+            return self._answer(503, b"", {"Not-Run": "1"})
         try:
             if CRASH_PATH in self.path:
                 return self._crash(request)
@@ -280,6 +350,18 @@
         finally:
             own._slots.release()
 
+    def _look_up(self, request):
+        own = self.back_end
+        ran = own._slots.acquire(timeout=LOOKUP_QUEUED)
+        own.history.add(LookupArrival(request, own.instance, now(), ran))
+        if not ran:
+            return self._answer(503, b"", {"Not-Run": "1"})
+        try:
+            time.sleep(LOOKUP_WORK * own.slowness)
+            return self._answer(200, b"found", {"Stamp": stamp_of(own.instance, request)})
+        finally:
+            own._slots.release()
+
     def _reset(self):
         """Resets the connection: a normal close would mark a body without a length as complete."""
         reset(self.connection)
@@ -329,11 +411,14 @@
         self.close_connection = True
         for number in range(first, work["events"] + 1):
             time.sleep(EVENT_TIME)
-            if own.stopped or random.random() < own.faulty / 20:
+            if not self._arrives():
+                return  # the caller has given up
+            held = own.versions.get(work["model"])
+            if own.stopped or held is None or random.random() < own.faulty / 20:
                 return self._reset()
             lines = ""
-            if own.versions[work["model"]] != version:
-                version = own.versions[work["model"]]
+            if held != version:
+                version = held
                 lines = f"weight-versions: {version}\n"
             lines += f"id: {number}\ndata: {request}-{number}\n\n"
             try:
@@ -349,6 +434,7 @@
         random.seed(seed)
         self.history = History()
         self._layout = layout
+        self._cut = Cut(layout)
         self._next_index = 0
         self._lock = threading.Lock()
         self.instances = set()
@@ -358,13 +444,17 @@
                 self._add(service)
 
     def _add(self, service, versions=None, index=None, port=0, name=""):
-        models = (MODEL,) if service == "engines" else ()
+        models = ()
+        if service == "engines":
+            engines = sum(one.service == service for one in self._present)
+            models = (MODELS[engines % len(MODELS)],)
         if index is None:
             index = self._next_index
             self._next_index += 1
-        new = BackEnd(self._layout, service, index, self.history, models, port, name)
+        new = BackEnd(self._layout, service, index, self.history, self._cut, models, port, name)
         new.on_crash = self._crash_and_return
-        new.versions.update(versions or {})
+        if versions:
+            new.versions = dict(versions)
         self._present.append(new)
         self.instances.add(new.instance)
 
@@ -409,6 +499,17 @@
                     back_end.refuses_until = now() + REFUSES_FOR
         return "shop"
 
+    def cut_zone(self, zone):
+        """Cuts a zone off from the machines of all others; 0 ends it."""
+        self._cut.zone = zone
+
+    def slow_lookups(self, slow):
+        """Makes some back ends of lookups slow, or all as fast as usual."""
+        with self._lock:
+            lookups = [one for one in self._present if one.service == LOOKUP_SERVICE]
+            for one in lookups[:SLOW_LOOKUPS]:
+                one.slowness = SLOWNESS if slow else 1
+
     def replace(self):
         """Starts a new back end; an old one drains and deregisters."""
         leaving = self._take_one()
@@ -421,18 +522,18 @@
     pool = BackEndPool(layout, counts, seed)
     lock = threading.Lock()
 
-    def answer(number, what):
-        value = getattr(pool, what)()
+    def answer(number, what, arguments):
+        value = getattr(pool, what)(*arguments)
         with lock:
             pipe.send((number, value))
 
     pipe.send(None)
     while True:
-        number, what = pipe.recv()
+        number, what, arguments = pipe.recv()
         if what == "end":
             pipe.send((pool.history.records, pool.instances))
             return
-        threading.Thread(target=answer, args=(number, what), daemon=True).start()
+        threading.Thread(target=answer, args=(number, what, arguments), daemon=True).start()
 
 
 class BackEndProcess:
@@ -450,12 +551,12 @@
         self._number = 0
         self._pipe.recv()
 
-    def play(self, what):
-        """Runs `crash`, `replace` or `refuse` to its end; the instance or service affected."""
+    def play(self, what, *arguments):
+        """Runs a method of BackEndPool to its end; its result, the instance or service affected."""
         with self._lock:
             self._number += 1
             number = self._number
-            self._pipe.send((number, what))
+            self._pipe.send((number, what, arguments))
         while True:
             with self._lock:
                 if self._pipe.poll(0.0):
@@ -468,7 +569,7 @@
     def end(self, history):
         """Ends the process, adds its records to `history`; returns the ids of all instances."""
         with self._lock:
-            self._pipe.send((0, "end"))
+            self._pipe.send((0, "end", ()))
             while True:
                 first, second = self._pipe.recv()
                 if isinstance(first, list):
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from documents import (FLAWS, HOST, MODEL, MOVED_ROUTE, SCORE_ROUTE, flawed_text,
+from documents import (FLAWS, HOST, MODELS, MOVED_ROUTE, SCORE_ROUTE, flawed_text,
                        routing_document)
 from fleet import SERVICE, ip_of
 from history import (Acknowledged, Call, CrashingCall, RecordedResult, OperatorCall, ReadBack, Sent,
@@ -277,6 +277,8 @@
         self.job = new_id()
         self.accepted_at = 0.0
         self.complete = False
+        # The trainer waits for it no longer.
+        self.over = False
         self.items = {}
         self.min_version = max(1, number)
 
@@ -285,9 +287,10 @@
     """Submits a job for each step, waits until WANTED groups are complete, announces the next
     weight version."""
 
-    def __init__(self, layout, history):
+    def __init__(self, layout, history, model=MODELS[0]):
         self._layout = layout
         self._history = history
+        self._model = model
         self.steps = []
         # Request ids of all calls that score texts.
         self.scorings = set()
@@ -306,6 +309,7 @@
             self.steps.append(step)
             if self._submit(step):
                 self._await_groups(step)
+                step.over = True
                 self._call("DELETE", f"/v1/lots/{step.job}", {})
             number += 1
             self._announce_version(number + 1)
@@ -328,15 +332,15 @@
                 # Some items run far longer than the others.
                 events = random.choice((5, 10, 20, 80))
                 step.items[item] = (f"{step.job}-{group}", events)
-                body = json.dumps({"model": MODEL, "events": events}).encode()
+                body = json.dumps({"model": self._model, "events": events}).encode()
                 requests.append({
                     "id": item, "path": "/jobs/item", "body": base64.b64encode(body).decode(),
-                    "headers": {"Model": MODEL, "Tokens": f"10,{events}",
+                    "headers": {"Model": self._model, "Tokens": f"10,{events}",
                                 "Length-Hint": str(events)},
                     "tokens": 10 + events, "group": f"{step.job}-{group}",
                     "scorer": {"id": scorer, "host": HOST, "path": SCORE_ROUTE + "x",
                                "body": base64.b64encode(b"judge").decode()}})
-        document = json.dumps({"step": step.number, "model": MODEL, "desired": WANTED,
+        document = json.dumps({"step": step.number, "model": self._model, "desired": WANTED,
                                "min_version": step.min_version, "requests": requests})
         headers = {"Request-Id": step.job, "Content-Type": "application/json"}
         until = now() + STEP_DEADLINE
@@ -382,7 +386,7 @@
             time.sleep(0.3)
 
     def _announce_version(self, version):
-        body = json.dumps({"model": MODEL, "version": version})
+        body = json.dumps({"model": self._model, "version": version})
         while not self.stopped:
             try:
                 status, _, _ = exchange(random.choice(self._layout.machines), "POST", "/v1/version-put", body,
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -80,12 +80,12 @@
     return row
 
 
-def check_results(history, trainer, instances):
+def check_results(history, trainers, instances):
     """Every node returns the same result for a position; texts are complete and scored, and by
     weights no older than the step allows."""
     stays = Row("a position keeps its result")
     complete = Row("texts whole, scored, of allowed versions")
-    steps = {step.job: step for step in trainer.steps}
+    steps = {step.job: step for trainer in trainers for step in trainer.steps}
     known = {}
     for recorded in history.of(RecordedResult):
         held = known.setdefault((recorded.job, recorded.position), recorded)
@@ -145,14 +145,15 @@
     return [row, proper]
 
 
-def check_service(history, trainer, end_of_faults):
-    """Requests succeed and steps complete again after the faults."""
+def check_service(history, trainers, end_of_faults):
+    """Requests succeed and steps of each trainer complete again after the faults."""
     row = Row("served again after the faults")
     calls = [call for call in history.of(Call) if call.sent > end_of_faults]
     served = sum(call.status == 200 for call in calls)
     row.case(bool(calls) and served >= SERVED_SHARE * len(calls), f"{served} of {len(calls)}")
-    steps = [step for step in trainer.steps if step.accepted_at > end_of_faults]
-    row.case(any(step.complete for step in steps), "no step was complete")
+    for trainer in trainers:
+        steps = [step for step in trainer.steps if step.accepted_at > end_of_faults]
+        row.case(any(step.complete for step in steps), "no step was complete")
     return row
 
 
@@ -180,11 +181,11 @@
     return [memory, served, whole]
 
 
-def check_all(history, operator, trainer, instances, layout, end_of_faults):
+def check_all(history, operator, trainers, instances, layout, end_of_faults):
     """The rows of all checks."""
     return [
         check_answers(history, instances), *check_at_most_once(history),
-        *check_routing(history, operator, trainer, layout), check_leaving(history, layout),
-        *check_results(history, trainer, instances), check_orders(history),
+        *check_routing(history, operator, trainers, layout), check_leaving(history, layout),
+        *check_results(history, trainers, instances), check_orders(history),
         *check_crashing(history, layout),
-        check_service(history, trainer, end_of_faults)]
+        check_service(history, trainers, end_of_faults)]
--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -2,25 +2,31 @@
 
 import json
 import random
+import socket
 import sys
+import tempfile
 import threading
+import time
 import unittest
 import unittest.mock
 
 import checks
 import exposure
 import routing_checks
-from back_ends import LARGE_BODY, stamp_of
+import shortage_checks
+from back_ends import Cut, LARGE_BODY, reset, stamp_of, was_reset
 from callers import Step
 from claims import Claims
 from documents import (ADDED_KEPT, FLAWS, added_route, added_service, flawed_route, flawed_text,
                        moved_service, routing_document, score_service, service_of)
 from faults import Faults
-from fleet import Fleet, Layout, claim_subnet
-from history import (Acknowledged, Call, CrashingCall, CrashingRun, History, RecordedResult,
-                     OperatorCall, Order, Confirmation, PendingRead, ReadBack, Run, Sent, SmallCall,
-                     Span, Stall, Started)
+from fleet import Fleet, Layout, claim_subnet, ip_of
+from history import (Acknowledged, Burst, Call, CrashingCall, CrashingRun, History, JobLeaderLost,
+                     Lookup, LookupArrival, RecordedResult, OperatorCall, Order, Confirmation,
+                     PendingRead, Presence, ReadBack, Run, Sent, SmallCall, Span, Stall, Started,
+                     ZoneCut)
 from links import BACK, FORTH
+from shortage_faults import leader_of_jobs
 
 INSTANCES = {"i-1"}
 # Control nodes 1 to 5, gateways 6 to 11.
@@ -477,18 +483,18 @@
         trainer = FakeTrainer()
         stays, complete = checks.check_results(
             history_of(RecordedResult("job", 0, valid, "g"),
-                       RecordedResult("job", 0, valid, "h")), trainer, ())
+                       RecordedResult("job", 0, valid, "h")), [trainer], ())
         self.expect(stays, 3, 0)
         self.expect(complete, 1, 0)
         other = ("item", "down", "", (), "")
         stays, _ = checks.check_results(
             history_of(RecordedResult("job", 0, valid, "g"),
-                       RecordedResult("job", 0, other, "h")), trainer, ())
+                       RecordedResult("job", 0, other, "h")), [trainer], ())
         self.expect(stays, 3, 1)
         for faulty in (("item", "done", "item-1", (3,), "s"), (*valid[:3], (2,), "s"),
                        (*valid[:4], "")):
             _, complete = checks.check_results(
-                history_of(RecordedResult("job", 0, faulty, "g")), trainer, ())
+                history_of(RecordedResult("job", 0, faulty, "g")), [trainer], ())
             self.expect(complete, 1, 1)
 
     def test_orders(self):
@@ -527,11 +533,11 @@
     def test_service(self):
         """Too few requests served after the faults; no step completed."""
         trainer = FakeTrainer()
-        self.expect(checks.check_service(history_of(answered("a")), trainer, 5.0), 2, 0)
+        self.expect(checks.check_service(history_of(answered("a")), [trainer], 5.0), 2, 0)
         refused = [answered(str(number), status=503) for number in range(9)]
-        self.expect(checks.check_service(history_of(answered("a"), *refused), trainer, 5.0), 2, 1)
+        self.expect(checks.check_service(history_of(answered("a"), *refused), [trainer], 5.0), 2, 1)
         trainer.steps[0].complete = False
-        self.expect(checks.check_service(history_of(answered("a")), trainer, 5.0), 2, 1)
+        self.expect(checks.check_service(history_of(answered("a")), [trainer], 5.0), 2, 1)
 
     def test_stalled(self):
         """Too much memory; others not served beside callers that stall, unless the gateway was
@@ -559,6 +565,134 @@
         self.expect(served, 0, 0)
 
 
+class ShortageTest(unittest.TestCase):
+    """Checks of runs in which capacity is short."""
+
+    CUT = ZoneCut(LAYOUT.zone_of(6), 10.0, 19.0)
+
+    def expect(self, row, tried, broken):
+        """Fails unless a check counted these numbers of cases and violations."""
+        self.assertEqual((row.tried, len(row.broken)), (tried, broken), row.name)
+
+    def calls(self, statuses, machine=6, body=""):
+        """Calls during the cut, with these statuses."""
+        return [Call(str(number), "/pages/", ip_of(machine), 13.5 + 0.1 * number, status, "", body,
+                     13.55 + 0.1 * number) for number, status in enumerate(statuses)]
+
+    def test_zone_cut(self):
+        """Too many requests failed although a back end of the zone is there, with two allowed for
+        each silent one; not judged without one, in other zones, or for withheld requests."""
+        here = Presence("i", "pages", self.CUT.zone, 1.0)
+
+        def row(presence, calls, *more):
+            return shortage_checks.check_zone_cuts(history_of(self.CUT, presence, *calls, *more),
+                                                   LAYOUT)
+
+        self.expect(row(here, self.calls([200] * 19 + [504])), 1, 0)
+        self.expect(row(here, self.calls([200] * 18 + [504] * 2)), 1, 1)
+        silent = Presence("j", "pages", self.CUT.zone + 1, 1.0)
+        self.expect(row(here, self.calls([200] * 17 + [504] * 3), silent), 1, 0)
+        self.expect(row(here, self.calls([200] * 16 + [504] * 4), silent), 1, 1)
+        gone = Presence("j", "pages", self.CUT.zone + 1, 1.0, 9.0)
+        self.expect(row(here, self.calls([200] * 17 + [504] * 3), gone), 1, 1)
+        bad = self.calls([504] * 20)
+        self.expect(row(Presence("i", "pages", self.CUT.zone, 1.0, 18.0), bad), 0, 0)
+        self.expect(row(Presence("i", "pages", self.CUT.zone, 8.0), bad), 0, 0)
+        self.expect(row(Presence("i", "pages", self.CUT.zone + 1, 1.0), bad), 0, 0)
+        self.expect(row(Presence("i", "shop", self.CUT.zone, 1.0), bad), 0, 0)
+        self.expect(row(here, self.calls([504] * 20, machine=7)), 0, 0)
+        self.expect(row(here, self.calls([503] * 20, body=checks.WITHHELD)), 0, 0)
+
+    def test_gone(self):
+        """A request that reaches a back end when the cut heals, after its caller has gone; not
+        judged at a gateway with a fault of its own."""
+        call = Call("a", "/pages/", ip_of(6), 15.0, 504, "", "", 16.5)
+        for at, broken in ((16.9, 0), (17.1, 1), (19.1, 1)):
+            self.expect(shortage_checks.check_gone(
+                history_of(self.CUT, call, Run("a", "pages", "i", at)), LAYOUT), 1, broken)
+        late = [self.CUT, call, Run("a", "pages", "i", 19.1)]
+        cut = Span("cut_zone", (6,), 10.0, 19.0)
+        self.expect(shortage_checks.check_gone(history_of(*late, cut), LAYOUT), 1, 1)
+        paused = Span("freeze", (6,), 18.0, 19.0)
+        self.expect(shortage_checks.check_gone(history_of(*late, paused), LAYOUT), 0, 0)
+
+    def test_bursts(self):
+        """Too many sends; a rejected request that ran; a rejection without a time to retry."""
+        burst = Burst(1.0, 7.0)
+        calls = [Lookup(number, f"r{number}", 6, 2.0, 2.1, 200) for number in range(2)]
+        retry = Lookup(1, "again", 6, 2.2, 2.3, 503, "0.1")
+
+        def rows(sends, *more):
+            arrivals = [LookupArrival(request, "i", 2.0, ran) for request, ran in sends]
+            return shortage_checks.check_bursts(history_of(burst, *calls, *arrivals, *more))
+
+        sends, true, told = rows((("r0", True), ("r1", False), ("again", False)), retry)
+        self.expect(sends, 1, 0)
+        self.expect(true, 1, 0)
+        self.expect(told, 1, 0)
+        sends, true, _ = rows((("r0", True), ("r1", False), ("r1", False), ("again", True)), retry)
+        self.expect(sends, 1, 1)
+        self.expect(true, 1, 1)
+        for text in ("", "0"):
+            self.expect(rows((), Lookup(1, "x", 6, 2.2, 2.3, 429, text))[2], 1, 1)
+
+    def test_trainers(self):
+        """A trainer without a complete step."""
+        first, second = FakeTrainer(), FakeTrainer()
+        self.expect(shortage_checks.check_trainers([first, second]), 2, 0)
+        second.steps[0].complete = False
+        self.expect(shortage_checks.check_trainers([first, second]), 2, 1)
+
+    def test_job_leader(self):
+        """A job that stays incomplete after its leader was lost; not judged beside another fault."""
+        trainer = FakeTrainer()
+        lost = JobLeaderLost(1, 50.0, ("job",))
+        own = Span("kill_job_leader", (1,), 49.9, 52.0)
+        self.expect(shortage_checks.check_job_leader(history_of(lost, own), [trainer]), 1, 0)
+        trainer.steps[0].complete = False
+        self.expect(shortage_checks.check_job_leader(history_of(lost, own), [trainer]), 1, 1)
+        other = Span("freeze", (2,), 55.0, 57.0)
+        self.expect(shortage_checks.check_job_leader(history_of(lost, own, other), [trainer]), 0, 0)
+
+    def test_leader_of_jobs(self):
+        """The last one that became leader and did not lose it again; other groups don't count."""
+        lines = {1: "time=1 name=LeadershipGained group=jobs/0 term=2\n"
+                    "time=4 name=LeadershipLost group=jobs/0 term=2\n",
+                 2: "time=5 name=LeadershipGained group=jobs/0 term=3\n"
+                    "time=7 name=LeadershipGained group=cluster term=9\n",
+                 3: "time=3 name=LeadershipGained group=jobs/0 term=1\n"
+                    "time=6 name=LeadershipGained group=cluster term=8\n"}
+        with tempfile.TemporaryDirectory() as folder:
+            for machine, text in lines.items():
+                with open(f"{folder}/storage-{machine}.log", "w", encoding="utf-8") as log:
+                    log.write(text)
+            self.assertEqual(leader_of_jobs(folder, (1, 2, 3)), 2)
+            self.assertIsNone(leader_of_jobs(folder, (1,)))
+
+    def test_cut_of_back_ends(self):
+        """Only the machines of other zones are cut off from a back end."""
+        cut = Cut(LAYOUT)
+        self.assertFalse(cut.separates(1, 6))
+        cut.zone = LAYOUT.zone_of(6)
+        for machine in LAYOUT.gateways:
+            same = LAYOUT.zone_of(machine) == cut.zone
+            self.assertEqual(cut.separates(cut.zone, machine), not same)
+            self.assertEqual(cut.separates(cut.zone % 3 + 1, machine), same)
+
+    def test_reset(self):
+        """A connection that was reset is told from an open one and from one that was closed."""
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            for close, expected in ((lambda peer: None, False), (socket.socket.close, False),
+                                    (reset, True)):
+                peer = socket.create_connection(server.getsockname())
+                accepted, _ = server.accept()
+                close(peer)
+                time.sleep(0.05)
+                self.assertEqual(was_reset(accepted), expected)
+                accepted.close()
+                peer.close()
+
+
 if __name__ == "__main__":
     RESULT = unittest.main(exit=False, verbosity=0).result
     FAILED = len(RESULT.failures) + len(RESULT.errors)
--- a/test/soak/documents.py
+++ b/test/soak/documents.py
@@ -8,8 +8,12 @@
 import json
 
 HOST = "soak.example"
-MODEL = "writer"
+# Models of the trainers; further ones are added by `use_models`.
+MODELS = ["writer"]
 SERVICES = ("pages", "shop")
+# Its back ends get more requests than they can answer.
+LOOKUP_SERVICE, LOOKUP_ROUTE = "lookups", "/lookup/"
+LOOKUP_TIMEOUT, LOOKUP_TARGET = 0.8, 0.15
 MOVED_ROUTE = "/moved/"
 SCORE_ROUTE = "/score/"
 SCORE_MOVES_EACH = 4
@@ -21,6 +25,11 @@
           "idle_timeout_ms": 15000}
 
 
+def use_models(count):
+    """Sets the number of models; called before any part of a run is created."""
+    MODELS[1:] = [f"writer-{number}" for number in range(2, count + 1)]
+
+
 def added_route(number):
     """Prefix of the route that version `number` adds."""
     return f"/added-{number}/"
@@ -75,6 +84,8 @@
         _route("book", "/book/", "unsafe", "shop"),
         _route("moved", MOVED_ROUTE, "safe", moved_service(version)),
         _route("score", SCORE_ROUTE, "safe", score_service(version)),
+        _route("lookups", LOOKUP_ROUTE, "safe", LOOKUP_SERVICE,
+               timeout_ms=int(LOOKUP_TIMEOUT * 1000), target_ms=int(LOOKUP_TARGET * 1000)),
         _route("jobs", "/jobs/", "rollout", "engines", deadline_ms=10000, queue_ttl_s=20,
                sticky=True, resumable=True),
     ]
@@ -84,12 +95,12 @@
     for route in routes:
         route["priority"] = priority
     services = [{"name": name, "health_path": "/healthz", "max_conns": 400, "protocol": "h1",
-                 "tls": False} for name in SERVICES]
+                 "tls": False} for name in (*SERVICES, LOOKUP_SERVICE)]
     services.append({
         "name": "engines", "health_path": "/healthz", "max_conns": 400, "protocol": "h1",
         "tls": False,
         "engine": {"slots": 8, "kv_capacity": 100000, "kv_token_bytes": 1000,
-                   "models": [{"name": MODEL}]}})
+                   "models": [{"name": name} for name in MODELS]}})
     return {"version": version, "routes": routes, "services": services, "limits": LIMITS}
 
 
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -13,6 +13,7 @@
 from documents import HOST
 from fault_times import AWAY, CUT_IN_TWO, DOWN, REPLACED
 from history import SmallCall, Span, Stall, now
+from shortage_faults import ShortageFaults
 from stalled_callers import StalledCaller, peak_memory
 
 SLOW_LINK = 0.15
@@ -35,12 +36,15 @@
 SMALL_PAUSE = 0.1
 
 
-class Faults(AcknowledgerFaults):
+class Faults(AcknowledgerFaults, ShortageFaults):
     """Runs faults and records when each was active, and on which machines."""
 
-    def __init__(self, fleet, back_ends, history, operator=None, stalls_callers=False):
+    def __init__(self, fleet, back_ends, history, operator=None, stalls_callers=False,
+                 trainers=(), cuts_zones=False):
         """`operator` sends changes to machines as they return. `stalls_callers`: the gateways bound
-        their memory, so callers may stop reading."""
+        their memory, so callers may stop reading. With `trainers` the faults of short capacity are
+        played too. `cuts_zones`: back ends see which machine calls them and can be cut off too."""
+        self.trainers = trainers
         self._operator = operator
         self._fleet = fleet
         self._layout = fleet.layout
@@ -55,6 +59,9 @@
             self.kill, self.kill, self.freeze, self.cut, self.cut_one_way, self.slow_link, self.reset_links,
             self.stop, self.slow, self.reload]
         self._gateway_kinds = [self.stand_still]
+        shortage_kinds = [self.burst, self.kill_job_leader] if trainers else []
+        if trainers and cuts_zones:
+            shortage_kinds.append(self.cut_zone)
         self._acknowledger_kinds = [
             self.kill_acknowledger, self.wipe_acknowledger, self.cut_acknowledger,
             self.part_acknowledger, self.freeze_acknowledger]
@@ -67,7 +74,7 @@
             self.one_machine += self._clock_kinds
         self.kinds = self.one_machine + self._gateway_kinds + self._acknowledger_kinds + [
             self.lose_disk, self.stop_several, self.kill_gateways, self.strike_zone,
-            *self._exclusive_kinds, *self.of_back_ends, *self.of_callers]
+            *self._exclusive_kinds, *self.of_back_ends, *self.of_callers, *shortage_kinds]
 
     @property
     def replaces_builds(self):
@@ -92,17 +99,16 @@
 
     def play(self, kind):
         """Runs one fault to its end; returns its description, or none if it could not run."""
-        if kind in self.of_back_ends + self.of_callers:
+        if kind in self.of_back_ends + self.of_callers + [self.burst]:
             # Faults of back ends and callers claim no machine of the system.
             what = f"{kind.__name__} {kind()}"
         elif kind in self._exclusive_kinds + self._power_off_kinds:
-            struck = self._struck_by(kind)
-            if not self._claims.claim_all(struck):
-                return None
-            try:
-                what = self._run_recorded(kind, struck)
-            finally:
-                self._claims.release_all()
+            what = self._run_alone(kind, self._struck_by(kind))
+        elif kind == self.cut_zone:
+            zone = self._layout.zone_of(random.choice(self._layout.gateways))
+            what = self._run_alone(kind, self._machines_of(zone))
+        elif kind == self.kill_job_leader:
+            what = self._run_on_job_leader(kind)
         elif kind in self._acknowledger_kinds:
             what = self._run_on_acknowledger(kind)
         else:
@@ -111,6 +117,17 @@
             self.played.append(what)
         return what
 
+    def _run_alone(self, kind, struck):
+        """Runs a fault without any other one. The ends of other faults of the machines with a disk
+        are awaited, since those and `struck` may be too many together."""
+        layout = self._layout
+        if not self._claims.claim_all(set(struck) | set(layout.machines)):
+            return None
+        try:
+            return self._run_recorded(kind, struck)
+        finally:
+            self._claims.release_all()
+
     def _struck_by(self, kind):
         layout = self._layout
         everything = layout.machines + layout.gateways
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -17,7 +17,7 @@
 import threading
 import time
 
-from clocks import Clocks
+from clocks import LIBRARY_VARIABLE, Clocks
 from history import Started, now
 from links import BACK, BOTH, FORTH, LinkProcess
 
@@ -25,6 +25,7 @@
 START_SPREAD = 0.3
 GRACE = 8.0
 INITIAL_MEMBERS = 3
+SOURCE_VARIABLE = "MILLSTAIR_SOURCE"
 
 SETTINGS = """\
 node: "{node}"
@@ -79,6 +80,12 @@
     return f"127.0.{SUBNET}.{machine}"
 
 
+def machine_of(ip):
+    """Machine of a loopback address; 0 if it belongs to none."""
+    prefix = f"127.0.{SUBNET}."
+    return int(ip[len(prefix):]) if ip.startswith(prefix) else 0
+
+
 @dataclasses.dataclass(frozen=True)
 class Layout:
     """Number of machines, and how many may fail at the same time."""
@@ -171,13 +178,16 @@
     """All nodes, their folders and links."""
 
     def __init__(self, program, folder, layout, history, clock_library="", before="",
-                 gateway_settings=""):
-        """`gateway_settings`: further sections of the gateways' settings."""
+                 gateway_settings="", settings="", source_library=""):
+        """`gateway_settings`: further sections of the gateways' settings; `settings`: of all nodes'.
+        `source_library` has back ends see which machine calls them."""
         in_use = addresses_in_use(layout)
         if in_use is not None:
             raise SystemExit(f"{in_use}: is another run active, or has one just ended?")
         self.program = program
         self._gateway_settings = gateway_settings
+        self._more_settings = settings
+        self._source_library = source_library
         # Machines that still run the earlier build.
         self._before = before
         self._on_earlier_build = set(layout.machines + layout.gateways) if before else set()
@@ -210,7 +220,15 @@
             self._history.add(Started(node.machine, node.role, now()))
             node.process = subprocess.Popen(
                 [self._program_of(node.machine), "--settings", path + ".yaml"],
-                stdout=log, stderr=subprocess.STDOUT, env=self.clocks.environment(node.machine))
+                stdout=log, stderr=subprocess.STDOUT, env=self._environment(node.machine))
+
+    def _environment(self, machine):
+        variables = self.clocks.environment(machine)
+        if self._source_library:
+            libraries = (variables.get(LIBRARY_VARIABLE, ""), self._source_library)
+            variables[LIBRARY_VARIABLE] = ":".join(filter(None, libraries))
+            variables[SOURCE_VARIABLE] = ip_of(machine)
+        return variables
 
     def _program_of(self, machine):
         return self._before if machine in self._on_earlier_build else self.program
@@ -246,7 +264,7 @@
             leave=int(self.layout.leaving * 1000),
             seeds=", ".join(f'"{ip_of(m)}:{SERVICE}"' for m in self.layout.seeds),
             seeds_port=CONTROL_PEER, peer=node.peer, http=f"{ip}:{port}") + (
-                self._gateway_settings if node.role == "gateway" else "")
+                self._gateway_settings if node.role == "gateway" else "") + self._more_settings
 
     def data_folder(self, node):
         """Data folder of a node."""
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -159,6 +159,67 @@
     over: float
 
 
+@dataclasses.dataclass
+class Presence:
+    """An incarnation of a back end, from its start until it ended or began to leave."""
+
+    instance: str
+    service: str
+    zone: int
+    begun: float
+    over: float = float("inf")
+
+
+@dataclasses.dataclass
+class ZoneCut:
+    """A zone was cut off from all others."""
+
+    zone: int
+    begun: float
+    over: float = float("inf")
+
+
+@dataclasses.dataclass
+class Burst:
+    """More lookups than their back ends can answer, some of which were slow."""
+
+    begun: float
+    over: float
+
+
+@dataclasses.dataclass
+class Lookup:
+    """One request of a burst: a first attempt or a retry of `call`; status 0 means no response."""
+
+    call: int
+    request: str
+    machine: int
+    sent: float
+    ended: float = 0.0
+    status: int = 0
+    # Value of the header; empty without one.
+    retry_after: str = ""
+
+
+@dataclasses.dataclass
+class LookupArrival:
+    """A lookup reached a back end, which ran it or refused it for lack of capacity."""
+
+    request: str
+    instance: str
+    at: float
+    ran: bool
+
+
+@dataclasses.dataclass
+class JobLeaderLost:
+    """The leader of a group of jobs was killed while these jobs were incomplete."""
+
+    machine: int
+    at: float
+    jobs: tuple
+
+
 @dataclasses.dataclass
 class Order:
     """An order that reached an engine."""
--- a/test/soak/routing_checks.py
+++ b/test/soak/routing_checks.py
@@ -25,7 +25,7 @@
 SMALL_CONTROL_GROUP = 9
 # A call that scores a text may last as long as its route's time limit.
 SCORING_TAKES = 1.5
-CUTS = ("cut_in_two", "cut_zones", "part_acknowledger")
+CUTS = ("cut_in_two", "cut_zones", "cut_zone", "part_acknowledger")
 # All control nodes lose their processes at once.
 ALL_KILLED = ("kill_all", "power_off_after_wipe", "power_off_without_seeds")
 STOPS = ("stop", "stop_several")
@@ -297,15 +297,16 @@
     return json.loads(sent) == json.loads(read)
 
 
-def check_routing(history, operator, trainer, layout):
+def check_routing(history, operator, trainers, layout):
     """The rows of all routing checks."""
     outcomes = outcomes_of(history)
     versions = Versions(history)
     connectivity = Connectivity(history, layout)
+    scorings = set().union(*(trainer.scorings for trainer in trainers))
     return [
         check_in_force(outcomes, versions, connectivity), check_confirmed(history, connectivity),
         check_reads(history),
         check_never_back(outcomes, versions, history),
-        check_scorings(history, trainer.scorings, versions, connectivity),
+        check_scorings(history, scorings, versions, connectivity),
         check_invalid(history), check_denied(history), check_added(outcomes, history, connectivity),
         check_operator(history), check_read_back(history, operator, versions)]
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -15,6 +15,7 @@
 from back_ends import BackEndProcess
 from callers import Client, CrashingCaller, Operator, Trainer
 from checks import check_all, check_stalled
+from documents import LOOKUP_SERVICE, MODELS, use_models
 import exposure
 from faults import Faults
 from fleet import Fleet, Layout, use_free_subnet, use_subnet
@@ -22,11 +23,13 @@
 from routing_checks import Versions, outcomes_of
 from probes import Prober
 from confirmations import ConfirmationReader
+from shortage_checks import report_bursts, shortage_rows
 from stalled_callers import GATEWAY_SETTINGS
 
 START_LIMIT = 20.0
 RECOVERY = 12.0
 LAST_CALM = 16.0
+OVERLOAD_SETTINGS = 'overload:\n  admission: "on"\n  step_sharing: "on"\n'
 # Lease of a gateway's configuration, as a share of `bounds.leave`.
 LEASE_SHARE = 0.7
 
@@ -40,6 +43,13 @@
                         "machine is replaced in turn among the faults; one goes back for a while")
     parser.add_argument("--clock", default="",
                         help="library that shifts clocks; without it none is shifted")
+    parser.add_argument("--source", default="",
+                        help="library that has back ends see which machine calls them; without it "
+                        "no zone is cut off together with its back ends")
+    parser.add_argument("--shortage", action="store_true",
+                        help="switches admission and shared steps on, and plays the faults of short "
+                        "capacity: bursts, zones cut off (with --source), lost leaders of jobs")
+    parser.add_argument("--trainers", type=int, default=1, help="trainers, with a model each")
     parser.add_argument("--seconds", type=float, default=120,
                         help="duration of the faults, in seconds")
     parser.add_argument("--seed", type=int, default=1, help="chooses the faults")
@@ -114,7 +124,9 @@
     await_first_configuration(operator)
     # An earlier build may not bound its memory.
     stalls_callers = not arguments.before
-    faults = Faults(fleet, back_ends, history, operator, stalls_callers)
+    trainers = [Trainer(layout, history, model) for model in MODELS]
+    faults = Faults(fleet, back_ends, history, operator, stalls_callers,
+                    trainers if arguments.shortage else (), bool(arguments.source))
     if arguments.kinds:
         faults.choose(arguments.kinds.split(","))
     time.sleep(2)
@@ -122,9 +134,9 @@
     callers += [CrashingCaller(layout, history, number) for number in range(arguments.crashing)]
     callers.append(Prober(layout, history, operator, arguments.probe))
     callers.append(ConfirmationReader(layout, history))
-    trainer = Trainer(layout, history)
     operator.start()
-    trainer.start()
+    for trainer in trainers:
+        trainer.start()
     play_faults(faults, arguments)
     # Without other faults, so that some callers are refused, and some stop reading at a gateway
     # that is not disturbed, in every run.
@@ -133,14 +145,16 @@
         print(f"  {faults.play(faults.stop_reading)}", flush=True)
     end_of_faults = now() + RECOVERY
     time.sleep(RECOVERY + LAST_CALM)
-    for part in (*callers, operator, trainer):
+    for part in (*callers, operator, *trainers):
         part.stopped = True
-    trainer.ended.wait(20)
-    lost = reread_results(trainer)
+    for trainer in trainers:
+        trainer.ended.wait(20)
+    lost = [job for trainer in trainers for job in reread_results(trainer)]
     instances = back_ends.end(history)
-    rows = check_all(history, operator, trainer, instances, layout, end_of_faults)
+    rows = check_all(history, operator, trainers, instances, layout, end_of_faults)
     if stalls_callers:
         rows += check_stalled(history, layout)
+    rows += shortage_rows(history, trainers, layout)
     return rows, lost
 
 
@@ -156,16 +170,21 @@
         claim = use_free_subnet(layout)
     else:
         use_subnet(arguments.subnet)
-    counts = {"pages": 3, "shop": 3, "engines": 3}
+    use_models(arguments.trainers)
+    counts = {"pages": 3, "shop": 3, "engines": max(3, arguments.trainers)}
+    if arguments.shortage:
+        counts[LOOKUP_SERVICE] = 3
     back_ends = BackEndProcess(layout, counts, arguments.seed)
     fleet = None
     good = False
     try:
         fleet = Fleet(arguments.program, folder, layout, history, arguments.clock,
-                      arguments.before, "" if arguments.before else GATEWAY_SETTINGS)
+                      arguments.before, "" if arguments.before else GATEWAY_SETTINGS,
+                      OVERLOAD_SETTINGS if arguments.shortage else "", arguments.source)
         rows, lost = play(arguments, fleet, back_ends, history)
         good = report(rows, lost, fleet, arguments.show)
         report_exposures(history, folder, layout)
+        report_bursts(history)
     finally:
         if fleet is not None:
             fleet.end()
