Server test: keep a copy of the address that is used after a node is closed

Valgrind on server_test showed 12 reads of freed memory: the test held a reference to the address of the gateway, which ServerNode::Close destroys, and then checked that nothing answers there. The check passed with whatever the freed string held.

--- a/test/server/server_node_test.cc
+++ b/test/server/server_node_test.cc
@@ -123,9 +123,10 @@
   cluster.StartGateway();
   for (const auto& node : cluster.nodes) CHECK(WaitUntil([&] { return IsReady(*node); }));
 
-  const std::string& control = cluster.nodes[0]->http_address();
+  const std::string control = cluster.nodes[0]->http_address();
   CHECK(WaitUntil([&] { return Get(control, "/v1/status").find("\"g1\"") != std::string::npos; }));
-  const std::string& gateway = cluster.nodes[3]->http_address();
+  // Copied: closing the node destroys its address.
+  const std::string gateway = cluster.nodes[3]->http_address();
   CHECK(Get(gateway, "/metrics").find("millstair_lease_valid 1") != std::string::npos);
   CHECK(Get(control, "/metrics").find("millstair_raft_applied_index{group=\"cluster\"}") !=
         std::string::npos);
