--- a/test/common/background_line_writer_test.cc
+++ b/test/common/background_line_writer_test.cc
@@ -11,6 +11,8 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <thread>
@@ -149,6 +151,20 @@
   CHECK(CountLines(file.Read()) == 200);
 }
 
+size_t CountThreads() {
+  const std::filesystem::directory_iterator threads("/proc/self/task");
+  return static_cast<size_t>(std::distance(begin(threads), end(threads)));
+}
+
+// Guards against wake-ups for each line in processes that have a small share of a processor. A
+// thread that an earlier test has joined may still be counted before.
+TEST_CASE("A log to a pipe has no thread") {
+  const LogPipe pipe;
+  const size_t before = CountThreads();
+  for (int line = 0; line < 10; ++line) LogEvent(EventId::kServerNotStarted, "line={}", line);
+  CHECK(CountThreads() <= before);
+}
+
 // Guards against lines that are still queued when the process ends. On one processor the process
 // usually ends before the thread has run; this is a matter of chance, hence several processes.
 TEST_CASE("Lines logged just before a normal end of the process are in the file") {
