--- a/source/storage/posix_file_system.cc
+++ b/source/storage/posix_file_system.cc
@@ -52,6 +52,7 @@
 
 /// Makes the directory entries of a folder durable.
 absl::Status SyncFolder(const std::string& path) {
+  const SlowOperation measured(path, "sync-folder");
   const Descriptor folder(::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
   if (!folder.valid()) return LastError(path, "open folder");
   if (::fsync(folder.value()) != 0) return LastError(path, "sync folder");
@@ -210,6 +211,7 @@
 
 absl::Status PosixFileSystem::Truncate(const std::string& path, uint64_t size) {
   const std::string full = FullPath(path);
+  const SlowOperation measured(full, "truncate");
   const Descriptor file(::open(full.c_str(), O_WRONLY | O_CLOEXEC));
   if (!file.valid()) return LastError(full, "open");
   if (::ftruncate(file.value(), static_cast<off_t>(size)) != 0) return LastError(full, "truncate");
@@ -225,6 +227,7 @@
 
 absl::Status PosixFileSystem::WriteAtomically(const std::string& path, std::string_view bytes) {
   const std::string full = FullPath(path);
+  const SlowOperation measured(full, "replace");
   const std::string temporary = absl::StrCat(full, kTemporarySuffix);
   if (absl::Status status = CreateDurableFolder(ParentOf(full)); !status.ok()) return status;
   {
