Event log: keep the count of dropped lines if its report is refused

Cause: the count was reset as soon as the report was queued. If the disk was still full when the report was written, it counted as one lost line and the lines that it reported were forgotten.

The writer keeps for such a line how many lines it reports and counts these as lost.

--- a/source/common/background_line_writer.h
+++ b/source/common/background_line_writer.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <vector>
 
 #include "common/time.h"
 
@@ -31,22 +32,35 @@
   BackgroundLineWriter& operator=(const BackgroundLineWriter&) = delete;
 
   /// Queues `line`, which ends with a newline. Returns false, without waiting for the descriptor,
-  /// if the queue has no room for it.
-  bool Add(std::string_view line);
+  /// if the queue has no room for it. `lost` is what `TakeFailed` counts if the descriptor refuses
+  /// the line: for a line that reports dropped lines, their number, so that it is reported again.
+  bool Add(std::string_view line, uint64_t lost = 1);
   /// Waits until the lines added before are written, at most `limit`; returns whether they are.
   bool Flush(Duration limit);
-  /// Number of queued lines that the descriptor refused (disk full) since the last call.
+  /// Number of lines that were lost because the descriptor refused them (disk full) since the last
+  /// call.
   uint64_t TakeFailed();
 
  private:
+  /// A queued line that counts as another number of lost lines than one.
+  struct WeightedLine {
+    /// Position after its last byte in the text.
+    size_t end;
+    uint64_t lost;
+  };
+  struct Lines {
+    std::string text;
+    std::vector<WeightedLine> weighted;
+  };
+
   void Run();
-  /// Writes `lines`; returns how many of them were not written completely.
-  uint64_t Write(std::string_view lines) const;
+  /// Writes `lines`; returns how many were lost because they were not written completely.
+  uint64_t Write(const Lines& lines) const;
 
   const int descriptor_;
   std::mutex mutex_;
   std::condition_variable changed_;
-  std::string queue_;
+  Lines queue_;
   /// The thread writes lines that it took from the queue.
   bool writing_ = false;
   bool stopping_ = false;
--- a/source/common/event_log.cc
+++ b/source/common/event_log.cc
@@ -117,7 +117,7 @@
     if (dropped_ > 0) {
       const std::string note =
           FormatLine(DescribeEvent(EventId::kLogLinesDropped), fmt::format("count={}", dropped_));
-      if (WriteLine(note)) dropped_ = 0;
+      if (WriteLine(note, dropped_)) dropped_ = 0;
     }
     if (!WriteLine(FormatLine(event, text))) ++dropped_;
   }
@@ -138,8 +138,9 @@
     }
   }
 
-  bool WriteLine(std::string_view line) {
-    return file_writer_ ? file_writer_->Add(line) : WriteUnlessFull(descriptor_, line);
+  /// `lost` is the number of lines that are lost if `line` is refused later.
+  bool WriteLine(std::string_view line, uint64_t lost = 1) {
+    return file_writer_ ? file_writer_->Add(line, lost) : WriteUnlessFull(descriptor_, line);
   }
 
   std::mutex mutex_;
--- a/test/common/background_line_writer_test.cc
+++ b/test/common/background_line_writer_test.cc
@@ -136,6 +136,21 @@
   ::close(full);
 }
 
+// Guards against a count of lost lines that is lost itself, since the disk is still full when it is
+// reported.
+TEST_CASE("A report of dropped lines that the descriptor refuses counts as the lines it reports") {
+  const int full = ::open("/dev/full", O_WRONLY | O_CLOEXEC);
+  REQUIRE(full >= 0);
+  {
+    BackgroundLineWriter writer(full);
+    REQUIRE(writer.Add("first\n"));
+    REQUIRE(writer.Add("40 lines were dropped\n", 40));
+    REQUIRE(writer.Flush(seconds(10)));
+    CHECK(writer.TakeFailed() == 41);
+  }
+  ::close(full);
+}
+
 TEST_CASE(
     "Events logged by several threads to a file are all in it once the descriptor is changed") {
   const TemporaryFile file;
