Event log: write to a file directly if no thread can be started

Cause: the constructor of std::thread throws if the system has no thread to spare, and the exception reached whoever logged a line.

Without the change, the new test finds no line in the file and the exception in the caller.

--- a/source/common/event_log.cc
+++ b/source/common/event_log.cc
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <memory>
 #include <mutex>
+#include <system_error>
 
 #include "absl/container/flat_hash_map.h"
 #include "common/background_line_writer.h"
@@ -129,12 +130,16 @@
 
  private:
   /// Starts the thread that writes to a regular file, at the first line to this descriptor. Other
-  /// descriptors need none: `poll` tells whether they accept a line.
+  /// descriptors need none: `poll` tells whether they accept a line. If no thread can be started,
+  /// the lines are written directly, which may wait for the disk.
   void Examine() {
     if (known_) return;
     known_ = true;
-    if (IsRegularFile(descriptor_)) {
+    if (!IsRegularFile(descriptor_)) return;
+    try {
       file_writer_ = std::make_unique<BackgroundLineWriter>(descriptor_);
+    } catch (const std::system_error&) {
+      file_writer_.reset();
     }
   }
 
--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -3,8 +3,9 @@
 ///
 /// Writing never blocks: lines above the rate limit, and lines that a full pipe or a slow disk
 /// would delay, are dropped; their number is logged before the next line that is written. Lines to
-/// a regular file are written in the background, and at the end of the process. Servers log to
-/// standard output, tools to standard error.
+/// a regular file are written in the background, and at the end of the process.
+/// If no thread can be started for this, they are written directly, and writing may wait for the
+/// disk. Servers log to standard output, tools to standard error.
 #pragma once
 
 #include <string>
--- a/test/common/background_line_writer_test.cc
+++ b/test/common/background_line_writer_test.cc
@@ -1,6 +1,7 @@
 #include "common/background_line_writer.h"
 
 #include <fcntl.h>
+#include <pthread.h>
 #include <sched.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -15,6 +16,7 @@
 #include <iterator>
 #include <memory>
 #include <string>
+#include <system_error>
 #include <thread>
 #include <vector>
 
@@ -151,6 +153,40 @@
   ::close(full);
 }
 
+// Guards against a process that ends because it has no thread to spare for its log.
+TEST_CASE("Lines are written to a file although no thread can be started") {
+  const LogPipe pipe;
+  const TemporaryFile file;
+  const pid_t child = ::fork();
+  REQUIRE(child >= 0);
+  if (child == 0) {
+    // No address space holds such a stack, so each start of a thread fails.
+    pthread_attr_t attributes;
+    ::pthread_attr_init(&attributes);
+    ::pthread_attr_setstacksize(&attributes, size_t{1} << 47);
+    ::pthread_setattr_default_np(&attributes);
+    try {
+      std::thread([] {}).join();
+      std::_Exit(2);
+    } catch (const std::system_error&) {
+    }
+    try {
+      SetEventDescriptor(file.descriptor());
+      LogEvent(EventId::kServerNotStarted, "line=first");
+      LogEvent(EventId::kServerNotStarted, "line=last");
+    } catch (const std::system_error&) {
+      std::_Exit(3);
+    }
+    // The lines have to be there already.
+    std::_Exit(0);
+  }
+  int status = 0;
+  REQUIRE(::waitpid(child, &status, 0) == child);
+  REQUIRE(WIFEXITED(status));
+  CHECK(WEXITSTATUS(status) == 0);
+  CHECK(CountLines(file.Read()) == 2);
+}
+
 TEST_CASE(
     "Events logged by several threads to a file are all in it once the descriptor is changed") {
   const TemporaryFile file;
