Event log: state the memory bound and what a crash loses

The queue holds 1 MB, and the thread that writes may hold as much again: the bound is 2 MB, not 1 MB. The queued lines are lost in a crash too, not only in a kill.

--- a/source/common/background_line_writer.h
+++ b/source/common/background_line_writer.h
@@ -21,7 +21,7 @@
 class BackgroundLineWriter {
  public:
   /// Bytes that may wait for the descriptor: the largest burst that the rate limit of the event log
-  /// allows, 2,000 lines of up to 500 bytes.
+  /// allows, 2,000 lines of up to 500 bytes. As much again may be with the thread that writes.
   static constexpr size_t kMaxQueuedBytes = 1'000'000;
 
   /// `descriptor` stays open while this object exists. Throws std::system_error if the thread cannot
--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -3,9 +3,10 @@
 ///
 /// Writing never blocks: lines above the rate limit, and lines that a full pipe or a slow disk
 /// would delay, are dropped; their number is logged before the next line that is written. Lines to
-/// a regular file are written in the background, and at the end of the process.
-/// If no thread can be started for this, they are written directly, and writing may wait for the
-/// disk. Servers log to standard output, tools to standard error.
+/// a regular file are written in the background, and at the end of the process; a crash or a kill
+/// loses those still queued. They take up to 2 MB: 1 MB in the queue, 1 MB being written. If no
+/// thread can be started for this, they are written directly, and writing may wait for the disk.
+/// Servers log to standard output, tools to standard error.
 #pragma once
 
 #include <string>
