Storage: name a slow sync on the executor sync-now

Cause: FileOperationSlow had action=sync for both kinds of sync, of which the one in the background holds up only what waits for it and the other everything that the node decides.

Result: storage_test, 20 of 20 passed; common_test, which compares docs/EVENTS.md with the catalogue, passed. No test makes a sync of a real file slow.

--- a/source/storage/posix_file_system.cc
+++ b/source/storage/posix_file_system.cc
@@ -98,7 +98,7 @@
   }
 
   absl::Status SyncNow() override {
-    const SlowOperation measured(path_, "sync");
+    const SlowOperation measured(path_, "sync-now");
     if (::fdatasync(file_->value()) != 0) return LastError(path_, "sync");
     return absl::OkStatus();
   }
