Soak: list the rows of each fault of short capacity that was played

Cause: shortage_rows dropped rows without cases, so that a check whose cases never occurred passed unseen. The loss of the leader of jobs was not judged if another fault came within 12 s.

The loss of a leader holds off other faults from 3 s before it until the jobs are due, 12 s after it.

--- a/test/soak/back_ends.py
+++ b/test/soak/back_ends.py
@@ -503,6 +503,11 @@
         """Cuts a zone off from the machines of all others; 0 ends it."""
         self._cut.zone = zone
 
+    def zones_of(self, service):
+        """The zones in which a back end of a service is present."""
+        with self._lock:
+            return {one.presence.zone for one in self._present if one.service == service}
+
     def slow_lookups(self, slow):
         """Makes some back ends of lookups slow, or all as fast as usual."""
         with self._lock:
--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -1,5 +1,7 @@
 """Tests that each check of the soak detects its violation and accepts a valid history."""
 
+import contextlib
+import io
 import json
 import random
 import socket
@@ -14,6 +16,7 @@
 import exposure
 import routing_checks
 import shortage_checks
+import soak
 from back_ends import Cut, LARGE_BODY, reset, stamp_of, was_reset
 from callers import Step
 from claims import Claims
@@ -654,6 +657,22 @@
         other = Span("freeze", (2,), 55.0, 57.0)
         self.expect(shortage_checks.check_job_leader(history_of(lost, own, other), [trainer]), 0, 0)
 
+    def test_played_but_not_judged(self):
+        """A fault that was played without a case of its checks fails the run; the rows of faults
+        that were not played are not listed."""
+        fleet = unittest.mock.Mock(exited_unexpectedly=lambda: [])
+        for kind, count in (("cut_zone", 2), ("burst", 3), ("kill_job_leader", 1), ("kill", 0)):
+            rows = shortage_checks.shortage_rows(history_of(), [FakeTrainer()], LAYOUT, {kind})
+            self.assertEqual([row.tried for row in rows], [0] * count, kind)
+            with contextlib.redirect_stdout(io.StringIO()):
+                self.assertEqual(soak.report(rows, [], fleet, 3), not rows, kind)
+
+    def test_kinds_to_judge(self):
+        """A kind that was asked for is judged although it was never played."""
+        faults = Faults.__new__(Faults)
+        faults.played, faults._asked_for = ["burst 6.0 s"], {"cut_zone"}
+        self.assertEqual(faults.kinds_to_judge, {"burst", "cut_zone"})
+
     def test_leader_of_jobs(self):
         """The last one that became leader and did not lose it again; other groups don't count."""
         lines = {1: "time=1 name=LeadershipGained group=jobs/0 term=2\n"
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -52,6 +52,7 @@
         self._history = history
         self._claims = Claims(fleet.layout)
         self.played = []
+        self._asked_for = set()
         self.of_back_ends = [self.crash_back_end, self.replace_back_end, self.refuse]
         # Like the faults of back ends they claim no machine and excuse no violation.
         self.of_callers = [self.stop_reading] if stalls_callers else []
@@ -84,6 +85,12 @@
     def choose(self, names):
         """Restricts the faults to these kinds; each series still begins with those of back ends."""
         self.kinds = [getattr(self, name) for name in names]
+        self._asked_for = set(names)
+
+    @property
+    def kinds_to_judge(self):
+        """Names of the kinds that were played or that `choose` asked for."""
+        return {what.split()[0] for what in self.played} | self._asked_for
 
     def play_series(self, until, pause):
         """Runs every kind once in random order, then again, until `until`."""
@@ -105,8 +112,8 @@
         elif kind in self._exclusive_kinds + self._power_off_kinds:
             what = self._run_alone(kind, self._struck_by(kind))
         elif kind == self.cut_zone:
-            zone = self._layout.zone_of(random.choice(self._layout.gateways))
-            what = self._run_alone(kind, self._machines_of(zone))
+            zone = self._zone_to_cut()
+            what = zone and self._run_alone(kind, self._machines_of(zone))
         elif kind == self.kill_job_leader:
             what = self._run_on_job_leader(kind)
         elif kind in self._acknowledger_kinds:
--- a/test/soak/shortage_checks.py
+++ b/test/soak/shortage_checks.py
@@ -130,11 +130,16 @@
     return row
 
 
-def shortage_rows(history, trainers, layout):
-    """The rows of the checks that had cases: not every run plays every fault, in a zone that is cut
-    off there may be no back end, and another fault may follow the loss of a leader."""
-    rows = [check_zone_cuts(history, layout), check_gone(history, layout), *check_bursts(history)]
+def shortage_rows(history, trainers, layout, kinds):
+    """The rows of all faults of these kinds: those that were played, and those that the run was
+    asked to play. A row without cases fails."""
+    rows = []
+    if "cut_zone" in kinds:
+        rows += [check_zone_cuts(history, layout), check_gone(history, layout)]
+    if "burst" in kinds:
+        rows += check_bursts(history)
     if len(trainers) > 1:
         rows.append(check_trainers(trainers))
-    rows.append(check_job_leader(history, trainers))
-    return [row for row in rows if row.tried]
+    if "kill_job_leader" in kinds:
+        rows.append(check_job_leader(history, trainers))
+    return rows
--- a/test/soak/shortage_faults.py
+++ b/test/soak/shortage_faults.py
@@ -7,8 +7,10 @@
 import time
 
 from bursts import BurstCallers
+from callers import STEP_DEADLINE
 from fault_times import CUT_IN_TWO, DOWN
 from history import Burst, JobLeaderLost, ZoneCut, now
+from routing_checks import CONTACT
 
 BURST_SECONDS = 6.0
 # How long the loss of a leader waits for incomplete jobs, in seconds.
@@ -61,23 +63,39 @@
         return tuple(step.job for trainer in self.trainers for step in trainer.steps[-1:]
                      if step.accepted_at and not step.complete and not step.over)
 
-    def _run_on_job_leader(self, kind):
+    def _await_incomplete_jobs(self):
+        """The incomplete jobs, once there are some; none if there are none within JOBS_WITHIN."""
         until = now() + JOBS_WITHIN
-        while not self._incomplete_jobs():
-            if now() > until:
-                return None
+        while not (jobs := self._incomplete_jobs()) and now() < until:
             time.sleep(0.05)
-        leader = leader_of_jobs(self._fleet.folder, self._layout.machines)
-        if leader is None or not self._claims.take((leader,)):
+        return jobs
+
+    def _run_on_job_leader(self, kind):
+        """Runs the fault without any other one from CONTACT before it until the jobs are due, since
+        check_job_leader judges no case beside another fault."""
+        if not self._claims.claim_all(self._layout.machines + self._layout.gateways):
             return None
         try:
-            return self._run_recorded(kind, (leader,))
+            time.sleep(CONTACT)
+            leader = leader_of_jobs(self._fleet.folder, self._layout.machines)
+            if leader is None or not self._await_incomplete_jobs():
+                return None
+            what = self._run_recorded(kind, (leader,))
+            lost = self._history.of(JobLeaderLost)[-1]
+            time.sleep(max(0.0, lost.at + STEP_DEADLINE - now()))
+            return what
         finally:
-            self._claims.release((leader,))
+            self._claims.release_all()
+
+    def _zone_to_cut(self):
+        """A zone with a gateway and a back end of the service that check_zone_cuts judges."""
+        served = self._back_ends.play("zones_of", "pages")
+        zones = [zone for zone in map(self._layout.zone_of, self._layout.gateways) if zone in served]
+        return random.choice(zones) if zones else None
 
     def kill_job_leader(self, machines):
         """Kills the machine that leads the jobs, while some of them are incomplete."""
-        jobs = self._incomplete_jobs()
+        jobs = self._await_incomplete_jobs()
         nodes = self._nodes(machines)
         self._fleet.kill(nodes)
         self._history.add(JobLeaderLost(machines[0], now(), jobs))
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -154,7 +154,7 @@
     rows = check_all(history, operator, trainers, instances, layout, end_of_faults)
     if stalls_callers:
         rows += check_stalled(history, layout)
-    rows += shortage_rows(history, trainers, layout)
+    rows += shortage_rows(history, trainers, layout, faults.kinds_to_judge)
     return rows, lost
 
 
