Soak: a burst is answered at least half as far as the back ends can

Cause: the checks of a burst passed if every lookup was rejected. Half of what the back ends present all through the burst can complete, with the slow ones among them, has to be answered.

--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -20,8 +20,9 @@
 from back_ends import Cut, LARGE_BODY, reset, stamp_of, was_reset
 from callers import Step
 from claims import Claims
-from documents import (ADDED_KEPT, FLAWS, added_route, added_service, flawed_route, flawed_text,
-                       moved_service, routing_document, score_service, service_of)
+from documents import (ADDED_KEPT, FLAWS, LOOKUP_SERVICE, added_route, added_service,
+                       flawed_route, flawed_text, moved_service, routing_document, score_service,
+                       service_of)
 from faults import Faults
 from fleet import Fleet, Layout, claim_subnet, ip_of
 from history import (Acknowledged, Burst, Call, CrashingCall, CrashingRun, History, JobLeaderLost,
@@ -629,15 +630,36 @@
             arrivals = [LookupArrival(request, "i", 2.0, ran) for request, ran in sends]
             return shortage_checks.check_bursts(history_of(burst, *calls, *arrivals, *more))
 
-        sends, true, told = rows((("r0", True), ("r1", False), ("again", False)), retry)
+        sends, _, true, told = rows((("r0", True), ("r1", False), ("again", False)), retry)
         self.expect(sends, 1, 0)
         self.expect(true, 1, 0)
         self.expect(told, 1, 0)
-        sends, true, _ = rows((("r0", True), ("r1", False), ("r1", False), ("again", True)), retry)
+        sends, _, true, _ = rows((("r0", True), ("r1", False), ("r1", False), ("again", True)), retry)
         self.expect(sends, 1, 1)
         self.expect(true, 1, 1)
         for text in ("", "0"):
-            self.expect(rows((), Lookup(1, "x", 6, 2.2, 2.3, 429, text))[2], 1, 1)
+            self.expect(rows((), Lookup(1, "x", 6, 2.2, 2.3, 429, text))[3], 1, 1)
+
+    def test_burst_answered(self):
+        """Fewer than half of what the back ends can complete are answered, as if everything were
+        rejected; no back end was there. Back ends that came or ended meanwhile don't count."""
+        burst = Burst(1.0, 2.0)
+
+        def row(answered, *begun):
+            lookups = [Lookup(number, f"r{number}", 6, 1.5, 1.6, 200) for number in range(answered)]
+            lookups.append(Lookup(answered, "rejected", 6, 1.5, 1.6, 503, "0.1"))
+            present = [Presence(str(at), LOOKUP_SERVICE, 1, at) for at in begun]
+            present += [Presence("ended", LOOKUP_SERVICE, 1, 0.0, 1.9),
+                        Presence("other", "pages", 1, 0.0)]
+            return shortage_checks.check_bursts(history_of(burst, *lookups, *present))[1]
+
+        # 80 a second of one of usual pace, 20 of each slow one.
+        self.expect(row(60, 0.0, 0.1, 0.2), 1, 0)
+        self.expect(row(59, 0.0, 0.1, 0.2), 1, 1)
+        self.expect(row(0, 0.0, 0.1, 0.2), 1, 1)
+        self.expect(row(20, 0.0, 0.1, 1.1), 1, 0)
+        self.expect(row(19, 0.0, 0.1, 1.1), 1, 1)
+        self.expect(row(60), 1, 1)
 
     def test_trainers(self):
         """A trainer without a complete step."""
@@ -661,7 +683,7 @@
         """A fault that was played without a case of its checks fails the run; the rows of faults
         that were not played are not listed."""
         fleet = unittest.mock.Mock(exited_unexpectedly=lambda: [])
-        for kind, count in (("cut_zone", 2), ("burst", 3), ("kill_job_leader", 1), ("kill", 0)):
+        for kind, count in (("cut_zone", 2), ("burst", 4), ("kill_job_leader", 1), ("kill", 0)):
             rows = shortage_checks.shortage_rows(history_of(), [FakeTrainer()], LAYOUT, {kind})
             self.assertEqual([row.tried for row in rows], [0] * count, kind)
             with contextlib.redirect_stdout(io.StringIO()):
--- a/test/soak/shortage_checks.py
+++ b/test/soak/shortage_checks.py
@@ -1,9 +1,11 @@
 """Checks of runs in which capacity is short: a zone that is cut off, bursts of lookups, several
 trainers, and the loss of the leader of the jobs."""
 
+from back_ends import LOOKUP_SLOTS, LOOKUP_WORK, SLOW_LOOKUPS, SLOWNESS
 from bursts import REJECTED
 from callers import STEP_DEADLINE
 from checks import WITHHELD
+from documents import LOOKUP_SERVICE
 from history import (Burst, Call, JobLeaderLost, Lookup, LookupArrival, Presence, Run, Span, ZoneCut)
 from routing_checks import CONTACT
 from row import Row
@@ -20,6 +22,9 @@
 GONE_WITHIN = 0.5
 # Sends to back ends for each call of a burst, the retry of the caller included.
 MAX_SENDS = 1.5
+# Share that is answered of what the back ends can complete in a burst: rejecting everything must not
+# pass.
+MIN_ANSWERED = 0.5
 
 
 def is_present(history, service, zone, start, end):
@@ -77,18 +82,35 @@
     return sends, len({one.call for one in own})
 
 
+def answered_of(history, burst):
+    """Number of lookups of a burst that were answered."""
+    return sum(one.status == 200 for one in history.of(Lookup)
+               if burst.begun <= one.sent <= burst.over)
+
+
+def completable(history, burst):
+    """Number of lookups that the back ends present all through a burst can complete in it, with the
+    slow ones among them."""
+    count = sum(one.service == LOOKUP_SERVICE and one.begun <= burst.begun
+                and one.over >= burst.over for one in history.of(Presence))
+    slow = min(count, SLOW_LOOKUPS)
+    return (count - slow + slow / SLOWNESS) * LOOKUP_SLOTS / LOOKUP_WORK * (
+        burst.over - burst.begun)
+
+
 def report_bursts(history):
     """Prints what became of each burst."""
     for burst in history.of(Burst):
         sends, calls = counts_of(history, burst)
-        answered = sum(one.status == 200 for one in history.of(Lookup)
-                       if burst.begun <= one.sent <= burst.over)
-        print(f"burst: {calls} calls, {sends} sends, {answered} answered")
+        print(f"burst: {calls} calls, {sends} sends, {answered_of(history, burst)} answered of "
+              f"{completable(history, burst):.0f} that the back ends can complete")
 
 
 def check_bursts(history):
-    """A burst is not amplified, and rejections are true and say when to retry."""
+    """A burst is not amplified, the back ends are put to use in it, and rejections are true and say
+    when to retry."""
     sends = Row("sends for each call of a burst")
+    served = Row("burst answered as far as back ends can")
     true = Row("rejected lookups did not run")
     retry = Row("rejected lookups told when to retry")
     arrivals = {}
@@ -97,12 +119,15 @@
     for burst in history.of(Burst):
         sent, calls = counts_of(history, burst)
         sends.case(calls > 0 and sent <= MAX_SENDS * calls, (burst, sent, calls))
+        answered, possible = answered_of(history, burst), completable(history, burst)
+        served.case(possible > 0 and answered >= MIN_ANSWERED * possible,
+                    (burst, answered, possible))
     for one in history.of(Lookup):
         if one.status in REJECTED:
             ran = [arrival for arrival in arrivals.get(one.request, ()) if arrival.ran]
             true.case(not ran, (one, ran))
             retry.case(bool(one.retry_after) and float(one.retry_after) > 0, one)
-    return [sends, true, retry]
+    return [sends, served, true, retry]
 
 
 def check_trainers(trainers):
