--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -662,11 +662,15 @@
         self.expect(row(60), 1, 1)
 
     def test_trainers(self):
-        """A trainer without a complete step."""
+        """A trainer without a complete step, or with fewer than one per 12 s of the run."""
         first, second = FakeTrainer(), FakeTrainer()
-        self.expect(shortage_checks.check_trainers([first, second]), 2, 0)
+        for seconds, broken in ((5.0, 0), (23.9, 0), (24.0, 2)):
+            self.expect(shortage_checks.check_trainers([first, second], seconds), 2, broken)
+        first.steps *= 2
+        self.expect(shortage_checks.check_trainers([first, second], 24.0), 2, 1)
         second.steps[0].complete = False
-        self.expect(shortage_checks.check_trainers([first, second]), 2, 1)
+        for seconds in (5.0, 24.0):
+            self.expect(shortage_checks.check_trainers([first, second], seconds), 2, 1)
 
     def test_job_leader(self):
         """A job that stays incomplete after its leader was lost; not judged beside another fault."""
@@ -684,7 +688,8 @@
         that were not played are not listed."""
         fleet = unittest.mock.Mock(exited_unexpectedly=lambda: [])
         for kind, count in (("cut_zone", 2), ("burst", 4), ("kill_job_leader", 1), ("kill", 0)):
-            rows = shortage_checks.shortage_rows(history_of(), [FakeTrainer()], LAYOUT, {kind})
+            rows = shortage_checks.shortage_rows(history_of(), [FakeTrainer()], LAYOUT, {kind},
+                                                 12.0)
             self.assertEqual([row.tried for row in rows], [0] * count, kind)
             with contextlib.redirect_stdout(io.StringIO()):
                 self.assertEqual(soak.report(rows, [], fleet, 3), not rows, kind)
--- a/test/soak/shortage_checks.py
+++ b/test/soak/shortage_checks.py
@@ -25,6 +25,8 @@
 # Share that is answered of what the back ends can complete in a burst: rejecting everything must not
 # pass.
 MIN_ANSWERED = 0.5
+# A trainer completes at least one step in this time, in seconds: the time limit of a step.
+SECONDS_FOR_STEP = STEP_DEADLINE
 
 
 def is_present(history, service, zone, start, end):
@@ -130,12 +132,13 @@
     return [sends, served, true, retry]
 
 
-def check_trainers(trainers):
-    """Each of several trainers gets steps complete."""
+def check_trainers(trainers, seconds):
+    """Each of several trainers gets a step complete per SECONDS_FOR_STEP of the run."""
     row = Row("steps complete for each trainer")
     for number, trainer in enumerate(trainers):
         complete = sum(step.complete for step in trainer.steps)
-        row.case(complete > 0, (number, len(trainer.steps)))
+        row.case(complete >= max(1, int(seconds / SECONDS_FOR_STEP)),
+                 (number, complete, len(trainer.steps), seconds))
     return row
 
 
@@ -155,16 +158,16 @@
     return row
 
 
-def shortage_rows(history, trainers, layout, kinds):
+def shortage_rows(history, trainers, layout, kinds, seconds):
     """The rows of all faults of these kinds: those that were played, and those that the run was
-    asked to play. A row without cases fails."""
+    asked to play. A row without cases fails. `seconds` is how long the trainers ran."""
     rows = []
     if "cut_zone" in kinds:
         rows += [check_zone_cuts(history, layout), check_gone(history, layout)]
     if "burst" in kinds:
         rows += check_bursts(history)
     if len(trainers) > 1:
-        rows.append(check_trainers(trainers))
+        rows.append(check_trainers(trainers, seconds))
     if "kill_job_leader" in kinds:
         rows.append(check_job_leader(history, trainers))
     return rows
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -135,6 +135,7 @@
     callers.append(Prober(layout, history, operator, arguments.probe))
     callers.append(ConfirmationReader(layout, history))
     operator.start()
+    trained_from = now()
     for trainer in trainers:
         trainer.start()
     play_faults(faults, arguments)
@@ -147,6 +148,7 @@
     time.sleep(RECOVERY + LAST_CALM)
     for part in (*callers, operator, *trainers):
         part.stopped = True
+    trained_for = now() - trained_from
     for trainer in trainers:
         trainer.ended.wait(20)
     lost = [job for trainer in trainers for job in reread_results(trainer)]
@@ -154,7 +156,7 @@
     rows = check_all(history, operator, trainers, instances, layout, end_of_faults)
     if stalls_callers:
         rows += check_stalled(history, layout)
-    rows += shortage_rows(history, trainers, layout, faults.kinds_to_judge)
+    rows += shortage_rows(history, trainers, layout, faults.kinds_to_judge, trained_for)
     return rows, lost
 
 
