--- a/source/common/background_line_writer.h
+++ b/source/common/background_line_writer.h
@@ -24,8 +24,8 @@
   /// allows, 2,000 lines of up to 500 bytes. As much again may be with the thread that writes.
   static constexpr size_t kMaxQueuedBytes = 1'000'000;
 
-  /// `descriptor` stays open while this object exists. Throws std::system_error if the thread cannot
-  /// be started.
+  /// `descriptor` stays open while this object exists. Throws std::system_error if the thread
+  /// cannot be started.
   explicit BackgroundLineWriter(int descriptor);
   /// Writes all queued lines, however long that takes, and ends the thread.
   ~BackgroundLineWriter();
