--- a/source/storage/posix_file_system.cc
+++ b/source/storage/posix_file_system.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "storage/slow_operation.h"
 
 namespace millstair {
 namespace {
@@ -51,6 +52,7 @@
 
 /// Makes the directory entries of a folder durable.
 absl::Status SyncFolder(const std::string& path) {
+  const SlowOperation measured(path, "sync-folder");
   const Descriptor folder(::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
   if (!folder.valid()) return LastError(path, "open folder");
   if (::fsync(folder.value()) != 0) return LastError(path, "sync folder");
@@ -77,6 +79,7 @@
       : path_(std::move(path)), file_(std::move(file)), size_(size), executor_(executor) {}
 
   absl::Status Append(std::string_view bytes) override {
+    const SlowOperation measured(path_, "write");
     absl::Status status = WriteAll(file_->value(), path_, bytes);
     if (status.ok()) size_ += bytes.size();
     return status;
@@ -86,12 +89,16 @@
     executor_.run([file = file_, path = path_, post_back = executor_.post_back,
                    done = std::move(done)]() mutable {
       absl::Status status;
-      if (::fdatasync(file->value()) != 0) status = LastError(path, "sync");
+      {
+        const SlowOperation measured(path, "sync");
+        if (::fdatasync(file->value()) != 0) status = LastError(path, "sync");
+      }
       post_back([done = std::move(done), status = std::move(status)] { done(status); });
     });
   }
 
   absl::Status SyncNow() override {
+    const SlowOperation measured(path_, "sync-now");
     if (::fdatasync(file_->value()) != 0) return LastError(path_, "sync");
     return absl::OkStatus();
   }
@@ -204,6 +211,7 @@
 
 absl::Status PosixFileSystem::Truncate(const std::string& path, uint64_t size) {
   const std::string full = FullPath(path);
+  const SlowOperation measured(full, "truncate");
   const Descriptor file(::open(full.c_str(), O_WRONLY | O_CLOEXEC));
   if (!file.valid()) return LastError(full, "open");
   if (::ftruncate(file.value(), static_cast<off_t>(size)) != 0) return LastError(full, "truncate");
@@ -219,6 +227,7 @@
 
 absl::Status PosixFileSystem::WriteAtomically(const std::string& path, std::string_view bytes) {
   const std::string full = FullPath(path);
+  const SlowOperation measured(full, "replace");
   const std::string temporary = absl::StrCat(full, kTemporarySuffix);
   if (absl::Status status = CreateDurableFolder(ParentOf(full)); !status.ok()) return status;
   {
