Reject jobs that cannot be served at submission

Cause: a job of which no group could be complete before its items were given up took capacity from other jobs until then, and its client learned nothing. It rejects only after it has confirmed its leadership, never a job that is known or whose proposal may be committed, and it remembers what it rejected, so that a delayed copy is not accepted. The reply says that the copy did not run; a gateway passes the rejection on as 503 with Retry-After only if no copy that it sent can run, otherwise the outcome stays unknown (504). Commands of gateways that do not handle rejections are accepted. Existing tests: the plays set the time after which items are given up (40 s, more than the 12 s after which a step is lost) and count rejected steps; the fake control node of the gateway's tests knows a storage node.

--- a/source/cluster/control_messages.cc
+++ b/source/cluster/control_messages.cc
@@ -188,6 +188,7 @@
   wire.timeout_milliseconds = static_cast<uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(command.timeout).count());
   if (!command.origin.value().empty()) wire.origin = arena.NewString(command.origin.value());
+  wire.may_be_rejected = command.may_be_rejected;
   return EncodeNanopb(millstair_GroupCommand_fields, &wire);
 }
 
@@ -207,6 +208,7 @@
   command.command = JoinBytes(wire.command, wire.command_count);
   command.timeout = std::chrono::milliseconds(wire.timeout_milliseconds);
   command.origin = NodeId(ToString(wire.origin));
+  command.may_be_rejected = wire.may_be_rejected;
   return command;
 }
 
@@ -219,6 +221,8 @@
   wire.result = arena.NewChunkedBytes(reply.result, &wire.result_count);
   if (!reply.origin.value().empty()) wire.origin = arena.NewString(reply.origin.value());
   if (!reply.leader.value().empty()) wire.leader = arena.NewString(reply.leader.value());
+  wire.not_run = reply.not_run;
+  wire.retry_after_milliseconds = static_cast<uint32_t>(ToMilliseconds(reply.retry_after));
   return EncodeNanopb(millstair_GroupCommandReply_fields, &wire);
 }
 
@@ -233,7 +237,9 @@
                            ToString(wire.message),
                            JoinBytes(wire.result, wire.result_count),
                            NodeId(ToString(wire.origin)),
-                           NodeId(ToString(wire.leader))};
+                           NodeId(ToString(wire.leader)),
+                           wire.not_run,
+                           std::chrono::milliseconds(wire.retry_after_milliseconds)};
 }
 
 std::string EncodeClusterQuery(const ClusterQuery& query) {
--- a/source/cluster/control_messages.h
+++ b/source/cluster/control_messages.h
@@ -87,6 +87,9 @@
   Duration timeout{0};
   /// Node that sent the command, if a control node forwarded it.
   NodeId origin;
+  /// The sender distinguishes rejections (GroupCommandReply::not_run) from other failures. Commands
+  /// of other senders are not rejected.
+  bool may_be_rejected = false;
 };
 
 /// Message of kind kCommandReply. Unavailable means that the sender should retry, here or
@@ -100,6 +103,11 @@
   NodeId origin;
   /// Leader of the group, if the replying node knows it and does not lead itself; may be empty.
   NodeId leader;
+  /// The replying node did not propose this copy of the command. With ResourceExhausted, it
+  /// rejected the command and proposes no other copy of it either.
+  bool not_run = false;
+  /// With ResourceExhausted: time after which the command is expected to be accepted.
+  Duration retry_after{0};
 };
 
 /// Queries to the leader of the cluster group (command mode kQuery).
--- a/source/cluster/group_client.cc
+++ b/source/cluster/group_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cluster/command_rejection.h"
 #include "common/random.h"
 
 namespace millstair {
@@ -32,10 +33,11 @@
       candidates_(std::move(candidates)),
       target_kind_(target) {}
 
-void GroupClient::Submit(CommandMode mode, std::string command, Duration timeout, Callback done) {
+void GroupClient::Submit(CommandMode mode, std::string command, Duration timeout, Callback done,
+                         bool may_be_rejected) {
   const uint64_t id = NewId();
   auto pending = std::make_unique<Pending>(environment_);
-  pending->message = {id, group_, mode, std::move(command), timeout, NodeId()};
+  pending->message = {id, group_, mode, std::move(command), timeout, NodeId(), may_be_rejected};
   pending->deadline = environment_.Now() + timeout;
   pending->done = std::move(done);
   Pending& stored = *pending;
@@ -51,9 +53,14 @@
   if (!reply.ok()) return false;
   const auto found = pending_.find(reply->id);
   if (found == pending_.end()) return false;
+  if (reply->not_run) ++found->second->copies[from].not_run;
   if (reply->status == absl::StatusCode::kOk) {
     target_ = from;
     Finish(reply->id, std::move(reply->result));
+  } else if (reply->not_run && reply->status == absl::StatusCode::kResourceExhausted) {
+    Reject(from, *reply);
+  } else if (!found->second->rejection.ok()) {
+    FinishIfRejected(reply->id);
   } else if (target_kind_ == GroupTarget::kNearest &&
              reply->status == absl::StatusCode::kFailedPrecondition) {
     Deprioritize(from, kUnresponsivePenalty);
@@ -71,6 +78,22 @@
   return true;
 }
 
+void GroupClient::Reject(const NodeId& from, const GroupCommandReply& reply) {
+  Pending& pending = *pending_.at(reply.id);
+  target_ = from;
+  pending.copies[from].rejected = true;
+  pending.rejection = CommandRejectedError(reply.message, reply.retry_after);
+  pending.retry_timer.Cancel();
+  FinishIfRejected(reply.id);
+}
+
+void GroupClient::FinishIfRejected(uint64_t id) {
+  const Pending& pending = *pending_.at(id);
+  const bool none_runs = std::all_of(pending.copies.begin(), pending.copies.end(),
+                                     [](const auto& entry) { return entry.second.NoneRuns(); });
+  if (none_runs) Finish(id, pending.rejection);
+}
+
 /// Random, so that replies to a previous incarnation of this node do not match.
 uint64_t GroupClient::NewId() {
   uint64_t id = 0;
@@ -115,6 +138,7 @@
   pending.sent_to = candidates.empty() ? NodeId() : Target(candidates);
   if (!candidates.empty()) {
     pending.message.timeout = pending.deadline - environment_.Now();
+    ++pending.copies[pending.sent_to].sent;
     transport_.Send(pending.sent_to, {MessageKind::kCommand, EncodeGroupCommand(pending.message)});
   }
   const Duration wait = candidates.empty()
--- a/source/cluster/group_client.h
+++ b/source/cluster/group_client.h
@@ -2,6 +2,7 @@
 /// for each attempt, so nodes may come and go.
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -37,11 +38,25 @@
               Candidates candidates, GroupTarget target = GroupTarget::kLeader);
 
   /// `done` gets the encoded result; DeadlineExceeded means that the outcome is unknown.
-  void Submit(CommandMode mode, std::string command, Duration timeout, Callback done);
+  /// With `may_be_rejected`, the leader may reject the command: `done` then gets the status of
+  /// CommandRejectedError, if no copy that was sent can have been run or be run later. If that is
+  /// unknown, it gets DeadlineExceeded.
+  void Submit(CommandMode mode, std::string command, Duration timeout, Callback done,
+              bool may_be_rejected = false);
   /// Messages of kind kCommandReply. Returns whether it was a reply to this client.
   bool Receive(const NodeId& from, const PeerMessage& message);
 
  private:
+  /// Copies of a command that were sent to one node.
+  struct Copies {
+    size_t sent = 0;
+    /// Replies that a copy was not proposed.
+    size_t not_run = 0;
+    /// The node rejected the command, and so proposes no copy of it.
+    bool rejected = false;
+
+    bool NoneRuns() const { return rejected || not_run >= sent; }
+  };
   struct Pending {
     explicit Pending(Environment& environment)
         : deadline_timer(environment), retry_timer(environment) {}
@@ -49,6 +64,9 @@
     TimePoint deadline;
     Callback done;
     NodeId sent_to;
+    std::map<NodeId, Copies> copies;
+    /// Set once a leader rejected the command; no further copy is sent then.
+    absl::Status rejection;
     ScopedTimer deadline_timer;
     ScopedTimer retry_timer;
   };
@@ -56,6 +74,10 @@
   uint64_t NewId();
   /// Retries elsewhere without a reply within `timeout`, extended at random by up to a quarter.
   void Send(Pending& pending, Duration timeout);
+  void Reject(const NodeId& from, const GroupCommandReply& reply);
+  /// Ends a command that a leader rejected if no copy of it can run. Otherwise its other replies
+  /// are awaited.
+  void FinishIfRejected(uint64_t id);
   /// The node can't serve the command; `leader` is the leader according to it, if not empty.
   void Retry(Pending& pending, const NodeId& leader);
   void SendAfterPause(Pending& pending);
--- /dev/null
+++ b/source/jobs/job_admission.cc
@@ -0,0 +1,148 @@
+#include "jobs/job_admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <tuple>
+
+namespace millstair {
+namespace {
+
+/// A single text may have half of its expected events: estimates are off by more than a factor of
+/// two in about a third of the cases.
+constexpr double kShortestText = 0.5;
+/// The work of a whole backlog may be this share of what is expected: its errors average out.
+constexpr double kSmallestBacklog = 0.8;
+constexpr double kMinRetrySeconds = 1;
+
+struct Engines {
+  double slots = 0;
+  /// Mean over the events that the engines make.
+  double mean_seconds = 0;
+  double fastest_seconds = std::numeric_limits<double>::infinity();
+};
+
+Engines SumUp(const ForecastPool& pool) {
+  Engines engines;
+  double events_per_second = 0;
+  for (const ForecastEngine& engine : pool.engines) {
+    engines.slots += engine.slots;
+    events_per_second += engine.slots / engine.seconds_per_event;
+    engines.fastest_seconds = std::min(engines.fastest_seconds, engine.seconds_per_event);
+  }
+  if (events_per_second > 0) engines.mean_seconds = engines.slots / events_per_second;
+  return engines;
+}
+
+/// What the items of a group without a result still need.
+struct GroupNeed {
+  double events = 0;
+  double longest_events = 0;
+  /// Slot seconds of its running items.
+  double running_seconds = 0;
+  bool unfinished = false;
+};
+
+std::vector<GroupNeed> NeedsOf(const ForecastJob& job) {
+  std::vector<GroupNeed> needs(job.groups.size());
+  for (const ForecastItem& item : job.items) {
+    GroupNeed& need = needs[item.group];
+    need.unfinished = true;
+    if (!item.IsWaiting()) {
+      need.running_seconds += item.remaining_events * item.running_seconds_per_event;
+      continue;
+    }
+    need.events += item.remaining_events;
+    need.longest_events = std::max(need.longest_events, item.remaining_events);
+  }
+  return needs;
+}
+
+/// Slot seconds until the wanted groups of an open job are complete, if the cheapest ones are.
+double BacklogOf(const ForecastJob& job, double seconds_per_event) {
+  std::vector<double> work;
+  size_t complete = 0;
+  const std::vector<GroupNeed> needs = NeedsOf(job);
+  for (size_t i = 0; i < needs.size(); ++i) {
+    if (job.groups[i].failed) continue;
+    if (!needs[i].unfinished) {
+      ++complete;
+    } else {
+      work.push_back(needs[i].events * seconds_per_event + needs[i].running_seconds);
+    }
+  }
+  std::sort(work.begin(), work.end());
+  const size_t missing = job.wanted_groups - std::min(job.wanted_groups, complete);
+  double sum = 0;
+  for (size_t i = 0; i < std::min(missing, work.size()); ++i) sum += work[i];
+  return sum;
+}
+
+/// Seconds until the engines have done the wanted groups of the jobs that precede `added`, or have
+/// given them up.
+double SecondsUntilFree(const Engines& engines, const std::vector<AdmissionJob>& open,
+                        const AdmissionJob& added) {
+  std::vector<const AdmissionJob*> preceding;
+  const auto order_of = [](const AdmissionJob& job) {
+    return std::tuple(job.job.priority, job.job.due_in_seconds);
+  };
+  for (const AdmissionJob& other : open) {
+    if (order_of(other) <= order_of(added)) preceding.push_back(&other);
+  }
+  std::stable_sort(preceding.begin(), preceding.end(),
+                   [&order_of](const AdmissionJob* a, const AdmissionJob* b) {
+                     return order_of(*a) < order_of(*b);
+                   });
+  double free_at = 0;
+  for (const AdmissionJob* other : preceding) {
+    const double work = kSmallestBacklog * BacklogOf(other->job, engines.mean_seconds);
+    const double end = std::min(free_at + work / engines.slots, other->given_up_in_seconds);
+    free_at = std::max(free_at, end);
+  }
+  return free_at;
+}
+
+/// Whether the forecast with the new job plans a group of it by its due time.
+bool IsPlanned(const ForecastPool& pool, const std::vector<AdmissionJob>& open,
+               const AdmissionJob& added) {
+  std::vector<ForecastJob> jobs;
+  for (const AdmissionJob& other : open) jobs.push_back(other.job);
+  jobs.push_back(added.job);
+  jobs.back().due_in_seconds = std::min(added.job.due_in_seconds, added.given_up_in_seconds);
+  for (ForecastJob& job : jobs) job.pool = 0;
+  return ForecastSteps({pool}, jobs).back().planned_groups > 0;
+}
+
+}  // namespace
+
+std::string_view JobRejectionReasonName(JobRejectionReason reason) {
+  return reason == JobRejectionReason::kTextsTooLong ? "texts_too_long" : "backlog";
+}
+
+std::optional<JobRejection> DecideAdmission(const ForecastPool& pool,
+                                            const std::vector<AdmissionJob>& open,
+                                            const AdmissionJob& added) {
+  const Engines engines = SumUp(pool);
+  const double allowed = added.given_up_in_seconds;
+  if (engines.slots <= 0 || std::isinf(allowed) || added.job.groups.empty()) return std::nullopt;
+  if (IsPlanned(pool, open, added)) return std::nullopt;
+  // Seconds that the group with the least work takes once the engines are free.
+  double shortest_text = std::numeric_limits<double>::infinity();
+  double shortest_group = std::numeric_limits<double>::infinity();
+  for (const GroupNeed& need : NeedsOf(added.job)) {
+    const double text = kShortestText * need.longest_events * engines.fastest_seconds;
+    const double work = kSmallestBacklog * need.events * engines.mean_seconds / engines.slots;
+    shortest_text = std::min(shortest_text, text);
+    shortest_group = std::min(shortest_group, std::max(text, work));
+  }
+  if (shortest_text > allowed) {
+    return JobRejection{JobRejectionReason::kTextsTooLong, FromSeconds(allowed)};
+  }
+  const double missing = SecondsUntilFree(engines, open, added) + shortest_group - allowed;
+  if (missing <= 0) return std::nullopt;
+  // By the end of `allowed`, all jobs that are open now are complete or given up.
+  const double retry = std::clamp(missing, kMinRetrySeconds, std::max(kMinRetrySeconds, allowed));
+  return JobRejection{JobRejectionReason::kBacklog, FromSeconds(retry)};
+}
+
+}  // namespace millstair
--- a/source/jobs/job_client.cc
+++ b/source/jobs/job_client.cc
@@ -13,21 +13,23 @@
       reads_(environment, transport, kJobGroup, std::move(for_reads), GroupTarget::kNearest),
       timing_(timing) {}
 
-void JobClient::Propose(JobCommand command,
+void JobClient::Propose(JobCommand command, bool may_be_rejected,
                         std::function<void(absl::StatusOr<JobResultCode>)> done) {
-  changes_.Submit(CommandMode::kPropose, EncodeJobCommand(command), timing_.timeout,
-                  [done = std::move(done)](const absl::StatusOr<std::string>& result) {
-                    if (!result.ok()) return done(result.status());
-                    done(DecodeJobResultCode(*result));
-                  });
+  changes_.Submit(
+      CommandMode::kPropose, EncodeJobCommand(command), timing_.timeout,
+      [done = std::move(done)](const absl::StatusOr<std::string>& result) {
+        if (!result.ok()) return done(result.status());
+        done(DecodeJobResultCode(*result));
+      },
+      may_be_rejected);
 }
 
 void JobClient::Submit(JobSpec job, std::function<void(absl::StatusOr<JobResultCode>)> done) {
-  Propose({SubmitJob{std::move(job)}, {}}, std::move(done));
+  Propose({SubmitJob{std::move(job)}, {}}, true, std::move(done));
 }
 
 void JobClient::End(EndJob end, std::function<void(absl::StatusOr<JobResultCode>)> done) {
-  Propose({std::move(end), {}}, std::move(done));
+  Propose({std::move(end), {}}, false, std::move(done));
 }
 
 void JobClient::Query(const JobQuery& query,
--- a/source/jobs/job_client.h
+++ b/source/jobs/job_client.h
@@ -32,6 +32,7 @@
 
   Duration retry_after() const { return timing_.retry_after; }
 
+  /// A status with RejectionRetryAfter: the job can't be served, and no item of it runs.
   void Submit(JobSpec job, std::function<void(absl::StatusOr<JobResultCode>)> done);
   void End(EndJob end, std::function<void(absl::StatusOr<JobResultCode>)> done);
   void Query(const JobQuery& query, std::function<void(absl::StatusOr<JobQueryAnswer>)> done);
@@ -41,7 +42,8 @@
   }
 
  private:
-  void Propose(JobCommand command, std::function<void(absl::StatusOr<JobResultCode>)> done);
+  void Propose(JobCommand command, bool may_be_rejected,
+               std::function<void(absl::StatusOr<JobResultCode>)> done);
 
   GroupClient changes_;
   GroupClient reads_;
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -230,7 +230,10 @@
 }
 
 uint64_t JobScheduler::TokensPerEvent(const JobRecord& record) const {
-  const Route* route = RouteOf(record);
+  return TokensPerEvent(RouteOf(record));
+}
+
+uint64_t JobScheduler::TokensPerEvent(const Route* route) const {
   if (route == nullptr) return 0;
   for (const ServiceShare& share : route->services) {
     const Service* service = ingress_.routes()->FindService(share.service);
@@ -410,10 +413,10 @@
   SchedulePump(kPumpInterval);
 }
 
-const Route* JobScheduler::RouteOf(const JobRecord& record) const {
+const Route* JobScheduler::RouteOf(const JobSpec& spec) const {
   const RouteTable* routes = ingress_.routes();
   if (routes == nullptr) return nullptr;
-  const Route* route = routes->Find(record.spec.host, record.spec.path);
+  const Route* route = routes->Find(spec.host, spec.path);
   return route != nullptr && route->kind == RouteKind::kJobs ? route : nullptr;
 }
 
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -24,6 +24,7 @@
 #include "jobs/item_lengths.h"
 #include "jobs/item_order.h"
 #include "jobs/item_run.h"
+#include "jobs/job_admission.h"
 #include "jobs/job_report.h"
 #include "jobs/job_state_machine.h"
 #include "jobs/load_scheduler.h"
@@ -65,6 +66,9 @@
   }
   /// The state machine applied a change. It is handled from a timer.
   void OnStateChange(JobChange change, const JobId& job);
+  /// Why the job that is about to be proposed can't be served, or nothing if it may be accepted.
+  /// See DecideAdmission.
+  std::optional<JobRejection> RejectionOf(const JobSpec& spec) const;
   /// Runs a scheduling pass, or schedules one if the last was too recent. Call it when back ends,
   /// routes or versions changed.
   void Pump();
@@ -173,6 +177,7 @@
                          uint64_t tokens_per_event) const;
   /// According to the configuration of the job's service; 0 if unknown.
   uint64_t TokensPerEvent(const JobRecord& record) const;
+  uint64_t TokensPerEvent(const Route* route) const;
   /// Records the known text lengths of an ended job.
   void UpdateLengths(const JobRecord& record);
   /// Reuses the complete text that an earlier job recorded for the same item, if its versions are
@@ -215,6 +220,9 @@
   ForecastJob ForecastJobOf(const JobRecord& record, const JobWork& job) const;
   /// The engines that answer.
   std::vector<const BackendInstance*> EnginesFor(const EngineUse& use) const;
+  /// The open jobs that have no other engines.
+  std::vector<AdmissionJob> OpenJobsAt(const std::set<InstanceId>& engines) const;
+  AdmissionJob NewJobOf(const JobSpec& spec, const Route& route) const;
   static void MergePools(ForecastInputs& inputs, size_t from, size_t to,
                          std::map<EngineUse, size_t>& pool_of_use,
                          std::map<InstanceId, size_t>& pool_of_engine);
@@ -299,7 +307,8 @@
   void OnProposed(const JobId& job, uint32_t index, const absl::StatusOr<std::string>& result);
   void OnRecorded(const JobId& job, uint32_t index);
   Work* FindWork(const JobId& job, uint32_t index);
-  const Route* RouteOf(const JobRecord& record) const;
+  const Route* RouteOf(const JobRecord& record) const { return RouteOf(record.spec); }
+  const Route* RouteOf(const JobSpec& spec) const;
   /// Destroys the run from a timer, since one of its callbacks may be on the stack.
   void DropRunLater(Work& work);
 
--- a/source/jobs/job_service.cc
+++ b/source/jobs/job_service.cc
@@ -3,13 +3,18 @@
 #include <algorithm>
 #include <utility>
 
+#include "cluster/command_rejection.h"
 #include "common/event_log.h"
+#include "common/random.h"
+#include "fmt/format.h"
 
 namespace millstair {
 namespace {
 
 /// Maximum time that a query is held, below the time after which its sender tries another node.
 constexpr Duration kMaxHold = std::chrono::milliseconds(500);
+/// Retry-After is extended at random by up to a quarter.
+constexpr int kRetryJitterDivisor = 4;
 
 JobQueryAnswer ResultsOf(const JobRecord& record, const JobQuery& query) {
   JobQueryAnswer answer;
@@ -28,10 +33,13 @@
 }  // namespace
 
 JobService::JobService(Environment& environment, PeerTransport& transport,
-                       std::function<NodeId()> placed_leader)
+                       std::function<NodeId()> placed_leader, StatsRegistry* stats,
+                       JobServiceLimits limits)
     : environment_(environment),
       transport_(transport),
       placed_leader_(std::move(placed_leader)),
+      stats_(stats),
+      limits_(limits),
       change_timer_(environment) {}
 
 void JobService::Attach(RaftGroup* group, const JobStateMachine* state) {
@@ -43,9 +51,13 @@
   const auto command = DecodeGroupCommand(message.payload);
   if (!command.ok()) return;
   const uint64_t id = command->id;
+  const CommandKey key{from, id};
   const bool proposes = command->mode == CommandMode::kPropose;
+  if (const auto rejected = rejected_.find(key); proposes && rejected != rejected_.end()) {
+    return Reply(from, id, rejected->second.status);
+  }
   if (proposes && (group_ == nullptr || !group_->IsLeader())) {
-    return Reply(from, id, absl::UnavailableError("not the leader"));
+    return Reply(from, id, NotRunError("not the leader"));
   }
   if (group_ == nullptr) return Reply(from, id, absl::FailedPreconditionError("no replica here"));
   if (!group_->IsLeader() && !group_->Leader()) {
@@ -53,21 +65,95 @@
     return Reply(from, id, absl::UnavailableError("no leader is known here"));
   }
   // The reply to the command in progress also answers its resend.
-  const CommandKey key{from, id};
   if (!running_.insert(key).second) return;
   auto done = alive_.Guard([this, key](const absl::StatusOr<std::string>& result) {
     running_.erase(key);
     Reply(key.from, key.id, result);
   });
-  if (command->mode == CommandMode::kPropose) return Propose(command->command, std::move(done));
+  if (proposes) return Propose(key, *command, std::move(done));
   Query(command->command, std::move(done));
 }
 
-void JobService::Propose(const std::string& bytes, Callback done) {
-  auto command = DecodeJobCommand(bytes);
+void JobService::Propose(const CommandKey& key, const GroupCommand& group_command, Callback done) {
+  auto command = DecodeJobCommand(group_command.command);
   if (!command.ok()) return done(command.status());
-  command->proposed_at = environment_.WallNow();
-  group_->Propose(EncodeJobCommand(*command), std::move(done));
+  const auto* submit = std::get_if<SubmitJob>(&command->operation);
+  if (submit == nullptr) return ProposeCommand(*std::move(command), std::move(done));
+  if (group_command.may_be_rejected && RejectionOf(submit->job)) {
+    return ConfirmRejection(key, *std::move(command), std::move(done));
+  }
+  ProposeJob(*std::move(command), std::move(done));
+}
+
+void JobService::ProposeCommand(JobCommand command, Callback done) {
+  command.proposed_at = environment_.WallNow();
+  group_->Propose(EncodeJobCommand(command), std::move(done));
+}
+
+void JobService::ProposeJob(JobCommand command, Callback done) {
+  const Term term = group_->CurrentTerm();
+  // What was proposed under an earlier term is applied or lost once this term's leadership is
+  // confirmed.
+  std::erase_if(proposed_, [term](const auto& entry) { return entry.second != term; });
+  const JobId job = std::get<SubmitJob>(command.operation).job.id;
+  proposed_[job] = term;
+  ProposeCommand(
+      std::move(command),
+      alive_.Guard([this, job, done = std::move(done)](const absl::StatusOr<std::string>& result) {
+        if (result.ok()) proposed_.erase(job);
+        done(result);
+      }));
+}
+
+std::optional<JobRejection> JobService::RejectionOf(const JobSpec& job) {
+  if (!admission_ || state_->Find(job.id) != nullptr) return std::nullopt;
+  const auto proposed = proposed_.find(job.id);
+  if (proposed != proposed_.end() && proposed->second == group_->CurrentTerm()) return std::nullopt;
+  ForgetOldRejections();
+  if (rejected_.size() >= limits_.max_rejections) return std::nullopt;
+  return admission_(job);
+}
+
+void JobService::ConfirmRejection(const CommandKey& key, JobCommand command, Callback done) {
+  group_->ConfirmRead(alive_.Guard([this, key, term = group_->CurrentTerm(), group = group_,
+                                    command = std::move(command), done = std::move(done)](
+                                       const absl::StatusOr<LogIndex>& index) mutable {
+    if (!index.ok()) return done(NotRunError(std::string(index.status().message())));
+    // Another leader may have accepted the job since this one was deposed.
+    const bool still_leads = group_ == group && group->IsLeader() && group->CurrentTerm() == term;
+    if (!still_leads) return done(NotRunError("not the leader"));
+    const JobSpec& job = std::get<SubmitJob>(command.operation).job;
+    const auto rejection = RejectionOf(job);
+    if (!rejection) return ProposeJob(std::move(command), std::move(done));
+    done(Reject(key, job, *rejection));
+  }));
+}
+
+absl::Status JobService::Reject(const CommandKey& key, const JobSpec& job,
+                                const JobRejection& rejection) {
+  // Jitter, so that clients that were rejected together do not return together.
+  const Duration retry_after =
+      DrawDuration(environment_.Random(), rejection.retry_after,
+                   rejection.retry_after + rejection.retry_after / kRetryJitterDivisor);
+  const std::string_view reason = JobRejectionReasonName(rejection.reason);
+  LogEvent(EventId::kJobRejected, "job={} step={} model={} reason={} retry_after_ms={}", job.id,
+           job.step.value_or(0), job.model, reason, ToMilliseconds(retry_after));
+  if (stats_ != nullptr) {
+    stats_
+        ->NewCounter({"millstair_jobs_rejected_total",
+                      "Batch jobs rejected at submission, by reason.", "reason",
+                      std::string(reason)})
+        .Add();
+  }
+  const absl::Status status = CommandRejectedError(
+      fmt::format("no group of the job can be complete in time: {}", reason), retry_after);
+  rejected_[key] = {environment_.Now() + limits_.rejection_retention, status};
+  return status;
+}
+
+void JobService::ForgetOldRejections() {
+  const TimePoint now = environment_.Now();
+  std::erase_if(rejected_, [now](const auto& entry) { return now >= entry.second.until; });
 }
 
 void JobService::Query(const std::string& bytes, Callback done) {
@@ -147,6 +233,8 @@
         absl::IsUnavailable(result.status()) || absl::IsDeadlineExceeded(result.status());
     reply.status = try_again ? absl::StatusCode::kUnavailable : result.status().code();
     reply.message = std::string(result.status().message());
+    reply.not_run = IsNotRun(result.status());
+    reply.retry_after = RejectionRetryAfter(result.status()).value_or(Duration(0));
     reply.leader = KnownLeader();
   }
   transport_.Send(to, {MessageKind::kCommandReply, EncodeGroupCommandReply(reply)});
--- a/source/jobs/job_service.h
+++ b/source/jobs/job_service.h
@@ -3,9 +3,12 @@
 /// one.
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -15,21 +18,37 @@
 #include "common/environment.h"
 #include "common/peer_transport.h"
 #include "common/scoped_timer.h"
+#include "common/stats.h"
 #include "consensus/raft_group.h"
+#include "jobs/job_admission.h"
 #include "jobs/job_state_machine.h"
 
 namespace millstair {
 
+struct JobServiceLimits {
+  /// Time for which a rejected command is remembered, in which a delayed copy may still arrive.
+  Duration rejection_retention = std::chrono::minutes(10);
+  /// Bound on the remembered commands, of about 200 bytes each. Above it no job is rejected.
+  size_t max_rejections = 10'000;
+};
+
 /// Lives on the node's serial executor.
 class JobService {
  public:
+  /// Why a job can't be served; none if it may be accepted. See JobScheduler::RejectionOf.
+  using Admission = std::function<std::optional<JobRejection>(const JobSpec&)>;
+
   /// `placed_leader` returns the leader of the group according to the configuration; may be empty.
   JobService(
       Environment& environment, PeerTransport& transport,
-      std::function<NodeId()> placed_leader = [] { return NodeId(); });
+      std::function<NodeId()> placed_leader = [] { return NodeId(); },
+      StatsRegistry* stats = nullptr, JobServiceLimits limits = {});
 
   /// Sets the group's replica on this node; null if there is none.
   void Attach(RaftGroup* group, const JobStateMachine* state);
+  /// Called on the leader for each submission whose sender handles rejections. Without it, all jobs
+  /// are accepted.
+  void SetAdmission(Admission admission) { admission_ = std::move(admission); }
   /// Handles a message of kind kCommand for the group.
   void Receive(const NodeId& from, const PeerMessage& message);
   /// The state machine applied a change; held queries are answered from a timer.
@@ -50,7 +69,22 @@
     ScopedTimer limit;
   };
 
-  void Propose(const std::string& bytes, Callback done);
+  /// A submission that was rejected.
+  struct RememberedRejection {
+    TimePoint until;
+    absl::Status status;
+  };
+
+  void Propose(const CommandKey& key, const GroupCommand& command, Callback done);
+  void ProposeCommand(JobCommand command, Callback done);
+  void ProposeJob(JobCommand command, Callback done);
+  /// Null if the job must or may be proposed: it is known, its proposal is in progress, or it fits.
+  std::optional<JobRejection> RejectionOf(const JobSpec& job);
+  /// Rejects the submission once it is confirmed that this replica leads and has applied all
+  /// earlier entries, unless the job is known or fits by then.
+  void ConfirmRejection(const CommandKey& key, JobCommand command, Callback done);
+  absl::Status Reject(const CommandKey& key, const JobSpec& job, const JobRejection& rejection);
+  void ForgetOldRejections();
   void Query(const std::string& bytes, Callback done);
   void AnswerOrHold(const JobQuery& query, Callback done);
   JobQueryAnswer AnswerOf(const JobQuery& query) const;
@@ -64,7 +98,14 @@
   const std::function<NodeId()> placed_leader_;
   RaftGroup* group_ = nullptr;
   const JobStateMachine* state_ = nullptr;
+  StatsRegistry* const stats_;
+  const JobServiceLimits limits_;
+  Admission admission_;
   std::set<CommandKey> running_;
+  /// Jobs proposed under the term, until the proposal succeeded. One that failed may still be
+  /// committed.
+  std::map<JobId, Term> proposed_;
+  std::map<CommandKey, RememberedRejection> rejected_;
   std::list<HeldQuery> held_;
   std::set<JobId> changed_;
   ScopedTimer change_timer_;
--- a/source/jobs/partial_text_cache.cc
+++ b/source/jobs/partial_text_cache.cc
@@ -31,6 +31,11 @@
   return progress;
 }
 
+uint64_t PartialTextCache::EventsOf(const OwnedItem& item) const {
+  const auto found = texts_.find(item);
+  return found == texts_.end() ? 0 : found->second.events;
+}
+
 void PartialTextCache::Clear() {
   texts_.clear();
   order_.Clear();
--- a/source/jobs/partial_text_cache.h
+++ b/source/jobs/partial_text_cache.h
@@ -2,6 +2,7 @@
 /// Bounded in number; the oldest are evicted first.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -18,6 +19,8 @@
   /// Removes and returns the text; nothing if there is none, or if a part of it was made by weights
   /// older than `min_version`.
   std::optional<ItemProgress> Take(const OwnedItem& item, WeightVersion min_version);
+  /// Number of events of the text; 0 if there is none.
+  uint64_t EventsOf(const OwnedItem& item) const;
   void Clear();
 
  private:
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -33,8 +33,9 @@
         ingress_(environment, http, protocol, reader, options_.self.zone, options_.stats),
         loads_(environment, http, ingress_.directory(), protocol, options_.self.node,
                options_.loads),
-        service_(environment, transport,
-                 [this] { return PlacedLeader(configuration(), kJobGroup); }),
+        service_(
+            environment, transport, [this] { return PlacedLeader(configuration(), kJobGroup); },
+            options_.stats),
         cluster_(environment, transport, kClusterGroup, [this] { return ControlNodes(); }),
         suspects_(cluster_),
         placement_(environment, options_.self.node,
@@ -42,6 +43,10 @@
                      SubmitToCluster(std::move(placement), std::move(done));
                    }),
         drain_timer_(environment) {
+    service_.SetAdmission([this](const JobSpec& job) -> std::optional<JobRejection> {
+      if (scheduler_ == nullptr) return std::nullopt;
+      return scheduler_->RejectionOf(job);
+    });
     ingress_.SetSuspectRegister(suspects_);
     ingress_.SetColdBound(options_.cold_bound);
     ingress_.directory().SetColdAssignmentCheck(
--- a/test/jobs/sharing_play.cc
+++ b/test/jobs/sharing_play.cc
@@ -13,6 +13,7 @@
 
 constexpr Duration kJobInterval = std::chrono::seconds(4);
 constexpr Duration kDueAfter = std::chrono::milliseconds(7500);
+constexpr Duration kLifetime = std::chrono::seconds(40);
 constexpr Duration kLostAfter = std::chrono::seconds(12);
 constexpr Duration kCheckInterval = std::chrono::milliseconds(20);
 constexpr size_t kOpenJobs = 2;
@@ -39,6 +40,7 @@
         open_(play.trainers.size()) {
     reader.table.version = 2;
     reader.table.routes[0].job_deadline = kDueAfter;
+    reader.table.routes[0].item_lifetime = kLifetime;
     reader.table.services[0].engine->tokens_per_event = kTokensPerEvent;
     configuration.routing = {2, "other content"};
     configuration.instances.clear();
@@ -126,6 +128,7 @@
     open_[trainer].push_back(
         {job.id, scheduler.Now(), shape.groups, shape.items_per_group, wanted, false});
     ++outcomes_[trainer].steps;
+    outcomes_[trainer].rejected_steps += scheduler_under_test.RejectionOf(job) ? 1 : 0;
     outcomes_[trainer].wanted_groups += wanted;
     Submit(std::move(job));
   }
--- a/test/jobs/sharing_play.h
+++ b/test/jobs/sharing_play.h
@@ -36,6 +36,8 @@
 /// Outcome of all jobs of one trainer.
 struct TrainerOutcome {
   size_t steps = 0;
+  /// Steps that the leader would reject at submission; they are played nevertheless.
+  size_t rejected_steps = 0;
   /// Steps whose wanted groups were complete when they were due.
   size_t steps_in_time = 0;
   size_t wanted_groups = 0;
--- a/test/jobs/step_sharing_test.cc
+++ b/test/jobs/step_sharing_test.cc
@@ -19,6 +19,7 @@
     const std::vector<TrainerOutcome> outcomes = PlaySharing(play);
     for (size_t i = 0; i < sums.size(); ++i) {
       sums[i].steps += outcomes[i].steps;
+      sums[i].rejected_steps += outcomes[i].rejected_steps;
       sums[i].steps_in_time += outcomes[i].steps_in_time;
       sums[i].wanted_groups += outcomes[i].wanted_groups;
       sums[i].groups_in_time += outcomes[i].groups_in_time;
@@ -31,6 +32,7 @@
 
 struct Summary {
   size_t groups_in_time = 0;
+  size_t rejected_steps = 0;
   double mean_share = 0;
   double worst_share = 1;
   double steps_in_time_share = 0;
@@ -43,6 +45,7 @@
   size_t steps_in_time = 0;
   for (const TrainerOutcome& outcome : outcomes) {
     summary.groups_in_time += outcome.groups_in_time;
+    summary.rejected_steps += outcome.rejected_steps;
     summary.mean_share += outcome.Share() / static_cast<double>(outcomes.size());
     summary.worst_share = std::min(summary.worst_share, outcome.Share());
     summary.longest_step_seconds =
@@ -81,6 +84,8 @@
   CHECK(by_lateness.worst_share >= 0.9 * by_lateness.mean_share);
   CHECK(by_lateness.groups_in_time >= by_start.groups_in_time);
   CHECK(by_lateness.steps_in_time_share > 0);
+  // All groups are late, and those of each job fit before its items are given up.
+  CHECK(by_lateness.rejected_steps == 0);
 }
 
 // The engines make nearly four times what the trainers want.
@@ -91,6 +96,7 @@
   CHECK(by_lateness.steps_in_time_share == 1);
   CHECK(by_lateness.steps_in_time_share >= by_start.steps_in_time_share);
   CHECK(by_lateness.longest_step_seconds <= 1.1 * by_start.longest_step_seconds);
+  CHECK(by_lateness.rejected_steps == 0);
 }
 
 // Guards the forecast against counting the slots of engines that send nothing.
--- a/test/platform/ingress_handler_fixture.h
+++ b/test/platform/ingress_handler_fixture.h
@@ -1,6 +1,7 @@
 /// A gateway with a fake control node and fake back ends, in virtual time.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -8,6 +9,7 @@
 
 #include "cluster/control_messages.h"
 #include "fmt/format.h"
+#include "jobs/job_group_bootstrapper.h"
 #include "platform/ingress_request_handler.h"
 #include "platform/routing_codec.h"
 #include "platform/server_protocol.h"
@@ -25,6 +27,7 @@
 
   void SetAddress(const NodeId&, const std::string&) override {}
   void Send(const NodeId& to, PeerMessage message) override {
+    if (message.kind == MessageKind::kCommand) return AnswerCommand(to, message);
     if (message.kind != MessageKind::kHeartbeat || isolated) return;
     const auto heartbeat = DecodeHeartbeat(message.payload);
     NodeHeartbeatReply reply{heartbeat->nonce, revision, ""};
@@ -52,14 +55,35 @@
   std::string document;
   std::vector<BackendInstance> instances = {LiveInstance("b:1", "pages")};
   Revision revision;
+  /// Replies of the storage node "s1", which leads the job group, to commands.
+  std::function<GroupCommandReply(const GroupCommand&)> job_leader;
 
  private:
+  void AnswerCommand(const NodeId& to, const PeerMessage& message) {
+    const auto command = DecodeGroupCommand(message.payload);
+    if (to != NodeId("s1") || !command.ok() || !job_leader) return;
+    GroupCommandReply reply = job_leader(*command);
+    reply.id = command->id;
+    node_environment_.Schedule(std::chrono::milliseconds(1), [this, to, reply] {
+      node->Receive(to, {MessageKind::kCommandReply, EncodeGroupCommandReply(reply)});
+    });
+  }
   ConfigurationDelta Delta() const {
     ConfigurationDelta delta;
     delta.to = revision;
     delta.full = true;
     delta.routing = RoutingDocument{revision.value(), document};
     delta.changed_instances = instances;
+    NodeRecord storage;
+    storage.node = NodeId("s1");
+    storage.storage = true;
+    delta.changed_nodes = {storage};
+    JobGroup jobs;
+    jobs.group = kJobGroup;
+    jobs.placement.leader = storage.node;
+    jobs.placement.members = {{ReplicaId(1), storage.node, "1:2", true}};
+    jobs.initial_members = jobs.placement.members;
+    delta.changed_job_groups = {jobs};
     return delta;
   }
 
--- a/test/platform/ingress_request_handler_test.cc
+++ b/test/platform/ingress_request_handler_test.cc
@@ -174,5 +174,42 @@
   CHECK(answer->finished);
 }
 
+constexpr const char* kJobBody = R"({"requests":[{"id":"a","path":"/j/1"}]})";
+
+// Guards against a 504, after which the caller has to assume that the job may run.
+TEST_CASE("A job that the leader rejects gets 503 with Retry-After") {
+  IngressHandlerFixture fixture;
+  fixture.control.job_leader = [](const GroupCommand& command) {
+    CHECK(command.may_be_rejected);
+    GroupCommandReply reply;
+    reply.status = absl::StatusCode::kResourceExhausted;
+    reply.not_run = true;
+    reply.retry_after = milliseconds(4250);
+    return reply;
+  };
+  fixture.Start();
+  const Answer answer = fixture.Request("POST", "/j/x", "key-1", kJobBody);
+  CHECK(answer.status == 503);
+  CHECK(FindHeader(answer.headers, "Retry-After") == "4.250");
+}
+
+TEST_CASE("A job that another leader may still accept gets 504") {
+  IngressHandlerFixture fixture;
+  size_t copies = 0;
+  fixture.control.job_leader = [&copies](const GroupCommand&) {
+    ++copies;
+    GroupCommandReply reply;
+    reply.status = absl::StatusCode::kUnavailable;
+    if (copies > 1) reply.status = absl::StatusCode::kResourceExhausted;
+    return reply;
+  };
+  fixture.Start();
+  const auto answer = fixture.Send("POST", "/j/x", "key-1", kJobBody);
+  fixture.scheduler.RunFor(seconds(3));
+  CHECK(copies == 2);
+  CHECK(answer->status == 504);
+  CHECK_FALSE(FindHeader(answer->headers, "Retry-After").has_value());
+}
+
 }  // namespace
 }  // namespace millstair::platform
