Detect an engine that falls silent within a few event intervals

Cause: an engine that stopped sending events kept its texts for the stall timeout of 25 intervals, at least a second, and got further ones in the meantime. Change: with overload.step_sharing, an engine none of whose streaming runs had an event for six of its usual intervals, at least 0.15 s, counts with that silence as its pace until its next interval: it is slow, so that it gets work last and its runs move to faster engines. The recorded paces include it, so that a new leader knows it too. The stall timeout still follows the measured pace.

--- a/source/jobs/engine_pace_recorder.cc
+++ b/source/jobs/engine_pace_recorder.cc
@@ -72,8 +72,10 @@
 
 std::vector<EnginePace> EnginePaceRecorder::Paces() const {
   std::vector<EnginePace> paces;
-  for (const auto& [engine, seconds] : speeds_.known_seconds()) {
+  for (const auto& [engine, measured] : speeds_.known_seconds()) {
     if (paces.size() >= kMaxRecordedEngines) break;
+    // Includes silences, so that a new leader does not send texts to an engine that is silent.
+    const double seconds = speeds_.SecondsPerEvent(engine);
     // The pace of an engine whose events arrive together is not 0.
     paces.push_back({engine, std::max(Duration(1), FromSeconds(seconds))});
   }
--- a/source/jobs/engine_speed_tracker.cc
+++ b/source/jobs/engine_speed_tracker.cc
@@ -13,6 +13,11 @@
 constexpr size_t kMinComparedEngines = 3;
 /// The tracker is cleared when it reaches this number of engines.
 constexpr size_t kMaxTrackedEngines = 10'000;
+/// An engine that sends no event for this many usual intervals is silent. It reads a few prompts of
+/// new runs in this time.
+constexpr double kSilentIntervals = 6;
+/// Longer than delays of the network and the pauses of a process on a busy machine.
+constexpr double kMinSilentSeconds = 0.15;
 /// A restored pace is replaced by the mean of the first intervals, until their number gives each
 /// new one the weight of the smoothing.
 constexpr size_t kConfirmingIntervals = 10;
@@ -21,6 +26,7 @@
 
 void EngineSpeedTracker::RecordInterval(const InstanceId& instance, Duration gap) {
   if (seconds_.size() >= kMaxTrackedEngines && !seconds_.contains(instance)) Clear();
+  silent_seconds_.erase(instance);
   const double seconds = ToSeconds(gap);
   const auto [known, added] = seconds_.try_emplace(instance, seconds);
   if (added) return;
@@ -33,6 +39,14 @@
   known->second += weight * (seconds - known->second);
 }
 
+void EngineSpeedTracker::RecordSilence(const InstanceId& instance, Duration silence) {
+  const double seconds = ToSeconds(silence);
+  const double usual = kSilentIntervals * MeasuredSecondsPerEvent(instance);
+  if (seconds < std::max(usual, kMinSilentSeconds)) return;
+  double& longest = silent_seconds_[instance];
+  longest = std::max(longest, seconds);
+}
+
 void EngineSpeedTracker::Restore(const std::map<InstanceId, double>& seconds) {
   Clear();
   seconds_ = seconds;
@@ -42,6 +56,7 @@
 
 void EngineSpeedTracker::RemoveUnless(const std::function<bool(const InstanceId&)>& exists) {
   std::erase_if(seconds_, [&exists](const auto& entry) { return !exists(entry.first); });
+  std::erase_if(silent_seconds_, [&exists](const auto& entry) { return !exists(entry.first); });
   std::erase_if(unconfirmed_, [&exists](const auto& entry) { return !exists(entry.first); });
 }
 
@@ -49,11 +64,18 @@
   seconds_.clear();
   slow_.clear();
   unconfirmed_.clear();
+  silent_seconds_.clear();
   typical_seconds_ = kAssumedSeconds;
   fastest_seconds_ = kAssumedSeconds;
 }
 
 double EngineSpeedTracker::SecondsPerEvent(const InstanceId& instance) const {
+  const double measured = MeasuredSecondsPerEvent(instance);
+  const auto silent = silent_seconds_.find(instance);
+  return silent == silent_seconds_.end() ? measured : std::max(measured, silent->second);
+}
+
+double EngineSpeedTracker::MeasuredSecondsPerEvent(const InstanceId& instance) const {
   const auto known = seconds_.find(instance);
   return known == seconds_.end() ? typical_seconds_ : known->second;
 }
@@ -70,7 +92,7 @@
   fastest_seconds_ = *std::min_element(values.begin(), values.end());
   if (seconds_.size() < kMinComparedEngines) return;
   for (const auto& [instance, seconds] : seconds_) {
-    if (seconds > kSlowFactor * *middle) slow_.insert(instance);
+    if (SecondsPerEvent(instance) > kSlowFactor * *middle) slow_.insert(instance);
   }
 }
 
--- a/source/jobs/engine_speed_tracker.h
+++ b/source/jobs/engine_speed_tracker.h
@@ -17,6 +17,10 @@
  public:
   /// Records the time between two events of one run at `instance`.
   void RecordInterval(const InstanceId& instance, Duration gap);
+  /// No run at `instance` has received an event for `silence`, though at least one received its
+  /// first event. If that is far longer than its events take, it counts as its time between two
+  /// events until the next interval is recorded.
+  void RecordSilence(const InstanceId& instance, Duration silence);
   void Clear();
   /// Starts with the paces that an earlier leader measured, in seconds per event. They are
   /// unconfirmed: the first intervals of an engine replace its pace.
@@ -31,6 +35,8 @@
   bool IsSlow(const InstanceId& instance) const { return slow_.contains(instance); }
   /// Expected time between two events at `instance`; the typical time if unknown.
   double SecondsPerEvent(const InstanceId& instance) const;
+  /// The same without silences.
+  double MeasuredSecondsPerEvent(const InstanceId& instance) const;
   /// Median over the engines; a default before the first event.
   double TypicalSeconds() const { return typical_seconds_; }
   double FastestSeconds() const { return fastest_seconds_; }
@@ -39,6 +45,8 @@
   /// Default for an event of about ten tokens.
   static constexpr double kAssumedSeconds = 0.03;
 
+  /// Longest time without an event, of engines that are silent.
+  std::map<InstanceId, double> silent_seconds_;
   /// Smoothed time between two events.
   std::map<InstanceId, double> seconds_;
   double typical_seconds_ = kAssumedSeconds;
--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -22,6 +22,22 @@
 
 }  // namespace
 
+void JobScheduler::RecordSilentEngines() {
+  if (!options_.shares_steps) return;
+  std::map<InstanceId, TimePoint> last_events;
+  for (const auto& [job, job_work] : jobs_) {
+    for (const auto& work : job_work.items) {
+      if (work == nullptr || work->run == nullptr || !work->run->last_event_at()) continue;
+      TimePoint& last = last_events[work->run->instance()];
+      last = std::max(last, *work->run->last_event_at());
+    }
+  }
+  const TimePoint now = environment_.Now();
+  for (const auto& [engine, last] : last_events) {
+    if (!loads_.LoadingAny(engine)) speeds_.RecordSilence(engine, now - last);
+  }
+}
+
 void JobScheduler::DispatchWaiting(EngineSnapshot& snapshot) {
   const TimePoint now = environment_.Now();
   std::vector<Rank> sent;
@@ -137,7 +153,7 @@
 }
 
 Duration JobScheduler::StallTimeout(const InstanceId& engine) const {
-  const Duration expected = FromSeconds(kStallIntervals * speeds_.SecondsPerEvent(engine));
+  const Duration expected = FromSeconds(kStallIntervals * speeds_.MeasuredSecondsPerEvent(engine));
   return std::min(std::max(expected, kMinStallTimeout), options_.stall_timeout);
 }
 
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -402,6 +402,7 @@
   next_pump_at_ = now + kMinPumpInterval;
   FailExpiredItems();
   StartScoring();
+  RecordSilentEngines();
   speeds_.Recompute();
   UpdateForecast();
   if (may_start_work_()) {
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -244,6 +244,8 @@
     const Route* route = nullptr;
   };
 
+  /// Reports engines to the speed tracker that stopped sending events.
+  void RecordSilentEngines();
   void DispatchWaiting(EngineSnapshot& snapshot);
   /// Moves runs to faster engines with free slots, in the order of MoveCandidates.
   void MoveToFasterEngines(EngineSnapshot& snapshot);
--- a/test/ingress/fake_backends.h
+++ b/test/ingress/fake_backends.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,8 @@
   }
 
   std::vector<std::shared_ptr<FakeCall>> calls;
+  /// Addresses whose responses, also those in progress, are lost.
+  std::set<std::string> silent;
 
  private:
   using Live = std::shared_ptr<HttpCallObserver*>;
@@ -117,7 +120,8 @@
   }
 
   void At(Duration delay, const Exchange& exchange, Event event) {
-    scheduler_.Schedule(delay, [exchange, event = std::move(event)] {
+    scheduler_.Schedule(delay, [this, exchange, event = std::move(event)] {
+      if (silent.contains(exchange.call->address)) return;
       exchange.held->push_back(event);
       Deliver(exchange);
     });
--- a/test/jobs/engine_speed_tracker_test.cc
+++ b/test/jobs/engine_speed_tracker_test.cc
@@ -65,5 +65,29 @@
   CHECK(tracker.SecondsPerEvent(Engine(1)) == Approx(0.060));
 }
 
+TEST_CASE("An engine that sends nothing for several intervals is slow until its next interval") {
+  EngineSpeedTracker tracker;
+  for (int round = 0; round < 40; ++round) {
+    for (int engine = 0; engine < 5; ++engine) {
+      tracker.RecordInterval(Engine(engine), milliseconds(50));
+    }
+  }
+  tracker.RecordSilence(Engine(2), milliseconds(290));
+  tracker.Recompute();
+  CHECK_FALSE(tracker.IsSlow(Engine(2)));
+  tracker.RecordSilence(Engine(2), milliseconds(310));
+  tracker.Recompute();
+  CHECK(tracker.IsSlow(Engine(2)));
+  CHECK(tracker.SecondsPerEvent(Engine(2)) == Approx(0.310));
+  CHECK(tracker.MeasuredSecondsPerEvent(Engine(2)) == Approx(0.050));
+  // Its runs were moved, so that the silence does not grow.
+  tracker.Recompute();
+  CHECK(tracker.IsSlow(Engine(2)));
+  tracker.RecordInterval(Engine(2), milliseconds(50));
+  tracker.Recompute();
+  CHECK_FALSE(tracker.IsSlow(Engine(2)));
+  CHECK(tracker.SecondsPerEvent(Engine(2)) == Approx(0.050));
+}
+
 }  // namespace
 }  // namespace millstair
--- a/test/jobs/new_leader_test.cc
+++ b/test/jobs/new_leader_test.cc
@@ -138,5 +138,64 @@
   }
 }
 
+/// Seconds from now until a text that starts at e:3, the fast engine, is continued elsewhere, if
+/// that engine stops sending events after 10 of them. -1 if it is not within 3 s.
+double SecondsUntilMoved(LeaderChange& fixture) {
+  fixture.SubmitLongText();
+  fixture.scheduler.RunFor(FromSeconds(10.5 * kFast));
+  REQUIRE(fixture.EnginesOf("long-60") == std::vector<std::string>{"e:3"});
+  fixture.backends.silent.insert("e:3");
+  const Duration silent_at = fixture.scheduler.Now();
+  while (fixture.scheduler.Now() < silent_at + seconds(3)) {
+    fixture.scheduler.RunFor(milliseconds(10));
+    if (fixture.EnginesOf("long-60").size() > 1) {
+      return ToSeconds(fixture.scheduler.Now() - silent_at);
+    }
+  }
+  return -1;
+}
+
+// The stall timeout is 25 intervals and at least a second.
+TEST_CASE("A text is continued elsewhere within a few intervals after its engine fell silent") {
+  LeaderChange fixture;
+  const double seconds_until_moved = SecondsUntilMoved(fixture);
+  CHECK(seconds_until_moved > 0);
+  CHECK(seconds_until_moved <= 10 * kFast);
+}
+
+TEST_CASE("A new leader detects a silent engine as early as the last one") {
+  LeaderChange fixture;
+  fixture.ChangeLeader();
+  fixture.scheduler.RunFor(milliseconds(20));
+  const double seconds_until_moved = SecondsUntilMoved(fixture);
+  CHECK(seconds_until_moved > 0);
+  CHECK(seconds_until_moved <= 10 * kFast);
+}
+
+// Guards against slots of a silent engine that new texts wait in.
+TEST_CASE("A silent engine gets work last until it sends events again") {
+  LeaderChange fixture;
+  SecondsUntilMoved(fixture);
+  JobSpec next = fixture.Job("next", false);
+  next.items = {PacedItem("next", "g", 30)};
+  fixture.Submit(next);
+  fixture.scheduler.RunFor(milliseconds(50));
+  REQUIRE(fixture.EnginesOf("next-30").size() == 1);
+  CHECK(fixture.EnginesOf("next-30")[0] != "e:3");
+}
+
+TEST_CASE("A new leader knows that an engine was silent before it led") {
+  LeaderChange fixture;
+  SecondsUntilMoved(fixture);
+  fixture.scheduler.RunFor(kPaceRecordInterval);
+  fixture.ChangeLeader();
+  JobSpec next = fixture.Job("next", false);
+  next.items = {PacedItem("next", "g", 30)};
+  fixture.Submit(next);
+  fixture.scheduler.RunFor(milliseconds(50));
+  REQUIRE(fixture.EnginesOf("next-30").size() == 1);
+  CHECK(fixture.EnginesOf("next-30")[0] != "e:3");
+}
+
 }  // namespace
 }  // namespace millstair
--- a/test/jobs/paced_engines.h
+++ b/test/jobs/paced_engines.h
@@ -42,7 +42,9 @@
     Add(address, "engines", [this, address](const HttpRequest& request) {
       const double pace = paces.at(address);
       if (pace <= 0) return FakeAnswer{FakeAnswer::Kind::kNoResponse};
-      const std::string id(*FindHeader(request.headers, "id"));
+      // Health checks carry no identifier.
+      const std::string id(FindHeader(request.headers, "id").value_or(""));
+      if (id.empty()) return FakeAnswer{};
       const size_t events = std::stoul(id.substr(id.rfind('-') + 1));
       const auto resume = FindHeader(request.headers, "resume");
       std::vector<std::string> pieces;
