Count the reply to each copy before a rejection is passed on

Cause: a gateway took the rejection by a node as final for all copies that it had sent there. A copy that is queued for the node may reach its next process, which has forgotten the rejection and may accept the job. Change: each copy needs its own reply that it was not run; the leader replies to each copy that arrives while it confirms a rejection.

--- a/source/cluster/group_client.cc
+++ b/source/cluster/group_client.cc
@@ -81,7 +81,6 @@
 void GroupClient::Reject(const NodeId& from, const GroupCommandReply& reply) {
   Pending& pending = *pending_.at(reply.id);
   target_ = from;
-  pending.copies[from].rejected = true;
   pending.rejection = CommandRejectedError(reply.message, reply.retry_after);
   pending.retry_timer.Cancel();
   FinishIfRejected(reply.id);
@@ -89,8 +88,9 @@
 
 void GroupClient::FinishIfRejected(uint64_t id) {
   const Pending& pending = *pending_.at(id);
-  const bool none_runs = std::all_of(pending.copies.begin(), pending.copies.end(),
-                                     [](const auto& entry) { return entry.second.NoneRuns(); });
+  const bool none_runs =
+      std::all_of(pending.copies.begin(), pending.copies.end(),
+                  [](const auto& entry) { return entry.second.not_run >= entry.second.sent; });
   if (none_runs) Finish(id, pending.rejection);
 }
 
--- a/source/cluster/group_client.h
+++ b/source/cluster/group_client.h
@@ -50,12 +50,9 @@
   /// Copies of a command that were sent to one node.
   struct Copies {
     size_t sent = 0;
-    /// Replies that a copy was not proposed.
+    /// Replies that a copy was not proposed. Each copy needs its own: one that is still queued may
+    /// reach the node's next process, which does not know what this one rejected.
     size_t not_run = 0;
-    /// The node rejected the command, and so proposes no copy of it.
-    bool rejected = false;
-
-    bool NoneRuns() const { return rejected || not_run >= sent; }
   };
   struct Pending {
     explicit Pending(Environment& environment)
--- a/source/jobs/job_service.cc
+++ b/source/jobs/job_service.cc
@@ -65,10 +65,13 @@
     return Reply(from, id, absl::UnavailableError("no leader is known here"));
   }
   // The reply to the command in progress also answers its resend.
-  if (!running_.insert(key).second) return;
+  if (++running_[key] > 1) return;
   auto done = alive_.Guard([this, key](const absl::StatusOr<std::string>& result) {
-    running_.erase(key);
+    const size_t copies = running_.extract(key).mapped();
     Reply(key.from, key.id, result);
+    // The sender counts the copies that were not run.
+    if (!IsNotRun(result.status())) return;
+    for (size_t i = 1; i < copies; ++i) Reply(key.from, key.id, result);
   });
   if (proposes) return Propose(key, *command, std::move(done));
   Query(command->command, std::move(done));
--- a/source/jobs/job_service.h
+++ b/source/jobs/job_service.h
@@ -101,7 +101,8 @@
   StatsRegistry* const stats_;
   const JobServiceLimits limits_;
   Admission admission_;
-  std::set<CommandKey> running_;
+  /// Commands in progress, with the number of copies that arrived.
+  std::map<CommandKey, size_t> running_;
   /// Jobs proposed under the term, until the proposal succeeded. One that failed may still be
   /// committed.
   std::map<JobId, Term> proposed_;
