Reject jobs only behind measured engines and certain backlogs

The admission rejected jobs that could fit: it counted only engines that are assigned to the model and answer now, took silences for paces, spread a few long texts over all slots, counted jobs of other models and jobs without engines, and took estimates of few texts for sure.

All live engines of the route's services now count with their measured pace, engines of unknown pace as the fastest. Nothing is rejected without a measured pace, within a second after a scheduling pass that was late by 100 ms, if fewer texts than slots are unfinished, or if a forecast in which each job is due when its items are given up plans a group. Texts and backlogs of less than 50 texts may take a fifth of the expected work.

--- a/source/jobs/job_admission.cc
+++ b/source/jobs/job_admission.cc
@@ -8,11 +8,12 @@
 namespace millstair {
 namespace {
 
-/// A single text may have half of its expected events: estimates are off by more than a factor of
-/// two in about a third of the cases.
-constexpr double kShortestText = 0.5;
-/// The work of a whole backlog may be this share of what is expected: its errors average out.
-constexpr double kSmallestBacklog = 0.8;
+/// A text may have a fifth of its expected events: estimates are off by more than a factor of two
+/// in about a third of the cases.
+constexpr double kSmallestShare = 0.2;
+/// The work of this many texts may be this share of what is expected: their errors average out.
+constexpr size_t kAveragingTexts = 50;
+constexpr double kSmallestShareOfMany = 0.8;
 constexpr double kMinRetrySeconds = 1;
 
 struct Engines {
@@ -34,8 +35,14 @@
   return engines;
 }
 
+/// The share of its expected work that `texts` texts may take.
+double SmallestShare(size_t texts) {
+  return texts >= kAveragingTexts ? kSmallestShareOfMany : kSmallestShare;
+}
+
 /// What the items of a group without a result still need.
 struct GroupNeed {
+  size_t texts = 0;
   double events = 0;
   double longest_events = 0;
   /// Slot seconds of its running items.
@@ -48,6 +55,7 @@
   for (const ForecastItem& item : job.items) {
     GroupNeed& need = needs[item.group];
     need.unfinished = true;
+    need.texts += item.remaining_events > 0 ? 1 : 0;
     if (!item.IsWaiting()) {
       need.running_seconds += item.remaining_events * item.running_seconds_per_event;
       continue;
@@ -58,9 +66,15 @@
   return needs;
 }
 
-/// Slot seconds until the wanted groups of an open job are complete, if the cheapest ones are.
-double BacklogOf(const ForecastJob& job, double seconds_per_event) {
-  std::vector<double> work;
+/// Work that precedes a job.
+struct Backlog {
+  double slot_seconds = 0;
+  size_t texts = 0;
+};
+
+/// Work until the wanted groups of an open job are complete, if the cheapest ones are.
+Backlog BacklogOf(const ForecastJob& job, double seconds_per_event) {
+  std::vector<Backlog> groups;
   size_t complete = 0;
   const std::vector<GroupNeed> needs = NeedsOf(job);
   for (size_t i = 0; i < needs.size(); ++i) {
@@ -68,16 +82,32 @@
     if (!needs[i].unfinished) {
       ++complete;
     } else {
-      work.push_back(needs[i].events * seconds_per_event + needs[i].running_seconds);
+      groups.push_back(
+          {needs[i].events * seconds_per_event + needs[i].running_seconds, needs[i].texts});
     }
   }
-  std::sort(work.begin(), work.end());
+  std::sort(groups.begin(), groups.end(),
+            [](const Backlog& a, const Backlog& b) { return a.slot_seconds < b.slot_seconds; });
   const size_t missing = job.wanted_groups - std::min(job.wanted_groups, complete);
-  double sum = 0;
-  for (size_t i = 0; i < std::min(missing, work.size()); ++i) sum += work[i];
+  Backlog sum;
+  for (size_t i = 0; i < std::min(missing, groups.size()); ++i) {
+    sum.slot_seconds += groups[i].slot_seconds;
+    sum.texts += groups[i].texts;
+  }
   return sum;
 }
 
+/// Texts without a result, of all priorities and groups, since each may hold a slot.
+size_t UnfinishedTexts(const std::vector<AdmissionJob>& open) {
+  size_t texts = 0;
+  for (const AdmissionJob& job : open) {
+    texts += static_cast<size_t>(
+        std::count_if(job.job.items.begin(), job.job.items.end(),
+                      [](const ForecastItem& item) { return item.remaining_events > 0; }));
+  }
+  return texts;
+}
+
 /// Seconds until the engines have done the wanted groups of the jobs that precede `added`, or have
 /// given them up.
 double SecondsUntilFree(const Engines& engines, const std::vector<AdmissionJob>& open,
@@ -93,23 +123,36 @@
                    [&order_of](const AdmissionJob* a, const AdmissionJob* b) {
                      return order_of(*a) < order_of(*b);
                    });
-  double free_at = 0;
+  std::vector<Backlog> backlogs;
+  size_t texts = 0;
   for (const AdmissionJob* other : preceding) {
-    const double work = kSmallestBacklog * BacklogOf(other->job, engines.mean_seconds);
-    const double end = std::min(free_at + work / engines.slots, other->given_up_in_seconds);
+    backlogs.push_back(BacklogOf(other->job, engines.mean_seconds));
+    texts += backlogs.back().texts;
+  }
+  double free_at = 0;
+  for (size_t i = 0; i < preceding.size(); ++i) {
+    const double work = SmallestShare(texts) * backlogs[i].slot_seconds;
+    const double end = std::min(free_at + work / engines.slots, preceding[i]->given_up_in_seconds);
     free_at = std::max(free_at, end);
   }
   return free_at;
 }
 
-/// Whether the forecast with the new job plans a group of it by its due time.
+/// When a forecast assumes that jobs are due.
+enum class ForecastUntil : uint8_t { kDue, kGivenUp };
+
+/// Whether the forecast with the new job plans a group of it.
 bool IsPlanned(const ForecastPool& pool, const std::vector<AdmissionJob>& open,
-               const AdmissionJob& added) {
+               const AdmissionJob& added, ForecastUntil until) {
   std::vector<ForecastJob> jobs;
-  for (const AdmissionJob& other : open) jobs.push_back(other.job);
-  jobs.push_back(added.job);
-  jobs.back().due_in_seconds = std::min(added.job.due_in_seconds, added.given_up_in_seconds);
-  for (ForecastJob& job : jobs) job.pool = 0;
+  const auto add = [&jobs, until](const AdmissionJob& job) {
+    ForecastJob& forecast = jobs.emplace_back(job.job);
+    forecast.pool = 0;
+    if (until == ForecastUntil::kGivenUp) forecast.due_in_seconds = job.given_up_in_seconds;
+  };
+  for (const AdmissionJob& other : open) add(other);
+  add(added);
+  jobs.back().due_in_seconds = std::min(jobs.back().due_in_seconds, added.given_up_in_seconds);
   return ForecastSteps({pool}, jobs).back().planned_groups > 0;
 }
 
@@ -125,19 +168,23 @@
   const Engines engines = SumUp(pool);
   const double allowed = added.given_up_in_seconds;
   if (engines.slots <= 0 || std::isinf(allowed) || added.job.groups.empty()) return std::nullopt;
-  if (IsPlanned(pool, open, added)) return std::nullopt;
+  if (IsPlanned(pool, open, added, ForecastUntil::kDue)) return std::nullopt;
+  if (IsPlanned(pool, open, added, ForecastUntil::kGivenUp)) return std::nullopt;
   // Seconds that the group with the least work takes once the engines are free.
   double shortest_text = std::numeric_limits<double>::infinity();
   double shortest_group = std::numeric_limits<double>::infinity();
   for (const GroupNeed& need : NeedsOf(added.job)) {
-    const double text = kShortestText * need.longest_events * engines.fastest_seconds;
-    const double work = kSmallestBacklog * need.events * engines.mean_seconds / engines.slots;
+    const double text = kSmallestShare * need.longest_events * engines.fastest_seconds;
+    const double work =
+        SmallestShare(need.texts) * need.events * engines.mean_seconds / engines.slots;
     shortest_text = std::min(shortest_text, text);
     shortest_group = std::min(shortest_group, std::max(text, work));
   }
   if (shortest_text > allowed) {
     return JobRejection{JobRejectionReason::kTextsTooLong, FromSeconds(allowed)};
   }
+  // A slot is free at once.
+  if (static_cast<double>(UnfinishedTexts(open)) < engines.slots) return std::nullopt;
   const double missing = SecondsUntilFree(engines, open, added) + shortest_group - allowed;
   if (missing <= 0) return std::nullopt;
   // By the end of `allowed`, all jobs that are open now are complete or given up.
--- a/source/jobs/job_admission.h
+++ b/source/jobs/job_admission.h
@@ -36,7 +36,7 @@
 
 /// A rejection if none of the groups of `added` can be complete before its items may be given up,
 /// behind the wanted groups of the `open` jobs of the same or a more urgent priority. None without
-/// engines, since it is unknown when they come back. The cost is that of one forecast.
+/// engines, since it is unknown when they come back. The cost is that of two forecasts.
 std::optional<JobRejection> DecideAdmission(const ForecastPool& pool,
                                             const std::vector<AdmissionJob>& open,
                                             const AdmissionJob& added);
--- a/source/jobs/job_admitting.cc
+++ b/source/jobs/job_admitting.cc
@@ -10,39 +10,71 @@
 
 /// Engines whose events arrive together count with this pace, so that no pool is infinitely fast.
 constexpr double kMinSecondsPerEvent = 0.0001;
+/// Time after a late scheduling pass until paces and progress are current again.
+constexpr Duration kResumePause = std::chrono::seconds(1);
 
 }  // namespace
 
 std::optional<JobRejection> JobScheduler::RejectionOf(const JobSpec& spec) const {
   if (!options_.shares_steps || !leading_) return std::nullopt;
+  const TimePoint now = environment_.Now();
+  if (PassIsLate(now) || (resumed_at_ && now < *resumed_at_ + kResumePause)) return std::nullopt;
   const Route* route = RouteOf(spec);
   if (route == nullptr || route->item_lifetime <= Duration(0)) return std::nullopt;
-  ForecastPool pool;
-  std::set<InstanceId> engines;
   const EngineUse use{route, spec.model, spec.min_version == WeightVersion()};
-  for (const BackendInstance* engine : EnginesFor(use)) {
-    const double pace = std::max(kMinSecondsPerEvent, speeds_.SecondsPerEvent(engine->id));
-    pool.engines.push_back({std::max(1U, engine->slots), pace});
-    engines.insert(engine->id);
+  const ForecastPool pool = AdmissionPoolOf(*route);
+  if (pool.engines.empty()) return std::nullopt;
+  return DecideAdmission(pool, OpenJobsAt(use), NewJobOf(spec, *route));
+}
+
+std::set<InstanceId> JobScheduler::LiveEnginesOf(const Route& route) const {
+  std::set<InstanceId> engines;
+  for (const ServiceShare& share : route.services) {
+    for (const BackendInstance* engine : ingress_.directory().Live(share.service)) {
+      engines.insert(engine->id);
+    }
+  }
+  return engines;
+}
+
+ForecastPool JobScheduler::AdmissionPoolOf(const Route& route) const {
+  const std::map<InstanceId, double>& measured = speeds_.known_seconds();
+  ForecastPool pool;
+  std::vector<uint32_t> unmeasured_slots;
+  double fastest = std::numeric_limits<double>::infinity();
+  for (const InstanceId& id : LiveEnginesOf(route)) {
+    const uint32_t slots = std::max(1U, ingress_.directory().FindLive(id)->slots);
+    const auto known = measured.find(id);
+    if (known == measured.end()) {
+      unmeasured_slots.push_back(slots);
+      continue;
+    }
+    const double pace = std::max(kMinSecondsPerEvent, known->second);
+    pool.engines.push_back({slots, pace});
+    fastest = std::min(fastest, pace);
   }
-  return DecideAdmission(pool, OpenJobsAt(engines), NewJobOf(spec, *route));
+  if (pool.engines.empty()) return {};
+  for (const uint32_t slots : unmeasured_slots) pool.engines.push_back({slots, fastest});
+  return pool;
 }
 
-std::vector<AdmissionJob> JobScheduler::OpenJobsAt(const std::set<InstanceId>& engines) const {
+std::vector<AdmissionJob> JobScheduler::OpenJobsAt(const EngineUse& use) const {
+  const std::set<InstanceId> engines = LiveEnginesOf(*use.route);
   std::vector<AdmissionJob> open;
   for (const auto& [id, job] : jobs_) {
     const JobRecord* record = state_.Find(id);
     const Route* route = record == nullptr ? nullptr : RouteOf(*record);
     if (route == nullptr || record->ended) continue;
-    const EngineUse use{route, record->spec.model, record->spec.min_version == WeightVersion()};
-    const std::vector<const BackendInstance*> its = EnginesFor(use);
+    // A job of one model leaves the engines of other models free.
+    const bool any_version = record->spec.min_version == WeightVersion();
+    const bool same_model = !use.any_version && record->spec.model == use.model;
+    if (!any_version && !same_model) continue;
+    if (EnginesFor({route, record->spec.model, any_version}).empty()) continue;
     // Jobs that also have other engines may not need these.
-    const bool only_here = std::all_of(
-        its.begin(), its.end(),
-        [&engines](const BackendInstance* engine) { return engines.contains(engine->id); });
-    if (!only_here) continue;
+    const std::set<InstanceId> its = LiveEnginesOf(*route);
+    if (!std::includes(engines.begin(), engines.end(), its.begin(), its.end())) continue;
     AdmissionJob& added = open.emplace_back();
-    added.job = ForecastJobOf(*record, job);
+    added.job = ForecastJobOf(*record, job, PaceKind::kMeasured);
     added.job.priority = ingress_.routes()->PriorityOf(*route, record->spec.tenant);
     added.given_up_in_seconds = std::numeric_limits<double>::infinity();
     if (route->item_lifetime > Duration(0)) {
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -22,6 +22,8 @@
 /// Delay between attempts to confirm the leadership.
 constexpr Duration kCatchUpRetryDelay = std::chrono::milliseconds(20);
 constexpr Duration kProposeRetryDelay = std::chrono::milliseconds(50);
+/// A pass that begins this much later than scheduled follows a pause of this node.
+constexpr Duration kLatePass = std::chrono::milliseconds(100);
 /// How often running items are checked for text to save.
 constexpr Duration kSaveInterval = std::chrono::milliseconds(250);
 
@@ -66,6 +68,8 @@
   versions_until_return_.clear();
   pace_recorder_.Stop();
   speeds_.Clear();
+  pump_due_at_.reset();
+  resumed_at_.reset();
   next_forecast_at_ = TimePoint();
   no_lateness_before_ = TimePoint();
   SetForecastMetrics({}, 0);
@@ -391,13 +395,20 @@
   }
 }
 
+bool JobScheduler::PassIsLate(TimePoint now) const {
+  return pump_due_at_ && now > *pump_due_at_ + kLatePass;
+}
+
 void JobScheduler::SchedulePump(Duration delay) {
+  pump_due_at_ = environment_.Now() + delay;
   pump_timer_.Arm(delay, [this] { Pump(); });
 }
 
 void JobScheduler::Pump() {
   if (!leading_) return;
   const TimePoint now = environment_.Now();
+  if (PassIsLate(now)) resumed_at_ = now;
+  pump_due_at_.reset();
   if (now < next_pump_at_) return SchedulePump(next_pump_at_ - now);
   next_pump_at_ = now + kMinPumpInterval;
   FailExpiredItems();
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -217,11 +217,20 @@
   /// anything waits or may be late.
   void UpdateForecast();
   ForecastInputs CollectForecastInputs() const;
-  ForecastJob ForecastJobOf(const JobRecord& record, const JobWork& job) const;
+  enum class PaceKind : uint8_t {
+    kExpected,  ///< includes silences
+    kMeasured,
+  };
+  ForecastJob ForecastJobOf(const JobRecord& record, const JobWork& job,
+                            PaceKind kind = PaceKind::kExpected) const;
   /// The engines that answer.
   std::vector<const BackendInstance*> EnginesFor(const EngineUse& use) const;
-  /// The open jobs that have no other engines.
-  std::vector<AdmissionJob> OpenJobsAt(const std::set<InstanceId>& engines) const;
+  /// The engines that may be assigned to a model of the route, also those that failed lately.
+  std::set<InstanceId> LiveEnginesOf(const Route& route) const;
+  /// Empty if the pace of none was measured. Engines of unknown pace count as the fastest.
+  ForecastPool AdmissionPoolOf(const Route& route) const;
+  /// The open jobs that need the engines of `use` and have no others.
+  std::vector<AdmissionJob> OpenJobsAt(const EngineUse& use) const;
   AdmissionJob NewJobOf(const JobSpec& spec, const Route& route) const;
   static void MergePools(ForecastInputs& inputs, size_t from, size_t to,
                          std::map<EngineUse, size_t>& pool_of_use,
@@ -234,6 +243,8 @@
   void SetForecastMetrics(const std::map<std::string, double>& lateness_by_route, size_t deferred);
   void HandleChanges();
   void SchedulePump(Duration delay);
+  /// Whether the next pass should have begun long ago: the node was suspended, or its executor busy.
+  bool PassIsLate(TimePoint now) const;
   /// A run that could continue at a faster engine.
   struct MoveCandidate {
     /// The client waits for it, and it is expected to be late where it runs.
@@ -344,6 +355,10 @@
   EnginePaceRecorder pace_recorder_;
   TimePoint next_moves_at_;
   TimePoint next_pump_at_;
+  /// When the scheduled pass is due; none if there is none.
+  std::optional<TimePoint> pump_due_at_;
+  /// Time of the latest pass that ran late.
+  std::optional<TimePoint> resumed_at_;
   TimePoint next_forecast_at_;
   /// Until then no running item can make its job late.
   TimePoint no_lateness_before_;
--- a/source/jobs/job_sharing.cc
+++ b/source/jobs/job_sharing.cc
@@ -106,7 +106,8 @@
   return engines;
 }
 
-ForecastJob JobScheduler::ForecastJobOf(const JobRecord& record, const JobWork& job) const {
+ForecastJob JobScheduler::ForecastJobOf(const JobRecord& record, const JobWork& job,
+                                        PaceKind kind) const {
   ForecastJob forecast;
   forecast.due_in_seconds = SecondsLeft(record);
   forecast.groups = job.groups;
@@ -126,8 +127,10 @@
       item.remaining_events = RemainingEvents(*work, record, tokens_per_event);
     }
     if (running) {
-      item.running_seconds_per_event =
-          std::max(kMinSecondsPerEvent, speeds_.SecondsPerEvent(work->run->instance()));
+      const InstanceId& engine = work->run->instance();
+      const double pace = kind == PaceKind::kMeasured ? speeds_.MeasuredSecondsPerEvent(engine)
+                                                      : speeds_.SecondsPerEvent(engine);
+      item.running_seconds_per_event = std::max(kMinSecondsPerEvent, pace);
     }
     forecast.items.push_back(item);
   }
