Don't take loads, prompts and pauses of the leader for silent engines

Silences were measured from the last event alone, so that an engine seemed silent after a load, while it read the prompt of a new run, and after a pause of the leader. A silent engine without runs stayed slow, and its silence was recorded as its pace in the group's log.

Silences count from the last event or the end of a load, not while a run that started after the last event awaits its first one (up to the stall timeout), and not within 100 ms after a late pass. They expire after 5 s without a run. Only measured paces are recorded.

The end of a load is not covered by a test of its own.

--- a/source/jobs/engine_pace_recorder.cc
+++ b/source/jobs/engine_pace_recorder.cc
@@ -74,10 +74,8 @@
   std::vector<EnginePace> paces;
   for (const auto& [engine, measured] : speeds_.known_seconds()) {
     if (paces.size() >= kMaxRecordedEngines) break;
-    // Includes silences, so that a new leader does not send texts to an engine that is silent.
-    const double seconds = speeds_.SecondsPerEvent(engine);
     // The pace of an engine whose events arrive together is not 0.
-    paces.push_back({engine, std::max(Duration(1), FromSeconds(seconds))});
+    paces.push_back({engine, std::max(Duration(1), FromSeconds(measured))});
   }
   return paces;
 }
--- a/source/jobs/engine_speed_tracker.cc
+++ b/source/jobs/engine_speed_tracker.cc
@@ -18,6 +18,9 @@
 constexpr double kSilentIntervals = 6;
 /// Longer than delays of the network and the pauses of a process on a busy machine.
 constexpr double kMinSilentSeconds = 0.15;
+/// Time without a run after which an engine that was silent gets work again: without runs, no event
+/// can show that it answers.
+constexpr Duration kSilenceLifetime = std::chrono::seconds(5);
 /// A restored pace is replaced by the mean of the first intervals, until their number gives each
 /// new one the weight of the smoothing.
 constexpr size_t kConfirmingIntervals = 10;
@@ -26,7 +29,7 @@
 
 void EngineSpeedTracker::RecordInterval(const InstanceId& instance, Duration gap) {
   if (seconds_.size() >= kMaxTrackedEngines && !seconds_.contains(instance)) Clear();
-  silent_seconds_.erase(instance);
+  silences_.erase(instance);
   const double seconds = ToSeconds(gap);
   const auto [known, added] = seconds_.try_emplace(instance, seconds);
   if (added) return;
@@ -43,10 +46,25 @@
   const double seconds = ToSeconds(silence);
   const double usual = kSilentIntervals * MeasuredSecondsPerEvent(instance);
   if (seconds < std::max(usual, kMinSilentSeconds)) return;
-  double& longest = silent_seconds_[instance];
+  double& longest = silences_[instance].seconds;
   longest = std::max(longest, seconds);
 }
 
+void EngineSpeedTracker::ExpireSilences(const std::function<bool(const InstanceId&)>& has_run,
+                                        TimePoint now) {
+  for (auto& [instance, silence] : silences_) {
+    if (has_run(instance)) {
+      silence.idle_since.reset();
+    } else if (!silence.idle_since) {
+      silence.idle_since = now;
+    }
+  }
+  std::erase_if(silences_, [now](const auto& entry) {
+    const std::optional<TimePoint>& idle_since = entry.second.idle_since;
+    return idle_since && now - *idle_since >= kSilenceLifetime;
+  });
+}
+
 void EngineSpeedTracker::Restore(const std::map<InstanceId, double>& seconds) {
   Clear();
   seconds_ = seconds;
@@ -56,7 +74,7 @@
 
 void EngineSpeedTracker::RemoveUnless(const std::function<bool(const InstanceId&)>& exists) {
   std::erase_if(seconds_, [&exists](const auto& entry) { return !exists(entry.first); });
-  std::erase_if(silent_seconds_, [&exists](const auto& entry) { return !exists(entry.first); });
+  std::erase_if(silences_, [&exists](const auto& entry) { return !exists(entry.first); });
   std::erase_if(unconfirmed_, [&exists](const auto& entry) { return !exists(entry.first); });
 }
 
@@ -64,15 +82,15 @@
   seconds_.clear();
   slow_.clear();
   unconfirmed_.clear();
-  silent_seconds_.clear();
+  silences_.clear();
   typical_seconds_ = kAssumedSeconds;
   fastest_seconds_ = kAssumedSeconds;
 }
 
 double EngineSpeedTracker::SecondsPerEvent(const InstanceId& instance) const {
   const double measured = MeasuredSecondsPerEvent(instance);
-  const auto silent = silent_seconds_.find(instance);
-  return silent == silent_seconds_.end() ? measured : std::max(measured, silent->second);
+  const auto silent = silences_.find(instance);
+  return silent == silences_.end() ? measured : std::max(measured, silent->second.seconds);
 }
 
 double EngineSpeedTracker::MeasuredSecondsPerEvent(const InstanceId& instance) const {
--- a/source/jobs/engine_speed_tracker.h
+++ b/source/jobs/engine_speed_tracker.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 #include "common/ids.h"
@@ -19,8 +20,11 @@
   void RecordInterval(const InstanceId& instance, Duration gap);
   /// No run at `instance` has received an event for `silence`, though at least one received its
   /// first event. If that is far longer than its events take, it counts as its time between two
-  /// events until the next interval is recorded.
+  /// events until the next interval is recorded or the silence expires.
   void RecordSilence(const InstanceId& instance, Duration silence);
+  /// Forgets the silence of engines for which `has_run` has not held for some seconds, so that they
+  /// get work again. Called periodically.
+  void ExpireSilences(const std::function<bool(const InstanceId&)>& has_run, TimePoint now);
   void Clear();
   /// Starts with the paces that an earlier leader measured, in seconds per event. They are
   /// unconfirmed: the first intervals of an engine replace its pace.
@@ -45,8 +49,14 @@
   /// Default for an event of about ten tokens.
   static constexpr double kAssumedSeconds = 0.03;
 
-  /// Longest time without an event, of engines that are silent.
-  std::map<InstanceId, double> silent_seconds_;
+  struct Silence {
+    /// Longest time without an event.
+    double seconds = 0;
+    /// Time since which it has no run; none while it has one.
+    std::optional<TimePoint> idle_since;
+  };
+
+  std::map<InstanceId, Silence> silences_;
   /// Smoothed time between two events.
   std::map<InstanceId, double> seconds_;
   double typical_seconds_ = kAssumedSeconds;
--- a/source/jobs/item_run.h
+++ b/source/jobs/item_run.h
@@ -56,6 +56,7 @@
   ~ItemRun() override;
   void Start(HttpCaller& http, const BackendInstance& target, const BackendRequest& request);
 
+  TimePoint started_at() const { return started_at_; }
   /// Time of the run's latest event; none before the first.
   std::optional<TimePoint> last_event_at() const { return last_event_at_; }
   void SetGapListener(GapListener listener) { on_gap_ = std::move(listener); }
--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -13,6 +13,8 @@
 constexpr double kStallIntervals = 25;
 /// Leaves time for a dozen prompts read before the first event and for preempted runs.
 constexpr Duration kMinStallTimeout = std::chrono::milliseconds(1000);
+/// Time after a late pass until what arrived during the pause has been read.
+constexpr Duration kResumeTime = std::chrono::milliseconds(100);
 /// How often runs are considered for a move.
 constexpr Duration kMoveInterval = std::chrono::milliseconds(100);
 constexpr uint32_t kMaxMoves = 2;
@@ -24,17 +26,43 @@
 
 void JobScheduler::RecordSilentEngines() {
   if (!options_.shares_steps) return;
-  std::map<InstanceId, TimePoint> last_events;
+  struct EngineRuns {
+    std::optional<TimePoint> last_event;
+    /// Latest start of a run without an event.
+    TimePoint last_start;
+  };
+  std::map<InstanceId, EngineRuns> engines;
   for (const auto& [job, job_work] : jobs_) {
     for (const auto& work : job_work.items) {
-      if (work == nullptr || work->run == nullptr || !work->run->last_event_at()) continue;
-      TimePoint& last = last_events[work->run->instance()];
-      last = std::max(last, *work->run->last_event_at());
+      if (work == nullptr || work->run == nullptr) continue;
+      EngineRuns& runs = engines[work->run->instance()];
+      const auto event = work->run->last_event_at();
+      if (event) {
+        runs.last_event = std::max(runs.last_event.value_or(*event), *event);
+      } else {
+        runs.last_start = std::max(runs.last_start, work->run->started_at());
+      }
     }
   }
   const TimePoint now = environment_.Now();
-  for (const auto& [engine, last] : last_events) {
-    if (!loads_.LoadingAny(engine)) speeds_.RecordSilence(engine, now - last);
+  speeds_.ExpireSilences([&](const InstanceId& engine) { return engines.contains(engine); }, now);
+  std::erase_if(load_ends_, [&](const auto& entry) { return !engines.contains(entry.first); });
+  // Events that arrived during a pause of this node may still be unread.
+  const bool paused = resumed_at_ && now - *resumed_at_ < kResumeTime;
+  for (const auto& [engine, runs] : engines) {
+    if (loads_.LoadingAny(engine)) {
+      load_ends_[engine].reset();
+      continue;
+    }
+    const auto load = load_ends_.find(engine);
+    if (load != load_ends_.end() && !load->second) load->second = now;
+    if (paused || !runs.last_event) continue;
+    // It reads a prompt.
+    const bool reads = runs.last_start > *runs.last_event;
+    if (reads && now - runs.last_start < StallTimeout(engine)) continue;
+    const TimePoint since =
+        load == load_ends_.end() ? *runs.last_event : std::max(*runs.last_event, *load->second);
+    speeds_.RecordSilence(engine, now - since);
   }
 }
 
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -70,6 +70,7 @@
   speeds_.Clear();
   pump_due_at_.reset();
   resumed_at_.reset();
+  load_ends_.clear();
   next_forecast_at_ = TimePoint();
   no_lateness_before_ = TimePoint();
   SetForecastMetrics({}, 0);
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -357,6 +357,8 @@
   TimePoint next_pump_at_;
   /// When the scheduled pass is due; none if there is none.
   std::optional<TimePoint> pump_due_at_;
+  /// Ends of loads at engines with runs; none while one is in progress.
+  std::map<InstanceId, std::optional<TimePoint>> load_ends_;
   /// Time of the latest pass that ran late.
   std::optional<TimePoint> resumed_at_;
   TimePoint next_forecast_at_;
--- a/test/jobs/engine_speed_tracker_test.cc
+++ b/test/jobs/engine_speed_tracker_test.cc
@@ -89,5 +89,21 @@
   CHECK(tracker.SecondsPerEvent(Engine(2)) == Approx(0.050));
 }
 
+TEST_CASE("A silence ends after five seconds without a run") {
+  EngineSpeedTracker tracker;
+  const TimePoint start = TimePoint() + std::chrono::seconds(100);
+  for (int i = 0; i < 40; ++i) tracker.RecordInterval(Engine(0), milliseconds(50));
+  tracker.RecordSilence(Engine(0), milliseconds(400));
+  const auto expire = [&](bool has_run, Duration after) {
+    tracker.ExpireSilences([has_run](const InstanceId&) { return has_run; }, start + after);
+    return tracker.SecondsPerEvent(Engine(0)) == Approx(0.050);
+  };
+  CHECK_FALSE(expire(false, milliseconds(0)));
+  CHECK_FALSE(expire(true, milliseconds(4000)));
+  CHECK_FALSE(expire(false, milliseconds(6000)));
+  CHECK_FALSE(expire(false, milliseconds(10900)));
+  CHECK(expire(false, milliseconds(11000)));
+}
+
 }  // namespace
 }  // namespace millstair
