Bound the proposals that a leader remembers

Failed proposals were remembered without a bound until the next term. Beyond 10,000, nothing is rejected until then, since any job may have been proposed. A command whose callback is called twice no longer reads a missing entry.

--- a/source/jobs/job_service.cc
+++ b/source/jobs/job_service.cc
@@ -67,7 +67,10 @@
   // The reply to the command in progress also answers its resend.
   if (++running_[key] > 1) return;
   auto done = alive_.Guard([this, key](const absl::StatusOr<std::string>& result) {
-    const size_t copies = running_.extract(key).mapped();
+    const auto running = running_.find(key);
+    if (running == running_.end()) return;
+    const size_t copies = running->second;
+    running_.erase(running);
     Reply(key.from, key.id, result);
     // The sender counts the copies that were not run.
     if (!IsNotRun(result.status())) return;
@@ -99,7 +102,11 @@
   // confirmed.
   std::erase_if(proposed_, [term](const auto& entry) { return entry.second != term; });
   const JobId job = std::get<SubmitJob>(command.operation).job.id;
-  proposed_[job] = term;
+  if (proposed_.size() < limits_.max_proposals) {
+    proposed_[job] = term;
+  } else if (!proposed_.contains(job)) {
+    proposals_exceeded_in_ = term;
+  }
   ProposeCommand(
       std::move(command),
       alive_.Guard([this, job, done = std::move(done)](const absl::StatusOr<std::string>& result) {
@@ -112,6 +119,7 @@
   if (!admission_ || state_->Find(job.id) != nullptr) return std::nullopt;
   const auto proposed = proposed_.find(job.id);
   if (proposed != proposed_.end() && proposed->second == group_->CurrentTerm()) return std::nullopt;
+  if (proposals_exceeded_in_ == group_->CurrentTerm()) return std::nullopt;
   ForgetOldRejections();
   if (rejected_.size() >= limits_.max_rejections) return std::nullopt;
   return admission_(job);
--- a/source/jobs/job_service.h
+++ b/source/jobs/job_service.h
@@ -30,6 +30,9 @@
   Duration rejection_retention = std::chrono::minutes(10);
   /// Bound on the remembered commands, of about 200 bytes each. Above it no job is rejected.
   size_t max_rejections = 10'000;
+  /// Bound on the jobs whose proposal is in progress or failed. If there are more, no job is
+  /// rejected until the next term.
+  size_t max_proposals = 10'000;
 };
 
 /// Lives on the node's serial executor.
@@ -106,6 +109,8 @@
   /// Jobs proposed under the term, until the proposal succeeded. One that failed may still be
   /// committed.
   std::map<JobId, Term> proposed_;
+  /// Term in which a job was proposed that is not in `proposed_`, since that was full.
+  std::optional<Term> proposals_exceeded_in_;
   std::map<CommandKey, RememberedRejection> rejected_;
   std::list<HeldQuery> held_;
   std::set<JobId> changed_;
--- a/test/jobs/job_rejection_test.cc
+++ b/test/jobs/job_rejection_test.cc
@@ -1,5 +1,5 @@
-/// A rejection of a batch job must be true: what is rejected never runs, in whatever order messages
-/// arrive, and whichever replica leads.
+/// A rejection of a batch job must be true: no copy of a rejected command runs, also if copies are
+/// delayed or the leader changes.
 #include <catch2/catch.hpp>
 #include <deque>
 
@@ -18,7 +18,7 @@
 using std::chrono::seconds;
 
 constexpr Duration kRetryAfter = seconds(4);
-constexpr JobServiceLimits kLimits{minutes(10), 20};
+constexpr JobServiceLimits kLimits{minutes(10), 20, 5};
 
 /// Delivers messages between nodes by name. Those to or from a held node wait until it is released.
 class Wires {
@@ -206,6 +206,38 @@
   CHECK(absl::IsDeadlineExceeded((*answer)->status()));
 }
 
+// What was proposed beyond the bound may still be committed.
+TEST_CASE("A leader that can't remember more proposals rejects nothing until the next term") {
+  Fixture fixture;
+  fixture.fits = true;
+  fixture.first_group.quorum = false;
+  for (size_t i = 0; i < kLimits.max_proposals + 1; ++i) {
+    GroupCommand command;
+    command.id = 1000 + i;
+    command.group = kJobGroup;
+    JobSpec job = Fixture::Job();
+    job.id = JobId("earlier" + std::to_string(i));
+    command.command = EncodeJobCommand({SubmitJob{job}, {}});
+    command.may_be_rejected = true;
+    fixture.first.Receive(NodeId("gateway"), {MessageKind::kCommand, EncodeGroupCommand(command)});
+  }
+  fixture.scheduler.RunFor(milliseconds(20));
+  fixture.fits = false;
+  fixture.first_group.quorum = true;
+  SECTION("in the same term") {
+    const auto answer = fixture.Submit();
+    fixture.scheduler.RunFor(milliseconds(20));
+    REQUIRE(*answer);
+    CHECK((*answer)->ok());
+  }
+  SECTION("in the next term") {
+    fixture.first_group.term = Next(fixture.first_group.term);
+    const auto answer = fixture.Submit();
+    fixture.scheduler.RunFor(milliseconds(20));
+    CHECK(IsRejected(*answer));
+  }
+}
+
 TEST_CASE("A leader that is deposed while it rejects sends the gateway to the next one") {
   Fixture fixture;
   const auto answer = fixture.Submit();
