Tests of rejections that fail without what they name

The tests of a deposed leader let the job fit, so that they passed without the check of the leadership. A new one keeps rejecting, and expects that the reply says that the command was not run and that no rejection is counted. The earlier ones remain for the gateway's side. The test of a 504 had no copy that is rejected in full: its second reply now has not_run and retry_after.

--- a/test/jobs/job_rejection_test.cc
+++ b/test/jobs/job_rejection_test.cc
@@ -206,6 +206,32 @@
   CHECK(absl::IsDeadlineExceeded((*answer)->status()));
 }
 
+// Its view of the open jobs may miss what the next leader accepted.
+TEST_CASE("A leader whose term ended while it rejects replies that it did not run the command") {
+  Fixture fixture;
+  std::vector<GroupCommandReply> replies;
+  fixture.wires.receivers[NodeId("gateway")] = [&](const NodeId&, const PeerMessage& message) {
+    const auto reply = DecodeGroupCommandReply(message.payload);
+    REQUIRE(reply.ok());
+    replies.push_back(*reply);
+  };
+  fixture.wires.Send(NodeId("gateway"), NodeId("s1"), fixture.Command(true));
+  // The command has arrived, and its confirmation takes 2 ms.
+  fixture.scheduler.RunFor(milliseconds(2));
+  SECTION("it was deposed") { fixture.LeadSecond(); }
+  SECTION("it was deposed and elected again") {
+    fixture.first_group.term = Next(fixture.first_group.term);
+  }
+  fixture.scheduler.RunFor(milliseconds(20));
+  REQUIRE(replies.size() == 1);
+  CHECK(replies[0].not_run);
+  CHECK(replies[0].status == absl::StatusCode::kUnavailable);
+  CHECK_FALSE(fixture.IsKnown());
+  for (const StatSample& sample : fixture.stats.Read()) {
+    CHECK(sample.name.name != "millstair_jobs_rejected_total");
+  }
+}
+
 // What was proposed beyond the bound may still be committed.
 TEST_CASE("A leader that can't remember more proposals rejects nothing until the next term") {
   Fixture fixture;
--- a/test/platform/ingress_request_handler_test.cc
+++ b/test/platform/ingress_request_handler_test.cc
@@ -200,7 +200,11 @@
     ++copies;
     GroupCommandReply reply;
     reply.status = absl::StatusCode::kUnavailable;
-    if (copies > 1) reply.status = absl::StatusCode::kResourceExhausted;
+    // The first reply does not say that its copy was not run.
+    if (copies == 1) return reply;
+    reply.status = absl::StatusCode::kResourceExhausted;
+    reply.not_run = true;
+    reply.retry_after = milliseconds(4250);
     return reply;
   };
   fixture.Start();
