--- a/source/jobs/engine_pace_recorder.cc
+++ b/source/jobs/engine_pace_recorder.cc
@@ -72,10 +72,10 @@
 
 std::vector<EnginePace> EnginePaceRecorder::Paces() const {
   std::vector<EnginePace> paces;
-  for (const auto& [engine, seconds] : speeds_.known_seconds()) {
+  for (const auto& [engine, measured] : speeds_.known_seconds()) {
     if (paces.size() >= kMaxRecordedEngines) break;
     // The pace of an engine whose events arrive together is not 0.
-    paces.push_back({engine, std::max(Duration(1), FromSeconds(seconds))});
+    paces.push_back({engine, std::max(Duration(1), FromSeconds(measured))});
   }
   return paces;
 }
--- a/source/jobs/engine_speed_tracker.cc
+++ b/source/jobs/engine_speed_tracker.cc
@@ -17,6 +17,14 @@
 constexpr size_t kMinComparedEngines = 3;
 /// The tracker is cleared when it reaches this number of engines.
 constexpr size_t kMaxTrackedEngines = 10'000;
+/// An engine that sends no event for this many usual intervals is silent. It reads a few prompts of
+/// new runs in this time.
+constexpr double kSilentIntervals = 6;
+/// Longer than delays of the network and the pauses of a process on a busy machine.
+constexpr double kMinSilentSeconds = 0.15;
+/// Time without a run after which an engine that was silent gets work again: without runs, no event
+/// can show that it answers.
+constexpr Duration kSilenceLifetime = std::chrono::seconds(5);
 /// A restored pace is replaced by the mean of the first intervals, until their number gives each
 /// new one the weight of the smoothing.
 constexpr size_t kConfirmingIntervals = 10;
@@ -49,6 +57,7 @@
 
 void EngineSpeedTracker::RecordInterval(const InstanceId& instance, Duration gap, TimePoint now) {
   if (seconds_.size() >= kMaxTrackedEngines && !seconds_.contains(instance)) Clear();
+  silences_.erase(instance);
   const double seconds = ToSeconds(gap);
   const auto [known, added] = seconds_.try_emplace(instance, seconds);
   if (!added) {
@@ -84,6 +93,29 @@
   if (factor <= kDifferenceEnds) usual.difference.reset();
 }
 
+void EngineSpeedTracker::RecordSilence(const InstanceId& instance, Duration silence) {
+  const double seconds = ToSeconds(silence);
+  const double usual = kSilentIntervals * MeasuredSecondsPerEvent(instance);
+  if (seconds < std::max(usual, kMinSilentSeconds)) return;
+  double& longest = silences_[instance].seconds;
+  longest = std::max(longest, seconds);
+}
+
+void EngineSpeedTracker::ExpireSilences(const std::function<bool(const InstanceId&)>& has_run,
+                                        TimePoint now) {
+  for (auto& [instance, silence] : silences_) {
+    if (has_run(instance)) {
+      silence.idle_since.reset();
+    } else if (!silence.idle_since) {
+      silence.idle_since = now;
+    }
+  }
+  std::erase_if(silences_, [now](const auto& entry) {
+    const std::optional<TimePoint>& idle_since = entry.second.idle_since;
+    return idle_since && now - *idle_since >= kSilenceLifetime;
+  });
+}
+
 void EngineSpeedTracker::Restore(const std::map<InstanceId, double>& seconds) {
   Clear();
   seconds_ = seconds;
@@ -99,6 +131,7 @@
 void EngineSpeedTracker::RemoveUnless(const std::function<bool(const InstanceId&)>& exists) {
   std::erase_if(seconds_, [&exists](const auto& entry) { return !exists(entry.first); });
   std::erase_if(usual_, [&exists](const auto& entry) { return !exists(entry.first); });
+  std::erase_if(silences_, [&exists](const auto& entry) { return !exists(entry.first); });
   std::erase_if(unconfirmed_, [&exists](const auto& entry) { return !exists(entry.first); });
 }
 
@@ -107,6 +140,7 @@
   usual_.clear();
   slow_.clear();
   unconfirmed_.clear();
+  silences_.clear();
   typical_seconds_ = kAssumedSeconds;
   fastest_seconds_ = kAssumedSeconds;
 }
@@ -118,7 +152,7 @@
   return known;
 }
 
-PaceForecast EngineSpeedTracker::Forecast(const InstanceId& instance) const {
+PaceForecast EngineSpeedTracker::MeasuredForecast(const InstanceId& instance) const {
   const auto known = seconds_.find(instance);
   if (known == seconds_.end()) return {typical_seconds_, typical_seconds_, 0};
   const auto usual = usual_.find(instance);
@@ -132,10 +166,23 @@
   return forecast;
 }
 
+PaceForecast EngineSpeedTracker::Forecast(const InstanceId& instance) const {
+  const PaceForecast measured = MeasuredForecast(instance);
+  const auto silent = silences_.find(instance);
+  if (silent == silences_.end()) return measured;
+  // Nothing tells when it answers again.
+  const double seconds = std::max(measured.SecondsPerEvent(kCommonEvents), silent->second.seconds);
+  return {seconds, seconds, 0};
+}
+
 double EngineSpeedTracker::SecondsPerEvent(const InstanceId& instance) const {
   return Forecast(instance).SecondsPerEvent(kCommonEvents);
 }
 
+double EngineSpeedTracker::MeasuredSecondsPerEvent(const InstanceId& instance) const {
+  return MeasuredForecast(instance).SecondsPerEvent(kCommonEvents);
+}
+
 void EngineSpeedTracker::Recompute(TimePoint now) {
   recomputed_at_ = now;
   slow_.clear();
--- a/source/jobs/engine_speed_tracker.h
+++ b/source/jobs/engine_speed_tracker.h
@@ -37,6 +37,13 @@
 
   /// Records the time between two events of one run at `instance`.
   void RecordInterval(const InstanceId& instance, Duration gap, TimePoint now);
+  /// No run at `instance` has received an event for `silence`, though at least one received its
+  /// first event. If that is far longer than its events take, it counts as its time between two
+  /// events until the next interval is recorded or the silence expires.
+  void RecordSilence(const InstanceId& instance, Duration silence);
+  /// Forgets the silence of engines for which `has_run` has not held for some seconds, so that they
+  /// get work again. Called periodically.
+  void ExpireSilences(const std::function<bool(const InstanceId&)>& has_run, TimePoint now);
   void Clear();
   /// Starts with the paces that an earlier leader measured, in seconds per event. They are
   /// unconfirmed: the first intervals of an engine replace its pace.
@@ -55,6 +62,8 @@
   PaceForecast Forecast(const InstanceId& instance) const;
   /// Expected time between two events of a text of common length.
   double SecondsPerEvent(const InstanceId& instance) const;
+  /// The same without silences.
+  double MeasuredSecondsPerEvent(const InstanceId& instance) const;
   /// Median over the engines; a default before the first event.
   double TypicalSeconds() const { return typical_seconds_; }
   double FastestSeconds() const { return fastest_seconds_; }
@@ -82,11 +91,22 @@
   void RecordUsual(const InstanceId& instance, double seconds, TimePoint now);
   static void UpdateDifference(UsualPace& usual, double recent, TimePoint now);
 
+  struct Silence {
+    /// Longest time without an event.
+    double seconds = 0;
+    /// Time since which it has no run; none while it has one.
+    std::optional<TimePoint> idle_since;
+  };
+
+  /// The pace without silences.
+  PaceForecast MeasuredForecast(const InstanceId& instance) const;
+
   const bool separates_bursts_;
   /// Smoothed time between two events, over a few of them.
   std::map<InstanceId, double> seconds_;
   /// Empty unless bursts are separated.
   std::map<InstanceId, UsualPace> usual_;
+  std::map<InstanceId, Silence> silences_;
   TimePoint recomputed_at_;
   double typical_seconds_ = kAssumedSeconds;
   double fastest_seconds_ = kAssumedSeconds;
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -24,6 +24,7 @@
 #include "jobs/item_lengths.h"
 #include "jobs/item_order.h"
 #include "jobs/item_run.h"
+#include "jobs/job_admission.h"
 #include "jobs/job_report.h"
 #include "jobs/job_state_machine.h"
 #include "jobs/load_scheduler.h"
@@ -65,6 +66,9 @@
   }
   /// The state machine applied a change. It is handled from a timer.
   void OnStateChange(JobChange change, const JobId& job);
+  /// Why the job that is about to be proposed can't be served, or nothing if it may be accepted.
+  /// See DecideAdmission.
+  std::optional<JobRejection> RejectionOf(const JobSpec& spec) const;
   /// Runs a scheduling pass, or schedules one if the last was too recent. Call it when back ends,
   /// routes or versions changed.
   void Pump();
@@ -173,6 +177,7 @@
                          uint64_t tokens_per_event) const;
   /// According to the configuration of the job's service; 0 if unknown.
   uint64_t TokensPerEvent(const JobRecord& record) const;
+  uint64_t TokensPerEvent(const Route* route) const;
   /// Records the known text lengths of an ended job.
   void UpdateLengths(const JobRecord& record);
   /// Reuses the complete text that an earlier job recorded for the same item, if its versions are
@@ -212,9 +217,21 @@
   /// anything waits or may be late.
   void UpdateForecast();
   ForecastInputs CollectForecastInputs() const;
-  ForecastJob ForecastJobOf(const JobRecord& record, const JobWork& job) const;
+  enum class PaceKind : uint8_t {
+    kExpected,  ///< includes silences
+    kMeasured,
+  };
+  ForecastJob ForecastJobOf(const JobRecord& record, const JobWork& job,
+                            PaceKind kind = PaceKind::kExpected) const;
   /// The engines that answer.
   std::vector<const BackendInstance*> EnginesFor(const EngineUse& use) const;
+  /// The engines that may be assigned to a model of the route, also those that failed lately.
+  std::set<InstanceId> LiveEnginesOf(const Route& route) const;
+  /// Empty if the pace of none was measured. Engines of unknown pace count as the fastest.
+  ForecastPool AdmissionPoolOf(const Route& route) const;
+  /// The open jobs that need the engines of `use` and have no others.
+  std::vector<AdmissionJob> OpenJobsAt(const EngineUse& use) const;
+  AdmissionJob NewJobOf(const JobSpec& spec, const Route& route) const;
   static void MergePools(ForecastInputs& inputs, size_t from, size_t to,
                          std::map<EngineUse, size_t>& pool_of_use,
                          std::map<InstanceId, size_t>& pool_of_engine);
@@ -226,6 +243,8 @@
   void SetForecastMetrics(const std::map<std::string, double>& lateness_by_route, size_t deferred);
   void HandleChanges();
   void SchedulePump(Duration delay);
+  /// Whether the next pass should have begun long ago: the node was suspended, or its executor busy.
+  bool PassIsLate(TimePoint now) const;
   /// A run that could continue at a faster engine.
   struct MoveCandidate {
     /// The client waits for it, and it is expected to be late where it runs.
@@ -236,6 +255,8 @@
     const Route* route = nullptr;
   };
 
+  /// Reports engines to the speed tracker that stopped sending events.
+  void RecordSilentEngines();
   void DispatchWaiting(EngineSnapshot& snapshot);
   /// Moves runs to faster engines with free slots, in the order of MoveCandidates.
   void MoveToFasterEngines(EngineSnapshot& snapshot);
@@ -299,7 +320,8 @@
   void OnProposed(const JobId& job, uint32_t index, const absl::StatusOr<std::string>& result);
   void OnRecorded(const JobId& job, uint32_t index);
   Work* FindWork(const JobId& job, uint32_t index);
-  const Route* RouteOf(const JobRecord& record) const;
+  const Route* RouteOf(const JobRecord& record) const { return RouteOf(record.spec); }
+  const Route* RouteOf(const JobSpec& spec) const;
   /// Destroys the run from a timer, since one of its callbacks may be on the stack.
   void DropRunLater(Work& work);
 
@@ -333,6 +355,12 @@
   EnginePaceRecorder pace_recorder_;
   TimePoint next_moves_at_;
   TimePoint next_pump_at_;
+  /// When the scheduled pass is due; none if there is none.
+  std::optional<TimePoint> pump_due_at_;
+  /// Ends of loads at engines with runs; none while one is in progress.
+  std::map<InstanceId, std::optional<TimePoint>> load_ends_;
+  /// Time of the latest pass that ran late.
+  std::optional<TimePoint> resumed_at_;
   TimePoint next_forecast_at_;
   /// Until then no running item can make its job late.
   TimePoint no_lateness_before_;
--- a/test/jobs/engine_speed_tracker_test.cc
+++ b/test/jobs/engine_speed_tracker_test.cc
@@ -192,7 +192,45 @@
   CHECK(tracker.SecondsPerEvent(Engine(0)) == Approx(0.060).epsilon(0.1));
   tracker.RemoveUnless([](const InstanceId& engine) { return engine == Engine(0); });
   CHECK_FALSE(tracker.known_seconds().contains(Engine(1)));
-}
+  TEST_CASE("An engine that sends nothing for several intervals is slow until its next interval") {
+    EngineSpeedTracker tracker;
+    for (int round = 0; round < 40; ++round) {
+      for (int engine = 0; engine < 5; ++engine) {
+        tracker.RecordInterval(Engine(engine), milliseconds(50), TimePoint());
+      }
+    }
+    tracker.RecordSilence(Engine(2), milliseconds(290));
+    tracker.Recompute(TimePoint());
+    CHECK_FALSE(tracker.IsSlow(Engine(2)));
+    tracker.RecordSilence(Engine(2), milliseconds(310));
+    tracker.Recompute(TimePoint());
+    CHECK(tracker.IsSlow(Engine(2)));
+    CHECK(tracker.SecondsPerEvent(Engine(2)) == Approx(0.310));
+    CHECK(tracker.MeasuredSecondsPerEvent(Engine(2)) == Approx(0.050));
+    // Its runs were moved, so that the silence does not grow.
+    tracker.Recompute(TimePoint());
+    CHECK(tracker.IsSlow(Engine(2)));
+    tracker.RecordInterval(Engine(2), milliseconds(50), TimePoint());
+    tracker.Recompute(TimePoint());
+    CHECK_FALSE(tracker.IsSlow(Engine(2)));
+    CHECK(tracker.SecondsPerEvent(Engine(2)) == Approx(0.050));
+  }
+
+  TEST_CASE("A silence ends after five seconds without a run") {
+    EngineSpeedTracker tracker;
+    const TimePoint start = TimePoint() + std::chrono::seconds(100);
+    for (int i = 0; i < 40; ++i) tracker.RecordInterval(Engine(0), milliseconds(50), TimePoint());
+    tracker.RecordSilence(Engine(0), milliseconds(400));
+    const auto expire = [&](bool has_run, Duration after) {
+      tracker.ExpireSilences([has_run](const InstanceId&) { return has_run; }, start + after);
+      return tracker.SecondsPerEvent(Engine(0)) == Approx(0.050);
+    };
+    CHECK_FALSE(expire(false, milliseconds(0)));
+    CHECK_FALSE(expire(true, milliseconds(4000)));
+    CHECK_FALSE(expire(false, milliseconds(6000)));
+    CHECK_FALSE(expire(false, milliseconds(10900)));
+    CHECK(expire(false, milliseconds(11000)));
+  }
 
 }  // namespace
 }  // namespace millstair
