--- a/source/cluster/cluster_commands.h
+++ b/source/cluster/cluster_commands.h
@@ -10,6 +10,7 @@
 
 #include "absl/status/statusor.h"
 #include "cluster/configuration.h"
+#include "cluster/pool_records.h"
 #include "cluster/task_leases.h"
 #include "common/ids.h"
 #include "common/time.h"
@@ -189,12 +190,25 @@
   std::vector<BackendInstance> instances;
 };
 
+/// Sets the numbers of servers of a service in a zone; proposed by the leader. Invalid if fewer
+/// than the initial number are wanted; the initial number never decreases. Builds below
+/// kPoolScalingLevel cannot decode it.
+struct SetPoolSize {
+  PoolSize size;
+};
+
+/// The leader of a job group reports the needs of its open steps. Delivered to the leader of the
+/// cluster group and not logged: a report is outdated within seconds.
+struct ReportPoolNeeds {
+  PoolReport report;
+};
+
 using ClusterOperation =
     std::variant<OpenSession, PutResources, DeleteResource, ClaimKey, SettleClaim, PublishVersion,
                  SetModelTarget, UpdateMembers, BootstrapStreamGroup, ReplaceRouting,
                  UpdateInstance, NameVersion, BootstrapJobGroup, RetireNode, PlaceJobGroup,
                  AddUsage, CloseUsage, AcceptUsage, AnnounceTaskLease, ReportCrashes, BeginTrial,
-                 ClearSuspect, EvacuateZone, UpdateInstances>;
+                 ClearSuspect, EvacuateZone, UpdateInstances, SetPoolSize, ReportPoolNeeds>;
 
 struct ClusterCommand {
   ClusterOperation operation;
--- a/source/cluster/cluster_replica.cc
+++ b/source/cluster/cluster_replica.cc
@@ -11,7 +11,7 @@
     if (on_change_) on_change_();
   }));
   machine->OnLeaseAnnounced(alive_.Guard([this](const LeaseAnnouncement& announcement) {
-    if (on_lease_announced_) on_lease_announced_(announcement);
+    for (const auto& callback : on_lease_announced_) callback(announcement);
   }));
   return machine;
 }
@@ -60,6 +60,12 @@
   return machine == nullptr ? kEmpty : machine->usage();
 }
 
+const PoolSizes& ClusterReplica::pool_sizes() const {
+  static const PoolSizes kEmpty;
+  const ClusterStateMachine* machine = state();
+  return machine == nullptr ? kEmpty : machine->pool_sizes();
+}
+
 bool ClusterReplica::IsLeader() const {
   const RaftGroup* replica = group();
   return replica != nullptr && replica->IsLeader();
--- a/source/cluster/cluster_replica.h
+++ b/source/cluster/cluster_replica.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "cluster/cluster_commands.h"
 #include "cluster/cluster_relay.h"
@@ -28,9 +29,9 @@
   /// Called after each change of the configuration or of the bootstrapped groups.
   void OnChange(std::function<void()> callback) { on_change_ = std::move(callback); }
 
-  /// Called for each applied announcement of a task lease.
+  /// Called for each applied announcement of a task lease; every callback given is called.
   void OnLeaseAnnounced(std::function<void(const LeaseAnnouncement&)> callback) {
-    on_lease_announced_ = std::move(callback);
+    on_lease_announced_.push_back(std::move(callback));
   }
 
   /// `relay` outlives this object. Without a call no relay is used.
@@ -53,6 +54,7 @@
   /// Empty until received from a replica, local or remote.
   const Configuration& configuration() const;
   const UsageLedger& usage() const;
+  const PoolSizes& pool_sizes() const;
   bool IsLeader() const;
   std::optional<NodeId> Leader() const;
 
@@ -73,7 +75,7 @@
   GroupHost* groups_ = nullptr;
   ClusterRelay* relay_ = nullptr;
   std::function<void()> on_change_;
-  std::function<void(const LeaseAnnouncement&)> on_lease_announced_;
+  std::vector<std::function<void(const LeaseAnnouncement&)>> on_lease_announced_;
   AliveFlag alive_;
 };
 
--- a/source/cluster/cluster_snapshot.cc
+++ b/source/cluster/cluster_snapshot.cc
@@ -2,6 +2,7 @@
 #include "api/generated/cluster.pb.h"
 #include "cluster/cluster_state_machine.h"
 #include "cluster/configuration_wire.h"
+#include "cluster/pool_wire.h"
 #include "cluster/usage_wire.h"
 #include "wire/nanopb_message.h"
 
@@ -126,6 +127,10 @@
   for (const auto& [subject, announcement] : announcements_) {
     wire.duties[wire.duties_count++] = ToWire(arena, announcement);
   }
+  wire.pool_sizes = arena.NewArray<millstair_PoolSize>(pool_sizes_.size());
+  for (const auto& [subject, size] : pool_sizes_) {
+    wire.pool_sizes[wire.pool_sizes_count++] = ToWire(arena, size);
+  }
   return EncodeNanopb(millstair_ClusterSnapshot_fields, &wire);
 }
 
@@ -157,6 +162,12 @@
     if (!FromWire(wire.duties[i], announcement)) return absl::DataLossError("bad duty");
     announcements[announcement.subject] = std::move(announcement);
   }
+  PoolSizes pool_sizes;
+  for (pb_size_t i = 0; i < wire.pool_sizes_count; ++i) {
+    PoolSize size;
+    if (!FromWire(wire.pool_sizes[i], size)) return absl::DataLossError("bad pool size");
+    pool_sizes[{size.service, size.zone}] = size;
+  }
   configuration_ = Configuration();
   bootstrapped_groups_ = std::move(bootstrapped_groups);
   ApplyDelta(configuration_, *delta);
@@ -168,6 +179,7 @@
   history_.Reset(configuration_.revision);
   usage_.Restore(std::move(usage));
   announcements_ = std::move(announcements);
+  pool_sizes_ = std::move(pool_sizes);
   for (const auto& [subject, announcement] : announcements_) {
     if (on_lease_announced_) on_lease_announced_(announcement);
   }
--- a/source/cluster/cluster_state_machine.cc
+++ b/source/cluster/cluster_state_machine.cc
@@ -121,6 +121,10 @@
           return {};
         } else if constexpr (std::is_same_v<Operation, AnnounceTaskLease>) {
           return Announce(operation.announcement);
+        } else if constexpr (std::is_same_v<Operation, SetPoolSize>) {
+          return Set(operation.size);
+        } else if constexpr (std::is_same_v<Operation, ReportPoolNeeds>) {
+          return {};
         } else {
           return editor.Run(operation);
         }
@@ -154,6 +158,22 @@
   return {};
 }
 
+ClusterResult ClusterStateMachine::Set(const PoolSize& size) {
+  ClusterResult result;
+  const auto [stored, added] = pool_sizes_.try_emplace({size.service, size.zone}, size);
+  if (added) return result;
+  const uint32_t initial = std::max(stored->second.initial, size.initial);
+  if (size.wanted < initial) {
+    result.code = ClusterResultCode::kInvalid;
+    return result;
+  }
+  const bool was_ordered = stored->second.ordered;
+  stored->second = size;
+  stored->second.initial = initial;
+  stored->second.ordered = was_ordered || size.ordered;
+  return result;
+}
+
 void ClusterStateMachine::ForgetGroups(const ChangeSet& changes) {
   for (const ResourceKey& key : changes.resources) {
     if (key.kind != ResourceKind::kStream || configuration_.resources.contains(key)) continue;
--- a/source/cluster/cluster_state_machine.h
+++ b/source/cluster/cluster_state_machine.h
@@ -56,6 +56,7 @@
   Revision nodes_changed_at() const { return nodes_changed_at_; }
   WallTime clock() const { return clock_; }
   const UsageLedger& usage() const { return usage_; }
+  const PoolSizes& pool_sizes() const { return pool_sizes_; }
   const SessionTable& sessions() const { return sessions_; }
   const ClaimTable& claims() const { return claims_; }
   /// Initial members of the stream groups.
@@ -69,6 +70,7 @@
   ClusterResult Run(LogIndex index, const ClusterCommand& command);
   ClusterResult Bootstrap(LogIndex index, const BootstrapStreamGroup& bootstrap);
   ClusterResult Announce(const LeaseAnnouncement& announcement);
+  ClusterResult Set(const PoolSize& size);
   /// Removes the initial members of deleted streams.
   void ForgetGroups(const ChangeSet& changes);
   void AdvanceClock(WallTime proposed_at);
@@ -84,8 +86,9 @@
   std::map<StreamName, BootstrapStreamGroup> bootstrapped_groups_;
   ChangeHistory history_;
   UsageLedger usage_;
-  /// Latest announcement by subject. Each leader task has one subject.
+  /// Latest announcement by subject. A leader task has one subject or a few.
   std::map<std::string, LeaseAnnouncement> announcements_;
+  PoolSizes pool_sizes_;
   std::function<void()> on_change_;
   std::function<void(const LeaseAnnouncement&)> on_lease_announced_;
 };
--- a/source/cluster/command_codec.cc
+++ b/source/cluster/command_codec.cc
@@ -1,6 +1,7 @@
 /// Codecs of commands and results of the cluster group.
 #include "cluster/cluster_commands.h"
 #include "cluster/configuration_wire.h"
+#include "cluster/pool_wire.h"
 #include "cluster/resource_wire.h"
 #include "cluster/suspect_wire.h"
 #include "cluster/usage_wire.h"
@@ -209,6 +210,16 @@
         NewWireArray<millstair_BackendInstance>(arena, update.instances, &target.instances_count);
   }
 
+  void operator()(const SetPoolSize& set) const {
+    wire.which_operation = millstair_ClusterCommand_set_pool_size_tag;
+    wire.operation.set_pool_size = ToWire(arena, set.size);
+  }
+
+  void operator()(const ReportPoolNeeds& report) const {
+    wire.which_operation = millstair_ClusterCommand_report_pool_needs_tag;
+    wire.operation.report_pool_needs = ToWire(arena, report.report);
+  }
+
   void operator()(const RetireNode& retire) const {
     wire.which_operation = millstair_ClusterCommand_retire_node_tag;
     wire.operation.retire_node = ToWire(arena, retire.retired);
@@ -335,6 +346,11 @@
       return FromWireArray(update.instances, update.instances_count,
                            operation.emplace<UpdateInstances>().instances);
     }
+    case millstair_ClusterCommand_set_pool_size_tag:
+      return FromWire(wire.operation.set_pool_size, operation.emplace<SetPoolSize>().size);
+    case millstair_ClusterCommand_report_pool_needs_tag:
+      return FromWire(wire.operation.report_pool_needs,
+                      operation.emplace<ReportPoolNeeds>().report);
     case millstair_ClusterCommand_retire_node_tag:
       return FromWire(wire.operation.retire_node, operation.emplace<RetireNode>().retired);
     default:
--- a/source/cluster/command_service.cc
+++ b/source/cluster/command_service.cc
@@ -82,6 +82,10 @@
                                       std::function<void(absl::StatusOr<std::string>)> done) {
   auto decoded = DecodeCommand(command);
   if (!decoded.ok()) return done(decoded.status());
+  if (const auto* needs = std::get_if<ReportPoolNeeds>(&decoded->operation)) {
+    if (on_pool_report_) on_pool_report_(needs->report);
+    return done(EncodeResult({}));
+  }
   auto* report = std::get_if<UpdateInstance>(&decoded->operation);
   if (report == nullptr || decoded->session) {
     return cluster_.ProposeEncoded(command, std::move(done));
--- a/source/cluster/command_service.h
+++ b/source/cluster/command_service.h
@@ -28,6 +28,10 @@
   /// The agreed time of the cluster; nullopt unless this node leads the cluster group and has
   /// samples of enough clocks.
   std::optional<WallTime> AgreedTime() const;
+  /// `callback` runs for each report of a job group's leader that arrives while this node leads.
+  void OnPoolReport(std::function<void(const PoolReport&)> callback) {
+    on_pool_report_ = std::move(callback);
+  }
   /// Runs a command of this node. Unavailable if it does not lead the group.
   void Run(const GroupId& wanted, CommandMode mode, const std::string& command,
            std::function<void(absl::StatusOr<std::string>)> done);
@@ -67,6 +71,7 @@
   const NodeId self_;
   GroupHost* groups_ = nullptr;
   std::set<Running> running_;
+  std::function<void(const PoolReport&)> on_pool_report_;
   AliveFlag alive_;
 };
 
--- a/source/cluster/configuration.h
+++ b/source/cluster/configuration.h
@@ -132,6 +132,8 @@
   /// Set by the state machine: another incarnation of the server is current; `state` is kGone.
   bool superseded = false;
   RivalIncarnation rival;
+  /// The platform may withdraw it at short notice, with all others of its zone.
+  bool spot = false;
   friend bool operator==(const BackendInstance&, const BackendInstance&) = default;
 };
 
--- a/source/cluster/configuration_wire.cc
+++ b/source/cluster/configuration_wire.cc
@@ -218,6 +218,7 @@
   wire.cold_left_milliseconds = static_cast<uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(instance.cold_left).count());
   wire.cold_at = instance.cold_at.value();
+  wire.spot = instance.spot;
   wire.has_rival = instance.rival.reports > 0;
   if (wire.has_rival) {
     wire.rival.id = arena.NewString(instance.rival.id.value());
@@ -238,6 +239,7 @@
   instance.superseded = wire.superseded;
   instance.cold_left = std::chrono::milliseconds(wire.cold_left_milliseconds);
   instance.cold_at = Revision(wire.cold_at);
+  instance.spot = wire.spot;
   if (wire.has_rival) {
     instance.rival = {InstanceId(ToString(wire.rival.id)), wire.rival.sequence, wire.rival.reports};
   }
--- a/source/cluster/control_node.cc
+++ b/source/cluster/control_node.cc
@@ -146,6 +146,14 @@
 
   const UsageLedger& usage() const override { return cluster_.usage(); }
 
+  const PoolSizes& pool_sizes() const override { return cluster_.pool_sizes(); }
+
+  FeatureLevel MinLevel() const override { return membership_.MinLevel().level; }
+
+  void OnPoolReport(std::function<void(const PoolReport&)> callback) override {
+    commands_.OnPoolReport(std::move(callback));
+  }
+
   std::optional<WallTime> AgreedTime() const override { return commands_.AgreedTime(); }
 
   void OnLeaseAnnounced(std::function<void(const LeaseAnnouncement&)> callback) override {
@@ -230,7 +238,8 @@
     if (committed.state < reported.state) return false;
     if (reported.address.empty() || reported.sequence <= committed.sequence) return true;
     return committed.address == reported.address && committed.service == reported.service &&
-           committed.models == reported.models && committed.slots == reported.slots;
+           committed.models == reported.models && committed.slots == reported.slots &&
+           committed.spot == reported.spot;
   }
 
   void ReceiveHeartbeat(const NodeId& from, const PeerMessage& message) {
--- a/source/cluster/control_node.h
+++ b/source/cluster/control_node.h
@@ -10,6 +10,7 @@
 #include "cluster/cluster_commands.h"
 #include "cluster/cluster_faults.h"
 #include "cluster/configuration_client.h"
+#include "cluster/feature_level.h"
 #include "common/environment.h"
 #include "common/ids.h"
 #include "common/peer_transport.h"
@@ -124,7 +125,15 @@
   /// The time that most clocks of the cluster agree on; nullopt on a node that does not lead, and
   /// until enough nodes have reported.
   virtual std::optional<WallTime> AgreedTime() const = 0;
-  /// `callback` runs for each announcement of a task lease applied here.
+  /// Numbers of ordered servers as applied on this replica; may be stale.
+  virtual const PoolSizes& pool_sizes() const = 0;
+  /// The lowest feature level among live nodes, as far as this leader knows.
+  virtual FeatureLevel MinLevel() const = 0;
+  /// `callback` runs for each report of a job group's leader that this node receives while it leads
+  /// the cluster group. Reports may arrive late and out of order.
+  virtual void OnPoolReport(std::function<void(const PoolReport&)> callback) = 0;
+  /// `callback` runs for each announcement of a task lease applied here. Several tasks may each set
+  /// one.
   virtual void OnLeaseAnnounced(std::function<void(const LeaseAnnouncement&)> callback) = 0;
   /// The configuration and the leader of the cluster group are known here.
   virtual bool Ready() const = 0;
--- a/source/cluster/feature_level.h
+++ b/source/cluster/feature_level.h
@@ -21,8 +21,10 @@
 /// Control nodes without a replica relay, and a node that looks for a newer configuration uses any
 /// node that can confirm it.
 inline constexpr FeatureLevel kRelayLevel = 1;
+/// Numbers of ordered servers are decoded.
+inline constexpr FeatureLevel kPoolScalingLevel = 2;
 /// Level of this build.
-inline constexpr FeatureLevel kOwnLevel = kEvacuationLevel;
+inline constexpr FeatureLevel kOwnLevel = kPoolScalingLevel;
 
 /// The lowest level among live nodes, with its node; it limits what may be proposed.
 struct MinFeatureLevel {
--- a/source/ingress/route_table.h
+++ b/source/ingress/route_table.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -67,6 +68,19 @@
   uint64_t tokens_per_event = 0;
 };
 
+/// Servers of a service that can be ordered. The numbers of servers apply to each zone, to
+/// on-demand and spot servers together.
+struct ServiceScaling {
+  uint32_t min = 0;
+  uint32_t max = 0;
+  /// From an order until the server serves.
+  Duration boot{0};
+  /// Price of a spot server relative to an on-demand server.
+  double spot_price = 0;
+  /// Price of an on-demand server per second.
+  std::map<Zone, double> zone_prices;
+};
+
 struct Service {
   ServiceName name;
   std::string health_path;
@@ -74,6 +88,8 @@
   std::optional<EngineProfile> engine;
   /// Requests per second that a cold back end can handle; 0 sets no limit.
   double cold_requests_per_second = 0;
+  /// Absent if no servers can be ordered.
+  std::optional<ServiceScaling> scaling;
 };
 
 struct RouteTable {
--- a/test/platform/control_request_handler_test.cc
+++ b/test/platform/control_request_handler_test.cc
@@ -34,6 +34,9 @@
   MAKE_CONST_MOCK0(ConfirmationReadAge, Duration(), override);
   MAKE_CONST_MOCK0(usage, const UsageLedger&(), override);
   MAKE_CONST_MOCK0(AgreedTime, std::optional<WallTime>(), override);
+  MAKE_CONST_MOCK0(pool_sizes, const PoolSizes&(), override);
+  MAKE_CONST_MOCK0(MinLevel, FeatureLevel(), override);
+  MAKE_MOCK1(OnPoolReport, void(std::function<void(const PoolReport&)>), override);
   MAKE_MOCK1(OnLeaseAnnounced, void(std::function<void(const LeaseAnnouncement&)>), override);
   MAKE_CONST_MOCK0(Ready, bool(), override);
   MAKE_MOCK1(Drain, void(std::function<void()>), override);
@@ -149,6 +152,11 @@
   CHECK(ReadHeartbeat("i", head + R"(,"cold_left_ms":-5})")->cold_left == Duration(0));
   // Wrong type.
   CHECK_FALSE(ReadHeartbeat("i", head + R"(,"cold_left_ms":"soon"})").ok());
+  // A spot server that counted as an ordered one would distort the number to order.
+  CHECK(ReadHeartbeat("i", head + R"(,"spot":true})")->spot);
+  CHECK_FALSE(ReadHeartbeat("i", head + R"(,"spot":false})")->spot);
+  CHECK_FALSE(ReadHeartbeat("i", head + "}")->spot);
+  CHECK_FALSE(ReadHeartbeat("i", head + R"(,"spot":"yes"})")->spot);
 }
 
 TEST_CASE("Emptying a machine is done only when all of its nodes are emptied") {
--- a/test/platform/routing_codec_test.cc
+++ b/test/platform/routing_codec_test.cc
@@ -123,5 +123,42 @@
         "");
 }
 
+std::string DocumentWithScaling(const std::string& scaling) {
+  return R"({"version":7,"routes":[],"services":[{"name":"captions")" + scaling + "}]}";
+}
+
+TEST_CASE("The limits and prices of servers that can be ordered are not lost") {
+  const auto table = RoutingCodec().Read(DocumentWithScaling(
+      R"(,"scaling":{"min":1,"max":24,"boot_s":4.0,"spot_price":0.18,
+          "zone_prices":{"zone-a":1.0,"zone-b":0.8}})"));
+  REQUIRE(table.ok());
+  const auto& scaling = table->services[0].scaling;
+  REQUIRE(scaling.has_value());
+  CHECK(scaling->min == 1);
+  CHECK(scaling->max == 24);
+  CHECK(scaling->boot == std::chrono::seconds(4));
+  CHECK(scaling->spot_price == 0.18);
+  CHECK(scaling->zone_prices ==
+        std::map<Zone, double>{{Zone("zone-a"), 1.0}, {Zone("zone-b"), 0.8}});
+}
+
+TEST_CASE("A service without limits of servers cannot be ordered") {
+  const auto table = RoutingCodec().Read(DocumentWithScaling(""));
+  REQUIRE(table.ok());
+  CHECK_FALSE(table->services[0].scaling.has_value());
+}
+
+TEST_CASE("Unreadable limits of servers keep no configuration from being accepted") {
+  for (const char* scaling :
+       {"null", "[]", R"({"min":1})", R"({"min":3,"max":2})", R"({"max":-1})", R"({"max":2.5})",
+        R"({"max":1,"zone_prices":{"a":"x"}})", R"({"max":1,"boot_s":"soon"})"}) {
+    INFO(scaling);
+    const auto table =
+        RoutingCodec().Read(DocumentWithScaling(std::string(R"(,"scaling":)") + scaling));
+    REQUIRE(table.ok());
+    CHECK_FALSE(table->services[0].scaling.has_value());
+  }
+}
+
 }  // namespace
 }  // namespace millstair::platform
