--- a/source/scaling/pool_size.cc
+++ b/source/scaling/pool_size.cc
@@ -102,6 +102,7 @@
 }
 
 void PoolTrend::Observe(TimePoint now, const Pool& pool) {
+  observed_at_ = now;
   if (!IsLate(pool.need)) {
     late_since_.reset();
   } else if (!late_since_) {
@@ -120,12 +121,13 @@
   calm_since_.reset();
 }
 
-bool PoolTrend::MayOrder(TimePoint now) const {
-  return late_since_ && now - *late_since_ >= kLateBeforeOrder;
+bool PoolTrend::MayOrder() const {
+  return late_since_ && observed_at_ - *late_since_ >= kLateBeforeOrder;
 }
 
 bool PoolTrend::MayRelease(TimePoint now) const {
-  return calm_since_ && now - *calm_since_ >= kCalmBeforeRelease && now >= no_release_before_;
+  return calm_since_ && observed_at_ - *calm_since_ >= kCalmBeforeRelease &&
+         now >= no_release_before_;
 }
 
 std::vector<PoolChange> DecideOrders(const Pool& pool) {
--- a/source/scaling/pool_size.h
+++ b/source/scaling/pool_size.h
@@ -75,10 +75,12 @@
   /// Servers have been released: the next one follows after kReleaseInterval.
   void OnReleased(TimePoint now) { no_release_before_ = now + kReleaseInterval; }
 
-  bool MayOrder(TimePoint now) const;
+  bool MayOrder() const;
   bool MayRelease(TimePoint now) const;
 
  private:
+  /// Of the latest report: the periods last until then.
+  TimePoint observed_at_;
   std::optional<TimePoint> late_since_;
   std::optional<TimePoint> calm_since_;
   TimePoint no_release_before_;
--- a/source/scaling/scale_protocol.h
+++ b/source/scaling/scale_protocol.h
@@ -1,5 +1,5 @@
-/// Calls by which the lease holder orders servers from the platform. Implemented by the interface in
-/// use.
+/// Calls by which the lease holder orders servers from the platform. Implemented by the interface
+/// in use.
 #pragma once
 
 #include <cstdint>
