Elastic pool: the leader of the job group reports missing slots and lateness

Orders need an estimate of the slots that the open steps lack. Nothing is reported unless the settings ask for it and a service of the routing configuration has scaling.

--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/pool_records.h"
 #include "common/alive_flag.h"
 #include "common/environment.h"
 #include "common/scoped_timer.h"
@@ -63,6 +64,9 @@
   /// Runs a scheduling pass, or schedules one if the last was too recent. Call it when back ends,
   /// routes or versions changed.
   void Pump();
+  /// What the jobs need of each service whose servers can be ordered; empty if there is none, or
+  /// while this replica does not lead.
+  std::vector<PoolNeed> PoolNeeds() const;
 
  private:
   enum class Phase : uint8_t { kWaiting, kRunning, kScoring, kRecording };
@@ -205,6 +209,8 @@
   /// anything waits or may be late.
   void UpdateForecast();
   ForecastInputs CollectForecastInputs() const;
+  /// Number of running items at engines of the service.
+  uint32_t CountRunning(const ServiceName& service) const;
   ForecastJob ForecastJobOf(const JobRecord& record, const JobWork& job) const;
   /// The engines that answer.
   std::vector<const BackendInstance*> EnginesFor(const EngineUse& use) const;
--- a/source/jobs/step_forecast.cc
+++ b/source/jobs/step_forecast.cc
@@ -10,9 +10,6 @@
 namespace millstair {
 namespace {
 
-/// Share of the capacity that is planned: slots idle between runs, and expected lengths are often
-/// too low by half.
-constexpr double kPlannedShare = 0.9;
 /// Jobs with more time to spare than this are equally urgent.
 constexpr double kUrgentBeforeSeconds = 2;
 /// Jobs whose lateness differs by less than about this are equally urgent.
@@ -159,6 +156,7 @@
     plan.needed_work += plan.candidates[i].waiting_work;
     plan.needed_seconds = std::max(plan.needed_seconds, plan.candidates[i].expected_seconds);
   }
+  forecast.needed_slot_seconds = plan.needed_work;
   return plan;
 }
 
--- a/source/jobs/step_forecast.h
+++ b/source/jobs/step_forecast.h
@@ -65,6 +65,10 @@
   kSpare,     ///< the client is not expected to wait for it, or it failed
 };
 
+/// Share of the capacity that is planned: slots idle between runs, and expected lengths are often
+/// too low by half.
+inline constexpr double kPlannedShare = 0.9;
+
 struct JobForecast {
   /// By index of the group; not meaningful for complete groups.
   std::vector<GroupTier> tiers;
@@ -72,6 +76,9 @@
   size_t planned_groups = 0;
   size_t deferred_groups = 0;
   size_t complete_groups = 0;
+  /// Slot seconds, at the mean pace, that waiting items of the missing wanted groups need; infinite
+  /// if no engine answers.
+  double needed_slot_seconds = 0;
   /// Expected completion of the wanted groups relative to the due time, behind what is planned for
   /// other jobs; negative: time to spare.
   double lateness_seconds = 0;
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -11,11 +11,14 @@
 #include "jobs/job_group_nodes.h"
 #include "jobs/job_placement_reporter.h"
 #include "jobs/job_service.h"
+#include "jobs/pool_need_reporter.h"
 
 namespace millstair {
 namespace {
 
 constexpr Duration kCommandTimeout = std::chrono::seconds(5);
+/// A report of needs that takes longer is outdated; the next one follows.
+constexpr Duration kNeedReportTimeout = std::chrono::seconds(1);
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
 constexpr Duration kDrainTimeout = std::chrono::seconds(3);
 
@@ -40,6 +43,15 @@
                    [this](PlaceJobGroup placement, std::function<void(absl::Status)> done) {
                      SubmitToCluster(std::move(placement), std::move(done));
                    }),
+        pool_needs_(
+            environment, [this] { return CollectPoolNeeds(); },
+            [this](ReportPoolNeeds report, std::function<void(absl::Status)> done) {
+              SubmitOperation(
+                  cluster_, std::move(report), kNeedReportTimeout,
+                  [done = std::move(done)](const absl::StatusOr<ClusterResult>& result) {
+                    done(result.status());
+                  });
+            }),
         drain_timer_(environment) {
     ingress_.SetSuspectRegister(suspects_);
     ingress_.SetColdBound(options_.cold_bound);
@@ -186,6 +198,7 @@
       loads_.OnReady([this] { scheduler_->Pump(); });
     }
     if (scheduler_ != nullptr) scheduler_->SetLeading(leads);
+    if (options_.reports_pool_needs) pool_needs_.SetLeading(leads ? group : nullptr);
   }
 
   void SubmitToCluster(ClusterOperation operation, std::function<void(absl::Status)> done) {
@@ -195,6 +208,10 @@
                     });
   }
 
+  std::vector<PoolNeed> CollectPoolNeeds() const {
+    return scheduler_ == nullptr ? std::vector<PoolNeed>() : scheduler_->PoolNeeds();
+  }
+
   void ReportEmptied(const NodeId& node) {
     if (reporting_emptied_) return;
     reporting_emptied_ = true;
@@ -221,6 +238,7 @@
   GroupClient cluster_;
   SuspectClient suspects_;
   JobPlacementReporter placement_;
+  PoolNeedReporter pool_needs_;
   ReplicaId replica_;
   std::unique_ptr<ConfigurationClient> configuration_client_;
   std::unique_ptr<GroupHost> groups_;
--- a/source/jobs/storage_node.h
+++ b/source/jobs/storage_node.h
@@ -30,6 +30,8 @@
   JobSchedulerOptions scheduler;
   LoadOptions loads;
   ColdBound cold_bound;
+  /// Report to the leader of the cluster group what jobs need of servers that can be ordered.
+  bool reports_pool_needs = false;
   /// Must outlive the node; may be null.
   StatsRegistry* stats = nullptr;
 };
