Elastic pool: settings, template and wiring

overload.pool_scaling (auto, on, off), scaling.platform and scaling.duties decide whether the leader orders servers. A template cannot compare a text, so it passes the platform's list of duties on, and the program looks for autoscale in it; an empty list orders nothing.

--- a/source/server/node_options.cc
+++ b/source/server/node_options.cc
@@ -121,6 +121,15 @@
   return options;
 }
 
+ScaleOptions ScaleOptionsOf(const ServerSettings& settings) {
+  ScaleOptions options;
+  options.self = NodeId(settings.node);
+  options.machine = settings.machine;
+  options.platform = settings.scaling_platform;
+  options.task_lease = settings.timing.holder_lease;
+  return options;
+}
+
 StorageNodeOptions StorageOptionsOf(const ServerSettings& settings, const NodeRecord& self) {
   const TimingSettings& timing = settings.timing;
   StorageNodeOptions options;
@@ -139,6 +148,7 @@
   options.loads.concurrent_loads = static_cast<uint32_t>(settings.concurrent_loads);
   options.loads.order_lease = timing.holder_lease;
   options.cold_bound = ColdBoundOf(settings);
+  options.reports_pool_needs = settings.ScalesPools();
   return options;
 }
 
--- a/source/server/node_options.h
+++ b/source/server/node_options.h
@@ -9,6 +9,7 @@
 #include "jobs/ingress_node.h"
 #include "jobs/job_group_bootstrapper.h"
 #include "jobs/storage_node.h"
+#include "scaling/scale_task.h"
 #include "settings/settings.h"
 #include "transport/tcp_peer_transport.h"
 
@@ -19,6 +20,7 @@
 GatewayNodeOptions GatewayOptionsOf(const ServerSettings& settings, const NodeRecord& self);
 IngressNodeOptions IngressOptionsOf(const ServerSettings& settings, const NodeRecord& self);
 UsageReportOptions UsageOptionsOf(const ServerSettings& settings);
+ScaleOptions ScaleOptionsOf(const ServerSettings& settings);
 StorageNodeOptions StorageOptionsOf(const ServerSettings& settings, const NodeRecord& self);
 JobGroupBootstrapperOptions JobBootstrapperOptionsOf(const ServerSettings& settings);
 PeerTransportOptions TransportOptionsOf(const ServerSettings& settings, Incarnation incarnation);
--- a/source/server/server_node.cc
+++ b/source/server/server_node.cc
@@ -11,6 +11,7 @@
 #include "jobs/job_group_bootstrapper.h"
 #include "platform/platform.h"
 #include "rollout/stream_factory.h"
+#include "scaling/scale_task.h"
 #include "server/metrics_page.h"
 #include "server/node_options.h"
 #include "weights/weight_target_task.h"
@@ -128,6 +129,12 @@
                                                 platform::UsageReports(), *control_,
                                                 UsageOptionsOf(settings_)));
   }
+  if (ServesPlatform() && settings_.ScalesPools()) {
+    ScaleOptions options = ScaleOptionsOf(settings_);
+    options.stats = &stats_;
+    control_->AddLeaderTask(MakeScaleTask(*environment_, *back_ends_, platform::ServerOrders(),
+                                          platform::Routing(), *control_, std::move(options)));
+  }
   const absl::Status started = control_->Start();
   if (started.ok()) return {};
   const bool damaged = started.code() == absl::StatusCode::kDataLoss;
--- a/source/settings/settings.cc
+++ b/source/settings/settings.cc
@@ -70,7 +70,7 @@
       case SettingKind::kCount:
         return SetNumber(key, raw.text);
       case SettingKind::kNames:
-        return SetFounders(raw);
+        return key.key == "founders" ? SetFounders(raw) : SetDuties(raw);
       case SettingKind::kRoles:
         return SetRoles(raw);
       case SettingKind::kRoutes:
@@ -188,6 +188,14 @@
     if (raw.list.empty()) findings_.Add(raw.location, "no founder is listed");
   }
 
+  /// An empty list is valid: the platform leaves no duty to this system.
+  void SetDuties(const RawSetting& raw) {
+    settings_.scaling_duties.clear();
+    for (const RawText& duty : raw.list) {
+      if (CheckName(duty)) settings_.scaling_duties.push_back(duty.text);
+    }
+  }
+
   void SetRoutes(const RawSetting& raw) {
     for (const RawText& route : raw.list) {
       const size_t equals = route.text.find('=');
@@ -248,6 +256,7 @@
     CheckListeners();
     CheckFounders();
     CheckRoleCombination();
+    CheckScaling();
     const TimingSettings& timing = settings_.timing;
     CheckOrder("timing.heartbeat", timing.heartbeat, "timing.source_timeout",
                timing.source_timeout);
@@ -260,6 +269,18 @@
     }
   }
 
+  void CheckScaling() {
+    if (settings_.overload_pool_scaling != "on") return;
+    if (settings_.scaling_platform.empty()) {
+      findings_.Add(LocationOf("overload.pool_scaling"),
+                    "\"overload.pool_scaling\" needs the key \"scaling.platform\"");
+    }
+    if (!settings_.SharesSteps()) {
+      findings_.Add(LocationOf("overload.pool_scaling"),
+                    "\"overload.pool_scaling\" needs \"overload.step_sharing\" to be on");
+    }
+  }
+
   void CheckOrder(const std::string& small_key, Duration small, const std::string& large_key,
                   Duration large, std::string_view factor = "") {
     if (small < large) return;
--- a/source/settings/settings.h
+++ b/source/settings/settings.h
@@ -1,9 +1,11 @@
 /// Settings of a millstaird process: a YAML file, and flags that override it.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "common/findings.h"
@@ -12,6 +14,9 @@
 
 namespace millstair {
 
+/// The platform's name of the duty to order servers.
+inline constexpr std::string_view kScalingDuty = "autoscale";
+
 /// A control node as listed in the settings of every node.
 struct ControlNodeSetting {
   std::string node;
@@ -107,9 +112,10 @@
   uint64_t tolerated_losses = 1;
   /// Number of zones that may fail at once.
   uint64_t tolerated_zones = 0;
-  /// "on", "off" or "auto"; see ControlsAdmission and SharesSteps.
+  /// "on", "off" or "auto"; see ControlsAdmission, SharesSteps and ScalesPools.
   std::string overload_admission = "auto";
   std::string overload_step_sharing = "auto";
+  std::string overload_pool_scaling = "auto";
   /// Engines that load weights concurrently; 0 is a fifth of them, but at least two.
   uint64_t concurrent_loads = 0;
   /// "port/path" of an additional metrics listener; empty if there is none.
@@ -121,6 +127,10 @@
   std::string platform_list;
   /// "ip:port" that receives usage reports; empty sends none.
   std::string metering_platform;
+  /// "ip:port" that accepts orders of servers; empty sends none.
+  std::string scaling_platform;
+  /// Duties that the platform leaves to this system; without kScalingDuty no servers are ordered.
+  std::vector<std::string> scaling_duties = {std::string(kScalingDuty)};
   /// Requests that may reach a cold back end in one second beyond the limit of `timing.cold_span`.
   uint64_t cold_slack = 4;
   std::string log_level = "info";
@@ -134,6 +144,13 @@
   bool ControlsAdmission() const { return IsOn(overload_admission); }
   /// Whether batch jobs share engines by how late they are; "auto" as above.
   bool SharesSteps() const { return IsOn(overload_step_sharing); }
+  /// Whether servers are ordered for late batch jobs; "auto" as above. The orders depend on the
+  /// forecast of shared steps.
+  bool ScalesPools() const {
+    const bool is_assigned = std::find(scaling_duties.begin(), scaling_duties.end(),
+                                       kScalingDuty) != scaling_duties.end();
+    return IsOn(overload_pool_scaling) && SharesSteps() && !scaling_platform.empty() && is_assigned;
+  }
 
  private:
   bool IsOn(const std::string& choice) const {
--- a/source/settings/settings_schema.cc
+++ b/source/settings/settings_schema.cc
@@ -165,6 +165,11 @@
       AutoSwitch("overload.step_sharing", &S::overload_step_sharing,
                  "Whether batch jobs share engines by how late they are. auto: on where "
                  "replication.tolerate_zones is above 0."),
+      AutoSwitch("overload.pool_scaling", &S::overload_pool_scaling,
+                 "Whether servers are ordered from scaling.platform for batch jobs that are "
+                 "expected to be late, and released later. Needs overload.step_sharing. auto: on "
+                 "where replication.tolerate_zones is above 0, since a lost zone takes engines "
+                 "with it."),
       Number("weights.concurrent_loads", &S::concurrent_loads, 0, 1000,
              "Engines that load weights at once; 0 is a fifth of them, and two at least."),
       Text("service.metrics", Kind::kPortAndPath, &S::metrics,
@@ -183,6 +188,13 @@
            "Where the leader sends the sums of usage of tenants."),
       Time("metering.window", &T::usage_window, 0, kHour,
            "Length of the windows in which requests of tenants are counted; 0 counts none."),
+      Text(
+          "scaling.platform", Kind::kAddress, &S::scaling_platform,
+          "Where the leader orders servers of services with scaling; without it none are ordered."),
+      List("scaling.duties", Kind::kNames,
+           "Duties that the platform leaves to this system; servers are ordered only if autoscale "
+           "is one of them, so that no two systems order the same servers.",
+           "autoscale"),
       LogLevel(),
       Number("threads.workers", &S::workers, 1, 64, "Workers that run decisions."),
       Number("threads.io", &S::io_threads, 1, 16, "Threads that run sockets and timers."),
--- a/test/settings/settings_test.cc
+++ b/test/settings/settings_test.cc
@@ -250,6 +250,45 @@
   CHECK(settings.SharesSteps());
 }
 
+TEST_CASE("Servers are ordered only where the settings and the platform ask for it") {
+  ServerSettings settings;
+  settings.tolerated_zones = 1;
+  CHECK_FALSE(settings.ScalesPools());
+  settings.scaling_platform = "10.0.0.1:80";
+  CHECK(settings.ScalesPools());
+  settings.scaling_duties = {"usage"};
+  CHECK_FALSE(settings.ScalesPools());
+  settings.scaling_duties = {"usage", "autoscale"};
+  CHECK(settings.ScalesPools());
+  settings.overload_step_sharing = "off";
+  CHECK_FALSE(settings.ScalesPools());
+  settings.overload_step_sharing = "auto";
+  settings.overload_pool_scaling = "off";
+  CHECK_FALSE(settings.ScalesPools());
+  settings.tolerated_zones = 0;
+  settings.overload_pool_scaling = "auto";
+  CHECK_FALSE(settings.ScalesPools());
+}
+
+TEST_CASE("An empty list of duties is not taken for the default, which orders servers") {
+  const std::string valid = std::string(kValidSettings) +
+                            "replication:\n  tolerate_zones: 1\nscaling:\n"
+                            "  platform: 127.0.0.1:9\n  duties: [";
+  Findings findings;
+  CHECK_FALSE(ReadSettings("f.yaml", valid + "]\n", {}, findings).ScalesPools());
+  CHECK_FALSE(ReadSettings("f.yaml", valid + "\"usage\"]\n", {}, findings).ScalesPools());
+  CHECK(ReadSettings("f.yaml", valid + "\"usage\",\"autoscale\"]\n", {}, findings).ScalesPools());
+  CHECK(findings.ToString().empty());
+}
+
+TEST_CASE("Orders of servers that cannot work are reported") {
+  const std::string on = std::string(kValidSettings) + "overload:\n  pool_scaling: on\n";
+  CHECK(FindingsOf(on).find("needs the key \"scaling.platform\"") != std::string::npos);
+  CHECK(FindingsOf(on).find("needs \"overload.step_sharing\" to be on") != std::string::npos);
+  CHECK(FindingsOf(on + "  step_sharing: on\nscaling:\n  platform: 127.0.0.1:9\n").empty());
+  CHECK_FALSE(FindingsOf(std::string(kValidSettings) + "scaling:\n  platform: here\n").empty());
+}
+
 TEST_CASE("docs/CONFIGURATION.md matches the schema") {
   std::ifstream file(std::string(MILLSTAIR_SOURCE_DIR) + "/docs/CONFIGURATION.md");
   std::stringstream page;
