Elastic pool: no order or release based on an outdated count

Cause: a call states an absolute number. If servers registered in a zone after its number was committed, the next call ended some of them. Change: a zone is open for changes only while its registered on-demand servers do not exceed the wanted number; the count is checked again just before a call. A surplus that lasts 30 s, longer than a released server takes to leave, raises the initial and the wanted number.

--- a/source/scaling/scale_task.cc
+++ b/source/scaling/scale_task.cc
@@ -177,7 +177,10 @@
 }
 
 void ScaleTask::Manage(const ServiceName& service, const ServiceScaling& scaling) {
-  const Counts counts = CountServers(service);
+  Counts counts = CountServers(service);
+  for (const auto& [key, size] : host_.pool_sizes()) {
+    if (key.first == service) counts.try_emplace(key.second);
+  }
   for (const auto& [zone, count] : counts) UpdateInitial({service, zone}, count.on_demand);
   const Pool pool = PoolOf(service, scaling, counts);
   SetMetrics(service, pool);
@@ -223,13 +226,34 @@
     subject.counted_since = now;
   }
   const PoolSize* size = SizeOf(key);
-  const bool is_new = size == nullptr || (!size->ordered && counted > size->initial);
+  if (size != nullptr && size->ordered) return KeepSurplus(key, *size, counted);
+  const bool is_new = size == nullptr || counted > size->initial;
   if (!is_new || subject.committing || now - subject.counted_since < kCountLasts) return;
   if (now < subject.next_call_at) return;
   subject.settling_since = now;
   Commit(key, {key.first, key.second, counted, counted, counted, false});
 }
 
+void ScaleTask::KeepSurplus(const SubjectKey& key, const PoolSize& size, uint32_t counted) {
+  Subject& subject = SubjectOf(key);
+  const TimePoint now = environment_.Now();
+  if (!HasSurplus(size, subject, counted)) return subject.surplus_since.reset();
+  if (!subject.surplus_since) subject.surplus_since = now;
+  if (subject.committing || subject.calling || now < subject.next_call_at) return;
+  if (now - *subject.surplus_since < kSurplusLasts) return;
+  const uint32_t known = std::max({size.initial, size.accepted, subject.uncertain});
+  PoolSize raised = size;
+  raised.initial = size.initial + (counted - known);
+  raised.wanted = counted;
+  raised.accepted = counted;
+  Commit(key, raised);
+}
+
+bool ScaleTask::HasSurplus(const PoolSize& size, const Subject& subject, uint32_t counted) {
+  // Until a release is accepted, its server is still there.
+  return counted > std::max({size.wanted, size.accepted, subject.uncertain});
+}
+
 Pool ScaleTask::PoolOf(const ServiceName& service, const ServiceScaling& scaling,
                        const Counts& counts) {
   Pool pool;
@@ -255,14 +279,16 @@
     zone.initial = size.initial;
     zone.wanted = size.wanted;
     if (subject.ordered_at) zone.since_order = environment_.Now() - *subject.ordered_at;
-    zone.open = IsOpen(size, subject);
+    zone.open = IsOpen(size, subject, zone.serving);
     pool.zones[key.second] = zone;
   }
   return pool;
 }
 
-bool ScaleTask::IsOpen(const PoolSize& size, const Subject& subject) const {
+bool ScaleTask::IsOpen(const PoolSize& size, const Subject& subject, uint32_t counted) const {
   const TimePoint now = environment_.Now();
+  // The next number would be based on too few servers.
+  if (counted > size.wanted) return false;
   if (subject.committing || subject.calling || now < subject.closed_until) return false;
   if (host_.configuration().evacuated_zones.contains(size.zone)) return false;
   if (size.ordered) return subject.confirmed == size.wanted;
@@ -352,8 +378,12 @@
   Subject& subject = SubjectOf(key);
   const std::string name = SubjectName(key.first, key.second);
   const PoolSize* size = SizeOf(key);
+  const Counts counts = CountServers(key.first);
+  const auto count = counts.find(key.second);
+  const bool surplus = size != nullptr && count != counts.end() &&
+                       HasSurplus(*size, subject, count->second.on_demand);
   const bool in_time = leases_.MayStillOperateOn(name, term_, announced_at);
-  if (!in_time || host_.LeadingTerm() != term_ || size == nullptr ||
+  if (!in_time || host_.LeadingTerm() != term_ || size == nullptr || surplus ||
       ScalingOf(key.first) == nullptr) {
     LogEvent(EventId::kDutyWithheld, "subject={} term={} announced_ms={}", name, term_,
              ToMilliseconds(environment_.Now() - announced_at));
@@ -386,6 +416,7 @@
     case ScaleAnswer::kAccepted: {
       subject.confirmed = sent;
       subject.back_off = Duration(0);
+      subject.uncertain = 0;
       PoolSize size = *SizeOf(key);
       if (size.accepted == sent) return;
       size.accepted = sent;
@@ -394,8 +425,10 @@
     case ScaleAnswer::kUnavailable:
     case ScaleAnswer::kRefused:
       return HandleRejection(key, subject);
-    case ScaleAnswer::kBusy:
     case ScaleAnswer::kUnknown:
+      subject.uncertain = std::max(subject.uncertain, sent);
+      return BackOff(subject);
+    case ScaleAnswer::kBusy:
       return BackOff(subject);
   }
 }
--- a/source/scaling/scale_task.h
+++ b/source/scaling/scale_task.h
@@ -32,6 +32,9 @@
 /// No servers are ordered in a zone for this long after its initial number was last raised, or
 /// after a new leader first saw the zone: an order based on too low a number would release servers.
 inline constexpr Duration kInitialSettled = std::chrono::seconds(10);
+/// Servers beyond the ordered number that stay registered for this long belong to the service
+/// otherwise, and are never released. Longer than a released server takes to leave.
+inline constexpr Duration kSurplusLasts = std::chrono::seconds(30);
 
 /// Interface to the control node that runs the task; outlives it.
 class ScaleHost {
@@ -96,6 +99,10 @@
     TimePoint counted_since;
     /// When the initial number was last raised, or the subject was first seen.
     TimePoint settling_since;
+    /// The highest number whose outcome is unknown, since the platform last accepted one.
+    uint32_t uncertain = 0;
+    /// More servers are registered than this system can have ordered, since then.
+    std::optional<TimePoint> surplus_since;
     std::unique_ptr<BoundedCall> call;
   };
   struct ReceivedNeed {
@@ -124,8 +131,12 @@
   const PoolSize* SizeOf(const SubjectKey& key) const;
   /// Raises the committed initial number of a zone in which nothing was ordered yet.
   void UpdateInitial(const SubjectKey& key, uint32_t counted);
+  /// Raises both numbers of a zone in which servers were ordered, and more are registered.
+  void KeepSurplus(const SubjectKey& key, const PoolSize& size, uint32_t counted);
+  /// Whether more servers are registered than may have been ordered: a call would end others.
+  static bool HasSurplus(const PoolSize& size, const Subject& subject, uint32_t counted);
   Pool PoolOf(const ServiceName& service, const ServiceScaling& scaling, const Counts& counts);
-  bool IsOpen(const PoolSize& size, const Subject& subject) const;
+  bool IsOpen(const PoolSize& size, const Subject& subject, uint32_t counted) const;
   /// Null if there is none or it is too old.
   const PoolNeed* NeedOf(const ServiceName& service) const;
   void Decide(const ServiceName& service, const Pool& pool);
