Elastic pool: initial number includes servers that restart

Cause: only live servers counted, so a zone whose servers were restarting when the pool was first seen got too low an initial number, and a later call ended the servers that returned. Change: leaving and recently ended on-demand servers count towards it, and nothing is ordered in a zone while one of them leaves or has ended or been superseded within 30 s. The first number of a zone settles for 30 s; 10 s remain for a new leader. Servers that ended before the leader first looked do not count, since it is not known when they ended. Tests wait for the longer period.

--- a/source/scaling/scale_task.cc
+++ b/source/scaling/scale_task.cc
@@ -132,6 +132,7 @@
   if (!caught_up_ || !host_.CanCommitSizes()) return;
   const RouteTable* routes = Routes();
   if (routes == nullptr) return;
+  ObserveEnded();
   for (const Service& service : routes->services) {
     if (service.scaling) Manage(service.name, *service.scaling);
   }
@@ -140,6 +141,8 @@
 void ScaleTask::BeginTerm(Term term) {
   term_ = term;
   subjects_.clear();
+  present_.clear();
+  ended_at_.clear();
   newest_report_ = {};
   needs_.clear();
   trends_.clear();
@@ -181,18 +184,40 @@
   for (const auto& [key, size] : host_.pool_sizes()) {
     if (key.first == service) counts.try_emplace(key.second);
   }
-  for (const auto& [zone, count] : counts) UpdateInitial({service, zone}, count.on_demand);
+  for (const auto& [zone, count] : counts) UpdateInitial({service, zone}, count);
   const Pool pool = PoolOf(service, scaling, counts);
   SetMetrics(service, pool);
   Decide(service, pool);
   for (const auto& [zone, state] : pool.zones) Continue({service, zone});
 }
 
+void ScaleTask::ObserveEnded() {
+  const TimePoint now = environment_.Now();
+  std::erase_if(ended_at_, [&](const auto& entry) { return now - entry.second > kEndedRecently; });
+  for (const auto& [id, instance] : host_.configuration().instances) {
+    if (instance.state != MemberState::kGone) {
+      present_.insert(id);
+      ended_at_.erase(id);
+    } else if (present_.erase(id) > 0) {
+      // Those that ended before this leader first looked are left out: it is not known when.
+      ended_at_[id] = now;
+    }
+  }
+}
+
 ScaleTask::Counts ScaleTask::CountServers(const ServiceName& service) const {
   Counts counts;
   for (const auto& [id, instance] : host_.configuration().instances) {
-    const bool serves = instance.state == MemberState::kLive && !instance.superseded;
-    if (instance.service != service || !serves) continue;
+    if (instance.service != service) continue;
+    if (instance.state != MemberState::kLive || instance.superseded) {
+      const bool ending = instance.state == MemberState::kLeaving || ended_at_.contains(id);
+      if (!ending || instance.spot) continue;
+      Count& count = counts[instance.zone];
+      count.changing = true;
+      // The incarnation that replaces it counts itself.
+      count.ending += instance.superseded ? 0 : 1;
+      continue;
+    }
     Count& count = counts[instance.zone];
     ++(instance.spot ? count.spot : count.on_demand);
     count.slots += instance.slots;
@@ -204,7 +229,7 @@
   const auto [found, added] = subjects_.try_emplace(key);
   if (added) {
     const TimePoint now = environment_.Now();
-    found->second.settling_since = now;
+    found->second.settled_at = now + kInitialSettled;
     found->second.counted_since = now;
     const PoolSize* size = SizeOf(key);
     // Servers that an earlier leader ordered may still be booting.
@@ -218,19 +243,22 @@
   return found == host_.pool_sizes().end() ? nullptr : &found->second;
 }
 
-void ScaleTask::UpdateInitial(const SubjectKey& key, uint32_t counted) {
+void ScaleTask::UpdateInitial(const SubjectKey& key, const Count& count) {
   Subject& subject = SubjectOf(key);
   const TimePoint now = environment_.Now();
+  const uint32_t counted = count.on_demand + count.ending;
   if (counted != subject.counted) {
     subject.counted = counted;
     subject.counted_since = now;
   }
   const PoolSize* size = SizeOf(key);
-  if (size != nullptr && size->ordered) return KeepSurplus(key, *size, counted);
+  if (size != nullptr && size->ordered) return KeepSurplus(key, *size, count.on_demand);
+  if (count.changing) subject.settled_at = std::max(subject.settled_at, now + kCountLasts);
   const bool is_new = size == nullptr || counted > size->initial;
   if (!is_new || subject.committing || now - subject.counted_since < kCountLasts) return;
   if (now < subject.next_call_at) return;
-  subject.settling_since = now;
+  const Duration settles = size == nullptr ? kFirstSettled : kInitialSettled;
+  subject.settled_at = std::max(subject.settled_at, now + settles);
   Commit(key, {key.first, key.second, counted, counted, counted, false});
 }
 
@@ -292,7 +320,7 @@
   if (subject.committing || subject.calling || now < subject.closed_until) return false;
   if (host_.configuration().evacuated_zones.contains(size.zone)) return false;
   if (size.ordered) return subject.confirmed == size.wanted;
-  return size.initial > 0 && now - subject.settling_since >= kInitialSettled;
+  return size.initial > 0 && now >= subject.settled_at;
 }
 
 const PoolNeed* ScaleTask::NeedOf(const ServiceName& service) const {
--- a/source/scaling/scale_task.h
+++ b/source/scaling/scale_task.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -32,6 +33,11 @@
 /// No servers are ordered in a zone for this long after its initial number was last raised, or
 /// after a new leader first saw the zone: an order based on too low a number would release servers.
 inline constexpr Duration kInitialSettled = std::chrono::seconds(10);
+/// The same after the first number of a zone was committed: when a cluster starts, or the pool does,
+/// servers take longer to register than after a change of leader.
+inline constexpr Duration kFirstSettled = std::chrono::seconds(30);
+/// A server that ended within this time counts towards the initial number: it may be restarting.
+inline constexpr Duration kEndedRecently = std::chrono::seconds(30);
 /// Servers beyond the ordered number that stay registered for this long belong to the service
 /// otherwise, and are never released. Longer than a released server takes to leave.
 inline constexpr Duration kSurplusLasts = std::chrono::seconds(30);
@@ -94,11 +100,11 @@
     /// Until then the zone takes no calls.
     TimePoint closed_until;
     std::optional<TimePoint> ordered_at;
-    /// The number of registered on-demand servers, and since when.
+    /// The number of on-demand servers, ending ones included, and since when.
     uint32_t counted = 0;
     TimePoint counted_since;
-    /// When the initial number was last raised, or the subject was first seen.
-    TimePoint settling_since;
+    /// No servers are ordered before, unless there were earlier orders.
+    TimePoint settled_at;
     /// The highest number whose outcome is unknown, since the platform last accepted one.
     uint32_t uncertain = 0;
     /// More servers are registered than this system can have ordered, since then.
@@ -113,6 +119,10 @@
     uint32_t on_demand = 0;
     uint32_t spot = 0;
     uint32_t slots = 0;
+    /// On-demand servers that are leaving or ended recently, and are not replaced yet.
+    uint32_t ending = 0;
+    /// An on-demand server is leaving, or ended or was superseded recently.
+    bool changing = false;
   };
   using Counts = std::map<Zone, Count>;
 
@@ -125,12 +135,14 @@
   /// Null if servers of the service cannot be ordered.
   const ServiceScaling* ScalingOf(const ServiceName& service);
   void Manage(const ServiceName& service, const ServiceScaling& scaling);
-  /// Registered servers of the service that are not leaving.
+  /// Notes which servers ended since the last call.
+  void ObserveEnded();
+  /// Serving and ending servers of the service.
   Counts CountServers(const ServiceName& service) const;
   Subject& SubjectOf(const SubjectKey& key);
   const PoolSize* SizeOf(const SubjectKey& key) const;
   /// Raises the committed initial number of a zone in which nothing was ordered yet.
-  void UpdateInitial(const SubjectKey& key, uint32_t counted);
+  void UpdateInitial(const SubjectKey& key, const Count& count);
   /// Raises both numbers of a zone in which servers were ordered, and more are registered.
   void KeepSurplus(const SubjectKey& key, const PoolSize& size, uint32_t counted);
   /// Whether more servers are registered than may have been ordered: a call would end others.
@@ -167,6 +179,10 @@
   uint64_t routes_version_ = 0;
   std::optional<RouteTable> routes_;
   std::map<SubjectKey, Subject> subjects_;
+  /// Servers that had not ended when this leader last looked.
+  std::set<InstanceId> present_;
+  /// When this leader first saw that they had ended.
+  std::map<InstanceId, TimePoint> ended_at_;
   /// The newest report, by term and number.
   std::pair<Term, uint64_t> newest_report_;
   std::map<ServiceName, ReceivedNeed> needs_;
--- a/test/cluster/pool_orders_test.cc
+++ b/test/cluster/pool_orders_test.cc
@@ -63,7 +63,7 @@
     for (const Zone& zone : {kZoneA, kZoneB}) {
       for (int i = 0; i < 4; ++i) Register(zone, i);
     }
-    fleet.RunFor(seconds(20));
+    fleet.RunFor(seconds(40));
   }
 
   /// Reports of late steps, sent to any control node.
--- a/test/scaling/scale_fixture.h
+++ b/test/scaling/scale_fixture.h
@@ -81,6 +81,17 @@
       Report(zone, "s" + std::to_string(i), i < spot, true);
     }
   }
+  /// The first `count` on-demand servers of the zone announce that they leave.
+  void SetLeaving(const Zone& zone, uint32_t count) {
+    for (uint32_t i = 0; i < count; ++i) {
+      const std::string server = zone.value() + "-d" + std::to_string(i);
+      BackendInstance instance = state.configuration().instances.at(
+          InstanceId(server + "-" + std::to_string(incarnations_[server])));
+      instance.sequence = ++sequence_;
+      instance.state = MemberState::kLeaving;
+      Commit(UpdateInstance{instance});
+    }
+  }
   uint32_t Wanted(const Zone& zone) const {
     const auto found = state.pool_sizes().find({kEngines, zone});
     return found == state.pool_sizes().end() ? 0 : found->second.wanted;
--- a/test/scaling/scale_history_test.cc
+++ b/test/scaling/scale_history_test.cc
@@ -215,7 +215,7 @@
   }
   CommitServers(log);
   log.Elect(*replicas[0]);
-  scheduler.RunFor(seconds(15));
+  scheduler.RunFor(seconds(35));
   uint64_t sequence = 0;
   bool late = true;
   for (Duration at{0}; at < kRunLength; at += milliseconds(500)) {
--- a/test/scaling/scale_task_test.cc
+++ b/test/scaling/scale_task_test.cc
@@ -45,7 +45,7 @@
   /// Until servers may be ordered.
   void Settle(FakeScaleNode& node, uint64_t term) {
     node.Lead(term);
-    scheduler.RunFor(seconds(15));
+    scheduler.RunFor(seconds(35));
   }
   std::string Body(size_t call) const { return platform.calls.at(call)->request.body; }
   std::vector<std::string> Bodies() const {
@@ -141,16 +141,54 @@
   Fixture fixture;
   fixture.group.SetServers(kZoneA, 1);
   fixture.first.Lead(5);
-  fixture.scheduler.RunFor(seconds(8));
+  fixture.scheduler.RunFor(seconds(28));
   fixture.group.SetServers(kZoneA, 4);
   // The order waits until the raised initial number has lasted.
   fixture.Report(seconds(8), fixture.late);
+  CHECK(fixture.calls() > 0);
   for (const std::string& body : fixture.Bodies()) CHECK(body.starts_with("zone-b"));
   fixture.Report(seconds(10), fixture.late);
   CHECK(fixture.group.Wanted(kZoneA) >= 5);
   CHECK(fixture.group.state.pool_sizes().at({kEngines, kZoneA}).initial == 4);
 }
 
+TEST_CASE("Servers that restart while the pool is first seen are not left out and ended") {
+  Fixture fixture;
+  fixture.first.Lead(5);
+  SECTION("they are leaving") {
+    fixture.scheduler.RunFor(seconds(1));
+    fixture.group.SetLeaving(kZoneA, 2);
+  }
+  SECTION("they ended after the first look") {
+    fixture.scheduler.RunFor(seconds(1));
+    fixture.group.SetServers(kZoneA, 2);
+  }
+  fixture.scheduler.RunFor(seconds(7));
+  CHECK(fixture.group.state.pool_sizes().at({kEngines, kZoneA}).initial == 4);
+}
+
+TEST_CASE("Nothing is ordered in a zone whose servers are still restarting") {
+  Fixture fixture;
+  fixture.first.Lead(5);
+  fixture.scheduler.RunFor(seconds(25));
+  fixture.group.SetServers(kZoneA, 3);
+  fixture.Report(seconds(25), fixture.late);
+  CHECK(fixture.calls() > 0);
+  for (const std::string& body : fixture.Bodies()) CHECK(body.starts_with("zone-b"));
+  fixture.group.SetServers(kZoneA, 4);
+  fixture.Report(seconds(20), fixture.late);
+  CHECK(fixture.group.Wanted(kZoneA) >= 5);
+}
+
+TEST_CASE("The first number of a zone takes 30 s to settle, as servers register after a start") {
+  Fixture fixture;
+  fixture.first.Lead(5);
+  fixture.Report(seconds(32), fixture.late);
+  CHECK(fixture.calls() == 0);
+  fixture.Report(seconds(4), fixture.late);
+  CHECK(fixture.calls() == 2);
+}
+
 /// The platform keeps the stated number: with servers that it started otherwise, a number based on an
 /// earlier count ends some of them.
 TEST_CASE("Servers that registered during the commit of an order are not ended by its call") {
