Elastic pool: servers that do not answer are not spare capacity

Cause: registered servers that crashed or are cut off counted as serving, for spare capacity, for the size of orders and for releases. Change: the report has the number of slots that answer (live and not ejected). Spare capacity, calm and the quarter use it. Nothing is released, and no surplus kept, while fewer slots answer than are registered, and nothing is released while a zone has fewer servers than wanted. The histories now have a platform that starts and ends servers; without one, ordered servers never registered and nothing could be released.

--- a/source/cluster/pool_records.h
+++ b/source/cluster/pool_records.h
@@ -41,6 +41,8 @@
   std::optional<double> lateness_seconds;
   /// Servers that serve within this time help an open step or the next one.
   double useful_within_seconds = 0;
+  /// Slots of the registered servers that answer.
+  uint32_t answering_slots = 0;
   friend bool operator==(const PoolNeed&, const PoolNeed&) = default;
 };
 
--- a/source/cluster/pool_wire.cc
+++ b/source/cluster/pool_wire.cc
@@ -14,6 +14,7 @@
   wire.has_lateness = need.lateness_seconds.has_value();
   wire.lateness_seconds = need.lateness_seconds.value_or(0);
   wire.useful_within_seconds = need.useful_within_seconds;
+  wire.answering_slots = need.answering_slots;
   return wire;
 }
 
@@ -23,6 +24,7 @@
   need.busy_slots = wire.busy_slots;
   if (wire.has_lateness) need.lateness_seconds = wire.lateness_seconds;
   need.useful_within_seconds = wire.useful_within_seconds;
+  need.answering_slots = wire.answering_slots;
   return need.service != ServiceName() && std::isfinite(need.missing_slots) &&
          std::isfinite(wire.lateness_seconds) && std::isfinite(need.useful_within_seconds);
 }
--- a/source/jobs/job_pool_needs.cc
+++ b/source/jobs/job_pool_needs.cc
@@ -66,11 +66,20 @@
   std::vector<PoolNeed> found;
   for (auto& [service, need] : needs) {
     need.busy_slots = CountRunning(service);
+    need.answering_slots = CountAnsweringSlots(service);
     found.push_back(need);
   }
   return found;
 }
 
+uint32_t JobScheduler::CountAnsweringSlots(const ServiceName& service) const {
+  uint32_t slots = 0;
+  for (const BackendInstance* engine : ingress_.directory().Live(service)) {
+    if (!ingress_.directory().Ejected(engine->id)) slots += engine->slots;
+  }
+  return slots;
+}
+
 uint32_t JobScheduler::CountRunning(const ServiceName& service) const {
   std::set<InstanceId> engines;
   for (const BackendInstance* engine : loads_.EnginesOf(service)) engines.insert(engine->id);
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -211,6 +211,8 @@
   ForecastInputs CollectForecastInputs() const;
   /// Number of running items at engines of the service.
   uint32_t CountRunning(const ServiceName& service) const;
+  /// Slots of the service's engines that accept work and are not ejected after failures.
+  uint32_t CountAnsweringSlots(const ServiceName& service) const;
   ForecastJob ForecastJobOf(const JobRecord& record, const JobWork& job) const;
   /// The engines that answer.
   std::vector<const BackendInstance*> EnginesFor(const EngineUse& use) const;
--- a/source/scaling/pool_size.cc
+++ b/source/scaling/pool_size.cc
@@ -17,14 +17,18 @@
   return need.missing_slots > 0 && need.lateness_seconds && *need.lateness_seconds > 0;
 }
 
-/// Whether half of the slots would be free without one server.
+/// Whether half of the slots that answer would be free without one server.
 bool HasServerToSpare(const Pool& pool) {
-  const uint32_t serving = pool.Serving();
-  if (serving < 2) return false;
-  const double slots = static_cast<double>(serving - 1) * pool.slots_per_server;
+  if (pool.need.answering_slots <= pool.slots_per_server) return false;
+  const double slots = pool.need.answering_slots - pool.slots_per_server;
   return pool.need.busy_slots <= (1 - kFreeShareAfterRelease) * slots;
 }
 
+/// Servers that crashed or are cut off stay registered for a while.
+uint32_t AnsweringServers(const Pool& pool) {
+  return std::min(pool.Serving(), pool.need.answering_slots / std::max(1U, pool.slots_per_server));
+}
+
 /// Number of servers ordered beyond the initial ones.
 uint32_t OrderedIn(const ZonePool& zone) {
   return zone.wanted - std::min(zone.wanted, zone.initial);
@@ -96,6 +100,13 @@
   return pending;
 }
 
+bool Pool::IsComplete() const {
+  for (const auto& [name, zone] : zones) {
+    if (zone.serving < zone.wanted) return false;
+  }
+  return need.answering_slots >= registered_slots;
+}
+
 double Pool::PriceOf(const Zone& zone) const {
   const auto price = scaling.zone_prices.find(zone);
   return price == scaling.zone_prices.end() ? kDefaultPrice : price->second;
@@ -134,7 +145,7 @@
   if (!IsLate(pool.need)) return {};
   if (ToSeconds(pool.scaling.boot) >= pool.need.useful_within_seconds) return {};
   const double missing = std::ceil(pool.need.missing_slots / std::max(1U, pool.slots_per_server));
-  const uint32_t most = std::max(1U, pool.Serving() / kMaxPendingDivisor);
+  const uint32_t most = std::max(1U, AnsweringServers(pool) / kMaxPendingDivisor);
   const uint32_t needed = missing >= most ? most : static_cast<uint32_t>(missing);
   const uint32_t pending = pool.Pending();
   if (needed <= pending) return {};
@@ -145,7 +156,7 @@
 }
 
 std::optional<PoolChange> DecideRelease(const Pool& pool) {
-  if (pool.Pending() > 0 || !HasServerToSpare(pool)) return std::nullopt;
+  if (pool.Pending() > 0 || !pool.IsComplete() || !HasServerToSpare(pool)) return std::nullopt;
   const Zone* best = nullptr;
   for (const auto& [name, zone] : pool.zones) {
     if (!zone.open || zone.wanted <= std::max(zone.initial, pool.scaling.min)) continue;
--- a/source/scaling/pool_size.h
+++ b/source/scaling/pool_size.h
@@ -48,12 +48,16 @@
 struct Pool {
   ServiceScaling scaling;
   uint32_t slots_per_server = 1;
+  /// Of all registered servers, whether they answer or not.
+  uint32_t registered_slots = 0;
   std::map<Zone, ZonePool> zones;
   PoolNeed need;
 
   /// Servers that serve, including spot servers.
   uint32_t Serving() const;
   uint32_t Pending() const;
+  /// Whether every zone has the servers that it should have, and all of them answer.
+  bool IsComplete() const;
   /// Price of an on-demand server of `zone` per second; 1 if the configuration states none.
   double PriceOf(const Zone& zone) const;
 };
@@ -87,14 +91,14 @@
 };
 
 /// The zones in which servers are to be added now, for a need that has lasted long enough. At most
-/// a quarter of the serving servers, rounded down but at least one, are pending at a time. The
+/// a quarter of the servers that answer, rounded down but at least one, are pending at a time. The
 /// cheapest zones come first; no zone gets more than half of all ordered servers, rounded up, while
 /// another one takes orders.
 std::vector<PoolChange> DecideOrders(const Pool& pool);
 
 /// The zone in which one server is to be removed now, the most expensive first, for a need that has
 /// been low for long enough; nullopt if none is above its initial number and the minimum, servers
-/// are pending, or fewer than half of the remaining slots would be free.
+/// are pending, missing or do not answer, or fewer than half of the remaining slots would be free.
 std::optional<PoolChange> DecideRelease(const Pool& pool);
 
 }  // namespace millstair
--- a/source/scaling/scale_task.cc
+++ b/source/scaling/scale_task.cc
@@ -184,7 +184,7 @@
   for (const auto& [key, size] : host_.pool_sizes()) {
     if (key.first == service) counts.try_emplace(key.second);
   }
-  for (const auto& [zone, count] : counts) UpdateInitial({service, zone}, count);
+  for (const auto& [zone, count] : counts) UpdateInitial({service, zone}, counts);
   const Pool pool = PoolOf(service, scaling, counts);
   SetMetrics(service, pool);
   Decide(service, pool);
@@ -243,7 +243,14 @@
   return found == host_.pool_sizes().end() ? nullptr : &found->second;
 }
 
-void ScaleTask::UpdateInitial(const SubjectKey& key, const Count& count) {
+uint32_t ScaleTask::SlotsOf(const Counts& counts) {
+  uint32_t slots = 0;
+  for (const auto& [zone, count] : counts) slots += count.slots;
+  return slots;
+}
+
+void ScaleTask::UpdateInitial(const SubjectKey& key, const Counts& counts) {
+  const Count& count = counts.at(key.second);
   Subject& subject = SubjectOf(key);
   const TimePoint now = environment_.Now();
   const uint32_t counted = count.on_demand + count.ending;
@@ -252,7 +259,7 @@
     subject.counted_since = now;
   }
   const PoolSize* size = SizeOf(key);
-  if (size != nullptr && size->ordered) return KeepSurplus(key, *size, count.on_demand);
+  if (size != nullptr && size->ordered) return KeepSurplus(key, *size, counts);
   if (count.changing) subject.settled_at = std::max(subject.settled_at, now + kCountLasts);
   const bool is_new = size == nullptr || counted > size->initial;
   if (!is_new || subject.committing || now - subject.counted_since < kCountLasts) return;
@@ -262,13 +269,17 @@
   Commit(key, {key.first, key.second, counted, counted, counted, false});
 }
 
-void ScaleTask::KeepSurplus(const SubjectKey& key, const PoolSize& size, uint32_t counted) {
+void ScaleTask::KeepSurplus(const SubjectKey& key, const PoolSize& size, const Counts& counts) {
+  const uint32_t counted = counts.at(key.second).on_demand;
   Subject& subject = SubjectOf(key);
   const TimePoint now = environment_.Now();
   if (!HasSurplus(size, subject, counted)) return subject.surplus_since.reset();
   if (!subject.surplus_since) subject.surplus_since = now;
   if (subject.committing || subject.calling || now < subject.next_call_at) return;
   if (now - *subject.surplus_since < kSurplusLasts) return;
+  // The platform may have replaced servers that are still registered but do not answer.
+  const PoolNeed* need = NeedOf(key.first);
+  if (need == nullptr || need->answering_slots < SlotsOf(counts)) return;
   const uint32_t known = std::max({size.initial, size.accepted, subject.uncertain});
   PoolSize raised = size;
   raised.initial = size.initial + (counted - known);
@@ -287,11 +298,9 @@
   Pool pool;
   pool.scaling = scaling;
   uint32_t servers = 0;
-  uint32_t slots = 0;
-  for (const auto& [zone, count] : counts) {
-    servers += count.on_demand + count.spot;
-    slots += count.slots;
-  }
+  const uint32_t slots = SlotsOf(counts);
+  for (const auto& [zone, count] : counts) servers += count.on_demand + count.spot;
+  pool.registered_slots = slots;
   if (servers > 0) pool.slots_per_server = std::max(1U, slots / servers);
   const auto need = needs_.find(service);
   if (need != needs_.end()) pool.need = need->second.need;
--- a/source/scaling/scale_task.h
+++ b/source/scaling/scale_task.h
@@ -142,9 +142,11 @@
   Subject& SubjectOf(const SubjectKey& key);
   const PoolSize* SizeOf(const SubjectKey& key) const;
   /// Raises the committed initial number of a zone in which nothing was ordered yet.
-  void UpdateInitial(const SubjectKey& key, const Count& count);
+  void UpdateInitial(const SubjectKey& key, const Counts& counts);
+  /// Of all registered servers.
+  static uint32_t SlotsOf(const Counts& counts);
   /// Raises both numbers of a zone in which servers were ordered, and more are registered.
-  void KeepSurplus(const SubjectKey& key, const PoolSize& size, uint32_t counted);
+  void KeepSurplus(const SubjectKey& key, const PoolSize& size, const Counts& counts);
   /// Whether more servers are registered than may have been ordered: a call would end others.
   static bool HasSurplus(const PoolSize& size, const Subject& subject, uint32_t counted);
   Pool PoolOf(const ServiceName& service, const ServiceScaling& scaling, const Counts& counts);
--- a/test/cluster/pool_orders_test.cc
+++ b/test/cluster/pool_orders_test.cc
@@ -68,7 +68,7 @@
 
   /// Reports of late steps, sent to any control node.
   void ReportLate(const std::string& node, Duration period) {
-    const PoolNeed late{kEngines, 16, 64, 1.5, 7.5};
+    const PoolNeed late{kEngines, 16, 64, 1.5, 7.5, 64};
     for (Duration passed{0}; passed < period; passed += milliseconds(500)) {
       Control(node).Submit(ReportPoolNeeds{{Term(1), ++sequence_, {late}}}, kIgnore);
       fleet.RunFor(milliseconds(500));
--- a/test/cluster/pool_sizes_test.cc
+++ b/test/cluster/pool_sizes_test.cc
@@ -59,7 +59,7 @@
   const PoolReport report{
       Term(3),
       7,
-      {{ServiceName("a"), 2.5, 12, -1.25, 7.5}, {ServiceName("b"), 0, 0, std::nullopt, 0}}};
+      {{ServiceName("a"), 2.5, 12, -1.25, 7.5, 96}, {ServiceName("b"), 0, 0, std::nullopt, 0, 0}}};
   command.operation = ReportPoolNeeds{report};
   const auto decoded = DecodeCommand(EncodeCommand(command));
   REQUIRE(decoded.ok());
--- a/test/jobs/job_pool_needs_test.cc
+++ b/test/jobs/job_pool_needs_test.cc
@@ -67,7 +67,7 @@
   fixture.scheduler.RunFor(milliseconds(50));
   const std::vector<PoolNeed> needs = fixture.scheduler_under_test.PoolNeeds();
   REQUIRE(needs.size() == 1);
-  CHECK(needs[0] == PoolNeed{ServiceName("engines"), 0, 0, std::nullopt, 0});
+  CHECK(needs[0] == PoolNeed{ServiceName("engines"), 0, 0, std::nullopt, 0, 2});
 }
 
 TEST_CASE("Nothing is reported without servers to order, or by a replica that does not lead") {
--- a/test/scaling/pool_size_test.cc
+++ b/test/scaling/pool_size_test.cc
@@ -28,7 +28,8 @@
   pool.scaling = {1, 12, seconds(4), 0.2, {{kMiddle, 1.0}, {kCheap, 0.8}, {kExpensive, 1.25}}};
   pool.slots_per_server = 8;
   for (const Zone& zone : {kCheap, kMiddle, kExpensive}) pool.zones[zone] = Serving(8);
-  pool.need = {ServiceName("s"), missing_slots, 192, 1.5, 7.5};
+  pool.need = {ServiceName("s"), missing_slots, 192, 1.5, 7.5, 192};
+  pool.registered_slots = 192;
   return pool;
 }
 
@@ -39,7 +40,8 @@
     zone.wanted = zone.serving = 9;
     zone.since_order = seconds(60);
   }
-  pool.need = {ServiceName("s"), 0, 0, -3, 7.5};
+  pool.need = {ServiceName("s"), 0, 0, -3, 7.5, 216};
+  pool.registered_slots = 216;
   return pool;
 }
 
@@ -177,6 +179,28 @@
   return now;
 }
 
+TEST_CASE("Servers that do not answer are no reason to release others") {
+  Pool pool = IdlePool();
+  REQUIRE(DecideRelease(pool));
+  pool.need.answering_slots = 215;
+  CHECK_FALSE(DecideRelease(pool));
+  pool = IdlePool();
+  pool.zones[kMiddle].serving = 8;
+  CHECK_FALSE(DecideRelease(pool));
+}
+
+TEST_CASE("Slots that do not answer count neither as spare nor towards the size of an order") {
+  Pool pool = IdlePool();
+  pool.need.busy_slots = 40;
+  pool.need.answering_slots = 80;
+  PoolTrend trend;
+  const TimePoint now = ObserveFor(trend, TimePoint(), seconds(30), pool);
+  CHECK_FALSE(trend.MayRelease(now));
+  Pool late = LatePool(1000);
+  late.need.answering_slots = 96;
+  CHECK(Added(late, DecideOrders(late)) == 3);
+}
+
 TEST_CASE("A short lateness orders nothing") {
   PoolTrend trend;
   TimePoint now = ObserveFor(trend, TimePoint(), milliseconds(500), LatePool());
--- a/test/scaling/scale_history_test.cc
+++ b/test/scaling/scale_history_test.cc
@@ -51,6 +51,7 @@
       call.status = status;
       std::istringstream(body) >> call.zone >> call.wanted >> call.holder >> call.fence;
       received.push_back(call);
+      if (status == 200 && on_accepted) on_accepted(call);
       if (lost || *live == nullptr) return;
       HttpCallObserver& waiting = **live;
       *live = nullptr;
@@ -61,6 +62,7 @@
   }
 
   std::vector<ReceivedCall> received;
+  std::function<void(const ReceivedCall&)> on_accepted;
 
  private:
   class Handle : public CallHandle {
@@ -186,21 +188,45 @@
   log_.Propose(*this, std::move(operation), std::move(done));
 }
 
-void CommitServers(Log& log) {
-  log.Commit(ReplaceRouting{{1, "scaled"}});
-  for (const Zone& zone : {kZoneA, kZoneB}) {
-    for (uint32_t i = 0; i < kInitial; ++i) {
-      BackendInstance instance;
-      instance.id = InstanceId(zone.value() + "-" + std::to_string(i));
-      instance.service = kEngines;
-      instance.zone = zone;
-      instance.address = "10.0.0.1:1";
-      instance.slots = 8;
-      instance.sequence = 1;
-      log.Commit(UpdateInstance{instance});
+/// The servers of the platform. It starts and ends them one second after a call.
+class Servers {
+ public:
+  Servers(VirtualScheduler& scheduler, Log& log) : scheduler_(scheduler), log_(log) {}
+
+  void Set(const Zone& zone, uint32_t count) {
+    std::vector<std::string>& running = running_[zone];
+    while (running.size() < count) {
+      running.push_back(zone.value() + "-" + std::to_string(++started_));
+      Report(zone, running.back(), MemberState::kLive);
+    }
+    while (running.size() > count) {
+      Report(zone, running.back(), MemberState::kGone);
+      running.pop_back();
     }
   }
-}
+  void SetSoon(const Zone& zone, uint32_t count) {
+    scheduler_.Schedule(seconds(1), [this, zone, count] { Set(zone, count); });
+  }
+
+ private:
+  void Report(const Zone& zone, const std::string& name, MemberState state) {
+    BackendInstance instance;
+    instance.id = InstanceId(name);
+    instance.service = kEngines;
+    instance.zone = zone;
+    instance.address = "10.0.0.1:1";
+    instance.slots = 8;
+    instance.sequence = ++sequence_;
+    instance.state = state;
+    log_.Commit(UpdateInstance{instance});
+  }
+
+  VirtualScheduler& scheduler_;
+  Log& log_;
+  uint64_t started_ = 0;
+  uint64_t sequence_ = 0;
+  std::map<Zone, std::vector<std::string>> running_;
+};
 
 std::vector<ReceivedCall> CallsOfRun(uint64_t seed) {
   VirtualScheduler scheduler{seed};
@@ -213,14 +239,19 @@
         std::make_unique<Replica>(scheduler, platform, log, name, seed + replicas.size()));
     log.replicas.push_back(replicas.back().get());
   }
-  CommitServers(log);
+  log.Commit(ReplaceRouting{{1, "scaled"}});
+  Servers servers(scheduler, log);
+  for (const Zone& zone : {kZoneA, kZoneB}) servers.Set(zone, kInitial);
+  platform.on_accepted = [&servers](const ReceivedCall& call) {
+    servers.SetSoon(Zone(call.zone), call.wanted);
+  };
   log.Elect(*replicas[0]);
   scheduler.RunFor(seconds(35));
   uint64_t sequence = 0;
   bool late = true;
   for (Duration at{0}; at < kRunLength; at += milliseconds(500)) {
     if (DrawBelow(random, 60) == 0) late = !late;
-    const PoolNeed need{kEngines, late ? 16.0 : 0, 0, late ? 1.0 : -3.0, 7.5};
+    const PoolNeed need{kEngines, late ? 16.0 : 0, 0, late ? 1.0 : -3.0, 7.5, 200};
     for (const auto& replica : replicas) {
       if (replica->believed_term) replica->task.OnReport({Term(1), ++sequence, {need}});
     }
--- a/test/scaling/scale_task_test.cc
+++ b/test/scaling/scale_task_test.cc
@@ -57,8 +57,8 @@
   /// The node no longer leads.
   static void Depose(FakeScaleNode& node) { node.term.reset(); }
 
-  const PoolNeed late{kEngines, 16, 64, 1.5, 7.5};
-  const PoolNeed calm{kEngines, 0, 0, -3.0, 7.5};
+  const PoolNeed late{kEngines, 16, 64, 1.5, 7.5, 200};
+  const PoolNeed calm{kEngines, 0, 0, -3.0, 7.5, 200};
   VirtualScheduler scheduler{1};
   FakeBackends platform{scheduler};
   FakeAnswer answer{Kind::kAnswer, 200, {}, {""}};
