Elastic pool: lost numbers, 409, new reporters, earlier builds, minimum

Cause and change, each guarded by a test in test/scaling: - An answer after the numbers were lost dereferenced null: answers, rejections and changes check the term and the numbers. - 409 gave up servers that had registered: the number goes back only to max(accepted, min(wanted, serving)). - The lateness of two leaders of the job group was added up: trends start again when the term of the reports rises. - Missing initial servers counted as pending: only ordered ones do. - The feature level is checked before each commit and announcement. An accepted number whose commit failed is committed later. - An order states at least `min`.

--- a/source/scaling/pool_size.cc
+++ b/source/scaling/pool_size.cc
@@ -61,7 +61,11 @@
   std::vector<PoolChange> Changes() const {
     std::vector<PoolChange> changes;
     for (const auto& [name, zone] : pool_.zones) {
-      if (wanted_.at(name) > zone.wanted) changes.push_back({name, wanted_.at(name)});
+      const uint32_t wanted = wanted_.at(name);
+      if (wanted <= zone.wanted) continue;
+      const ServiceScaling& scaling = pool_.scaling;
+      const uint32_t least = std::min(scaling.min, scaling.max - std::min(scaling.max, zone.spot));
+      changes.push_back({name, std::max(wanted, least)});
     }
     return changes;
   }
@@ -85,7 +89,8 @@
 
 uint32_t ZonePool::Pending(const ServiceScaling& scaling) const {
   const bool expected = since_order && *since_order < scaling.boot * kBootTimesUntilAbsent;
-  return expected ? wanted - std::min(wanted, serving) : 0;
+  // Initial servers that are missing were not ordered.
+  return expected ? wanted - std::min(wanted, std::max(serving, initial)) : 0;
 }
 
 uint32_t Pool::Serving() const {
--- a/source/scaling/scale_task.cc
+++ b/source/scaling/scale_task.cc
@@ -109,6 +109,10 @@
   if (!caught_up_) return;
   const std::pair number{report.term, report.sequence};
   if (number <= newest_report_) return;
+  // Lateness and calm of the former leader's reports are not those of this one's.
+  if (report.term > newest_report_.first) {
+    for (auto& [service, trend] : trends_) trend.Reset();
+  }
   newest_report_ = number;
   const TimePoint now = environment_.Now();
   for (const PoolNeed& need : report.needs) {
@@ -359,7 +363,9 @@
 
 void ScaleTask::Change(const ServiceName& service, const Pool& pool, const PoolChange& change) {
   const SubjectKey key{service, change.zone};
-  PoolSize size = *SizeOf(key);
+  const PoolSize* committed = SizeOf(key);
+  if (host_.LeadingTerm() != term_ || committed == nullptr) return;
+  PoolSize size = *committed;
   const bool adds = change.wanted > size.wanted;
   LogEvent(adds ? EventId::kPoolOrdered : EventId::kPoolReleased,
            "service={} zone={} wanted={} before={} initial={} late_ms={} missing_slots={:.1f} "
@@ -375,6 +381,11 @@
 }
 
 void ScaleTask::Commit(const SubjectKey& key, const PoolSize& size) {
+  // An earlier build would skip the entry.
+  if (!host_.CanCommitSizes()) {
+    SubjectOf(key).next_call_at = environment_.Now() + kFirstBackOff;
+    return;
+  }
   SubjectOf(key).committing = true;
   host_.Propose(SetPoolSize{size}, alive_.Guard([this, key, term = term_](bool committed) {
     if (term != term_) return;
@@ -390,14 +401,22 @@
   const PoolSize* size = SizeOf(key);
   Subject& subject = SubjectOf(key);
   const TimePoint now = environment_.Now();
-  if (size == nullptr || !size->ordered || subject.confirmed == size->wanted) return;
+  if (size == nullptr || !size->ordered) return;
   if (subject.committing || subject.calling) return;
   if (now < subject.next_call_at || now < subject.closed_until) return;
+  if (subject.confirmed == size->wanted) {
+    if (size->accepted == size->wanted) return;
+    // The commit of the accepted number failed.
+    PoolSize accepted = *size;
+    accepted.accepted = size->wanted;
+    return Commit(key, accepted);
+  }
   if (!leases_.MayOperateOn(SubjectName(key.first, key.second), term_)) return;
   Announce(key);
 }
 
 void ScaleTask::Announce(const SubjectKey& key) {
+  if (!host_.CanCommitSizes()) return;
   SubjectOf(key).calling = true;
   const TimePoint now = environment_.Now();
   const AnnounceTaskLease announce{
@@ -449,12 +468,15 @@
                       std::string(ScaleAnswerName(answer))})
         .Add();
   }
+  // The numbers are lost if this replica was restored by an earlier build.
+  const PoolSize* committed = SizeOf(key);
+  if (host_.LeadingTerm() != term_ || committed == nullptr) return;
   switch (answer) {
     case ScaleAnswer::kAccepted: {
       subject.confirmed = sent;
       subject.back_off = Duration(0);
       subject.uncertain = 0;
-      PoolSize size = *SizeOf(key);
+      PoolSize size = *committed;
       if (size.accepted == sent) return;
       size.accepted = sent;
       return Commit(key, size);
@@ -473,8 +495,15 @@
 void ScaleTask::HandleRejection(const SubjectKey& key, Subject& subject) {
   subject.closed_until = environment_.Now() + kUnavailablePause;
   subject.back_off = Duration(0);
-  PoolSize size = *SizeOf(key);
-  const uint32_t accepted = std::max(size.initial, size.accepted);
+  const PoolSize* committed = SizeOf(key);
+  if (host_.LeadingTerm() != term_ || committed == nullptr) return;
+  PoolSize size = *committed;
+  const Counts counts = CountServers(key.first);
+  const auto count = counts.find(key.second);
+  const uint32_t serving = count == counts.end() ? 0 : count->second.on_demand;
+  // Servers of the order that have registered stay.
+  const uint32_t accepted =
+      std::max({size.initial, size.accepted, std::min(size.wanted, serving)});
   if (size.wanted <= accepted) return;
   // Other zones get the servers. The accepted number is stated to the platform after the pause, in
   // case an earlier call with an unknown outcome was carried out.
--- a/test/scaling/pool_size_test.cc
+++ b/test/scaling/pool_size_test.cc
@@ -91,6 +91,24 @@
   CHECK(Added(pool, DecideOrders(pool)) == 1);
 }
 
+/// Otherwise initial servers that crashed keep the pool from being enlarged.
+TEST_CASE("Initial servers that are missing do not count as ordered ones that boot") {
+  Pool pool = LatePool(16);
+  pool.zones[kCheap].serving = 4;
+  pool.zones[kCheap].wanted = 9;
+  pool.zones[kCheap].since_order = seconds(2);
+  CHECK(pool.Pending() == 1);
+}
+
+TEST_CASE("An order states at least the minimum") {
+  Pool pool = LatePool(8);
+  pool.scaling.min = 10;
+  CHECK(DecideOrders(pool) == std::vector<PoolChange>{{kCheap, 10}});
+  pool.scaling.max = 10;
+  pool.zones[kCheap].spot = 1;
+  CHECK(DecideOrders(pool) == std::vector<PoolChange>{{kCheap, 9}});
+}
+
 TEST_CASE("Ordered servers that never start do not keep others from being ordered") {
   Pool pool = LatePool(16);
   pool.zones[kCheap].wanted = 10;
--- a/test/scaling/scale_fixture.h
+++ b/test/scaling/scale_fixture.h
@@ -68,6 +68,7 @@
     scheduler_.Schedule(std::chrono::milliseconds(3), [this, done] { done(quorum); });
   }
   void Propose(ClusterOperation operation, std::function<void(bool)> done) {
+    ++proposed;
     scheduler_.Schedule(commit_time, [this, operation = std::move(operation), done] {
       if (!quorum) return done(false);
       Commit(operation);
@@ -100,6 +101,8 @@
   ClusterStateMachine state;
   std::vector<ScaleTask*> tasks;
   std::vector<PoolSize> committed_sizes;
+  /// Proposals, including those that are not committed yet.
+  uint32_t proposed = 0;
   Duration commit_time = std::chrono::milliseconds(3);
   bool quorum = true;
 
--- a/test/scaling/scale_task_test.cc
+++ b/test/scaling/scale_task_test.cc
@@ -377,6 +377,81 @@
   CHECK(fixture.calls() == 0);
 }
 
+TEST_CASE("Lateness reported by an earlier leader of the job group is not added to the next one's") {
+  Fixture fixture;
+  fixture.Settle(fixture.first, 5);
+  fixture.Report(seconds(1), fixture.late);
+  fixture.job_term = Term(2);
+  fixture.sequence = 0;
+  fixture.Report(seconds(1), fixture.late);
+  CHECK(fixture.calls() == 0);
+  fixture.Report(seconds(1), fixture.late);
+  CHECK(fixture.calls() == 2);
+}
+
+/// A replica may be restored from the snapshot of a build that does not store the numbers.
+TEST_CASE("An answer that arrives after the numbers are lost does not end the process") {
+  Fixture fixture;
+  fixture.Settle(fixture.first, 5);
+  SECTION("accepted") {}
+  SECTION("unavailable") { fixture.answer.status = 409; }
+  fixture.answer.delay = seconds(1);
+  fixture.Report(milliseconds(1500), fixture.late);
+  REQUIRE(fixture.calls() == 2);
+  fixture.group.committed_sizes.clear();
+  fixture.group.state = ClusterStateMachine();
+  fixture.scheduler.RunFor(seconds(2));
+  CHECK(fixture.calls() == 2);
+  CHECK(fixture.group.committed_sizes.empty());
+}
+
+TEST_CASE("Servers of an order that registered before a 409 are not given up") {
+  Fixture fixture;
+  fixture.Settle(fixture.first, 5);
+  fixture.status_of_zone[kZoneA] = 503;
+  fixture.Report(seconds(2), fixture.late);
+  REQUIRE(fixture.group.Wanted(kZoneA) == 5);
+  // The call was carried out although its outcome is unknown.
+  fixture.group.SetServers(kZoneA, 5);
+  fixture.status_of_zone[kZoneA] = 409;
+  fixture.scheduler.RunFor(seconds(30));
+  CHECK(fixture.group.Wanted(kZoneA) == 5);
+  CHECK(fixture.group.state.pool_sizes().at({kEngines, kZoneA}).initial == 4);
+}
+
+TEST_CASE("Nothing is committed or called for once a node of an earlier build starts") {
+  Fixture fixture;
+  fixture.Settle(fixture.first, 5);
+  SECTION("during the commit of an order") {
+    fixture.group.commit_time = milliseconds(100);
+    fixture.Report(milliseconds(1000), fixture.late);
+    fixture.ReportOnce(fixture.late);
+    for (int i = 0; i < 400 && fixture.group.Wanted(kZoneA) < 5; ++i) {
+      if (fixture.first.all_nodes_decode && fixture.group.proposed > 2) {
+        fixture.first.all_nodes_decode = false;
+      }
+      fixture.scheduler.RunFor(milliseconds(1));
+    }
+    REQUIRE(fixture.group.Wanted(kZoneA) == 5);
+    REQUIRE_FALSE(fixture.first.all_nodes_decode);
+    fixture.scheduler.RunFor(seconds(5));
+    CHECK(fixture.calls() == 0);
+  }
+  SECTION("during a call") {
+    fixture.answer.delay = seconds(1);
+    fixture.Report(milliseconds(1500), fixture.late);
+    REQUIRE(fixture.calls() == 2);
+    fixture.first.all_nodes_decode = false;
+    fixture.group.committed_sizes.clear();
+    fixture.scheduler.RunFor(seconds(5));
+    CHECK(fixture.group.committed_sizes.empty());
+    // The accepted number follows as soon as it can be committed.
+    fixture.first.all_nodes_decode = true;
+    fixture.scheduler.RunFor(seconds(2));
+    CHECK(fixture.group.state.pool_sizes().at({kEngines, kZoneA}).accepted == 5);
+  }
+}
+
 TEST_CASE("Reports from before the leadership order nothing") {
   Fixture fixture;
   fixture.Settle(fixture.first, 5);
