Elastic pool: outdated initial numbers do not replace an order

Cause: a record with ordered=false, proposed before an order and committed after it, lowered the wanted number of the order. Change: once stored as ordered, such a record is rejected.

--- a/source/cluster/cluster_state_machine.cc
+++ b/source/cluster/cluster_state_machine.cc
@@ -162,15 +162,18 @@
   ClusterResult result;
   const auto [stored, added] = pool_sizes_.try_emplace({size.service, size.zone}, size);
   if (added) return result;
+  // A proposal made before the order: its numbers are outdated.
+  if (stored->second.ordered && !size.ordered) {
+    result.code = ClusterResultCode::kInvalid;
+    return result;
+  }
   const uint32_t initial = std::max(stored->second.initial, size.initial);
   if (size.wanted < initial) {
     result.code = ClusterResultCode::kInvalid;
     return result;
   }
-  const bool was_ordered = stored->second.ordered;
   stored->second = size;
   stored->second.initial = initial;
-  stored->second.ordered = was_ordered || size.ordered;
   return result;
 }
 
