--- a/source/jobs/pool_need_reporter.cc
+++ b/source/jobs/pool_need_reporter.cc
@@ -16,7 +16,8 @@
   sequence_ = 0;
   next_calm_report_at_ = environment_.Now();
   if (group_ == nullptr) return timer_.Cancel();
-  Tick();
+  // The forecast of a new leader lacks the runs that it has yet to resume.
+  timer_.Arm(kCalmReportInterval, [this] { Tick(); });
 }
 
 void PoolNeedReporter::Tick() {
