--- a/source/settings/settings.cc
+++ b/source/settings/settings.cc
@@ -188,11 +188,12 @@
     if (raw.list.empty()) findings_.Add(raw.location, "no founder is listed");
   }
 
-  /// An empty list is valid: the platform leaves no duty to this system.
+  /// An empty list is valid: the platform leaves no duty to this system. Unknown duties are ignored,
+  /// since the platform may add any.
   void SetDuties(const RawSetting& raw) {
     settings_.scaling_duties.clear();
     for (const RawText& duty : raw.list) {
-      if (CheckName(duty)) settings_.scaling_duties.push_back(duty.text);
+      if (IsName(duty.text)) settings_.scaling_duties.push_back(duty.text);
     }
   }
 
--- a/test/settings/settings_test.cc
+++ b/test/settings/settings_test.cc
@@ -278,6 +278,9 @@
   CHECK_FALSE(ReadSettings("f.yaml", valid + "]\n", {}, findings).ScalesPools());
   CHECK_FALSE(ReadSettings("f.yaml", valid + "\"usage\"]\n", {}, findings).ScalesPools());
   CHECK(ReadSettings("f.yaml", valid + "\"usage\",\"autoscale\"]\n", {}, findings).ScalesPools());
+  // A duty that this build does not know is no reason not to start.
+  const std::string unknown = valid + "\"new duty\",\"autoscale\"]\n";
+  CHECK(ReadSettings("f.yaml", unknown, {}, findings).ScalesPools());
   CHECK(findings.ToString().empty());
 }
 
