Elastic pool: stricter checks of resets, leaderships and settling

Three tests passed without any call, or allowed new numbers after a change of the leader. They now check the calls and the numbers.

--- a/test/scaling/scale_task_test.cc
+++ b/test/scaling/scale_task_test.cc
@@ -146,6 +146,7 @@
   // The order waits until the raised initial number has lasted.
   fixture.Report(seconds(8), fixture.late);
   CHECK(fixture.calls() > 0);
+  REQUIRE_FALSE(fixture.Bodies().empty());
   for (const std::string& body : fixture.Bodies()) CHECK(body.starts_with("zone-b"));
   fixture.Report(seconds(10), fixture.late);
   CHECK(fixture.group.Wanted(kZoneA) >= 5);
@@ -339,7 +340,11 @@
   fixture.Settle(fixture.first, 5);
   fixture.status_of_zone = {{kZoneA, 409}, {kZoneB, 409}};
   fixture.Report(seconds(60), fixture.late);
-  CHECK(fixture.group.Wanted(kZoneA) >= 4);
+  // Each order and each repeated reset went back to the accepted number.
+  fixture.Report(seconds(1), fixture.calm);
+  CHECK(fixture.calls() >= 6);
+  CHECK(fixture.group.Wanted(kZoneA) == 4);
+  CHECK(fixture.group.Wanted(kZoneB) == 4);
   // One call for each zone in 10 s.
   CHECK(fixture.calls() <= 12);
 }
@@ -460,10 +465,12 @@
   Fixture::Depose(fixture.first);
   fixture.second.Lead(6);
   fixture.scheduler.RunFor(seconds(20));
-  const uint32_t wanted = fixture.group.Wanted(kZoneA);
+  CHECK(fixture.group.Wanted(kZoneA) == 4);
+  CHECK(fixture.group.Wanted(kZoneB) == 4);
   fixture.scheduler.RunFor(seconds(20));
-  CHECK(fixture.group.Wanted(kZoneA) == wanted);
-  CHECK(fixture.calls() <= before + 2);
+  CHECK(fixture.group.Wanted(kZoneA) == 4);
+  CHECK(fixture.group.Wanted(kZoneB) == 4);
+  CHECK(fixture.calls() == before);
 }
 
 TEST_CASE("Ordered servers that never start are replaced by others, and no number goes back") {
