--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/pool_records.h"
 #include "common/alive_flag.h"
 #include "common/environment.h"
 #include "common/scoped_timer.h"
@@ -72,6 +73,9 @@
   /// Runs a scheduling pass, or schedules one if the last was too recent. Call it when back ends,
   /// routes or versions changed.
   void Pump();
+  /// What the jobs need of each service whose servers can be ordered; empty if there is none, or
+  /// while this replica does not lead.
+  std::vector<PoolNeed> PoolNeeds() const;
 
  private:
   enum class Phase : uint8_t { kWaiting, kRunning, kScoring, kRecording };
@@ -217,6 +221,10 @@
   /// anything waits or may be late.
   void UpdateForecast();
   ForecastInputs CollectForecastInputs() const;
+  /// Number of running items at engines of the service.
+  uint32_t CountRunning(const ServiceName& service) const;
+  /// Slots of the service's engines that accept work and are not ejected after failures.
+  uint32_t CountAnsweringSlots(const ServiceName& service) const;
   enum class PaceKind : uint8_t {
     kExpected,  ///< includes silences
     kMeasured,
@@ -243,7 +251,8 @@
   void SetForecastMetrics(const std::map<std::string, double>& lateness_by_route, size_t deferred);
   void HandleChanges();
   void SchedulePump(Duration delay);
-  /// Whether the next pass should have begun long ago: the node was suspended, or its executor busy.
+  /// Whether the next pass should have begun long ago: the node was suspended, or its executor
+  /// busy.
   bool PassIsLate(TimePoint now) const;
   /// A run that could continue at a faster engine.
   struct MoveCandidate {
