Limits: a backlog without an excess has no effect

A call of RecordBacklog with an excess of zero or less moved the time of the last refill back to the end of an earlier hold, so that the time since then was credited twice, up to the burst of two sends. Such a call now returns at once. The new test fails without the change: 50 ms until the next send instead of 100 ms.

--- a/source/limits/send_rate_limit.cc
+++ b/source/limits/send_rate_limit.cc
@@ -94,6 +94,7 @@
 }
 
 void SendRateLimit::RecordBacklog(TimePoint now, Duration excess) {
+  if (excess <= Duration(0)) return;
   hold_until_ = std::max(hold_until_, now + std::min(excess, kMaxHold));
   if (!limited_) return;
   // What accrued before was meant for a shorter queue, and nothing accrues meanwhile.
--- a/source/limits/send_rate_limit.h
+++ b/source/limits/send_rate_limit.h
@@ -51,7 +51,7 @@
   Change RecordLate(TimePoint now);
   /// A response was late by `excess`: the back end's queue is longer by that time than what it
   /// answers in time. While the limit is in force, nothing is sent until the queue has shrunk by
-  /// it.
+  /// it. No effect if `excess` is zero or less.
   void RecordBacklog(TimePoint now, Duration excess);
   /// The back end refused a request for lack of capacity.
   Change RecordRefused(TimePoint now);
--- a/test/limits/send_rate_limit_test.cc
+++ b/test/limits/send_rate_limit_test.cc
@@ -156,5 +156,24 @@
   CHECK(limit.Allows(now + milliseconds(600)));
 }
 
+// Guards against sends that accrue twice: the time until the hold was credited again by a call
+// without an excess, which moved the time of the last credit back to the end of the hold.
+TEST_CASE("A backlog without an excess changes nothing") {
+  const Duration excess = GENERATE(Duration(0), Duration(milliseconds(-50)));
+  TimePoint now = TimePoint() + std::chrono::seconds(100);
+  SendRateLimit limit(now);
+  REQUIRE(limit.RecordRefused(now));
+  limit.SetFloor(10, now);
+  limit.RecordBacklog(now, milliseconds(100));
+  now += milliseconds(300);
+  REQUIRE(limit.Allows(now));
+  limit.Take(now);
+  limit.Take(now);
+  // Two sends accrued in 200 ms and were taken.
+  limit.RecordBacklog(now, excess);
+  CHECK_FALSE(limit.Allows(now));
+  CHECK(limit.UntilAllowed(now) == milliseconds(100));
+}
+
 }  // namespace
 }  // namespace millstair
