Admission: two classes of requests inside the share of a tenant

Cause: with a demand a third to a half above the capacity, retries past their target were served before first attempts, which were then rejected and came back past their target too.

Change: inside the share of a tenant, requests that can still meet their target and the others share 3 to 1, each class by earliest deadline; among tenants with equal claims the same weights apply. The target counts from the caller's first call, and a queued request becomes late when it can't meet it. Retry-After follows the drain rate of the class. The class alone changes little, because few requests wait at one gateway at a time. So a late request also leaves sends to the requests in time of its tenant until they would be lost; whether the target can be met is told from the responses within it; no limit ends while requests are kept from the back end that they prefer; the floor of a limit is 0.03 of the demand, since the floors of all gateways kept the slow back ends full; a limited back end may use two thirds of the target; and nothing is sent within 10 ms of its deadline.

--- a/source/ingress/backend_limits.cc
+++ b/source/ingress/backend_limits.cc
@@ -13,6 +13,10 @@
 /// A back end whose fastest response took 25 ms is loaded when one takes twice that, but late only
 /// beyond the target.
 constexpr int kUnloadedFactor = 2;
+/// Share of the target that a limited back end may use. The rest is for the wait at the gateway and
+/// for the network: with the whole target, a quarter of the responses that the limit counts as in
+/// time are late for their callers.
+constexpr double kLimitedTargetShare = 0.67;
 /// Longer than a usual overload, during which no response may be as fast as without load.
 constexpr Duration kUnloadedWindow = std::chrono::seconds(10);
 
@@ -40,7 +44,9 @@
 }
 
 Duration BackendLimits::LateAfter(const InstanceId& instance, Duration target) {
-  const auto fastest = EntryOf(instance).fastest.Get(environment_.Now());
+  Entry& entry = EntryOf(instance);
+  const auto fastest = entry.fastest.Get(environment_.Now());
+  if (entry.limit.limited()) target = FromSeconds(kLimitedTargetShare * ToSeconds(target));
   return fastest ? std::max(target, kUnloadedFactor * *fastest) : target;
 }
 
--- a/source/ingress/backend_limits.h
+++ b/source/ingress/backend_limits.h
@@ -25,7 +25,8 @@
   /// Returns a send that was taken from the limit of `instance` and not used.
   void Return(const InstanceId& instance);
 
-  /// How long a response of `instance` may take before it counts as late: the target, or longer if
+  /// How long a response of `instance` may take before it counts as late: the target, less of it
+  /// while a limit is in force so that requests have time to wait for their send, or longer if
   /// even its fastest recent responses come close to the target. A service that is slow without
   /// load is not overloaded.
   Duration LateAfter(const InstanceId& instance, Duration target);
--- a/source/ingress/request_admission.cc
+++ b/source/ingress/request_admission.cc
@@ -40,10 +40,13 @@
   demand.tenant = request_.tenant;
   demand.priority = route_.priority;
   demand.deadline = deadline_;
-  demand.target_at = started_at_ - request_.held + target();
-  const bool retry =
-      request_.time_left && route_.timeout && *request_.time_left + request_.held < *route_.timeout;
-  demand.first_attempt = !retry;
+  // A caller states what is left of its time, so the time since its first call is what is missing.
+  Duration before{0};
+  if (request_.time_left && route_.timeout) {
+    before = std::max(*route_.timeout - *request_.time_left - request_.held, Duration(0));
+  }
+  demand.target_at = started_at_ - request_.held - before + target();
+  demand.first_attempt = before == Duration(0);
   demand.begun = begun_;
   return demand;
 }
@@ -182,7 +185,7 @@
   // A route without back ends may have no service with a queue yet.
   ServiceAdmission& service =
       service_ != nullptr ? *service_ : control_->Of(route_.services.front().service);
-  return service.Reject(reason, deadline_);
+  return service.Reject(reason, deadline_, service.ClassOf(Demand()));
 }
 
 void RequestAdmission::RecordEnd(const InstanceId& instance, BackendEnd end, Duration elapsed,
@@ -195,7 +198,7 @@
     case BackendEnd::kAnswered:
       // A request that is answered with an error takes less time than the service's work.
       if (IsSuccess(status)) {
-        service_->RecordResponse(elapsed);
+        service_->RecordResponse(elapsed, elapsed <= target());
         limits.RecordResponse(instance, elapsed);
       }
       // A server error sent quickly is no sign of capacity.
--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -14,12 +14,17 @@
 constexpr Duration kProcessInterval = std::chrono::milliseconds(20);
 constexpr Duration kMinProcessInterval = std::chrono::milliseconds(1);
 /// Floor of each back end's limit, as a share of the gateway's own demand. The floors of all
-/// gateways add up to this share of the whole demand: 50 of 720 requests a second, which a back end
-/// of six slots that takes 84 ms for each can still answer.
-constexpr double kFloorShare = 0.07;
+/// gateways add up to this share of the whole demand, retries included: 38 of 1270 requests a
+/// second, which a back end of six slots that takes 120 ms for each can still answer.
+constexpr double kFloorShare = 0.03;
 /// The window of the demand matches the one of the limits.
 constexpr Duration kDemandWindow = std::chrono::seconds(1);
+/// A tenant is forgotten about two seconds after a single request.
+constexpr double kForgottenCount = 0.1;
 constexpr double kResponseSmoothing = 0.1;
+/// Even a refusal takes this long. A request sent later would end without one at its deadline, as
+/// one that may have run.
+constexpr Duration kMinResponseTime = std::chrono::milliseconds(10);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(20);
 /// Callers wait for Retry-After up to this share of their remaining time.
 constexpr int kRetryAfterShare = 3;
@@ -116,18 +121,33 @@
                                                      const std::set<InstanceId>& excluded,
                                                      Callback later) {
   if (directory_.Candidates(service_, excluded).empty()) return NoCandidate{};
-  const FairQueue::Entry entry{demand.priority, demand.tenant.value(), demand.deadline};
-  if (queue_.empty()) {
-    if (auto permit = TryPermit(excluded)) {
-      queue_.RecordServed(entry.priority, entry.tenant);
+  const FairQueue::Entry entry{demand.priority, demand.tenant.value(), demand.deadline,
+                               ClassOf(demand)};
+  if (entry.target_class == TargetClass::kInTime) RecordInTimeArrival(entry.tenant);
+  const size_t ahead = queue_.empty() ? 0 : queue_.Ahead(entry);
+  // Requests may wait behind it although a send is allowed, see SendsFor.
+  if (ahead == 0) {
+    if (auto permit = TryPermit(excluded, SendsFor(entry))) {
+      queue_.RecordServed(entry.priority, entry.tenant, entry.target_class);
       return *std::move(permit);
     }
   }
-  if (const auto reason = Judge(demand, queue_.Ahead(entry))) {
-    return Reject(*reason, demand.deadline);
+  return QueueOrReject(demand, excluded, entry, ahead, std::move(later));
+}
+
+ServiceAdmission::Decision ServiceAdmission::QueueOrReject(const SendDemand& demand,
+                                                           const std::set<InstanceId>& excluded,
+                                                           FairQueue::Entry entry, size_t ahead,
+                                                           Callback later) {
+  const TargetClass target_class = entry.target_class;
+  auto reason = Judge(demand, ahead);
+  if (!reason && target_class == TargetClass::kInTime && !MeetsTarget(demand, ahead)) {
+    entry.target_class = TargetClass::kLate;
+    reason = Judge(demand, queue_.Ahead(entry));
   }
+  if (reason) return Reject(*reason, demand.deadline, target_class);
   auto queued = Enqueue(demand, excluded, entry, std::move(later));
-  if (queued == nullptr) return Reject(RejectionReason::kQueueFull, demand.deadline);
+  if (queued == nullptr) return Reject(RejectionReason::kQueueFull, demand.deadline, target_class);
   return queued;
 }
 
@@ -145,7 +165,24 @@
   return queued;
 }
 
-std::optional<SendPermit> ServiceAdmission::TryPermit(const std::set<InstanceId>& excluded) {
+ServiceAdmission::Sends ServiceAdmission::SendsFor(const FairQueue::Entry& entry) const {
+  const auto arrivals = in_time_arrivals_.find(entry.tenant);
+  if (!queue_.TakesShareOfInTime(entry) || arrivals == in_time_arrivals_.end()) return Sends::kAll;
+  const double share = ShareOf(TargetClass::kInTime) * DrainPerSecond() /
+                       static_cast<double>(in_time_arrivals_.size());
+  const bool used = arrivals->second.PerSecond(environment_.Now()) >= share;
+  return used ? Sends::kSpare : Sends::kAll;
+}
+
+void ServiceAdmission::RecordInTimeArrival(const std::string& tenant) {
+  const TimePoint now = environment_.Now();
+  std::erase_if(in_time_arrivals_,
+                [now](const auto& entry) { return entry.second.Count(now) < kForgottenCount; });
+  in_time_arrivals_.try_emplace(tenant, kDemandWindow).first->second.Add(now);
+}
+
+std::optional<SendPermit> ServiceAdmission::TryPermit(const std::set<InstanceId>& excluded,
+                                                      Sends sends) {
   const TimePoint now = environment_.Now();
   const double floor = kFloorShare * arrivals_.PerSecond(now);
   std::vector<BackendCandidate> all = directory_.Candidates(service_, excluded);
@@ -153,23 +190,28 @@
   for (const BackendCandidate& candidate : all) {
     SendRateLimit& limit = limits_.Of(candidate.record->id);
     limit.SetFloor(floor, now);
-    if (limit.Allows(now)) allowed.push_back(candidate);
-  }
-  if (allowed.empty()) {
-    for (const BackendCandidate& candidate : all)
-      limits_.Of(candidate.record->id).RecordDenied(now);
-    return std::nullopt;
+    const bool allows = sends == Sends::kAll ? limit.Allows(now) : limit.AllowsSpare(now);
+    if (allows) allowed.push_back(candidate);
   }
-  // The limit is below the demand if it keeps requests from the back end that they prefer.
-  const auto by_cost = [](const auto& a, const auto& b) { return a.cost < b.cost; };
-  const auto preferred = std::min_element(all.begin(), all.end(), by_cost);
-  SendRateLimit& preferred_limit = limits_.Of(preferred->record->id);
-  if (!preferred_limit.Allows(now)) preferred_limit.RecordDenied(now);
+  RecordDenied(all);
+  if (allowed.empty()) return std::nullopt;
   const BackendInstance& target = directory_.CheapestOf(std::move(allowed));
   limits_.Of(target.id).Take(now);
   return SendPermit(limits_, target);
 }
 
+void ServiceAdmission::RecordDenied(const std::vector<BackendCandidate>& candidates) {
+  const TimePoint now = environment_.Now();
+  const auto by_cost = [](const auto& a, const auto& b) { return a.cost < b.cost; };
+  const auto preferred = std::min_element(candidates.begin(), candidates.end(), by_cost);
+  if (preferred == candidates.end() || limits_.Of(preferred->record->id).Allows(now)) return;
+  // Requests that are kept from the back end that they prefer go to the others, so that the end of
+  // another limit would let all of them through at once.
+  for (const BackendCandidate& candidate : candidates) {
+    limits_.Of(candidate.record->id).RecordDenied(now);
+  }
+}
+
 std::optional<SendPermit> ServiceAdmission::RequestHedge(const std::set<InstanceId>& excluded) {
   std::vector<BackendCandidate> candidates = directory_.Candidates(service_, excluded);
   for (const BackendInstance* instance : directory_.Live(service_)) {
@@ -197,34 +239,56 @@
   return FromSeconds(static_cast<double>(ahead) / DrainPerSecond());
 }
 
+Duration ServiceAdmission::ExpectedDrain(TargetClass target_class) const {
+  const bool in_time = target_class == TargetClass::kInTime;
+  const bool shared = queue_.Waiting(in_time ? TargetClass::kLate : TargetClass::kInTime) > 0;
+  const double share = shared ? ShareOf(target_class) : 1;
+  return FromSeconds(static_cast<double>(queue_.Waiting(target_class) + 1) /
+                     (share * DrainPerSecond()));
+}
+
+bool ServiceAdmission::MeetsTarget(const SendDemand& demand, size_t ahead) const {
+  return environment_.Now() + ExpectedWait(ahead) + FromSeconds(in_time_response_seconds_) <=
+         demand.target_at;
+}
+
+TargetClass ServiceAdmission::ClassOf(const SendDemand& demand) const {
+  return MeetsTarget(demand, 0) ? TargetClass::kInTime : TargetClass::kLate;
+}
+
 std::optional<RejectionReason> ServiceAdmission::Judge(const SendDemand& demand,
                                                        size_t ahead) const {
   const TimePoint now = environment_.Now();
-  const TimePoint answered_at = now + ExpectedWait(ahead) + FromSeconds(response_seconds_);
+  const Duration response = std::max(FromSeconds(response_seconds_), kMinResponseTime);
+  const TimePoint answered_at = now + ExpectedWait(ahead) + response;
   if (answered_at > demand.deadline) return RejectionReason::kCannotBeInTime;
   if (demand.begun) return std::nullopt;
-  const bool late = demand.first_attempt && answered_at > demand.target_at;
+  const bool late = demand.first_attempt && !MeetsTarget(demand, ahead);
   if (late && now + ExpectedWait(queue_.size()) > demand.target_at) {
     return RejectionReason::kStandingQueue;
   }
   return std::nullopt;
 }
 
-SendRejection ServiceAdmission::Reject(RejectionReason reason, TimePoint deadline) {
+SendRejection ServiceAdmission::Reject(RejectionReason reason, TimePoint deadline,
+                                       TargetClass target_class) {
   stats_.CountRejection(reason);
   const Duration left = std::max(deadline - environment_.Now(), Duration(0));
   const double spread = 1 + kRetryAfterSpread * DrawUnit(environment_.Random());
-  const double wait = spread * ToSeconds(ExpectedWait(queue_.size() + 1));
+  const double wait = spread * ToSeconds(ExpectedDrain(target_class));
   const Duration longest = std::max(left / kRetryAfterShare, kMinRetryAfter);
   const Duration retry_after =
       wait >= ToSeconds(longest) ? longest : std::max(FromSeconds(wait), kMinRetryAfter);
   return {reason, retry_after};
 }
 
-void ServiceAdmission::RecordResponse(Duration elapsed) {
+void ServiceAdmission::RecordResponse(Duration elapsed, bool in_time) {
   const double seconds = ToSeconds(elapsed);
-  const double previous = response_seconds_ > 0 ? response_seconds_ : seconds;
-  response_seconds_ = previous + kResponseSmoothing * (seconds - previous);
+  const auto smooth = [seconds](double& mean) {
+    mean = mean > 0 ? mean + kResponseSmoothing * (seconds - mean) : seconds;
+  };
+  smooth(response_seconds_);
+  if (in_time) smooth(in_time_response_seconds_);
 }
 
 void ServiceAdmission::Process() {
@@ -245,11 +309,12 @@
 }
 
 std::optional<SendPermit> ServiceAdmission::TryQueued(const Queued& queued) {
-  auto permit = TryPermit(queued.excluded_);
+  const Sends sends = SendsFor(queue_.Get(queued.entry_));
+  auto permit = TryPermit(queued.excluded_, sends);
   if (permit || queued.excluded_.empty()) return permit;
   // A request that waited may also be sent to a back end that refused it before: its limit allows a
   // send now, and the request must not block the others.
-  return TryPermit({});
+  return TryPermit({}, sends);
 }
 
 void ServiceAdmission::RejectLate() {
@@ -262,6 +327,11 @@
     const SendDemand& demand = found->second->demand_;
     auto reason = Judge(demand, ahead);
     if (none_left && !demand.begun) reason = RejectionReason::kNoBackend;
+    const TargetClass target_class = queue_.Get(id).target_class;
+    if (!reason && target_class == TargetClass::kInTime && !MeetsTarget(demand, ahead)) {
+      queue_.MoveToLate(id);
+      continue;
+    }
     if (!reason) {
       ++ahead;
       continue;
@@ -269,7 +339,7 @@
     const TimePoint deadline = demand.deadline;
     queue_.Erase(id);
     const Callback callback = std::move(TakeWaiting(id).callback_);
-    callback(Reject(*reason, deadline));
+    callback(Reject(*reason, deadline, target_class));
   }
 }
 
@@ -293,8 +363,12 @@
 void ServiceAdmission::ArmProcess() {
   if (queue_.empty() || process_timer_.armed()) return;
   Duration wait = kProcessInterval;
-  for (const BackendCandidate& candidate : directory_.Candidates(service_, {})) {
-    wait = std::min(wait, limits_.Of(candidate.record->id).UntilAllowed(environment_.Now()));
+  // A request that waits for a spare send is looked at again after the usual interval.
+  const bool spare = SendsFor(queue_.Get(*queue_.Next())) == Sends::kSpare;
+  if (!spare) {
+    for (const BackendCandidate& candidate : directory_.Candidates(service_, {})) {
+      wait = std::min(wait, limits_.Of(candidate.record->id).UntilAllowed(environment_.Now()));
+    }
   }
   process_timer_.Arm(std::max(wait, kMinProcessInterval), [this] { Process(); });
 }
--- a/source/ingress/service_admission.h
+++ b/source/ingress/service_admission.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <variant>
@@ -67,7 +68,7 @@
   /// 0 is the most urgent.
   uint32_t priority = 0;
   TimePoint deadline;
-  /// A response by then meets the route's target.
+  /// A response by then meets the route's target, counted from the caller's first call.
   TimePoint target_at;
   /// Not a retry of its caller.
   bool first_attempt = true;
@@ -137,27 +138,48 @@
   void RecordFirstSend() { budget_.RecordFirstAttempt(); }
   /// Takes one repeated send from the service's budget; false if none is left.
   bool SpendRetry() { return budget_.Spend(); }
-  /// A back end answered after `elapsed`.
-  void RecordResponse(Duration elapsed);
-  /// Rejects a request that is not in the queue.
-  SendRejection Reject(RejectionReason reason, TimePoint deadline);
+  /// A back end answered after `elapsed`, within the target or not.
+  void RecordResponse(Duration elapsed, bool in_time = true);
+  /// The class of a request that is sent now.
+  TargetClass ClassOf(const SendDemand& demand) const;
+  /// Rejects a request that is not in the queue. It may retry once those of its class that wait and
+  /// one more have been sent.
+  SendRejection Reject(RejectionReason reason, TimePoint deadline,
+                       TargetClass target_class = TargetClass::kInTime);
 
   size_t queued() const { return queue_.size(); }
 
  private:
+  /// Which sends of a limit a request may take.
+  enum class Sends : uint8_t { kAll, kSpare };
   /// Takes a send from the cheapest back end whose limit allows one.
-  std::optional<SendPermit> TryPermit(const std::set<InstanceId>& excluded);
+  std::optional<SendPermit> TryPermit(const std::set<InstanceId>& excluded, Sends sends);
+  /// Keeps the limits of `candidates` in force if the preferred one allows no send.
+  void RecordDenied(const std::vector<BackendCandidate>& candidates);
   /// The same for the request that is served next.
   std::optional<SendPermit> TryQueued(const Queued& queued);
   /// Whether a request with `ahead` requests before it must be rejected.
   std::optional<RejectionReason> Judge(const SendDemand& demand, size_t ahead) const;
+  /// Whether a request with `ahead` requests before it can meet its target.
+  bool MeetsTarget(const SendDemand& demand, size_t ahead) const;
   /// Sends per second that the limits of all back ends allow.
   double DrainPerSecond() const;
   Duration ExpectedWait(size_t ahead) const;
+  /// Time until one more request of a class than wait now has been sent.
+  Duration ExpectedDrain(TargetClass target_class) const;
   /// Sends and rejects queued requests.
   void Process();
   void SendQueued();
+  /// Rejects requests that can't be answered by their deadline, and moves those that can't meet
+  /// their target any more to the late class.
   void RejectLate();
+  /// The sends that the request served next may take: only spare ones if it is late and would take
+  /// the share of requests in time of its tenant that are about to arrive.
+  Sends SendsFor(const FairQueue::Entry& entry) const;
+  void RecordInTimeArrival(const std::string& tenant);
+  /// Decides about a request that can't be sent now, with `ahead` requests before it.
+  Decision QueueOrReject(const SendDemand& demand, const std::set<InstanceId>& excluded,
+                         FairQueue::Entry entry, size_t ahead, Callback later);
   std::unique_ptr<Queued> Enqueue(const SendDemand& demand, const std::set<InstanceId>& excluded,
                                   const FairQueue::Entry& entry, Callback later);
   /// The queued request of an entry that has just left the queue.
@@ -176,8 +198,14 @@
   RetryBudget budget_;
   /// Arrivals of callers' requests; the floors of the limits are a share of them.
   DecayingRate arrivals_;
+  /// Requests that asked for a send and could still meet their target, by tenant. Holds the tenants
+  /// of the last seconds.
+  std::map<std::string, DecayingRate> in_time_arrivals_;
   /// Smoothed time of responses; 0 before the first.
   double response_seconds_ = 0;
+  /// The same of responses within the target. Tells whether a request can meet its target: the mean
+  /// of all exceeds the target while some back ends are slow, although the others are not.
+  double in_time_response_seconds_ = 0;
   ScopedTimer process_timer_;
 };
 
--- a/source/limits/send_rate_limit.cc
+++ b/source/limits/send_rate_limit.cc
@@ -54,13 +54,17 @@
       overloaded_at_(now),
       disturbed_at_(now) {}
 
-bool SendRateLimit::Allows(TimePoint now) {
+bool SendRateLimit::Allows(TimePoint now) { return Holds(now, 1); }
+
+bool SendRateLimit::AllowsSpare(TimePoint now) { return Holds(now, kBurst); }
+
+bool SendRateLimit::Holds(TimePoint now, double sends) {
   if (!limited_) return true;
   Fill(now);
   if (now < hold_until_) return false;
   // Keeps a rounding error from delaying a complete token.
   constexpr double kRounding = 1e-6;
-  return tokens_ + kRounding >= 1;
+  return tokens_ + kRounding >= sends;
 }
 
 void SendRateLimit::Take(TimePoint now) {
--- a/source/limits/send_rate_limit.h
+++ b/source/limits/send_rate_limit.h
@@ -40,6 +40,8 @@
 
   /// Whether a request may be sent now. True if there is no limit.
   bool Allows(TimePoint now);
+  /// Whether a send is allowed that would be lost if it were not used soon.
+  bool AllowsSpare(TimePoint now);
   /// Takes one send; the balance may become negative.
   void Take(TimePoint now);
   /// Returns a send that was taken and not used.
@@ -73,6 +75,8 @@
  private:
   Change Start(SendLimitReason reason, TimePoint now);
   void Fill(TimePoint now);
+  /// Whether `sends` may be sent now.
+  bool Holds(TimePoint now, double sends);
   /// Sends allowed per response in time.
   double Headroom(TimePoint now) const;
 
--- a/test/ingress/overload_test.cc
+++ b/test/ingress/overload_test.cc
@@ -35,7 +35,10 @@
     size_t slots = 6;
     size_t queue = 24;
     Duration work = milliseconds(21);
+    /// Share of the requests that take `kTailFactor` times as long.
+    double tail_share = 0;
   };
+  static constexpr int kTailFactor = 5;
   using Respond = std::function<void(bool ran)>;
 
   ModelBackend(VirtualScheduler& scheduler, Options options)
@@ -76,8 +79,11 @@
       }
       ++running_;
       // Between 0.8 and 1.2 times the usual work.
-      const Duration work =
+      Duration work =
           DrawDuration(scheduler_.Random(), options_.work * 4 / 5, options_.work * 6 / 5);
+      if (options_.tail_share > 0 && DrawUnit(scheduler_.Random()) < options_.tail_share) {
+        work *= kTailFactor;
+      }
       scheduler_.Schedule(work, [this, respond = std::move(next.respond)] {
         --running_;
         ++completed;
@@ -159,12 +165,15 @@
   size_t answered = 0;
   size_t rejected = 0;
   size_t retried = 0;
+  /// Retries that were rejected too.
+  size_t rejected_again = 0;
 };
 
 /// Gateways, back ends and callers.
 class Fleet {
  public:
-  Fleet(size_t gateways, size_t backends, bool admission, uint64_t seed = 7)
+  Fleet(size_t gateways, size_t backends, bool admission, uint64_t seed = 7,
+        ModelBackend::Options options = {})
       : scheduler(seed), network(scheduler) {
     Route route;
     route.name = "pages";
@@ -188,7 +197,7 @@
       BackendInstance instance = LiveInstance(address, "pages");
       instance.slots = 6;
       configuration.instances[instance.id] = instance;
-      network.Add(address);
+      network.Add(address, options);
     }
     for (size_t i = 0; i < gateways; ++i) {
       gateways_.push_back(std::make_unique<Gateway>(*this, seed * 1000 + i));
@@ -216,6 +225,7 @@
       sum.answered += one.answered;
       sum.rejected += one.rejected;
       sum.retried += one.retried;
+      sum.rejected_again += one.rejected_again;
     }
     return sum;
   }
@@ -248,6 +258,8 @@
   std::map<std::string, Seen> seen;
   /// Longest time of a call.
   Duration longest_call{0};
+  /// Longest time from a caller's first call to its last result.
+  Duration longest_wait{0};
   std::vector<Duration> retry_after;
   std::vector<std::unique_ptr<Gateway>> gateways_;
 
@@ -297,6 +309,7 @@
   void OnResult(const Call& call, Duration left, Duration at, const ForwardResult& result) {
     Seen& own = seen[call.tenant];
     longest_call = std::max(longest_call, scheduler.Now() - at);
+    longest_wait = std::max(longest_wait, scheduler.Now() - call.first_at);
     if (result.outcome == ForwardOutcome::kAnswered) {
       ++own.answered;
       const Duration received_at = scheduler.Now() + network.Delay();
@@ -307,7 +320,10 @@
     if (result.outcome != ForwardOutcome::kNotRun) return;
     ++own.rejected;
     retry_after.push_back(result.retry_after);
-    if (call.retry) return;
+    if (call.retry) {
+      ++own.rejected_again;
+      return;
+    }
     const Duration remaining = left - (scheduler.Now() - at);
     const Duration pause = std::min(result.retry_after, remaining / 3);
     scheduler.Schedule(network.Delay() + pause, [this, call] {
@@ -374,6 +390,153 @@
   return burst;
 }
 
+/// The load of a shortage: 23 ms of usual work and a tail, of which four back ends complete about
+/// 490 requests per second while two of them are four times slower.
+struct Shortage {
+  size_t gateways = 48;
+  bool tenants = false;
+  uint64_t seed = 1;
+};
+
+constexpr Duration kShortageWork = milliseconds(23);
+constexpr double kShortageTail = 0.08;
+constexpr size_t kSmallTenants = 72;
+
+struct ShortageResult {
+  double completed_per_second = 0;
+  double sends_per_request = 0;
+  /// Share of what was completed that was answered within the target, counted from the caller's
+  /// first call, in the worst 6 s.
+  double in_time_of_completed = 0;
+  /// Share of the retrying callers that were rejected again.
+  double rejected_again = 0;
+  /// Lowest share of answered requests of the small tenants together; 1 without tenants.
+  double small_answered = 1;
+  Duration longest_wait{0};
+};
+
+/// Counts of a fleet at one moment of a shortage.
+struct ShortageSample {
+  size_t completed = 0;
+  size_t in_time = 0;
+};
+
+double WorstInTimeOfCompleted(const std::vector<ShortageSample>& samples, size_t window) {
+  double worst = 1;
+  for (size_t end = window; end < samples.size(); ++end) {
+    const ShortageSample& from = samples[end - window];
+    const auto completed = static_cast<double>(samples[end].completed - from.completed);
+    worst = std::min(worst, static_cast<double>(samples[end].in_time - from.in_time) / completed);
+  }
+  return worst;
+}
+
+void DemandShortage(Fleet& fleet, bool tenants) {
+  if (!tenants) return fleet.Demand(720, seconds(8));
+  for (int i = 0; i < 4; ++i) fleet.Demand(123, seconds(8), "large" + std::to_string(i));
+  for (size_t i = 0; i < kSmallTenants; ++i) {
+    fleet.Demand(228.0 / kSmallTenants, seconds(8), "small" + std::to_string(i));
+  }
+}
+
+double SmallAnswered(const Fleet& fleet) {
+  size_t requests = 0;
+  size_t answered = 0;
+  for (const auto& [tenant, seen] : fleet.seen) {
+    if (tenant.rfind("small", 0) != 0) continue;
+    requests += seen.requests;
+    answered += seen.answered;
+  }
+  return requests == 0 ? 1 : static_cast<double>(answered) / static_cast<double>(requests);
+}
+
+ShortageResult PlayShortage(const Shortage& shortage) {
+  ModelBackend::Options options;
+  options.work = kShortageWork;
+  options.tail_share = kShortageTail;
+  Fleet fleet(shortage.gateways, 4, true, shortage.seed, options);
+  fleet.Demand(12, seconds(18), "usual");
+  fleet.scheduler.RunFor(seconds(4));
+  for (size_t i = 0; i < 2; ++i) fleet.Backend(i).SetWork(4 * kShortageWork);
+  DemandShortage(fleet, shortage.tenants);
+  constexpr Duration kStep = milliseconds(250);
+  constexpr size_t kSteps = seconds(8) / kStep;
+  std::vector<ShortageSample> samples;
+  for (size_t i = 0; i <= kSteps; ++i) {
+    samples.push_back({fleet.Completed(), fleet.Sum().in_time_at_first});
+    if (i < kSteps) fleet.scheduler.RunFor(kStep);
+  }
+  for (size_t i = 0; i < 2; ++i) fleet.Backend(i).SetWork(kShortageWork);
+  fleet.scheduler.RunFor(seconds(8));
+  const Seen sum = fleet.Sum();
+  ShortageResult result;
+  result.completed_per_second =
+      static_cast<double>(samples.back().completed - samples.front().completed) / 8;
+  result.sends_per_request =
+      static_cast<double>(fleet.network.sends) / static_cast<double>(sum.requests);
+  result.in_time_of_completed = WorstInTimeOfCompleted(samples, seconds(6) / kStep);
+  result.rejected_again =
+      static_cast<double>(sum.rejected_again) / static_cast<double>(sum.retried);
+  result.small_answered = SmallAnswered(fleet);
+  result.longest_wait = fleet.longest_wait;
+  std::printf(
+      "shortage gateways=%zu tenants=%d seed=%llu requests=%zu completed_per_second=%.0f "
+      "sends_per_request=%.2f in_time_of_completed=%.3f answered=%zu in_time_at_first=%zu "
+      "retried=%zu rejected_again=%.3f small_answered=%.3f longest_wait_ms=%lld\n",
+      shortage.gateways, shortage.tenants ? 76 : 0, static_cast<unsigned long long>(shortage.seed),
+      sum.requests, result.completed_per_second, result.sends_per_request,
+      result.in_time_of_completed, sum.answered, sum.in_time_at_first, sum.retried,
+      result.rejected_again, result.small_answered,
+      static_cast<long long>(ToMilliseconds(result.longest_wait)));
+  return result;
+}
+
+/// The results of four seeds with 48 and 54 gateways, played once.
+const std::vector<ShortageResult>& Shortages(bool tenants) {
+  static const auto play_all = [](bool tenants) {
+    std::vector<ShortageResult> results;
+    for (const size_t gateways : {48, 54}) {
+      for (uint64_t seed = 1; seed <= 4; ++seed) {
+        results.push_back(PlayShortage({gateways, tenants, seed}));
+      }
+    }
+    return results;
+  };
+  static const std::vector<ShortageResult> without_tenants = play_all(false);
+  static const std::vector<ShortageResult> with_tenants = play_all(true);
+  return tenants ? with_tenants : without_tenants;
+}
+
+// Guards against retries that are served past their target before first attempts, which then come
+// back past their target too.
+TEST_CASE("In a shortage most completed work is in time from the first call of its caller") {
+  for (const bool tenants : {false, true}) {
+    for (const ShortageResult& result : Shortages(tenants)) {
+      CHECK(result.in_time_of_completed >= 0.6);
+    }
+  }
+}
+
+// Guards against large tenants that take the share of the small ones where many gateways each see
+// few requests.
+TEST_CASE("In a shortage small tenants are answered while large ones flood the service") {
+  for (const ShortageResult& result : Shortages(true)) CHECK(result.small_answered >= 0.95);
+}
+
+// Guards against a shortage that is amplified by sends, and against requests that outlive their
+// callers.
+TEST_CASE("In a shortage requests are sent at most 1.5 times and end at their time limit") {
+  for (const bool tenants : {false, true}) {
+    for (const ShortageResult& result : Shortages(tenants)) {
+      CHECK(result.sends_per_request <= 1.5);
+      CHECK(result.longest_wait <= kTimeout + 2 * kNetworkMax);
+      // The load is the one that is asked for.
+      CHECK(result.completed_per_second >= 400);
+      CHECK(result.completed_per_second <= 540);
+    }
+  }
+}
+
 // Guards against retries that multiply a burst, and against back ends that are busy with requests
 // whose responses come too late.
 TEST_CASE("A burst to slow back ends is not amplified, and most completed work is in time") {
--- a/test/ingress/service_admission_test.cc
+++ b/test/ingress/service_admission_test.cc
@@ -122,6 +122,66 @@
   CHECK(f.waiting.contains("retry"));
 }
 
+// Guards against a first attempt that waits for its target, and after it stays before others that
+// can still meet theirs.
+TEST_CASE("A queued request that can't meet its target any more is sent after those that can") {
+  Fixture f;
+  f.Limit("a:1", 20);
+  SendDemand becomes_late = f.Demand(milliseconds(400), false);
+  becomes_late.target_at = f.environment.Now() + milliseconds(30);
+  f.Ask("becomes late", becomes_late);
+  f.scheduler.RunFor(milliseconds(35));
+  f.Ask("in time", f.Demand(milliseconds(800)));
+  REQUIRE(f.service().queued() == 2);
+  f.scheduler.RunFor(milliseconds(300));
+  CHECK(f.log == Log{"in time sent", "becomes late sent"});
+}
+
+// Guards against late requests that use up the sends that first attempts are about to need.
+TEST_CASE("A late request leaves sends to first attempts until they would be lost") {
+  Fixture f;
+  f.Limit("a:1", 10);
+  f.service().RecordResponse(milliseconds(50));
+  // Requests in time ask for more than their share of the limit.
+  for (int i = 0; i < 20; ++i) f.Ask("first", f.Demand(milliseconds(800)));
+  f.waiting.clear();
+  f.log.clear();
+  SendDemand late = f.Demand(milliseconds(3000), false);
+  late.target_at = f.environment.Now() - milliseconds(1);
+  f.Ask("late", late);
+  // A send accrues in about 80 ms.
+  f.scheduler.RunFor(milliseconds(110));
+  CHECK(f.log.empty());
+  f.Ask("in time", f.Demand(milliseconds(800)));
+  CHECK(f.log == Log{"in time sent"});
+  f.scheduler.RunFor(milliseconds(1500));
+  CHECK(f.log == Log{"in time sent", "late sent"});
+}
+
+// Guards against a Retry-After that ignores that requests of the other class are sent meanwhile.
+TEST_CASE("Retry-After follows the drain rate of the request's class") {
+  const auto wait = [](TargetClass rejected, bool other_waits) {
+    Duration sum{0};
+    for (int i = 0; i < 50; ++i) {
+      Fixture f;
+      for (int j = 0; j <= i; ++j) DrawUnit(f.environment.Random());
+      f.Limit("a:1", 20);
+      SendDemand demand = f.Demand(milliseconds(800), false);
+      if (rejected == TargetClass::kInTime) demand.target_at = f.environment.Now();
+      f.service().RecordResponse(milliseconds(10));
+      if (other_waits) f.Ask("other", demand);
+      sum += f.service()
+                 .Reject(RejectionReason::kRetryBudget, f.environment.Now() + seconds(3), rejected)
+                 .retry_after;
+    }
+    return ToSeconds(sum / 50);
+  };
+  // One request at 25 sends per second, times 1.25 on average.
+  CHECK(wait(TargetClass::kInTime, false) == Approx(0.05).margin(0.005));
+  CHECK(wait(TargetClass::kInTime, true) == Approx(0.05 / 0.75).margin(0.007));
+  CHECK(wait(TargetClass::kLate, true) == Approx(0.05 / 0.25).margin(0.02));
+}
+
 // Guards against queued requests that hold a place after they can no longer be in time.
 TEST_CASE("A queued request is rejected as soon as it can't be in time") {
   Fixture f;
--- a/test/limits/fair_queue_test.cc
+++ b/test/limits/fair_queue_test.cc
@@ -1,7 +1,9 @@
 #include "limits/fair_queue.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,8 +18,9 @@
 class Named {
  public:
   explicit Named(size_t bound = 100) : queue(bound) {}
-  bool Push(const std::string& name, int64_t priority, const std::string& tenant, int deadline_ms) {
-    const auto id = queue.Push({priority, tenant, At(deadline_ms)});
+  bool Push(const std::string& name, int64_t priority, const std::string& tenant, int deadline_ms,
+            TargetClass target_class = TargetClass::kInTime) {
+    const auto id = queue.Push({priority, tenant, At(deadline_ms), target_class});
     if (id) names[*id] = name;
     return id.has_value();
   }
@@ -73,6 +76,84 @@
   CHECK(f.PopAll() == Names{"idle", "busy", "idle", "busy", "idle", "busy"});
 }
 
+// Guards against retries past their target that take the whole share of a tenant, and against first
+// attempts that starve them.
+TEST_CASE("Requests in time get three of four sends of their tenant, by deadline in each class") {
+  Named f;
+  for (int i = 8; i >= 1; --i) {
+    f.Push("late" + std::to_string(i), 1, "a", 100 + i, TargetClass::kLate);
+    f.Push("in" + std::to_string(i), 1, "a", 500 + i);
+  }
+  CHECK(f.PopAll() == Names{"in1", "late1", "in2", "in3", "in4", "late2", "in5", "in6", "in7",
+                            "late3", "in8", "late4", "late5", "late6", "late7", "late8"});
+}
+
+// Guards against a class that collects a claim while nothing of it waits.
+TEST_CASE("The share that a class leaves unused goes to the other and is not saved up") {
+  Named f;
+  for (int i = 0; i < 50; ++i) f.queue.RecordServed(1, "a", TargetClass::kLate);
+  for (int i = 1; i <= 6; ++i) {
+    f.Push("in" + std::to_string(i), 1, "a", 500 + i);
+    f.Push("late" + std::to_string(i), 1, "a", 100 + i, TargetClass::kLate);
+  }
+  const Names all = f.PopAll();
+  CHECK(std::count_if(all.begin(), all.begin() + 8,
+                      [](const std::string& name) { return name.rfind("late", 0) == 0; }) == 2);
+}
+
+// Guards against shares of tenants that depend on how many of their requests are late.
+TEST_CASE("Tenants share equally, whatever the classes of their requests") {
+  Named f;
+  for (int i = 0; i < 6; ++i) f.Push("in", 1, "a", 500);
+  for (int i = 0; i < 6; ++i) f.Push("late", 1, "b", 100, TargetClass::kLate);
+  for (int round = 0; round < 6; ++round) {
+    const std::multiset<std::string> served = {f.Pop(), f.Pop()};
+    CHECK(served == std::multiset<std::string>{"in", "late"});
+  }
+}
+
+// Guards against late requests that precede all others where many tenants send little.
+TEST_CASE("Among tenants with equal claims the classes share by the same weights") {
+  Named f;
+  for (int i = 1; i <= 4; ++i) {
+    f.Push("late" + std::to_string(i), 1, "late" + std::to_string(i), 100, TargetClass::kLate);
+    f.Push("in" + std::to_string(i), 1, "in" + std::to_string(i), 500);
+  }
+  CHECK(f.PopAll() == Names{"in1", "late1", "in2", "in3", "in4", "late2", "late3", "late4"});
+}
+
+// Guards against requests that keep the claim of their class after their target has passed.
+TEST_CASE("An entry that becomes late is served with the late ones, by its deadline") {
+  Named f;
+  f.Push("becomes late", 1, "a", 300);
+  const auto id = f.queue.Next();
+  f.Push("in", 1, "a", 900);
+  f.Push("late", 1, "a", 400, TargetClass::kLate);
+  CHECK(f.queue.Waiting(TargetClass::kLate) == 1);
+  REQUIRE(f.queue.MoveToLate(*id));
+  CHECK(f.queue.Waiting(TargetClass::kInTime) == 1);
+  CHECK(f.queue.Waiting(TargetClass::kLate) == 2);
+  CHECK(f.PopAll() == Names{"in", "becomes late", "late"});
+  CHECK_FALSE(f.queue.MoveToLate(*id));
+  CHECK(f.queue.Waiting(TargetClass::kLate) == 0);
+}
+
+// Guards against late requests that use up the share of requests in time that are about to arrive.
+TEST_CASE("The queue tells when a late request would take the share of requests in time") {
+  Named f;
+  const FairQueue::Entry late{1, "a", At(100), TargetClass::kLate};
+  CHECK_FALSE(f.queue.TakesShareOfInTime(late));
+  f.queue.RecordServed(1, "a", TargetClass::kLate);
+  CHECK(f.queue.TakesShareOfInTime(late));
+  CHECK_FALSE(f.queue.TakesShareOfInTime({1, "a", At(100)}));
+  // While one waits, the weights decide.
+  f.Push("in", 1, "a", 500);
+  CHECK_FALSE(f.queue.TakesShareOfInTime(late));
+  f.Pop();
+  for (int i = 0; i < 4; ++i) f.queue.RecordServed(1, "a", TargetClass::kInTime);
+  CHECK_FALSE(f.queue.TakesShareOfInTime(late));
+}
+
 TEST_CASE("The queue is bounded, and entries leave it by id or when they are overdue") {
   Named f(2);
   REQUIRE(f.Push("one", 1, "a", 100));
--- a/test/limits/send_rate_limit_test.cc
+++ b/test/limits/send_rate_limit_test.cc
@@ -175,5 +175,17 @@
   CHECK(limit.UntilAllowed(now) == milliseconds(100));
 }
 
+// Guards against spare sends that are taken while they could still be used by others.
+TEST_CASE("A send is spare once no more can accrue, or without a limit") {
+  TimePoint now = TimePoint() + std::chrono::seconds(100);
+  SendRateLimit limit(now);
+  CHECK(limit.AllowsSpare(now));
+  REQUIRE(limit.RecordRefused(now));
+  limit.SetFloor(10, now);
+  CHECK(limit.Allows(now + milliseconds(100)));
+  CHECK_FALSE(limit.AllowsSpare(now + milliseconds(199)));
+  CHECK(limit.AllowsSpare(now + milliseconds(200)));
+}
+
 }  // namespace
 }  // namespace millstair
