Flows: the steps of admission stand once, in RequestAdmission

Cause: SendIfAdmitted, SendAgain and most of Reject were the same in ForwardFlow and StreamFlow.

Change: RequestAdmission decides about the send, waits and gives the request up, through the interface AdmittedFlow of the two flows. What it has to know of the sends so far is in SendProgress, which also bounds the sends where admission is off.

--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -132,8 +132,8 @@
       started_at_(context.environment.Now()),
       meter_(context.on_request_started, request_.tenant),
       watch_(context.guard, context.directory, route_, request_),
-      admission_(context.admission, context.environment, context.directory, route_, request_,
-                 started_at_),
+      admission_(context.admission, context.environment, context.directory, *this, sends_, route_,
+                 request_, started_at_),
       deadline_timer_(context.environment),
       retry_timer_(context.environment),
       hedge_timer_(context.environment) {
@@ -208,52 +208,26 @@
   // A concurrent attempt may have been sent while this one waited for the configuration to be
   // confirmed.
   if (!attempts_.empty()) return;
-  if (admission_.enabled()) return SendIfAdmitted();
-  if (!MaySendAgain()) return GiveUp(kRetryAfter, last_reason_);
+  if (admission_.enabled()) return admission_.Send();
+  if (!sends_.MaySendAgain(route_)) return GiveUp(kRetryAfter, sends_.last_reason);
   SendAttempt();
   if (!attempts_.empty()) return ArmHedge();
   // All known back ends were tried; allow each of them again.
-  tried_.clear();
+  sends_.tried.clear();
   const Duration used = context_.environment.Now() - started_at_;
   const Duration all = deadline_ - started_at_;
   if (ToSeconds(used) >= kGiveUpShare * ToSeconds(all)) {
-    return GiveUp(kRetryAfter, last_reason_.empty() ? "no back end is available" : last_reason_);
+    return GiveUp(kRetryAfter,
+                  sends_.last_reason.empty() ? "no back end is available" : sends_.last_reason);
   }
   // The guard is consulted again: by then it may know the outcome of the same request at other
   // nodes, and a request that waits for a server to restart would be the first to reach it.
   retry_timer_.Arm(pauses_.Next(context_.environment.Random()), [this] { SendIfAllowed(); });
 }
 
-void ForwardFlow::SendIfAdmitted() {
-  if (!MaySendAgain()) return Reject(admission_.Reject(RejectionReason::kSendLimit));
-  // The guard and the configuration are consulted again after the request has waited.
-  SendStep step = admission_.NextSend(
-      tried_, [this] { SendIfAllowed(); },
-      [this](const SendRejection& rejection) { Reject(rejection); });
-  switch (step.kind) {
-    case SendStep::Kind::kSend:
-      SendTo(*std::move(step.target));
-      return ArmHedge();
-    case SendStep::Kind::kWait:
-      return;
-    case SendStep::Kind::kPause:
-      return retry_timer_.Arm(step.pause, [this] { SendIfAllowed(); });
-    case SendStep::Kind::kReject:
-      return Reject(step.rejection);
-  }
-}
-
-void ForwardFlow::SendAgain(bool reached) {
-  if (!admission_.enabled()) return SendIfAllowed();
-  const auto pause = admission_.BeginRetry(reached);
-  if (!pause) return Reject(admission_.Reject(RejectionReason::kRetryBudget));
-  retry_timer_.Arm(*pause, [this] { SendIfAllowed(); });
-}
-
-void ForwardFlow::Reject(const SendRejection& rejection) {
-  std::string reason(RejectionText(rejection.reason));
-  if (!last_reason_.empty()) reason += " (" + last_reason_ + ")";
-  GiveUp(rejection.retry_after, std::move(reason));
+void ForwardFlow::SendAdmitted(BackendInstance target) {
+  SendTo(std::move(target));
+  ArmHedge();
 }
 
 void ForwardFlow::GiveUp(Duration retry_after, std::string reason) {
@@ -265,14 +239,14 @@
 }
 
 void ForwardFlow::SendAttempt() {
-  auto target = context_.directory.Pick(DrawService(route_, context_.environment), tried_);
+  auto target = context_.directory.Pick(DrawService(route_, context_.environment), sends_.tried);
   if (target) SendTo(*std::move(target));
 }
 
 void ForwardFlow::SendTo(BackendInstance target) {
-  tried_.insert(target.id);
+  sends_.tried.insert(target.id);
   last_instance_ = target.id;
-  ++sent_;
+  ++sends_.sent;
   // Counted before the send, and uncounted only if the back end reports that it did not run it.
   ++may_have_run_;
   confirmation_age_at_send_ = std::max(confirmation_age_at_send_, context_.confirmation_age());
@@ -298,11 +272,11 @@
   const bool paused = std::any_of(attempts_.begin(), attempts_.end(),
                                   [](const auto& attempt) { return attempt->paused(); });
   if (paused) return ArmHedge();
-  const bool may_send = may_have_run_ < route_.attempts && MaySendAgain();
+  const bool may_send = may_have_run_ < route_.attempts && sends_.MaySendAgain(route_);
   if (may_send && !admission_.enabled()) SendAttempt();
   // While nothing is running, the request waits for its next send.
   if (may_send && admission_.enabled() && !attempts_.empty()) {
-    if (auto target = admission_.NextHedge(tried_)) SendTo(*std::move(target));
+    if (auto target = admission_.NextHedge(sends_.tried)) SendTo(*std::move(target));
   }
   if (may_have_run_ < route_.attempts) ArmHedge();
 }
@@ -316,8 +290,8 @@
   EndAttempt(attempt, BackendEnd::kAnswered);
   watch_.OnServed();
   if (failed && repeatable() && may_have_run_ < route_.attempts) {
-    last_reason_ = "the back end responded with status 500";
-    if (attempts_.empty()) SendAgain(true);
+    sends_.last_reason = "the back end responded with status 500";
+    if (attempts_.empty()) admission_.SendAgain(true);
     return;
   }
   if (failed && !attempts_.empty()) return;
@@ -331,16 +305,16 @@
 
 void ForwardFlow::OnRefused(Attempt& attempt, bool wrong_instance) {
   --may_have_run_;
-  last_reason_ =
+  sends_.last_reason =
       wrong_instance ? "another back end uses the address" : "the back end refused the request";
   EndAttempt(attempt, wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
-  if (attempts_.empty()) SendAgain(!wrong_instance);
+  if (attempts_.empty()) admission_.SendAgain(!wrong_instance);
 }
 
 void ForwardFlow::OnFailed(Attempt& attempt, bool unreachable, const std::string& reason) {
   if (unreachable) {
     --may_have_run_;
-    ++unreached_;
+    ++sends_.unreached;
     watch_.OnUnreachable();
   }
   // A request that was sent and not refused has most likely started to run.
@@ -350,7 +324,7 @@
                    reason);
     watch_.OnLost(attempt.target());
   }
-  last_reason_ = reason;
+  sends_.last_reason = reason;
   EndAttempt(attempt, unreachable ? BackendEnd::kUnreachable : BackendEnd::kFailed);
   if (attempts_.empty()) RetryOrFail(!unreachable);
 }
@@ -358,10 +332,10 @@
 void ForwardFlow::RetryOrFail(bool reached) {
   const bool may_run_again =
       may_have_run_ == 0 || (repeatable() && may_have_run_ < route_.attempts);
-  if (may_run_again) return SendAgain(reached);
+  if (may_run_again) return admission_.SendAgain(reached);
   ForwardResult result;
   result.outcome = ForwardOutcome::kFailed;
-  result.reason = last_reason_;
+  result.reason = sends_.last_reason;
   Finish(std::move(result));
 }
 
@@ -390,7 +364,7 @@
 }
 
 void ForwardFlow::RecordAttempts(ForwardResult& result) const {
-  result.attempts = sent_;
+  result.attempts = sends_.sent;
   result.instance = last_instance_;
   result.server_errors = server_errors_;
   result.confirmation_age_at_send = confirmation_age_at_send_;
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -123,13 +123,13 @@
 ServiceName DrawService(const Route& route, Environment& environment);
 
 /// Lives on the node's serial executor. Destroying it cancels attempts in progress.
-class ForwardFlow {
+class ForwardFlow : private AdmittedFlow {
  public:
   using Callback = std::function<void(ForwardResult)>;
 
   /// `done` is called once, never from the constructor, and may destroy the flow.
   ForwardFlow(ForwardContext& context, Route route, ForwardRequest request, Callback done);
-  ~ForwardFlow();
+  ~ForwardFlow() override;
   void Start();
   /// The attempts so far, for the log; the other fields are unset.
   ForwardResult Progress() const;
@@ -139,7 +139,8 @@
 
   bool repeatable() const { return route_.kind == RouteKind::kRepeatable; }
   /// Consults the request guard, then sends the request, waits or fails it.
-  void SendIfAllowed();
+  void SendIfAllowed() override;
+  void SendAdmitted(BackendInstance target) override;
   /// Ends a request that the guard doesn't allow to be sent.
   void Withhold(Duration retry_after);
   /// Runs `work` once the configuration is current, unless the flow has ended by then.
@@ -147,14 +148,7 @@
   void SendAttempt();
   void SendTo(BackendInstance target);
   void SendOrWait();
-  /// SendOrWait where admission is on.
-  void SendIfAdmitted();
-  /// Sends the request again after a back end refused or lost it, or was not reached.
-  void SendAgain(bool reached);
-  bool MaySendAgain() const { return sent_ - unreached_ < MaxSends(route_); }
-  /// Ends a request that no back end answered.
-  void GiveUp(Duration retry_after, std::string reason);
-  void Reject(const SendRejection& rejection);
+  void GiveUp(Duration retry_after, std::string reason) override;
   void Hedge();
   void ArmHedge();
   void OnAnswer(Attempt& attempt, const HttpResponseHead& head, std::string body);
@@ -178,20 +172,15 @@
   std::vector<std::unique_ptr<Attempt>> attempts_;
   /// Attempts that ended; destroyed with the flow, since their callbacks may still be on the stack.
   std::vector<std::unique_ptr<Attempt>> ended_attempts_;
-  std::set<InstanceId> tried_;
+  SendProgress sends_;
   RequestMeter meter_;
   RequestWatch watch_;
   RequestAdmission admission_;
   SendPauses pauses_;
   /// Number of back ends that may have run the request.
   uint32_t may_have_run_ = 0;
-  uint32_t sent_ = 0;
-  /// Sends of which nothing reached the back end. They are as a wait for a back end and don't count
-  /// towards the bound of sends.
-  uint32_t unreached_ = 0;
   uint32_t server_errors_ = 0;
   std::optional<Duration> confirmation_age_at_send_;
-  std::string last_reason_;
   InstanceId last_instance_;
   ScopedTimer deadline_timer_;
   ScopedTimer retry_timer_;
--- a/source/ingress/request_admission.cc
+++ b/source/ingress/request_admission.cc
@@ -21,15 +21,19 @@
 }  // namespace
 
 RequestAdmission::RequestAdmission(AdmissionControl* control, Environment& environment,
-                                   BackendDirectory& directory, const Route& route,
+                                   BackendDirectory& directory, AdmittedFlow& flow,
+                                   SendProgress& progress, const Route& route,
                                    const ForwardRequest& request, TimePoint started_at)
     : control_(control),
       environment_(environment),
       directory_(directory),
+      flow_(flow),
+      progress_(progress),
       route_(route),
       request_(request),
       started_at_(started_at),
-      deadline_(started_at) {}
+      deadline_(started_at),
+      pause_timer_(environment) {}
 
 Duration RequestAdmission::target() const {
   return route_.target > Duration(0) ? route_.target : deadline_ - started_at_;
@@ -70,36 +74,46 @@
   if (!std::exchange(arrival_recorded_, true)) service_->RecordArrival();
 }
 
-SendStep RequestAdmission::NextSend(std::set<InstanceId>& tried, std::function<void()> admitted,
-                                    std::function<void(SendRejection)> rejected) {
+void RequestAdmission::Send() {
+  if (!progress_.MaySendAgain(route_)) return GiveUp(Reject(RejectionReason::kSendLimit));
   queued_.reset();
-  if (auto target = TakePermit()) return Send(*std::move(target));
+  if (auto target = TakePermit()) return SendTo(*std::move(target));
   if (!DrawLiveService()) {
-    return begun_ ? Pause() : RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
+    return begun_ ? Pause(pauses_.Next(environment_.Random())) : RejectWithoutBackend();
   }
   RecordArrival();
-  auto later = [this, admitted = std::move(admitted),
-                rejected = std::move(rejected)](std::variant<SendPermit, SendRejection> outcome) {
-    if (auto* rejection = std::get_if<SendRejection>(&outcome)) return rejected(*rejection);
-    permit_.emplace(std::get<SendPermit>(std::move(outcome)));
-    admitted();
-  };
-  auto decision = service_->Request(Demand(), tried, std::move(later));
+  auto decision = service_->Request(
+      Demand(), progress_.tried,
+      [this](std::variant<SendPermit, SendRejection> outcome) { OnDecided(std::move(outcome)); });
   if (auto* permit = std::get_if<SendPermit>(&decision)) {
     permit->Use();
-    return Send(permit->target());
+    return SendTo(permit->target());
   }
-  SendStep step;
   if (auto* queued = std::get_if<std::unique_ptr<ServiceAdmission::Queued>>(&decision)) {
     queued_ = std::move(*queued);
-    return step;
-  }
-  if (auto* rejection = std::get_if<SendRejection>(&decision)) {
-    step.kind = SendStep::Kind::kReject;
-    step.rejection = *rejection;
-    return step;
+    return;
   }
-  return PauseOrReject(tried);
+  if (auto* rejection = std::get_if<SendRejection>(&decision)) return GiveUp(*rejection);
+  PauseOrReject();
+}
+
+void RequestAdmission::OnDecided(std::variant<SendPermit, SendRejection> outcome) {
+  if (auto* rejection = std::get_if<SendRejection>(&outcome)) return GiveUp(*rejection);
+  permit_.emplace(std::get<SendPermit>(std::move(outcome)));
+  // The guard and the configuration are consulted again after the request has waited.
+  flow_.SendIfAllowed();
+}
+
+void RequestAdmission::SendAgain(bool reached) {
+  if (!enabled()) return flow_.SendIfAllowed();
+  if (reached && !service_->SpendRetry()) return GiveUp(Reject(RejectionReason::kRetryBudget));
+  Pause(JitteredBackoff(RetryTiming(), ++retries_, environment_.Random()));
+}
+
+void RequestAdmission::GiveUp(const SendRejection& rejection) {
+  std::string reason(RejectionText(rejection.reason));
+  if (!progress_.last_reason.empty()) reason += " (" + progress_.last_reason + ")";
+  flow_.GiveUp(rejection.retry_after, std::move(reason));
 }
 
 std::optional<BackendInstance> RequestAdmission::TakePermit() {
@@ -116,13 +130,10 @@
   return *target;
 }
 
-SendStep RequestAdmission::Send(BackendInstance target) {
+void RequestAdmission::SendTo(BackendInstance target) {
   if (!std::exchange(sent_, true)) service_->RecordFirstSend();
   WatchTarget(target.id);
-  SendStep step;
-  step.kind = SendStep::Kind::kSend;
-  step.target = std::move(target);
-  return step;
+  flow_.SendAdmitted(std::move(target));
 }
 
 void RequestAdmission::WatchTarget(const InstanceId& instance) {
@@ -131,35 +142,27 @@
                     [this, instance] { control_->limits().RecordLate(instance); });
 }
 
-SendStep RequestAdmission::PauseOrReject(std::set<InstanceId>& tried) {
-  if (begun_) {
-    tried.clear();
-    return Pause();
-  }
-  if (!tried.empty()) {
-    tried.clear();
-    if (++passes_ >= kMaxPasses) return RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
+void RequestAdmission::PauseOrReject() {
+  if (!begun_ && !progress_.tried.empty() && ++passes_ >= kMaxPasses) {
+    progress_.tried.clear();
+    return RejectWithoutBackend();
   }
+  progress_.tried.clear();
   const double used = ToSeconds(environment_.Now() - started_at_);
-  if (used >= kGiveUpShare * ToSeconds(deadline_ - started_at_)) {
-    return RejectNow(RejectionReason::kNoBackend, kRetryElsewhere);
+  if (!begun_ && used >= kGiveUpShare * ToSeconds(deadline_ - started_at_)) {
+    return RejectWithoutBackend();
   }
-  return Pause();
+  Pause(pauses_.Next(environment_.Random()));
 }
 
-SendStep RequestAdmission::Pause() {
-  SendStep step;
-  step.kind = SendStep::Kind::kPause;
-  step.pause = pauses_.Next(environment_.Random());
-  return step;
+void RequestAdmission::Pause(Duration pause) {
+  pause_timer_.Arm(pause, [this] { flow_.SendIfAllowed(); });
 }
 
-SendStep RequestAdmission::RejectNow(RejectionReason reason, Duration retry_after) {
-  SendStep step;
-  step.kind = SendStep::Kind::kReject;
-  step.rejection = Reject(reason);
-  step.rejection.retry_after = retry_after;
-  return step;
+void RequestAdmission::RejectWithoutBackend() {
+  SendRejection rejection = Reject(RejectionReason::kNoBackend);
+  rejection.retry_after = kRetryElsewhere;
+  GiveUp(rejection);
 }
 
 std::optional<BackendInstance> RequestAdmission::NextHedge(const std::set<InstanceId>& tried) {
@@ -171,14 +174,10 @@
   return permit->target();
 }
 
-std::optional<Duration> RequestAdmission::BeginRetry(bool reached) {
-  if (reached && !service_->SpendRetry()) return std::nullopt;
-  return JitteredBackoff(RetryTiming(), ++retries_, environment_.Random());
-}
-
 void RequestAdmission::Close() {
   queued_.reset();
   permit_.reset();
+  pause_timer_.Cancel();
 }
 
 SendRejection RequestAdmission::Reject(RejectionReason reason) {
--- a/source/ingress/request_admission.h
+++ b/source/ingress/request_admission.h
@@ -2,11 +2,12 @@
 /// send ended.
 #pragma once
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
+#include <variant>
 
 #include "common/environment.h"
 #include "common/scoped_timer.h"
@@ -17,27 +18,39 @@
 
 namespace millstair {
 
-/// What a flow does next.
-struct SendStep {
-  enum class Kind : uint8_t {
-    kSend,    ///< send to `target` now
-    kWait,    ///< a callback follows
-    kPause,   ///< ask again after `pause`
-    kReject,  ///< end the request
-  };
-  Kind kind = Kind::kWait;
-  std::optional<BackendInstance> target;
-  Duration pause{0};
-  SendRejection rejection;
+/// The sends of one request so far.
+struct SendProgress {
+  std::set<InstanceId> tried;
+  uint32_t sent = 0;
+  /// Sends of which nothing reached the back end. They are as a wait for a back end and don't count
+  /// towards the bound of sends.
+  uint32_t unreached = 0;
+  /// Why the last send was not answered.
+  std::string last_reason;
+
+  bool MaySendAgain(const Route& route) const { return sent - unreached < MaxSends(route); }
+};
+
+/// What a flow does on behalf of its admission.
+class AdmittedFlow {
+ public:
+  virtual ~AdmittedFlow() = default;
+  /// Consults the guard and the configuration, then calls RequestAdmission::Send.
+  virtual void SendIfAllowed() = 0;
+  /// Sends the request to `target` now.
+  virtual void SendAdmitted(BackendInstance target) = 0;
+  /// Ends the request, which no back end answered. May destroy the flow.
+  virtual void GiveUp(Duration retry_after, std::string reason) = 0;
 };
 
 /// Owned by a flow, which destroys it with its other members; then nothing is called any more.
 class RequestAdmission {
  public:
-  /// `control` is null where admission is off. `route` and `request` outlive it. The request's time
-  /// began at `started_at`.
+  /// `control` is null where admission is off. `flow`, `progress`, `route` and `request` outlive
+  /// it. The request's time began at `started_at`.
   RequestAdmission(AdmissionControl* control, Environment& environment, BackendDirectory& directory,
-                   const Route& route, const ForwardRequest& request, TimePoint started_at);
+                   AdmittedFlow& flow, SendProgress& progress, const Route& route,
+                   const ForwardRequest& request, TimePoint started_at);
   RequestAdmission(const RequestAdmission&) = delete;
   RequestAdmission& operator=(const RequestAdmission&) = delete;
 
@@ -49,20 +62,16 @@
   /// deadline, since a rejection would lose what its caller has received.
   void OnBegun() { begun_ = true; }
 
-  /// Called at the moment of a send, after the configuration and the guard have allowed it. If the
-  /// step is to wait, either `admitted` or `rejected` is called once; after `admitted` the flow
-  /// calls this again. `tried` is cleared when all back ends have been tried.
-  SendStep NextSend(std::set<InstanceId>& tried, std::function<void()> admitted,
-                    std::function<void(SendRejection)> rejected);
+  /// Called at the moment of a send where admission is on, after the configuration and the guard
+  /// have allowed it: the flow sends the request, gives it up, or asks again after a wait.
+  void Send();
+  /// A back end refused or lost the request, or was not reached. The flow sends it again after a
+  /// pause, paid from the retry budget if the last send reached a back end, or gives it up.
+  void SendAgain(bool reached);
   /// The target of a hedge; nullopt if there must be none now.
   std::optional<BackendInstance> NextHedge(const std::set<InstanceId>& tried);
-  /// The pause before the request is sent again, paid from the retry budget if the last send
-  /// reached a back end; nullopt if the budget is used up.
-  std::optional<Duration> BeginRetry(bool reached);
   /// The request has ended: it leaves the queue, and no callback follows.
   void Close();
-  /// Counts a rejection that the flow decides on.
-  SendRejection Reject(RejectionReason reason);
 
   /// A send to `instance` ended after `elapsed`, or its stream began. `status` is that of the
   /// response if it was answered.
@@ -72,13 +81,18 @@
   SendDemand Demand() const;
   /// The target of the permit received in the queue; nullopt if there is none or it has ended.
   std::optional<BackendInstance> TakePermit();
-  SendStep Send(BackendInstance target);
+  void SendTo(BackendInstance target);
   /// Records `instance` as late once a response would be.
   void WatchTarget(const InstanceId& instance);
-  SendStep RejectNow(RejectionReason reason, Duration retry_after);
+  /// Counts a rejection of a request that is not in the queue.
+  SendRejection Reject(RejectionReason reason);
+  void RejectWithoutBackend();
+  void GiveUp(const SendRejection& rejection);
+  /// The outcome of a request that waited.
+  void OnDecided(std::variant<SendPermit, SendRejection> outcome);
   /// No back end may be used now: waits for one or gives up.
-  SendStep PauseOrReject(std::set<InstanceId>& tried);
-  SendStep Pause();
+  void PauseOrReject();
+  void Pause(Duration pause);
   /// Draws one of the route's services that have back ends; false if there is none.
   bool DrawLiveService();
   void RecordArrival();
@@ -87,6 +101,8 @@
   AdmissionControl* const control_;
   Environment& environment_;
   BackendDirectory& directory_;
+  AdmittedFlow& flow_;
+  SendProgress& progress_;
   const Route& route_;
   const ForwardRequest& request_;
   const TimePoint started_at_;
@@ -99,6 +115,7 @@
   /// Passes over all back ends of the service that ended without a response.
   int passes_ = 0;
   SendPauses pauses_;
+  ScopedTimer pause_timer_;
   /// By back end that has the request. A timer that has fired stays until the send ends.
   std::map<InstanceId, ScopedTimer> target_timers_;
   std::optional<SendPermit> permit_;
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -115,8 +115,8 @@
       started_at_(context.environment.Now()),
       meter_(context.on_request_started, request_.tenant),
       watch_(context.guard, context.directory, route_, request_),
-      admission_(context.admission, context.environment, context.directory, route_, request_,
-                 started_at_),
+      admission_(context.admission, context.environment, context.directory, *this, sends_, route_,
+                 request_, started_at_),
       retry_after_(kRetryAfter),
       deadline_timer_(context.environment),
       retry_timer_(context.environment) {
@@ -155,12 +155,12 @@
 }
 
 void StreamFlow::SendRun() {
-  if (admission_.enabled()) return SendIfAdmitted();
-  if (!MaySendAgain()) return Finish(ForwardOutcome::kFailed, last_reason_);
-  auto target = context_.directory.Pick(DrawService(route_, context_.environment), tried_);
+  if (admission_.enabled()) return admission_.Send();
+  if (!sends_.MaySendAgain(route_)) return Finish(ForwardOutcome::kFailed, sends_.last_reason);
+  auto target = context_.directory.Pick(DrawService(route_, context_.environment), sends_.tried);
   if (!target) {
     // All known back ends were tried; allow each of them again.
-    tried_.clear();
+    sends_.tried.clear();
     const double used = ToSeconds(context_.environment.Now() - started_at_);
     if (!begun_ && used >= kGiveUpShare * ToSeconds(deadline_ - started_at_)) {
       return Finish(ForwardOutcome::kFailed, "no back end is available");
@@ -171,42 +171,17 @@
   SendTo(*std::move(target));
 }
 
-void StreamFlow::SendIfAdmitted() {
-  if (!MaySendAgain()) return Reject(admission_.Reject(RejectionReason::kSendLimit));
-  // The guard and the configuration are consulted again after the request has waited.
-  SendStep step = admission_.NextSend(
-      tried_, [this] { SendIfAllowed(); },
-      [this](const SendRejection& rejection) { Reject(rejection); });
-  switch (step.kind) {
-    case SendStep::Kind::kSend:
-      return SendTo(*std::move(step.target));
-    case SendStep::Kind::kWait:
-      return;
-    case SendStep::Kind::kPause:
-      return retry_timer_.Arm(step.pause, [this] { SendIfAllowed(); });
-    case SendStep::Kind::kReject:
-      return Reject(step.rejection);
-  }
-}
+void StreamFlow::SendAdmitted(BackendInstance target) { SendTo(std::move(target)); }
 
-void StreamFlow::SendAgain(bool reached) {
-  if (!admission_.enabled()) return SendIfAllowed();
-  const auto pause = admission_.BeginRetry(reached);
-  if (!pause) return Reject(admission_.Reject(RejectionReason::kRetryBudget));
-  retry_timer_.Arm(*pause, [this] { SendIfAllowed(); });
-}
-
-void StreamFlow::Reject(const SendRejection& rejection) {
-  retry_after_ = rejection.retry_after;
-  std::string reason(RejectionText(rejection.reason));
-  if (!last_reason_.empty()) reason += " (" + last_reason_ + ")";
+void StreamFlow::GiveUp(Duration retry_after, std::string reason) {
+  retry_after_ = retry_after;
   Finish(ForwardOutcome::kFailed, reason);
 }
 
 void StreamFlow::SendTo(BackendInstance target) {
-  tried_.insert(target.id);
+  sends_.tried.insert(target.id);
   last_instance_ = target.id;
-  ++sent_;
+  ++sends_.sent;
   ++may_have_run_;
   confirmation_age_at_send_ = std::max(confirmation_age_at_send_, context_.confirmation_age());
   watch_.OnSent();
@@ -234,10 +209,10 @@
   run.OnResponse();
   if (answer.not_run) {
     --may_have_run_;
-    last_reason_ = answer.wrong_instance ? "another back end uses the address"
-                                         : "the back end refused the request";
+    sends_.last_reason = answer.wrong_instance ? "another back end uses the address"
+                                               : "the back end refused the request";
     EndRun(answer.wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
-    SendAgain(!answer.wrong_instance);
+    admission_.SendAgain(!answer.wrong_instance);
     return false;
   }
   run.RecordHead(head.status);
@@ -305,7 +280,7 @@
 void StreamFlow::OnFailed(Run& run, BackendEnd end, const std::string& reason) {
   if (end == BackendEnd::kUnreachable) {
     --may_have_run_;
-    ++unreached_;
+    ++sends_.unreached;
     watch_.OnUnreachable();
   } else {
     LogLostAttempt(context_, request_, watch_.fingerprint(), run.target().id, run.sent_at(),
@@ -313,7 +288,7 @@
     watch_.OnLost(run.target());
     after_loss_ = true;
   }
-  last_reason_ = reason;
+  sends_.last_reason = reason;
   EndRun(end);
   ResumeOrFail(end != BackendEnd::kUnreachable, reason);
 }
@@ -324,7 +299,7 @@
   if (!may_run_again) return Finish(ForwardOutcome::kFailed, reason);
   splitter_ = EventStreamSplitter();
   plain_ = false;
-  SendAgain(reached);
+  admission_.SendAgain(reached);
 }
 
 void StreamFlow::EndRun(BackendEnd end) {
@@ -334,7 +309,7 @@
 
 ForwardResult StreamFlow::Progress() const {
   ForwardResult result;
-  result.attempts = sent_;
+  result.attempts = sends_.sent;
   result.instance = last_instance_;
   result.confirmation_age_at_send = confirmation_age_at_send_;
   return result;
--- a/source/ingress/stream_flow.h
+++ b/source/ingress/stream_flow.h
@@ -37,7 +37,7 @@
 };
 
 /// Lives on the node's serial executor. Destroying it cancels the run in progress.
-class StreamFlow {
+class StreamFlow : private AdmittedFlow {
  public:
   using Callback = std::function<void(StreamEnd)>;
 
@@ -45,7 +45,7 @@
   /// the flow only after it has returned.
   StreamFlow(ForwardContext& context, Route route, ForwardRequest request, StreamSink& sink,
              Callback done);
-  ~StreamFlow();
+  ~StreamFlow() override;
   void Start();
   /// Backpressure: stops reading from the back end, or lets it go on. Also applies to the back ends
   /// that the stream is resumed at. Events that were read before still reach the sink.
@@ -57,17 +57,13 @@
   class Run;
 
   /// Consults the request guard, then sends the request, waits or fails it.
-  void SendIfAllowed();
+  void SendIfAllowed() override;
+  void SendAdmitted(BackendInstance target) override;
   /// Ends a request that the guard doesn't allow to be sent.
   void Withhold(Duration retry_after);
   void SendRun();
   void SendTo(BackendInstance target);
-  /// SendRun where admission is on.
-  void SendIfAdmitted();
-  /// Sends the request again after a back end refused or lost it, or was not reached.
-  void SendAgain(bool reached);
-  bool MaySendAgain() const { return sent_ - unreached_ < MaxSends(route_); }
-  void Reject(const SendRejection& rejection);
+  void GiveUp(Duration retry_after, std::string reason) override;
   /// Calls SendRun once the configuration is current.
   void SendRunWhenCurrent();
   /// Whether the response is buffered as a plain one.
@@ -92,7 +88,7 @@
   TimePoint deadline_;
   std::unique_ptr<Run> run_;
   std::vector<std::unique_ptr<Run>> ended_runs_;
-  std::set<InstanceId> tried_;
+  SendProgress sends_;
   EventStreamSplitter splitter_;
   HttpResponseHead head_;
   std::string plain_body_;
@@ -106,14 +102,9 @@
   RequestWatch watch_;
   RequestAdmission admission_;
   SendPauses pauses_;
-  std::string last_reason_;
   /// The current run follows one that was lost.
   bool after_loss_ = false;
   uint32_t may_have_run_ = 0;
-  uint32_t sent_ = 0;
-  /// Sends of which nothing reached the back end. They are as a wait for a back end and don't count
-  /// towards the bound of sends.
-  uint32_t unreached_ = 0;
   std::optional<Duration> confirmation_age_at_send_;
   /// When the client may retry, if nothing ran.
   Duration retry_after_;
