Ingress tests: share the set-up of flows and of gateways

Cause: the set-up of stream_flow_test and slow_readers_test stood twice, as did the route and configuration of overload_test and silent_backends_test.

Change: FlowFixture and StreamRecorder in flow_fixture.h, PagesRoute and PagesConfiguration in pages_setup.h; no check is changed.

--- a/test/ingress/overload_test.cc
+++ b/test/ingress/overload_test.cc
@@ -14,6 +14,7 @@
 #include "ingress/ingress_service.h"
 #include "test/ingress/fake_backends.h"
 #include "test/ingress/fixed_table.h"
+#include "test/ingress/pages_setup.h"
 
 namespace millstair {
 namespace {
@@ -21,8 +22,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Duration kTarget = milliseconds(150);
-constexpr Duration kTimeout = milliseconds(800);
+constexpr Duration kTarget = kPagesTarget;
+constexpr Duration kTimeout = kPagesTimeout;
 /// One way between a gateway and a back end, and between a caller and a gateway.
 constexpr Duration kNetworkMin = milliseconds(1);
 constexpr Duration kNetworkMax = milliseconds(4);
@@ -175,23 +176,14 @@
   Fleet(size_t gateways, size_t backends, bool admission, uint64_t seed = 7,
         ModelBackend::Options options = {})
       : scheduler(seed), network(scheduler) {
-    Route route;
-    route.name = "pages";
-    route.host = "a.example";
-    route.path_prefix = "/p/";
-    route.timeout = kTimeout;
-    route.target = kTarget;
-    route.attempts = 2;
+    Route route = PagesRoute();
     route.priority = 1;
-    route.services = {{ServiceName("pages"), 1}};
     Route urgent = route;
     urgent.name = "urgent";
     urgent.path_prefix = "/u/";
     urgent.priority = 0;
     reader.table.version = 1;
     reader.table.routes = {route, urgent};
-    configuration.routing = {1, "content"};
-    configuration.revision = Revision(1);
     for (size_t i = 0; i < backends; ++i) {
       const std::string address = "b:" + std::to_string(i);
       BackendInstance instance = LiveInstance(address, "pages");
@@ -254,7 +246,7 @@
   ModelNetwork network;
   FakeProtocol protocol;
   FixedTable reader;
-  Configuration configuration;
+  Configuration configuration = PagesConfiguration();
   std::map<std::string, Seen> seen;
   /// Longest time of a call.
   Duration longest_call{0};
--- a/test/ingress/silent_backends_test.cc
+++ b/test/ingress/silent_backends_test.cc
@@ -14,6 +14,7 @@
 #include "test/ingress/fake_backends.h"
 #include "test/ingress/fake_register.h"
 #include "test/ingress/fixed_table.h"
+#include "test/ingress/pages_setup.h"
 
 namespace millstair {
 namespace {
@@ -21,11 +22,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Duration kTarget = milliseconds(150);
+constexpr Duration kTarget = kPagesTarget;
 constexpr Duration kUsual = milliseconds(25);
 /// Of the back end in the own zone, where others are to be preferred while they respond.
 constexpr Duration kOwnLatency = milliseconds(80);
-constexpr Duration kTimeLimit = milliseconds(800);
+constexpr Duration kTimeLimit = kPagesTimeout;
 const ServiceName kPages("pages");
 
 BackendInstance InZone(const std::string& address, const std::string& zone) {
@@ -381,18 +382,8 @@
 class CutFixture {
  public:
   CutFixture() : service(environment, backends, protocol, reader, Zone("z1"), &stats) {
-    Route route;
-    route.name = "r";
-    route.host = "a.example";
-    route.path_prefix = "/p/";
-    route.timeout = kTimeLimit;
-    route.target = kTarget;
-    route.attempts = 2;
-    route.services = {{kPages, 1}};
     reader.table.version = 1;
-    reader.table.routes = {route};
-    configuration.routing = {1, "content"};
-    configuration.revision = Revision(1);
+    reader.table.routes = {PagesRoute()};
     for (int zone = 1; zone <= 4; ++zone) {
       const std::string address = fmt::format("1.1.1.{}:1", zone);
       configuration.instances[InstanceId(address)] = InZone(address, fmt::format("z{}", zone));
@@ -438,7 +429,7 @@
   FakeBackends backends{scheduler};
   FakeProtocol protocol;
   FixedTable reader;
-  Configuration configuration;
+  Configuration configuration = PagesConfiguration();
   IngressService service;
   bool cut = false;
   std::set<int> kept_connections;
--- a/test/ingress/slow_readers_test.cc
+++ b/test/ingress/slow_readers_test.cc
@@ -4,6 +4,7 @@
 #include "ingress/forward_flow.h"
 #include "ingress/stream_flow.h"
 #include "test/ingress/fake_backends.h"
+#include "test/ingress/flow_fixture.h"
 
 namespace millstair {
 namespace {
@@ -14,21 +15,10 @@
 
 constexpr size_t kMiB = 1024 * 1024;
 
-class Recorder : public StreamSink {
- public:
-  void OnHead(const HttpResponseHead&) override {}
-  void OnEvents(std::string bytes) override {
-    text += bytes;
-    if (on_events) on_events();
-  }
-  std::string text;
-  std::function<void()> on_events;
-};
-
 /// A gateway with a bound of 4 MiB for what it holds: large responses are read up to 3 MiB.
-class Fixture {
+class Fixture : public FlowFixture {
  public:
-  Fixture() {
+  Fixture() : FlowFixture("pages") {
     HeldBytesOptions options;
     options.bound = 4 * kMiB;
     options.now = [this] { return environment.Now(); };
@@ -37,14 +27,6 @@
     context.memory = &*memory;
     route.timeout = milliseconds(2000);
     route.target = milliseconds(150);
-    route.attempts = 3;
-    route.services = {{ServiceName("pages"), 1}};
-  }
-
-  void Add(const std::string& address, FakeBackends::Script script) {
-    configuration.instances[InstanceId(address)] = LiveInstance(address, "pages");
-    directory.Update(configuration);
-    backends.Serve(address, std::move(script));
   }
 
   void Forward() {
@@ -64,19 +46,8 @@
     return {{"POST", "/p/", {}, "body"}, "h", "id", std::nullopt, {}};
   }
 
-  VirtualScheduler scheduler{7};
-  VirtualEnvironment environment{scheduler, 11};
-  FakeBackends backends{scheduler};
-  FakeProtocol protocol;
-  BackendDirectory directory{environment, Zone("z1")};
-  RequestGuard guard{environment, backends, protocol, [](const ServiceName&) { return ""; },
-                     nullptr};
   std::shared_ptr<HeldBytes> held;
   std::optional<ResponseMemory> memory;
-  ForwardContext context{environment, backends, directory, protocol, guard};
-  Configuration configuration;
-  Route route;
-  Recorder sink;
   std::unique_ptr<ForwardFlow> forward;
   std::unique_ptr<StreamFlow> stream;
   std::optional<ForwardResult> result;
--- a/test/ingress/stream_flow_test.cc
+++ b/test/ingress/stream_flow_test.cc
@@ -5,6 +5,7 @@
 
 #include "fmt/format.h"
 #include "test/ingress/fake_backends.h"
+#include "test/ingress/flow_fixture.h"
 
 namespace millstair {
 namespace {
@@ -12,32 +13,11 @@
 using std::chrono::milliseconds;
 using Kind = FakeAnswer::Kind;
 
-class Recorder : public StreamSink {
+class Fixture : public FlowFixture {
  public:
-  void OnHead(const HttpResponseHead& answer) override {
-    ++heads;
-    head = answer;
-  }
-  void OnEvents(std::string bytes) override { text += bytes; }
-
-  int heads = 0;
-  HttpResponseHead head;
-  std::string text;
-};
-
-class Fixture {
- public:
-  Fixture() {
+  Fixture() : FlowFixture("engines") {
     route.kind = RouteKind::kStream;
     route.timeout = milliseconds(1000);
-    route.attempts = 3;
-    route.services = {{ServiceName("engines"), 1}};
-  }
-
-  void Add(const std::string& address, FakeBackends::Script script) {
-    configuration.instances[InstanceId(address)] = LiveInstance(address, "engines");
-    directory.Update(configuration);
-    backends.Serve(address, std::move(script));
   }
 
   std::optional<StreamEnd> Run(Duration span = milliseconds(3000)) {
@@ -50,17 +30,6 @@
     return end;
   }
 
-  VirtualScheduler scheduler{7};
-  VirtualEnvironment environment{scheduler, 11};
-  FakeBackends backends{scheduler};
-  FakeProtocol protocol;
-  BackendDirectory directory{environment, Zone("z1")};
-  RequestGuard guard{environment, backends, protocol, [](const ServiceName&) { return ""; },
-                     nullptr};
-  ForwardContext context{environment, backends, directory, protocol, guard};
-  Configuration configuration;
-  Route route;
-  Recorder sink;
   std::unique_ptr<StreamFlow> flow;
 };
 
@@ -211,7 +180,7 @@
     return answer;
   });
   fixture.route.timeout = milliseconds(5000);
-  Recorder other_sink;
+  StreamRecorder other_sink;
   StreamFlow other(fixture.context, fixture.route,
                    ForwardRequest{{"POST", "/s/", {}, ""}, "h", "other", std::nullopt, {}},
                    other_sink, [](const StreamEnd&) {});
