Admission: forgets tenants at most ten times a second

Cause: each request in time looked at every tenant of the last seconds, which costs too much where a gateway serves thousands of requests a second.

--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -21,6 +21,8 @@
 constexpr Duration kDemandWindow = std::chrono::seconds(1);
 /// A tenant is forgotten about two seconds after a single request.
 constexpr double kForgottenCount = 0.1;
+/// Each check costs time in proportion to the number of tenants.
+constexpr Duration kTenantCheckInterval = std::chrono::milliseconds(100);
 constexpr double kResponseSmoothing = 0.1;
 /// Even a refusal takes this long. A request sent later would end without one at its deadline, as
 /// one that may have run.
@@ -176,8 +178,11 @@
 
 void ServiceAdmission::RecordInTimeArrival(const std::string& tenant) {
   const TimePoint now = environment_.Now();
-  std::erase_if(in_time_arrivals_,
-                [now](const auto& entry) { return entry.second.Count(now) < kForgottenCount; });
+  if (now - tenants_checked_at_ >= kTenantCheckInterval) {
+    tenants_checked_at_ = now;
+    std::erase_if(in_time_arrivals_,
+                  [now](const auto& entry) { return entry.second.Count(now) < kForgottenCount; });
+  }
   in_time_arrivals_.try_emplace(tenant, kDemandWindow).first->second.Add(now);
 }
 
--- a/source/ingress/service_admission.h
+++ b/source/ingress/service_admission.h
@@ -201,6 +201,7 @@
   /// Requests that asked for a send and could still meet their target, by tenant. Holds the tenants
   /// of the last seconds.
   std::map<std::string, DecayingRate> in_time_arrivals_;
+  TimePoint tenants_checked_at_;
   /// Smoothed time of responses; 0 before the first.
   double response_seconds_ = 0;
   /// The same of responses within the target. Tells whether a request can meet its target: the mean
