Admission: a late request waits for what requests in time leave

Cause: the wait of late requests was estimated with the rate of all sends, so that retries were queued, held until their time was nearly over and rejected. Change: for late requests of a tenant whose requests in time use up their share, the rate is what requests in time leave, at least a quarter; the request's own send counts too. It applies on arrival, to queued requests and to Retry-After. While requests in time wait, Retry-After keeps the class's quarter. Late requests of other tenants leave no sends, so all sends count for them.

--- a/source/ingress/request_admission.cc
+++ b/source/ingress/request_admission.cc
@@ -184,7 +184,7 @@
   // A route without back ends may have no service with a queue yet.
   ServiceAdmission& service =
       service_ != nullptr ? *service_ : control_->Of(route_.services.front().service);
-  return service.Reject(reason, deadline_, service.ClassOf(Demand()));
+  return service.Reject(reason, deadline_, service.ClassOf(Demand()), request_.tenant);
 }
 
 void RequestAdmission::RecordEnd(const InstanceId& instance, BackendEnd end, Duration elapsed,
--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -126,30 +126,30 @@
   const FairQueue::Entry entry{demand.priority, demand.tenant.value(), demand.deadline,
                                ClassOf(demand)};
   if (entry.target_class == TargetClass::kInTime) RecordInTimeArrival(entry.tenant);
-  const size_t ahead = queue_.empty() ? 0 : queue_.Ahead(entry);
+  const FairQueue::Place place = queue_.empty() ? FairQueue::Place{} : queue_.PlaceOf(entry);
   // Requests may wait behind it although a send is allowed, see SendsFor.
-  if (ahead == 0) {
+  if (place.ahead == 0) {
     if (auto permit = TryPermit(excluded, SendsFor(entry))) {
       queue_.RecordServed(entry.priority, entry.tenant, entry.target_class);
       return *std::move(permit);
     }
   }
-  return QueueOrReject(demand, excluded, entry, ahead, std::move(later));
+  return QueueOrReject(demand, excluded, entry, place, std::move(later));
 }
 
 ServiceAdmission::Decision ServiceAdmission::QueueOrReject(const SendDemand& demand,
                                                            const std::set<InstanceId>& excluded,
-                                                           FairQueue::Entry entry, size_t ahead,
-                                                           Callback later) {
+                                                           FairQueue::Entry entry,
+                                                           FairQueue::Place place, Callback later) {
   const TargetClass target_class = entry.target_class;
-  auto reason = Judge(demand, ahead);
-  if (!reason && target_class == TargetClass::kInTime && !MeetsTarget(demand, ahead)) {
+  auto reason = Judge(demand, target_class, place);
+  if (!reason && target_class == TargetClass::kInTime && !MeetsTarget(demand, place.ahead)) {
     entry.target_class = TargetClass::kLate;
-    reason = Judge(demand, queue_.Ahead(entry));
+    reason = Judge(demand, TargetClass::kLate, queue_.PlaceOf(entry));
   }
-  if (reason) return Reject(*reason, demand.deadline, target_class);
+  if (reason) return Reject(*reason, demand, target_class);
   auto queued = Enqueue(demand, excluded, entry, std::move(later));
-  if (queued == nullptr) return Reject(RejectionReason::kQueueFull, demand.deadline, target_class);
+  if (queued == nullptr) return Reject(RejectionReason::kQueueFull, demand, target_class);
   return queued;
 }
 
@@ -168,12 +168,8 @@
 }
 
 ServiceAdmission::Sends ServiceAdmission::SendsFor(const FairQueue::Entry& entry) const {
-  const auto arrivals = in_time_arrivals_.find(entry.tenant);
-  if (!queue_.TakesShareOfInTime(entry) || arrivals == in_time_arrivals_.end()) return Sends::kAll;
-  const double share = ShareOf(TargetClass::kInTime) * DrainPerSecond() /
-                       static_cast<double>(in_time_arrivals_.size());
-  const bool used = arrivals->second.PerSecond(environment_.Now()) >= share;
-  return used ? Sends::kSpare : Sends::kAll;
+  if (!queue_.TakesShareOfInTime(entry)) return Sends::kAll;
+  return UsesShareOfInTime(entry.tenant, DrainPerSecond()) ? Sends::kSpare : Sends::kAll;
 }
 
 void ServiceAdmission::RecordInTimeArrival(const std::string& tenant) {
@@ -240,16 +236,42 @@
   return std::max(sum, kMinDrainPerSecond);
 }
 
+bool ServiceAdmission::UsesShareOfInTime(const std::string& tenant, double drain) const {
+  const auto found = in_time_arrivals_.find(tenant);
+  if (found == in_time_arrivals_.end()) return false;
+  const double share =
+      ShareOf(TargetClass::kInTime) * drain / static_cast<double>(in_time_arrivals_.size());
+  return found->second.PerSecond(environment_.Now()) >= share;
+}
+
+double ServiceAdmission::LateDrainPerSecond(const std::string& tenant) const {
+  const double drain = DrainPerSecond();
+  // The late requests of such a tenant leave no sends to requests in time, see SendsFor.
+  if (!UsesShareOfInTime(tenant, drain)) return drain;
+  const TimePoint now = environment_.Now();
+  double in_time = 0;
+  for (const auto& [name, arrivals] : in_time_arrivals_) in_time += arrivals.PerSecond(now);
+  return std::max(ShareOf(TargetClass::kLate) * drain, drain - in_time);
+}
+
+Duration ServiceAdmission::ExpectedLateWait(const std::string& tenant,
+                                            const FairQueue::Place& place) const {
+  const double after_late = static_cast<double>(place.late_ahead + 1) / LateDrainPerSecond(tenant);
+  return std::max(FromSeconds(after_late), ExpectedWait(place.ahead + 1));
+}
+
 Duration ServiceAdmission::ExpectedWait(size_t ahead) const {
   return FromSeconds(static_cast<double>(ahead) / DrainPerSecond());
 }
 
-Duration ServiceAdmission::ExpectedDrain(TargetClass target_class) const {
+Duration ServiceAdmission::ExpectedDrain(const std::string& tenant,
+                                         TargetClass target_class) const {
   const bool in_time = target_class == TargetClass::kInTime;
   const bool shared = queue_.Waiting(in_time ? TargetClass::kLate : TargetClass::kInTime) > 0;
+  const bool leaves_sends = !in_time && !shared;
   const double share = shared ? ShareOf(target_class) : 1;
-  return FromSeconds(static_cast<double>(queue_.Waiting(target_class) + 1) /
-                     (share * DrainPerSecond()));
+  const double drain = leaves_sends ? LateDrainPerSecond(tenant) : share * DrainPerSecond();
+  return FromSeconds(static_cast<double>(queue_.Waiting(target_class) + 1) / drain);
 }
 
 bool ServiceAdmission::MeetsTarget(const SendDemand& demand, size_t ahead) const {
@@ -262,25 +284,33 @@
 }
 
 std::optional<RejectionReason> ServiceAdmission::Judge(const SendDemand& demand,
-                                                       size_t ahead) const {
+                                                       TargetClass target_class,
+                                                       const FairQueue::Place& place) const {
   const TimePoint now = environment_.Now();
   const Duration response = std::max(FromSeconds(response_seconds_), kMinResponseTime);
-  const TimePoint answered_at = now + ExpectedWait(ahead) + response;
+  const bool in_late_class = target_class == TargetClass::kLate;
+  const Duration wait = in_late_class ? ExpectedLateWait(demand.tenant.value(), place) : ExpectedWait(place.ahead);
+  const TimePoint answered_at = now + wait + response;
   if (answered_at > demand.deadline) return RejectionReason::kCannotBeInTime;
   if (demand.begun) return std::nullopt;
-  const bool late = demand.first_attempt && !MeetsTarget(demand, ahead);
+  const bool late = demand.first_attempt && !MeetsTarget(demand, place.ahead);
   if (late && now + ExpectedWait(queue_.size()) > demand.target_at) {
     return RejectionReason::kStandingQueue;
   }
   return std::nullopt;
 }
 
-SendRejection ServiceAdmission::Reject(RejectionReason reason, TimePoint deadline,
+SendRejection ServiceAdmission::Reject(RejectionReason reason, const SendDemand& demand,
                                        TargetClass target_class) {
+  return Reject(reason, demand.deadline, target_class, demand.tenant);
+}
+
+SendRejection ServiceAdmission::Reject(RejectionReason reason, TimePoint deadline,
+                                       TargetClass target_class, const TenantName& tenant) {
   stats_.CountRejection(reason);
   const Duration left = std::max(deadline - environment_.Now(), Duration(0));
   const double spread = 1 + kRetryAfterSpread * DrawUnit(environment_.Random());
-  const double wait = spread * ToSeconds(ExpectedDrain(target_class));
+  const double wait = spread * ToSeconds(ExpectedDrain(tenant.value(), target_class));
   const Duration longest = std::max(left / kRetryAfterShare, kMinRetryAfter);
   const Duration retry_after =
       wait >= ToSeconds(longest) ? longest : std::max(FromSeconds(wait), kMinRetryAfter);
@@ -324,27 +354,28 @@
 
 void ServiceAdmission::RejectLate() {
   const bool none_left = !directory_.HasLive(service_);
-  size_t ahead = 0;
+  FairQueue::Place place;
   for (const FairQueue::EntryId id : queue_.Order()) {
     const auto found = waiting_.find(id);
     // The callback of another request may have removed it.
     if (found == waiting_.end()) continue;
     const SendDemand& demand = found->second->demand_;
-    auto reason = Judge(demand, ahead);
-    if (none_left && !demand.begun) reason = RejectionReason::kNoBackend;
     const TargetClass target_class = queue_.Get(id).target_class;
-    if (!reason && target_class == TargetClass::kInTime && !MeetsTarget(demand, ahead)) {
+    auto reason = Judge(demand, target_class, place);
+    if (none_left && !demand.begun) reason = RejectionReason::kNoBackend;
+    if (!reason && target_class == TargetClass::kInTime && !MeetsTarget(demand, place.ahead)) {
       queue_.MoveToLate(id);
       continue;
     }
     if (!reason) {
-      ++ahead;
+      ++place.ahead;
+      if (target_class == TargetClass::kLate) ++place.late_ahead;
       continue;
     }
-    const TimePoint deadline = demand.deadline;
+    const SendDemand rejected = demand;
     queue_.Erase(id);
     const Callback callback = std::move(TakeWaiting(id).callback_);
-    callback(Reject(*reason, deadline, target_class));
+    callback(Reject(*reason, rejected, target_class));
   }
 }
 
--- a/source/ingress/service_admission.h
+++ b/source/ingress/service_admission.h
@@ -145,7 +145,8 @@
   /// Rejects a request that is not in the queue. It may retry once those of its class that wait and
   /// one more have been sent.
   SendRejection Reject(RejectionReason reason, TimePoint deadline,
-                       TargetClass target_class = TargetClass::kInTime);
+                       TargetClass target_class = TargetClass::kInTime,
+                       const TenantName& tenant = {});
 
   size_t queued() const { return queue_.size(); }
 
@@ -158,15 +159,24 @@
   void RecordDenied(const std::vector<BackendCandidate>& candidates);
   /// The same for the request that is served next.
   std::optional<SendPermit> TryQueued(const Queued& queued);
-  /// Whether a request with `ahead` requests before it must be rejected.
-  std::optional<RejectionReason> Judge(const SendDemand& demand, size_t ahead) const;
+  /// Whether a request of a class at `place` in the queue must be rejected.
+  std::optional<RejectionReason> Judge(const SendDemand& demand, TargetClass target_class,
+                                       const FairQueue::Place& place) const;
   /// Whether a request with `ahead` requests before it can meet its target.
   bool MeetsTarget(const SendDemand& demand, size_t ahead) const;
   /// Sends per second that the limits of all back ends allow.
   double DrainPerSecond() const;
+  /// Whether requests in time of a tenant arrive at a rate of at least their share of `drain`.
+  bool UsesShareOfInTime(const std::string& tenant, double drain) const;
+  /// Sends per second that are left to late requests of a tenant: what requests in time don't use,
+  /// at least the share of the class.
+  double LateDrainPerSecond(const std::string& tenant) const;
   Duration ExpectedWait(size_t ahead) const;
+  /// Time until a late request at `place` has been sent.
+  Duration ExpectedLateWait(const std::string& tenant, const FairQueue::Place& place) const;
   /// Time until one more request of a class than wait now has been sent.
-  Duration ExpectedDrain(TargetClass target_class) const;
+  Duration ExpectedDrain(const std::string& tenant, TargetClass target_class) const;
+  SendRejection Reject(RejectionReason reason, const SendDemand& demand, TargetClass target_class);
   /// Sends and rejects queued requests.
   void Process();
   void SendQueued();
@@ -177,9 +187,9 @@
   /// the share of requests in time of its tenant that are about to arrive.
   Sends SendsFor(const FairQueue::Entry& entry) const;
   void RecordInTimeArrival(const std::string& tenant);
-  /// Decides about a request that can't be sent now, with `ahead` requests before it.
+  /// Decides about a request that can't be sent now, at `place` in the queue.
   Decision QueueOrReject(const SendDemand& demand, const std::set<InstanceId>& excluded,
-                         FairQueue::Entry entry, size_t ahead, Callback later);
+                         FairQueue::Entry entry, FairQueue::Place place, Callback later);
   std::unique_ptr<Queued> Enqueue(const SendDemand& demand, const std::set<InstanceId>& excluded,
                                   const FairQueue::Entry& entry, Callback later);
   /// The queued request of an entry that has just left the queue.
--- a/source/limits/fair_queue.cc
+++ b/source/limits/fair_queue.cc
@@ -138,10 +138,14 @@
   return by_deadline_.begin()->deadline;
 }
 
-size_t FairQueue::Ahead(const Entry& entry) const {
-  const std::vector<EntryId> order = OrderWith(&entry);
-  return static_cast<size_t>(
-      std::distance(order.begin(), std::find(order.begin(), order.end(), EntryId{0})));
+FairQueue::Place FairQueue::PlaceOf(const Entry& entry) const {
+  Place place;
+  for (const EntryId id : OrderWith(&entry)) {
+    if (id == 0) break;
+    ++place.ahead;
+    if (Get(id).target_class == TargetClass::kLate) ++place.late_ahead;
+  }
+  return place;
 }
 
 std::vector<FairQueue::EntryId> FairQueue::Order() const { return OrderWith(nullptr); }
--- a/source/limits/fair_queue.h
+++ b/source/limits/fair_queue.h
@@ -62,8 +62,16 @@
   /// Earliest deadline of all entries; nullopt if the queue is empty.
   std::optional<TimePoint> EarliestDeadline() const;
 
+  /// Entries that are served before another one.
+  struct Place {
+    size_t ahead = 0;
+    /// Those of the late class among them.
+    size_t late_ahead = 0;
+  };
+  /// What would be served before `entry` if it were added now.
+  Place PlaceOf(const Entry& entry) const;
   /// Number of entries that would be served before `entry` if it were added now.
-  size_t Ahead(const Entry& entry) const;
+  size_t Ahead(const Entry& entry) const { return PlaceOf(entry).ahead; }
   /// Whether a late entry that is served next would take the share of requests in time, none of
   /// which waits.
   bool TakesShareOfInTime(const Entry& entry) const;
--- a/test/ingress/overload_test.cc
+++ b/test/ingress/overload_test.cc
@@ -1,5 +1,6 @@
 /// Many gateways send a burst of requests to few back ends, in virtual time: the decisions of
 /// admission at the gateways, against models of the back ends and of the callers.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <cstdio>
@@ -253,6 +254,8 @@
   /// Longest time from a caller's first call to its last result.
   Duration longest_wait{0};
   std::vector<Duration> retry_after;
+  /// Times from the arrival of a retry at its gateway to its rejection.
+  std::vector<Duration> rejected_again_after;
   std::vector<std::unique_ptr<Gateway>> gateways_;
 
  private:
@@ -314,6 +317,7 @@
     retry_after.push_back(result.retry_after);
     if (call.retry) {
       ++own.rejected_again;
+      rejected_again_after.push_back(scheduler.Now() - at);
       return;
     }
     const Duration remaining = left - (scheduler.Now() - at);
@@ -339,9 +343,18 @@
   size_t completed = 0;
   size_t refused = 0;
   Duration longest_call{0};
+  /// Median time after which a retry is rejected.
+  Duration rejected_again_after{0};
   double limits_at_end = 0;
 };
 
+Duration Median(std::vector<Duration> values) {
+  if (values.empty()) return Duration(0);
+  const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
 /// 720 requests per second for 8 s at 50 gateways, while two of four back ends are four times
 /// slower; before and after, the usual 12 per second.
 Burst PlayBurst(bool admission, uint64_t seed) {
@@ -368,17 +381,20 @@
   burst.in_time_of_completed_at_first =
       static_cast<double>(burst.seen.in_time_at_first) / static_cast<double>(burst.completed);
   burst.longest_call = fleet.longest_call;
+  burst.rejected_again_after = Median(fleet.rejected_again_after);
   burst.limits_at_end = fleet.Stat("millstair_backend_limits");
   std::printf(
       "burst admission=%s seed=%llu requests=%zu sends=%zu sends_per_request=%.2f refused=%zu "
       "completed=%zu answered=%zu in_time=%zu in_time_at_first=%zu in_time_of_completed=%.3f "
       "rejected=%zu retried=%zu "
-      "longest_call_ms=%lld limits_at_end=%.0f\n",
+      "longest_call_ms=%lld limits_at_end=%.0f rejected_again=%zu rejected_again_after_ms=%lld\n",
       admission ? "on" : "off", static_cast<unsigned long long>(seed), burst.seen.requests,
       fleet.network.sends, burst.sends_per_request, burst.refused, burst.completed,
       burst.seen.answered, burst.seen.in_time, burst.seen.in_time_at_first,
       burst.in_time_of_completed, burst.seen.rejected, burst.seen.retried,
-      static_cast<long long>(ToMilliseconds(burst.longest_call)), burst.limits_at_end);
+      static_cast<long long>(ToMilliseconds(burst.longest_call)), burst.limits_at_end,
+      burst.seen.rejected_again,
+      static_cast<long long>(ToMilliseconds(burst.rejected_again_after)));
   return burst;
 }
 
@@ -538,6 +554,8 @@
     CHECK(on.sends_per_request <= 1.5);
     CHECK(on.in_time_of_completed >= 0.6);
     CHECK(on.longest_call <= kTimeout);
+    // Most retries that can't be answered in time are rejected on arrival.
+    CHECK(on.rejected_again_after <= kTarget / 4);
     CHECK(on.limits_at_end == 0);
     // Attempts of the route and four more, for each of the two calls of a caller.
     CHECK(off.sends_per_request <= 12);
--- a/test/ingress/service_admission_test.cc
+++ b/test/ingress/service_admission_test.cc
@@ -158,6 +158,28 @@
   CHECK(f.log == Log{"in time sent", "late sent"});
 }
 
+// Guards against late requests that are held although requests in time use up the sends before
+// their deadline.
+TEST_CASE("A late request that a steady load in time leaves no send is rejected on arrival") {
+  Fixture f;
+  f.Limit("a:1", 18);
+  // 25 requests in time a second, at a limit of 18 * 1.25 = 22; a quarter of it is 5.6.
+  for (int i = 0; i < 100; ++i) {
+    f.scheduler.RunFor(milliseconds(40));
+    f.control.limits().RecordRefused(InstanceId("a:1"));
+    if (i % 18 < 13) f.control.limits().RecordInTime(InstanceId("a:1"));
+    f.Ask("first", f.Demand(milliseconds(800)));
+  }
+  f.log.clear();
+  SendDemand late = f.Demand(milliseconds(150), false);
+  late.target_at = f.environment.Now() - milliseconds(1);
+  f.Ask("late", late);
+  CHECK(f.log == Log{"late rejected"});
+  late.deadline = f.environment.Now() + milliseconds(600);
+  f.Ask("late with more time", late);
+  CHECK(f.waiting.contains("late with more time"));
+}
+
 // Guards against a Retry-After that ignores that requests of the other class are sent meanwhile.
 TEST_CASE("Retry-After follows the drain rate of the request's class") {
   const auto wait = [](TargetClass rejected, bool other_waits) {
