Admission: a stream that has begun is not late

Cause: after its response had begun a stream was put into the late class once the target had passed, although the target counts until the response begins. Change: such a request always meets its target.

--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -256,7 +256,8 @@
 
 Duration ServiceAdmission::ExpectedLateWait(const std::string& tenant,
                                             const FairQueue::Place& place) const {
-  const double after_late = static_cast<double>(place.late_ahead + 1) / LateDrainPerSecond(tenant);
+  const auto late_sends = static_cast<double>(place.late_ahead + 1);
+  const double after_late = late_sends / LateDrainPerSecond(tenant);
   return std::max(FromSeconds(after_late), ExpectedWait(place.ahead + 1));
 }
 
@@ -275,6 +276,7 @@
 }
 
 bool ServiceAdmission::MeetsTarget(const SendDemand& demand, size_t ahead) const {
+  if (demand.begun) return true;
   return environment_.Now() + ExpectedWait(ahead) + FromSeconds(in_time_response_seconds_) <=
          demand.target_at;
 }
--- a/source/ingress/service_admission.h
+++ b/source/ingress/service_admission.h
@@ -162,7 +162,8 @@
   /// Whether a request of a class at `place` in the queue must be rejected.
   std::optional<RejectionReason> Judge(const SendDemand& demand, TargetClass target_class,
                                        const FairQueue::Place& place) const;
-  /// Whether a request with `ahead` requests before it can meet its target.
+  /// Whether a request with `ahead` requests before it can meet its target. The target of a stream
+  /// counts until its response begins, so one that has begun has met it.
   bool MeetsTarget(const SendDemand& demand, size_t ahead) const;
   /// Sends per second that the limits of all back ends allow.
   double DrainPerSecond() const;
--- a/test/ingress/service_admission_test.cc
+++ b/test/ingress/service_admission_test.cc
@@ -180,6 +180,16 @@
   CHECK(f.waiting.contains("late with more time"));
 }
 
+// Guards against streams that lose their place because their target passed after they had begun.
+TEST_CASE("A stream that has begun is not late") {
+  Fixture f;
+  SendDemand begun = f.Demand(milliseconds(3000));
+  begun.target_at = f.environment.Now() - milliseconds(1);
+  CHECK(f.service().ClassOf(begun) == TargetClass::kLate);
+  begun.begun = true;
+  CHECK(f.service().ClassOf(begun) == TargetClass::kInTime);
+}
+
 // Guards against a Retry-After that ignores that requests of the other class are sent meanwhile.
 TEST_CASE("Retry-After follows the drain rate of the request's class") {
   const auto wait = [](TargetClass rejected, bool other_waits) {
