Known red: limits that do not end after a burst

Cause: responses of 0.67 to 1.0 of the target count as late while a limit is in force, so a usual tail of slower responses may keep it in force. Change: a check with one gateway, 100 requests a second and 8% of responses about 115 ms after a burst of 1,200 a second for 3 s. In a trial such responses set no time of disturbance, earned no send and set no hold: the check fails there too, so the cause is not fully known.

--- a/test/ingress/overload_test.cc
+++ b/test/ingress/overload_test.cc
@@ -614,6 +614,25 @@
   CHECK(fleet.Stat("millstair_admission_rejected_total") == 0);
 }
 
+// Guards against limits that a usual tail of slower responses, still within the target, keeps in
+// force after a burst.
+TEST_CASE("After a burst the limits end although some responses take most of the target") {
+  ModelBackend::Options options;
+  options.work = kShortageWork;
+  options.tail_share = kShortageTail;
+  Fleet fleet(1, 4, true, 7, options);
+  fleet.Demand(100, seconds(30));
+  fleet.scheduler.RunFor(seconds(2));
+  fleet.Demand(1200, seconds(3));
+  fleet.scheduler.RunFor(seconds(3));
+  CHECK(fleet.Stat("millstair_backend_limits") > 0);
+  fleet.scheduler.RunFor(seconds(5));
+  for (int i = 0; i < 150; ++i) {
+    REQUIRE(fleet.Stat("millstair_backend_limits") == 0);
+    fleet.scheduler.RunFor(milliseconds(100));
+  }
+}
+
 // Guards against a limit on a service whose route has a target that it never meets.
 TEST_CASE("A service that is slow without load is not limited for long") {
   Fleet fleet(4, 4, true);
