Admission: no list of candidates for a request with nothing ahead

Cause: the class of each request asked for the rate of all limits, which lists the candidates, although zero requests ahead take no time. Change: the wait behind nothing is returned at once. The rate is still computed more than once in a pass. The time was not measured.

--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -262,6 +262,8 @@
 }
 
 Duration ServiceAdmission::ExpectedWait(size_t ahead) const {
+  // Asked for each request; the rate takes a list of the candidates.
+  if (ahead == 0) return Duration(0);
   return FromSeconds(static_cast<double>(ahead) / DrainPerSecond());
 }
 
