--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -14,12 +14,19 @@
 constexpr Duration kProcessInterval = std::chrono::milliseconds(20);
 constexpr Duration kMinProcessInterval = std::chrono::milliseconds(1);
 /// Floor of each back end's limit, as a share of the gateway's own demand. The floors of all
-/// gateways add up to this share of the whole demand: 50 of 720 requests a second, which a back end
-/// of six slots that takes 84 ms for each can still answer.
-constexpr double kFloorShare = 0.07;
+/// gateways add up to this share of the whole demand, retries included: 38 of 1270 requests a
+/// second, which a back end of six slots that takes 120 ms for each can still answer.
+constexpr double kFloorShare = 0.03;
 /// The window of the demand matches the one of the limits.
 constexpr Duration kDemandWindow = std::chrono::seconds(1);
+/// A tenant is forgotten about two seconds after a single request.
+constexpr double kForgottenCount = 0.1;
+/// Each check costs time in proportion to the number of tenants.
+constexpr Duration kTenantCheckInterval = std::chrono::milliseconds(100);
 constexpr double kResponseSmoothing = 0.1;
+/// Even a refusal takes this long. A request sent later would end without one at its deadline, as
+/// one that may have run.
+constexpr Duration kMinResponseTime = std::chrono::milliseconds(10);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(20);
 /// Callers wait for Retry-After up to this share of their remaining time.
 constexpr int kRetryAfterShare = 3;
@@ -116,18 +123,33 @@
                                                      const std::set<InstanceId>& excluded,
                                                      Callback later) {
   if (directory_.Candidates(service_, excluded).empty()) return NoCandidate{};
-  const FairQueue::Entry entry{demand.priority, demand.tenant.value(), demand.deadline};
-  if (queue_.empty()) {
-    if (auto permit = TryPermit(excluded)) {
-      queue_.RecordServed(entry.priority, entry.tenant);
+  const FairQueue::Entry entry{demand.priority, demand.tenant.value(), demand.deadline,
+                               ClassOf(demand)};
+  if (entry.target_class == TargetClass::kInTime) RecordInTimeArrival(entry.tenant);
+  const FairQueue::Place place = queue_.empty() ? FairQueue::Place{} : queue_.PlaceOf(entry);
+  // Requests may wait behind it although a send is allowed, see SendsFor.
+  if (place.ahead == 0) {
+    if (auto permit = TryPermit(excluded, SendsFor(entry))) {
+      queue_.RecordServed(entry.priority, entry.tenant, entry.target_class);
       return *std::move(permit);
     }
   }
-  if (const auto reason = Judge(demand, queue_.Ahead(entry))) {
-    return Reject(*reason, demand.deadline);
+  return QueueOrReject(demand, excluded, entry, place, std::move(later));
+}
+
+ServiceAdmission::Decision ServiceAdmission::QueueOrReject(const SendDemand& demand,
+                                                           const std::set<InstanceId>& excluded,
+                                                           FairQueue::Entry entry,
+                                                           FairQueue::Place place, Callback later) {
+  const TargetClass target_class = entry.target_class;
+  auto reason = Judge(demand, target_class, place);
+  if (!reason && target_class == TargetClass::kInTime && !MeetsTarget(demand, place.ahead)) {
+    entry.target_class = TargetClass::kLate;
+    reason = Judge(demand, TargetClass::kLate, queue_.PlaceOf(entry));
   }
+  if (reason) return Reject(*reason, demand, target_class);
   auto queued = Enqueue(demand, excluded, entry, std::move(later));
-  if (queued == nullptr) return Reject(RejectionReason::kQueueFull, demand.deadline);
+  if (queued == nullptr) return Reject(RejectionReason::kQueueFull, demand, target_class);
   return queued;
 }
 
@@ -145,7 +167,23 @@
   return queued;
 }
 
-std::optional<SendPermit> ServiceAdmission::TryPermit(const std::set<InstanceId>& excluded) {
+ServiceAdmission::Sends ServiceAdmission::SendsFor(const FairQueue::Entry& entry) const {
+  if (!queue_.TakesShareOfInTime(entry)) return Sends::kAll;
+  return UsesShareOfInTime(entry.tenant, DrainPerSecond()) ? Sends::kSpare : Sends::kAll;
+}
+
+void ServiceAdmission::RecordInTimeArrival(const std::string& tenant) {
+  const TimePoint now = environment_.Now();
+  if (now - tenants_checked_at_ >= kTenantCheckInterval) {
+    tenants_checked_at_ = now;
+    std::erase_if(in_time_arrivals_,
+                  [now](const auto& entry) { return entry.second.Count(now) < kForgottenCount; });
+  }
+  in_time_arrivals_.try_emplace(tenant, kDemandWindow).first->second.Add(now);
+}
+
+std::optional<SendPermit> ServiceAdmission::TryPermit(const std::set<InstanceId>& excluded,
+                                                      Sends sends) {
   const TimePoint now = environment_.Now();
   const double floor = kFloorShare * arrivals_.PerSecond(now);
   std::vector<BackendCandidate> all = directory_.Candidates(service_, excluded);
@@ -153,23 +191,28 @@
   for (const BackendCandidate& candidate : all) {
     SendRateLimit& limit = limits_.Of(candidate.record->id);
     limit.SetFloor(floor, now);
-    if (limit.Allows(now)) allowed.push_back(candidate);
-  }
-  if (allowed.empty()) {
-    for (const BackendCandidate& candidate : all)
-      limits_.Of(candidate.record->id).RecordDenied(now);
-    return std::nullopt;
+    const bool allows = sends == Sends::kAll ? limit.Allows(now) : limit.AllowsSpare(now);
+    if (allows) allowed.push_back(candidate);
   }
-  // The limit is below the demand if it keeps requests from the back end that they prefer.
-  const auto by_cost = [](const auto& a, const auto& b) { return a.cost < b.cost; };
-  const auto preferred = std::min_element(all.begin(), all.end(), by_cost);
-  SendRateLimit& preferred_limit = limits_.Of(preferred->record->id);
-  if (!preferred_limit.Allows(now)) preferred_limit.RecordDenied(now);
+  RecordDenied(all);
+  if (allowed.empty()) return std::nullopt;
   const BackendInstance& target = directory_.CheapestOf(std::move(allowed));
   limits_.Of(target.id).Take(now);
   return SendPermit(limits_, target);
 }
 
+void ServiceAdmission::RecordDenied(const std::vector<BackendCandidate>& candidates) {
+  const TimePoint now = environment_.Now();
+  const auto by_cost = [](const auto& a, const auto& b) { return a.cost < b.cost; };
+  const auto preferred = std::min_element(candidates.begin(), candidates.end(), by_cost);
+  if (preferred == candidates.end() || limits_.Of(preferred->record->id).Allows(now)) return;
+  // Requests that are kept from the back end that they prefer go to the others, so that the end of
+  // another limit would let all of them through at once.
+  for (const BackendCandidate& candidate : candidates) {
+    limits_.Of(candidate.record->id).RecordDenied(now);
+  }
+}
+
 std::optional<SendPermit> ServiceAdmission::RequestHedge(const std::set<InstanceId>& excluded) {
   std::vector<BackendCandidate> candidates = directory_.Candidates(service_, excluded);
   for (const BackendInstance* instance : directory_.Live(service_)) {
@@ -193,38 +236,99 @@
   return std::max(sum, kMinDrainPerSecond);
 }
 
+bool ServiceAdmission::UsesShareOfInTime(const std::string& tenant, double drain) const {
+  const auto found = in_time_arrivals_.find(tenant);
+  if (found == in_time_arrivals_.end()) return false;
+  const double share =
+      ShareOf(TargetClass::kInTime) * drain / static_cast<double>(in_time_arrivals_.size());
+  return found->second.PerSecond(environment_.Now()) >= share;
+}
+
+double ServiceAdmission::LateDrainPerSecond(const std::string& tenant) const {
+  const double drain = DrainPerSecond();
+  // The late requests of such a tenant leave no sends to requests in time, see SendsFor.
+  if (!UsesShareOfInTime(tenant, drain)) return drain;
+  const TimePoint now = environment_.Now();
+  double in_time = 0;
+  for (const auto& [name, arrivals] : in_time_arrivals_) in_time += arrivals.PerSecond(now);
+  return std::max(ShareOf(TargetClass::kLate) * drain, drain - in_time);
+}
+
+Duration ServiceAdmission::ExpectedLateWait(const std::string& tenant,
+                                            const FairQueue::Place& place) const {
+  const auto late_sends = static_cast<double>(place.late_ahead + 1);
+  const double after_late = late_sends / LateDrainPerSecond(tenant);
+  return std::max(FromSeconds(after_late), ExpectedWait(place.ahead + 1));
+}
+
 Duration ServiceAdmission::ExpectedWait(size_t ahead) const {
+  // Asked for each request; the rate takes a list of the candidates.
+  if (ahead == 0) return Duration(0);
   return FromSeconds(static_cast<double>(ahead) / DrainPerSecond());
 }
 
+Duration ServiceAdmission::ExpectedDrain(const std::string& tenant,
+                                         TargetClass target_class) const {
+  const bool in_time = target_class == TargetClass::kInTime;
+  const bool shared = queue_.Waiting(in_time ? TargetClass::kLate : TargetClass::kInTime) > 0;
+  const bool leaves_sends = !in_time && !shared;
+  const double share = shared ? ShareOf(target_class) : 1;
+  const double drain = leaves_sends ? LateDrainPerSecond(tenant) : share * DrainPerSecond();
+  return FromSeconds(static_cast<double>(queue_.Waiting(target_class) + 1) / drain);
+}
+
+bool ServiceAdmission::MeetsTarget(const SendDemand& demand, size_t ahead) const {
+  if (demand.begun) return true;
+  return environment_.Now() + ExpectedWait(ahead) + FromSeconds(in_time_response_seconds_) <=
+         demand.target_at;
+}
+
+TargetClass ServiceAdmission::ClassOf(const SendDemand& demand) const {
+  return MeetsTarget(demand, 0) ? TargetClass::kInTime : TargetClass::kLate;
+}
+
 std::optional<RejectionReason> ServiceAdmission::Judge(const SendDemand& demand,
-                                                       size_t ahead) const {
+                                                       TargetClass target_class,
+                                                       const FairQueue::Place& place) const {
   const TimePoint now = environment_.Now();
-  const TimePoint answered_at = now + ExpectedWait(ahead) + FromSeconds(response_seconds_);
+  const Duration response = std::max(FromSeconds(response_seconds_), kMinResponseTime);
+  const bool in_late_class = target_class == TargetClass::kLate;
+  const Duration wait = in_late_class ? ExpectedLateWait(demand.tenant.value(), place)
+                                      : ExpectedWait(place.ahead);
+  const TimePoint answered_at = now + wait + response;
   if (answered_at > demand.deadline) return RejectionReason::kCannotBeInTime;
   if (demand.begun) return std::nullopt;
-  const bool late = demand.first_attempt && answered_at > demand.target_at;
+  const bool late = demand.first_attempt && !MeetsTarget(demand, place.ahead);
   if (late && now + ExpectedWait(queue_.size()) > demand.target_at) {
     return RejectionReason::kStandingQueue;
   }
   return std::nullopt;
 }
 
-SendRejection ServiceAdmission::Reject(RejectionReason reason, TimePoint deadline) {
+SendRejection ServiceAdmission::Reject(RejectionReason reason, const SendDemand& demand,
+                                       TargetClass target_class) {
+  return Reject(reason, demand.deadline, target_class, demand.tenant);
+}
+
+SendRejection ServiceAdmission::Reject(RejectionReason reason, TimePoint deadline,
+                                       TargetClass target_class, const TenantName& tenant) {
   stats_.CountRejection(reason);
   const Duration left = std::max(deadline - environment_.Now(), Duration(0));
   const double spread = 1 + kRetryAfterSpread * DrawUnit(environment_.Random());
-  const double wait = spread * ToSeconds(ExpectedWait(queue_.size() + 1));
+  const double wait = spread * ToSeconds(ExpectedDrain(tenant.value(), target_class));
   const Duration longest = std::max(left / kRetryAfterShare, kMinRetryAfter);
   const Duration retry_after =
       wait >= ToSeconds(longest) ? longest : std::max(FromSeconds(wait), kMinRetryAfter);
   return {reason, retry_after};
 }
 
-void ServiceAdmission::RecordResponse(Duration elapsed) {
+void ServiceAdmission::RecordResponse(Duration elapsed, bool in_time) {
   const double seconds = ToSeconds(elapsed);
-  const double previous = response_seconds_ > 0 ? response_seconds_ : seconds;
-  response_seconds_ = previous + kResponseSmoothing * (seconds - previous);
+  const auto smooth = [seconds](double& mean) {
+    mean = mean > 0 ? mean + kResponseSmoothing * (seconds - mean) : seconds;
+  };
+  smooth(response_seconds_);
+  if (in_time) smooth(in_time_response_seconds_);
 }
 
 void ServiceAdmission::Process() {
@@ -245,31 +349,38 @@
 }
 
 std::optional<SendPermit> ServiceAdmission::TryQueued(const Queued& queued) {
-  auto permit = TryPermit(queued.excluded_);
+  const Sends sends = SendsFor(queue_.Get(queued.entry_));
+  auto permit = TryPermit(queued.excluded_, sends);
   if (permit || queued.excluded_.empty()) return permit;
   // A request that waited may also be sent to a back end that refused it before: its limit allows a
   // send now, and the request must not block the others.
-  return TryPermit({});
+  return TryPermit({}, sends);
 }
 
 void ServiceAdmission::RejectLate() {
   const bool none_left = !directory_.HasLive(service_);
-  size_t ahead = 0;
+  FairQueue::Place place;
   for (const FairQueue::EntryId id : queue_.Order()) {
     const auto found = waiting_.find(id);
     // The callback of another request may have removed it.
     if (found == waiting_.end()) continue;
     const SendDemand& demand = found->second->demand_;
-    auto reason = Judge(demand, ahead);
+    const TargetClass target_class = queue_.Get(id).target_class;
+    auto reason = Judge(demand, target_class, place);
     if (none_left && !demand.begun) reason = RejectionReason::kNoBackend;
+    if (!reason && target_class == TargetClass::kInTime && !MeetsTarget(demand, place.ahead)) {
+      queue_.MoveToLate(id);
+      continue;
+    }
     if (!reason) {
-      ++ahead;
+      ++place.ahead;
+      if (target_class == TargetClass::kLate) ++place.late_ahead;
       continue;
     }
-    const TimePoint deadline = demand.deadline;
+    const SendDemand rejected = demand;
     queue_.Erase(id);
     const Callback callback = std::move(TakeWaiting(id).callback_);
-    callback(Reject(*reason, deadline));
+    callback(Reject(*reason, rejected, target_class));
   }
 }
 
@@ -293,8 +404,12 @@
 void ServiceAdmission::ArmProcess() {
   if (queue_.empty() || process_timer_.armed()) return;
   Duration wait = kProcessInterval;
-  for (const BackendCandidate& candidate : directory_.Candidates(service_, {})) {
-    wait = std::min(wait, limits_.Of(candidate.record->id).UntilAllowed(environment_.Now()));
+  // A request that waits for a spare send is looked at again after the usual interval.
+  const bool spare = SendsFor(queue_.Get(*queue_.Next())) == Sends::kSpare;
+  if (!spare) {
+    for (const BackendCandidate& candidate : directory_.Candidates(service_, {})) {
+      wait = std::min(wait, limits_.Of(candidate.record->id).UntilAllowed(environment_.Now()));
+    }
   }
   process_timer_.Arm(std::max(wait, kMinProcessInterval), [this] { Process(); });
 }
--- a/source/limits/send_rate_limit.cc
+++ b/source/limits/send_rate_limit.cc
@@ -54,13 +54,17 @@
       overloaded_at_(now),
       disturbed_at_(now) {}
 
-bool SendRateLimit::Allows(TimePoint now) {
+bool SendRateLimit::Allows(TimePoint now) { return Holds(now, 1); }
+
+bool SendRateLimit::AllowsSpare(TimePoint now) { return Holds(now, kBurst); }
+
+bool SendRateLimit::Holds(TimePoint now, double sends) {
   if (!limited_) return true;
   Fill(now);
   if (now < hold_until_) return false;
   // Keeps a rounding error from delaying a complete token.
   constexpr double kRounding = 1e-6;
-  return tokens_ + kRounding >= 1;
+  return tokens_ + kRounding >= sends;
 }
 
 void SendRateLimit::Take(TimePoint now) {
@@ -94,6 +98,7 @@
 }
 
 void SendRateLimit::RecordBacklog(TimePoint now, Duration excess) {
+  if (excess <= Duration(0)) return;
   hold_until_ = std::max(hold_until_, now + std::min(excess, kMaxHold));
   if (!limited_) return;
   // What accrued before was meant for a shorter queue, and nothing accrues meanwhile.
