--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -293,8 +293,8 @@
   const TimePoint now = environment_.Now();
   const Duration response = std::max(FromSeconds(response_seconds_), kMinResponseTime);
   const bool in_late_class = target_class == TargetClass::kLate;
-  const Duration wait = in_late_class ? ExpectedLateWait(demand.tenant.value(), place)
-                                      : ExpectedWait(place.ahead);
+  const Duration wait =
+      in_late_class ? ExpectedLateWait(demand.tenant.value(), place) : ExpectedWait(place.ahead);
   const TimePoint answered_at = now + wait + response;
   if (answered_at > demand.deadline) return RejectionReason::kCannotBeInTime;
   if (demand.begun) return std::nullopt;
--- a/source/scaling/scale_task.cc
+++ b/source/scaling/scale_task.cc
@@ -502,8 +502,7 @@
   const auto count = counts.find(key.second);
   const uint32_t serving = count == counts.end() ? 0 : count->second.on_demand;
   // Servers of the order that have registered stay.
-  const uint32_t accepted =
-      std::max({size.initial, size.accepted, std::min(size.wanted, serving)});
+  const uint32_t accepted = std::max({size.initial, size.accepted, std::min(size.wanted, serving)});
   if (size.wanted <= accepted) return;
   // Other zones get the servers. The accepted number is stated to the platform after the pause, in
   // case an earlier call with an unknown outcome was carried out.
--- a/source/scaling/scale_task.h
+++ b/source/scaling/scale_task.h
@@ -33,8 +33,8 @@
 /// No servers are ordered in a zone for this long after its initial number was last raised, or
 /// after a new leader first saw the zone: an order based on too low a number would release servers.
 inline constexpr Duration kInitialSettled = std::chrono::seconds(10);
-/// The same after the first number of a zone was committed: when a cluster starts, or the pool does,
-/// servers take longer to register than after a change of leader.
+/// The same after the first number of a zone was committed: when a cluster starts, or the pool
+/// does, servers take longer to register than after a change of leader.
 inline constexpr Duration kFirstSettled = std::chrono::seconds(30);
 /// A server that ended within this time counts towards the initial number: it may be restarting.
 inline constexpr Duration kEndedRecently = std::chrono::seconds(30);
--- a/source/settings/settings.cc
+++ b/source/settings/settings.cc
@@ -188,8 +188,8 @@
     if (raw.list.empty()) findings_.Add(raw.location, "no founder is listed");
   }
 
-  /// An empty list is valid: the platform leaves no duty to this system. Unknown duties are ignored,
-  /// since the platform may add any.
+  /// An empty list is valid: the platform leaves no duty to this system. Unknown duties are
+  /// ignored, since the platform may add any.
   void SetDuties(const RawSetting& raw) {
     settings_.scaling_duties.clear();
     for (const RawText& duty : raw.list) {
--- a/test/scaling/scale_task_test.cc
+++ b/test/scaling/scale_task_test.cc
@@ -190,8 +190,8 @@
   CHECK(fixture.calls() == 2);
 }
 
-/// The platform keeps the stated number: with servers that it started otherwise, a number based on an
-/// earlier count ends some of them.
+/// The platform keeps the stated number: with servers that it started otherwise, a number based on
+/// an earlier count ends some of them.
 TEST_CASE("Servers that registered during the commit of an order are not ended by its call") {
   Fixture fixture;
   fixture.Settle(fixture.first, 5);
@@ -382,7 +382,8 @@
   CHECK(fixture.calls() == 0);
 }
 
-TEST_CASE("Lateness reported by an earlier leader of the job group is not added to the next one's") {
+TEST_CASE(
+    "Lateness reported by an earlier leader of the job group is not added to the next one's") {
   Fixture fixture;
   fixture.Settle(fixture.first, 5);
   fixture.Report(seconds(1), fixture.late);
