Engine speeds: no copy of all paces in each scheduling pass

Cause: Recompute copied the paces of all engines into a map every 10 ms, also with shared steps off, and the smallest pace of an engine stood in two files. Change: the paces are read in place; kMinSecondsPerEvent stands once, in step_forecast.h. No behaviour changes.

--- a/source/jobs/engine_speed_tracker.cc
+++ b/source/jobs/engine_speed_tracker.cc
@@ -146,12 +146,18 @@
 }
 
 std::map<InstanceId, double> EngineSpeedTracker::known_seconds() const {
-  if (!separates_bursts_) return seconds_;
   std::map<InstanceId, double> known;
-  for (const auto& [instance, usual] : usual_) known.emplace(instance, usual.SecondsPerEvent());
+  for (const auto& [instance, recent] : seconds_) {
+    known.emplace(instance, UsualSeconds(instance, recent));
+  }
   return known;
 }
 
+double EngineSpeedTracker::UsualSeconds(const InstanceId& instance, double recent) const {
+  const auto usual = usual_.find(instance);
+  return usual == usual_.end() ? recent : usual->second.SecondsPerEvent();
+}
+
 PaceForecast EngineSpeedTracker::MeasuredForecast(const InstanceId& instance) const {
   const auto known = seconds_.find(instance);
   if (known == seconds_.end()) return {typical_seconds_, typical_seconds_, 0};
@@ -186,17 +192,16 @@
 void EngineSpeedTracker::Recompute(TimePoint now) {
   recomputed_at_ = now;
   slow_.clear();
-  const std::map<InstanceId, double> known = known_seconds();
-  if (known.empty()) return;
+  if (seconds_.empty()) return;
   std::vector<double> values;
-  values.reserve(known.size());
-  for (const auto& [instance, seconds] : known) values.push_back(seconds);
+  values.reserve(seconds_.size());
+  for (const auto& [instance, recent] : seconds_) values.push_back(UsualSeconds(instance, recent));
   const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
   std::nth_element(values.begin(), middle, values.end());
   typical_seconds_ = *middle;
   fastest_seconds_ = *std::min_element(values.begin(), values.end());
-  if (known.size() < kMinComparedEngines) return;
-  for (const auto& [instance, seconds] : known) {
+  if (seconds_.size() < kMinComparedEngines) return;
+  for (const auto& [instance, recent] : seconds_) {
     if (SecondsPerEvent(instance) > kSlowFactor * typical_seconds_) slow_.insert(instance);
   }
 }
--- a/source/jobs/engine_speed_tracker.h
+++ b/source/jobs/engine_speed_tracker.h
@@ -89,6 +89,8 @@
   };
 
   void RecordUsual(const InstanceId& instance, double seconds, TimePoint now);
+  /// The pace over seconds if bursts are separated, otherwise `recent`.
+  double UsualSeconds(const InstanceId& instance, double recent) const;
   static void UpdateDifference(UsualPace& usual, double recent, TimePoint now);
 
   struct Silence {
--- a/source/jobs/job_admitting.cc
+++ b/source/jobs/job_admitting.cc
@@ -8,8 +8,6 @@
 namespace millstair {
 namespace {
 
-/// Engines whose events arrive together count with this pace, so that no pool is infinitely fast.
-constexpr double kMinSecondsPerEvent = 0.0001;
 /// Time after a late scheduling pass until paces and progress are current again.
 constexpr Duration kResumePause = std::chrono::seconds(1);
 
--- a/source/jobs/job_sharing.cc
+++ b/source/jobs/job_sharing.cc
@@ -16,8 +16,6 @@
 constexpr double kGrowthAllowanceSeconds = 2;
 /// Bound on the interval after which runs are considered again.
 constexpr double kMaxForecastPauseSeconds = 60;
-/// Engines whose events arrive together count with this pace, so that no pool is infinitely fast.
-constexpr double kMinSecondsPerEvent = 0.0001;
 
 /// A job of `groups` groups that states no number wants all of them.
 size_t WantedGroups(const JobSpec& spec, size_t groups) {
--- a/source/jobs/step_forecast.h
+++ b/source/jobs/step_forecast.h
@@ -12,6 +12,9 @@
 
 namespace millstair {
 
+/// Engines whose events arrive together count with this pace, so that no pool is infinitely fast.
+inline constexpr double kMinSecondsPerEvent = 0.0001;
+
 /// An item without a result.
 struct ForecastItem {
   /// Index of its group in the job.
