Duties: one host for tasks on the leader of the cluster group

Cause: the usage report and the orders of servers each had the same three calls to their control node, in interface and implementation. Change: LeaderTaskHost and ControlNodeHost serve both.

--- a/source/duties/usage_report_task.cc
+++ b/source/duties/usage_report_task.cc
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-#include "cluster/cluster_replica.h"
 #include "common/event_log.h"
 
 namespace millstair {
@@ -22,29 +21,12 @@
 /// One subject for all windows, because calls of two holders must not alternate.
 constexpr char kSubject[] = "usage";
 
-class ControlNodeUsageReportHost : public UsageReportHost {
+class ControlNodeUsageReportHost : public ControlNodeHost<UsageReportHost> {
  public:
-  explicit ControlNodeUsageReportHost(ControlNode& control) : control_(control) {}
+  using ControlNodeHost::ControlNodeHost;
 
-  std::optional<Term> LeadingTerm() const override {
-    if (!control_.IsClusterLeader()) return std::nullopt;
-    return control_.groups().Find(kClusterGroup)->CurrentTerm();
-  }
   const UsageLedger& ledger() const override { return control_.usage(); }
   std::optional<WallTime> AgreedTime() const override { return control_.AgreedTime(); }
-  void CatchUp(std::function<void(bool)> done) override {
-    control_.ConfirmRead(
-        [done = std::move(done)](const absl::Status& status) { done(status.ok()); });
-  }
-  void Propose(ClusterOperation operation, std::function<void(bool)> done) override {
-    control_.Propose({std::move(operation), std::nullopt, {}},
-                     [done = std::move(done)](const absl::StatusOr<ClusterResult>& result) {
-                       done(result.ok() && result->code == ClusterResultCode::kOk);
-                     });
-  }
-
- private:
-  ControlNode& control_;
 };
 
 class ControlNodeUsageReportTask : public LeaderTask {
--- a/source/duties/usage_report_task.h
+++ b/source/duties/usage_report_task.h
@@ -17,25 +17,17 @@
 #include "common/alive_flag.h"
 #include "common/environment.h"
 #include "common/scoped_timer.h"
+#include "duties/leader_task_host.h"
 #include "duties/usage_report_protocol.h"
 #include "http/bounded_call.h"
 
 namespace millstair {
 
 /// Interface to the control node that runs the task; outlives it.
-class UsageReportHost {
+class UsageReportHost : public LeaderTaskHost {
  public:
-  virtual ~UsageReportHost() = default;
-  /// Term in which this node leads the cluster group; nullopt while it does not lead.
-  virtual std::optional<Term> LeadingTerm() const = 0;
   virtual const UsageLedger& ledger() const = 0;
   virtual std::optional<WallTime> AgreedTime() const = 0;
-  /// `done` gets whether this node still leads and has applied everything that earlier leaders
-  /// committed.
-  virtual void CatchUp(std::function<void(bool)> done) = 0;
-  /// `done` gets whether the operation is committed and applied here; false leaves the outcome
-  /// unknown.
-  virtual void Propose(ClusterOperation operation, std::function<void(bool)> done) = 0;
 };
 
 struct UsageReportOptions {
--- a/source/scaling/scale_task.cc
+++ b/source/scaling/scale_task.cc
@@ -4,7 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include "cluster/cluster_replica.h"
 #include "common/event_log.h"
 
 namespace millstair {
@@ -27,30 +26,13 @@
   return kSubjectPrefix + service.value() + "/" + zone.value();
 }
 
-class ControlNodeScaleHost : public ScaleHost {
+class ControlNodeScaleHost : public ControlNodeHost<ScaleHost> {
  public:
-  explicit ControlNodeScaleHost(ControlNode& control) : control_(control) {}
+  using ControlNodeHost::ControlNodeHost;
 
-  std::optional<Term> LeadingTerm() const override {
-    if (!control_.IsClusterLeader()) return std::nullopt;
-    return control_.groups().Find(kClusterGroup)->CurrentTerm();
-  }
   const Configuration& configuration() const override { return control_.configuration(); }
   const PoolSizes& pool_sizes() const override { return control_.pool_sizes(); }
   bool CanCommitSizes() const override { return control_.MinLevel() >= kPoolScalingLevel; }
-  void CatchUp(std::function<void(bool)> done) override {
-    control_.ConfirmRead(
-        [done = std::move(done)](const absl::Status& status) { done(status.ok()); });
-  }
-  void Propose(ClusterOperation operation, std::function<void(bool)> done) override {
-    control_.Propose({std::move(operation), std::nullopt, {}},
-                     [done = std::move(done)](const absl::StatusOr<ClusterResult>& result) {
-                       done(result.ok() && result->code == ClusterResultCode::kOk);
-                     });
-  }
-
- private:
-  ControlNode& control_;
 };
 
 class ControlNodeScaleTask : public LeaderTask {
--- a/source/scaling/scale_task.h
+++ b/source/scaling/scale_task.h
@@ -21,6 +21,7 @@
 #include "common/environment.h"
 #include "common/scoped_timer.h"
 #include "common/stats.h"
+#include "duties/leader_task_host.h"
 #include "http/bounded_call.h"
 #include "ingress/route_table.h"
 #include "scaling/pool_size.h"
@@ -43,21 +44,12 @@
 inline constexpr Duration kSurplusLasts = std::chrono::seconds(30);
 
 /// Interface to the control node that runs the task; outlives it.
-class ScaleHost {
+class ScaleHost : public LeaderTaskHost {
  public:
-  virtual ~ScaleHost() = default;
-  /// Term in which this node leads the cluster group; nullopt while it does not lead.
-  virtual std::optional<Term> LeadingTerm() const = 0;
   virtual const Configuration& configuration() const = 0;
   virtual const PoolSizes& pool_sizes() const = 0;
   /// Whether every live node can decode SetPoolSize.
   virtual bool CanCommitSizes() const = 0;
-  /// `done` gets whether this node still leads and has applied everything that earlier leaders
-  /// committed.
-  virtual void CatchUp(std::function<void(bool)> done) = 0;
-  /// `done` gets whether the operation is committed and applied here; false leaves the outcome
-  /// unknown.
-  virtual void Propose(ClusterOperation operation, std::function<void(bool)> done) = 0;
 };
 
 struct ScaleOptions {
