Send rate limits: ended by calm also at gateways with steady demand

Callers of a service that had recovered from a burst were still rejected as "the request would miss the target behind others", and not hedged: 4 of 4 limits were in force 5 s after the burst, and stayed.

Cause: two things renewed a limit although nothing was overloaded. A request that found the limit of its preferred back end empty renewed the limits of the service, also if another back end took the request at once; random arrivals at a steady rate do this about every second. And a single late response renewed a limit, although it takes a fifth of the responses to start one, so that the usual tail of slow responses was enough.

Change: a limit is renewed where a request had to wait, since no back end that could take it allowed a send, and by late responses at the share that starts a limit.

--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -194,22 +194,20 @@
     const bool allows = sends == Sends::kAll ? limit.Allows(now) : limit.AllowsSpare(now);
     if (allows) allowed.push_back(candidate);
   }
-  RecordDenied(all);
-  if (allowed.empty()) return std::nullopt;
+  if (allowed.empty()) {
+    RecordDenied(all);
+    return std::nullopt;
+  }
   const BackendInstance& target = directory_.CheapestOf(std::move(allowed));
   limits_.Of(target.id).Take(now);
   return SendPermit(limits_, target);
 }
 
 void ServiceAdmission::RecordDenied(const std::vector<BackendCandidate>& candidates) {
-  const TimePoint now = environment_.Now();
-  const auto by_cost = [](const auto& a, const auto& b) { return a.cost < b.cost; };
-  const auto preferred = std::min_element(candidates.begin(), candidates.end(), by_cost);
-  if (preferred == candidates.end() || limits_.Of(preferred->record->id).Allows(now)) return;
-  // Requests that are kept from the back end that they prefer go to the others, so that the end of
-  // another limit would let all of them through at once.
+  // Requests that are kept from one back end go to the others, so that the end of another limit
+  // would let all of them through at once.
   for (const BackendCandidate& candidate : candidates) {
-    limits_.Of(candidate.record->id).RecordDenied(now);
+    limits_.Of(candidate.record->id).RecordDenied(environment_.Now());
   }
 }
 
--- a/source/ingress/service_admission.h
+++ b/source/ingress/service_admission.h
@@ -155,7 +155,7 @@
   enum class Sends : uint8_t { kAll, kSpare };
   /// Takes a send from the cheapest back end whose limit allows one.
   std::optional<SendPermit> TryPermit(const std::set<InstanceId>& excluded, Sends sends);
-  /// Keeps the limits of `candidates` in force if the preferred one allows no send.
+  /// Keeps the limits of `candidates` in force, none of which allows a send.
   void RecordDenied(const std::vector<BackendCandidate>& candidates);
   /// The same for the request that is served next.
   std::optional<SendPermit> TryQueued(const Queued& queued);
--- a/source/limits/send_rate_limit.cc
+++ b/source/limits/send_rate_limit.cc
@@ -22,8 +22,9 @@
 /// full share back only after about 12 s.
 constexpr double kRecoveryHeadroom = 2;
 constexpr Duration kRecoveryPeriod = std::chrono::seconds(3);
-/// A limit starts at this number of late responses in the window, if they are also the share of
-/// responses that `kHeadroom` does not tolerate. A single late response is no sign of overload.
+/// A limit starts, and stays in force, at this number of late responses in the window, if they are
+/// also the share of responses that `kHeadroom` does not tolerate. A single late response is no
+/// sign of overload.
 constexpr double kLateToStart = 1.5;
 constexpr double kLateShareToStart = 1 - 1 / kHeadroom;
 /// Bounds a pause: a response may be late for other reasons than a queue.
@@ -90,11 +91,12 @@
   Fill(now);
   late_.Add(now);
   overloaded_at_ = now;
-  disturbed_at_ = now;
   const double late = late_.Count(now);
   const bool overloaded =
       late >= kLateToStart && late >= kLateShareToStart * (late + in_time_.Count(now));
-  return overloaded ? Start(SendLimitReason::kLate, now) : std::nullopt;
+  if (!overloaded) return std::nullopt;
+  disturbed_at_ = now;
+  return Start(SendLimitReason::kLate, now);
 }
 
 void SendRateLimit::RecordBacklog(TimePoint now, Duration excess) {
--- a/source/limits/send_rate_limit.h
+++ b/source/limits/send_rate_limit.h
@@ -57,9 +57,10 @@
   void RecordBacklog(TimePoint now, Duration excess);
   /// The back end refused a request for lack of capacity.
   Change RecordRefused(TimePoint now);
-  /// The limit kept a request from being sent to this back end.
+  /// A request had to wait because no back end that could take it allowed a send.
   void RecordDenied(TimePoint now) { disturbed_at_ = now; }
-  /// Ends the limit if for a second it denied nothing and nothing was refused or late.
+  /// Ends the limit if for a second it denied nothing, nothing was refused, and no more was late
+  /// than a limit needs to start.
   Change EndIfCalm(TimePoint now);
 
   /// Lowest rate of the limit in sends per second, so that a back end from which nothing arrives in
@@ -92,7 +93,7 @@
   TimePoint hold_until_;
   /// Latest refusal or late response.
   TimePoint overloaded_at_;
-  /// Latest refusal, late response or denied send.
+  /// Latest moment at which something showed that the limit is needed.
   TimePoint disturbed_at_;
 };
 
--- a/test/ingress/service_admission_test.cc
+++ b/test/ingress/service_admission_test.cc
@@ -298,6 +298,29 @@
   CHECK_FALSE(f.control.limits().Limited(InstanceId("a:2")));
 }
 
+// Guards against limits that never end at a gateway with steady demand: random arrivals meet an
+// empty limit again and again although another back end takes them.
+TEST_CASE("A limit ends unless requests wait for it") {
+  const auto limited_after = [](Fixture& f, Duration span) {
+    f.Limit("a:1", 5);
+    const TimePoint end = f.environment.Now() + span;
+    for (int i = 0; f.environment.Now() < end; ++i) {
+      f.Ask(std::to_string(i), f.Demand(milliseconds(800)));
+      f.scheduler.RunFor(milliseconds(20));
+    }
+    return f.control.limits().Limited(InstanceId("a:1"));
+  };
+  Fixture with_another;
+  with_another.Add("b:1");
+  // The limited one is preferred.
+  const InstanceId slower("b:1");
+  with_another.directory.Begin(slower);
+  with_another.directory.End(slower, BackendEnd::kAnswered, seconds(1));
+  CHECK_FALSE(limited_after(with_another, seconds(2)));
+  Fixture alone;
+  CHECK(limited_after(alone, seconds(2)));
+}
+
 // Guards against hedges that add load to back ends that are overloaded.
 TEST_CASE("There is no hedge while a back end is limited, or when the budget is used up") {
   Fixture f;
--- a/test/limits/send_rate_limit_test.cc
+++ b/test/limits/send_rate_limit_test.cc
@@ -96,6 +96,25 @@
   CHECK(played.limit.Allows(now + milliseconds(1000)));
 }
 
+// Guards against a limit that a usual tail of slow responses keeps in force after the overload.
+TEST_CASE("Late responses keep the limit in force only at the share that starts one") {
+  // One of `every` responses is late.
+  const auto ends_within_three_seconds = [](int every) {
+    TimePoint now(std::chrono::seconds(100));
+    SendRateLimit limit(now);
+    REQUIRE(limit.RecordRefused(now));
+    for (int i = 0; i < 150; ++i) {
+      now += milliseconds(20);
+      if (i % every == 0) limit.RecordLate(now);
+      if (i % every != 0) limit.RecordInTime(now);
+      limit.EndIfCalm(now);
+    }
+    return !limit.limited();
+  };
+  CHECK(ends_within_three_seconds(12));
+  CHECK_FALSE(ends_within_three_seconds(3));
+}
+
 // Guards against a back end that gets its full share only long after it has recovered.
 TEST_CASE("A back end that answered nothing for a while is used fully within a few seconds") {
   Played played;
