Replica managers: a replaced voter is removed as soon as its successor votes

Cause: a group that replaces a voter has an even number of voters between the promotion of the successor and the removal of the other one. The removal was proposed by the next pass, up to 250 ms later. In the soak voter 5 was promoted at 28.357 s, machines 3 and 4 were cut off from 1, 2 and 5 at about 28.5 s, and the removal of 4 was proposed at 28.597 s: two against two of four voters, so that no leader was elected until the cut ended at 37.4 s (ElectionFailed on both sides). Had 4 been removed by then, 1 and 5 of three voters were on one side.

Change: the managers of the cluster group and of job groups look at their members again as soon as a promotion is committed. An even number of voters remains for the time of one commit.

The soak with this change: not run yet.

--- a/source/cluster/replica_manager.cc
+++ b/source/cluster/replica_manager.cc
@@ -268,6 +268,8 @@
     if (!status.ok()) return;
     LogEvent(EventId::kReplicaPromoted, "group={} node={} replica={}", id, member.node,
              member.replica);
+    // Until the replaced voter is removed, a partition into halves leaves no quorum.
+    timer_.Arm(Duration(0), [this] { Tick(); });
   }));
 }
 
--- a/source/jobs/job_replica_manager.cc
+++ b/source/jobs/job_replica_manager.cc
@@ -143,6 +143,8 @@
     if (!status.ok() || group_ == nullptr) return;
     LogEvent(EventId::kReplicaPromoted, "group={} node={} replica={}", group_->id(), member.node,
              member.replica);
+    // Until the replaced voter is removed, a partition into halves leaves no quorum.
+    timer_.Arm(Duration(0), [this] { Tick(); });
   }));
 }
 
--- a/test/cluster/control_node_test.cc
+++ b/test/cluster/control_node_test.cc
@@ -312,6 +312,28 @@
                        seconds(8)));
 }
 
+/// Guards against an even number of voters for longer than the two changes take: a partition into
+/// halves leaves no quorum.
+TEST_CASE("a lost voter is removed as soon as its successor votes") {
+  ClusterFleet fleet({.control_nodes = 4});
+  fleet.AwaitLeader();
+  fleet.Start("c4");
+  REQUIRE(fleet.RunUntil([&] { return MemberOn(ClusterMembers(fleet), "c4") != nullptr; },
+                         seconds(10)));
+  const std::string lost = fleet.Leader() == "c1" ? "c2" : "c1";
+  fleet.Crash(lost);
+  constexpr Duration kStep = milliseconds(5);
+  Duration even{0};
+  for (Duration at{0}; at < seconds(25); at += kStep) {
+    fleet.RunFor(kStep);
+    if (Voters(fleet) == 4) even += kStep;
+  }
+  const auto members = ClusterMembers(fleet);
+  CHECK(MemberOn(members, lost) == nullptr);
+  CHECK(MemberOn(members, "c4")->voter);
+  CHECK(even <= milliseconds(50));
+}
+
 /// Guards against a replacement of a voter whose heartbeats are late, such as one that has just
 /// restarted: until the voter is removed the group has an even number of voters, and a partition
 /// into two halves leaves no quorum.
--- a/test/jobs/job_replica_manager_test.cc
+++ b/test/jobs/job_replica_manager_test.cc
@@ -76,6 +76,23 @@
   CHECK(fixture.Voters() == Names{"a", "b", "d"});
 }
 
+/// Guards against an even number of voters for longer than the two changes take: a partition into
+/// halves leaves no quorum.
+TEST_CASE("A lost voter is removed as soon as its successor votes") {
+  Fixture fixture;
+  fixture.Join("d", ReplicaId(100));
+  fixture.configuration.nodes[NodeId("c")].state = MemberState::kGone;
+  fixture.Run(seconds(0));
+  constexpr Duration kStep = milliseconds(5);
+  Duration even{0};
+  for (Duration at{0}; at < seconds(5); at += kStep) {
+    fixture.scheduler.RunFor(kStep);
+    if (fixture.Voters().size() == 4) even += kStep;
+  }
+  CHECK(fixture.Voters() == Names{"a", "b", "d"});
+  CHECK(even <= milliseconds(50));
+}
+
 TEST_CASE("A node that lost its disk returns as another replica and votes again") {
   Fixture fixture;
   fixture.Join("c", ReplicaId(200));
