Admission: early retries and sends in advance where gateways are many

Cause: a gateway has some ten sends a second, one in 100 ms, at a target of 150 ms. Evidence from counts in the play of the test: - a rejected first attempt was told to come back after the gateway had drained. Retries were sent 295 ms after the first call, and all 870 of them were late; - a request with nothing ahead was forecast to wait for nothing, waited for the next send, and was rejected when its target could no longer be met; - the requests of small tenants found no send: fairness orders what waits, and nine of ten rejections came with one request or none in the queue. Limits of 0.5 to 15 sends a second at gateways with the same demand make it worse.

Change: - Retry-After of a caller that can still meet its target elsewhere leaves it the time for it, drawn at random. - The forecast counts the time until the next send, and for large tenants the sends that the others take in advance. A request that has become late is judged at once, and queues are looked at every 10 ms. - A tenant that asks for less than the mean of the tenants may take up to three sends of a limit in advance, past others that are not more urgent. - The floor is 0.025 of the demand, so that no queue stays at a slow back end. - Late requests leave sends to requests in time also when it is their turn. - Limits are renewed by requests without a send from a fifth of all on, since more of them are now rejected on arrival.

Measured: ingress_test 135 of 135 cases pass.

--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -11,18 +11,23 @@
 /// Bounds the memory of a queue; its order is computed anew for each request that has to wait.
 constexpr size_t kMaxQueued = 256;
 /// Longest time between two looks at a queue: the limits change with each response.
-constexpr Duration kProcessInterval = std::chrono::milliseconds(20);
+constexpr Duration kProcessInterval = std::chrono::milliseconds(10);
 constexpr Duration kMinProcessInterval = std::chrono::milliseconds(1);
 /// Floor of each back end's limit, as a share of the gateway's own demand. The floors of all
-/// gateways add up to this share of the whole demand, retries included: 38 of 1270 requests a
-/// second, which a back end of six slots that takes 120 ms for each can still answer.
-constexpr double kFloorShare = 0.03;
+/// gateways add up to this share of the whole demand, retries included: 30 of 1200 requests a
+/// second, half of what a back end of six slots answers that takes 120 ms for each, so that no
+/// queue stays there.
+constexpr double kFloorShare = 0.025;
 /// The window of the demand matches the one of the limits.
 constexpr Duration kDemandWindow = std::chrono::seconds(1);
-/// A tenant is forgotten about two seconds after a single request.
-constexpr double kForgottenCount = 0.1;
-/// Each check costs time in proportion to the number of tenants.
-constexpr Duration kTenantCheckInterval = std::chrono::milliseconds(100);
+/// Limits are needed while this part of the requests has to wait for them or is rejected. At a
+/// lower one the demand is below the limits, and random arrivals meet empty ones now and then.
+constexpr double kDeniedShare = 0.2;
+/// Shorter than the time after which a calm limit ends: what a burst was denied must not count when
+/// the burst is over.
+constexpr Duration kDeniedWindow = std::chrono::milliseconds(250);
+/// Holds a few requests of a tenant that sends one a second.
+constexpr Duration kTenantDemandWindow = std::chrono::seconds(3);
 constexpr double kResponseSmoothing = 0.1;
 /// Even a refusal takes this long. A request sent later would end without one at its deadline, as
 /// one that may have run.
@@ -30,10 +35,15 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(20);
 /// Callers wait for Retry-After up to this share of their remaining time.
 constexpr int kRetryAfterShare = 3;
+/// Part of the time that a retry may use up on its caller's side and still meet its target. The
+/// rest is for its way to another gateway and its wait there.
+constexpr double kRetryInTargetShare = 0.4;
 /// Spreads retries, so that rejected callers don't return all at once.
 constexpr double kRetryAfterSpread = 0.5;
 /// Keeps forecasts finite while nothing drains.
 constexpr double kMinDrainPerSecond = 0.01;
+/// Part of the sends that is assumed to be left to tenants that take none in advance.
+constexpr double kMinShareAboveMean = 0.25;
 /// Stands for a back end without a limit; nothing waits then.
 constexpr double kUnlimitedPerSecond = 1e9;
 
@@ -117,6 +127,10 @@
       service_(std::move(service)),
       queue_(kMaxQueued),
       arrivals_(kDemandWindow),
+      asked_(kDeniedWindow),
+      denied_(kDeniedWindow),
+      in_time_arrivals_(kDemandWindow),
+      demand_(kTenantDemandWindow),
       process_timer_(environment) {}
 
 ServiceAdmission::Decision ServiceAdmission::Request(const SendDemand& demand,
@@ -125,18 +139,37 @@
   if (directory_.Candidates(service_, excluded).empty()) return NoCandidate{};
   const FairQueue::Entry entry{demand.priority, demand.tenant.value(), demand.deadline,
                                ClassOf(demand)};
-  if (entry.target_class == TargetClass::kInTime) RecordInTimeArrival(entry.tenant);
+  const TimePoint now = environment_.Now();
+  if (entry.target_class == TargetClass::kInTime) in_time_arrivals_.Record(entry.tenant, now);
+  demand_.Record(entry.tenant, now);
+  asked_.Add(now);
   const FairQueue::Place place = queue_.empty() ? FairQueue::Place{} : queue_.PlaceOf(entry);
-  // Requests may wait behind it although a send is allowed, see SendsFor.
-  if (place.ahead == 0) {
-    if (auto permit = TryPermit(excluded, SendsFor(entry))) {
-      queue_.RecordServed(entry.priority, entry.tenant, entry.target_class);
-      return *std::move(permit);
-    }
+  if (auto permit = TryArrived(entry, excluded, place.ahead)) {
+    queue_.RecordServed(entry.priority, entry.tenant, entry.target_class);
+    return *std::move(permit);
   }
+  RecordDenied(excluded);
   return QueueOrReject(demand, excluded, entry, place, std::move(later));
 }
 
+std::optional<SendPermit> ServiceAdmission::TryArrived(const FairQueue::Entry& entry,
+                                                       const std::set<InstanceId>& excluded,
+                                                       size_t ahead) {
+  // Requests may wait behind it although a send is allowed, see SendsFor.
+  if (ahead == 0) {
+    if (auto permit = TryPermit(excluded, SendsFor(entry))) return permit;
+  }
+  if (!MayTakeAdvance(entry)) return std::nullopt;
+  if (auto permit = TryPermit(excluded, Sends::kAll)) return permit;
+  return TryPermit(excluded, Sends::kAdvance);
+}
+
+bool ServiceAdmission::MayTakeAdvance(const FairQueue::Entry& entry) const {
+  const auto next = queue_.Next();
+  if (next && queue_.Get(*next).priority < entry.priority) return false;
+  return demand_.IsBelowMean(entry.tenant, environment_.Now());
+}
+
 ServiceAdmission::Decision ServiceAdmission::QueueOrReject(const SendDemand& demand,
                                                            const std::set<InstanceId>& excluded,
                                                            FairQueue::Entry entry,
@@ -168,46 +201,47 @@
 }
 
 ServiceAdmission::Sends ServiceAdmission::SendsFor(const FairQueue::Entry& entry) const {
-  if (!queue_.TakesShareOfInTime(entry)) return Sends::kAll;
+  const bool in_time = entry.target_class == TargetClass::kInTime;
+  if (in_time || queue_.Waiting(TargetClass::kInTime) > 0) return Sends::kAll;
   return UsesShareOfInTime(entry.tenant, DrainPerSecond()) ? Sends::kSpare : Sends::kAll;
 }
 
-void ServiceAdmission::RecordInTimeArrival(const std::string& tenant) {
-  const TimePoint now = environment_.Now();
-  if (now - tenants_checked_at_ >= kTenantCheckInterval) {
-    tenants_checked_at_ = now;
-    std::erase_if(in_time_arrivals_,
-                  [now](const auto& entry) { return entry.second.Count(now) < kForgottenCount; });
+bool ServiceAdmission::AllowsSend(SendRateLimit& limit, Sends sends, TimePoint now) {
+  switch (sends) {
+    case Sends::kAdvance:
+      return limit.AllowsAdvance(now);
+    case Sends::kAll:
+      return limit.Allows(now);
+    case Sends::kSpare:
+      break;
   }
-  in_time_arrivals_.try_emplace(tenant, kDemandWindow).first->second.Add(now);
+  return limit.AllowsSpare(now);
 }
 
 std::optional<SendPermit> ServiceAdmission::TryPermit(const std::set<InstanceId>& excluded,
                                                       Sends sends) {
   const TimePoint now = environment_.Now();
   const double floor = kFloorShare * arrivals_.PerSecond(now);
-  std::vector<BackendCandidate> all = directory_.Candidates(service_, excluded);
   std::vector<BackendCandidate> allowed;
-  for (const BackendCandidate& candidate : all) {
+  for (const BackendCandidate& candidate : directory_.Candidates(service_, excluded)) {
     SendRateLimit& limit = limits_.Of(candidate.record->id);
     limit.SetFloor(floor, now);
-    const bool allows = sends == Sends::kAll ? limit.Allows(now) : limit.AllowsSpare(now);
-    if (allows) allowed.push_back(candidate);
-  }
-  if (allowed.empty()) {
-    RecordDenied(all);
-    return std::nullopt;
+    if (AllowsSend(limit, sends, now)) allowed.push_back(candidate);
   }
+  if (allowed.empty()) return std::nullopt;
   const BackendInstance& target = directory_.CheapestOf(std::move(allowed));
   limits_.Of(target.id).Take(now);
   return SendPermit(limits_, target);
 }
 
-void ServiceAdmission::RecordDenied(const std::vector<BackendCandidate>& candidates) {
+void ServiceAdmission::RecordDenied(const std::set<InstanceId>& excluded) {
+  const TimePoint now = environment_.Now();
+  denied_.Add(now);
+  if (denied_.Count(now) < kDeniedShare * asked_.Count(now)) return;
   // Requests that are kept from one back end go to the others, so that the end of another limit
   // would let all of them through at once.
-  for (const BackendCandidate& candidate : candidates) {
-    limits_.Of(candidate.record->id).RecordDenied(environment_.Now());
+  for (const BackendCandidate& candidate : directory_.Candidates(service_, excluded)) {
+    limits_.Of(candidate.record->id).RecordDenied(now);
   }
 }
 
@@ -235,20 +269,17 @@
 }
 
 bool ServiceAdmission::UsesShareOfInTime(const std::string& tenant, double drain) const {
-  const auto found = in_time_arrivals_.find(tenant);
-  if (found == in_time_arrivals_.end()) return false;
-  const double share =
-      ShareOf(TargetClass::kInTime) * drain / static_cast<double>(in_time_arrivals_.size());
-  return found->second.PerSecond(environment_.Now()) >= share;
+  const double in_time = in_time_arrivals_.PerSecond(tenant, environment_.Now());
+  if (in_time <= 0) return false;
+  const auto tenants = static_cast<double>(in_time_arrivals_.size());
+  return in_time >= ShareOf(TargetClass::kInTime) * drain / tenants;
 }
 
 double ServiceAdmission::LateDrainPerSecond(const std::string& tenant) const {
   const double drain = DrainPerSecond();
   // The late requests of such a tenant leave no sends to requests in time, see SendsFor.
   if (!UsesShareOfInTime(tenant, drain)) return drain;
-  const TimePoint now = environment_.Now();
-  double in_time = 0;
-  for (const auto& [name, arrivals] : in_time_arrivals_) in_time += arrivals.PerSecond(now);
+  const double in_time = in_time_arrivals_.SumPerSecond(environment_.Now());
   return std::max(ShareOf(TargetClass::kLate) * drain, drain - in_time);
 }
 
@@ -256,13 +287,28 @@
                                             const FairQueue::Place& place) const {
   const auto late_sends = static_cast<double>(place.late_ahead + 1);
   const double after_late = late_sends / LateDrainPerSecond(tenant);
-  return std::max(FromSeconds(after_late), ExpectedWait(place.ahead + 1));
+  return std::max(FromSeconds(after_late), ExpectedWait(tenant, place.ahead + 1));
 }
 
-Duration ServiceAdmission::ExpectedWait(size_t ahead) const {
-  // Asked for each request; the rate takes a list of the candidates.
-  if (ahead == 0) return Duration(0);
-  return FromSeconds(static_cast<double>(ahead) / DrainPerSecond());
+Duration ServiceAdmission::ExpectedWait(const std::string& tenant, size_t ahead) const {
+  const Duration next = UntilNextSend();
+  if (ahead == 0 && next == Duration(0)) return next;
+  const TimePoint now = environment_.Now();
+  const double drain = DrainPerSecond();
+  const double behind = ToSeconds(next) + static_cast<double>(ahead) / drain;
+  if (demand_.IsBelowMean(tenant, now)) return FromSeconds(behind);
+  // Requests of other tenants that take sends in advance arrive meanwhile.
+  const double left = std::max(drain - demand_.SumBelowMean(now), kMinShareAboveMean * drain);
+  return FromSeconds(behind * drain / left);
+}
+
+Duration ServiceAdmission::UntilNextSend() const {
+  std::optional<Duration> next;
+  for (const BackendCandidate& candidate : directory_.Candidates(service_, {})) {
+    const Duration wait = limits_.Of(candidate.record->id).UntilAllowed(environment_.Now());
+    next = std::min(next.value_or(wait), wait);
+  }
+  return next.value_or(Duration(0));
 }
 
 Duration ServiceAdmission::ExpectedDrain(const std::string& tenant,
@@ -277,7 +323,8 @@
 
 bool ServiceAdmission::MeetsTarget(const SendDemand& demand, size_t ahead) const {
   if (demand.begun) return true;
-  return environment_.Now() + ExpectedWait(ahead) + FromSeconds(in_time_response_seconds_) <=
+  return environment_.Now() + ExpectedWait(demand.tenant.value(), ahead) +
+             FromSeconds(in_time_response_seconds_) <=
          demand.target_at;
 }
 
@@ -291,13 +338,13 @@
   const TimePoint now = environment_.Now();
   const Duration response = std::max(FromSeconds(response_seconds_), kMinResponseTime);
   const bool in_late_class = target_class == TargetClass::kLate;
-  const Duration wait =
-      in_late_class ? ExpectedLateWait(demand.tenant.value(), place) : ExpectedWait(place.ahead);
+  const Duration wait = in_late_class ? ExpectedLateWait(demand.tenant.value(), place)
+                                      : ExpectedWait(demand.tenant.value(), place.ahead);
   const TimePoint answered_at = now + wait + response;
   if (answered_at > demand.deadline) return RejectionReason::kCannotBeInTime;
   if (demand.begun) return std::nullopt;
   const bool late = demand.first_attempt && !MeetsTarget(demand, place.ahead);
-  if (late && now + ExpectedWait(queue_.size()) > demand.target_at) {
+  if (late && now + ExpectedWait(demand.tenant.value(), queue_.size()) > demand.target_at) {
     return RejectionReason::kStandingQueue;
   }
   return std::nullopt;
@@ -305,7 +352,19 @@
 
 SendRejection ServiceAdmission::Reject(RejectionReason reason, const SendDemand& demand,
                                        TargetClass target_class) {
-  return Reject(reason, demand.deadline, target_class, demand.tenant);
+  SendRejection rejection = Reject(reason, demand.deadline, target_class, demand.tenant);
+  const Duration latest = LatestRetryInTarget(demand);
+  if (latest > kMinRetryAfter && latest < rejection.retry_after) {
+    // Another gateway may have a send at once. A caller that waits until this one has drained
+    // misses its target.
+    rejection.retry_after = DrawDuration(environment_.Random(), kMinRetryAfter, latest);
+  }
+  return rejection;
+}
+
+Duration ServiceAdmission::LatestRetryInTarget(const SendDemand& demand) const {
+  const Duration left = demand.target_at - environment_.Now();
+  return FromSeconds(kRetryInTargetShare * (ToSeconds(left) - in_time_response_seconds_));
 }
 
 SendRejection ServiceAdmission::Reject(RejectionReason reason, TimePoint deadline,
@@ -363,13 +422,14 @@
     // The callback of another request may have removed it.
     if (found == waiting_.end()) continue;
     const SendDemand& demand = found->second->demand_;
-    const TargetClass target_class = queue_.Get(id).target_class;
+    TargetClass target_class = queue_.Get(id).target_class;
     auto reason = Judge(demand, target_class, place);
-    if (none_left && !demand.begun) reason = RejectionReason::kNoBackend;
     if (!reason && target_class == TargetClass::kInTime && !MeetsTarget(demand, place.ahead)) {
       queue_.MoveToLate(id);
-      continue;
+      target_class = TargetClass::kLate;
+      reason = Judge(demand, target_class, place);
     }
+    if (none_left && !demand.begun) reason = RejectionReason::kNoBackend;
     if (!reason) {
       ++place.ahead;
       if (target_class == TargetClass::kLate) ++place.late_ahead;
--- a/source/ingress/service_admission.h
+++ b/source/ingress/service_admission.h
@@ -18,6 +18,7 @@
 #include "ingress/backend_limits.h"
 #include "limits/decaying_rate.h"
 #include "limits/fair_queue.h"
+#include "limits/tenant_rates.h"
 #include "retry/retry_budget.h"
 
 namespace millstair {
@@ -152,11 +153,20 @@
 
  private:
   /// Which sends of a limit a request may take.
-  enum class Sends : uint8_t { kAll, kSpare };
+  enum class Sends : uint8_t { kAdvance, kAll, kSpare };
+  static bool AllowsSend(SendRateLimit& limit, Sends sends, TimePoint now);
   /// Takes a send from the cheapest back end whose limit allows one.
   std::optional<SendPermit> TryPermit(const std::set<InstanceId>& excluded, Sends sends);
-  /// Keeps the limits of `candidates` in force, none of which allows a send.
-  void RecordDenied(const std::vector<BackendCandidate>& candidates);
+  /// Takes a send that the request may have on arrival.
+  std::optional<SendPermit> TryArrived(const FairQueue::Entry& entry,
+                                       const std::set<InstanceId>& excluded, size_t ahead);
+  /// Whether a request may take a send in advance: a gateway that sees a few requests a second has
+  /// no others of its tenant to put it before, and while it waits for the next send its target
+  /// passes.
+  bool MayTakeAdvance(const FairQueue::Entry& entry) const;
+  /// A request got no send on arrival from the back ends other than `excluded`. Keeps their limits
+  /// in force if this happens to a considerable part of the requests.
+  void RecordDenied(const std::set<InstanceId>& excluded);
   /// The same for the request that is served next.
   std::optional<SendPermit> TryQueued(const Queued& queued);
   /// Whether a request of a class at `place` in the queue must be rejected.
@@ -172,12 +182,18 @@
   /// Sends per second that are left to late requests of a tenant: what requests in time don't use,
   /// at least the share of the class.
   double LateDrainPerSecond(const std::string& tenant) const;
-  Duration ExpectedWait(size_t ahead) const;
+  /// Time until a request of a tenant with `ahead` requests before it may be sent.
+  Duration ExpectedWait(const std::string& tenant, size_t ahead) const;
+  /// Time until the limit of any back end allows a send.
+  Duration UntilNextSend() const;
   /// Time until a late request at `place` has been sent.
   Duration ExpectedLateWait(const std::string& tenant, const FairQueue::Place& place) const;
   /// Time until one more request of a class than wait now has been sent.
   Duration ExpectedDrain(const std::string& tenant, TargetClass target_class) const;
   SendRejection Reject(RejectionReason reason, const SendDemand& demand, TargetClass target_class);
+  /// The latest time until a retry that can still meet its target at a back end with a free send;
+  /// negative if none can.
+  Duration LatestRetryInTarget(const SendDemand& demand) const;
   /// Sends and rejects queued requests.
   void Process();
   void SendQueued();
@@ -187,7 +203,6 @@
   /// The sends that the request served next may take: only spare ones if it is late and would take
   /// the share of requests in time of its tenant that are about to arrive.
   Sends SendsFor(const FairQueue::Entry& entry) const;
-  void RecordInTimeArrival(const std::string& tenant);
   /// Decides about a request that can't be sent now, at `place` in the queue.
   Decision QueueOrReject(const SendDemand& demand, const std::set<InstanceId>& excluded,
                          FairQueue::Entry entry, FairQueue::Place place, Callback later);
@@ -209,10 +224,13 @@
   RetryBudget budget_;
   /// Arrivals of callers' requests; the floors of the limits are a share of them.
   DecayingRate arrivals_;
-  /// Requests that asked for a send and could still meet their target, by tenant. Holds the tenants
-  /// of the last seconds.
-  std::map<std::string, DecayingRate> in_time_arrivals_;
-  TimePoint tenants_checked_at_;
+  /// Requests that asked for a send, and those of them that got none on arrival.
+  DecayingRate asked_;
+  DecayingRate denied_;
+  /// Requests that asked for a send and could still meet their target.
+  TenantRates in_time_arrivals_;
+  /// All requests that asked for a send, in a longer window: a small tenant sends one in seconds.
+  TenantRates demand_;
   /// Smoothed time of responses; 0 before the first.
   double response_seconds_ = 0;
   /// The same of responses within the target. Tells whether a request can meet its target: the mean
--- a/source/limits/send_rate_limit.cc
+++ b/source/limits/send_rate_limit.cc
@@ -17,6 +17,9 @@
 /// Sends allowed in a row. Requests arrive unevenly; more would fill the back end's queue at once
 /// when many nodes send to it.
 constexpr double kBurst = 2;
+/// Sends that may be taken in advance. At a gateway with a few sends a second, requests of a tenant
+/// that is entitled to them arrive two or three at a time between two sends.
+constexpr double kMaxAdvance = 3;
 /// The same once nothing was refused or late for `kRecoveryPeriod`, which is rare while the limit
 /// fits. With the smaller factor alone, a back end that was silent for some seconds would get its
 /// full share back only after about 12 s.
@@ -57,6 +60,8 @@
 
 bool SendRateLimit::Allows(TimePoint now) { return Holds(now, 1); }
 
+bool SendRateLimit::AllowsAdvance(TimePoint now) { return Holds(now, 1 - kMaxAdvance); }
+
 bool SendRateLimit::AllowsSpare(TimePoint now) { return Holds(now, kBurst); }
 
 bool SendRateLimit::Holds(TimePoint now, double sends) {
--- a/source/limits/send_rate_limit.h
+++ b/source/limits/send_rate_limit.h
@@ -40,6 +40,9 @@
 
   /// Whether a request may be sent now. True if there is no limit.
   bool Allows(TimePoint now);
+  /// Whether a send is allowed that is taken from those of the next moments. The rate stays the
+  /// same: the next sends are allowed later.
+  bool AllowsAdvance(TimePoint now);
   /// Whether a send is allowed that would be lost if it were not used soon.
   bool AllowsSpare(TimePoint now);
   /// Takes one send; the balance may become negative.
