Suspect requests: a refused trial is not spent

Cause: a trial counted as used once it was sent. The one of /pages/x met the successor of a back end at the same address, which answered that it was not the one addressed; the gateway then refused the request, and the cluster grants the next trial only after a minute. A refusal for lack of capacity had the same effect.

Change: a trial goes on past another incarnation, as past back ends that can't be reached, since the one addressed got nothing. A trial that is refused is left to the next request of the same content; the refused request is not sent on and is told to come back in 200 ms.

--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -305,6 +305,7 @@
 
 void ForwardFlow::OnRefused(Attempt& attempt, bool wrong_instance) {
   --may_have_run_;
+  watch_.OnRefused(wrong_instance);
   sends_.last_reason =
       wrong_instance ? "another back end uses the address" : "the back end refused the request";
   EndAttempt(attempt, wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
--- a/source/ingress/request_watch.cc
+++ b/source/ingress/request_watch.cc
@@ -6,6 +6,12 @@
 #include "common/event_log.h"
 
 namespace millstair {
+namespace {
+
+/// Retry-After of a request whose trial was refused. Back ends refuse for moments.
+constexpr Duration kRefusedTrialRetryAfter = std::chrono::milliseconds(200);
+
+}  // namespace
 
 const RequestFingerprint& RequestWatch::fingerprint() {
   if (!fingerprint_) fingerprint_ = FingerprintOf(IdentityOf(request_));
@@ -28,6 +34,10 @@
     guard_.OnServed(fingerprint());
     return {};
   }
+  if (decision.verdict == GuardVerdict::kTrial && trial_refused_) {
+    decision.verdict = GuardVerdict::kRefuse;
+    decision.retry_after = kRefusedTrialRetryAfter;
+  }
   if (decision.verdict == GuardVerdict::kRefuse) {
     LogEvent(EventId::kRequestWithheld,
              "request={} fingerprint={} place=\"{}\" crashes={} trials={} retry_after_ms={}",
@@ -81,6 +91,16 @@
   return MayBeSuspect() && guard_.Judge(fingerprint()).count.crashes > 0;
 }
 
+void RequestWatch::OnRefused(bool wrong_instance) {
+  if (!on_trial_) return;
+  if (wrong_instance) return OnUnreachable();
+  // The refusal shows nothing about the request. The cluster grants the next trial only after a
+  // long pause, so this one must not be lost.
+  guard_.ReturnTrial(fingerprint());
+  on_trial_ = trial_used_ = false;
+  trial_refused_ = true;
+}
+
 void RequestWatch::OnLost(const BackendInstance& instance) {
   if (!on_trial_ && guard_.ServedRecently(digest())) return;
   lost_ = true;
--- a/source/ingress/request_watch.h
+++ b/source/ingress/request_watch.h
@@ -35,10 +35,13 @@
   /// Whether a back end crashed under the request: then it is sent to one back end at a time.
   bool IsSuspect();
 
-  /// The request is being sent. This uses up a trial even if the back end refuses the request.
+  /// The request is being sent. A trial allows one send.
   void OnSent() { trial_used_ = on_trial_; }
   /// Nothing of the request reached the back end.
   void OnUnreachable() { trial_used_ = false; }
+  /// A back end did not run the request. With `wrong_instance` it was not the one addressed, which
+  /// got nothing.
+  void OnRefused(bool wrong_instance);
   /// `instance` received the request and sent no complete response.
   void OnLost(const BackendInstance& instance);
   /// Identifies the request's content, also in logs.
@@ -65,6 +68,8 @@
   bool lost_ = false;
   bool on_trial_ = false;
   bool trial_used_ = false;
+  /// Its trial was refused and left to the next request of the same content.
+  bool trial_refused_ = false;
   AliveFlag alive_;
 };
 
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -209,6 +209,7 @@
   run.OnResponse();
   if (answer.not_run) {
     --may_have_run_;
+    watch_.OnRefused(answer.wrong_instance);
     sends_.last_reason = answer.wrong_instance ? "another back end uses the address"
                                                : "the back end refused the request";
     EndRun(answer.wrong_instance ? BackendEnd::kWrongInstance : BackendEnd::kRefused);
--- a/test/ingress/forward_flow_test.cc
+++ b/test/ingress/forward_flow_test.cc
@@ -236,6 +236,43 @@
   CHECK(fixture.backends.SentRequests() == 1);
 }
 
+/// Guards against a proper request that is withheld for a minute because a back end was full, or
+/// had restarted, when its trial arrived.
+TEST_CASE("A trial that a back end refused is left to the next request of the same content") {
+  Fixture fixture;
+  FakeRegister cluster;
+  Hold(fixture, cluster);
+  cluster.grants_once = true;
+  bool full = true;
+  fixture.Add("1.1.1.1:1", [&full](const HttpRequest&) { return full ? Refusal() : Ok(); });
+  const auto refused = fixture.Forward();
+  REQUIRE(refused);
+  CHECK(refused->outcome == ForwardOutcome::kNotRun);
+  CHECK(refused->retry_after < std::chrono::seconds(1));
+  full = false;
+  const auto answered = fixture.Forward();
+  REQUIRE(answered);
+  CHECK(answered->outcome == ForwardOutcome::kAnswered);
+  CHECK(fixture.backends.SentRequests() == 2);
+  CHECK(cluster.cleared == std::vector<size_t>{2});
+}
+
+TEST_CASE("A trial continues past addresses that other incarnations use") {
+  Fixture fixture;
+  FakeRegister cluster;
+  Hold(fixture, cluster);
+  cluster.grants_once = true;
+  FakeAnswer other = Refusal();
+  other.status = 421;
+  fixture.Add("1.1.1.1:1", [other](const HttpRequest&) { return other; });
+  fixture.Add("1.1.1.1:2", [other](const HttpRequest&) { return other; });
+  fixture.Add("1.1.1.1:3", [](const HttpRequest&) { return Ok(); });
+  const auto result = fixture.Forward();
+  REQUIRE(result);
+  CHECK(result->outcome == ForwardOutcome::kAnswered);
+  CHECK(cluster.cleared == std::vector<size_t>{2});
+}
+
 TEST_CASE("A held request is answered as not run, with a retry time") {
   Fixture fixture;
   FakeRegister cluster;
