Processor use: threads that end are passed over without an exception

Cause: the range-based loop over /proc/self/task increments by a call that throws on an error, so that a log line could end the process. Change: the loop increments with an error code. Measured: runtime_test passes, 10 cases; formatter and clang-tidy of the file are clean.

--- a/source/runtime/processor_use.cc
+++ b/source/runtime/processor_use.cc
@@ -19,9 +19,10 @@
 Duration ReadRunDelay() {
   std::chrono::nanoseconds sum{0};
   std::error_code error;
-  // A thread may end meanwhile; what can't be read counts nothing.
-  for (const auto& thread : std::filesystem::directory_iterator("/proc/self/task", error)) {
-    std::ifstream file(thread.path() / "schedstat");
+  // A thread may end meanwhile; what can't be read counts nothing. A range-based loop would throw.
+  std::filesystem::directory_iterator thread("/proc/self/task", error);
+  for (; thread != std::filesystem::directory_iterator(); thread.increment(error)) {
+    std::ifstream file(thread->path() / "schedstat");
     int64_t processor = 0;
     int64_t delay = 0;
     if (file >> processor >> delay) sum += std::chrono::nanoseconds(delay);
