Admission: no list of candidates for the forecast while nothing is limited

Cause: the forecast counts the time until the next send since, so that each request took the list of the back ends once more, also in calm. Change: without a limit in force the time is zero at once. Processor time was not measured.

--- a/source/ingress/backend_limits.cc
+++ b/source/ingress/backend_limits.cc
@@ -60,6 +60,11 @@
   return found != limits_.end() && found->second.limit.limited();
 }
 
+bool BackendLimits::AnyLimited() const {
+  return std::any_of(limits_.begin(), limits_.end(),
+                     [](const auto& entry) { return entry.second.limit.limited(); });
+}
+
 void BackendLimits::Return(const InstanceId& instance) {
   const auto found = limits_.find(instance);
   if (found != limits_.end()) found->second.limit.Return(environment_.Now());
--- a/source/ingress/backend_limits.h
+++ b/source/ingress/backend_limits.h
@@ -22,6 +22,7 @@
   /// The limit of `instance`. A back end that was not seen before has none in force.
   SendRateLimit& Of(const InstanceId& instance);
   bool Limited(const InstanceId& instance) const;
+  bool AnyLimited() const;
   /// Returns a send that was taken from the limit of `instance` and not used.
   void Return(const InstanceId& instance);
 
--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -303,6 +303,8 @@
 }
 
 Duration ServiceAdmission::UntilNextSend() const {
+  // Asked for each request; the list of the candidates takes longer.
+  if (!limits_.AnyLimited()) return Duration(0);
   std::optional<Duration> next;
   for (const BackendCandidate& candidate : directory_.Candidates(service_, {})) {
     const Duration wait = limits_.Of(candidate.record->id).UntilAllowed(environment_.Now());
