Gateways: the end of a log tells of requests sent without a confirmation

Cause: records of an incident are cut.

Change: RequestsUnconfirmed (7023) repeats each 10 s, once there was such a request, how many this process has sent with an expired lease, how long ago the last one was, and the request with the oldest confirmation.

Result: the two cases added to request_log_test.cc pass; a process without such requests writes no line.

--- a/source/ingress/request_log.cc
+++ b/source/ingress/request_log.cc
@@ -43,6 +43,7 @@
       lease_(lease),
       stats_(stats),
       write_line_(std::move(write_line)),
+      unconfirmed_(environment, write_line_),
       lines_(kLinesPerSecond, kLineBurst, environment.Now()),
       summaries_(kSummariesPerSecond, kSummaryBurst, environment.Now()),
       timer_(environment) {}
@@ -60,7 +61,9 @@
 
 void RequestLog::Count(const RequestRecord& record) {
   const auto age = record.result.confirmation_age_at_send;
-  if (stats_ == nullptr || !age) return;
+  if (!age) return;
+  if (*age > lease_) unconfirmed_.Add(record.request, record.result.routing_version, *age);
+  if (stats_ == nullptr) return;
   stats_
       ->NewHistogram({"millstair_confirmation_age_at_send_seconds",
                       "Age of the last confirmation of the configuration as a request was sent."})
--- a/source/ingress/request_log.h
+++ b/source/ingress/request_log.h
@@ -14,6 +14,7 @@
 #include "common/scoped_timer.h"
 #include "common/stats.h"
 #include "ingress/forward_flow.h"
+#include "ingress/unconfirmed_requests.h"
 #include "limits/token_bucket.h"
 
 namespace millstair {
@@ -46,7 +47,8 @@
 /// Lives on the node's serial executor. Never blocks; the volume of its lines is bounded.
 class RequestLog {
  public:
-  /// `lease`: requests sent by a configuration that was confirmed longer ago are counted.
+  /// `lease`: requests sent by a configuration that was confirmed longer ago are counted and logged
+  /// in sum.
   /// `stats` may be null.
   RequestLog(Environment& environment, Duration lease, StatsRegistry* stats,
              LineWriter write_line = WriteEvent);
@@ -64,6 +66,7 @@
   const Duration lease_;
   StatsRegistry* const stats_;
   const LineWriter write_line_;
+  UnconfirmedRequests unconfirmed_;
   TokenBucket lines_;
   TokenBucket summaries_;
   /// Short entries that are not written yet.
--- /dev/null
+++ b/source/ingress/unconfirmed_requests.cc
@@ -0,0 +1,44 @@
+#include "ingress/unconfirmed_requests.h"
+
+#include <chrono>
+#include <utility>
+
+#include "fmt/format.h"
+
+namespace millstair {
+namespace {
+
+/// The first line follows soon after the first request, the others at longer intervals.
+constexpr Duration kFirstLogDelay = std::chrono::seconds(1);
+constexpr Duration kLogInterval = std::chrono::seconds(10);
+
+int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}  // namespace
+
+UnconfirmedRequests::UnconfirmedRequests(Environment& environment, LineWriter write_line)
+    : environment_(environment), write_line_(std::move(write_line)), timer_(environment) {}
+
+void UnconfirmedRequests::Add(const std::string& request, uint64_t routing_version, Duration age) {
+  ++count_;
+  last_at_ = environment_.Now();
+  if (age > longest_) {
+    longest_ = age;
+    longest_request_ = request;
+    longest_version_ = routing_version;
+  }
+  if (!timer_.armed()) timer_.Arm(kFirstLogDelay, [this] { Log(); });
+}
+
+void UnconfirmedRequests::Log() {
+  write_line_(EventId::kRequestsUnconfirmed,
+              fmt::format("requests={} last_ms_ago={} longest_proof_ms={} longest_request={} "
+                          "longest_routing={}",
+                          count_, Milliseconds(environment_.Now() - last_at_),
+                          Milliseconds(longest_), longest_request_, longest_version_));
+  timer_.Arm(kLogInterval, [this] { Log(); });
+}
+
+}  // namespace millstair
--- /dev/null
+++ b/source/ingress/unconfirmed_requests.h
@@ -0,0 +1,39 @@
+/// Counts requests that were sent by a configuration whose lease had expired, and repeats the
+/// counts since the start in the log, so that the end of a log tells what happened before it.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "common/environment.h"
+#include "common/event_log.h"
+#include "common/scoped_timer.h"
+
+namespace millstair {
+
+/// Lives on the node's serial executor.
+class UnconfirmedRequests {
+ public:
+  using LineWriter = std::function<void(EventId event, std::string_view text)>;
+
+  UnconfirmedRequests(Environment& environment, LineWriter write_line);
+
+  /// `age`: time since the last confirmation of the configuration as `request` was sent.
+  void Add(const std::string& request, uint64_t routing_version, Duration age);
+
+ private:
+  void Log();
+
+  Environment& environment_;
+  const LineWriter write_line_;
+  uint64_t count_ = 0;
+  Duration longest_{0};
+  std::string longest_request_;
+  uint64_t longest_version_ = 0;
+  TimePoint last_at_;
+  ScopedTimer timer_;
+};
+
+}  // namespace millstair
--- a/test/ingress/request_log_test.cc
+++ b/test/ingress/request_log_test.cc
@@ -51,6 +51,25 @@
   CHECK(fixture.lines.size() < kRequests / 3);
 }
 
+TEST_CASE("The end of a log tells which request was sent by the oldest configuration") {
+  Fixture fixture;
+  fixture.Record(1, milliseconds(1200));
+  fixture.Record(2, milliseconds(6300));
+  fixture.Record(3, milliseconds(1500));
+  fixture.Record(4, milliseconds(300));
+  fixture.scheduler.RunFor(seconds(60));
+  CHECK(fixture.lines.back() ==
+        "requests=3 last_ms_ago=51000 longest_proof_ms=6300 longest_request=id-2-end "
+        "longest_routing=9");
+}
+
+TEST_CASE("No line about unconfirmed requests is logged without any") {
+  Fixture fixture;
+  fixture.Record(1, milliseconds(900));
+  fixture.scheduler.RunFor(seconds(60));
+  CHECK(fixture.lines.size() == 1);
+}
+
 TEST_CASE("The volume of a flood is bounded, and what is left out is counted") {
   constexpr int kRequests = 200'000;
   constexpr size_t kMaxBytes = 200'000;
