Soak: links that are really silent, machines without power, gateways cut off alone

Cause: a cut of the soak kept connections open and held their data back, and a machine was taken down by killing its processes, whose connections ended at once. A network that drops packets, and a machine without power, do neither: data is retransmitted at doubling intervals, dials hang. Gateways that reach each other but no control node were not played at all.

--- a/test/jobs/ingress_fleet.cc
+++ b/test/jobs/ingress_fleet.cc
@@ -131,6 +131,9 @@
   const auto found = processes_.find(to.value());
   if (found == processes_.end()) return;
   if (isolated_.contains(from) || isolated_.contains(to.value())) return;
+  const bool with_control_node = found->second.control != nullptr || processes_.at(from).control;
+  const bool cut = without_control_.contains(from) || without_control_.contains(to.value());
+  if (cut && with_control_node) return;
   if (found->second.control) found->second.control->Receive(NodeId(from), message);
   if (found->second.ingress) found->second.ingress->Receive(NodeId(from), message);
 }
--- a/test/jobs/ingress_fleet.h
+++ b/test/jobs/ingress_fleet.h
@@ -31,6 +31,8 @@
   /// Drops all messages from and to the node until it is healed.
   void Isolate(const std::string& node) { isolated_.insert(node); }
   void Heal(const std::string& node) { isolated_.erase(node); }
+  /// Drops all messages between a gateway and the control nodes; gateways still reach each other.
+  void CutFromControlNodes(const std::string& gateway) { without_control_.insert(gateway); }
   /// The control node that leads the cluster group; null if there is none.
   ControlNode* Leader();
   IngressNode& gateway(const std::string& name) { return *processes_.at(name).ingress; }
@@ -67,6 +69,7 @@
   FakeBackends platform_{scheduler};
   std::map<std::string, Process> processes_;
   std::set<std::string> isolated_;
+  std::set<std::string> without_control_;
   std::map<std::string, std::string> gateways_;
   /// Server incarnations that no control node has acknowledged yet.
   std::map<InstanceId, BackendInstance> unregistered_;
--- a/test/jobs/isolated_gateway_test.cc
+++ b/test/jobs/isolated_gateway_test.cc
@@ -1,6 +1,8 @@
 /// A gateway that alone receives no message from the control nodes stops being ready, so that
 /// others serve its callers. Without a majority of control nodes all gateways stay ready.
+#include <array>
 #include <catch2/catch.hpp>
+#include <string>
 
 #include "test/jobs/ingress_fleet.h"
 
@@ -40,6 +42,30 @@
   CHECK(fleet.gateway("g1").Ready());
 }
 
+TEST_CASE("A gateway that reaches no control node gets changes and confirmations from gateways") {
+  IngressFleet fleet(5, 3, 2, PagesRoute());
+  fleet.CutFromControlNodes("g1");
+  fleet.scheduler.RunFor(seconds(2));
+  fleet.Leader()->Submit(ReplaceRouting{{2, "content 2"}},
+                         [](const absl::StatusOr<ClusterResult>&) {});
+  fleet.scheduler.RunFor(kIsolationTime);
+  const IngressNode& gateway = fleet.gateway("g1");
+  CHECK(gateway.configuration().routing.version == 2);
+  CHECK(gateway.LeaseValid());
+  CHECK(gateway.Ready());
+}
+
+TEST_CASE("Gateways that all reach no control node do not confirm each other") {
+  IngressFleet fleet(6, 3, 2, PagesRoute());
+  const std::array<std::string, 3> names = {"g1", "g2", "g3"};
+  for (const std::string& name : names) fleet.CutFromControlNodes(name);
+  fleet.scheduler.RunFor(kIsolationTime);
+  for (const std::string& name : names) {
+    CHECK_FALSE(fleet.gateway(name).LeaseValid());
+    CHECK_FALSE(fleet.gateway(name).Ready());
+  }
+}
+
 TEST_CASE("Gateways of a cluster without a majority stay ready") {
   IngressFleet fleet(3, 2, 2, PagesRoute());
   fleet.Isolate("c1");
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -70,7 +70,7 @@
         gateway = gateways.get(run.request)
         if at is None:
             continue
-        if gateway is not None and not connectivity.gateway_except_pauses(gateway, at, run.at):
+        if gateway is not None and not connectivity.gateway_could_know(gateway, at, run.at):
             continue
         judged.add(run.instance)
         row.case(run.at <= at + layout.leaving, (run, at, gateway))
--- a/test/soak/fault_times.py
+++ b/test/soak/fault_times.py
@@ -7,3 +7,5 @@
 # Longer than `replace_voter_after` of the fleet: by then another machine has taken the place of one
 # that is away.
 REPLACED = 7.0
+# Machines without power stay away for this long: minimum and maximum.
+WITHOUT_POWER = (0.5, 8.0)
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -11,7 +11,7 @@
 from callers import DEADLINE, exchange, new_id
 from claims import Claims
 from documents import HOST
-from fault_times import AWAY, CUT_IN_TWO, DOWN, REPLACED
+from fault_times import AWAY, CUT_IN_TWO, DOWN, REPLACED, WITHOUT_POWER
 from history import SmallCall, Span, Stall, now
 from shortage_faults import ShortageFaults
 from stalled_callers import StalledCaller, peak_memory
@@ -57,17 +57,17 @@
         # Like the faults of back ends they claim no machine and excuse no violation.
         self.of_callers = [self.stop_reading] if stalls_callers else []
         self.one_machine = [
-            self.kill, self.kill, self.freeze, self.cut, self.cut_one_way, self.slow_link, self.reset_links,
-            self.stop, self.slow, self.reload]
-        self._gateway_kinds = [self.stand_still]
+            self.kill, self.kill, self.freeze, self.cut, self.cut_one_way, self.slow_link,
+            self.reset_links, self.stop, self.slow, self.reload, self.power_off]
+        self._gateway_kinds = [self.stand_still, self.cut_from_stores]
         shortage_kinds = [self.burst, self.kill_job_leader] if trainers else []
         if trainers and cuts_zones:
             shortage_kinds.append(self.cut_zone)
         self._acknowledger_kinds = [
             self.kill_acknowledger, self.wipe_acknowledger, self.cut_acknowledger,
-            self.part_acknowledger, self.freeze_acknowledger]
+            self.part_acknowledger, self.freeze_acknowledger, self.power_off_acknowledger]
         self._exclusive_kinds = [self.kill_all, self.rolling_stop, self.cut_in_two, self.cut_zones,
-                                 self.power_off_after_wipe]
+                                 self.power_off_after_wipe, self.power_off_stores]
         # Takes most of a short run: played only if it is named.
         self._power_off_kinds = [self.power_off_after_wipe, self.power_off_without_seeds]
         self._clock_kinds = [self.step_clock, self.restart_across_step, self.suspend]
@@ -177,7 +177,8 @@
         span = self._history.add(Span(kind.__name__, tuple(machines), begun, float("inf")))
         result = kind(machines)
         span.over = now()
-        if kind in (self.lose_disk, self.wipe_acknowledger, *self._power_off_kinds):
+        if kind in (self.lose_disk, self.wipe_acknowledger, self.power_off_stores,
+                    *self._power_off_kinds):
             time.sleep(CATCH_UP)
         return f"{kind.__name__} {list(machines)} {'' if result is None else result}"
 
@@ -297,6 +298,13 @@
         time.sleep(random.uniform(0.5, 3) * AWAY)
         self._fleet.heal(pairs)
 
+    def cut_from_stores(self, machines):
+        """Isolates gateways from all machines with a disk; they still reach each other and the other
+        gateways."""
+        cut = self._fleet.cut(machines, self._layout.machines)
+        time.sleep(random.uniform(0.5, 3) * AWAY)
+        self._fleet.heal(cut)
+
     def cut_one_way(self, machines):
         """Drops all traffic from a machine, or all traffic to it; connections stay open."""
         heard = random.choice((True, False))
@@ -327,16 +335,17 @@
 
     def strike_zone(self, machines):
         """Pauses, isolates or kills up to `tolerate` machines of one zone."""
-        how = random.choice((self.freeze, self.cut, self.down))
+        how = random.choice((self.freeze, self.cut, self.power_off))
         how(machines)
         return how.__name__
 
-    def down(self, machines):
-        """Kills machines' processes and restarts them after some seconds, like a power failure."""
-        nodes = self._nodes(machines)
-        self._fleet.kill(nodes)
-        time.sleep(random.uniform(0.5, 2) * AWAY)
-        self._restart(nodes)
+    def power_off(self, machines):
+        """Machines lose power and return after some seconds, with their disks."""
+        cut = self._fleet.power_off(machines)
+        seconds = random.uniform(*WITHOUT_POWER)
+        time.sleep(seconds)
+        self._fleet.power_on(machines, cut)
+        return f"{seconds:.1f} s"
 
     def slow_link(self, machines):
         """Delays all traffic of a machine."""
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -199,8 +199,7 @@
         self.nodes += [Node(f"{ip_of(m)}-storage", m, "storage") for m in layout.machines]
         self.nodes += [Node(ip_of(m), m, "gateway") for m in layout.gateways]
         self._pairs = {(a.name, b.name): (a, b) for a in self.nodes for b in self.nodes
-                       if a is not b and "gateway" not in (a.role, b.role)
-                       or a.role != b.role and "gateway" in (a.role, b.role)}
+                       if a is not b}
         self._links = LinkProcess({pair: b.peer for pair, (_, b) in self._pairs.items()})
         self._cut_lock = threading.Lock()
         self._cuts = []
@@ -320,6 +319,24 @@
             others = set(self.layout.machines + self.layout.gateways) - set(some)
         return self._cut({pair: BOTH for pair in self._between(set(some), set(others))})
 
+    def power_off(self, machines, wipe=()):
+        """Ends all processes of machines without a word to the others, which meet silence from then
+        on; `wipe`: those that lose their data. Returns the cut for `power_on`."""
+        struck = set(machines)
+        cut = self._cut({pair: BOTH for pair, ends in self._pairs.items()
+                         if struck & {end.machine for end in ends}})
+        self.kill([node for machine in machines for node in self.on_machine(machine)])
+        for machine in wipe:
+            self.wipe(self.on_machine(machine))
+        return cut
+
+    def power_on(self, machines, cut):
+        """Starts the processes of machines in any order; they are reached from now on."""
+        nodes = [node for machine in machines for node in self.on_machine(machine)]
+        for node in random.sample(nodes, len(nodes)):
+            self.start_node(node)
+        self.heal(cut)
+
     def cut_one_way(self, machine, heard):
         """Drops a machine's traffic in one direction without closing connections: to it if `heard`,
         else from it. Returns the cut for `heal`."""
--- a/test/soak/links.py
+++ b/test/soak/links.py
@@ -1,8 +1,16 @@
 """Forwarders between nodes, one for each direction of a pair, whose traffic can be cut, delayed and
-reset. They run in a separate process, so that they don't slow the callers down."""
+reset. They run in a separate process, so that they don't slow the callers down.
+
+A cut is silent: packets are dropped before the kernel answers them, as by a network or by a machine
+without power. Connections stay open, data is retransmitted at doubling intervals and new
+connections hang.
+"""
 
 import asyncio
+import ctypes
 import multiprocessing
+import socket
+import struct
 import threading
 
 
@@ -10,6 +18,23 @@
 FORTH, BACK = "forth", "back"
 BOTH = frozenset((FORTH, BACK))
 
+# From <asm/socket.h>; the socket module has no names for them.
+SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27
+# A packet filter of one instruction: return 0 bytes of the packet.
+DROP_ALL = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))
+
+
+def set_silent(sock, silent):
+    """Drops all packets that arrive at a socket, or stops to."""
+    if silent:
+        program = struct.pack("HP", 1, ctypes.addressof(DROP_ALL))
+        sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+    else:
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+        except OSError:
+            pass  # none is attached
+
 
 class Link:
     """Forwards connections of one node to another; may be cut, slow or reset."""
@@ -20,30 +45,50 @@
         self.cut = frozenset()
         self.delay = 0.0
         self.port = 0
-        self._writers = set()
+        self._listener = None
+        # Open sockets by the direction of the data that they receive.
+        self._writers = {FORTH: set(), BACK: set()}
 
     async def start(self):
         """Listens on a free port."""
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+        self._listener = server.sockets[0]
+        self.port = self._listener.getsockname()[1]
         return server
 
+    def set_cut(self, cut):
+        """Sets the directions that pass no data."""
+        self.cut = cut
+        # The handshake of a new connection needs both directions.
+        set_silent(self._listener, bool(cut))
+        for direction, writers in self._writers.items():
+            for writer in writers:
+                set_silent(writer.get_extra_info("socket"), direction in cut)
+
     async def _serve(self, reader, writer):
+        self._add(FORTH, writer)
         try:
             ip, port = self.target.split(":")
             far_reader, far_writer = await asyncio.open_connection(ip, int(port))
         except OSError:
+            self._writers[FORTH].remove(writer)
             writer.transport.abort()
             return
-        self._writers |= {writer, far_writer}
+        self._add(BACK, far_writer)
         try:
             await asyncio.gather(self._pump(reader, far_writer, FORTH),
                                  self._pump(far_reader, writer, BACK))
         finally:
-            self._writers -= {writer, far_writer}
+            self._writers[FORTH].remove(writer)
+            self._writers[BACK].remove(far_writer)
             writer.transport.abort()
             far_writer.transport.abort()
 
+    def _add(self, direction, writer):
+        self._writers[direction].add(writer)
+        if direction in self.cut:
+            set_silent(writer.get_extra_info("socket"), True)
+
     async def _pump(self, reader, writer, direction):
         try:
             while data := await reader.read(65536):
@@ -62,8 +107,9 @@
 
     def reset(self):
         """Resets all connections."""
-        for writer in list(self._writers):
-            writer.transport.abort()
+        for writers in self._writers.values():
+            for writer in list(writers):
+                writer.transport.abort()
 
 
 async def _serve_commands(pipe, pairs):
@@ -82,6 +128,8 @@
         for pair in chosen:
             if name == "reset":
                 links[pair].reset()
+            elif name == "cut":
+                links[pair].set_cut(value)
             else:
                 setattr(links[pair], name, value)
         pipe.send(None)
--- a/test/soak/routing_checks.py
+++ b/test/soak/routing_checks.py
@@ -27,12 +27,14 @@
 SCORING_TAKES = 1.5
 CUTS = ("cut_in_two", "cut_zones", "cut_zone", "part_acknowledger")
 # All control nodes lose their processes at once.
-ALL_KILLED = ("kill_all", "power_off_after_wipe", "power_off_without_seeds")
+ALL_KILLED = ("kill_all", "power_off_after_wipe", "power_off_stores", "power_off_without_seeds")
 STOPS = ("stop", "stop_several")
 # A paused gateway can detect the pause by its clock when it resumes. That its machine was
 # unreachable meanwhile does not excuse using a replaced version: the control nodes reply as soon as
 # it queries them.
 PAUSES = ("stand_still", "freeze", "suspend")
+# A gateway that reaches no control node can ask the other gateways.
+NO_EXCUSE = (*PAUSES, "cut_from_stores")
 ADDED_ASKED = 20
 ADDED_SHARE = 0.25
 # Statuses that do not reject the request as invalid.
@@ -73,9 +75,9 @@
         return not any(machine in span.machines and self._strikes(span, start, end)
                        for span in self._spans)
 
-    def gateway_except_pauses(self, machine, start, end):
-        """Like `gateway`, but a pause of the process does not count as a disturbance."""
-        return not any(machine in span.machines and span.kind not in PAUSES
+    def gateway_could_know(self, machine, start, end):
+        """Like `gateway`, but faults in which the gateway can learn of changes do not count."""
+        return not any(machine in span.machines and span.kind not in NO_EXCUSE
                        and self._strikes(span, start, end) for span in self._spans)
 
     def all_stores(self, start, end):
@@ -151,11 +153,11 @@
 
 def check_in_force(outcomes, versions, connectivity):
     """Connected gateways use no version older than the one acknowledged IN_FORCE before, also when
-    they resume after a pause."""
+    they resume after a pause, or reach other gateways only."""
     row = Row("routes in force in time")
     for entry in outcomes:
         call = entry.call
-        if not connectivity.gateway_except_pauses(call.machine, call.sent, entry.at):
+        if not connectivity.gateway_could_know(call.machine, call.sent, entry.at):
             continue
         held = versions.held(call.sent - IN_FORCE)
         if not connectivity.control_group(call.sent, entry.at, held):
