Gateways confirm the configuration to each other

Callers saw: requests to one or two gateways run by a service that only a replaced configuration names, up to 5.0 s after the newer one was acknowledged, while all other gateways answered right.

Cause: a gateway gets changes and confirmations from control nodes alone. One that finds none that confirms goes on by the routes it holds, for as long as that lasts, although the gateways beside it hold the newer ones, confirmed some hundred milliseconds ago.

In virtual time a gateway that is cut off so has neither the change nor a confirmation after 12 s.

Change: during its search for a control node that confirms, a gateway asks other gateways too, one at a time, once three requests were in vain. One that is confirmed replies with its revision, the age of its confirmation and, if the sender is behind, its configuration. The lease counts from the send time less the age, so that it is never longer than the other's. Refusals of other gateways do not count as hearing from a control node. The wire gets one field; earlier builds do not answer gateways, which is silence as before.

lost_seeds_test "a gateway that is invited but cannot send" cuts the way to the other gateway as well now: it could send there, and was confirmed. Its checks are as before.

--- a/source/cluster/configuration_client.cc
+++ b/source/cluster/configuration_client.cc
@@ -9,6 +9,7 @@
 #include "cluster/control_endpoints.h"
 #include "cluster/control_messages.h"
 #include "cluster/freshness_gate.h"
+#include "cluster/peer_confirmation.h"
 #include "common/event_log.h"
 #include "common/random.h"
 #include "common/scoped_timer.h"
@@ -39,6 +40,10 @@
 /// How often an unconfirmed node logs the outcome of its heartbeats.
 constexpr Duration kUnconfirmedLogInterval = std::chrono::seconds(5);
 
+/// After this many control nodes got a request in vain, each further one goes to another gateway as
+/// well. A gateway that is confirmed replies at once; one that lost the control nodes too refuses.
+constexpr size_t kRequestsBeforePeers = 3;
+
 /// The search interval doubles after this many requests, or after each control node got one.
 constexpr size_t kMaxRequestsPerRound = 13;
 /// Bounds the shift of the search interval, which the heartbeat interval caps anyway.
@@ -51,9 +56,21 @@
 /// Minimum time between two redirects.
 constexpr Duration kMinRedirectInterval = std::chrono::seconds(1);
 
+/// What a heartbeat requests beside a confirmation.
+enum class HeartbeatTarget : uint8_t {
+  /// The control node in use, which pushes changes from then on.
+  kSource,
+  /// Another control node, which must not push: otherwise each one that receives a request during
+  /// a search would push every change for seconds.
+  kOtherControlNode,
+  /// A gateway.
+  kPeer,
+};
+
 struct SentHeartbeat {
   NodeId to;
   TimePoint at;
+  HeartbeatTarget target = HeartbeatTarget::kSource;
 };
 
 /// Outcomes of heartbeats, for the log.
@@ -170,6 +187,7 @@
   }
 
   void Receive(const NodeId& from, const PeerMessage& message) override {
+    if (message.kind == MessageKind::kHeartbeat) AnswerPeer(from, message.payload);
     if (message.kind == MessageKind::kHeartbeatReply) ReceiveReply(from, message.payload);
     if (message.kind == MessageKind::kConfigurationPush) ReceivePush(from, message.payload);
   }
@@ -179,7 +197,7 @@
     LogLeaseChange();
     UpdateIsolation();
     LogUnconfirmed();
-    SendHeartbeat(sources_.current().node, CollectObservations(), false);
+    SendHeartbeat(sources_.current().node, CollectObservations(), HeartbeatTarget::kSource);
     ProbeOwnZoneIfDue();
     const double jitter = 1 + kHeartbeatJitter * (2 * DrawUnit(environment_.Random()) - 1);
     ScheduleHeartbeat(FromSeconds(ToSeconds(timing_.heartbeat) * jitter));
@@ -212,10 +230,32 @@
         search_requests_ == 0 ? sources_.FirstCandidate() : sources_.NextCandidate();
     ++search_requests_;
     last_requested_ = next.node;
-    SendHeartbeat(next.node, {}, true);
+    SendHeartbeat(next.node, {}, HeartbeatTarget::kOtherControlNode);
+    if (search_requests_ > kRequestsBeforePeers) RequestFromPeer();
     search_timer_.Arm(SearchInterval(), [this] { Search(); });
   }
 
+  /// Gateways use other connections than those to the control nodes, and may be reached although
+  /// no control node is.
+  void RequestFromPeer() {
+    if (relay_) return;
+    const NodeRecord* peer =
+        ChooseConfirmingPeer(configuration_, self_.node, environment_.Random());
+    if (peer == nullptr) return;
+    transport_.SetAddress(peer->node, peer->address);
+    SendHeartbeat(peer->node, {}, HeartbeatTarget::kPeer);
+  }
+
+  void AnswerPeer(const NodeId& from, const std::string& payload) {
+    // The control node of this process replies itself.
+    if (self_.control) return;
+    const auto heartbeat = DecodeHeartbeat(payload);
+    if (!heartbeat.ok() || heartbeat->nonce == 0) return;
+    const auto age = LeaseValid() ? ConfirmationAge() : std::nullopt;
+    const NodeHeartbeatReply reply = ConfirmToPeer(*heartbeat, configuration_, age);
+    transport_.Send(from, {MessageKind::kHeartbeatReply, EncodeHeartbeatReply(reply)});
+  }
+
   /// Doubles with each round over the control nodes, so that a fleet without a quorum does not keep
   /// polling all of them.
   Duration SearchInterval() const {
@@ -232,7 +272,7 @@
       next_own_zone_probe_ = now + kOwnZoneProbeInterval;
     } else if (now >= next_own_zone_probe_) {
       next_own_zone_probe_ = now + kOwnZoneProbeInterval;
-      SendHeartbeat(sources_.NextOfOwnZone().node, {}, true);
+      SendHeartbeat(sources_.NextOfOwnZone().node, {}, HeartbeatTarget::kOtherControlNode);
     }
   }
 
@@ -301,10 +341,8 @@
     counts_logged_at_ = now;
   }
 
-  /// `confirmation_only`: `to` is not the control node in use and must not push changes. Otherwise,
-  /// each control node that receives a request during a search would push every change for seconds.
   void SendHeartbeat(const NodeId& to, std::vector<ReportedObservation> observations,
-                     bool confirmation_only) {
+                     HeartbeatTarget target) {
     const TimePoint now = environment_.Now();
     ++counts_.sent;
     NodeHeartbeat heartbeat;
@@ -314,12 +352,12 @@
     heartbeat.sender.feature_level = faults_.no_feature_level ? kFirstLevel : kOwnLevel;
     heartbeat.sender.relays = relay_.has_value();
     if (relay_) heartbeat.sender.replica = *relay_;
-    heartbeat.confirmation_only = confirmation_only;
-    heartbeat.redirect = !confirmation_only && now >= no_redirect_until_;
+    heartbeat.confirmation_only = target != HeartbeatTarget::kSource;
+    heartbeat.redirect = !heartbeat.confirmation_only && now >= no_redirect_until_;
     heartbeat.observations = std::move(observations);
     std::erase_if(unanswered_,
                   [&](const auto& entry) { return now - entry.second.at > timing_.lease; });
-    unanswered_[heartbeat.nonce] = {to, now};
+    unanswered_[heartbeat.nonce] = {to, now, target};
     gate_.OnHeartbeatSent();
     transport_.Send(to, {MessageKind::kHeartbeat, EncodeHeartbeat(heartbeat)});
   }
@@ -349,7 +387,10 @@
     }
     // Does not count as hearing from a control node: the way back may be cut.
     if (reply->nonce == kInvitationNonce) return OnInvited(reply->use);
-    last_message_at_ = environment_.Now();
+    const auto heartbeat = unanswered_.find(reply->nonce);
+    const bool by_peer =
+        heartbeat != unanswered_.end() && heartbeat->second.target == HeartbeatTarget::kPeer;
+    if (!by_peer) last_message_at_ = environment_.Now();
     if (reply->refusal == HeartbeatRefusal::kUseAnother) return FollowRedirect(from, reply->use);
     if (reply->refusal != HeartbeatRefusal::kNone) return OnRefused(from, reply->refusal);
     if (reply->leader != NodeId()) UpdateLeader(reply->leader);
@@ -368,7 +409,7 @@
     if (confirmed_at && LeaseValid()) gate_.OnConfirmed();
   }
 
-  /// Send time of the heartbeat by which the configuration held is confirmed; nullopt if it is not.
+  /// From when on the reply confirms the configuration held; nullopt if it does not.
   std::optional<TimePoint> HandleConfirmation(const NodeHeartbeatReply& reply) {
     const auto found = unanswered_.find(reply.nonce);
     if (found == unanswered_.end()) {
@@ -378,14 +419,16 @@
     ++counts_.confirmed;
     const SentHeartbeat sent = found->second;
     unanswered_.erase(found);
+    const bool by_peer = sent.target == HeartbeatTarget::kPeer;
     if (configuration_.revision < reply.confirmed) {
-      OnBehind(sent.to);
+      if (!by_peer) OnBehind(sent.to);
       return std::nullopt;
     }
     confirmed_by_ = sent.to;
-    OnSourceReplied(sent.to);
-    ExtendLease(sent.at);
-    return sent.at;
+    if (!by_peer) OnSourceReplied(sent.to);
+    const TimePoint confirmed_at = sent.at - reply.confirmation_age;
+    ExtendLease(confirmed_at);
+    return confirmed_at;
   }
 
   /// A control node contacted during a search has a newer configuration: switches to it, so that
@@ -431,7 +474,7 @@
     if (LeaseValid() || search_requests_ == 0 || leader.node == self_.node) return;
     LogEvent(EventId::kInvitationReceived, "node={} leader={}", self_.node, leader.node);
     AddSource(leader);
-    SendHeartbeat(leader.node, {}, true);
+    SendHeartbeat(leader.node, {}, HeartbeatTarget::kOtherControlNode);
   }
 
   /// The heartbeat stays open, since a confirmation may still follow.
--- a/source/cluster/configuration_client.h
+++ b/source/cluster/configuration_client.h
@@ -6,7 +6,8 @@
 /// machines. The lease runs from the send time. An isolated control node cannot confirm, and
 /// replies with a refusal. When the control node in use is unresponsive or refuses, requests go to
 /// the others at short intervals, without waiting for each, and the first that confirms the
-/// configuration is used from then on.
+/// configuration is used from then on. If none of them confirms, gateways are requested as well
+/// (peer_confirmation.h).
 #pragma once
 
 #include <functional>
@@ -60,7 +61,7 @@
   virtual void WhenCurrent(std::function<void()> work) = 0;
   /// How long ago the configuration held was last known to be the newest; nullopt if it never was.
   virtual std::optional<Duration> ConfirmationAge() const = 0;
-  /// The control node that confirmed the configuration last; empty if none did.
+  /// The control node or gateway that confirmed the configuration last; empty if none did.
   virtual NodeId ConfirmedBy() const = 0;
   /// Since when LeaseValid has been true without interruption; nullopt while it is not.
   virtual std::optional<TimePoint> ConfirmedSince() const = 0;
@@ -76,7 +77,7 @@
   virtual void Report(EngineObservation observation) = 0;
   /// Announces that this node is leaving; heartbeats continue until the process ends.
   virtual void SetLeaving() = 0;
-  /// Messages of kinds kHeartbeatReply and kConfigurationPush.
+  /// Messages of kinds kHeartbeat (from other gateways), kHeartbeatReply and kConfigurationPush.
   virtual void Receive(const NodeId& from, const PeerMessage& message) = 0;
 };
 
--- a/source/cluster/control_messages.cc
+++ b/source/cluster/control_messages.cc
@@ -1,5 +1,7 @@
 #include "cluster/control_messages.h"
 
+#include <chrono>
+
 #include "api/generated/control.pb.h"
 #include "cluster/configuration_wire.h"
 #include "cluster/resource_wire.h"
@@ -131,6 +133,8 @@
   wire.confirmed_revision = reply.confirmed.value();
   wire.delta = arena.NewChunkedBytes(reply.delta, &wire.delta_count);
   wire.refusal = static_cast<uint32_t>(reply.refusal);
+  wire.confirmation_age_ms = static_cast<uint32_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(reply.confirmation_age).count());
   if (reply.leader != NodeId()) wire.leader = arena.NewString(reply.leader.value());
   wire.has_use = reply.refusal == HeartbeatRefusal::kUseAnother;
   if (wire.has_use) {
@@ -153,6 +157,7 @@
                            JoinBytes(wire.delta, wire.delta_count),
                            static_cast<HeartbeatRefusal>(wire.refusal)};
   reply.leader = NodeId(ToString(wire.leader));
+  reply.confirmation_age = std::chrono::milliseconds(wire.confirmation_age_ms);
   if (wire.has_use) {
     reply.use = {NodeId(ToString(wire.use.node)), ToString(wire.use.address),
                  Zone(ToString(wire.use.zone))};
--- a/source/cluster/control_messages.h
+++ b/source/cluster/control_messages.h
@@ -76,6 +76,9 @@
   NodeId leader;
   /// Target of the redirect or of the invitation, with kUseAnother.
   ControlEndpoint use;
+  /// How long before the heartbeat was received `confirmed` was known to be the newest. 0 from a
+  /// control node; whole milliseconds, rounded up.
+  Duration confirmation_age{0};
 };
 
 /// Message of kind kCommand.
--- a/test/cluster/lost_seeds_test.cc
+++ b/test/cluster/lost_seeds_test.cc
@@ -73,6 +73,8 @@
   fleet.AwaitLeader();
   fleet.RunFor(seconds(10));
   for (const std::string& seed : kSeeds) fleet.CutLink("g1", seed);
+  // Another gateway would confirm the configuration.
+  fleet.CutLink("g1", "g2");
   fleet.RunFor(seconds(7));
   for (int second = 0; second < 20; ++second) {
     fleet.RunFor(seconds(1));
