Soak: losses of power in a file of their own

Cause: faults.py and acknowledger_faults.py held five kinds of one family.

Change: power_faults.py, moved without a change of what they do.

--- a/test/soak/acknowledger_faults.py
+++ b/test/soak/acknowledger_faults.py
@@ -3,7 +3,7 @@
 import random
 import time
 
-from fault_times import AWAY, CUT_IN_TWO, DOWN, WITHOUT_POWER
+from fault_times import AWAY, CUT_IN_TWO, DOWN
 from history import Acknowledged, now
 
 # How long a fault waits for an acknowledgement, and a returned machine for a change, in seconds.
@@ -73,31 +73,3 @@
         if self._operator is not None:
             for machine in machines:
                 self._operator.replace_at(machine, limit)
-
-    def power_off_acknowledger(self, machines):
-        """The machine that has just acknowledged a change loses power; it gets one as it returns."""
-        cut = self._fleet.power_off(machines)
-        time.sleep(random.uniform(*WITHOUT_POWER))
-        self._fleet.power_on(machines, cut)
-        self._meet(machines)
-
-    def power_off_after_wipe(self, _):
-        """All machines lose power at once after an acknowledgement, those of gateways too; the
-        machine that acknowledged loses its disk."""
-        machine = self._next_acknowledger()
-        everything = self._layout.machines + self._layout.gateways
-        cut = self._fleet.power_off(everything, [machine] if machine is not None else [])
-        time.sleep(random.uniform(0.2, 2 * DOWN))
-        self._fleet.power_on(everything, cut)
-        return f"wiped: {machine}"
-
-    def power_off_stores(self, machines):
-        """All machines with a disk lose power after an acknowledgement, the gateways do not. Of two
-        such losses the machine that acknowledged loses its disk in one."""
-        machine = self._next_acknowledger()
-        wiped = [machine] if machine is not None and random.random() < 0.5 else []
-        cut = self._fleet.power_off(machines, wiped)
-        seconds = random.uniform(*WITHOUT_POWER)
-        time.sleep(seconds)
-        self._fleet.power_on(machines, cut)
-        return f"{seconds:.1f} s, wiped: {wiped}"
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -11,8 +11,9 @@
 from callers import DEADLINE, exchange, new_id
 from claims import Claims
 from documents import HOST
-from fault_times import AWAY, CUT_IN_TWO, DOWN, REPLACED, WITHOUT_POWER
+from fault_times import AWAY, CUT_IN_TWO, DOWN
 from history import SmallCall, Span, Stall, now
+from power_faults import PowerFaults
 from shortage_faults import ShortageFaults
 from stalled_callers import StalledCaller, peak_memory
 
@@ -36,7 +37,7 @@
 SMALL_PAUSE = 0.1
 
 
-class Faults(AcknowledgerFaults, ShortageFaults):
+class Faults(AcknowledgerFaults, PowerFaults, ShortageFaults):
     """Runs faults and records when each was active, and on which machines."""
 
     def __init__(self, fleet, back_ends, history, operator=None, stalls_callers=False,
@@ -207,20 +208,6 @@
         time.sleep(DOWN)
         self._restart(nodes)
 
-    def power_off_without_seeds(self, _):
-        """The machines that all nodes are told of lose their disks one after the other, and return
-        once others have replaced them; then all processes are killed at once."""
-        seeds = self._layout.seeds
-        for seed in seeds:
-            self._fleet.kill(self._nodes([seed]), wipe=True)
-            time.sleep(REPLACED)
-        self._restart(self._nodes(seeds))
-        time.sleep(AWAY)
-        self._fleet.kill(self._fleet.nodes)
-        time.sleep(DOWN)
-        self._restart(random.sample(self._fleet.nodes, len(self._fleet.nodes)))
-        return f"replaced: {list(seeds)}"
-
     def freeze(self, machines):
         """Pauses and resumes a machine's processes."""
         for machine in machines:
@@ -339,14 +326,6 @@
         how(machines)
         return how.__name__
 
-    def power_off(self, machines):
-        """Machines lose power and return after some seconds, with their disks."""
-        cut = self._fleet.power_off(machines)
-        seconds = random.uniform(*WITHOUT_POWER)
-        time.sleep(seconds)
-        self._fleet.power_on(machines, cut)
-        return f"{seconds:.1f} s"
-
     def slow_link(self, machines):
         """Delays all traffic of a machine."""
         for machine in machines:
