--- a/source/ingress/request_log.cc
+++ b/source/ingress/request_log.cc
@@ -18,9 +18,7 @@
 constexpr Duration kSummaryDelay = std::chrono::milliseconds(100);
 
 /// -1 if there was no confirmation.
-int64_t Milliseconds(std::optional<Duration> age) {
-  return age ? std::chrono::duration_cast<std::chrono::milliseconds>(*age).count() : -1;
-}
+int64_t Milliseconds(std::optional<Duration> age) { return age ? ToMilliseconds(*age) : -1; }
 
 std::string FullLine(const RequestRecord& record) {
   const ForwardResult& result = record.result;
@@ -62,13 +60,14 @@
 void RequestLog::Count(const RequestRecord& record) {
   const auto age = record.result.confirmation_age_at_send;
   if (!age) return;
-  if (*age > lease_) unconfirmed_.Add(record.request, record.result.routing_version, *age);
+  const bool unconfirmed = *age > lease_;
+  if (unconfirmed) unconfirmed_.Add(record.request, record.result.routing_version, *age);
   if (stats_ == nullptr) return;
   stats_
       ->NewHistogram({"millstair_confirmation_age_at_send_seconds",
                       "Age of the last confirmation of the configuration as a request was sent."})
       .Observe(ToSeconds(*age));
-  if (*age <= lease_) return;
+  if (!unconfirmed) return;
   stats_
       ->NewCounter({"millstair_requests_unconfirmed_total",
                     "Requests sent by a configuration whose lease had expired."})
--- a/source/ingress/request_log.h
+++ b/source/ingress/request_log.h
@@ -41,15 +41,11 @@
   RequestArrival arrival;
 };
 
-/// Writes one line of the event log.
-using LineWriter = std::function<void(EventId event, std::string_view text)>;
-
 /// Lives on the node's serial executor. Never blocks; the volume of its lines is bounded.
 class RequestLog {
  public:
-  /// `lease`: requests sent by a configuration that was confirmed longer ago are counted and logged
-  /// in sum.
-  /// `stats` may be null.
+  /// `lease`: requests sent by a configuration that was confirmed longer ago are counted, and the
+  /// count is logged. `stats` may be null.
   RequestLog(Environment& environment, Duration lease, StatsRegistry* stats,
              LineWriter write_line = WriteEvent);
   ~RequestLog();
--- a/source/ingress/unconfirmed_requests.cc
+++ b/source/ingress/unconfirmed_requests.cc
@@ -12,10 +12,6 @@
 constexpr Duration kFirstLogDelay = std::chrono::seconds(1);
 constexpr Duration kLogInterval = std::chrono::seconds(10);
 
-int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 }  // namespace
 
 UnconfirmedRequests::UnconfirmedRequests(Environment& environment, LineWriter write_line)
@@ -36,8 +32,8 @@
   write_line_(EventId::kRequestsUnconfirmed,
               fmt::format("requests={} last_ms_ago={} longest_proof_ms={} longest_request={} "
                           "longest_routing={}",
-                          count_, Milliseconds(environment_.Now() - last_at_),
-                          Milliseconds(longest_), longest_request_, longest_version_));
+                          count_, ToMilliseconds(environment_.Now() - last_at_),
+                          ToMilliseconds(longest_), longest_request_, longest_version_));
   timer_.Arm(kLogInterval, [this] { Log(); });
 }
 
--- a/source/ingress/unconfirmed_requests.h
+++ b/source/ingress/unconfirmed_requests.h
@@ -13,11 +13,12 @@
 
 namespace millstair {
 
+/// Writes one line of the event log.
+using LineWriter = std::function<void(EventId event, std::string_view text)>;
+
 /// Lives on the node's serial executor.
 class UnconfirmedRequests {
  public:
-  using LineWriter = std::function<void(EventId event, std::string_view text)>;
-
   UnconfirmedRequests(Environment& environment, LineWriter write_line);
 
   /// `age`: time since the last confirmation of the configuration as `request` was sent.
