Configuration client: one look-up of the heartbeat that a reply answers

Cause: a reply's heartbeat was looked up for its target, and again for its send time.

Change: found once and handed on. Behaviour is as before.

Result: cluster_test passes.

--- a/source/cluster/configuration_client.cc
+++ b/source/cluster/configuration_client.cc
@@ -56,7 +56,7 @@
 /// Minimum time between two redirects.
 constexpr Duration kMinRedirectInterval = std::chrono::seconds(1);
 
-/// What a heartbeat requests beside a confirmation.
+/// Whom a heartbeat is sent to.
 enum class HeartbeatTarget : uint8_t {
   /// The control node in use, which pushes changes from then on.
   kSource,
@@ -71,6 +71,8 @@
   NodeId to;
   TimePoint at;
   HeartbeatTarget target = HeartbeatTarget::kSource;
+
+  bool to_peer() const { return target == HeartbeatTarget::kPeer; }
 };
 
 /// Outcomes of heartbeats, for the log.
@@ -387,10 +389,8 @@
     }
     // Does not count as hearing from a control node: the way back may be cut.
     if (reply->nonce == kInvitationNonce) return OnInvited(reply->use);
-    const auto heartbeat = unanswered_.find(reply->nonce);
-    const bool by_peer =
-        heartbeat != unanswered_.end() && heartbeat->second.target == HeartbeatTarget::kPeer;
-    if (!by_peer) last_message_at_ = environment_.Now();
+    const std::optional<SentHeartbeat> sent = FindUnanswered(reply->nonce);
+    if (!sent || !sent->to_peer()) last_message_at_ = environment_.Now();
     if (reply->refusal == HeartbeatRefusal::kUseAnother) return FollowRedirect(from, reply->use);
     if (reply->refusal != HeartbeatRefusal::kNone) return OnRefused(from, reply->refusal);
     if (reply->leader != NodeId()) UpdateLeader(reply->leader);
@@ -400,7 +400,7 @@
     // Applies changes even if the confirmation expired; otherwise they would be sent again with
     // each heartbeat, to a node that is slow already.
     const bool changed = changes.ok() && ApplyChanges(*changes);
-    const auto confirmed_at = HandleConfirmation(*reply);
+    const auto confirmed_at = HandleConfirmation(*reply, sent);
     if (changed) NotifyListeners(*changes);
     // Callers of a read forward what the listeners recorded, so the listeners run first; otherwise
     // a new revision would be forwarded without its changes.
@@ -409,24 +409,28 @@
     if (confirmed_at && LeaseValid()) gate_.OnConfirmed();
   }
 
-  /// From when on the reply confirms the configuration held; nullopt if it does not.
-  std::optional<TimePoint> HandleConfirmation(const NodeHeartbeatReply& reply) {
-    const auto found = unanswered_.find(reply.nonce);
-    if (found == unanswered_.end()) {
+  std::optional<SentHeartbeat> FindUnanswered(uint64_t nonce) const {
+    const auto found = unanswered_.find(nonce);
+    return found == unanswered_.end() ? std::nullopt : std::optional(found->second);
+  }
+
+  /// From when on the reply to `sent` confirms the configuration held; nullopt if it does not, or
+  /// if the heartbeat has expired.
+  std::optional<TimePoint> HandleConfirmation(const NodeHeartbeatReply& reply,
+                                              const std::optional<SentHeartbeat>& sent) {
+    if (!sent) {
       ++counts_.too_late;
       return std::nullopt;
     }
     ++counts_.confirmed;
-    const SentHeartbeat sent = found->second;
-    unanswered_.erase(found);
-    const bool by_peer = sent.target == HeartbeatTarget::kPeer;
+    unanswered_.erase(reply.nonce);
     if (configuration_.revision < reply.confirmed) {
-      if (!by_peer) OnBehind(sent.to);
+      if (!sent->to_peer()) OnBehind(sent->to);
       return std::nullopt;
     }
-    confirmed_by_ = sent.to;
-    if (!by_peer) OnSourceReplied(sent.to);
-    const TimePoint confirmed_at = sent.at - reply.confirmation_age;
+    confirmed_by_ = sent->to;
+    if (!sent->to_peer()) OnSourceReplied(sent->to);
+    const TimePoint confirmed_at = sent->at - reply.confirmation_age;
     ExtendLease(confirmed_at);
     return confirmed_at;
   }
