Admission: one loop for the time until a back end allows a send

Cause: ArmProcess and UntilNextSend went through the candidates alike.

Change: UntilAnyAllows serves both. Without a back end the queue is looked at after the usual interval, as before.

Result: ingress_test passes.

--- a/source/ingress/service_admission.cc
+++ b/source/ingress/service_admission.cc
@@ -302,15 +302,19 @@
   return FromSeconds(behind * drain / left);
 }
 
-Duration ServiceAdmission::UntilNextSend() const {
-  // Asked for each request; the list of the candidates takes longer.
-  if (!limits_.AnyLimited()) return Duration(0);
+std::optional<Duration> ServiceAdmission::UntilAnyAllows() const {
   std::optional<Duration> next;
   for (const BackendCandidate& candidate : directory_.Candidates(service_, {})) {
     const Duration wait = limits_.Of(candidate.record->id).UntilAllowed(environment_.Now());
     next = std::min(next.value_or(wait), wait);
   }
-  return next.value_or(Duration(0));
+  return next;
+}
+
+Duration ServiceAdmission::UntilNextSend() const {
+  // Asked for each request; the list of the candidates takes longer.
+  if (!limits_.AnyLimited()) return Duration(0);
+  return UntilAnyAllows().value_or(Duration(0));
 }
 
 Duration ServiceAdmission::ExpectedDrain(const std::string& tenant,
@@ -466,11 +470,7 @@
   Duration wait = kProcessInterval;
   // A request that waits for a spare send is looked at again after the usual interval.
   const bool spare = SendsFor(queue_.Get(*queue_.Next())) == Sends::kSpare;
-  if (!spare) {
-    for (const BackendCandidate& candidate : directory_.Candidates(service_, {})) {
-      wait = std::min(wait, limits_.Of(candidate.record->id).UntilAllowed(environment_.Now()));
-    }
-  }
+  if (!spare) wait = std::min(wait, UntilAnyAllows().value_or(wait));
   process_timer_.Arm(std::max(wait, kMinProcessInterval), [this] { Process(); });
 }
 
--- a/source/ingress/service_admission.h
+++ b/source/ingress/service_admission.h
@@ -184,7 +184,9 @@
   double LateDrainPerSecond(const std::string& tenant) const;
   /// Time until a request of a tenant with `ahead` requests before it may be sent.
   Duration ExpectedWait(const std::string& tenant, size_t ahead) const;
-  /// Time until the limit of any back end allows a send.
+  /// Time until the limit of any back end allows a send; nullopt without a back end.
+  std::optional<Duration> UntilAnyAllows() const;
+  /// The same, 0 without a back end.
   Duration UntilNextSend() const;
   /// Time until a late request at `place` has been sent.
   Duration ExpectedLateWait(const std::string& tenant, const FairQueue::Place& place) const;
