Soak: cuts and losses of power without copies

Cause: cut_from_stores, power_off_acknowledger and power_off_stores repeated the steps of cut and power_off, and Fleet.power_off chose links that Fleet._of knows.

Change: they call the simpler fault. Links within a machine stay as they are while it is without power: both of their ends are gone.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -281,16 +281,17 @@
 
     def cut(self, machines):
         """Isolates a machine from all others; connections stay open."""
-        pairs = self._fleet.cut(machines)
+        self._cut_off(machines)
+
+    def _cut_off(self, machines, others=None):
+        cut = self._fleet.cut(machines, others)
         time.sleep(random.uniform(0.5, 3) * AWAY)
-        self._fleet.heal(pairs)
+        self._fleet.heal(cut)
 
     def cut_from_stores(self, machines):
         """Isolates gateways from all machines with a disk; they still reach each other and the other
         gateways."""
-        cut = self._fleet.cut(machines, self._layout.machines)
-        time.sleep(random.uniform(0.5, 3) * AWAY)
-        self._fleet.heal(cut)
+        self._cut_off(machines, self._layout.machines)
 
     def cut_one_way(self, machines):
         """Drops all traffic from a machine, or all traffic to it; connections stay open."""
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -322,9 +322,7 @@
     def power_off(self, machines, wipe=()):
         """Ends all processes of machines without a word to the others, which meet silence from then
         on; `wipe`: those that lose their data. Returns the cut for `power_on`."""
-        struck = set(machines)
-        cut = self._cut({pair: BOTH for pair, ends in self._pairs.items()
-                         if struck & {end.machine for end in ends}})
+        cut = self._cut({pair: BOTH for machine in machines for pair in self._of(machine)})
         self.kill([node for machine in machines for node in self.on_machine(machine)])
         for machine in wipe:
             self.wipe(self.on_machine(machine))
--- a/test/soak/power_faults.py
+++ b/test/soak/power_faults.py
@@ -9,9 +9,9 @@
 class PowerFaults:
     """Part of `Faults`, which provides the members that this class uses."""
 
-    def power_off(self, machines):
-        """Machines lose power and return after some seconds, with their disks."""
-        cut = self._fleet.power_off(machines)
+    def power_off(self, machines, wipe=()):
+        """Machines lose power and return after some seconds, with their disks except for `wipe`."""
+        cut = self._fleet.power_off(machines, wipe)
         seconds = random.uniform(*WITHOUT_POWER)
         time.sleep(seconds)
         self._fleet.power_on(machines, cut)
@@ -19,9 +19,7 @@
 
     def power_off_acknowledger(self, machines):
         """The machine that has just acknowledged a change loses power; it gets one as it returns."""
-        cut = self._fleet.power_off(machines)
-        time.sleep(random.uniform(*WITHOUT_POWER))
-        self._fleet.power_on(machines, cut)
+        self.power_off(machines)
         self._meet(machines)
 
     def power_off_after_wipe(self, _):
@@ -39,11 +37,7 @@
         of the cases the machine that acknowledged loses its disk."""
         machine = self._next_acknowledger()
         wiped = [machine] if machine is not None and random.random() < 0.5 else []
-        cut = self._fleet.power_off(machines, wiped)
-        seconds = random.uniform(*WITHOUT_POWER)
-        time.sleep(seconds)
-        self._fleet.power_on(machines, cut)
-        return f"{seconds:.1f} s, wiped: {wiped}"
+        return f"{self.power_off(machines, wiped)}, wiped: {wiped}"
 
     def power_off_without_seeds(self, _):
         """The machines that all nodes are told of lose their disks one after the other, and return
