--- a/review/3/run.py
+++ b/review/3/run.py
@@ -13,12 +13,11 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
 
-from fleet import Fleet, Operator, Record  # noqa: E402
+from fleet import BROKEN, HELD, NOT_RUN, Operator, run_case  # noqa: E402
 from servers import PlainHandler, Server, stamp_of  # noqa: E402
 from trainer import HOST, new_id  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-BROKEN, HELD, NOT_RUN = 1, 0, 2
 # Seconds of traffic; the faulty server spoils answers for SPELL of each SPELL + CALM seconds.
 TRAFFIC, SPELL, CALM = 60.0, 5.0, 2.0
 # Share of the faulty server's answers that it sends twice, and how late the second copy is.
@@ -188,7 +187,7 @@
         time.sleep(0.1)
     time.sleep(1.5)
     until = time.monotonic() + TRAFFIC
-    clients = [threading.Thread(target=book, args=(fleet, history, until)) for _ in range(CLIENTS)]
+    clients = [threading.Thread(target=book, args=(fleet, history, until), daemon=True) for _ in range(CLIENTS)]
     for client in clients:
         client.start()
     for client in clients:
@@ -199,17 +198,5 @@
     return judge(record, history)
 
 
-def main():
-    """Runs the case."""
-    record = Record(os.path.join(FOLDER, "record.txt"))
-    fleet = Fleet(record)
-    try:
-        code = play(fleet, record)
-        record.add(f"exit {code}")
-        return code
-    finally:
-        fleet.end()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(play, FOLDER)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -243,3 +244,25 @@
                 self._fleet.record.add(f"operator POST {path} at machine {machine}: {error}")
             time.sleep(0.1)
         return 0
+
+
+# Exit codes of a script, and its limit in seconds.
+BROKEN, HELD, NOT_RUN = 1, 0, 2
+LIMIT = 118
+
+
+def run_case(play, folder, **options):
+    """Runs `play(fleet, record)`, which gives the exit code, and exits with it; ends every process also
+    when the script is stopped or takes too long. The record goes into `folder`."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, lambda *_: sys.exit(NOT_RUN))
+    signal.alarm(LIMIT)
+    record = Record(os.path.join(folder, "record.txt"))
+    fleet = Fleet(record, **options)
+    try:
+        code = play(fleet, record)
+        record.add(f"exit {code}")
+    finally:
+        signal.alarm(0)
+        fleet.end()
+    sys.exit(code)
