--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -4,6 +4,8 @@
 import http.server
 import json
 import random
+import socket
+import struct
 import threading
 import time
 
@@ -28,6 +30,7 @@
         self.versions = {model: 1 for model in models}
         self.orders, self.busy_until = 0, 0.0
         self.state, self.stopped = "ready", False
+        self.connections = set()
         self.free = threading.Semaphore(slots)
         handler = type("Handler", (self.handler(),), {"own": self})
         self._http = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
@@ -65,11 +68,18 @@
                     continue
             time.sleep(HEARTBEAT)
 
-    def stop(self):
-        """Ends it."""
+    def crash(self):
+        """Ends for good without a word: its connections are reset, its port is closed."""
         self.stopped = True
+        self.record.add(f"crash of {self.instance}")
         self._http.shutdown()
         self._http.server_close()
+        for connection in list(self.connections):
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RD)
+            except OSError:
+                pass  # already closed
 
 
 class Handler(http.server.BaseHTTPRequestHandler):
@@ -81,6 +91,21 @@
     def log_message(self, format, *args):  # pylint: disable=redefined-builtin
         """Runs are recorded instead."""
 
+    def setup(self):
+        """Keeps the connection, so that a crash ends it."""
+        super().setup()
+        self.own.connections.add(self.connection)
+
+    def finish(self):
+        """Ends the connection."""
+        self.own.connections.discard(self.connection)
+        if self.own.stopped:
+            return self.connection.close()
+        try:
+            return super().finish()
+        except (OSError, ValueError):
+            return None
+
     def answer(self, status, body=b"", headers=None):
         """Sends a whole answer with its length."""
         self.send_response(status)
@@ -186,6 +211,9 @@
             self.close_connection = True
             for number in range(first, int(body) + 1):
                 time.sleep(own.work)
+                if own.stopped:
+                    self.close_connection = True
+                    return self.connection.close()
                 change = ""
                 if own.versions[self.headers["Model"]] != version:
                     version = own.versions[self.headers["Model"]]
