--- a/review/3/run.py
+++ b/review/3/run.py
@@ -155,6 +155,10 @@
             fleet.record.add(f"client {request}: {status}")
             if status not in NOT_RUN_STATUSES:
                 break
+            # A retry comes on a new connection, after Retry-After.
+            connection.close()
+            connection = None
+            time.sleep(min(float(answer.headers.get("Retry-After", 0)), DEADLINE_MS / 3000))
         time.sleep(random.uniform(0.0, 0.05))
 
 
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -251,12 +251,12 @@
 LIMIT = 118
 
 
-def run_case(play, folder, **options):
+def run_case(play, folder, limit=LIMIT, **options):
     """Runs `play(fleet, record)`, which gives the exit code, and exits with it; ends every process also
-    when the script is stopped or takes too long. The record goes into `folder`."""
+    when the script is stopped or takes longer than `limit` seconds. The record goes into `folder`."""
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
         signal.signal(number, lambda *_: sys.exit(NOT_RUN))
-    signal.alarm(LIMIT)
+    signal.alarm(limit)
     record = Record(os.path.join(folder, "record.txt"))
     fleet = Fleet(record, **options)
     try:
