Review case 3: two engines lost for good while they load weights end all loading

Cause: LoadScheduler ends a load only in HandleReport. An engine that is lost while it loads sends no report and stays in the list of instances, so that it counts against MaxLoads for as long as the job group keeps its leader. Two of eight engines lost in this way leave no load to any other.

--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,11 +1,9 @@
-"""Case 3: a late second copy of a refusal is taken for the answer to the next send of the same request,
-which runs twice although it must not be repeated, or is answered as not run although it ran."""
+"""Case 3: two engines, one after the other, are lost for good while they load weights; from then on no
+weights are loaded any more."""
 
-import collections
-import http.client
+import math
 import os
-import random
-import socket
+import re
 import sys
 import threading
 import time
@@ -14,192 +12,151 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
 
 from fleet import BROKEN, HELD, NOT_RUN, Operator, run_case  # noqa: E402
-from servers import PlainHandler, Server, stamp_of  # noqa: E402
-from trainer import HOST, new_id  # noqa: E402
+from servers import Server  # noqa: E402
+from trainer import HOST, Job, item  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# Seconds of traffic; the faulty server spoils answers for SPELL of each SPELL + CALM seconds.
-TRAFFIC, SPELL, CALM = 60.0, 5.0, 2.0
-# Share of the faulty server's answers that it sends twice, and how late the second copy is.
-EXTRA_SHARE, EXTRA_LATE = 0.03, (0.02, 0.12)
-SERVERS, SLOTS, QUEUE, WORK = 2, 4, 2, (0.04, 0.12)
-CLIENTS, DEADLINE_MS = 18, 800
-NOT_RUN_STATUSES = (408, 421, 429, 503)
-PREFIX = "/book/"
+MODEL = "writer"
+ENGINES, SLOTS, EVENT_TIME = 8, 8, 0.03
+GROUPS, GROUP_SIZE, WANTED = 29, 4, 0.9
+# When results are due, how long a trainer reads on, and when it asks again after naming a version.
+DEADLINE, SLACK, PAUSE = 7.5, 0.7, 5.0
+SHORT, LONG = 8, 40  # events of a text
+VERSIONS = 4  # named before the step that fails
+# The versions under whose loads an engine is lost, the second that takes the order.
+LOST_AT, LOST, LOST_AFTER = (3, 4), 2, 0.3
+LYING, NAMED_BEFORE = 5.0, 6.0  # seconds, from the rule
 
 CONFIGURATION = {
     "version": 1,
-    "routes": [{"name": "r-book", "host": HOST, "path_prefix": PREFIX, "kind": "unsafe",
-                "timeout_ms": 800, "target_ms": 150, "priority": 2, "service": "booking",
-                "attempts": 4}],
-    "services": [{"name": "booking", "health_path": "/healthz", "max_conns": 100, "protocol": "h1",
-                  "tls": False}],
+    "routes": [{"name": "r-jobs", "host": HOST, "path_prefix": "/jobs/", "kind": "rollout",
+                "target_ms": 400, "priority": 1, "service": "engines", "attempts": 3,
+                "deadline_ms": int(DEADLINE * 1000), "queue_ttl_s": 40, "resumable": True,
+                "sticky": True}],
+    "services": [{"name": "engines", "health_path": "/healthz", "max_conns": 150, "protocol": "h1",
+                  "tls": False, "engine": {"slots": SLOTS, "kv_capacity": 103490,
+                                           "kv_token_bytes": 18432, "stride": 45,
+                                           "models": [{"name": MODEL}]}}],
     "limits": {"max_header_bytes": 16384, "max_body_bytes": 33554432, "header_timeout_ms": 3000,
                "idle_timeout_ms": 15000}}
 
 
-class History:
-    """What clients and servers saw, by request."""
+class Losses:
+    """Ends an engine for good while it loads a version, at two versions."""
 
     def __init__(self):
-        self.lock = threading.Lock()
-        self.runs = collections.defaultdict(list)
-        self.answers = {}
-
-
-class BookingHandler(PlainHandler):
-    """A booking; a refusal when all places are taken. Sends some answers a second time."""
-
-    def setup(self):
-        super().setup()
-        self.writing = threading.Lock()
-
-    def answer(self, status, body=b"", headers=None):
-        request = self.headers.get("Request-Id")
-        head = f"HTTP/1.1 {status} {http.client.responses[status]}\r\nContent-Length: {len(body)}\r\n"
-        for name, value in {**({"Request-Id": request} if request else {}), **(headers or {})}.items():
-            head += f"{name}: {value}\r\n"
-        answer = (head + "\r\n").encode() + body
-        with self.writing:
-            self.wfile.write(answer)
-            self.wfile.flush()
-        if request and self.own.is_faulty() and random.random() < EXTRA_SHARE:
-            delay = random.uniform(*EXTRA_LATE)
-            threading.Timer(delay, self.send_again, (answer, request, status)).start()
-
-    def send_again(self, answer, request, status):
-        """The second copy, in the place where the next answer is expected."""
-        try:
-            with self.writing:
-                self.connection.sendall(answer)
-            self.own.record.add(f"second copy of {status} for {request} from {self.own.instance}")
-        except OSError:
-            pass  # the connection has ended
-
-    def caller_left(self):
-        """Whether the connection was closed while the request waited in the queue."""
-        try:
-            return self.connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-
-    def serve(self, body):
-        own, request = self.own, self.headers.get("Request-Id")
-        if not own.take_place(int(self.headers.get("Deadline-Ms", DEADLINE_MS)) / 1000):
-            own.record.add(f"refused {request} at {own.instance}")
-            return self.answer(503, b"", {"Not-Run": "1"})
-        try:
-            if self.caller_left():
-                self.close_connection = True
-                return own.record.add(f"dropped {request} at {own.instance}: the caller left")
-            own.record.add(f"run {request} at {own.instance}")
-            with own.history.lock:
-                own.history.runs[request].append(own.instance)
-            time.sleep(random.uniform(*WORK))
-            return self.answer(200, request.encode(), {"Stamp": stamp_of(own.instance, request)})
-        finally:
-            own.free.release()
-
-
-class BookingServer(Server):
-    """Faulty in spells, if it is."""
-
-    def __init__(self, fleet, history, zone, faulty):
-        self.history, self._faulty, self._began = history, faulty, time.monotonic()
-        self._queue = threading.Semaphore(QUEUE)
-        super().__init__(fleet, "booking", zone, SLOTS)
-
-    def handler(self):
-        return BookingHandler
-
-    def take_place(self, deadline):
-        """Takes a slot, or waits for one in the queue; false if that is full or the time is over."""
-        if self.free.acquire(blocking=False):
-            return True
-        if not self._queue.acquire(blocking=False):
-            return False
-        try:
-            return self.free.acquire(timeout=deadline)
-        finally:
-            self._queue.release()
-
-    def is_faulty(self):
-        """Whether it spoils answers now."""
-        return self._faulty and (time.monotonic() - self._began) % (SPELL + CALM) < SPELL
-
-
-def book(fleet, history, until):
-    """A client: keeps its connection; a booking that wasn't run is tried once more under a new id."""
-    connection = None
-    while time.monotonic() < until:
-        for _ in range(2):
-            request = new_id()
-            status = 0
-            try:
-                if connection is None:
-                    machine = random.choice(fleet.gateways)
-                    connection = http.client.HTTPConnection(*fleet.address(machine), timeout=2.0)
-                connection.request("POST", PREFIX + "drop", b"one truck",
-                                   {"Host": HOST, "Request-Id": request,
-                                    "Deadline-Ms": str(DEADLINE_MS)})
-                answer = connection.getresponse()
-                answer.read()
-                status = answer.status
-            except (OSError, http.client.HTTPException, socket.timeout):
-                connection.close()
-                connection = None
-            with history.lock:
-                history.answers[request] = status
-            fleet.record.add(f"client {request}: {status}")
-            if status not in NOT_RUN_STATUSES:
-                break
-            # A retry comes on a new connection, after Retry-After.
-            connection.close()
-            connection = None
-            time.sleep(min(float(answer.headers.get("Retry-After", 0)), DEADLINE_MS / 3000))
-        time.sleep(random.uniform(0.0, 0.05))
-
-
-def judge(record, history):
-    """The exit code."""
-    twice = [r for r, runs in history.runs.items() if len(runs) > 1]
-    refused = [r for r, runs in history.runs.items()
-               if history.answers.get(r) in NOT_RUN_STATUSES]
-    record.add(f"{len(history.answers)} bookings, {len(history.runs)} run; run more than once: "
-               f"{len(twice)}; run and answered as not run: {len(refused)}")
-    for request in twice:
-        record.add(f"TWICE {request} ran at {history.runs[request]}, answered {history.answers.get(request)}")
-    for request in refused:
-        record.add(f"REFUSED {request} ran, answered {history.answers.get(request)}")
-    if twice or refused:
-        return BROKEN
-    return HELD if len(history.runs) > 100 else NOT_RUN
+        self._lock = threading.Lock()
+        self._orders = dict.fromkeys(LOST_AT, 0)
+        self.lost = []
+
+    def on_order(self, engine, version):
+        """An engine took an order."""
+        if not TROUBLE or version not in LOST_AT:
+            return
+        with self._lock:
+            self._orders[version] += 1
+            if self._orders[version] != LOST:
+                return
+            self.lost.append(engine)
+        threading.Timer(LOST_AFTER, engine.crash).start()
+
+
+class Trainer:
+    """Step k is asked once version k is named, and allows k - 1 and newer."""
+
+    def __init__(self, fleet, operator):
+        self._fleet, self._operator = fleet, operator
+        self.version = 1
+        self.named_at = 0.0
+
+    def ask(self, events):
+        """A step: its job, and when the trainer gave up or had read enough."""
+        items = [item(f"/jobs/{self.version}/{group}-{i}", events, MODEL, f"g{self.version}-{group}")
+                 for group in range(GROUPS) for i in range(GROUP_SIZE)]
+        job = Job(self._fleet, "/jobs/", items, step=self.version, model=MODEL,
+                  min_version=max(1, self.version - 1), desired=math.ceil(WANTED * GROUPS))
+        if not job.submit():
+            return None, 0.0
+        job.read(job.first_sent + DEADLINE + SLACK - time.monotonic())
+        over = time.monotonic()
+        done = sum(result["state"] == "done" for result in job.results)
+        self._fleet.record.add(f"step {self.version} (min_version {max(1, self.version - 1)}): {done} of "
+                               f"{len(items)} items done after {over - job.first_sent:.1f} s")
+        job.end()
+        return job, over
+
+    def train(self):
+        """Trains, names the next version, and waits until the next step is due."""
+        time.sleep(0.5)
+        self.version += 1
+        named = self._operator.post("/v1/version-put", {"model": MODEL, "version": self.version}) == 200
+        self.named_at = time.monotonic()
+        time.sleep(PAUSE)
+        return named
+
+
+def lying_items(record, fleet, job, over, named_at, live):
+    """The items of a step that ran out of time to which the rule applies; none if it excuses them."""
+    runs, offers = set(), set()
+    with open(os.path.join(FOLDER, "record.txt"), encoding="utf-8") as file:
+        for line in file:
+            offer = re.match(r" *[\d.]+ (run|refused) (\w+) ", line)
+            if offer:
+                offers.add(offer[2])
+                if offer[1] == "run":
+                    runs.add(offer[2])
+    ids = [one["id"] for one in job.items]
+    due = job.first_sent + DEADLINE
+    waited = due - job.accepted
+    named_before = due - LYING - named_at
+    lying = [one for one in ids if one not in offers]
+    begun = sum(one in runs for one in ids)
+    # Each engine that may run the step's items holds SLOTS of them; all others are idle.
+    busiest = min(begun, len({e.instance for e in live if e.versions[MODEL] >= job.min_version}) * SLOTS)
+    half = len(live) * SLOTS / 2
+    record.add(f"{len(lying)} items were at no server from the 202 until they were due {waited:.1f} s later, "
+               f"{begun} had begun; at most {busiest} of {len(live) * SLOTS} slots were taken; the last version "
+               f"was named {named_before:.1f} s before the last {LYING} s of the step; processes ended: "
+               f"{len(fleet.ended())}")
+    excused = (waited < LYING or begun == 0 or busiest >= half or named_before < NAMED_BEFORE)
+    return [] if excused else lying
 
 
 def play(fleet, record):
     """The exit code."""
     fleet.start()
-    if Operator(fleet).post("/v1/Config.Replace", CONFIGURATION) != 200:
+    operator = Operator(fleet)
+    if operator.post("/v1/Config.Replace", CONFIGURATION) != 200:
+        return NOT_RUN
+    losses = Losses()
+    engines = []
+    for number in range(ENGINES):
+        engines.append(Server(fleet, "engines", f"zone-{'abc'[number % 3]}", SLOTS, EVENT_TIME, (MODEL,)))
+        engines[-1].on_order = losses.on_order
+    time.sleep(4.0)
+    trainer = Trainer(fleet, operator)
+    for version in range(1, VERSIONS + 1):
+        if trainer.version != version:
+            return NOT_RUN
+        job, _ = trainer.ask(SHORT)
+        if job is None or not trainer.train():
+            return NOT_RUN
+    if TROUBLE and len(losses.lost) != len(LOST_AT):
         return NOT_RUN
-    history = History()
-    for number in range(SERVERS):
-        BookingServer(fleet, history, ("zone-a", "zone-b")[number % 2], TROUBLE and number == 0)
-    until = time.monotonic() + 10
-    while not all(fleet.ready(m) for m in fleet.gateways) and time.monotonic() < until:
-        time.sleep(0.1)
-    time.sleep(1.5)
-    until = time.monotonic() + TRAFFIC
-    clients = [threading.Thread(target=book, args=(fleet, history, until), daemon=True) for _ in range(CLIENTS)]
-    for client in clients:
-        client.start()
-    for client in clients:
-        client.join()
-    time.sleep(0.5)
-    if fleet.ended():
+    live = [engine for engine in engines if not engine.stopped]
+    record.add(f"versions held: {sorted(engine.versions[MODEL] for engine in live)}")
+    job, over = trainer.ask(LONG)
+    if job is None:
         return NOT_RUN
-    return judge(record, history)
+    job.min_version = trainer.version - 1
+    lying = lying_items(record, fleet, job, over, trainer.named_at, live)
+    named = trainer.train()
+    later, _ = trainer.ask(SHORT)
+    if fleet.ended() or not named or later is None:
+        return NOT_RUN
+    if lying:
+        return BROKEN
+    return HELD if len(later.results) == len(later.items) else NOT_RUN
 
 
 if __name__ == "__main__":
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")"
 export PYTHONPYCACHEPREFIX="${TMPDIR:-/tmp}/millstair-review-pycache"
-python3 -m py_compile standins/*.py [0-9]*/*.py
+python3 -m py_compile standins/*.py [0-9]*/*.py tried/*.py tried/*/*.py
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -31,6 +31,8 @@
         self.orders, self.busy_until = 0, 0.0
         self.state, self.stopped = "ready", False
         self.connections = set()
+        # Called when an order was accepted, with the server and the version.
+        self.on_order = lambda server, version: None
         self.free = threading.Semaphore(slots)
         handler = type("Handler", (self.handler(),), {"own": self})
         self._http = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
@@ -163,10 +165,13 @@
 
         def load():
             time.sleep(LOAD_TIME)
+            if own.stopped:
+                return
             own.versions[order["model"]] = order["version"]
 
         threading.Thread(target=load, daemon=True).start()
-        return self.answer(202)
+        self.answer(202)
+        return own.on_order(own, order["version"])
 
     def serve(self, body):
         """Runs a request."""
@@ -196,6 +201,7 @@
         own, request = self.own, self.headers.get("Request-Id")
         loading = time.monotonic() < own.busy_until
         if loading or not own.free.acquire(timeout=0.2):
+            own.record.add(f"refused {request} {self.path} at {own.instance}")
             return self.answer(503, b"", {"Not-Run": "1"})
         try:
             first = int(self.headers.get("Last-Event-Id", 0)) + 1
--- a/review/standins/trainer.py
+++ b/review/standins/trainer.py
@@ -33,7 +33,7 @@
         self._fleet, self._record = fleet, fleet.record
         self.id, self._prefix, self.items = new_id(), prefix, items
         self._body = json.dumps({**fields, "requests": items})
-        self.first_sent = None
+        self.first_sent = self.accepted = None
         self.results = []
         self.read_at = []
 
@@ -57,6 +57,7 @@
                                    {"Request-Id": self.id, "Content-Type": "application/json"})
             self._record.add(f"job {self.id} with {len(self.items)} items handed in: {status}")
             if status == 202:
+                self.accepted = time.monotonic()
                 return True
             time.sleep(0.2)
         return False
