--- a/review/tried/long_quiet.py
+++ b/review/tried/long_quiet.py
@@ -1,4 +1,4 @@
-"""After a quiet time of 215 s a job is forgotten as soon as it has ended, and a resend of it runs again.
+"""After a quiet time of 215 s a job is forgotten as soon as it has ended, not `status_s` later.
 No case: it takes longer than a case may."""
 
 import importlib.util
