--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -157,7 +157,7 @@
             fields["listen"] = {"control": f"{node.ip}:{self.base}"}
         with open(os.path.join(ROOT, self._roles[node.role]["template"]), encoding="utf-8") as file:
             text = fill(file.read(), [fields])
-        # All machines share one 127.0.0.1 here.
+        # All machines share the loopback interface here, so that ports differ by role.
         port = self.base + (3 if node.role == "storage" else 2)
         return re.sub(r'(http:\n  listen: )"[^"]*"', rf'\1"{node.ip}:{port}"', text)
 
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -11,6 +11,8 @@
 
 from fleet import call
 
+LOOPBACK = socket.inet_ntoa(struct.pack("!I", socket.INADDR_LOOPBACK))
+
 HEARTBEAT = 1.2
 LOAD_TIME = 0.9
 
@@ -35,10 +37,10 @@
         self.on_order = lambda server, version: None
         self.free = threading.Semaphore(slots)
         handler = type("Handler", (self.handler(),), {"own": self})
-        self._http = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
+        self._http = http.server.ThreadingHTTPServer((LOOPBACK, 0), handler)
         self._http.daemon_threads = True
         self._http.handle_error = lambda request, address: None
-        self.address = f"127.0.0.1:{self._http.server_address[1]}"
+        self.address = f"{LOOPBACK}:{self._http.server_address[1]}"
         self._sequence = 0
         threading.Thread(target=self._http.serve_forever, daemon=True).start()
         threading.Thread(target=self._beat, daemon=True).start()
