Weights: a load ends also without a report of its end

What callers saw: after two of eight engines were lost for good while they loaded weights, no engine was ordered to load any more.

Cause: LoadScheduler ended a load only with a report that showed the version, or with one that came more than 8 s after the order. An engine that is gone sends no report, one that is stuck reports that it is busy, and one that is broken answers with errors. Each counted against the limit of concurrent loads for as long as the job group kept its leader.

Evidence: in the log of the leader the two LoadOrdered of the lost engines have no LoadAnswered; after the first one load is in progress at a time in place of two, after the second none.

Change: the leader requests a report also from engines that fail items or did not respond, and counts one without a response for 2 s as lost: its load ends, and it holds no place among the loads. A load of an engine that stays busy no longer counts after 8 s, and one whose engine reports nothing usable is given up. Reports beyond loads are requested once a second of engines that respond, and less often the longer an engine does not.

--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -280,6 +280,7 @@
            work.job, record.spec.items[work.index].id, engine.id, work.progress.events,
            loads_.VersionOf(engine.id, record.spec.model), record.spec.min_version);
   work.run->SetGapListener([this](const InstanceId& instance, Duration gap) {
+    loads_.OnResponse(instance);
     if (!loads_.LoadingAny(instance)) speeds_.RecordInterval(instance, gap, environment_.Now());
   });
   work.run->Start(http_, engine, RequestFor(work, record, route, engine.id));
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -23,6 +23,8 @@
 constexpr Duration kPollInterval = std::chrono::milliseconds(50);
 /// A load that takes longer was not accepted, or the engine is stuck.
 constexpr Duration kMaxLoadTime = std::chrono::seconds(8);
+/// The same for overdue loads.
+constexpr Duration kOverduePollInterval = std::chrono::milliseconds(500);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1500);
 /// Time after which a request sent to an engine is assumed to have started. An engine refuses
 /// requests that have not started when it receives an order.
@@ -126,6 +128,72 @@
   AssignModels();
 }
 
+EngineStanding LoadScheduler::StandingOf(const EngineLoadState& engine) const {
+  const TimePoint now = environment_.Now();
+  if (engine.reachability.IsLost(now)) return EngineStanding::kLost;
+  const bool overdue = engine.loading && engine.busy && now - engine.loading_since > kMaxLoadTime;
+  return overdue ? EngineStanding::kLoadOverdue : EngineStanding::kUsable;
+}
+
+void LoadScheduler::UpdateStandings() {
+  bool changed = false;
+  for (auto& [instance, engine] : engines_) {
+    const EngineStanding standing = StandingOf(engine);
+    if (standing == std::exchange(engine.standing, standing)) continue;
+    changed = true;
+    LogStanding(instance, engine);
+  }
+  GiveUpLoads();
+  if (!changed) return;
+  RefreshEngines();
+  if (on_ready_) on_ready_();
+}
+
+void LoadScheduler::LogStanding(const InstanceId& instance, const EngineLoadState& engine) const {
+  const TimePoint now = environment_.Now();
+  switch (engine.standing) {
+    case EngineStanding::kUsable:
+      LogEvent(EventId::kEngineUsable, "instance={} model={}", instance, engine.assigned);
+      return;
+    case EngineStanding::kLost:
+      LogEvent(EventId::kEngineLost, "instance={} model={} loading={} unanswered_ms={}", instance,
+               engine.assigned, engine.loading.has_value(),
+               ToMilliseconds(now - *engine.reachability.unanswered_since()));
+      return;
+    case EngineStanding::kLoadOverdue:
+      LogEvent(EventId::kLoadOverdue, "instance={} model={} version={} loading_ms={}", instance,
+               engine.loading->model, engine.loading->version,
+               ToMilliseconds(now - engine.loading_since));
+      return;
+  }
+}
+
+void LoadScheduler::GiveUpLoads() {
+  const TimePoint now = environment_.Now();
+  std::vector<InstanceId> given_up;
+  for (const auto& [instance, engine] : engines_) {
+    if (!engine.loading) continue;
+    // A report that arrives in time decides whether the load is done.
+    const bool unreported =
+        !engine.busy && now - engine.loading_since > kMaxLoadTime + kCallTimeout;
+    if (unreported || engine.standing == EngineStanding::kLost) given_up.push_back(instance);
+  }
+  for (const InstanceId& instance : given_up) {
+    // The listener of an earlier one may have refreshed the engines.
+    if (LoadingAny(instance)) EndLoad(instance, false);
+  }
+}
+
+bool LoadScheduler::IsCheckDue(const InstanceId& instance, const EngineLoadState& engine) const {
+  if (environment_.Now() < engine.reachability.next_check_at()) return false;
+  return !engine.reachability.Responds() || directory_.Ejected(instance);
+}
+
+size_t LoadScheduler::CountUsable() const {
+  return static_cast<size_t>(std::count_if(
+      engines_.begin(), engines_.end(), [](const auto& entry) { return entry.second.IsUsable(); }));
+}
+
 void LoadScheduler::OnJobSubmitted(const ModelName& model, double work, WeightVersion min_version) {
   ModelDemand& demand = demand_[model];
   demand.work = demand.work > 0 ? demand.work + kWorkSmoothing * (work - demand.work) : work;
@@ -246,11 +314,13 @@
 
 void LoadScheduler::Tick() {
   timer_.Arm(kTick, [this] { Tick(); });
+  UpdateStandings();
   const TimePoint now = environment_.Now();
   for (auto& [instance, engine] : engines_) {
     if (exchanges_.contains(instance)) continue;
     const bool due = engine.loading && now >= engine.next_poll_at;
-    if (due || (engine.reserved && HasStartedAll(instance))) RequestReport(instance);
+    const bool reserved = engine.reserved && HasStartedAll(instance);
+    if (due || reserved || IsCheckDue(instance, engine)) RequestReport(instance);
   }
   StartLoads();
 }
@@ -277,14 +347,14 @@
 uint32_t LoadScheduler::LoadsInProgress() const {
   uint32_t count = 0;
   for (const auto& [instance, engine] : engines_) {
-    if (engine.loading || engine.reserved || exchanges_.contains(instance)) ++count;
+    if (engine.IsUsable() && (engine.loading || engine.reserved)) ++count;
   }
   return count;
 }
 
 uint32_t LoadScheduler::MaxLoads() const {
   if (options_.concurrent_loads > 0) return options_.concurrent_loads;
-  const auto engines = static_cast<uint32_t>(engines_.size());
+  const auto engines = static_cast<uint32_t>(CountUsable());
   return std::max(kMinConcurrentLoads, (engines + kEnginesPerLoad - 1) / kEnginesPerLoad);
 }
 
@@ -295,6 +365,8 @@
   for (const auto& [instance, engine] : engines_) {
     if (engine.loading || engine.reserved || exchanges_.contains(instance)) continue;
     if (now < engine.next_poll_at) continue;
+    // Checks show when it responds again.
+    if (!engine.IsUsable() || !engine.reachability.Responds()) continue;
     if (directory_.Ejected(instance) || !MayOrder(instance)) continue;
     if (!Wanted(instance)) continue;
     behind.push_back(instance);
@@ -324,8 +396,8 @@
 }
 
 void LoadScheduler::Release(const InstanceId& instance) {
-  EngineLoadState& engine = engines_.at(instance);
-  if (!std::exchange(engine.reserved, false)) return;
+  const auto engine = engines_.find(instance);
+  if (engine == engines_.end() || !std::exchange(engine->second.reserved, false)) return;
   if (on_ready_) on_ready_();
 }
 
@@ -334,16 +406,24 @@
   if (target == nullptr) return Release(instance);
   auto exchange = std::make_unique<BoundedCall>(
       environment_, kCallTimeout,
-      alive_.Guard([this, instance](int status, const std::string& body) {
-        if (exchanges_.erase(instance) == 0 || !engines_.contains(instance)) return;
-        EngineLoadState& engine = engines_.at(instance);
-        engine.next_poll_at = environment_.Now() + kPollInterval;
-        constexpr int kOk = 200;
-        const auto report = status == kOk ? protocol_.ReadReport(body)
-                                          : absl::UnavailableError("no report from the engine");
-        if (report.ok()) HandleReport(instance, *report);
-        Release(instance);
-      }));
+      alive_.Guard(
+          [this, instance, sent_at = environment_.Now()](int status, const std::string& body) {
+            if (exchanges_.erase(instance) == 0 || !engines_.contains(instance)) return;
+            EngineLoadState& engine = engines_.at(instance);
+            const TimePoint now = environment_.Now();
+            const bool overdue = engine.standing == EngineStanding::kLoadOverdue;
+            engine.next_poll_at = now + (overdue ? kOverduePollInterval : kPollInterval);
+            if (status == 0) {
+              engine.reachability.RecordNoReport(sent_at, now);
+            } else {
+              engine.reachability.RecordReport(now);
+            }
+            constexpr int kOk = 200;
+            const auto report = status == kOk ? protocol_.ReadReport(body)
+                                              : absl::UnavailableError("no report from the engine");
+            if (report.ok()) HandleReport(instance, *report);
+            Release(instance);
+          }));
   BoundedCall& started = *exchange;
   exchanges_[instance] = std::move(exchange);
   started.Start(http_, target->address, protocol_.MakeReportRequest(instance));
@@ -358,6 +438,7 @@
   for (const NamedVersion& held : report.models) {
     engine.versions[held.model] = std::max(engine.versions[held.model], held.version);
   }
+  engine.busy = report.busy;
   if (report.busy) {
     // Its own load, or one that an earlier lease holder ordered.
     if (!engine.loading) {
@@ -366,6 +447,7 @@
     }
     return;
   }
+  const bool is_counted = engine.IsUsable() && (engine.loading || engine.reserved);
   if (engine.loading) {
     const auto held = engine.versions.find(engine.loading->model);
     const bool done = held != engine.versions.end() && held->second >= engine.loading->version;
@@ -373,6 +455,9 @@
     if (!done && !late) return;
     EndLoad(instance, done);
   }
+  // The report of a check, or of a load that others no longer wait for: the limit of concurrent
+  // loads may be reached.
+  if (!is_counted || !engines_.contains(instance)) return;
   const auto wanted = Wanted(instance);
   if (wanted) ProposeOrder(instance, *wanted, report.orders);
 }
@@ -423,7 +508,8 @@
                               uint64_t orders, TimePoint announced_at) {
   const BackendInstance* target = directory_.FindLive(instance);
   const auto found = engines_.find(instance);
-  if (found == engines_.end()) return;
+  // Without a load, the engine was lost or its load was given up during the commit.
+  if (found == engines_.end() || !found->second.loading) return;
   // Every earlier announcement is applied here by now.
   const bool leads = group_ != nullptr && group_->IsLeader();
   const bool may_order = leads && leases_.MayStillOperateOn(LeaseSubject(instance),
@@ -517,11 +603,21 @@
   return engine == engines_.end() ? nullptr : &engine->second;
 }
 
+bool LoadScheduler::IsLost(const InstanceId& instance) const {
+  const EngineLoadState* engine = StateOf(instance);
+  return engine != nullptr && engine->standing == EngineStanding::kLost;
+}
+
 bool LoadScheduler::LoadingAny(const InstanceId& instance) const {
   const auto engine = engines_.find(instance);
   return engine != engines_.end() && engine->second.loading.has_value();
 }
 
+void LoadScheduler::OnResponse(const InstanceId& instance) {
+  const auto engine = engines_.find(instance);
+  if (engine != engines_.end()) engine->second.reachability.RecordResponse();
+}
+
 void LoadScheduler::CorrectVersion(const InstanceId& instance, const ModelName& model,
                                    WeightVersion version) {
   const auto engine = engines_.find(instance);
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -23,6 +23,7 @@
 #include "ingress/backend_protocol.h"
 #include "ingress/route_table.h"
 #include "jobs/active_engine_set.h"
+#include "jobs/engine_reachability.h"
 #include "jobs/job_types.h"
 
 namespace millstair {
@@ -42,6 +43,13 @@
   uint64_t allowed_lag = 0;
 };
 
+/// Whether an engine counts where engines and loads are counted.
+enum class EngineStanding : uint8_t {
+  kUsable,
+  kLost,         ///< it does not respond: it gets no items and holds no load
+  kLoadOverdue,  ///< it responds, but its load does not end
+};
+
 /// The known versions of an engine, its assigned model and its current load.
 struct EngineLoadState {
   std::map<ModelName, WeightVersion> versions;
@@ -54,7 +62,14 @@
   std::optional<NamedVersion> loading;
   TimePoint loading_since;
   TimePoint next_poll_at;
+  EngineReachability reachability;
+  /// Its latest report says that it executes an order.
+  bool busy = false;
+  /// As of the latest tick. Only a usable engine counts as one of its model and its load as one in
+  /// progress: the others may never end theirs.
+  EngineStanding standing = EngineStanding::kUsable;
 
+  bool IsUsable() const { return standing == EngineStanding::kUsable; }
   /// 0 if unknown.
   WeightVersion HeldVersion(const ModelName& model) const;
   /// Whether it loads `model` or is reserved to, so that it would refuse new runs.
@@ -98,8 +113,12 @@
   WeightVersion VersionOf(const InstanceId& instance, const ModelName& model) const;
   /// Null if `instance` is unknown. Valid until the engines are next refreshed.
   const EngineLoadState* StateOf(const InstanceId& instance) const;
+  /// Whether `instance` has not responded to this node for kEngineLostAfter.
+  bool IsLost(const InstanceId& instance) const;
   /// True while `instance` loads any model; its runs may pause meanwhile.
   bool LoadingAny(const InstanceId& instance) const;
+  /// A part of a response to another call of this node arrived from `instance`.
+  void OnResponse(const InstanceId& instance);
   /// A run showed that `instance` holds an older version than recorded.
   void CorrectVersion(const InstanceId& instance, const ModelName& model, WeightVersion version);
   /// A response showed that `instance` holds at least `version`.
@@ -119,6 +138,17 @@
   /// Refreshes the engines now or after kMinRefreshInterval, so that bursts of changes are batched.
   void ScheduleEngineRefresh();
   void RefreshEngines();
+  EngineStanding StandingOf(const EngineLoadState& engine) const;
+  /// Updates `standing` of all engines and gives up loads that depend on it.
+  void UpdateStandings();
+  void LogStanding(const InstanceId& instance, const EngineLoadState& engine) const;
+  /// Ends the loads of lost engines, and those whose engine reports neither their end nor that it
+  /// is busy with them.
+  void GiveUpLoads();
+  /// Whether `engine` is to be called although it neither loads nor is reserved, since it may be
+  /// lost.
+  bool IsCheckDue(const InstanceId& instance, const EngineLoadState& engine) const;
+  size_t CountUsable() const;
   uint64_t VersionsBehind(const InstanceId& instance) const;
   void AssignModels();
   /// The engine with the newest weights of `model`; `engines` is not empty.
--- a/test/jobs/load_scheduler_test.cc
+++ b/test/jobs/load_scheduler_test.cc
@@ -24,6 +24,8 @@
   uint64_t next_version = 0;
   /// Orders get no response and are never executed.
   bool unresponsive = false;
+  /// Loads never end.
+  bool stuck = false;
   std::vector<Duration> ordered_at;
   std::vector<std::string> fences;
   std::set<std::string> models;
@@ -49,6 +51,30 @@
     });
   }
 
+  /// The process of the engine ends without a word: connections to it are refused.
+  void Lose(const std::string& address) {
+    backends.Serve(address, [](const HttpRequest&) { return FakeAnswer{Kind::kUnreachable}; });
+  }
+
+  /// An item could not be sent to the engine, often enough for its ejection.
+  void FailItems(const std::string& address) {
+    for (int i = 0; i < 2; ++i) {
+      directory.Begin(InstanceId(address));
+      directory.End(InstanceId(address), BackendEnd::kUnreachable, Duration(0));
+    }
+  }
+
+  /// Addresses of the engines that execute an order.
+  std::vector<std::string> Loading() const {
+    std::vector<std::string> loading;
+    for (const auto& [address, engine] : engines) {
+      if (engine.next_version != 0 && scheduler.Now() < engine.busy_until) {
+        loading.push_back(address);
+      }
+    }
+    return loading;
+  }
+
   void NameVersion(uint64_t version, const std::string& model = "m") {
     configuration.versions[ModelName(model)] = {ModelName(model), WeightVersion(version)};
     directory.Update(configuration);
@@ -63,9 +89,12 @@
     state.Apply(LogIndex(1), EncodeJobCommand({announced, {}}));
   }
 
+  /// Number of engines that hold `version`, without silent ones.
   size_t Holding(uint64_t version) const {
     size_t count = 0;
-    for (const auto& [address, engine] : engines) count += engine.version == version ? 1 : 0;
+    for (const auto& [address, engine] : engines) {
+      if (!backends.silent.contains(address)) count += engine.version == version ? 1 : 0;
+    }
     return count;
   }
 
@@ -91,7 +120,7 @@
  private:
   FakeAnswer Answer(Engine& engine, const HttpRequest& request) {
     const Duration now = scheduler.Now();
-    if (engine.next_version != 0 && now >= engine.busy_until) {
+    if (engine.next_version != 0 && now >= engine.busy_until && !engine.stuck) {
       engine.version = std::exchange(engine.next_version, 0);
     }
     const bool busy = engine.next_version != 0;
@@ -378,6 +407,94 @@
   CHECK(fixture.Orders() == 3);
 }
 
+TEST_CASE("Engines lost while they load do not hold up the loads of the others") {
+  Fixture fixture(8);
+  fixture.Lead();
+  fixture.NameVersion(2);
+  fixture.scheduler.RunFor(seconds(8));
+  REQUIRE(fixture.Holding(2) == 8);
+  for (uint64_t version = 3; version <= 4; ++version) {
+    fixture.NameVersion(version);
+    fixture.scheduler.RunFor(milliseconds(300));
+    REQUIRE_FALSE(fixture.Loading().empty());
+    fixture.Lose(fixture.Loading().front());
+    fixture.scheduler.RunFor(seconds(7));
+  }
+  fixture.NameVersion(5);
+  fixture.scheduler.RunFor(seconds(5));
+  CHECK(fixture.Holding(5) == 6);
+}
+
+TEST_CASE("Engines that fall silent while they load do not hold up the loads of the others") {
+  Fixture fixture(8);
+  fixture.Lead();
+  fixture.NameVersion(2);
+  fixture.scheduler.RunFor(milliseconds(300));
+  const std::vector<std::string> loading = fixture.Loading();
+  REQUIRE(loading.size() == 2);
+  fixture.backends.silent.insert(loading.begin(), loading.end());
+  fixture.scheduler.RunFor(seconds(8));
+  CHECK(fixture.Holding(2) == 6);
+  fixture.NameVersion(3);
+  for (int i = 0; i < 40; ++i) {
+    fixture.scheduler.RunFor(milliseconds(100));
+    CHECK(fixture.Loading().size() <= 2);
+  }
+  CHECK(fixture.Holding(3) == 6);
+}
+
+TEST_CASE("Engines whose loads never end do not hold up the loads of the others") {
+  Fixture fixture(6);
+  fixture.engines.at("e0:1").stuck = true;
+  fixture.engines.at("e1:1").stuck = true;
+  fixture.Lead();
+  fixture.NameVersion(2);
+  fixture.scheduler.RunFor(seconds(14));
+  CHECK(fixture.Holding(2) == 4);
+}
+
+TEST_CASE("Engines that report errors while they load do not hold up the loads of the others") {
+  Fixture fixture(6);
+  fixture.Lead();
+  fixture.NameVersion(2);
+  fixture.scheduler.RunFor(milliseconds(300));
+  const std::vector<std::string> loading = fixture.Loading();
+  REQUIRE(loading.size() == 2);
+  for (const std::string& address : loading) {
+    fixture.backends.Serve(address, [](const HttpRequest&) {
+      return FakeAnswer{Kind::kAnswer, 500};
+    });
+  }
+  fixture.scheduler.RunFor(seconds(15));
+  CHECK(fixture.Holding(2) == 4);
+}
+
+TEST_CASE("An engine that responds again after a silence loads again") {
+  Fixture fixture(2);
+  fixture.Lead();
+  fixture.backends.silent = {"e0:1", "e1:1"};
+  fixture.NameVersion(2);
+  fixture.scheduler.RunFor(seconds(20));
+  CHECK(fixture.Holding(2) == 0);
+  fixture.backends.silent.clear();
+  fixture.scheduler.RunFor(seconds(5));
+  CHECK(fixture.Holding(2) == 2);
+}
+
+TEST_CASE("An engine that takes no connections is not lost while it sends events of texts") {
+  Fixture fixture(1);
+  fixture.Lead();
+  fixture.Lose("e0:1");
+  fixture.FailItems("e0:1");
+  for (int i = 0; i < 50; ++i) {
+    fixture.scheduler.RunFor(milliseconds(100));
+    fixture.loads.OnResponse(InstanceId("e0:1"));
+    CHECK_FALSE(fixture.loads.IsLost(InstanceId("e0:1")));
+  }
+  fixture.scheduler.RunFor(seconds(5));
+  CHECK(fixture.loads.IsLost(InstanceId("e0:1")));
+}
+
 TEST_CASE("Orders end with the leadership") {
   Fixture fixture(4);
   fixture.Lead();
