Weights: lost engines do not count where models are assigned to engines

Cause: LoadScheduler::AssignModels and WantedCounts counted every engine that is registered. An engine that crashes without a word stays registered, so that its model had the engine it was due.

Change: only usable engines, neither lost nor with an overdue load, are counted and assigned. Models are assigned anew when an engine is lost or responds again.

The test "The only engine of a model is lost" failed before (one engine of the model in place of two).

--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -222,24 +222,25 @@
     return demand == demand_.end() ? 1.0 : std::max(1.0, demand->second.work);
   };
   const std::set<ModelName> models = TrainedModels();
+  const size_t engines = CountUsable();
   for (const ModelName& model : models) total += work_of(model);
   // Each model gets its share rounded down, at least one; the rest goes to the largest remainders.
   size_t assigned_engines = 0;
   std::multimap<double, ModelName, std::greater<>> missing;
   for (const ModelName& model : models) {
-    const double share = static_cast<double>(engines_.size()) * work_of(model) / total;
+    const double share = static_cast<double>(engines) * work_of(model) / total;
     counts[model] = std::max<size_t>(1, static_cast<size_t>(share));
     assigned_engines += counts[model];
     missing.emplace(share - static_cast<double>(counts[model]), model);
   }
   const auto smaller = [](const auto& a, const auto& b) { return a.second < b.second; };
-  for (; assigned_engines > engines_.size(); --assigned_engines) {
+  for (; assigned_engines > engines; --assigned_engines) {
     const auto most = std::max_element(counts.begin(), counts.end(), smaller);
     if (most->second <= 1) break;
     --most->second;
   }
   for (const auto& [fraction, model] : missing) {
-    if (assigned_engines >= engines_.size()) break;
+    if (assigned_engines >= engines) break;
     ++counts[model];
     ++assigned_engines;
   }
@@ -254,14 +255,15 @@
                           });
 }
 
-/// Assigns one trained model to each engine, so that a new version of a model is loaded by its own
-/// engines only. Changes as few assignments as possible.
+/// Assigns one trained model to each usable engine, so that a new version of a model is loaded by
+/// its own engines only. Changes as few assignments as possible.
 void LoadScheduler::AssignModels() {
   std::map<ModelName, EngineGroup> by_model;
   for (const ModelName& model : TrainedModels()) by_model[model];
   if (by_model.empty()) return;
   EngineGroup free;
   for (auto& [instance, engine] : engines_) {
+    if (!engine.IsUsable()) continue;
     const auto group = by_model.find(engine.assigned);
     (group == by_model.end() ? free : group->second).push_back(&engine);
   }
@@ -301,7 +303,8 @@
                                                   const InstanceId& candidate) const {
   Progress progress;
   for (const auto& [instance, engine] : engines_) {
-    if (engine.assigned != model || directory_.Ejected(instance)) continue;
+    if (engine.assigned != model || !engine.IsUsable()) continue;
+    if (directory_.Ejected(instance)) continue;
     ++progress.engines;
     const auto held = engine.versions.find(model);
     const bool holds = held != engine.versions.end() && held->second >= target;
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -139,7 +139,7 @@
   void ScheduleEngineRefresh();
   void RefreshEngines();
   EngineStanding StandingOf(const EngineLoadState& engine) const;
-  /// Updates `standing` of all engines and gives up loads that depend on it.
+  /// Reassigns the models if the set of usable engines changed.
   void UpdateStandings();
   void LogStanding(const InstanceId& instance, const EngineLoadState& engine) const;
   /// Ends the loads of lost engines, and those whose engine reports neither their end nor that it
@@ -177,8 +177,8 @@
   void EndLoad(const InstanceId& instance, bool done);
   void HandleOrderAnswer(const InstanceId& instance, LoadAnswer answer);
   std::optional<NamedVersion> Wanted(const InstanceId& instance) const;
-  /// Number of engines assigned to `model`, and of those that hold the newest version, load it or
-  /// are reserved for it; a reservation of `candidate` itself does not count.
+  /// Number of usable engines assigned to `model`, and of those that hold the newest version, load
+  /// it or are reserved for it; a reservation of `candidate` itself does not count.
   struct Progress {
     uint64_t engines = 0;
     uint64_t newest = 0;
--- a/test/jobs/load_scheduler_test.cc
+++ b/test/jobs/load_scheduler_test.cc
@@ -469,6 +469,30 @@
   CHECK(fixture.Holding(2) == 4);
 }
 
+TEST_CASE("The only engine of a model is lost, and another one loads the model") {
+  Fixture fixture(3);
+  fixture.routes.services[0].engine->models = {ModelName("m"), ModelName("small")};
+  fixture.loads.OnJobSubmitted(ModelName("m"), 1000, WeightVersion(1));
+  fixture.loads.OnJobSubmitted(ModelName("small"), 1, WeightVersion(1));
+  fixture.NameVersion(2);
+  fixture.NameVersion(2, "small");
+  fixture.Lead();
+  fixture.scheduler.RunFor(seconds(5));
+  const auto of_small = [&fixture] {
+    std::vector<std::string> addresses;
+    for (const auto& [address, engine] : fixture.engines) {
+      if (engine.models.contains("small")) addresses.push_back(address);
+    }
+    return addresses;
+  };
+  REQUIRE(of_small().size() == 1);
+  const std::string lost = of_small().front();
+  fixture.Lose(lost);
+  fixture.FailItems(lost);
+  fixture.scheduler.RunFor(seconds(4));
+  CHECK(of_small().size() == 2);
+}
+
 TEST_CASE("An engine that responds again after a silence loads again") {
   Fixture fixture(2);
   fixture.Lead();
