Jobs: lost engines are left out where engines are chosen or counted

Cause: the engines of a service were those registered. A lost one stays registered, so that AnyEngineHolds found its version there, the slots that servers have to spare included its slots between two ejections, JobFinished counted it among the engines that hold a version, and it took a place among the selected engines of a large service.

Change: EnginesOf, CountHolding and CountAnsweringSlots leave lost engines out. ActiveEngineSet keeps them selected, so that their return is noticed, and selects others in their place.

--- a/source/jobs/active_engine_set.cc
+++ b/source/jobs/active_engine_set.cc
@@ -34,9 +34,14 @@
   std::vector<Ranked> ranked;
   ranked.reserve(live.size());
   for (const BackendInstance* engine : live) {
-    ranked.push_back({RendezvousWeight(engine->id.value(), kRankingKey), engine});
+    if (is_lost_(engine->id)) {
+      chosen.engines.push_back(engine->id);
+    } else {
+      ranked.push_back({RendezvousWeight(engine->id.value(), kRankingKey), engine});
+    }
   }
-  const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(chosen.wanted);
+  const size_t taken = std::min(chosen.wanted, ranked.size());
+  const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(taken);
   std::nth_element(ranked.begin(), end, ranked.end());
   for (auto entry = ranked.begin(); entry != end; ++entry) {
     chosen.engines.push_back(entry->engine->id);
--- a/source/jobs/active_engine_set.h
+++ b/source/jobs/active_engine_set.h
@@ -3,10 +3,13 @@
 /// version grow with them.
 ///
 /// Every leader ranks the engines in the same order, so a new leader uses those into which its
-/// predecessor loaded weights. An engine that leaves is replaced by the next in that order.
+/// predecessor loaded weights. An engine that leaves or is lost is replaced by the next in that
+/// order; a lost one stays selected, so that its return is noticed.
 #pragma once
 
+#include <functional>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "common/environment.h"
@@ -20,8 +23,10 @@
 /// Lives on the node's serial executor.
 class ActiveEngineSet {
  public:
-  ActiveEngineSet(const BackendDirectory& directory, Environment& environment)
-      : directory_(directory), environment_(environment) {}
+  using LostCheck = std::function<bool(const InstanceId&)>;
+
+  ActiveEngineSet(const BackendDirectory& directory, Environment& environment, LostCheck is_lost)
+      : directory_(directory), environment_(environment), is_lost_(std::move(is_lost)) {}
 
   /// Selects again among the live engines of `service`.
   void Refresh(const ServiceName& service);
@@ -34,6 +39,7 @@
 
  private:
   struct Chosen {
+    /// Number of engines that are not lost.
     size_t wanted = kMinActiveEngines;
     std::vector<InstanceId> engines;
     TimePoint grown_at;
@@ -41,6 +47,7 @@
 
   const BackendDirectory& directory_;
   Environment& environment_;
+  const LostCheck is_lost_;
   std::map<ServiceName, Chosen> services_;
 };
 
--- a/source/jobs/job_pool_needs.cc
+++ b/source/jobs/job_pool_needs.cc
@@ -75,7 +75,8 @@
 uint32_t JobScheduler::CountAnsweringSlots(const ServiceName& service) const {
   uint32_t slots = 0;
   for (const BackendInstance* engine : ingress_.directory().Live(service)) {
-    if (!ingress_.directory().Ejected(engine->id)) slots += engine->slots;
+    if (loads_.IsLost(engine->id) || ingress_.directory().Ejected(engine->id)) continue;
+    slots += engine->slots;
   }
   return slots;
 }
--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -43,7 +43,8 @@
       options_(options),
       leases_(environment, self_, options.order_lease + kLeaseMargin),
       load_time_(kInitialLoadTime),
-      active_engines_(directory, environment),
+      active_engines_(directory, environment,
+                      [this](const InstanceId& engine) { return IsLost(engine); }),
       timer_(environment),
       refresh_timer_(environment) {}
 
@@ -128,6 +129,12 @@
   AssignModels();
 }
 
+std::vector<const BackendInstance*> LoadScheduler::EnginesOf(const ServiceName& service) const {
+  std::vector<const BackendInstance*> engines = active_engines_.Engines(service);
+  std::erase_if(engines, [this](const BackendInstance* engine) { return IsLost(engine->id); });
+  return engines;
+}
+
 EngineStanding LoadScheduler::StandingOf(const EngineLoadState& engine) const {
   const TimePoint now = environment_.Now();
   if (engine.reachability.IsLost(now)) return EngineStanding::kLost;
@@ -586,8 +593,10 @@
 
 size_t LoadScheduler::CountHolding(const ModelName& model, WeightVersion version) const {
   return static_cast<size_t>(
-      std::count_if(engines_.begin(), engines_.end(),
-                    [&](const auto& entry) { return entry.second.HeldVersion(model) >= version; }));
+      std::count_if(engines_.begin(), engines_.end(), [&](const auto& entry) {
+        const EngineLoadState& engine = entry.second;
+        return engine.standing != EngineStanding::kLost && engine.HeldVersion(model) >= version;
+      }));
 }
 
 WeightVersion LoadScheduler::VersionOf(const InstanceId& instance, const ModelName& model) const {
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -93,11 +93,9 @@
   void Update(const Configuration& configuration, const RouteTable* routes);
   /// A job of `model` was submitted; `work` is its expected number of output tokens.
   void OnJobSubmitted(const ModelName& model, double work, WeightVersion min_version);
-  /// The engines of `service` that run items. Pointers are valid until the next update of the
-  /// directory.
-  std::vector<const BackendInstance*> EnginesOf(const ServiceName& service) const {
-    return active_engines_.Engines(service);
-  }
+  /// The engines of `service` that run items; lost ones are left out. Pointers are valid until the
+  /// next update of the directory.
+  std::vector<const BackendInstance*> EnginesOf(const ServiceName& service) const;
   /// Items wait and no engine of `service` has a free slot.
   void OnNoFreeSlot(const ServiceName& service);
   /// `callback` is called whenever an engine becomes available for items.
@@ -107,7 +105,7 @@
   TimePoint NamedAt(const ModelName& model) const;
   /// The newest named version of `model`; 0 if none was named.
   WeightVersion NamedVersionOf(const ModelName& model) const;
-  /// Number of engines known to hold `version` of `model` or a newer one.
+  /// Number of engines known to hold `version` of `model` or a newer one, without lost ones.
   size_t CountHolding(const ModelName& model, WeightVersion version) const;
   /// The last known version of `model` at `instance`; 0 if unknown.
   WeightVersion VersionOf(const InstanceId& instance, const ModelName& model) const;
--- a/test/jobs/job_pool_needs_test.cc
+++ b/test/jobs/job_pool_needs_test.cc
@@ -70,6 +70,22 @@
   CHECK(needs[0] == PoolNeed{ServiceName("engines"), 0, 0, std::nullopt, 0, 2});
 }
 
+TEST_CASE("The slots of a lost engine are not reported as responding") {
+  NeedsFixture fixture;
+  fixture.Lead();
+  fixture.backends.Serve(
+      "e:1", [](const HttpRequest&) { return FakeAnswer{FakeAnswer::Kind::kUnreachable}; });
+  for (int i = 0; i < 2; ++i) {
+    fixture.ingress.directory().Begin(InstanceId("e:1"));
+    fixture.ingress.directory().End(InstanceId("e:1"), BackendEnd::kUnreachable, Duration(0));
+  }
+  fixture.scheduler.RunFor(seconds(5));
+  REQUIRE_FALSE(fixture.ingress.directory().Ejected(InstanceId("e:1")));
+  const std::vector<PoolNeed> needs = fixture.scheduler_under_test.PoolNeeds();
+  REQUIRE(needs.size() == 1);
+  CHECK(needs[0].answering_slots == 0);
+}
+
 TEST_CASE("Nothing is reported without servers to order, or by a replica that does not lead") {
   NeedsFixture fixed(false);
   fixed.Submit(fixed.JobOf(12));
--- a/test/jobs/job_scheduler_test.cc
+++ b/test/jobs/job_scheduler_test.cc
@@ -548,6 +548,29 @@
   CHECK(fixture.ResultOf("j")->versions == std::vector{WeightVersion(2)});
 }
 
+TEST_CASE("A single-version text is restarted once the only engine with its version is lost") {
+  Fixture fixture;
+  fixture.reader.table.routes[0].single_version = true;
+  fixture.reader.table.version = 2;
+  fixture.configuration.routing = {2, "other content"};
+  bool lost = false;
+  fixture.Add("e:1", "engines", [&lost](const HttpRequest&) {
+    FakeAnswer answer = Text({"1||one\n\n"});
+    answer.kind = std::exchange(lost, true) ? Kind::kUnreachable : Kind::kTruncatedBody;
+    return answer;
+  });
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j", false));
+  fixture.scheduler.RunFor(milliseconds(30));
+  fixture.Add("e:2", "engines", [](const HttpRequest&) {
+    return FakeAnswer{Kind::kAnswer, 200, {{"version", "2"}}, {"1||new\n\n"}};
+  });
+  fixture.loads.RecordVersion(InstanceId("e:2"), ModelName("m"), WeightVersion(2));
+  fixture.scheduler.RunFor(seconds(5));
+  REQUIRE(fixture.ResultOf("j") != nullptr);
+  CHECK(fixture.ResultOf("j")->text == "new");
+}
+
 TEST_CASE("Weights that the job does not allow are not used") {
   Fixture fixture;
   fixture.Lead();
