Weights: an engine that was replaced while it loaded holds no load

Cause: where another incarnation answers at the address of an engine, the directory drops the engine, but LoadScheduler kept its state, and with it a load in progress, until the configuration next changed.

Change: the engines are refreshed as soon as one of them is found to be gone.

--- a/source/jobs/load_scheduler.cc
+++ b/source/jobs/load_scheduler.cc
@@ -129,6 +129,10 @@
   AssignModels();
 }
 
+void LoadScheduler::RefreshEnginesSoon() {
+  environment_.Schedule(Duration(0), alive_.Guard([this] { ScheduleEngineRefresh(); }));
+}
+
 std::vector<const BackendInstance*> LoadScheduler::EnginesOf(const ServiceName& service) const {
   std::vector<const BackendInstance*> engines = active_engines_.Engines(service);
   std::erase_if(engines, [this](const BackendInstance* engine) { return IsLost(engine->id); });
@@ -413,7 +417,7 @@
 
 void LoadScheduler::RequestReport(const InstanceId& instance) {
   const BackendInstance* target = directory_.FindLive(instance);
-  if (target == nullptr) return Release(instance);
+  if (target == nullptr) return RefreshEnginesSoon();
   auto exchange = std::make_unique<BoundedCall>(
       environment_, kCallTimeout,
       alive_.Guard(
@@ -443,7 +447,10 @@
   // Another incarnation of the server replied, so this one has ended.
   const bool other_incarnation =
       report.started_at != StartTime() && report.started_at != StartTimeOf(instance);
-  if (other_incarnation) return directory_.OnSuperseded(instance);
+  if (other_incarnation) {
+    directory_.OnSuperseded(instance);
+    return RefreshEnginesSoon();
+  }
   EngineLoadState& engine = engines_.at(instance);
   for (const NamedVersion& held : report.models) {
     engine.versions[held.model] = std::max(engine.versions[held.model], held.version);
--- a/source/jobs/load_scheduler.h
+++ b/source/jobs/load_scheduler.h
@@ -136,6 +136,8 @@
   /// Refreshes the engines now or after kMinRefreshInterval, so that bursts of changes are batched.
   void ScheduleEngineRefresh();
   void RefreshEngines();
+  /// Drops engines that are no longer live, once the caller is done with them.
+  void RefreshEnginesSoon();
   EngineStanding StandingOf(const EngineLoadState& engine) const;
   /// Reassigns the models if the set of usable engines changed.
   void UpdateStandings();
--- a/test/jobs/load_scheduler_test.cc
+++ b/test/jobs/load_scheduler_test.cc
@@ -519,6 +519,20 @@
   CHECK(fixture.loads.IsLost(InstanceId("e0:1")));
 }
 
+TEST_CASE("An engine that is replaced while it loads does not hold up the loads of the others") {
+  LoadOptions options;
+  options.concurrent_loads = 1;
+  Fixture fixture(2, options);
+  fixture.Lead();
+  fixture.NameVersion(2);
+  fixture.scheduler.RunFor(milliseconds(300));
+  REQUIRE(fixture.Loading() == std::vector<std::string>{"e0:1"});
+  fixture.Lose("e0:1");
+  fixture.directory.OnSuperseded(InstanceId("e0:1"));
+  fixture.scheduler.RunFor(seconds(4));
+  CHECK(fixture.engines.at("e1:1").version == 2);
+}
+
 TEST_CASE("Orders end with the leadership") {
   Fixture fixture(4);
   fixture.Lead();
