--- a/test/jobs/load_scheduler_test.cc
+++ b/test/jobs/load_scheduler_test.cc
@@ -75,6 +75,16 @@
     return loading;
   }
 
+  /// Names version 2; the two engines that load it first.
+  std::vector<std::string> StartTwoLoads() {
+    Lead();
+    NameVersion(2);
+    scheduler.RunFor(milliseconds(300));
+    const std::vector<std::string> loading = Loading();
+    REQUIRE(loading.size() == 2);
+    return loading;
+  }
+
   void NameVersion(uint64_t version, const std::string& model = "m") {
     configuration.versions[ModelName(model)] = {ModelName(model), WeightVersion(version)};
     directory.Update(configuration);
@@ -427,11 +437,7 @@
 
 TEST_CASE("Engines that fall silent while they load do not hold up the loads of the others") {
   Fixture fixture(8);
-  fixture.Lead();
-  fixture.NameVersion(2);
-  fixture.scheduler.RunFor(milliseconds(300));
-  const std::vector<std::string> loading = fixture.Loading();
-  REQUIRE(loading.size() == 2);
+  const std::vector<std::string> loading = fixture.StartTwoLoads();
   fixture.backends.silent.insert(loading.begin(), loading.end());
   fixture.scheduler.RunFor(seconds(8));
   CHECK(fixture.Holding(2) == 6);
@@ -455,11 +461,7 @@
 
 TEST_CASE("Engines that report errors while they load do not hold up the loads of the others") {
   Fixture fixture(6);
-  fixture.Lead();
-  fixture.NameVersion(2);
-  fixture.scheduler.RunFor(milliseconds(300));
-  const std::vector<std::string> loading = fixture.Loading();
-  REQUIRE(loading.size() == 2);
+  const std::vector<std::string> loading = fixture.StartTwoLoads();
   for (const std::string& address : loading) {
     fixture.backends.Serve(address, [](const HttpRequest&) {
       return FakeAnswer{Kind::kAnswer, 500};
