Consensus: a replica resumes after an I/O error

Cause: the first write or sync that failed stopped the replica for the rest of the process's life. ReplicaHalted is logged for both groups at 4.0 to 4.8 s and at 14.0 to 14.6 s and nothing after it, so that two of three voters were gone.

Change: - SegmentedLog::Resume drops the part of the last segment that no sync covered, makes that durable and writes the records again. Their sync shows whether the disk works. A log that is opened writes its last segment to a new file, since a process that ended after a failed sync leaves pages that look written. - GroupReplica tries this every 0.1 to 1 s, and takes part again (event 1009) once the sync has succeeded. Until then it sends nothing, so that it never said what it could not store.

The memory disk now loses what a failed sync covered, as Linux does.

--- a/source/consensus/group_host_impl.cc
+++ b/source/consensus/group_host_impl.cc
@@ -1,5 +1,6 @@
 #include "consensus/group_host_impl.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -13,6 +14,11 @@
 /// A batch is sent once its estimated size reaches this.
 constexpr uint64_t kBatchBytes = 512 * 1024;
 
+/// Pauses between attempts to open a group whose files could not be opened. Reading a damaged log
+/// again and again must cost little.
+constexpr Duration kMinOpenPause = std::chrono::milliseconds(200);
+constexpr Duration kMaxOpenPause = std::chrono::seconds(5);
+
 bool IsPlain(char letter) {
   return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
          (letter >= '0' && letter <= '9') || letter == '-' || letter == '_';
@@ -162,17 +168,29 @@
   const bool from_leader =
       type == RaftMessageType::kAppend || type == RaftMessageType::kSnapshotChunk;
   if (!from_leader || addressed.group.value().empty()) return nullptr;
-  if (unusable_groups_.contains(addressed.group)) return nullptr;
+  const auto failed = failed_openings_.find(addressed.group);
+  if (failed != failed_openings_.end() && environment_.Now() < failed->second.retry_at) {
+    return nullptr;
+  }
   auto replica = Open(addressed.group, {});
-  if (replica.ok()) return *replica;
-  if (!absl::IsNotFound(replica.status())) {
-    unusable_groups_.insert(addressed.group);
-    LogEvent(EventId::kReplicaHalted, "group={} error=\"{}\"", addressed.group,
-             std::string(replica.status().message()));
+  if (replica.ok()) {
+    failed_openings_.erase(addressed.group);
+    return *replica;
   }
+  if (!absl::IsNotFound(replica.status())) RecordFailedOpening(addressed.group, replica.status());
   return nullptr;
 }
 
+void GroupHostImpl::RecordFailedOpening(const GroupId& group, const absl::Status& status) {
+  FailedOpening& failed = failed_openings_[group];
+  if (failed.pause == Duration(0)) {
+    LogEvent(EventId::kReplicaHalted, "group={} error=\"{}\"", group,
+             std::string(status.message()));
+  }
+  failed.pause = std::clamp(2 * failed.pause, kMinOpenPause, kMaxOpenPause);
+  failed.retry_at = environment_.Now() + failed.pause;
+}
+
 void GroupHostImpl::MarkReady(const GroupId& group) {
   ready_groups_.insert(group);
   if (work_scheduled_) return;
--- a/source/consensus/group_host_impl.h
+++ b/source/consensus/group_host_impl.h
@@ -51,6 +51,7 @@
   absl::StatusOr<GroupReplica*> Open(const GroupId& group,
                                      const std::vector<GroupMember>& initial_members);
   GroupReplica* FindForMessage(const AddressedRaftMessage& addressed);
+  void RecordFailedOpening(const GroupId& group, const absl::Status& status);
   void MarkReady(const GroupId& group);
   void Tick();
   void ProcessReadyGroups();
@@ -71,8 +72,12 @@
   std::map<uint64_t, GroupReplica*> replicas_by_key_;
   std::set<GroupId> ready_groups_;
   std::set<GroupId> changed_groups_;
-  /// Groups whose files could not be opened on a message from a leader; not tried again.
-  std::set<GroupId> unusable_groups_;
+  /// A group that could not be opened on a message from its leader.
+  struct FailedOpening {
+    Duration pause{0};
+    TimePoint retry_at;
+  };
+  std::map<GroupId, FailedOpening> failed_openings_;
   bool work_scheduled_ = false;
   std::vector<std::function<void(const GroupId&)>> leadership_callbacks_;
   ScopedTimer tick_timer_;
--- a/source/consensus/group_replica.cc
+++ b/source/consensus/group_replica.cc
@@ -21,9 +21,21 @@
 constexpr uint64_t kMaxSnapshotIntervals = 8;
 /// Term of the first entry of every group, the configuration of its initial members.
 constexpr Term kInitialTerm(1);
+/// Pauses between attempts to resume after an I/O error.
+constexpr Duration kMinResumePause = std::chrono::milliseconds(100);
+constexpr Duration kMaxResumePause = std::chrono::seconds(1);
+/// An error that occurs sooner than this after a resumption continues the series of pauses.
+constexpr Duration kStableAfterResume = std::chrono::seconds(5);
+/// Pause after a snapshot that could not be saved.
+constexpr Duration kSnapshotRetryPause = std::chrono::seconds(5);
 /// Minimum time between log lines about the same refusal to the same candidate.
 constexpr Duration kRefusalLogInterval = std::chrono::seconds(1);
 
+/// Whether the cause may go away while the process runs, unlike damage or a violated invariant.
+bool IsTransient(const absl::Status& status) {
+  return !absl::IsDataLoss(status) && !absl::IsInternal(status) && !absl::IsInvalidArgument(status);
+}
+
 std::string NodeNames(const std::vector<GroupMember>& members) {
   return absl::StrJoin(members, ",", [](std::string* out, const GroupMember& member) {
     absl::StrAppend(out, member.node.value());
@@ -189,7 +201,10 @@
 }
 
 void GroupReplica::Tick(TimePoint now) {
-  if (!failure_.ok()) return;
+  if (!failure_.ok()) {
+    if (resume_due_.has_value() && now >= *resume_due_) Resume(now);
+    return;
+  }
   core_->Tick(now);
   ExpireRequests(now);
 }
@@ -201,7 +216,9 @@
 }
 
 void GroupReplica::HandleDurable(const absl::Status& status) {
+  const bool resumes = std::exchange(resuming_log_, false);
   if (!status.ok()) return Halt(status);
+  if (resumes && resume_due_.has_value()) FinishResume();
   core_->LogBecameDurable();
   context_.wake();
 }
@@ -215,16 +232,18 @@
     SaveSnapshotIfDue();
     CollectReads();
     AnswerAppliedReads();
-    UpdateRole();
-    LogElections();
-    if (failure_.ok() && !core_->failure().ok()) Halt(core_->failure());
+    if (!core_->failure().ok()) Halt(core_->failure());
+    if (absl::Status error = core_->TakeReadError(); !error.ok()) Halt(error);
   }
-  if (failure_.ok()) CollectMessages(output);
+  UpdateRole();
+  LogElections();
+  CollectMessages(output);
   for (auto& callback : callbacks_) output.callbacks.push_back(std::move(callback));
   callbacks_.clear();
 }
 
 void GroupReplica::InstallReceivedSnapshot() {
+  if (!failure_.ok()) return;
   auto received = core_->TakeSnapshot();
   if (!received.has_value()) return;
   auto snapshot = DecodeSnapshotFile("received snapshot", received->bytes);
@@ -239,8 +258,10 @@
   installing_snapshot_ = true;
   log_->SaveSnapshot(position, {*state},
                      alive_.Guard([this, position, members, state](const absl::Status& status) {
-                       if (!status.ok()) return Halt(status);
-                       FinishInstall(position, members, *state);
+                       if (status.ok()) return FinishInstall(position, members, *state);
+                       installing_snapshot_ = false;
+                       core_->SnapshotRejected();
+                       Halt(status);
                      }));
 }
 
@@ -291,13 +312,14 @@
   const uint64_t limit = context_.limits.snapshot_after_entries;
   // A snapshot between two batches of a backlog would only delay the rest of it.
   if (!failure_.ok() || log_->saving_snapshot() || applied_ < core_->commit()) return;
+  if (context_.environment.Now() < next_snapshot_) return;
   const uint64_t entries = applied_.value() - log_->snapshot().index.value();
   // A large state is written less often, so that snapshots write no more bytes than the log, up to
   // the maximum interval.
   const bool worthwhile =
       applied_bytes_ >= log_->snapshot_file_bytes() || entries >= kMaxSnapshotIntervals * limit;
   if (entries < limit || !worthwhile) return;
-  applied_bytes_ = 0;
+  const uint64_t covered_bytes = std::exchange(applied_bytes_, 0);
   const LogPosition position{applied_, log_->TermAt(applied_).value_or(Term())};
   const std::string header = EncodeGroupSnapshotHeader(core_->MembersAt(applied_));
   const SnapshotParts state = machine_->TakeSnapshotParts();
@@ -305,12 +327,19 @@
   for (const auto& part : state) parts.emplace_back(*part);
   // Keeps recent entries for slow followers, which is cheaper than sending a snapshot.
   const LogIndex compact_to(position.index.value() - limit / 2);
-  log_->SaveSnapshot(position, parts,
-                     alive_.Guard([this, position, compact_to](const absl::Status& status) {
-                       if (!status.ok()) return Halt(status);
-                       log_->Compact(compact_to);
-                       core_->Compacted(position.index);
-                     }));
+  log_->SaveSnapshot(
+      position, parts,
+      alive_.Guard([this, position, compact_to, covered_bytes](const absl::Status& status) {
+        if (!status.ok()) return DeferSnapshot(covered_bytes, status);
+        log_->Compact(compact_to);
+        core_->Compacted(position.index);
+      }));
+}
+
+void GroupReplica::DeferSnapshot(uint64_t covered_bytes, const absl::Status& status) {
+  applied_bytes_ += covered_bytes;
+  next_snapshot_ = context_.environment.Now() + kSnapshotRetryPause;
+  LogEvent(EventId::kSnapshotNotSaved, "group={} error=\"{}\"", id_, std::string(status.message()));
 }
 
 void GroupReplica::CollectReads() {
@@ -406,7 +435,7 @@
   for (RaftMessage& message : core_->TakeMessages()) {
     if (message.after <= log_->durable_sequence()) {
       Emit(std::move(message), output);
-    } else {
+    } else if (failure_.ok()) {
       messages_awaiting_sync_.push_back(std::move(message));
     }
   }
@@ -442,17 +471,54 @@
 
 void GroupReplica::Close(ReplicaOutput& output) {
   failure_ = absl::UnavailableError("the group was dropped");
+  resume_due_.reset();
   FailAll(failure_);
   for (auto& callback : callbacks_) output.callbacks.push_back(std::move(callback));
   callbacks_.clear();
 }
 
 void GroupReplica::Halt(const absl::Status& status) {
-  if (!failure_.ok()) return;
+  const TimePoint now = context_.environment.Now();
+  if (!failure_.ok()) {
+    if (!IsTransient(status)) resume_due_.reset();
+    // An attempt to resume failed.
+    if (resume_due_.has_value()) ScheduleResume(now);
+    return;
+  }
   LogEvent(EventId::kReplicaHalted, "group={} error=\"{}\"", id_, std::string(status.message()));
   failure_ = absl::UnavailableError(absl::StrCat("replica stopped: ", status.message()));
   FailAll(failure_);
   messages_awaiting_sync_.clear();
+  stopped_at_ = now;
+  const bool stable = !resumed_at_.has_value() || now - *resumed_at_ > kStableAfterResume;
+  if (stable) resume_pause_ = Duration(0);
+  if (IsTransient(status)) ScheduleResume(now);
+  // Heartbeats of a leader that cannot write would keep the group from electing another.
+  core_->StepDown(now);
+  context_.wake();
+}
+
+void GroupReplica::ScheduleResume(TimePoint now) {
+  resume_pause_ = std::clamp(2 * resume_pause_, kMinResumePause, kMaxResumePause);
+  resume_due_ = now + resume_pause_;
+}
+
+void GroupReplica::Resume(TimePoint now) {
+  ScheduleResume(now);
+  if (resuming_log_) return;
+  if (log_->failure().ok()) return FinishResume();
+  resuming_log_ = true;
+  log_->Resume();
+}
+
+void GroupReplica::FinishResume() {
+  const TimePoint now = context_.environment.Now();
+  if (absl::Status status = core_->Rejoin(now); !status.ok()) return;
+  failure_ = absl::OkStatus();
+  resume_due_.reset();
+  resumed_at_ = now;
+  LogEvent(EventId::kReplicaResumed, "group={} stopped_ms={}", id_,
+           std::chrono::duration_cast<std::chrono::milliseconds>(now - stopped_at_).count());
   context_.wake();
 }
 
--- a/source/consensus/group_replica.h
+++ b/source/consensus/group_replica.h
@@ -1,11 +1,16 @@
 /// The local replica of one Raft group: combines core, log and state machine, and tracks pending
 /// requests.
+///
+/// An I/O error stops it: it gives up leadership, fails all requests and ignores messages, as if
+/// the process had ended. It takes part again once the log has made durable what it held back.
+/// After damage or a violated invariant it stays stopped.
 #pragma once
 
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -69,8 +74,6 @@
   const std::string& folder() const { return log_->folder(); }
   /// Index of the entry with the current members.
   LogIndex ConfigurationIndex() const { return core_->configuration().index; }
-  /// Not OK once the replica has stopped on an error; it then sends no more messages.
-  const absl::Status& failure() const { return failure_; }
 
   const GroupId& id() const override { return id_; }
   bool IsLeader() const override { return failure_.ok() && core_->IsLeader(); }
@@ -81,6 +84,10 @@
   bool HasReplied(ReplicaId replica, TimePoint since) const override {
     return failure_.ok() && core_->HasReplied(replica, since);
   }
+  bool IsUnresponsive(ReplicaId replica, TimePoint since) const override {
+    return failure_.ok() && core_->IsUnresponsive(replica, since);
+  }
+  const absl::Status& Failure() const override { return failure_; }
   void Propose(std::string command, std::function<void(absl::StatusOr<std::string>)> done) override;
   void ConfirmRead(std::function<void(absl::StatusOr<LogIndex>)> done) override;
   void AddLearner(GroupMember member, std::function<void(absl::Status)> done) override;
@@ -121,6 +128,7 @@
   void ApplyCommitted();
   void ApplyEntry(const LogEntry& entry);
   void SaveSnapshotIfDue();
+  void DeferSnapshot(uint64_t covered_bytes, const absl::Status& status);
   void CollectReads();
   void AnswerAppliedReads();
   void ExpireRequests(TimePoint now);
@@ -133,6 +141,10 @@
   void Emit(RaftMessage message, ReplicaOutput& output);
   void FailAll(const absl::Status& status);
   void Halt(const absl::Status& status);
+  /// Tries to end a stop.
+  void Resume(TimePoint now);
+  void FinishResume();
+  void ScheduleResume(TimePoint now);
 
   const ReplicaContext& context_;
   GroupId id_;
@@ -140,7 +152,17 @@
   std::unique_ptr<StateMachine> machine_;
   std::unique_ptr<SegmentedLog> log_;
   std::unique_ptr<RaftCore> core_;
+  /// Not OK while the replica is stopped.
   absl::Status failure_;
+  TimePoint stopped_at_;
+  /// Time of the next attempt to resume; nullopt if none is due or it was the last.
+  std::optional<TimePoint> resume_due_;
+  Duration resume_pause_{0};
+  /// The log is being resumed and will report the outcome.
+  bool resuming_log_ = false;
+  std::optional<TimePoint> resumed_at_;
+  /// A snapshot that could not be saved is not tried again before this.
+  TimePoint next_snapshot_;
   LogIndex applied_;
   /// Bytes of commands applied since the last snapshot.
   uint64_t applied_bytes_ = 0;
--- a/source/consensus/raft_core.cc
+++ b/source/consensus/raft_core.cc
@@ -229,6 +229,12 @@
   return it != progress_.end() && it->second.HasRepliedSince(since);
 }
 
+bool RaftCore::IsUnresponsive(ReplicaId replica, TimePoint since) const {
+  if (!IsLeader()) return false;
+  const auto it = progress_.find(replica);
+  return it != progress_.end() && it->second.last_active() < since;
+}
+
 TimePoint RaftCore::NextHeartbeat() const {
   const Duration since_epoch = now_.time_since_epoch();
   const Duration period =
--- a/source/consensus/raft_core.h
+++ b/source/consensus/raft_core.h
@@ -87,6 +87,12 @@
   /// Starts a leadership transfer. FailedPrecondition if no other voter is reachable.
   absl::Status TransferLeadership(TimePoint now);
   bool transferring() const { return transferee_.has_value(); }
+  /// Gives up leadership or a candidacy without waiting for the log. A leader asks the most
+  /// up-to-date active voter to start an election.
+  void StepDown(TimePoint now);
+  /// Called when the replica takes part again after a pause in which it got no events. Returns the
+  /// error if the log still cannot be read.
+  absl::Status Rejoin(TimePoint now);
 
   /// Called once a received snapshot was saved to the log and restored.
   void SnapshotInstalled(const LogPosition& position, std::vector<GroupMember> members);
@@ -104,6 +110,9 @@
   bool IsLeader() const { return role_ == RaftRole::kLeader; }
   /// Whether this replica leads and `replica` replied to it at or after `since`.
   bool HasReplied(ReplicaId replica, TimePoint since) const;
+  /// Whether this replica leads and `replica` has been a member without a reply since before
+  /// `since`.
+  bool IsUnresponsive(ReplicaId replica, TimePoint since) const;
   Term term() const { return log_.hard_state().term; }
   ReplicaId leader() const { return leader_; }
   LogIndex commit() const { return commit_; }
@@ -113,8 +122,10 @@
   }
   /// Whether this replica was removed from the group.
   bool removed() const { return removed_; }
-  /// Not OK after a log error or a violated invariant; the replica must then stop.
+  /// Not OK after a violated invariant; the replica must then stop for good.
   const absl::Status& failure() const { return failure_; }
+  /// Returns and clears the error of a log that could not be read.
+  absl::Status TakeReadError() { return std::exchange(read_error_, absl::OkStatus()); }
 
  private:
   struct WaitingRead {
@@ -161,6 +172,8 @@
   bool LogIsUpToDate(const LogPosition& last) const;
   void CheckQuorum();
   bool QuorumActive(const Configuration& configuration) const;
+  /// The active other voter with the longest log; nullopt if there is none.
+  std::optional<ReplicaId> BestSuccessor() const;
   void HandleTimeoutNow();
   void TryTimeoutNow(ReplicaId replica);
 
@@ -223,6 +236,9 @@
   ConfigurationHistory configurations_;
   bool removed_ = false;
   absl::Status failure_;
+  absl::Status read_error_;
+  /// The configurations of the log could not be read after a snapshot was installed.
+  bool configurations_incomplete_ = false;
 
   /// Voters that granted or refused, while a candidate.
   std::map<ReplicaId, bool> votes_;
--- a/source/consensus/raft_election.cc
+++ b/source/consensus/raft_election.cc
@@ -138,6 +138,15 @@
 absl::Status RaftCore::TransferLeadership(TimePoint now) {
   now_ = now;
   if (!IsLeader()) return absl::UnavailableError("not the leader");
+  const std::optional<ReplicaId> best = BestSuccessor();
+  if (!best.has_value()) return absl::FailedPreconditionError("no other voter is reachable");
+  transferee_ = best;
+  transfer_deadline_ = now_ + options_.election_timeout;
+  TryTimeoutNow(*best);
+  return absl::OkStatus();
+}
+
+std::optional<ReplicaId> RaftCore::BestSuccessor() const {
   std::optional<ReplicaId> best;
   LogIndex best_match;
   for (const auto& [replica, progress] : progress_) {
@@ -147,11 +156,25 @@
     best = replica;
     best_match = progress.match();
   }
-  if (!best.has_value()) return absl::FailedPreconditionError("no other voter is reachable");
-  transferee_ = best;
-  transfer_deadline_ = now_ + options_.election_timeout;
-  TryTimeoutNow(*best);
-  return absl::OkStatus();
+  return best;
+}
+
+void RaftCore::StepDown(TimePoint now) {
+  now_ = now;
+  if (IsLeader()) {
+    const std::optional<ReplicaId> successor = BestSuccessor();
+    if (successor.has_value()) Send(MakeMessage(RaftMessageType::kTimeoutNow, *successor));
+  }
+  BecomeFollower(term(), IsLeader() ? ReplicaId() : leader_);
+}
+
+absl::Status RaftCore::Rejoin(TimePoint now) {
+  now_ = now;
+  ResetElectionTimer();
+  if (!configurations_incomplete_) return absl::OkStatus();
+  absl::Status status = LoadConfigurations(MembersAt(log_.snapshot().index));
+  configurations_incomplete_ = !status.ok();
+  return status;
 }
 
 void RaftCore::TryTimeoutNow(ReplicaId replica) {
--- a/source/consensus/raft_group.h
+++ b/source/consensus/raft_group.h
@@ -52,6 +52,12 @@
   /// Whether this replica leads and the member `replica` has replied to one of its entries,
   /// heartbeats or snapshots at or after `since`.
   virtual bool HasReplied(ReplicaId replica, TimePoint since) const = 0;
+  /// Whether this replica leads, and the member `replica` has not replied at or after `since`
+  /// although it was a member, and this replica its leader, before.
+  virtual bool IsUnresponsive(ReplicaId replica, TimePoint since) const = 0;
+  /// Not OK while this replica is stopped by an error: it neither leads nor votes, stores nothing
+  /// and fails all requests.
+  virtual const absl::Status& Failure() const = 0;
 
   /// Appends `command`; `done` receives the state machine's result once it is applied locally.
   /// InvalidArgument if it is larger than kMaxCommandBytes.
--- a/source/consensus/raft_replication.cc
+++ b/source/consensus/raft_replication.cc
@@ -60,7 +60,7 @@
   if (max_bytes > 0 && progress.next() <= log_.last_index()) {
     auto entries = log_.Read(progress.next(), log_.last_index(), max_bytes);
     if (!entries.ok()) {
-      failure_ = entries.status();
+      read_error_ = entries.status();
       return;
     }
     message.entries = *std::move(entries);
--- a/source/consensus/raft_snapshot_transfer.cc
+++ b/source/consensus/raft_snapshot_transfer.cc
@@ -10,7 +10,7 @@
   if (progress.snapshot != log_.snapshot()) progress.BeginSnapshot(log_.snapshot(), now_);
   auto bytes = log_.ReadSnapshotBytes(progress.snapshot_offset, options_.snapshot_chunk_bytes);
   if (!bytes.ok()) {
-    failure_ = bytes.status();
+    read_error_ = bytes.status();
     return;
   }
   RaftMessage message = MakeMessage(RaftMessageType::kSnapshotChunk, to);
@@ -70,7 +70,8 @@
   configurations_.Reset(position.index, std::move(members));
   // Entries after the snapshot may remain in the log.
   if (absl::Status status = LoadConfigurations(configurations_.Current().members); !status.ok()) {
-    failure_ = status;
+    configurations_incomplete_ = true;
+    read_error_ = status;
     return;
   }
   if (leader_ == ReplicaId() || IsLeader()) return;
--- a/source/server/server_node.cc
+++ b/source/server/server_node.cc
@@ -291,14 +291,19 @@
                    "Since the gateway's routes were last known to be the newest; -1 is never."})
         .Set(proof_age ? ToSeconds(*proof_age) : -1);
   }
+  if (storage_ != nullptr) SetGroupGauges(storage_->groups());
   if (control_ == nullptr) return;
+  SetGroupGauges(control_->groups());
   stats_.NewGauge({"millstair_cluster_revision", "Revision applied by this control node."})
       .Set(static_cast<double>(control_->configuration().revision.value()));
   stats_
       .NewGauge({"millstair_confirmation_read_seconds",
                  "Age of the read that confirms heartbeats; 0 if none is in progress."})
       .Set(ToSeconds(control_->ConfirmationReadAge()));
-  for (RaftGroup* group : control_->groups().Groups()) {
+}
+
+void ServerNode::SetGroupGauges(GroupHost& groups) {
+  for (RaftGroup* group : groups.Groups()) {
     const std::string name = group->id().value();
     stats_.NewGauge({"millstair_raft_leader", "1 on the group's leader.", "group", name})
         .Set(group->IsLeader() ? 1 : 0);
@@ -306,6 +311,11 @@
         .Set(static_cast<double>(group->CurrentTerm().value()));
     stats_.NewGauge({"millstair_raft_applied_index", "Last applied entry.", "group", name})
         .Set(static_cast<double>(group->AppliedIndex().value()));
+    stats_
+        .NewGauge({"millstair_raft_stopped",
+                   "1 while an error, such as of the disk, keeps the replica out of its group.",
+                   "group", name})
+        .Set(group->Failure().ok() ? 0 : 1);
   }
 }
 
--- a/source/server/server_node.h
+++ b/source/server/server_node.h
@@ -72,6 +72,7 @@
 
   bool Ready() const;
   void UpdateStats();
+  void SetGroupGauges(GroupHost& groups);
   /// Steps of a stop, in order.
   void DrainGateway();
   void DrainControl();
--- a/source/storage/file_system.h
+++ b/source/storage/file_system.h
@@ -19,11 +19,14 @@
 class AppendFile {
  public:
   virtual ~AppendFile() = default;
+  /// An append that failed may have written a part of `bytes`.
   virtual absl::Status Append(std::string_view bytes) = 0;
-  /// Makes all appended bytes durable, off the executor; `done` runs on the executor.
+  /// Drops all bytes from `size` on; durable once a later `Sync` has succeeded.
+  virtual absl::Status Truncate(uint64_t size) = 0;
+  /// Makes all appended bytes durable, off the executor; `done` runs on the executor. Bytes that a
+  /// failed sync covered may be readable but lost: a later sync that succeeds does not make them
+  /// durable unless they were written again.
   virtual void Sync(std::function<void(absl::Status)> done) = 0;
-  /// Blocking variant of `Sync`, for startup and small files.
-  virtual absl::Status SyncNow() = 0;
   virtual uint64_t Size() const = 0;
 };
 
@@ -40,7 +43,6 @@
   virtual absl::StatusOr<std::string> Read(const std::string& path) = 0;
   virtual absl::StatusOr<std::string> ReadRange(const std::string& path, uint64_t offset,
                                                 uint64_t size) = 0;
-  virtual absl::Status Truncate(const std::string& path, uint64_t size) = 0;
   virtual absl::Status Remove(const std::string& path) = 0;
   /// Replaces `path` atomically: after a crash it has either the old or the new contents.
   virtual absl::Status WriteAtomically(const std::string& path, std::string_view bytes) = 0;
--- a/source/storage/log_recovery.cc
+++ b/source/storage/log_recovery.cc
@@ -138,8 +138,9 @@
     auto scan = ScanSegment(path, *bytes, number, number == numbers->back());
     if (!scan.ok()) return scan.status();
     if (absl::Status status = replay.Segment(path, number, *scan); !status.ok()) return status;
-    log.last_segment_bytes = scan->valid_bytes;
     log.torn_bytes = bytes->size() - scan->valid_bytes;
+    log.last_segment = *std::move(bytes);
+    log.last_segment.resize(scan->valid_bytes);
   }
   if (index.base() > log.snapshot.index) {
     return absl::DataLossError(absl::StrCat(folder, ": entries up to ", index.base().value(),
--- a/source/storage/log_recovery.h
+++ b/source/storage/log_recovery.h
@@ -23,8 +23,8 @@
   HardState hard_state;
   LogPosition snapshot;
   std::vector<SegmentInfo> segments;
-  /// Valid bytes of the last segment.
-  uint64_t last_segment_bytes = 0;
+  /// Contents of the last segment without its torn tail.
+  std::string last_segment;
   /// Bytes of the torn tail of the last segment.
   uint64_t torn_bytes = 0;
 };
--- a/source/storage/memory_file_system.cc
+++ b/source/storage/memory_file_system.cc
@@ -10,16 +10,29 @@
 
 class MemoryAppendFile : public AppendFile {
  public:
-  MemoryAppendFile(MemoryFileSystem& disk, std::shared_ptr<MemoryFileSystem::File> file)
-      : disk_(disk), file_(std::move(file)), generation_(disk.generation_) {}
+  MemoryAppendFile(MemoryFileSystem& disk, std::string path,
+                   std::shared_ptr<MemoryFileSystem::File> file)
+      : disk_(disk),
+        path_(std::move(path)),
+        file_(std::move(file)),
+        generation_(disk.generation_) {}
 
   absl::Status Append(std::string_view bytes) override {
     if (stale()) return absl::FailedPreconditionError("file of an earlier incarnation");
-    if (disk_.full_) return absl::ResourceExhaustedError("disk full");
+    if (disk_.Refuses(path_)) {
+      file_->bytes.append(bytes.substr(0, DrawBelow(disk_.random_, bytes.size() + 1)));
+      return absl::ResourceExhaustedError("disk full");
+    }
     file_->bytes.append(bytes);
     return absl::OkStatus();
   }
 
+  absl::Status Truncate(uint64_t size) override {
+    if (stale()) return absl::FailedPreconditionError("file of an earlier incarnation");
+    file_->Resize(size);
+    return absl::OkStatus();
+  }
+
   void Sync(std::function<void(absl::Status)> done) override {
     if (stale()) return;
     const Duration delay =
@@ -29,28 +42,34 @@
     disk_.environment_->Schedule(delay, [&disk = disk_, file = file_, generation = generation_,
                                          size, status, done = std::move(done)] {
       if (generation != disk.generation_) return;
-      if (status.ok()) file->synced = std::max(file->synced, std::min(size, file->bytes.size()));
+      file->FinishSync(size, status.ok());
       done(status);
     });
   }
 
-  absl::Status SyncNow() override {
-    if (stale()) return absl::FailedPreconditionError("file of an earlier incarnation");
-    absl::Status status = disk_.ConsumeSyncFailure();
-    if (status.ok()) file_->synced = file_->bytes.size();
-    return status;
-  }
-
   uint64_t Size() const override { return file_->bytes.size(); }
 
  private:
   bool stale() const { return generation_ != disk_.generation_; }
 
   MemoryFileSystem& disk_;
+  std::string path_;
   std::shared_ptr<MemoryFileSystem::File> file_;
   uint64_t generation_;
 };
 
+void MemoryFileSystem::File::FinishSync(uint64_t size, bool ok) {
+  size = std::min<uint64_t>(size, bytes.size());
+  if (!ok && size > synced && !lost_from) lost_from = synced;
+  if (ok) synced = std::max(synced, std::min(size, lost_from.value_or(size)));
+}
+
+void MemoryFileSystem::File::Resize(uint64_t size) {
+  bytes.resize(size);
+  synced = std::min(synced, size);
+  if (lost_from && *lost_from >= size) lost_from.reset();
+}
+
 MemoryFileSystem::MemoryFileSystem(Environment& environment, uint64_t seed,
                                    MemoryDiskOptions options)
     : environment_(&environment), random_(seed), options_(options) {}
@@ -74,38 +93,38 @@
 }
 
 absl::StatusOr<std::unique_ptr<AppendFile>> MemoryFileSystem::OpenAppend(const std::string& path) {
+  if (Refuses(path) && !files_.contains(path)) return absl::ResourceExhaustedError("disk full");
   auto& file = files_[path];
   if (file == nullptr) file = std::make_shared<File>();
-  return std::make_unique<MemoryAppendFile>(*this, file);
+  return std::make_unique<MemoryAppendFile>(*this, path, file);
 }
 
-absl::StatusOr<std::string> MemoryFileSystem::Read(const std::string& path) {
+absl::StatusOr<const MemoryFileSystem::File*> MemoryFileSystem::FindReadable(
+    const std::string& path) const {
+  if (unreadable_) return absl::UnavailableError(absl::StrCat(path, ": cannot read"));
   const auto it = files_.find(path);
   if (it == files_.end()) return absl::NotFoundError(absl::StrCat(path, ": no such file"));
-  return it->second->bytes;
+  return it->second.get();
+}
+
+absl::StatusOr<std::string> MemoryFileSystem::Read(const std::string& path) {
+  const auto file = FindReadable(path);
+  if (!file.ok()) return file.status();
+  return (*file)->bytes;
 }
 
 absl::StatusOr<std::string> MemoryFileSystem::ReadRange(const std::string& path, uint64_t offset,
                                                         uint64_t size) {
   ++range_reads_;
-  const auto it = files_.find(path);
-  if (it == files_.end()) return absl::NotFoundError(absl::StrCat(path, ": no such file"));
-  const std::string& bytes = it->second->bytes;
+  const auto file = FindReadable(path);
+  if (!file.ok()) return file.status();
+  const std::string& bytes = (*file)->bytes;
   if (offset > bytes.size() || size > bytes.size() - offset) {
     return absl::OutOfRangeError(absl::StrCat(path, ": range beyond the end"));
   }
   return bytes.substr(offset, size);
 }
 
-absl::Status MemoryFileSystem::Truncate(const std::string& path, uint64_t size) {
-  const auto it = files_.find(path);
-  if (it == files_.end()) return absl::NotFoundError(absl::StrCat(path, ": no such file"));
-  File& file = *it->second;
-  file.bytes.resize(size);
-  file.synced = std::min(file.synced, size);
-  return absl::OkStatus();
-}
-
 absl::Status MemoryFileSystem::Remove(const std::string& path) {
   if (files_.erase(path) == 0 && folders_.erase(path) == 0) {
     return absl::NotFoundError(absl::StrCat(path, ": no such file"));
@@ -114,7 +133,7 @@
 }
 
 absl::Status MemoryFileSystem::WriteAtomically(const std::string& path, std::string_view bytes) {
-  if (full_) return absl::ResourceExhaustedError("disk full");
+  if (Refuses(path)) return absl::ResourceExhaustedError("disk full");
   if (absl::Status status = ConsumeSyncFailure(); !status.ok()) return status;
   auto file = std::make_shared<File>();
   file->bytes = std::string(bytes);
--- a/source/storage/posix_file_system.cc
+++ b/source/storage/posix_file_system.cc
@@ -85,6 +85,15 @@
     return status;
   }
 
+  absl::Status Truncate(uint64_t size) override {
+    const SlowOperation measured(path_, "truncate");
+    if (::ftruncate(file_->value(), static_cast<off_t>(size)) != 0) {
+      return LastError(path_, "truncate");
+    }
+    size_ = size;
+    return absl::OkStatus();
+  }
+
   void Sync(std::function<void(absl::Status)> done) override {
     executor_.run([file = file_, path = path_, post_back = executor_.post_back,
                    done = std::move(done)]() mutable {
@@ -97,12 +106,6 @@
     });
   }
 
-  absl::Status SyncNow() override {
-    const SlowOperation measured(path_, "sync-now");
-    if (::fdatasync(file_->value()) != 0) return LastError(path_, "sync");
-    return absl::OkStatus();
-  }
-
   uint64_t Size() const override { return size_; }
 
  private:
@@ -187,15 +190,15 @@
 absl::StatusOr<std::unique_ptr<AppendFile>> PosixFileSystem::OpenAppend(const std::string& path) {
   const std::string full = FullPath(path);
   if (absl::Status status = CreateDurableFolder(ParentOf(full)); !status.ok()) return status;
-  const bool existed = ::access(full.c_str(), F_OK) == 0;
   auto file = std::make_shared<Descriptor>(
       ::open(full.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode));
   if (!file->valid()) return LastError(full, "open");
-  if (!existed) {
-    if (absl::Status status = SyncFolder(ParentOf(full)); !status.ok()) return status;
-  }
   const off_t size = ::lseek(file->value(), 0, SEEK_END);
   if (size < 0) return LastError(full, "read size of");
+  // An empty file may be new, or left by an attempt whose sync of the folder failed.
+  if (size == 0) {
+    if (absl::Status status = SyncFolder(ParentOf(full)); !status.ok()) return status;
+  }
   return std::make_unique<PosixAppendFile>(full, std::move(file), static_cast<uint64_t>(size),
                                            executor_);
 }
@@ -209,16 +212,6 @@
   return ReadFrom(FullPath(path), offset, size, false);
 }
 
-absl::Status PosixFileSystem::Truncate(const std::string& path, uint64_t size) {
-  const std::string full = FullPath(path);
-  const SlowOperation measured(full, "truncate");
-  const Descriptor file(::open(full.c_str(), O_WRONLY | O_CLOEXEC));
-  if (!file.valid()) return LastError(full, "open");
-  if (::ftruncate(file.value(), static_cast<off_t>(size)) != 0) return LastError(full, "truncate");
-  if (::fsync(file.value()) != 0) return LastError(full, "sync");
-  return absl::OkStatus();
-}
-
 absl::Status PosixFileSystem::Remove(const std::string& path) {
   const std::string full = FullPath(path);
   if (::remove(full.c_str()) != 0) return LastError(full, "remove");
@@ -235,8 +228,12 @@
         ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode));
     if (!file.valid()) return LastError(temporary, "open");
     absl::Status status = WriteAll(file.value(), temporary, bytes);
-    if (!status.ok()) return status;
-    if (::fsync(file.value()) != 0) return LastError(temporary, "sync");
+    if (status.ok() && ::fsync(file.value()) != 0) status = LastError(temporary, "sync");
+    if (!status.ok()) {
+      // Gives back the space on a full disk.
+      ::unlink(temporary.c_str());
+      return status;
+    }
   }
   if (::rename(temporary.c_str(), full.c_str()) != 0) return LastError(full, "replace");
   return SyncFolder(ParentOf(full));
--- a/source/storage/posix_file_system.h
+++ b/source/storage/posix_file_system.h
@@ -39,7 +39,6 @@
   absl::StatusOr<std::string> Read(const std::string& path) override;
   absl::StatusOr<std::string> ReadRange(const std::string& path, uint64_t offset,
                                         uint64_t size) override;
-  absl::Status Truncate(const std::string& path, uint64_t size) override;
   absl::Status Remove(const std::string& path) override;
   absl::Status WriteAtomically(const std::string& path, std::string_view bytes) override;
 
--- a/source/storage/segmented_log.cc
+++ b/source/storage/segmented_log.cc
@@ -1,6 +1,7 @@
 #include "storage/segmented_log.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -46,18 +47,17 @@
   if (segments_.empty()) return BeginSegment();
   RemoveCoveredFiles();
 
+  return RewriteLastSegment(std::move(recovered->last_segment));
+}
+
+absl::Status SegmentedLog::RewriteLastSegment(std::string bytes) {
   const std::string path = SegmentPath(folder_, segments_.back().number);
-  if (torn_bytes_ > 0) {
-    absl::Status status = files_.Truncate(path, recovered->last_segment_bytes);
-    if (!status.ok()) return status;
-  }
+  // The segment header may have been torn.
+  AppendHeaderRecords(bytes, 0);
+  if (absl::Status status = files_.WriteAtomically(path, bytes); !status.ok()) return status;
   auto file = files_.OpenAppend(path);
   if (!file.ok()) return file.status();
   active_ = *std::move(file);
-  // The segment header may have been torn. The sync also covers the recovered records, which may
-  // not have been durable when the process ended.
-  if (absl::Status status = AppendSegmentHeader(); !status.ok()) return status;
-  if (absl::Status status = active_->SyncNow(); !status.ok()) return status;
   active_durable_ = active_->Size();
   return absl::OkStatus();
 }
@@ -73,14 +73,17 @@
 }
 
 absl::Status SegmentedLog::AppendSegmentHeader() {
-  const uint64_t number = segments_.back().number;
-  const uint64_t base = active_->Size();
   std::string header;
-  AppendRecord(header, base, number, 0, RecordType::kHardState, EncodeHardState(hard_state_));
+  AppendHeaderRecords(header, active_->Size());
+  return active_->Append(header);
+}
+
+void SegmentedLog::AppendHeaderRecords(std::string& batch, uint64_t base) const {
+  const uint64_t number = segments_.back().number;
+  AppendRecord(batch, base, number, 0, RecordType::kHardState, EncodeHardState(hard_state_));
   if (snapshot_.index > LogIndex(0) && snapshot_sequence_ == 0) {
-    AppendRecord(header, base, number, 0, RecordType::kSnapshot, EncodeLogPosition(snapshot_));
+    AppendRecord(batch, base, number, 0, RecordType::kSnapshot, EncodeLogPosition(snapshot_));
   }
-  return active_->Append(header);
 }
 
 std::optional<EntryType> SegmentedLog::TypeAt(LogIndex index) const {
@@ -137,7 +140,9 @@
   if (!range.Contains(location)) {
     auto bytes = files_.ReadRange(path, start, EndOfRun(index, to, max_bytes) - start);
     if (!bytes.ok()) {
-      return absl::DataLossError(absl::StrCat(path, ": ", bytes.status().message()));
+      const bool missing = absl::IsNotFound(bytes.status()) || absl::IsOutOfRange(bytes.status());
+      return absl::Status(missing ? absl::StatusCode::kDataLoss : bytes.status().code(),
+                          absl::StrCat(path, ": ", bytes.status().message()));
     }
     range = {location.segment, start, *std::move(bytes)};
   }
@@ -208,12 +213,13 @@
                                      static_cast<uint32_t>(entry.payload->size())});
     segment.max_index = std::max(segment.max_index, entry.index);
   }
-  pending_.clear();
+  unsynced_ = std::exchange(pending_, {});
 }
 
 void SegmentedLog::FinishSync(absl::Status status) {
   syncing_ = false;
   if (!status.ok()) return Fail(status);
+  unsynced_.clear();
   active_durable_ = active_->Size();
   durable_sequence_ = syncing_sequence_;
   durable_index_ = syncing_index_;
@@ -229,10 +235,36 @@
 
 void SegmentedLog::Fail(absl::Status status) {
   failure_ = status;
+  pending_.insert(pending_.begin(), std::make_move_iterator(unsynced_.begin()),
+                  std::make_move_iterator(unsynced_.end()));
+  unsynced_.clear();
   const auto callback = on_durable_;
   if (callback) callback(status);
 }
 
+void SegmentedLog::Resume() {
+  if (failure_.ok() || resuming_) return;
+  resuming_ = true;
+  if (absl::Status status = active_->Truncate(active_durable_); !status.ok()) {
+    return FinishResume(status);
+  }
+  // New bytes must not reach the disk before the dropped ones are gone: a crash could leave a
+  // mixture of both.
+  active_->Sync(alive_.Guard([this](const absl::Status& status) { FinishResume(status); }));
+}
+
+void SegmentedLog::FinishResume(const absl::Status& status) {
+  resuming_ = false;
+  if (!status.ok()) return Fail(status);
+  if (active_->Size() == 0) {
+    if (absl::Status header = AppendSegmentHeader(); !header.ok()) return Fail(header);
+  }
+  failure_ = absl::OkStatus();
+  // The sync of at least one record shows whether the disk takes writes.
+  if (pending_.empty()) SaveHardState(hard_state_);
+  Flush();
+}
+
 void SegmentedLog::SaveSnapshot(const LogPosition& position,
                                 const std::vector<std::string_view>& state,
                                 std::function<void(absl::Status)> done) {
@@ -242,7 +274,10 @@
   const std::string header = EncodeSnapshotFileHeader(position, state);
   uint64_t bytes = header.size();
   for (const std::string_view part : state) bytes += part.size();
-  const auto finish = [this](absl::Status status) {
+  const auto finish = [this, path](absl::Status status) {
+    snapshot_file_ = nullptr;
+    // Gives back the space on a full disk.
+    if (!status.ok()) files_.Remove(path).IgnoreError();
     const auto callback = std::exchange(snapshot_done_, nullptr);
     callback(status);
   };
@@ -312,8 +347,10 @@
   const size_t with_header = active_durable_ > 0 ? segments_.size() : segments_.size() - 1;
   size_t covered = 0;
   while (covered + 1 < with_header && segments_[covered].max_index <= index_.base()) {
-    // Files that could not be removed are removed at the next start.
-    if (!files_.Remove(SegmentPath(folder_, segments_[covered].number)).ok()) break;
+    // A file that cannot be removed is tried again with the next snapshot, also one that is gone
+    // although the sync of the folder failed.
+    const absl::Status removed = files_.Remove(SegmentPath(folder_, segments_[covered].number));
+    if (!removed.ok() && !absl::IsNotFound(removed)) break;
     ++covered;
   }
   segments_.erase(segments_.begin(), segments_.begin() + static_cast<std::ptrdiff_t>(covered));
--- a/source/storage/segmented_log.h
+++ b/source/storage/segmented_log.h
@@ -6,6 +6,10 @@
 /// removed by deleting complete segments that a snapshot covers. A new segment is started only when
 /// all earlier bytes are durable, so that only the last one can be torn.
 ///
+/// A write or sync that fails stops the log; `Resume` restarts it. What no successful sync covered
+/// is then written again, since after a failed sync the file may show bytes that are not on the
+/// disk. For the same reason a log that is opened writes its last segment anew.
+///
 /// Lives on the node's serial executor.
 #pragma once
 
@@ -72,11 +76,18 @@
   LogIndex durable_index() const { return durable_index_; }
   /// Starts writing the buffered records, or does so after the outstanding sync.
   void Flush();
+  /// Not OK while an error has stopped the log: appends are kept in memory until `Resume` succeeds.
+  const absl::Status& failure() const { return failure_; }
+  /// Restarts a stopped log: drops the part of the last segment that is not durable and writes all
+  /// records that are not durable again. The callback of `OnDurable` gets the outcome.
+  void Resume();
   /// Registers a callback for when `durable_sequence` advances or an error stops the log.
   void OnDurable(std::function<void(absl::Status)> callback) { on_durable_ = std::move(callback); }
 
   /// Writes a snapshot file of `state` and a record that refers to it; `done` runs once both are
-  /// durable. A log that does not contain `position` is reset to it. At most one at a time.
+  /// durable. A log that does not contain `position` is reset to it. At most one at a time. An
+  /// error of the file leaves the log as it was; the record is written again after an error of the
+  /// log.
   void SaveSnapshot(const LogPosition& position, const std::vector<std::string_view>& state,
                     std::function<void(absl::Status)> done);
   bool saving_snapshot() const { return snapshot_done_ != nullptr; }
@@ -109,12 +120,16 @@
 
   SegmentedLog(FileSystem& files, std::string folder, LogOptions options);
   absl::Status Recover();
+  /// Replaces the last segment by a new file with the recovered bytes and a segment header.
+  absl::Status RewriteLastSegment(std::string bytes);
   absl::Status BeginSegment();
   /// Writes the hard state and snapshot position, since earlier segments may be removed.
   absl::Status AppendSegmentHeader();
+  void AppendHeaderRecords(std::string& batch, uint64_t base) const;
   void AppendPending(std::string& batch, uint64_t base);
   void FinishSync(absl::Status status);
   void Fail(absl::Status status);
+  void FinishResume(const absl::Status& status);
   void AddRecord(Pending record);
   void RecordSnapshotReference(const LogPosition& position, uint64_t bytes);
   void FinishSnapshot();
@@ -141,7 +156,10 @@
   std::unique_ptr<AppendFile> active_;
   uint64_t active_durable_ = 0;
   std::vector<Pending> pending_;
+  /// Records that were written but are not durable yet.
+  std::vector<Pending> unsynced_;
   bool syncing_ = false;
+  bool resuming_ = false;
   LogSequence sequence_ = 0;
   LogSequence durable_sequence_ = 0;
   LogSequence syncing_sequence_ = 0;
--- a/test/consensus/chaos_run.h
+++ b/test/consensus/chaos_run.h
@@ -20,6 +20,8 @@
   bool membership_changes = true;
   /// Ignores liveness violations, so that injected faults are detected only by safety checks.
   bool safety_only = false;
+  /// Whether disks refuse writes, syncs fail and processes end without a loss of power.
+  bool disk_errors = false;
 };
 
 struct ChaosCounts {
@@ -33,6 +35,9 @@
   uint64_t members_promoted = 0;
   uint64_t members_removed = 0;
   uint64_t transfers = 0;
+  uint64_t refusals = 0;
+  uint64_t failed_syncs = 0;
+  uint64_t kills = 0;
 };
 
 class ChaosRun {
@@ -52,6 +57,10 @@
   void LosePower();
   void CutRandomLinks();
   void SlowRandomDisk();
+  void CauseDiskError();
+  void RefuseWrites();
+  void AcceptWrites();
+  void KillOne();
   void LoseRandomDisk();
   void ChangeMembers();
   void RepairMembers();
--- a/test/consensus/chaos_test.cc
+++ b/test/consensus/chaos_test.cc
@@ -31,6 +31,31 @@
   REQUIRE(sum.members_removed > 10);
 }
 
+TEST_CASE("refused writes and failed syncs do not violate safety, and every replica recovers") {
+  ChaosCounts sum;
+  for (uint64_t seed = 101; seed <= 140; ++seed) {
+    ChaosOptions options;
+    options.seed = seed;
+    options.initial_members = 3 + static_cast<int>(seed % 3);
+    options.disk_errors = true;
+    ChaosRun run(options);
+    const auto violations = run.Run();
+    INFO("seed " << seed);
+    if (!violations.empty()) FAIL(violations.front());
+    sum.acknowledged += run.counts().acknowledged;
+    sum.refusals += run.counts().refusals;
+    sum.failed_syncs += run.counts().failed_syncs;
+    sum.kills += run.counts().kills;
+    sum.power_losses += run.counts().power_losses;
+  }
+  // Guards against runs that exercise nothing.
+  REQUIRE(sum.acknowledged > 5000);
+  REQUIRE(sum.refusals > 100);
+  REQUIRE(sum.failed_syncs > 100);
+  REQUIRE(sum.kills > 100);
+  REQUIRE(sum.power_losses > 50);
+}
+
 /// Returns the first seed that detects the fault, or 0.
 uint64_t FindDetectingSeed(const ConsensusFaults& faults, uint64_t seeds) {
   for (uint64_t seed = 1; seed <= seeds; ++seed) {
--- a/test/consensus/consensus_fleet.cc
+++ b/test/consensus/consensus_fleet.cc
@@ -114,6 +114,13 @@
   node.files->Crash();
 }
 
+void ConsensusFleet::KillProcess(const NodeId& id) {
+  FleetNode& node = *nodes.at(id);
+  node.environment->Kill();
+  node.host.reset();
+  node.files->Kill();
+}
+
 void ConsensusFleet::LoseDisk(const NodeId& id) {
   Crash(id);
   nodes.at(id)->files->LoseDisk();
--- a/test/consensus/consensus_fleet.h
+++ b/test/consensus/consensus_fleet.h
@@ -147,6 +147,8 @@
   ListMachine* Machine(const NodeId& id, const GroupId& group = kTestGroup);
   std::vector<GroupMember> InitialMembers() const;
 
+  /// Ends the process; its machine keeps unsynced bytes.
+  void KillProcess(const NodeId& id);
   /// Crashes the process; unsynced bytes are lost or torn.
   void Crash(const NodeId& id);
   /// Restarts a crashed node. A node without an identity gets a new one.
--- a/test/jobs/fake_group.h
+++ b/test/jobs/fake_group.h
@@ -28,6 +28,12 @@
     return found != replied_at.end() && found->second >= since;
   }
 
+  bool IsUnresponsive(ReplicaId replica, TimePoint since) const override {
+    const auto found = unresponsive_since.find(replica);
+    return found != unresponsive_since.end() && found->second < since;
+  }
+  const absl::Status& Failure() const override { return failure; }
+
   void Propose(std::string command,
                std::function<void(absl::StatusOr<std::string>)> done) override {
     scheduler_.Schedule(commit_time, [this, command, done] {
@@ -75,6 +81,9 @@
   std::vector<GroupMember> members;
   /// When each replica replied last; one without an entry never did.
   std::map<ReplicaId, TimePoint> replied_at;
+  /// Members that stopped replying, and when.
+  std::map<ReplicaId, TimePoint> unresponsive_since;
+  absl::Status failure;
   int transfers = 0;
 
  private:
--- a/test/rollout/rollout_fakes.h
+++ b/test/rollout/rollout_fakes.h
@@ -60,6 +60,8 @@
   LogIndex AppliedIndex() const override { return LogIndex(0); }
   std::vector<GroupMember> Members() const override { return {}; }
   bool HasReplied(ReplicaId, TimePoint) const override { return false; }
+  bool IsUnresponsive(ReplicaId, TimePoint) const override { return false; }
+  const absl::Status& Failure() const override { return failure_; }
   void Propose(std::string command,
                std::function<void(absl::StatusOr<std::string>)> done) override {
     if (!IsLeader()) return done(absl::UnavailableError("not the leader"));
@@ -77,6 +79,7 @@
   GroupId id_;
   FakeLog& log_;
   NodeId node_;
+  absl::Status failure_;
 };
 
 /// Places generations round-robin, up to a limit for each engine.
