Replicas: a voter that stays unable to write counts as lost

Cause: a voter counted as lost only when its node was silent or had another disk. One whose disk refuses writes sends heartbeats all the while, so that it kept its place while a learner stood beside it.

Change: a member that has not replied to the leader of its group for timing.replace_voter_after is lost, in the cluster group and in job groups; a learner takes its place if there is one. A lost learner whose node is present stays a member, since it returns with its log.

Tests: one each for the cluster group (a full disk) and the job group. The rule is new, and both need RaftGroup::IsUnresponsive, so that they were not run on the code before.

--- a/source/cluster/replica_manager.cc
+++ b/source/cluster/replica_manager.cc
@@ -86,20 +86,27 @@
 bool ReplicaManager::IsLost(const GroupMember& member) const {
   if (member.node == self_) return false;
   const TimePoint now = environment_.Now();
-  const NodeLiveness* liveness = nodes_.FindSince(member.node, now - replace_after_);
-  if (liveness != nullptr) {
-    // The node runs with another disk: this replica is lost, whether the new one joins or relays.
-    const ReplicaId present = liveness->latest.replica;
-    return present != ReplicaId() && present != member.replica;
+  const TimePoint since = now - replace_after_;
+  const RaftGroup* group = cluster_.group();
+  if (nodes_.FindSince(member.node, since) != nullptr) {
+    if (HasOtherDisk(member)) return true;
+    return group != nullptr && group->IsUnresponsive(member.replica, since);
   }
   // After a restart, the replica replies before a heartbeat of its node reaches the leader.
   // Promoting a learner then would leave an even number of voters without need, and a partition
   // into halves without a quorum.
-  const RaftGroup* group = cluster_.group();
-  if (group != nullptr && group->HasReplied(member.replica, now - replace_after_)) return false;
+  if (group != nullptr && group->HasReplied(member.replica, since)) return false;
   return now - leader_since_ > replace_after_;
 }
 
+bool ReplicaManager::HasOtherDisk(const GroupMember& member) const {
+  const NodeLiveness* liveness = nodes_.FindSince(member.node, environment_.Now() - replace_after_);
+  if (liveness == nullptr) return false;
+  // The replica is lost whether the node's new one joins or relays.
+  const ReplicaId present = liveness->latest.replica;
+  return present != ReplicaId() && present != member.replica;
+}
+
 bool ReplicaManager::PromoteIfTooFew(RaftGroup& group, const std::vector<GroupMember>& members) {
   if (HealthyVoters(members).size() >= target_voters_) return false;
   const auto learner = BestLearner(members);
@@ -151,9 +158,7 @@
     // A lost voter stays until it is replaced: the quorum must not shrink.
     if (member.voter && voters <= target_voters_) continue;
     // An unresponsive learner may come back with its log.
-    const NodeLiveness* liveness =
-        nodes_.FindSince(member.node, environment_.Now() - replace_after_);
-    if (!member.voter && liveness == nullptr) continue;
+    if (!member.voter && !HasOtherDisk(member)) continue;
     Remove(group, member);
     return true;
   }
--- a/source/cluster/replica_manager.h
+++ b/source/cluster/replica_manager.h
@@ -52,9 +52,11 @@
   void ReportEmptied(const std::vector<GroupMember>& members);
   bool IsRetired(const NodeId& node) const;
   size_t CountVoters(const std::vector<GroupMember>& members) const;
-  /// Its node runs with another disk, or has sent no heartbeat for long while its replica in the
-  /// cluster group didn't reply either.
+  /// Its node runs with another disk, or its replica in the cluster group has not replied for long,
+  /// because its node is gone or the replica cannot store anything.
   bool IsLost(const GroupMember& member) const;
+  /// Whether the node runs with another disk, so that this replica cannot return.
+  bool HasOtherDisk(const GroupMember& member) const;
 
   void Add(RaftGroup& group, GroupMember member);
   void Promote(RaftGroup& group, const GroupMember& member);
--- a/source/jobs/job_replica_manager.cc
+++ b/source/jobs/job_replica_manager.cc
@@ -77,9 +77,11 @@
   const NodeRecord& record = node->second;
   // A node that restarted with another disk no longer holds this replica.
   if (record.replica != member.replica) return true;
+  const TimePoint now = environment_.Now();
+  if (group_->IsUnresponsive(member.replica, now - options_.unresponsive_after)) return true;
   // After a restart, the replica replies before the configuration shows its node as live.
   return record.state == MemberState::kGone &&
-         !group_->HasReplied(member.replica, environment_.Now() - kReplyWindow);
+         !group_->HasReplied(member.replica, now - kReplyWindow);
 }
 
 bool JobReplicaManager::IsRetired(const NodeId& node) const {
--- a/source/jobs/job_replica_manager.h
+++ b/source/jobs/job_replica_manager.h
@@ -19,6 +19,8 @@
   size_t voters = 3;
   /// Learners in addition to the voters, ready to replace one.
   size_t spare_learners = 1;
+  /// A replica that has not replied for this long is lost, although its node is present.
+  Duration unresponsive_after = std::chrono::seconds(10);
 };
 
 /// Lives on the node's serial executor.
--- a/source/server/node_options.cc
+++ b/source/server/node_options.cc
@@ -143,6 +143,7 @@
   options.jobs.retention =
       std::chrono::duration_cast<std::chrono::milliseconds>(timing.job_retention);
   options.replicas.voters = VoterCount(settings);
+  options.replicas.unresponsive_after = timing.replace_voter_after;
   options.scheduler.stall_timeout = timing.run_stall;
   options.scheduler.shares_steps = settings.SharesSteps();
   options.loads.concurrent_loads = static_cast<uint32_t>(settings.concurrent_loads);
--- a/test/cluster/cluster_fleet.h
+++ b/test/cluster/cluster_fleet.h
@@ -91,6 +91,7 @@
   /// From its next start on, the node's wall clock is `ahead` of true time.
   void SetClock(const std::string& name, Duration ahead) { clocks_[name] = ahead; }
   void LoseDisk(const std::string& name) { disks_.at(name)->LoseDisk(); }
+  void SetDiskFull(const std::string& name, bool full) { disks_.at(name)->SetFull(full); }
   FleetProcess& Process(const std::string& name) { return processes_.at(name); }
   bool Running(const std::string& name) const { return processes_.contains(name); }
 
--- a/test/cluster/control_node_test.cc
+++ b/test/cluster/control_node_test.cc
@@ -367,6 +367,42 @@
       seconds(10)));
 }
 
+/// Guards against a voter that counts as healthy because its node sends heartbeats.
+TEST_CASE("a voter that stays unable to write is replaced, and returns as a learner") {
+  ClusterFleet fleet({.control_nodes = 4, .membership = {.replace_voter_after = seconds(3)}});
+  fleet.AwaitLeader();
+  fleet.Start("c4");
+  REQUIRE(fleet.RunUntil([&] { return MemberOn(ClusterMembers(fleet), "c4") != nullptr; },
+                         seconds(10)));
+  fleet.RunFor(seconds(5));
+  const std::string refused = fleet.Leader() == "c1" ? "c2" : "c1";
+  fleet.SetDiskFull(refused, true);
+  fleet.PutMachine("m1");
+  fleet.RunFor(seconds(1));
+  CHECK(MemberOn(ClusterMembers(fleet), refused)->voter);
+  REQUIRE(fleet.RunUntil(
+      [&] {
+        const auto members = ClusterMembers(fleet);
+        const GroupMember* c4 = MemberOn(members, "c4");
+        const GroupMember* unable = MemberOn(members, refused);
+        return c4 != nullptr && c4->voter && (unable == nullptr || !unable->voter);
+      },
+      seconds(10)));
+  fleet.SetDiskFull(refused, false);
+  fleet.RunFor(seconds(10));
+  CHECK(Voters(fleet) == 3);
+  const auto members = ClusterMembers(fleet);
+  REQUIRE(MemberOn(members, refused) != nullptr);
+  const LogIndex committed =
+      fleet.Process(fleet.AwaitLeader()).control->groups().Find(GroupId("cluster"))->AppliedIndex();
+  CHECK(fleet.RunUntil(
+      [&] {
+        const RaftGroup* group = fleet.Process(refused).control->groups().Find(GroupId("cluster"));
+        return group->Failure().ok() && group->AppliedIndex() >= committed;
+      },
+      seconds(5)));
+}
+
 TEST_CASE("a control node on a machine being emptied is replaced first, then reported as emptied") {
   ClusterFleet fleet({.control_nodes = 4});
   const std::string leader = fleet.AwaitLeader();
--- a/test/jobs/job_replica_manager_test.cc
+++ b/test/jobs/job_replica_manager_test.cc
@@ -137,6 +137,23 @@
   CHECK(fixture.Voters() == Names{"a", "b", "d"});
 }
 
+/// Guards against a voter that counts as healthy because its node sends heartbeats.
+TEST_CASE("A voter of a live node that has not replied for long is replaced, and stays a learner") {
+  Fixture fixture;
+  fixture.Join("d", ReplicaId(100));
+  fixture.Run();
+  const ReplicaId replica = fixture.configuration.nodes[NodeId("c")].replica;
+  fixture.group.unresponsive_since[replica] = fixture.environment.Now();
+  fixture.Run(JobReplicaOptions().unresponsive_after - seconds(1));
+  CHECK(fixture.Voters() == Names{"a", "b", "c"});
+  fixture.Run(seconds(5));
+  CHECK(fixture.Voters() == Names{"a", "b", "d"});
+  fixture.group.unresponsive_since.clear();
+  fixture.Run();
+  CHECK(fixture.Voters() == Names{"a", "b", "d"});
+  CHECK(fixture.group.members.size() == 4);
+}
+
 TEST_CASE("A retired node is replaced first, then emptied and reported") {
   Fixture fixture;
   fixture.configuration.retired_nodes[NodeId("b")] = {NodeId("b"), false};
