Jobs: the group is opened again after its first opening failed

Found by reading: a storage node that could not open the bootstrapped group, for example on a full disk, tried again only with the next change of the configuration, which may not come. It now tries every second. No test brings this about; the opening on a message of the leader has one in disk_error_test.

--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -20,6 +20,7 @@
 constexpr Duration kCommandTimeout = std::chrono::seconds(5);
 /// A report of needs that takes longer is outdated; the next one follows.
 constexpr Duration kNeedReportTimeout = std::chrono::seconds(1);
+constexpr Duration kOpenRetryInterval = std::chrono::seconds(1);
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
 constexpr Duration kDrainTimeout = std::chrono::seconds(3);
 
@@ -54,6 +55,7 @@
                     done(result.status());
                   });
             }),
+        open_timer_(environment),
         drain_timer_(environment) {
     service_.SetAdmission([this](const JobSpec& job) -> std::optional<JobRejection> {
       if (scheduler_ == nullptr) return std::nullopt;
@@ -169,7 +171,12 @@
     for (const GroupMember& member : group->second.initial_members) {
       if (member.replica != replica_) continue;
       const auto opened = groups_->OpenGroup(kJobGroup, group->second.initial_members);
-      if (opened.ok()) continue;
+      if (opened.ok()) return;
+      // An error of the disk may pass without a change of the configuration.
+      open_timer_.Arm(kOpenRetryInterval, [this] {
+        OpenBootstrappedGroup();
+        UpdateLeadership();
+      });
       LogEvent(EventId::kReplicaHalted, "group={} error=\"{}\"", kJobGroup,
                std::string(opened.status().message()));
     }
@@ -268,6 +275,7 @@
   TimePoint leading_since_;
   bool reporting_emptied_ = false;
   TimePoint drain_until_;
+  ScopedTimer open_timer_;
   ScopedTimer drain_timer_;
 };
 
