Simulator: disks of control machines refuse writes

The fault "refused-writes" fills the disk of a voter or fails its syncs. A process that cannot start on such a disk is started again every 0.5 s.

--- a/simulator/faults/fault_actions.h
+++ b/simulator/faults/fault_actions.h
@@ -39,6 +39,7 @@
 void LoseDisk(FaultContext& fault);
 void LoseTwoDisks(FaultContext& fault);
 void SlowDisk(FaultContext& fault);
+void RefuseWrites(FaultContext& fault);
 void CrashGateway(FaultContext& fault);
 void DriftClocks(FaultContext& fault);
 void StepClocks(FaultContext& fault);
--- a/simulator/faults/fault_driver.cc
+++ b/simulator/faults/fault_driver.cc
@@ -56,6 +56,7 @@
     {FaultKind::kPowerLoss, LosePower},
     {FaultKind::kClockStep, StepClocks},
     {FaultKind::kSuspension, SuspendMachine},
+    {FaultKind::kRefusedWrites, RefuseWrites},
 }};
 
 }  // namespace
--- a/simulator/faults/fault_plan.cc
+++ b/simulator/faults/fault_plan.cc
@@ -64,6 +64,7 @@
     {FaultKind::kPowerLoss, "power-loss", seconds(1), seconds(8)},
     {FaultKind::kClockStep, "clock-step", seconds(3), seconds(10)},
     {FaultKind::kSuspension, "suspension", seconds(1), seconds(12)},
+    {FaultKind::kRefusedWrites, "refused-writes", milliseconds(500), seconds(20)},
 }};
 
 const FaultDescription& Describe(FaultKind kind) {
--- a/simulator/faults/fault_plan.h
+++ b/simulator/faults/fault_plan.h
@@ -47,6 +47,7 @@
   kPowerLoss,       ///< all control processes crash at once, with unsynced writes
   kClockStep,       ///< the wall clocks of two machines jump, in part across restarts
   kSuspension,      ///< a machine is suspended and resumed
+  kRefusedWrites,   ///< the disk of a control machine is full, or its syncs fail
   kCount,
 };
 
--- a/simulator/faults/node_faults.cc
+++ b/simulator/faults/node_faults.cc
@@ -15,6 +15,7 @@
 
 constexpr Duration kSyncMin = std::chrono::microseconds(200);
 constexpr Duration kSyncMax = std::chrono::microseconds(800);
+constexpr Duration kSyncFailureInterval = milliseconds(50);
 constexpr Duration kReplicationPollInterval = milliseconds(500);
 /// A planned restart keeps the process down for this long.
 constexpr Duration kRestartPause = milliseconds(800);
@@ -139,6 +140,19 @@
   fault.heal = [&machine] { machine.disk().SetSyncTime(kSyncMin, kSyncMax); };
 }
 
+void RefuseWrites(FaultContext& fault) {
+  MemoryFileSystem& disk = PickVoter(fault).disk();
+  if (DrawChance(fault.random, 0.5)) {
+    disk.SetFull(true);
+  } else {
+    fault.Repeat(kSyncFailureInterval, [&disk] { disk.FailNextSyncs(1); });
+  }
+  fault.heal = [&disk] {
+    disk.SetFull(false);
+    disk.FailNextSyncs(0);
+  };
+}
+
 void CrashGateway(FaultContext& fault) {
   DownUntilHealed(fault, fault.Pick(fault.world.gateways()));
 }
--- a/simulator/fleet/control_machine.cc
+++ b/simulator/fleet/control_machine.cc
@@ -11,6 +11,8 @@
 
 /// Time between the end of draining and the exit of the process.
 constexpr Duration kExitTime = std::chrono::milliseconds(20);
+/// Time until a process that could not start is started again.
+constexpr Duration kRestartInterval = std::chrono::milliseconds(500);
 /// Selected by the seed unless the options set a value.
 constexpr std::array<uint64_t, 3> kSnapshotAfter{2000, 300, 40};
 
@@ -130,7 +132,13 @@
       }));
   context_.peers.SetReceiver(plan_.node, node_.get());
   context_.http.Listen(plan_.http_address, *node_);
-  (void)node_->Start();
+  if (node_->Start().ok()) return;
+  // As a service manager does while the disk refuses writes.
+  context_.scheduler.Schedule(kRestartInterval, [this, failed = incarnation_] {
+    if (node_ == nullptr || incarnation_ != failed) return;
+    KillProcess();
+    StartProcess();
+  });
 }
 
 void ControlMachine::KillProcess() {
