Jobs: a score is asked for again after scorers crashed under it

Found on the path beside items: the call that scores an item's text was judged as a client's request. After two scorers had crashed under it no third was asked, and the item got no result (test, failed before: three of five crashes never came, since the call was withheld).

Such calls are part of an item and thus sound: they are marked trusted, which neither counts crashes against them nor judges them. The scheduler repeats them at its usual pace.

--- a/source/ingress/forward_request.h
+++ b/source/ingress/forward_request.h
@@ -24,6 +24,8 @@
   TenantName tenant;
   /// How long this node held the request before it was forwarded; `time_left` no longer has it.
   Duration held{0};
+  /// Known to be sound: crashes of back ends that run it are not counted against it.
+  bool trusted = false;
 };
 
 inline RequestIdentity IdentityOf(const ForwardRequest& request) {
--- a/source/ingress/request_watch.cc
+++ b/source/ingress/request_watch.cc
@@ -24,7 +24,7 @@
 }
 
 GuardDecision RequestWatch::Judge() {
-  if (!MayBeSuspect()) return {};
+  if (request_.trusted || !MayBeSuspect()) return {};
   GuardDecision decision = guard_.Judge(fingerprint(), [this] { return HasSpareBackends(); });
   if (on_trial_ && !trial_used_) decision.verdict = GuardVerdict::kSend;
   if (decision.verdict != GuardVerdict::kSend && !lost_ && guard_.ServedRecently(digest())) {
@@ -101,7 +101,7 @@
 }
 
 void RequestWatch::OnLost(const BackendInstance& instance) {
-  if (!on_trial_ && guard_.ServedRecently(digest())) return;
+  if (request_.trusted || (!on_trial_ && guard_.ServedRecently(digest()))) return;
   lost_ = true;
   guard_.OnLost({fingerprint(), place(), trial_used_}, instance);
 }
--- a/source/jobs/job_scoring.cc
+++ b/source/jobs/job_scoring.cc
@@ -61,6 +61,7 @@
   ++scorings_[work.scoring_route];
   ForwardRequest request{
       {"POST", scoring.path, {}, scoring.body}, scoring.host, scoring.id, std::nullopt};
+  request.trusted = true;
   work.scoring = ingress_.Forward(
       std::move(request),
       alive_.Guard([this, job = work.job, index = work.index](const ForwardResult& result) {
--- a/test/jobs/job_scoring_test.cc
+++ b/test/jobs/job_scoring_test.cc
@@ -1,6 +1,8 @@
 /// The scoring of complete texts by the job scheduler.
 #include <catch2/catch.hpp>
+#include <memory>
 
+#include "fmt/format.h"
 #include "test/jobs/job_scheduler_fixture.h"
 
 namespace millstair {
@@ -130,5 +132,33 @@
   CHECK(fixture.ResultOf("j") == nullptr);
 }
 
+/// Guards against a score that is withheld, and with it the item, because scorers crashed.
+TEST_CASE("A score during which several scorers crashed is asked for again") {
+  Fixture fixture;
+  int ends_left = 5;
+  for (int number = 1; number <= 6; ++number) {
+    const std::string address = fmt::format("p:{}", number);
+    auto ended = std::make_shared<bool>(false);
+    fixture.Add(address, "pages", [&fixture, &ends_left, ended](const HttpRequest& request) {
+      FakeAnswer refused;
+      refused.kind = Kind::kUnreachable;
+      if (*ended) return refused;
+      if (request.method == "GET" || ends_left == 0) return fixture.score;
+      --ends_left;
+      *ended = true;
+      FakeAnswer lost;
+      lost.kind = Kind::kReset;
+      return lost;
+    });
+  }
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunUntilTrue([&] { return ends_left == 0; }, seconds(20));
+  REQUIRE(ends_left == 0);
+  fixture.scheduler.RunFor(seconds(5));
+  REQUIRE(fixture.ResultOf("j") != nullptr);
+  CHECK(fixture.ResultOf("j")->score == "sig");
+}
+
 }  // namespace
 }  // namespace millstair
