Consensus: a replica that stops drops the messages it holds

It emitted what the core had prepared, also after a violated invariant. They are dropped as by a process that ends; only the request to campaign leaves. consensus_test passes.

--- a/source/consensus/group_replica.cc
+++ b/source/consensus/group_replica.cc
@@ -489,6 +489,8 @@
   failure_ = absl::UnavailableError(absl::StrCat("replica stopped: ", status.message()));
   FailAll(failure_);
   messages_awaiting_sync_.clear();
+  // As if the process had ended; after a violated invariant they may be wrong.
+  core_->TakeMessages();
   stopped_at_ = now;
   const bool stable = !resumed_at_.has_value() || now - *resumed_at_ > kStableAfterResume;
   if (stable) resume_pause_ = Duration(0);
