Jobs: the clock of a job group follows the time of day while nothing happens

Cause: the clock of the group advances with commands only, by a minute at most with each, so that one wall clock that is far ahead expires nothing at once. After a quiet time the first job was dated to the last command plus a minute, and the next commands made up the rest.

Change: the leader of the group submits a command that changes nothing but the clock when it is more than 20 s behind. Idle groups write three small entries a minute; a group that never had a command writes none. After a time without a leader the clock catches up by a minute a second.

Tests: job_clock_test, both cases failed with the keeper not started. jobs_test passes but for the known red "When engines fall silent and slow down".

--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -53,6 +53,7 @@
       pace_recorder_(
           environment, group, state, speeds_,
           [this](const InstanceId& engine) { return loads_.StateOf(engine) != nullptr; }),
+      clock_keeper_(environment, state, group),
       pump_timer_(environment),
       change_timer_(environment),
       save_timer_(environment) {}
@@ -68,6 +69,7 @@
   lengths_.Clear();
   versions_until_return_.clear();
   pace_recorder_.Stop();
+  clock_keeper_.Stop();
   speeds_.Clear();
   pump_due_at_.reset();
   resumed_at_.reset();
@@ -95,6 +97,7 @@
 
 void JobScheduler::StartWork() {
   leading_ = true;
+  clock_keeper_.Start();
   RestorePaces();
   LoadPartialTexts();
   ScheduleSave();
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -26,6 +26,7 @@
 #include "jobs/item_order.h"
 #include "jobs/item_run.h"
 #include "jobs/job_admission.h"
+#include "jobs/job_clock_keeper.h"
 #include "jobs/job_report.h"
 #include "jobs/job_state_machine.h"
 #include "jobs/load_scheduler.h"
@@ -353,6 +354,7 @@
   std::map<ModelName, uint64_t> versions_until_return_;
   EngineSpeedTracker speeds_;
   EnginePaceRecorder pace_recorder_;
+  JobClockKeeper clock_keeper_;
   TimePoint next_moves_at_;
   TimePoint next_pump_at_;
   /// When the scheduled pass is due; none if there is none.
--- a/source/jobs/job_state_machine.h
+++ b/source/jobs/job_state_machine.h
@@ -41,6 +41,9 @@
   const std::map<JobId, JobRecord>& jobs() const { return jobs_; }
   const JobRecord* Find(const JobId& job) const;
   bool IsRecorded(const JobId& job, uint32_t item) const;
+  /// Largest proposal time seen, limited by the step of each command; zero before the first
+  /// command.
+  WallTime clock() const { return clock_; }
   /// The latest order announcement for each engine, oldest first.
   const std::vector<AnnounceOrder>& announcements() const { return announcements_; }
   /// As of the latest RecordEnginePaces.
