Guard: a run's loss names its fields, a comment says what holds

The loss of an item's run passed two bare booleans; it now names what it sets. The comment of CrashesSeen said that Judge does not know trusted requests; they are just not judged.

--- a/source/ingress/request_guard.h
+++ b/source/ingress/request_guard.h
@@ -121,7 +121,7 @@
   /// only for a held request around its first trial; if it is null, the request never waits for it.
   GuardDecision Judge(const RequestFingerprint& request,
                       const std::function<bool()>& has_spare_backends = nullptr) const;
-  /// For a trusted request, which `Judge` does not know.
+  /// For a trusted request, which is not judged.
   SeenCrashes CrashesSeen(const RequestFingerprint& request) const;
   /// Whether the back end is known to have ended under a suspect request, or may be the restarted
   /// one of these, since it was registered after the last known crash.
--- a/source/jobs/job_guard.cc
+++ b/source/jobs/job_guard.cc
@@ -71,7 +71,8 @@
   }
   if (end != ItemRunEnd::kBroken) return;
   work.lost_after_events = events;
-  guard.OnLost({FingerprintOf(work, record), place, false, true}, engine);
+  guard.OnLost({.fingerprint = FingerprintOf(work, record), .place = place, .trusted = true},
+               engine);
 }
 
 }  // namespace millstair
