Tests: one loop over chaos seeds, one set-up with a spare learner

The runs with disk errors had copied the loop and its sums, and the test of a voter that cannot write the set-up of its neighbour.

--- a/test/cluster/control_node_test.cc
+++ b/test/cluster/control_node_test.cc
@@ -334,17 +334,22 @@
   CHECK(even <= milliseconds(50));
 }
 
-/// Guards against a replacement of a voter whose heartbeats are late, such as one that has just
-/// restarted: until the voter is removed the group has an even number of voters, and a partition
-/// into two halves leaves no quorum.
-TEST_CASE("a voter that replies in the group is not replaced for want of heartbeats") {
-  ClusterFleet fleet({.control_nodes = 4, .membership = {.replace_voter_after = seconds(3)}});
+/// Starts c4 and waits until it is a learner beside the voters; returns a voter that does not lead.
+std::string AwaitSpareLearner(ClusterFleet& fleet) {
   fleet.AwaitLeader();
   fleet.Start("c4");
   REQUIRE(fleet.RunUntil([&] { return MemberOn(ClusterMembers(fleet), "c4") != nullptr; },
                          seconds(10)));
   fleet.RunFor(seconds(5));
-  const std::string unheard = fleet.Leader() == "c1" ? "c2" : "c1";
+  return fleet.Leader() == "c1" ? "c2" : "c1";
+}
+
+/// Guards against a replacement of a voter whose heartbeats are late, such as one that has just
+/// restarted: until the voter is removed the group has an even number of voters, and a partition
+/// into two halves leaves no quorum.
+TEST_CASE("a voter that replies in the group is not replaced for want of heartbeats") {
+  ClusterFleet fleet({.control_nodes = 4, .membership = {.replace_voter_after = seconds(3)}});
+  const std::string unheard = AwaitSpareLearner(fleet);
   fleet.DropHeartbeatsOf(unheard);
   SECTION("it runs all the time") { fleet.RunFor(seconds(15)); }
   SECTION("it restarts") {
@@ -370,12 +375,7 @@
 /// Guards against a voter that counts as healthy because its node sends heartbeats.
 TEST_CASE("a voter that stays unable to write is replaced, and returns as a learner") {
   ClusterFleet fleet({.control_nodes = 4, .membership = {.replace_voter_after = seconds(3)}});
-  fleet.AwaitLeader();
-  fleet.Start("c4");
-  REQUIRE(fleet.RunUntil([&] { return MemberOn(ClusterMembers(fleet), "c4") != nullptr; },
-                         seconds(10)));
-  fleet.RunFor(seconds(5));
-  const std::string refused = fleet.Leader() == "c1" ? "c2" : "c1";
+  const std::string refused = AwaitSpareLearner(fleet);
   fleet.SetDiskFull(refused, true);
   fleet.PutMachine("m1");
   fleet.RunFor(seconds(1));
--- a/test/consensus/chaos_run.cc
+++ b/test/consensus/chaos_run.cc
@@ -20,6 +20,23 @@
 
 }  // namespace
 
+ChaosCounts& ChaosCounts::operator+=(const ChaosCounts& other) {
+  acknowledged += other.acknowledged;
+  reads += other.reads;
+  crashes += other.crashes;
+  power_losses += other.power_losses;
+  cuts += other.cuts;
+  lost_disks += other.lost_disks;
+  members_added += other.members_added;
+  members_promoted += other.members_promoted;
+  members_removed += other.members_removed;
+  transfers += other.transfers;
+  refusals += other.refusals;
+  failed_syncs += other.failed_syncs;
+  kills += other.kills;
+  return *this;
+}
+
 ChaosRun::ChaosRun(ChaosOptions options)
     : options_(options),
       fleet_(options.initial_members, options.seed, OptionsOf(options)),
--- a/test/consensus/chaos_run.h
+++ b/test/consensus/chaos_run.h
@@ -38,6 +38,8 @@
   uint64_t refusals = 0;
   uint64_t failed_syncs = 0;
   uint64_t kills = 0;
+
+  ChaosCounts& operator+=(const ChaosCounts& other);
 };
 
 class ChaosRun {
--- a/test/consensus/chaos_test.cc
+++ b/test/consensus/chaos_test.cc
@@ -7,22 +7,23 @@
 namespace millstair {
 namespace {
 
-TEST_CASE("random faults do not violate safety, and the cluster recovers") {
+/// Runs a cluster of 3 to 5 members with each seed and fails on the first violation.
+ChaosCounts RunSeeds(uint64_t first, uint64_t last, ChaosOptions options) {
   ChaosCounts sum;
-  for (uint64_t seed = 1; seed <= 30; ++seed) {
-    ChaosOptions options;
+  for (uint64_t seed = first; seed <= last; ++seed) {
     options.seed = seed;
     options.initial_members = 3 + static_cast<int>(seed % 3);
     ChaosRun run(options);
     const auto violations = run.Run();
     INFO("seed " << seed);
     if (!violations.empty()) FAIL(violations.front());
-    sum.acknowledged += run.counts().acknowledged;
-    sum.reads += run.counts().reads;
-    sum.lost_disks += run.counts().lost_disks;
-    sum.members_promoted += run.counts().members_promoted;
-    sum.members_removed += run.counts().members_removed;
+    sum += run.counts();
   }
+  return sum;
+}
+
+TEST_CASE("random faults do not violate safety, and the cluster recovers") {
+  const ChaosCounts sum = RunSeeds(1, 30, {});
   // Guards against runs that exercise nothing.
   REQUIRE(sum.acknowledged > 10000);
   REQUIRE(sum.reads > 10000);
@@ -32,22 +33,7 @@
 }
 
 TEST_CASE("refused writes and failed syncs do not violate safety, and every replica recovers") {
-  ChaosCounts sum;
-  for (uint64_t seed = 101; seed <= 140; ++seed) {
-    ChaosOptions options;
-    options.seed = seed;
-    options.initial_members = 3 + static_cast<int>(seed % 3);
-    options.disk_errors = true;
-    ChaosRun run(options);
-    const auto violations = run.Run();
-    INFO("seed " << seed);
-    if (!violations.empty()) FAIL(violations.front());
-    sum.acknowledged += run.counts().acknowledged;
-    sum.refusals += run.counts().refusals;
-    sum.failed_syncs += run.counts().failed_syncs;
-    sum.kills += run.counts().kills;
-    sum.power_losses += run.counts().power_losses;
-  }
+  const ChaosCounts sum = RunSeeds(101, 140, {.disk_errors = true});
   // Guards against runs that exercise nothing.
   REQUIRE(sum.acknowledged > 5000);
   REQUIRE(sum.refusals > 100);
