--- a/review/standins-2/platform_fleet.py
+++ b/review/standins-2/platform_fleet.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -104,6 +105,8 @@
     """All processes of a small deployment."""
 
     def __init__(self, gateways=1, bounds=None):
+        # So that the script's own end, which ends its processes, is reached.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.subnet = free_subnet()
         self.folder = tempfile.mkdtemp(prefix="millstair-review-")
         self.gateways = tuple(range(len(STORES) + 1, len(STORES) + 1 + gateways))
