--- a/source/http/http_body.h
+++ b/source/http/http_body.h
@@ -11,12 +11,12 @@
 
 namespace millstair {
 
-/// Immutable; safe to use on several threads.
+/// Immutable; safe to use on several threads. Converts like the string that it stands for.
 class HttpBody {
  public:
   HttpBody() = default;
-  HttpBody(std::string bytes) : HttpBody(std::move(bytes), nullptr) {}
-  HttpBody(const char* text) : HttpBody(std::string(text)) {}
+  HttpBody(std::string bytes) : HttpBody(std::move(bytes), nullptr) {}  // NOLINT
+  HttpBody(const char* text) : HttpBody(std::string(text)) {}           // NOLINT
   /// `count` is destroyed with the last copy.
   HttpBody(std::string bytes, std::shared_ptr<const void> count)
       : shared_(std::make_shared<const Shared>(std::move(bytes), std::move(count))) {}
@@ -25,7 +25,7 @@
     static const std::string kEmpty;
     return shared_ == nullptr ? kEmpty : shared_->bytes;
   }
-  operator const std::string&() const { return str(); }
+  operator const std::string&() const { return str(); }  // NOLINT
   size_t size() const { return str().size(); }
   bool empty() const { return str().empty(); }
 
