--- a/source/http/beast_http_caller.cc
+++ b/source/http/beast_http_caller.cc
@@ -1,7 +1,6 @@
 #include "http/beast_http_caller.h"
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -37,9 +36,9 @@
 
 constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
 
-/// The serialized head of the request; empty if it holds characters that HTTP does not allow.
-std::string FormatHead(const std::string& address, const HttpRequest& request,
-                       const std::string& call_id) {
+/// The serialized request; empty if it holds characters that HTTP does not allow.
+std::string FormatRequest(const std::string& address, const HttpRequest& request,
+                          const std::string& call_id) {
   if (!IsToken(request.method) || !IsRequestTarget(request.target)) return "";
   std::string text = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
   HttpHeaders headers = WithoutHeader(EndToEndHeaders(request.headers), "Content-Length");
@@ -55,6 +54,7 @@
     text += fmt::format("Content-Length: {}\r\n", request.body.size());
   }
   text += "\r\n";
+  text += request.body;
   return text;
 }
 
@@ -118,15 +118,14 @@
 
   asio::awaitable<void> Run() {
     const auto self = shared_from_this();
-    const std::string head = FormatHead(address_, request_, call_id_);
-    if (head.empty()) {
+    std::string bytes = FormatRequest(address_, request_, call_id_);
+    // The formatted request holds a copy.
+    request_.body = std::string();
+    if (bytes.empty()) {
       Fail(CallFailure::kNotSent, "the request holds characters that HTTP does not allow");
       co_return;
     }
-    const bool sent = co_await SendRequest(head);
-    // The flow keeps the body as long as it may send the request again.
-    request_.body = HttpBody();
-    if (!sent) co_return;
+    if (!co_await SendRequest(std::move(bytes))) co_return;
     ResponseParser parser;
     parser.header_limit(static_cast<uint32_t>(pool_->options().max_header_bytes));
     parser.body_limit(boost::none);
@@ -134,39 +133,30 @@
     boost::beast::flat_buffer buffer;
     if (!co_await ReadHead(buffer, parser)) co_return;
     if (!co_await ReadBody(buffer, parser)) co_return;
-    if (parser.get().keep_alive() && buffer.size() == 0) Keep(parser.get().result_int());
+    if (parser.get().keep_alive() && buffer.size() == 0) {
+      pool_->Put(address_, std::move(*socket_));
+    }
     // A connection that isn't kept is closed in order: a reset could discard bytes in transit.
     socket_.reset();
     NotifyObserver([](HttpCallObserver& observer) { observer.OnFinished(); });
   }
 
-  /// Returns the connection to the pool after a response of `status`.
-  void Keep(unsigned status) {
-    if (!request_.request_id.empty() && !IsSuccess(static_cast<int>(status))) {
-      repeatable_.Add(request_.request_id, std::chrono::steady_clock::now());
-    }
-    pool_->Put(address_, {std::move(*socket_), std::move(repeatable_)});
-  }
-
   /// Writes the request on a pooled connection, or on a new one if no byte could be written there.
-  asio::awaitable<bool> SendRequest(const std::string& head) {
-    const size_t size = head.size() + request_.body.size();
+  asio::awaitable<bool> SendRequest(std::string bytes) {
+    const HeldBytes::Hold hold(pool_->options().held_bytes, bytes.size());
     waiting_since_ = std::chrono::steady_clock::now();
-    if (auto kept = pool_->Take(address_, request_.request_id)) {
-      socket_.emplace(std::move(kept->socket));
-      repeatable_ = std::move(kept->repeatable);
-    }
+    socket_ = pool_->Take(address_);
     if (socket_.has_value() && !cancelled_) {
-      const size_t written = co_await Write(head);
-      if (written == size) co_return true;
+      const size_t written = co_await Write(bytes);
+      if (written == bytes.size()) co_return true;
       if (written > 0) {
         Fail(CallFailure::kUnknown, "the connection broke while the request was written");
         co_return false;
       }
     }
     if (!co_await Connect()) co_return false;
-    const size_t written = co_await Write(head);
-    if (written == size) co_return true;
+    const size_t written = co_await Write(bytes);
+    if (written == bytes.size()) co_return true;
     Fail(written == 0 ? CallFailure::kNotSent : CallFailure::kUnknown,
          "the connection broke while the request was written");
     co_return false;
@@ -180,7 +170,6 @@
     }
     if (cancelled_) co_return false;
     socket_.emplace(pool_->io());
-    repeatable_ = {};
     ArmWatchdog(pool_->options().connect_timeout);
     const auto [error] = co_await socket_->async_connect(*endpoint, kUseTuple);
     watchdog_.cancel();
@@ -195,21 +184,17 @@
     co_return true;
   }
 
-  /// Writes head and body. Returns the number of bytes written; fewer than all mean that the
-  /// connection failed.
-  asio::awaitable<size_t> Write(const std::string& head) {
+  /// Returns the number of bytes written; fewer than all mean that the connection failed.
+  asio::awaitable<size_t> Write(const std::string& bytes) {
     const HttpCallerOptions& options = pool_->options();
     const auto deadline = std::chrono::steady_clock::now() + options.write_timeout;
-    const std::string& body = request_.body.str();
     size_t written = 0;
-    while (written < head.size() + body.size()) {
+    while (written < bytes.size()) {
       const auto left =
           std::chrono::duration_cast<Duration>(deadline - std::chrono::steady_clock::now());
       ArmWatchdog(std::min(left, options.read_timeout));
-      const size_t of_body = written - std::min(written, head.size());
-      const std::array<asio::const_buffer, 2> rest = {asio::buffer(head) + written,
-                                                      asio::buffer(body) + of_body};
-      const auto [error, count] = co_await socket_->async_write_some(rest, kUseTuple);
+      const auto [error, count] = co_await socket_->async_write_some(
+          asio::buffer(bytes.data() + written, bytes.size() - written), kUseTuple);
       watchdog_.cancel();
       if (error) break;
       written += count;
@@ -352,8 +337,6 @@
   asio::steady_timer watchdog_;
   asio::steady_timer acknowledged_;
   std::optional<Tcp::socket> socket_;
-  /// Of the connection.
-  RepeatableRequests repeatable_;
   /// When the call began to connect or write; none before, and after the first byte of a response.
   std::optional<std::chrono::steady_clock::time_point> waiting_since_;
   bool cancelled_ = false;
--- a/source/http/exchange.h
+++ b/source/http/exchange.h
@@ -9,8 +9,6 @@
 #include <string_view>
 #include <vector>
 
-#include "http/http_body.h"
-
 namespace millstair {
 
 struct HttpHeader {
@@ -40,9 +38,7 @@
   /// Path and query, as received.
   std::string target;
   HttpHeaders headers;
-  HttpBody body;
-  /// Identifies the request across its repeats; empty if its answers are told apart otherwise.
-  std::string request_id = {};
+  std::string body;
 };
 
 /// True for 200 to 299.
@@ -70,7 +66,7 @@
   virtual void Finish() = 0;
   /// Ends the response so that the caller detects the truncation (connection reset, no last chunk).
   virtual void Abort() = 0;
-  /// Free space in the send buffer; 0 after the caller has disconnected.
+  /// Free space in the send buffer.
   virtual size_t WritableBytes() const = 0;
   /// `callback` is called whenever the send buffer has free space again after it was full.
   virtual void OnWritable(std::function<void()> callback) = 0;
--- a/source/http/response_channel.h
+++ b/source/http/response_channel.h
@@ -49,8 +49,7 @@
   void Abort();
 
   /// Free space for the writer. If 0, a later `Sent` reports when there is space again. While
-  /// memory is short, there is space only for a reader that has read everything. There is none, and
-  /// no report, once the response or its connection has ended.
+  /// memory is short, there is space only for a reader that has read everything.
   size_t FreeBytes();
 
   /// Takes the next piece of the content; `finished` and `aborted` stay set. The bytes count until
@@ -67,8 +66,6 @@
   std::optional<SlowReader> TakeCut() { return reader_.TakeCut(); }
 
  private:
-  /// Whether bytes that are appended are dropped.
-  bool IsClosed() const;
   size_t EffectiveCapacity() const;
   /// Frees the pieces that were not taken.
   void Clear();
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr Duration kDefaultTimeout = std::chrono::minutes(10);
 /// A stream that no back end accepts is given up after this share of its time limit.
 constexpr double kGiveUpShare = 0.5;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(50);
@@ -107,6 +108,7 @@
     : context_(context),
       route_(std::move(route)),
       request_(std::move(request)),
+      request_hold_(HoldRequest(context, request_)),
       partial_event_hold_(HeldOf(context)),
       sink_(sink),
       done_(std::move(done)),
@@ -118,7 +120,9 @@
       retry_after_(kRetryAfter),
       deadline_timer_(context.environment),
       retry_timer_(context.environment) {
-  deadline_ = started_at_ + TimeLimit(route_, request_);
+  Duration limit = route_.timeout.value_or(kDefaultTimeout);
+  if (request_.time_left) limit = std::min(limit, *request_.time_left);
+  deadline_ = started_at_ + limit;
   admission_.SetDeadline(deadline_);
   events_ = request_.resume_after.value_or(0);
 }
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -73,12 +73,7 @@
   CheckReady();
 }
 
-bool IngressNode::StopsWithin(Duration limit) const {
-  return stops_at_ && environment_.Now() + limit > *stops_at_;
-}
-
-void IngressNode::SetLeaving(TimePoint until) {
-  stops_at_ = until;
+void IngressNode::SetLeaving() {
   configuration_->SetLeaving();
   usage_.SetLeaving();
 }
