--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -9,6 +9,7 @@
 import fcntl
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -178,15 +179,19 @@
     """All nodes, their folders and links."""
 
     def __init__(self, program, folder, layout, history, clock_library="", before="",
-                 gateway_settings="", settings="", source_library=""):
-        """`gateway_settings`: further sections of the gateways' settings; `settings`: of all nodes'.
-        `source_library` has back ends see which machine calls them."""
+                 gateway_settings="", settings="", source_library="", settings_of_role=None,
+                 max_descriptors=0):
+        """`gateway_settings`: further sections of the gateways' settings; `settings`: of all nodes';
+        `settings_of_role`: of the nodes of each role. `source_library` has back ends see which
+        machine calls them. `max_descriptors`: limit of each process; 0 keeps the inherited one."""
         in_use = addresses_in_use(layout)
         if in_use is not None:
             raise SystemExit(f"{in_use}: is another run active, or has one just ended?")
         self.program = program
         self._gateway_settings = gateway_settings
         self._more_settings = settings
+        self._settings_of_role = settings_of_role or {}
+        self._max_descriptors = max_descriptors
         self._source_library = source_library
         # Machines that still run the earlier build.
         self._before = before
@@ -219,7 +224,11 @@
             self._history.add(Started(node.machine, node.role, now()))
             node.process = subprocess.Popen(
                 [self._program_of(node.machine), "--settings", path + ".yaml"],
-                stdout=log, stderr=subprocess.STDOUT, env=self._environment(node.machine))
+                stdout=log, stderr=subprocess.STDOUT, env=self._environment(node.machine),
+                preexec_fn=self._limit_descriptors if self._max_descriptors else None)
+
+    def _limit_descriptors(self):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self._max_descriptors, self._max_descriptors))
 
     def _environment(self, machine):
         variables = self.clocks.environment(machine)
@@ -263,7 +272,8 @@
             leave=int(self.layout.leaving * 1000),
             seeds=", ".join(f'"{ip_of(m)}:{SERVICE}"' for m in self.layout.seeds),
             seeds_port=CONTROL_PEER, peer=node.peer, http=f"{ip}:{port}") + (
-                self._gateway_settings if node.role == "gateway" else "") + self._more_settings
+                self._gateway_settings if node.role == "gateway" else "") + (
+                    self._settings_of_role.get(node.role, "")) + self._more_settings
 
     def data_folder(self, node):
         """Data folder of a node."""
--- a/test/soak/slow_readers.py
+++ b/test/soak/slow_readers.py
@@ -48,11 +48,12 @@
     """Answers /large/N with N MiB, /chunked/N with the same without a length, /stream/N with N
     events and all else with a small text."""
 
-    def __init__(self, layout, number):
+    def __init__(self, layout, number, base=None):
+        """`base`: the handler of its connections, LargeHandler by default."""
         self.instance = f"i-large-{number}"
         self._layout = layout
         self.stopped = False
-        handler = type("Handler", (LargeHandler,), {"instance": self.instance})
+        handler = type("Handler", (base or LargeHandler,), {"instance": self.instance})
         server = type("Server", (http.server.ThreadingHTTPServer,),
                       {"request_queue_size": BACKLOG, "daemon_threads": True})
         self._server = server(("127.0.0.1", 0), handler)
