http: A response whose connection has ended has no space in its buffer

A handler that fills the buffer while there is space keeps its executor, and with it the node, for ever.

Cause: ResponseChannel::Append drops bytes once the connection has ended, but FreeBytes kept counting what was appended before. If the connection ended while the handler filled the buffer, the space never became 0, and the notice of the disconnect waited behind the handler.

Evidence: reproduced in 1 of 28 runs of http_test beside a build; the stacks show the executor in FramedResponseWriter::SendBody, called by the handler of "A stream fills the buffer of its caller", and the test waiting for the executor. 600 runs of that case alone passed.

Change: FreeBytes is 0 once the response or its connection has ended.

--- a/source/http/exchange.h
+++ b/source/http/exchange.h
@@ -66,7 +66,7 @@
   virtual void Finish() = 0;
   /// Ends the response so that the caller detects the truncation (connection reset, no last chunk).
   virtual void Abort() = 0;
-  /// Free space in the send buffer.
+  /// Free space in the send buffer; 0 after the caller has disconnected.
   virtual size_t WritableBytes() const = 0;
   /// `callback` is called whenever the send buffer has free space again after it was full.
   virtual void OnWritable(std::function<void()> callback) = 0;
--- a/source/http/response_channel.cc
+++ b/source/http/response_channel.cc
@@ -13,7 +13,7 @@
 void ResponseChannel::Append(std::string bytes) {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (state_.finished || state_.aborted || discarded_) return;
+    if (IsClosed()) return;
     unsent_ += bytes.size();
     reader_.Add(bytes.size());
     // A large body is moved, since a copy would take its memory twice.
@@ -57,12 +57,15 @@
   pieces_.clear();
 }
 
+bool ResponseChannel::IsClosed() const { return state_.finished || state_.aborted || discarded_; }
+
 size_t ResponseChannel::EffectiveCapacity() const {
   return reader_.UnderPressure() ? 1 : capacity_;
 }
 
 size_t ResponseChannel::FreeBytes() {
   const std::lock_guard<std::mutex> lock(mutex_);
+  if (IsClosed()) return 0;
   const size_t capacity = EffectiveCapacity();
   if (unsent_ < capacity) return capacity_ - unsent_;
   writer_waiting_ = true;
--- a/source/http/response_channel.h
+++ b/source/http/response_channel.h
@@ -49,7 +49,8 @@
   void Abort();
 
   /// Free space for the writer. If 0, a later `Sent` reports when there is space again. While
-  /// memory is short, there is space only for a reader that has read everything.
+  /// memory is short, there is space only for a reader that has read everything. There is none, and
+  /// no report, once the response or its connection has ended.
   size_t FreeBytes();
 
   /// Takes the next piece of the content; `finished` and `aborted` stay set. The bytes count until
@@ -66,6 +67,8 @@
   std::optional<SlowReader> TakeCut() { return reader_.TakeCut(); }
 
  private:
+  /// Whether bytes that are appended are dropped.
+  bool IsClosed() const;
   size_t EffectiveCapacity() const;
   /// Frees the pieces that were not taken.
   void Clear();
