http: Cut senders that make no progress only as memory is needed, and as few as it takes

What callers saw: a client that sends a byte of a large body from time to time kept the memory of that body for the whole body timeout (60 s), while large bodies of others were refused with 503.

Cause: any byte renewed the five seconds after which a sender counts as stalled, and each connection looked by itself, only at the moment at which its own five seconds ended, whether someone waited just then.

Change: RequestMemory knows the bodies that are being received, by their last progress; less than 16 KiB is no progress. A claim that does not fit cuts the senders that have been slow for timing.slow_sender (new, default 5 s), the slowest first and as few as it takes; a claim that waits looks again each 250 ms. A cut is answered 408 (not run) and counted in millstair_slow_senders_cut_total. It is withdrawn if the sender goes on before its connection has seen it.

Tests: three new ones of request_memory_test play it in virtual time; the code before has no such decision.

--- a/source/http/http_server.h
+++ b/source/http/http_server.h
@@ -43,9 +43,6 @@
   std::shared_ptr<RequestMemory> request_memory;
   /// A request whose body waits for memory for longer is refused.
   Duration memory_timeout = std::chrono::seconds(2);
-  /// A sender that makes no progress with its body for longer is refused while others wait for
-  /// memory.
-  Duration slow_sender = std::chrono::seconds(5);
   /// Header whose value identifies a request in the log; none if empty.
   std::string request_id_header;
 };
--- a/source/http/request_memory.cc
+++ b/source/http/request_memory.cc
@@ -7,17 +7,28 @@
 
 /// Bodies up to this size may use the last quarter of the bound, also while larger ones wait.
 constexpr size_t kSmallBodyBytes = 64 * 1024;
+/// Fewer bytes than this are no progress: a byte from time to time would keep the memory of a body.
+constexpr size_t kProgressBytes = 16 * 1024;
 
 bool IsLarge(size_t bytes) { return bytes > kSmallBodyBytes; }
 
+TimePoint MonotonicNow() {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return TimePoint(std::chrono::duration_cast<Duration>(now));
+}
+
 }  // namespace
 
-RequestMemory::RequestMemory(size_t bound, StatsRegistry* stats) : bound_(bound) {
+RequestMemory::RequestMemory(RequestMemoryOptions options, StatsRegistry* stats)
+    : options_(std::move(options)) {
+  if (!options_.now) options_.now = MonotonicNow;
   if (stats == nullptr) return;
   total_gauge_ = &stats->NewGauge(
-      {"millstair_http_request_bytes", "Bytes of request bodies held in memory or received."});
+      {"millstair_http_request_bytes", "Bytes of requests held in memory or received."});
   waiting_gauge_ = &stats->NewGauge(
       {"millstair_http_requests_waiting", "Requests whose body waits for memory to be read."});
+  cuts_ = &stats->NewCounter({"millstair_slow_senders_cut_total",
+                              "Callers refused for lack of memory because they sent nothing."});
 }
 
 size_t RequestMemory::total() const {
@@ -30,11 +41,13 @@
   return !waiting_.empty();
 }
 
-bool RequestMemory::Fits(size_t bytes) const {
-  if (bound_ == 0) return true;
-  if (!IsLarge(bytes)) return total_ + bytes <= bound_;
+bool RequestMemory::Fits(size_t held, size_t bytes) const {
+  if (options_.bound == 0) return true;
+  const size_t others = total_ - held;
+  if (!IsLarge(bytes)) return others + bytes <= options_.bound;
   // One at a time may exceed the bound; otherwise it could never be read.
-  return large_ == 0 || total_ + bytes <= bound_ / 4 * 3;
+  const size_t other_large = large_ - (IsLarge(held) ? held : 0);
+  return other_large == 0 || others + bytes <= options_.bound / 4 * 3;
 }
 
 void RequestMemory::Add(size_t bytes) {
@@ -55,7 +68,7 @@
   for (auto next = waiting_.begin(); next != waiting_.end();) {
     Claim& claim = **next;
     const bool large = IsLarge(claim.bytes_);
-    if ((large && large_waits) || !Fits(claim.bytes_)) {
+    if ((large && large_waits) || !Fits(0, claim.bytes_)) {
       large_waits |= large;
       ++next;
       continue;
@@ -68,11 +81,24 @@
   if (waiting_gauge_ != nullptr) waiting_gauge_->Set(static_cast<double>(waiting_.size()));
 }
 
+void RequestMemory::CutSlowSenders(size_t bytes) {
+  const TimePoint now = options_.now();
+  size_t freed = 0;
+  for (Claim* claim : receiving_) {
+    if (freed >= bytes || now - claim->progress_at_ < options_.slow_sender) return;
+    freed += claim->bytes_;
+    if (std::exchange(claim->is_cut_, true)) continue;
+    if (cuts_ != nullptr) cuts_->Add();
+    claim->on_cut_();
+  }
+}
+
 RequestMemory::Claim::Claim(std::shared_ptr<RequestMemory> memory) : memory_(std::move(memory)) {}
 
 RequestMemory::Claim::~Claim() {
   if (memory_ == nullptr) return;
   const std::lock_guard<std::mutex> lock(memory_->mutex_);
+  if (receiving_) memory_->receiving_.erase(*receiving_);
   if (granted_) {
     memory_->Subtract(bytes_);
   } else {
@@ -88,6 +114,7 @@
   on_granted_ = std::move(granted);
   memory_->waiting_.push_back(this);
   memory_->GrantWaiting();
+  if (!granted_) memory_->CutSlowSenders(bytes_);
 }
 
 bool RequestMemory::Claim::granted() const {
@@ -96,14 +123,57 @@
   return granted_;
 }
 
+void RequestMemory::Claim::AskForRoom() {
+  if (memory_ == nullptr) return;
+  const std::lock_guard<std::mutex> lock(memory_->mutex_);
+  if (!granted_) memory_->CutSlowSenders(bytes_);
+}
+
 bool RequestMemory::Claim::Grow(size_t bytes) {
   if (memory_ == nullptr) return true;
   const std::lock_guard<std::mutex> lock(memory_->mutex_);
+  if (!memory_->Fits(bytes_, bytes_ + bytes)) {
+    memory_->CutSlowSenders(bytes);
+    return false;
+  }
   memory_->Subtract(bytes_);
-  const bool fits = memory_->Fits(bytes_ + bytes);
-  if (fits) bytes_ += bytes;
+  bytes_ += bytes;
   memory_->Add(bytes_);
-  return fits;
+  return true;
+}
+
+void RequestMemory::Claim::BeginReceiving(std::function<void()> cut) {
+  if (memory_ == nullptr) return;
+  const std::lock_guard<std::mutex> lock(memory_->mutex_);
+  on_cut_ = std::move(cut);
+  progress_at_ = memory_->options_.now();
+  receiving_ = memory_->receiving_.insert(memory_->receiving_.end(), this);
+}
+
+void RequestMemory::Claim::NoteReceived(size_t bytes) {
+  if (memory_ == nullptr) return;
+  const std::lock_guard<std::mutex> lock(memory_->mutex_);
+  received_ += bytes;
+  if (received_ < kProgressBytes || !receiving_) return;
+  received_ = 0;
+  is_cut_ = false;
+  progress_at_ = memory_->options_.now();
+  memory_->receiving_.splice(memory_->receiving_.end(), memory_->receiving_, *receiving_);
+}
+
+void RequestMemory::Claim::EndReceiving() {
+  if (memory_ == nullptr) return;
+  const std::lock_guard<std::mutex> lock(memory_->mutex_);
+  if (!receiving_) return;
+  memory_->receiving_.erase(*receiving_);
+  receiving_.reset();
+  is_cut_ = false;
+}
+
+bool RequestMemory::Claim::is_cut() const {
+  if (memory_ == nullptr) return false;
+  const std::lock_guard<std::mutex> lock(memory_->mutex_);
+  return is_cut_;
 }
 
 }  // namespace millstair
--- a/source/http/server_connection.cc
+++ b/source/http/server_connection.cc
@@ -53,6 +53,8 @@
 constexpr size_t kLoggedTargetBytes = 200;
 constexpr int kUnavailable = 503;
 constexpr std::chrono::seconds kRetryAfter{1};
+/// How often a body that waits for memory looks for senders that have become slow.
+constexpr std::chrono::milliseconds kMemoryCheckInterval{250};
 /// How long input of a refused client is discarded before the connection is closed.
 constexpr std::chrono::milliseconds kLingerTime{500};
 
@@ -199,10 +201,13 @@
     });
     while (!claim.granted()) {
       if (client_ended_ || closed_) co_return false;
-      if (!co_await WaitForWake(deadline)) {
+      const SteadyTime now = std::chrono::steady_clock::now();
+      if (now >= deadline) {
         co_await Refuse(kUnavailable, "memory-short");
         co_return false;
       }
+      claim.AskForRoom();
+      co_await WaitForWake(std::min(deadline, now + kMemoryCheckInterval));
     }
     co_return true;
   }
@@ -218,6 +223,9 @@
     parser.eager(true);
     const HttpServerOptions& options = context_->options;
     const SteadyTime deadline = std::chrono::steady_clock::now() + options.body_timeout;
+    claim.BeginReceiving([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->WakeServing();
+    });
     size_t claimed = LengthOf(parser).value_or(kReadAheadBytes);
     while (!parser.is_done()) {
       const size_t capacity = parser.get().body().capacity();
@@ -231,6 +239,7 @@
       boost::system::error_code error;
       const size_t used = parser.put(asio::buffer(received_), error);
       Consume(used);
+      claim.NoteReceived(used);
       if (error && error != http::error::need_more) {
         co_await Refuse(StatusOf(error), ReasonOf(error));
         co_return false;
@@ -242,26 +251,19 @@
         co_return false;
       }
       if (client_ended_ || closed_) co_return false;
-      if (!co_await WaitForBody(deadline)) {
+      if (claim.is_cut()) {
+        co_await Refuse(408, "slow-sender");
+        co_return false;
+      }
+      if (!co_await WaitForWake(deadline)) {
         co_await Refuse(408, "body-timeout");
         co_return false;
       }
     }
+    claim.EndReceiving();
     co_return true;
   }
 
-  /// Waits for more of the body. False on reaching `deadline`, or if the client sends nothing while
-  /// others wait for memory.
-  asio::awaitable<bool> WaitForBody(SteadyTime deadline) {
-    const auto& memory = context_->options.request_memory;
-    while (true) {
-      const SteadyTime now = std::chrono::steady_clock::now();
-      const SteadyTime stalled = now + context_->options.slow_sender;
-      if (co_await WaitForWake(std::min(deadline, stalled))) co_return true;
-      if (deadline <= stalled || (memory != nullptr && memory->has_waiting())) co_return false;
-    }
-  }
-
   asio::awaitable<bool> AnswerExpectation(const RequestParser& parser) {
     const auto expect = parser.get().find(http::field::expect);
     if (expect == parser.get().end()) co_return true;
--- a/source/server/node_options.cc
+++ b/source/server/node_options.cc
@@ -182,8 +182,11 @@
   return options;
 }
 
-size_t RequestMemoryBound(const ServerSettings& settings) {
-  return settings.limits.process_memory / kProcessMemoryPerHeldByte;
+RequestMemoryOptions RequestMemoryOptionsOf(const ServerSettings& settings) {
+  RequestMemoryOptions options;
+  options.bound = settings.limits.process_memory / kProcessMemoryPerHeldByte;
+  options.slow_sender = settings.timing.slow_sender;
+  return options;
 }
 
 HttpServerOptions HttpServerOptionsOf(const ServerSettings& settings) {
--- a/source/server/node_options.h
+++ b/source/server/node_options.h
@@ -25,8 +25,7 @@
 JobGroupBootstrapperOptions JobBootstrapperOptionsOf(const ServerSettings& settings);
 PeerTransportOptions TransportOptionsOf(const ServerSettings& settings, Incarnation incarnation);
 HeldBytesOptions HeldBytesOptionsOf(const ServerSettings& settings);
-/// Bound on the bodies of requests; 0 sets none.
-size_t RequestMemoryBound(const ServerSettings& settings);
+RequestMemoryOptions RequestMemoryOptionsOf(const ServerSettings& settings);
 HttpServerOptions HttpServerOptionsOf(const ServerSettings& settings);
 HttpCallerOptions HttpCallerOptionsOf(const ServerSettings& settings);
 
--- a/source/server/server_node.cc
+++ b/source/server/server_node.cc
@@ -61,7 +61,7 @@
   if (settings_.limits.process_memory > 0) ::mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   held_bytes_ = std::make_shared<HeldBytes>(HeldBytesOptionsOf(settings_), &stats_);
   response_memory_ = std::make_unique<ResponseMemory>(*environment_, held_bytes_);
-  request_memory_ = std::make_shared<RequestMemory>(RequestMemoryBound(settings_), &stats_);
+  request_memory_ = std::make_shared<RequestMemory>(RequestMemoryOptionsOf(settings_), &stats_);
   caller_ = std::make_unique<BeastHttpCaller>(runtime_, executor_, HttpCallerOptionsOf(settings_),
                                               &stats_);
   back_ends_ = std::make_unique<RoutedHttpCaller>(*caller_, AddressRoutes(settings_.routes));
--- a/source/settings/settings.h
+++ b/source/settings/settings.h
@@ -48,6 +48,8 @@
   Duration http_write = std::chrono::seconds(60);
   /// A caller that has read nothing for this long may be disconnected to free memory.
   Duration slow_reader = std::chrono::seconds(5);
+  /// A caller that has sent next to nothing of a body for this long may be refused to free memory.
+  Duration slow_sender = std::chrono::seconds(5);
   Duration call_connect = std::chrono::seconds(2);
   Duration call_read = std::chrono::seconds(120);
   /// Maximum time from the acknowledged leaving of a back end until no node assigns it new work; 0
--- a/source/settings/settings_schema.cc
+++ b/source/settings/settings_schema.cc
@@ -242,6 +242,9 @@
       Time("timing.slow_reader", &T::slow_reader, 100 * kMillisecond, kHour,
            "A caller that has read nothing for this long may be disconnected when responses "
            "take too much memory."),
+      Time("timing.slow_sender", &T::slow_sender, 100 * kMillisecond, kHour,
+           "A caller that has sent less than 16 KiB of a body for this long may be refused when "
+           "requests take too much memory."),
       Time("timing.call_connect", &T::call_connect, 10 * kMillisecond, 60 * kSecond,
            "Time to connect to a back end."),
       Time("timing.call_read", &T::call_read, 10 * kMillisecond, kHour,
--- a/test/http/http_server_test.cc
+++ b/test/http/http_server_test.cc
@@ -243,7 +243,8 @@
 TEST_CASE("A body is read once it fits into the memory of requests, or its request is refused") {
   constexpr size_t kBody = 256 * 1024;
   HttpServerOptions options;
-  options.request_memory = std::make_shared<RequestMemory>(kBody * 2);
+  options.request_memory =
+      std::make_shared<RequestMemory>(RequestMemoryOptions{.bound = kBody * 2});
   options.memory_timeout = milliseconds(200);
   ServerFixture server_fixture(options);
   RawClient first(server_fixture.address());
@@ -283,8 +284,8 @@
 TEST_CASE("A sender that stalls is refused while others wait for memory") {
   constexpr size_t kBody = 256 * 1024;
   HttpServerOptions options;
-  options.request_memory = std::make_shared<RequestMemory>(kBody * 2);
-  options.slow_sender = milliseconds(100);
+  options.request_memory = std::make_shared<RequestMemory>(
+      RequestMemoryOptions{.bound = kBody * 2, .slow_sender = milliseconds(100)});
   ServerFixture server_fixture(options);
   RawClient stalls(server_fixture.address());
   stalls.Send(Post(kBody, kBody / 2));
--- a/test/http/request_memory_test.cc
+++ b/test/http/request_memory_test.cc
@@ -20,7 +20,7 @@
 };
 
 TEST_CASE("A body waits until the memory of others is returned, in the order of arrival") {
-  const auto memory = std::make_shared<RequestMemory>(kBound);
+  const auto memory = std::make_shared<RequestMemory>(RequestMemoryOptions{.bound = kBound});
   std::optional<Body> first(std::in_place, memory, 4 * kMiB);
   Body second(memory, 3 * kMiB);
   Body third(memory, kMiB);
@@ -37,7 +37,7 @@
 }
 
 TEST_CASE("Small bodies use the last quarter of the bound while large ones wait") {
-  const auto memory = std::make_shared<RequestMemory>(kBound);
+  const auto memory = std::make_shared<RequestMemory>(RequestMemoryOptions{.bound = kBound});
   const Body held(memory, 6 * kMiB);
   const Body waits(memory, kMiB);
   const Body small(memory, 1024);
@@ -47,7 +47,7 @@
 
 // Guards against a body that is larger than the bound and would wait for ever.
 TEST_CASE("One large body at a time may exceed the bound") {
-  const auto memory = std::make_shared<RequestMemory>(kBound);
+  const auto memory = std::make_shared<RequestMemory>(RequestMemoryOptions{.bound = kBound});
   const Body small(memory, 1024);
   std::optional<Body> larger(std::in_place, memory, 2 * kBound);
   const Body next(memory, 2 * kBound);
@@ -58,7 +58,7 @@
 }
 
 TEST_CASE("A claim that ends while it waits lets the next one go on") {
-  const auto memory = std::make_shared<RequestMemory>(kBound);
+  const auto memory = std::make_shared<RequestMemory>(RequestMemoryOptions{.bound = kBound});
   const Body held(memory, 4 * kMiB);
   std::optional<Body> waits(std::in_place, memory, 4 * kMiB);
   const Body next(memory, kMiB);
@@ -69,7 +69,7 @@
 }
 
 TEST_CASE("A body of unknown length grows while it fits, and never waits") {
-  const auto memory = std::make_shared<RequestMemory>(kBound);
+  const auto memory = std::make_shared<RequestMemory>(RequestMemoryOptions{.bound = kBound});
   const Body held(memory, 4 * kMiB);
   Body grows(memory, 1024);
   CHECK(grows.claim.Grow(kMiB));
@@ -77,8 +77,72 @@
   CHECK(memory->total() == 5 * kMiB + 1024);
 }
 
+/// A clock that the test sets, and bodies that are being received.
+struct Receiving {
+  TimePoint now{};
+  std::shared_ptr<RequestMemory> memory = std::make_shared<RequestMemory>(
+      RequestMemoryOptions{.bound = kBound, .now = [this] { return now; }});
+
+  std::unique_ptr<Body> Begin(size_t bytes, int& cuts) {
+    auto body = std::make_unique<Body>(memory, bytes);
+    body->claim.BeginReceiving([&cuts] { ++cuts; });
+    return body;
+  }
+};
+
+// Guards against senders that keep the memory of a body that they don't send.
+TEST_CASE("A sender without progress is cut once another body needs its memory") {
+  Receiving receiving;
+  int cuts = 0;
+  auto slowest = receiving.Begin(3 * kMiB, cuts);
+  receiving.now += std::chrono::seconds(1);
+  auto slow = receiving.Begin(3 * kMiB, cuts);
+  receiving.now += std::chrono::seconds(4);
+  CHECK(cuts == 0);
+  Body waits(receiving.memory, kMiB);
+  // Only the first has made no progress for long enough.
+  CHECK(cuts == 1);
+  CHECK(slowest->claim.is_cut());
+  CHECK_FALSE(slow->claim.is_cut());
+  waits.claim.AskForRoom();
+  CHECK(cuts == 1);
+  slowest.reset();
+  CHECK(waits.claim.granted());
+}
+
+TEST_CASE("As few senders are cut as a body needs, also for one that grows") {
+  Receiving receiving;
+  int cuts = 0;
+  auto first = receiving.Begin(2 * kMiB, cuts);
+  auto second = receiving.Begin(2 * kMiB, cuts);
+  Body grows(receiving.memory, 2 * kMiB);
+  receiving.now += std::chrono::seconds(6);
+  CHECK_FALSE(grows.claim.Grow(kMiB));
+  CHECK(first->claim.is_cut());
+  CHECK_FALSE(second->claim.is_cut());
+}
+
+// Guards against a byte from time to time that keeps the memory of a body.
+TEST_CASE("A few bytes are no progress of a sender, and many withdraw its cut") {
+  Receiving receiving;
+  int cuts = 0;
+  auto drips = receiving.Begin(6 * kMiB, cuts);
+  for (int second = 0; second < 6; ++second) {
+    receiving.now += std::chrono::seconds(1);
+    drips->claim.NoteReceived(1);
+  }
+  Body waits(receiving.memory, kMiB);
+  CHECK(drips->claim.is_cut());
+  drips->claim.NoteReceived(64 * 1024);
+  CHECK_FALSE(drips->claim.is_cut());
+  receiving.now += std::chrono::seconds(6);
+  drips->claim.EndReceiving();
+  waits.claim.AskForRoom();
+  CHECK(cuts == 1);
+}
+
 TEST_CASE("Without a bound nothing waits") {
-  const auto memory = std::make_shared<RequestMemory>(0);
+  const auto memory = std::make_shared<RequestMemory>(RequestMemoryOptions{});
   const Body first(memory, 1024 * kMiB);
   const Body second(memory, 1024 * kMiB);
   CHECK(second.claim.granted());
@@ -87,7 +151,7 @@
 // Guards against memory that is lost, and against bodies that are never read.
 TEST_CASE("Memory stays bounded and all bodies are granted in a random mix") {
   std::mt19937_64 random(20261204);
-  const auto memory = std::make_shared<RequestMemory>(kBound);
+  const auto memory = std::make_shared<RequestMemory>(RequestMemoryOptions{.bound = kBound});
   std::vector<std::unique_ptr<Body>> bodies;
   for (int step = 0; step < 20000; ++step) {
     if (bodies.size() < 20 && random() % 2 == 0) {
--- a/test/http/slow_reader_test.cc
+++ b/test/http/slow_reader_test.cc
@@ -177,7 +177,7 @@
 
   Runtime runtime;
   std::shared_ptr<SerialExecutor> executor = runtime.NewExecutor();
-  std::shared_ptr<RequestMemory> memory = std::make_shared<RequestMemory>(0);
+  std::shared_ptr<RequestMemory> memory = std::make_shared<RequestMemory>(RequestMemoryOptions{});
   std::unique_ptr<BeastHttpCaller> caller;
   std::unique_ptr<CallHandle> handle;
 };
--- a/test/ingress/slow_readers_test.cc
+++ b/test/ingress/slow_readers_test.cc
@@ -106,7 +106,7 @@
 TEST_CASE("The body of a request is counted while the request is in progress") {
   Fixture fixture;
   fixture.Add("b:1", [](const HttpRequest&) { return FakeAnswer{Kind::kNoResponse}; });
-  const auto memory = std::make_shared<RequestMemory>(kMiB);
+  const auto memory = std::make_shared<RequestMemory>(RequestMemoryOptions{.bound = kMiB});
   auto claim = std::make_shared<RequestMemory::Claim>(memory);
   claim->Request(4, [] {});
   fixture.Forward(HttpBody("body", std::move(claim)));
