http: Bound the connections of a process by its memory and descriptors; idle ones give way

What callers saw (idle connections, many small bodies): a gateway to which 1,500 clients sent parts of small bodies exceeded 120 MB; with 3,500 connections that do nothing it had no descriptor left, and new callers got no answer for as long as those stayed.

Cause: each listener took 8,192 connections, whatever the process's memory and descriptors. The kernel took 64 KiB and more for each of them, which counts. A further connection was closed however idle the others were.

Change: ConnectionLimit counts the connections of all listeners. Its bound is limits.http_connections, or less if an eighth of the process memory at 16 KiB each, or a fifth of the descriptors less 200 (limits.descriptors, new; the system's limit by default), is less: a request may be at four back ends at a time. At the bound a new connection takes the place of one that waits for its client: first for a request, then between two, then for a reader that is slow; the one without progress for the longest time. While none waits, connections end with their next response. With a bound on its memory, a process has the kernel take 8 KiB for a connection in place of the default.

--- a/source/http/http_server.cc
+++ b/source/http/http_server.cc
@@ -39,9 +39,15 @@
       });
 }
 
-absl::Status Bind(Tcp::acceptor& acceptor, const Tcp::endpoint& endpoint) {
+absl::Status Bind(Tcp::acceptor& acceptor, const Tcp::endpoint& endpoint,
+                  size_t receive_buffer_bytes) {
   boost::system::error_code error;
   acceptor.open(endpoint.protocol(), error);
+  if (!error && receive_buffer_bytes > 0) {
+    // Accepted sockets inherit it. What a client sends first would arrive before it could be set.
+    const int bytes = static_cast<int>(receive_buffer_bytes);
+    acceptor.set_option(boost::asio::socket_base::receive_buffer_size(bytes), error);
+  }
   if (!error) acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
   if (!error) acceptor.bind(endpoint, error);
   if (!error) acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
@@ -86,7 +92,10 @@
   RegisterStats(*context);
   context->acceptor =
       std::make_unique<Tcp::acceptor>(boost::asio::make_strand(runtime.io().get_executor()));
-  if (absl::Status bound = Bind(*context->acceptor, *endpoint); !bound.ok()) return bound;
+  if (absl::Status bound = Bind(*context->acceptor, *endpoint, options.receive_buffer_bytes);
+      !bound.ok()) {
+    return bound;
+  }
   const std::string local = FormatEndpoint(context->acceptor->local_endpoint());
   boost::asio::post(context->acceptor->get_executor(), [context] { AcceptNext(context); });
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(context), local));
--- a/source/http/http_server.h
+++ b/source/http/http_server.h
@@ -14,6 +14,7 @@
 #include "absl/status/statusor.h"
 #include "common/stats.h"
 #include "common/time.h"
+#include "http/connection_limit.h"
 #include "http/exchange.h"
 #include "http/held_bytes.h"
 #include "http/request_memory.h"
@@ -27,8 +28,11 @@
   size_t max_body_bytes = 16 * 1024 * 1024;
   /// Response bytes buffered for a slow caller; beyond it WritableBytes() is 0.
   size_t send_buffer_bytes = 256 * 1024;
-  /// Further connections are closed immediately.
-  size_t max_connections = 8192;
+  /// Bounds the connections; may be null. A further one is closed immediately if none gives way.
+  std::shared_ptr<ConnectionLimit> connections;
+  /// Bytes that the kernel takes for a connection before they are read; 0 leaves it the choice.
+  /// More while a large body is read.
+  size_t receive_buffer_bytes = 0;
   /// From the first byte of a request to the end of its head.
   Duration header_timeout = std::chrono::seconds(10);
   /// From the head to the end of the body.
--- a/source/http/server_connection.cc
+++ b/source/http/server_connection.cc
@@ -90,6 +90,14 @@
         strand_, [self = shared_from_this()] { return self->ServeAll(); }, asio::detached);
   }
 
+  /// Called once, before Start. Null if there is no bound.
+  void SetPlace(std::unique_ptr<ConnectionLimit::Place> place) { place_ = std::move(place); }
+
+  /// Ends the connection for another one that needs its place. Called on any thread.
+  void PostReset() {
+    asio::post(strand_, [self = shared_from_this()] { self->Reset(); });
+  }
+
   void PostClose() {
     asio::post(strand_, [self = shared_from_this()] { self->Close(); });
   }
@@ -176,6 +184,7 @@
         begun = true;
         deadline = std::chrono::steady_clock::now() + options.header_timeout;
       }
+      Await(begun || !answered_ ? ConnectionWait::kRequest : ConnectionWait::kNextRequest);
       const size_t end = received_.find(kHeadEnd);
       if (end != std::string::npos && end + kHeadEnd.size() <= options.max_header_bytes) {
         co_return end + kHeadEnd.size();
@@ -195,6 +204,7 @@
   /// Waits until the memory of the body is granted: all of it if its length is known, otherwise a
   /// first part. False if the connection must be closed.
   asio::awaitable<bool> ClaimMemory(const RequestParser& parser, RequestMemory::Claim& claim) {
+    Serve();
     const SteadyTime deadline = std::chrono::steady_clock::now() + context_->options.memory_timeout;
     claim.Request(LengthOf(parser).value_or(kReadAheadBytes), [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->WakeServing();
@@ -240,6 +250,7 @@
       const size_t used = parser.put(asio::buffer(received_), error);
       Consume(used);
       claim.NoteReceived(used);
+      Await(ConnectionWait::kRequest);
       if (error && error != http::error::need_more) {
         co_await Refuse(StatusOf(error), ReasonOf(error));
         co_return false;
@@ -288,14 +299,15 @@
   // --- answering -----------------------------------------------------------------------------
 
   asio::awaitable<bool> Answer(HttpRequest request, const RequestParser& parser) {
+    Serve();
     context_->requests->Add();
     ++context_->running;
     const auto channel = NewChannel(request);
     ResponseFraming framing;
     framing.head_request = request.method == "HEAD";
     framing.http_1_1 = parser.get().version() == 11;
-    framing.keep_alive =
-        parser.get().keep_alive() && !context_->draining && !context_->closes_after_response;
+    framing.keep_alive = parser.get().keep_alive() && !context_->draining &&
+                         !context_->closes_after_response && !LacksPlaces();
     framing.call_id = FindHeader(request.headers, kCallIdHeader).value_or("");
     request.headers = WithoutHeader(std::move(request.headers), kCallIdHeader);
     auto writer = std::make_shared<FramedResponseWriter>(channel, framing);
@@ -309,6 +321,7 @@
     channel_.reset();
     channel->Discard();
     --context_->running;
+    answered_ = true;
     co_return keep;
   }
 
@@ -414,7 +427,9 @@
       const auto self = weak.lock();
       if (!error && self) self->Reset();
     });
+    Await(ConnectionWait::kReader);
     const auto [error, count] = co_await socket_.async_write_some(bytes, kUseTuple);
+    Serve();
     watchdog_.cancel();
     co_return error ? 0 : count;
   }
@@ -430,6 +445,7 @@
     if (!co_await Write(channel->Take().bytes)) co_return;
     boost::system::error_code ignored;
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+    Await(ConnectionWait::kRequest);
     const SteadyTime deadline = std::chrono::steady_clock::now() + kLingerTime;
     while (!client_ended_ && !closed_) {
       Consume(received_.size());
@@ -452,6 +468,21 @@
     return "bad-message";
   }
 
+  // --- the place among the connections ---------------------------------------------------------
+
+  void Await(ConnectionWait wait) {
+    if (place_ != nullptr) place_->Await(wait);
+  }
+
+  bool LacksPlaces() const {
+    const auto& limit = context_->options.connections;
+    return limit != nullptr && limit->exhausted();
+  }
+
+  void Serve() {
+    if (place_ != nullptr) place_->Serve();
+  }
+
   // --- cutting a slow reader -----------------------------------------------------------------
 
   /// Called on any thread.
@@ -497,6 +528,9 @@
   asio::steady_timer read_wake_timer_;
   asio::steady_timer watchdog_;
   std::string received_;
+  std::unique_ptr<ConnectionLimit::Place> place_;
+  /// A response was sent on this connection.
+  bool answered_ = false;
   bool client_ended_ = false;
   bool closed_ = false;
   std::atomic<bool> wake_posted_{false};
@@ -504,10 +538,17 @@
 
 void StartServerConnection(Tcp::socket socket, std::shared_ptr<HttpServerContext> context) {
   const auto connection = std::make_shared<ServerConnection>(std::move(socket), context);
+  if (const auto& limit = context->options.connections) {
+    auto place = limit->Take([weak = std::weak_ptr(connection)] {
+      if (const auto evicted = weak.lock()) evicted->PostReset();
+    });
+    // A connection that is not served closes its socket in its destructor.
+    if (place == nullptr) return;
+    connection->SetPlace(std::move(place));
+  }
   {
     const std::lock_guard<std::mutex> lock(context->mutex);
-    // A connection that is not served closes its socket in its destructor.
-    if (context->stopped || context->open.size() >= context->options.max_connections) return;
+    if (context->stopped) return;
     context->open.insert(connection.get());
     context->open_connections->Set(static_cast<double>(context->open.size()));
   }
--- a/source/server/node_options.cc
+++ b/source/server/node_options.cc
@@ -8,6 +8,19 @@
 /// Responses take up to one such part of the memory and bodies of requests another. The rest is for
 /// the program, its configuration and its connections.
 constexpr uint64_t kProcessMemoryPerHeldByte = 4;
+/// Part of the process memory that the connections of callers may take: their objects, what is read
+/// without a claim, and what the kernel has taken for them.
+constexpr uint64_t kMemoryPerConnectionByte = 8;
+constexpr uint64_t kConnectionBytes = 16 * 1024;
+/// The kernel counts the overhead of segments as well, and takes about this much.
+constexpr size_t kReceiveBufferBytes = 8 * 1024;
+/// Descriptors for files, listeners and peers.
+constexpr uint64_t kReservedDescriptors = 200;
+/// Descriptors for each connection of a caller: its own, and one for each back end at which its
+/// request may be at a time.
+constexpr uint64_t kDescriptorsPerConnection = 5;
+/// A process with less memory or fewer descriptors than this needs can't serve anyway.
+constexpr uint64_t kMinConnections = 16;
 
 std::vector<ControlEndpoint> EndpointsOf(const ServerSettings& settings) {
   std::vector<ControlEndpoint> endpoints;
@@ -189,12 +202,29 @@
   return options;
 }
 
+ConnectionLimitOptions ConnectionLimitOptionsOf(const ServerSettings& settings,
+                                                uint64_t descriptors) {
+  ConnectionLimitOptions options;
+  options.slow_reader = settings.timing.slow_reader;
+  uint64_t limit = settings.limits.http_connections;
+  if (settings.limits.process_memory > 0) {
+    limit = std::min(limit,
+                     settings.limits.process_memory / kMemoryPerConnectionByte / kConnectionBytes);
+  }
+  if (descriptors > 0) {
+    const uint64_t reserved = std::min(kReservedDescriptors, descriptors / 2);
+    limit = std::min(limit, (descriptors - reserved) / kDescriptorsPerConnection);
+  }
+  options.limit = std::max(limit, kMinConnections);
+  return options;
+}
+
 HttpServerOptions HttpServerOptionsOf(const ServerSettings& settings) {
   HttpServerOptions options;
   options.max_header_bytes = settings.limits.http_header;
   options.max_body_bytes = settings.limits.http_body;
   options.send_buffer_bytes = settings.limits.http_send_buffer;
-  options.max_connections = settings.limits.http_connections;
+  if (settings.limits.process_memory > 0) options.receive_buffer_bytes = kReceiveBufferBytes;
   options.header_timeout = settings.timing.http_header;
   options.body_timeout = settings.timing.http_body;
   options.idle_timeout = settings.timing.http_idle;
--- a/source/server/node_options.h
+++ b/source/server/node_options.h
@@ -26,6 +26,9 @@
 PeerTransportOptions TransportOptionsOf(const ServerSettings& settings, Incarnation incarnation);
 HeldBytesOptions HeldBytesOptionsOf(const ServerSettings& settings);
 RequestMemoryOptions RequestMemoryOptionsOf(const ServerSettings& settings);
+/// `descriptors`: how many the process may open; 0 if that is not known.
+ConnectionLimitOptions ConnectionLimitOptionsOf(const ServerSettings& settings,
+                                                uint64_t descriptors);
 HttpServerOptions HttpServerOptionsOf(const ServerSettings& settings);
 HttpCallerOptions HttpCallerOptionsOf(const ServerSettings& settings);
 
--- a/source/server/server_node.cc
+++ b/source/server/server_node.cc
@@ -1,6 +1,7 @@
 #include "server/server_node.h"
 
 #include <malloc.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <chrono>
@@ -35,6 +36,16 @@
       static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count()));
 }
 
+/// Number of descriptors that the process may open; 0 if that is not known.
+uint64_t DescriptorLimit(const ServerSettings& settings) {
+  rlimit limit{};
+  const bool known = ::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+  const uint64_t of_system = known ? limit.rlim_cur : 0;
+  const uint64_t of_settings = settings.limits.descriptors;
+  if (of_settings == 0 || of_system == 0) return std::max(of_settings, of_system);
+  return std::min(of_settings, of_system);
+}
+
 StartError MakeStartError(ExitCode code, const absl::Status& status) {
   return {code, std::string(status.message())};
 }
@@ -61,6 +72,8 @@
   if (settings_.limits.process_memory > 0) ::mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   held_bytes_ = std::make_shared<HeldBytes>(HeldBytesOptionsOf(settings_), &stats_);
   response_memory_ = std::make_unique<ResponseMemory>(*environment_, held_bytes_);
+  connection_limit_ = std::make_shared<ConnectionLimit>(
+      ConnectionLimitOptionsOf(settings_, DescriptorLimit(settings_)), &stats_);
   request_memory_ = std::make_shared<RequestMemory>(RequestMemoryOptionsOf(settings_), &stats_);
   caller_ = std::make_unique<BeastHttpCaller>(runtime_, executor_, HttpCallerOptionsOf(settings_),
                                               &stats_);
@@ -250,6 +263,7 @@
   HttpServerOptions options = HttpServerOptionsOf(settings_);
   options.held_bytes = held_bytes_;
   options.request_memory = request_memory_;
+  options.connections = connection_limit_;
   if (ServesPlatform()) options.request_id_header = platform::RequestIdHeader();
   return HttpServer::Listen(runtime_, executor_, address, handler, std::move(options), &stats_);
 }
--- a/source/server/server_node.h
+++ b/source/server/server_node.h
@@ -93,6 +93,7 @@
   /// Shared with connections and calls, which may end after the node.
   std::shared_ptr<HeldBytes> held_bytes_;
   std::shared_ptr<RequestMemory> request_memory_;
+  std::shared_ptr<ConnectionLimit> connection_limit_;
   std::unique_ptr<ResponseMemory> response_memory_;
   std::unique_ptr<BeastHttpCaller> caller_;
   std::unique_ptr<RoutedHttpCaller> back_ends_;
--- a/source/settings/settings.h
+++ b/source/settings/settings.h
@@ -70,6 +70,8 @@
   uint64_t http_body = 16 * 1024 * 1024;
   uint64_t http_send_buffer = 256 * 1024;
   uint64_t http_connections = 8192;
+  /// File descriptors that the process may open; 0 takes the limit that the system sets.
+  uint64_t descriptors = 0;
   /// Memory that the process may use; 0 sets no bound on the responses that it holds.
   uint64_t process_memory = 0;
   uint64_t peer_frame = 16 * 1024 * 1024;
--- a/source/settings/settings_schema.cc
+++ b/source/settings/settings_schema.cc
@@ -271,10 +271,14 @@
       Limit("limits.http_send_buffer", Kind::kSize, &L::http_send_buffer, 4 * kKiB, 64 * kMiB,
             "Bytes of an answer held for a caller that reads slowly."),
       Limit("limits.http_connections", Kind::kCount, &L::http_connections, 1, 100000,
-            "Connections of callers open at once."),
+            "Connections of callers open at once. Fewer if the descriptors, or an eighth of the "
+            "process memory at 16 KiB each, allow fewer."),
+      Limit("limits.descriptors", Kind::kCount, &L::descriptors, 0, 100 * 1000 * 1000,
+            "File descriptors that the process may open; connections of callers take a "
+            "fifth of them at most. 0 takes the limit that the system sets."),
       Limit("limits.process_memory", Kind::kSize, &L::process_memory, 0, 1024 * 1024 * kMiB,
-            "Memory of the process; responses held for callers take a quarter of it at most, and "
-            "bodies of requests another. 0 sets no bound."),
+            "Memory of the process; responses held for callers take a quarter of it at most, "
+            "requests another, and connections an eighth. 0 sets no bound."),
       Limit("limits.peer_frame", Kind::kSize, &L::peer_frame, 64 * kKiB, 64 * kMiB,
             "One message between nodes."),
       Limit("limits.peer_queue", Kind::kSize, &L::peer_queue, 64 * kKiB, 1024 * kMiB,
