http: Count heads and unparsed input in the memory of requests

What callers saw (large heads under way, pipelined requests): a gateway of 120 MB ended among 1,500 clients with heads of 15 KiB at a slow back end, or with requests sent ahead of answers.

Cause: only bodies were counted. A head is in memory about four times while its request runs; up to 64 KiB were read ahead for each connection, also while a request was served; a connection that rests kept a buffer of 8 KiB; a string that grows by itself takes twice the size of a chunked body.

Change: a head counts four times, with 64 bytes a line, until its request was answered. Bytes above 4 KiB that are not parsed yet are claimed as input, which has a part of its own, an eighth of the bound: unfinished heads don't take the memory of whole requests. While a request is served, no more than 4 KiB are read ahead. Small requests (8 KiB and less) may use the last eighth, so that those without a body pass bodies. A connection waits without a buffer. Chunked bodies grow by a quarter. The kernel's buffer grows for large bodies whose memory was granted.

Two checks of http_server_test (total() == kBody) now ask for the body and its head, as exactly as before. New tests of request_memory_test: the last eighth, and input.

--- a/source/http/request_memory.cc
+++ b/source/http/request_memory.cc
@@ -7,6 +7,8 @@
 
 /// Bodies up to this size may use the last quarter of the bound, also while larger ones wait.
 constexpr size_t kSmallBodyBytes = 64 * 1024;
+/// Requests up to this size may use the last eighth: those without a body, or with a few bytes.
+constexpr size_t kSmallestBytes = 8 * 1024;
 /// Fewer bytes than this are no progress: a byte from time to time would keep the memory of a body.
 constexpr size_t kProgressBytes = 16 * 1024;
 
@@ -41,24 +43,28 @@
   return !waiting_.empty();
 }
 
-bool RequestMemory::Fits(size_t held, size_t bytes) const {
-  if (options_.bound == 0) return true;
-  const size_t others = total_ - held;
-  if (!IsLarge(bytes)) return others + bytes <= options_.bound;
-  // One at a time may exceed the bound; otherwise it could never be read.
-  const size_t other_large = large_ - (IsLarge(held) ? held : 0);
-  return other_large == 0 || others + bytes <= options_.bound / 4 * 3;
+size_t RequestMemory::LimitOf(size_t bytes) const {
+  if (IsLarge(bytes)) return options_.bound / 4 * 3;
+  if (bytes > kSmallestBytes) return options_.bound / 8 * 7;
+  return options_.bound;
 }
 
-void RequestMemory::Add(size_t bytes) {
-  total_ += bytes;
-  if (IsLarge(bytes)) large_ += bytes;
-  if (total_gauge_ != nullptr) total_gauge_->Set(static_cast<double>(total_));
+bool RequestMemory::Fits(ClaimKind kind, size_t held, size_t bytes) const {
+  if (options_.bound == 0 || bytes <= held) return true;
+  if (kind == ClaimKind::kInput) return input_ - held + bytes <= options_.bound / 8;
+  // One at a time may exceed the bound; otherwise it could never be read.
+  const size_t other_large = large_ - (IsLarge(held) ? held : 0);
+  if (IsLarge(bytes) && other_large == 0) return true;
+  return total_ - held + bytes <= LimitOf(bytes);
 }
 
-void RequestMemory::Subtract(size_t bytes) {
-  total_ -= bytes;
-  if (IsLarge(bytes)) large_ -= bytes;
+void RequestMemory::Change(ClaimKind kind, size_t held, size_t bytes) {
+  if (kind == ClaimKind::kInput) {
+    input_ += bytes - held;
+    return;
+  }
+  total_ += bytes - held;
+  large_ += (IsLarge(bytes) ? bytes : 0) - (IsLarge(held) ? held : 0);
   if (total_gauge_ != nullptr) total_gauge_->Set(static_cast<double>(total_));
 }
 
@@ -68,13 +74,13 @@
   for (auto next = waiting_.begin(); next != waiting_.end();) {
     Claim& claim = **next;
     const bool large = IsLarge(claim.bytes_);
-    if ((large && large_waits) || !Fits(0, claim.bytes_)) {
+    if ((large && large_waits) || !Fits(claim.kind_, 0, claim.bytes_)) {
       large_waits |= large;
       ++next;
       continue;
     }
-    Add(claim.bytes_);
-    claim.granted_ = true;
+    Change(claim.kind_, 0, claim.bytes_);
+    claim.waits_ = false;
     claim.on_granted_();
     next = waiting_.erase(next);
   }
@@ -93,16 +99,17 @@
   }
 }
 
-RequestMemory::Claim::Claim(std::shared_ptr<RequestMemory> memory) : memory_(std::move(memory)) {}
+RequestMemory::Claim::Claim(std::shared_ptr<RequestMemory> memory, ClaimKind kind)
+    : memory_(std::move(memory)), kind_(kind) {}
 
 RequestMemory::Claim::~Claim() {
   if (memory_ == nullptr) return;
   const std::lock_guard<std::mutex> lock(memory_->mutex_);
   if (receiving_) memory_->receiving_.erase(*receiving_);
-  if (granted_) {
-    memory_->Subtract(bytes_);
-  } else {
+  if (waits_) {
     memory_->waiting_.remove(this);
+  } else {
+    memory_->Change(kind_, bytes_, 0);
   }
   memory_->GrantWaiting();
 }
@@ -111,34 +118,36 @@
   if (memory_ == nullptr) return;
   const std::lock_guard<std::mutex> lock(memory_->mutex_);
   bytes_ = bytes;
+  waits_ = true;
   on_granted_ = std::move(granted);
   memory_->waiting_.push_back(this);
   memory_->GrantWaiting();
-  if (!granted_) memory_->CutSlowSenders(bytes_);
+  if (waits_) memory_->CutSlowSenders(bytes_);
 }
 
 bool RequestMemory::Claim::granted() const {
   if (memory_ == nullptr) return true;
   const std::lock_guard<std::mutex> lock(memory_->mutex_);
-  return granted_;
+  return !waits_;
 }
 
 void RequestMemory::Claim::AskForRoom() {
   if (memory_ == nullptr) return;
   const std::lock_guard<std::mutex> lock(memory_->mutex_);
-  if (!granted_) memory_->CutSlowSenders(bytes_);
+  if (waits_) memory_->CutSlowSenders(bytes_);
 }
 
-bool RequestMemory::Claim::Grow(size_t bytes) {
+bool RequestMemory::Claim::Resize(size_t bytes) {
   if (memory_ == nullptr) return true;
   const std::lock_guard<std::mutex> lock(memory_->mutex_);
-  if (!memory_->Fits(bytes_, bytes_ + bytes)) {
-    memory_->CutSlowSenders(bytes);
+  if (!memory_->Fits(kind_, bytes_, bytes)) {
+    if (kind_ == ClaimKind::kRequest) memory_->CutSlowSenders(bytes - bytes_);
     return false;
   }
-  memory_->Subtract(bytes_);
-  bytes_ += bytes;
-  memory_->Add(bytes_);
+  const bool shrinks = bytes < bytes_;
+  memory_->Change(kind_, bytes_, bytes);
+  bytes_ = bytes;
+  if (shrinks) memory_->GrantWaiting();
   return true;
 }
 
--- a/source/http/request_memory.h
+++ b/source/http/request_memory.h
@@ -1,5 +1,9 @@
 /// Bounds the memory of the requests that a process has accepted: a body is read only once its
-/// bytes fit, and counts until the last copy of it is destroyed.
+/// bytes fit, and counts until the last copy of it is destroyed. The head of a request counts until
+/// it was answered. The larger a request, the smaller the part of the bound that it may use, so
+/// that small ones are served beside large ones.
+///
+/// What has been received of a head, and of a body before it is parsed, has a part of its own.
 ///
 /// Responses have a bound of their own (ResponseMemory). With one for both, bodies that fill it
 /// would keep the answers from being read whose end alone frees them.
@@ -31,6 +35,11 @@
   std::function<TimePoint()> now;
 };
 
+enum class ClaimKind : uint8_t {
+  kRequest,  ///< a head or a body
+  kInput,    ///< bytes received that are not parsed yet
+};
+
 /// Thread-safe.
 class RequestMemory {
  public:
@@ -46,9 +55,10 @@
 
  private:
   /// Whether a claim may grow from `held` to `bytes`. Called with `mutex_` held, like all below.
-  bool Fits(size_t held, size_t bytes) const;
-  void Add(size_t bytes);
-  void Subtract(size_t bytes);
+  bool Fits(ClaimKind kind, size_t held, size_t bytes) const;
+  /// The part of the bound that a claim of `bytes` may use.
+  size_t LimitOf(size_t bytes) const;
+  void Change(ClaimKind kind, size_t held, size_t bytes);
   /// Gives memory to the claims that wait, in their order, as far as it goes.
   void GrantWaiting();
   /// Cuts the slowest senders until `bytes` will be free, as far as there are slow ones.
@@ -62,16 +72,18 @@
   size_t total_ = 0;
   /// Part of the sum that belongs to large bodies.
   size_t large_ = 0;
+  /// Part of the sum that is input.
+  size_t input_ = 0;
   std::list<Claim*> waiting_;
   /// Claims of bodies that are being received, those without progress for the longest time first.
   std::list<Claim*> receiving_;
 };
 
-/// The memory of one body; returned when the claim is destroyed.
+/// The memory of one body, head or input; returned when the claim is destroyed.
 class RequestMemory::Claim {
  public:
   /// Everything is granted if `memory` is null.
-  explicit Claim(std::shared_ptr<RequestMemory> memory);
+  explicit Claim(std::shared_ptr<RequestMemory> memory, ClaimKind kind = ClaimKind::kRequest);
   ~Claim();
   Claim(const Claim&) = delete;
   Claim& operator=(const Claim&) = delete;
@@ -82,9 +94,9 @@
   bool granted() const;
   /// Cuts senders that have become slow since the claim began to wait.
   void AskForRoom();
-  /// Adds to a granted claim without waiting; false if the bytes don't fit. Claims that wait while
-  /// they hold memory could wait for each other.
-  bool Grow(size_t bytes);
+  /// Changes the size of a claim that does not wait to `bytes`; false if they don't fit. Claims
+  /// that wait while they hold memory could wait for each other.
+  bool Resize(size_t bytes);
 
   /// From now on the sender may be cut for lack of memory. `cut` is called like `granted`, and only
   /// wakes the owner, which then asks `is_cut`.
@@ -100,9 +112,10 @@
   friend class RequestMemory;
 
   const std::shared_ptr<RequestMemory> memory_;
+  const ClaimKind kind_;
   /// Guarded by the memory's mutex, like all below.
   size_t bytes_ = 0;
-  bool granted_ = false;
+  bool waits_ = false;
   std::function<void()> on_granted_;
   /// Its place among those that are being received.
   std::optional<std::list<Claim*>::iterator> receiving_;
--- a/source/http/server_connection.cc
+++ b/source/http/server_connection.cc
@@ -41,9 +41,19 @@
 constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-/// Limit on the bytes that are read ahead of the request being served.
+/// Limit on the bytes of a request that are read before they are parsed.
 constexpr size_t kReadAheadBytes = 64 * 1024;
-constexpr size_t kReadBytes = 8 * 1024;
+constexpr size_t kReadBytes = 16 * 1024;
+/// Bytes that each connection may read without a claim on the memory of requests; also the limit on
+/// what is read ahead while a request is served.
+constexpr size_t kUncountedInput = 4 * 1024;
+/// How often a head is held while its request runs: parsed, for the flow, for an attempt, and as it
+/// is sent.
+constexpr size_t kHeadCopies = 4;
+/// Memory of a header beside its text, in each copy.
+constexpr size_t kHeaderBytes = 64;
+/// Receive buffer of the kernel while a large body is read.
+constexpr size_t kLargeReceiveBuffer = 64 * 1024;
 /// Responses are written in steps of this size, so that the progress of a slow reader is seen.
 constexpr size_t kWriteBytes = 64 * 1024;
 /// Bytes that the kernel may hold before they are sent. Its default, up to several MiB for each
@@ -70,7 +80,8 @@
         socket_(std::move(socket)),
         serve_wake_timer_(strand_),
         read_wake_timer_(strand_),
-        watchdog_(strand_) {}
+        watchdog_(strand_),
+        input_(context_->options.request_memory, ClaimKind::kInput) {}
 
   ~ServerConnection() {
     const std::lock_guard<std::mutex> lock(context_->mutex);
@@ -107,22 +118,57 @@
 
   asio::awaitable<void> ReadAhead() {
     const auto self = shared_from_this();
-    std::array<char, kReadBytes> bytes;
-    while (!closed_) {
-      if (received_.size() >= ReadLimit()) {
+    boost::system::error_code error;
+    socket_.non_blocking(true, error);
+    while (!closed_ && !error) {
+      if (RoomToRead() == 0) {
         read_wake_timer_.expires_at(SteadyTime::max());
         co_await read_wake_timer_.async_wait(kUseTuple);
         continue;
       }
-      const auto [error, count] = co_await socket_.async_read_some(asio::buffer(bytes), kUseTuple);
-      if (error) break;
-      received_.append(bytes.data(), count);
+      // Waits without a buffer, so that a connection that rests holds none.
+      const auto [wait_error] = co_await socket_.async_wait(Tcp::socket::wait_read, kUseTuple);
+      if (wait_error) break;
+      error = ReadAvailable();
       serve_wake_timer_.cancel();
     }
     client_ended_ = true;
     serve_wake_timer_.cancel();
   }
 
+  /// Reads what has arrived, as far as there is room.
+  boost::system::error_code ReadAvailable() {
+    std::array<char, kReadBytes> bytes;
+    boost::system::error_code error;
+    size_t wanted = 0;
+    size_t count = 0;
+    while (count == wanted) {
+      wanted = std::min(bytes.size(), RoomToRead());
+      if (wanted == 0) return {};
+      count = socket_.read_some(asio::buffer(bytes.data(), wanted), error);
+      if (error == asio::error::would_block) return {};
+      if (error) return error;
+      received_.append(bytes.data(), count);
+    }
+    return {};
+  }
+
+  /// Number of bytes that may be read now. If 0, there is room once some were consumed.
+  size_t RoomToRead() {
+    const size_t size = received_.size();
+    if (size < kUncountedInput) return kUncountedInput - size;
+    if (serving_ || size >= ReadLimit()) return 0;
+    const size_t wanted = std::min(ReadLimit(), size + kReadBytes);
+    // A string that grows takes up to twice its size.
+    const size_t claimed = 2 * wanted;
+    if (claimed > input_bytes_) {
+      input_refused_ = !input_.Resize(claimed);
+      if (input_refused_) return 0;
+      input_bytes_ = claimed;
+    }
+    return wanted - size;
+  }
+
   size_t ReadLimit() const { return std::max(kReadAheadBytes, context_->options.max_header_bytes); }
 
   /// Waits for received bytes, the end of the input, or the writer. False on reaching `deadline`.
@@ -134,6 +180,11 @@
 
   void Consume(size_t count) {
     received_.erase(0, count);
+    if (received_.empty() && input_bytes_ > 0) {
+      std::string().swap(received_);
+      input_.Resize(0);
+      input_bytes_ = 0;
+    }
     read_wake_timer_.cancel();
   }
 
@@ -155,6 +206,11 @@
       co_await Refuse(fault->status, fault->reason);
       co_return false;
     }
+    RequestMemory::Claim head(context_->options.request_memory);
+    if (!head.Resize(MemoryOfHead(*head_size))) {
+      co_await Refuse(kUnavailable, "memory-short");
+      co_return false;
+    }
     RequestParser parser;
     parser.header_limit(static_cast<uint32_t>(context_->options.max_header_bytes));
     parser.body_limit(context_->options.max_body_bytes);
@@ -174,11 +230,20 @@
     co_return co_await Answer(std::move(request), parser);
   }
 
+  /// Memory of a received head of `size` bytes until its request was answered.
+  size_t MemoryOfHead(size_t size) const {
+    const auto end = received_.begin() + static_cast<std::ptrdiff_t>(size);
+    const auto lines = static_cast<size_t>(std::count(received_.begin(), end, '\n'));
+    return kHeadCopies * (size + lines * kHeaderBytes);
+  }
+
   /// Reads the next request's head and returns its size; none if the connection must be closed.
   asio::awaitable<std::optional<size_t>> ReadHead() {
     const HttpServerOptions& options = context_->options;
     SteadyTime deadline = std::chrono::steady_clock::now() + options.idle_timeout;
     bool begun = false;
+    serving_ = false;
+    read_wake_timer_.cancel();
     while (true) {
       if (!begun && !received_.empty()) {
         begun = true;
@@ -194,6 +259,10 @@
         co_return std::nullopt;
       }
       if (client_ended_ || closed_) co_return std::nullopt;
+      if (input_refused_) {
+        co_await Refuse(kUnavailable, "memory-short");
+        co_return std::nullopt;
+      }
       if (!co_await WaitForWake(deadline)) {
         if (begun) co_await Refuse(408, "header-timeout");
         co_return std::nullopt;
@@ -206,7 +275,9 @@
   asio::awaitable<bool> ClaimMemory(const RequestParser& parser, RequestMemory::Claim& claim) {
     Serve();
     const SteadyTime deadline = std::chrono::steady_clock::now() + context_->options.memory_timeout;
-    claim.Request(LengthOf(parser).value_or(kReadAheadBytes), [weak = weak_from_this()] {
+    const size_t length = LengthOf(parser).value_or(kReadAheadBytes);
+    const bool more = IsLarge(length) && context_->options.receive_buffer_bytes > 0;
+    claim.Request(length + (more ? kLargeReceiveBuffer : 0), [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->WakeServing();
     });
     while (!claim.granted()) {
@@ -236,15 +307,12 @@
     claim.BeginReceiving([weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->WakeServing();
     });
-    size_t claimed = LengthOf(parser).value_or(kReadAheadBytes);
+    const bool large = IsLarge(LengthOf(parser).value_or(0));
+    if (large) SetReceiveBuffer(kLargeReceiveBuffer);
     while (!parser.is_done()) {
-      const size_t capacity = parser.get().body().capacity();
-      if (!LengthOf(parser) && capacity > claimed) {
-        if (!claim.Grow(capacity - claimed)) {
-          co_await Refuse(kUnavailable, "memory-short");
-          co_return false;
-        }
-        claimed = capacity;
+      if (!LengthOf(parser) && !MakeRoom(parser.get().body(), claim)) {
+        co_await Refuse(kUnavailable, "memory-short");
+        co_return false;
       }
       boost::system::error_code error;
       const size_t used = parser.put(asio::buffer(received_), error);
@@ -272,9 +340,35 @@
       }
     }
     claim.EndReceiving();
+    if (large) SetReceiveBuffer(context_->options.receive_buffer_bytes);
     co_return true;
   }
 
+  static bool IsLarge(size_t length) { return length > kReadAheadBytes; }
+
+  /// Makes room in a body of unknown length for what was received. A string that grows by itself
+  /// takes up to twice its size. False if the memory of requests does not suffice.
+  bool MakeRoom(std::string& body, RequestMemory::Claim& claim) const {
+    const size_t needed = body.size() + received_.size();
+    if (needed <= body.capacity()) return true;
+    size_t capacity = kReadAheadBytes;
+    if (needed > capacity) {
+      capacity = std::max(needed, std::min(needed + needed / 4, context_->options.max_body_bytes));
+    }
+    if (!claim.Resize(capacity)) return false;
+    std::string larger;
+    larger.reserve(capacity);
+    larger.append(body);
+    body.swap(larger);
+    return true;
+  }
+
+  void SetReceiveBuffer(size_t bytes) {
+    if (context_->options.receive_buffer_bytes == 0) return;
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
+  }
+
   asio::awaitable<bool> AnswerExpectation(const RequestParser& parser) {
     const auto expect = parser.get().find(http::field::expect);
     if (expect == parser.get().end()) co_return true;
@@ -300,6 +394,7 @@
 
   asio::awaitable<bool> Answer(HttpRequest request, const RequestParser& parser) {
     Serve();
+    serving_ = true;
     context_->requests->Add();
     ++context_->running;
     const auto channel = NewChannel(request);
@@ -528,6 +623,12 @@
   asio::steady_timer read_wake_timer_;
   asio::steady_timer watchdog_;
   std::string received_;
+  /// The claim of `received_`, its size, and whether more was refused.
+  RequestMemory::Claim input_;
+  size_t input_bytes_ = 0;
+  bool input_refused_ = false;
+  /// A request is being answered.
+  bool serving_ = false;
   std::unique_ptr<ConnectionLimit::Place> place_;
   /// A response was sent on this connection.
   bool answered_ = false;
--- a/test/http/http_server_test.cc
+++ b/test/http/http_server_test.cc
@@ -239,6 +239,12 @@
          "\r\n\r\n" + std::string(sent, 'x');
 }
 
+/// What is counted for the head of a request until it was answered: four copies, and 64 bytes for
+/// each of its lines.
+size_t MemoryOfHead(const std::string& head) {
+  return 4 * (head.size() + 64 * static_cast<size_t>(std::count(head.begin(), head.end(), '\n')));
+}
+
 // Guards against a process that accepts more bodies than it has memory for.
 TEST_CASE("A body is read once it fits into the memory of requests, or its request is refused") {
   constexpr size_t kBody = 256 * 1024;
@@ -250,7 +256,7 @@
   RawClient first(server_fixture.address());
   first.Send(Post(kBody, kBody));
   server_fixture.handler.waits.get_future().wait();
-  CHECK(options.request_memory->total() == kBody);
+  CHECK(options.request_memory->total() == kBody + MemoryOfHead(Post(kBody, 0)));
   SECTION("refused") {
     RawClient second(server_fixture.address());
     second.Send(Post(kBody, 1));
@@ -290,7 +296,7 @@
   RawClient stalls(server_fixture.address());
   stalls.Send(Post(kBody, kBody / 2));
   std::this_thread::sleep_for(milliseconds(250));
-  CHECK(options.request_memory->total() == kBody);
+  CHECK(options.request_memory->total() == kBody + MemoryOfHead(Post(kBody, 0)));
   RawClient second(server_fixture.address());
   second.Send(Post(kBody, kBody));
   server_fixture.handler.waits.get_future().wait();
--- a/test/http/request_memory_test.cc
+++ b/test/http/request_memory_test.cc
@@ -45,6 +45,30 @@
   CHECK(small.claim.granted());
 }
 
+// Guards against callers whose requests have no body and wait for those of others.
+TEST_CASE("The smallest requests use the last eighth of the bound") {
+  const auto memory = std::make_shared<RequestMemory>(RequestMemoryOptions{.bound = kBound});
+  std::vector<std::unique_ptr<Body>> small;
+  while (small.empty() || small.back()->claim.granted()) {
+    small.push_back(std::make_unique<Body>(memory, 60 * 1024));
+  }
+  CHECK(memory->total() <= kBound / 8 * 7);
+  RequestMemory::Claim head(memory);
+  CHECK(head.Resize(8 * 1024));
+  CHECK_FALSE(RequestMemory::Claim(memory).Resize(40 * 1024));
+}
+
+// Guards against heads that are never whole and take the memory of requests.
+TEST_CASE("Input takes an eighth of the bound and nothing of the rest") {
+  const auto memory = std::make_shared<RequestMemory>(RequestMemoryOptions{.bound = kBound});
+  RequestMemory::Claim input(memory, ClaimKind::kInput);
+  CHECK(input.Resize(kBound / 8));
+  CHECK_FALSE(RequestMemory::Claim(memory, ClaimKind::kInput).Resize(1));
+  CHECK(memory->total() == 0);
+  CHECK(input.Resize(0));
+  CHECK(RequestMemory::Claim(memory, ClaimKind::kInput).Resize(1));
+}
+
 // Guards against a body that is larger than the bound and would wait for ever.
 TEST_CASE("One large body at a time may exceed the bound") {
   const auto memory = std::make_shared<RequestMemory>(RequestMemoryOptions{.bound = kBound});
@@ -72,8 +96,8 @@
   const auto memory = std::make_shared<RequestMemory>(RequestMemoryOptions{.bound = kBound});
   const Body held(memory, 4 * kMiB);
   Body grows(memory, 1024);
-  CHECK(grows.claim.Grow(kMiB));
-  CHECK_FALSE(grows.claim.Grow(kMiB));
+  CHECK(grows.claim.Resize(kMiB + 1024));
+  CHECK_FALSE(grows.claim.Resize(2 * kMiB + 1024));
   CHECK(memory->total() == 5 * kMiB + 1024);
 }
 
@@ -117,7 +141,7 @@
   auto second = receiving.Begin(2 * kMiB, cuts);
   Body grows(receiving.memory, 2 * kMiB);
   receiving.now += std::chrono::seconds(6);
-  CHECK_FALSE(grows.claim.Grow(kMiB));
+  CHECK_FALSE(grows.claim.Resize(3 * kMiB));
   CHECK(first->claim.is_cut());
   CHECK_FALSE(second->claim.is_cut());
 }
