http: Parse JSON of clients with bounded memory

What callers saw (jobs and documents that grow when read): three jobs, or four configurations, of 16 MiB ended a gateway of 120 MB or a control node of 270 MB.

Cause: short values take many times their text: a document of "[]," takes eight times its size, and the parser's own list of unfinished values as much again.

Change: ParseJsonBody takes at most 8 MiB beside the size of the text, the parser's memory included; more is answered 400, like JSON that can't be read. A text of members with short values takes three times its size, so that this is met from about 4 MiB of them on. One document is parsed at a time, on the executor.

--- a/source/cluster/replica_routes.cc
+++ b/source/cluster/replica_routes.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include "fmt/format.h"
+#include "http/json_body.h"
 #include "http/problem.h"
 
 namespace millstair {
@@ -12,7 +13,7 @@
 
 absl::StatusOr<GroupMember> ParseMember(const std::string& body) {
   boost::json::error_code error;
-  const boost::json::value document = boost::json::parse(body, error);
+  const boost::json::value document = ParseJsonBody(body, error);
   const auto invalid = absl::InvalidArgumentError(
       "the body is not {\"node\":NAME,\"address\":\"ip:port\",\"replica\":NUMBER}");
   if (error || !document.is_object()) return invalid;
--- a/source/cluster/resource_routes.cc
+++ b/source/cluster/resource_routes.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "fmt/format.h"
+#include "http/json_body.h"
 #include "resources/resource_codec.h"
 
 namespace millstair {
@@ -21,7 +22,7 @@
 /// Reads {"items":[{"resource":{...},"expected":N|null}]}.
 absl::StatusOr<PutResources> ParseApply(const std::string& body) {
   boost::json::error_code error;
-  const boost::json::value document = boost::json::parse(body, error);
+  const boost::json::value document = ParseJsonBody(body, error);
   const auto invalid = absl::InvalidArgumentError("the body is not {\"items\":[...]}");
   if (error || !document.is_object()) return invalid;
   const boost::json::value* items = document.as_object().if_contains("items");
--- a/source/gateway/completion_codec.cc
+++ b/source/gateway/completion_codec.cc
@@ -5,6 +5,7 @@
 #include "absl/strings/str_join.h"
 #include "engine/prefix_blocks.h"
 #include "fmt/format.h"
+#include "http/json_body.h"
 
 namespace millstair {
 namespace {
@@ -118,7 +119,7 @@
 
 absl::StatusOr<CompletionRequest> ParseCompletion(std::string_view body, bool chat) {
   boost::system::error_code error;
-  const json::value value = json::parse(json::string_view(body.data(), body.size()), error);
+  const json::value value = ParseJsonBody(body, error);
   if (error) return absl::InvalidArgumentError("not JSON: " + error.message());
   if (!value.is_object()) return absl::InvalidArgumentError("expected a JSON object");
   Reader reader(value.as_object());
--- a/source/rollout/trainer_requests.cc
+++ b/source/rollout/trainer_requests.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 
 #include "fmt/format.h"
+#include "http/json_body.h"
 #include "rollout/stream_state.h"
 
 namespace millstair {
@@ -47,19 +48,20 @@
 Location At(std::string where) { return Location{std::move(where), 0, 0}; }
 
 /// Parses the body as a JSON object. Returns null and adds a finding if it is not one.
-const boost::json::object* ParseObject(const std::string& body, boost::json::value& storage,
+const boost::json::object* ParseObject(const std::string& body,
+                                       std::optional<boost::json::value>& storage,
                                        Findings& findings) {
   boost::json::error_code error;
-  storage = boost::json::parse(body, error);
+  storage.emplace(ParseJsonBody(body, error));
   if (error) {
     findings.Add(At("body"), "is not valid JSON: " + error.message());
     return nullptr;
   }
-  if (!storage.is_object()) {
+  if (!storage->is_object()) {
     findings.Add(At("body"), "must be a JSON object");
     return nullptr;
   }
-  return &storage.as_object();
+  return &storage->as_object();
 }
 
 void RefuseUnknownKeys(const boost::json::object& object, const std::string& where,
@@ -152,7 +154,7 @@
       step.find('\0') != std::string::npos) {
     findings.Add(At("step"), "must have 1 to 200 characters and must not contain '/'");
   }
-  boost::json::value storage;
+  std::optional<boost::json::value> storage;
   const boost::json::object* object = ParseObject(body, storage, findings);
   if (object == nullptr) return command;
   RefuseUnknownKeys(*object, "body", {"prompts"}, findings);
@@ -185,7 +187,7 @@
     findings.Add(At("version"), "must be a positive integer");
   }
   published.version = WeightVersion(number.value_or(0));
-  boost::json::value storage;
+  std::optional<boost::json::value> storage;
   const boost::json::object* object = ParseObject(body, storage, findings);
   if (object == nullptr) return published;
   RefuseUnknownKeys(*object, "body", {"digest", "location"}, findings);
