--- a/source/http/http_body.h
+++ b/source/http/http_body.h
@@ -21,6 +21,11 @@
   HttpBody(std::string bytes, std::shared_ptr<const void> count)
       : shared_(std::make_shared<const Shared>(std::move(bytes), std::move(count))) {}
 
+  /// Counts the memory of the body as long as a copy of it exists, also once the bytes are gone.
+  std::shared_ptr<const void> count() const {
+    return shared_ == nullptr ? nullptr : shared_->count;
+  }
+
   const std::string& str() const {
     static const std::string kEmpty;
     return shared_ == nullptr ? kEmpty : shared_->bytes;
