http: Refuse answers of the process itself that its memory does not take

What callers saw (answers that are not read): a gateway of 120 MB ended among 600 clients that asked for an item of a job and did not read it; a control node of 270 MB among 1,500 that asked for the configuration.

Cause: responses of back ends are read only if they fit, but answers that the process makes were passed to the connection whatever was held already. They were counted, so that slow readers were cut, but only after 5 s.

Change: RespondIfRoom answers 503 with Retry-After where a large answer would exceed three quarters of the bound, or one of up to 64 KiB the bound, and has slow readers cut for it. It is used for all that is read: results and items of jobs, configurations, resources, status, metrics, samples. Acknowledgements and errors (1 KiB and less) are always sent.

Test: held_bytes_test, "A response has room while it fits, and otherwise slow readers are cut for it".

--- a/source/cluster/operators_answer.cc
+++ b/source/cluster/operators_answer.cc
@@ -38,7 +38,7 @@
   head.headers.push_back({"Content-Type", "application/json"});
   head.headers.push_back({std::string(kOutcomeHeader), std::string(OutcomeName(Outcome::kRan))});
   if (version != Revision()) head.headers.push_back({"ETag", fmt::format("\"{}\"", version)});
-  Respond(writer, std::move(head), std::move(body));
+  RespondIfRoom(writer, std::move(head), std::move(body));
 }
 
 void RespondRefused(ResponseWriter& writer, int status, const std::string& title,
--- a/source/http/exchange.h
+++ b/source/http/exchange.h
@@ -70,6 +70,8 @@
   virtual void Abort() = 0;
   /// Free space in the send buffer; 0 after the caller has disconnected.
   virtual size_t WritableBytes() const = 0;
+  /// Whether the memory for responses takes one of `bytes` that was not read from a back end.
+  virtual bool HasRoomFor(size_t /*bytes*/) { return true; }
   /// `callback` is called whenever the send buffer has free space again after it was full.
   virtual void OnWritable(std::function<void()> callback) = 0;
   /// `callback` is called once if the caller disconnects before the response is finished.
--- a/source/http/held_bytes.cc
+++ b/source/http/held_bytes.cc
@@ -6,6 +6,11 @@
 namespace millstair {
 namespace {
 
+/// Responses up to this size may use the last quarter of the bound.
+constexpr size_t kSmallResponseBytes = 64 * 1024;
+/// Acknowledgements and errors, which say what has happened, are always sent.
+constexpr size_t kSmallestResponseBytes = 1024;
+
 TimePoint MonotonicNow() {
   const auto now = std::chrono::steady_clock::now().time_since_epoch();
   return TimePoint(std::chrono::duration_cast<Duration>(now));
@@ -56,6 +61,21 @@
   return std::max(now - std::max(entry.progress_at, stalls_count_from_), Duration(0));
 }
 
+bool HeldBytes::HasRoomFor(size_t bytes) {
+  if (bound() == 0 || bytes <= kSmallestResponseBytes) return true;
+  const bool small = bytes <= kSmallResponseBytes;
+  const size_t held = small ? CappedTotal() : total();
+  const size_t limit = small ? bound() : pressure_threshold();
+  if (held + bytes <= limit) return true;
+  size_t being_cut = BytesBeingCut();
+  while (held + bytes > limit + being_cut) {
+    const size_t cut = CutSlowestReader();
+    if (cut == 0) break;
+    being_cut += cut;
+  }
+  return false;
+}
+
 size_t HeldBytes::CutSlowestReader() {
   std::function<void()> cut;
   size_t bytes = 0;
--- a/source/http/held_bytes.h
+++ b/source/http/held_bytes.h
@@ -62,6 +62,10 @@
   bool UnderPressure() const { return bound() > 0 && total() >= pressure_threshold(); }
   bool AtBound() const { return bound() > 0 && total() >= bound(); }
 
+  /// Whether a response of `bytes` that this process has made itself may be held: a large one up to
+  /// `pressure_threshold()`, a small one up to the bound. If not, asks for the cut of slow readers
+  /// that would make room for it.
+  bool HasRoomFor(size_t bytes);
   /// Asks for the cut of the reader that has read nothing for the longest time, if that is at least
   /// the limit of a slow reader. Returns the bytes that its cut will free; 0 if there is none.
   size_t CutSlowestReader();
@@ -137,6 +141,8 @@
   /// the meantime.
   std::optional<SlowReader> TakeCut();
   bool UnderPressure() const { return held_ != nullptr && held_->UnderPressure(); }
+  /// See HeldBytes::HasRoomFor.
+  bool HasRoomFor(size_t bytes) const { return held_ == nullptr || held_->HasRoomFor(bytes); }
 
  private:
   const std::shared_ptr<HeldBytes> held_;
--- a/source/http/problem.cc
+++ b/source/http/problem.cc
@@ -7,6 +7,10 @@
 namespace millstair {
 namespace {
 
+constexpr int kUnavailable = 503;
+/// Until callers that do not read are disconnected, or others have read.
+constexpr Duration kMemoryRetryAfter = std::chrono::seconds(1);
+
 std::string JsonString(std::string_view text) {
   std::string quoted = "\"";
   for (const char c : text) {
@@ -52,4 +56,10 @@
   Respond(writer, ProblemHead(problem), ProblemJson(problem));
 }
 
+void RespondIfRoom(ResponseWriter& writer, HttpResponseHead head, std::string body) {
+  if (writer.HasRoomFor(body.size())) return Respond(writer, std::move(head), std::move(body));
+  RespondProblem(writer, {kUnavailable, "request refused", "memory-short", Outcome::kNotRun,
+                          kMemoryRetryAfter});
+}
+
 }  // namespace millstair
--- a/source/http/problem.h
+++ b/source/http/problem.h
@@ -29,5 +29,8 @@
 HttpResponseHead ProblemHead(const Problem& problem);
 /// Sends the complete response. Must be called before SendHead.
 void RespondProblem(ResponseWriter& writer, const Problem& problem);
+/// Sends a complete response to a request that has changed nothing; 503 if the memory for responses
+/// does not take it.
+void RespondIfRoom(ResponseWriter& writer, HttpResponseHead head, std::string body);
 
 }  // namespace millstair
--- a/source/http/response_channel.h
+++ b/source/http/response_channel.h
@@ -53,6 +53,9 @@
   /// no report, once the response or its connection has ended.
   size_t FreeBytes();
 
+  /// See HeldBytes::HasRoomFor.
+  bool HasRoomFor(size_t bytes) const { return reader_.HasRoomFor(bytes); }
+
   /// Takes the next piece of the content; `finished` and `aborted` stay set. The bytes count until
   /// they are returned to `Release`.
   ChannelContent Take();
--- a/source/http/response_writer.h
+++ b/source/http/response_writer.h
@@ -34,6 +34,7 @@
   void Finish() override;
   void Abort() override;
   size_t WritableBytes() const override { return channel_->FreeBytes(); }
+  bool HasRoomFor(size_t bytes) override { return channel_->HasRoomFor(bytes); }
   void OnWritable(std::function<void()> callback) override;
   void OnCallerDisconnected(std::function<void()> callback) override;
 
--- a/source/rollout/trainer_service.cc
+++ b/source/rollout/trainer_service.cc
@@ -33,7 +33,7 @@
   void AnswerText(std::string body) {
     if (finished) return;
     finished = true;
-    Respond(*writer, {200, {{"Content-Type", kJson}}}, std::move(body));
+    RespondIfRoom(*writer, {200, {{"Content-Type", kJson}}}, std::move(body));
   }
   void Fail(const Problem& problem) {
     if (finished) return;
--- a/source/server/counting_writer.h
+++ b/source/server/counting_writer.h
@@ -22,6 +22,7 @@
   void Finish() override { next_->Finish(); }
   void Abort() override;
   size_t WritableBytes() const override { return next_->WritableBytes(); }
+  bool HasRoomFor(size_t bytes) override { return next_->HasRoomFor(bytes); }
   void OnWritable(std::function<void()> callback) override {
     next_->OnWritable(std::move(callback));
   }
--- a/source/server/frontend.cc
+++ b/source/server/frontend.cc
@@ -12,7 +12,7 @@
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
 void RespondText(ResponseWriter& writer, const char* content_type, std::string text) {
-  Respond(writer, {200, {{"Content-Type", content_type}}}, std::move(text));
+  RespondIfRoom(writer, {200, {{"Content-Type", content_type}}}, std::move(text));
 }
 
 }  // namespace
--- a/test/http/held_bytes_test.cc
+++ b/test/http/held_bytes_test.cc
@@ -11,9 +11,9 @@
 
 /// A count with a bound of 1000 bytes and a manual clock.
 struct Fixture {
-  Fixture() {
+  explicit Fixture(size_t bound = 1000) {
     HeldBytesOptions options;
-    options.bound = 1000;
+    options.bound = bound;
     options.slow_reader = seconds(5);
     options.now = [this] { return now; };
     held = std::make_shared<HeldBytes>(options, &stats);
@@ -131,5 +131,24 @@
   CHECK(fixture.held->CutSlowestReader() == 10);
 }
 
+// Guards against answers of this process itself that are held for callers that don't read.
+TEST_CASE("A response has room while it fits, and otherwise slow readers are cut for it") {
+  constexpr size_t kKiB = 1024;
+  Fixture fixture(1024 * kKiB);
+  const auto reader = fixture.NewReader("reader", 700 * kKiB);
+  CHECK(fixture.held->HasRoomFor(68 * kKiB));
+  CHECK_FALSE(fixture.held->HasRoomFor(69 * kKiB));
+  CHECK(fixture.cuts.empty());
+  // The last quarter is for small ones.
+  const auto other = fixture.NewReader("other", 300 * kKiB);
+  CHECK(fixture.held->HasRoomFor(24 * kKiB));
+  CHECK_FALSE(fixture.held->HasRoomFor(25 * kKiB));
+  CHECK(fixture.held->HasRoomFor(kKiB));
+  fixture.now += seconds(6);
+  other->NoteProgress();
+  CHECK_FALSE(fixture.held->HasRoomFor(100 * kKiB));
+  CHECK(fixture.cuts == std::vector<std::string>{"reader"});
+}
+
 }  // namespace
 }  // namespace millstair
