http: Do not repeat a refused request on the connection that carried its refusal

Cause: the platform's servers echo the identifier of the request, not of the send. A kept connection is checked for bytes before it is used; a copy that comes later, while the same request runs there again, passes for its answer. The pool hands out the connection used last, the one that carried the refusal.

Change: a connection remembers the requests that it answered without success, and the pool does not give it to one of them for 2 s; other requests use it.

--- a/source/http/beast_http_caller.cc
+++ b/source/http/beast_http_caller.cc
@@ -134,19 +134,28 @@
     boost::beast::flat_buffer buffer;
     if (!co_await ReadHead(buffer, parser)) co_return;
     if (!co_await ReadBody(buffer, parser)) co_return;
-    if (parser.get().keep_alive() && buffer.size() == 0) {
-      pool_->Put(address_, std::move(*socket_));
-    }
+    if (parser.get().keep_alive() && buffer.size() == 0) Keep(parser.get().result_int());
     // A connection that isn't kept is closed in order: a reset could discard bytes in transit.
     socket_.reset();
     NotifyObserver([](HttpCallObserver& observer) { observer.OnFinished(); });
   }
 
+  /// Returns the connection to the pool after a response of `status`.
+  void Keep(unsigned status) {
+    if (!request_.request_id.empty() && !IsSuccess(static_cast<int>(status))) {
+      repeatable_.Add(request_.request_id, std::chrono::steady_clock::now());
+    }
+    pool_->Put(address_, {std::move(*socket_), std::move(repeatable_)});
+  }
+
   /// Writes the request on a pooled connection, or on a new one if no byte could be written there.
   asio::awaitable<bool> SendRequest(const std::string& head) {
     const size_t size = head.size() + request_.body.size();
     waiting_since_ = std::chrono::steady_clock::now();
-    socket_ = pool_->Take(address_);
+    if (auto kept = pool_->Take(address_, request_.request_id)) {
+      socket_.emplace(std::move(kept->socket));
+      repeatable_ = std::move(kept->repeatable);
+    }
     if (socket_.has_value() && !cancelled_) {
       const size_t written = co_await Write(head);
       if (written == size) co_return true;
@@ -171,6 +180,7 @@
     }
     if (cancelled_) co_return false;
     socket_.emplace(pool_->io());
+    repeatable_ = {};
     ArmWatchdog(pool_->options().connect_timeout);
     const auto [error] = co_await socket_->async_connect(*endpoint, kUseTuple);
     watchdog_.cancel();
@@ -342,6 +352,8 @@
   asio::steady_timer watchdog_;
   asio::steady_timer acknowledged_;
   std::optional<Tcp::socket> socket_;
+  /// Of the connection.
+  RepeatableRequests repeatable_;
   /// When the call began to connect or write; none before, and after the first byte of a response.
   std::optional<std::chrono::steady_clock::time_point> waiting_since_;
   bool cancelled_ = false;
--- a/source/http/beast_http_caller.h
+++ b/source/http/beast_http_caller.h
@@ -6,9 +6,11 @@
 /// call. A call that is cancelled or fails resets its connection, so that bytes of the request that
 /// the back end has not received yet are never delivered. The connections kept for an address are
 /// closed when a call to it got no response. Each request carries a call id (`Millstair-Call-Id`),
-/// and a response with a different id is rejected; back ends that do not echo the id are trusted to
-/// respond once per request. Unless `until_close` is set, a response delimited by the close of its
-/// connection counts as truncated, since it can't be distinguished from a complete one.
+/// and a response with a different id is rejected. Where call ids are off, requests with a
+/// `request_id` are not repeated on the same connection for a while; otherwise back ends that do
+/// not echo the id are trusted to respond once per request. Unless `until_close` is set, a response
+/// delimited by the close of its connection counts as truncated, since it can't be distinguished
+/// from a complete one.
 #pragma once
 
 #include <cstddef>
@@ -32,6 +34,9 @@
   /// Idle connections are closed after this time.
   Duration pool_idle_timeout = std::chrono::seconds(20);
   size_t max_idle_per_address = 64;
+  /// A request that was not answered with success is not repeated on the same connection for this
+  /// long: a faulty back end may send the answer again, as late as this.
+  Duration surplus_window = std::chrono::seconds(2);
   /// A call that ends without a byte of a response after less than this doesn't show that its back
   /// end is silent; most such calls are cancelled because their callers left.
   Duration min_silence = std::chrono::milliseconds(100);
--- a/source/http/connection_pool.cc
+++ b/source/http/connection_pool.cc
@@ -4,11 +4,16 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstddef>
+#include <functional>
 #include <utility>
 
 namespace millstair {
 namespace {
 
+/// Limit on the requests remembered for a connection.
+constexpr size_t kMaxRepeatable = 256;
+
 /// True if the peer has neither closed the connection nor sent anything on it.
 bool IsReusable(boost::asio::ip::tcp::socket& socket) {
   char byte = 0;
@@ -40,6 +45,18 @@
       failed_unknown(FailedCalls(stats, "unknown")),
       failed_cut(FailedCalls(stats, "cut")) {}
 
+void RepeatableRequests::Add(const std::string& request_id, SteadyTime now) {
+  if (entries_.size() >= kMaxRepeatable) entries_.pop_front();
+  entries_.push_back({std::hash<std::string>()(request_id), now});
+}
+
+bool RepeatableRequests::Contains(const std::string& request_id, SteadyTime since) const {
+  const size_t hash = std::hash<std::string>()(request_id);
+  return std::any_of(entries_.rbegin(), entries_.rend(), [&](const Entry& entry) {
+    return entry.hash == hash && entry.answered_at >= since;
+  });
+}
+
 HttpConnectionPool::HttpConnectionPool(boost::asio::io_context& io, HttpCallerOptions options,
                                        StatsRegistry* stats)
     : io_(io),
@@ -48,30 +65,34 @@
       stats_(stats == nullptr ? *own_stats_ : *stats),
       sweep_timer_(io) {}
 
-std::optional<HttpConnectionPool::Socket> HttpConnectionPool::Take(const std::string& address) {
+std::optional<KeptConnection> HttpConnectionPool::Take(const std::string& address,
+                                                       const std::string& request_id) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = idle_.find(address);
   if (found == idle_.end()) return std::nullopt;
+  const SteadyTime since = std::chrono::steady_clock::now() - options_.surplus_window;
   std::vector<Idle>& connections = found->second;
-  while (!connections.empty()) {
-    Socket socket = std::move(connections.back().socket);
-    connections.pop_back();
-    if (IsReusable(socket)) {
+  for (size_t index = connections.size(); index-- > 0;) {
+    KeptConnection& kept = connections[index].connection;
+    if (!request_id.empty() && kept.repeatable.Contains(request_id, since)) continue;
+    std::optional<KeptConnection> taken(std::move(kept));
+    connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(index));
+    if (IsReusable(taken->socket)) {
       stats_.connections_reused.Add();
-      return socket;
+      return taken;
     }
     stats_.connections_stale.Add();
   }
-  idle_.erase(found);
+  if (connections.empty()) idle_.erase(found);
   return std::nullopt;
 }
 
-void HttpConnectionPool::Put(const std::string& address, Socket socket) {
+void HttpConnectionPool::Put(const std::string& address, KeptConnection connection) {
   const std::lock_guard<std::mutex> lock(mutex_);
   if (closed_) return;
   std::vector<Idle>& connections = idle_[address];
   if (connections.size() >= options_.max_idle_per_address) connections.erase(connections.begin());
-  connections.push_back({std::move(socket), std::chrono::steady_clock::now()});
+  connections.push_back({std::move(connection), std::chrono::steady_clock::now()});
   ArmSweep();
 }
 
--- a/source/http/connection_pool.h
+++ b/source/http/connection_pool.h
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstddef>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -36,18 +38,42 @@
   Counter& failed_cut;
 };
 
+/// The requests whose answer on a connection lets them be sent again. A faulty back end may send
+/// such an answer twice, and the second copy would pass for the answer to the repeat.
+class RepeatableRequests {
+ public:
+  using SteadyTime = std::chrono::steady_clock::time_point;
+
+  void Add(const std::string& request_id, SteadyTime now);
+  /// Whether `request_id` was added at `since` or later. May be true for another request.
+  bool Contains(const std::string& request_id, SteadyTime since) const;
+
+ private:
+  struct Entry {
+    size_t hash;
+    SteadyTime answered_at;
+  };
+  /// Oldest first.
+  std::deque<Entry> entries_;
+};
+
+/// A connection whose last response was read to its end.
+struct KeptConnection {
+  boost::asio::ip::tcp::socket socket;
+  RepeatableRequests repeatable;
+};
+
 /// Thread-safe.
 class HttpConnectionPool : public std::enable_shared_from_this<HttpConnectionPool> {
  public:
-  using Socket = boost::asio::ip::tcp::socket;
   using SteadyTime = std::chrono::steady_clock::time_point;
 
   HttpConnectionPool(boost::asio::io_context& io, HttpCallerOptions options, StatsRegistry* stats);
 
-  /// The most recently used connection that is still healthy, if any.
-  std::optional<Socket> Take(const std::string& address);
-  /// Returns a connection whose last response was read to its end.
-  void Put(const std::string& address, Socket socket);
+  /// The most recently used connection that is still healthy, if any. One on which the request
+  /// `request_id` may be repeated is left to others for `HttpCallerOptions::surplus_window`.
+  std::optional<KeptConnection> Take(const std::string& address, const std::string& request_id);
+  void Put(const std::string& address, KeptConnection connection);
   /// A byte of a response from `address` arrived.
   void RecordResponse(const std::string& address);
   /// A call that began to write or to connect at `since` ended without a byte of a response. Closes
@@ -62,7 +88,7 @@
 
  private:
   struct Idle {
-    Socket socket;
+    KeptConnection connection;
     SteadyTime since;
   };
 
--- a/source/http/exchange.h
+++ b/source/http/exchange.h
@@ -41,6 +41,8 @@
   std::string target;
   HttpHeaders headers;
   HttpBody body;
+  /// Identifies the request across its repeats; empty if its answers are told apart otherwise.
+  std::string request_id = {};
 };
 
 /// True for 200 to 299.
--- a/test/http/http_caller_test.cc
+++ b/test/http/http_caller_test.cc
@@ -107,6 +107,62 @@
   CHECK(client.Stat("millstair_http_call_connections_stale_total") == 1);
 }
 
+// Guards against a second copy of a refusal that is taken for the answer to the next send.
+TEST_CASE("A request that was refused is not repeated on the same connection") {
+  std::atomic<int> connections{0};
+  RawServer server([&](Tcp::socket& socket, int number) {
+    ++connections;
+    RawServer::ReadRequest(socket);
+    if (number > 0) {
+      RawServer::Write(socket, kComplete);
+      return ServeAll(socket, kComplete);
+    }
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    RawServer::Write(socket, refusal);
+    // The next request on this connection gets the second copy.
+    if (!RawServer::ReadRequest(socket).empty()) RawServer::Write(socket, refusal);
+  });
+  HttpCallerOptions options;
+  options.call_ids = false;
+  Client client(options);
+  const auto call = [&](const std::string& request_id) {
+    RecordingObserver observer;
+    client.Start(server.address(), {"POST", "/x", {}, "body", request_id}, observer);
+    observer.Wait();
+    return observer.status();
+  };
+  CHECK(call("one") == 503);
+  CHECK(call("one") == 200);
+  // After an answer with success the connection may carry the request again.
+  CHECK(call("one") == 200);
+  CHECK(connections == 2);
+}
+
+// Guards against a new connection for each request that a busy back end refuses.
+TEST_CASE("A connection that carried a refusal serves other requests, and later the same one") {
+  std::atomic<int> connections{0};
+  RawServer server([&](Tcp::socket& socket, int) {
+    ++connections;
+    ServeAll(socket, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  });
+  HttpCallerOptions options;
+  options.call_ids = false;
+  options.surplus_window = milliseconds(100);
+  Client client(options);
+  const auto call = [&](const std::string& request_id) {
+    RecordingObserver observer;
+    client.Start(server.address(), {"POST", "/x", {}, "body", request_id}, observer);
+    observer.Wait();
+  };
+  for (const std::string request_id : {"one", "two", "three"}) call(request_id);
+  CHECK(connections == 1);
+  std::this_thread::sleep_for(milliseconds(150));
+  call("one");
+  CHECK(connections == 1);
+  call("one");
+  CHECK(connections == 2);
+}
+
 TEST_CASE("Failures report how far the call progressed") {
   Client client({.connect_timeout = milliseconds(500), .read_timeout = milliseconds(200)});
   RecordingObserver observer;
--- a/test/platform/server_protocol_test.cc
+++ b/test/platform/server_protocol_test.cc
@@ -20,6 +20,7 @@
   CHECK(made.method == "POST");
   CHECK(made.target == "/p/x?y=1");
   CHECK(made.body == "body");
+  CHECK(made.request_id == "id-1");
   CHECK(FindHeader(made.headers, "X-Own") == "1");
   CHECK(FindHeader(made.headers, "Host") == "a.example");
   CHECK(FindHeader(made.headers, "Request-Id") == "id-1");
