ingress: Forward no request that may outlast the stop of its node

Cause: a connection is closed after its next response, so one that rests brings another request at any time until the process ends, and it was forwarded however little of the stop was left.

Change: once the node drains, a request whose time limit ends after timing.drain_limit is answered 503 with Retry-After; it did not run. TimeLimit stands once for both flows.

--- a/source/ingress/forward_flow.cc
+++ b/source/ingress/forward_flow.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
+constexpr Duration kDefaultStreamTimeout = std::chrono::minutes(10);
 /// A request that no back end accepts is given up after this share of its time limit, so that the
 /// client has time to retry elsewhere.
 constexpr double kGiveUpShare = 0.5;
@@ -114,6 +115,12 @@
   bool ended_ = false;
 };
 
+Duration TimeLimit(const Route& route, const ForwardRequest& request) {
+  const bool streams = route.kind == RouteKind::kStream;
+  const Duration limit = route.timeout.value_or(streams ? kDefaultStreamTimeout : kDefaultTimeout);
+  return std::min(limit, request.time_left.value_or(limit));
+}
+
 std::shared_ptr<HeldBytes> HeldOf(const ForwardContext& context) {
   return context.memory == nullptr ? nullptr : context.memory->held();
 }
@@ -132,9 +139,7 @@
       deadline_timer_(context.environment),
       retry_timer_(context.environment),
       hedge_timer_(context.environment) {
-  Duration limit = route_.timeout.value_or(kDefaultTimeout);
-  if (request_.time_left) limit = std::min(limit, *request_.time_left);
-  deadline_ = started_at_ + limit;
+  deadline_ = started_at_ + TimeLimit(route_, request_);
   admission_.SetDeadline(deadline_);
 }
 
--- a/source/ingress/forward_flow.h
+++ b/source/ingress/forward_flow.h
@@ -90,6 +90,9 @@
 /// Larger responses are treated as failures.
 inline constexpr size_t kMaxAnswerBytes = 32 * 1024 * 1024;
 
+/// How long `request` may take: the limit of its route, or less if its client waits less.
+Duration TimeLimit(const Route& route, const ForwardRequest& request);
+
 /// The count of bytes held in memory; null if it has no bound.
 std::shared_ptr<HeldBytes> HeldOf(const ForwardContext& context);
 
--- a/source/ingress/stream_flow.cc
+++ b/source/ingress/stream_flow.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr int kOk = 200;
-constexpr Duration kDefaultTimeout = std::chrono::minutes(10);
 /// A stream that no back end accepts is given up after this share of its time limit.
 constexpr double kGiveUpShare = 0.5;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(50);
@@ -119,9 +118,7 @@
       retry_after_(kRetryAfter),
       deadline_timer_(context.environment),
       retry_timer_(context.environment) {
-  Duration limit = route_.timeout.value_or(kDefaultTimeout);
-  if (request_.time_left) limit = std::min(limit, *request_.time_left);
-  deadline_ = started_at_ + limit;
+  deadline_ = started_at_ + TimeLimit(route_, request_);
   admission_.SetDeadline(deadline_);
   events_ = request_.resume_after.value_or(0);
 }
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -73,7 +73,12 @@
   CheckReady();
 }
 
-void IngressNode::SetLeaving() {
+bool IngressNode::StopsWithin(Duration limit) const {
+  return stops_at_ && environment_.Now() + limit > *stops_at_;
+}
+
+void IngressNode::SetLeaving(TimePoint until) {
+  stops_at_ = until;
   configuration_->SetLeaving();
   usage_.SetLeaving();
 }
--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -64,7 +64,10 @@
   void OnIsolationChange(std::function<void(bool isolated)> callback) {
     on_isolation_change_ = std::move(callback);
   }
-  void SetLeaving();
+  /// This node stops; requests that still run at `until` are cut.
+  void SetLeaving(TimePoint until);
+  /// Whether a request that may take `limit` may be cut by the stop of this node.
+  bool StopsWithin(Duration limit) const;
   void Receive(const NodeId& from, const PeerMessage& message) override;
 
   /// Whether a caller with `key` may call `route`; a null route is a call about a batch job, which
@@ -99,6 +102,8 @@
 
   Environment& environment_;
   PeerTransport& transport_;
+  /// When this node ends; none unless it is stopping.
+  std::optional<TimePoint> stops_at_;
   const std::vector<ControlEndpoint> first_control_nodes_;
   const NodeId self_;
   const Zone zone_;
--- a/source/server/server_node.cc
+++ b/source/server/server_node.cc
@@ -347,7 +347,9 @@
   http_->BeginDrain();
   if (operators_http_ != nullptr) operators_http_->BeginDrain();
   if (service_http_ != nullptr) service_http_->BeginDrain();
-  if (ingress_ != nullptr) ingress_->SetLeaving();
+  if (ingress_ != nullptr) {
+    ingress_->SetLeaving(environment_->Now() + settings_.timing.drain_limit);
+  }
   if (gateway_ == nullptr) return DrainControl();
   gateway_->Drain([this] { DrainControl(); });
 }
--- a/test/platform/ingress_request_handler_test.cc
+++ b/test/platform/ingress_request_handler_test.cc
@@ -36,6 +36,18 @@
   CHECK(fixture.backends.calls[0]->cancelled);
 }
 
+// Guards against requests on kept connections that the end of a stop cuts off.
+TEST_CASE("A node that stops takes a request only if it ends before the stop does") {
+  IngressHandlerFixture fixture;
+  fixture.Start();
+  // The limit of the route is 800 ms.
+  fixture.node->SetLeaving(fixture.environment.Now() + seconds(2));
+  CHECK(fixture.Page("key-1") == 200);
+  fixture.scheduler.RunFor(milliseconds(1300));
+  CHECK(fixture.Page("key-1") == 503);
+  CHECK(fixture.backends.calls.size() == 1);
+}
+
 TEST_CASE("Without a valid key only public routes are served") {
   IngressHandlerFixture fixture;
   fixture.Start();
