Tests: A response whose status is below 200 is no answer

On other systems of this kind a server in trouble sent an answer of status 000, and the client got it as an answer. Here BeastHttpCaller::ReadHead takes each status below 200 for an interim response that nobody asked for: the call has failed with an unknown outcome, whatever the body and its framing.

--- a/test/http/http_caller_test.cc
+++ b/test/http/http_caller_test.cc
@@ -543,5 +543,22 @@
   }
 }
 
+// Guards against answers without a final status, such as "000" of a server in trouble, that are
+// passed on as answers.
+TEST_CASE("A response whose status is below 200 is none, whatever its body") {
+  const std::string status = GENERATE("000", "001", "099", "100", "199");
+  const std::string framing = GENERATE("Content-Length: 2\r\n\r\nno",
+                                       "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n");
+  RawServer server([&](Tcp::socket& socket, int) {
+    ServeAll(socket, "HTTP/1.1 " + status + " Trouble\r\n" + framing);
+  });
+  Client client;
+  RecordingObserver observer;
+  client.Start(server.address(), {"GET", "/x", {}, ""}, observer);
+  observer.Wait();
+  CHECK_FALSE(observer.finished());
+  CHECK(observer.failure() == CallFailure::kUnknown);
+}
+
 }  // namespace
 }  // namespace millstair
