http: A refusal of input does not outlast the shortage

What callers saw (found by reading, shown by the new test): a request on a kept connection was answered 503 although there was memory for it, if there had been none for more input while the body before it was read.

Cause: the flag of a refused claim was set when reading stopped and never taken back.

Change: it is set anew each time that there could be room, and at each new request; a refusal wakes the serving coroutine, which otherwise noticed one only with the next bytes.

Test: "A head that does not fit into the memory of input is refused, and a later one is not" failed before.

--- a/source/http/server_connection.cc
+++ b/source/http/server_connection.cc
@@ -156,6 +156,7 @@
   /// Number of bytes that may be read now. If 0, there is room once some were consumed.
   size_t RoomToRead() {
     const size_t size = received_.size();
+    input_refused_ = false;
     if (size < kUncountedInput) return kUncountedInput - size;
     if (serving_ || size >= ReadLimit()) return 0;
     const size_t wanted = std::min(ReadLimit(), size + kReadBytes);
@@ -163,7 +164,10 @@
     const size_t claimed = 2 * wanted;
     if (claimed > input_bytes_) {
       input_refused_ = !input_.Resize(claimed);
-      if (input_refused_) return 0;
+      if (input_refused_) {
+        serve_wake_timer_.cancel();
+        return 0;
+      }
       input_bytes_ = claimed;
     }
     return wanted - size;
@@ -243,6 +247,8 @@
     SteadyTime deadline = std::chrono::steady_clock::now() + options.idle_timeout;
     bool begun = false;
     serving_ = false;
+    // Reading goes on, and finds out whether there is room for more.
+    input_refused_ = false;
     read_wake_timer_.cancel();
     while (true) {
       if (!begun && !received_.empty()) {
@@ -623,7 +629,7 @@
   asio::steady_timer read_wake_timer_;
   asio::steady_timer watchdog_;
   std::string received_;
-  /// The claim of `received_`, its size, and whether more was refused.
+  /// The claim of `received_`, its size, and whether more is refused now.
   RequestMemory::Claim input_;
   size_t input_bytes_ = 0;
   bool input_refused_ = false;
--- a/test/http/http_server_test.cc
+++ b/test/http/http_server_test.cc
@@ -303,6 +303,25 @@
   CHECK(stalls.ReadAll().starts_with("HTTP/1.1 408 "));
 }
 
+// Guards against heads that are never whole, and against a shortage that outlasts its cause.
+TEST_CASE("A head that does not fit into the memory of input is refused, and a later one is not") {
+  HttpServerOptions options;
+  // An eighth of it does not take more than what each connection may read without a claim.
+  options.request_memory =
+      std::make_shared<RequestMemory>(RequestMemoryOptions{.bound = 128 * 1024});
+  ServerFixture server_fixture(options);
+  RawClient large(server_fixture.address());
+  large.Send("GET /x HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(6000, 'x'));
+  CHECK(large.ReadAll().starts_with("HTTP/1.1 503 "));
+  RawClient kept(server_fixture.address());
+  kept.Send("POST /body HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n\r\n" +
+            std::string(60000, 'x'));
+  REQUIRE(kept.ReadUntil("POST /body xxx"));
+  kept.Forget();
+  kept.Send(Get("/next"));
+  CHECK(kept.ReadUntil("GET /next"));
+}
+
 TEST_CASE("The handler is notified when a caller disconnects") {
   ServerFixture server_fixture;
   RawClient client(server_fixture.address());
