http: Close a connection that rests in order when another needs its place

A reset may discard an answer that its client has not read yet. Only a response that is not whole is reset; the others are closed. New test on sockets: "A connection that rests gives way to a new one".

--- a/source/http/server_connection.cc
+++ b/source/http/server_connection.cc
@@ -105,8 +105,11 @@
   void SetPlace(std::unique_ptr<ConnectionLimit::Place> place) { place_ = std::move(place); }
 
   /// Ends the connection for another one that needs its place. Called on any thread.
-  void PostReset() {
-    asio::post(strand_, [self = shared_from_this()] { self->Reset(); });
+  void PostEvict() {
+    asio::post(strand_, [self = shared_from_this()] {
+      if (self->channel_ != nullptr) return self->Reset();
+      self->Close();
+    });
   }
 
   void PostClose() {
@@ -647,7 +650,7 @@
   const auto connection = std::make_shared<ServerConnection>(std::move(socket), context);
   if (const auto& limit = context->options.connections) {
     auto place = limit->Take([weak = std::weak_ptr(connection)] {
-      if (const auto evicted = weak.lock()) evicted->PostReset();
+      if (const auto evicted = weak.lock()) evicted->PostEvict();
     });
     // A connection that is not served closes its socket in its destructor.
     if (place == nullptr) return;
--- a/test/http/http_server_test.cc
+++ b/test/http/http_server_test.cc
@@ -322,6 +322,26 @@
   CHECK(kept.ReadUntil("GET /next"));
 }
 
+// Guards against clients that open connections and leave none for others.
+TEST_CASE("A connection that rests gives way to a new one") {
+  HttpServerOptions options;
+  options.connections = std::make_shared<ConnectionLimit>(ConnectionLimitOptions{.limit = 2});
+  ServerFixture server_fixture(options);
+  RawClient used(server_fixture.address());
+  used.Send(Get("/first"));
+  REQUIRE(used.ReadUntil("GET /first"));
+  RawClient idle(server_fixture.address());
+  idle.Send("GET /never HTTP/1.1\r\n");
+  while (options.connections->taken() < 2) std::this_thread::sleep_for(milliseconds(1));
+  RawClient third(server_fixture.address());
+  third.Send(Get("/third"));
+  CHECK(third.ReadUntil("GET /third"));
+  CHECK(idle.ReadAll().empty());
+  used.Forget();
+  used.Send(Get("/second"));
+  CHECK(used.ReadUntil("GET /second"));
+}
+
 TEST_CASE("The handler is notified when a caller disconnects") {
   ServerFixture server_fixture;
   RawClient client(server_fixture.address());
