jobs: Hold the memory of an answer about a job from its query on

What was seen: among 600 clients that asked for an item of a job and did not read it, a gateway of 120 MB peaked at 112 MB: within the bound, but by luck. Answers come from the replicas faster than they are passed on, and count only then.

Change: IngressNode::QueryJob holds 1 MiB (a page of results has 0.9 MB at most) until the answer is there, and refuses with 503 and Retry-After if that does not fit. One answer at a time may exceed the limits of HasRoomFor, so that a document larger than three quarters of the bound can be read at all.

Tests: "Jobs are read at the same time as far as the memory takes their answers", and the first check of "A response has room while it fits".

--- a/source/http/held_bytes.cc
+++ b/source/http/held_bytes.cc
@@ -66,7 +66,8 @@
   const bool small = bytes <= kSmallResponseBytes;
   const size_t held = small ? CappedTotal() : total();
   const size_t limit = small ? bound() : pressure_threshold();
-  if (held + bytes <= limit) return true;
+  // One at a time may exceed the limit; otherwise it could never be sent.
+  if (held + bytes <= limit || total() == 0) return true;
   size_t being_cut = BytesBeingCut();
   while (held + bytes > limit + being_cut) {
     const size_t cut = CutSlowestReader();
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -5,6 +5,7 @@
 
 #include "cluster/cluster_commands.h"
 #include "cluster/cluster_replica.h"
+#include "http/response_memory.h"
 #include "jobs/job_group_bootstrapper.h"
 #include "jobs/job_group_nodes.h"
 
@@ -13,6 +14,8 @@
 
 /// A usage report that is not confirmed by then is sent again with the same number.
 constexpr Duration kClusterTimeout = std::chrono::seconds(5);
+/// Memory of an answer about a job that has not come yet: a page of results, as encoded.
+constexpr size_t kMaxJobAnswerBytes = 1024 * 1024;
 /// A later reply is too imprecise, since the delay in each direction is unknown.
 constexpr Duration kTimeQueryTimeout = std::chrono::milliseconds(400);
 constexpr Duration kReadyPollInterval = std::chrono::milliseconds(50);
@@ -44,6 +47,7 @@
           environment, transport,
           [this] { return JobNodesForChanges(configuration(), kJobGroup, zone_); },
           [this] { return JobNodesForReads(configuration(), kJobGroup, zone_); }),
+      held_bytes_(options.memory == nullptr ? nullptr : options.memory->held()),
       cold_assignment_(environment, options.self.node, options.configuration_timing.lease),
       request_log_(environment, options.configuration_timing.lease, options.stats),
       ready_timer_(environment) {
@@ -62,6 +66,19 @@
       [this](const TenantName& tenant, TimePoint at) { usage_.OnRequestStarted(tenant, at); });
 }
 
+void IngressNode::QueryJob(const JobQuery& query,
+                           std::function<void(absl::StatusOr<JobQueryAnswer>)> done) {
+  if (held_bytes_ != nullptr && !held_bytes_->HasRoomFor(kMaxJobAnswerBytes)) {
+    return done(absl::ResourceExhaustedError("memory-short"));
+  }
+  const auto hold = std::make_shared<HeldBytes::Hold>(held_bytes_, kMaxJobAnswerBytes);
+  jobs_.Query(query, [hold, done = std::move(done)](absl::StatusOr<JobQueryAnswer> answer) {
+    // The response counts by itself.
+    hold->Set(0);
+    done(std::move(answer));
+  });
+}
+
 void IngressNode::Start() {
   configuration_->OnChange(
       [this](const ConfigurationDelta& changes) { ConfigurationChanged(changes); });
--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -10,6 +10,7 @@
 #include "cluster/suspect_client.h"
 #include "common/environment.h"
 #include "common/peer_transport.h"
+#include "http/held_bytes.h"
 #include "ingress/cold_backend_assignment.h"
 #include "ingress/ingress_service.h"
 #include "ingress/request_log.h"
@@ -85,6 +86,9 @@
 
   IngressService& ingress() { return ingress_; }
   JobClient& jobs() { return jobs_; }
+  /// Reads from a job. The memory of the answer is held until it is there; ResourceExhausted if it
+  /// does not suffice.
+  void QueryJob(const JobQuery& query, std::function<void(absl::StatusOr<JobQueryAnswer>)> done);
   const Configuration& configuration() const { return configuration_->configuration(); }
   bool LeaseValid() const { return configuration_->LeaseValid(); }
   /// Time since the configuration held was last confirmed current; nullopt if it never was.
@@ -114,6 +118,8 @@
   UsageCounter usage_;
   IngressService ingress_;
   JobClient jobs_;
+  /// May be null.
+  const std::shared_ptr<HeldBytes> held_bytes_;
   /// Assigns each cold back end to one gateway.
   ColdBackendAssignment cold_assignment_;
   RequestLog request_log_;
--- a/test/http/held_bytes_test.cc
+++ b/test/http/held_bytes_test.cc
@@ -135,6 +135,7 @@
 TEST_CASE("A response has room while it fits, and otherwise slow readers are cut for it") {
   constexpr size_t kKiB = 1024;
   Fixture fixture(1024 * kKiB);
+  CHECK(fixture.held->HasRoomFor(2048 * kKiB));
   const auto reader = fixture.NewReader("reader", 700 * kKiB);
   CHECK(fixture.held->HasRoomFor(68 * kKiB));
   CHECK_FALSE(fixture.held->HasRoomFor(69 * kKiB));
--- a/test/platform/ingress_handler_fixture.h
+++ b/test/platform/ingress_handler_fixture.h
@@ -9,6 +9,7 @@
 
 #include "cluster/control_messages.h"
 #include "fmt/format.h"
+#include "http/response_memory.h"
 #include "jobs/job_group_bootstrapper.h"
 #include "platform/ingress_request_handler.h"
 #include "platform/routing_codec.h"
@@ -110,13 +111,18 @@
 /// Gateway "g1", its control node and a server of "pages" at b:1.
 class IngressHandlerFixture {
  public:
-  IngressHandlerFixture() : control(environment) {
+  /// `response_bound`: see HeldBytesOptions::bound.
+  explicit IngressHandlerFixture(size_t response_bound = 0)
+      : held(std::make_shared<HeldBytes>(HeldBytesOptions{.bound = response_bound, .now = {}})),
+        memory(environment, held),
+        control(environment) {
     Serve("b:1");
     IngressNodeOptions options;
     options.self.node = NodeId("g1");
     options.self.zone = Zone("z1");
     options.control_nodes = {{NodeId("c1"), "1:1", Zone("z1")}};
     options.usage_window = std::chrono::seconds(5);
+    options.memory = &memory;
     node = std::make_unique<IngressNode>(environment, control, backends, wire, codec, options);
     control.node = node.get();
     control.Replace(Document(1, R"("key-1","key-2")"));
@@ -158,6 +164,8 @@
 
   VirtualScheduler scheduler{1};
   VirtualEnvironment environment{scheduler, 2};
+  std::shared_ptr<HeldBytes> held;
+  ResponseMemory memory;
   FakeBackends backends{scheduler};
   ServerProtocol wire;
   RoutingCodec codec;
--- a/test/platform/ingress_request_handler_test.cc
+++ b/test/platform/ingress_request_handler_test.cc
@@ -227,5 +227,24 @@
   CHECK_FALSE(FindHeader(answer->headers, "Retry-After").has_value());
 }
 
+// Guards against answers about jobs that come faster than their callers read them.
+TEST_CASE("Jobs are read at the same time as far as the memory takes their answers") {
+  constexpr size_t kMiB = 1024 * 1024;
+  IngressHandlerFixture fixture(4 * kMiB);
+  fixture.Start();
+  // Nobody replies. Three quarters of the bound are for large responses.
+  std::vector<std::shared_ptr<Answer>> answers;
+  for (int count = 0; count < 4; ++count) {
+    answers.push_back(fixture.Send("GET", "/v1/lots/j?since_rev=0", "key-1"));
+  }
+  fixture.scheduler.RunFor(std::chrono::milliseconds(100));
+  CHECK(fixture.held->total() == 3 * kMiB);
+  CHECK(answers[2]->status == 0);
+  CHECK(answers[3]->status == 503);
+  CHECK(FindHeader(answers[3]->headers, "Retry-After").has_value());
+  fixture.scheduler.RunFor(seconds(5));
+  CHECK(fixture.held->total() == 0);
+}
+
 }  // namespace
 }  // namespace millstair::platform
