jobs: Reject a job for whose items the replicas have no memory

What callers saw (large jobs one after the other): about 60 jobs of 6 MiB, each legal and sent one at a time, ended all three storage processes, above 270 MB.

Cause: a job group keeps the items of all open jobs in memory, and nothing limited them. The rejection of jobs asks only whether they can be in time, and is off where no zone may be lost.

The caller gets 503 with Retry-After; a job that is alone is accepted. Where a rejection can't be remembered any more, such a job is neither proposed nor rejected.

--- a/source/jobs/job_admission.cc
+++ b/source/jobs/job_admission.cc
@@ -159,7 +159,15 @@
 }  // namespace
 
 std::string_view JobRejectionReasonName(JobRejectionReason reason) {
-  return reason == JobRejectionReason::kTextsTooLong ? "texts_too_long" : "backlog";
+  switch (reason) {
+    case JobRejectionReason::kTextsTooLong:
+      return "texts_too_long";
+    case JobRejectionReason::kBacklog:
+      return "backlog";
+    case JobRejectionReason::kMemory:
+      return "memory";
+  }
+  return "unknown";
 }
 
 std::optional<JobRejection> DecideAdmission(const ForecastPool& pool,
--- a/source/jobs/job_admission.h
+++ b/source/jobs/job_admission.h
@@ -23,6 +23,7 @@
 enum class JobRejectionReason : uint8_t {
   kTextsTooLong = 1,  ///< every group has a text that takes longer even at the fastest engine
   kBacklog = 2,       ///< the engines are busy with earlier and more urgent jobs until then
+  kMemory = 3,        ///< the replicas have no memory for its items
 };
 
 /// Name for logs and metrics, such as "backlog".
--- a/source/jobs/job_service.cc
+++ b/source/jobs/job_service.cc
@@ -15,6 +15,8 @@
 constexpr Duration kMaxHold = std::chrono::milliseconds(500);
 /// Retry-After is extended at random by up to a quarter.
 constexpr int kRetryJitterDivisor = 4;
+/// Items that were recorded and jobs that ended free memory.
+constexpr Duration kMemoryRetryAfter = std::chrono::seconds(1);
 
 JobQueryAnswer ResultsOf(const JobRecord& record, const JobQuery& query) {
   JobQueryAnswer answer;
@@ -88,6 +90,8 @@
   if (group_command.may_be_rejected && RejectionOf(submit->job)) {
     return ConfirmRejection(key, *std::move(command), std::move(done));
   }
+  // It can't be rejected with the promise that no copy of it runs, and not be held either.
+  if (LacksMemoryFor(submit->job)) return done(absl::UnavailableError("no memory for the job"));
   ProposeJob(*std::move(command), std::move(done));
 }
 
@@ -100,10 +104,11 @@
   const Term term = group_->CurrentTerm();
   // What was proposed under an earlier term is applied or lost once this term's leadership is
   // confirmed.
-  std::erase_if(proposed_, [term](const auto& entry) { return entry.second != term; });
-  const JobId job = std::get<SubmitJob>(command.operation).job.id;
+  std::erase_if(proposed_, [term](const auto& entry) { return entry.second.term != term; });
+  const JobSpec& spec = std::get<SubmitJob>(command.operation).job;
+  const JobId job = spec.id;
   if (proposed_.size() < limits_.max_proposals) {
-    proposed_[job] = term;
+    proposed_[job] = {term, MemoryOf(spec)};
   } else if (!proposed_.contains(job)) {
     proposals_exceeded_in_ = term;
   }
@@ -116,13 +121,25 @@
 }
 
 std::optional<JobRejection> JobService::RejectionOf(const JobSpec& job) {
-  if (!admission_ || state_->Find(job.id) != nullptr) return std::nullopt;
+  if (state_->Find(job.id) != nullptr) return std::nullopt;
   const auto proposed = proposed_.find(job.id);
-  if (proposed != proposed_.end() && proposed->second == group_->CurrentTerm()) return std::nullopt;
+  if (proposed != proposed_.end() && proposed->second.term == group_->CurrentTerm()) {
+    return std::nullopt;
+  }
   if (proposals_exceeded_in_ == group_->CurrentTerm()) return std::nullopt;
   ForgetOldRejections();
   if (rejected_.size() >= limits_.max_rejections) return std::nullopt;
-  return admission_(job);
+  if (LacksMemoryFor(job)) return JobRejection{JobRejectionReason::kMemory, kMemoryRetryAfter};
+  return admission_ ? admission_(job) : std::nullopt;
+}
+
+bool JobService::LacksMemoryFor(const JobSpec& job) const {
+  if (limits_.max_item_bytes == 0 || state_->Find(job.id) != nullptr) return false;
+  size_t held = state_->item_bytes();
+  for (const auto& [id, proposal] : proposed_) {
+    if (id != job.id && state_->Find(id) == nullptr) held += proposal.item_bytes;
+  }
+  return held > 0 && held + MemoryOf(job) > limits_.max_item_bytes;
 }
 
 void JobService::ConfirmRejection(const CommandKey& key, JobCommand command, Callback done) {
@@ -156,8 +173,8 @@
                       std::string(reason)})
         .Add();
   }
-  const absl::Status status = CommandRejectedError(
-      fmt::format("no group of the job can be complete in time: {}", reason), retry_after);
+  const absl::Status status =
+      CommandRejectedError(fmt::format("the job can't be served: {}", reason), retry_after);
   rejected_[key] = {environment_.Now() + limits_.rejection_retention, status};
   return status;
 }
--- a/source/jobs/job_service.h
+++ b/source/jobs/job_service.h
@@ -33,6 +33,9 @@
   /// Bound on the jobs whose proposal is in progress or failed. If there are more, no job is
   /// rejected until the next term.
   size_t max_proposals = 10'000;
+  /// Bound on the memory of the items of all jobs; 0 sets none. A job that alone exceeds it is
+  /// accepted while there is no other.
+  size_t max_item_bytes = 0;
 };
 
 /// Lives on the node's serial executor.
@@ -87,6 +90,8 @@
   /// earlier entries, unless the job is known or fits by then.
   void ConfirmRejection(const CommandKey& key, JobCommand command, Callback done);
   absl::Status Reject(const CommandKey& key, const JobSpec& job, const JobRejection& rejection);
+  /// Whether the memory of items does not take those of a job that is new.
+  bool LacksMemoryFor(const JobSpec& job) const;
   void ForgetOldRejections();
   void Query(const std::string& bytes, Callback done);
   void AnswerOrHold(const JobQuery& query, Callback done);
@@ -106,9 +111,13 @@
   Admission admission_;
   /// Commands in progress, with the number of copies that arrived.
   std::map<CommandKey, size_t> running_;
-  /// Jobs proposed under the term, until the proposal succeeded. One that failed may still be
-  /// committed.
-  std::map<JobId, Term> proposed_;
+  struct Proposal {
+    Term term;
+    size_t item_bytes = 0;
+  };
+
+  /// Jobs that were proposed, until the proposal succeeded. One that failed may still be committed.
+  std::map<JobId, Proposal> proposed_;
   /// Term in which a job was proposed that is not in `proposed_`, since that was full.
   std::optional<Term> proposals_exceeded_in_;
   std::map<CommandKey, RememberedRejection> rejected_;
--- a/source/jobs/job_state_machine.cc
+++ b/source/jobs/job_state_machine.cc
@@ -39,6 +39,24 @@
 
 }  // namespace
 
+size_t MemoryOf(const JobSpec& job) {
+  size_t bytes = 0;
+  for (const JobItem& item : job.items) {
+    bytes += sizeof(JobItem) + item.path.size() + item.body.size();
+    for (const HttpHeader& header : item.headers) {
+      bytes += sizeof(HttpHeader) + header.name.size() + header.value.size();
+    }
+    if (item.scoring) bytes += item.scoring->path.size() + item.scoring->body.size();
+  }
+  return bytes;
+}
+
+size_t JobStateMachine::item_bytes() const {
+  size_t bytes = 0;
+  for (const auto& [id, job] : jobs_) bytes += MemoryOf(job.spec);
+  return bytes;
+}
+
 std::string JobStateMachine::Apply(LogIndex, std::string_view bytes) {
   const auto command = DecodeJobCommand(bytes);
   if (!command.ok()) return EncodeJobResultCode(JobResultCode::kInvalid);
--- a/source/jobs/job_state_machine.h
+++ b/source/jobs/job_state_machine.h
@@ -24,6 +24,9 @@
 
 enum class JobChange : uint8_t { kSubmitted, kRecorded, kEnded, kRemoved, kRestored, kAnnounced };
 
+/// Memory that the items of a job take, without their results.
+size_t MemoryOf(const JobSpec& job);
+
 /// Deterministic. Its clock is the largest proposal time seen.
 class JobStateMachine : public StateMachine {
  public:
@@ -40,6 +43,8 @@
 
   const std::map<JobId, JobRecord>& jobs() const { return jobs_; }
   const JobRecord* Find(const JobId& job) const;
+  /// Sum of MemoryOf all jobs.
+  size_t item_bytes() const;
   bool IsRecorded(const JobId& job, uint32_t item) const;
   /// Largest proposal time seen, limited by the step of each command; zero before the first
   /// command.
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -39,7 +39,7 @@
                options_.loads),
         service_(
             environment, transport, [this] { return PlacedLeader(configuration(), kJobGroup); },
-            options_.stats),
+            options_.stats, options_.job_service),
         cluster_(environment, transport, kClusterGroup, [this] { return ControlNodes(); }),
         suspects_(cluster_),
         placement_(environment, options_.self.node,
--- a/source/jobs/storage_node.h
+++ b/source/jobs/storage_node.h
@@ -13,6 +13,7 @@
 #include "ingress/route_table.h"
 #include "jobs/job_replica_manager.h"
 #include "jobs/job_scheduler.h"
+#include "jobs/job_service.h"
 #include "jobs/job_state_machine.h"
 #include "jobs/load_scheduler.h"
 
@@ -26,6 +27,7 @@
   ConsensusTiming consensus_timing;
   ConsensusLimits consensus_limits;
   JobLimits jobs;
+  JobServiceLimits job_service;
   JobReplicaOptions replicas;
   JobSchedulerOptions scheduler;
   LoadOptions loads;
--- a/source/server/node_options.cc
+++ b/source/server/node_options.cc
@@ -167,6 +167,7 @@
   options.loads.order_lease = timing.holder_lease;
   options.cold_bound = ColdBoundOf(settings);
   options.reports_pool_needs = settings.ScalesPools();
+  options.job_service.max_item_bytes = settings.limits.process_memory / kProcessMemoryPerHeldByte;
   return options;
 }
 
--- a/test/jobs/job_rejection_test.cc
+++ b/test/jobs/job_rejection_test.cc
@@ -18,7 +18,8 @@
 using std::chrono::seconds;
 
 constexpr Duration kRetryAfter = seconds(4);
-constexpr JobServiceLimits kLimits{minutes(10), 20, 5};
+constexpr size_t kMaxItemBytes = 64 * 1024;
+constexpr JobServiceLimits kLimits{minutes(10), 20, 5, kMaxItemBytes};
 
 /// Delivers messages between nodes by name. Those to or from a held node wait until it is released.
 class Wires {
@@ -104,9 +105,18 @@
     return job;
   }
 
-  std::shared_ptr<Answer> Submit(JobClient& sender) {
+  /// With one item of `bytes`.
+  static JobSpec JobOf(const std::string& id, size_t bytes) {
+    JobSpec job = Job();
+    job.id = JobId(id);
+    job.items[0].body = std::string(bytes, 'b');
+    return job;
+  }
+
+  std::shared_ptr<Answer> Submit(JobClient& sender, JobSpec job = Job()) {
     auto answer = std::make_shared<Answer>();
-    sender.Submit(Job(), [answer](absl::StatusOr<JobResultCode> result) { *answer = result; });
+    sender.Submit(std::move(job),
+                  [answer](absl::StatusOr<JobResultCode> result) { *answer = result; });
     return answer;
   }
   std::shared_ptr<Answer> Submit() { return Submit(client); }
@@ -183,6 +193,45 @@
   CHECK(fixture.IsKnown());
 }
 
+// Guards against replicas that end for lack of memory because of the jobs that clients submit.
+TEST_CASE("A job for whose items there is no memory is rejected until others have ended") {
+  Fixture fixture;
+  fixture.fits = true;
+  const auto submit = [&fixture](const std::string& id, size_t bytes) {
+    const auto answer = fixture.Submit(fixture.client, Fixture::JobOf(id, bytes));
+    fixture.scheduler.RunFor(milliseconds(20));
+    REQUIRE(*answer);
+    return *answer;
+  };
+  // Alone it may exceed the bound.
+  CHECK(submit("large", 2 * kMaxItemBytes)->ok());
+  CHECK(IsRejected(submit("small", 1)));
+  // A job that is known is never rejected.
+  CHECK(submit("large", 2 * kMaxItemBytes)->ok());
+  fixture.client.End({JobId("large"), TenantName()}, [](const absl::StatusOr<JobResultCode>&) {});
+  fixture.scheduler.RunFor(milliseconds(20));
+  CHECK(submit("small", 1)->ok());
+  CHECK(submit("other", kMaxItemBytes / 2)->ok());
+  CHECK(IsRejected(submit("next", kMaxItemBytes / 2)));
+}
+
+// Guards against clients that send rejected jobs again until rejections can't be remembered.
+TEST_CASE("Above the bound on rejections a job without memory is neither taken nor rejected") {
+  Fixture fixture;
+  fixture.fits = true;
+  const auto large = fixture.Submit(fixture.client, Fixture::JobOf("large", kMaxItemBytes));
+  fixture.scheduler.RunFor(milliseconds(20));
+  std::shared_ptr<Answer> last;
+  for (size_t count = 0; count <= kLimits.max_rejections; ++count) {
+    last = fixture.Submit(fixture.client, Fixture::JobOf("j", 1));
+    fixture.scheduler.RunFor(milliseconds(20));
+  }
+  CHECK_FALSE(IsRejected(*last));
+  fixture.scheduler.RunFor(seconds(3));
+  CHECK_FALSE((*last)->ok());
+  CHECK_FALSE(fixture.IsKnown());
+}
+
 // Guards clients that would return together after they were rejected together.
 TEST_CASE("The times to retry differ") {
   std::set<Duration> times;
--- a/test/soak/misbehaving_clients.py
+++ b/test/soak/misbehaving_clients.py
@@ -43,6 +43,8 @@
 CROWD_LIMIT, CROWD_QUIET, ANSWER_LIMIT, TRY_LIMIT, START_LIMIT = 12.0, 2.0, 50.0, 10.0, 30.0
 # A back end holds a slow request for longer than a crowd is watched.
 SLOW_WORK, SLOW_LIMIT = 25.0, 30.0
+# A job that is not taken for this long is refused.
+REFUSED_LIMIT = 5.0
 
 
 class BodyBackEnd(LargeHandler):
@@ -134,21 +136,33 @@
 HELD_JOB, HELD_ITEM = new_id(), new_id()
 
 
-def submit_held_job(fleet):
-    """Submits a job whose item can be read until it has run, which nobody does."""
-    def submit():
-        text = legal_job(MIB, HELD_ITEM)
-        headers = {**headers_for(), "Request-Id": HELD_JOB}
-        return exchange(fleet.layout.gateways[0], "POST", "/jobs/x", text, headers, TRY_LIMIT)[0]
-    until = now() + START_LIMIT
+def submit_job(fleet, job, text, limit=START_LIMIT):
+    """Submits a job until it is taken; whether it was within `limit` seconds."""
+    until = now() + limit
+    headers = {**headers_for(), "Request-Id": job}
     while now() < until:
         try:
-            if submit() == 202:
-                return
+            gateway = fleet.layout.gateways[0]
+            if exchange(gateway, "POST", "/jobs/x", text, headers, TRY_LIMIT)[0] == 202:
+                return True
         except OSError:
             pass  # the group of the jobs has no leader yet
         time.sleep(0.3)
-    raise SystemExit("no job was taken")
+    return False
+
+
+def submit_held_job(fleet):
+    """Submits a job whose item can be read until it has run, which nobody does."""
+    if not submit_job(fleet, HELD_JOB, legal_job(MIB, HELD_ITEM)):
+        raise SystemExit("no job was taken")
+
+
+def submit_many_jobs(fleet):
+    """Submits more of large jobs than the replicas have memory for, until one is not taken."""
+    text = legal_job(6 * MIB)
+    for _ in range(96):
+        if not submit_job(fleet, new_id(), text, REFUSED_LIMIT):
+            return
 
 
 @dataclasses.dataclass(frozen=True)
@@ -193,6 +207,7 @@
     Case("idle connections", 3500, lambda _: []),
     Case("jobs that grow when read", 3, lambda _: whole("/jobs/x", growing_text(LARGE))),
     Case("large jobs", 72, lambda _: whole("/jobs/x", legal_job(6 * MIB))),
+    Case("large jobs one after the other", 0, lambda _: [], prepare=submit_many_jobs),
     Case("large bodies at the readiness port", 16,
          lambda _: sized(post("/v1/readyz"), LARGE, LARGE - 1, MIB), port=READY),
     Case("large bodies at a control node", 24,
@@ -316,8 +331,8 @@
     """One crowd: ordinary requests beside it and after it, then the bounds."""
     node = next(one for one in fleet.nodes if one.role == case.role)
     before = {one.name: one.process for one in fleet.nodes}
-    case.prepare(fleet)
     watch = Watch(fleet)
+    case.prepare(fleet)
     crowd = Crowd((ip_of(node.machine), case.port), case.count, case.pieces_of, case.reads)
     try:
         await_crowd(crowd, node)
