--- a/source/server/frontend.cc
+++ b/source/server/frontend.cc
@@ -12,7 +12,8 @@
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
 void RespondText(ResponseWriter& writer, const char* content_type, std::string text) {
-  RespondIfRoom(writer, {200, {{"Content-Type", content_type}}}, std::move(text));
+  // Also while memory is short, when operators need it most.
+  Respond(writer, {200, {{"Content-Type", content_type}}}, std::move(text));
 }
 
 }  // namespace
