ingress, transport: Logs tell silent control nodes from refusing ones, and why a connection ended

Change: RequestsUnconfirmed has longest_silent_ms; event 5105 PeerConnectionLost and millstair_peer_connections_lost_total. request_log_test asks for the line with the new field. No decision changes.

--- a/source/cluster/configuration_client.cc
+++ b/source/cluster/configuration_client.cc
@@ -150,10 +150,11 @@
   NodeId ConfirmedBy() const override { return confirmed_by_; }
 
   bool IsIsolated() const override {
-    return !LeaseValid() &&
-           environment_.Now() - last_message_at_ > kLeasesUntilIsolated * timing_.lease;
+    return !LeaseValid() && ControlSilence() > kLeasesUntilIsolated * timing_.lease;
   }
 
+  Duration ControlSilence() const override { return environment_.Now() - last_message_at_; }
+
   void ConfirmRead(std::function<void(absl::Status)> done) override {
     if (sources_.empty()) return done(absl::UnavailableError("no other control node is known"));
     reads_.Request(std::move(done));
@@ -322,8 +323,8 @@
     reported_isolated_ = !reported_isolated_;
     LogEvent(reported_isolated_ ? EventId::kControlNodesSilent : EventId::kControlNodesHeard,
              "node={} silent_ms={} control_nodes={} revision={} proof_ms={}", self_.node,
-             ToMilliseconds(environment_.Now() - last_message_at_), sources_.size(),
-             configuration_.revision, ConfirmationAgeMilliseconds());
+             ToMilliseconds(ControlSilence()), sources_.size(), configuration_.revision,
+             ConfirmationAgeMilliseconds());
     if (on_isolation_change_) on_isolation_change_(reported_isolated_);
   }
 
--- a/source/cluster/configuration_client.h
+++ b/source/cluster/configuration_client.h
@@ -68,6 +68,8 @@
   /// True if no message was received from any control node for several leases. Control nodes
   /// without a quorum still send refusals, so this is false while only the quorum is lost.
   virtual bool IsIsolated() const = 0;
+  /// Time since the last message of any control node, or since the start.
+  virtual Duration ControlSilence() const = 0;
   /// `callback` runs on the executor within a heartbeat interval after `IsIsolated` changed.
   virtual void OnIsolationChange(std::function<void(bool isolated)> callback) = 0;
   /// `callback` runs on the executor after each applied change. Several listeners may be added.
--- a/source/ingress/request_log.cc
+++ b/source/ingress/request_log.cc
@@ -61,7 +61,10 @@
   const auto age = record.result.confirmation_age_at_send;
   if (!age) return;
   const bool unconfirmed = *age > lease_;
-  if (unconfirmed) unconfirmed_.Add(record.request, record.result.routing_version, *age);
+  if (unconfirmed) {
+    unconfirmed_.Add(record.request, record.result.routing_version, *age,
+                     record.arrival.control_silence);
+  }
   if (stats_ == nullptr) return;
   stats_
       ->NewHistogram({"millstair_confirmation_age_at_send_seconds",
--- a/source/ingress/request_log.h
+++ b/source/ingress/request_log.h
@@ -26,6 +26,8 @@
   /// The control node that confirmed the configuration last, and the revision held.
   NodeId confirmed_by;
   Revision revision;
+  /// Time since the last message of any control node.
+  Duration control_silence{0};
   /// How long the request has waited for a confirmation.
   Duration wait_time{0};
 };
--- a/source/ingress/unconfirmed_requests.cc
+++ b/source/ingress/unconfirmed_requests.cc
@@ -17,11 +17,13 @@
 UnconfirmedRequests::UnconfirmedRequests(Environment& environment, LineWriter write_line)
     : environment_(environment), write_line_(std::move(write_line)), timer_(environment) {}
 
-void UnconfirmedRequests::Add(const std::string& request, uint64_t routing_version, Duration age) {
+void UnconfirmedRequests::Add(const std::string& request, uint64_t routing_version, Duration age,
+                              Duration control_silence) {
   ++count_;
   last_at_ = environment_.Now();
   if (age > longest_) {
     longest_ = age;
+    control_silence_ = control_silence;
     longest_request_ = request;
     longest_version_ = routing_version;
   }
@@ -29,11 +31,12 @@
 }
 
 void UnconfirmedRequests::Log() {
-  write_line_(EventId::kRequestsUnconfirmed,
-              fmt::format("requests={} last_ms_ago={} longest_proof_ms={} longest_request={} "
-                          "longest_routing={}",
-                          count_, ToMilliseconds(environment_.Now() - last_at_),
-                          ToMilliseconds(longest_), longest_request_, longest_version_));
+  write_line_(
+      EventId::kRequestsUnconfirmed,
+      fmt::format("requests={} last_ms_ago={} longest_proof_ms={} longest_silent_ms={} "
+                  "longest_request={} longest_routing={}",
+                  count_, ToMilliseconds(environment_.Now() - last_at_), ToMilliseconds(longest_),
+                  ToMilliseconds(control_silence_), longest_request_, longest_version_));
   timer_.Arm(kLogInterval, [this] { Log(); });
 }
 
--- a/source/ingress/unconfirmed_requests.h
+++ b/source/ingress/unconfirmed_requests.h
@@ -21,8 +21,10 @@
  public:
   UnconfirmedRequests(Environment& environment, LineWriter write_line);
 
-  /// `age`: time since the last confirmation of the configuration as `request` was sent.
-  void Add(const std::string& request, uint64_t routing_version, Duration age);
+  /// `age`: time since the last confirmation of the configuration as `request` was sent;
+  /// `control_silence`: time since the last message of a control node as it arrived.
+  void Add(const std::string& request, uint64_t routing_version, Duration age,
+           Duration control_silence);
 
  private:
   void Log();
@@ -31,6 +33,8 @@
   const LineWriter write_line_;
   uint64_t count_ = 0;
   Duration longest_{0};
+  /// Of the request with the longest age.
+  Duration control_silence_{0};
   std::string longest_request_;
   uint64_t longest_version_ = 0;
   TimePoint last_at_;
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -160,7 +160,12 @@
 }
 
 RequestArrival IngressNode::NewArrival() const {
-  return {ConfirmationAge(), configuration_->ConfirmedBy(), configuration().revision};
+  RequestArrival arrival;
+  arrival.confirmation_age = ConfirmationAge();
+  arrival.confirmed_by = configuration_->ConfirmedBy();
+  arrival.revision = configuration().revision;
+  arrival.control_silence = configuration_->ControlSilence();
+  return arrival;
 }
 
 void IngressNode::WhenCurrent(std::function<void(Duration waited)> work) {
--- a/source/transport/peer_hub.cc
+++ b/source/transport/peer_hub.cc
@@ -368,8 +368,10 @@
         co_await connection->socket.async_read_some(asio::buffer(bytes), kUseTuple);
     if (error) {
       ended = true;
+      RecordEnd(*connection, error);
       break;
     }
+    connection->received_at = std::chrono::steady_clock::now();
     stats_.bytes_received.Add(count);
     connection->reader.Add({bytes.data(), count});
   }
@@ -453,6 +455,15 @@
   if (ended && connection.reader.partial()) stats_.CountRefused("truncated");
 }
 
+void PeerHub::RecordEnd(const PeerConnection& connection, const boost::system::error_code& error) {
+  if (connection.closed || error == asio::error::eof) return;
+  stats_.connections_lost.Add();
+  const auto silence = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() -
+                                                            connection.received_at);
+  LogEvent(EventId::kPeerConnectionLost, "node={} dialled={} silent_ms={} error=\"{}\"",
+           connection.node, connection.dialled, ToMilliseconds(silence), error.message());
+}
+
 void PeerHub::Track(const ConnectionPointer& connection) {
   connections_.insert(connection);
   stats_.connections.Set(static_cast<double>(connections_.size()));
--- a/source/transport/peer_hub.h
+++ b/source/transport/peer_hub.h
@@ -50,6 +50,8 @@
   /// From the peer's hello.
   bool takes_compressed = false;
   FrameReader reader;
+  /// When bytes were received last, or the connection was made.
+  std::chrono::steady_clock::time_point received_at = std::chrono::steady_clock::now();
   /// Cancelled to wake the writing coroutine.
   boost::asio::steady_timer write_wake_timer;
   /// Cancelled once the executor has processed the frames read.
@@ -135,6 +137,8 @@
   boost::asio::awaitable<void> WriteQueue(ConnectionPointer connection);
   boost::asio::awaitable<void> Deliver(ConnectionPointer connection, std::deque<Frame> frames);
   void CountFault(const PeerConnection& connection, bool ended);
+  /// Counts and logs a connection that ended by `error`, unless one of the nodes closed it.
+  void RecordEnd(const PeerConnection& connection, const boost::system::error_code& error);
   void Forget(const ConnectionPointer& connection);
   void Track(const ConnectionPointer& connection);
   void CloseAfter(const ConnectionPointer& connection, Duration timeout);
--- a/source/transport/peer_stats.cc
+++ b/source/transport/peer_stats.cc
@@ -16,6 +16,9 @@
       dials(stats.NewCounter({"millstair_peer_dials_total", "Connections tried to peers."})),
       dials_failed(stats.NewCounter(
           {"millstair_peer_dials_failed_total", "Connections to peers that did not come up."})),
+      connections_lost(
+          stats.NewCounter({"millstair_peer_connections_lost_total",
+                            "Connections to peers that neither node closed: reset or timed out."})),
       connections(
           stats.NewGauge({"millstair_peer_connections", "Connections to peers open now."})) {
   for (size_t kind = 1; kind < queued_bytes_.size(); ++kind) {
--- a/source/transport/peer_stats.h
+++ b/source/transport/peer_stats.h
@@ -26,6 +26,7 @@
   Counter& bytes_received;
   Counter& dials;
   Counter& dials_failed;
+  Counter& connections_lost;
   Gauge& connections;
 
  private:
--- a/test/cluster/fake_configuration_client.h
+++ b/test/cluster/fake_configuration_client.h
@@ -21,6 +21,7 @@
   std::optional<Duration> ConfirmationAge() const override { return std::nullopt; }
   NodeId ConfirmedBy() const override { return NodeId(); }
   bool IsIsolated() const override { return false; }
+  Duration ControlSilence() const override { return Duration(0); }
   void OnIsolationChange(std::function<void(bool)>) override {}
   void OnChange(ChangeListener callback) override { listeners.push_back(std::move(callback)); }
   void Report(EngineObservation observation) override { reports.push_back(std::move(observation)); }
--- a/test/ingress/request_log_test.cc
+++ b/test/ingress/request_log_test.cc
@@ -29,6 +29,7 @@
     record.result.instance = InstanceId("b:1");
     record.result.routing_version = 9;
     record.result.confirmation_age_at_send = age;
+    record.arrival.control_silence = age / 2;
     log.Record(EventId::kRequestAnswered, record);
   }
 };
@@ -59,7 +60,8 @@
   fixture.Record(4, milliseconds(300));
   fixture.scheduler.RunFor(seconds(60));
   CHECK(fixture.lines.back() ==
-        "requests=3 last_ms_ago=51000 longest_proof_ms=6300 longest_request=id-2-end "
+        "requests=3 last_ms_ago=51000 longest_proof_ms=6300 longest_silent_ms=3150 "
+        "longest_request=id-2-end "
         "longest_routing=9");
 }
 
