Tests: Connections that a returned machine does not know, without resets

Callers saw routes and a leaving not in force at all gateways for 5.8 s and more, and a job without a reply for 5 s.

Two transport tests, red on this code: packets on a connection are dropped without a reset, as by a stateful filter after its machine has lost power and come back. The bound is the 3 s after which users count a machine as in touch. No second connection is made for 5 s; an idle one is never closed.

The soak plays power_off_stores_without_resets: all machines with a disk lose power after an acknowledgement, the gateways have a connection to each control node as after a slow start, and these stay silent when the machines return. A new row asks that trainers that submit a step to a gateway in touch get a response.

--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -11,7 +11,7 @@
                        routing_document)
 from fleet import SERVICE, ip_of
 from history import (Acknowledged, Call, CrashingCall, RecordedResult, OperatorCall, ReadBack, Sent,
-                     now)
+                     Submission, now)
 
 DEADLINE = 2.0
 NOT_RUN = (408, 421, 429, 503)
@@ -317,10 +317,11 @@
             time.sleep(max(0.0, begun + STEP_TIME - now()))
         self.ended.set()
 
-    def _call(self, method, path, headers, body=None):
+    def _call(self, method, path, headers, body=None, machine=None):
+        if machine is None:
+            machine = random.choice(self._layout.gateways)
         try:
-            return exchange(random.choice(self._layout.gateways), method, path, body,
-                            {"Host": HOST, **headers}, 2.5)
+            return exchange(machine, method, path, body, {"Host": HOST, **headers}, 2.5)
         except OSError:
             return 0, {}, b""
 
@@ -346,7 +347,9 @@
         headers = {"Request-Id": step.job, "Content-Type": "application/json"}
         until = now() + STEP_DEADLINE
         while now() < until and not self.stopped:
-            status, _, _ = self._call("POST", f"/jobs/{step.job}", headers, document)
+            sent, machine = now(), random.choice(self._layout.gateways)
+            status, _, _ = self._call("POST", f"/jobs/{step.job}", headers, document, machine)
+            self._history.add(Submission(step.job, machine, sent, now(), status))
             if status == 202:
                 step.accepted_at = now()
                 return True
--- a/test/soak/fault_times.py
+++ b/test/soak/fault_times.py
@@ -9,3 +9,5 @@
 REPLACED = 7.0
 # Machines without power stay away for this long: minimum and maximum.
 WITHOUT_POWER = (0.5, 8.0)
+# A gateway whose control node does not reply has asked all others after this time.
+SEARCH = 1.5
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -68,7 +68,8 @@
             self.kill_acknowledger, self.wipe_acknowledger, self.cut_acknowledger,
             self.part_acknowledger, self.freeze_acknowledger, self.power_off_acknowledger]
         self._exclusive_kinds = [self.kill_all, self.rolling_stop, self.cut_in_two, self.cut_zones,
-                                 self.power_off_after_wipe, self.power_off_stores]
+                                 self.power_off_after_wipe, self.power_off_stores,
+                                 self.power_off_stores_without_resets]
         # Takes most of a short run: played only if it is named.
         self._power_off_kinds = [self.power_off_after_wipe, self.power_off_without_seeds]
         self._clock_kinds = [self.step_clock, self.restart_across_step, self.suspend]
@@ -210,9 +211,12 @@
 
     def freeze(self, machines):
         """Pauses and resumes a machine's processes."""
+        self._pause(machines, random.uniform(0.5, 2) * AWAY)
+
+    def _pause(self, machines, seconds):
         for machine in machines:
             self._fleet.signal(machine, signal.SIGSTOP)
-        time.sleep(random.uniform(0.5, 2) * AWAY)
+        time.sleep(seconds)
         for machine in machines:
             self._fleet.signal(machine, signal.SIGCONT)
 
@@ -220,11 +224,7 @@
         """Pauses gateways and resumes them with requests and changes queued in their sockets. They
         have no other fault, so that their behavior on resuming is checked."""
         seconds = random.uniform(*GATEWAY_PAUSE)
-        for machine in machines:
-            self._fleet.signal(machine, signal.SIGSTOP)
-        time.sleep(seconds)
-        for machine in machines:
-            self._fleet.signal(machine, signal.SIGCONT)
+        self._pause(machines, seconds)
         return f"{seconds:.1f} s"
 
     def step_clock(self, machines):
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -338,8 +338,12 @@
             self.wipe(self.on_machine(machine))
         return cut
 
-    def power_on(self, machines, cut):
-        """Starts the processes of machines in any order; they are reached from now on."""
+    def power_on(self, machines, cut, resets=True):
+        """Starts the processes of machines in any order; they are reached from now on. Connections
+        of their former life are reset as soon as something is sent on them, or, without `resets`,
+        stay silent."""
+        if not resets:
+            self._links.set("abandon", list(cut))
         nodes = [node for machine in machines for node in self.on_machine(machine)]
         for node in random.sample(nodes, len(nodes)):
             self.start_node(node)
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -39,6 +39,17 @@
         return int(self.gateway.rsplit(".", 1)[1])
 
 
+@dataclasses.dataclass
+class Submission:
+    """A trainer sent a step to a gateway; status 0 means no response in time."""
+
+    job: str
+    machine: int
+    sent: float
+    ended: float
+    status: int
+
+
 @dataclasses.dataclass
 class CrashingCall:
     """A caller sent a request that crashes the back ends that run it."""
--- a/test/soak/links.py
+++ b/test/soak/links.py
@@ -48,6 +48,8 @@
         self._listener = None
         # Open sockets by the direction of the data that they receive.
         self._writers = {FORTH: set(), BACK: set()}
+        # Sockets that stay open and pass nothing any more.
+        self._abandoned = set()
 
     async def start(self):
         """Listens on a free port."""
@@ -65,6 +67,14 @@
             for writer in writers:
                 set_silent(writer.get_extra_info("socket"), direction in cut)
 
+    def abandon(self):
+        """Leaves all open connections silent for good, without a reset or an end."""
+        for direction, writers in self._writers.items():
+            for writer in writers:
+                set_silent(writer.get_extra_info("socket"), True)
+                self._abandoned.add(writer)
+            writers.clear()
+
     async def _serve(self, reader, writer):
         self._add(FORTH, writer)
         try:
@@ -79,8 +89,8 @@
             await asyncio.gather(self._pump(reader, far_writer, FORTH),
                                  self._pump(far_reader, writer, BACK))
         finally:
-            self._writers[FORTH].remove(writer)
-            self._writers[BACK].remove(far_writer)
+            self._writers[FORTH].discard(writer)
+            self._writers[BACK].discard(far_writer)
             writer.transport.abort()
             far_writer.transport.abort()
 
@@ -95,6 +105,8 @@
                 # Data in transit waits until the link is healed.
                 while direction in self.cut:
                     await asyncio.sleep(0.02)
+                if writer in self._abandoned:
+                    await asyncio.Future()
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 writer.write(data)
@@ -128,6 +140,8 @@
         for pair in chosen:
             if name == "reset":
                 links[pair].reset()
+            elif name == "abandon":
+                links[pair].abandon()
             elif name == "cut":
                 links[pair].set_cut(value)
             else:
@@ -155,7 +169,8 @@
         self.ports = self._pipe.recv()
 
     def set(self, name, chosen, value=None):
-        """Sets `cut` (blocked directions) or `delay` of the chosen links, or resets them."""
+        """Sets `cut` (blocked directions) or `delay` of the chosen links, resets them or
+        abandons their connections."""
         with self._lock:
             self._pipe.send((name, list(chosen), value))
             self._pipe.recv()
--- a/test/soak/power_faults.py
+++ b/test/soak/power_faults.py
@@ -3,18 +3,18 @@
 import random
 import time
 
-from fault_times import AWAY, DOWN, REPLACED, WITHOUT_POWER
+from fault_times import AWAY, DOWN, REPLACED, SEARCH, WITHOUT_POWER
 
 
 class PowerFaults:
     """Part of `Faults`, which provides the members that this class uses."""
 
-    def power_off(self, machines, wipe=()):
+    def power_off(self, machines, wipe=(), resets=True):
         """Machines lose power and return after some seconds, with their disks except for `wipe`."""
         cut = self._fleet.power_off(machines, wipe)
         seconds = random.uniform(*WITHOUT_POWER)
         time.sleep(seconds)
-        self._fleet.power_on(machines, cut)
+        self._fleet.power_on(machines, cut, resets)
         return f"{seconds:.1f} s"
 
     def power_off_acknowledger(self, machines):
@@ -39,6 +39,15 @@
         wiped = [machine] if machine is not None and random.random() < 0.5 else []
         return f"{self.power_off(machines, wiped)}, wiped: {wiped}"
 
+    def power_off_stores_without_resets(self, machines):
+        """All machines with a disk lose power after an acknowledgement and keep their disks. The
+        connections that gateways had to them stay silent when they return. Each gateway has one to
+        each control node: before, they search for one that replies."""
+        self._pause(machines, SEARCH)
+        time.sleep(SEARCH)
+        self._next_acknowledger()
+        return self.power_off(machines, resets=False)
+
     def power_off_without_seeds(self, _):
         """The machines that all nodes are told of lose their disks one after the other, and return
         once others have replaced them; then all processes are killed at once."""
--- a/test/soak/routing_checks.py
+++ b/test/soak/routing_checks.py
@@ -11,7 +11,7 @@
 
 from documents import SCORE_ROUTE, service_of
 from history import Acknowledged, Call, OperatorCall, Confirmation, PendingRead, ReadBack, Run, \
-    Sent, Span, Started
+    Sent, Span, Started, Submission
 from row import Row
 
 # Bounds promised to users, in seconds.
@@ -27,7 +27,8 @@
 SCORING_TAKES = 1.5
 CUTS = ("cut_in_two", "cut_zones", "cut_zone", "part_acknowledger")
 # All control nodes lose their processes at once.
-ALL_KILLED = ("kill_all", "power_off_after_wipe", "power_off_stores", "power_off_without_seeds")
+ALL_KILLED = ("kill_all", "power_off_after_wipe", "power_off_stores",
+              "power_off_stores_without_resets", "power_off_without_seeds")
 STOPS = ("stop", "stop_several")
 # A paused gateway can detect the pause by its clock when it resumes. That its machine was
 # unreachable meanwhile does not excuse using a replaced version: the control nodes reply as soon as
@@ -195,6 +196,17 @@
     return row
 
 
+def check_submissions(history, connectivity):
+    """Gateways in touch respond to trainers that submit a step: the nodes with the jobs are
+    reached."""
+    row = Row("steps submitted get a response")
+    for submission in history.of(Submission):
+        if connectivity.gateway(submission.machine, submission.sent, submission.ended) \
+                and connectivity.all_stores(submission.sent, submission.ended):
+            row.case(submission.status != 0, submission)
+    return row
+
+
 def check_never_back(outcomes, versions, history):
     """Within one incarnation a gateway uses no version older than one it has used."""
     row = Row("a gateway never goes back")
@@ -307,7 +319,7 @@
     scorings = set().union(*(trainer.scorings for trainer in trainers))
     return [
         check_in_force(outcomes, versions, connectivity), check_confirmed(history, connectivity),
-        check_reads(history),
+        check_reads(history), check_submissions(history, connectivity),
         check_never_back(outcomes, versions, history),
         check_scorings(history, scorings, versions, connectivity),
         check_invalid(history), check_denied(history), check_added(outcomes, history, connectivity),
--- a/test/transport/tcp_peer_transport_test.cc
+++ b/test/transport/tcp_peer_transport_test.cc
@@ -1,8 +1,11 @@
 #include "transport/tcp_peer_transport.h"
 
+#include <linux/filter.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <condition_variable>
@@ -66,8 +69,9 @@
   void Send(const std::string& to, const std::string& payload) {
     executor_->PostAndWait([&] { transport_->Send(NodeId(to), {MessageKind::kCommand, payload}); });
   }
-  void Know(const Node& other, const std::string& name) {
-    executor_->PostAndWait([&] { transport_->SetAddress(NodeId(name), other.address()); });
+  void Know(const Node& other, const std::string& name) { Know(other.address(), name); }
+  void Know(const std::string& address, const std::string& name) {
+    executor_->PostAndWait([&] { transport_->SetAddress(NodeId(name), address); });
   }
   /// Waits until `count` messages have arrived.
   bool WaitFor(size_t count) {
@@ -235,6 +239,87 @@
   CHECK(again.received().back().payload == "second");
 }
 
+/// A peer whose connections can fall silent: packets are dropped without a reset.
+class SilentPeer {
+ public:
+  SilentPeer()
+      : acceptor_(io_, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+    const timeval limit{0, 100'000};
+    ::setsockopt(acceptor_.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  }
+  std::string address() const { return FormatEndpoint(acceptor_.local_endpoint()); }
+
+  /// Accepts a connection within `limit` and exchanges hellos; false if none came.
+  bool Accept(std::chrono::milliseconds limit) {
+    const auto until = std::chrono::steady_clock::now() + limit;
+    int accepted = -1;
+    while (accepted < 0 && std::chrono::steady_clock::now() < until) {
+      accepted = ::accept(acceptor_.native_handle(), nullptr, nullptr);
+    }
+    if (accepted < 0) return false;
+    sockets_.emplace_back(io_);
+    sockets_.back().assign(boost::asio::ip::tcp::v4(), accepted);
+    boost::asio::write(sockets_.back(), boost::asio::buffer(HelloFrame("b")));
+    return true;
+  }
+  /// Waits until `size` bytes were read from the last connection.
+  void Read(size_t size) {
+    std::string bytes(size, '\0');
+    boost::asio::read(sockets_.back(), boost::asio::buffer(bytes));
+  }
+  void FallSilent() {
+    std::array<sock_filter, 1> drop_all = {{{BPF_RET | BPF_K, 0, 0, 0}}};
+    const sock_fprog program{1, drop_all.data()};
+    REQUIRE(::setsockopt(sockets_.back().native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                         sizeof(program)) == 0);
+  }
+
+ private:
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::deque<boost::asio::ip::tcp::socket> sockets_;
+};
+
+/// Time in which nodes reach each other again after their machines have returned.
+constexpr seconds kContact{3};
+
+TEST_CASE("A peer that returned is not waited for on a connection that it no longer knows") {
+  Network network({.workers = 4});
+  SilentPeer peer;
+  Node node(network, "a");
+  node.Know(peer.address(), "b");
+  node.Send("b", "first");
+  REQUIRE(peer.Accept(seconds(5)));
+  peer.Read(1);
+  peer.FallSilent();
+  bool again = false;
+  const auto until = std::chrono::steady_clock::now() + kContact;
+  while (!again && std::chrono::steady_clock::now() < until) {
+    node.Send("b", "second");
+    again = peer.Accept(milliseconds(100));
+  }
+  CHECK(again);
+}
+
+TEST_CASE("An idle connection that the peer no longer knows is closed before it is needed") {
+  Network network({.workers = 4});
+  SilentPeer peer;
+  Node node(network, "a");
+  node.Know(peer.address(), "b");
+  node.Send("b", "first");
+  REQUIRE(peer.Accept(seconds(5)));
+  CHECK(node.WaitForStat("millstair_peer_connections", "", 1));
+  peer.Read(1);
+  // All bytes sent so far are acknowledged.
+  std::this_thread::sleep_for(milliseconds(100));
+  peer.FallSilent();
+  const auto until = std::chrono::steady_clock::now() + kContact;
+  while (node.Stat("millstair_peer_connections") > 0 && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  CHECK(node.Stat("millstair_peer_connections") == 0);
+}
+
 TEST_CASE("Wrong clusters, versions and names and invalid frames are refused and counted") {
   Network network;
   Node a(network, "a");
