transport: Bound the wait on connections that a returned machine does not know

What callers saw: routes and a leaving, both acknowledged, not in force at all gateways for 5.8 s and more; a job without a reply for 5 s.

Cause: after a loss of power the peers' connections stay open. The transport closed them 5 s after the first byte sent in vain, never if they were idle; it relied on a reset by the machine that returns, which need not come. Dials that had lost their packets waited 2 s, with pauses of up to 2 s. Class: a time-out of the transport above the bounds of what runs over it (a lease of 1.4 s, 3 s until a gateway counts as in touch).

Why it works: who sends notices within a lease, and dials again within 1.5 s of the return, without a reset.

That this is the reported cause is suspected.

--- a/source/server/node_options.cc
+++ b/source/server/node_options.cc
@@ -186,6 +186,8 @@
   options.max_frame_bytes = settings.limits.peer_frame;
   options.max_queue_bytes = settings.limits.peer_queue;
   options.max_queued_bytes = settings.limits.peer_queues;
+  // A lease cannot be renewed over a connection on which nothing is acknowledged for as long.
+  options.unacknowledged_timeout = ConfigurationTimingOf(settings.timing).lease;
   return options;
 }
 
--- a/source/transport/peer_hub.cc
+++ b/source/transport/peer_hub.cc
@@ -35,15 +35,29 @@
 /// Minimum interval between log lines about messages dropped for one peer.
 constexpr std::chrono::seconds kDropLogInterval{10};
 
-/// Sets TCP options that detect an unreachable peer within `timeout`.
+/// An idle connection is probed after this time, and then at this interval. The smallest that the
+/// kernel takes.
+constexpr std::chrono::seconds kProbeInterval{1};
+
+void SetTcpOption(PeerHub::Tcp::socket& socket, int option, int64_t value) {
+  const auto number = static_cast<int>(value);
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, option, &number, sizeof(number));
+}
+
+/// Has the kernel end the connection if the peer's machine acknowledges nothing for `timeout`.
 void SetSocketOptions(PeerHub::Tcp::socket& socket, Duration timeout) {
   boost::system::error_code ignored;
   socket.set_option(PeerHub::Tcp::no_delay(true), ignored);
+  SetTcpOption(socket, TCP_USER_TIMEOUT, ToMilliseconds(timeout));
+}
+
+/// Has the kernel probe the connection while it is idle. Done by the node that dialled: the other
+/// one is dialled again by a peer that returned.
+void ProbeWhileIdle(PeerHub::Tcp::socket& socket) {
+  boost::system::error_code ignored;
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
-  const auto milliseconds =
-      static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
-  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds,
-               sizeof(milliseconds));
+  SetTcpOption(socket, TCP_KEEPIDLE, kProbeInterval.count());
+  SetTcpOption(socket, TCP_KEEPINTVL, kProbeInterval.count());
 }
 
 }  // namespace
@@ -197,7 +211,7 @@
 
 asio::awaitable<void> PeerHub::ServeAccepted(ConnectionPointer connection) {
   const auto self = shared_from_this();
-  SetSocketOptions(connection->socket, options_.write_timeout);
+  SetSocketOptions(connection->socket, options_.unacknowledged_timeout);
   const bool hello_accepted = co_await ReadHello(connection) && co_await SendHello(connection);
   if (!hello_accepted || stopped_) {
     Forget(connection);
@@ -243,7 +257,8 @@
   const auto [error] = co_await connection->socket.async_connect(*endpoint, kUseTuple);
   connection->watchdog.cancel();
   if (!error && !connection->closed) {
-    SetSocketOptions(connection->socket, options_.write_timeout);
+    SetSocketOptions(connection->socket, options_.unacknowledged_timeout);
+    ProbeWhileIdle(connection->socket);
     if (co_await SendHello(connection) && co_await ReadHello(connection)) co_return connection;
   }
   Forget(connection);
--- a/source/transport/tcp_peer_transport.h
+++ b/source/transport/tcp_peer_transport.h
@@ -34,13 +34,19 @@
   /// Maximum bytes queued for all peers together.
   size_t max_queued_bytes = 64 * 1024 * 1024;
   size_t max_queue_messages = 16384;
-  Duration connect_timeout = std::chrono::seconds(2);
+  /// Together with `max_backoff` this bounds how long a machine that returns is not dialled: its
+  /// first packets may have been lost before.
+  Duration connect_timeout = std::chrono::seconds(1);
   Duration hello_timeout = std::chrono::seconds(3);
+  /// A connection is closed if the peer's machine acknowledges nothing for this long, neither bytes
+  /// sent nor probes of an idle connection. One that has lost power and returned may not reset the
+  /// connections of its former life.
+  Duration unacknowledged_timeout = std::chrono::milliseconds(1500);
   /// A connection whose write takes longer is closed.
   Duration write_timeout = std::chrono::seconds(5);
   /// Delay before the next attempt to connect: doubles from min to max, with jitter.
   Duration min_backoff = std::chrono::milliseconds(50);
-  Duration max_backoff = std::chrono::seconds(2);
+  Duration max_backoff = std::chrono::milliseconds(500);
 };
 
 class PeerHub;
