http: Give up a response whose framing never ends

Cause: the parser keeps a line of the framing until it is whole, and trailers until their end; the header limit counts only the head, and the read buffer had no bound.

Change: the read buffer is bounded by the header limit and one read. All calls to servers use this caller: plain requests, streams, items, scorers, weight stores, engines.

--- a/source/http/beast_http_caller.cc
+++ b/source/http/beast_http_caller.cc
@@ -131,7 +131,10 @@
     parser.header_limit(static_cast<uint32_t>(pool_->options().max_header_bytes));
     parser.body_limit(boost::none);
     if (request_.method == "HEAD") parser.skip(true);
-    boost::beast::flat_buffer buffer;
+    // The parser keeps a line of a head or of the framing of chunks until it is whole, and trailers
+    // until their end.
+    boost::beast::flat_buffer buffer(pool_->options().max_header_bytes +
+                                     pool_->options().read_bytes);
     if (!co_await ReadHead(buffer, parser)) co_return;
     if (!co_await ReadBody(buffer, parser)) co_return;
     if (parser.get().keep_alive() && buffer.size() == 0) Keep(parser.get().result_int());
--- a/source/http/beast_http_caller.h
+++ b/source/http/beast_http_caller.h
@@ -40,6 +40,7 @@
   /// A call that ends without a byte of a response after less than this doesn't show that its back
   /// end is silent; most such calls are cancelled because their callers left.
   Duration min_silence = std::chrono::milliseconds(100);
+  /// Also bounds the trailers of a response, and the size and extension of a chunk.
   size_t max_header_bytes = 64 * 1024;
   /// Maximum bytes of a response that are read at once.
   size_t read_bytes = 16 * 1024;
--- a/test/http/http_caller_test.cc
+++ b/test/http/http_caller_test.cc
@@ -560,5 +560,73 @@
   CHECK(observer.failure() == CallFailure::kUnknown);
 }
 
+constexpr size_t kPieceBytes = 64 * 1024;
+constexpr size_t kEndless = 64 * 1024 * 1024;
+/// What a call may take of an endless answer: its own limit, and buffers of both sockets.
+constexpr size_t kMaxTaken = 16 * 1024 * 1024;
+
+/// Sends `begin`, then `piece` until the peer closes or kEndless bytes were sent; returns the
+/// number.
+size_t SendEndlessly(Tcp::socket& socket, const std::string& begin, const std::string& piece) {
+  RawServer::Write(socket, begin);
+  std::string pieces;
+  while (pieces.size() < kPieceBytes) pieces += piece;
+  size_t sent = 0;
+  boost::system::error_code error;
+  while (!error && sent < kEndless) {
+    sent += boost::asio::write(socket, boost::asio::buffer(pieces), error);
+  }
+  return sent;
+}
+
+// Guards against a gateway that ends because a server's answer has a line without an end.
+TEST_CASE("An answer whose head or framing never ends is given up") {
+  struct Form {
+    std::string begin;
+    std::string piece;
+  };
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const Form form = GENERATE_COPY(
+      Form{"", "x"}, Form{"HTTP/1.1 200 ", "x"}, Form{"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+      Form{"HTTP/1.1 200 OK\r\nName: ", "x"}, Form{chunked, "0"}, Form{chunked, "x"},
+      Form{chunked + "2;", "x"}, Form{chunked + "2;a=\"", "x"}, Form{chunked + "2\r\nok", "x"},
+      Form{chunked + "2\r\nok\r\n0\r\n", "Name: value\r\n"},
+      Form{chunked + "2\r\nok\r\n0\r\n", "x"}, Form{chunked + "2\r\nok\r\n0\r\nName: ", "x"});
+  CAPTURE(form.begin, form.piece);
+  std::promise<size_t> taken;
+  RawServer server([&](Tcp::socket& socket, int number) {
+    if (number > 0) return;
+    RawServer::ReadRequest(socket);
+    taken.set_value(SendEndlessly(socket, form.begin, form.piece));
+  });
+  Client client;
+  RecordingObserver observer;
+  client.Call(server.address(), observer);
+  CHECK_FALSE(observer.finished());
+  CHECK(taken.get_future().get() < kMaxTaken);
+}
+
+TEST_CASE("An answer that is cut anywhere before its end is no whole one") {
+  const std::string whole =
+      GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nStamp: s\r\n\r\nok",
+               "HTTP/1.1 200 OK\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "2;a=b\r\nok\r\n0\r\nT: v\r\n\r\n");
+  HttpCallerOptions options;
+  options.until_close = true;
+  Client client(options);
+  for (size_t end = 0; end < whole.size(); ++end) {
+    CAPTURE(end);
+    RawServer server([&](Tcp::socket& socket, int number) {
+      if (number > 0) return;
+      RawServer::ReadRequest(socket);
+      RawServer::Write(socket, whole.substr(0, end));
+      socket.shutdown(Tcp::socket::shutdown_both);
+    });
+    RecordingObserver observer;
+    client.Call(server.address(), observer);
+    CHECK_FALSE(observer.finished());
+  }
+}
+
 }  // namespace
 }  // namespace millstair
