http, rollout: Give up small exchanges whose answer never ends

Cause: BoundedCall (loads, usage reports, orders of servers) and SampleScorer kept each byte of an answer until their time was over; a body without end, of a legal framing, is as many bytes as the network carries in seconds.

Change: an exchange is given up at 1 MiB, a score at the 4 KiB above which it was refused before at its end. A failed attempt at a score drops its call at once, instead of with the next attempt.

The scorer has no test of its own for this.

--- a/source/http/bounded_call.cc
+++ b/source/http/bounded_call.cc
@@ -3,6 +3,11 @@
 #include <utility>
 
 namespace millstair {
+namespace {
+
+constexpr size_t kMaxAnswerBytes = 1024 * 1024;
+
+}  // namespace
 
 BoundedCall::BoundedCall(Environment& environment, Duration limit, Callback done)
     : environment_(environment), timeout_(limit), done_(std::move(done)), timer_(environment) {}
@@ -12,6 +17,13 @@
   handle_ = http.Start(address, std::move(request), *this);
 }
 
+void BoundedCall::OnBody(std::string bytes) {
+  body_ += bytes;
+  if (body_.size() <= kMaxAnswerBytes) return;
+  body_.clear();
+  End(0);
+}
+
 void BoundedCall::End(int status) {
   if (!done_) return;
   timer_.Cancel();
--- a/source/http/bounded_call.h
+++ b/source/http/bounded_call.h
@@ -11,7 +11,8 @@
 
 namespace millstair {
 
-/// Lives on the node's serial executor. Destroying it cancels the exchange.
+/// Lives on the node's serial executor. Destroying it cancels the exchange. An answer above 1 MiB
+/// is given up like one that is cut.
 class BoundedCall : public HttpCallObserver {
  public:
   /// Status 0 means that no complete response was received.
@@ -23,7 +24,7 @@
   void Start(HttpCaller& http, const std::string& address, HttpRequest request);
 
   void OnHead(const HttpResponseHead& head) override { status_ = head.status; }
-  void OnBody(std::string bytes) override { body_ += bytes; }
+  void OnBody(std::string bytes) override;
   void OnFinished() override { End(status_); }
   void OnFailed(CallFailure, const std::string&) override { End(0); }
 
--- a/source/rollout/sample_scorer.cc
+++ b/source/rollout/sample_scorer.cc
@@ -49,9 +49,13 @@
   call_ = http_.Start(address_, std::move(request), *this);
 }
 
+void SampleScorer::OnBody(std::string bytes) {
+  body_ += bytes;
+  if (body_.size() > kMaxResponseBytes) Retry("the response is too long");
+}
+
 void SampleScorer::OnFinished() {
-  const std::optional<double> score =
-      status_ == kOk && body_.size() <= kMaxResponseBytes ? ParseScore(body_) : std::nullopt;
+  const std::optional<double> score = status_ == kOk ? ParseScore(body_) : std::nullopt;
   if (!score) return Retry("response holds no valid score");
   End(*score);
 }
@@ -59,6 +63,7 @@
 void SampleScorer::OnFailed(CallFailure, const std::string& reason) { Retry(reason); }
 
 void SampleScorer::Retry(const std::string& reason) {
+  call_.reset();
   if (attempts_ >= kMaxAttempts) return End(absl::UnavailableError("scorer: " + reason));
   const Duration backoff = std::min(kInitialBackoff * (1 << attempts_), kMaxBackoff);
   const Duration delay = DrawDuration(environment_.Random(), backoff / 2, backoff);
--- a/source/rollout/sample_scorer.h
+++ b/source/rollout/sample_scorer.h
@@ -25,7 +25,7 @@
 
  private:
   void OnHead(const HttpResponseHead& head) override { status_ = head.status; }
-  void OnBody(std::string bytes) override { body_ += bytes; }
+  void OnBody(std::string bytes) override;
   void OnFinished() override;
   void OnFailed(CallFailure failure, const std::string& reason) override;
   void StartAttempt();
--- a/test/http/http_engine_client_test.cc
+++ b/test/http/http_engine_client_test.cc
@@ -7,35 +7,13 @@
 #include "common/virtual_environment.h"
 #include "engine/engine_codec.h"
 #include "http/outcome.h"
+#include "http/scripted_caller.h"
 
 namespace millstair {
 namespace {
 
 using std::chrono::seconds;
-
-/// An HttpCaller whose responses are provided by the test.
-class ScriptedCaller : public HttpCaller {
- public:
-  std::unique_ptr<CallHandle> Start(const std::string& address, HttpRequest request,
-                                    HttpCallObserver& call_observer) override {
-    last_address = address;
-    last_request = std::move(request);
-    observer = &call_observer;
-    return std::make_unique<Handle>(*this);
-  }
-
-  std::string last_address;
-  HttpRequest last_request;
-  HttpCallObserver* observer = nullptr;
-  int dropped = 0;
-
- private:
-  struct Handle : CallHandle {
-    explicit Handle(ScriptedCaller& owner) : caller(owner) {}
-    ~Handle() override { ++caller.dropped; }
-    ScriptedCaller& caller;
-  };
-};
+using testing::ScriptedCaller;
 
 struct Recorder : GenerateObserver {
   void OnChunk(const GenerateChunk& chunk) override { chunks.push_back(chunk); }
