jobs: Give up an engine's stream whose event never ends

Cause: an item's run keeps the bytes of an event until it ends, and each byte renews its stall time. An engine that sends bytes without an end of an event takes its storage node above its memory.

Measured: item_run_test "A stream whose event never ends is given up" failed before (16 MiB were taken, the call was not cancelled) and passes now; jobs_test passes but for its known red test. Not bounded: many whole events of one item.

--- a/source/jobs/item_run.cc
+++ b/source/jobs/item_run.cc
@@ -10,6 +10,8 @@
 constexpr int kOk = 200;
 constexpr int kUnprocessableEntity = 422;
 constexpr int kInternalServerError = 500;
+/// One event that has not ended; a storage node runs hundreds of items at a time.
+constexpr size_t kMaxEventBytes = 1024 * 1024;
 
 BackendEnd BackendEndOf(ItemRunEnd end) {
   switch (end) {
@@ -105,6 +107,9 @@
   for (const std::string& lines : splitter_.Append(bytes)) {
     if (!HandleEvent(lines)) return;
   }
+  if (splitter_.partial_bytes() > kMaxEventBytes) {
+    End(ItemRunEnd::kBroken, "an event of the stream is too long");
+  }
 }
 
 bool ItemRun::HandleEvent(const std::string& lines) {
--- a/test/jobs/item_run_test.cc
+++ b/test/jobs/item_run_test.cc
@@ -75,6 +75,20 @@
   CHECK(fixture.progress.text == "one");
 }
 
+// Guards against a storage node that ends because an event of an engine has no end.
+TEST_CASE("A stream whose event never ends is given up") {
+  constexpr size_t kPieces = 256;
+  Fixture fixture;
+  std::vector<std::string> pieces(kPieces, std::string(64 * 1024, 'x'));
+  pieces.insert(pieces.begin(), "1||one\n\n");
+  FakeAnswer answer = Stream(std::move(pieces));
+  answer.gap = milliseconds(1);
+  fixture.Run(answer);
+  CHECK(fixture.end == ItemRunEnd::kBroken);
+  CHECK(fixture.progress.text == "one");
+  CHECK(fixture.backends.calls[0]->cancelled);
+}
+
 TEST_CASE("A missing or duplicate event ends the run, and the text stays valid") {
   for (const char* second : {"3||three\n\n", "1||one\n\n"}) {
     Fixture fixture;
