--- a/test/platform/ingress_request_handler_test.cc
+++ b/test/platform/ingress_request_handler_test.cc
@@ -48,6 +48,28 @@
   CHECK(fixture.backends.calls.size() == 1);
 }
 
+// Guards against calls about jobs that come late in a planned stop and are cut at its end.
+TEST_CASE("A node that stops takes a call about a job only if it is answered before the end") {
+  IngressHandlerFixture fixture;
+  fixture.Start();
+  int commands = 0;
+  fixture.control.job_leader = [&commands](const GroupCommand&) {
+    ++commands;
+    GroupCommandReply refused;
+    refused.status = absl::StatusCode::kInternal;
+    return refused;
+  };
+  fixture.node->SetLeaving(fixture.environment.Now() + seconds(3));
+  fixture.Request("GET", "/v1/lots/a?since_rev=0", "key-1");
+  CHECK(commands == 1);
+  fixture.scheduler.RunFor(seconds(2));
+  CHECK(fixture.Request("POST", "/j/x", "key-1", "{}").status == 503);
+  CHECK(fixture.Request("GET", "/v1/lots/a?since_rev=0", "key-1").status == 503);
+  CHECK(fixture.Request("GET", "/v1/items/a?id=b", "key-1").status == 503);
+  CHECK(fixture.Request("DELETE", "/v1/lots/a", "key-1").status == 503);
+  CHECK(commands == 1);
+}
+
 TEST_CASE("Without a valid key only public routes are served") {
   IngressHandlerFixture fixture;
   fixture.Start();
