http: Bound a document by the memory that is left instead of 8 MiB

Cause: the values of a document had a fixed bound, 8 MiB beside the text, whatever the process had left.

Change: a third of what the process has left of three quarters of its memory, and four times the text and 1 MiB at most. Above the first it is answered 503 (memory-short), above the second 400, as before.

--- a/source/http/json_body.cc
+++ b/source/http/json_body.cc
@@ -1,6 +1,10 @@
 #include "http/json_body.h"
 
+#include <algorithm>
+#include <cstdint>
+#include <mutex>
 #include <new>
+#include <utility>
 
 #include "boost/json/memory_resource.hpp"
 #include "boost/json/parser.hpp"
@@ -9,6 +13,21 @@
 namespace millstair {
 namespace {
 
+/// Values of a text may take this many times its size, and `kFreeBytes` more.
+constexpr size_t kMaxGrowth = 4;
+constexpr size_t kFreeBytes = 1024 * 1024;
+/// A document may take this part of the memory that is left.
+constexpr size_t kPartOfMemory = 3;
+
+std::mutex left_mutex;
+/// Guarded by `left_mutex`.
+std::function<size_t()> memory_left;
+
+std::function<size_t()> MemoryLeft() {
+  const std::lock_guard<std::mutex> lock(left_mutex);
+  return memory_left;
+}
+
 /// Takes memory from the heap up to a limit.
 class LimitedResource final : public boost::json::memory_resource {
  public:
@@ -35,17 +54,27 @@
 
 }  // namespace
 
+void SetJsonMemory(std::function<size_t()> left) {
+  const std::lock_guard<std::mutex> lock(left_mutex);
+  memory_left = std::move(left);
+}
+
 boost::json::value ParseJsonBody(std::string_view text, boost::system::error_code& error) {
   // The parser keeps the values of unfinished lists in memory of its own, which counts as well.
+  const std::function<size_t()> left = MemoryLeft();
+  const size_t by_text = text.size() * kMaxGrowth + kFreeBytes;
+  const size_t by_memory = left ? left() / kPartOfMemory : SIZE_MAX;
   const auto memory =
-      boost::json::make_shared_resource<LimitedResource>(text.size() + kMaxJsonOverhead);
+      boost::json::make_shared_resource<LimitedResource>(std::min(by_text, by_memory));
   try {
     boost::json::parser parser(memory);
     parser.reset(memory);
     parser.write(text.data(), text.size(), error);
     return error ? boost::json::value(nullptr) : parser.release();
   } catch (const std::bad_alloc&) {
-    error = boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
+    error = boost::system::errc::make_error_code(by_memory < by_text
+                                                     ? boost::system::errc::not_enough_memory
+                                                     : boost::system::errc::value_too_large);
     return nullptr;
   }
 }
--- a/source/http/json_body.h
+++ b/source/http/json_body.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <string_view>
 
 #include "boost/json/value.hpp"
@@ -12,11 +13,17 @@
 
 namespace millstair {
 
-/// Memory that a document may take beside that of its text. A text of members with short values
-/// takes three times its size, so this is met only from about 4 MiB of such members on.
-inline constexpr size_t kMaxJsonOverhead = 8 * 1024 * 1024;
+/// Sets what returns the bytes that the process has left now, for the whole process, as the heap is
+/// the whole process's. Empty at first: then the memory is not considered. Thread-safe; `left` is
+/// called on the threads that parse.
+///
+/// A document may take a third of what is left: what is made of it takes up to twice as much again.
+/// It may also take four times its text and 1 MiB at most, whatever is left. Those of members with
+/// short values take three to four times their text, lists of empty values twenty times.
+void SetJsonMemory(std::function<size_t()> left);
 
-/// `error` is set if `text` is not JSON, or to not_enough_memory if its values take too much.
+/// `error` is set if `text` is not JSON, to value_too_large if its values take too much for its
+/// text, and to not_enough_memory if the process has too little left now.
 boost::json::value ParseJsonBody(std::string_view text, boost::system::error_code& error);
 
 }  // namespace millstair
--- a/source/server/node_options.cc
+++ b/source/server/node_options.cc
@@ -8,10 +8,8 @@
 /// Responses take up to one such part of the memory and bodies of requests another. The rest is for
 /// the program, its configuration and its connections.
 constexpr uint64_t kProcessMemoryPerHeldByte = 4;
-/// Part of the process memory that the connections of callers may take: their objects, what is read
-/// without a claim, and what the kernel has taken for them.
+/// Part of the process memory that the connections of callers may take.
 constexpr uint64_t kMemoryPerConnectionByte = 8;
-constexpr uint64_t kConnectionBytes = 16 * 1024;
 /// The kernel counts the overhead of segments as well, and takes about this much.
 constexpr size_t kReceiveBufferBytes = 8 * 1024;
 /// Descriptors for files, listeners and peers.
@@ -205,6 +203,11 @@
   return options;
 }
 
+size_t MemoryForClients(const ServerSettings& settings) {
+  // The rest is for the program, its state and its peers.
+  return settings.limits.process_memory / 4 * 3;
+}
+
 ConnectionLimitOptions ConnectionLimitOptionsOf(const ServerSettings& settings,
                                                 uint64_t descriptors) {
   ConnectionLimitOptions options;
--- a/source/server/node_options.h
+++ b/source/server/node_options.h
@@ -26,6 +26,11 @@
 PeerTransportOptions TransportOptionsOf(const ServerSettings& settings, Incarnation incarnation);
 HeldBytesOptions HeldBytesOptionsOf(const ServerSettings& settings);
 RequestMemoryOptions RequestMemoryOptionsOf(const ServerSettings& settings);
+/// Memory of the process for all that clients have it hold.
+size_t MemoryForClients(const ServerSettings& settings);
+/// Memory of one connection of a client: its objects, what is read without a claim, and what the
+/// kernel has taken for it.
+inline constexpr uint64_t kConnectionBytes = 16 * 1024;
 /// `descriptors`: how many the process may open; 0 if that is not known.
 ConnectionLimitOptions ConnectionLimitOptionsOf(const ServerSettings& settings,
                                                 uint64_t descriptors);
--- a/source/server/server_node.cc
+++ b/source/server/server_node.cc
@@ -9,6 +9,7 @@
 
 #include "common/event_log.h"
 #include "duties/usage_report_task.h"
+#include "http/json_body.h"
 #include "jobs/job_group_bootstrapper.h"
 #include "platform/platform.h"
 #include "rollout/stream_factory.h"
@@ -75,6 +76,14 @@
   connection_limit_ = std::make_shared<ConnectionLimit>(
       ConnectionLimitOptionsOf(settings_, DescriptorLimit(settings_)), &stats_);
   request_memory_ = std::make_shared<RequestMemory>(RequestMemoryOptionsOf(settings_), &stats_);
+  if (settings_.limits.process_memory > 0) {
+    SetJsonMemory([for_clients = MemoryForClients(settings_), held = held_bytes_,
+                   requests = request_memory_, connections = connection_limit_] {
+      const size_t used =
+          held->total() + requests->total() + connections->taken() * kConnectionBytes;
+      return for_clients - std::min(for_clients, used);
+    });
+  }
   caller_ = std::make_unique<BeastHttpCaller>(runtime_, executor_, HttpCallerOptionsOf(settings_),
                                               &stats_);
   back_ends_ = std::make_unique<RoutedHttpCaller>(*caller_, AddressRoutes(settings_.routes));
--- a/source/settings/settings_schema.cc
+++ b/source/settings/settings_schema.cc
@@ -278,8 +278,9 @@
             "fifth of them at most. 0 takes the limit that the system sets."),
       Limit("limits.process_memory", Kind::kSize, &L::process_memory, 0, 1024 * 1024 * kMiB,
             "Memory of the process; responses held for callers take a quarter of it at most, "
-            "requests another, connections an eighth, and items of jobs a quarter of it where they "
-            "are replicated. 0 sets no bound."),
+            "requests another, connections an eighth, a document a third of what is left of "
+            "three quarters, and items of jobs a quarter of it where they are replicated. 0 sets "
+            "no bound."),
       Limit("limits.peer_frame", Kind::kSize, &L::peer_frame, 64 * kKiB, 64 * kMiB,
             "One message between nodes."),
       Limit("limits.peer_queue", Kind::kSize, &L::peer_queue, 64 * kKiB, 1024 * kMiB,
--- a/test/soak/misbehaving_clients.py
+++ b/test/soak/misbehaving_clients.py
@@ -37,6 +37,8 @@
 # Of the descriptors of such a machine, this many are not for connections.
 DESCRIPTORS, RESERVED_DESCRIPTORS = 3075, 200
 LARGEST_BODY = 32 * MIB
+# About 25,000 items with short fields, which take three times their text once they are read.
+SMALL_ITEMS_JOB = 8 * MIB
 WATCH_PAUSE = 0.03
 MORE_ROUTES = 1000
 # Waits for a crowd, for an answer to an ordinary request, and for one try of it, in seconds.
@@ -119,6 +121,22 @@
                        "requests": requests}).encode()
 
 
+def job_of_small_items(size):
+    """The document of a job of about `size` bytes, all of it items like those of the pages."""
+    count = size // len(json.dumps(small_item(0)))
+    return json.dumps({"step": 1, "model": "writer", "desired": 1, "min_version": 0,
+                       "requests": [small_item(number) for number in range(count)]}).encode()
+
+
+def small_item(number):
+    """An item of a job with all its fields, each of them short."""
+    return {"id": f"{number:016x}", "path": "/jobs/x",
+            "headers": {"Model": "writer", "Tokens": "540,400", "Prefix-Hash": "9c2e41:300"},
+            "body": "q83vEjRWeJA=", "tokens": 940, "group": f"g{number // 8}",
+            "scorer": {"id": f"{number:016x}", "host": HOST, "path": "/pages/5e07",
+                       "body": "3q2+7w=="}}
+
+
 def growing_text(size):
     """A JSON document of `size` bytes with as many values as fit."""
     start = b'{"requests":['
@@ -314,10 +332,20 @@
 
 ORDINARY = {"gateway": (("GET", PAGES, None), ("POST", PAGES, b"m" * 2 * KIB)),
             "control": (("GET", "/v1/Config.Get", None),)}
-CALM = {"gateway": (*ORDINARY["gateway"], ("POST", PAGES, b"m" * LARGEST_BODY)),
+# The largest legal body, with a length and in chunks (http.client sends pieces as chunks).
+CALM = {"gateway": (*ORDINARY["gateway"], ("POST", PAGES, b"m" * LARGEST_BODY),
+                    ("POST", PAGES, [b"m" * MIB] * (LARGEST_BODY // MIB))),
         "control": ORDINARY["control"]}
 
 
+def check_calm_job(fleet, checks):
+    """A legal job of many small items, alone."""
+    taken = submit_job(fleet, new_id(), job_of_small_items(SMALL_ITEMS_JOB))
+    ended = [node.name for node in fleet.exited_unexpectedly()]
+    checks.check("a large job of small items is taken in calm", taken and not ended,
+                 f"{taken}, ended {ended}")
+
+
 def await_crowd(crowd, node):
     """Waits until the crowd has sent all it can."""
     until, quiet_since, busy = now() + CROWD_LIMIT, now(), crowd.busy
@@ -409,6 +437,9 @@
             if not play(site.fleet, case, checks):
                 site.end(False)
                 site = None
+        if not arguments.only:
+            site = site or Site(arguments.program)
+            check_calm_job(site.fleet, checks)
     finally:
         if site is not None:
             site.end(all(checks.outcomes))
