--- a/test/transport/tcp_peer_transport_test.cc
+++ b/test/transport/tcp_peer_transport_test.cc
@@ -280,6 +280,13 @@
   std::deque<boost::asio::ip::tcp::socket> sockets_;
 };
 
+void Connect(Node& node, SilentPeer& peer) {
+  node.Know(peer.address(), "b");
+  node.Send("b", "first");
+  REQUIRE(peer.Accept(seconds(5)));
+  peer.Read(1);
+}
+
 /// Time in which nodes reach each other again after their machines have returned.
 constexpr seconds kContact{3};
 
@@ -287,10 +294,7 @@
   Network network({.workers = 4});
   SilentPeer peer;
   Node node(network, "a");
-  node.Know(peer.address(), "b");
-  node.Send("b", "first");
-  REQUIRE(peer.Accept(seconds(5)));
-  peer.Read(1);
+  Connect(node, peer);
   peer.FallSilent();
   bool again = false;
   const auto until = std::chrono::steady_clock::now() + kContact;
@@ -305,11 +309,8 @@
   Network network({.workers = 4});
   SilentPeer peer;
   Node node(network, "a");
-  node.Know(peer.address(), "b");
-  node.Send("b", "first");
-  REQUIRE(peer.Accept(seconds(5)));
+  Connect(node, peer);
   CHECK(node.WaitForStat("millstair_peer_connections", "", 1));
-  peer.Read(1);
   // All bytes sent so far are acknowledged.
   std::this_thread::sleep_for(milliseconds(100));
   peer.FallSilent();
