Tests: A request that waits for a confirmation while its node stops

Shows what happens: the time that is left is judged after the wait (200 ms), so a request that would no longer end is rejected and not sent. It passes on the code as it is; platform_test passes.

--- a/test/platform/paused_gateway_test.cc
+++ b/test/platform/paused_gateway_test.cc
@@ -121,6 +121,22 @@
   CHECK(gateway.Attempts() == 2);
 }
 
+// Guards against requests that wait for a confirmation in a planned stop and are cut at its end.
+TEST_CASE("A node that stops judges a request by the time that is left after its wait") {
+  constexpr milliseconds kTimeLimit(800);
+  constexpr milliseconds kWait(200);
+  for (const bool ends_in_time : {true, false}) {
+    PausedGatewayFixture gateway;
+    gateway.PauseDuring([&] { gateway.control.isolated = true; });
+    const milliseconds left = kTimeLimit + kWait + milliseconds(ends_in_time ? 100 : -100);
+    gateway.node->SetLeaving(gateway.environment.Now() + left);
+    const auto answer = gateway.Send("POST", "/p/x", "key-1");
+    gateway.scheduler.RunFor(seconds(1));
+    CHECK(answer->status == (ends_in_time ? 200 : 503));
+    CHECK(gateway.backends.calls.size() == (ends_in_time ? 1 : 0));
+  }
+}
+
 TEST_CASE("A gateway that is isolated after a pause soon serves by its last configuration") {
   PausedGatewayFixture gateway;
   gateway.PauseDuring([&] { gateway.control.isolated = true; });
