--- a/test/platform/server_protocol_test.cc
+++ b/test/platform/server_protocol_test.cc
@@ -138,5 +138,13 @@
       R"({"total":3,"next_token":3,"results":[{"id":"a","state":"done","message":"x\ny","versions":[6],"score":"sig"},{"id":"b","state":"down","message":""}]})");
 }
 
+// Guards against a storage node that ends because a server's report grows as it is parsed.
+TEST_CASE("A report whose values take many times its text is none") {
+  std::string body = R"({"seq":1,"models":[],"more":[)";
+  for (int number = 0; number < 1024 * 1024; ++number) body += "[],";
+  body += "[]]}";
+  CHECK_FALSE(ServerProtocol().ReadReport(body).ok());
+}
+
 }  // namespace
 }  // namespace millstair::platform
