--- a/source/transport/tcp_peer_transport.h
+++ b/source/transport/tcp_peer_transport.h
@@ -39,8 +39,8 @@
   Duration connect_timeout = std::chrono::seconds(1);
   Duration hello_timeout = std::chrono::seconds(3);
   /// A connection is closed if the peer's machine acknowledges nothing for this long, neither bytes
-  /// sent nor probes of an idle connection. One that has lost power and returned may not reset the
-  /// connections of its former life.
+  /// sent nor probes of an idle connection. After a loss of power a machine need not reset the
+  /// connections that it had before.
   Duration unacknowledged_timeout = std::chrono::milliseconds(1500);
   /// A connection whose write takes longer is closed.
   Duration write_timeout = std::chrono::seconds(5);
