--- a/source/consensus/group_replica.cc
+++ b/source/consensus/group_replica.cc
@@ -145,6 +145,7 @@
     return Answer(std::move(done), absl::StatusOr<std::string>(position.status()));
   }
   PendingProposal pending{position->term, Deadline(), std::move(done)};
+  uncommitted_.push_back({position->index, context_.environment.Now()});
   // A proposal may be pending at this index if leadership was lost and regained since `UpdateRole`.
   std::swap(proposals_[position->index], pending);
   Answer(std::move(pending.done),
@@ -152,6 +153,11 @@
   context_.wake();
 }
 
+Duration GroupReplica::UncommittedFor() const {
+  if (!IsLeader() || uncommitted_.empty()) return Duration(0);
+  return context_.environment.Now() - uncommitted_.front().proposed_at;
+}
+
 void GroupReplica::AwaitMembershipChange(absl::StatusOr<LogPosition> position,
                                          StatusCallback done) {
   AwaitCommit(std::move(position),
@@ -296,6 +302,7 @@
   if (entry.type == EntryType::kCommand) result = machine_->Apply(entry.index, *entry.payload);
   applied_ = entry.index;
   applied_bytes_ += entry.payload->size();
+  while (!uncommitted_.empty() && uncommitted_.front().index <= applied_) uncommitted_.pop_front();
   const auto it = proposals_.find(entry.index);
   if (it == proposals_.end()) return;
   PendingProposal pending = std::move(it->second);
@@ -392,6 +399,7 @@
              absl::StatusOr<std::string>(absl::UnavailableError("leadership was lost")));
     }
     proposals_.clear();
+    uncommitted_.clear();
   }
   if (was_leader_ != leads) {
     LogEvent(leads ? EventId::kLeadershipGained : EventId::kLeadershipLost, "group={} term={}", id_,
@@ -458,6 +466,7 @@
     Answer(std::move(pending.done), absl::StatusOr<std::string>(status));
   }
   proposals_.clear();
+  uncommitted_.clear();
   for (auto& [ticket, pending] : reads_) {
     Answer(std::move(pending.done), absl::StatusOr<LogIndex>(status));
   }
--- a/source/consensus/group_replica.h
+++ b/source/consensus/group_replica.h
@@ -87,6 +87,7 @@
   bool IsUnresponsive(ReplicaId replica, TimePoint since) const override {
     return failure_.ok() && core_->IsUnresponsive(replica, since);
   }
+  Duration UncommittedFor() const override;
   const absl::Status& Failure() const override { return failure_; }
   void Propose(std::string command, std::function<void(absl::StatusOr<std::string>)> done) override;
   void ConfirmRead(std::function<void(absl::StatusOr<LogIndex>)> done) override;
@@ -104,6 +105,10 @@
     TimePoint deadline;
     ProposeCallback done;
   };
+  struct UncommittedProposal {
+    LogIndex index;
+    TimePoint proposed_at;
+  };
   struct PendingRead {
     TimePoint deadline;
     ReadCallback done;
@@ -172,6 +177,9 @@
 
   /// Deadlines increase with the index (proposals) and the ticket (reads).
   std::map<LogIndex, PendingProposal> proposals_;
+  /// Own proposals of this leadership that are not applied yet, oldest first; also those whose
+  /// deadline has passed.
+  std::deque<UncommittedProposal> uncommitted_;
   std::map<uint64_t, PendingRead> reads_;
   /// Confirmed reads that wait for their index to be applied locally.
   std::multimap<LogIndex, PendingRead> applying_reads_;
--- a/source/consensus/raft_group.h
+++ b/source/consensus/raft_group.h
@@ -55,6 +55,9 @@
   /// Whether this replica leads, and the member `replica` has not replied at or after `since`
   /// although it was a member, and this replica its leader, before.
   virtual bool IsUnresponsive(ReplicaId replica, TimePoint since) const = 0;
+  /// How long the oldest command that was proposed here in this leadership has waited for its
+  /// commit; 0 if none waits or this replica does not lead.
+  virtual Duration UncommittedFor() const = 0;
   /// Not OK while this replica is stopped by an error: it neither leads nor votes, stores nothing
   /// and fails all requests.
   virtual const absl::Status& Failure() const = 0;
--- a/source/jobs/ingress_node.cc
+++ b/source/jobs/ingress_node.cc
@@ -47,6 +47,7 @@
           environment, transport,
           [this] { return JobNodesForChanges(configuration(), kJobGroup, zone_); },
           [this] { return JobNodesForReads(configuration(), kJobGroup, zone_); }),
+      job_ender_(environment, jobs_, options.stats),
       held_bytes_(options.memory == nullptr ? nullptr : options.memory->held()),
       cold_assignment_(environment, options.self.node, options.configuration_timing.lease),
       request_log_(environment, options.configuration_timing.lease, options.stats),
--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -15,6 +15,7 @@
 #include "ingress/ingress_service.h"
 #include "ingress/request_log.h"
 #include "jobs/job_client.h"
+#include "jobs/job_ender.h"
 #include "metering/usage_counter.h"
 
 namespace millstair {
@@ -89,6 +90,10 @@
   /// Reads from a job. The memory of the answer is held until it is there; ResourceExhausted if it
   /// does not suffice.
   void QueryJob(const JobQuery& query, std::function<void(absl::StatusOr<JobQueryAnswer>)> done);
+  /// Ends a job of the tenant. `done` gets kNotFound if it has no such job.
+  void EndJob(const EndJob& end, std::function<void(absl::StatusOr<JobResultCode>)> done) {
+    job_ender_.End(end, std::move(done));
+  }
   const Configuration& configuration() const { return configuration_->configuration(); }
   bool LeaseValid() const { return configuration_->LeaseValid(); }
   /// Time since the configuration held was last confirmed current; nullopt if it never was.
@@ -118,6 +123,7 @@
   UsageCounter usage_;
   IngressService ingress_;
   JobClient jobs_;
+  JobEnder job_ender_;
   /// May be null.
   const std::shared_ptr<HeldBytes> held_bytes_;
   /// Assigns each cold back end to one gateway.
--- a/source/jobs/job_dispatch.cc
+++ b/source/jobs/job_dispatch.cc
@@ -275,9 +275,11 @@
                                                         ItemRunEnd end, const std::string& reason) {
                                          OnRunEnd(job, index, end, reason);
                                        }));
-  LogEvent(EventId::kItemSent, "job={} item={} instance={} after={} version={} min_version={}",
+  LogEvent(EventId::kItemSent,
+           "job={} item={} instance={} after={} version={} min_version={} uncommitted_ms={}",
            work.job, record.spec.items[work.index].id, engine.id, work.progress.events,
-           loads_.VersionOf(engine.id, record.spec.model), record.spec.min_version);
+           loads_.VersionOf(engine.id, record.spec.model), record.spec.min_version,
+           ToMilliseconds(group_.UncommittedFor()));
   work.run->SetGapListener([this](const InstanceId& instance, Duration gap) {
     loads_.OnResponse(instance);
     if (!loads_.LoadingAny(instance)) speeds_.RecordInterval(instance, gap, environment_.Now());
--- a/source/jobs/job_service.cc
+++ b/source/jobs/job_service.cc
@@ -85,6 +85,7 @@
 void JobService::Propose(const CommandKey& key, const GroupCommand& group_command, Callback done) {
   auto command = DecodeJobCommand(group_command.command);
   if (!command.ok()) return done(command.status());
+  if (const auto* end = std::get_if<EndJob>(&command->operation)) LogEndReceived(key.from, *end);
   const auto* submit = std::get_if<SubmitJob>(&command->operation);
   if (submit == nullptr) return ProposeCommand(*std::move(command), std::move(done));
   const bool lacks_memory = LacksMemoryFor(submit->job);
@@ -96,6 +97,18 @@
   ProposeJob(*std::move(command), std::move(done));
 }
 
+void JobService::LogEndReceived(const NodeId& from, const EndJob& end) const {
+  const JobRecord* record = state_->Find(end.job);
+  std::string_view known = "open";
+  if (record == nullptr) {
+    known = proposed_.contains(end.job) ? "proposed" : "unknown";
+  } else if (record->ended) {
+    known = "ended";
+  }
+  LogEvent(EventId::kJobEndReceived, "job={} from={} term={} known={} uncommitted_ms={}", end.job,
+           from, group_->CurrentTerm(), known, ToMilliseconds(group_->UncommittedFor()));
+}
+
 void JobService::ProposeCommand(JobCommand command, Callback done) {
   command.proposed_at = environment_.WallNow();
   group_->Propose(EncodeJobCommand(command), std::move(done));
--- a/source/jobs/job_service.h
+++ b/source/jobs/job_service.h
@@ -82,6 +82,7 @@
   };
 
   void Propose(const CommandKey& key, const GroupCommand& command, Callback done);
+  void LogEndReceived(const NodeId& from, const EndJob& end) const;
   void ProposeCommand(JobCommand command, Callback done);
   void ProposeJob(JobCommand command, Callback done);
   /// Null if the job must or may be proposed: it is known, its proposal is in progress, or it fits.
--- a/test/jobs/fake_group.h
+++ b/test/jobs/fake_group.h
@@ -32,6 +32,7 @@
     const auto found = unresponsive_since.find(replica);
     return found != unresponsive_since.end() && found->second < since;
   }
+  Duration UncommittedFor() const override { return uncommitted_for; }
   const absl::Status& Failure() const override { return failure; }
 
   void Propose(std::string command,
@@ -83,6 +84,7 @@
   std::map<ReplicaId, TimePoint> replied_at;
   /// Members that stopped replying, and when.
   std::map<ReplicaId, TimePoint> unresponsive_since;
+  Duration uncommitted_for{0};
   absl::Status failure;
   int transfers = 0;
 
--- a/test/rollout/rollout_fakes.h
+++ b/test/rollout/rollout_fakes.h
@@ -61,6 +61,7 @@
   std::vector<GroupMember> Members() const override { return {}; }
   bool HasReplied(ReplicaId, TimePoint) const override { return false; }
   bool IsUnresponsive(ReplicaId, TimePoint) const override { return false; }
+  Duration UncommittedFor() const override { return Duration(0); }
   const absl::Status& Failure() const override { return failure_; }
   void Propose(std::string command,
                std::function<void(absl::StatusOr<std::string>)> done) override {
