Tests: Three ways in which items start after the end of their job was due

An end that comes before its submission is answered 404 and leaves nothing; an end that a caller gave up is forgotten by its gateway after 2.5 s; a leader starts items while it commits nothing.

--- /dev/null
+++ b/test/jobs/job_end_test.cc
@@ -0,0 +1,82 @@
+/// Ends of jobs that meet faults: no item starts later than a bound after its job's end was asked
+/// for.
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "jobs/job_ender.h"
+#include "test/jobs/job_scheduler_fixture.h"
+#include "test/jobs/job_service_fixture.h"
+
+namespace millstair {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class EndFixture : public JobServiceFixture {
+ public:
+  /// Asks for the end of the job and waits for the answer.
+  std::optional<absl::StatusOr<JobResultCode>> End(const std::string& id,
+                                                   const std::string& tenant = "") {
+    std::optional<absl::StatusOr<JobResultCode>> answer;
+    ender.End({JobId(id), TenantName(tenant)},
+              [&answer](absl::StatusOr<JobResultCode> result) { answer = result; });
+    scheduler.RunFor(seconds(2) + milliseconds(10));
+    return answer;
+  }
+
+  bool HasEnded(const std::string& id) const {
+    const JobRecord* record = state.Find(JobId(id));
+    return record != nullptr && record->ended;
+  }
+
+  JobEnder ender{environment, client, nullptr};
+};
+
+// Guards against items that run although the end of their job came first and was answered 404.
+TEST_CASE("A job that is submitted after its end does not run") {
+  EndFixture fixture;
+  const auto end = fixture.End("j");
+  REQUIRE(end);
+  REQUIRE(end->ok());
+  CHECK(**end == JobResultCode::kOk);
+  const auto answer = fixture.Submit("j");
+  REQUIRE(answer);
+  REQUIRE(answer->ok());
+  CHECK(**answer == JobResultCode::kOk);
+  CHECK(fixture.HasEnded("j"));
+  JobQuery query;
+  query.job = JobId("j");
+  CHECK(fixture.Query(query).total == 2);
+}
+
+// Guards against an open job whose end was answered 503 and never asked for again.
+TEST_CASE("An end that its caller gave up is carried out once there is a quorum") {
+  EndFixture fixture;
+  fixture.Submit("j");
+  fixture.leader.quorum = false;
+  const auto end = fixture.End("j");
+  REQUIRE(end);
+  CHECK(absl::IsDeadlineExceeded(end->status()));
+  fixture.scheduler.RunFor(seconds(20));
+  fixture.leader.quorum = true;
+  fixture.scheduler.RunFor(seconds(3));
+  CHECK(fixture.HasEnded("j"));
+}
+
+// Guards against a leader that sends items whose end it could not commit.
+TEST_CASE("No item starts while the job group commits nothing") {
+  JobSchedulerFixture fixture;
+  fixture.Lead();
+  fixture.group.uncommitted_for = seconds(2);
+  fixture.Submit(fixture.Job("j"));
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.backends.CountAt("e:1") == 0);
+  fixture.group.uncommitted_for = Duration(0);
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.backends.CountAt("e:1") == 1);
+  CHECK(fixture.ResultOf("j") != nullptr);
+}
+
+}  // namespace
+}  // namespace millstair
--- a/test/jobs/job_service_test.cc
+++ b/test/jobs/job_service_test.cc
@@ -2,9 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "cluster/group_client.h"
-#include "jobs/job_client.h"
-#include "test/jobs/fake_group.h"
+#include "test/jobs/job_service_fixture.h"
 
 namespace millstair {
 namespace {
@@ -12,110 +10,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Delivers messages between clients and services by name; an isolated node receives none.
-class Wires {
- public:
-  using Receiver = std::function<void(const NodeId& from, const PeerMessage& message)>;
-
-  explicit Wires(VirtualScheduler& scheduler) : scheduler_(scheduler) {}
-  void Deliver(const NodeId& from, const NodeId& to, const PeerMessage& message) {
-    scheduler_.Schedule(milliseconds(1), [this, from, to, message] {
-      if (receivers.contains(to) && !cut.contains(to) && !cut.contains(from)) {
-        receivers[to](from, message);
-      }
-    });
-  }
-
-  std::map<NodeId, Receiver> receivers;
-  std::set<NodeId> cut;
-
- private:
-  VirtualScheduler& scheduler_;
-};
-
-class End : public PeerTransport {
- public:
-  End(Wires& wires, std::string self) : wires_(wires), self_(std::move(self)) {}
-  void Send(const NodeId& to, PeerMessage message) override { wires_.Deliver(self_, to, message); }
-  void SetAddress(const NodeId&, const std::string&) override {}
-
- private:
-  Wires& wires_;
-  const NodeId self_;
-};
-
-/// Two storage nodes, of which "s1" leads, and a client.
-class Fixture {
- public:
-  Fixture() {
-    follower.leader = false;
-    follower.leader_node = NodeId("s1");
-    state.OnChange([this](JobChange, const JobId& job) {
-      first.OnStateChange(job);
-      second.OnStateChange(job);
-    });
-    first.Attach(&leader, &state);
-    second.Attach(&follower, &state);
-    wires.receivers[NodeId("s1")] = [this](const NodeId& from, const PeerMessage& message) {
-      first.Receive(from, message);
-    };
-    wires.receivers[NodeId("s2")] = [this](const NodeId& from, const PeerMessage& message) {
-      second.Receive(from, message);
-    };
-    wires.receivers[NodeId("client")] = [this](const NodeId& from, const PeerMessage& message) {
-      client.Receive(from, message);
-    };
-  }
-
-  std::optional<absl::StatusOr<JobResultCode>> Submit(const std::string& id,
-                                                      Duration timeout = seconds(2),
-                                                      const std::string& tenant = "") {
-    JobSpec job;
-    job.id = JobId(id);
-    job.tenant = TenantName(tenant);
-    job.items.resize(2);
-    job.items[0].id = ItemId("a");
-    job.items[0].body = "body of a";
-    job.items[1].id = ItemId("b");
-    std::optional<absl::StatusOr<JobResultCode>> answer;
-    client.Submit(job, [&](absl::StatusOr<JobResultCode> result) { answer = result; });
-    scheduler.RunFor(timeout + milliseconds(10));
-    return answer;
-  }
-
-  JobQueryAnswer Query(JobQuery query, Duration wait = seconds(2)) {
-    JobQueryAnswer found;
-    client.Query(query, [&](absl::StatusOr<JobQueryAnswer> answer) {
-      REQUIRE(answer.ok());
-      found = *std::move(answer);
-      answered_at = scheduler.Now();
-    });
-    scheduler.RunFor(wait);
-    return found;
-  }
-
-  void Record(uint32_t item, const std::string& text) {
-    const JobResult result{item, ItemState::kDone, text, {}, ""};
-    state.Apply(LogIndex(++index), EncodeJobCommand({RecordResult{JobId("j"), result}, {}}));
-  }
-
-  VirtualScheduler scheduler{1};
-  VirtualEnvironment environment{scheduler, 2};
-  Wires wires{scheduler};
-  End first_end{wires, "s1"};
-  End second_end{wires, "s2"};
-  End client_end{wires, "client"};
-  JobStateMachine state;
-  FakeGroup leader{scheduler, &state};
-  FakeGroup follower{scheduler, &state};
-  JobService first{environment, first_end};
-  JobService second{environment, second_end};
-  std::vector<NodeId> candidates = {NodeId("s2"), NodeId("s1")};
-  JobClient client{environment, client_end, [this] { return candidates; },
-                   [this] { return candidates; }, JobClientTiming{seconds(2), milliseconds(200)}};
-  Duration answered_at{0};
-  uint64_t index = 100;
-};
+using Fixture = JobServiceFixture;
 
 TEST_CASE("A job reaches the leader through any replica and is committed before the reply") {
   Fixture fixture;
@@ -148,7 +43,7 @@
 
 TEST_CASE("A node without a replica replies with the leader in the configuration") {
   Fixture fixture;
-  End other_end{fixture.wires, "s0"};
+  WireEnd other_end{fixture.wires, "s0"};
   JobService other{fixture.environment, other_end, [] { return NodeId("s1"); }};
   fixture.wires.receivers[NodeId("s0")] = [&](const NodeId& from, const PeerMessage& message) {
     other.Receive(from, message);
@@ -161,12 +56,12 @@
 
 TEST_CASE("A job is submitted quickly though none of nine nodes in its zone has a replica") {
   Fixture fixture;
-  std::vector<std::unique_ptr<End>> ends;
+  std::vector<std::unique_ptr<WireEnd>> ends;
   std::vector<std::unique_ptr<JobService>> others;
   fixture.candidates.clear();
   for (int node = 0; node < 9; ++node) {
     const std::string name = "near" + std::to_string(node);
-    ends.push_back(std::make_unique<End>(fixture.wires, name));
+    ends.push_back(std::make_unique<WireEnd>(fixture.wires, name));
     others.push_back(std::make_unique<JobService>(fixture.environment, *ends.back(),
                                                   [] { return NodeId("s1"); }));
     fixture.wires.receivers[NodeId(name)] = [service = others.back().get()](
