jobs: Keep the end of a job that is not known yet

Callers saw items of a job run to the end although they had ended it: the end reached the leader before the submission (a copy at a paused gateway, in a resend, in a former leader's log), was answered 404 and left nothing behind. Change: the leader keeps such an end as an ended job without items, by two commands that earlier builds apply alike; a submission that is committed later is accepted, reported with its items, and does not run.

--- a/source/jobs/job_service.cc
+++ b/source/jobs/job_service.cc
@@ -85,7 +85,10 @@
 void JobService::Propose(const CommandKey& key, const GroupCommand& group_command, Callback done) {
   auto command = DecodeJobCommand(group_command.command);
   if (!command.ok()) return done(command.status());
-  if (const auto* end = std::get_if<EndJob>(&command->operation)) LogEndReceived(key.from, *end);
+  if (const auto* end = std::get_if<EndJob>(&command->operation)) {
+    LogEndReceived(key.from, *end);
+    return ProposeEnd(*end, std::move(done));
+  }
   const auto* submit = std::get_if<SubmitJob>(&command->operation);
   if (submit == nullptr) return ProposeCommand(*std::move(command), std::move(done));
   const bool lacks_memory = LacksMemoryFor(submit->job);
@@ -109,6 +112,43 @@
            from, group_->CurrentTerm(), known, ToMilliseconds(group_->UncommittedFor()));
 }
 
+void JobService::ProposeEnd(const EndJob& end, Callback done) {
+  ProposeCommand(
+      {end, {}},
+      alive_.Guard([this, end, done = std::move(done)](const absl::StatusOr<std::string>& result) {
+        const auto code = result.ok() ? DecodeJobResultCode(*result) : result.status();
+        const bool unknown = code.ok() && *code == JobResultCode::kNotFound && group_ != nullptr &&
+                             state_->Find(end.job) == nullptr;
+        if (!unknown) return done(result);
+        EndBeforeSubmission(end, done);
+      }));
+}
+
+void JobService::EndBeforeSubmission(const EndJob& end, const Callback& done) {
+  if (!HasRoomForEarlyEnd(end))
+    return done(absl::UnavailableError("too many ends of unknown jobs"));
+  // Commands that earlier builds apply alike. A submission that was committed in between is ended
+  // by the second one.
+  JobSpec placeholder;
+  placeholder.id = end.job;
+  placeholder.tenant = end.tenant;
+  ProposeCommand({SubmitJob{std::move(placeholder)}, {}}, [](const absl::StatusOr<std::string>&) {
+    // The outcome of the end tells whether this was committed.
+  });
+  ProposeCommand({end, {}}, done);
+}
+
+bool JobService::HasRoomForEarlyEnd(const EndJob& end) const {
+  size_t bytes = end.job.value().size() + end.tenant.value().size();
+  size_t count = 1;
+  for (const auto& [id, record] : state_->jobs()) {
+    if (!record.spec.items.empty()) continue;
+    ++count;
+    bytes += id.value().size() + record.spec.tenant.value().size();
+  }
+  return count <= limits_.max_early_ends && bytes <= limits_.max_early_end_bytes;
+}
+
 void JobService::ProposeCommand(JobCommand command, Callback done) {
   command.proposed_at = environment_.WallNow();
   group_->Propose(EncodeJobCommand(command), std::move(done));
@@ -211,6 +251,7 @@
 JobQueryAnswer JobService::AnswerOf(const JobQuery& query) const {
   const JobRecord* record = state_ == nullptr ? nullptr : state_->Find(query.job);
   if (record == nullptr || !MayAccessJob(*record, query.tenant)) return {};
+  if (EndedBeforeSubmission(*record)) return {};
   if (query.kind == JobQueryKind::kResults) return ResultsOf(*record, query);
   const auto& items = record->spec.items;
   JobQueryAnswer answer;
--- a/source/jobs/job_service.h
+++ b/source/jobs/job_service.h
@@ -36,6 +36,10 @@
   /// Bound on the memory of the items of all jobs; 0 sets none. A job that alone exceeds it is
   /// accepted while there is no other.
   size_t max_item_bytes = 0;
+  /// Bounds on the jobs that were ended before they were submitted, and on the size of their
+  /// identifiers. Above them such an end is not acknowledged.
+  size_t max_early_ends = 4096;
+  size_t max_early_end_bytes = 1 << 20;
 };
 
 /// Lives on the node's serial executor.
@@ -83,6 +87,11 @@
 
   void Propose(const CommandKey& key, const GroupCommand& command, Callback done);
   void LogEndReceived(const NodeId& from, const EndJob& end) const;
+  /// The end of a job that is unknown when it is
+  /// applied is kept, so that a submission that is committed later does not run.
+  void ProposeEnd(const EndJob& end, Callback done);
+  void EndBeforeSubmission(const EndJob& end, const Callback& done);
+  bool HasRoomForEarlyEnd(const EndJob& end) const;
   void ProposeCommand(JobCommand command, Callback done);
   void ProposeJob(JobCommand command, Callback done);
   /// Null if the job must or may be proposed: it is known, its proposal is in progress, or it fits.
--- a/source/jobs/job_state_machine.cc
+++ b/source/jobs/job_state_machine.cc
@@ -82,9 +82,10 @@
 
 JobResultCode JobStateMachine::Run(const SubmitJob& submit) {
   const JobId& id = submit.job.id;
-  if (const JobRecord* known = Find(id)) {
-    return MayAccessJob(*known, submit.job.tenant) ? JobResultCode::kOk
-                                                   : JobResultCode::kOtherOwner;
+  if (const auto known = jobs_.find(id); known != jobs_.end()) {
+    if (!MayAccessJob(known->second, submit.job.tenant)) return JobResultCode::kOtherOwner;
+    if (EndedBeforeSubmission(known->second)) KeepIdentifiers(known->second, submit.job);
+    return JobResultCode::kOk;
   }
   jobs_[id] = {submit.job, clock_, false, {}};
   recorded_[id].assign(submit.job.items.size(), false);
@@ -92,6 +93,13 @@
   return JobResultCode::kOk;
 }
 
+void JobStateMachine::KeepIdentifiers(JobRecord& record, const JobSpec& job) {
+  record.spec = job;
+  for (JobItem& item : record.spec.items) ClearContent(item);
+  recorded_[job.id].assign(job.items.size(), false);
+  ended_encoded_[job.id] = std::make_shared<std::string>(EncodeSnapshotJob(record));
+}
+
 JobResultCode JobStateMachine::Run(const RecordResult& record) {
   const auto found = jobs_.find(record.job);
   if (found == jobs_.end()) return JobResultCode::kNotFound;
--- a/source/jobs/job_types.h
+++ b/source/jobs/job_types.h
@@ -102,6 +102,12 @@
   return record.spec.tenant.value().empty() || record.spec.tenant == caller;
 }
 
+/// Whether the record stands for a job that was ended before it was submitted: ended, without
+/// items. A submission that is committed later finds it and does not run.
+inline bool EndedBeforeSubmission(const JobRecord& record) {
+  return record.ended && record.spec.items.empty();
+}
+
 /// An item and the tenant of its job: two tenants may use the same identifier.
 struct OwnedItem {
   TenantName tenant;
@@ -129,6 +135,8 @@
 struct EndJob {
   JobId job;
   TenantName tenant;
+  friend auto operator<=>(const EndJob&, const EndJob&) = default;  // NOLINT
+  friend bool operator==(const EndJob&, const EndJob&) = default;
 };
 
 /// The lease holder is about to send an order to an engine, within a bounded time. Other nodes send
--- a/test/jobs/job_end_test.cc
+++ b/test/jobs/job_end_test.cc
@@ -50,6 +50,37 @@
   CHECK(fixture.Query(query).total == 2);
 }
 
+TEST_CASE("An end of an unknown job binds its tenant alone and is no job to read") {
+  EndFixture fixture;
+  const auto end = fixture.End("j", "t1");
+  REQUIRE(end);
+  REQUIRE(end->ok());
+  CHECK(**end == JobResultCode::kOk);
+  JobQuery query;
+  query.job = JobId("j");
+  query.tenant = TenantName("t1");
+  CHECK_FALSE(fixture.Query(query).found);
+  CHECK(**fixture.Submit("j", seconds(2), "t2") == JobResultCode::kOtherOwner);
+  CHECK(**fixture.End("j", "t2") == JobResultCode::kNotFound);
+}
+
+TEST_CASE("The ends of unknown jobs are bounded; beyond them none is acknowledged") {
+  EndFixture fixture;
+  JobServiceLimits limits;
+  limits.max_early_ends = 1;
+  JobService bounded(
+      fixture.environment, fixture.first_end, [] { return NodeId(); }, nullptr, limits);
+  bounded.Attach(&fixture.leader, &fixture.state);
+  fixture.wires.receivers[NodeId("s1")] = [&](const NodeId& from, const PeerMessage& message) {
+    bounded.Receive(from, message);
+  };
+  CHECK(fixture.End("j")->ok());
+  CHECK_FALSE(fixture.End("k")->ok());
+  CHECK(fixture.state.Find(JobId("k")) == nullptr);
+  fixture.Submit("l");
+  CHECK(fixture.End("l")->ok());
+}
+
 // Guards against an open job whose end was answered 503 and never asked for again.
 TEST_CASE("An end that its caller gave up is carried out once there is a quorum") {
   EndFixture fixture;
--- a/test/jobs/job_service_fixture.h
+++ b/test/jobs/job_service_fixture.h
@@ -24,6 +24,7 @@
 
   explicit Wires(VirtualScheduler& scheduler) : scheduler_(scheduler) {}
   void Deliver(const NodeId& from, const NodeId& to, const PeerMessage& message) {
+    ++sent;
     scheduler_.Schedule(std::chrono::milliseconds(1), [this, from, to, message] {
       if (receivers.contains(to) && !cut.contains(to) && !cut.contains(from)) {
         receivers[to](from, message);
@@ -33,6 +34,7 @@
 
   std::map<NodeId, Receiver> receivers;
   std::set<NodeId> cut;
+  size_t sent = 0;
 
  private:
   VirtualScheduler& scheduler_;
