--- a/test/jobs/job_end_test.cc
+++ b/test/jobs/job_end_test.cc
@@ -81,6 +81,29 @@
   CHECK(fixture.End("l")->ok());
 }
 
+TEST_CASE("Ends that are carried out later are sent a few at a time and once each") {
+  EndFixture fixture;
+  constexpr int kJobs = 40;
+  for (int job = 0; job < kJobs; ++job) fixture.Submit(std::to_string(job), milliseconds(10));
+  fixture.wires.cut = {NodeId("s1"), NodeId("s2")};
+  for (int round = 0; round < 2; ++round) {
+    for (int job = 0; job < kJobs; ++job) {
+      fixture.ender.End({JobId(std::to_string(job)), {}},
+                        [](const absl::StatusOr<JobResultCode>&) {});
+    }
+  }
+  fixture.scheduler.RunFor(seconds(10));
+  const size_t sent_before = fixture.wires.sent;
+  fixture.scheduler.RunFor(seconds(10));
+  CHECK(fixture.wires.sent - sent_before <= 4 * 20);
+  fixture.wires.cut.clear();
+  fixture.scheduler.RunFor(seconds(5));
+  for (int job = 0; job < kJobs; ++job) CHECK(fixture.HasEnded(std::to_string(job)));
+  const size_t sent_after = fixture.wires.sent;
+  fixture.scheduler.RunFor(seconds(5));
+  CHECK(fixture.wires.sent == sent_after);
+}
+
 // Guards against an open job whose end was answered 503 and never asked for again.
 TEST_CASE("An end that its caller gave up is carried out once there is a quorum") {
   EndFixture fixture;
