jobs: Start nothing that could not be called back

A leader went on to send items while it could commit nothing: its lease on the configuration and the heartbeats of its followers are no proof that entries become durable. An end that it had received waited for its commit as well. Change: no item and no scoring starts while the oldest proposal has waited over 1.5 s for its commit, and the runs of a job stop when its end arrives, before the commit; nothing of it runs again under this leader. "The items of a job stop when its end arrives ..." needs the new call and is new with it.

--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -24,6 +24,10 @@
 constexpr Duration kProposeRetryDelay = std::chrono::milliseconds(50);
 /// A pass that begins this much later than scheduled follows a pause of this node.
 constexpr Duration kLatePass = std::chrono::milliseconds(100);
+/// Above this wait of a proposal for its commit, nothing is started: what a leader sends that can't
+/// commit is not called back by an end either. Half of the 3 s within which the platform expects
+/// items to stop, and above the 1 s without a quorum after which a leader gives up.
+constexpr Duration kMaxCommitWait = std::chrono::milliseconds(1500);
 /// How often running items are checked for text to save.
 constexpr Duration kSaveInterval = std::chrono::milliseconds(250);
 
@@ -63,6 +67,7 @@
 void JobScheduler::SetLeading(bool leading) {
   leading_ = false;
   wants_to_lead_ = leading;
+  if (!leading || term_ != group_.CurrentTerm()) ending_.clear();
   term_ = group_.CurrentTerm();
   changed_.clear();
   partial_texts_.Clear();
@@ -102,7 +107,7 @@
   LoadPartialTexts();
   ScheduleSave();
   for (const JobRecord* record : BySubmission(state_.jobs())) {
-    if (!record->ended) AddJob(*record);
+    if (IsToRun(*record)) AddJob(*record);
   }
   SchedulePump(Duration(0));
 }
@@ -134,10 +139,11 @@
   for (const JobId& job : std::exchange(changed_, {})) {
     const JobRecord* record = state_.Find(job);
     if (record == nullptr || record->ended) {
+      ending_.erase(job);
       DropJob(job);
       if (record != nullptr) UpdateLengths(*record);
     } else if (!jobs_.contains(job)) {
-      AddJob(*record);
+      if (IsToRun(*record)) AddJob(*record);
     } else {
       DropRecorded(job);
     }
@@ -145,6 +151,31 @@
   Pump();
 }
 
+void JobScheduler::OnEndReceived(const JobId& job) {
+  if (!wants_to_lead_) return;
+  ending_.insert(job);
+  const auto found = jobs_.find(job);
+  const JobRecord* record = state_.Find(job);
+  if (found == jobs_.end() || record == nullptr) return;
+  LogJobEnd(*record, found->second);
+  DropJob(job);
+}
+
+bool JobScheduler::IsToRun(const JobRecord& record) const {
+  return !record.ended && !record.spec.items.empty() && !ending_.contains(record.spec.id);
+}
+
+bool JobScheduler::CommitsInTime() {
+  const Duration waited = group_.UncommittedFor();
+  const bool held = waited > kMaxCommitWait;
+  if (held != starts_held_) {
+    LogEvent(EventId::kItemStartsHeld, "group={} term={} held={} uncommitted_ms={}", group_.id(),
+             term_, held, ToMilliseconds(waited));
+  }
+  starts_held_ = held;
+  return !held;
+}
+
 void JobScheduler::AddJob(const JobRecord& record) {
   const JobId& id = record.spec.id;
   JobWork& job = jobs_[id];
@@ -415,11 +446,12 @@
   if (now < next_pump_at_) return SchedulePump(next_pump_at_ - now);
   next_pump_at_ = now + kMinPumpInterval;
   FailExpiredItems();
-  StartScoring();
+  const bool commits = CommitsInTime();
+  if (commits) StartScoring();
   RecordSilentEngines();
   speeds_.Recompute(now);
   UpdateForecast();
-  if (may_start_work_()) {
+  if (commits && may_start_work_()) {
     EngineSnapshot snapshot(ingress_.directory(), loads_, speeds_, now);
     DispatchWaiting(snapshot);
     MoveToFasterEngines(snapshot);
--- a/source/jobs/job_service.cc
+++ b/source/jobs/job_service.cc
@@ -113,6 +113,9 @@
 }
 
 void JobService::ProposeEnd(const EndJob& end, Callback done) {
+  const JobRecord* record = state_->Find(end.job);
+  const bool open = record != nullptr && !record->ended && MayAccessJob(*record, end.tenant);
+  if (open && end_listener_) end_listener_(end.job);
   ProposeCommand(
       {end, {}},
       alive_.Guard([this, end, done = std::move(done)](const absl::StatusOr<std::string>& result) {
--- a/source/jobs/job_service.h
+++ b/source/jobs/job_service.h
@@ -59,6 +59,11 @@
   /// Called on the leader for each submission whose sender handles rejections. Without it, all jobs
   /// are accepted.
   void SetAdmission(Admission admission) { admission_ = std::move(admission); }
+  /// `listener` is called on the leader with each open job whose owner asks for its end, before the
+  /// end is committed.
+  void OnEndReceived(std::function<void(const JobId&)> listener) {
+    end_listener_ = std::move(listener);
+  }
   /// Handles a message of kind kCommand for the group.
   void Receive(const NodeId& from, const PeerMessage& message);
   /// The state machine applied a change; held queries are answered from a timer.
@@ -87,7 +92,7 @@
 
   void Propose(const CommandKey& key, const GroupCommand& command, Callback done);
   void LogEndReceived(const NodeId& from, const EndJob& end) const;
-  /// The end of a job that is unknown when it is
+  /// Reports the end to the listener and proposes it. The end of a job that is unknown when it is
   /// applied is kept, so that a submission that is committed later does not run.
   void ProposeEnd(const EndJob& end, Callback done);
   void EndBeforeSubmission(const EndJob& end, const Callback& done);
@@ -119,6 +124,7 @@
   StatsRegistry* const stats_;
   const JobServiceLimits limits_;
   Admission admission_;
+  std::function<void(const JobId&)> end_listener_;
   /// Commands in progress, with the number of copies that arrived.
   std::map<CommandKey, size_t> running_;
   struct Proposal {
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -61,6 +61,9 @@
       if (scheduler_ == nullptr) return std::nullopt;
       return scheduler_->RejectionOf(job);
     });
+    service_.OnEndReceived([this](const JobId& job) {
+      if (scheduler_ != nullptr) scheduler_->OnEndReceived(job);
+    });
     ingress_.SetSuspectRegister(suspects_);
     ingress_.SetColdBound(options_.cold_bound);
     ingress_.directory().SetColdAssignmentCheck(
--- a/test/jobs/job_end_test.cc
+++ b/test/jobs/job_end_test.cc
@@ -132,5 +132,35 @@
   CHECK(fixture.ResultOf("j") != nullptr);
 }
 
+// Guards against items of a job whose end waits for a commit.
+TEST_CASE("The items of a job stop when its end arrives and start again only with a new leader") {
+  JobSchedulerFixture fixture;
+  fixture.Add("e:1", "engines", [](const HttpRequest&) {
+    FakeAnswer answer = Text({"1||one\n\n", "2||two\n\n"});
+    answer.gap = milliseconds(400);
+    return answer;
+  });
+  fixture.Lead();
+  JobSpec job = fixture.Job("j", false);
+  job.items.push_back(job.items[0]);
+  job.items[1].id = ItemId("other");
+  fixture.Submit(job);
+  fixture.scheduler.RunFor(milliseconds(200));
+  REQUIRE(fixture.backends.CountAt("e:1") == 2);
+  fixture.scheduler_under_test.OnEndReceived(JobId("j"));
+  fixture.scheduler.RunFor(milliseconds(10));
+  CHECK(fixture.backends.calls[0]->cancelled);
+  // A result that was proposed before the end is applied after it.
+  const JobResult result{0, ItemState::kDone, "one\ntwo", {WeightVersion(1)}, ""};
+  fixture.state.Apply(LogIndex(50), EncodeJobCommand({RecordResult{JobId("j"), result}, {}}));
+  fixture.scheduler.RunFor(seconds(2));
+  CHECK(fixture.backends.CountAt("e:1") == 2);
+  fixture.scheduler_under_test.SetLeading(false);
+  fixture.group.term = Term(4);
+  fixture.Lead();
+  fixture.scheduler.RunFor(seconds(2));
+  CHECK(fixture.backends.CountAt("e:1") == 3);
+}
+
 }  // namespace
 }  // namespace millstair
