platform: Send an end on without a confirmed configuration

An end of a job waited at its gateway until the configuration was confirmed, though it uses no route and no back end.

--- a/source/jobs/ingress_node.h
+++ b/source/jobs/ingress_node.h
@@ -79,6 +79,11 @@
   /// the key may be newer.
   Admission Admit(const Route* route, std::optional<std::string_view> key) const;
 
+  /// Whether callers need a key by the configuration held; true if there is none.
+  bool RequiresKeys() const {
+    const RouteTable* routes = ingress_.routes();
+    return routes == nullptr || routes->tenants.has_value();
+  }
   /// Whether the configuration held is confirmed current, so that WhenCurrent would not wait.
   bool IsCurrent() const { return LeaseValid(); }
   /// Runs `work` once the configuration is confirmed current, or known not to be confirmable now;
--- a/test/platform/paused_gateway_test.cc
+++ b/test/platform/paused_gateway_test.cc
@@ -62,6 +62,31 @@
   CHECK(gateway.backends.calls.empty());
 }
 
+// Guards against ends of jobs that wait at a gateway for a configuration that they do not need.
+TEST_CASE("Without tenants an end of a job is sent on while the configuration is unconfirmed") {
+  PausedGatewayFixture gateway;
+  std::string open = Document(7, kBothKeys);
+  open.replace(open.find(R"(,
+          "tenants")"),
+               std::string::npos, "}");
+  gateway.control.Replace(open);
+  gateway.scheduler.RunFor(seconds(2));
+  int ends = 0;
+  gateway.control.job_leader = [&ends](const GroupCommand&) {
+    ++ends;
+    GroupCommandReply reply;
+    reply.result = EncodeJobResultCode(JobResultCode::kOk);
+    return reply;
+  };
+  gateway.control.isolated = true;
+  gateway.scheduler.RunFor(kPause);
+  REQUIRE_FALSE(gateway.node->LeaseValid());
+  const auto answer = gateway.Send("DELETE", "/v1/lots/a", "");
+  gateway.scheduler.RunFor(milliseconds(10));
+  CHECK(ends == 1);
+  CHECK(answer->status == 200);
+}
+
 /// A document whose route has a timeout longer than the pause.
 std::string LongTimeoutDocument() {
   std::string document = Document(7, kBothKeys);
