Tests: How long proposals wait at a leader whose followers store nothing

Cause: RaftGroup::UncommittedFor, on which the start of items depends, had no test of its own. Change: followers whose disks stall for 8 s answer heartbeats; the leader leads on and tells the wait.

--- a/test/consensus/group_host_test.cc
+++ b/test/consensus/group_host_test.cc
@@ -179,5 +179,31 @@
       absl::IsDataLoss(LoadOrCreateIdentity(files, environment.Random(), "c", node, "").status()));
 }
 
+// Guards against a leader that takes heartbeats for proof that it can commit.
+TEST_CASE("a leader whose followers answer but store nothing knows how long its proposals wait") {
+  ConsensusFleet fleet(3, 21);
+  REQUIRE(fleet.RunUntilLeader());
+  fleet.scheduler.RunFor(std::chrono::seconds(1));
+  RaftGroup* leader = fleet.Leader();
+  CHECK(leader->UncommittedFor() == Duration(0));
+  for (auto& [id, node] : fleet.nodes) {
+    if (fleet.Group(id) == leader) continue;
+    node->files->SetSyncTime(std::chrono::seconds(8), std::chrono::seconds(8));
+  }
+  bool failed = false;
+  leader->Propose("waits",
+                  [&](const absl::StatusOr<std::string>& result) { failed = !result.ok(); });
+  fleet.scheduler.RunFor(std::chrono::seconds(7));
+  REQUIRE(leader->IsLeader());
+  // The proposer was told that the outcome is unknown; the entry still waits.
+  CHECK(failed);
+  CHECK(leader->UncommittedFor() > std::chrono::milliseconds(6900));
+  for (auto& [id, node] : fleet.nodes) {
+    node->files->SetSyncTime(std::chrono::milliseconds(1), std::chrono::milliseconds(1));
+  }
+  fleet.scheduler.RunFor(std::chrono::seconds(3));
+  CHECK(leader->UncommittedFor() == Duration(0));
+}
+
 }  // namespace
 }  // namespace millstair
