jobs: Bound the text of an item

Change: a text is given up at 4 MiB, half of a log entry; the item begins anew at another engine until its lifetime ends. Measured: "A stream whose events never end is given up" is new.

--- a/source/jobs/item_run.cc
+++ b/source/jobs/item_run.cc
@@ -26,6 +26,7 @@
       return BackendEnd::kWrongInstance;
     case ItemRunEnd::kUnreachable:
       return BackendEnd::kUnreachable;
+    case ItemRunEnd::kTooLong:
     case ItemRunEnd::kBroken:
       break;
   }
@@ -50,6 +51,8 @@
       return "impossible";
     case ItemRunEnd::kWrongVersion:
       return "wrong-version";
+    case ItemRunEnd::kTooLong:
+      return "too-long";
     case ItemRunEnd::kBroken:
       break;
   }
@@ -130,6 +133,10 @@
         fmt::format("made by version {}, which is not allowed", version_));
     return false;
   }
+  if (progress_.text.size() + (*event)->data.size() >= kMaxTextBytes) {
+    End(ItemRunEnd::kTooLong, "the text of the item is too long");
+    return false;
+  }
   progress_.version = version_;
   progress_.Append(**event);
   const TimePoint now = environment_.Now();
--- a/source/jobs/item_run.h
+++ b/source/jobs/item_run.h
@@ -8,6 +8,7 @@
 
 #include "common/environment.h"
 #include "common/scoped_timer.h"
+#include "consensus/raft_group.h"
 #include "ingress/backend_directory.h"
 #include "ingress/backend_protocol.h"
 #include "ingress/event_stream.h"
@@ -25,8 +26,13 @@
   kServerError,    ///< the engine ran it and failed
   kImpossible,     ///< the engine reports that it can never be done
   kWrongVersion,   ///< made by weights that the job does not allow
+  kTooLong,        ///< the text exceeds kMaxTextBytes
 };
 
+/// Limit on the text of an item, in bytes. A complete text takes one command of the group's log,
+/// whose other half is left for the versions, the score and later limits.
+inline constexpr size_t kMaxTextBytes = kMaxCommandBytes / 2;
+
 /// Name for logs and metrics, such as "whole" or "refused".
 std::string_view ItemRunEndName(ItemRunEnd end);
 
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -551,6 +551,12 @@
       DiscardProgress(*work);
       Requeue(*work, kRefusedRetryDelay);
       break;
+    case ItemRunEnd::kTooLong:
+      // Another engine may end the text; one that goes on from here can't.
+      DiscardProgress(*work);
+      work->avoid = instance;
+      Requeue(*work, kFailedRetryDelay);
+      break;
     case ItemRunEnd::kBroken:
       work->avoid = instance;
       Requeue(*work, kFailedRetryDelay);
--- a/test/jobs/item_run_test.cc
+++ b/test/jobs/item_run_test.cc
@@ -89,6 +89,19 @@
   CHECK(fixture.backends.calls[0]->cancelled);
 }
 
+// Guards against a text of whole events that never ends and takes the memory of its node.
+TEST_CASE("A stream whose events never end is given up") {
+  Fixture fixture;
+  std::vector<std::string> pieces;
+  const std::string data(512 * 1024, 'x');
+  for (int event = 1; event <= 20; ++event) {
+    pieces.push_back(std::to_string(event) + "||" + data + "\n\n");
+  }
+  fixture.Run(Stream(pieces));
+  CHECK(fixture.end == ItemRunEnd::kTooLong);
+  CHECK(fixture.progress.text.size() < kMaxTextBytes);
+}
+
 TEST_CASE("A missing or duplicate event ends the run, and the text stays valid") {
   for (const char* second : {"3||three\n\n", "1||one\n\n"}) {
     Fixture fixture;
