jobs: Act on an end at every replica that hears it

A gateway that reaches followers but not the leader could not end a job, a follower that had heard an end ran the job when it came to lead, a placeholder whose leader was lost before the second command made its job unreadable (404 after a 202), scorings were not held with items, and a refused end of an unknown job held up others. Change: followers relay ends, answer those that they have applied, and propose what they heard when they come to lead; a submission replaces a placeholder whether it has ended or not; scorings wait like items; a full table refuses at once; identifiers that are kept have a bound. Plainer names.

--- a/source/jobs/job_ender.cc
+++ b/source/jobs/job_ender.cc
@@ -8,20 +8,24 @@
 namespace millstair {
 namespace {
 
-/// An end is carried for as long as items of its job may run by default
-/// (JobSchedulerOptions::item_lifetime).
-constexpr Duration kMaxCarryTime = std::chrono::minutes(10);
-/// Bound on the ends that are carried, of about 200 bytes each. Above it the oldest is dropped.
-constexpr size_t kMaxCarried = 4096;
-/// Each one is sent again about once a second while no leader is found.
+/// For as long as items of a job run by default (JobSchedulerOptions::item_lifetime).
+constexpr Duration kMaxRetryTime = std::chrono::minutes(10);
+/// Bound on the unfinished ends, of up to 800 bytes each. Above it the oldest is dropped.
+constexpr size_t kMaxUnfinished = 4096;
+/// Each attempt sends an end about three times while no leader is found.
 constexpr size_t kMaxInFlight = 4;
-constexpr Duration kCarryPause = std::chrono::milliseconds(250);
+constexpr Duration kRetryPause = std::chrono::milliseconds(250);
 
 const char* OutcomeName(const absl::StatusOr<JobResultCode>& result) {
   if (!result.ok()) return "unanswered";
   return *result == JobResultCode::kOk ? "acknowledged" : "not-found";
 }
 
+/// Not after a refusal: the group keeps no more ends of unknown jobs.
+bool MayRetry(const absl::Status& status) {
+  return !status.ok() && !absl::IsResourceExhausted(status);
+}
+
 }  // namespace
 
 JobEnder::JobEnder(Environment& environment, JobClient& jobs, StatsRegistry* stats)
@@ -31,50 +35,51 @@
   jobs_.End(end, alive_.Guard([this, end, done = std::move(done), asked_at = environment_.Now()](
                                   const absl::StatusOr<JobResultCode>& result) {
     Report(end, result, environment_.Now() - asked_at);
-    if (!result.ok()) Carry({end, asked_at});
+    if (MayRetry(result.status()) && MayKeep(end)) RetryLater({end, asked_at});
     done(result);
   }));
 }
 
-void JobEnder::Carry(CarriedEnd carried) {
-  if (!carried_jobs_.insert(carried.end).second) return;
-  if (carried_jobs_.size() > kMaxCarried && !carried_.empty()) {
-    LogEvent(EventId::kJobEndDropped, "job={} reason=\"too many\"", carried_.front().end.job);
-    carried_jobs_.erase(carried_.front().end);
-    carried_.pop_front();
+void JobEnder::RetryLater(UnfinishedEnd unfinished) {
+  if (!unfinished_.insert(unfinished.end).second) return;
+  if (unfinished_.size() > kMaxUnfinished && !waiting_.empty()) {
+    LogEvent(EventId::kJobEndDropped, "job={} reason=\"too many\"", waiting_.front().end.job);
+    unfinished_.erase(waiting_.front().end);
+    waiting_.pop_front();
   }
-  carried_.push_back(std::move(carried));
-  if (!retry_timer_.armed()) retry_timer_.Arm(kCarryPause, [this] { SendCarried(); });
+  waiting_.push_back(std::move(unfinished));
+  if (!retry_timer_.armed()) retry_timer_.Arm(kRetryPause, [this] { SendWaiting(); });
 }
 
-void JobEnder::SendCarried() {
-  while (in_flight_ < kMaxInFlight && !carried_.empty()) {
-    CarriedEnd next = std::move(carried_.front());
-    carried_.pop_front();
+void JobEnder::SendWaiting() {
+  while (in_flight_ < kMaxInFlight && !waiting_.empty()) {
+    UnfinishedEnd next = std::move(waiting_.front());
+    waiting_.pop_front();
     ++in_flight_;
     jobs_.End(next.end, alive_.Guard([this, next](const absl::StatusOr<JobResultCode>& result) {
-      OnCarriedResult(next, result);
+      OnRetryResult(next, result);
     }));
   }
 }
 
-void JobEnder::OnCarriedResult(CarriedEnd carried, const absl::StatusOr<JobResultCode>& result) {
+void JobEnder::OnRetryResult(UnfinishedEnd unfinished,
+                             const absl::StatusOr<JobResultCode>& result) {
   --in_flight_;
-  const Duration age = environment_.Now() - carried.asked_at;
-  if (result.ok()) {
-    LogEvent(EventId::kJobEndCarried, "job={} outcome={} age_ms={}", carried.end.job,
+  const Duration age = environment_.Now() - unfinished.asked_at;
+  if (!MayRetry(result.status())) {
+    LogEvent(EventId::kJobEndCompletedLate, "job={} outcome={} age_ms={}", unfinished.end.job,
              OutcomeName(result), ToMilliseconds(age));
-    carried_jobs_.erase(carried.end);
-    return SendCarried();
+    unfinished_.erase(unfinished.end);
+    return SendWaiting();
   }
-  if (age > kMaxCarryTime) {
-    LogEvent(EventId::kJobEndDropped, "job={} reason=\"{}\"", carried.end.job,
+  if (age > kMaxRetryTime) {
+    LogEvent(EventId::kJobEndDropped, "job={} reason=\"{}\"", unfinished.end.job,
              std::string(result.status().message()));
-    carried_jobs_.erase(carried.end);
+    unfinished_.erase(unfinished.end);
   } else {
-    carried_.push_back(std::move(carried));
+    waiting_.push_back(std::move(unfinished));
   }
-  if (!retry_timer_.armed()) retry_timer_.Arm(kCarryPause, [this] { SendCarried(); });
+  if (!retry_timer_.armed()) retry_timer_.Arm(kRetryPause, [this] { SendWaiting(); });
 }
 
 void JobEnder::Report(const EndJob& end, const absl::StatusOr<JobResultCode>& result,
--- a/source/jobs/job_ender.h
+++ b/source/jobs/job_ender.h
@@ -1,6 +1,6 @@
-/// Ends batch jobs on behalf of clients. An end that could not be acknowledged in time is carried
-/// out later, so that the job does not run on if its client never asks again: ends are idempotent,
-/// and nothing needs a job after one.
+/// Ends batch jobs on behalf of clients. An end that could not be acknowledged in time is
+/// unfinished out later, so that the job does not run on if its client never asks again: ends are
+/// idempotent, and nothing needs a job after one.
 #pragma once
 
 #include <cstddef>
@@ -18,7 +18,7 @@
 
 namespace millstair {
 
-/// Lives on the node's serial executor. What is carried is lost with the process.
+/// Lives on the node's serial executor. What is unfinished is lost with the process.
 class JobEnder {
  public:
   using Callback = std::function<void(absl::StatusOr<JobResultCode>)>;
@@ -27,27 +27,27 @@
   JobEnder(Environment& environment, JobClient& jobs, StatsRegistry* stats);
 
   /// `done` gets kNotFound if another tenant has a job of this identifier, and DeadlineExceeded if
-  /// it is unknown whether the job has ended; the end is then carried out later.
+  /// it is unknown whether the job has ended; the end is then unfinished out later.
   void End(const EndJob& end, Callback done);
 
  private:
-  struct CarriedEnd {
+  struct UnfinishedEnd {
     EndJob end;
     TimePoint asked_at;
   };
 
   void Report(const EndJob& end, const absl::StatusOr<JobResultCode>& result, Duration waited);
-  void Carry(CarriedEnd carried);
-  void SendCarried();
-  void OnCarriedResult(CarriedEnd carried, const absl::StatusOr<JobResultCode>& result);
+  void RetryLater(UnfinishedEnd unfinished);
+  void SendWaiting();
+  void OnRetryResult(UnfinishedEnd unfinished, const absl::StatusOr<JobResultCode>& result);
 
   Environment& environment_;
   JobClient& jobs_;
   StatsRegistry* const stats_;
   /// Not acknowledged and not in flight, in the order of the next attempts.
-  std::deque<CarriedEnd> carried_;
-  /// Jobs of `carried_` and of attempts in flight.
-  std::set<EndJob> carried_jobs_;
+  std::deque<UnfinishedEnd> waiting_;
+  /// Jobs of `waiting_` and of attempts in flight.
+  std::set<EndJob> unfinished_;
   size_t in_flight_ = 0;
   ScopedTimer retry_timer_;
   AliveFlag alive_;
--- a/source/jobs/job_scheduler.cc
+++ b/source/jobs/job_scheduler.cc
@@ -151,29 +151,30 @@
   Pump();
 }
 
-void JobScheduler::OnEndReceived(const JobId& job) {
+void JobScheduler::OnEndReceived(const EndJob& end) {
   if (!wants_to_lead_) return;
-  ending_.insert(job);
-  const auto found = jobs_.find(job);
-  const JobRecord* record = state_.Find(job);
-  if (found == jobs_.end() || record == nullptr) return;
+  ending_[end.job] = end.tenant;
+  const auto found = jobs_.find(end.job);
+  const JobRecord* record = state_.Find(end.job);
+  if (found == jobs_.end() || record == nullptr || IsToRun(*record)) return;
   LogJobEnd(*record, found->second);
-  DropJob(job);
+  DropJob(end.job);
 }
 
 bool JobScheduler::IsToRun(const JobRecord& record) const {
-  return !record.ended && !record.spec.items.empty() && !ending_.contains(record.spec.id);
+  if (record.ended || record.spec.items.empty()) return false;
+  const auto ending = ending_.find(record.spec.id);
+  return ending == ending_.end() || !MayAccessJob(record, ending->second);
 }
 
-bool JobScheduler::CommitsInTime() {
-  const Duration waited = group_.UncommittedFor();
-  const bool held = waited > kMaxCommitWait;
-  if (held != starts_held_) {
-    LogEvent(EventId::kItemStartsHeld, "group={} term={} held={} uncommitted_ms={}", group_.id(),
-             term_, held, ToMilliseconds(waited));
-  }
+bool JobScheduler::CommitsInTime() const { return group_.UncommittedFor() <= kMaxCommitWait; }
+
+void JobScheduler::LogHeldStarts() {
+  const bool held = !CommitsInTime();
+  if (held == starts_held_) return;
   starts_held_ = held;
-  return !held;
+  LogEvent(EventId::kItemStartsHeld, "group={} term={} held={} uncommitted_ms={}", group_.id(),
+           term_, held, ToMilliseconds(group_.UncommittedFor()));
 }
 
 void JobScheduler::AddJob(const JobRecord& record) {
@@ -446,12 +447,12 @@
   if (now < next_pump_at_) return SchedulePump(next_pump_at_ - now);
   next_pump_at_ = now + kMinPumpInterval;
   FailExpiredItems();
-  const bool commits = CommitsInTime();
-  if (commits) StartScoring();
+  LogHeldStarts();
+  StartScoring();
   RecordSilentEngines();
   speeds_.Recompute(now);
   UpdateForecast();
-  if (commits && may_start_work_()) {
+  if (CommitsInTime() && may_start_work_()) {
     EngineSnapshot snapshot(ingress_.directory(), loads_, speeds_, now);
     DispatchWaiting(snapshot);
     MoveToFasterEngines(snapshot);
--- a/source/jobs/job_scheduler.h
+++ b/source/jobs/job_scheduler.h
@@ -68,9 +68,9 @@
   }
   /// The state machine applied a change. It is handled from a timer.
   void OnStateChange(JobChange change, const JobId& job);
-  /// Stops the work of a job whose owner asked for its end; the end need not be committed. While
-  /// this replica leads, no item of the job runs here again.
-  void OnEndReceived(const JobId& job);
+  /// Stops the work of a job of the tenant; the end need not be committed, and the job need not be
+  /// known yet. While this replica leads, no item of the job runs here again.
+  void OnEndReceived(const EndJob& end);
   /// Why the job that is about to be proposed can't be served, or nothing if it may be accepted.
   /// See DecideAdmission.
   std::optional<JobRejection> RejectionOf(const JobSpec& spec) const;
@@ -161,7 +161,7 @@
   void StartWork();
   /// Starts with the paces of engines that the leader before recorded.
   void RestorePaces();
-  /// No job whose end was received, and none without items.
+  /// Not if it has ended, its end was received, or it has no items.
   bool IsToRun(const JobRecord& record) const;
   void AddJob(const JobRecord& record);
   void DropJob(const JobId& job);
@@ -250,9 +250,10 @@
   void ReportLateJob(const JobRecord& record, const JobForecast& forecast);
   void SetForecastMetrics(const std::map<std::string, double>& lateness_by_route, size_t deferred);
   void HandleChanges();
-  /// Whether work may be sent to back ends: what is proposed is committed in time, so that the end
-  /// of a job would be as well.
-  bool CommitsInTime();
+  /// Whether what is proposed is committed in time, so that the end of a job would be as well. No
+  /// work is sent to back ends otherwise.
+  bool CommitsInTime() const;
+  void LogHeldStarts();
   void SchedulePump(Duration delay);
   /// Whether the next pass should have begun long ago: the node was suspended, or its executor
   /// busy.
@@ -350,8 +351,8 @@
   Term term_;
   uint64_t next_order_ = 1;
   std::map<JobId, JobWork> jobs_;
-  /// Open jobs whose end this leader has received.
-  std::set<JobId> ending_;
+  /// Jobs whose end this leader has received and not applied, with the tenant that ended them.
+  std::map<JobId, TenantName> ending_;
   std::set<Rank> waiting_;
   /// Complete texts that wait for a scorer, by route name, so that a route without free scorers
   /// does not block the others.
@@ -381,7 +382,7 @@
   /// Jobs that changed since the timer last fired.
   std::set<JobId> changed_;
   bool was_restored_ = false;
-  /// CommitsInTime was false the last time.
+  /// According to the last log entry.
   bool starts_held_ = false;
   ScopedTimer pump_timer_;
   ScopedTimer change_timer_;
--- a/source/jobs/job_scoring.cc
+++ b/source/jobs/job_scoring.cc
@@ -41,6 +41,7 @@
 }
 
 void JobScheduler::StartScoring() {
+  if (!CommitsInTime()) return;
   // The route to the scorer may have changed: texts wait until the configuration is confirmed
   // current. Pump calls this again.
   if (!may_start_work_()) return;
--- a/source/jobs/job_service.cc
+++ b/source/jobs/job_service.cc
@@ -59,7 +59,7 @@
     return Reply(from, id, rejected->second.status);
   }
   if (proposes && (group_ == nullptr || !group_->IsLeader())) {
-    return Reply(from, id, NotRunError("not the leader"));
+    return ReceiveAsFollower(from, *command);
   }
   if (group_ == nullptr) return Reply(from, id, absl::FailedPreconditionError("no replica here"));
   if (!group_->IsLeader() && !group_->Leader()) {
@@ -112,24 +112,80 @@
            from, group_->CurrentTerm(), known, ToMilliseconds(group_->UncommittedFor()));
 }
 
-void JobService::ProposeEnd(const EndJob& end, Callback done) {
+bool JobService::HasEnded(const EndJob& end) const {
   const JobRecord* record = state_->Find(end.job);
-  const bool open = record != nullptr && !record->ended && MayAccessJob(*record, end.tenant);
-  if (open && end_listener_) end_listener_(end.job);
+  return record != nullptr && record->ended && MayAccessJob(*record, end.tenant);
+}
+
+void JobService::ReceiveAsFollower(const NodeId& from, const GroupCommand& group_command) {
+  const auto command = DecodeJobCommand(group_command.command);
+  const auto* end = command.ok() ? std::get_if<EndJob>(&command->operation) : nullptr;
+  if (end == nullptr || group_ == nullptr) {
+    return Reply(from, group_command.id, NotRunError("not the leader"));
+  }
+  // What is applied here is committed.
+  if (HasEnded(*end)) return Reply(from, group_command.id, EncodeJobResultCode(JobResultCode::kOk));
+  RememberEnd(*end);
+  RelayEnd(from, *end);
+  Reply(from, group_command.id, NotRunError("not the leader"));
+}
+
+void JobService::RememberEnd(const EndJob& end) {
+  const JobRecord* record = state_->Find(end.job);
+  const bool of_other_tenant = record != nullptr && !MayAccessJob(*record, end.tenant);
+  if (of_other_tenant || !MayKeep(end)) return;
+  if (received_ends_.size() < limits_.max_received_ends) received_ends_[end.job] = end.tenant;
+}
+
+void JobService::ForgetAppliedEnd(const JobId& job) {
+  const auto received = received_ends_.find(job);
+  const JobRecord* record = received == received_ends_.end() ? nullptr : state_->Find(job);
+  if (record == nullptr) return;
+  if (record->ended || !MayAccessJob(*record, received->second)) received_ends_.erase(received);
+}
+
+void JobService::RelayEnd(const NodeId& from, const EndJob& end) {
+  const std::optional<NodeId> leader = group_->Leader();
+  // Replicas that take each other for the leader must not relay in a circle.
+  if (!leader || IndexOf(group_->Members(), from)) return;
+  GroupCommand relayed;
+  relayed.id = environment_.Random()();
+  relayed.group = group_->id();
+  relayed.mode = CommandMode::kPropose;
+  relayed.command = EncodeJobCommand({end, {}});
+  transport_.Send(*leader, {MessageKind::kCommand, EncodeGroupCommand(relayed)});
+}
+
+void JobService::ProposeReceivedEnds() {
+  for (const auto& [job, tenant] : std::map<JobId, TenantName>(received_ends_)) {
+    ProposeEnd({job, tenant}, [](const absl::StatusOr<std::string>&) {
+      // It stays among the received ends until it is applied, and its sender repeats it.
+    });
+  }
+}
+
+void JobService::ProposeEnd(const EndJob& end, Callback done) {
+  if (!HasEnded(end)) {
+    RememberEnd(end);
+    if (end_listener_) end_listener_(end);
+  }
   ProposeCommand(
       {end, {}},
       alive_.Guard([this, end, done = std::move(done)](const absl::StatusOr<std::string>& result) {
         const auto code = result.ok() ? DecodeJobResultCode(*result) : result.status();
-        const bool unknown = code.ok() && *code == JobResultCode::kNotFound && group_ != nullptr &&
-                             state_->Find(end.job) == nullptr;
-        if (!unknown) return done(result);
-        EndBeforeSubmission(end, done);
+        if (!code.ok() || *code != JobResultCode::kNotFound) return done(result);
+        const bool unknown = group_ != nullptr && state_->Find(end.job) == nullptr;
+        if (unknown) return KeepEndOfUnknownJob(end, done);
+        received_ends_.erase(end.job);
+        done(result);
       }));
 }
 
-void JobService::EndBeforeSubmission(const EndJob& end, const Callback& done) {
-  if (!HasRoomForEarlyEnd(end))
-    return done(absl::UnavailableError("too many ends of unknown jobs"));
+void JobService::KeepEndOfUnknownJob(const EndJob& end, const Callback& done) {
+  if (!HasRoomForPlaceholder(end)) {
+    received_ends_.erase(end.job);
+    return done(absl::ResourceExhaustedError("too many ends of unknown jobs"));
+  }
   // Commands that earlier builds apply alike. A submission that was committed in between is ended
   // by the second one.
   JobSpec placeholder;
@@ -141,15 +197,11 @@
   ProposeCommand({end, {}}, done);
 }
 
-bool JobService::HasRoomForEarlyEnd(const EndJob& end) const {
-  size_t bytes = end.job.value().size() + end.tenant.value().size();
-  size_t count = 1;
-  for (const auto& [id, record] : state_->jobs()) {
-    if (!record.spec.items.empty()) continue;
-    ++count;
-    bytes += id.value().size() + record.spec.tenant.value().size();
-  }
-  return count <= limits_.max_early_ends && bytes <= limits_.max_early_end_bytes;
+bool JobService::HasRoomForPlaceholder(const EndJob& end) const {
+  const auto& jobs = state_->jobs();
+  const auto count = std::count_if(jobs.begin(), jobs.end(),
+                                   [](const auto& job) { return IsPlaceholder(job.second); });
+  return MayKeep(end) && static_cast<size_t>(count) < limits_.max_placeholders;
 }
 
 void JobService::ProposeCommand(JobCommand command, Callback done) {
@@ -254,7 +306,7 @@
 JobQueryAnswer JobService::AnswerOf(const JobQuery& query) const {
   const JobRecord* record = state_ == nullptr ? nullptr : state_->Find(query.job);
   if (record == nullptr || !MayAccessJob(*record, query.tenant)) return {};
-  if (EndedBeforeSubmission(*record)) return {};
+  if (IsPlaceholder(*record)) return {};
   if (query.kind == JobQueryKind::kResults) return ResultsOf(*record, query);
   const auto& items = record->spec.items;
   JobQueryAnswer answer;
@@ -285,6 +337,7 @@
 }
 
 void JobService::OnStateChange(const JobId& job) {
+  ForgetAppliedEnd(job);
   if (held_.empty()) return;
   changed_.insert(job);
   if (!change_timer_.armed()) change_timer_.Arm(Duration(0), [this] { AnswerChanged(); });
--- a/source/jobs/job_service.h
+++ b/source/jobs/job_service.h
@@ -36,10 +36,11 @@
   /// Bound on the memory of the items of all jobs; 0 sets none. A job that alone exceeds it is
   /// accepted while there is no other.
   size_t max_item_bytes = 0;
-  /// Bounds on the jobs that were ended before they were submitted, and on the size of their
-  /// identifiers. Above them such an end is not acknowledged.
-  size_t max_early_ends = 4096;
-  size_t max_early_end_bytes = 1 << 20;
+  /// Bound on the placeholders of jobs that were ended before they were submitted. Above it such an
+  /// end is refused.
+  size_t max_placeholders = 4096;
+  /// Bound on the ends that this replica remembers until they are applied.
+  size_t max_received_ends = 4096;
 };
 
 /// Lives on the node's serial executor.
@@ -59,11 +60,14 @@
   /// Called on the leader for each submission whose sender handles rejections. Without it, all jobs
   /// are accepted.
   void SetAdmission(Admission admission) { admission_ = std::move(admission); }
-  /// `listener` is called on the leader with each open job whose owner asks for its end, before the
-  /// end is committed.
-  void OnEndReceived(std::function<void(const JobId&)> listener) {
+  /// `listener` is called on the leader with each end that it receives of a job that has not ended,
+  /// before the end is committed. The job may be unknown, or belong to another tenant.
+  void SetEndListener(std::function<void(const EndJob&)> listener) {
     end_listener_ = std::move(listener);
   }
+  /// To be called once this replica leads: proposes the ends that it has received and not applied,
+  /// also those that came while another replica led.
+  void ProposeReceivedEnds();
   /// Handles a message of kind kCommand for the group.
   void Receive(const NodeId& from, const PeerMessage& message);
   /// The state machine applied a change; held queries are answered from a timer.
@@ -92,11 +96,18 @@
 
   void Propose(const CommandKey& key, const GroupCommand& command, Callback done);
   void LogEndReceived(const NodeId& from, const EndJob& end) const;
-  /// Reports the end to the listener and proposes it. The end of a job that is unknown when it is
-  /// applied is kept, so that a submission that is committed later does not run.
+  /// An end reaches the leader also if its sender reaches only followers: they relay it, and answer
+  /// once it is applied.
+  void ReceiveAsFollower(const NodeId& from, const GroupCommand& group_command);
+  bool HasEnded(const EndJob& end) const;
+  void RememberEnd(const EndJob& end);
+  void ForgetAppliedEnd(const JobId& job);
+  void RelayEnd(const NodeId& from, const EndJob& end);
+  /// The end of a job that is unknown when it is applied is kept, so that a submission that is
+  /// committed later does not run.
   void ProposeEnd(const EndJob& end, Callback done);
-  void EndBeforeSubmission(const EndJob& end, const Callback& done);
-  bool HasRoomForEarlyEnd(const EndJob& end) const;
+  void KeepEndOfUnknownJob(const EndJob& end, const Callback& done);
+  bool HasRoomForPlaceholder(const EndJob& end) const;
   void ProposeCommand(JobCommand command, Callback done);
   void ProposeJob(JobCommand command, Callback done);
   /// Null if the job must or may be proposed: it is known, its proposal is in progress, or it fits.
@@ -124,7 +135,9 @@
   StatsRegistry* const stats_;
   const JobServiceLimits limits_;
   Admission admission_;
-  std::function<void(const JobId&)> end_listener_;
+  std::function<void(const EndJob&)> end_listener_;
+  /// Ends that this replica received and has not applied, with the tenant that asked for them.
+  std::map<JobId, TenantName> received_ends_;
   /// Commands in progress, with the number of copies that arrived.
   std::map<CommandKey, size_t> running_;
   struct Proposal {
--- a/source/jobs/job_state_machine.cc
+++ b/source/jobs/job_state_machine.cc
@@ -84,7 +84,7 @@
   const JobId& id = submit.job.id;
   if (const auto known = jobs_.find(id); known != jobs_.end()) {
     if (!MayAccessJob(known->second, submit.job.tenant)) return JobResultCode::kOtherOwner;
-    if (EndedBeforeSubmission(known->second)) KeepIdentifiers(known->second, submit.job);
+    if (IsPlaceholder(known->second)) ReplacePlaceholder(known->second, submit.job);
     return JobResultCode::kOk;
   }
   jobs_[id] = {submit.job, clock_, false, {}};
@@ -93,11 +93,15 @@
   return JobResultCode::kOk;
 }
 
-void JobStateMachine::KeepIdentifiers(JobRecord& record, const JobSpec& job) {
-  record.spec = job;
-  for (JobItem& item : record.spec.items) ClearContent(item);
+void JobStateMachine::ReplacePlaceholder(JobRecord& placeholder, const JobSpec& job) {
+  // The leader that proposed the placeholder may have been lost before it proposed the end.
+  placeholder.ended = true;
+  placeholder.submitted_at = clock_;
+  placeholder.spec = job;
+  for (JobItem& item : placeholder.spec.items) ClearContent(item);
   recorded_[job.id].assign(job.items.size(), false);
-  ended_encoded_[job.id] = std::make_shared<std::string>(EncodeSnapshotJob(record));
+  ended_encoded_[job.id] = std::make_shared<std::string>(EncodeSnapshotJob(placeholder));
+  Notify(JobChange::kEnded, job.id);
 }
 
 JobResultCode JobStateMachine::Run(const RecordResult& record) {
--- a/source/jobs/job_state_machine.h
+++ b/source/jobs/job_state_machine.h
@@ -62,8 +62,8 @@
   JobResultCode Run(const AnnounceOrder& announce);
   JobResultCode Run(const SaveProgress& save);
   JobResultCode Run(const RecordEnginePaces& record);
-  /// A job that was ended before its submission is reported with its items, none of which runs.
-  void KeepIdentifiers(JobRecord& record, const JobSpec& job);
+  /// The job is reported with its items, none of which runs.
+  void ReplacePlaceholder(JobRecord& placeholder, const JobSpec& job);
   void AdvanceClock(WallTime proposed_at);
   void RemoveExpired();
   void Notify(JobChange change, const JobId& job);
--- a/source/jobs/job_types.h
+++ b/source/jobs/job_types.h
@@ -102,10 +102,10 @@
   return record.spec.tenant.value().empty() || record.spec.tenant == caller;
 }
 
-/// Whether the record stands for a job that was ended before it was submitted: ended, without
-/// items. A submission that is committed later finds it and does not run.
-inline bool EndedBeforeSubmission(const JobRecord& record) {
-  return record.ended && record.spec.items.empty();
+/// Whether the record only keeps the end of a job that was unknown then. A submission that is
+/// committed later replaces it and does not run. Submitted jobs have a path.
+inline bool IsPlaceholder(const JobRecord& record) {
+  return record.spec.path.empty() && record.spec.items.empty();
 }
 
 /// An item and the tenant of its job: two tenants may use the same identifier.
@@ -139,6 +139,12 @@
   friend bool operator==(const EndJob&, const EndJob&) = default;
 };
 
+/// Whether the end is kept beyond the call that asked for it. Bounds the memory of those that are.
+inline bool MayKeep(const EndJob& end) {
+  constexpr size_t kMaxKeptBytes = 256;
+  return end.job.value().size() + end.tenant.value().size() <= kMaxKeptBytes;
+}
+
 /// The lease holder is about to send an order to an engine, within a bounded time. Other nodes send
 /// none to that engine until the lease has expired.
 struct AnnounceOrder {
--- a/source/jobs/storage_node.cc
+++ b/source/jobs/storage_node.cc
@@ -61,8 +61,8 @@
       if (scheduler_ == nullptr) return std::nullopt;
       return scheduler_->RejectionOf(job);
     });
-    service_.OnEndReceived([this](const JobId& job) {
-      if (scheduler_ != nullptr) scheduler_->OnEndReceived(job);
+    service_.SetEndListener([this](const EndJob& end) {
+      if (scheduler_ != nullptr) scheduler_->OnEndReceived(end);
     });
     ingress_.SetSuspectRegister(suspects_);
     ingress_.SetColdBound(options_.cold_bound);
@@ -216,6 +216,7 @@
       loads_.OnReady([this] { scheduler_->Pump(); });
     }
     if (scheduler_ != nullptr) scheduler_->SetLeading(leads);
+    if (leads) service_.ProposeReceivedEnds();
     if (options_.reports_pool_needs) pool_needs_.SetLeading(leads ? group : nullptr);
   }
 
--- a/test/jobs/job_end_test.cc
+++ b/test/jobs/job_end_test.cc
@@ -67,7 +67,7 @@
 TEST_CASE("The ends of unknown jobs are bounded; beyond them none is acknowledged") {
   EndFixture fixture;
   JobServiceLimits limits;
-  limits.max_early_ends = 1;
+  limits.max_placeholders = 1;
   JobService bounded(
       fixture.environment, fixture.first_end, [] { return NodeId(); }, nullptr, limits);
   bounded.Attach(&fixture.leader, &fixture.state);
@@ -104,6 +104,50 @@
   CHECK(fixture.wires.sent == sent_after);
 }
 
+// Guards against a submission that is accepted and can't be read or ended.
+TEST_CASE("A placeholder whose end was lost with its leader still ends the job") {
+  EndFixture fixture;
+  JobSpec placeholder;
+  placeholder.id = JobId("j");
+  fixture.state.Apply(LogIndex(200),
+                      EncodeJobCommand({SubmitJob{placeholder}, fixture.environment.WallNow()}));
+  CHECK(fixture.Submit("j")->ok());
+  CHECK(fixture.HasEnded("j"));
+  JobQuery query;
+  query.job = JobId("j");
+  CHECK(fixture.Query(query).total == 2);
+}
+
+// Guards against an end that is lost because its gateway reaches followers only.
+TEST_CASE("An end that reaches only a follower is relayed to the leader") {
+  EndFixture fixture;
+  fixture.Submit("j");
+  fixture.wires.cut_pairs = {{NodeId("client"), NodeId("s1")}, {NodeId("s1"), NodeId("client")}};
+  const auto end = fixture.End("j");
+  REQUIRE(end);
+  REQUIRE(end->ok());
+  CHECK(fixture.HasEnded("j"));
+}
+
+// Guards against a new leader that runs a job whose end it received as a follower.
+TEST_CASE("A follower that received an end proposes it once it leads") {
+  EndFixture fixture;
+  fixture.Submit("j");
+  fixture.wires.cut = {NodeId("s1")};
+  CHECK_FALSE(fixture.End("j")->ok());
+  fixture.wires.cut = {NodeId("client")};
+  fixture.follower.leader = true;
+  std::vector<JobId> told;
+  fixture.second.SetEndListener([&told](const EndJob& end) { told.push_back(end.job); });
+  fixture.second.ProposeReceivedEnds();
+  CHECK(told == std::vector<JobId>{JobId("j")});
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.HasEnded("j"));
+  told.clear();
+  fixture.second.ProposeReceivedEnds();
+  CHECK(told.empty());
+}
+
 // Guards against an open job whose end was answered 503 and never asked for again.
 TEST_CASE("An end that its caller gave up is carried out once there is a quorum") {
   EndFixture fixture;
@@ -147,7 +191,7 @@
   fixture.Submit(job);
   fixture.scheduler.RunFor(milliseconds(200));
   REQUIRE(fixture.backends.CountAt("e:1") == 2);
-  fixture.scheduler_under_test.OnEndReceived(JobId("j"));
+  fixture.scheduler_under_test.OnEndReceived({JobId("j"), {}});
   fixture.scheduler.RunFor(milliseconds(10));
   CHECK(fixture.backends.calls[0]->cancelled);
   // A result that was proposed before the end is applied after it.
--- a/test/jobs/job_service_fixture.h
+++ b/test/jobs/job_service_fixture.h
@@ -26,7 +26,8 @@
   void Deliver(const NodeId& from, const NodeId& to, const PeerMessage& message) {
     ++sent;
     scheduler_.Schedule(std::chrono::milliseconds(1), [this, from, to, message] {
-      if (receivers.contains(to) && !cut.contains(to) && !cut.contains(from)) {
+      if (receivers.contains(to) && !cut.contains(to) && !cut.contains(from) &&
+          !cut_pairs.contains({from, to})) {
         receivers[to](from, message);
       }
     });
@@ -34,6 +35,8 @@
 
   std::map<NodeId, Receiver> receivers;
   std::set<NodeId> cut;
+  /// Sender and receiver.
+  std::set<std::pair<NodeId, NodeId>> cut_pairs;
   size_t sent = 0;
 
  private:
