soak: Judge items that begin after the end of their job

The trainer of the soak sent DELETE once and dropped the answer, and no row judged what ran after an end. Change: trainers ask for ends once, for 0.3 s, until 200, or at two gateways at once, end steps that were not accepted too, and for a fifth of their rounds submit one more job, leave it after 0.3 s and ask another gateway for its end. The ends, their answers and the last item stand below the table.

--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -12,6 +12,7 @@
 from fleet import SERVICE, ip_of
 from history import (Acknowledged, Call, CrashingCall, RecordedResult, OperatorCall, ReadBack, Sent,
                      Submission, now)
+from job_ends import JobEnds
 
 DEADLINE = 2.0
 NOT_RUN = (408, 421, 429, 503)
@@ -21,6 +22,10 @@
 # Timeout of an operator's call, after which it is sent to another node, in seconds.
 OPERATOR_TIMEOUT = 1.0
 READ_PAUSE = 0.15
+# Share of a trainer's rounds in which it submits a job besides the step and leaves it, and how long
+# it waits for the response, in seconds.
+ABANDONED_SHARE = 0.2
+ABANDONED_AFTER = 0.3
 
 
 def new_id():
@@ -293,6 +298,9 @@
         self._history = history
         self._model = model
         self.steps = []
+        # Jobs that it left without waiting for the response to their submission.
+        self.abandoned = []
+        self._ends = JobEnds(layout.gateways, history, self._call)
         # Request ids of all calls that score texts.
         self.scorings = set()
         self.stopped = False
@@ -308,24 +316,38 @@
             begun = now()
             step = Step(number)
             self.steps.append(step)
+            if random.random() < ABANDONED_SHARE:
+                self._abandon(Step(number))
             if self._submit(step):
                 self._await_groups(step)
                 step.over = True
-                self._call("DELETE", f"/v1/lots/{step.job}", {})
+            self._ends.begin(step.job, lambda: self.stopped)
             number += 1
             self._announce_version(number + 1)
             time.sleep(max(0.0, begun + STEP_TIME - now()))
         self.ended.set()
 
-    def _call(self, method, path, headers, body=None, machine=None):
+    def _abandon(self, step):
+        """Submits a job, leaves without the response and asks another gateway for its end."""
+        self.abandoned.append(step)
+        machine, other = random.sample(self._layout.gateways, 2)
+        self._call("POST", f"/jobs/{step.job}", self._headers(step), self._document(step), machine,
+                   ABANDONED_AFTER)
+        self._ends.begin(step.job, lambda: self.stopped, other)
+
+    def _call(self, method, path, headers, body=None, machine=None, timeout=2.5):
         if machine is None:
             machine = random.choice(self._layout.gateways)
         try:
-            return exchange(machine, method, path, body, {"Host": HOST, **headers}, 2.5)
+            return exchange(machine, method, path, body, {"Host": HOST, **headers}, timeout)
         except OSError:
             return 0, {}, b""
 
-    def _submit(self, step):
+    @staticmethod
+    def _headers(step):
+        return {"Request-Id": step.job, "Content-Type": "application/json"}
+
+    def _document(self, step):
         requests = []
         for group in range(GROUPS):
             for _ in range(GROUP_SIZE):
@@ -342,9 +364,11 @@
                     "tokens": 10 + events, "group": f"{step.job}-{group}",
                     "scorer": {"id": scorer, "host": HOST, "path": SCORE_ROUTE + "x",
                                "body": base64.b64encode(b"judge").decode()}})
-        document = json.dumps({"step": step.number, "model": self._model, "desired": WANTED,
-                               "min_version": step.min_version, "requests": requests})
-        headers = {"Request-Id": step.job, "Content-Type": "application/json"}
+        return json.dumps({"step": step.number, "model": self._model, "desired": WANTED,
+                           "min_version": step.min_version, "requests": requests})
+
+    def _submit(self, step):
+        document, headers = self._document(step), self._headers(step)
         until = now() + STEP_DEADLINE
         while now() < until and not self.stopped:
             sent, machine = now(), random.choice(self._layout.gateways)
--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -14,6 +14,7 @@
 
 import checks
 import exposure
+import job_end_checks
 import routing_checks
 import shortage_checks
 import soak
@@ -25,10 +26,11 @@
                        service_of)
 from faults import Faults
 from fleet import Fleet, Layout, claim_subnet, ip_of
-from history import (Acknowledged, Burst, Call, CrashingCall, CrashingRun, History, JobLeaderLost,
-                     Lookup, LookupArrival, RecordedResult, OperatorCall, Order, Confirmation,
-                     PendingRead, Presence, ReadBack, Run, Sent, SmallCall, Span, Stall, Started,
-                     ZoneCut)
+from history import (Acknowledged, Burst, Call, CrashingCall, CrashingRun, EndAsked, History,
+                     JobLeaderLost, Lookup, LookupArrival, RecordedResult, OperatorCall, Order,
+                     Confirmation, PendingRead, Presence, ReadBack, Run, Sent, SmallCall, Span, Stall,
+                     Started, ZoneCut)
+from job_ends import JobEnds
 from links import BACK, FORTH
 from shortage_faults import leader_of_jobs
 
@@ -60,6 +62,7 @@
         step.complete = True
         step.items = {"item": ("group", 2)}
         self.steps = [step]
+        self.abandoned = []
 
 
 def history_of(*records):
@@ -569,6 +572,108 @@
         self.expect(served, 0, 0)
 
 
+class JobEndsTest(unittest.TestCase):
+    """Items that begin after the end of their job, which gateway 6 was asked for at 10 s."""
+
+    def judged(self, at, *records, status=503):
+        """Cases and violations for an item that begins at `at`."""
+        history = history_of(EndAsked("job", 6, 10.0, 10.2, status),
+                             Run("item", "engines", "i-1", at), *records)
+        row = job_end_checks.check_job_ends(history, [FakeTrainer()], LAYOUT)
+        return row.tried, len(row.broken)
+
+    def expect_from(self, bound, *records, status=503):
+        """Fails unless items are violations from `bound` on."""
+        self.assertEqual(self.judged(bound - 0.1, *records, status=status), (1, 0), records)
+        self.assertEqual(self.judged(bound + 0.1, *records, status=status), (1, 1), records)
+
+    def test_in_touch(self):
+        """Whatever was answered, and also if several machines have faults later."""
+        for status in (200, 202, 404, 503, 0):
+            self.expect_from(13.0, status=status)
+        self.expect_from(13.0, Span("kill_all", LAYOUT.machines, 13.05, 19.0),
+                         Span("kill", (6,), 13.05, 19.0))
+
+    def test_earliest_end(self):
+        """The first of several ends counts, an earlier one of another job does not."""
+        self.expect_from(11.0, EndAsked("job", 7, 8.0, 8.1, 404),
+                         EndAsked("other", 7, 5.0, 5.1, 200))
+
+    def test_abandoned(self):
+        """Jobs that the trainer left are judged."""
+        trainer = FakeTrainer()
+        trainer.steps, trainer.abandoned = [], trainer.steps
+        history = history_of(EndAsked("job", 6, 10.0, 10.2, 404),
+                             Run("item", "engines", "i-1", 13.1))
+        row = job_end_checks.check_job_ends(history, [trainer], LAYOUT)
+        self.assertEqual((row.tried, len(row.broken)), (1, 1))
+
+    def test_gateway_out_of_touch(self):
+        """One that reads the request is judged from when it is in touch again, unless it ended."""
+        cut = Span("cut_from_stores", (6,), 5.0, 12.0)
+        self.expect_from(18.0, cut)
+        self.expect_from(18.0, cut, status=0)
+        self.expect_from(18.0, Span("stand_still", (6,), 5.0, 12.0))
+        self.expect_from(20.0, Span("cut", (6,), 12.0, 14.0))
+        again = Span("cut_from_stores", (6,), 15.0, float("inf"))
+        for record in (Started(6, "gateway", 13.0), again):
+            self.assertEqual(self.judged(30.0, cut, record), (0, 0), record)
+        for kind in ("stand_still", "kill", "stop"):
+            self.assertEqual(self.judged(30.0, Span(kind, (6,), 5.0, 12.0), status=0), (0, 0), kind)
+
+    def test_acknowledged(self):
+        """An acknowledged end counts although its gateway or the other machines have faults."""
+        for machines in ((6,), LAYOUT.machines):
+            self.expect_from(13.2, Span("freeze", machines, 5.0, 9.9), status=200)
+
+    def test_majority(self):
+        """Faults of a minority, also one after another, defer nothing; those of a majority do."""
+        self.expect_from(13.0, Span("freeze", (1, 2), 5.0, 12.0))
+        self.expect_from(13.0, Span("freeze", (1, 2), 5.0, 7.5), Span("freeze", (3, 4), 11.0, 12.0))
+        self.expect_from(16.0, Span("freeze", (1, 2), 5.0, 10.0), Span("freeze", (3,), 9.0, 12.0))
+        self.expect_from(18.0, Span("power_off_stores", LAYOUT.machines, 5.0, 12.0))
+
+    def test_partition(self):
+        """The majority goes on, except just after the partition begins or heals."""
+        self.expect_from(13.0, Span("cut_in_two", LAYOUT.machines, 6.0, 15.0))
+        self.expect_from(23.0, Span("cut_in_two", LAYOUT.machines, 8.0, 17.0))
+
+    def test_resumed(self):
+        """A machine with a disk that has just come back may send an item; a gateway sends none."""
+        for machine, broken in ((1, 0), (7, 1)):
+            self.assertEqual(self.judged(13.2, Span("freeze", (machine,), 5.0, 13.1)), (1, broken))
+        self.assertEqual(self.judged(13.5, Span("freeze", (1,), 5.0, 13.1)), (1, 1))
+
+    def ask(self, way, *statuses):
+        """Asks for an end in one way; the requests, which get these responses."""
+        waiting, asked = list(statuses), []
+
+        def call(*request):
+            asked.append(request)
+            return waiting.pop(0), {}, b""
+
+        history = History()
+        ends = JobEnds((6, 7, 8), history, call)
+        with unittest.mock.patch("job_ends.time.sleep"):
+            getattr(ends, way)("job", 6, lambda: False)
+        self.assertEqual([end.status for end in history.of(EndAsked)], list(statuses))
+        return asked
+
+    def test_repeated(self):
+        """The end is asked for until it is acknowledged."""
+        self.assertEqual(len(self.ask("_until_done", 503, 0, 404, 200)), 4)
+
+    def test_at_two_gateways(self):
+        """Two gateways are asked at once."""
+        machines = [request[4] for request in self.ask("_twice", 200, 200)]
+        self.assertEqual(len(set(machines)), 2)
+        self.assertIn(6, machines)
+
+    def test_briefly(self):
+        """The client leaves early."""
+        self.assertLess(self.ask("_briefly", 0)[0][5], 1.0)
+
+
 class ShortageTest(unittest.TestCase):
     """Checks of runs in which capacity is short."""
 
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -50,6 +50,17 @@
     status: int
 
 
+@dataclasses.dataclass
+class EndAsked:
+    """A trainer asked a gateway for the end of a job; status 0 means no response in time."""
+
+    job: str
+    machine: int
+    sent: float
+    ended: float
+    status: int
+
+
 @dataclasses.dataclass
 class CrashingCall:
     """A caller sent a request that crashes the back ends that run it."""
--- a/test/soak/routing_checks.py
+++ b/test/soak/routing_checks.py
@@ -26,6 +26,8 @@
 # A call that scores a text may last as long as its route's time limit.
 SCORING_TAKES = 1.5
 CUTS = ("cut_in_two", "cut_zones", "cut_zone", "part_acknowledger")
+# A majority of all machines with a disk stays together.
+PARTITIONS = ("cut_in_two", "cut_zones")
 # All control nodes lose their processes at once.
 ALL_KILLED = ("kill_all", "power_off_after_wipe", "power_off_stores",
               "power_off_stores_without_resets", "power_off_without_seeds")
@@ -87,6 +89,26 @@
         return not any(stores & set(span.machines) and self._overlaps(span, start, end)
                        for span in self._spans)
 
+    def in_touch(self, machine, start, end):
+        """Whether a gateway was undisturbed from CONTACT before `start` until `end`, planned stops
+        included, and a majority of the machines with a disk was at each moment."""
+        if any(machine in span.machines and self._overlaps(span, start, end)
+               for span in self._spans):
+            return False
+        changes = [at for span in self._spans for at in (span.begun, span.over) if start <= at <= end]
+        return all(self._has_majority(moment) for moment in (start, *changes))
+
+    def _has_majority(self, moment):
+        lost = {machine for span in self._spans if self._takes_machines(span, moment)
+                for machine in span.machines}
+        stores = set(self._layout.machines)
+        return 2 * len(stores - lost) > len(stores)
+
+    def _takes_machines(self, span, moment):
+        if span.kind not in PARTITIONS:
+            return self._overlaps(span, moment, moment)
+        return any(moment - CONTACT <= at <= moment for at in (span.begun, span.over))
+
     def _strikes(self, span, start, end):
         if span.kind in STOPS:
             return any(start - CONTACT <= moment <= end for moment in (span.begun, span.over))
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -20,6 +20,7 @@
 from faults import Faults
 from fleet import Fleet, Layout, use_free_subnet, use_subnet
 from history import History, now
+from job_end_checks import check_job_ends, report_job_ends
 from routing_checks import Versions, outcomes_of
 from probes import Prober
 from confirmations import ConfirmationReader
@@ -156,6 +157,10 @@
     rows = check_all(history, operator, trainers, instances, layout, end_of_faults)
     if stalls_callers:
         rows += check_stalled(history, layout)
+    # An earlier build may start items after the end of their job.
+    if not arguments.before:
+        rows.append(check_job_ends(history, trainers, layout))
+    report_job_ends(history, trainers)
     rows += shortage_rows(history, trainers, layout, faults.kinds_to_judge, trained_for)
     return rows, lost
 
