soak: Leave jobs at a pace of their own

Change: each trainer leaves a job each 2 to 5 s and asks another gateway for its end within a second.

--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -22,10 +22,11 @@
 # Timeout of an operator's call, after which it is sent to another node, in seconds.
 OPERATOR_TIMEOUT = 1.0
 READ_PAUSE = 0.15
-# Share of a trainer's rounds in which it submits a job besides the step and leaves it, and how long
-# it waits for the response, in seconds.
-ABANDONED_SHARE = 0.2
+# Pause before a trainer submits a job that it leaves, how long it waits for the response, and how
+# long at most until it asks for the end, in seconds.
+ABANDON_PAUSE = (2.0, 5.0)
 ABANDONED_AFTER = 0.3
+ABANDONED_FOR = 1.0
 
 
 def new_id():
@@ -309,6 +310,7 @@
     def start(self):
         """Starts the trainer's thread."""
         threading.Thread(target=self._run, daemon=True).start()
+        threading.Thread(target=self._abandon_jobs, daemon=True).start()
 
     def _run(self):
         number = 0
@@ -316,8 +318,6 @@
             begun = now()
             step = Step(number)
             self.steps.append(step)
-            if random.random() < ABANDONED_SHARE:
-                self._abandon(Step(number))
             if self._submit(step):
                 self._await_groups(step)
                 step.over = True
@@ -327,12 +327,19 @@
             time.sleep(max(0.0, begun + STEP_TIME - now()))
         self.ended.set()
 
+    def _abandon_jobs(self):
+        """Leaves jobs at a pace of its own, so that ends are asked for during faults too."""
+        while not self.stopped:
+            time.sleep(random.uniform(*ABANDON_PAUSE))
+            self._abandon(Step(0))
+
     def _abandon(self, step):
         """Submits a job, leaves without the response and asks another gateway for its end."""
         self.abandoned.append(step)
         machine, other = random.sample(self._layout.gateways, 2)
         self._call("POST", f"/jobs/{step.job}", self._headers(step), self._document(step), machine,
                    ABANDONED_AFTER)
+        time.sleep(random.uniform(0, ABANDONED_FOR))
         self._ends.begin(step.job, lambda: self.stopped, other)
 
     def _call(self, method, path, headers, body=None, machine=None, timeout=2.5):
