jobs: Report a node as emptied once its removal is committed

Cause: Members() holds the newest membership change of the log, committed or not. A removal that found no quorum fails after 5 s and stays in the log; the next tick then reported the node as emptied, and its machine could be removed together with its disk. A later leader may still count that replica as a voter: one more loss then leaves the jobs without a quorum.

Change: RaftGroup tells whether its members are committed, and JobReplicaManager reports emptied nodes only then.

Measured: before the change "A retired node is not reported as emptied before its removal is committed" failed: the node was reported. No real processes were run.

--- a/source/consensus/group_replica.h
+++ b/source/consensus/group_replica.h
@@ -81,6 +81,7 @@
   Term CurrentTerm() const override { return core_->term(); }
   LogIndex AppliedIndex() const override { return applied_; }
   std::vector<GroupMember> Members() const override { return core_->configuration().members; }
+  bool HasCommittedMembers() const override { return core_->HasCommittedConfiguration(); }
   bool HasReplied(ReplicaId replica, TimePoint since) const override {
     return failure_.ok() && core_->HasReplied(replica, since);
   }
--- a/source/consensus/raft_core.h
+++ b/source/consensus/raft_core.h
@@ -117,6 +117,9 @@
   ReplicaId leader() const { return leader_; }
   LogIndex commit() const { return commit_; }
   const Configuration& configuration() const { return configurations_.Current(); }
+  /// Whether this replica leads and `configuration` is committed, so that every later leader has
+  /// it.
+  bool HasCommittedConfiguration() const;
   const std::vector<GroupMember>& MembersAt(LogIndex index) const {
     return configurations_.At(index).members;
   }
--- a/source/consensus/raft_group.h
+++ b/source/consensus/raft_group.h
@@ -48,7 +48,10 @@
   virtual std::optional<NodeId> Leader() const = 0;
   virtual Term CurrentTerm() const = 0;
   virtual LogIndex AppliedIndex() const = 0;
+  /// As of the last membership change in this replica's log, which may not be committed yet.
   virtual std::vector<GroupMember> Members() const = 0;
+  /// Whether this replica leads and Members() is committed, so that every later leader has it.
+  virtual bool HasCommittedMembers() const = 0;
   /// Whether this replica leads and the member `replica` has replied to one of its entries,
   /// heartbeats or snapshots at or after `since`.
   virtual bool HasReplied(ReplicaId replica, TimePoint since) const = 0;
--- a/source/consensus/raft_membership.cc
+++ b/source/consensus/raft_membership.cc
@@ -71,8 +71,12 @@
   return LastPosition();
 }
 
+bool RaftCore::HasCommittedConfiguration() const {
+  return IsLeader() && configuration().index <= commit_ && commit_ >= first_entry_of_term_;
+}
+
 void RaftCore::HandleNonMember(const RaftMessage& message) {
-  if (!IsLeader() || configuration().index > commit_ || commit_ < first_entry_of_term_) return;
+  if (!HasCommittedConfiguration()) return;
   if (configuration().Find(message.from) != nullptr) return;
   RaftMessage reply = MakeMessage(RaftMessageType::kRemoved, message.from);
   Send(std::move(reply));
--- a/source/jobs/job_replica_manager.cc
+++ b/source/jobs/job_replica_manager.cc
@@ -210,6 +210,9 @@
 }
 
 void JobReplicaManager::ReportRetired(const std::vector<GroupMember>& members) {
+  // The platform removes the machine of an emptied node at once. While its removal is not
+  // committed, the next leader may still count it as a voter.
+  if (!group_->HasCommittedMembers()) return;
   for (const auto& [node, retired] : configuration_.retired_nodes) {
     const auto record = configuration_.nodes.find(node);
     const bool stores = record != configuration_.nodes.end() && record->second.storage;
--- a/test/consensus/membership_test.cc
+++ b/test/consensus/membership_test.cc
@@ -127,6 +127,22 @@
   REQUIRE(fleet.Leader()->Members().size() == 4);
 }
 
+TEST_CASE("a removal that waits for its commit leaves the members uncommitted") {
+  ConsensusFleet fleet(4, 27);
+  REQUIRE(fleet.RunUntilLeader());
+  RaftGroup* leader = fleet.Leader();
+  REQUIRE(fleet.scheduler.RunUntilTrue([&] { return leader->HasCommittedMembers(); }, seconds(5)));
+  const NodeId removed = OtherThan(fleet, fleet.LeaderNode());
+  fleet.network.Isolate(fleet.LeaderNode());
+  leader->RemoveMember(fleet.MemberOf(removed).replica, nullptr);
+  CHECK(leader->Members().size() == 3);
+  CHECK_FALSE(leader->HasCommittedMembers());
+  fleet.network.Heal();
+  fleet.scheduler.RunFor(seconds(5));
+  REQUIRE(fleet.RunUntilLeader());
+  CHECK(fleet.Leader()->HasCommittedMembers());
+}
+
 TEST_CASE("a removed member neither disturbs the group nor leads it") {
   ConsensusFleet fleet(4, 24);
   REQUIRE(fleet.RunUntilLeader());
--- a/test/jobs/fake_group.h
+++ b/test/jobs/fake_group.h
@@ -23,6 +23,7 @@
   Term CurrentTerm() const override { return term; }
   LogIndex AppliedIndex() const override { return LogIndex(index_); }
   std::vector<GroupMember> Members() const override { return members; }
+  bool HasCommittedMembers() const override { return leader && members_committed; }
   bool HasReplied(ReplicaId replica, TimePoint since) const override {
     const auto found = replied_at.find(replica);
     return found != replied_at.end() && found->second >= since;
@@ -80,6 +81,7 @@
   Term term = Term(3);
   Duration commit_time = std::chrono::milliseconds(2);
   std::vector<GroupMember> members;
+  bool members_committed = true;
   /// When each replica replied last; one without an entry never did.
   std::map<ReplicaId, TimePoint> replied_at;
   /// Members that stopped replying, and when.
--- a/test/jobs/job_replica_manager_test.cc
+++ b/test/jobs/job_replica_manager_test.cc
@@ -166,6 +166,20 @@
   CHECK(fixture.emptied == std::set<NodeId>{NodeId("b")});
 }
 
+// Guards against a voter whose machine is removed although the group still needs it for a quorum.
+TEST_CASE("A retired node is not reported as emptied before its removal is committed") {
+  Fixture fixture;
+  fixture.configuration.retired_nodes[NodeId("b")] = {NodeId("b"), false};
+  fixture.Join("d", ReplicaId(100));
+  fixture.group.members_committed = false;
+  fixture.Run();
+  CHECK(fixture.Voters() == Names{"a", "c", "d"});
+  CHECK(fixture.emptied.empty());
+  fixture.group.members_committed = true;
+  fixture.Run();
+  CHECK(fixture.emptied == std::set<NodeId>{NodeId("b")});
+}
+
 TEST_CASE("The leader of a job group reports no nodes without the storage role") {
   Fixture fixture;
   NodeRecord control;
--- a/test/rollout/rollout_fakes.h
+++ b/test/rollout/rollout_fakes.h
@@ -59,6 +59,7 @@
   Term CurrentTerm() const override { return Term(log_.term); }
   LogIndex AppliedIndex() const override { return LogIndex(0); }
   std::vector<GroupMember> Members() const override { return {}; }
+  bool HasCommittedMembers() const override { return IsLeader(); }
   bool HasReplied(ReplicaId, TimePoint) const override { return false; }
   bool IsUnresponsive(ReplicaId, TimePoint) const override { return false; }
   Duration UncommittedFor() const override { return Duration(0); }
