--- a/source/jobs/job_scoring.cc
+++ b/source/jobs/job_scoring.cc
@@ -43,8 +43,9 @@
 void JobScheduler::StartScoring() {
   if (!CommitsInTime()) return;
   // The route to the scorer may have changed: texts wait until the configuration is confirmed
-  // current. Pump calls this again.
-  if (!may_start_work_()) return;
+  // current, and until the group commits: an end that can't commit calls nothing back. Pump calls
+  // this again.
+  if (!may_start_work_() || !CommitsInTime()) return;
   for (auto& [route, waiting] : scoring_waiting_) {
     const uint32_t max_scorings = waiting.empty() ? 0 : MaxScorings(route);
     while (!waiting.empty() && scorings_[route] < max_scorings) {
--- a/test/jobs/job_scoring_test.cc
+++ b/test/jobs/job_scoring_test.cc
@@ -32,6 +32,22 @@
   CHECK(fixture.ResultOf("j") != nullptr);
 }
 
+// Guards against a leader that sends calls to scorers that an end could not call back.
+TEST_CASE("A complete text is not scored while the job group commits nothing") {
+  Fixture fixture;
+  fixture.Lead();
+  fixture.Submit(fixture.Job("j"));
+  const auto runs = [&] { return fixture.backends.CountAt("e:1") == 1; };
+  REQUIRE(fixture.scheduler.RunUntilTrue(runs, seconds(1)));
+  fixture.group.uncommitted_for = seconds(2);
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.backends.CountAt("p:1") == 0);
+  fixture.group.uncommitted_for = Duration(0);
+  fixture.scheduler.RunFor(seconds(1));
+  CHECK(fixture.backends.CountAt("p:1") == 1);
+  CHECK(fixture.ResultOf("j") != nullptr);
+}
+
 TEST_CASE("An item fails if all allowed scoring attempts fail") {
   Fixture fixture;
   fixture.score = {Kind::kAnswer, 500, {}, {"no"}};
