Tests: Wire the play of ends like the storage node

Change: its store proposes the ends that it heard once it leads; one check of commits in StartScoring instead of two.

--- a/source/jobs/job_scoring.cc
+++ b/source/jobs/job_scoring.cc
@@ -41,7 +41,6 @@
 }
 
 void JobScheduler::StartScoring() {
-  if (!CommitsInTime()) return;
   // The route to the scorer may have changed: texts wait until the configuration is confirmed
   // current, and until the group commits: an end that can't commit calls nothing back. Pump calls
   // this again.
--- a/test/jobs/job_end_cluster.h
+++ b/test/jobs/job_end_cluster.h
@@ -48,7 +48,7 @@
       if (work_ == nullptr) return std::nullopt;
       return work_->RejectionOf(job);
     });
-    service_.OnEndReceived([this](const JobId& job) {
+    service_.SetEndListener([this](const JobId& job) {
       if (work_ != nullptr) work_->OnEndReceived(job);
     });
     auto identity = LoadOrCreateIdentity(disk, environment_.Random(), "play", name, name.value());
@@ -95,6 +95,7 @@
       loads_.OnReady([this] { work_->Pump(); });
     }
     work_->SetLeading(term != Term());
+    if (term != Term()) service_.ProposeReceivedEnds();
   }
 
   JobEndSetting& setting_;
